--- /dev/null
+++ b/celeryward/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line with ``python -m celeryward``."""
+
+from celeryward.operators import cli
+
+if __name__ == '__main__':
+    cli.main()
--- /dev/null
+++ b/celeryward/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: the HTTP API, admission, limits and sessions."""
--- /dev/null
+++ b/celeryward/catalog.py
@@ -0,0 +1,248 @@
+"""The configuration in force, as one frozen snapshot."""
+
+from collections import abc
+import dataclasses
+import enum
+import functools
+import types
+
+
+class VersionState(enum.Enum):
+    """Life cycle of a model version."""
+
+    STAGED = 'staged'
+    LIVE = 'live'
+    WITHDRAWN = 'withdrawn'
+
+
+class RolloutState(enum.Enum):
+    """Life cycle of a roll-out."""
+
+    RUNNING = 'running'
+    HALTED = 'halted'
+    FINISHED = 'finished'
+
+
+class Fencing(enum.Enum):
+    """Whether an endpoint refuses orders with an old fencing number."""
+
+    ENFORCED = 'enforced'
+    IGNORED = 'ignored'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyHash:
+    """Salted SHA-256 hash of a customer's key, in hexadecimal."""
+
+    salt: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits of one customer over the whole system.
+
+    :param float requests_per_s: sustained rate; 0 means no limit.
+    :param int concurrent: requests running at once; 0 means no limit.
+    :param float cost_per_day: cost units a day; 0 means no limit.
+    """
+
+    requests_per_s: float = 0.0
+    concurrent: int = 0
+    cost_per_day: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Customer:
+    """Someone who may call the system.
+
+    :param tuple allowed: names of models, or ``model@version``.
+    :param int priority: higher is served first.
+    """
+
+    name: str
+    key_hashes: tuple[KeyHash, ...] = ()
+    allowed: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    limits: Limits = Limits()
+    priority: int = 0
+    quality_target: float = 0.8
+
+    def allows(self, version):
+        """Return whether the customer may use a :class:`ModelVersion`."""
+        return version.model in self.allowed or version.name in self.allowed
+
+    def allows_model(self, model):
+        """Return whether any version of the model may be permitted."""
+        prefix = f'{model}@'
+        return any(
+            entry == model or entry.startswith(prefix)
+            for entry in self.allowed
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelVersion:
+    """One version of a model.
+
+    :param float prompt_cost: cost units for 1,000 prompt tokens.
+    :param float answer_cost: cost units for 1,000 generated tokens.
+    """
+
+    model: str
+    version: str
+    state: VersionState = VersionState.LIVE
+    prompt_cost: float = 0.0
+    answer_cost: float = 0.0
+
+    @property
+    def name(self):
+        """The full name, ``model@version``."""
+        return f'{self.model}@{self.version}'
+
+    @property
+    def usable(self):
+        """Whether the version may receive new work."""
+        return self.state is not VersionState.WITHDRAWN
+
+    def cost(self, prompt_tokens, answer_tokens):
+        """Return the cost of one run in cost units."""
+        prompt = prompt_tokens * self.prompt_cost
+        answer = answer_tokens * self.answer_cost
+        return (prompt + answer) / 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cascade:
+    """Models from cheap to strong behind one name.
+
+    :param tuple tiers: names of models, the cheapest first.
+    :param str rule: registered name of the rule that picks the tiers.
+    """
+
+    name: str
+    tiers: tuple[str, ...]
+    rule: str = 'threshold'
+    quality_target: float = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rollout:
+    """A change from one version of a model to another.
+
+    :param float share: share of new sessions on the new version, 0 to 1.
+    """
+
+    name: str
+    model: str
+    from_version: str
+    to_version: str
+    share: float = 0.0
+    state: RolloutState = RolloutState.RUNNING
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A plain service.
+
+    :param tuple idempotent_methods: methods that may be sent again.
+    """
+
+    name: str
+    idempotent_methods: tuple[str, ...] = ('GET', 'HEAD')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An address that runs model versions or plain services.
+
+    :param tuple serves: ``model@version`` names.
+    :param int capacity: requests that it runs at once.
+    """
+
+    name: str
+    host: str
+    port: int
+    failure_domain: str
+    serves: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    capacity: int = 8
+    can_resume: bool = False
+    fencing: Fencing = Fencing.IGNORED
+
+    @property
+    def address(self):
+        """The address as ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+def _empty():
+    return types.MappingProxyType({})
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalog:
+    """All configuration in force at one revision, by name."""
+
+    revision: int = 0
+    customers: abc.Mapping[str, Customer] = dataclasses.field(
+        default_factory=_empty
+    )
+    versions: abc.Mapping[str, ModelVersion] = dataclasses.field(
+        default_factory=_empty
+    )
+    cascades: abc.Mapping[str, Cascade] = dataclasses.field(
+        default_factory=_empty
+    )
+    rollouts: abc.Mapping[str, Rollout] = dataclasses.field(
+        default_factory=_empty
+    )
+    services: abc.Mapping[str, Service] = dataclasses.field(
+        default_factory=_empty
+    )
+    endpoints: abc.Mapping[str, Endpoint] = dataclasses.field(
+        default_factory=_empty
+    )
+
+    @functools.cached_property
+    def versions_by_model(self):
+        """Versions of each model, as tuples sorted by version."""
+        grouped = {}
+        for version in self.versions.values():
+            grouped.setdefault(version.model, []).append(version)
+        return {
+            model: tuple(sorted(found, key=lambda entry: entry.version))
+            for model, found in grouped.items()
+        }
+
+    @functools.cached_property
+    def endpoints_by_version(self):
+        """Endpoints of each ``model@version``, as tuples."""
+        return _group(self.endpoints.values(), 'serves')
+
+    @functools.cached_property
+    def endpoints_by_service(self):
+        """Endpoints of each plain service, as tuples."""
+        return _group(self.endpoints.values(), 'services')
+
+    @functools.cached_property
+    def rollout_by_model(self):
+        """The roll-out of each model that has one."""
+        return {entry.model: entry for entry in self.rollouts.values()}
+
+    @functools.cached_property
+    def customers_by_digest(self):
+        """Pairs of key hash and customer, for authentication."""
+        return tuple(
+            (key_hash, customer)
+            for customer in self.customers.values()
+            for key_hash in customer.key_hashes
+        )
+
+
+def _group(endpoints, attribute):
+    grouped = {}
+    for endpoint in endpoints:
+        for name in getattr(endpoint, attribute):
+            grouped.setdefault(name, []).append(endpoint)
+    return {name: tuple(found) for name, found in grouped.items()}
--- /dev/null
+++ b/celeryward/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons of our own: gossip, membership and copies of bills."""
--- /dev/null
+++ b/celeryward/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints: model engines and plain services behind the daemons."""
--- /dev/null
+++ b/celeryward/http.py
@@ -0,0 +1,354 @@
+"""HTTP/1.1 on curio sockets by h11, for both sides of a connection."""
+
+import dataclasses
+import socket
+
+import curio
+import h11
+
+from celeryward import deadlines
+from celeryward import errors
+
+READ_SIZE_BYTES = 65536
+MAX_HEAD_BYTES = 32768
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """Head of a request. Header names are lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+
+    @property
+    def path(self):
+        """The target without its query."""
+        return self.target.partition('?')[0]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """Head of a response. Header names are lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class ReadTimeout(errors.CelerywardError):
+    """No byte arrived before the deadline."""
+
+    code = 'read_timeout'
+
+
+class Disconnected(errors.CelerywardError):
+    """The other side closed or reset the connection."""
+
+    code = 'disconnected'
+
+
+class Connection:
+    """One HTTP/1.1 connection, driven by one task at a time.
+
+    :param sock: connected curio socket.
+    :param role: ``h11.CLIENT`` or ``h11.SERVER``.
+    :param str peer: address of the other side, used in errors.
+    """
+
+    def __init__(self, sock, role, peer):
+        self.sock = sock
+        self.peer = peer
+        self.h11 = h11.Connection(
+            role, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.bytes_written = 0
+        self.last_read_at = 0.0
+
+    async def receive(self, step, deadline):
+        """Return the next h11 event.
+
+        :raises ReadTimeout: if no byte arrives before the deadline.
+        :raises Disconnected: if the connection is reset.
+        :raises errors.ProtocolError: if the other side breaks HTTP.
+        """
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise errors.ProtocolError(
+                    str(error), step=step, peer=self.peer
+                ) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self.h11.receive_data(await self.read(step, deadline))
+
+    async def read(self, step, deadline):
+        """Return bytes from the socket, empty at the end of the stream."""
+        try:
+            return await curio.timeout_after(
+                deadline.remaining(), self.sock.recv, READ_SIZE_BYTES
+            )
+        except curio.TaskTimeout as error:
+            raise ReadTimeout(
+                'no byte arrived before the deadline',
+                step=step,
+                peer=self.peer,
+            ) from error
+        except OSError as error:
+            raise Disconnected(
+                f'connection lost: {error}', step=step, peer=self.peer
+            ) from error
+
+    async def send(self, step, *events):
+        """Send h11 events in one write.
+
+        :raises Disconnected: if the connection is closed.
+        """
+        data = b''.join(self.h11.send(event) or b'' for event in events)
+        try:
+            await self.sock.sendall(data)
+        except OSError as error:
+            raise Disconnected(
+                f'connection lost: {error}', step=step, peer=self.peer
+            ) from error
+        self.bytes_written += len(data)
+
+    async def receive_request(self, deadline):
+        """Return the next request head, or None if the caller is done."""
+        event = await self.receive('read request', deadline)
+        if isinstance(event, h11.Request):
+            return Request(
+                event.method.decode('ascii'),
+                event.target.decode('ascii'),
+                decode_headers(event.headers),
+            )
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        raise errors.ProtocolError(
+            f'unexpected {type(event).__name__}',
+            step='read request',
+            peer=self.peer,
+        )
+
+    async def receive_response(self, deadline):
+        """Return the next response head, skipping interim responses."""
+        while True:
+            event = await self.receive('read response', deadline)
+            if isinstance(event, h11.Response):
+                return Response(
+                    event.status_code, decode_headers(event.headers)
+                )
+            if isinstance(event, h11.ConnectionClosed):
+                raise Disconnected(
+                    'connection closed before the response',
+                    step='read response',
+                    peer=self.peer,
+                )
+
+    async def receive_chunks(self, step, next_deadline):
+        """Yield the pieces of a body as they arrive.
+
+        :param next_deadline: function that returns the deadline of the
+            next piece.
+        """
+        while True:
+            event = await self.receive(step, next_deadline())
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise Disconnected(
+                    'connection closed inside a body',
+                    step=step,
+                    peer=self.peer,
+                )
+
+    async def receive_body(self, step, deadline, limit=MAX_BODY_BYTES):
+        """Return a whole body of at most ``limit`` bytes.
+
+        :raises errors.BadInput: if the body is larger.
+        """
+        pieces = []
+        size = 0
+        async for piece in self.receive_chunks(step, lambda: deadline):
+            size += len(piece)
+            if size > limit:
+                raise errors.BadInput(
+                    f'body is larger than {limit} bytes',
+                    step=step,
+                    peer=self.peer,
+                )
+            pieces.append(piece)
+        return b''.join(pieces)
+
+    def reusable(self):
+        """Return whether the connection can carry another exchange."""
+        return (
+            self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+        )
+
+    def start_next_cycle(self):
+        """Prepare for the next exchange on this connection."""
+        self.h11.start_next_cycle()
+
+    async def close(self):
+        """Close the socket. Closing twice does nothing."""
+        await self.sock.close()
+
+
+def decode_headers(headers):
+    """Return headers as a dictionary with lower-case names."""
+    return {
+        name.decode('ascii'): value.decode('latin-1')
+        for name, value in headers
+    }
+
+
+def encode_headers(headers):
+    """Return a dictionary of headers as the pairs that h11 takes."""
+    return [(name, value.encode('latin-1')) for name, value in headers.items()]
+
+
+async def connect(host, port, deadline):
+    """Open a client connection.
+
+    :raises errors.ConnectionFailed: with ``sent`` false.
+    """
+    peer = f'{host}:{port}'
+    try:
+        sock = await curio.timeout_after(
+            deadline.remaining(), curio.open_connection, host, port
+        )
+    except curio.TaskTimeout as error:
+        raise errors.ConnectionFailed(
+            'connect timed out', step='connect', peer=peer, sent=False
+        ) from error
+    except OSError as error:
+        raise errors.ConnectionFailed(
+            f'connect failed: {error}', step='connect', peer=peer, sent=False
+        ) from error
+    disable_nagle(sock)
+    return Connection(sock, h11.CLIENT, peer)
+
+
+def disable_nagle(sock):
+    """Send small writes at once; tokens must not wait for an ACK."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+async def send_request(connection, method, target, headers, body):
+    """Send one whole request."""
+    head = {
+        'host': connection.peer,
+        'content-length': str(len(body)),
+        **headers,
+    }
+    await connection.send(
+        'send request',
+        h11.Request(
+            method=method, target=target, headers=encode_headers(head)
+        ),
+        h11.Data(data=body),
+        h11.EndOfMessage(),
+    )
+
+
+async def exchange(connection, method, target, headers, body, deadline):
+    """Send one request and return its response head and whole body."""
+    await send_request(connection, method, target, headers, body)
+    response = await connection.receive_response(deadline)
+    answer = await connection.receive_body('read body', deadline)
+    return response, answer
+
+
+async def send_response(connection, status, headers, body):
+    """Send one whole response."""
+    head = {'content-length': str(len(body)), **headers}
+    await connection.send(
+        'send response',
+        h11.Response(status_code=status, headers=encode_headers(head)),
+        h11.Data(data=body),
+        h11.EndOfMessage(),
+    )
+
+
+class Listener:
+    """Accepts connections and runs one task for each.
+
+    :param handler: async function of one :class:`Connection`.
+    """
+
+    def __init__(self, host, port, handler):
+        self.sock = curio.network.tcp_server_socket(
+            host, port, backlog=1024, reuse_address=True
+        )
+        self.handler = handler
+        self.tasks = set()
+        self.accept_task = None
+
+    @property
+    def port(self):
+        """The port that the socket is bound to."""
+        return self.sock.getsockname()[1]
+
+    async def start(self):
+        """Start to accept connections."""
+        self.accept_task = await curio.spawn(self.accept, daemon=True)
+
+    async def accept(self):
+        """Spawn a task for each accepted connection, until cancelled."""
+        while True:
+            sock, address = await self.sock.accept()
+            disable_nagle(sock)
+            peer = f'{address[0]}:{address[1]}'
+            connection = Connection(sock, h11.SERVER, peer)
+            task = await curio.spawn(self.run, connection, daemon=True)
+            self.tasks.add(task)
+
+    async def run(self, connection):
+        """Run the handler and close the connection after it."""
+        try:
+            await self.handler(connection)
+        finally:
+            self.tasks.discard(await curio.current_task())
+            await connection.close()
+
+    async def stop_accepting(self):
+        """Close the listening socket. Open connections go on."""
+        if self.accept_task is not None:
+            await self.accept_task.cancel()
+        await self.sock.close()
+
+    async def drain(self, deadline):
+        """Wait until every connection task has ended.
+
+        :returns: the number of tasks that were cut off at the deadline.
+        """
+        for task in list(self.tasks):
+            try:
+                await curio.timeout_after(deadline.remaining(), task.wait)
+            except curio.TaskTimeout:
+                break
+        remaining = list(self.tasks)
+        for task in remaining:
+            await task.cancel()
+        return len(remaining)
+
+
+async def serve_connection(connection, handle, idle_seconds):
+    """Serve requests on one connection until either side ends it.
+
+    :param handle: async function of a :class:`Request`, which answers it.
+    :param float idle_seconds: time allowed between two requests.
+    """
+    while True:
+        deadline = deadlines.Deadline.after(idle_seconds)
+        request = await connection.receive_request(deadline)
+        if request is None:
+            return
+        await handle(request)
+        if not connection.reusable():
+            return
+        connection.start_next_cycle()
--- /dev/null
+++ b/celeryward/metrics.py
@@ -0,0 +1,105 @@
+"""Metrics: counters, and latency percentiles by hdrhistogram."""
+
+import dataclasses
+
+from hdrh import histogram
+import prometheus_client
+from prometheus_client import core
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 95.0, 99.0, 99.9)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """Percentiles of one histogram, in seconds."""
+
+    count: int
+    p50: float
+    p95: float
+    p99: float
+
+
+class Latency:
+    """A histogram of durations, recorded in seconds."""
+
+    def __init__(self):
+        self.histogram = histogram.HdrHistogram(
+            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+        )
+
+    def record(self, seconds):
+        """Add one duration."""
+        microseconds = max(LOWEST_MICROSECONDS, int(seconds * 1e6))
+        self.histogram.record_value(min(microseconds, HIGHEST_MICROSECONDS))
+
+    def percentile(self, percentile):
+        """Return the duration at a percentile, in seconds."""
+        return self.histogram.get_value_at_percentile(percentile) / 1e6
+
+    def summary(self):
+        """Return count and percentiles as a :class:`Summary`."""
+        return Summary(
+            self.histogram.get_total_count(),
+            self.percentile(50.0),
+            self.percentile(95.0),
+            self.percentile(99.0),
+        )
+
+
+class Metrics:
+    """All metrics of one daemon, also a prometheus_client collector."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.latencies = {}
+        self.registry.register(self)
+        self.requests = prometheus_client.Counter(
+            'celeryward_requests',
+            'Requests by customer, target and result code.',
+            ('customer', 'target', 'code'),
+            registry=self.registry,
+        )
+        self.answer_tokens = prometheus_client.Counter(
+            'celeryward_answer_tokens',
+            'Generated tokens by version.',
+            ('version',),
+            registry=self.registry,
+        )
+        self.retries = prometheus_client.Counter(
+            'celeryward_retries',
+            'Repeated dispatches by cause.',
+            ('cause',),
+            registry=self.registry,
+        )
+        self.bills = prometheus_client.Counter(
+            'celeryward_bills',
+            'Settled bills.',
+            registry=self.registry,
+        )
+
+    def latency(self, name):
+        """Return the latency histogram with a name, created on first use."""
+        if name not in self.latencies:
+            self.latencies[name] = Latency()
+        return self.latencies[name]
+
+    def collect(self):
+        """Yield one gauge family for each latency histogram."""
+        for name, latency in self.latencies.items():
+            family = core.GaugeMetricFamily(
+                f'celeryward_{name}_seconds',
+                f'Percentiles of {name}.',
+                labels=('quantile',),
+            )
+            for percentile in PERCENTILES:
+                family.add_metric(
+                    (str(percentile / 100),), latency.percentile(percentile)
+                )
+            yield family
+
+    def exposition(self):
+        """Return all metrics in the text exposition format, as bytes."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/celeryward/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: the command line, the admin port and reports."""
--- /dev/null
+++ b/celeryward/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The object API of the platform: configuration, leases and bills."""
--- /dev/null
+++ b/celeryward/raters/__init__.py
@@ -0,0 +1,1 @@
+"""The answer-rating service: cascades and roll-out decisions."""
--- /dev/null
+++ b/celeryward/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for the demo and tests."""
