--- /dev/null
+++ b/celeryward/callers/admission.py
@@ -0,0 +1,101 @@
+"""Whether a request is admitted, and to which models."""
+
+import collections
+import dataclasses
+
+import result
+
+from celeryward import errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where an admitted chat request may go.
+
+    :param tuple models: one model, or the tiers of a cascade.
+    :param str pinned: ``model@version`` that the caller names, or empty.
+    :param str cascade: name of the cascade, or empty.
+    """
+
+    models: tuple[str, ...]
+    pinned: str = ''
+    cascade: str = ''
+
+
+def route_chat(current, customer, target):
+    """Return ``Ok(Route)`` for the name that a caller asks for.
+
+    :returns: ``Err`` with ``UnknownTarget`` or ``NotPermitted``.
+    """
+    if target in current.cascades:
+        tiers = tuple(
+            model
+            for model in current.cascades[target].tiers
+            if customer.allows_model(model)
+        )
+        if not tiers:
+            return _not_permitted(customer, target)
+        return result.Ok(Route(tiers, cascade=target))
+    model, _, version = target.partition('@')
+    if model not in current.versions_by_model:
+        return _unknown(target)
+    if version and target not in current.versions:
+        return _unknown(target)
+    if version and not customer.allows(current.versions[target]):
+        return _not_permitted(customer, target)
+    if not customer.allows_model(model):
+        return _not_permitted(customer, target)
+    return result.Ok(Route((model,), pinned=target if version else ''))
+
+
+def route_service(current, customer, name):
+    """Return ``Ok(Service)`` for a service that the customer may call."""
+    service = current.services.get(name)
+    if service is None:
+        return _unknown(name)
+    if name not in customer.services:
+        return _not_permitted(customer, name)
+    return result.Ok(service)
+
+
+def _unknown(target):
+    return result.Err(
+        errors.UnknownTarget(
+            f'nothing is called {target[:80]!r}', step='route', peer=target
+        )
+    )
+
+
+def _not_permitted(customer, target):
+    return result.Err(
+        errors.NotPermitted(
+            f'customer {customer.name} may not use {target}',
+            step='route',
+            peer=target,
+        )
+    )
+
+
+class Concurrency:
+    """Requests of each customer that run at this daemon."""
+
+    def __init__(self):
+        self.running = collections.Counter()
+
+    def enter(self, customer):
+        """Count one request, or return ``Err(LimitExceeded)``."""
+        limit = customer.limits.concurrent
+        if limit and self.running[customer.name] >= limit:
+            return result.Err(
+                errors.LimitExceeded(
+                    f'{limit} requests of the customer are running',
+                    step='admit',
+                    peer=customer.name,
+                )
+            )
+        self.running[customer.name] += 1
+        return result.Ok(None)
+
+    def leave(self, customer):
+        """Count the end of one request."""
+        self.running[customer.name] -= 1
--- /dev/null
+++ b/celeryward/callers/protocol.py
@@ -0,0 +1,210 @@
+"""Wire format towards callers: chat completions and forwarded services."""
+
+import dataclasses
+import math
+
+import msgspec
+
+from celeryward import calls
+from celeryward import deadlines
+from celeryward import errors
+
+CHAT_PATH = '/v1/chat/completions'
+SERVICE_PREFIX = '/v1/services/'
+# Headers that belong to one hop, or to the system itself.
+HOP_HEADERS = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'host',
+        'idempotency-key',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-idempotent',
+        'x-request-id',
+        'x-timeout-ms',
+    )
+)
+STATUS_OF_CODE = {
+    'bad_input': 400,
+    'unauthenticated': 401,
+    'not_permitted': 403,
+    'unknown_target': 404,
+    'claim_held': 409,
+    'harmful_request': 422,
+    'limit_exceeded': 429,
+    'outcome_unknown': 502,
+    'endpoint_failure': 502,
+    'not_run': 503,
+    'overloaded': 503,
+    'shutting_down': 503,
+    'deadline_exceeded': 504,
+}
+DEFAULT_STATUS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WireMessage:
+    """One message of the chat wire format."""
+
+    role: str
+    content: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WireChat:
+    """Body of a chat request, as the field's HTTP API has it."""
+
+    model: str
+    messages: list[WireMessage]
+    stream: bool = False
+    max_tokens: int = 0
+    temperature: float | None = None
+    session: str = ''
+
+
+CHAT_DECODER = msgspec.json.Decoder(WireChat)
+
+
+def decode_chat(body, peer):
+    """Return the pair of :class:`calls.ChatRequest` and session id.
+
+    :raises errors.BadInput: if the body is malformed.
+    """
+    try:
+        wire = CHAT_DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.BadInput(
+            f'body: {error}', step='decode request', peer=peer
+        ) from error
+    if not wire.messages:
+        raise errors.BadInput(
+            'messages: must not be empty', step='decode request', peer=peer
+        )
+    if wire.max_tokens < 0:
+        raise errors.BadInput(
+            'max_tokens: must be 0 or more', step='decode request', peer=peer
+        )
+    messages = tuple(
+        calls.Message(message.role, message.content)
+        for message in wire.messages
+    )
+    request = calls.ChatRequest(
+        wire.model, messages, wire.stream, wire.max_tokens, wire.temperature
+    )
+    return request, wire.session
+
+
+def decode_service(head, body, service):
+    """Return the :class:`calls.ServiceRequest` of a forwarded request."""
+    rest = head.target[len(SERVICE_PREFIX) :].partition('/')[2]
+    headers = {
+        name: value
+        for name, value in head.headers.items()
+        if name not in HOP_HEADERS
+    }
+    marked = head.headers.get('x-idempotent', '').lower() == 'true'
+    idempotent = marked or head.method in service.idempotent_methods
+    return calls.ServiceRequest(
+        service.name, head.method, f'/{rest}', headers, body, idempotent
+    )
+
+
+def service_headers(headers):
+    """Return the headers of a service's answer that the caller receives."""
+    return {
+        name: value
+        for name, value in headers.items()
+        if name not in HOP_HEADERS
+    }
+
+
+def service_name(head):
+    """Return the service that the path names."""
+    rest = head.path[len(SERVICE_PREFIX) :]
+    return rest.partition('/')[0]
+
+
+def bearer_key(headers):
+    """Return the key in the authorization header, or an empty string."""
+    scheme, _, key = headers.get('authorization', '').partition(' ')
+    return key.strip() if scheme.lower() == 'bearer' else ''
+
+
+def decode_deadline(headers, longest, peer):
+    """Return the deadline that the caller asks for.
+
+    :param float longest: most seconds that the settings allow.
+    :raises errors.BadInput: if the header is no positive integer.
+    """
+    text = headers.get('x-timeout-ms', '')
+    if not text:
+        return deadlines.Deadline.after(longest)
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        raise errors.BadInput(
+            f'x-timeout-ms: {text[:20]!r} is no positive integer',
+            step='decode request',
+            peer=peer,
+        )
+    return deadlines.Deadline.after(min(longest, int(text) / 1000))
+
+
+def decode_priority(headers, customer, peer):
+    """Return the priority, which can't exceed that of the customer.
+
+    :raises errors.BadInput: if the header is no integer.
+    """
+    text = headers.get('x-priority', '')
+    if not text:
+        return customer.priority
+    try:
+        return min(customer.priority, int(text))
+    except ValueError as error:
+        raise errors.BadInput(
+            f'x-priority: {text[:20]!r} is no integer',
+            step='decode request',
+            peer=peer,
+        ) from error
+
+
+def status_of(error):
+    """Return the HTTP status of an error."""
+    return STATUS_OF_CODE.get(error.code, DEFAULT_STATUS)
+
+
+def error_headers(error, request_id):
+    """Return the headers of an error answer."""
+    headers = {
+        'content-type': 'application/json',
+        'x-request-id': request_id,
+        'x-execution': error.execution.value,
+    }
+    retry_at = getattr(error, 'retry_at', None)
+    if retry_at is not None:
+        seconds = max(1, math.ceil(retry_at.remaining()))
+        headers['retry-after'] = str(seconds)
+    return headers
+
+
+def encode_error(error, request_id):
+    """Return the JSON body of an error answer."""
+    return msgspec.json.encode(
+        {
+            'error': {
+                'code': error.code,
+                'message': error.message,
+                'execution': error.execution.value,
+                'request_id': request_id,
+            }
+        }
+    )
+
+
+def encode_error_event(error, request_id):
+    """Return the event that ends a stream in which an error arose."""
+    body = encode_error(error, request_id)
+    return b'event: error\ndata: ' + body + b'\n\n'
--- /dev/null
+++ b/celeryward/callers/server.py
@@ -0,0 +1,181 @@
+"""One task for each caller connection: reads requests and answers them."""
+
+import curio
+import h11
+
+from celeryward.callers import protocol
+from celeryward import errors
+from celeryward import http
+from celeryward import logs
+
+CALLER_ERRORS = (http.Disconnected, http.ReadTimeout)
+EVENT_STREAM = 'text/event-stream'
+
+
+class Responder:
+    """Writes the answer to one request.
+
+    :param Connection connection: the connection of the caller.
+    :param str request_id: sent with each answer.
+    """
+
+    def __init__(self, connection, request_id):
+        self.connection = connection
+        self.request_id = request_id
+        self.started = False
+
+    async def start_stream(self, headers):
+        """Send the head of a streamed answer."""
+        head = {
+            'content-type': EVENT_STREAM,
+            'transfer-encoding': 'chunked',
+            'x-request-id': self.request_id,
+            'x-execution': errors.Execution.RAN.value,
+            **headers,
+        }
+        self.started = True
+        await self.write(
+            h11.Response(status_code=200, headers=http.encode_headers(head))
+        )
+
+    async def send(self, payload):
+        """Send a piece of a streamed answer."""
+        await self.write(h11.Data(data=payload))
+
+    async def finish_stream(self, payload):
+        """Send the last piece of a streamed answer."""
+        await self.write(h11.Data(data=payload), h11.EndOfMessage())
+
+    async def send_whole(self, status, headers, body):
+        """Send an answer that is not streamed."""
+        head = {
+            'content-length': str(len(body)),
+            'x-request-id': self.request_id,
+            'x-execution': errors.Execution.RAN.value,
+            **headers,
+        }
+        self.started = True
+        await self.write(
+            h11.Response(
+                status_code=status, headers=http.encode_headers(head)
+            ),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    async def fail(self, error):
+        """Send an error, as an answer or as the last event of a stream."""
+        if self.started:
+            event = protocol.encode_error_event(error, self.request_id)
+            await self.finish_stream(event)
+            return
+        body = protocol.encode_error(error, self.request_id)
+        headers = protocol.error_headers(error, self.request_id)
+        await self.send_whole(protocol.status_of(error), headers, body)
+
+    async def write(self, *events):
+        """Send h11 events.
+
+        :raises errors.CallerGone: if the caller closed the connection.
+        """
+        try:
+            await self.connection.send('send answer', *events)
+        except http.Disconnected as error:
+            raise errors.CallerGone(
+                'caller closed the connection',
+                step=error.step,
+                peer=error.peer,
+            ) from error
+
+
+class CallerServer:
+    """Serves the callers' HTTP API.
+
+    :param serving: :class:`serving.Serving`.
+    :param new_id: function that returns a new request id.
+    """
+
+    def __init__(self, serving, timings, new_id):
+        self.serving = serving
+        self.timings = timings
+        self.new_id = new_id
+        self.busy = set()
+        self.idle = curio.Condition()
+
+    async def wait_idle(self, deadline):
+        """Wait until no request is being answered, or the deadline."""
+        async with curio.ignore_after(deadline.remaining()):
+            async with self.idle:
+                while self.busy:
+                    await self.idle.wait()
+
+    async def handle(self, connection):
+        """Run the task of one connection."""
+
+        async def handle_request(head):
+            await self.handle_request(connection, head)
+
+        try:
+            await http.serve_connection(
+                connection, handle_request, self.timings.idle_timeout
+            )
+        except CALLER_ERRORS + (errors.CallerGone,):
+            return
+        except errors.ProtocolError as error:
+            await self.reject(connection, error)
+
+    async def reject(self, connection, error):
+        """Answer a request whose HTTP is malformed, if that is possible."""
+        bad = errors.BadInput(error.message, step=error.step, peer=error.peer)
+        responder = Responder(connection, self.new_id())
+        if connection.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            try:
+                await responder.fail(bad)
+            except errors.CallerGone:
+                return
+
+    async def handle_request(self, connection, head):
+        """Answer one request, whatever happens to it."""
+        request_id = head.headers.get('x-request-id', '')[:128]
+        request_id = request_id or self.new_id()
+        responder = Responder(connection, request_id)
+        self.busy.add(responder)
+        try:
+            await self.serve(connection, head, responder)
+        except errors.CallerGone:
+            raise
+        except errors.CelerywardError as error:
+            logs.bind_error(error, request_id=request_id).info(
+                'request failed: {} {}', error.code, error.message
+            )
+            await responder.fail(error)
+        finally:
+            self.busy.discard(responder)
+            async with self.idle:
+                await self.idle.notify_all()
+        if connection.h11.their_state is h11.SEND_BODY:
+            # The answer went out before the whole body was read.
+            await connection.close()
+
+    async def serve(self, connection, head, responder):
+        """Read the body and pass the request to the path that serves it."""
+        deadline = protocol.decode_deadline(
+            head.headers, self.timings.request_timeout, connection.peer
+        )
+        body = await connection.receive_body('read request', deadline)
+        if head.path == protocol.CHAT_PATH:
+            if head.method != 'POST':
+                raise errors.BadInput(
+                    f'{head.path} takes POST only',
+                    step='route',
+                    peer=connection.peer,
+                )
+            await self.serving.serve_chat(head, body, deadline, responder)
+        elif head.path.startswith(protocol.SERVICE_PREFIX):
+            await self.serving.serve_service(head, body, deadline, responder)
+        else:
+            raise errors.UnknownTarget(
+                f'no such path: {head.path[:80]}',
+                step='route',
+                peer=connection.peer,
+            )
--- /dev/null
+++ b/celeryward/endpoints/candidates.py
@@ -0,0 +1,134 @@
+"""Selection of an endpoint as a pipeline of generators.
+
+The pipeline runs again at each dispatch, retry, resume and cascade step,
+with the newest catalog, so that a request that has waited can't reach a
+version that was withdrawn meanwhile.
+"""
+
+import dataclasses
+
+from celeryward import calls
+from celeryward import catalog
+from celeryward.endpoints import ranking
+from celeryward import registry
+
+FILTERS = registry.Registry('candidate filter')
+CHAT_PIPELINE = ('permitted', 'not-withdrawn', 'pinned', 'live', 'untried')
+SERVICE_PIPELINE = ('live', 'untried')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint, and the version to run there (None for services)."""
+
+    endpoint: catalog.Endpoint
+    version: catalog.ModelVersion | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What a daemon knows when it selects.
+
+    :param str failure_domain: the failure domain of the daemon.
+    :param load: :class:`load.LoadView`.
+    :param liveness: :class:`liveness.Liveness`.
+    """
+
+    failure_domain: str
+    load: object
+    liveness: object
+    ranking: str = 'least-load'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Query:
+    """One selection.
+
+    :param str model: name of the model, or of the plain service.
+    :param str pinned: ``model@version`` to keep to; empty for any.
+    :param frozenset tried: names of endpoints that failed this request.
+    """
+
+    catalog: catalog.Catalog
+    call: calls.Call
+    model: str
+    view: View
+    pinned: str = ''
+    tried: frozenset = frozenset()
+
+
+@FILTERS.register('permitted')
+def filter_permitted(candidates, query):
+    """Keep versions that the customer allows, as configured now."""
+    name = query.call.customer.name
+    customer = query.catalog.customers.get(name)
+    if customer is None:
+        return
+    for candidate in candidates:
+        if customer.allows(candidate.version):
+            yield candidate
+
+
+@FILTERS.register('not-withdrawn')
+def filter_withdrawn(candidates, query):
+    """Drop versions that are withdrawn."""
+    for candidate in candidates:
+        if candidate.version.usable:
+            yield candidate
+
+
+@FILTERS.register('pinned')
+def filter_pinned(candidates, query):
+    """Keep the version of the session."""
+    for candidate in candidates:
+        if not query.pinned or candidate.version.name == query.pinned:
+            yield candidate
+
+
+@FILTERS.register('live')
+def filter_live(candidates, query):
+    """Drop endpoints that are suspected or leaving."""
+    for candidate in candidates:
+        if query.view.liveness.is_live(candidate.endpoint.name):
+            yield candidate
+
+
+@FILTERS.register('untried')
+def filter_untried(candidates, query):
+    """Drop endpoints that have failed this request."""
+    for candidate in candidates:
+        if candidate.endpoint.name not in query.tried:
+            yield candidate
+
+
+def chat_candidates(query):
+    """Yield every endpoint of every version of the model."""
+    current = query.catalog
+    for version in current.versions_by_model.get(query.model, ()):
+        for endpoint in current.endpoints_by_version.get(version.name, ()):
+            yield Candidate(endpoint, version)
+
+
+def service_candidates(query):
+    """Yield every endpoint of the plain service."""
+    found = query.catalog.endpoints_by_service.get(query.model, ())
+    for endpoint in found:
+        yield Candidate(endpoint)
+
+
+def select(query):
+    """Return the best candidate, or None if there is none."""
+    if isinstance(query.call.request, calls.ServiceRequest):
+        candidates = service_candidates(query)
+        pipeline = SERVICE_PIPELINE
+    else:
+        candidates = chat_candidates(query)
+        pipeline = CHAT_PIPELINE
+    for name in pipeline:
+        candidates = FILTERS.get(name)(candidates, query)
+    rank = ranking.RANKINGS.get(query.view.ranking)
+    return min(
+        candidates,
+        key=lambda candidate: rank(candidate, query),
+        default=None,
+    )
--- /dev/null
+++ b/celeryward/endpoints/pool.py
@@ -0,0 +1,135 @@
+"""Connections to endpoints: one exchange at a time on each."""
+
+import contextlib
+import dataclasses
+import time
+
+from celeryward import deadlines
+from celeryward import errors
+from celeryward import http
+
+MAX_IDLE_PER_ENDPOINT = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadTimings:
+    """Makes the deadlines of the reads of one call.
+
+    :param Deadline deadline: the deadline of the call.
+    :param float first_byte_seconds: longest wait for the first byte.
+    :param float progress_seconds: longest wait between two bytes.
+    """
+
+    deadline: deadlines.Deadline
+    first_byte_seconds: float
+    progress_seconds: float
+
+    def first_byte(self):
+        """Return the deadline of the first byte, from now."""
+        wait = deadlines.Deadline.after(self.first_byte_seconds)
+        return wait.earlier(self.deadline)
+
+    def progress(self):
+        """Return the deadline of the next byte, from now."""
+        wait = deadlines.Deadline.after(self.progress_seconds)
+        return wait.earlier(self.deadline)
+
+
+class EndpointPool:
+    """Idle connections by endpoint address.
+
+    :param settings.Timings timings: connect and idle intervals.
+    """
+
+    def __init__(self, timings):
+        self.timings = timings
+        self.idle = {}
+
+    @contextlib.asynccontextmanager
+    async def lease(self, endpoint, deadline, fresh=False):
+        """Borrow a connection for one exchange.
+
+        It returns to the pool only after a clean exchange. Transport
+        errors leave as errors of :class:`errors.EndpointFailure`.
+
+        :param bool fresh: open a new connection. Requests that must not
+            run twice use one, because a connection that died while idle
+            would leave their outcome unknown.
+        :raises errors.ConnectionFailed: if no connection can be opened.
+        """
+        connection = None if fresh else self.take_idle(endpoint)
+        if connection is None:
+            connection = await self.open(endpoint, deadline)
+        written_before = connection.bytes_written
+        clean = False
+        try:
+            yield connection
+            clean = connection.reusable()
+        except http.ReadTimeout as error:
+            raise errors.ConnectionSilent(
+                error.message, step=error.step, peer=error.peer, sent=True
+            ) from error
+        except http.Disconnected as error:
+            sent = connection.bytes_written > written_before
+            raise errors.ConnectionFailed(
+                error.message,
+                step=error.step,
+                peer=error.peer,
+                # A failed write may have left some of its bytes.
+                sent=sent or error.step == 'send request',
+            ) from error
+        except (errors.ProtocolError, errors.BadInput) as error:
+            raise errors.AnswerInvalid(
+                error.message, step=error.step, peer=error.peer, sent=True
+            ) from error
+        finally:
+            if clean:
+                self.give_back(endpoint, connection)
+            else:
+                await connection.close()
+
+    async def open(self, endpoint, deadline):
+        """Open a connection before the connect deadline."""
+        limit = deadlines.Deadline.after(self.timings.connect_timeout)
+        return await http.connect(
+            endpoint.host, endpoint.port, limit.earlier(deadline)
+        )
+
+    def take_idle(self, endpoint):
+        """Return the connection that was used last, or None."""
+        kept = self.idle.get(endpoint.address)
+        return kept.pop() if kept else None
+
+    def give_back(self, endpoint, connection):
+        """Keep a clean connection for the next exchange."""
+        connection.start_next_cycle()
+        connection.last_read_at = time.monotonic()
+        kept = self.idle.setdefault(endpoint.address, [])
+        kept.append(connection)
+
+    async def close_idle(self, endpoint, before=float('inf')):
+        """Close idle connections that were last used before a time.
+
+        :returns: the number of closed connections.
+        """
+        kept = self.idle.get(endpoint.address, [])
+        stale = [
+            connection
+            for connection in kept
+            if connection.last_read_at < before
+        ]
+        surplus = kept[: max(0, len(kept) - MAX_IDLE_PER_ENDPOINT)]
+        closing = set(stale) | set(surplus)
+        self.idle[endpoint.address] = [
+            connection for connection in kept if connection not in closing
+        ]
+        for connection in closing:
+            await connection.close()
+        return len(closing)
+
+    async def close(self):
+        """Close every idle connection."""
+        for kept in self.idle.values():
+            for connection in kept:
+                await connection.close()
+        self.idle.clear()
--- /dev/null
+++ b/celeryward/endpoints/prober.py
@@ -0,0 +1,88 @@
+"""One task for each endpoint: probes it and closes its stale connections."""
+
+import time
+
+import curio
+
+from celeryward import deadlines
+from celeryward.endpoints import protocol
+from celeryward import errors
+from celeryward import http
+from celeryward import logs
+
+PROBE_ERRORS = (
+    errors.EndpointFailure,
+    errors.ProtocolError,
+    errors.BadInput,
+    http.Disconnected,
+    http.ReadTimeout,
+)
+
+
+class Prober:
+    """Runs the task of each endpoint in the catalog."""
+
+    def __init__(self, configuration, pool, load, liveness, timings):
+        self.configuration = configuration
+        self.pool = pool
+        self.load = load
+        self.liveness = liveness
+        self.timings = timings
+        self.tasks = {}
+
+    async def run(self):
+        """Start and stop tasks as endpoints come and go."""
+        while True:
+            await self.adjust()
+            await curio.sleep(self.timings.probe_interval / 2)
+
+    async def adjust(self):
+        """Match the tasks to the endpoints in the catalog."""
+        wanted = self.configuration.catalog().endpoints
+        for name in wanted.keys() - self.tasks.keys():
+            self.tasks[name] = await curio.spawn(
+                self.watch_endpoint, name, daemon=True
+            )
+        for name in self.tasks.keys() - wanted.keys():
+            await self.tasks.pop(name).cancel()
+
+    async def watch_endpoint(self, name):
+        """Probe one endpoint until it leaves the catalog."""
+        while True:
+            endpoint = self.configuration.catalog().endpoints.get(name)
+            if endpoint is None:
+                return
+            await self.probe(endpoint)
+            oldest = time.monotonic() - self.timings.idle_timeout
+            await self.pool.close_idle(endpoint, before=oldest)
+            await curio.sleep(self.next_wait(name))
+
+    def next_wait(self, name):
+        """Return the seconds until the next probe."""
+        retry_at = self.liveness.retry_at.get(name)
+        if retry_at is None:
+            return self.timings.probe_interval
+        return max(self.timings.probe_interval, retry_at.remaining())
+
+    async def probe(self, endpoint):
+        """Read the load of an endpoint over a new connection.
+
+        :returns: whether the endpoint answered.
+        """
+        deadline = deadlines.Deadline.after(self.timings.probe_timeout)
+        try:
+            connection = await http.connect(
+                endpoint.host, endpoint.port, deadline
+            )
+            try:
+                report = await protocol.read_load(connection, deadline)
+            finally:
+                await connection.close()
+        except PROBE_ERRORS as error:
+            self.liveness.failed(endpoint.name, self.timings.probe_interval)
+            logs.bind_error(error).warning('probe failed: {}', error.message)
+            return False
+        self.liveness.succeeded(endpoint.name)
+        self.liveness.set_leaving(endpoint.name, report.leaving)
+        self.load.report(endpoint.name, report)
+        return True
--- /dev/null
+++ b/celeryward/endpoints/protocol.py
@@ -0,0 +1,336 @@
+"""Wire format towards endpoints: chat completions, load and health."""
+
+import dataclasses
+import functools
+
+import msgspec
+
+from celeryward import calls
+from celeryward import errors
+from celeryward import http
+
+EVENT_END = b'\n\n'
+EVENT_START = b'data: '
+DONE_EVENT = b'data: [DONE]\n\n'
+NOT_RUN_STATUSES = (429, 503)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Where a broken stream is to go on.
+
+    :param int tokens: tokens that the caller has received.
+    :param str text: their text.
+    """
+
+    tokens: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an endpoint says of its load; it lags."""
+
+    running: int = 0
+    waiting: int = 0
+    capacity: int = 1
+    leaving: bool = False
+    versions: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """A piece of an answer.
+
+    :param bytes payload: bytes to pass on to the caller.
+    :param int tokens: generated tokens inside it.
+    :param Usage usage: set on the last piece.
+    """
+
+    payload: bytes
+    tokens: int
+    usage: calls.Usage | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageFields:
+    """The ``usage`` object of the wire format."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+    def to_usage(self):
+        """Return the usage in our terms."""
+        return calls.Usage(self.prompt_tokens, self.completion_tokens)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChatAnswer:
+    """The part of a whole answer that the router reads."""
+
+    choices: list[dict]
+    usage: UsageFields = UsageFields()
+
+    def text(self):
+        """Return the text of the first choice."""
+        message = self.choices[0].get('message', {}) if self.choices else {}
+        return message.get('content') or ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChatEvent:
+    """The part of a streamed event that the router reads."""
+
+    choices: list[dict] = dataclasses.field(default_factory=list)
+    usage: UsageFields | None = None
+
+    def text(self):
+        """Return the text that the event adds."""
+        delta = self.choices[0].get('delta', {}) if self.choices else {}
+        return delta.get('content') or ''
+
+
+ANSWER_DECODER = msgspec.json.Decoder(ChatAnswer)
+EVENT_DECODER = msgspec.json.Decoder(ChatEvent)
+LOAD_DECODER = msgspec.json.Decoder(LoadReport)
+
+
+def encode_chat(request, resume=None):
+    """Return the body of a chat request as JSON bytes."""
+    body = {
+        'model': request.model,
+        'messages': request.messages,
+        'stream': request.stream,
+    }
+    if request.max_tokens:
+        body['max_tokens'] = request.max_tokens
+    if request.temperature is not None:
+        body['temperature'] = request.temperature
+    if resume is not None:
+        body['resume'] = resume
+    return msgspec.json.encode(body)
+
+
+def chat_headers(call, version):
+    """Return the headers of a chat request."""
+    return {
+        'content-type': 'application/json',
+        'x-request-id': call.request_id,
+        'x-model-version': version.name,
+        'x-timeout-ms': str(int(call.deadline.remaining() * 1000)),
+        'x-priority': str(call.priority),
+    }
+
+
+class EventSplitter:
+    """Cuts a byte stream into pieces that end at an event boundary.
+
+    Holds back the last data event and ``[DONE]``, because they must not
+    reach the caller before the request is billed.
+    """
+
+    def __init__(self):
+        self.rest = b''
+        self.done = False
+
+    def split(self, data):
+        """Return the whole events in the buffer as one piece of bytes."""
+        block, separator, self.rest = (self.rest + data).rpartition(EVENT_END)
+        events = block + separator
+        if events.endswith(DONE_EVENT):
+            self.done = True
+        return events
+
+
+def count_events(events):
+    """Return the number of data events.
+
+    Line feeds inside JSON strings are escaped, so that the start of an
+    event can't occur inside one.
+    """
+    inner = events.count(EVENT_END + EVENT_START)
+    return inner + events.startswith(EVENT_START)
+
+
+def decode_events(events):
+    """Yield the :class:`ChatEvent` of each data event but ``[DONE]``."""
+    for event in events.split(EVENT_END):
+        if event.startswith(EVENT_START) and not event.endswith(b'[DONE]'):
+            yield EVENT_DECODER.decode(event[len(EVENT_START) :])
+
+
+def check_head(response, call, peer):
+    """Raise the error that the head of an answer stands for.
+
+    :raises errors.EndpointRefused: if the endpoint did not run the request.
+    :raises errors.AnswerMismatch: if it answers another request.
+    :raises errors.AnswerInvalid: for any other status than 200.
+    """
+    step = 'read response'
+    answered = response.headers.get('x-request-id', call.request_id)
+    if answered != call.request_id:
+        raise errors.AnswerMismatch(
+            f'answer is for request {answered}',
+            step=step,
+            peer=peer,
+            sent=True,
+        )
+    refused = response.headers.get('x-execution') == 'not-run'
+    if response.status in NOT_RUN_STATUSES and refused:
+        raise errors.EndpointRefused(
+            f'endpoint answered {response.status}, not run',
+            step=step,
+            peer=peer,
+        )
+    if response.status != 200:
+        raise errors.AnswerInvalid(
+            f'endpoint answered {response.status}',
+            step=step,
+            peer=peer,
+            sent=True,
+        )
+
+
+async def stream_chat(connection, call, version, resume, timings):
+    """Run a streamed chat on a connection and yield its chunks.
+
+    The last chunk carries the usage and the end marker.
+
+    :raises errors.AnswerTruncated: if the stream ends without ``[DONE]``.
+    """
+    body = encode_chat(call.request, resume)
+    head = chat_headers(call, version)
+    await http.send_request(
+        connection, 'POST', '/v1/chat/completions', head, body
+    )
+    response = await connection.receive_response(timings.first_byte())
+    check_head(response, call, connection.peer)
+    splitter = EventSplitter()
+    last = b''
+    tokens = 0
+    pieces = connection.receive_chunks('read stream', timings.progress)
+    async for piece in pieces:
+        events = splitter.split(piece)
+        if not events:
+            continue
+        if splitter.done:
+            last = events
+            break
+        count = count_events(events)
+        tokens += count
+        yield Chunk(events, count)
+    else:
+        raise errors.AnswerTruncated(
+            'stream ended without its end marker',
+            step='read stream',
+            peer=connection.peer,
+            sent=True,
+        )
+    await finish_body(pieces)
+    count, usage = read_last(last, tokens, connection.peer)
+    yield Chunk(last, count, usage)
+
+
+async def finish_body(pieces):
+    """Read to the end of the body so that the connection can be reused."""
+    async for _ in pieces:
+        pass
+
+
+def read_last(events, tokens, peer):
+    """Return token count and usage of the events that end a stream."""
+    try:
+        decoded = list(decode_events(events))
+    except msgspec.DecodeError as error:
+        raise errors.AnswerInvalid(
+            f'malformed event: {error}',
+            step='read stream',
+            peer=peer,
+            sent=True,
+        ) from error
+    count = sum(1 for event in decoded if event.text())
+    for event in decoded:
+        if event.usage is not None:
+            return count, event.usage.to_usage()
+    return count, calls.Usage(0, tokens + count)
+
+
+async def whole_chat(connection, call, version, timings):
+    """Run a chat that is not streamed; return its body as one chunk."""
+    body = encode_chat(call.request)
+    head = chat_headers(call, version)
+    await http.send_request(
+        connection, 'POST', '/v1/chat/completions', head, body
+    )
+    response = await connection.receive_response(timings.first_byte())
+    check_head(response, call, connection.peer)
+    answer = await connection.receive_body('read body', call.deadline)
+    try:
+        decoded = ANSWER_DECODER.decode(answer)
+    except msgspec.DecodeError as error:
+        raise errors.AnswerInvalid(
+            f'malformed answer: {error}',
+            step='read body',
+            peer=connection.peer,
+            sent=True,
+        ) from error
+    usage = decoded.usage.to_usage()
+    return Chunk(answer, usage.answer_tokens, usage)
+
+
+def answer_text(body):
+    """Return the text of a whole answer."""
+    return ANSWER_DECODER.decode(body).text()
+
+
+async def forward(connection, call, timings):
+    """Forward a service request; return its head and whole body."""
+    request = call.request
+    head = {
+        **request.headers,
+        'x-request-id': call.request_id,
+        'x-timeout-ms': str(int(call.deadline.remaining() * 1000)),
+    }
+    await http.send_request(
+        connection, request.method, request.target, head, request.body
+    )
+    response = await connection.receive_response(timings.first_byte())
+    check_identity(response, call, connection.peer)
+    body = await connection.receive_body('read body', call.deadline)
+    return response, body
+
+
+def check_identity(response, call, peer):
+    """Check a service answer, whose status is the service's own.
+
+    :raises errors.AnswerMismatch: if it answers another request.
+    :raises errors.EndpointRefused: if the service says it was not run.
+    """
+    plain = functools.partial(http.Response, headers=response.headers)
+    if response.headers.get('x-execution') == 'not-run':
+        check_head(response, call, peer)
+    check_head(plain(status=200), call, peer)
+
+
+async def read_load(connection, deadline):
+    """Ask an endpoint for its :class:`LoadReport`.
+
+    :raises errors.ProtocolError: if the answer is malformed.
+    """
+    response, body = await http.exchange(
+        connection, 'GET', '/load', {}, b'', deadline
+    )
+    try:
+        if response.status == 200:
+            return LOAD_DECODER.decode(body)
+    except msgspec.DecodeError as error:
+        raise errors.ProtocolError(
+            f'malformed load report: {error}',
+            step='read load',
+            peer=connection.peer,
+        ) from error
+    raise errors.ProtocolError(
+        f'endpoint answered {response.status}',
+        step='read load',
+        peer=connection.peer,
+    )
--- /dev/null
+++ b/celeryward/operators/admin.py
@@ -0,0 +1,98 @@
+"""The admin port of a daemon: metrics, health and status."""
+
+import dataclasses
+
+import msgspec
+
+from celeryward import deadlines
+from celeryward import errors
+from celeryward import http
+
+IDLE_SECONDS = 60.0
+GONE = (
+    http.Disconnected,
+    http.ReadTimeout,
+    errors.ProtocolError,
+    errors.BadInput,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointStatus:
+    """What a daemon knows of one endpoint."""
+
+    name: str
+    live: bool
+    in_flight: int
+    load: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonStatus:
+    """State of one daemon at a glance."""
+
+    name: str
+    failure_domain: str
+    revision: int
+    stopping: bool
+    pending_bills: int
+    endpoints: tuple[EndpointStatus, ...]
+
+
+class Admin:
+    """Answers the operators' requests to one daemon."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+
+    async def handle(self, connection):
+        """Run the task of one operator connection."""
+
+        async def handle_request(head):
+            await connection.receive_body(
+                'read request', deadlines.Deadline.after(IDLE_SECONDS)
+            )
+            status, kind, body = self.answer(head.path)
+            await http.send_response(
+                connection, status, {'content-type': kind}, body
+            )
+
+        try:
+            await http.serve_connection(
+                connection, handle_request, IDLE_SECONDS
+            )
+        except GONE:
+            return
+
+    def answer(self, path):
+        """Return status, content type and body for a path."""
+        if path == '/metrics':
+            text = self.daemon.metrics.exposition()
+            return 200, 'text/plain; version=0.0.4', text
+        if path == '/healthz':
+            return 200, 'text/plain', b'ok\n'
+        if path == '/status':
+            body = msgspec.json.encode(self.status())
+            return 200, 'application/json', body
+        return 404, 'text/plain', b'no such path\n'
+
+    def status(self):
+        """Return the :class:`DaemonStatus`."""
+        daemon = self.daemon
+        endpoints = daemon.configuration.catalog().endpoints.values()
+        return DaemonStatus(
+            daemon.settings.name,
+            daemon.settings.failure_domain,
+            daemon.configuration.revision,
+            daemon.serving.stopping,
+            len(daemon.ledger.pending),
+            tuple(
+                EndpointStatus(
+                    endpoint.name,
+                    daemon.liveness.is_live(endpoint.name),
+                    daemon.load.in_flight[endpoint.name],
+                    daemon.load.estimate(endpoint),
+                )
+                for endpoint in endpoints
+            ),
+        )
--- /dev/null
+++ b/celeryward/platform/configuration.py
@@ -0,0 +1,85 @@
+"""The newest revision of each object, and the catalog built from them."""
+
+import types
+
+from celeryward import catalog
+from celeryward import logs
+from celeryward.platform import records
+
+FIELD_OF_KIND = {
+    'Customer': 'customers',
+    'ModelVersion': 'versions',
+    'Cascade': 'cascades',
+    'Rollout': 'rollouts',
+    'Service': 'services',
+    'Endpoint': 'endpoints',
+}
+
+
+class ConfigurationStore:
+    """Keeps the highest revision of each object, and tombstones.
+
+    Watches, lists (which can lag) and peers all feed :meth:`accept`; an
+    older revision never replaces a newer one, whatever the order of
+    arrival, so that the configuration can't revert.
+    """
+
+    def __init__(self):
+        self.objects = {}
+        self.revisions = {}
+        self.entries = {field: {} for field in FIELD_OF_KIND.values()}
+        self.revision = 0
+        self.snapshot = catalog.Catalog()
+        self.listeners = []
+
+    def catalog(self):
+        """Return the catalog in force."""
+        return self.snapshot
+
+    def accept(self, changes):
+        """Take over those changes that are newer than what is held.
+
+        :param changes: iterable of :class:`protocol.Change`.
+        :returns: the list of changes that were new.
+        """
+        accepted = [change for change in changes if self.accept_one(change)]
+        if accepted:
+            self.rebuild()
+            for listener in self.listeners:
+                listener(accepted)
+        return accepted
+
+    def accept_one(self, change):
+        """Take over one change; return whether it was new."""
+        self.revision = max(self.revision, change.revision)
+        stored = change.object
+        if stored is None or stored.kind not in FIELD_OF_KIND:
+            return False
+        if change.revision <= self.revisions.get(stored.key, 0):
+            return False
+        self.revisions[stored.key] = change.revision
+        self.objects[stored.key] = change
+        entries = self.entries[FIELD_OF_KIND[stored.kind]]
+        if change.type == 'delete':
+            entries.pop(stored.name, None)
+            return True
+        read = records.read(stored)
+        if read.is_ok():
+            entries[stored.name] = read.unwrap()
+        else:
+            # Keeps the last readable revision: a record that this reader
+            # can't decode must not remove a customer or an endpoint.
+            logs.bind_error(read.unwrap_err()).error(
+                'record ignored: {}', read.unwrap_err().message
+            )
+        return True
+
+    def rebuild(self):
+        """Replace the catalog by one at the newest revision."""
+        self.snapshot = catalog.Catalog(
+            revision=self.revision,
+            **{
+                field: types.MappingProxyType(dict(entries))
+                for field, entries in self.entries.items()
+            },
+        )
--- /dev/null
+++ b/celeryward/standins/engine.py
@@ -0,0 +1,156 @@
+"""Stand-in of a model engine: streams tokens made from the prompt."""
+
+import collections
+
+import curio
+import h11
+import msgspec
+
+from celeryward import http
+from celeryward.standins import base
+
+WORDS = ('align', 'the', 'part', 'then', 'fasten', 'each', 'bolt', 'evenly')
+
+
+class EngineStandIn(base.StandIn):
+    """Answers chats with deterministic words.
+
+    Faults for tests: ``break_after`` is a number of tokens after which the
+    connection is dropped, ``silent_after`` one after which nothing more is
+    sent, ``refusing`` refuses all work as not run, ``crash_on`` is a text
+    in the prompt that stops the engine.
+
+    :param tuple versions: ``model@version`` names that it runs.
+    :param int tokens: tokens of an answer if the request sets no limit.
+    :param float token_seconds: pause before each token; 0 for none.
+    """
+
+    def __init__(self, versions, port=0, tokens=16, token_seconds=0.0):
+        super().__init__(port)
+        self.versions = tuple(versions)
+        self.tokens = tokens
+        self.token_seconds = token_seconds
+        self.capacity = 8
+        self.running = 0
+        self.leaving = False
+        self.refusing = False
+        self.break_after = None
+        self.silent_after = None
+        self.crash_on = None
+        self.started = collections.Counter()
+
+    async def answer(self, connection, received):
+        """Route one request by its path."""
+        path = received.head.path
+        if path == '/v1/chat/completions':
+            await self.answer_chat(connection, received)
+        elif path == '/load':
+            await base.send_json(connection, 200, self.load())
+        elif path == '/health':
+            await base.send_json(connection, 200, {'status': 'ok'})
+        elif path == '/drain':
+            self.leaving = True
+            await base.send_json(connection, 200, {})
+        else:
+            await base.send_json(connection, 404, {})
+
+    def load(self):
+        """Return the load report."""
+        return {
+            'running': self.running,
+            'waiting': 0,
+            'capacity': self.capacity,
+            'leaving': self.leaving,
+            'versions': self.versions,
+        }
+
+    async def answer_chat(self, connection, received):
+        """Run one chat, streamed or whole."""
+        headers = received.head.headers
+        version = headers.get('x-model-version', '')
+        echo = {'x-request-id': headers.get('x-request-id', '')}
+        if self.refusing or version not in self.versions:
+            echo['x-execution'] = 'not-run'
+            await base.send_json(connection, 503, {}, echo)
+            return
+        body = received.json()
+        prompt = ' '.join(each['content'] for each in body['messages'])
+        self.started[version] += 1
+        if self.crash_on and self.crash_on in prompt:
+            await curio.spawn(self.stop, daemon=True)
+            await curio.sleep(1.0)
+        self.running += 1
+        try:
+            count = body.get('max_tokens') or self.tokens
+            words = list(self.words(prompt, count))
+            usage = {
+                'prompt_tokens': len(prompt.split()),
+                'completion_tokens': count,
+            }
+            if body.get('stream'):
+                first = body.get('resume', {}).get('tokens', 0)
+                await self.send_stream(connection, echo, words, first, usage)
+            else:
+                await self.send_whole(connection, echo, words, usage)
+        finally:
+            self.running -= 1
+
+    def words(self, prompt, count):
+        """Yield the words of the answer to a prompt."""
+        offset = len(prompt)
+        for index in range(count):
+            yield WORDS[(offset + index) % len(WORDS)] + ' '
+
+    async def send_whole(self, connection, echo, words, usage):
+        """Send the answer as one JSON object."""
+        if self.token_seconds:
+            await curio.sleep(self.token_seconds * len(words))
+        message = {'role': 'assistant', 'content': ''.join(words)}
+        choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
+        answer = {
+            'object': 'chat.completion',
+            'choices': [choice],
+            'usage': usage,
+        }
+        await base.send_json(connection, 200, answer, echo)
+
+    async def send_stream(self, connection, echo, words, first, usage):
+        """Send the answer as events, from a token on."""
+        head = {
+            'content-type': 'text/event-stream',
+            'transfer-encoding': 'chunked',
+            **echo,
+        }
+        await connection.send(
+            'send stream',
+            h11.Response(status_code=200, headers=http.encode_headers(head)),
+        )
+        for index in range(first, len(words)):
+            await self.inject_fault(connection, index)
+            if self.token_seconds:
+                await curio.sleep(self.token_seconds)
+            delta = {'delta': {'content': words[index]}}
+            event = encode_event({'choices': [delta]})
+            await connection.send('send stream', h11.Data(data=event))
+        last = encode_event({'choices': [], 'usage': usage})
+        await connection.send(
+            'send stream',
+            h11.Data(data=last + b'data: [DONE]\n\n'),
+            h11.EndOfMessage(),
+        )
+
+    async def inject_fault(self, connection, index):
+        """Drop or silence the stream where a test asks for it."""
+        if index == self.break_after:
+            raise http.Disconnected(
+                'stand-in breaks the stream',
+                step='send stream',
+                peer=connection.peer,
+            )
+        if index == self.silent_after:
+            await curio.sleep(3600)
+
+
+def encode_event(value):
+    """Return one server-sent event."""
+    return b'data: ' + msgspec.json.encode(value) + b'\n\n'
--- /dev/null
+++ b/celeryward/standins/rater.py
@@ -0,0 +1,29 @@
+"""Stand-in of the answer-rating service."""
+
+from celeryward.standins import base
+
+DEFAULT_SCORE = 0.9
+
+
+class RaterStandIn(base.StandIn):
+    """Scores an answer by its model and the length of its prompt.
+
+    :param dict scores: score by model name.
+    :param int long_prompt_tokens: longer prompts get ``long_scores``.
+    """
+
+    def __init__(self, scores, long_scores=None, long_prompt_tokens=50):
+        super().__init__()
+        self.scores = dict(scores)
+        self.long_scores = dict(long_scores or scores)
+        self.long_prompt_tokens = long_prompt_tokens
+        self.rated = 0
+
+    async def answer(self, connection, received):
+        """Rate one answer."""
+        self.rated += 1
+        asked = received.json()
+        is_long = asked['prompt_tokens'] > self.long_prompt_tokens
+        scores = self.long_scores if is_long else self.scores
+        score = scores.get(asked['model'], DEFAULT_SCORE)
+        await base.send_json(connection, 200, {'score': score})
--- /dev/null
+++ b/celeryward/standins/service.py
@@ -0,0 +1,47 @@
+"""Stand-in of a plain service that counts what it executes."""
+
+import collections
+
+import curio
+
+from celeryward import http
+from celeryward.standins import base
+
+
+class ServiceStandIn(base.StandIn):
+    """Keeps orders by request id.
+
+    Faults for tests: ``lose_answers`` executes and then drops the
+    connection; ``delay`` is the seconds before an answer.
+    """
+
+    def __init__(self, port=0):
+        super().__init__(port)
+        self.executed = collections.Counter()
+        self.lose_answers = False
+        self.delay = 0.0
+        self.leaving = False
+
+    async def answer(self, connection, received):
+        """Execute one request."""
+        if received.head.path == '/load':
+            report = {'running': 0, 'capacity': 64, 'leaving': self.leaving}
+            await base.send_json(connection, 200, report)
+            return
+        request_id = received.head.headers.get('x-request-id', '')
+        self.executed[request_id] += 1
+        if self.delay:
+            await curio.sleep(self.delay)
+        if self.lose_answers:
+            raise http.Disconnected(
+                'stand-in loses the answer',
+                step='answer',
+                peer=connection.peer,
+            )
+        answer = {
+            'method': received.head.method,
+            'path': received.head.target,
+            'executed': self.executed[request_id],
+        }
+        echo = {'x-request-id': request_id}
+        await base.send_json(connection, 200, answer, echo)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,29 @@
+"""Fixtures that the tests share."""
+
+import curio
+import pytest
+
+from celeryward import logs
+
+TEST_SECONDS = 60.0
+
+
+@pytest.fixture(autouse=True)
+def quiet_log():
+    """Keep the log out of the output of the tests."""
+    logs.configure('CRITICAL', 'text')
+
+
+@pytest.fixture
+def run():
+    """Return a function that runs a coroutine function on a new kernel."""
+
+    def run_to_end(function, *arguments):
+        async def guarded():
+            return await curio.timeout_after(
+                TEST_SECONDS, function, *arguments
+            )
+
+        return curio.run(guarded)
+
+    return run_to_end
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,134 @@
+"""Dispatch, retry and resume on the whole path."""
+
+import dataclasses
+
+import curio
+import msgspec
+import pytest
+
+from celeryward.operators import demo
+
+
+@pytest.fixture
+def with_cluster(run):
+    """Return a function that runs a test against a started cluster."""
+
+    def run_with(test, prepare=lambda cluster: None):
+        async def body():
+            cluster = demo.Cluster()
+            prepare(cluster)
+            await cluster.start()
+            try:
+                return await test(cluster)
+            finally:
+                await cluster.stop()
+
+        return run(body)
+
+    return run_with
+
+
+async def ask(cluster, example, **headers):
+    example = dataclasses.replace(example, headers=headers)
+    return await demo.send(cluster.daemon.listener.port, example)
+
+
+class TestRefusals:
+    """Guards against wrong statuses and untrue execution headers."""
+
+    @pytest.mark.parametrize(
+        ('example', 'status', 'code'),
+        [
+            (demo.chat('', 'absent', 'x'), 404, 'unknown_target'),
+            (demo.Example('', 'POST', '/none', {}), 404, 'unknown_target'),
+            (
+                demo.Example('', 'POST', '/v1/chat/completions', {'a': 1}),
+                400,
+                'bad_input',
+            ),
+            (
+                demo.Example('', 'GET', '/v1/chat/completions', {}),
+                400,
+                'bad_input',
+            ),
+        ],
+    )
+    def test_refusal(self, with_cluster, example, status, code):
+        async def test(cluster):
+            head, body = await ask(cluster, example)
+            assert head.status == status
+            assert head.headers['x-execution'] == 'not-run'
+            assert msgspec.json.decode(body)['error']['code'] == code
+
+        with_cluster(test)
+
+    def test_wrong_key(self, with_cluster):
+        async def test(cluster):
+            head, _ = await ask(
+                cluster,
+                demo.chat('', 'small', 'x'),
+                authorization='Bearer wrong',
+            )
+            assert head.status == 401
+
+        with_cluster(test)
+
+
+class TestStreams:
+    """Guards against truncated answers that look whole."""
+
+    def test_stream_that_breaks_ends_with_an_error(self, with_cluster):
+        async def test(cluster):
+            cluster.large.break_after = 4
+            example = demo.chat('', 'large', 'x', stream=True)
+            head, body = await ask(cluster, example)
+            assert head.status == 200
+            assert b'event: error' in body
+            assert b'[DONE]' not in body
+
+        with_cluster(test)
+
+    def test_session_token_keeps_the_version(self, with_cluster):
+        async def test(cluster):
+            example = demo.chat('', 'small', 'x')
+            head, _ = await ask(cluster, example)
+            token = head.headers['x-session']
+            session = cluster.daemon.serving.signer.verify(token)
+            assert session.versions == {'small': '1'}
+
+        with_cluster(test)
+
+
+class TestPlainServices:
+    """Guards against a call that runs more than once."""
+
+    def test_lost_answer_is_not_sent_again(self, with_cluster):
+        async def test(cluster):
+            cluster.orders.lose_answers = True
+            example = demo.Example(
+                '', 'POST', '/v1/services/orders/reserve', {}
+            )
+            head, body = await ask(cluster, example)
+            error = msgspec.json.decode(body)['error']
+            assert head.status == 502
+            assert error['execution'] == 'unknown'
+            assert sum(cluster.orders.executed.values()) == 1
+
+        with_cluster(test)
+
+
+class TestShutdown:
+    """Guards against a planned stop that cuts off a request."""
+
+    def test_open_stream_is_finished(self, with_cluster, run):
+        async def test(cluster):
+            cluster.large.token_seconds = 0.02
+            port = cluster.daemon.listener.port
+            example = demo.chat('', 'large', 'x', stream=True)
+            asking = await curio.spawn(demo.send, port, example)
+            await curio.sleep(0.06)
+            assert await cluster.daemon.stop() == 0
+            _, body = await asking.join()
+            assert body.endswith(b'data: [DONE]\n\n')
+
+        with_cluster(test)
--- /dev/null
+++ b/tests/test_shape.py
@@ -0,0 +1,56 @@
+"""Rules of the code's shape that a machine can check."""
+
+import ast
+import pathlib
+
+import pytest
+
+PACKAGE = pathlib.Path(__file__).parent.parent / 'celeryward'
+CODECS = {'google', 'grpclib', 'h11', 'msgspec'}
+DECISION_MODULES = (
+    'callers/admission.py',
+    'callers/keys.py',
+    'callers/sessions.py',
+    'endpoints/candidates.py',
+    'endpoints/liveness.py',
+    'endpoints/load.py',
+    'endpoints/ranking.py',
+    'endpoints/retries.py',
+    'platform/billing.py',
+    'platform/configuration.py',
+    'raters/cascades.py',
+)
+
+
+def imported_packages(path):
+    """Yield the first part of each imported module."""
+    for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+        if isinstance(node, ast.Import):
+            for alias in node.names:
+                yield alias.name.partition('.')[0]
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module.partition('.')[0]
+
+
+class TestDecisionModules:
+    """Guards against decisions that depend on an encoding."""
+
+    @pytest.mark.parametrize('name', DECISION_MODULES)
+    def test_decisions_import_no_codec(self, name):
+        assert CODECS.isdisjoint(imported_packages(PACKAGE / name))
+
+
+class TestDataClasses:
+    """Guards against data classes that can change."""
+
+    def test_every_data_class_is_frozen(self):
+        thawed = [
+            f'{path.name}:{node.name}'
+            for path in PACKAGE.rglob('*.py')
+            for node in ast.walk(ast.parse(path.read_text('utf-8')))
+            if isinstance(node, ast.ClassDef)
+            for decorator in node.decorator_list
+            if 'dataclass' in ast.unparse(decorator)
+            and 'frozen=True' not in ast.unparse(decorator)
+        ]
+        assert thawed == []
