Add operator commands, separate processes and a load generator

Change: apply, diff, get, list, delete, status, load and standin commands; conditional writes that name who changed what and resolve lost answers by reading back; upgrades work on specs, so an old writer keeps newer fields, and fields for old readers are written beside the new ones; stop signals through a wake-up socket. Conclusion: the path runs as separate processes from declared records.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; run one with ``python -m benchmarks.NAME``."""
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -1,6 +1,5 @@
 """One daemon: builds its parts, starts its tasks and stops them."""
 
-import signal
 import time
 import uuid
 
@@ -27,6 +26,7 @@
 from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
 from celeryward.raters import runner
+from celeryward import signals
 
 FLUSH_RETRY_SECONDS = 0.2
 
@@ -139,10 +139,15 @@
         )
         return cut_off
 
+    async def start_and_announce(self):
+        """Start, then print the callers' port for whoever supervises."""
+        await self.start()
+        print(f'daemon listens on port {self.listener.port}', flush=True)
+
     async def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
-        async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
-            starting = await curio.spawn(self.start)
-            await signals.get()
+        with signals.stop_signals() as stop_signal:
+            starting = await curio.spawn(self.start_and_announce)
+            await stop_signal()
             await starting.cancel()
             return await self.stop()
--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -1,5 +1,7 @@
 """The command line."""
 
+import getpass
+import socket
 import sys
 
 import curio
@@ -10,7 +12,14 @@
 from celeryward import errors
 from celeryward import logs
 from celeryward.operators import demo
+from celeryward.operators import documents
+from celeryward.operators import editor
+from celeryward.operators import load
+from celeryward.operators import output
+from celeryward.operators import status
+from celeryward.platform import client
 from celeryward import settings
+from celeryward.standins import run as standin_run
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -18,14 +27,34 @@
 EXIT_CONFLICT = 3
 EXIT_UNAVAILABLE = 4
 
+PLATFORM_SECONDS = 5.0
+
+
+def show(value, style):
+    """Print a value in an output format."""
+    print(output.FORMATS.get(style)(value))
+
+
+def platform_client(address):
+    """Return a client of the object API that writes as the present user."""
+    host, port = output.parse_address(address, 'platform')
+    writer = f'{getpass.getuser()}@{socket.gethostname()}'
+    return client.ObjectClient(
+        settings.Address(host, port), PLATFORM_SECONDS, writer
+    )
+
 
 class Commands:
-    """Model-aware router for versions and cascades of language models."""
+    """Model-aware router for versions and cascades of language models.
+
+    Exit codes: 0 done, 1 failed, 2 bad input, 3 lost race, 4 platform or
+    daemon not available.
+    """
 
     def daemon(self, file):
         """Run a daemon until SIGTERM.
 
-        :param str file: YAML settings file.
+        :param file: YAML settings file.
         """
         checked = settings.load(file)
         logs.configure(checked.log.level, checked.log.format)
@@ -35,11 +64,141 @@
     def check(self, file):
         """Check a settings file and list every fault.
 
-        :param str file: YAML settings file.
+        :param file: YAML settings file.
         """
         settings.load(file)
         print(f'{file}: ok')
 
+    def apply(self, file, platform, oldest_reader=1, output='text'):
+        """Write the declared records of a YAML file to the platform.
+
+        :param file: YAML file; several documents may follow each other.
+        :param platform: HOST:PORT of the object API.
+        :param oldest_reader: oldest schema version that a daemon knows.
+        :param output: text or json.
+        """
+        declared = documents.load(file)
+        edit = editor.Editor(platform_client(platform), oldest_reader)
+        show(curio.run(_each, edit.apply, declared), output)
+
+    def diff(self, file, platform, oldest_reader=1, output='text'):
+        """Show what apply would change; exit with 1 if there is anything.
+
+        :param file: YAML file with declared records.
+        :param platform: HOST:PORT of the object API.
+        """
+        declared = documents.load(file)
+        edit = editor.Editor(platform_client(platform), oldest_reader)
+        plans = curio.run(_each, edit.plan, declared)
+        changes = {
+            f'{wanted.kind}/{wanted.name}': lines
+            for _, wanted, lines in plans
+            if lines
+        }
+        show(changes, output)
+        return EXIT_FAILED if changes else EXIT_OK
+
+    def get(self, kind, name, platform, output='yaml'):
+        """Print one stored record.
+
+        :param kind: kind of the record, such as Customer.
+        :param name: name of the record.
+        :param platform: HOST:PORT of the object API.
+        :param output: yaml, text or json.
+        """
+        found = curio.run(platform_client(platform).get, kind, str(name))
+        stored = errors.unwrap(found)
+        if output == 'yaml':
+            print(documents.dump(stored), end='')
+        else:
+            show(stored, output)
+
+    def list(self, kind, platform, output='text'):
+        """List the stored records of a kind.
+
+        :param kind: kind of the records, such as Customer.
+        :param platform: HOST:PORT of the object API.
+        """
+        found = errors.unwrap(curio.run(platform_client(platform).list, kind))
+        rows = [
+            {
+                'name': stored.name,
+                'revision': stored.revision,
+                'schema_version': stored.schema_version,
+                'writer': stored.writer,
+            }
+            for stored in found.items
+        ]
+        show(rows, output)
+
+    def delete(self, kind, name, platform, revision=0, output='text'):
+        """Delete one stored record.
+
+        :param kind: kind of the record.
+        :param name: name of the record.
+        :param platform: HOST:PORT of the object API.
+        :param revision: delete only this revision; 0 for the present one.
+        """
+        edit = editor.Editor(platform_client(platform))
+        show(curio.run(edit.delete, kind, str(name), revision), output)
+
+    def status(self, admin, output='text'):
+        """Show the state of one daemon.
+
+        :param admin: HOST:PORT of the daemon's admin port.
+        :param output: text or json.
+        """
+        host, port = _parse(admin, 'admin')
+        show(curio.run(status.read, host, port), output)
+
+    def load(
+        self,
+        target,
+        key,
+        model,
+        direct='',
+        version='',
+        concurrency=8,
+        rate=0.0,
+        seconds=5.0,
+        max_tokens=32,
+        output='text',
+    ):
+        """Send streamed chats and report latency and throughput.
+
+        :param target: HOST:PORT of a daemon.
+        :param key: key of a customer.
+        :param model: model to ask for.
+        :param direct: HOST:PORT of an endpoint to compare with.
+        :param version: model@version that the endpoint runs.
+        :param concurrency: connections at once.
+        :param rate: requests a second (open loop); 0 for a closed loop.
+        :param seconds: length of the run.
+        :param max_tokens: tokens of each answer.
+        """
+        plan = load.Plan(
+            model, int(concurrency), float(rate), float(seconds), max_tokens
+        )
+        host, port = _parse(target, 'target')
+        routed = load.Target(host, port, {'authorization': f'Bearer {key}'})
+        beside = None
+        if direct:
+            host, port = _parse(direct, 'direct')
+            beside = load.Target(host, port, {'x-model-version': version})
+        compared = curio.run(load.compare, routed, beside, plan)
+        show(compared, output)
+        failed = sum(compared.routed.failures.values())
+        return EXIT_FAILED if failed else EXIT_OK
+
+    def standin(self, kind, port=0, **options):
+        """Run a stand-in of an outside system until SIGTERM.
+
+        :param kind: platform, engine, service or rater.
+        :param port: TCP port; 0 lets the host choose one.
+        :param options: settings of the stand-in, such as versions.
+        """
+        curio.run(standin_run.run, kind, port, options)
+
     def demo(self):
         """Run the whole path in one process, with stand-ins."""
         logs.configure('ERROR', 'text')
@@ -50,10 +209,20 @@
         print(celeryward.__version__)
 
 
+def _parse(address, option):
+    return output.parse_address(address, option)
+
+
+async def _each(function, items):
+    return [await function(item) for item in items]
+
+
 def exit_code(error):
     """Return the exit code for an error."""
     if isinstance(error, errors.Conflict):
         return EXIT_CONFLICT
+    if isinstance(error, errors.NotFound):
+        return EXIT_FAILED
     if isinstance(error, (errors.PlatformError, errors.OutcomeUnknown)):
         return EXIT_UNAVAILABLE
     if isinstance(error, errors.BadInput):
@@ -69,9 +238,13 @@
     try:
         # A command returns its exit code; fire must not print it.
         code = fire.Fire(
-            Commands, arguments, name='celeryward', serialize=lambda _: None
+            Commands(), arguments, name='celeryward', serialize=_silent
         )
     except errors.CelerywardError as error:
         print(error.message, file=sys.stderr)
         sys.exit(exit_code(error))
     sys.exit(code if isinstance(code, int) else EXIT_OK)
+
+
+def _silent(value):
+    return value if isinstance(value, str) else None
--- /dev/null
+++ b/celeryward/operators/load.py
@@ -0,0 +1,229 @@
+"""A load generator with open and closed loops.
+
+In an open loop each latency counts from the time at which the request was
+due, not from the time at which it was sent, so that a stalled server can't
+hide its delay (coordinated omission).
+"""
+
+import dataclasses
+import itertools
+import time
+
+import curio
+import msgspec
+
+from celeryward import deadlines
+from celeryward.endpoints import protocol
+from celeryward import errors
+from celeryward import http
+from celeryward import metrics
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Where requests go.
+
+    :param dict headers: sent with each request.
+    """
+
+    host: str
+    port: int
+    headers: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What to send.
+
+    :param int concurrency: connections at once.
+    :param float rate: requests a second in an open loop; 0 for a closed
+        loop.
+    :param float seconds: length of the run.
+    """
+
+    model: str
+    concurrency: int = 8
+    rate: float = 0.0
+    seconds: float = 5.0
+    max_tokens: int = 32
+    prompt_words: int = 20
+    timeout: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Result of a run; times are in seconds.
+
+    :param dict failures: number of failed requests by status or error code.
+    """
+
+    requests: int
+    tokens: int
+    seconds: float
+    requests_per_s: float
+    tokens_per_s: float
+    first_token: metrics.Summary
+    whole: metrics.Summary
+    failures: dict[str, int]
+
+
+class Generator:
+    """Sends requests to one target and measures them."""
+
+    def __init__(self, target, plan):
+        self.target = target
+        self.plan = plan
+        self.first_token = metrics.Latency()
+        self.whole = metrics.Latency()
+        self.requests = 0
+        self.tokens = 0
+        self.failures = {}
+        self.body = msgspec.json.encode(
+            {
+                'model': plan.model,
+                'messages': [
+                    {'role': 'user', 'content': 'word ' * plan.prompt_words}
+                ],
+                'stream': True,
+                'max_tokens': plan.max_tokens,
+            }
+        )
+
+    async def run(self):
+        """Run the plan and return the :class:`Report`."""
+        started = time.monotonic()
+        end = started + self.plan.seconds
+        due_times = self.due_times(started, end)
+        async with curio.TaskGroup() as group:
+            for _ in range(self.plan.concurrency):
+                await group.spawn(self.work, due_times)
+        return self.report(time.monotonic() - started)
+
+    def due_times(self, started, end):
+        """Yield the time at which each request is due, shared by workers.
+
+        A closed loop yields the present time.
+        """
+        for number in itertools.count():
+            if not self.plan.rate:
+                due = time.monotonic()
+            else:
+                due = started + number / self.plan.rate
+            if due >= end:
+                return
+            yield due
+
+    async def work(self, due_times):
+        """Send requests over one connection, one after the other."""
+        connection = None
+        for due in due_times:
+            wait = due - time.monotonic()
+            if wait > 0:
+                await curio.sleep(wait)
+            deadline = deadlines.Deadline.after(self.plan.timeout)
+            try:
+                if connection is None:
+                    connection = await http.connect(
+                        self.target.host, self.target.port, deadline
+                    )
+                await self.send(connection, due, deadline)
+            except errors.CelerywardError as error:
+                self.fail(error.code)
+                if connection is not None:
+                    await connection.close()
+                connection = None
+                continue
+            if connection.reusable():
+                connection.start_next_cycle()
+            else:
+                await connection.close()
+                connection = None
+        if connection is not None:
+            await connection.close()
+
+    async def send(self, connection, due, deadline):
+        """Send one request and read its stream."""
+        headers = {
+            'content-type': 'application/json',
+            **self.target.headers,
+        }
+        await http.send_request(
+            connection, 'POST', '/v1/chat/completions', headers, self.body
+        )
+        response = await connection.receive_response(deadline)
+        first = None
+        tokens = 0
+        tail = b''
+        async for piece in connection.receive_chunks(
+            'read stream', lambda: deadline
+        ):
+            if first is None:
+                first = time.monotonic()
+            tokens += piece.count(b'data: {"choices":[{')
+            tail = (tail + piece)[-len(protocol.DONE_EVENT) :]
+        if response.status != 200:
+            self.fail(str(response.status))
+            return
+        if tail != protocol.DONE_EVENT:
+            self.fail('truncated')
+            return
+        self.requests += 1
+        self.tokens += tokens
+        self.first_token.record(first - due)
+        self.whole.record(time.monotonic() - due)
+
+    def fail(self, cause):
+        """Count a failed request."""
+        self.failures[cause] = self.failures.get(cause, 0) + 1
+
+    def report(self, seconds):
+        """Return the :class:`Report` of the run."""
+        return Report(
+            self.requests,
+            self.tokens,
+            seconds,
+            self.requests / seconds,
+            self.tokens / seconds,
+            self.first_token.summary(),
+            self.whole.summary(),
+            self.failures,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Comparison:
+    """Reports of routed and of direct requests, made in one run.
+
+    ``added_*`` are the differences of the percentiles of the time to the
+    first token, in seconds.
+    """
+
+    routed: Report
+    direct: Report | None = None
+    added_p50: float = 0.0
+    added_p95: float = 0.0
+    added_p99: float = 0.0
+
+
+async def compare(routed, direct, plan):
+    """Run a plan against a daemon, and if given directly at an endpoint.
+
+    Both run at the same time and each at the plan's rate.
+
+    :returns: a :class:`Comparison`.
+    """
+    if direct is None:
+        return Comparison(await Generator(routed, plan).run())
+    async with curio.TaskGroup() as group:
+        tasks = [
+            await group.spawn(Generator(target, plan).run)
+            for target in (routed, direct)
+        ]
+    first, second = (task.result for task in tasks)
+    return Comparison(
+        first,
+        second,
+        first.first_token.p50 - second.first_token.p50,
+        first.first_token.p95 - second.first_token.p95,
+        first.first_token.p99 - second.first_token.p99,
+    )
--- a/celeryward/platform/records.py
+++ b/celeryward/platform/records.py
@@ -1,9 +1,9 @@
 """Declared records: schemas by kind and version, read into catalog types.
 
-A record is decoded by the schema of its own version, or by the newest known
+A spec is checked by the schema of its own version, or by the newest known
 one if the record is newer, and then upgraded step by step to the newest
-known version. Fields that this reader does not know stay in the stored
-object, and :func:`merge` keeps them when the object is written again.
+known version. Upgrades work on the fields that a spec has, so that a spec of
+an old version changes only what its version can express.
 """
 
 import dataclasses
@@ -18,6 +18,7 @@
 
 SCHEMAS = registry.Registry('record schema')
 UPGRADES = registry.Registry('record upgrade')
+DOWNGRADES = registry.Registry('record downgrade')
 
 NEWEST = {
     'Customer': 2,
@@ -75,11 +76,20 @@
 
 
 @UPGRADES.register(('Customer', 1))
-def upgrade_customer(record):
+def upgrade_customer(spec):
     """Move the flat rate limit into the group of limits."""
-    fields = _fields(record)
-    rate = fields.pop('requests_per_s')
-    return CustomerV2(limits=catalog.Limits(requests_per_s=rate), **fields)
+    upgraded = dict(spec)
+    if 'requests_per_s' in upgraded:
+        rate = upgraded.pop('requests_per_s')
+        upgraded['limits'] = {'requests_per_s': rate}
+    return upgraded
+
+
+@DOWNGRADES.register(('Customer', 2))
+def downgrade_customer(spec):
+    """Return the flat rate limit."""
+    limits = spec.get('limits', {})
+    return {'requests_per_s': limits.get('requests_per_s', 0.0)}
 
 
 @SCHEMAS.register(('ModelVersion', 1))
@@ -119,15 +129,24 @@
 
 
 @UPGRADES.register(('ModelVersion', 1))
-def upgrade_model_version(record):
+def upgrade_model_version(spec):
     """Use the one cost for prompt and generated tokens."""
-    return ModelVersionV2(
-        model=record.model,
-        version=record.version,
-        state=record.state,
-        prompt_cost=record.token_cost,
-        answer_cost=record.token_cost,
-    )
+    upgraded = dict(spec)
+    if 'token_cost' in upgraded:
+        cost = upgraded.pop('token_cost')
+        upgraded['prompt_cost'] = cost
+        upgraded['answer_cost'] = cost
+    return upgraded
+
+
+@DOWNGRADES.register(('ModelVersion', 2))
+def downgrade_model_version(spec):
+    """Return the higher cost, so that an old reader bills too much at worst.
+
+    An old reader compares costs only to order models.
+    """
+    costs = (spec.get('prompt_cost', 0.0), spec.get('answer_cost', 0.0))
+    return {'token_cost': max(costs)}
 
 
 @SCHEMAS.register(('Cascade', 1))
@@ -224,52 +243,71 @@
         return _fault(stored, f'kind: unknown; known: {known}')
     if stored.schema_version < 1:
         return _fault(stored, 'schema_version: must be 1 or more')
-    known_version = min(stored.schema_version, NEWEST[stored.kind])
-    newer = stored.schema_version > known_version
-    schema = SCHEMAS.get((stored.kind, known_version))
-    spec = known_fields(schema, stored.spec) if newer else stored.spec
+    newest = NEWEST[stored.kind]
+    version = min(stored.schema_version, newest)
+    spec = readable_fields(stored, version)
     try:
-        record = ADAPTERS[stored.kind, known_version].validate_python(spec)
-        record = upgrade(stored.kind, known_version, record)
+        ADAPTERS[stored.kind, version].validate_python(spec)
+        spec = upgrade(stored.kind, version, newest, spec)
+        record = ADAPTERS[stored.kind, newest].validate_python(spec)
         return result.Ok(record.to_catalog(stored.name))
     except pydantic.ValidationError as error:
-        faults = [
-            f'spec.{".".join(str(part) for part in fault["loc"])}: '
-            f'value {fault["input"]!r:.80}: {fault["msg"]}'
-            for fault in error.errors()
-        ]
-        return _fault(stored, *faults)
+        return _fault(stored, *map(_describe, error.errors()))
     except ValueError as error:
         return _fault(stored, str(error))
 
 
-def known_fields(schema, spec):
-    """Return the part of a spec that the schema knows."""
-    names = {field.name for field in dataclasses.fields(schema)}
-    return {name: value for name, value in spec.items() if name in names}
+def readable_fields(stored, version):
+    """Return the spec without the fields that a reader has to ignore.
+
+    Those are fields unknown to the newest schema in a newer record, and
+    fields that a writer adds for the readers of older versions.
+    """
+    known = field_names(stored.kind, version)
+    legacy = legacy_names(stored.kind, version)
+    newer = stored.schema_version > version
+    return {
+        name: value
+        for name, value in stored.spec.items()
+        if name in known or (not newer and name not in legacy)
+    }
+
+
+def field_names(kind, version):
+    """Return the names of the fields of a schema."""
+    schema = SCHEMAS.get((kind, version))
+    return {field.name for field in dataclasses.fields(schema)}
 
 
-def upgrade(kind, version, record):
-    """Return the record in the newest known version of its kind."""
-    while version < NEWEST[kind]:
-        record = UPGRADES.get((kind, version))(record)
-        version += 1
-    return record
+def legacy_names(kind, version):
+    """Return names of fields that only older schemas have."""
+    older = set()
+    for earlier in range(1, version):
+        older |= field_names(kind, earlier)
+    return older - field_names(kind, version)
 
 
-def merge(stored, changed):
-    """Return a spec with changed fields that loses no other field.
+def upgrade(kind, version, wanted, spec):
+    """Return a spec in a later version of its kind."""
+    for step in range(version, wanted):
+        spec = UPGRADES.get((kind, step))(spec)
+    return spec
 
-    :param dict stored: spec as stored, maybe by a newer writer.
-    :param dict changed: fields to replace; dictionaries merge.
+
+def legacy_fields(kind, version, oldest, spec):
+    """Return the fields that readers of older versions need.
+
+    :param int oldest: the oldest version that a reader still knows.
     """
-    merged = dict(stored)
-    for name, value in changed.items():
-        before = merged.get(name)
-        if isinstance(before, dict) and isinstance(value, dict):
-            value = merge(before, value)
-        merged[name] = value
-    return merged
+    fields = {}
+    for step in range(version, oldest, -1):
+        fields |= DOWNGRADES.get((kind, step))({**spec, **fields})
+    return fields
+
+
+def _describe(fault):
+    key = '.'.join(str(part) for part in fault['loc'])
+    return f'spec.{key}: value {fault["input"]!r:.80}: {fault["msg"]}'
 
 
 def _fault(stored, *faults):
