--- a/celeryward/operators/documents.py
+++ b/celeryward/operators/documents.py
@@ -9,7 +9,17 @@
 from celeryward.platform import protocol
 from celeryward.platform import records
 
-FIELDS = ('kind', 'name', 'schema_version', 'revision', 'spec')
+# ``writer`` and ``status`` are printed by ``get``; they may stand in a file,
+# but are not written.
+FIELDS = (
+    'kind',
+    'name',
+    'schema_version',
+    'revision',
+    'spec',
+    'writer',
+    'status',
+)
 REQUIRED = ('kind', 'name', 'spec')
 
 
@@ -89,8 +99,11 @@
         value = document.get(key, 1)
         if not isinstance(value, int) or isinstance(value, bool) or value < 0:
             yield f'{key}: value {value!r}: must be a whole number'
-    if not isinstance(document.get('spec', {}), dict):
-        yield 'spec: must be a mapping'
+    for key in ('spec', 'status'):
+        if not isinstance(document.get(key, {}), dict):
+            yield f'{key}: must be a mapping'
+    if not isinstance(document.get('writer', ''), str):
+        yield 'writer: must be a text'
 
 
 def dump(stored):
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,175 @@
+"""The operators' commands."""
+
+import curio
+import pytest
+
+from celeryward import errors
+from celeryward.operators import cli
+from celeryward.operators import documents
+from celeryward.operators import editor
+from celeryward.operators import load
+from celeryward.operators import output
+from celeryward.platform import client
+from celeryward.platform import protocol
+from celeryward import settings
+from celeryward.standins import platform
+
+GOOD = 'kind: Customer\nname: a\nspec: {allowed: [m]}\n'
+
+
+@pytest.fixture
+def with_platform(run):
+    """Return a function that runs a test against a platform stand-in."""
+
+    def run_with(test):
+        async def body():
+            standin = platform.PlatformStandIn()
+            await standin.start()
+            address = settings.Address(port=standin.port)
+            editors = [
+                editor.Editor(client.ObjectClient(address, 1.0, writer))
+                for writer in ('ana', 'ben')
+            ]
+            try:
+                await test(standin, *editors)
+            finally:
+                await standin.stop()
+
+        run(body)
+
+    return run_with
+
+
+def customer(allowed, revision=0):
+    return protocol.StoredObject(
+        'Customer', 'a', {'allowed': allowed}, revision=revision
+    )
+
+
+class TestEditor:
+    """Guards against changes that are lost, doubled or overwritten."""
+
+    def test_lost_race_names_the_winner_and_the_difference(
+        self, with_platform
+    ):
+        async def test(standin, ana, ben):
+            first = await ana.apply(customer(['m']))
+            await ben.apply(customer(['n']))
+            with pytest.raises(errors.Conflict) as raised:
+                await ana.apply(customer(['o'], revision=first.revision))
+            assert 'by ben' in raised.value.message
+            assert "+ allowed: ['n']" in raised.value.message
+
+        with_platform(test)
+
+    def test_lost_answer_is_resolved_by_reading_back(self, with_platform):
+        async def test(standin, ana, ben):
+            standin.lose_answers = lambda received: True
+            outcome = await ana.apply(customer(['m']))
+            assert (outcome.effect, standin.revision) == ('created', 1)
+            outcome = await ana.delete('Customer', 'a')
+            assert outcome.effect == 'deleted'
+            assert standin.objects == {}
+
+        with_platform(test)
+
+    def test_same_record_again_writes_nothing(self, with_platform):
+        async def test(standin, ana, ben):
+            await ana.apply(customer(['m']))
+            outcome = await ana.apply(customer(['m']))
+            assert (outcome.effect, standin.revision) == ('unchanged', 1)
+
+        with_platform(test)
+
+    def test_platform_away_is_said_and_nothing_written(self, with_platform):
+        async def test(standin, ana, ben):
+            await standin.set_away(True)
+            with pytest.raises(errors.PlatformUnavailable):
+                await ana.apply(customer(['m']))
+            assert standin.objects == {}
+
+        with_platform(test)
+
+
+class TestDocuments:
+    """Guards against faults in a records file that pass unseen."""
+
+    def test_every_fault_is_reported_at_once(self):
+        text = (
+            'kind: Customer\nname: a\nspec: {alowed: []}\n---\n'
+            'kind: Nothing\nname: b/c\nspec: {}\n---\n- list\n---\n'
+            'kind: Endpoint\nname: e\nspec: {host: h, port: 0}\n'
+        )
+        with pytest.raises(errors.BadInput) as raised:
+            documents.parse(text, 'r.yaml')
+        message = raised.value.message
+        assert 'document 1: Customer/a: spec.alowed' in message
+        assert "document 2: name: value 'b/c'" in message
+        assert 'document 3: must be a mapping' in message
+        assert 'document 4: Endpoint/e: spec.port: value 0' in message
+        assert 'spec.failure_domain' in message
+
+    def test_dumped_record_can_be_applied_again(self):
+        (declared,) = documents.parse(GOOD, 'r.yaml')
+        again = documents.parse(documents.dump(declared), 'r.yaml')
+        assert again == [declared]
+
+    @pytest.mark.parametrize('text', ['', '---\n', '{', 'kind: [', '7'])
+    def test_malformed_text_is_bad_input(self, text):
+        with pytest.raises(errors.BadInput):
+            documents.parse(text, 'r.yaml')
+
+
+class TestExitCodes:
+    """Guards against exit codes that scripts can't use."""
+
+    def exit_code(self, *arguments):
+        with pytest.raises(SystemExit) as raised:
+            cli.main(list(arguments))
+        return raised.value.code
+
+    def test_version_and_good_settings(self, tmp_path, capsys):
+        path = tmp_path / 'daemon.yaml'
+        path.write_text('name: d\nfailure_domain: f\n')
+        assert self.exit_code('--version') == cli.EXIT_OK
+        assert self.exit_code('check', str(path)) == cli.EXIT_OK
+        assert '0.1.0' in capsys.readouterr().out
+
+    def test_bad_settings_and_addresses(self, tmp_path):
+        path = tmp_path / 'daemon.yaml'
+        path.write_text('name: d\n')
+        assert self.exit_code('check', str(path)) == cli.EXIT_BAD_INPUT
+        arguments = ('list', 'Customer', '--platform=here')
+        assert self.exit_code(*arguments) == cli.EXIT_BAD_INPUT
+
+    def test_platform_away(self):
+        arguments = ('list', 'Customer', '--platform=127.0.0.1:9')
+        assert self.exit_code(*arguments) == cli.EXIT_UNAVAILABLE
+
+    def test_unknown_output_format(self):
+        with pytest.raises(errors.BadInput, match='known: json, text'):
+            output.FORMATS.get('xml')
+
+
+class TestOpenLoop:
+    """Guards against latencies that leave out the time spent waiting."""
+
+    def test_latency_counts_from_the_due_time(self, run):
+        plan = load.Plan('m', concurrency=1, rate=100.0, seconds=0.1)
+
+        async def stall(series, connection, due):
+            series.sent.append(due)
+            await curio.sleep(0.03)
+
+        async def test():
+            generator = load.Generator([], plan)
+            series = load.Series(None, plan)
+            series.sent = []
+            generator.series = [series]
+            generator.exchange = stall
+            await generator.run()
+            gaps = [b - a for a, b in zip(series.sent, series.sent[1:])]
+            assert len(series.sent) == 10
+            assert all(gap == pytest.approx(0.01) for gap in gaps)
+
+        run(test)
