--- a/celeryward/catalog.py
+++ b/celeryward/catalog.py
@@ -176,6 +176,24 @@
         return f'{self.host}:{self.port}'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceLevel:
+    """What a customer is promised.
+
+    :param float availability: share of requests served without a failure.
+    :param float in_time: share of requests whose first token is in time.
+    :param float first_token_seconds: when a first token is in time.
+    """
+
+    name: str = 'default'
+    availability: float = 0.999
+    in_time: float = 0.95
+    first_token_seconds: float = 0.75
+
+
+DEFAULT_LEVEL = ServiceLevel()
+
+
 def _empty():
     return types.MappingProxyType({})
 
@@ -204,6 +222,15 @@
         default_factory=_empty
     )
 
+    service_levels: abc.Mapping[str, ServiceLevel] = dataclasses.field(
+        default_factory=_empty
+    )
+
+    def service_level(self, customer):
+        """Return the level of a customer, or else the default level."""
+        fallback = self.service_levels.get('default', DEFAULT_LEVEL)
+        return self.service_levels.get(customer, fallback)
+
     @functools.cached_property
     def versions_by_model(self):
         """Versions of each model, as tuples sorted by version."""
--- a/celeryward/metrics.py
+++ b/celeryward/metrics.py
@@ -35,6 +35,14 @@
         microseconds = max(LOWEST_MICROSECONDS, int(seconds * 1e6))
         self.histogram.record_value(min(microseconds, HIGHEST_MICROSECONDS))
 
+    def encode(self):
+        """Return the histogram as text in hdrhistogram's own encoding."""
+        return self.histogram.encode().decode('ascii')
+
+    def add_encoded(self, text):
+        """Add a histogram that :meth:`encode` returned."""
+        self.histogram.decode_and_add(text.encode('ascii'))
+
     def percentile(self, percentile):
         """Return the duration at a percentile, in seconds."""
         return self.histogram.get_value_at_percentile(percentile) / 1e6
--- /dev/null
+++ b/celeryward/operators/burn.py
@@ -0,0 +1,126 @@
+"""Burn of the error budgets over several windows.
+
+The error budget of an objective is the share of requests that may miss it.
+A burn rate of 1 uses the budget up exactly over the period of the objective.
+An alert needs a high burn rate in a long and in a short window: the long one
+shows that it matters, the short one that it still goes on.
+"""
+
+import dataclasses
+
+MINUTE = 60
+HOUR = 60 * MINUTE
+WINDOWS = {
+    '5 min': 5 * MINUTE,
+    '30 min': 30 * MINUTE,
+    '1 h': HOUR,
+    '6 h': 6 * HOUR,
+    '24 h': 24 * HOUR,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """An alert on two windows.
+
+    :param float rate: lowest burn rate that raises the alert in both.
+    """
+
+    severity: str
+    long: str
+    short: str
+    rate: float
+
+
+# Rates for an objective over 30 days: 2% of its budget in an hour, and 5%
+# in six hours.
+RULES = (
+    Rule('page', '1 h', '5 min', 14.4),
+    Rule('ticket', '6 h', '30 min', 6.0),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Count:
+    """Requests, and those that missed the objective."""
+
+    total: int = 0
+    bad: int = 0
+
+    def __add__(self, other):
+        return Count(self.total + other.total, self.bad + other.bad)
+
+    @property
+    def share(self):
+        """Share of bad requests; 0.0 without requests."""
+        return self.bad / self.total if self.total else 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Burn:
+    """Burn of one customer's objective.
+
+    :param dict rates: burn rate by window.
+    :param float spent: share of the budget of the last 24 hours that is
+        spent; 1.0 is all of it.
+    :param str severity: of the alert that is raised, or empty.
+    """
+
+    customer: str
+    objective: str
+    target: float
+    day: Count
+    rates: dict[str, float]
+    spent: float
+    severity: str
+
+
+OBJECTIVES = ('availability', 'in_time')
+
+
+def count_bucket(bucket, objective):
+    """Return the :class:`Count` of a bucket for an objective."""
+    if objective == 'availability':
+        return Count(bucket.requests, bucket.failures)
+    return Count(bucket.requests, bucket.late)
+
+
+def measure(customer, objective, level, buckets, now):
+    """Return the :class:`Burn` of one customer's objective.
+
+    :param catalog.ServiceLevel level: what the customer is promised.
+    :param buckets: buckets of this customer.
+    :param float now: UTC seconds.
+    """
+    target = getattr(level, objective)
+    budget = 1.0 - target
+    counts = {
+        name: sum(
+            (
+                count_bucket(bucket, objective)
+                for bucket in buckets
+                if now - seconds < bucket.start + 5 * MINUTE
+                and bucket.start <= now
+            ),
+            start=Count(),
+        )
+        for name, seconds in WINDOWS.items()
+    }
+    rates = {name: count.share / budget for name, count in counts.items()}
+    return Burn(
+        customer,
+        objective,
+        target,
+        counts['24 h'],
+        rates,
+        rates['24 h'],
+        severity_of(rates),
+    )
+
+
+def severity_of(rates):
+    """Return the severity of the first rule that the rates fulfil."""
+    for rule in RULES:
+        if rates[rule.long] >= rule.rate and rates[rule.short] >= rule.rate:
+            return rule.severity
+    return ''
--- a/celeryward/platform/configuration.py
+++ b/celeryward/platform/configuration.py
@@ -13,6 +13,7 @@
     'Rollout': 'rollouts',
     'Service': 'services',
     'Endpoint': 'endpoints',
+    'ServiceLevel': 'service_levels',
 }
 
 
--- /dev/null
+++ b/celeryward/platform/publisher.py
@@ -0,0 +1,90 @@
+"""The task that writes service windows to the platform."""
+
+import curio
+import msgspec
+import result
+
+from celeryward import errors
+from celeryward import logs
+from celeryward.operators import windows
+from celeryward.platform import protocol
+
+PUBLISH_SECONDS = 60.0
+
+
+class Publisher:
+    """Writes the changed windows of a recorder at each interval.
+
+    :param recorder: :class:`windows.Recorder`.
+    :param client: :class:`client.ObjectClient`.
+    :param clock: function that returns UTC seconds.
+    """
+
+    def __init__(self, recorder, client, clock):
+        self.recorder = recorder
+        self.client = client
+        self.clock = clock
+        self.revisions = {}
+
+    async def run(self):
+        """Publish at each interval."""
+        while True:
+            await curio.sleep(PUBLISH_SECONDS)
+            await self.publish()
+
+    async def publish(self):
+        """Write each changed window; return whether all are stored."""
+        stored = True
+        for window in self.recorder.windows():
+            outcome = await self.write(window)
+            if outcome.is_ok():
+                self.recorder.written(window, self.clock())
+                continue
+            stored = False
+            error = outcome.unwrap_err()
+            logs.bind_error(error).warning(
+                'service window not written: {}', error.message
+            )
+        return stored
+
+    async def write(self, window):
+        """Create or replace the object of a window.
+
+        Only this daemon writes it, so that a conflict means that an
+        earlier write succeeded although its answer was lost.
+        """
+        wanted = to_object(window)
+        revision = self.revisions.get(wanted.name, 0)
+        if revision:
+            outcome = await self.client.put(wanted, revision)
+        else:
+            outcome = await self.client.create(wanted)
+        if outcome.is_err() and isinstance(
+            outcome.unwrap_err(), errors.Conflict
+        ):
+            current = outcome.unwrap_err().current
+            if current is not None:
+                outcome = await self.client.put(wanted, current.revision)
+        if outcome.is_ok():
+            self.revisions[wanted.name] = outcome.unwrap().revision
+        return outcome
+
+
+def to_object(window):
+    """Return the object that holds a window."""
+    spec = msgspec.to_builtins(window)
+    return protocol.StoredObject(windows.WINDOW_KIND, window.name, spec)
+
+
+def from_object(stored):
+    """Return ``Ok(Window)`` for a stored object, or ``Err(BadInput)``."""
+    try:
+        return result.Ok(msgspec.convert(stored.spec, windows.Window))
+    except msgspec.ValidationError as error:
+        return result.Err(
+            errors.BadInput(
+                f'{stored.kind}/{stored.name}: {error}',
+                step='read window',
+                peer=stored.name,
+            )
+        )
--- a/celeryward/platform/records.py
+++ b/celeryward/platform/records.py
@@ -27,6 +27,7 @@
     'Rollout': 1,
     'Service': 1,
     'Endpoint': 1,
+    'ServiceLevel': 1,
 }
 KINDS = tuple(NEWEST)
 
@@ -37,6 +38,8 @@
 NonNegative = pydantic.confloat(ge=0.0)
 Count = pydantic.conint(ge=0)
 Port = pydantic.conint(ge=1, le=65535)
+Objective = pydantic.confloat(ge=0.0, lt=1.0)
+Seconds = pydantic.confloat(gt=0.0, le=3600.0)
 Domain = pydantic.constr(min_length=1)
 VersionName = pydantic.constr(pattern='^[^@/]+@[^@/]+$')
 
@@ -218,6 +221,22 @@
         return catalog.Endpoint(name=name, **_fields(self))
 
 
+@SCHEMAS.register(('ServiceLevel', 1))
+@dataclasses.dataclass(frozen=True)
+class ServiceLevelV1:
+    """What the customer of the same name, or ``default``, is promised."""
+
+    __pydantic_config__ = STRICT
+
+    availability: Objective = 0.999
+    in_time: Objective = 0.95
+    first_token_seconds: Seconds = 0.75
+
+    def to_catalog(self, name):
+        """Return the service level under its name."""
+        return catalog.ServiceLevel(name=name, **_fields(self))
+
+
 def _fields(record):
     return {
         field.name: getattr(record, field.name)
