Write bills exactly once and claim idempotency keys

Cause: bills lived only in the owner's memory until they were written, two writers could create two objects with the same bills, an outage let memory grow without bound, and idempotency keys were ignored. Change: a bill is assigned to one batch when it is settled, and its copies carry the name of that batch. A writer that finds the object merges the missing bills into it under its revision. Peers write for dead owners and for copies that were not released. Bills are packed above a bound and billable requests are refused above a second one. A key is claimed by one conditional create that is never taken over; its outcome is stored and replayed up to 64 KiB. The default flush interval is 4 s.

--- /dev/null
+++ b/celeryward/callers/once.py
@@ -0,0 +1,137 @@
+"""Runs a call with an idempotency key at most once."""
+
+from celeryward import errors
+from celeryward.platform import claim_store
+from celeryward.platform import claims
+
+REFUSALS = (errors.NotRun, errors.BadInput)
+
+
+class Recorder:
+    """Passes an answer on to a responder and records it.
+
+    Each part is recorded before it is sent, so that the record is complete
+    even if the caller closes the connection at the last byte.
+    """
+
+    def __init__(self, responder):
+        self.responder = responder
+        self.status = None
+        self.headers = {}
+        self.pieces = []
+        self.size = 0
+        self.complete = False
+
+    @property
+    def started(self):
+        """Whether a part of the answer went out."""
+        return self.responder.started
+
+    @property
+    def request_id(self):
+        """The request id of this attempt."""
+        return self.responder.request_id
+
+    @property
+    def connection(self):
+        """The connection of the caller."""
+        return self.responder.connection
+
+    async def start_stream(self, headers):
+        """Send the head of a streamed answer."""
+        content = {'content-type': 'text/event-stream', **headers}
+        self.record_head(200, content)
+        await self.responder.start_stream(headers)
+
+    async def send(self, payload):
+        """Send a piece of a streamed answer."""
+        self.record(payload)
+        await self.responder.send(payload)
+
+    async def finish_stream(self, payload):
+        """Send the last piece of a streamed answer."""
+        self.record(payload)
+        self.complete = True
+        await self.responder.finish_stream(payload)
+
+    async def send_whole(self, status, headers, body):
+        """Send an answer that is not streamed."""
+        self.record_head(status, headers)
+        self.record(body)
+        self.complete = True
+        await self.responder.send_whole(status, headers, body)
+
+    def record_head(self, status, headers):
+        """Record status and headers."""
+        self.status = status
+        self.headers = dict(headers)
+
+    def record(self, payload):
+        """Record a piece, unless the answer is too large to be stored."""
+        self.size += len(payload)
+        if self.size <= claims.MAX_STORED_BYTES:
+            self.pieces.append(payload)
+        else:
+            self.pieces.clear()
+
+    def response(self):
+        """Return the recorded answer as a :class:`claims.Response`."""
+        fits = self.size <= claims.MAX_STORED_BYTES
+        return claims.Response(
+            self.status,
+            self.headers,
+            b''.join(self.pieces),
+            stored=self.complete and fits,
+        )
+
+
+class OnceRunner:
+    """Runs calls; those with an idempotency key at most once.
+
+    :param claim_store.ClaimStore store: the claims of this daemon.
+    :param new_id: function that returns unique ids.
+    :param clock: function that returns UTC seconds.
+    """
+
+    def __init__(self, store, new_id, clock):
+        self.store = store
+        self.new_id = new_id
+        self.clock = clock
+
+    async def run(self, call, serve, responder):
+        """Run a call, or answer with the outcome of an earlier attempt.
+
+        :param serve: async function of a responder that runs the call.
+        :raises errors.ClaimHeld: if an earlier attempt has not finished.
+        :raises errors.ClaimUnchecked: if the platform is away.
+        """
+        if not call.claim_key:
+            await serve(responder)
+            return
+        claim = errors.unwrap(
+            claims.open_claim(call, self.new_id(), self.clock())
+        )
+        claimed = errors.unwrap(await self.store.acquire(claim))
+        if isinstance(claimed, claim_store.Held):
+            await self.run_held(claimed, serve, responder)
+            return
+        headers = {**claimed.headers, 'x-replayed': 'true'}
+        await responder.send_whole(claimed.status, headers, claimed.body)
+
+    async def run_held(self, held, serve, responder):
+        """Run a call and store its outcome.
+
+        An outcome that is not known leaves the claim open, which later
+        attempts are told.
+        """
+        recorder = Recorder(responder)
+        try:
+            await serve(recorder)
+        except REFUSALS:
+            if recorder.status is None:
+                await self.store.finish(held, held.claim.not_run())
+            raise
+        finally:
+            if recorder.status is not None:
+                done = held.claim.ran(recorder.response())
+                await self.store.finish(held, done)
--- a/celeryward/callers/protocol.py
+++ b/celeryward/callers/protocol.py
@@ -35,10 +35,14 @@
     'not_permitted': 403,
     'unknown_target': 404,
     'claim_held': 409,
+    'outcome_not_stored': 409,
+    'key_reused': 422,
     'harmful_request': 422,
     'limit_exceeded': 429,
     'outcome_unknown': 502,
     'endpoint_failure': 502,
+    'billing_backlog': 503,
+    'claim_unchecked': 503,
     'not_run': 503,
     'overloaded': 503,
     'shutting_down': 503,
@@ -183,6 +187,9 @@
         'x-request-id': request_id,
         'x-execution': error.execution.value,
     }
+    earlier = getattr(error, 'earlier_execution', None)
+    if earlier is not None:
+        headers['x-earlier-execution'] = earlier.value
     retry_at = getattr(error, 'retry_at', None)
     if retry_at is not None:
         seconds = max(1, math.ceil(retry_at.remaining()))
@@ -192,16 +199,16 @@
 
 def encode_error(error, request_id):
     """Return the JSON body of an error answer."""
-    return msgspec.json.encode(
-        {
-            'error': {
-                'code': error.code,
-                'message': error.message,
-                'execution': error.execution.value,
-                'request_id': request_id,
-            }
-        }
-    )
+    fields = {
+        'code': error.code,
+        'message': error.message,
+        'execution': error.execution.value,
+        'request_id': request_id,
+    }
+    earlier = getattr(error, 'earlier_execution', None)
+    if earlier is not None:
+        fields['earlier_execution'] = earlier.value
+    return msgspec.json.encode({'error': fields})
 
 
 def encode_error_event(error, request_id):
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -2,6 +2,9 @@
 
 import contextlib
 import dataclasses
+import functools
+
+import curio
 
 from celeryward.callers import admission
 from celeryward.callers import keys
@@ -10,6 +13,7 @@
 from celeryward import calls
 from celeryward.endpoints import dispatch
 from celeryward import errors
+from celeryward.platform import batches
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +38,7 @@
     :param ledger: :class:`billing.Ledger`.
     :param cascade_runner: :class:`cascades.CascadeRunner`.
     :param clock: function that returns UTC seconds.
+    :param once.OnceRunner once: runs calls with an idempotency key.
     """
 
     def __init__(
@@ -45,6 +50,7 @@
         cascade_runner,
         metrics,
         clock,
+        once,
     ):
         self.configuration = configuration
         self.dispatcher = dispatcher
@@ -53,6 +59,7 @@
         self.cascade_runner = cascade_runner
         self.metrics = metrics
         self.clock = clock
+        self.once = once
         self.concurrency = admission.Concurrency()
         self.stopping = False
 
@@ -108,24 +115,32 @@
             session_id=session_id or head.headers.get('x-session-id', ''),
             claim_key=head.headers.get('idempotency-key', ''),
             priority=protocol.decode_priority(head.headers, customer, peer),
+            digest=batches.digest_request(head.method, head.target, body),
         )
         current = self.configuration.catalog()
         route = errors.unwrap(
             admission.route_chat(current, customer, request.model)
         )
         with self.admitted(customer, request.model):
-            if route.cascade:
-                await self.run_cascade(call, route, responder)
-            elif request.stream:
-                await self.run_stream(call, route, responder)
-            else:
-                await self.run_whole(call, route, responder)
+            run = functools.partial(self.run_chat, call, route)
+            await self.once.run(call, run, responder)
+
+    async def run_chat(self, call, route, responder):
+        """Run an admitted chat request, if its bill can be kept."""
+        errors.unwrap(self.ledger.admit())
+        if route.cascade:
+            await self.run_cascade(call, route, responder)
+        elif call.request.stream:
+            await self.run_stream(call, route, responder)
+        else:
+            await self.run_whole(call, route, responder)
 
     async def run_stream(self, call, route, responder):
         """Stream one model's answer; bill it before its last byte."""
         placement = self.place(call, route)
         attempt = dispatch.Attempt(call, route.models[0], placement.pinned)
         started = self.clock()
+        billed = False
         chunks = self.dispatcher.stream(attempt)
         try:
             async with contextlib.aclosing(chunks):
@@ -139,14 +154,20 @@
                     if chunk.usage is None:
                         await responder.send(chunk.payload)
                     else:
+                        billed = True
                         await self.bill(call, attempt.runs)
                         await responder.finish_stream(chunk.payload)
-        except errors.CallerGone:
-            if not attempt.runs:
-                attempt.add_run(calls.Usage(0, attempt.emitted_tokens))
-                await self.bill(call, attempt.runs)
+        except (errors.CallerGone, curio.TaskCancelled):
+            if not billed and attempt.emitted:
+                await self.bill_partial(call, attempt)
             raise
 
+    async def bill_partial(self, call, attempt):
+        """Bill what was generated before the answer was cut off."""
+        if not attempt.runs:
+            attempt.add_run(calls.Usage(0, attempt.emitted_tokens))
+        await self.bill(call, attempt.runs)
+
     async def run_whole(self, call, route, responder):
         """Answer with one model's whole answer, after billing it."""
         placement = self.place(call, route)
@@ -216,6 +237,7 @@
             call.request.model,
             tuple(runs),
             self.clock(),
+            batches.bill_id(call.customer.name, call.request_id, call.digest),
         )
         await self.ledger.settle(bill)
         self.metrics.bills.inc()
@@ -241,9 +263,15 @@
             request,
             claim_key=head.headers.get('idempotency-key', ''),
             priority=protocol.decode_priority(head.headers, customer, peer),
+            digest=batches.digest_request(head.method, head.target, body),
         )
         with self.admitted(customer, name):
-            attempt = dispatch.Attempt(call, name)
-            answer = await self.dispatcher.forward(attempt)
-            headers = protocol.service_headers(answer.headers)
-            await responder.send_whole(answer.status, headers, answer.body)
+            run = functools.partial(self.run_service, call)
+            await self.once.run(call, run, responder)
+
+    async def run_service(self, call, responder):
+        """Forward an admitted request and pass the answer on."""
+        attempt = dispatch.Attempt(call, call.request.service)
+        answer = await self.dispatcher.forward(attempt)
+        headers = protocol.service_headers(answer.headers)
+        await responder.send_whole(answer.status, headers, answer.body)
--- a/celeryward/calls.py
+++ b/celeryward/calls.py
@@ -54,6 +54,7 @@
     :param str session_token: signed token that the caller presented.
     :param str session_id: the caller's own session id.
     :param str claim_key: the idempotency key, empty if there is none.
+    :param str digest: digest of method, target and body.
     """
 
     request_id: str
@@ -64,6 +65,7 @@
     session_id: str = ''
     claim_key: str = ''
     priority: int = 0
+    digest: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,13 +88,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bill:
-    """What one request costs its customer. ``finished_at`` is UTC seconds."""
+    """What one request costs its customer.
+
+    :param float finished_at: UTC seconds.
+    :param str id: digest of customer, request id and request, which is the
+        same for each execution of one request; in hexadecimal.
+    :param str batch: name of the only batch that may contain the bill. It
+        must travel with each copy of the bill.
+    """
 
     request_id: str
     customer: str
     target: str
     runs: tuple[Run, ...]
     finished_at: float
+    id: str = ''
+    batch: str = ''
 
     @property
     def cost(self):
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from celeryward.callers import once
 from celeryward.callers import server
 from celeryward.callers import serving
 from celeryward.callers import sessions
@@ -21,9 +22,11 @@
 from celeryward import metrics
 from celeryward.operators import admin
 from celeryward.platform import billing
+from celeryward.platform import claim_store
 from celeryward.platform import client
 from celeryward.platform import configuration
 from celeryward.platform import flusher
+from celeryward.platform import replicas
 from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
 from celeryward.raters import runner
@@ -54,9 +57,16 @@
         )
         self.watcher = watcher.Watcher(self.client, self.configuration)
         # A restarted daemon must not reuse the batch names of its past.
+        # Peers know this run by the same name, see peer_died.
         self.ledger = billing.Ledger(f'{settings.name}-{new_id()[:12]}')
+        self.replicas = replicas.Replicas()
+        self.claims = claim_store.ClaimStore(self.client, clock)
         self.flusher = flusher.Flusher(
-            self.ledger, self.client, timings.flush_interval
+            self.ledger,
+            self.client,
+            timings.flush_interval,
+            self.replicas,
+            self.claims,
         )
         self.load = load.LoadView()
         self.liveness = liveness.Liveness()
@@ -70,7 +80,7 @@
         self.dispatcher = dispatch.Dispatcher(
             self.configuration, view, self.pool, timings, self.metrics
         )
-        self.serving = self.build_serving(settings, clock)
+        self.serving = self.build_serving(settings, clock, new_id)
         self.callers = server.CallerServer(self.serving, timings, new_id)
         self.listener = http.Listener(
             settings.callers.host, settings.callers.port, self.callers.handle
@@ -81,7 +91,7 @@
         self.tasks = []
         self.stopped = False
 
-    def build_serving(self, settings, clock):
+    def build_serving(self, settings, clock, new_id):
         """Build the part that serves requests."""
         rater = rater_client.RaterClient(
             settings.raters, settings.timings.rating_timeout
@@ -94,8 +104,18 @@
             runner.CascadeRunner(self.configuration, self.dispatcher, rater),
             self.metrics,
             clock,
+            once.OnceRunner(self.claims, new_id, clock),
         )
 
+    def peer_died(self, owner):
+        """Take over the bills of a dead peer.
+
+        :param str owner: name of that run of the peer, as its ledger has
+            it; a restarted peer has another one.
+        """
+        self.replicas.owner_died(owner)
+        self.ledger.peer_died(owner)
+
     async def start(self):
         """Start all tasks; callers are accepted once there is a catalog."""
         for run in (self.watcher.run, self.prober.run, self.flusher.run):
@@ -127,6 +147,7 @@
         await self.callers.wait_idle(deadline)
         cut_off = len(self.callers.busy)
         await self.listener.drain(deadlines.Deadline.after(0.0))
+        self.replicas.mark_all_due()
         while not await self.flusher.flush() and not deadline.expired():
             await curio.sleep(FLUSH_RETRY_SECONDS)
         for task in self.tasks:
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -101,6 +101,29 @@
     code = 'shutting_down'
 
 
+class BillingBacklog(NotRun):
+    """No further bill can be kept until the platform takes some."""
+
+    code = 'billing_backlog'
+
+
+class KeyReused(NotRun):
+    """The idempotency key belongs to a request with other content."""
+
+    code = 'key_reused'
+
+
+class ClaimUnchecked(NotRun):
+    """The claim of an idempotency key could not be read or created.
+
+    This attempt was not run. Whether an earlier attempt with the key was
+    run is not known.
+    """
+
+    code = 'claim_unchecked'
+    earlier_execution = Execution.UNKNOWN
+
+
 class OutcomeUnknown(CelerywardError):
     """The request, or a write, may or may not have taken effect."""
 
@@ -108,6 +131,19 @@
     execution = Execution.UNKNOWN
 
 
+class ClaimHeld(OutcomeUnknown):
+    """An earlier attempt with the key is running, or its host was lost."""
+
+    code = 'claim_held'
+
+
+class OutcomeNotStored(CelerywardError):
+    """An earlier attempt with the key ran; its answer was not stored."""
+
+    code = 'outcome_not_stored'
+    execution = Execution.RAN
+
+
 class EndpointFailure(CelerywardError):
     """A request to an endpoint failed.
 
--- a/celeryward/operators/demo.py
+++ b/celeryward/operators/demo.py
@@ -15,7 +15,7 @@
 from celeryward import daemon
 from celeryward import deadlines
 from celeryward import http
-from celeryward.platform import billing
+from celeryward.platform import batches
 from celeryward.platform import protocol
 from celeryward import settings
 from celeryward.standins import engine
@@ -201,18 +201,17 @@
     await cluster.stop()
     write('== Bills at the platform')
     for stored in cluster.platform.objects.values():
-        if stored.kind == billing.BATCH_KIND:
+        if stored.kind == batches.BATCH_KIND:
             write_bills(stored, write)
 
 
 def write_bills(stored, write):
     """Write one line for each bill of a batch."""
-    for bill in stored.spec['bills']:
-        route = ' -> '.join(run['version'] for run in bill['runs'])
-        cost = sum(run['cost'] for run in bill['runs'])
+    for bill in batches.read_bills([batches.from_object(stored)]):
+        route = ' -> '.join(run.version for run in bill.runs)
         write(
-            f'{bill["request_id"]} {bill["customer"]} {bill["target"]}: '
-            f'{route or "-"} cost {cost:.3f}'
+            f'{bill.request_id} {bill.customer} {bill.target}: '
+            f'{route or "-"} cost {bill.cost:.3f}'
         )
 
 
--- /dev/null
+++ b/celeryward/platform/batches.py
@@ -0,0 +1,317 @@
+"""Batches of bills: their names, their compact form and how they merge.
+
+A bill gets the name of its batch when it is settled, and each of its copies
+carries that name. Whoever writes the bill writes it into this one object,
+and :func:`merge` adds only bills that the object lacks. So a bill occurs
+once, whatever part of the batch each writer holds.
+"""
+
+import base64
+import dataclasses
+import hashlib
+import itertools
+import struct
+
+from celeryward import calls
+from celeryward.platform import protocol
+
+BATCH_KIND = 'BillBatch'
+SEPARATOR = b'\x00'
+ID_BYTES = 16
+MAX_UINT32 = 2**32 - 1
+# A packed bill: id and time, then tokens and cost of each run.
+HEADER = struct.Struct('>16sd')
+RUN = struct.Struct('>IId')
+# The platform takes values of 1 MB. The margin covers the envelope and
+# names that grow when JSON escapes them.
+MAX_BATCH_BYTES = 700_000
+DETAIL_BYTES = 220
+RUN_DETAIL_BYTES = 130
+# Executions of one request can't start further apart than the longest
+# request timeout that the settings allow, which is a day.
+SAME_REQUEST_SECONDS = 86_400.0
+
+
+def digest_request(method, target, body):
+    """Return the digest that tells requests with one id or key apart."""
+    digest = hashlib.sha256(f'{method} {target}\n'.encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def bill_id(customer, request_id, digest=''):
+    """Return the id of the bill of one request.
+
+    Callers choose request ids, so that the id alone can't identify a
+    request: different requests under one id are billed each.
+    """
+    parts = (customer, request_id, digest)
+    joined = SEPARATOR.join(part.encode('utf-8') for part in parts)
+    return hashlib.sha256(joined).hexdigest()[: 2 * ID_BYTES]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """What the bills of one packed group have in common."""
+
+    customer: str
+    target: str
+    versions: tuple[str, ...]
+
+    @property
+    def entry_bytes(self):
+        """The size of one packed bill."""
+        return HEADER.size + RUN.size * len(self.versions)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """Packed bills of one route, ``entry_bytes`` each."""
+
+    route: Route
+    entries: bytes
+
+    def ids(self):
+        """Yield the id of each packed bill."""
+        for start in range(0, len(self.entries), self.route.entry_bytes):
+            yield self.entries[start : start + ID_BYTES].hex()
+
+    def bills(self, batch):
+        """Yield the bills; request id and endpoints are not kept."""
+        route = self.route
+        for start in range(0, len(self.entries), route.entry_bytes):
+            packed_id, finished_at = HEADER.unpack_from(self.entries, start)
+            runs = unpack_runs(route.versions, self.entries, start)
+            yield calls.Bill(
+                '',
+                route.customer,
+                route.target,
+                tuple(runs),
+                finished_at,
+                packed_id.hex(),
+                batch,
+            )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Bills that are written as one object with a deterministic name."""
+
+    name: str
+    bills: tuple[calls.Bill, ...] = ()
+    groups: tuple[Group, ...] = ()
+
+    def ids(self):
+        """Return the ids of all bills as a set."""
+        packed = (group.ids() for group in self.groups)
+        return {bill.id for bill in self.bills}.union(*packed)
+
+    def all_bills(self):
+        """Yield every bill, detailed or packed."""
+        packed = (group.bills(self.name) for group in self.groups)
+        return itertools.chain(self.bills, *packed)
+
+    def to_object(self):
+        """Return the object that the platform stores.
+
+        Bills are listed in detail as long as they fit into one object.
+        """
+        bills, groups = self.bills, self.groups
+        packed_size = sum(len(group.entries) * 4 // 3 for group in groups)
+        if sum(map(detail_bytes, bills)) + packed_size > MAX_BATCH_BYTES:
+            bills, groups = (), pack(bills, groups)
+        spec = {
+            'bills': list(map(encode_bill, bills)),
+            'packed': list(map(encode, groups)),
+        }
+        return protocol.StoredObject(BATCH_KIND, self.name, spec)
+
+
+def from_object(stored):
+    """Return the :class:`Batch` in a stored object."""
+    bills = tuple(
+        decode_bill(fields, stored.name) for fields in stored.spec['bills']
+    )
+    groups = tuple(map(decode, stored.spec.get('packed', ())))
+    return Batch(stored.name, bills, groups)
+
+
+def encode_bill(bill):
+    """Return a bill as plain fields, without the name of its batch."""
+    fields = dataclasses.asdict(bill)
+    del fields['batch']
+    return fields
+
+
+def decode_bill(fields, batch):
+    """Return the :class:`calls.Bill` in its stored fields."""
+    runs = tuple(
+        calls.Run(**{**run, 'usage': calls.Usage(**run['usage'])})
+        for run in fields['runs']
+    )
+    return calls.Bill(**{**fields, 'runs': runs, 'batch': batch})
+
+
+def encode(group):
+    """Return a packed group as plain fields."""
+    entries = base64.b64encode(group.entries).decode('ascii')
+    return {**dataclasses.asdict(group.route), 'entries': entries}
+
+
+def decode(fields):
+    """Return the :class:`Group` in its stored fields."""
+    route = Route(
+        fields['customer'], fields['target'], tuple(fields['versions'])
+    )
+    return Group(route, base64.b64decode(fields['entries']))
+
+
+def detail_bytes(bill):
+    """Return a bound of the size of a bill listed in detail."""
+    names = 2 * len(bill.request_id) + len(bill.customer) + len(bill.target)
+    runs = sum(
+        RUN_DETAIL_BYTES + len(run.version) + len(run.endpoint)
+        for run in bill.runs
+    )
+    return DETAIL_BYTES + names + runs
+
+
+def packed_bytes(bill):
+    """Return the size of a packed bill in base64."""
+    return (HEADER.size + RUN.size * len(bill.runs)) * 4 // 3 + 4
+
+
+def route_of(bill):
+    """Return the :class:`Route` under which a bill is packed."""
+    versions = tuple(run.version for run in bill.runs)
+    return Route(bill.customer, bill.target, versions)
+
+
+def pack_bill(bill):
+    """Return the packed form of a bill."""
+    parts = [HEADER.pack(bytes.fromhex(bill.id), bill.finished_at)]
+    for run in bill.runs:
+        usage = run.usage
+        prompt = min(usage.prompt_tokens, MAX_UINT32)
+        answer = min(usage.answer_tokens, MAX_UINT32)
+        parts.append(RUN.pack(prompt, answer, run.cost))
+    return b''.join(parts)
+
+
+def unpack_runs(versions, entries, start):
+    """Yield the runs of the packed bill at an offset."""
+    offsets = itertools.count(start + HEADER.size, RUN.size)
+    for version, offset in zip(versions, offsets, strict=False):
+        prompt, answer, cost = RUN.unpack_from(entries, offset)
+        yield calls.Run(version, '', calls.Usage(prompt, answer), cost)
+
+
+def pack(bills, groups=()):
+    """Return groups that contain the bills and the given groups."""
+    packed = {}
+    for group in groups:
+        packed.setdefault(group.route, bytearray()).extend(group.entries)
+    for bill in bills:
+        packed.setdefault(route_of(bill), bytearray()).extend(pack_bill(bill))
+    return tuple(
+        Group(route, bytes(entries)) for route, entries in packed.items()
+    )
+
+
+def merge(stored, mine):
+    """Return the stored batch with the bills that only ``mine`` has.
+
+    :returns: None if the stored batch lacks nothing.
+    """
+    missing = mine.ids() - stored.ids()
+    if not missing:
+        return None
+    added = tuple(bill for bill in mine.bills if bill.id in missing)
+    packed = (
+        bill
+        for group in mine.groups
+        for bill in group.bills(mine.name)
+        if bill.id in missing
+    )
+    return Batch(
+        stored.name, stored.bills + added, pack(packed, stored.groups)
+    )
+
+
+def read_bills(stored_batches):
+    """Yield one bill for each request, in the order of their times.
+
+    Two hosts that ran one request settled it in batches of their own; the
+    bill that was finished first counts, and the others are dropped.
+
+    :param stored_batches: iterable of :class:`Batch`.
+    """
+    bills = itertools.chain.from_iterable(
+        batch.all_bills() for batch in stored_batches
+    )
+    counted_at = {}
+    for bill in sorted(bills, key=lambda bill: (bill.finished_at, bill.batch)):
+        last = counted_at.get(bill.id)
+        if last is None or bill.finished_at - last > SAME_REQUEST_SECONDS:
+            counted_at[bill.id] = bill.finished_at
+            yield bill
+
+
+class Collection:
+    """The bills of one batch in memory, in detail or packed.
+
+    :param Deadline due: when a peer writes the batch for its owner.
+    """
+
+    def __init__(self, name, due=None):
+        self.name = name
+        self.due = due
+        self.bills = {}
+        self.groups = {}
+        self.count = 0
+        self.packed_size = 0
+        self.holders = frozenset()
+
+    def add(self, bill):
+        """Add a bill; return whether it was new."""
+        if bill.id in self.bills:
+            return False
+        self.bills[bill.id] = bill
+        self.count += 1
+        self.packed_size += packed_bytes(bill)
+        return True
+
+    @property
+    def full(self):
+        """Whether the object of the batch has reached its size."""
+        return self.packed_size >= MAX_BATCH_BYTES
+
+    def pack(self):
+        """Replace the detailed bills by their packed form."""
+        for bill in self.bills.values():
+            entries = self.groups.setdefault(route_of(bill), bytearray())
+            entries.extend(pack_bill(bill))
+        self.bills.clear()
+
+    def freeze(self):
+        """Return the content as a :class:`Batch`."""
+        groups = tuple(
+            Group(route, bytes(entries))
+            for route, entries in self.groups.items()
+        )
+        return Batch(self.name, tuple(self.bills.values()), groups)
+
+    def remove(self, ids):
+        """Drop the bills with the given ids."""
+        kept = [bill for bill in self.bills.values() if bill.id not in ids]
+        groups = self.freeze().groups
+        unpacked = itertools.chain.from_iterable(
+            group.bills(self.name) for group in groups
+        )
+        packed = [bill for bill in unpacked if bill.id not in ids]
+        self.bills = {bill.id: bill for bill in kept}
+        self.groups = {
+            group.route: bytearray(group.entries) for group in pack(packed)
+        }
+        self.count = len(kept) + len(packed)
+        self.packed_size = sum(map(packed_bytes, kept + packed))
--- a/celeryward/platform/billing.py
+++ b/celeryward/platform/billing.py
@@ -1,59 +1,172 @@
-"""Bills: settled in memory, then written to the platform in batches."""
+"""Bills of this daemon: settled in memory, copied to peers, then written."""
 
+import collections
 import dataclasses
 
-from celeryward import calls
-from celeryward.platform import protocol
+import result
 
-BATCH_KIND = 'BillBatch'
-MAX_BILLS_PER_BATCH = 500
+from celeryward import deadlines
+from celeryward import errors
+from celeryward import logs
+from celeryward.platform import batches
+
+KEEP_SECONDS = 0.5
+COPY_CHUNK_BILLS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
-    """Bills that are written as one object with a deterministic name."""
+class Bounds:
+    """How many bills one owner class keeps in memory.
 
-    owner: str
-    sequence: int
-    bills: tuple[calls.Bill, ...]
+    A detailed bill takes about 1 KB and a packed one about 50 bytes
+    (docs/notes/billing.md), so that both bounds together stay under 15 MB.
 
-    @property
-    def name(self):
-        """The name, which is the same for each attempt to write it."""
-        return f'{self.owner}-{self.sequence:012d}'
+    :param int detailed: above it, bills are packed by customer and version.
+    :param int pending: above it, new billable requests are refused.
+    """
 
-    def to_object(self):
-        """Return the object that the platform stores."""
-        bills = [dataclasses.asdict(bill) for bill in self.bills]
-        return protocol.StoredObject(BATCH_KIND, self.name, {'bills': bills})
+    detailed: int = 4_000
+    pending: int = 200_000
 
 
 class Ledger:
     """Bills of this daemon that are not in the platform yet.
 
     :param str owner: name of this run of the daemon; never used again.
+    :param peers: transport to the peers, or None. ``await keep(bills,
+        deadline)`` returns the names of the peers that hold the copies, and
+        raises an error if there are fewer than 2; ``await
+        release(bill_ids)`` tells them that the platform holds the bills.
     """
 
-    def __init__(self, owner):
+    def __init__(self, owner, peers=None, bounds=None):
         self.owner = owner
+        self.peers = peers
+        self.bounds = bounds or Bounds()
         self.sequence = 0
-        self.pending = {}
-        self.batch = None
+        self.open = None
+        self.closed = collections.deque()
+        self.short_of_copies = peers is None
+
+    @property
+    def collections(self):
+        """All batches in memory, the oldest first."""
+        return [*self.closed, *([self.open] if self.open else [])]
+
+    @property
+    def pending(self):
+        """The number of bills in memory."""
+        return sum(collection.count for collection in self.collections)
+
+    def admit(self):
+        """Return ``Ok``, or ``Err`` when no further bill can be kept."""
+        if self.pending < self.bounds.pending:
+            return result.Ok(None)
+        return result.Err(
+            errors.BillingBacklog(
+                f'{self.pending} bills wait for the platform',
+                step='admit',
+                peer=self.owner,
+            )
+        )
 
     async def settle(self, bill):
-        """Take a bill. A second bill of the same request is dropped."""
-        self.pending.setdefault(bill.request_id, bill)
+        """Take a bill and have peers keep copies of it.
+
+        A second bill of the same request is dropped. Failing copies don't
+        hold up the response: the bill is flushed earlier instead.
+        """
+        await self.copy((self.add(bill),))
+
+    def add(self, bill):
+        """Add a bill to the open batch; return it as it is kept."""
+        identity = bill.id or batches.bill_id(bill.customer, bill.request_id)
+        for collection in self.collections:
+            if identity in collection.bills:
+                return collection.bills[identity]
+        if self.open is None:
+            name = f'{self.owner}-{self.sequence:012d}'
+            self.open = batches.Collection(name)
+            self.sequence += 1
+        kept = dataclasses.replace(bill, id=identity, batch=self.open.name)
+        self.open.add(kept)
+        if self.open.full:
+            self.close()
+        self.limit_detail()
+        return kept
+
+    def limit_detail(self):
+        """Pack all bills if there are too many in detail."""
+        detailed = sum(len(each.bills) for each in self.collections)
+        if detailed > self.bounds.detailed:
+            for collection in self.collections:
+                collection.pack()
+
+    def close(self):
+        """End the open batch; further bills go into the next one."""
+        if self.open is not None:
+            self.closed.append(self.open)
+            self.open = None
+
+    async def copy(self, bills):
+        """Have peers keep copies of bills; note if that fails."""
+        if self.peers is None:
+            return
+        deadline = deadlines.Deadline.after(KEEP_SECONDS)
+        try:
+            holders = await self.peers.keep(bills, deadline)
+        except errors.CelerywardError as error:
+            self.short_of_copies = True
+            logs.bind_error(error).warning(
+                'bills not copied to 2 peers: {}', error.message
+            )
+            return
+        names = {bill.batch for bill in bills}
+        for collection in self.collections:
+            if collection.name in names:
+                collection.holders |= frozenset(holders or ())
+
+    def peer_died(self, name):
+        """Note that the copies which a peer held are gone."""
+        for collection in self.collections:
+            if name in collection.holders:
+                collection.holders = frozenset()
+
+    async def copy_again(self):
+        """Copy batches anew that lost a holder; used while flushes fail."""
+        if self.peers is None:
+            return
+        for collection in self.collections:
+            if not collection.holders:
+                await self.copy_all(collection.freeze())
+
+    async def copy_all(self, batch):
+        """Copy a whole batch in messages of bounded size."""
+        bills = tuple(batch.all_bills())
+        for start in range(0, len(bills), COPY_CHUNK_BILLS):
+            await self.copy(bills[start : start + COPY_CHUNK_BILLS])
 
     def next_batch(self):
-        """Return the batch to write, the same one until it is written."""
-        if self.batch is None and self.pending:
-            bills = tuple(self.pending.values())[:MAX_BILLS_PER_BATCH]
-            self.batch = Batch(self.owner, self.sequence, bills)
-        return self.batch
-
-    def written(self, batch):
-        """Forget the bills of a batch that the platform holds."""
-        for bill in batch.bills:
-            self.pending.pop(bill.request_id, None)
-        self.sequence += 1
-        self.batch = None
+        """Return the oldest batch, the same one until it is written.
+
+        The open batch is closed only when no other waits. In an outage it
+        goes on growing, so that few objects are written after it.
+        """
+        if not self.closed:
+            self.close()
+        return self.closed[0].freeze() if self.closed else None
+
+    async def written(self, batch):
+        """Forget a batch that the platform holds, and release its copies."""
+        if not self.closed or self.closed[0].name != batch.name:
+            return
+        self.closed.popleft()
+        self.short_of_copies = self.peers is None
+        if self.peers is None:
+            return
+        try:
+            await self.peers.release(tuple(batch.ids()))
+        except errors.CelerywardError as error:
+            logs.bind_error(error).info(
+                'copies not released: {}', error.message
+            )
--- /dev/null
+++ b/celeryward/platform/claim_store.py
@@ -0,0 +1,146 @@
+"""Creates claims at the platform and stores their outcomes."""
+
+import collections
+import dataclasses
+
+import result
+
+from celeryward import deadlines
+from celeryward import errors
+from celeryward import logs
+from celeryward.platform import claims
+
+MAX_STEPS = 4
+# After a failure, calls with a key are refused without asking the platform
+# for this long, so that they are refused at once during an outage.
+AWAY_SECONDS = 1.0
+# At most 64 KiB each. The oldest is dropped above this; its claim then
+# stays open, which is answered as unknown.
+MAX_PENDING_OUTCOMES = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """An open claim of this daemon at its revision."""
+
+    claim: claims.Claim
+    revision: int
+
+
+class ClaimStore:
+    """The claims of this daemon.
+
+    :param client: :class:`client.ObjectClient`.
+    :param clock: function that returns UTC seconds.
+    """
+
+    def __init__(self, client, clock):
+        self.client = client
+        self.clock = clock
+        self.away_until = deadlines.Deadline.after(0.0)
+        self.pending = collections.deque(maxlen=MAX_PENDING_OUTCOMES)
+
+    async def acquire(self, claim):
+        """Claim a key for one attempt.
+
+        :returns: ``Ok(Held)`` if the attempt is to run,
+            ``Ok(claims.Response)`` if the stored response is the answer,
+            or ``Err`` with an error for the caller.
+        """
+        if not self.away_until.expired():
+            return self.unchecked(claim)
+        outcome = await self.client.create(claim.to_object())
+        for _ in range(MAX_STEPS):
+            if outcome.is_ok():
+                return result.Ok(Held(claim, outcome.unwrap().revision))
+            read = await self.read_back(claim, outcome.unwrap_err())
+            if read.is_err():
+                return read
+            current = read.unwrap()
+            if current is None:
+                outcome = await self.client.create(claim.to_object())
+                continue
+            existing = claims.from_object(current)
+            decided = claims.decide(existing, claim, self.clock())
+            if decided.is_err():
+                return decided
+            if decided.unwrap() is claims.Action.RUN:
+                return result.Ok(Held(claim, current.revision))
+            if decided.unwrap() is claims.Action.REPLAY:
+                return result.Ok(existing.response)
+            outcome = await self.client.put(
+                claim.to_object(), current.revision
+            )
+        return self.abandon(claim)
+
+    async def read_back(self, claim, error):
+        """Read the claim after a failed write.
+
+        :returns: ``Ok`` with the stored object or None, or
+            ``Err(ClaimUnchecked)``.
+        """
+        if isinstance(error, errors.Conflict) and error.current is not None:
+            return result.Ok(error.current)
+        if isinstance(error, errors.PlatformUnavailable):
+            self.note_away(error)
+            return self.unchecked(claim)
+        read = await self.client.get(claims.CLAIM_KIND, claim.name)
+        if read.is_ok():
+            return read
+        if isinstance(read.unwrap_err(), errors.NotFound):
+            return result.Ok(None)
+        self.note_away(read.unwrap_err())
+        return self.abandon(claim)
+
+    def note_away(self, error):
+        """Refuse calls with a key for a while."""
+        logs.bind_error(error).warning('claim failed: {}', error.message)
+        self.away_until = deadlines.Deadline.after(AWAY_SECONDS)
+
+    def abandon(self, claim):
+        """Refuse an attempt whose claim may exist, and mark it later."""
+        self.pending.append(claim.not_run())
+        return self.unchecked(claim)
+
+    def unchecked(self, claim):
+        """Return the refusal of an attempt that could not claim its key."""
+        return result.Err(
+            errors.ClaimUnchecked(
+                'this attempt was not run; an earlier attempt with this key'
+                ' could not be checked',
+                step='claim',
+                peer=claim.name,
+                retry_at=deadlines.Deadline.after(AWAY_SECONDS),
+            )
+        )
+
+    async def finish(self, held, done):
+        """Store the outcome of an attempt, later if that fails now.
+
+        :param claims.Claim done: the claim with its outcome.
+        """
+        outcome = await self.client.put(done.to_object(), held.revision)
+        if outcome.is_err():
+            self.pending.append(done)
+
+    async def retry_pending(self):
+        """Store the outcomes that could not be stored before."""
+        for _ in range(len(self.pending)):
+            done = self.pending.popleft()
+            if not await self.store(done):
+                self.pending.append(done)
+                return
+
+    async def store(self, done):
+        """Store one outcome; return whether nothing remains to be done."""
+        read = await self.client.get(claims.CLAIM_KIND, done.name)
+        if read.is_err():
+            return isinstance(read.unwrap_err(), errors.NotFound)
+        current = claims.from_object(read.unwrap())
+        mine = current.attempt == done.attempt
+        if not mine or current.state is not claims.State.OPEN:
+            return True
+        outcome = await self.client.put(
+            done.to_object(), read.unwrap().revision
+        )
+        return outcome.is_ok()
--- /dev/null
+++ b/celeryward/platform/claims.py
@@ -0,0 +1,177 @@
+"""Claims of idempotency keys: at most one attempt with a key runs.
+
+A claim is created under a name that follows from customer and key, so that
+one conditional create decides which attempt runs. An open claim is never
+taken over: its holder may be paused and may still send the request. Only
+the holder itself marks a claim as not run, after which it sends nothing,
+and only then does a later attempt put its own claim in its place.
+"""
+
+import base64
+import dataclasses
+import enum
+import hashlib
+
+import result
+
+from celeryward import errors
+from celeryward.platform import protocol
+
+CLAIM_KIND = 'Claim'
+RETENTION_SECONDS = 7 * 86_400.0
+MAX_KEY_LENGTH = 255
+MAX_STORED_BYTES = 65_536
+
+
+class State(enum.Enum):
+    """What is known of the attempt that holds a claim."""
+
+    OPEN = 'open'
+    RAN = 'ran'
+    NOT_RUN = 'not-run'
+
+
+class Action(enum.Enum):
+    """What follows for an attempt that finds an existing claim."""
+
+    RUN = 'run'
+    REOPEN = 'reopen'
+    REPLAY = 'replay'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """The response of an attempt that ran.
+
+    :param bool stored: whether headers and body are complete. A large
+        response is not stored.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    stored: bool = True
+
+    def limited(self):
+        """Return the response as it is stored, without a large body."""
+        if self.stored and len(self.body) <= MAX_STORED_BYTES:
+            return self
+        return Response(self.status, {}, b'', stored=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """One attempt's claim of a key.
+
+    :param str name: follows from customer and key.
+    :param str attempt: unique id of the attempt.
+    :param str digest: digest of the request.
+    :param float expires_at: UTC seconds; the end of the retention.
+    """
+
+    name: str
+    attempt: str
+    digest: str
+    expires_at: float
+    state: State = State.OPEN
+    response: Response | None = None
+
+    def not_run(self):
+        """Return the claim after its attempt certainly did not run."""
+        return dataclasses.replace(self, state=State.NOT_RUN)
+
+    def ran(self, response):
+        """Return the claim after its attempt ran."""
+        return dataclasses.replace(
+            self, state=State.RAN, response=response.limited()
+        )
+
+    def to_object(self):
+        """Return the object that the platform stores."""
+        spec = {
+            'attempt': self.attempt,
+            'digest': self.digest,
+            'expires_at': self.expires_at,
+            'state': self.state.value,
+        }
+        if self.response is not None:
+            body = base64.b64encode(self.response.body).decode('ascii')
+            fields = dataclasses.asdict(self.response)
+            spec['response'] = {**fields, 'body': body}
+        return protocol.StoredObject(CLAIM_KIND, self.name, spec)
+
+
+def from_object(stored):
+    """Return the :class:`Claim` in a stored object."""
+    fields = dict(stored.spec)
+    response = fields.pop('response', None)
+    if response is not None:
+        body = base64.b64decode(response['body'])
+        response = Response(**{**response, 'body': body})
+    state = State(fields.pop('state'))
+    return Claim(stored.name, state=state, response=response, **fields)
+
+
+def name_of(customer, key):
+    """Return the name of a claim; keys of customers never meet."""
+    text = f'{len(customer)}:{customer}{key}'
+    return hashlib.sha256(text.encode('utf-8')).hexdigest()
+
+
+def open_claim(call, attempt, now):
+    """Return ``Ok`` with the open claim of a call, or ``Err(BadInput)``.
+
+    :param str attempt: unique id.
+    :param float now: UTC seconds.
+    """
+    if len(call.claim_key) > MAX_KEY_LENGTH:
+        return result.Err(
+            errors.BadInput(
+                f'idempotency-key: longer than {MAX_KEY_LENGTH} characters',
+                step='claim',
+                peer=call.customer.name,
+            )
+        )
+    name = name_of(call.customer.name, call.claim_key)
+    return result.Ok(
+        Claim(name, attempt, call.digest, now + RETENTION_SECONDS)
+    )
+
+
+def decide(existing, mine, now):
+    """Return ``Ok(Action)`` for an attempt that finds a claim.
+
+    :returns: ``Err`` with ``KeyReused``, ``ClaimHeld`` or
+        ``OutcomeNotStored``.
+    """
+    if existing.attempt == mine.attempt:
+        return result.Ok(Action.RUN)
+    if existing.expires_at <= now:
+        return result.Ok(Action.REOPEN)
+    if existing.digest != mine.digest:
+        return _refuse(
+            errors.KeyReused,
+            'the idempotency key was used for a request with other content',
+            mine,
+        )
+    if existing.state is State.NOT_RUN:
+        return result.Ok(Action.REOPEN)
+    if existing.state is State.OPEN:
+        return _refuse(
+            errors.ClaimHeld,
+            'an earlier attempt with this key is running or was lost; this'
+            ' attempt was not run',
+            mine,
+        )
+    if not existing.response.stored:
+        return _refuse(
+            errors.OutcomeNotStored,
+            'an earlier attempt with this key ran with status '
+            f'{existing.response.status}; its response was not stored',
+            mine,
+        )
+    return result.Ok(Action.REPLAY)
+
+
+def _refuse(kind, message, claim):
+    return result.Err(kind(message, step='claim', peer=claim.name))
--- a/celeryward/platform/client.py
+++ b/celeryward/platform/client.py
@@ -152,10 +152,14 @@
                     current=current,
                 )
             )
-        return result.Err(
-            errors.PlatformUnavailable(
-                f'object API answered {status}', step=step, peer=self.peer
+        message = f'object API answered {status}'
+        if method != 'GET' and status >= 500:
+            # The fault may have arisen after the write took effect.
+            return result.Err(
+                errors.WriteUnknown(message, step=step, peer=self.peer)
             )
+        return result.Err(
+            errors.PlatformUnavailable(message, step=step, peer=self.peer)
         )
 
     def decode_object(self, body):
--- a/celeryward/platform/flusher.py
+++ b/celeryward/platform/flusher.py
@@ -1,53 +1,112 @@
 """The task that writes bills to the platform."""
 
+import random
+
 import curio
 
 from celeryward import errors
 from celeryward import logs
+from celeryward.platform import batches
+
+MAX_MERGES = 4
+# With fewer than 2 copies a bill is lost with its owner, so that it is
+# written sooner, at the cost of more calls.
+SHORT_INTERVAL_SECONDS = 1.0
+JITTER = 0.2
 
 
 class Flusher:
-    """Writes the batches of a ledger until they are stored.
+    """Writes the batches of a ledger, and of dead owners.
 
     :param ledger: :class:`billing.Ledger`.
     :param client: :class:`client.ObjectClient`.
+    :param replicas: :class:`replicas.Replicas`, or None.
+    :param claims: :class:`claim_store.ClaimStore`, or None.
     """
 
-    def __init__(self, ledger, client, interval):
+    def __init__(self, ledger, client, interval, replicas=None, claims=None):
         self.ledger = ledger
         self.client = client
         self.interval = interval
+        self.replicas = replicas
+        self.claims = claims
+        self.lock = curio.Lock()
 
     async def run(self):
         """Flush at each interval."""
         while True:
-            await curio.sleep(self.interval)
+            await curio.sleep(self.next_interval())
             await self.flush()
 
+    def next_interval(self):
+        """Return the seconds to wait; daemons must not flush in step."""
+        interval = self.interval
+        if self.ledger.short_of_copies:
+            interval = min(interval, SHORT_INTERVAL_SECONDS)
+        return interval * random.uniform(1.0 - JITTER, 1.0 + JITTER)
+
     async def flush(self):
-        """Write batches until none is left or a write fails.
+        """Write all batches, and outcomes of claims that were not stored.
 
         :returns: whether the ledger is empty.
         """
+        async with self.lock:
+            own = await self.drain(self.ledger)
+            if self.replicas is not None:
+                copies = await self.drain(self.replicas)
+                if not copies:
+                    await self.copy_orphans()
+            if not own:
+                await self.ledger.copy_again()
+            if own and self.claims is not None:
+                await self.claims.retry_pending()
+            return own
+
+    async def copy_orphans(self):
+        """Copy bills of dead owners on to further peers."""
+        for batch in self.replicas.take_orphans():
+            await self.ledger.copy_all(batch)
+
+    async def drain(self, source):
+        """Write batches until none is left or a write fails."""
         while True:
-            batch = self.ledger.next_batch()
+            batch = source.next_batch()
             if batch is None:
                 return True
             if not await self.write(batch):
                 return False
-            self.ledger.written(batch)
+            await source.written(batch)
 
     async def write(self, batch):
-        """Create the object of a batch; return whether it is stored.
+        """Store all bills of a batch; return whether it is certain.
 
-        The name is deterministic and the create conditional, so that a
-        conflict means that an earlier attempt did succeed.
+        The create is conditional. If an object exists, from an earlier
+        attempt or from another holder of the bills, the bills that it lacks
+        are added under its revision.
         """
         outcome = await self.client.create(batch.to_object())
-        if outcome.is_ok():
-            return True
-        error = outcome.unwrap_err()
-        if isinstance(error, errors.Conflict):
-            return True
-        logs.bind_error(error).warning('bills not written: {}', error.message)
+        for _ in range(MAX_MERGES):
+            if outcome.is_ok():
+                return True
+            current = await self.read_back(batch, outcome.unwrap_err())
+            if current is None:
+                return False
+            merged = batches.merge(batches.from_object(current), batch)
+            if merged is None:
+                return True
+            outcome = await self.client.put(
+                merged.to_object(), current.revision
+            )
         return False
+
+    async def read_back(self, batch, error):
+        """Return the stored object after a failed write, or None."""
+        if isinstance(error, errors.Conflict) and error.current is not None:
+            return error.current
+        if isinstance(error, (errors.Conflict, errors.WriteUnknown)):
+            read = await self.client.get(batches.BATCH_KIND, batch.name)
+            if read.is_ok():
+                return read.unwrap()
+            error = read.unwrap_err()
+        logs.bind_error(error).warning('bills not written: {}', error.message)
+        return None
--- a/celeryward/settings.py
+++ b/celeryward/settings.py
@@ -47,7 +47,9 @@
     idle_timeout: Seconds = 75.0
     probe_interval: Seconds = 2.0
     probe_timeout: Seconds = 1.0
-    flush_interval: Seconds = 1.0
+    # 340 daemons then make 85 writes a second, and the copies at peers
+    # cover the time in between.
+    flush_interval: Seconds = 4.0
     drain_timeout: Seconds = 600.0
     platform_timeout: Seconds = 3.0
     rating_timeout: Seconds = 5.0
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -16,8 +16,11 @@
     'endpoints/load.py',
     'endpoints/ranking.py',
     'endpoints/retries.py',
+    'platform/batches.py',
     'platform/billing.py',
+    'platform/claims.py',
     'platform/configuration.py',
+    'platform/replicas.py',
     'raters/cascades.py',
 )
 
