Say not run only if no dispatch may have run the request

Cause: an idempotent request whose first dispatch was sent and failed, and whose second one found no endpoint, was answered as not run. So was a cascade whose first tier had run. Bills had no failure tests. Change: an attempt notes whether a dispatch may have run it; refusals after that become OutcomeUnknown. Tests bring about lost write answers, outages, killed owners, partial copies and double flushes.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each is run as ``python -m benchmarks.<name>``."""
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -37,6 +37,7 @@
         self.pinned = pinned
         self.tried = frozenset()
         self.dispatches = 0
+        self.maybe_ran = False
         self.emitted = []
         self.emitted_tokens = 0
         self.candidate = None
@@ -83,6 +84,19 @@
         self.timings = timings
         self.metrics = metrics
 
+    def next_candidate(self, attempt):
+        """Select the endpoint of the next dispatch.
+
+        :raises errors.OutcomeUnknown: if there is none, but an earlier
+            dispatch may have run the request.
+        """
+        try:
+            return self.choose(attempt)
+        except errors.NotRun as error:
+            if not attempt.maybe_ran:
+                raise
+            raise retries.unknown(error) from error
+
     def choose(self, attempt):
         """Select the endpoint of the next dispatch.
 
@@ -123,7 +137,7 @@
         :raises errors.Overloaded: if it certainly did not run.
         """
         while True:
-            chosen = self.choose(attempt)
+            chosen = self.next_candidate(attempt)
             # A resumed stream stays on the version that began it.
             attempt.pinned = chosen.version.name
             chunks = self.stream_once(attempt, chosen)
@@ -151,7 +165,7 @@
     async def whole(self, attempt):
         """Return the chunk of one whole answer that is not streamed."""
         while True:
-            chosen = self.choose(attempt)
+            chosen = self.next_candidate(attempt)
             attempt.pinned = chosen.version.name
             call = attempt.call
             try:
@@ -170,7 +184,7 @@
         call = attempt.call
         fresh = not call.request.idempotent
         while True:
-            chosen = self.choose(attempt)
+            chosen = self.next_candidate(attempt)
             try:
                 async with self.leased(
                     call, chosen.endpoint, fresh
@@ -214,6 +228,7 @@
         :raises errors.CelerywardError: the error for the caller, if not.
         """
         endpoint = attempt.candidate.endpoint
+        attempt.maybe_ran |= error.sent
         action = retries.after_failure(
             attempt.call, error, attempt.emitted_tokens, endpoint.can_resume
         )
@@ -222,5 +237,5 @@
         )
         exhausted = attempt.dispatches >= MAX_DISPATCHES
         if action is retries.Action.FAIL or exhausted:
-            raise retries.final_error(attempt.call, error) from error
+            raise retries.final_error(error, attempt.maybe_ran) from error
         self.metrics.retries.labels(error.code).inc()
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -5,6 +5,8 @@
 from celeryward import calls
 from celeryward.endpoints import dispatch
 from celeryward.endpoints import protocol as endpoint_protocol
+from celeryward.endpoints import retries
+from celeryward import errors
 from celeryward.raters import cascades
 from celeryward.raters import protocol
 
@@ -48,9 +50,15 @@
             if step is None:
                 return outcome
             model = route.models[step.tier]
-            placement = place(call, route, model)
-            attempt = dispatch.Attempt(call, model, placement.pinned)
-            payload, text = await self.run_tier(attempt)
+            try:
+                placement = place(call, route, model)
+                attempt = dispatch.Attempt(call, model, placement.pinned)
+                payload, text = await self.run_tier(attempt)
+            except errors.NotRun as error:
+                if not runs:
+                    raise
+                # An earlier tier did run, so "not run" would be untrue.
+                raise retries.unknown(error) from error
             runs += tuple(attempt.runs)
             outcome = CascadeOutcome(payload, attempt, placement, runs)
             if step.final:
--- /dev/null
+++ b/tests/test_billing.py
@@ -0,0 +1,273 @@
+"""Bills: settled, copied to peers, flushed and read exactly once."""
+
+import msgspec
+import pytest
+
+from benchmarks import fakes
+from celeryward import calls
+from celeryward.platform import batches
+from celeryward.platform import billing
+from celeryward.platform import flusher
+from celeryward.platform import replicas
+
+
+def bill(request_id, finished_at=1.0, runs=1, customer='shop'):
+    run = calls.Run('small@1', 'engine-1', calls.Usage(3, 8), 0.25)
+    return calls.Bill(request_id, customer, 'auto', (run,) * runs, finished_at)
+
+
+class Host:
+    """One daemon's ledger, replicas and flusher on fakes."""
+
+    def __init__(self, name, platform, network, bounds=None):
+        peers = fakes.FakePeers(name, network)
+        self.ledger = billing.Ledger(name, peers, bounds)
+        self.replicas = network[name] = replicas.Replicas()
+        self.flusher = flusher.Flusher(
+            self.ledger, platform, 1.0, self.replicas
+        )
+
+
+class Fleet:
+    """Hosts a, b and c; each one has the two others as its peers."""
+
+    def __init__(self, bounds=None):
+        self.platform = fakes.FakePlatform()
+        self.network = {}
+        self.hosts = {
+            name: Host(name, self.platform, self.network, bounds)
+            for name in 'abc'
+        }
+        self.a, self.b, self.c = self.hosts.values()
+
+    def kill(self, name):
+        """Take a host away and report it to the others."""
+        del self.network[name]
+        del self.hosts[name]
+        for host in self.hosts.values():
+            host.replicas.owner_died(name)
+            host.ledger.peer_died(name)
+
+    def billed(self):
+        """Return the request ids that the platform bills."""
+        stored = self.platform.of_kind(batches.BATCH_KIND)
+        read = batches.read_bills(map(batches.from_object, stored))
+        return [each.request_id for each in read]
+
+    def listed(self):
+        """Return the ids of all stored bills before they are read."""
+        stored = self.platform.of_kind(batches.BATCH_KIND)
+        return [
+            each.id
+            for batch in map(batches.from_object, stored)
+            for each in batch.all_bills()
+        ]
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+class TestBatches:
+    """Guards against bills that change or double in stored form."""
+
+    def test_packed_bill_keeps_identity_time_and_runs(self):
+        collection = batches.Collection('a-0')
+        identity = batches.bill_id('shop', 'r')
+        calls_bill = bill('r', finished_at=7.5, runs=2)
+        collection.add(
+            calls.Bill(
+                calls_bill.request_id,
+                calls_bill.customer,
+                calls_bill.target,
+                calls_bill.runs,
+                7.5,
+                identity,
+                'a-0',
+            )
+        )
+        collection.pack()
+        (read,) = batches.read_bills(
+            [batches.from_object(collection.freeze().to_object())]
+        )
+        assert (read.id, read.finished_at) == (identity, 7.5)
+        assert read.cost == 0.5
+        assert [run.usage for run in read.runs] == [calls.Usage(3, 8)] * 2
+
+    def test_largest_batch_fits_into_a_value(self, run):
+        ledger = billing.Ledger('a', bounds=billing.Bounds(100_000, 100_000))
+
+        async def settle():
+            while not ledger.closed:
+                count = ledger.pending
+                await ledger.settle(bill(f'{count:0128d}', runs=1 + count % 5))
+
+        run(settle)
+        stored = ledger.next_batch().to_object()
+        assert len(msgspec.json.encode(stored)) < 1_000_000
+
+    def test_same_request_in_two_batches_is_read_once(self):
+        identity = batches.bill_id('shop', 'r', 'content')
+        first, second = (
+            batches.Batch(name, (calls.Bill('r', 's', 't', (), at, identity),))
+            for name, at in (('b-0', 1.0), ('a-0', 2.0))
+        )
+        (read,) = batches.read_bills([second, first])
+        assert read.finished_at == 1.0
+
+    def test_reused_request_id_with_other_content_is_billed(self):
+        ids = {
+            batches.bill_id('shop', 'r', 'one'),
+            batches.bill_id('shop', 'r', 'two'),
+            batches.bill_id('other', 'r', 'one'),
+        }
+        assert len(ids) == 3
+
+
+class TestLedger:
+    """Guards against lost bills and against unbounded memory."""
+
+    def test_copies_are_on_two_peers_when_settle_returns(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r'))
+        assert fleet.b.replicas.count == fleet.c.replicas.count == 1
+
+    def test_same_request_is_settled_once(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r'))
+        run(fleet.a.ledger.settle, bill('r', finished_at=2.0))
+        assert fleet.a.ledger.pending == 1
+
+    def test_request_id_of_another_customer_is_another_bill(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r'))
+        run(fleet.a.ledger.settle, bill('r', customer='other'))
+        assert fleet.a.ledger.pending == 2
+
+    def test_missing_peers_shorten_the_flush_interval(self, run, fleet):
+        fleet.kill('c')
+        fleet.a.flusher.interval = 100.0
+        run(fleet.a.ledger.settle, bill('r'))
+        assert fleet.a.flusher.next_interval() < 2.0
+
+    def test_outage_packs_and_then_refuses(self, run):
+        fleet = Fleet(billing.Bounds(detailed=10, pending=25))
+        fleet.platform.away = True
+        ledger = fleet.a.ledger
+        for number in range(25):
+            assert ledger.admit().is_ok()
+            run(ledger.settle, bill(f'r{number}'))
+            run(fleet.a.flusher.flush)
+        assert sum(len(each.bills) for each in ledger.collections) <= 10
+        assert ledger.admit().unwrap_err().code == 'billing_backlog'
+        fleet.platform.away = False
+        assert run(fleet.a.flusher.flush)
+        assert ledger.admit().is_ok()
+        assert len(set(fleet.listed())) == len(fleet.billed()) == 25
+        # The outage leaves two objects, not one for each flush.
+        assert len(fleet.platform.objects) == 2
+
+
+class TestFlusher:
+    """Guards against bills that are lost or doubled by a flush."""
+
+    def test_lost_answer_is_read_back(self, run, fleet):
+        fleet.platform.lose_answer = lambda: True
+        run(fleet.a.ledger.settle, bill('r'))
+        assert run(fleet.a.flusher.flush)
+        assert fleet.listed() == [batches.bill_id('shop', 'r')]
+
+    def test_failed_write_is_repeated_under_the_same_name(self, run, fleet):
+        fleet.platform.away = True
+        run(fleet.a.ledger.settle, bill('r'))
+        assert not run(fleet.a.flusher.flush)
+        name = fleet.a.ledger.next_batch().name
+        fleet.platform.away = False
+        assert run(fleet.a.flusher.flush)
+        assert [key[1] for key in fleet.platform.objects] == [name]
+
+    def test_written_bills_are_released(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r'))
+        run(fleet.a.flusher.flush)
+        assert fleet.b.replicas.count == fleet.c.replicas.count == 0
+
+    def test_flush_that_ends_twice_forgets_no_later_batch(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r1'))
+        first = fleet.a.ledger.next_batch()
+        run(fleet.a.ledger.settle, bill('r2'))
+        run(fleet.a.ledger.written, first)
+        run(fleet.a.ledger.written, first)
+        assert fleet.a.ledger.pending == 1
+
+
+class TestReplicas:
+    """Guards against bills lost or doubled when their owner dies."""
+
+    def test_owner_killed_before_its_flush(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r'))
+        fleet.kill('a')
+        run(fleet.b.flusher.flush)
+        run(fleet.c.flusher.flush)
+        assert fleet.listed() == [batches.bill_id('shop', 'r')]
+
+    def test_owner_killed_between_flush_and_release(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r'))
+        run(fleet.a.flusher.write, fleet.a.ledger.next_batch())
+        fleet.kill('a')
+        run(fleet.b.flusher.flush)
+        assert fleet.listed() == [batches.bill_id('shop', 'r')]
+        assert fleet.b.replicas.count == 0
+
+    def test_peers_with_different_parts_of_a_batch(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r1'))
+        batch = fleet.a.ledger.collections[0].name
+        for host, ids in ((fleet.b, ('r2', 'r3')), (fleet.c, ('r3', 'r4'))):
+            copies = [
+                calls.Bill(
+                    *('x', 'shop', 'auto', (), 1.0),
+                    batches.bill_id('shop', each),
+                    batch,
+                )
+                for each in ids
+            ]
+            host.replicas.keep('a', copies)
+        fleet.kill('a')
+        fleet.c.replicas.collections[0].pack()
+        run(fleet.b.flusher.flush)
+        run(fleet.c.flusher.flush)
+        expected = [batches.bill_id('shop', f'r{n}') for n in range(1, 5)]
+        assert sorted(fleet.listed()) == sorted(expected)
+
+    def test_owner_reported_dead_goes_on(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r1'))
+        fleet.b.replicas.owner_died('a')
+        run(fleet.b.flusher.flush)
+        run(fleet.a.ledger.settle, bill('r2'))
+        assert run(fleet.a.flusher.flush)
+        assert fleet.billed() == ['r1', 'r2']
+        assert len(fleet.listed()) == 2
+
+    def test_unreleased_copy_is_written_without_a_report(self, run, fleet):
+        fleet.b.replicas.hold_seconds = 0.0
+        run(fleet.a.ledger.settle, bill('r'))
+        run(fleet.b.flusher.flush)
+        assert fleet.billed() == ['r']
+        assert fleet.b.replicas.count == 0
+
+    def test_all_holders_fail_one_by_one_in_an_outage(self, run, fleet):
+        for name in 'de':
+            fleet.hosts[name] = Host(name, fleet.platform, fleet.network)
+        run(fleet.a.ledger.settle, bill('r'))
+        fleet.platform.away = True
+        for name in 'abc':
+            fleet.kill(name)
+            for host in fleet.hosts.values():
+                run(host.flusher.flush)
+        fleet.platform.away = False
+        for host in fleet.hosts.values():
+            run(host.flusher.flush)
+        assert fleet.listed() == [batches.bill_id('shop', 'r')]
+
+    def test_full_replicas_refuse_copies(self, fleet):
+        full = replicas.Replicas(bounds=billing.Bounds(1, 1))
+        copy = calls.Bill(*('r', 's', 't', (), 1.0, '00' * 16, 'a-0'))
+        assert full.keep('a', [copy]).is_ok()
+        assert full.keep('a', [copy]).unwrap_err().code == 'overloaded'
