--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -1,5 +1,7 @@
 """Bills: settled, copied to peers, flushed and read exactly once."""
 
+import dataclasses
+
 import msgspec
 import pytest
 
@@ -73,20 +75,12 @@
     """Guards against bills that change or double in stored form."""
 
     def test_packed_bill_keeps_identity_time_and_runs(self):
-        collection = batches.Collection('a-0')
         identity = batches.bill_id('shop', 'r')
-        calls_bill = bill('r', finished_at=7.5, runs=2)
-        collection.add(
-            calls.Bill(
-                calls_bill.request_id,
-                calls_bill.customer,
-                calls_bill.target,
-                calls_bill.runs,
-                7.5,
-                identity,
-                'a-0',
-            )
+        settled = dataclasses.replace(
+            bill('r', finished_at=7.5, runs=2), id=identity, batch='a-0'
         )
+        collection = batches.Collection('a-0')
+        collection.add(settled)
         collection.pack()
         (read,) = batches.read_bills(
             [batches.from_object(collection.freeze().to_object())]
