Test bills and keys on the whole path; close open generators

Cause: the whole path had no tests of hang-ups, keys and refusals. They showed that a caller that hangs up leaves inner generators open, which curio reports as an error each time. Change: dispatch, stream reading and the watch close their generators. Conclusion: the failure cases of the whole path are covered.

--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -35,14 +35,27 @@
         self.call = call
         self.model = model
         self.pinned = pinned
+        self.sent = False
         self.tried = frozenset()
         self.dispatches = 0
-        self.maybe_ran = False
         self.emitted = []
         self.emitted_tokens = 0
         self.candidate = None
         self.runs = []
 
+    def refused(self, error):
+        """Return the true error for a dispatch that was not made.
+
+        An earlier dispatch may have run, so that "not run" would be wrong.
+        """
+        if not self.sent or not isinstance(error, errors.NotRun):
+            return error
+        return errors.OutcomeUnknown(
+            f'the request may have run: {error.message}',
+            step=error.step,
+            peer=error.peer,
+        )
+
     @property
     def version(self):
         """Name of the version that runs the request."""
@@ -84,21 +97,19 @@
         self.timings = timings
         self.metrics = metrics
 
-    def next_candidate(self, attempt):
+    def choose(self, attempt):
         """Select the endpoint of the next dispatch.
 
-        :raises errors.OutcomeUnknown: if there is none, but an earlier
-            dispatch may have run the request.
+        :raises errors.NotRun: if there is none and nothing was sent.
+        :raises errors.OutcomeUnknown: if an earlier dispatch may have run.
         """
         try:
-            return self.choose(attempt)
+            return self.choose_candidate(attempt)
         except errors.NotRun as error:
-            if not attempt.maybe_ran:
-                raise
-            raise retries.unknown(error) from error
+            raise attempt.refused(error) from error
 
-    def choose(self, attempt):
-        """Select the endpoint of the next dispatch.
+    def choose_candidate(self, attempt):
+        """Select among the endpoints of the newest catalog.
 
         :raises errors.DeadlineExceeded: if the deadline has passed.
         :raises errors.Overloaded: if there is no candidate.
@@ -137,7 +148,7 @@
         :raises errors.Overloaded: if it certainly did not run.
         """
         while True:
-            chosen = self.next_candidate(attempt)
+            chosen = self.choose(attempt)
             # A resumed stream stays on the version that began it.
             attempt.pinned = chosen.version.name
             chunks = self.stream_once(attempt, chosen)
@@ -155,17 +166,19 @@
         call = attempt.call
         resume = attempt.resume_point()
         async with self.leased(call, chosen.endpoint) as connection:
-            async for chunk in protocol.stream_chat(
+            chunks = protocol.stream_chat(
                 connection, call, chosen.version, resume, self.reads(call)
-            ):
-                if chunk.usage is not None:
-                    attempt.add_run(chunk.usage)
-                yield chunk
+            )
+            async with contextlib.aclosing(chunks):
+                async for chunk in chunks:
+                    if chunk.usage is not None:
+                        attempt.add_run(chunk.usage)
+                    yield chunk
 
     async def whole(self, attempt):
         """Return the chunk of one whole answer that is not streamed."""
         while True:
-            chosen = self.next_candidate(attempt)
+            chosen = self.choose(attempt)
             attempt.pinned = chosen.version.name
             call = attempt.call
             try:
@@ -184,7 +197,7 @@
         call = attempt.call
         fresh = not call.request.idempotent
         while True:
-            chosen = self.next_candidate(attempt)
+            chosen = self.choose(attempt)
             try:
                 async with self.leased(
                     call, chosen.endpoint, fresh
@@ -228,7 +241,7 @@
         :raises errors.CelerywardError: the error for the caller, if not.
         """
         endpoint = attempt.candidate.endpoint
-        attempt.maybe_ran |= error.sent
+        attempt.sent |= error.sent
         action = retries.after_failure(
             attempt.call, error, attempt.emitted_tokens, endpoint.can_resume
         )
@@ -237,5 +250,6 @@
         )
         exhausted = attempt.dispatches >= MAX_DISPATCHES
         if action is retries.Action.FAIL or exhausted:
-            raise retries.final_error(error, attempt.maybe_ran) from error
+            final = retries.final_error(attempt.call, error)
+            raise attempt.refused(final) from error
         self.metrics.retries.labels(error.code).inc()
--- a/celeryward/endpoints/retries.py
+++ b/celeryward/endpoints/retries.py
@@ -37,25 +37,18 @@
     return True
 
 
-def final_error(error, maybe_ran):
+def final_error(call, error):
     """Return the error that the caller sees for a last failure.
 
-    :param bool maybe_ran: whether this or an earlier dispatch may have run
-        the request.
     :returns: ``Overloaded`` if the request certainly did not run, else
         ``OutcomeUnknown``.
     """
-    if maybe_ran:
-        return unknown(error)
-    return errors.Overloaded(
-        f'no endpoint took the request: {error.message}',
-        step=error.step,
-        peer=error.peer,
-    )
-
-
-def unknown(error):
-    """Return the error for a request of which a part may have run."""
+    if not error.sent:
+        return errors.Overloaded(
+            f'no endpoint took the request: {error.message}',
+            step=error.step,
+            peer=error.peer,
+        )
     return errors.OutcomeUnknown(
         f'the request may have run: {error.message}',
         step=error.step,
--- a/celeryward/platform/watcher.py
+++ b/celeryward/platform/watcher.py
@@ -1,5 +1,7 @@
 """The task that follows the platform's configuration."""
 
+import contextlib
+
 import curio
 
 from celeryward import deadlines
@@ -60,12 +62,13 @@
             self.since,
             lambda: deadlines.Deadline.after(BOOKMARK_TIMEOUT_SECONDS),
         )
-        async for change in changes:
-            if change.is_err():
-                await self.note_failure(change.unwrap_err())
-                return
-            self.configuration.accept((change.unwrap(),))
-            self.since = max(self.since, change.unwrap().revision)
+        async with contextlib.aclosing(changes):
+            async for change in changes:
+                if change.is_err():
+                    await self.note_failure(change.unwrap_err())
+                    return
+                self.configuration.accept((change.unwrap(),))
+                self.since = max(self.since, change.unwrap().revision)
 
     async def note_failure(self, error):
         """List again if the platform no longer holds the changes."""
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -5,7 +5,6 @@
 from celeryward import calls
 from celeryward.endpoints import dispatch
 from celeryward.endpoints import protocol as endpoint_protocol
-from celeryward.endpoints import retries
 from celeryward import errors
 from celeryward.raters import cascades
 from celeryward.raters import protocol
@@ -58,7 +57,11 @@
                 if not runs:
                     raise
                 # An earlier tier did run, so "not run" would be untrue.
-                raise retries.unknown(error) from error
+                raise errors.OutcomeUnknown(
+                    f'a part of the cascade ran: {error.message}',
+                    step=error.step,
+                    peer=error.peer,
+                ) from error
             runs += tuple(attempt.runs)
             outcome = CascadeOutcome(payload, attempt, placement, runs)
             if step.final:
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,319 @@
+"""Exactly-once bills and at-most-once calls on the whole path."""
+
+import dataclasses
+
+import curio
+import msgspec
+import pytest
+
+from celeryward.callers import server
+from celeryward import daemon
+from celeryward import errors
+from celeryward.operators import demo
+from celeryward.platform import batches
+from celeryward.platform import billing
+
+RESERVE = demo.Example('', 'POST', '/v1/services/orders/reserve', {'part': 7})
+READ = demo.Example('', 'GET', '/v1/services/orders/parts', {})
+STREAM = demo.chat('', 'large', 'x', stream=True)
+# Generators that a caller's end leaves open are reported this way.
+LEAKS = 'error::pytest.PytestUnraisableExceptionWarning'
+
+
+@pytest.fixture
+def with_cluster(run):
+    """Return a function that runs a test against a started cluster."""
+
+    def run_with(test):
+        async def body():
+            cluster = demo.Cluster()
+            await cluster.start()
+            try:
+                return await test(cluster)
+            finally:
+                await cluster.platform.set_away(False)
+                await cluster.stop()
+
+        return run(body)
+
+    return run_with
+
+
+async def ask(host, example, **headers):
+    example = dataclasses.replace(example, headers=headers)
+    head, body = await demo.send(host.listener.port, example)
+    return head, msgspec.json.decode(body)
+
+
+async def second_host(cluster):
+    """Start another daemon on the platform and endpoints of a cluster."""
+    first = cluster.daemon.settings
+    host = daemon.Daemon(dataclasses.replace(first, name='second'))
+    await host.start()
+    return host
+
+
+def bills(cluster):
+    """Return the bills of the daemon that are in memory."""
+    return [
+        bill
+        for collection in cluster.daemon.ledger.collections
+        for bill in collection.bills.values()
+    ]
+
+
+class TestBills:
+    """Guards against requests that are billed twice or not at all."""
+
+    @pytest.mark.filterwarnings(LEAKS)
+    @pytest.mark.parametrize('method', ['start_stream', 'finish_stream'])
+    def test_caller_hangs_up(self, with_cluster, monkeypatch, method):
+        async def hang_up(responder, payload):
+            raise errors.CallerGone('gone', step='send', peer='caller')
+
+        async def test(cluster):
+            monkeypatch.setattr(server.Responder, method, hang_up)
+            with pytest.raises(errors.CelerywardError):
+                await ask(cluster.daemon, STREAM)
+            (bill,) = bills(cluster)
+            assert 1 <= bill.runs[0].usage.answer_tokens <= 8
+
+        with_cluster(test)
+
+    @pytest.mark.filterwarnings(LEAKS)
+    def test_caller_hangs_up_inside_a_stream(self, with_cluster, monkeypatch):
+        sent = []
+
+        async def hang_up(responder, payload):
+            sent.append(payload)
+            if len(sent) == 3:
+                raise errors.CallerGone('gone', step='send', peer='caller')
+
+        async def test(cluster):
+            cluster.large.token_seconds = 0.01
+            monkeypatch.setattr(server.Responder, 'send', hang_up)
+            with pytest.raises(errors.CelerywardError):
+                await ask(cluster.daemon, STREAM)
+            (bill,) = bills(cluster)
+            received = b''.join(sent).count(b'data: ')
+            assert bill.runs[0].usage.answer_tokens == received
+
+        with_cluster(test)
+
+    def test_copies_precede_the_last_byte(self, with_cluster, monkeypatch):
+        order = []
+
+        class Peers:
+            async def keep(self, kept, deadline):
+                order.append('copies')
+
+            async def release(self, ids):
+                pass
+
+        finish = server.Responder.finish_stream
+
+        async def note(responder, payload):
+            order.append('last byte')
+            await finish(responder, payload)
+
+        async def test(cluster):
+            cluster.daemon.ledger.peers = Peers()
+            monkeypatch.setattr(server.Responder, 'finish_stream', note)
+            await demo.send(cluster.daemon.listener.port, STREAM)
+            assert order == ['copies', 'last byte']
+
+        with_cluster(test)
+
+    def test_cascade_has_one_bill_with_its_runs(self, with_cluster):
+        async def test(cluster):
+            await ask(cluster.daemon, demo.chat('', 'auto', 'long ' * 60))
+            (bill,) = bills(cluster)
+            versions = [run.version for run in bill.runs]
+            assert versions == ['small@1', 'large@1']
+
+        with_cluster(test)
+
+    def test_refusal_and_replay_bill_nothing(self, with_cluster):
+        async def test(cluster):
+            await ask(cluster.daemon, demo.chat('', 'secret', 'x'))
+            key = {'idempotency-key': 'k', 'x-request-id': 'r'}
+            example = demo.chat('', 'small', 'x')
+            first = await ask(cluster.daemon, example, **key)
+            key['x-request-id'] = 'r2'
+            again = await ask(cluster.daemon, example, **key)
+            assert first[1] == again[1]
+            assert again[0].headers['x-replayed'] == 'true'
+            assert len(bills(cluster)) == 1
+
+        with_cluster(test)
+
+    def test_full_ledger_refuses_models_only(self, with_cluster):
+        async def test(cluster):
+            cluster.daemon.ledger.bounds = billing.Bounds(0, 0)
+            head, body = await ask(cluster.daemon, demo.chat('', 'small', 'x'))
+            assert head.status == 503
+            assert head.headers['x-execution'] == 'not-run'
+            assert body['error']['code'] == 'billing_backlog'
+            assert (await ask(cluster.daemon, RESERVE))[0].status == 200
+
+        with_cluster(test)
+
+    def test_two_hosts_that_ran_one_request_bill_it_once(self, with_cluster):
+        async def test(cluster):
+            other = await second_host(cluster)
+            for host in (cluster.daemon, other):
+                example = demo.chat('', 'small', 'x')
+                await ask(host, example, **{'x-request-id': 'same'})
+            await other.stop()
+            await cluster.daemon.flusher.flush()
+            stored = [
+                batches.from_object(each)
+                for each in cluster.platform.objects.values()
+                if each.kind == batches.BATCH_KIND
+            ]
+            assert len(stored) == 2
+            assert len(list(batches.read_bills(stored))) == 1
+
+        with_cluster(test)
+
+
+class TestKeys:
+    """Guards against a reservation that is made twice."""
+
+    def test_lost_answer_is_not_repeated_elsewhere(self, with_cluster):
+        async def test(cluster):
+            other = await second_host(cluster)
+            cluster.orders.lose_answers = True
+            key = {'idempotency-key': 'k'}
+            first, _ = await ask(cluster.daemon, RESERVE, **key)
+            cluster.orders.lose_answers = False
+            second, body = await ask(other, RESERVE, **key)
+            await other.stop()
+            assert (first.status, second.status) == (502, 409)
+            assert second.headers['x-execution'] == 'unknown'
+            assert body['error']['code'] == 'claim_held'
+            assert sum(cluster.orders.executed.values()) == 1
+
+        with_cluster(test)
+
+    def test_retry_elsewhere_gets_the_first_answer(self, with_cluster):
+        async def test(cluster):
+            other = await second_host(cluster)
+            key = {'idempotency-key': 'k'}
+            first = await ask(cluster.daemon, RESERVE, **key)
+            second = await ask(other, RESERVE, **key)
+            await other.stop()
+            assert second[1] == first[1]
+            assert sum(cluster.orders.executed.values()) == 1
+
+        with_cluster(test)
+
+    def test_lost_claim_answers_run_the_call_once(self, with_cluster):
+        async def test(cluster):
+            cluster.platform.lose_answers = lambda received: True
+            key = {'idempotency-key': 'k'}
+            head, _ = await ask(cluster.daemon, RESERVE, **key)
+            assert head.status == 200
+            assert sum(cluster.orders.executed.values()) == 1
+            cluster.platform.lose_answers = lambda received: False
+
+        with_cluster(test)
+
+    def test_platform_away(self, with_cluster):
+        async def test(cluster):
+            await cluster.platform.set_away(True)
+            # A refused connection, so that nothing was sent.
+            await cluster.platform.stop()
+            key = {'idempotency-key': 'k'}
+            head, body = await ask(cluster.daemon, RESERVE, **key)
+            assert head.status == 503
+            assert head.headers['x-execution'] == 'not-run'
+            assert head.headers['x-earlier-execution'] == 'unknown'
+            assert body['error']['code'] == 'claim_unchecked'
+            assert (await ask(cluster.daemon, RESERVE))[0].status == 200
+
+        with_cluster(test)
+
+    def test_other_body_is_refused(self, with_cluster):
+        async def test(cluster):
+            key = {'idempotency-key': 'k'}
+            await ask(cluster.daemon, RESERVE, **key)
+            changed = dataclasses.replace(RESERVE, body={'part': 8})
+            head, body = await ask(cluster.daemon, changed, **key)
+            assert head.status == 422
+            assert body['error']['code'] == 'key_reused'
+
+        with_cluster(test)
+
+    def test_streamed_answer_is_replayed_whole(self, with_cluster):
+        async def test(cluster):
+            example = dataclasses.replace(
+                STREAM, headers={'idempotency-key': 'k'}
+            )
+            port = cluster.daemon.listener.port
+            first = await demo.send(port, example)
+            again = await demo.send(port, example)
+            assert again[1] == first[1]
+            assert again[1].endswith(b'data: [DONE]\n\n')
+
+        with_cluster(test)
+
+
+class TestExecutionHeader:
+    """Guards against "not run" for a request that may have run."""
+
+    def test_sent_request_without_another_endpoint(self, with_cluster):
+        async def test(cluster):
+            cluster.orders.lose_answers = True
+            head, body = await ask(cluster.daemon, READ)
+            assert head.status == 502
+            assert body['error']['code'] == 'outcome_unknown'
+            assert head.headers['x-execution'] == 'unknown'
+
+        with_cluster(test)
+
+    def test_cascade_whose_first_tier_ran(self, with_cluster):
+        async def test(cluster):
+            await cluster.large.stop()
+            example = demo.chat('', 'auto', 'long ' * 60)
+            head, _ = await ask(cluster.daemon, example)
+            assert head.headers['x-execution'] != 'not-run'
+
+        with_cluster(test)
+
+    def test_unreachable_endpoint_is_not_run(self, with_cluster):
+        async def test(cluster):
+            await cluster.orders.stop()
+            head, _ = await ask(cluster.daemon, RESERVE)
+            assert head.status == 503
+            assert head.headers['x-execution'] == 'not-run'
+
+        with_cluster(test)
+
+    def test_keyed_call_that_was_not_run_can_be_repeated(self, with_cluster):
+        async def test(cluster):
+            key = {'idempotency-key': 'k'}
+            expired = {**key, 'x-timeout-ms': '1'}
+            cluster.daemon.claims.client = Slow(cluster.daemon.client)
+            head, _ = await ask(cluster.daemon, RESERVE, **expired)
+            assert (head.status, head.headers['x-execution']) == (
+                504,
+                'not-run',
+            )
+            assert (await ask(cluster.daemon, RESERVE, **key))[0].status == 200
+
+        with_cluster(test)
+
+
+class Slow:
+    """A platform client whose creates take longer than 1 ms."""
+
+    def __init__(self, client):
+        self.client = client
+
+    def __getattr__(self, name):
+        return getattr(self.client, name)
+
+    async def create(self, stored):
+        await curio.sleep(0.01)
+        return await self.client.create(stored)
