--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -35,6 +35,7 @@
         self.call = call
         self.model = model
         self.pinned = pinned
+        self.sent = False
         self.tried = frozenset()
         self.dispatches = 0
         self.emitted = []
@@ -42,6 +43,19 @@
         self.candidate = None
         self.runs = []
 
+    def refused(self, error):
+        """Return the true error for a dispatch that was not made.
+
+        An earlier dispatch may have run, so that "not run" would be wrong.
+        """
+        if not self.sent or not isinstance(error, errors.NotRun):
+            return error
+        return errors.OutcomeUnknown(
+            f'the request may have run: {error.message}',
+            step=error.step,
+            peer=error.peer,
+        )
+
     @property
     def version(self):
         """Name of the version that runs the request."""
@@ -86,6 +100,17 @@
     def choose(self, attempt):
         """Select the endpoint of the next dispatch.
 
+        :raises errors.NotRun: if there is none and nothing was sent.
+        :raises errors.OutcomeUnknown: if an earlier dispatch may have run.
+        """
+        try:
+            return self.choose_candidate(attempt)
+        except errors.NotRun as error:
+            raise attempt.refused(error) from error
+
+    def choose_candidate(self, attempt):
+        """Select among the endpoints of the newest catalog.
+
         :raises errors.DeadlineExceeded: if the deadline has passed.
         :raises errors.Overloaded: if there is no candidate.
         """
@@ -141,12 +166,14 @@
         call = attempt.call
         resume = attempt.resume_point()
         async with self.leased(call, chosen.endpoint) as connection:
-            async for chunk in protocol.stream_chat(
+            chunks = protocol.stream_chat(
                 connection, call, chosen.version, resume, self.reads(call)
-            ):
-                if chunk.usage is not None:
-                    attempt.add_run(chunk.usage)
-                yield chunk
+            )
+            async with contextlib.aclosing(chunks):
+                async for chunk in chunks:
+                    if chunk.usage is not None:
+                        attempt.add_run(chunk.usage)
+                    yield chunk
 
     async def whole(self, attempt):
         """Return the chunk of one whole answer that is not streamed."""
@@ -214,6 +241,7 @@
         :raises errors.CelerywardError: the error for the caller, if not.
         """
         endpoint = attempt.candidate.endpoint
+        attempt.sent |= error.sent
         action = retries.after_failure(
             attempt.call, error, attempt.emitted_tokens, endpoint.can_resume
         )
@@ -222,5 +250,6 @@
         )
         exhausted = attempt.dispatches >= MAX_DISPATCHES
         if action is retries.Action.FAIL or exhausted:
-            raise retries.final_error(attempt.call, error) from error
+            final = retries.final_error(attempt.call, error)
+            raise attempt.refused(final) from error
         self.metrics.retries.labels(error.code).inc()
