Check permission and withdrawal again before each dispatch

Cause: a version could be withdrawn or revoked while a connection was opened, between a break and a resume, or between two tiers, and the request still ran on it or was reported as not run although an earlier dispatch had run. The placement used the customer record read at entry.

Change: the dispatcher checks the version by the newest catalog at each choice and again when the connection is ready; a request without any passed-on token moves to another version. Placement is a decision module that reads the newest customer record. A cascade keeps its last answer if the next tier is no longer open. Errors after a sent dispatch say unknown.

Conclusion: each wait on the path is followed by a check.

--- a/celeryward/callers/protocol.py
+++ b/celeryward/callers/protocol.py
@@ -41,6 +41,7 @@
     'endpoint_failure': 502,
     'not_run': 503,
     'overloaded': 503,
+    'version_unavailable': 503,
     'shutting_down': 503,
     'deadline_exceeded': 504,
 }
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -1,10 +1,11 @@
 """The whole path of a request, from its body to its bill."""
 
 import contextlib
-import dataclasses
+import functools
 
 from celeryward.callers import admission
 from celeryward.callers import keys
+from celeryward.callers import placement
 from celeryward.callers import protocol
 from celeryward.callers import sessions
 from celeryward import calls
@@ -12,19 +13,6 @@
 from celeryward import errors
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
-    """The session of a chat request and the version it runs on.
-
-    :param str pinned: ``model@version`` to run on, or empty.
-    :param bool changed: whether the session's version was withdrawn.
-    """
-
-    session: sessions.Session
-    pinned: str
-    changed: bool = False
-
-
 class Serving:
     """Authenticates, admits, runs, answers and bills requests.
 
@@ -123,15 +111,14 @@
 
     async def run_stream(self, call, route, responder):
         """Stream one model's answer; bill it before its last byte."""
-        placement = self.place(call, route)
-        attempt = dispatch.Attempt(call, route.models[0], placement.pinned)
+        attempt = self.begin(call, route, route.models[0])
         started = self.clock()
         chunks = self.dispatcher.stream(attempt)
         try:
             async with contextlib.aclosing(chunks):
                 async for chunk in chunks:
                     if not responder.started:
-                        headers = self.answer_headers(attempt, placement)
+                        headers = self.answer_headers(attempt)
                         await responder.start_stream(headers)
                         self.metrics.latency('first_token').record(
                             self.clock() - started
@@ -149,19 +136,18 @@
 
     async def run_whole(self, call, route, responder):
         """Answer with one model's whole answer, after billing it."""
-        placement = self.place(call, route)
-        attempt = dispatch.Attempt(call, route.models[0], placement.pinned)
+        attempt = self.begin(call, route, route.models[0])
         chunk = await self.dispatcher.whole(attempt)
         await self.bill(call, attempt.runs)
-        headers = self.answer_headers(attempt, placement)
+        headers = self.answer_headers(attempt)
         headers['content-type'] = 'application/json'
         await responder.send_whole(200, headers, chunk.payload)
 
     async def run_cascade(self, call, route, responder):
         """Answer with the first tier that meets the quality target."""
-        outcome = await self.cascade_runner.run(call, route, self.place)
+        outcome = await self.cascade_runner.run(call, route, self.begin)
         await self.bill(call, outcome.runs)
-        headers = self.answer_headers(outcome.attempt, outcome.placement)
+        headers = self.answer_headers(outcome.attempt)
         if not call.request.stream:
             headers['content-type'] = 'application/json'
             await responder.send_whole(200, headers, outcome.payload)
@@ -169,42 +155,36 @@
         await responder.start_stream(headers)
         await responder.finish_stream(outcome.payload)
 
-    def place(self, call, route, model=None):
-        """Return the :class:`Placement` of a request on a model.
+    def begin(self, call, route, model):
+        """Return the placed :class:`dispatch.Attempt` of a request.
 
-        :raises errors.Overloaded: if no permitted version is live.
+        :raises errors.NotRun: if no permitted version is live.
+        """
+        place = functools.partial(self.place, call, route, model)
+        attempt = dispatch.Attempt(call, model, place=place)
+        attempt.move()
+        return attempt
+
+    def place(self, call, route, model):
+        """Return the :class:`placement.Placement` of a request on a model.
+
+        :raises errors.NotRun: if no permitted version is live.
         """
-        model = model or route.models[0]
-        current = self.configuration.catalog()
         session = self.signer.verify(call.session_token)
         if session is None:
             session = sessions.Session(call.session_id or call.request_id)
-        if route.pinned:
-            return Placement(session, route.pinned)
-        kept = current.versions.get(f'{model}@{session.versions.get(model)}')
-        if kept is not None and kept.usable:
-            return Placement(session, kept.name)
-        chosen = sessions.choose_version(
-            current, call.customer, model, session.id
-        )
-        if chosen is None:
-            raise errors.Overloaded(
-                'no permitted version is live', step='place', peer=model
-            )
-        versions = {**session.versions, model: chosen.version}
-        return Placement(
-            sessions.Session(session.id, versions),
-            chosen.name,
-            changed=model in session.versions,
-        )
+        current = self.configuration.catalog()
+        placed = placement.place(current, call, route, model, session)
+        return errors.unwrap(placed)
 
-    def answer_headers(self, attempt, placement):
+    def answer_headers(self, attempt):
         """Return the headers that tell what served a request."""
+        placed = attempt.placement
         headers = {
             'x-served-by': attempt.version,
-            'x-session': self.signer.sign(placement.session),
+            'x-session': self.signer.sign(placed.session),
         }
-        if placement.changed:
+        if placed.changed:
             headers['x-version-changed'] = 'true'
         return headers
 
--- a/celeryward/endpoints/candidates.py
+++ b/celeryward/endpoints/candidates.py
@@ -7,14 +7,17 @@
 
 import dataclasses
 
+import result
+
 from celeryward import calls
 from celeryward import catalog
 from celeryward.endpoints import ranking
+from celeryward import errors
 from celeryward import registry
 
 FILTERS = registry.Registry('candidate filter')
 CHAT_PIPELINE = ('permitted', 'not-withdrawn', 'pinned', 'live', 'untried')
-SERVICE_PIPELINE = ('live', 'untried')
+SERVICE_PIPELINE = ('allowed-service', 'live', 'untried')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +104,39 @@
             yield candidate
 
 
+@FILTERS.register('allowed-service')
+def filter_allowed_service(candidates, query):
+    """Keep the service's endpoints if the customer may call it now."""
+    customer = query.catalog.customers.get(query.call.customer.name)
+    if customer is not None and query.model in customer.services:
+        yield from candidates
+
+
+def check_version(current, customer_name, name):
+    """Return ``Ok(ModelVersion)`` if the customer may run the version now.
+
+    :param str name: the full name, ``model@version``.
+    :returns: ``Err`` with ``VersionUnavailable`` or ``NotPermitted``.
+    """
+    version = current.versions.get(name)
+    if version is None or not version.usable:
+        return result.Err(
+            errors.VersionUnavailable(
+                f'{name} is withdrawn', step='select', peer=name
+            )
+        )
+    customer = current.customers.get(customer_name)
+    if customer is None or not customer.allows(version):
+        return result.Err(
+            errors.NotPermitted(
+                f'customer {customer_name} may not use {name}',
+                step='select',
+                peer=name,
+            )
+        )
+    return result.Ok(version)
+
+
 def chat_candidates(query):
     """Yield every endpoint of every version of the model."""
     current = query.catalog
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -29,12 +29,18 @@
     :param Call call: the request.
     :param str model: name of the model or service.
     :param str pinned: version to keep to; empty for any.
+    :param place: function that returns a new placement, with a ``pinned``
+        version, if the version is withdrawn or revoked before any token
+        was passed on. None ends the request instead.
     """
 
-    def __init__(self, call, model, pinned=''):
+    def __init__(self, call, model, pinned='', place=None):
         self.call = call
         self.model = model
         self.pinned = pinned
+        self.place = place
+        self.placement = None
+        self.sent = False
         self.tried = frozenset()
         self.dispatches = 0
         self.emitted = []
@@ -47,6 +53,27 @@
         """Name of the version that runs the request."""
         return self.candidate.version.name
 
+    def move(self):
+        """Place the request on another version.
+
+        :raises errors.NotRun: if there is none.
+        """
+        self.placement = self.place()
+        self.pinned = self.placement.pinned
+
+    def refused(self, error):
+        """Return the true error for a dispatch that was not made.
+
+        An earlier dispatch may have run, so that "not run" would be wrong.
+        """
+        if not self.sent or not isinstance(error, errors.NotRun):
+            return error
+        return errors.OutcomeUnknown(
+            f'the request may have run: {error.message}',
+            step=error.step,
+            peer=error.peer,
+        )
+
     def add(self, chunk):
         """Note a chunk that goes to the caller."""
         self.emitted.append(chunk.payload)
@@ -86,6 +113,59 @@
     def choose(self, attempt):
         """Select the endpoint of the next dispatch.
 
+        :raises errors.NotRun: if there is none and nothing was sent.
+        :raises errors.OutcomeUnknown: if an earlier dispatch may have run.
+        """
+        try:
+            self.keep_runnable(attempt)
+            return self.choose_candidate(attempt)
+        except errors.NotRun as error:
+            raise attempt.refused(error) from error
+
+    def keep_runnable(self, attempt):
+        """Move a request off a version that it may no longer run on.
+
+        :raises errors.NotRun: if a token of the version was passed on, or
+            no other version is open to the request.
+        """
+        if not attempt.pinned:
+            return
+        checked = self.check_version(attempt)
+        if checked.is_ok():
+            return
+        if attempt.emitted_tokens or attempt.place is None:
+            raise checked.unwrap_err()
+        attempt.move()
+
+    def check_version(self, attempt):
+        """Return whether the pinned version may run, as a result."""
+        return candidates.check_version(
+            self.configuration.catalog(),
+            attempt.call.customer.name,
+            attempt.pinned,
+        )
+
+    def confirm(self, attempt):
+        """Check the version again when the connection is ready.
+
+        Opening a connection can take as long as the connect timeout; the
+        version may have been withdrawn or revoked meanwhile.
+
+        :raises errors.EndpointRefused: if nothing may be sent.
+        """
+        checked = self.check_version(attempt)
+        if checked.is_err():
+            # The endpoint did not fail; it may run another version.
+            attempt.tried -= {attempt.candidate.endpoint.name}
+            raise errors.EndpointRefused(
+                checked.unwrap_err().message,
+                step='confirm version',
+                peer=attempt.pinned,
+            )
+
+    def choose_candidate(self, attempt):
+        """Select among the endpoints of the newest catalog.
+
         :raises errors.DeadlineExceeded: if the deadline has passed.
         :raises errors.Overloaded: if there is no candidate.
         """
@@ -141,6 +221,7 @@
         call = attempt.call
         resume = attempt.resume_point()
         async with self.leased(call, chosen.endpoint) as connection:
+            self.confirm(attempt)
             async for chunk in protocol.stream_chat(
                 connection, call, chosen.version, resume, self.reads(call)
             ):
@@ -156,6 +237,7 @@
             call = attempt.call
             try:
                 async with self.leased(call, chosen.endpoint) as connection:
+                    self.confirm(attempt)
                     chunk = await protocol.whole_chat(
                         connection, call, chosen.version, self.reads(call)
                     )
@@ -213,6 +295,7 @@
 
         :raises errors.CelerywardError: the error for the caller, if not.
         """
+        attempt.sent |= error.sent
         endpoint = attempt.candidate.endpoint
         action = retries.after_failure(
             attempt.call, error, attempt.emitted_tokens, endpoint.can_resume
@@ -222,5 +305,6 @@
         )
         exhausted = attempt.dispatches >= MAX_DISPATCHES
         if action is retries.Action.FAIL or exhausted:
-            raise retries.final_error(attempt.call, error) from error
+            final = retries.final_error(attempt.call, error)
+            raise attempt.refused(final) from error
         self.metrics.retries.labels(error.code).inc()
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -77,6 +77,12 @@
     code = 'limit_exceeded'
 
 
+class VersionUnavailable(NotRun):
+    """The version is withdrawn, unknown or closed to new sessions."""
+
+    code = 'version_unavailable'
+
+
 class Overloaded(NotRun):
     """No endpoint can start the request before its deadline."""
 
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -5,6 +5,7 @@
 from celeryward import calls
 from celeryward.endpoints import dispatch
 from celeryward.endpoints import protocol as endpoint_protocol
+from celeryward import errors
 from celeryward.raters import cascades
 from celeryward.raters import protocol
 
@@ -15,7 +16,6 @@
 
     payload: bytes
     attempt: dispatch.Attempt
-    placement: object
     runs: tuple[calls.Run, ...]
 
 
@@ -30,13 +30,14 @@
         self.dispatcher = dispatcher
         self.rater = rater
 
-    async def run(self, call, route, place):
+    async def run(self, call, route, begin):
         """Return the :class:`CascadeOutcome` of a request.
 
         The answer of each tier is held until it is accepted, because a
         rejected answer must not reach the caller.
 
-        :param place: function that places a request on a model.
+        :param begin: function that returns the placed
+            :class:`dispatch.Attempt` of a request on a model.
         """
         cascade = self.configuration.catalog().cascades[route.cascade]
         rule = cascades.RULES.get(cascade.rule)
@@ -48,11 +49,17 @@
             if step is None:
                 return outcome
             model = route.models[step.tier]
-            placement = place(call, route, model)
-            attempt = dispatch.Attempt(call, model, placement.pinned)
-            payload, text = await self.run_tier(attempt)
+            try:
+                attempt = begin(call, route, model)
+                payload, text = await self.run_tier(attempt)
+            except errors.NotRun:
+                # A tier that is withdrawn, revoked or full meanwhile must
+                # not turn the runs so far into an untrue "not run".
+                if outcome is None:
+                    raise
+                return outcome
             runs += tuple(attempt.runs)
-            outcome = CascadeOutcome(payload, attempt, placement, runs)
+            outcome = CascadeOutcome(payload, attempt, runs)
             if step.final:
                 return outcome
             scores += (await self.rate(call, attempt, text),)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -10,6 +10,7 @@
 DECISION_MODULES = (
     'callers/admission.py',
     'callers/keys.py',
+    'callers/placement.py',
     'callers/sessions.py',
     'endpoints/candidates.py',
     'endpoints/liveness.py',
--- /dev/null
+++ b/tests/test_withdrawal.py
@@ -0,0 +1,237 @@
+"""Withdrawn versions and revoked permissions while a request is under way."""
+
+import dataclasses
+
+import msgspec
+import pytest
+
+from celeryward.operators import demo
+from celeryward.platform import protocol
+
+LATER_REVISION = 1_000_000
+
+
+class TwoVersions(demo.Cluster):
+    """The demo with a second version of each model and two endpoints."""
+
+    def records(self):
+        for stored in super().records():
+            if stored.kind != 'Endpoint' or 'serves' not in stored.spec:
+                yield stored
+        for model, standin in (('small', self.small), ('large', self.large)):
+            versions = (f'{model}@1', f'{model}@2')
+            standin.versions = versions
+            spec = {'model': model, 'version': '2', 'token_cost': 1.0}
+            yield demo.record('ModelVersion', f'{model}@2', spec)
+            for name in ('a', 'b'):
+                yield self.endpoint(
+                    f'{model}-{name}',
+                    standin,
+                    serves=versions,
+                    can_resume=True,
+                )
+            rollout = {'model': model, 'from_version': '1', 'to_version': '2'}
+            yield demo.record('Rollout', f'{model}-2', rollout)
+
+    def change(self, kind, name, **fields):
+        """Give the daemon a newer revision of a record."""
+        store = self.daemon.configuration
+        stored = store.objects[kind, name].object
+        revision = max(LATER_REVISION, store.revision) + 1
+        stored = dataclasses.replace(
+            stored, spec={**stored.spec, **fields}, revision=revision
+        )
+        store.accept([protocol.Change('put', revision, stored)])
+
+    def withdraw(self, name):
+        """Withdraw a version."""
+        self.change('ModelVersion', name, state='withdrawn')
+
+    def allow(self, *allowed):
+        """Replace what the customer may use."""
+        self.change('Customer', 'workshop', allowed=allowed)
+
+    def before_connect(self, action):
+        """Run an action while the next connection is opened."""
+        pool = self.daemon.pool
+        opened = pool.open
+
+        async def open_later(endpoint, deadline):
+            pool.open = opened
+            action()
+            return await opened(endpoint, deadline)
+
+        pool.open = open_later
+
+    async def ask(self, target, stream=False, **headers):
+        """Send a chat; return head, body and the decoded error or None."""
+        example = demo.chat('', target, 'x', stream)
+        example = dataclasses.replace(example, headers=headers)
+        head, body = await demo.send(self.daemon.listener.port, example)
+        failed = head.status != 200
+        error = msgspec.json.decode(body)['error'] if failed else None
+        return head, body, error
+
+
+@pytest.fixture
+def cluster_run(run):
+    """Return a function that runs a test against a started cluster."""
+
+    def run_with(test):
+        async def body():
+            cluster = TwoVersions()
+            await cluster.start()
+            # Probes open connections too, and would trigger the actions.
+            await cluster.daemon.tasks[1].cancel()
+            await cluster.daemon.pool.close()
+            try:
+                await test(cluster)
+            finally:
+                await cluster.stop()
+
+        run(body)
+
+    return run_with
+
+
+class TestBetweenEntryAndDispatch:
+    """Guards against a check that is made at entry only."""
+
+    @pytest.mark.parametrize('stream', [False, True])
+    def test_withdrawn_while_connecting(self, cluster_run, stream):
+        async def test(cluster):
+            cluster.before_connect(lambda: cluster.withdraw('small@1'))
+            head, _, _ = await cluster.ask('small', stream)
+            assert head.headers['x-served-by'] == 'small@2'
+            assert cluster.small.started == {'small@2': 1}
+
+        cluster_run(test)
+
+    def test_revoked_while_connecting(self, cluster_run):
+        async def test(cluster):
+            cluster.before_connect(lambda: cluster.allow('small@2'))
+            head, _, _ = await cluster.ask('small')
+            assert head.headers['x-served-by'] == 'small@2'
+            assert cluster.small.started == {'small@2': 1}
+
+        cluster_run(test)
+
+    def test_all_revoked_while_connecting(self, cluster_run):
+        async def test(cluster):
+            cluster.before_connect(lambda: cluster.allow('large'))
+            head, _, error = await cluster.ask('small')
+            assert (head.status, error['execution']) == (403, 'not-run')
+            assert not cluster.small.started
+
+        cluster_run(test)
+
+    def test_named_version_is_not_replaced(self, cluster_run):
+        async def test(cluster):
+            cluster.before_connect(lambda: cluster.withdraw('small@1'))
+            head, _, error = await cluster.ask('small@1')
+            assert (head.status, error['execution']) == (503, 'not-run')
+            assert not cluster.small.started
+
+        cluster_run(test)
+
+    def test_service_that_is_revoked(self, cluster_run):
+        async def test(cluster):
+            serving = cluster.daemon.serving
+            admitted = serving.admitted
+
+            def revoke_then_admit(*arguments):
+                cluster.change('Customer', 'workshop', services=[])
+                return admitted(*arguments)
+
+            serving.admitted = revoke_then_admit
+            example = demo.EXAMPLES[4]
+            head, _ = await demo.send(cluster.daemon.listener.port, example)
+            assert head.status == 503
+            assert not cluster.orders.executed
+
+        cluster_run(test)
+
+
+class TestBetweenBreakAndResume:
+    """Guards against a resume on a version that is withdrawn."""
+
+    def break_large(self, cluster, after, action):
+        """Break the next stream of the large model, after an action."""
+        inject = cluster.large.inject_fault
+
+        async def act_and_break(connection, index):
+            if index == after:
+                cluster.large.inject_fault = inject
+                cluster.large.break_after = index
+                action()
+                try:
+                    await inject(connection, index)
+                finally:
+                    cluster.large.break_after = None
+
+        cluster.large.inject_fault = act_and_break
+
+    def test_resume_is_refused_and_not_called_not_run(self, cluster_run):
+        async def test(cluster):
+            self.break_large(cluster, 4, lambda: cluster.withdraw('large@1'))
+            _, body, _ = await cluster.ask('large', stream=True)
+            assert cluster.large.started == {'large@1': 1}
+            assert b'"execution":"unknown"' in body
+            assert b'[DONE]' not in body
+
+        cluster_run(test)
+
+    def test_revoked_before_resume(self, cluster_run):
+        async def test(cluster):
+            self.break_large(cluster, 4, lambda: cluster.allow('large@2'))
+            _, body, _ = await cluster.ask('large', stream=True)
+            assert cluster.large.started == {'large@1': 1}
+            assert b'"execution":"unknown"' in body
+
+        cluster_run(test)
+
+    def test_break_before_any_token_moves_the_request(self, cluster_run):
+        async def test(cluster):
+            self.break_large(cluster, 0, lambda: cluster.withdraw('large@1'))
+            _, body, _ = await cluster.ask('large', stream=True)
+            assert cluster.large.started == {'large@1': 1, 'large@2': 1}
+            assert body.endswith(b'data: [DONE]\n\n')
+
+        cluster_run(test)
+
+
+class TestBetweenTiers:
+    """Guards against a cascade that keeps the permissions of its start."""
+
+    def before_rating(self, cluster, action):
+        rate = cluster.rater.answer
+
+        async def act_and_rate(*arguments):
+            action()
+            await rate(*arguments)
+
+        cluster.rater.answer = act_and_rate
+
+    def ask_long(self, cluster):
+        example = demo.chat('', 'auto', 'long ' * 60)
+        return demo.send(cluster.daemon.listener.port, example)
+
+    def test_withdrawn_tier_moves_to_another_version(self, cluster_run):
+        async def test(cluster):
+            self.before_rating(cluster, lambda: cluster.withdraw('large@1'))
+            head, _ = await self.ask_long(cluster)
+            assert head.headers['x-served-by'] == 'large@2'
+            assert cluster.large.started == {'large@2': 1}
+
+        cluster_run(test)
+
+    def test_revoked_tier_keeps_the_answer_and_its_bill(self, cluster_run):
+        async def test(cluster):
+            self.before_rating(cluster, lambda: cluster.allow('small'))
+            head, _ = await self.ask_long(cluster)
+            assert head.status == 200
+            assert head.headers['x-served-by'] == 'small@1'
+            assert not cluster.large.started
+            assert cluster.daemon.metrics.bills._value.get() == 1
+
+        cluster_run(test)
