Keep sessions on their version across daemons and roll-outs

Cause: a session by its own id moved with the share of a roll-out, the default version was the last one in alphabetical order, a cascade's token lost all tiers but the last, and a token of any size or customer was read.

Change: the token carries versions, start and customer and is bounded. Ids that are UUIDs of version 7 are placed by the start they contain; an opaque id uses the oldest version that is not withdrawn. Defaults follow finished roll-outs, then the time since which a version is live. New sessions on an unfinished version stop when the configuration is older than 60 s.

--- a/benchmarks/withdrawal.py
+++ b/benchmarks/withdrawal.py
@@ -209,6 +209,7 @@
             admission.Route(('m',)),
             'm',
             sessions.Session(call.request_id),
+            age=0.0,
         )
         return errors.unwrap(placed)
 
--- a/celeryward/callers/placement.py
+++ b/celeryward/callers/placement.py
@@ -22,37 +22,120 @@
     changed: bool = False
 
 
-def place(current, call, route, model, session):
+class Placer:
+    """Places one request, also on each tier of a cascade.
+
+    :param configuration: :class:`ConfigurationStore`.
+    :param Session session: the session as the caller states it.
+    :param configuration_age: function that returns seconds.
+    """
+
+    def __init__(self, configuration, call, route, session, configuration_age):
+        self.configuration = configuration
+        self.call = call
+        self.route = route
+        self.before = session
+        self.session = session
+        self.configuration_age = configuration_age
+        self.changed = False
+
+    def place(self, model):
+        """Return the :class:`Placement` on a model.
+
+        The session keeps the versions of all tiers that are placed. A
+        version that no answer has named yet can change without notice.
+
+        :raises errors.NotRun: if no permitted version is live.
+        """
+        placed = errors.unwrap(
+            place(
+                self.configuration.catalog(),
+                self.call,
+                self.route,
+                model,
+                self.session,
+                self.configuration_age(),
+            )
+        )
+        known = model in self.before.versions or self.session.by_id
+        self.changed |= placed.changed and known
+        self.session = placed.session
+        return placed
+
+
+def place(current, call, route, model, session, age):
     """Return ``Ok(Placement)`` of a request by the catalog in force.
 
     Runs again whenever the version of a request becomes unavailable, so it
     trusts nothing that was read when the request arrived.
 
     :param Route route: where the request was admitted to.
-    :param Session session: the session as the caller's token states it.
+    :param Session session: the session as the caller states it.
+    :param float age: seconds since the configuration was known to be new.
     :returns: ``Err`` with an error of :class:`errors.NotRun`.
     """
     if route.pinned:
-        checked = candidates.check_version(
-            current, call.customer.name, route.pinned
-        )
-        return checked.map(lambda version: Placement(session, version.name))
+        return place_named(current, call, route.pinned, session, age)
     customer = current.customers.get(call.customer.name)
     if customer is None or not customer.allows_model(model):
         return _not_permitted(call, model)
-    kept = session.versions.get(model)
+    kept = kept_version(current, customer, model, session)
     if kept is not None:
-        name = f'{model}@{kept}'
-        checked = candidates.check_version(current, customer.name, name)
-        if checked.is_ok():
-            return result.Ok(Placement(session, name))
-    chosen = sessions.choose_version(current, customer, model, session.id)
+        return result.Ok(Placement(session, kept.name))
+    chosen = sessions.choose_version(current, customer, model, session, age)
     if chosen is None:
-        return _none_live(model)
-    moved = dataclasses.replace(
-        session, versions={**session.versions, model: chosen.version}
+        return _unavailable(model, 'no permitted version is live')
+    changed = model in session.versions or (
+        session.by_id and start_withdrawn(current, model, session)
     )
-    return result.Ok(Placement(moved, chosen.name, kept is not None))
+    return result.Ok(Placement(session.keep(chosen), chosen.name, changed))
+
+
+def place_named(current, call, name, session, age):
+    """Place a request on the version that the caller names.
+
+    The session keeps that version if it had none of the model.
+    """
+    checked = candidates.check_version(current, call.customer.name, name)
+    if checked.is_err():
+        return checked
+    version = checked.unwrap()
+    kept = session.versions.get(version.model)
+    stale = age > sessions.STALE_SECONDS
+    if (
+        stale
+        and kept != version.version
+        and sessions.is_unfinished(current, version)
+    ):
+        return _unavailable(
+            name, 'the configuration is too old to begin on this version'
+        )
+    session = session.keep(version) if kept is None else session
+    return result.Ok(Placement(session, name))
+
+
+def kept_version(current, customer, model, session):
+    """Return the session's version if it may still run, or None."""
+    kept = session.versions.get(model)
+    if kept is None:
+        return None
+    name = f'{model}@{kept}'
+    checked = candidates.check_version(current, customer.name, name)
+    return checked.ok()
+
+
+def start_withdrawn(current, model, session):
+    """Return whether the version of a session's start is withdrawn.
+
+    Only for sessions by id. Whether the session began before the version
+    was withdrawn is unknown, so that the answers of a later one say that
+    the version changed until the record of the version is deleted.
+    """
+    first = next(
+        sessions.preferred_versions(current, model, session, stale=True), ''
+    )
+    version = current.versions.get(f'{model}@{first}')
+    return version is not None and not version.usable
 
 
 def _not_permitted(call, model):
@@ -65,9 +148,7 @@
     )
 
 
-def _none_live(model):
+def _unavailable(name, reason):
     return result.Err(
-        errors.VersionUnavailable(
-            'no permitted version is live', step='place', peer=model
-        )
+        errors.VersionUnavailable(reason, step='place', peer=name)
     )
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -22,6 +22,8 @@
     :param ledger: :class:`billing.Ledger`.
     :param cascade_runner: :class:`cascades.CascadeRunner`.
     :param clock: function that returns UTC seconds.
+    :param configuration_age: function that returns the seconds since the
+        configuration was last known to be the newest.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
         cascade_runner,
         metrics,
         clock,
+        configuration_age=lambda: 0.0,
     ):
         self.configuration = configuration
         self.dispatcher = dispatcher
@@ -41,6 +44,7 @@
         self.cascade_runner = cascade_runner
         self.metrics = metrics
         self.clock = clock
+        self.configuration_age = configuration_age
         self.concurrency = admission.Concurrency()
         self.stopping = False
 
@@ -111,14 +115,15 @@
 
     async def run_stream(self, call, route, responder):
         """Stream one model's answer; bill it before its last byte."""
-        attempt = self.begin(call, route, route.models[0])
+        placer = self.placer(call, route)
+        attempt = self.begin(placer, route.models[0])
         started = self.clock()
         chunks = self.dispatcher.stream(attempt)
         try:
             async with contextlib.aclosing(chunks):
                 async for chunk in chunks:
                     if not responder.started:
-                        headers = self.answer_headers(attempt)
+                        headers = self.answer_headers(attempt, placer)
                         await responder.start_stream(headers)
                         self.metrics.latency('first_token').record(
                             self.clock() - started
@@ -136,18 +141,21 @@
 
     async def run_whole(self, call, route, responder):
         """Answer with one model's whole answer, after billing it."""
-        attempt = self.begin(call, route, route.models[0])
+        placer = self.placer(call, route)
+        attempt = self.begin(placer, route.models[0])
         chunk = await self.dispatcher.whole(attempt)
         await self.bill(call, attempt.runs)
-        headers = self.answer_headers(attempt)
+        headers = self.answer_headers(attempt, placer)
         headers['content-type'] = 'application/json'
         await responder.send_whole(200, headers, chunk.payload)
 
     async def run_cascade(self, call, route, responder):
         """Answer with the first tier that meets the quality target."""
-        outcome = await self.cascade_runner.run(call, route, self.begin)
+        placer = self.placer(call, route)
+        begin = functools.partial(self.begin, placer)
+        outcome = await self.cascade_runner.run(call, route, begin)
         await self.bill(call, outcome.runs)
-        headers = self.answer_headers(outcome.attempt)
+        headers = self.answer_headers(outcome.attempt, placer)
         if not call.request.stream:
             headers['content-type'] = 'application/json'
             await responder.send_whole(200, headers, outcome.payload)
@@ -155,36 +163,33 @@
         await responder.start_stream(headers)
         await responder.finish_stream(outcome.payload)
 
-    def begin(self, call, route, model):
+    def placer(self, call, route):
+        """Return the :class:`placement.Placer` of a request."""
+        return placement.Placer(
+            self.configuration,
+            call,
+            route,
+            sessions.open_session(self.signer, call, self.clock()),
+            self.configuration_age,
+        )
+
+    def begin(self, placer, model):
         """Return the placed :class:`dispatch.Attempt` of a request.
 
         :raises errors.NotRun: if no permitted version is live.
         """
-        place = functools.partial(self.place, call, route, model)
-        attempt = dispatch.Attempt(call, model, place=place)
+        place = functools.partial(placer.place, model)
+        attempt = dispatch.Attempt(placer.call, model, place=place)
         attempt.move()
         return attempt
 
-    def place(self, call, route, model):
-        """Return the :class:`placement.Placement` of a request on a model.
-
-        :raises errors.NotRun: if no permitted version is live.
-        """
-        session = self.signer.verify(call.session_token)
-        if session is None:
-            session = sessions.Session(call.session_id or call.request_id)
-        current = self.configuration.catalog()
-        placed = placement.place(current, call, route, model, session)
-        return errors.unwrap(placed)
-
-    def answer_headers(self, attempt):
+    def answer_headers(self, attempt, placer):
         """Return the headers that tell what served a request."""
-        placed = attempt.placement
         headers = {
             'x-served-by': attempt.version,
-            'x-session': self.signer.sign(placed.session),
+            'x-session': self.signer.sign(placer.session),
         }
-        if placed.changed:
+        if placer.changed:
             headers['x-version-changed'] = 'true'
         return headers
 
--- a/celeryward/catalog.py
+++ b/celeryward/catalog.py
@@ -87,6 +87,8 @@
 
     :param float prompt_cost: cost units for 1,000 prompt tokens.
     :param float answer_cost: cost units for 1,000 generated tokens.
+    :param float live_since: UTC seconds at which it became live. Without
+        a roll-out, new sessions begin on the version that is live longest.
     """
 
     model: str
@@ -94,6 +96,7 @@
     state: VersionState = VersionState.LIVE
     prompt_cost: float = 0.0
     answer_cost: float = 0.0
+    live_since: float = 0.0
 
     @property
     def name(self):
@@ -131,6 +134,7 @@
     """A change from one version of a model to another.
 
     :param float share: share of new sessions on the new version, 0 to 1.
+    :param float finished_at: UTC seconds of its end, 0 before.
     """
 
     name: str
@@ -139,6 +143,7 @@
     to_version: str
     share: float = 0.0
     state: RolloutState = RolloutState.RUNNING
+    finished_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -230,6 +235,17 @@
         """The roll-out of each model that has one."""
         return {entry.model: entry for entry in self.rollouts.values()}
 
+    @functools.cached_property
+    def rollouts_by_model(self):
+        """Roll-outs of each model, the one that finished last at the end."""
+        grouped = {}
+        for rollout in sorted(
+            self.rollouts.values(),
+            key=lambda entry: (entry.finished_at, entry.name),
+        ):
+            grouped.setdefault(rollout.model, []).append(rollout)
+        return {model: tuple(found) for model, found in grouped.items()}
+
     @functools.cached_property
     def customers_by_digest(self):
         """Pairs of key hash and customer, for authentication."""
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -39,7 +39,6 @@
         self.model = model
         self.pinned = pinned
         self.place = place
-        self.placement = None
         self.sent = False
         self.tried = frozenset()
         self.dispatches = 0
@@ -58,8 +57,7 @@
 
         :raises errors.NotRun: if there is none.
         """
-        self.placement = self.place()
-        self.pinned = self.placement.pinned
+        self.pinned = self.place().pinned
 
     def refused(self, error):
         """Return the true error for a dispatch that was not made.
--- a/celeryward/platform/records.py
+++ b/celeryward/platform/records.py
@@ -107,6 +107,7 @@
     state: catalog.VersionState = catalog.VersionState.LIVE
     prompt_cost: NonNegative = 0.0
     answer_cost: NonNegative = 0.0
+    live_since: NonNegative = 0.0
 
     def to_catalog(self, name):
         """Return the version; its name must be ``model@version``."""
@@ -158,6 +159,7 @@
     to_version: str
     share: Share = 0.0
     state: catalog.RolloutState = catalog.RolloutState.RUNNING
+    finished_at: NonNegative = 0.0
 
     def to_catalog(self, name):
         """Return the roll-out under its name."""
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -36,8 +36,8 @@
         The answer of each tier is held until it is accepted, because a
         rejected answer must not reach the caller.
 
-        :param begin: function that returns the placed
-            :class:`dispatch.Attempt` of a request on a model.
+        :param begin: function of a model that returns the request's placed
+            :class:`dispatch.Attempt`.
         """
         cascade = self.configuration.catalog().cascades[route.cascade]
         rule = cascades.RULES.get(cascade.rule)
@@ -50,7 +50,7 @@
                 return outcome
             model = route.models[step.tier]
             try:
-                attempt = begin(call, route, model)
+                attempt = begin(model)
                 payload, text = await self.run_tier(attempt)
             except errors.NotRun:
                 # A tier that is withdrawn, revoked or full meanwhile must
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,276 @@
+"""Sessions and the version on which they begin and stay."""
+
+import itertools
+import uuid
+
+import pytest
+
+from celeryward.callers import admission
+from celeryward.callers import placement
+from celeryward.callers import sessions
+from celeryward import calls
+from celeryward import catalog
+from celeryward import deadlines
+from celeryward import errors
+
+NOW = 1_000_000.0
+OLD_KEY = 'the-old-signing-key'
+NEW_KEY = 'the-new-signing-key'
+CUSTOMER = catalog.Customer('a', allowed=('m', 'n'))
+RUNNING = catalog.RolloutState.RUNNING
+HALTED = catalog.RolloutState.HALTED
+FINISHED = catalog.RolloutState.FINISHED
+WITHDRAWN = catalog.VersionState.WITHDRAWN
+
+
+def make_catalog(*rollouts, versions='12', withdrawn='', live_since=None):
+    made = [
+        catalog.ModelVersion(
+            model,
+            number,
+            WITHDRAWN if number in withdrawn else catalog.VersionState.LIVE,
+            live_since=(live_since or {}).get(number, 0.0),
+        )
+        for model in ('m', 'n')
+        for number in versions
+    ]
+    return catalog.Catalog(
+        customers={'a': CUSTOMER},
+        versions={version.name: version for version in made},
+        rollouts={rollout.name: rollout for rollout in rollouts},
+    )
+
+
+def rollout(share=0.0, state=RUNNING, at=0.0, old='1', new='2'):
+    name = f'{old}-{new}'
+    return catalog.Rollout(name, 'm', old, new, share, state, at)
+
+
+def make_call(token='', own_id='', customer=CUSTOMER, request_id='r'):
+    request = calls.ChatRequest('m', ())
+    return calls.Call(
+        request_id, customer, deadlines.NEVER, request, token, own_id
+    )
+
+
+def timed_id(seconds):
+    return str(uuid.UUID(int=int(seconds * 1000) << 80 | 7 << 76 | 2 << 62))
+
+
+def place(current, age=0.0, now=NOW, target='m', signer=None, **stated):
+    call = make_call(**stated)
+    signer = signer or sessions.SessionSigner([OLD_KEY])
+    session = sessions.open_session(signer, call, now)
+    pinned = target if '@' in target else ''
+    route = admission.Route(('m',), pinned)
+    return placement.place(current, call, route, 'm', session, age)
+
+
+def version_of(current, **arguments):
+    return place(current, **arguments).unwrap().pinned
+
+
+def token_on(number, customer='a', keys=(OLD_KEY,)):
+    session = sessions.Session('s', {'m': number}, NOW, customer)
+    return sessions.SessionSigner(list(keys)).sign(session)
+
+
+class TestTokens:
+    """Guards against tokens that are lost, forged or cause errors."""
+
+    def test_rotation_in_three_steps_keeps_sessions(self):
+        steps = ([OLD_KEY], [NEW_KEY, OLD_KEY], [OLD_KEY, NEW_KEY], [NEW_KEY])
+        for before, after in itertools.pairwise(steps):
+            for signing, verifying in ((before, after), (after, before)):
+                token = token_on('2', keys=signing)
+                session = sessions.SessionSigner(verifying).verify(token)
+                assert session.versions == {'m': '2'}
+                assert session.began == NOW
+
+    @pytest.mark.parametrize(
+        'token',
+        [
+            '',
+            'x',
+            '..',
+            '\udcff.\u20ac',
+            token_on('2')[:-1] + '-',
+            token_on('2', keys=('a-key-of-another',)),
+            token_on('2', customer='b'),
+            token_on('2') + 'A' * sessions.MAX_TOKEN_BYTES,
+        ],
+    )
+    def test_bad_token_begins_a_new_session(self, token):
+        current = make_catalog(rollout(share=0.0))
+        placed = place(current, token=token).unwrap()
+        assert (placed.pinned, placed.changed) == ('m@1', False)
+
+    def test_token_that_is_issued_is_accepted(self):
+        versions = {f'{n:0200x}': 'v' * 200 for n in range(26)}
+        session = sessions.Session('s', versions, NOW, 'a')
+        signer = sessions.SessionSigner([OLD_KEY])
+        assert signer.verify(signer.sign(session)).id == 's'
+
+    def test_long_own_id_does_not_swell_the_token(self):
+        signer = sessions.SessionSigner([OLD_KEY])
+        call = make_call(own_id='\u20ac' * 50_000)
+        session = sessions.open_session(signer, call, NOW)
+        assert len(session.id) <= sessions.MAX_ID_CHARACTERS
+
+
+class TestRolloutShare:
+    """Guards against a share that moves sessions that have begun."""
+
+    @pytest.mark.parametrize('number', ['1', '2'])
+    @pytest.mark.parametrize(
+        'changed',
+        [
+            rollout(share=1.0),
+            rollout(share=0.0),
+            rollout(share=0.5, state=HALTED),
+            rollout(share=1.0, state=FINISHED, at=NOW),
+        ],
+    )
+    def test_token_session_stays(self, number, changed):
+        current = make_catalog(changed)
+        placed = place(current, token=token_on(number)).unwrap()
+        assert (placed.pinned, placed.changed) == (f'm@{number}', False)
+
+    def test_share_decides_on_new_sessions(self):
+        current = make_catalog(rollout(share=0.25))
+        placed = [version_of(current, request_id=f'r-{n}') for n in range(400)]
+        assert 70 <= placed.count('m@2') <= 130
+
+    def test_halted_rollout_gets_no_new_session(self):
+        halted = rollout(share=1.0, state=HALTED)
+        assert version_of(make_catalog(halted)) == 'm@1'
+        refused = place(make_catalog(halted, withdrawn='1'))
+        assert isinstance(refused.unwrap_err(), errors.VersionUnavailable)
+
+
+class TestOwnIds:
+    """Guards against sessions by id that move when a roll-out finishes."""
+
+    def test_share_does_not_matter(self):
+        current = make_catalog(rollout(share=1.0))
+        assert version_of(current, own_id='x') == 'm@1'
+
+    def test_opaque_id_stays_until_withdrawal(self):
+        finished = rollout(state=FINISHED, at=NOW)
+        for now in (NOW, NOW + 1e6):
+            current = make_catalog(finished)
+            assert version_of(current, own_id='x', now=now) == 'm@1'
+        current = make_catalog(finished, withdrawn='1')
+        placed = place(current, own_id='x').unwrap()
+        assert (placed.pinned, placed.changed) == ('m@2', True)
+
+    def test_opaque_id_stays_through_a_second_rollout(self):
+        first = rollout(state=FINISHED, at=NOW - 100)
+        second = rollout(state=FINISHED, at=NOW, old='2', new='3')
+        for rollouts in ((first,), (first, second)):
+            current = make_catalog(*rollouts, versions='123', withdrawn='1')
+            assert version_of(current, own_id='x') == 'm@2'
+
+    def test_timed_id_is_placed_by_its_start(self):
+        current = make_catalog(rollout(state=FINISHED, at=NOW))
+        late = NOW + sessions.SETTLE_SECONDS + 1
+        for began, expected in ((NOW - 1, 'm@1'), (late, 'm@2')):
+            own_id = timed_id(began)
+            assert version_of(current, own_id=own_id, now=late) == expected
+
+    def test_daemon_that_has_not_heard_of_the_end_agrees(self):
+        own_id = timed_id(NOW + sessions.SETTLE_SECONDS - 1)
+        finished = make_catalog(rollout(state=FINISHED, at=NOW))
+        running = make_catalog(rollout(share=1.0))
+        late = NOW + sessions.SETTLE_SECONDS
+        placed = {
+            version_of(current, own_id=own_id, now=late)
+            for current in (finished, running)
+        }
+        assert placed == {'m@1'}
+
+    def test_customer_without_the_old_version_is_told_of_no_change(self):
+        current = make_catalog(rollout(state=FINISHED, at=NOW))
+        limited = catalog.Customer('a', allowed=('m@2',))
+        current.customers['a'] = limited
+        placed = place(current, own_id='x').unwrap()
+        assert (placed.pinned, placed.changed) == ('m@2', False)
+
+
+class TestDefaultVersion:
+    """Guards against a default that depends on the order of names."""
+
+    @pytest.mark.parametrize('names', itertools.permutations('abc'))
+    def test_longest_live_version_without_rollout(self, names):
+        live_since = dict(zip(names, (10.0, 20.0, 30.0)))
+        current = make_catalog(versions='abc', live_since=live_since)
+        assert version_of(current) == f'm@{names[0]}'
+
+    @pytest.mark.parametrize('names', itertools.permutations('abc'))
+    def test_last_finished_rollout(self, names):
+        old, middle, new = names
+        current = make_catalog(
+            rollout(state=FINISHED, at=20.0, old=middle, new=new),
+            rollout(state=FINISHED, at=10.0, old=old, new=middle),
+            versions='abc',
+        )
+        assert version_of(current) == f'm@{new}'
+
+
+class TestStaleConfiguration:
+    """Guards against new sessions on a version that may be withdrawn."""
+
+    AGE = sessions.STALE_SECONDS + 1
+
+    def test_unfinished_version_gets_no_new_session(self):
+        current = make_catalog(rollout(share=1.0))
+        assert version_of(current, age=sessions.STALE_SECONDS) == 'm@2'
+        assert version_of(current, age=self.AGE) == 'm@1'
+
+    def test_named_unfinished_version_is_refused(self):
+        current = make_catalog(rollout(share=1.0))
+        assert place(current, target='m@2', age=self.AGE).is_err()
+        token = token_on('2')
+        kept = place(current, target='m@2', age=self.AGE, token=token)
+        assert kept.unwrap().pinned == 'm@2'
+
+    def test_session_that_has_begun_goes_on(self):
+        current = make_catalog(rollout(share=1.0))
+        assert version_of(current, age=self.AGE, token=token_on('2')) == 'm@2'
+
+    def test_finished_version_is_served(self):
+        current = make_catalog(rollout(state=FINISHED, at=NOW))
+        assert version_of(current, age=self.AGE) == 'm@2'
+
+
+class Holder:
+    """Stands for the configuration store."""
+
+    def __init__(self, current):
+        self.catalog = lambda: current
+
+
+class TestPlacer:
+    """Guards against a token that lacks a tier of a cascade."""
+
+    def make(self, **stated):
+        call = make_call(**stated)
+        signer = sessions.SessionSigner([OLD_KEY])
+        session = sessions.open_session(signer, call, NOW)
+        route = admission.Route(('m', 'n'))
+        holder = Holder(make_catalog())
+        return placement.Placer(holder, call, route, session, lambda: 0.0)
+
+    def test_session_keeps_all_tiers(self):
+        placer = self.make()
+        placer.place('m')
+        placer.place('n')
+        assert set(placer.session.versions) == {'m', 'n'}
+
+    def test_move_before_the_first_answer_is_no_change(self):
+        placer = self.make()
+        before = placer.place('m').pinned
+        withdrawn = before.partition('@')[2]
+        placer.configuration = Holder(make_catalog(withdrawn=withdrawn))
+        assert placer.place('m').pinned != before
+        assert not placer.changed
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -152,6 +152,31 @@
         cluster_run(test)
 
 
+class TestSessions:
+    """Guards against a change of version that the caller isn't told."""
+
+    def test_withdrawal_beats_the_token_and_is_stated(self, cluster_run):
+        async def test(cluster):
+            head, _, _ = await cluster.ask('small')
+            token = {'x-session': head.headers['x-session']}
+            head, _, _ = await cluster.ask('small', **token)
+            assert 'x-version-changed' not in head.headers
+            cluster.withdraw('small@1')
+            head, _, _ = await cluster.ask('small', True, **token)
+            assert head.headers['x-served-by'] == 'small@2'
+            assert head.headers['x-version-changed'] == 'true'
+
+        cluster_run(test)
+
+    def test_bad_token_is_ignored(self, cluster_run):
+        async def test(cluster):
+            for token in ('x', 'x.y', 'A' * 20_000):
+                head, _, _ = await cluster.ask('small', **{'x-session': token})
+                assert head.status == 200
+
+        cluster_run(test)
+
+
 class TestBetweenBreakAndResume:
     """Guards against a resume on a version that is withdrawn."""
 
