--- a/celeryward/callers/protocol.py
+++ b/celeryward/callers/protocol.py
@@ -45,6 +45,7 @@
     'claim_unchecked': 503,
     'not_run': 503,
     'overloaded': 503,
+    'version_unavailable': 503,
     'shutting_down': 503,
     'deadline_exceeded': 504,
 }
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -1,13 +1,13 @@
 """The whole path of a request, from its body to its bill."""
 
 import contextlib
-import dataclasses
 import functools
 
 import curio
 
 from celeryward.callers import admission
 from celeryward.callers import keys
+from celeryward.callers import placement
 from celeryward.callers import protocol
 from celeryward.callers import sessions
 from celeryward import calls
@@ -16,19 +16,6 @@
 from celeryward.platform import batches
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
-    """The session of a chat request and the version it runs on.
-
-    :param str pinned: ``model@version`` to run on, or empty.
-    :param bool changed: whether the session's version was withdrawn.
-    """
-
-    session: sessions.Session
-    pinned: str
-    changed: bool = False
-
-
 class Serving:
     """Authenticates, admits, runs, answers and bills requests.
 
@@ -39,6 +26,8 @@
     :param cascade_runner: :class:`cascades.CascadeRunner`.
     :param clock: function that returns UTC seconds.
     :param once.OnceRunner once: runs calls with an idempotency key.
+    :param configuration_age: function that returns the seconds since the
+        configuration was last known to be the newest.
     """
 
     def __init__(
@@ -51,6 +40,7 @@
         metrics,
         clock,
         once,
+        configuration_age=lambda: 0.0,
     ):
         self.configuration = configuration
         self.dispatcher = dispatcher
@@ -60,6 +50,7 @@
         self.metrics = metrics
         self.clock = clock
         self.once = once
+        self.configuration_age = configuration_age
         self.concurrency = admission.Concurrency()
         self.stopping = False
 
@@ -137,8 +128,8 @@
 
     async def run_stream(self, call, route, responder):
         """Stream one model's answer; bill it before its last byte."""
-        placement = self.place(call, route)
-        attempt = dispatch.Attempt(call, route.models[0], placement.pinned)
+        placer = self.placer(call, route)
+        attempt = self.begin(placer, route.models[0])
         started = self.clock()
         billed = False
         chunks = self.dispatcher.stream(attempt)
@@ -146,7 +137,7 @@
             async with contextlib.aclosing(chunks):
                 async for chunk in chunks:
                     if not responder.started:
-                        headers = self.answer_headers(attempt, placement)
+                        headers = self.answer_headers(attempt, placer)
                         await responder.start_stream(headers)
                         self.metrics.latency('first_token').record(
                             self.clock() - started
@@ -170,19 +161,21 @@
 
     async def run_whole(self, call, route, responder):
         """Answer with one model's whole answer, after billing it."""
-        placement = self.place(call, route)
-        attempt = dispatch.Attempt(call, route.models[0], placement.pinned)
+        placer = self.placer(call, route)
+        attempt = self.begin(placer, route.models[0])
         chunk = await self.dispatcher.whole(attempt)
         await self.bill(call, attempt.runs)
-        headers = self.answer_headers(attempt, placement)
+        headers = self.answer_headers(attempt, placer)
         headers['content-type'] = 'application/json'
         await responder.send_whole(200, headers, chunk.payload)
 
     async def run_cascade(self, call, route, responder):
         """Answer with the first tier that meets the quality target."""
-        outcome = await self.cascade_runner.run(call, route, self.place)
+        placer = self.placer(call, route)
+        begin = functools.partial(self.begin, placer)
+        outcome = await self.cascade_runner.run(call, route, begin)
         await self.bill(call, outcome.runs)
-        headers = self.answer_headers(outcome.attempt, outcome.placement)
+        headers = self.answer_headers(outcome.attempt, placer)
         if not call.request.stream:
             headers['content-type'] = 'application/json'
             await responder.send_whole(200, headers, outcome.payload)
@@ -190,42 +183,33 @@
         await responder.start_stream(headers)
         await responder.finish_stream(outcome.payload)
 
-    def place(self, call, route, model=None):
-        """Return the :class:`Placement` of a request on a model.
+    def placer(self, call, route):
+        """Return the :class:`placement.Placer` of a request."""
+        return placement.Placer(
+            self.configuration,
+            call,
+            route,
+            sessions.open_session(self.signer, call, self.clock()),
+            self.configuration_age,
+        )
 
-        :raises errors.Overloaded: if no permitted version is live.
+    def begin(self, placer, model):
+        """Return the placed :class:`dispatch.Attempt` of a request.
+
+        :raises errors.NotRun: if no permitted version is live.
         """
-        model = model or route.models[0]
-        current = self.configuration.catalog()
-        session = self.signer.verify(call.session_token)
-        if session is None:
-            session = sessions.Session(call.session_id or call.request_id)
-        if route.pinned:
-            return Placement(session, route.pinned)
-        kept = current.versions.get(f'{model}@{session.versions.get(model)}')
-        if kept is not None and kept.usable:
-            return Placement(session, kept.name)
-        chosen = sessions.choose_version(
-            current, call.customer, model, session.id
-        )
-        if chosen is None:
-            raise errors.Overloaded(
-                'no permitted version is live', step='place', peer=model
-            )
-        versions = {**session.versions, model: chosen.version}
-        return Placement(
-            sessions.Session(session.id, versions),
-            chosen.name,
-            changed=model in session.versions,
-        )
+        place = functools.partial(placer.place, model)
+        attempt = dispatch.Attempt(placer.call, model, place=place)
+        attempt.move()
+        return attempt
 
-    def answer_headers(self, attempt, placement):
+    def answer_headers(self, attempt, placer):
         """Return the headers that tell what served a request."""
         headers = {
             'x-served-by': attempt.version,
-            'x-session': self.signer.sign(placement.session),
+            'x-session': self.signer.sign(placer.session),
         }
-        if placement.changed:
+        if placer.changed:
             headers['x-version-changed'] = 'true'
         return headers
 
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -29,12 +29,16 @@
     :param Call call: the request.
     :param str model: name of the model or service.
     :param str pinned: version to keep to; empty for any.
+    :param place: function that returns a new placement, with a ``pinned``
+        version, if the version is withdrawn or revoked before any token
+        was passed on. None ends the request instead.
     """
 
-    def __init__(self, call, model, pinned=''):
+    def __init__(self, call, model, pinned='', place=None):
         self.call = call
         self.model = model
         self.pinned = pinned
+        self.place = place
         self.sent = False
         self.tried = frozenset()
         self.dispatches = 0
@@ -43,6 +47,18 @@
         self.candidate = None
         self.runs = []
 
+    @property
+    def version(self):
+        """Name of the version that runs the request."""
+        return self.candidate.version.name
+
+    def move(self):
+        """Place the request on another version.
+
+        :raises errors.NotRun: if there is none.
+        """
+        self.pinned = self.place().pinned
+
     def refused(self, error):
         """Return the true error for a dispatch that was not made.
 
@@ -56,11 +72,6 @@
             peer=error.peer,
         )
 
-    @property
-    def version(self):
-        """Name of the version that runs the request."""
-        return self.candidate.version.name
-
     def add(self, chunk):
         """Note a chunk that goes to the caller."""
         self.emitted.append(chunk.payload)
@@ -104,10 +115,52 @@
         :raises errors.OutcomeUnknown: if an earlier dispatch may have run.
         """
         try:
+            self.keep_runnable(attempt)
             return self.choose_candidate(attempt)
         except errors.NotRun as error:
             raise attempt.refused(error) from error
 
+    def keep_runnable(self, attempt):
+        """Move a request off a version that it may no longer run on.
+
+        :raises errors.NotRun: if a token of the version was passed on, or
+            no other version is open to the request.
+        """
+        if not attempt.pinned:
+            return
+        checked = self.check_version(attempt)
+        if checked.is_ok():
+            return
+        if attempt.emitted_tokens or attempt.place is None:
+            raise checked.unwrap_err()
+        attempt.move()
+
+    def check_version(self, attempt):
+        """Return whether the pinned version may run, as a result."""
+        return candidates.check_version(
+            self.configuration.catalog(),
+            attempt.call.customer.name,
+            attempt.pinned,
+        )
+
+    def confirm(self, attempt):
+        """Check the version again when the connection is ready.
+
+        Opening a connection can take as long as the connect timeout; the
+        version may have been withdrawn or revoked meanwhile.
+
+        :raises errors.EndpointRefused: if nothing may be sent.
+        """
+        checked = self.check_version(attempt)
+        if checked.is_err():
+            # The endpoint did not fail; it may run another version.
+            attempt.tried -= {attempt.candidate.endpoint.name}
+            raise errors.EndpointRefused(
+                checked.unwrap_err().message,
+                step='confirm version',
+                peer=attempt.pinned,
+            )
+
     def choose_candidate(self, attempt):
         """Select among the endpoints of the newest catalog.
 
@@ -166,6 +219,7 @@
         call = attempt.call
         resume = attempt.resume_point()
         async with self.leased(call, chosen.endpoint) as connection:
+            self.confirm(attempt)
             chunks = protocol.stream_chat(
                 connection, call, chosen.version, resume, self.reads(call)
             )
@@ -183,6 +237,7 @@
             call = attempt.call
             try:
                 async with self.leased(call, chosen.endpoint) as connection:
+                    self.confirm(attempt)
                     chunk = await protocol.whole_chat(
                         connection, call, chosen.version, self.reads(call)
                     )
@@ -240,8 +295,8 @@
 
         :raises errors.CelerywardError: the error for the caller, if not.
         """
-        endpoint = attempt.candidate.endpoint
         attempt.sent |= error.sent
+        endpoint = attempt.candidate.endpoint
         action = retries.after_failure(
             attempt.call, error, attempt.emitted_tokens, endpoint.can_resume
         )
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -16,7 +16,6 @@
 
     payload: bytes
     attempt: dispatch.Attempt
-    placement: object
     runs: tuple[calls.Run, ...]
 
 
@@ -31,13 +30,14 @@
         self.dispatcher = dispatcher
         self.rater = rater
 
-    async def run(self, call, route, place):
+    async def run(self, call, route, begin):
         """Return the :class:`CascadeOutcome` of a request.
 
         The answer of each tier is held until it is accepted, because a
         rejected answer must not reach the caller.
 
-        :param place: function that places a request on a model.
+        :param begin: function of a model that returns the request's placed
+            :class:`dispatch.Attempt`.
         """
         cascade = self.configuration.catalog().cascades[route.cascade]
         rule = cascades.RULES.get(cascade.rule)
@@ -50,20 +50,16 @@
                 return outcome
             model = route.models[step.tier]
             try:
-                placement = place(call, route, model)
-                attempt = dispatch.Attempt(call, model, placement.pinned)
+                attempt = begin(model)
                 payload, text = await self.run_tier(attempt)
-            except errors.NotRun as error:
-                if not runs:
+            except errors.NotRun:
+                # A tier that is withdrawn, revoked or full meanwhile must
+                # not turn the runs so far into an untrue "not run".
+                if outcome is None:
                     raise
-                # An earlier tier did run, so "not run" would be untrue.
-                raise errors.OutcomeUnknown(
-                    f'a part of the cascade ran: {error.message}',
-                    step=error.step,
-                    peer=error.peer,
-                ) from error
+                return outcome
             runs += tuple(attempt.runs)
-            outcome = CascadeOutcome(payload, attempt, placement, runs)
+            outcome = CascadeOutcome(payload, attempt, runs)
             if step.final:
                 return outcome
             scores += (await self.rate(call, attempt, text),)
