--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -61,14 +61,14 @@
         self.load = load.LoadView()
         self.liveness = liveness.Liveness()
         self.pool = pool.EndpointPool(timings)
-        self.prober = prober.Prober(
-            self.configuration, self.pool, self.load, self.liveness, timings
-        )
-        view = candidates.View(
+        self.view = candidates.View(
             settings.failure_domain, self.load, self.liveness, settings.ranking
         )
+        self.prober = prober.Prober(
+            self.configuration, self.pool, self.view, timings
+        )
         self.dispatcher = dispatch.Dispatcher(
-            self.configuration, view, self.pool, timings, self.metrics
+            self.configuration, self.view, self.pool, timings, self.metrics
         )
         self.serving = self.build_serving(settings, clock)
         self.callers = server.CallerServer(self.serving, timings, new_id)
--- a/celeryward/endpoints/candidates.py
+++ b/celeryward/endpoints/candidates.py
@@ -9,6 +9,7 @@
 
 from celeryward import calls
 from celeryward import catalog
+from celeryward.endpoints import prefixes
 from celeryward.endpoints import ranking
 from celeryward import registry
 
@@ -32,12 +33,15 @@
     :param str failure_domain: the failure domain of the daemon.
     :param load: :class:`load.LoadView`.
     :param liveness: :class:`liveness.Liveness`.
+    :param str ranking: registered name of the ranking.
+    :param prefixes: :class:`prefixes.PrefixView`.
     """
 
     failure_domain: str
     load: object
     liveness: object
-    ranking: str = 'least-load'
+    ranking: str = 'prefix-aware'
+    prefixes: object = dataclasses.field(default_factory=prefixes.PrefixView)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +51,7 @@
     :param str model: name of the model, or of the plain service.
     :param str pinned: ``model@version`` to keep to; empty for any.
     :param frozenset tried: names of endpoints that failed this request.
+    :param tuple digests: digests of the prompt's prefixes.
     """
 
     catalog: catalog.Catalog
@@ -55,6 +60,7 @@
     view: View
     pinned: str = ''
     tried: frozenset = frozenset()
+    digests: tuple[int, ...] = ()
 
 
 @FILTERS.register('permitted')
@@ -126,9 +132,7 @@
         pipeline = CHAT_PIPELINE
     for name in pipeline:
         candidates = FILTERS.get(name)(candidates, query)
-    rank = ranking.RANKINGS.get(query.view.ranking)
-    return min(
-        candidates,
-        key=lambda candidate: rank(candidate, query),
-        default=None,
-    )
+    found = list(candidates)
+    if not found:
+        return None
+    return ranking.RANKINGS.get(query.view.ranking)(found, query)
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -2,10 +2,13 @@
 
 import contextlib
 import dataclasses
+import time
 
 from celeryward import calls
 from celeryward.endpoints import candidates
+from celeryward.endpoints import load
 from celeryward.endpoints import pool
+from celeryward.endpoints import prefixes
 from celeryward.endpoints import protocol
 from celeryward.endpoints import retries
 from celeryward import errors
@@ -41,6 +44,9 @@
         self.emitted_tokens = 0
         self.candidate = None
         self.runs = []
+        self.digests = ()
+        if isinstance(call.request, calls.ChatRequest):
+            self.digests = prefixes.digest_text(call.request.prompt())
 
     @property
     def version(self):
@@ -103,6 +109,7 @@
             self.view,
             attempt.pinned,
             attempt.tried,
+            attempt.digests,
         )
         chosen = candidates.select(query)
         if chosen is None:
@@ -140,20 +147,43 @@
         """Yield the chunks of one dispatch."""
         call = attempt.call
         resume = attempt.resume_point()
+        expected = self.expect(attempt, chosen.endpoint)
+        started = time.monotonic()
         async with self.leased(call, chosen.endpoint) as connection:
-            async for chunk in protocol.stream_chat(
+            chunks = protocol.stream_chat(
                 connection, call, chosen.version, resume, self.reads(call)
-            ):
+            )
+            # Taken outside of the loop, which runs for each token.
+            first = await anext(chunks)
+            self.view.load.first_token(
+                chosen.endpoint.name,
+                time.monotonic() - started,
+                expected,
+            )
+            if first.usage is not None:
+                attempt.add_run(first.usage)
+            yield first
+            async for chunk in chunks:
                 if chunk.usage is not None:
                     attempt.add_run(chunk.usage)
                 yield chunk
 
+    def expect(self, attempt, endpoint):
+        """Return what is expected of a dispatch, and note its prefixes."""
+        cached = self.view.prefixes
+        expected = load.Expectation.of(
+            self.view.load, endpoint, cached, attempt.digests
+        )
+        cached.dispatched(endpoint.name, attempt.digests)
+        return expected
+
     async def whole(self, attempt):
         """Return the chunk of one whole answer that is not streamed."""
         while True:
             chosen = self.choose(attempt)
             attempt.pinned = chosen.version.name
             call = attempt.call
+            self.expect(attempt, chosen.endpoint)
             try:
                 async with self.leased(call, chosen.endpoint) as connection:
                     chunk = await protocol.whole_chat(
@@ -186,19 +216,21 @@
     @contextlib.asynccontextmanager
     async def leased(self, call, endpoint, fresh=False):
         """Borrow a connection and count the dispatch as in flight."""
-        self.view.load.started(endpoint.name)
+        started = time.monotonic()
+        self.view.load.started(endpoint.name, call.priority)
         try:
             async with self.connections.lease(
                 endpoint, call.deadline, fresh
             ) as connection:
                 yield connection
+            self.view.load.held(endpoint.name, time.monotonic() - started)
         except errors.ConnectionFailed as error:
             if not error.sent:
                 interval = self.timings.probe_interval
                 self.view.liveness.failed(endpoint.name, interval)
             raise
         finally:
-            self.view.load.finished(endpoint.name)
+            self.view.load.finished(endpoint.name, call.priority)
 
     def reads(self, call):
         """Return the read deadlines of a call."""
--- /dev/null
+++ b/celeryward/endpoints/prefixes.py
@@ -0,0 +1,139 @@
+"""Which endpoints are likely to hold the prefix of a prompt in cache."""
+
+import collections
+import dataclasses
+import time
+
+import xxhash
+
+# Shared with the engines: a prefix is named by the chained xxh64 of its
+# blocks of this many characters.
+BLOCK_CHARACTERS = 1024
+MAX_BLOCKS = 64
+# 65,536 prefixes with a few endpoints each need about 25 MB.
+MAX_PREFIXES = 65536
+MAX_HOLDERS = 8
+# A removal older than the own dispatch must not undo it; events are late.
+EVENT_LAG_SECONDS = 2.0
+# After a gap in the events, older entries hold with about even odds.
+DOUBTED_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One change of an engine's prefix cache.
+
+    :param int number: increases by one; a jump is a gap.
+    :param str type: ``stored`` or ``removed``.
+    :param str prefix: digest of the prefix, in hexadecimal.
+    """
+
+    number: int
+    type: str
+    prefix: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """Belief that an endpoint holds a prefix.
+
+    :param float noted_at: monotonic seconds.
+    :param int epoch: gaps seen from the endpoint when this was noted.
+    """
+
+    noted_at: float
+    epoch: int
+
+
+def digest_text(text):
+    """Return the digests of the block-aligned prefixes of a text."""
+    digests = []
+    last = 0
+    whole = min(len(text) // BLOCK_CHARACTERS, MAX_BLOCKS)
+    for index in range(whole):
+        start = index * BLOCK_CHARACTERS
+        block = text[start : start + BLOCK_CHARACTERS]
+        last = xxhash.xxh64_intdigest(block.encode(), seed=last)
+        digests.append(last)
+    return tuple(digests)
+
+
+class PrefixView:
+    """Prefixes by endpoint, from own dispatches and from cache events.
+
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, clock=time.monotonic):
+        self.clock = clock
+        self.holders = collections.OrderedDict()
+        self.next_event = {}
+        self.epochs = collections.Counter()
+
+    def dispatched(self, name, digests):
+        """Note that an endpoint now computes and caches the prefixes."""
+        for digest in digests:
+            self.note(name, digest)
+
+    def note(self, name, digest):
+        """Note one prefix and keep the number of entries bounded."""
+        holders = self.holders.setdefault(digest, {})
+        self.holders.move_to_end(digest)
+        # The newest holder is last; the oldest is dropped first.
+        holders.pop(name, None)
+        holders[name] = Holding(self.clock(), self.epochs[name])
+        if len(holders) > MAX_HOLDERS:
+            del holders[next(iter(holders))]
+        if len(self.holders) > MAX_PREFIXES:
+            self.holders.popitem(last=False)
+
+    def apply(self, name, events):
+        """Apply cache events of an endpoint in the order of their numbers.
+
+        Old and repeated events are ignored. A gap may hide removals, so
+        what was noted before it is doubted from then on.
+        """
+        for event in sorted(events, key=lambda each: each.number):
+            expected = self.next_event.get(name, event.number)
+            if event.number < expected:
+                continue
+            if event.number > expected:
+                self.epochs[name] += 1
+            self.next_event[name] = event.number + 1
+            digest = int(event.prefix, 16)
+            if event.type == 'stored':
+                self.note(name, digest)
+            else:
+                self.remove(name, digest)
+
+    def remove(self, name, digest):
+        """Note that an endpoint no longer holds a prefix."""
+        holding = self.holders.get(digest, {}).get(name)
+        if holding is None:
+            return
+        if self.clock() - holding.noted_at > EVENT_LAG_SECONDS:
+            del self.holders[digest][name]
+
+    def restarted(self, name):
+        """Forget an endpoint whose cache is lost."""
+        self.next_event.pop(name, None)
+        for holders in self.holders.values():
+            holders.pop(name, None)
+
+    def since(self, name):
+        """Return the number of the next event to ask an endpoint for."""
+        return self.next_event.get(name, 0)
+
+    def cached_blocks(self, name, digests):
+        """Return how many leading blocks an endpoint likely holds."""
+        found = 0
+        last = None
+        for digest in digests:
+            holding = self.holders.get(digest, {}).get(name)
+            if holding is None:
+                break
+            found += 1
+            last = holding
+        if last is not None and last.epoch < self.epochs[name]:
+            return found * DOUBTED_SHARE
+        return found
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -20,13 +20,17 @@
 
 
 class Prober:
-    """Runs the task of each endpoint in the catalog."""
+    """Runs the task of each endpoint in the catalog.
 
-    def __init__(self, configuration, pool, load, liveness, timings):
+    :param candidates.View view: what the daemon knows, updated by probes.
+    """
+
+    def __init__(self, configuration, pool, view, timings):
         self.configuration = configuration
         self.pool = pool
-        self.load = load
-        self.liveness = liveness
+        self.load = view.load
+        self.liveness = view.liveness
+        self.prefixes = view.prefixes
         self.timings = timings
         self.tasks = {}
 
@@ -45,6 +49,7 @@
             )
         for name in self.tasks.keys() - wanted.keys():
             await self.tasks.pop(name).cancel()
+            self.load.forget(name)
 
     async def watch_endpoint(self, name):
         """Probe one endpoint until it leaves the catalog."""
@@ -76,6 +81,7 @@
             )
             try:
                 report = await protocol.read_load(connection, deadline)
+                await self.read_events(endpoint, connection, deadline)
             finally:
                 await connection.close()
         except PROBE_ERRORS as error:
@@ -86,3 +92,21 @@
         self.liveness.set_leaving(endpoint.name, report.leaving)
         self.load.report(endpoint.name, report)
         return True
+
+    async def read_events(self, endpoint, connection, deadline):
+        """Read the cache events of an engine on the probe's connection.
+
+        A failure here leaves the endpoint live: events are only a hint.
+        """
+        if not endpoint.serves or not connection.reusable():
+            return
+        connection.start_next_cycle()
+        since = self.prefixes.since(endpoint.name)
+        try:
+            answer = await protocol.read_cache_events(
+                connection, since, deadline
+            )
+        except PROBE_ERRORS as error:
+            logs.bind_error(error).debug('no events: {}', error.message)
+            return
+        self.prefixes.apply(endpoint.name, answer.events)
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from celeryward import calls
+from celeryward.endpoints import load
+from celeryward.endpoints import prefixes
 from celeryward import errors
 from celeryward import http
 
@@ -28,14 +30,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
-    """What an endpoint says of its load; it lags."""
+class CacheEvents:
+    """Answer to ``GET /cache-events``; numbers may be missing."""
 
-    running: int = 0
-    waiting: int = 0
-    capacity: int = 1
-    leaving: bool = False
-    versions: tuple[str, ...] = ()
+    events: tuple[prefixes.CacheEvent, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +90,8 @@
 
 ANSWER_DECODER = msgspec.json.Decoder(ChatAnswer)
 EVENT_DECODER = msgspec.json.Decoder(ChatEvent)
-LOAD_DECODER = msgspec.json.Decoder(LoadReport)
+EVENTS_DECODER = msgspec.json.Decoder(CacheEvents)
+LOAD_DECODER = msgspec.json.Decoder(load.LoadReport)
 
 
 def encode_chat(request, resume=None):
@@ -313,24 +312,40 @@
 
 
 async def read_load(connection, deadline):
-    """Ask an endpoint for its :class:`LoadReport`.
+    """Ask an endpoint for its :class:`load.LoadReport`.
+
+    :raises errors.ProtocolError: if the answer is malformed.
+    """
+    return await read_report(connection, '/load', LOAD_DECODER, deadline)
+
+
+async def read_cache_events(connection, since, deadline):
+    """Ask an engine for its :class:`CacheEvents` from a number on.
+
+    :raises errors.ProtocolError: if the answer is malformed.
+    """
+    target = f'/cache-events?since={since}'
+    return await read_report(connection, target, EVENTS_DECODER, deadline)
+
+
+async def read_report(connection, target, decoder, deadline):
+    """Read and decode one report of an endpoint.
 
     :raises errors.ProtocolError: if the answer is malformed.
     """
     response, body = await http.exchange(
-        connection, 'GET', '/load', {}, b'', deadline
+        connection, 'GET', target, {}, b'', deadline
     )
+    step = f'read {target.partition("?")[0]}'
+    if response.status != 200:
+        raise errors.ProtocolError(
+            f'endpoint answered {response.status}',
+            step=step,
+            peer=connection.peer,
+        )
     try:
-        if response.status == 200:
-            return LOAD_DECODER.decode(body)
+        return decoder.decode(body)
     except msgspec.DecodeError as error:
         raise errors.ProtocolError(
-            f'malformed load report: {error}',
-            step='read load',
-            peer=connection.peer,
+            f'malformed report: {error}', step=step, peer=connection.peer
         ) from error
-    raise errors.ProtocolError(
-        f'endpoint answered {response.status}',
-        step='read load',
-        peer=connection.peer,
-    )
--- a/celeryward/settings.py
+++ b/celeryward/settings.py
@@ -96,7 +96,7 @@
     platform: Address = Address()
     raters: Address | None = None
     seeds: list[Address] = dataclasses.field(default_factory=list)
-    ranking: str = 'least-load'
+    ranking: str = 'prefix-aware'
     timings: Timings = Timings()
     sessions: SessionSettings = SessionSettings()
     log: LogSettings = LogSettings()
