--- a/celeryward/endpoints/load.py
+++ b/celeryward/endpoints/load.py
@@ -42,18 +42,37 @@
     """Moving averages of what dispatches to an endpoint took.
 
     :param float hold: seconds that a request occupies a slot.
-    :param float prefill: seconds for each prompt block without a cached
-        prefix.
+    :param float prefill_seconds: seconds to the first token of requests
+        that did not wait.
+    :param float prefill_blocks: their prompt blocks that missed the cache.
     :param float first_token: seconds to the first token.
     :param float deviation: mean absolute deviation of ``first_token``.
     """
 
     hold: float = DEFAULT_HOLD_SECONDS
-    prefill: float = DEFAULT_PREFILL_SECONDS
+    prefill_seconds: float = DEFAULT_PREFILL_SECONDS
+    prefill_blocks: float = 1.0
     first_token: float = 0.0
     deviation: float = 0.0
     samples: int = 0
 
+    @property
+    def prefill(self):
+        """Seconds for each prompt block that misses the cache.
+
+        A quotient of averages, because one prefix that was wrongly
+        expected in the cache would distort an average of quotients.
+        """
+        return self.prefill_seconds / self.prefill_blocks
+
+    def with_prefill(self, seconds, blocks):
+        """Return the speed after one more sample of prefill."""
+        return dataclasses.replace(
+            self,
+            prefill_seconds=average(self.prefill_seconds, seconds),
+            prefill_blocks=average(self.prefill_blocks, blocks),
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Expectation:
@@ -173,13 +192,9 @@
             samples=speed.samples + 1,
         )
         if not expected.queued:
-            sample = seconds / (expected.missing + 1)
-            prefill = average(speed.prefill, sample)
-            changed = dataclasses.replace(changed, prefill=prefill)
-            default = self.default_speed
-            self.default_speed = dataclasses.replace(
-                default, prefill=average(default.prefill, sample)
-            )
+            sample = (seconds, expected.missing + 1)
+            changed = changed.with_prefill(*sample)
+            self.default_speed = self.default_speed.with_prefill(*sample)
         self.speeds[name] = changed
 
     def speed(self, name):
--- a/celeryward/endpoints/prefixes.py
+++ b/celeryward/endpoints/prefixes.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import time
 
 import xxhash
@@ -15,8 +16,8 @@
 MAX_HOLDERS = 8
 # A removal older than the own dispatch must not undo it; events are late.
 EVENT_LAG_SECONDS = 2.0
-# After a gap in the events, older entries hold with about even odds.
-DOUBTED_SHARE = 0.5
+# About half of the events are removals.
+REMOVED_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,11 +39,11 @@
     """Belief that an endpoint holds a prefix.
 
     :param float noted_at: monotonic seconds.
-    :param int epoch: gaps seen from the endpoint when this was noted.
+    :param int lost: events lost from the endpoint before this was noted.
     """
 
     noted_at: float
-    epoch: int
+    lost: int
 
 
 def digest_text(text):
@@ -68,7 +69,8 @@
         self.clock = clock
         self.holders = collections.OrderedDict()
         self.next_event = {}
-        self.epochs = collections.Counter()
+        self.lost = collections.Counter()
+        self.held = collections.Counter()
 
     def dispatched(self, name, digests):
         """Note that an endpoint now computes and caches the prefixes."""
@@ -80,25 +82,32 @@
         holders = self.holders.setdefault(digest, {})
         self.holders.move_to_end(digest)
         # The newest holder is last; the oldest is dropped first.
-        holders.pop(name, None)
-        holders[name] = Holding(self.clock(), self.epochs[name])
+        self.drop(name, digest)
+        holders[name] = Holding(self.clock(), self.lost[name])
+        self.held[name] += 1
         if len(holders) > MAX_HOLDERS:
-            del holders[next(iter(holders))]
+            self.drop(next(iter(holders)), digest)
         if len(self.holders) > MAX_PREFIXES:
-            self.holders.popitem(last=False)
+            _, dropped = self.holders.popitem(last=False)
+            self.held.subtract(dropped.keys())
+
+    def drop(self, name, digest):
+        """Forget that an endpoint holds a prefix."""
+        if self.holders[digest].pop(name, None) is not None:
+            self.held[name] -= 1
 
     def apply(self, name, events):
         """Apply cache events of an endpoint in the order of their numbers.
 
         Old and repeated events are ignored. A gap may hide removals, so
-        what was noted before it is doubted from then on.
+        the confidence in what was noted before it falls with its size.
         """
         for event in sorted(events, key=lambda each: each.number):
             expected = self.next_event.get(name, event.number)
             if event.number < expected:
                 continue
             if event.number > expected:
-                self.epochs[name] += 1
+                self.lost[name] += event.number - expected
             self.next_event[name] = event.number + 1
             digest = int(event.prefix, 16)
             if event.type == 'stored':
@@ -112,28 +121,37 @@
         if holding is None:
             return
         if self.clock() - holding.noted_at > EVENT_LAG_SECONDS:
-            del self.holders[digest][name]
+            self.drop(name, digest)
 
     def restarted(self, name):
         """Forget an endpoint whose cache is lost."""
         self.next_event.pop(name, None)
-        for holders in self.holders.values():
-            holders.pop(name, None)
+        for digest in self.holders:
+            self.drop(name, digest)
 
     def since(self, name):
         """Return the number of the next event to ask an endpoint for."""
         return self.next_event.get(name, 0)
 
     def cached_blocks(self, name, digests):
-        """Return how many leading blocks an endpoint likely holds."""
+        """Return how many leading blocks an endpoint likely holds.
+
+        Engines evict the end of a prefix first, so a held block implies all
+        blocks before it. A lost event leaves a hole or an island; the length
+        with the most blocks that agree with it is taken.
+        """
+        score = 0
+        best = 0
         found = 0
         last = None
-        for digest in digests:
+        for index, digest in enumerate(digests, 1):
             holding = self.holders.get(digest, {}).get(name)
-            if holding is None:
-                break
-            found += 1
-            last = holding
-        if last is not None and last.epoch < self.epochs[name]:
-            return found * DOUBTED_SHARE
-        return found
+            score += 1 if holding else -1
+            if score > best:
+                best, found, last = score, index, holding
+        return found * self.confidence(name, last) if last else 0
+
+    def confidence(self, name, holding):
+        """Return the chance that a gap hid no removal of a prefix."""
+        removed = (self.lost[name] - holding.lost) * REMOVED_SHARE
+        return math.exp(-removed / max(1, self.held[name]))
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,191 @@
+"""Choice of an endpoint by late reports, prefixes and failure domains."""
+
+import pytest
+
+from celeryward import calls
+from celeryward import catalog
+from celeryward import deadlines
+from celeryward.endpoints import candidates
+from celeryward.endpoints import liveness
+from celeryward.endpoints import load
+from celeryward.endpoints import prefixes
+
+VERSION = catalog.ModelVersion('large', '1')
+CUSTOMER = catalog.Customer('c', allowed=('large',))
+DIGESTS = tuple(range(1, 21))
+
+
+class Clock:
+    """Time that a test sets."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_endpoint(name, domain='domain-1', capacity=8):
+    return catalog.Endpoint(
+        name, '127.0.0.1', 1, domain, (VERSION.name,), capacity=capacity
+    )
+
+
+class Router:
+    """The view of one daemon on three endpoints, one of them remote."""
+
+    def __init__(self, ranking='prefix-aware'):
+        self.clock = Clock()
+        self.load = load.LoadView(self.clock)
+        self.prefixes = prefixes.PrefixView(self.clock)
+        self.endpoints = {
+            'a': make_endpoint('a'),
+            'b': make_endpoint('b'),
+            'r': make_endpoint('r', 'domain-2'),
+        }
+        self.view = candidates.View(
+            'domain-1',
+            self.load,
+            liveness.Liveness(),
+            ranking,
+            self.prefixes,
+        )
+
+    def choose(self, digests=(), priority=0):
+        current = catalog.Catalog(
+            customers={'c': CUSTOMER},
+            versions={VERSION.name: VERSION},
+            endpoints=self.endpoints,
+        )
+        call = calls.Call(
+            'r',
+            CUSTOMER,
+            deadlines.NEVER,
+            calls.ChatRequest('large', ()),
+            priority=priority,
+        )
+        query = candidates.Query(
+            current, call, 'large', self.view, digests=digests
+        )
+        return candidates.select(query).endpoint.name
+
+    def dispatch(self, digests=(), priority=0):
+        name = self.choose(digests, priority)
+        self.load.started(name, priority)
+        self.prefixes.dispatched(name, digests)
+        return name
+
+
+class TestLateReports:
+    """Guards against a burst that follows an outdated report."""
+
+    def test_own_dispatches_since_the_report_count(self):
+        router = Router()
+        for name in 'ab':
+            router.load.report(name, load.LoadReport(running=2))
+        chosen = [router.dispatch() for _ in range(10)]
+        assert abs(chosen.count('a') - chosen.count('b')) <= 1
+
+    def test_own_work_in_a_report_is_not_counted_twice(self):
+        router = Router()
+        for _ in range(4):
+            router.load.started('a')
+        router.clock.now += load.REPORT_LAG_SECONDS + 1
+        router.load.report('a', load.LoadReport(running=6))
+        assert router.load.busy(router.endpoints['a']) == 6
+        for _ in range(4):
+            router.load.finished('a')
+        assert router.load.busy(router.endpoints['a']) == 2
+
+    def test_waiting_work_of_lower_priority_is_overtaken(self):
+        router = Router()
+        for _ in range(20):
+            router.load.started('a', priority=0)
+        endpoint = router.endpoints['a']
+        assert router.load.ahead(endpoint, priority=0) == 20
+        assert router.load.ahead(endpoint, priority=1) == endpoint.capacity
+
+
+class TestFailureDomains:
+    """Guards against remote work with room at home, and overload at home."""
+
+    def test_work_spills_over_before_the_own_domain_is_overloaded(self):
+        router = Router()
+        chosen = [router.dispatch() for _ in range(18)]
+        assert 'r' not in chosen[:8]
+        assert 'r' in chosen[:16]
+
+
+class TestPrefixes:
+    """Guards against lost prefix hits and against stale beliefs."""
+
+    def test_a_prompt_follows_its_prefix(self):
+        router = Router()
+        first = router.dispatch(DIGESTS)
+        assert router.choose((*DIGESTS, 99)) == first
+
+    def test_a_full_endpoint_loses_its_affinity(self):
+        router = Router()
+        first = router.dispatch(DIGESTS)
+        for _ in range(40):
+            router.load.started(first)
+        assert router.choose(DIGESTS) != first
+
+    def test_daemons_agree_on_the_home_of_a_new_prompt(self):
+        assert Router().choose(DIGESTS) == Router().choose(DIGESTS)
+
+    def apply(self, router, first, kind, digests):
+        events = [
+            prefixes.CacheEvent(first + index, kind, f'{digest:x}')
+            for index, digest in enumerate(digests)
+        ]
+        router.prefixes.apply('a', events)
+
+    def test_a_late_removal_does_not_undo_an_own_dispatch(self):
+        router = Router()
+        router.prefixes.dispatched('a', DIGESTS)
+        self.apply(router, 0, 'removed', DIGESTS)
+        assert router.prefixes.cached_blocks('a', DIGESTS) == 20
+
+    def test_a_removal_and_repeated_events(self):
+        router = Router()
+        self.apply(router, 0, 'stored', DIGESTS)
+        router.clock.now += prefixes.EVENT_LAG_SECONDS + 1
+        self.apply(router, 20, 'removed', DIGESTS[10:])
+        self.apply(router, 0, 'stored', DIGESTS)
+        assert router.prefixes.cached_blocks('a', DIGESTS) == 10
+
+    def test_a_lost_event_leaves_the_rest_of_the_prefix(self):
+        router = Router()
+        self.apply(router, 0, 'stored', DIGESTS[:5])
+        self.apply(router, 6, 'stored', DIGESTS[6:])
+        assert router.prefixes.cached_blocks('a', DIGESTS) > 15
+
+    def test_memory_is_bounded(self, monkeypatch):
+        monkeypatch.setattr(prefixes, 'MAX_PREFIXES', 10)
+        view = prefixes.PrefixView()
+        view.dispatched('a', range(100))
+        assert len(view.holders) == view.held['a'] == 10
+
+    def test_digests_name_whole_blocks_of_the_text(self):
+        block = 'x' * prefixes.BLOCK_CHARACTERS
+        long = prefixes.digest_text(block * 2 + 'question')
+        assert len(long) == 2
+        assert prefixes.digest_text(block) == long[:1]
+
+
+class TestBaselines:
+    """Guards against baselines that don't do what their names say."""
+
+    @pytest.mark.parametrize(
+        'name', ['random', 'two-choices', 'least-connections']
+    )
+    def test_every_endpoint_gets_work(self, name):
+        router = Router(name)
+        chosen = {router.dispatch() for _ in range(200)}
+        assert chosen == {'a', 'b', 'r'}
+
+    def test_round_robin_goes_around(self):
+        router = Router('round-robin')
+        chosen = [router.dispatch() for _ in range(6)]
+        assert chosen == ['a', 'b', 'r', 'a', 'b', 'r']
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -14,6 +14,7 @@
     'endpoints/candidates.py',
     'endpoints/liveness.py',
     'endpoints/load.py',
+    'endpoints/prefixes.py',
     'endpoints/ranking.py',
     'endpoints/retries.py',
     'platform/billing.py',
