Detect silent connections, resume at the exact token, bill each token once

Cause: a silent connection was only retried, a truncated body counted as an invalid answer, missing ids passed, tiers of a cascade shared one id, and a resumed stream billed its first part twice or, when its caller left, not at all. A refusal after a sent dispatch said 'not run'. Change: recovery module with an immediate shared probe; ids for each dispatch; unframed bodies and surplus bytes are refused; resume point and usage of each part are counted from the events; retry budget.

--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -142,8 +142,8 @@
                         await self.bill(call, attempt.runs)
                         await responder.finish_stream(chunk.payload)
         except errors.CallerGone:
-            if not attempt.runs:
-                attempt.add_run(calls.Usage(0, attempt.emitted_tokens))
+            if not attempt.finished:
+                attempt.add_partial_run()
                 await self.bill(call, attempt.runs)
             raise
 
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -16,6 +16,7 @@
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
 from celeryward.endpoints import prober
+from celeryward.endpoints import recovery
 from celeryward import http
 from celeryward import logs
 from celeryward import metrics
@@ -67,8 +68,11 @@
         self.prober = prober.Prober(
             self.configuration, self.pool, self.view, timings
         )
+        self.recovery = recovery.Recovery(
+            self.view, self.pool, self.prober, self.metrics
+        )
         self.dispatcher = dispatch.Dispatcher(
-            self.configuration, self.view, self.pool, timings, self.metrics
+            self.configuration, self.view, self.pool, timings, self.recovery
         )
         self.serving = self.build_serving(settings, clock)
         self.callers = server.CallerServer(self.serving, timings, new_id)
--- a/celeryward/endpoints/candidates.py
+++ b/celeryward/endpoints/candidates.py
@@ -14,7 +14,14 @@
 from celeryward import registry
 
 FILTERS = registry.Registry('candidate filter')
-CHAT_PIPELINE = ('permitted', 'not-withdrawn', 'pinned', 'live', 'untried')
+CHAT_PIPELINE = (
+    'permitted',
+    'not-withdrawn',
+    'pinned',
+    'live',
+    'untried',
+    'resumable',
+)
 SERVICE_PIPELINE = ('live', 'untried')
 
 
@@ -52,6 +59,7 @@
     :param str pinned: ``model@version`` to keep to; empty for any.
     :param frozenset tried: names of endpoints that failed this request.
     :param tuple digests: digests of the prompt's prefixes.
+    :param bool resuming: whether a broken stream has to go on.
     """
 
     catalog: catalog.Catalog
@@ -61,6 +69,7 @@
     pinned: str = ''
     tried: frozenset = frozenset()
     digests: tuple[int, ...] = ()
+    resuming: bool = False
 
 
 @FILTERS.register('permitted')
@@ -107,6 +116,14 @@
             yield candidate
 
 
+@FILTERS.register('resumable')
+def filter_resumable(candidates, query):
+    """Keep engines that resume streams, if the query needs one."""
+    for candidate in candidates:
+        if candidate.endpoint.can_resume or not query.resuming:
+            yield candidate
+
+
 def chat_candidates(query):
     """Yield every endpoint of every version of the model."""
     current = query.catalog
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -10,11 +10,7 @@
 from celeryward.endpoints import pool
 from celeryward.endpoints import prefixes
 from celeryward.endpoints import protocol
-from celeryward.endpoints import retries
 from celeryward import errors
-from celeryward import logs
-
-MAX_DISPATCHES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +40,10 @@
         self.emitted_tokens = 0
         self.candidate = None
         self.runs = []
+        self.finished = False
+        self.may_have_run = False
+        self.replaced = frozenset()
+        self.spare = frozenset()
         self.digests = ()
         if isinstance(call.request, calls.ChatRequest):
             self.digests = prefixes.digest_text(call.request.prompt())
@@ -58,13 +58,29 @@
         self.emitted.append(chunk.payload)
         self.emitted_tokens += chunk.tokens
 
+    def dispatched_call(self):
+        """Return the call under an id of its own for this dispatch.
+
+        Tiers of a cascade and retries share a request id; a late response
+        to one of them must not pass as the response to another.
+        """
+        request_id = f'{self.call.request_id}.{self.model}.{self.dispatches}'
+        return dataclasses.replace(self.call, request_id=request_id)
+
+    def take_spare(self):
+        """Allow live endpoints whose connection failed once more.
+
+        :returns: whether there are any.
+        """
+        spare, self.spare = self.spare, frozenset()
+        self.tried -= spare
+        return bool(spare)
+
     def resume_point(self):
         """Return the :class:`protocol.Resume`, or None before any token."""
         if not self.emitted_tokens:
             return None
-        events = protocol.decode_events(b''.join(self.emitted))
-        text = ''.join(event.text() for event in events)
-        return protocol.Resume(self.emitted_tokens, text)
+        return protocol.resume_point(b''.join(self.emitted))
 
     def add_run(self, usage):
         """Note what one execution used."""
@@ -73,6 +89,34 @@
         endpoint = self.candidate.endpoint.name
         self.runs.append(calls.Run(version.name, endpoint, usage, cost))
 
+    def add_partial_run(self):
+        """Note the tokens that the caller has and that no run covers."""
+        resume = self.resume_point()
+        tokens = (resume.tokens if resume else 0) - self.covered_tokens()
+        if tokens or not self.runs:
+            self.add_run(calls.Usage(0, tokens))
+
+    def add_last_run(self, usage, last_tokens):
+        """Note the run that finished the answer.
+
+        Engines differ in whether the usage of a resumed run includes the
+        tokens before it. These are billed already, so that a resumed run is
+        billed for the events that it sent.
+
+        :param int last_tokens: tokens of the chunk that carries the usage.
+        """
+        self.finished = True
+        if self.runs:
+            resume = self.resume_point()
+            whole = (resume.tokens if resume else 0) + last_tokens
+            tokens = whole - self.covered_tokens()
+            usage = calls.Usage(usage.prompt_tokens, tokens)
+        self.add_run(usage)
+
+    def covered_tokens(self):
+        """Return the generated tokens of the runs so far."""
+        return sum(run.usage.answer_tokens for run in self.runs)
+
 
 class Dispatcher:
     """Selects endpoints and runs requests there.
@@ -80,48 +124,65 @@
     :param configuration: :class:`ConfigurationStore`.
     :param candidates.View view: what the daemon knows.
     :param pool.EndpointPool connections: connections to endpoints.
+    :param recovery.Recovery recovery: decides after a failed dispatch.
     """
 
-    def __init__(self, configuration, view, connections, timings, metrics):
+    def __init__(self, configuration, view, connections, timings, recovery):
         self.configuration = configuration
         self.view = view
         self.connections = connections
         self.timings = timings
-        self.metrics = metrics
+        self.recovery = recovery
 
     def choose(self, attempt):
         """Select the endpoint of the next dispatch.
 
         :raises errors.DeadlineExceeded: if the deadline has passed.
         :raises errors.Overloaded: if there is no candidate.
+        :raises errors.OutcomeUnknown: for either, if the request may have
+            run before.
         """
         call = attempt.call
         if call.deadline.expired():
-            raise errors.DeadlineExceeded(
+            raise self.refusal(
+                attempt,
+                errors.DeadlineExceeded,
                 'deadline passed before dispatch',
-                step='select',
-                peer=attempt.model,
             )
+        chosen = self.select(attempt)
+        if chosen is None and attempt.take_spare():
+            chosen = self.select(attempt)
+        if chosen is None:
+            raise self.refusal(
+                attempt,
+                errors.Overloaded,
+                'no live endpoint can run or resume the request',
+            )
+        attempt.candidate = chosen
+        attempt.dispatches += 1
+        attempt.tried |= {chosen.endpoint.name}
+        self.recovery.dispatched(attempt)
+        return chosen
+
+    def select(self, attempt):
+        """Return the best candidate now, or None."""
         query = candidates.Query(
             self.configuration.catalog(),
-            call,
+            attempt.call,
             attempt.model,
             self.view,
             attempt.pinned,
             attempt.tried,
             attempt.digests,
+            resuming=attempt.emitted_tokens > 0,
         )
-        chosen = candidates.select(query)
-        if chosen is None:
-            raise errors.Overloaded(
-                'no live endpoint runs a permitted version',
-                step='select',
-                peer=attempt.model,
-            )
-        attempt.candidate = chosen
-        attempt.dispatches += 1
-        attempt.tried |= {chosen.endpoint.name}
-        return chosen
+        return candidates.select(query)
+
+    def refusal(self, attempt, kind, message):
+        """Return the error for a request that can't be dispatched."""
+        if attempt.may_have_run:
+            kind = errors.OutcomeUnknown
+        return kind(message, step='select', peer=attempt.model)
 
     async def stream(self, attempt):
         """Yield the chunks of one whole streamed answer.
@@ -141,17 +202,21 @@
                         yield chunk
                 return
             except errors.EndpointFailure as error:
-                self.after_failure(attempt, error)
+                await self.recovery.after_failure(attempt, error)
 
     async def stream_once(self, attempt, chosen):
         """Yield the chunks of one dispatch."""
-        call = attempt.call
+        call = attempt.dispatched_call()
         resume = attempt.resume_point()
         expected = self.expect(attempt, chosen.endpoint)
         started = time.monotonic()
         async with self.leased(call, chosen.endpoint) as connection:
             chunks = protocol.stream_chat(
-                connection, call, chosen.version, resume, self.reads(call)
+                connection,
+                call,
+                chosen.version,
+                resume,
+                self.stream_reads(call, chosen.endpoint),
             )
             # Taken outside of the loop, which runs for each token.
             first = await anext(chunks)
@@ -161,11 +226,11 @@
                 expected,
             )
             if first.usage is not None:
-                attempt.add_run(first.usage)
+                attempt.add_last_run(first.usage, first.tokens)
             yield first
             async for chunk in chunks:
                 if chunk.usage is not None:
-                    attempt.add_run(chunk.usage)
+                    attempt.add_last_run(chunk.usage, chunk.tokens)
                 yield chunk
 
     def expect(self, attempt, endpoint):
@@ -182,7 +247,7 @@
         while True:
             chosen = self.choose(attempt)
             attempt.pinned = chosen.version.name
-            call = attempt.call
+            call = attempt.dispatched_call()
             self.expect(attempt, chosen.endpoint)
             try:
                 async with self.leased(call, chosen.endpoint) as connection:
@@ -190,9 +255,9 @@
                         connection, call, chosen.version, self.reads(call)
                     )
             except errors.EndpointFailure as error:
-                self.after_failure(attempt, error)
+                await self.recovery.after_failure(attempt, error)
                 continue
-            attempt.add_run(chunk.usage)
+            attempt.add_last_run(chunk.usage, chunk.tokens)
             return chunk
 
     async def forward(self, attempt):
@@ -209,7 +274,7 @@
                         connection, call, self.reads(call)
                     )
             except errors.EndpointFailure as error:
-                self.after_failure(attempt, error)
+                await self.recovery.after_failure(attempt, error)
                 continue
             return ServiceAnswer(head.status, head.headers, body)
 
@@ -224,11 +289,6 @@
             ) as connection:
                 yield connection
             self.view.load.held(endpoint.name, time.monotonic() - started)
-        except errors.ConnectionFailed as error:
-            if not error.sent:
-                interval = self.timings.probe_interval
-                self.view.liveness.failed(endpoint.name, interval)
-            raise
         finally:
             self.view.load.finished(endpoint.name, call.priority)
 
@@ -240,19 +300,18 @@
             self.timings.progress_timeout,
         )
 
-    def after_failure(self, attempt, error):
-        """Return if the request is to be dispatched again.
+    def stream_reads(self, call, endpoint):
+        """Return the read deadlines of a stream.
 
-        :raises errors.CelerywardError: the error for the caller, if not.
+        The first byte is due after what the endpoint's first tokens usually
+        take, because nothing else tells a silent connection from a queue.
         """
-        endpoint = attempt.candidate.endpoint
-        action = retries.after_failure(
-            attempt.call, error, attempt.emitted_tokens, endpoint.can_resume
-        )
-        logs.bind_error(error, request_id=attempt.call.request_id).warning(
-            'dispatch failed: {}; action {}', error.message, action.value
+        return pool.ReadTimings(
+            call.deadline,
+            self.view.load.first_byte_limit(
+                endpoint.name,
+                self.timings.progress_timeout,
+                self.timings.first_byte_timeout,
+            ),
+            self.timings.progress_timeout,
         )
-        exhausted = attempt.dispatches >= MAX_DISPATCHES
-        if action is retries.Action.FAIL or exhausted:
-            raise retries.final_error(attempt.call, error) from error
-        self.metrics.retries.labels(error.code).inc()
--- a/celeryward/endpoints/liveness.py
+++ b/celeryward/endpoints/liveness.py
@@ -29,6 +29,12 @@
         backoff = min(MAX_BACKOFF_SECONDS, interval * 2 ** (count - 1))
         self.retry_at[name] = deadlines.Deadline.after(backoff)
 
+    def suspect(self, name, interval):
+        """Note that both a call and the probe after it failed."""
+        known = max(self.failures.get(name, 0), FAILURES_TO_SUSPECT - 1)
+        self.failures[name] = known
+        self.failed(name, interval)
+
     def set_leaving(self, name, leaving):
         """Note whether the endpoint announces that it leaves."""
         if leaving:
--- a/celeryward/endpoints/pool.py
+++ b/celeryward/endpoints/pool.py
@@ -57,17 +57,21 @@
             would leave their outcome unknown.
         :raises errors.ConnectionFailed: if no connection can be opened.
         """
-        connection = None if fresh else self.take_idle(endpoint)
+        connection = None if fresh else await self.take_idle(endpoint)
         if connection is None:
             connection = await self.open(endpoint, deadline)
         written_before = connection.bytes_written
+        leased_at = time.monotonic()
         clean = False
         try:
             yield connection
             clean = connection.reusable()
         except http.ReadTimeout as error:
             raise errors.ConnectionSilent(
-                error.message, step=error.step, peer=error.peer, sent=True
+                error.message,
+                step=error.step,
+                peer=error.peer,
+                silent_since=max(leased_at, connection.last_read_at),
             ) from error
         except http.Disconnected as error:
             sent = connection.bytes_written > written_before
@@ -95,10 +99,19 @@
             endpoint.host, endpoint.port, limit.earlier(deadline)
         )
 
-    def take_idle(self, endpoint):
-        """Return the connection that was used last, or None."""
+    async def take_idle(self, endpoint):
+        """Return the connection that was used last, or None.
+
+        An idle connection with something to read was closed by the other
+        side, or holds a late or duplicated response to an earlier request.
+        """
         kept = self.idle.get(endpoint.address)
-        return kept.pop() if kept else None
+        while kept:
+            connection = kept.pop()
+            if not connection.has_input():
+                return connection
+            await connection.close()
+        return None
 
     def give_back(self, endpoint, connection):
         """Keep a clean connection for the next exchange."""
@@ -127,6 +140,15 @@
             await connection.close()
         return len(closing)
 
+    async def close_unproven(self, endpoint, error):
+        """Close idle connections that may be as silent as a failed one.
+
+        Those that were read since the silent one last was still work.
+
+        :param errors.ConnectionSilent error: states when that was.
+        """
+        return await self.close_idle(endpoint, before=error.silent_since)
+
     async def close(self):
         """Close every idle connection."""
         for kept in self.idle.values():
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -1,5 +1,6 @@
 """One task for each endpoint: probes it and closes its stale connections."""
 
+import dataclasses
 import time
 
 import curio
@@ -19,6 +20,14 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Result of a probe that began at a time, in monotonic seconds."""
+
+    at: float
+    alive: bool
+
+
 class Prober:
     """Runs the task of each endpoint in the catalog.
 
@@ -33,6 +42,8 @@
         self.prefixes = view.prefixes
         self.timings = timings
         self.tasks = {}
+        self.locks = {}
+        self.probed_at = {}
 
     async def run(self):
         """Start and stop tasks as endpoints come and go."""
@@ -50,6 +61,8 @@
         for name in self.tasks.keys() - wanted.keys():
             await self.tasks.pop(name).cancel()
             self.load.forget(name)
+            self.locks.pop(name, None)
+            self.probed_at.pop(name, None)
 
     async def watch_endpoint(self, name):
         """Probe one endpoint until it leaves the catalog."""
@@ -69,6 +82,23 @@
             return self.timings.probe_interval
         return max(self.timings.probe_interval, retry_at.remaining())
 
+    async def check(self, endpoint, asked_at):
+        """Probe at once, shared by all requests that failed together.
+
+        :param float asked_at: monotonic seconds of the failure; a probe
+            that began later answers it too.
+        :returns: whether the endpoint answered.
+        """
+        lock = self.locks.setdefault(endpoint.name, curio.Lock())
+        async with lock:
+            last = self.probed_at.get(endpoint.name)
+            if last is not None and last.at >= asked_at:
+                return last.alive
+            started = time.monotonic()
+            alive = await self.probe(endpoint)
+            self.probed_at[endpoint.name] = Probe(started, alive)
+            return alive
+
     async def probe(self, endpoint):
         """Read the load of an endpoint over a new connection.
 
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -15,6 +15,7 @@
 EVENT_START = b'data: '
 DONE_EVENT = b'data: [DONE]\n\n'
 NOT_RUN_STATUSES = (429, 503)
+BODILESS_STATUSES = (204, 304)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,6 +159,15 @@
             yield EVENT_DECODER.decode(event[len(EVENT_START) :])
 
 
+def resume_point(events):
+    """Return the :class:`Resume` after some events.
+
+    Each event with text is one token.
+    """
+    texts = [text for event in decode_events(events) if (text := event.text())]
+    return Resume(len(texts), ''.join(texts))
+
+
 def check_head(response, call, peer):
     """Raise the error that the head of an answer stands for.
 
@@ -166,7 +176,7 @@
     :raises errors.AnswerInvalid: for any other status than 200.
     """
     step = 'read response'
-    answered = response.headers.get('x-request-id', call.request_id)
+    answered = response.headers.get('x-request-id')
     if answered != call.request_id:
         raise errors.AnswerMismatch(
             f'answer is for request {answered}',
@@ -263,7 +273,7 @@
     )
     response = await connection.receive_response(timings.first_byte())
     check_head(response, call, connection.peer)
-    answer = await connection.receive_body('read body', call.deadline)
+    answer = await receive_whole(connection, response, call, timings)
     try:
         decoded = ANSWER_DECODER.decode(answer)
     except msgspec.DecodeError as error:
@@ -295,10 +305,30 @@
     )
     response = await connection.receive_response(timings.first_byte())
     check_identity(response, call, connection.peer)
-    body = await connection.receive_body('read body', call.deadline)
+    body = await receive_whole(connection, response, call, timings)
     return response, body
 
 
+async def receive_whole(connection, response, call, timings):
+    """Return a body whose end is certain.
+
+    :raises errors.AnswerTruncated: if only the end of the connection would
+        end the body, which looks the same when the body is cut off.
+    """
+    headers = response.headers
+    framed = 'content-length' in headers or 'transfer-encoding' in headers
+    if not framed and response.status not in BODILESS_STATUSES:
+        raise errors.AnswerTruncated(
+            'answer has neither length nor chunks',
+            step='read body',
+            peer=connection.peer,
+            sent=True,
+        )
+    return await connection.receive_body(
+        'read body', call.deadline, next_deadline=timings.progress
+    )
+
+
 def check_identity(response, call, peer):
     """Check a service answer, whose status is the service's own.
 
--- a/celeryward/endpoints/retries.py
+++ b/celeryward/endpoints/retries.py
@@ -5,6 +5,12 @@
 from celeryward import calls
 from celeryward import errors
 
+RETRY_SHARE = 0.1
+# Enough for the requests of one endpoint that dies just after a start.
+START_TOKENS = 10.0
+# Enough for the requests of one large endpoint; older savings expire.
+MAX_TOKENS = 100.0
+
 
 class Action(enum.Enum):
     """What follows a failed dispatch."""
@@ -14,20 +20,15 @@
     FAIL = 'fail'
 
 
-def after_failure(call, error, emitted_tokens, can_resume):
+def after_failure(call, error, emitted_tokens):
     """Return the action after a failed dispatch.
 
     :param errors.EndpointFailure error: why the dispatch failed.
     :param int emitted_tokens: tokens that the caller has received.
-    :param bool can_resume: whether the engine resumes streams.
     """
-    if not error.sent:
-        return Action.RESUME if emitted_tokens else Action.RETRY
-    if not is_idempotent(call):
+    if error.sent and not is_idempotent(call):
         return Action.FAIL
-    if not emitted_tokens:
-        return Action.RETRY
-    return Action.RESUME if can_resume else Action.FAIL
+    return Action.RESUME if emitted_tokens else Action.RETRY
 
 
 def is_idempotent(call):
@@ -37,13 +38,14 @@
     return True
 
 
-def final_error(call, error):
+def final_error(error, may_have_run):
     """Return the error that the caller sees for a last failure.
 
+    :param bool may_have_run: whether any dispatch may have run.
     :returns: ``Overloaded`` if the request certainly did not run, else
         ``OutcomeUnknown``.
     """
-    if not error.sent:
+    if not may_have_run:
         return errors.Overloaded(
             f'no endpoint took the request: {error.message}',
             step=error.step,
@@ -54,3 +56,26 @@
         step=error.step,
         peer=error.peer,
     )
+
+
+class RetryBudget:
+    """Bounds the load that retries add, as a token bucket.
+
+    Each first dispatch adds a tenth of a token and each repeated dispatch
+    takes one, so that repeats add at most 10% to the first dispatches,
+    beyond the tokens of the start.
+    """
+
+    def __init__(self):
+        self.tokens = START_TOKENS
+
+    def first_dispatch(self):
+        """Add the share of one first dispatch."""
+        self.tokens = min(MAX_TOKENS, self.tokens + RETRY_SHARE)
+
+    def take(self):
+        """Return whether one repeated dispatch is allowed."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -129,10 +129,18 @@
 
 
 class ConnectionSilent(EndpointFailure):
-    """No byte arrived before the progress deadline."""
+    """No byte arrived before the progress deadline.
+
+    :param float silent_since: monotonic seconds; idle connections that were
+        not read since may be silent too.
+    """
 
     code = 'connection_silent'
 
+    def __init__(self, message, *, step, peer, silent_since):
+        super().__init__(message, step=step, peer=peer, sent=True)
+        self.silent_since = silent_since
+
 
 class EndpointRefused(EndpointFailure):
     """The endpoint says that it did not run the request."""
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on curio sockets by h11, for both sides of a connection."""
 
 import dataclasses
+import select
 import socket
 
 import curio
@@ -76,13 +77,21 @@
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise errors.ProtocolError(
-                    str(error), step=step, peer=self.peer
-                ) from error
+                raise self.broken(error, step) from error
             if event is not h11.NEED_DATA:
                 return event
             self.h11.receive_data(await self.read(step, deadline))
 
+    def broken(self, error, step):
+        """Return the error for input that h11 rejects.
+
+        An end of file inside a message is a lost connection, not a fault
+        of the protocol.
+        """
+        _, closed = self.h11.trailing_data
+        kind = Disconnected if closed else errors.ProtocolError
+        return kind(str(error), step=step, peer=self.peer)
+
     async def read(self, step, deadline):
         """Return bytes from the socket, empty at the end of the stream."""
         try:
@@ -165,14 +174,19 @@
                     peer=self.peer,
                 )
 
-    async def receive_body(self, step, deadline, limit=MAX_BODY_BYTES):
+    async def receive_body(
+        self, step, deadline, limit=MAX_BODY_BYTES, next_deadline=None
+    ):
         """Return a whole body of at most ``limit`` bytes.
 
+        :param next_deadline: function that returns the deadline of the next
+            piece; by default each piece has the deadline of the body.
         :raises errors.BadInput: if the body is larger.
         """
         pieces = []
         size = 0
-        async for piece in self.receive_chunks(step, lambda: deadline):
+        next_deadline = next_deadline or (lambda: deadline)
+        async for piece in self.receive_chunks(step, next_deadline):
             size += len(piece)
             if size > limit:
                 raise errors.BadInput(
@@ -184,11 +198,27 @@
         return b''.join(pieces)
 
     def reusable(self):
-        """Return whether the connection can carry another exchange."""
+        """Return whether the connection can carry another exchange.
+
+        Bytes after the end of a response belong to no request.
+        """
         return (
-            self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+            self.h11.our_state is h11.DONE
+            and self.h11.their_state is h11.DONE
+            and (self.h11.our_role is h11.SERVER or not self.surplus())
         )
 
+    def surplus(self):
+        """Return whether bytes or an end of file follow the response."""
+        data, closed = self.h11.trailing_data
+        return bool(data) or closed
+
+    def has_input(self):
+        """Return whether the socket has bytes or an end of file to read."""
+        poller = select.poll()
+        poller.register(self.sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def start_next_cycle(self):
         """Prepare for the next exchange on this connection."""
         self.h11.start_next_cycle()
--- a/celeryward/standins/engine.py
+++ b/celeryward/standins/engine.py
@@ -1,11 +1,13 @@
 """Stand-in of a model engine: streams tokens made from the prompt."""
 
 import collections
+import weakref
 
 import curio
 import h11
 import msgspec
 
+from celeryward.endpoints import prefixes
 from celeryward import http
 from celeryward.standins import base
 
@@ -17,7 +19,8 @@
 
     Faults for tests: ``break_after`` is a number of tokens after which the
     connection is dropped, ``silent_after`` one after which nothing more is
-    sent, ``refusing`` refuses all work as not run, ``crash_on`` is a text
+    sent, ``break_inside`` makes a break leave half an event behind,
+    ``refusing`` refuses all work as not run, ``crash_on`` is a text
     in the prompt that stops the engine.
 
     :param tuple versions: ``model@version`` names that it runs.
@@ -36,16 +39,26 @@
         self.refusing = False
         self.break_after = None
         self.silent_after = None
+        self.break_inside = False
         self.crash_on = None
+        self.connections = weakref.WeakSet()
+        self.silent = set()
+        self.cache_events = []
         self.started = collections.Counter()
 
     async def answer(self, connection, received):
         """Route one request by its path."""
+        self.connections.add(connection)
+        if connection in self.silent:
+            await curio.sleep(3600)
         path = received.head.path
         if path == '/v1/chat/completions':
             await self.answer_chat(connection, received)
         elif path == '/load':
             await base.send_json(connection, 200, self.load())
+        elif path == '/cache-events':
+            since = int(received.head.target.rpartition('=')[2])
+            await base.send_json(connection, 200, self.events_since(since))
         elif path == '/health':
             await base.send_json(connection, 200, {'status': 'ok'})
         elif path == '/drain':
@@ -76,6 +89,7 @@
         body = received.json()
         prompt = ' '.join(each['content'] for each in body['messages'])
         self.started[version] += 1
+        self.cache(body['messages'])
         if self.crash_on and self.crash_on in prompt:
             await curio.spawn(self.stop, daemon=True)
             await curio.sleep(1.0)
@@ -89,12 +103,32 @@
             }
             if body.get('stream'):
                 first = body.get('resume', {}).get('tokens', 0)
+                text = body.get('resume', {}).get('text', '')
+                if text != ''.join(words[:first]):
+                    await base.send_json(connection, 400, {}, echo)
+                    return
                 await self.send_stream(connection, echo, words, first, usage)
             else:
                 await self.send_whole(connection, echo, words, usage)
         finally:
             self.running -= 1
 
+    def silence_connections(self):
+        """Answer nothing more on open connections; new ones work."""
+        self.silent = set(self.connections)
+
+    def events_since(self, since):
+        """Return the cache events from a number on."""
+        return {'events': self.cache_events[since:]}
+
+    def cache(self, messages):
+        """Cache the prefixes of a prompt and publish it."""
+        lines = (f'{each["role"]}: {each["content"]}' for each in messages)
+        for digest in prefixes.digest_text('\n'.join(lines)):
+            number = len(self.cache_events)
+            event = prefixes.CacheEvent(number, 'stored', f'{digest:x}')
+            self.cache_events.append(event)
+
     def words(self, prompt, count):
         """Yield the words of the answer to a prompt."""
         offset = len(prompt)
@@ -142,6 +176,9 @@
     async def inject_fault(self, connection, index):
         """Drop or silence the stream where a test asks for it."""
         if index == self.break_after:
+            if self.break_inside:
+                half = h11.Data(data=b'data: {"choices": [{"del')
+                await connection.send('send stream', half)
             raise http.Disconnected(
                 'stand-in breaks the stream',
                 step='send stream',
--- /dev/null
+++ b/celeryward/standins/fleet.py
@@ -0,0 +1,114 @@
+"""Engines of one version and the endpoint side of one daemon.
+
+For tests and benchmarks that need dispatches without callers or platform.
+"""
+
+import itertools
+
+from celeryward import calls
+from celeryward import catalog
+from celeryward import deadlines
+from celeryward.endpoints import candidates
+from celeryward.endpoints import dispatch
+from celeryward.endpoints import liveness
+from celeryward.endpoints import load
+from celeryward.endpoints import pool
+from celeryward.endpoints import prober
+from celeryward.endpoints import protocol
+from celeryward.endpoints import recovery
+from celeryward import metrics
+from celeryward import settings
+
+VERSION = catalog.ModelVersion('large', '1', prompt_cost=1, answer_cost=1)
+CUSTOMER = catalog.Customer('c', allowed=('large',))
+CALL_SECONDS = 20.0
+TIMINGS = settings.Timings(
+    connect_timeout=0.5,
+    progress_timeout=0.2,
+    first_byte_timeout=0.2,
+    probe_interval=0.1,
+    probe_timeout=0.5,
+)
+
+
+class Fleet:
+    """Runs calls at stand-in engines.
+
+    :param engines: stand-ins that run ``large@1``.
+    """
+
+    def __init__(self, engines, can_resume=True, timings=TIMINGS):
+        self.engines = tuple(engines)
+        self.can_resume = can_resume
+        self.timings = timings
+        self.current = catalog.Catalog()
+        self.view = candidates.View(
+            'domain-1', load.LoadView(), liveness.Liveness()
+        )
+        self.pool = pool.EndpointPool(timings)
+        self.prober = prober.Prober(self, self.pool, self.view, timings)
+        self.recovery = recovery.Recovery(
+            self.view, self.pool, self.prober, metrics.Metrics()
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            self, self.view, self.pool, timings, self.recovery
+        )
+        self.numbers = itertools.count(1)
+
+    def catalog(self):
+        """Return the catalog, in place of the configuration store."""
+        return self.current
+
+    async def start(self):
+        """Start the engines and build the catalog of their addresses."""
+        endpoints = {}
+        for index, engine in enumerate(self.engines):
+            await engine.start()
+            endpoints[f'engine-{index}'] = catalog.Endpoint(
+                f'engine-{index}',
+                '127.0.0.1',
+                engine.port,
+                'domain-1',
+                serves=(VERSION.name,),
+                can_resume=self.can_resume,
+            )
+        self.current = catalog.Catalog(
+            customers={CUSTOMER.name: CUSTOMER},
+            versions={VERSION.name: VERSION},
+            endpoints=endpoints,
+        )
+
+    async def stop(self):
+        """Close connections and stop the engines."""
+        await self.pool.close()
+        for engine in self.engines:
+            await engine.stop()
+
+    def attempt(self, text, stream=True):
+        """Return a new attempt at a chat."""
+        request = calls.ChatRequest(
+            'large', (calls.Message('user', text),), stream
+        )
+        call = calls.Call(
+            f'request-{next(self.numbers)}',
+            CUSTOMER,
+            deadlines.Deadline.after(CALL_SECONDS),
+            request,
+        )
+        return dispatch.Attempt(call, 'large')
+
+    async def stream(self, attempt):
+        """Run a streamed chat and return the text of the answer."""
+        async for _ in self.dispatcher.stream(attempt):
+            pass
+        return answer_text(attempt)
+
+    async def whole(self, attempt):
+        """Run a chat that is not streamed and return its text."""
+        chunk = await self.dispatcher.whole(attempt)
+        return protocol.answer_text(chunk.payload)
+
+
+def answer_text(attempt):
+    """Return the text that the caller of an attempt has received."""
+    return protocol.resume_point(b''.join(attempt.emitted)).text
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,293 @@
+"""Whole responses, resumed streams and silent connections."""
+
+import curio
+import h11
+import pytest
+
+from celeryward import errors
+from celeryward import http
+from celeryward.standins import engine
+from celeryward.standins import fleet
+
+VERSIONS = (fleet.VERSION.name,)
+TOKENS = 16
+
+
+class FaultyEngine(engine.EngineStandIn):
+    """Damages its next whole answer as ``fault`` says."""
+
+    def __init__(self):
+        super().__init__(VERSIONS)
+        self.fault = ''
+
+    async def send_whole(self, connection, echo, words, usage):
+        fault, self.fault = self.fault, ''
+        if fault == 'crossed':
+            echo = {'x-request-id': 'another'}
+        if fault == 'no id':
+            echo = {}
+        if fault in ('short', 'unframed'):
+            await self.send_part(connection, echo, fault)
+        if fault == 'duplicate':
+            late = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
+            await super().send_whole(connection, echo, words, usage)
+            await connection.sock.sendall(late)
+            return
+        await super().send_whole(connection, echo, words, usage)
+
+    async def send_part(self, connection, echo, fault):
+        if fault == 'short':
+            echo = {**echo, 'content-length': '9999'}
+        head = ''.join(f'{name}: {value}\r\n' for name, value in echo.items())
+        await connection.sock.sendall(
+            f'HTTP/1.1 200 OK\r\n{head}\r\n{{"choices": []}}'.encode()
+        )
+        raise http.Disconnected('cut', step='test', peer=connection.peer)
+
+
+@pytest.fixture
+def with_fleet(run):
+    """Return a function that runs a test against started engines."""
+
+    def run_with(test, *engines, **options):
+        async def body():
+            started = fleet.Fleet(engines, **options)
+            await started.start()
+            try:
+                return await test(started)
+            finally:
+                await started.stop()
+
+        return run(body)
+
+    return run_with
+
+
+def make_engine():
+    return engine.EngineStandIn(VERSIONS, tokens=TOKENS)
+
+
+def expected_text(prompt):
+    return ''.join(make_engine().words(prompt, TOKENS))
+
+
+class TestWholeAnswers:
+    """Guards against answers of other requests and answers cut short."""
+
+    @pytest.mark.parametrize(
+        'fault', ['crossed', 'no id', 'short', 'unframed', 'duplicate']
+    )
+    def test_damaged_answer_never_reaches_a_caller(self, with_fleet, fault):
+        faulty = FaultyEngine()
+
+        async def test(started):
+            for prompt in ('x', 'xy', 'xyz'):
+                faulty.fault = fault
+                text = await started.whole(started.attempt(prompt, False))
+                assert text == expected_text(prompt)
+
+        with_fleet(test, faulty)
+
+    def test_every_dispatch_has_an_id_of_its_own(self, with_fleet):
+        async def test(started):
+            attempt = started.attempt('x', False)
+            await started.whole(attempt)
+            first = attempt.dispatched_call().request_id
+            attempt.dispatches += 1
+            assert attempt.dispatched_call().request_id != first
+
+        with_fleet(test, make_engine())
+
+
+class TestResumedStreams:
+    """Guards against lost, repeated and doubly billed tokens."""
+
+    @pytest.mark.parametrize('inside', [False, True])
+    @pytest.mark.parametrize('after', [0, 1, 7, TOKENS - 1])
+    def test_resumed_stream_equals_an_unbroken_one(
+        self, with_fleet, after, inside
+    ):
+        broken = make_engine()
+        broken.break_after = after
+        broken.break_inside = inside
+
+        async def test(started):
+            started.view.load.started('engine-1')
+            attempt = started.attempt('x')
+            assert await started.stream(attempt) == expected_text('x')
+            runs = attempt.runs
+            assert attempt.dispatches == 2
+            assert sum(run.usage.answer_tokens for run in runs) == TOKENS
+            assert sum(run.usage.prompt_tokens for run in runs) == 1
+            assert len(runs) == (2 if after else 1)
+
+        with_fleet(test, broken, make_engine())
+
+    def test_stream_that_breaks_twice(self, with_fleet):
+        engines = [make_engine() for _ in range(3)]
+        engines[0].break_after = 3
+        engines[1].break_after = 9
+
+        async def test(started):
+            started.view.load.started('engine-1')
+            for _ in range(2):
+                started.view.load.started('engine-2')
+            attempt = started.attempt('x')
+            assert await started.stream(attempt) == expected_text('x')
+            used = [run.usage.answer_tokens for run in attempt.runs]
+            assert used == [3, 6, 7]
+
+        with_fleet(test, *engines)
+
+    def test_without_a_resuming_engine_the_error_is_clear(self, with_fleet):
+        broken = make_engine()
+        broken.break_after = 5
+
+        async def test(started):
+            started.view.load.started('engine-1')
+            with pytest.raises(errors.OutcomeUnknown):
+                await started.stream(started.attempt('x'))
+
+        with_fleet(test, broken, make_engine(), can_resume=False)
+
+    def test_no_candidate_after_a_sent_request_is_not_called_not_run(
+        self, with_fleet
+    ):
+        only = make_engine()
+        only.break_after = 0
+
+        async def test(started):
+            attempt = started.attempt('x')
+            with pytest.raises(errors.OutcomeUnknown) as caught:
+                await started.stream(attempt)
+            assert caught.value.execution is errors.Execution.UNKNOWN
+
+        with_fleet(test, only)
+
+
+class TestSilentConnections:
+    """Guards against a silent connection that passes as a dead endpoint."""
+
+    async def fill_pool(self, started, count):
+        tasks = [
+            await curio.spawn(started.stream, started.attempt('x'))
+            for _ in range(count)
+        ]
+        for task in tasks:
+            await task.join()
+
+    def test_silent_connection_is_replaced(self, with_fleet):
+        only = make_engine()
+
+        async def test(started):
+            await self.fill_pool(started, 5)
+            only.silence_connections()
+            attempt = started.attempt('x')
+            assert await started.stream(attempt) == expected_text('x')
+            assert started.view.liveness.is_live('engine-0')
+            idle = started.pool.idle[
+                started.current.endpoints['engine-0'].address
+            ]
+            assert len(idle) == 1
+
+        with_fleet(test, only)
+
+    def test_silence_inside_a_stream_resumes_it(self, with_fleet):
+        silent = make_engine()
+        silent.silent_after = 6
+
+        async def test(started):
+            started.view.load.started('engine-1')
+            attempt = started.attempt('x')
+
+            async def heal():
+                await curio.sleep(0.1)
+                silent.silent_after = None
+
+            healing = await curio.spawn(heal)
+            assert await started.stream(attempt) == expected_text('x')
+            await healing.join()
+            assert started.view.liveness.is_live('engine-0')
+
+        with_fleet(test, silent, make_engine())
+
+    def test_silence_inside_a_whole_answer_ends(self, with_fleet):
+        class HalfSilent(engine.EngineStandIn):
+            async def send_whole(self, connection, echo, words, usage):
+                head = {**echo, 'content-length': '100'}
+                await connection.send(
+                    'test',
+                    h11.Response(
+                        status_code=200, headers=http.encode_headers(head)
+                    ),
+                )
+                await curio.sleep(3600)
+
+        async def test(started):
+            started.view.load.started('engine-1')
+            attempt = started.attempt('x', False)
+            assert await started.whole(attempt) == expected_text('x')
+
+        with_fleet(test, HalfSilent(VERSIONS), make_engine())
+
+    def test_endpoint_that_fails_the_probe_is_suspect(self, with_fleet):
+        class Frozen(engine.EngineStandIn):
+            async def answer(self, connection, received):
+                await curio.sleep(3600)
+
+        async def test(started):
+            started.view.load.started('engine-1')
+            attempt = started.attempt('x')
+            assert await started.stream(attempt) == expected_text('x')
+            assert not started.view.liveness.is_live('engine-0')
+
+        with_fleet(test, Frozen(VERSIONS), make_engine())
+
+    def test_requests_that_fail_together_share_a_probe(self, with_fleet):
+        only = make_engine()
+        probes = []
+
+        async def test(started):
+            probe = started.prober.probe
+
+            async def counted(endpoint):
+                probes.append(endpoint.name)
+                return await probe(endpoint)
+
+            started.prober.probe = counted
+            endpoint = started.current.endpoints['engine-0']
+            checks = [
+                await curio.spawn(started.prober.check, endpoint, 0.0)
+                for _ in range(5)
+            ]
+            assert all([await check.join() for check in checks])
+            assert len(probes) == 1
+
+        with_fleet(test, only)
+
+
+class TestStandIn:
+    """Guards against a stand-in that resumes from a wrong text."""
+
+    def test_wrong_resume_text_is_refused(self, with_fleet):
+        async def test(started):
+            body = (
+                b'{"messages": [{"role": "user", "content": "x"}],'
+                b'"stream": true, "resume": {"tokens": 2, "text": "no"}}'
+            )
+            endpoint = started.current.endpoints['engine-0']
+            attempt = started.attempt('x')
+            async with started.pool.lease(
+                endpoint, attempt.call.deadline
+            ) as connection:
+                response, _ = await http.exchange(
+                    connection,
+                    'POST',
+                    '/v1/chat/completions',
+                    {'x-model-version': VERSIONS[0]},
+                    body,
+                    attempt.call.deadline,
+                )
+            assert response.status == 400
+
+        with_fleet(test, make_engine())
