--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -155,8 +155,8 @@
 
     async def bill_partial(self, call, attempt):
         """Bill what was generated before the answer was cut off."""
-        if not attempt.runs:
-            attempt.add_run(calls.Usage(0, attempt.emitted_tokens))
+        if not attempt.finished:
+            attempt.add_partial_run()
         await self.bill(call, attempt.runs)
 
     async def run_whole(self, call, route, responder):
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -16,6 +16,7 @@
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
 from celeryward.endpoints import prober
+from celeryward.endpoints import recovery
 from celeryward import http
 from celeryward import logs
 from celeryward import metrics
@@ -71,14 +72,17 @@
         self.load = load.LoadView()
         self.liveness = liveness.Liveness()
         self.pool = pool.EndpointPool(timings)
+        self.view = candidates.View(
+            settings.failure_domain, self.load, self.liveness, settings.ranking
+        )
         self.prober = prober.Prober(
-            self.configuration, self.pool, self.load, self.liveness, timings
+            self.configuration, self.pool, self.view, timings
         )
-        view = candidates.View(
-            settings.failure_domain, self.load, self.liveness, settings.ranking
+        self.recovery = recovery.Recovery(
+            self.view, self.pool, self.prober, self.metrics
         )
         self.dispatcher = dispatch.Dispatcher(
-            self.configuration, view, self.pool, timings, self.metrics
+            self.configuration, self.view, self.pool, timings, self.recovery
         )
         self.serving = self.build_serving(settings, clock, new_id)
         self.callers = server.CallerServer(self.serving, timings, new_id)
--- a/celeryward/endpoints/candidates.py
+++ b/celeryward/endpoints/candidates.py
@@ -11,12 +11,20 @@
 
 from celeryward import calls
 from celeryward import catalog
+from celeryward.endpoints import prefixes
 from celeryward.endpoints import ranking
 from celeryward import errors
 from celeryward import registry
 
 FILTERS = registry.Registry('candidate filter')
-CHAT_PIPELINE = ('permitted', 'not-withdrawn', 'pinned', 'live', 'untried')
+CHAT_PIPELINE = (
+    'permitted',
+    'not-withdrawn',
+    'pinned',
+    'live',
+    'untried',
+    'resumable',
+)
 SERVICE_PIPELINE = ('allowed-service', 'live', 'untried')
 
 
@@ -35,12 +43,15 @@
     :param str failure_domain: the failure domain of the daemon.
     :param load: :class:`load.LoadView`.
     :param liveness: :class:`liveness.Liveness`.
+    :param str ranking: registered name of the ranking.
+    :param prefixes: :class:`prefixes.PrefixView`.
     """
 
     failure_domain: str
     load: object
     liveness: object
-    ranking: str = 'least-load'
+    ranking: str = 'prefix-aware'
+    prefixes: object = dataclasses.field(default_factory=prefixes.PrefixView)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +61,8 @@
     :param str model: name of the model, or of the plain service.
     :param str pinned: ``model@version`` to keep to; empty for any.
     :param frozenset tried: names of endpoints that failed this request.
+    :param tuple digests: digests of the prompt's prefixes.
+    :param bool resuming: whether a broken stream has to go on.
     """
 
     catalog: catalog.Catalog
@@ -58,6 +71,8 @@
     view: View
     pinned: str = ''
     tried: frozenset = frozenset()
+    digests: tuple[int, ...] = ()
+    resuming: bool = False
 
 
 @FILTERS.register('permitted')
@@ -137,6 +152,14 @@
     return result.Ok(version)
 
 
+@FILTERS.register('resumable')
+def filter_resumable(candidates, query):
+    """Keep engines that resume streams, if the query needs one."""
+    for candidate in candidates:
+        if candidate.endpoint.can_resume or not query.resuming:
+            yield candidate
+
+
 def chat_candidates(query):
     """Yield every endpoint of every version of the model."""
     current = query.catalog
@@ -162,9 +185,7 @@
         pipeline = CHAT_PIPELINE
     for name in pipeline:
         candidates = FILTERS.get(name)(candidates, query)
-    rank = ranking.RANKINGS.get(query.view.ranking)
-    return min(
-        candidates,
-        key=lambda candidate: rank(candidate, query),
-        default=None,
-    )
+    found = list(candidates)
+    if not found:
+        return None
+    return ranking.RANKINGS.get(query.view.ranking)(found, query)
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -2,16 +2,15 @@
 
 import contextlib
 import dataclasses
+import time
 
 from celeryward import calls
 from celeryward.endpoints import candidates
+from celeryward.endpoints import load
 from celeryward.endpoints import pool
+from celeryward.endpoints import prefixes
 from celeryward.endpoints import protocol
-from celeryward.endpoints import retries
 from celeryward import errors
-from celeryward import logs
-
-MAX_DISPATCHES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,13 +38,19 @@
         self.model = model
         self.pinned = pinned
         self.place = place
-        self.sent = False
         self.tried = frozenset()
         self.dispatches = 0
         self.emitted = []
         self.emitted_tokens = 0
         self.candidate = None
         self.runs = []
+        self.finished = False
+        self.may_have_run = False
+        self.replaced = frozenset()
+        self.spare = frozenset()
+        self.digests = ()
+        if isinstance(call.request, calls.ChatRequest):
+            self.digests = prefixes.digest_text(call.request.prompt())
 
     @property
     def version(self):
@@ -64,7 +69,7 @@
 
         An earlier dispatch may have run, so that "not run" would be wrong.
         """
-        if not self.sent or not isinstance(error, errors.NotRun):
+        if not self.may_have_run or not isinstance(error, errors.NotRun):
             return error
         return errors.OutcomeUnknown(
             f'the request may have run: {error.message}',
@@ -77,13 +82,29 @@
         self.emitted.append(chunk.payload)
         self.emitted_tokens += chunk.tokens
 
+    def dispatched_call(self):
+        """Return the call under an id of its own for this dispatch.
+
+        Tiers of a cascade and retries share a request id; a late response
+        to one of them must not pass as the response to another.
+        """
+        request_id = f'{self.call.request_id}.{self.model}.{self.dispatches}'
+        return dataclasses.replace(self.call, request_id=request_id)
+
+    def take_spare(self):
+        """Allow live endpoints whose connection failed once more.
+
+        :returns: whether there are any.
+        """
+        spare, self.spare = self.spare, frozenset()
+        self.tried -= spare
+        return bool(spare)
+
     def resume_point(self):
         """Return the :class:`protocol.Resume`, or None before any token."""
         if not self.emitted_tokens:
             return None
-        events = protocol.decode_events(b''.join(self.emitted))
-        text = ''.join(event.text() for event in events)
-        return protocol.Resume(self.emitted_tokens, text)
+        return protocol.resume_point(b''.join(self.emitted))
 
     def add_run(self, usage):
         """Note what one execution used."""
@@ -92,6 +113,34 @@
         endpoint = self.candidate.endpoint.name
         self.runs.append(calls.Run(version.name, endpoint, usage, cost))
 
+    def add_partial_run(self):
+        """Note the tokens that the caller has and that no run covers."""
+        resume = self.resume_point()
+        tokens = (resume.tokens if resume else 0) - self.covered_tokens()
+        if tokens or not self.runs:
+            self.add_run(calls.Usage(0, tokens))
+
+    def add_last_run(self, usage, last_tokens):
+        """Note the run that finished the answer.
+
+        Engines differ in whether the usage of a resumed run includes the
+        tokens before it. These are billed already, so that a resumed run is
+        billed for the events that it sent.
+
+        :param int last_tokens: tokens of the chunk that carries the usage.
+        """
+        self.finished = True
+        if self.runs:
+            resume = self.resume_point()
+            whole = (resume.tokens if resume else 0) + last_tokens
+            tokens = whole - self.covered_tokens()
+            usage = calls.Usage(usage.prompt_tokens, tokens)
+        self.add_run(usage)
+
+    def covered_tokens(self):
+        """Return the generated tokens of the runs so far."""
+        return sum(run.usage.answer_tokens for run in self.runs)
+
 
 class Dispatcher:
     """Selects endpoints and runs requests there.
@@ -99,14 +148,15 @@
     :param configuration: :class:`ConfigurationStore`.
     :param candidates.View view: what the daemon knows.
     :param pool.EndpointPool connections: connections to endpoints.
+    :param recovery.Recovery recovery: decides after a failed dispatch.
     """
 
-    def __init__(self, configuration, view, connections, timings, metrics):
+    def __init__(self, configuration, view, connections, timings, recovery):
         self.configuration = configuration
         self.view = view
         self.connections = connections
         self.timings = timings
-        self.metrics = metrics
+        self.recovery = recovery
 
     def choose(self, attempt):
         """Select the endpoint of the next dispatch.
@@ -174,26 +224,35 @@
                 step='select',
                 peer=attempt.model,
             )
-        query = candidates.Query(
-            self.configuration.catalog(),
-            call,
-            attempt.model,
-            self.view,
-            attempt.pinned,
-            attempt.tried,
-        )
-        chosen = candidates.select(query)
+        chosen = self.select(attempt)
+        if chosen is None and attempt.take_spare():
+            chosen = self.select(attempt)
         if chosen is None:
             raise errors.Overloaded(
-                'no live endpoint runs a permitted version',
+                'no live endpoint can run or resume the request',
                 step='select',
                 peer=attempt.model,
             )
         attempt.candidate = chosen
         attempt.dispatches += 1
         attempt.tried |= {chosen.endpoint.name}
+        self.recovery.dispatched(attempt)
         return chosen
 
+    def select(self, attempt):
+        """Return the best candidate now, or None."""
+        query = candidates.Query(
+            self.configuration.catalog(),
+            attempt.call,
+            attempt.model,
+            self.view,
+            attempt.pinned,
+            attempt.tried,
+            attempt.digests,
+            resuming=attempt.emitted_tokens > 0,
+        )
+        return candidates.select(query)
+
     async def stream(self, attempt):
         """Yield the chunks of one whole streamed answer.
 
@@ -212,29 +271,55 @@
                         yield chunk
                 return
             except errors.EndpointFailure as error:
-                self.after_failure(attempt, error)
+                await self.recovery.after_failure(attempt, error)
 
     async def stream_once(self, attempt, chosen):
         """Yield the chunks of one dispatch."""
-        call = attempt.call
+        call = attempt.dispatched_call()
         resume = attempt.resume_point()
+        expected = self.expect(attempt, chosen.endpoint)
+        started = time.monotonic()
         async with self.leased(call, chosen.endpoint) as connection:
             self.confirm(attempt)
             chunks = protocol.stream_chat(
-                connection, call, chosen.version, resume, self.reads(call)
+                connection,
+                call,
+                chosen.version,
+                resume,
+                self.stream_reads(call, chosen.endpoint),
             )
             async with contextlib.aclosing(chunks):
+                # Taken outside of the loop, which runs for each token.
+                first = await anext(chunks)
+                self.view.load.first_token(
+                    chosen.endpoint.name,
+                    time.monotonic() - started,
+                    expected,
+                )
+                if first.usage is not None:
+                    attempt.add_last_run(first.usage, first.tokens)
+                yield first
                 async for chunk in chunks:
                     if chunk.usage is not None:
-                        attempt.add_run(chunk.usage)
+                        attempt.add_last_run(chunk.usage, chunk.tokens)
                     yield chunk
 
+    def expect(self, attempt, endpoint):
+        """Return what is expected of a dispatch, and note its prefixes."""
+        cached = self.view.prefixes
+        expected = load.Expectation.of(
+            self.view.load, endpoint, cached, attempt.digests
+        )
+        cached.dispatched(endpoint.name, attempt.digests)
+        return expected
+
     async def whole(self, attempt):
         """Return the chunk of one whole answer that is not streamed."""
         while True:
             chosen = self.choose(attempt)
             attempt.pinned = chosen.version.name
-            call = attempt.call
+            call = attempt.dispatched_call()
+            self.expect(attempt, chosen.endpoint)
             try:
                 async with self.leased(call, chosen.endpoint) as connection:
                     self.confirm(attempt)
@@ -242,9 +327,9 @@
                         connection, call, chosen.version, self.reads(call)
                     )
             except errors.EndpointFailure as error:
-                self.after_failure(attempt, error)
+                await self.recovery.after_failure(attempt, error)
                 continue
-            attempt.add_run(chunk.usage)
+            attempt.add_last_run(chunk.usage, chunk.tokens)
             return chunk
 
     async def forward(self, attempt):
@@ -261,26 +346,23 @@
                         connection, call, self.reads(call)
                     )
             except errors.EndpointFailure as error:
-                self.after_failure(attempt, error)
+                await self.recovery.after_failure(attempt, error)
                 continue
             return ServiceAnswer(head.status, head.headers, body)
 
     @contextlib.asynccontextmanager
     async def leased(self, call, endpoint, fresh=False):
         """Borrow a connection and count the dispatch as in flight."""
-        self.view.load.started(endpoint.name)
+        started = time.monotonic()
+        self.view.load.started(endpoint.name, call.priority)
         try:
             async with self.connections.lease(
                 endpoint, call.deadline, fresh
             ) as connection:
                 yield connection
-        except errors.ConnectionFailed as error:
-            if not error.sent:
-                interval = self.timings.probe_interval
-                self.view.liveness.failed(endpoint.name, interval)
-            raise
+            self.view.load.held(endpoint.name, time.monotonic() - started)
         finally:
-            self.view.load.finished(endpoint.name)
+            self.view.load.finished(endpoint.name, call.priority)
 
     def reads(self, call):
         """Return the read deadlines of a call."""
@@ -290,21 +372,18 @@
             self.timings.progress_timeout,
         )
 
-    def after_failure(self, attempt, error):
-        """Return if the request is to be dispatched again.
+    def stream_reads(self, call, endpoint):
+        """Return the read deadlines of a stream.
 
-        :raises errors.CelerywardError: the error for the caller, if not.
+        The first byte is due after what the endpoint's first tokens usually
+        take, because nothing else tells a silent connection from a queue.
         """
-        attempt.sent |= error.sent
-        endpoint = attempt.candidate.endpoint
-        action = retries.after_failure(
-            attempt.call, error, attempt.emitted_tokens, endpoint.can_resume
-        )
-        logs.bind_error(error, request_id=attempt.call.request_id).warning(
-            'dispatch failed: {}; action {}', error.message, action.value
+        return pool.ReadTimings(
+            call.deadline,
+            self.view.load.first_byte_limit(
+                endpoint.name,
+                self.timings.progress_timeout,
+                self.timings.first_byte_timeout,
+            ),
+            self.timings.progress_timeout,
         )
-        exhausted = attempt.dispatches >= MAX_DISPATCHES
-        if action is retries.Action.FAIL or exhausted:
-            final = retries.final_error(attempt.call, error)
-            raise attempt.refused(final) from error
-        self.metrics.retries.labels(error.code).inc()
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -1,5 +1,6 @@
 """One task for each endpoint: probes it and closes its stale connections."""
 
+import dataclasses
 import time
 
 import curio
@@ -19,16 +20,30 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Result of a probe that began at a time, in monotonic seconds."""
+
+    at: float
+    alive: bool
+
+
 class Prober:
-    """Runs the task of each endpoint in the catalog."""
+    """Runs the task of each endpoint in the catalog.
+
+    :param candidates.View view: what the daemon knows, updated by probes.
+    """
 
-    def __init__(self, configuration, pool, load, liveness, timings):
+    def __init__(self, configuration, pool, view, timings):
         self.configuration = configuration
         self.pool = pool
-        self.load = load
-        self.liveness = liveness
+        self.load = view.load
+        self.liveness = view.liveness
+        self.prefixes = view.prefixes
         self.timings = timings
         self.tasks = {}
+        self.locks = {}
+        self.probed_at = {}
 
     async def run(self):
         """Start and stop tasks as endpoints come and go."""
@@ -45,6 +60,9 @@
             )
         for name in self.tasks.keys() - wanted.keys():
             await self.tasks.pop(name).cancel()
+            self.load.forget(name)
+            self.locks.pop(name, None)
+            self.probed_at.pop(name, None)
 
     async def watch_endpoint(self, name):
         """Probe one endpoint until it leaves the catalog."""
@@ -64,6 +82,23 @@
             return self.timings.probe_interval
         return max(self.timings.probe_interval, retry_at.remaining())
 
+    async def check(self, endpoint, asked_at):
+        """Probe at once, shared by all requests that failed together.
+
+        :param float asked_at: monotonic seconds of the failure; a probe
+            that began later answers it too.
+        :returns: whether the endpoint answered.
+        """
+        lock = self.locks.setdefault(endpoint.name, curio.Lock())
+        async with lock:
+            last = self.probed_at.get(endpoint.name)
+            if last is not None and last.at >= asked_at:
+                return last.alive
+            started = time.monotonic()
+            alive = await self.probe(endpoint)
+            self.probed_at[endpoint.name] = Probe(started, alive)
+            return alive
+
     async def probe(self, endpoint):
         """Read the load of an endpoint over a new connection.
 
@@ -76,6 +111,7 @@
             )
             try:
                 report = await protocol.read_load(connection, deadline)
+                await self.read_events(endpoint, connection, deadline)
             finally:
                 await connection.close()
         except PROBE_ERRORS as error:
@@ -86,3 +122,21 @@
         self.liveness.set_leaving(endpoint.name, report.leaving)
         self.load.report(endpoint.name, report)
         return True
+
+    async def read_events(self, endpoint, connection, deadline):
+        """Read the cache events of an engine on the probe's connection.
+
+        A failure here leaves the endpoint live: events are only a hint.
+        """
+        if not endpoint.serves or not connection.reusable():
+            return
+        connection.start_next_cycle()
+        since = self.prefixes.since(endpoint.name)
+        try:
+            answer = await protocol.read_cache_events(
+                connection, since, deadline
+            )
+        except PROBE_ERRORS as error:
+            logs.bind_error(error).debug('no events: {}', error.message)
+            return
+        self.prefixes.apply(endpoint.name, answer.events)
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from celeryward import calls
+from celeryward.endpoints import load
+from celeryward.endpoints import prefixes
 from celeryward import errors
 from celeryward import http
 
@@ -14,6 +16,7 @@
 EVENT_START = b'data: '
 DONE_EVENT = b'data: [DONE]\n\n'
 NOT_RUN_STATUSES = (429, 503)
+BODILESS_STATUSES = (204, 304)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,14 +32,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
-    """What an endpoint says of its load; it lags."""
+class CacheEvents:
+    """Answer to ``GET /cache-events``; numbers may be missing."""
 
-    running: int = 0
-    waiting: int = 0
-    capacity: int = 1
-    leaving: bool = False
-    versions: tuple[str, ...] = ()
+    events: tuple[prefixes.CacheEvent, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,7 +92,8 @@
 
 ANSWER_DECODER = msgspec.json.Decoder(ChatAnswer)
 EVENT_DECODER = msgspec.json.Decoder(ChatEvent)
-LOAD_DECODER = msgspec.json.Decoder(LoadReport)
+EVENTS_DECODER = msgspec.json.Decoder(CacheEvents)
+LOAD_DECODER = msgspec.json.Decoder(load.LoadReport)
 
 
 def encode_chat(request, resume=None):
@@ -160,6 +160,15 @@
             yield EVENT_DECODER.decode(event[len(EVENT_START) :])
 
 
+def resume_point(events):
+    """Return the :class:`Resume` after some events.
+
+    Each event with text is one token.
+    """
+    texts = [text for event in decode_events(events) if (text := event.text())]
+    return Resume(len(texts), ''.join(texts))
+
+
 def check_head(response, call, peer):
     """Raise the error that the head of an answer stands for.
 
@@ -168,7 +177,7 @@
     :raises errors.AnswerInvalid: for any other status than 200.
     """
     step = 'read response'
-    answered = response.headers.get('x-request-id', call.request_id)
+    answered = response.headers.get('x-request-id')
     if answered != call.request_id:
         raise errors.AnswerMismatch(
             f'answer is for request {answered}',
@@ -266,7 +275,7 @@
     )
     response = await connection.receive_response(timings.first_byte())
     check_head(response, call, connection.peer)
-    answer = await connection.receive_body('read body', call.deadline)
+    answer = await receive_whole(connection, response, call, timings)
     try:
         decoded = ANSWER_DECODER.decode(answer)
     except msgspec.DecodeError as error:
@@ -298,10 +307,30 @@
     )
     response = await connection.receive_response(timings.first_byte())
     check_identity(response, call, connection.peer)
-    body = await connection.receive_body('read body', call.deadline)
+    body = await receive_whole(connection, response, call, timings)
     return response, body
 
 
+async def receive_whole(connection, response, call, timings):
+    """Return a body whose end is certain.
+
+    :raises errors.AnswerTruncated: if only the end of the connection would
+        end the body, which looks the same when the body is cut off.
+    """
+    headers = response.headers
+    framed = 'content-length' in headers or 'transfer-encoding' in headers
+    if not framed and response.status not in BODILESS_STATUSES:
+        raise errors.AnswerTruncated(
+            'answer has neither length nor chunks',
+            step='read body',
+            peer=connection.peer,
+            sent=True,
+        )
+    return await connection.receive_body(
+        'read body', call.deadline, next_deadline=timings.progress
+    )
+
+
 def check_identity(response, call, peer):
     """Check a service answer, whose status is the service's own.
 
@@ -315,24 +344,40 @@
 
 
 async def read_load(connection, deadline):
-    """Ask an endpoint for its :class:`LoadReport`.
+    """Ask an endpoint for its :class:`load.LoadReport`.
+
+    :raises errors.ProtocolError: if the answer is malformed.
+    """
+    return await read_report(connection, '/load', LOAD_DECODER, deadline)
+
+
+async def read_cache_events(connection, since, deadline):
+    """Ask an engine for its :class:`CacheEvents` from a number on.
+
+    :raises errors.ProtocolError: if the answer is malformed.
+    """
+    target = f'/cache-events?since={since}'
+    return await read_report(connection, target, EVENTS_DECODER, deadline)
+
+
+async def read_report(connection, target, decoder, deadline):
+    """Read and decode one report of an endpoint.
 
     :raises errors.ProtocolError: if the answer is malformed.
     """
     response, body = await http.exchange(
-        connection, 'GET', '/load', {}, b'', deadline
+        connection, 'GET', target, {}, b'', deadline
     )
+    step = f'read {target.partition("?")[0]}'
+    if response.status != 200:
+        raise errors.ProtocolError(
+            f'endpoint answered {response.status}',
+            step=step,
+            peer=connection.peer,
+        )
     try:
-        if response.status == 200:
-            return LOAD_DECODER.decode(body)
+        return decoder.decode(body)
     except msgspec.DecodeError as error:
         raise errors.ProtocolError(
-            f'malformed load report: {error}',
-            step='read load',
-            peer=connection.peer,
+            f'malformed report: {error}', step=step, peer=connection.peer
         ) from error
-    raise errors.ProtocolError(
-        f'endpoint answered {response.status}',
-        step='read load',
-        peer=connection.peer,
-    )
