Learn cascade plans from ratings

Cause: cascades used a fixed threshold on every request, waited for a rating each time and held streams whose answer was final. Change: plans by customer, length class and task with a lower confidence bound, exploration within 2% of cost, ratings beside the request, and a fallback to the last plan and then the strongest tier. Single-tier plans stream straight through.

--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -32,7 +32,7 @@
     :param dispatcher: :class:`dispatch.Dispatcher`.
     :param signer: :class:`sessions.SessionSigner`.
     :param ledger: :class:`billing.Ledger`.
-    :param cascade_runner: :class:`cascades.CascadeRunner`.
+    :param cascade_runner: :class:`runner.CascadeRunner`.
     :param clock: function that returns UTC seconds.
     """
 
@@ -122,7 +122,10 @@
                 await self.run_whole(call, route, responder)
 
     async def run_stream(self, call, route, responder):
-        """Stream one model's answer; bill it before its last byte."""
+        """Stream one model's answer; bill it before its last byte.
+
+        :returns: the finished :class:`dispatch.Attempt`.
+        """
         placement = self.place(call, route)
         attempt = dispatch.Attempt(call, route.models[0], placement.pinned)
         started = self.clock()
@@ -146,20 +149,37 @@
                 attempt.add_run(calls.Usage(0, attempt.emitted_tokens))
                 await self.bill(call, attempt.runs)
             raise
+        return attempt
 
     async def run_whole(self, call, route, responder):
-        """Answer with one model's whole answer, after billing it."""
+        """Answer with one model's whole answer, after billing it.
+
+        :returns: the finished :class:`dispatch.Attempt`.
+        """
         placement = self.place(call, route)
         attempt = dispatch.Attempt(call, route.models[0], placement.pinned)
         chunk = await self.dispatcher.whole(attempt)
+        attempt.add(chunk)
         await self.bill(call, attempt.runs)
         headers = self.answer_headers(attempt, placement)
         headers['content-type'] = 'application/json'
         await responder.send_whole(200, headers, chunk.payload)
+        return attempt
 
     async def run_cascade(self, call, route, responder):
-        """Answer with the first tier that meets the quality target."""
-        outcome = await self.cascade_runner.run(call, route, self.place)
+        """Answer with the first tier that meets the quality target.
+
+        A tier whose answer is taken without a rating is not held back.
+        """
+        start = self.cascade_runner.begin(call, route)
+        if start.step.final:
+            model = route.models[start.step.tier]
+            single = dataclasses.replace(route, models=(model,))
+            serve = self.run_stream if call.request.stream else self.run_whole
+            attempt = await serve(call, single, responder)
+            await self.cascade_runner.finish_single(start, attempt)
+            return
+        outcome = await self.cascade_runner.run(call, route, self.place, start)
         await self.bill(call, outcome.runs)
         headers = self.answer_headers(outcome.attempt, outcome.placement)
         if not call.request.stream:
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -1,5 +1,6 @@
 """One daemon: builds its parts, starts its tasks and stops them."""
 
+import random
 import signal
 import time
 import uuid
@@ -26,7 +27,9 @@
 from celeryward.platform import flusher
 from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
+from celeryward.raters import quality
 from celeryward.raters import runner
+from celeryward.raters import sampler
 
 FLUSH_RETRY_SECONDS = 0.2
 
@@ -70,6 +73,11 @@
         self.dispatcher = dispatch.Dispatcher(
             self.configuration, view, self.pool, timings, self.metrics
         )
+        rater = rater_client.RaterClient(
+            settings.raters, timings.rating_timeout
+        )
+        self.learner = quality.Learner(random.Random(settings.name))
+        self.ratings = sampler.Sampler(rater, self.learner)
         self.serving = self.build_serving(settings, clock)
         self.callers = server.CallerServer(self.serving, timings, new_id)
         self.listener = http.Listener(
@@ -83,22 +91,29 @@
 
     def build_serving(self, settings, clock):
         """Build the part that serves requests."""
-        rater = rater_client.RaterClient(
-            settings.raters, settings.timings.rating_timeout
-        )
         return serving.Serving(
             self.configuration,
             self.dispatcher,
             sessions.SessionSigner(settings.sessions.signing_keys),
             self.ledger,
-            runner.CascadeRunner(self.configuration, self.dispatcher, rater),
+            runner.CascadeRunner(
+                self.configuration,
+                self.dispatcher,
+                self.learner,
+                self.ratings,
+            ),
             self.metrics,
             clock,
         )
 
     async def start(self):
         """Start all tasks; callers are accepted once there is a catalog."""
-        for run in (self.watcher.run, self.prober.run, self.flusher.run):
+        for run in (
+            self.watcher.run,
+            self.prober.run,
+            self.flusher.run,
+            self.ratings.run,
+        ):
             self.tasks.append(await curio.spawn(run, daemon=True))
         await self.admin.start()
         await self.watcher.listed.wait()
--- a/celeryward/raters/cascades.py
+++ b/celeryward/raters/cascades.py
@@ -1,4 +1,8 @@
-"""Cascades: which tiers of models run, and when to stop."""
+"""Cascades: which tiers of models run, and when to stop.
+
+A rule is a pure function of a :class:`Query` and the scores so far. What
+has been learned reaches it as the query's :class:`Plan`.
+"""
 
 import dataclasses
 
@@ -6,6 +10,64 @@
 
 RULES = registry.Registry('cascade rule')
 
+# Prompt tokens up to which a request belongs to a length class.
+LENGTH_CLASSES = ((200, 'short'), (2000, 'medium'))
+LONGEST_CLASS = 'long'
+# An answer limit up to this many tokens marks a tagging query.
+TAGGING_TOKENS = 32
+CHARACTERS_PER_TOKEN = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """Requests that share one plan.
+
+    :param str length: length class of the prompt.
+    :param str task: kind of request, such as ``chat``.
+    """
+
+    customer: str
+    cascade: str
+    length: str
+    task: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """A start tier and a stop rule.
+
+    :param int start: index of the first tier.
+    :param float threshold: an answer of the start tier with a lower score
+        goes up to the strongest tier; 0 keeps every answer, unrated.
+    """
+
+    start: int
+    threshold: float = 0.0
+
+    @property
+    def needs_rating(self):
+        """Whether an answer must be rated before it can be accepted."""
+        return self.threshold > 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Query:
+    """What a rule decides on.
+
+    :param tuple tiers: permitted models from cheap to strong.
+    :param float target: mean score that the answers must reach.
+    :param Plan plan: the plan learned for the kind of request.
+    """
+
+    tiers: tuple[str, ...]
+    target: float
+    plan: Plan
+
+    @property
+    def strongest(self):
+        """Index of the strongest tier."""
+        return len(self.tiers) - 1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
@@ -19,35 +81,69 @@
     final: bool
 
 
+@RULES.register('learned')
+def step_by_plan(query, scores):
+    """Follow the plan learned for this kind of request.
+
+    :returns: the next :class:`Step`, or None to keep the last answer. A
+        missing rating leads to the strongest tier.
+    """
+    plan = query.plan
+    if not scores:
+        final = plan.start == query.strongest or not plan.needs_rating
+        return Step(plan.start, final)
+    if scores[-1] is not None and scores[-1] >= plan.threshold:
+        return None
+    return Step(query.strongest, final=True)
+
+
 @RULES.register('threshold')
-def step_by_threshold(cascade, tiers, scores):
+def step_by_threshold(query, scores):
     """Start at the cheapest tier and go up until a score is good enough.
 
-    :param tuple tiers: models from cheap to strong.
     :param tuple scores: scores of the tiers that have run; None for a
         missing rating, which leads to the strongest tier.
     :returns: the next :class:`Step`, or None to keep the last answer.
     """
-    last = len(tiers) - 1
+    last = query.strongest
     if not scores:
         return Step(0, final=last == 0)
     if scores[-1] is None:
         return Step(last, final=True)
-    if scores[-1] >= cascade.quality_target:
+    if scores[-1] >= query.target:
         return None
     following = len(scores)
     return Step(following, final=following == last)
 
 
 @RULES.register('strong')
-def step_strong(cascade, tiers, scores):
+def step_strong(query, scores):
     """Run the strongest tier only; a baseline for measurements."""
-    if scores:
-        return None
-    return Step(len(tiers) - 1, final=True)
+    return None if scores else Step(query.strongest, final=True)
 
 
 @RULES.register('cheap')
-def step_cheap(cascade, tiers, scores):
+def step_cheap(query, scores):
     """Run the cheapest tier only; a baseline for measurements."""
     return None if scores else Step(0, final=True)
+
+
+def classify_length(tokens):
+    """Return the length class of a prompt."""
+    for limit, name in LENGTH_CLASSES:
+        if tokens <= limit:
+            return name
+    return LONGEST_CLASS
+
+
+def classify(call, cascade):
+    """Return the :class:`Kind` of a call to a cascade."""
+    request = call.request
+    characters = sum(len(message.content) for message in request.messages)
+    tagging = 0 < request.max_tokens <= TAGGING_TOKENS
+    return Kind(
+        call.customer.name,
+        cascade.name,
+        classify_length(characters // CHARACTERS_PER_TOKEN),
+        'tagging' if tagging else 'chat',
+    )
--- /dev/null
+++ b/celeryward/raters/estimates.py
@@ -0,0 +1,151 @@
+"""Estimates of the mean score that a plan reaches, with their bounds."""
+
+import dataclasses
+import math
+import statistics
+
+# One-sided 95% normal quantile.
+CONFIDENCE_Z = 1.645
+# The normal approximation of the mean is not used below this count.
+MIN_SAMPLES = 40
+# Customers that must be known before they tell anything of another one.
+MIN_CUSTOMERS = 3
+# The spread between customers is estimated from few of them, so that it is
+# doubled, and never taken to be less than 0.01.
+SPREAD_FACTOR = 2.0
+MIN_SPREAD_VARIANCE = 0.01**2
+# Half a sample of the lowest or highest score, so that equal samples do
+# not look certain.
+RANGE_SAMPLES = 0.5
+COST_MEMORY = 200
+# Recent samples that are compared with the older ones, and the distance in
+# standard errors that counts as a change. The comparison is repeated all
+# the time, so that the distance is far beyond that of a single test.
+RECENT_SAMPLES = 60
+SHIFT_Z = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """A rated request that began at some tier.
+
+    :param float score: score of the start tier's answer.
+    :param float threshold: threshold below which it went up.
+    :param float raised: score of the strongest tier's answer, if it ran
+        and was rated.
+    """
+
+    score: float
+    threshold: float
+    raised: float | None = None
+
+    def value(self, threshold):
+        """Return the score that a threshold up to the used one yields.
+
+        An unrated answer of the strongest tier counts as the rejected one
+        did: leaving such samples out would favour the plan.
+        """
+        if self.score >= threshold or self.raised is None:
+            return self.score
+        return self.raised
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mean:
+    """A mean that forgets old values."""
+
+    count: int = 0
+    value: float = 0.0
+
+    def add(self, value):
+        """Return the mean with one more value."""
+        count = min(self.count + 1, COST_MEMORY)
+        return Mean(count, self.value + (value - self.value) / count)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """Scores of one plan for one kind of request.
+
+    :param float raised: part of the requests that went up.
+    """
+
+    count: int = 0
+    mean: float = 0.0
+    variance: float = 0.0
+    raised: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Lower and upper confidence bound of a mean score."""
+
+    lower: float = 0.0
+    upper: float = 1.0
+
+
+UNKNOWN = Bounds()
+
+
+def shifted(scores):
+    """Return whether the newest scores have another mean than the others."""
+    recent = scores[-RECENT_SAMPLES:]
+    older = scores[:-RECENT_SAMPLES]
+    if len(older) < RECENT_SAMPLES:
+        return False
+    distance = abs(statistics.fmean(recent) - statistics.fmean(older))
+    variance = max(MIN_SPREAD_VARIANCE, statistics.pvariance(older))
+    return distance > SHIFT_Z * math.sqrt(variance / RECENT_SAMPLES)
+
+
+def gather(samples, threshold):
+    """Return the :class:`Evidence` that samples give for a threshold."""
+    usable = [one for one in samples if one.threshold >= threshold]
+    if len(usable) < 2:
+        return Evidence()
+    values = [one.value(threshold) for one in usable]
+    raised = sum(one.score < threshold for one in usable)
+    mean = statistics.fmean(values)
+    squares = sum((value - mean) ** 2 for value in values)
+    count = len(values)
+    return Evidence(count, mean, squares / (count - 1), raised / count)
+
+
+def bounds(own, others):
+    """Return the :class:`Bounds` of a plan's mean score.
+
+    With enough other customers, their means are the prior of this one's
+    (normal prior and likelihood); without them only its own samples count.
+
+    :param Evidence own: samples of this customer.
+    :param list others: evidence of other customers for the same plan.
+    """
+    known = [one for one in others if one.count >= MIN_SAMPLES]
+    if len(known) < MIN_CUSTOMERS:
+        if own.count < MIN_SAMPLES:
+            return UNKNOWN
+        return interval(own.mean, own.variance / own.count, own.count)
+    prior_mean, prior_variance = prior(known)
+    spread = statistics.fmean(one.variance for one in known)
+    if own.count >= MIN_SAMPLES:
+        spread = max(own.variance, MIN_SPREAD_VARIANCE)
+    weight = own.count / max(spread, MIN_SPREAD_VARIANCE)
+    precision = 1 / prior_variance + weight
+    mean = (prior_mean / prior_variance + own.mean * weight) / precision
+    count = own.count + sum(one.count for one in known)
+    return interval(mean, 1 / precision, count)
+
+
+def prior(known):
+    """Return mean and variance of the means of customers."""
+    means = [one.mean for one in known]
+    noise = statistics.fmean(one.variance / one.count for one in known)
+    spread = max(MIN_SPREAD_VARIANCE, statistics.variance(means) - noise)
+    widened = SPREAD_FACTOR * spread * (1 + 1 / len(known))
+    return statistics.fmean(means), widened
+
+
+def interval(mean, variance, count):
+    """Return the bounds around a mean."""
+    margin = CONFIDENCE_Z * math.sqrt(variance) + RANGE_SAMPLES / count
+    return Bounds(mean - margin, mean + margin)
--- /dev/null
+++ b/celeryward/raters/quality.py
@@ -0,0 +1,287 @@
+"""Learns from ratings the cheapest plan that meets the quality target."""
+
+import collections
+import dataclasses
+
+from celeryward import deadlines
+from celeryward.raters import cascades
+from celeryward.raters import estimates
+
+# Exploring samples are rarer and have a window of their own, because only
+# they tell of higher thresholds than that of the plan in use. A change of
+# quality empties a window before its samples grow old (estimates.shifted).
+WINDOW_SAMPLES = 3000
+EXPLORED_SAMPLES = 1000
+# Planning reads whole windows, so that it waits for a few new samples, or
+# for a part of the samples held.
+SAMPLES_TO_REPLAN = 5
+PART_TO_REPLAN = 0.02
+# Candidate stop thresholds, as parts of the target. Above the target an
+# answer is never rejected while exploring, so that nothing is known there.
+THRESHOLD_PARTS = (0.0, 0.6, 0.7, 0.8, 0.85, 0.9, 0.95, 1.0)
+# Chance that a request explores a tier from which a cheaper plan may begin,
+# and chance that it explores any tier, in case its quality has changed.
+EXPLORATION = 0.3
+RARE_EXPLORATION = 0.003
+# Part of the cost of all requests that exploration may add.
+EXPLORATION_BUDGET = 0.02
+# Savings of exploration are kept for at most so many requests.
+MAX_BALANCE_REQUESTS = 100
+# Chance that an answer of a plan without ratings is rated afterwards.
+RATED_PART = 0.1
+FIRST_BACKOFF_SECONDS = 2.0
+MAX_BACKOFF_SECONDS = 60.0
+# How long a plan is used without any rating that could refute it.
+PLAN_VALID_SECONDS = 900.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scope:
+    """What one plan holds for.
+
+    :param int tiers: number of tiers that the customer may use.
+    """
+
+    kind: cascades.Kind
+    tiers: int
+    target: float
+
+    @property
+    def group(self):
+        """The scope without its customer."""
+        kind = dataclasses.replace(self.kind, customer='')
+        return dataclasses.replace(self, kind=kind)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The plan for one request.
+
+    :param bool explored: whether it is taken to learn.
+    :param bool rate: whether an answer accepted unrated is rated later.
+    """
+
+    scope: Scope
+    plan: cascades.Plan
+    explored: bool = False
+    rate: bool = False
+
+
+class RaterHealth:
+    """Whether the rating service answers; opens again with back-off."""
+
+    def __init__(self):
+        self.failures = 0
+        self.retry_at = deadlines.Deadline(0.0)
+        self.plans_valid_until = deadlines.NEVER
+
+    def succeeded(self):
+        """Note a rating."""
+        self.failures = 0
+        self.plans_valid_until = deadlines.NEVER
+
+    def failed(self):
+        """Note a rating that did not come."""
+        if not self.failures:
+            self.plans_valid_until = deadlines.Deadline.after(
+                PLAN_VALID_SECONDS
+            )
+        self.failures += 1
+        exponent = min(self.failures - 1, 10)
+        backoff = FIRST_BACKOFF_SECONDS * 2**exponent
+        self.retry_at = deadlines.Deadline.after(
+            min(MAX_BACKOFF_SECONDS, backoff)
+        )
+
+    @property
+    def available(self):
+        """Whether a request may wait for a rating."""
+        return not self.failures
+
+    @property
+    def probing(self):
+        """Whether a rating beside a request may try the service again."""
+        return self.available or self.retry_at.expired()
+
+
+class Learner:
+    """Samples, costs and plans by kind of request.
+
+    :param random.Random chance: decides which requests explore.
+    """
+
+    def __init__(self, chance):
+        self.chance = chance
+        self.health = RaterHealth()
+        self.samples = {}
+        self.evidence = {}
+        self.costs = {}
+        self.plans = {}
+        self.promising = {}
+        self.unplanned = collections.Counter()
+        self.balance = 0.0
+
+    def choose(self, kind, tiers, target):
+        """Return the :class:`Choice` for one request."""
+        scope = Scope(kind, tiers, target)
+        strongest = cascades.Plan(tiers - 1)
+        if scope not in self.plans:
+            self.replan(scope)
+        plan = self.plans[scope]
+        rate = self.wants_rating()
+        if not self.health.available:
+            stale = self.health.plans_valid_until.expired()
+            if stale or plan.needs_rating:
+                plan = strongest
+            return Choice(scope, plan, rate=rate)
+        start = self.start_to_explore(scope)
+        if start is not None:
+            explored = cascades.Plan(start, target)
+            return Choice(scope, explored, explored=True)
+        return Choice(scope, plan, rate=rate)
+
+    def wants_rating(self):
+        """Return whether an answer is to be rated beside its request."""
+        if self.health.available:
+            return self.chance.random() < RATED_PART
+        return self.health.probing
+
+    def start_to_explore(self, scope):
+        """Return the tier from which to explore, or None for no exploring.
+
+        Mostly a tier is explored if a plan that begins there may turn out
+        to be cheaper than the one in use.
+        """
+        if self.balance <= 0.0:
+            return None
+        draw = self.chance.random()
+        if draw < RARE_EXPLORATION:
+            return self.chance.randrange(max(1, scope.tiers - 1))
+        promising = self.promising[scope]
+        if not promising or draw > EXPLORATION:
+            return None
+        return min(
+            promising,
+            key=lambda start: len(
+                self.samples.get((scope.kind, start, True), ())
+            ),
+        )
+
+    def spent(self, choice, costs):
+        """Note what the runs of a request cost.
+
+        :param costs: pairs of tier index and cost, in the order run.
+        """
+        scope = choice.scope
+        total = 0.0
+        for tier, cost in costs:
+            key = (scope.group, tier)
+            self.costs[key] = self.costs.get(key, estimates.Mean()).add(cost)
+            total += cost
+        self.balance += EXPLORATION_BUDGET * total
+        if choice.explored:
+            expected = self.plan_cost(scope, self.plans[scope])
+            self.balance += (total if expected is None else expected) - total
+        # Savings do not add up to a licence for later overspending.
+        self.balance = min(self.balance, MAX_BALANCE_REQUESTS * total)
+
+    def plan_cost(self, scope, plan):
+        """Return the mean cost of a plan, None if unknown."""
+        first = self.costs.get((scope.group, plan.start))
+        if first is None or not plan.needs_rating:
+            return first.value if first else None
+        last = self.costs.get((scope.group, scope.tiers - 1))
+        if last is None:
+            return None
+        return first.value + last.value * self.part_raised(scope, plan)
+
+    def part_raised(self, scope, plan):
+        """Return the part of requests that a plan sends up."""
+        found = self.evidence.get((scope.group, plan), {})
+        own = found.get(scope.kind, estimates.Evidence())
+        if own.count >= estimates.MIN_SAMPLES or not found:
+            return own.raised
+        weight = sum(one.count for one in found.values())
+        raised = sum(one.count * one.raised for one in found.values())
+        return raised / max(1, weight)
+
+    def learn(self, choice, scores):
+        """Take the scores of a request's runs.
+
+        :param tuple scores: a missing rating is None.
+        """
+        if not scores or scores[0] is None:
+            return
+        scope = choice.scope
+        plan = choice.plan
+        if plan.start == scope.tiers - 1:
+            return
+        raised = scores[1] if len(scores) > 1 else None
+        sample = estimates.Sample(scores[0], plan.threshold, raised)
+        size = EXPLORED_SAMPLES if choice.explored else WINDOW_SAMPLES
+        window = self.samples.setdefault(
+            (scope.kind, plan.start, choice.explored),
+            collections.deque(maxlen=size),
+        )
+        window.append(sample)
+        self.unplanned[scope] += 1
+        due = max(SAMPLES_TO_REPLAN, PART_TO_REPLAN * len(window))
+        if self.unplanned[scope] >= due:
+            self.unplanned[scope] = 0
+            self.drop_outdated(scope.kind, plan.start)
+            self.weigh(scope, plan.start)
+            self.replan(scope)
+
+    def drop_outdated(self, kind, start):
+        """Forget samples from before a change of quality."""
+        for explored in (True, False):
+            window = self.samples.get((kind, start, explored), ())
+            if estimates.shifted([sample.score for sample in window]):
+                while len(window) > estimates.RECENT_SAMPLES:
+                    window.popleft()
+
+    def weigh(self, scope, start):
+        """Renew the evidence for the plans that begin at a tier."""
+        kind = scope.kind
+        samples = (
+            *self.samples.get((kind, start, True), ()),
+            *self.samples.get((kind, start, False), ()),
+        )
+        for plan in candidate_plans(scope, start):
+            found = self.evidence.setdefault((scope.group, plan), {})
+            found[kind] = estimates.gather(samples, plan.threshold)
+
+    def replan(self, scope):
+        """Take the cheapest plan whose lower bound meets the target."""
+        strongest = cascades.Plan(scope.tiers - 1)
+        best = (self.plan_cost(scope, strongest), strongest)
+        hopeful = []
+        for start in range(scope.tiers - 1):
+            for plan in candidate_plans(scope, start):
+                cost = self.plan_cost(scope, plan)
+                found = self.bounds(scope, plan)
+                hopeful.append((cost, start, found.upper))
+                if None in (cost, best[0]) or cost >= best[0]:
+                    continue
+                if found.lower >= scope.target:
+                    best = (cost, plan)
+        self.plans[scope] = best[1]
+        self.promising[scope] = {
+            start
+            for cost, start, upper in hopeful
+            if upper >= scope.target
+            and (None in (cost, best[0]) or cost < best[0])
+        }
+
+    def bounds(self, scope, plan):
+        """Return the bounds of a plan's mean score."""
+        found = self.evidence.get((scope.group, plan), {})
+        own = found.get(scope.kind, estimates.Evidence())
+        others = [one for kind, one in found.items() if kind != scope.kind]
+        return estimates.bounds(own, others)
+
+
+def candidate_plans(scope, start):
+    """Yield the plans that begin at a tier below the strongest."""
+    for part in THRESHOLD_PARTS:
+        yield cascades.Plan(start, part * scope.target)
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -7,6 +7,8 @@
 from celeryward.endpoints import protocol as endpoint_protocol
 from celeryward.raters import cascades
 from celeryward.raters import protocol
+from celeryward.raters import quality
+from celeryward.raters import sampler
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,18 +21,78 @@
     runs: tuple[calls.Run, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """How a request begins its cascade.
+
+    :param rule: function from :data:`cascades.RULES`.
+    :param Step step: the first step.
+    """
+
+    choice: quality.Choice
+    rule: object
+    query: cascades.Query
+    step: cascades.Step
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TierRun:
+    """One tier's whole answer.
+
+    :param int tier: index of the tier.
+    """
+
+    tier: int
+    attempt: dispatch.Attempt
+    payload: bytes
+
+    @property
+    def cost(self):
+        """What the runs of the tier cost."""
+        return sum(run.cost for run in self.attempt.runs)
+
+
 class CascadeRunner:
     """Runs tiers until the cascade's rule is satisfied.
 
-    :param rater: :class:`client.RaterClient`.
+    :param learner: :class:`quality.Learner`.
+    :param ratings: :class:`sampler.Sampler`.
     """
 
-    def __init__(self, configuration, dispatcher, rater):
+    def __init__(self, configuration, dispatcher, learner, ratings):
         self.configuration = configuration
         self.dispatcher = dispatcher
-        self.rater = rater
+        self.learner = learner
+        self.ratings = ratings
+
+    def begin(self, call, route):
+        """Return the :class:`Start` of a request.
+
+        Without ratings, a rule that needs them is replaced by the
+        strongest tier.
+        """
+        cascade = self.configuration.catalog().cascades[route.cascade]
+        target = max(cascade.quality_target, call.customer.quality_target)
+        kind = cascades.classify(call, cascade)
+        choice = self.learner.choose(kind, len(route.models), target)
+        rule = cascades.RULES.get(cascade.rule)
+        query = cascades.Query(route.models, target, choice.plan)
+        step = rule(query, ())
+        if not step.final and not self.learner.health.available:
+            rule = cascades.RULES.get('strong')
+            step = rule(query, ())
+        return Start(choice, rule, query, step)
 
-    async def run(self, call, route, place):
+    async def finish_single(self, start, attempt):
+        """Note a request that one tier has answered to the caller."""
+        run = TierRun(start.step.tier, attempt, b''.join(attempt.emitted))
+        self.learner.spent(start.choice, ((run.tier, run.cost),))
+        if start.choice.rate:
+            request = rating_request(run, start.choice.scope.kind)
+            choice = learned_from(start, run.tier)
+            await self.ratings.offer(sampler.Sample(request, choice))
+
+    async def run(self, call, route, place, start):
         """Return the :class:`CascadeOutcome` of a request.
 
         The answer of each tier is held until it is accepted, because a
@@ -38,48 +100,79 @@
 
         :param place: function that places a request on a model.
         """
-        cascade = self.configuration.catalog().cascades[route.cascade]
-        rule = cascades.RULES.get(cascade.rule)
+        kind = start.choice.scope.kind
+        step = start.step
         scores = ()
-        runs = ()
-        outcome = None
-        while True:
-            step = rule(cascade, route.models, scores)
-            if step is None:
-                return outcome
-            model = route.models[step.tier]
-            placement = place(call, route, model)
-            attempt = dispatch.Attempt(call, model, placement.pinned)
-            payload, text = await self.run_tier(attempt)
-            runs += tuple(attempt.runs)
-            outcome = CascadeOutcome(payload, attempt, placement, runs)
+        done = ()
+        while step is not None:
+            placement = place(call, route, route.models[step.tier])
+            done += (await self.run_tier(call, route, step, placement),)
             if step.final:
-                return outcome
-            scores += (await self.rate(call, attempt, text),)
+                break
+            request = rating_request(done[-1], kind)
+            scores += (await self.ratings.rate(request, call.deadline),)
+            step = start.rule(start.query, scores)
+        await self.learn(start, done, scores)
+        runs = tuple(run for tier in done for run in tier.attempt.runs)
+        return CascadeOutcome(
+            done[-1].payload, done[-1].attempt, placement, runs
+        )
 
-    async def run_tier(self, attempt):
-        """Return payload and text of one tier's whole answer."""
-        if not attempt.call.request.stream:
+    async def learn(self, start, done, scores):
+        """Pass costs and scores on; the last answer is rated beside."""
+        choice = start.choice
+        costs = tuple((one.tier, one.cost) for one in done)
+        self.learner.spent(choice, costs)
+        learned = learned_from(start, done[0].tier)
+        if learned is None or None in scores:
+            return
+        if len(scores) == len(done):
+            self.learner.learn(learned, scores)
+            return
+        request = rating_request(done[-1], choice.scope.kind)
+        await self.ratings.offer(sampler.Sample(request, learned, scores))
+
+    async def run_tier(self, call, route, step, placement):
+        """Return the :class:`TierRun` of one tier's whole answer."""
+        model = route.models[step.tier]
+        attempt = dispatch.Attempt(call, model, placement.pinned)
+        if not call.request.stream:
             chunk = await self.dispatcher.whole(attempt)
-            text = endpoint_protocol.answer_text(chunk.payload)
-            return chunk.payload, text
+            return TierRun(step.tier, attempt, chunk.payload)
         async for _ in self.dispatcher.stream(attempt):
             pass
-        payload = b''.join(attempt.emitted)
-        events = endpoint_protocol.decode_events(payload)
-        return payload, ''.join(event.text() for event in events)
-
-    async def rate(self, call, attempt, text):
-        """Return the score of an answer, or None if there is none."""
-        run = attempt.runs[-1]
-        model, _, version = run.version.partition('@')
-        request = protocol.RatingRequest(
-            call.request_id,
-            model,
-            version,
-            'chat',
-            run.usage.prompt_tokens,
-            text,
-        )
-        rating = await self.rater.rate(request, call.deadline)
-        return rating.unwrap().score if rating.is_ok() else None
+        return TierRun(step.tier, attempt, b''.join(attempt.emitted))
+
+
+def learned_from(start, first_tier):
+    """Return the choice that a rating teaches about, or None.
+
+    Only a request that followed the plan of the choice does: another rule
+    rejects answers by another threshold.
+    """
+    if start.rule is not cascades.RULES.get('learned'):
+        return None
+    same = first_tier == start.choice.plan.start
+    return start.choice if same else None
+
+
+def rating_request(run, kind):
+    """Return the request to rate one tier's answer."""
+    last = run.attempt.runs[-1]
+    model, _, version = last.version.partition('@')
+    return protocol.RatingRequest(
+        run.attempt.call.request_id,
+        model,
+        version,
+        kind.task,
+        last.usage.prompt_tokens,
+        answer_text(run.attempt.call, run.payload),
+    )
+
+
+def answer_text(call, payload):
+    """Return the text of an answer as it went to the caller."""
+    if not call.request.stream:
+        return endpoint_protocol.answer_text(payload)
+    events = endpoint_protocol.decode_events(payload)
+    return ''.join(event.text() for event in events)
--- /dev/null
+++ b/celeryward/raters/sampler.py
@@ -0,0 +1,84 @@
+"""The task that rates answers beside their requests."""
+
+import collections
+import dataclasses
+
+import curio
+
+from celeryward import deadlines
+from celeryward import logs
+from celeryward.raters import protocol
+from celeryward.raters import quality
+
+# Samples beyond this count are dropped: a slow rating service must not
+# make a daemon hold answers.
+MAX_WAITING = 64
+RATING_SECONDS = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """An answer to rate.
+
+    :param quality.Choice choice: what the learner chose; None if nobody
+        learns from the rating.
+    :param tuple scores: scores of the request's earlier tiers.
+    """
+
+    request: protocol.RatingRequest
+    choice: quality.Choice | None
+    scores: tuple = ()
+
+
+class Sampler:
+    """Rates sampled answers one after the other.
+
+    :param listener: function of request and :class:`protocol.Rating`.
+    """
+
+    def __init__(self, rater, learner, listener=None):
+        self.rater = rater
+        self.learner = learner
+        self.listener = listener or (lambda request, rating: None)
+        self.waiting = collections.deque()
+        self.arrived = curio.Event()
+        self.dropped = 0
+
+    async def offer(self, sample):
+        """Take a sample, or drop it if too many are waiting."""
+        if len(self.waiting) >= MAX_WAITING:
+            self.dropped += 1
+            return
+        self.waiting.append(sample)
+        await self.arrived.set()
+
+    async def run(self):
+        """Rate samples as they come."""
+        while True:
+            await self.arrived.wait()
+            self.arrived.clear()
+            while self.waiting:
+                await self.take(self.waiting.popleft())
+
+    async def take(self, sample):
+        """Rate one sample and pass on its score."""
+        if not self.learner.health.probing:
+            return
+        deadline = deadlines.Deadline.after(RATING_SECONDS)
+        score = await self.rate(sample.request, deadline)
+        if score is not None and sample.choice is not None:
+            self.learner.learn(sample.choice, (*sample.scores, score))
+
+    async def rate(self, request, deadline):
+        """Return the score of an answer, or None if there is none."""
+        rating = await self.rater.rate(request, deadline)
+        if rating.is_err():
+            error = rating.unwrap_err()
+            self.learner.health.failed()
+            logs.bind_error(error, request_id=request.request_id).warning(
+                'answer not rated: {}', error.message
+            )
+            return None
+        self.learner.health.succeeded()
+        self.listener(request, rating.unwrap())
+        return rating.unwrap().score
--- /dev/null
+++ b/tests/test_cascades.py
@@ -0,0 +1,164 @@
+"""Cascades: learning, the rules, and what happens without ratings."""
+
+import dataclasses
+import random
+
+import curio
+
+from celeryward import deadlines
+from celeryward.operators import demo
+from celeryward.raters import cascades
+from celeryward.raters import estimates
+from celeryward.raters import quality
+
+KIND = cascades.Kind('workshop', 'auto', 'short', 'chat')
+SCOPE = quality.Scope(KIND, 2, 0.8)
+STRONG = cascades.Plan(1)
+COSTS = (1.0, 10.0)
+
+
+def teach(learner, score, count=300):
+    """Serve requests whose cheap answer has a score; return all choices."""
+    choices = []
+    for _ in range(count):
+        choice = learner.choose(KIND, 2, 0.8)
+        query = cascades.Query(('small', 'large'), 0.8, choice.plan)
+        step = cascades.step_by_plan(query, ())
+        runs = [(step.tier, COSTS[step.tier])]
+        scores = () if step.tier else (score,)
+        if not step.final and score < choice.plan.threshold:
+            runs.append((1, COSTS[1]))
+            scores = (score, 0.95)
+        learner.spent(choice, runs)
+        learner.learn(choice, scores)
+        choices.append(choice)
+    return choices
+
+
+def taught(score):
+    learner = quality.Learner(random.Random(1))
+    teach(learner, score)
+    return learner
+
+
+class TestLearner:
+    """Guards against plans below the target and needless cost."""
+
+    def test_good_cheap_tier_is_used_alone(self):
+        assert taught(0.9).plans[SCOPE] == cascades.Plan(0)
+
+    def test_bad_cheap_tier_is_not_used(self):
+        assert taught(0.5).plans[SCOPE] == STRONG
+
+    def test_nothing_known_means_the_strongest_tier(self):
+        learner = quality.Learner(random.Random(1))
+        assert learner.choose(KIND, 2, 0.8).plan == STRONG
+
+    def test_exploration_keeps_to_its_budget(self):
+        learner = quality.Learner(random.Random(1))
+        choices = teach(learner, 0.5, 2000)
+        extra = sum(COSTS[0] for choice in choices if choice.explored)
+        base = COSTS[1] * len(choices)
+        # One request may start while the balance is just above zero.
+        assert extra <= quality.EXPLORATION_BUDGET * (base + extra) + 1.0
+
+    def test_fall_of_quality_ends_a_plan(self):
+        learner = taught(0.9)
+        teach(learner, 0.6, 3000)
+        assert learner.plans[SCOPE].start == 1
+
+    def test_unrated_strong_answer_does_not_favour_the_plan(self):
+        sample = estimates.Sample(0.3, threshold=0.8)
+        assert sample.value(0.8) == 0.3
+
+    def test_few_samples_give_no_bound(self):
+        few = estimates.Evidence(estimates.MIN_SAMPLES - 1, 0.99)
+        assert estimates.bounds(few, []) == estimates.UNKNOWN
+
+
+class TestRatingOutage:
+    """Guards against waiting for a rating service that is down."""
+
+    def test_single_tier_plan_goes_on(self):
+        learner = taught(0.9)
+        learner.health.failed()
+        assert learner.choose(KIND, 2, 0.8).plan == cascades.Plan(0)
+
+    def test_plan_with_ratings_becomes_the_strongest_tier(self):
+        learner = taught(0.9)
+        learner.plans[SCOPE] = cascades.Plan(0, 0.5)
+        learner.health.failed()
+        assert learner.choose(KIND, 2, 0.8).plan == STRONG
+
+    def test_old_plan_becomes_the_strongest_tier(self):
+        learner = taught(0.9)
+        learner.health.failed()
+        learner.health.plans_valid_until = deadlines.Deadline(0.0)
+        assert learner.choose(KIND, 2, 0.8).plan == STRONG
+
+    def test_dead_service_costs_one_request_a_rating(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            await cluster.rater.stop()
+            for _ in range(3):
+                example = demo.chat('', 'auto', 'x')
+                head, _ = await demo.send(
+                    cluster.daemon.listener.port, example
+                )
+                assert head.headers['x-served-by'] == 'large@1'
+            assert cluster.small.started['small@1'] == 1
+            assert cluster.large.started['large@1'] == 3
+            await cluster.stop()
+
+        run(test)
+
+
+class TestStreams:
+    """Guards against holding an answer that needs no rating."""
+
+    def test_single_tier_streams_before_the_answer_is_complete(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            more = curio.Event()
+
+            async def wait_after_four(connection, index):
+                if index == 4:
+                    await more.wait()
+
+            cluster.large.inject_fault = wait_after_four
+            await cluster.start()
+            await set_rule(cluster, 'learned')
+            port = cluster.daemon.listener.port
+            sock = await curio.open_connection('127.0.0.1', port)
+            body = (
+                b'{"model":"auto","stream":true,"messages":'
+                b'[{"role":"user","content":"x"}]}'
+            )
+            head = (
+                'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
+                f'authorization: Bearer {demo.KEY}\r\n'
+                f'content-length: {len(body)}\r\n\r\n'
+            )
+            await sock.sendall(head.encode() + body)
+            received = b''
+            while received.count(b'"delta"') < 4:
+                received += await sock.recv(65536)
+            assert cluster.rater.rated == 0
+            await more.set()
+            while b'[DONE]' not in received:
+                received += await sock.recv(65536)
+            await sock.close()
+            await cluster.stop()
+
+        run(test)
+
+
+async def set_rule(cluster, rule):
+    """Change the rule of the demo's cascade and wait until it is used."""
+    configuration = cluster.daemon.configuration
+    stored = cluster.platform.objects['Cascade', 'auto']
+    spec = {**stored.spec, 'rule': rule}
+    await cluster.platform.put(dataclasses.replace(stored, spec=spec))
+    while configuration.catalog().cascades['auto'].rule != rule:
+        await curio.sleep(0.01)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -19,6 +19,8 @@
     'platform/billing.py',
     'platform/configuration.py',
     'raters/cascades.py',
+    'raters/estimates.py',
+    'raters/quality.py',
 )
 
 
