--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -1,6 +1,7 @@
 """The whole path of a request, from its body to its bill."""
 
 import contextlib
+import dataclasses
 import functools
 
 import curio
@@ -23,7 +24,7 @@
     :param dispatcher: :class:`dispatch.Dispatcher`.
     :param signer: :class:`sessions.SessionSigner`.
     :param ledger: :class:`billing.Ledger`.
-    :param cascade_runner: :class:`cascades.CascadeRunner`.
+    :param cascade_runner: :class:`runner.CascadeRunner`.
     :param clock: function that returns UTC seconds.
     :param once.OnceRunner once: runs calls with an idempotency key.
     :param configuration_age: function that returns the seconds since the
@@ -127,7 +128,10 @@
             await self.run_whole(call, route, responder)
 
     async def run_stream(self, call, route, responder):
-        """Stream one model's answer; bill it before its last byte."""
+        """Stream one model's answer; bill it before its last byte.
+
+        :returns: the finished :class:`dispatch.Attempt`.
+        """
         placer = self.placer(call, route)
         attempt = self.begin(placer, route.models[0])
         started = self.clock()
@@ -152,6 +156,7 @@
             if not billed and attempt.emitted:
                 await self.bill_partial(call, attempt)
             raise
+        return attempt
 
     async def bill_partial(self, call, attempt):
         """Bill what was generated before the answer was cut off."""
@@ -160,20 +165,36 @@
         await self.bill(call, attempt.runs)
 
     async def run_whole(self, call, route, responder):
-        """Answer with one model's whole answer, after billing it."""
+        """Answer with one model's whole answer, after billing it.
+
+        :returns: the finished :class:`dispatch.Attempt`.
+        """
         placer = self.placer(call, route)
         attempt = self.begin(placer, route.models[0])
         chunk = await self.dispatcher.whole(attempt)
+        attempt.add(chunk)
         await self.bill(call, attempt.runs)
         headers = self.answer_headers(attempt, placer)
         headers['content-type'] = 'application/json'
         await responder.send_whole(200, headers, chunk.payload)
+        return attempt
 
     async def run_cascade(self, call, route, responder):
-        """Answer with the first tier that meets the quality target."""
+        """Answer with the first tier that meets the quality target.
+
+        A tier whose answer is taken without a rating is not held back.
+        """
+        start = self.cascade_runner.begin(call, route)
+        if start.step.final:
+            model = route.models[start.step.tier]
+            single = dataclasses.replace(route, models=(model,))
+            serve = self.run_stream if call.request.stream else self.run_whole
+            attempt = await serve(call, single, responder)
+            await self.cascade_runner.finish_single(start, attempt)
+            return
         placer = self.placer(call, route)
         begin = functools.partial(self.begin, placer)
-        outcome = await self.cascade_runner.run(call, route, begin)
+        outcome = await self.cascade_runner.run(call, route, begin, start)
         await self.bill(call, outcome.runs)
         headers = self.answer_headers(outcome.attempt, placer)
         if not call.request.stream:
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -1,5 +1,6 @@
 """One daemon: builds its parts, starts its tasks and stops them."""
 
+import random
 import time
 import uuid
 
@@ -29,7 +30,9 @@
 from celeryward.platform import replicas
 from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
+from celeryward.raters import quality
 from celeryward.raters import runner
+from celeryward.raters import sampler
 from celeryward import signals
 
 FLUSH_RETRY_SECONDS = 0.2
@@ -84,6 +87,11 @@
         self.dispatcher = dispatch.Dispatcher(
             self.configuration, self.view, self.pool, timings, self.recovery
         )
+        rater = rater_client.RaterClient(
+            settings.raters, timings.rating_timeout
+        )
+        self.learner = quality.Learner(random.Random(settings.name))
+        self.ratings = sampler.Sampler(rater, self.learner)
         self.serving = self.build_serving(settings, clock, new_id)
         self.callers = server.CallerServer(self.serving, timings, new_id)
         self.listener = http.Listener(
@@ -97,15 +105,17 @@
 
     def build_serving(self, settings, clock, new_id):
         """Build the part that serves requests."""
-        rater = rater_client.RaterClient(
-            settings.raters, settings.timings.rating_timeout
-        )
         return serving.Serving(
             self.configuration,
             self.dispatcher,
             sessions.SessionSigner(settings.sessions.signing_keys),
             self.ledger,
-            runner.CascadeRunner(self.configuration, self.dispatcher, rater),
+            runner.CascadeRunner(
+                self.configuration,
+                self.dispatcher,
+                self.learner,
+                self.ratings,
+            ),
             self.metrics,
             clock,
             once.OnceRunner(self.claims, new_id, clock),
@@ -122,7 +132,12 @@
 
     async def start(self):
         """Start all tasks; callers are accepted once there is a catalog."""
-        for run in (self.watcher.run, self.prober.run, self.flusher.run):
+        for run in (
+            self.watcher.run,
+            self.prober.run,
+            self.flusher.run,
+            self.ratings.run,
+        ):
             self.tasks.append(await curio.spawn(run, daemon=True))
         await self.admin.start()
         await self.watcher.listed.wait()
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -24,6 +24,8 @@
     'platform/configuration.py',
     'platform/replicas.py',
     'raters/cascades.py',
+    'raters/estimates.py',
+    'raters/quality.py',
 )
 
 
