Add exchange, membership and gossip between daemons

Cause: each daemon held a watch of its own at the platform, and daemons did not know of each other. Change: celeryward/daemons talks gRPC over grpclib on one asyncio thread, joined to curio by UniversalResult and UniversalQueue. A list now implies deletions, and ConfigurationStore.confirmed_at states when the platform last confirmed the configuration.

--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -9,6 +9,8 @@
 from celeryward.callers import server
 from celeryward.callers import serving
 from celeryward.callers import sessions
+from celeryward.daemons import control
+from celeryward.daemons import server as peer_server
 from celeryward import deadlines
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
@@ -52,9 +54,18 @@
         self.client = client.ObjectClient(
             settings.platform, timings.platform_timeout, settings.name
         )
-        self.watcher = watcher.Watcher(self.client, self.configuration)
+        self.watcher = watcher.Watcher(self.client, self.configuration, clock)
         # A restarted daemon must not reuse the batch names of its past.
         self.ledger = billing.Ledger(f'{settings.name}-{new_id()[:12]}')
+        self.copies = peer_server.RefuseCopies()
+        self.control = control.Control(
+            settings,
+            self.ledger.owner,
+            self.configuration,
+            self.watcher,
+            self.copies,
+            clock,
+        )
         self.flusher = flusher.Flusher(
             self.ledger, self.client, timings.flush_interval
         )
@@ -97,11 +108,16 @@
         )
 
     async def start(self):
-        """Start all tasks; callers are accepted once there is a catalog."""
-        for run in (self.watcher.run, self.prober.run, self.flusher.run):
+        """Start all tasks; callers are accepted once there is a catalog.
+
+        The catalog comes from the platform or, while that is away or
+        another daemon holds the watch, from peers.
+        """
+        await self.control.start()
+        for run in (self.prober.run, self.flusher.run):
             self.tasks.append(await curio.spawn(run, daemon=True))
         await self.admin.start()
-        await self.watcher.listed.wait()
+        await self.configuration.confirmed.wait()
         await self.prober.adjust()
         await self.listener.start()
         logs.bind(step='start', peer=self.settings.name).info(
@@ -131,6 +147,7 @@
             await curio.sleep(FLUSH_RETRY_SECONDS)
         for task in self.tasks:
             await task.cancel()
+        await self.control.stop()
         await self.admin.stop_accepting()
         await self.admin.drain(deadlines.Deadline.after(0.0))
         await self.pool.close()
--- /dev/null
+++ b/celeryward/daemons/bridge.py
@@ -0,0 +1,234 @@
+"""grpclib on one asyncio thread, joined to curio tasks.
+
+grpclib needs an asyncio loop, so the bridge runs one in a thread. Calls
+cross over by ``call_soon_threadsafe`` and their outcomes come back in a
+:class:`curio.UniversalResult`; requests of peers come in through a
+:class:`curio.UniversalQueue`. Both loops block in their selectors.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import socket
+import threading
+
+import curio
+from grpclib import client
+from grpclib import const
+from grpclib import exceptions
+from grpclib import server
+import result
+
+from celeryward.daemons import exchange_grpc
+from celeryward import errors
+
+BACKLOG = 128
+MAX_WAITING_REQUESTS = 256
+REPLY_SECONDS = 10.0
+CALL_ERRORS = (
+    exceptions.GRPCError,
+    exceptions.StreamTerminatedError,
+    OSError,
+    asyncio.TimeoutError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a peer, on its way to a curio task.
+
+    :param str method: name of the method in the proto file.
+    :param reply: asyncio future of the reply message.
+    """
+
+    method: str
+    message: object
+    reply: asyncio.Future
+
+
+class Service(exchange_grpc.DaemonsBase):
+    """Passes the requests of peers to the curio side."""
+
+    def __init__(self, requests):
+        self.requests = requests
+
+    async def Exchange(self, stream):  # noqa: N802
+        """Pass on an exchange."""
+        await self.pass_on('Exchange', stream)
+
+    async def Push(self, stream):  # noqa: N802
+        """Pass on new revisions."""
+        await self.pass_on('Push', stream)
+
+    async def Keep(self, stream):  # noqa: N802
+        """Pass on copies of bills."""
+        await self.pass_on('Keep', stream)
+
+    async def Release(self, stream):  # noqa: N802
+        """Pass on ids of bills that the platform holds."""
+        await self.pass_on('Release', stream)
+
+    async def pass_on(self, method, stream):
+        """Queue one request and send its reply."""
+        message = await stream.recv_message()
+        reply = asyncio.get_running_loop().create_future()
+        async with asyncio.timeout(REPLY_SECONDS):
+            await self.requests.put(Request(method, message, reply))
+            answered = await reply
+        if isinstance(answered, errors.CelerywardError):
+            raise exceptions.GRPCError(
+                const.Status.FAILED_PRECONDITION, answered.message
+            )
+        await stream.send_message(answered)
+
+
+class Bridge:
+    """The client and the server side of the exchange between daemons.
+
+    :param str host: address to listen on.
+    :param int port: 0 lets the host choose one.
+    """
+
+    def __init__(self, host, port):
+        self.host = host
+        self.port = port
+        self.requests = curio.UniversalQueue(maxsize=MAX_WAITING_REQUESTS)
+        self.thread = None
+        self.loop = None
+        self.stopping = None
+        self.channels = {}
+        self.calls = set()
+
+    async def start(self):
+        """Listen and start the asyncio thread."""
+        listener = socket.create_server(
+            (self.host, self.port), backlog=BACKLOG
+        )
+        listener.setblocking(False)
+        self.port = listener.getsockname()[1]
+        started = curio.UniversalResult()
+        self.thread = threading.Thread(
+            target=self.run_thread,
+            args=(listener, started),
+            name='daemon-exchange',
+            daemon=True,
+        )
+        self.thread.start()
+        await started.unwrap()
+
+    def run_thread(self, listener, started):
+        """Run the asyncio loop until the bridge is stopped."""
+        asyncio.run(self.serve(listener, started))
+
+    async def serve(self, listener, started):
+        """Serve peers until the bridge is stopped."""
+        self.loop = asyncio.get_running_loop()
+        self.stopping = asyncio.Event()
+        listening = server.Server([Service(self.requests)])
+        await listening.start(sock=listener)
+        self.loop.call_soon(tell, started, None)
+        await self.stopping.wait()
+        listening.close()
+        for channel in self.channels.values():
+            channel.close()
+
+    async def stop(self):
+        """Close every connection and end the thread."""
+        if self.thread is None:
+            return
+        self.loop.call_soon_threadsafe(self.stopping.set)
+        await curio.run_in_thread(self.thread.join)
+        self.thread = None
+
+    async def call(self, contact, method, message, deadline):
+        """Call a method of a peer.
+
+        :param contact: :class:`gossip.Contact`.
+        :returns: ``Ok`` with the reply message or ``Err(PeerFailure)``.
+        """
+        answer = curio.UniversalResult()
+        self.loop.call_soon_threadsafe(
+            self.begin, answer, contact, method, message, deadline
+        )
+        return await answer.unwrap()
+
+    def begin(self, answer, contact, method, message, deadline):
+        """Start a call on the asyncio loop."""
+        request = self.request(contact, method, message, deadline)
+        call = self.loop.create_task(request)
+        self.calls.add(call)
+        call.add_done_callback(functools.partial(self.finish, answer))
+
+    def finish(self, answer, call):
+        """Hand the outcome of a call to the curio task."""
+        self.calls.discard(call)
+        if call.cancelled():
+            answer.set_value(failure('the exchange was stopped', 'call', ''))
+        else:
+            answer.set_value(call.result())
+
+    async def request(self, contact, method, message, deadline):
+        """Make one call; a failed one closes the connection.
+
+        A connection that went silent is then replaced by the next call.
+        """
+        try:
+            async with asyncio.timeout(deadline.remaining()):
+                stub = exchange_grpc.DaemonsStub(self.channel(contact))
+                return result.Ok(await getattr(stub, method)(message))
+        except exceptions.GRPCError as error:
+            return failure(error.message, method, contact)
+        except CALL_ERRORS as error:
+            self.close(contact)
+            reason = str(error) or type(error).__name__
+            return failure(reason, method, contact)
+
+    def channel(self, contact):
+        """Return the channel to a peer, which connects when it is used."""
+        if contact not in self.channels:
+            self.channels[contact] = client.Channel(
+                contact.address, contact.port
+            )
+        return self.channels[contact]
+
+    def close(self, contact):
+        """Close the connection to a peer; on the asyncio loop only."""
+        channel = self.channels.pop(contact, None)
+        if channel is not None:
+            channel.close()
+
+    def disconnect(self, contact):
+        """Close the connection to a peer; from a curio task."""
+        self.loop.call_soon_threadsafe(self.close, contact)
+
+    def reply(self, request, message):
+        """Answer a request of a peer; from a curio task.
+
+        :param message: reply message, or an error of this project.
+        """
+        self.loop.call_soon_threadsafe(set_reply, request.reply, message)
+
+
+def tell(answer, value):
+    """Set a result from the asyncio thread.
+
+    A plain function, because curio picks its asynchronous variant inside
+    a coroutine, even in one of asyncio.
+    """
+    answer.set_value(value)
+
+
+def set_reply(reply, message):
+    """Set a future, unless its request has ended."""
+    if not reply.done():
+        reply.set_result(message)
+
+
+def failure(message, method, contact):
+    """Return ``Err(PeerFailure)`` for a failed call."""
+    peer = f'{contact.address}:{contact.port}' if contact else '-'
+    return result.Err(
+        errors.PeerFailure(
+            f'{method} failed: {message}', step=method.lower(), peer=peer
+        )
+    )
--- /dev/null
+++ b/celeryward/daemons/protocol.py
@@ -0,0 +1,188 @@
+"""Conversion between the frozen types and the messages of daemons."""
+
+import itertools
+
+import msgspec
+
+from celeryward import calls
+from celeryward.daemons import exchange_pb2
+from celeryward.daemons import gossip
+from celeryward.daemons import inventory
+from celeryward.daemons import membership
+from celeryward import errors
+from celeryward.platform import protocol
+
+# What does not fit is sent by the next exchange. The window of an HTTP/2
+# stream is 4 MiB.
+MAX_CHANGE_BYTES = 2 * 1024 * 1024
+
+
+def change_message(change):
+    """Return the message of one change."""
+    return exchange_pb2.Change(
+        type=change.type,
+        revision=change.revision,
+        object=protocol.encode(change.object),
+    )
+
+
+def read_change(message):
+    """Return the :class:`platform.protocol.Change` of a message.
+
+    :raises errors.ProtocolError: if the object can't be decoded.
+    """
+    try:
+        stored = protocol.OBJECT_DECODER.decode(message.object)
+    except msgspec.DecodeError as error:
+        raise errors.ProtocolError(
+            f'malformed object: {error}', step='decode change', peer='daemon'
+        ) from error
+    return protocol.Change(message.type, message.revision, stored)
+
+
+def change_messages(changes):
+    """Yield messages up to the bound in bytes, one at the least."""
+    size = 0
+    for change in changes:
+        message = change_message(change)
+        size += len(message.object)
+        if size > MAX_CHANGE_BYTES and size > len(message.object):
+            return
+        yield message
+
+
+def changes_message(changes):
+    """Return the message that pushes changes."""
+    return exchange_pb2.Changes(changes=change_messages(changes))
+
+
+def read_changes(message):
+    """Return the changes of a push."""
+    return tuple(map(read_change, message.changes))
+
+
+def member_message(member):
+    """Return the message that describes a member."""
+    return exchange_pb2.Member(
+        owner=member.owner,
+        name=member.name,
+        host_name=member.host_name,
+        address=member.address,
+        port=member.port,
+        failure_domain=member.failure_domain,
+        started_at=member.started_at,
+    )
+
+
+def read_member(message):
+    """Return the :class:`membership.Member` of a message."""
+    return membership.Member(
+        message.owner,
+        message.name,
+        message.host_name,
+        message.address,
+        message.port,
+        message.failure_domain,
+        message.started_at,
+    )
+
+
+def digest_message(digest):
+    """Return the message of a digest."""
+    return exchange_pb2.Digest(
+        member_ids=[entry.member_id for entry in digest.heartbeats],
+        counters=[entry.counter for entry in digest.heartbeats],
+        members=map(member_message, digest.members),
+        unknown_ids=digest.unknown_ids,
+        fingerprint=digest.fingerprint,
+        confirmed_at=digest.confirmed_at,
+        bucket_hashes=digest.bucket_hashes,
+        bucket_numbers=digest.bucket_numbers,
+        keys=[entry.key for entry in digest.entries],
+        revisions=[entry.revision for entry in digest.entries],
+        changes=change_messages(digest.changes),
+        wanted=digest.wanted,
+    )
+
+
+def read_digest(message):
+    """Return the :class:`gossip.Digest` of a message.
+
+    :raises errors.ProtocolError: if parallel fields differ in length.
+    """
+    heartbeats = pairs(
+        membership.Heartbeat, message.member_ids, message.counters
+    )
+    entries = pairs(inventory.Entry, message.keys, message.revisions)
+    return gossip.Digest(
+        heartbeats=heartbeats,
+        members=tuple(map(read_member, message.members)),
+        unknown_ids=tuple(message.unknown_ids),
+        fingerprint=message.fingerprint,
+        confirmed_at=message.confirmed_at,
+        bucket_hashes=tuple(message.bucket_hashes),
+        bucket_numbers=tuple(message.bucket_numbers),
+        entries=entries,
+        changes=tuple(map(read_change, message.changes)),
+        wanted=tuple(message.wanted),
+    )
+
+
+def pairs(kind, first, second):
+    """Return values of a type made from two parallel fields."""
+    if len(first) != len(second):
+        raise errors.ProtocolError(
+            f'{len(first)} and {len(second)} parallel values',
+            step='decode digest',
+            peer='daemon',
+        )
+    return tuple(itertools.starmap(kind, zip(first, second)))
+
+
+def bill_message(bill):
+    """Return the message of one bill."""
+    return exchange_pb2.Bill(
+        request_id=bill.request_id,
+        customer=bill.customer,
+        target=bill.target,
+        runs=map(run_message, bill.runs),
+        finished_at=bill.finished_at,
+    )
+
+
+def run_message(run):
+    """Return the message of one run."""
+    return exchange_pb2.Run(
+        version=run.version,
+        endpoint=run.endpoint,
+        prompt_tokens=run.usage.prompt_tokens,
+        answer_tokens=run.usage.answer_tokens,
+        cost=run.cost,
+    )
+
+
+def bills_message(owner, bills):
+    """Return the message that asks a peer to keep copies."""
+    return exchange_pb2.Bills(owner=owner, bills=map(bill_message, bills))
+
+
+def read_run(message):
+    """Return the :class:`calls.Run` of a message."""
+    usage = calls.Usage(message.prompt_tokens, message.answer_tokens)
+    return calls.Run(message.version, message.endpoint, usage, message.cost)
+
+
+def read_bill(message):
+    """Return the :class:`calls.Bill` of a message."""
+    return calls.Bill(
+        message.request_id,
+        message.customer,
+        message.target,
+        tuple(map(read_run, message.runs)),
+        message.finished_at,
+    )
+
+
+def read_bills(message):
+    """Return the bills of a message."""
+    return tuple(map(read_bill, message.bills))
--- /dev/null
+++ b/celeryward/daemons/server.py
@@ -0,0 +1,91 @@
+"""The task that serves requests of other daemons."""
+
+from celeryward.daemons import exchange_pb2
+from celeryward.daemons import protocol
+from celeryward import errors
+from celeryward import logs
+from celeryward import registry
+
+CALLS = registry.Registry('daemon call')
+
+
+class RefuseCopies:
+    """Handler of copies for a daemon that keeps none.
+
+    A refusal makes the owner choose another peer, so that it never counts
+    a copy that does not exist.
+    """
+
+    async def keep(self, owner, bills):
+        """Refuse to keep copies of bills."""
+        raise errors.PeerFailure(
+            'this daemon keeps no copies', step='keep', peer=owner
+        )
+
+    async def release(self, owner, request_ids):
+        """Drop copies of bills that the platform holds."""
+
+    async def owner_died(self, owner):
+        """Take over the bills of a dead daemon."""
+
+
+class PeerServer:
+    """Answers the requests that a bridge receives.
+
+    :param bridge: :class:`bridge.Bridge`.
+    :param gossip: :class:`gossip.Gossip`.
+    :param copies: handler of copies, as :class:`RefuseCopies`.
+    """
+
+    def __init__(self, bridge, gossip, copies):
+        self.bridge = bridge
+        self.gossip = gossip
+        self.copies = copies
+
+    async def run(self):
+        """Answer requests until cancelled."""
+        while True:
+            request = await self.bridge.requests.get()
+            self.bridge.reply(request, await self.answer(request))
+
+    async def answer(self, request):
+        """Return the reply message, or the error that refuses."""
+        try:
+            call = CALLS.get(request.method)
+            return await call(self, request.message)
+        except errors.CelerywardError as error:
+            logs.bind_error(error).info(
+                'request of a peer refused: {}', error.message
+            )
+            return error
+
+
+@CALLS.register('Exchange')
+async def exchange(peer_server, message):
+    """Answer the digest of a peer."""
+    digest = protocol.read_digest(message)
+    return protocol.digest_message(peer_server.gossip.answer(digest))
+
+
+@CALLS.register('Push')
+async def push(peer_server, message):
+    """Take over new revisions; the store's listener passes them on."""
+    changes = protocol.read_changes(message)
+    peer_server.gossip.configuration.accept(changes)
+    return exchange_pb2.Receipt()
+
+
+@CALLS.register('Keep')
+async def keep(peer_server, message):
+    """Keep copies of a peer's bills."""
+    bills = protocol.read_bills(message)
+    await peer_server.copies.keep(message.owner, bills)
+    return exchange_pb2.Receipt()
+
+
+@CALLS.register('Release')
+async def release(peer_server, message):
+    """Drop copies of bills that the platform holds."""
+    request_ids = tuple(message.request_ids)
+    await peer_server.copies.release(message.owner, request_ids)
+    return exchange_pb2.Receipt()
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -220,6 +220,12 @@
     execution = Execution.NOT_RUN
 
 
+class PeerFailure(CelerywardError):
+    """A call to another daemon failed, or the daemon refused it."""
+
+    code = 'peer_failure'
+
+
 def unwrap(outcome):
     """Return the value of ``Ok``, or raise the error inside ``Err``."""
     if outcome.is_err():
--- a/celeryward/operators/admin.py
+++ b/celeryward/operators/admin.py
@@ -27,9 +27,28 @@
     load: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerStatus:
+    """What a daemon knows of one peer daemon.
+
+    :param bool holder: whether it holds a watch for its failure domain.
+    """
+
+    name: str
+    failure_domain: str
+    address: str
+    live: bool
+    holder: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DaemonStatus:
-    """State of one daemon at a glance."""
+    """State of one daemon at a glance.
+
+    :param float confirmed_at: UTC seconds when the platform last confirmed
+        the configuration.
+    :param bool holds_watch: whether this daemon holds a watch.
+    """
 
     name: str
     failure_domain: str
@@ -37,6 +56,9 @@
     stopping: bool
     pending_bills: int
     endpoints: tuple[EndpointStatus, ...]
+    confirmed_at: float
+    holds_watch: bool
+    peers: tuple[PeerStatus, ...]
 
 
 class Admin:
@@ -95,4 +117,24 @@
                 )
                 for endpoint in endpoints
             ),
+            daemon.configuration.confirmed_at,
+            daemon.control.watching is not None,
+            tuple(self.peers()),
         )
+
+    def peers(self):
+        """Yield the :class:`PeerStatus` of each known peer."""
+        members = self.daemon.control.members
+        entries = members.seen.values() if members is not None else ()
+        holders = {}
+        for entry in entries:
+            domain = entry.member.failure_domain
+            if domain not in holders:
+                holders[domain] = members.holders(domain)
+            yield PeerStatus(
+                entry.member.name,
+                domain,
+                f'{entry.member.address}:{entry.member.port}',
+                entry.live,
+                entry.live and entry.member in holders[domain],
+            )
--- a/celeryward/platform/configuration.py
+++ b/celeryward/platform/configuration.py
@@ -2,8 +2,11 @@
 
 import types
 
+import curio
+
 from celeryward import catalog
 from celeryward import logs
+from celeryward.platform import protocol
 from celeryward.platform import records
 
 FIELD_OF_KIND = {
@@ -22,6 +25,10 @@
     Watches, lists (which can lag) and peers all feed :meth:`accept`; an
     older revision never replaces a newer one, whatever the order of
     arrival, so that the configuration can't revert.
+
+    ``confirmed_at`` is the time in UTC seconds when the platform last
+    confirmed that this configuration is its newest, 0.0 before the first
+    time. Others compute the age of the configuration from it.
     """
 
     def __init__(self):
@@ -31,6 +38,8 @@
         self.revision = 0
         self.snapshot = catalog.Catalog()
         self.listeners = []
+        self.confirmed_at = 0.0
+        self.confirmed = curio.UniversalEvent()
 
     def catalog(self):
         """Return the catalog in force."""
@@ -49,6 +58,36 @@
                 listener(accepted)
         return accepted
 
+    def confirm(self, confirmed_at):
+        """Note when the platform confirmed the configuration."""
+        if confirmed_at > self.confirmed_at:
+            self.confirmed_at = confirmed_at
+            self.confirmed.set()
+
+    def accept_list(self, kind, listed):
+        """Take over a whole kind, and the deletions that a list implies.
+
+        An object that is held at a revision up to that of the list, but is
+        absent from it, was deleted in between. A list that lags is older
+        than the object and says nothing about it.
+
+        :param protocol.ObjectList listed: all objects of the kind.
+        """
+        names = {stored.name for stored in listed.items}
+        deleted = [
+            protocol.Change('delete', listed.revision, change.object)
+            for change in self.objects.values()
+            if change.object.kind == kind
+            and change.type != 'delete'
+            and change.object.name not in names
+            and change.revision < listed.revision
+        ]
+        puts = [
+            protocol.Change('put', stored.revision, stored)
+            for stored in listed.items
+        ]
+        return self.accept(puts + deleted)
+
     def accept_one(self, change):
         """Take over one change; return whether it was new."""
         self.revision = max(self.revision, change.revision)
--- a/celeryward/platform/watcher.py
+++ b/celeryward/platform/watcher.py
@@ -1,11 +1,12 @@
 """The task that follows the platform's configuration."""
 
+import time
+
 import curio
 
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import protocol
 from celeryward.platform import records
 
 BOOKMARK_TIMEOUT_SECONDS = 10.0
@@ -13,25 +14,33 @@
 
 
 class Watcher:
-    """Lists all configuration once, then follows one watch on all kinds."""
+    """Lists all configuration once, then follows one watch on all kinds.
+
+    :param clock: function that returns UTC seconds.
+    """
 
-    def __init__(self, client, configuration):
+    def __init__(self, client, configuration, clock=time.time):
         self.client = client
         self.configuration = configuration
+        self.clock = clock
         self.listed = curio.Event()
         self.since = 0
 
     async def run(self):
-        """Follow the configuration until cancelled."""
+        """Follow the configuration until cancelled.
+
+        Begins with a list, because changes may have been missed since an
+        earlier run ended.
+        """
+        self.listed.clear()
         while True:
-            if not self.listed.is_set() and not await self.list_all():
-                await curio.sleep(RETRY_SECONDS)
-                continue
-            await self.follow()
+            if self.listed.is_set() or await self.list_all():
+                await self.follow()
             await curio.sleep(RETRY_SECONDS)
 
     async def list_all(self):
         """Read every kind; return whether all reads succeeded."""
+        started_at = self.clock()
         revisions = []
         for kind in records.KINDS:
             listed = await self.client.list(kind)
@@ -41,15 +50,12 @@
                     'configuration not read: {}', error.message
                 )
                 return False
-            items = listed.unwrap().items
             revisions.append(listed.unwrap().revision)
-            self.configuration.accept(
-                protocol.Change('put', stored.revision, stored)
-                for stored in items
-            )
+            self.configuration.accept_list(kind, listed.unwrap())
         # The lists are read one after the other; the watch starts at the
         # oldest of them so that no change in between is missed.
         self.since = min(revisions)
+        self.confirm(self.since, started_at)
         await self.listed.set()
         return True
 
@@ -66,6 +72,15 @@
                 return
             self.configuration.accept((change.unwrap(),))
             self.since = max(self.since, change.unwrap().revision)
+            self.confirm(self.since, self.clock())
+
+    def confirm(self, revision, at):
+        """Note that the platform confirmed the configuration.
+
+        A list or watch that lags behind what peers sent confirms nothing.
+        """
+        if revision >= self.configuration.revision:
+            self.configuration.confirm(at)
 
     async def note_failure(self, error):
         """List again if the platform no longer holds the changes."""
