Merge gossip, membership and the gRPC bridge; send copies of bills to peers

Cause: the ledger and the transport were written apart; a bill has an identity and a batch that the messages did not carry, and the status page counted pending bills by a field that had become a number, which no test covered. Change: Bill messages carry id and batch, copies are released by bill id, an adapter joins ledger, peers and kept copies; a test reads the status page. Conclusion: copies of bills now travel to peers.

--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -10,6 +10,8 @@
 from celeryward.callers import server
 from celeryward.callers import serving
 from celeryward.callers import sessions
+from celeryward.daemons import control
+from celeryward.daemons import copies
 from celeryward import deadlines
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
@@ -59,12 +61,21 @@
         self.client = client.ObjectClient(
             settings.platform, timings.platform_timeout, settings.name
         )
-        self.watcher = watcher.Watcher(self.client, self.configuration)
+        self.watcher = watcher.Watcher(self.client, self.configuration, clock)
         # A restarted daemon must not reuse the batch names of its past.
         # Peers know this run by the same name, see peer_died.
         self.ledger = billing.Ledger(f'{settings.name}-{new_id()[:12]}')
         self.replicas = replicas.Replicas()
         self.claims = claim_store.ClaimStore(self.client, clock)
+        self.control = control.Control(
+            settings,
+            self.ledger.owner,
+            self.configuration,
+            self.watcher,
+            copies.CopyHandler(self.replicas, self.peer_died),
+            clock,
+        )
+        self.ledger.peers = copies.CopySender(self.control)
         self.flusher = flusher.Flusher(
             self.ledger,
             self.client,
@@ -131,16 +142,16 @@
         self.ledger.peer_died(owner)
 
     async def start(self):
-        """Start all tasks; callers are accepted once there is a catalog."""
-        for run in (
-            self.watcher.run,
-            self.prober.run,
-            self.flusher.run,
-            self.ratings.run,
-        ):
+        """Start all tasks; callers are accepted once there is a catalog.
+
+        The catalog comes from the platform or, while that is away or
+        another daemon holds the watch, from peers.
+        """
+        await self.control.start()
+        for run in (self.prober.run, self.flusher.run, self.ratings.run):
             self.tasks.append(await curio.spawn(run, daemon=True))
         await self.admin.start()
-        await self.watcher.listed.wait()
+        await self.configuration.confirmed.wait()
         await self.prober.adjust()
         await self.listener.start()
         logs.bind(step='start', peer=self.settings.name).info(
@@ -171,6 +182,7 @@
             await curio.sleep(FLUSH_RETRY_SECONDS)
         for task in self.tasks:
             await task.cancel()
+        await self.control.stop()
         await self.admin.stop_accepting()
         await self.admin.drain(deadlines.Deadline.after(0.0))
         await self.pool.close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,7 +5,7 @@
 
 from celeryward import logs
 
-TEST_SECONDS = 60.0
+TEST_SECONDS = 30.0
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -5,10 +5,12 @@
 
 from celeryward import errors
 from celeryward.operators import cli
+from celeryward.operators import demo
 from celeryward.operators import documents
 from celeryward.operators import editor
 from celeryward.operators import load
 from celeryward.operators import output
+from celeryward.operators import status
 from celeryward.platform import client
 from celeryward.platform import protocol
 from celeryward import settings
@@ -151,6 +153,22 @@
             output.FORMATS.get('xml')
 
 
+class TestStatus:
+    """Guards against a status that fails while the daemon serves."""
+
+    def test_status_of_a_running_daemon(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            port = cluster.daemon.admin.port
+            body = await status.read('127.0.0.1', port)
+            assert body['name'] == 'demo'
+            assert [each['live'] for each in body['endpoints']] == [True] * 3
+            await cluster.stop()
+
+        run(test)
+
+
 class TestOpenLoop:
     """Guards against latencies that leave out the time spent waiting."""
 
