--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -15,12 +15,12 @@
     """
 
     def __init__(self):
+        self.peer = 'fake'
         self.objects = {}
         self.revision = 0
         self.away = False
         self.lose_answer = lambda: False
         self.calls = 0
-        self.largest = 0
 
     async def get(self, kind, name):
         """Read one object."""
@@ -70,6 +70,7 @@
         self.owner = owner
         self.replicas = replicas
         self.pick = pick
+        self.last_holders = ()
 
     async def keep(self, bills, deadline):
         """Copy bills to 2 peers; return their names."""
@@ -77,8 +78,9 @@
         if len(others) < 2:
             raise _error(errors.ConnectionFailed, sent=False)
         for name in others[:2]:
-            self.replicas[name].keep(self.owner, bills).unwrap()
-        return tuple(others[:2])
+            errors.unwrap(self.replicas[name].keep(self.owner, bills))
+        self.last_holders = tuple(others[:2])
+        return self.last_holders
 
     async def release(self, request_ids):
         """Tell every host that the platform holds the bills."""
--- a/celeryward/platform/batches.py
+++ b/celeryward/platform/batches.py
@@ -103,8 +103,11 @@
 
     def ids(self):
         """Return the ids of all bills as a set."""
-        packed = (group.ids() for group in self.groups)
-        return {bill.id for bill in self.bills}.union(*packed)
+        return self.packed_ids().union(bill.id for bill in self.bills)
+
+    def packed_ids(self):
+        """Return the ids of the packed bills as a set."""
+        return set().union(*(group.ids() for group in self.groups))
 
     def all_bills(self):
         """Yield every bill, detailed or packed."""
@@ -260,6 +263,9 @@
 class Collection:
     """The bills of one batch in memory, in detail or packed.
 
+    ``holders`` names the peers that keep copies, and ``lacks_copies`` is
+    set while some of the bills are on fewer than 2 of them.
+
     :param Deadline due: when a peer writes the batch for its owner.
     """
 
@@ -271,6 +277,7 @@
         self.count = 0
         self.packed_size = 0
         self.holders = frozenset()
+        self.lacks_copies = False
 
     def add(self, bill):
         """Add a bill; return whether it was new."""
@@ -288,18 +295,31 @@
 
     def pack(self):
         """Replace the detailed bills by their packed form."""
-        for bill in self.bills.values():
+        if not self.bills:
+            return
+        bills = self.freeze().bills
+        for bill in bills:
             entries = self.groups.setdefault(route_of(bill), bytearray())
             entries.extend(pack_bill(bill))
+        doubles = len(self.bills) - len(bills)
+        self.count -= doubles
         self.bills.clear()
 
     def freeze(self):
-        """Return the content as a :class:`Batch`."""
+        """Return the content as a :class:`Batch`, each bill once.
+
+        A copy that is kept again after its first one was packed is in both
+        forms until then.
+        """
         groups = tuple(
             Group(route, bytes(entries))
             for route, entries in self.groups.items()
         )
-        return Batch(self.name, tuple(self.bills.values()), groups)
+        packed = Batch(self.name, groups=groups).packed_ids()
+        bills = tuple(
+            bill for bill in self.bills.values() if bill.id not in packed
+        )
+        return Batch(self.name, bills, groups)
 
     def remove(self, ids):
         """Drop the bills with the given ids."""
--- a/celeryward/platform/billing.py
+++ b/celeryward/platform/billing.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 import result
 
@@ -109,42 +110,55 @@
             self.open = None
 
     async def copy(self, bills):
-        """Have peers keep copies of bills; note if that fails."""
+        """Have peers keep copies of bills; note if that fails.
+
+        :returns: whether 2 peers hold the copies.
+        """
         if self.peers is None:
-            return
+            return False
+        names = {bill.batch for bill in bills}
+        touched = [each for each in self.collections if each.name in names]
         deadline = deadlines.Deadline.after(KEEP_SECONDS)
         try:
             holders = await self.peers.keep(bills, deadline)
         except errors.CelerywardError as error:
             self.short_of_copies = True
+            for collection in touched:
+                collection.lacks_copies = True
             logs.bind_error(error).warning(
                 'bills not copied to 2 peers: {}', error.message
             )
-            return
-        names = {bill.batch for bill in bills}
-        for collection in self.collections:
-            if collection.name in names:
-                collection.holders |= frozenset(holders or ())
+            return False
+        for collection in touched:
+            collection.holders |= frozenset(holders or ())
+        return True
 
     def peer_died(self, name):
         """Note that the copies which a peer held are gone."""
         for collection in self.collections:
             if name in collection.holders:
-                collection.holders = frozenset()
+                collection.holders -= {name}
+                collection.lacks_copies = True
 
     async def copy_again(self):
         """Copy batches anew that lost a holder; used while flushes fail."""
         if self.peers is None:
             return
         for collection in self.collections:
-            if not collection.holders:
+            if collection.lacks_copies:
+                collection.lacks_copies = False
                 await self.copy_all(collection.freeze())
 
     async def copy_all(self, batch):
-        """Copy a whole batch in messages of bounded size."""
-        bills = tuple(batch.all_bills())
-        for start in range(0, len(bills), COPY_CHUNK_BILLS):
-            await self.copy(bills[start : start + COPY_CHUNK_BILLS])
+        """Copy a whole batch in messages of bounded size.
+
+        :returns: whether all of it was copied.
+        """
+        bills = batch.all_bills()
+        while chunk := tuple(itertools.islice(bills, COPY_CHUNK_BILLS)):
+            if not await self.copy(chunk):
+                return False
+        return True
 
     def next_batch(self):
         """Return the oldest batch, the same one until it is written.
--- a/celeryward/platform/claim_store.py
+++ b/celeryward/platform/claim_store.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+import curio
 import result
 
 from celeryward import deadlines
@@ -11,6 +12,9 @@
 from celeryward.platform import claims
 
 MAX_STEPS = 4
+# Longest wait for a claim. The platform answers in milliseconds, so that a
+# longer wait means an outage, in which calls with a key are refused.
+ACQUIRE_SECONDS = 1.0
 # After a failure, calls with a key are refused without asking the platform
 # for this long, so that they are refused at once during an outage.
 AWAY_SECONDS = 1.0
@@ -38,6 +42,8 @@
         self.client = client
         self.clock = clock
         self.away_until = deadlines.Deadline.after(0.0)
+        self.suspect = False
+        self.probing = False
         self.pending = collections.deque(maxlen=MAX_PENDING_OUTCOMES)
 
     async def acquire(self, claim):
@@ -47,11 +53,25 @@
             ``Ok(claims.Response)`` if the stored response is the answer,
             or ``Err`` with an error for the caller.
         """
-        if not self.away_until.expired():
+        if self.suspect and (self.probing or not self.away_until.expired()):
             return self.unchecked(claim)
+        self.probing = True
+        try:
+            return await curio.timeout_after(
+                ACQUIRE_SECONDS, self.try_acquire, claim
+            )
+        except curio.TaskTimeout:
+            self.note_away()
+            return self.abandon(claim)
+        finally:
+            self.probing = False
+
+    async def try_acquire(self, claim):
+        """Claim a key; the platform may take any time to answer."""
         outcome = await self.client.create(claim.to_object())
         for _ in range(MAX_STEPS):
             if outcome.is_ok():
+                self.suspect = False
                 return result.Ok(Held(claim, outcome.unwrap().revision))
             read = await self.read_back(claim, outcome.unwrap_err())
             if read.is_err():
@@ -82,19 +102,23 @@
         if isinstance(error, errors.Conflict) and error.current is not None:
             return result.Ok(error.current)
         if isinstance(error, errors.PlatformUnavailable):
-            self.note_away(error)
+            self.note_away()
             return self.unchecked(claim)
         read = await self.client.get(claims.CLAIM_KIND, claim.name)
         if read.is_ok():
             return read
         if isinstance(read.unwrap_err(), errors.NotFound):
             return result.Ok(None)
-        self.note_away(read.unwrap_err())
+        self.note_away()
         return self.abandon(claim)
 
-    def note_away(self, error):
-        """Refuse calls with a key for a while."""
-        logs.bind_error(error).warning('claim failed: {}', error.message)
+    def note_away(self):
+        """Refuse calls with a key for a while, then let one try."""
+        if not self.suspect:
+            logs.bind(step='claim', peer=self.client.peer).warning(
+                'platform is away; calls with an idempotency key are refused'
+            )
+        self.suspect = True
         self.away_until = deadlines.Deadline.after(AWAY_SECONDS)
 
     def abandon(self, claim):
--- a/celeryward/platform/flusher.py
+++ b/celeryward/platform/flusher.py
@@ -64,8 +64,9 @@
 
     async def copy_orphans(self):
         """Copy bills of dead owners on to further peers."""
-        for batch in self.replicas.take_orphans():
-            await self.ledger.copy_all(batch)
+        for owner, batch in self.replicas.orphaned():
+            if await self.ledger.copy_all(batch):
+                self.replicas.copied(owner, batch)
 
     async def drain(self, source):
         """Write batches until none is left or a write fails."""
--- a/celeryward/platform/replicas.py
+++ b/celeryward/platform/replicas.py
@@ -108,15 +108,18 @@
         collection.due = deadlines.Deadline.after(0.0)
         self.orphans[owner, collection.name] = collection
 
-    def take_orphans(self):
-        """Return the batches that need new copies, each only once.
+    def orphaned(self):
+        """Yield pairs of owner and batch that need new copies.
 
         They are copied on to other peers if the platform is away, because
         the remaining holders may fail before it returns.
         """
-        taken = [each.freeze() for each in self.orphans.values()]
-        self.orphans.clear()
-        return taken
+        for (owner, _), collection in list(self.orphans.items()):
+            yield owner, collection.freeze()
+
+    def copied(self, owner, batch):
+        """Note that an orphaned batch has new copies."""
+        self.orphans.pop((owner, batch.name), None)
 
     def next_batch(self):
         """Return a batch that is due, or None."""
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -246,6 +246,36 @@
         assert fleet.billed() == ['r']
         assert fleet.b.replicas.count == 0
 
+    def test_bill_after_the_death_of_a_holder(self, run, fleet):
+        fleet.hosts['d'] = Host('d', fleet.platform, fleet.network)
+        fleet.platform.away = True
+        run(fleet.a.ledger.settle, bill('r1'))
+        fleet.kill('b')
+        # The copies of this bill must not hide that r1 lacks one.
+        run(fleet.a.ledger.settle, bill('r2'))
+        run(fleet.a.flusher.flush)
+        assert fleet.hosts['d'].replicas.count == 2
+
+    def test_failed_copies_are_made_when_peers_return(self, run, fleet):
+        fleet.platform.away = True
+        gone = fleet.network.pop('c')
+        run(fleet.a.ledger.settle, bill('r'))
+        fleet.network['c'] = gone
+        run(fleet.a.flusher.flush)
+        assert fleet.b.replicas.count == gone.count == 1
+
+    def test_copy_kept_again_after_packing_takes_no_room(self, run, fleet):
+        run(fleet.a.ledger.settle, bill('r'))
+        again = fleet.a.ledger.collections[0].freeze().bills
+        (held,) = fleet.b.replicas.collections
+        for _ in range(5):
+            held.pack()
+            fleet.b.replicas.keep('a', again)
+            assert len(list(held.freeze().all_bills())) == 1
+        held.pack()
+        assert len(held.freeze().groups[0].entries) == 40
+        assert fleet.b.replicas.count == 1
+
     def test_all_holders_fail_one_by_one_in_an_outage(self, run, fleet):
         for name in 'de':
             fleet.hosts[name] = Host(name, fleet.platform, fleet.network)
@@ -260,6 +290,14 @@
             run(host.flusher.flush)
         assert fleet.listed() == [batches.bill_id('shop', 'r')]
 
+    def test_planned_stop_hands_copies_over_in_an_outage(self, run, fleet):
+        fleet.hosts['d'] = Host('d', fleet.platform, fleet.network)
+        fleet.platform.away = True
+        run(fleet.a.ledger.settle, bill('r'))
+        fleet.b.replicas.mark_all_due()
+        run(fleet.b.flusher.flush)
+        assert 'b' in fleet.a.replicas.owners
+
     def test_full_replicas_refuse_copies(self, fleet):
         full = replicas.Replicas(bounds=billing.Bounds(1, 1))
         copy = calls.Bill(*('r', 's', 't', (), 1.0, '00' * 16, 'a-0'))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -204,6 +204,26 @@
             run(pair.a.ask)
         assert pair.platform.calls == 1
 
+    def test_silent_platform(self, run, pair, monkeypatch):
+        async def never(stored):
+            asked.append(stored)
+            await curio.Event().wait()
+
+        async def test():
+            first = await pair.a.ask()
+            pair.a.store.away_until = deadlines.Deadline.after(0.0)
+            probing = await curio.spawn(pair.a.ask)
+            while len(asked) < 2:
+                await curio.sleep(0)
+            beside = await pair.a.ask()
+            return first, beside, await probing.join()
+
+        asked = []
+        monkeypatch.setattr(claim_store, 'ACQUIRE_SECONDS', 0.05)
+        monkeypatch.setattr(pair.platform, 'create', never)
+        assert {error.code for error in run(test)} == {'claim_unchecked'}
+        assert len(asked) == 2
+
     def test_call_without_a_key_is_served_in_an_outage(self, run, pair):
         pair.platform.away = True
         assert run(pair.a.ask, call(key=''))[0] == 201
