Divide limits by demand and admit by deadline and fair share

Cause: the only limit was a count of running requests at each daemon, and nothing kept a request from engines that were full.

Change: demand measures each daemon's offered load and summarises it for gossip; limits divides rate, concurrency and daily cost by the summaries of the daemons that can be reached, and by fixed parts when cut off. Queues holds a bounded queue for each model with fair sharing among customers, priorities within a customer, and early refusal by the expected wait. A request is placed once it has its slot.

--- a/celeryward/callers/admission.py
+++ b/celeryward/callers/admission.py
@@ -1,6 +1,5 @@
 """Whether a request is admitted, and to which models."""
 
-import collections
 import dataclasses
 
 import result
@@ -74,28 +73,3 @@
             peer=target,
         )
     )
-
-
-class Concurrency:
-    """Requests of each customer that run at this daemon."""
-
-    def __init__(self):
-        self.running = collections.Counter()
-
-    def enter(self, customer):
-        """Count one request, or return ``Err(LimitExceeded)``."""
-        limit = customer.limits.concurrent
-        if limit and self.running[customer.name] >= limit:
-            return result.Err(
-                errors.LimitExceeded(
-                    f'{limit} requests of the customer are running',
-                    step='admit',
-                    peer=customer.name,
-                )
-            )
-        self.running[customer.name] += 1
-        return result.Ok(None)
-
-    def leave(self, customer):
-        """Count the end of one request."""
-        self.running[customer.name] -= 1
--- /dev/null
+++ b/celeryward/callers/demand.py
@@ -0,0 +1,196 @@
+"""What customers ask of one daemon, summarised for its peers."""
+
+import dataclasses
+import math
+
+# Short enough to follow a move of demand within seconds, long enough that
+# a customer with one request each second is not seen as idle.
+HALF_LIFE_SECONDS = 5.0
+DECAY_PER_SECOND = math.log(2) / HALF_LIFE_SECONDS
+# A summary is sent again once an entry has moved by this part. Smaller
+# moves change the shares less than the delay of gossip does.
+DEAD_BAND = 0.2
+# Customers with the highest cost and rate; bounds the size of a summary.
+# What the others spend is not counted at other daemons.
+MAX_CUSTOMERS = 32
+MEAN_WEIGHT = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CustomerDemand:
+    """What one customer asks of one daemon.
+
+    :param float rate: offered requests each second, refused ones included.
+    :param float concurrent: requests that would run at once.
+    :param float cost: cost units spent today.
+    """
+
+    customer: str
+    rate: float = 0.0
+    concurrent: float = 0.0
+    cost: float = 0.0
+
+    def differs(self, other):
+        """Return whether the demand left the dead band around another."""
+        pairs = (
+            (self.rate, other.rate),
+            (self.concurrent, other.concurrent),
+            (self.cost, other.cost),
+        )
+        return any(
+            abs(ours - theirs) > DEAD_BAND * max(ours, theirs, 0.1)
+            for ours, theirs in pairs
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """Requests for one model that run or wait at one daemon."""
+
+    model: str
+    wanted: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Summary of one daemon, passed on by gossip.
+
+    :param str daemon: name of this run of the daemon. A restarted daemon
+        uses a new one, so that what it had spent stays counted.
+    :param int sequence: grows with each summary of the daemon.
+    :param int day: days since 1970 in UTC, to which the costs belong.
+    """
+
+    daemon: str
+    sequence: int = 0
+    day: int = 0
+    customers: tuple[CustomerDemand, ...] = ()
+    models: tuple[ModelDemand, ...] = ()
+
+    def of_customer(self, name):
+        """Return the demand of a customer, zero if it is not listed."""
+        for entry in self.customers:
+            if entry.customer == name:
+                return entry
+        return CustomerDemand(name)
+
+    def of_model(self, name):
+        """Return the requests wanted of a model."""
+        return sum(
+            entry.wanted for entry in self.models if entry.model == name
+        )
+
+    def differs(self, other):
+        """Return whether this summary is worth sending after another."""
+        if self.day != other.day:
+            return True
+        names = {entry.customer for entry in self.customers + other.customers}
+        moved = any(
+            self.of_customer(name).differs(other.of_customer(name))
+            for name in names
+        )
+        models = {entry.model for entry in self.models + other.models}
+        return moved or any(
+            abs(self.of_model(name) - other.of_model(name))
+            > DEAD_BAND * max(self.of_model(name), other.of_model(name), 1.0)
+            for name in models
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decayed:
+    """A count whose past loses half of its weight each half-life."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def current(self, now):
+        """Return the value at a time."""
+        elapsed = max(0.0, now - self.at)
+        return self.value * math.exp(-DECAY_PER_SECOND * elapsed)
+
+    def add(self, now, amount=1.0):
+        """Return the count with an amount added."""
+        return Decayed(self.current(now) + amount, now)
+
+    def per_second(self, now):
+        """Return the rate that the count stands for."""
+        return self.current(now) * DECAY_PER_SECOND
+
+
+def moved_mean(mean, value):
+    """Return a moving mean with a new value; None before the first."""
+    if mean is None:
+        return value
+    return mean + MEAN_WEIGHT * (value - mean)
+
+
+class DemandMeter:
+    """Measures the demand of each customer at this daemon."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+        self.sequence = 0
+        self.day = 0
+        self.offers = {}
+        self.durations = {}
+        self.request_costs = {}
+        self.spent = {}
+
+    def offered(self, customer, now):
+        """Count a request, whether it is admitted or not."""
+        count = self.offers.get(customer, Decayed())
+        self.offers[customer] = count.add(now)
+
+    def finished(self, customer, seconds):
+        """Note how long an admitted request took."""
+        mean = self.durations.get(customer)
+        self.durations[customer] = moved_mean(mean, seconds)
+
+    def spend(self, customer, cost, day):
+        """Add the cost of a request to the customer's day."""
+        self.start_day(day)
+        self.spent[customer] = self.spent.get(customer, 0.0) + cost
+        mean = self.request_costs.get(customer)
+        self.request_costs[customer] = moved_mean(mean, cost)
+
+    def start_day(self, day):
+        """Forget the costs of an earlier day."""
+        if day > self.day:
+            self.day = day
+            self.spent = {}
+
+    def summary(self, now, day, models=()):
+        """Return the next :class:`Demand`.
+
+        :param tuple models: a :class:`ModelDemand` for each queue.
+        """
+        self.start_day(day)
+        self.sequence += 1
+        names = self.offers.keys() | self.spent.keys()
+        entries = [self.of_customer(name, now) for name in names]
+        entries = sorted(
+            (entry for entry in entries if entry.rate or entry.cost),
+            key=lambda entry: (-entry.cost, -entry.rate, entry.customer),
+        )
+        return Demand(
+            self.daemon,
+            self.sequence,
+            day,
+            tuple(entries[:MAX_CUSTOMERS]),
+            tuple(models),
+        )
+
+    def of_customer(self, name, now):
+        """Return the :class:`CustomerDemand` of one customer.
+
+        By Little's law, the requests that would run at once are the
+        offered rate times their duration. Refused requests count too.
+        """
+        rate = self.offers.get(name, Decayed()).per_second(now)
+        rate = rate if rate > 0.001 else 0.0
+        concurrent = rate * self.durations.get(name, 0.0)
+        cost = self.spent.get(name, 0.0)
+        return CustomerDemand(
+            name, round(rate, 3), round(concurrent, 3), round(cost, 3)
+        )
--- /dev/null
+++ b/celeryward/callers/limits.py
@@ -0,0 +1,337 @@
+"""Limits of customers, divided among daemons by demand.
+
+All daemons compute the shares from the same summaries, so that the shares
+add up to the limit once the summaries have spread. Daemons that can't
+reach all others divide only their part of the limit.
+"""
+
+import collections
+import dataclasses
+import math
+
+import result
+
+from celeryward.callers import demand
+from celeryward import deadlines
+from celeryward import errors
+
+# Part of a rate that all daemons share equally, so that the first requests
+# at a daemon without known demand are not refused.
+EQUAL_PART = 0.1
+BURST_SECONDS = 1.0
+RETRY_CONCURRENT_SECONDS = 1.0
+DAY_SECONDS = 86_400
+
+
+def divide(limit, own, wanted, expected):
+    """Return this daemon's share of a limit that can be divided freely.
+
+    :param str own: name of this daemon.
+    :param dict wanted: demand by name of each daemon that can be reached,
+        this one included.
+    :param int expected: number of daemons, reachable or not.
+    """
+    part = limit * min(1.0, len(wanted) / max(1, expected))
+    total = sum(wanted.values())
+    equal = 1 / len(wanted)
+    if total <= 0.0:
+        return part * equal
+    weight = wanted[own] / total
+    return part * (EQUAL_PART * equal + (1 - EQUAL_PART) * weight)
+
+
+def apportion(limit, own, wanted, expected):
+    """Return this daemon's share of a limit in whole numbers.
+
+    The shares of the daemons that reach each other add up to their part of
+    the limit. A group whose part is less than one gets one: it serves what
+    it can, and the limit is exceeded by at most one for each such group.
+    """
+    fraction = min(1.0, len(wanted) / max(1, expected))
+    part = max(1, math.floor(limit * fraction))
+    total = sum(wanted.values())
+    if total <= 0.0:
+        wanted = dict.fromkeys(wanted, 1.0)
+        total = len(wanted)
+    exact = {name: part * value / total for name, value in wanted.items()}
+    whole = {name: math.floor(value) for name, value in exact.items()}
+    left = part - sum(whole.values())
+    by_remainder = sorted(
+        exact, key=lambda name: (whole[name] - exact[name], name)
+    )
+    return whole[own] + (own in by_remainder[:left])
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spending:
+    """Cost of a customer when the set of reachable daemons last changed.
+
+    :param float everywhere: spent at all known daemons.
+    :param float reachable: spent at the daemons that can be reached.
+    """
+
+    everywhere: float
+    reachable: float
+
+
+class Shares:
+    """Summaries of all daemons, and this daemon's shares of the limits.
+
+    :param str daemon: name of this run of the daemon.
+    """
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+        self.known = {daemon: demand.Demand(daemon)}
+        self.reachable = frozenset((daemon,))
+        self.expected = 1
+        self.day = 0
+        self.bases = {}
+        self.by_customer = {}
+        self.by_model = {}
+        self.computed = {}
+
+    def accept(self, summary):
+        """Take over a summary of any daemon, this one included."""
+        before = self.known.get(summary.daemon)
+        if before is not None and summary.sequence <= before.sequence:
+            return
+        self.known[summary.daemon] = summary
+        self.computed.clear()
+        for entries in (*self.by_customer.values(), *self.by_model.values()):
+            entries.pop(summary.daemon, None)
+        for entry in summary.customers:
+            entries = self.by_customer.setdefault(entry.customer, {})
+            entries[summary.daemon] = entry
+        for entry in summary.models:
+            entries = self.by_model.setdefault(entry.model, {})
+            entries[summary.daemon] = entry
+
+    def set_members(self, reachable, expected):
+        """Set which daemons are reachable, and how many there are.
+
+        What was spent by now stays the base of the cost budgets: a group
+        that is cut off must not divide the rest of a budget again each
+        time it has spent its part.
+        """
+        reachable = frozenset(reachable) | {self.daemon}
+        if reachable != self.reachable or expected != self.expected:
+            self.computed.clear()
+            self.reachable = reachable
+            self.expected = max(expected, len(reachable))
+            self.bases = {
+                name: self.spending(name) for name in self.by_customer
+            }
+
+    def start_day(self, day):
+        """Begin a day, to which no cost was charged yet."""
+        if day > self.day:
+            self.day = day
+            self.bases = {}
+            self.computed.clear()
+
+    def once(self, function, name, limit):
+        """Return a share, computed once until a summary changes.
+
+        With 340 daemons a share takes some 20 microseconds, which is too
+        long to spend on each request.
+        """
+        key = (function, name, limit)
+        if key not in self.computed:
+            self.computed[key] = function(name, limit)
+        return self.computed[key]
+
+    def wanted(self, entries, value):
+        """Return what each reachable daemon wants.
+
+        :param dict entries: entry of each daemon that has one.
+        :param str value: name of the field of an entry.
+        """
+        return {
+            name: getattr(entries[name], value) if name in entries else 0.0
+            for name in self.reachable
+        }
+
+    def of_customer(self, name, value):
+        """Return what a customer wants at each reachable daemon."""
+        return self.wanted(self.by_customer.get(name, {}), value)
+
+    def rate(self, name, limit):
+        """Return the requests a second that this daemon may admit."""
+        wanted = self.of_customer(name, 'rate')
+        return divide(limit, self.daemon, wanted, self.expected)
+
+    def concurrent(self, name, limit):
+        """Return the requests that this daemon may run at once."""
+        wanted = self.of_customer(name, 'concurrent')
+        return apportion(limit, self.daemon, wanted, self.expected)
+
+    def slots(self, model, total):
+        """Return how many of a model's slots this daemon may use."""
+        wanted = self.wanted(self.by_model.get(model, {}), 'wanted')
+        return max(1, apportion(total, self.daemon, wanted, self.expected))
+
+    def cost(self, name, limit):
+        """Return what this daemon may spend after its last summary."""
+        base = self.bases.get(name, Spending(0.0, 0.0))
+        spent = self.spending(name).reachable - base.reachable
+        part = len(self.reachable) / max(1, self.expected)
+        left = part * (limit - base.everywhere) - spent
+        wanted = self.of_customer(name, 'rate')
+        # The part of the reachable daemons is taken out already.
+        return divide(max(0.0, left), self.daemon, wanted, len(wanted))
+
+    def spending(self, name):
+        """Return the :class:`Spending` of a customer by the summaries."""
+        costs = {
+            daemon: entry.cost
+            for daemon, entry in self.by_customer.get(name, {}).items()
+            if self.known[daemon].day == self.day
+        }
+        return Spending(
+            sum(costs.values()),
+            sum(costs.get(daemon, 0.0) for daemon in self.reachable),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bucket:
+    """Tokens of a rate limit at a time."""
+
+    tokens: float
+    at: float
+
+    def filled(self, rate, now):
+        """Return the bucket at a later time."""
+        most = max(1.0, rate * BURST_SECONDS)
+        tokens = self.tokens + rate * max(0.0, now - self.at)
+        return Bucket(min(most, tokens), now)
+
+
+class Limiter:
+    """Applies this daemon's shares to the requests of each customer.
+
+    :param str daemon: name of this run of the daemon.
+    """
+
+    def __init__(self, daemon):
+        self.shares = Shares(daemon)
+        self.meter = demand.DemandMeter(daemon)
+        self.buckets = {}
+        self.running = collections.Counter()
+
+    def enter(self, customer, now, day):
+        """Count one request, or return ``Err(LimitExceeded)``.
+
+        :param float now: seconds on the monotonic clock.
+        :param int day: days since 1970 in UTC.
+        """
+        self.shares.start_day(day)
+        self.meter.start_day(day)
+        self.meter.offered(customer.name, now)
+        for check in (self.check_concurrent, self.check_cost):
+            refused = check(customer, now)
+            if refused is not None:
+                return result.Err(refused)
+        refused = self.take_token(customer, now)
+        if refused is not None:
+            return result.Err(refused)
+        self.running[customer.name] += 1
+        return result.Ok(None)
+
+    def leave(self, customer, seconds):
+        """Count the end of an admitted request and its duration."""
+        self.running[customer.name] -= 1
+        self.meter.finished(customer.name, seconds)
+
+    def spend(self, customer_name, cost, day):
+        """Charge the cost of a request."""
+        self.meter.spend(customer_name, cost, day)
+
+    def check_concurrent(self, customer, now):
+        """Return the error if the customer's share is in use, or None."""
+        if not customer.limits.concurrent:
+            return None
+        share = self.shares.once(
+            self.shares.concurrent, customer.name, customer.limits.concurrent
+        )
+        if self.running[customer.name] < share:
+            return None
+        return _exceeded(
+            customer,
+            f'{share} requests of the customer may run at this daemon',
+            now + RETRY_CONCURRENT_SECONDS,
+        )
+
+    def check_cost(self, customer, now):
+        """Return the error if the daily budget is used up, or None.
+
+        Running requests count with the mean cost of the customer's
+        requests, because their own cost is not known yet.
+        """
+        if not customer.limits.cost_per_day:
+            return None
+        name = customer.name
+        announced = self.shares.known[self.meter.daemon]
+        told = 0.0
+        if announced.day == self.meter.day:
+            told = announced.of_customer(name).cost
+        mean = self.meter.request_costs.get(name, 0.0)
+        spent = self.meter.spent.get(name, 0.0) - told
+        open_cost = (self.running[name] + 1) * mean
+        share = self.shares.once(
+            self.shares.cost, name, customer.limits.cost_per_day
+        )
+        if spent + open_cost <= share:
+            return None
+        return _exceeded(
+            customer,
+            'the cost budget of the day is used up, or the rest of it is '
+            'held by other daemons',
+            now + demand.HALF_LIFE_SECONDS,
+        )
+
+    def take_token(self, customer, now):
+        """Return the error if the rate is exceeded, or None."""
+        if not customer.limits.requests_per_s:
+            return None
+        rate = self.shares.once(
+            self.shares.rate, customer.name, customer.limits.requests_per_s
+        )
+        bucket = self.buckets.get(customer.name, Bucket(math.inf, now))
+        bucket = bucket.filled(rate, now)
+        self.buckets[customer.name] = bucket
+        if bucket.tokens < 1.0:
+            return _exceeded(
+                customer,
+                f'{customer.limits.requests_per_s:g} requests a second are '
+                'allowed over all daemons',
+                now + (1.0 - bucket.tokens) / rate,
+            )
+        self.buckets[customer.name] = Bucket(bucket.tokens - 1.0, now)
+        return None
+
+    def summary(self, now, day, models=()):
+        """Return this daemon's :class:`demand.Demand`, and use it too.
+
+        Shares are computed from summaries only: a daemon that used its own
+        newest figures would count on a share that its peers don't grant.
+        """
+        self.shares.start_day(day)
+        summary = self.meter.summary(now, day, models)
+        self.shares.accept(summary)
+        return summary
+
+
+def day_of(utc_seconds):
+    """Return the day of a time, counted from 1970 in UTC."""
+    return int(utc_seconds // DAY_SECONDS)
+
+
+def _exceeded(customer, message, retry_at):
+    return errors.LimitExceeded(
+        message,
+        step='admit',
+        peer=customer.name,
+        retry_at=deadlines.Deadline(retry_at),
+    )
--- /dev/null
+++ b/celeryward/callers/queues.py
@@ -0,0 +1,267 @@
+"""Admission to the slots of one model, by deadline and by fair shares.
+
+Customers take turns by start-time fair queueing: each has a virtual time,
+which grows with the slot time that it used, and the customer with the
+lowest one is next. Among the requests of one customer the higher priority
+goes first, then the older request.
+"""
+
+import dataclasses
+import heapq
+
+import result
+
+from celeryward.callers import demand
+from celeryward import deadlines
+from celeryward import errors
+
+# Requests that wait for each slot. At most these many mean durations pass
+# until the last one starts, which few deadlines allow.
+WAITING_PER_SLOT = 16
+LONGEST_RETRY_SECONDS = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """One request that waits for a slot.
+
+    :param int number: order of arrival.
+    :param Deadline deadline: by which its answer is of use.
+    """
+
+    number: int
+    customer: str
+    priority: int
+    deadline: deadlines.Deadline
+
+    @property
+    def order(self):
+        """Key of the order among the requests of one customer."""
+        return -self.priority, self.number
+
+
+def weight(priority):
+    """Return the weight of a customer's share.
+
+    The share is proportional, so that a high priority can't starve a
+    customer with a low one.
+    """
+    return 1.0 + max(0, priority)
+
+
+class Line:
+    """The waiting requests of one customer.
+
+    :param float share: weight of the customer.
+    """
+
+    def __init__(self, share):
+        self.share = share
+        self.virtual = 0.0
+        self.heap = []
+        self.gone = set()
+
+    def __len__(self):
+        return len(self.heap) - len(self.gone)
+
+    def push(self, ticket):
+        """Add a ticket."""
+        heapq.heappush(self.heap, (ticket.order, ticket))
+
+    def pop(self):
+        """Remove and return the first ticket."""
+        while True:
+            ticket = heapq.heappop(self.heap)[1]
+            if ticket.number not in self.gone:
+                return ticket
+            self.gone.discard(ticket.number)
+
+    def remove(self, ticket):
+        """Remove a ticket that is in the line."""
+        self.gone.add(ticket.number)
+
+    def last(self):
+        """Return the ticket that would start last."""
+        return max(
+            (
+                ticket
+                for _, ticket in self.heap
+                if ticket.number not in self.gone
+            ),
+            key=lambda ticket: ticket.order,
+        )
+
+    def ahead(self, ticket):
+        """Return how many tickets start before this one."""
+        return sum(
+            order < ticket.order
+            for order, other in self.heap
+            if other.number not in self.gone
+        )
+
+
+class ModelQueue:
+    """Slots of one model at this daemon, and the requests that wait.
+
+    Times are passed in as seconds of the monotonic clock.
+
+    :param str model: name of the model.
+    """
+
+    def __init__(self, model):
+        self.model = model
+        self.slots = 1
+        self.running = 0
+        self.waiting = 0
+        self.lines = {}
+        self.virtual = 0.0
+        self.mean_seconds = None
+        self.customer_seconds = {}
+
+    @property
+    def wanted(self):
+        """Requests that run or wait."""
+        return self.running + self.waiting
+
+    def offer(self, ticket, share, now):
+        """Add a request to the queue.
+
+        :param float share: weight of the customer.
+        :returns: ``Ok`` with the ticket that was displaced by this one, or
+            None, or ``Err(Overloaded)`` if this one can't start in time.
+        """
+        line = self.lines.setdefault(ticket.customer, Line(share))
+        line.share = share
+        if not len(line):
+            line.virtual = max(line.virtual, self.virtual)
+        wait = self.expected_wait(line, ticket)
+        refused = self.check_deadline(ticket, wait, now)
+        if refused is not None:
+            return result.Err(refused)
+        displaced = None
+        if self.waiting >= self.slots * WAITING_PER_SLOT:
+            displaced = self.longest_line().last()
+            if self.keeps(displaced, ticket):
+                return result.Err(self.full(wait, now))
+            self.cancel(displaced)
+        line.push(ticket)
+        self.waiting += 1
+        return result.Ok(displaced)
+
+    def keeps(self, last, ticket):
+        """Return whether a full queue keeps its last ticket.
+
+        A customer with a shorter line displaces the longest line's last
+        ticket; within one customer only a higher priority does.
+        """
+        if last.customer == ticket.customer:
+            return last.order < ticket.order
+        ours = self.lines[ticket.customer]
+        theirs = self.lines[last.customer]
+        return (len(ours) + 1) / ours.share >= len(theirs) / theirs.share
+
+    def longest_line(self):
+        """Return the line with the most tickets for its weight."""
+        return max(
+            self.lines.values(), key=lambda line: len(line) / line.share
+        )
+
+    def cancel(self, ticket):
+        """Remove a ticket that waits."""
+        self.lines[ticket.customer].remove(ticket)
+        self.waiting -= 1
+
+    def expected_wait(self, line, ticket):
+        """Return the seconds until a new ticket would start.
+
+        Other customers start as many requests before it as their lines
+        hold and their weights allow while its own line comes up to it.
+        """
+        if self.mean_seconds is None or self.wanted < self.slots:
+            return 0.0
+        turns = (line.ahead(ticket) + 1) / line.share
+        ahead = sum(
+            min(len(other), turns * other.share)
+            for other in self.lines.values()
+            if other is not line
+        )
+        ahead += line.ahead(ticket) + 1
+        return ahead * self.mean_seconds / self.slots
+
+    def check_deadline(self, ticket, wait, now):
+        """Return the error if a ticket can't be answered in time."""
+        usual = self.customer_seconds.get(ticket.customer, 0.0)
+        if wait == 0.0 and not self.waiting:
+            # Nothing is ahead; its own length is for the caller to judge.
+            usual = 0.0
+        late = now + wait + usual - ticket.deadline.at
+        if late <= 0.0:
+            return None
+        return self.overloaded('the expected wait is too long', late, now)
+
+    def full(self, wait, now):
+        """Return the error of a full queue."""
+        return self.overloaded('the queue is full', wait, now)
+
+    def overloaded(self, reason, seconds, now):
+        """Return the error that asks to retry after some seconds."""
+        seconds = min(LONGEST_RETRY_SECONDS, max(1.0, seconds))
+        return errors.Overloaded(
+            reason,
+            step='queue',
+            peer=self.model,
+            retry_at=deadlines.Deadline(now + seconds),
+        )
+
+    def start_next(self, now):
+        """Return the ticket to start and the error of each late one.
+
+        :returns: the pair of a ticket, or None if no slot is free or
+            nothing waits, and a tuple of pairs of ticket and error.
+        """
+        late = []
+        while self.waiting and self.running < self.slots:
+            line = min(
+                (line for line in self.lines.values() if len(line)),
+                key=lambda line: line.virtual,
+            )
+            ticket = line.pop()
+            self.waiting -= 1
+            refused = self.check_deadline(ticket, 0.0, now)
+            if refused is not None:
+                late.append((ticket, refused))
+                continue
+            self.virtual = line.virtual
+            line.virtual += 1 / line.share
+            self.running += 1
+            return ticket, tuple(late)
+        return None, tuple(late)
+
+    def finish(self, ticket, seconds):
+        """Free the slot of a ticket that was started.
+
+        The customer was charged for a mean request at the start; the
+        difference to what it used is charged here.
+        """
+        self.running -= 1
+        line = self.lines[ticket.customer]
+        if self.mean_seconds:
+            line.virtual += (seconds / self.mean_seconds - 1) / line.share
+        self.mean_seconds = demand.moved_mean(self.mean_seconds, seconds)
+        self.customer_seconds[ticket.customer] = demand.moved_mean(
+            self.customer_seconds.get(ticket.customer), seconds
+        )
+        self.forget_idle()
+
+    def release(self, ticket):
+        """Free the slot of a ticket that did not run."""
+        self.running -= 1
+        line = self.lines[ticket.customer]
+        line.virtual -= 1 / line.share
+        self.forget_idle()
+
+    def forget_idle(self):
+        """Drop lines that would start at the common virtual time anyway."""
+        if self.wanted == 0:
+            self.lines.clear()
+            self.virtual = 0.0
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -2,9 +2,13 @@
 
 import contextlib
 import functools
+import time
 
 from celeryward.callers import admission
+from celeryward.callers import demand
+from celeryward.callers import gates
 from celeryward.callers import keys
+from celeryward.callers import limits
 from celeryward.callers import placement
 from celeryward.callers import protocol
 from celeryward.callers import sessions
@@ -45,7 +49,12 @@
         self.metrics = metrics
         self.clock = clock
         self.configuration_age = configuration_age
-        self.concurrency = admission.Concurrency()
+        self.limiter = limits.Limiter(ledger.owner)
+        self.gates = gates.Gates(
+            configuration,
+            self.limiter.shares,
+            dispatcher.view.liveness,
+        )
         self.stopping = False
 
     def authenticate(self, head, peer):
@@ -64,11 +73,12 @@
 
     @contextlib.contextmanager
     def admitted(self, customer, target):
-        """Count a request as running, and its result in the metrics.
+        """Apply the limits, and count the result in the metrics.
 
-        :raises errors.LimitExceeded: if the customer is at its limit.
+        :raises errors.LimitExceeded: if the customer is at a limit.
         """
-        entered = self.concurrency.enter(customer)
+        started = time.monotonic()
+        entered = self.limiter.enter(customer, started, self.day())
         if entered.is_err():
             self.count(customer, target, entered.unwrap_err().code)
             raise entered.unwrap_err()
@@ -79,9 +89,21 @@
             code = error.code
             raise
         finally:
-            self.concurrency.leave(customer)
+            self.limiter.leave(customer, time.monotonic() - started)
             self.count(customer, target, code)
 
+    def day(self):
+        """Return the day that costs are charged to."""
+        return limits.day_of(self.clock())
+
+    def demand(self):
+        """Return the next :class:`demand.Demand`, to be sent to peers."""
+        models = tuple(
+            demand.ModelDemand(model, wanted)
+            for model, wanted in self.gates.wanted()
+        )
+        return self.limiter.summary(time.monotonic(), self.day(), models)
+
     def count(self, customer, target, code):
         """Count one request in the metrics."""
         self.metrics.requests.labels(customer.name, target, code).inc()
@@ -115,35 +137,39 @@
 
     async def run_stream(self, call, route, responder):
         """Stream one model's answer; bill it before its last byte."""
-        placer = self.placer(call, route)
-        attempt = self.begin(placer, route.models[0])
         started = self.clock()
+        placer = self.placer(call, route)
+        async with self.begin(placer, route.models[0]) as attempt:
+            try:
+                await self.pass_on(placer, attempt, responder, started)
+            except errors.CallerGone:
+                if not attempt.runs:
+                    attempt.add_run(calls.Usage(0, attempt.emitted_tokens))
+                    await self.bill(call, attempt.runs)
+                raise
+
+    async def pass_on(self, placer, attempt, responder, started):
+        """Send the chunks of a stream to the caller as they arrive."""
         chunks = self.dispatcher.stream(attempt)
-        try:
-            async with contextlib.aclosing(chunks):
-                async for chunk in chunks:
-                    if not responder.started:
-                        headers = self.answer_headers(attempt, placer)
-                        await responder.start_stream(headers)
-                        self.metrics.latency('first_token').record(
-                            self.clock() - started
-                        )
-                    if chunk.usage is None:
-                        await responder.send(chunk.payload)
-                    else:
-                        await self.bill(call, attempt.runs)
-                        await responder.finish_stream(chunk.payload)
-        except errors.CallerGone:
-            if not attempt.runs:
-                attempt.add_run(calls.Usage(0, attempt.emitted_tokens))
-                await self.bill(call, attempt.runs)
-            raise
+        async with contextlib.aclosing(chunks):
+            async for chunk in chunks:
+                if not responder.started:
+                    headers = self.answer_headers(attempt, placer)
+                    await responder.start_stream(headers)
+                    self.metrics.latency('first_token').record(
+                        self.clock() - started
+                    )
+                if chunk.usage is None:
+                    await responder.send(chunk.payload)
+                else:
+                    await self.bill(attempt.call, attempt.runs)
+                    await responder.finish_stream(chunk.payload)
 
     async def run_whole(self, call, route, responder):
         """Answer with one model's whole answer, after billing it."""
         placer = self.placer(call, route)
-        attempt = self.begin(placer, route.models[0])
-        chunk = await self.dispatcher.whole(attempt)
+        async with self.begin(placer, route.models[0]) as attempt:
+            chunk = await self.dispatcher.whole(attempt)
         await self.bill(call, attempt.runs)
         headers = self.answer_headers(attempt, placer)
         headers['content-type'] = 'application/json'
@@ -173,15 +199,20 @@
             self.configuration_age,
         )
 
-    def begin(self, placer, model):
-        """Return the placed :class:`dispatch.Attempt` of a request.
+    @contextlib.asynccontextmanager
+    async def begin(self, placer, model):
+        """Hold a slot of a model; yield the :class:`dispatch.Attempt`.
+
+        The request is placed once it has the slot, because versions may be
+        withdrawn while it waits.
 
-        :raises errors.NotRun: if no permitted version is live.
+        :raises errors.NotRun: if it can't run.
         """
-        place = functools.partial(placer.place, model)
-        attempt = dispatch.Attempt(placer.call, model, place=place)
-        attempt.move()
-        return attempt
+        async with self.gates.slot(placer.call, model):
+            place = functools.partial(placer.place, model)
+            attempt = dispatch.Attempt(placer.call, model, place=place)
+            attempt.move()
+            yield attempt
 
     def answer_headers(self, attempt, placer):
         """Return the headers that tell what served a request."""
@@ -203,6 +234,7 @@
             self.clock(),
         )
         await self.ledger.settle(bill)
+        self.limiter.spend(bill.customer, bill.cost, self.day())
         self.metrics.bills.inc()
         for run in runs:
             self.metrics.answer_tokens.labels(run.version).inc(
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -36,7 +36,8 @@
         The answer of each tier is held until it is accepted, because a
         rejected answer must not reach the caller.
 
-        :param begin: function of a model that returns the request's placed
+        :param begin: function of a model that returns a context manager,
+            which holds a slot and yields the placed
             :class:`dispatch.Attempt`.
         """
         cascade = self.configuration.catalog().cascades[route.cascade]
@@ -50,8 +51,8 @@
                 return outcome
             model = route.models[step.tier]
             try:
-                attempt = begin(model)
-                payload, text = await self.run_tier(attempt)
+                async with begin(model) as attempt:
+                    payload, text = await self.run_tier(attempt)
             except errors.NotRun:
                 # A tier that is withdrawn, revoked or full meanwhile must
                 # not turn the runs so far into an untrue "not run".
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,201 @@
+"""Limits of customers and their division among daemons."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from celeryward.callers import demand
+from celeryward.callers import limits
+from celeryward import catalog
+
+DAY = 20_000
+NAMES = ('d-1', 'd-2', 'd-3')
+
+
+def customer(**fields):
+    return catalog.Customer('a', limits=catalog.Limits(**fields))
+
+
+def summary(daemon, sequence=1, day=DAY, **fields):
+    entry = demand.CustomerDemand('a', **fields)
+    return demand.Demand(daemon, sequence, day, (entry,))
+
+
+def fleet(*summaries, reachable=NAMES, expected=3):
+    made = {name: limits.Shares(name) for name in reachable}
+    for held in made.values():
+        held.start_day(DAY)
+        for each in summaries:
+            held.accept(each)
+        held.set_members(reachable, expected)
+    return made
+
+
+wants = strategies.dictionaries(
+    strategies.text('abc', min_size=1),
+    strategies.floats(0, 1e6),
+    min_size=1,
+)
+
+
+class TestDivision:
+    """Guards against shares that don't add up to the limit."""
+
+    @hypothesis.given(wants, strategies.integers(0, 20))
+    def test_rates_add_up_to_the_reachable_part(self, wanted, missing):
+        expected = len(wanted) + missing
+        shares = [
+            limits.divide(60.0, name, wanted, expected) for name in wanted
+        ]
+        part = 60.0 * len(wanted) / expected
+        assert sum(shares) == pytest.approx(part)
+
+    @hypothesis.given(
+        wants, strategies.integers(1, 50), strategies.integers(0, 20)
+    )
+    def test_whole_shares_add_up_exactly(self, wanted, limit, missing):
+        expected = len(wanted) + missing
+        shares = [
+            limits.apportion(limit, name, wanted, expected) for name in wanted
+        ]
+        assert sum(shares) == max(1, limit * len(wanted) // expected)
+
+    def test_share_follows_demand(self):
+        made = fleet(summary('d-1', rate=30.0), summary('d-2', rate=10.0))
+        shares = [held.rate('a', 100.0) for held in made.values()]
+        assert shares[0] > 2 * shares[1] > 4 * shares[2] > 0.0
+
+    def test_cut_off_daemons_fall_back_to_their_part(self):
+        busy = summary('d-1', rate=30.0)
+        near = fleet(busy, reachable=('d-1', 'd-2'))
+        far = fleet(busy, reachable=('d-3',))
+        sides = (near, far)
+        sums = [
+            sum(held.rate('a', 90.0) for held in side.values())
+            for side in sides
+        ]
+        assert sums == pytest.approx([60.0, 30.0])
+
+    def test_older_summary_does_not_replace_a_newer_one(self):
+        held = limits.Shares('d-1')
+        held.accept(summary('d-2', 2, rate=5.0))
+        held.accept(summary('d-2', 1, rate=9.0))
+        assert held.known['d-2'].of_customer('a').rate == 5.0
+
+
+class TestDailyCost:
+    """Guards against a budget that is spent more than once."""
+
+    LIMIT = 100.0
+
+    def left(self, made):
+        return sum(held.cost('a', self.LIMIT) for held in made.values())
+
+    def test_rest_is_divided(self):
+        made = fleet(summary('d-1', cost=40.0), summary('d-2', cost=20.0))
+        assert self.left(made) == pytest.approx(40.0)
+
+    def test_spending_of_a_daemon_that_is_gone_counts(self):
+        gone = summary('d-0', cost=70.0)
+        assert self.left(fleet(gone)) == pytest.approx(30.0)
+
+    def test_costs_of_yesterday_do_not_count(self):
+        old = summary('d-1', day=DAY - 1, cost=90.0)
+        assert self.left(fleet(old)) == pytest.approx(100.0)
+
+    def test_both_sides_of_a_cut_stay_within_the_budget(self):
+        before = [summary(name, cost=10.0) for name in NAMES]
+        sides = (('d-1', 'd-2'), ('d-3',))
+        total = 30.0
+        for side in sides:
+            made = fleet(*before)
+            for held in made.values():
+                held.set_members(side, 3)
+            members = [made[name] for name in side]
+            spent = dict.fromkeys(side, 10.0)
+            # Each round spends what the shares allow and tells the others.
+            for sequence in range(2, 30):
+                for held in members:
+                    spent[held.daemon] += held.cost('a', self.LIMIT)
+                for held in members:
+                    for name, cost in spent.items():
+                        held.accept(summary(name, sequence, cost=cost))
+            total += sum(spent.values()) - 10.0 * len(side)
+        assert total <= self.LIMIT + 1e-6
+
+    def test_running_requests_are_expected_to_cost(self):
+        limiter = limits.Limiter('d-1')
+        paying = customer(cost_per_day=10.0)
+        assert limiter.enter(paying, 0.0, DAY).is_ok()
+        limiter.spend('a', 4.0, DAY)
+        limiter.leave(paying, 1.0)
+        assert limiter.enter(paying, 1.0, DAY).is_ok()
+        assert limiter.enter(paying, 1.0, DAY).is_err()
+
+    def test_new_day_opens_the_budget(self):
+        limiter = limits.Limiter('d-1')
+        paying = customer(cost_per_day=10.0)
+        limiter.spend('a', 10.0, DAY)
+        limiter.summary(0.0, DAY)
+        assert limiter.enter(paying, 0.0, DAY).is_err()
+        assert limiter.enter(paying, 0.0, DAY + 1).is_ok()
+
+
+class TestRate:
+    """Guards against more requests than the limit allows."""
+
+    def admitted(self, limiter, limited, times):
+        return sum(limiter.enter(limited, now, DAY).is_ok() for now in times)
+
+    def test_sustained_rate(self):
+        limiter = limits.Limiter('d-1')
+        times = [n / 100 for n in range(1000)]
+        count = self.admitted(limiter, customer(requests_per_s=5.0), times)
+        assert count == 5 * 10 + 4
+
+    def test_refusal_says_when_to_retry(self):
+        limiter = limits.Limiter('d-1')
+        limited = customer(requests_per_s=0.5)
+        assert limiter.enter(limited, 10.0, DAY).is_ok()
+        refused = limiter.enter(limited, 10.0, DAY).unwrap_err()
+        assert refused.retry_at.at == pytest.approx(12.0)
+        assert limiter.enter(limited, 12.0, DAY).is_ok()
+
+    def test_no_limit(self):
+        limiter = limits.Limiter('d-1')
+        assert self.admitted(limiter, customer(), [0.0] * 50) == 50
+
+
+class TestConcurrency:
+    """Guards against more running requests than the share."""
+
+    def test_leaving_frees_a_place(self):
+        limiter = limits.Limiter('d-1')
+        limited = customer(concurrent=2)
+        entered = [limiter.enter(limited, 0.0, DAY) for _ in range(3)]
+        assert [each.is_ok() for each in entered] == [True, True, False]
+        limiter.leave(limited, 1.0)
+        assert limiter.enter(limited, 0.0, DAY).is_ok()
+
+
+class TestSummaries:
+    """Guards against summaries that miss demand or are sent for nothing."""
+
+    def test_refused_requests_count_as_demand(self):
+        limiter = limits.Limiter('d-1')
+        limited = customer(requests_per_s=1.0)
+        for n in range(600):
+            limiter.enter(limited, n / 10, DAY)
+        rate = limiter.summary(60.0, DAY).of_customer('a').rate
+        assert rate == pytest.approx(10.0, rel=0.1)
+
+    def test_demand_that_ends_is_forgotten(self):
+        meter = demand.DemandMeter('d-1')
+        meter.offered('a', 0.0)
+        assert meter.summary(120.0, DAY).customers == ()
+
+    def test_small_moves_are_not_sent(self):
+        before = summary('d-1', rate=10.0)
+        assert not summary('d-1', rate=11.0).differs(before)
+        assert summary('d-1', rate=15.0).differs(before)
+        assert demand.Demand('d-1', day=DAY).differs(before)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -200,13 +200,13 @@
 class TestDefaultVersion:
     """Guards against a default that depends on the order of names."""
 
-    @pytest.mark.parametrize('names', itertools.permutations('abc'))
+    @pytest.mark.parametrize('names', list(itertools.permutations('abc')))
     def test_longest_live_version_without_rollout(self, names):
         live_since = dict(zip(names, (10.0, 20.0, 30.0)))
         current = make_catalog(versions='abc', live_since=live_since)
         assert version_of(current) == f'm@{names[0]}'
 
-    @pytest.mark.parametrize('names', itertools.permutations('abc'))
+    @pytest.mark.parametrize('names', list(itertools.permutations('abc')))
     def test_last_finished_rollout(self, names):
         old, middle, new = names
         current = make_catalog(
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -9,8 +9,11 @@
 CODECS = {'google', 'grpclib', 'h11', 'msgspec'}
 DECISION_MODULES = (
     'callers/admission.py',
+    'callers/demand.py',
     'callers/keys.py',
+    'callers/limits.py',
     'callers/placement.py',
+    'callers/queues.py',
     'callers/sessions.py',
     'endpoints/candidates.py',
     'endpoints/liveness.py',
