Keep shares steady at low demand and summaries rare

Cause: shares followed the ratio of the last remains of a demand, so that a customer without demand had shares that summed to half of its limit, and random arrivals at low rates left the fixed dead band all the time.

Change: a tenth of the limit is assumed as demand, spread equally. The dead band is three standard deviations of the difference of two measurements, 20% at least.

--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -27,6 +27,8 @@
 # 1 KB/s brings about this many summaries of 200 bytes.
 SUMMARIES_PER_SECOND = 5
 ROUNDS = 200
+PEAK_PER_SECOND = 2_300
+RESEND_SECONDS = 60
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,6 +166,7 @@
             print(f'  {title}: {describe(rows[first:last])}')
     print_size()
     print_cost()
+    print_resends(seed)
 
 
 def describe(rows):
@@ -214,6 +217,29 @@
     )
 
 
+def print_resends(seed):
+    """Print how many summaries a large fleet sends under steady demand."""
+    rng = random.Random(seed)
+    names = [f'customer-{n}' for n in range(CUSTOMERS)]
+    meters = [demand.DemandMeter(f'd-{n}') for n in range(LARGE_FLEET)]
+    sent = {}
+    resent = 0
+    for second in range(RESEND_SECONDS):
+        for _ in range(PEAK_PER_SECOND):
+            rng.choice(meters).offered(rng.choice(names), second)
+        for meter in meters:
+            summary = meter.summary(second, 0)
+            before = sent.get(meter.daemon, demand.Demand(''))
+            if summary.differs(before):
+                sent[meter.daemon] = summary
+                resent += second >= RESEND_SECONDS // 2
+    per_second = resent / (RESEND_SECONDS - RESEND_SECONDS // 2)
+    print(
+        f'{LARGE_FLEET} daemons at a steady {PEAK_PER_SECOND} requests/s '
+        f'send {per_second:.1f} summaries a second'
+    )
+
+
 def print_size():
     """Print the size of a summary of all customers, encoded compactly."""
     summary = make_summary('host-1-0123456789ab', 12345)
--- a/celeryward/callers/demand.py
+++ b/celeryward/callers/demand.py
@@ -10,6 +10,7 @@
 # A summary is sent again once an entry has moved by this part. Smaller
 # moves change the shares less than the delay of gossip does.
 DEAD_BAND = 0.2
+NOISE_DEVIATIONS = 3.0
 # Customers with the highest cost and rate; bounds the size of a summary.
 # What the others spend is not counted at other daemons.
 MAX_CUSTOMERS = 32
@@ -32,17 +33,31 @@
 
     def differs(self, other):
         """Return whether the demand left the dead band around another."""
-        pairs = (
-            (self.rate, other.rate),
-            (self.concurrent, other.concurrent),
-            (self.cost, other.cost),
-        )
-        return any(
-            abs(ours - theirs) > DEAD_BAND * max(ours, theirs, 0.1)
-            for ours, theirs in pairs
+        band = dead_band(max(self.rate, other.rate))
+        return (
+            _moved(self.rate, other.rate, band)
+            or _moved(self.concurrent, other.concurrent, band)
+            or _moved(self.cost, other.cost, DEAD_BAND)
         )
 
 
+def dead_band(rate):
+    """Return the part by which a measured rate may move unannounced.
+
+    A rate measured from random arrivals varies by itself, the more the
+    lower it is. A difference of two measurements within three standard
+    deviations says nothing.
+    """
+    if rate <= 0.0:
+        return DEAD_BAND
+    deviation = math.sqrt(DECAY_PER_SECOND / rate)
+    return max(DEAD_BAND, NOISE_DEVIATIONS * deviation)
+
+
+def _moved(ours, theirs, band):
+    return abs(ours - theirs) > band * max(ours, theirs, 0.1)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelDemand:
     """Requests for one model that run or wait at one daemon."""
--- a/celeryward/callers/limits.py
+++ b/celeryward/callers/limits.py
@@ -15,29 +15,27 @@
 from celeryward import deadlines
 from celeryward import errors
 
-# Part of a rate that all daemons share equally, so that the first requests
-# at a daemon without known demand are not refused.
-EQUAL_PART = 0.1
+# Demand that is assumed in addition, spread equally over the daemons, as a
+# part of the limit. The first requests at a daemon without known demand find
+# a share, and shares don't swing with the last remains of a demand.
+ASSUMED_PART = 0.1
 BURST_SECONDS = 1.0
 RETRY_CONCURRENT_SECONDS = 1.0
 DAY_SECONDS = 86_400
 
 
-def divide(limit, own, wanted, expected):
+def divide(limit, own, wanted, expected, scale):
     """Return this daemon's share of a limit that can be divided freely.
 
     :param str own: name of this daemon.
     :param dict wanted: demand by name of each daemon that can be reached,
         this one included.
     :param int expected: number of daemons, reachable or not.
+    :param float scale: demand that would use up the limit.
     """
     part = limit * min(1.0, len(wanted) / max(1, expected))
-    total = sum(wanted.values())
-    equal = 1 / len(wanted)
-    if total <= 0.0:
-        return part * equal
-    weight = wanted[own] / total
-    return part * (EQUAL_PART * equal + (1 - EQUAL_PART) * weight)
+    weights = assume(wanted, scale)
+    return part * weights[own] / sum(weights.values())
 
 
 def apportion(limit, own, wanted, expected):
@@ -49,11 +47,9 @@
     """
     fraction = min(1.0, len(wanted) / max(1, expected))
     part = max(1, math.floor(limit * fraction))
-    total = sum(wanted.values())
-    if total <= 0.0:
-        wanted = dict.fromkeys(wanted, 1.0)
-        total = len(wanted)
-    exact = {name: part * value / total for name, value in wanted.items()}
+    weights = assume(wanted, limit)
+    total = sum(weights.values())
+    exact = {name: part * value / total for name, value in weights.items()}
     whole = {name: math.floor(value) for name, value in exact.items()}
     left = part - sum(whole.values())
     by_remainder = sorted(
@@ -62,6 +58,12 @@
     return whole[own] + (own in by_remainder[:left])
 
 
+def assume(wanted, scale):
+    """Return the demand with the assumed part added to each daemon's."""
+    each = max(ASSUMED_PART * scale, 1e-6) / len(wanted)
+    return {name: value + each for name, value in wanted.items()}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Spending:
     """Cost of a customer when the set of reachable daemons last changed.
@@ -125,11 +127,26 @@
             }
 
     def start_day(self, day):
-        """Begin a day, to which no cost was charged yet."""
-        if day > self.day:
-            self.day = day
-            self.bases = {}
-            self.computed.clear()
+        """Begin a day, to which no cost was charged yet.
+
+        Daemons that ended on an earlier day are forgotten; until then
+        their costs count.
+        """
+        if day <= self.day:
+            return
+        self.day = day
+        self.bases = {}
+        self.computed.clear()
+        for name in list(self.known):
+            ended = name not in self.reachable
+            if ended and self.known[name].day < day:
+                self.forget(name)
+
+    def forget(self, name):
+        """Drop the summary of a daemon."""
+        del self.known[name]
+        for entries in (*self.by_customer.values(), *self.by_model.values()):
+            entries.pop(name, None)
 
     def once(self, function, name, limit):
         """Return a share, computed once for each own summary.
@@ -160,7 +177,7 @@
     def rate(self, name, limit):
         """Return the requests a second that this daemon may admit."""
         wanted = self.of_customer(name, 'rate')
-        return divide(limit, self.daemon, wanted, self.expected)
+        return divide(limit, self.daemon, wanted, self.expected, limit)
 
     def concurrent(self, name, limit):
         """Return the requests that this daemon may run at once."""
@@ -180,7 +197,8 @@
         left = part * (limit - base.everywhere) - spent
         wanted = self.of_customer(name, 'rate')
         # The part of the reachable daemons is taken out already.
-        return divide(max(0.0, left), self.daemon, wanted, len(wanted))
+        total = sum(wanted.values())
+        return divide(max(0.0, left), self.daemon, wanted, len(wanted), total)
 
     def spending(self, name):
         """Return the :class:`Spending` of a customer by the summaries."""
