--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -3,11 +3,15 @@
 import contextlib
 import dataclasses
 import functools
+import time
 
 import curio
 
 from celeryward.callers import admission
+from celeryward.callers import demand
+from celeryward.callers import gates
 from celeryward.callers import keys
+from celeryward.callers import limits
 from celeryward.callers import placement
 from celeryward.callers import protocol
 from celeryward.callers import sessions
@@ -52,7 +56,12 @@
         self.clock = clock
         self.once = once
         self.configuration_age = configuration_age
-        self.concurrency = admission.Concurrency()
+        self.limiter = limits.Limiter(ledger.owner)
+        self.gates = gates.Gates(
+            configuration,
+            self.limiter.shares,
+            dispatcher.view.liveness,
+        )
         self.stopping = False
 
     def authenticate(self, head, peer):
@@ -71,11 +80,12 @@
 
     @contextlib.contextmanager
     def admitted(self, customer, target):
-        """Count a request as running, and its result in the metrics.
+        """Apply the limits, and count the result in the metrics.
 
-        :raises errors.LimitExceeded: if the customer is at its limit.
+        :raises errors.LimitExceeded: if the customer is at a limit.
         """
-        entered = self.concurrency.enter(customer)
+        started = time.monotonic()
+        entered = self.limiter.enter(customer, started, self.clock())
         if entered.is_err():
             self.count(customer, target, entered.unwrap_err().code)
             raise entered.unwrap_err()
@@ -86,9 +96,21 @@
             code = error.code
             raise
         finally:
-            self.concurrency.leave(customer)
+            self.limiter.leave(customer, time.monotonic() - started)
             self.count(customer, target, code)
 
+    def day(self):
+        """Return the day that costs are charged to."""
+        return limits.day_of(self.clock())
+
+    def demand(self):
+        """Return the next :class:`demand.Demand`, to be sent to peers."""
+        models = tuple(
+            demand.ModelDemand(model, wanted)
+            for model, wanted in self.gates.wanted()
+        )
+        return self.limiter.summary(time.monotonic(), self.day(), models)
+
     def count(self, customer, target, code):
         """Count one request in the metrics."""
         self.metrics.requests.labels(customer.name, target, code).inc()
@@ -132,30 +154,15 @@
 
         :returns: the finished :class:`dispatch.Attempt`.
         """
-        placer = self.placer(call, route)
-        attempt = self.begin(placer, route.models[0])
         started = self.clock()
-        billed = False
-        chunks = self.dispatcher.stream(attempt)
-        try:
-            async with contextlib.aclosing(chunks):
-                async for chunk in chunks:
-                    if not responder.started:
-                        headers = self.answer_headers(attempt, placer)
-                        await responder.start_stream(headers)
-                        self.metrics.latency('first_token').record(
-                            self.clock() - started
-                        )
-                    if chunk.usage is None:
-                        await responder.send(chunk.payload)
-                    else:
-                        billed = True
-                        await self.bill(call, attempt.runs)
-                        await responder.finish_stream(chunk.payload)
-        except (errors.CallerGone, curio.TaskCancelled):
-            if not billed and attempt.emitted:
-                await self.bill_partial(call, attempt)
-            raise
+        placer = self.placer(call, route)
+        async with self.begin(placer, route.models[0]) as attempt:
+            try:
+                await self.pass_on(placer, attempt, responder, started)
+            except (errors.CallerGone, curio.TaskCancelled):
+                if not attempt.billed and attempt.emitted:
+                    await self.bill_partial(call, attempt)
+                raise
         return attempt
 
     async def bill_partial(self, call, attempt):
@@ -164,14 +171,32 @@
             attempt.add_partial_run()
         await self.bill(call, attempt.runs)
 
+    async def pass_on(self, placer, attempt, responder, started):
+        """Send the chunks of a stream to the caller as they arrive."""
+        chunks = self.dispatcher.stream(attempt)
+        async with contextlib.aclosing(chunks):
+            async for chunk in chunks:
+                if not responder.started:
+                    headers = self.answer_headers(attempt, placer)
+                    await responder.start_stream(headers)
+                    self.metrics.latency('first_token').record(
+                        self.clock() - started
+                    )
+                if chunk.usage is None:
+                    await responder.send(chunk.payload)
+                else:
+                    attempt.billed = True
+                    await self.bill(attempt.call, attempt.runs)
+                    await responder.finish_stream(chunk.payload)
+
     async def run_whole(self, call, route, responder):
         """Answer with one model's whole answer, after billing it.
 
         :returns: the finished :class:`dispatch.Attempt`.
         """
         placer = self.placer(call, route)
-        attempt = self.begin(placer, route.models[0])
-        chunk = await self.dispatcher.whole(attempt)
+        async with self.begin(placer, route.models[0]) as attempt:
+            chunk = await self.dispatcher.whole(attempt)
         attempt.add(chunk)
         await self.bill(call, attempt.runs)
         headers = self.answer_headers(attempt, placer)
@@ -214,15 +239,20 @@
             self.configuration_age,
         )
 
-    def begin(self, placer, model):
-        """Return the placed :class:`dispatch.Attempt` of a request.
+    @contextlib.asynccontextmanager
+    async def begin(self, placer, model):
+        """Hold a slot of a model; yield the :class:`dispatch.Attempt`.
+
+        The request is placed once it has the slot, because versions may be
+        withdrawn while it waits.
 
-        :raises errors.NotRun: if no permitted version is live.
+        :raises errors.NotRun: if it can't run.
         """
-        place = functools.partial(placer.place, model)
-        attempt = dispatch.Attempt(placer.call, model, place=place)
-        attempt.move()
-        return attempt
+        async with self.gates.slot(placer.call, model):
+            place = functools.partial(placer.place, model)
+            attempt = dispatch.Attempt(placer.call, model, place=place)
+            attempt.move()
+            yield attempt
 
     def answer_headers(self, attempt, placer):
         """Return the headers that tell what served a request."""
@@ -245,6 +275,7 @@
             batches.bill_id(call.customer.name, call.request_id, call.digest),
         )
         await self.ledger.settle(bill)
+        self.limiter.spend(bill.customer, bill.cost, self.day())
         self.metrics.bills.inc()
         for run in runs:
             self.metrics.answer_tokens.labels(run.version).inc(
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -98,7 +98,8 @@
         The answer of each tier is held until it is accepted, because a
         rejected answer must not reach the caller.
 
-        :param begin: function of a model that returns the request's placed
+        :param begin: function of a model that returns a context manager,
+            which holds a slot and yields the placed
             :class:`dispatch.Attempt`.
         """
         kind = start.choice.scope.kind
@@ -107,8 +108,8 @@
         done = ()
         while step is not None:
             try:
-                attempt = begin(route.models[step.tier])
-                done += (await self.run_tier(step, attempt),)
+                async with begin(route.models[step.tier]) as attempt:
+                    done += (await self.run_tier(step, attempt),)
             except errors.NotRun:
                 # A tier that is withdrawn, revoked or full meanwhile must
                 # not turn the runs so far into an untrue "not run".
