Add leases, fencing numbers and orders to endpoints

Cause: nothing decided which daemon steers roll-outs, and a paused holder could have sent orders after another one had taken over. Change: a lease object with conditional updates; orders that carry its fencing number; a wait and a read-back for endpoints that ignore it; a token bucket for weight loads; /orders at the engine stand-in.

--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from celeryward import calls
+from celeryward.endpoints import orders
 from celeryward import errors
 from celeryward import http
 
@@ -36,6 +37,7 @@
     capacity: int = 1
     leaving: bool = False
     versions: tuple[str, ...] = ()
+    role: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -312,6 +314,61 @@
     check_head(plain(status=200), call, peer)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderRefusal:
+    """Body of a refused order.
+
+    :param int fence: the highest fencing number that the endpoint knows.
+    """
+
+    fence: int = 0
+
+
+REFUSAL_DECODER = msgspec.json.Decoder(OrderRefusal)
+
+
+async def send_order(connection, order, deadline):
+    """Send one order and wait until the endpoint has executed it.
+
+    :raises orders.OutdatedFence: if the endpoint knows a higher number.
+    :raises errors.EndpointRefused: if it does not execute the order.
+    """
+    body = {
+        'kind': order.kind,
+        'model': order.model,
+        'version': order.version,
+        'fence': order.fence,
+    }
+    if order.role:
+        body['role'] = order.role
+    headers = {
+        'content-type': 'application/json',
+        'x-timeout-ms': str(int(deadline.remaining() * 1000)),
+    }
+    response, answer = await http.exchange(
+        connection,
+        'POST',
+        '/orders',
+        headers,
+        msgspec.json.encode(body),
+        deadline,
+    )
+    if response.status == 409:
+        refusal = REFUSAL_DECODER.decode(answer)
+        raise orders.OutdatedFence(
+            f'endpoint knows fencing number {refusal.fence}',
+            step='send order',
+            peer=connection.peer,
+            fence=refusal.fence,
+        )
+    if response.status != 200:
+        raise errors.EndpointRefused(
+            f'endpoint answered {response.status} to an order',
+            step='send order',
+            peer=connection.peer,
+        )
+
+
 async def read_load(connection, deadline):
     """Ask an endpoint for its :class:`LoadReport`.
 
--- a/celeryward/standins/engine.py
+++ b/celeryward/standins/engine.py
@@ -18,7 +18,9 @@
     Faults for tests: ``break_after`` is a number of tokens after which the
     connection is dropped, ``silent_after`` one after which nothing more is
     sent, ``refusing`` refuses all work as not run, ``crash_on`` is a text
-    in the prompt that stops the engine.
+    in the prompt that stops the engine, ``lose_order_answers`` executes
+    orders and drops the connection. With ``fenced`` it refuses orders whose
+    fencing number is lower than the highest it has seen.
 
     :param tuple versions: ``model@version`` names that it runs.
     :param int tokens: tokens of an answer if the request sets no limit.
@@ -38,6 +40,11 @@
         self.silent_after = None
         self.crash_on = None
         self.started = collections.Counter()
+        self.fenced = False
+        self.highest_fence = 0
+        self.role = ''
+        self.orders = []
+        self.lose_order_answers = False
 
     async def answer(self, connection, received):
         """Route one request by its path."""
@@ -48,6 +55,8 @@
             await base.send_json(connection, 200, self.load())
         elif path == '/health':
             await base.send_json(connection, 200, {'status': 'ok'})
+        elif path == '/orders':
+            await self.answer_order(connection, received.json())
         elif path == '/drain':
             self.leaving = True
             await base.send_json(connection, 200, {})
@@ -62,8 +71,32 @@
             'capacity': self.capacity,
             'leaving': self.leaving,
             'versions': self.versions,
+            'role': self.role,
         }
 
+    async def answer_order(self, connection, order):
+        """Execute one order, unless its fencing number is outdated."""
+        if self.fenced and order['fence'] < self.highest_fence:
+            refusal = {'fence': self.highest_fence}
+            await base.send_json(connection, 409, refusal)
+            return
+        self.highest_fence = max(self.highest_fence, order['fence'])
+        self.orders.append(order)
+        name = f'{order["model"]}@{order["version"]}'
+        if order['kind'] == 'load':
+            self.versions = tuple(dict.fromkeys((*self.versions, name)))
+        elif order['kind'] == 'unload':
+            self.versions = tuple(v for v in self.versions if v != name)
+        elif order['kind'] == 'change-role':
+            self.role = order.get('role', '')
+        if self.lose_order_answers:
+            raise http.Disconnected(
+                'stand-in loses the answer',
+                step='answer order',
+                peer=connection.peer,
+            )
+        await base.send_json(connection, 200, self.load())
+
     async def answer_chat(self, connection, received):
         """Run one chat, streamed or whole."""
         headers = received.head.headers
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,9 @@
 import curio
 import pytest
 
+from celeryward import deadlines
 from celeryward import logs
+from tests import fakes
 
 TEST_SECONDS = 60.0
 
@@ -27,3 +29,11 @@
         return curio.run(guarded)
 
     return run_to_end
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Return the clock of all deadlines, which only the test moves."""
+    clock = fakes.Clock()
+    monkeypatch.setattr(deadlines, 'time', clock)
+    return clock
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,76 @@
+"""Small fakes that several tests share."""
+
+import dataclasses
+
+import result
+
+from celeryward import errors
+
+
+class Clock:
+    """A monotonic clock that only tests move."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+
+class Objects:
+    """The object API as its client shows it, without a network.
+
+    ``lose`` is a number of next writes that happen but whose answers are
+    lost; ``before_write`` is called before each write.
+    """
+
+    def __init__(self):
+        self.stored = {}
+        self.revision = 0
+        self.lose = 0
+        self.away = False
+        self.before_write = lambda stored: None
+
+    def error(self, kind, **fields):
+        return result.Err(kind('fake', step='fake', peer='fake', **fields))
+
+    async def get(self, kind, name):
+        if self.away:
+            return self.error(errors.PlatformUnavailable)
+        found = self.stored.get((kind, name))
+        return result.Ok(found) if found else self.error(errors.NotFound)
+
+    async def list(self, kind):
+        if self.away:
+            return self.error(errors.PlatformUnavailable)
+        items = tuple(one for one in self.stored.values() if one.kind == kind)
+        return result.Ok(Listed(items, self.revision))
+
+    async def create(self, stored):
+        return await self.put(stored, 0)
+
+    async def put(self, stored, expected):
+        if self.away:
+            return self.error(errors.PlatformUnavailable)
+        self.before_write(stored)
+        current = self.stored.get(stored.key)
+        if (current.revision if current else 0) != expected:
+            return self.error(errors.Conflict, current=current)
+        written = self.force(stored)
+        if self.lose:
+            self.lose -= 1
+            return self.error(errors.WriteUnknown)
+        return result.Ok(written)
+
+    def force(self, stored):
+        """Store an object unconditionally, as another writer would."""
+        self.revision += 1
+        written = dataclasses.replace(stored, revision=self.revision)
+        self.stored[stored.key] = written
+        return written
+
+
+@dataclasses.dataclass(frozen=True)
+class Listed:
+    items: tuple
+    revision: int
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,201 @@
+"""Orders to endpoints that enforce, or ignore, fencing numbers."""
+
+import pytest
+
+from celeryward import catalog
+from celeryward import deadlines
+from celeryward.endpoints import orderer
+from celeryward.endpoints import orders
+from celeryward.endpoints import protocol
+from celeryward import errors
+from celeryward import http
+from celeryward.platform import leases
+from celeryward.standins import engine
+from tests import fakes
+
+
+class Setup:
+    """An engine, its endpoint, and two contenders for the lease."""
+
+    def __init__(self, clock, fencing):
+        self.clock = clock
+        self.engine = engine.EngineStandIn(('m@1',))
+        self.engine.fenced = fencing is catalog.Fencing.ENFORCED
+        self.fencing = fencing
+        objects = fakes.Objects()
+        self.leases = [
+            leases.Leadership(objects, 'rollouts', holder)
+            for holder in ('a', 'b')
+        ]
+        self.orderers = [
+            orderer.Orderer(lease, orders.TokenBucket(1.0, 4))
+            for lease in self.leases
+        ]
+
+    async def start(self):
+        await self.engine.start()
+        self.endpoint = catalog.Endpoint(
+            'e', '127.0.0.1', self.engine.port, 'd', fencing=self.fencing
+        )
+        # The buckets of weight loads fill up.
+        self.clock.now += 10.0
+        await self.leases[0].step()
+        await self.leases[1].step()
+
+    async def take_over(self):
+        """Let the second contender take the lease over."""
+        self.clock.now += leases.DURATION_SECONDS * 1.1
+        await self.leases[1].step()
+
+    async def load(self, index, version='2'):
+        return await self.orderers[index].order(
+            self.endpoint, 'load', 'm', version
+        )
+
+
+@pytest.fixture
+def with_setup(run, clock):
+    def run_with(test, fencing):
+        async def body():
+            setup = Setup(clock, fencing)
+            await setup.start()
+            try:
+                await test(setup)
+            finally:
+                await setup.engine.stop()
+
+        run(body)
+
+    return run_with
+
+
+BOTH = pytest.mark.parametrize('fencing', list(catalog.Fencing))
+
+
+class TestFencing:
+    """Guards against orders of a holder that was replaced."""
+
+    @BOTH
+    def test_order_takes_effect(self, with_setup, fencing):
+        async def test(setup):
+            report = (await setup.load(0)).unwrap()
+            assert report.versions == ('m@1', 'm@2')
+            assert setup.engine.orders[0]['fence'] == 1
+
+        with_setup(test, fencing)
+
+    @BOTH
+    def test_paused_holder_sends_nothing(self, with_setup, fencing):
+        async def test(setup):
+            await setup.take_over()
+            outcome = await setup.load(0)
+            assert isinstance(outcome.unwrap_err(), leases.LeaseLost)
+            assert setup.engine.orders == []
+
+        with_setup(test, fencing)
+
+    @BOTH
+    def test_pause_while_connecting_is_found(
+        self, with_setup, fencing, monkeypatch
+    ):
+        async def test(setup):
+            connect = http.connect
+
+            async def slow_connect(*arguments):
+                connection = await connect(*arguments)
+                setup.clock.now += leases.DURATION_SECONDS
+                return connection
+
+            monkeypatch.setattr(http, 'connect', slow_connect)
+            outcome = await setup.load(0)
+            assert isinstance(outcome.unwrap_err(), leases.LeaseLost)
+            assert setup.engine.orders == []
+
+        with_setup(test, fencing)
+
+    def test_enforcing_endpoint_refuses_an_old_number(self, with_setup):
+        async def test(setup):
+            await setup.take_over()
+            assert (await setup.load(1)).is_ok()
+            # The old holder believes that it still leads.
+            valid = deadlines.Deadline(setup.clock.now + 1000.0)
+            past = deadlines.Deadline(0.0)
+            setup.leases[0].grant = leases.Grant(1, past, valid, clean=True)
+            outcome = await setup.load(0, '3')
+            assert isinstance(outcome.unwrap_err(), orders.OutdatedFence)
+            assert 'm@3' not in setup.engine.versions
+            assert setup.leases[0].grant is None
+            assert setup.leases[0].highest_fence == 2
+
+        with_setup(test, catalog.Fencing.ENFORCED)
+
+    def test_late_order_at_an_ignoring_endpoint_is_corrected(self, with_setup):
+        async def test(setup):
+            await setup.take_over()
+            early = await setup.load(1)
+            assert isinstance(early.unwrap_err(), orders.NotYet)
+            late = orders.Order('load', 'm', 'bad', 1)
+            connection = await http.connect(
+                '127.0.0.1', setup.engine.port, deadlines.Deadline.after(5.0)
+            )
+            await protocol.send_order(
+                connection, late, deadlines.Deadline.after(5.0)
+            )
+            await connection.close()
+            assert 'm@bad' in setup.engine.versions
+            for _ in range(8):
+                setup.clock.now += orders.ORDER_SECONDS / 8 + 0.1
+                await setup.leases[1].step()
+            undone = await setup.orderers[1].order(
+                setup.endpoint, 'unload', 'm', 'bad'
+            )
+            assert undone.unwrap().versions == ('m@1',)
+
+        with_setup(test, catalog.Fencing.IGNORED)
+
+
+class TestReadBack:
+    """Guards against a wrong belief about what an order did."""
+
+    @BOTH
+    def test_lost_answer_is_read_back(self, with_setup, fencing):
+        async def test(setup):
+            setup.engine.lose_order_answers = True
+            assert 'm@2' in (await setup.load(0)).unwrap().versions
+            assert len(setup.engine.orders) == 1
+
+        with_setup(test, fencing)
+
+    def test_order_that_is_done_is_not_sent_again(self, with_setup):
+        async def test(setup):
+            assert (await setup.load(0, '1')).is_ok()
+            assert setup.engine.orders == []
+
+        with_setup(test, catalog.Fencing.IGNORED)
+
+    def test_unknown_kind_is_bad_input(self):
+        order = orders.Order('explode', 'm', '1', 1)
+        with pytest.raises(errors.BadInput, match='change-role, load'):
+            orders.is_done(order, protocol.LoadReport())
+
+
+class TestTokenBucket:
+    """Guards the weight store against too many loads."""
+
+    def test_rate_and_burst_are_kept(self, clock):
+        bucket = orders.TokenBucket(0.5, 2)
+        assert not bucket.try_take()
+        clock.now += 100.0
+        assert [bucket.try_take() for _ in range(3)] == [True, True, False]
+        clock.now += 1.9
+        assert not bucket.try_take()
+        clock.now += 0.2
+        assert [bucket.try_take() for _ in range(2)] == [True, False]
+
+    def test_load_waits_for_the_weight_store(self, with_setup):
+        async def test(setup):
+            outcomes = [await setup.load(0, str(n)) for n in range(2, 7)]
+            assert [one.is_ok() for one in outcomes] == [True] * 4 + [False]
+            assert isinstance(outcomes[-1].unwrap_err(), orders.NotYet)
+
+        with_setup(test, catalog.Fencing.ENFORCED)
