Steer roll-outs by a sequential comparison of versions

Cause: roll-outs had a share but nobody changed it, and nothing halted a bad version. A session in a roll-out also failed with a TypeError, because xxhash 4 takes bytes only; the new test of the whole path found it. Conclusion: wired into the daemon; killed holders, lost answers, edits by operators and missing ratings are tested.

--- a/celeryward/callers/sessions.py
+++ b/celeryward/callers/sessions.py
@@ -77,5 +77,6 @@
         return False
     if rollout.state is catalog.RolloutState.FINISHED:
         return True
-    digest = xxhash.xxh3_64_intdigest(f'{rollout.name}:{session_id}')
+    key = f'{rollout.name}:{session_id}'.encode()
+    digest = xxhash.xxh3_64_intdigest(key)
     return digest / HASH_RANGE < rollout.share
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -15,6 +15,8 @@
 from celeryward.endpoints import dispatch
 from celeryward.endpoints import liveness
 from celeryward.endpoints import load
+from celeryward.endpoints import orderer
+from celeryward.endpoints import orders
 from celeryward.endpoints import pool
 from celeryward.endpoints import prober
 from celeryward import http
@@ -25,13 +27,21 @@
 from celeryward.platform import client
 from celeryward.platform import configuration
 from celeryward.platform import flusher
+from celeryward.platform import leases
 from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
+from celeryward.raters import controller
+from celeryward.raters import observer
 from celeryward.raters import quality
+from celeryward.raters import rollouts
 from celeryward.raters import runner
 from celeryward.raters import sampler
 
 FLUSH_RETRY_SECONDS = 0.2
+LEASE_NAME = 'rollouts'
+# Rate of the weight store, which all loads share.
+WEIGHT_LOADS_PER_SECOND = 0.2
+WEIGHT_LOAD_BURST = 2
 
 
 def new_id():
@@ -78,6 +88,7 @@
         )
         self.learner = quality.Learner(random.Random(settings.name))
         self.ratings = sampler.Sampler(rater, self.learner)
+        self.build_rollouts()
         self.serving = self.build_serving(settings, clock)
         self.callers = server.CallerServer(self.serving, timings, new_id)
         self.listener = http.Listener(
@@ -89,6 +100,26 @@
         self.tasks = []
         self.stopped = False
 
+    def build_rollouts(self):
+        """Build the parts that compare versions and steer roll-outs."""
+        self.comparisons = rollouts.Comparisons()
+        seen = observer.Observer(
+            self.configuration, self.comparisons, self.ratings
+        )
+        self.ratings.listener = seen.rated
+        self.dispatcher.observer = seen
+        source = self.ledger.owner
+        self.leadership = leases.Leadership(self.client, LEASE_NAME, source)
+        bucket = orders.TokenBucket(WEIGHT_LOADS_PER_SECOND, WEIGHT_LOAD_BURST)
+        self.orderer = orderer.Orderer(self.leadership, bucket)
+        self.controller = controller.Controller(
+            self.client,
+            self.leadership,
+            self.orderer,
+            self.comparisons,
+            source,
+        )
+
     def build_serving(self, settings, clock):
         """Build the part that serves requests."""
         return serving.Serving(
@@ -113,6 +144,8 @@
             self.prober.run,
             self.flusher.run,
             self.ratings.run,
+            self.leadership.run,
+            self.controller.run,
         ):
             self.tasks.append(await curio.spawn(run, daemon=True))
         await self.admin.start()
@@ -146,6 +179,8 @@
             await curio.sleep(FLUSH_RETRY_SECONDS)
         for task in self.tasks:
             await task.cancel()
+        if self.orderer.quiet():
+            await self.leadership.release()
         await self.admin.stop_accepting()
         await self.admin.drain(deadlines.Deadline.after(0.0))
         await self.pool.close()
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import time
 
 from celeryward import calls
 from celeryward.endpoints import candidates
@@ -41,6 +42,7 @@
         self.emitted_tokens = 0
         self.candidate = None
         self.runs = []
+        self.dispatched_at = 0.0
 
     @property
     def version(self):
@@ -82,6 +84,7 @@
         self.connections = connections
         self.timings = timings
         self.metrics = metrics
+        self.observer = None
 
     def choose(self, attempt):
         """Select the endpoint of the next dispatch.
@@ -113,6 +116,7 @@
             )
         attempt.candidate = chosen
         attempt.dispatches += 1
+        attempt.dispatched_at = time.monotonic()
         attempt.tried |= {chosen.endpoint.name}
         return chosen
 
@@ -132,6 +136,7 @@
                     async for chunk in chunks:
                         attempt.add(chunk)
                         yield chunk
+                await self.observe(attempt, b''.join(attempt.emitted))
                 return
             except errors.EndpointFailure as error:
                 self.after_failure(attempt, error)
@@ -163,6 +168,7 @@
                 self.after_failure(attempt, error)
                 continue
             attempt.add_run(chunk.usage)
+            await self.observe(attempt, chunk.payload)
             return chunk
 
     async def forward(self, attempt):
@@ -200,6 +206,11 @@
         finally:
             self.view.load.finished(endpoint.name)
 
+    async def observe(self, attempt, payload):
+        """Tell the observer of a completed answer, if there is one."""
+        if self.observer is not None:
+            await self.observer.finished(attempt, payload)
+
     def reads(self, call):
         """Return the read deadlines of a call."""
         return pool.ReadTimings(
@@ -213,6 +224,8 @@
 
         :raises errors.CelerywardError: the error for the caller, if not.
         """
+        if self.observer is not None:
+            self.observer.failed(attempt, error)
         endpoint = attempt.candidate.endpoint
         action = retries.after_failure(
             attempt.call, error, attempt.emitted_tokens, endpoint.can_resume
--- a/celeryward/endpoints/orderer.py
+++ b/celeryward/endpoints/orderer.py
@@ -31,6 +31,15 @@
     def __init__(self, leadership, bucket):
         self.leadership = leadership
         self.bucket = bucket
+        self.unanswered_until = deadlines.Deadline.after(0.0)
+
+    def quiet(self):
+        """Return whether no order can still be under way.
+
+        Only then may the lease be given back: the next holder of a lease
+        that was given back does not wait.
+        """
+        return self.unanswered_until.expired()
 
     async def order(self, endpoint, kind, model, version, role=''):
         """Bring an endpoint into a state, if it is not in it yet.
@@ -72,7 +81,10 @@
                 if granted.unwrap().fence != order.fence:
                     reason = 'the lease was lost and taken again'
                     return result.Err(refuse(orders.NotYet, reason, endpoint))
+                answered_before = self.unanswered_until
+                self.unanswered_until = deadline
                 await protocol.send_order(connection, order, deadline)
+                self.unanswered_until = answered_before
             finally:
                 await connection.close()
         except orders.OutdatedFence as error:
--- a/celeryward/raters/cascades.py
+++ b/celeryward/raters/cascades.py
@@ -136,14 +136,17 @@
     return LONGEST_CLASS
 
 
-def classify(call, cascade):
-    """Return the :class:`Kind` of a call to a cascade."""
-    request = call.request
+def classify_request(request):
+    """Return the pair of length class and task of a request."""
     characters = sum(len(message.content) for message in request.messages)
     tagging = 0 < request.max_tokens <= TAGGING_TOKENS
-    return Kind(
-        call.customer.name,
-        cascade.name,
+    return (
         classify_length(characters // CHARACTERS_PER_TOKEN),
         'tagging' if tagging else 'chat',
     )
+
+
+def classify(call, cascade):
+    """Return the :class:`Kind` of a call to a cascade."""
+    length, task = classify_request(call.request)
+    return Kind(call.customer.name, cascade.name, length, task)
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -4,11 +4,11 @@
 
 from celeryward import calls
 from celeryward.endpoints import dispatch
-from celeryward.endpoints import protocol as endpoint_protocol
 from celeryward.raters import cascades
 from celeryward.raters import protocol
 from celeryward.raters import quality
 from celeryward.raters import sampler
+from celeryward.raters import texts
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,13 +166,5 @@
         version,
         kind.task,
         last.usage.prompt_tokens,
-        answer_text(run.attempt.call, run.payload),
+        texts.answer_text(run.attempt.call, run.payload),
     )
-
-
-def answer_text(call, payload):
-    """Return the text of an answer as it went to the caller."""
-    if not call.request.stream:
-        return endpoint_protocol.answer_text(payload)
-    events = endpoint_protocol.decode_events(payload)
-    return ''.join(event.text() for event in events)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -62,6 +62,12 @@
             return self.error(errors.WriteUnknown)
         return result.Ok(written)
 
+    async def delete(self, stored):
+        current = self.stored.get(stored.key)
+        if current is None or current.revision != stored.revision:
+            return self.error(errors.Conflict, current=current)
+        return result.Ok(self.stored.pop(stored.key))
+
     def force(self, stored):
         """Store an object unconditionally, as another writer would."""
         self.revision += 1
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,391 @@
+"""Roll-outs: the sequential test, the decisions and the controller."""
+
+import dataclasses
+import random
+
+import curio
+import pytest
+import result
+
+from celeryward import catalog
+from celeryward.operators import demo
+from celeryward.platform import leases
+from celeryward.platform import protocol
+from celeryward.raters import controller
+from celeryward.raters import rollouts
+from tests import fakes
+
+EQUAL = rollouts.Counts(worse=300, better=300)
+NO_ERRORS = rollouts.Counts(ties=600)
+PASSED = {'rating': EQUAL, 'latency': EQUAL, 'error': NO_ERRORS}
+WORSE = {**PASSED, 'rating': rollouts.Counts(worse=100, better=10)}
+ROLLOUT = catalog.Rollout('r', 'm', '1', '2', 0.01)
+RUNNING = rollouts.Status(fence=1, epoch=1, to_version='2')
+
+
+class TestSequentialTest:
+    """Guards the stated error rates."""
+
+    @pytest.mark.parametrize(
+        ('name', 'counts', 'verdict'),
+        [
+            ('rating', rollouts.Counts(), rollouts.Verdict.UNDECIDED),
+            ('rating', EQUAL, rollouts.Verdict.GOOD),
+            ('rating', NO_ERRORS, rollouts.Verdict.GOOD),
+            ('rating', WORSE['rating'], rollouts.Verdict.BAD),
+            ('error', rollouts.Counts(), rollouts.Verdict.UNDECIDED),
+            ('error', NO_ERRORS, rollouts.Verdict.GOOD),
+            ('error', rollouts.Counts(worse=40), rollouts.Verdict.BAD),
+            ('latency', rollouts.Counts(worse=60), rollouts.Verdict.BAD),
+        ],
+    )
+    def test_verdicts(self, name, counts, verdict):
+        signal = rollouts.SIGNALS.get(name)
+        assert rollouts.judge(signal, counts) is verdict
+
+    @pytest.mark.parametrize('name', sorted(rollouts.SIGNALS.entries))
+    def test_equal_versions_are_seldom_halted(self, name):
+        signal = rollouts.SIGNALS.get(name)
+        chance = random.Random(name)
+        halts = 0
+        runs = 400
+        for _ in range(runs):
+            counts = rollouts.Counts()
+            verdict = rollouts.Verdict.UNDECIDED
+            while verdict is rollouts.Verdict.UNDECIDED:
+                worse = chance.random() < 0.5
+                pair = rollouts.Counts(int(worse), int(not worse))
+                counts = counts.add(pair)
+                verdict = rollouts.judge(signal, counts)
+            halts += verdict is rollouts.Verdict.BAD
+        assert halts <= rollouts.FALSE_HALT_RATE * runs
+
+    def test_only_pairs_of_one_kind_are_compared(self):
+        found = rollouts.Comparisons()
+        found.begin('r', 1)
+        found.observe('r', 'rating', 'long', False, 0.4)
+        found.observe('r', 'rating', 'short', True, 0.9)
+        assert found.counts['r'] == {}
+        found.observe('r', 'rating', 'short', False, 0.95)
+        assert found.counts['r'] == {'rating': rollouts.Counts(worse=1)}
+
+    def test_new_epoch_begins_from_zero(self):
+        found = rollouts.Comparisons()
+        found.begin('r', 1)
+        found.observe('r', 'error', 'short', True, False)
+        found.begin('r', 2)
+        found.observe('r', 'error', 'short', False, False)
+        assert found.counts['r'] == {}
+
+
+class TestDecisions:
+    """Guards against steps that the state of a roll-out forbids."""
+
+    @pytest.mark.parametrize(
+        ('changes', 'status', 'counts', 'action'),
+        [
+            ({}, rollouts.Status(), {}, rollouts.Action.BEGIN),
+            ({}, RUNNING, {}, rollouts.Action.WAIT),
+            ({}, RUNNING, PASSED, rollouts.Action.ADVANCE),
+            ({'share': 0.5}, RUNNING, PASSED, rollouts.Action.FINISH),
+            ({}, RUNNING, WORSE, rollouts.Action.HALT),
+            ({'to_version': '3'}, RUNNING, PASSED, rollouts.Action.BEGIN),
+            (
+                {'state': catalog.RolloutState.HALTED},
+                RUNNING,
+                WORSE,
+                rollouts.Action.NONE,
+            ),
+            (
+                {'state': catalog.RolloutState.FINISHED},
+                RUNNING,
+                WORSE,
+                rollouts.Action.NONE,
+            ),
+            (
+                {'state': catalog.RolloutState.HALTED},
+                dataclasses.replace(RUNNING, cause='rating'),
+                {},
+                rollouts.Action.WITHDRAW,
+            ),
+            (
+                {},
+                dataclasses.replace(RUNNING, cause='rating', withdrawn=True),
+                PASSED,
+                rollouts.Action.BEGIN,
+            ),
+        ],
+    )
+    def test_decision(self, changes, status, counts, action):
+        rollout = dataclasses.replace(ROLLOUT, **changes)
+        assert rollouts.decide(rollout, status, counts).action is action
+
+    def test_without_ratings_it_does_not_advance(self):
+        counts = {'latency': EQUAL, 'error': NO_ERRORS}
+        decision = rollouts.decide(ROLLOUT, RUNNING, counts)
+        assert decision.action is rollouts.Action.WAIT
+        assert decision.signals == 'rating'
+
+
+class Killed(Exception):
+    """Ends a daemon in the middle of a step."""
+
+
+class Orders:
+    """Stands in for :class:`orderer.Orderer` and records orders."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def order(self, endpoint, kind, model, version):
+        self.sent.append((endpoint.name, kind, f'{model}@{version}'))
+        return result.Ok(None)
+
+
+class Platform:
+    """Objects of one roll-out, and the daemons that contend to steer it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.objects = fakes.Objects()
+        self.orders = Orders()
+        self.daemons = 0
+        version = {'model': 'm', 'version': '2', 'state': 'staged'}
+        endpoint = {
+            'host': '127.0.0.1',
+            'port': 1,
+            'failure_domain': 'd',
+            'serves': ['m@2'],
+        }
+        spec = {'model': 'm', 'from_version': '1', 'to_version': '2'}
+        self.add('ModelVersion', 'm@2', version, 2)
+        self.add('Endpoint', 'e', endpoint)
+        self.add('Rollout', 'r', spec)
+
+    def add(self, kind, name, spec, schema_version=1):
+        self.objects.force(
+            protocol.StoredObject(
+                kind, name, spec, schema_version=schema_version
+            )
+        )
+
+    async def new_holder(self):
+        """Let the lease run out and a new daemon take it."""
+        self.clock.now += leases.DURATION_SECONDS * 1.1
+        self.daemons += 1
+        name = f'daemon-{self.daemons}'
+        lease = leases.Leadership(self.objects, 'rollouts', name)
+        await lease.step()
+        self.clock.now += leases.DURATION_SECONDS * 1.1
+        await lease.step()
+        assert lease.held(1.0).is_ok()
+        return controller.Controller(
+            self.objects, lease, self.orders, rollouts.Comparisons(), name
+        )
+
+    def kill_after(self, writes):
+        """Kill the daemon that makes a later write, before the write."""
+        left = [writes]
+
+        def count(stored):
+            left[0] -= stored.kind != leases.LEASE_KIND
+            if left[0] < 0:
+                self.objects.before_write = lambda stored: None
+                raise Killed
+
+        self.objects.before_write = count
+
+    def report(self, counts):
+        """Store the counts of some daemon for the present epoch."""
+        fields = {
+            name: dataclasses.asdict(found) for name, found in counts.items()
+        }
+        epoch = self.rollout().status['epoch']
+        spec = {'rollout': 'r', 'epoch': epoch, 'counts': fields}
+        self.add(controller.REPORT_KIND, 'r.other', spec)
+
+    def rollout(self):
+        return self.objects.stored['Rollout', 'r']
+
+    def edit(self, **changes):
+        """Change the roll-out as an operator does."""
+        stored = self.rollout()
+        spec = {**stored.spec, **changes}
+        self.objects.force(dataclasses.replace(stored, spec=spec))
+
+    def version_state(self):
+        return self.objects.stored['ModelVersion', 'm@2'].spec['state']
+
+
+@pytest.fixture
+def platform(clock):
+    return Platform(clock)
+
+
+class TestController:
+    """Guards roll-outs against lost holders, answers and edits."""
+
+    def test_good_version_is_finished(self, run, platform):
+        async def test():
+            leader = await platform.new_holder()
+            shares = []
+            for _ in range(7):
+                await leader.steer_all()
+                await leader.leadership.step()
+                shares.append(platform.rollout().spec.get('share', 0.0))
+                platform.report(PASSED)
+            assert shares == [0.0, *rollouts.SHARES, 1.0, 1.0]
+            assert platform.rollout().spec['state'] == 'finished'
+            assert platform.version_state() == 'live'
+
+        run(test)
+
+    @pytest.mark.parametrize('survived', range(7))
+    def test_killed_holder_is_followed(self, run, platform, survived):
+        async def test():
+            leader = await platform.new_holder()
+            platform.kill_after(survived)
+            for _ in range(8):
+                try:
+                    await leader.steer_all()
+                except Killed:
+                    leader = await platform.new_holder()
+                await leader.leadership.step()
+                if platform.rollout().status.get('epoch'):
+                    platform.report(WORSE)
+            status = platform.rollout().status
+            grant = leader.leadership.held(1.0).unwrap()
+            assert platform.rollout().spec['state'] == 'halted'
+            assert (status['cause'], status['epoch']) == ('rating', 1)
+            assert status['fence'] == grant.fence
+            assert platform.version_state() == 'withdrawn'
+            assert platform.orders.sent[-1] == ('e', 'unload', 'm@2')
+
+        run(test)
+
+    def test_holder_that_was_replaced_writes_nothing(self, run, platform):
+        async def test():
+            old = await platform.new_holder()
+            await old.steer_all()
+            await platform.new_holder()
+            before = platform.objects.revision
+            await old.steer_all()
+            assert platform.objects.revision == before
+
+        run(test)
+
+    def test_operator_wins_against_a_decision_under_way(self, run, platform):
+        async def test():
+            leader = await platform.new_holder()
+            await leader.steer_all()
+            await leader.steer_all()
+            platform.report(PASSED)
+
+            def edit_first(stored):
+                platform.objects.before_write = lambda stored: None
+                platform.edit(state='halted', share=0.0)
+
+            platform.objects.before_write = edit_first
+            await leader.steer_all()
+            await leader.steer_all()
+            assert platform.rollout().spec['state'] == 'halted'
+            assert platform.rollout().spec['share'] == 0.0
+            assert platform.version_state() == 'live'
+
+        run(test)
+
+    def test_lost_answer_repeats_no_step(self, run, platform):
+        async def test():
+            leader = await platform.new_holder()
+            await leader.steer_all()
+            await leader.steer_all()
+            platform.report(PASSED)
+            platform.objects.lose = 1
+            await leader.steer_all()
+            await leader.steer_all()
+            assert platform.rollout().spec['share'] == rollouts.SHARES[1]
+            assert platform.rollout().status['epoch'] == 2
+
+        run(test)
+
+    def test_counts_of_an_earlier_epoch_are_dropped(self, run, platform):
+        async def test():
+            leader = await platform.new_holder()
+            await leader.steer_all()
+            await leader.steer_all()
+            platform.report(PASSED)
+            await leader.steer_all()
+            await leader.steer_all()
+            assert platform.rollout().spec['share'] == rollouts.SHARES[1]
+            kinds = [kind for kind, _ in platform.objects.stored]
+            assert controller.REPORT_KIND not in kinds
+
+        run(test)
+
+    def test_report_is_written_once_for_the_same_counts(self, run, platform):
+        async def test():
+            leader = await platform.new_holder()
+            leader.comparisons.begin('r', 1)
+            leader.comparisons.observe('r', 'error', 'k', True, False)
+            leader.comparisons.observe('r', 'error', 'k', False, False)
+            await leader.report()
+            before = platform.objects.revision
+            await leader.report()
+            assert platform.objects.revision == before
+            leader.comparisons.observe('r', 'error', 'k', True, True)
+            leader.comparisons.observe('r', 'error', 'k', False, False)
+            await leader.report()
+            name = f'r.{leader.source}'
+            spec = platform.objects.stored[controller.REPORT_KIND, name].spec
+            assert spec['counts']['error'] == {
+                'worse': 1,
+                'better': 0,
+                'ties': 1,
+            }
+
+        run(test)
+
+
+class TestObservation:
+    """Guards the way from a request to the comparison, in one daemon."""
+
+    def test_requests_of_both_versions_are_compared(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            cluster.small.versions = ('small@1', 'small@2')
+            await cluster.start()
+            await add_rollout(cluster)
+            for _ in range(40):
+                example = demo.chat('', 'small', 'x')
+                await demo.send(cluster.daemon.listener.port, example)
+            while cluster.daemon.ratings.waiting:
+                await curio.sleep(0.01)
+            counts = cluster.daemon.comparisons.counts['r']
+            assert counts['error'].ties > 0
+            assert counts['rating'].ties > 0
+            assert counts['latency'] != rollouts.Counts()
+            await cluster.stop()
+
+        run(test)
+
+
+async def add_rollout(cluster):
+    """Add a second version of a model, half way through its roll-out."""
+    version = {'model': 'small', 'version': '2'}
+    stored = demo.record('ModelVersion', 'small@2', version)
+    await cluster.platform.put(stored)
+    serves = ['small@1', 'small@2']
+    await cluster.platform.put(
+        cluster.endpoint('engine-1', cluster.small, serves=serves)
+    )
+    spec = {
+        'model': 'small',
+        'from_version': '1',
+        'to_version': '2',
+        'share': 0.5,
+    }
+    stored = demo.record('Rollout', 'r', spec)
+    status = {'epoch': 1, 'to_version': '2'}
+    await cluster.platform.put(dataclasses.replace(stored, status=status))
+    while 'r' not in cluster.daemon.configuration.catalog().rollouts:
+        await curio.sleep(0.01)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -23,6 +23,7 @@
     'raters/cascades.py',
     'raters/estimates.py',
     'raters/quality.py',
+    'raters/rollouts.py',
 )
 
 
