--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -17,6 +17,8 @@
 from celeryward.endpoints import dispatch
 from celeryward.endpoints import liveness
 from celeryward.endpoints import load
+from celeryward.endpoints import orderer
+from celeryward.endpoints import orders
 from celeryward.endpoints import pool
 from celeryward.endpoints import prober
 from celeryward.endpoints import recovery
@@ -29,15 +31,23 @@
 from celeryward.platform import client
 from celeryward.platform import configuration
 from celeryward.platform import flusher
+from celeryward.platform import leases
 from celeryward.platform import replicas
 from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
+from celeryward.raters import controller
+from celeryward.raters import observer
 from celeryward.raters import quality
+from celeryward.raters import rollouts
 from celeryward.raters import runner
 from celeryward.raters import sampler
 from celeryward import signals
 
 FLUSH_RETRY_SECONDS = 0.2
+LEASE_NAME = 'rollouts'
+# Rate of the weight store, which all loads share.
+WEIGHT_LOADS_PER_SECOND = 0.2
+WEIGHT_LOAD_BURST = 2
 
 
 def new_id():
@@ -103,6 +113,7 @@
         )
         self.learner = quality.Learner(random.Random(settings.name))
         self.ratings = sampler.Sampler(rater, self.learner)
+        self.build_rollouts()
         self.serving = self.build_serving(settings, clock, new_id)
         self.callers = server.CallerServer(self.serving, timings, new_id)
         self.listener = http.Listener(
@@ -114,6 +125,27 @@
         self.tasks = []
         self.stopped = False
 
+    def build_rollouts(self):
+        """Build the parts that compare versions and steer roll-outs."""
+        self.comparisons = rollouts.Comparisons()
+        seen = observer.Observer(
+            self.configuration, self.comparisons, self.ratings
+        )
+        self.ratings.listener = seen.rated
+        self.dispatcher.observer = seen
+        self.recovery.observer = seen
+        source = self.ledger.owner
+        self.leadership = leases.Leadership(self.client, LEASE_NAME, source)
+        bucket = orders.TokenBucket(WEIGHT_LOADS_PER_SECOND, WEIGHT_LOAD_BURST)
+        self.orderer = orderer.Orderer(self.leadership, bucket)
+        self.controller = controller.Controller(
+            self.client,
+            self.leadership,
+            self.orderer,
+            self.comparisons,
+            source,
+        )
+
     def build_serving(self, settings, clock, new_id):
         """Build the part that serves requests."""
         return serving.Serving(
@@ -148,7 +180,13 @@
         another daemon holds the watch, from peers.
         """
         await self.control.start()
-        for run in (self.prober.run, self.flusher.run, self.ratings.run):
+        for run in (
+            self.prober.run,
+            self.flusher.run,
+            self.ratings.run,
+            self.leadership.run,
+            self.controller.run,
+        ):
             self.tasks.append(await curio.spawn(run, daemon=True))
         await self.admin.start()
         await self.configuration.confirmed.wait()
@@ -183,6 +221,8 @@
         for task in self.tasks:
             await task.cancel()
         await self.control.stop()
+        if self.orderer.quiet():
+            await self.leadership.release()
         await self.admin.stop_accepting()
         await self.admin.drain(deadlines.Deadline.after(0.0))
         await self.pool.close()
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -54,6 +54,7 @@
         self.digests = ()
         if isinstance(call.request, calls.ChatRequest):
             self.digests = prefixes.digest_text(call.request.prompt())
+        self.dispatched_at = 0.0
 
     @property
     def version(self):
@@ -160,6 +161,7 @@
         self.connections = connections
         self.timings = timings
         self.recovery = recovery
+        self.observer = None
 
     def choose(self, attempt):
         """Select the endpoint of the next dispatch.
@@ -239,6 +241,7 @@
             )
         attempt.candidate = chosen
         attempt.dispatches += 1
+        attempt.dispatched_at = time.monotonic()
         attempt.tried |= {chosen.endpoint.name}
         self.recovery.dispatched(attempt)
         return chosen
@@ -273,6 +276,7 @@
                     async for chunk in chunks:
                         attempt.add(chunk)
                         yield chunk
+                await self.observe(attempt, b''.join(attempt.emitted))
                 return
             except errors.EndpointFailure as error:
                 await self.recovery.after_failure(attempt, error)
@@ -334,6 +338,7 @@
                 await self.recovery.after_failure(attempt, error)
                 continue
             attempt.add_last_run(chunk.usage, chunk.tokens)
+            await self.observe(attempt, chunk.payload)
             return chunk
 
     async def forward(self, attempt):
@@ -369,6 +374,11 @@
         finally:
             self.view.load.finished(endpoint.name, call.priority)
 
+    async def observe(self, attempt, payload):
+        """Tell the observer of a completed answer, if there is one."""
+        if self.observer is not None:
+            await self.observer.finished(attempt, payload)
+
     def reads(self, call):
         """Return the read deadlines of a call."""
         return pool.ReadTimings(
--- a/celeryward/endpoints/load.py
+++ b/celeryward/endpoints/load.py
@@ -24,6 +24,7 @@
     capacity: int = 1
     leaving: bool = False
     versions: tuple[str, ...] = ()
+    role: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/endpoints/recovery.py
+++ b/celeryward/endpoints/recovery.py
@@ -30,6 +30,7 @@
         self.prober = prober
         self.metrics = metrics
         self.budget = retries.RetryBudget()
+        self.observer = None
 
     def dispatched(self, attempt):
         """Note a dispatch."""
@@ -41,6 +42,8 @@
 
         :raises errors.CelerywardError: the error for the caller, if not.
         """
+        if self.observer is not None:
+            self.observer.failed(attempt, error)
         attempt.may_have_run |= error.sent
         if attempt.emitted_tokens:
             attempt.add_partial_run()
--- a/celeryward/standins/engine.py
+++ b/celeryward/standins/engine.py
@@ -21,7 +21,9 @@
     connection is dropped, ``silent_after`` one after which nothing more is
     sent, ``break_inside`` makes a break leave half an event behind,
     ``refusing`` refuses all work as not run, ``crash_on`` is a text
-    in the prompt that stops the engine.
+    in the prompt that stops the engine, ``lose_order_answers`` executes
+    orders and drops the connection. With ``fenced`` it refuses orders whose
+    fencing number is lower than the highest it has seen.
 
     :param tuple versions: ``model@version`` names that it runs.
     :param int tokens: tokens of an answer if the request sets no limit.
@@ -45,6 +47,11 @@
         self.silent = set()
         self.cache_events = []
         self.started = collections.Counter()
+        self.fenced = False
+        self.highest_fence = 0
+        self.role = ''
+        self.orders = []
+        self.lose_order_answers = False
 
     async def answer(self, connection, received):
         """Route one request by its path."""
@@ -61,6 +68,8 @@
             await base.send_json(connection, 200, self.events_since(since))
         elif path == '/health':
             await base.send_json(connection, 200, {'status': 'ok'})
+        elif path == '/orders':
+            await self.answer_order(connection, received.json())
         elif path == '/drain':
             self.leaving = True
             await base.send_json(connection, 200, {})
@@ -75,8 +84,32 @@
             'capacity': self.capacity,
             'leaving': self.leaving,
             'versions': self.versions,
+            'role': self.role,
         }
 
+    async def answer_order(self, connection, order):
+        """Execute one order, unless its fencing number is outdated."""
+        if self.fenced and order['fence'] < self.highest_fence:
+            refusal = {'fence': self.highest_fence}
+            await base.send_json(connection, 409, refusal)
+            return
+        self.highest_fence = max(self.highest_fence, order['fence'])
+        self.orders.append(order)
+        name = f'{order["model"]}@{order["version"]}'
+        if order['kind'] == 'load':
+            self.versions = tuple(dict.fromkeys((*self.versions, name)))
+        elif order['kind'] == 'unload':
+            self.versions = tuple(v for v in self.versions if v != name)
+        elif order['kind'] == 'change-role':
+            self.role = order.get('role', '')
+        if self.lose_order_answers:
+            raise http.Disconnected(
+                'stand-in loses the answer',
+                step='answer order',
+                peer=connection.peer,
+            )
+        await base.send_json(connection, 200, self.load())
+
     async def answer_chat(self, connection, received):
         """Run one chat, streamed or whole."""
         headers = received.head.headers
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -22,16 +22,19 @@
     'endpoints/liveness.py',
     'endpoints/load.py',
     'endpoints/prefixes.py',
+    'endpoints/orders.py',
     'endpoints/ranking.py',
     'endpoints/retries.py',
     'platform/batches.py',
     'platform/billing.py',
     'platform/claims.py',
     'platform/configuration.py',
+    'platform/leases.py',
     'platform/replicas.py',
     'raters/cascades.py',
     'raters/estimates.py',
     'raters/quality.py',
+    'raters/rollouts.py',
 )
 
 
