--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -12,6 +12,7 @@
 from celeryward.operators import demo
 from celeryward.platform import batches
 from celeryward.platform import billing
+from celeryward.platform import claims
 
 RESERVE = demo.Example('', 'POST', '/v1/services/orders/reserve', {'part': 7})
 READ = demo.Example('', 'GET', '/v1/services/orders/parts', {})
@@ -62,6 +63,16 @@
     ]
 
 
+async def wait_for_outcome(cluster):
+    """Wait until the claim holds its outcome, which follows the answer."""
+    while True:
+        for stored in cluster.platform.objects.values():
+            if stored.kind == claims.CLAIM_KIND:
+                if stored.spec['state'] != claims.State.OPEN.value:
+                    return
+        await curio.sleep(0.001)
+
+
 class TestBills:
     """Guards against requests that are billed twice or not at all."""
 
@@ -139,6 +150,7 @@
             key = {'idempotency-key': 'k', 'x-request-id': 'r'}
             example = demo.chat('', 'small', 'x')
             first = await ask(cluster.daemon, example, **key)
+            await wait_for_outcome(cluster)
             key['x-request-id'] = 'r2'
             again = await ask(cluster.daemon, example, **key)
             assert first[1] == again[1]
