Record the wait in the queue; test both ways to close a version

Change: the metric queue_wait holds the time that requests waited for a slot. Tests of withdrawal run with withdrawn and with revoked versions, and tokens are tested with arbitrary text.

--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -208,7 +208,10 @@
 
         :raises errors.NotRun: if it can't run.
         """
+        arrived = time.monotonic()
         async with self.gates.slot(placer.call, model):
+            waited = time.monotonic() - arrived
+            self.metrics.latency('queue_wait').record(waited)
             place = functools.partial(placer.place, model)
             attempt = dispatch.Attempt(placer.call, model, place=place)
             attempt.move()
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -93,12 +93,9 @@
         bench = Bench()
         for priority in (0, 5, 0, 5):
             bench.offer('a', priority=priority)
-        numbers = []
-        for _ in range(4):
-            ticket, _ = bench.queue.start_next(0.0)
-            numbers.append(ticket.number)
-            bench.queue.finish(ticket, 1.0)
-        assert numbers == [2, 4, 1, 3]
+        bench.queue.slots = 4
+        started = [bench.queue.start_next(0.0)[0] for _ in range(4)]
+        assert [ticket.number for ticket in started] == [2, 4, 1, 3]
 
     def test_higher_priority_displaces_in_a_full_queue(self):
         bench = Bench()
@@ -211,12 +208,17 @@
         queue.running = queue.slots
         return queue
 
+    async def ask_and_wait(self, cluster):
+        """Send a request that waits; return the queue and the task."""
+        queue = self.occupy(cluster)
+        asking = await curio.spawn(cluster.ask, 'small')
+        while not queue.waiting:
+            await curio.sleep(0.005)
+        return queue, asking
+
     def test_waiting_request_leaves_a_withdrawn_version(self, cluster_run):
         async def test(cluster):
-            queue = self.occupy(cluster)
-            asking = await curio.spawn(cluster.ask, 'small')
-            while not queue.waiting:
-                await curio.sleep(0.005)
+            queue, asking = await self.ask_and_wait(cluster)
             cluster.withdraw('small@1')
             queue.running = 0
             await cluster.daemon.serving.gates.start_waiting('small')
@@ -241,10 +243,7 @@
 
     def test_displaced_request_is_told_that_it_did_not_run(self, cluster_run):
         async def test(cluster):
-            queue = self.occupy(cluster)
-            asking = await curio.spawn(cluster.ask, 'small')
-            while not queue.waiting:
-                await curio.sleep(0.005)
+            queue, asking = await self.ask_and_wait(cluster)
             gates = cluster.daemon.serving.gates
             ticket = queue.lines['workshop'].last()
             queue.cancel(ticket)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -3,6 +3,8 @@
 import itertools
 import uuid
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from celeryward.callers import admission
@@ -105,6 +107,12 @@
         placed = place(current, token=token).unwrap()
         assert (placed.pinned, placed.changed) == ('m@1', False)
 
+    @hypothesis.given(strategies.text())
+    def test_any_text_is_survived(self, text):
+        signer = sessions.SessionSigner([OLD_KEY])
+        call = make_call(token=text, own_id=text)
+        assert sessions.open_session(signer, call, NOW).versions == {}
+
     def test_token_that_is_issued_is_accepted(self):
         versions = {f'{n:0200x}': 'v' * 200 for n in range(26)}
         session = sessions.Session('s', versions, NOW, 'a')
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -73,6 +73,13 @@
         return head, body, error
 
 
+# Both ways to close the first version of a model to the customer.
+CLOSE_FIRST_VERSION = [
+    lambda cluster, model: cluster.withdraw(f'{model}@1'),
+    lambda cluster, model: cluster.allow(f'{model}@2'),
+]
+
+
 @pytest.fixture
 def cluster_run(run):
     """Return a function that runs a test against a started cluster."""
@@ -98,38 +105,28 @@
     """Guards against a check that is made at entry only."""
 
     @pytest.mark.parametrize('stream', [False, True])
-    def test_withdrawn_while_connecting(self, cluster_run, stream):
+    @pytest.mark.parametrize('close', CLOSE_FIRST_VERSION)
+    def test_moves_while_connecting(self, cluster_run, close, stream):
         async def test(cluster):
-            cluster.before_connect(lambda: cluster.withdraw('small@1'))
+            cluster.before_connect(lambda: close(cluster, 'small'))
             head, _, _ = await cluster.ask('small', stream)
             assert head.headers['x-served-by'] == 'small@2'
             assert cluster.small.started == {'small@2': 1}
 
         cluster_run(test)
 
-    def test_revoked_while_connecting(self, cluster_run):
+    @pytest.mark.parametrize(
+        ('target', 'close', 'status'),
+        [
+            ('small', lambda cluster: cluster.allow('large'), 403),
+            ('small@1', lambda cluster: cluster.withdraw('small@1'), 503),
+        ],
+    )
+    def test_refused(self, cluster_run, target, close, status):
         async def test(cluster):
-            cluster.before_connect(lambda: cluster.allow('small@2'))
-            head, _, _ = await cluster.ask('small')
-            assert head.headers['x-served-by'] == 'small@2'
-            assert cluster.small.started == {'small@2': 1}
-
-        cluster_run(test)
-
-    def test_all_revoked_while_connecting(self, cluster_run):
-        async def test(cluster):
-            cluster.before_connect(lambda: cluster.allow('large'))
-            head, _, error = await cluster.ask('small')
-            assert (head.status, error['execution']) == (403, 'not-run')
-            assert not cluster.small.started
-
-        cluster_run(test)
-
-    def test_named_version_is_not_replaced(self, cluster_run):
-        async def test(cluster):
-            cluster.before_connect(lambda: cluster.withdraw('small@1'))
-            head, _, error = await cluster.ask('small@1')
-            assert (head.status, error['execution']) == (503, 'not-run')
+            cluster.before_connect(lambda: close(cluster))
+            head, _, error = await cluster.ask(target)
+            assert (head.status, error['execution']) == (status, 'not-run')
             assert not cluster.small.started
 
         cluster_run(test)
@@ -192,9 +189,10 @@
 
         cluster.large.inject_fault = act_and_break
 
-    def test_resume_is_refused_and_not_called_not_run(self, cluster_run):
+    @pytest.mark.parametrize('close', CLOSE_FIRST_VERSION)
+    def test_resume_is_refused_as_unknown(self, cluster_run, close):
         async def test(cluster):
-            self.break_large(cluster, 4, lambda: cluster.withdraw('large@1'))
+            self.break_large(cluster, 4, lambda: close(cluster, 'large'))
             _, body, _ = await cluster.ask('large', stream=True)
             assert cluster.large.started == {'large@1': 1}
             assert b'"execution":"unknown"' in body
@@ -202,18 +200,10 @@
 
         cluster_run(test)
 
-    def test_revoked_before_resume(self, cluster_run):
-        async def test(cluster):
-            self.break_large(cluster, 4, lambda: cluster.allow('large@2'))
-            _, body, _ = await cluster.ask('large', stream=True)
-            assert cluster.large.started == {'large@1': 1}
-            assert b'"execution":"unknown"' in body
-
-        cluster_run(test)
-
-    def test_break_before_any_token_moves_the_request(self, cluster_run):
+    @pytest.mark.parametrize('close', CLOSE_FIRST_VERSION)
+    def test_break_before_any_token_moves(self, cluster_run, close):
         async def test(cluster):
-            self.break_large(cluster, 0, lambda: cluster.withdraw('large@1'))
+            self.break_large(cluster, 0, lambda: close(cluster, 'large'))
             _, body, _ = await cluster.ask('large', stream=True)
             assert cluster.large.started == {'large@1': 1, 'large@2': 1}
             assert body.endswith(b'data: [DONE]\n\n')
