Refuse requests that crash endpoints, with probation of suspects

Cause: a request that crashes its endpoint was retried on up to four. Change: fingerprints of normalised content as evidence of crashes, merged between daemons; suspects run on probation; crashes of a proven culprit are not counted against the requests beside it. Calls that fail together count once in the back-off of an endpoint, which grew to 25 s before.

--- a/benchmarks/silence.py
+++ b/benchmarks/silence.py
@@ -74,6 +74,7 @@
             self.fleet.view,
             self.fleet.pool,
             self.fleet.prober,
+            self.fleet.recovery.suspects,
             self.fleet.recovery.metrics,
         )
         # The budget is measured elsewhere and would hide the difference.
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -12,6 +12,7 @@
 from celeryward import deadlines
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
+from celeryward.endpoints import fingerprints
 from celeryward.endpoints import liveness
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
@@ -68,8 +69,13 @@
         self.prober = prober.Prober(
             self.configuration, self.pool, self.view, timings
         )
+        self.fingerprints = fingerprints.Fingerprints()
         self.recovery = recovery.Recovery(
-            self.view, self.pool, self.prober, self.metrics
+            self.view,
+            self.pool,
+            self.prober,
+            self.fingerprints,
+            self.metrics,
         )
         self.dispatcher = dispatch.Dispatcher(
             self.configuration, self.view, self.pool, timings, self.recovery
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -2,16 +2,23 @@
 
 import contextlib
 import dataclasses
+import functools
 import time
 
+import curio
+
 from celeryward import calls
 from celeryward.endpoints import candidates
+from celeryward.endpoints import fingerprints
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
 from celeryward.endpoints import prefixes
 from celeryward.endpoints import protocol
 from celeryward import errors
 
+# Probations end after a first token, which takes about 0.1 s.
+PROBATION_POLL_SECONDS = 0.02
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceAnswer:
@@ -42,12 +49,18 @@
         self.runs = []
         self.finished = False
         self.may_have_run = False
+        self.on_probation = False
         self.replaced = frozenset()
         self.spare = frozenset()
         self.digests = ()
         if isinstance(call.request, calls.ChatRequest):
             self.digests = prefixes.digest_text(call.request.prompt())
 
+    @functools.cached_property
+    def fingerprint(self):
+        """The fingerprint of the request, made when it is first needed."""
+        return fingerprints.fingerprint_request(self.model, self.call.request)
+
     @property
     def version(self):
         """Name of the version that runs the request."""
@@ -134,45 +147,73 @@
         self.timings = timings
         self.recovery = recovery
 
-    def choose(self, attempt):
+    async def choose(self, attempt):
         """Select the endpoint of the next dispatch.
 
+        A suspect waits while every endpoint that it may use is taken by
+        the probation of another suspect.
+
+        :raises errors.HarmfulRequest: if the request crashes endpoints.
         :raises errors.DeadlineExceeded: if the deadline has passed.
         :raises errors.Overloaded: if there is no candidate.
-        :raises errors.OutcomeUnknown: for either, if the request may have
-            run before.
+        :raises errors.OutcomeUnknown: for the last two, if the request may
+            have run before.
         """
-        call = attempt.call
-        if call.deadline.expired():
-            raise self.refusal(
-                attempt,
-                errors.DeadlineExceeded,
-                'deadline passed before dispatch',
-            )
-        chosen = self.select(attempt)
-        if chosen is None and attempt.take_spare():
-            chosen = self.select(attempt)
-        if chosen is None:
-            raise self.refusal(
-                attempt,
-                errors.Overloaded,
-                'no live endpoint can run or resume the request',
-            )
+        while True:
+            if attempt.call.deadline.expired():
+                raise self.refusal(
+                    attempt,
+                    errors.DeadlineExceeded,
+                    'deadline passed before dispatch',
+                )
+            isolation = self.recovery.isolation(attempt)
+            chosen = self.select(attempt, isolation)
+            if chosen is not None:
+                break
+            if not isolation.crashed or not self.select_from(attempt):
+                raise self.refusal(
+                    attempt,
+                    errors.Overloaded,
+                    'no live endpoint can run or resume the request',
+                )
+            await curio.sleep(PROBATION_POLL_SECONDS)
         attempt.candidate = chosen
         attempt.dispatches += 1
         attempt.tried |= {chosen.endpoint.name}
-        self.recovery.dispatched(attempt)
+        self.recovery.dispatched(attempt, isolation)
         return chosen
 
-    def select(self, attempt):
+    def select(self, attempt, isolation):
         """Return the best candidate now, or None."""
+        if isolation.crashed:
+            return self.select_alone(attempt, isolation)
+        chosen = self.select_from(attempt, isolation.probations)
+        if chosen is None and isolation.probations:
+            chosen = self.select_from(attempt)
+        if chosen is None and attempt.take_spare():
+            chosen = self.select_from(attempt)
+        return chosen
+
+    def select_alone(self, attempt, isolation):
+        """Return the candidate for a suspect's probation, or None.
+
+        Endpoints that crashed with it are used only if there are no others.
+        """
+        avoided = isolation.crashed
+        if self.select_from(attempt, avoided) is None:
+            avoided = frozenset()
+        view = dataclasses.replace(self.view, ranking='least-connections')
+        return self.select_from(attempt, avoided | isolation.probations, view)
+
+    def select_from(self, attempt, avoided=frozenset(), view=None):
+        """Return the best candidate outside of some endpoints, or None."""
         query = candidates.Query(
             self.configuration.catalog(),
             attempt.call,
             attempt.model,
-            self.view,
+            view or self.view,
             attempt.pinned,
-            attempt.tried,
+            attempt.tried | avoided,
             attempt.digests,
             resuming=attempt.emitted_tokens > 0,
         )
@@ -191,7 +232,7 @@
         :raises errors.Overloaded: if it certainly did not run.
         """
         while True:
-            chosen = self.choose(attempt)
+            chosen = await self.choose(attempt)
             # A resumed stream stays on the version that began it.
             attempt.pinned = chosen.version.name
             chunks = self.stream_once(attempt, chosen)
@@ -210,7 +251,7 @@
         resume = attempt.resume_point()
         expected = self.expect(attempt, chosen.endpoint)
         started = time.monotonic()
-        async with self.leased(call, chosen.endpoint) as connection:
+        async with self.leased(attempt, chosen.endpoint) as connection:
             chunks = protocol.stream_chat(
                 connection,
                 call,
@@ -225,6 +266,7 @@
                 time.monotonic() - started,
                 expected,
             )
+            self.recovery.end_probation(attempt)
             if first.usage is not None:
                 attempt.add_last_run(first.usage, first.tokens)
             yield first
@@ -245,12 +287,12 @@
     async def whole(self, attempt):
         """Return the chunk of one whole answer that is not streamed."""
         while True:
-            chosen = self.choose(attempt)
+            chosen = await self.choose(attempt)
             attempt.pinned = chosen.version.name
             call = attempt.dispatched_call()
             self.expect(attempt, chosen.endpoint)
             try:
-                async with self.leased(call, chosen.endpoint) as connection:
+                async with self.leased(attempt, chosen.endpoint) as connection:
                     chunk = await protocol.whole_chat(
                         connection, call, chosen.version, self.reads(call)
                     )
@@ -265,10 +307,10 @@
         call = attempt.call
         fresh = not call.request.idempotent
         while True:
-            chosen = self.choose(attempt)
+            chosen = await self.choose(attempt)
             try:
                 async with self.leased(
-                    call, chosen.endpoint, fresh
+                    attempt, chosen.endpoint, fresh
                 ) as connection:
                     head, body = await protocol.forward(
                         connection, call, self.reads(call)
@@ -279,8 +321,9 @@
             return ServiceAnswer(head.status, head.headers, body)
 
     @contextlib.asynccontextmanager
-    async def leased(self, call, endpoint, fresh=False):
+    async def leased(self, attempt, endpoint, fresh=False):
         """Borrow a connection and count the dispatch as in flight."""
+        call = attempt.call
         started = time.monotonic()
         self.view.load.started(endpoint.name, call.priority)
         try:
@@ -289,6 +332,13 @@
             ) as connection:
                 yield connection
             self.view.load.held(endpoint.name, time.monotonic() - started)
+            self.recovery.answered(attempt)
+        except errors.EndpointFailure:
+            # Recovery ends the probation after it has examined the failure.
+            raise
+        except BaseException:
+            self.recovery.end_probation(attempt)
+            raise
         finally:
             self.view.load.finished(endpoint.name, call.priority)
 
--- a/celeryward/endpoints/liveness.py
+++ b/celeryward/endpoints/liveness.py
@@ -22,18 +22,23 @@
     def failed(self, name, interval):
         """Note a failed probe or connect.
 
+        Many calls fail together; while a suspect endpoint backs off, further
+        failures don't lengthen the back-off.
+
         :param float interval: seconds of the first back-off.
         """
         count = self.failures.get(name, 0) + 1
+        if count > FAILURES_TO_SUSPECT and not self.retry_at[name].expired():
+            return
         self.failures[name] = count
         backoff = min(MAX_BACKOFF_SECONDS, interval * 2 ** (count - 1))
         self.retry_at[name] = deadlines.Deadline.after(backoff)
 
     def suspect(self, name, interval):
         """Note that both a call and the probe after it failed."""
-        known = max(self.failures.get(name, 0), FAILURES_TO_SUSPECT - 1)
-        self.failures[name] = known
-        self.failed(name, interval)
+        if self.failures.get(name, 0) < FAILURES_TO_SUSPECT:
+            self.failures[name] = FAILURES_TO_SUSPECT - 1
+            self.failed(name, interval)
 
     def set_leaving(self, name, leaving):
         """Note whether the endpoint announces that it leaves."""
--- a/celeryward/endpoints/recovery.py
+++ b/celeryward/endpoints/recovery.py
@@ -1,5 +1,6 @@
 """What follows a failed dispatch: probe, retry, resume or give up."""
 
+import dataclasses
 import time
 
 from celeryward.endpoints import retries
@@ -16,25 +17,87 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Isolation:
+    """How the next dispatch of a request keeps apart from suspects.
+
+    :param frozenset probations: endpoints with a suspect on probation.
+    :param frozenset crashed: endpoints that crashed while running the
+        request, which is a suspect if there are any.
+    """
+
+    probations: frozenset = frozenset()
+    crashed: frozenset = frozenset()
+
+
+NO_ISOLATION = Isolation()
+
+
 class Recovery:
     """Classifies failures of dispatches as section 2 of the design does.
 
     :param candidates.View view: what the daemon knows.
     :param pool.EndpointPool connections: connections to endpoints.
     :param prober.Prober prober: probes over new connections.
+    :param fingerprints.Fingerprints suspects: requests that crash engines.
     """
 
-    def __init__(self, view, connections, prober, metrics):
+    def __init__(self, view, connections, prober, suspects, metrics):
         self.view = view
         self.connections = connections
         self.prober = prober
+        self.suspects = suspects
         self.metrics = metrics
         self.budget = retries.RetryBudget()
 
-    def dispatched(self, attempt):
+    def isolation(self, attempt):
+        """Return the :class:`Isolation` of the next dispatch.
+
+        :raises errors.HarmfulRequest: if the request is refused.
+        """
+        if not self.suspects.active():
+            return NO_ISOLATION
+        self.refuse_harmful(attempt)
+        return Isolation(
+            frozenset(self.suspects.probations),
+            self.suspects.endpoints(attempt.fingerprint),
+        )
+
+    def refuse_harmful(self, attempt):
+        """Raise the error of a request that has crashed two endpoints.
+
+        :raises errors.HarmfulRequest: not run if no dispatch was sent.
+        """
+        checked = self.suspects.check(attempt.fingerprint)
+        if checked.is_ok():
+            return
+        error = checked.unwrap_err()
+        if attempt.may_have_run:
+            error.execution = errors.Execution.UNKNOWN
+        raise error
+
+    def dispatched(self, attempt, isolation):
         """Note a dispatch."""
         if attempt.dispatches == 1:
             self.budget.first_dispatch()
+        attempt.on_probation = bool(isolation.crashed)
+        if attempt.on_probation:
+            self.suspects.begin_probation(
+                attempt.candidate.endpoint.name, attempt.fingerprint
+            )
+
+    def answered(self, attempt):
+        """Note a whole answer."""
+        self.end_probation(attempt)
+        if self.suspects.active():
+            self.suspects.answered(attempt.fingerprint)
+
+    def end_probation(self, attempt):
+        """Open the endpoint of a suspect to other work again."""
+        if attempt.on_probation:
+            self.suspects.end_probation(
+                attempt.candidate.endpoint.name, attempt.fingerprint
+            )
 
     async def after_failure(self, attempt, error):
         """Return if the request is to be dispatched again.
@@ -44,8 +107,11 @@
         attempt.may_have_run |= error.sent
         if attempt.emitted_tokens:
             attempt.add_partial_run()
-        if isinstance(error, UNEXPLAINED):
-            await self.examine(attempt, error)
+        try:
+            if isinstance(error, UNEXPLAINED):
+                await self.examine(attempt, error)
+        finally:
+            self.end_probation(attempt)
         action = self.decide(attempt, error)
         logs.bind_error(error, request_id=attempt.call.request_id).warning(
             'dispatch failed: {}; action {}', error.message, action.value
@@ -61,7 +127,12 @@
         )
         if action is retries.Action.FAIL:
             return action
-        if attempt.dispatches >= MAX_DISPATCHES or not self.budget.take():
+        if attempt.dispatches >= MAX_DISPATCHES:
+            return retries.Action.FAIL
+        # A suspect that has run on probation is not run again.
+        if attempt.on_probation and error.sent:
+            return retries.Action.FAIL
+        if not self.budget.take():
             return retries.Action.FAIL
         return action
 
@@ -79,6 +150,9 @@
                 endpoint.name, self.prober.timings.probe_interval
             )
             await self.connections.close_idle(endpoint)
+            if error.sent and not isinstance(error, errors.ConnectionSilent):
+                self.suspects.crashed(endpoint.name, attempt.fingerprint)
+                self.refuse_harmful(attempt)
             return
         first_time = endpoint.name not in attempt.replaced
         attempt.replaced |= {endpoint.name}
--- a/celeryward/standins/engine.py
+++ b/celeryward/standins/engine.py
@@ -21,7 +21,8 @@
     connection is dropped, ``silent_after`` one after which nothing more is
     sent, ``break_inside`` makes a break leave half an event behind,
     ``refusing`` refuses all work as not run, ``crash_on`` is a text
-    in the prompt that stops the engine.
+    in the prompt that stops the engine, which restarts after
+    ``restart_seconds`` if these are set.
 
     :param tuple versions: ``model@version`` names that it runs.
     :param int tokens: tokens of an answer if the request sets no limit.
@@ -41,6 +42,9 @@
         self.silent_after = None
         self.break_inside = False
         self.crash_on = None
+        self.restart_seconds = 0.0
+        self.crashed_by = collections.Counter()
+        self.crashing = False
         self.connections = weakref.WeakSet()
         self.silent = set()
         self.cache_events = []
@@ -91,8 +95,8 @@
         self.started[version] += 1
         self.cache(body['messages'])
         if self.crash_on and self.crash_on in prompt:
-            await curio.spawn(self.stop, daemon=True)
-            await curio.sleep(1.0)
+            await curio.spawn(self.crash, prompt, daemon=True)
+            await curio.sleep(3600)
         self.running += 1
         try:
             count = body.get('max_tokens') or self.tokens
@@ -113,6 +117,20 @@
         finally:
             self.running -= 1
 
+    async def crash(self, prompt):
+        """Stop at once, and restart on the same port if that is set."""
+        if self.crashing:
+            return
+        self.crashing = True
+        self.crashed_by[prompt] += 1
+        port = self.port
+        await self.stop()
+        if self.restart_seconds:
+            await curio.sleep(self.restart_seconds)
+            self.listener = http.Listener('127.0.0.1', port, self.handle)
+            await self.start()
+        self.crashing = False
+
     def silence_connections(self):
         """Answer nothing more on open connections; new ones work."""
         self.silent = set(self.connections)
--- a/celeryward/standins/fleet.py
+++ b/celeryward/standins/fleet.py
@@ -10,6 +10,7 @@
 from celeryward import deadlines
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
+from celeryward.endpoints import fingerprints
 from celeryward.endpoints import liveness
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
@@ -48,7 +49,11 @@
         self.pool = pool.EndpointPool(timings)
         self.prober = prober.Prober(self, self.pool, self.view, timings)
         self.recovery = recovery.Recovery(
-            self.view, self.pool, self.prober, metrics.Metrics()
+            self.view,
+            self.pool,
+            self.prober,
+            fingerprints.Fingerprints(),
+            metrics.Metrics(),
         )
         self.dispatcher = dispatch.Dispatcher(
             self, self.view, self.pool, timings, self.recovery
--- /dev/null
+++ b/tests/test_fingerprints.py
@@ -0,0 +1,275 @@
+"""Recognition of requests that crash endpoints."""
+
+import dataclasses
+
+import curio
+import pytest
+
+from celeryward import calls
+from celeryward.endpoints import fingerprints
+from celeryward import errors
+from celeryward.standins import engine
+from celeryward.standins import fleet
+
+VERSIONS = (fleet.VERSION.name,)
+
+
+class Daemon:
+    """Evidence with a clock that a test sets."""
+
+    def __init__(self, name='d'):
+        self.now = 100.0
+        self.ids = 0
+        self.name = name
+        self.suspects = fingerprints.Fingerprints(
+            lambda: self.now, self.new_id
+        )
+
+    def new_id(self):
+        self.ids += 1
+        return f'{self.name}{self.ids}'
+
+    def crash(self, endpoint, *running, alone=''):
+        if alone:
+            self.suspects.begin_probation(endpoint, alone)
+        for fingerprint in running:
+            self.suspects.crashed(endpoint, fingerprint)
+        self.suspects.end_probation(endpoint, alone)
+
+    def refused(self, fingerprint):
+        return self.suspects.check(fingerprint).is_err()
+
+
+def fingerprint(text, model='large', **options):
+    request = calls.ChatRequest(
+        model, (calls.Message('user', text),), **options
+    )
+    return fingerprints.fingerprint_request(model, request)
+
+
+class TestFingerprint:
+    """Guards against retries that are not recognised, and stored prompts."""
+
+    def test_retries_have_the_same_fingerprint(self):
+        first = fingerprint('the  same\nprompt')
+        assert fingerprint('the same prompt ', stream=True) == first
+        assert fingerprint('the same prompt', max_tokens=5) == first
+
+    def test_other_requests_differ(self):
+        assert fingerprint('a b') != fingerprint('ab')
+        assert fingerprint('a') != fingerprint('a', model='small')
+
+    def test_evidence_holds_no_text(self):
+        daemon = Daemon()
+        daemon.crash('e1', fingerprint('secret prompt'))
+        assert 'secret' not in repr(daemon.suspects.export())
+
+
+class TestEvidence:
+    """Guards against endless crashes and against refused innocents."""
+
+    def test_crashes_of_two_endpoints_refuse(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        assert daemon.suspects.is_suspect('f') and not daemon.refused('f')
+        daemon.crash('e2', 'f')
+        assert daemon.refused('f')
+
+    def test_a_second_crash_on_probation_counts_on_the_same_endpoint(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        daemon.crash('e1', 'f')
+        assert not daemon.refused('f')
+        daemon.crash('e1', 'f', alone='f')
+        assert daemon.refused('f')
+
+    def test_an_answer_clears_a_suspect(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        daemon.suspects.answered('f')
+        daemon.crash('e2', 'f')
+        assert not daemon.refused('f')
+
+    def test_an_innocent_beside_a_proven_culprit_is_not_refused(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'culprit', 'innocent')
+        daemon.crash('e2', 'innocent', 'culprit', alone='culprit')
+        assert daemon.refused('culprit')
+        assert not daemon.refused('innocent')
+        assert daemon.suspects.is_suspect('innocent')
+
+    def test_evidence_expires(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        daemon.crash('e2', 'f')
+        daemon.now += fingerprints.EVIDENCE_SECONDS + 1
+        assert not daemon.refused('f')
+        assert daemon.suspects.export() == ()
+
+    def test_memory_is_bounded(self, monkeypatch):
+        monkeypatch.setattr(fingerprints, 'MAX_EVIDENCE', 5)
+        daemon = Daemon()
+        for number in range(20):
+            daemon.crash('e1', f'f{number}')
+        assert len(daemon.suspects.evidence) == 5
+
+
+class TestGossip:
+    """Guards against evidence that is lost or counted twice on the way."""
+
+    def test_daemons_add_up_their_crashes(self):
+        one, two = Daemon('a'), Daemon('b')
+        two.now = 5000.0
+        one.crash('e1', 'f')
+        two.crash('e2', 'f')
+        assert one.suspects.merge(two.suspects.export()) == 1
+        assert one.refused('f') and not two.refused('f')
+        two.suspects.merge(one.suspects.export())
+        assert two.refused('f')
+
+    def test_one_crash_seen_by_two_daemons_counts_once(self):
+        one, two = Daemon('a'), Daemon('b')
+        one.crash('e1', 'f')
+        two.crash('e1', 'f')
+        one.suspects.merge(two.suspects.export())
+        assert not one.refused('f')
+
+    def test_merging_again_changes_nothing(self):
+        one, two = Daemon('a'), Daemon('b')
+        one.crash('e1', 'f')
+        exported = one.suspects.export()
+        assert two.suspects.merge(exported) == 1
+        two.suspects.answered('f')
+        assert two.suspects.merge(exported) == 0
+        assert not two.suspects.is_suspect('f')
+        one.suspects.merge(two.suspects.export())
+        assert not one.suspects.is_suspect('f')
+
+    def test_only_changes_are_exported(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        seen = daemon.suspects.revision
+        daemon.crash('e1', 'g')
+        exported = daemon.suspects.export(seen)
+        assert [entry.fingerprint for entry in exported] == ['g']
+
+    def test_a_culprit_proven_elsewhere_explains_a_crash(self):
+        one, two = Daemon('a'), Daemon('b')
+        two.now = 5000.0
+        one.crash('e1', 'innocent')
+        one.crash('e2', 'innocent')
+        two.crash('e1', 'culprit')
+        two.crash('e2', 'culprit', alone='culprit')
+        assert one.refused('innocent')
+        one.suspects.merge(two.suspects.export())
+        assert not one.refused('innocent')
+
+
+class TestDispatches:
+    """Guards against a harmful request that goes around the fleet."""
+
+    @pytest.fixture
+    def with_engines(self, run):
+        def run_with(test, count=4):
+            async def body():
+                engines = [
+                    engine.EngineStandIn(VERSIONS, token_seconds=0.002)
+                    for _ in range(count)
+                ]
+                for each in engines:
+                    each.crash_on = 'harmful'
+                started = fleet.Fleet(engines)
+                await started.start()
+                try:
+                    await test(started)
+                finally:
+                    await started.stop()
+                return sum(sum(e.crashed_by.values()) for e in engines)
+
+            return run(body)
+
+        return run_with
+
+    def test_harmful_request_crashes_two_endpoints(self, with_engines):
+        async def test(started):
+            for execution in (
+                errors.Execution.UNKNOWN,
+                errors.Execution.NOT_RUN,
+            ):
+                attempt = started.attempt('harmful')
+                with pytest.raises(errors.HarmfulRequest) as caught:
+                    await started.stream(attempt)
+                assert caught.value.execution is execution
+
+        assert with_engines(test) == 2
+
+    def test_another_daemon_refuses_it_too(self, with_engines):
+        async def test(started):
+            with pytest.raises(errors.HarmfulRequest):
+                await started.stream(started.attempt('harmful'))
+            other = fleet.Fleet(started.engines)
+            other.current = started.current
+            exported = started.recovery.suspects.export()
+            other.recovery.suspects.merge(exported)
+            with pytest.raises(errors.HarmfulRequest):
+                await other.stream(other.attempt('harmful'))
+
+        assert with_engines(test) == 2
+
+    def test_requests_beside_it_are_answered(self, with_engines):
+        async def test(started):
+            beside = [
+                await curio.spawn(
+                    started.stream, started.attempt(f'innocent {number}')
+                )
+                for number in range(8)
+            ]
+            with pytest.raises(errors.HarmfulRequest):
+                await started.stream(started.attempt('harmful'))
+            for task in beside:
+                assert await task.join()
+            assert not started.recovery.suspects.probations
+
+        with_engines(test)
+
+    def test_a_suspect_keeps_other_work_away(self, with_engines):
+        async def test(started):
+            recovery = started.recovery
+            recovery.suspects.begin_probation('engine-0', 'f')
+            recovery.suspects.crashed('engine-3', 'f')
+            chosen = {
+                (
+                    await started.dispatcher.choose(started.attempt('x'))
+                ).endpoint.name
+                for _ in range(8)
+            }
+            assert 'engine-0' not in chosen
+
+        with_engines(test)
+
+    def test_a_suspect_waits_for_a_free_endpoint(self, with_engines):
+        async def test(started):
+            suspects = started.recovery.suspects
+            attempt = started.attempt('x')
+            suspects.crashed('engine-1', attempt.fingerprint)
+            suspects.begin_probation('engine-0', 'f')
+            suspects.begin_probation('engine-1', 'g')
+            waiting = await curio.spawn(started.stream, attempt)
+            await curio.sleep(0.1)
+            assert attempt.dispatches == 0
+            suspects.end_probation('engine-0', 'f')
+            assert await waiting.join()
+            assert attempt.candidate.endpoint.name == 'engine-0'
+
+        with_engines(test, count=2)
+
+
+class TestExportedEvidence:
+    """Guards against fields that a message could not carry."""
+
+    def test_entries_are_plain_values(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        entry = dataclasses.asdict(daemon.suspects.export()[0])
+        assert entry['fingerprint'] == 'f'
+        assert entry['crashes'][0]['endpoint'] == 'e1'
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -12,6 +12,7 @@
     'callers/keys.py',
     'callers/sessions.py',
     'endpoints/candidates.py',
+    'endpoints/fingerprints.py',
     'endpoints/liveness.py',
     'endpoints/load.py',
     'endpoints/prefixes.py',
