Combine the host list with probes, and bound the load of retries

Cause: the platform's list of leaving hosts was not read, probes drifted by the time of their answers, and retries were unbounded; an endpoint that refuses work looked idle and attracted more.

--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -26,6 +26,7 @@
 from celeryward.platform import client
 from celeryward.platform import configuration
 from celeryward.platform import flusher
+from celeryward.platform import hosts
 from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
 from celeryward.raters import runner
@@ -62,6 +63,9 @@
         )
         self.load = load.LoadView()
         self.liveness = liveness.Liveness()
+        self.hosts = hosts.HostWatcher(
+            self.client, self.configuration, self.liveness
+        )
         self.pool = pool.EndpointPool(timings)
         self.view = candidates.View(
             settings.failure_domain, self.load, self.liveness, settings.ranking
@@ -108,7 +112,12 @@
 
     async def start(self):
         """Start all tasks; callers are accepted once there is a catalog."""
-        for run in (self.watcher.run, self.prober.run, self.flusher.run):
+        for run in (
+            self.watcher.run,
+            self.hosts.run,
+            self.prober.run,
+            self.flusher.run,
+        ):
             self.tasks.append(await curio.spawn(run, daemon=True))
         await self.admin.start()
         await self.watcher.listed.wait()
--- a/celeryward/endpoints/load.py
+++ b/celeryward/endpoints/load.py
@@ -13,6 +13,10 @@
 DEFAULT_HOLD_SECONDS = 1.0
 DEFAULT_PREFILL_SECONDS = 0.01
 HISTORY_LENGTH = 4096
+# An endpoint that refuses work looks idle in its own reports. It counts as
+# full for this long, so that it does not attract all requests.
+REFUSED_SECONDS = 1.0
+REFUSED_LOAD = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,6 +121,7 @@
         self.default_speed = Speed()
         self.dispatches = 0
         self.last_dispatch = {}
+        self.refused_at = {}
 
     def report(self, name, report):
         """Store the newest report of an endpoint.
@@ -168,6 +173,10 @@
             self.by_priority.pop(name, None)
             self.in_flight.pop(name, None)
 
+    def refused(self, name):
+        """Note that an endpoint refused a request as not run."""
+        self.refused_at[name] = self.clock()
+
     def held(self, name, seconds):
         """Note how long an answered request occupied a slot."""
         speed = self.speed(name)
@@ -208,7 +217,13 @@
         """Return the estimated number of requests at an endpoint."""
         observation = self.observations.get(endpoint.name)
         others = observation.others if observation else 0
-        return others + self.in_flight[endpoint.name]
+        busy = others + self.in_flight[endpoint.name]
+        refused_at = self.refused_at.get(endpoint.name)
+        if refused_at is not None:
+            if self.clock() - refused_at < REFUSED_SECONDS:
+                return max(busy, REFUSED_LOAD * endpoint.capacity)
+            del self.refused_at[endpoint.name]
+        return busy
 
     def estimate(self, endpoint):
         """Return the load of an endpoint; 1.0 means all slots are busy."""
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -1,6 +1,7 @@
 """One task for each endpoint: probes it and closes its stale connections."""
 
 import dataclasses
+import math
 import time
 
 import curio
@@ -61,6 +62,7 @@
         for name in self.tasks.keys() - wanted.keys():
             await self.tasks.pop(name).cancel()
             self.load.forget(name)
+            self.liveness.forget(name)
             self.locks.pop(name, None)
             self.probed_at.pop(name, None)
 
@@ -70,17 +72,30 @@
             endpoint = self.configuration.catalog().endpoints.get(name)
             if endpoint is None:
                 return
+            started = time.monotonic()
             await self.probe(endpoint)
-            oldest = time.monotonic() - self.timings.idle_timeout
-            await self.pool.close_idle(endpoint, before=oldest)
-            await curio.sleep(self.next_wait(name))
-
-    def next_wait(self, name):
-        """Return the seconds until the next probe."""
+            await self.close_idle(endpoint)
+            await curio.sleep(self.next_wait(name, started))
+
+    async def close_idle(self, endpoint):
+        """Close stale connections, and all of those to a leaving endpoint."""
+        oldest = time.monotonic() - self.timings.idle_timeout
+        if self.liveness.is_leaving(endpoint.name):
+            oldest = math.inf
+        await self.pool.close_idle(endpoint, before=oldest)
+
+    def next_wait(self, name, started):
+        """Return the seconds until the next probe.
+
+        :param float started: monotonic seconds of the last one. Probes start
+            at a fixed rate, so that a slow answer does not delay the next
+            sight of an announced departure.
+        """
+        due = started + self.timings.probe_interval - time.monotonic()
         retry_at = self.liveness.retry_at.get(name)
         if retry_at is None:
-            return self.timings.probe_interval
-        return max(self.timings.probe_interval, retry_at.remaining())
+            return max(0.0, due)
+        return max(0.0, due, retry_at.remaining())
 
     async def check(self, endpoint, asked_at):
         """Probe at once, shared by all requests that failed together.
--- a/celeryward/endpoints/recovery.py
+++ b/celeryward/endpoints/recovery.py
@@ -107,6 +107,8 @@
         attempt.may_have_run |= error.sent
         if attempt.emitted_tokens:
             attempt.add_partial_run()
+        if isinstance(error, errors.EndpointRefused):
+            self.view.load.refused(attempt.candidate.endpoint.name)
         try:
             if isinstance(error, UNEXPLAINED):
                 await self.examine(attempt, error)
@@ -143,6 +145,10 @@
         once after a silent connection, which says nothing about the
         endpoint, else only if no other endpoint is left.
         """
+        silent = isinstance(error, errors.ConnectionSilent)
+        if silent and attempt.call.deadline.expired():
+            # The call ran out of time; this says nothing of the connection.
+            return
         endpoint = attempt.candidate.endpoint
         alive = await self.prober.check(endpoint, time.monotonic())
         if not alive:
@@ -150,7 +156,7 @@
                 endpoint.name, self.prober.timings.probe_interval
             )
             await self.connections.close_idle(endpoint)
-            if error.sent and not isinstance(error, errors.ConnectionSilent):
+            if error.sent and not silent:
                 self.suspects.crashed(endpoint.name, attempt.fingerprint)
                 self.refuse_harmful(attempt)
             return
@@ -158,6 +164,6 @@
         attempt.replaced |= {endpoint.name}
         if first_time:
             attempt.spare |= {endpoint.name}
-        if isinstance(error, errors.ConnectionSilent):
+        if silent:
             await self.connections.close_unproven(endpoint, error)
             attempt.take_spare()
--- a/celeryward/endpoints/retries.py
+++ b/celeryward/endpoints/retries.py
@@ -62,15 +62,20 @@
     """Bounds the load that retries add, as a token bucket.
 
     Each first dispatch adds a tenth of a token and each repeated dispatch
-    takes one, so that repeats add at most 10% to the first dispatches,
-    beyond the tokens of the start.
+    takes one. The tokens of the start are a loan, which the first dispatches
+    repay, so that repeats never exceed the larger of the loan and 10% of the
+    first dispatches.
     """
 
     def __init__(self):
         self.tokens = START_TOKENS
+        self.loan = START_TOKENS
 
     def first_dispatch(self):
-        """Add the share of one first dispatch."""
+        """Add the share of one first dispatch, once the loan is repaid."""
+        if self.loan > 0:
+            self.loan -= RETRY_SHARE
+            return
         self.tokens = min(MAX_TOKENS, self.tokens + RETRY_SHARE)
 
     def take(self):
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,161 @@
+"""Departures of endpoints, the host list and the retry budget."""
+
+import curio
+import pytest
+
+from celeryward import catalog
+from celeryward.endpoints import liveness
+from celeryward.endpoints import retries
+from celeryward import errors
+from celeryward.platform import client
+from celeryward.platform import hosts
+from celeryward.platform import protocol
+from celeryward import settings
+from celeryward.standins import engine
+from celeryward.standins import fleet
+from celeryward.standins import platform
+
+VERSIONS = (fleet.VERSION.name,)
+ENDPOINTS = (
+    catalog.Endpoint('a', '10.0.0.1', 80, 'domain-1'),
+    catalog.Endpoint('b', '10.0.0.2', 80, 'domain-1'),
+)
+
+
+def host(address, state='live'):
+    return protocol.Host(address, address, state)
+
+
+class TestHostList:
+    """Guards against new work for hosts that the list shows as leaving."""
+
+    def test_leaving_host(self):
+        live = liveness.Liveness()
+        live.apply_hosts(ENDPOINTS, [host('10.0.0.1', 'leaving')])
+        assert not live.is_live('a') and live.is_live('b')
+        live.apply_hosts(ENDPOINTS, [host('10.0.0.1')])
+        assert live.is_live('a')
+
+    def test_a_late_list_does_not_overrule_an_announcement(self):
+        live = liveness.Liveness()
+        live.set_leaving('a', True)
+        live.apply_hosts(ENDPOINTS, [host('10.0.0.1')])
+        assert not live.is_live('a')
+
+    def test_a_probe_does_not_overrule_the_list(self):
+        live = liveness.Liveness()
+        live.apply_hosts(ENDPOINTS, [host('10.0.0.1:80', 'leaving')])
+        live.set_leaving('a', False)
+        live.succeeded('a')
+        assert not live.is_live('a')
+
+    def test_a_host_that_disappears_needs_one_failure(self):
+        live = liveness.Liveness()
+        live.apply_hosts(ENDPOINTS, [host('10.0.0.1')])
+        live.apply_hosts(ENDPOINTS, [])
+        assert live.is_live('a')
+        for name in 'ab':
+            live.failed(name, 1.0)
+        assert not live.is_live('a')
+        assert live.is_live('b')
+
+    def test_an_outage_leaves_the_last_list_in_force(self, run):
+        live = liveness.Liveness()
+        stand_in = platform.PlatformStandIn()
+        stand_in.hosts = (host('127.0.0.1', 'leaving'),)
+
+        async def test():
+            started = fleet.Fleet([engine.EngineStandIn(VERSIONS)])
+            await started.start()
+            await stand_in.start()
+            address = settings.Address(port=stand_in.port)
+            watcher = hosts.HostWatcher(
+                client.ObjectClient(address, 1.0, 'test'), started, live
+            )
+            await watcher.read()
+            assert not live.is_live('engine-0')
+            stand_in.hosts = ()
+            await stand_in.set_away(True)
+            await watcher.read()
+            assert not live.is_live('engine-0')
+            await stand_in.stop()
+            await started.stop()
+
+        run(test)
+
+
+class TestBackOff:
+    """Guards against a long back-off from calls that fail together."""
+
+    def test_simultaneous_failures_count_once(self):
+        live = liveness.Liveness()
+        for _ in range(20):
+            live.failed('a', 1.0)
+        assert live.retry_at['a'].remaining() <= 2.0
+
+
+class TestDrain:
+    """Guards against cut streams and new work at a leaving endpoint."""
+
+    def test_leaving_endpoint_finishes_its_streams(self, run):
+        engines = [
+            engine.EngineStandIn(VERSIONS, token_seconds=0.02)
+            for _ in range(2)
+        ]
+
+        async def test():
+            started = fleet.Fleet(engines)
+            await started.start()
+            started.view.load.started('engine-1')
+            running = started.attempt('x')
+            task = await curio.spawn(started.stream, running)
+            await curio.sleep(0.08)
+            engines[0].leaving = True
+            for endpoint in started.current.endpoints.values():
+                await started.prober.probe(endpoint)
+                await started.prober.close_idle(endpoint)
+            later = started.attempt('y')
+            await started.stream(later)
+            await task.join()
+            assert running.dispatches == 1
+            assert running.candidate.endpoint.name == 'engine-0'
+            assert later.candidate.endpoint.name == 'engine-1'
+            await started.stop()
+
+        run(test)
+
+
+class TestRetryBudget:
+    """Guards against retries that multiply an overload."""
+
+    def test_repeats_add_a_tenth(self):
+        budget = retries.RetryBudget()
+        repeats = 0
+        for _ in range(1000):
+            budget.first_dispatch()
+            while budget.take():
+                repeats += 1
+        assert 99 <= repeats <= 100
+
+    def test_savings_are_bounded(self):
+        budget = retries.RetryBudget()
+        for _ in range(100000):
+            budget.first_dispatch()
+        assert budget.tokens == retries.MAX_TOKENS
+
+    def test_without_budget_a_refusal_is_final(self, run):
+        engines = [engine.EngineStandIn(VERSIONS) for _ in range(3)]
+        for each in engines:
+            each.refusing = True
+
+        async def test():
+            started = fleet.Fleet(engines)
+            await started.start()
+            started.recovery.budget.tokens = 0.0
+            attempt = started.attempt('x')
+            with pytest.raises(errors.Overloaded):
+                await started.stream(attempt)
+            assert attempt.dispatches == 1
+            await started.stop()
+
+        run(test)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -106,6 +106,18 @@
         assert router.load.ahead(endpoint, priority=1) == endpoint.capacity
 
 
+class TestRefusals:
+    """Guards against an endpoint that refuses work and looks idle."""
+
+    def test_a_refusing_endpoint_counts_as_full_for_a_while(self):
+        router = Router()
+        first = router.choose()
+        router.load.refused(first)
+        assert router.choose() != first
+        router.clock.now += load.REFUSED_SECONDS + 0.1
+        assert router.choose() == first
+
+
 class TestFailureDomains:
     """Guards against remote work with room at home, and overload at home."""
 
