--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -15,6 +15,7 @@
 from celeryward import deadlines
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
+from celeryward.endpoints import fingerprints
 from celeryward.endpoints import liveness
 from celeryward.endpoints import load
 from celeryward.endpoints import orderer
@@ -31,6 +32,7 @@
 from celeryward.platform import client
 from celeryward.platform import configuration
 from celeryward.platform import flusher
+from celeryward.platform import hosts
 from celeryward.platform import leases
 from celeryward.platform import replicas
 from celeryward.platform import watcher
@@ -95,6 +97,9 @@
         )
         self.load = load.LoadView()
         self.liveness = liveness.Liveness()
+        self.hosts = hosts.HostWatcher(
+            self.client, self.configuration, self.liveness
+        )
         self.pool = pool.EndpointPool(timings)
         self.view = candidates.View(
             settings.failure_domain, self.load, self.liveness, settings.ranking
@@ -102,8 +107,13 @@
         self.prober = prober.Prober(
             self.configuration, self.pool, self.view, timings
         )
+        self.fingerprints = fingerprints.Fingerprints()
         self.recovery = recovery.Recovery(
-            self.view, self.pool, self.prober, self.metrics
+            self.view,
+            self.pool,
+            self.prober,
+            self.fingerprints,
+            self.metrics,
         )
         self.dispatcher = dispatch.Dispatcher(
             self.configuration, self.view, self.pool, timings, self.recovery
@@ -184,6 +194,7 @@
         """
         await self.control.start()
         for run in (
+            self.hosts.run,
             self.prober.run,
             self.flusher.run,
             self.ratings.run,
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -2,18 +2,24 @@
 
 import contextlib
 import dataclasses
+import functools
 import time
 
+import curio
 import result
 
 from celeryward import calls
 from celeryward.endpoints import candidates
+from celeryward.endpoints import fingerprints
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
 from celeryward.endpoints import prefixes
 from celeryward.endpoints import protocol
 from celeryward import errors
 
+# Probations end after a first token, which takes about 0.1 s.
+PROBATION_POLL_SECONDS = 0.02
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceAnswer:
@@ -49,6 +55,7 @@
         self.finished = False
         self.billed = False
         self.may_have_run = False
+        self.on_probation = False
         self.replaced = frozenset()
         self.spare = frozenset()
         self.digests = ()
@@ -56,6 +63,11 @@
             self.digests = prefixes.digest_text(call.request.prompt())
         self.dispatched_at = 0.0
 
+    @functools.cached_property
+    def fingerprint(self):
+        """The fingerprint of the request, made when it is first needed."""
+        return fingerprints.fingerprint_request(self.model, self.call.request)
+
     @property
     def version(self):
         """Name of the version that runs the request."""
@@ -73,7 +85,8 @@
 
         An earlier dispatch may have run, so that "not run" would be wrong.
         """
-        if not self.may_have_run or not isinstance(error, errors.NotRun):
+        says_not_run = error.execution is errors.Execution.NOT_RUN
+        if not self.may_have_run or not says_not_run:
             return error
         return errors.OutcomeUnknown(
             f'the request may have run: {error.message}',
@@ -163,15 +176,14 @@
         self.recovery = recovery
         self.observer = None
 
-    def choose(self, attempt):
+    async def choose(self, attempt):
         """Select the endpoint of the next dispatch.
 
         :raises errors.NotRun: if there is none and nothing was sent.
         :raises errors.OutcomeUnknown: if an earlier dispatch may have run.
         """
         try:
-            self.keep_runnable(attempt)
-            return self.choose_candidate(attempt)
+            return await self.choose_candidate(attempt)
         except errors.NotRun as error:
             raise attempt.refused(error) from error
 
@@ -217,44 +229,73 @@
                 peer=attempt.pinned or attempt.model,
             )
 
-    def choose_candidate(self, attempt):
+    async def choose_candidate(self, attempt):
         """Select among the endpoints of the newest catalog.
 
+        A suspect waits while every endpoint that it may use is taken by
+        the probation of another suspect.
+
+        :raises errors.HarmfulRequest: if the request crashes endpoints.
         :raises errors.DeadlineExceeded: if the deadline has passed.
         :raises errors.Overloaded: if there is no candidate.
         """
-        call = attempt.call
-        if call.deadline.expired():
-            raise errors.DeadlineExceeded(
-                'deadline passed before dispatch',
-                step='select',
-                peer=attempt.model,
-            )
-        chosen = self.select(attempt)
-        if chosen is None and attempt.take_spare():
-            chosen = self.select(attempt)
-        if chosen is None:
-            raise errors.Overloaded(
-                'no live endpoint can run or resume the request',
-                step='select',
-                peer=attempt.model,
-            )
+        while True:
+            if attempt.call.deadline.expired():
+                raise errors.DeadlineExceeded(
+                    'deadline passed before dispatch',
+                    step='select',
+                    peer=attempt.model,
+                )
+            self.keep_runnable(attempt)
+            isolation = self.recovery.isolation(attempt)
+            chosen = self.select(attempt, isolation)
+            if chosen is not None:
+                break
+            if not isolation.crashed or not self.select_from(attempt):
+                raise errors.Overloaded(
+                    'no live endpoint can run or resume the request',
+                    step='select',
+                    peer=attempt.model,
+                )
+            await curio.sleep(PROBATION_POLL_SECONDS)
         attempt.candidate = chosen
         attempt.dispatches += 1
         attempt.dispatched_at = time.monotonic()
         attempt.tried |= {chosen.endpoint.name}
-        self.recovery.dispatched(attempt)
+        self.recovery.dispatched(attempt, isolation)
         return chosen
 
-    def select(self, attempt):
+    def select(self, attempt, isolation):
         """Return the best candidate now, or None."""
+        if isolation.crashed:
+            return self.select_alone(attempt, isolation)
+        chosen = self.select_from(attempt, isolation.probations)
+        if chosen is None and isolation.probations:
+            chosen = self.select_from(attempt)
+        if chosen is None and attempt.take_spare():
+            chosen = self.select_from(attempt)
+        return chosen
+
+    def select_alone(self, attempt, isolation):
+        """Return the candidate for a suspect's probation, or None.
+
+        Endpoints that crashed with it are used only if there are no others.
+        """
+        avoided = isolation.crashed
+        if self.select_from(attempt, avoided) is None:
+            avoided = frozenset()
+        view = dataclasses.replace(self.view, ranking='least-connections')
+        return self.select_from(attempt, avoided | isolation.probations, view)
+
+    def select_from(self, attempt, avoided=frozenset(), view=None):
+        """Return the best candidate outside of some endpoints, or None."""
         query = candidates.Query(
             self.configuration.catalog(),
             attempt.call,
             attempt.model,
-            self.view,
+            view or self.view,
             attempt.pinned,
-            attempt.tried,
+            attempt.tried | avoided,
             attempt.digests,
             resuming=attempt.emitted_tokens > 0,
         )
@@ -267,7 +308,7 @@
         :raises errors.Overloaded: if it certainly did not run.
         """
         while True:
-            chosen = self.choose(attempt)
+            chosen = await self.choose(attempt)
             # A resumed stream stays on the version that began it.
             attempt.pinned = chosen.version.name
             chunks = self.stream_once(attempt, chosen)
@@ -287,7 +328,7 @@
         resume = attempt.resume_point()
         expected = self.expect(attempt, chosen.endpoint)
         started = time.monotonic()
-        async with self.leased(call, chosen.endpoint) as connection:
+        async with self.leased(attempt, chosen.endpoint) as connection:
             self.confirm(attempt)
             chunks = protocol.stream_chat(
                 connection,
@@ -304,6 +345,7 @@
                     time.monotonic() - started,
                     expected,
                 )
+                self.recovery.end_probation(attempt)
                 if first.usage is not None:
                     attempt.add_last_run(first.usage, first.tokens)
                 yield first
@@ -324,12 +366,12 @@
     async def whole(self, attempt):
         """Return the chunk of one whole answer that is not streamed."""
         while True:
-            chosen = self.choose(attempt)
+            chosen = await self.choose(attempt)
             attempt.pinned = chosen.version.name
             call = attempt.dispatched_call()
             self.expect(attempt, chosen.endpoint)
             try:
-                async with self.leased(call, chosen.endpoint) as connection:
+                async with self.leased(attempt, chosen.endpoint) as connection:
                     self.confirm(attempt)
                     chunk = await protocol.whole_chat(
                         connection, call, chosen.version, self.reads(call)
@@ -346,10 +388,10 @@
         call = attempt.call
         fresh = not call.request.idempotent
         while True:
-            chosen = self.choose(attempt)
+            chosen = await self.choose(attempt)
             try:
                 async with self.leased(
-                    call, chosen.endpoint, fresh
+                    attempt, chosen.endpoint, fresh
                 ) as connection:
                     self.confirm(attempt)
                     head, body = await protocol.forward(
@@ -361,8 +403,9 @@
             return ServiceAnswer(head.status, head.headers, body)
 
     @contextlib.asynccontextmanager
-    async def leased(self, call, endpoint, fresh=False):
+    async def leased(self, attempt, endpoint, fresh=False):
         """Borrow a connection and count the dispatch as in flight."""
+        call = attempt.call
         started = time.monotonic()
         self.view.load.started(endpoint.name, call.priority)
         try:
@@ -371,6 +414,13 @@
             ) as connection:
                 yield connection
             self.view.load.held(endpoint.name, time.monotonic() - started)
+            self.recovery.answered(attempt)
+        except errors.EndpointFailure:
+            # Recovery ends the probation after it has examined the failure.
+            raise
+        except BaseException:
+            self.recovery.end_probation(attempt)
+            raise
         finally:
             self.view.load.finished(endpoint.name, call.priority)
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -260,7 +260,7 @@
             assert queue('small').slots == 16
             cluster.change('Endpoint', 'small-a', capacity=3)
             assert queue('small').slots == 11
-            cluster.daemon.liveness.leaving.add('small-b')
+            cluster.daemon.liveness.set_leaving('small-b', True)
             assert queue('small').slots == 3
 
         cluster_run(test)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -19,6 +19,7 @@
     'daemons/inventory.py',
     'daemons/membership.py',
     'endpoints/candidates.py',
+    'endpoints/fingerprints.py',
     'endpoints/liveness.py',
     'endpoints/load.py',
     'endpoints/prefixes.py',
