Explore only tiers that the plan in use does not rate

Cause: exploring from the start tier of the plan in use cost most of the budget and told nothing that its own rated requests do not tell. Change: such tiers are not explored; a single-tier plan whose pool takes no work falls back to the strongest tier.

--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -173,11 +173,7 @@
         """
         start = self.cascade_runner.begin(call, route)
         if start.step.final:
-            model = route.models[start.step.tier]
-            single = dataclasses.replace(route, models=(model,))
-            serve = self.run_stream if call.request.stream else self.run_whole
-            attempt = await serve(call, single, responder)
-            await self.cascade_runner.finish_single(start, attempt)
+            await self.run_single(call, route, responder, start)
             return
         outcome = await self.cascade_runner.run(call, route, self.place, start)
         await self.bill(call, outcome.runs)
@@ -189,6 +185,25 @@
         await responder.start_stream(headers)
         await responder.finish_stream(outcome.payload)
 
+    async def run_single(self, call, route, responder, start):
+        """Pass one tier's answer straight on to the caller.
+
+        If the pool of a cheap tier certainly takes no work, the strongest
+        tier answers.
+        """
+        model = route.models[start.step.tier]
+        single = dataclasses.replace(route, models=(model,))
+        serve = self.run_stream if call.request.stream else self.run_whole
+        try:
+            attempt = await serve(call, single, responder)
+        except errors.Overloaded:
+            if responder.started or model == route.models[-1]:
+                raise
+            strongest = dataclasses.replace(route, models=route.models[-1:])
+            await serve(call, strongest, responder)
+            return
+        await self.cascade_runner.finish_single(start, attempt)
+
     def place(self, call, route, model=None):
         """Return the :class:`Placement` of a request on a model.
 
--- a/celeryward/raters/quality.py
+++ b/celeryward/raters/quality.py
@@ -150,7 +150,8 @@
         """Return the tier from which to explore, or None for no exploring.
 
         Mostly a tier is explored if a plan that begins there may turn out
-        to be cheaper than the one in use.
+        to be cheaper than the one in use. The start tier of that one needs
+        no exploring: its rated requests tell of all lower thresholds.
         """
         if self.balance <= 0.0:
             return None
@@ -269,7 +270,8 @@
         self.promising[scope] = {
             start
             for cost, start, upper in hopeful
-            if upper >= scope.target
+            if start != best[1].start
+            and upper >= scope.target
             and (None in (cost, best[0]) or cost < best[0])
         }
 
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -154,6 +154,23 @@
         run(test)
 
 
+class TestCapacity:
+    """Guards against a refusal while a stronger tier has capacity."""
+
+    def test_refused_cheap_tier_is_replaced_by_the_strongest(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            await set_rule(cluster, 'cheap')
+            cluster.small.refusing = True
+            port = cluster.daemon.listener.port
+            head, _ = await demo.send(port, demo.chat('', 'auto', 'x'))
+            assert head.headers['x-served-by'] == 'large@1'
+            await cluster.stop()
+
+        run(test)
+
+
 async def set_rule(cluster, rule):
     """Change the rule of the demo's cascade and wait until it is used."""
     configuration = cluster.daemon.configuration
