Let another tier answer when one has no capacity

Cause: a held cascade failed if one tier refused, and said not run although a cheaper tier had run. Change: a refused cheap tier is replaced by the strongest; a rejected answer is kept if no stronger tier runs.

--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -4,12 +4,16 @@
 
 from celeryward import calls
 from celeryward.endpoints import dispatch
+from celeryward import errors
 from celeryward.raters import cascades
 from celeryward.raters import protocol
 from celeryward.raters import quality
 from celeryward.raters import sampler
 from celeryward.raters import texts
 
+# Failures of one tier after which another tier may still answer.
+UNFINISHED = (errors.NotRun, errors.OutcomeUnknown)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CascadeOutcome:
@@ -44,6 +48,7 @@
 
     tier: int
     attempt: dispatch.Attempt
+    placement: object
     payload: bytes
 
     @property
@@ -85,7 +90,8 @@
 
     async def finish_single(self, start, attempt):
         """Note a request that one tier has answered to the caller."""
-        run = TierRun(start.step.tier, attempt, b''.join(attempt.emitted))
+        payload = b''.join(attempt.emitted)
+        run = TierRun(start.step.tier, attempt, None, payload)
         self.learner.spent(start.choice, ((run.tier, run.cost),))
         if start.choice.rate:
             request = rating_request(run, start.choice.scope.kind)
@@ -105,18 +111,26 @@
         scores = ()
         done = ()
         while step is not None:
-            placement = place(call, route, route.models[step.tier])
-            done += (await self.run_tier(call, route, step, placement),)
+            try:
+                done += (await self.run_tier(call, route, step, place),)
+            except UNFINISHED:
+                if done:
+                    # An answer below the threshold is better than none,
+                    # and "not run" would no longer be true.
+                    break
+                if step.tier == start.query.strongest:
+                    raise
+                step = cascades.Step(start.query.strongest, final=True)
+                continue
             if step.final:
                 break
             request = rating_request(done[-1], kind)
             scores += (await self.ratings.rate(request, call.deadline),)
             step = start.rule(start.query, scores)
         await self.learn(start, done, scores)
+        last = done[-1]
         runs = tuple(run for tier in done for run in tier.attempt.runs)
-        return CascadeOutcome(
-            done[-1].payload, done[-1].attempt, placement, runs
-        )
+        return CascadeOutcome(last.payload, last.attempt, last.placement, runs)
 
     async def learn(self, start, done, scores):
         """Pass costs and scores on; the last answer is rated beside."""
@@ -124,7 +138,7 @@
         costs = tuple((one.tier, one.cost) for one in done)
         self.learner.spent(choice, costs)
         learned = learned_from(start, done[0].tier)
-        if learned is None or None in scores:
+        if learned is None or not scores or None in scores:
             return
         if len(scores) == len(done):
             self.learner.learn(learned, scores)
@@ -132,16 +146,18 @@
         request = rating_request(done[-1], choice.scope.kind)
         await self.ratings.offer(sampler.Sample(request, learned, scores))
 
-    async def run_tier(self, call, route, step, placement):
+    async def run_tier(self, call, route, step, place):
         """Return the :class:`TierRun` of one tier's whole answer."""
         model = route.models[step.tier]
+        placement = place(call, route, model)
         attempt = dispatch.Attempt(call, model, placement.pinned)
         if not call.request.stream:
             chunk = await self.dispatcher.whole(attempt)
-            return TierRun(step.tier, attempt, chunk.payload)
+            return TierRun(step.tier, attempt, placement, chunk.payload)
         async for _ in self.dispatcher.stream(attempt):
             pass
-        return TierRun(step.tier, attempt, b''.join(attempt.emitted))
+        payload = b''.join(attempt.emitted)
+        return TierRun(step.tier, attempt, placement, payload)
 
 
 def learned_from(start, first_tier):
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -170,6 +170,20 @@
 
         run(test)
 
+    def test_rejected_answer_is_kept_if_no_stronger_tier_runs(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            cluster.large.refusing = True
+            port = cluster.daemon.listener.port
+            example = demo.chat('', 'auto', 'long ' * 60)
+            head, _ = await demo.send(port, example)
+            assert head.status == 200
+            assert head.headers['x-served-by'] == 'small@1'
+            await cluster.stop()
+
+        run(test)
+
 
 async def set_rule(cluster, rule):
     """Change the rule of the demo's cascade and wait until it is used."""
