Take a lease as given back only if its holder says so

Cause: an operator who clears the holder made the next one send orders without waiting for those under way. Conclusion: one test guards it.

--- a/celeryward/platform/leases.py
+++ b/celeryward/platform/leases.py
@@ -136,7 +136,9 @@
         """Try to become the holder with the next fencing number."""
         before = self.stored
         fence = self.highest_fence + 1
-        clean = before is None or not before.spec.get('holder')
+        # An operator may clear the holder, or delete the lease, while an
+        # order is under way; only the holder itself can vouch for none.
+        clean = before is not None and before.spec.get('released') is True
         started = deadlines.Deadline.after(0.0)
         written = await self.write(fence)
         if written is None:
@@ -211,6 +213,6 @@
             return
         fence = self.grant.fence
         self.drop()
-        spec = {**self.stored.spec, 'holder': '', 'fence': fence}
+        spec = {'holder': '', 'fence': fence, 'released': True}
         stored = protocol.StoredObject(LEASE_KIND, self.name, spec)
         await self.client.put(stored, self.stored.revision)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -90,6 +90,24 @@
 
         run(test)
 
+    def test_holder_cleared_by_an_operator_is_no_clean_release(
+        self, run, objects
+    ):
+        async def test():
+            first, second = contender(objects, 'a'), contender(objects, 'b')
+            await first.step()
+            cleared = protocol.StoredObject(
+                'Lease', 'rollouts', {'holder': '', 'fence': 1}
+            )
+            objects.force(cleared)
+            await first.step()
+            assert first.held(0.0).is_err()
+            await second.step()
+            grant = second.held(0.0).unwrap()
+            assert (grant.fence, grant.clean) == (2, False)
+
+        run(test)
+
 
 class TestLostAnswers:
     """Guards against a wrong belief after an unknown write."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,6 +10,7 @@
 from celeryward import errors
 from celeryward import http
 from celeryward.platform import leases
+from celeryward.platform import protocol as platform_protocol
 from celeryward.standins import engine
 from tests import fakes
 
@@ -23,6 +24,12 @@
         self.engine.fenced = fencing is catalog.Fencing.ENFORCED
         self.fencing = fencing
         objects = fakes.Objects()
+        released = {'holder': '', 'fence': 0, 'released': True}
+        objects.force(
+            platform_protocol.StoredObject(
+                leases.LEASE_KIND, 'rollouts', released
+            )
+        )
         self.leases = [
             leases.Leadership(objects, 'rollouts', holder)
             for holder in ('a', 'b')
