Test the way of a bad version through one daemon

Cause: orders, reports and steps were only tested apart. Change: one test with the daemon, the platform and an engine that enforces fencing numbers.

--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -8,6 +8,7 @@
 import result
 
 from celeryward import catalog
+from celeryward.endpoints import orders
 from celeryward.operators import demo
 from celeryward.platform import leases
 from celeryward.platform import protocol
@@ -368,15 +369,48 @@
 
         run(test)
 
+    def test_bad_version_is_loaded_halted_and_unloaded(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            daemon = cluster.daemon
+            daemon.orderer.bucket = orders.TokenBucket(1e6, 1)
+            await add_rollout(cluster, epoch=0)
+            while daemon.leadership.held(1.0).is_err():
+                await curio.sleep(0.01)
+            for _ in range(2):
+                await daemon.controller.steer_all()
+            assert cluster.small.versions == ('small@1', 'small@2')
+            stored = cluster.platform.objects['Rollout', 'r']
+            assert stored.status['epoch'] == 1
+            daemon.comparisons.begin('r', 1)
+            for _ in range(100):
+                for is_new in (True, False):
+                    daemon.comparisons.observe(
+                        'r', 'error', 'k', is_new, is_new
+                    )
+            await daemon.controller.report()
+            for _ in range(3):
+                await daemon.controller.steer_all()
+            stored = cluster.platform.objects['ModelVersion', 'small@2']
+            assert stored.spec['state'] == 'withdrawn'
+            assert cluster.small.versions == ('small@1',)
+            assert {one['fence'] for one in cluster.small.orders} == {1}
+            await cluster.stop()
 
-async def add_rollout(cluster):
+        run(test)
+
+
+async def add_rollout(cluster, epoch=1):
     """Add a second version of a model, half way through its roll-out."""
     version = {'model': 'small', 'version': '2'}
     stored = demo.record('ModelVersion', 'small@2', version)
     await cluster.platform.put(stored)
     serves = ['small@1', 'small@2']
     await cluster.platform.put(
-        cluster.endpoint('engine-1', cluster.small, serves=serves)
+        cluster.endpoint(
+            'engine-1', cluster.small, serves=serves, fencing='enforced'
+        )
     )
     spec = {
         'model': 'small',
@@ -385,7 +419,7 @@
         'share': 0.5,
     }
     stored = demo.record('Rollout', 'r', spec)
-    status = {'epoch': 1, 'to_version': '2'}
+    status = {'epoch': epoch, 'to_version': '2'}
     await cluster.platform.put(dataclasses.replace(stored, status=status))
     while 'r' not in cluster.daemon.configuration.catalog().rollouts:
         await curio.sleep(0.01)
