--- a/celeryward/raters/quality.py
+++ b/celeryward/raters/quality.py
@@ -18,7 +18,7 @@
 PART_TO_REPLAN = 0.02
 # Candidate stop thresholds, as parts of the target. Above the target an
 # answer is never rejected while exploring, so that nothing is known there.
-THRESHOLD_PARTS = (0.0, 0.6, 0.7, 0.8, 0.85, 0.9, 0.95, 1.0)
+THRESHOLD_PARTS = (0.0, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85, 0.9, 0.95, 1.0)
 # Chance that a request explores a tier from which a cheaper plan may begin,
 # and chance that it explores any tier, in case its quality has changed.
 EXPLORATION = 0.3
@@ -150,7 +150,8 @@
         """Return the tier from which to explore, or None for no exploring.
 
         Mostly a tier is explored if a plan that begins there may turn out
-        to be cheaper than the one in use.
+        to be cheaper than the one in use. The start tier of that one needs
+        no exploring: its rated requests tell of all lower thresholds.
         """
         if self.balance <= 0.0:
             return None
@@ -269,7 +270,8 @@
         self.promising[scope] = {
             start
             for cost, start, upper in hopeful
-            if upper >= scope.target
+            if start != best[1].start
+            and upper >= scope.target
             and (None in (cost, best[0]) or cost < best[0])
         }
 
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -11,6 +11,9 @@
 from celeryward.raters import sampler
 from celeryward.raters import texts
 
+# Failures of one tier after which another tier may still answer.
+UNFINISHED = (errors.NotRun, errors.OutcomeUnknown)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CascadeOutcome:
@@ -85,7 +88,8 @@
 
     async def finish_single(self, start, attempt):
         """Note a request that one tier has answered to the caller."""
-        run = TierRun(start.step.tier, attempt, b''.join(attempt.emitted))
+        payload = b''.join(attempt.emitted)
+        run = TierRun(start.step.tier, attempt, None, payload)
         self.learner.spent(start.choice, ((run.tier, run.cost),))
         if start.choice.rate:
             request = rating_request(run, start.choice.scope.kind)
@@ -110,20 +114,24 @@
             try:
                 async with begin(route.models[step.tier]) as attempt:
                     done += (await self.run_tier(step, attempt),)
-            except errors.NotRun:
-                # A tier that is withdrawn, revoked or full meanwhile must
-                # not turn the runs so far into an untrue "not run".
-                if not done:
+            except UNFINISHED:
+                if done:
+                    # An answer below the threshold is better than none,
+                    # and "not run" would no longer be true.
+                    break
+                if step.tier == start.query.strongest:
                     raise
-                break
+                step = cascades.Step(start.query.strongest, final=True)
+                continue
             if step.final:
                 break
             request = rating_request(done[-1], kind)
             scores += (await self.ratings.rate(request, call.deadline),)
             step = start.rule(start.query, scores)
         await self.learn(start, done, scores)
+        last = done[-1]
         runs = tuple(run for tier in done for run in tier.attempt.runs)
-        return CascadeOutcome(done[-1].payload, done[-1].attempt, runs)
+        return CascadeOutcome(last.payload, last.attempt, runs)
 
     async def learn(self, start, done, scores):
         """Pass costs and scores on; the last answer is rated beside."""
@@ -131,7 +139,7 @@
         costs = tuple((one.tier, one.cost) for one in done)
         self.learner.spent(choice, costs)
         learned = learned_from(start, done[0].tier)
-        if learned is None or None in scores:
+        if learned is None or not scores or None in scores:
             return
         if len(scores) == len(done):
             self.learner.learn(learned, scores)
@@ -146,7 +154,8 @@
             return TierRun(step.tier, attempt, chunk.payload)
         async for _ in self.dispatcher.stream(attempt):
             pass
-        return TierRun(step.tier, attempt, b''.join(attempt.emitted))
+        payload = b''.join(attempt.emitted)
+        return TierRun(step.tier, attempt, payload)
 
 
 def learned_from(start, first_tier):
