Learn durations from answers and slow failures only

Cause: a request that failed within milliseconds lowered the mean duration, and the queue then admitted more than the engine could answer in time.

Change: answers move the means; a failure does so only if it took longer than usual. A deadline that passes in the queue states Retry-After.

--- a/celeryward/callers/gates.py
+++ b/celeryward/callers/gates.py
@@ -72,11 +72,8 @@
         queue = self.queues[model]
         try:
             yield
-        except errors.NotRun:
-            queue.release(ticket)
-            raise
         except BaseException:
-            queue.finish(ticket, time.monotonic() - started)
+            queue.release(ticket, time.monotonic() - started)
             raise
         else:
             queue.finish(ticket, time.monotonic() - started)
@@ -100,8 +97,12 @@
             )
         except curio.TaskTimeout as error:
             await self.leave(ticket, waiter, model)
+            wait = queue.mean_seconds or 0.0
             raise errors.DeadlineExceeded(
-                'deadline passed in the queue', step='queue', peer=model
+                'deadline passed in the queue',
+                step='queue',
+                peer=model,
+                retry_at=queues.retry_at(time.monotonic(), wait),
             ) from error
         except curio.CancelledError:
             await self.leave(ticket, waiter, model)
--- a/celeryward/callers/queues.py
+++ b/celeryward/callers/queues.py
@@ -72,6 +72,12 @@
         return self.mean + DEVIATIONS * self.deviation
 
 
+def retry_at(now, seconds):
+    """Return the deadline after which a new attempt is useful."""
+    seconds = min(LONGEST_RETRY_SECONDS, max(1.0, seconds))
+    return deadlines.Deadline(now + seconds)
+
+
 class Line:
     """The waiting requests of one customer.
 
@@ -229,12 +235,11 @@
 
     def overloaded(self, reason, seconds, now):
         """Return the error that asks to retry after some seconds."""
-        seconds = min(LONGEST_RETRY_SECONDS, max(1.0, seconds))
         return errors.Overloaded(
             reason,
             step='queue',
             peer=self.model,
-            retry_at=deadlines.Deadline(now + seconds),
+            retry_at=retry_at(now, seconds),
         )
 
     def start_next(self, now):
@@ -262,7 +267,24 @@
         return None, tuple(late)
 
     def finish(self, ticket, seconds):
-        """Free the slot of a ticket that was started.
+        """Free the slot of a ticket that was answered."""
+        self.free(ticket, seconds)
+        self.learn(ticket, seconds)
+
+    def release(self, ticket, seconds=0.0):
+        """Free the slot of a ticket that was not answered.
+
+        A quick failure says nothing about the next answer. One that took
+        longer than usual does: an engine that has become so slow that no
+        request meets its deadline must not go on to look quick.
+        """
+        self.free(ticket, seconds)
+        usual = self.usual.get(ticket.customer)
+        if usual is not None and seconds > usual.mean:
+            self.learn(ticket, seconds)
+
+    def free(self, ticket, seconds):
+        """Free a slot and charge for it.
 
         The customer was charged for a mean request at the start; the
         difference to what it used is charged here.
@@ -271,17 +293,13 @@
         line = self.lines[ticket.customer]
         if self.mean_seconds:
             line.virtual += (seconds / self.mean_seconds - 1) / line.share
+        self.forget_idle()
+
+    def learn(self, ticket, seconds):
+        """Move the means towards the duration of a request."""
         self.mean_seconds = demand.moved_mean(self.mean_seconds, seconds)
         usual = self.usual.get(ticket.customer, Usual(seconds))
         self.usual[ticket.customer] = usual.moved(seconds)
-        self.forget_idle()
-
-    def release(self, ticket):
-        """Free the slot of a ticket that did not run."""
-        self.running -= 1
-        line = self.lines[ticket.customer]
-        line.virtual -= 1 / line.share
-        self.forget_idle()
 
     def forget_idle(self):
         """Drop lines that would start at the common virtual time anyway."""
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -143,6 +143,16 @@
         assert bench.offer('a', deadline=3.9).is_err()
         assert bench.offer('a', deadline=4.1).is_ok()
 
+    def test_failures_lengthen_but_never_shorten_the_wait(self):
+        bench = Bench(seconds=10.0)
+        bench.queue.usual['a'] = queues.Usual(10.0)
+        means = []
+        for seconds in (0.001, 30.0):
+            bench.offer('a')
+            bench.queue.release(bench.queue.start_next(0.0)[0], seconds)
+            means.append(bench.queue.mean_seconds)
+        assert means == pytest.approx([10.0, 12.0])
+
     def test_slots_are_given_back(self):
         bench = Bench(slots=3)
         for _ in range(3):
@@ -235,6 +245,7 @@
             timeout = {'x-timeout-ms': '500'}
             head, _, error = await cluster.ask('small', **timeout)
             assert (head.status, error['execution']) == (504, 'not-run')
+            assert head.headers['retry-after'] == '1'
             assert queue.waiting == 0
             assert not cluster.daemon.serving.gates.waiters
             assert not cluster.small.started
