--- a/celeryward/callers/limits.py
+++ b/celeryward/callers/limits.py
@@ -17,7 +17,7 @@
 
 # Demand that is assumed in addition, spread equally over the daemons, as a
 # part of the limit. The first requests at a daemon without known demand find
-# a share, and shares don't swing with the last remains of a demand.
+# a share, and shares don't follow the noise of a demand near zero.
 ASSUMED_PART = 0.1
 BURST_SECONDS = 1.0
 RETRY_CONCURRENT_SECONDS = 1.0
--- a/celeryward/callers/queues.py
+++ b/celeryward/callers/queues.py
@@ -276,7 +276,7 @@
 
         A quick failure says nothing about the next answer. One that took
         longer than usual does: an engine that has become so slow that no
-        request meets its deadline must not go on to look quick.
+        request meets its deadline must not be taken for a quick one.
         """
         self.free(ticket, seconds)
         usual = self.usual.get(ticket.customer)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -108,7 +108,7 @@
         assert (placed.pinned, placed.changed) == ('m@1', False)
 
     @hypothesis.given(strategies.text())
-    def test_any_text_is_survived(self, text):
+    def test_arbitrary_text_is_ignored(self, text):
         signer = sessions.SessionSigner([OLD_KEY])
         call = make_call(token=text, own_id=text)
         assert sessions.open_session(signer, call, NOW).versions == {}
@@ -119,7 +119,7 @@
         signer = sessions.SessionSigner([OLD_KEY])
         assert signer.verify(signer.sign(session)).id == 's'
 
-    def test_long_own_id_does_not_swell_the_token(self):
+    def test_long_own_id_is_replaced_by_a_digest(self):
         signer = sessions.SessionSigner([OLD_KEY])
         call = make_call(own_id='\u20ac' * 50_000)
         session = sessions.open_session(signer, call, NOW)
