Add tests of the exchange between daemons and fix what they found

Cause: nothing showed that holders are replaced, that a cut-off domain heals, that lists that lag revert nothing or that a start without the platform works. The tests found four faults: a cancelled get on a curio.UniversalQueue deadlocked the next put; an AttributeError of grpclib left the task of a peer waiting for good; a watch that ended with an error never closed its connection; replies after a stop raised. Change: the queue's reader ends by a marker instead of a cancellation, every exception of a call becomes a PeerFailure, watches are finalised, and the asyncio loop stops in order.

--- a/celeryward/daemons/bridge.py
+++ b/celeryward/daemons/bridge.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import socket
@@ -25,6 +26,9 @@
 BACKLOG = 128
 MAX_WAITING_REQUESTS = 256
 REPLY_SECONDS = 10.0
+STOP_SECONDS = 1.0
+# Ends the task that takes requests from the queue.
+STOPPED = None
 CALL_ERRORS = (
     exceptions.GRPCError,
     exceptions.StreamTerminatedError,
@@ -128,17 +132,26 @@
         await listening.start(sock=listener)
         self.loop.call_soon(tell, started, None)
         await self.stopping.wait()
+        for call in self.calls:
+            call.cancel()
         listening.close()
-        for channel in self.channels.values():
-            channel.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_SECONDS):
+                await listening.wait_closed()
+        for contact in list(self.channels):
+            self.close(contact)
 
     async def stop(self):
         """Close every connection and end the thread."""
         if self.thread is None:
             return
-        self.loop.call_soon_threadsafe(self.stopping.set)
+        self.submit(self.stopping.set)
         await curio.run_in_thread(self.thread.join)
         self.thread = None
+        # The queue may be full of requests whose peers have gone.
+        while not self.requests.empty():
+            await self.requests.get()
+        await self.requests.put(STOPPED)
 
     async def call(self, contact, method, message, deadline):
         """Call a method of a peer.
@@ -147,23 +160,43 @@
         :returns: ``Ok`` with the reply message or ``Err(PeerFailure)``.
         """
         answer = curio.UniversalResult()
-        self.loop.call_soon_threadsafe(
+        if not self.submit(
             self.begin, answer, contact, method, message, deadline
-        )
+        ):
+            return failure('the exchange was stopped', method, contact)
         return await answer.unwrap()
 
+    def submit(self, function, *arguments):
+        """Run a function on the asyncio loop; return whether it still runs."""
+        try:
+            self.loop.call_soon_threadsafe(function, *arguments)
+        except RuntimeError:
+            # The loop is closed, which a check before could not exclude.
+            return False
+        return True
+
     def begin(self, answer, contact, method, message, deadline):
         """Start a call on the asyncio loop."""
+        if self.stopping.is_set():
+            answer.set_value(failure('the exchange stops', method, contact))
+            return
         request = self.request(contact, method, message, deadline)
         call = self.loop.create_task(request)
         self.calls.add(call)
         call.add_done_callback(functools.partial(self.finish, answer))
 
     def finish(self, answer, call):
-        """Hand the outcome of a call to the curio task."""
+        """Hand the outcome of a call to the curio task.
+
+        Whatever was raised becomes a failure, because a missing outcome
+        would block the task of the peer for good. grpclib 0.4.9 raises
+        AttributeError if its connection is closed while a call begins.
+        """
         self.calls.discard(call)
         if call.cancelled():
             answer.set_value(failure('the exchange was stopped', 'call', ''))
+        elif call.exception() is not None:
+            answer.set_value(failure(repr(call.exception()), 'call', ''))
         else:
             answer.set_value(call.result())
 
@@ -199,14 +232,14 @@
 
     def disconnect(self, contact):
         """Close the connection to a peer; from a curio task."""
-        self.loop.call_soon_threadsafe(self.close, contact)
+        self.submit(self.close, contact)
 
     def reply(self, request, message):
         """Answer a request of a peer; from a curio task.
 
         :param message: reply message, or an error of this project.
         """
-        self.loop.call_soon_threadsafe(set_reply, request.reply, message)
+        self.submit(set_reply, request.reply, message)
 
 
 def tell(answer, value):
--- a/celeryward/daemons/control.py
+++ b/celeryward/daemons/control.py
@@ -51,8 +51,10 @@
         self.gossip = None
         self.peers = None
         self.watching = None
+        self.serving = None
         self.tasks = []
-        self.accepted = curio.UniversalQueue()
+        self.accepted = []
+        self.has_accepted = curio.UniversalEvent()
         configuration.listeners.append(self.note_accepted)
 
     async def start(self):
@@ -67,8 +69,9 @@
             self.members, self.configuration, seeds, self.random, self.clock
         )
         self.peers = client.Peers(self.bridge, self.gossip)
-        serving = server.PeerServer(self.bridge, self.gossip, self.copies)
-        for run in (serving.run, self.run, self.run_pushes):
+        peer_server = server.PeerServer(self.bridge, self.gossip, self.copies)
+        self.serving = await curio.spawn(peer_server.run, daemon=True)
+        for run in (self.run, self.run_pushes):
             self.tasks.append(await curio.spawn(run, daemon=True))
 
     def describe(self):
@@ -92,6 +95,8 @@
         if self.peers is not None:
             await self.peers.stop()
         await self.bridge.stop()
+        if self.serving is not None:
+            await self.serving.join()
 
     async def run(self):
         """Run the rounds of gossip until cancelled."""
@@ -147,13 +152,14 @@
 
     def note_accepted(self, changes):
         """Queue changes that the store accepted, from whatever source."""
-        self.accepted.put(changes)
+        self.accepted += changes
+        self.has_accepted.set()
 
     async def run_pushes(self):
         """Push accepted changes to a few peers."""
         while True:
-            changes = list(await self.accepted.get())
-            while not self.accepted.empty():
-                changes += await self.accepted.get()
+            await self.has_accepted.wait()
+            self.has_accepted.clear()
+            changes, self.accepted = self.accepted, []
             if len(changes) <= gossip.MAX_PUSHED_CHANGES:
                 await self.peers.push(changes, self.watching is not None)
--- a/celeryward/daemons/server.py
+++ b/celeryward/daemons/server.py
@@ -1,5 +1,6 @@
 """The task that serves requests of other daemons."""
 
+from celeryward.daemons import bridge
 from celeryward.daemons import exchange_pb2
 from celeryward.daemons import protocol
 from celeryward import errors
@@ -32,20 +33,26 @@
 class PeerServer:
     """Answers the requests that a bridge receives.
 
-    :param bridge: :class:`bridge.Bridge`.
+    :param link: :class:`bridge.Bridge`.
     :param gossip: :class:`gossip.Gossip`.
     :param copies: handler of copies, as :class:`RefuseCopies`.
     """
 
-    def __init__(self, bridge, gossip, copies):
-        self.bridge = bridge
+    def __init__(self, link, gossip, copies):
+        self.bridge = link
         self.gossip = gossip
         self.copies = copies
 
     async def run(self):
-        """Answer requests until cancelled."""
+        """Answer requests until the bridge stops; never cancelled.
+
+        In curio 1.6 a cancelled ``get`` on a UniversalQueue can deadlock
+        the next ``put``: it queues the item again under the queue's lock.
+        """
         while True:
             request = await self.bridge.requests.get()
+            if request is bridge.STOPPED:
+                return
             self.bridge.reply(request, await self.answer(request))
 
     async def answer(self, request):
--- a/celeryward/platform/client.py
+++ b/celeryward/platform/client.py
@@ -6,6 +6,7 @@
 
 import contextlib
 
+from curio import meta
 import msgspec
 import result
 
@@ -216,10 +217,12 @@
             yield result.Err(self.classify(error, 'GET', path))
             return
         try:
-            async for change in self.read_watch(
+            changes = self.read_watch(
                 connection, path, deadline, next_deadline
-            ):
-                yield change
+            )
+            async with meta.finalize(changes):
+                async for change in changes:
+                    yield change
         except TRANSPORT_ERRORS as error:
             yield result.Err(self.classify(error, 'GET', path))
         finally:
@@ -234,7 +237,9 @@
             yield self.check_status(response.status, body, 'GET', path)
             return
         rest = b''
-        async for piece in connection.receive_chunks('watch', next_deadline):
-            *lines, rest = (rest + piece).split(b'\n')
-            for line in lines:
-                yield self.decode(protocol.CHANGE_DECODER, line)
+        pieces = connection.receive_chunks('watch', next_deadline)
+        async with meta.finalize(pieces):
+            async for piece in pieces:
+                *lines, rest = (rest + piece).split(b'\n')
+                for line in lines:
+                    yield self.decode(protocol.CHANGE_DECODER, line)
--- a/celeryward/platform/watcher.py
+++ b/celeryward/platform/watcher.py
@@ -3,6 +3,7 @@
 import time
 
 import curio
+from curio import meta
 
 from celeryward import deadlines
 from celeryward import errors
@@ -66,13 +67,14 @@
             self.since,
             lambda: deadlines.Deadline.after(BOOKMARK_TIMEOUT_SECONDS),
         )
-        async for change in changes:
-            if change.is_err():
-                await self.note_failure(change.unwrap_err())
-                return
-            self.configuration.accept((change.unwrap(),))
-            self.since = max(self.since, change.unwrap().revision)
-            self.confirm(self.since, self.clock())
+        async with meta.finalize(changes):
+            async for change in changes:
+                if change.is_err():
+                    await self.note_failure(change.unwrap_err())
+                    return
+                self.configuration.accept((change.unwrap(),))
+                self.since = max(self.since, change.unwrap().revision)
+                self.confirm(self.since, self.clock())
 
     def confirm(self, revision, at):
         """Note that the platform confirmed the configuration.
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,357 @@
+"""The exchange between daemons over real connections."""
+
+import curio
+import pytest
+
+from celeryward import calls
+from celeryward.daemons import bridge
+from celeryward.daemons import control
+from celeryward.daemons import exchange_pb2
+from celeryward.daemons import gossip
+from celeryward.daemons import membership
+from celeryward.daemons import protocol
+from celeryward.daemons import server
+from celeryward import deadlines
+from celeryward import errors
+from celeryward.platform import client
+from celeryward.platform import configuration
+from celeryward.platform import protocol as objects
+from celeryward.platform import watcher
+from celeryward import settings
+from celeryward.standins import platform
+
+BILL = calls.Bill(
+    'r1', 'a', 'm', (calls.Run('m@1', 'e1', calls.Usage(3, 4), 0.5),), 12.5
+)
+OBJECT = objects.StoredObject('Customer', 'a', {'allowed': ['m']}, 5)
+POLL_SECONDS = 0.02
+TIMINGS = settings.Timings(gossip_interval=0.05)
+
+
+def soon():
+    return deadlines.Deadline.after(20.0)
+
+
+async def until(condition):
+    """Wait for a condition; the time limit of the test bounds it."""
+    while not condition():
+        await curio.sleep(POLL_SECONDS)
+
+
+class Copies:
+    """Handler that records what it is given."""
+
+    def __init__(self):
+        self.kept = {}
+        self.dead = []
+
+    async def keep(self, owner, bills):
+        for bill in bills:
+            self.kept[owner, bill.request_id] = bill
+
+    async def release(self, owner, request_ids):
+        for request_id in request_ids:
+            self.kept.pop((owner, request_id), None)
+
+    async def owner_died(self, owner):
+        self.dead.append(owner)
+
+
+class Daemon:
+    """The control part of one daemon, with its own store and watcher."""
+
+    def __init__(self, name, domain, port, seeds=(), copies=None):
+        checked = settings.Settings(
+            name=name,
+            failure_domain=domain,
+            platform=settings.Address(port=port),
+            seeds=list(seeds),
+            timings=TIMINGS,
+        )
+        self.store = configuration.ConfigurationStore()
+        self.client = client.ObjectClient(checked.platform, 3.0, name)
+        self.copies = copies or Copies()
+        self.control = control.Control(
+            checked,
+            f'{name}-run',
+            self.store,
+            watcher.Watcher(self.client, self.store),
+            self.copies,
+        )
+
+    @property
+    def holds_watch(self):
+        return self.control.watching is not None
+
+    def seed(self):
+        return settings.Address(port=self.control.bridge.port)
+
+
+class Group:
+    """A platform stand-in and daemons that start one after the other."""
+
+    def __init__(self):
+        self.platform = platform.PlatformStandIn()
+        self.daemons = []
+
+    async def add(self, name, domain, copies=None):
+        seeds = [self.daemons[0].seed()] if self.daemons else []
+        port = self.platform.port
+        started = Daemon(name, domain, port, seeds, copies)
+        await started.control.start()
+        self.daemons.append(started)
+        return started
+
+    async def add_all(self, domains, daemons_per_domain):
+        for number in range(domains * daemons_per_domain):
+            await self.add(f'd{number}', f'f{number % domains}')
+        await until(self.all_known)
+
+    def all_known(self):
+        expected = len(self.daemons) - 1
+        return all(
+            len(entry.control.members.live()) == expected
+            for entry in self.daemons
+        )
+
+    def holders(self, domain):
+        return [
+            entry
+            for entry in self.daemons
+            if entry.control.settings.failure_domain == domain
+            and entry.holds_watch
+        ]
+
+    def all_hold(self, revision):
+        return all(
+            entry.store.revisions.get(OBJECT.key) == revision
+            for entry in self.daemons
+        )
+
+    async def kill(self, daemon):
+        self.daemons.remove(daemon)
+        await daemon.control.stop()
+
+
+@pytest.fixture
+def with_group(run):
+    """Return a function that runs a test with a started platform."""
+
+    def run_with(test):
+        async def body():
+            group = Group()
+            await group.platform.start()
+            try:
+                await test(group)
+            finally:
+                for daemon in list(group.daemons):
+                    await group.kill(daemon)
+                await group.platform.stop()
+
+        run(body)
+
+    return run_with
+
+
+class TestMessages:
+    """Guards against fields that are lost or mixed up in messages."""
+
+    def test_bill_keeps_every_field(self):
+        message = protocol.bills_message('d1-run', (BILL, BILL))
+        data = message.SerializeToString()
+        read = exchange_pb2.Bills.FromString(data)
+        assert protocol.read_bills(read) == (BILL, BILL)
+
+    def test_change_keeps_every_field(self):
+        change = objects.Change('delete', 6, OBJECT)
+        message = protocol.changes_message([change])
+        assert protocol.read_changes(message) == (change,)
+
+    def test_parallel_fields_of_different_length_are_refused(self):
+        message = exchange_pb2.Digest(member_ids=[1, 2], counters=[1])
+        with pytest.raises(errors.ProtocolError):
+            protocol.read_digest(message)
+
+    def test_malformed_object_is_refused(self):
+        message = exchange_pb2.Change(type='put', revision=1, object=b'{')
+        with pytest.raises(errors.ProtocolError):
+            protocol.read_change(message)
+
+    def test_large_changes_are_split_and_never_dropped_to_none(self):
+        spec = {'allowed': ['x' * protocol.MAX_CHANGE_BYTES]}
+        large = objects.StoredObject('Customer', 'a', spec, 5)
+        change = objects.Change('put', 5, large)
+        message = protocol.changes_message([change, change])
+        assert len(message.changes) == 1
+
+
+class TestBridge:
+    """Guards against calls that hang, and peers that block each other."""
+
+    def test_peer_that_is_absent_is_a_failure(self, run):
+        async def test():
+            own = bridge.Bridge('127.0.0.1', 0)
+            await own.start()
+            contact = gossip.Contact('127.0.0.1', 1)
+            message = exchange_pb2.Digest()
+            outcome = await own.call(contact, 'Exchange', message, soon())
+            await own.stop()
+            assert isinstance(outcome.unwrap_err(), errors.PeerFailure)
+
+        run(test)
+
+    def test_peer_that_is_silent_ends_at_the_deadline(self, run):
+        async def test():
+            own = bridge.Bridge('127.0.0.1', 0)
+            await own.start()
+            # Nobody takes requests from the queue of the bridge.
+            contact = gossip.Contact('127.0.0.1', own.port)
+            deadline = deadlines.Deadline.after(0.1)
+            message = exchange_pb2.Digest()
+            outcome = await own.call(contact, 'Exchange', message, deadline)
+            assert outcome.is_err()
+            assert own.channels == {}
+            await own.stop()
+
+        run(test)
+
+    def test_unexpected_error_of_a_call_is_a_failure(self, run):
+        class Broken(bridge.Bridge):
+            async def request(self, contact, method, message, deadline):
+                raise AttributeError('closed while the call began')
+
+        async def test():
+            own = Broken('127.0.0.1', 0)
+            await own.start()
+            contact = gossip.Contact('127.0.0.1', own.port)
+            message = exchange_pb2.Digest()
+            outcome = await own.call(contact, 'Exchange', message, soon())
+            await own.stop()
+            assert isinstance(outcome.unwrap_err(), errors.PeerFailure)
+            # A call after the stop fails as well, and does not block.
+            outcome = await own.call(contact, 'Exchange', message, soon())
+            assert outcome.is_err()
+
+        run(test)
+
+
+class TestCopies:
+    """Guards against bills with fewer copies than are counted."""
+
+    def test_copies_are_kept_elsewhere_and_released(self, with_group):
+        async def test(group):
+            await group.add_all(2, 2)
+            owner, *others = group.daemons
+            peers = owner.control.peers
+            held = await peers.keep((BILL,), soon())
+            domains = {member.failure_domain for member in held}
+            assert domains == {'f0', 'f1'}
+            keepers = [entry for entry in others if entry.copies.kept]
+            assert len(keepers) == 2
+            for entry in keepers:
+                assert entry.copies.kept == {('d0-run', 'r1'): BILL}
+            await peers.release(['r1'])
+            await until(lambda: not any(e.copies.kept for e in keepers))
+
+        with_group(test)
+
+    def test_refusal_is_replaced_by_another_peer(self, with_group):
+        async def test(group):
+            owner = await group.add('d0', 'f0')
+            await group.add('d1', 'f0', server.RefuseCopies())
+            await group.add('d2', 'f1')
+            await group.add('d3', 'f1')
+            await until(group.all_known)
+            held = await owner.control.peers.keep((BILL,), soon())
+            assert {member.name for member in held} == {'d2', 'd3'}
+
+        with_group(test)
+
+    def test_only_copies_that_exist_are_counted(self, with_group):
+        async def test(group):
+            owner = await group.add('d0', 'f0')
+            await group.add('d1', 'f0', server.RefuseCopies())
+            await until(group.all_known)
+            assert await owner.control.peers.keep((BILL,), soon()) == ()
+
+        with_group(test)
+
+    def test_death_of_the_owner_is_reported(self, with_group):
+        async def test(group):
+            await group.add_all(1, 3)
+            owner = group.daemons[2]
+            await group.kill(owner)
+            for entry in group.daemons:
+                await until(lambda entry=entry: entry.copies.dead)
+                assert entry.copies.dead == ['d2-run']
+
+        with_group(test)
+
+
+class TestWatchHolders:
+    """Guards against a domain that loses touch with the platform."""
+
+    def test_two_of_each_domain_hold_a_watch_and_are_replaced(
+        self, with_group
+    ):
+        async def test(group):
+            await group.add_all(2, 4)
+            wanted = membership.HOLDERS_PER_DOMAIN
+            for domain in ('f0', 'f1'):
+                await until(lambda d=domain: len(group.holders(d)) == wanted)
+            await group.platform.put(OBJECT)
+            await until(lambda: group.all_hold(1))
+            for holder in group.holders('f0'):
+                await group.kill(holder)
+            await group.platform.put(OBJECT)
+            await until(lambda: group.all_hold(2))
+            await until(lambda: len(group.holders('f0')) == wanted)
+
+        with_group(test)
+
+    def test_daemon_that_starts_without_the_platform_asks_peers(
+        self, with_group
+    ):
+        async def test(group):
+            await group.platform.put(OBJECT)
+            await group.add_all(1, 2)
+            await until(lambda: group.all_hold(1))
+            await group.platform.set_away(True)
+            started = await group.add('d9', 'f0')
+            await until(lambda: started.store.confirmed_at > 0.0)
+            assert 'a' in started.store.catalog().customers
+
+        with_group(test)
+
+    def test_deletion_during_an_outage_arrives_by_the_list(self, with_group):
+        async def test(group):
+            await group.platform.put(OBJECT)
+            await group.add_all(1, 3)
+            await until(lambda: group.all_hold(1))
+            await until(lambda: len(group.holders('f0')) == 2)
+            clients = [entry.client for entry in group.holders('f0')]
+            made = [entry.calls for entry in clients]
+            await group.platform.set_away(True)
+            # Each holder calls again only after its watch has ended.
+            await until(
+                lambda: all(
+                    entry.calls > before
+                    for entry, before in zip(clients, made)
+                )
+            )
+            stored = group.platform.objects[OBJECT.key]
+            await group.platform.remove(stored)
+            # The platform no longer holds the deletion itself.
+            group.platform.history.clear()
+            await group.platform.put(
+                objects.StoredObject('Service', 's', {}, 3)
+            )
+            await group.platform.set_away(False)
+            await until(
+                lambda: all(
+                    not entry.store.catalog().customers
+                    for entry in group.daemons
+                )
+            )
+
+        with_group(test)
