--- a/celeryward/daemons/bridge.py
+++ b/celeryward/daemons/bridge.py
@@ -105,10 +105,7 @@
 
     async def start(self):
         """Listen and start the asyncio thread."""
-        listener = socket.create_server(
-            (self.host, self.port), backlog=BACKLOG
-        )
-        listener.setblocking(False)
+        listener = open_listener(self.host, self.port)
         self.port = listener.getsockname()[1]
         started = curio.UniversalResult()
         self.thread = threading.Thread(
@@ -242,6 +239,21 @@
         self.submit(set_reply, request.reply, message)
 
 
+def open_listener(host, port):
+    """Return a listening socket for asyncio.
+
+    asyncio switches Nagle's algorithm off only for sockets whose protocol is
+    stated. Without that each reply waits 40 ms for a delayed ACK.
+    """
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    listener.bind((host, port))
+    listener.listen(BACKLOG)
+    return listener
+
+
 def tell(answer, value):
     """Set a result from the asyncio thread.
 
--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -14,6 +14,8 @@
 from celeryward import logs
 
 CALL_SECONDS = 3.0
+# Leaves time to ask another peer before the caller's own deadline.
+KEEP_SECONDS = 1.0
 COPIES = 2
 # A peer task and its connection end when nothing is sent for this long, so
 # that a daemon does not hold a connection to all 339 others.
@@ -170,25 +172,28 @@
         """Store copies of bills at two peers on other hosts.
 
         One is in another failure domain where one can be reached. A peer
-        that fails or refuses is replaced by the next one.
+        that fails, refuses or stays silent is replaced by the next one.
 
         :returns: the members that hold copies, fewer than two if no more
             can be reached before the deadline.
         """
-        holders = []
+        holders, asked = [], []
         candidates = list(self.members.copy_holders())
-        while candidates and len(holders) < COPIES:
-            if deadline.expired():
-                break
+        while len(holders) < COPIES and not deadline.expired():
             chosen = spread(candidates, holders, COPIES - len(holders))
             if not chosen:
                 break
             candidates = [
                 member for member in candidates if member not in chosen
             ]
-            holders += await self.keep_at(chosen, bills, deadline)
-        for bill in bills:
-            self.kept[bill.request_id] = tuple(holders)
+            asked += chosen
+            for bill in bills:
+                # A peer whose reply is lost may hold a copy, too.
+                self.kept[bill.request_id] = tuple(asked)
+            attempt = deadlines.Deadline.after(KEEP_SECONDS)
+            holders += await self.keep_at(
+                chosen, bills, attempt.earlier(deadline)
+            )
         return tuple(holders)
 
     async def keep_at(self, members, bills, deadline):
@@ -202,7 +207,11 @@
         ]
         took = []
         for member, done in zip(members, started):
-            if done is not None and (await done.unwrap()).is_ok():
+            outcome = None
+            if done is not None:
+                async with curio.ignore_after(deadline.remaining()):
+                    outcome = await done.unwrap()
+            if outcome is not None and outcome.is_ok():
                 took.append(member)
         return took
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,5 +1,7 @@
 """The exchange between daemons over real connections."""
 
+import socket
+
 import curio
 import pytest
 
@@ -215,6 +217,11 @@
 
         run(test)
 
+    def test_replies_do_not_wait_for_an_ack(self):
+        # asyncio sets TCP_NODELAY only if the protocol is stated.
+        with bridge.open_listener('127.0.0.1', 0) as listener:
+            assert listener.proto == socket.IPPROTO_TCP
+
     def test_unexpected_error_of_a_call_is_a_failure(self, run):
         class Broken(bridge.Bridge):
             async def request(self, contact, method, message, deadline):
@@ -267,6 +274,23 @@
 
         with_group(test)
 
+    def test_copy_whose_reply_was_lost_is_released(self, with_group):
+        class LosesReply(Copies):
+            async def keep(self, owner, bills):
+                await super().keep(owner, bills)
+                raise errors.PeerFailure('lost', step='keep', peer=owner)
+
+        async def test(group):
+            owner = await group.add('d0', 'f0')
+            lossy = await group.add('d1', 'f0', LosesReply())
+            await until(group.all_known)
+            assert await owner.control.peers.keep((BILL,), soon()) == ()
+            assert lossy.copies.kept
+            await owner.control.peers.release(['r1'])
+            await until(lambda: not lossy.copies.kept)
+
+        with_group(test)
+
     def test_only_copies_that_exist_are_counted(self, with_group):
         async def test(group):
             owner = await group.add('d0', 'f0')
