Test two whole daemons and extend the rounds of the benchmark

Cause: the wiring of celeryward/daemon.py and the admin status had no test with a second daemon. The scale part of benchmarks/daemons reports CPU, spread without pushes and replacement of a watch holder.

--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -23,8 +23,10 @@
 from celeryward import deadlines
 from celeryward import logs
 from celeryward.platform import configuration
+from celeryward.platform import protocol as objects
 
 PLANNED_CHANGE_SECONDS = 86400 / 1900
+MAX_ROUNDS = 200
 PLANNED = {'endpoints': 600, 'customers': 10, 'versions': 26}
 HEAD = (
     f'{"plan":34} {"p50 s":>7} {"p99 s":>7} {"max s":>7} {"missed":>6} '
@@ -100,6 +102,7 @@
         self.message_bytes = 0
         self.calls = 0
         self.gaps = {'local': 0.0, 'remote': 0.0}
+        self.killed = set()
         described = [
             membership.Member(
                 f'd{n}-run',
@@ -125,14 +128,57 @@
     def step(self):
         """Run one round of every daemon, in random order."""
         self.now += 1.0
-        nodes = list(self.nodes.values())
+        nodes = self.alive()
         random.shuffle(nodes)
         for node in nodes:
             node.members.beat()
             self.note_gaps(node)
             node.members.check()
             for contact in node.contacts():
-                self.exchange(node, self.nodes[contact.port])
+                if contact.port not in self.killed:
+                    self.exchange(node, self.nodes[contact.port])
+
+    def alive(self):
+        """Return the gossip of each daemon that runs."""
+        return [
+            node
+            for port, node in self.nodes.items()
+            if port not in self.killed
+        ]
+
+    def rounds_until(self, reached):
+        """Return the number of rounds until a condition holds."""
+        for number in range(MAX_ROUNDS):
+            if reached():
+                return number
+            self.step()
+        return MAX_ROUNDS
+
+    def replace_holder(self):
+        """Kill a watch holder; return the rounds until it is replaced."""
+        first = self.nodes[0].members
+        holder = first.holders(first.own.failure_domain)[0]
+        self.killed.add(holder.port)
+        domain = [
+            node.members
+            for node in self.alive()
+            if node.members.own.failure_domain == holder.failure_domain
+        ]
+        return self.rounds_until(
+            lambda: not any(
+                holder in members.holders(holder.failure_domain)
+                for members in domain
+            )
+        )
+
+    def spread_without_pushes(self):
+        """Return the rounds until one change is everywhere."""
+        stored = objects.StoredObject('Customer', 'c', {}, 1)
+        change = objects.Change('put', 1, stored)
+        self.alive()[0].configuration.accept([change])
+        return self.rounds_until(
+            lambda: all(node.configuration.objects for node in self.alive())
+        )
 
     def note_gaps(self, node):
         """Note how long counters did not advance."""
@@ -162,8 +208,10 @@
     random.seed(options.seed)
     for count, domains in ((40, 4), (120, 8), (340, 8)):
         rounds = Rounds(count, domains)
+        cpu = time.process_time()
         for _ in range(options.rounds):
             rounds.step()
+        cpu = time.process_time() - cpu
         dead = sum(len(node.members.dead()) for node in rounds.nodes.values())
         total = count * options.rounds
         print(
@@ -171,7 +219,14 @@
             f'{rounds.message_bytes / total:.0f} message bytes and '
             f'{rounds.calls / total:.2f} calls a round for each daemon; '
             f'longest gap {rounds.gaps["local"]:.0f} rounds local, '
-            f'{rounds.gaps["remote"]:.0f} remote; {dead} wrong deaths',
+            f'{rounds.gaps["remote"]:.0f} remote; {dead} wrong deaths; '
+            f'{1000 * cpu / total:.2f} ms CPU a round for each daemon',
+            flush=True,
+        )
+        print(
+            f'  one change by anti-entropy alone: '
+            f'{rounds.spread_without_pushes()} rounds; killed watch holder '
+            f'replaced after {rounds.replace_holder()} rounds',
             flush=True,
         )
 
--- /dev/null
+++ b/tests/test_daemon_peers.py
@@ -0,0 +1,62 @@
+"""Whole daemons that know each other."""
+
+import curio
+
+from celeryward import daemon
+from celeryward.operators import admin
+from celeryward.operators import demo
+from celeryward import settings
+
+
+async def start_second(cluster):
+    """Start a second daemon whose seed is the one of the cluster."""
+    first = cluster.daemon
+    second = daemon.Daemon(
+        settings.Settings(
+            name='second',
+            failure_domain='domain-2',
+            platform=settings.Address(port=cluster.platform.port),
+            raters=settings.Address(port=cluster.rater.port),
+            seeds=[settings.Address(port=first.control.bridge.port)],
+        )
+    )
+    await second.start()
+    return second
+
+
+class TestSecondDaemon:
+    """Guards against a daemon that needs the platform to start or serve."""
+
+    def test_it_serves_without_the_platform(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            await cluster.platform.set_away(True)
+            second = await start_second(cluster)
+            example = demo.chat('', 'small', 'x')
+            head, _ = await demo.send(second.listener.port, example)
+            await cluster.platform.set_away(False)
+            await second.stop()
+            await cluster.stop()
+            assert head.status == 200
+
+        run(test)
+
+    def test_status_shows_peers_and_holders(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            second = await start_second(cluster)
+            members = cluster.daemon.control.members
+            while not members.live():
+                await curio.sleep(0.02)
+            status = admin.Admin(cluster.daemon).status()
+            await second.stop()
+            await cluster.stop()
+            assert status.holds_watch
+            assert status.confirmed_at > 0.0
+            (peer,) = status.peers
+            assert (peer.name, peer.failure_domain) == ('second', 'domain-2')
+            assert peer.live and peer.holder
+
+        run(test)
