Announce demand, harmful requests and departures between daemons

Cause: each daemon applied the whole limit of a customer, learned alone of harmful requests and leaving endpoints, and a takeover of bills never ran, because peer_died had become a coroutine that nobody awaited.

--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -12,6 +12,7 @@
 from celeryward.callers import sessions
 from celeryward.daemons import control
 from celeryward.daemons import copies
+from celeryward.daemons import topics
 from celeryward import deadlines
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
@@ -67,6 +68,7 @@
 
     def __init__(self, settings, new_id=new_id, clock=time.time):
         self.settings = settings
+        self.clock = clock
         timings = settings.timings
         self.metrics = metrics.Metrics()
         self.configuration = configuration.ConfigurationStore()
@@ -132,6 +134,9 @@
         self.admin = http.Listener(
             settings.admin.host, settings.admin.port, admin.Admin(self).handle
         )
+        self.control.announcer = topics.make_announcer(
+            self, self.control.random
+        )
         self.tasks = []
         self.stopped = False
 
@@ -172,8 +177,13 @@
             self.metrics,
             clock,
             once.OnceRunner(self.claims, new_id, clock),
+            self.configuration_age,
         )
 
+    def configuration_age(self):
+        """Return the seconds since the platform confirmed the catalog."""
+        return max(0.0, self.clock() - self.configuration.confirmed_at)
+
     async def peer_died(self, owner):
         """Take over the bills of a dead peer.
 
--- a/celeryward/daemons/bridge.py
+++ b/celeryward/daemons/bridge.py
@@ -72,6 +72,10 @@
         """Pass on ids of bills that the platform holds."""
         await self.pass_on('Release', stream)
 
+    async def Announce(self, stream):  # noqa: N802
+        """Pass on what a peer announces."""
+        await self.pass_on('Announce', stream)
+
     async def pass_on(self, method, stream):
         """Queue one request and send its reply."""
         message = await stream.recv_message()
--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -90,6 +90,11 @@
         """Send new revisions."""
         return await self.call('Push', protocol.changes_message(changes))
 
+    async def announce(self, announcements):
+        """Send announcements."""
+        message = protocol.announcements_message(announcements)
+        return await self.call('Announce', message)
+
     async def keep(self, owner, bills, deadline):
         """Ask the peer to keep copies of bills."""
         message = protocol.bills_message(owner, bills)
@@ -168,6 +173,11 @@
         for contact in self.gossip.push_contacts(from_platform):
             await self.start_job(contact, 'push', changes)
 
+    async def announce(self, announcements):
+        """Send announcements to a few peers."""
+        for contact in self.gossip.push_contacts(True):
+            await self.start_job(contact, 'announce', announcements)
+
     async def keep(self, bills, deadline):
         """Store copies of bills at two peers on other hosts.
 
--- a/celeryward/daemons/control.py
+++ b/celeryward/daemons/control.py
@@ -47,6 +47,7 @@
         self.clock = clock
         self.random = random.Random(owner)
         self.bridge = make_bridge(settings.peers.host, settings.peers.port)
+        self.announcer = None
         self.members = None
         self.gossip = None
         self.peers = None
@@ -69,7 +70,9 @@
             self.members, self.configuration, seeds, self.random, self.clock
         )
         self.peers = client.Peers(self.bridge, self.gossip)
-        peer_server = server.PeerServer(self.bridge, self.gossip, self.copies)
+        peer_server = server.PeerServer(
+            self.bridge, self.gossip, self.copies, self.announcer
+        )
         self.serving = await curio.spawn(peer_server.run, daemon=True)
         for run in (self.run, self.run_pushes):
             self.tasks.append(await curio.spawn(run, daemon=True))
@@ -132,6 +135,15 @@
         for contact in self.gossip.contacts():
             await self.peers.exchange(contact)
         await self.peers.send_releases()
+        await self.announce()
+
+    async def announce(self):
+        """Send what is new of this daemon and what peers announced."""
+        if self.announcer is None:
+            return
+        announced = self.announcer.collect()
+        if announced:
+            await self.peers.announce(announced)
 
     async def adjust_watch(self):
         """Start or end the watch at the platform, as membership says."""
--- a/celeryward/daemons/copies.py
+++ b/celeryward/daemons/copies.py
@@ -9,7 +9,7 @@
     """Keeps copies for other daemons.
 
     :param replicas: :class:`platform.replicas.Replicas`.
-    :param owner_died: function of the name of a dead run of a daemon.
+    :param owner_died: async function of the name of a dead run of a daemon.
     """
 
     def __init__(self, replicas, owner_died):
@@ -29,7 +29,7 @@
 
     async def owner_died(self, owner):
         """Take over the bills of a dead daemon."""
-        self.report_death(owner)
+        await self.report_death(owner)
 
 
 class CopySender:
--- a/celeryward/daemons/exchange_grpc.py
+++ b/celeryward/daemons/exchange_grpc.py
@@ -30,6 +30,10 @@
     async def Release(self, stream: 'grpclib.server.Stream[celeryward.daemons.exchange_pb2.BillIds, celeryward.daemons.exchange_pb2.Receipt]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Announce(self, stream: 'grpclib.server.Stream[celeryward.daemons.exchange_pb2.Announcements, celeryward.daemons.exchange_pb2.Receipt]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/celeryward.daemons.Daemons/Exchange': grpclib.const.Handler(
@@ -56,6 +60,12 @@
                 celeryward.daemons.exchange_pb2.BillIds,
                 celeryward.daemons.exchange_pb2.Receipt,
             ),
+            '/celeryward.daemons.Daemons/Announce': grpclib.const.Handler(
+                self.Announce,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                celeryward.daemons.exchange_pb2.Announcements,
+                celeryward.daemons.exchange_pb2.Receipt,
+            ),
         }
 
 
@@ -86,3 +96,9 @@
             celeryward.daemons.exchange_pb2.BillIds,
             celeryward.daemons.exchange_pb2.Receipt,
         )
+        self.Announce = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/celeryward.daemons.Daemons/Announce',
+            celeryward.daemons.exchange_pb2.Announcements,
+            celeryward.daemons.exchange_pb2.Receipt,
+        )
--- a/celeryward/daemons/protocol.py
+++ b/celeryward/daemons/protocol.py
@@ -9,6 +9,7 @@
 from celeryward.daemons import gossip
 from celeryward.daemons import inventory
 from celeryward.daemons import membership
+from celeryward.daemons import topics
 from celeryward import errors
 from celeryward.platform import protocol
 
@@ -190,3 +191,48 @@
 def read_bills(message):
     """Return the bills of a message."""
     return tuple(map(read_bill, message.bills))
+
+
+def announcements_message(announcements):
+    """Return the message of announcements."""
+    return exchange_pb2.Announcements(
+        announcements=(
+            exchange_pb2.Announcement(
+                topic=announced.topic,
+                source=announced.source,
+                sequence=announced.sequence,
+                content=msgspec.msgpack.encode(announced.content),
+            )
+            for announced in announcements
+        )
+    )
+
+
+def read_announcements(message):
+    """Return the announcements of a message.
+
+    Topics that only a newer daemon knows are left out.
+
+    :raises errors.ProtocolError: if a content can't be decoded.
+    """
+    return [
+        read_announcement(entry)
+        for entry in message.announcements
+        if entry.topic in topics.TOPICS.entries
+    ]
+
+
+def read_announcement(entry):
+    """Return the :class:`topics.Announcement` of a message."""
+    topic = topics.TOPICS.get(entry.topic)
+    try:
+        content = msgspec.msgpack.decode(entry.content, type=topic.type)
+    except msgspec.DecodeError as error:
+        raise errors.ProtocolError(
+            f'malformed {entry.topic}: {error}',
+            step='decode announcement',
+            peer=entry.source,
+        ) from error
+    return topics.Announcement(
+        entry.topic, entry.source, entry.sequence, content
+    )
--- a/celeryward/daemons/server.py
+++ b/celeryward/daemons/server.py
@@ -36,12 +36,15 @@
     :param link: :class:`bridge.Bridge`.
     :param gossip: :class:`gossip.Gossip`.
     :param copies: handler of copies, as :class:`RefuseCopies`.
+    :param announcer: :class:`topics.Announcer`, or None to ignore what
+        peers announce.
     """
 
-    def __init__(self, link, gossip, copies):
+    def __init__(self, link, gossip, copies, announcer=None):
         self.bridge = link
         self.gossip = gossip
         self.copies = copies
+        self.announcer = announcer
 
     async def run(self):
         """Answer requests until the bridge stops; never cancelled.
@@ -96,3 +99,12 @@
     bill_ids = tuple(message.bill_ids)
     await peer_server.copies.release(message.owner, bill_ids)
     return exchange_pb2.Receipt()
+
+
+@CALLS.register('Announce')
+async def announce(peer_server, message):
+    """Take over what a peer announces."""
+    if peer_server.announcer is not None:
+        announced = protocol.read_announcements(message)
+        peer_server.announcer.accept(announced)
+    return exchange_pb2.Receipt()
--- /dev/null
+++ b/tests/test_topics.py
@@ -0,0 +1,171 @@
+"""Announcements between daemons."""
+
+import random
+
+import curio
+import pytest
+
+from celeryward.callers import demand
+from celeryward import daemon
+from celeryward.daemons import protocol
+from celeryward.daemons import topics
+from celeryward import errors
+from celeryward.operators import demo
+from celeryward.platform import batches
+from celeryward import settings
+
+
+class Recorded:
+    """Topic that records what it accepts."""
+
+    type = demand.Demand
+    relayed = True
+
+    def __init__(self):
+        self.accepted = []
+        self.next = None
+
+    def collect(self, repeat):
+        collected, self.next = self.next, None
+        return collected
+
+    def accept(self, content):
+        self.accepted.append(content)
+
+
+def announcer(name):
+    topic = Recorded()
+    made = topics.Announcer(name, {'demand': topic}, random.Random(1))
+    return made, topic
+
+
+class TestAnnouncer:
+    """Guards against announcements that are lost, repeated or endless."""
+
+    def test_relayed_once_and_never_back_to_itself(self):
+        first, topic = announcer('a')
+        second, seen = announcer('b')
+        topic.next = demand.Demand('a', 1)
+        sent = first.collect()
+        second.accept(sent)
+        second.accept(sent)
+        relayed = second.collect()
+        assert seen.accepted == [demand.Demand('a', 1)]
+        assert relayed == sent
+        assert second.collect() == []
+        first.accept(relayed)
+        assert topic.accepted == []
+        assert first.collect() == []
+
+    def test_late_older_announcement_is_dropped(self):
+        first, topic = announcer('a')
+        second, seen = announcer('b')
+        topic.next = demand.Demand('a', 1)
+        older = first.collect()
+        topic.next = demand.Demand('a', 2)
+        second.accept(first.collect())
+        second.accept(older)
+        assert [each.sequence for each in seen.accepted] == [2]
+
+
+class TestEncoding:
+    """Guards against content that another daemon can't read."""
+
+    def test_round_trip_and_unknown_topics(self):
+        content = demand.Demand(
+            'a', 3, 7, (demand.CustomerDemand('c', 1.0, 2.0, 3.0),)
+        )
+        known = topics.Announcement('demand', 'a', 3, content)
+        newer = topics.Announcement('invented-later', 'a', 4, 5)
+        message = protocol.announcements_message([known, newer])
+        assert protocol.read_announcements(message) == [known]
+
+    def test_malformed_content_is_a_protocol_error(self):
+        broken = topics.Announcement('demand', 'a', 1, 'text')
+        message = protocol.announcements_message([broken])
+        with pytest.raises(errors.ProtocolError):
+            protocol.read_announcements(message)
+
+
+class TestTwoDaemons:
+    """Guards against limits that each daemon applies in full."""
+
+    def test_demand_and_members_arrive_at_the_peer(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            platform = cluster.daemon.settings.platform
+            first = await start('first', platform)
+            seed = settings.Address(port=first.control.bridge.port)
+            second = await start('second', platform, seed)
+            await demo.send(first.listener.port, demo.EXAMPLES[0])
+            shares = second.serving.limiter.shares
+            owner = first.ledger.owner
+            while owner not in shares.reachable or owner not in shares.known:
+                await curio.sleep(0.01)
+            assert shares.expected == 2
+            assert second.configuration_age() < 60.0
+            await second.stop()
+            await first.stop()
+            await cluster.stop()
+
+        run(test)
+
+    def test_bills_of_a_dead_peer_are_written(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            platform = cluster.daemon.settings.platform
+            first = await start('first', platform)
+            seed = settings.Address(port=first.control.bridge.port)
+            others = [await start(name, platform, seed) for name in ('b', 'c')]
+            while len(first.control.members.live()) < 2:
+                await curio.sleep(0.01)
+            await demo.send(first.listener.port, demo.EXAMPLES[0])
+            assert all(other.replicas.count == 1 for other in others)
+            await kill(first)
+            while not stored_bills(cluster):
+                await curio.sleep(0.01)
+            for other in others:
+                await other.stop()
+            await cluster.stop()
+            assert len(stored_bills(cluster)) == 1
+
+        run(test)
+
+
+async def start(name, platform, *seeds):
+    """Start a daemon whose bills wait long for their flush."""
+    made = daemon.Daemon(
+        settings.Settings(
+            name=name,
+            failure_domain='domain-1',
+            host_name=f'host-{name}',
+            platform=platform,
+            seeds=list(seeds),
+            timings=settings.Timings(
+                gossip_interval=0.05, flush_interval=30.0
+            ),
+        )
+    )
+    await made.start()
+    return made
+
+
+async def kill(made):
+    """End the tasks of a daemon at once, as the loss of its host does."""
+    for task in made.tasks:
+        await task.cancel()
+    await made.control.stop()
+    await made.listener.stop_accepting()
+    await made.admin.stop_accepting()
+
+
+def stored_bills(cluster):
+    """Return the bills at the platform."""
+    return [
+        bill
+        for stored in cluster.platform.objects.values()
+        if stored.kind == batches.BATCH_KIND
+        for bill in batches.from_object(stored).all_bills()
+    ]
