Test a caller that hangs up before the only chunk of a stream

Cause: a mutation of the hang-up path was not found by any test. Change: one test with a stream of a single chunk that carries the usage.

--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -7,7 +7,9 @@
 import pytest
 
 from celeryward.callers import server
+from celeryward import calls
 from celeryward import daemon
+from celeryward.endpoints import protocol
 from celeryward import errors
 from celeryward.operators import demo
 from celeryward.platform import batches
@@ -80,6 +82,32 @@
 
         with_cluster(test)
 
+    def test_caller_hangs_up_before_a_single_chunk(
+        self, with_cluster, monkeypatch
+    ):
+        async def hang_up(responder, headers):
+            raise errors.CallerGone('gone', step='send', peer='caller')
+
+        async def test(cluster):
+            dispatcher = cluster.daemon.dispatcher
+
+            async def stream(attempt):
+                usage = calls.Usage(3, 8)
+                dispatcher.choose(attempt)
+                chunk = protocol.Chunk(b'data: [DONE]\n\n', 8, usage)
+                attempt.add(chunk)
+                attempt.add_run(usage)
+                yield chunk
+
+            monkeypatch.setattr(dispatcher, 'stream', stream)
+            monkeypatch.setattr(server.Responder, 'start_stream', hang_up)
+            with pytest.raises(errors.CelerywardError):
+                await ask(cluster.daemon, STREAM)
+            (bill,) = bills(cluster)
+            assert bill.runs[0].usage == calls.Usage(3, 8)
+
+        with_cluster(test)
+
     @pytest.mark.filterwarnings(LEAKS)
     def test_caller_hangs_up_inside_a_stream(self, with_cluster, monkeypatch):
         sent = []
