--- a/benchmarks/billing.py
+++ b/benchmarks/billing.py
@@ -306,6 +306,19 @@
     return size / 1024 / (MEMORY_BILLS / 1000)
 
 
+def measure_full(random_source):
+    """Return the peak MiB of a ledger that is filled to its last bound."""
+    ledger = billing.Ledger('a')
+    tracemalloc.start()
+    number = 0
+    while ledger.admit().is_ok():
+        ledger.add(make_bill(number, random_source))
+        number += 1
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return peak / 1024 / 1024
+
+
 def measure_memory(seed):
     """Return KiB for 1,000 bills: aggregated, in detail, and plain."""
     detailed = billing.Bounds(MEMORY_BILLS, MEMORY_BILLS)
@@ -350,7 +363,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--requests', type=int, default=REQUESTS)
+    parser.add_argument(
+        '--full-memory',
+        action='store_true',
+        help='only fill one ledger to its last bound and print its memory',
+    )
     arguments = parser.parse_args()
+    if arguments.full_memory:
+        full = measure_full(random.Random(arguments.seed))
+        print(f'peak memory of a full ledger in MiB: {full:.1f}')
+        return
     logs.configure('CRITICAL', 'text')
 
     async def bounded():
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -97,6 +97,7 @@
 
     def test_stored_outcome_is_replayed(self, run, pair):
         first = run(pair.a.ask)
+        assert pair.platform.calls == 2
         second = run(pair.b.ask)
         assert first[2] == second[2] == b'{}'
         assert second[:2] == (201, {'x-part': '7', 'x-replayed': 'true'})
