Store the outcome of a keyed call before its last byte

Cause: a caller that repeated a keyed call right after its answer could meet the open claim and be told that the outcome is unknown. Change: the complete answer is stored before its last byte is sent, within 1 s; an outcome that can't be stored in time is stored later. New tests also cover the wake-up of the flusher and a dead peer reported to the daemon. Conclusion: a caller that has its answer finds the outcome at any host.

--- a/celeryward/callers/once.py
+++ b/celeryward/callers/once.py
@@ -10,12 +10,16 @@
 class Recorder:
     """Passes an answer on to a responder and records it.
 
-    Each part is recorded before it is sent, so that the record is complete
-    even if the caller closes the connection at the last byte.
+    The outcome is stored before the last byte is sent. A caller that
+    repeats the call right after the answer, or that closed the connection
+    at its end, then gets the same answer again.
+
+    :param store: async function that stores a :class:`claims.Response`.
     """
 
-    def __init__(self, responder):
+    def __init__(self, responder, store):
         self.responder = responder
+        self.store = store
         self.status = None
         self.headers = {}
         self.pieces = []
@@ -51,14 +55,14 @@
     async def finish_stream(self, payload):
         """Send the last piece of a streamed answer."""
         self.record(payload)
-        self.complete = True
+        await self.finish()
         await self.responder.finish_stream(payload)
 
     async def send_whole(self, status, headers, body):
         """Send an answer that is not streamed."""
         self.record_head(status, headers)
         self.record(body)
-        self.complete = True
+        await self.finish()
         await self.responder.send_whole(status, headers, body)
 
     def record_head(self, status, headers):
@@ -74,6 +78,11 @@
         else:
             self.pieces.clear()
 
+    async def finish(self):
+        """Store the complete answer."""
+        self.complete = True
+        await self.store(self.response())
+
     def response(self):
         """Return the recorded answer as a :class:`claims.Response`."""
         fits = self.size <= claims.MAX_STORED_BYTES
@@ -121,10 +130,14 @@
     async def run_held(self, held, serve, responder):
         """Run a call and store its outcome.
 
-        An outcome that is not known leaves the claim open, which later
-        attempts are told.
+        A partial answer counts as one that is not stored. An outcome that
+        is not known leaves the claim open, which later attempts are told.
         """
-        recorder = Recorder(responder)
+
+        async def store(response):
+            await self.store.finish(held, held.claim.ran(response))
+
+        recorder = Recorder(responder, store)
         try:
             await serve(recorder)
         except REFUSALS:
@@ -132,6 +145,5 @@
                 await self.store.finish(held, held.claim.not_run())
             raise
         finally:
-            if recorder.status is not None:
-                done = held.claim.ran(recorder.response())
-                await self.store.finish(held, done)
+            if recorder.status is not None and not recorder.complete:
+                await store(recorder.response())
--- a/celeryward/platform/claim_store.py
+++ b/celeryward/platform/claim_store.py
@@ -12,9 +12,11 @@
 from celeryward.platform import claims
 
 MAX_STEPS = 4
-# Longest wait for a claim. The platform answers in milliseconds, so that a
-# longer wait means an outage, in which calls with a key are refused.
+# Longest waits for a claim and for storing its outcome. The platform answers
+# in milliseconds, so that a longer wait means an outage: calls with a key
+# are refused, and outcomes are stored later.
 ACQUIRE_SECONDS = 1.0
+FINISH_SECONDS = 1.0
 # After a failure, calls with a key are refused without asking the platform
 # for this long, so that they are refused at once during an outage.
 AWAY_SECONDS = 1.0
@@ -143,9 +145,21 @@
 
         :param claims.Claim done: the claim with its outcome.
         """
-        outcome = await self.client.put(done.to_object(), held.revision)
-        if outcome.is_err():
-            self.pending.append(done)
+        stored = False
+        try:
+            if self.away_until.expired():
+                outcome = await curio.timeout_after(
+                    FINISH_SECONDS,
+                    self.client.put,
+                    done.to_object(),
+                    held.revision,
+                )
+                stored = outcome.is_ok()
+        except curio.TaskTimeout:
+            self.note_away()
+        finally:
+            if not stored:
+                self.pending.append(done)
 
     async def retry_pending(self):
         """Store the outcomes that could not be stored before."""
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import curio
 import msgspec
 import pytest
 
@@ -183,6 +184,20 @@
         run(fleet.a.flusher.flush)
         assert fleet.b.replicas.count == fleet.c.replicas.count == 0
 
+    def test_reported_death_flushes_before_the_interval(self, run, fleet):
+        async def test():
+            fleet.b.flusher.interval = 1e6
+            await fleet.a.ledger.settle(bill('r'))
+            task = await curio.spawn(fleet.b.flusher.run)
+            fleet.kill('a')
+            await fleet.b.flusher.wake()
+            while not fleet.platform.objects:
+                await curio.sleep(0)
+            await task.cancel()
+
+        run(test)
+        assert fleet.billed() == ['r']
+
     def test_flush_that_ends_twice_forgets_no_later_batch(self, run, fleet):
         run(fleet.a.ledger.settle, bill('r1'))
         first = fleet.a.ledger.next_batch()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -26,13 +26,17 @@
 class FakeResponder:
     """Keeps the answer that a caller receives; ``gone`` refuses it."""
 
-    def __init__(self, gone=False):
+    def __init__(self, gone=False, platform=None):
         self.gone = gone
+        self.platform = platform
+        self.stored = None
         self.answer = None
         self.started = False
 
     async def send_whole(self, status, headers, body):
         self.started = True
+        if self.platform:
+            (self.stored,) = self.platform.of_kind(claims.CLAIM_KIND)
         if self.gone:
             raise errors.CallerGone('gone', step='send', peer='caller')
         self.answer = (status, headers, body)
@@ -103,6 +107,12 @@
         assert second[:2] == (201, {'x-part': '7', 'x-replayed': 'true'})
         assert len(pair.executed) == 1
 
+    def test_outcome_is_stored_before_the_last_byte(self, run, pair):
+        responder = FakeResponder(platform=pair.platform)
+        run(pair.a.runner.run, call(), pair.a.serve, responder)
+        claim = claims.from_object(responder.stored)
+        assert claim.state is claims.State.RAN
+
     def test_outcome_is_stored_for_a_caller_that_hangs_up(self, run, pair):
         assert isinstance(run(pair.a.ask, None, True), errors.CallerGone)
         assert run(pair.b.ask)[0] == 201
@@ -225,6 +235,17 @@
         assert {error.code for error in run(test)} == {'claim_unchecked'}
         assert len(asked) == 2
 
+    def test_silent_platform_at_the_end(self, run, pair, monkeypatch):
+        async def never(stored, revision):
+            await curio.Event().wait()
+
+        monkeypatch.setattr(claim_store, 'FINISH_SECONDS', 0.05)
+        with monkeypatch.context() as silent:
+            silent.setattr(pair.platform, 'put', never)
+            assert run(pair.a.ask)[0] == 201
+        run(pair.a.store.retry_pending)
+        assert run(pair.b.ask)[1]['x-replayed'] == 'true'
+
     def test_call_without_a_key_is_served_in_an_outage(self, run, pair):
         pair.platform.away = True
         assert run(pair.a.ask, call(key=''))[0] == 201
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -187,6 +187,19 @@
 
         with_cluster(test)
 
+    def test_daemon_writes_bills_of_a_dead_peer(self, with_cluster):
+        async def test(cluster):
+            identity = batches.bill_id('workshop', 'r')
+            copy = calls.Bill(
+                *('r', 'workshop', 'small', (), 1.0), identity, 'gone-0'
+            )
+            cluster.daemon.replicas.keep('gone', [copy])
+            await cluster.daemon.peer_died('gone')
+            await cluster.daemon.flusher.flush()
+            assert (batches.BATCH_KIND, 'gone-0') in cluster.platform.objects
+
+        with_cluster(test)
+
     def test_two_hosts_that_ran_one_request_bill_it_once(self, with_cluster):
         async def test(cluster):
             other = await second_host(cluster)
