Give queued requests time before their connection counts as silent

Cause: after an early response head, the first token was due within the progress deadline; a learned limit without the queue would repeat queued requests in an overload; generators of abandoned streams were not closed. Change: the first piece has the first-byte deadline, which follows usual first tokens and the expected wait; ids of dispatches are unique even if callers choose equal request ids.

--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import time
+import uuid
 
 import curio
 
@@ -74,10 +75,11 @@
     def dispatched_call(self):
         """Return the call under an id of its own for this dispatch.
 
-        Tiers of a cascade and retries share a request id; a late response
-        to one of them must not pass as the response to another.
+        Retries and the tiers of a cascade share a request id, and callers
+        may choose equal ones; a late response to one dispatch must not pass
+        as the response to another.
         """
-        request_id = f'{self.call.request_id}.{self.model}.{self.dispatches}'
+        request_id = f'{self.call.request_id}.{uuid.uuid4().hex[:12]}'
         return dataclasses.replace(self.call, request_id=request_id)
 
     def take_spare(self):
@@ -259,21 +261,20 @@
                 resume,
                 self.stream_reads(call, chosen.endpoint),
             )
-            # Taken outside of the loop, which runs for each token.
-            first = await anext(chunks)
-            self.view.load.first_token(
-                chosen.endpoint.name,
-                time.monotonic() - started,
-                expected,
-            )
-            self.recovery.end_probation(attempt)
-            if first.usage is not None:
-                attempt.add_last_run(first.usage, first.tokens)
-            yield first
-            async for chunk in chunks:
-                if chunk.usage is not None:
-                    attempt.add_last_run(chunk.usage, chunk.tokens)
-                yield chunk
+            async with contextlib.aclosing(chunks):
+                # Taken outside of the loop, which runs for each token.
+                first = await anext(chunks)
+                seconds = time.monotonic() - started
+                name = chosen.endpoint.name
+                self.view.load.first_token(name, seconds, expected)
+                self.recovery.end_probation(attempt)
+                if first.usage is not None:
+                    attempt.add_last_run(first.usage, first.tokens)
+                yield first
+                async for chunk in chunks:
+                    if chunk.usage is not None:
+                        attempt.add_last_run(chunk.usage, chunk.tokens)
+                    yield chunk
 
     def expect(self, attempt, endpoint):
         """Return what is expected of a dispatch, and note its prefixes."""
@@ -359,7 +360,7 @@
         return pool.ReadTimings(
             call.deadline,
             self.view.load.first_byte_limit(
-                endpoint.name,
+                endpoint,
                 self.timings.progress_timeout,
                 self.timings.first_byte_timeout,
             ),
--- a/celeryward/endpoints/load.py
+++ b/celeryward/endpoints/load.py
@@ -13,6 +13,12 @@
 DEFAULT_HOLD_SECONDS = 1.0
 DEFAULT_PREFILL_SECONDS = 0.01
 HISTORY_LENGTH = 4096
+# A first byte is missing after the usual time, eight mean deviations, which
+# about no answer exceeds, and four times the expected wait in the queue. A
+# smaller factor would repeat queued requests while endpoints are overloaded.
+MIN_SAMPLES = 5
+DEVIATIONS = 8
+WAIT_FACTOR = 4
 # An endpoint that refuses work looks idle in its own reports. It counts as
 # full for this long, so that it does not attract all requests.
 REFUSED_SECONDS = 1.0
@@ -256,14 +262,15 @@
         waiting = excess if excess > 30 else math.log1p(math.exp(excess))
         return waiting * spread * self.speed(endpoint.name).hold / capacity
 
-    def first_byte_limit(self, name, lowest, highest, factor=8):
+    def first_byte_limit(self, endpoint, lowest, highest):
         """Return the seconds after which a missing first byte is silence.
 
         :param float lowest: bound of the learned limit.
         :param float highest: the limit until there are enough samples.
         """
-        speed = self.speeds.get(name)
-        if speed is None or speed.samples < 1 / SAMPLE_WEIGHT:
+        speed = self.speeds.get(endpoint.name)
+        if speed is None or speed.samples < MIN_SAMPLES:
             return highest
-        usual = speed.first_token + factor * speed.deviation
-        return min(highest, max(lowest, usual))
+        usual = speed.first_token + DEVIATIONS * speed.deviation
+        queue = WAIT_FACTOR * self.wait(endpoint)
+        return min(highest, max(lowest, usual + queue))
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -1,5 +1,6 @@
 """Wire format towards endpoints: chat completions, load and health."""
 
+import contextlib
 import dataclasses
 import functools
 
@@ -217,25 +218,29 @@
     splitter = EventSplitter()
     last = b''
     tokens = 0
-    pieces = connection.receive_chunks('read stream', timings.progress)
-    async for piece in pieces:
-        events = splitter.split(piece)
-        if not events:
-            continue
-        if splitter.done:
-            last = events
-            break
-        count = count_events(events)
-        tokens += count
-        yield Chunk(events, count)
-    else:
-        raise errors.AnswerTruncated(
-            'stream ended without its end marker',
-            step='read stream',
-            peer=connection.peer,
-            sent=True,
-        )
-    await finish_body(pieces)
+    # Engines may send the head before the request leaves their queue.
+    pieces = connection.receive_chunks(
+        'read stream', timings.progress, timings.first_byte()
+    )
+    async with contextlib.aclosing(pieces):
+        async for piece in pieces:
+            events = splitter.split(piece)
+            if not events:
+                continue
+            if splitter.done:
+                last = events
+                break
+            count = count_events(events)
+            tokens += count
+            yield Chunk(events, count)
+        else:
+            raise errors.AnswerTruncated(
+                'stream ended without its end marker',
+                step='read stream',
+                peer=connection.peer,
+                sent=True,
+            )
+        await finish_body(pieces)
     count, usage = read_last(last, tokens, connection.peer)
     yield Chunk(last, count, usage)
 
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -155,14 +155,17 @@
                     peer=self.peer,
                 )
 
-    async def receive_chunks(self, step, next_deadline):
+    async def receive_chunks(self, step, next_deadline, first_deadline=None):
         """Yield the pieces of a body as they arrive.
 
         :param next_deadline: function that returns the deadline of the
             next piece.
+        :param Deadline first_deadline: deadline of the first piece, if it
+            differs.
         """
+        deadline = first_deadline or next_deadline()
         while True:
-            event = await self.receive(step, next_deadline())
+            event = await self.receive(step, deadline)
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -173,6 +176,7 @@
                     step=step,
                     peer=self.peer,
                 )
+            deadline = next_deadline()
 
     async def receive_body(
         self, step, deadline, limit=MAX_BODY_BYTES, next_deadline=None
--- a/celeryward/standins/engine.py
+++ b/celeryward/standins/engine.py
@@ -34,6 +34,7 @@
         self.versions = tuple(versions)
         self.tokens = tokens
         self.token_seconds = token_seconds
+        self.first_token_seconds = 0.0
         self.capacity = 8
         self.running = 0
         self.leaving = False
@@ -177,6 +178,7 @@
             'send stream',
             h11.Response(status_code=200, headers=http.encode_headers(head)),
         )
+        await curio.sleep(self.first_token_seconds)
         for index in range(first, len(words)):
             await self.inject_fault(connection, index)
             if self.token_seconds:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -118,6 +118,28 @@
         assert router.choose() == first
 
 
+class TestFirstByteLimit:
+    """Guards against silence that is found late, and queues taken for it."""
+
+    def limit(self, router):
+        endpoint = router.endpoints['a']
+        return router.load.first_byte_limit(endpoint, 10.0, 60.0)
+
+    def test_limit_follows_what_is_usual(self):
+        router = Router()
+        assert self.limit(router) == 60.0
+        for _ in range(load.MIN_SAMPLES):
+            router.load.first_token('a', 0.5, load.Expectation(0, False))
+        assert self.limit(router) == 10.0
+
+    def test_queue_extends_the_limit(self):
+        router = Router()
+        for _ in range(load.MIN_SAMPLES):
+            router.load.first_token('a', 0.5, load.Expectation(0, False))
+        router.load.report('a', load.LoadReport(running=8, waiting=80))
+        assert self.limit(router) > 30.0
+
+
 class TestFailureDomains:
     """Guards against remote work with room at home, and overload at home."""
 
