Note the crash of a probation before the crashes beside it

Cause: a request that failed beside a suspect on probation could be refused before the suspect's own failure was noted, which explains the crash. Conclusion: the order of failing tasks no longer decides.

--- a/celeryward/endpoints/fingerprints.py
+++ b/celeryward/endpoints/fingerprints.py
@@ -207,11 +207,18 @@
             del self.probations[endpoint]
 
     def crashed(self, endpoint, fingerprint):
-        """Note that a request failed in the crash of an endpoint."""
-        known = self.find(fingerprint)
-        alone = self.probations.get(endpoint) == fingerprint
-        crash = Crash(endpoint, alone, self.new_id(), self.clock())
-        self.store(known, known.crashes | {crash}, known.cleared)
+        """Note that a request failed in the crash of an endpoint.
+
+        A request on probation there failed too; it is noted first, since
+        its evidence may explain the crash for the others.
+        """
+        suspect = self.probations.get(endpoint)
+        for failed in dict.fromkeys((suspect or fingerprint, fingerprint)):
+            known = self.find(failed)
+            crash = Crash(
+                endpoint, failed == suspect, self.new_id(), self.clock()
+            )
+            self.store(known, known.crashes | {crash}, known.cleared)
 
     def answered(self, fingerprint):
         """Note a whole answer, which refutes all crashes known so far."""
