Hold a request with two crashes until peers can explain them

Change: two crashes without a probation wait 2 s for a verdict; a suspect whose endpoint crashed may run again if the crash is explained. Conclusion: the wait costs the harmful request two seconds, not endpoints.

--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -51,6 +51,7 @@
         self.finished = False
         self.may_have_run = False
         self.on_probation = False
+        self.crashed = False
         self.replaced = frozenset()
         self.spare = frozenset()
         self.digests = ()
@@ -153,7 +154,7 @@
         """Select the endpoint of the next dispatch.
 
         A suspect waits while every endpoint that it may use is taken by
-        the probation of another suspect.
+        the probation of another suspect, and while its verdict is open.
 
         :raises errors.HarmfulRequest: if the request crashes endpoints.
         :raises errors.DeadlineExceeded: if the deadline has passed.
@@ -169,6 +170,9 @@
                     'deadline passed before dispatch',
                 )
             isolation = self.recovery.isolation(attempt)
+            if isolation.held:
+                await curio.sleep(PROBATION_POLL_SECONDS)
+                continue
             chosen = self.select(attempt, isolation)
             if chosen is not None:
                 break
--- a/celeryward/endpoints/fingerprints.py
+++ b/celeryward/endpoints/fingerprints.py
@@ -24,6 +24,8 @@
 EVIDENCE_SECONDS = 3600.0
 # Daemons see one crash within a probe timeout and the age of their clocks.
 SAME_CRASH_SECONDS = 3.0
+# Two rounds of gossip.
+VERDICT_SECONDS = 2.0
 # About 5 MB; the oldest evidence goes first.
 MAX_EVIDENCE = 10000
 
@@ -182,6 +184,18 @@
             )
         )
 
+    def pending(self, fingerprint):
+        """Return whether a refusal should wait for evidence of peers.
+
+        Two crashes without a probation may be explained by a culprit that
+        another daemon ran; its evidence arrives with the next gossip.
+        """
+        known = self.find(fingerprint)
+        if known.proven():
+            return False
+        newest = max((crash.at for crash in known.crashes), default=0.0)
+        return self.clock() - newest < VERDICT_SECONDS
+
     def unexplained(self, known):
         """Return the crashes in which no proven culprit ran."""
         return {
--- a/celeryward/endpoints/recovery.py
+++ b/celeryward/endpoints/recovery.py
@@ -24,10 +24,12 @@
     :param frozenset probations: endpoints with a suspect on probation.
     :param frozenset crashed: endpoints that crashed while running the
         request, which is a suspect if there are any.
+    :param bool held: whether the request waits for a verdict.
     """
 
     probations: frozenset = frozenset()
     crashed: frozenset = frozenset()
+    held: bool = False
 
 
 NO_ISOLATION = Isolation()
@@ -57,20 +59,23 @@
         """
         if not self.suspects.active():
             return NO_ISOLATION
-        self.refuse_harmful(attempt)
         return Isolation(
             frozenset(self.suspects.probations),
             self.suspects.endpoints(attempt.fingerprint),
+            self.refuse_harmful(attempt),
         )
 
     def refuse_harmful(self, attempt):
         """Raise the error of a request that has crashed two endpoints.
 
+        :returns: whether the verdict is open, so that the request waits.
         :raises errors.HarmfulRequest: not run if no dispatch was sent.
         """
         checked = self.suspects.check(attempt.fingerprint)
         if checked.is_ok():
-            return
+            return False
+        if self.suspects.pending(attempt.fingerprint):
+            return True
         error = checked.unwrap_err()
         if attempt.may_have_run:
             error.execution = errors.Execution.UNKNOWN
@@ -80,6 +85,7 @@
         """Note a dispatch."""
         if attempt.dispatches == 1:
             self.budget.first_dispatch()
+        attempt.crashed = False
         attempt.on_probation = bool(isolation.crashed)
         if attempt.on_probation:
             self.suspects.begin_probation(
@@ -131,8 +137,9 @@
             return action
         if attempt.dispatches >= MAX_DISPATCHES:
             return retries.Action.FAIL
-        # A suspect that has run on probation is not run again.
-        if attempt.on_probation and error.sent:
+        # A suspect that has run on probation is not run again, unless the
+        # crash of its endpoint turns out to be the work of another request.
+        if attempt.on_probation and error.sent and not attempt.crashed:
             return retries.Action.FAIL
         if not self.budget.take():
             return retries.Action.FAIL
@@ -158,6 +165,7 @@
             await self.connections.close_idle(endpoint)
             if error.sent and not silent:
                 self.suspects.crashed(endpoint.name, attempt.fingerprint)
+                attempt.crashed = True
                 self.refuse_harmful(attempt)
             return
         first_time = endpoint.name not in attempt.replaced
--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -165,6 +165,24 @@
         assert not one.refused('innocent')
 
 
+class TestVerdicts:
+    """Guards against a refusal before peers could explain the crashes."""
+
+    def test_two_crashes_without_probation_wait_for_peers(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        daemon.crash('e2', 'f')
+        assert daemon.suspects.pending('f')
+        daemon.now += fingerprints.VERDICT_SECONDS
+        assert not daemon.suspects.pending('f')
+
+    def test_a_crash_on_probation_does_not_wait(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        daemon.crash('e2', 'f', alone='f')
+        assert not daemon.suspects.pending('f')
+
+
 class TestDispatches:
     """Guards against a harmful request that goes around the fleet."""
 
@@ -247,6 +265,23 @@
 
         with_engines(test)
 
+    def test_an_open_verdict_holds_a_request(self, with_engines):
+        async def test(started):
+            suspects = started.recovery.suspects
+            attempt = started.attempt('x')
+            for name in ('engine-0', 'engine-1'):
+                suspects.crashed(name, attempt.fingerprint)
+            waiting = await curio.spawn(started.stream, attempt)
+            await curio.sleep(0.1)
+            assert attempt.dispatches == 0
+            for name in ('engine-0', 'engine-1'):
+                suspects.begin_probation(name, 'culprit')
+                suspects.crashed(name, 'culprit')
+                suspects.end_probation(name, 'culprit')
+            assert await waiting.join()
+
+        with_engines(test)
+
     def test_a_suspect_waits_for_a_free_endpoint(self, with_engines):
         async def test(started):
             suspects = started.recovery.suspects
