--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -51,6 +51,11 @@
             self.refuse_harmful(attempt)
         return recovery.NO_ISOLATION
 
+    def refuse_harmful(self, attempt):
+        """Refuse at the second crash, without waiting for peers."""
+        errors.unwrap(self.suspects.check(attempt.fingerprint))
+        return False
+
 
 RULES = {
     'no fingerprints': (NoFingerprints, recovery.Recovery),
--- a/celeryward/endpoints/fingerprints.py
+++ b/celeryward/endpoints/fingerprints.py
@@ -151,6 +151,7 @@
         self.revision = 0
         self.probations = {}
         self.explained = {}
+        self.answers = {}
 
     def active(self):
         """Return whether there is any evidence to look up."""
@@ -172,7 +173,7 @@
         """Return ``Ok``, or ``Err(HarmfulRequest)`` for a refused request."""
         known = self.find(fingerprint)
         crashed = count(known.open_crashes())
-        if not known.proven():
+        if not self.proven(known):
             crashed = count(self.unexplained(known))
         if crashed < CRASHES_TO_REFUSE:
             return result.Ok(None)
@@ -184,6 +185,14 @@
             )
         )
 
+    def proven(self, known):
+        """Return whether a request is a proven culprit.
+
+        Suspects of two daemons may be on probation at one endpoint; one that
+        was answered not long before is then the less likely culprit.
+        """
+        return known.proven() and known.fingerprint not in self.answers
+
     def pending(self, fingerprint):
         """Return whether a refusal should wait for evidence of peers.
 
@@ -191,7 +200,7 @@
         another daemon ran; its evidence arrives with the next gossip.
         """
         known = self.find(fingerprint)
-        if known.proven():
+        if self.proven(known):
             return False
         newest = max((crash.at for crash in known.crashes), default=0.0)
         return self.clock() - newest < VERDICT_SECONDS
@@ -236,6 +245,10 @@
 
     def answered(self, fingerprint):
         """Note a whole answer, which refutes all crashes known so far."""
+        self.answers.pop(fingerprint, None)
+        self.answers[fingerprint] = self.clock()
+        if len(self.answers) > MAX_EVIDENCE:
+            del self.answers[next(iter(self.answers))]
         known = self.evidence.get(fingerprint)
         if known is not None and known.crashes - known.cleared:
             self.store(known, known.crashes, known.crashes)
@@ -253,7 +266,7 @@
         )
         self.evidence.pop(known.fingerprint, None)
         self.evidence[known.fingerprint] = changed
-        if changed.proven():
+        if self.proven(changed):
             self.explain(changed)
         if len(self.evidence) > MAX_EVIDENCE:
             del self.evidence[next(iter(self.evidence))]
--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -98,6 +98,16 @@
         assert not daemon.refused('innocent')
         assert daemon.suspects.is_suspect('innocent')
 
+    def test_an_answered_prompt_survives_a_shared_probation(self):
+        daemon = Daemon()
+        daemon.suspects.answered('popular')
+        daemon.crash('e1', 'culprit', 'popular')
+        daemon.crash('e2', 'popular', alone='popular')
+        assert daemon.refused('popular')
+        daemon.crash('e2', 'culprit', alone='culprit')
+        assert daemon.refused('culprit')
+        assert not daemon.refused('popular')
+
     def test_evidence_expires(self):
         daemon = Daemon()
         daemon.crash('e1', 'f')
