Drop expired evidence of crashes before it is looked up

Cause: expired evidence that nobody asked for kept every later request computing its fingerprint. Change: the check for any evidence removes expired entries, oldest first. Conclusion: without evidence no request is hashed.

--- a/celeryward/endpoints/fingerprints.py
+++ b/celeryward/endpoints/fingerprints.py
@@ -154,8 +154,18 @@
         self.answers = {}
 
     def active(self):
-        """Return whether there is any evidence to look up."""
-        return bool(self.evidence)
+        """Return whether there is any evidence to look up.
+
+        Without any, no request needs a fingerprint. The oldest comes first.
+        """
+        now = self.clock()
+        while self.evidence:
+            oldest = next(iter(self.evidence.values()))
+            if oldest.expires_at > now:
+                return True
+            del self.evidence[oldest.fingerprint]
+        self.answers.clear()
+        return False
 
     def find(self, fingerprint):
         """Return the :class:`Evidence` of a fingerprint."""
