--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import time
+import uuid
 
 import curio
 import result
@@ -56,6 +57,7 @@
         self.billed = False
         self.may_have_run = False
         self.on_probation = False
+        self.crashed = False
         self.replaced = frozenset()
         self.spare = frozenset()
         self.digests = ()
@@ -102,10 +104,11 @@
     def dispatched_call(self):
         """Return the call under an id of its own for this dispatch.
 
-        Tiers of a cascade and retries share a request id; a late response
-        to one of them must not pass as the response to another.
+        Retries and the tiers of a cascade share a request id, and callers
+        may choose equal ones; a late response to one dispatch must not pass
+        as the response to another.
         """
-        request_id = f'{self.call.request_id}.{self.model}.{self.dispatches}'
+        request_id = f'{self.call.request_id}.{uuid.uuid4().hex[:12]}'
         return dataclasses.replace(self.call, request_id=request_id)
 
     def take_spare(self):
@@ -233,7 +236,7 @@
         """Select among the endpoints of the newest catalog.
 
         A suspect waits while every endpoint that it may use is taken by
-        the probation of another suspect.
+        the probation of another suspect, and while its verdict is open.
 
         :raises errors.HarmfulRequest: if the request crashes endpoints.
         :raises errors.DeadlineExceeded: if the deadline has passed.
@@ -248,6 +251,9 @@
                 )
             self.keep_runnable(attempt)
             isolation = self.recovery.isolation(attempt)
+            if isolation.held:
+                await curio.sleep(PROBATION_POLL_SECONDS)
+                continue
             chosen = self.select(attempt, isolation)
             if chosen is not None:
                 break
@@ -340,11 +346,9 @@
             async with contextlib.aclosing(chunks):
                 # Taken outside of the loop, which runs for each token.
                 first = await anext(chunks)
-                self.view.load.first_token(
-                    chosen.endpoint.name,
-                    time.monotonic() - started,
-                    expected,
-                )
+                seconds = time.monotonic() - started
+                name = chosen.endpoint.name
+                self.view.load.first_token(name, seconds, expected)
                 self.recovery.end_probation(attempt)
                 if first.usage is not None:
                     attempt.add_last_run(first.usage, first.tokens)
@@ -446,7 +450,7 @@
         return pool.ReadTimings(
             call.deadline,
             self.view.load.first_byte_limit(
-                endpoint.name,
+                endpoint,
                 self.timings.progress_timeout,
                 self.timings.first_byte_timeout,
             ),
--- a/celeryward/endpoints/fingerprints.py
+++ b/celeryward/endpoints/fingerprints.py
@@ -24,6 +24,8 @@
 EVIDENCE_SECONDS = 3600.0
 # Daemons see one crash within a probe timeout and the age of their clocks.
 SAME_CRASH_SECONDS = 3.0
+# Two rounds of gossip.
+VERDICT_SECONDS = 2.0
 # About 5 MB; the oldest evidence goes first.
 MAX_EVIDENCE = 10000
 
@@ -149,10 +151,21 @@
         self.revision = 0
         self.probations = {}
         self.explained = {}
+        self.answers = {}
 
     def active(self):
-        """Return whether there is any evidence to look up."""
-        return bool(self.evidence)
+        """Return whether there is any evidence to look up.
+
+        Without any, no request needs a fingerprint. The oldest comes first.
+        """
+        now = self.clock()
+        while self.evidence:
+            oldest = next(iter(self.evidence.values()))
+            if oldest.expires_at > now:
+                return True
+            del self.evidence[oldest.fingerprint]
+        self.answers.clear()
+        return False
 
     def find(self, fingerprint):
         """Return the :class:`Evidence` of a fingerprint."""
@@ -170,7 +183,7 @@
         """Return ``Ok``, or ``Err(HarmfulRequest)`` for a refused request."""
         known = self.find(fingerprint)
         crashed = count(known.open_crashes())
-        if not known.proven():
+        if not self.proven(known):
             crashed = count(self.unexplained(known))
         if crashed < CRASHES_TO_REFUSE:
             return result.Ok(None)
@@ -182,6 +195,26 @@
             )
         )
 
+    def proven(self, known):
+        """Return whether a request is a proven culprit.
+
+        Suspects of two daemons may be on probation at one endpoint; one that
+        was answered not long before is then the less likely culprit.
+        """
+        return known.proven() and known.fingerprint not in self.answers
+
+    def pending(self, fingerprint):
+        """Return whether a refusal should wait for evidence of peers.
+
+        Two crashes without a probation may be explained by a culprit that
+        another daemon ran; its evidence arrives with the next gossip.
+        """
+        known = self.find(fingerprint)
+        if self.proven(known):
+            return False
+        newest = max((crash.at for crash in known.crashes), default=0.0)
+        return self.clock() - newest < VERDICT_SECONDS
+
     def unexplained(self, known):
         """Return the crashes in which no proven culprit ran."""
         return {
@@ -207,14 +240,25 @@
             del self.probations[endpoint]
 
     def crashed(self, endpoint, fingerprint):
-        """Note that a request failed in the crash of an endpoint."""
-        known = self.find(fingerprint)
-        alone = self.probations.get(endpoint) == fingerprint
-        crash = Crash(endpoint, alone, self.new_id(), self.clock())
-        self.store(known, known.crashes | {crash}, known.cleared)
+        """Note that a request failed in the crash of an endpoint.
+
+        A request on probation there failed too; it is noted first, since
+        its evidence may explain the crash for the others.
+        """
+        suspect = self.probations.get(endpoint)
+        for failed in dict.fromkeys((suspect or fingerprint, fingerprint)):
+            known = self.find(failed)
+            crash = Crash(
+                endpoint, failed == suspect, self.new_id(), self.clock()
+            )
+            self.store(known, known.crashes | {crash}, known.cleared)
 
     def answered(self, fingerprint):
         """Note a whole answer, which refutes all crashes known so far."""
+        self.answers.pop(fingerprint, None)
+        self.answers[fingerprint] = self.clock()
+        if len(self.answers) > MAX_EVIDENCE:
+            del self.answers[next(iter(self.answers))]
         known = self.evidence.get(fingerprint)
         if known is not None and known.crashes - known.cleared:
             self.store(known, known.crashes, known.crashes)
@@ -232,7 +276,7 @@
         )
         self.evidence.pop(known.fingerprint, None)
         self.evidence[known.fingerprint] = changed
-        if changed.proven():
+        if self.proven(changed):
             self.explain(changed)
         if len(self.evidence) > MAX_EVIDENCE:
             del self.evidence[next(iter(self.evidence))]
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -219,7 +219,10 @@
     splitter = EventSplitter()
     last = b''
     tokens = 0
-    pieces = connection.receive_chunks('read stream', timings.progress)
+    # Engines may send the head before the request leaves their queue.
+    pieces = connection.receive_chunks(
+        'read stream', timings.progress, timings.first_byte()
+    )
     async with contextlib.aclosing(pieces):
         async for piece in pieces:
             events = splitter.split(piece)
--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -93,16 +93,27 @@
     def test_an_innocent_beside_a_proven_culprit_is_not_refused(self):
         daemon = Daemon()
         daemon.crash('e1', 'culprit', 'innocent')
-        daemon.crash('e2', 'innocent', 'culprit', alone='culprit')
+        daemon.crash('e2', 'innocent', alone='culprit')
         assert daemon.refused('culprit')
         assert not daemon.refused('innocent')
         assert daemon.suspects.is_suspect('innocent')
 
+    def test_an_answered_prompt_survives_a_shared_probation(self):
+        daemon = Daemon()
+        daemon.suspects.answered('popular')
+        daemon.crash('e1', 'culprit', 'popular')
+        daemon.crash('e2', 'popular', alone='popular')
+        assert daemon.refused('popular')
+        daemon.crash('e2', 'culprit', alone='culprit')
+        assert daemon.refused('culprit')
+        assert not daemon.refused('popular')
+
     def test_evidence_expires(self):
         daemon = Daemon()
         daemon.crash('e1', 'f')
         daemon.crash('e2', 'f')
         daemon.now += fingerprints.EVIDENCE_SECONDS + 1
+        assert not daemon.suspects.active()
         assert not daemon.refused('f')
         assert daemon.suspects.export() == ()
 
@@ -165,6 +176,24 @@
         assert not one.refused('innocent')
 
 
+class TestVerdicts:
+    """Guards against a refusal before peers could explain the crashes."""
+
+    def test_two_crashes_without_probation_wait_for_peers(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        daemon.crash('e2', 'f')
+        assert daemon.suspects.pending('f')
+        daemon.now += fingerprints.VERDICT_SECONDS
+        assert not daemon.suspects.pending('f')
+
+    def test_a_crash_on_probation_does_not_wait(self):
+        daemon = Daemon()
+        daemon.crash('e1', 'f')
+        daemon.crash('e2', 'f', alone='f')
+        assert not daemon.suspects.pending('f')
+
+
 class TestDispatches:
     """Guards against a harmful request that goes around the fleet."""
 
@@ -247,6 +276,23 @@
 
         with_engines(test)
 
+    def test_an_open_verdict_holds_a_request(self, with_engines):
+        async def test(started):
+            suspects = started.recovery.suspects
+            attempt = started.attempt('x')
+            for name in ('engine-0', 'engine-1'):
+                suspects.crashed(name, attempt.fingerprint)
+            waiting = await curio.spawn(started.stream, attempt)
+            await curio.sleep(0.1)
+            assert attempt.dispatches == 0
+            for name in ('engine-0', 'engine-1'):
+                suspects.begin_probation(name, 'culprit')
+                suspects.crashed(name, 'culprit')
+                suspects.end_probation(name, 'culprit')
+            assert await waiting.join()
+
+        with_engines(test)
+
     def test_a_suspect_waits_for_a_free_endpoint(self, with_engines):
         async def test(started):
             suspects = started.recovery.suspects
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,5 +1,8 @@
 """Whole responses, resumed streams and silent connections."""
 
+import contextlib
+import dataclasses
+
 import curio
 import h11
 import pytest
@@ -11,6 +14,8 @@
 
 VERSIONS = (fleet.VERSION.name,)
 TOKENS = 16
+SHORT = fleet.SILENCE_TIMINGS
+SHORT_PROBE_SECONDS = 0.25
 
 
 class FaultyEngine(engine.EngineStandIn):
@@ -88,15 +93,10 @@
 
         with_fleet(test, faulty)
 
-    def test_every_dispatch_has_an_id_of_its_own(self, with_fleet):
-        async def test(started):
-            attempt = started.attempt('x', False)
-            await started.whole(attempt)
-            first = attempt.dispatched_call().request_id
-            attempt.dispatches += 1
-            assert attempt.dispatched_call().request_id != first
-
-        with_fleet(test, make_engine())
+    def test_every_dispatch_has_an_id_of_its_own(self):
+        attempt = fleet.Fleet([]).attempt('x')
+        ids = {attempt.dispatched_call().request_id for _ in range(100)}
+        assert len(ids) == 100
 
 
 class TestResumedStreams:
@@ -139,6 +139,31 @@
 
         with_fleet(test, *engines)
 
+    def test_caller_that_leaves_after_a_resume_pays_what_it_got(
+        self, with_fleet
+    ):
+        broken = make_engine()
+        broken.break_after = 5
+        slow = make_engine()
+        slow.token_seconds = 0.005
+
+        async def test(started):
+            started.view.load.started('engine-1')
+            attempt = started.attempt('x')
+            chunks = started.dispatcher.stream(attempt)
+            async with contextlib.aclosing(chunks):
+                async for _ in chunks:
+                    if attempt.emitted_tokens >= 8:
+                        break
+            for _ in range(2):
+                attempt.add_partial_run()
+            received = attempt.resume_point().tokens
+            used = [run.usage.answer_tokens for run in attempt.runs]
+            assert used == [5, received - 5]
+            assert not attempt.finished
+
+        with_fleet(test, broken, slow)
+
     def test_without_a_resuming_engine_the_error_is_clear(self, with_fleet):
         broken = make_engine()
         broken.break_after = 5
@@ -190,7 +215,7 @@
             ]
             assert len(idle) == 1
 
-        with_fleet(test, only)
+        with_fleet(test, only, timings=SHORT)
 
     def test_silence_inside_a_stream_resumes_it(self, with_fleet):
         silent = make_engine()
@@ -199,17 +224,26 @@
         async def test(started):
             started.view.load.started('engine-1')
             attempt = started.attempt('x')
+            assert await started.stream(attempt) == expected_text('x')
+            assert started.view.liveness.is_live('engine-0')
 
-            async def heal():
-                await curio.sleep(0.1)
-                silent.silent_after = None
+        with_fleet(test, silent, make_engine(), timings=SHORT)
 
-            healing = await curio.spawn(heal)
+    def test_a_head_that_is_sent_early_does_not_shorten_the_queue(
+        self, with_fleet
+    ):
+        queueing = make_engine()
+        queueing.first_token_seconds = 0.8
+        timings = dataclasses.replace(
+            fleet.TIMINGS, progress_timeout=0.5, first_byte_timeout=10.0
+        )
+
+        async def test(started):
+            attempt = started.attempt('x')
             assert await started.stream(attempt) == expected_text('x')
-            await healing.join()
-            assert started.view.liveness.is_live('engine-0')
+            assert attempt.dispatches == 1
 
-        with_fleet(test, silent, make_engine())
+        with_fleet(test, queueing, timings=timings)
 
     def test_silence_inside_a_whole_answer_ends(self, with_fleet):
         class HalfSilent(engine.EngineStandIn):
@@ -228,7 +262,8 @@
             attempt = started.attempt('x', False)
             assert await started.whole(attempt) == expected_text('x')
 
-        with_fleet(test, HalfSilent(VERSIONS), make_engine())
+        engines = (HalfSilent(VERSIONS), make_engine())
+        with_fleet(test, *engines, timings=SHORT)
 
     def test_endpoint_that_fails_the_probe_is_suspect(self, with_fleet):
         class Frozen(engine.EngineStandIn):
@@ -241,7 +276,9 @@
             assert await started.stream(attempt) == expected_text('x')
             assert not started.view.liveness.is_live('engine-0')
 
-        with_fleet(test, Frozen(VERSIONS), make_engine())
+        engines = (Frozen(VERSIONS), make_engine())
+        timings = dataclasses.replace(SHORT, probe_timeout=SHORT_PROBE_SECONDS)
+        with_fleet(test, *engines, timings=timings)
 
     def test_requests_that_fail_together_share_a_probe(self, with_fleet):
         only = make_engine()
