Write coroutine tests without inner functions

Cause: each test wrapped its body twice. Change: a decorator runs the test on a new kernel; no check changed.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,12 +1,31 @@
 """Small fakes that several tests share."""
 
 import dataclasses
+import functools
 
+import curio
 import result
 
 from celeryward import errors
 
 
+TEST_SECONDS = 60.0
+
+
+def in_kernel(test):
+    """Run a coroutine test on a new kernel."""
+
+    @functools.wraps(test)
+    def run(*arguments, **fixtures):
+        async def guarded():
+            async with curio.timeout_after(TEST_SECONDS):
+                await test(*arguments, **fixtures)
+
+        curio.run(guarded)
+
+    return run
+
+
 class Clock:
     """A monotonic clock that only tests move."""
 
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -10,6 +10,7 @@
 from celeryward.raters import cascades
 from celeryward.raters import estimates
 from celeryward.raters import quality
+from tests import fakes
 
 KIND = cascades.Kind('workshop', 'auto', 'short', 'chat')
 SCOPE = quality.Scope(KIND, 2, 0.8)
@@ -96,93 +97,83 @@
         learner.health.plans_valid_until = deadlines.Deadline(0.0)
         assert learner.choose(KIND, 2, 0.8).plan == STRONG
 
-    def test_dead_service_costs_one_request_a_rating(self, run):
-        async def test():
-            cluster = demo.Cluster()
-            await cluster.start()
-            await cluster.rater.stop()
-            for _ in range(3):
-                example = demo.chat('', 'auto', 'x')
-                head, _ = await demo.send(
-                    cluster.daemon.listener.port, example
-                )
-                assert head.headers['x-served-by'] == 'large@1'
-            assert cluster.small.started['small@1'] == 1
-            assert cluster.large.started['large@1'] == 3
-            await cluster.stop()
-
-        run(test)
+    @fakes.in_kernel
+    async def test_dead_service_costs_one_request_a_rating(self):
+        cluster = demo.Cluster()
+        await cluster.start()
+        await cluster.rater.stop()
+        for _ in range(3):
+            example = demo.chat('', 'auto', 'x')
+            head, _ = await demo.send(cluster.daemon.listener.port, example)
+            assert head.headers['x-served-by'] == 'large@1'
+        assert cluster.small.started['small@1'] == 1
+        assert cluster.large.started['large@1'] == 3
+        await cluster.stop()
 
 
 class TestStreams:
     """Guards against holding an answer that needs no rating."""
 
-    def test_single_tier_streams_before_the_answer_is_complete(self, run):
-        async def test():
-            cluster = demo.Cluster()
-            more = curio.Event()
-
-            async def wait_after_four(connection, index):
-                if index == 4:
-                    await more.wait()
-
-            cluster.large.inject_fault = wait_after_four
-            await cluster.start()
-            await set_rule(cluster, 'learned')
-            port = cluster.daemon.listener.port
-            sock = await curio.open_connection('127.0.0.1', port)
-            body = (
-                b'{"model":"auto","stream":true,"messages":'
-                b'[{"role":"user","content":"x"}]}'
-            )
-            head = (
-                'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
-                f'authorization: Bearer {demo.KEY}\r\n'
-                f'content-length: {len(body)}\r\n\r\n'
-            )
-            await sock.sendall(head.encode() + body)
-            received = b''
-            while received.count(b'"delta"') < 4:
-                received += await sock.recv(65536)
-            assert cluster.rater.rated == 0
-            await more.set()
-            while b'[DONE]' not in received:
-                received += await sock.recv(65536)
-            await sock.close()
-            await cluster.stop()
-
-        run(test)
+    @fakes.in_kernel
+    async def test_single_tier_streams_before_the_answer_is_complete(self):
+        cluster = demo.Cluster()
+        more = curio.Event()
+
+        async def wait_after_four(connection, index):
+            if index == 4:
+                await more.wait()
+
+        cluster.large.inject_fault = wait_after_four
+        await cluster.start()
+        await set_rule(cluster, 'learned')
+        port = cluster.daemon.listener.port
+        sock = await curio.open_connection('127.0.0.1', port)
+        body = (
+            b'{"model":"auto","stream":true,"messages":'
+            b'[{"role":"user","content":"x"}]}'
+        )
+        head = (
+            'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
+            f'authorization: Bearer {demo.KEY}\r\n'
+            f'content-length: {len(body)}\r\n\r\n'
+        )
+        await sock.sendall(head.encode() + body)
+        received = b''
+        while received.count(b'"delta"') < 4:
+            received += await sock.recv(65536)
+        assert cluster.rater.rated == 0
+        await more.set()
+        while b'[DONE]' not in received:
+            received += await sock.recv(65536)
+        await sock.close()
+        await cluster.stop()
 
 
 class TestCapacity:
     """Guards against a refusal while a stronger tier has capacity."""
 
-    def test_refused_cheap_tier_is_replaced_by_the_strongest(self, run):
-        async def test():
-            cluster = demo.Cluster()
-            await cluster.start()
-            await set_rule(cluster, 'cheap')
-            cluster.small.refusing = True
-            port = cluster.daemon.listener.port
-            head, _ = await demo.send(port, demo.chat('', 'auto', 'x'))
-            assert head.headers['x-served-by'] == 'large@1'
-            await cluster.stop()
-
-        run(test)
-
-    def test_rejected_answer_is_kept_if_no_stronger_tier_runs(self, run):
-        async def test():
-            cluster = demo.Cluster()
-            await cluster.start()
-            cluster.large.refusing = True
-            port = cluster.daemon.listener.port
-            example = demo.chat('', 'auto', 'long ' * 60)
-            head, _ = await demo.send(port, example)
-            assert head.status == 200
-            assert head.headers['x-served-by'] == 'small@1'
-            await cluster.stop()
-
-        run(test)
+    @fakes.in_kernel
+    async def test_refused_cheap_tier_is_replaced_by_the_strongest(self):
+        cluster = demo.Cluster()
+        await cluster.start()
+        await set_rule(cluster, 'cheap')
+        cluster.small.refusing = True
+        port = cluster.daemon.listener.port
+        head, _ = await demo.send(port, demo.chat('', 'auto', 'x'))
+        assert head.headers['x-served-by'] == 'large@1'
+        await cluster.stop()
+
+    @fakes.in_kernel
+    async def test_rejected_answer_is_kept_if_no_stronger_tier_runs(self):
+        cluster = demo.Cluster()
+        await cluster.start()
+        cluster.large.refusing = True
+        port = cluster.daemon.listener.port
+        example = demo.chat('', 'auto', 'long ' * 60)
+        head, _ = await demo.send(port, example)
+        assert head.status == 200
+        assert head.headers['x-served-by'] == 'small@1'
+        await cluster.stop()
 
 
 async def set_rule(cluster, rule):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -21,139 +21,119 @@
 class TestTakeover:
     """Guards against two holders at once and repeated fencing numbers."""
 
-    def test_one_of_two_becomes_the_holder(self, run, objects):
-        async def test():
-            first, second = contender(objects, 'a'), contender(objects, 'b')
-            await first.step()
-            await second.step()
-            assert first.held(5.0).unwrap().fence == 1
-            assert second.held(0.0).is_err()
-
-        run(test)
-
-    def test_paused_holder_has_stopped_before_the_takeover(
-        self, run, objects, clock
+    @fakes.in_kernel
+    async def test_one_of_two_becomes_the_holder(self, objects):
+        first, second = contender(objects, 'a'), contender(objects, 'b')
+        await first.step()
+        await second.step()
+        assert first.held(5.0).unwrap().fence == 1
+        assert second.held(0.0).is_err()
+
+    @fakes.in_kernel
+    async def test_paused_holder_has_stopped_before_the_takeover(
+        self, objects, clock
     ):
-        async def test():
-            first, second = contender(objects, 'a'), contender(objects, 'b')
-            await first.step()
-            await second.step()
-            # Each clock may be off by the margin, in opposite directions.
-            clock.now += leases.DURATION_SECONDS * (1 - leases.RATE_MARGIN)
-            assert first.held(0.0).is_err()
-            await second.step()
-            assert second.held(0.0).is_err()
-            clock.now += leases.DURATION_SECONDS * 2 * leases.RATE_MARGIN
-            await second.step()
-            assert second.held(0.0).unwrap().fence == 2
-            await first.step()
-            assert first.held(0.0).is_err()
-
-        run(test)
-
-    def test_renewals_of_a_live_holder_prevent_a_takeover(
-        self, run, objects, clock
+        first, second = contender(objects, 'a'), contender(objects, 'b')
+        await first.step()
+        await second.step()
+        # Each clock may be off by the margin, in opposite directions.
+        clock.now += leases.DURATION_SECONDS * (1 - leases.RATE_MARGIN)
+        assert first.held(0.0).is_err()
+        await second.step()
+        assert second.held(0.0).is_err()
+        clock.now += leases.DURATION_SECONDS * 2 * leases.RATE_MARGIN
+        await second.step()
+        assert second.held(0.0).unwrap().fence == 2
+        await first.step()
+        assert first.held(0.0).is_err()
+
+    @fakes.in_kernel
+    async def test_renewals_of_a_live_holder_prevent_a_takeover(
+        self, objects, clock
     ):
-        async def test():
-            first, second = contender(objects, 'a'), contender(objects, 'b')
-            for _ in range(20):
-                await first.step()
-                await second.step()
-                clock.now += leases.RENEWAL_SECONDS
-            assert first.held(0.0).unwrap().fence == 1
-            assert second.held(0.0).is_err()
-
-        run(test)
-
-    def test_restarted_daemon_gets_a_higher_number(self, run, objects, clock):
-        async def test():
-            await contender(objects, 'a-run-1').step()
-            restarted = contender(objects, 'a-run-2')
-            await restarted.step()
-            assert restarted.held(0.0).is_err()
-            clock.now += EXPIRY
-            await restarted.step()
-            grant = restarted.held(0.0).unwrap()
-            assert (grant.fence, grant.clean) == (2, False)
-
-        run(test)
-
-    def test_released_lease_is_taken_at_once(self, run, objects):
-        async def test():
-            first, second = contender(objects, 'a'), contender(objects, 'b')
+        first, second = contender(objects, 'a'), contender(objects, 'b')
+        for _ in range(20):
             await first.step()
-            await first.release()
-            assert first.held(0.0).is_err()
             await second.step()
-            grant = second.held(0.0).unwrap()
-            assert (grant.fence, grant.clean) == (2, True)
-
-        run(test)
-
-    def test_holder_cleared_by_an_operator_is_no_clean_release(
-        self, run, objects
+            clock.now += leases.RENEWAL_SECONDS
+        assert first.held(0.0).unwrap().fence == 1
+        assert second.held(0.0).is_err()
+
+    @fakes.in_kernel
+    async def test_restarted_daemon_gets_a_higher_number(self, objects, clock):
+        await contender(objects, 'a-run-1').step()
+        restarted = contender(objects, 'a-run-2')
+        await restarted.step()
+        assert restarted.held(0.0).is_err()
+        clock.now += EXPIRY
+        await restarted.step()
+        grant = restarted.held(0.0).unwrap()
+        assert (grant.fence, grant.clean) == (2, False)
+
+    @fakes.in_kernel
+    async def test_released_lease_is_taken_at_once(self, objects):
+        first, second = contender(objects, 'a'), contender(objects, 'b')
+        await first.step()
+        await first.release()
+        assert first.held(0.0).is_err()
+        await second.step()
+        grant = second.held(0.0).unwrap()
+        assert (grant.fence, grant.clean) == (2, True)
+
+    @fakes.in_kernel
+    async def test_holder_cleared_by_an_operator_is_no_clean_release(
+        self, objects
     ):
-        async def test():
-            first, second = contender(objects, 'a'), contender(objects, 'b')
-            await first.step()
-            cleared = protocol.StoredObject(
-                'Lease', 'rollouts', {'holder': '', 'fence': 1}
-            )
-            objects.force(cleared)
-            await first.step()
-            assert first.held(0.0).is_err()
-            await second.step()
-            grant = second.held(0.0).unwrap()
-            assert (grant.fence, grant.clean) == (2, False)
-
-        run(test)
+        first, second = contender(objects, 'a'), contender(objects, 'b')
+        await first.step()
+        cleared = protocol.StoredObject(
+            'Lease', 'rollouts', {'holder': '', 'fence': 1}
+        )
+        objects.force(cleared)
+        await first.step()
+        assert first.held(0.0).is_err()
+        await second.step()
+        grant = second.held(0.0).unwrap()
+        assert (grant.fence, grant.clean) == (2, False)
 
 
 class TestLostAnswers:
     """Guards against a wrong belief after an unknown write."""
 
-    def test_lost_answer_to_a_takeover_is_read_back(self, run, objects):
-        async def test():
-            objects.lose = 1
-            first = contender(objects, 'a')
-            await first.step()
-            assert first.held(0.0).unwrap().fence == 1
-
-        run(test)
-
-    def test_lost_answer_to_a_renewal_is_read_back(self, run, objects, clock):
-        async def test():
-            first = contender(objects, 'a')
-            await first.step()
-            before = first.held(0.0).unwrap().deadline
-            clock.now += leases.RENEWAL_SECONDS
-            objects.lose = 1
-            await first.step()
-            assert first.held(0.0).unwrap().deadline > before
-
-        run(test)
-
-    def test_renewal_that_did_not_happen_extends_nothing(
-        self, run, objects, clock
+    @fakes.in_kernel
+    async def test_lost_answer_to_a_takeover_is_read_back(self, objects):
+        objects.lose = 1
+        first = contender(objects, 'a')
+        await first.step()
+        assert first.held(0.0).unwrap().fence == 1
+
+    @fakes.in_kernel
+    async def test_lost_answer_to_a_renewal_is_read_back(self, objects, clock):
+        first = contender(objects, 'a')
+        await first.step()
+        before = first.held(0.0).unwrap().deadline
+        clock.now += leases.RENEWAL_SECONDS
+        objects.lose = 1
+        await first.step()
+        assert first.held(0.0).unwrap().deadline > before
+
+    @fakes.in_kernel
+    async def test_renewal_that_did_not_happen_extends_nothing(
+        self, objects, clock
     ):
-        async def test():
-            first = contender(objects, 'a')
-            await first.step()
-            before = first.held(0.0).unwrap().deadline
-            clock.now += leases.RENEWAL_SECONDS
-            objects.away = True
-            await first.step()
-            assert first.held(0.0).unwrap().deadline == before
-
-        run(test)
-
-    def test_holder_that_meets_another_one_stops_at_once(self, run, objects):
-        async def test():
-            first = contender(objects, 'a')
-            await first.step()
-            other = {'holder': 'b', 'fence': 2, 'attempt': 1}
-            objects.force(protocol.StoredObject('Lease', 'rollouts', other))
-            await first.step()
-            assert first.held(0.0).is_err()
-
-        run(test)
+        first = contender(objects, 'a')
+        await first.step()
+        before = first.held(0.0).unwrap().deadline
+        clock.now += leases.RENEWAL_SECONDS
+        objects.away = True
+        await first.step()
+        assert first.held(0.0).unwrap().deadline == before
+
+    @fakes.in_kernel
+    async def test_holder_that_meets_another_one_stops_at_once(self, objects):
+        first = contender(objects, 'a')
+        await first.step()
+        other = {'holder': 'b', 'fence': 2, 'attempt': 1}
+        objects.force(protocol.StoredObject('Lease', 'rollouts', other))
+        await first.step()
+        assert first.held(0.0).is_err()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -226,179 +226,159 @@
 class TestController:
     """Guards roll-outs against lost holders, answers and edits."""
 
-    def test_good_version_is_finished(self, run, platform):
-        async def test():
-            leader = await platform.new_holder()
-            shares = []
-            for _ in range(7):
-                await leader.steer_all()
-                await leader.leadership.step()
-                shares.append(platform.rollout().spec.get('share', 0.0))
-                platform.report(PASSED)
-            assert shares == [0.0, *rollouts.SHARES, 1.0, 1.0]
-            assert platform.rollout().spec['state'] == 'finished'
-            assert platform.version_state() == 'live'
-
-        run(test)
-
-    @pytest.mark.parametrize('survived', range(7))
-    def test_killed_holder_is_followed(self, run, platform, survived):
-        async def test():
-            leader = await platform.new_holder()
-            platform.kill_after(survived)
-            for _ in range(8):
-                try:
-                    await leader.steer_all()
-                except Killed:
-                    leader = await platform.new_holder()
-                await leader.leadership.step()
-                if platform.rollout().status.get('epoch'):
-                    platform.report(WORSE)
-            status = platform.rollout().status
-            grant = leader.leadership.held(1.0).unwrap()
-            assert platform.rollout().spec['state'] == 'halted'
-            assert (status['cause'], status['epoch']) == ('rating', 1)
-            assert status['fence'] == grant.fence
-            assert platform.version_state() == 'withdrawn'
-            assert platform.orders.sent[-1] == ('e', 'unload', 'm@2')
-
-        run(test)
-
-    def test_holder_that_was_replaced_writes_nothing(self, run, platform):
-        async def test():
-            old = await platform.new_holder()
-            await old.steer_all()
-            await platform.new_holder()
-            before = platform.objects.revision
-            await old.steer_all()
-            assert platform.objects.revision == before
-
-        run(test)
-
-    def test_operator_wins_against_a_decision_under_way(self, run, platform):
-        async def test():
-            leader = await platform.new_holder()
-            await leader.steer_all()
+    @fakes.in_kernel
+    async def test_good_version_is_finished(self, platform):
+        leader = await platform.new_holder()
+        shares = []
+        for _ in range(7):
             await leader.steer_all()
+            await leader.leadership.step()
+            shares.append(platform.rollout().spec.get('share', 0.0))
             platform.report(PASSED)
+        assert shares == [0.0, *rollouts.SHARES, 1.0, 1.0]
+        assert platform.rollout().spec['state'] == 'finished'
+        assert platform.version_state() == 'live'
 
-            def edit_first(stored):
-                platform.objects.before_write = lambda stored: None
-                platform.edit(state='halted', share=0.0)
-
-            platform.objects.before_write = edit_first
-            await leader.steer_all()
-            await leader.steer_all()
-            assert platform.rollout().spec['state'] == 'halted'
-            assert platform.rollout().spec['share'] == 0.0
-            assert platform.version_state() == 'live'
-
-        run(test)
-
-    def test_lost_answer_repeats_no_step(self, run, platform):
-        async def test():
-            leader = await platform.new_holder()
-            await leader.steer_all()
-            await leader.steer_all()
-            platform.report(PASSED)
-            platform.objects.lose = 1
-            await leader.steer_all()
-            await leader.steer_all()
-            assert platform.rollout().spec['share'] == rollouts.SHARES[1]
-            assert platform.rollout().status['epoch'] == 2
-
-        run(test)
-
-    def test_counts_of_an_earlier_epoch_are_dropped(self, run, platform):
-        async def test():
-            leader = await platform.new_holder()
-            await leader.steer_all()
-            await leader.steer_all()
-            platform.report(PASSED)
-            await leader.steer_all()
-            await leader.steer_all()
-            assert platform.rollout().spec['share'] == rollouts.SHARES[1]
-            kinds = [kind for kind, _ in platform.objects.stored]
-            assert controller.REPORT_KIND not in kinds
-
-        run(test)
-
-    def test_report_is_written_once_for_the_same_counts(self, run, platform):
-        async def test():
-            leader = await platform.new_holder()
-            leader.comparisons.begin('r', 1)
-            leader.comparisons.observe('r', 'error', 'k', True, False)
-            leader.comparisons.observe('r', 'error', 'k', False, False)
-            await leader.report()
-            before = platform.objects.revision
-            await leader.report()
-            assert platform.objects.revision == before
-            leader.comparisons.observe('r', 'error', 'k', True, True)
-            leader.comparisons.observe('r', 'error', 'k', False, False)
-            await leader.report()
-            name = f'r.{leader.source}'
-            spec = platform.objects.stored[controller.REPORT_KIND, name].spec
-            assert spec['counts']['error'] == {
-                'worse': 1,
-                'better': 0,
-                'ties': 1,
-            }
-
-        run(test)
+    @pytest.mark.parametrize('survived', range(7))
+    @fakes.in_kernel
+    async def test_killed_holder_is_followed(self, platform, survived):
+        leader = await platform.new_holder()
+        platform.kill_after(survived)
+        for _ in range(8):
+            try:
+                await leader.steer_all()
+            except Killed:
+                leader = await platform.new_holder()
+            await leader.leadership.step()
+            if platform.rollout().status.get('epoch'):
+                platform.report(WORSE)
+        status = platform.rollout().status
+        grant = leader.leadership.held(1.0).unwrap()
+        assert platform.rollout().spec['state'] == 'halted'
+        assert (status['cause'], status['epoch']) == ('rating', 1)
+        assert status['fence'] == grant.fence
+        assert platform.version_state() == 'withdrawn'
+        assert platform.orders.sent[-1] == ('e', 'unload', 'm@2')
+
+    @fakes.in_kernel
+    async def test_holder_that_was_replaced_writes_nothing(self, platform):
+        old = await platform.new_holder()
+        await old.steer_all()
+        await platform.new_holder()
+        before = platform.objects.revision
+        await old.steer_all()
+        assert platform.objects.revision == before
+
+    @fakes.in_kernel
+    async def test_operator_wins_against_a_decision_under_way(self, platform):
+        leader = await platform.new_holder()
+        await leader.steer_all()
+        await leader.steer_all()
+        platform.report(PASSED)
+
+        def edit_first(stored):
+            platform.objects.before_write = lambda stored: None
+            platform.edit(state='halted', share=0.0)
+
+        platform.objects.before_write = edit_first
+        await leader.steer_all()
+        await leader.steer_all()
+        assert platform.rollout().spec['state'] == 'halted'
+        assert platform.rollout().spec['share'] == 0.0
+        assert platform.version_state() == 'live'
+
+    @fakes.in_kernel
+    async def test_lost_answer_repeats_no_step(self, platform):
+        leader = await platform.new_holder()
+        await leader.steer_all()
+        await leader.steer_all()
+        platform.report(PASSED)
+        platform.objects.lose = 1
+        await leader.steer_all()
+        await leader.steer_all()
+        assert platform.rollout().spec['share'] == rollouts.SHARES[1]
+        assert platform.rollout().status['epoch'] == 2
+
+    @fakes.in_kernel
+    async def test_counts_of_an_earlier_epoch_are_dropped(self, platform):
+        leader = await platform.new_holder()
+        await leader.steer_all()
+        await leader.steer_all()
+        platform.report(PASSED)
+        await leader.steer_all()
+        await leader.steer_all()
+        assert platform.rollout().spec['share'] == rollouts.SHARES[1]
+        kinds = [kind for kind, _ in platform.objects.stored]
+        assert controller.REPORT_KIND not in kinds
+
+    @fakes.in_kernel
+    async def test_report_is_written_once_for_the_same_counts(self, platform):
+        leader = await platform.new_holder()
+        leader.comparisons.begin('r', 1)
+        leader.comparisons.observe('r', 'error', 'k', True, False)
+        leader.comparisons.observe('r', 'error', 'k', False, False)
+        await leader.report()
+        before = platform.objects.revision
+        await leader.report()
+        assert platform.objects.revision == before
+        leader.comparisons.observe('r', 'error', 'k', True, True)
+        leader.comparisons.observe('r', 'error', 'k', False, False)
+        await leader.report()
+        name = f'r.{leader.source}'
+        spec = platform.objects.stored[controller.REPORT_KIND, name].spec
+        assert spec['counts']['error'] == {
+            'worse': 1,
+            'better': 0,
+            'ties': 1,
+        }
 
 
 class TestObservation:
     """Guards the way from a request to the comparison, in one daemon."""
 
-    def test_requests_of_both_versions_are_compared(self, run):
-        async def test():
-            cluster = demo.Cluster()
-            cluster.small.versions = ('small@1', 'small@2')
-            await cluster.start()
-            await add_rollout(cluster)
-            for _ in range(40):
-                example = demo.chat('', 'small', 'x')
-                await demo.send(cluster.daemon.listener.port, example)
-            while cluster.daemon.ratings.waiting:
-                await curio.sleep(0.01)
-            counts = cluster.daemon.comparisons.counts['r']
-            assert counts['error'].ties > 0
-            assert counts['rating'].ties > 0
-            assert counts['latency'] != rollouts.Counts()
-            await cluster.stop()
-
-        run(test)
-
-    def test_bad_version_is_loaded_halted_and_unloaded(self, run):
-        async def test():
-            cluster = demo.Cluster()
-            await cluster.start()
-            daemon = cluster.daemon
-            daemon.orderer.bucket = orders.TokenBucket(1e6, 1)
-            await add_rollout(cluster, epoch=0)
-            while daemon.leadership.held(1.0).is_err():
-                await curio.sleep(0.01)
-            for _ in range(2):
-                await daemon.controller.steer_all()
-            assert cluster.small.versions == ('small@1', 'small@2')
-            stored = cluster.platform.objects['Rollout', 'r']
-            assert stored.status['epoch'] == 1
-            daemon.comparisons.begin('r', 1)
-            for _ in range(100):
-                for is_new in (True, False):
-                    daemon.comparisons.observe(
-                        'r', 'error', 'k', is_new, is_new
-                    )
-            await daemon.controller.report()
-            for _ in range(3):
-                await daemon.controller.steer_all()
-            stored = cluster.platform.objects['ModelVersion', 'small@2']
-            assert stored.spec['state'] == 'withdrawn'
-            assert cluster.small.versions == ('small@1',)
-            assert {one['fence'] for one in cluster.small.orders} == {1}
-            await cluster.stop()
-
-        run(test)
+    @fakes.in_kernel
+    async def test_requests_of_both_versions_are_compared(self):
+        cluster = demo.Cluster()
+        cluster.small.versions = ('small@1', 'small@2')
+        await cluster.start()
+        await add_rollout(cluster)
+        for _ in range(40):
+            example = demo.chat('', 'small', 'x')
+            await demo.send(cluster.daemon.listener.port, example)
+        while cluster.daemon.ratings.waiting:
+            await curio.sleep(0.01)
+        counts = cluster.daemon.comparisons.counts['r']
+        assert counts['error'].ties > 0
+        assert counts['rating'].ties > 0
+        assert counts['latency'] != rollouts.Counts()
+        await cluster.stop()
+
+    @fakes.in_kernel
+    async def test_bad_version_is_loaded_halted_and_unloaded(self):
+        cluster = demo.Cluster()
+        await cluster.start()
+        daemon = cluster.daemon
+        daemon.orderer.bucket = orders.TokenBucket(1e6, 1)
+        await add_rollout(cluster, epoch=0)
+        while daemon.leadership.held(1.0).is_err():
+            await curio.sleep(0.01)
+        for _ in range(2):
+            await daemon.controller.steer_all()
+        assert cluster.small.versions == ('small@1', 'small@2')
+        stored = cluster.platform.objects['Rollout', 'r']
+        assert stored.status['epoch'] == 1
+        daemon.comparisons.begin('r', 1)
+        for _ in range(100):
+            for is_new in (True, False):
+                daemon.comparisons.observe('r', 'error', 'k', is_new, is_new)
+        await daemon.controller.report()
+        for _ in range(3):
+            await daemon.controller.steer_all()
+        stored = cluster.platform.objects['ModelVersion', 'small@2']
+        assert stored.spec['state'] == 'withdrawn'
+        assert cluster.small.versions == ('small@1',)
+        assert {one['fence'] for one in cluster.small.orders} == {1}
+        await cluster.stop()
 
 
 async def add_rollout(cluster, epoch=1):
