Take all urgent steps of a roll-out in one round

Cause: each step waited for a round, so that sessions on a bad version stayed there 5 s longer; a malformed report ended the controller's task. Change: up to 4 steps a round, waiting_for names a missing load, malformed reports and status fields are ignored with a log line.

--- a/celeryward/raters/controller.py
+++ b/celeryward/raters/controller.py
@@ -17,6 +17,9 @@
 ROUND_SECONDS = 5.0
 # Time that must be left on the lease when a change is written.
 WRITE_MARGIN_SECONDS = 1.0
+# Steps of one round: claim, halt, withdraw and unload follow each other
+# at once, so that sessions on a bad version do not wait for a round.
+STEPS_OF_A_ROUND = 4
 
 
 class Controller:
@@ -42,6 +45,7 @@
         self.source = source
         self.reported = {}
         self.revisions = {}
+        self.changes = 0
         self.steps = {
             rollouts.Action.BEGIN: self.begin,
             rollouts.Action.WAIT: self.note_waiting,
@@ -94,6 +98,14 @@
             self.revisions[name] = current.revision if current else 0
 
     async def steer_all(self):
+        """Steer until nothing more can be done at once."""
+        for _ in range(STEPS_OF_A_ROUND):
+            before = self.changes
+            await self.steer_once()
+            if self.changes == before:
+                return
+
+    async def steer_once(self):
         """Take the next step of each roll-out, if this daemon leads."""
         if self.leadership.held(WRITE_MARGIN_SECONDS).is_err():
             return
@@ -137,6 +149,7 @@
     async def begin(self, stored, rollout, status, decision):
         """Load the new version, let it be used, and begin an epoch."""
         if not await self.load(rollout):
+            await self.state_waiting(stored, status, 'load')
             return
         if not await self.set_version(rollout, catalog.VersionState.LIVE):
             return
@@ -149,10 +162,12 @@
     async def note_waiting(self, stored, rollout, status, decision):
         """Keep the new version loaded; state what the test waits for."""
         await self.load(rollout)
-        if status.waiting_for != decision.signals:
-            following = dataclasses.replace(
-                status, waiting_for=decision.signals
-            )
+        await self.state_waiting(stored, status, decision.signals)
+
+    async def state_waiting(self, stored, status, reason):
+        """Write for operators what the roll-out waits for."""
+        if status.waiting_for != reason:
+            following = dataclasses.replace(status, waiting_for=reason)
             await self.write(stored, {}, following)
 
     async def advance(self, stored, rollout, status, decision):
@@ -264,7 +279,9 @@
             logs.bind_error(error).info(
                 'change of {} dropped: {}', stored.name, error.message
             )
-        return written.is_ok()
+            return False
+        self.changes += 1
+        return True
 
 
 def is_usable(stored):
@@ -280,7 +297,13 @@
         spec = report.spec
         if (spec.get('rollout'), spec.get('epoch')) != (name, epoch):
             continue
-        for signal, fields in spec.get('counts', {}).items():
-            counts = rollouts.Counts(**fields)
-            total[signal] = total.get(signal, rollouts.Counts()).add(counts)
+        try:
+            counts = rollouts.read_counts(spec.get('counts'))
+        except errors.BadInput as error:
+            logs.bind_error(error).error(
+                'report {} ignored: {}', report.name, error.message
+            )
+            continue
+        for signal, found in counts.items():
+            total[signal] = total.get(signal, rollouts.Counts()).add(found)
     return total
--- a/celeryward/raters/rollouts.py
+++ b/celeryward/raters/rollouts.py
@@ -13,6 +13,7 @@
 import math
 
 from celeryward import catalog
+from celeryward import errors
 from celeryward import registry
 
 SIGNALS = registry.Registry('roll-out signal')
@@ -55,6 +56,23 @@
         )
 
 
+def read_counts(fields):
+    """Return :class:`Counts` by signal from nested dictionaries.
+
+    :raises errors.BadInput: if they are malformed, so that a report by
+        another release can't stop the lease holder.
+    """
+    try:
+        read = {name: Counts(**found) for name, found in fields.items()}
+        for counts in read.values():
+            Counts().add(counts)
+        return read
+    except (AttributeError, TypeError) as error:
+        raise errors.BadInput(
+            f'counts: {error}', step='read report', peer='report'
+        ) from error
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Signal:
     """A measure by which versions are compared.
@@ -206,9 +224,15 @@
 
     @classmethod
     def read(cls, fields):
-        """Return the status in a dictionary; unknown fields are ignored."""
-        names = {field.name for field in dataclasses.fields(cls)}
-        known = {name: fields[name] for name in names & fields.keys()}
+        """Return the status in a dictionary.
+
+        Fields that are unknown or of another type are ignored.
+        """
+        known = {
+            field.name: fields[field.name]
+            for field in dataclasses.fields(cls)
+            if isinstance(fields.get(field.name), type(field.default))
+        }
         return cls(**known)
 
 
