Test that served requests lead to a cheaper plan

Cause: the way from the caller's request over the sampler to the plan was not tested as a whole. Change: one test with the demo's cluster; reports with a malformed epoch are deleted.

--- a/celeryward/raters/controller.py
+++ b/celeryward/raters/controller.py
@@ -123,11 +123,13 @@
     async def delete_outdated(self, found, reports):
         """Delete the reports of earlier epochs and deleted roll-outs."""
         epochs = {
-            stored.name: stored.status.get('epoch', 0) for stored in found
+            stored.name: rollouts.Status.read(stored.status).epoch
+            for stored in found
         }
         for report in reports:
-            name = report.spec.get('rollout')
-            if report.spec.get('epoch', 0) < epochs.get(name, math.inf):
+            needed = epochs.get(report.spec.get('rollout'), math.inf)
+            epoch = report.spec.get('epoch')
+            if not isinstance(epoch, int) or epoch < needed:
                 await self.client.delete(report)
 
     async def steer(self, stored, rollout, reports):
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -149,6 +149,23 @@
         await cluster.stop()
 
 
+class TestServing:
+    """Guards the way from served requests to a learned plan."""
+
+    @fakes.in_kernel
+    async def test_good_cheap_tier_takes_over(self):
+        cluster = demo.Cluster()
+        await cluster.start()
+        await set_rule(cluster, 'learned')
+        port = cluster.daemon.listener.port
+        for _ in range(300):
+            head, _ = await demo.send(port, demo.chat('', 'auto', 'x'))
+        assert head.headers['x-served-by'] == 'small@1'
+        large = cluster.large.started['large@1']
+        assert large < cluster.small.started['small@1']
+        await cluster.stop()
+
+
 class TestCapacity:
     """Guards against a refusal while a stronger tier has capacity."""
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -342,6 +342,7 @@
         await leader.steer_all()
         spec = {'rollout': 'r', 'epoch': 1, 'counts': counts}
         platform.add(controller.REPORT_KIND, 'r.odd', spec)
+        platform.add(controller.REPORT_KIND, 'r.old', {'rollout': 'r'})
         platform.report(PASSED)
         await leader.steer_all()
         assert platform.rollout().spec['share'] == rollouts.SHARES[1]
