Measure orders with pauses beyond the wait

Cause: pauses of up to 40 s hardly exceed the wait of a new holder, so that the benchmark could not show the remaining risk.

--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -22,7 +22,6 @@
 DAEMONS = 3
 CLOCK_RATE_SPREAD = 0.02
 PAUSES_PER_SECOND = 0.01
-LONGEST_PAUSE_SECONDS = 40.0
 # Part of the orders before whose send the sender is paused.
 PAUSED_SENDS = 0.01
 ENDPOINT = {
@@ -85,7 +84,8 @@
 class Simulation:
     """One run of all daemons and one endpoint."""
 
-    def __init__(self, seed, way):
+    def __init__(self, seed, way, longest_pause):
+        self.longest_pause = longest_pause
         self.chance = random.Random(seed)
         self.way = way
         self.clock = fakes.Clock()
@@ -132,7 +132,7 @@
 
     def pause(self, daemon, now):
         """Pause a daemon for a random time."""
-        until = now + self.chance.uniform(0.0, LONGEST_PAUSE_SECONDS)
+        until = now + self.chance.uniform(0.0, self.longest_pause)
         daemon.paused_until = max(daemon.paused_until, until)
 
     def arrive(self, fence):
@@ -160,10 +160,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=100_000.0)
+    parser.add_argument('--longest-pause', type=float, default=40.0)
     asked = parser.parse_args()
     logs.configure('CRITICAL', 'text')
     for way in WAYS:
-        counts = curio.run(Simulation(asked.seed, way).run, asked.seconds)
+        simulation = Simulation(asked.seed, way, asked.longest_pause)
+        counts = curio.run(simulation.run, asked.seconds)
         found = ', '.join(f'{name} {n}' for name, n in counts.items())
         print(f'seed {asked.seed} {way.name}: {found}')
 
