Fit copies of bills to the ledger and add the planned size to benchmarks

Cause: a bill gets an id and the name of its batch when it is settled; a copy without them could not be merged with the owner's batch. The ledger expects owners' names from keep and an error below two copies. Change: messages carry both fields, copies are released by bill id, keep returns the owners of two peers or raises PeerFailure, and a handler's keep returns a result. benchmarks/daemons has a part with 340 daemons.

--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -2,8 +2,9 @@
 
 Run as ``python -m benchmarks.daemons PART``. Parts: ``spread`` (time until
 a change is in effect everywhere), ``control`` (bytes, CPU and memory for
-control, and their slopes), ``scale`` (rounds at the planned size, in one
-process without connections) and ``bridge`` (calls/s of the bridge).
+control, and their slopes), ``full`` (340 daemons), ``scale`` (rounds at the
+planned size, in one process without connections) and ``bridge`` (calls/s of
+the bridge).
 """
 
 import argparse
@@ -30,7 +31,8 @@
 PLANNED = {'endpoints': 600, 'customers': 10, 'versions': 26}
 HEAD = (
     f'{"plan":34} {"p50 s":>7} {"p99 s":>7} {"max s":>7} {"missed":>6} '
-    f'{"B/s in":>8} {"cpu %":>6} {"MB":>6} {"calls/s":>7} {"watches":>7}'
+    f'{"B/s in":>8} {"cpu %":>6} {"MB":>5} {"base MB":>7} '
+    f'{"calls/s":>7} {"watches":>7}'
 )
 
 
@@ -40,7 +42,8 @@
         f'{label:34} {result.percentile(0.5):7.3f} '
         f'{result.percentile(0.99):7.3f} {result.percentile(1.0):7.3f} '
         f'{result.missed:6d} {result.bytes_per_s:8.0f} '
-        f'{result.cpu_percent:6.2f} {result.rss_mb:6.1f} '
+        f'{result.cpu_percent:6.2f} {result.rss_mb:5.1f} '
+        f'{result.base_rss_mb:7.1f} '
         f'{result.platform_calls_per_s:7.2f} {result.watches:7d}',
         flush=True,
     )
@@ -93,6 +96,21 @@
     )
 
 
+def full(options):
+    """Run the planned number of daemons; takes about 3 cores."""
+    plan = fleet.Plan(
+        daemons=340,
+        processes=8,
+        domains=8,
+        change_interval=PLANNED_CHANGE_SECONDS / 20,
+        warm_up=75.0,
+        seconds=options.seconds * 2,
+        **PLANNED,
+    )
+    idle = dataclasses.replace(plan, change_interval=0.0)
+    run_plans([('340 daemons, 20x changes', plan), ('340, idle', idle)])
+
+
 class Rounds:
     """Gossip of many daemons in one process, without connections."""
 
@@ -165,9 +183,11 @@
             if node.members.own.failure_domain == holder.failure_domain
         ]
         return self.rounds_until(
-            lambda: not any(
-                holder in members.holders(holder.failure_domain)
-                for members in domain
+            lambda: (
+                not any(
+                    holder in members.holders(holder.failure_domain)
+                    for members in domain
+                )
             )
         )
 
@@ -284,6 +304,7 @@
 PARTS = {
     'spread': spread,
     'control': control,
+    'full': full,
     'scale': scale,
     'bridge': measure_bridges,
 }
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -70,12 +70,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
-    """Figures of one run, for one daemon unless stated otherwise."""
+    """Figures of one run, for one daemon unless stated otherwise.
+
+    :param float rss_mb: memory that a daemon adds to its process.
+    :param float base_rss_mb: memory of a process before its first daemon.
+    """
 
     plan: Plan
     bytes_per_s: float
     cpu_percent: float
     rss_mb: float
+    base_rss_mb: float
     platform_calls_per_s: float
     watches: int
     delays: tuple[float, ...]
@@ -306,6 +311,7 @@
         received / seconds / count,
         100.0 * cpu / seconds / count,
         memory / count / 1e6,
+        max(report.base_rss_bytes for report in reports) / 1e6,
         calls / seconds,
         sum(report.holders for report in reports),
         tuple(delays),
--- a/celeryward/calls.py
+++ b/celeryward/calls.py
@@ -86,13 +86,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bill:
-    """What one request costs its customer. ``finished_at`` is UTC seconds."""
+    """What one request costs its customer.
+
+    :param float finished_at: UTC seconds.
+    :param str id: digest of customer, request id and request, which is the
+        same for each execution of one request; in hexadecimal.
+    :param str batch: name of the only batch that may contain the bill. It
+        must travel with each copy of the bill.
+    """
 
     request_id: str
     customer: str
     target: str
     runs: tuple[Run, ...]
     finished_at: float
+    id: str = ''
+    batch: str = ''
 
     @property
     def cost(self):
--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -95,9 +95,9 @@
         message = protocol.bills_message(owner, bills)
         return await self.call('Keep', message, deadline)
 
-    async def release(self, owner, request_ids):
+    async def release(self, owner, bill_ids):
         """Tell the peer that the platform holds these bills."""
-        message = exchange_pb2.BillIds(owner=owner, request_ids=request_ids)
+        message = exchange_pb2.BillIds(owner=owner, bill_ids=bill_ids)
         return await self.call('Release', message)
 
 
@@ -174,8 +174,10 @@
         One is in another failure domain where one can be reached. A peer
         that fails, refuses or stays silent is replaced by the next one.
 
-        :returns: the members that hold copies, fewer than two if no more
-            can be reached before the deadline.
+        :returns: the owners of the peers that hold copies, as
+            ``owner_died`` names them later.
+        :raises errors.PeerFailure: if fewer than two peers took copies
+            before the deadline.
         """
         holders, asked = [], []
         candidates = list(self.members.copy_holders())
@@ -189,12 +191,18 @@
             asked += chosen
             for bill in bills:
                 # A peer whose reply is lost may hold a copy, too.
-                self.kept[bill.request_id] = tuple(asked)
+                self.kept[bill.id or bill.request_id] = tuple(asked)
             attempt = deadlines.Deadline.after(KEEP_SECONDS)
             holders += await self.keep_at(
                 chosen, bills, attempt.earlier(deadline)
             )
-        return tuple(holders)
+        if len(holders) < COPIES:
+            raise errors.PeerFailure(
+                f'{len(holders)} of {COPIES} peers keep copies',
+                step='keep',
+                peer=', '.join(member.name for member in asked) or '-',
+            )
+        return tuple(member.owner for member in holders)
 
     async def keep_at(self, members, bills, deadline):
         """Send copies to members at once; return those that took them."""
@@ -215,15 +223,17 @@
                 took.append(member)
         return took
 
-    async def release(self, request_ids):
+    async def release(self, bill_ids):
         """Tell the holders of copies that the platform holds these bills.
 
+        :param bill_ids: ids of bills, or request ids of bills without one.
+
         A release that fails is repeated at the next one and at each round
         of gossip.
         """
-        for request_id in request_ids:
-            for member in self.kept.pop(request_id, ()):
-                self.releases.setdefault(member, set()).add(request_id)
+        for bill_id in bill_ids:
+            for member in self.kept.pop(bill_id, ()):
+                self.releases.setdefault(member, set()).add(bill_id)
         await self.send_releases()
 
     async def send_releases(self):
@@ -237,17 +247,17 @@
 
     async def release_at(self, member):
         """Send the outstanding releases of one member."""
-        request_ids = self.releases.pop(member, None)
-        if request_ids is None:
+        bill_ids = self.releases.pop(member, None)
+        if bill_ids is None:
             return
         done = await self.start_job(
             gossip.contact_of(member),
             'release',
             self.members.own.owner,
-            tuple(request_ids),
+            tuple(bill_ids),
         )
         if done is None or (await done.unwrap()).is_err():
-            self.releases.setdefault(member, set()).update(request_ids)
+            self.releases.setdefault(member, set()).update(bill_ids)
 
 
 def spread(candidates, holders, count):
--- a/celeryward/daemons/protocol.py
+++ b/celeryward/daemons/protocol.py
@@ -147,6 +147,8 @@
         target=bill.target,
         runs=map(run_message, bill.runs),
         finished_at=bill.finished_at,
+        id=bill.id,
+        batch=bill.batch,
     )
 
 
@@ -180,6 +182,8 @@
         message.target,
         tuple(map(read_run, message.runs)),
         message.finished_at,
+        message.id,
+        message.batch,
     )
 
 
--- a/celeryward/daemons/server.py
+++ b/celeryward/daemons/server.py
@@ -1,5 +1,7 @@
 """The task that serves requests of other daemons."""
 
+import result
+
 from celeryward.daemons import bridge
 from celeryward.daemons import exchange_pb2
 from celeryward.daemons import protocol
@@ -13,17 +15,25 @@
 class RefuseCopies:
     """Handler of copies for a daemon that keeps none.
 
+    A handler's ``keep`` and ``release`` return at once, because gossip waits
+    for them; ``owner_died`` runs in a task of its own.
+
     A refusal makes the owner choose another peer, so that it never counts
     a copy that does not exist.
     """
 
-    async def keep(self, owner, bills):
-        """Refuse to keep copies of bills."""
-        raise errors.PeerFailure(
-            'this daemon keeps no copies', step='keep', peer=owner
+    def keep(self, owner, bills):
+        """Refuse to keep copies of bills.
+
+        :returns: ``Ok`` or ``Err`` with an error of this project.
+        """
+        return result.Err(
+            errors.PeerFailure(
+                'this daemon keeps no copies', step='keep', peer=owner
+            )
         )
 
-    async def release(self, owner, request_ids):
+    def release(self, owner, bill_ids):
         """Drop copies of bills that the platform holds."""
 
     async def owner_died(self, owner):
@@ -86,13 +96,13 @@
 async def keep(peer_server, message):
     """Keep copies of a peer's bills."""
     bills = protocol.read_bills(message)
-    await peer_server.copies.keep(message.owner, bills)
+    errors.unwrap(peer_server.copies.keep(message.owner, bills))
     return exchange_pb2.Receipt()
 
 
 @CALLS.register('Release')
 async def release(peer_server, message):
     """Drop copies of bills that the platform holds."""
-    request_ids = tuple(message.request_ids)
-    await peer_server.copies.release(message.owner, request_ids)
+    bill_ids = tuple(message.bill_ids)
+    peer_server.copies.release(message.owner, bill_ids)
     return exchange_pb2.Receipt()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,6 +4,7 @@
 
 import curio
 import pytest
+import result
 
 from celeryward import calls
 from celeryward.daemons import bridge
@@ -23,7 +24,13 @@
 from celeryward.standins import platform
 
 BILL = calls.Bill(
-    'r1', 'a', 'm', (calls.Run('m@1', 'e1', calls.Usage(3, 4), 0.5),), 12.5
+    'r1',
+    'a',
+    'm',
+    (calls.Run('m@1', 'e1', calls.Usage(3, 4), 0.5),),
+    12.5,
+    'b1',
+    'd0-run-1',
 )
 OBJECT = objects.StoredObject('Customer', 'a', {'allowed': ['m']}, 5)
 POLL_SECONDS = 0.02
@@ -47,13 +54,14 @@
         self.kept = {}
         self.dead = []
 
-    async def keep(self, owner, bills):
+    def keep(self, owner, bills):
         for bill in bills:
-            self.kept[owner, bill.request_id] = bill
+            self.kept[owner, bill.id] = bill
+        return result.Ok(None)
 
-    async def release(self, owner, request_ids):
-        for request_id in request_ids:
-            self.kept.pop((owner, request_id), None)
+    def release(self, owner, bill_ids):
+        for bill_id in bill_ids:
+            self.kept.pop((owner, bill_id), None)
 
     async def owner_died(self, owner):
         self.dead.append(owner)
@@ -251,13 +259,14 @@
             owner, *others = group.daemons
             peers = owner.control.peers
             held = await peers.keep((BILL,), soon())
-            domains = {member.failure_domain for member in held}
-            assert domains == {'f0', 'f1'}
             keepers = [entry for entry in others if entry.copies.kept]
-            assert len(keepers) == 2
+            owners = [entry.control.owner for entry in keepers]
+            domains = {e.control.settings.failure_domain for e in keepers}
+            assert sorted(held) == owners
+            assert domains == {'f0', 'f1'}
             for entry in keepers:
-                assert entry.copies.kept == {('d0-run', 'r1'): BILL}
-            await peers.release(['r1'])
+                assert entry.copies.kept == {('d0-run', 'b1'): BILL}
+            await peers.release(['b1'])
             await until(lambda: not any(e.copies.kept for e in keepers))
 
         with_group(test)
@@ -270,23 +279,24 @@
             await group.add('d3', 'f1')
             await until(group.all_known)
             held = await owner.control.peers.keep((BILL,), soon())
-            assert {member.name for member in held} == {'d2', 'd3'}
+            assert set(held) == {'d2-run', 'd3-run'}
 
         with_group(test)
 
     def test_copy_whose_reply_was_lost_is_released(self, with_group):
         class LosesReply(Copies):
-            async def keep(self, owner, bills):
-                await super().keep(owner, bills)
-                raise errors.PeerFailure('lost', step='keep', peer=owner)
+            def keep(self, owner, bills):
+                super().keep(owner, bills)
+                return server.RefuseCopies().keep(owner, bills)
 
         async def test(group):
             owner = await group.add('d0', 'f0')
             lossy = await group.add('d1', 'f0', LosesReply())
             await until(group.all_known)
-            assert await owner.control.peers.keep((BILL,), soon()) == ()
+            with pytest.raises(errors.PeerFailure, match='0 of 2'):
+                await owner.control.peers.keep((BILL,), soon())
             assert lossy.copies.kept
-            await owner.control.peers.release(['r1'])
+            await owner.control.peers.release(['b1'])
             await until(lambda: not lossy.copies.kept)
 
         with_group(test)
@@ -296,7 +306,10 @@
             owner = await group.add('d0', 'f0')
             await group.add('d1', 'f0', server.RefuseCopies())
             await until(group.all_known)
-            assert await owner.control.peers.keep((BILL,), soon()) == ()
+            await group.add('d2', 'f1')
+            await until(group.all_known)
+            with pytest.raises(errors.PeerFailure, match='1 of 2'):
+                await owner.control.peers.keep((BILL,), soon())
 
         with_group(test)
 
