Pass on objects of unknown kinds and bound the join of a silent seed

Cause: a daemon of a newer release could send a kind that this one does not know; it was dropped, so that the two never held the same revisions, never confirmed each other's configuration and compared buckets in each exchange. A seed whose call never ended would have kept a daemon from its first round. Change: unknown kinds are kept unread; the join lasts at most 5 s; all processes of the benchmark measure the same time. Conclusion: daemons of two releases can run side by side.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -197,6 +197,9 @@
     ]
     for daemon in daemons:
         await daemon.start()
+    pipe.send(None)
+    # All processes measure the same time, from the word of the parent.
+    await curio.run_in_thread(pipe.recv)
     await curio.sleep(plan.warm_up)
     started_at, cpu = time.monotonic(), cpu_seconds()
     received = counter.received
@@ -211,7 +214,6 @@
         sum(daemon.watches for daemon in daemons),
         (),
     )
-    # Processes start at different times; the last change must still arrive.
     await curio.sleep(SETTLE_SECONDS)
     seen = [entry for daemon in daemons for entry in daemon.seen]
     pipe.send(dataclasses.replace(report, seen=tuple(seen)))
@@ -277,6 +279,10 @@
         )
         process.start()
         started.append((process, ours))
+    for _, pipe in started:
+        await curio.run_in_thread(pipe.recv)
+    for _, pipe in started:
+        pipe.send(None)
     writes = {}
     writing = await curio.spawn(write_changes, standin, plan, writes)
     await curio.sleep(plan.warm_up)
--- a/celeryward/daemons/control.py
+++ b/celeryward/daemons/control.py
@@ -14,6 +14,8 @@
 
 # Rounds are spread out, so that daemons started together do not stay in step.
 JITTER = 0.2
+# A seed that is silent must not keep a daemon from the platform.
+JOIN_SECONDS = 5.0
 
 
 class Control:
@@ -115,8 +117,9 @@
         started = [
             await self.peers.exchange(seed) for seed in self.gossip.seeds
         ]
-        for done in started:
-            await done.unwrap()
+        async with curio.ignore_after(JOIN_SECONDS):
+            for done in started:
+                await done.unwrap()
 
     async def run_round(self):
         """Run one round: heartbeat, deaths, watch duty and exchanges."""
--- a/celeryward/platform/configuration.py
+++ b/celeryward/platform/configuration.py
@@ -92,12 +92,16 @@
         """Take over one change; return whether it was new."""
         self.revision = max(self.revision, change.revision)
         stored = change.object
-        if stored is None or stored.kind not in FIELD_OF_KIND:
+        if stored is None:
             return False
         if change.revision <= self.revisions.get(stored.key, 0):
             return False
         self.revisions[stored.key] = change.revision
         self.objects[stored.key] = change
+        if stored.kind not in FIELD_OF_KIND:
+            # Sent by a daemon of a newer release. It is passed on unread,
+            # so that daemons of both releases hold the same revisions.
+            return True
         entries = self.entries[FIELD_OF_KIND[stored.kind]]
         if change.type == 'delete':
             entries.pop(stored.name, None)
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -188,6 +188,16 @@
         fleet.nodes[0].store.accept([change('a', 3), change('b', 4)])
         fleet.rounds_until(fleet.holding(3))
 
+    def test_kind_of_a_newer_release_is_passed_on(self, fleet):
+        stored = protocol.StoredObject('Later', 'a', {}, 8)
+        fleet.nodes[0].store.accept([protocol.Change('put', 8, stored)])
+        fleet.rounds_until(
+            lambda: all(
+                node.store.revisions.get(stored.key) == 8
+                for node in fleet.alive()
+            )
+        )
+
     def test_daemon_that_starts_gets_everything_from_its_seed(self, fleet):
         count = gossip.MAX_CHANGES * 2 + 1
         changes = [change(f'c{n}', n) for n in range(1, count + 1)]
