--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -6,7 +6,6 @@
 import curio
 import result
 
-from celeryward.daemons import copies
 from celeryward.daemons import exchange_pb2
 from celeryward.daemons import gossip
 from celeryward.daemons import protocol
@@ -15,6 +14,7 @@
 from celeryward import logs
 
 CALL_SECONDS = 3.0
+COPIES = 2
 # Leaves time to ask another peer before the ledger's deadline of 0.5 s.
 KEEP_SECONDS = 0.2
 # A peer task and its connection end when nothing is sent for this long, so
@@ -184,13 +184,15 @@
         One is in another failure domain where one can be reached. A peer
         that fails, refuses or stays silent is replaced by the next one.
 
-        :returns: the members that hold copies, fewer than two if no more
-            can be reached before the deadline.
+        :returns: the owners of the peers that hold copies, as
+            ``owner_died`` names them later.
+        :raises errors.PeerFailure: if fewer than two peers took copies
+            before the deadline.
         """
         holders, asked = [], []
         candidates = list(self.members.copy_holders())
-        while len(holders) < copies.COPIES and not deadline.expired():
-            chosen = spread(candidates, holders, copies.COPIES - len(holders))
+        while len(holders) < COPIES and not deadline.expired():
+            chosen = spread(candidates, holders, COPIES - len(holders))
             if not chosen:
                 break
             candidates = [
@@ -199,12 +201,18 @@
             asked += chosen
             for bill in bills:
                 # A peer whose reply is lost may hold a copy, too.
-                self.kept[bill.id] = tuple(asked)
+                self.kept[bill.id or bill.request_id] = tuple(asked)
             attempt = deadlines.Deadline.after(KEEP_SECONDS)
             holders += await self.keep_at(
                 chosen, bills, attempt.earlier(deadline)
             )
-        return tuple(holders)
+        if len(holders) < COPIES:
+            raise errors.PeerFailure(
+                f'{len(holders)} of {COPIES} peers keep copies',
+                step='keep',
+                peer=', '.join(member.name for member in asked) or '-',
+            )
+        return tuple(member.owner for member in holders)
 
     async def keep_at(self, members, bills, deadline):
         """Send copies to members at once; return those that took them."""
@@ -228,6 +236,8 @@
     async def release(self, bill_ids):
         """Tell the holders of copies that the platform holds these bills.
 
+        :param bill_ids: ids of bills, or request ids of bills without one.
+
         A release that fails is repeated at the next one and at each round
         of gossip.
         """
--- a/celeryward/daemons/copies.py
+++ b/celeryward/daemons/copies.py
@@ -2,8 +2,6 @@
 
 from celeryward import errors
 
-COPIES = 2
-
 
 class CopyHandler:
     """Keeps copies for other daemons.
@@ -16,14 +14,14 @@
         self.replicas = replicas
         self.report_death = owner_died
 
-    async def keep(self, owner, bills):
+    def keep(self, owner, bills):
         """Keep copies of bills.
 
-        :raises errors.Overloaded: if there is no room for them.
+        :returns: ``Ok``, or ``Err(Overloaded)`` if there is no room.
         """
-        errors.unwrap(self.replicas.keep(owner, bills))
+        return self.replicas.keep(owner, bills)
 
-    async def release(self, owner, bill_ids):
+    def release(self, owner, bill_ids):
         """Drop copies of bills that the platform holds."""
         self.replicas.release(owner, bill_ids)
 
@@ -43,19 +41,17 @@
         self.control = control
 
     async def keep(self, bills, deadline):
-        """Return the owners that keep copies, as a frozen set.
+        """Return the owners that keep copies.
 
         :raises errors.PeerFailure: if fewer than 2 peers keep them.
         """
-        peers = self.control.peers
-        held = () if peers is None else await peers.keep(bills, deadline)
-        if len(held) < COPIES:
+        if self.control.peers is None:
             raise errors.PeerFailure(
-                f'{len(held)} of {COPIES} copies of bills are kept',
+                'the exchange with peers has not started',
                 step='keep bills',
                 peer=self.control.settings.name,
             )
-        return frozenset(member.owner for member in held)
+        return await self.control.peers.keep(bills, deadline)
 
     async def release(self, bill_ids):
         """Tell the holders of copies that the platform holds the bills."""
