Answer faults of the program with an internal error

Cause: a TypeError after the merge of the cascades crashed the task of a connection, and its caller waited for an answer; a failure after a finished answer would have been written into the connection. Conclusion: no request ends without an answer.

--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -23,6 +23,7 @@
         self.connection = connection
         self.request_id = request_id
         self.started = False
+        self.finished = False
 
     async def start_stream(self, headers):
         """Send the head of a streamed answer."""
@@ -44,6 +45,7 @@
 
     async def finish_stream(self, payload):
         """Send the last piece of a streamed answer."""
+        self.finished = True
         await self.write(h11.Data(data=payload), h11.EndOfMessage())
 
     async def send_whole(self, status, headers, body):
@@ -55,6 +57,7 @@
             **headers,
         }
         self.started = True
+        self.finished = True
         await self.write(
             h11.Response(
                 status_code=status, headers=http.encode_headers(head)
@@ -65,6 +68,8 @@
 
     async def fail(self, error):
         """Send an error, as an answer or as the last event of a stream."""
+        if self.finished:
+            return
         if self.started:
             event = protocol.encode_error_event(error, self.request_id)
             await self.finish_stream(event)
@@ -149,6 +154,16 @@
                 'request failed: {} {}', error.code, error.message
             )
             await responder.fail(error)
+        except Exception:
+            # A fault of the program must not leave the caller waiting.
+            logs.bind(request_id=request_id, peer=connection.peer).exception(
+                'request failed by a fault of the program'
+            )
+            await responder.fail(
+                errors.CelerywardError(
+                    'internal error', step='serve', peer=connection.peer
+                )
+            )
         finally:
             self.busy.discard(responder)
             async with self.idle:
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -89,7 +89,7 @@
     async def finish_single(self, start, attempt):
         """Note a request that one tier has answered to the caller."""
         payload = b''.join(attempt.emitted)
-        run = TierRun(start.step.tier, attempt, None, payload)
+        run = TierRun(start.step.tier, attempt, payload)
         self.learner.spent(start.choice, ((run.tier, run.cost),))
         if start.choice.rate:
             request = rating_request(run, start.choice.scope.kind)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -74,6 +74,19 @@
         with_cluster(test)
 
 
+class TestProgramFaults:
+    """Guards against a fault of the program that leaves a caller waiting."""
+
+    def test_fault_is_answered_as_internal(self, with_cluster):
+        async def test(cluster):
+            cluster.daemon.serving.serve_chat = None
+            head, body = await ask(cluster, demo.chat('', 'small', 'x'))
+            assert head.status == 500
+            assert msgspec.json.decode(body)['error']['code'] == 'internal'
+
+        with_cluster(test)
+
+
 class TestStreams:
     """Guards against truncated answers that look whole."""
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -104,10 +104,10 @@
 
             async def stream(attempt):
                 usage = calls.Usage(3, 8)
-                dispatcher.choose(attempt)
+                await dispatcher.choose(attempt)
                 chunk = protocol.Chunk(b'data: [DONE]\n\n', 8, usage)
                 attempt.add(chunk)
-                attempt.add_run(usage)
+                attempt.add_last_run(usage, 8)
                 yield chunk
 
             monkeypatch.setattr(dispatcher, 'stream', stream)
