Wire the daily report into the daemon and add the report command

Cause: the report had no figures, because no daemon recorded or published windows. Change: each request has an account that feeds metrics and windows; the daemon publishes windows each minute and at its stop; celeryward report reads windows and bills, optionally of one customer, and writes text and the page.

--- /dev/null
+++ b/celeryward/callers/accounting.py
@@ -0,0 +1,93 @@
+"""What a request was, for the metrics and the daily report."""
+
+import contextlib
+
+from celeryward import errors
+from celeryward.operators import windows
+
+
+class Account:
+    """What is known of one request while it runs.
+
+    :param bool billed: whether its bill was settled.
+    """
+
+    def __init__(self):
+        self.first_token = None
+        self.cost = 0.0
+        self.strong_cost = 0.0
+        self.billed = False
+
+
+class Accounts:
+    """Adds each ended request to the metrics and the service windows.
+
+    :param configuration: :class:`ConfigurationStore`.
+    :param windows.Recorder recorder: the service windows of this daemon.
+    :param clock: function that returns UTC seconds.
+    """
+
+    def __init__(self, configuration, recorder, metrics, clock):
+        self.configuration = configuration
+        self.recorder = recorder
+        self.metrics = metrics
+        self.clock = clock
+
+    @contextlib.contextmanager
+    def open(self, customer, target):
+        """Yield the :class:`Account` of a request; record it at the end."""
+        account = Account()
+        code = 'ok'
+        try:
+            yield account
+        except errors.CelerywardError as error:
+            code = error.code
+            raise
+        except Exception:
+            code = 'internal'
+            raise
+        finally:
+            self.record(customer.name, target, code, account)
+
+    def record(self, customer, target, code, account=None):
+        """Add one ended request."""
+        account = account or Account()
+        self.metrics.requests.labels(customer, target, code).inc()
+        level = self.configuration.catalog().service_level(customer)
+        seconds = account.first_token
+        late = seconds is not None and seconds > level.first_token_seconds
+        self.recorder.record(
+            windows.Served(
+                self.clock(),
+                customer,
+                target,
+                code,
+                not late,
+                seconds,
+                account.cost,
+                account.strong_cost,
+                account.billed,
+            )
+        )
+
+    def settled(self, account, bill):
+        """Note the bill of a request."""
+        account.billed = True
+        account.cost = bill.cost
+        account.strong_cost = self.strong_cost(bill)
+
+    def strong_cost(self, bill):
+        """Return the cost if the strongest tier had run alone.
+
+        Assumes that it generates as many tokens as the last run did. For a
+        model that was named itself this is the cost of the bill.
+        """
+        current = self.configuration.catalog()
+        cascade = current.cascades.get(bill.target)
+        if cascade is None or not bill.runs:
+            return bill.cost
+        strongest = current.versions_by_model.get(cascade.tiers[-1], ())
+        if not strongest:
+            return bill.cost
+        usage = bill.runs[-1].usage
+        return strongest[-1].cost(usage.prompt_tokens, usage.answer_tokens)
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from celeryward.callers import accounting
 from celeryward.callers import admission
 from celeryward.callers import demand
 from celeryward.callers import gates
@@ -18,6 +19,7 @@
 from celeryward import calls
 from celeryward.endpoints import dispatch
 from celeryward import errors
+from celeryward.operators import windows
 from celeryward.platform import batches
 
 
@@ -56,6 +58,10 @@
         self.clock = clock
         self.once = once
         self.configuration_age = configuration_age
+        self.recorder = windows.Recorder(ledger.owner)
+        self.accounts = accounting.Accounts(
+            configuration, self.recorder, metrics, clock
+        )
         self.limiter = limits.Limiter(ledger.owner)
         self.gates = gates.Gates(
             configuration,
@@ -87,17 +93,14 @@
         started = time.monotonic()
         entered = self.limiter.enter(customer, started, self.clock())
         if entered.is_err():
-            self.count(customer, target, entered.unwrap_err().code)
+            code = entered.unwrap_err().code
+            self.accounts.record(customer.name, target, code)
             raise entered.unwrap_err()
-        code = 'ok'
         try:
-            yield
-        except errors.CelerywardError as error:
-            code = error.code
-            raise
+            with self.accounts.open(customer, target) as account:
+                yield account
         finally:
             self.limiter.leave(customer, time.monotonic() - started)
-            self.count(customer, target, code)
 
     def day(self):
         """Return the day that costs are charged to."""
@@ -111,10 +114,6 @@
         )
         return self.limiter.summary(time.monotonic(), self.day(), models)
 
-    def count(self, customer, target, code):
-        """Count one request in the metrics."""
-        self.metrics.requests.labels(customer.name, target, code).inc()
-
     async def serve_chat(self, head, body, deadline, responder):
         """Serve one chat request."""
         peer = responder.connection.peer
@@ -135,7 +134,8 @@
         route = errors.unwrap(
             admission.route_chat(current, customer, request.model)
         )
-        with self.admitted(customer, request.model):
+        with self.admitted(customer, request.model) as account:
+            call = dataclasses.replace(call, account=account)
             run = functools.partial(self.run_chat, call, route)
             await self.once.run(call, run, responder)
 
@@ -179,9 +179,7 @@
                 if not responder.started:
                     headers = self.answer_headers(attempt, placer)
                     await responder.start_stream(headers)
-                    self.metrics.latency('first_token').record(
-                        self.clock() - started
-                    )
+                    self.note_first_token(attempt.call, started)
                 if chunk.usage is None:
                     await responder.send(chunk.payload)
                 else:
@@ -189,6 +187,13 @@
                     await self.bill(attempt.call, attempt.runs)
                     await responder.finish_stream(chunk.payload)
 
+    def note_first_token(self, call, started):
+        """Note the time to the first token of a streamed answer."""
+        seconds = self.clock() - started
+        self.metrics.latency('first_token').record(seconds)
+        if call.account is not None:
+            call.account.first_token = seconds
+
     async def run_whole(self, call, route, responder):
         """Answer with one model's whole answer, after billing it.
 
@@ -294,6 +299,8 @@
         )
         await self.ledger.settle(bill)
         self.limiter.spend(bill.customer, bill.cost, self.day())
+        if call.account is not None:
+            self.accounts.settled(call.account, bill)
         self.metrics.bills.inc()
         for run in runs:
             self.metrics.answer_tokens.labels(run.version).inc(
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -35,6 +35,7 @@
 from celeryward.platform import flusher
 from celeryward.platform import hosts
 from celeryward.platform import leases
+from celeryward.platform import publisher
 from celeryward.platform import replicas
 from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
@@ -127,6 +128,9 @@
         self.ratings = sampler.Sampler(rater, self.learner)
         self.build_rollouts()
         self.serving = self.build_serving(settings, clock, new_id)
+        self.publisher = publisher.Publisher(
+            self.serving.recorder, self.client, clock
+        )
         self.callers = server.CallerServer(self.serving, timings, new_id)
         self.listener = http.Listener(
             settings.callers.host, settings.callers.port, self.callers.handle
@@ -207,6 +211,7 @@
             self.hosts.run,
             self.prober.run,
             self.flusher.run,
+            self.publisher.run,
             self.ratings.run,
             self.leadership.run,
             self.controller.run,
@@ -242,6 +247,7 @@
         self.replicas.mark_all_due()
         while not await self.flusher.flush() and not deadline.expired():
             await curio.sleep(FLUSH_RETRY_SECONDS)
+        await self.publisher.publish()
         for task in self.tasks:
             await task.cancel()
         await self.control.stop()
--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -1,8 +1,10 @@
 """The command line."""
 
 import getpass
+import pathlib
 import socket
 import sys
+import time
 
 import curio
 import fire
@@ -11,11 +13,13 @@
 from celeryward import daemon
 from celeryward import errors
 from celeryward import logs
+from celeryward.operators import collect
 from celeryward.operators import demo
 from celeryward.operators import documents
 from celeryward.operators import editor
 from celeryward.operators import load
 from celeryward.operators import output
+from celeryward.operators import page
 from celeryward.operators import status
 from celeryward.platform import client
 from celeryward import settings
@@ -151,6 +155,20 @@
         host, port = _parse(admin, 'admin')
         show(curio.run(status.read, host, port), output)
 
+    def report(self, platform, customer='', html=''):
+        """Say whether the last 24 hours went well.
+
+        :param platform: HOST:PORT of the object API.
+        :param customer: report on this customer only.
+        :param html: file to write the page to, beside the text.
+        """
+        objects = platform_client(platform)
+        now = time.time()
+        built = curio.run(collect.read_report, objects, now, str(customer))
+        print('\n'.join(page.render_text(built)))
+        if html:
+            pathlib.Path(html).write_text(page.render_html(built), 'utf-8')
+
     def load(
         self,
         target,
--- /dev/null
+++ b/celeryward/operators/collect.py
@@ -0,0 +1,36 @@
+"""Reads from the platform what the daily report is built from."""
+
+from celeryward import errors
+from celeryward.operators import report
+from celeryward.operators import windows
+from celeryward.platform import batches
+from celeryward.platform import configuration
+from celeryward.platform import publisher
+from celeryward.platform import records
+
+
+async def read_report(client, now, customer=''):
+    """Return the :class:`report.Report` of the last 24 hours.
+
+    :param client: :class:`platform.client.ObjectClient`.
+    :param float now: UTC seconds.
+    :param str customer: report on this customer only; empty for all.
+    :raises errors.PlatformUnavailable: if the platform can't be read.
+    :raises errors.BadInput: if a service window is malformed.
+    """
+    store = configuration.ConfigurationStore()
+    for kind in records.KINDS:
+        store.accept_list(kind, errors.unwrap(await client.list(kind)))
+    stored = errors.unwrap(await client.list(windows.WINDOW_KIND))
+    found = [
+        errors.unwrap(publisher.from_object(each)) for each in stored.items
+    ]
+    written = errors.unwrap(await client.list(batches.BATCH_KIND))
+    oldest = now - report.DAY_SECONDS
+    bill_ids = [
+        bill.id
+        for each in written.items
+        for bill in batches.from_object(each).all_bills()
+        if bill.finished_at >= oldest and customer in ('', bill.customer)
+    ]
+    return report.build(store.catalog(), found, bill_ids, now, customer)
--- a/celeryward/operators/report.py
+++ b/celeryward/operators/report.py
@@ -93,19 +93,21 @@
     newest_window_age: float
 
 
-def build(catalog, service_windows, bill_ids, now):
+def build(catalog, service_windows, bill_ids, now, customer=''):
     """Return the :class:`Report` of the 24 hours before a time.
 
     :param catalog: the :class:`catalog.Catalog` in force.
     :param service_windows: all :class:`windows.Window` of the daemons.
     :param bill_ids: identities of all bills of the same time.
     :param float now: UTC seconds.
+    :param str customer: report on this customer only; empty for all.
     """
     buckets = [
         bucket
         for window in service_windows
         for bucket in window.buckets
         if now - DAY_SECONDS <= bucket.start <= now
+        and customer in ('', bucket.customer)
     ]
     grouped = group(buckets, lambda bucket: bucket.customer)
     customers = tuple(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -45,3 +45,12 @@
                 '--output=json',
             )
             assert len(msgspec.json.decode(listed.stdout)) == 1
+            page = tmp_path / 'report.html'
+            told = processes.run_command(
+                'report',
+                f'--platform=127.0.0.1:{platform.port}',
+                f'--html={page}',
+            )
+            assert told.stdout.startswith('The day went well: 1 requests')
+            assert 'each request has one bill' in told.stdout
+            assert 'The day went well' in page.read_text()
