--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -16,6 +16,7 @@
 from celeryward.operators import editor
 from celeryward.operators import load
 from celeryward.operators import output
+from celeryward.operators import reference
 from celeryward.operators import status
 from celeryward.platform import client
 from celeryward import settings
@@ -69,6 +70,10 @@
         settings.load(file)
         print(f'{file}: ok')
 
+    def settings(self):
+        """Print the reference of all settings as a Markdown table."""
+        print(reference.render(), end='')
+
     def apply(self, file, platform, oldest_reader=1, output='text'):
         """Write the declared records of a YAML file to the platform.
 
