--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -315,9 +315,9 @@
     """
 
     def __init__(self, host, port, handler):
-        self.sock = curio.network.tcp_server_socket(
-            host, port, backlog=1024, reuse_address=True
-        )
+        self.host = host
+        self.wanted_port = port
+        self.sock = None
         self.handler = handler
         self.tasks = set()
         self.accept_task = None
@@ -328,7 +328,19 @@
         return self.sock.getsockname()[1]
 
     async def start(self):
-        """Start to accept connections."""
+        """Bind the port and start to accept connections.
+
+        :raises errors.BadInput: if the port can't be bound.
+        """
+        try:
+            self.sock = curio.network.tcp_server_socket(
+                self.host, self.wanted_port, backlog=1024, reuse_address=True
+            )
+        except OSError as error:
+            peer = f'{self.host}:{self.wanted_port}'
+            raise errors.BadInput(
+                f'can not listen on {peer}: {error}', step='listen', peer=peer
+            ) from error
         self.accept_task = await curio.spawn(self.accept, daemon=True)
 
     async def accept(self):
@@ -353,7 +365,8 @@
         """Close the listening socket. Open connections go on."""
         if self.accept_task is not None:
             await self.accept_task.cancel()
-        await self.sock.close()
+        if self.sock is not None:
+            await self.sock.close()
 
     async def drain(self, deadline):
         """Wait until every connection task has ended.
--- a/celeryward/operators/admin.py
+++ b/celeryward/operators/admin.py
@@ -93,11 +93,22 @@
             return 200, 'text/plain; version=0.0.4', text
         if path == '/healthz':
             return 200, 'text/plain', b'ok\n'
+        if path == '/readyz':
+            return self.answer_ready()
         if path == '/status':
             body = msgspec.json.encode(self.status())
             return 200, 'application/json', body
         return 404, 'text/plain', b'no such path\n'
 
+    def answer_ready(self):
+        """Answer whether callers are served, for the balancer."""
+        daemon = self.daemon
+        if daemon.serving.stopping:
+            return 503, 'text/plain', b'stopping\n'
+        if not daemon.configuration.confirmed.is_set():
+            return 503, 'text/plain', b'no configuration yet\n'
+        return 200, 'text/plain', b'ready\n'
+
     def status(self):
         """Return the :class:`DaemonStatus`."""
         daemon = self.daemon
--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -11,6 +11,7 @@
 
 import celeryward
 from celeryward import daemon
+from celeryward.endpoints import ranking
 from celeryward import errors
 from celeryward import logs
 from celeryward.operators import collect
@@ -20,8 +21,14 @@
 from celeryward.operators import load
 from celeryward.operators import output
 from celeryward.operators import page
+from celeryward.operators import reference
 from celeryward.operators import status
+from celeryward.operators import windows
+from celeryward.platform import batches
+from celeryward.platform import claims
 from celeryward.platform import client
+from celeryward.platform import leases
+from celeryward.platform import records
 from celeryward import settings
 from celeryward.standins import run as standin_run
 
@@ -32,6 +39,14 @@
 EXIT_UNAVAILABLE = 4
 
 PLATFORM_SECONDS = 5.0
+# Declared records, and what the system itself stores.
+KINDS = (
+    *records.KINDS,
+    batches.BATCH_KIND,
+    claims.CLAIM_KIND,
+    leases.LEASE_KIND,
+    windows.WINDOW_KIND,
+)
 
 
 def show(value, style):
@@ -48,6 +63,19 @@
     )
 
 
+def check_kind(kind):
+    """Check the name of a kind of objects.
+
+    :raises errors.BadInput: if the system has no such kind.
+    """
+    if kind not in KINDS:
+        raise errors.BadInput(
+            f'unknown kind {kind!r}; known: {", ".join(KINDS)}',
+            step='arguments',
+            peer='kind',
+        )
+
+
 class Commands:
     """Model-aware router for versions and cascades of language models.
 
@@ -61,6 +89,7 @@
         :param file: YAML settings file.
         """
         checked = settings.load(file)
+        ranking.RANKINGS.get(checked.ranking)
         logs.configure(checked.log.level, checked.log.format)
         cut_off = curio.run(daemon.Daemon(checked).run)
         return EXIT_FAILED if cut_off else EXIT_OK
@@ -70,9 +99,14 @@
 
         :param file: YAML settings file.
         """
-        settings.load(file)
+        checked = settings.load(file)
+        ranking.RANKINGS.get(checked.ranking)
         print(f'{file}: ok')
 
+    def settings(self):
+        """Print the reference of all settings as a Markdown table."""
+        print(reference.render(), end='')
+
     def apply(self, file, platform, oldest_reader=1, output='text'):
         """Write the declared records of a YAML file to the platform.
 
@@ -110,6 +144,7 @@
         :param platform: HOST:PORT of the object API.
         :param output: yaml, text or json.
         """
+        check_kind(kind)
         found = curio.run(platform_client(platform).get, kind, str(name))
         stored = errors.unwrap(found)
         if output == 'yaml':
@@ -123,6 +158,7 @@
         :param kind: kind of the records, such as Customer.
         :param platform: HOST:PORT of the object API.
         """
+        check_kind(kind)
         found = errors.unwrap(curio.run(platform_client(platform).list, kind))
         rows = [
             {
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -3,7 +3,9 @@
 import curio
 import pytest
 
+from celeryward import daemon
 from celeryward import errors
+from celeryward.operators import admin
 from celeryward.operators import cli
 from celeryward.operators import demo
 from celeryward.operators import documents
@@ -144,6 +146,13 @@
         arguments = ('list', 'Customer', '--platform=here')
         assert self.exit_code(*arguments) == cli.EXIT_BAD_INPUT
 
+    def test_unknown_kinds_and_rankings(self, tmp_path):
+        arguments = ('list', 'Custommer', '--platform=127.0.0.1:9')
+        assert self.exit_code(*arguments) == cli.EXIT_BAD_INPUT
+        path = tmp_path / 'daemon.yaml'
+        path.write_text('name: d\nfailure_domain: f\nranking: best\n')
+        assert self.exit_code('check', str(path)) == cli.EXIT_BAD_INPUT
+
     def test_platform_away(self):
         arguments = ('list', 'Customer', '--platform=127.0.0.1:9')
         assert self.exit_code(*arguments) == cli.EXIT_UNAVAILABLE
@@ -169,6 +178,37 @@
         run(test)
 
 
+class TestStart:
+    """Guards against callers that wait at a daemon without configuration."""
+
+    def test_port_is_closed_until_there_is_a_configuration(self, run):
+        async def test():
+            standin = platform.PlatformStandIn()
+            await standin.start()
+            await standin.set_away(True)
+            starting = daemon.Daemon(
+                settings.Settings(
+                    name='d',
+                    failure_domain='f',
+                    platform=settings.Address(port=standin.port),
+                )
+            )
+            task = await curio.spawn(starting.start)
+            while starting.admin.sock is None:
+                await curio.sleep(0.01)
+            assert starting.listener.sock is None
+            answer = admin.Admin(starting).answer('/readyz')
+            assert answer[0] == 503
+            await standin.set_away(False)
+            await task.join()
+            assert starting.listener.port
+            assert admin.Admin(starting).answer('/readyz')[0] == 200
+            await starting.stop()
+            await standin.stop()
+
+        run(test)
+
+
 class TestOpenLoop:
     """Guards against latencies that leave out the time spent waiting."""
 
