--- a/celeryward/platform/billing.py
+++ b/celeryward/platform/billing.py
@@ -123,12 +123,14 @@
         try:
             holders = frozenset(await self.peers.keep(bills, deadline))
         except errors.CelerywardError as error:
+            # One line for each change of state, not for each bill.
+            if not self.short_of_copies:
+                logs.bind_error(error).warning(
+                    'bills not copied to 2 peers: {}', error.message
+                )
             self.short_of_copies = True
             for collection in touched:
                 collection.lacks_copies = True
-            logs.bind_error(error).warning(
-                'bills not copied to 2 peers: {}', error.message
-            )
             return frozenset()
         for collection in touched:
             collection.holders |= holders
