--- a/benchmarks/withdrawal.py
+++ b/benchmarks/withdrawal.py
@@ -20,6 +20,7 @@
 from celeryward import calls
 from celeryward import catalog
 from celeryward import deadlines
+from celeryward.endpoints import attempts
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
 from celeryward.endpoints import liveness
@@ -191,7 +192,7 @@
                 deadlines.Deadline.after(10.0),
                 calls.ChatRequest('m', (message,), max_tokens=1),
             )
-            attempt = dispatch.Attempt(call, 'm')
+            attempt = attempts.Attempt(call, 'm')
             attempt.place = lambda call=call: self.place(call)
             attempt.move()
             await curio.sleep(self.rng.uniform(0, LONGEST_WAIT_SECONDS))
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -17,7 +17,7 @@
 from celeryward.callers import protocol
 from celeryward.callers import sessions
 from celeryward import calls
-from celeryward.endpoints import dispatch
+from celeryward.endpoints import attempts
 from celeryward import errors
 from celeryward.operators import windows
 from celeryward.platform import batches
@@ -152,7 +152,7 @@
     async def run_stream(self, call, route, responder):
         """Stream one model's answer; bill it before its last byte.
 
-        :returns: the finished :class:`dispatch.Attempt`.
+        :returns: the finished :class:`attempts.Attempt`.
         """
         started = self.clock()
         placer = self.placer(call, route)
@@ -197,7 +197,7 @@
     async def run_whole(self, call, route, responder):
         """Answer with one model's whole answer, after billing it.
 
-        :returns: the finished :class:`dispatch.Attempt`.
+        :returns: the finished :class:`attempts.Attempt`.
         """
         placer = self.placer(call, route)
         async with self.begin(placer, route.models[0]) as attempt:
@@ -261,7 +261,7 @@
 
     @contextlib.asynccontextmanager
     async def begin(self, placer, model):
-        """Hold a slot of a model; yield the :class:`dispatch.Attempt`.
+        """Hold a slot of a model; yield the :class:`attempts.Attempt`.
 
         The request is placed once it has the slot, because versions may be
         withdrawn while it waits.
@@ -273,7 +273,7 @@
             waited = time.monotonic() - arrived
             self.metrics.latency('queue_wait').record(waited)
             place = functools.partial(placer.place, model)
-            attempt = dispatch.Attempt(placer.call, model, place=place)
+            attempt = attempts.Attempt(placer.call, model, place=place)
             attempt.move()
             yield attempt
 
@@ -332,7 +332,7 @@
 
     async def run_service(self, call, responder):
         """Forward an admitted request and pass the answer on."""
-        attempt = dispatch.Attempt(call, call.request.service)
+        attempt = attempts.Attempt(call, call.request.service)
         answer = await self.dispatcher.forward(attempt)
         headers = protocol.service_headers(answer.headers)
         await responder.send_whole(answer.status, headers, answer.body)
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -24,7 +24,7 @@
 from celeryward.endpoints import pool
 from celeryward.endpoints import prober
 from celeryward.endpoints import recovery
-from celeryward import http
+from celeryward import listener
 from celeryward import logs
 from celeryward import metrics
 from celeryward.operators import admin
@@ -132,10 +132,10 @@
             self.serving.recorder, self.client, clock
         )
         self.callers = server.CallerServer(self.serving, timings, new_id)
-        self.listener = http.Listener(
+        self.listener = listener.Listener(
             settings.callers.host, settings.callers.port, self.callers.handle
         )
-        self.admin = http.Listener(
+        self.admin = listener.Listener(
             settings.admin.host, settings.admin.port, admin.Admin(self).handle
         )
         self.control.announcer = topics.make_announcer(
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -2,19 +2,15 @@
 
 import contextlib
 import dataclasses
-import functools
 import time
-import uuid
 
 import curio
 import result
 
 from celeryward import calls
 from celeryward.endpoints import candidates
-from celeryward.endpoints import fingerprints
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
-from celeryward.endpoints import prefixes
 from celeryward.endpoints import protocol
 from celeryward import errors
 
@@ -31,137 +27,6 @@
     body: bytes
 
 
-class Attempt:
-    """What one request has tried and passed on so far.
-
-    :param Call call: the request.
-    :param str model: name of the model or service.
-    :param str pinned: version to keep to; empty for any.
-    :param place: function that returns a new placement, with a ``pinned``
-        version, if the version is withdrawn or revoked before any token
-        was passed on. None ends the request instead.
-    """
-
-    def __init__(self, call, model, pinned='', place=None):
-        self.call = call
-        self.model = model
-        self.pinned = pinned
-        self.place = place
-        self.tried = frozenset()
-        self.dispatches = 0
-        self.emitted = []
-        self.emitted_tokens = 0
-        self.candidate = None
-        self.runs = []
-        self.finished = False
-        self.billed = False
-        self.may_have_run = False
-        self.on_probation = False
-        self.crashed = False
-        self.replaced = frozenset()
-        self.spare = frozenset()
-        self.digests = ()
-        if isinstance(call.request, calls.ChatRequest):
-            self.digests = prefixes.digest_text(call.request.prompt())
-        self.dispatched_at = 0.0
-
-    @functools.cached_property
-    def fingerprint(self):
-        """The fingerprint of the request, made when it is first needed."""
-        return fingerprints.fingerprint_request(self.model, self.call.request)
-
-    @property
-    def version(self):
-        """Name of the version that runs the request."""
-        return self.candidate.version.name
-
-    def move(self):
-        """Place the request on another version.
-
-        :raises errors.NotRun: if there is none.
-        """
-        self.pinned = self.place().pinned
-
-    def refused(self, error):
-        """Return the true error for a dispatch that was not made.
-
-        An earlier dispatch may have run, so that "not run" would be wrong.
-        """
-        says_not_run = error.execution is errors.Execution.NOT_RUN
-        if not self.may_have_run or not says_not_run:
-            return error
-        return errors.OutcomeUnknown(
-            f'the request may have run: {error.message}',
-            step=error.step,
-            peer=error.peer,
-        )
-
-    def add(self, chunk):
-        """Note a chunk that goes to the caller."""
-        self.emitted.append(chunk.payload)
-        self.emitted_tokens += chunk.tokens
-
-    def dispatched_call(self):
-        """Return the call under an id of its own for this dispatch.
-
-        Retries and the tiers of a cascade share a request id, and callers
-        may choose equal ones; a late response to one dispatch must not pass
-        as the response to another.
-        """
-        request_id = f'{self.call.request_id}.{uuid.uuid4().hex[:12]}'
-        return dataclasses.replace(self.call, request_id=request_id)
-
-    def take_spare(self):
-        """Allow live endpoints whose connection failed once more.
-
-        :returns: whether there are any.
-        """
-        spare, self.spare = self.spare, frozenset()
-        self.tried -= spare
-        return bool(spare)
-
-    def resume_point(self):
-        """Return the :class:`protocol.Resume`, or None before any token."""
-        if not self.emitted_tokens:
-            return None
-        return protocol.resume_point(b''.join(self.emitted))
-
-    def add_run(self, usage):
-        """Note what one execution used."""
-        version = self.candidate.version
-        cost = version.cost(usage.prompt_tokens, usage.answer_tokens)
-        endpoint = self.candidate.endpoint.name
-        self.runs.append(calls.Run(version.name, endpoint, usage, cost))
-
-    def add_partial_run(self):
-        """Note the tokens that the caller has and that no run covers."""
-        resume = self.resume_point()
-        tokens = (resume.tokens if resume else 0) - self.covered_tokens()
-        if tokens or not self.runs:
-            self.add_run(calls.Usage(0, tokens))
-
-    def add_last_run(self, usage, last_tokens):
-        """Note the run that finished the answer.
-
-        Engines differ in whether the usage of a resumed run includes the
-        tokens before it. These are billed already, so that a resumed run is
-        billed for the events that it sent.
-
-        :param int last_tokens: tokens of the chunk that carries the usage.
-        """
-        self.finished = True
-        if self.runs:
-            resume = self.resume_point()
-            whole = (resume.tokens if resume else 0) + last_tokens
-            tokens = whole - self.covered_tokens()
-            usage = calls.Usage(usage.prompt_tokens, tokens)
-        self.add_run(usage)
-
-    def covered_tokens(self):
-        """Return the generated tokens of the runs so far."""
-        return sum(run.usage.answer_tokens for run in self.runs)
-
-
 class Dispatcher:
     """Selects endpoints and runs requests there.
 
--- /dev/null
+++ b/celeryward/endpoints/management.py
@@ -0,0 +1,117 @@
+"""Wire format of load reports, cache events and orders of endpoints."""
+
+import dataclasses
+
+import msgspec
+
+from celeryward.endpoints import load
+from celeryward.endpoints import orders
+from celeryward.endpoints import prefixes
+from celeryward import errors
+from celeryward import http
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """Answer to ``GET /cache-events``; numbers may be missing."""
+
+    events: tuple[prefixes.CacheEvent, ...] = ()
+
+
+EVENTS_DECODER = msgspec.json.Decoder(CacheEvents)
+LOAD_DECODER = msgspec.json.Decoder(load.LoadReport)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderRefusal:
+    """Body of a refused order.
+
+    :param int fence: the highest fencing number that the endpoint knows.
+    """
+
+    fence: int = 0
+
+
+REFUSAL_DECODER = msgspec.json.Decoder(OrderRefusal)
+
+
+async def send_order(connection, order, deadline):
+    """Send one order and wait until the endpoint has executed it.
+
+    :raises orders.OutdatedFence: if the endpoint knows a higher number.
+    :raises errors.EndpointRefused: if it does not execute the order.
+    """
+    body = {
+        'kind': order.kind,
+        'model': order.model,
+        'version': order.version,
+        'fence': order.fence,
+    }
+    if order.role:
+        body['role'] = order.role
+    headers = {
+        'content-type': 'application/json',
+        'x-timeout-ms': str(int(deadline.remaining() * 1000)),
+    }
+    response, answer = await http.exchange(
+        connection,
+        'POST',
+        '/orders',
+        headers,
+        msgspec.json.encode(body),
+        deadline,
+    )
+    if response.status == 409:
+        refusal = REFUSAL_DECODER.decode(answer)
+        raise orders.OutdatedFence(
+            f'endpoint knows fencing number {refusal.fence}',
+            step='send order',
+            peer=connection.peer,
+            fence=refusal.fence,
+        )
+    if response.status != 200:
+        raise errors.EndpointRefused(
+            f'endpoint answered {response.status} to an order',
+            step='send order',
+            peer=connection.peer,
+        )
+
+
+async def read_load(connection, deadline):
+    """Ask an endpoint for its :class:`load.LoadReport`.
+
+    :raises errors.ProtocolError: if the answer is malformed.
+    """
+    return await read_report(connection, '/load', LOAD_DECODER, deadline)
+
+
+async def read_cache_events(connection, since, deadline):
+    """Ask an engine for its :class:`CacheEvents` from a number on.
+
+    :raises errors.ProtocolError: if the answer is malformed.
+    """
+    target = f'/cache-events?since={since}'
+    return await read_report(connection, target, EVENTS_DECODER, deadline)
+
+
+async def read_report(connection, target, decoder, deadline):
+    """Read and decode one report of an endpoint.
+
+    :raises errors.ProtocolError: if the answer is malformed.
+    """
+    response, body = await http.exchange(
+        connection, 'GET', target, {}, b'', deadline
+    )
+    step = f'read {target.partition("?")[0]}'
+    if response.status != 200:
+        raise errors.ProtocolError(
+            f'endpoint answered {response.status}',
+            step=step,
+            peer=connection.peer,
+        )
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise errors.ProtocolError(
+            f'malformed report: {error}', step=step, peer=connection.peer
+        ) from error
--- a/celeryward/endpoints/orderer.py
+++ b/celeryward/endpoints/orderer.py
@@ -4,8 +4,8 @@
 import result
 
 from celeryward import deadlines
+from celeryward.endpoints import management
 from celeryward.endpoints import orders
-from celeryward.endpoints import protocol
 from celeryward import errors
 from celeryward import http
 from celeryward import logs
@@ -83,7 +83,7 @@
                     return result.Err(refuse(orders.NotYet, reason, endpoint))
                 answered_before = self.unanswered_until
                 self.unanswered_until = deadline
-                await protocol.send_order(connection, order, deadline)
+                await management.send_order(connection, order, deadline)
                 self.unanswered_until = answered_before
             finally:
                 await connection.close()
@@ -115,7 +115,7 @@
                 endpoint.host, endpoint.port, deadline
             )
             try:
-                return await protocol.read_load(connection, deadline)
+                return await management.read_load(connection, deadline)
             finally:
                 await connection.close()
         except TRANSPORT_ERRORS as error:
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -7,7 +7,7 @@
 import curio
 
 from celeryward import deadlines
-from celeryward.endpoints import protocol
+from celeryward.endpoints import management
 from celeryward import errors
 from celeryward import http
 from celeryward import logs
@@ -141,7 +141,7 @@
                 endpoint.host, endpoint.port, deadline
             )
             try:
-                report = await protocol.read_load(connection, deadline)
+                report = await management.read_load(connection, deadline)
                 await self.read_events(endpoint, connection, deadline)
             finally:
                 await connection.close()
@@ -164,7 +164,7 @@
         connection.start_next_cycle()
         since = self.prefixes.since(endpoint.name)
         try:
-            answer = await protocol.read_cache_events(
+            answer = await management.read_cache_events(
                 connection, since, deadline
             )
         except PROBE_ERRORS as error:
--- /dev/null
+++ b/celeryward/listener.py
@@ -0,0 +1,83 @@
+"""Accepts connections and runs one task for each."""
+
+import curio
+import h11
+
+from celeryward import errors
+from celeryward import http
+
+
+class Listener:
+    """Accepts connections and runs one task for each.
+
+    :param handler: async function of one :class:`http.Connection`.
+    """
+
+    def __init__(self, host, port, handler):
+        self.host = host
+        self.wanted_port = port
+        self.sock = None
+        self.handler = handler
+        self.tasks = set()
+        self.accept_task = None
+
+    @property
+    def port(self):
+        """The port that the socket is bound to."""
+        return self.sock.getsockname()[1]
+
+    async def start(self):
+        """Bind the port and start to accept connections.
+
+        :raises errors.BadInput: if the port can't be bound.
+        """
+        try:
+            self.sock = curio.network.tcp_server_socket(
+                self.host, self.wanted_port, backlog=1024, reuse_address=True
+            )
+        except OSError as error:
+            peer = f'{self.host}:{self.wanted_port}'
+            raise errors.BadInput(
+                f'can not listen on {peer}: {error}', step='listen', peer=peer
+            ) from error
+        self.accept_task = await curio.spawn(self.accept, daemon=True)
+
+    async def accept(self):
+        """Spawn a task for each accepted connection, until cancelled."""
+        while True:
+            sock, address = await self.sock.accept()
+            http.disable_nagle(sock)
+            peer = f'{address[0]}:{address[1]}'
+            connection = http.Connection(sock, h11.SERVER, peer)
+            task = await curio.spawn(self.run, connection, daemon=True)
+            self.tasks.add(task)
+
+    async def run(self, connection):
+        """Run the handler and close the connection after it."""
+        try:
+            await self.handler(connection)
+        finally:
+            self.tasks.discard(await curio.current_task())
+            await connection.close()
+
+    async def stop_accepting(self):
+        """Close the listening socket. Open connections go on."""
+        if self.accept_task is not None:
+            await self.accept_task.cancel()
+        if self.sock is not None:
+            await self.sock.close()
+
+    async def drain(self, deadline):
+        """Wait until every connection task has ended.
+
+        :returns: the number of tasks that were cut off at the deadline.
+        """
+        for task in list(self.tasks):
+            try:
+                await curio.timeout_after(deadline.remaining(), task.wait)
+            except curio.TaskTimeout:
+                break
+        remaining = list(self.tasks)
+        for task in remaining:
+            await task.cancel()
+        return len(remaining)
--- a/celeryward/raters/runner.py
+++ b/celeryward/raters/runner.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from celeryward import calls
-from celeryward.endpoints import dispatch
+from celeryward.endpoints import attempts
 from celeryward import errors
 from celeryward.raters import cascades
 from celeryward.raters import protocol
@@ -20,7 +20,7 @@
     """The answer that a cascade settled on, and all of its runs."""
 
     payload: bytes
-    attempt: dispatch.Attempt
+    attempt: attempts.Attempt
     runs: tuple[calls.Run, ...]
 
 
@@ -46,7 +46,7 @@
     """
 
     tier: int
-    attempt: dispatch.Attempt
+    attempt: attempts.Attempt
     payload: bytes
 
     @property
@@ -104,7 +104,7 @@
 
         :param begin: function of a model that returns a context manager,
             which holds a slot and yields the placed
-            :class:`dispatch.Attempt`.
+            :class:`attempts.Attempt`.
         """
         kind = start.choice.scope.kind
         step = start.step
--- a/celeryward/standins/base.py
+++ b/celeryward/standins/base.py
@@ -7,6 +7,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
+from celeryward import listener
 
 IDLE_SECONDS = 120.0
 GONE = (
@@ -36,7 +37,7 @@
     """
 
     def __init__(self, port=0):
-        self.listener = http.Listener('127.0.0.1', port, self.handle)
+        self.listener = listener.Listener('127.0.0.1', port, self.handle)
 
     @property
     def port(self):
--- a/celeryward/standins/engine.py
+++ b/celeryward/standins/engine.py
@@ -9,6 +9,7 @@
 
 from celeryward.endpoints import prefixes
 from celeryward import http
+from celeryward import listener
 from celeryward.standins import base
 
 WORDS = ('align', 'the', 'part', 'then', 'fasten', 'each', 'bolt', 'evenly')
@@ -161,7 +162,7 @@
         await self.stop()
         if self.restart_seconds:
             await curio.sleep(self.restart_seconds)
-            self.listener = http.Listener('127.0.0.1', port, self.handle)
+            self.listener = listener.Listener('127.0.0.1', port, self.handle)
             await self.start()
         self.crashing = False
 
--- a/celeryward/standins/fleet.py
+++ b/celeryward/standins/fleet.py
@@ -9,6 +9,7 @@
 from celeryward import calls
 from celeryward import catalog
 from celeryward import deadlines
+from celeryward.endpoints import attempts
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
 from celeryward.endpoints import fingerprints
@@ -110,7 +111,7 @@
             deadlines.Deadline.after(CALL_SECONDS),
             request,
         )
-        return dispatch.Attempt(call, 'large')
+        return attempts.Attempt(call, 'large')
 
     async def stream(self, attempt):
         """Run a streamed chat and return the text of the answer."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,9 +5,9 @@
 from celeryward import catalog
 from celeryward import deadlines
 from celeryward.endpoints import load
+from celeryward.endpoints import management
 from celeryward.endpoints import orderer
 from celeryward.endpoints import orders
-from celeryward.endpoints import protocol
 from celeryward import errors
 from celeryward import http
 from celeryward.platform import leases
@@ -146,7 +146,7 @@
             connection = await http.connect(
                 '127.0.0.1', setup.engine.port, deadlines.Deadline.after(5.0)
             )
-            await protocol.send_order(
+            await management.send_order(
                 connection, late, deadlines.Deadline.after(5.0)
             )
             await connection.close()
