Add a golden file of a session in which requests fail

Cause: one golden file covered good requests only; read in a file, the message of a lost answer named a state of h11 instead of what happened. Change: a session of refusals, a broken stream, a lost answer and a refusing engine; the message says that the connection closed inside a message. Conclusion: what callers are told in failures is now compared as a whole.

--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -89,8 +89,10 @@
         of the protocol.
         """
         _, closed = self.h11.trailing_data
-        kind = Disconnected if closed else errors.ProtocolError
-        return kind(str(error), step=step, peer=self.peer)
+        if closed:
+            message = 'connection closed inside a message'
+            return Disconnected(message, step=step, peer=self.peer)
+        return errors.ProtocolError(str(error), step=step, peer=self.peer)
 
     async def read(self, step, deadline):
         """Return bytes from the socket, empty at the end of the stream."""
--- a/tests/test_sessions_golden.py
+++ b/tests/test_sessions_golden.py
@@ -1,9 +1,26 @@
 """Golden files of whole sessions."""
 
+import dataclasses
+
 import curio
 
 from celeryward.operators import demo
 
+REFUSALS = (
+    demo.chat('unknown model', 'absent', 'x'),
+    demo.chat('cascade', 'auto', 'x', stream=True),
+    demo.Example('wrong body', 'POST', '/v1/chat/completions', {'model': 1}),
+    demo.Example('unknown service', 'GET', '/v1/services/none/x', {}),
+    dataclasses.replace(
+        demo.chat('bad deadline', 'small', 'x'),
+        headers={'x-timeout-ms': 'soon'},
+    ),
+    dataclasses.replace(
+        demo.chat('wrong key', 'small', 'x'),
+        headers={'authorization': 'Bearer wrong'},
+    ),
+)
+
 
 class TestDemoSession:
     """Guards the wire formats, routes and bills of the whole path."""
@@ -12,3 +29,42 @@
         lines = []
         curio.run(demo.run_examples, lines.append)
         assert '\n'.join(lines) == snapshot
+
+
+class TestFailingSession:
+    """Guards what callers are told when requests are refused or fail."""
+
+    async def session(self, write):
+        cluster = demo.Cluster()
+        await cluster.start()
+        for example in REFUSALS:
+            await self.record(cluster, example, write)
+        cluster.large.break_after = 3
+        stream = demo.chat('broken stream', 'large', 'x', stream=True)
+        await self.record(cluster, stream, write)
+        cluster.orders.lose_answers = True
+        order = demo.Example(
+            'lost answer', 'POST', '/v1/services/orders/reserve', {}
+        )
+        await self.record(cluster, order, write)
+        cluster.small.refusing = True
+        refused = demo.chat('refusing engine', 'small', 'x')
+        await self.record(cluster, refused, write)
+        await cluster.stop()
+
+    async def record(self, cluster, example, write):
+        port = cluster.daemon.listener.port
+        head, body = await demo.send(port, example)
+        write(f'== {example.title}: {head.status}')
+        for name in ('x-execution', 'x-served-by'):
+            write(f'{name}: {head.headers.get(name, "-")}')
+        # Ports are chosen by the host.
+        text = body.decode('utf-8').rstrip('\n')
+        for endpoint in (cluster.small, cluster.large, cluster.orders):
+            text = text.replace(str(endpoint.port), 'PORT')
+        write(text)
+
+    def test_session_matches_golden_file(self, snapshot, run):
+        lines = []
+        run(self.session, lines.append)
+        assert '\n'.join(lines) == snapshot
