Leave bills to peers at a planned stop in an outage

Cause: a daemon that was stopped while the platform was away waited for its bills until the drain timeout, 10 minutes by default, although two peers held copies; a supervisor would have killed it.

--- a/celeryward/platform/billing.py
+++ b/celeryward/platform/billing.py
@@ -12,6 +12,7 @@
 from celeryward.platform import batches
 
 KEEP_SECONDS = 0.5
+COPIES = 2
 COPY_CHUNK_BILLS = 500
 
 
@@ -136,6 +137,13 @@
             collection.holders |= holders
         return holders
 
+    def is_copied(self):
+        """Return whether 2 peers hold a copy of each bill in memory."""
+        return all(
+            len(collection.holders) >= COPIES and not collection.lacks_copies
+            for collection in self.collections
+        )
+
     def peer_died(self, name):
         """Note that the copies which a peer held are gone.
 
--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -133,6 +133,30 @@
 
         run(test)
 
+    def test_planned_stop_in_an_outage_leaves_the_bills_to_peers(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            platform = cluster.daemon.settings.platform
+            first = await start('first', platform)
+            seed = settings.Address(port=first.control.bridge.port)
+            others = [await start(name, platform, seed) for name in ('b', 'c')]
+            while len(first.control.members.live()) < 2:
+                await curio.sleep(0.01)
+            await demo.send(first.listener.port, demo.EXAMPLES[0])
+            await cluster.platform.set_away(True)
+            # The drain timeout is longer than the time limit of the test.
+            await first.stop()
+            await cluster.platform.set_away(False)
+            while not stored_bills(cluster):
+                await curio.sleep(0.01)
+            for other in others:
+                await other.stop()
+            await cluster.stop()
+            assert len(stored_bills(cluster)) == 1
+
+        run(test)
+
 
 async def start(name, platform, *seeds):
     """Start a daemon whose bills wait long for their flush."""
