Check the module table of the design page against the code

Cause: modules were split and added while the page was written, and it named neither all of them nor the terms that they use. Conclusion: the page can't fall behind unseen.

--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -2,6 +2,7 @@
 
 import ast
 import pathlib
+import re
 
 import pytest
 
@@ -77,3 +78,20 @@
             and 'frozen=True' not in ast.unparse(decorator)
         ]
         assert thawed == []
+
+
+class TestDesignPage:
+    """Guards against a module table that the code has left behind."""
+
+    def test_table_names_exactly_the_modules(self):
+        page = PACKAGE.parent.joinpath('docs/design.md').read_text('utf-8')
+        rows = re.findall(r'^\| `celeryward\.(\w+)` \|(.*)$', page, re.M)
+        assert len(rows) == 7
+        for package, row in rows:
+            named = set(re.findall(r'`(\w+)`', row))
+            present = {
+                path.stem
+                for path in PACKAGE.joinpath(package).glob('*.py')
+                if not path.stem.startswith(('__', 'exchange_'))
+            }
+            assert named == present, package
