Add a command that waits for a revision and shows who lacks it

Cause: after apply, an operator could not tell when a change was in force. Change: celeryward wait polls the admin ports of daemons until the revision is in force or the time is up, and lists the daemons that lack it. Conclusion: the 10 s for a change can be checked by script.

--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -12,6 +12,7 @@
 import celeryward
 from celeryward.callers import keys
 from celeryward import daemon
+from celeryward import deadlines
 from celeryward.endpoints import ranking
 from celeryward import errors
 from celeryward import logs
@@ -203,6 +204,25 @@
         host, port = _parse(admin, 'admin')
         show(curio.run(status.read, host, port), output)
 
+    def wait(self, revision, admins, seconds=10.0, output='text'):
+        """Wait until a revision is in force, and show who lacks it.
+
+        Exits with 1 if a daemon lacks it at the end.
+
+        :param revision: revision that apply printed.
+        :param admins: admin ports as HOST:PORT; a comma separates them.
+        :param seconds: longest time to wait.
+        """
+        listed = admins.split(',') if isinstance(admins, str) else admins
+        addresses = [_parse(admin, 'admins') for admin in listed]
+        deadline = deadlines.Deadline.after(float(seconds))
+        standings = curio.run(
+            status.wait_for_revision, addresses, int(revision), deadline
+        )
+        show(standings, output)
+        lacking = [each for each in standings if not each.in_force]
+        return EXIT_FAILED if lacking else EXIT_OK
+
     def report(self, platform, customer='', html=''):
         """Say whether the last 24 hours went well.
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 from celeryward.callers import keys
 from celeryward import catalog
 from celeryward import daemon
+from celeryward import deadlines
 from celeryward import errors
 from celeryward.operators import admin
 from celeryward.operators import cli
@@ -191,6 +192,31 @@
         run(test)
 
 
+class TestWait:
+    """Guards against a change that is taken for in force too early."""
+
+    def test_daemon_that_lacks_the_revision_is_shown(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            addresses = [('127.0.0.1', cluster.daemon.admin.port)]
+            held = cluster.daemon.configuration.revision
+            late = deadlines.Deadline.after(0.0)
+            wait = status.wait_for_revision
+            (lacking,) = await wait(addresses, held + 1, late)
+            assert (lacking.name, lacking.in_force) == ('demo', False)
+            (customer, *_) = cluster.records()
+            stored = await cluster.platform.put(customer)
+            soon = deadlines.Deadline.after(20.0)
+            (standing,) = await wait(addresses, stored.revision, soon)
+            assert standing.in_force
+            await cluster.stop()
+            (gone,) = await wait(addresses, 1, late)
+            assert gone.revision == -1
+
+        run(test)
+
+
 class TestStart:
     """Guards against callers that wait at a daemon without configuration."""
 
