Use one tuple of exchange errors, one number of copies, one test set-up

Cause: five modules listed the same errors of an HTTP exchange, the number of copies of a bill stood in two packages, two tests and two benchmarks repeated their set-up, and the time to the first token was taken on the wall clock, which can jump.

--- a/benchmarks/overload_path.py
+++ b/benchmarks/overload_path.py
@@ -6,7 +6,6 @@
 Usage: python -m benchmarks.overload_path --seed N
 """
 
-import argparse
 import collections
 import contextlib
 import dataclasses
@@ -15,9 +14,9 @@
 
 import curio
 
+from benchmarks import seeded
 from celeryward import errors
 from celeryward import http
-from celeryward import logs
 from celeryward.operators import demo
 from celeryward.standins import engine
 
@@ -110,13 +109,5 @@
         print(f'  goodput at 2 x / at 1 x = {goodput[1] / goodput[0]:.3f}')
 
 
-def main():
-    """Read the arguments and run."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--seed', type=int, default=1)
-    logs.configure('CRITICAL', 'text')
-    curio.run(measure, parser.parse_args().seed)
-
-
 if __name__ == '__main__':
-    main()
+    seeded.main(measure, __doc__)
--- a/benchmarks/withdrawal.py
+++ b/benchmarks/withdrawal.py
@@ -7,13 +7,13 @@
 connection is ready. Usage: python -m benchmarks.withdrawal --seed N
 """
 
-import argparse
 import contextlib
 import dataclasses
 import random
 
 import curio
 
+from benchmarks import seeded
 from celeryward.callers import admission
 from celeryward.callers import placement
 from celeryward.callers import sessions
@@ -27,7 +27,6 @@
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
 from celeryward import errors
-from celeryward import logs
 from celeryward import metrics
 from celeryward import settings
 from celeryward.standins import engine
@@ -225,13 +224,5 @@
         print(f'{kind.__name__}: {figures}')
 
 
-def main():
-    """Read the arguments and run."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--seed', type=int, default=1)
-    logs.configure('CRITICAL', 'text')
-    curio.run(measure, parser.parse_args().seed)
-
-
 if __name__ == '__main__':
-    main()
+    seeded.main(measure, __doc__)
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -154,7 +154,7 @@
 
         :returns: the finished :class:`attempts.Attempt`.
         """
-        started = self.clock()
+        started = time.monotonic()
         placer = self.placer(call, route)
         async with self.begin(placer, route.models[0]) as attempt:
             try:
@@ -189,7 +189,7 @@
 
     def note_first_token(self, call, started):
         """Note the time to the first token of a streamed answer."""
-        seconds = self.clock() - started
+        seconds = time.monotonic() - started
         self.metrics.latency('first_token').record(seconds)
         if call.account is not None:
             call.account.first_token = seconds
--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -12,9 +12,9 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
+from celeryward.platform import billing
 
 CALL_SECONDS = 3.0
-COPIES = 2
 # Leaves time to ask another peer before the ledger's deadline of 0.5 s.
 KEEP_SECONDS = 0.2
 # A peer task and its connection end when nothing is sent for this long, so
@@ -191,8 +191,8 @@
         """
         holders, asked = [], []
         candidates = list(self.members.copy_holders())
-        while len(holders) < COPIES and not deadline.expired():
-            chosen = spread(candidates, holders, COPIES - len(holders))
+        while len(holders) < billing.COPIES and not deadline.expired():
+            chosen = spread(candidates, holders, billing.COPIES - len(holders))
             if not chosen:
                 break
             candidates = [
@@ -206,9 +206,9 @@
             holders += await self.keep_at(
                 chosen, bills, attempt.earlier(deadline)
             )
-        if len(holders) < COPIES:
+        if len(holders) < billing.COPIES:
             raise errors.PeerFailure(
-                f'{len(holders)} of {COPIES} peers keep copies',
+                f'{len(holders)} of {billing.COPIES} peers keep copies',
                 step='keep',
                 peer=', '.join(member.name for member in asked) or '-',
             )
--- a/celeryward/endpoints/orderer.py
+++ b/celeryward/endpoints/orderer.py
@@ -13,10 +13,7 @@
 READ_SECONDS = 2.0
 TRANSPORT_ERRORS = (
     errors.EndpointFailure,
-    errors.ProtocolError,
-    errors.BadInput,
-    http.Disconnected,
-    http.ReadTimeout,
+    *http.EXCHANGE_ERRORS,
     msgspec.DecodeError,
 )
 
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -12,13 +12,7 @@
 from celeryward import http
 from celeryward import logs
 
-PROBE_ERRORS = (
-    errors.EndpointFailure,
-    errors.ProtocolError,
-    errors.BadInput,
-    http.Disconnected,
-    http.ReadTimeout,
-)
+PROBE_ERRORS = (errors.EndpointFailure, *http.EXCHANGE_ERRORS)
 
 # A probe costs about a millisecond of processor time; the whole control of
 # a daemon may use 2.3% of a core. Fleets of up to 40 endpoints are not slowed.
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -49,6 +49,15 @@
     code = 'disconnected'
 
 
+# What an exchange on an open connection can raise.
+EXCHANGE_ERRORS = (
+    Disconnected,
+    ReadTimeout,
+    errors.ProtocolError,
+    errors.BadInput,
+)
+
+
 class Connection:
     """One HTTP/1.1 connection, driven by one task at a time.
 
--- a/celeryward/operators/admin.py
+++ b/celeryward/operators/admin.py
@@ -5,16 +5,9 @@
 import msgspec
 
 from celeryward import deadlines
-from celeryward import errors
 from celeryward import http
 
 IDLE_SECONDS = 60.0
-GONE = (
-    http.Disconnected,
-    http.ReadTimeout,
-    errors.ProtocolError,
-    errors.BadInput,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +76,7 @@
             await http.serve_connection(
                 connection, handle_request, IDLE_SECONDS
             )
-        except GONE:
+        except http.EXCHANGE_ERRORS:
             return
 
     def answer(self, path):
--- a/celeryward/platform/client.py
+++ b/celeryward/platform/client.py
@@ -15,13 +15,7 @@
 from celeryward import http
 from celeryward.platform import protocol
 
-TRANSPORT_ERRORS = (
-    http.Disconnected,
-    http.ReadTimeout,
-    errors.ConnectionFailed,
-    errors.ProtocolError,
-    errors.BadInput,
-)
+TRANSPORT_ERRORS = (errors.ConnectionFailed, *http.EXCHANGE_ERRORS)
 MAX_IDLE_CONNECTIONS = 4
 
 
--- a/celeryward/raters/client.py
+++ b/celeryward/raters/client.py
@@ -17,10 +17,7 @@
 
 RATER_ERRORS = (
     errors.EndpointFailure,
-    errors.ProtocolError,
-    errors.BadInput,
-    http.Disconnected,
-    http.ReadTimeout,
+    *http.EXCHANGE_ERRORS,
     msgspec.DecodeError,
 )
 
--- a/celeryward/standins/base.py
+++ b/celeryward/standins/base.py
@@ -5,17 +5,10 @@
 import msgspec
 
 from celeryward import deadlines
-from celeryward import errors
 from celeryward import http
 from celeryward import listener
 
 IDLE_SECONDS = 120.0
-GONE = (
-    http.Disconnected,
-    http.ReadTimeout,
-    errors.ProtocolError,
-    errors.BadInput,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +58,7 @@
             await http.serve_connection(
                 connection, handle_request, IDLE_SECONDS
             )
-        except GONE:
+        except http.EXCHANGE_ERRORS:
             return
 
     async def answer(self, connection, received):
--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -113,47 +113,21 @@
 
     def test_bills_of_a_dead_peer_are_written(self, run):
         async def test():
-            cluster = demo.Cluster()
-            await cluster.start()
-            platform = cluster.daemon.settings.platform
-            first = await start('first', platform)
-            seed = settings.Address(port=first.control.bridge.port)
-            others = [await start(name, platform, seed) for name in ('b', 'c')]
-            while len(first.control.members.live()) < 2:
-                await curio.sleep(0.01)
-            await demo.send(first.listener.port, demo.EXAMPLES[0])
+            cluster, first, others = await bill_at_first_of_three()
             assert all(other.replicas.count == 1 for other in others)
             await kill(first)
-            while not stored_bills(cluster):
-                await curio.sleep(0.01)
-            for other in others:
-                await other.stop()
-            await cluster.stop()
-            assert len(stored_bills(cluster)) == 1
+            await check_billed_once(cluster, others)
 
         run(test)
 
     def test_planned_stop_in_an_outage_leaves_the_bills_to_peers(self, run):
         async def test():
-            cluster = demo.Cluster()
-            await cluster.start()
-            platform = cluster.daemon.settings.platform
-            first = await start('first', platform)
-            seed = settings.Address(port=first.control.bridge.port)
-            others = [await start(name, platform, seed) for name in ('b', 'c')]
-            while len(first.control.members.live()) < 2:
-                await curio.sleep(0.01)
-            await demo.send(first.listener.port, demo.EXAMPLES[0])
+            cluster, first, others = await bill_at_first_of_three()
             await cluster.platform.set_away(True)
             # The drain timeout is longer than the time limit of the test.
             await first.stop()
             await cluster.platform.set_away(False)
-            while not stored_bills(cluster):
-                await curio.sleep(0.01)
-            for other in others:
-                await other.stop()
-            await cluster.stop()
-            assert len(stored_bills(cluster)) == 1
+            await check_billed_once(cluster, others)
 
         run(test)
 
@@ -176,6 +150,30 @@
     return made
 
 
+async def bill_at_first_of_three():
+    """Return a cluster and three daemons; the first one has a bill."""
+    cluster = demo.Cluster()
+    await cluster.start()
+    platform = cluster.daemon.settings.platform
+    first = await start('first', platform)
+    seed = settings.Address(port=first.control.bridge.port)
+    others = [await start(name, platform, seed) for name in ('b', 'c')]
+    while len(first.control.members.live()) < 2:
+        await curio.sleep(0.01)
+    await demo.send(first.listener.port, demo.EXAMPLES[0])
+    return cluster, first, others
+
+
+async def check_billed_once(cluster, others):
+    """Wait for the bill at the platform, stop all, and count the bills."""
+    while not stored_bills(cluster):
+        await curio.sleep(0.01)
+    for other in others:
+        await other.stop()
+    await cluster.stop()
+    assert len(stored_bills(cluster)) == 1
+
+
 async def kill(made):
     """End the tasks of a daemon at once, as the loss of its host does."""
     for task in made.tasks:
