--- a/benchmarks/overload_path.py
+++ b/benchmarks/overload_path.py
@@ -47,6 +47,10 @@
         """Hold nothing."""
         yield
 
+    def wanted(self):
+        """Return no demand, since nothing is counted."""
+        return ()
+
 
 class Trial:
     """Sends requests to one daemon.
--- a/benchmarks/withdrawal.py
+++ b/benchmarks/withdrawal.py
@@ -23,9 +23,12 @@
 from celeryward.endpoints import attempts
 from celeryward.endpoints import candidates
 from celeryward.endpoints import dispatch
+from celeryward.endpoints import fingerprints
 from celeryward.endpoints import liveness
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
+from celeryward.endpoints import prober
+from celeryward.endpoints import recovery
 from celeryward import errors
 from celeryward import metrics
 from celeryward import settings
@@ -97,7 +100,7 @@
         self.started = 0
         self.started_withdrawn = 0
 
-    def take_idle(self, endpoint):
+    async def take_idle(self, endpoint):
         """Return no idle connection, so that each request connects."""
         return None
 
@@ -128,7 +131,7 @@
 class EntryOnly(EachDispatch):
     """Dispatches by the version that was chosen at entry."""
 
-    def choose(self, attempt):
+    async def choose(self, attempt):
         """Choose the only endpoint and the version chosen at entry."""
         attempt.dispatches += 1
         attempt.candidate = candidates.Candidate(
@@ -148,13 +151,17 @@
         view = candidates.View(
             'domain-1', load.LoadView(), liveness.Liveness()
         )
-        self.dispatcher = kind(
-            self.store,
+        timings = settings.Timings()
+        recovering = recovery.Recovery(
             view,
             self.pool,
-            settings.Timings(),
+            prober.Prober(self.store, self.pool, view, timings),
+            fingerprints.Fingerprints(),
             metrics.Metrics(),
         )
+        self.dispatcher = kind(
+            self.store, view, self.pool, timings, recovering
+        )
         self.left = REQUESTS
         self.answered = 0
         self.refused = 0
