Rename the package of the object API to celeryward.objects

Cause: the adapter for the users' platform needs the folder platform/ at the root, and the package celeryward/platform held decisions and state of the object API, so two things of one name would have stood for different jobs. Change: the package is named after its peer, the object API; imports, documents and the shape tests follow.

--- a/benchmarks/billing.py
+++ b/benchmarks/billing.py
@@ -25,11 +25,11 @@
 from benchmarks import fakes
 from celeryward import calls
 from celeryward import logs
-from celeryward.platform import batches
-from celeryward.platform import billing
-from celeryward.platform import flusher
-from celeryward.platform import protocol
-from celeryward.platform import replicas
+from celeryward.objects import batches
+from celeryward.objects import billing
+from celeryward.objects import flusher
+from celeryward.objects import protocol
+from celeryward.objects import replicas
 
 HOSTS = 12
 TICKS = 150
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -12,7 +12,7 @@
 from celeryward import catalog
 from celeryward import deadlines
 from celeryward import errors
-from celeryward.platform import claim_store
+from celeryward.objects import claim_store
 
 CALLS = 3_000
 HOSTS = 6
--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -23,8 +23,8 @@
 from celeryward.daemons import server
 from celeryward import deadlines
 from celeryward import logs
-from celeryward.platform import configuration
-from celeryward.platform import protocol as objects
+from celeryward.objects import configuration
+from celeryward.objects import protocol as objects
 
 PLANNED_CHANGE_SECONDS = 86400 / 1900
 MAX_ROUNDS = 200
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -18,10 +18,10 @@
 from celeryward.daemons import control
 from celeryward.daemons import server
 from celeryward import logs
-from celeryward.platform import client
-from celeryward.platform import configuration
-from celeryward.platform import protocol
-from celeryward.platform import watcher
+from celeryward.objects import client
+from celeryward.objects import configuration
+from celeryward.objects import protocol
+from celeryward.objects import watcher
 from celeryward import settings
 from celeryward.standins import platform
 
--- a/benchmarks/killed.py
+++ b/benchmarks/killed.py
@@ -18,8 +18,8 @@
 from benchmarks import processes
 from benchmarks import whole_path
 from celeryward import errors
-from celeryward.platform import batches
-from celeryward.platform import client
+from celeryward.objects import batches
+from celeryward.objects import client
 from celeryward import settings
 
 LOAD_SECONDS = 6
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -15,7 +15,7 @@
 from celeryward import deadlines
 from celeryward.endpoints import orders
 from celeryward import logs
-from celeryward.platform import leases
+from celeryward.objects import leases
 from tests import fakes
 
 TICK_SECONDS = 0.5
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -20,9 +20,9 @@
 from celeryward.endpoints import retries
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import client
-from celeryward.platform import hosts
-from celeryward.platform import protocol
+from celeryward.objects import client
+from celeryward.objects import hosts
+from celeryward.objects import protocol
 from celeryward import settings
 from celeryward.standins import engine
 from celeryward.standins import fleet
--- a/celeryward/callers/once.py
+++ b/celeryward/callers/once.py
@@ -1,8 +1,8 @@
 """Runs a call with an idempotency key at most once."""
 
 from celeryward import errors
-from celeryward.platform import claim_store
-from celeryward.platform import claims
+from celeryward.objects import claim_store
+from celeryward.objects import claims
 
 REFUSALS = (errors.NotRun, errors.BadInput)
 
--- a/celeryward/callers/serving.py
+++ b/celeryward/callers/serving.py
@@ -19,8 +19,8 @@
 from celeryward import calls
 from celeryward.endpoints import attempts
 from celeryward import errors
+from celeryward.objects import batches
 from celeryward.operators import windows
-from celeryward.platform import batches
 
 
 class Serving:
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -27,17 +27,17 @@
 from celeryward import listener
 from celeryward import logs
 from celeryward import metrics
+from celeryward.objects import billing
+from celeryward.objects import claim_store
+from celeryward.objects import client
+from celeryward.objects import configuration
+from celeryward.objects import flusher
+from celeryward.objects import hosts
+from celeryward.objects import leases
+from celeryward.objects import publisher
+from celeryward.objects import replicas
+from celeryward.objects import watcher
 from celeryward.operators import admin
-from celeryward.platform import billing
-from celeryward.platform import claim_store
-from celeryward.platform import client
-from celeryward.platform import configuration
-from celeryward.platform import flusher
-from celeryward.platform import hosts
-from celeryward.platform import leases
-from celeryward.platform import publisher
-from celeryward.platform import replicas
-from celeryward.platform import watcher
 from celeryward.raters import client as rater_client
 from celeryward.raters import controller
 from celeryward.raters import observer
--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -12,7 +12,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import billing
+from celeryward.objects import billing
 
 CALL_SECONDS = 3.0
 # Leaves time to ask another peer before the ledger's deadline of 0.5 s.
--- a/celeryward/daemons/copies.py
+++ b/celeryward/daemons/copies.py
@@ -6,7 +6,7 @@
 class CopyHandler:
     """Keeps copies for other daemons.
 
-    :param replicas: :class:`platform.replicas.Replicas`.
+    :param replicas: :class:`objects.replicas.Replicas`.
     :param owner_died: async function of the name of a dead run of a daemon.
     """
 
--- a/celeryward/daemons/gossip.py
+++ b/celeryward/daemons/gossip.py
@@ -5,7 +5,7 @@
 
 from celeryward.daemons import inventory
 from celeryward.daemons import membership
-from celeryward.platform import protocol
+from celeryward.objects import protocol
 
 PUSH_PEERS = 3
 # Each daemon contacts one other failure domain every few rounds, in turn.
--- a/celeryward/daemons/protocol.py
+++ b/celeryward/daemons/protocol.py
@@ -11,7 +11,7 @@
 from celeryward.daemons import membership
 from celeryward.daemons import topics
 from celeryward import errors
-from celeryward.platform import protocol
+from celeryward.objects import protocol
 
 # What does not fit is sent by the next exchange. The window of an HTTP/2
 # stream is 4 MiB.
@@ -28,7 +28,7 @@
 
 
 def read_change(message):
-    """Return the :class:`platform.protocol.Change` of a message.
+    """Return the :class:`objects.protocol.Change` of a message.
 
     :raises errors.ProtocolError: if the object can't be decoded.
     """
--- a/celeryward/platform/batches.py
+++ b/celeryward/objects/batches.py
@@ -13,7 +13,7 @@
 import struct
 
 from celeryward import calls
-from celeryward.platform import protocol
+from celeryward.objects import protocol
 
 BATCH_KIND = 'BillBatch'
 SEPARATOR = b'\x00'
--- a/celeryward/platform/billing.py
+++ b/celeryward/objects/billing.py
@@ -9,7 +9,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import batches
+from celeryward.objects import batches
 
 KEEP_SECONDS = 0.5
 COPIES = 2
--- a/celeryward/platform/claim_store.py
+++ b/celeryward/objects/claim_store.py
@@ -9,7 +9,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import claims
+from celeryward.objects import claims
 
 MAX_STEPS = 4
 # Longest waits for a claim and for storing its outcome. The platform answers
--- a/celeryward/platform/claims.py
+++ b/celeryward/objects/claims.py
@@ -15,7 +15,7 @@
 import result
 
 from celeryward import errors
-from celeryward.platform import protocol
+from celeryward.objects import protocol
 
 CLAIM_KIND = 'Claim'
 RETENTION_SECONDS = 7 * 86_400.0
--- a/celeryward/platform/client.py
+++ b/celeryward/objects/client.py
@@ -13,7 +13,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
-from celeryward.platform import protocol
+from celeryward.objects import protocol
 
 TRANSPORT_ERRORS = (errors.ConnectionFailed, *http.EXCHANGE_ERRORS)
 MAX_IDLE_CONNECTIONS = 4
--- a/celeryward/platform/configuration.py
+++ b/celeryward/objects/configuration.py
@@ -6,8 +6,8 @@
 
 from celeryward import catalog
 from celeryward import logs
-from celeryward.platform import protocol
-from celeryward.platform import records
+from celeryward.objects import protocol
+from celeryward.objects import records
 
 FIELD_OF_KIND = {
     'Customer': 'customers',
--- a/celeryward/platform/editing.py
+++ b/celeryward/objects/editing.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from celeryward.platform import records
+from celeryward.objects import records
 
 
 def revise(stored, declared, oldest_reader):
--- a/celeryward/platform/flusher.py
+++ b/celeryward/objects/flusher.py
@@ -6,7 +6,7 @@
 
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import batches
+from celeryward.objects import batches
 
 MAX_MERGES = 4
 # With fewer than 2 copies a bill is lost with its owner, so that it is
--- a/celeryward/platform/leases.py
+++ b/celeryward/objects/leases.py
@@ -13,7 +13,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import protocol
+from celeryward.objects import protocol
 
 LEASE_KIND = 'Lease'
 # 340 daemons that look at the lease once in its duration cost 23 of the
--- a/celeryward/platform/publisher.py
+++ b/celeryward/objects/publisher.py
@@ -6,8 +6,8 @@
 
 from celeryward import errors
 from celeryward import logs
+from celeryward.objects import protocol
 from celeryward.operators import windows
-from celeryward.platform import protocol
 
 PUBLISH_SECONDS = 60.0
 
--- a/celeryward/platform/replicas.py
+++ b/celeryward/objects/replicas.py
@@ -10,8 +10,8 @@
 
 from celeryward import deadlines
 from celeryward import errors
-from celeryward.platform import batches
-from celeryward.platform import billing
+from celeryward.objects import batches
+from celeryward.objects import billing
 
 HOLD_SECONDS = 120.0
 # Each daemon keeps copies for two others.
--- a/celeryward/platform/watcher.py
+++ b/celeryward/objects/watcher.py
@@ -8,7 +8,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import records
+from celeryward.objects import records
 
 BOOKMARK_TIMEOUT_SECONDS = 10.0
 RETRY_SECONDS = 0.5
--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -16,6 +16,11 @@
 from celeryward.endpoints import ranking
 from celeryward import errors
 from celeryward import logs
+from celeryward.objects import batches
+from celeryward.objects import claims
+from celeryward.objects import client
+from celeryward.objects import leases
+from celeryward.objects import records
 from celeryward.operators import collect
 from celeryward.operators import demo
 from celeryward.operators import documents
@@ -26,11 +31,6 @@
 from celeryward.operators import reference
 from celeryward.operators import status
 from celeryward.operators import windows
-from celeryward.platform import batches
-from celeryward.platform import claims
-from celeryward.platform import client
-from celeryward.platform import leases
-from celeryward.platform import records
 from celeryward import settings
 from celeryward.standins import run as standin_run
 
--- a/celeryward/operators/collect.py
+++ b/celeryward/operators/collect.py
@@ -1,18 +1,18 @@
 """Reads from the platform what the daily report is built from."""
 
 from celeryward import errors
+from celeryward.objects import batches
+from celeryward.objects import configuration
+from celeryward.objects import publisher
+from celeryward.objects import records
 from celeryward.operators import report
 from celeryward.operators import windows
-from celeryward.platform import batches
-from celeryward.platform import configuration
-from celeryward.platform import publisher
-from celeryward.platform import records
 
 
 async def read_report(client, now, customer=''):
     """Return the :class:`report.Report` of the last 24 hours.
 
-    :param client: :class:`platform.client.ObjectClient`.
+    :param client: :class:`objects.client.ObjectClient`.
     :param float now: UTC seconds.
     :param str customer: report on this customer only; empty for all.
     :raises errors.PlatformUnavailable: if the platform can't be read.
--- a/celeryward/operators/demo.py
+++ b/celeryward/operators/demo.py
@@ -15,8 +15,8 @@
 from celeryward import daemon
 from celeryward import deadlines
 from celeryward import http
-from celeryward.platform import batches
-from celeryward.platform import protocol
+from celeryward.objects import batches
+from celeryward.objects import protocol
 from celeryward import settings
 from celeryward.standins import engine
 from celeryward.standins import platform
--- a/celeryward/operators/documents.py
+++ b/celeryward/operators/documents.py
@@ -6,8 +6,8 @@
 import yaml
 
 from celeryward import errors
-from celeryward.platform import protocol
-from celeryward.platform import records
+from celeryward.objects import protocol
+from celeryward.objects import records
 
 # ``writer`` and ``status`` are printed by ``get``; they may stand in a file,
 # but are not written.
--- a/celeryward/operators/editor.py
+++ b/celeryward/operators/editor.py
@@ -4,7 +4,7 @@
 import enum
 
 from celeryward import errors
-from celeryward.platform import editing
+from celeryward.objects import editing
 
 MAX_UNKNOWN_WRITES = 5
 
@@ -32,7 +32,7 @@
 class Editor:
     """Applies and deletes records; lost answers are resolved by reading.
 
-    :param client: :class:`platform.client.ObjectClient`.
+    :param client: :class:`objects.client.ObjectClient`.
     :param int oldest_reader: oldest schema version still read somewhere.
     """
 
--- a/celeryward/raters/controller.py
+++ b/celeryward/raters/controller.py
@@ -9,9 +9,9 @@
 from celeryward.endpoints import orders
 from celeryward import errors
 from celeryward import logs
-from celeryward.platform import editing
-from celeryward.platform import protocol
-from celeryward.platform import records
+from celeryward.objects import editing
+from celeryward.objects import protocol
+from celeryward.objects import records
 from celeryward.raters import rollouts
 
 REPORT_KIND = 'RolloutReport'
--- a/celeryward/standins/platform.py
+++ b/celeryward/standins/platform.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from celeryward import http
-from celeryward.platform import protocol
+from celeryward.objects import protocol
 from celeryward.standins import base
 
 BOOKMARK_SECONDS = 3.0
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -8,10 +8,10 @@
 
 from benchmarks import fakes
 from celeryward import calls
-from celeryward.platform import batches
-from celeryward.platform import billing
-from celeryward.platform import flusher
-from celeryward.platform import replicas
+from celeryward.objects import batches
+from celeryward.objects import billing
+from celeryward.objects import flusher
+from celeryward.objects import replicas
 
 
 def bill(request_id, finished_at=1.0, runs=1, customer='shop'):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,8 +11,8 @@
 from celeryward import catalog
 from celeryward import deadlines
 from celeryward import errors
-from celeryward.platform import claim_store
-from celeryward.platform import claims
+from celeryward.objects import claim_store
+from celeryward.objects import claims
 
 SHOP = catalog.Customer('shop')
 
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -6,8 +6,8 @@
 
 from celeryward.daemons import gossip
 from celeryward.daemons import membership
-from celeryward.platform import configuration
-from celeryward.platform import protocol
+from celeryward.objects import configuration
+from celeryward.objects import protocol
 
 MAX_ROUNDS = 200
 ROUNDS_WITHIN_TARGET = 10
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -17,10 +17,10 @@
 from celeryward.daemons import server
 from celeryward import deadlines
 from celeryward import errors
-from celeryward.platform import client
-from celeryward.platform import configuration
-from celeryward.platform import protocol as objects
-from celeryward.platform import watcher
+from celeryward.objects import client
+from celeryward.objects import configuration
+from celeryward.objects import protocol as objects
+from celeryward.objects import watcher
 from celeryward import settings
 from celeryward.standins import platform
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from celeryward.platform import leases
-from celeryward.platform import protocol
+from celeryward.objects import leases
+from celeryward.objects import protocol
 from tests import fakes
 
 EXPIRY = leases.DURATION_SECONDS * (1 + leases.RATE_MARGIN)
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -11,10 +11,10 @@
 from celeryward import daemon
 from celeryward.endpoints import protocol
 from celeryward import errors
+from celeryward.objects import batches
+from celeryward.objects import billing
+from celeryward.objects import claims
 from celeryward.operators import demo
-from celeryward.platform import batches
-from celeryward.platform import billing
-from celeryward.platform import claims
 
 RESERVE = demo.Example('', 'POST', '/v1/services/orders/reserve', {'part': 7})
 READ = demo.Example('', 'GET', '/v1/services/orders/parts', {})
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,6 +9,8 @@
 from celeryward import daemon
 from celeryward import deadlines
 from celeryward import errors
+from celeryward.objects import client
+from celeryward.objects import protocol
 from celeryward.operators import admin
 from celeryward.operators import cli
 from celeryward.operators import demo
@@ -17,8 +19,6 @@
 from celeryward.operators import load
 from celeryward.operators import output
 from celeryward.operators import status
-from celeryward.platform import client
-from celeryward.platform import protocol
 from celeryward import settings
 from celeryward.standins import platform
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,8 +10,8 @@
 from celeryward.endpoints import orders
 from celeryward import errors
 from celeryward import http
-from celeryward.platform import leases
-from celeryward.platform import protocol as platform_protocol
+from celeryward.objects import leases
+from celeryward.objects import protocol as platform_protocol
 from celeryward.standins import engine
 from tests import fakes
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,9 +1,9 @@
 """Declared records and their schema versions."""
 
-from celeryward.platform import configuration
-from celeryward.platform import editing
-from celeryward.platform import protocol
-from celeryward.platform import records
+from celeryward.objects import configuration
+from celeryward.objects import editing
+from celeryward.objects import protocol
+from celeryward.objects import records
 
 
 def stored(kind, name, spec, schema_version=1, revision=1):
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -3,12 +3,12 @@
 import pytest
 
 from celeryward import catalog
+from celeryward.objects import client
+from celeryward.objects import publisher
 from celeryward.operators import burn
 from celeryward.operators import page
 from celeryward.operators import report
 from celeryward.operators import windows
-from celeryward.platform import client
-from celeryward.platform import publisher
 from celeryward import settings
 from celeryward.standins import platform
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -9,9 +9,9 @@
 
 from celeryward import catalog
 from celeryward.endpoints import orders
+from celeryward.objects import leases
+from celeryward.objects import protocol
 from celeryward.operators import demo
-from celeryward.platform import leases
-from celeryward.platform import protocol
 from celeryward.raters import controller
 from celeryward.raters import rollouts
 from tests import fakes
--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -10,8 +10,8 @@
 from celeryward.daemons import protocol
 from celeryward.daemons import topics
 from celeryward import errors
+from celeryward.objects import batches
 from celeryward.operators import demo
-from celeryward.platform import batches
 from celeryward import settings
 
 
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
+from celeryward.objects import protocol
 from celeryward.operators import demo
-from celeryward.platform import protocol
 
 LATER_REVISION = 1_000_000
 
