--- /dev/null
+++ b/celeryward/callers/gateway.py
@@ -0,0 +1,396 @@
+"""One task for each connection of callers whose requests are passed on."""
+
+import dataclasses
+import time
+
+import curio
+import h11
+
+from celeryward import deadlines
+from celeryward import errors
+from celeryward import http
+from celeryward import ingress
+from celeryward import logs
+
+# How long reading the rest of a body may take.
+BODY_SECONDS = 10.0
+# Connections that a stopping router has answered are given this long to be
+# closed by the caller.
+CALLER_ERRORS = (http.Disconnected, http.ReadTimeout)
+STATUSES = (
+    (errors.HeadTooLarge, 431),
+    (errors.BodyTooLarge, 413),
+    (errors.CallerSlow, 408),
+    (errors.BadInput, 400),
+    (errors.Unauthenticated, 401),
+    (errors.NotPermitted, 403),
+    (errors.UnknownTarget, 404),
+    (errors.LimitExceeded, 429),
+    (errors.NotRun, 503),
+    (errors.AnswerLate, 504),
+    (errors.OutcomeUnknown, 502),
+)
+INTERNAL_STATUS = 500
+HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+def status_of(error):
+    """Return the HTTP status of an error."""
+    for kind, status in STATUSES:
+        if isinstance(error, kind):
+            return status
+    return INTERNAL_STATUS
+
+
+def end_to_end(lines):
+    """Return header lines without those of a single connection."""
+    named = set()
+    for name, value in lines:
+        if name.lower() == b'connection':
+            named.update(token.strip().lower() for token in value.split(b','))
+    dropped = HOP_HEADERS | named
+    return [
+        (name, value) for name, value in lines if name.lower() not in dropped
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A whole request of a caller."""
+
+    head: http.Request
+    body: bytes
+
+
+class Responder:
+    """Writes the answer to one request.
+
+    :param bool closing: whether the connection ends after the answer.
+    """
+
+    def __init__(self, connection, closing):
+        self.connection = connection
+        self.closing = closing
+        self.started = False
+        self.finished = False
+        self.status = 0
+        self.route = ''
+
+    async def start_stream(self, head):
+        """Send the head of an endpoint's streamed answer."""
+        lines = [
+            (name, value)
+            for name, value in end_to_end(head.lines)
+            if name.lower() != b'content-length'
+        ]
+        lines.append((b'Transfer-Encoding', b'chunked'))
+        await self.start(head.status, lines)
+
+    async def start(self, status, lines, *events):
+        """Send a head, and what follows it at once."""
+        if self.closing:
+            lines.append((b'Connection', b'close'))
+        self.started = True
+        self.status = status
+        await self.write(
+            h11.Response(status_code=status, headers=lines), *events
+        )
+
+    async def send(self, payload):
+        """Send a piece of a streamed answer."""
+        await self.write(h11.Data(data=payload))
+
+    async def finish(self):
+        """End a streamed answer."""
+        await self.write(h11.EndOfMessage())
+        self.finished = True
+
+    async def send_whole(self, head, body):
+        """Send an endpoint's whole answer unchanged."""
+        lines = end_to_end(head.lines)
+        if not any(name.lower() == b'content-length' for name, _ in lines):
+            lines.append((b'Content-Length', str(len(body)).encode()))
+        await self.start(
+            head.status, lines, h11.Data(data=body), h11.EndOfMessage()
+        )
+        self.finished = True
+
+    async def fail(self, error):
+        """Answer with an error, unless an answer has begun.
+
+        A streamed answer that can't go on ends without its last chunk, so
+        that it does not look complete.
+        """
+        if self.started:
+            return
+        lines = [(b'Content-Length', b'0')]
+        retry_at = getattr(error, 'retry_at', None)
+        if retry_at is not None:
+            seconds = f'{retry_at.remaining():.2f}'
+            lines.append((b'Retry-After', seconds.encode()))
+        await self.start(status_of(error), lines, h11.EndOfMessage())
+        self.finished = True
+
+    async def write(self, *events):
+        """Send h11 events.
+
+        :raises errors.CallerGone: if the caller closed the connection.
+        """
+        try:
+            await self.connection.send('send answer', *events)
+        except http.Disconnected as error:
+            raise errors.CallerGone(
+                'caller closed the connection',
+                step=error.step,
+                peer=error.peer,
+            ) from error
+
+
+class Gateway:
+    """Reads requests of callers and answers them.
+
+    :param relay: :class:`relay.Relay`.
+    :param configuration: :class:`ingress.ConfigurationHolder`, which has
+        the limits of callers.
+    :param metrics: :class:`metrics.RouterMetrics`.
+    """
+
+    def __init__(self, relay, configuration, metrics):
+        self.relay = relay
+        self.configuration = configuration
+        self.metrics = metrics
+        self.stopping = False
+        self.busy = set()
+        self.tasks = {}
+
+    def limits(self):
+        """Return the limits in force."""
+        current = self.configuration.current
+        return current.limits if current else ingress.CallerLimits()
+
+    async def handle(self, connection):
+        """Run the task of one connection."""
+        self.tasks[connection] = await curio.current_task()
+        try:
+            await self.serve_connection(connection)
+        except CALLER_ERRORS + (errors.CallerGone,) as error:
+            logs.bind_error(error).debug('caller left: {}', error.message)
+        finally:
+            del self.tasks[connection]
+
+    async def serve_connection(self, connection):
+        """Answer requests until either side ends the connection."""
+        while True:
+            await connection.wait_input(
+                'await request',
+                deadlines.Deadline.after(self.limits().idle_seconds),
+            )
+            self.busy.add(connection)
+            try:
+                if not await self.serve_one(connection):
+                    return
+            finally:
+                self.busy.discard(connection)
+            if not connection.reusable() or self.stopping:
+                return
+            connection.start_next_cycle()
+
+    async def serve_one(self, connection):
+        """Read and answer one request; return whether there was one."""
+        try:
+            received = await self.read(connection)
+        except errors.CelerywardError as error:
+            if isinstance(error, CALLER_ERRORS):
+                raise
+            logs.bind_error(error).info(
+                'request rejected: {} {}', error.code, error.message
+            )
+            await self.reject(connection, error)
+            return False
+        if received is None:
+            return False
+        responder = Responder(connection, self.stopping)
+        await self.serve_while_connected(connection, received, responder)
+        return responder.finished
+
+    async def reject(self, connection, error):
+        """Answer a request that could not be read, if that is possible."""
+        if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        await Responder(connection, closing=True).fail(error)
+
+    async def read(self, connection):
+        """Return a whole request, or None at the end of the connection.
+
+        :raises errors.BadInput: if it exceeds a limit or breaks HTTP.
+        """
+        limits = self.limits()
+        deadline = deadlines.Deadline.after(limits.head_seconds)
+        try:
+            head = await connection.receive_request(deadline)
+        except http.ReadTimeout as error:
+            raise errors.CallerSlow(
+                'head was not complete in time',
+                step=error.step,
+                peer=error.peer,
+            ) from error
+        except errors.ProtocolError as error:
+            raise bad_head(error) from error
+        if head is None:
+            return None
+        check_head(head, limits, connection.peer)
+        body = await self.read_body(connection, head, limits)
+        return Received(head, body)
+
+    async def read_body(self, connection, head, limits):
+        """Return the body of a request."""
+        declared = head.headers.get('content-length', '0')
+        if declared.isdigit() and int(declared) > limits.body_bytes:
+            raise too_large(limits.body_bytes, connection.peer)
+        if connection.h11.they_are_waiting_for_100_continue:
+            await connection.send(
+                'send continue',
+                h11.InformationalResponse(status_code=100, headers=[]),
+            )
+        deadline = deadlines.Deadline.after(BODY_SECONDS)
+        try:
+            return await connection.receive_body(
+                'read request', deadline, limits.body_bytes
+            )
+        except http.ReadTimeout as error:
+            raise errors.CallerSlow(
+                'body was not complete in time',
+                step=error.step,
+                peer=error.peer,
+            ) from error
+        except errors.BadInput as error:
+            raise too_large(limits.body_bytes, connection.peer) from error
+        except errors.ProtocolError as error:
+            raise errors.BadInput(
+                error.message, step=error.step, peer=error.peer
+            ) from error
+
+    async def serve_while_connected(self, connection, received, responder):
+        """Serve a request until it is answered or the caller leaves."""
+        started = time.monotonic()
+        group = curio.TaskGroup(wait=any)
+        async with group:
+            serving = await group.spawn(self.serve, received, responder)
+            await group.spawn(connection.wait_closed)
+        left = group.completed is not serving
+        self.note_end(received, responder, left, time.monotonic() - started)
+
+    async def serve(self, received, responder):
+        """Answer a request, whatever happens to it."""
+        try:
+            await self.relay.serve(received.head, received.body, responder)
+        except errors.CallerGone as error:
+            logs.bind_error(error).debug('caller left: {}', error.message)
+        except errors.CelerywardError as error:
+            self.log_failure(received, responder, error)
+            await self.answer_failure(responder, error)
+        except Exception:
+            # A fault of the program must not leave the caller waiting.
+            logs.bind(step='serve', peer=responder.connection.peer).exception(
+                'request failed by a fault of the program'
+            )
+            fault = errors.OutcomeUnknown(
+                'internal error', step='serve', peer='-'
+            )
+            await self.answer_failure(responder, fault)
+
+    async def answer_failure(self, responder, error):
+        """Send an error to the caller, who may have left."""
+        try:
+            await responder.fail(error)
+        except errors.CallerGone as gone:
+            logs.bind_error(gone).debug('caller left: {}', gone.message)
+
+    def log_failure(self, received, responder, error):
+        """Write one line on why a request is refused or fails."""
+        self.metrics.failed(responder.route, error.code)
+        logs.bind_error(
+            error,
+            request_id=self.relay.request_id(received.head),
+            route=responder.route,
+            status=responder.status or status_of(error),
+            execution=error.execution.value,
+            **self.relay.beliefs(),
+        ).info('request failed: {} {}', error.code, error.message)
+
+    def note_end(self, received, responder, left, seconds):
+        """Count a request and write one line on a caller that left."""
+        self.metrics.ended(responder.route, responder.status, left, seconds)
+        if left:
+            logs.bind(
+                request_id=self.relay.request_id(received.head),
+                step='serve',
+                peer=responder.connection.peer,
+                route=responder.route,
+                started=responder.started,
+                seconds=round(seconds, 3),
+            ).info('caller left before its answer was complete')
+
+    def begin_stop(self):
+        """Answer what comes, but ask callers to connect elsewhere."""
+        self.stopping = True
+
+    async def close_idle(self):
+        """End connections on which no request has begun.
+
+        The task of a connection closes it; a socket that is closed under a
+        waiting task would leave the task waiting for ever.
+        """
+        for connection, task in tuple(self.tasks.items()):
+            if connection not in self.busy and not connection.has_input():
+                await task.cancel()
+
+
+def check_head(head, limits, peer):
+    """Reject a head that is too large or could be read in two ways.
+
+    :raises errors.HeadTooLarge: if it exceeds the limit.
+    :raises errors.BadInput: if it has a length and an encoding, or several
+        hosts.
+    """
+    size = sum(len(name) + len(value) + 4 for name, value in head.lines)
+    if size + len(head.target) > limits.head_bytes:
+        raise errors.HeadTooLarge(
+            f'head is larger than {limits.head_bytes} bytes',
+            step='read request',
+            peer=peer,
+        )
+    names = [name.lower() for name, _ in head.lines]
+    ambiguous = (
+        b'transfer-encoding' in names and b'content-length' in names
+    ) or names.count(b'host') > 1
+    if ambiguous:
+        raise errors.BadInput(
+            'head can be read in two ways', step='read request', peer=peer
+        )
+
+
+def bad_head(error):
+    """Return the error for a head that h11 rejects."""
+    cause = error.__cause__
+    too_long = getattr(cause, 'error_status_hint', 400) == 431
+    kind = errors.HeadTooLarge if too_long else errors.BadInput
+    return kind(error.message, step=error.step, peer=error.peer)
+
+
+def too_large(limit, peer):
+    """Return the error for a body above the limit."""
+    return errors.BodyTooLarge(
+        f'body is larger than {limit} bytes', step='read request', peer=peer
+    )
--- /dev/null
+++ b/celeryward/endpoints/event_stream.py
@@ -0,0 +1,79 @@
+"""Whole events of a ``text/event-stream`` body and their order."""
+
+import dataclasses
+import re
+
+from celeryward import errors
+
+MAX_EVENT_BYTES = 1024 * 1024
+END_OF_EVENT = re.compile(rb'\r?\n\r?\n')
+EVENT_ID = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One event as it came, with the blank line that ends it.
+
+    :param int | None number: the event's id.
+    """
+
+    number: int | None
+    raw: bytes
+
+
+class Splitter:
+    """Cuts a body into whole events.
+
+    :param str peer: address of the endpoint, used in errors.
+    """
+
+    def __init__(self, peer):
+        self.peer = peer
+        self.rest = b''
+
+    def feed(self, piece):
+        """Yield the events that a piece of the body completes.
+
+        :raises errors.AnswerInvalid: if an event is too large.
+        """
+        self.rest += piece
+        while match := END_OF_EVENT.search(self.rest):
+            raw = self.rest[: match.end()]
+            self.rest = self.rest[match.end() :]
+            found = EVENT_ID.search(raw)
+            yield Event(int(found[1]) if found else None, raw)
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise errors.AnswerInvalid(
+                f'event is larger than {MAX_EVENT_BYTES} bytes',
+                step='read events',
+                peer=self.peer,
+                sent=True,
+            )
+
+
+class Sequence:
+    """Keeps the events of one answer in order over several runs.
+
+    :param int last: number of the last event that the caller has.
+    """
+
+    def __init__(self, last=0):
+        self.last = last
+
+    def take(self, events, peer):
+        """Yield the events that the caller does not have yet.
+
+        :raises errors.AnswerInvalid: if an event is missing or unnumbered;
+            the events before it are still yielded.
+        """
+        for event in events:
+            if event.number is None or event.number > self.last + 1:
+                raise errors.AnswerInvalid(
+                    f'event {event.number} follows event {self.last}',
+                    step='read events',
+                    peer=peer,
+                    sent=True,
+                )
+            if event.number == self.last + 1:
+                self.last = event.number
+                yield event
--- /dev/null
+++ b/celeryward/endpoints/forwarding.py
@@ -0,0 +1,219 @@
+"""One dispatch of a request that is passed on unchanged."""
+
+import contextlib
+import dataclasses
+import time
+
+import h11
+
+from celeryward import deadlines
+from celeryward.endpoints import event_stream
+from celeryward import errors
+from celeryward import http
+from celeryward import ingress
+
+# A connection is not used again in the last part of its idle time, in which
+# the endpoint may close it while a request is under way.
+IDLE_RESERVE_SECONDS = 1.0
+DEFAULT_IDLE_SECONDS = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Passage:
+    """A request on its way to one endpoint.
+
+    :param http.Request head: the head as the caller sent it.
+    :param str request_id: echoed by the endpoint.
+    :param str customer: name of the customer, empty on public routes.
+    :param str model: model to run; empty to leave the caller's.
+    :param int urgency: 0 is served first by the endpoint, 9 last.
+    :param Deadline deadline: when the answer has to be complete.
+    :param Deadline head_deadline: when the head of the answer is due.
+    :param float pause_seconds: longest wait for the next bytes of a body.
+    :param int after_event: last event that the caller has.
+    :param bool fresh: whether to open a new connection.
+    """
+
+    head: http.Request
+    body: bytes
+    request_id: str
+    customer: str
+    model: str
+    urgency: int
+    deadline: deadlines.Deadline
+    head_deadline: deadlines.Deadline
+    pause_seconds: float
+    after_event: int = 0
+    fresh: bool = False
+
+    def next_bytes(self):
+        """Return the deadline of the next bytes of the body."""
+        wait = deadlines.Deadline.after(self.pause_seconds)
+        return wait.earlier(self.deadline)
+
+
+class Answer:
+    """The answer of an endpoint, whose body is read as it is used.
+
+    :param http.Response head: its head.
+    :param ingress.AnswerFacts facts: what the head says.
+    :param float seconds: time from the dispatch to the head.
+    """
+
+    def __init__(self, connection, passage, head, facts, seconds):
+        self.connection = connection
+        self.passage = passage
+        self.head = head
+        self.facts = facts
+        self.seconds = seconds
+
+    async def body(self):
+        """Return the whole body."""
+        return await self.connection.receive_body(
+            'read body',
+            self.passage.deadline,
+            next_deadline=self.passage.next_bytes,
+        )
+
+    async def events(self, sequence):
+        """Yield lists of whole events, as many as have arrived.
+
+        :param event_stream.Sequence sequence: keeps them in order.
+        :raises errors.AnswerTruncated: if the body ends inside an event.
+        """
+        splitter = event_stream.Splitter(self.connection.peer)
+        pieces = self.connection.receive_chunks(
+            'read events', self.passage.next_bytes
+        )
+        async with contextlib.aclosing(pieces):
+            async for piece in pieces:
+                whole = splitter.feed(piece)
+                taken = sequence.take(whole, self.connection.peer)
+                ready, failure = collect(taken)
+                if ready:
+                    yield ready
+                if failure is not None:
+                    raise failure
+        if splitter.rest:
+            raise errors.AnswerTruncated(
+                'stream ended inside an event',
+                step='read events',
+                peer=self.connection.peer,
+                sent=True,
+            )
+
+
+def collect(events):
+    """Return the events before a failure, and the failure or None."""
+    ready = []
+    try:
+        for event in events:
+            ready.append(event)
+    except errors.AnswerInvalid as error:
+        return ready, error
+    return ready, None
+
+
+class Forwarder:
+    """Sends requests to endpoints over pooled connections.
+
+    :param connections: :class:`pool.EndpointPool`.
+    :param translator: has ``passage_lines(passage, runner)``, which returns
+        the header lines of the request, and ``read_answer(head)``, which
+        returns :class:`ingress.AnswerFacts`.
+    :param outcomes: :class:`outcomes.Outcomes`.
+    """
+
+    def __init__(self, connections, translator, outcomes):
+        self.connections = connections
+        self.translator = translator
+        self.outcomes = outcomes
+
+    @contextlib.asynccontextmanager
+    async def dispatch(self, passage, runner):
+        """Send a request and yield the :class:`Answer`.
+
+        Leaving the block before the body is read ends the run, because the
+        connection is closed.
+
+        :raises errors.EndpointRefused: if it certainly did not run.
+        :raises errors.EndpointFailure: with ``sent`` telling whether it may
+            have run.
+        """
+        self.outcomes.started(runner.id)
+        started = time.monotonic()
+        try:
+            async with self.connections.lease(
+                runner, passage.head_deadline, passage.fresh
+            ) as connection:
+                await self.send(connection, passage, runner)
+                head = await connection.receive_response(passage.head_deadline)
+                facts = self.translator.read_answer(head)
+                check(passage, runner, head, facts)
+                seconds = time.monotonic() - started
+                yield Answer(connection, passage, head, facts, seconds)
+                connection.usable_until = idle_limit(facts)
+        finally:
+            self.outcomes.finished(runner.id)
+
+    async def send(self, connection, passage, runner):
+        """Write the whole request."""
+        lines = self.translator.passage_lines(passage, runner)
+        events = [
+            h11.Request(
+                method=passage.head.method,
+                target=passage.head.target,
+                headers=lines,
+            )
+        ]
+        if passage.body:
+            events.append(h11.Data(data=passage.body))
+        events.append(h11.EndOfMessage())
+        await connection.send('send request', *events)
+
+
+def idle_limit(facts):
+    """Return until when an idle connection may be used again."""
+    seconds = facts.idle_seconds
+    if seconds is None:
+        seconds = DEFAULT_IDLE_SECONDS
+    return deadlines.Deadline.after(max(0.0, seconds - IDLE_RESERVE_SECONDS))
+
+
+def check(passage, runner, head, facts):
+    """Raise the error that the head of an answer stands for.
+
+    :raises errors.EndpointRefused: if the endpoint did not run it.
+    :raises errors.AnswerMismatch: if it answers another request.
+    :raises errors.AnswerInvalid: if it is not the endpoint's own answer.
+    """
+    if facts.request_id and facts.request_id != passage.request_id:
+        raise errors.AnswerMismatch(
+            f'answer to request {facts.request_id[:32]}',
+            step='read response',
+            peer=runner.address,
+            sent=True,
+        )
+    if facts.not_run or facts.other_endpoint:
+        raise errors.EndpointRefused(
+            f'endpoint answered {head.status} and did not run the request',
+            step='read response',
+            peer=runner.address,
+        )
+    if not facts.sealed or facts.encoded:
+        raise errors.AnswerInvalid(
+            f'answer {head.status} is not signed by the endpoint',
+            step='read response',
+            peer=runner.address,
+            sent=True,
+        )
+
+
+def is_failure(head):
+    """Return whether the endpoint itself failed the request."""
+    return head.status >= 500
+
+
+def is_stream(route):
+    """Return whether the answers of a route are event streams."""
+    return route.kind is ingress.Kind.STREAM
--- a/celeryward/endpoints/pool.py
+++ b/celeryward/endpoints/pool.py
@@ -104,11 +104,14 @@
 
         An idle connection with something to read was closed by the other
         side, or holds a late or duplicated response to an earlier request.
+        One whose idle time is over may be closed while a request is sent.
         """
         kept = self.idle.get(endpoint.address)
         while kept:
             connection = kept.pop()
-            if not connection.has_input():
+            if not (
+                connection.usable_until.expired() or connection.has_input()
+            ):
                 return connection
             await connection.close()
         return None
--- a/celeryward/endpoints/retries.py
+++ b/celeryward/endpoints/retries.py
@@ -61,22 +61,28 @@
 class RetryBudget:
     """Bounds the load that retries add, as a token bucket.
 
-    Each first dispatch adds a tenth of a token and each repeated dispatch
+    Each first dispatch adds a share of a token and each repeated dispatch
     takes one. The tokens of the start are a loan, which the first dispatches
-    repay, so that repeats never exceed the larger of the loan and 10% of the
-    first dispatches.
+    repay, so that repeats never exceed the larger of the loan and that share
+    of the first dispatches.
+
+    :param float share: tokens for each first dispatch.
+    :param float start: tokens of the start.
+    :param float most: largest number of saved tokens.
     """
 
-    def __init__(self):
-        self.tokens = START_TOKENS
-        self.loan = START_TOKENS
+    def __init__(self, share=RETRY_SHARE, start=START_TOKENS, most=MAX_TOKENS):
+        self.share = share
+        self.most = most
+        self.tokens = start
+        self.loan = start
 
     def first_dispatch(self):
         """Add the share of one first dispatch, once the loan is repaid."""
         if self.loan > 0:
-            self.loan -= RETRY_SHARE
+            self.loan -= self.share
             return
-        self.tokens = min(MAX_TOKENS, self.tokens + RETRY_SHARE)
+        self.tokens = min(self.most, self.tokens + self.share)
 
     def take(self):
         """Return whether one repeated dispatch is allowed."""
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -39,6 +39,24 @@
     execution = Execution.NOT_RUN
 
 
+class HeadTooLarge(BadInput):
+    """The head of a request exceeds the limit."""
+
+    code = 'head_too_large'
+
+
+class BodyTooLarge(BadInput):
+    """The body of a request exceeds the limit."""
+
+    code = 'body_too_large'
+
+
+class CallerSlow(BadInput):
+    """The caller did not send its whole request in time."""
+
+    code = 'caller_slow'
+
+
 class NotRun(CelerywardError):
     """The request was refused and it is certain that it did not run.
 
@@ -137,6 +155,12 @@
     execution = Execution.UNKNOWN
 
 
+class AnswerLate(OutcomeUnknown):
+    """The answer was not complete at the deadline."""
+
+    code = 'answer_late'
+
+
 class ClaimHeld(OutcomeUnknown):
     """An earlier attempt with the key is running, or its host was lost."""
 
--- /dev/null
+++ b/celeryward/hashing.py
@@ -0,0 +1,8 @@
+"""Hashes that are the same in every process."""
+
+import xxhash
+
+
+def place(text):
+    """Return a number from 0 to 1 that a text always has."""
+    return xxhash.xxh64_intdigest(text.encode()) / 2**64
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -13,15 +13,23 @@
 READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
 MAX_BODY_BYTES = 16 * 1024 * 1024
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MILLISECONDS = 2000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """Head of a request. Header names are lower case."""
+    """Head of a request. Header names are lower case.
+
+    :param tuple lines: all header lines as they came, in their order.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
+    lines: tuple[tuple[bytes, bytes], ...] = ()
 
     @property
     def path(self):
@@ -31,10 +39,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """Head of a response. Header names are lower case."""
+    """Head of a response. Header names are lower case.
+
+    :param tuple lines: all header lines as they came, in their order.
+    """
 
     status: int
     headers: dict[str, str]
+    lines: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class ReadTimeout(errors.CelerywardError):
@@ -64,16 +76,19 @@
     :param sock: connected curio socket.
     :param role: ``h11.CLIENT`` or ``h11.SERVER``.
     :param str peer: address of the other side, used in errors.
+    :param int max_head_bytes: largest head that is accepted.
     """
 
-    def __init__(self, sock, role, peer):
+    def __init__(self, sock, role, peer, max_head_bytes=MAX_HEAD_BYTES):
         self.sock = sock
         self.peer = peer
         self.h11 = h11.Connection(
-            role, max_incomplete_event_size=MAX_HEAD_BYTES
+            role, max_incomplete_event_size=max_head_bytes
         )
         self.bytes_written = 0
         self.last_read_at = 0.0
+        # Until when the other side keeps the connection while it is idle.
+        self.usable_until = deadlines.NEVER
 
     async def receive(self, step, deadline):
         """Return the next h11 event.
@@ -134,6 +149,35 @@
             ) from error
         self.bytes_written += len(data)
 
+    async def wait_input(self, step, deadline):
+        """Wait until there is something to parse, or the end of input.
+
+        :raises ReadTimeout: if nothing arrives before the deadline.
+        :raises Disconnected: if the connection is reset.
+        """
+        data, closed = self.h11.trailing_data
+        if not data and not closed:
+            self.h11.receive_data(await self.read(step, deadline))
+
+    async def wait_closed(self):
+        """Return once the other side has closed the connection.
+
+        Bytes that arrive early are kept for the next request; beyond
+        :data:`READ_SIZE_BYTES` of them the connection is no longer read.
+        """
+        early = 0
+        while early < READ_SIZE_BYTES:
+            try:
+                data = await self.sock.recv(READ_SIZE_BYTES)
+            except OSError:
+                # A reset is a close, too.
+                return
+            if not data:
+                return
+            self.h11.receive_data(data)
+            early += len(data)
+        await curio.Event().wait()
+
     async def receive_request(self, deadline):
         """Return the next request head, or None if the caller is done."""
         event = await self.receive('read request', deadline)
@@ -142,6 +186,7 @@
                 event.method.decode('ascii'),
                 event.target.decode('ascii'),
                 decode_headers(event.headers),
+                tuple(event.headers.raw_items()),
             )
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -157,7 +202,9 @@
             event = await self.receive('read response', deadline)
             if isinstance(event, h11.Response):
                 return Response(
-                    event.status_code, decode_headers(event.headers)
+                    event.status_code,
+                    decode_headers(event.headers),
+                    tuple(event.headers.raw_items()),
                 )
             if isinstance(event, h11.ConnectionClosed):
                 raise Disconnected(
@@ -275,6 +322,7 @@
             f'connect failed: {error}', step='connect', peer=peer, sent=False
         ) from error
     disable_nagle(sock)
+    detect_dead_peer(sock)
     return Connection(sock, h11.CLIENT, peer)
 
 
@@ -283,6 +331,21 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def detect_dead_peer(sock):
+    """Let the kernel end a connection whose other side has vanished.
+
+    Without it a connection behind a partition stays open for minutes.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 async def send_request(connection, method, target, headers, body):
     """Send one whole request."""
     head = {
--- a/celeryward/logs.py
+++ b/celeryward/logs.py
@@ -1,10 +1,12 @@
-"""Logging by loguru, as text or as JSON lines.
+"""Logging by loguru, as text on standard error or as bounded JSON lines.
 
 Prompt text, answers, keys and tokens are never passed to the log. Each
 line of the request path binds ``request_id``, ``step`` and ``peer``.
 """
 
+import os
 import sys
+import time
 
 import loguru
 import msgspec
@@ -13,6 +15,9 @@
     '{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level} {message}'
     ' request_id={extra[request_id]} step={extra[step]} peer={extra[peer]}\n'
 )
+MAX_LINES_PER_SECOND = 200
+MAX_URGENT_LINES_PER_SECOND = 400
+MAX_BUFFERED_BYTES = 256 * 1024
 DEFAULTS = {'request_id': '-', 'step': '-', 'peer': '-'}
 
 logger = loguru.logger
@@ -34,14 +39,95 @@
 
 def write_json(message):
     """Write one log record as a JSON line."""
-    record = message.record
+    sys.stderr.write(encode_json(message.record).decode('utf-8'))
+
+
+def encode_json(record):
+    """Return a log record as a JSON line."""
     line = {
         'time': record['time'].isoformat(),
         'level': record['level'].name,
         'message': record['message'],
         **record['extra'],
     }
-    sys.stderr.write(msgspec.json.encode(line).decode('utf-8') + '\n')
+    if record['exception'] is not None:
+        line['exception'] = repr(record['exception'].value)
+    return msgspec.json.encode(line) + b'\n'
+
+
+def configure_bounded(level, descriptor):
+    """Send the log as JSON lines to a descriptor, without ever blocking.
+
+    :param str level: lowest level that is written.
+    :param int descriptor: open file descriptor, such as standard output.
+    """
+    os.set_blocking(descriptor, False)
+    logger.remove()
+    logger.configure(extra=DEFAULTS)
+    logger.add(BoundedSink(descriptor).write, level=level, catch=False)
+
+
+class BoundedSink:
+    """Writes log lines at a bounded rate to a descriptor that may stall.
+
+    Lines below a warning are dropped first; what was left out is counted in
+    a line of its own once there is room again.
+
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, descriptor, clock=time.monotonic):
+        self.descriptor = descriptor
+        self.clock = clock
+        self.second = 0
+        self.lines = 0
+        self.dropped = 0
+        self.rest = b''
+
+    def write(self, message):
+        """Write one loguru message, or count it as left out."""
+        record = message.record
+        second = int(self.clock())
+        if second != self.second:
+            self.second = second
+            self.lines = 0
+        urgent = record['level'].no >= loguru.logger.level('WARNING').no
+        bound = MAX_URGENT_LINES_PER_SECOND if urgent else MAX_LINES_PER_SECOND
+        self.flush()
+        if self.lines >= bound or len(self.rest) > MAX_BUFFERED_BYTES:
+            self.dropped += 1
+            return
+        self.lines += 1
+        if self.dropped:
+            self.rest += encode_left_out(record, self.dropped)
+            self.dropped = 0
+        self.rest += encode_json(record)
+        self.flush()
+
+    def flush(self):
+        """Write as much as the descriptor takes now."""
+        try:
+            while self.rest:
+                written = os.write(self.descriptor, self.rest)
+                self.rest = self.rest[written:]
+        except BlockingIOError:
+            # The reader stalls; the rest is written with a later line.
+            return
+        except OSError:
+            # The reader is gone, so there is nobody to tell.
+            self.dropped += 1
+            self.rest = b''
+
+
+def encode_left_out(record, count):
+    """Return the line that counts lines which were left out."""
+    line = {
+        'time': record['time'].isoformat(),
+        'level': 'WARNING',
+        'message': 'log lines left out',
+        'left_out': count,
+    }
+    return msgspec.json.encode(line) + b'\n'
 
 
 def bind(**context):
--- a/celeryward/metrics.py
+++ b/celeryward/metrics.py
@@ -57,12 +57,39 @@
         )
 
 
-class Metrics:
+class LatencyCollector:
+    """Latency histograms by name, as a prometheus_client collector."""
+
+    def __init__(self):
+        self.latencies = {}
+
+    def latency(self, name):
+        """Return the latency histogram with a name, created on first use."""
+        if name not in self.latencies:
+            self.latencies[name] = Latency()
+        return self.latencies[name]
+
+    def collect(self):
+        """Yield one gauge family for each latency histogram."""
+        for name, latency in self.latencies.items():
+            family = core.GaugeMetricFamily(
+                f'celeryward_{name}_seconds',
+                f'Percentiles of {name}.',
+                labels=('quantile',),
+            )
+            for percentile in PERCENTILES:
+                family.add_metric(
+                    (str(percentile / 100),), latency.percentile(percentile)
+                )
+            yield family
+
+
+class Metrics(LatencyCollector):
     """All metrics of one daemon, also a prometheus_client collector."""
 
     def __init__(self):
+        super().__init__()
         self.registry = prometheus_client.CollectorRegistry()
-        self.latencies = {}
         self.registry.register(self)
         self.requests = prometheus_client.Counter(
             'celeryward_requests',
@@ -88,26 +115,6 @@
             registry=self.registry,
         )
 
-    def latency(self, name):
-        """Return the latency histogram with a name, created on first use."""
-        if name not in self.latencies:
-            self.latencies[name] = Latency()
-        return self.latencies[name]
-
-    def collect(self):
-        """Yield one gauge family for each latency histogram."""
-        for name, latency in self.latencies.items():
-            family = core.GaugeMetricFamily(
-                f'celeryward_{name}_seconds',
-                f'Percentiles of {name}.',
-                labels=('quantile',),
-            )
-            for percentile in PERCENTILES:
-                family.add_metric(
-                    (str(percentile / 100),), latency.percentile(percentile)
-                )
-            yield family
-
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -25,12 +25,15 @@
     :param settings.Address address: where the object API listens.
     :param float timeout: seconds allowed for one call.
     :param str writer: name stored with each write.
+    :param dialect: how this store is spoken to, such as
+        :class:`protocol.ObjectDialect`.
     """
 
-    def __init__(self, address, timeout, writer):
+    def __init__(self, address, timeout, writer, dialect=None):
         self.address = address
         self.timeout = timeout
         self.writer = writer
+        self.dialect = dialect or protocol.ObjectDialect()
         self.idle = []
         self.calls = 0
 
@@ -45,22 +48,81 @@
         :returns: ``Ok(StoredObject)``, or ``Err`` with ``NotFound`` or
             ``PlatformUnavailable``.
         """
-        path = protocol.object_path(kind, name)
-        answer = await self.call('GET', path)
-        return answer.and_then(self.decode_object)
+        path = self.dialect.object_path(kind, name)
+        answer = await self.call('GET', path, kind=kind)
+        return answer.and_then(
+            lambda body: self.decode(self.dialect.decode_object, kind, body)
+        )
 
     async def list(self, kind):
         """Read all objects of a kind as ``Ok(ObjectList)``."""
-        answer = await self.call('GET', protocol.list_path(kind))
+        answer = await self.call('GET', self.dialect.list_path(kind))
         return answer.and_then(
-            lambda body: self.decode(protocol.LIST_DECODER, body)
+            lambda body: self.decode(self.dialect.decode_list, kind, body)
+        )
+
+    async def list_pages(self, kind):
+        """Read all objects of a kind, page by page.
+
+        The revision is that of the first page; what changes between two
+        pages is told by a watch from there.
+
+        :returns: ``Ok(ObjectList)`` or ``Err``.
+        """
+        items = []
+        revision = None
+        after = ''
+        while True:
+            answer = await self.call(
+                'GET', self.dialect.page_path(kind, after)
+            )
+            page = answer.and_then(
+                lambda body: self.decode(self.dialect.decode_page, kind, body)
+            )
+            if page.is_err():
+                return page
+            page = page.unwrap()
+            items.extend(page.items)
+            revision = page.revision if revision is None else revision
+            after = page.next_after
+            if not after:
+                return result.Ok(protocol.ObjectList(tuple(items), revision))
+
+    async def changes(self, kind, since, wait_seconds):
+        """Wait for changes of a kind after a revision.
+
+        :param float wait_seconds: time after which the store answers
+            without a change.
+        :returns: ``Ok(ChangeList)``, or ``Err`` with ``RevisionExpired`` or
+            ``PlatformUnavailable``.
+        """
+        path = self.dialect.wait_path(kind, since, wait_seconds)
+        answer = await self.call(
+            'GET', path, timeout=wait_seconds + self.timeout
+        )
+        return answer.and_then(
+            lambda body: self.decode(self.dialect.decode_changes, kind, body)
+        )
+
+    async def put_status(self, stored):
+        """Replace the status of an object that must be at its revision.
+
+        :returns: as :meth:`create`.
+        """
+        path = self.dialect.status_path(stored.kind, stored.name)
+        body = self.dialect.encode(stored)
+        answer = await self.call('PUT', path, {}, body, kind=stored.kind)
+        return answer.and_then(
+            lambda text: self.decode(
+                self.dialect.decode_object, stored.kind, text
+            )
         )
 
     async def hosts(self):
         """Read the lagging list of hosts as ``Ok(HostList)``."""
         answer = await self.call('GET', '/hosts')
         return answer.and_then(
-            lambda body: self.decode(protocol.HOSTS_DECODER, body)
+            lambda body: self.decode(decode_hosts, 'Host', body)
         )
 
     async def create(self, stored):
@@ -86,16 +148,26 @@
 
     async def write(self, method, stored, condition):
         """Send one conditional write."""
-        path = protocol.object_path(stored.kind, stored.name)
-        body = protocol.encode(stored)
+        path = self.dialect.object_path(stored.kind, stored.name)
+        body = self.dialect.encode(stored)
         headers = {'x-writer': self.writer, **condition}
-        answer = await self.call(method, path, headers, body)
-        return answer.and_then(self.decode_object)
+        answer = await self.call(method, path, headers, body, kind=stored.kind)
+        return answer.and_then(
+            lambda text: self.decode(
+                self.dialect.decode_object, stored.kind, text
+            )
+        )
 
-    async def call(self, method, path, headers=None, body=b''):
-        """Make one call and map its status to a result."""
+    async def call(
+        self, method, path, headers=None, body=b'', kind='', timeout=None
+    ):
+        """Make one call and map its status to a result.
+
+        :param str kind: kind of the object that a conflict returns.
+        :param float timeout: seconds allowed, if not the usual ones.
+        """
         self.calls += 1
-        deadline = deadlines.Deadline.after(self.timeout)
+        deadline = deadlines.Deadline.after(timeout or self.timeout)
         write = method != 'GET'
         try:
             async with self.connection(deadline, write) as connection:
@@ -104,7 +176,7 @@
                 )
         except TRANSPORT_ERRORS as error:
             return result.Err(self.classify(error, method, path))
-        return self.check_status(response.status, answer, method, path)
+        return self.check_status(response.status, answer, method, path, kind)
 
     def classify(self, error, method, path):
         """Return the platform error for a transport error."""
@@ -122,10 +194,10 @@
             peer=self.peer,
         )
 
-    def check_status(self, status, body, method, path):
+    def check_status(self, status, body, method, path, kind=''):
         """Return ``Ok(body)`` or the error that the status stands for."""
         step = f'{method} {path}'
-        if status == 200:
+        if status in (200, 201):
             return result.Ok(body)
         if status == 404:
             return result.Err(
@@ -137,8 +209,9 @@
                     'watch is too old', step=step, peer=self.peer
                 )
             )
-        if status == 412:
-            current = self.decode_object(body).unwrap_or(None)
+        if status == self.dialect.conflict_status:
+            decoder = self.dialect.decode_object
+            current = self.decode(decoder, kind, body).unwrap_or(None)
             return result.Err(
                 errors.Conflict(
                     'object was changed meanwhile',
@@ -148,7 +221,8 @@
                 )
             )
         message = f'object API answered {status}'
-        if method != 'GET' and status >= 500:
+        refused = status in self.dialect.refused_statuses
+        if method != 'GET' and status >= 500 and not refused:
             # The fault may have arisen after the write took effect.
             return result.Err(
                 errors.WriteUnknown(message, step=step, peer=self.peer)
@@ -157,14 +231,13 @@
             errors.PlatformUnavailable(message, step=step, peer=self.peer)
         )
 
-    def decode_object(self, body):
-        """Return ``Ok(StoredObject)`` for a JSON body."""
-        return self.decode(protocol.OBJECT_DECODER, body)
+    def decode(self, decoder, kind, body):
+        """Decode a body, or return ``Err(PlatformUnavailable)``.
 
-    def decode(self, decoder, body):
-        """Decode a body, or return ``Err(PlatformUnavailable)``."""
+        :param decoder: function of a kind and a body.
+        """
         try:
-            return result.Ok(decoder.decode(body))
+            return result.Ok(decoder(kind, body))
         except msgspec.DecodeError as error:
             return result.Err(
                 errors.PlatformUnavailable(
@@ -240,4 +313,14 @@
             async for piece in pieces:
                 *lines, rest = (rest + piece).split(b'\n')
                 for line in lines:
-                    yield self.decode(protocol.CHANGE_DECODER, line)
+                    yield self.decode(decode_change, '', line)
+
+
+def decode_hosts(kind, body):
+    """Return the list of hosts in a body."""
+    return protocol.HOSTS_DECODER.decode(body)
+
+
+def decode_change(kind, line):
+    """Return the change in a line of a watch."""
+    return protocol.CHANGE_DECODER.decode(line)
--- /dev/null
+++ b/celeryward/objects/follower.py
@@ -0,0 +1,130 @@
+"""The task that follows all objects of one kind."""
+
+import dataclasses
+
+import curio
+
+from celeryward import errors
+from celeryward import logs
+from celeryward.objects import freshness
+
+RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 1.0
+# Changes that come together are read by one call.
+COALESCE_SECONDS = 0.05
+# The answer with a change confirms nothing after the change; a short wait
+# then confirms soon that nothing else has changed.
+CONFIRM_SECONDS = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How long calls of a follower may take.
+
+    :param float wait_seconds: time that a watch waits for a change.
+    :param bool confirms: whether it matters how old the objects are.
+    """
+
+    wait_seconds: float
+    confirms: bool = False
+
+
+class Follower:
+    """Lists a kind once, then watches it; lists again when history is lost.
+
+    :param client: :class:`client.ObjectClient`.
+    :param str kind: the kind to follow.
+    :param Pace pace: how long each watch waits.
+    :param receiver: has ``listed(objects)``, ``changed(change)`` and
+        ``confirmed(at)``, with ``at`` on the boot-time clock.
+    :param clock: function that returns seconds on the boot-time clock.
+    """
+
+    def __init__(
+        self, client, kind, pace, receiver, clock=freshness.boot_seconds
+    ):
+        self.client = client
+        self.kind = kind
+        self.pace = pace
+        self.receiver = receiver
+        self.clock = clock
+        self.since = None
+        self.reachable = True
+        self.failed_at = None
+        self.changed = False
+
+    async def run(self):
+        """Follow the kind until cancelled."""
+        delay = RETRY_SECONDS
+        while True:
+            step = self.list_all if self.since is None else self.follow
+            outcome = await step()
+            if outcome.is_ok():
+                delay = RETRY_SECONDS
+                self.note_reachable()
+                continue
+            error = outcome.unwrap_err()
+            self.note_failure(error)
+            if isinstance(error, errors.RevisionExpired):
+                self.since = None
+                continue
+            await curio.sleep(delay)
+            delay = min(MAX_RETRY_SECONDS, delay * 2)
+
+    async def list_all(self):
+        """Read the whole kind and hand it over."""
+        started_at = self.clock()
+        outcome = await self.client.list_pages(self.kind)
+        if outcome.is_ok():
+            listed = outcome.unwrap()
+            self.receiver.listed(listed.items)
+            self.receiver.confirmed(started_at)
+            self.since = listed.revision
+        return outcome
+
+    async def follow(self):
+        """Wait for changes once and hand them over."""
+        started_at = self.clock()
+        wait = CONFIRM_SECONDS if self.changed else self.pace.wait_seconds
+        outcome = await self.client.changes(self.kind, self.since, wait)
+        if outcome.is_err():
+            return outcome
+        answer = outcome.unwrap()
+        for change in answer.changes:
+            self.receiver.changed(change)
+        self.since = answer.revision
+        self.receiver.confirmed(self.confirmed_at(started_at, wait, answer))
+        self.changed = bool(answer.changes) and self.pace.confirms
+        if answer.changes:
+            await curio.sleep(COALESCE_SECONDS)
+        return outcome
+
+    def confirmed_at(self, started_at, wait, answer):
+        """Return a time at which the store had nothing newer.
+
+        A watch without changes was answered when its wait was over, unless
+        the store cut it short.
+        """
+        if answer.changes:
+            return started_at
+        ended_at = self.clock()
+        if ended_at - started_at < wait:
+            return started_at
+        return started_at + wait
+
+    def note_failure(self, error):
+        """Log the first of several failures."""
+        self.failed_at = self.clock()
+        if self.reachable:
+            self.reachable = False
+            logs.bind_error(error, kind=self.kind, since=self.since).warning(
+                'store lost: {}', error.message
+            )
+
+    def note_reachable(self):
+        """Log that the store answers again."""
+        if not self.reachable:
+            self.reachable = True
+            logs.bind(
+                step='follow', peer=self.client.peer, kind=self.kind
+            ).info('store regained')
--- /dev/null
+++ b/celeryward/objects/freshness.py
@@ -0,0 +1,45 @@
+"""How long the configuration may still be relied on."""
+
+import time
+
+BOOT_CLOCK = time.CLOCK_BOOTTIME
+
+
+def boot_seconds():
+    """Return seconds on the clock that also counts a suspended host."""
+    return time.clock_gettime(BOOT_CLOCK)
+
+
+class Freshness:
+    """Tells whether keys may have been taken away without being noticed.
+
+    The store confirms the configuration whenever it answers a read. Until a
+    bound after that, a key that has been taken away may still be used; so
+    requests with a key are refused from then on.
+
+    :param float limit_seconds: age of the confirmation up to which requests
+        with a key are served; infinite if keys need no such bound.
+    :param clock: function that returns seconds which also pass while the
+        host is suspended.
+    """
+
+    def __init__(self, limit_seconds, clock=boot_seconds):
+        self.limit_seconds = limit_seconds
+        self.clock = clock
+        self.confirmed_at = None
+
+    def confirm(self, at):
+        """Note that the configuration was the newest at a time."""
+        if self.confirmed_at is None or at > self.confirmed_at:
+            self.confirmed_at = at
+
+    def age(self):
+        """Return the seconds since the last confirmation, or None."""
+        if self.confirmed_at is None:
+            return None
+        return max(0.0, self.clock() - self.confirmed_at)
+
+    def is_fresh(self):
+        """Return whether requests with a key may be served."""
+        age = self.age()
+        return age is not None and age <= self.limit_seconds
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -14,6 +14,7 @@
         write.
     :param int schema_version: version of the schema of ``spec``.
     :param str writer: who wrote this revision.
+    :param int created: revision at which the object was created.
     """
 
     kind: str
@@ -23,6 +24,7 @@
     schema_version: int = 1
     writer: str = ''
     status: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    created: int = 0
 
     @property
     def key(self):
@@ -38,6 +40,18 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectPage:
+    """A part of all objects of one kind.
+
+    :param str next_after: name to continue after; empty on the last page.
+    """
+
+    items: tuple[StoredObject, ...]
+    revision: int
+    next_after: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
     """One event of a watch. A deletion carries the last stored object.
@@ -50,6 +64,14 @@
     object: StoredObject | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeList:
+    """Changes of one kind up to a revision of the store."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Host:
     """One entry of the platform's list of hosts, which lags.
@@ -94,3 +116,58 @@
 def watch_path(kinds, since):
     """Return the path of a watch on some kinds after a revision."""
     return f'/watch?kinds={",".join(kinds)}&since={since}'
+
+
+class ObjectDialect:
+    """How the product's own object API is spoken.
+
+    A store with other paths, bodies or statuses has a dialect of its own
+    with the same members. One whose watches wait for changes, instead of
+    streaming them, also has the members of :class:`WaitingDialect`.
+    """
+
+    conflict_status = 412
+    # Statuses that say that a write was not done.
+    refused_statuses = frozenset()
+
+    def object_path(self, kind, name):
+        """Return the path of one object."""
+        return object_path(kind, name)
+
+    def list_path(self, kind):
+        """Return the path of all objects of a kind."""
+        return list_path(kind)
+
+    def encode(self, stored):
+        """Return an object as the body of a write."""
+        return encode(stored)
+
+    def decode_object(self, kind, body):
+        """Return the object in a body.
+
+        :raises msgspec.DecodeError: if the body is malformed.
+        """
+        return OBJECT_DECODER.decode(body)
+
+    def decode_list(self, kind, body):
+        """Return the :class:`ObjectList` in a body."""
+        return LIST_DECODER.decode(body)
+
+
+class WaitingDialect(typing.Protocol):
+    """What a store adds whose lists have pages and whose watches wait."""
+
+    def page_path(self, kind, after):
+        """Return the path of the page after a name."""
+
+    def wait_path(self, kind, since, seconds):
+        """Return the path that waits for changes after a revision."""
+
+    def status_path(self, kind, name):
+        """Return the path of the status of one object."""
+
+    def decode_page(self, kind, body):
+        """Return the :class:`ObjectPage` in a body."""
+
+    def decode_changes(self, kind, body):
+        """Return the :class:`ChangeList` in a body."""
--- /dev/null
+++ b/celeryward/objects/verdicts.py
@@ -0,0 +1,58 @@
+"""The task that writes the verdicts on roll-outs to the store."""
+
+import curio
+
+from celeryward import errors
+from celeryward import logs
+
+CHECK_SECONDS = 0.25
+RETRY_SECONDS = 0.5
+
+
+class VerdictWriter:
+    """Writes each verdict once, at the revision of the order it is on.
+
+    The first write wins. Another router's verdict comes back with the
+    conflict, or by the watch, and is adopted.
+
+    :param client: :class:`client.ObjectClient`.
+    :param releases: :class:`releases.Releases`.
+    :param translator: has ``order_status(order)``, which returns the stored
+        object with its new status, and ``read_order(stored)``.
+    """
+
+    def __init__(self, client, releases, translator):
+        self.client = client
+        self.releases = releases
+        self.translator = translator
+
+    async def run(self):
+        """Write verdicts until cancelled."""
+        while True:
+            await curio.sleep(CHECK_SECONDS)
+            self.releases.due()
+            for order in tuple(self.releases.unwritten()):
+                await self.write(order)
+
+    async def write(self, order):
+        """Write one verdict; adopt the stored one if it came first."""
+        outcome = await self.client.put_status(
+            self.translator.order_status(order)
+        )
+        if outcome.is_ok():
+            self.adopt(outcome.unwrap())
+            return
+        error = outcome.unwrap_err()
+        logs.bind_error(error, service=order.service).warning(
+            'verdict {} not written: {}', order.state.value, error.message
+        )
+        if isinstance(error, errors.Conflict) and error.current is not None:
+            self.adopt(error.current)
+        else:
+            await curio.sleep(RETRY_SECONDS)
+
+    def adopt(self, stored):
+        """Take over an order as it is stored."""
+        order = self.translator.read_order(stored)
+        if order is not None:
+            self.releases.accept(order)
--- a/celeryward/operators/documents.py
+++ b/celeryward/operators/documents.py
@@ -9,8 +9,8 @@
 from celeryward.objects import protocol
 from celeryward.objects import records
 
-# ``writer`` and ``status`` are printed by ``get``; they may stand in a file,
-# but are not written.
+# ``writer``, ``status`` and ``created`` are printed by ``get``; they may stand
+# in a file, but are not written.
 FIELDS = (
     'kind',
     'name',
@@ -19,6 +19,7 @@
     'spec',
     'writer',
     'status',
+    'created',
 )
 REQUIRED = ('kind', 'name', 'spec')
 
@@ -95,7 +96,7 @@
         value = document.get(key, 'x')
         if not isinstance(value, str) or not value or '/' in value:
             yield f'{key}: value {value!r}: must be a text without "/"'
-    for key in ('schema_version', 'revision'):
+    for key in ('schema_version', 'revision', 'created'):
         value = document.get(key, 1)
         if not isinstance(value, int) or isinstance(value, bool) or value < 0:
             yield f'{key}: value {value!r}: must be a whole number'
--- /dev/null
+++ b/celeryward/raters/releases.py
@@ -0,0 +1,316 @@
+"""Roll-outs of software versions of a service, ordered by a record.
+
+An order names the version that a service is to run and by when. Until half
+of that time only a small share of requests goes to the new version; if it
+is as good as the old one, all follow, and the order is done once the old
+endpoints have had time to finish. A version that is worse is rolled back at
+once. Every router follows the same plan from the order alone, so that a
+session meets the same version everywhere.
+"""
+
+import dataclasses
+import enum
+import math
+import time
+
+from celeryward import hashing
+from celeryward import logs
+
+# Parts of the time that an order allows.
+TRIAL_END = 0.52
+DONE_AT = 0.8
+# Sessions that were active before the order stay on the old version.
+# Share of new requests on the new version during the trial, as a part of
+# the share that a bad version may have.
+TRIAL_PART = 0.6
+# A session is remembered a little longer than it counts as one.
+SESSION_FACTOR = 1.5
+MAX_SESSIONS = 20_000
+# Failure rate by which a bad version exceeds the old one, and the log odds
+# at which it is found bad.
+BAD_EXCESS = 0.25
+BAD_LOG_ODDS = 6.0
+GOOD_FAILURE_RATE = 0.02
+# A run counts as a failure if it takes this many times as long as the old
+# version usually takes.
+SLOW_FACTOR = 4.0
+MIN_OLD_SAMPLES = 5
+SAMPLE_WEIGHT = 0.1
+
+
+class State(enum.Enum):
+    """State of an order."""
+
+    RUNNING = 'running'
+    DONE = 'done'
+    ROLLED_BACK = 'rolled-back'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """A request to move a service to another software version.
+
+    :param float seconds: time within which it is to be done.
+    :param int revision: revision of the stored order.
+    :param int created: revision at which this order was made.
+    """
+
+    service: str
+    target: str
+    seconds: float
+    state: State = State.RUNNING
+    revision: int = 0
+    created: int = 0
+
+    @property
+    def key(self):
+        """What names this order, also where a service has several."""
+        return (self.service, self.target, self.created)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tally:
+    """What was seen of one software version.
+
+    :param float log_odds: evidence that it is worse than the old one.
+    """
+
+    answers: int = 0
+    failures: int = 0
+    log_odds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """An order that is under way, as this router follows it.
+
+    :param float seen_at: monotonic seconds at which it was first seen.
+    """
+
+    order: Order
+    seen_at: float
+    tally: Tally = Tally()
+    verdict: State = State.RUNNING
+
+    def elapsed(self, now):
+        """Return the part of the allowed time that has passed."""
+        return (now - self.seen_at) / max(0.001, self.order.seconds)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stay:
+    """The version that a session uses.
+
+    :param float until: monotonic seconds after which it is forgotten.
+    """
+
+    software: str
+    until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usual:
+    """What runs of one kind at the old version come to, as averages.
+
+    :param float pace: seconds for a unit of work.
+    """
+
+    failure_rate: float = GOOD_FAILURE_RATE
+    pace: float = 0.0
+    samples: int = 0
+
+    def with_run(self, failed, pace):
+        """Return the averages after one more run."""
+        rate = self.failure_rate + SAMPLE_WEIGHT * (failed - self.failure_rate)
+        rate = max(GOOD_FAILURE_RATE, rate)
+        if pace is None:
+            return dataclasses.replace(self, failure_rate=rate)
+        samples = self.samples + 1
+        weight = max(SAMPLE_WEIGHT, 1 / samples)
+        mean = self.pace + weight * (pace - self.pace)
+        return Usual(rate, mean, samples)
+
+    def is_slow(self, pace):
+        """Return whether a run took far longer than is usual."""
+        if pace is None or self.samples < MIN_OLD_SAMPLES:
+            return False
+        return pace > self.pace * SLOW_FACTOR
+
+
+class Releases:
+    """Chooses the software version of each request and judges new ones.
+
+    :param float bad_share: share of a service's requests that a bad version
+        may have.
+    :param float session_seconds: pause after which a session has ended.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, bad_share, session_seconds, clock=time.monotonic):
+        self.trial_share = bad_share * TRIAL_PART
+        self.session_seconds = session_seconds
+        self.clock = clock
+        self.progress = {}
+        self.sessions = {}
+        self.usual = {}
+        self.on_verdict = []
+
+    def accept(self, order):
+        """Take over an order, or a new state of it."""
+        held = self.progress.get(order.service)
+        if held is None or held.order.key != order.key:
+            held = Progress(order, self.clock())
+            logs.bind(
+                step='roll-out', peer=order.service, software=order.target
+            ).info('roll-out {} ordered', order.state.value)
+        verdict = held.verdict
+        if order.state is not State.RUNNING:
+            verdict = order.state
+        self.progress[order.service] = dataclasses.replace(
+            held, order=order, verdict=verdict
+        )
+
+    def remove(self, service):
+        """Forget the order of a service."""
+        self.progress.pop(service, None)
+
+    def choose(self, service, present, first, session, request_id):
+        """Return the software version for a request; empty for any.
+
+        :param tuple present: versions that have endpoints now.
+        :param str first: the version that was seen first.
+        """
+        if len(present) < 2:
+            return ''
+        progress = self.progress.get(service)
+        if progress is None:
+            # A version that nobody has ordered gets nothing yet.
+            return first if first in present else ''
+        target = progress.order.target
+        old = tuple(name for name in present if name != target)
+        if target not in present or not old:
+            return ''
+        software = self.planned(progress, old, session, request_id)
+        self.remember(service, session, software)
+        return software
+
+    def planned(self, progress, old, session, request_id):
+        """Return the version that the plan of an order gives a request."""
+        target = progress.order.target
+        if progress.verdict is State.ROLLED_BACK:
+            return old[0]
+        if progress.verdict is State.DONE:
+            return target
+        stay = self.stay_of(progress.order.service, session)
+        trial = progress.elapsed(self.clock()) < TRIAL_END
+        if stay is not None and (trial or stay == target):
+            return stay
+        if not trial:
+            return target
+        if session and self.clock() - progress.seen_at < self.session_seconds:
+            # It may have begun before the order, at another router.
+            return old[0]
+        place = hashing.place(session or request_id)
+        return target if place < self.trial_share else old[0]
+
+    def stay_of(self, service, session):
+        """Return the version of a session that is still going on."""
+        stay = self.sessions.get((service, session)) if session else None
+        if stay is None or stay.until < self.clock():
+            return None
+        return stay.software
+
+    def remember(self, service, session, software):
+        """Note the version that a session uses."""
+        if not session:
+            return
+        now = self.clock()
+        if len(self.sessions) >= MAX_SESSIONS:
+            self.sessions = {
+                key: stay
+                for key, stay in self.sessions.items()
+                if stay.until >= now
+            }
+        until = now + SESSION_FACTOR * self.session_seconds
+        self.sessions[(service, session)] = Stay(software, until)
+
+    def touch(self, service, session, software):
+        """Note that a session has just used a version."""
+        if session:
+            self.remember(service, session, software)
+
+    def observe(self, service, software, kind, failed, pace=None):
+        """Note what a run at a version came to.
+
+        :param str kind: runs of one kind are compared with each other.
+        :param bool failed: whether it failed by the endpoint's fault.
+        :param float | None pace: seconds for a unit of work.
+        """
+        progress = self.progress.get(service)
+        if progress is None or software != progress.order.target:
+            self.note_old((service, kind), failed, pace)
+            return
+        usual = self.usual.get((service, kind), Usual())
+        failed = failed or usual.is_slow(pace)
+        tally = progress.tally
+        tally = Tally(
+            tally.answers + 1,
+            tally.failures + failed,
+            max(0.0, tally.log_odds + evidence(failed, usual.failure_rate)),
+        )
+        progress = dataclasses.replace(progress, tally=tally)
+        self.progress[service] = progress
+        if (
+            tally.log_odds >= BAD_LOG_ODDS
+            and progress.verdict is State.RUNNING
+        ):
+            self.decide(service, State.ROLLED_BACK)
+
+    def note_old(self, key, failed, pace):
+        """Update what is usual for one kind of runs of a service."""
+        self.usual[key] = self.usual.get(key, Usual()).with_run(failed, pace)
+
+    def decide(self, service, state):
+        """Fix the verdict on an order and tell the listeners."""
+        progress = self.progress[service]
+        self.progress[service] = dataclasses.replace(progress, verdict=state)
+        logs.bind(
+            step='roll-out',
+            peer=service,
+            software=progress.order.target,
+            answers=progress.tally.answers,
+            failures=progress.tally.failures,
+            log_odds=round(progress.tally.log_odds, 2),
+            elapsed=round(progress.elapsed(self.clock()), 3),
+        ).info('roll-out decided: {}', state.value)
+        for listener in self.on_verdict:
+            listener(service)
+
+    def due(self):
+        """Decide the orders whose time to be done has come."""
+        now = self.clock()
+        for service, progress in tuple(self.progress.items()):
+            if (
+                progress.verdict is State.RUNNING
+                and progress.elapsed(now) >= DONE_AT
+            ):
+                self.decide(service, State.DONE)
+
+    def unwritten(self):
+        """Yield orders whose verdict the store does not have yet."""
+        for progress in self.progress.values():
+            if (
+                progress.verdict is not State.RUNNING
+                and progress.order.state is State.RUNNING
+            ):
+                yield dataclasses.replace(
+                    progress.order, state=progress.verdict
+                )
+
+
+def evidence(failed, usual):
+    """Return the log likelihood ratio of bad against usual for one run."""
+    bad = min(0.95, usual + BAD_EXCESS)
+    if failed:
+        return math.log(bad / usual)
+    return math.log((1 - bad) / (1 - usual))
--- /dev/null
+++ b/celeryward/raters/sizes.py
@@ -0,0 +1,70 @@
+"""Which size of a model runs a request, by price and the model's opinion.
+
+A small model answers first and says how sure it is. A larger one is asked
+when the expected loss of a poor answer exceeds its price. No rating service
+is needed, because the confidence comes with the head of the answer.
+"""
+
+import dataclasses
+
+# A prompt token costs a quarter of a generated one.
+PROMPT_TOKEN_SHARE = 0.25
+TOKENS_OF_PRICE = 1000.0
+# A poor answer still has this share of its value.
+POOR_ANSWER_SHARE = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Economy:
+    """What answers are worth, in the cost units of the models.
+
+    :param float value_per_token: worth of a good answer for each token that
+        it is expected to have.
+    """
+
+    value_per_token: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """A model that may serve a request, with its cost for 1,000 tokens."""
+
+    model: str
+    cost: float
+
+
+def price(size, ask):
+    """Return what one run of a request costs at a size."""
+    tokens = expected_tokens(ask) + PROMPT_TOKEN_SHARE * ask.prompt_tokens
+    return size.cost * tokens / TOKENS_OF_PRICE
+
+
+def expected_tokens(ask):
+    """Return how many tokens the answer is expected to have."""
+    if ask.expected_tokens and ask.answer_tokens:
+        return min(ask.expected_tokens, ask.answer_tokens)
+    return ask.expected_tokens or ask.answer_tokens
+
+
+def first_size(sizes):
+    """Return the size that runs a request first."""
+    return sizes[0]
+
+
+def larger_size(sizes, current, ask, confidence, economy):
+    """Return the size to ask instead, or None to keep the answer.
+
+    Sizes in between are passed over: an answer that a small model is unsure
+    of is seldom good enough from a slightly larger one, and each further
+    run reads the prompt again.
+
+    :param tuple sizes: all sizes, smallest first.
+    :param Size current: the size that gave the answer.
+    :param float | None confidence: its opinion, 0 to 1.
+    """
+    largest = sizes[-1]
+    if confidence is None or largest.model == current.model:
+        return None
+    value = economy.value_per_token * expected_tokens(ask)
+    loss = (1.0 - confidence) * (1.0 - POOR_ANSWER_SHARE) * value
+    return largest if loss > price(largest, ask) else None
--- /dev/null
+++ b/celeryward/router.py
@@ -0,0 +1,255 @@
+"""One router process: builds its parts, starts its tasks and stops them."""
+
+import functools
+import os
+import time
+
+import curio
+
+from celeryward.callers import gateway
+from celeryward.callers import relay
+from celeryward import deadlines
+from celeryward.endpoints import forwarding
+from celeryward.endpoints import outcomes
+from celeryward.endpoints import pool
+from celeryward.endpoints import retries
+from celeryward.endpoints import runners
+from celeryward import http
+from celeryward import ingress
+from celeryward import listener
+from celeryward import logs
+from celeryward.objects import client
+from celeryward.objects import follower
+from celeryward.objects import freshness
+from celeryward.objects import receivers
+from celeryward.objects import verdicts
+from celeryward.raters import releases
+from celeryward.raters import sizes
+from celeryward import router_metrics
+from celeryward import signals
+
+READINESS_IDLE_SECONDS = 30.0
+# The slack of the retry budget is shared by all routers, whose number a
+# router does not know.
+SLACK_PARTS = 7
+MAX_BURST = 8.0
+STORE_OUTAGE_SECONDS = 6.0
+# A watch that waits longer than the store keeps its history ends in a list.
+HISTORY_PART = 0.7
+STOP_POLL_SECONDS = 0.05
+
+
+class Router:
+    """All parts of one router.
+
+    :param Placement placement: where it runs.
+    :param Tuning tuning: what operators set.
+    :param translator: translates between a platform and the product; see
+        docs/design.md for its members.
+    """
+
+    def __init__(self, placement, tuning, translator):
+        self.placement = placement
+        self.tuning = tuning
+        self.translator = translator
+        self.tasks = []
+        bounds = placement.bounds
+        self.configuration = ingress.ConfigurationHolder()
+        self.freshness = freshness.Freshness(
+            bounds.revoked_key_seconds - tuning.key_reserve
+        )
+        self.runners = runners.RunnerTable()
+        self.outcomes = outcomes.Outcomes()
+        self.releases = releases.Releases(
+            bounds.bad_version_share, bounds.session_seconds
+        )
+        self.store = client.ObjectClient(
+            placement.store,
+            tuning.store_timeout,
+            placement.name,
+            translator.dialect,
+        )
+        self.connections = pool.EndpointPool(tuning)
+        self.metrics = router_metrics.RouterMetrics()
+        self.relay = relay.Relay(
+            relay.Knowledge(
+                placement.failure_domain,
+                self.configuration,
+                self.freshness,
+                self.runners,
+                self.outcomes,
+                self.releases,
+                sizes.Economy(tuning.value_per_token),
+            ),
+            forwarding.Forwarder(self.connections, translator, self.outcomes),
+            translator,
+            functools.partial(new_budget, bounds, tuning),
+            self.metrics,
+        )
+        self.gateway = gateway.Gateway(
+            self.relay, self.configuration, self.metrics
+        )
+        self.callers = listener.Listener(
+            placement.callers.host,
+            placement.callers.port,
+            self.gateway.handle,
+        )
+        self.readiness = listener.Listener(
+            placement.readiness.host,
+            placement.readiness.port,
+            self.answer_readiness,
+        )
+        self.exposition = listener.Listener(
+            placement.metrics.host,
+            placement.metrics.port,
+            self.answer_metrics,
+        )
+        self.runners.listeners.append(self.forget_runner)
+        self.stopping = False
+        self.following = ()
+
+    def followers(self):
+        """Return one follower for each kind."""
+        kinds = self.translator.kinds
+        bound = HISTORY_PART * self.placement.bounds.history_seconds
+        wait = follower.Pace(min(self.tuning.object_wait, bound))
+        return (
+            follower.Follower(
+                self.store,
+                kinds.configuration,
+                follower.Pace(self.tuning.configuration_wait, confirms=True),
+                receivers.ConfigurationReceiver(
+                    self.configuration, self.freshness, self.translator
+                ),
+            ),
+            follower.Follower(
+                self.store,
+                kinds.endpoints,
+                wait,
+                receivers.EndpointReceiver(
+                    self.runners, self.translator, self.store_was_away
+                ),
+            ),
+            follower.Follower(
+                self.store,
+                kinds.orders,
+                wait,
+                receivers.OrderReceiver(self.releases, self.translator),
+            ),
+        )
+
+    def store_was_away(self):
+        """Return whether a call to the store has failed lately."""
+        now = freshness.boot_seconds()
+        return any(
+            each.failed_at is not None
+            and now - each.failed_at < STORE_OUTAGE_SECONDS
+            for each in self.following
+        )
+
+    def forget_runner(self, runner):
+        """Drop what is known of an endpoint that is gone."""
+        self.outcomes.forget(runner.id)
+
+    def is_ready(self):
+        """Return whether callers are welcome."""
+        return (
+            not self.stopping
+            and self.configuration.current is not None
+            and bool(self.runners.runners)
+            and self.freshness.is_fresh()
+        )
+
+    async def answer_readiness(self, connection):
+        """Answer the balancer's question on one connection."""
+
+        async def answer(head):
+            status = 200 if self.is_ready() else 503
+            await http.send_response(connection, status, {}, b'')
+
+        await self.serve_simple(connection, answer)
+
+    async def answer_metrics(self, connection):
+        """Serve the metrics on one connection."""
+
+        async def answer(head):
+            text = {'content-type': 'text/plain; version=0.0.4'}
+            body = self.metrics.exposition()
+            await http.send_response(connection, 200, text, body)
+
+        await self.serve_simple(connection, answer)
+
+    async def serve_simple(self, connection, answer):
+        """Serve requests without a body until the connection ends."""
+
+        async def read_and_answer(head):
+            deadline = deadlines.Deadline.after(READINESS_IDLE_SECONDS)
+            await connection.receive_body('read request', deadline)
+            await answer(head)
+
+        try:
+            await http.serve_connection(
+                connection, read_and_answer, READINESS_IDLE_SECONDS
+            )
+        except http.EXCHANGE_ERRORS as error:
+            logs.bind_error(error).debug('connection ended: {}', error.message)
+
+    async def start(self):
+        """Start all tasks. Until there is configuration, all is refused."""
+        logs.bind(
+            step='start',
+            peer=self.placement.name,
+            failure_domain=self.placement.failure_domain,
+            pid=os.getpid(),
+        ).info('router starts')
+        await self.readiness.start()
+        await self.exposition.start()
+        await self.callers.start()
+        self.following = self.followers()
+        writer = verdicts.VerdictWriter(
+            self.store, self.releases, self.translator
+        )
+        for run in (*[each.run for each in self.following], writer.run):
+            self.tasks.append(await curio.spawn(run, daemon=True))
+
+    async def stop(self):
+        """Stop without cutting off a request, as far as time allows."""
+        self.stopping = True
+        started = time.monotonic()
+        end = deadlines.Deadline.after(
+            self.placement.bounds.stop_seconds - self.tuning.stop_reserve
+        )
+        self.gateway.begin_stop()
+        logs.bind(step='stop', peer=self.placement.name).info(
+            'router stops with {} requests under way', len(self.gateway.busy)
+        )
+        accepting = deadlines.Deadline.after(self.tuning.stop_accepting_after)
+        await curio.sleep(accepting.earlier(end).remaining())
+        await self.callers.stop_accepting()
+        while self.gateway.busy and not end.expired():
+            await self.gateway.close_idle()
+            await curio.sleep(STOP_POLL_SECONDS)
+        await self.gateway.close_idle()
+        cut_off = len(self.gateway.busy)
+        for task in self.tasks:
+            await task.cancel()
+        logs.bind(step='stop', peer=self.placement.name).info(
+            'router stopped after {:.1f} s; {} requests cut off',
+            time.monotonic() - started,
+            cut_off,
+        )
+
+    async def run(self):
+        """Run until SIGTERM or SIGINT, then stop gracefully."""
+        with signals.stop_signals() as stop_signal:
+            await self.start()
+            await stop_signal()
+            await self.stop()
+
+
+def new_budget(bounds, tuning):
+    """Return a retry budget within what all routers may use."""
+    slack = min(MAX_BURST, bounds.retry_slack / SLACK_PARTS)
+    return retries.RetryBudget(
+        share=bounds.retry_ratio * tuning.retry_part, start=slack, most=slack
+    )
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -10,6 +10,7 @@
 CODECS = {'google', 'grpclib', 'h11', 'msgspec'}
 DECISION_MODULES = (
     'calls.py',
+    'ingress.py',
     'callers/accounting.py',
     'callers/admission.py',
     'callers/demand.py',
@@ -28,7 +29,10 @@
     'endpoints/load.py',
     'endpoints/prefixes.py',
     'endpoints/orders.py',
+    'endpoints/outcomes.py',
     'endpoints/ranking.py',
+    'endpoints/runners.py',
+    'endpoints/selection.py',
     'endpoints/retries.py',
     'operators/burn.py',
     'operators/report.py',
@@ -37,12 +41,16 @@
     'objects/billing.py',
     'objects/claims.py',
     'objects/configuration.py',
+    'objects/freshness.py',
     'objects/leases.py',
+    'objects/receivers.py',
     'objects/replicas.py',
     'raters/cascades.py',
     'raters/estimates.py',
     'raters/quality.py',
+    'raters/releases.py',
     'raters/rollouts.py',
+    'raters/sizes.py',
 )
 
 
