Notice vanished endpoints by a connect, keep retry budget for failures

Ruled out: stale listings; the entries vanish only 2.7 s after the cut.

Change: a task for each endpoint tries a new connection after 0.4 s of silence with requests under way, marks the endpoint lost if that fails, and breaks off what may be repeated elsewhere. A dispatch that never arrived takes no budget, and requests for larger models leave two tokens.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -18,6 +18,9 @@
 from celeryward import logs
 from celeryward.raters import sizes
 
+# Tokens of the retry budget that are kept for failures, so that requests for
+# larger models can't use up what failures need.
+FAILURE_RESERVE = 2.0
 # Time to come back after a refusal.
 NOT_READY_RETRY_SECONDS = 0.5
 STALE_RETRY_SECONDS = 1.0
@@ -68,6 +71,7 @@
         self.runs = 0
         self.refusals = 0
         self.dispatches = 0
+        self.arrivals = 0
         self.prepaid = False
         self.failed_answer = None
 
@@ -300,7 +304,8 @@
         if journey.dispatches == 0:
             budget.first_dispatch()
             return
-        if journey.prepaid:
+        if journey.prepaid or not journey.arrivals:
+            # What never reached an endpoint is no load on it.
             journey.prepaid = False
             return
         if budget.take():
@@ -337,6 +342,7 @@
                 return await self.take_failed(journey, plan, answer, responder)
             larger = self.larger_size(journey, plan, answer)
             if larger is not None:
+                journey.arrivals += 1
                 journey.runs += 1
                 journey.size = larger
                 return False
@@ -416,7 +422,8 @@
             answer.facts.confidence,
             self.knowledge.economy,
         )
-        if larger is not None and not self.budgets[plan.service].take():
+        budget = self.budgets[plan.service]
+        if larger is not None and not budget.take(FAILURE_RESERVE):
             return None
         if larger is not None:
             journey.prepaid = True
@@ -450,6 +457,7 @@
         :returns: whether the answer was passed on.
         """
         whole = await answer.body()
+        journey.arrivals += 1
         journey.runs += 1
         self.observe(journey, plan, True)
         self.knowledge.outcomes.failed(plan.runner.id)
@@ -490,6 +498,9 @@
         """
         runner = plan.runner
         journey.tried |= {runner.id}
+        journey.arrivals += error.sent or isinstance(
+            error, errors.EndpointRefused
+        )
         self.note_failure(journey, plan, error)
         if error.sent:
             journey.runs += 1
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import time
 
 import h11
@@ -58,14 +59,16 @@
     :param http.Response head: its head.
     :param ingress.AnswerFacts facts: what the head says.
     :param float seconds: time from the dispatch to the head.
+    :param heard: function to call when bytes have arrived.
     """
 
-    def __init__(self, connection, passage, head, facts, seconds):
+    def __init__(self, connection, passage, head, facts, seconds, heard):
         self.connection = connection
         self.passage = passage
         self.head = head
         self.facts = facts
         self.seconds = seconds
+        self.heard = heard
 
     async def body(self):
         """Return the whole body."""
@@ -87,6 +90,7 @@
         )
         async with contextlib.aclosing(pieces):
             async for piece in pieces:
+                self.heard()
                 whole = splitter.feed(piece)
                 taken = sequence.take(whole, self.connection.peer)
                 ready, failure = collect(taken)
@@ -128,6 +132,24 @@
         self.connections = connections
         self.translator = translator
         self.outcomes = outcomes
+        self.exchanges = {}
+
+    async def break_off(self, runner):
+        """End the exchanges with a lost endpoint that may be repeated.
+
+        The others wait until their deadline, because the endpoint may come
+        back with the only answer that they can get.
+
+        :returns: the number of exchanges.
+        """
+        broken = [
+            connection
+            for connection, (runner_id, may_repeat) in self.exchanges.items()
+            if runner_id == runner.id and may_repeat
+        ]
+        for connection in broken:
+            await connection.shut_down()
+        return len(broken)
 
     @contextlib.asynccontextmanager
     async def dispatch(self, passage, runner):
@@ -142,18 +164,24 @@
         """
         self.outcomes.started(runner.id)
         started = time.monotonic()
+        connection = None
         try:
             async with self.connections.lease(
                 runner, passage.head_deadline, passage.fresh
             ) as connection:
+                self.exchanges[connection] = (runner.id, not passage.fresh)
                 await self.send(connection, passage, runner)
                 head = await connection.receive_response(passage.head_deadline)
+                self.outcomes.heard(runner.id)
                 facts = self.translator.read_answer(head)
                 check(passage, runner, head, facts)
                 seconds = time.monotonic() - started
-                yield Answer(connection, passage, head, facts, seconds)
+                heard = functools.partial(self.outcomes.heard, runner.id)
+                yield Answer(connection, passage, head, facts, seconds, heard)
                 connection.usable_until = idle_limit(facts)
         finally:
+            if connection is not None:
+                del self.exchanges[connection]
             self.outcomes.finished(runner.id)
 
     async def send(self, connection, passage, runner):
--- /dev/null
+++ b/celeryward/endpoints/monitor.py
@@ -0,0 +1,100 @@
+"""One task for each endpoint: notices when it has vanished.
+
+A request gives no sign of life while it is queued, and neither does an
+endpoint behind a partition. A new connection tells the two apart at once,
+and costs less than a health check, which takes a slot.
+"""
+
+import time
+
+import curio
+
+from celeryward import deadlines
+from celeryward import errors
+from celeryward import logs
+
+TICK_SECONDS = 0.2
+# Silence with requests under way after which a connection is tried.
+SILENCE_SECONDS = 0.4
+# Pause between two tries at an endpoint that can't be reached.
+RETRY_SECONDS = 0.5
+
+
+class Monitor:
+    """Runs the task of each endpoint that the store lists.
+
+    :param table: :class:`runners.RunnerTable`.
+    :param outcomes: :class:`outcomes.Outcomes`.
+    :param connections: :class:`pool.EndpointPool`.
+    :param forwarder: :class:`forwarding.Forwarder`, which can break off the
+        exchanges with an endpoint.
+    """
+
+    def __init__(self, table, outcomes, connections, forwarder):
+        self.table = table
+        self.outcomes = outcomes
+        self.connections = connections
+        self.forwarder = forwarder
+        self.tasks = {}
+
+    async def run(self):
+        """Start and stop tasks as endpoints come and go."""
+        while True:
+            wanted = {each.key: each for each in self.table.runners.values()}
+            for key in self.tasks.keys() - wanted.keys():
+                await self.tasks.pop(key).cancel()
+            for key in wanted.keys() - self.tasks.keys():
+                self.tasks[key] = await curio.spawn(
+                    self.watch, wanted[key], daemon=True
+                )
+            await curio.sleep(TICK_SECONDS)
+
+    async def watch(self, runner):
+        """Watch one endpoint until cancelled."""
+        while True:
+            await curio.sleep(TICK_SECONDS)
+            if self.is_silent(runner):
+                if await self.can_connect(runner):
+                    self.outcomes.heard(runner.id)
+                else:
+                    await self.lost(runner)
+
+    def is_silent(self, runner):
+        """Return whether requests wait and nothing has come for a while."""
+        if not self.outcomes.in_flight.get(runner.id):
+            return False
+        heard_at = self.outcomes.heard_at.get(runner.id, 0.0)
+        return time.monotonic() - heard_at > SILENCE_SECONDS
+
+    async def can_connect(self, runner):
+        """Return whether a new connection can be opened; it is kept."""
+        limit = deadlines.Deadline.after(self.connections.connect_seconds)
+        try:
+            connection = await self.connections.open(runner, limit)
+        except errors.ConnectionFailed as error:
+            logs.bind_error(error, endpoint=runner.id).debug(
+                'endpoint not reached: {}', error.message
+            )
+            return False
+        self.connections.keep_unused(runner, connection)
+        return True
+
+    async def lost(self, runner):
+        """Break off what waits for the endpoint until it is reached again."""
+        self.outcomes.set_lost(runner.id, True)
+        closed = await self.connections.close_idle(runner)
+        broken = await self.forwarder.break_off(runner)
+        logs.bind(
+            step='monitor',
+            peer=runner.address,
+            endpoint=runner.id,
+            idle_closed=closed,
+            broken_off=broken,
+        ).warning('endpoint lost')
+        while not await self.can_connect(runner):
+            await curio.sleep(RETRY_SECONDS)
+        self.outcomes.set_lost(runner.id, False)
+        self.outcomes.heard(runner.id)
+        logs.bind(
+            step='monitor', peer=runner.address, endpoint=runner.id
+        ).info('endpoint regained')
--- a/celeryward/endpoints/outcomes.py
+++ b/celeryward/endpoints/outcomes.py
@@ -75,6 +75,8 @@
         self.clock = clock
         self.records = {}
         self.in_flight = collections.Counter()
+        self.heard_at = {}
+        self.lost = set()
 
     def record(self, runner_id):
         """Return the record of an endpoint as of now."""
@@ -82,8 +84,21 @@
         held = self.records.get(runner_id) or Record(noted_at=now)
         return held.decayed(now)
 
+    def heard(self, runner_id):
+        """Note that the endpoint gave a sign of life."""
+        self.heard_at[runner_id] = self.clock()
+
+    def set_lost(self, runner_id, lost):
+        """Note whether the endpoint can't be reached at all."""
+        if lost:
+            self.lost.add(runner_id)
+        else:
+            self.lost.discard(runner_id)
+
     def started(self, runner_id):
-        """Count a request as in flight."""
+        """Count a request as in flight; silence counts from the first."""
+        if not self.in_flight[runner_id]:
+            self.heard(runner_id)
         self.in_flight[runner_id] += 1
 
     def finished(self, runner_id):
@@ -138,6 +153,8 @@
     def forget(self, runner_id):
         """Drop what is known of an endpoint that is gone."""
         self.records.pop(runner_id, None)
+        self.heard_at.pop(runner_id, None)
+        self.lost.discard(runner_id)
 
     def suspects(self, runner_ids):
         """Return those endpoints that are better avoided.
@@ -153,7 +170,8 @@
         return frozenset(
             runner_id
             for runner_id, record in records.items()
-            if record.avoid_until > now
+            if runner_id in self.lost
+            or record.avoid_until > now
             or fails_more(record, usual_share)
             or is_slow(record, usual_pace)
         )
--- a/celeryward/endpoints/pool.py
+++ b/celeryward/endpoints/pool.py
@@ -9,6 +9,9 @@
 from celeryward import http
 
 MAX_IDLE_PER_ENDPOINT = 32
+# How long a connection that has carried nothing is kept; the endpoint has
+# not said when it closes it.
+UNUSED_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +102,17 @@
             endpoint.host, endpoint.port, limit.earlier(deadline)
         )
 
+    @property
+    def connect_seconds(self):
+        """Seconds allowed to open a connection."""
+        return self.timings.connect_timeout
+
+    def keep_unused(self, endpoint, connection):
+        """Keep a new connection for the next exchange."""
+        connection.last_read_at = time.monotonic()
+        connection.usable_until = deadlines.Deadline.after(UNUSED_SECONDS)
+        self.idle.setdefault(endpoint.address, []).append(connection)
+
     async def take_idle(self, endpoint):
         """Return the connection that was used last, or None.
 
--- a/celeryward/endpoints/retries.py
+++ b/celeryward/endpoints/retries.py
@@ -84,9 +84,12 @@
             return
         self.tokens = min(self.most, self.tokens + self.share)
 
-    def take(self):
-        """Return whether one repeated dispatch is allowed."""
-        if self.tokens < 1.0:
+    def take(self, reserve=0.0):
+        """Return whether one repeated dispatch is allowed.
+
+        :param float reserve: tokens that have to be left after it.
+        """
+        if self.tokens < 1.0 + reserve:
             return False
         self.tokens -= 1.0
         return True
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -285,6 +285,14 @@
         """Prepare for the next exchange on this connection."""
         self.h11.start_next_cycle()
 
+    async def shut_down(self):
+        """End the connection under the task that reads from it."""
+        try:
+            await self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # It has ended already.
+            return
+
     async def close(self):
         """Close the socket. Closing twice does nothing."""
         await self.sock.close()
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -10,6 +10,7 @@
 from celeryward.callers import relay
 from celeryward import deadlines
 from celeryward.endpoints import forwarding
+from celeryward.endpoints import monitor
 from celeryward.endpoints import outcomes
 from celeryward.endpoints import pool
 from celeryward.endpoints import retries
@@ -71,6 +72,12 @@
         )
         self.connections = pool.EndpointPool(tuning)
         self.metrics = router_metrics.RouterMetrics()
+        self.forwarder = forwarding.Forwarder(
+            self.connections, translator, self.outcomes
+        )
+        self.monitor = monitor.Monitor(
+            self.runners, self.outcomes, self.connections, self.forwarder
+        )
         self.relay = relay.Relay(
             relay.Knowledge(
                 placement.failure_domain,
@@ -81,7 +88,7 @@
                 self.releases,
                 sizes.Economy(tuning.value_per_token),
             ),
-            forwarding.Forwarder(self.connections, translator, self.outcomes),
+            self.forwarder,
             translator,
             functools.partial(new_budget, bounds, tuning),
             self.metrics,
@@ -209,7 +216,8 @@
         writer = verdicts.VerdictWriter(
             self.store, self.releases, self.translator
         )
-        for run in (*[each.run for each in self.following], writer.run):
+        follows = [each.run for each in self.following]
+        for run in (*follows, writer.run, self.monitor.run):
             self.tasks.append(await curio.spawn(run, daemon=True))
 
     async def stop(self):
