Weigh a larger model by how busy the endpoints are

Ruled out: imbalance alone, the busiest endpoint has 1.2 times the mean.

Change: the gain counts as that of a late answer if the larger model would answer past the objective; its price grows with the time that the small answer took.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -415,12 +415,14 @@
             return None
         if not (journey.route.may_repeat and self.has_alternative(journey)):
             return None
+        offered = self.sizes(journey, plan.service)
         larger = sizes.larger_size(
-            self.sizes(journey, plan.service),
+            offered,
             plan.size,
             journey.ask,
             answer.facts.confidence,
             self.knowledge.economy,
+            self.timing(journey, offered[-1], answer),
         )
         budget = self.budgets[plan.service]
         if larger is not None and not budget.take(FAILURE_RESERVE):
@@ -438,6 +440,18 @@
             ).debug('answer dropped for a larger model')
         return larger
 
+    def timing(self, journey, size, answer):
+        """Return how a request stands if it is sent to a larger size.
+
+        The larger model waits at least as long as the small one did.
+        """
+        usual = self.usual_head.get((journey.route.name, size.model), 0.0)
+        return sizes.Timing(
+            journey.route.objective_seconds,
+            time.monotonic() - journey.started_at,
+            max(answer.seconds, usual * work(journey.ask)),
+        )
+
     async def relay_events(self, journey, plan, answer, responder):
         """Pass on the events of a stream as they come."""
         started = time.monotonic()
--- a/celeryward/raters/sizes.py
+++ b/celeryward/raters/sizes.py
@@ -12,6 +12,11 @@
 TOKENS_OF_PRICE = 1000.0
 # A poor answer still has this share of its value.
 POOR_ANSWER_SHARE = 0.05
+# A late answer has this share of its value.
+LATE_ANSWER_SHARE = 0.35
+# A run holds up the others at busy endpoints. Its price rises by this factor
+# for each objective that the small answer took.
+CONGESTION_FACTOR = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +38,30 @@
     cost: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """How a request stands in time.
+
+    :param float elapsed_seconds: time since it came.
+    :param float expected_seconds: time that a larger model will take.
+    """
+
+    objective_seconds: float
+    elapsed_seconds: float
+    expected_seconds: float
+
+    @property
+    def late(self):
+        """Whether the larger model would answer too late."""
+        total = self.elapsed_seconds + self.expected_seconds
+        return total > self.objective_seconds
+
+    @property
+    def congestion(self):
+        """How many objectives the small answer took."""
+        return self.elapsed_seconds / self.objective_seconds
+
+
 def price(size, ask):
     """Return what one run of a request costs at a size."""
     tokens = expected_tokens(ask) + PROMPT_TOKEN_SHARE * ask.prompt_tokens
@@ -51,7 +80,7 @@
     return sizes[0]
 
 
-def larger_size(sizes, current, ask, confidence, economy):
+def larger_size(sizes, current, ask, confidence, economy, timing):
     """Return the size to ask instead, or None to keep the answer.
 
     Sizes in between are passed over: an answer that a small model is unsure
@@ -61,10 +90,15 @@
     :param tuple sizes: all sizes, smallest first.
     :param Size current: the size that gave the answer.
     :param float | None confidence: its opinion, 0 to 1.
+    :param Timing timing: how the request stands in time.
     """
     largest = sizes[-1]
     if confidence is None or largest.model == current.model:
         return None
     value = economy.value_per_token * expected_tokens(ask)
-    loss = (1.0 - confidence) * (1.0 - POOR_ANSWER_SHARE) * value
-    return largest if loss > price(largest, ask) else None
+    gain = (1.0 - confidence) * (1.0 - POOR_ANSWER_SHARE) * value
+    if timing.late:
+        gain *= LATE_ANSWER_SHARE
+    cost = price(largest, ask)
+    cost *= 1.0 + CONGESTION_FACTOR * timing.congestion
+    return largest if gain > cost else None
