Stop without failing on connections that end meanwhile; test the router

Cause: close_idle went through a copy of the connections; while one task was cancelled another connection could end, and asking its closed socket for input raised, so the router ended at once with requests under way.

Change: each connection is looked up again before it is asked. The log sink sets its descriptor non-blocking itself; a test of a stalled reader hung on that. Stand-ins of the platform's store and runners; tests of requests, store, roll-outs, endpoints, adapter and log.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -353,7 +353,10 @@
         waiting task would leave the task waiting for ever.
         """
         for connection, task in tuple(self.tasks.items()):
-            if connection not in self.busy and not connection.has_input():
+            # A task may have ended while another one was cancelled.
+            if connection not in self.tasks or connection in self.busy:
+                continue
+            if not connection.has_input():
                 await task.cancel()
 
 
--- a/celeryward/logs.py
+++ b/celeryward/logs.py
@@ -61,7 +61,6 @@
     :param str level: lowest level that is written.
     :param int descriptor: open file descriptor, such as standard output.
     """
-    os.set_blocking(descriptor, False)
     logger.remove()
     logger.configure(extra=DEFAULTS)
     logger.add(BoundedSink(descriptor).write, level=level, catch=False)
@@ -77,6 +76,7 @@
     """
 
     def __init__(self, descriptor, clock=time.monotonic):
+        os.set_blocking(descriptor, False)
         self.descriptor = descriptor
         self.clock = clock
         self.second = 0
--- /dev/null
+++ b/tests/platform_standins.py
@@ -0,0 +1,469 @@
+"""Stand-ins of the users' platform: its store and its runners.
+
+They speak the wire of the platform, which only the adapter and its tests
+know.
+"""
+
+import collections
+import dataclasses
+import urllib.parse
+
+from adapter import translator
+import curio
+import h11
+import msgspec
+
+from celeryward import http
+from celeryward import router
+from celeryward import router_settings
+from celeryward.standins import base
+
+HOST = 'service.example'
+KEY = 'key-one'
+BOUNDS = router_settings.Bounds(5.0, 4.0, 0.9, 54.0, 0.15, 5.0, 20.0)
+
+
+class StoreStandIn(base.StandIn):
+    """The metadata store: revisions, pages, waiting watches, conflicts.
+
+    Faults: ``away`` closes connections without an answer; ``compacted`` is
+    the revision up to which history is gone; ``page_size`` bounds lists.
+    """
+
+    def __init__(self, port=0):
+        super().__init__(port)
+        self.objects = {}
+        self.revision = 0
+        self.history = []
+        self.changed = curio.Condition()
+        self.away = False
+        self.compacted = 0
+        self.page_size = 500
+        self.requests = []
+
+    async def put(self, kind, name, spec, status=None):
+        """Write an object as the operator or a runner would."""
+        before = self.objects.get((kind, name))
+        self.revision += 1
+        entry = {
+            'meta': {
+                'name': name,
+                'revision': self.revision,
+                'created': (
+                    before['meta']['created'] if before else self.revision
+                ),
+                'finalizers': [],
+                'deleting': False,
+            },
+            'spec': spec,
+            'status': status,
+        }
+        await self.store(kind, name, entry, False)
+        return entry
+
+    async def delete(self, kind, name):
+        """Remove an object."""
+        self.revision += 1
+        entry = self.objects[(kind, name)]
+        await self.store(kind, name, entry, True)
+
+    async def store(self, kind, name, entry, deleted):
+        """Apply one change and wake the watches."""
+        if deleted:
+            del self.objects[(kind, name)]
+        else:
+            self.objects[(kind, name)] = entry
+        event = {'object': entry, 'deleted': deleted}
+        self.history.append((self.revision, kind, event))
+        async with self.changed:
+            await self.changed.notify_all()
+
+    async def answer(self, connection, received):
+        """Route one request by its path."""
+        self.requests.append((received.head.method, received.head.target))
+        if self.away:
+            raise http.Disconnected('away', step='store', peer='test')
+        path, _, query = received.head.target.partition('?')
+        parts = [urllib.parse.unquote(part) for part in path.split('/')[3:]]
+        fields = dict(urllib.parse.parse_qsl(query))
+        if received.head.method == 'PUT':
+            await self.answer_put(connection, parts, received.json())
+        elif 'watch' in fields:
+            await self.answer_watch(connection, parts[0], fields)
+        else:
+            await self.answer_list(connection, parts[0], fields)
+
+    async def answer_list(self, connection, kind, fields):
+        """Send one page of a kind."""
+        after = fields.get('afterRev', '')
+        names = sorted(
+            name
+            for each, name in self.objects
+            if each == kind and name > after
+        )
+        page = names[: self.page_size]
+        answer = {
+            'entries': [self.objects[(kind, name)] for name in page],
+            'hasMore': len(names) > len(page),
+            'currentRev': self.revision,
+        }
+        await base.send_json(connection, 200, answer)
+
+    async def answer_watch(self, connection, kind, fields):
+        """Wait for a change of a kind, or until the time is over."""
+        since = int(fields['watch'])
+        if since < self.compacted:
+            await base.send_json(connection, 410, {})
+            return
+        async with curio.ignore_after(int(fields['waitMs']) / 1000):
+            async with self.changed:
+                while not self.events(kind, since):
+                    await self.changed.wait()
+        answer = {
+            'events': self.events(kind, since),
+            'currentRev': self.revision,
+        }
+        await base.send_json(connection, 200, answer)
+
+    def events(self, kind, since):
+        """Return the events of a kind after a revision."""
+        return [
+            event
+            for revision, each, event in self.history
+            if each == kind and revision > since
+        ]
+
+    async def answer_put(self, connection, parts, entry):
+        """Replace the status of an object at its revision."""
+        kind, name = parts[:2]
+        current = self.objects[(kind, name)]
+        if entry['meta']['revision'] != current['meta']['revision']:
+            await base.send_json(connection, 409, current)
+            return
+        stored = await self.put(kind, name, current['spec'], entry['status'])
+        await base.send_json(connection, 200, stored)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that a runner received."""
+
+    head: http.Request
+    body: bytes
+
+    @property
+    def model(self):
+        """The model that was asked for."""
+        return self.head.headers.get('celeryward-model', '')
+
+
+class RunnerStandIn(base.StandIn):
+    """A runner. Its next answers are taken from ``script`` first.
+
+    :param int events: events of its streams.
+    """
+
+    def __init__(self, runner_id, service='llm', software='v1', events=4):
+        super().__init__()
+        self.id = runner_id
+        self.service = service
+        self.software = software
+        self.events = events
+        self.script = collections.deque()
+        self.usual = None
+        self.arrivals = []
+        self.ended = []
+        self.confidence = {}
+
+    def entry(self, state='ready'):
+        """Return the runner's entry in the store."""
+        models = [{'name': name} for name in ('small', 'large')]
+        return {
+            'service': self.service,
+            'address': f'127.0.0.1:{self.port}',
+            'zone': 'a',
+            'version': self.software,
+            'slots': 8,
+            'state': state,
+            'coldLeftMs': 0,
+            'seq': 1,
+            'born': 1700000000000,
+            'models': models if self.service == 'llm' else [],
+        }
+
+    async def answer(self, connection, received):
+        """Record a request and answer it."""
+        arrival = Arrival(received.head, received.body)
+        self.arrivals.append(arrival)
+        act = self.script.popleft() if self.script else self.usual or usual
+        try:
+            await act(self, connection, arrival)
+        finally:
+            self.ended.append(arrival)
+
+    def head(self, arrival, **more):
+        """Return the headers of an answer of this runner."""
+        request_id = arrival.head.headers['celeryward-attempt-id']
+        return {
+            'celeryward-response-seal': f'seal-{self.id}',
+            'celeryward-attempt-id': request_id,
+            'keep-alive': 'timeout=10',
+            **more,
+        }
+
+
+async def usual(runner, connection, arrival):
+    """Answer whole, or with a stream where the model is named."""
+    if arrival.model:
+        await stream(runner, connection, arrival)
+    else:
+        await http.send_response(
+            connection, 200, runner.head(arrival), b'whole answer'
+        )
+
+
+async def stream(runner, connection, arrival, upto=None, torn=b''):
+    """Answer with events after the last that the caller has.
+
+    :param upto: last event, after which the connection breaks.
+    :param bytes torn: sent after the last event before the break.
+    """
+    first = int(arrival.head.headers.get('last-event-id', '0')) + 1
+    confidence = runner.confidence.get(arrival.model, 100)
+    head = runner.head(
+        arrival,
+        **{
+            'content-type': 'text/event-stream',
+            'transfer-encoding': 'chunked',
+            'celeryward-confidence': str(confidence),
+        },
+    )
+    lines = http.encode_headers(head)
+    await connection.send(
+        'answer', h11.Response(status_code=200, headers=lines)
+    )
+    last = runner.events if upto is None else upto
+    for number in range(first, last + 1):
+        await connection.send('answer', h11.Data(data=event(number)))
+        await curio.sleep(0.005)
+    if upto is not None:
+        if torn:
+            await connection.send('answer', h11.Data(data=torn))
+        raise http.Disconnected('broken off', step='answer', peer='test')
+    await connection.send('answer', h11.EndOfMessage())
+
+
+def event(number):
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+
+
+def events(count):
+    """Return the body of a whole stream."""
+    return b''.join(event(number) for number in range(1, count + 1))
+
+
+def answering(status, body=b'', seal=True, **more):
+    """Return an action that sends a fixed answer.
+
+    :param bool seal: whether it carries the runner's signature and id.
+    """
+
+    async def act(runner, connection, arrival):
+        head = {name.replace('_', '-'): value for name, value in more.items()}
+        if seal:
+            head = runner.head(arrival, **head)
+        await http.send_response(connection, status, head, body)
+
+    return act
+
+
+def refusing():
+    """Return an action that certifies that the request was not run."""
+    return answering(503, seal=False, celeryward_not_executed='1')
+
+
+async def broken(runner, connection, arrival):
+    """Close the connection without an answer."""
+    raise http.Disconnected('broken', step='answer', peer='test')
+
+
+async def hanging(runner, connection, arrival):
+    """Never answer; end when the router closes the connection."""
+    await connection.wait_closed()
+
+
+def configuration(version=1, **more):
+    """Return the operator's configuration with one route of each kind."""
+    usual_routes = [
+        route('whole', 'idempotent', 'app', maxAttempts=2),
+        route('once', 'non_idempotent', 'app', maxAttempts=1),
+        route(
+            'stream',
+            'stream',
+            'llm',
+            maxAttempts=3,
+            resumable=True,
+            sizes=['small', 'large'],
+        ),
+        route('rigid', 'stream', 'llm', maxAttempts=3, sizes=['small']),
+        route('open', 'idempotent', 'app', public=True),
+    ]
+    return {
+        'version': version,
+        'routes': usual_routes,
+        'services': [
+            {
+                'name': 'llm',
+                'engine': {
+                    'slots': 8,
+                    'models': [
+                        {'name': 'small', 'cost': 0.01},
+                        {'name': 'large', 'cost': 0.2},
+                    ],
+                },
+            },
+            {'name': 'app'},
+        ],
+        'limits': {'idleTimeoutMs': 5000, 'maxBodyBytes': 100000},
+        'tenants': [{'name': 'customer-a', 'apiKeys': [KEY], 'priority': 1}],
+        **more,
+    }
+
+
+def route(name, kind, service, **more):
+    """Return a route whose prefix is its name."""
+    return {
+        'name': name,
+        'host': HOST,
+        'pathPrefix': f'/{name}/',
+        'kind': kind,
+        'service': service,
+        'timeoutMs': 2000,
+        'goalMs': 1000,
+        'gapTargetMs': 500,
+        'priority': 1,
+        **more,
+    }
+
+
+class Site:
+    """A store, runners and one router."""
+
+    def __init__(self, runners, tuning=None, bounds=BOUNDS):
+        self.store = StoreStandIn()
+        self.runners = {runner.id: runner for runner in runners}
+        self.tuning = tuning or router_settings.Tuning(
+            configuration_wait=0.3, object_wait=5.0, stop_accepting_after=0.3
+        )
+        self.bounds = bounds
+        self.router = None
+
+    async def start(self, spec=None):
+        """Start everything, and wait until the router is ready."""
+        await self.store.start()
+        for runner in self.runners.values():
+            await runner.start()
+            await self.store.put('servers', runner.id, runner.entry())
+        if spec is not False:
+            spec = spec or configuration()
+            await self.store.put('config', 'main', spec)
+        await self.start_router()
+        if spec is not False:
+            await until(self.router.is_ready)
+
+    async def start_router(self):
+        """Start a router that follows the store."""
+        local = router_settings.Address('127.0.0.1', 0)
+        placement = router_settings.Placement(
+            'router-1',
+            'a',
+            local,
+            local,
+            local,
+            router_settings.Address('127.0.0.1', self.store.port),
+            self.bounds,
+        )
+        self.router = router.Router(
+            placement, self.tuning, translator.Translator()
+        )
+        await self.router.start()
+
+    async def stop(self):
+        """Stop everything at once."""
+        for task in self.router.tasks:
+            await task.cancel()
+        for part in (
+            self.router.callers,
+            self.router.readiness,
+            self.router.exposition,
+        ):
+            await part.stop_accepting()
+            await part.drain(base.deadlines.Deadline.after(0.0))
+        for runner in self.runners.values():
+            await runner.stop()
+        await self.store.stop()
+
+    async def connect(self):
+        """Open a caller's connection."""
+        return await http.connect(
+            '127.0.0.1',
+            self.router.callers.port,
+            base.deadlines.Deadline.after(2.0),
+        )
+
+    async def ask(self, path, method='GET', body=b'', **headers):
+        """Send one request on a new connection; return head and body."""
+        connection = await self.connect()
+        try:
+            return await ask(connection, path, method, body, **headers)
+        finally:
+            await connection.close()
+
+    def arrivals(self):
+        """Return all requests that reached runners."""
+        return [
+            arrival
+            for runner in self.runners.values()
+            for arrival in runner.arrivals
+        ]
+
+
+def headers_of(path, **more):
+    """Return the headers of a caller's request."""
+    found = {
+        'host': HOST,
+        'celeryward-attempt-id': more.pop('request_id', 'request-1'),
+        'celeryward-deadline-ms': '3000',
+        'authorization': f'Bearer {KEY}',
+    }
+    if path.startswith(('/stream', '/rigid')):
+        found |= {
+            'celeryward-model': '*',
+            'celeryward-token-usage': '1000,200',
+            'celeryward-prompt-prefix': 'aa:300,bb:500,cc:200',
+        }
+    found |= {name.replace('_', '-'): value for name, value in more.items()}
+    return {name: value for name, value in found.items() if value is not None}
+
+
+async def ask(connection, path, method='GET', body=b'', **headers):
+    """Send one request; return the head and body of its answer."""
+    await http.send_request(
+        connection, method, path, headers_of(path, **headers), body
+    )
+    deadline = base.deadlines.Deadline.after(10.0)
+    head = await connection.receive_response(deadline)
+    return head, await connection.receive_body('read body', deadline)
+
+
+async def until(condition, seconds=5.0):
+    """Wait until a condition holds."""
+    async with curio.timeout_after(seconds):
+        while not condition():
+            await curio.sleep(0.01)
+
+
+def encode(value):
+    """Return a value as JSON bytes."""
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,250 @@
+"""The adapter of the users' platform, without a network."""
+
+import dataclasses
+import pathlib
+import platform
+import subprocess
+import sys
+
+from adapter import messages
+from adapter import records
+from adapter import settings_file
+from adapter import store
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from celeryward import deadlines
+from celeryward.endpoints import forwarding
+from celeryward.endpoints import runners
+from celeryward import errors
+from celeryward import http
+from celeryward.objects import protocol
+from celeryward import router_settings
+from tests import platform_standins as standins
+
+ROOT = pathlib.Path(__file__).parent.parent
+SETTINGS = """
+nodeName = "front-1"
+zone = "a"
+ip = "10.0.0.1"
+later = "unknown"
+[listen]
+front = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+[bounds]
+strictRevoke = true
+revokeMs = 5000
+graceS = 8
+retryRatio = 0.9
+retrySlack = 54
+[provider]
+address = "10.0.0.9:90"
+historyS = 20
+"""
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-10, 10**6)
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=5), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+
+
+def stored(spec, status=None, name='main'):
+    return protocol.StoredObject(
+        'kind', name, spec, 3, status=status or {}, created=2
+    )
+
+
+class TestFolder:
+    """Guards against a folder that hides the standard library's module."""
+
+    def test_standard_module_stays(self):
+        assert hasattr(platform, 'system')
+        assert not (ROOT / 'platform' / '__init__.py').exists()
+
+    def test_started_program_imports_the_standard_module(self):
+        code = (
+            'import sys, runpy; sys.argv = ["platform/run.py"];'
+            'sys.path.insert(0, "platform");'
+            'runpy.run_path("platform/run.py", run_name="x");'
+            'import platform; platform.system()'
+        )
+        subprocess.run([sys.executable, '-c', code], cwd=ROOT, check=True)
+
+    def test_product_names_nothing_of_the_platform(self):
+        names = ('celeryward-', 'apikeys', 'pathprefix', 'coldleftms')
+        for path in (ROOT / 'celeryward').rglob('*.py'):
+            text = path.read_text('utf-8').lower()
+            assert not [name for name in names if name in text], path
+
+
+class TestSettingsFile:
+    """Guards against settings that are misread or fail without a reason."""
+
+    def test_fields_become_a_placement(self, tmp_path):
+        path = tmp_path / 'boot.toml'
+        path.write_text(SETTINGS)
+        placement = settings_file.load(path, 9000)
+        assert placement.callers == router_settings.Address('10.0.0.1', 80)
+        assert placement.store.port == 90
+        assert placement.bounds.revoked_key_seconds == 5.0
+
+    @pytest.mark.parametrize(
+        ('before', 'after', 'named'),
+        [
+            ('zone = "a"', '', 'zone'),
+            ('10.0.0.1:80', 'nowhere', 'nowhere'),
+            ('historyS', 'other', 'historyS'),
+            ('[listen]', '[listen', 'boot.toml'),
+        ],
+    )
+    def test_fault_is_named(self, tmp_path, before, after, named):
+        path = tmp_path / 'boot.toml'
+        path.write_text(SETTINGS.replace(before, after))
+        with pytest.raises(errors.BadInput, match=named):
+            settings_file.load(path, 9000)
+
+
+class TestTuning:
+    """Guards against settings of our own that are ignored or absurd."""
+
+    def test_shipped_file_is_valid(self):
+        tuning = router_settings.load(ROOT / 'deploy' / 'router.yaml')
+        assert tuning.value_per_token > 0
+
+    @pytest.mark.parametrize(
+        ('text', 'named'),
+        [
+            ('odd: 1', 'odd'),
+            ('key_reserve: soon', 'key_reserve'),
+            ('connect_timeout: -1.0', 'connect_timeout'),
+            ('[', 'file'),
+            ('- 1', 'file'),
+        ],
+    )
+    def test_fault_is_named(self, text, named):
+        with pytest.raises(errors.BadInput, match=named):
+            router_settings.parse(text, 'file')
+
+
+class TestRecords:
+    """Guards against objects by other writers that stop a router."""
+
+    @hypothesis.given(JSON)
+    def test_any_spec_is_read_or_ignored(self, spec):
+        spec = spec if isinstance(spec, dict) else {'x': spec}
+        assert records.read_runner(stored(spec)) is None
+        assert records.read_configuration(stored(spec)) is None
+        assert records.read_order(stored(spec)) is None
+
+    @hypothesis.given(
+        strategies.sampled_from(
+            ['service', 'address', 'zone', 'version', 'slots', 'state']
+        ),
+        JSON,
+    )
+    def test_odd_field_never_raises(self, name, value):
+        entry = standins.RunnerStandIn('r')
+        entry.listener.sock = None
+        spec = {
+            'service': 's',
+            'address': '10.0.0.1:80',
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+        }
+        runner = records.read_runner(stored(spec | {name: value}))
+        assert runner is None or isinstance(runner, runners.Runner)
+
+    def test_one_bad_entry_does_not_hide_the_others(self):
+        entries = [
+            {'meta': {'name': 'a', 'revision': 1, 'created': 1}, 'spec': 'x'},
+            {'meta': {'name': 'b', 'revision': 2, 'created': 1}, 'spec': {}},
+        ]
+        body = msgspec.json.encode({'entries': entries, 'currentRev': 2})
+        page = store.StoreDialect().decode_page('servers', body)
+        assert [item.name for item in page.items] == ['a', 'b']
+
+    def test_start_again_under_the_same_id_is_another_start(self):
+        spec = {
+            'service': 's',
+            'address': '10.0.0.1:80',
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'born': 1000,
+        }
+        first = records.read_runner(stored(spec))
+        second = records.read_runner(stored(spec | {'born': 2000}))
+        assert first.key != second.key
+
+
+class TestDialect:
+    """Guards against malformed answers of the store."""
+
+    @hypothesis.given(JSON)
+    def test_any_body_is_decoded_or_refused(self, value):
+        body = msgspec.json.encode(value)
+        dialect = store.StoreDialect()
+        for decode in (
+            dialect.decode_object,
+            dialect.decode_page,
+            dialect.decode_changes,
+        ):
+            with pytest.raises(msgspec.DecodeError):
+                decode('kind', body)
+
+    def test_write_keeps_revision_and_spec(self):
+        written = dataclasses.replace(stored({'a': 1}), status={'b': 2})
+        body = store.StoreDialect().encode(written)
+        again = store.StoreDialect().decode_object('kind', body)
+        assert again == written
+
+
+class TestMessages:
+    """Guards against requests that are misread."""
+
+    @pytest.mark.parametrize(
+        'headers',
+        [
+            {'celeryward-attempt-id': ''},
+            {'celeryward-deadline-ms': '-5'},
+            {'celeryward-token-usage': 'many,few'},
+            {'celeryward-prompt-prefix': 'aa:x'},
+            {'last-event-id': '1.5'},
+        ],
+    )
+    def test_malformed_number_is_bad_input(self, headers):
+        headers = {'celeryward-attempt-id': 'r', **headers}
+        with pytest.raises(errors.BadInput):
+            messages.read_request(http.Request('GET', '/', headers))
+
+    def test_connection_headers_stay_behind(self):
+        lines = (
+            (b'Host', b'h'),
+            (b'Connection', b'close, X-Hop'),
+            (b'X-Hop', b'1'),
+            (b'X-Kept', b'2'),
+            (b'Keep-Alive', b'timeout=3'),
+        )
+        head = http.Request('GET', '/', {}, lines)
+        deadline = deadlines.Deadline.after(1.0)
+        passage = forwarding.Passage(
+            head, b'', 'r', '', '', 5, deadline, deadline, 1.0
+        )
+        runner = runners.Runner('r1', 's', '10.0.0.1', 80, 'a')
+        names = [name for name, _ in messages.passage_lines(passage, runner)]
+        assert b'X-Kept' in names
+        assert not {b'X-Hop', b'Connection', b'Keep-Alive'} & set(names)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,73 @@
+"""The bounded log."""
+
+import json
+import os
+
+import loguru
+import pytest
+
+from celeryward import logs
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    loguru.logger.remove()
+    os.close(reader)
+    os.close(writer)
+
+
+def read_lines(reader):
+    """Return the JSON lines that have been written."""
+    text = b''
+    while True:
+        try:
+            piece = os.read(reader, 65536)
+        except BlockingIOError:
+            return [json.loads(line) for line in text.splitlines()]
+        text += piece
+
+
+class TestBoundedSink:
+    """Guards against logging that blocks a request or floods a disk."""
+
+    def test_line_is_json_with_its_context(self, pipe):
+        reader, writer = pipe
+        logs.configure_bounded('INFO', writer)
+        logs.bind(request_id='r', step='s').info('message {}', 1)
+        line = read_lines(reader)[0]
+        assert (line['message'], line['request_id']) == ('message 1', 'r')
+
+    def test_flood_is_bounded_and_counted(self, pipe):
+        reader, writer = pipe
+        now = [10.0]
+        sink = logs.BoundedSink(writer, lambda: now[0])
+        loguru.logger.remove()
+        loguru.logger.configure(extra=logs.DEFAULTS)
+        loguru.logger.add(sink.write, level='INFO', catch=False)
+        for _ in range(1000):
+            logs.logger.info('flood')
+        # A warning is still written while other lines are left out.
+        logs.logger.warning('urgent')
+        now[0] = 11.0
+        logs.logger.info('after')
+        lines = read_lines(reader)
+        assert len(lines) <= logs.MAX_LINES_PER_SECOND + 3
+        left_out = sum(line.get('left_out', 0) for line in lines)
+        assert left_out == 1000 - logs.MAX_LINES_PER_SECOND
+        assert 'urgent' in [line['message'] for line in lines]
+
+    def test_reader_that_stalls_blocks_nothing(self, pipe):
+        reader, writer = pipe
+        now = [0.0]
+        sink = logs.BoundedSink(writer, lambda: now[0])
+        loguru.logger.remove()
+        loguru.logger.configure(extra=logs.DEFAULTS)
+        loguru.logger.add(sink.write, level='INFO', catch=False)
+        for number in range(4000):
+            now[0] = number / 100
+            logs.logger.info('x' * 200)
+        assert len(sink.rest) <= logs.MAX_BUFFERED_BYTES + 1000
+        assert sink.dropped > 0
--- /dev/null
+++ b/tests/test_releases.py
@@ -0,0 +1,136 @@
+"""Roll-outs of software versions: the plan, sessions and verdicts."""
+
+import pytest
+
+from celeryward.raters import releases
+
+SERVICE = 'llm'
+PRESENT = ('v1', 'v2')
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def rating(clock):
+    made = releases.Releases(0.15, 5.0, clock)
+    made.accept(releases.Order(SERVICE, 'v2', 20.0))
+    return made
+
+
+def choose(rating, session='', request_id='r'):
+    return rating.choose(SERVICE, PRESENT, 'v1', session, request_id)
+
+
+def share(rating, prefix='s', count=2000):
+    """Return the share of new sessions that get the new version."""
+    chosen = [choose(rating, f'{prefix}{number}') for number in range(count)]
+    return chosen.count('v2') / count
+
+
+class TestExposure:
+    """Guards against a new version that gets too much too early."""
+
+    def test_trial_share_is_below_the_bound(self, rating, clock):
+        clock.now = 6.0
+        assert 0.02 < share(rating) < 0.15
+
+    def test_sessions_from_before_the_order_stay(self, rating, clock):
+        clock.now = 1.0
+        assert share(rating) == 0.0
+
+    def test_all_follow_after_the_trial(self, rating, clock):
+        clock.now = 12.0
+        assert share(rating) == 1.0
+
+    def test_version_that_nobody_ordered_gets_nothing(self, clock):
+        rating = releases.Releases(0.15, 5.0, clock)
+        assert share(rating) == 0.0
+
+    def test_all_routers_choose_alike(self, rating, clock):
+        other = releases.Releases(0.15, 5.0, clock)
+        other.accept(releases.Order(SERVICE, 'v2', 20.0))
+        clock.now = 6.0
+        for number in range(200):
+            session = f's{number}'
+            assert choose(rating, session) == choose(other, session)
+
+
+class TestSessions:
+    """Guards against sessions that change their version."""
+
+    def test_session_stays_on_the_old_version_in_the_trial(
+        self, rating, clock
+    ):
+        first = {f's{n}': choose(rating, f's{n}') for n in range(200)}
+        clock.now = 6.0
+        for session, software in first.items():
+            assert choose(rating, session) == software
+
+    def test_session_never_returns_from_the_new_version(self, rating, clock):
+        clock.now = 6.0
+        new = [f's{n}' for n in range(500) if choose(rating, f's{n}') == 'v2']
+        assert new
+        for clock.now in (8.0, 11.0, 13.0):
+            assert all(choose(rating, session) == 'v2' for session in new)
+
+
+class TestVerdict:
+    """Guards against bad versions that stay and good ones that go."""
+
+    def usual(self, rating, count=50):
+        for number in range(count):
+            rating.observe(SERVICE, 'v1', 'k', number % 25 == 0, 0.1)
+
+    def test_failing_version_is_rolled_back(self, rating):
+        self.usual(rating)
+        for number in range(8):
+            rating.observe(SERVICE, 'v2', 'k', number % 2 == 0, 0.1)
+        assert rating.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+        assert choose(rating, 'any') == 'v1'
+
+    def test_slow_version_is_rolled_back(self, rating):
+        self.usual(rating)
+        for _ in range(8):
+            rating.observe(SERVICE, 'v2', 'k', False, 0.8)
+        assert rating.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+
+    def test_good_version_with_the_usual_failures_passes(self, rating, clock):
+        for number in range(100):
+            rating.observe(SERVICE, 'v1', 'k', number % 7 == 0, 0.1)
+        for number in range(200):
+            rating.observe(SERVICE, 'v2', 'k', number % 7 == 0, 0.12)
+        clock.now = 16.5
+        rating.due()
+        assert rating.progress[SERVICE].verdict is releases.State.DONE
+
+    def test_version_that_turns_bad_late_is_rolled_back(self, rating, clock):
+        self.usual(rating)
+        for _ in range(200):
+            rating.observe(SERVICE, 'v2', 'k', False, 0.1)
+        clock.now = 14.0
+        for number in range(10):
+            rating.observe(SERVICE, 'v2', 'k', number % 2 == 0, 0.1)
+        assert rating.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+
+    def test_verdict_is_not_replaced(self, rating, clock):
+        self.usual(rating)
+        for _ in range(8):
+            rating.observe(SERVICE, 'v2', 'k', True, 0.1)
+        clock.now = 19.0
+        rating.due()
+        assert [order.state for order in rating.unwritten()] == [
+            releases.State.ROLLED_BACK
+        ]
--- /dev/null
+++ b/tests/test_store_following.py
@@ -0,0 +1,253 @@
+"""A router that follows the store, against a stand-in of the store."""
+
+import dataclasses
+
+import curio
+import pytest
+
+from celeryward.objects import follower
+from celeryward.objects import freshness
+from celeryward.raters import releases
+from tests import fakes
+from tests import platform_standins as standins
+
+
+@pytest.fixture
+def site():
+    return standins.Site(
+        [
+            standins.RunnerStandIn('app-1', 'app'),
+            standins.RunnerStandIn('llm-1'),
+        ]
+    )
+
+
+def on_site(test):
+    """Run a coroutine test on a started site."""
+
+    @fakes.in_kernel
+    async def run(self, site):
+        await site.start()
+        try:
+            await test(self, site)
+        finally:
+            await site.stop()
+
+    return run
+
+
+class TestConfiguration:
+    """Guards against configuration that is late or goes back."""
+
+    @on_site
+    async def test_new_version_is_in_force_at_once(self, site):
+        spec = standins.configuration(7, routes=[])
+        await site.store.put('config', 'main', spec)
+        held = site.router.configuration
+        await standins.until(lambda: held.current.version == 7, 0.5)
+        head, _ = await site.ask('/whole/x')
+        assert head.status == 404
+
+    @on_site
+    async def test_older_version_never_replaces_a_newer_one(self, site):
+        held = site.router.configuration
+        await site.store.put('config', 'main', standins.configuration(9))
+        await standins.until(lambda: held.current.version == 9)
+        await site.store.put('config', 'main', standins.configuration(3))
+        await curio.sleep(0.2)
+        assert held.current.version == 9
+
+    @on_site
+    async def test_lost_history_is_listed_again(self, site):
+        # No watch tells of this change.
+        stored = site.store.objects[('config', 'main')]
+        stored['spec'] = standins.configuration(5)
+        site.store.compacted = site.store.revision + 1
+        held = site.router.configuration
+        await standins.until(lambda: held.current.version == 5, 3.0)
+
+    @on_site
+    async def test_unreadable_configuration_leaves_the_last(self, site):
+        await site.store.put('config', 'main', {'version': 'x'})
+        await curio.sleep(0.2)
+        head, _ = await site.ask('/whole/x')
+        assert head.status == 200
+
+    @fakes.in_kernel
+    async def test_without_configuration_nothing_is_denied(self, site):
+        await site.start(spec=False)
+        head, _ = await site.ask('/whole/x')
+        assert head.status == 503
+        assert float(head.headers['retry-after']) > 0
+        assert not site.router.is_ready()
+        await site.stop()
+
+
+class TestKeys:
+    """Guards against keys that work after they were taken away."""
+
+    @on_site
+    async def test_old_confirmation_refuses_keys_as_not_run(self, site):
+        site.store.away = True
+        site.router.freshness.confirmed_at -= 4.0
+        head, _ = await site.ask('/whole/x')
+        assert head.status == 503
+        assert float(head.headers['retry-after']) > 0
+        head, _ = await site.ask('/open/x', authorization=None)
+        assert head.status == 200
+        head, _ = await site.ask('/nowhere/x')
+        assert head.status == 503
+        assert len(site.arrivals()) == 1
+
+    @on_site
+    async def test_store_that_returns_is_noticed(self, site):
+        site.store.away = True
+        await standins.until(lambda: not site.router.following[0].reachable)
+        site.store.away = False
+        await standins.until(lambda: site.router.following[0].reachable, 3.0)
+        head, _ = await site.ask('/whole/x')
+        assert head.status == 200
+
+    @on_site
+    async def test_change_does_not_age_the_confirmation(self, site):
+        """A change left the confirmation older than two waits."""
+        for version in range(2, 6):
+            spec = standins.configuration(version)
+            await site.store.put('config', 'main', spec)
+            await curio.sleep(0.25)
+            age = site.router.freshness.age()
+            wait = site.tuning.configuration_wait
+            assert age < wait + follower.CONFIRM_SECONDS
+
+    def test_age_counts_from_the_last_confirmation(self):
+        now = [100.0]
+        fresh = freshness.Freshness(3.0, lambda: now[0])
+        assert not fresh.is_fresh()
+        fresh.confirm(100.0)
+        fresh.confirm(90.0)
+        now[0] = 102.9
+        assert fresh.is_fresh()
+        # A suspended host wakes up with a clock that has gone on.
+        now[0] = 103.1
+        assert not fresh.is_fresh()
+
+
+class TestEndpoints:
+    """Guards against endpoints that are used after they have left."""
+
+    @on_site
+    async def test_leaving_endpoint_gets_nothing_new(self, site):
+        runner = site.runners['app-1']
+        await site.store.put('servers', 'app-1', runner.entry('draining'))
+        listed = site.router.runners
+        await standins.until(lambda: listed.runners['app-1'].leaving, 0.5)
+        head, _ = await site.ask('/whole/x')
+        assert head.status == 503
+        assert runner.arrivals == []
+
+    @on_site
+    async def test_removed_entry_is_dropped_at_once(self, site):
+        await site.store.delete('servers', 'app-1')
+        listed = site.router.runners
+        await standins.until(lambda: 'app-1' not in listed.runners, 0.5)
+
+    @on_site
+    async def test_entry_lost_in_an_outage_gets_a_grace(self, site):
+        site.store.away = True
+        watch = site.router.following[0]
+        await standins.until(lambda: not watch.reachable)
+        site.store.away = False
+        await standins.until(lambda: watch.reachable, 3.0)
+        await site.store.delete('servers', 'app-1')
+        await curio.sleep(0.3)
+        head, _ = await site.ask('/whole/x')
+        assert head.status == 200
+        await curio.sleep(1.6)
+        head, _ = await site.ask('/whole/x')
+        assert head.status == 503
+
+    @on_site
+    async def test_entries_of_other_writers_are_ignored(self, site):
+        for number, spec in enumerate(
+            (
+                {},
+                {'service': 'app'},
+                {'service': 'app', 'state': 'odd', 'address': 'x'},
+                site.runners['app-1'].entry() | {'address': 'nowhere'},
+                site.runners['app-1'].entry() | {'slots': 'many'},
+                site.runners['app-1'].entry() | {'state': 7},
+            )
+        ):
+            await site.store.put('servers', f'odd-{number}', spec)
+        await curio.sleep(0.3)
+        assert set(site.router.runners.runners) == {'app-1', 'llm-1'}
+
+    @on_site
+    async def test_long_list_is_read_page_by_page(self, site):
+        site.store.page_size = 2
+        for number in range(7):
+            entry = site.runners['app-1'].entry()
+            await site.store.put('servers', f'more-{number}', entry)
+        outcome = await site.router.store.list_pages('servers')
+        assert len(outcome.unwrap().items) == 9
+
+
+class TestVerdicts:
+    """Guards against verdicts that are lost, doubled or overwritten."""
+
+    @on_site
+    async def test_verdict_is_written_once(self, site):
+        order = {'service': 'llm', 'target': 'v2', 'durationS': 60}
+        await site.store.put('rollouts', 'llm', order)
+        rating = site.router.releases
+        await standins.until(lambda: 'llm' in rating.progress)
+        rating.decide('llm', releases.State.ROLLED_BACK)
+        stored = site.store.objects[('rollouts', 'llm')]
+        await standins.until(
+            lambda: (
+                site.store.objects[('rollouts', 'llm')]['status'] is not None
+            )
+        )
+        await curio.sleep(0.4)
+        stored = site.store.objects[('rollouts', 'llm')]
+        assert stored['status'] == {'state': 'rolled_back', 'target': 'v2'}
+        writes = [each for each in site.store.requests if each[0] == 'PUT']
+        assert len(writes) == 1
+
+    @on_site
+    async def test_verdict_of_another_router_is_adopted(self, site):
+        order = {'service': 'llm', 'target': 'v2', 'durationS': 60}
+        await site.store.put('rollouts', 'llm', order)
+        rating = site.router.releases
+        await standins.until(lambda: 'llm' in rating.progress)
+        status = {'state': 'done', 'target': 'v2'}
+        await site.store.put('rollouts', 'llm', order, status)
+        await standins.until(
+            lambda: rating.progress['llm'].verdict is releases.State.DONE
+        )
+
+    @on_site
+    async def test_status_of_an_earlier_target_is_not_a_verdict(self, site):
+        order = {'service': 'llm', 'target': 'v3', 'durationS': 60}
+        status = {'state': 'rolled_back', 'target': 'v2'}
+        await site.store.put('rollouts', 'llm', order, status)
+        rating = site.router.releases
+        await standins.until(lambda: 'llm' in rating.progress)
+        assert rating.progress['llm'].verdict is releases.State.RUNNING
+
+
+class TestPace:
+    """Guards against calls to the store beyond what is needed."""
+
+    @on_site
+    async def test_calls_at_rest_are_those_of_the_configuration(self, site):
+        await curio.sleep(0.2)
+        before = site.router.store.calls
+        await curio.sleep(1.0)
+        wait = site.tuning.configuration_wait
+        assert site.router.store.calls - before <= 1.0 / wait + 2
+
+    def test_pace_is_frozen(self):
+        pace = follower.Pace(1.0)
+        with pytest.raises(dataclasses.FrozenInstanceError):
+            pace.wait_seconds = 2.0
