Read a model's confidence as a curve, not as a probability

One minus the confidence was taken for the probability of a poor answer, so chats were sent to the large model up to a confidence of 0.96.

Change: a logistic curve with midpoint 0.5 and width 0.06, both settings.

--- a/celeryward/raters/sizes.py
+++ b/celeryward/raters/sizes.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 # A prompt token costs a quarter of a generated one.
 PROMPT_TOKEN_SHARE = 0.25
@@ -25,9 +26,22 @@
 
     :param float value_per_token: worth of a good answer for each token that
         it is expected to have.
+    :param float confidence_midpoint: confidence at which half of the answers
+        are poor.
+    :param float confidence_width: change of confidence around the midpoint
+        that multiplies the odds of a poor answer by e.
     """
 
     value_per_token: float
+    confidence_midpoint: float = 0.5
+    confidence_width: float = 0.06
+
+    def doubt(self, confidence):
+        """Return the probability that an answer is poor."""
+        exponent = (
+            confidence - self.confidence_midpoint
+        ) / self.confidence_width
+        return 1.0 / (1.0 + math.exp(exponent))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +110,7 @@
     if confidence is None or largest.model == current.model:
         return None
     value = economy.value_per_token * expected_tokens(ask)
-    gain = (1.0 - confidence) * (1.0 - POOR_ANSWER_SHARE) * value
+    gain = economy.doubt(confidence) * (1.0 - POOR_ANSWER_SHARE) * value
     if timing.late:
         gain *= LATE_ANSWER_SHARE
     cost = price(largest, ask)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -86,7 +86,7 @@
                 self.runners,
                 self.outcomes,
                 self.releases,
-                sizes.Economy(tuning.value_per_token),
+                economy(tuning),
             ),
             self.forwarder,
             translator,
@@ -255,6 +255,15 @@
             await self.stop()
 
 
+def economy(tuning):
+    """Return what answers are worth, as operators set it."""
+    return sizes.Economy(
+        tuning.value_per_token,
+        tuning.confidence_midpoint,
+        tuning.confidence_width,
+    )
+
+
 def new_budget(bounds, tuning):
     """Return a retry budget within what all routers may use."""
     slack = min(MAX_BURST, bounds.retry_slack / SLACK_PARTS)
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -78,6 +78,10 @@
     :param float retry_part: part of the allowed repetitions that is used.
     :param float value_per_token: worth of a good answer for each generated
         token, in the cost units of the models.
+    :param float confidence_midpoint: confidence of a small model at which
+        half of its answers are poor.
+    :param float confidence_width: change of confidence around the midpoint
+        that multiplies the odds of a poor answer by e.
     :param int metrics_port: port of the metrics, on the router's address.
     """
 
@@ -90,6 +94,8 @@
     stop_reserve: float = 0.4
     retry_part: float = 0.8
     value_per_token: float = 0.01
+    confidence_midpoint: float = 0.5
+    confidence_width: float = 0.06
     log_level: str = 'INFO'
     metrics_port: int = 9464
 
