Log each dispatch and each end of a request; answer malformed heads

Cause: requests that were served left no line, so a doubled or late answer could not be explained afterwards. A malformed number in a head failed a second time when the failure was logged, and the caller got no answer; the new test of malformed numbers showed it first. Endpoint entries that change together were read by one call each.

Change: one line for each dispatch with what it was decided on, one for each end. The id is decoded once. Watches on endpoints and orders pause 0.4 s after a change, less than the bound on leaving endpoints.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -86,6 +86,7 @@
         self.finished = False
         self.status = 0
         self.route = ''
+        self.request_id = '-'
 
     async def start_stream(self, head):
         """Send the head of an endpoint's streamed answer."""
@@ -289,7 +290,7 @@
             serving = await group.spawn(self.serve, received, responder)
             await group.spawn(connection.wait_closed)
         left = group.completed is not serving
-        self.note_end(received, responder, left, time.monotonic() - started)
+        self.note_end(responder, left, time.monotonic() - started)
 
     async def serve(self, received, responder):
         """Answer a request, whatever happens to it."""
@@ -298,7 +299,7 @@
         except errors.CallerGone as error:
             logs.bind_error(error).debug('caller left: {}', error.message)
         except errors.CelerywardError as error:
-            self.log_failure(received, responder, error)
+            self.log_failure(responder, error)
             await self.answer_failure(responder, error)
         except Exception:
             # A fault of the program must not leave the caller waiting.
@@ -317,30 +318,34 @@
         except errors.CallerGone as gone:
             logs.bind_error(gone).debug('caller left: {}', gone.message)
 
-    def log_failure(self, received, responder, error):
+    def log_failure(self, responder, error):
         """Write one line on why a request is refused or fails."""
         self.metrics.failed(responder.route, error.code)
         logs.bind_error(
             error,
-            request_id=self.relay.request_id(received.head),
+            request_id=responder.request_id,
             route=responder.route,
             status=responder.status or status_of(error),
             execution=error.execution.value,
             **self.relay.beliefs(),
         ).info('request failed: {} {}', error.code, error.message)
 
-    def note_end(self, received, responder, left, seconds):
-        """Count a request and write one line on a caller that left."""
+    def note_end(self, responder, left, seconds):
+        """Count a request and write one line on how it ended."""
         self.metrics.ended(responder.route, responder.status, left, seconds)
-        if left:
-            logs.bind(
-                request_id=self.relay.request_id(received.head),
-                step='serve',
-                peer=responder.connection.peer,
-                route=responder.route,
-                started=responder.started,
-                seconds=round(seconds, 3),
-            ).info('caller left before its answer was complete')
+        logs.bind(
+            request_id=responder.request_id,
+            step='serve',
+            peer=responder.connection.peer,
+            route=responder.route,
+            status=responder.status,
+            whole=responder.finished,
+            seconds=round(seconds, 3),
+        ).info(
+            'caller left before its answer was complete'
+            if left
+            else 'request ended'
+        )
 
     def begin_stop(self):
         """Answer what comes, but ask callers to connect elsewhere."""
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -43,11 +43,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """One dispatch of a request."""
+    """One dispatch of a request.
+
+    :param bool suspected: whether only suspect endpoints were left.
+    """
 
     service: str
     runner: object
     size: sizes.Size | None = None
+    suspected: bool = False
 
 
 class Journey:
@@ -133,7 +137,9 @@
 
         :raises errors.CelerywardError: if it can't be answered.
         """
-        journey = self.begin(head, body)
+        ask = self.translator.read_request(head)
+        responder.request_id = ask.request_id
+        journey = self.begin(ask, head, body)
         responder.route = journey.route.name
         try:
             await self.run(journey, responder)
@@ -151,14 +157,31 @@
             journey.service = plan.service
             self.take_budget(journey)
             journey.dispatches += 1
+            self.log_dispatch(journey, plan)
             try:
                 done = await self.run_once(journey, plan, responder)
             except errors.EndpointFailure as error:
                 self.after_failure(journey, plan, error)
 
-    def request_id(self, head):
-        """Return the id under which a request is logged."""
-        return self.translator.read_request(head).request_id or '-'
+    def log_dispatch(self, journey, plan):
+        """Write one line on where a request is sent, and why there."""
+        outcomes = self.knowledge.outcomes
+        logs.bind(
+            request_id=journey.ask.request_id,
+            step='dispatch',
+            peer=plan.runner.address,
+            endpoint=plan.runner.id,
+            software=plan.runner.software,
+            model=plan.size.model if plan.size else '',
+            route=journey.route.name,
+            service=plan.service,
+            attempt=journey.dispatches,
+            after_event=journey.sequence.last,
+            in_flight=outcomes.in_flight.get(plan.runner.id, 0),
+            suspected=plan.suspected,
+            left=round(journey.deadline.remaining(), 3),
+            **self.beliefs(),
+        ).info('dispatched')
 
     def beliefs(self):
         """Return what a refusal was decided on, for the log."""
@@ -171,13 +194,12 @@
             'endpoints': len(knowledge.runners.runners),
         }
 
-    def begin(self, head, body):
+    def begin(self, ask, head, body):
         """Return the :class:`Journey` of a request that may be served.
 
         :raises errors.NotRun: if it may not.
         """
         knowledge = self.knowledge
-        ask = self.translator.read_request(head)
         configuration = knowledge.configuration.current
         if configuration is None or not knowledge.runners.runners:
             raise unready('no configuration yet', NOT_READY_RETRY_SECONDS)
@@ -259,7 +281,7 @@
                 peer=service,
                 retry_at=deadlines.Deadline.after(FULL_RETRY_SECONDS),
             )
-        return Plan(service, runner, size)
+        return Plan(service, runner, size, runner.id in query.suspects)
 
     def choose_service(self, journey):
         """Return the service of a route that splits its requests.
@@ -437,7 +459,7 @@
                 confidence=answer.facts.confidence,
                 model=plan.size.model,
                 larger=larger.model,
-            ).debug('answer dropped for a larger model')
+            ).info('answer dropped for a larger model')
         return larger
 
     def timing(self, journey, size, answer):
--- a/celeryward/objects/follower.py
+++ b/celeryward/objects/follower.py
@@ -10,8 +10,6 @@
 
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
-# Changes that come together are read by one call.
-COALESCE_SECONDS = 0.05
 # The answer with a change confirms nothing after the change; a short wait
 # then confirms soon that nothing else has changed.
 CONFIRM_SECONDS = 0.25
@@ -22,10 +20,13 @@
     """How long calls of a follower may take.
 
     :param float wait_seconds: time that a watch waits for a change.
+    :param float coalesce_seconds: pause after a change, so that changes
+        which come together are read by one call.
     :param bool confirms: whether it matters how old the objects are.
     """
 
     wait_seconds: float
+    coalesce_seconds: float = 0.05
     confirms: bool = False
 
 
@@ -96,7 +97,7 @@
         self.receiver.confirmed(self.confirmed_at(started_at, wait, answer))
         self.changed = bool(answer.changes) and self.pace.confirms
         if answer.changes:
-            await curio.sleep(COALESCE_SECONDS)
+            await curio.sleep(self.pace.coalesce_seconds)
         return outcome
 
     def confirmed_at(self, started_at, wait, answer):
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -35,6 +35,8 @@
 SLACK_PARTS = 7
 MAX_BURST = 8.0
 STORE_OUTAGE_SECONDS = 6.0
+# An endpoint that leaves may be used for longer than this.
+OBJECT_COALESCE_SECONDS = 0.4
 # A watch that waits longer than the store keeps its history ends in a list.
 HISTORY_PART = 0.7
 STOP_POLL_SECONDS = 0.05
@@ -119,7 +121,9 @@
         """Return one follower for each kind."""
         kinds = self.translator.kinds
         bound = HISTORY_PART * self.placement.bounds.history_seconds
-        wait = follower.Pace(min(self.tuning.object_wait, bound))
+        wait = follower.Pace(
+            min(self.tuning.object_wait, bound), OBJECT_COALESCE_SECONDS
+        )
         return (
             follower.Follower(
                 self.store,
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -135,6 +135,15 @@
         assert head.status == 200
         assert len(site.arrivals()) == 1
 
+    @on_site
+    async def test_malformed_numbers_are_bad_input(self, site):
+        """A malformed header failed again when its failure was logged."""
+        head, _ = await site.ask('/whole/x', last_event_id='many')
+        assert head.status == 400
+        head, _ = await site.ask('/whole/x', request_id=None)
+        assert head.status == 400
+        assert site.arrivals() == []
+
     @on_site
     async def test_longest_prefix_wins(self, site):
         routes = [
