Note the start of a roll-out in its status

Cause: a router that starts during a roll-out began the plan anew and sent sessions to the old version that other routers had moved. Change: the first router that sees an order writes its start, others follow the same times. Gauges show configuration, endpoints and calls to the store.

--- a/celeryward/objects/verdicts.py
+++ b/celeryward/objects/verdicts.py
@@ -1,4 +1,4 @@
-"""The task that writes the verdicts on roll-outs to the store."""
+"""The task that writes starts and verdicts of roll-outs to the store."""
 
 import curio
 
@@ -10,10 +10,10 @@
 
 
 class VerdictWriter:
-    """Writes each verdict once, at the revision of the order it is on.
+    """Writes start and verdict of each order once, at its revision.
 
-    The first write wins. Another router's verdict comes back with the
-    conflict, or by the watch, and is adopted.
+    The first write wins. Another router's comes back with the conflict, or
+    by the watch, and is adopted.
 
     :param client: :class:`client.ObjectClient`.
     :param releases: :class:`releases.Releases`.
@@ -31,11 +31,13 @@
         while True:
             await curio.sleep(CHECK_SECONDS)
             self.releases.due()
+            for order in tuple(self.releases.unannounced()):
+                await self.write(order)
             for order in tuple(self.releases.unwritten()):
                 await self.write(order)
 
     async def write(self, order):
-        """Write one verdict; adopt the stored one if it came first."""
+        """Write one state; adopt the stored one if it came first."""
         outcome = await self.client.put_status(
             self.translator.order_status(order)
         )
@@ -44,7 +46,7 @@
             return
         error = outcome.unwrap_err()
         logs.bind_error(error, service=order.service).warning(
-            'verdict {} not written: {}', order.state.value, error.message
+            'state {} not written: {}', order.state.value, error.message
         )
         if isinstance(error, errors.Conflict) and error.current is not None:
             self.adopt(error.current)
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -11,11 +11,16 @@
 import dataclasses
 import enum
 import math
+import random
 import time
 
 from celeryward import hashing
 from celeryward import logs
 
+# Routers note the start of an order after a random part of this, so that
+# mostly one does.
+ANNOUNCE_SECONDS = 1.5
+GENERATOR = random.Random()
 # Parts of the time that an order allows.
 TRIAL_END = 0.52
 DONE_AT = 0.8
@@ -53,6 +58,8 @@
     :param float seconds: time within which it is to be done.
     :param int revision: revision of the stored order.
     :param int created: revision at which this order was made.
+    :param float | None started_at: UTC seconds at which the first router saw
+        it, by which routers that start later follow the same plan.
     """
 
     service: str
@@ -61,6 +68,7 @@
     state: State = State.RUNNING
     revision: int = 0
     created: int = 0
+    started_at: float | None = None
 
     @property
     def key(self):
@@ -85,10 +93,13 @@
     """An order that is under way, as this router follows it.
 
     :param float seen_at: monotonic seconds at which it was first seen.
+    :param float announce_at: monotonic seconds after which this router
+        notes the start, if no other has.
     """
 
     order: Order
     seen_at: float
+    announce_at: float = 0.0
     tally: Tally = Tally()
     verdict: State = State.RUNNING
 
@@ -144,12 +155,16 @@
         may have.
     :param float session_seconds: pause after which a session has ended.
     :param clock: function that returns monotonic seconds.
+    :param utc: function that returns UTC seconds.
     """
 
-    def __init__(self, bad_share, session_seconds, clock=time.monotonic):
+    def __init__(
+        self, bad_share, session_seconds, clock=time.monotonic, utc=time.time
+    ):
         self.trial_share = bad_share * TRIAL_PART
         self.session_seconds = session_seconds
         self.clock = clock
+        self.utc = utc
         self.progress = {}
         self.sessions = {}
         self.usual = {}
@@ -159,7 +174,7 @@
         """Take over an order, or a new state of it."""
         held = self.progress.get(order.service)
         if held is None or held.order.key != order.key:
-            held = Progress(order, self.clock())
+            held = self.begin(order)
             logs.bind(
                 step='roll-out', peer=order.service, software=order.target
             ).info('roll-out {} ordered', order.state.value)
@@ -170,6 +185,17 @@
             held, order=order, verdict=verdict
         )
 
+    def begin(self, order):
+        """Return the progress of an order that is seen for the first time."""
+        now = self.clock()
+        passed = 0.0
+        if order.started_at is not None:
+            passed = self.utc() - order.started_at
+        # The time of day may be wrong by seconds.
+        passed = min(max(0.0, passed), order.seconds)
+        delay = ANNOUNCE_SECONDS * GENERATOR.random()
+        return Progress(order, now - passed, now + delay)
+
     def remove(self, service):
         """Forget the order of a service."""
         self.progress.pop(service, None)
@@ -296,6 +322,20 @@
             ):
                 self.decide(service, State.DONE)
 
+    def unannounced(self):
+        """Yield orders with the time of their start, which is not stored."""
+        now = self.clock()
+        for progress in self.progress.values():
+            order = progress.order
+            if (
+                progress.verdict is State.RUNNING
+                and order.state is State.RUNNING
+                and order.started_at is None
+                and now >= progress.announce_at
+            ):
+                started_at = self.utc() - (now - progress.seen_at)
+                yield dataclasses.replace(order, started_at=started_at)
+
     def unwritten(self):
         """Yield orders whose verdict the store does not have yet."""
         for progress in self.progress.values():
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -114,9 +114,43 @@
             self.answer_metrics,
         )
         self.runners.listeners.append(self.forget_runner)
+        self.add_gauges()
         self.stopping = False
         self.following = ()
 
+    def add_gauges(self):
+        """Expose what the router believes."""
+        holder = self.configuration
+        for name, text, value in (
+            (
+                'configuration_version',
+                'Version of the configuration in force; 0 for none.',
+                lambda: holder.current.version if holder.current else 0,
+            ),
+            (
+                'configuration_age_seconds',
+                'Time since the store confirmed it; -1 for never.',
+                self.configuration_age,
+            ),
+            (
+                'endpoints',
+                'Endpoints that are listed.',
+                lambda: len(self.runners.runners),
+            ),
+            (
+                'endpoints_lost',
+                'Endpoints that can not be reached.',
+                lambda: len(self.outcomes.lost),
+            ),
+            ('store_calls', 'Calls to the store.', lambda: self.store.calls),
+        ):
+            self.metrics.gauge(name, text, value)
+
+    def configuration_age(self):
+        """Return the age of the last confirmation; -1 for none."""
+        age = self.freshness.age()
+        return -1.0 if age is None else age
+
     def followers(self):
         """Return one follower for each kind."""
         kinds = self.translator.kinds
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -5,6 +5,8 @@
 import curio
 import pytest
 
+from celeryward import deadlines
+from celeryward import http
 from celeryward.objects import follower
 from celeryward.objects import freshness
 from celeryward.raters import releases
@@ -214,6 +216,27 @@
         writes = [each for each in site.store.requests if each[0] == 'PUT']
         assert len(writes) == 1
 
+    @on_site
+    async def test_router_that_starts_later_follows_the_same_plan(self, site):
+        """A restarted router began the trial of a version anew."""
+        order = {'service': 'llm', 'target': 'v2', 'durationS': 60}
+        await site.store.put('rollouts', 'llm', order)
+        place = ('rollouts', 'llm')
+        await standins.until(
+            lambda: site.store.objects[place]['status'] is not None
+        )
+        status = site.store.objects[place]['status']
+        assert status['state'] == 'running'
+        status['startedMs'] -= 20000
+        first = site.router
+        await site.start_router()
+        rating = site.router.releases
+        await standins.until(lambda: 'llm' in rating.progress)
+        elapsed = rating.progress['llm'].elapsed(rating.clock())
+        assert 19 / 60 < elapsed < 25 / 60
+        for task in first.tasks:
+            await task.cancel()
+
     @on_site
     async def test_verdict_of_another_router_is_adopted(self, site):
         order = {'service': 'llm', 'target': 'v2', 'durationS': 60}
@@ -236,6 +259,22 @@
         assert rating.progress['llm'].verdict is releases.State.RUNNING
 
 
+class TestMetrics:
+    """Guards against metrics that differ from what is believed."""
+
+    @on_site
+    async def test_configuration_and_endpoints_are_shown(self, site):
+        connection = await http.connect(
+            '127.0.0.1',
+            site.router.exposition.port,
+            deadlines.Deadline.after(2.0),
+        )
+        _, body = await standins.ask(connection, '/metrics')
+        assert b'celeryward_router_configuration_version 1.0' in body
+        assert b'celeryward_router_endpoints 2.0' in body
+        await connection.close()
+
+
 class TestPace:
     """Guards against calls to the store beyond what is needed."""
 
