Reload settings on SIGHUP and when the file changes

Cause: a router had no handler for SIGHUP, whose default action ends the process; a settings file that changed without a signal was not read again. Change: SIGHUP and a look each second take over changed bounds; settings that can't be read leave the last in force.

--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -161,8 +161,7 @@
     def __init__(
         self, bad_share, session_seconds, clock=time.monotonic, utc=time.time
     ):
-        self.trial_share = bad_share * TRIAL_PART
-        self.session_seconds = session_seconds
+        self.set_bounds(bad_share, session_seconds)
         self.clock = clock
         self.utc = utc
         self.progress = {}
@@ -170,6 +169,11 @@
         self.usual = {}
         self.on_verdict = []
 
+    def set_bounds(self, bad_share, session_seconds):
+        """Set the bounds that a new version and sessions keep."""
+        self.trial_share = bad_share * TRIAL_PART
+        self.session_seconds = session_seconds
+
     def accept(self, order):
         """Take over an order, or a new state of it."""
         held = self.progress.get(order.service)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -15,6 +15,7 @@
 from celeryward.endpoints import pool
 from celeryward.endpoints import retries
 from celeryward.endpoints import runners
+from celeryward import errors
 from celeryward import http
 from celeryward import ingress
 from celeryward import listener
@@ -40,6 +41,7 @@
 # A watch that waits longer than the store keeps its history ends in a list.
 HISTORY_PART = 0.7
 STOP_POLL_SECONDS = 0.05
+SETTINGS_POLL_SECONDS = 1.0
 
 
 class Router:
@@ -49,9 +51,12 @@
     :param Tuning tuning: what operators set.
     :param translator: translates between a platform and the product; see
         docs/design.md for its members.
+    :param read_placement: function that reads the placement again, or None
+        if it can't change.
     """
 
-    def __init__(self, placement, tuning, translator):
+    def __init__(self, placement, tuning, translator, read_placement=None):
+        self.read_placement = read_placement
         self.placement = placement
         self.tuning = tuning
         self.translator = translator
@@ -255,7 +260,8 @@
             self.store, self.releases, self.translator
         )
         follows = [each.run for each in self.following]
-        for run in (*follows, writer.run, self.monitor.run):
+        others = (writer.run, self.monitor.run, self.follow_settings)
+        for run in (*follows, *others):
             self.tasks.append(await curio.spawn(run, daemon=True))
 
     async def stop(self):
@@ -285,11 +291,49 @@
             cut_off,
         )
 
+    def reload(self):
+        """Take over what has changed in the settings of the platform.
+
+        Addresses stay those of the start. Settings that can't be read leave
+        the last ones in force.
+        """
+        if self.read_placement is None:
+            return
+        try:
+            placement = self.read_placement()
+        except errors.BadInput as error:
+            logs.bind_error(error).error(
+                'settings not reloaded: {}', error.message
+            )
+            return
+        if placement == self.placement:
+            return
+        self.placement = placement
+        bounds = placement.bounds
+        self.freshness.limit_seconds = (
+            bounds.revoked_key_seconds - self.tuning.key_reserve
+        )
+        self.releases.set_bounds(
+            bounds.bad_version_share, bounds.session_seconds
+        )
+        self.relay.budgets.default_factory = functools.partial(
+            new_budget, bounds, self.tuning
+        )
+        logs.bind(step='reload', peer=placement.name).info('settings reloaded')
+
+    async def follow_settings(self):
+        """Notice settings that change without a signal."""
+        while True:
+            await curio.sleep(SETTINGS_POLL_SECONDS)
+            self.reload()
+
     async def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
-        with signals.stop_signals() as stop_signal:
+        numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
+        with signals.stop_signals(numbers) as next_signal:
             await self.start()
-            await stop_signal()
+            while await next_signal() == signals.RELOAD_SIGNAL:
+                self.reload()
             await self.stop()
 
 
--- a/celeryward/signals.py
+++ b/celeryward/signals.py
@@ -7,25 +7,24 @@
 from curio import io
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
 
 
 @contextlib.contextmanager
-def stop_signals():
-    """Yield an async function that returns when a stop signal arrives.
+def stop_signals(numbers=STOP_SIGNALS):
+    """Yield an async function that returns the next signal that arrives.
 
     Python writes each signal's number to a socket, which a task can read;
     a handler in Python code could run while a lock is held.
     """
     reader, writer = socket.socketpair()
     writer.setblocking(False)
-    before = [
-        (number, signal.signal(number, _ignore)) for number in STOP_SIGNALS
-    ]
+    before = [(number, signal.signal(number, _ignore)) for number in numbers]
     wakeup = signal.set_wakeup_fd(writer.fileno())
     receiving = io.Socket(reader)
 
     async def wait():
-        await receiving.recv(1)
+        return (await receiving.recv(1))[0]
 
     try:
         yield wait
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -372,10 +372,10 @@
         if spec is not False:
             await until(self.router.is_ready)
 
-    async def start_router(self):
-        """Start a router that follows the store."""
+    def placement(self):
+        """Return where the router runs."""
         local = router_settings.Address('127.0.0.1', 0)
-        placement = router_settings.Placement(
+        return router_settings.Placement(
             'router-1',
             'a',
             local,
@@ -384,8 +384,14 @@
             router_settings.Address('127.0.0.1', self.store.port),
             self.bounds,
         )
+
+    async def start_router(self):
+        """Start a router that follows the store."""
         self.router = router.Router(
-            placement, self.tuning, translator.Translator()
+            self.placement(),
+            self.tuning,
+            translator.Translator(),
+            self.placement,
         )
         await self.router.start()
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -122,6 +122,11 @@
         tuning = router_settings.load(ROOT / 'deploy' / 'router.yaml')
         assert tuning.value_per_token > 0
 
+    def test_page_lists_every_key_with_its_default(self):
+        page = (ROOT / 'docs' / 'OPERATIONS.md').read_text('utf-8')
+        for field in dataclasses.fields(router_settings.Tuning):
+            assert f'| `{field.name}` | {field.default} |' in page
+
     @pytest.mark.parametrize(
         ('text', 'named'),
         [
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -1,15 +1,18 @@
 """A router that follows the store, against a stand-in of the store."""
 
 import dataclasses
+import os
 
 import curio
 import pytest
 
 from celeryward import deadlines
+from celeryward import errors
 from celeryward import http
 from celeryward.objects import follower
 from celeryward.objects import freshness
 from celeryward.raters import releases
+from celeryward import signals
 from tests import fakes
 from tests import platform_standins as standins
 
@@ -259,6 +262,38 @@
         assert rating.progress['llm'].verdict is releases.State.RUNNING
 
 
+class TestReload:
+    """Guards against a reload that ends the process or changes nothing."""
+
+    @on_site
+    async def test_changed_bounds_are_in_force(self, site):
+        port = site.store.port
+        site.bounds = dataclasses.replace(
+            site.bounds, revoked_key_seconds=2.0, session_seconds=9.0
+        )
+        limit = site.router.freshness
+        await standins.until(lambda: limit.limit_seconds < 1.0, 2.5)
+        assert site.router.releases.session_seconds == 9.0
+        assert site.store.port == port
+
+    @on_site
+    async def test_unreadable_settings_leave_the_last(self, site):
+        def fail():
+            raise errors.BadInput('torn', step='settings', peer='file')
+
+        site.router.read_placement = fail
+        site.router.reload()
+        assert site.router.placement == site.placement()
+
+    @fakes.in_kernel
+    async def test_reload_signal_does_not_end_the_process(self):
+        """A router without a handler was killed by a reload."""
+        numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
+        with signals.stop_signals(numbers) as next_signal:
+            os.kill(os.getpid(), signals.RELOAD_SIGNAL)
+            assert await next_signal() == signals.RELOAD_SIGNAL
+
+
 class TestMetrics:
     """Guards against metrics that differ from what is believed."""
 
