Let one follower ask for the store in an outage; split large modules

Change: the follower of the configuration asks, the others wait for it; the first watch after a failure is short. relay is split into checks, planning, patience, journeys and relay; responses, header_lines and sockets hold what was in gateway and http. No behaviour changes by the split.

Tried with it and reverted: refusals in an outage name as long a time as the outage has lasted.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -6,6 +6,7 @@
 import curio
 import h11
 
+from celeryward.callers import responses
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
@@ -14,55 +15,7 @@
 
 # How long reading the rest of a body may take.
 BODY_SECONDS = 10.0
-# Connections that a stopping router has answered are given this long to be
-# closed by the caller.
 CALLER_ERRORS = (http.Disconnected, http.ReadTimeout)
-STATUSES = (
-    (errors.HeadTooLarge, 431),
-    (errors.BodyTooLarge, 413),
-    (errors.CallerSlow, 408),
-    (errors.BadInput, 400),
-    (errors.Unauthenticated, 401),
-    (errors.NotPermitted, 403),
-    (errors.UnknownTarget, 404),
-    (errors.LimitExceeded, 429),
-    (errors.NotRun, 503),
-    (errors.AnswerLate, 504),
-    (errors.OutcomeUnknown, 502),
-)
-INTERNAL_STATUS = 500
-HOP_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    )
-)
-
-
-def status_of(error):
-    """Return the HTTP status of an error."""
-    for kind, status in STATUSES:
-        if isinstance(error, kind):
-            return status
-    return INTERNAL_STATUS
-
-
-def end_to_end(lines):
-    """Return header lines without those of a single connection."""
-    named = set()
-    for name, value in lines:
-        if name.lower() == b'connection':
-            named.update(token.strip().lower() for token in value.split(b','))
-    dropped = HOP_HEADERS | named
-    return [
-        (name, value) for name, value in lines if name.lower() not in dropped
-    ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,98 +26,13 @@
     body: bytes
 
 
-class Responder:
-    """Writes the answer to one request.
-
-    :param bool closing: whether the connection ends after the answer.
-    """
-
-    def __init__(self, connection, closing):
-        self.connection = connection
-        self.closing = closing
-        self.started = False
-        self.finished = False
-        self.status = 0
-        self.route = ''
-        self.request_id = '-'
-
-    async def start_stream(self, head):
-        """Send the head of an endpoint's streamed answer."""
-        lines = [
-            (name, value)
-            for name, value in end_to_end(head.lines)
-            if name.lower() != b'content-length'
-        ]
-        lines.append((b'Transfer-Encoding', b'chunked'))
-        await self.start(head.status, lines)
-
-    async def start(self, status, lines, *events):
-        """Send a head, and what follows it at once."""
-        if self.closing:
-            lines.append((b'Connection', b'close'))
-        self.started = True
-        self.status = status
-        await self.write(
-            h11.Response(status_code=status, headers=lines), *events
-        )
-
-    async def send(self, payload):
-        """Send a piece of a streamed answer."""
-        await self.write(h11.Data(data=payload))
-
-    async def finish(self):
-        """End a streamed answer."""
-        await self.write(h11.EndOfMessage())
-        self.finished = True
-
-    async def send_whole(self, head, body):
-        """Send an endpoint's whole answer unchanged."""
-        lines = end_to_end(head.lines)
-        if not any(name.lower() == b'content-length' for name, _ in lines):
-            lines.append((b'Content-Length', str(len(body)).encode()))
-        await self.start(
-            head.status, lines, h11.Data(data=body), h11.EndOfMessage()
-        )
-        self.finished = True
-
-    async def fail(self, error):
-        """Answer with an error, unless an answer has begun.
-
-        A streamed answer that can't go on ends without its last chunk, so
-        that it does not look complete.
-        """
-        if self.started:
-            return
-        lines = [(b'Content-Length', b'0')]
-        retry_at = getattr(error, 'retry_at', None)
-        if retry_at is not None:
-            seconds = f'{retry_at.remaining():.2f}'
-            lines.append((b'Retry-After', seconds.encode()))
-        await self.start(status_of(error), lines, h11.EndOfMessage())
-        self.finished = True
-
-    async def write(self, *events):
-        """Send h11 events.
-
-        :raises errors.CallerGone: if the caller closed the connection.
-        """
-        try:
-            await self.connection.send('send answer', *events)
-        except http.Disconnected as error:
-            raise errors.CallerGone(
-                'caller closed the connection',
-                step=error.step,
-                peer=error.peer,
-            ) from error
-
-
 class Gateway:
     """Reads requests of callers and answers them.
 
     :param relay: :class:`relay.Relay`.
     :param configuration: :class:`ingress.ConfigurationHolder`, which has
         the limits of callers.
-    :param metrics: :class:`metrics.RouterMetrics`.
+    :param metrics: :class:`router_metrics.RouterMetrics`.
     """
 
     def __init__(self, relay, configuration, metrics):
@@ -221,7 +89,7 @@
             return False
         if received is None:
             return False
-        responder = Responder(connection, self.stopping)
+        responder = responses.Responder(connection, self.stopping)
         await self.serve_while_connected(connection, received, responder)
         return responder.finished
 
@@ -229,7 +97,7 @@
         """Answer a request that could not be read, if that is possible."""
         if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        await Responder(connection, closing=True).fail(error)
+        await responses.Responder(connection, closing=True).fail(error)
 
     async def read(self, connection):
         """Return a whole request, or None at the end of the connection.
@@ -325,9 +193,9 @@
             error,
             request_id=responder.request_id,
             route=responder.route,
-            status=responder.status or status_of(error),
+            status=responder.status or responses.status_of(error),
             execution=error.execution.value,
-            **self.relay.beliefs(),
+            **self.relay.checks.beliefs(),
         ).info('request failed: {} {}', error.code, error.message)
 
     def note_end(self, responder, left, seconds):
--- /dev/null
+++ b/celeryward/callers/patience.py
@@ -0,0 +1,68 @@
+"""How long a router waits for the answers of endpoints."""
+
+import time
+
+from celeryward.callers import journeys
+from celeryward import deadlines
+from celeryward.endpoints import forwarding
+from celeryward.raters import sizes
+
+# A repeatable request is sent elsewhere if the head of the answer takes this
+# part of the objective, or this many times as long as usual.
+HEAD_OBJECTIVE_PART = 0.9
+HEAD_USUAL_FACTOR = 5.0
+MIN_HEAD_SECONDS = 0.25
+HEAD_SAMPLE_WEIGHT = 0.1
+# A stream goes on elsewhere after this many times the pause that is on time.
+PAUSE_FACTOR = 1.5
+
+
+class Patience:
+    """Knows what heads of answers usually take, for a unit of work."""
+
+    def __init__(self):
+        self.usual_head = {}
+
+    def head_deadline(self, journey, plan):
+        """Return when the head of an answer is due.
+
+        A request that may run once only waits until its deadline.
+        """
+        if not journey.route.may_repeat or not journey.has_alternative():
+            return journey.deadline
+        usual = self.usual_head.get(self.head_key(journey, plan), 0.0)
+        seconds = max(
+            MIN_HEAD_SECONDS,
+            HEAD_OBJECTIVE_PART * journey.route.objective_seconds,
+            HEAD_USUAL_FACTOR * usual * journeys.work(journey.ask),
+        )
+        return deadlines.Deadline.after(seconds).earlier(journey.deadline)
+
+    def pause_seconds(self, journey):
+        """Return the longest wait for the next bytes of a body."""
+        if forwarding.is_stream(journey.route) and journey.has_alternative():
+            return PAUSE_FACTOR * journey.route.pause_seconds
+        return journey.route.timeout_seconds
+
+    def head_key(self, journey, plan):
+        """Return what heads are compared with."""
+        return journey.route.name, plan.size.model if plan.size else ''
+
+    def note_head(self, journey, plan, answer):
+        """Update the usual time to the head."""
+        key = self.head_key(journey, plan)
+        sample = answer.seconds / journeys.work(journey.ask)
+        usual = self.usual_head.get(key, sample)
+        self.usual_head[key] = usual + HEAD_SAMPLE_WEIGHT * (sample - usual)
+
+    def timing(self, journey, size, answer):
+        """Return how a request stands if it is sent to a larger size.
+
+        The larger model waits at least as long as the small one did.
+        """
+        usual = self.usual_head.get((journey.route.name, size.model), 0.0)
+        return sizes.Timing(
+            journey.route.objective_seconds,
+            time.monotonic() - journey.started_at,
+            max(answer.seconds, usual * journeys.work(journey.ask)),
+        )
--- /dev/null
+++ b/celeryward/header_lines.py
@@ -0,0 +1,26 @@
+"""Header lines that concern a single connection."""
+
+HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+def end_to_end(lines):
+    """Return header lines without those of a single connection."""
+    named = set()
+    for name, value in lines:
+        if name.lower() == b'connection':
+            named.update(token.strip().lower() for token in value.split(b','))
+    dropped = HOP_HEADERS | named
+    return [
+        (name, value) for name, value in lines if name.lower() not in dropped
+    ]
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -9,14 +9,11 @@
 
 from celeryward import deadlines
 from celeryward import errors
+from celeryward import sockets
 
 READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
 MAX_BODY_BYTES = 16 * 1024 * 1024
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MILLISECONDS = 2000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -329,31 +326,11 @@
         raise errors.ConnectionFailed(
             f'connect failed: {error}', step='connect', peer=peer, sent=False
         ) from error
-    disable_nagle(sock)
-    detect_dead_peer(sock)
+    sockets.disable_nagle(sock)
+    sockets.detect_dead_peer(sock)
     return Connection(sock, h11.CLIENT, peer)
 
 
-def disable_nagle(sock):
-    """Send small writes at once; tokens must not wait for an ACK."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-
-def detect_dead_peer(sock):
-    """Let the kernel end a connection whose other side has vanished.
-
-    Without it a connection behind a partition stays open for minutes.
-    """
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 async def send_request(connection, method, target, headers, body):
     """Send one whole request."""
     head = {
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -5,6 +5,7 @@
 
 from celeryward import errors
 from celeryward import http
+from celeryward import sockets
 
 
 class Listener:
@@ -46,7 +47,7 @@
         """Spawn a task for each accepted connection, until cancelled."""
         while True:
             sock, address = await self.sock.accept()
-            http.disable_nagle(sock)
+            sockets.disable_nagle(sock)
             peer = f'{address[0]}:{address[1]}'
             connection = http.Connection(sock, h11.SERVER, peer)
             task = await curio.spawn(self.run, connection, daemon=True)
--- a/celeryward/objects/follower.py
+++ b/celeryward/objects/follower.py
@@ -10,8 +10,10 @@
 
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
+LEADER_POLL_SECONDS = 0.1
 # The answer with a change confirms nothing after the change; a short wait
-# then confirms soon that nothing else has changed.
+# then confirms soon that nothing else has changed. It also finds out soon
+# that a store which was away is back.
 CONFIRM_SECONDS = 0.25
 
 
@@ -38,12 +40,21 @@
     :param Pace pace: how long each watch waits.
     :param receiver: has ``listed(objects)``, ``changed(change)`` and
         ``confirmed(at)``, with ``at`` on the boot-time clock.
+    :param leader: another follower, which finds out whether the store is
+        back; None if this one does so itself.
     :param clock: function that returns seconds on the boot-time clock.
     """
 
     def __init__(
-        self, client, kind, pace, receiver, clock=freshness.boot_seconds
+        self,
+        client,
+        kind,
+        pace,
+        receiver,
+        leader=None,
+        clock=freshness.boot_seconds,
     ):
+        self.leader = leader
         self.client = client
         self.kind = kind
         self.pace = pace
@@ -71,6 +82,8 @@
                 continue
             await curio.sleep(delay)
             delay = min(MAX_RETRY_SECONDS, delay * 2)
+            while self.leader is not None and not self.leader.reachable:
+                await curio.sleep(LEADER_POLL_SECONDS)
 
     async def list_all(self):
         """Read the whole kind and hand it over."""
@@ -86,7 +99,9 @@
     async def follow(self):
         """Wait for changes once and hand them over."""
         started_at = self.clock()
-        wait = CONFIRM_SECONDS if self.changed else self.pace.wait_seconds
+        wait = self.pace.wait_seconds
+        if self.changed or not self.reachable:
+            wait = CONFIRM_SECONDS
         outcome = await self.client.changes(self.kind, self.since, wait)
         if outcome.is_err():
             return outcome
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from celeryward.callers import checks
 from celeryward.callers import gateway
 from celeryward.callers import relay
 from celeryward import deadlines
@@ -86,7 +87,7 @@
             self.runners, self.outcomes, self.connections, self.forwarder
         )
         self.relay = relay.Relay(
-            relay.Knowledge(
+            checks.Knowledge(
                 placement.failure_domain,
                 self.configuration,
                 self.freshness,
@@ -163,15 +164,16 @@
         wait = follower.Pace(
             min(self.tuning.object_wait, bound), OBJECT_COALESCE_SECONDS
         )
-        return (
-            follower.Follower(
-                self.store,
-                kinds.configuration,
-                follower.Pace(self.tuning.configuration_wait, confirms=True),
-                receivers.ConfigurationReceiver(
-                    self.configuration, self.freshness, self.translator
-                ),
+        leader = follower.Follower(
+            self.store,
+            kinds.configuration,
+            follower.Pace(self.tuning.configuration_wait, confirms=True),
+            receivers.ConfigurationReceiver(
+                self.configuration, self.freshness, self.translator
             ),
+        )
+        return (
+            leader,
             follower.Follower(
                 self.store,
                 kinds.endpoints,
@@ -179,12 +181,14 @@
                 receivers.EndpointReceiver(
                     self.runners, self.translator, self.store_was_away
                 ),
+                leader,
             ),
             follower.Follower(
                 self.store,
                 kinds.orders,
                 wait,
                 receivers.OrderReceiver(self.releases, self.translator),
+                leader,
             ),
         )
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -7,16 +7,21 @@
 import pytest
 
 PACKAGE = pathlib.Path(__file__).parent.parent / 'celeryward'
+ADAPTER = PACKAGE.parent / 'platform'
 CODECS = {'google', 'grpclib', 'h11', 'msgspec'}
 DECISION_MODULES = (
     'calls.py',
     'ingress.py',
     'callers/accounting.py',
     'callers/admission.py',
+    'callers/checks.py',
     'callers/demand.py',
+    'callers/journeys.py',
     'callers/keys.py',
     'callers/limits.py',
+    'callers/patience.py',
     'callers/placement.py',
+    'callers/planning.py',
     'callers/queues.py',
     'callers/sessions.py',
     'daemons/gossip.py',
@@ -78,7 +83,8 @@
     def test_every_data_class_is_frozen(self):
         thawed = [
             f'{path.name}:{node.name}'
-            for path in PACKAGE.rglob('*.py')
+            for folder in (PACKAGE, ADAPTER)
+            for path in folder.rglob('*.py')
             for node in ast.walk(ast.parse(path.read_text('utf-8')))
             if isinstance(node, ast.ClassDef)
             for decorator in node.decorator_list
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -262,6 +262,27 @@
         assert rating.progress['llm'].verdict is releases.State.RUNNING
 
 
+class TestOutage:
+    """Guards against calls and refusals that an outage multiplies."""
+
+    @on_site
+    async def test_one_follower_asks_whether_the_store_is_back(self, site):
+        site.store.away = True
+        leader = site.router.following[0]
+        await standins.until(lambda: not leader.reachable)
+        for runner in site.runners.values():
+            await site.store.put('servers', runner.id, runner.entry())
+        await curio.sleep(1.0)
+        site.store.requests.clear()
+        await curio.sleep(2.0)
+        kinds = {target.split('/')[3] for _, target in site.store.requests}
+        assert {kind.partition('?')[0] for kind in kinds} == {'config'}
+        site.store.away = False
+        await standins.until(
+            lambda: all(each.reachable for each in site.router.following), 3.0
+        )
+
+
 class TestReload:
     """Guards against a reload that ends the process or changes nothing."""
 
