Never call a request not run that may have run

Cause: when no further endpoint was left after a run whose answer was lost, the planner's refusal went out as 503, which promises that the request has not run. The new test got 503 before and gets 502 now. Change: a refusal after a run becomes outcome unknown, or late at the deadline.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -66,7 +66,7 @@
         """Dispatch until the caller has its answer."""
         done = False
         while not done:
-            plan = self.planner.plan(journey)
+            plan = self.next_plan(journey)
             journey.service = plan.service
             self.take_budget(journey)
             journey.dispatches += 1
@@ -76,6 +76,19 @@
             except errors.EndpointFailure as error:
                 self.after_failure(journey, plan, error)
 
+    def next_plan(self, journey):
+        """Return where the request is sent next.
+
+        :raises errors.NotRun: if it is refused and has not run.
+        :raises errors.OutcomeUnknown: if it is refused and may have run.
+        """
+        try:
+            return self.planner.plan(journey)
+        except errors.NotRun as error:
+            if not journey.runs:
+                raise
+            raise self.exhausted(journey, error.message, error) from error
+
     def log_dispatch(self, journey, plan):
         """Write one line on where a request is sent, and why there."""
         outcomes = self.knowledge.outcomes
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -199,6 +199,15 @@
         assert 'celeryward-response-seal' in head.headers
         assert len(site.arrivals()) == 2
 
+    @standins.on_site
+    async def test_request_that_ran_is_never_called_not_run(self, site):
+        """A lost answer and no further endpoint gave 503, a false promise."""
+        site.router.runners.remove('app-2')
+        site.runners['app-1'].usual = standins.broken
+        head, _ = await site.ask('/whole/x')
+        assert len(site.arrivals()) == 1
+        assert head.status == 502
+
     @standins.on_site
     async def test_failure_of_a_single_run_is_passed_on(self, site):
         for runner in site.runners.values():
