Name relayed requests plainly; list a service's endpoints once

Cause: a reading of the whole change found a figurative name, journey, and that each dispatch went through the endpoints of a service twice, once more to learn their software versions. Change: RelayedRequest in callers.relayed_requests; the planner takes the versions from the endpoints it already has, and RunnerTable.software_of is gone. Behaviour is the same.

--- a/celeryward/callers/checks.py
+++ b/celeryward/callers/checks.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from celeryward.callers import journeys
+from celeryward.callers import relayed_requests
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import ingress
@@ -56,7 +56,7 @@
         }
 
     def begin(self, ask, head, body):
-        """Return the :class:`journeys.Journey` of a request to serve.
+        """Return the request, as it is relayed, if it may be served.
 
         :raises errors.NotRun: if it may not.
         """
@@ -78,7 +78,9 @@
         if ask.wait_seconds is not None:
             wait = min(wait, ask.wait_seconds)
         deadline = deadlines.Deadline.after(wait)
-        return journeys.Journey(ask, route, holder, head, body, deadline)
+        return relayed_requests.RelayedRequest(
+            ask, route, holder, head, body, deadline
+        )
 
     def authenticate(self, configuration, route, ask, fresh):
         """Return the customer that holds the key; None on public routes.
--- a/celeryward/callers/patience.py
+++ b/celeryward/callers/patience.py
@@ -2,7 +2,7 @@
 
 import time
 
-from celeryward.callers import journeys
+from celeryward.callers import relayed_requests
 from celeryward import deadlines
 from celeryward.endpoints import forwarding
 from celeryward.raters import sizes
@@ -23,46 +23,46 @@
     def __init__(self):
         self.usual_head = {}
 
-    def head_deadline(self, journey, plan):
+    def head_deadline(self, relayed, plan):
         """Return when the head of an answer is due.
 
         A request that may run once only waits until its deadline.
         """
-        if not journey.route.may_repeat or not journey.has_alternative():
-            return journey.deadline
-        usual = self.usual_head.get(self.head_key(journey, plan), 0.0)
+        if not relayed.route.may_repeat or not relayed.has_alternative():
+            return relayed.deadline
+        usual = self.usual_head.get(self.head_key(relayed, plan), 0.0)
         seconds = max(
             MIN_HEAD_SECONDS,
-            HEAD_OBJECTIVE_PART * journey.route.objective_seconds,
-            HEAD_USUAL_FACTOR * usual * journeys.work(journey.ask),
+            HEAD_OBJECTIVE_PART * relayed.route.objective_seconds,
+            HEAD_USUAL_FACTOR * usual * relayed_requests.work(relayed.ask),
         )
-        return deadlines.Deadline.after(seconds).earlier(journey.deadline)
+        return deadlines.Deadline.after(seconds).earlier(relayed.deadline)
 
-    def pause_seconds(self, journey):
+    def pause_seconds(self, relayed):
         """Return the longest wait for the next bytes of a body."""
-        if forwarding.is_stream(journey.route) and journey.has_alternative():
-            return PAUSE_FACTOR * journey.route.pause_seconds
-        return journey.route.timeout_seconds
+        if forwarding.is_stream(relayed.route) and relayed.has_alternative():
+            return PAUSE_FACTOR * relayed.route.pause_seconds
+        return relayed.route.timeout_seconds
 
-    def head_key(self, journey, plan):
+    def head_key(self, relayed, plan):
         """Return what heads are compared with."""
-        return journey.route.name, plan.size.model if plan.size else ''
+        return relayed.route.name, plan.size.model if plan.size else ''
 
-    def note_head(self, journey, plan, answer):
+    def note_head(self, relayed, plan, answer):
         """Update the usual time to the head."""
-        key = self.head_key(journey, plan)
-        sample = answer.seconds / journeys.work(journey.ask)
+        key = self.head_key(relayed, plan)
+        sample = answer.seconds / relayed_requests.work(relayed.ask)
         usual = self.usual_head.get(key, sample)
         self.usual_head[key] = usual + HEAD_SAMPLE_WEIGHT * (sample - usual)
 
-    def timing(self, journey, size, answer):
+    def timing(self, relayed, size, answer):
         """Return how a request stands if it is sent to a larger size.
 
         The larger model waits at least as long as the small one did.
         """
-        usual = self.usual_head.get((journey.route.name, size.model), 0.0)
+        usual = self.usual_head.get((relayed.route.name, size.model), 0.0)
         return sizes.Timing(
-            journey.route.objective_seconds,
-            time.monotonic() - journey.started_at,
-            max(answer.seconds, usual * journeys.work(journey.ask)),
+            relayed.route.objective_seconds,
+            time.monotonic() - relayed.started_at,
+            max(answer.seconds, usual * relayed_requests.work(relayed.ask)),
         )
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from celeryward.callers import journeys
+from celeryward.callers import relayed_requests
 from celeryward import deadlines
 from celeryward.endpoints import selection
 from celeryward import errors
@@ -23,38 +23,38 @@
     def __init__(self, knowledge):
         self.knowledge = knowledge
 
-    def plan(self, journey):
+    def plan(self, relayed):
         """Choose service, model, software version and endpoint.
 
         :raises errors.Overloaded: if there is no endpoint.
         :raises errors.DeadlineExceeded: if the deadline has passed.
         """
-        if journey.deadline.expired():
+        if relayed.deadline.expired():
             raise errors.DeadlineExceeded(
                 'deadline passed before dispatch',
                 step='select',
-                peer=journey.route.name,
+                peer=relayed.route.name,
                 retry_at=deadlines.Deadline.after(FULL_RETRY_SECONDS),
             )
         knowledge = self.knowledge
-        service = journey.service or self.choose_service(journey)
-        size = journey.size or self.first_size(journey, service)
-        journey.size = size
+        service = relayed.service or self.choose_service(relayed)
+        size = relayed.size or self.first_size(relayed, service)
+        relayed.size = size
         present = tuple(knowledge.runners.of_service(service))
         software = knowledge.releases.choose(
             service,
-            knowledge.runners.software_of(service),
+            tuple(sorted({runner.software for runner in present})),
             knowledge.runners.first_software.get(service, ''),
-            journey.ask.session,
-            journey.ask.request_id,
+            relayed.ask.session,
+            relayed.ask.request_id,
         )
         query = selection.Query(
             present,
             knowledge.failure_domain,
             software,
             size.model if size else '',
-            journeys.affinity(journey.ask),
-            journey.tried,
+            relayed_requests.affinity(relayed.ask),
+            relayed.tried,
             knowledge.outcomes.suspects(runner.id for runner in present),
             knowledge.outcomes.in_flight,
         )
@@ -69,19 +69,19 @@
                 peer=service,
                 retry_at=deadlines.Deadline.after(FULL_RETRY_SECONDS),
             )
-        return journeys.Plan(
+        return relayed_requests.Plan(
             service, runner, size, runner.id in query.suspects
         )
 
-    def choose_service(self, journey):
+    def choose_service(self, relayed):
         """Return the service of a route that splits its requests.
 
         A session keeps its service as long as the shares stay.
         """
-        shares = journey.route.shares
+        shares = relayed.route.shares
         if len(shares) == 1:
             return shares[0].service
-        key = journey.ask.session or journey.ask.request_id
+        key = relayed.ask.session or relayed.ask.request_id
         place = hashing.place(f'share\0{key}')
         place *= sum(share.weight for share in shares)
         for share in shares:
@@ -90,18 +90,18 @@
                 return share.service
         return shares[-1].service
 
-    def first_size(self, journey, service):
+    def first_size(self, relayed, service):
         """Return the size to run first, None if the caller chose."""
-        offered = self.sizes(journey, service)
+        offered = self.sizes(relayed, service)
         return sizes.first_size(offered) if offered else None
 
-    def sizes(self, journey, service):
+    def sizes(self, relayed, service):
         """Return the sizes that may serve a request, smallest first."""
-        if not journey.route.sizes or not journey.ask.any_size:
+        if not relayed.route.sizes or not relayed.ask.any_size:
             return ()
         configuration = self.knowledge.configuration.current
         known = configuration.services.get(service, ingress.Service(service))
         return tuple(
             sizes.Size(model, known.cost_of(model))
-            for model in journey.route.sizes
+            for model in relayed.route.sizes
         )
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -8,9 +8,9 @@
 import time
 
 from celeryward.callers import checks
-from celeryward.callers import journeys
 from celeryward.callers import patience
 from celeryward.callers import planning
+from celeryward.callers import relayed_requests
 from celeryward import deadlines
 from celeryward.endpoints import forwarding
 from celeryward import errors
@@ -52,91 +52,91 @@
         """
         ask = self.translator.read_request(head)
         responder.request_id = ask.request_id
-        journey = self.checks.begin(ask, head, body)
-        responder.route = journey.route.name
+        relayed = self.checks.begin(ask, head, body)
+        responder.route = relayed.route.name
         try:
-            await self.run(journey, responder)
+            await self.run(relayed, responder)
         except (errors.NotRun, errors.OutcomeUnknown):
-            if journey.failed_answer is None or responder.started:
+            if relayed.failed_answer is None or responder.started:
                 raise
             # An endpoint's own failure says more than that of the router.
-            await responder.send_whole(*journey.failed_answer)
+            await responder.send_whole(*relayed.failed_answer)
 
-    async def run(self, journey, responder):
+    async def run(self, relayed, responder):
         """Dispatch until the caller has its answer."""
         done = False
         while not done:
-            plan = self.next_plan(journey)
-            journey.service = plan.service
-            self.take_budget(journey)
-            journey.dispatches += 1
-            self.log_dispatch(journey, plan)
+            plan = self.next_plan(relayed)
+            relayed.service = plan.service
+            self.take_budget(relayed)
+            relayed.dispatches += 1
+            self.log_dispatch(relayed, plan)
             try:
-                done = await self.run_once(journey, plan, responder)
+                done = await self.run_once(relayed, plan, responder)
             except errors.EndpointFailure as error:
-                self.after_failure(journey, plan, error)
+                self.after_failure(relayed, plan, error)
 
-    def next_plan(self, journey):
+    def next_plan(self, relayed):
         """Return where the request is sent next.
 
         :raises errors.NotRun: if it is refused and has not run.
         :raises errors.OutcomeUnknown: if it is refused and may have run.
         """
         try:
-            return self.planner.plan(journey)
+            return self.planner.plan(relayed)
         except errors.NotRun as error:
-            if not journey.runs:
+            if not relayed.runs:
                 raise
-            raise self.exhausted(journey, error.message, error) from error
+            raise self.exhausted(relayed, error.message, error) from error
 
-    def log_dispatch(self, journey, plan):
+    def log_dispatch(self, relayed, plan):
         """Write one line on where a request is sent, and why there."""
         outcomes = self.knowledge.outcomes
         logs.bind(
-            request_id=journey.ask.request_id,
+            request_id=relayed.ask.request_id,
             step='dispatch',
             peer=plan.runner.address,
             endpoint=plan.runner.id,
             software=plan.runner.software,
             model=plan.size.model if plan.size else '',
-            route=journey.route.name,
+            route=relayed.route.name,
             service=plan.service,
-            attempt=journey.dispatches,
-            after_event=journey.sequence.last,
+            attempt=relayed.dispatches,
+            after_event=relayed.sequence.last,
             in_flight=outcomes.in_flight.get(plan.runner.id, 0),
             suspected=plan.suspected,
-            left=round(journey.deadline.remaining(), 3),
+            left=round(relayed.deadline.remaining(), 3),
             **self.checks.beliefs(),
         ).info('dispatched')
 
-    def take_budget(self, journey):
+    def take_budget(self, relayed):
         """Count a dispatch against the service's retry budget.
 
         :raises errors.Overloaded: if a repetition is not allowed and the
             request has not run.
         """
-        budget = self.budgets[journey.service]
-        if journey.dispatches == 0:
+        budget = self.budgets[relayed.service]
+        if relayed.dispatches == 0:
             budget.first_dispatch()
             return
-        if journey.prepaid or not journey.arrivals:
+        if relayed.prepaid or not relayed.arrivals:
             # What never reached an endpoint is no load on it.
-            journey.prepaid = False
+            relayed.prepaid = False
             return
         if budget.take():
             return
-        self.metrics.retry_refused(journey.service)
-        raise self.exhausted(journey, 'retry budget is used up')
+        self.metrics.retry_refused(relayed.service)
+        raise self.exhausted(relayed, 'retry budget is used up')
 
-    def exhausted(self, journey, reason, error=None):
+    def exhausted(self, relayed, reason, error=None):
         """Return the error for a request that is not tried again."""
         step = error.step if error else 'retry'
-        peer = error.peer if error else journey.service
-        if journey.runs and journey.deadline.expired():
+        peer = error.peer if error else relayed.service
+        if relayed.runs and relayed.deadline.expired():
             return errors.AnswerLate(
                 'no complete answer before the deadline', step=step, peer=peer
             )
-        if journey.runs == 0:
+        if relayed.runs == 0:
             return errors.Overloaded(
                 f'request was not run: {reason}',
                 step=step,
@@ -147,73 +147,73 @@
             f'request may have run: {reason}', step=step, peer=peer
         )
 
-    async def run_once(self, journey, plan, responder):
+    async def run_once(self, relayed, plan, responder):
         """Dispatch once; return whether the caller has its answer."""
-        passage = self.passage(journey, plan)
+        passage = self.passage(relayed, plan)
         outcomes = self.knowledge.outcomes
         async with self.forwarder.dispatch(passage, plan.runner) as answer:
-            self.patience.note_head(journey, plan, answer)
+            self.patience.note_head(relayed, plan, answer)
             if forwarding.is_failure(answer.head):
-                return await self.take_failed(journey, plan, answer, responder)
-            larger = self.larger_size(journey, plan, answer)
+                return await self.take_failed(relayed, plan, answer, responder)
+            larger = self.larger_size(relayed, plan, answer)
             if larger is not None:
-                journey.arrivals += 1
-                journey.runs += 1
-                journey.size = larger
+                relayed.arrivals += 1
+                relayed.runs += 1
+                relayed.size = larger
                 return False
-            if forwarding.is_stream(journey.route):
-                await self.relay_events(journey, plan, answer, responder)
+            if forwarding.is_stream(relayed.route):
+                await self.relay_events(relayed, plan, answer, responder)
             else:
                 whole = await answer.body()
                 await responder.send_whole(answer.head, whole)
         self.knowledge.releases.remember(
-            plan.service, journey.ask.session, plan.runner.software
+            plan.service, relayed.ask.session, plan.runner.software
         )
         outcomes.answered(
-            plan.runner.id, answer.seconds, journeys.work(journey.ask)
+            plan.runner.id, answer.seconds, relayed_requests.work(relayed.ask)
         )
         return True
 
-    def passage(self, journey, plan):
+    def passage(self, relayed, plan):
         """Return the :class:`forwarding.Passage` of a dispatch."""
-        route = journey.route
+        route = relayed.route
         return forwarding.Passage(
-            journey.head,
-            journey.body,
-            journey.ask.request_id,
-            journey.holder.name if journey.holder else '',
+            relayed.head,
+            relayed.body,
+            relayed.ask.request_id,
+            relayed.holder.name if relayed.holder else '',
             plan.size.model if plan.size else '',
-            journeys.urgency(journey),
-            journey.deadline,
-            self.patience.head_deadline(journey, plan),
-            self.patience.pause_seconds(journey),
-            journey.sequence.last,
+            relayed_requests.urgency(relayed),
+            relayed.deadline,
+            self.patience.head_deadline(relayed, plan),
+            self.patience.pause_seconds(relayed),
+            relayed.sequence.last,
             fresh=not route.may_repeat,
         )
 
-    def larger_size(self, journey, plan, answer):
+    def larger_size(self, relayed, plan, answer):
         """Return a larger size to ask instead of an answer, or None."""
-        if plan.size is None or journey.has_events:
+        if plan.size is None or relayed.has_events:
             return None
-        if not (journey.route.may_repeat and journey.has_alternative()):
+        if not (relayed.route.may_repeat and relayed.has_alternative()):
             return None
-        offered = self.planner.sizes(journey, plan.service)
+        offered = self.planner.sizes(relayed, plan.service)
         larger = sizes.larger_size(
             offered,
             plan.size,
-            journey.ask,
+            relayed.ask,
             answer.facts.confidence,
             self.knowledge.economy,
-            self.patience.timing(journey, offered[-1], answer),
+            self.patience.timing(relayed, offered[-1], answer),
         )
         budget = self.budgets[plan.service]
         if larger is not None and not budget.take(FAILURE_RESERVE):
             return None
         if larger is not None:
-            journey.prepaid = True
+            relayed.prepaid = True
             self.metrics.size_raised(plan.service)
             logs.bind(
-                request_id=journey.ask.request_id,
+                request_id=relayed.ask.request_id,
                 step='cascade',
                 peer=plan.runner.address,
                 confidence=answer.facts.confidence,
@@ -222,41 +222,41 @@
             ).info('answer dropped for a larger model')
         return larger
 
-    async def relay_events(self, journey, plan, answer, responder):
+    async def relay_events(self, relayed, plan, answer, responder):
         """Pass on the events of a stream as they come."""
         started = time.monotonic()
-        first = journey.sequence.last
+        first = relayed.sequence.last
         if not responder.started:
             await responder.start_stream(answer.head)
-        async for ready in answer.events(journey.sequence):
+        async for ready in answer.events(relayed.sequence):
             await responder.send(b''.join(event.raw for event in ready))
         await responder.finish()
-        count = max(1, journey.sequence.last - first)
+        count = max(1, relayed.sequence.last - first)
         seconds = time.monotonic() - started
-        self.observe(journey, plan, False, seconds / count)
+        self.observe(relayed, plan, False, seconds / count)
 
-    async def take_failed(self, journey, plan, answer, responder):
+    async def take_failed(self, relayed, plan, answer, responder):
         """Handle an answer in which the endpoint says that it failed.
 
         :returns: whether the answer was passed on.
         """
         whole = await answer.body()
-        journey.arrivals += 1
-        journey.runs += 1
-        self.observe(journey, plan, True)
+        relayed.arrivals += 1
+        relayed.runs += 1
+        self.observe(relayed, plan, True)
         self.knowledge.outcomes.failed(plan.runner.id)
-        journey.tried |= {plan.runner.id}
-        if journey.has_events:
+        relayed.tried |= {plan.runner.id}
+        if relayed.has_events:
             raise errors.OutcomeUnknown(
                 f'stream broke off with {answer.head.status}',
                 step='resume',
                 peer=plan.runner.address,
             )
-        if self.can_repeat(journey):
-            journey.prepaid = True
-            journey.failed_answer = (answer.head, whole)
+        if self.can_repeat(relayed):
+            relayed.prepaid = True
+            relayed.failed_answer = (answer.head, whole)
             logs.bind(
-                request_id=journey.ask.request_id,
+                request_id=relayed.ask.request_id,
                 step='retry',
                 peer=plan.runner.address,
             ).info('endpoint failed with {}; repeated', answer.head.status)
@@ -264,48 +264,48 @@
         await responder.send_whole(answer.head, whole)
         return True
 
-    def can_repeat(self, journey):
+    def can_repeat(self, relayed):
         """Return whether a failed request can run again, and pay for it."""
-        if not journey.may_run_again() or journey.deadline.expired():
+        if not relayed.may_run_again() or relayed.deadline.expired():
             return False
         try:
-            self.planner.plan(journey)
+            self.planner.plan(relayed)
         except errors.NotRun:
             return False
-        return self.budgets[journey.service].take()
+        return self.budgets[relayed.service].take()
 
-    def after_failure(self, journey, plan, error):
+    def after_failure(self, relayed, plan, error):
         """Return if the request may be sent again.
 
         :raises errors.Overloaded: if it may not, and has not run.
         :raises errors.OutcomeUnknown: if it may not, and may have run.
         """
         runner = plan.runner
-        journey.tried |= {runner.id}
-        journey.arrivals += error.sent or isinstance(
+        relayed.tried |= {runner.id}
+        relayed.arrivals += error.sent or isinstance(
             error, errors.EndpointRefused
         )
-        self.note_failure(journey, plan, error)
+        self.note_failure(relayed, plan, error)
         if error.sent:
-            journey.runs += 1
-            again = journey.may_run_again()
+            relayed.runs += 1
+            again = relayed.may_run_again()
         else:
-            journey.refusals += 1
-            again = journey.refusals < MAX_REFUSALS
+            relayed.refusals += 1
+            again = relayed.refusals < MAX_REFUSALS
         logs.bind_error(
             error,
-            request_id=journey.ask.request_id,
+            request_id=relayed.ask.request_id,
             endpoint=runner.id,
             software=runner.software,
-            route=journey.route.name,
-            runs=journey.runs,
-            events=journey.sequence.last,
+            route=relayed.route.name,
+            runs=relayed.runs,
+            events=relayed.sequence.last,
             again=again,
         ).info('dispatch failed: {} {}', error.code, error.message)
-        if journey.deadline.expired() or not again:
-            raise self.exhausted(journey, error.message, error)
+        if relayed.deadline.expired() or not again:
+            raise self.exhausted(relayed, error.message, error)
 
-    def note_failure(self, journey, plan, error):
+    def note_failure(self, relayed, plan, error):
         """Tell those who judge endpoints and versions of a failure."""
         outcomes = self.knowledge.outcomes
         runner_id = plan.runner.id
@@ -317,16 +317,16 @@
             outcomes.failed(runner_id)
             # A broken connection says nothing about the software.
             silent = isinstance(error, errors.ConnectionSilent)
-            if silent and not journey.deadline.expired():
-                self.observe(journey, plan, True)
+            if silent and not relayed.deadline.expired():
+                self.observe(relayed, plan, True)
 
-    def observe(self, journey, plan, failed, pace=None):
+    def observe(self, relayed, plan, failed, pace=None):
         """Tell the releases what a run came to."""
         model = plan.size.model if plan.size else ''
         self.knowledge.releases.observe(
             plan.service,
             plan.runner.software,
-            f'{journey.route.name} {model}',
+            f'{relayed.route.name} {model}',
             failed,
             pace,
         )
--- a/celeryward/callers/journeys.py
+++ b/celeryward/callers/relayed_requests.py
@@ -26,7 +26,7 @@
     suspected: bool = False
 
 
-class Journey:
+class RelayedRequest:
     """What has happened to one request so far.
 
     :param Deadline deadline: when its final answer is due.
@@ -78,14 +78,14 @@
     return ask.session
 
 
-def urgency(journey):
+def urgency(relayed):
     """Return how urgent a request is to endpoints, 0 to 9.
 
     The customer's priority goes before that of the route.
     """
-    rank = journey.route.priority
-    if journey.holder is not None:
-        rank += PRIORITIES_OF_ROUTES * journey.holder.priority
+    rank = relayed.route.priority
+    if relayed.holder is not None:
+        rank += PRIORITIES_OF_ROUTES * relayed.holder.priority
     return max(0, min(LEAST_URGENT, rank))
 
 
--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -121,8 +121,3 @@
         for runner in self.runners.values():
             if runner.service == service and not runner.leaving:
                 yield runner
-
-    def software_of(self, service):
-        """Return the software versions that a service has, sorted."""
-        found = {runner.software for runner in self.of_service(service)}
-        return tuple(sorted(found))
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -16,7 +16,7 @@
     'callers/admission.py',
     'callers/checks.py',
     'callers/demand.py',
-    'callers/journeys.py',
+    'callers/relayed_requests.py',
     'callers/keys.py',
     'callers/limits.py',
     'callers/patience.py',
