Suspect a whole failure domain when two of its endpoints vanish

Cause: in a cut of a failure domain each router found each endpoint behind it by a request of its own, 0.4 s of silence and 0.4 s of a connection that does not open. Change: two lost endpoints of a failure domain put its others under suspicion until one of them gives a sign of life; their monitors ask for it at once. A dispatch is no longer taken for such a sign.

--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -55,7 +55,7 @@
             size.model if size else '',
             relayed_requests.affinity(relayed.ask),
             relayed.tried,
-            knowledge.outcomes.suspects(runner.id for runner in present),
+            self.suspects(present),
             knowledge.outcomes.in_flight,
         )
         runner = selection.select(query)
@@ -73,6 +73,16 @@
             service, runner, size, runner.id in query.suspects
         )
 
+    def suspects(self, present):
+        """Return the ids of endpoints that are better avoided."""
+        outcomes = self.knowledge.outcomes
+        domains = outcomes.lost_domains(
+            self.knowledge.runners.runners.values()
+        )
+        return outcomes.suspects(each.id for each in present) | {
+            each.id for each in present if each.failure_domain in domains
+        }
+
     def choose_service(self, relayed):
         """Return the service of a route that splits its requests.
 
--- a/celeryward/endpoints/monitor.py
+++ b/celeryward/endpoints/monitor.py
@@ -53,7 +53,7 @@
         """Watch one endpoint until cancelled."""
         while True:
             await curio.sleep(TICK_SECONDS)
-            if self.is_silent(runner):
+            if self.is_silent(runner) or self.in_lost_domain(runner):
                 if await self.can_connect(runner):
                     self.outcomes.heard(runner.id)
                 else:
@@ -66,6 +66,11 @@
         heard_at = self.outcomes.heard_at.get(runner.id, 0.0)
         return time.monotonic() - heard_at > SILENCE_SECONDS
 
+    def in_lost_domain(self, runner):
+        """Return whether others of its failure domain have vanished."""
+        domains = self.outcomes.lost_domains(self.table.runners.values())
+        return runner.failure_domain in domains
+
     async def can_connect(self, runner):
         """Return whether a new connection can be opened; it is kept."""
         limit = deadlines.Deadline.after(self.connections.connect_seconds)
--- a/celeryward/endpoints/outcomes.py
+++ b/celeryward/endpoints/outcomes.py
@@ -22,6 +22,8 @@
 # An endpoint that takes this many times as long as the others is avoided.
 SLOW_FACTOR = 2.5
 MIN_SPEED_WEIGHT = 2.0
+# Lost endpoints of a failure domain that put its others under suspicion.
+MIN_LOST_OF_DOMAIN = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +78,8 @@
         self.records = {}
         self.in_flight = collections.Counter()
         self.heard_at = {}
-        self.lost = set()
+        self.alive_at = {}
+        self.lost = {}
 
     def record(self, runner_id):
         """Return the record of an endpoint as of now."""
@@ -86,19 +89,41 @@
 
     def heard(self, runner_id):
         """Note that the endpoint gave a sign of life."""
-        self.heard_at[runner_id] = self.clock()
+        self.heard_at[runner_id] = self.alive_at[runner_id] = self.clock()
 
     def set_lost(self, runner_id, lost):
         """Note whether the endpoint can't be reached at all."""
         if lost:
-            self.lost.add(runner_id)
+            self.lost[runner_id] = self.clock()
         else:
-            self.lost.discard(runner_id)
+            self.lost.pop(runner_id, None)
+
+    def lost_domains(self, endpoints):
+        """Return the failure domains that probably can't be reached.
+
+        :param endpoints: all :class:`runners.Runner`, of all services.
+        """
+        if len(self.lost) < MIN_LOST_OF_DOMAIN:
+            return frozenset()
+        losses = collections.defaultdict(list)
+        alive_at = collections.defaultdict(float)
+        for runner in endpoints:
+            domain = runner.failure_domain
+            seen = self.alive_at.get(runner.id, 0.0)
+            alive_at[domain] = max(alive_at[domain], seen)
+            if runner.id in self.lost:
+                losses[domain].append(self.lost[runner.id])
+        return frozenset(
+            domain
+            for domain, times in losses.items()
+            if len(times) >= MIN_LOST_OF_DOMAIN
+            and alive_at[domain] <= sorted(times)[MIN_LOST_OF_DOMAIN - 1]
+        )
 
     def started(self, runner_id):
         """Count a request as in flight; silence counts from the first."""
         if not self.in_flight[runner_id]:
-            self.heard(runner_id)
+            self.heard_at[runner_id] = self.clock()
         self.in_flight[runner_id] += 1
 
     def finished(self, runner_id):
@@ -154,7 +179,8 @@
         """Drop what is known of an endpoint that is gone."""
         self.records.pop(runner_id, None)
         self.heard_at.pop(runner_id, None)
-        self.lost.discard(runner_id)
+        self.alive_at.pop(runner_id, None)
+        self.lost.pop(runner_id, None)
 
     def suspects(self, runner_ids):
         """Return those endpoints that are better avoided.
--- a/tests/test_endpoint_state.py
+++ b/tests/test_endpoint_state.py
@@ -204,6 +204,70 @@
         assert not watching.is_silent(runner('r'))
 
 
+class TestLostDomains:
+    """Guards against a cut that is found out one endpoint after the other."""
+
+    def made(self):
+        clock = fakes.Clock()
+        known = outcomes.Outcomes(clock.monotonic)
+        near = [runner(f'a{number}') for number in range(3)]
+        far = [runner(f'b{number}', 'b') for number in range(3)]
+        for each in near + far:
+            known.heard(each.id)
+        clock.now += 1.0
+        return clock, known, near + far
+
+    def test_two_lost_endpoints_put_the_others_under_suspicion(self):
+        clock, known, listed = self.made()
+        known.set_lost('b0', True)
+        assert known.lost_domains(listed) == set()
+        known.set_lost('b1', True)
+        assert known.lost_domains(listed) == {'b'}
+
+    def test_sign_of_life_ends_the_suspicion(self):
+        clock, known, listed = self.made()
+        known.set_lost('b0', True)
+        known.set_lost('b1', True)
+        clock.now += 0.1
+        known.heard('b2')
+        assert known.lost_domains(listed) == set()
+
+    def test_a_dispatch_is_no_sign_of_life(self):
+        clock, known, listed = self.made()
+        known.set_lost('b0', True)
+        known.set_lost('b1', True)
+        clock.now += 0.1
+        known.started('b2')
+        assert known.lost_domains(listed) == {'b'}
+
+    def test_regained_and_forgotten_endpoints_do_not_count(self):
+        clock, known, listed = self.made()
+        known.set_lost('b0', True)
+        known.set_lost('b1', True)
+        known.forget('b1')
+        assert known.lost_domains(listed) == set()
+
+    @fakes.in_kernel
+    async def test_others_are_tried_before_requests_are_sent(self):
+        table = runners.RunnerTable()
+        known = outcomes.Outcomes()
+        connections = TestMonitor.Connections()
+        watching = monitor.Monitor(
+            table, known, connections, TestMonitor.Forwarder()
+        )
+        for number in range(3):
+            table.put(runner(f'b{number}', 'b'))
+        known.set_lost('b0', True)
+        known.set_lost('b1', True)
+        assert watching.in_lost_domain(table.runners['b2'])
+        connections.reachable = True
+        task = await curio.spawn(watching.run, daemon=True)
+        await standins.until(
+            lambda: not watching.in_lost_domain(table.runners['b2']), 1.0
+        )
+        await task.cancel()
+
+
 class TestSizes:
     """Guards against larger models that cost more than they bring."""
 
