Let routers of a failure domain follow a few of them instead of the store

Ruled out: longer watches (a connection that goes silent would be found after the time in which a router counts as in touch); serializable reads of endpoints and configuration (seconds old, so that a bound of 2 s on leaving endpoints can't be kept). They are used for the list of routers only. Change: routers list themselves in the store. In a failure domain with four or more of them, those with the largest links follow the store, and the others ask them, with paces that keep the shorter of the bounds on configuration and on leaving endpoints when a leader falls silent or loses the store. Answers say how old the store's last word is; large ones are left to the store. The slack of the retry budget is shared by the routers that are known. A 410 is followed by a pause.

--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -294,6 +294,12 @@
     execution = Execution.NOT_RUN
 
 
+class TooLarge(PlatformError):
+    """The answer would be larger than the other side sends."""
+
+    code = 'answer_too_large'
+
+
 class PeerFailure(CelerywardError):
     """A call to another daemon failed, or the daemon refused it."""
 
--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+import dataclasses
+import time
 
 from curio import meta
 import msgspec
@@ -61,12 +63,13 @@
             lambda body: self.decode(self.dialect.decode_list, kind, body)
         )
 
-    async def list_pages(self, kind):
+    async def list_pages(self, kind, stale=False):
         """Read all objects of a kind, page by page.
 
         The revision is that of the first page; what changes between two
         pages is told by a watch from there.
 
+        :param bool stale: whether data that is seconds old will do.
         :returns: ``Ok(ObjectList)`` or ``Err``.
         """
         items = []
@@ -74,7 +77,7 @@
         after = ''
         while True:
             answer = await self.call(
-                'GET', self.dialect.page_path(kind, after)
+                'GET', self.dialect.page_path(kind, after, stale)
             )
             page = answer.and_then(
                 lambda body: self.decode(self.dialect.decode_page, kind, body)
@@ -97,12 +100,17 @@
             ``PlatformUnavailable``.
         """
         path = self.dialect.wait_path(kind, since, wait_seconds)
+        started = time.monotonic()
         answer = await self.call(
             'GET', path, timeout=wait_seconds + self.timeout
         )
-        return answer.and_then(
+        elapsed = time.monotonic() - started
+        outcome = answer.and_then(
             lambda body: self.decode(self.dialect.decode_changes, kind, body)
         )
+        return outcome.map(
+            lambda answer: confirm(answer, wait_seconds, elapsed)
+        )
 
     async def put_status(self, stored):
         """Replace the status of an object that must be at its revision.
@@ -131,24 +139,23 @@
         :returns: ``Ok(StoredObject)`` with its revision, or ``Err`` with
             ``Conflict``, ``WriteUnknown`` or ``PlatformUnavailable``.
         """
-        return await self.write('PUT', stored, {'if-none-match': '*'})
+        return await self.write(stored, *self.dialect.creation(stored))
 
     async def put(self, stored, expected_revision):
         """Replace an object that must be at the expected revision.
 
         :returns: as :meth:`create`.
         """
-        condition = {'if-match': str(expected_revision)}
-        return await self.write('PUT', stored, condition)
+        stored = dataclasses.replace(stored, revision=expected_revision)
+        call = self.dialect.replacement(stored, expected_revision)
+        return await self.write(stored, *call)
 
     async def delete(self, stored):
         """Delete an object that must still be at its revision."""
-        condition = {'if-match': str(stored.revision)}
-        return await self.write('DELETE', stored, condition)
+        return await self.write(stored, *self.dialect.removal(stored))
 
-    async def write(self, method, stored, condition):
+    async def write(self, stored, method, path, condition):
         """Send one conditional write."""
-        path = self.dialect.object_path(stored.kind, stored.name)
         body = self.dialect.encode(stored)
         headers = {'x-writer': self.writer, **condition}
         answer = await self.call(method, path, headers, body, kind=stored.kind)
@@ -209,6 +216,12 @@
                     'watch is too old', step=step, peer=self.peer
                 )
             )
+        if status == 413:
+            return result.Err(
+                errors.TooLarge(
+                    'changes are too large', step=step, peer=self.peer
+                )
+            )
         if status == self.dialect.conflict_status:
             decoder = self.dialect.decode_object
             current = self.decode(decoder, kind, body).unwrap_or(None)
@@ -316,6 +329,17 @@
                     yield self.decode(decode_change, '', line)
 
 
+def confirm(answer, wait_seconds, elapsed_seconds):
+    """Return changes with the time at which there was nothing newer.
+
+    A watch without changes was answered when its wait was over, unless the
+    store cut it short.
+    """
+    if answer.passed_on or answer.changes or elapsed_seconds < wait_seconds:
+        return answer
+    return dataclasses.replace(answer, confirmed_seconds=wait_seconds)
+
+
 def decode_hosts(kind, body):
     """Return the list of hosts in a body."""
     return protocol.HOSTS_DECODER.decode(body)
--- a/celeryward/objects/follower.py
+++ b/celeryward/objects/follower.py
@@ -35,27 +35,32 @@
 class Follower:
     """Lists a kind once, then watches it; lists again when history is lost.
 
-    :param client: :class:`client.ObjectClient`.
+    :param source: :class:`routers.source.Source`, or the store's
+        :class:`client.ObjectClient`.
     :param str kind: the kind to follow.
     :param Pace pace: how long each watch waits.
     :param receiver: has ``listed(objects)``, ``changed(change)`` and
         ``confirmed(at)``, with ``at`` on the boot-time clock.
     :param leader: another follower, which finds out whether the store is
         back; None if this one does so itself.
+    :param mirror: has ``restart(revision)`` and ``extend(changes,
+        revision)``, and keeps the changes for others; None for none.
     :param clock: function that returns seconds on the boot-time clock.
     """
 
     def __init__(
         self,
-        client,
+        source,
         kind,
         pace,
         receiver,
         leader=None,
+        mirror=None,
         clock=freshness.boot_seconds,
     ):
         self.leader = leader
-        self.client = client
+        self.mirror = mirror
+        self.source = source
         self.kind = kind
         self.pace = pace
         self.receiver = receiver
@@ -78,8 +83,8 @@
             error = outcome.unwrap_err()
             self.note_failure(error)
             if isinstance(error, errors.RevisionExpired):
+                # A store that keeps nothing would be listed all the time.
                 self.since = None
-                continue
             await curio.sleep(delay)
             delay = min(MAX_RETRY_SECONDS, delay * 2)
             while self.leader is not None and not self.leader.reachable:
@@ -88,12 +93,14 @@
     async def list_all(self):
         """Read the whole kind and hand it over."""
         started_at = self.clock()
-        outcome = await self.client.list_pages(self.kind)
+        outcome = await self.source.list_pages(self.kind)
         if outcome.is_ok():
             listed = outcome.unwrap()
             self.receiver.listed(listed.items)
             self.receiver.confirmed(started_at)
             self.since = listed.revision
+            if self.mirror is not None:
+                await self.mirror.restart(listed.revision)
         return outcome
 
     async def follow(self):
@@ -102,32 +109,25 @@
         wait = self.pace.wait_seconds
         if self.changed or not self.reachable:
             wait = CONFIRM_SECONDS
-        outcome = await self.client.changes(self.kind, self.since, wait)
+        outcome = await self.source.changes(self.kind, self.since, wait)
         if outcome.is_err():
             return outcome
         answer = outcome.unwrap()
         for change in answer.changes:
             self.receiver.changed(change)
-        self.since = answer.revision
-        self.receiver.confirmed(self.confirmed_at(started_at, wait, answer))
+        self.since = max(self.since, answer.revision)
+        self.receiver.confirmed(started_at + answer.confirmed_seconds)
+        if self.mirror is not None:
+            await self.mirror.extend(answer.changes, self.since)
+        if answer.passed_on:
+            # It is confirmed, and was coalesced, by the other router.
+            self.changed = False
+            return outcome
         self.changed = bool(answer.changes) and self.pace.confirms
         if answer.changes:
             await curio.sleep(self.pace.coalesce_seconds)
         return outcome
 
-    def confirmed_at(self, started_at, wait, answer):
-        """Return a time at which the store had nothing newer.
-
-        A watch without changes was answered when its wait was over, unless
-        the store cut it short.
-        """
-        if answer.changes:
-            return started_at
-        ended_at = self.clock()
-        if ended_at - started_at < wait:
-            return started_at
-        return started_at + wait
-
     def note_failure(self, error):
         """Log the first of several failures."""
         self.failed_at = self.clock()
@@ -142,5 +142,5 @@
         if not self.reachable:
             self.reachable = True
             logs.bind(
-                step='follow', peer=self.client.peer, kind=self.kind
+                step='follow', peer=self.source.peer, kind=self.kind
             ).info('store regained')
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -66,10 +66,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangeList:
-    """Changes of one kind up to a revision of the store."""
+    """Changes of one kind up to a revision of the store.
+
+    :param float confirmed_seconds: time from the start of the call until
+        the store last said that there was nothing newer; below zero if that
+        was before the call.
+    :param bool passed_on: whether they come from another router.
+    :param bool store_away: whether the store failed lately for the router
+        that passed the changes on.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    confirmed_seconds: float = 0.0
+    passed_on: bool = False
+    store_away: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,6 +149,21 @@
         """Return the path of all objects of a kind."""
         return list_path(kind)
 
+    def creation(self, stored):
+        """Return method, path and headers that create an object."""
+        path = self.object_path(stored.kind, stored.name)
+        return 'PUT', path, {'if-none-match': '*'}
+
+    def replacement(self, stored, expected_revision):
+        """Return method, path and headers that replace a revision."""
+        path = self.object_path(stored.kind, stored.name)
+        return 'PUT', path, {'if-match': str(expected_revision)}
+
+    def removal(self, stored):
+        """Return method, path and headers that remove an object."""
+        path = self.object_path(stored.kind, stored.name)
+        return 'DELETE', path, {'if-match': str(stored.revision)}
+
     def encode(self, stored):
         """Return an object as the body of a write."""
         return encode(stored)
@@ -157,8 +183,12 @@
 class WaitingDialect(typing.Protocol):
     """What a store adds whose lists have pages and whose watches wait."""
 
-    def page_path(self, kind, after):
-        """Return the path of the page after a name."""
+    def page_path(self, kind, after, stale):
+        """Return the path of the page after a name.
+
+        :param bool stale: whether data that is seconds old will do, which
+            costs less.
+        """
 
     def wait_path(self, kind, since, seconds):
         """Return the path that waits for changes after a revision."""
--- a/celeryward/objects/verdicts.py
+++ b/celeryward/objects/verdicts.py
@@ -6,6 +6,8 @@
 from celeryward import logs
 
 CHECK_SECONDS = 0.25
+# Routers that only follow others write later, so that mostly they needn't.
+FOLLOWER_DELAY_SECONDS = 1.0
 RETRY_SECONDS = 0.5
 
 
@@ -19,9 +21,11 @@
     :param releases: :class:`releases.Releases`.
     :param translator: has ``order_status(order)``, which returns the stored
         object with its new status, and ``read_order(stored)``.
+    :param members: :class:`members.Members`.
     """
 
-    def __init__(self, client, releases, translator):
+    def __init__(self, client, releases, translator, members):
+        self.members = members
         self.client = client
         self.releases = releases
         self.translator = translator
@@ -30,8 +34,9 @@
         """Write verdicts until cancelled."""
         while True:
             await curio.sleep(CHECK_SECONDS)
-            self.releases.due()
-            for order in tuple(self.releases.unannounced()):
+            delay = 0.0 if self.members.leads else FOLLOWER_DELAY_SECONDS
+            self.releases.due(delay)
+            for order in tuple(self.releases.unannounced(delay)):
                 await self.write(order)
             for order in tuple(self.releases.unwritten()):
                 await self.write(order)
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -310,9 +310,9 @@
         for listener in self.on_verdict:
             listener(service)
 
-    def due(self):
-        """Decide the orders whose time to be done has come."""
-        now = self.clock()
+    def due(self, delay_seconds=0.0):
+        """Decide the orders whose time to be done came a delay ago."""
+        now = self.clock() - delay_seconds
         for service, progress in tuple(self.progress.items()):
             if (
                 progress.verdict is State.RUNNING
@@ -320,8 +320,11 @@
             ):
                 self.decide(service, State.DONE)
 
-    def unannounced(self):
-        """Yield orders with the time of their start, which is not stored."""
+    def unannounced(self, delay_seconds=0.0):
+        """Yield orders with the time of their start, which is not stored.
+
+        :param float delay_seconds: time to leave it to other routers.
+        """
         now = self.clock()
         for progress in self.progress.values():
             order = progress.order
@@ -329,7 +332,7 @@
                 progress.verdict is State.RUNNING
                 and order.state is State.RUNNING
                 and order.started_at is None
-                and now >= progress.announce_at
+                and now >= progress.announce_at + delay_seconds
             ):
                 started_at = self.utc() - (now - progress.seen_at)
                 yield dataclasses.replace(order, started_at=started_at)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -21,26 +21,19 @@
 from celeryward import ingress
 from celeryward import listener
 from celeryward import logs
-from celeryward.objects import client
-from celeryward.objects import follower
 from celeryward.objects import freshness
-from celeryward.objects import receivers
-from celeryward.objects import verdicts
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
 from celeryward import signals
+from celeryward import store_view
 
 READINESS_IDLE_SECONDS = 30.0
-# The slack of the retry budget is shared by all routers, whose number a
-# router does not know.
-SLACK_PARTS = 7
+# A router may not know yet of all others, with which it shares the slack of
+# the retry budget and the judgement of new versions.
+MIN_ROUTERS = 7
+MIN_BURST = 7.0
 MAX_BURST = 8.0
-STORE_OUTAGE_SECONDS = 6.0
-# An endpoint that leaves may be used for longer than this.
-OBJECT_COALESCE_SECONDS = 0.4
-# A watch that waits longer than the store keeps its history ends in a list.
-HISTORY_PART = 0.7
 STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
 
@@ -70,13 +63,11 @@
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.Outcomes()
         self.releases = releases.Releases(
-            bounds.bad_version_share, bounds.session_seconds
+            bounds.bad_version_share,
+            bounds.session_seconds,
         )
-        self.store = client.ObjectClient(
-            placement.store,
-            tuning.store_timeout,
-            placement.name,
-            translator.dialect,
+        self.view = store_view.StoreView(
+            placement, tuning, translator, self.freshness
         )
         self.connections = pool.EndpointPool(tuning)
         self.metrics = router_metrics.RouterMetrics()
@@ -98,7 +89,7 @@
             ),
             self.forwarder,
             translator,
-            functools.partial(new_budget, bounds, tuning),
+            functools.partial(new_budget, bounds, tuning, self.count_routers),
             self.metrics,
         )
         self.gateway = gateway.Gateway(
@@ -119,10 +110,14 @@
             placement.metrics.port,
             self.answer_metrics,
         )
+        self.peers = listener.Listener(
+            placement.routers.host,
+            placement.routers.port,
+            self.view.publisher.handle,
+        )
         self.runners.listeners.append(self.forget_runner)
         self.add_gauges()
         self.stopping = False
-        self.following = ()
 
     def add_gauges(self):
         """Expose what the router believes."""
@@ -148,7 +143,16 @@
                 'Endpoints that can not be reached.',
                 lambda: len(self.outcomes.lost),
             ),
-            ('store_calls', 'Calls to the store.', lambda: self.store.calls),
+            (
+                'store_calls',
+                'Calls to the store.',
+                lambda: self.view.store.calls,
+            ),
+            (
+                'routers',
+                'Routers that are known.',
+                lambda: self.view.members.count,
+            ),
         ):
             self.metrics.gauge(name, text, value)
 
@@ -157,49 +161,9 @@
         age = self.freshness.age()
         return -1.0 if age is None else age
 
-    def followers(self):
-        """Return one follower for each kind."""
-        kinds = self.translator.kinds
-        bound = HISTORY_PART * self.placement.bounds.history_seconds
-        wait = follower.Pace(
-            min(self.tuning.object_wait, bound), OBJECT_COALESCE_SECONDS
-        )
-        leader = follower.Follower(
-            self.store,
-            kinds.configuration,
-            follower.Pace(self.tuning.configuration_wait, confirms=True),
-            receivers.ConfigurationReceiver(
-                self.configuration, self.freshness, self.translator
-            ),
-        )
-        return (
-            leader,
-            follower.Follower(
-                self.store,
-                kinds.endpoints,
-                wait,
-                receivers.EndpointReceiver(
-                    self.runners, self.translator, self.store_was_away
-                ),
-                leader,
-            ),
-            follower.Follower(
-                self.store,
-                kinds.orders,
-                wait,
-                receivers.OrderReceiver(self.releases, self.translator),
-                leader,
-            ),
-        )
-
-    def store_was_away(self):
-        """Return whether a call to the store has failed lately."""
-        now = freshness.boot_seconds()
-        return any(
-            each.failed_at is not None
-            and now - each.failed_at < STORE_OUTAGE_SECONDS
-            for each in self.following
-        )
+    def count_routers(self):
+        """Return how many routers are known, this one included."""
+        return max(MIN_ROUTERS, self.view.members.count)
 
     def forget_runner(self, runner):
         """Drop what is known of an endpoint that is gone."""
@@ -259,13 +223,10 @@
         await self.readiness.start()
         await self.exposition.start()
         await self.callers.start()
-        self.following = self.followers()
-        writer = verdicts.VerdictWriter(
-            self.store, self.releases, self.translator
-        )
-        follows = [each.run for each in self.following]
-        others = (writer.run, self.monitor.run, self.follow_settings)
-        for run in (*follows, *others):
+        await self.peers.start()
+        self.view.follow(self.configuration, self.runners, self.releases)
+        others = (self.monitor.run, self.follow_settings)
+        for run in (*self.view.runs(), *others):
             self.tasks.append(await curio.spawn(run, daemon=True))
 
     async def stop(self):
@@ -280,6 +241,7 @@
             'router stops with {} requests under way', len(self.gateway.busy)
         )
         accepting = deadlines.Deadline.after(self.tuning.stop_accepting_after)
+        await self.view.leave()
         await curio.sleep(accepting.earlier(end).remaining())
         await self.callers.stop_accepting()
         while self.gateway.busy and not end.expired():
@@ -321,7 +283,7 @@
             bounds.bad_version_share, bounds.session_seconds
         )
         self.relay.budgets.default_factory = functools.partial(
-            new_budget, bounds, self.tuning
+            new_budget, bounds, self.tuning, self.count_routers
         )
         logs.bind(step='reload', peer=placement.name).info('settings reloaded')
 
@@ -350,9 +312,10 @@
     )
 
 
-def new_budget(bounds, tuning):
+def new_budget(bounds, tuning, count_routers):
     """Return a retry budget within what all routers may use."""
-    slack = min(MAX_BURST, bounds.retry_slack / SLACK_PARTS)
+    least = min(MIN_BURST, bounds.retry_slack / MIN_ROUTERS)
+    slack = min(MAX_BURST, max(least, bounds.retry_slack / count_routers()))
     return retries.RetryBudget(
         share=bounds.retry_ratio * tuning.retry_part, start=slack, most=slack
     )
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -36,6 +36,10 @@
         version may have.
     :param float session_seconds: pause after which a session has ended.
     :param float history_seconds: how long the store keeps past changes.
+    :param float apply_seconds: time after which a newer configuration is in
+        force.
+    :param float leave_seconds: time after which an endpoint that leaves
+        gets no more requests.
     """
 
     revoked_key_seconds: float
@@ -45,11 +49,17 @@
     bad_version_share: float
     session_seconds: float
     history_seconds: float
+    apply_seconds: float
+    leave_seconds: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """Where a router runs."""
+    """Where a router runs.
+
+    :param Address routers: where other routers reach it.
+    :param float link_mbps: bandwidth of its network link.
+    """
 
     name: str
     failure_domain: str
@@ -58,6 +68,8 @@
     metrics: Address
     store: Address
     bounds: Bounds
+    routers: Address
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/celeryward/routers/mirror.py
@@ -0,0 +1,63 @@
+"""The last changes of one kind, kept for other routers."""
+
+import collections
+
+import curio
+
+from celeryward import deadlines
+
+MAX_CHANGES = 400
+
+
+class Mirror:
+    """Changes of one kind as this router has learned them.
+
+    :param int floor: changes up to this revision are not known one by one.
+    """
+
+    def __init__(self):
+        self.revision = 0
+        self.floor = 0
+        self.changes = collections.deque()
+        self.moved = curio.Condition()
+
+    async def restart(self, revision):
+        """Note that the whole kind was read at a revision."""
+        self.changes.clear()
+        self.floor = self.revision = revision
+        await self.tell()
+
+    async def extend(self, changes, revision):
+        """Add changes that lead up to a revision."""
+        if revision <= self.revision:
+            return
+        self.changes.extend(changes)
+        while len(self.changes) > MAX_CHANGES:
+            self.floor = self.changes.popleft().revision
+        self.revision = revision
+        if changes:
+            await self.tell()
+
+    async def tell(self):
+        """Wake those who wait for a change."""
+        async with self.moved:
+            await self.moved.notify_all()
+
+    def knows(self, since):
+        """Return whether all changes after a revision are known."""
+        return self.floor <= since and self.floor > 0
+
+    def after(self, since):
+        """Return the changes after a revision."""
+        return tuple(
+            change for change in self.changes if change.revision > since
+        )
+
+    async def wait(self, since, seconds):
+        """Return the changes after a revision as soon as there is one."""
+        deadline = deadlines.Deadline.after(seconds)
+        async with curio.ignore_after(deadline.remaining()):
+            async with self.moved:
+                while self.knows(since) and not self.after(since):
+                    await self.moved.wait()
+        return self.after(since)
--- /dev/null
+++ b/celeryward/routers/publisher.py
@@ -0,0 +1,85 @@
+"""One task for each router that follows this one."""
+
+import time
+
+from celeryward import deadlines
+from celeryward import http
+from celeryward import logs
+from celeryward.routers import protocol
+
+IDLE_SECONDS = 30.0
+READ_SECONDS = 5.0
+MAX_WAIT_SECONDS = 10.0
+# A larger answer would hold up the others on the link of a small host.
+MAX_ANSWER_BYTES = 32 * 1024
+STATUS_GONE = 410
+STATUS_TOO_LARGE = 413
+
+
+class Publisher:
+    """Passes on the store's changes to other routers.
+
+    :param dict mirrors: a :class:`mirror.Mirror` for each kind.
+    :param freshness: :class:`freshness.Freshness` of the configuration.
+    :param pacing: :class:`pacing.Pacing`; None to pass nothing on.
+    :param store_was_away: function that tells whether the store failed
+        lately.
+    """
+
+    def __init__(self, mirrors, freshness, pacing, store_was_away):
+        self.pacing = pacing
+        self.mirrors = mirrors
+        self.freshness = freshness
+        self.store_was_away = store_was_away
+        self.stopping = False
+
+    async def handle(self, connection):
+        """Answer the polls on one connection until it ends."""
+
+        async def answer(head):
+            deadline = deadlines.Deadline.after(READ_SECONDS)
+            await connection.receive_body('read request', deadline)
+            status, body = await self.answer(head.target)
+            await http.send_response(connection, status, {}, body)
+
+        try:
+            await http.serve_connection(connection, answer, IDLE_SECONDS)
+        except http.EXCHANGE_ERRORS as error:
+            logs.bind_error(error).debug('connection ended: {}', error.message)
+
+    async def answer(self, target):
+        """Return status and body of the answer to one poll."""
+        started = time.monotonic()
+        ask = protocol.read_ask(target)
+        mirror = self.mirrors.get(ask.kind) if ask else None
+        if mirror is None:
+            return 400, b''
+        if not self.is_current():
+            return 503, b''
+        if not mirror.knows(ask.since):
+            return STATUS_GONE, b''
+        wait = min(ask.wait_seconds, MAX_WAIT_SECONDS)
+        await mirror.wait(ask.since, wait)
+        if not self.is_current():
+            return 503, b''
+        if not mirror.knows(ask.since):
+            return STATUS_GONE, b''
+        # The age is taken before the changes, so that none is newer.
+        confirmed = time.monotonic() - started - self.freshness.age()
+        passed = protocol.Passed(
+            mirror.after(ask.since),
+            max(ask.since, mirror.revision),
+            confirmed,
+            self.store_was_away(),
+        )
+        body = protocol.encode(passed)
+        if len(body) > MAX_ANSWER_BYTES:
+            return STATUS_TOO_LARGE, b''
+        return 200, body
+
+    def is_current(self):
+        """Return whether this router knows the newest state itself."""
+        age = self.freshness.age()
+        if self.stopping or self.pacing is None or age is None:
+            return False
+        return age <= self.pacing.leader_age
--- /dev/null
+++ b/celeryward/routers/roster.py
@@ -0,0 +1,101 @@
+"""The task that lists this router in the store and reads who else is."""
+
+import random
+
+import curio
+
+from celeryward import errors
+from celeryward import logs
+from celeryward.objects import protocol
+
+# All routers of a fleet may start at the same time.
+FIRST_LIST_SECONDS = (0.8, 1.6)
+# Reading again soon finds routers whose entries came late.
+SECOND_LIST_SECONDS = (4.0, 6.0)
+LIST_SECONDS = (20.0, 30.0)
+RETRY_SECONDS = (0.5, 1.5)
+GENERATOR = random.Random()
+
+
+class Roster:
+    """Keeps the list of routers.
+
+    :param client: :class:`client.ObjectClient` of the store.
+    :param str kind: the kind of the routers' objects.
+    :param members: :class:`members.Members`.
+    :param translator: has ``write_member(member)``, which returns a spec,
+        and ``read_member(stored)``, which returns a member or None.
+    """
+
+    def __init__(self, client, kind, members, translator):
+        self.client = client
+        self.kind = kind
+        self.members = members
+        self.translator = translator
+        self.entry = protocol.StoredObject(
+            kind, members.own.name, translator.write_member(members.own)
+        )
+
+    async def run(self):
+        """List this router, then read the list until cancelled."""
+        while not await self.register():
+            await pause(RETRY_SECONDS)
+        await pause(FIRST_LIST_SECONDS)
+        await self.read()
+        await pause(SECOND_LIST_SECONDS)
+        while True:
+            await self.read()
+            await pause(LIST_SECONDS)
+
+    async def register(self):
+        """Write the entry of this router; return whether it is there.
+
+        An entry of an earlier process under the same name is replaced.
+        """
+        outcome = await self.client.create(self.entry)
+        if outcome.is_err() and isinstance(
+            outcome.unwrap_err(), errors.Conflict
+        ):
+            outcome = await self.client.get(self.kind, self.entry.name)
+            if outcome.is_ok():
+                held = outcome.unwrap()
+                if held.spec != self.entry.spec:
+                    outcome = await self.client.put(self.entry, held.revision)
+        if outcome.is_err():
+            note(outcome.unwrap_err(), 'router not listed')
+            return False
+        self.entry = outcome.unwrap()
+        return True
+
+    async def read(self):
+        """Read who else is there; seconds of delay do no harm."""
+        outcome = await self.client.list_pages(self.kind, stale=True)
+        if outcome.is_err():
+            note(outcome.unwrap_err(), 'routers not read')
+            return
+        found = map(self.translator.read_member, outcome.unwrap().items)
+        self.members.replace([each for each in found if each is not None])
+        logs.bind(
+            step='routers',
+            peer=self.client.peer,
+            routers=self.members.count,
+            leads=self.members.leads,
+        ).info('routers read')
+
+    async def leave(self):
+        """Remove the entry of this router."""
+        if not self.entry.revision:
+            return
+        outcome = await self.client.delete(self.entry)
+        if outcome.is_err():
+            note(outcome.unwrap_err(), 'router not unlisted')
+
+
+def note(error, text):
+    """Log a call that failed; it is tried again, or others notice."""
+    logs.bind_error(error).warning('{}: {}', text, error.message)
+
+
+async def pause(bounds):
+    """Sleep for a random time between two bounds, in seconds."""
+    await curio.sleep(GENERATOR.uniform(*bounds))
--- /dev/null
+++ b/celeryward/routers/source.py
@@ -0,0 +1,86 @@
+"""Whom a follower asks for changes: another router, or the store."""
+
+from celeryward import errors
+from celeryward import logs
+from celeryward.objects import client
+from celeryward.objects import freshness
+from celeryward.routers import protocol
+
+# Time allowed for a poll beyond its wait.
+POLL_TIMEOUT_SECONDS = 0.4
+# Wait of the call to the store that follows a failed poll.
+FALLBACK_SECONDS = 0.25
+
+
+class Source:
+    """Reads from the store, or from the router that passes it on.
+
+    It has the reading calls of :class:`client.ObjectClient`.
+
+    :param store: :class:`client.ObjectClient` of the store.
+    :param members: :class:`members.Members`.
+    :param pacing: :class:`pacing.Pacing`; None to ask the store alone.
+    :param str confirmed_kind: kind whose age matters, which routers that
+        others follow ask for more often.
+    """
+
+    def __init__(self, store, members, pacing, confirmed_kind):
+        self.pacing = pacing
+        self.confirmed_kind = confirmed_kind
+        self.store = store
+        self.members = members
+        self.clients = {}
+        self.told_away_at = None
+
+    @property
+    def peer(self):
+        """The address of the store."""
+        return self.store.peer
+
+    async def list_pages(self, kind):
+        """Read all objects of a kind from the store."""
+        return await self.store.list_pages(kind)
+
+    async def changes(self, kind, since, wait_seconds):
+        """Wait for changes of a kind after a revision.
+
+        :returns: as :meth:`client.ObjectClient.changes`.
+        """
+        if self.pacing is None:
+            return await self.store.changes(kind, since, wait_seconds)
+        leader = self.members.leader()
+        if leader is None:
+            if kind == self.confirmed_kind and self.members.is_followed:
+                wait_seconds = min(wait_seconds, self.pacing.leader_wait)
+            return await self.store.changes(kind, since, wait_seconds)
+        outcome = await self.client_of(leader).changes(
+            kind, since, self.pacing.poll
+        )
+        if outcome.is_ok():
+            if outcome.unwrap().store_away:
+                self.told_away_at = freshness.boot_seconds()
+            return outcome
+        self.note_failure(leader, outcome.unwrap_err())
+        return await self.store.changes(kind, since, FALLBACK_SECONDS)
+
+    def note_failure(self, leader, error):
+        """Follow another router for a while, unless this one lives."""
+        # It answered that it can't pass on these changes, but others.
+        lives = isinstance(error, (errors.RevisionExpired, errors.TooLarge))
+        if not lives:
+            self.members.avoid(leader)
+        logs.bind_error(error, router=leader.name, avoided=not lives).info(
+            'changes not passed on: {}', error.message
+        )
+
+    def client_of(self, member):
+        """Return the client of another router."""
+        key = (member.host, member.port)
+        if key not in self.clients:
+            self.clients[key] = client.ObjectClient(
+                member,
+                POLL_TIMEOUT_SECONDS,
+                self.members.own.name,
+                protocol.RouterDialect(),
+            )
+        return self.clients[key]
--- /dev/null
+++ b/celeryward/store_view.py
@@ -0,0 +1,133 @@
+"""All that connects a router with the store, directly or by other routers."""
+
+from celeryward.objects import client
+from celeryward.objects import follower
+from celeryward.objects import freshness
+from celeryward.objects import receivers
+from celeryward.objects import verdicts
+from celeryward.routers import members
+from celeryward.routers import mirror
+from celeryward.routers import pacing
+from celeryward.routers import publisher
+from celeryward.routers import roster
+from celeryward.routers import source
+
+STORE_OUTAGE_SECONDS = 6.0
+# An endpoint that leaves may be used for longer than this.
+OBJECT_COALESCE_SECONDS = 0.4
+# A watch that waits longer than the store keeps its history ends in a list.
+HISTORY_PART = 0.7
+
+
+class StoreView:
+    """Follows the store, and passes on what it says to other routers.
+
+    :param Placement placement: where the router runs.
+    :param Tuning tuning: what operators set.
+    :param translator: translates between a platform and the product.
+    :param freshness: :class:`freshness.Freshness` of the configuration.
+    """
+
+    def __init__(self, placement, tuning, translator, freshness):
+        self.placement = placement
+        self.tuning = tuning
+        self.translator = translator
+        self.freshness = freshness
+        self.store = client.ObjectClient(
+            placement.store,
+            tuning.store_timeout,
+            placement.name,
+            translator.dialect,
+        )
+        kinds = translator.kinds
+        self.members = members.Members(own_member(placement))
+        self.mirrors = {
+            kind: mirror.Mirror()
+            for kind in (kinds.configuration, kinds.endpoints, kinds.orders)
+        }
+        bounds = placement.bounds
+        paces = pacing.make_pacing(
+            min(bounds.apply_seconds, bounds.leave_seconds)
+        )
+        self.source = source.Source(
+            self.store, self.members, paces, kinds.configuration
+        )
+        self.roster = roster.Roster(
+            self.store, kinds.routers, self.members, translator
+        )
+        self.publisher = publisher.Publisher(
+            self.mirrors, freshness, paces, self.was_away
+        )
+        self.followers = ()
+        self.writer = None
+
+    def follow(self, configuration, runners, releases):
+        """Build what keeps the router's beliefs up to date.
+
+        :param configuration: :class:`ingress.ConfigurationHolder`.
+        :param runners: :class:`runners.RunnerTable`.
+        :param releases: :class:`releases.Releases`.
+        """
+        kinds = self.translator.kinds
+        bound = HISTORY_PART * self.placement.bounds.history_seconds
+        wait = follower.Pace(
+            min(self.tuning.object_wait, bound), OBJECT_COALESCE_SECONDS
+        )
+        first = self.follower(
+            kinds.configuration,
+            follower.Pace(self.tuning.configuration_wait, confirms=True),
+            receivers.ConfigurationReceiver(
+                configuration, self.freshness, self.translator
+            ),
+        )
+        endpoints = receivers.EndpointReceiver(
+            runners, self.translator, self.was_away
+        )
+        orders = receivers.OrderReceiver(releases, self.translator)
+        self.followers = (
+            first,
+            self.follower(kinds.endpoints, wait, endpoints, first),
+            self.follower(kinds.orders, wait, orders, first),
+        )
+        self.writer = verdicts.VerdictWriter(
+            self.store, releases, self.translator, self.members
+        )
+
+    def follower(self, kind, pace, receiver, leader=None):
+        """Return the follower of a kind."""
+        return follower.Follower(
+            self.source, kind, pace, receiver, leader, self.mirrors[kind]
+        )
+
+    def runs(self):
+        """Return the functions of the tasks that follow and write."""
+        follows = [each.run for each in self.followers]
+        return (*follows, self.writer.run, self.roster.run)
+
+    def was_away(self):
+        """Return whether a call to the store has failed lately.
+
+        Another router's word counts, too: it is what entries came from.
+        """
+        now = freshness.boot_seconds()
+        failed = [each.failed_at for each in self.followers]
+        return any(
+            at is not None and now - at < STORE_OUTAGE_SECONDS
+            for at in (*failed, self.source.told_away_at)
+        )
+
+    async def leave(self):
+        """Tell the other routers that this one ends."""
+        self.publisher.stopping = True
+        await self.roster.leave()
+
+
+def own_member(placement):
+    """Return this router as the others know it."""
+    return members.Member(
+        placement.name,
+        placement.failure_domain,
+        placement.routers.host,
+        placement.routers.port,
+        placement.link_mbps,
+    )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -29,6 +29,7 @@
 nodeName = "front-1"
 zone = "a"
 ip = "10.0.0.1"
+portRange = [7340, 7355]
 later = "unknown"
 [listen]
 front = "10.0.0.1:80"
@@ -37,6 +38,8 @@
 strictRevoke = true
 revokeMs = 5000
 graceS = 8
+configApplyMs = 2000
+drainMs = 2000
 retryRatio = 0.9
 retrySlack = 54
 [provider]
--- /dev/null
+++ b/tests/test_other_routers.py
@@ -0,0 +1,425 @@
+"""Routers that learn from each other what the store says."""
+
+import dataclasses
+
+import curio
+import pytest
+
+from celeryward import deadlines
+from celeryward import errors
+from celeryward import http
+from celeryward.objects import freshness
+from celeryward.objects import protocol as objects
+from celeryward.routers import members
+from celeryward.routers import mirror
+from celeryward.routers import pacing
+from celeryward.routers import protocol
+from celeryward.routers import publisher
+from celeryward.routers import roster
+from celeryward.routers import source
+from tests import fakes
+from tests import platform_standins as standins
+
+PACING = pacing.make_pacing(2.0)
+
+
+@pytest.fixture
+def site():
+    return standins.Site([standins.RunnerStandIn('app-1', 'app')])
+
+
+def member(number, domain='a', capacity=10.0, port=1):
+    return members.Member(
+        f'router-{number}', domain, '127.0.0.1', port, capacity
+    )
+
+
+def change(revision, kind='config'):
+    stored = objects.StoredObject(kind, 'main', {'version': revision})
+    stored = dataclasses.replace(stored, revision=revision)
+    return objects.Change('put', revision, stored)
+
+
+class TestLeaders:
+    """Guards against routers that follow each other in a circle."""
+
+    def views(self, listed):
+        for own in listed:
+            view = members.Members(own)
+            view.replace(listed)
+            yield view
+
+    def test_all_come_to_the_same_leaders(self):
+        listed = [member(number) for number in range(30)]
+        found = {view.leaders() for view in self.views(listed)}
+        assert len(found) == 1
+        assert len(found.pop()) == 3
+
+    def test_leaders_follow_the_store(self):
+        listed = [member(number) for number in range(30)]
+        for view in self.views(listed):
+            assert (view.leader() is None) == view.leads
+            assert view.leader() in (None, *view.leaders())
+
+    def test_lists_that_differ_make_no_circle(self):
+        listed = [member(number) for number in range(8)]
+        first, second = listed[:2]
+        for known in (listed, listed[:4], [first, *listed[3:]]):
+            one = members.Members(first)
+            other = members.Members(second)
+            one.replace(known)
+            other.replace(listed)
+            assert not (one.leader() == second and other.leader() == first)
+
+    def test_largest_link_leads(self):
+        listed = [member(number) for number in range(12)]
+        large = member(12, capacity=100.0)
+        for view in self.views([*listed, large]):
+            assert view.leaders() == (large,)
+
+    def test_small_domain_follows_the_store(self):
+        listed = [member(number) for number in range(3)]
+        listed += [member(number, 'b') for number in range(3, 9)]
+        view = members.Members(listed[0])
+        view.replace(listed)
+        assert view.leader() is None
+        assert not view.is_followed
+
+    def test_silent_leader_is_passed_over_for_a_while(self):
+        now = [0.0]
+        listed = [member(number) for number in range(20)]
+        own = [each for each in self.views(listed) if not each.leads][0].own
+        view = members.Members(own, lambda: now[0])
+        view.replace(listed)
+        first = view.leader()
+        view.avoid(first)
+        second = view.leader()
+        assert second not in (None, first)
+        view.avoid(second)
+        assert view.leader() is None
+        now[0] += members.AVOID_SECONDS + 0.1
+        assert view.leader() == first
+
+
+class TestMirror:
+    """Guards against changes that are left out or passed on twice."""
+
+    @fakes.in_kernel
+    async def test_changes_after_a_revision(self):
+        held = mirror.Mirror()
+        assert not held.knows(0)
+        await held.restart(10)
+        await held.extend((change(12), change(14)), 15)
+        assert held.knows(10) and not held.knows(9)
+        assert [each.revision for each in held.after(12)] == [14]
+        assert held.after(14) == ()
+
+    @fakes.in_kernel
+    async def test_forgotten_changes_are_not_known(self):
+        held = mirror.Mirror()
+        await held.restart(1)
+        for revision in range(2, mirror.MAX_CHANGES + 12):
+            await held.extend((change(revision),), revision)
+        assert len(held.changes) == mirror.MAX_CHANGES
+        assert not held.knows(1)
+        assert held.knows(held.floor)
+
+    @fakes.in_kernel
+    async def test_late_answer_does_not_go_back(self):
+        held = mirror.Mirror()
+        await held.restart(10)
+        await held.extend((change(12),), 12)
+        await held.extend((change(11),), 11)
+        assert held.revision == 12
+        assert len(held.changes) == 1
+
+    @fakes.in_kernel
+    async def test_wait_ends_with_a_change(self):
+        held = mirror.Mirror()
+        await held.restart(10)
+        waiting = await curio.spawn(held.wait, 10, 5.0)
+        await curio.sleep(0.01)
+        await held.extend((change(11),), 11)
+        async with curio.timeout_after(1.0):
+            assert len(await waiting.join()) == 1
+
+
+class Pair:
+    """A router of a site that follows another router."""
+
+    def __init__(self, site):
+        self.site = site
+        self.leader = site.router
+
+    async def start(self):
+        """Start the other routers, and tell all who is there."""
+        await self.site.start()
+        self.leader = self.site.router
+        self.site.name = 'router-2'
+        await self.site.start_router()
+        self.follower = self.site.router
+        view = self.follower.view
+        view.roster.read = self.read_nothing
+        listed = [member(each) for each in range(3, 6)]
+        lead = members.Member(
+            'router-1', 'a', '127.0.0.1', self.leader.peers.port, 100.0
+        )
+        view.members.replace([lead, *listed])
+        await standins.until(self.follower.is_ready)
+        # The watches of the start end first.
+        await curio.sleep(self.site.tuning.configuration_wait + 0.1)
+
+    async def read_nothing(self):
+        """Stand in for the list of routers, which the test sets."""
+
+    async def stop(self):
+        """Stop both."""
+        for router in (self.leader, self.follower):
+            self.site.router = router
+            for task in router.tasks:
+                await task.cancel()
+        self.site.router = self.leader
+        await self.site.stop()
+        for part in (
+            self.follower.callers,
+            self.follower.readiness,
+            self.follower.exposition,
+            self.follower.peers,
+        ):
+            await part.stop_accepting()
+            await part.drain(deadlines.Deadline.after(0.0))
+
+
+def on_pair(test):
+    """Run a coroutine test on two routers, of which one follows."""
+
+    @fakes.in_kernel
+    async def run(self):
+        site = standins.Site([standins.RunnerStandIn('app-1', 'app')])
+        site.tuning = dataclasses.replace(site.tuning, object_wait=0.3)
+        pair = Pair(site)
+        await pair.start()
+        try:
+            await test(self, pair)
+        finally:
+            await pair.stop()
+
+    return run
+
+
+class TestPassedChanges:
+    """Guards against routers that each ask the store for the same."""
+
+    @on_pair
+    async def test_follower_makes_no_calls_and_stays_fresh(self, pair):
+        before = pair.follower.view.store.calls
+        for _ in range(20):
+            await curio.sleep(0.1)
+            assert pair.follower.freshness.age() < 4.0
+        assert pair.follower.view.store.calls == before
+
+    @on_pair
+    async def test_change_reaches_the_follower_at_once(self, pair):
+        spec = standins.configuration(7)
+        await pair.site.store.put('config', 'main', spec)
+        held = pair.follower.configuration
+        await standins.until(lambda: held.current.version == 7, 0.5)
+
+    @on_pair
+    async def test_endpoint_that_leaves_is_noticed(self, pair):
+        runner = pair.site.runners['app-1']
+        entry = runner.entry('draining')
+        await pair.site.store.put('servers', 'app-1', entry)
+        table = pair.follower.runners
+        await standins.until(lambda: not list(table.of_service('app')), 1.0)
+
+    @on_pair
+    async def test_ended_leader_is_replaced_by_the_store(self, pair):
+        before = pair.follower.view.store.calls
+        for task in pair.leader.tasks:
+            await task.cancel()
+        await pair.leader.peers.stop_accepting()
+        await pair.leader.peers.drain(deadlines.Deadline.after(0.0))
+        spec = standins.configuration(8)
+        await pair.site.store.put('config', 'main', spec)
+        held = pair.follower.configuration
+        await standins.until(lambda: held.current.version == 8, 3.0)
+        assert pair.follower.view.store.calls > before
+        assert pair.follower.view.members.leader() is None
+
+    @on_pair
+    async def test_silent_leader_does_not_let_keys_lapse(self, pair):
+        """A leader that hangs must be given up before the bound on keys."""
+
+        async def hang(target):
+            await curio.sleep(100.0)
+
+        pair.leader.view.publisher.answer = hang
+        deadline = deadlines.Deadline.after(5.0)
+        while not deadline.expired():
+            await curio.sleep(0.05)
+            assert pair.follower.freshness.is_fresh()
+
+    @on_pair
+    async def test_large_change_comes_from_the_store(self, pair):
+        spec = standins.configuration(9)
+        spec['note'] = 'x' * publisher.MAX_ANSWER_BYTES
+        await pair.site.store.put('config', 'main', spec)
+        held = pair.follower.configuration
+        await standins.until(lambda: held.current.version == 9, 1.0)
+        assert pair.follower.view.members.leader() is not None
+
+    @on_pair
+    async def test_leader_without_the_store_passes_nothing_on(self, pair):
+        view = pair.leader.view
+        view.freshness.confirmed_at -= view.publisher.pacing.leader_age + 1.0
+        status, _ = await view.publisher.answer(
+            '/changes/config?since=1&wait=1'
+        )
+        assert status == 503
+
+    @on_pair
+    async def test_outage_that_the_leader_saw_keeps_entries(self, pair):
+        """Entries that lapse in an outage may be back soon."""
+        leader = pair.leader.view.followers[1]
+        leader.failed_at = freshness.boot_seconds()
+        await standins.until(pair.follower.view.was_away, 3.0)
+        await pair.site.store.delete('servers', 'app-1')
+        await curio.sleep(0.8)
+        assert list(pair.follower.runners.of_service('app'))
+
+
+class TestPublisher:
+    """Guards against answers that claim more than a router knows."""
+
+    def made(self, now):
+        fresh = freshness.Freshness(5.0, lambda: now[0])
+        held = mirror.Mirror()
+        made = publisher.Publisher(
+            {'config': held}, fresh, PACING, lambda: False
+        )
+        return made, held, fresh
+
+    @fakes.in_kernel
+    async def test_age_of_the_leader_counts(self):
+        now = [100.0]
+        made, held, fresh = self.made(now)
+        await held.restart(5)
+        fresh.confirm(99.8)
+        status, body = await made.answer('/changes/config?since=5&wait=0.05')
+        passed = protocol.DECODER.decode(body)
+        assert status == 200
+        assert -0.2 < passed.confirmed_seconds < 0.0
+        assert passed.revision == 5
+
+    @fakes.in_kernel
+    async def test_follower_that_is_ahead_does_not_go_back(self):
+        now = [100.0]
+        made, held, fresh = self.made(now)
+        await held.restart(5)
+        fresh.confirm(100.0)
+        _, body = await made.answer('/changes/config?since=9&wait=0.01')
+        assert protocol.DECODER.decode(body).revision == 9
+
+    @fakes.in_kernel
+    async def test_unknown_history_and_kinds_are_refused(self):
+        now = [100.0]
+        made, held, fresh = self.made(now)
+        fresh.confirm(100.0)
+        status, _ = await made.answer('/changes/config?since=5&wait=0.01')
+        assert status == 410
+        for target in (
+            '/changes/other?since=5&wait=1',
+            '/x',
+            '/changes/config',
+        ):
+            status, _ = await made.answer(target)
+            assert status == 400
+        made.stopping = True
+        status, _ = await made.answer('/changes/config?since=5&wait=0.01')
+        assert status == 503
+
+
+class TestRoster:
+    """Guards against routers that don't find each other."""
+
+    @standins.on_site
+    async def test_router_is_listed_until_it_leaves(self, site):
+        key = ('routers', 'router-1')
+        await standins.until(lambda: key in site.store.objects)
+        await site.router.view.leave()
+        assert key not in site.store.objects
+        assert site.router.view.publisher.stopping
+
+    @standins.on_site
+    async def test_entry_of_an_earlier_process_is_replaced(self, site):
+        key = ('routers', 'router-1')
+        await standins.until(lambda: key in site.store.objects)
+        view = site.router.view
+        moved = members.Member('router-1', 'b', '127.0.0.2', 7, 5.0)
+        later = roster.Roster(
+            view.store,
+            'routers',
+            members.Members(moved),
+            site.router.translator,
+        )
+        assert await later.register()
+        assert site.store.objects[key]['spec']['zone'] == 'b'
+
+    @standins.on_site
+    async def test_unreadable_entries_are_left_out(self, site):
+        for name, spec in (('x', {}), ('y', {'address': 7, 'zone': 'a'})):
+            await site.store.put('routers', name, spec)
+        entry = {'zone': 'a', 'address': '127.0.0.9:80', 'linkMbps': 10}
+        await site.store.put('routers', 'router-9', entry)
+        await site.router.view.roster.read()
+        assert set(site.router.view.members.known) == {'router-1', 'router-9'}
+
+
+class TestSource:
+    """Guards against a failed poll that is not followed by another."""
+
+    @fakes.in_kernel
+    async def test_refused_poll_falls_back(self):
+        asked = []
+
+        class Store:
+            peer = 'store'
+
+            async def changes(self, kind, since, wait):
+                asked.append((kind, since, wait))
+
+        view = members.Members(member(0, capacity=0.0))
+        view.replace([member(number, port=9) for number in range(1, 6)])
+        made = source.Source(Store(), view, PACING, 'config')
+        leader = view.leader()
+        await made.changes('config', 3, 2.0)
+        assert asked == [('config', 3, source.FALLBACK_SECONDS)]
+        assert view.leader() != leader
+
+    def test_errors_of_a_living_router_do_not_end_it(self):
+        view = members.Members(member(0, capacity=0.0))
+        view.replace([member(number) for number in range(1, 6)])
+        made = source.Source(None, view, PACING, 'config')
+        leader = view.leader()
+        for kind in (errors.TooLarge, errors.RevisionExpired):
+            made.note_failure(leader, kind('x', step='x', peer='x'))
+        assert view.leader() == leader
+        lost = http.Disconnected('x', step='x', peer='x')
+        made.note_failure(leader, lost)
+        assert view.leader() != leader
+
+
+class TestPacing:
+    """Guards against followers that learn of a change too late."""
+
+    @pytest.mark.parametrize('bound', (1.5, 2.0, 3.0, 10.0))
+    def test_worst_delay_is_within_the_bound(self, bound):
+        made = pacing.make_pacing(bound)
+        hanging = made.poll + source.POLL_TIMEOUT_SECONDS
+        stale = made.leader_age + made.poll
+        assert max(hanging, stale) < bound - 0.4
+        assert made.leader_wait < made.leader_age
+
+    def test_short_bound_leaves_routers_alone(self):
+        assert pacing.make_pacing(1.0) is None
