Keep sessions on the old version in the first half of a roll-out

One router's odds of 400 to 1 are no odds among 88; the base rate of slow runs was not measured at the old version; answers of one to three events have no pace; and two requests that wait in one queue time out together. Ruled out: sharing tallies or sessions between routers, which the change makes unnecessary for PINNED; no longer counting silence, which is how some bad versions fail. Change: sessions take part from 0.51 of the time on, in steps that never shrink (the trial's share, 0.2, all), and the order is done at 0.85. The odds grow with the number of routers; slow runs count at both versions; one failure for each endpoint within 2 s counts.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -20,6 +20,8 @@
 # Tokens of the retry budget that are kept for failures, so that requests for
 # larger models can't use up what failures need.
 FAILURE_RESERVE = 2.0
+# Events of a stream from which its pace can be told.
+MIN_PACED_EVENTS = 4
 # Dispatches that endpoints refuse, for one request.
 MAX_REFUSALS = 3
 
@@ -231,9 +233,11 @@
         async for ready in answer.events(relayed.sequence):
             await responder.send(b''.join(event.raw for event in ready))
         await responder.finish()
-        count = max(1, relayed.sequence.last - first)
-        seconds = time.monotonic() - started
-        self.observe(relayed, plan, False, seconds / count)
+        count = relayed.sequence.last - first
+        pace = None
+        if count >= MIN_PACED_EVENTS:
+            pace = (time.monotonic() - started) / count
+        self.observe(relayed, plan, False, pace)
 
     async def take_failed(self, relayed, plan, answer, responder):
         """Handle an answer in which the endpoint says that it failed.
@@ -329,4 +333,5 @@
             f'{relayed.route.name} {model}',
             failed,
             pace,
+            plan.runner.id,
         )
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -1,11 +1,12 @@
 """Roll-outs of software versions of a service, ordered by a record.
 
-An order names the version that a service is to run and by when. Until half
-of that time only a small share of requests goes to the new version; if it
-is as good as the old one, all follow, and the order is done once the old
-endpoints have had time to finish. A version that is worse is rolled back at
-once. Every router follows the same plan from the order alone, so that a
-session meets the same version everywhere.
+An order names the version that a service is to run and by when. In the
+first half of that time sessions stay on the old version. Then a small share
+of them goes to the new version; if it is as good as the old one, all follow,
+and the order is done once the old endpoints have had time to finish. A
+version that is worse is rolled back at once. Every router follows the same
+plan from the order alone, so that a session meets the same version
+everywhere, and never returns from the new one.
 """
 
 import dataclasses
@@ -21,23 +22,32 @@
 # mostly one does.
 ANNOUNCE_SECONDS = 1.5
 GENERATOR = random.Random()
-# Parts of the time that an order allows.
-TRIAL_END = 0.52
-DONE_AT = 0.8
-# Share of new requests on the new version during the trial, as a part of
-# the share that a bad version may have.
+# Parts of the time that an order allows. A session that began before the
+# order can't be told from a new one by a router that meets it first, so
+# sessions wait for the second half.
+TRIAL_AT = 0.51
+PART_AT = 0.62
+ALL_AT = 0.68
+DONE_AT = 0.85
+# Share of requests on the new version during the trial, as a part of the
+# share that a bad version may have.
 TRIAL_PART = 0.6
+# Share of requests on the new version after the trial.
+PART_SHARE = 0.2
 # A session is remembered a little longer than it counts as one.
 SESSION_FACTOR = 1.5
 MAX_SESSIONS = 20_000
 # Failure rate by which a bad version exceeds the old one, and the log odds
-# at which it is found bad.
+# at which one router alone finds it bad. The first of all routers to find it
+# decides, so each of several has to be surer.
 BAD_EXCESS = 0.25
-BAD_LOG_ODDS = 6.0
+BAD_LOG_ODDS = 4.0
 GOOD_FAILURE_RATE = 0.02
 # A run counts as a failure if it takes this many times as long as the old
 # version usually takes.
 SLOW_FACTOR = 4.0
+# Requests that wait in one queue fail together, which says no more than one.
+SAME_ENDPOINT_SECONDS = 2.0
 MIN_OLD_SAMPLES = 5
 SAMPLE_WEIGHT = 0.1
 
@@ -130,7 +140,11 @@
     samples: int = 0
 
     def with_run(self, failed, pace):
-        """Return the averages after one more run."""
+        """Return the averages after one more run.
+
+        Slow runs count as failures, as they do at the new version.
+        """
+        failed = failed or self.is_slow(pace)
         rate = self.failure_rate + SAMPLE_WEIGHT * (failed - self.failure_rate)
         rate = max(GOOD_FAILURE_RATE, rate)
         if pace is None:
@@ -155,17 +169,25 @@
     :param float session_seconds: pause after which a session has ended.
     :param clock: function that returns monotonic seconds.
     :param utc: function that returns UTC seconds.
+    :param router_count: function that returns how many routers judge.
     """
 
     def __init__(
-        self, bad_share, session_seconds, clock=time.monotonic, utc=time.time
+        self,
+        bad_share,
+        session_seconds,
+        clock=time.monotonic,
+        utc=time.time,
+        router_count=lambda: 1,
     ):
         self.set_bounds(bad_share, session_seconds)
+        self.router_count = router_count
         self.clock = clock
         self.utc = utc
         self.progress = {}
         self.sessions = {}
         self.usual = {}
+        self.failed_at = {}
         self.on_verdict = []
 
     def set_bounds(self, bad_share, session_seconds):
@@ -190,6 +212,7 @@
 
     def begin(self, order):
         """Return the progress of an order that is seen for the first time."""
+        self.failed_at.clear()
         now = self.clock()
         passed = 0.0
         if order.started_at is not None:
@@ -230,17 +253,25 @@
             return old[0]
         if progress.verdict is State.DONE:
             return target
-        stay = self.stay_of(progress.order.service, session)
-        trial = progress.elapsed(self.clock()) < TRIAL_END
-        if stay is not None and (trial or stay == target):
-            return stay
-        if not trial:
+        if self.stay_of(progress.order.service, session) == target:
             return target
-        if session and self.clock() - progress.seen_at < self.session_seconds:
-            # It may have begun before the order, at another router.
-            return old[0]
+        share = self.share(progress.elapsed(self.clock()), bool(session))
         place = hashing.place(session or request_id)
-        return target if place < self.trial_share else old[0]
+        return target if place < share else old[0]
+
+    def share(self, elapsed, of_sessions):
+        """Return the share of requests that the new version gets.
+
+        It never shrinks, so that no request of a session returns.
+
+        :param float elapsed: part of the allowed time that has passed.
+        :param bool of_sessions: whether requests of sessions are meant.
+        """
+        if elapsed < TRIAL_AT and of_sessions:
+            return 0.0
+        if elapsed < PART_AT:
+            return self.trial_share
+        return PART_SHARE if elapsed < ALL_AT else 1.0
 
     def stay_of(self, service, session):
         """Return the version of a session that is still going on."""
@@ -263,10 +294,11 @@
         until = now + SESSION_FACTOR * self.session_seconds
         self.sessions[(service, session)] = Stay(software, until)
 
-    def observe(self, service, software, kind, failed, pace=None):
+    def observe(self, service, software, kind, failed, pace=None, endpoint=''):
         """Note what a run at a version came to.
 
         :param str kind: runs of one kind are compared with each other.
+        :param str endpoint: id of the endpoint; empty if it doesn't matter.
         :param bool failed: whether it failed by the endpoint's fault.
         :param float | None pace: seconds for a unit of work.
         """
@@ -276,6 +308,8 @@
             return
         usual = self.usual.get((service, kind), Usual())
         failed = failed or usual.is_slow(pace)
+        if failed and not self.is_news(endpoint):
+            return
         tally = progress.tally
         tally = Tally(
             tally.answers + 1,
@@ -285,11 +319,26 @@
         progress = dataclasses.replace(progress, tally=tally)
         self.progress[service] = progress
         if (
-            tally.log_odds >= BAD_LOG_ODDS
+            tally.log_odds >= self.bad_log_odds
             and progress.verdict is State.RUNNING
         ):
             self.decide(service, State.ROLLED_BACK)
 
+    def is_news(self, endpoint):
+        """Return whether a failure is not one of several at an endpoint."""
+        now = self.clock()
+        last = self.failed_at.get(endpoint)
+        if endpoint and last is not None:
+            if now - last < SAME_ENDPOINT_SECONDS:
+                return False
+        self.failed_at[endpoint] = now
+        return True
+
+    @property
+    def bad_log_odds(self):
+        """Log odds at which a version is found bad."""
+        return BAD_LOG_ODDS + math.log(self.router_count())
+
     def note_old(self, key, failed, pace):
         """Update what is usual for one kind of runs of a service."""
         self.usual[key] = self.usual.get(key, Usual()).with_run(failed, pace)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -65,6 +65,7 @@
         self.releases = releases.Releases(
             bounds.bad_version_share,
             bounds.session_seconds,
+            router_count=self.count_routers,
         )
         self.view = store_view.StoreView(
             placement, tuning, translator, self.freshness
