Add celeryward explain, and the name of the router to each log line

An engineer on call had to search the lines of all routers by hand. Lines of one router keep their order, and times of different routers are not compared, since clocks differ.

--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded soak of router processes under faults injected from outside."""
--- /dev/null
+++ b/benchmarks/soak/checks.py
@@ -0,0 +1,161 @@
+"""Promises of the router, checked against what a soak has seen.
+
+Each check yields (request id, text) for each breach; the id may be empty.
+"""
+
+import collections
+
+from benchmarks.soak import callers
+from celeryward import registry
+from tests import platform_standins as standins
+
+CHECKS = registry.Registry('check')
+OK = 200
+REVOKED_SECONDS = 5.0
+# From the store's answer until the last request reaches the endpoint.
+LEAVING_SECONDS = 3.0
+EVENTS = 6
+
+
+def find_breaches(seen):
+    """Yield (check, request id, text) for all breaches."""
+    for name in sorted(CHECKS.entries):
+        for request_id, text in CHECKS.get(name)(seen):
+            yield name, request_id, text
+
+
+def executions_by_request(seen):
+    """Return the executions of each request."""
+    found = collections.defaultdict(list)
+    for execution in seen.executions:
+        found[execution.request_id].append(execution)
+    return found
+
+
+@CHECKS.register('unknown-keys')
+def check_unknown_keys(seen):
+    """No request with a key that nobody ever held is run."""
+    by_request = executions_by_request(seen)
+    for outcome in seen.outcomes:
+        if outcome.key != callers.UNKNOWN_KEY:
+            continue
+        if outcome.status == OK or outcome.request_id in by_request:
+            yield outcome.request_id, 'ran with an unknown key'
+
+
+@CHECKS.register('revoked-keys')
+def check_revoked_keys(seen):
+    """No request that began after the bound is run."""
+    by_request = executions_by_request(seen)
+    for outcome in seen.outcomes:
+        revoked_at = seen.revoked_at.get(outcome.key)
+        if revoked_at is None:
+            continue
+        late = outcome.started_at - revoked_at
+        if late <= REVOKED_SECONDS:
+            continue
+        if outcome.status == OK or outcome.request_id in by_request:
+            yield (
+                outcome.request_id,
+                f'ran {late:.2f} s after its key was taken away',
+            )
+
+
+@CHECKS.register('known-keys')
+def check_known_keys(seen):
+    """A key that was always good is never called unknown."""
+    for outcome in seen.outcomes:
+        if outcome.key == standins.KEY and outcome.status in (401, 403, 404):
+            yield outcome.request_id, f'refused with {outcome.status}'
+
+
+@CHECKS.register('at-most-once')
+def check_at_most_once(seen):
+    """A request that must not be repeated reaches one endpoint at most."""
+    kinds = {each.request_id: each.kind for each in seen.outcomes}
+    for request_id, executions in executions_by_request(seen).items():
+        if kinds.get(request_id) == 'once' and len(executions) > 1:
+            yield request_id, f'ran {len(executions)} times'
+
+
+@CHECKS.register('true-refusals')
+def check_refusals(seen):
+    """What is said not to have run has reached no endpoint."""
+    by_request = executions_by_request(seen)
+    for outcome in seen.outcomes:
+        if outcome.not_run and outcome.request_id in by_request:
+            yield outcome.request_id, 'ran, and was said not to have run'
+
+
+@CHECKS.register('whole-answers')
+def check_answers(seen):
+    """A complete answer has each byte of it once and in order."""
+    for outcome in seen.outcomes:
+        if not (outcome.whole and outcome.status == OK):
+            continue
+        if outcome.kind in ('stream', 'rigid'):
+            expected = standins.events(EVENTS)
+        else:
+            expected = b'whole answer'
+        if outcome.body != expected:
+            yield outcome.request_id, f'answer is {outcome.body!r:.80}'
+
+
+@CHECKS.register('leaving-endpoints')
+def check_leaving(seen):
+    """An endpoint gets nothing new after it has left for a while."""
+    for execution in seen.executions:
+        left_at = seen.left_at.get(execution.endpoint)
+        if left_at is None or not execution.undisturbed:
+            continue
+        late = execution.at - left_at
+        if late <= LEAVING_SECONDS:
+            continue
+        if not seen.was_disturbed(left_at - 1.0, execution.at):
+            yield execution.request_id, f'sent {late:.2f} s after it left'
+
+
+@CHECKS.register('versions')
+def check_versions(seen):
+    """The configuration of a process never goes back."""
+    newest = {}
+    for observed in seen.versions:
+        if observed.version < newest.get(observed.process, 0):
+            yield (
+                '',
+                f'{observed.process} went back from version '
+                f'{newest[observed.process]} to {observed.version}',
+            )
+        newest[observed.process] = observed.version
+
+
+@CHECKS.register('planned-stops')
+def check_stops(seen):
+    """A planned stop ends in time and cuts off no request it passed on."""
+    by_request = executions_by_request(seen)
+    for stop in seen.stops:
+        if stop.exit_status != 0:
+            yield '', f'{stop.router} stopped with {stop.exit_status}'
+        for outcome in seen.outcomes:
+            if (
+                outcome.router == stop.router
+                and outcome.started_at < stop.ended_at
+                and stop.ordered_at < outcome.ended_at
+                and outcome.error.startswith('Disconnected')
+                and outcome.request_id in by_request
+                and not seen.was_disturbed(
+                    outcome.started_at, outcome.ended_at
+                )
+            ):
+                yield outcome.request_id, 'cut off by a planned stop'
+
+
+@CHECKS.register('recovery')
+def check_recovery(seen):
+    """After the faults have ended, everything is answered whole."""
+    for outcome in seen.recovery:
+        if not (outcome.whole and outcome.status == OK):
+            yield (
+                outcome.request_id,
+                f'status {outcome.status} after recovery: {outcome.error}',
+            )
--- /dev/null
+++ b/benchmarks/soak/observations.py
@@ -0,0 +1,95 @@
+"""What callers and endpoints of a soak have seen."""
+
+import dataclasses
+import time
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """One request, as its caller saw it. Times are monotonic seconds.
+
+    :param str router: name of the router that took it.
+    :param str key: key that it carried.
+    :param str last_event: last event that the caller had before.
+    :param int status: 0 if no head of an answer came.
+    :param bool not_run: whether the answer says that nothing ran.
+    :param bool whole: whether the answer was complete.
+    :param str error: why it was not.
+    """
+
+    request_id: str
+    kind: str
+    router: str
+    key: str
+    started_at: float
+    ended_at: float
+    status: int = 0
+    not_run: bool = False
+    whole: bool = False
+    body: bytes = b''
+    error: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Execution:
+    """A request that reached an endpoint.
+
+    :param bool undisturbed: whether nothing was held back on the way.
+    """
+
+    request_id: str
+    endpoint: str
+    at: float
+    undisturbed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """A planned stop of a router.
+
+    :param exit_status: None if it did not end by itself.
+    """
+
+    router: str
+    ordered_at: float
+    ended_at: float
+    exit_status: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Version:
+    """The configuration version that a process had in force."""
+
+    process: str
+    version: int
+
+
+@dataclasses.dataclass(slots=True)
+class Observations:
+    """All that was seen in one run; the checks read it.
+
+    :param dict revoked_at: when each key was taken away.
+    :param dict left_at: when the store listed an endpoint as leaving.
+    :param list disturbed: (start, end) of faults between routers, store and
+        endpoints.
+    """
+
+    outcomes: list = dataclasses.field(default_factory=list)
+    executions: list = dataclasses.field(default_factory=list)
+    stops: list = dataclasses.field(default_factory=list)
+    versions: list = dataclasses.field(default_factory=list)
+    recovery: list = dataclasses.field(default_factory=list)
+    revoked_at: dict = dataclasses.field(default_factory=dict)
+    left_at: dict = dataclasses.field(default_factory=dict)
+    disturbed: list = dataclasses.field(default_factory=list)
+
+    def was_disturbed(self, start, end):
+        """Return whether a fault overlaps a span of time."""
+        return any(
+            began < end and ended > start for began, ended in self.disturbed
+        )
+
+
+def now():
+    """Return the time that observations carry."""
+    return time.monotonic()
--- /dev/null
+++ b/benchmarks/soak/proxy.py
@@ -0,0 +1,116 @@
+"""A loopback proxy that delays, holds, refuses or resets connections."""
+
+import dataclasses
+import socket
+import struct
+
+import curio
+
+from celeryward import listener
+from celeryward import logs
+
+HELD_POLL_SECONDS = 0.02
+READ_SIZE_BYTES = 65536
+# Closing with a linger time of zero sends a reset.
+LINGER_NONE = struct.pack('ii', 1, 0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conditions:
+    """What a proxy does to the connections through it.
+
+    :param float delay_seconds: added to each chunk in both directions.
+    :param bool requests_held: nothing passes towards the server.
+    :param bool answers_held: nothing passes towards the client.
+    :param bool refused: new connections are reset.
+    """
+
+    delay_seconds: float = 0.0
+    requests_held: bool = False
+    answers_held: bool = False
+    refused: bool = False
+
+
+CLEAR = Conditions()
+
+
+class Proxy:
+    """Passes connections on to a port of the same host.
+
+    :param int target: port of the server; it may change.
+    """
+
+    def __init__(self, target=0, host='127.0.0.1'):
+        self.target = target
+        self.conditions = CLEAR
+        self.listener = listener.Listener(host, 0, self.handle)
+        self.pairs = {}
+
+    @property
+    def port(self):
+        """The port that the proxy listens on."""
+        return self.listener.port
+
+    async def start(self):
+        """Start to accept connections."""
+        await self.listener.start()
+
+    async def stop(self):
+        """Stop and end all connections."""
+        await self.listener.stop_accepting()
+        await self.reset()
+
+    async def reset(self):
+        """Reset all connections through the proxy."""
+        for task in tuple(self.pairs):
+            for sock in self.pairs.get(task, ()):
+                lose_unsent(sock)
+            await task.cancel()
+
+    async def handle(self, connection):
+        """Pass one connection on in both directions until one ends."""
+        client = connection.sock
+        if self.conditions.refused:
+            lose_unsent(client)
+            return
+        try:
+            server = await curio.open_connection('127.0.0.1', self.target)
+        except OSError as error:
+            logs.bind(step='proxy', peer=str(self.target)).debug(
+                'server not reached: {}', error
+            )
+            lose_unsent(client)
+            return
+        task = await curio.current_task()
+        self.pairs[task] = (client, server)
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self.pass_on, client, server, True)
+                await group.spawn(self.pass_on, server, client, False)
+        finally:
+            self.pairs.pop(task)
+            await server.close()
+
+    async def pass_on(self, source, target, towards_server):
+        """Pass bytes on in one direction until the source ends."""
+        try:
+            while data := await source.recv(READ_SIZE_BYTES):
+                await curio.sleep(self.conditions.delay_seconds)
+                while self.held(towards_server):
+                    await curio.sleep(HELD_POLL_SECONDS)
+                await target.sendall(data)
+        except OSError as error:
+            logs.bind(step='proxy', peer=str(self.target)).debug(
+                'connection ended: {}', error
+            )
+
+    def held(self, towards_server):
+        """Return whether bytes wait in a direction."""
+        if towards_server:
+            return self.conditions.requests_held
+        return self.conditions.answers_held
+
+
+def lose_unsent(sock):
+    """Make the close of a socket send a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
--- /dev/null
+++ b/benchmarks/soak/soak.py
@@ -0,0 +1,129 @@
+"""One run: starts a fleet, injects the faults of a seed, checks."""
+
+import dataclasses
+import random
+
+import curio
+
+from benchmarks.soak import callers
+from benchmarks.soak import checks
+from benchmarks.soak import faults
+from benchmarks.soak import fleet as fleets
+from benchmarks.soak import observations
+from tests import platform_standins as standins
+
+RECOVERY_SECONDS = 15.0
+RECOVERY_REQUESTS = 5
+# Retries of the last requests before the end of the faults count against
+# the budget for a while.
+SETTLE_SECONDS = 2.0
+SHOWN_LINES = 12
+SHOWN_BREACHES = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """How large a run is.
+
+    :param float seconds: time in which faults begin.
+    :param float rate: faults for each second.
+    """
+
+    seconds: float = 15.0
+    rate: float = 1.0
+    routers: int = 4
+    endpoints: int = 8
+    callers: int = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Breach:
+    """A promise that was not kept.
+
+    :param tuple lines: log lines that show it.
+    """
+
+    check: str
+    request_id: str
+    text: str
+    lines: tuple[str, ...]
+
+
+async def run(seed, size, directory):
+    """Play one seed; return the breaches."""
+    plan = faults.make_plan(random.Random(seed), size.seconds, size.rate)
+    fleet = fleets.Fleet(seed, directory, size.routers, size.endpoints)
+    try:
+        await fleet.start()
+        await play(fleet, plan, seed, size)
+    finally:
+        await fleet.stop()
+    return [
+        Breach(name, request_id, text, tuple(lines(fleet, request_id)))
+        for name, request_id, text in checks.find_breaches(fleet.seen)
+    ]
+
+
+async def play(fleet, plan, seed, size):
+    """Run callers and faults, then see whether all recovers."""
+    watching = await curio.spawn(fleet.watch_versions, daemon=True)
+    asking = [
+        await curio.spawn(callers.Caller(fleet, seed, number).run, daemon=True)
+        for number in range(size.callers)
+    ]
+    started = observations.now()
+    async with curio.TaskGroup() as injected:
+        for event in plan:
+            wait = started + event.at - observations.now()
+            await curio.sleep(max(0.0, wait))
+            await injected.spawn(faults.inject, fleet, event)
+    unready = await fleet.until_ready(RECOVERY_SECONDS)
+    await curio.sleep(SETTLE_SECONDS)
+    for task in asking:
+        await task.cancel()
+    await watching.cancel()
+    for router in unready:
+        fleet.seen.recovery.append(not_ready(router))
+    await ask_after_recovery(fleet, seed)
+
+
+async def ask_after_recovery(fleet, seed):
+    """Send some requests of each kind when all faults are over."""
+    caller = callers.Caller(fleet, seed, 'recovery')
+    for kind in callers.KINDS:
+        for _ in range(RECOVERY_REQUESTS):
+            outcome = await caller.send(kind, standins.KEY)
+            if outcome is not None:
+                fleet.seen.recovery.append(outcome)
+    await caller.leave()
+
+
+def not_ready(router):
+    """Return the outcome that stands for a router which stays away."""
+    at = observations.now()
+    return observations.Outcome(
+        '', 'ready', router.name, '', at, at, error='router is not ready'
+    )
+
+
+def lines(fleet, request_id):
+    """Return the last log lines of a request."""
+    return fleet.lines_about(request_id)[-SHOWN_LINES:] if request_id else []
+
+
+def report(seed, size, directory, breaches):
+    """Print what a run found, with all that is needed to repeat it."""
+    command = (
+        f'python -m benchmarks.soak --seed={seed} --seconds={size.seconds} '
+        f'--rate={size.rate} --routers={size.routers} '
+        f'--endpoints={size.endpoints} --callers={size.callers}'
+    )
+    if not breaches:
+        print(f'seed {seed}: no breach')
+        return
+    print(f'seed {seed}: {len(breaches)} breaches; logs in {directory}')
+    print(f'  {command}')
+    for breach in breaches[:SHOWN_BREACHES]:
+        print(f'  {breach.check}: {breach.request_id} {breach.text}')
+        for line in breach.lines:
+            print(f'    {line}')
--- a/celeryward/logs.py
+++ b/celeryward/logs.py
@@ -55,14 +55,15 @@
     return msgspec.json.encode(line) + b'\n'
 
 
-def configure_bounded(level, descriptor):
+def configure_bounded(level, descriptor, router=''):
     """Send the log as JSON lines to a descriptor, without ever blocking.
 
     :param str level: lowest level that is written.
     :param int descriptor: open file descriptor, such as standard output.
+    :param str router: name that each line carries.
     """
     logger.remove()
-    logger.configure(extra=DEFAULTS)
+    logger.configure(extra={**DEFAULTS, 'router': router})
     logger.add(BoundedSink(descriptor).write, level=level, catch=False)
 
 
--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -25,7 +25,9 @@
 from celeryward.operators import demo
 from celeryward.operators import documents
 from celeryward.operators import editor
+from celeryward.operators import explain
 from celeryward.operators import load
+from celeryward.operators import log_lines
 from celeryward.operators import output
 from celeryward.operators import page
 from celeryward.operators import reference
@@ -276,6 +278,28 @@
         failed = sum(compared.routed.failures.values())
         return EXIT_FAILED if failed else EXIT_OK
 
+    def explain(self, request='', *files, summary=False):
+        """Tell from log lines of routers what became of a request.
+
+        :param request: id of the request.
+        :param files: log files of one or several routers; none or - for
+            standard input.
+        :param summary: count the causes of failed requests instead; all
+            arguments are files then.
+        """
+        if summary:
+            files = tuple(part for part in (request, *files) if part)
+        lines = log_lines.read(map(str, files or (log_lines.STANDARD_INPUT,)))
+        found = explain.stories(lines)
+        if summary:
+            for cause, count in explain.summary(found).most_common():
+                print(f'{count:8} {cause}')
+            return EXIT_OK
+        told = [each for each in found if each.request_id == str(request)]
+        for story in told:
+            print('\n'.join(explain.render(story)))
+        return EXIT_OK if told else EXIT_FAILED
+
     def standin(self, kind, port=0, **options):
         """Run a stand-in of an outside system until SIGTERM.
 
--- /dev/null
+++ b/celeryward/operators/explain.py
@@ -0,0 +1,283 @@
+"""What became of a request, and why, from the log lines of routers."""
+
+import collections
+import dataclasses
+
+from celeryward.operators import log_lines
+from celeryward import registry
+
+# Lines without a request that explain one if they came this long before.
+CONTEXT_SECONDS = 15.0
+CONTEXT = (
+    'endpoint lost',
+    'endpoint regained',
+    'endpoint gone',
+    'store lost',
+    'store regained',
+    'configuration in force',
+    'router st',
+)
+FAILED = 'request failed: '
+DISPATCH_FAILED = 'dispatch failed: '
+ENDED = 'request ended'
+LEFT = 'caller left'
+SERVED = 'served'
+OK = 200
+BAD_GATEWAY = 502
+# Fields that the text of a line shows, in this order.
+SHOWN = (
+    'endpoint',
+    'software',
+    'model',
+    'larger',
+    'confidence',
+    'route',
+    'service',
+    'attempt',
+    'after_event',
+    'events',
+    'runs',
+    'again',
+    'in_flight',
+    'suspected',
+    'left',
+    'status',
+    'execution',
+    'whole',
+    'seconds',
+    'configuration',
+    'configuration_age',
+    'endpoints',
+    'version',
+    'peer',
+    'step',
+)
+CAUSES = registry.Registry('cause')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Story:
+    """One request at one router.
+
+    :param tuple lines: its lines, in the order in which they were written.
+    :param tuple context: lines of the router shortly before its end that
+        are about its endpoints, the store or the configuration.
+    """
+
+    request_id: str
+    router: str
+    lines: tuple[log_lines.Line, ...]
+    context: tuple[log_lines.Line, ...]
+
+    def last(self, start):
+        """Return the last line whose message starts so, or None."""
+        found = [each for each in self.lines if each.message.startswith(start)]
+        return found[-1] if found else None
+
+    @property
+    def code(self):
+        """The router's code of the failure; empty if there is none."""
+        line = self.last(FAILED)
+        return line.message[len(FAILED) :].split(' ')[0] if line else ''
+
+
+def stories(lines):
+    """Return the story of each request at each router, in order of time.
+
+    Lines of one router keep their order; clocks of routers may differ, so
+    that nothing is concluded from times of different ones.
+    """
+    by_request = collections.defaultdict(list)
+    context = collections.defaultdict(list)
+    for line in lines:
+        if line.request_id != '-':
+            by_request[(line.request_id, line.router)].append(line)
+        elif line.message.startswith(CONTEXT):
+            context[line.router].append(line)
+    found = [
+        Story(
+            request_id,
+            router,
+            tuple(own),
+            tuple(around(own, context[router])),
+        )
+        for (request_id, router), own in by_request.items()
+    ]
+    return sorted(found, key=lambda story: story.lines[0].time)
+
+
+def around(own, context):
+    """Yield the lines that may explain those of a request."""
+    peers = {line.get('peer') for line in own}
+    end = own[-1].time
+    for line in context:
+        age = (end - line.time).total_seconds()
+        if not 0.0 <= age <= CONTEXT_SECONDS:
+            continue
+        of_endpoint = line.message.startswith('endpoint')
+        if not of_endpoint or line.get('peer') in peers:
+            yield line
+
+
+def cause(story):
+    """Return (name, text) of why a request ended as it did."""
+    for name, judge in CAUSES.entries.items():
+        text = judge(story)
+        if text:
+            return name, text
+    return SERVED, 'answered whole'
+
+
+@CAUSES.register('caller-left')
+def caller_left(story):
+    """The caller ended the connection."""
+    line = story.last(LEFT)
+    if line is not None:
+        return f'the caller left after {line.get("seconds")} s'
+
+
+@CAUSES.register('store-lost')
+def store_lost(story):
+    """Keys could not be confirmed with the store."""
+    line = story.last(FAILED)
+    if line is None or 'configuration is old' not in line.message:
+        return None
+    lost = [
+        each for each in story.context if each.message[:10] == 'store lost'
+    ]
+    reason = lost[-1].message if lost else 'no answer of the store in time'
+    return (
+        f'the store last confirmed the configuration'
+        f' {line.get("configuration_age")} s before: {reason}'
+    )
+
+
+@CAUSES.register('router-starting')
+def router_starting(story):
+    """The router had no configuration yet."""
+    line = story.last(FAILED)
+    if line is not None and 'no configuration yet' in line.message:
+        return f'{story.router} had not read the configuration yet'
+
+
+@CAUSES.register('retry-budget')
+def retry_budget(story):
+    """The retry budget did not allow another attempt."""
+    line = story.last(FAILED)
+    if line is not None and 'retry budget' in line.message:
+        return f'no repetition was left; before that {last_failure(story)}'
+
+
+@CAUSES.register('no-endpoint')
+def no_endpoint(story):
+    """No endpoint could take the request."""
+    line = story.last(FAILED)
+    if line is not None and 'no endpoint of' in line.message:
+        return f'{line.message[len(FAILED) :]}; {last_failure(story)}'
+
+
+@CAUSES.register('no-route')
+def no_route(story):
+    """The configuration has no such route."""
+    if story.code == 'unknown_target':
+        line = story.last(FAILED)
+        return f'configuration {line.get("configuration")} has no such route'
+
+
+@CAUSES.register('unknown-key')
+def unknown_key(story):
+    """No customer holds the key."""
+    if story.code == 'unauthenticated':
+        line = story.last(FAILED)
+        return f'configuration {line.get("configuration")} has no such key'
+
+
+@CAUSES.register('deadline')
+def deadline(story):
+    """The deadline passed."""
+    if story.code in ('answer_late', 'deadline_exceeded'):
+        return f'the deadline passed; {last_failure(story)}'
+
+
+@CAUSES.register('endpoint-lost')
+def endpoint_lost(story):
+    """The endpoint vanished while it had the request."""
+    failed = story.last(DISPATCH_FAILED)
+    if not is_failed(story) or failed is None:
+        return None
+    for line in story.context:
+        if line.message == 'endpoint lost' and line.get('peer') == failed.get(
+            'peer'
+        ):
+            return f'endpoint {line.get("endpoint")} could not be reached'
+
+
+@CAUSES.register('connection-broken')
+def connection_broken(story):
+    """The connection to the endpoint broke, or its answer was no answer."""
+    if is_failed(story) and story.last(DISPATCH_FAILED) is not None:
+        return last_failure(story)
+
+
+@CAUSES.register('endpoint-failed')
+def endpoint_failed(story):
+    """The endpoint itself answered that it failed."""
+    line = story.last(ENDED)
+    if line is not None and line.get('status', 0) >= 500 and not story.code:
+        dispatched = story.last('dispatched')
+        name = dispatched.get('endpoint') if dispatched else '?'
+        return f'endpoint {name} answered {line.get("status")}'
+
+
+@CAUSES.register('other')
+def other(story):
+    """The request failed in a way that no rule above knows."""
+    if is_failed(story):
+        line = story.last(FAILED) or story.lines[-1]
+        return line.message
+
+
+def is_failed(story):
+    """Return whether the caller has no whole answer."""
+    line = story.last(ENDED)
+    if story.code:
+        return True
+    if line is None:
+        return False
+    return line.get('status', 0) >= 400 or not line.get('whole', True)
+
+
+def last_failure(story):
+    """Return what the last failed dispatch says."""
+    line = story.last(DISPATCH_FAILED)
+    if line is None:
+        return 'no dispatch had failed'
+    told = line.message[len(DISPATCH_FAILED) :]
+    return f'endpoint {line.get("endpoint")}: {told}'
+
+
+def render(story):
+    """Yield the lines of text that tell a story."""
+    name, text = cause(story)
+    yield f'request {story.request_id} at router {story.router}: {name}'
+    yield f'  cause: {text}'
+    merged = sorted(
+        (*story.context, *story.lines), key=lambda line: line.number
+    )
+    start = story.lines[0].time
+    for line in merged:
+        at = (line.time - start).total_seconds()
+        mark = ' ' if line.request_id == '-' else '*'
+        shown = ' '.join(
+            f'{field}={line.fields[field]}'
+            for field in SHOWN
+            if line.fields.get(field) not in (None, '')
+        )
+        yield f'  {mark} {at:+8.3f} s  {line.message}  [{shown}]'
+
+
+def summary(found):
+    """Return the number of failed and refused requests by cause."""
+    counts = collections.Counter(cause(story)[0] for story in found)
+    del counts[SERVED]
+    return counts
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,208 @@
+"""From log lines of routers to the cause of a failed request."""
+
+import pytest
+
+from celeryward import errors
+from celeryward.operators import cli
+from celeryward.operators import explain
+from celeryward.operators import log_lines
+from tests import platform_standins as standins
+
+# The clock of router-2 is 40 s behind that of router-1.
+DAY = '2026-12-04'
+CLOCKS = {'router-1': 50, 'router-2': 10}
+
+
+def line(router, at, message, request_id='-', **fields):
+    """Return one log line, written some seconds after a full minute."""
+    seconds = CLOCKS[router] + at
+    minute, seconds = divmod(seconds, 60)
+    return (
+        standins.encode(
+            {
+                'time': f'{DAY}T10:{int(minute):02}:{seconds:06.3f}+00:00',
+                'level': 'INFO',
+                'message': message,
+                'request_id': request_id,
+                'step': 'x',
+                'router': router,
+                **fields,
+            }
+        ).decode()
+        + '\n'
+    )
+
+
+def dispatched(router, at, request_id, peer='10.0.0.1:80', **fields):
+    fields = {'endpoint': 'e1', 'attempt': 1, **fields}
+    return line(router, at, 'dispatched', request_id, peer=peer, **fields)
+
+
+def ended(router, at, request_id, status=200, whole=True):
+    return line(
+        router, at, 'request ended', request_id, status=status, whole=whole
+    )
+
+
+BROKEN = [
+    dispatched('router-1', 0.0, 'a', software='v1', route='chat'),
+    line(
+        'router-1',
+        0.4,
+        'dispatch failed: connection_failed connection lost',
+        'a',
+        peer='10.0.0.1:80',
+        endpoint='e1',
+        events=3,
+        again=True,
+    ),
+    line('router-1', 0.4, 'endpoint lost', peer='10.0.0.1:80', endpoint='e1'),
+    line('router-1', 0.5, 'endpoint lost', peer='10.0.0.7:80', endpoint='e7'),
+    dispatched('router-1', 0.5, 'a', '10.0.0.2:80', attempt=2, after_event=3),
+    dispatched('router-2', 0.1, 'b'),
+    ended('router-2', 0.2, 'b'),
+    line(
+        'router-1',
+        0.9,
+        'dispatch failed: connection_failed connection lost',
+        'a',
+        peer='10.0.0.1:80',
+        endpoint='e1',
+        events=4,
+        again=False,
+    ),
+    line(
+        'router-1',
+        0.9,
+        'request failed: outcome_unknown request may have run',
+        'a',
+        status=200,
+        execution='unknown',
+    ),
+    ended('router-1', 0.9, 'a', whole=False),
+]
+
+
+def told(lines):
+    return explain.stories(log_lines.parse(lines))
+
+
+class TestStory:
+    """Guards against a story that mixes requests, routers or clocks."""
+
+    def test_story_matches_golden_file(self, snapshot):
+        found = told(BROKEN)
+        assert [story.request_id for story in found] == ['b', 'a']
+        text = '\n'.join(explain.render(found[1]))
+        assert text == snapshot
+
+    def test_lines_of_one_router_keep_their_order(self):
+        """A clock that was set back must not turn the story around."""
+        lines = [
+            dispatched('router-1', 5.0, 'a'),
+            ended('router-1', 1.0, 'a', 503),
+        ]
+        story = told(lines)[0]
+        assert [each.message for each in story.lines] == [
+            'dispatched',
+            'request ended',
+        ]
+
+    def test_same_id_at_two_routers_is_told_twice(self):
+        lines = [
+            dispatched('router-1', 0.0, 'a'),
+            dispatched('router-2', 0.0, 'a'),
+        ]
+        assert len(told(lines)) == 2
+
+    def test_other_text_between_the_lines_is_left_out(self):
+        lines = ['Task(id=1) took longer\n', '{"half": \n', 'front-1 ']
+        lines[2] += dispatched('router-1', 0.0, 'a')
+        lines.append('{"time": 5, "message": "x"}\n')
+        assert len(told(lines)) == 1
+
+
+def failed(message, **fields):
+    return line('router-1', 1.0, f'request failed: {message}', 'a', **fields)
+
+
+CASES = {
+    'store-lost': [
+        line('router-1', 0.0, 'store lost: refused'),
+        failed('not_run configuration is old', configuration_age=4.1),
+    ],
+    'router-starting': [failed('not_run no configuration yet')],
+    'retry-budget': [failed('overloaded not run: retry budget is used up')],
+    'no-endpoint': [failed('overloaded no endpoint of 0 can take it')],
+    'no-route': [failed('unknown_target no route for this host')],
+    'unknown-key': [failed('unauthenticated no customer holds the key')],
+    'deadline': [failed('answer_late no complete answer')],
+    'endpoint-lost': BROKEN,
+    'connection-broken': [
+        line(
+            'router-1',
+            0.0,
+            'dispatch failed: connection_failed reset',
+            'a',
+            peer='p',
+        ),
+        failed('outcome_unknown request may have run'),
+    ],
+    'endpoint-failed': [
+        dispatched('router-1', 0.0, 'a'),
+        ended('router-1', 0.1, 'a', 500),
+    ],
+    'caller-left': [
+        dispatched('router-1', 0.0, 'a'),
+        line('router-1', 0.1, 'caller left before its answer', 'a'),
+    ],
+    'other': [failed('bad_input the head can be read in two ways')],
+    'served': [
+        dispatched('router-1', 0.0, 'a'),
+        ended('router-1', 0.1, 'a'),
+    ],
+}
+
+
+class TestCauses:
+    """Guards against a cause that is not the one that the lines show."""
+
+    @pytest.mark.parametrize('name', CASES)
+    def test_each_cause_is_told(self, name):
+        story = next(
+            each for each in told(CASES[name]) if each.request_id == 'a'
+        )
+        found, text = explain.cause(story)
+        assert found == name
+        assert text
+
+    def test_every_cause_has_a_case(self):
+        assert set(CASES) == {*explain.CAUSES.entries, explain.SERVED}
+
+    def test_summary_counts_failures_alone(self):
+        lines = BROKEN + [ended('router-2', 0.3, 'c', 500)]
+        assert explain.summary(told(lines)) == {
+            'endpoint-lost': 1,
+            'endpoint-failed': 1,
+        }
+
+
+class TestCommand:
+    """Guards against a command that fails on what operators have."""
+
+    def test_request_is_found_in_several_files(self, tmp_path, capsys):
+        paths = []
+        for router in CLOCKS:
+            paths.append(tmp_path / f'{router}.log')
+            own = [each for each in BROKEN if f'"{router}"' in each]
+            paths[-1].write_text(''.join(own))
+        commands = cli.Commands()
+        assert commands.explain('a', *paths) == cli.EXIT_OK
+        assert 'endpoint-lost' in capsys.readouterr().out
+        assert commands.explain('unknown', *paths) == cli.EXIT_FAILED
+        assert commands.explain(paths[0], summary=True) == cli.EXIT_OK
+        assert '1 endpoint-lost' in capsys.readouterr().out
+
+    def test_missing_file_is_named(self):
+        with pytest.raises(errors.BadInput, match='missing.log'):
+            cli.Commands().explain('a', 'missing.log')
