--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -27,8 +27,8 @@
     failed = []
     for each in range(seed, seed + seeds):
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{each}-'))
-        breaches = curio.run(soak.run, each, size, directory)
-        soak.report(each, size, directory, breaches)
+        seen, breaches = curio.run(soak.run, each, size, directory)
+        soak.report(each, size, directory, seen, breaches)
         if breaches:
             failed.append(each)
     print(f'{seeds - len(failed)} of {seeds} seeds without a breach; {failed}')
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -15,6 +15,12 @@
 # From the store's answer until the last request reaches the endpoint.
 LEAVING_SECONDS = 3.0
 EVENTS = 6
+# Faults that delay the news of an endpoint's leaving, and how long before it
+# they count.
+LATE = ('store-', 'router-')
+TOUCH_SECONDS = 3.0
+# Faults other than the stop that break off answers.
+BREAKING = ('endpoint-', 'router-kill', 'router-pause')
 
 
 def find_breaches(seen):
@@ -111,7 +117,7 @@
         late = execution.at - left_at
         if late <= LEAVING_SECONDS:
             continue
-        if not seen.was_disturbed(left_at - 1.0, execution.at):
+        if not seen.had_fault(left_at - TOUCH_SECONDS, execution.at, LATE):
             yield execution.request_id, f'sent {late:.2f} s after it left'
 
 
@@ -143,8 +149,8 @@
                 and stop.ordered_at < outcome.ended_at
                 and outcome.error.startswith('Disconnected')
                 and outcome.request_id in by_request
-                and not seen.was_disturbed(
-                    outcome.started_at, outcome.ended_at
+                and not seen.had_fault(
+                    outcome.started_at, outcome.ended_at, BREAKING
                 )
             ):
                 yield outcome.request_id, 'cut off by a planned stop'
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -55,7 +55,7 @@
     try:
         await FAULTS.get(event.fault)(fleet, event)
     finally:
-        fleet.seen.disturbed.append((began, observations.now()))
+        fleet.seen.faults.append((began, observations.now(), event.fault))
 
 
 def router_of(fleet, event):
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -10,7 +10,6 @@
 
     :param str router: name of the router that took it.
     :param str key: key that it carried.
-    :param str last_event: last event that the caller had before.
     :param int status: 0 if no head of an answer came.
     :param bool not_run: whether the answer says that nothing ran.
     :param bool whole: whether the answer was complete.
@@ -70,8 +69,7 @@
 
     :param dict revoked_at: when each key was taken away.
     :param dict left_at: when the store listed an endpoint as leaving.
-    :param list disturbed: (start, end) of faults between routers, store and
-        endpoints.
+    :param list faults: (start, end, name) of each fault.
     """
 
     outcomes: list = dataclasses.field(default_factory=list)
@@ -81,12 +79,16 @@
     recovery: list = dataclasses.field(default_factory=list)
     revoked_at: dict = dataclasses.field(default_factory=dict)
     left_at: dict = dataclasses.field(default_factory=dict)
-    disturbed: list = dataclasses.field(default_factory=list)
+    faults: list = dataclasses.field(default_factory=list)
 
-    def was_disturbed(self, start, end):
-        """Return whether a fault overlaps a span of time."""
+    def had_fault(self, start, end, names):
+        """Return whether a fault overlaps a span of time.
+
+        :param tuple names: what the names of such faults begin with.
+        """
         return any(
-            began < end and ended > start for began, ended in self.disturbed
+            began < end and ended > start and name.startswith(names)
+            for began, ended, name in self.faults
         )
 
 
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -50,7 +50,7 @@
 
 
 async def run(seed, size, directory):
-    """Play one seed; return the breaches."""
+    """Play one seed; return what was seen, and the breaches."""
     plan = faults.make_plan(random.Random(seed), size.seconds, size.rate)
     fleet = fleets.Fleet(seed, directory, size.routers, size.endpoints)
     try:
@@ -58,7 +58,7 @@
         await play(fleet, plan, seed, size)
     finally:
         await fleet.stop()
-    return [
+    return fleet.seen, [
         Breach(name, request_id, text, tuple(lines(fleet, request_id)))
         for name, request_id, text in checks.find_breaches(fleet.seen)
     ]
@@ -111,7 +111,18 @@
     return fleet.lines_about(request_id)[-SHOWN_LINES:] if request_id else []
 
 
-def report(seed, size, directory, breaches):
+def count(seen):
+    """Return what a run came to, in a few words."""
+    whole = sum(
+        each.whole and each.status == checks.OK for each in seen.outcomes
+    )
+    return (
+        f'{len(seen.outcomes)} requests, {whole} whole,'
+        f' {len(seen.executions)} executions, {len(seen.faults)} faults'
+    )
+
+
+def report(seed, size, directory, seen, breaches):
     """Print what a run found, with all that is needed to repeat it."""
     command = (
         f'python -m benchmarks.soak --seed={seed} --seconds={size.seconds} '
@@ -119,9 +130,10 @@
         f'--endpoints={size.endpoints} --callers={size.callers}'
     )
     if not breaches:
-        print(f'seed {seed}: no breach')
+        print(f'seed {seed}: no breach; {count(seen)}')
         return
-    print(f'seed {seed}: {len(breaches)} breaches; logs in {directory}')
+    print(f'seed {seed}: {len(breaches)} breaches; {count(seen)}')
+    print(f'  logs in {directory}')
     print(f'  {command}')
     for breach in breaches[:SHOWN_BREACHES]:
         print(f'  {breach.check}: {breach.request_id} {breach.text}')
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,115 @@
+"""The soak: its plan, its checks, and one short run of real processes."""
+
+import dataclasses
+import random
+
+import curio
+import pytest
+
+from benchmarks.soak import callers
+from benchmarks.soak import checks
+from benchmarks.soak import faults
+from benchmarks.soak import observations
+from benchmarks.soak import soak
+from tests import platform_standins as standins
+
+GOOD = observations.Outcome(
+    'r1', 'whole', 'router-0', standins.KEY, 10.0, 10.1, 200, whole=True
+)
+GOOD = dataclasses.replace(GOOD, body=b'whole answer')
+RUN = observations.Execution('r1', 'e1', 10.05, True)
+
+
+def outcome(**fields):
+    return dataclasses.replace(GOOD, **fields)
+
+
+def seen(outcomes=(GOOD,), executions=(RUN,), **more):
+    return observations.Observations(list(outcomes), list(executions), **more)
+
+
+BREACHES = {
+    'unknown-keys': seen([outcome(key=callers.UNKNOWN_KEY)]),
+    'revoked-keys': seen([outcome(key='k')], revoked_at={'k': 4.9}),
+    'known-keys': seen([outcome(status=401)], []),
+    'at-most-once': seen([outcome(kind='once')], [RUN, RUN]),
+    'true-refusals': seen([outcome(status=503, not_run=True)]),
+    'whole-answers': seen([outcome(body=b'whole ans')]),
+    'leaving-endpoints': seen(left_at={'e1': 7.0}),
+    'versions': seen(
+        versions=[
+            observations.Version('router-0-1', 4),
+            observations.Version('router-0-1', 3),
+        ]
+    ),
+    'planned-stops': seen(
+        [outcome(whole=False, error='Disconnected: closed')],
+        stops=[observations.Stop('router-0', 9.0, 11.0, 0)],
+    ),
+    'recovery': seen(recovery=[outcome(status=503)]),
+}
+
+
+class TestChecks:
+    """Guards against a soak that can't fail."""
+
+    @pytest.mark.parametrize('name', BREACHES)
+    def test_each_check_finds_its_breach(self, name):
+        found = list(checks.find_breaches(BREACHES[name]))
+        assert [each[0] for each in found] == [name]
+
+    def test_every_check_has_a_breach(self):
+        assert set(BREACHES) == set(checks.CHECKS.entries)
+
+    def test_good_requests_are_no_breach(self):
+        assert list(checks.find_breaches(seen())) == []
+
+    def test_stream_with_a_doubled_event_is_found(self):
+        doubled = standins.event(1) + standins.events(checks.EVENTS)
+        found = seen([outcome(kind='stream', body=doubled)])
+        assert [each[0] for each in checks.find_breaches(found)] == [
+            'whole-answers'
+        ]
+
+    def test_faults_excuse_only_what_they_cause(self):
+        late = dataclasses.replace(BREACHES['leaving-endpoints'])
+        late.faults = [(9.0, 9.5, 'endpoint-reset')]
+        assert list(checks.find_breaches(late))
+        late.faults = [(9.0, 9.5, 'store-away')]
+        assert not list(checks.find_breaches(late))
+
+    def test_stop_that_had_to_be_killed_is_found(self):
+        found = seen(stops=[observations.Stop('router-0', 9.0, 18.0, None)])
+        assert [each[0] for each in checks.find_breaches(found)] == [
+            'planned-stops'
+        ]
+
+
+class TestPlan:
+    """Guards against a run that a seed does not repeat."""
+
+    def test_seed_decides_the_plan(self):
+        plans = [
+            faults.make_plan(random.Random(seed), 20.0, 1.0)
+            for seed in (7, 7, 8)
+        ]
+        assert plans[0] == plans[1] != plans[2]
+        assert len(plans[0]) == 20
+
+    def test_fifty_seeds_play_every_fault(self):
+        names = {
+            event.fault
+            for seed in range(50)
+            for event in faults.make_plan(random.Random(seed), 15.0, 1.0)
+        }
+        assert names == set(faults.FAULTS.entries)
+
+
+class TestRun:
+    """Guards against promises that router processes break under faults."""
+
+    def test_short_run_keeps_all_promises(self, tmp_path):
+        size = soak.Size(seconds=4.0, routers=3, callers=4)
+        found, breaches = curio.run(soak.run, 5, size, tmp_path)
+        assert breaches == []
+        assert len(found.executions) > 50
