Watch only endpoints in use, and compute the bounds in one place

With 95 endpoints each router woke 475 times a second to look at endpoints that had no request of it. A task now exists while an endpoint has requests, is lost, or lies in a failure domain under suspicion. The retry budget and the limit of keys are computed from the placement in force, so that a reload does not repeat the constructor.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -1,6 +1,7 @@
 """Command: python -m benchmarks.soak --seed=1 (or --seeds=50)."""
 
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -23,6 +24,7 @@
     :param float rate: faults for each second.
     """
     logs.configure('CRITICAL', 'text')
+    signal.signal(signal.SIGTERM, end)
     size = soak.Size(seconds, rate, routers, endpoints, callers)
     failed = []
     for each in range(seed, seed + seeds):
@@ -35,5 +37,10 @@
     sys.exit(bool(failed))
 
 
+def end(number, frame):
+    """End as after an interrupt, which ends the processes, too."""
+    sys.exit(128 + number)
+
+
 if __name__ == '__main__':
     fire.Fire(main)
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -17,7 +17,9 @@
 KINDS = ('whole', 'once', 'stream', 'rigid')
 UNKNOWN_KEY = 'key-unknown'
 UNKNOWN_KEY_SHARE = 0.03
+# Callers that leave early, and when.
 LEAVING_SHARE = 0.03
+MAX_EARLY_SECONDS = 0.1
 SEAL = 'celeryward-response-seal'
 # Statuses of the router itself that say that nothing ran.
 NOT_RUN_STATUSES = frozenset((400, 401, 403, 404, 429, 503))
@@ -50,7 +52,10 @@
     async def send_next(self):
         """Send one request of a random kind, and note how it ended."""
         kind = self.generator.choice(KINDS)
-        outcome = await self.send(kind, self.pick_key())
+        wait = PATIENCE_SECONDS
+        if self.generator.random() < LEAVING_SHARE:
+            wait = self.generator.random() * MAX_EARLY_SECONDS
+        outcome = await self.send(kind, self.pick_key(), wait)
         if outcome is not None:
             self.fleet.seen.outcomes.append(outcome)
 
@@ -62,19 +67,18 @@
             [*self.fleet.keys, *self.fleet.seen.revoked_at]
         )
 
-    async def send(self, kind, key):
+    async def send(self, kind, key, wait=PATIENCE_SECONDS):
         """Return the :class:`observations.Outcome` of one request.
 
         None if no router took the connection.
+
+        :param float wait: seconds after which the caller leaves.
         """
         if not await self.connect():
             return None
         self.sent += 1
         request_id = f'c{self.number}-{self.sent}'
         started_at = observations.now()
-        wait = PATIENCE_SECONDS
-        if self.generator.random() < LEAVING_SHARE:
-            wait = self.generator.random() * 0.1
         fields = {'error': '', 'status': 0}
         try:
             await self.exchange(kind, key, request_id, wait, fields)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -1,5 +1,6 @@
 """Router processes, the store and the endpoints of a soak."""
 
+import atexit
 import dataclasses
 import os
 import pathlib
@@ -186,6 +187,8 @@
 
     async def start(self):
         """Start the store, the endpoints and the routers."""
+        # An interrupted run must not leave processes behind.
+        atexit.register(self.end_processes)
         await self.store.start()
         for endpoint in self.endpoints:
             await endpoint.start()
@@ -316,12 +319,18 @@
                     observations.Version(process, version)
                 )
 
-    async def stop(self):
+    def end_processes(self):
         """End all processes that this run started, by their ids."""
         for router in self.routers:
             if router.alive:
-                router.signal(signal.SIGCONT)
-                await self.kill_router(router)
+                router.popen.kill()
+                router.popen.wait()
+
+    async def stop(self):
+        """End everything that this run started."""
+        self.end_processes()
+        atexit.unregister(self.end_processes)
+        for router in self.routers:
             await router.proxy.stop()
         for endpoint in self.endpoints:
             await endpoint.server.stop()
--- a/celeryward/endpoints/monitor.py
+++ b/celeryward/endpoints/monitor.py
@@ -1,4 +1,4 @@
-"""One task for each endpoint: notices when it has vanished.
+"""One task for each endpoint in use: notices when it has vanished.
 
 A request gives no sign of life while it is queued, and neither does an
 endpoint behind a partition. A new connection tells the two apart at once,
@@ -21,7 +21,7 @@
 
 
 class Monitor:
-    """Runs the task of each endpoint that the store lists.
+    """Runs the task of each endpoint that has requests or may be lost.
 
     :param table: :class:`runners.RunnerTable`.
     :param outcomes: :class:`outcomes.Outcomes`.
@@ -40,28 +40,48 @@
     async def run(self):
         """Start and stop tasks as endpoints come and go."""
         while True:
-            wanted = {each.key: each for each in self.table.runners.values()}
-            for key in self.tasks.keys() - wanted.keys():
-                await self.tasks.pop(key).cancel()
-            for key in wanted.keys() - self.tasks.keys():
-                self.tasks[key] = await curio.spawn(
-                    self.watch, wanted[key], daemon=True
-                )
+            listed = {each.key for each in self.table.runners.values()}
+            for key, task in tuple(self.tasks.items()):
+                if task.terminated:
+                    del self.tasks[key]
+                elif key not in listed:
+                    await self.tasks.pop(key).cancel()
+            for runner in tuple(self.to_watch()):
+                if runner.key not in self.tasks:
+                    self.tasks[runner.key] = await curio.spawn(
+                        self.watch, runner, daemon=True
+                    )
             await curio.sleep(TICK_SECONDS)
 
+    def to_watch(self):
+        """Yield the endpoints that need a task."""
+        runners = self.table.runners
+        for runner_id in self.outcomes.in_flight:
+            if runner_id in runners:
+                yield runners[runner_id]
+        domains = self.outcomes.lost_domains(runners.values())
+        if domains:
+            for runner in runners.values():
+                if runner.failure_domain in domains:
+                    yield runner
+
     async def watch(self, runner):
-        """Watch one endpoint until cancelled."""
-        while True:
-            await curio.sleep(TICK_SECONDS)
+        """Watch one endpoint as long as it needs it."""
+        while self.is_used(runner) or self.in_lost_domain(runner):
             if self.is_silent(runner) or self.in_lost_domain(runner):
                 if await self.can_connect(runner):
                     self.outcomes.heard(runner.id)
                 else:
                     await self.lost(runner)
+            await curio.sleep(TICK_SECONDS)
+
+    def is_used(self, runner):
+        """Return whether the endpoint has requests of this router."""
+        return bool(self.outcomes.in_flight.get(runner.id))
 
     def is_silent(self, runner):
         """Return whether requests wait and nothing has come for a while."""
-        if not self.outcomes.in_flight.get(runner.id):
+        if not self.is_used(runner):
             return False
         heard_at = self.outcomes.heard_at.get(runner.id, 0.0)
         return time.monotonic() - heard_at > SILENCE_SECONDS
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -1,6 +1,5 @@
 """One router process: builds its parts, starts its tasks and stops them."""
 
-import functools
 import os
 import time
 
@@ -57,9 +56,7 @@
         self.tasks = []
         bounds = placement.bounds
         self.configuration = ingress.ConfigurationHolder()
-        self.freshness = freshness.Freshness(
-            bounds.revoked_key_seconds - tuning.key_reserve
-        )
+        self.freshness = freshness.Freshness(self.key_age_limit())
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.Outcomes()
         self.releases = releases.Releases(
@@ -90,7 +87,7 @@
             ),
             self.forwarder,
             translator,
-            functools.partial(new_budget, bounds, tuning, self.count_routers),
+            self.new_budget,
             self.metrics,
         )
         self.gateway = gateway.Gateway(
@@ -162,6 +159,23 @@
         age = self.freshness.age()
         return -1.0 if age is None else age
 
+    def key_age_limit(self):
+        """Return the age of the configuration up to which keys are good."""
+        bound = self.placement.bounds.revoked_key_seconds
+        return bound - self.tuning.key_reserve
+
+    def new_budget(self):
+        """Return a retry budget within what all routers may use."""
+        bounds = self.placement.bounds
+        least = min(MIN_BURST, bounds.retry_slack / MIN_ROUTERS)
+        share = bounds.retry_slack / self.count_routers()
+        slack = min(MAX_BURST, max(least, share))
+        return retries.RetryBudget(
+            share=bounds.retry_ratio * self.tuning.retry_part,
+            start=slack,
+            most=slack,
+        )
+
     def count_routers(self):
         """Return how many routers are known, this one included."""
         return max(MIN_ROUTERS, self.view.members.count)
@@ -277,15 +291,10 @@
             return
         self.placement = placement
         bounds = placement.bounds
-        self.freshness.limit_seconds = (
-            bounds.revoked_key_seconds - self.tuning.key_reserve
-        )
+        self.freshness.limit_seconds = self.key_age_limit()
         self.releases.set_bounds(
             bounds.bad_version_share, bounds.session_seconds
         )
-        self.relay.budgets.default_factory = functools.partial(
-            new_budget, bounds, self.tuning, self.count_routers
-        )
         logs.bind(step='reload', peer=placement.name).info('settings reloaded')
 
     async def follow_settings(self):
@@ -311,12 +320,3 @@
         tuning.confidence_midpoint,
         tuning.confidence_width,
     )
-
-
-def new_budget(bounds, tuning, count_routers):
-    """Return a retry budget within what all routers may use."""
-    least = min(MIN_BURST, bounds.retry_slack / MIN_ROUTERS)
-    slack = min(MAX_BURST, max(least, bounds.retry_slack / count_routers()))
-    return retries.RetryBudget(
-        share=bounds.retry_ratio * tuning.retry_part, start=slack, most=slack
-    )
