--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -288,7 +288,9 @@
             arguments are files then.
         """
         if summary:
-            files = tuple(part for part in (request, *files) if part)
+            # The command line takes the word after the option as its value.
+            named = () if summary is True else (summary,)
+            files = tuple(part for part in (*named, request, *files) if part)
         lines = log_lines.read(map(str, files or (log_lines.STANDARD_INPUT,)))
         found = explain.stories(lines)
         if summary:
--- a/celeryward/operators/explain.py
+++ b/celeryward/operators/explain.py
@@ -132,7 +132,8 @@
 def caller_left(story):
     """The caller ended the connection."""
     line = story.last(LEFT)
-    if line is not None:
+    # A caller that leaves at its deadline has seen a failure before.
+    if line is not None and not story.code:
         return f'the caller left after {line.get("seconds")} s'
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -176,6 +176,10 @@
         assert found == name
         assert text
 
+    def test_caller_that_leaves_after_a_failure_is_not_its_cause(self):
+        lines = [*CASES['deadline'], CASES['caller-left'][1]]
+        assert explain.cause(told(lines)[0])[0] == 'deadline'
+
     def test_every_cause_has_a_case(self):
         assert set(CASES) == {*explain.CAUSES.entries, explain.SERVED}
 
@@ -200,8 +204,10 @@
         assert commands.explain('a', *paths) == cli.EXIT_OK
         assert 'endpoint-lost' in capsys.readouterr().out
         assert commands.explain('unknown', *paths) == cli.EXIT_FAILED
-        assert commands.explain(paths[0], summary=True) == cli.EXIT_OK
-        assert '1 endpoint-lost' in capsys.readouterr().out
+        for arguments in (['--summary', *paths], [*paths, '--summary']):
+            with pytest.raises(SystemExit):
+                cli.main(['explain', *map(str, arguments)])
+            assert '1 endpoint-lost' in capsys.readouterr().out
 
     def test_missing_file_is_named(self):
         with pytest.raises(errors.BadInput, match='missing.log'):
