Split the evidence on new versions from their roll-outs

What one run says against a version is a module of its own; the tests of routers that follow each other are split, too. No change of behaviour but one: beside an old version that fails each run, a good answer of the new one counted as proof against it (log odds of 0.05 to almost nothing), and a rate of exactly one would have divided by zero.

--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -17,6 +17,7 @@
 
 from celeryward import hashing
 from celeryward import logs
+from celeryward.raters import evidence
 
 # Routers note the start of an order after a random part of this, so that
 # mostly one does.
@@ -37,19 +38,11 @@
 # A session is remembered a little longer than it counts as one.
 SESSION_FACTOR = 1.5
 MAX_SESSIONS = 20_000
-# Failure rate by which a bad version exceeds the old one, and the log odds
-# at which one router alone finds it bad. The first of all routers to find it
-# decides, so each of several has to be surer.
-BAD_EXCESS = 0.25
+# Log odds at which one router alone finds a version bad. The first of all
+# routers to find it decides, so each of several has to be surer.
 BAD_LOG_ODDS = 4.0
-GOOD_FAILURE_RATE = 0.02
-# A run counts as a failure if it takes this many times as long as the old
-# version usually takes.
-SLOW_FACTOR = 4.0
 # Requests that wait in one queue fail together, which says no more than one.
 SAME_ENDPOINT_SECONDS = 2.0
-MIN_OLD_SAMPLES = 5
-SAMPLE_WEIGHT = 0.1
 
 
 class State(enum.Enum):
@@ -128,39 +121,6 @@
     until: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Usual:
-    """What runs of one kind at the old version come to, as averages.
-
-    :param float pace: seconds for a unit of work.
-    """
-
-    failure_rate: float = GOOD_FAILURE_RATE
-    pace: float = 0.0
-    samples: int = 0
-
-    def with_run(self, failed, pace):
-        """Return the averages after one more run.
-
-        Slow runs count as failures, as they do at the new version.
-        """
-        failed = failed or self.is_slow(pace)
-        rate = self.failure_rate + SAMPLE_WEIGHT * (failed - self.failure_rate)
-        rate = max(GOOD_FAILURE_RATE, rate)
-        if pace is None:
-            return dataclasses.replace(self, failure_rate=rate)
-        samples = self.samples + 1
-        weight = max(SAMPLE_WEIGHT, 1 / samples)
-        mean = self.pace + weight * (pace - self.pace)
-        return Usual(rate, mean, samples)
-
-    def is_slow(self, pace):
-        """Return whether a run took far longer than is usual."""
-        if pace is None or self.samples < MIN_OLD_SAMPLES:
-            return False
-        return pace > self.pace * SLOW_FACTOR
-
-
 class Releases:
     """Chooses the software version of each request and judges new ones.
 
@@ -306,7 +266,7 @@
         if progress is None or software != progress.order.target:
             self.note_old((service, kind), failed, pace)
             return
-        usual = self.usual.get((service, kind), Usual())
+        usual = self.usual.get((service, kind), evidence.Usual())
         failed = failed or usual.is_slow(pace)
         if failed and not self.is_news(endpoint):
             return
@@ -314,7 +274,10 @@
         tally = Tally(
             tally.answers + 1,
             tally.failures + failed,
-            max(0.0, tally.log_odds + evidence(failed, usual.failure_rate)),
+            max(
+                0.0,
+                tally.log_odds + evidence.log_odds(failed, usual.failure_rate),
+            ),
         )
         progress = dataclasses.replace(progress, tally=tally)
         self.progress[service] = progress
@@ -341,7 +304,9 @@
 
     def note_old(self, key, failed, pace):
         """Update what is usual for one kind of runs of a service."""
-        self.usual[key] = self.usual.get(key, Usual()).with_run(failed, pace)
+        self.usual[key] = self.usual.get(key, evidence.Usual()).with_run(
+            failed, pace
+        )
 
     def decide(self, service, state):
         """Fix the verdict on an order and tell the listeners."""
@@ -396,11 +361,3 @@
                 yield dataclasses.replace(
                     progress.order, state=progress.verdict
                 )
-
-
-def evidence(failed, usual):
-    """Return the log likelihood ratio of bad against usual for one run."""
-    bad = min(0.95, usual + BAD_EXCESS)
-    if failed:
-        return math.log(bad / usual)
-    return math.log((1 - bad) / (1 - usual))
--- /dev/null
+++ b/tests/test_passed_changes.py
@@ -0,0 +1,162 @@
+"""A router that follows another one, against a stand-in of the store."""
+
+import dataclasses
+
+import curio
+
+from celeryward import deadlines
+from celeryward.objects import freshness
+from celeryward.routers import members
+from celeryward.routers import publisher
+from tests import fakes
+from tests import platform_standins as standins
+
+
+def other(number):
+    """Return a router that is listed, but does not run."""
+    return members.Member(f'router-{number}', 'a', '127.0.0.1', 1, 10.0)
+
+
+class Pair:
+    """A router of a site that follows another router."""
+
+    def __init__(self, site):
+        self.site = site
+        self.leader = site.router
+
+    async def start(self):
+        """Start the other routers, and tell all who is there."""
+        await self.site.start()
+        self.leader = self.site.router
+        self.site.name = 'router-2'
+        await self.site.start_router()
+        self.follower = self.site.router
+        view = self.follower.view
+        view.roster.read = self.read_nothing
+        listed = [other(each) for each in range(3, 6)]
+        lead = members.Member(
+            'router-1', 'a', '127.0.0.1', self.leader.peers.port, 100.0
+        )
+        view.members.replace([lead, *listed])
+        await standins.until(self.follower.is_ready)
+        # The watches of the start end first.
+        await curio.sleep(self.site.tuning.configuration_wait + 0.1)
+
+    async def read_nothing(self):
+        """Stand in for the list of routers, which the test sets."""
+
+    async def stop(self):
+        """Stop both."""
+        for router in (self.leader, self.follower):
+            self.site.router = router
+            for task in router.tasks:
+                await task.cancel()
+        self.site.router = self.leader
+        await self.site.stop()
+        for part in (
+            self.follower.callers,
+            self.follower.readiness,
+            self.follower.exposition,
+            self.follower.peers,
+        ):
+            await part.stop_accepting()
+            await part.drain(deadlines.Deadline.after(0.0))
+
+
+def on_pair(test):
+    """Run a coroutine test on two routers, of which one follows."""
+
+    @fakes.in_kernel
+    async def run(self):
+        site = standins.Site([standins.RunnerStandIn('app-1', 'app')])
+        site.tuning = dataclasses.replace(site.tuning, object_wait=0.3)
+        pair = Pair(site)
+        await pair.start()
+        try:
+            await test(self, pair)
+        finally:
+            await pair.stop()
+
+    return run
+
+
+class TestPassedChanges:
+    """Guards against routers that each ask the store for the same."""
+
+    @on_pair
+    async def test_follower_makes_no_calls_and_stays_fresh(self, pair):
+        before = pair.follower.view.store.calls
+        for _ in range(20):
+            await curio.sleep(0.1)
+            assert pair.follower.freshness.age() < 4.0
+        assert pair.follower.view.store.calls == before
+
+    @on_pair
+    async def test_change_reaches_the_follower_at_once(self, pair):
+        spec = standins.configuration(7)
+        await pair.site.store.put('config', 'main', spec)
+        held = pair.follower.configuration
+        await standins.until(lambda: held.current.version == 7, 0.5)
+
+    @on_pair
+    async def test_endpoint_that_leaves_is_noticed(self, pair):
+        runner = pair.site.runners['app-1']
+        entry = runner.entry('draining')
+        await pair.site.store.put('servers', 'app-1', entry)
+        table = pair.follower.runners
+        await standins.until(lambda: not list(table.of_service('app')), 1.0)
+
+    @on_pair
+    async def test_ended_leader_is_replaced_by_the_store(self, pair):
+        before = pair.follower.view.store.calls
+        for task in pair.leader.tasks:
+            await task.cancel()
+        await pair.leader.peers.stop_accepting()
+        await pair.leader.peers.drain(deadlines.Deadline.after(0.0))
+        spec = standins.configuration(8)
+        await pair.site.store.put('config', 'main', spec)
+        held = pair.follower.configuration
+        await standins.until(lambda: held.current.version == 8, 3.0)
+        assert pair.follower.view.store.calls > before
+        assert pair.follower.view.members.leader() is None
+
+    @on_pair
+    async def test_silent_leader_does_not_let_keys_lapse(self, pair):
+        """A leader that hangs must be given up before the bound on keys."""
+
+        async def hang(target):
+            await curio.sleep(100.0)
+
+        pair.leader.view.publisher.answer = hang
+        deadline = deadlines.Deadline.after(5.0)
+        while not deadline.expired():
+            await curio.sleep(0.05)
+            assert pair.follower.freshness.is_fresh()
+
+    @on_pair
+    async def test_large_change_comes_from_the_store(self, pair):
+        spec = standins.configuration(9)
+        spec['note'] = 'x' * publisher.MAX_ANSWER_BYTES
+        await pair.site.store.put('config', 'main', spec)
+        held = pair.follower.configuration
+        await standins.until(lambda: held.current.version == 9, 1.0)
+        assert pair.follower.view.members.leader() is not None
+
+    @on_pair
+    async def test_leader_without_the_store_passes_nothing_on(self, pair):
+        view = pair.leader.view
+        view.freshness.confirmed_at -= view.publisher.pacing.leader_age + 1.0
+        status, _ = await view.publisher.answer(
+            '/changes/config?since=1&wait=1'
+        )
+        assert status == 503
+
+    @on_pair
+    async def test_outage_that_the_leader_saw_keeps_entries(self, pair):
+        """Entries that lapse in an outage may be back soon."""
+        leader = pair.leader.view.followers[1]
+        leader.failed_at = freshness.boot_seconds()
+        await standins.until(pair.follower.view.was_away, 3.0)
+        await pair.site.store.delete('servers', 'app-1')
+        await curio.sleep(0.8)
+        assert list(pair.follower.runners.of_service('app'))
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -157,6 +157,14 @@
             rating.observe(SERVICE, 'v2', 'k', False, paces[number % 4])
         assert rating.progress[SERVICE].verdict is releases.State.RUNNING
 
+    def test_good_answer_beside_failing_old_ones_is_no_proof(self, rating):
+        """A good answer then counted as proof against the new version."""
+        for _ in range(500):
+            rating.observe(SERVICE, 'v1', 'k', True, 0.1)
+        for failed in (True, False):
+            rating.observe(SERVICE, 'v2', 'k', failed, 0.1)
+        assert rating.progress[SERVICE].verdict is releases.State.RUNNING
+
     def test_one_busy_endpoint_does_not_undo_a_roll_out(self, rating, clock):
         """Requests in one queue timed out together."""
         self.usual(rating)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -52,6 +52,7 @@
     'objects/replicas.py',
     'raters/cascades.py',
     'raters/estimates.py',
+    'raters/evidence.py',
     'raters/quality.py',
     'raters/releases.py',
     'raters/rollouts.py',
