--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -11,32 +11,48 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 sys.path.append(str(ROOT / 'platform'))
 
+from benchmarks.soak import regressions  # noqa: E402
 from benchmarks.soak import soak  # noqa: E402
 from celeryward import logs  # noqa: E402
 
 
 def main(
-    seed=0, seeds=1, seconds=15.0, rate=1.0, routers=4, endpoints=8, callers=8
+    seed=0,
+    seeds=1,
+    seconds=15.0,
+    rate=1.0,
+    routers=4,
+    endpoints=8,
+    callers=8,
+    known=False,
 ):
     """Run soaks with the seeds from ``seed`` on; end with 1 for a breach.
 
     :param float seconds: time in which faults begin.
     :param float rate: faults for each second.
+    :param bool known: play the seeds that once failed instead.
     """
     logs.configure('CRITICAL', 'text')
     signal.signal(signal.SIGTERM, end)
+    numbers = range(seed, seed + seeds)
+    if known:
+        numbers = [case.seed for case in regressions.CASES]
+        seconds = regressions.SECONDS
     size = soak.Size(seconds, rate, routers, endpoints, callers)
-    failed = []
-    for each in range(seed, seed + seeds):
-        directory = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{each}-'))
-        seen, breaches = curio.run(soak.run, each, size, directory)
-        soak.report(each, size, directory, seen, breaches)
-        if breaches:
-            failed.append(each)
-    print(f'{seeds - len(failed)} of {seeds} seeds without a breach; {failed}')
+    failed = [each for each in numbers if not keeps_promises(each, size)]
+    count = len(numbers)
+    print(f'{count - len(failed)} of {count} seeds without a breach; {failed}')
     sys.exit(bool(failed))
 
 
+def keeps_promises(seed, size):
+    """Play one seed, report it, and return whether there was no breach."""
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    seen, breaches = curio.run(soak.run, seed, size, directory)
+    soak.report(seed, size, directory, seen, breaches)
+    return not breaches
+
+
 def end(number, frame):
     """End as after an interrupt, which ends the processes, too."""
     sys.exit(128 + number)
