--- a/celeryward/objects/follower.py
+++ b/celeryward/objects/follower.py
@@ -10,7 +10,7 @@
 
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
-LEADER_POLL_SECONDS = 0.1
+FIRST_POLL_SECONDS = 0.1
 # The answer with a change confirms nothing after the change; a short wait
 # then confirms soon that nothing else has changed. It also finds out soon
 # that a store which was away is back.
@@ -41,7 +41,7 @@
     :param Pace pace: how long each watch waits.
     :param receiver: has ``listed(objects)``, ``changed(change)`` and
         ``confirmed(at)``, with ``at`` on the boot-time clock.
-    :param leader: another follower, which finds out whether the store is
+    :param first: another follower, which finds out whether the store is
         back; None if this one does so itself.
     :param mirror: has ``restart(revision)`` and ``extend(changes,
         revision)``, and keeps the changes for others; None for none.
@@ -54,11 +54,11 @@
         kind,
         pace,
         receiver,
-        leader=None,
+        first=None,
         mirror=None,
         clock=freshness.boot_seconds,
     ):
-        self.leader = leader
+        self.first = first
         self.mirror = mirror
         self.source = source
         self.kind = kind
@@ -87,8 +87,8 @@
                 self.since = None
             await curio.sleep(delay)
             delay = min(MAX_RETRY_SECONDS, delay * 2)
-            while self.leader is not None and not self.leader.reachable:
-                await curio.sleep(LEADER_POLL_SECONDS)
+            while self.first is not None and not self.first.reachable:
+                await curio.sleep(FIRST_POLL_SECONDS)
 
     async def list_all(self):
         """Read the whole kind and hand it over."""
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -93,10 +93,10 @@
             self.store, releases, self.translator, self.members
         )
 
-    def follower(self, kind, pace, receiver, leader=None):
+    def follower(self, kind, pace, receiver, first=None):
         """Return the follower of a kind."""
         return follower.Follower(
-            self.source, kind, pace, receiver, leader, self.mirrors[kind]
+            self.source, kind, pace, receiver, first, self.mirrors[kind]
         )
 
     def runs(self):
