--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -168,7 +168,8 @@
         self.directory = directory
         self.seen = observations.Observations()
         self.events = 6
-        self.work_seconds = 0.02
+        # Long enough that faults meet requests under way.
+        self.work_seconds = 0.1
         self.store = Store(random.Random(seed))
         self.endpoints = [
             Endpoint(self, number, 'llm' if number % 2 else 'app')
