Keep the platform's wire out of the soak

Only the adapter and its tests know the names of the platform: settings text, headers and keys that the soak needs are in tests/platform_processes.py. The classes that hold what changes are plain classes.

--- a/benchmarks/first_event.py
+++ b/benchmarks/first_event.py
@@ -21,11 +21,11 @@
 from celeryward import deadlines  # noqa: E402
 from celeryward import http  # noqa: E402
 from celeryward import logs  # noqa: E402
+from tests import platform_processes as processes  # noqa: E402
 from tests import platform_standins as standins  # noqa: E402
 
 WARM_UP = 20
 DEADLINE_SECONDS = 5.0
-DIRECT_HEADERS = {'celeryward-model': 'small'}
 
 
 async def first_event_seconds(connection, headers):
@@ -51,13 +51,13 @@
         '127.0.0.1', fleet.endpoints[1].proxy.port, deadline
     )
     routed = await http.connect(
-        fleet.routers[0].host, fleets.CALLER_PORT, deadline
+        fleet.routers[0].host, processes.CALLER_PORT, deadline
     )
     found = {'direct': [], 'routed': []}
     for number in range(requests + WARM_UP):
         headers = standins.headers_of('/stream/x', request_id=f'r{number}')
         pair = (
-            ('direct', direct, {**headers, **DIRECT_HEADERS}),
+            ('direct', direct, processes.direct_headers(headers, 'small')),
             ('routed', routed, headers),
         )
         for name, connection, sent in pair:
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -4,11 +4,11 @@
 
 import curio
 
-from benchmarks.soak import fleet as fleets
 from benchmarks.soak import observations
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
+from tests import platform_processes as processes
 from tests import platform_standins as standins
 
 PATIENCE_SECONDS = 4.0
@@ -20,9 +20,6 @@
 # Callers that leave early, and when.
 LEAVING_SHARE = 0.03
 MAX_EARLY_SECONDS = 0.1
-SEAL = 'celeryward-response-seal'
-# Statuses of the router itself that say that nothing ran.
-NOT_RUN_STATUSES = frozenset((400, 401, 403, 404, 429, 503))
 FAILURES = (errors.CelerywardError, OSError)
 
 
@@ -113,9 +110,7 @@
         )
         answer = await self.connection.receive_response(deadline)
         fields['status'] = answer.status
-        fields['not_run'] = (
-            SEAL not in answer.headers and answer.status in NOT_RUN_STATUSES
-        )
+        fields['not_run'] = processes.is_not_run(answer)
         fields['body'] = await self.connection.receive_body(
             'read body', deadline
         )
@@ -129,7 +124,7 @@
         try:
             self.connection = await http.connect(
                 self.router.host,
-                fleets.CALLER_PORT,
+                processes.CALLER_PORT,
                 deadlines.Deadline.after(CONNECT_SECONDS),
             )
         except errors.ConnectionFailed:
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -1,9 +1,7 @@
 """Router processes, the store and the endpoints of a soak."""
 
 import atexit
-import dataclasses
 import os
-import pathlib
 import random
 import signal
 import subprocess
@@ -18,38 +16,12 @@
 from celeryward import errors
 from celeryward import http
 from celeryward.standins import base
+from tests import platform_processes as processes
 from tests import platform_standins as standins
 
-ROOT = pathlib.Path(__file__).parent.parent.parent
-CALLER_PORT = 18080
-READINESS_PORT = 18081
-METRICS_PORT = 9464
 STARTUP_SECONDS = 10.0
-STOP_SECONDS = 8
 POLL_SECONDS = 0.25
 VERSION_METRIC = 'celeryward_router_configuration_version '
-SETTINGS = """
-nodeName = "{name}"
-zone = "{failure_domain}"
-ip = "{host}"
-portRange = [18090, 18099]
-[listen]
-front = "{host}:{callers}"
-ready = "{host}:{readiness}"
-[bounds]
-strictRevoke = true
-revokeMs = 5000
-graceS = {stop}
-configApplyMs = 2000
-drainMs = 2000
-retryRatio = 0.9
-retrySlack = {slack}
-exposureShare = 0.15
-sessionS = 5.0
-[provider]
-address = "127.0.0.1:{store}"
-historyS = 20
-"""
 
 
 class Store(standins.StoreStandIn):
@@ -106,7 +78,7 @@
         conditions = self.proxy.conditions
         self.fleet.seen.executions.append(
             observations.Execution(
-                arrival.head.headers['celeryward-attempt-id'],
+                processes.request_id(arrival),
                 server.id,
                 observations.now(),
                 conditions == proxy.CLEAR
@@ -136,16 +108,16 @@
         self.fleet.seen.left_at[self.server.id] = observations.now()
 
 
-@dataclasses.dataclass(slots=True)
 class RouterProcess:
     """One router, which is started again with a new process."""
 
-    name: str
-    host: str
-    proxy: proxy.Proxy
-    popen: subprocess.Popen | None = None
-    started: int = 0
-    stopping: bool = False
+    def __init__(self, name, host):
+        self.name = name
+        self.host = host
+        self.proxy = proxy.Proxy()
+        self.popen = None
+        self.started = 0
+        self.stopping = False
 
     @property
     def alive(self):
@@ -178,9 +150,7 @@
         # Processes of several runs on one machine have networks of their own.
         network = f'127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}'
         self.routers = [
-            RouterProcess(
-                f'router-{number}', f'{network}.{number + 1}', proxy.Proxy()
-            )
+            RouterProcess(f'router-{number}', f'{network}.{number + 1}')
             for number in range(routers)
         ]
         self.version = 1
@@ -203,23 +173,15 @@
     async def write_configuration(self):
         """Write a newer configuration with the present keys."""
         self.version += 1
-        spec = standins.configuration(self.version)
-        spec['tenants'][0]['apiKeys'] = list(self.keys)
+        spec = processes.configuration(self.version, self.keys)
         await self.store.put('config', 'main', spec)
 
     def write_settings(self, router, slack=54):
         """Write the settings file of a router."""
         path = self.directory / f'{router.name}.toml'
         path.write_text(
-            SETTINGS.format(
-                name=router.name,
-                failure_domain='a',
-                host=router.host,
-                callers=CALLER_PORT,
-                readiness=READINESS_PORT,
-                store=router.proxy.port,
-                stop=STOP_SECONDS,
-                slack=slack,
+            processes.settings_text(
+                router.name, router.host, router.proxy.port, slack
             )
         )
         return path
@@ -232,9 +194,9 @@
         log = self.directory / f'{router.name}-{router.started}.log'
         with log.open('wb') as output:
             router.popen = subprocess.Popen(
-                [sys.executable, 'platform/run.py'],
-                cwd=ROOT,
-                env={**os.environ, 'CELERYWARD_NODE_FILE': str(path)},
+                [sys.executable, processes.PROGRAM],
+                cwd=processes.ROOT,
+                env={**os.environ, **processes.environment(path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
@@ -246,7 +208,7 @@
         router.stopping = True
         ordered_at = observations.now()
         router.signal(signal.SIGTERM)
-        status = await self.wait_ended(router, STOP_SECONDS + 1.0)
+        status = await self.wait_ended(router, processes.STOP_SECONDS + 1.0)
         self.seen.stops.append(
             observations.Stop(
                 router.name, ordered_at, observations.now(), status
@@ -265,11 +227,11 @@
     async def kill_router(self, router):
         """End a process without notice."""
         router.signal(signal.SIGKILL)
-        await self.wait_ended(router, STOP_SECONDS)
+        await self.wait_ended(router, processes.STOP_SECONDS)
 
     async def is_ready(self, router):
         """Return whether a router says that it is ready."""
-        answer = await self.get(router, READINESS_PORT, '/')
+        answer = await self.get(router, processes.READINESS_PORT, '/')
         return answer is not None and answer[0].status == 200
 
     async def until_ready(self, seconds):
@@ -306,7 +268,9 @@
         while True:
             for router in self.routers:
                 process = f'{router.name}-{router.started}'
-                answer = await self.get(router, METRICS_PORT, '/metrics')
+                answer = await self.get(
+                    router, processes.METRICS_PORT, '/metrics'
+                )
                 if answer is not None:
                     self.note_version(process, answer[1].decode())
             await curio.sleep(POLL_SECONDS)
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -63,23 +63,34 @@
     version: int
 
 
-@dataclasses.dataclass(slots=True)
 class Observations:
     """All that was seen in one run; the checks read it.
 
+    :param list recovery: outcomes after the faults were over.
     :param dict revoked_at: when each key was taken away.
     :param dict left_at: when the store listed an endpoint as leaving.
     :param list faults: (start, end, name) of each fault.
     """
 
-    outcomes: list = dataclasses.field(default_factory=list)
-    executions: list = dataclasses.field(default_factory=list)
-    stops: list = dataclasses.field(default_factory=list)
-    versions: list = dataclasses.field(default_factory=list)
-    recovery: list = dataclasses.field(default_factory=list)
-    revoked_at: dict = dataclasses.field(default_factory=dict)
-    left_at: dict = dataclasses.field(default_factory=dict)
-    faults: list = dataclasses.field(default_factory=list)
+    def __init__(
+        self,
+        outcomes=(),
+        executions=(),
+        stops=(),
+        versions=(),
+        recovery=(),
+        revoked_at=(),
+        left_at=(),
+        faults=(),
+    ):
+        self.outcomes = list(outcomes)
+        self.executions = list(executions)
+        self.stops = list(stops)
+        self.versions = list(versions)
+        self.recovery = list(recovery)
+        self.revoked_at = dict(revoked_at)
+        self.left_at = dict(left_at)
+        self.faults = list(faults)
 
     def had_fault(self, start, end, names):
         """Return whether a fault overlaps a span of time.
--- /dev/null
+++ b/tests/platform_processes.py
@@ -0,0 +1,84 @@
+"""What a router process gets from the users' platform, and what it answers.
+
+Like the stand-ins, it knows the wire of the platform.
+"""
+
+import pathlib
+
+from adapter import messages
+from adapter import settings_file
+
+from tests import platform_standins as standins
+
+ROOT = pathlib.Path(__file__).parent.parent
+PROGRAM = 'platform/run.py'
+CALLER_PORT = 18080
+READINESS_PORT = 18081
+METRICS_PORT = 9464
+STOP_SECONDS = 8
+# Statuses of the router itself that say that nothing ran.
+NOT_RUN_STATUSES = frozenset((400, 401, 403, 404, 429, 503))
+SETTINGS = """
+nodeName = "{name}"
+zone = "{failure_domain}"
+ip = "{host}"
+portRange = [18090, 18099]
+[listen]
+front = "{host}:{callers}"
+ready = "{host}:{readiness}"
+[bounds]
+strictRevoke = true
+revokeMs = 5000
+graceS = {stop}
+configApplyMs = 2000
+drainMs = 2000
+retryRatio = 0.9
+retrySlack = {slack}
+exposureShare = 0.15
+sessionS = 5.0
+[provider]
+address = "127.0.0.1:{store}"
+historyS = 20
+"""
+
+
+def settings_text(name, host, store_port, retry_slack):
+    """Return the settings file of a router."""
+    return SETTINGS.format(
+        name=name,
+        failure_domain='a',
+        host=host,
+        callers=CALLER_PORT,
+        readiness=READINESS_PORT,
+        store=store_port,
+        stop=STOP_SECONDS,
+        slack=retry_slack,
+    )
+
+
+def environment(path):
+    """Return the variables that name the settings file."""
+    return {settings_file.PATH_VARIABLE: str(path)}
+
+
+def configuration(version, keys):
+    """Return the operator's configuration with some keys."""
+    spec = standins.configuration(version)
+    spec['tenants'][0]['apiKeys'] = list(keys)
+    return spec
+
+
+def request_id(arrival):
+    """Return the id of a request that reached an endpoint."""
+    return arrival.head.headers[messages.REQUEST_ID]
+
+
+def is_not_run(head):
+    """Return whether an answer says that the request has not run."""
+    own = messages.SEAL not in head.headers
+    return own and head.status in NOT_RUN_STATUSES
+
+
+def direct_headers(headers, model):
+    """Return the headers with which a router asks an endpoint."""
+    return {**headers, messages.MODEL: model}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,7 +25,7 @@
 
 
 def seen(outcomes=(GOOD,), executions=(RUN,), **more):
-    return observations.Observations(list(outcomes), list(executions), **more)
+    return observations.Observations(outcomes, executions, **more)
 
 
 BREACHES = {
@@ -72,7 +72,7 @@
         ]
 
     def test_faults_excuse_only_what_they_cause(self):
-        late = dataclasses.replace(BREACHES['leaving-endpoints'])
+        late = seen(left_at={'e1': 7.0})
         late.faults = [(9.0, 9.5, 'endpoint-reset')]
         assert list(checks.find_breaches(late))
         late.faults = [(9.0, 9.5, 'store-away')]
