--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -6,8 +6,8 @@
 
 import curio
 
-from celeryward import listener
 from celeryward import logs
+from celeryward.standins import base
 
 HELD_POLL_SECONDS = 0.02
 READ_SIZE_BYTES = 65536
@@ -34,27 +34,18 @@
 CLEAR = Conditions()
 
 
-class Proxy:
+class Proxy(base.StandIn):
     """Passes connections on to a port of the same host.
 
     :param int target: port of the server; it may change.
     """
 
-    def __init__(self, target=0, host='127.0.0.1'):
+    def __init__(self, target=0):
+        super().__init__()
         self.target = target
         self.conditions = CLEAR
-        self.listener = listener.Listener(host, 0, self.handle)
         self.pairs = {}
 
-    @property
-    def port(self):
-        """The port that the proxy listens on."""
-        return self.listener.port
-
-    async def start(self):
-        """Start to accept connections."""
-        await self.listener.start()
-
     async def stop(self):
         """Stop and end all connections."""
         await self.listener.stop_accepting()
--- a/celeryward/operators/explain.py
+++ b/celeryward/operators/explain.py
@@ -22,8 +22,6 @@
 ENDED = 'request ended'
 LEFT = 'caller left'
 SERVED = 'served'
-OK = 200
-BAD_GATEWAY = 502
 # Fields that the text of a line shows, in this order.
 SHOWN = (
     'endpoint',
