--- a/celeryward/callers/checks.py
+++ b/celeryward/callers/checks.py
@@ -24,6 +24,8 @@
     :param outcomes: :class:`outcomes.Outcomes`.
     :param releases: :class:`releases.Releases`.
     :param Economy economy: what answers are worth.
+    :param endpoint_freshness: :class:`freshness.Freshness` of the list of
+        endpoints.
     """
 
     failure_domain: str
@@ -33,6 +35,7 @@
     outcomes: object
     releases: object
     economy: sizes.Economy
+    endpoint_freshness: object
 
 
 class Checks:
@@ -48,11 +51,11 @@
         """Return what a refusal was decided on, for the log."""
         knowledge = self.knowledge
         current = knowledge.configuration.current
-        age = knowledge.freshness.age()
         return {
             'configuration': current.version if current else None,
-            'configuration_age': None if age is None else round(age, 3),
+            'configuration_age': rounded_age(knowledge.freshness),
             'endpoints': len(knowledge.runners.runners),
+            'endpoints_age': rounded_age(knowledge.endpoint_freshness),
         }
 
     def begin(self, ask, head, body):
@@ -99,6 +102,12 @@
         return holder
 
 
+def rounded_age(known):
+    """Return the age of a confirmation in seconds, or None, for the log."""
+    age = known.age()
+    return None if age is None else round(age, 3)
+
+
 def stale():
     """Return the refusal while keys can't be confirmed."""
     return unready('configuration is old', STALE_RETRY_SECONDS)
--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -83,7 +83,9 @@
             return
         if in_outage and not runner.leaving:
             until = deadlines.Deadline.after(self.grace_seconds)
-            self.missing.setdefault(runner_id, until)
+            if runner_id not in self.missing:
+                self.missing[runner_id] = until
+                self.log_missing(runner)
             return
         del self.runners[runner_id]
         self.missing.pop(runner_id, None)
@@ -95,6 +97,16 @@
             service=runner.service,
         ).info('endpoint gone')
 
+    def log_missing(self, runner):
+        """Write one line on an entry that may have lapsed."""
+        logs.bind(
+            step='endpoints',
+            peer=runner.address,
+            endpoint=runner.id,
+            service=runner.service,
+            kept=round(self.missing[runner.id].remaining(), 3),
+        ).info('endpoint missing; kept for a while')
+
     def announce(self, runner):
         """Tell the listeners that one start of an endpoint is over."""
         for listener in self.listeners:
--- a/celeryward/objects/follower.py
+++ b/celeryward/objects/follower.py
@@ -113,6 +113,8 @@
         if outcome.is_err():
             return outcome
         answer = outcome.unwrap()
+        if answer.changes:
+            self.log_changes(answer, started_at)
         for change in answer.changes:
             self.receiver.changed(change)
         self.since = max(self.since, answer.revision)
@@ -128,6 +130,19 @@
             await curio.sleep(self.pace.coalesce_seconds)
         return outcome
 
+    def log_changes(self, answer, started_at):
+        """Write one line on an answer with changes."""
+        logs.bind(
+            step='follow',
+            peer=self.source.peer,
+            kind=self.kind,
+            since=self.since,
+            revision=answer.revision,
+            changes=len(answer.changes),
+            waited=round(self.clock() - started_at, 3),
+            passed_on=answer.passed_on,
+        ).info('changes read')
+
     def note_failure(self, error):
         """Log the first of several failures."""
         self.failed_at = self.clock()
--- a/celeryward/objects/freshness.py
+++ b/celeryward/objects/freshness.py
@@ -1,5 +1,6 @@
-"""How long the configuration may still be relied on."""
+"""How long ago the store confirmed what is believed."""
 
+import math
 import time
 
 BOOT_CLOCK = time.CLOCK_BOOTTIME
@@ -11,25 +12,25 @@
 
 
 class Freshness:
-    """Tells whether keys may have been taken away without being noticed.
+    """Tells how old the store's last word on objects of one kind is.
 
-    The store confirms the configuration whenever it answers a read. Until a
-    bound after that, a key that has been taken away may still be used; so
-    requests with a key are refused from then on.
+    The store confirms them whenever it answers a read. Until a bound after
+    that, a key that has been taken away may still be used; so requests with
+    a key are refused from then on.
 
-    :param float limit_seconds: age of the confirmation up to which requests
-        with a key are served; infinite if keys need no such bound.
+    :param float limit_seconds: age of the confirmation up to which the
+        objects are relied on; infinite if they need no such bound.
     :param clock: function that returns seconds which also pass while the
         host is suspended.
     """
 
-    def __init__(self, limit_seconds, clock=boot_seconds):
+    def __init__(self, limit_seconds=math.inf, clock=boot_seconds):
         self.limit_seconds = limit_seconds
         self.clock = clock
         self.confirmed_at = None
 
     def confirm(self, at):
-        """Note that the configuration was the newest at a time."""
+        """Note that what is held was the newest at a time."""
         if self.confirmed_at is None or at > self.confirmed_at:
             self.confirmed_at = at
 
@@ -40,6 +41,6 @@
         return max(0.0, self.clock() - self.confirmed_at)
 
     def is_fresh(self):
-        """Return whether requests with a key may be served."""
+        """Return whether the objects may be relied on."""
         age = self.age()
         return age is not None and age <= self.limit_seconds
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -56,12 +56,14 @@
         :class:`runners.Runner`, or None if the entry names none.
     :param store_was_away: function that tells whether the store failed
         lately, so that entries may have lapsed.
+    :param freshness: :class:`freshness.Freshness` of the endpoints.
     """
 
-    def __init__(self, table, translator, store_was_away):
+    def __init__(self, table, translator, store_was_away, freshness):
         self.table = table
         self.translator = translator
         self.store_was_away = store_was_away
+        self.freshness = freshness
 
     def listed(self, objects):
         """Take over a complete list."""
@@ -86,7 +88,8 @@
             self.table.put(runner)
 
     def confirmed(self, at):
-        """Do nothing: endpoints are used until they are known to leave."""
+        """Note that the endpoints held were all there were at a time."""
+        self.freshness.confirm(at)
 
 
 class OrderReceiver:
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -57,6 +57,7 @@
         bounds = placement.bounds
         self.configuration = ingress.ConfigurationHolder()
         self.freshness = freshness.Freshness(self.key_age_limit())
+        self.endpoint_freshness = freshness.Freshness()
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.Outcomes()
         self.releases = releases.Releases(
@@ -65,7 +66,11 @@
             router_count=self.count_routers,
         )
         self.view = store_view.StoreView(
-            placement, tuning, translator, self.freshness
+            placement,
+            tuning,
+            translator,
+            self.freshness,
+            self.endpoint_freshness,
         )
         self.connections = pool.EndpointPool(tuning)
         self.metrics = router_metrics.RouterMetrics()
@@ -84,6 +89,7 @@
                 self.outcomes,
                 self.releases,
                 economy(tuning),
+                self.endpoint_freshness,
             ),
             self.forwarder,
             translator,
@@ -129,7 +135,18 @@
             (
                 'configuration_age_seconds',
                 'Time since the store confirmed it; -1 for never.',
-                self.configuration_age,
+                lambda: shown_age(self.freshness),
+            ),
+            (
+                'endpoints_age_seconds',
+                'Time since the store confirmed the list of endpoints;'
+                ' -1 for never.',
+                lambda: shown_age(self.endpoint_freshness),
+            ),
+            (
+                'endpoints_missing',
+                'Endpoints whose entry is missing and that are still used.',
+                lambda: len(self.runners.missing),
             ),
             (
                 'endpoints',
@@ -154,11 +171,6 @@
         ):
             self.metrics.gauge(name, text, value)
 
-    def configuration_age(self):
-        """Return the age of the last confirmation; -1 for none."""
-        age = self.freshness.age()
-        return -1.0 if age is None else age
-
     def key_age_limit(self):
         """Return the age of the configuration up to which keys are good."""
         bound = self.placement.bounds.revoked_key_seconds
@@ -313,6 +325,12 @@
             await self.stop()
 
 
+def shown_age(known):
+    """Return the age of the last confirmation in seconds; -1 for none."""
+    age = known.age()
+    return -1.0 if age is None else age
+
+
 def economy(tuning):
     """Return what answers are worth, as operators set it."""
     return sizes.Economy(
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -26,13 +26,17 @@
     :param Tuning tuning: what operators set.
     :param translator: translates between a platform and the product.
     :param freshness: :class:`freshness.Freshness` of the configuration.
+    :param endpoint_freshness: :class:`freshness.Freshness` of the endpoints.
     """
 
-    def __init__(self, placement, tuning, translator, freshness):
+    def __init__(
+        self, placement, tuning, translator, freshness, endpoint_freshness
+    ):
         self.placement = placement
         self.tuning = tuning
         self.translator = translator
         self.freshness = freshness
+        self.endpoint_freshness = endpoint_freshness
         self.store = client.ObjectClient(
             placement.store,
             tuning.store_timeout,
@@ -81,7 +85,7 @@
             ),
         )
         endpoints = receivers.EndpointReceiver(
-            runners, self.translator, self.was_away
+            runners, self.translator, self.was_away, self.endpoint_freshness
         )
         orders = receivers.OrderReceiver(releases, self.translator)
         self.followers = (
