--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -27,8 +27,10 @@
 class StoreStandIn(base.StandIn):
     """The metadata store: revisions, pages, waiting watches, conflicts.
 
-    Faults: ``away`` closes connections without an answer; ``compacted`` is
-    the revision up to which history is gone; ``page_size`` bounds lists.
+    Faults: ``away`` closes connections without an answer; ``silent`` names
+    kinds whose calls are not answered; ``deaf`` names kinds whose watches
+    that wait say nothing, while new calls work; ``compacted`` is the revision
+    up to which history is gone; ``page_size`` bounds lists.
     """
 
     def __init__(self, port=0):
@@ -38,6 +40,8 @@
         self.history = []
         self.changed = curio.Condition()
         self.away = False
+        self.silent = frozenset()
+        self.deaf = frozenset()
         self.compacted = 0
         self.page_size = 500
         self.requests = []
@@ -66,7 +70,15 @@
         """Remove an object."""
         self.revision += 1
         entry = self.objects[(kind, name)]
-        await self.store(kind, name, entry, True)
+        meta = entry['meta'] | {'revision': self.revision}
+        await self.store(kind, name, entry | {'meta': meta}, True)
+
+    async def compact(self):
+        """Forget all history and end the watches."""
+        self.revision += 1
+        self.compacted = self.revision
+        async with self.changed:
+            await self.changed.notify_all()
 
     async def store(self, kind, name, entry, deleted):
         """Apply one change and wake the watches."""
@@ -87,6 +99,9 @@
         path, _, query = received.head.target.partition('?')
         parts = [urllib.parse.unquote(part) for part in path.split('/')[3:]]
         fields = dict(urllib.parse.parse_qsl(query))
+        if parts[0] in self.silent:
+            await connection.wait_closed()
+            return
         if received.head.method == 'PUT':
             await self.answer_put(connection, parts, received.json())
         elif received.head.method == 'POST':
@@ -119,18 +134,21 @@
     async def answer_watch(self, connection, kind, fields):
         """Wait for a change of a kind, or until the time is over."""
         since = int(fields['watch'])
-        if since < self.compacted:
-            await base.send_json(connection, 410, {})
-            return
+        hears = kind not in self.deaf
         async with curio.ignore_after(int(fields['waitMs']) / 1000):
             async with self.changed:
-                while not self.events(kind, since):
+                while not self.events(kind, since) and since >= self.compacted:
                     await self.changed.wait()
         answer = {
             'events': self.events(kind, since),
             'currentRev': self.revision,
         }
-        await base.send_json(connection, 200, answer)
+        while hears and kind in self.deaf:
+            await curio.sleep(0.01)
+        if since < self.compacted:
+            await base.send_json(connection, 410, {})
+        else:
+            await base.send_json(connection, 200, answer)
 
     def events(self, kind, since):
         """Return the events of a kind after a revision."""
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,155 @@
+"""A router and endpoints that leave, against a stand-in of the store."""
+
+import dataclasses
+
+import curio
+import pytest
+
+from tests import platform_standins as standins
+from tests import test_passed_changes as passed_changes
+
+LEAVE_SECONDS = standins.BOUNDS.leave_seconds
+# After its way to the store is back a router is held to what the store says.
+CONTACT_SECONDS = 3.0
+# Longer than the pause that a router makes after a change.
+PAUSE_SECONDS = 0.6
+KINDS = frozenset(('config', 'servers', 'rollouts', 'routers'))
+
+
+@pytest.fixture
+def site():
+    runners = (standins.RunnerStandIn(name, 'app') for name in ('a-1', 'a-2'))
+    site = standins.Site(list(runners))
+    site.tuning = dataclasses.replace(site.tuning, object_wait=0.4)
+    return site
+
+
+@pytest.fixture
+def patient_site(site):
+    site.tuning = dataclasses.replace(site.tuning, object_wait=10.0)
+    return site
+
+
+def offered(router):
+    """Return the ids of the endpoints that may receive requests."""
+    return {each.id for each in router.runners.of_service('app')}
+
+
+async def silence(site, seconds):
+    """Let the store be silent; it is back just after a call went out."""
+    site.store.silent = KINDS
+    first = site.router.view.followers[0]
+    await standins.until(lambda: not first.reachable)
+    await curio.sleep(seconds)
+    calls = site.router.view.store.calls
+    await standins.until(lambda: site.router.view.store.calls > calls)
+
+
+class TestDepartures:
+    """Guards against requests to endpoints that have left."""
+
+    @standins.on_site
+    async def test_departure_in_an_outage_binds_once_in_contact(self, site):
+        await silence(site, 2.0)
+        await site.store.delete('servers', 'a-1')
+        site.store.silent = frozenset()
+        await curio.sleep(CONTACT_SECONDS)
+        assert offered(site.router) == {'a-2'}
+
+    @standins.on_site
+    async def test_departure_after_an_outage_binds_in_time(self, site):
+        site.store.away = True
+        first = site.router.view.followers[0]
+        await standins.until(lambda: not first.reachable)
+        site.store.away = False
+        await standins.until(lambda: first.reachable)
+        await curio.sleep(CONTACT_SECONDS)
+        # The pause after this change delays the news of the next one.
+        await site.store.put('servers', 'a-2', site.runners['a-2'].entry())
+        await curio.sleep(0.05)
+        await site.store.delete('servers', 'a-1')
+        await curio.sleep(LEAVE_SECONDS)
+        assert offered(site.router) == {'a-2'}
+
+    @standins.on_site
+    async def test_lost_history_is_no_outage(self, site):
+        del site.store.objects[('servers', 'a-1')]
+        await site.store.compact()
+        await standins.until(lambda: 'a-1' not in offered(site.router), 1.5)
+
+    @standins.on_site
+    async def test_entries_that_lapse_in_an_outage_are_used(self, site):
+        site.store.away = True
+        first = site.router.view.followers[0]
+        await standins.until(lambda: not first.reachable)
+        await curio.sleep(1.0)
+        site.store.away = False
+        for name in ('a-1', 'a-2'):
+            await site.store.delete('servers', name)
+        await standins.until(lambda: first.reachable)
+        await curio.sleep(0.5)
+        assert offered(site.router) == {'a-1', 'a-2'}
+
+    @standins.on_site
+    async def test_deaf_watch_does_not_hide_a_departure(self, patient_site):
+        site = patient_site
+        await curio.sleep(PAUSE_SECONDS)
+        site.store.deaf = frozenset(('servers',))
+        await site.store.delete('servers', 'a-1')
+        await curio.sleep(LEAVE_SECONDS)
+        assert offered(site.router) == {'a-2'}
+
+    @standins.on_site
+    async def test_late_answer_brings_no_endpoint_back(self, patient_site):
+        site = patient_site
+        await curio.sleep(PAUSE_SECONDS)
+        site.store.deaf = frozenset(('servers',))
+        runner = site.runners['a-1']
+        await site.store.put('servers', 'a-1', runner.entry())
+        await site.store.put('servers', 'a-1', runner.entry('draining'))
+        await curio.sleep(LEAVE_SECONDS)
+        # The watch answers as of its first change.
+        site.store.deaf = frozenset()
+        await curio.sleep(0.2)
+        assert offered(site.router) == {'a-2'}
+
+    @standins.on_site
+    async def test_request_is_not_sent_to_one_that_left_meanwhile(self, site):
+        await site.store.delete('servers', 'a-2')
+        await standins.until(lambda: offered(site.router) == {'a-1'})
+        pool = site.router.connections
+        open_connection = pool.open
+
+        async def open_slowly(endpoint, deadline):
+            connection = await open_connection(endpoint, deadline)
+            await site.store.delete('servers', 'a-1')
+            await standins.until(lambda: not offered(site.router))
+            return connection
+
+        pool.open = open_slowly
+        head, _ = await site.ask('/once/x', method='POST')
+        assert head.status == 503
+        assert site.arrivals() == []
+
+
+class TestDeparturesThroughAnotherRouter:
+    """Guards against another router's old word on endpoints."""
+
+    @passed_changes.on_pair
+    async def test_deaf_watch_of_the_leader_delays_no_departure(self, pair):
+        watch = pair.leader.view.followers[1]
+        watch.pace = dataclasses.replace(watch.pace, wait_seconds=10.0)
+        await curio.sleep(PAUSE_SECONDS)
+        pair.site.store.deaf = frozenset(('servers',))
+        await pair.site.store.delete('servers', 'app-1')
+        await curio.sleep(LEAVE_SECONDS)
+        assert offered(pair.follower) == set()
+
+    @passed_changes.on_pair
+    async def test_leader_without_news_of_endpoints_passes_none_on(self, pair):
+        view = pair.leader.view
+        view.followers[1].receiver.freshness.confirmed_at -= 10.0
+        status, _ = await view.publisher.answer(
+            f'/changes/servers?since={view.mirrors["servers"].revision}&wait=0'
+        )
+        assert status == 503
