Ask again whether an endpoint has left when its connection is ready

What callers saw: with rule DRAIN broken, requests at an endpoint that had left. Why it works: the list is asked with no pause before the write; the request counts as not sent and goes to another endpoint.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -315,6 +315,9 @@
         runner_id = plan.runner.id
         if isinstance(error, errors.EndpointRefused):
             outcomes.full(runner_id)
+        elif isinstance(error, errors.EndpointLeft):
+            # The list of endpoints says so already.
+            return
         elif not error.sent:
             outcomes.unreachable(runner_id)
         else:
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -126,9 +126,11 @@
         the header lines of the request, and ``read_answer(head)``, which
         returns :class:`ingress.AnswerFacts`.
     :param outcomes: :class:`outcomes.Outcomes`.
+    :param table: :class:`runners.RunnerTable`.
     """
 
-    def __init__(self, connections, translator, outcomes):
+    def __init__(self, connections, translator, outcomes, table):
+        self.table = table
         self.connections = connections
         self.translator = translator
         self.outcomes = outcomes
@@ -158,6 +160,8 @@
         Leaving the block before the body is read ends the run, because the
         connection is closed.
 
+        :raises errors.EndpointLeft: if the endpoint has left since it was
+            chosen.
         :raises errors.EndpointRefused: if it certainly did not run.
         :raises errors.EndpointFailure: with ``sent`` telling whether it may
             have run.
@@ -170,6 +174,7 @@
                 runner, passage.head_deadline, passage.fresh
             ) as connection:
                 self.exchanges[connection] = (runner.id, not passage.fresh)
+                self.check_present(runner)
                 await self.send(connection, passage, runner)
                 head = await connection.receive_response(passage.head_deadline)
                 self.outcomes.heard(runner.id)
@@ -184,6 +189,15 @@
                 del self.exchanges[connection]
             self.outcomes.finished(runner.id)
 
+    def check_present(self, runner):
+        """Raise an error if the endpoint has left while it was reached."""
+        if not self.table.accepts(runner):
+            raise errors.EndpointLeft(
+                'endpoint left before the request was sent',
+                step='send request',
+                peer=runner.address,
+            )
+
     async def send(self, connection, passage, runner):
         """Write the whole request."""
         lines = self.translator.passage_lines(passage, runner)
--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -127,6 +127,12 @@
         for runner_id in set(self.runners) - set(ids):
             self.remove(runner_id, in_outage)
 
+    def accepts(self, runner):
+        """Return whether this start of an endpoint may receive work."""
+        self.expire()
+        held = self.runners.get(runner.id)
+        return held is not None and held.key == runner.key and not held.leaving
+
     def of_service(self, service):
         """Yield the endpoints of a service that are not leaving."""
         self.expire()
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -208,6 +208,15 @@
         self.silent_since = silent_since
 
 
+class EndpointLeft(EndpointFailure):
+    """The endpoint left before the request was sent."""
+
+    code = 'endpoint_left'
+
+    def __init__(self, message, *, step, peer):
+        super().__init__(message, step=step, peer=peer, sent=False)
+
+
 class EndpointRefused(EndpointFailure):
     """The endpoint says that it did not run the request."""
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -75,7 +75,7 @@
         self.connections = pool.EndpointPool(tuning)
         self.metrics = router_metrics.RouterMetrics()
         self.forwarder = forwarding.Forwarder(
-            self.connections, translator, self.outcomes
+            self.connections, translator, self.outcomes, self.runners
         )
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
