Count the time that lapsed entries are kept from the store's return

Cause, hypothesis 1 of the incident: an entry that vanished within 6 s after any failed call of a follower was kept for 1.7 s from the news of it. The pause after a change (0.4 s) and the connect time came on top: 2.1 s and more. After an outage the time until the router noticed its end came on top as well, up to 4.05 s after the return, where 3 s are allowed. A history that is gone, and the word of another router, counted as an outage too.

Change: objects.outages knows when the store was last away (the start of the last call that it did not serve). A missing entry is used until 2.5 s after that, less where contact counts sooner, and never longer than the bound on departures less 0.6 s. What is learned from the store ends what another router told. Tries in an outage are at most 0.5 s apart. A gone history is listed again and is no outage. Changes that a follower knows already are not applied again.

--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -2,13 +2,8 @@
 
 import dataclasses
 
-from celeryward import deadlines
 from celeryward import logs
 
-# A store that was away has removed entries of endpoints that live; they are
-# back within two seconds, and a listed departure binds after that time.
-REGISTRATION_GRACE_SECONDS = 1.7
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Runner:
@@ -47,12 +42,11 @@
 class RunnerTable:
     """All endpoints that may receive work, by id.
 
-    :param float grace_seconds: how long an entry that vanishes around an
-        outage of the store is kept.
+    ``missing`` holds until when an endpoint is used whose entry may have
+    lapsed in an outage of the store.
     """
 
-    def __init__(self, grace_seconds=REGISTRATION_GRACE_SECONDS):
-        self.grace_seconds = grace_seconds
+    def __init__(self):
         self.runners = {}
         self.missing = {}
         self.first_software = {}
@@ -76,15 +70,18 @@
         if before is not None and before.key != runner.key:
             self.announce(before)
 
-    def remove(self, runner_id, in_outage=False):
-        """Drop an endpoint; around an outage only after a grace."""
+    def remove(self, runner_id, keep_until=None):
+        """Drop an endpoint.
+
+        :param Deadline keep_until: until when it is used, unless it is known
+            to leave; None if it is gone for certain.
+        """
         runner = self.runners.get(runner_id)
         if runner is None:
             return
-        if in_outage and not runner.leaving:
-            until = deadlines.Deadline.after(self.grace_seconds)
+        if keep_until and not (keep_until.expired() or runner.leaving):
             if runner_id not in self.missing:
-                self.missing[runner_id] = until
+                self.missing[runner_id] = keep_until
                 self.log_missing(runner)
             return
         del self.runners[runner_id]
@@ -113,7 +110,7 @@
             listener(runner)
 
     def expire(self):
-        """Drop the entries that are still missing after their grace."""
+        """Drop the entries that are still missing."""
         expired = [
             runner_id
             for runner_id, until in self.missing.items()
@@ -122,10 +119,13 @@
         for runner_id in expired:
             self.remove(runner_id)
 
-    def keep_only(self, ids, in_outage=False):
-        """Remove every endpoint that a complete list does not name."""
+    def keep_only(self, ids, keep_until=None):
+        """Remove every endpoint that a complete list does not name.
+
+        :param Deadline keep_until: as for :meth:`remove`.
+        """
         for runner_id in set(self.runners) - set(ids):
-            self.remove(runner_id, in_outage)
+            self.remove(runner_id, keep_until)
 
     def accepts(self, runner):
         """Return whether this start of an endpoint may receive work."""
--- a/celeryward/objects/follower.py
+++ b/celeryward/objects/follower.py
@@ -9,7 +9,8 @@
 from celeryward.objects import freshness
 
 RETRY_SECONDS = 0.25
-MAX_RETRY_SECONDS = 1.0
+# An outage is found to be over within this time and that of one call.
+MAX_RETRY_SECONDS = 0.5
 FIRST_POLL_SECONDS = 0.1
 # The answer with a change confirms nothing after the change; a short wait
 # then confirms soon that nothing else has changed. It also finds out soon
@@ -67,7 +68,6 @@
         self.clock = clock
         self.since = None
         self.reachable = True
-        self.failed_at = None
         self.changed = False
 
     async def run(self):
@@ -81,10 +81,12 @@
                 self.note_reachable()
                 continue
             error = outcome.unwrap_err()
-            self.note_failure(error)
             if isinstance(error, errors.RevisionExpired):
+                self.forget_history(error)
                 # A store that keeps nothing would be listed all the time.
-                self.since = None
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            self.note_failure(error)
             await curio.sleep(delay)
             delay = min(MAX_RETRY_SECONDS, delay * 2)
             while self.first is not None and not self.first.reachable:
@@ -97,7 +99,7 @@
         if outcome.is_ok():
             listed = outcome.unwrap()
             self.receiver.listed(listed.items)
-            self.receiver.confirmed(started_at)
+            self.confirm(started_at)
             self.since = listed.revision
             if self.mirror is not None:
                 await self.mirror.restart(listed.revision)
@@ -113,14 +115,10 @@
         if outcome.is_err():
             return outcome
         answer = outcome.unwrap()
-        if answer.changes:
-            self.log_changes(answer, started_at)
-        for change in answer.changes:
-            self.receiver.changed(change)
-        self.since = max(self.since, answer.revision)
-        self.receiver.confirmed(started_at + answer.confirmed_seconds)
-        if self.mirror is not None:
-            await self.mirror.extend(answer.changes, self.since)
+        if self.since is None:
+            # The history was found to be gone meanwhile.
+            return outcome
+        await self.take(answer, started_at)
         if answer.passed_on:
             # It is confirmed, and was coalesced, by the other router.
             self.changed = False
@@ -130,6 +128,24 @@
             await curio.sleep(self.pace.coalesce_seconds)
         return outcome
 
+    async def take(self, answer, started_at):
+        """Hand over the changes in an answer that are news."""
+        news = tuple(
+            change for change in answer.changes if change.revision > self.since
+        )
+        if news:
+            self.log_changes(answer, started_at)
+        for change in news:
+            self.receiver.changed(change)
+        self.since = max(self.since, answer.revision)
+        self.confirm(started_at + answer.confirmed_seconds)
+        if self.mirror is not None:
+            await self.mirror.extend(news, self.since)
+
+    def confirm(self, at):
+        """Note that the kind is known as of a time."""
+        self.receiver.confirmed(at)
+
     def log_changes(self, answer, started_at):
         """Write one line on an answer with changes."""
         logs.bind(
@@ -145,13 +161,19 @@
 
     def note_failure(self, error):
         """Log the first of several failures."""
-        self.failed_at = self.clock()
         if self.reachable:
             self.reachable = False
             logs.bind_error(error, kind=self.kind, since=self.since).warning(
                 'store lost: {}', error.message
             )
 
+    def forget_history(self, error):
+        """Begin with a list again, because changes may be unknown."""
+        logs.bind_error(error, kind=self.kind, since=self.since).info(
+            'history is gone: {}', error.message
+        )
+        self.since = None
+
     def note_reachable(self):
         """Log that the store answers again."""
         if not self.reachable:
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -72,15 +72,15 @@
         the store last said that there was nothing newer; below zero if that
         was before the call.
     :param bool passed_on: whether they come from another router.
-    :param bool store_away: whether the store failed lately for the router
-        that passed the changes on.
+    :param float | None away_seconds: time since the store was last away for
+        the router that passed the changes on; None if it never was.
     """
 
     changes: tuple[Change, ...]
     revision: int
     confirmed_seconds: float = 0.0
     passed_on: bool = False
-    store_away: bool = False
+    away_seconds: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -54,15 +54,15 @@
     :param table: :class:`runners.RunnerTable`.
     :param translator: has ``read_runner(stored)``, which returns a
         :class:`runners.Runner`, or None if the entry names none.
-    :param store_was_away: function that tells whether the store failed
-        lately, so that entries may have lapsed.
+    :param outages: :class:`outages.Outages`, which tells whether entries may
+        have lapsed.
     :param freshness: :class:`freshness.Freshness` of the endpoints.
     """
 
-    def __init__(self, table, translator, store_was_away, freshness):
+    def __init__(self, table, translator, outages, freshness):
         self.table = table
         self.translator = translator
-        self.store_was_away = store_was_away
+        self.outages = outages
         self.freshness = freshness
 
     def listed(self, objects):
@@ -70,12 +70,12 @@
         for stored in objects:
             self.take(stored)
         names = {stored.name for stored in objects}
-        self.table.keep_only(names, self.store_was_away())
+        self.table.keep_only(names, self.outages.keep_until())
 
     def changed(self, change):
         """Take over one change."""
         if change.type == 'delete':
-            self.table.remove(change.object.name, self.store_was_away())
+            self.table.remove(change.object.name, self.outages.keep_until())
         else:
             self.take(change.object)
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -304,6 +304,7 @@
         self.placement = placement
         bounds = placement.bounds
         self.freshness.limit_seconds = self.key_age_limit()
+        self.view.outages.set_bounds(bounds)
         self.releases.set_bounds(
             bounds.bad_version_share, bounds.session_seconds
         )
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -40,6 +40,8 @@
         force.
     :param float leave_seconds: time after which an endpoint that leaves
         gets no more requests.
+    :param float contact_seconds: time after the end of a fault from which a
+        router is held to what the store says.
     """
 
     revoked_key_seconds: float
@@ -51,6 +53,7 @@
     history_seconds: float
     apply_seconds: float
     leave_seconds: float
+    contact_seconds: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -24,13 +24,14 @@
     :param float confirmed_seconds: time from the arrival of the request
         until the store last said that there was nothing newer; below zero
         if that was before the request.
-    :param bool store_away: whether the store failed lately.
+    :param float | None away_seconds: time since the store was last away;
+        None if it never was.
     """
 
     changes: tuple[protocol.Change, ...]
     revision: int
     confirmed_seconds: float
-    store_away: bool
+    away_seconds: float | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +61,7 @@
             passed.revision,
             passed.confirmed_seconds,
             True,
-            passed.store_away,
+            passed.away_seconds,
         )
 
 
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -22,15 +22,14 @@
     :param dict mirrors: a :class:`mirror.Mirror` for each kind.
     :param freshness: :class:`freshness.Freshness` of the configuration.
     :param pacing: :class:`pacing.Pacing`; None to pass nothing on.
-    :param store_was_away: function that tells whether the store failed
-        lately.
+    :param outages: :class:`outages.Outages`.
     """
 
-    def __init__(self, mirrors, freshness, pacing, store_was_away):
+    def __init__(self, mirrors, freshness, pacing, outages):
         self.pacing = pacing
         self.mirrors = mirrors
         self.freshness = freshness
-        self.store_was_away = store_was_away
+        self.outages = outages
         self.stopping = False
 
     async def handle(self, connection):
@@ -70,7 +69,7 @@
             mirror.after(ask.since),
             max(ask.since, mirror.revision),
             confirmed,
-            self.store_was_away(),
+            self.outages.age(),
         )
         body = protocol.encode(passed)
         if len(body) > MAX_ANSWER_BYTES:
--- a/celeryward/routers/source.py
+++ b/celeryward/routers/source.py
@@ -3,7 +3,6 @@
 from celeryward import errors
 from celeryward import logs
 from celeryward.objects import client
-from celeryward.objects import freshness
 from celeryward.routers import protocol
 
 # Time allowed for a poll beyond its wait.
@@ -22,15 +21,16 @@
     :param pacing: :class:`pacing.Pacing`; None to ask the store alone.
     :param str confirmed_kind: kind whose age matters, which routers that
         others follow ask for more often.
+    :param outages: :class:`outages.Outages`.
     """
 
-    def __init__(self, store, members, pacing, confirmed_kind):
+    def __init__(self, store, members, pacing, confirmed_kind, outages):
         self.pacing = pacing
         self.confirmed_kind = confirmed_kind
         self.store = store
         self.members = members
         self.clients = {}
-        self.told_away_at = None
+        self.outages = outages
 
     @property
     def peer(self):
@@ -39,29 +39,39 @@
 
     async def list_pages(self, kind):
         """Read all objects of a kind from the store."""
-        return await self.store.list_pages(kind)
+        return await self.ask_store(self.store.list_pages(kind))
 
     async def changes(self, kind, since, wait_seconds):
         """Wait for changes of a kind after a revision.
 
         :returns: as :meth:`client.ObjectClient.changes`.
         """
-        if self.pacing is None:
-            return await self.store.changes(kind, since, wait_seconds)
-        leader = self.members.leader()
-        if leader is None:
-            if kind == self.confirmed_kind and self.members.is_followed:
+        leader = self.members.leader() if self.pacing else None
+        if leader is not None:
+            outcome = await self.client_of(leader).changes(
+                kind, since, min(wait_seconds, self.pacing.poll)
+            )
+            if outcome.is_ok():
+                self.outages.told(outcome.unwrap().away_seconds)
+                return outcome
+            self.note_failure(leader, outcome.unwrap_err())
+            wait_seconds = min(wait_seconds, FALLBACK_SECONDS)
+        elif self.pacing and kind == self.confirmed_kind:
+            if self.members.is_followed:
                 wait_seconds = min(wait_seconds, self.pacing.leader_wait)
-            return await self.store.changes(kind, since, wait_seconds)
-        outcome = await self.client_of(leader).changes(
-            kind, since, self.pacing.poll
+        return await self.ask_store(
+            self.store.changes(kind, since, wait_seconds)
         )
+
+    async def ask_store(self, call):
+        """Await a reading call to the store, and note if it is away."""
+        started_at = self.outages.clock()
+        outcome = await call
         if outcome.is_ok():
-            if outcome.unwrap().store_away:
-                self.told_away_at = freshness.boot_seconds()
-            return outcome
-        self.note_failure(leader, outcome.unwrap_err())
-        return await self.store.changes(kind, since, FALLBACK_SECONDS)
+            self.outages.told(None)
+        elif isinstance(outcome.unwrap_err(), errors.PlatformUnavailable):
+            self.outages.failed(started_at)
+        return outcome
 
     def note_failure(self, leader, error):
         """Follow another router for a while, unless this one lives."""
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -2,7 +2,7 @@
 
 from celeryward.objects import client
 from celeryward.objects import follower
-from celeryward.objects import freshness
+from celeryward.objects import outages
 from celeryward.objects import receivers
 from celeryward.objects import verdicts
 from celeryward.routers import members
@@ -12,7 +12,6 @@
 from celeryward.routers import roster
 from celeryward.routers import source
 
-STORE_OUTAGE_SECONDS = 6.0
 # An endpoint that leaves may be used for longer than this.
 OBJECT_COALESCE_SECONDS = 0.4
 # A watch that waits longer than the store keeps its history ends in a list.
@@ -50,17 +49,25 @@
             for kind in (kinds.configuration, kinds.endpoints, kinds.orders)
         }
         bounds = placement.bounds
+        self.outages = outages.Outages(bounds)
         paces = pacing.make_pacing(
             min(bounds.apply_seconds, bounds.leave_seconds)
         )
         self.source = source.Source(
-            self.store, self.members, paces, kinds.configuration
+            self.store,
+            self.members,
+            paces,
+            kinds.configuration,
+            self.outages,
         )
         self.roster = roster.Roster(
             self.store, kinds.routers, self.members, translator
         )
         self.publisher = publisher.Publisher(
-            self.mirrors, freshness, paces, self.was_away
+            self.mirrors,
+            freshness,
+            paces,
+            self.outages,
         )
         self.followers = ()
         self.writer = None
@@ -73,9 +80,12 @@
         :param releases: :class:`releases.Releases`.
         """
         kinds = self.translator.kinds
-        bound = HISTORY_PART * self.placement.bounds.history_seconds
+        bounds = self.placement.bounds
         wait = follower.Pace(
-            min(self.tuning.object_wait, bound), OBJECT_COALESCE_SECONDS
+            min(
+                self.tuning.object_wait, HISTORY_PART * bounds.history_seconds
+            ),
+            OBJECT_COALESCE_SECONDS,
         )
         first = self.follower(
             kinds.configuration,
@@ -85,7 +95,7 @@
             ),
         )
         endpoints = receivers.EndpointReceiver(
-            runners, self.translator, self.was_away, self.endpoint_freshness
+            runners, self.translator, self.outages, self.endpoint_freshness
         )
         orders = receivers.OrderReceiver(releases, self.translator)
         self.followers = (
@@ -108,18 +118,6 @@
         follows = [each.run for each in self.followers]
         return (*follows, self.writer.run, self.roster.run)
 
-    def was_away(self):
-        """Return whether a call to the store has failed lately.
-
-        Another router's word counts, too: it is what entries came from.
-        """
-        now = freshness.boot_seconds()
-        failed = [each.failed_at for each in self.followers]
-        return any(
-            at is not None and now - at < STORE_OUTAGE_SECONDS
-            for at in (*failed, self.source.told_away_at)
-        )
-
     async def leave(self):
         """Tell the other routers that this one ends."""
         self.publisher.stopping = True
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -32,6 +32,7 @@
 graceS = {stop}
 configApplyMs = 2000
 drainMs = 2000
+contactMs = 3000
 retryRatio = 0.9
 retrySlack = {slack}
 exposureShare = 0.15
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -21,7 +21,18 @@
 
 HOST = 'service.example'
 KEY = 'key-one'
-BOUNDS = router_settings.Bounds(5.0, 4.0, 0.9, 54.0, 0.15, 5.0, 20.0, 2.0, 2.0)
+BOUNDS = router_settings.Bounds(
+    revoked_key_seconds=5.0,
+    stop_seconds=4.0,
+    retry_ratio=0.9,
+    retry_slack=54.0,
+    bad_version_share=0.15,
+    session_seconds=5.0,
+    history_seconds=20.0,
+    apply_seconds=2.0,
+    leave_seconds=2.0,
+    contact_seconds=3.0,
+)
 
 
 class StoreStandIn(base.StandIn):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -40,6 +40,7 @@
 graceS = 8
 configApplyMs = 2000
 drainMs = 2000
+contactMs = 3000
 retryRatio = 0.9
 retrySlack = 54
 [provider]
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -5,6 +5,8 @@
 import curio
 import pytest
 
+from celeryward.objects import outages
+from tests import fakes
 from tests import platform_standins as standins
 from tests import test_passed_changes as passed_changes
 
@@ -132,6 +134,47 @@
         assert site.arrivals() == []
 
 
+class TestOutages:
+    """Guards against entries that are kept for longer than rules allow."""
+
+    def made(self, **bounds):
+        self.clock = fakes.Clock()
+        return outages.Outages(
+            dataclasses.replace(standins.BOUNDS, **bounds),
+            self.clock.monotonic,
+        )
+
+    def test_without_an_outage_nothing_is_kept(self):
+        assert self.made().keep_until().remaining() == 0.0
+
+    @pytest.mark.parametrize('contact', (2.0, 3.0, 4.0))
+    @pytest.mark.parametrize('delay', (0.0, 0.5, 1.2))
+    def test_kept_entries_end_before_contact(self, contact, delay):
+        known = self.made(contact_seconds=contact)
+        known.failed(self.clock.now)
+        self.clock.now += delay
+        kept = known.keep_until().remaining()
+        assert delay + kept < contact
+
+    def test_late_news_is_not_kept_again(self):
+        known = self.made()
+        known.failed(self.clock.now)
+        self.clock.now += outages.RETURN_SECONDS
+        assert known.keep_until().remaining() == 0.0
+
+    def test_long_call_that_fails_says_nothing_of_its_end(self):
+        known = self.made()
+        known.failed(self.clock.now - 14.0)
+        assert known.keep_until().remaining() == 0.0
+
+    def test_news_from_the_store_ends_what_another_router_told(self):
+        known = self.made()
+        known.told(0.1)
+        assert known.keep_until().remaining() > 1.0
+        known.told(None)
+        assert known.keep_until().remaining() == 0.0
+
+
 class TestDeparturesThroughAnotherRouter:
     """Guards against another router's old word on endpoints."""
 
--- a/tests/test_other_routers.py
+++ b/tests/test_other_routers.py
@@ -4,10 +4,12 @@
 
 import curio
 import pytest
+import result
 
 from celeryward import errors
 from celeryward import http
 from celeryward.objects import freshness
+from celeryward.objects import outages
 from celeryward.objects import protocol as objects
 from celeryward.routers import members
 from celeryward.routers import mirror
@@ -150,7 +152,10 @@
         fresh = freshness.Freshness(5.0, lambda: now[0])
         held = mirror.Mirror()
         made = publisher.Publisher(
-            {'config': held}, fresh, PACING, lambda: False
+            {'config': held},
+            fresh,
+            PACING,
+            outages.Outages(standins.BOUNDS),
         )
         return made, held, fresh
 
@@ -245,10 +250,13 @@
 
             async def changes(self, kind, since, wait):
                 asked.append((kind, since, wait))
+                return result.Ok(None)
 
         view = members.Members(member(0, capacity=0.0))
         view.replace([member(number, port=9) for number in range(1, 6)])
-        made = source.Source(Store(), view, PACING, 'config')
+        made = source.Source(
+            Store(), view, PACING, 'config', outages.Outages(standins.BOUNDS)
+        )
         leader = view.leader()
         await made.changes('config', 3, 2.0)
         assert asked == [('config', 3, source.FALLBACK_SECONDS)]
@@ -257,7 +265,9 @@
     def test_errors_of_a_living_router_do_not_end_it(self):
         view = members.Members(member(0, capacity=0.0))
         view.replace([member(number) for number in range(1, 6)])
-        made = source.Source(None, view, PACING, 'config')
+        made = source.Source(
+            None, view, PACING, 'config', outages.Outages(standins.BOUNDS)
+        )
         leader = view.leader()
         for kind in (errors.TooLarge, errors.RevisionExpired):
             made.note_failure(leader, kind('x', step='x', peer='x'))
--- a/tests/test_passed_changes.py
+++ b/tests/test_passed_changes.py
@@ -5,7 +5,6 @@
 import curio
 
 from celeryward import deadlines
-from celeryward.objects import freshness
 from celeryward.routers import members
 from celeryward.routers import publisher
 from tests import fakes
@@ -154,9 +153,8 @@
     @on_pair
     async def test_outage_that_the_leader_saw_keeps_entries(self, pair):
         """Entries that lapse in an outage may be back soon."""
-        leader = pair.leader.view.followers[1]
-        leader.failed_at = freshness.boot_seconds()
-        await standins.until(pair.follower.view.was_away, 3.0)
+        away = pair.leader.view.outages
+        away.failed(away.clock())
         await pair.site.store.delete('servers', 'app-1')
         await curio.sleep(0.8)
         assert list(pair.follower.runners.of_service('app'))
