Bound the age of what routers know of endpoints and roll-outs

Cause: endpoints were used until a watch of up to 14 s said otherwise. If its connection went silent while that of the configuration worked, nothing noticed; and a router passed its endpoints on as current while its configuration was confirmed. The watch on roll-outs has the same fault.

Change: the store counts one revision over all kinds. Each answer to the watch on the configuration, at most 1.4 s apart where departures bind after 2 s, carries it. A kind that is behind is read up to it at once; one that is not is thereby confirmed as of that answer. Routers pass on endpoints only while these are confirmed themselves. Endpoints are read again if they were not confirmed for 0.2 s, roll-outs for 2.5 s.

--- a/celeryward/objects/follower.py
+++ b/celeryward/objects/follower.py
@@ -1,8 +1,10 @@
 """The task that follows all objects of one kind."""
 
 import dataclasses
+import math
 
 import curio
+import result
 
 from celeryward import errors
 from celeryward import logs
@@ -12,6 +14,8 @@
 # An outage is found to be over within this time and that of one call.
 MAX_RETRY_SECONDS = 0.5
 FIRST_POLL_SECONDS = 0.1
+# Wait of a watch that only asks for what has happened already.
+CATCH_UP_WAIT_SECONDS = 0.02
 # The answer with a change confirms nothing after the change; a short wait
 # then confirms soon that nothing else has changed. It also finds out soon
 # that a store which was away is back.
@@ -26,16 +30,23 @@
     :param float coalesce_seconds: pause after a change, so that changes
         which come together are read by one call.
     :param bool confirms: whether it matters how old the objects are.
+    :param float stale_seconds: age at which the kind is read again once
+        another follower hears of a newer revision.
     """
 
     wait_seconds: float
     coalesce_seconds: float = 0.05
     confirms: bool = False
+    stale_seconds: float = math.inf
 
 
 class Follower:
     """Lists a kind once, then watches it; lists again when history is lost.
 
+    The store counts one revision over all kinds. The first follower, whose
+    calls are short, hears of it often and lets the others catch up, so that a
+    watch whose connection has gone silent hides nothing for long.
+
     :param source: :class:`routers.source.Source`, or the store's
         :class:`client.ObjectClient`.
     :param str kind: the kind to follow.
@@ -43,7 +54,7 @@
     :param receiver: has ``listed(objects)``, ``changed(change)`` and
         ``confirmed(at)``, with ``at`` on the boot-time clock.
     :param first: another follower, which finds out whether the store is
-        back; None if this one does so itself.
+        back and what revision it is at; None if this one does so itself.
     :param mirror: has ``restart(revision)`` and ``extend(changes,
         revision)``, and keeps the changes for others; None for none.
     :param clock: function that returns seconds on the boot-time clock.
@@ -60,6 +71,9 @@
         clock=freshness.boot_seconds,
     ):
         self.first = first
+        self.others = []
+        if first is not None:
+            first.others.append(self)
         self.mirror = mirror
         self.source = source
         self.kind = kind
@@ -69,6 +83,7 @@
         self.since = None
         self.reachable = True
         self.changed = False
+        self.confirmed_at = -math.inf
 
     async def run(self):
         """Follow the kind until cancelled."""
@@ -124,6 +139,11 @@
             self.changed = False
             return outcome
         self.changed = bool(answer.changes) and self.pace.confirms
+        confirmed_at = started_at + answer.confirmed_seconds
+        for other in self.others:
+            caught_up = await other.catch_up(answer.revision, confirmed_at)
+            if caught_up.is_err():
+                return caught_up
         if answer.changes:
             await curio.sleep(self.pace.coalesce_seconds)
         return outcome
@@ -142,8 +162,35 @@
         if self.mirror is not None:
             await self.mirror.extend(news, self.since)
 
+    async def catch_up(self, revision, at):
+        """Read what has happened up to a revision, unless it is known.
+
+        :param int revision: revision of the store, as another follower has
+            heard of it.
+        :param float at: when nothing was newer, on the boot-time clock.
+        :returns: the outcome of the call, or ``Ok`` if none was needed.
+        """
+        if self.since is None:
+            return result.Ok(None)
+        if self.since >= revision:
+            self.confirm(at)
+            return result.Ok(None)
+        started_at = self.clock()
+        if started_at - self.confirmed_at < self.pace.stale_seconds:
+            return result.Ok(None)
+        outcome = await self.source.changes(
+            self.kind, self.since, CATCH_UP_WAIT_SECONDS
+        )
+        if outcome.is_ok():
+            await self.take(outcome.unwrap(), started_at)
+        elif isinstance(outcome.unwrap_err(), errors.RevisionExpired):
+            self.forget_history(outcome.unwrap_err())
+            return await self.list_all()
+        return outcome
+
     def confirm(self, at):
         """Note that the kind is known as of a time."""
+        self.confirmed_at = max(at, self.confirmed_at)
         self.receiver.confirmed(at)
 
     def log_changes(self, answer, started_at):
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -20,7 +20,7 @@
     """Passes on the store's changes to other routers.
 
     :param dict mirrors: a :class:`mirror.Mirror` for each kind.
-    :param freshness: :class:`freshness.Freshness` of the configuration.
+    :param dict freshness: :class:`freshness.Freshness` of each kind.
     :param pacing: :class:`pacing.Pacing`; None to pass nothing on.
     :param outages: :class:`outages.Outages`.
     """
@@ -53,18 +53,19 @@
         mirror = self.mirrors.get(ask.kind) if ask else None
         if mirror is None:
             return 400, b''
-        if not self.is_current():
+        if not self.is_current(ask.kind):
             return 503, b''
         if not mirror.knows(ask.since):
             return STATUS_GONE, b''
         wait = min(ask.wait_seconds, MAX_WAIT_SECONDS)
         await mirror.wait(ask.since, wait)
-        if not self.is_current():
+        if not self.is_current(ask.kind):
             return 503, b''
         if not mirror.knows(ask.since):
             return STATUS_GONE, b''
         # The age is taken before the changes, so that none is newer.
-        confirmed = time.monotonic() - started - self.freshness.age()
+        age = self.freshness[ask.kind].age()
+        confirmed = time.monotonic() - started - age
         passed = protocol.Passed(
             mirror.after(ask.since),
             max(ask.since, mirror.revision),
@@ -76,9 +77,9 @@
             return STATUS_TOO_LARGE, b''
         return 200, body
 
-    def is_current(self):
+    def is_current(self, kind):
         """Return whether this router knows the newest state itself."""
-        age = self.freshness.age()
+        age = self.freshness[kind].age()
         if self.stopping or self.pacing is None or age is None:
             return False
         return age <= self.pacing.leader_age
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -1,5 +1,7 @@
 """All that connects a router with the store, directly or by other routers."""
 
+import dataclasses
+
 from celeryward.objects import client
 from celeryward.objects import follower
 from celeryward.objects import outages
@@ -14,6 +16,10 @@
 
 # An endpoint that leaves may be used for longer than this.
 OBJECT_COALESCE_SECONDS = 0.4
+# Ages at which a kind is read again once its revision is known to be old. A
+# departure binds sooner than the verdict on a version.
+STALE_ENDPOINTS_SECONDS = 0.2
+STALE_ORDERS_SECONDS = 2.5
 # A watch that waits longer than the store keeps its history ends in a list.
 HISTORY_PART = 0.7
 
@@ -65,7 +71,11 @@
         )
         self.publisher = publisher.Publisher(
             self.mirrors,
-            freshness,
+            {
+                kinds.configuration: freshness,
+                kinds.endpoints: endpoint_freshness,
+                kinds.orders: freshness,
+            },
             paces,
             self.outages,
         )
@@ -86,10 +96,16 @@
                 self.tuning.object_wait, HISTORY_PART * bounds.history_seconds
             ),
             OBJECT_COALESCE_SECONDS,
+            stale_seconds=STALE_ORDERS_SECONDS,
+        )
+        # Each answer to the first follower bounds the age of the endpoints.
+        first_wait = min(
+            self.tuning.configuration_wait,
+            bounds.leave_seconds - outages.NEWS_RESERVE_SECONDS,
         )
         first = self.follower(
             kinds.configuration,
-            follower.Pace(self.tuning.configuration_wait, confirms=True),
+            follower.Pace(first_wait, confirms=True),
             receivers.ConfigurationReceiver(
                 configuration, self.freshness, self.translator
             ),
@@ -100,7 +116,14 @@
         orders = receivers.OrderReceiver(releases, self.translator)
         self.followers = (
             first,
-            self.follower(kinds.endpoints, wait, endpoints, first),
+            self.follower(
+                kinds.endpoints,
+                dataclasses.replace(
+                    wait, stale_seconds=STALE_ENDPOINTS_SECONDS
+                ),
+                endpoints,
+                first,
+            ),
             self.follower(kinds.orders, wait, orders, first),
         )
         self.writer = verdicts.VerdictWriter(
--- a/tests/test_other_routers.py
+++ b/tests/test_other_routers.py
@@ -153,7 +153,7 @@
         held = mirror.Mirror()
         made = publisher.Publisher(
             {'config': held},
-            fresh,
+            {'config': fresh},
             PACING,
             outages.Outages(standins.BOUNDS),
         )
