Complete a roll-out only with evidence, and not past others' verdicts

Cause: the store was away while six routers found the version bad (18.4 to 19.8 s). The seventh, with 2 failures in 8 answers, took the version as good when its time came (22.6 s), and was the first to write when the store was back; the first verdict stands. Completing needed no evidence at all.

Four tests fail on the code before.

Change: a router completes a version after three answers at least and without doubt (log odds below 2); at 0.95 of the time a version under doubt is rolled back. Completion is written only while the store has not been away for as long as it takes until a router is held to its word again, so that roll-backs of the outage arrive first, and evidence can undo it until it is stored.

--- a/celeryward/objects/outages.py
+++ b/celeryward/objects/outages.py
@@ -35,6 +35,7 @@
         self.return_seconds = min(
             RETURN_SECONDS, bounds.contact_seconds - CONTACT_RESERVE_SECONDS
         )
+        self.settle_seconds = bounds.contact_seconds
         self.keep_seconds = bounds.leave_seconds - NEWS_RESERVE_SECONDS
 
     def failed(self, started_at):
@@ -62,6 +63,11 @@
         ]
         return self.clock() - max(known) if known else None
 
+    def is_settled(self):
+        """Return whether what others wrote in an outage has arrived."""
+        age = self.age()
+        return age is None or age > self.settle_seconds
+
     def keep_until(self):
         """Return until when an entry that is now found missing is used."""
         age = self.age()
--- a/celeryward/objects/verdicts.py
+++ b/celeryward/objects/verdicts.py
@@ -22,9 +22,11 @@
     :param translator: has ``order_status(order)``, which returns the stored
         object with its new status, and ``read_order(stored)``.
     :param members: :class:`members.Members`.
+    :param outages: :class:`outages.Outages`.
     """
 
-    def __init__(self, client, releases, translator, members):
+    def __init__(self, client, releases, translator, members, outages):
+        self.outages = outages
         self.members = members
         self.client = client
         self.releases = releases
@@ -38,7 +40,8 @@
             self.releases.due(delay)
             for order in tuple(self.releases.unannounced(delay)):
                 await self.write(order)
-            for order in tuple(self.releases.unwritten()):
+            settled = self.outages.is_settled()
+            for order in tuple(self.releases.unwritten(settled)):
                 await self.write(order)
 
     async def write(self, order):
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -4,7 +4,8 @@
 first half of that time sessions stay on the old version. Then a small share
 of them goes to the new version; if it is as good as the old one, all follow,
 and the order is done once the old endpoints have had time to finish. A
-version that is worse is rolled back at once. Every router follows the same
+version that is worse is rolled back at once, and one under doubt is not
+completed. Every router follows the same
 plan from the order alone, so that a session meets the same version
 everywhere, and never returns from the new one.
 """
@@ -30,6 +31,8 @@
 PART_AT = 0.62
 ALL_AT = 0.68
 DONE_AT = 0.85
+# Part of the time after which a version under doubt is given up.
+LAST_AT = 0.95
 # Share of requests on the new version during the trial, as a part of the
 # share that a bad version may have.
 TRIAL_PART = 0.6
@@ -41,6 +44,10 @@
 # Log odds at which one router alone finds a version bad. The first of all
 # routers to find it decides, so each of several has to be surer.
 BAD_LOG_ODDS = 4.0
+# Log odds from which a version is not found good, and the answers without
+# which a router leaves it to others to find it good.
+DOUBT_LOG_ODDS = 2.0
+MIN_DONE_ANSWERS = 3
 # Requests that wait in one queue fail together, which says no more than one.
 SAME_ENDPOINT_SECONDS = 2.0
 
@@ -283,7 +290,8 @@
         self.progress[service] = progress
         if (
             tally.log_odds >= self.bad_log_odds
-            and progress.verdict is State.RUNNING
+            and progress.order.state is State.RUNNING
+            and progress.verdict is not State.ROLLED_BACK
         ):
             self.decide(service, State.ROLLED_BACK)
 
@@ -325,12 +333,23 @@
             listener(service)
 
     def due(self, delay_seconds=0.0):
-        """Decide the orders whose time to be done came a delay ago."""
+        """Decide the orders whose time to be done came a delay ago.
+
+        A router that has seen too little leaves it to the others as long as
+        there is time.
+        """
         now = self.clock() - delay_seconds
         for service, progress in tuple(self.progress.items()):
-            if (
-                progress.verdict is State.RUNNING
-                and progress.elapsed(now) >= DONE_AT
+            if progress.verdict is not State.RUNNING:
+                continue
+            elapsed = progress.elapsed(now)
+            tally = progress.tally
+            doubted = tally.log_odds >= DOUBT_LOG_ODDS
+            known = tally.answers >= MIN_DONE_ANSWERS
+            if elapsed >= LAST_AT and doubted:
+                self.decide(service, State.ROLLED_BACK)
+            elif elapsed >= LAST_AT or (
+                elapsed >= DONE_AT and known and not doubted
             ):
                 self.decide(service, State.DONE)
 
@@ -351,13 +370,18 @@
                 started_at = self.utc() - (now - progress.seen_at)
                 yield dataclasses.replace(order, started_at=started_at)
 
-    def unwritten(self):
-        """Yield orders whose verdict the store does not have yet."""
+    def unwritten(self, settled=True):
+        """Yield orders whose verdict the store does not have yet.
+
+        :param bool settled: whether verdicts of other routers would have
+            arrived; a version is not completed before.
+        """
         for progress in self.progress.values():
+            verdict = progress.verdict
+            if verdict is State.DONE and not settled:
+                continue
             if (
-                progress.verdict is not State.RUNNING
+                verdict is not State.RUNNING
                 and progress.order.state is State.RUNNING
             ):
-                yield dataclasses.replace(
-                    progress.order, state=progress.verdict
-                )
+                yield dataclasses.replace(progress.order, state=verdict)
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -127,7 +127,11 @@
             self.follower(kinds.orders, wait, orders, first),
         )
         self.writer = verdicts.VerdictWriter(
-            self.store, releases, self.translator, self.members
+            self.store,
+            releases,
+            self.translator,
+            self.members,
+            self.outages,
         )
 
     def follower(self, kind, pace, receiver, first=None):
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -212,3 +212,45 @@
         assert [order.state for order in rating.unwritten()] == [
             releases.State.ROLLED_BACK
         ]
+
+    def test_version_under_doubt_is_not_completed(self, rating, clock):
+        """One failure in a few answers was no obstacle to its completion."""
+        self.usual(rating)
+        for failed in (False, False, True):
+            rating.observe(SERVICE, 'v2', 'k', failed, 0.1)
+        clock.now = 17.5
+        rating.due()
+        assert rating.progress[SERVICE].verdict is releases.State.RUNNING
+        clock.now = 19.1
+        rating.due()
+        assert rating.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+
+    def test_router_that_saw_little_leaves_it_to_others(self, rating, clock):
+        rating.observe(SERVICE, 'v2', 'k', False, 0.1)
+        clock.now = 17.5
+        rating.due()
+        assert rating.progress[SERVICE].verdict is releases.State.RUNNING
+        clock.now = 19.1
+        rating.due()
+        assert rating.progress[SERVICE].verdict is releases.State.DONE
+
+    def test_completion_waits_for_verdicts_from_an_outage(self, rating, clock):
+        """It was written before the roll-backs that others had decided."""
+        for _ in range(5):
+            rating.observe(SERVICE, 'v2', 'k', False, 0.1)
+        clock.now = 17.5
+        rating.due()
+        assert not list(rating.unwritten(settled=False))
+        assert list(rating.unwritten(settled=True))
+
+    def test_completion_that_is_not_stored_can_be_undone(self, rating, clock):
+        self.usual(rating)
+        for _ in range(5):
+            rating.observe(SERVICE, 'v2', 'k', False, 0.1)
+        clock.now = 17.5
+        rating.due()
+        for _ in range(5):
+            rating.observe(SERVICE, 'v2', 'k', True, 0.1)
+        assert [order.state for order in rating.unwritten()] == [
+            releases.State.ROLLED_BACK
+        ]
