Judge a new version by its runs under way, too

Cause: evidence came from answers that had ended. When the time to complete came, five to seven routers had seen 1 to 6 answers each, with at most 2 failures. Most slow requests were still waiting for the head of their answer, or ended by the router's own time-out, of which one counts per endpoint and 2 s. Besides, answers of plain services were never counted, only their failures, so that failing looked usual there.

Change: each dispatch is a run that the releases know from its start. Four times a second the runs at a new version are compared with what the old one needs to the head (while it has answered one in the last 5 s, because heads wait longer under load) and for each event; one that takes four times as long counts as failed, once. Whole answers count like streams.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -20,8 +20,6 @@
 # Tokens of the retry budget that are kept for failures, so that requests for
 # larger models can't use up what failures need.
 FAILURE_RESERVE = 2.0
-# Events of a stream from which its pace can be told.
-MIN_PACED_EVENTS = 4
 # Dispatches that endpoints refuse, for one request.
 MAX_REFUSALS = 3
 
@@ -151,9 +149,18 @@
 
     async def run_once(self, relayed, plan, responder):
         """Dispatch once; return whether the caller has its answer."""
+        relayed.run = self.begin_run(relayed, plan)
+        try:
+            return await self.take_answer(relayed, plan, responder)
+        finally:
+            self.knowledge.releases.drop_run(relayed.run)
+
+    async def take_answer(self, relayed, plan, responder):
+        """Dispatch and pass on the answer; return whether it was."""
         passage = self.passage(relayed, plan)
-        outcomes = self.knowledge.outcomes
+        releases = self.knowledge.releases
         async with self.forwarder.dispatch(passage, plan.runner) as answer:
+            relayed.run.answered(time.monotonic())
             self.patience.note_head(relayed, plan, answer)
             if forwarding.is_failure(answer.head):
                 return await self.take_failed(relayed, plan, answer, responder)
@@ -162,16 +169,18 @@
                 relayed.arrivals += 1
                 relayed.runs += 1
                 relayed.size = larger
+                releases.end_run(relayed.run)
                 return False
             if forwarding.is_stream(relayed.route):
-                await self.relay_events(relayed, plan, answer, responder)
+                await self.relay_events(relayed, answer, responder)
             else:
                 whole = await answer.body()
                 await responder.send_whole(answer.head, whole)
-        self.knowledge.releases.remember(
+        releases.end_run(relayed.run)
+        releases.remember(
             plan.service, relayed.ask.session, plan.runner.software
         )
-        outcomes.answered(
+        self.knowledge.outcomes.answered(
             plan.runner.id, answer.seconds, relayed_requests.work(relayed.ask)
         )
         return True
@@ -224,20 +233,15 @@
             ).info('answer dropped for a larger model')
         return larger
 
-    async def relay_events(self, relayed, plan, answer, responder):
+    async def relay_events(self, relayed, answer, responder):
         """Pass on the events of a stream as they come."""
-        started = time.monotonic()
         first = relayed.sequence.last
         if not responder.started:
             await responder.start_stream(answer.head)
         async for ready in answer.events(relayed.sequence):
             await responder.send(b''.join(event.raw for event in ready))
+            relayed.run.sent_events(relayed.sequence.last - first)
         await responder.finish()
-        count = relayed.sequence.last - first
-        pace = None
-        if count >= MIN_PACED_EVENTS:
-            pace = (time.monotonic() - started) / count
-        self.observe(relayed, plan, False, pace)
 
     async def take_failed(self, relayed, plan, answer, responder):
         """Handle an answer in which the endpoint says that it failed.
@@ -247,7 +251,7 @@
         whole = await answer.body()
         relayed.arrivals += 1
         relayed.runs += 1
-        self.observe(relayed, plan, True)
+        self.knowledge.releases.end_run(relayed.run, failed=True)
         self.knowledge.outcomes.failed(plan.runner.id)
         relayed.tried |= {plan.runner.id}
         if relayed.has_events:
@@ -325,16 +329,15 @@
             # A broken connection says nothing about the software.
             silent = isinstance(error, errors.ConnectionSilent)
             if silent and not relayed.deadline.expired():
-                self.observe(relayed, plan, True)
+                self.knowledge.releases.end_run(relayed.run, failed=True)
 
-    def observe(self, relayed, plan, failed, pace=None):
-        """Tell the releases what a run came to."""
+    def begin_run(self, relayed, plan):
+        """Return the :class:`runs.Run` of a dispatch, for the releases."""
         model = plan.size.model if plan.size else ''
-        self.knowledge.releases.observe(
+        return self.knowledge.releases.begin_run(
             plan.service,
             plan.runner.software,
             f'{relayed.route.name} {model}',
-            failed,
-            pace,
             plan.runner.id,
+            relayed_requests.work(relayed.ask),
         )
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -50,6 +50,7 @@
         self.arrivals = 0
         self.prepaid = False
         self.failed_answer = None
+        self.run = None
 
     @property
     def has_events(self):
--- a/celeryward/raters/evidence.py
+++ b/celeryward/raters/evidence.py
@@ -12,18 +12,26 @@
 SLOW_FACTOR = 4.0
 MIN_OLD_SAMPLES = 5
 SAMPLE_WEIGHT = 0.1
+# How long the time to heads of answers is taken as usual without a new one.
+# It grows with the load, unlike the pace of events.
+HEAD_VALID_SECONDS = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usual:
     """What runs of one kind at the old version come to, as averages.
 
-    :param float pace: seconds for a unit of work.
+    :param float pace: seconds for an event of a stream.
+    :param float head: seconds to the head of an answer, for a unit of work.
+    :param float head_at: monotonic seconds of the last head.
     """
 
     failure_rate: float = GOOD_FAILURE_RATE
     pace: float = 0.0
     samples: int = 0
+    head: float = 0.0
+    heads: int = 0
+    head_at: float = 0.0
 
     def with_run(self, failed, pace):
         """Return the averages after one more run.
@@ -36,9 +44,26 @@
         if pace is None:
             return dataclasses.replace(self, failure_rate=rate)
         samples = self.samples + 1
-        weight = max(SAMPLE_WEIGHT, 1 / samples)
-        mean = self.pace + weight * (pace - self.pace)
-        return Usual(rate, mean, samples)
+        mean = with_sample(self.pace, pace, samples)
+        return dataclasses.replace(
+            self, failure_rate=rate, pace=mean, samples=samples
+        )
+
+    def with_head(self, head, now):
+        """Return the averages after one more head of an answer."""
+        heads = self.heads + 1
+        mean = with_sample(self.head, head, heads)
+        return dataclasses.replace(self, head=mean, heads=heads, head_at=now)
+
+    def expected_head(self, now):
+        """Return the usual seconds to a head, or None if unknown."""
+        known = self.heads >= MIN_OLD_SAMPLES
+        recent = now - self.head_at <= HEAD_VALID_SECONDS
+        return self.head if known and recent else None
+
+    def expected_pace(self):
+        """Return the usual seconds for an event, or None if unknown."""
+        return self.pace if self.samples >= MIN_OLD_SAMPLES else None
 
     def is_slow(self, pace):
         """Return whether a run took far longer than is usual."""
@@ -47,6 +72,12 @@
         return pace > self.pace * SLOW_FACTOR
 
 
+def with_sample(mean, sample, count):
+    """Return a running mean after one more sample."""
+    weight = max(SAMPLE_WEIGHT, 1 / count)
+    return mean + weight * (sample - mean)
+
+
 def log_odds(failed, usual):
     """Return the log likelihood ratio of bad against usual for one run."""
     usual = min(usual, MAX_BAD_RATE)
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -5,7 +5,8 @@
 of them goes to the new version; if it is as good as the old one, all follow,
 and the order is done once the old endpoints have had time to finish. A
 version that is worse is rolled back at once, and one under doubt is not
-completed. Every router follows the same
+completed. Runs that take far longer than the old version needs are evidence
+before they end, because a slow version ends few. Every router follows the same
 plan from the order alone, so that a session meets the same version
 everywhere, and never returns from the new one.
 """
@@ -19,6 +20,7 @@
 from celeryward import hashing
 from celeryward import logs
 from celeryward.raters import evidence
+from celeryward.raters import runs
 
 # Routers note the start of an order after a random part of this, so that
 # mostly one does.
@@ -156,6 +158,7 @@
         self.usual = {}
         self.failed_at = {}
         self.on_verdict = []
+        self.under_way = set()
 
     def set_bounds(self, bad_share, session_seconds):
         """Set the bounds that a new version and sessions keep."""
@@ -261,6 +264,77 @@
         until = now + SESSION_FACTOR * self.session_seconds
         self.sessions[(service, session)] = Stay(software, until)
 
+    def begin_run(self, service, software, kind, endpoint, work):
+        """Return the :class:`runs.Run` of a dispatch that begins now."""
+        run = runs.Run(service, software, kind, endpoint, work, self.clock())
+        self.under_way.add(run)
+        return run
+
+    def drop_run(self, run):
+        """Forget a run that says nothing about its version."""
+        self.under_way.discard(run)
+
+    def end_run(self, run, failed=False):
+        """Note what a run came to."""
+        self.under_way.discard(run)
+        if run.judged:
+            return
+        run.judged = True
+        now = self.clock()
+        progress = self.progress.get(run.service)
+        if progress is None or run.software != progress.order.target:
+            self.note_head(run, now)
+        self.observe(
+            run.service,
+            run.software,
+            run.kind,
+            failed,
+            run.pace(now),
+            run.endpoint,
+        )
+
+    def note_head(self, run, now):
+        """Update the usual time to heads of answers."""
+        if run.head is not None:
+            key = (run.service, run.kind)
+            usual = self.usual.get(key, evidence.Usual())
+            self.usual[key] = usual.with_head(run.head, now)
+
+    def review(self):
+        """Find the runs at new versions that are overdue."""
+        now = self.clock()
+        for run in tuple(self.under_way):
+            progress = self.progress.get(run.service)
+            if (
+                progress is None
+                or run.software != progress.order.target
+                or run.judged
+            ):
+                continue
+            usual = self.usual.get((run.service, run.kind), evidence.Usual())
+            if run.is_overdue(usual, now) and self.may_be_news(run.endpoint):
+                run.judged = True
+                self.log_overdue(run, now)
+                self.observe(
+                    run.service,
+                    run.software,
+                    run.kind,
+                    True,
+                    endpoint=run.endpoint,
+                )
+
+    def log_overdue(self, run, now):
+        """Write one line on a run that is overdue."""
+        logs.bind(
+            step='roll-out',
+            peer=run.service,
+            software=run.software,
+            endpoint=run.endpoint,
+            kind=run.kind,
+            under_way=round(now - run.started_at, 3),
+            events=run.events,
+        ).info('run at the new version is overdue')
+
     def observe(self, service, software, kind, failed, pace=None, endpoint=''):
         """Note what a run at a version came to.
 
@@ -296,14 +370,18 @@
             self.decide(service, State.ROLLED_BACK)
 
     def is_news(self, endpoint):
+        """Note a failure; return whether it is the first for a while."""
+        if not self.may_be_news(endpoint):
+            return False
+        self.failed_at[endpoint] = self.clock()
+        return True
+
+    def may_be_news(self, endpoint):
         """Return whether a failure is not one of several at an endpoint."""
-        now = self.clock()
         last = self.failed_at.get(endpoint)
-        if endpoint and last is not None:
-            if now - last < SAME_ENDPOINT_SECONDS:
-                return False
-        self.failed_at[endpoint] = now
-        return True
+        if not endpoint or last is None:
+            return True
+        return self.clock() - last >= SAME_ENDPOINT_SECONDS
 
     @property
     def bad_log_odds(self):
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -35,6 +35,7 @@
 MAX_BURST = 8.0
 STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
+REVIEW_SECONDS = 0.25
 
 
 class Router:
@@ -252,7 +253,11 @@
         await self.callers.start()
         await self.peers.start()
         self.view.follow(self.configuration, self.runners, self.releases)
-        others = (self.monitor.run, self.follow_settings)
+        others = (
+            self.monitor.run,
+            self.follow_settings,
+            self.review_releases,
+        )
         for run in (*self.view.runs(), *others):
             self.tasks.append(await curio.spawn(run, daemon=True))
 
@@ -316,6 +321,12 @@
             await curio.sleep(SETTINGS_POLL_SECONDS)
             self.reload()
 
+    async def review_releases(self):
+        """Judge new versions by the runs that are under way."""
+        while True:
+            await curio.sleep(REVIEW_SECONDS)
+            self.releases.review()
+
     async def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -460,3 +460,21 @@
         for connection in idle:
             assert await connection.sock.recv(10) == b''
             await connection.close()
+
+
+class TestEvidence:
+    """Guards against answers that count for no software version."""
+
+    @standins.on_site
+    async def test_answers_of_plain_services_are_usual(self, site):
+        """Only their failures counted, so that failing looked usual."""
+        runner = site.runners['app-1']
+        for _ in range(3):
+            runner.script.append(standins.answering(500))
+            await site.ask('/whole/x')
+        for _ in range(40):
+            await site.ask('/whole/x')
+        usual = site.router.releases.usual[('app', 'whole ')]
+        assert usual.failure_rate < 0.1
+        assert usual.heads >= 40
+        assert not site.router.releases.under_way
