End answers that go on without end, in the head or the body

Cause: three waits began anew with each byte. A body of a byte every 10 ms was waited for until the deadline, also where the request may be sent elsewhere; a stream that never completes an event was not given up. A deadline was only looked at while a read had to wait, so that bytes which are always there outlasted it, and kept other tasks from running. In the product's own front end a stream without the end of an event grew without bound, and a body that goes on after its last event held back the end of a whole answer. The same wait is that of the store's and other routers' answers.

Fast endless bytes were bounded already: 32 KB for heads, 16 MB for bodies, 1 MB for events; the tests keep that.

Change: a read fails once its deadline has passed and lets others run after a full buffer; at most 16 interim responses are read; a stream's wait counts from its last event; a whole body that may be asked elsewhere has the objective, 1 s at least, and a second more for each 64 KB.

--- a/celeryward/callers/patience.py
+++ b/celeryward/callers/patience.py
@@ -13,6 +13,8 @@
 HEAD_USUAL_FACTOR = 5.0
 MIN_HEAD_SECONDS = 0.25
 HEAD_SAMPLE_WEIGHT = 0.1
+# Least time for a whole body after its head, before it is asked elsewhere.
+MIN_BODY_SECONDS = 1.0
 # A stream goes on elsewhere after this many times the pause that is on time.
 PAUSE_FACTOR = 1.5
 
@@ -39,11 +41,17 @@
         return deadlines.Deadline.after(seconds).earlier(relayed.deadline)
 
     def pause_seconds(self, relayed):
-        """Return the longest wait for the next bytes of a body."""
+        """Return the longest wait for the next event of a stream."""
         if forwarding.is_stream(relayed.route) and relayed.has_alternative():
             return PAUSE_FACTOR * relayed.route.pause_seconds
         return relayed.route.timeout_seconds
 
+    def body_seconds(self, relayed):
+        """Return the time allowed for a whole body after its head."""
+        if relayed.route.may_repeat and relayed.has_alternative():
+            return max(MIN_BODY_SECONDS, relayed.route.objective_seconds)
+        return relayed.route.timeout_seconds
+
     def head_key(self, relayed, plan):
         """Return what heads are compared with."""
         return relayed.route.name, plan.size.model if plan.size else ''
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -198,6 +198,7 @@
             relayed.deadline,
             self.patience.head_deadline(relayed, plan),
             self.patience.pause_seconds(relayed),
+            self.patience.body_seconds(relayed),
             relayed.sequence.last,
             fresh=not route.may_repeat,
         )
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -17,6 +17,8 @@
 # the endpoint may close it while a request is under way.
 IDLE_RESERVE_SECONDS = 1.0
 DEFAULT_IDLE_SECONDS = 4.0
+# Rate at which a body has to arrive beyond the time allowed for it.
+MIN_BODY_BYTES_PER_SECOND = 65536.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +32,8 @@
     :param int urgency: 0 is served first by the endpoint, 9 last.
     :param Deadline deadline: when the answer has to be complete.
     :param Deadline head_deadline: when the head of the answer is due.
-    :param float pause_seconds: longest wait for the next bytes of a body.
+    :param float pause_seconds: longest wait for the next event of a stream.
+    :param float body_seconds: time allowed for a whole body after its head.
     :param int after_event: last event that the caller has.
     :param bool fresh: whether to open a new connection.
     """
@@ -44,11 +47,12 @@
     deadline: deadlines.Deadline
     head_deadline: deadlines.Deadline
     pause_seconds: float
+    body_seconds: float
     after_event: int = 0
     fresh: bool = False
 
-    def next_bytes(self):
-        """Return the deadline of the next bytes of the body."""
+    def next_event(self):
+        """Return the deadline of the next event, from now."""
         wait = deadlines.Deadline.after(self.pause_seconds)
         return wait.earlier(self.deadline)
 
@@ -71,23 +75,32 @@
         self.heard = heard
 
     async def body(self):
-        """Return the whole body."""
+        """Return the whole body, which has to arrive in time."""
+        begun = deadlines.Deadline.after(self.passage.body_seconds)
+        read_before = self.connection.bytes_read
+
+        def due():
+            read = self.connection.bytes_read - read_before
+            extension = read / MIN_BODY_BYTES_PER_SECOND
+            return deadlines.Deadline(begun.at + extension).earlier(
+                self.passage.deadline
+            )
+
         return await self.connection.receive_body(
-            'read body',
-            self.passage.deadline,
-            next_deadline=self.passage.next_bytes,
+            'read body', self.passage.deadline, next_deadline=due
         )
 
     async def events(self, sequence):
         """Yield lists of whole events, as many as have arrived.
 
+        Bytes that complete no event don't extend the wait for the next one.
+
         :param event_stream.Sequence sequence: keeps them in order.
         :raises errors.AnswerTruncated: if the body ends inside an event.
         """
         splitter = event_stream.Splitter(self.connection.peer)
-        pieces = self.connection.receive_chunks(
-            'read events', self.passage.next_bytes
-        )
+        due = self.passage.next_event()
+        pieces = self.connection.receive_chunks('read events', lambda: due)
         async with contextlib.aclosing(pieces):
             async for piece in pieces:
                 self.heard()
@@ -96,6 +109,7 @@
                 ready, failure = collect(taken)
                 if ready:
                     yield ready
+                    due = self.passage.next_event()
                 if failure is not None:
                     raise failure
         if splitter.rest:
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -7,14 +7,19 @@
 import msgspec
 
 from celeryward import calls
+from celeryward import deadlines
+from celeryward.endpoints import event_stream
 from celeryward import errors
 from celeryward import http
+from celeryward import logs
 
 EVENT_END = b'\n\n'
 EVENT_START = b'data: '
 DONE_EVENT = b'data: [DONE]\n\n'
 NOT_RUN_STATUSES = (429, 503)
 BODILESS_STATUSES = (204, 304)
+# Wait for the end of a body whose last event has arrived.
+FINISH_SECONDS = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,15 +122,28 @@
 
     Holds back the last data event and ``[DONE]``, because they must not
     reach the caller before the request is billed.
+
+    :param str peer: address of the endpoint, used in errors.
     """
 
-    def __init__(self):
+    def __init__(self, peer):
+        self.peer = peer
         self.rest = b''
         self.done = False
 
     def split(self, data):
-        """Return the whole events in the buffer as one piece of bytes."""
+        """Return the whole events in the buffer as one piece of bytes.
+
+        :raises errors.AnswerInvalid: if an event is too large.
+        """
         block, separator, self.rest = (self.rest + data).rpartition(EVENT_END)
+        if len(self.rest) > event_stream.MAX_EVENT_BYTES:
+            raise errors.AnswerInvalid(
+                f'event is larger than {event_stream.MAX_EVENT_BYTES} bytes',
+                step='read stream',
+                peer=self.peer,
+                sent=True,
+            )
         events = block + separator
         if events.endswith(DONE_EVENT):
             self.done = True
@@ -204,12 +222,19 @@
     )
     response = await connection.receive_response(timings.first_byte())
     check_head(response, call, connection.peer)
-    splitter = EventSplitter()
+    splitter = EventSplitter(connection.peer)
     last = b''
     tokens = 0
+
+    def next_deadline():
+        progress = timings.progress()
+        if not splitter.done:
+            return progress
+        return progress.earlier(deadlines.Deadline.after(FINISH_SECONDS))
+
     # Engines may send the head before the request leaves their queue.
     pieces = connection.receive_chunks(
-        'read stream', timings.progress, timings.first_byte()
+        'read stream', next_deadline, timings.first_byte()
     )
     async with contextlib.aclosing(pieces):
         async for piece in pieces:
@@ -235,9 +260,17 @@
 
 
 async def finish_body(pieces):
-    """Read to the end of the body so that the connection can be reused."""
-    async for _ in pieces:
-        pass
+    """Read to the end of the body so that the connection can be reused.
+
+    The answer is complete; a body that does not end costs the connection.
+    """
+    try:
+        async for _ in pieces:
+            return
+    except http.EXCHANGE_ERRORS as error:
+        logs.bind_error(error).info(
+            'body goes on after the last event: {}', error.message
+        )
 
 
 def read_last(events, tokens, peer):
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -14,6 +14,8 @@
 READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Interim responses before the final one that are read.
+MAX_INTERIM_RESPONSES = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +85,7 @@
             role, max_incomplete_event_size=max_head_bytes
         )
         self.bytes_written = 0
+        self.bytes_read = 0
         self.last_read_at = 0.0
         # Until when the other side keeps the connection while it is idle.
         self.usable_until = deadlines.NEVER
@@ -116,9 +119,17 @@
         return errors.ProtocolError(str(error), step=step, peer=self.peer)
 
     async def read(self, step, deadline):
-        """Return bytes from the socket, empty at the end of the stream."""
+        """Return bytes from the socket, empty at the end of the stream.
+
+        Bytes that come without a pause neither outlast the deadline nor keep
+        other tasks from running.
+        """
+        if deadline.expired():
+            raise ReadTimeout(
+                'deadline passed before the end', step=step, peer=self.peer
+            )
         try:
-            return await curio.timeout_after(
+            data = await curio.timeout_after(
                 deadline.remaining(), self.sock.recv, READ_SIZE_BYTES
             )
         except curio.TaskTimeout as error:
@@ -131,6 +142,10 @@
             raise Disconnected(
                 f'connection lost: {error}', step=step, peer=self.peer
             ) from error
+        self.bytes_read += len(data)
+        if len(data) == READ_SIZE_BYTES:
+            await curio.sleep(0)
+        return data
 
     async def send(self, step, *events):
         """Send h11 events in one write.
@@ -194,8 +209,11 @@
         )
 
     async def receive_response(self, deadline):
-        """Return the next response head, skipping interim responses."""
-        while True:
+        """Return the next response head, skipping interim responses.
+
+        :raises errors.ProtocolError: if these don't end.
+        """
+        for _ in range(MAX_INTERIM_RESPONSES):
             event = await self.receive('read response', deadline)
             if isinstance(event, h11.Response):
                 return Response(
@@ -209,6 +227,11 @@
                     step='read response',
                     peer=self.peer,
                 )
+        raise errors.ProtocolError(
+            f'more than {MAX_INTERIM_RESPONSES} interim responses',
+            step='read response',
+            peer=self.peer,
+        )
 
     async def receive_chunks(self, step, next_deadline, first_deadline=None):
         """Yield the pieces of a body as they arrive.
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import functools
 import urllib.parse
 
 from adapter import translator
@@ -546,10 +547,11 @@
     """Run a coroutine test on a started site."""
 
     @fakes.in_kernel
-    async def run(self, site):
+    @functools.wraps(test)
+    async def run(self, site, **others):
         await site.start()
         try:
-            await test(self, site)
+            await test(self, site, **others)
         finally:
             await site.stop()
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -251,7 +251,7 @@
         head = http.Request('GET', '/', {}, lines)
         deadline = deadlines.Deadline.after(1.0)
         passage = forwarding.Passage(
-            head, b'', 'r', '', '', 5, deadline, deadline, 1.0
+            head, b'', 'r', '', '', 5, deadline, deadline, 1.0, 1.0
         )
         runner = runners.Runner('r1', 's', '10.0.0.1', 80, 'a')
         names = [name for name, _ in messages.passage_lines(passage, runner)]
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -26,12 +26,6 @@
     return site
 
 
-@pytest.fixture
-def patient_site(site):
-    site.tuning = dataclasses.replace(site.tuning, object_wait=10.0)
-    return site
-
-
 def offered(router):
     """Return the ids of the endpoints that may receive requests."""
     return {each.id for each in router.runners.of_service('app')}
@@ -47,6 +41,14 @@
     await standins.until(lambda: site.router.view.store.calls > calls)
 
 
+async def make_deaf(site, router):
+    """Let the watch on endpoints that waits now say nothing."""
+    watch = router.view.followers[1]
+    watch.pace = dataclasses.replace(watch.pace, wait_seconds=10.0)
+    await curio.sleep(PAUSE_SECONDS)
+    site.store.deaf = frozenset(('servers',))
+
+
 class TestDepartures:
     """Guards against requests to endpoints that have left."""
 
@@ -93,19 +95,15 @@
         assert offered(site.router) == {'a-1', 'a-2'}
 
     @standins.on_site
-    async def test_deaf_watch_does_not_hide_a_departure(self, patient_site):
-        site = patient_site
-        await curio.sleep(PAUSE_SECONDS)
-        site.store.deaf = frozenset(('servers',))
+    async def test_deaf_watch_does_not_hide_a_departure(self, site):
+        await make_deaf(site, site.router)
         await site.store.delete('servers', 'a-1')
         await curio.sleep(LEAVE_SECONDS)
         assert offered(site.router) == {'a-2'}
 
     @standins.on_site
-    async def test_late_answer_brings_no_endpoint_back(self, patient_site):
-        site = patient_site
-        await curio.sleep(PAUSE_SECONDS)
-        site.store.deaf = frozenset(('servers',))
+    async def test_late_answer_brings_no_endpoint_back(self, site):
+        await make_deaf(site, site.router)
         runner = site.runners['a-1']
         await site.store.put('servers', 'a-1', runner.entry())
         await site.store.put('servers', 'a-1', runner.entry('draining'))
@@ -180,10 +178,7 @@
 
     @passed_changes.on_pair
     async def test_deaf_watch_of_the_leader_delays_no_departure(self, pair):
-        watch = pair.leader.view.followers[1]
-        watch.pace = dataclasses.replace(watch.pace, wait_seconds=10.0)
-        await curio.sleep(PAUSE_SECONDS)
-        pair.site.store.deaf = frozenset(('servers',))
+        await make_deaf(pair.site, pair.leader)
         await pair.site.store.delete('servers', 'app-1')
         await curio.sleep(LEAVE_SECONDS)
         assert offered(pair.follower) == set()
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,234 @@
+"""Endpoints whose answers never end, in the head or in the body."""
+
+import resource
+import time
+
+import curio
+import pytest
+
+from celeryward import deadlines
+from celeryward.endpoints import protocol
+from celeryward import errors
+from celeryward import http
+from tests import fakes
+from tests import platform_standins as standins
+
+PIECE = b'x' * 65536
+HEAD = b'HTTP/1.1 200 OK\r\n'
+# More than one answer may hold, and far less than a router may use.
+MEMORY_BYTES = 48 * 1024 * 1024
+# The deadline of the tests' routes, and time for a busy host.
+DEADLINE_SECONDS = 2.0 + 1.0
+
+
+def endless(start, piece=PIECE, pause=0.0, sealed=True):
+    """Return an action that sends a piece until the router closes.
+
+    :param bytes start: sent first, before the endpoint's own header lines.
+    :param bool sealed: whether those lines follow.
+    """
+
+    async def act(runner, connection, arrival):
+        lines = b''
+        if sealed:
+            lines = b''.join(
+                f'{name}: {value}\r\n'.encode()
+                for name, value in runner.head(arrival).items()
+            )
+        try:
+            await connection.sock.sendall(start + lines)
+            if sealed:
+                await connection.sock.sendall(b'\r\n')
+            while True:
+                await connection.sock.sendall(piece)
+                await curio.sleep(pause)
+        except OSError as error:
+            raise http.Disconnected(
+                str(error), step='answer', peer='test'
+            ) from error
+
+    return act
+
+
+def chunk(data):
+    """Return one chunk of a chunked body."""
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+CHUNKED = HEAD + b'transfer-encoding: chunked\r\n'
+STREAM = CHUNKED + b'content-type: text/event-stream\r\n'
+ENDLESS = {
+    'no line': endless(b'', sealed=False),
+    'header lines': endless(HEAD, b'a: b\r\n' * 1000, sealed=False),
+    'slow header lines': endless(HEAD, b'a: b\r\n', 0.01, sealed=False),
+    'interim answers': endless(
+        b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 100, sealed=False
+    ),
+    'body without length': endless(HEAD),
+    'chunks': endless(CHUNKED, chunk(PIECE)),
+    'slow chunks': endless(CHUNKED, chunk(b'x'), 0.01),
+    'chunk that never begins': endless(CHUNKED, b'0'),
+}
+
+
+@pytest.fixture
+def site():
+    return standins.Site(
+        [
+            standins.RunnerStandIn('app-1', 'app'),
+            standins.RunnerStandIn('app-2', 'app'),
+            standins.RunnerStandIn('llm-1'),
+            standins.RunnerStandIn('llm-2'),
+        ]
+    )
+
+
+def at_first(site, act):
+    """Let the first request that arrives anywhere meet an action."""
+    arrived = []
+
+    async def choose(runner, connection, arrival):
+        arrived.append(arrival)
+        chosen = act if len(arrived) == 1 else standins.usual
+        await chosen(runner, connection, arrival)
+
+    for runner in site.runners.values():
+        runner.usual = choose
+
+
+def grown_bytes(before):
+    """Return by how much this process has grown beyond its peak."""
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return (peak - before) * 1024
+
+
+async def ended(site):
+    """Wait until each endpoint has ended what it received."""
+    await standins.until(
+        lambda: all(
+            len(runner.ended) == len(runner.arrivals)
+            for runner in site.runners.values()
+        ),
+        1.0,
+    )
+
+
+class TestWholeAnswers:
+    """Guards against requests, memory and connections that they take."""
+
+    @pytest.mark.parametrize('name', ENDLESS)
+    @standins.on_site
+    async def test_single_request_ends_in_time(self, site, name):
+        for runner in site.runners.values():
+            runner.usual = ENDLESS[name]
+        before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        started = time.monotonic()
+        head, _ = await site.ask('/once/x', method='POST')
+        assert head.status in (502, 504)
+        assert time.monotonic() - started < DEADLINE_SECONDS
+        assert grown_bytes(before) < MEMORY_BYTES
+        await ended(site)
+
+    @pytest.mark.parametrize('name', ENDLESS)
+    @standins.on_site
+    async def test_repeatable_request_is_served_elsewhere(self, site, name):
+        at_first(site, ENDLESS[name])
+        _, body = await site.ask('/whole/x')
+        assert body == b'whole answer'
+        await ended(site)
+
+    @standins.on_site
+    async def test_others_are_served_meanwhile(self, site):
+        site.runners['app-1'].usual = ENDLESS['chunks']
+        site.runners['app-2'].usual = ENDLESS['interim answers']
+        asking = [
+            await curio.spawn(site.ask, '/once/x', 'POST', daemon=True)
+            for _ in range(6)
+        ]
+        for _ in range(5):
+            started = time.monotonic()
+            head, _ = await site.ask('/stream/x', method='POST')
+            assert head.status == 200
+            assert time.monotonic() - started < 1.0
+        for task in asking:
+            head, _ = await task.join()
+            assert head.status in (502, 504)
+
+
+class TestStreams:
+    """Guards against streams that go on without an event."""
+
+    @pytest.mark.parametrize(
+        'act',
+        (
+            endless(STREAM, chunk(PIECE)),
+            endless(STREAM, chunk(b'x'), 0.01),
+            endless(STREAM, chunk(b'id: 1\n'), 0.01),
+        ),
+        ids=('fast', 'slow', 'never a whole event'),
+    )
+    @standins.on_site
+    async def test_stream_goes_on_elsewhere(self, site, act):
+        at_first(site, act)
+        head, body = await site.ask('/stream/x', method='POST')
+        assert head.status == 200
+        assert body == standins.events(4)
+        await ended(site)
+
+
+class TestStore:
+    """Guards against a store, or another router, that never ends."""
+
+    @standins.on_site
+    async def test_watch_that_never_ends_counts_as_an_outage(self, site):
+        answer = site.store.answer
+
+        async def go_on(connection, received):
+            if 'config' not in received.head.target:
+                await answer(connection, received)
+                return
+            try:
+                await connection.sock.sendall(CHUNKED + b'\r\n')
+                while True:
+                    await connection.sock.sendall(chunk(b' ' * 4096))
+                    await curio.sleep(0.01)
+            except OSError as error:
+                raise http.Disconnected(
+                    str(error), step='store', peer='test'
+                ) from error
+
+        site.store.answer = go_on
+        first = site.router.view.followers[0]
+        await standins.until(lambda: not first.reachable, 3.0)
+        site.store.answer = answer
+        await standins.until(lambda: first.reachable, 3.0)
+
+
+class TestOwnFrontEnd:
+    """Guards against the same at the product's own protocol."""
+
+    def test_event_without_an_end_is_refused(self):
+        splitter = protocol.EventSplitter('peer')
+        with pytest.raises(errors.AnswerInvalid):
+            for _ in range(100):
+                splitter.split(PIECE)
+
+    @fakes.in_kernel
+    async def test_read_after_the_deadline_fails_while_bytes_wait(self):
+        near, far = curio.socket.socketpair()
+        async with near, far:
+            await far.sendall(PIECE[:100])
+            connection = http.Connection(near, http.h11.CLIENT, 'peer')
+            with pytest.raises(http.ReadTimeout):
+                await connection.read('read', deadlines.Deadline.after(0.0))
+
+    @fakes.in_kernel
+    async def test_body_that_goes_on_after_the_last_event_ends(self):
+        """The last part of a whole answer was held back by it."""
+
+        async def go_on():
+            while True:
+                yield PIECE
+
+        async with curio.timeout_after(1.0):
+            await protocol.finish_body(go_on())
