Take no older word on an endpoint's leaving in the daemon, either

A probe that began before a peer announced an endpoint's departure, and was answered after it, undid the announcement until the next probe; in a large fleet idle endpoints are probed seconds apart. And between the choice of an endpoint and the send, up to the connect timeout, nobody asked whether it had left meanwhile (the version was asked for).

Evidence: test_late_answer_does_not_overrule_an_announcement and test_request_is_not_sent_there fail on the code before.

Change: an answer to a probe counts as of its question; a dispatch checks the endpoint again when its connection is ready, and goes elsewhere as not sent.

--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -83,19 +83,28 @@
         """Check the target again when the connection is ready.
 
         Opening a connection can take as long as the connect timeout; the
-        target may have been withdrawn or revoked meanwhile.
+        target may have been withdrawn or revoked, or the endpoint may have
+        left meanwhile.
 
         :raises errors.EndpointRefused: if nothing may be sent.
+        :raises errors.EndpointLeft: if the endpoint leaves.
         """
         checked = self.check_target(attempt)
+        endpoint = attempt.candidate.endpoint
         if checked.is_err():
             # The endpoint did not fail; it may run another version.
-            attempt.tried -= {attempt.candidate.endpoint.name}
+            attempt.tried -= {endpoint.name}
             raise errors.EndpointRefused(
                 checked.unwrap_err().message,
                 step='confirm target',
                 peer=attempt.pinned or attempt.model,
             )
+        if self.view.liveness.is_leaving(endpoint.name):
+            raise errors.EndpointLeft(
+                'endpoint left before the request was sent',
+                step='confirm target',
+                peer=endpoint.address,
+            )
 
     async def choose_candidate(self, attempt):
         """Select among the endpoints of the newest catalog.
--- a/celeryward/endpoints/liveness.py
+++ b/celeryward/endpoints/liveness.py
@@ -70,10 +70,16 @@
             self.failures[name] = FAILURES_TO_SUSPECT - 1
             self.failed(name, interval)
 
-    def set_leaving(self, name, leaving):
-        """Note whether the endpoint announces that it leaves."""
-        announced = Announcement(name, leaving, self.clock())
-        self.announcements[name] = announced
+    def set_leaving(self, name, leaving, asked_at=None):
+        """Note whether the endpoint announces that it leaves.
+
+        :param float asked_at: monotonic seconds of the question; its answer
+            is no newer than that. None for now.
+        """
+        at = self.clock() if asked_at is None else asked_at
+        known = self.announcements.get(name)
+        if known is None or known.at <= at:
+            self.announcements[name] = Announcement(name, leaving, at)
 
     def export(self):
         """Return all announcements of departure, for peers."""
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -130,6 +130,7 @@
         :returns: whether the endpoint answered.
         """
         deadline = deadlines.Deadline.after(self.timings.probe_timeout)
+        asked_at = time.monotonic()
         try:
             connection = await http.connect(
                 endpoint.host, endpoint.port, deadline
@@ -144,7 +145,7 @@
             logs.bind_error(error).warning('probe failed: {}', error.message)
             return False
         self.liveness.succeeded(endpoint.name)
-        self.liveness.set_leaving(endpoint.name, report.leaving)
+        self.liveness.set_leaving(endpoint.name, report.leaving, asked_at)
         self.load.report(endpoint.name, report)
         return True
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -74,6 +74,31 @@
         with_cluster(test)
 
 
+class TestDepartures:
+    """Guards against requests to endpoints that left after the choice."""
+
+    def test_request_is_not_sent_there(self, with_cluster):
+        async def test(cluster):
+            daemon = cluster.daemon
+            open_connection = daemon.pool.open
+
+            async def open_slowly(endpoint, deadline):
+                connection = await open_connection(endpoint, deadline)
+                daemon.liveness.set_leaving(endpoint.name, True)
+                return connection
+
+            daemon.pool.open = open_slowly
+            example = demo.Example(
+                '', 'POST', '/v1/services/orders/reserve', {}
+            )
+            head, _ = await ask(cluster, example)
+            assert head.status == 503
+            assert head.headers['x-execution'] == 'not-run'
+            assert not cluster.orders.executed
+
+        with_cluster(test)
+
+
 class TestProgramFaults:
     """Guards against a fault of the program that leaves a caller waiting."""
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -103,6 +103,17 @@
         two.merge(one.export())
         assert two.is_live('a')
 
+    def test_late_answer_does_not_overrule_an_announcement(self):
+        """A probe that began before undid what a peer had announced."""
+        now = [10.0]
+        live = liveness.Liveness(lambda: now[0])
+        now[0] = 11.0
+        live.merge([liveness.Announcement('a', True, 0.0)])
+        live.set_leaving('a', False, asked_at=10.5)
+        assert not live.is_live('a')
+        live.set_leaving('a', False, asked_at=11.5)
+        assert live.is_live('a')
+
 
 class TestProbeRate:
     """Guards against probes of a large fleet that use up a core."""
