--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Endpoints whose answers never end, in the head or in the body."""
 
+import contextlib
 import resource
 import time
 
@@ -230,5 +231,6 @@
             while True:
                 yield PIECE
 
-        async with curio.timeout_after(1.0):
-            await protocol.finish_body(go_on())
+        async with contextlib.aclosing(go_on()) as pieces:
+            async with curio.timeout_after(1.0):
+                await protocol.finish_body(pieces)
