Serve small requests by one function; write lines on entries by one

Left behind by earlier work: the routers' port, readiness and metrics each had the same loop; three lines on endpoints bound the same fields; the monitor asked for the lost failure domains twice in each tick. No behaviour changes.

--- a/celeryward/endpoints/monitor.py
+++ b/celeryward/endpoints/monitor.py
@@ -67,8 +67,11 @@
 
     async def watch(self, runner):
         """Watch one endpoint as long as it needs it."""
-        while self.is_used(runner) or self.in_lost_domain(runner):
-            if self.is_silent(runner) or self.in_lost_domain(runner):
+        while True:
+            in_lost_domain = self.in_lost_domain(runner)
+            if not (in_lost_domain or self.is_used(runner)):
+                return
+            if in_lost_domain or self.is_silent(runner):
                 if await self.can_connect(runner):
                     self.outcomes.heard(runner.id)
                 else:
--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -59,13 +59,8 @@
         self.missing.pop(runner.id, None)
         self.first_software.setdefault(runner.service, runner.software)
         if before != runner:
-            logs.bind(
-                step='endpoints',
-                peer=runner.address,
-                endpoint=runner.id,
-                service=runner.service,
-                software=runner.software,
-                leaving=runner.leaving,
+            log_line(
+                runner, software=runner.software, leaving=runner.leaving
             ).info('endpoint listed')
         if before is not None and before.key != runner.key:
             self.announce(before)
@@ -82,27 +77,15 @@
         if keep_until and not (keep_until.expired() or runner.leaving):
             if runner_id not in self.missing:
                 self.missing[runner_id] = keep_until
-                self.log_missing(runner)
+                kept = round(keep_until.remaining(), 3)
+                log_line(runner, kept=kept).info(
+                    'endpoint missing; kept for a while'
+                )
             return
         del self.runners[runner_id]
         self.missing.pop(runner_id, None)
         self.announce(runner)
-        logs.bind(
-            step='endpoints',
-            peer=runner.address,
-            endpoint=runner_id,
-            service=runner.service,
-        ).info('endpoint gone')
-
-    def log_missing(self, runner):
-        """Write one line on an entry that may have lapsed."""
-        logs.bind(
-            step='endpoints',
-            peer=runner.address,
-            endpoint=runner.id,
-            service=runner.service,
-            kept=round(self.missing[runner.id].remaining(), 3),
-        ).info('endpoint missing; kept for a while')
+        log_line(runner).info('endpoint gone')
 
     def announce(self, runner):
         """Tell the listeners that one start of an endpoint is over."""
@@ -139,3 +122,14 @@
         for runner in self.runners.values():
             if runner.service == service and not runner.leaving:
                 yield runner
+
+
+def log_line(runner, **fields):
+    """Return a logger for a line on an endpoint's entry."""
+    return logs.bind(
+        step='endpoints',
+        peer=runner.address,
+        endpoint=runner.id,
+        service=runner.service,
+        **fields,
+    )
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -27,7 +27,8 @@
 from celeryward import signals
 from celeryward import store_view
 
-READINESS_IDLE_SECONDS = 30.0
+# Connections of the balancer and of those who read metrics.
+CALL_IDLE_SECONDS = 30.0
 # A router may not know yet of all others, with which it shares the slack of
 # the retry budget and the judgement of new versions.
 MIN_ROUTERS = 7
@@ -213,7 +214,9 @@
             status = 200 if self.is_ready() else 503
             await http.send_response(connection, status, {}, b'')
 
-        await self.serve_simple(connection, answer)
+        await http.serve_calls(
+            connection, answer, CALL_IDLE_SECONDS, CALL_IDLE_SECONDS
+        )
 
     async def answer_metrics(self, connection):
         """Serve the metrics on one connection."""
@@ -223,22 +226,9 @@
             body = self.metrics.exposition()
             await http.send_response(connection, 200, text, body)
 
-        await self.serve_simple(connection, answer)
-
-    async def serve_simple(self, connection, answer):
-        """Serve requests without a body until the connection ends."""
-
-        async def read_and_answer(head):
-            deadline = deadlines.Deadline.after(READINESS_IDLE_SECONDS)
-            await connection.receive_body('read request', deadline)
-            await answer(head)
-
-        try:
-            await http.serve_connection(
-                connection, read_and_answer, READINESS_IDLE_SECONDS
-            )
-        except http.EXCHANGE_ERRORS as error:
-            logs.bind_error(error).debug('connection ended: {}', error.message)
+        await http.serve_calls(
+            connection, answer, CALL_IDLE_SECONDS, CALL_IDLE_SECONDS
+        )
 
     async def start(self):
         """Start all tasks. Until there is configuration, all is refused."""
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -2,9 +2,7 @@
 
 import time
 
-from celeryward import deadlines
 from celeryward import http
-from celeryward import logs
 from celeryward.routers import protocol
 
 IDLE_SECONDS = 30.0
@@ -36,15 +34,10 @@
         """Answer the polls on one connection until it ends."""
 
         async def answer(head):
-            deadline = deadlines.Deadline.after(READ_SECONDS)
-            await connection.receive_body('read request', deadline)
             status, body = await self.answer(head.target)
             await http.send_response(connection, status, {}, body)
 
-        try:
-            await http.serve_connection(connection, answer, IDLE_SECONDS)
-        except http.EXCHANGE_ERRORS as error:
-            logs.bind_error(error).debug('connection ended: {}', error.message)
+        await http.serve_calls(connection, answer, IDLE_SECONDS, READ_SECONDS)
 
     async def answer(self, target):
         """Return status and body of the answer to one poll."""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -521,6 +521,18 @@
     return {name: value for name, value in found.items() if value is not None}
 
 
+def usual_site():
+    """Return a site with two endpoints of each service."""
+    return Site(
+        [
+            RunnerStandIn('app-1', 'app'),
+            RunnerStandIn('app-2', 'app'),
+            RunnerStandIn('llm-1'),
+            RunnerStandIn('llm-2'),
+        ]
+    )
+
+
 async def ask(connection, path, method='GET', body=b'', **headers):
     """Send one request; return the head and body of its answer."""
     await http.send_request(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -74,14 +74,7 @@
 
 @pytest.fixture
 def site():
-    return standins.Site(
-        [
-            standins.RunnerStandIn('app-1', 'app'),
-            standins.RunnerStandIn('app-2', 'app'),
-            standins.RunnerStandIn('llm-1'),
-            standins.RunnerStandIn('llm-2'),
-        ]
-    )
+    return standins.usual_site()
 
 
 def at_first(site, act):
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -14,14 +14,7 @@
 
 @pytest.fixture
 def site():
-    return standins.Site(
-        [
-            standins.RunnerStandIn('app-1', 'app'),
-            standins.RunnerStandIn('app-2', 'app'),
-            standins.RunnerStandIn('llm-1'),
-            standins.RunnerStandIn('llm-2'),
-        ]
-    )
+    return standins.usual_site()
 
 
 class TestPassage:
