Split runs under way from the releases, and serving from HTTP

The wait of the first watch has a least value, for bounds on leaving endpoints under 0.8 s. No other behaviour changes.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -153,7 +153,7 @@
         try:
             return await self.take_answer(relayed, plan, responder)
         finally:
-            self.knowledge.releases.drop_run(relayed.run)
+            self.knowledge.releases.runs.drop(relayed.run)
 
     async def take_answer(self, relayed, plan, responder):
         """Dispatch and pass on the answer; return whether it was."""
@@ -169,14 +169,14 @@
                 relayed.arrivals += 1
                 relayed.runs += 1
                 relayed.size = larger
-                releases.end_run(relayed.run)
+                releases.runs.end(relayed.run)
                 return False
             if forwarding.is_stream(relayed.route):
                 await self.relay_events(relayed, answer, responder)
             else:
                 whole = await answer.body()
                 await responder.send_whole(answer.head, whole)
-        releases.end_run(relayed.run)
+        releases.runs.end(relayed.run)
         releases.remember(
             plan.service, relayed.ask.session, plan.runner.software
         )
@@ -252,7 +252,7 @@
         whole = await answer.body()
         relayed.arrivals += 1
         relayed.runs += 1
-        self.knowledge.releases.end_run(relayed.run, failed=True)
+        self.knowledge.releases.runs.end(relayed.run, failed=True)
         self.knowledge.outcomes.failed(plan.runner.id)
         relayed.tried |= {plan.runner.id}
         if relayed.has_events:
@@ -330,12 +330,12 @@
             # A broken connection says nothing about the software.
             silent = isinstance(error, errors.ConnectionSilent)
             if silent and not relayed.deadline.expired():
-                self.knowledge.releases.end_run(relayed.run, failed=True)
+                self.knowledge.releases.runs.end(relayed.run, failed=True)
 
     def begin_run(self, relayed, plan):
         """Return the :class:`runs.Run` of a dispatch, for the releases."""
         model = plan.size.model if plan.size else ''
-        return self.knowledge.releases.begin_run(
+        return self.knowledge.releases.runs.begin(
             plan.service,
             plan.runner.software,
             f'{relayed.route.name} {model}',
--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -7,6 +7,7 @@
 from celeryward.callers import responses
 from celeryward import errors
 from celeryward import http
+from celeryward import listener
 from celeryward import logs
 
 CALLER_ERRORS = (http.Disconnected, http.ReadTimeout)
@@ -115,7 +116,7 @@
             await self.handle_request(connection, head)
 
         try:
-            await http.serve_connection(
+            await listener.serve_connection(
                 connection, handle_request, self.timings.idle_timeout
             )
         except CALLER_ERRORS + (errors.CallerGone,):
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -10,7 +10,6 @@
 
 from celeryward import deadlines
 from celeryward import errors
-from celeryward import logs
 from celeryward import sockets
 
 READ_SIZE_BYTES = 65536
@@ -392,40 +391,3 @@
         h11.Data(data=body),
         h11.EndOfMessage(),
     )
-
-
-async def serve_connection(connection, handle, idle_seconds):
-    """Serve requests on one connection until either side ends it.
-
-    :param handle: async function of a :class:`Request`, which answers it.
-    :param float idle_seconds: time allowed between two requests.
-    """
-    while True:
-        deadline = deadlines.Deadline.after(idle_seconds)
-        request = await connection.receive_request(deadline)
-        if request is None:
-            return
-        await handle(request)
-        if not connection.reusable():
-            return
-        connection.start_next_cycle()
-
-
-async def serve_calls(connection, answer, idle_seconds, read_seconds):
-    """Answer small requests on one connection until either side ends it.
-
-    :param answer: async function of a :class:`Request` whose body, if any,
-        has been read and dropped.
-    :param float idle_seconds: time allowed between two requests.
-    :param float read_seconds: time allowed for a body.
-    """
-
-    async def read_and_answer(head):
-        deadline = deadlines.Deadline.after(read_seconds)
-        await connection.receive_body('read request', deadline)
-        await answer(head)
-
-    try:
-        await serve_connection(connection, read_and_answer, idle_seconds)
-    except EXCHANGE_ERRORS as error:
-        logs.bind_error(error).debug('connection ended: {}', error.message)
--- a/celeryward/operators/admin.py
+++ b/celeryward/operators/admin.py
@@ -6,6 +6,7 @@
 
 from celeryward import deadlines
 from celeryward import http
+from celeryward import listener
 
 IDLE_SECONDS = 60.0
 
@@ -73,7 +74,7 @@
             )
 
         try:
-            await http.serve_connection(
+            await listener.serve_connection(
                 connection, handle_request, IDLE_SECONDS
             )
         except http.EXCHANGE_ERRORS:
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -158,7 +158,7 @@
         self.usual = {}
         self.failed_at = {}
         self.on_verdict = []
-        self.under_way = set()
+        self.runs = runs.RunsUnderWay(self)
 
     def set_bounds(self, bad_share, session_seconds):
         """Set the bounds that a new version and sessions keep."""
@@ -264,77 +264,6 @@
         until = now + SESSION_FACTOR * self.session_seconds
         self.sessions[(service, session)] = Stay(software, until)
 
-    def begin_run(self, service, software, kind, endpoint, work):
-        """Return the :class:`runs.Run` of a dispatch that begins now."""
-        run = runs.Run(service, software, kind, endpoint, work, self.clock())
-        self.under_way.add(run)
-        return run
-
-    def drop_run(self, run):
-        """Forget a run that says nothing about its version."""
-        self.under_way.discard(run)
-
-    def end_run(self, run, failed=False):
-        """Note what a run came to."""
-        self.under_way.discard(run)
-        if run.judged:
-            return
-        run.judged = True
-        now = self.clock()
-        progress = self.progress.get(run.service)
-        if progress is None or run.software != progress.order.target:
-            self.note_head(run, now)
-        self.observe(
-            run.service,
-            run.software,
-            run.kind,
-            failed,
-            run.pace(now),
-            run.endpoint,
-        )
-
-    def note_head(self, run, now):
-        """Update the usual time to heads of answers."""
-        if run.head is not None:
-            key = (run.service, run.kind)
-            usual = self.usual.get(key, evidence.Usual())
-            self.usual[key] = usual.with_head(run.head, now)
-
-    def review(self):
-        """Find the runs at new versions that are overdue."""
-        now = self.clock()
-        for run in tuple(self.under_way):
-            progress = self.progress.get(run.service)
-            if (
-                progress is None
-                or run.software != progress.order.target
-                or run.judged
-            ):
-                continue
-            usual = self.usual.get((run.service, run.kind), evidence.Usual())
-            if run.is_overdue(usual, now) and self.may_be_news(run.endpoint):
-                run.judged = True
-                self.log_overdue(run, now)
-                self.observe(
-                    run.service,
-                    run.software,
-                    run.kind,
-                    True,
-                    endpoint=run.endpoint,
-                )
-
-    def log_overdue(self, run, now):
-        """Write one line on a run that is overdue."""
-        logs.bind(
-            step='roll-out',
-            peer=run.service,
-            software=run.software,
-            endpoint=run.endpoint,
-            kind=run.kind,
-            under_way=round(now - run.started_at, 3),
-            events=run.events,
-        ).info('run at the new version is overdue')
-
     def observe(self, service, software, kind, failed, pace=None, endpoint=''):
         """Note what a run at a version came to.
 
@@ -343,10 +272,10 @@
         :param bool failed: whether it failed by the endpoint's fault.
         :param float | None pace: seconds for a unit of work.
         """
-        progress = self.progress.get(service)
-        if progress is None or software != progress.order.target:
+        if not self.is_judged(service, software):
             self.note_old((service, kind), failed, pace)
             return
+        progress = self.progress[service]
         usual = self.usual.get((service, kind), evidence.Usual())
         failed = failed or usual.is_slow(pace)
         if failed and not self.is_news(endpoint):
@@ -369,6 +298,11 @@
         ):
             self.decide(service, State.ROLLED_BACK)
 
+    def is_judged(self, service, software):
+        """Return whether a version is the new one of an order."""
+        progress = self.progress.get(service)
+        return progress is not None and software == progress.order.target
+
     def is_news(self, endpoint):
         """Note a failure; return whether it is the first for a while."""
         if not self.may_be_news(endpoint):
--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -1,5 +1,8 @@
 """Runs at a software version that are still under way."""
 
+from celeryward import logs
+from celeryward.raters import evidence
+
 # A run is overdue if it takes this many times as long as the old version
 # usually takes, and not less than the shortest time.
 OVERDUE_FACTOR = 4.0
@@ -68,3 +71,84 @@
         if expected is None:
             return False
         return waited > max(MIN_OVERDUE_SECONDS, OVERDUE_FACTOR * expected)
+
+
+class RunsUnderWay:
+    """Knows the runs that have not ended, and finds those that are overdue.
+
+    :param releases: :class:`releases.Releases`, which judges what runs come
+        to.
+    """
+
+    def __init__(self, releases):
+        self.releases = releases
+        self.runs = set()
+
+    def begin(self, service, software, kind, endpoint, work):
+        """Return the :class:`Run` of a dispatch that begins now.
+
+        :param float work: size of the request; 1.0 is usual.
+        """
+        now = self.releases.clock()
+        run = Run(service, software, kind, endpoint, work, now)
+        self.runs.add(run)
+        return run
+
+    def drop(self, run):
+        """Forget a run that says nothing about its version."""
+        self.runs.discard(run)
+
+    def end(self, run, failed=False):
+        """Tell the releases what a run came to, unless it was overdue."""
+        self.runs.discard(run)
+        if run.judged:
+            return
+        run.judged = True
+        now = self.releases.clock()
+        if not self.releases.is_judged(run.service, run.software):
+            self.note_head(run, now)
+        self.report(run, failed, run.pace(now))
+
+    def note_head(self, run, now):
+        """Update the usual time to heads of answers."""
+        if run.head is not None:
+            usual = self.usual(run).with_head(run.head, now)
+            self.releases.usual[(run.service, run.kind)] = usual
+
+    def usual(self, run):
+        """Return what runs of a kind come to at the old version."""
+        key = (run.service, run.kind)
+        return self.releases.usual.get(key, evidence.Usual())
+
+    def review(self):
+        """Count the runs at new versions that are overdue as failed."""
+        now = self.releases.clock()
+        for run in tuple(self.runs):
+            if run.judged or not self.releases.is_judged(
+                run.service, run.software
+            ):
+                continue
+            overdue = run.is_overdue(self.usual(run), now)
+            if overdue and self.releases.may_be_news(run.endpoint):
+                run.judged = True
+                log_overdue(run, now)
+                self.report(run, True)
+
+    def report(self, run, failed, pace=None):
+        """Tell the releases what a run came to."""
+        self.releases.observe(
+            run.service, run.software, run.kind, failed, pace, run.endpoint
+        )
+
+
+def log_overdue(run, now):
+    """Write one line on a run that is overdue."""
+    logs.bind(
+        step='roll-out',
+        peer=run.service,
+        software=run.software,
+        endpoint=run.endpoint,
+        kind=run.kind,
+        under_way=round(now - run.started_at, 3),
+        events=run.events,
+    ).info('run at the new version is overdue')
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -214,7 +214,7 @@
             status = 200 if self.is_ready() else 503
             await http.send_response(connection, status, {}, b'')
 
-        await http.serve_calls(
+        await listener.serve_calls(
             connection, answer, CALL_IDLE_SECONDS, CALL_IDLE_SECONDS
         )
 
@@ -226,7 +226,7 @@
             body = self.metrics.exposition()
             await http.send_response(connection, 200, text, body)
 
-        await http.serve_calls(
+        await listener.serve_calls(
             connection, answer, CALL_IDLE_SECONDS, CALL_IDLE_SECONDS
         )
 
@@ -315,7 +315,7 @@
         """Judge new versions by the runs that are under way."""
         while True:
             await curio.sleep(REVIEW_SECONDS)
-            self.releases.review()
+            self.releases.runs.review()
 
     async def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -3,6 +3,7 @@
 import time
 
 from celeryward import http
+from celeryward import listener
 from celeryward.routers import protocol
 
 IDLE_SECONDS = 30.0
@@ -37,7 +38,9 @@
             status, body = await self.answer(head.target)
             await http.send_response(connection, status, {}, body)
 
-        await http.serve_calls(connection, answer, IDLE_SECONDS, READ_SECONDS)
+        await listener.serve_calls(
+            connection, answer, IDLE_SECONDS, READ_SECONDS
+        )
 
     async def answer(self, target):
         """Return status and body of the answer to one poll."""
--- a/celeryward/standins/base.py
+++ b/celeryward/standins/base.py
@@ -55,7 +55,7 @@
             await self.answer(connection, Received(head, body))
 
         try:
-            await http.serve_connection(
+            await listener.serve_connection(
                 connection, handle_request, IDLE_SECONDS
             )
         except http.EXCHANGE_ERRORS:
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -20,6 +20,7 @@
 # departure binds sooner than the verdict on a version.
 STALE_ENDPOINTS_SECONDS = 0.2
 STALE_ORDERS_SECONDS = 2.5
+MIN_WAIT_SECONDS = 0.2
 # A watch that waits longer than the store keeps its history ends in a list.
 HISTORY_PART = 0.7
 
@@ -99,9 +100,9 @@
             stale_seconds=STALE_ORDERS_SECONDS,
         )
         # Each answer to the first follower bounds the age of the endpoints.
+        news_seconds = bounds.leave_seconds - outages.NEWS_RESERVE_SECONDS
         first_wait = min(
-            self.tuning.configuration_wait,
-            bounds.leave_seconds - outages.NEWS_RESERVE_SECONDS,
+            self.tuning.configuration_wait, max(MIN_WAIT_SECONDS, news_seconds)
         )
         first = self.follower(
             kinds.configuration,
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -260,7 +260,7 @@
     """Guards against a slow version that is judged by its few fast runs."""
 
     def begin(self, rating, software, number=0):
-        return rating.begin_run(SERVICE, software, 'k', f'e{number}', 1.0)
+        return rating.runs.begin(SERVICE, software, 'k', f'e{number}', 1.0)
 
     def usual(self, rating, clock, head=0.2, events=10, pace=0.05):
         """Let runs at the old version end."""
@@ -270,7 +270,7 @@
             run.answered(clock.now)
             run.sent_events(events)
             clock.now += events * pace
-            rating.end_run(run)
+            rating.runs.end(run)
 
     def verdict(self, rating):
         return rating.progress[SERVICE].verdict
@@ -280,10 +280,10 @@
         for number in range(4):
             self.begin(rating, 'v2', number)
         clock.now += 0.7
-        rating.review()
+        rating.runs.review()
         assert self.verdict(rating) is releases.State.RUNNING
         clock.now += 0.2
-        rating.review()
+        rating.runs.review()
         assert self.verdict(rating) is releases.State.ROLLED_BACK
 
     def test_streams_that_creep_roll_it_back(self, rating, clock):
@@ -293,17 +293,17 @@
             run.answered(clock.now)
             run.sent_events(2)
         clock.now += 0.7
-        rating.review()
+        rating.runs.review()
         assert self.verdict(rating) is releases.State.ROLLED_BACK
 
     def test_end_of_an_overdue_run_says_nothing_new(self, rating, clock):
         self.usual(rating, clock)
         run = self.begin(rating, 'v2')
         clock.now += 1.0
-        rating.review()
+        rating.runs.review()
         before = rating.progress[SERVICE].tally
         assert before.failures == 1
-        rating.end_run(run)
+        rating.runs.end(run)
         assert rating.progress[SERVICE].tally == before
 
     def test_one_endpoint_counts_once_for_a_while(self, rating, clock):
@@ -311,7 +311,7 @@
         for _ in range(6):
             self.begin(rating, 'v2')
         clock.now += 1.0
-        rating.review()
+        rating.runs.review()
         assert rating.progress[SERVICE].tally.failures == 1
 
     def test_old_heads_say_nothing_about_the_load_now(self, rating, clock):
@@ -320,7 +320,7 @@
         for number in range(4):
             self.begin(rating, 'v2', number)
         clock.now += 1.0
-        rating.review()
+        rating.runs.review()
         assert self.verdict(rating) is releases.State.RUNNING
 
     def test_slow_heads_of_the_old_version_are_usual(self, rating, clock):
@@ -328,14 +328,14 @@
         for number in range(4):
             self.begin(rating, 'v2', number)
         clock.now += 1.0
-        rating.review()
+        rating.runs.review()
         assert self.verdict(rating) is releases.State.RUNNING
 
     def test_callers_that_leave_say_nothing(self, rating, clock):
         self.usual(rating, clock)
         run = self.begin(rating, 'v2')
-        rating.drop_run(run)
+        rating.runs.drop(run)
         clock.now += 5.0
-        rating.review()
+        rating.runs.review()
         assert rating.progress[SERVICE].tally.answers == 0
-        assert not rating.under_way
+        assert not rating.runs.runs
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -470,4 +470,4 @@
         usual = site.router.releases.usual[('app', 'whole ')]
         assert usual.failure_rate < 0.1
         assert usual.heads >= 40
-        assert not site.router.releases.under_way
+        assert not site.router.releases.runs.runs
