--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -34,13 +34,17 @@
     """
     logs.configure('CRITICAL', 'text')
     signal.signal(signal.SIGTERM, end)
-    numbers = range(seed, seed + seeds)
+    lengths = dict.fromkeys(range(seed, seed + seeds), seconds)
     if known:
-        numbers = [case.seed for case in regressions.CASES]
-        seconds = regressions.SECONDS
-    size = soak.Size(seconds, rate, routers, endpoints, callers)
-    failed = [each for each in numbers if not keeps_promises(each, size)]
-    count = len(numbers)
+        lengths = {case.seed: case.seconds for case in regressions.CASES}
+    failed = [
+        number
+        for number, length in lengths.items()
+        if not keeps_promises(
+            number, soak.Size(length, rate, routers, endpoints, callers)
+        )
+    ]
+    count = len(lengths)
     print(f'{count - len(failed)} of {count} seeds without a breach; {failed}')
     sys.exit(bool(failed))
 
