Keep the factor of slow runs once; excuse only stops that a kill ended

Runs under way and runs that have ended were compared with the old version by two equal constants and two copies of the check for enough samples; both use evidence.SLOW_FACTOR and expected_pace now.

The soak excused each planned stop during which it had killed the router, whatever its exit status; it now excuses only an exit by that kill, so that a stop that ends with another status is still a breach.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -224,7 +224,8 @@
         ordered_at = observations.now()
         router.signal(signal.SIGTERM)
         status = await self.wait_ended(router, processes.STOP_SECONDS + 1.0)
-        if router.killed:
+        if router.killed and status == -signal.SIGKILL:
+            # Another fault ended it first; that is no failed stop.
             return
         self.seen.stops.append(
             observations.Stop(
--- a/celeryward/raters/evidence.py
+++ b/celeryward/raters/evidence.py
@@ -7,8 +7,8 @@
 BAD_EXCESS = 0.25
 MAX_BAD_RATE = 0.95
 GOOD_FAILURE_RATE = 0.02
-# A run counts as a failure if it takes this many times as long as the old
-# version usually takes.
+# A run counts as a failure if it takes, or has taken so far, this many times
+# as long as the old version usually takes.
 SLOW_FACTOR = 4.0
 MIN_OLD_SAMPLES = 5
 SAMPLE_WEIGHT = 0.1
@@ -67,9 +67,10 @@
 
     def is_slow(self, pace):
         """Return whether a run took far longer than is usual."""
-        if pace is None or self.samples < MIN_OLD_SAMPLES:
+        usual = self.expected_pace()
+        if pace is None or usual is None:
             return False
-        return pace > self.pace * SLOW_FACTOR
+        return pace > usual * SLOW_FACTOR
 
 
 def with_sample(mean, sample, count):
--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -3,9 +3,7 @@
 from celeryward import logs
 from celeryward.raters import evidence
 
-# A run is overdue if it takes this many times as long as the old version
-# usually takes, and not less than the shortest time.
-OVERDUE_FACTOR = 4.0
+# A run under way is not overdue before, however fast the old version is.
 MIN_OVERDUE_SECONDS = 0.4
 # Events of a stream from which its pace can be told.
 MIN_PACED_EVENTS = 4
@@ -70,7 +68,8 @@
                 expected *= self.events + 1
         if expected is None:
             return False
-        return waited > max(MIN_OVERDUE_SECONDS, OVERDUE_FACTOR * expected)
+        limit = evidence.SLOW_FACTOR * expected
+        return waited > max(MIN_OVERDUE_SECONDS, limit)
 
 
 class RunsUnderWay:
