Value an answer by its priority, not by its length

Cause: callers got poor answers of the small model, because the value of a good answer was a constant for each expected token.

Change: operators set the value of a good answer as a multiple of what the largest model costs for the same request; it halves with each less urgent priority of the route. The price cancels out, and what remains is a bound on the probability that a poor answer is kept. A larger run that would miss the objective now replaces an answer only if that loses less than it gains. `value_per_token` is replaced by `value_factor` and `priority_value_ratio`. A request's log line has the time to the head of its answer.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -171,7 +171,7 @@
             serving = await group.spawn(self.serve, received, responder)
             await group.spawn(connection.wait_closed)
         caller_left = group.completed is not serving
-        self.record_end(responder, caller_left, time.monotonic() - started)
+        self.record_end(responder, caller_left, started)
 
     async def serve(self, received, responder):
         """Relay a request, or send an error if that fails."""
@@ -211,8 +211,13 @@
             **self.relay.admission.log_fields(),
         ).info('request failed: {} {}', error.code, error.message)
 
-    def record_end(self, responder, caller_left, seconds):
-        """Count and log a request that has ended."""
+    def record_end(self, responder, caller_left, started):
+        """Count and log a request that has ended.
+
+        :param float started: when it was received, in monotonic seconds.
+        """
+        seconds = time.monotonic() - started
+        head_at = responder.head_at
         self.metrics.count_request(
             responder.route, responder.status, caller_left, seconds
         )
@@ -224,6 +229,9 @@
             status=responder.status,
             whole=responder.finished,
             seconds=round(seconds, 3),
+            head_seconds=None
+            if head_at is None
+            else round(head_at - started, 3),
         ).info(
             'caller left before its answer was complete'
             if caller_left
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -243,7 +243,7 @@
         larger = sizes.larger_size(
             candidates,
             plan.size,
-            relayed.metadata,
+            relayed.route.priority,
             answer.metadata.confidence,
             self.router_state.value_model,
             self.timeouts.timing(relayed, candidates[-1], answer),
--- a/celeryward/callers/responses.py
+++ b/celeryward/callers/responses.py
@@ -1,5 +1,7 @@
 """Responses of a router to its callers."""
 
+import time
+
 import h11
 
 from celeryward import errors
@@ -51,7 +53,8 @@
 
     ``started`` tells whether a head was sent, ``finished`` whether the
     response is complete. ``route`` and ``request_id`` are set once they are
-    known, for logs and metrics.
+    known, for logs and metrics; ``head_at`` is when the head was sent, in
+    monotonic seconds, or None.
 
     :param bool close_connection: whether to send ``Connection: close``.
     """
@@ -62,6 +65,7 @@
         self.started = False
         self.finished = False
         self.status = 0
+        self.head_at = None
         self.route = ''
         self.request_id = '-'
 
@@ -84,6 +88,7 @@
         if self.close_connection:
             lines.append((b'Connection', b'close'))
         self.started = True
+        self.head_at = time.monotonic()
         self.status = status
         await self.write(
             h11.Response(status_code=status, headers=lines), *events
--- a/celeryward/raters/sizes.py
+++ b/celeryward/raters/sizes.py
@@ -1,17 +1,24 @@
-"""Selection of the model size for a request, by cost and confidence.
+"""Selection of the model size for a request, by value and confidence.
 
 A small model answers first and reports its confidence. The request is
-repeated at the largest model if the expected loss from a poor answer exceeds
-the cost of the run. No rating service is needed, because the confidence
-arrives with the head of the answer.
+repeated at the largest model if what a better answer is expected to add
+exceeds the cost of that run. No rating service is needed, because the
+confidence arrives with the head of the answer.
+
+What an answer is worth doesn't follow from its length: a report of a few
+tokens on a long prompt matters as much as a long chat. Operators set the
+value of a good answer as a multiple of what the largest model costs for the
+same request. The price of the models therefore cancels out, and each route
+gets a bound on the probability that a poor answer is kept.
+
+The rule answers both light and heavy load: a run delays others at busy
+endpoints, so that with a growing share of the latency objective used up, only
+the poorest answers are still repeated.
 """
 
 import dataclasses
 import math
 
-# A prompt token costs a quarter of a generated one.
-PROMPT_TOKEN_RELATIVE_COST = 0.25
-COST_UNIT_TOKENS = 1000.0
 # Share of its value that a poor answer still has.
 POOR_ANSWER_VALUE_SHARE = 0.05
 # Share of its value that an answer after the latency objective has.
@@ -23,20 +30,32 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ValueModel:
-    """The value of answers, in the cost units of the models.
+    """The value of answers, and how often confidence is misplaced.
 
-    :param float value_per_token: value of a good answer for each token that
-        it is expected to have.
+    :param float value_factor: value of a good answer on a route of the most
+        urgent priority, as a multiple of what the largest model costs for it.
+    :param float priority_value_ratio: factor by which that value changes with
+        each less urgent priority.
     :param float confidence_midpoint: confidence at which half of the answers
         are poor.
     :param float confidence_width: decrease of confidence that multiplies
         the odds of a poor answer by e.
     """
 
-    value_per_token: float
+    value_factor: float
+    priority_value_ratio: float = 0.5
     confidence_midpoint: float = 0.5
     confidence_width: float = 0.06
 
+    def value(self, priority):
+        """Return the value of a good answer in runs of the largest model.
+
+        :param int priority: priority of the route; 0 is the most urgent.
+        """
+        return self.value_factor * self.priority_value_ratio ** max(
+            0, priority
+        )
+
     def poor_answer_probability(self, confidence):
         """Return the probability that an answer is poor."""
         exponent = (
@@ -75,31 +94,17 @@
     @property
     def congestion(self):
         """Time that the small model took, in latency objectives."""
+        if self.objective_seconds <= 0.0:
+            return math.inf
         return self.elapsed_seconds / self.objective_seconds
 
 
-def run_cost(size, request):
-    """Return the cost of one run of a request at a size."""
-    tokens = (
-        expected_tokens(request)
-        + PROMPT_TOKEN_RELATIVE_COST * request.prompt_tokens
-    )
-    return size.cost * tokens / COST_UNIT_TOKENS
-
-
-def expected_tokens(request):
-    """Return the expected number of tokens of the answer."""
-    if request.expected_tokens and request.max_tokens:
-        return min(request.expected_tokens, request.max_tokens)
-    return request.expected_tokens or request.max_tokens
-
-
 def first_size(sizes):
     """Return the size that runs a request first."""
     return sizes[0]
 
 
-def larger_size(sizes, current, request, confidence, value_model, timing):
+def larger_size(sizes, current, priority, confidence, value_model, timing):
     """Return the size to run instead, or None to keep the answer.
 
     Intermediate sizes are skipped: if a small model has little confidence in
@@ -108,23 +113,32 @@
 
     :param tuple sizes: all sizes, smallest first.
     :param Size current: the size that gave the answer.
-    :param request: the parsed head of the request.
+    :param int priority: priority of the route; 0 is the most urgent.
     :param float | None confidence: confidence of the current size in its
-        answer, 0 to 1; None if it reported none.
+        answer, 0 to 1; None if it reported none, and the answer is kept.
     :param ValueModel value_model: the value of answers.
     :param Timing timing: the time that the request has taken.
     """
     largest = sizes[-1]
     if confidence is None or largest.model == current.model:
         return None
-    value = value_model.value_per_token * expected_tokens(request)
-    gain = (
-        value_model.poor_answer_probability(confidence)
-        * (1.0 - POOR_ANSWER_VALUE_SHARE)
-        * value
+    gain = expected_gain(
+        value_model.poor_answer_probability(confidence), timing.late
     )
-    if timing.late:
-        gain *= LATE_ANSWER_VALUE_SHARE
-    cost = run_cost(largest, request)
-    cost *= 1.0 + CONGESTION_FACTOR * timing.congestion
-    return largest if gain > cost else None
+    cost = 1.0 + CONGESTION_FACTOR * timing.congestion
+    return largest if gain * value_model.value(priority) > cost else None
+
+
+def expected_gain(poor_probability, late):
+    """Return what a run of the largest model adds to an answer's value.
+
+    The result is a share of the value of a good answer in time. It is
+    negative if the delay loses more than the better answer adds.
+
+    :param float poor_probability: probability that the answer at hand is
+        poor.
+    :param bool late: whether the other answer would miss the objective.
+    """
+    kept = 1.0 - (1.0 - POOR_ANSWER_VALUE_SHARE) * poor_probability
+    replaced = LATE_ANSWER_VALUE_SHARE if late else 1.0
+    return replaced - kept
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -365,7 +365,8 @@
 def make_value_model(tuning):
     """Return the model of the value of answers that operators configured."""
     return sizes.ValueModel(
-        tuning.value_per_token,
+        tuning.value_factor,
+        tuning.priority_value_ratio,
         tuning.confidence_midpoint,
         tuning.confidence_width,
     )
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -99,8 +99,10 @@
     :param float stop_reserve: how long before the platform would kill it a
         stopping router exits.
     :param float retry_part: fraction of the allowed retries that is used.
-    :param float value_per_token: value of a good answer for each generated
-        token, in the cost units of the models.
+    :param float value_factor: value of a good answer on a route of the most
+        urgent priority, as a multiple of what the largest model costs for it.
+    :param float priority_value_ratio: factor by which that value changes with
+        each less urgent priority.
     :param float confidence_midpoint: confidence of a small model at which
         half of its answers are poor.
     :param float confidence_width: change of confidence around the midpoint
@@ -116,7 +118,8 @@
     stop_accepting_after: float = 3.0
     stop_reserve: float = 0.4
     retry_part: float = 0.8
-    value_per_token: float = 0.01
+    value_factor: float = 10.0
+    priority_value_ratio: float = 0.5
     confidence_midpoint: float = 0.5
     confidence_width: float = 0.06
     log_level: str = 'INFO'
