Share the retry allowance of a fleet by router and window

Cause: each router had a burst of seven retries whatever the size of the fleet, so that 195 routers together could exceed the slack (430) threefold. At the same time the first requests had to repay the burst before they earned anything: a router with one request a second refused runs of the largest model for seconds, and callers got poor answers.

Change: the allowance is one frozen value of ratio, slack, window and number of routers. A router's budget starts with its share of the slack, earns part of the ratio with each request, and may hold what the requests of the last window did not use. The number of routers and reloaded bounds take effect within a second.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -13,14 +13,12 @@
 from celeryward.callers import relayed_requests
 from celeryward.callers import router_admission
 from celeryward import deadlines
+from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward import errors
 from celeryward import logs
 from celeryward.raters import sizes
 
-# Tokens of the retry budget that are reserved for retries after failures, so
-# that escalations to larger models can't use up the whole budget.
-RESERVED_RETRY_TOKENS = 2.0
 # A request is not retried after this many dispatches that were not sent or
 # that endpoints refused.
 MAX_REFUSALS = 3
@@ -33,23 +31,32 @@
     :param forwarder: :class:`forwarding.Forwarder`.
     :param translator: has ``read_request(head)``, which returns an
         :class:`ingress.RequestMetadata`.
-    :param make_retry_budget: function that returns a
-        :class:`retries.RetryBudget`, called once for each service.
+    :param retry_allowance: function that returns the current
+        :class:`fleet_retries.FleetAllowance`.
     :param metrics: :class:`router_metrics.RouterMetrics`.
     """
 
     def __init__(
-        self, router_state, forwarder, translator, make_retry_budget, metrics
+        self, router_state, forwarder, translator, retry_allowance, metrics
     ):
         self.router_state = router_state
         self.forwarder = forwarder
         self.translator = translator
-        self.budgets = collections.defaultdict(make_retry_budget)
+        self.retry_allowance = retry_allowance
+        self.budgets = collections.defaultdict(
+            lambda: fleet_retries.FleetBudget(retry_allowance())
+        )
         self.metrics = metrics
         self.admission = router_admission.AdmissionControl(router_state)
         self.planner = planning.Planner(router_state)
         self.timeouts = endpoint_timeouts.EndpointTimeouts()
 
+    def update_budgets(self):
+        """Adapt the retry budgets to the number of routers and the bounds."""
+        allowance = self.retry_allowance()
+        for budget in self.budgets.values():
+            budget.set_allowance(allowance)
+
     async def serve(self, head, body, responder):
         """Serve one request within its deadline.
 
@@ -249,7 +256,7 @@
             self.timeouts.timing(relayed, candidates[-1], answer),
         )
         budget = self.budgets[plan.service]
-        if larger is not None and not budget.try_take(RESERVED_RETRY_TOKENS):
+        if larger is not None and not budget.try_take_for_escalation():
             return None
         if larger is not None:
             relayed.budget_charged = True
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -9,11 +9,11 @@
 from celeryward.callers import relay
 from celeryward.callers import router_admission
 from celeryward import deadlines
+from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward.endpoints import monitor
 from celeryward.endpoints import outcomes
 from celeryward.endpoints import pool
-from celeryward.endpoints import retries
 from celeryward.endpoints import runners
 from celeryward import errors
 from celeryward import http
@@ -33,8 +33,6 @@
 # retry budget and the evaluation of new versions, and a router may not have
 # discovered all others yet.
 MIN_ROUTERS = 7
-MIN_BURST = 7.0
-MAX_BURST = 8.0
 STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
 OVERDUE_POLL_SECONDS = 0.25
@@ -96,7 +94,7 @@
             ),
             self.forwarder,
             translator,
-            self.make_retry_budget,
+            self.retry_allowance,
             self.metrics,
         )
         self.gateway = gateway.Gateway(
@@ -183,21 +181,18 @@
         bound = self.placement.bounds.revoked_key_seconds
         return bound - self.tuning.key_reserve
 
-    def make_retry_budget(self):
-        """Return a retry budget for one router.
+    def retry_allowance(self):
+        """Return the allowance of the known routers.
 
-        Its burst is an equal share of the slack that all routers have, kept
-        between :data:`MIN_BURST` and :data:`MAX_BURST`. The lower bound is an
-        equal share among :data:`MIN_ROUTERS` if that is less.
+        :returns: :class:`fleet_retries.FleetAllowance`.
         """
         bounds = self.placement.bounds
-        min_burst = min(MIN_BURST, bounds.retry_slack / MIN_ROUTERS)
-        share = bounds.retry_slack / self.count_routers()
-        burst = min(MAX_BURST, max(min_burst, share))
-        return retries.RetryBudget(
-            ratio=bounds.retry_ratio * self.tuning.retry_part,
-            initial=burst,
-            maximum=burst,
+        return fleet_retries.FleetAllowance(
+            bounds.retry_ratio,
+            bounds.retry_ratio * self.tuning.retry_part,
+            bounds.retry_slack,
+            bounds.retry_window_seconds,
+            self.count_routers(),
         )
 
     def count_routers(self):
@@ -332,10 +327,14 @@
         logs.bind(step='reload', peer=placement.name).info('settings reloaded')
 
     async def poll_settings(self):
-        """Reload changed settings, also if no signal announces the change."""
+        """Reload changed settings, also if no signal announces the change.
+
+        The retry budgets follow the settings and the number of routers.
+        """
         while True:
             await curio.sleep(SETTINGS_POLL_SECONDS)
             self.reload()
+            self.relay.update_budgets()
 
     async def report_overdue_runs(self):
         """Report runs at new versions that have not ended in time."""
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -34,6 +34,7 @@
     :param float retry_ratio: retries that are allowed for each request.
     :param float retry_slack: retries that are allowed in addition, for all
         routers together.
+    :param float retry_window_seconds: time in which retries are counted.
     :param float bad_version_share: largest share of a service's requests
         that a bad version may serve.
     :param float session_seconds: idle time after which a session has ended.
@@ -50,6 +51,7 @@
     stop_seconds: float
     retry_ratio: float
     retry_slack: float
+    retry_window_seconds: float
     bad_version_share: float
     session_seconds: float
     history_seconds: float
@@ -68,6 +70,8 @@
     :param Address store: the platform's metadata store.
     :param Address routers: listens for requests of other routers.
     :param float link_mbps: bandwidth of its network link in Mbit/s.
+    :param bool first_start: whether the whole fleet starts for the first
+        time.
     """
 
     name: str
@@ -79,6 +83,7 @@
     bounds: Bounds
     routers: Address
     link_mbps: float = 0.0
+    first_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -34,6 +34,7 @@
 drainMs = 2000
 contactMs = 3000
 retryRatio = 0.9
+retryWindowS = 10
 retrySlack = {slack}
 exposureShare = 0.15
 sessionS = 5.0
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -27,6 +27,7 @@
     stop_seconds=4.0,
     retry_ratio=0.9,
     retry_slack=54.0,
+    retry_window_seconds=10.0,
     bad_version_share=0.15,
     session_seconds=5.0,
     history_seconds=20.0,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -42,6 +42,7 @@
 drainMs = 2000
 contactMs = 3000
 retryRatio = 0.9
+retryWindowS = 10
 retrySlack = 54
 [provider]
 address = "10.0.0.9:90"
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -378,7 +378,6 @@
             runner.confidence = {'small': 5}
         budget = site.router.relay.budgets['llm']
         budget.tokens = 1.5
-        budget.debt = 100.0
         _, body = await site.request('/stream/x')
         assert body == standins.events(4)
         assert [each.model for each in site.arrivals()] == ['small']
