Let one router of a failure domain follow the store

Cause: calls to the store grew with the number of routers. When a leader failed, its followers all asked the store for 10 s.

Change: up to 49 routers share one leader. The next two in the order of preference stand by and follow the store when the leader doesn't respond; the others then follow them. A router waits for the list of routers before it lists anything else, and reads its first lists from its leader. What a leader relays is bounded by its link and the number of its followers.

Bounds on age are unchanged: a leader relays nothing older than before.

--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -74,7 +74,7 @@
         :returns: ``Ok(ObjectList)`` or ``Err``.
         """
         items = []
-        revision = None
+        first = None
         after = ''
         while True:
             answer = await self.call(
@@ -87,10 +87,14 @@
                 return page
             page = page.unwrap()
             items.extend(page.items)
-            revision = page.revision if revision is None else revision
+            first = first or page
             after = page.next_after
             if not after:
-                return result.Ok(protocol.ObjectList(tuple(items), revision))
+                return result.Ok(
+                    protocol.ObjectList(
+                        tuple(items), first.revision, first.confirmed_seconds
+                    )
+                )
 
     async def changes(self, kind, since, wait_seconds):
         """Wait for changes of a kind after a revision.
--- a/celeryward/objects/kind_watcher.py
+++ b/celeryward/objects/kind_watcher.py
@@ -62,9 +62,8 @@
         ``on_confirmed(at)``, with ``at`` on the boot-time clock.
     :param primary: the watcher that detects the end of an outage and learns
         the revision of the store; None if this is the primary.
-    :param change_log: has ``reset(revision)`` and ``extend(changes,
-        revision)``, and keeps the changes for other routers; None to keep
-        none.
+    :param change_log: has ``reset(revision, objects)`` and ``extend(changes,
+        revision)``, and keeps both for other routers; None to keep none.
     :param clock: function that returns seconds on the boot-time clock.
     """
 
@@ -122,10 +121,10 @@
         if outcome.is_ok():
             listed = outcome.unwrap()
             self.receiver.on_list(listed.items)
-            self.confirm(started_at)
+            self.confirm(started_at + listed.confirmed_seconds)
             self.since = listed.revision
             if self.change_log is not None:
-                await self.change_log.reset(listed.revision)
+                await self.change_log.reset(listed.revision, listed.items)
         return outcome
 
     async def watch(self):
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -34,10 +34,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ObjectList:
-    """All objects of one kind at a revision of the store."""
+    """All objects of one kind at a revision of the store.
+
+    :param float confirmed_seconds: time from the start of the call until the
+        store confirmed the list; negative if that was before the call.
+    """
 
     items: tuple[StoredObject, ...]
     revision: int
+    confirmed_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,11 +50,13 @@
     """One page of the list of all objects of a kind.
 
     :param str next_after: name to continue after; empty on the last page.
+    :param float confirmed_seconds: as in :class:`ObjectList`.
     """
 
     items: tuple[StoredObject, ...]
     revision: int
     next_after: str = ''
+    confirmed_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/routers/change_log.py
+++ b/celeryward/routers/change_log.py
@@ -1,4 +1,4 @@
-"""A bounded log of the changes of one kind, kept for other routers."""
+"""The objects and last changes of one kind, kept for other routers."""
 
 import collections
 
@@ -10,8 +10,9 @@
 
 
 class ChangeLog:
-    """The last changes of one kind, in the order of their revisions.
+    """The objects of one kind, and its last changes by revision.
 
+    :ivar dict objects: all objects at the revision, by name.
     :ivar int revision: the log is complete up to this revision.
     :ivar int floor: the log has only changes after this revision; initially 0,
         with which it covers nothing.
@@ -21,11 +22,13 @@
         self.revision = 0
         self.floor = 0
         self.changes = collections.deque()
+        self.objects = {}
         self.changed = curio.Condition()
 
-    async def reset(self, revision):
+    async def reset(self, revision, objects=()):
         """Empty the log after all objects were read at a revision."""
         self.changes.clear()
+        self.objects = {stored.name: stored for stored in objects}
         self.floor = self.revision = revision
         await self.notify()
 
@@ -33,6 +36,8 @@
         """Append the changes up to a revision; ignore an older revision."""
         if revision <= self.revision:
             return
+        for change in changes:
+            self.apply(change)
         self.changes.extend(changes)
         while len(self.changes) > MAX_CHANGES:
             self.floor = self.changes.popleft().revision
@@ -40,6 +45,13 @@
         if changes:
             await self.notify()
 
+    def apply(self, change):
+        """Apply one change to the objects."""
+        if change.type == 'delete':
+            self.objects.pop(change.object.name, None)
+        else:
+            self.objects[change.object.name] = change.object
+
     async def notify(self):
         """Wake the tasks that wait for a change."""
         async with self.changed:
--- a/celeryward/routers/discovery.py
+++ b/celeryward/routers/discovery.py
@@ -8,8 +8,9 @@
 from celeryward import logs
 from celeryward.objects import protocol
 
-# Random, because all routers of a fleet may start at the same time.
-FIRST_LIST_SECONDS = (0.8, 1.6)
+# Time for all routers of a fleet that starts for the first time to register.
+# Random, because they may start at the same moment.
+FIRST_LIST_SECONDS = (0.6, 1.2)
 # A second read soon after finds routers that registered late.
 SECOND_LIST_SECONDS = (4.0, 6.0)
 LIST_SECONDS = (20.0, 30.0)
@@ -25,9 +26,12 @@
     :param members: :class:`members.Members`.
     :param translator: has ``write_member(member)``, which returns a spec,
         and ``read_member(stored)``, which returns a member or None.
+    :param bool first_start: whether the whole fleet starts for the first
+        time, so that the other routers register at the same moment.
     """
 
-    def __init__(self, client, kind, members, translator):
+    def __init__(self, client, kind, members, translator, first_start=False):
+        self.first_start = first_start
         self.client = client
         self.kind = kind
         self.members = members
@@ -40,8 +44,10 @@
         """Register this router, then read the list until cancelled."""
         while not await self.register():
             await sleep_random(RETRY_SECONDS)
-        await sleep_random(FIRST_LIST_SECONDS)
-        await self.read_members()
+        if self.first_start:
+            await sleep_random(FIRST_LIST_SECONDS)
+        await self.read_members(allow_stale=False)
+        await self.members.listed.set()
         await sleep_random(SECOND_LIST_SECONDS)
         while True:
             await self.read_members()
@@ -71,9 +77,12 @@
         self.entry = outcome.unwrap()
         return True
 
-    async def read_members(self):
-        """Read the list of routers, which may be seconds out of date."""
-        outcome = await self.client.list_pages(self.kind, allow_stale=True)
+    async def read_members(self, allow_stale=True):
+        """Read the list of routers.
+
+        :param bool allow_stale: whether the list may be seconds out of date.
+        """
+        outcome = await self.client.list_pages(self.kind, allow_stale)
         if outcome.is_err():
             log_failure(outcome.unwrap_err(), 'routers not read')
             return
--- a/celeryward/routers/members.py
+++ b/celeryward/routers/members.py
@@ -1,23 +1,30 @@
 """Membership of the routers, and the choice of leaders among them.
 
 The load on the store grows with the number of routers that call it. In each
-failure domain a few routers, the leaders, therefore follow the store, and the
-others follow a leader.
+failure domain one router, or a few in a large one, follow the store as
+leaders, and the others follow a leader. If no leader responds, the next
+routers in the order of preference, the standbys, follow the store instead.
 """
 
 import dataclasses
 import math
 import time
 
+import curio
+
 from celeryward import deadlines
 from celeryward import hashing
 
 # In failure domains with fewer routers, each router follows the store.
 MIN_ROUTERS = 4
 # Followers of one leader.
-MAX_FOLLOWERS = 12
+MAX_FOLLOWERS = 48
+# Routers that replace leaders which do not respond.
+STANDBYS = 2
 # How long a leader that did not respond is not polled again.
 AVOID_SECONDS = 10.0
+# A standby needs this long to follow the store itself.
+STANDBY_AVOID_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +45,9 @@
 class Members:
     """The known routers.
 
+    ``listed`` is set once the list has been read for the first time, or could
+    not be read.
+
     :param Member own: this router.
     :param clock: function that returns monotonic seconds.
     """
@@ -47,6 +57,7 @@
         self.clock = clock
         self.known = {own.name: own}
         self.list_received = False
+        self.listed = curio.Event()
         self.avoided = {}
 
     def replace(self, members):
@@ -73,13 +84,19 @@
 
         Routers with the same list compute the same leaders.
         """
-        candidates = self.same_domain()
+        candidates = self.by_preference()
         if len(candidates) < MIN_ROUTERS:
-            return tuple(candidates)
-        candidates.sort(key=leader_sort_key)
-        return tuple(
-            candidates[: math.ceil(len(candidates) / (MAX_FOLLOWERS + 1))]
-        )
+            return candidates
+        return candidates[: math.ceil(len(candidates) / (MAX_FOLLOWERS + 1))]
+
+    def standbys(self):
+        """Return the routers that replace the leaders, in this order."""
+        first = len(self.leaders())
+        return self.by_preference()[first : first + STANDBYS]
+
+    def by_preference(self):
+        """Return the routers of this failure domain, best leaders first."""
+        return tuple(sorted(self.same_domain(), key=leader_sort_key))
 
     @property
     def is_leader(self):
@@ -91,30 +108,43 @@
         """Whether other routers may follow this one."""
         if not self.list_received:
             return True
-        return self.is_leader and len(self.same_domain()) >= MIN_ROUTERS
+        return len(self.same_domain()) >= MIN_ROUTERS and (
+            self.is_leader or self.own in self.standbys()
+        )
 
     def leader(self):
-        """Return the router to follow, or None to follow the store."""
+        """Return the router to follow, or None to follow the store.
+
+        A router follows only those before it in the order of preference, so
+        that no two follow each other, whatever lists they have.
+        """
         leaders = self.leaders()
         if self.own in leaders:
             return None
-        now = deadlines.Deadline(self.clock())
-        usable = [
-            each for each in leaders if self.avoided.get(each.name, now) <= now
-        ]
-        if not usable:
-            return None
-        return min(usable, key=self.preference_key)
+        usable = [each for each in leaders if self.is_usable(each)]
+        if usable:
+            return min(usable, key=self.preference_key)
+        for standby in self.standbys():
+            if standby == self.own:
+                return None
+            if self.is_usable(standby):
+                return standby
+        return None
+
+    def is_usable(self, member):
+        """Return whether a router may be polled now."""
+        until = self.avoided.get(member.name)
+        return until is None or until.at <= self.clock()
 
     def preference_key(self, member):
         """Return the key by which this router orders leaders, lowest first."""
         return hashing.unit_hash(f'{self.own.name}\0{member.name}')
 
     def avoid(self, member):
-        """Avoid a leader that did not respond for ``AVOID_SECONDS``."""
-        self.avoided[member.name] = deadlines.Deadline(
-            self.clock() + AVOID_SECONDS
-        )
+        """Avoid a leader or standby that did not respond for a while."""
+        is_leader = member in self.leaders()
+        seconds = AVOID_SECONDS if is_leader else STANDBY_AVOID_SECONDS
+        self.avoided[member.name] = deadlines.Deadline(self.clock() + seconds)
 
 
 def leader_sort_key(member):
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -1,10 +1,12 @@
-"""Wire format between routers: long polls with JSON over HTTP/1.1.
-
-``GET /changes/KIND?since=REVISION&wait=SECONDS`` is answered with a
-:class:`ChangesResponse` as soon as there is a change, or when the wait is
-over. 400 means that the request is malformed or the kind unknown, 410 that
-the changes are no longer in the log, 413 that they are too large to be
-relayed, 503 that the router's own state is out of date.
+"""Wire format between routers: JSON over HTTP/1.1.
+
+``GET /changes/KIND?since=REVISION&wait=SECONDS`` is a long poll, answered
+with a :class:`ChangesResponse` as soon as there is a change, or when the wait
+is over. ``GET /objects/KIND`` is answered with a :class:`ListResponse`. 400
+means that the request is malformed or the kind unknown, 404 that the router
+has no list of the kind yet, 410 that the changes are no longer in the log,
+413 that the response is too large to be relayed, 503 that the router's own
+state is out of date.
 """
 
 import dataclasses
@@ -14,7 +16,8 @@
 
 from celeryward.objects import protocol
 
-PREFIX = '/changes/'
+CHANGES_PREFIX = '/changes/'
+OBJECTS_PREFIX = '/objects/'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +38,25 @@
     away_seconds: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListResponse:
+    """All objects of one kind, relayed by another router.
+
+    :param float confirmed_seconds: as in :class:`ChangesResponse`.
+    """
+
+    items: tuple[protocol.StoredObject, ...]
+    revision: int
+    confirmed_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListRequest:
+    """Request of a follower for all objects of a kind."""
+
+    kind: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangesRequest:
     """Request of a follower for the changes after a revision."""
@@ -45,6 +67,7 @@
 
 
 RESPONSE_DECODER = msgspec.json.Decoder(ChangesResponse)
+LIST_DECODER = msgspec.json.Decoder(ListResponse)
 
 
 class RouterDialect(protocol.ObjectDialect):
@@ -52,7 +75,20 @@
 
     def long_poll_path(self, kind, since, seconds):
         """Return the path of a long poll for changes after a revision."""
-        return f'{PREFIX}{kind}?since={since}&wait={seconds:.3f}'
+        return f'{CHANGES_PREFIX}{kind}?since={since}&wait={seconds:.3f}'
+
+    def page_path(self, kind, after, allow_stale):
+        """Return the path of the list of a kind, which has one page."""
+        return f'{OBJECTS_PREFIX}{kind}'
+
+    def decode_page(self, kind, body):
+        """Return the :class:`protocol.ObjectPage` in a response body."""
+        response = LIST_DECODER.decode(body)
+        return protocol.ObjectPage(
+            response.items,
+            response.revision,
+            confirmed_seconds=response.confirmed_seconds,
+        )
 
     def decode_changes(self, kind, body):
         """Return the :class:`protocol.ChangeList` of a response body."""
@@ -72,13 +108,20 @@
 
 
 def parse_request(target):
-    """Return the :class:`ChangesRequest` in a target; None if malformed."""
+    """Return the request in a target; None if it is malformed.
+
+    :returns: :class:`ChangesRequest`, :class:`ListRequest` or None.
+    """
     path, _, query = target.partition('?')
-    fields = dict(urllib.parse.parse_qsl(query))
-    if not path.startswith(PREFIX):
+    if path.startswith(OBJECTS_PREFIX):
+        return ListRequest(path.removeprefix(OBJECTS_PREFIX))
+    if not path.startswith(CHANGES_PREFIX):
         return None
+    kind = path.removeprefix(CHANGES_PREFIX)
+    fields = dict(urllib.parse.parse_qsl(query))
     try:
-        wait = float(fields['wait'])
-        return ChangesRequest(path[len(PREFIX) :], int(fields['since']), wait)
+        return ChangesRequest(
+            kind, int(fields['since']), float(fields['wait'])
+        )
     except (KeyError, ValueError):
         return None
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -4,35 +4,46 @@
 
 from celeryward import http
 from celeryward import listener
+from celeryward import registry
 from celeryward.routers import protocol
 
 IDLE_SECONDS = 30.0
 READ_SECONDS = 5.0
 MAX_WAIT_SECONDS = 10.0
-# A larger response would delay the others on the link of a small host.
-MAX_ANSWER_BYTES = 32 * 1024
+# A response is relayed if all followers can receive it within this time over
+# the router's link, and in any case up to the minimum size. Larger ones come
+# from the store.
+RELAY_SECONDS = 1.0
+MIN_RELAYED_BYTES = 32 * 1024
+BYTES_PER_MEGABIT = 125_000
+STATUS_BAD_REQUEST = 400
+STATUS_NO_LIST = 404
 STATUS_GONE = 410
 STATUS_TOO_LARGE = 413
+STATUS_OUT_OF_DATE = 503
+HANDLERS = registry.Registry('request of a follower')
 
 
 class Publisher:
-    """Relays the store's changes to other routers.
+    """Relays the store's objects and changes to other routers.
 
     :param dict change_logs: a :class:`change_log.ChangeLog` for each kind.
     :param dict freshness: :class:`freshness.Freshness` of each kind.
     :param pacing: :class:`pacing.Pacing`; None to relay nothing.
     :param outages: :class:`outages.OutageTracker`.
+    :param members: :class:`members.Members`.
     """
 
-    def __init__(self, change_logs, freshness, pacing, outages):
+    def __init__(self, change_logs, freshness, pacing, outages, members):
         self.pacing = pacing
         self.change_logs = change_logs
         self.freshness = freshness
         self.outages = outages
+        self.members = members
         self.stopping = False
 
     async def handle(self, connection):
-        """Answer the polls on one connection until it is closed."""
+        """Answer the requests on one connection until it is closed."""
 
         async def answer(head):
             status, body = await self.answer(head.target)
@@ -43,36 +54,28 @@
         )
 
     async def answer(self, target):
-        """Return status and body of the response to one poll."""
-        started = time.monotonic()
+        """Return status and body of the response to one request."""
         request = protocol.parse_request(target)
-        change_log = self.change_logs.get(request.kind) if request else None
-        if change_log is None:
-            return 400, b''
-        if not self.is_current(request.kind):
-            return 503, b''
-        if not change_log.covers(request.since):
-            return STATUS_GONE, b''
-        wait = min(request.wait_seconds, MAX_WAIT_SECONDS)
-        await change_log.wait_for_changes(request.since, wait)
-        if not self.is_current(request.kind):
-            return 503, b''
-        if not change_log.covers(request.since):
-            return STATUS_GONE, b''
-        # The age is read before the changes, so that it is never newer than
-        # they are.
-        age = self.freshness[request.kind].age()
-        confirmed = time.monotonic() - started - age
-        response = protocol.ChangesResponse(
-            change_log.changes_after(request.since),
-            max(request.since, change_log.revision),
-            confirmed,
-            self.outages.age(),
-        )
-        body = protocol.encode_response(response)
-        if len(body) > MAX_ANSWER_BYTES:
+        if request is None or request.kind not in self.change_logs:
+            return STATUS_BAD_REQUEST, b''
+        handler = HANDLERS.get(type(request).__name__)
+        status, body = await handler(self, request)
+        if len(body) > self.max_response_bytes():
             return STATUS_TOO_LARGE, b''
-        return 200, body
+        return status, body
+
+    def max_response_bytes(self):
+        """Return the size of the largest response that is relayed."""
+        followers = max(1, len(self.members.same_domain()) - 1)
+        link = self.members.own.capacity * BYTES_PER_MEGABIT
+        return max(MIN_RELAYED_BYTES, RELAY_SECONDS * link / followers)
+
+    def confirmed_seconds(self, kind, started):
+        """Return the time from a request to the store's confirmation.
+
+        :param float started: when the request arrived, in monotonic seconds.
+        """
+        return time.monotonic() - started - self.freshness[kind].age()
 
     def is_current(self, kind):
         """Return whether this router's own state is recent enough."""
@@ -80,3 +83,47 @@
         if self.stopping or self.pacing is None or age is None:
             return False
         return age <= self.pacing.max_leader_age
+
+
+@HANDLERS.register('ListRequest')
+async def answer_list(publisher, request):
+    """Return status and body of the response to a request for a list."""
+    started = time.monotonic()
+    change_log = publisher.change_logs[request.kind]
+    if publisher.freshness[request.kind].age() is None or not change_log.floor:
+        return STATUS_NO_LIST, b''
+    if not publisher.is_current(request.kind):
+        return STATUS_OUT_OF_DATE, b''
+    response = protocol.ListResponse(
+        tuple(change_log.objects.values()),
+        change_log.revision,
+        publisher.confirmed_seconds(request.kind, started),
+    )
+    return 200, protocol.encode_response(response)
+
+
+@HANDLERS.register('ChangesRequest')
+async def answer_changes(publisher, request):
+    """Return status and body of the response to one long poll."""
+    started = time.monotonic()
+    change_log = publisher.change_logs[request.kind]
+    if not publisher.is_current(request.kind):
+        return STATUS_OUT_OF_DATE, b''
+    if not change_log.covers(request.since):
+        return STATUS_GONE, b''
+    wait = min(request.wait_seconds, MAX_WAIT_SECONDS)
+    await change_log.wait_for_changes(request.since, wait)
+    if not publisher.is_current(request.kind):
+        return STATUS_OUT_OF_DATE, b''
+    if not change_log.covers(request.since):
+        return STATUS_GONE, b''
+    # The age is read before the changes, so that it is never newer than they
+    # are.
+    confirmed = publisher.confirmed_seconds(request.kind, started)
+    response = protocol.ChangesResponse(
+        change_log.changes_after(request.since),
+        max(request.since, change_log.revision),
+        confirmed,
+        publisher.outages.age(),
+    )
+    return 200, protocol.encode_response(response)
--- a/celeryward/routers/source.py
+++ b/celeryward/routers/source.py
@@ -1,5 +1,8 @@
-"""Source of changes for a follower: another router, or the store."""
+"""Source of objects for a follower: another router, or the store."""
 
+import curio
+
+from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
 from celeryward.objects import client
@@ -9,6 +12,12 @@
 POLL_TIMEOUT_SECONDS = 0.4
 # Wait of the call to the store after a failed poll.
 FALLBACK_SECONDS = 0.25
+# Time for the first list of routers to arrive, before lists are read from the
+# store.
+MEMBERS_SECONDS = 2.0
+# Time for a leader that starts at the same moment to read its own lists.
+LEADER_START_SECONDS = 2.0
+LEADER_RETRY_SECONDS = 0.25
 
 
 class ChangeSource:
@@ -38,9 +47,41 @@
         return self.store.peer
 
     async def list_pages(self, kind):
-        """Read all objects of a kind from the store."""
+        """Read all objects of a kind.
+
+        :returns: the result of :meth:`client.ObjectClient.list_pages`.
+        """
+        leader = await self.wait_for_leader()
+        if leader is not None:
+            outcome = await self.list_from(leader, kind)
+            if outcome.is_ok():
+                return outcome
+            self.handle_failure(leader, outcome.unwrap_err())
         return await self.call_store(self.store.list_pages(kind))
 
+    async def wait_for_leader(self):
+        """Return the leader, once the list of routers has been read."""
+        if self.pacing is None:
+            return None
+        async with curio.ignore_after(MEMBERS_SECONDS):
+            await self.members.listed.wait()
+        return self.members.leader()
+
+    async def list_from(self, leader, kind):
+        """Read all objects of a kind from a leader.
+
+        A leader that has no list yet is asked again for a while.
+        """
+        until = deadlines.Deadline.after(LEADER_START_SECONDS)
+        while True:
+            outcome = await self.client_of(leader).list_pages(kind)
+            has_no_list = outcome.is_err() and isinstance(
+                outcome.unwrap_err(), errors.NotFound
+            )
+            if until.expired() or not has_no_list:
+                return outcome
+            await curio.sleep(LEADER_RETRY_SECONDS)
+
     async def changes(self, kind, since, wait_seconds):
         """Wait for changes of a kind after a revision.
 
@@ -78,7 +119,8 @@
         # With these errors it responded that it can't relay these changes;
         # it can still relay others.
         is_alive = isinstance(
-            error, (errors.RevisionExpired, errors.AnswerTooLarge)
+            error,
+            (errors.RevisionExpired, errors.AnswerTooLarge, errors.NotFound),
         )
         if not is_alive:
             self.members.avoid(leader)
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -72,7 +72,11 @@
             self.outages,
         )
         self.discovery = discovery.PeerDiscovery(
-            self.store, kinds.routers, self.members, translator
+            self.store,
+            kinds.routers,
+            self.members,
+            translator,
+            placement.first_start,
         )
         self.publisher = publisher.Publisher(
             self.change_logs,
@@ -83,6 +87,7 @@
             },
             shared_pacing,
             self.outages,
+            self.members,
         )
         self.watchers = ()
         self.verdict_writer = None
