--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -113,18 +113,42 @@
 ):
     """Serve requests on one connection; read and drop their bodies.
 
+    :param answer: async function that takes a :class:`http.Request` and
+        sends the response. The others are as for :func:`serve_with_bodies`.
+    """
+
+    async def drop_and_answer(head, body):
+        await answer(head)
+
+    await serve_with_bodies(
+        connection, drop_and_answer, idle_seconds, read_seconds
+    )
+
+
+async def serve_with_bodies(
+    connection,
+    answer,
+    idle_seconds,
+    read_seconds,
+    max_body_bytes=http.MAX_BODY_BYTES,
+):
+    """Serve requests with small bodies on one connection.
+
     Errors of the connection are logged, not raised.
 
-    :param answer: async function that takes a :class:`http.Request` and
-        sends the response.
+    :param answer: async function that takes a :class:`http.Request` and its
+        body, and sends the response.
     :param float idle_seconds: timeout from one request to the next.
     :param float read_seconds: timeout of a body.
+    :param int max_body_bytes: size above which the connection is closed.
     """
 
     async def read_and_answer(head):
         deadline = deadlines.Deadline.after(read_seconds)
-        await connection.receive_body('read request', deadline)
-        await answer(head)
+        body = await connection.receive_body(
+            'read request', deadline, max_body_bytes
+        )
+        await answer(head, body)
 
     try:
         await serve_connection(connection, read_and_answer, idle_seconds)
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -97,7 +97,7 @@
 
     :param releases: :class:`releases.Releases`.
     :param translator: has ``read_order(stored)``, which returns a
-        :class:`releases.Order`, or None if the object is malformed.
+        :class:`rollout_orders.Order`, or None if the object is malformed.
     """
 
     def __init__(self, releases, translator):
--- a/celeryward/objects/verdicts.py
+++ b/celeryward/objects/verdicts.py
@@ -6,6 +6,8 @@
 from celeryward import logs
 
 CHECK_INTERVAL_SECONDS = 0.25
+# A verdict must reach the other routers before they decide otherwise.
+ROLLOUT_CHECK_INTERVAL_SECONDS = 0.05
 # Followers write later than leaders, so that usually a leader has already
 # written the state and followers write nothing.
 FOLLOWER_DELAY_SECONDS = 1.0
@@ -37,9 +39,13 @@
     async def run(self):
         """Write starts and verdicts until cancelled."""
         while True:
-            await curio.sleep(CHECK_INTERVAL_SECONDS)
+            await curio.sleep(
+                ROLLOUT_CHECK_INTERVAL_SECONDS
+                if self.releases.has_running_order
+                else CHECK_INTERVAL_SECONDS
+            )
             delay = 0.0 if self.members.is_leader else FOLLOWER_DELAY_SECONDS
-            self.releases.decide_due(delay)
+            self.releases.decide_due()
             for order in tuple(self.releases.orders_without_start(delay)):
                 await self.write(order)
             settled = self.outages.is_settled()
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -1,20 +1,17 @@
 """Canary rollouts of a service's software versions.
 
 A stored order names the target version and the time within which the
-service must run it. During the first half of that time sessions stay on the
-old version. Then a small canary share of them is sent to the new version; if
-it performs as well as the old one, the share grows to all sessions, and the
-order is done once the old endpoints have had time to drain. A version that
-performs worse is rolled back at once, and one with some evidence against it
-is not completed. Runs in flight that take far longer than the old version
-needs count as failures before they end, because a slow version completes few
-runs. Every router derives the same schedule from the order alone, so that a
-session gets the same version from every router and never returns from the
-new one to the old one.
+service must run it. :mod:`celeryward.raters.rollout_schedule` says which share
+of the requests moves when. A version that performs worse than the old one is
+rolled back at once, and one with some evidence against it is not completed.
+The more of the requests that a bad version may get have been sent to it, the
+less evidence is needed. Runs in flight that take far longer than the old
+version needs count as failures before they end, because a slow version
+completes few runs. The leader of a failure domain decides on the evidence of
+all routers there.
 """
 
 import dataclasses
-import enum
 import math
 import random
 import time
@@ -22,108 +19,31 @@
 from celeryward import hashing
 from celeryward import logs
 from celeryward.raters import evidence
+from celeryward.raters import rollout_orders
+from celeryward.raters import rollout_schedule
 from celeryward.raters import runs
 
 # Each router waits for a random part of this time before it stores the start
 # of an order, so that usually only one of them writes it.
 ANNOUNCE_JITTER_SECONDS = 1.5
 GENERATOR = random.Random()
-# Times at which the stages begin, as fractions of the time that an order
-# allows. A router that sees a session for the first time can't tell whether
-# it began before the order, so no session moves in the first half.
-CANARY_START = 0.51
-PARTIAL_START = 0.62
-FULL_START = 0.68
-COMPLETION_START = 0.85
-# Fraction of the allowed time after which an order is decided in any case: it
-# is rolled back if there is doubt, and completed otherwise.
-DECISION_DEADLINE = 0.95
-# Share of requests on the new version in the canary stage, as a fraction of
-# the highest share that a bad version may get.
-CANARY_SHARE_FACTOR = 0.6
-# Share of requests on the new version after the canary stage.
-PARTIAL_SHARE = 0.2
 # The version of a session is kept for this many times the pause after which
 # the session has ended.
 SESSION_EXPIRY_FACTOR = 1.5
 MAX_SESSIONS = 20_000
-# Log odds at which a single router rolls a version back. The first router to
-# reach its threshold decides for all, so the threshold of each rises with
-# their number.
+# Log odds at which a single router rolls a version back while the version has
+# got no requests yet, and once it has got all that a bad one may get. The
+# first router to reach its threshold decides for all, so the threshold of each
+# rises with the number of routers that decide.
 ROLLBACK_LOG_ODDS = 4.0
+LAST_ROLLBACK_LOG_ODDS = 3.0
 # A router doesn't complete a version at or above these log odds. With fewer
 # answers than the minimum it leaves the completion to other routers.
-DOUBT_LOG_ODDS = 2.0
+DOUBT_LOG_ODDS = 1.5
 MIN_ANSWERS_TO_COMPLETE = 3
-# Requests in the queue of one endpoint fail together, so that failures of an
-# endpoint within this time count as one.
-CORRELATED_FAILURE_SECONDS = 2.0
-
-
-class State(enum.Enum):
-    """State of an order, also used as the verdict of a router."""
-
-    RUNNING = 'running'
-    DONE = 'done'
-    ROLLED_BACK = 'rolled-back'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
-    """A request to move a service to another software version.
-
-    :param float seconds: time within which it must be done.
-    :param int revision: revision of the stored order.
-    :param int created: revision at which the order was created.
-    :param float | None started_at: UTC seconds at which the first router saw
-        it, from which routers that start later derive the same schedule.
-    """
-
-    service: str
-    target: str
-    seconds: float
-    state: State = State.RUNNING
-    revision: int = 0
-    created: int = 0
-    started_at: float | None = None
-
-    @property
-    def key(self):
-        """Unique key of the order among all orders of all services."""
-        return (self.service, self.target, self.created)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tally:
-    """Counts of the runs of a new software version.
-
-    :param float log_odds: cumulative log likelihood ratio, at least 0, of
-        its being worse than the old version.
-    """
-
-    answers: int = 0
-    failures: int = 0
-    log_odds: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Progress:
-    """The progress of an order, as seen by this router.
-
-    :param float start_monotonic: monotonic seconds at which the order started.
-    :param float announce_at: monotonic seconds after which this router
-        stores the start, if no other router has.
-    """
-
-    order: Order
-    start_monotonic: float
-    announce_at: float = 0.0
-    tally: Tally = Tally()
-    verdict: State = State.RUNNING
-
-    def elapsed(self, now):
-        """Return the fraction of the allowed time that has passed."""
-        return (now - self.start_monotonic) / max(0.001, self.order.seconds)
+# Time between a completion and its write, in which the verdicts of other
+# routers arrive.
+COMPLETION_SETTLE_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,13 +60,19 @@
 class Releases:
     """Chooses the software version of each request and judges new ones.
 
+    ``outcome_listeners`` are called with the :class:`rollout_orders.Outcome`
+    of each run at a new version that counts.
+
     :param float max_bad_share: highest share of a service's requests that
         a bad version may get.
     :param float session_seconds: pause after which a session has ended.
     :param clock: function that returns monotonic seconds.
     :param utc_clock: function that returns UTC seconds.
-    :param router_count: function that returns the number of routers, each
-        of which may roll a version back.
+    :param decider_count: function that returns the number of routers that
+        judge as much evidence as this one; each of them may roll a version
+        back. It is 1 at the router that has the evidence of all.
+    :param float bad_version_slack: requests that a bad version may get in
+        addition to its share, from all routers.
     """
 
     def __init__(
@@ -155,22 +81,26 @@
         session_seconds,
         clock=time.monotonic,
         utc_clock=time.time,
-        router_count=lambda: 1,
+        decider_count=lambda: 1,
+        bad_version_slack=0.0,
     ):
-        self.set_bounds(max_bad_share, session_seconds)
-        self.router_count = router_count
+        self.set_bounds(max_bad_share, session_seconds, bad_version_slack)
+        self.decider_count = decider_count
         self.clock = clock
         self.utc_clock = utc_clock
         self.progress = {}
         self.sessions = {}
         self.baselines = {}
-        self.last_failure_at = {}
-        self.verdict_listeners = []
+        self.windows = {}
+        self.outcome_listeners = []
         self.runs = runs.InFlightRuns(self)
 
-    def set_bounds(self, max_bad_share, session_seconds):
-        """Set the highest share of a bad version and the session timeout."""
-        self.canary_share = max_bad_share * CANARY_SHARE_FACTOR
+    def set_bounds(
+        self, max_bad_share, session_seconds, bad_version_slack=0.0
+    ):
+        """Set what a bad version may get, and the session timeout."""
+        self.schedule = rollout_schedule.Schedule(max_bad_share)
+        self.bad_version_slack = bad_version_slack
         self.session_seconds = session_seconds
 
     def accept(self, order):
@@ -182,7 +112,7 @@
                 step='roll-out', peer=order.service, software=order.target
             ).info('roll-out {} ordered', order.state.value)
         verdict = known.verdict
-        if order.state is not State.RUNNING:
+        if order.state is not rollout_orders.State.RUNNING:
             verdict = order.state
         self.progress[order.service] = dataclasses.replace(
             known, order=order, verdict=verdict
@@ -190,7 +120,7 @@
 
     def start_progress(self, order):
         """Return the progress of an order that is seen for the first time."""
-        self.last_failure_at.clear()
+        self.windows.pop(order.service, None)
         now = self.clock()
         elapsed_seconds = 0.0
         if order.started_at is not None:
@@ -198,7 +128,17 @@
         # Wall clocks of different hosts may differ by seconds.
         elapsed_seconds = min(max(0.0, elapsed_seconds), order.seconds)
         delay = ANNOUNCE_JITTER_SECONDS * GENERATOR.random()
-        return Progress(order, now - elapsed_seconds, now + delay)
+        return rollout_orders.Progress(
+            order, now - elapsed_seconds, now + delay
+        )
+
+    @property
+    def has_running_order(self):
+        """Whether an order is neither done nor rolled back."""
+        return any(
+            progress.order.state is rollout_orders.State.RUNNING
+            for progress in self.progress.values()
+        )
 
     def remove(self, service):
         """Discard the order of a service."""
@@ -227,33 +167,18 @@
     def scheduled_version(self, progress, old, session, request_id):
         """Return the version for a request by the schedule of an order."""
         target = progress.order.target
-        if progress.verdict is State.ROLLED_BACK:
+        if progress.verdict is rollout_orders.State.ROLLED_BACK:
             return old[0]
-        if progress.verdict is State.DONE:
+        if progress.verdict is rollout_orders.State.DONE:
             return target
         if self.sticky_version(progress.order.service, session) == target:
             return target
-        traffic_share = self.traffic_share(
+        traffic_share = self.schedule.traffic_share(
             progress.elapsed(self.clock()), bool(session)
         )
         position = hashing.unit_hash(session or request_id)
         return target if position < traffic_share else old[0]
 
-    def traffic_share(self, elapsed, has_session):
-        """Return the share of requests that the new version gets.
-
-        The share never shrinks, so that no session returns to the old
-        version.
-
-        :param float elapsed: fraction of the allowed time that has passed.
-        :param bool has_session: whether the request belongs to a session.
-        """
-        if elapsed < CANARY_START and has_session:
-            return 0.0
-        if elapsed < PARTIAL_START:
-            return self.canary_share
-        return PARTIAL_SHARE if elapsed < FULL_START else 1.0
-
     def sticky_version(self, service, session):
         """Return the version of a session, or None if it has expired."""
         sticky = self.sessions.get((service, session)) if session else None
@@ -283,6 +208,7 @@
         failed,
         seconds_per_event=None,
         endpoint='',
+        slow=False,
     ):
         """Add the outcome of a run to the evidence on its version.
 
@@ -290,104 +216,157 @@
         :param bool failed: whether it failed through the endpoint's fault.
         :param float | None seconds_per_event: mean seconds between the
             events of the answer; None if unknown.
-        :param str endpoint: id of the endpoint; empty if failures are not
-            deduplicated by endpoint.
+        :param str endpoint: id of the endpoint; empty if the run is
+            independent of others.
+        :param bool slow: whether it is known to be slow.
         """
-        if not self.is_new_version(service, software):
-            self.update_baseline((service, kind), failed, seconds_per_event)
-            return
-        progress = self.progress[service]
         baseline = self.baselines.get((service, kind), evidence.Baseline())
-        failed = failed or baseline.is_slow(seconds_per_event)
-        if failed and not self.record_failure(endpoint):
+        slow = slow or baseline.is_slow(seconds_per_event)
+        if not self.is_new_version(service, software):
+            self.baselines[(service, kind)] = baseline.with_run(
+                failed, slow, seconds_per_event
+            )
             return
-        tally = progress.tally
-        tally = Tally(
-            tally.answers + 1,
-            tally.failures + failed,
-            max(
-                0.0,
-                tally.log_odds
-                + evidence.log_likelihood_ratio(failed, baseline.failure_rate),
+        order = self.progress[service].order
+        outcome = rollout_orders.Outcome(
+            service,
+            order.target,
+            order.created,
+            endpoint,
+            failed,
+            slow,
+            evidence.log_likelihood_ratio(
+                failed, baseline.failure_rate, evidence.BAD_EXCESS_FAILURE_RATE
+            ),
+            evidence.log_likelihood_ratio(
+                slow, baseline.slow_rate, evidence.BAD_EXCESS_SLOW_RATE
             ),
         )
+        self.add_outcome(outcome)
+
+    def add_outcome(self, outcome):
+        """Add a run at a new version to the evidence on it.
+
+        :param rollout_orders.Outcome outcome: seen by this router or reported
+            by another one.
+        """
+        progress = self.progress.get(outcome.service)
+        if progress is None or progress.order.key != outcome.order_key:
+            return
+        tally = progress.tally.with_run(
+            outcome,
+            self.weigh(outcome, 'failure', outcome.failure_log_ratio),
+            self.weigh(outcome, 'slow', outcome.slow_log_ratio),
+        )
         progress = dataclasses.replace(progress, tally=tally)
-        self.progress[service] = progress
+        self.progress[outcome.service] = progress
+        for listener in self.outcome_listeners:
+            listener(outcome)
         if (
-            tally.log_odds >= self.rollback_log_odds
-            and progress.order.state is State.RUNNING
-            and progress.verdict is not State.ROLLED_BACK
+            tally.log_odds >= self.rollback_log_odds(progress)
+            and progress.order.state is rollout_orders.State.RUNNING
+            and progress.verdict is not rollout_orders.State.ROLLED_BACK
         ):
-            self.decide(service, State.ROLLED_BACK)
+            self.decide(outcome.service, rollout_orders.State.ROLLED_BACK)
+
+    def record_dispatch(self, service, software):
+        """Count a request that is sent to an endpoint of a service."""
+        exposed = int(self.is_new_version(service, software))
+        self.add_exposure(service, rollout_orders.Exposure(1, exposed))
+
+    def add_reported_exposure(self, order_key, exposure):
+        """Add requests that another router has sent for an order."""
+        service = order_key[0]
+        progress = self.progress.get(service)
+        if progress is not None and progress.order.key == order_key:
+            self.add_exposure(service, exposure)
+
+    def add_exposure(self, service, exposure):
+        """Add requests that this router or another one has sent."""
+        progress = self.progress.get(service)
+        if progress is not None:
+            self.progress[service] = dataclasses.replace(
+                progress, exposure=progress.exposure.plus(exposure)
+            )
 
     def is_new_version(self, service, software):
         """Return whether a version is the target of an order."""
         progress = self.progress.get(service)
         return progress is not None and software == progress.order.target
 
-    def record_failure(self, endpoint):
-        """Record a failure if it is independent; return whether it is."""
-        if not self.is_independent_failure(endpoint):
-            return False
-        self.last_failure_at[endpoint] = self.clock()
-        return True
-
-    def is_independent_failure(self, endpoint):
-        """Return whether no other failure at the endpoint was recent."""
-        last = self.last_failure_at.get(endpoint)
-        if not endpoint or last is None:
-            return True
-        return self.clock() - last >= CORRELATED_FAILURE_SECONDS
-
-    @property
-    def rollback_log_odds(self):
-        """Log odds at which this router rolls a version back."""
-        return ROLLBACK_LOG_ODDS + math.log(self.router_count())
+    def weigh(self, outcome, criterion, log_ratio):
+        """Return the change of the log odds by the outcome of a run.
 
-    def update_baseline(self, key, failed, seconds_per_event):
-        """Update the baseline of one kind of runs of a service."""
-        self.baselines[key] = self.baselines.get(
-            key, evidence.Baseline()
-        ).with_run(failed, seconds_per_event)
+        :param str criterion: what the log ratio is evidence of.
+        """
+        if not outcome.endpoint:
+            return log_ratio
+        windows = self.windows.setdefault(outcome.service, {})
+        key = (outcome.endpoint, criterion)
+        now = self.clock()
+        before = windows.get(key, evidence.EndpointWindow(now))
+        after = before.with_run(log_ratio, now)
+        windows[key] = after
+        if after.runs == 1:
+            return after.weighted_log_ratio
+        return after.weighted_log_ratio - before.weighted_log_ratio
+
+    def rollback_log_odds(self, progress):
+        """Return the log odds at which this router rolls a version back."""
+        deciders = self.decider_count()
+        used = progress.exposure.used_allowance(
+            self.schedule.max_bad_share, self.bad_version_slack / deciders
+        )
+        log_odds = ROLLBACK_LOG_ODDS + used * (
+            LAST_ROLLBACK_LOG_ODDS - ROLLBACK_LOG_ODDS
+        )
+        return log_odds + math.log(deciders)
 
     def decide(self, service, state):
-        """Set the verdict on an order and call the listeners."""
+        """Set the verdict on an order."""
         progress = self.progress[service]
-        self.progress[service] = dataclasses.replace(progress, verdict=state)
+        self.progress[service] = dataclasses.replace(
+            progress, verdict=state, decided_at=self.clock()
+        )
         logs.bind(
             step='roll-out',
             peer=service,
             software=progress.order.target,
             answers=progress.tally.answers,
             failures=progress.tally.failures,
+            slow=progress.tally.slow,
             log_odds=round(progress.tally.log_odds, 2),
             elapsed=round(progress.elapsed(self.clock()), 3),
+            requests=progress.exposure.requests,
+            exposed=progress.exposure.exposed,
         ).info('roll-out decided: {}', state.value)
-        for listener in self.verdict_listeners:
-            listener(service)
 
-    def decide_due(self, delay_seconds=0.0):
+    def decide_due(self):
         """Decide the orders that are due.
 
-        Before the decision deadline, a router that has seen too few answers
-        leaves the decision to the others.
-
-        :param float delay_seconds: extra time given to other routers.
+        The router that has the evidence of all decides first. Before the
+        decision deadline, one that has seen too few answers leaves the
+        decision to the others.
         """
-        now = self.clock() - delay_seconds
+        now = self.clock()
+        completion_start = (
+            rollout_schedule.COMPLETION_START
+            if self.decider_count() == 1
+            else rollout_schedule.LATE_COMPLETION_START
+        )
         for service, progress in tuple(self.progress.items()):
-            if progress.verdict is not State.RUNNING:
+            if progress.verdict is not rollout_orders.State.RUNNING:
                 continue
             elapsed = progress.elapsed(now)
             tally = progress.tally
             doubted = tally.log_odds >= DOUBT_LOG_ODDS
             has_answers = tally.answers >= MIN_ANSWERS_TO_COMPLETE
-            if elapsed >= DECISION_DEADLINE and doubted:
-                self.decide(service, State.ROLLED_BACK)
-            elif elapsed >= DECISION_DEADLINE or (
-                elapsed >= COMPLETION_START and has_answers and not doubted
+            if elapsed >= rollout_schedule.DECISION_DEADLINE and doubted:
+                self.decide(service, rollout_orders.State.ROLLED_BACK)
+            elif elapsed >= rollout_schedule.DECISION_DEADLINE or (
+                elapsed >= completion_start and has_answers and not doubted
             ):
-                self.decide(service, State.DONE)
+                self.decide(service, rollout_orders.State.DONE)
 
     def orders_without_start(self, delay_seconds=0.0):
         """Yield orders whose start is not stored yet, with that start.
@@ -398,8 +377,8 @@
         for progress in self.progress.values():
             order = progress.order
             if (
-                progress.verdict is State.RUNNING
-                and order.state is State.RUNNING
+                progress.verdict is rollout_orders.State.RUNNING
+                and order.state is rollout_orders.State.RUNNING
                 and order.started_at is None
                 and now >= progress.announce_at + delay_seconds
             ):
@@ -416,10 +395,13 @@
         """
         for progress in self.progress.values():
             verdict = progress.verdict
-            if verdict is State.DONE and not settled:
+            waited = self.clock() - progress.decided_at
+            if verdict is rollout_orders.State.DONE and not (
+                settled and waited >= COMPLETION_SETTLE_SECONDS
+            ):
                 continue
             if (
-                verdict is not State.RUNNING
-                and progress.order.state is State.RUNNING
+                verdict is not rollout_orders.State.RUNNING
+                and progress.order.state is rollout_orders.State.RUNNING
             ):
                 yield dataclasses.replace(progress.order, state=verdict)
--- /dev/null
+++ b/celeryward/raters/rollout_orders.py
@@ -0,0 +1,157 @@
+"""Orders to move a service to another software version, and their progress."""
+
+import dataclasses
+import enum
+
+
+class State(enum.Enum):
+    """State of an order, also used as the verdict of a router."""
+
+    RUNNING = 'running'
+    DONE = 'done'
+    ROLLED_BACK = 'rolled-back'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """A request to move a service to another software version.
+
+    :param float seconds: time within which it must be done.
+    :param int revision: revision of the stored order.
+    :param int created: revision at which the order was created.
+    :param float | None started_at: UTC seconds at which the first router saw
+        it, from which routers that start later derive the same schedule.
+    """
+
+    service: str
+    target: str
+    seconds: float
+    state: State = State.RUNNING
+    revision: int = 0
+    created: int = 0
+    started_at: float | None = None
+
+    @property
+    def key(self):
+        """Unique key of the order among all orders of all services."""
+        return (self.service, self.target, self.created)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tally:
+    """Counts of the runs of a new software version.
+
+    :param int slow: runs that took far longer than at the old version.
+    :param float failure_log_odds: cumulative log likelihood ratio, at least 0,
+        of its failing more often than the old version.
+    :param float slow_log_odds: the same for its being slow more often.
+    """
+
+    answers: int = 0
+    failures: int = 0
+    slow: int = 0
+    failure_log_odds: float = 0.0
+    slow_log_odds: float = 0.0
+
+    @property
+    def log_odds(self):
+        """The stronger evidence of the two."""
+        return max(self.failure_log_odds, self.slow_log_odds)
+
+    def with_run(self, outcome, failure_change, slow_change):
+        """Return the counts after one more run.
+
+        :param Outcome outcome: the outcome of the run.
+        :param float failure_change: change of the log odds of failures.
+        :param float slow_change: change of the log odds of slow runs.
+        """
+        return Tally(
+            self.answers + 1,
+            self.failures + outcome.failed,
+            self.slow + outcome.slow,
+            max(0.0, self.failure_log_odds + failure_change),
+            max(0.0, self.slow_log_odds + slow_change),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exposure:
+    """Requests that were sent to a service since an order began.
+
+    :param int requests: all of them.
+    :param int exposed: those that were sent to the new version.
+    """
+
+    requests: int = 0
+    exposed: int = 0
+
+    def plus(self, other):
+        """Return the sum with the counts of another router."""
+        return Exposure(
+            self.requests + other.requests, self.exposed + other.exposed
+        )
+
+    def minus(self, other):
+        """Return the difference to earlier counts."""
+        return Exposure(
+            self.requests - other.requests, self.exposed - other.exposed
+        )
+
+    def used_allowance(self, max_share, slack):
+        """Return the used part of what a bad version may get, 0 to 1.
+
+        :param float max_share: share of the requests that it may get.
+        :param float slack: requests that it may get in addition.
+        """
+        if not self.exposed:
+            return 0.0
+        allowed = max_share * self.requests + slack
+        return min(1.0, self.exposed / allowed) if allowed > 0 else 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """The progress of an order, as seen by this router.
+
+    :param float start_monotonic: monotonic seconds at which the order started.
+    :param float announce_at: monotonic seconds after which this router
+        stores the start, if no other router has.
+    :param float decided_at: monotonic seconds of the verdict.
+    """
+
+    order: Order
+    start_monotonic: float
+    announce_at: float = 0.0
+    tally: Tally = Tally()
+    exposure: Exposure = Exposure()
+    verdict: State = State.RUNNING
+    decided_at: float = 0.0
+
+    def elapsed(self, now):
+        """Return the fraction of the allowed time that has passed."""
+        return (now - self.start_monotonic) / max(0.001, self.order.seconds)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """The outcome of one run at a new software version.
+
+    :param str endpoint: id of the endpoint; empty if unknown.
+    :param float failure_log_ratio: log likelihood ratio of bad against good by
+        whether it failed.
+    :param float slow_log_ratio: the same by whether it was slow.
+    """
+
+    service: str
+    target: str
+    created: int
+    endpoint: str
+    failed: bool
+    slow: bool
+    failure_log_ratio: float
+    slow_log_ratio: float
+
+    @property
+    def order_key(self):
+        """The key of the order that the run is evidence on."""
+        return (self.service, self.target, self.created)
--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -3,8 +3,6 @@
 from celeryward import logs
 from celeryward.raters import evidence
 
-# A run in flight is never overdue before, however fast the old version is.
-MIN_OVERDUE_SECONDS = 0.4
 # Events of a stream below which its seconds per event are not estimated.
 MIN_EVENTS_FOR_ESTIMATE = 4
 
@@ -43,10 +41,10 @@
 
     @property
     def head_seconds(self):
-        """Seconds to the head of the answer by relative size, or None."""
+        """Seconds to the head of the answer, or None."""
         if self.head_at is None:
             return None
-        return (self.head_at - self.started_at) / self.relative_size
+        return self.head_at - self.started_at
 
     def seconds_per_event(self, now):
         """Return the mean seconds per event so far, or None if unknown."""
@@ -60,19 +58,13 @@
         :param evidence.Baseline baseline: averages of the old version.
         """
         if self.head_at is None:
-            expected = baseline.expected_head_seconds(now)
             waited = now - self.started_at
-            if expected is not None:
-                expected *= self.relative_size
-        else:
-            expected = baseline.expected_seconds_per_event()
-            waited = now - self.head_at
-            if expected is not None:
-                expected *= self.events + 1
+            return baseline.has_slow_head(waited, self.relative_size, now)
+        expected = baseline.expected_seconds_per_event()
         if expected is None:
             return False
-        limit = evidence.SLOW_FACTOR * expected
-        return waited > max(MIN_OVERDUE_SECONDS, limit)
+        limit = evidence.SLOW_FACTOR * expected * (self.events + 1)
+        return now - self.head_at > max(evidence.MIN_SLOW_SECONDS, limit)
 
 
 class InFlightRuns:
@@ -94,6 +86,7 @@
         now = self.releases.clock()
         run = Run(service, software, kind, endpoint, relative_size, now)
         self.runs.add(run)
+        self.releases.record_dispatch(service, software)
         return run
 
     def drop(self, run):
@@ -103,18 +96,22 @@
     def end(self, run, failed=False):
         """Report the outcome of a run, unless it was reported as overdue."""
         self.runs.discard(run)
-        if run.reported:
-            return
-        run.reported = True
         now = self.releases.clock()
+        slow = self.baseline(run).has_slow_head(
+            run.head_seconds, run.relative_size, now
+        )
         if not self.releases.is_new_version(run.service, run.software):
             self.update_head_baseline(run, now)
-        self.report(run, failed, run.seconds_per_event(now))
+        if run.reported:
+            return
+        run.reported = True
+        self.report(run, failed, run.seconds_per_event(now), slow)
 
     def update_head_baseline(self, run, now):
         """Update the mean time to the head of an answer."""
         if run.head_seconds is not None:
-            baseline = self.baseline(run).with_head(run.head_seconds, now)
+            relative_seconds = run.head_seconds / run.relative_size
+            baseline = self.baseline(run).with_head(relative_seconds, now)
             self.releases.baselines[(run.service, run.kind)] = baseline
 
     def baseline(self, run):
@@ -123,20 +120,23 @@
         return self.releases.baselines.get(key, evidence.Baseline())
 
     def report_overdue(self):
-        """Report the overdue runs at new versions as failed."""
+        """Report the overdue runs as slow.
+
+        Those at the old version count, too: both versions are slow while their
+        endpoints have long prompts in their queues.
+        """
         now = self.releases.clock()
         for run in tuple(self.runs):
-            if run.reported or not self.releases.is_new_version(
-                run.service, run.software
-            ):
+            if run.reported:
                 continue
             overdue = run.is_overdue(self.baseline(run), now)
-            if overdue and self.releases.is_independent_failure(run.endpoint):
+            if overdue:
                 run.reported = True
-                log_overdue(run, now)
-                self.report(run, True)
+                if self.releases.is_new_version(run.service, run.software):
+                    log_overdue(run, now)
+                self.report(run, failed=False, slow=True)
 
-    def report(self, run, failed, seconds_per_event=None):
+    def report(self, run, failed, seconds_per_event=None, slow=False):
         """Report the outcome of a run."""
         self.releases.observe(
             run.service,
@@ -145,6 +145,7 @@
             failed,
             seconds_per_event,
             run.endpoint,
+            slow,
         )
 
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -64,7 +64,8 @@
         self.releases = releases.Releases(
             bounds.bad_version_share,
             bounds.session_seconds,
-            router_count=self.count_routers,
+            decider_count=self.count_deciders,
+            bad_version_slack=bounds.bad_version_slack,
         )
         self.view = store_view.StoreView(
             placement,
@@ -72,6 +73,7 @@
             translator,
             self.freshness,
             self.endpoint_freshness,
+            self.releases,
         )
         self.connections = pool.EndpointPool(tuning)
         self.metrics = router_metrics.RouterMetrics()
@@ -202,6 +204,10 @@
         """
         return max(MIN_ROUTERS, self.view.members.count)
 
+    def count_deciders(self):
+        """Return the number of routers with as much evidence as this one."""
+        return self.view.members.decider_count
+
     def forget_runner(self, runner):
         """Delete the recorded outcomes of an endpoint that was removed."""
         self.outcomes.forget(runner.id)
@@ -259,9 +265,7 @@
         await self.metrics_listener.start()
         await self.caller_listener.start()
         await self.peer_listener.start()
-        self.view.build_watchers(
-            self.configuration, self.runners, self.releases
-        )
+        self.view.build_watchers(self.configuration, self.runners)
         own_tasks = (
             self.monitor.run,
             self.poll_settings,
@@ -322,7 +326,9 @@
         self.freshness.max_age_seconds = self.key_age_limit()
         self.view.outages.set_bounds(bounds)
         self.releases.set_bounds(
-            bounds.bad_version_share, bounds.session_seconds
+            bounds.bad_version_share,
+            bounds.session_seconds,
+            bounds.bad_version_slack,
         )
         logs.bind(step='reload', peer=placement.name).info('settings reloaded')
 
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -37,6 +37,7 @@
     :param float retry_window_seconds: time in which retries are counted.
     :param float bad_version_share: largest share of a service's requests
         that a bad version may serve.
+    :param float bad_version_slack: requests that it may serve in addition.
     :param float session_seconds: idle time after which a session has ended.
     :param float history_seconds: how long the store keeps past changes.
     :param float apply_seconds: time within which a newer configuration must
@@ -53,6 +54,7 @@
     retry_slack: float
     retry_window_seconds: float
     bad_version_share: float
+    bad_version_slack: float
     session_seconds: float
     history_seconds: float
     apply_seconds: float
--- /dev/null
+++ b/celeryward/routers/client.py
@@ -0,0 +1,49 @@
+"""Client of another router."""
+
+import result
+
+from celeryward import deadlines
+from celeryward import http
+from celeryward.objects import client
+from celeryward.routers import protocol
+
+# Time allowed for the response to a poll beyond its wait, and for others.
+TIMEOUT_SECONDS = 0.4
+
+
+class RouterClient(client.ObjectClient):
+    """Reads objects from another router, and reports evidence to it.
+
+    :param members.Member member: the other router.
+    :param str name: name of this router.
+    """
+
+    def __init__(self, member, name):
+        super().__init__(
+            member, TIMEOUT_SECONDS, name, protocol.RouterDialect()
+        )
+
+    async def report(self, report):
+        """Send a :class:`protocol.EvidenceReport`.
+
+        A report whose response is lost is sent again. The leader counts the
+        failures of one endpoint once, so that the connection may be one that
+        was idle.
+
+        :returns: ``Ok`` or ``Err(PlatformUnavailable)``.
+        """
+        deadline = deadlines.Deadline.after(self.timeout)
+        path = protocol.EVIDENCE_PATH
+        try:
+            async with self.connection(deadline, False) as connection:
+                response, body = await http.exchange(
+                    connection,
+                    'POST',
+                    path,
+                    {},
+                    protocol.encode(report),
+                    deadline,
+                )
+        except client.TRANSPORT_ERRORS as error:
+            return result.Err(self.classify(error, 'GET', path))
+        return self.check_status(response.status, body, 'GET', path)
--- /dev/null
+++ b/celeryward/routers/evidence.py
@@ -0,0 +1,81 @@
+"""Reports of the evidence on new software versions to one router.
+
+One router sees too few requests to judge a new version in time. Followers
+report what they have seen to their leader, and leaders pass it on to the first
+of all leaders, which judges. Every router still judges what it has seen, in
+case that one is away. Reports are sent only while a roll-out is under way.
+"""
+
+import curio
+
+from celeryward import logs
+from celeryward.raters import rollout_orders
+from celeryward.routers import protocol
+
+REPORT_SECONDS = 0.3
+# Outcomes that wait for a router that doesn't respond; the oldest are dropped.
+MAX_WAITING_OUTCOMES = 200
+
+
+class EvidenceReporter:
+    """Sends the evidence that this router has to the next router.
+
+    :param releases: :class:`releases.Releases`.
+    :param members: :class:`members.Members`.
+    :param source: :class:`source.ChangeSource`, which has the clients of
+        other routers.
+    """
+
+    def __init__(self, releases, members, source):
+        self.releases = releases
+        self.members = members
+        self.source = source
+        self.outcomes = []
+        self.reported = {}
+        releases.outcome_listeners.append(self.add_outcome)
+
+    def add_outcome(self, outcome):
+        """Keep an outcome for the next report."""
+        if self.members.reports_to() is None:
+            return
+        self.outcomes.append(outcome)
+        del self.outcomes[:-MAX_WAITING_OUTCOMES]
+
+    async def run(self):
+        """Report until cancelled."""
+        while True:
+            await curio.sleep(REPORT_SECONDS)
+            receiver = self.members.reports_to()
+            if receiver is not None and self.releases.has_running_order:
+                await self.report(receiver)
+
+    async def report(self, receiver):
+        """Send one report; keep the outcomes if that fails."""
+        sent = tuple(self.outcomes)
+        exposures = tuple(self.unreported_exposures())
+        if not sent and not exposures:
+            return
+        report = protocol.EvidenceReport(exposures, sent)
+        outcome = await self.source.client_of(receiver).report(report)
+        if outcome.is_err():
+            error = outcome.unwrap_err()
+            self.members.avoid(receiver)
+            logs.bind_error(error, router=receiver.name).info(
+                'evidence not reported: {}', error.message
+            )
+            return
+        del self.outcomes[: len(sent)]
+        for counts in exposures:
+            key = counts.order_key
+            self.reported[key] = self.reported.get(
+                key, rollout_orders.Exposure()
+            ).plus(counts.exposure)
+
+    def unreported_exposures(self):
+        """Yield the requests of each order that were not reported yet."""
+        for progress in tuple(self.releases.progress.values()):
+            key = progress.order.key
+            before = self.reported.get(key, rollout_orders.Exposure())
+            exposure = progress.exposure.minus(before)
+            if exposure.requests > 0:
+                yield protocol.OrderExposure(*key, exposure)
--- a/celeryward/routers/members.py
+++ b/celeryward/routers/members.py
@@ -6,6 +6,7 @@
 routers in the order of preference, the standbys, follow the store instead.
 """
 
+import collections
 import dataclasses
 import math
 import time
@@ -71,6 +72,48 @@
         """Number of routers, this one included."""
         return len(self.known)
 
+    @property
+    def decider_count(self):
+        """Number of routers that judge as many requests as this one.
+
+        The first of all leaders judges the requests of all routers, another
+        leader those of its followers, too, and a follower only its own.
+        """
+        if not self.is_leader:
+            return self.count
+        if self.judge() is None:
+            return 1
+        return len(self.all_leaders())
+
+    def all_leaders(self):
+        """Return the leaders of all failure domains, best ones first."""
+        domains = collections.defaultdict(list)
+        for member in self.known.values():
+            domains[member.failure_domain].append(member)
+        leaders = [
+            leader
+            for routers in domains.values()
+            for leader in choose_leaders(routers)
+        ]
+        return tuple(sorted(leaders, key=leader_sort_key))
+
+    def judge(self):
+        """Return the leader to which a leader reports, None for none.
+
+        It is always before this router in the order of preference, so that no
+        report comes back.
+        """
+        for leader in self.all_leaders():
+            if leader == self.own:
+                return None
+            if self.is_usable(leader):
+                return leader
+        return None
+
+    def reports_to(self):
+        """Return the router that gets this one's evidence, None for none."""
+        return self.judge() if self.is_leader else self.leader()
+
     def same_domain(self):
         """Return the routers of this failure domain."""
         return [
@@ -84,19 +127,13 @@
 
         Routers with the same list compute the same leaders.
         """
-        candidates = self.by_preference()
-        if len(candidates) < MIN_ROUTERS:
-            return candidates
-        return candidates[: math.ceil(len(candidates) / (MAX_FOLLOWERS + 1))]
+        return choose_leaders(self.same_domain())
 
     def standbys(self):
         """Return the routers that replace the leaders, in this order."""
-        first = len(self.leaders())
-        return self.by_preference()[first : first + STANDBYS]
-
-    def by_preference(self):
-        """Return the routers of this failure domain, best leaders first."""
-        return tuple(sorted(self.same_domain(), key=leader_sort_key))
+        ordered = sorted(self.same_domain(), key=leader_sort_key)
+        start = leader_count(len(ordered))
+        return tuple(ordered[start : start + STANDBYS])
 
     @property
     def is_leader(self):
@@ -147,6 +184,19 @@
         self.avoided[member.name] = deadlines.Deadline(self.clock() + seconds)
 
 
+def choose_leaders(routers):
+    """Return the leaders among the routers of a failure domain."""
+    ordered = sorted(routers, key=leader_sort_key)
+    return tuple(ordered[: leader_count(len(ordered))])
+
+
+def leader_count(router_count):
+    """Return the number of leaders in a failure domain."""
+    if router_count < MIN_ROUTERS:
+        return router_count
+    return math.ceil(router_count / (MAX_FOLLOWERS + 1))
+
+
 def leader_sort_key(member):
     """Return the key by which leaders are chosen, lowest first.
 
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -2,11 +2,13 @@
 
 ``GET /changes/KIND?since=REVISION&wait=SECONDS`` is a long poll, answered
 with a :class:`ChangesResponse` as soon as there is a change, or when the wait
-is over. ``GET /objects/KIND`` is answered with a :class:`ListResponse`. 400
-means that the request is malformed or the kind unknown, 404 that the router
-has no list of the kind yet, 410 that the changes are no longer in the log,
-413 that the response is too large to be relayed, 503 that the router's own
-state is out of date.
+is over. ``GET /objects/KIND`` is answered with a :class:`ListResponse`.
+``POST /evidence`` carries an :class:`EvidenceReport`; its answer is empty.
+
+400 means that the request is malformed or the kind unknown, 404 that the
+router has no list of the kind yet, 410 that the changes are no longer in the
+log, 413 that the response is too large to be relayed, 503 that the router's
+own state is out of date.
 """
 
 import dataclasses
@@ -15,9 +17,11 @@
 import msgspec
 
 from celeryward.objects import protocol
+from celeryward.raters import rollout_orders
 
 CHANGES_PREFIX = '/changes/'
 OBJECTS_PREFIX = '/objects/'
+EVIDENCE_PATH = '/evidence'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,8 +70,35 @@
     wait_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderExposure:
+    """Requests that a router sent to a service since its last report.
+
+    :param int created: revision at which the order was created.
+    """
+
+    service: str
+    target: str
+    created: int
+    exposure: rollout_orders.Exposure
+
+    @property
+    def order_key(self):
+        """The key of the order."""
+        return (self.service, self.target, self.created)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvidenceReport:
+    """What a follower has seen of new versions since its last report."""
+
+    exposures: tuple[OrderExposure, ...]
+    outcomes: tuple[rollout_orders.Outcome, ...]
+
+
 RESPONSE_DECODER = msgspec.json.Decoder(ChangesResponse)
 LIST_DECODER = msgspec.json.Decoder(ListResponse)
+REPORT_DECODER = msgspec.json.Decoder(EvidenceReport)
 
 
 class RouterDialect(protocol.ObjectDialect):
@@ -102,17 +133,20 @@
         )
 
 
-def encode_response(response):
-    """Return the body of a response."""
-    return msgspec.json.encode(response)
+def encode(message):
+    """Return the body of a request or response."""
+    return msgspec.json.encode(message)
 
 
-def parse_request(target):
-    """Return the request in a target; None if it is malformed.
+def parse_request(target, body=b''):
+    """Return the request with a target and a body; None if it is malformed.
 
-    :returns: :class:`ChangesRequest`, :class:`ListRequest` or None.
+    :returns: :class:`ChangesRequest`, :class:`ListRequest`,
+        :class:`EvidenceReport` or None.
     """
     path, _, query = target.partition('?')
+    if path == EVIDENCE_PATH:
+        return parse_report(body)
     if path.startswith(OBJECTS_PREFIX):
         return ListRequest(path.removeprefix(OBJECTS_PREFIX))
     if not path.startswith(CHANGES_PREFIX):
@@ -125,3 +159,11 @@
         )
     except (KeyError, ValueError):
         return None
+
+
+def parse_report(body):
+    """Return the :class:`EvidenceReport` in a body; None if malformed."""
+    try:
+        return REPORT_DECODER.decode(body)
+    except msgspec.DecodeError:
+        return None
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -16,6 +16,7 @@
 RELAY_SECONDS = 1.0
 MIN_RELAYED_BYTES = 32 * 1024
 BYTES_PER_MEGABIT = 125_000
+MAX_REQUEST_BYTES = 64 * 1024
 STATUS_BAD_REQUEST = 400
 STATUS_NO_LIST = 404
 STATUS_GONE = 410
@@ -32,9 +33,14 @@
     :param pacing: :class:`pacing.Pacing`; None to relay nothing.
     :param outages: :class:`outages.OutageTracker`.
     :param members: :class:`members.Members`.
+    :param releases: :class:`releases.Releases`, which takes the evidence that
+        followers report.
     """
 
-    def __init__(self, change_logs, freshness, pacing, outages, members):
+    def __init__(
+        self, change_logs, freshness, pacing, outages, members, releases
+    ):
+        self.releases = releases
         self.pacing = pacing
         self.change_logs = change_logs
         self.freshness = freshness
@@ -45,18 +51,21 @@
     async def handle(self, connection):
         """Answer the requests on one connection until it is closed."""
 
-        async def answer(head):
-            status, body = await self.answer(head.target)
-            await http.send_response(connection, status, {}, body)
+        async def answer(head, body):
+            status, answer_body = await self.answer(head.target, body)
+            await http.send_response(connection, status, {}, answer_body)
 
-        await listener.serve_ignoring_bodies(
-            connection, answer, IDLE_SECONDS, READ_SECONDS
+        await listener.serve_with_bodies(
+            connection, answer, IDLE_SECONDS, READ_SECONDS, MAX_REQUEST_BYTES
         )
 
-    async def answer(self, target):
+    async def answer(self, target, body=b''):
         """Return status and body of the response to one request."""
-        request = protocol.parse_request(target)
-        if request is None or request.kind not in self.change_logs:
+        request = protocol.parse_request(target, body)
+        if request is None:
+            return STATUS_BAD_REQUEST, b''
+        kind = getattr(request, 'kind', None)
+        if kind is not None and kind not in self.change_logs:
             return STATUS_BAD_REQUEST, b''
         handler = HANDLERS.get(type(request).__name__)
         status, body = await handler(self, request)
@@ -99,7 +108,7 @@
         change_log.revision,
         publisher.confirmed_seconds(request.kind, started),
     )
-    return 200, protocol.encode_response(response)
+    return 200, protocol.encode(response)
 
 
 @HANDLERS.register('ChangesRequest')
@@ -126,4 +135,16 @@
         confirmed,
         publisher.outages.age(),
     )
-    return 200, protocol.encode_response(response)
+    return 200, protocol.encode(response)
+
+
+@HANDLERS.register('EvidenceReport')
+async def accept_evidence(publisher, report):
+    """Add a follower's evidence to that of this router."""
+    for counts in report.exposures:
+        publisher.releases.add_reported_exposure(
+            counts.order_key, counts.exposure
+        )
+    for outcome in report.outcomes:
+        publisher.releases.add_outcome(outcome)
+    return 200, b''
--- a/celeryward/routers/source.py
+++ b/celeryward/routers/source.py
@@ -5,11 +5,8 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
-from celeryward.objects import client
-from celeryward.routers import protocol
+from celeryward.routers import client
 
-# Time allowed for the response to a poll beyond its wait.
-POLL_TIMEOUT_SECONDS = 0.4
 # Wait of the call to the store after a failed poll.
 FALLBACK_SECONDS = 0.25
 # Time for the first list of routers to arrive, before lists are read from the
@@ -132,10 +129,7 @@
         """Return the client for another router."""
         key = (member.host, member.port)
         if key not in self.clients:
-            self.clients[key] = client.ObjectClient(
-                member,
-                POLL_TIMEOUT_SECONDS,
-                self.members.own.name,
-                protocol.RouterDialect(),
+            self.clients[key] = client.RouterClient(
+                member, self.members.own.name
             )
         return self.clients[key]
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -9,6 +9,7 @@
 from celeryward.objects import verdicts
 from celeryward.routers import change_log
 from celeryward.routers import discovery
+from celeryward.routers import evidence
 from celeryward.routers import members
 from celeryward.routers import pacing
 from celeryward.routers import publisher
@@ -37,16 +38,24 @@
         router's types.
     :param freshness: :class:`freshness.Freshness` of the configuration.
     :param endpoint_freshness: :class:`freshness.Freshness` of the endpoints.
+    :param releases: :class:`releases.Releases`.
     """
 
     def __init__(
-        self, placement, tuning, translator, freshness, endpoint_freshness
+        self,
+        placement,
+        tuning,
+        translator,
+        freshness,
+        endpoint_freshness,
+        releases,
     ):
         self.placement = placement
         self.tuning = tuning
         self.translator = translator
         self.freshness = freshness
         self.endpoint_freshness = endpoint_freshness
+        self.releases = releases
         self.store = client.ObjectClient(
             placement.store,
             tuning.store_timeout,
@@ -88,16 +97,19 @@
             shared_pacing,
             self.outages,
             self.members,
+            releases,
+        )
+        self.evidence_reporter = evidence.EvidenceReporter(
+            releases, self.members, self.source
         )
         self.watchers = ()
         self.verdict_writer = None
 
-    def build_watchers(self, configuration, runners, releases):
+    def build_watchers(self, configuration, runners):
         """Build the watchers that update the router's state.
 
         :param configuration: :class:`ingress.ConfigurationHolder`.
         :param runners: :class:`runners.RunnerTable`.
-        :param releases: :class:`releases.Releases`.
         """
         kinds = self.translator.kinds
         bounds = self.placement.bounds
@@ -128,7 +140,7 @@
         endpoints = receivers.EndpointReceiver(
             runners, self.translator, self.outages, self.endpoint_freshness
         )
-        orders = receivers.OrderReceiver(releases, self.translator)
+        orders = receivers.OrderReceiver(self.releases, self.translator)
         self.watchers = (
             primary,
             self.make_watcher(
@@ -143,7 +155,7 @@
         )
         self.verdict_writer = verdicts.VerdictWriter(
             self.store,
-            releases,
+            self.releases,
             self.translator,
             self.members,
             self.outages,
@@ -163,7 +175,12 @@
     def task_functions(self):
         """Return the coroutine functions that the router runs as tasks."""
         watches = [each.run for each in self.watchers]
-        return (*watches, self.verdict_writer.run, self.discovery.run)
+        return (
+            *watches,
+            self.verdict_writer.run,
+            self.discovery.run,
+            self.evidence_reporter.run,
+        )
 
     async def deregister(self):
         """Deregister at the store; stop publishing to other routers."""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -29,6 +29,7 @@
     retry_slack=54.0,
     retry_window_seconds=10.0,
     bad_version_share=0.15,
+    bad_version_slack=30.0,
     session_seconds=5.0,
     history_seconds=20.0,
     apply_seconds=2.0,
--- a/tests/test_other_routers.py
+++ b/tests/test_other_routers.py
@@ -11,7 +11,10 @@
 from celeryward.objects import freshness
 from celeryward.objects import outages
 from celeryward.objects import protocol as objects
+from celeryward.raters import releases
+from celeryward.raters import rollout_orders
 from celeryward.routers import change_log
+from celeryward.routers import client
 from celeryward.routers import discovery
 from celeryward.routers import members
 from celeryward.routers import pacing
@@ -194,6 +197,7 @@
             PACING,
             outages.OutageTracker(standins.BOUNDS),
             members.Members(member(0)),
+            releases.Releases(0.15, 5.0),
         )
         return made, log, fresh
 
@@ -277,6 +281,27 @@
         fresh.confirm(100.0)
         assert (await made.answer('/objects/config'))[0] == 413
 
+    @fakes.in_kernel
+    async def test_reported_evidence_rolls_a_bad_version_back(self):
+        """One router of many saw too few failures to judge a version."""
+        made, _, _ = self.made([100.0])
+        made.releases.accept(rollout_orders.Order('llm', 'v2', 20.0))
+        exposure = protocol.OrderExposure(
+            'llm', 'v2', 0, rollout_orders.Exposure(100, 15)
+        )
+        for number in range(3):
+            outcome = rollout_orders.Outcome(
+                'llm', 'v2', 0, f'e{number}', True, False, 2.0, 0.0
+            )
+            report = protocol.EvidenceReport((exposure,), (outcome,))
+            body = protocol.encode(report)
+            assert (await made.answer('/evidence', body))[0] == 200
+        progress = made.releases.progress['llm']
+        assert progress.exposure == rollout_orders.Exposure(300, 45)
+        assert progress.verdict is rollout_orders.State.ROLLED_BACK
+        for body in (b'', b'{}', b'[1]'):
+            assert (await made.answer('/evidence', body))[0] == 400
+
 
 class TestPeerDiscovery:
     """Guards against routers that don't discover each other."""
@@ -370,7 +395,7 @@
     @pytest.mark.parametrize('bound', (1.5, 2.0, 3.0, 10.0))
     def test_maximum_delay_is_within_the_bound(self, bound):
         made = pacing.make_pacing(bound)
-        hanging = made.poll_wait + source.POLL_TIMEOUT_SECONDS
+        hanging = made.poll_wait + client.TIMEOUT_SECONDS
         stale = made.max_leader_age + made.poll_wait
         assert max(hanging, stale) < bound - 0.4
         assert made.leader_wait < made.max_leader_age
--- a/tests/test_passed_changes.py
+++ b/tests/test_passed_changes.py
@@ -152,6 +152,22 @@
             await curio.sleep(0.05)
             assert pair.follower.freshness.is_fresh()
 
+    @on_pair
+    async def test_leader_judges_the_evidence_of_its_follower(self, pair):
+        order = {'service': 'llm', 'target': 'v2', 'durationS': 60}
+        await pair.site.store.put('rollouts', 'llm', order)
+        followed, leading = pair.follower.releases, pair.leader.releases
+        await standins.wait_until(
+            lambda: 'llm' in followed.progress and 'llm' in leading.progress
+        )
+        for number in range(9):
+            followed.record_dispatch('llm', 'v2')
+            followed.observe('llm', 'v2', 'k', False, 0.1, f'e{number}')
+        await standins.wait_until(
+            lambda: leading.progress['llm'].tally.answers == 9, 2.0
+        )
+        assert leading.progress['llm'].exposure.exposed == 9
+
     @on_pair
     async def test_large_change_comes_from_the_store(self, pair):
         spec = standins.configuration(9)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -2,7 +2,10 @@
 
 import pytest
 
+from celeryward.raters import evidence
 from celeryward.raters import releases
+from celeryward.raters import rollout_orders
+from celeryward.raters import rollout_schedule
 
 SERVICE = 'llm'
 PRESENT = ('v1', 'v2')
@@ -26,7 +29,7 @@
 @pytest.fixture
 def rollouts(clock):
     instance = releases.Releases(0.15, 5.0, clock)
-    instance.accept(releases.Order(SERVICE, 'v2', 20.0))
+    instance.accept(rollout_orders.Order(SERVICE, 'v2', 20.0))
     return instance
 
 
@@ -56,16 +59,31 @@
         chosen = [choose(rollouts, '', f'r{number}') for number in range(500)]
         assert 0 < chosen.count('v2') < 75
 
-    def test_all_sessions_move_after_the_canary(self, rollouts, clock):
-        clock.now = 14.0
+    def test_all_sessions_move_before_the_completion(self, rollouts, clock):
+        clock.now = 20.0 * rollout_schedule.COMPLETION_START - 1.0
         assert share(rollouts) == 1.0
 
-    def test_share_grows_in_steps(self, rollouts, clock):
+    def test_share_grows_evenly(self, rollouts, clock):
+        """All requests moved at once, to endpoints with empty caches."""
         found = []
-        for clock.now in (10.5, 12.6, 14.0):
-            found.append(share(rollouts))
+        for step in range(60):
+            clock.now = 10.5 + step * 0.1
+            found.append(share(rollouts, count=500))
         assert found == sorted(found)
-        assert found[1] < 0.3
+        steps = [after - before for before, after in zip(found, found[1:])]
+        assert max(steps) < 0.25
+
+    @pytest.mark.parametrize('has_session', (True, False))
+    @pytest.mark.parametrize('bound', (0.05, 0.0975, 0.15, 0.3))
+    def test_bad_version_stays_within_its_share(self, bound, has_session):
+        """A version that nobody found bad got more than a bad one may get."""
+        schedule = rollout_schedule.Schedule(bound)
+        completion = int(1000 * rollout_schedule.COMPLETION_START)
+        exposed = sum(
+            schedule.traffic_share(step / 1000, has_session)
+            for step in range(completion)
+        )
+        assert 0.5 * bound < exposed / 1000 <= bound
 
     def test_version_without_an_order_gets_nothing(self, clock):
         rollouts = releases.Releases(0.15, 5.0, clock)
@@ -73,7 +91,7 @@
 
     def test_all_routers_choose_alike(self, rollouts, clock):
         other = releases.Releases(0.15, 5.0, clock)
-        other.accept(releases.Order(SERVICE, 'v2', 20.0))
+        other.accept(rollout_orders.Order(SERVICE, 'v2', 20.0))
         clock.now = 10.5
         for number in range(200):
             session = f's{number}'
@@ -103,7 +121,7 @@
     def test_routers_new_to_a_session_agree(self, rollouts, clock):
         """A session older than the order changed its version at a router."""
         other = releases.Releases(0.15, 5.0, clock)
-        other.accept(releases.Order(SERVICE, 'v2', 20.0))
+        other.accept(rollout_orders.Order(SERVICE, 'v2', 20.0))
         first = [choose(rollouts, f's{n}') for n in range(300)]
         for clock.now in (4.0, 6.0, 8.0, 9.9):
             later = [choose(other, f's{n}') for n in range(300)]
@@ -130,14 +148,20 @@
         self.run_old_version(rollouts)
         for number in range(8):
             rollouts.observe(SERVICE, 'v2', 'k', number % 2 == 0, 0.1)
-        assert rollouts.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+        assert (
+            rollouts.progress[SERVICE].verdict
+            is rollout_orders.State.ROLLED_BACK
+        )
         assert choose(rollouts, 'any') == 'v1'
 
     def test_slow_version_is_rolled_back(self, rollouts):
         self.run_old_version(rollouts)
         for _ in range(8):
             rollouts.observe(SERVICE, 'v2', 'k', False, 0.8)
-        assert rollouts.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+        assert (
+            rollouts.progress[SERVICE].verdict
+            is rollout_orders.State.ROLLED_BACK
+        )
 
     def test_good_version_with_the_usual_failures_passes(
         self, rollouts, clock
@@ -148,7 +172,7 @@
             rollouts.observe(SERVICE, 'v2', 'k', number % 7 == 0, 0.12)
         clock.now = 17.5
         rollouts.decide_due()
-        assert rollouts.progress[SERVICE].verdict is releases.State.DONE
+        assert rollouts.progress[SERVICE].verdict is rollout_orders.State.DONE
 
     def test_slow_runs_as_in_the_baseline_pass(self, rollouts):
         """Runs as slow as some of the old version rolled a good one back."""
@@ -157,7 +181,9 @@
             rollouts.observe(SERVICE, 'v1', 'k', False, paces[number % 4])
         for number in range(40):
             rollouts.observe(SERVICE, 'v2', 'k', False, paces[number % 4])
-        assert rollouts.progress[SERVICE].verdict is releases.State.RUNNING
+        assert (
+            rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
+        )
 
     def test_good_answer_is_no_evidence_against_it(self, rollouts):
         """While the old one failed, it counted against the new version."""
@@ -165,7 +191,9 @@
             rollouts.observe(SERVICE, 'v1', 'k', True, 0.1)
         for failed in (True, False):
             rollouts.observe(SERVICE, 'v2', 'k', failed, 0.1)
-        assert rollouts.progress[SERVICE].verdict is releases.State.RUNNING
+        assert (
+            rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
+        )
 
     def test_one_busy_endpoint_causes_no_rollback(self, rollouts, clock):
         """Requests in the queue of one endpoint timed out together."""
@@ -174,28 +202,74 @@
             busy = number % 3 == 0
             name = 'e1' if busy else f'e{number}'
             rollouts.observe(SERVICE, 'v2', 'k', busy, 0.1, name)
-        assert rollouts.progress[SERVICE].verdict is releases.State.RUNNING
+        assert (
+            rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
+        )
         for clock.now in (2.1, 4.2, 6.3, 8.4, 10.5):
             for name in ('e1', 'e2'):
                 rollouts.observe(SERVICE, 'v2', 'k', True, 0.1, name)
-        assert rollouts.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+        assert (
+            rollouts.progress[SERVICE].verdict
+            is rollout_orders.State.ROLLED_BACK
+        )
 
     def test_one_of_many_routers_needs_more_evidence(self, clock):
         verdicts = []
         for count in (1, 88):
             rollouts = releases.Releases(
-                0.15, 5.0, clock, router_count=lambda: count
+                0.15, 5.0, clock, decider_count=lambda: count
             )
-            rollouts.accept(releases.Order(SERVICE, 'v2', 20.0))
+            rollouts.accept(rollout_orders.Order(SERVICE, 'v2', 20.0))
             self.run_old_version(rollouts)
             for number in range(6):
                 rollouts.observe(SERVICE, 'v2', 'k', number % 2 == 0, 0.1)
             verdicts.append(rollouts.progress[SERVICE].verdict)
         assert verdicts == [
-            releases.State.ROLLED_BACK,
-            releases.State.RUNNING,
+            rollout_orders.State.ROLLED_BACK,
+            rollout_orders.State.RUNNING,
         ]
 
+    def test_less_evidence_is_needed_once_the_share_is_used(self, rollouts):
+        """A bad version got more than its share while evidence was scarce."""
+        self.run_old_version(rollouts)
+        for failed in (True, True):
+            rollouts.observe(SERVICE, 'v2', 'k', failed, 0.1)
+        assert (
+            rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
+        )
+        for _ in range(80):
+            rollouts.record_dispatch(SERVICE, 'v1')
+        for _ in range(20):
+            rollouts.record_dispatch(SERVICE, 'v2')
+        rollouts.observe(SERVICE, 'v2', 'k', False, 0.1)
+        assert (
+            rollouts.progress[SERVICE].verdict
+            is rollout_orders.State.ROLLED_BACK
+        )
+
+    def test_evidence_of_other_routers_counts(self, rollouts):
+        seen = []
+        self.run_old_version(rollouts)
+        rollouts.outcome_listeners.append(seen.append)
+        for number in range(3):
+            rollouts.observe(SERVICE, 'v2', 'k', True, 0.1, f'e{number}')
+        leader = releases.Releases(0.15, 5.0, rollouts.clock)
+        leader.accept(rollout_orders.Order(SERVICE, 'v2', 20.0))
+        for outcome in seen:
+            leader.add_outcome(outcome)
+        assert len(seen) == 3
+        assert (
+            leader.progress[SERVICE].verdict
+            is rollout_orders.State.ROLLED_BACK
+        )
+
+    def test_evidence_on_an_earlier_order_is_ignored(self, rollouts):
+        old = rollout_orders.Outcome(
+            SERVICE, 'v2', 7, 'e', True, False, 9.0, 0.0
+        )
+        rollouts.add_outcome(old)
+        assert rollouts.progress[SERVICE].tally.answers == 0
+
     def test_version_that_turns_bad_late_is_rolled_back(self, rollouts, clock):
         self.run_old_version(rollouts)
         for _ in range(200):
@@ -203,7 +277,10 @@
         clock.now = 14.0
         for number in range(10):
             rollouts.observe(SERVICE, 'v2', 'k', number % 2 == 0, 0.1)
-        assert rollouts.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+        assert (
+            rollouts.progress[SERVICE].verdict
+            is rollout_orders.State.ROLLED_BACK
+        )
 
     def test_verdict_is_not_replaced(self, rollouts, clock):
         self.run_old_version(rollouts)
@@ -213,7 +290,7 @@
         rollouts.decide_due()
         assert [
             order.state for order in rollouts.orders_without_verdict()
-        ] == [releases.State.ROLLED_BACK]
+        ] == [rollout_orders.State.ROLLED_BACK]
 
     def test_version_under_doubt_is_not_completed(self, rollouts, clock):
         """A version with one failure in a few answers was completed."""
@@ -222,19 +299,26 @@
             rollouts.observe(SERVICE, 'v2', 'k', failed, 0.1)
         clock.now = 17.5
         rollouts.decide_due()
-        assert rollouts.progress[SERVICE].verdict is releases.State.RUNNING
+        assert (
+            rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
+        )
         clock.now = 19.1
         rollouts.decide_due()
-        assert rollouts.progress[SERVICE].verdict is releases.State.ROLLED_BACK
+        assert (
+            rollouts.progress[SERVICE].verdict
+            is rollout_orders.State.ROLLED_BACK
+        )
 
     def test_router_with_few_answers_waits_for_others(self, rollouts, clock):
         rollouts.observe(SERVICE, 'v2', 'k', False, 0.1)
         clock.now = 17.5
         rollouts.decide_due()
-        assert rollouts.progress[SERVICE].verdict is releases.State.RUNNING
+        assert (
+            rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
+        )
         clock.now = 19.1
         rollouts.decide_due()
-        assert rollouts.progress[SERVICE].verdict is releases.State.DONE
+        assert rollouts.progress[SERVICE].verdict is rollout_orders.State.DONE
 
     def test_completion_waits_for_verdicts_from_an_outage(
         self, rollouts, clock
@@ -244,9 +328,22 @@
             rollouts.observe(SERVICE, 'v2', 'k', False, 0.1)
         clock.now = 17.5
         rollouts.decide_due()
+        clock.now += releases.COMPLETION_SETTLE_SECONDS
         assert not list(rollouts.orders_without_verdict(settled=False))
         assert list(rollouts.orders_without_verdict(settled=True))
 
+    def test_completion_waits_for_verdicts_of_other_routers(
+        self, rollouts, clock
+    ):
+        """A rollback decided a moment earlier lost to a completion."""
+        for _ in range(5):
+            rollouts.observe(SERVICE, 'v2', 'k', False, 0.1)
+        clock.now = 17.5
+        rollouts.decide_due()
+        assert not list(rollouts.orders_without_verdict())
+        clock.now += releases.COMPLETION_SETTLE_SECONDS
+        assert list(rollouts.orders_without_verdict())
+
     def test_completion_that_is_not_stored_can_be_undone(
         self, rollouts, clock
     ):
@@ -259,7 +356,7 @@
             rollouts.observe(SERVICE, 'v2', 'k', True, 0.1)
         assert [
             order.state for order in rollouts.orders_without_verdict()
-        ] == [releases.State.ROLLED_BACK]
+        ] == [rollout_orders.State.ROLLED_BACK]
 
 
 class TestInFlightRuns:
@@ -287,12 +384,12 @@
         self.run_old_version(rollouts, clock)
         for number in range(4):
             self.begin(rollouts, 'v2', number)
-        clock.now += 0.7
+        clock.now += 0.2 * evidence.SLOW_FACTOR - 0.1
         rollouts.runs.report_overdue()
-        assert self.verdict(rollouts) is releases.State.RUNNING
+        assert self.verdict(rollouts) is rollout_orders.State.RUNNING
         clock.now += 0.2
         rollouts.runs.report_overdue()
-        assert self.verdict(rollouts) is releases.State.ROLLED_BACK
+        assert self.verdict(rollouts) is rollout_orders.State.ROLLED_BACK
 
     def test_slow_streams_cause_a_rollback(self, rollouts, clock):
         self.run_old_version(rollouts, clock)
@@ -302,7 +399,30 @@
             run.record_events(2)
         clock.now += 0.7
         rollouts.runs.report_overdue()
-        assert self.verdict(rollouts) is releases.State.ROLLED_BACK
+        assert self.verdict(rollouts) is rollout_orders.State.ROLLED_BACK
+
+    def test_slow_heads_cause_a_rollback(self, rollouts, clock):
+        """A head between two checks of the runs in flight passed as fast."""
+        self.run_old_version(rollouts, clock)
+        for number in range(4):
+            run = self.begin(rollouts, 'v2', number)
+            clock.now += 0.2 * evidence.SLOW_FACTOR + 0.1
+            run.record_head(clock.now)
+            rollouts.runs.end(run)
+        assert self.verdict(rollouts) is rollout_orders.State.ROLLED_BACK
+
+    def test_queues_at_both_versions_are_no_evidence(self, rollouts, clock):
+        """Runs in the queues of the new version alone counted as slow."""
+        self.run_old_version(rollouts, clock)
+        for number in range(24):
+            software = ('v1', 'v1', 'v2')[number % 3]
+            run = self.begin(rollouts, software, number)
+            slow = number % 4 == 0
+            clock.now += 0.2 * (3 * evidence.SLOW_FACTOR if slow else 1.0)
+            rollouts.runs.report_overdue()
+            run.record_head(clock.now)
+            rollouts.runs.end(run)
+        assert self.verdict(rollouts) is rollout_orders.State.RUNNING
 
     def test_end_of_an_overdue_run_is_not_counted(self, rollouts, clock):
         self.run_old_version(rollouts, clock)
@@ -310,17 +430,38 @@
         clock.now += 1.0
         rollouts.runs.report_overdue()
         before = rollouts.progress[SERVICE].tally
-        assert before.failures == 1
+        assert before.slow == 1
         rollouts.runs.end(run)
         assert rollouts.progress[SERVICE].tally == before
 
-    def test_failures_of_one_endpoint_count_once(self, rollouts, clock):
+    def test_failures_of_one_endpoint_count_little_more_than_one(
+        self, rollouts, clock
+    ):
         self.run_old_version(rollouts, clock)
         for _ in range(6):
             self.begin(rollouts, 'v2')
         clock.now += 1.0
         rollouts.runs.report_overdue()
-        assert rollouts.progress[SERVICE].tally.failures == 1
+        tally = rollouts.progress[SERVICE].tally
+        single = evidence.log_likelihood_ratio(
+            True, evidence.MIN_SLOW_RATE, evidence.BAD_EXCESS_SLOW_RATE
+        )
+        assert tally.slow == 6
+        assert tally.log_odds <= evidence.MAX_EFFECTIVE_RUNS * single + 0.001
+        assert self.verdict(rollouts) is rollout_orders.State.RUNNING
+
+    def test_busy_endpoint_outweighs_no_others(self, rollouts, clock):
+        """Many good answers hid a version of which half of the runs failed."""
+        self.run_old_version(rollouts, clock)
+        for _ in range(4):
+            for number in range(32):
+                run = self.begin(rollouts, 'v2', number % 8)
+                slow = number % 16 < 8
+                clock.now += 0.0001
+                run.record_head(clock.now)
+                rollouts.runs.end(run, failed=slow)
+            clock.now += 0.5
+        assert self.verdict(rollouts) is rollout_orders.State.ROLLED_BACK
 
     def test_outdated_head_times_are_not_used(self, rollouts, clock):
         self.run_old_version(rollouts, clock)
@@ -329,7 +470,7 @@
             self.begin(rollouts, 'v2', number)
         clock.now += 1.0
         rollouts.runs.report_overdue()
-        assert self.verdict(rollouts) is releases.State.RUNNING
+        assert self.verdict(rollouts) is rollout_orders.State.RUNNING
 
     def test_slow_heads_as_in_the_baseline_pass(self, rollouts, clock):
         self.run_old_version(rollouts, clock, head=1.0)
@@ -337,7 +478,7 @@
             self.begin(rollouts, 'v2', number)
         clock.now += 1.0
         rollouts.runs.report_overdue()
-        assert self.verdict(rollouts) is releases.State.RUNNING
+        assert self.verdict(rollouts) is rollout_orders.State.RUNNING
 
     def test_disconnected_callers_are_no_evidence(self, rollouts, clock):
         self.run_old_version(rollouts, clock)
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -11,7 +11,7 @@
 from celeryward import http
 from celeryward.objects import freshness
 from celeryward.objects import kind_watcher
-from celeryward.raters import releases
+from celeryward.raters import rollout_orders
 from celeryward import signals
 from tests import fakes
 from tests import platform_standins as standins
@@ -202,7 +202,7 @@
         await site.store.put('rollouts', 'llm', order)
         router_releases = site.router.releases
         await standins.wait_until(lambda: 'llm' in router_releases.progress)
-        router_releases.decide('llm', releases.State.ROLLED_BACK)
+        router_releases.decide('llm', rollout_orders.State.ROLLED_BACK)
         stored = site.store.objects[('rollouts', 'llm')]
         await standins.wait_until(
             lambda: (
@@ -248,7 +248,8 @@
         await site.store.put('rollouts', 'llm', order, status)
         await standins.wait_until(
             lambda: (
-                router_releases.progress['llm'].verdict is releases.State.DONE
+                router_releases.progress['llm'].verdict
+                is rollout_orders.State.DONE
             )
         )
 
@@ -260,7 +261,8 @@
         router_releases = site.router.releases
         await standins.wait_until(lambda: 'llm' in router_releases.progress)
         assert (
-            router_releases.progress['llm'].verdict is releases.State.RUNNING
+            router_releases.progress['llm'].verdict
+            is rollout_orders.State.RUNNING
         )
 
 
