Judge heads and pace apart, as soon as each is known

A slow run counted as soon as it was overdue, a good one only after its last event, seconds later, so that while all requests moved the evidence was mostly of slow runs. And what was slow by its head was weighed together with what was slow between events.

Change: the head of an answer is judged when it arrives, the pace of a stream after its first events, failures at the end; each against the old version's own rate. Slow runs need the same evidence throughout; failures need less once a version has got what a bad one may get.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import time
 
 from celeryward.callers import endpoint_timeouts
 from celeryward.callers import planning
@@ -188,8 +187,12 @@
         forwarded = self.forwarded_request(relayed, plan)
         releases = self.router_state.releases
         async with self.forwarder.dispatch(forwarded, plan.runner) as answer:
-            relayed.run.record_head(time.monotonic())
+            releases.runs.head_arrived(relayed.run)
             self.timeouts.record_head_seconds(relayed, plan, answer)
+            self.router_state.queues.record(
+                plan.runner.id,
+                self.timeouts.queue_seconds(relayed, plan, answer),
+            )
             if forwarding.is_server_error(answer.head):
                 return await self.handle_error_answer(
                     relayed, plan, answer, responder
@@ -253,7 +256,7 @@
             relayed.route.priority,
             answer.metadata.confidence,
             self.router_state.value_model,
-            self.timeouts.timing(relayed, candidates[-1], answer),
+            self.timeouts.timing(relayed, plan, candidates[-1], answer),
         )
         budget = self.budgets[plan.service]
         if larger is not None and not budget.try_take_for_escalation():
@@ -278,7 +281,9 @@
             await responder.start_stream(answer.head)
         async for batch in answer.events(relayed.sequence):
             await responder.send(b''.join(event.raw for event in batch))
-            relayed.run.record_events(relayed.sequence.last - start_id)
+            self.router_state.releases.runs.events_arrived(
+                relayed.run, relayed.sequence.last - start_id
+            )
         await responder.finish()
 
     async def handle_error_answer(self, relayed, plan, answer, responder):
--- a/celeryward/raters/evidence.py
+++ b/celeryward/raters/evidence.py
@@ -11,10 +11,10 @@
 # A bad version is assumed to fail, or to be slow, this much more often than
 # the old one.
 BAD_EXCESS_FAILURE_RATE = 0.25
-BAD_EXCESS_SLOW_RATE = 0.3
+BAD_EXCESS_SLOW_RATE = 0.35
 MAX_RATE = 0.95
 MIN_FAILURE_RATE = 0.05
-MIN_SLOW_RATE = 0.15
+MIN_SLOW_RATE = 0.2
 # A run is slow if it takes, or has taken so far, this many times as long as
 # the old version usually takes. Runs of the old version count the same way, so
 # that usual variations are no evidence.
@@ -64,7 +64,7 @@
 class Baseline:
     """Moving averages over runs of one kind at the old version.
 
-    :param float slow_rate: fraction of the runs that were slow.
+    :param dict slow_rates: fraction of the runs that were slow, by criterion.
     :param float seconds_per_event: seconds between events of a stream.
     :param float head_seconds: seconds to the head of an answer, divided by
         the relative size of the request.
@@ -72,21 +72,28 @@
     """
 
     failure_rate: float = MIN_FAILURE_RATE
-    slow_rate: float = MIN_SLOW_RATE
+    slow_rates: dict = dataclasses.field(default_factory=dict)
     seconds_per_event: float = 0.0
     event_samples: int = 0
     head_seconds: float = 0.0
     head_samples: int = 0
     last_head_at: float = 0.0
 
-    def with_run(self, failed, slow, seconds_per_event):
+    def slow_rate(self, criterion):
+        """Return how often runs are slow by a criterion."""
+        return self.slow_rates.get(criterion, MIN_SLOW_RATE)
+
+    def with_speed(self, criterion, slow):
+        """Return the averages after the speed of one more run."""
+        rate = moving_rate(self.slow_rate(criterion), slow)
+        rates = {**self.slow_rates, criterion: max(MIN_SLOW_RATE, rate)}
+        return dataclasses.replace(self, slow_rates=rates)
+
+    def with_run(self, failed, seconds_per_event):
         """Return the averages after one more run."""
-        failure_rate = moving_rate(self.failure_rate, failed)
-        slow_rate = moving_rate(self.slow_rate, slow)
+        rate = moving_rate(self.failure_rate, failed)
         rated = dataclasses.replace(
-            self,
-            failure_rate=max(MIN_FAILURE_RATE, failure_rate),
-            slow_rate=max(MIN_SLOW_RATE, slow_rate),
+            self, failure_rate=max(MIN_FAILURE_RATE, rate)
         )
         if seconds_per_event is None:
             return rated
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -22,19 +22,16 @@
 from celeryward.raters import rollout_orders
 from celeryward.raters import rollout_schedule
 from celeryward.raters import runs
+from celeryward.raters import sticky_sessions
 
 # Each router waits for a random part of this time before it stores the start
 # of an order, so that usually only one of them writes it.
 ANNOUNCE_JITTER_SECONDS = 1.5
 GENERATOR = random.Random()
-# The version of a session is kept for this many times the pause after which
-# the session has ended.
-SESSION_EXPIRY_FACTOR = 1.5
-MAX_SESSIONS = 20_000
-# Log odds at which a single router rolls a version back while the version has
-# got no requests yet, and once it has got all that a bad one may get. The
-# first router to reach its threshold decides for all, so the threshold of each
-# rises with the number of routers that decide.
+# Log odds at which a single router rolls a version back, and those of failures
+# once the version has got all requests that a bad one may get. The first
+# router to reach its threshold decides for all, so the threshold of each rises
+# with the number of routers that decide.
 ROLLBACK_LOG_ODDS = 4.0
 LAST_ROLLBACK_LOG_ODDS = 3.0
 # A router doesn't complete a version at or above these log odds. With fewer
@@ -46,22 +43,11 @@
 COMPLETION_SETTLE_SECONDS = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StickySession:
-    """The version to which a session is pinned.
-
-    :param float expires_at: monotonic seconds after which it is discarded.
-    """
-
-    software: str
-    expires_at: float
-
-
 class Releases:
     """Chooses the software version of each request and judges new ones.
 
     ``outcome_listeners`` are called with the :class:`rollout_orders.Outcome`
-    of each run at a new version that counts.
+    of each run at a new version.
 
     :param float max_bad_share: highest share of a service's requests that
         a bad version may get.
@@ -84,12 +70,12 @@
         decider_count=lambda: 1,
         bad_version_slack=0.0,
     ):
+        self.sessions = sticky_sessions.StickySessions(session_seconds, clock)
         self.set_bounds(max_bad_share, session_seconds, bad_version_slack)
         self.decider_count = decider_count
         self.clock = clock
         self.utc_clock = utc_clock
         self.progress = {}
-        self.sessions = {}
         self.baselines = {}
         self.windows = {}
         self.outcome_listeners = []
@@ -101,7 +87,7 @@
         """Set what a bad version may get, and the session timeout."""
         self.schedule = rollout_schedule.Schedule(max_bad_share)
         self.bad_version_slack = bad_version_slack
-        self.session_seconds = session_seconds
+        self.sessions.session_seconds = session_seconds
 
     def accept(self, order):
         """Apply a new order, or a new state of a known one."""
@@ -171,7 +157,7 @@
             return old[0]
         if progress.verdict is rollout_orders.State.DONE:
             return target
-        if self.sticky_version(progress.order.service, session) == target:
+        if self.sessions.version(progress.order.service, session) == target:
             return target
         traffic_share = self.schedule.traffic_share(
             progress.elapsed(self.clock()), bool(session)
@@ -179,26 +165,9 @@
         position = hashing.unit_hash(session or request_id)
         return target if position < traffic_share else old[0]
 
-    def sticky_version(self, service, session):
-        """Return the version of a session, or None if it has expired."""
-        sticky = self.sessions.get((service, session)) if session else None
-        if sticky is None or sticky.expires_at < self.clock():
-            return None
-        return sticky.software
-
     def record_session(self, service, session, software):
         """Pin a session to a version, at the start and end of each run."""
-        if not session:
-            return
-        now = self.clock()
-        if len(self.sessions) >= MAX_SESSIONS:
-            self.sessions = {
-                key: sticky
-                for key, sticky in self.sessions.items()
-                if sticky.expires_at >= now
-            }
-        expires_at = now + SESSION_EXPIRY_FACTOR * self.session_seconds
-        self.sessions[(service, session)] = StickySession(software, expires_at)
+        self.sessions.record(service, session, software)
 
     def observe(
         self,
@@ -208,7 +177,6 @@
         failed,
         seconds_per_event=None,
         endpoint='',
-        slow=False,
     ):
         """Add the outcome of a run to the evidence on its version.
 
@@ -218,52 +186,74 @@
             events of the answer; None if unknown.
         :param str endpoint: id of the endpoint; empty if the run is
             independent of others.
-        :param bool slow: whether it is known to be slow.
         """
-        baseline = self.baselines.get((service, kind), evidence.Baseline())
-        slow = slow or baseline.is_slow(seconds_per_event)
+        baseline = self.baseline(service, kind)
         if not self.is_new_version(service, software):
             self.baselines[(service, kind)] = baseline.with_run(
-                failed, slow, seconds_per_event
+                failed, seconds_per_event
+            )
+            return
+        log_ratio = evidence.log_likelihood_ratio(
+            failed, baseline.failure_rate, evidence.BAD_EXCESS_FAILURE_RATE
+        )
+        self.add_outcome(
+            rollout_orders.Outcome(
+                *self.progress[service].order.key,
+                endpoint,
+                rollout_orders.Criterion.FAILURE,
+                failed,
+                log_ratio,
+            )
+        )
+
+    def observe_speed(
+        self, service, software, kind, criterion, slow, endpoint=''
+    ):
+        """Add the speed of a head or of a stream to the evidence.
+
+        :param rollout_orders.Criterion criterion: which of the two.
+        :param bool slow: whether it took far longer than at the old version.
+        """
+        baseline = self.baseline(service, kind)
+        if not self.is_new_version(service, software):
+            self.baselines[(service, kind)] = baseline.with_speed(
+                criterion, slow
             )
             return
-        order = self.progress[service].order
-        outcome = rollout_orders.Outcome(
-            service,
-            order.target,
-            order.created,
-            endpoint,
-            failed,
+        log_ratio = evidence.log_likelihood_ratio(
             slow,
-            evidence.log_likelihood_ratio(
-                failed, baseline.failure_rate, evidence.BAD_EXCESS_FAILURE_RATE
-            ),
-            evidence.log_likelihood_ratio(
-                slow, baseline.slow_rate, evidence.BAD_EXCESS_SLOW_RATE
-            ),
+            baseline.slow_rate(criterion),
+            evidence.BAD_EXCESS_SLOW_RATE,
+        )
+        self.add_outcome(
+            rollout_orders.Outcome(
+                *self.progress[service].order.key,
+                endpoint,
+                criterion,
+                slow,
+                log_ratio,
+            )
         )
-        self.add_outcome(outcome)
+
+    def baseline(self, service, kind):
+        """Return the averages of the old version for a kind of runs."""
+        return self.baselines.get((service, kind), evidence.Baseline())
 
     def add_outcome(self, outcome):
-        """Add a run at a new version to the evidence on it.
+        """Add an outcome of a run at a new version to the evidence on it.
 
-        :param rollout_orders.Outcome outcome: seen by this router or reported
-            by another one.
+        :param rollout_orders.Outcome outcome: seen here or by another router.
         """
         progress = self.progress.get(outcome.service)
         if progress is None or progress.order.key != outcome.order_key:
             return
-        tally = progress.tally.with_run(
-            outcome,
-            self.weigh(outcome, 'failure', outcome.failure_log_ratio),
-            self.weigh(outcome, 'slow', outcome.slow_log_ratio),
-        )
+        tally = progress.tally.with_outcome(outcome, self.weigh(outcome))
         progress = dataclasses.replace(progress, tally=tally)
         self.progress[outcome.service] = progress
         for listener in self.outcome_listeners:
             listener(outcome)
         if (
-            tally.log_odds >= self.rollback_log_odds(progress)
+            self.is_bad(progress)
             and progress.order.state is rollout_orders.State.RUNNING
             and progress.verdict is not rollout_orders.State.ROLLED_BACK
         ):
@@ -271,8 +261,8 @@
 
     def record_dispatch(self, service, software):
         """Count a request that is sent to an endpoint of a service."""
-        exposed = int(self.is_new_version(service, software))
-        self.add_exposure(service, rollout_orders.Exposure(1, exposed))
+        exposed = self.is_new_version(service, software)
+        self.add_exposure(service, rollout_orders.Exposure(1, int(exposed)))
 
     def add_reported_exposure(self, order_key, exposure):
         """Add requests that another router has sent for an order."""
@@ -294,33 +284,37 @@
         progress = self.progress.get(service)
         return progress is not None and software == progress.order.target
 
-    def weigh(self, outcome, criterion, log_ratio):
-        """Return the change of the log odds by the outcome of a run.
-
-        :param str criterion: what the log ratio is evidence of.
-        """
+    def weigh(self, outcome):
+        """Return the change of the log odds by the outcome of a run."""
         if not outcome.endpoint:
-            return log_ratio
+            return outcome.log_ratio
         windows = self.windows.setdefault(outcome.service, {})
-        key = (outcome.endpoint, criterion)
+        key = (outcome.endpoint, outcome.criterion)
         now = self.clock()
         before = windows.get(key, evidence.EndpointWindow(now))
-        after = before.with_run(log_ratio, now)
+        after = before.with_run(outcome.log_ratio, now)
         windows[key] = after
         if after.runs == 1:
             return after.weighted_log_ratio
         return after.weighted_log_ratio - before.weighted_log_ratio
 
-    def rollback_log_odds(self, progress):
-        """Return the log odds at which this router rolls a version back."""
+    def is_bad(self, progress):
+        """Return whether the evidence suffices to roll a version back.
+
+        Failures need less of it once the version has got what a bad one may
+        get. Slow runs do not: while all requests move, many are slow at a good
+        version, too.
+        """
         deciders = self.decider_count()
         used = progress.exposure.used_allowance(
             self.schedule.max_bad_share, self.bad_version_slack / deciders
         )
-        log_odds = ROLLBACK_LOG_ODDS + used * (
-            LAST_ROLLBACK_LOG_ODDS - ROLLBACK_LOG_ODDS
+        fewer = used * (ROLLBACK_LOG_ODDS - LAST_ROLLBACK_LOG_ODDS)
+        needed = ROLLBACK_LOG_ODDS + math.log(deciders)
+        return (
+            progress.tally.failure_log_odds >= needed - fewer
+            or progress.tally.slow_log_odds >= needed
         )
-        return log_odds + math.log(deciders)
 
     def decide(self, service, state):
         """Set the verdict on an order."""
@@ -344,9 +338,8 @@
     def decide_due(self):
         """Decide the orders that are due.
 
-        The router that has the evidence of all decides first. Before the
-        decision deadline, one that has seen too few answers leaves the
-        decision to the others.
+        The router that has the evidence of all decides first. One that has
+        seen too few answers leaves it to the others until the deadline.
         """
         now = self.clock()
         completion_start = (
--- a/celeryward/raters/rollout_orders.py
+++ b/celeryward/raters/rollout_orders.py
@@ -12,6 +12,16 @@
     ROLLED_BACK = 'rolled-back'
 
 
+class Criterion(enum.Enum):
+    """What a new version is compared by with the old one."""
+
+    FAILURE = 'failure'
+    # Time to the head of an answer.
+    HEAD = 'head'
+    # Time between the events of a stream.
+    PACE = 'pace'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
     """A request to move a service to another software version.
@@ -41,37 +51,45 @@
 class Tally:
     """Counts of the runs of a new software version.
 
-    :param int slow: runs that took far longer than at the old version.
+    :param int slow: heads and streams that took far longer than at the old
+        version.
     :param float failure_log_odds: cumulative log likelihood ratio, at least 0,
         of its failing more often than the old version.
-    :param float slow_log_odds: the same for its being slow more often.
+    :param float head_log_odds: the same for its heads being slow more often.
+    :param float pace_log_odds: the same for its streams.
     """
 
     answers: int = 0
     failures: int = 0
     slow: int = 0
     failure_log_odds: float = 0.0
-    slow_log_odds: float = 0.0
+    head_log_odds: float = 0.0
+    pace_log_odds: float = 0.0
+
+    @property
+    def slow_log_odds(self):
+        """The stronger evidence of its being slow."""
+        return max(self.head_log_odds, self.pace_log_odds)
 
     @property
     def log_odds(self):
-        """The stronger evidence of the two."""
+        """The strongest evidence of all."""
         return max(self.failure_log_odds, self.slow_log_odds)
 
-    def with_run(self, outcome, failure_change, slow_change):
-        """Return the counts after one more run.
+    def with_outcome(self, outcome, change):
+        """Return the counts after one more outcome.
 
-        :param Outcome outcome: the outcome of the run.
-        :param float failure_change: change of the log odds of failures.
-        :param float slow_change: change of the log odds of slow runs.
+        :param Outcome outcome: the outcome of a run.
+        :param float change: change of the log odds by it.
         """
-        return Tally(
-            self.answers + 1,
-            self.failures + outcome.failed,
-            self.slow + outcome.slow,
-            max(0.0, self.failure_log_odds + failure_change),
-            max(0.0, self.slow_log_odds + slow_change),
-        )
+        name = f'{outcome.criterion.value}_log_odds'
+        counts = {name: max(0.0, getattr(self, name) + change)}
+        if outcome.criterion is Criterion.FAILURE:
+            counts['answers'] = self.answers + 1
+            counts['failures'] = self.failures + outcome.is_hit
+        else:
+            counts['slow'] = self.slow + outcome.is_hit
+        return dataclasses.replace(self, **counts)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,22 +152,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
-    """The outcome of one run at a new software version.
+    """The outcome of one run at a new software version by one criterion.
 
+    :param int created: revision at which the order was created.
     :param str endpoint: id of the endpoint; empty if unknown.
-    :param float failure_log_ratio: log likelihood ratio of bad against good by
-        whether it failed.
-    :param float slow_log_ratio: the same by whether it was slow.
+    :param bool is_hit: whether it speaks against the version.
+    :param float log_ratio: log likelihood ratio of bad against good.
     """
 
     service: str
     target: str
     created: int
     endpoint: str
-    failed: bool
-    slow: bool
-    failure_log_ratio: float
-    slow_log_ratio: float
+    criterion: Criterion
+    is_hit: bool
+    log_ratio: float
 
     @property
     def order_key(self):
--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -2,6 +2,7 @@
 
 from celeryward import logs
 from celeryward.raters import evidence
+from celeryward.raters import rollout_orders
 
 # Events of a stream below which its seconds per event are not estimated.
 MIN_EVENTS_FOR_ESTIMATE = 4
@@ -27,9 +28,12 @@
         self.started_at = started_at
         self.head_at = None
         self.events = 0
-        # Whether its outcome was reported; an overdue run is reported before
-        # its end and must not count twice.
+        # What was reported; an overdue run is reported before its end and must
+        # not count twice.
         self.reported = False
+        self.head_reported = False
+        self.head_in_baseline = False
+        self.pace_reported = False
 
     def record_head(self, now):
         """Record that the head of the answer has arrived."""
@@ -97,27 +101,56 @@
         """Report the outcome of a run, unless it was reported as overdue."""
         self.runs.discard(run)
         now = self.releases.clock()
-        slow = self.baseline(run).has_slow_head(
-            run.head_seconds, run.relative_size, now
-        )
-        if not self.releases.is_new_version(run.service, run.software):
-            self.update_head_baseline(run, now)
+        self.report_head(run)
+        self.report_pace(run)
         if run.reported:
             return
         run.reported = True
-        self.report(run, failed, run.seconds_per_event(now), slow)
+        self.releases.observe(
+            run.service,
+            run.software,
+            run.kind,
+            failed,
+            run.seconds_per_event(now),
+            run.endpoint,
+        )
+
+    def head_arrived(self, run):
+        """Record the head of a run and report its speed.
+
+        A slow head is reported while the run goes on, so that a good one must
+        not wait for the end of its answer either.
+        """
+        run.record_head(self.releases.clock())
+        self.report_head(run)
+
+    def report_head(self, run):
+        """Report the speed of the head, once."""
+        if run.head_seconds is None:
+            return
+        now = self.releases.clock()
+        if not run.head_reported:
+            run.head_reported = True
+            slow = self.baseline(run).has_slow_head(
+                run.head_seconds, run.relative_size, now
+            )
+            self.report_speed(run, rollout_orders.Criterion.HEAD, slow)
+        if not (
+            run.head_in_baseline
+            or self.releases.is_new_version(run.service, run.software)
+        ):
+            run.head_in_baseline = True
+            self.update_head_baseline(run, now)
 
     def update_head_baseline(self, run, now):
         """Update the mean time to the head of an answer."""
-        if run.head_seconds is not None:
-            relative_seconds = run.head_seconds / run.relative_size
-            baseline = self.baseline(run).with_head(relative_seconds, now)
-            self.releases.baselines[(run.service, run.kind)] = baseline
+        relative_seconds = run.head_seconds / run.relative_size
+        baseline = self.baseline(run).with_head(relative_seconds, now)
+        self.releases.baselines[(run.service, run.kind)] = baseline
 
     def baseline(self, run):
         """Return the baseline for the kind of a run."""
-        key = (run.service, run.kind)
-        return self.releases.baselines.get(key, evidence.Baseline())
+        return self.releases.baseline(run.service, run.kind)
 
     def report_overdue(self):
         """Report the overdue runs as slow.
@@ -134,18 +167,40 @@
                 run.reported = True
                 if self.releases.is_new_version(run.service, run.software):
                     log_overdue(run, now)
-                self.report(run, failed=False, slow=True)
+                self.report_slow(run)
 
-    def report(self, run, failed, seconds_per_event=None, slow=False):
-        """Report the outcome of a run."""
-        self.releases.observe(
+    def events_arrived(self, run, count):
+        """Record the events of a run, and report its pace once it is known."""
+        run.record_events(count)
+        self.report_pace(run)
+
+    def report_pace(self, run):
+        """Report the pace of a stream, once."""
+        pace = run.seconds_per_event(self.releases.clock())
+        if pace is None or run.pace_reported:
+            return
+        run.pace_reported = True
+        slow = self.baseline(run).is_slow(pace)
+        self.report_speed(run, rollout_orders.Criterion.PACE, slow)
+
+    def report_slow(self, run):
+        """Report an overdue run by what it is overdue with."""
+        if run.head_at is None:
+            run.head_reported = True
+            self.report_speed(run, rollout_orders.Criterion.HEAD, True)
+        elif not run.pace_reported:
+            run.pace_reported = True
+            self.report_speed(run, rollout_orders.Criterion.PACE, True)
+
+    def report_speed(self, run, criterion, slow):
+        """Report whether a run is slow by a criterion."""
+        self.releases.observe_speed(
             run.service,
             run.software,
             run.kind,
-            failed,
-            seconds_per_event,
-            run.endpoint,
+            criterion,
             slow,
+            run.endpoint,
         )
 
 
