Estimate the queues of endpoints from what requests waited

Change: a router estimates the wait at each endpoint from the time to the head beyond that of a request without a queue, and from the age of requests without an answer. The two endpoints that all routers prefer for a prompt are skipped while their queue is much longer than the shortest; requests then go to the better of two others. The same wait raises the price of a larger model, beyond a part of the objective that is usual.

--- a/celeryward/callers/endpoint_timeouts.py
+++ b/celeryward/callers/endpoint_timeouts.py
@@ -14,6 +14,10 @@
 HEAD_MEAN_FACTOR = 5.0
 MIN_HEAD_SECONDS = 0.25
 HEAD_SAMPLE_WEIGHT = 0.1
+# The time to a head without a queue is a low quantile: it falls quickly with
+# faster heads and rises slowly with others.
+FASTER_SAMPLE_WEIGHT = 0.2
+SLOWER_SAMPLE_WEIGHT = 0.02
 # A body gets at least this time after its head before the request is sent to
 # another endpoint.
 MIN_BODY_SECONDS = 1.0
@@ -26,11 +30,13 @@
     """Derives timeouts from objectives and measured times to the head.
 
     ``mean_head_seconds`` holds an exponential moving average of the seconds
-    to the head of an answer, for each unit of work, by route and model.
+    to the head of an answer, for each unit of work, by route and model;
+    ``unqueued_head_seconds`` those of a request that waits in no queue.
     """
 
     def __init__(self):
         self.mean_head_seconds = {}
+        self.unqueued_head_seconds = {}
 
     def head_deadline(self, relayed, plan):
         """Return the :class:`deadlines.Deadline` of an answer's head.
@@ -74,8 +80,23 @@
         self.mean_head_seconds[key] = mean + HEAD_SAMPLE_WEIGHT * (
             sample - mean
         )
+        unqueued = self.unqueued_head_seconds.get(key, sample)
+        weight = (
+            FASTER_SAMPLE_WEIGHT if sample < unqueued else SLOWER_SAMPLE_WEIGHT
+        )
+        self.unqueued_head_seconds[key] = unqueued + weight * (
+            sample - unqueued
+        )
+
+    def queue_seconds(self, relayed, plan, answer):
+        """Return how long a request waited in the queue of its endpoint."""
+        unqueued = self.unqueued_head_seconds.get(
+            self.mean_key(relayed, plan), 0.0
+        )
+        units = relayed_requests.work_units(relayed.metadata)
+        return max(0.0, answer.seconds - unqueued * units)
 
-    def timing(self, relayed, size, answer):
+    def timing(self, relayed, plan, size, answer):
         """Return the :class:`sizes.Timing` of another run at a larger size.
 
         The larger model is assumed to take at least as long as the small
@@ -91,4 +112,5 @@
                 answer.seconds,
                 mean * relayed_requests.work_units(relayed.metadata),
             ),
+            self.queue_seconds(relayed, plan, answer),
         )
--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -32,7 +32,8 @@
 class Gateway:
     """Serves connections of callers.
 
-    ``active`` contains the connections with a request in progress.
+    ``active`` contains the connections with a request in progress, and their
+    :class:`responses.Responder`, or None while the request is read.
 
     :param relay: :class:`relay.Relay`.
     :param configuration: :class:`ingress.ConfigurationHolder`, which has
@@ -45,7 +46,7 @@
         self.configuration = configuration
         self.metrics = metrics
         self.draining = False
-        self.active = set()
+        self.active = {}
         self.tasks = {}
 
     def limits(self):
@@ -70,12 +71,12 @@
                 'await request',
                 deadlines.Deadline.after(self.limits().idle_seconds),
             )
-            self.active.add(connection)
+            self.active[connection] = None
             try:
                 if not await self.serve_request(connection):
                     return
             finally:
-                self.active.discard(connection)
+                del self.active[connection]
             if not connection.reusable() or self.draining:
                 return
             connection.start_next_cycle()
@@ -95,6 +96,7 @@
         if received is None:
             return False
         responder = responses.Responder(connection, self.draining)
+        self.active[connection] = responder
         await self.serve_while_connected(connection, received, responder)
         return responder.finished
 
@@ -246,6 +248,22 @@
         """
         self.draining = True
 
+    async def fail_active(self):
+        """Send an error for each request that can't be finished.
+
+        A request that may have run is not reported as not run.
+        """
+        for responder in tuple(self.active.values()):
+            if responder is None:
+                continue
+            error = errors.OutcomeUnknown(
+                'router stopped before the answer was complete',
+                step='stop',
+                peer=responder.connection.peer,
+            )
+            self.log_failure(responder, error)
+            await self.send_error_if_connected(responder, error)
+
     async def close_idle(self):
         """End the tasks of connections without a request.
 
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -60,6 +60,7 @@
             relayed.tried_endpoints,
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
+            router_state.queues.seconds,
         )
         runner = selection.select(query)
         if runner is None and software:
--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -28,6 +28,7 @@
         cost of models.
     :param endpoint_freshness: :class:`freshness.Freshness` of the list of
         endpoints.
+    :param queues: :class:`queueing.QueueEstimates`.
     """
 
     failure_domain: str
@@ -38,6 +39,7 @@
     releases: object
     value_model: sizes.ValueModel
     endpoint_freshness: object
+    queues: object
 
 
 class AdmissionControl:
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -154,10 +154,12 @@
         which returns :class:`ingress.ResponseMetadata`.
     :param outcomes: :class:`outcomes.OutcomeTracker`.
     :param table: :class:`runners.RunnerTable`.
+    :param queues: :class:`queueing.QueueEstimates`.
     """
 
-    def __init__(self, connections, translator, outcomes, table):
+    def __init__(self, connections, translator, outcomes, table, queues):
         self.table = table
+        self.queues = queues
         self.connections = connections
         self.translator = translator
         self.outcomes = outcomes
@@ -194,6 +196,7 @@
             may have run.
         """
         self.outcomes.request_started(runner.id)
+        waiting = self.queues.begin(runner.id)
         started = time.monotonic()
         connection = None
         try:
@@ -209,6 +212,7 @@
                 head = await connection.receive_response(
                     forwarded.head_deadline
                 )
+                self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
                 metadata = self.translator.read_response(head)
                 check_head(forwarded, runner, head, metadata)
@@ -223,6 +227,7 @@
         finally:
             if connection is not None:
                 del self.exchanges[connection]
+            self.queues.end(runner.id, waiting)
             self.outcomes.request_finished(runner.id)
 
     def check_present(self, runner):
--- a/celeryward/endpoints/selection.py
+++ b/celeryward/endpoints/selection.py
@@ -14,16 +14,27 @@
 
 FILTERS = registry.Registry('endpoint filter')
 PIPELINE = ('software', 'model', 'untried', 'unsuspected')
-# Rendezvous hashing with bounded loads: an endpoint is skipped if it has more
-# requests of this router in flight than the slack plus this many times the
-# average.
+# Endpoints that all routers prefer for a prompt prefix, in the same order.
+PREFERRED_ENDPOINTS = 2
+# A preferred endpoint is skipped if it has more requests of this router in
+# flight than the slack plus this many times the average.
 LOAD_BOUND_FACTOR = 1.5
 LOAD_BOUND_SLACK = 2.0
+# It is also skipped if its queue is longer than the shortest one by more than
+# this, which is about what a cached prefix saves.
+MAX_EXTRA_QUEUE_SECONDS = 0.2
+# What each of this router's requests in flight adds to the expected delay.
+IN_FLIGHT_SECONDS = 0.05
 # An endpoint in another failure domain counts as having this many more
 # requests in flight.
 REMOTE_PENALTY = 0.5
 
 
+def no_queue(runner_id):
+    """Return 0.0, the wait at an endpoint without a queue."""
+    return 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Query:
     """The input of one selection.
@@ -38,6 +49,8 @@
     :param frozenset suspects: ids of endpoints to avoid if there are others.
     :param in_flight: number of this router's requests in flight, by id
         of the endpoint.
+    :param queue_seconds: function that returns the estimated wait in the queue
+        of an endpoint by its id.
     """
 
     endpoints: tuple[runners.Runner, ...]
@@ -48,6 +61,7 @@
     tried: frozenset = frozenset()
     suspects: frozenset = frozenset()
     in_flight: object = dataclasses.field(default_factory=dict)
+    queue_seconds: object = no_queue
 
 
 @FILTERS.register('software')
@@ -92,24 +106,41 @@
     candidates = list(candidates)
     if not candidates:
         return None
-    name = 'bounded-home' if query.affinity else 'fewest-in-flight'
+    name = 'preferred-endpoints' if query.affinity else 'fewest-in-flight'
     return ranking.RANKINGS.get(name)(candidates, query)
 
 
-@ranking.RANKINGS.register('bounded-home')
-def rank_bounded_rendezvous(candidates, query):
-    """Choose by rendezvous hashing with bounded loads.
+@ranking.RANKINGS.register('preferred-endpoints')
+def rank_preferred_endpoints(candidates, query):
+    """Choose the first preferred endpoint that is not busy.
 
-    Every router computes the same order of endpoints for an affinity key,
-    so that requests reach a cached prefix without coordination.
+    Every router computes the same order of endpoints for an affinity key by
+    rendezvous hashing, so that requests reach a cached prefix without
+    coordination. If the preferred ones are busy, requests spread over the
+    others: many routers that chose the best of these would choose the same.
     """
     ordered = sorted(candidates, key=lambda each: rendezvous_hash(each, query))
     load = [query.in_flight.get(each.id, 0) for each in ordered]
     bound = LOAD_BOUND_SLACK + LOAD_BOUND_FACTOR * sum(load) / len(load)
-    for runner, running in zip(ordered, load, strict=True):
-        if running <= bound:
+    waits = [query.queue_seconds(each.id) for each in ordered]
+    longest = min(waits) + MAX_EXTRA_QUEUE_SECONDS
+    preferred = list(zip(ordered, load, waits, strict=True))
+    for runner, running, wait in preferred[:PREFERRED_ENDPOINTS]:
+        if running <= bound and wait <= longest:
             return runner
-    return ordered[0]
+    return better_of_two(ordered[PREFERRED_ENDPOINTS:] or ordered, query)
+
+
+def better_of_two(candidates, query):
+    """Return the one of two random candidates with the shorter delay."""
+    sampled = ranking.GENERATOR.sample(candidates, min(2, len(candidates)))
+    return min(
+        sampled,
+        key=lambda each: (
+            query.queue_seconds(each.id)
+            + IN_FLIGHT_SECONDS * query.in_flight.get(each.id, 0)
+        ),
+    )
 
 
 def rendezvous_hash(runner, query):
--- a/celeryward/raters/sizes.py
+++ b/celeryward/raters/sizes.py
@@ -12,8 +12,8 @@
 gets a bound on the probability that a poor answer is kept.
 
 The rule answers both light and heavy load: a run delays others at busy
-endpoints, so that with a growing share of the latency objective used up, only
-the poorest answers are still repeated.
+endpoints, so that with growing queues only the poorest answers are still
+repeated.
 """
 
 import dataclasses
@@ -23,9 +23,13 @@
 POOR_ANSWER_VALUE_SHARE = 0.05
 # Share of its value that an answer after the latency objective has.
 LATE_ANSWER_VALUE_SHARE = 0.35
-# A run delays others at busy endpoints. For each latency objective that the
-# small model took, the cost of the next run rises by this many times itself.
-CONGESTION_FACTOR = 2.0
+# A run of the largest model delays several others at a busy endpoint. For each
+# latency objective that a request waited in a queue, the cost of the next run
+# rises by this many times itself.
+CONGESTION_FACTOR = 20.0
+# Part of the latency objective that a request may wait at an endpoint that is
+# not busy, because prompts are processed in chunks with others.
+USUAL_QUEUE_SHARE = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,11 +83,13 @@
     :param float objective_seconds: latency objective of its route.
     :param float elapsed_seconds: time since it arrived.
     :param float expected_seconds: time that a larger model would take.
+    :param float queue_seconds: time that it waited in a queue.
     """
 
     objective_seconds: float
     elapsed_seconds: float
     expected_seconds: float
+    queue_seconds: float = 0.0
 
     @property
     def late(self):
@@ -93,10 +99,11 @@
 
     @property
     def congestion(self):
-        """Time that the small model took, in latency objectives."""
+        """Unusual wait in the queue, in latency objectives."""
         if self.objective_seconds <= 0.0:
             return math.inf
-        return self.elapsed_seconds / self.objective_seconds
+        share = self.queue_seconds / self.objective_seconds
+        return max(0.0, share - USUAL_QUEUE_SHARE)
 
 
 def first_size(sizes):
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -14,6 +14,7 @@
 from celeryward.endpoints import monitor
 from celeryward.endpoints import outcomes
 from celeryward.endpoints import pool
+from celeryward.endpoints import queueing
 from celeryward.endpoints import runners
 from celeryward import errors
 from celeryward import http
@@ -61,6 +62,7 @@
         self.endpoint_freshness = freshness.Freshness()
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.OutcomeTracker()
+        self.queues = queueing.QueueEstimates()
         self.releases = releases.Releases(
             bounds.bad_version_share,
             bounds.session_seconds,
@@ -78,7 +80,11 @@
         self.connections = pool.EndpointPool(tuning)
         self.metrics = router_metrics.RouterMetrics()
         self.forwarder = forwarding.Forwarder(
-            self.connections, translator, self.outcomes, self.runners
+            self.connections,
+            translator,
+            self.outcomes,
+            self.runners,
+            self.queues,
         )
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
@@ -93,6 +99,7 @@
                 self.releases,
                 make_value_model(tuning),
                 self.endpoint_freshness,
+                self.queues,
             ),
             self.forwarder,
             translator,
@@ -209,8 +216,9 @@
         return self.view.members.decider_count
 
     def forget_runner(self, runner):
-        """Delete the recorded outcomes of an endpoint that was removed."""
+        """Delete what was recorded of an endpoint that was removed."""
         self.outcomes.forget(runner.id)
+        self.queues.forget(runner.id)
 
     def is_ready(self):
         """Return whether the load balancer may send requests here."""
@@ -296,6 +304,7 @@
             await curio.sleep(STOP_POLL_SECONDS)
         await self.gateway.close_idle()
         cut_off = len(self.gateway.active)
+        await self.gateway.fail_active()
         for task in self.tasks:
             await task.cancel()
         logs.bind(step='stop', peer=self.placement.name).info(
@@ -324,7 +333,7 @@
         self.placement = placement
         bounds = placement.bounds
         self.freshness.max_age_seconds = self.key_age_limit()
-        self.view.outages.set_bounds(bounds)
+        self.view.set_bounds(bounds)
         self.releases.set_bounds(
             bounds.bad_version_share,
             bounds.session_seconds,
