Take over connections at a stop, and trust no early answer of the store

Along the failures that operators of similar systems report, from reading: - a stop closed the listener while connections waited in the kernel's queue, which reset them; they are accepted first. A request that outlasts the stop is answered with an error that promises nothing; it was cut off; - idle connections to the store were reused unread, so that a second copy of an answer was taken for the next one. After a leader has listed a kind again, its followers list it from the leader.

--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -275,6 +275,12 @@
     execution = Execution.NOT_RUN
 
 
+class StateOutdated(PlatformUnavailable):
+    """Another router responded that its own state is out of date."""
+
+    code = 'state_outdated'
+
+
 class WriteUnknown(PlatformError, OutcomeUnknown):
     """The answer to a write was lost; it may have taken effect."""
 
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -10,6 +10,11 @@
 from celeryward import sockets
 
 
+# Time to take over the connections that wait in the kernel's queue; this does
+# not block while there are any.
+LAST_ACCEPT_SECONDS = 0.02
+
+
 class Listener:
     """Accepts connections and runs one task for each.
 
@@ -52,12 +57,15 @@
     async def accept(self):
         """Accept connections and spawn a task for each, until cancelled."""
         while True:
-            sock, address = await self.sock.accept()
-            sockets.disable_nagle(sock)
-            peer = f'{address[0]}:{address[1]}'
-            connection = http.Connection(sock, h11.SERVER, peer)
-            task = await curio.spawn(self.run, connection, daemon=True)
-            self.tasks.add(task)
+            await self.spawn_handler(*await self.sock.accept())
+
+    async def spawn_handler(self, sock, address):
+        """Spawn the task of an accepted connection."""
+        sockets.disable_nagle(sock)
+        peer = f'{address[0]}:{address[1]}'
+        connection = http.Connection(sock, h11.SERVER, peer)
+        task = await curio.spawn(self.run, connection, daemon=True)
+        self.tasks.add(task)
 
     async def run(self, connection):
         """Run the handler, then close the connection."""
@@ -68,11 +76,18 @@
             await connection.close()
 
     async def stop_accepting(self):
-        """Close the listening socket; accepted connections stay open."""
+        """Close the listening socket; accepted connections stay open.
+
+        Connections that the kernel has accepted are taken over first, because
+        closing the socket would reset them.
+        """
         if self.accept_task is not None:
             await self.accept_task.cancel()
         if self.sock is not None:
+            async with curio.ignore_after(LAST_ACCEPT_SECONDS):
+                await self.accept()
             await self.sock.close()
+            self.sock = None
 
     async def drain(self, deadline):
         """Wait until the tasks of all connections have ended.
--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import math
 import time
 
 from curio import meta
@@ -19,6 +20,8 @@
 
 TRANSPORT_ERRORS = (errors.ConnectionFailed, *http.EXCHANGE_ERRORS)
 MAX_IDLE_CONNECTIONS = 4
+# A long poll without changes may end this long before its wait is over.
+EARLY_SECONDS = 0.1
 
 
 class ObjectClient:
@@ -282,9 +285,8 @@
         Writes use a new connection: on an idle connection that has failed
         unnoticed, the outcome of a write would be unknown.
         """
-        if self.idle_connections and not force_new:
-            connection = self.idle_connections.pop()
-        else:
+        connection = None if force_new else await self.acquire_idle()
+        if connection is None:
             connection = await http.connect(
                 self.address.host, self.address.port, deadline
             )
@@ -299,6 +301,19 @@
             else:
                 await connection.close()
 
+    async def acquire_idle(self):
+        """Return an idle connection, or None.
+
+        One with input was closed by the store, or holds a second copy of the
+        response to an earlier call.
+        """
+        while self.idle_connections:
+            connection = self.idle_connections.pop()
+            if not connection.has_input():
+                return connection
+            await connection.close()
+        return None
+
     async def watch(self, kinds, since, next_deadline):
         """Yield a result with each :class:`protocol.Change` of a stream.
 
@@ -347,12 +362,17 @@
 def add_confirmation(answer, wait_seconds, elapsed_seconds):
     """Return the changes with the time of the store's confirmation.
 
-    A response without changes confirms the state at the end of the wait,
-    unless the store answered before that.
+    A response without changes confirms the state at the end of the wait. One
+    that arrives clearly before that confirms nothing: it may be a late copy
+    of the response to an earlier call.
     """
-    if answer.passed_on or answer.changes or elapsed_seconds < wait_seconds:
+    if answer.passed_on or answer.changes:
         return answer
-    return dataclasses.replace(answer, confirmed_seconds=wait_seconds)
+    if elapsed_seconds < wait_seconds - EARLY_SECONDS:
+        return dataclasses.replace(answer, confirmed_seconds=-math.inf)
+    return dataclasses.replace(
+        answer, confirmed_seconds=min(wait_seconds, elapsed_seconds)
+    )
 
 
 def decode_hosts(kind, body):
--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -3,6 +3,7 @@
 import result
 
 from celeryward import deadlines
+from celeryward import errors
 from celeryward import http
 from celeryward.objects import client
 from celeryward.routers import protocol
@@ -23,6 +24,18 @@
             member, TIMEOUT_SECONDS, name, protocol.RouterDialect()
         )
 
+    def check_status(self, status, body, method, path, kind=''):
+        """Return ``Ok(body)``, or the error that the status indicates."""
+        if status == protocol.STATUS_OUT_OF_DATE:
+            return result.Err(
+                errors.StateOutdated(
+                    'router has no recent state',
+                    step=f'{method} {path}',
+                    peer=self.peer,
+                )
+            )
+        return super().check_status(status, body, method, path, kind)
+
     async def report(self, report):
         """Send a :class:`protocol.EvidenceReport`.
 
--- a/celeryward/routers/evidence.py
+++ b/celeryward/routers/evidence.py
@@ -10,6 +10,7 @@
 
 from celeryward import logs
 from celeryward.raters import rollout_orders
+from celeryward.routers import members
 from celeryward.routers import protocol
 
 REPORT_SECONDS = 0.3
@@ -59,7 +60,7 @@
         outcome = await self.source.client_of(receiver).report(report)
         if outcome.is_err():
             error = outcome.unwrap_err()
-            self.members.avoid(receiver)
+            self.members.avoid(receiver, members.OUTDATED_AVOID_SECONDS)
             logs.bind_error(error, router=receiver.name).info(
                 'evidence not reported: {}', error.message
             )
--- a/celeryward/routers/members.py
+++ b/celeryward/routers/members.py
@@ -24,8 +24,9 @@
 STANDBYS = 2
 # How long a leader that did not respond is not polled again.
 AVOID_SECONDS = 10.0
-# A standby needs this long to follow the store itself.
-STANDBY_AVOID_SECONDS = 1.0
+# How long a router that responds, but has no recent state, is not polled
+# again. A standby needs this long to follow the store itself.
+OUTDATED_AVOID_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,10 +178,8 @@
         """Return the key by which this router orders leaders, lowest first."""
         return hashing.unit_hash(f'{self.own.name}\0{member.name}')
 
-    def avoid(self, member):
-        """Avoid a leader or standby that did not respond for a while."""
-        is_leader = member in self.leaders()
-        seconds = AVOID_SECONDS if is_leader else STANDBY_AVOID_SECONDS
+    def avoid(self, member, seconds=AVOID_SECONDS):
+        """Avoid a leader or standby for a while."""
         self.avoided[member.name] = deadlines.Deadline(self.clock() + seconds)
 
 
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -22,6 +22,7 @@
 CHANGES_PREFIX = '/changes/'
 OBJECTS_PREFIX = '/objects/'
 EVIDENCE_PATH = '/evidence'
+STATUS_OUT_OF_DATE = 503
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -21,7 +21,6 @@
 STATUS_NO_LIST = 404
 STATUS_GONE = 410
 STATUS_TOO_LARGE = 413
-STATUS_OUT_OF_DATE = 503
 HANDLERS = registry.Registry('request of a follower')
 
 
@@ -102,7 +101,7 @@
     if publisher.freshness[request.kind].age() is None or not change_log.floor:
         return STATUS_NO_LIST, b''
     if not publisher.is_current(request.kind):
-        return STATUS_OUT_OF_DATE, b''
+        return protocol.STATUS_OUT_OF_DATE, b''
     response = protocol.ListResponse(
         tuple(change_log.objects.values()),
         change_log.revision,
@@ -117,13 +116,13 @@
     started = time.monotonic()
     change_log = publisher.change_logs[request.kind]
     if not publisher.is_current(request.kind):
-        return STATUS_OUT_OF_DATE, b''
+        return protocol.STATUS_OUT_OF_DATE, b''
     if not change_log.covers(request.since):
         return STATUS_GONE, b''
     wait = min(request.wait_seconds, MAX_WAIT_SECONDS)
     await change_log.wait_for_changes(request.since, wait)
     if not publisher.is_current(request.kind):
-        return STATUS_OUT_OF_DATE, b''
+        return protocol.STATUS_OUT_OF_DATE, b''
     if not change_log.covers(request.since):
         return STATUS_GONE, b''
     # The age is read before the changes, so that it is never newer than they
--- a/celeryward/routers/source.py
+++ b/celeryward/routers/source.py
@@ -6,6 +6,7 @@
 from celeryward import errors
 from celeryward import logs
 from celeryward.routers import client
+from celeryward.routers import members
 
 # Wait of the call to the store after a failed poll.
 FALLBACK_SECONDS = 0.25
@@ -92,7 +93,11 @@
             if outcome.is_ok():
                 self.outages.record_report(outcome.unwrap().away_seconds)
                 return outcome
-            self.handle_failure(leader, outcome.unwrap_err())
+            error = outcome.unwrap_err()
+            self.handle_failure(leader, error)
+            if isinstance(error, errors.RevisionExpired):
+                # The leader has a complete list.
+                return outcome
             wait_seconds = min(wait_seconds, FALLBACK_SECONDS)
         elif self.pacing and kind == self.confirmed_kind:
             if self.members.is_followed:
@@ -119,7 +124,9 @@
             error,
             (errors.RevisionExpired, errors.AnswerTooLarge, errors.NotFound),
         )
-        if not is_alive:
+        if isinstance(error, errors.StateOutdated):
+            self.members.avoid(leader, members.OUTDATED_AVOID_SECONDS)
+        elif not is_alive:
             self.members.avoid(leader)
         logs.bind_error(error, router=leader.name, avoided=not is_alive).info(
             'changes not passed on: {}', error.message
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -70,9 +70,7 @@
         }
         bounds = placement.bounds
         self.outages = outages.OutageTracker(bounds)
-        shared_pacing = pacing.make_pacing(
-            min(bounds.apply_seconds, bounds.leave_seconds)
-        )
+        shared_pacing = make_pacing(bounds)
         self.source = source.ChangeSource(
             self.store,
             self.members,
@@ -112,27 +110,10 @@
         :param runners: :class:`runners.RunnerTable`.
         """
         kinds = self.translator.kinds
-        bounds = self.placement.bounds
-        watch_timings = kind_watcher.WatchTimings(
-            min(
-                self.tuning.object_wait,
-                MAX_WAIT_HISTORY_SHARE * bounds.history_seconds,
-            ),
-            OBJECT_COALESCE_SECONDS,
-            stale_seconds=STALE_ORDERS_SECONDS,
-        )
-        # Each response to the primary watcher confirms the endpoints too, so
-        # that its wait is limited by the bound on departures.
-        propagation_seconds = (
-            bounds.leave_seconds - outages.PROPAGATION_RESERVE_SECONDS
-        )
-        primary_wait = min(
-            self.tuning.configuration_wait,
-            max(MIN_PRIMARY_WAIT_SECONDS, propagation_seconds),
-        )
+        timings = self.watch_timings(self.placement.bounds)
         primary = self.make_watcher(
             kinds.configuration,
-            kind_watcher.WatchTimings(primary_wait, confirm_changes=True),
+            timings[0],
             receivers.ConfigurationReceiver(
                 configuration, self.freshness, self.translator
             ),
@@ -143,15 +124,8 @@
         orders = receivers.OrderReceiver(self.releases, self.translator)
         self.watchers = (
             primary,
-            self.make_watcher(
-                kinds.endpoints,
-                dataclasses.replace(
-                    watch_timings, stale_seconds=STALE_ENDPOINTS_SECONDS
-                ),
-                endpoints,
-                primary,
-            ),
-            self.make_watcher(kinds.orders, watch_timings, orders, primary),
+            self.make_watcher(kinds.endpoints, timings[1], endpoints, primary),
+            self.make_watcher(kinds.orders, timings[2], orders, primary),
         )
         self.verdict_writer = verdicts.VerdictWriter(
             self.store,
@@ -161,6 +135,42 @@
             self.outages,
         )
 
+    def watch_timings(self, bounds):
+        """Return the timings of the watchers, in their order.
+
+        Each response to the primary watcher confirms the endpoints too, so
+        that its wait is limited by the bound on departures.
+        """
+        propagation_seconds = (
+            bounds.leave_seconds - outages.PROPAGATION_RESERVE_SECONDS
+        )
+        primary_wait = min(
+            self.tuning.configuration_wait,
+            max(MIN_PRIMARY_WAIT_SECONDS, propagation_seconds),
+        )
+        orders = kind_watcher.WatchTimings(
+            min(
+                self.tuning.object_wait,
+                MAX_WAIT_HISTORY_SHARE * bounds.history_seconds,
+            ),
+            OBJECT_COALESCE_SECONDS,
+            stale_seconds=STALE_ORDERS_SECONDS,
+        )
+        return (
+            kind_watcher.WatchTimings(primary_wait, confirm_changes=True),
+            dataclasses.replace(orders, stale_seconds=STALE_ENDPOINTS_SECONDS),
+            orders,
+        )
+
+    def set_bounds(self, bounds):
+        """Apply bounds that have changed to all waits."""
+        self.outages.set_bounds(bounds)
+        self.source.pacing = self.publisher.pacing = make_pacing(bounds)
+        for watcher, timings in zip(
+            self.watchers, self.watch_timings(bounds), strict=True
+        ):
+            watcher.timings = timings
+
     def make_watcher(self, kind, timings, receiver, primary=None):
         """Return the watcher of a kind."""
         return kind_watcher.KindWatcher(
@@ -188,6 +198,11 @@
         await self.discovery.deregister()
 
 
+def make_pacing(bounds):
+    """Return the :class:`pacing.Pacing` within all bounds, or None."""
+    return pacing.make_pacing(min(bounds.apply_seconds, bounds.leave_seconds))
+
+
 def own_member(placement):
     """Return this router as a member."""
     return members.Member(
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -261,3 +261,22 @@
         ]
         assert b'X-Kept' in names
         assert not {b'X-Hop', b'Connection', b'Keep-Alive'} & set(names)
+
+
+class TestConfidence:
+    """Guards against an answer that is lost for its malformed confidence."""
+
+    @pytest.mark.parametrize(
+        ('text', 'found'),
+        (
+            ('70', 0.7),
+            ('\u00b2', None),
+            ('7.5', None),
+            ('-1', None),
+            ('', None),
+        ),
+    )
+    def test_only_whole_numbers_are_read(self, text, found):
+        """A superscript digit raised ValueError."""
+        head = http.Response(200, {messages.CONFIDENCE: text})
+        assert messages.read_response(head).confidence == found
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -1,5 +1,6 @@
 """Requests through a router, with stand-ins for store and endpoints."""
 
+import dataclasses
 import time
 
 import curio
@@ -488,6 +489,37 @@
             await connection.close()
 
 
+class TestStop:
+    """Guards against accepted requests that a stop leaves without answer."""
+
+    @standins.on_site
+    async def test_request_that_outlasts_the_stop_gets_an_answer(self, site):
+        """Its connection was closed without a response."""
+        placement = site.router.placement
+        bounds = dataclasses.replace(placement.bounds, stop_seconds=1.0)
+        site.router.placement = dataclasses.replace(placement, bounds=bounds)
+        for runner in site.runners.values():
+            runner.default_action = standins.never_respond
+        pending = await curio.spawn(site.request, '/whole/x')
+        await standins.wait_until(lambda: site.arrivals())
+        await site.router.stop()
+        head, _ = await pending.join()
+        assert head.status == 502
+        assert 'retry-after' not in head.headers
+
+    @standins.on_site
+    async def test_connection_in_the_queue_of_the_kernel_is_served(self, site):
+        """Closing the listener reset connections that were not yet taken."""
+        listening = site.router.caller_listener
+        await listening.accept_task.cancel()
+        connection = await site.connect()
+        pending = await curio.spawn(standins.request, connection, '/whole/x')
+        await listening.stop_accepting()
+        head, _ = await pending.join()
+        assert head.status == 200
+        await connection.close()
+
+
 class TestReleaseStatistics:
     """Guards against answers that are missing in the statistics."""
 
