Keep a request in the queue of an endpoint that no other can relieve

Cause: a request that may be repeated left its endpoint after nine tenths of its latency objective, whether another endpoint could take it or not, and the one that it left dropped it. Streams that may not be resumed were cut after a pause in the same way.

Change: a request moves only if it may run again and the shortest queue at another healthy endpoint is under half of its objective.

--- a/celeryward/callers/endpoint_timeouts.py
+++ b/celeryward/callers/endpoint_timeouts.py
@@ -18,6 +18,8 @@
 # faster heads and rises slowly with others.
 FASTER_SAMPLE_WEIGHT = 0.2
 SLOWER_SAMPLE_WEIGHT = 0.02
+# It stays if the queues of all other endpoints are longer than this fraction.
+MAX_OTHER_QUEUE_FRACTION = 0.5
 # A body gets at least this time after its head before the request is sent to
 # another endpoint.
 MIN_BODY_SECONDS = 1.0
@@ -38,13 +40,22 @@
         self.mean_head_seconds = {}
         self.unqueued_head_seconds = {}
 
-    def head_deadline(self, relayed, plan):
-        """Return the :class:`deadlines.Deadline` of an answer's head.
+    def may_move(self, relayed, plan):
+        """Return whether a request may leave an endpoint that is slow.
 
-        A request that can't run again gets its whole deadline, since a
-        timeout would only lose the answer.
+        A request that can't run again, or not sooner elsewhere, keeps its
+        place: leaving it would only lose the answer.
         """
-        if not relayed.route.retryable or not relayed.has_attempts_left():
+        objective = relayed.route.objective_seconds
+        return (
+            relayed.route.retryable
+            and relayed.has_attempts_left()
+            and plan.other_queue_seconds < MAX_OTHER_QUEUE_FRACTION * objective
+        )
+
+    def head_deadline(self, relayed, plan):
+        """Return the :class:`deadlines.Deadline` of an answer's head."""
+        if not self.may_move(relayed, plan):
             return relayed.deadline
         mean = self.mean_head_seconds.get(self.mean_key(relayed, plan), 0.0)
         seconds = max(
@@ -56,15 +67,16 @@
         )
         return deadlines.Deadline.after(seconds).earlier(relayed.deadline)
 
-    def pause_seconds(self, relayed):
+    def pause_seconds(self, relayed, plan):
         """Return the timeout in seconds for the next event of a stream."""
-        if forwarding.is_stream(relayed.route) and relayed.has_attempts_left():
+        is_stream = forwarding.is_stream(relayed.route)
+        if is_stream and self.may_move(relayed, plan):
             return PAUSE_FACTOR * relayed.route.event_gap_seconds
         return relayed.route.timeout_seconds
 
-    def body_seconds(self, relayed):
+    def body_seconds(self, relayed, plan):
         """Return the timeout in seconds for a body after its head."""
-        if relayed.route.retryable and relayed.has_attempts_left():
+        if self.may_move(relayed, plan):
             return max(MIN_BODY_SECONDS, relayed.route.objective_seconds)
         return relayed.route.timeout_seconds
 
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -74,7 +74,11 @@
                 retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
             )
         return relayed_requests.Plan(
-            service, runner, size, runner.id in query.suspects
+            service,
+            runner,
+            size,
+            runner.id in query.suspects,
+            selection.shortest_other_queue(query, runner),
         )
 
     def suspects(self, endpoints):
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -232,8 +232,8 @@
             relayed_requests.urgency(relayed),
             relayed.deadline,
             self.timeouts.head_deadline(relayed, plan),
-            self.timeouts.pause_seconds(relayed),
-            self.timeouts.body_seconds(relayed),
+            self.timeouts.pause_seconds(relayed, plan),
+            self.timeouts.body_seconds(relayed, plan),
             relayed.sequence.last,
             new_connection=not route.retryable,
         )
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -1,6 +1,7 @@
 """State of one request while the router dispatches it."""
 
 import dataclasses
+import math
 import time
 
 from celeryward.endpoints import event_stream
@@ -22,12 +23,15 @@
     :param sizes.Size size: the model to run, None if the caller named it.
     :param bool suspected: whether the endpoint is suspected of failure,
         because no other was available.
+    :param float other_queue_seconds: shortest estimated wait at the other
+        endpoints that could run the request; infinite if there is none.
     """
 
     service: str
     runner: object
     size: sizes.Size | None = None
     suspected: bool = False
+    other_queue_seconds: float = math.inf
 
 
 class RelayedRequest:
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -416,6 +416,30 @@
         ended = site.runners['app-1'].ended, site.runners['app-2'].ended
         await standins.wait_until(lambda: any(ended), seconds=0.5)
 
+    @standins.on_site
+    async def test_request_keeps_its_place_at_the_only_endpoint(self, site):
+        """It left the queue of the last endpoint and failed at once."""
+
+        async def queue(runner, connection, arrival):
+            await curio.sleep(1.4)
+            await standins.send_default_response(runner, connection, arrival)
+
+        for runner in list(site.runners.values()):
+            if runner.service == 'llm':
+                runner.default_action = queue
+        only = [
+            each for each in site.runners.values() if each.service == 'llm'
+        ]
+        for runner in only[1:]:
+            await site.store.delete('servers', runner.id)
+        table = site.router.runners
+        await standins.wait_until(
+            lambda: len(list(table.of_service('llm'))) == 1
+        )
+        head, body = await site.request('/stream/x')
+        assert head.status == 200
+        assert body == standins.events(4)
+
     @standins.on_site
     async def test_retryable_request_leaves_a_hanging_endpoint(self, site):
         site.runners['app-1'].default_action = standins.never_respond
