Price a larger model by the queue of its endpoint

Cause: the price of a larger run followed the wait of the request itself. Endpoints admit urgent requests first, so that these see no queue where others wait for seconds.

The new test failed before.

--- a/celeryward/callers/endpoint_timeouts.py
+++ b/celeryward/callers/endpoint_timeouts.py
@@ -108,9 +108,12 @@
         units = relayed_requests.work_units(relayed.metadata)
         return max(0.0, answer.seconds - unqueued * units)
 
-    def timing(self, relayed, plan, size, answer):
+    def timing(self, relayed, plan, size, answer, endpoint_queue_seconds):
         """Return the :class:`sizes.Timing` of another run at a larger size.
 
+        :param float endpoint_queue_seconds: estimated wait at the endpoint,
+            which less urgent requests have even if this one had none.
+
         The larger model is assumed to take at least as long as the small
         one did.
         """
@@ -124,5 +127,8 @@
                 answer.seconds,
                 mean * relayed_requests.work_units(relayed.metadata),
             ),
-            self.queue_seconds(relayed, plan, answer),
+            max(
+                self.queue_seconds(relayed, plan, answer),
+                endpoint_queue_seconds,
+            ),
         )
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -256,7 +256,13 @@
             relayed.route.priority,
             answer.metadata.confidence,
             self.router_state.value_model,
-            self.timeouts.timing(relayed, plan, candidates[-1], answer),
+            self.timeouts.timing(
+                relayed,
+                plan,
+                candidates[-1],
+                answer,
+                self.router_state.queues.seconds(plan.runner.id),
+            ),
         )
         budget = self.budgets[plan.service]
         if larger is not None and not budget.try_take_for_escalation():
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -373,6 +373,21 @@
         models = [each.model for each in site.arrivals()]
         assert sorted(models) == ['large', 'small']
 
+    @standins.on_site
+    async def test_urgent_request_does_not_lengthen_the_queue_of_others(
+        self, site
+    ):
+        """Urgent requests saw no queue, and ran large models in it."""
+        for runner in site.runners.values():
+            runner.confidence = {'small': 5}
+        queues = site.router.queues
+        for runner in site.runners.values():
+            for _ in range(4):
+                queues.record(runner.id, 20.0)
+        _, body = await site.request('/stream/x')
+        assert body == standins.events(4)
+        assert [each.model for each in site.arrivals()] == ['small']
+
     @standins.on_site
     async def test_small_answer_is_kept_without_retry_budget(self, site):
         for runner in site.runners.values():
