--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -93,6 +93,27 @@
             program.kill()
             program.wait()
 
+    def test_stop_signal_during_the_start_ends_with_0(self, tmp_path):
+        """A planned stop of a router that was starting counted as a crash."""
+        path = tmp_path / 'router.toml'
+        text = platform_processes.settings_text('r', '127.0.0.78', 1, 54)
+        path.write_text(text)
+        program = subprocess.Popen(
+            [sys.executable, platform_processes.PROGRAM],
+            cwd=platform_processes.ROOT,
+            env={**os.environ, **platform_processes.environment(path)},
+            stdout=subprocess.DEVNULL,
+        )
+        try:
+            while not signal_set_has_reload(program, 'SigIgn'):
+                time.sleep(0.001)
+            time.sleep(0.02)
+            program.send_signal(signal.SIGTERM)
+            assert program.wait(5.0) == 0
+        finally:
+            program.kill()
+            program.wait()
+
 
 def signal_set_has_reload(program, field):
     """Return whether a signal set of a process contains SIGHUP.
