Share what the new tests had twice

The start of a router process, a clock that a test sets and a source without a store stood in two tests each.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -36,6 +36,16 @@
         return self.now
 
 
+class CallableClock:
+    """A clock for code that takes a function; only the test advances it."""
+
+    def __init__(self, now=0.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
 class ObjectClient:
     """Fake of :class:`objects.client.ObjectClient` with objects in memory.
 
--- a/tests/test_other_routers.py
+++ b/tests/test_other_routers.py
@@ -376,16 +376,20 @@
         assert asked == [('config', 3, source.FALLBACK_SECONDS)]
         assert view.leader() != leader
 
-    def test_leader_that_responds_with_an_error_is_not_avoided(self):
-        view = members.Members(member(0, capacity=0.0))
-        view.replace([member(number) for number in range(1, 6)])
-        made = source.ChangeSource(
+    def made(self, view):
+        """Return a source that has no store."""
+        return source.ChangeSource(
             None,
             view,
             PACING,
             'config',
             outages.OutageTracker(standins.BOUNDS),
         )
+
+    def test_leader_that_responds_with_an_error_is_not_avoided(self):
+        view = members.Members(member(0, capacity=0.0))
+        view.replace([member(number) for number in range(1, 6)])
+        made = self.made(view)
         leader = view.leader()
         for kind in (errors.AnswerTooLarge, errors.RevisionExpired):
             made.handle_failure(leader, kind('x', step='x', peer='x'))
@@ -396,21 +400,14 @@
 
     def test_outdated_leader_is_asked_again_soon(self):
         """Its followers asked the store for ten seconds."""
-        now = [0.0]
-        view = members.Members(member(0, capacity=0.0), lambda: now[0])
+        clock = fakes.CallableClock()
+        view = members.Members(member(0, capacity=0.0), clock)
         view.replace([member(number) for number in range(1, 6)])
-        made = source.ChangeSource(
-            None,
-            view,
-            PACING,
-            'config',
-            outages.OutageTracker(standins.BOUNDS),
-        )
         leader = view.leader()
         error = errors.StateOutdated('x', step='x', peer='x')
-        made.handle_failure(leader, error)
+        self.made(view).handle_failure(leader, error)
         assert view.leader() != leader
-        now[0] += members.OUTDATED_AVOID_SECONDS + 0.1
+        clock.now += members.OUTDATED_AVOID_SECONDS + 0.1
         assert view.leader() == leader
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Programs that run as separate processes."""
 
+import contextlib
 import os
 import pathlib
 import re
@@ -66,13 +67,15 @@
 
 
 class TestRouterProcess:
-    """Guards against a reload that ends a router that is starting.
+    """Guards against signals that end a router that is starting.
 
-    The default action of SIGHUP ends a process. The router ignores it until
-    it has a handler.
+    The default action of SIGHUP and SIGTERM ends a process, the latter with a
+    status other than 0.
     """
 
-    def test_reload_signal_during_the_start_is_ignored(self, tmp_path):
+    @contextlib.contextmanager
+    def starting(self, tmp_path):
+        """Yield a process of a router that has set its first handlers."""
         path = tmp_path / 'router.toml'
         text = platform_processes.settings_text('r', '127.0.0.77', 1, 54)
         path.write_text(text)
@@ -86,33 +89,23 @@
             while not signal_set_has_reload(program, 'SigIgn'):
                 assert not signal_set_has_reload(program, 'SigCgt')
                 time.sleep(0.001)
-            program.send_signal(signal.SIGHUP)
-            time.sleep(0.5)
-            assert program.poll() is None
+            yield program
         finally:
             program.kill()
             program.wait()
 
+    def test_reload_signal_during_the_start_is_ignored(self, tmp_path):
+        with self.starting(tmp_path) as program:
+            program.send_signal(signal.SIGHUP)
+            time.sleep(0.5)
+            assert program.poll() is None
+
     def test_stop_signal_during_the_start_ends_with_0(self, tmp_path):
         """A planned stop of a router that was starting counted as a crash."""
-        path = tmp_path / 'router.toml'
-        text = platform_processes.settings_text('r', '127.0.0.78', 1, 54)
-        path.write_text(text)
-        program = subprocess.Popen(
-            [sys.executable, platform_processes.PROGRAM],
-            cwd=platform_processes.ROOT,
-            env={**os.environ, **platform_processes.environment(path)},
-            stdout=subprocess.DEVNULL,
-        )
-        try:
-            while not signal_set_has_reload(program, 'SigIgn'):
-                time.sleep(0.001)
+        with self.starting(tmp_path) as program:
             time.sleep(0.02)
             program.send_signal(signal.SIGTERM)
             assert program.wait(5.0) == 0
-        finally:
-            program.kill()
-            program.wait()
 
 
 def signal_set_has_reload(program, field):
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -7,21 +7,12 @@
 from celeryward.endpoints import queueing
 from celeryward.endpoints import runners
 from celeryward.endpoints import selection
-
-
-class Clock:
-    """A clock that the test sets."""
-
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
+from tests import fakes
 
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return fakes.CallableClock(100.0)
 
 
 @pytest.fixture
@@ -111,7 +102,7 @@
 
         The endpoints are used to 80%.
         """
-        clock = Clock()
+        clock = fakes.CallableClock(100.0)
         work_seconds = 0.05
         free_at = dict.fromkeys((each.id for each in self.ENDPOINTS), 0.0)
         views = [queueing.QueueEstimates(clock) for _ in range(7)]
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -6,6 +6,7 @@
 from celeryward.raters import releases
 from celeryward.raters import rollout_orders
 from celeryward.raters import rollout_schedule
+from tests import fakes
 
 SERVICE = 'llm'
 PRESENT = ('v1', 'v2')
@@ -20,19 +21,9 @@
     rollouts.observe(*key, failed, pace, endpoint)
 
 
-class Clock:
-    """A clock that the test sets."""
-
-    def __init__(self):
-        self.now = 0.0
-
-    def __call__(self):
-        return self.now
-
-
 @pytest.fixture
 def clock():
-    return Clock()
+    return fakes.CallableClock()
 
 
 @pytest.fixture
