--- a/celeryward/callers/endpoint_timeouts.py
+++ b/celeryward/callers/endpoint_timeouts.py
@@ -18,7 +18,8 @@
 # faster heads and rises slowly with others.
 FASTER_SAMPLE_WEIGHT = 0.2
 SLOWER_SAMPLE_WEIGHT = 0.02
-# It stays if the queues of all other endpoints are longer than this fraction.
+# It stays if all other endpoints have queues longer than this fraction of the
+# objective.
 MAX_OTHER_QUEUE_FRACTION = 0.5
 # A body gets at least this time after its head before the request is sent to
 # another endpoint.
