--- a/celeryward/endpoints/queueing.py
+++ b/celeryward/endpoints/queueing.py
@@ -12,9 +12,9 @@
 import math
 import time
 
-# Time constant of the decay of a measured wait.
+# Time constant of the decay of an average wait.
 DECAY_SECONDS = 1.5
-# Weight of a new measured wait.
+# Weight of a new sample in the average wait of its endpoint.
 SAMPLE_WEIGHT = 0.5
 # A request without an answer shows a queue from this age on.
 USUAL_HEAD_SECONDS = 0.25
--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -39,9 +39,8 @@
     async def report(self, report):
         """Send a :class:`protocol.EvidenceReport`.
 
-        A report whose response is lost is sent again. The leader counts the
-        failures of one endpoint once, so that the connection may be one that
-        was idle.
+        A report whose response is lost is sent again, so that its runs may
+        count twice; those of one endpoint weigh little more than one run.
 
         :returns: ``Ok`` or ``Err(PlatformUnavailable)``.
         """
