Log each connection that is closed without a complete answer

The logs could not tell why a connection was closed: a failed dispatch did not say whether its endpoint had been silent, nor what was left to try again, and errors of the connection itself were logged at debug level. Now one warning and one counter say for each whole request that gets no complete answer what ended it, and a failed dispatch has the seconds of silence, the time that is left and the tokens of the retry budget.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -76,7 +76,7 @@
                 if not await self.serve_request(connection):
                     return
             finally:
-                del self.active[connection]
+                self.record_unanswered(self.active.pop(connection))
             if not connection.reusable() or self.draining:
                 return
             connection.start_next_cycle()
@@ -172,14 +172,15 @@
         async with group:
             serving = await group.spawn(self.serve, received, responder)
             await group.spawn(connection.wait_closed)
-        caller_left = group.completed is not serving
-        self.record_end(responder, caller_left, started)
+        responder.caller_left = group.completed is not serving
+        self.record_end(responder, started)
 
     async def serve(self, received, responder):
         """Relay a request, or send an error if that fails."""
         try:
             await self.relay.serve(received.head, received.body, responder)
         except errors.CallerDisconnected as error:
+            responder.caller_left = True
             logs.bind_error(error).debug('caller left: {}', error.message)
         except errors.CelerywardError as error:
             self.log_failure(responder, error)
@@ -189,9 +190,10 @@
             logs.bind(step='serve', peer=responder.connection.peer).exception(
                 'request failed with an internal error'
             )
-            fault = errors.OutcomeUnknown(
+            fault = errors.InternalError(
                 'internal error', step='serve', peer='-'
             )
+            responder.failure = fault
             await self.send_error_if_connected(responder, fault)
 
     async def send_error_if_connected(self, responder, error):
@@ -199,10 +201,12 @@
         try:
             await responder.send_error(error)
         except errors.CallerDisconnected as gone:
+            responder.caller_left = True
             logs.bind_error(gone).debug('caller left: {}', gone.message)
 
     def log_failure(self, responder, error):
         """Count and log a request that is refused or fails."""
+        responder.failure = error
         self.metrics.count_failure(responder.route, error.code)
         logs.bind_error(
             error,
@@ -213,7 +217,31 @@
             **self.relay.admission.log_fields(),
         ).info('request failed: {} {}', error.code, error.message)
 
-    def record_end(self, responder, caller_left, started):
+    def record_unanswered(self, responder):
+        """Count and log a whole request that got no complete answer.
+
+        Its connection is closed next. A caller that left is logged elsewhere.
+
+        :param responder: None if the request was not read to its end.
+        """
+        if responder is None or responder.finished or responder.caller_left:
+            return
+        failure = responder.failure
+        cause = failure.code if failure else 'unknown'
+        self.metrics.count_unanswered(responder.route, cause)
+        logs.bind(
+            request_id=responder.request_id,
+            step=failure.step if failure else 'serve',
+            peer=responder.connection.peer,
+            route=responder.route,
+            cause=cause,
+            reason=failure.message if failure else '',
+            status=responder.status,
+            pieces=responder.pieces,
+            stopping=self.draining,
+        ).warning('connection closed without a complete answer')
+
+    def record_end(self, responder, started):
         """Count and log a request that has ended.
 
         :param float started: when it was received, in monotonic seconds.
@@ -221,7 +249,10 @@
         seconds = time.monotonic() - started
         head_at = responder.head_at
         self.metrics.count_request(
-            responder.route, responder.status, caller_left, seconds
+            responder.route,
+            responder.status,
+            responder.caller_left,
+            seconds,
         )
         logs.bind(
             request_id=responder.request_id,
@@ -236,7 +267,7 @@
             else round(head_at - started, 3),
         ).info(
             'caller left before its answer was complete'
-            if caller_left
+            if responder.caller_left
             else 'request ended'
         )
 
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import time
 
 from celeryward.callers import endpoint_timeouts
 from celeryward.callers import planning
@@ -367,6 +368,9 @@
             runs=relayed.runs,
             events=relayed.sequence.last,
             again=may_retry,
+            silent=silent_seconds(error),
+            left=round(relayed.deadline.remaining(), 3),
+            tokens=round(self.budgets[relayed.service].tokens, 1),
         ).info('dispatch failed: {} {}', error.code, error.message)
         if relayed.deadline.expired() or not may_retry:
             raise self.final_error(relayed, error.message, error)
@@ -403,3 +407,10 @@
             plan.runner.id,
             relayed_requests.work_units(relayed.metadata),
         )
+
+
+def silent_seconds(error):
+    """Return how long an endpoint was silent, None for other failures."""
+    if not isinstance(error, errors.ConnectionSilent):
+        return None
+    return round(time.monotonic() - error.silent_since, 3)
--- a/celeryward/callers/responses.py
+++ b/celeryward/callers/responses.py
@@ -54,7 +54,9 @@
     ``started`` tells whether a head was sent, ``finished`` whether the
     response is complete. ``route`` and ``request_id`` are set once they are
     known, for logs and metrics; ``head_at`` is when the head was sent, in
-    monotonic seconds, or None.
+    monotonic seconds, or None. ``caller_left`` tells whether the caller closed
+    the connection, ``failure`` is the error that ended the request, or None,
+    and ``pieces`` counts the pieces of a streamed answer that were sent.
 
     :param bool close_connection: whether to send ``Connection: close``.
     """
@@ -68,6 +70,9 @@
         self.head_at = None
         self.route = ''
         self.request_id = '-'
+        self.caller_left = False
+        self.failure = None
+        self.pieces = 0
 
     async def start_stream(self, head):
         """Send the head of an endpoint's streamed answer.
@@ -97,6 +102,7 @@
     async def send(self, payload):
         """Send a piece of a streamed answer."""
         await self.write(h11.Data(data=payload))
+        self.pieces += 1
 
     async def finish(self):
         """End a streamed answer."""
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -160,6 +160,12 @@
     execution = Execution.UNKNOWN
 
 
+class InternalError(OutcomeUnknown):
+    """An unexpected error ended the request."""
+
+    code = 'internal_error'
+
+
 class AnswerLate(OutcomeUnknown):
     """The answer was incomplete at the deadline."""
 
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -23,6 +23,11 @@
         self.callers_left = self.counter(
             'callers_left', 'Callers that left unanswered.', ('route',)
         )
+        self.unanswered = self.counter(
+            'unanswered',
+            'Connections closed without a complete answer.',
+            ('route', 'cause'),
+        )
         self.sizes_raised = self.counter(
             'sizes_raised', 'Answers dropped for a larger model.', ('service',)
         )
@@ -56,6 +61,10 @@
         """Count a request that was refused or failed."""
         self.failures.labels(route, code).inc()
 
+    def count_unanswered(self, route, cause):
+        """Count a whole request that got no complete answer."""
+        self.unanswered.labels(route, cause).inc()
+
     def count_size_raise(self, service):
         """Count an answer that was dropped for that of a larger model."""
         self.sizes_raised.labels(service).inc()
