--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -14,6 +14,7 @@
 import h11
 import msgspec
 
+from celeryward import errors
 from celeryward import http
 from celeryward import router
 from celeryward import router_settings
@@ -374,6 +375,13 @@
     await connection.wait_closed()
 
 
+def connect_timeout(runner):
+    """Return the error of a connection that was not accepted in time."""
+    return errors.ConnectionFailed(
+        'connect timed out', step='connect', peer=runner.address, sent=False
+    )
+
+
 def configuration(version=1, **more):
     """Return the spec of a configuration with a route of each kind."""
     default_routes = [
--- /dev/null
+++ b/tests/test_silent_endpoints.py
@@ -0,0 +1,142 @@
+"""Sound endpoints that fall silent for a second or so and then go on."""
+
+import curio
+import h11
+import pytest
+
+from celeryward import http
+from tests import platform_standins as standins
+
+# Longer than every wait of the router on the routes of the test site, and
+# shorter than their deadline of 2 s.
+SILENCE_SECONDS = 1.3
+# More than the slack of a router's retry budget.
+STREAMS = 16
+
+
+@pytest.fixture
+def site():
+    return standins.default_site()
+
+
+def silent_once(action):
+    """Return an action that runs another one once, then the default."""
+    silent = set()
+
+    async def choose(runner, connection, arrival):
+        first = runner.id not in silent
+        silent.add(runner.id)
+        chosen = action if first else standins.send_default_response
+        await chosen(runner, connection, arrival)
+
+    return choose
+
+
+async def silence_in_stream(runner, connection, arrival):
+    """Send one event, fall silent, and go on."""
+    first = int(arrival.head.headers.get('last-event-id', '0')) + 1
+    head = runner.response_headers(
+        arrival,
+        **{
+            'content-type': 'text/event-stream',
+            'transfer-encoding': 'chunked',
+            'celeryward-confidence': '100',
+        },
+    )
+    await connection.send(
+        'answer',
+        h11.Response(status_code=200, headers=http.encode_headers(head)),
+    )
+    for number in range(first, runner.events + 1):
+        data = standins.event(number)
+        await connection.send('answer', h11.Data(data=data))
+        if number == first:
+            await curio.sleep(SILENCE_SECONDS)
+    await connection.send('answer', h11.EndOfMessage())
+
+
+async def silence_before_head(runner, connection, arrival):
+    """Fall silent before the head of the answer."""
+    await curio.sleep(SILENCE_SECONDS)
+    await standins.send_default_response(runner, connection, arrival)
+
+
+async def silence_in_body(runner, connection, arrival):
+    """Fall silent in the middle of a whole body."""
+    head = runner.response_headers(arrival, **{'content-length': '12'})
+    await connection.send(
+        'answer',
+        h11.Response(status_code=200, headers=http.encode_headers(head)),
+        h11.Data(data=b'whole '),
+    )
+    await curio.sleep(SILENCE_SECONDS)
+    await connection.send('answer', h11.Data(data=b'answer'))
+    await connection.send('answer', h11.EndOfMessage())
+
+
+def set_action(site, make_action):
+    """Let each endpoint respond with an action of its own."""
+    for runner in site.runners.values():
+        runner.default_action = make_action()
+
+
+class TestWholeAnswers:
+    """Guards against whole answers that a silence of a second ends."""
+
+    @standins.on_site
+    async def test_answer_is_awaited_when_all_heads_are_silent(self, site):
+        set_action(site, lambda: silent_once(silence_before_head))
+        head, body = await site.request('/whole/')
+        assert (head.status, body) == (200, b'whole answer')
+
+    @standins.on_site
+    async def test_answer_is_awaited_when_all_bodies_are_silent(self, site):
+        set_action(site, lambda: silent_once(silence_in_body))
+        head, body = await site.request('/whole/')
+        assert (head.status, body) == (200, b'whole answer')
+
+
+class TestStreams:
+    """Guards against streams that a silence of a second cuts."""
+
+    @standins.on_site
+    async def test_stream_goes_on_when_all_endpoints_are_silent(self, site):
+        set_action(site, lambda: silent_once(silence_in_stream))
+        head, body = await site.request('/stream/')
+        assert (head.status, body) == (200, standins.events(4))
+
+    @standins.on_site
+    async def test_streams_without_retry_budget_are_not_cut(self, site):
+        set_action(site, lambda: silence_in_stream)
+        bodies = []
+
+        async def read_stream(number):
+            _, body = await site.request('/stream/', request_id=f's{number}')
+            bodies.append(body)
+
+        async with curio.TaskGroup() as group:
+            for number in range(STREAMS):
+                await group.spawn(read_stream, number)
+        assert bodies == [standins.events(4)] * STREAMS
+
+    @standins.on_site
+    async def test_endpoints_that_accept_no_connection_keep_their_streams(
+        self, site
+    ):
+        set_action(site, lambda: silence_in_stream)
+        bodies = []
+
+        async def read_stream(number):
+            _, body = await site.request('/stream/', request_id=f's{number}')
+            bodies.append(body)
+
+        async def refuse_connection(runner, deadline):
+            await curio.sleep(deadline.remaining())
+            raise standins.connect_timeout(runner)
+
+        async with curio.TaskGroup() as group:
+            for number in range(STREAMS):
+                await group.spawn(read_stream, number)
+            await curio.sleep(0.3)
+            site.router.connections.open = refuse_connection
+        assert bodies == [standins.events(4)] * STREAMS
