Give an answer up only when its replacement is secured

Callers lost answers that a sound endpoint would have finished: after a silence of about a second the connection was closed first, and only then the router asked for an attempt, a token of the retry budget, another endpoint and time. With any of them missing, a stream ended without its last chunk and a whole answer as 502 or 504. Several silent endpoints emptied the budget at once, and endpoints that accepted no connection for 0.4 s had all their exchanges closed 0.8 s after their last byte.

A late part now only asks (endpoints.waits, callers.moves). The monitor asks the same question and ends all exchanges with an endpoint that has accepted no connection for 2.5 s, so that callers may come back. relay.py is split into dispatching, retry_control, escalation and moves.

The stand-in of a forwarder in test_endpoint_state has the new method.

--- /dev/null
+++ b/celeryward/callers/dispatching.py
@@ -0,0 +1,184 @@
+"""One dispatch of a request to an endpoint, and what is recorded of it."""
+
+import contextlib
+import time
+
+from celeryward.callers import relayed_requests
+from celeryward.endpoints import forwarding
+from celeryward import errors
+from celeryward import logs
+
+
+class Dispatcher:
+    """Dispatches requests and records their outcomes.
+
+    :param router_admission.RouterState router_state: shared by all requests.
+    :param forwarder: :class:`forwarding.Forwarder`.
+    :param timeouts: :class:`endpoint_timeouts.EndpointTimeouts`.
+    :param retries: :class:`retry_control.RetryControl`.
+    :param log_fields: function that returns the log fields of the state that
+        decisions are based on.
+    """
+
+    def __init__(self, router_state, forwarder, timeouts, retries, log_fields):
+        self.router_state = router_state
+        self.forwarder = forwarder
+        self.timeouts = timeouts
+        self.retries = retries
+        self.log_fields = log_fields
+
+    @contextlib.contextmanager
+    def begin(self, relayed, plan):
+        """Yield the :class:`relayed_requests.Dispatch` of a request."""
+        relayed.dispatches += 1
+        self.log_dispatch(relayed, plan)
+        dispatch = relayed_requests.Dispatch(
+            plan, self.begin_run(relayed, plan)
+        )
+        relayed.running |= {plan.runner.id}
+        try:
+            yield dispatch
+        finally:
+            relayed.running -= {plan.runner.id}
+            self.router_state.releases.runs.drop(dispatch.run)
+
+    def log_dispatch(self, relayed, plan):
+        """Log the endpoint of a dispatch and the state behind the choice."""
+        outcomes = self.router_state.outcomes
+        logs.bind(
+            request_id=relayed.metadata.request_id,
+            step='dispatch',
+            peer=plan.runner.address,
+            endpoint=plan.runner.id,
+            software=plan.runner.software,
+            model=plan.size.model if plan.size else '',
+            route=relayed.route.name,
+            service=plan.service,
+            attempt=relayed.dispatches,
+            after_event=relayed.sequence.last,
+            in_flight=outcomes.in_flight.get(plan.runner.id, 0),
+            suspected=plan.suspected,
+            left=round(relayed.deadline.remaining(), 3),
+            **self.log_fields(),
+        ).info('dispatched')
+
+    def begin_run(self, relayed, plan):
+        """Register a dispatch; return its :class:`runs.Run`.
+
+        Roll-outs compare the runs of software versions.
+        """
+        model = plan.size.model if plan.size else ''
+        return self.router_state.releases.runs.begin(
+            plan.service,
+            plan.runner.software,
+            f'{relayed.route.name} {model}',
+            plan.runner.id,
+            relayed_requests.work_units(relayed.metadata),
+        )
+
+    @contextlib.asynccontextmanager
+    async def open_answer(self, relayed, dispatch, on_late):
+        """Forward a request; yield the answer once its head has arrived."""
+        plan = dispatch.plan
+        forwarded = self.forwarded_request(relayed, plan, on_late)
+        async with self.forwarder.dispatch(forwarded, plan.runner) as answer:
+            self.router_state.releases.runs.head_arrived(dispatch.run)
+            self.timeouts.record_head_seconds(relayed, plan, answer)
+            self.router_state.queues.record(
+                plan.runner.id,
+                self.timeouts.queue_seconds(relayed, plan, answer),
+            )
+            yield answer
+
+    def forwarded_request(self, relayed, plan, on_late):
+        """Return the :class:`forwarding.ForwardedRequest` of a dispatch."""
+        route = relayed.route
+        return forwarding.ForwardedRequest(
+            relayed.head,
+            relayed.body,
+            relayed.metadata.request_id,
+            relayed.customer.name if relayed.customer else '',
+            plan.size.model if plan.size else '',
+            relayed_requests.urgency(relayed),
+            relayed.deadline,
+            self.timeouts.head_deadline(relayed, plan),
+            self.timeouts.pause_seconds(relayed, plan),
+            self.timeouts.body_seconds(relayed, plan),
+            relayed.sequence.last,
+            new_connection=not route.retryable,
+            on_late=on_late,
+        )
+
+    def record_success(self, relayed, dispatch, answer):
+        """Record a complete answer that was relayed."""
+        plan = dispatch.plan
+        releases = self.router_state.releases
+        releases.runs.end(dispatch.run)
+        releases.record_session(
+            plan.service, relayed.metadata.session, plan.runner.software
+        )
+        self.router_state.outcomes.record_response(
+            plan.runner.id,
+            answer.seconds,
+            relayed_requests.work_units(relayed.metadata),
+        )
+
+    def record_late_answer(self, dispatch):
+        """Count an answer that is late against endpoint and version."""
+        self.router_state.outcomes.record_failure(dispatch.plan.runner.id)
+        self.router_state.releases.runs.end(dispatch.run, failed=True)
+
+    def record_error(self, relayed, dispatch, error):
+        """Record and log a failed dispatch; return whether to retry."""
+        runner = dispatch.plan.runner
+        relayed.tried_endpoints |= {runner.id}
+        relayed.deliveries += error.sent or isinstance(
+            error, errors.EndpointRefused
+        )
+        self.record_failure(relayed, dispatch, error)
+        if error.sent:
+            relayed.runs += 1
+            may_retry = relayed.may_run_again()
+        else:
+            relayed.refusals += 1
+            may_retry = relayed.refusals < relayed_requests.MAX_REFUSALS
+        logs.bind_error(
+            error,
+            request_id=relayed.metadata.request_id,
+            endpoint=runner.id,
+            software=runner.software,
+            route=relayed.route.name,
+            runs=relayed.runs,
+            events=relayed.sequence.last,
+            again=may_retry,
+            silent=silent_seconds(error),
+            left=round(relayed.deadline.remaining(), 3),
+            tokens=self.retries.tokens(relayed.service),
+        ).info('dispatch failed: {} {}', error.code, error.message)
+        return may_retry
+
+    def record_failure(self, relayed, dispatch, error):
+        """Record a failure in the statistics of endpoints and versions."""
+        outcomes = self.router_state.outcomes
+        runner_id = dispatch.plan.runner.id
+        if isinstance(error, errors.EndpointRefused):
+            outcomes.record_refusal(runner_id)
+        elif isinstance(error, errors.EndpointLeft):
+            # The endpoint list already shows that it left.
+            return
+        elif not error.sent:
+            outcomes.record_connect_failure(runner_id)
+        else:
+            outcomes.record_failure(runner_id)
+            # Only a timeout counts against the software version: a broken
+            # connection may have other causes.
+            silent = isinstance(error, errors.ConnectionSilent)
+            if silent and not relayed.deadline.expired():
+                self.router_state.releases.runs.end(dispatch.run, failed=True)
+
+
+def silent_seconds(error):
+    """Return how long an endpoint was silent, None for other failures."""
+    if not isinstance(error, errors.ConnectionSilent):
+        return None
+    return round(time.monotonic() - error.silent_since, 3)
--- a/celeryward/callers/endpoint_timeouts.py
+++ b/celeryward/callers/endpoint_timeouts.py
@@ -7,9 +7,8 @@
 from celeryward.endpoints import forwarding
 from celeryward.raters import sizes
 
-# A retryable request is sent to another endpoint if the head of the answer
-# takes longer than this fraction of the objective and than this many times
-# its mean.
+# The head of an answer to a retryable request is late if it takes longer than
+# this fraction of the objective and than this many times its mean.
 HEAD_OBJECTIVE_FRACTION = 0.9
 HEAD_MEAN_FACTOR = 5.0
 MIN_HEAD_SECONDS = 0.25
@@ -21,10 +20,9 @@
 # It stays if all other endpoints have queues longer than this fraction of the
 # objective.
 MAX_OTHER_QUEUE_FRACTION = 0.5
-# A body gets at least this time after its head before the request is sent to
-# another endpoint.
+# A body is late after this time from its head at the soonest.
 MIN_BODY_SECONDS = 1.0
-# A stream is resumed at another endpoint after a pause of this many times the
+# The next event of a stream is late after a pause of this many times the
 # objective.
 PAUSE_FACTOR = 1.5
 
@@ -55,7 +53,10 @@
         )
 
     def head_deadline(self, relayed, plan):
-        """Return the :class:`deadlines.Deadline` of an answer's head."""
+        """Return the deadline from which an answer's head is late.
+
+        :returns: :class:`deadlines.Deadline`.
+        """
         if not self.may_move(relayed, plan):
             return relayed.deadline
         mean = self.mean_head_seconds.get(self.mean_key(relayed, plan), 0.0)
@@ -69,14 +70,14 @@
         return deadlines.Deadline.after(seconds).earlier(relayed.deadline)
 
     def pause_seconds(self, relayed, plan):
-        """Return the timeout in seconds for the next event of a stream."""
+        """Return the seconds after which an event of a stream is late."""
         is_stream = forwarding.is_stream(relayed.route)
         if is_stream and self.may_move(relayed, plan):
             return PAUSE_FACTOR * relayed.route.event_gap_seconds
         return relayed.route.timeout_seconds
 
     def body_seconds(self, relayed, plan):
-        """Return the timeout in seconds for a body after its head."""
+        """Return the seconds from its head after which a body is late."""
         if self.may_move(relayed, plan):
             return max(MIN_BODY_SECONDS, relayed.route.objective_seconds)
         return relayed.route.timeout_seconds
@@ -85,6 +86,12 @@
         """Return the key of the mean: the route and the model."""
         return relayed.route.name, plan.size.model if plan.size else ''
 
+    def usual_head_seconds(self, relayed):
+        """Return the usual time to a head at the request's size of model."""
+        model = relayed.size.model if relayed.size else ''
+        mean = self.mean_head_seconds.get((relayed.route.name, model), 0.0)
+        return mean * relayed_requests.work_units(relayed.metadata)
+
     def record_head_seconds(self, relayed, plan, answer):
         """Update the mean time to the head with a new answer."""
         key = self.mean_key(relayed, plan)
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -57,7 +57,7 @@
             software,
             size.model if size else '',
             relayed_requests.affinity_key(relayed.metadata),
-            relayed.tried_endpoints,
+            relayed.tried_endpoints | relayed.running,
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
             router_state.queues.seconds,
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -5,23 +5,46 @@
 and relay the answer to the caller.
 """
 
-import collections
-import time
+import dataclasses
 
+import curio
+
+from celeryward.callers import dispatching
 from celeryward.callers import endpoint_timeouts
+from celeryward.callers import escalation
+from celeryward.callers import moves
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
+from celeryward.callers import retry_control
 from celeryward.callers import router_admission
-from celeryward import deadlines
-from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward import errors
 from celeryward import logs
-from celeryward.raters import sizes
 
-# A request is not retried after this many dispatches that were not sent or
-# that endpoints refused.
-MAX_REFUSALS = 3
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchedAnswer:
+    """The outcome of one dispatch whose answer is read as a whole.
+
+    :param relayed_requests.Dispatch dispatch: the dispatch.
+    :param forwarding.Answer answer: None after an error.
+    :param bytes content: the body.
+    :param bool escalated: whether it is dropped for that of a larger model.
+    :param errors.EndpointFailure error: None for an answer.
+    """
+
+    dispatch: relayed_requests.Dispatch
+    answer: forwarding.Answer | None = None
+    content: bytes = b''
+    escalated: bool = False
+    error: errors.EndpointFailure | None = None
+
+    @property
+    def failed(self):
+        """Whether another dispatch may still give a better answer."""
+        return self.error is not None or forwarding.is_server_error(
+            self.answer.head
+        )
 
 
 class Relay:
@@ -40,22 +63,27 @@
         self, router_state, forwarder, translator, retry_allowance, metrics
     ):
         self.router_state = router_state
-        self.forwarder = forwarder
         self.translator = translator
-        self.retry_allowance = retry_allowance
-        self.budgets = collections.defaultdict(
-            lambda: fleet_retries.FleetBudget(retry_allowance())
-        )
         self.metrics = metrics
         self.admission = router_admission.AdmissionControl(router_state)
         self.planner = planning.Planner(router_state)
+        self.retries = retry_control.RetryControl(
+            self.planner, retry_allowance, metrics
+        )
         self.timeouts = endpoint_timeouts.EndpointTimeouts()
-
-    def update_budgets(self):
-        """Adapt the retry budgets to the number of routers and the bounds."""
-        allowance = self.retry_allowance()
-        for budget in self.budgets.values():
-            budget.set_allowance(allowance)
+        self.moves = moves.MovePolicy(
+            router_state.queues, self.timeouts, self.retries
+        )
+        self.dispatcher = dispatching.Dispatcher(
+            router_state,
+            forwarder,
+            self.timeouts,
+            self.retries,
+            self.admission.log_fields,
+        )
+        self.escalation = escalation.Escalation(
+            router_state, self.planner, self.timeouts, self.retries, metrics
+        )
 
     async def serve(self, head, body, responder):
         """Serve one request within its deadline.
@@ -84,13 +112,13 @@
         while not done:
             plan = self.next_plan(relayed)
             relayed.service = plan.service
-            self.charge_retry_budget(relayed)
-            relayed.dispatches += 1
-            self.log_dispatch(relayed, plan)
-            try:
-                done = await self.dispatch_once(relayed, plan, responder)
-            except errors.EndpointFailure as error:
-                self.handle_dispatch_error(relayed, plan, error)
+            self.retries.charge(relayed)
+            if relayed.route.retryable and not forwarding.is_stream(
+                relayed.route
+            ):
+                done = await self.relay_first(relayed, plan, responder)
+            else:
+                done = await self.relay_only(relayed, plan, responder)
 
     def next_plan(self, relayed):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
@@ -104,184 +132,112 @@
         except errors.NotRun as error:
             if not relayed.runs:
                 raise
-            raise self.final_error(relayed, error.message, error) from error
-
-    def log_dispatch(self, relayed, plan):
-        """Log the endpoint of a dispatch and the state behind the choice."""
-        outcomes = self.router_state.outcomes
-        logs.bind(
-            request_id=relayed.metadata.request_id,
-            step='dispatch',
-            peer=plan.runner.address,
-            endpoint=plan.runner.id,
-            software=plan.runner.software,
-            model=plan.size.model if plan.size else '',
-            route=relayed.route.name,
-            service=plan.service,
-            attempt=relayed.dispatches,
-            after_event=relayed.sequence.last,
-            in_flight=outcomes.in_flight.get(plan.runner.id, 0),
-            suspected=plan.suspected,
-            left=round(relayed.deadline.remaining(), 3),
-            **self.admission.log_fields(),
-        ).info('dispatched')
-
-    def charge_retry_budget(self, relayed):
-        """Count a dispatch towards the service's retry budget.
-
-        A first dispatch adds to the budget; a retry takes one token.
-
-        :raises errors.Overloaded: if a retry is not allowed and the request
-            has not run.
-        :raises errors.OutcomeUnknown: if a retry is not allowed and the
-            request may have run.
-        """
-        budget = self.budgets[relayed.service]
-        if relayed.dispatches == 0:
-            budget.record_first_dispatch()
-            return
-        if relayed.budget_charged or not relayed.deliveries:
-            # The token is taken already, or no dispatch has reached an
-            # endpoint yet, so that none has added load.
-            relayed.budget_charged = False
-            return
-        if budget.try_take():
-            return
-        self.metrics.count_refused_retry(relayed.service)
-        raise self.final_error(relayed, 'retry budget is used up')
+            raise retry_control.final_error(
+                relayed, error.message, error
+            ) from error
 
-    def final_error(self, relayed, reason, error=None):
-        """Return the error for a request that is not retried.
+    async def relay_only(self, relayed, plan, responder):
+        """Dispatch once; return whether an answer was relayed.
 
-        :param str reason: why it is not retried, for the message.
-        :param error: the error of the last dispatch, or None.
+        :raises errors.CelerywardError: if the request is not retried.
         """
-        step = error.step if error else 'retry'
-        peer = error.peer if error else relayed.service
-        if relayed.runs and relayed.deadline.expired():
-            return errors.AnswerLate(
-                'no complete answer before the deadline', step=step, peer=peer
-            )
-        if relayed.runs == 0:
-            return errors.Overloaded(
-                f'request was not run: {reason}',
-                step=step,
-                peer=peer,
-                retry_at=deadlines.Deadline.after(
-                    planning.NO_ENDPOINT_RETRY_SECONDS
-                ),
-            )
-        return errors.OutcomeUnknown(
-            f'request may have run: {reason}', step=step, peer=peer
-        )
-
-    async def dispatch_once(self, relayed, plan, responder):
-        """Dispatch once; return whether an answer was relayed."""
-        relayed.run = self.begin_run(relayed, plan)
-        try:
-            return await self.relay_answer(relayed, plan, responder)
-        finally:
-            self.router_state.releases.runs.drop(relayed.run)
+        with self.dispatcher.begin(relayed, plan) as dispatch:
+            try:
+                return await self.relay_answer(relayed, dispatch, responder)
+            except errors.EndpointFailure as error:
+                failure = error
+        self.handle_dispatch_error(relayed, dispatch, failure)
+        return False
 
-    async def relay_answer(self, relayed, plan, responder):
+    async def relay_answer(self, relayed, dispatch, responder):
         """Dispatch and relay the answer; return whether it was relayed."""
-        forwarded = self.forwarded_request(relayed, plan)
-        releases = self.router_state.releases
-        async with self.forwarder.dispatch(forwarded, plan.runner) as answer:
-            releases.runs.head_arrived(relayed.run)
-            self.timeouts.record_head_seconds(relayed, plan, answer)
-            self.router_state.queues.record(
-                plan.runner.id,
-                self.timeouts.queue_seconds(relayed, plan, answer),
-            )
+
+        async def on_late(waited_seconds, head_arrived):
+            return self.moves.may_leave(relayed, waited_seconds, head_arrived)
+
+        async with self.dispatcher.open_answer(
+            relayed, dispatch, on_late
+        ) as answer:
             if forwarding.is_server_error(answer.head):
+                content = await answer.body()
                 return await self.handle_error_answer(
-                    relayed, plan, answer, responder
+                    relayed, dispatch, answer, content, responder
                 )
-            larger = self.choose_escalation(relayed, plan, answer)
-            if larger is not None:
-                relayed.deliveries += 1
-                relayed.runs += 1
-                relayed.size = larger
-                releases.runs.end(relayed.run)
+            if self.escalation.escalate(relayed, dispatch, answer):
                 return False
             if forwarding.is_stream(relayed.route):
-                await self.relay_events(relayed, answer, responder)
+                await self.relay_events(relayed, dispatch, answer, responder)
             else:
                 content = await answer.body()
                 await responder.send_response(answer.head, content)
-        releases.runs.end(relayed.run)
-        releases.record_session(
-            plan.service, relayed.metadata.session, plan.runner.software
-        )
-        self.router_state.outcomes.record_response(
-            plan.runner.id,
-            answer.seconds,
-            relayed_requests.work_units(relayed.metadata),
-        )
+        self.dispatcher.record_success(relayed, dispatch, answer)
         return True
 
-    def forwarded_request(self, relayed, plan):
-        """Return the :class:`forwarding.ForwardedRequest` of a dispatch."""
-        route = relayed.route
-        return forwarding.ForwardedRequest(
-            relayed.head,
-            relayed.body,
-            relayed.metadata.request_id,
-            relayed.customer.name if relayed.customer else '',
-            plan.size.model if plan.size else '',
-            relayed_requests.urgency(relayed),
-            relayed.deadline,
-            self.timeouts.head_deadline(relayed, plan),
-            self.timeouts.pause_seconds(relayed, plan),
-            self.timeouts.body_seconds(relayed, plan),
-            relayed.sequence.last,
-            new_connection=not route.retryable,
-        )
+    async def relay_first(self, relayed, plan, responder):
+        """Relay the first answer among hedged dispatches.
 
-    def choose_escalation(self, relayed, plan, answer):
-        """Return the larger model to escalate to, or None to keep the answer.
+        While an answer is late, another endpoint runs the request as well, so
+        that what was waited for isn't lost.
 
-        The caller must not have received any part of the answer, and the
-        escalation must be allowed as a retry: it takes a token of the retry
-        budget.
+        :returns: whether an answer was relayed.
+        :raises errors.CelerywardError: if the request is not retried.
         """
-        if plan.size is None or relayed.has_sent_events:
-            return None
-        if not (relayed.route.retryable and relayed.has_attempts_left()):
-            return None
-        candidates = self.planner.eligible_sizes(relayed, plan.service)
-        larger = sizes.larger_size(
-            candidates,
-            plan.size,
-            relayed.route.priority,
-            answer.metadata.confidence,
-            self.router_state.value_model,
-            self.timeouts.timing(
-                relayed,
-                plan,
-                candidates[-1],
-                answer,
-                self.router_state.queues.seconds(plan.runner.id),
-            ),
-        )
-        budget = self.budgets[plan.service]
-        if larger is not None and not budget.try_take_for_escalation():
-            return None
-        if larger is not None:
-            relayed.budget_charged = True
-            self.metrics.count_size_raise(plan.service)
-            logs.bind(
-                request_id=relayed.metadata.request_id,
-                step='cascade',
-                peer=plan.runner.address,
-                confidence=answer.metadata.confidence,
-                model=plan.size.model,
-                larger=larger.model,
-            ).info('answer dropped for a larger model')
-        return larger
-
-    async def relay_events(self, relayed, answer, responder):
+        async with curio.TaskGroup(wait=None) as group:
+            await group.spawn(self.fetch, relayed, plan, group)
+            async for task in group:
+                fetched = task.result
+                if not (fetched.failed and relayed.running):
+                    break
+                self.record_failed_fetch(relayed, fetched)
+            if fetched.error is None:
+                return await self.relay_fetched(relayed, fetched, responder)
+        self.handle_dispatch_error(relayed, fetched.dispatch, fetched.error)
+        return False
+
+    def record_failed_fetch(self, relayed, fetched):
+        """Record a failure while another dispatch may still answer."""
+        if fetched.error is not None:
+            self.dispatcher.record_error(
+                relayed, fetched.dispatch, fetched.error
+            )
+            return
+        self.record_error_answer(relayed, fetched.dispatch)
+        relayed.failed_answer = (fetched.answer.head, fetched.content)
+
+    async def fetch(self, relayed, plan, group):
+        """Dispatch once; return the :class:`FetchedAnswer`.
+
+        :param group: task group, in which a hedge is started if the answer is
+            late.
+        """
+        with self.dispatcher.begin(relayed, plan) as dispatch:
+            hedge = Hedge(self, relayed, dispatch, group)
+            try:
+                async with self.dispatcher.open_answer(
+                    relayed, dispatch, hedge.start_once
+                ) as answer:
+                    if self.escalation.escalate(relayed, dispatch, answer):
+                        return FetchedAnswer(dispatch, answer, escalated=True)
+                    return FetchedAnswer(
+                        dispatch, answer, content=await answer.body()
+                    )
+            except errors.EndpointFailure as error:
+                return FetchedAnswer(dispatch, error=error)
+
+    async def relay_fetched(self, relayed, fetched, responder):
+        """Relay a whole answer; return whether it was relayed."""
+        if fetched.escalated:
+            return False
+        answer = fetched.answer
+        if forwarding.is_server_error(answer.head):
+            return await self.handle_error_answer(
+                relayed, fetched.dispatch, answer, fetched.content, responder
+            )
+        await responder.send_response(answer.head, fetched.content)
+        self.dispatcher.record_success(relayed, fetched.dispatch, answer)
+        return True
+
+    async def relay_events(self, relayed, dispatch, answer, responder):
         """Relay the events of a stream as they arrive."""
         start_id = relayed.sequence.last
         if not responder.started:
@@ -289,55 +245,49 @@
         async for batch in answer.events(relayed.sequence):
             await responder.send(b''.join(event.raw for event in batch))
             self.router_state.releases.runs.events_arrived(
-                relayed.run, relayed.sequence.last - start_id
+                dispatch.run, relayed.sequence.last - start_id
             )
         await responder.finish()
 
-    async def handle_error_answer(self, relayed, plan, answer, responder):
+    async def handle_error_answer(
+        self, relayed, dispatch, answer, content, responder
+    ):
         """Retry after an answer with an error status, or relay it.
 
         :returns: whether the answer was relayed.
         :raises errors.OutcomeUnknown: if the caller has received events of
             the stream, so that the error answer can't be relayed.
         """
-        content = await answer.body()
-        relayed.deliveries += 1
-        relayed.runs += 1
-        self.router_state.releases.runs.end(relayed.run, failed=True)
-        self.router_state.outcomes.record_failure(plan.runner.id)
-        relayed.tried_endpoints |= {plan.runner.id}
+        runner = dispatch.plan.runner
+        self.record_error_answer(relayed, dispatch)
         if relayed.has_sent_events:
             raise errors.OutcomeUnknown(
                 f'endpoint answered {answer.head.status} to a resumed stream',
                 step='resume',
-                peer=plan.runner.address,
+                peer=runner.address,
             )
-        if self.acquire_retry_token(relayed):
+        if self.retries.secure_retry(relayed):
             relayed.budget_charged = True
             relayed.failed_answer = (answer.head, content)
             logs.bind(
                 request_id=relayed.metadata.request_id,
                 step='retry',
-                peer=plan.runner.address,
+                peer=runner.address,
             ).info('endpoint failed with {}; retrying', answer.head.status)
             return False
         await responder.send_response(answer.head, content)
         return True
 
-    def acquire_retry_token(self, relayed):
-        """Take a token of the retry budget if the request may be retried.
-
-        :returns: whether it may.
-        """
-        if not relayed.may_run_again() or relayed.deadline.expired():
-            return False
-        try:
-            self.planner.plan(relayed)
-        except errors.NotRun:
-            return False
-        return self.budgets[relayed.service].try_take()
+    def record_error_answer(self, relayed, dispatch):
+        """Record an answer with an error status."""
+        runner_id = dispatch.plan.runner.id
+        relayed.deliveries += 1
+        relayed.runs += 1
+        relayed.tried_endpoints |= {runner_id}
+        self.router_state.releases.runs.end(dispatch.run, failed=True)
+        self.router_state.outcomes.record_failure(runner_id)
 
-    def handle_dispatch_error(self, relayed, plan, error):
+    def handle_dispatch_error(self, relayed, dispatch, error):
         """Record and log a failed dispatch; return if a retry is allowed.
 
         :raises errors.Overloaded: if no retry is allowed and the request
@@ -347,70 +297,40 @@
         :raises errors.OutcomeUnknown: if no retry is allowed and the request
             may have run.
         """
-        runner = plan.runner
-        relayed.tried_endpoints |= {runner.id}
-        relayed.deliveries += error.sent or isinstance(
-            error, errors.EndpointRefused
-        )
-        self.record_failure(relayed, plan, error)
-        if error.sent:
-            relayed.runs += 1
-            may_retry = relayed.may_run_again()
-        else:
-            relayed.refusals += 1
-            may_retry = relayed.refusals < MAX_REFUSALS
-        logs.bind_error(
-            error,
-            request_id=relayed.metadata.request_id,
-            endpoint=runner.id,
-            software=runner.software,
-            route=relayed.route.name,
-            runs=relayed.runs,
-            events=relayed.sequence.last,
-            again=may_retry,
-            silent=silent_seconds(error),
-            left=round(relayed.deadline.remaining(), 3),
-            tokens=round(self.budgets[relayed.service].tokens, 1),
-        ).info('dispatch failed: {} {}', error.code, error.message)
+        may_retry = self.dispatcher.record_error(relayed, dispatch, error)
         if relayed.deadline.expired() or not may_retry:
-            raise self.final_error(relayed, error.message, error)
-
-    def record_failure(self, relayed, plan, error):
-        """Record a failure in the statistics of endpoints and versions."""
-        outcomes = self.router_state.outcomes
-        runner_id = plan.runner.id
-        if isinstance(error, errors.EndpointRefused):
-            outcomes.record_refusal(runner_id)
-        elif isinstance(error, errors.EndpointLeft):
-            # The endpoint list already shows that it left.
-            return
-        elif not error.sent:
-            outcomes.record_connect_failure(runner_id)
-        else:
-            outcomes.record_failure(runner_id)
-            # Only a timeout counts against the software version: a broken
-            # connection may have other causes.
-            silent = isinstance(error, errors.ConnectionSilent)
-            if silent and not relayed.deadline.expired():
-                self.router_state.releases.runs.end(relayed.run, failed=True)
-
-    def begin_run(self, relayed, plan):
-        """Register a dispatch; return its :class:`runs.Run`.
-
-        Roll-outs compare the runs of software versions.
-        """
-        model = plan.size.model if plan.size else ''
-        return self.router_state.releases.runs.begin(
-            plan.service,
-            plan.runner.software,
-            f'{relayed.route.name} {model}',
-            plan.runner.id,
-            relayed_requests.work_units(relayed.metadata),
-        )
+            raise retry_control.final_error(relayed, error.message, error)
 
 
-def silent_seconds(error):
-    """Return how long an endpoint was silent, None for other failures."""
-    if not isinstance(error, errors.ConnectionSilent):
-        return None
-    return round(time.monotonic() - error.silent_since, 3)
+class Hedge:
+    """Starts another dispatch while the answer of one is late.
+
+    :param Relay relay: makes the dispatch.
+    :param group: task group of all dispatches of the request.
+    """
+
+    def __init__(self, relay, relayed, dispatch, group):
+        self.relay = relay
+        self.relayed = relayed
+        self.dispatch = dispatch
+        self.group = group
+        self.started = False
+
+    async def start_once(self, waited_seconds, head_arrived):
+        """Start the other dispatch if one is secured; keep the late answer.
+
+        The late answer counts as a failure of its endpoint.
+
+        :returns: False, because the answer is not given up.
+        """
+        if self.started:
+            return False
+        plan = self.relay.moves.secure_replacement(self.relayed)
+        if plan is not None:
+            self.started = True
+            self.relayed.running |= {plan.runner.id}
+            self.relay.dispatcher.record_late_answer(self.dispatch)
+            await self.group.spawn(
+                self.relay.fetch, self.relayed, plan, self.group
+            )
+        return False
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -7,6 +7,9 @@
 from celeryward.endpoints import event_stream
 from celeryward.raters import sizes
 
+# A request is not retried after this many dispatches that were not sent or
+# that endpoints refused.
+MAX_REFUSALS = 3
 ROUTE_PRIORITY_LEVELS = 3
 MAX_URGENCY_RANK = 9
 # Prompt tokens of a typical request, which is one unit of work.
@@ -34,6 +37,17 @@
     other_queue_seconds: float = math.inf
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatch:
+    """One dispatch of a request.
+
+    :param runs.Run run: counted for the endpoint's software version.
+    """
+
+    plan: Plan
+    run: object
+
+
 class RelayedRequest:
     """One request, and the state of its dispatches.
 
@@ -49,9 +63,10 @@
     - ``failed_answer``: head and body of an endpoint's error response, sent
       to the caller if no other endpoint answers.
     - ``tried_endpoints``: ids of endpoints that failed the request.
+    - ``running``: ids of endpoints that a dispatch is under way at; several if
+      a late answer is awaited at one while another runs the request, too.
     - ``service`` and ``size``: those of the last dispatch, which the next
       one keeps; ``size`` is replaced by an escalation to a larger model.
-    - ``run``: the :class:`runs.Run` of the last dispatch.
 
     :param ingress.RequestMetadata metadata: fields of the request's head.
     :param ingress.Customer customer: None on public routes.
@@ -71,13 +86,13 @@
         self.size = None
         self.service = ''
         self.tried_endpoints = frozenset()
+        self.running = frozenset()
         self.runs = 0
         self.refusals = 0
         self.dispatches = 0
         self.deliveries = 0
         self.budget_charged = False
         self.failed_answer = None
-        self.run = None
 
     @property
     def has_sent_events(self):
@@ -94,8 +109,9 @@
         )
 
     def has_attempts_left(self):
-        """Return whether another attempt is allowed if this run fails."""
-        return self.runs + 1 < self.route.max_attempts
+        """Return whether another attempt is allowed beside those under way."""
+        under_way = max(1, len(self.running))
+        return self.runs + under_way < self.route.max_attempts
 
 
 def affinity_key(metadata):
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards a request to one endpoint without changing it."""
 
+from collections import abc
 import contextlib
 import dataclasses
 import functools
@@ -9,6 +10,7 @@
 
 from celeryward import deadlines
 from celeryward.endpoints import event_stream
+from celeryward.endpoints import waits
 from celeryward import errors
 from celeryward import http
 from celeryward import ingress
@@ -34,11 +36,14 @@
         named.
     :param int urgency: from 0, which the endpoint serves first, to 9.
     :param Deadline deadline: when the response has to be complete.
-    :param Deadline head_deadline: when the head of the response is due.
-    :param float pause_seconds: longest wait for the next event of a stream.
-    :param float body_seconds: time allowed for a whole body after its head.
+    :param Deadline head_deadline: from when the head of the response is late.
+    :param float pause_seconds: wait after which the next event of a stream is
+        late.
+    :param float body_seconds: time after its head from which a whole body is
+        late.
     :param int after_event: id of the last event that the caller received.
     :param bool new_connection: whether to open a new connection.
+    :param on_late: as for :class:`waits.Wait`.
     """
 
     head: http.Request
@@ -53,6 +58,7 @@
     body_seconds: float
     after_event: int = 0
     new_connection: bool = False
+    on_late: abc.Callable = waits.never_give_up
 
     def next_event_deadline(self):
         """Return the deadline of the next event, counted from now."""
@@ -67,12 +73,14 @@
     :param ingress.ResponseMetadata metadata: what the translator read in the
         head.
     :param float seconds: time from the dispatch to the head.
+    :param waits.Wait wait: the wait for the next part of the body.
     :param on_data: function that is called when bytes of the body arrive.
     """
 
     def __init__(
-        self, connection, forwarded, head, metadata, seconds, on_data
+        self, connection, forwarded, head, metadata, seconds, wait, on_data
     ):
+        self.wait = wait
         self.connection = connection
         self.forwarded = forwarded
         self.head = head
@@ -97,7 +105,10 @@
             )
 
         return await self.connection.receive_body(
-            'read body', self.forwarded.deadline, next_deadline=due
+            'read body',
+            self.forwarded.deadline,
+            next_deadline=due,
+            extend=self.wait.extend,
         )
 
     async def events(self, sequence):
@@ -111,7 +122,9 @@
         """
         splitter = event_stream.Splitter(self.connection.peer)
         due = self.forwarded.next_event_deadline()
-        chunks = self.connection.receive_chunks('read events', lambda: due)
+        chunks = self.connection.receive_chunks(
+            'read events', lambda: due, extend=self.wait.extend
+        )
         async with contextlib.aclosing(chunks):
             async for chunk in chunks:
                 self.on_data()
@@ -123,6 +136,7 @@
                 if ready:
                     yield ready
                     due = self.forwarded.next_event_deadline()
+                    self.wait.begin_next()
                 if failure is not None:
                     raise failure
         if splitter.buffer:
@@ -145,6 +159,21 @@
     return ready, None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """A request that was sent to an endpoint and its answer.
+
+    :param bool retryable: whether the request may run again elsewhere.
+    :param http.Connection connection: carries only this exchange.
+    :param waits.Wait wait: the wait for the next part of the answer.
+    """
+
+    runner_id: str
+    retryable: bool
+    connection: http.Connection
+    wait: waits.Wait
+
+
 class Forwarder:
     """Sends requests to endpoints over pooled connections.
 
@@ -165,6 +194,18 @@
         self.outcomes = outcomes
         self.exchanges = {}
 
+    async def abort_replaceable(self, runner):
+        """Abort the exchanges with an endpoint that requests give up.
+
+        :returns: the number of aborted exchanges.
+        """
+        given_up = [
+            exchange
+            for exchange in self.exchanges_with(runner)
+            if await exchange.wait.is_given_up()
+        ]
+        return await self.abort(given_up)
+
     async def abort_retryable(self, runner):
         """Abort the retryable exchanges with an unreachable endpoint.
 
@@ -173,14 +214,31 @@
 
         :returns: the number of aborted exchanges.
         """
-        aborted = [
-            connection
-            for connection, (runner_id, retryable) in self.exchanges.items()
-            if runner_id == runner.id and retryable
-        ]
-        for connection in aborted:
-            await connection.shut_down()
-        return len(aborted)
+        return await self.abort(
+            exchange
+            for exchange in self.exchanges_with(runner)
+            if exchange.retryable
+        )
+
+    async def abort(self, exchanges):
+        """Abort the exchanges that are still under way; return their number.
+
+        The task of each exchange then ends it.
+        """
+        count = 0
+        for exchange in exchanges:
+            if self.exchanges.get(exchange.connection) is exchange:
+                await exchange.connection.shut_down()
+                count += 1
+        return count
+
+    def exchanges_with(self, runner):
+        """Return the exchanges with an endpoint that are under way."""
+        return tuple(
+            exchange
+            for exchange in self.exchanges.values()
+            if exchange.runner_id == runner.id
+        )
 
     @contextlib.asynccontextmanager
     async def dispatch(self, forwarded, runner):
@@ -203,15 +261,16 @@
             async with self.connections.lease(
                 runner, forwarded.head_deadline, forwarded.new_connection
             ) as connection:
-                self.exchanges[connection] = (
-                    runner.id,
-                    not forwarded.new_connection,
+                wait = waits.Wait(forwarded.on_late, forwarded.deadline)
+                self.exchanges[connection] = Exchange(
+                    runner.id, not forwarded.new_connection, connection, wait
                 )
                 self.check_present(runner)
                 await self.send(connection, forwarded, runner)
                 head = await connection.receive_response(
-                    forwarded.head_deadline
+                    forwarded.head_deadline, wait.extend
                 )
+                wait.begin_next()
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
                 metadata = self.translator.read_response(head)
@@ -221,12 +280,17 @@
                     self.outcomes.record_activity, runner.id
                 )
                 yield Answer(
-                    connection, forwarded, head, metadata, seconds, on_data
+                    connection,
+                    forwarded,
+                    head,
+                    metadata,
+                    seconds,
+                    wait,
+                    on_data,
                 )
                 connection.usable_until = reuse_deadline(metadata)
         finally:
-            if connection is not None:
-                del self.exchanges[connection]
+            self.exchanges.pop(connection, None)
             self.queues.end(runner.id, waiting)
             self.outcomes.request_finished(runner.id)
 
--- a/celeryward/endpoints/monitor.py
+++ b/celeryward/endpoints/monitor.py
@@ -19,6 +19,9 @@
 SILENCE_SECONDS = 0.4
 # Delay between two connection attempts to an unreachable endpoint.
 RETRY_SECONDS = 0.5
+# Time without a connection after which all retryable exchanges are aborted,
+# so that callers without a replacement may come back themselves.
+ABANDON_SECONDS = 2.5
 
 
 class Monitor:
@@ -109,19 +112,29 @@
         return True
 
     async def handle_loss(self, runner):
-        """Abort retryable exchanges, then wait until it is reachable."""
+        """Abort exchanges until the endpoint is reachable again.
+
+        An exchange that nothing can replace is kept while the endpoint may
+        still go on.
+        """
         self.outcomes.set_lost(runner.id, True)
+        abandon_at = deadlines.Deadline.after(ABANDON_SECONDS)
         closed = await self.connections.close_idle(runner)
-        broken = await self.forwarder.abort_retryable(runner)
+        broken = await self.forwarder.abort_replaceable(runner)
         logs.bind(
             step='monitor',
             peer=runner.address,
             endpoint=runner.id,
             idle_closed=closed,
             broken_off=broken,
+            kept=len(self.forwarder.exchanges_with(runner)) - broken,
         ).warning('endpoint lost')
         while not await self.can_connect(runner):
             await curio.sleep(RETRY_SECONDS)
+            if abandon_at.expired():
+                await self.forwarder.abort_retryable(runner)
+            else:
+                await self.forwarder.abort_replaceable(runner)
         self.outcomes.set_lost(runner.id, False)
         self.outcomes.record_activity(runner.id)
         logs.bind(
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -93,9 +93,10 @@
         # Until when the peer keeps the idle connection open.
         self.usable_until = deadlines.NEVER
 
-    async def receive(self, step, deadline):
+    async def receive(self, step, deadline, extend=None):
         """Return the next h11 event.
 
+        :param extend: as for :meth:`read`.
         :raises ReadTimeout: if no byte arrives before the deadline.
         :raises Disconnected: if the connection is reset.
         :raises errors.ProtocolError: if the peer violates HTTP.
@@ -107,7 +108,7 @@
                 raise self.input_error(error, step) from error
             if event is not h11.NEED_DATA:
                 return event
-            self.h11.receive_data(await self.read(step, deadline))
+            self.h11.receive_data(await self.read(step, deadline, extend))
 
     def input_error(self, error, step):
         """Return the error for input that h11 rejects.
@@ -121,37 +122,52 @@
             return Disconnected(message, step=step, peer=self.peer)
         return errors.ProtocolError(str(error), step=step, peer=self.peer)
 
-    async def read(self, step, deadline):
+    async def read(self, step, deadline, extend=None):
         """Return bytes from the socket, empty at the end of the stream.
 
         A peer that sends without a pause can neither exceed the deadline nor
         keep other tasks from running: recv() on a socket with data neither
         times out nor yields to other tasks.
+
+        :param extend: async function that is called when the deadline has
+            passed; it returns a later one, or None to end the wait.
+        """
+        data = None
+        while data is None:
+            if deadline.expired():
+                deadline = await self.later_deadline(step, extend)
+            data = await self.read_before(step, deadline)
+        self.bytes_read += len(data)
+        if len(data) == READ_SIZE_BYTES:
+            await curio.sleep(0)
+        return data
+
+    async def later_deadline(self, step, extend):
+        """Return the deadline that replaces one that has passed.
+
+        :raises ReadTimeout: if there is none.
         """
-        if deadline.expired():
+        later = await extend() if extend is not None else None
+        if later is None:
             raise ReadTimeout(
                 'deadline passed before the message was complete',
                 step=step,
                 peer=self.peer,
             )
+        return later
+
+    async def read_before(self, step, deadline):
+        """Return bytes from the socket, or None if the deadline passes."""
         try:
-            data = await curio.timeout_after(
+            return await curio.timeout_after(
                 deadline.remaining(), self.sock.recv, READ_SIZE_BYTES
             )
-        except curio.TaskTimeout as error:
-            raise ReadTimeout(
-                'no byte arrived before the deadline',
-                step=step,
-                peer=self.peer,
-            ) from error
+        except curio.TaskTimeout:
+            return None
         except OSError as error:
             raise Disconnected(
                 f'connection lost: {error}', step=step, peer=self.peer
             ) from error
-        self.bytes_read += len(data)
-        if len(data) == READ_SIZE_BYTES:
-            await curio.sleep(0)
-        return data
 
     async def send(self, step, *events):
         """Send h11 events in one write.
@@ -218,14 +234,15 @@
             peer=self.peer,
         )
 
-    async def receive_response(self, deadline):
+    async def receive_response(self, deadline, extend=None):
         """Return the next response head, skipping interim responses.
 
+        :param extend: as for :meth:`read`.
         :raises errors.ProtocolError: if there are more than
             :data:`MAX_INTERIM_RESPONSES` of them.
         """
         for _ in range(MAX_INTERIM_RESPONSES):
-            event = await self.receive('read response', deadline)
+            event = await self.receive('read response', deadline, extend)
             if isinstance(event, h11.Response):
                 return Response(
                     event.status_code,
@@ -244,17 +261,20 @@
             peer=self.peer,
         )
 
-    async def receive_chunks(self, step, next_deadline, first_deadline=None):
+    async def receive_chunks(
+        self, step, next_deadline, first_deadline=None, extend=None
+    ):
         """Yield the bytes of a body as they arrive.
 
         :param next_deadline: function that returns the deadline of the
             next chunk.
         :param Deadline first_deadline: deadline of the first chunk; by
             default that of ``next_deadline``.
+        :param extend: as for :meth:`read`.
         """
         deadline = first_deadline or next_deadline()
         while True:
-            event = await self.receive(step, deadline)
+            event = await self.receive(step, deadline, extend)
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -268,18 +288,24 @@
             deadline = next_deadline()
 
     async def receive_body(
-        self, step, deadline, limit=MAX_BODY_BYTES, next_deadline=None
+        self,
+        step,
+        deadline,
+        limit=MAX_BODY_BYTES,
+        next_deadline=None,
+        extend=None,
     ):
         """Return a whole body of at most ``limit`` bytes.
 
         :param next_deadline: function that returns the deadline of the next
             chunk; by default each chunk has the deadline of the body.
+        :param extend: as for :meth:`read`.
         :raises errors.BadInput: if the body is larger.
         """
         chunks = []
         size = 0
         next_deadline = next_deadline or (lambda: deadline)
-        chunk_stream = self.receive_chunks(step, next_deadline)
+        chunk_stream = self.receive_chunks(step, next_deadline, extend=extend)
         async with contextlib.aclosing(chunk_stream):
             async for chunk in chunk_stream:
                 size += len(chunk)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -349,7 +349,7 @@
         while True:
             await curio.sleep(SETTINGS_POLL_SECONDS)
             self.reload()
-            self.relay.update_budgets()
+            self.relay.retries.update()
 
     async def report_overdue_runs(self):
         """Report runs at new versions that have not ended in time."""
--- a/tests/test_endpoint_state.py
+++ b/tests/test_endpoint_state.py
@@ -173,10 +173,13 @@
         def __init__(self):
             self.aborted = 0
 
-        async def abort_retryable(self, endpoint):
+        async def abort_replaceable(self, endpoint):
             self.aborted += 1
             return 1
 
+        def exchanges_with(self, endpoint):
+            return ()
+
     @fakes.in_kernel
     async def test_silent_endpoint_is_lost_and_regained(self):
         table = runners.RunnerTable()
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -392,7 +392,7 @@
     async def test_small_answer_is_kept_without_retry_budget(self, site):
         for runner in site.runners.values():
             runner.confidence = {'small': 5}
-        budget = site.router.relay.budgets['llm']
+        budget = site.router.relay.retries.budgets['llm']
         budget.tokens = 1.5
         _, body = await site.request('/stream/x')
         assert body == standins.events(4)
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -74,6 +74,18 @@
     await connection.send('answer', h11.EndOfMessage())
 
 
+def respond_if_second(site):
+    """Return an action that responds only to the second request."""
+
+    async def action(runner, connection, arrival):
+        if len(site.arrivals()) == 1:
+            await standins.never_respond(runner, connection, arrival)
+        else:
+            await standins.send_default_response(runner, connection, arrival)
+
+    return action
+
+
 def set_action(site, make_action):
     """Let each endpoint respond with an action of its own."""
     for runner in site.runners.values():
@@ -96,6 +108,69 @@
         assert (head.status, body) == (200, b'whole answer')
 
 
+class TestHedging:
+    """Guards against late answers that are lost, or awaited for nothing."""
+
+    @standins.on_site
+    async def test_request_to_a_mute_endpoint_is_answered_by_another(
+        self, site
+    ):
+        first, second = site.runners['app-1'], site.runners['app-2']
+        for runner in (first, second):
+            runner.scripted_actions.append(respond_if_second(site))
+        head, body = await site.request('/whole/')
+        assert (head.status, body) == (200, b'whole answer')
+        assert len(site.arrivals()) == 2
+
+    @standins.on_site
+    async def test_error_of_the_second_endpoint_does_not_end_the_first(
+        self, site
+    ):
+        actions = [silence_before_head, standins.respond_with(500)]
+
+        async def take_next(runner, connection, arrival):
+            await actions.pop(0)(runner, connection, arrival)
+
+        set_action(site, lambda: take_next)
+        head, body = await site.request('/whole/')
+        assert (head.status, body) == (200, b'whole answer')
+        assert len(site.arrivals()) == 2
+
+    @standins.on_site
+    async def test_endpoints_get_no_more_than_the_attempts_of_the_route(
+        self, site
+    ):
+        set_action(site, lambda: standins.never_respond)
+        head, _ = await site.request('/whole/')
+        assert head.status == 504
+        assert len(site.arrivals()) == 2
+
+    @standins.on_site
+    async def test_late_answer_counts_against_its_endpoint(self, site):
+        for runner in (site.runners['app-1'], site.runners['app-2']):
+            runner.scripted_actions.append(respond_if_second(site))
+        await site.request('/whole/')
+        late = site.arrivals()[0]
+        runner = next(
+            each for each in site.runners.values() if late in each.arrivals
+        )
+        stats = site.router.outcomes.request_statistics(runner.id)
+        assert stats.failures > 0.5
+
+    @standins.on_site
+    async def test_dispatch_that_lost_is_ended_at_its_endpoint(self, site):
+        for runner in (site.runners['app-1'], site.runners['app-2']):
+            runner.scripted_actions.append(respond_if_second(site))
+        await site.request('/whole/')
+        await standins.wait_until(
+            lambda: (
+                sum(len(each.ended) for each in site.runners.values()) == 2
+            ),
+            0.5,
+        )
+        assert not site.router.forwarder.exchanges
+
+
 class TestStreams:
     """Guards against streams that a silence of a second cuts."""
 
