Keep idle connections for the longest limit that callers know

Beside a change of the configuration callers found their connection closed in the moment of their next request: the idle limit was read when the connection became idle, so that a longer one did not count for it, and a shorter one counted before callers could know.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -9,6 +9,7 @@
 import curio
 import h11
 
+from celeryward.callers import idle_timeout
 from celeryward.callers import responses
 from celeryward import deadlines
 from celeryward import errors
@@ -44,6 +45,7 @@
     def __init__(self, relay, configuration, metrics):
         self.relay = relay
         self.configuration = configuration
+        self.idle_timeout = idle_timeout.IdleTimeout(configuration)
         self.metrics = metrics
         self.draining = False
         self.active = {}
@@ -67,10 +69,7 @@
     async def serve_connection(self, connection):
         """Serve requests until either side closes the connection."""
         while True:
-            await connection.wait_for_input(
-                'await request',
-                deadlines.Deadline.after(self.limits().idle_seconds),
-            )
+            await self.wait_for_request(connection)
             self.active[connection] = None
             try:
                 if not await self.serve_request(connection):
@@ -81,8 +80,23 @@
                 return
             connection.start_next_cycle()
 
+    async def wait_for_request(self, connection):
+        """Wait until a request begins or the caller closes the connection.
+
+        :raises http.ReadTimeout: if the connection is idle for too long.
+        """
+        idle_since = time.monotonic()
+
+        async def extend():
+            deadline = self.idle_timeout.deadline(idle_since)
+            return None if deadline.expired() else deadline
+
+        await connection.wait_for_input(
+            'await request', self.idle_timeout.deadline(idle_since), extend
+        )
+
     async def serve_request(self, connection):
-        """Serve one request; return whether its response is complete."""
+        """Serve one request; return whether the connection stays open."""
         try:
             received = await self.read_request(connection)
         except errors.CelerywardError as error:
@@ -271,11 +285,16 @@
             else 'request ended'
         )
 
+    def is_draining(self):
+        """Return whether responses announce that their connection closes."""
+        return self.draining
+
     def begin_drain(self):
-        """Close each connection after its next response.
+        """Close each connection after a response that announces it.
 
         Requests that arrive are still served. Their responses close the
-        connection, so that callers connect to another host.
+        connection, so that callers connect to another host. A connection
+        whose last response began before stays open until its next one.
         """
         self.draining = True
 
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -183,15 +183,16 @@
             ) from error
         self.bytes_written += len(data)
 
-    async def wait_for_input(self, step, deadline):
+    async def wait_for_input(self, step, deadline, extend=None):
         """Wait for bytes to parse or the end of file.
 
+        :param extend: as for :meth:`read`.
         :raises ReadTimeout: if nothing arrives before the deadline.
         :raises Disconnected: if the connection is reset.
         """
         data, closed = self.h11.trailing_data
         if not data and not closed:
-            self.h11.receive_data(await self.read(step, deadline))
+            self.h11.receive_data(await self.read(step, deadline, extend))
 
     async def wait_closed(self):
         """Return once the peer has closed the connection.
--- a/celeryward/ingress.py
+++ b/celeryward/ingress.py
@@ -166,11 +166,13 @@
     """Holds the configuration with the highest version received so far.
 
     Results of lists, watches and writes may arrive in any order; an older
-    version never replaces a newer one within one process.
+    version never replaces a newer one within one process. ``listeners`` are
+    called with each :class:`Configuration` that comes into force.
     """
 
     def __init__(self):
         self.current = None
+        self.listeners = []
 
     def accept(self, configuration):
         """Apply a configuration if it is newer; return whether it was."""
@@ -178,6 +180,8 @@
         if previous is not None and configuration.version <= previous.version:
             return False
         self.current = configuration
+        for listener in self.listeners:
+            listener(configuration)
         return True
 
 
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -9,6 +9,7 @@
 
 from celeryward.callers import gateway
 from celeryward import http
+from celeryward import ingress
 from tests import fakes
 from tests import platform_standins as standins
 
@@ -469,7 +470,9 @@
     @fakes.in_kernel
     async def test_connection_that_ends_meanwhile_is_skipped(self):
         """Shutdown used a socket that was closed during a cancellation."""
-        idle_gateway = gateway.Gateway(None, None, None)
+        idle_gateway = gateway.Gateway(
+            None, ingress.ConfigurationHolder(), None
+        )
 
         class Idle:
             def __init__(self, other=None):
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -21,6 +21,7 @@
     'callers/limits.py',
     'callers/endpoint_timeouts.py',
     'callers/escalation.py',
+    'callers/idle_timeout.py',
     'callers/moves.py',
     'callers/retry_control.py',
     'callers/version_selection.py',
