Close a connection at a stop only after an answer that says so

Beside a planned stop a caller's next request on an open connection got no answer: whether to close was decided when a request arrived, so that an answer that began before the stop said nothing and its connection was closed all the same. It is decided when the head is sent now, and only an announced connection is closed. An endpoint's chunked answer that states a length as well ended the connection without any answer, because its head could not be written again; the length is that of the body now.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -76,7 +76,7 @@
                     return
             finally:
                 self.record_unanswered(self.active.pop(connection))
-            if not connection.reusable() or self.draining:
+            if not connection.reusable():
                 return
             connection.start_next_cycle()
 
@@ -109,18 +109,18 @@
             return False
         if received is None:
             return False
-        responder = responses.Responder(connection, self.draining)
+        responder = responses.Responder(
+            connection, received.head.method, self.is_draining
+        )
         self.active[connection] = responder
         await self.serve_while_connected(connection, received, responder)
-        return responder.finished
+        return responder.finished and not responder.announced_close
 
     async def reject(self, connection, error):
         """Send an error if the state of the connection still allows it."""
         if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        await responses.Responder(
-            connection, close_connection=True
-        ).send_error(error)
+        await responses.Responder(connection).send_error(error)
 
     async def read_request(self, connection):
         """Return the next request, or None if the connection was closed.
--- a/celeryward/callers/responses.py
+++ b/celeryward/callers/responses.py
@@ -22,6 +22,8 @@
     (errors.OutcomeUnknown, 502),
 )
 INTERNAL_STATUS = 500
+# Responses without a body, which may state the length that one would have.
+BODILESS_STATUSES = (204, 304)
 
 
 def status_of(error):
@@ -48,6 +50,24 @@
         ) from error
 
 
+def always():
+    """Return True: each response closes its connection."""
+    return True
+
+
+def replace_length(lines, length):
+    """Return header lines with the given length of the body.
+
+    An endpoint may state another one in an answer with chunks.
+    """
+    kept = [
+        (name, value)
+        for name, value in lines
+        if name.lower() != b'content-length'
+    ]
+    return [*kept, (b'Content-Length', str(length).encode())]
+
+
 class Responder:
     """Writes the response to one request.
 
@@ -58,12 +78,18 @@
     the connection, ``failure`` is the error that ended the request, or None,
     and ``pieces`` counts the pieces of a streamed answer that were sent.
 
-    :param bool close_connection: whether to send ``Connection: close``.
+    ``announced_close`` tells whether the head says that the connection closes.
+
+    :param str method: method of the request.
+    :param closes_connection: function that returns, when the head is sent,
+        whether it says ``Connection: close``.
     """
 
-    def __init__(self, connection, close_connection):
+    def __init__(self, connection, method='', closes_connection=always):
         self.connection = connection
-        self.close_connection = close_connection
+        self.method = method
+        self.closes_connection = closes_connection
+        self.announced_close = False
         self.started = False
         self.finished = False
         self.status = 0
@@ -90,7 +116,8 @@
 
     async def send_head(self, status, lines, *events):
         """Send a head, together with the given h11 events after it."""
-        if self.close_connection:
+        self.announced_close = self.closes_connection()
+        if self.announced_close:
             lines.append((b'Connection', b'close'))
         self.started = True
         self.head_at = time.monotonic()
@@ -112,13 +139,17 @@
     async def send_response(self, head, body):
         """Send a complete answer of an endpoint, with the same content."""
         lines = header_lines.end_to_end_lines(head.lines)
-        if not any(name.lower() == b'content-length' for name, _ in lines):
-            lines.append((b'Content-Length', str(len(body)).encode()))
+        if body or not self.may_lack_body(head):
+            lines = replace_length(lines, len(body))
         await self.send_head(
             head.status, lines, h11.Data(data=body), h11.EndOfMessage()
         )
         self.finished = True
 
+    def may_lack_body(self, head):
+        """Return whether a length is stated although no body follows."""
+        return self.method == 'HEAD' or head.status in BODILESS_STATUSES
+
     async def send_error(self, error):
         """Send an error response, unless a response has been started.
 
