Keep the answer of a small model if no endpoint can run a larger one

A caller got 502 where the small model's answer was there and no healthy endpoint served the larger one. The escalation asks for such an endpoint first, then for its token.

tests/test_moves.py::TestEscalation failed before (502), passes; the other 13 tests there cover the decisions on late answers.

--- a/celeryward/callers/escalation.py
+++ b/celeryward/callers/escalation.py
@@ -61,17 +61,27 @@
                 self.router_state.queues.seconds(plan.runner.id),
             ),
         )
-        if larger is not None:
-            if not self.retries.take_for_escalation(plan.service):
-                return None
-            relayed.budget_charged = True
-            self.metrics.count_size_raise(plan.service)
-            logs.bind(
-                request_id=relayed.metadata.request_id,
-                step='cascade',
-                peer=plan.runner.address,
-                confidence=answer.metadata.confidence,
-                model=plan.size.model,
-                larger=larger.model,
-            ).info('answer dropped for a larger model')
+        if larger is None or not self.secure(relayed, plan.service, larger):
+            return None
+        logs.bind(
+            request_id=relayed.metadata.request_id,
+            step='cascade',
+            peer=plan.runner.address,
+            confidence=answer.metadata.confidence,
+            model=plan.size.model,
+            larger=larger.model,
+        ).info('answer dropped for a larger model')
         return larger
+
+    def secure(self, relayed, service, larger):
+        """Take the token of a run of a larger model, if one can be made.
+
+        :returns: whether it was taken.
+        """
+        if not self.planner.can_serve(relayed, service, larger):
+            return False
+        if not self.retries.take_for_escalation(service):
+            return False
+        relayed.budget_charged = True
+        self.metrics.count_size_raise(service)
+        return True
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -81,6 +81,16 @@
             selection.shortest_other_queue(query, runner),
         )
 
+    def can_serve(self, relayed, service, size):
+        """Return whether a healthy endpoint can run a request at a size."""
+        endpoints = tuple(self.router_state.runners.of_service(service))
+        avoided = relayed.tried_endpoints | self.suspects(endpoints)
+        return any(
+            runner.id not in avoided
+            and (not runner.models or size.model in runner.models)
+            for runner in endpoints
+        )
+
     def suspects(self, endpoints):
         """Return the ids of endpoints that are suspected of failure.
 
