Believe an answer without an id only on a connection of its request

What callers saw: on a kept connection an endpoint wrote an earlier refusal (503, 429 or 421) once more, without its id, and then ran the request that waited there. The router took the copy for the answer: it sent the request to a second endpoint and, when that did the same, told the caller 503, "not run". The endpoints were also avoided for 0.3 s. In the same way the copy of a whole signed answer without an id reached the next caller as its own, with status 200 or 500.

Cause: an answer without an id counted as one to the request that waits, whatever had passed on the connection before.

Change: endpoints.answer_origin decides whose answer it is. Without an id it is the waiting request's only if the connection was opened for that request; a connection from the pool may have an earlier answer outstanding. Any other answer leaves the outcome unknown, closes the connection and changes neither statistics, back-off nor queue estimates of its endpoint. A refusal that names the request stays believable everywhere, and so does one without an id on a new connection, which requests that must not be repeated always use.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -380,6 +380,9 @@
         elif isinstance(error, errors.EndpointLeft):
             # The endpoint list already shows that it left.
             return
+        elif isinstance(error, errors.AnswerMismatch):
+            # The answer to another request is no evidence of this one.
+            return
         elif not error.sent:
             outcomes.record_connect_failure(runner_id)
         else:
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -8,6 +8,7 @@
 import h11
 
 from celeryward import deadlines
+from celeryward.endpoints import answer_origin
 from celeryward.endpoints import event_stream
 from celeryward import errors
 from celeryward import http
@@ -212,10 +213,11 @@
                 head = await connection.receive_response(
                     forwarded.head_deadline
                 )
+                metadata = self.translator.read_response(head)
+                check_origin(connection, forwarded, head, metadata)
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
-                metadata = self.translator.read_response(head)
-                check_head(forwarded, runner, head, metadata)
+                check_head(runner, head, metadata)
                 seconds = time.monotonic() - started
                 on_data = functools.partial(
                     self.outcomes.record_activity, runner.id
@@ -263,21 +265,31 @@
     return deadlines.Deadline.after(max(0.0, seconds - IDLE_RESERVE_SECONDS))
 
 
-def check_head(forwarded, runner, head, metadata):
-    """Raise the error that the head of a response indicates.
+def check_origin(connection, forwarded, head, metadata):
+    """Raise an error unless a response belongs to the request.
 
-    :raises errors.EndpointRefused: if the endpoint did not run the request.
-    :raises errors.AnswerMismatch: if the response is to another request.
-    :raises errors.AnswerInvalid: if the endpoint itself did not make the
-        response, or if its content is encoded.
+    :raises errors.AnswerMismatch: if it may belong to another request.
     """
-    if metadata.request_id and metadata.request_id != forwarded.request_id:
+    found = answer_origin.origin(
+        metadata, forwarded.request_id, not connection.from_pool
+    )
+    if found is not answer_origin.Origin.THIS_REQUEST:
         raise errors.AnswerMismatch(
-            f'response is for another request: {metadata.request_id[:32]}',
+            f'response {head.status} belongs to {found.value}: '
+            f'{metadata.request_id[:32] or "no id"}',
             step='read response',
-            peer=runner.address,
+            peer=connection.peer,
             sent=True,
         )
+
+
+def check_head(runner, head, metadata):
+    """Raise the error that the head of a response indicates.
+
+    :raises errors.EndpointRefused: if the endpoint did not run the request.
+    :raises errors.AnswerInvalid: if the endpoint itself did not make the
+        response, or if its content is encoded.
+    """
     if metadata.not_run or metadata.misdirected:
         raise errors.EndpointRefused(
             f'endpoint answered {head.status} and did not run the request',
--- a/celeryward/endpoints/pool.py
+++ b/celeryward/endpoints/pool.py
@@ -128,6 +128,7 @@
             if not (
                 connection.usable_until.expired() or connection.has_input()
             ):
+                connection.from_pool = True
                 return connection
             await connection.close()
         return None
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -92,6 +92,8 @@
         self.last_read_at = 0.0
         # Until when the peer keeps the idle connection open.
         self.usable_until = deadlines.NEVER
+        # Whether it was idle in a pool before the current exchange.
+        self.from_pool = False
 
     async def receive(self, step, deadline):
         """Return the next h11 event.
--- /dev/null
+++ b/tests/test_repeated_answers.py
@@ -0,0 +1,134 @@
+"""Answers that endpoints write once more, for a request they don't answer."""
+
+import curio
+import pytest
+
+from tests import platform_standins as standins
+
+NOT_EXECUTED = {'celeryward-not-executed': '1'}
+# Longer than it takes a router to read an answer that has arrived.
+RUN_SECONDS = 0.1
+UNNAMED_REFUSALS = {
+    'full': (503, NOT_EXECUTED),
+    'rate limited': (429, NOT_EXECUTED),
+    'misdirected': (421, {}),
+}
+
+
+@pytest.fixture
+def site():
+    return standins.default_site()
+
+
+async def write_answer(connection, status, headers, body=b''):
+    """Write an answer that belongs to no request of the connection."""
+    lines = {'content-length': str(len(body)), **headers}
+    text = ''.join(f'{name}: {value}\r\n' for name, value in lines.items())
+    head = f'HTTP/1.1 {status} Earlier\r\n{text}\r\n'
+    await connection.sock.sendall(head.encode() + body)
+
+
+def repeat_then_run(status, headers, body=b'', seconds=RUN_SECONDS):
+    """Return an action that writes an earlier answer, then runs and answers.
+
+    :param float seconds: time between the two answers.
+    """
+
+    async def action(runner, connection, arrival):
+        await write_answer(connection, status, headers, body)
+        if seconds:
+            await curio.sleep(seconds)
+        await standins.send_default_response(runner, connection, arrival)
+
+    return action
+
+
+async def fill_pool(site):
+    """Leave an idle connection to each endpoint of the service ``app``."""
+    runners = [site.runners['app-1'], site.runners['app-2']]
+    for number in range(20):
+        if all(runner.arrivals for runner in runners):
+            break
+        await site.request('/whole/x', request_id=f'fill-{number}')
+    assert all(runner.arrivals for runner in runners)
+    for runner in runners:
+        runner.arrivals.clear()
+        runner.ended.clear()
+    return runners
+
+
+def believed_statistics(site, runner):
+    """Return what the router has counted about an endpoint."""
+    found = site.router.outcomes.statistics[runner.id]
+    return found.unreachable_count, found.avoid_until, found.updated_at
+
+
+class TestUnnamedRefusals:
+    """Guards against "not run" for requests that an endpoint runs."""
+
+    @pytest.mark.parametrize('name', UNNAMED_REFUSALS)
+    @standins.on_site
+    async def test_copy_on_a_kept_connection_is_no_promise(self, site, name):
+        for runner in await fill_pool(site):
+            runner.default_action = repeat_then_run(*UNNAMED_REFUSALS[name])
+        head, _ = await site.request('/whole/x')
+        assert len(site.arrivals()) == 2
+        assert head.status == 502
+        assert 'retry-after' not in head.headers
+
+    @pytest.mark.parametrize('name', UNNAMED_REFUSALS)
+    @standins.on_site
+    async def test_copy_does_not_change_what_is_known_of_the_endpoint(
+        self, site, name
+    ):
+        runners = await fill_pool(site)
+        for runner in runners:
+            runner.scripted_actions.append(
+                repeat_then_run(*UNNAMED_REFUSALS[name])
+            )
+        before = {each.id: believed_statistics(site, each) for each in runners}
+        await site.request('/whole/x')
+        for runner in runners:
+            assert believed_statistics(site, runner) == before[runner.id]
+        assert site.router.queues.unanswered == {}
+
+    @standins.on_site
+    async def test_copy_is_not_taken_for_the_answer_of_the_next_caller(
+        self, site
+    ):
+        for runner in await fill_pool(site):
+            runner.scripted_actions.append(
+                repeat_then_run(503, NOT_EXECUTED, seconds=0.0)
+            )
+        for number in range(4):
+            head, body = await site.request(
+                '/whole/x', request_id=f'r{number}'
+            )
+            assert (head.status, body) in (
+                (200, b'whole answer'),
+                (502, b''),
+            )
+
+    @standins.on_site
+    async def test_stream_is_not_refused_after_a_copy(self, site):
+        for runner in site.runners.values():
+            await site.request('/stream/x', request_id=f'fill-{runner.id}')
+            runner.default_action = repeat_then_run(503, NOT_EXECUTED)
+        assert any(site.router.connections.idle.values())
+        head, _ = await site.request('/stream/x')
+        assert head.status == 502
+
+
+class TestWholeAnswers:
+    """Guards against answers to the request of another caller."""
+
+    @pytest.mark.parametrize('status', (200, 500))
+    @standins.on_site
+    async def test_unnamed_copy_on_a_kept_connection_is_not_relayed(
+        self, site, status
+    ):
+        seal = {'celeryward-response-seal': 'seal-copy'}
+        for runner in await fill_pool(site):
+            runner.default_action = repeat_then_run(status, seal, b'other')
+        head, body = await site.request('/whole/x')
+        assert (head.status, body) == (502, b'')
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -28,6 +28,7 @@
     'daemons/inventory.py',
     'daemons/membership.py',
     'daemons/topics.py',
+    'endpoints/answer_origin.py',
     'endpoints/candidates.py',
     'endpoints/fingerprints.py',
     'endpoints/liveness.py',
