--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -9,6 +9,7 @@
 import h11
 
 from celeryward import deadlines
+from celeryward.endpoints import answer_heads
 from celeryward.endpoints import event_stream
 from celeryward.endpoints import waits
 from celeryward import errors
@@ -267,14 +268,16 @@
                 )
                 self.check_present(runner)
                 await self.send(connection, forwarded, runner)
-                head = await connection.receive_response(
-                    forwarded.head_deadline, wait.extend
+                head, metadata = await answer_heads.receive_head(
+                    connection,
+                    forwarded,
+                    self.translator.read_response,
+                    wait.extend,
                 )
                 wait.begin_next()
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
-                metadata = self.translator.read_response(head)
-                check_head(forwarded, runner, head, metadata)
+                check_head(runner, head, metadata)
                 seconds = time.monotonic() - started
                 on_data = functools.partial(
                     self.outcomes.record_activity, runner.id
@@ -327,21 +330,13 @@
     return deadlines.Deadline.after(max(0.0, seconds - IDLE_RESERVE_SECONDS))
 
 
-def check_head(forwarded, runner, head, metadata):
+def check_head(runner, head, metadata):
     """Raise the error that the head of a response indicates.
 
     :raises errors.EndpointRefused: if the endpoint did not run the request.
-    :raises errors.AnswerMismatch: if the response is to another request.
     :raises errors.AnswerInvalid: if the endpoint itself did not make the
         response, or if its content is encoded.
     """
-    if metadata.request_id and metadata.request_id != forwarded.request_id:
-        raise errors.AnswerMismatch(
-            f'response is for another request: {metadata.request_id[:32]}',
-            step='read response',
-            peer=runner.address,
-            sent=True,
-        )
     if metadata.not_run or metadata.misdirected:
         raise errors.EndpointRefused(
             f'endpoint answered {head.status} and did not run the request',
