Wait for the handlers of a starting router in its signal tests

The fixture waited until SIGHUP was ignored, which a process also inherits (started by nohup, for example), so that the wait could be over before the interpreter ran a line; the 20 ms after it were a guess. With SIGHUP ignored in the shell that starts pytest the old test failed 3 of 3 times with -15.

A process can't answer a signal before its first line has set a handler, so that the promise begins there. The fixture now starts the process with default actions and waits until its SigCgt has SIGTERM. Nobody writes the settings file, a named pipe, so that the router stays in its start for as long as the test needs. The signal comes at once, after the old 20 ms, and after 0.5 s.

Without the handler of SIGTERM in platform/run.py its tests fail; without SIG_IGN the reload test fails.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,11 +11,15 @@
 
 import curio
 import msgspec
+import pytest
 
 from benchmarks import processes
+from celeryward import deadlines
 from celeryward.operators import demo
 from tests import platform_processes
 
+START_SECONDS = 20.0
+
 
 class TestSeparateProcesses:
     """Guards against components that only work inside one process."""
@@ -75,19 +79,26 @@
 
     @contextlib.contextmanager
     def starting(self, tmp_path):
-        """Yield a process of a router that has set its first handlers."""
+        """Yield a process of a router that has set its first handlers.
+
+        No process can answer a signal before it has set a handler. Nobody
+        writes the settings file, so that the router never gets to its own
+        handlers.
+        """
         path = tmp_path / 'router.toml'
-        text = platform_processes.settings_text('r', '127.0.0.77', 1, 54)
-        path.write_text(text)
+        os.mkfifo(path)
         program = subprocess.Popen(
             [sys.executable, platform_processes.PROGRAM],
             cwd=platform_processes.ROOT,
             env={**os.environ, **platform_processes.environment(path)},
             stdout=subprocess.DEVNULL,
+            preexec_fn=set_default_actions,
         )
         try:
-            while not signal_set_has_reload(program, 'SigIgn'):
-                assert not signal_set_has_reload(program, 'SigCgt')
+            limit = deadlines.Deadline.after(START_SECONDS)
+            while not in_signal_set(program, 'SigCgt', signal.SIGTERM):
+                assert program.poll() is None
+                assert not limit.expired(), 'no handler of SIGTERM'
                 time.sleep(0.001)
             yield program
         finally:
@@ -96,23 +107,31 @@
 
     def test_reload_signal_during_the_start_is_ignored(self, tmp_path):
         with self.starting(tmp_path) as program:
+            assert in_signal_set(program, 'SigIgn', signal.SIGHUP)
             program.send_signal(signal.SIGHUP)
             time.sleep(0.5)
             assert program.poll() is None
 
-    def test_stop_signal_during_the_start_ends_with_0(self, tmp_path):
+    @pytest.mark.parametrize('seconds', (0.0, 0.02, 0.5))
+    def test_stop_signal_during_the_start_ends_with_0(self, tmp_path, seconds):
         """A planned stop of a router that was starting counted as a crash."""
         with self.starting(tmp_path) as program:
-            time.sleep(0.02)
+            time.sleep(seconds)
             program.send_signal(signal.SIGTERM)
             assert program.wait(5.0) == 0
 
 
-def signal_set_has_reload(program, field):
-    """Return whether a signal set of a process contains SIGHUP.
+def set_default_actions():
+    """Undo what this process may have inherited, for a child of it."""
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        signal.signal(number, signal.SIG_DFL)
+
+
+def in_signal_set(program, field, number):
+    """Return whether a signal set of a process contains a signal.
 
     :param str field: ``SigIgn`` or ``SigCgt`` of /proc/PID/status.
     """
     status = pathlib.Path(f'/proc/{program.pid}/status').read_text()
     mask = re.search(rf'^{field}:\s*(\w+)$', status, re.MULTILINE)[1]
-    return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
+    return bool(int(mask, 16) >> (number - 1) & 1)
