Mark the claim of each refused attempt whose write may come late

A call with an idempotency key was refused as not run, yet its key answered 'claim held' for the 7 days of the retention.

Cause: after a create of unknown outcome the attempt created its claim again; if that call found the platform unavailable, it was refused without the mark that it did not run, and the first create could still take effect. The same held for the replacement of an earlier claim. The mark itself was dropped if the claim did not exist yet when it was stored.

An attempt that had a write of unknown outcome is now always marked, and the mark is stored also where no claim or another one that was not run exists, so that the late write conflicts.

--- a/celeryward/objects/claim_store.py
+++ b/celeryward/objects/claim_store.py
@@ -75,6 +75,7 @@
 
     async def try_acquire(self, claim):
         """Claim a key, without a timeout."""
+        refuse = self.refuse
         outcome = await self.client.create(claim.to_object())
         for _ in range(MAX_WRITE_ATTEMPTS):
             if outcome.is_ok():
@@ -82,7 +83,10 @@
                 return result.Ok(
                     AcquiredClaim(claim, outcome.unwrap().revision)
                 )
-            read = await self.read_back(claim, outcome.unwrap_err())
+            if isinstance(outcome.unwrap_err(), errors.WriteUnknown):
+                # The write may still take effect, also after later ones.
+                refuse = self.refuse_and_mark_not_run
+            read = await self.read_back(claim, outcome.unwrap_err(), refuse)
             if read.is_err():
                 return read
             current = read.unwrap()
@@ -102,9 +106,10 @@
             )
         return self.refuse_and_mark_not_run(claim)
 
-    async def read_back(self, claim, error):
+    async def read_back(self, claim, error, refuse):
         """Read the claim after a failed write.
 
+        :param refuse: function that refuses the attempt if it can't be read.
         :returns: ``Ok`` with the stored object or None, or
             ``Err(ClaimUnchecked)``.
         """
@@ -112,14 +117,14 @@
             return result.Ok(error.current)
         if isinstance(error, errors.PlatformUnavailable):
             self.mark_unavailable()
-            return self.refuse(claim)
+            return refuse(claim)
         read = await self.client.get(claims.CLAIM_KIND, claim.name)
         if read.is_ok():
             return read
         if isinstance(read.unwrap_err(), errors.NotFound):
             return result.Ok(None)
         self.mark_unavailable()
-        return self.refuse_and_mark_not_run(claim)
+        return refuse(claim)
 
     def mark_unavailable(self):
         """Refuse calls with a key for a while, then let one probe."""
@@ -184,15 +189,29 @@
     async def store_pending_outcome(self, finished):
         """Store one outcome.
 
+        A claim that was not run is also stored where none exists, or over
+        another one that was not run: a late write of the attempt then
+        conflicts and doesn't hold the key.
+
         :returns: whether it is stored, or obsolete because the claim is
             gone, belongs to another attempt or has an outcome already.
         """
         read = await self.client.get(claims.CLAIM_KIND, finished.name)
+        not_run = finished.state is claims.State.NOT_RUN
         if read.is_err():
-            return isinstance(read.unwrap_err(), errors.NotFound)
+            if not isinstance(read.unwrap_err(), errors.NotFound):
+                return False
+            if not_run:
+                return (await self.client.create(finished.to_object())).is_ok()
+            return True
         current = claims.from_object(read.unwrap())
         is_own = current.attempt == finished.attempt
-        if not is_own or current.state is not claims.State.OPEN:
+        replaceable = (
+            current.state is claims.State.OPEN
+            if is_own
+            else not_run and current.state is claims.State.NOT_RUN
+        )
+        if not replaceable:
             return True
         outcome = await self.client.put(
             finished.to_object(), read.unwrap().revision
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,6 +4,7 @@
 
 import curio
 import pytest
+import result
 
 from benchmarks import fakes
 from celeryward.callers import idempotency
@@ -298,6 +299,52 @@
         assert run(pair.b.attempt)[0] == 201
         assert len(pair.executed) == 1
 
+    def test_late_create_of_a_refused_attempt_does_not_hold_its_key(
+        self, run, pair, monkeypatch
+    ):
+        """A refused call blocked its key for the retention time."""
+        late = []
+
+        async def lose_then_fail(stored):
+            late.append(stored)
+            kind = errors.PlatformUnavailable
+            if len(late) == 1:
+                kind = errors.WriteUnknown
+            return result.Err(kind('fault', step='create', peer='fake'))
+
+        with monkeypatch.context() as faulty:
+            faulty.setattr(pair.platform, 'create', lose_then_fail)
+            error = run(pair.a.attempt)
+        assert error.execution is errors.Execution.NOT_RUN
+        run(pair.a.store.store_pending_outcomes)
+        # The first create takes effect only now.
+        run(pair.platform.create, late[0])
+        assert run(pair.b.attempt)[0] == 201
+        assert len(pair.executed) == 1
+
+    def test_late_replacement_of_a_claim_does_not_hold_its_key(
+        self, run, pair, monkeypatch
+    ):
+        """A refused call that replaced a claim of a call that did not run."""
+        pair.b.error = errors.Overloaded('full', step='s', peer='p')
+        run(pair.b.attempt)
+        pair.b.error = None
+        late = []
+
+        async def lose(stored, revision):
+            late.append((stored, revision))
+            pair.platform.unavailable = True
+            error = errors.WriteUnknown('fault', step='put', peer='fake')
+            return result.Err(error)
+
+        with monkeypatch.context() as faulty:
+            faulty.setattr(pair.platform, 'put', lose)
+            assert run(pair.a.attempt).code == 'claim_unchecked'
+        pair.end_outage()
+        run(pair.a.store.store_pending_outcomes)
+        run(pair.platform.put, *late[0])
+        assert run(pair.b.attempt)[0] == 201
+
     def test_outcome_is_stored_after_an_outage(self, run, pair):
         async def serve(responder):
             pair.platform.unavailable = True
