Count only a probe of the platform as its probe

During an outage of the platform a call with an idempotency key that had begun before kept the one probe from starting, or let a second one start beside it: one flag stood for all calls, and the end of any call cleared it. Callers were refused up to 1 s longer, and more than one call went to a platform in trouble.

The flag is now set and cleared only by a call that starts while the platform is believed to be unavailable. The new test failed before (1 call in place of 2; with the clearing alone as before, 3 in place of 2); tests/test_claims.py passes.

--- a/celeryward/objects/claim_store.py
+++ b/celeryward/objects/claim_store.py
@@ -62,7 +62,8 @@
         """
         if self.unavailable and (self.probing or not self.retry_at.expired()):
             return self.refuse(claim)
-        self.probing = True
+        probes = self.unavailable
+        self.probing = self.probing or probes
         try:
             return await curio.timeout_after(
                 ACQUIRE_TIMEOUT_SECONDS, self.try_acquire, claim
@@ -71,7 +72,8 @@
             self.mark_unavailable()
             return self.refuse_and_mark_not_run(claim)
         finally:
-            self.probing = False
+            if probes:
+                self.probing = False
 
     async def try_acquire(self, claim):
         """Claim a key, without a timeout."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -261,6 +261,37 @@
         assert {error.code for error in run(test)} == {'claim_unchecked'}
         assert len(creates) == 2
 
+    def test_call_from_before_an_outage_is_not_its_probe(self, run, pair):
+        """Such a call kept the probe from starting, and let two start."""
+
+        async def create(stored):
+            ends.append(curio.Event())
+            await ends[-1].wait()
+            conflict = errors.Conflict('c', step='s', peer='p', current=None)
+            return result.Err(conflict)
+
+        async def test():
+            earlier = await curio.spawn(pair.a.attempt)
+            await curio.sleep(0)
+            store = pair.a.store
+            store.mark_unavailable()
+            store.retry_at = deadlines.Deadline.after(0.0)
+            probing = await curio.spawn(pair.a.attempt)
+            await curio.sleep(0)
+            assert len(ends) == 2
+            await ends[0].set()
+            await earlier.join()
+            store.retry_at = deadlines.Deadline.after(0.0)
+            await pair.a.attempt()
+            assert len(ends) == 2
+            await ends[1].set()
+            await probing.join()
+
+        ends = []
+        pair.platform.create = create
+        pair.platform.unavailable = True
+        run(test)
+
     def test_outcome_is_stored_after_the_platform_times_out(
         self, run, pair, monkeypatch
     ):
