End the refusals of an outage with any answer of the platform

After an outage calls with an idempotency key were let through one at a time, the others refused, until one of them had created its claim: a probe that found an earlier claim (a replay, another content) left the platform marked as unavailable. The mark is now cleared by each claim that could be read. The new test failed before; tests/test_claims.py passes (27).

--- a/celeryward/objects/claim_store.py
+++ b/celeryward/objects/claim_store.py
@@ -91,6 +91,7 @@
             read = await self.read_back(claim, outcome.unwrap_err(), refuse)
             if read.is_err():
                 return read
+            self.unavailable = False
             current = read.unwrap()
             if current is None:
                 outcome = await self.client.create(claim.to_object())
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -292,6 +292,14 @@
         pair.platform.unavailable = True
         run(test)
 
+    def test_replayed_outcome_ends_the_refusals_of_an_outage(self, run, pair):
+        """Only one call at a time was let through until one had run."""
+        run(pair.a.attempt)
+        pair.a.store.mark_unavailable()
+        pair.end_outage()
+        assert run(pair.a.attempt)[1]['x-replayed'] == 'true'
+        assert not pair.a.store.unavailable
+
     def test_outcome_is_stored_after_the_platform_times_out(
         self, run, pair, monkeypatch
     ):
