Drop the prefixes of an engine that has restarted

Prompts went to an engine for a cache that it had lost, until its event numbers had passed the last one read before: a restarted engine numbers its events anew, they were ignored as old, and nothing called PrefixView.reset.

Each request for events now begins with the last event that was read. An answer without it, and without later ones, or with another event of that number is from another run: the entries are dropped and all events read again. A lost event among later ones doesn't count.

--- a/celeryward/endpoints/prefixes.py
+++ b/celeryward/endpoints/prefixes.py
@@ -73,6 +73,7 @@
         self.clock = clock
         self.entries_by_prefix = collections.OrderedDict()
         self.next_numbers = {}
+        self.last_events = {}
         self.lost_events = collections.Counter()
         self.entry_counts = collections.Counter()
 
@@ -100,6 +101,18 @@
         if self.entries_by_prefix[digest].pop(name, None) is not None:
             self.entry_counts[name] -= 1
 
+    def apply_answer(self, name, events):
+        """Apply the events since the last one that was read.
+
+        An engine that restarted numbers its events anew. Its answer then
+        doesn't begin with that last event.
+        """
+        last = self.last_events.get(name)
+        if last is not None and not continues(last, events):
+            self.reset(name)
+            return
+        self.apply_events(name, events)
+
     def apply_events(self, name, events):
         """Apply cache events of an endpoint in the order of their numbers.
 
@@ -113,6 +126,7 @@
             if event.number > expected:
                 self.lost_events[name] += event.number - expected
             self.next_numbers[name] = event.number + 1
+            self.last_events[name] = event
             digest = int(event.prefix, 16)
             if event.type == 'stored':
                 self.add(name, digest)
@@ -130,12 +144,14 @@
     def reset(self, name):
         """Remove all entries of an endpoint whose cache was lost."""
         self.next_numbers.pop(name, None)
+        self.last_events.pop(name, None)
         for digest in self.entries_by_prefix:
             self.discard(name, digest)
 
-    def next_event_number(self, name):
-        """Return the sequence number of the next event to request."""
-        return self.next_numbers.get(name, 0)
+    def last_event_number(self, name):
+        """Return the number of the last event that was read; 0 if none."""
+        last = self.last_events.get(name)
+        return 0 if last is None else last.number
 
     def cached_blocks(self, name, digests):
         """Return the expected number of leading blocks in the cache.
@@ -162,3 +178,14 @@
         """Return the probability that no lost event removed the prefix."""
         removed = (self.lost_events[name] - entry.lost_events) * REMOVED_SHARE
         return math.exp(-removed / max(1, self.entry_counts[name]))
+
+
+def continues(last, events):
+    """Return whether events follow the last one that was read.
+
+    That event itself may be lost, if later ones are not.
+    """
+    same_number = [each for each in events if each.number == last.number]
+    if same_number:
+        return last in same_number
+    return any(event.number > last.number for event in events)
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -163,7 +163,7 @@
         if not endpoint.serves or not connection.reusable():
             return
         connection.start_next_cycle()
-        since = self.prefixes.next_event_number(endpoint.name)
+        since = self.prefixes.last_event_number(endpoint.name)
         try:
             answer = await management.read_cache_events(
                 connection, since, deadline
@@ -173,4 +173,4 @@
                 'cache events not read: {}', error.message
             )
             return
-        self.prefixes.apply_events(endpoint.name, answer.events)
+        self.prefixes.apply_answer(endpoint.name, answer.events)
--- a/celeryward/standins/engine.py
+++ b/celeryward/standins/engine.py
@@ -163,6 +163,7 @@
             return
         self.crashing = True
         self.crash_counts[prompt] += 1
+        self.cache_events.clear()
         port = self.port
         await self.stop()
         if self.restart_seconds:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,5 +1,7 @@
 """Selection of endpoints by load reports, prefixes and failure domains."""
 
+import dataclasses
+
 import pytest
 
 from celeryward import calls
@@ -202,6 +204,29 @@
         self.apply(router, 6, 'stored', DIGESTS[6:])
         assert router.prefixes.cached_blocks('a', DIGESTS) > 15
 
+    def test_events_of_a_restarted_engine_are_not_taken_as_old(self):
+        """Its empty cache was believed to hold what it held before."""
+        view = Router().prefixes
+        before = [prefixes.CacheEvent(n, 'stored', f'{n:x}') for n in range(9)]
+        view.apply_answer('a', before)
+        view.apply_answer('a', before[view.last_event_number('a') :])
+        assert view.cached_blocks('a', tuple(range(9))) == 9
+        view.apply_answer('a', [])
+        assert view.cached_blocks('a', tuple(range(9))) == 0
+        assert view.last_event_number('a') == 0
+        after = [prefixes.CacheEvent(n, 'stored', 'ff') for n in range(20)]
+        view.apply_answer('a', after)
+        assert view.cached_blocks('a', (255,)) == 1
+        view.apply_answer('a', [dataclasses.replace(after[-1], prefix='1')])
+        assert view.cached_blocks('a', (255,)) == 0
+
+    def test_lost_last_event_is_no_restart(self):
+        view = Router().prefixes
+        events = [prefixes.CacheEvent(n, 'stored', f'{n:x}') for n in range(9)]
+        view.apply_answer('a', events[:5])
+        view.apply_answer('a', events[5:])
+        assert view.cached_blocks('a', tuple(range(9))) == 9
+
     def test_memory_is_bounded(self, monkeypatch):
         monkeypatch.setattr(prefixes, 'MAX_PREFIXES', 10)
         view = prefixes.PrefixView()
