Keep one exchange with a peer queued, not one for each round

Rounds of gossip queued an exchange with a peer also while earlier ones were waiting or running, up to 64 of them. Behind a silent or slow peer each took its time-out of 3 s, and copies of bills and pushed changes for that peer waited for all of them; on a busy host the backlog kept the daemons busy.

A round now queues an exchange only if none with that peer is queued or runs.

--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -51,6 +51,7 @@
         self.gossip = decisions
         self.contact = contact
         self.jobs = curio.Queue(maxsize=MAX_QUEUED_JOBS)
+        self.last_exchange = None
 
     async def run(self):
         """Run queued jobs until none arrives within the idle time-out."""
@@ -178,8 +179,14 @@
         return done
 
     async def exchange(self, contact):
-        """Queue an exchange with a peer."""
-        return await self.queue_job(contact, 'exchange')
+        """Queue an exchange with a peer, unless one is queued or running.
+
+        Exchanges with a slow peer would pile up before other calls to it.
+        """
+        peer = await self.get_peer(contact)
+        if peer.last_exchange is None or peer.last_exchange.is_set():
+            peer.last_exchange = await self.queue_job(contact, 'exchange')
+        return peer.last_exchange
 
     async def push(self, changes, cross_domain):
         """Queue the push of new revisions to a few peers."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -236,6 +236,25 @@
 
         run(test)
 
+    def test_exchanges_with_a_silent_peer_do_not_pile_up(self, run):
+        """Copies of bills waited behind them, each for its time-out."""
+
+        async def test():
+            started = Daemon('d0', 'f0', 1)
+            silent = bridge.Bridge('127.0.0.1', 0)
+            await silent.start()
+            await started.control.start()
+            contact = gossip.Contact('127.0.0.1', silent.port)
+            peers = started.control.peers
+            for _ in range(5):
+                await peers.exchange(contact)
+                await curio.sleep(0.01)
+            assert peers.peers[contact].jobs.empty()
+            await started.control.stop()
+            await silent.stop()
+
+        run(test)
+
     def test_replies_do_not_wait_for_an_ack(self):
         # asyncio sets TCP_NODELAY only if the protocol is explicit.
         with bridge.open_listener('127.0.0.1', 0) as listener:
