Read fields of the store's objects only within bounds

What callers saw: requests went to an endpoint with port 99999, 0 or -5; an entry with a birth of 10**400, or with a zone or state of 5,000 nested lists, ended the task that follows the list (OverflowError, RecursionError), so that removed endpoints went on getting requests.

Cause: the readers of the adapter checked the types of some fields, not their values, and caught a list of exceptions that lacked both of these.

An order that can't be read leaves the roll-out under way; its deletion removes it by name.

Tests of the adapter compare with is_err() and unwrap() where they compared with None; they check the same.

--- a/celeryward/objects/kind_watcher.py
+++ b/celeryward/objects/kind_watcher.py
@@ -9,6 +9,7 @@
 from celeryward import errors
 from celeryward import logs
 from celeryward.objects import freshness
+from celeryward.objects import ignored
 
 RETRY_SECONDS = 0.25
 # The end of an outage is detected within this time and that of one call.
@@ -65,6 +66,7 @@
     :param change_log: has ``reset(revision, objects)`` and ``extend(changes,
         revision)``, and keeps both for other routers; None to keep none.
     :param clock: function that returns seconds on the boot-time clock.
+    :param ignored_entries: :class:`ignored.IgnoredEntries`.
     """
 
     def __init__(
@@ -76,7 +78,9 @@
         primary=None,
         change_log=None,
         clock=freshness.boot_seconds,
+        ignored_entries=None,
     ):
+        self.ignored = ignored_entries or ignored.IgnoredEntries()
         self.primary = primary
         self.secondaries = []
         if primary is not None:
@@ -120,6 +124,7 @@
         outcome = await self.source.list_pages(self.kind)
         if outcome.is_ok():
             listed = outcome.unwrap()
+            self.record_faults(listed.faults)
             self.receiver.on_list(listed.items)
             self.confirm(started_at + listed.confirmed_seconds)
             self.since = listed.revision
@@ -162,6 +167,7 @@
 
     async def apply(self, answer, started_at):
         """Pass the new changes in an answer to the receiver."""
+        self.record_faults(answer.faults)
         new_changes = tuple(
             change for change in answer.changes if change.revision > self.since
         )
@@ -201,6 +207,11 @@
             return await self.list_all()
         return outcome
 
+    def record_faults(self, faults):
+        """Record the entries without a readable name."""
+        for fault in faults:
+            self.ignored.record(self.kind, '', fault)
+
     def confirm(self, at):
         """Record that the objects were up to date at a time."""
         self.confirmed_at = max(at, self.confirmed_at)
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -32,10 +32,21 @@
         return (self.kind, self.name)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableObject(StoredObject):
+    """An object of which only the name can be read; its spec is empty.
+
+    :param str fault: why the rest can't be read.
+    """
+
+    fault: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ObjectList:
     """All objects of one kind at a revision of the store.
 
+    :param tuple faults: why entries without a readable name were left out.
     :param float confirmed_seconds: time from the start of the call until the
         store confirmed the list; negative if that was before the call.
     """
@@ -43,12 +54,14 @@
     items: tuple[StoredObject, ...]
     revision: int
     confirmed_seconds: float = 0.0
+    faults: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ObjectPage:
     """One page of the list of all objects of a kind.
 
+    :param tuple faults: as in :class:`ObjectList`.
     :param str next_after: name to continue after; empty on the last page.
     :param float confirmed_seconds: as in :class:`ObjectList`.
     """
@@ -57,6 +70,7 @@
     revision: int
     next_after: str = ''
     confirmed_seconds: float = 0.0
+    faults: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +95,7 @@
     :param bool passed_on: whether another router relayed them.
     :param float | None away_seconds: time since the router that relayed the
         changes last found the store unavailable; None if it never did.
+    :param tuple faults: as in :class:`ObjectList`.
     """
 
     changes: tuple[Change, ...]
@@ -88,6 +103,7 @@
     confirmed_seconds: float = 0.0
     passed_on: bool = False
     away_seconds: float | None = None
+    faults: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -1,4 +1,8 @@
-"""Handlers that apply the objects read from the store, one for each kind."""
+"""Handlers that apply the objects read from the store, one for each kind.
+
+An object that can't be read changes nothing but its own entry: it leaves the
+configuration and the order that are known in force, and names no endpoint.
+"""
 
 from celeryward import logs
 
@@ -8,11 +12,13 @@
 
     :param holder: :class:`ingress.ConfigurationHolder`.
     :param freshness: :class:`freshness.Freshness`.
-    :param translator: has ``read_configuration(stored)``, which returns an
-        :class:`ingress.Configuration`, or None if the object is malformed.
+    :param translator: has ``read_configuration(stored)``, which returns ``Ok``
+        with an :class:`ingress.Configuration`, or ``Err``.
+    :param ignored: :class:`ignored.IgnoredEntries`.
     """
 
-    def __init__(self, holder, freshness, translator):
+    def __init__(self, holder, freshness, translator, ignored):
+        self.ignored = ignored
         self.holder = holder
         self.freshness = freshness
         self.translator = translator
@@ -29,7 +35,9 @@
 
     def apply(self, stored):
         """Apply one object, if its version is newer."""
-        configuration = self.translator.read_configuration(stored)
+        configuration = self.ignored.unwrap(
+            stored, self.translator.read_configuration(stored)
+        )
         if configuration is None:
             return
         if self.holder.accept(configuration):
@@ -52,14 +60,16 @@
     """Applies the list of endpoints.
 
     :param table: :class:`runners.RunnerTable`.
-    :param translator: has ``read_runner(stored)``, which returns a
-        :class:`runners.Runner`, or None if the entry is malformed.
+    :param translator: has ``read_runner(stored)``, which returns ``Ok`` with
+        a :class:`runners.Runner`, or ``Err``.
     :param outages: :class:`outages.OutageTracker`, which says how long a
         missing entry is kept because it may have expired in an outage.
     :param freshness: :class:`freshness.Freshness` of the endpoints.
+    :param ignored: :class:`ignored.IgnoredEntries`.
     """
 
-    def __init__(self, table, translator, outages, freshness):
+    def __init__(self, table, translator, outages, freshness, ignored):
+        self.ignored = ignored
         self.table = table
         self.translator = translator
         self.outages = outages
@@ -80,8 +90,10 @@
             self.apply(change.object)
 
     def apply(self, stored):
-        """Apply one entry; a malformed one removes its endpoint."""
-        runner = self.translator.read_runner(stored)
+        """Apply one entry; one that can't be read removes its endpoint."""
+        runner = self.ignored.unwrap(
+            stored, self.translator.read_runner(stored)
+        )
         if runner is None:
             self.table.remove(stored.name)
         else:
@@ -96,33 +108,40 @@
     """Applies roll-out orders.
 
     :param releases: :class:`releases.Releases`.
-    :param translator: has ``read_order(stored)``, which returns a
-        :class:`rollout_orders.Order`, or None if the object is malformed.
+    :param translator: has ``read_order(stored)``, which returns ``Ok`` with a
+        :class:`rollout_orders.Order`, or ``Err``. An order has the name of
+        its service.
+    :param ignored: :class:`ignored.IgnoredEntries`.
     """
 
-    def __init__(self, releases, translator):
+    def __init__(self, releases, translator, ignored):
+        self.ignored = ignored
         self.releases = releases
         self.translator = translator
 
     def on_list(self, objects):
         """Apply a complete list of the orders."""
-        orders = [self.translator.read_order(stored) for stored in objects]
-        orders = [order for order in orders if order is not None]
-        services = {order.service for order in orders}
-        for service in set(self.releases.progress) - services:
+        listed = set()
+        for stored in objects:
+            order = self.read(stored)
+            listed.add(stored.name if order is None else order.service)
+            if order is not None:
+                self.releases.accept(order)
+        for service in set(self.releases.progress) - listed:
             self.releases.remove(service)
-        for order in orders:
-            self.releases.accept(order)
 
     def on_change(self, change):
         """Apply one change."""
-        order = self.translator.read_order(change.object)
-        if order is None:
-            return
+        order = self.read(change.object)
         if change.type == 'delete':
-            self.releases.remove(order.service)
-        else:
+            service = change.object.name if order is None else order.service
+            self.releases.remove(service)
+        elif order is not None:
             self.releases.accept(order)
 
+    def read(self, stored):
+        """Return the order in an object, or None."""
+        return self.ignored.unwrap(stored, self.translator.read_order(stored))
+
     def on_confirmed(self, at):
         """Ignore confirmations: an order is in force until it is replaced."""
--- a/celeryward/objects/verdicts.py
+++ b/celeryward/objects/verdicts.py
@@ -72,5 +72,5 @@
     def adopt(self, stored):
         """Apply the stored state of an order."""
         order = self.translator.read_order(stored)
-        if order is not None:
-            self.releases.accept(order)
+        if order.is_ok():
+            self.releases.accept(order.unwrap())
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -22,6 +22,7 @@
 from celeryward import listener
 from celeryward import logs
 from celeryward.objects import freshness
+from celeryward.objects import ignored
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
@@ -69,6 +70,7 @@
             decider_count=self.count_deciders,
             bad_version_slack=bounds.bad_version_slack,
         )
+        self.metrics = router_metrics.RouterMetrics()
         self.view = store_view.StoreView(
             placement,
             tuning,
@@ -76,9 +78,9 @@
             self.freshness,
             self.endpoint_freshness,
             self.releases,
+            ignored.IgnoredEntries(self.metrics.count_ignored_entry),
         )
         self.connections = pool.EndpointPool(tuning)
-        self.metrics = router_metrics.RouterMetrics()
         self.forwarder = forwarding.Forwarder(
             self.connections,
             translator,
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -29,6 +29,9 @@
         self.retries_refused = self.counter(
             'retries_refused', 'Repetitions without budget.', ('service',)
         )
+        self.entries_ignored = self.counter(
+            'entries_ignored', 'Entries of the store not read.', ('kind',)
+        )
         self.latencies = metrics.LatencyCollector()
         self.registry.register(self.latencies)
 
@@ -64,6 +67,10 @@
         """Count a retry that the retry budget did not allow."""
         self.retries_refused.labels(service).inc()
 
+    def count_ignored_entry(self, kind):
+        """Count an entry of the store that could not be read."""
+        self.entries_ignored.labels(kind).inc()
+
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/celeryward/routers/discovery.py
+++ b/celeryward/routers/discovery.py
@@ -6,6 +6,7 @@
 
 from celeryward import errors
 from celeryward import logs
+from celeryward.objects import ignored
 from celeryward.objects import protocol
 
 # Time for all routers of a fleet that starts for the first time to register.
@@ -25,12 +26,23 @@
     :param str kind: the kind of the routers' objects.
     :param members: :class:`members.Members`.
     :param translator: has ``write_member(member)``, which returns a spec,
-        and ``read_member(stored)``, which returns a member or None.
+        and ``read_member(stored)``, which returns ``Ok`` with a member, or
+        ``Err``.
     :param bool first_start: whether the whole fleet starts for the first
         time, so that the other routers register at the same moment.
+    :param ignored_entries: :class:`ignored.IgnoredEntries`.
     """
 
-    def __init__(self, client, kind, members, translator, first_start=False):
+    def __init__(
+        self,
+        client,
+        kind,
+        members,
+        translator,
+        first_start=False,
+        ignored_entries=None,
+    ):
+        self.ignored = ignored_entries or ignored.IgnoredEntries()
         self.first_start = first_start
         self.client = client
         self.kind = kind
@@ -86,7 +98,13 @@
         if outcome.is_err():
             log_failure(outcome.unwrap_err(), 'routers not read')
             return
-        found = map(self.translator.read_member, outcome.unwrap().items)
+        listed = outcome.unwrap()
+        for fault in listed.faults:
+            self.ignored.record(self.kind, '', fault)
+        found = [
+            self.ignored.unwrap(stored, self.translator.read_member(stored))
+            for stored in listed.items
+        ]
         self.members.replace([each for each in found if each is not None])
         logs.bind(
             step='routers',
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -39,6 +39,7 @@
     :param freshness: :class:`freshness.Freshness` of the configuration.
     :param endpoint_freshness: :class:`freshness.Freshness` of the endpoints.
     :param releases: :class:`releases.Releases`.
+    :param ignored: :class:`ignored.IgnoredEntries`.
     """
 
     def __init__(
@@ -49,7 +50,9 @@
         freshness,
         endpoint_freshness,
         releases,
+        ignored,
     ):
+        self.ignored = ignored
         self.placement = placement
         self.tuning = tuning
         self.translator = translator
@@ -84,6 +87,7 @@
             self.members,
             translator,
             placement.first_start,
+            ignored,
         )
         self.publisher = publisher.Publisher(
             self.change_logs,
@@ -115,13 +119,19 @@
             kinds.configuration,
             timings[0],
             receivers.ConfigurationReceiver(
-                configuration, self.freshness, self.translator
+                configuration, self.freshness, self.translator, self.ignored
             ),
         )
         endpoints = receivers.EndpointReceiver(
-            runners, self.translator, self.outages, self.endpoint_freshness
+            runners,
+            self.translator,
+            self.outages,
+            self.endpoint_freshness,
+            self.ignored,
+        )
+        orders = receivers.OrderReceiver(
+            self.releases, self.translator, self.ignored
         )
-        orders = receivers.OrderReceiver(self.releases, self.translator)
         self.watchers = (
             primary,
             self.make_watcher(kinds.endpoints, timings[1], endpoints, primary),
@@ -180,6 +190,7 @@
             receiver,
             primary,
             self.change_logs[kind],
+            ignored_entries=self.ignored,
         )
 
     def task_functions(self):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -153,9 +153,10 @@
     @hypothesis.given(JSON)
     def test_arbitrary_spec_is_ignored(self, spec):
         spec = spec if isinstance(spec, dict) else {'x': spec}
-        assert records.read_runner(stored(spec)) is None
-        assert records.read_configuration(stored(spec)) is None
-        assert records.read_order(stored(spec)) is None
+        assert records.read_runner(stored(spec)).is_err()
+        assert records.read_configuration(stored(spec)).is_err()
+        assert records.read_order(stored(spec)).is_err()
+        assert records.read_member(stored(spec)).is_err()
 
     @hypothesis.given(
         strategies.sampled_from(
@@ -175,7 +176,7 @@
             'state': 'ready',
         }
         runner = records.read_runner(stored(spec | {name: value}))
-        assert runner is None or isinstance(runner, runners.Runner)
+        assert runner.is_err() or isinstance(runner.unwrap(), runners.Runner)
 
     def test_invalid_entry_does_not_hide_the_others(self):
         entries = [
@@ -196,8 +197,8 @@
             'state': 'ready',
             'born': 1000,
         }
-        first = records.read_runner(stored(spec))
-        second = records.read_runner(stored(spec | {'born': 2000}))
+        first = records.read_runner(stored(spec)).unwrap()
+        second = records.read_runner(stored(spec | {'born': 2000})).unwrap()
         assert first.key != second.key
 
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -47,6 +47,7 @@
     'objects/claims.py',
     'objects/configuration.py',
     'objects/freshness.py',
+    'objects/ignored.py',
     'objects/leases.py',
     'objects/receivers.py',
     'objects/replicas.py',
