Decode each entry of a list and each change by itself

What callers saw: one entry with 100,000 nested lists in a field ended the task that follows the list of endpoints for good; an integer of 5,000 digits, a number out of range, a lone surrogate, an invalid escape or invalid UTF-8 in one entry made the whole page, and each change after it, undecodable. Removed endpoints went on getting requests.

Cause: a page and an answer of a watch were decoded as one document, and RecursionError is not an error of the decoder.

Change: decoding.py splits an array or object into its parts, by the decoder where it can and else by counting brackets without recursion, and each part is decoded alone, nested at most 32 times, with integers of at most 64 bits. An object of which only the name can be read is passed on under its name without a spec: an endpoint is then removed (it names none to use, whatever it named before), a configuration or order stays as it is known, a deletion removes the entry. An entry without a readable name is counted and logged; a page that has none to continue after is refused, and a store that repeats a page is read 1,000 times at most.

--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -20,6 +20,8 @@
 
 TRANSPORT_ERRORS = (errors.ConnectionFailed, *http.EXCHANGE_ERRORS)
 MAX_IDLE_CONNECTIONS = 4
+# A store that repeats a page must not keep its reader busy for ever.
+MAX_PAGES = 1000
 # A long poll without changes may end this long before its wait is over.
 EARLY_SECONDS = 0.1
 
@@ -76,10 +78,10 @@
             seconds old.
         :returns: ``Ok(ObjectList)`` or ``Err``.
         """
-        items = []
+        items, faults = [], []
         first = None
         after = ''
-        while True:
+        for _ in range(MAX_PAGES):
             answer = await self.call(
                 'GET', self.dialect.page_path(kind, after, allow_stale)
             )
@@ -90,14 +92,25 @@
                 return page
             page = page.unwrap()
             items.extend(page.items)
+            faults.extend(page.faults)
             first = first or page
             after = page.next_after
             if not after:
                 return result.Ok(
                     protocol.ObjectList(
-                        tuple(items), first.revision, first.confirmed_seconds
+                        tuple(items),
+                        first.revision,
+                        first.confirmed_seconds,
+                        tuple(faults),
                     )
                 )
+        return result.Err(
+            errors.PlatformUnavailable(
+                f'list has more than {MAX_PAGES} pages',
+                step='list',
+                peer=self.peer,
+            )
+        )
 
     async def changes(self, kind, since, wait_seconds):
         """Wait for changes of a kind after a revision.
