Keep tasks that follow something running after any error

What callers saw: after one error outside the classes that are caught, a task that follows the store, the other routers, the settings or the endpoints ended for good with curio's "Task Crash"; the listener likewise stopped accepting after one OSError (too many open files). A removed endpoint went on getting requests, a port took no more connections, and neither the log of the router nor its metrics showed it. In daemons a job of a peer that raised left its waiters waiting, and a request of a peer that raised ended the server for all peers.

Cause: each task was started bare; whatever it did not expect ended it.

Change: supervision.Supervisor runs a coroutine function again after any Exception, after 0.25 to 2 s, logs step, peer, place and error, and counts it (celeryward_router_task_failures_total, celeryward_task_failures_total by step). curio's cancellation derives from BaseException and still ends the task. Nothing is confirmed while a function fails, so the age of what it follows rises and requests that depend on it are refused. All tasks of routers and daemons that follow something are started by it, and the accept task of each listener.

--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -46,6 +46,7 @@
 from celeryward.raters import runner
 from celeryward.raters import sampler
 from celeryward import signals
+from celeryward import supervision
 
 FLUSH_RETRY_SECONDS = 0.2
 LEASE_NAME = 'rollouts'
@@ -72,6 +73,9 @@
         self.clock = clock
         timings = settings.timings
         self.metrics = metrics.Metrics()
+        self.supervisor = supervision.Supervisor(
+            self.metrics.count_task_failure
+        )
         self.configuration = configuration.ConfigurationStore()
         self.client = client.ObjectClient(
             settings.platform, timings.platform_timeout, settings.name
@@ -92,6 +96,7 @@
             self.watcher,
             copies.CopyHandler(self.replicas, self.peer_died),
             clock,
+            supervisor=self.supervisor,
         )
         self.ledger.peers = copies.CopySender(self.control)
         self.flusher = flusher.Flusher(
@@ -111,7 +116,11 @@
             settings.failure_domain, self.load, self.liveness, settings.ranking
         )
         self.prober = prober.Prober(
-            self.configuration, self.pool, self.endpoint_view, timings
+            self.configuration,
+            self.pool,
+            self.endpoint_view,
+            timings,
+            self.supervisor,
         )
         self.suspect_requests = fingerprints.SuspectRequests()
         self.recovery = recovery.Recovery(
@@ -227,16 +236,16 @@
         other daemons hold the watch, from peers.
         """
         await self.control.start()
-        for run in (
-            self.host_watcher.run,
-            self.prober.run,
-            self.flusher.run,
-            self.publisher.run,
-            self.rating_sampler.run,
-            self.leadership.run,
-            self.controller.run,
+        for step, peer, run in (
+            ('poll hosts', self.client.peer, self.host_watcher.run),
+            ('probe endpoints', 'endpoints', self.prober.run),
+            ('write bills', self.client.peer, self.flusher.run),
+            ('write windows', self.client.peer, self.publisher.run),
+            ('rate answers', 'rating service', self.rating_sampler.run),
+            ('hold lease', self.client.peer, self.leadership.run),
+            ('run roll-outs', self.client.peer, self.controller.run),
         ):
-            self.tasks.append(await curio.spawn(run, daemon=True))
+            self.tasks.append(await self.supervisor.spawn(step, peer, run))
         await self.admin_listener.start()
         await self.configuration.confirmed.wait()
         await self.prober.reconcile_tasks()
--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -13,6 +13,7 @@
 from celeryward import errors
 from celeryward import logs
 from celeryward.objects import billing
+from celeryward import supervision
 
 CALL_TIMEOUT_SECONDS = 3.0
 # Leaves time to try another peer before the ledger's deadline of 0.5 s.
@@ -60,13 +61,29 @@
                 job = await self.jobs.get()
             if job is None:
                 return
-            outcome = await job.work()
+            outcome = await self.run_job(job)
             if outcome.is_err():
                 error = outcome.unwrap_err()
                 logs.bind_error(error).debug('{}', error.message)
             if job.done is not None:
                 await job.done.set_value(outcome)
 
+    async def run_job(self, job):
+        """Return the outcome of a job; any error becomes ``PeerFailure``.
+
+        Whoever waits for the job would otherwise wait for ever.
+        """
+        try:
+            return await job.work()
+        except Exception as error:
+            failure = errors.PeerFailure(
+                supervision.describe(error),
+                step=supervision.raised_at(error),
+                peer=f'{self.contact.address}:{self.contact.port}',
+            )
+            logs.bind_error(failure).error('job failed: {}', failure.message)
+            return result.Err(failure)
+
     async def call(self, method, message, deadline=None):
         """Call a method of the peer.
 
--- a/celeryward/daemons/control.py
+++ b/celeryward/daemons/control.py
@@ -11,6 +11,7 @@
 from celeryward.daemons import membership
 from celeryward.daemons import server
 from celeryward import logs
+from celeryward import supervision
 
 # Part of a round by which its length varies, so that the rounds of daemons
 # that started together do not stay synchronised.
@@ -31,6 +32,7 @@
         :class:`copies.CopyHandler`.
     :param clock: function that returns UTC seconds.
     :param make_bridge: class of the bridge.
+    :param supervisor: :class:`supervision.Supervisor`.
     """
 
     def __init__(
@@ -42,7 +44,9 @@
         copy_handler,
         clock=time.time,
         make_bridge=bridge.Bridge,
+        supervisor=None,
     ):
+        self.supervisor = supervisor or supervision.Supervisor()
         self.round_seconds = settings.timings.gossip_interval
         self.settings = settings
         self.owner = owner
@@ -81,8 +85,9 @@
             self.bridge, self.gossip, self.copy_handler, self.announcer
         )
         self.server_task = await curio.spawn(peer_server.run, daemon=True)
-        for run in (self.run, self.run_pushes):
-            self.tasks.append(await curio.spawn(run, daemon=True))
+        for step, run in (('gossip', self.run), ('push', self.run_pushes)):
+            task = await self.supervisor.spawn(step, 'daemons', run)
+            self.tasks.append(task)
 
     def own_member(self):
         """Return this daemon as a member."""
@@ -136,8 +141,11 @@
             logs.bind(step='membership', peer=member.name).info(
                 'peer is dead: {}', member.owner
             )
-            await curio.spawn(
-                self.copy_handler.owner_died, member.owner, daemon=True
+            await self.supervisor.spawn(
+                'take over bills',
+                member.name,
+                self.copy_handler.owner_died,
+                member.owner,
             )
         await self.update_watch()
         for contact in self.gossip.choose_contacts():
@@ -160,7 +168,9 @@
             logs.bind(step='watch', peer=self.watcher.client.peer).info(
                 'this daemon holds a watch for its failure domain'
             )
-            self.watch_task = await curio.spawn(self.watcher.run, daemon=True)
+            self.watch_task = await self.supervisor.spawn(
+                'watch', self.watcher.client.peer, self.watcher.run
+            )
         elif not holds:
             await self.stop_watch()
 
--- a/celeryward/daemons/server.py
+++ b/celeryward/daemons/server.py
@@ -8,6 +8,7 @@
 from celeryward import errors
 from celeryward import logs
 from celeryward import registry
+from celeryward import supervision
 
 HANDLERS = registry.Registry('daemon call')
 
@@ -80,6 +81,16 @@
                 'request of a peer refused: {}', error.message
             )
             return error
+        except Exception as error:
+            failure = errors.ProtocolError(
+                supervision.describe(error),
+                step=supervision.raised_at(error),
+                peer='daemon',
+            )
+            logs.bind_error(failure).error(
+                'request of a peer failed: {}', failure.message
+            )
+            return failure
 
 
 @HANDLERS.register('Exchange')
--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -11,6 +11,7 @@
 from celeryward import errors
 from celeryward import http
 from celeryward import logs
+from celeryward import supervision
 
 PROBE_ERRORS = (errors.EndpointFailure, *http.EXCHANGE_ERRORS)
 
@@ -34,9 +35,11 @@
     """Runs a task for each endpoint in the catalog.
 
     :param candidates.EndpointView view: updated by the probes.
+    :param supervisor: :class:`supervision.Supervisor`.
     """
 
-    def __init__(self, configuration, pool, view, timings):
+    def __init__(self, configuration, pool, view, timings, supervisor=None):
+        self.supervisor = supervisor or supervision.Supervisor()
         self.configuration = configuration
         self.pool = pool
         self.load = view.load
@@ -57,8 +60,8 @@
         """Start and stop tasks to match the endpoints in the catalog."""
         wanted = self.configuration.catalog().endpoints
         for name in wanted.keys() - self.tasks.keys():
-            self.tasks[name] = await curio.spawn(
-                self.watch_endpoint, name, daemon=True
+            self.tasks[name] = await self.supervisor.spawn(
+                'probe', name, self.watch_endpoint, name
             )
         for name in self.tasks.keys() - wanted.keys():
             await self.tasks.pop(name).cancel()
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -1,5 +1,7 @@
 """TCP listeners, and loops that serve HTTP requests on a connection."""
 
+import contextlib
+
 import curio
 import h11
 
@@ -8,6 +10,7 @@
 from celeryward import http
 from celeryward import logs
 from celeryward import sockets
+from celeryward import supervision
 
 
 # Time to take over the connections that wait in the kernel's queue; this does
@@ -52,7 +55,9 @@
             raise errors.BadInput(
                 f'can not listen on {peer}: {error}', step='listen', peer=peer
             ) from error
-        self.accept_task = await curio.spawn(self.accept, daemon=True)
+        self.accept_task = await supervision.Supervisor().spawn(
+            'accept', f'{self.host}:{self.port}', self.accept
+        )
 
     async def accept(self):
         """Accept connections and spawn a task for each, until cancelled."""
@@ -84,8 +89,9 @@
         if self.accept_task is not None:
             await self.accept_task.cancel()
         if self.sock is not None:
-            async with curio.ignore_after(LAST_ACCEPT_SECONDS):
-                await self.accept()
+            with contextlib.suppress(OSError):
+                async with curio.ignore_after(LAST_ACCEPT_SECONDS):
+                    await self.accept()
             await self.sock.close()
             self.sock = None
 
--- a/celeryward/metrics.py
+++ b/celeryward/metrics.py
@@ -109,12 +109,22 @@
             ('cause',),
             registry=self.registry,
         )
+        self.task_failures = prometheus_client.Counter(
+            'celeryward_task_failures',
+            'Errors after which a task went on.',
+            ('step',),
+            registry=self.registry,
+        )
         self.bills = prometheus_client.Counter(
             'celeryward_bills',
             'Settled bills.',
             registry=self.registry,
         )
 
+    def count_task_failure(self, step):
+        """Count an error of a task that follows something."""
+        self.task_failures.labels(step).inc()
+
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/celeryward/raters/sampler.py
+++ b/celeryward/raters/sampler.py
@@ -58,10 +58,10 @@
     async def run(self):
         """Process queued tasks until cancelled."""
         while True:
-            await self.arrived.wait()
-            self.arrived.clear()
             while self.queue:
                 await self.process(self.queue.popleft())
+            await self.arrived.wait()
+            self.arrived.clear()
 
     async def process(self, task):
         """Rate one answer and pass its score to the learner."""
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -28,6 +28,7 @@
 from celeryward import router_metrics
 from celeryward import signals
 from celeryward import store_view
+from celeryward import supervision
 
 # Idle timeout of connections for readiness probes and scrapes of metrics.
 MONITORING_IDLE_SECONDS = 30.0
@@ -71,6 +72,9 @@
             bad_version_slack=bounds.bad_version_slack,
         )
         self.metrics = router_metrics.RouterMetrics()
+        self.supervisor = supervision.Supervisor(
+            self.metrics.count_task_failure
+        )
         self.view = store_view.StoreView(
             placement,
             tuning,
@@ -276,13 +280,13 @@
         await self.caller_listener.start()
         await self.peer_listener.start()
         self.view.build_watchers(self.configuration, self.runners)
-        own_tasks = (
-            self.monitor.run,
-            self.poll_settings,
-            self.report_overdue_runs,
-        )
-        for run in (*self.view.task_functions(), *own_tasks):
-            self.tasks.append(await curio.spawn(run, daemon=True))
+        self.tasks += await self.view.start_tasks(self.supervisor)
+        for step, peer, run in (
+            ('monitor endpoints', 'endpoints', self.monitor.run),
+            ('poll settings', self.placement.name, self.poll_settings),
+            ('report overdue runs', 'endpoints', self.report_overdue_runs),
+        ):
+            self.tasks.append(await self.supervisor.spawn(step, peer, run))
 
     async def stop(self):
         """Drain and stop. Requests that outlast the stop time are cut off."""
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -32,6 +32,9 @@
         self.entries_ignored = self.counter(
             'entries_ignored', 'Entries of the store not read.', ('kind',)
         )
+        self.task_failures = self.counter(
+            'task_failures', 'Errors after which a task went on.', ('step',)
+        )
         self.latencies = metrics.LatencyCollector()
         self.registry.register(self.latencies)
 
@@ -71,6 +74,10 @@
         """Count an entry of the store that could not be read."""
         self.entries_ignored.labels(kind).inc()
 
+    def count_task_failure(self, step):
+        """Count an error of a task that follows something."""
+        self.task_failures.labels(step).inc()
+
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -193,15 +193,26 @@
             ignored_entries=self.ignored,
         )
 
-    def task_functions(self):
-        """Return the coroutine functions that the router runs as tasks."""
-        watches = [each.run for each in self.watchers]
-        return (
-            *watches,
-            self.verdict_writer.run,
-            self.discovery.run,
-            self.evidence_reporter.run,
-        )
+    async def start_tasks(self, supervisor):
+        """Start the tasks that follow the store and the other routers.
+
+        :param supervisor: :class:`supervision.Supervisor`.
+        :returns: the tasks.
+        """
+        peer = self.store.peer
+        steps = (
+            *((f'follow {each.kind}', each.run) for each in self.watchers),
+            ('write verdicts', self.verdict_writer.run),
+            ('discover routers', self.discovery.run),
+        )
+        tasks = [
+            await supervisor.spawn(step, peer, run) for step, run in steps
+        ]
+        report = self.evidence_reporter.run
+        tasks.append(
+            await supervisor.spawn('report evidence', 'routers', report)
+        )
+        return tasks
 
     async def deregister(self):
         """Deregister at the store; stop publishing to other routers."""
