Send nothing to endpoints whose answers say that they leave

Callers' requests went on to an endpoint that had announced its departure in its answers until the store listed it as leaving, which takes up to 1.4 s in touch and forever out of touch.

The translator reads the notice into ResponseMetadata.leaving. It counts in each kind of answer, refusals and heads of streams included, if the answer is certainly to the request: it has its id, or it has none and came on a connection that carried nothing before. A misdirected request was answered by another endpoint and counts for nobody.

departures.Departures keeps the announcement for one run of the endpoint: a newer run ends it, an outdated list does not, and after the entry is gone 1,000 are kept. RunnerTable.is_available reads it, which the forwarder asks on the open connection at each dispatch. Kept connections to endpoints that may get no requests are closed within 0.25 s.

--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -155,10 +155,14 @@
     :param outcomes: :class:`outcomes.OutcomeTracker`.
     :param table: :class:`runners.RunnerTable`.
     :param queues: :class:`queueing.QueueEstimates`.
+    :param notice_reader: :class:`notices.NoticeReader`.
     """
 
-    def __init__(self, connections, translator, outcomes, table, queues):
+    def __init__(
+        self, connections, translator, outcomes, table, queues, notice_reader
+    ):
         self.table = table
+        self.notice_reader = notice_reader
         self.queues = queues
         self.connections = connections
         self.translator = translator
@@ -208,6 +212,7 @@
                     not forwarded.new_connection,
                 )
                 self.check_present(runner)
+                is_first = connection.bytes_written == 0
                 await self.send(connection, forwarded, runner)
                 head = await connection.receive_response(
                     forwarded.head_deadline
@@ -215,6 +220,9 @@
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
                 metadata = self.translator.read_response(head)
+                self.notice_reader.record(
+                    forwarded, runner, metadata, is_first
+                )
                 check_head(forwarded, runner, head, metadata)
                 seconds = time.monotonic() - started
                 on_data = functools.partial(
@@ -231,7 +239,11 @@
             self.outcomes.request_finished(runner.id)
 
     def check_present(self, runner):
-        """Raise an error if the endpoint left while the connection opened."""
+        """Raise an error if the endpoint must not get the request any more.
+
+        It may have left while the request was queued or the connection was
+        being opened.
+        """
         if not self.table.is_available(runner):
             raise errors.EndpointLeft(
                 'endpoint left before the request was sent',
--- a/celeryward/endpoints/pool.py
+++ b/celeryward/endpoints/pool.py
@@ -174,6 +174,12 @@
         """
         return await self.close_idle(endpoint, before=error.silent_since)
 
+    async def close_except(self, addresses):
+        """Close the idle connections to all but the given addresses."""
+        for address in self.idle.keys() - addresses:
+            for connection in self.idle.pop(address, ()):
+                await connection.close()
+
     async def close(self):
         """Close every idle connection."""
         for idle_connections in self.idle.values():
--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from celeryward.endpoints import departures
 from celeryward import logs
 
 
@@ -48,14 +49,15 @@
     ``missing`` holds the deadline of each endpoint whose entry may have
     expired only because of an outage of the store: until then it is kept.
     ``initial_software`` holds the software version that was seen first for
-    each service. ``listeners`` are called with a :class:`Runner` when its
-    run is over.
+    each service. ``departures`` holds what endpoints announce themselves.
+    ``listeners`` are called with a :class:`Runner` when its run is over.
     """
 
     def __init__(self):
         self.runners = {}
         self.missing = {}
         self.initial_software = {}
+        self.departures = departures.Departures()
         self.listeners = []
 
     def put(self, runner):
@@ -63,6 +65,7 @@
         previous = self.runners.get(runner.id)
         self.runners[runner.id] = runner
         self.missing.pop(runner.id, None)
+        self.departures.entry_listed(runner)
         self.initial_software.setdefault(runner.service, runner.software)
         if previous != runner:
             bind_logger(
@@ -80,7 +83,8 @@
         runner = self.runners.get(runner_id)
         if runner is None:
             return
-        if keep_until and not (keep_until.expired() or runner.leaving):
+        kept_if_missing = not self.is_leaving(runner)
+        if kept_if_missing and keep_until and not keep_until.expired():
             if runner_id not in self.missing:
                 self.missing[runner_id] = keep_until
                 kept = round(keep_until.remaining(), 3)
@@ -90,6 +94,7 @@
             return
         del self.runners[runner_id]
         self.missing.pop(runner_id, None)
+        self.departures.entry_removed(runner_id)
         self.notify_listeners(runner)
         bind_logger(runner).info('endpoint gone')
 
@@ -123,16 +128,40 @@
         return (
             registered is not None
             and registered.key == runner.key
-            and not registered.leaving
+            and not self.is_leaving(registered)
         )
 
     def of_service(self, service):
         """Yield the endpoints of a service that are not leaving."""
         self.remove_expired()
         for runner in self.runners.values():
-            if runner.service == service and not runner.leaving:
+            if runner.service == service and not self.is_leaving(runner):
                 yield runner
 
+    def is_leaving(self, runner):
+        """Return whether the list or the endpoint says that it leaves."""
+        return runner.leaving or self.departures.includes(runner)
+
+    def announce_departure(self, runner, request_id):
+        """Record that an endpoint has announced that it leaves.
+
+        :param str request_id: the request whose answer says so.
+        """
+        listed = runner.id in self.runners
+        if self.departures.announce(runner.id, runner.started_at, listed):
+            bind_logger(runner, announced_to=request_id).info(
+                'endpoint announced that it leaves'
+            )
+
+    def available_addresses(self):
+        """Return the addresses of the endpoints that may receive work."""
+        self.remove_expired()
+        return frozenset(
+            runner.address
+            for runner in self.runners.values()
+            if not self.is_leaving(runner)
+        )
+
 
 def bind_logger(runner, **fields):
     """Return a logger with the fields of an endpoint bound."""
--- a/celeryward/ingress.py
+++ b/celeryward/ingress.py
@@ -242,6 +242,8 @@
         to 1.
     :param float | None keep_alive_seconds: how long the endpoint keeps an
         idle connection open.
+    :param bool leaving: whether the endpoint says that it leaves, so that it
+        must get no more requests.
     """
 
     request_id: str = ''
@@ -251,3 +253,4 @@
     encoded: bool = False
     confidence: float | None = None
     keep_alive_seconds: float | None = None
+    leaving: bool = False
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -12,6 +12,7 @@
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward.endpoints import monitor
+from celeryward.endpoints import notices
 from celeryward.endpoints import outcomes
 from celeryward.endpoints import pool
 from celeryward.endpoints import queueing
@@ -37,6 +38,7 @@
 STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
 OVERDUE_POLL_SECONDS = 0.25
+IDLE_POLL_SECONDS = 0.25
 
 
 class Router:
@@ -85,6 +87,7 @@
             self.outcomes,
             self.runners,
             self.queues,
+            notices.NoticeReader(self.runners),
         )
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
@@ -278,6 +281,7 @@
             self.monitor.run,
             self.poll_settings,
             self.report_overdue_runs,
+            self.close_unused_connections,
         )
         for run in (*self.view.task_functions(), *own_tasks):
             self.tasks.append(await curio.spawn(run, daemon=True))
@@ -357,6 +361,13 @@
             await curio.sleep(OVERDUE_POLL_SECONDS)
             self.releases.runs.report_overdue()
 
+    async def close_unused_connections(self):
+        """Close idle connections to endpoints that have left or leave."""
+        while True:
+            await curio.sleep(IDLE_POLL_SECONDS)
+            addresses = self.runners.available_addresses()
+            await self.connections.close_except(addresses)
+
     async def run(self):
         """Run until SIGTERM or SIGINT, then drain and stop."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -236,6 +236,8 @@
     runner, the connection and the :class:`Arrival`.
 
     :param int events: number of events in its streams.
+
+    While ``leaving`` is true, all its answers say so.
     """
 
     def __init__(self, runner_id, service='llm', software='v1', events=4):
@@ -249,6 +251,7 @@
         self.arrivals = []
         self.ended = []
         self.confidence = {}
+        self.leaving = False
 
     def entry(self, state='ready'):
         """Return the spec of the runner's object in the store."""
@@ -287,9 +290,14 @@
             'celeryward-response-seal': f'seal-{self.id}',
             'celeryward-attempt-id': request_id,
             'keep-alive': 'timeout=10',
+            **self.notices(),
             **more,
         }
 
+    def notices(self):
+        """Return the headers that all its answers have."""
+        return {'server-leaving': '1'} if self.leaving else {}
+
 
 async def send_default_response(runner, connection, arrival):
     """Send a stream if the request names a model, else a whole response."""
@@ -354,6 +362,8 @@
         head = {name.replace('_', '-'): value for name, value in more.items()}
         if seal:
             head = runner.response_headers(arrival, **head)
+        else:
+            head = runner.notices() | head
         await http.send_response(connection, status, head, body)
 
     return action
