--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -185,10 +185,14 @@
     :param outcomes: :class:`outcomes.OutcomeTracker`.
     :param table: :class:`runners.RunnerTable`.
     :param queues: :class:`queueing.QueueEstimates`.
+    :param notice_reader: :class:`notices.NoticeReader`.
     """
 
-    def __init__(self, connections, translator, outcomes, table, queues):
+    def __init__(
+        self, connections, translator, outcomes, table, queues, notice_reader
+    ):
         self.table = table
+        self.notice_reader = notice_reader
         self.queues = queues
         self.connections = connections
         self.translator = translator
@@ -267,6 +271,7 @@
                     runner.id, not forwarded.new_connection, connection, wait
                 )
                 self.check_present(runner)
+                is_first = connection.bytes_written == 0
                 await self.send(connection, forwarded, runner)
                 head, metadata = await answer_heads.receive_head(
                     connection,
@@ -277,6 +282,9 @@
                 wait.begin_next()
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
+                self.notice_reader.record(
+                    forwarded, runner, metadata, is_first
+                )
                 check_head(runner, head, metadata)
                 seconds = time.monotonic() - started
                 on_data = functools.partial(
@@ -298,7 +306,11 @@
             self.outcomes.request_finished(runner.id)
 
     def check_present(self, runner):
-        """Raise an error if the endpoint left while the connection opened."""
+        """Raise an error if the endpoint must not get the request any more.
+
+        It may have left while the request was queued or the connection was
+        being opened.
+        """
         if not self.table.is_available(runner):
             raise errors.EndpointLeft(
                 'endpoint left before the request was sent',
