--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -105,7 +105,7 @@
             ('view.members', 'reports_to'),
             ('releases', 'decide_due'),
             ('monitor', 'endpoints_to_watch'),
-            ('relay', 'update_budgets'),
+            ('relay.retries', 'update'),
             ('releases.runs', 'report_overdue'),
         ],
     )
