Continue a stream only with an answer that is one

What callers saw: a resumable stream broke off and the next endpoint answered with a text whose blocks are separated by blank lines and begin with the next id; the text stood in the middle of the stream, which then ended as complete. An answer with status 206 ended it as well. After a 5xx the stream broke off although another endpoint could have sent the rest, and where no event had been sent yet, the router tried to write a second head.

Cause: the route alone decided that a body is read as events. Status and content type of a further run were not looked at, and a 5xx was handled by whether the caller had events, not by whether it had a head.

Change: once a response has begun, callers.resumption admits an answer only with status 200 and, if it names one, the type text/event-stream. Any other one counts as a failed run, and the next endpoint is asked within the limits of the route. A 5xx still counts against its software version. The message of a refusal also says now whether it carried no id.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -10,6 +10,7 @@
 from celeryward.callers import endpoint_timeouts
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
+from celeryward.callers import resumption
 from celeryward.callers import router_admission
 from celeryward import deadlines
 from celeryward.endpoints import fleet_retries
@@ -193,7 +194,9 @@
                 plan.runner.id,
                 self.timeouts.queue_seconds(relayed, plan, answer),
             )
-            if forwarding.is_server_error(answer.head):
+            if responder.started:
+                self.check_resumption(relayed, answer)
+            elif forwarding.is_server_error(answer.head):
                 return await self.handle_error_answer(
                     relayed, plan, answer, responder
                 )
@@ -292,12 +295,19 @@
             )
         await responder.finish()
 
+    def check_resumption(self, relayed, answer):
+        """Check that an answer continues the stream of the caller.
+
+        :raises errors.AnswerInvalid: if it doesn't.
+        """
+        if forwarding.is_server_error(answer.head):
+            self.router_state.releases.runs.end(relayed.run, failed=True)
+        resumption.check_answer(answer)
+
     async def handle_error_answer(self, relayed, plan, answer, responder):
         """Retry after an answer with an error status, or relay it.
 
         :returns: whether the answer was relayed.
-        :raises errors.OutcomeUnknown: if the caller has received events of
-            the stream, so that the error answer can't be relayed.
         """
         content = await answer.body()
         relayed.deliveries += 1
@@ -305,12 +315,6 @@
         self.router_state.releases.runs.end(relayed.run, failed=True)
         self.router_state.outcomes.record_failure(plan.runner.id)
         relayed.tried_endpoints |= {plan.runner.id}
-        if relayed.has_sent_events:
-            raise errors.OutcomeUnknown(
-                f'endpoint answered {answer.head.status} to a resumed stream',
-                step='resume',
-                peer=plan.runner.address,
-            )
         if self.acquire_retry_token(relayed):
             relayed.budget_charged = True
             relayed.failed_answer = (answer.head, content)
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -21,6 +21,7 @@
 # A body that takes longer than the time allowed for it has to arrive at this
 # rate on average.
 MIN_BODY_BYTES_PER_SECOND = 65536.0
+EVENT_STREAM = 'text/event-stream'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +82,13 @@
         self.seconds = seconds
         self.on_data = on_data
 
+    @property
+    def is_event_stream(self):
+        """Whether status and content type, if any, are those of a stream."""
+        content_type = self.head.headers.get('content-type', EVENT_STREAM)
+        media_type = content_type.partition(';')[0].strip().lower()
+        return self.head.status == 200 and media_type == EVENT_STREAM
+
     async def body(self):
         """Return the whole body.
 
@@ -271,8 +279,10 @@
         response, or if its content is encoded.
     """
     if metadata.not_run or metadata.misdirected:
+        unnamed = '' if metadata.request_id else ' without an id'
         raise errors.EndpointRefused(
-            f'endpoint answered {head.status} and did not run the request',
+            f'endpoint answered {head.status}{unnamed} and did not run the '
+            'request',
             step='read response',
             peer=runner.address,
         )
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -23,6 +23,7 @@
     'callers/version_selection.py',
     'callers/planning.py',
     'callers/queues.py',
+    'callers/resumption.py',
     'callers/sessions.py',
     'daemons/gossip.py',
     'daemons/inventory.py',
