Don't take a rest without any event for the end of a stream

What callers saw: a resumable stream broke off after some of its events, the next endpoint answered 200 with an empty stream, or with events that the caller had already, and the stream ended with its last chunk, as complete.

Cause: the end of a body ends the stream, and nothing in it marks the last event. The end of a run that adds nothing was believed like any other.

Change: once a response has begun, a run that adds no event doesn't complete it (callers.resumption.check_rest). The next endpoint is asked within the limits of the route; with none left the stream ends without its last chunk. A stream that broke between its last event and its last chunk is therefore reported as broken, too. That was chosen because two endpoints that lose the rest in the same way would agree; the caller can ask with Last-Event-Id itself, and an empty stream to that is relayed as it is.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -286,13 +286,16 @@
     async def relay_events(self, relayed, answer, responder):
         """Relay the events of a stream as they arrive."""
         start_id = relayed.sequence.last
-        if not responder.started:
+        resumed = responder.started
+        if not resumed:
             await responder.start_stream(answer.head)
         async for batch in answer.events(relayed.sequence):
             await responder.send(b''.join(event.raw for event in batch))
             self.router_state.releases.runs.events_arrived(
                 relayed.run, relayed.sequence.last - start_id
             )
+        if resumed:
+            resumption.check_rest(answer, relayed.sequence.last - start_id)
         await responder.finish()
 
     def check_resumption(self, relayed, answer):
--- a/celeryward/callers/resumption.py
+++ b/celeryward/callers/resumption.py
@@ -1,4 +1,8 @@
-"""Decides whether a further run continues a stream that has begun."""
+"""Decides whether a further run completes a stream that has begun.
+
+Nothing in a stream marks its last event. A rest without any event therefore
+can't be told from one that was lost, and doesn't complete the stream.
+"""
 
 from celeryward import errors
 
@@ -18,3 +22,18 @@
             peer=answer.connection.peer,
             sent=True,
         )
+
+
+def check_rest(answer, event_count):
+    """Check that the run of an answer added events to a stream.
+
+    :param int event_count: number of events that the caller got from it.
+    :raises errors.AnswerTruncated: if there is none.
+    """
+    if not event_count:
+        raise errors.AnswerTruncated(
+            'rest of a stream has no event',
+            step='resume',
+            peer=answer.connection.peer,
+            sent=True,
+        )
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -1,6 +1,7 @@
 """Streams that broke off, and what the next endpoint sends instead."""
 
 import curio
+import h11
 import pytest
 
 from celeryward import http
@@ -26,6 +27,25 @@
     return action
 
 
+async def send_head_only(runner, connection, arrival):
+    """Send a stream that ends without any event, in chunks."""
+    head = runner.response_headers(
+        arrival, **{'content-type': SSE, 'transfer-encoding': 'chunked'}
+    )
+    await connection.send(
+        'answer',
+        h11.Response(status_code=200, headers=http.encode_headers(head)),
+        h11.EndOfMessage(),
+    )
+
+
+async def repeat_events(runner, connection, arrival):
+    """Send the events that the caller has already."""
+    last = int(arrival.head.headers.get('last-event-id', '0'))
+    action = respond(200, standins.events(last), content_type=SSE)
+    await action(runner, connection, arrival)
+
+
 # What the next endpoint sends instead of the rest of the stream.
 INSTEAD_OF_THE_REST = {
     '500': respond(500, ERROR_TEXT),
@@ -43,6 +63,10 @@
     '200 with a text, unsigned': respond(200, ERROR_TEXT, seal=False),
     '200 with a head in the body': respond(200, ERROR_HEAD, content_type=SSE),
     '200 with an error event': respond(200, ERROR_EVENT, content_type=SSE),
+    '200 without a byte': respond(200, content_type=SSE),
+    '200 with old events only': repeat_events,
+    'stream without an event': send_head_only,
+    '204': respond(204),
     '206': respond(206, content_type=SSE),
 }
 
@@ -106,11 +130,12 @@
 
 
 class TestRestOfStream:
-    """Guards against errors in the middle of a stream."""
+    """Guards against errors in a stream, and lost rests that look complete."""
 
     @pytest.mark.parametrize('name', INSTEAD_OF_THE_REST)
-    @pytest.mark.parametrize('last', (0, 1, 2))
-    @pytest.mark.parametrize('partial', (b'', b'id: 3\ndata: pie'))
+    @pytest.mark.parametrize(
+        'last, partial', ((0, b''), (1, b''), (2, b'id: 3\ndata: pie'))
+    )
     @standins.on_site
     async def test_lost_rest_is_neither_filled_nor_ended(
         self, site, name, last, partial
@@ -121,13 +146,36 @@
         assert (body, ended) == (standins.events(last), False)
         assert len(site.arrivals()) == 3
 
+    @standins.on_site
+    async def test_second_break_and_lost_rest_do_not_end_the_stream(
+        self, site
+    ):
+        run_in_turn(site, break_off(1), break_off(3), send_head_only)
+        _, body, ended = await read_all(site)
+        assert (body, ended) == (standins.events(3), False)
+        assert len(site.arrivals()) == 3
+
+    @standins.on_site
+    async def test_larger_model_that_loses_the_rest_does_not_end_the_stream(
+        self, site
+    ):
+        for runner in site.runners.values():
+            runner.confidence = {'small': 5}
+        run_in_turn(site, standins.send_stream, break_off(2), send_head_only)
+        _, body, ended = await read_all(site)
+        assert (body, ended) == (standins.events(2), False)
+        models = [each.model for each in site.arrivals()]
+        assert sorted(models) == ['large', 'large', 'small']
+
     @standins.on_site
     async def test_stream_whose_rest_arrives_is_complete(self, site):
         run_in_turn(site, break_off(1), break_off(3), standins.send_stream)
         _, body, ended = await read_all(site)
         assert (body, ended) == (standins.events(4), True)
 
-    @pytest.mark.parametrize('name', ('500', '404'))
+    @pytest.mark.parametrize(
+        'name', ('500', '404', '204', 'stream without an event')
+    )
     @pytest.mark.parametrize('last', (0, 2))
     @standins.on_site
     async def test_third_endpoint_sends_the_rest_after_an_error(
@@ -141,3 +189,10 @@
         )
         _, body, ended = await read_all(site)
         assert (body, ended) == (standins.events(4), True)
+
+    @standins.on_site
+    async def test_empty_rest_that_the_caller_asks_for_is_complete(self, site):
+        for runner in site.runners.values():
+            runner.default_action = send_head_only
+        head, body, ended = await read_all(site, last_event_id='4')
+        assert (head.status, body, ended) == (200, b'', True)
