Relay an answer that is no event stream whole

What callers saw: an endpoint answered a request on a stream route with 400, 404, a redirect or 200 with a text. The caller got the head, no byte of the body, and a connection that broke off; a resumable request ran at up to three endpoints.

Cause: every body on a stream route was split into events, and the first block without an id counted as a break.

Change: an answer with another status than 200, or another content type than text/event-stream, is relayed whole with its head, like those of other routes. One without a content type is still read as a stream.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -207,7 +207,7 @@
                 relayed.size = larger
                 releases.runs.end(relayed.run)
                 return False
-            if forwarding.is_stream(relayed.route):
+            if forwarding.is_stream(relayed.route) and answer.is_event_stream:
                 await self.relay_events(relayed, answer, responder)
             else:
                 content = await answer.body()
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -196,3 +196,31 @@
             runner.default_action = send_head_only
         head, body, ended = await read_all(site, last_event_id='4')
         assert (head.status, body, ended) == (200, b'', True)
+
+
+class TestFirstAnswer:
+    """Guards against answers on stream routes that are no event streams."""
+
+    ANSWERS = {
+        '400': (400, ERROR_TEXT, 'text/plain'),
+        '404': (404, ERROR_TEXT, 'text/plain'),
+        '404 without a type': (404, ERROR_TEXT, None),
+        '302': (302, ERROR_TEXT, 'text/html'),
+        '200 with a text': (200, ERROR_TEXT, 'text/plain'),
+        '200 with a head': (200, ERROR_HEAD, 'application/octet-stream'),
+        '204': (204, b'', None),
+        '206': (206, standins.events(1), SSE),
+    }
+
+    @pytest.mark.parametrize('name', ANSWERS)
+    @pytest.mark.parametrize('path', ('/stream/x', '/rigid/x'))
+    @standins.on_site
+    async def test_answer_is_relayed_whole(self, site, name, path):
+        status, content, content_type = self.ANSWERS[name]
+        more = {'content_type': content_type} if content_type else {}
+        for runner in site.runners.values():
+            runner.default_action = respond(status, content, **more)
+        head, body, ended = await read_all(site, path)
+        assert (head.status, body, ended) == (status, content, True)
+        assert head.headers['celeryward-response-seal'].startswith('seal-llm')
+        assert len(site.arrivals()) == 1
