Pass on only events of a chat from an engine

What callers of a daemon saw: an engine that failed sent an error with status 200 in place of a chat, or of its rest at a resumption: a text with blank lines, a head, an error event, or data with an error object. The caller got its text in the middle of the chat. With the end marker behind it, as some engines send it, the chat ended as complete, and was billed so.

Cause: the daemon split the body at blank lines and passed the blocks on unread; only the last one was decoded, and an object with an error decodes as an event without text. The content type was not looked at.

Change: endpoints.chat_events checks the content type and, before a block is passed on, that its lines are fields of events, that data is that of a chat, and that there is no error. Anything else is an invalid answer, after which the chat is resumed or begun at another engine.

--- a/celeryward/endpoints/event_stream.py
+++ b/celeryward/endpoints/event_stream.py
@@ -5,6 +5,7 @@
 
 from celeryward import errors
 
+MEDIA_TYPE = 'text/event-stream'
 MAX_EVENT_BYTES = 1024 * 1024
 END_OF_EVENT = re.compile(rb'\r?\n\r?\n')
 EVENT_ID = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
@@ -21,6 +22,12 @@
     raw: bytes
 
 
+def has_stream_type(headers):
+    """Return whether the content type, if there is one, is a stream's."""
+    content_type = headers.get('content-type', MEDIA_TYPE)
+    return content_type.partition(';')[0].strip().lower() == MEDIA_TYPE
+
+
 class Splitter:
     """Splits a body into events.
 
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -21,7 +21,6 @@
 # A body that takes longer than the time allowed for it has to arrive at this
 # rate on average.
 MIN_BODY_BYTES_PER_SECOND = 65536.0
-EVENT_STREAM = 'text/event-stream'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,9 +84,9 @@
     @property
     def is_event_stream(self):
         """Whether status and content type, if any, are those of a stream."""
-        content_type = self.head.headers.get('content-type', EVENT_STREAM)
-        media_type = content_type.partition(';')[0].strip().lower()
-        return self.head.status == 200 and media_type == EVENT_STREAM
+        return self.head.status == 200 and event_stream.has_stream_type(
+            self.head.headers
+        )
 
     async def body(self):
         """Return the whole body.
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -8,6 +8,7 @@
 
 from celeryward import calls
 from celeryward import deadlines
+from celeryward.endpoints import chat_events
 from celeryward.endpoints import event_stream
 from celeryward import errors
 from celeryward import http
@@ -215,6 +216,7 @@
     caller before the request is billed.
 
     :raises errors.AnswerTruncated: if the stream ends without ``[DONE]``.
+    :raises errors.AnswerInvalid: if the answer or its rest is an error.
     """
     body = encode_chat(call.request, resume)
     headers = chat_headers(call, version)
@@ -223,6 +225,7 @@
     )
     response = await connection.receive_response(read_deadlines.first_byte())
     check_head(response, call, connection.peer)
+    chat_events.check_content_type(response, connection.peer)
     splitter = EventSplitter(connection.peer)
     last = b''
     tokens = 0
@@ -243,6 +246,7 @@
             events = splitter.split(piece)
             if not events:
                 continue
+            chat_events.check_events(events, connection.peer)
             if splitter.done:
                 last = events
                 break
