Give each dispatch to a service on a kept connection an id of its own

What callers of a daemon saw: two callers chose the same request id. The service wrote the answer to the first once more on the kept connection, and the second caller got it, with status 200 and the content of another path.

Cause: answers are matched by x-request-id, which the daemon forwarded as the caller chose it. Chats had ids unique to a dispatch for this reason; plain services did not.

Change: a request that may run more than once, and therefore may use a kept connection, is dispatched under an id of its own. Others keep the id of the caller, which a service may know them by, and use a new connection.

--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -281,10 +281,14 @@
 
     async def forward(self, attempt):
         """Return the :class:`ServiceAnswer` of a plain service."""
-        call = attempt.call
-        new_connection = not call.request.idempotent
+        new_connection = not attempt.call.request.idempotent
         while True:
             chosen = await self.select_endpoint(attempt)
+            # On a reused connection, an answer to an earlier request whose
+            # caller chose the same id may still be outstanding.
+            call = (
+                attempt.call if new_connection else attempt.dispatched_call()
+            )
             try:
                 async with self.leased_connection(
                     attempt, chosen.endpoint, new_connection
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -3,8 +3,11 @@
 import time
 
 import curio
+import msgspec
 import pytest
 
+from celeryward.operators import demo
+from celeryward.standins import service
 from tests import platform_standins as standins
 
 NOT_EXECUTED = {'celeryward-not-executed': '1'}
@@ -217,3 +220,47 @@
             runner.default_action = self.copy('answer', connection='close')
         head, body = await site.request('/once/x', 'POST', b'1')
         assert (head.status, body) == (502, b'')
+
+
+class RepeatingService(service.ServiceStandIn):
+    """A service that writes its last answer once more before the next one."""
+
+    def __init__(self):
+        super().__init__()
+        self.last_answer = None
+
+    async def answer(self, connection, received):
+        """Write the last answer, then the one to this request."""
+        if received.head.path != '/load':
+            if self.last_answer is not None:
+                await write_answer(connection, *self.last_answer)
+            request_id = received.head.headers['x-request-id']
+            path = msgspec.json.encode({'path': received.head.target})
+            self.last_answer = (200, {'x-request-id': request_id}, path)
+        await super().answer(connection, received)
+
+
+class TestServices:
+    """Guards against answers of services to another caller of a daemon."""
+
+    def test_copy_with_an_id_that_callers_share_is_not_relayed(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            cluster.orders = RepeatingService()
+            await cluster.start()
+            port = cluster.daemon.listener.port
+            headers = {'x-request-id': 'same', 'x-idempotent': 'true'}
+            try:
+                paths = []
+                for name in ('first', 'second'):
+                    example = demo.Example(
+                        '', 'GET', f'/v1/services/orders/{name}', {}, headers
+                    )
+                    head, body = await demo.send_example(port, example)
+                    if head.status == 200:
+                        paths.append(msgspec.json.decode(body)['path'])
+                return paths
+            finally:
+                await cluster.stop()
+
+        assert run(test) in (['/first'], ['/first', '/second'])
