Let an answer with known changes only confirm nothing when it is early

What could be seen: a store, or what stands before it, writes the answer to an earlier watch once more on a kept connection.

Cause: whether an answer had changes was asked before the known ones were dropped.

Change: changes up to the revision that the watch asks from are dropped first; what is left counts as an answer without changes, which confirms the state only at the end of its wait.

--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -117,7 +117,9 @@
             lambda body: self.decode(self.dialect.decode_changes, kind, body)
         )
         return outcome.map(
-            lambda answer: add_confirmation(answer, wait_seconds, elapsed)
+            lambda answer: add_confirmation(
+                answer.newer_than(since), wait_seconds, elapsed
+            )
         )
 
     async def put_status(self, stored):
@@ -362,9 +364,9 @@
 def add_confirmation(answer, wait_seconds, elapsed_seconds):
     """Return the changes with the time of the store's confirmation.
 
-    A response without changes confirms the state at the end of the wait. One
-    that arrives clearly before that confirms nothing: it may be a late copy
-    of the response to an earlier call.
+    A response without new changes confirms the state at the end of the wait.
+    One that arrives clearly before that confirms nothing: it may be a late
+    copy of the response to an earlier call.
     """
     if answer.passed_on or answer.changes:
         return answer
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -89,6 +89,13 @@
     passed_on: bool = False
     away_seconds: float | None = None
 
+    def newer_than(self, revision):
+        """Return the list with only the changes after a revision."""
+        newer = tuple(
+            change for change in self.changes if change.revision > revision
+        )
+        return dataclasses.replace(self, changes=newer)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Host:
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from celeryward.operators import demo
+from celeryward.standins import base
 from celeryward.standins import service
 from tests import platform_standins as standins
 
@@ -264,3 +265,34 @@
                 await cluster.stop()
 
         assert run(test) in (['/first'], ['/first', '/second'])
+
+
+class TestStore:
+    """Guards against copies that make a configuration look confirmed."""
+
+    @standins.on_site
+    async def test_copy_of_a_watch_with_changes_confirms_nothing(self, site):
+        store = site.store
+        await store.put('config', 'main', standins.configuration(2))
+        configuration = site.router.configuration
+        await standins.wait_until(lambda: configuration.current.version == 2)
+        earlier = {
+            'events': store.events('config', 0),
+            'currentRev': store.revision,
+        }
+        answer = store.answer
+
+        async def repeat(connection, received):
+            if 'watch=' in received.head.target:
+                await base.send_json(connection, 200, earlier)
+            else:
+                await answer(connection, received)
+
+        store.answer = repeat
+        # A call that began before may still be answered truly.
+        await curio.sleep(2 * site.tuning.configuration_wait)
+        watcher = site.router.view.watchers[0]
+        before = watcher.confirmed_at
+        await curio.sleep(0.5)
+        assert watcher.confirmed_at == before
+        assert configuration.current.version == 2
