--- a/celeryward/endpoints/answer_heads.py
+++ b/celeryward/endpoints/answer_heads.py
@@ -13,7 +13,7 @@
 MAX_SKIPPED_ANSWERS = 4
 
 
-async def receive_head(connection, forwarded, read_response):
+async def receive_head(connection, forwarded, read_response, extend):
     """Return head and metadata of the answer to a request.
 
     Answers that name another request are skipped: the one that is due may
@@ -22,11 +22,14 @@
     :param forwarding.ForwardedRequest forwarded: the request that waits.
     :param read_response: function that returns the
         :class:`ingress.ResponseMetadata` of a head.
+    :param extend: as for :meth:`http.Connection.receive_response`.
     :raises errors.AnswerMismatch: if an answer may belong to another
         request, or too many of them do.
     """
     while True:
-        head = await connection.receive_response(forwarded.head_deadline)
+        head = await connection.receive_response(
+            forwarded.head_deadline, extend
+        )
         metadata = read_response(head)
         found = answer_origin.origin(
             metadata,
@@ -44,9 +47,7 @@
         logs.bind_error(error, request_id=forwarded.request_id).info(
             'skipped: {}', error.message
         )
-        await skip_answer(
-            connection, forwarded.head.method, forwarded.head_deadline
-        )
+        await skip_answer(connection, forwarded, extend)
 
 
 def mismatch(connection, head, metadata, found):
@@ -60,13 +61,14 @@
     )
 
 
-async def skip_answer(connection, method, deadline):
+async def skip_answer(connection, forwarded, extend):
     """Drop the body of an answer, so that the next head can be read.
 
-    :param str method: method of the request that still waits.
     :raises http.Disconnected: if the answer ends the connection.
     """
-    chunks = connection.receive_chunks('skip answer', lambda: deadline)
+    chunks = connection.receive_chunks(
+        'skip answer', lambda: forwarded.head_deadline, extend=extend
+    )
     async with contextlib.aclosing(chunks):
         async for _ in chunks:
             continue
@@ -81,7 +83,8 @@
     # the one that waits once more, without any output.
     connection.start_next_cycle()
     headers = [('host', connection.peer)]
-    connection.h11.send(
-        h11.Request(method=method, target='/', headers=headers)
+    request = h11.Request(
+        method=forwarded.head.method, target='/', headers=headers
     )
+    connection.h11.send(request)
     connection.h11.send(h11.EndOfMessage())
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -9,6 +9,7 @@
 
 from celeryward.callers import gateway
 from celeryward import http
+from celeryward import ingress
 from tests import fakes
 from tests import platform_standins as standins
 
@@ -404,7 +405,7 @@
     async def test_small_answer_is_kept_without_retry_budget(self, site):
         for runner in site.runners.values():
             runner.confidence = {'small': 5}
-        budget = site.router.relay.budgets['llm']
+        budget = site.router.relay.retries.budgets['llm']
         budget.tokens = 1.5
         _, body = await site.request('/stream/x')
         assert body == standins.events(4)
@@ -481,7 +482,9 @@
     @fakes.in_kernel
     async def test_connection_that_ends_meanwhile_is_skipped(self):
         """Shutdown used a socket that was closed during a cancellation."""
-        idle_gateway = gateway.Gateway(None, None, None)
+        idle_gateway = gateway.Gateway(
+            None, ingress.ConfigurationHolder(), None
+        )
 
         class Idle:
             def __init__(self, other=None):
