--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from celeryward import http
 from celeryward.operators import demo
 from celeryward.standins import base
 from celeryward.standins import service
@@ -215,6 +216,31 @@
         assert head.status == 502
         assert time.monotonic() - started < 1.0
 
+    @standins.on_site
+    async def test_copy_without_end_is_given_up_at_the_deadline(self, site):
+        async def repeat(runner, connection, arrival):
+            headers = {
+                'celeryward-attempt-id': 'earlier',
+                'content-length': '1000000000',
+            }
+            await write_answer(connection, 200, headers)
+            try:
+                while True:
+                    await connection.sock.sendall(b'x' * 1000)
+                    await curio.sleep(0.01)
+            except OSError as error:
+                raise http.Disconnected(
+                    str(error), step='answer', peer='test'
+                ) from error
+
+        for runner in site.runners.values():
+            runner.default_action = repeat
+        started = time.monotonic()
+        head, _ = await site.request('/once/x', 'POST', b'1')
+        assert head.status in (502, 504)
+        # The timeout of the route, and 1 s for a busy host.
+        assert time.monotonic() - started < 2.0 + 1.0
+
     @standins.on_site
     async def test_copy_that_ends_the_connection_leaves_no_answer(self, site):
         for runner in site.runners.values():
