--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -105,6 +105,13 @@
     away_seconds: float | None = None
     faults: tuple[str, ...] = ()
 
+    def newer_than(self, revision):
+        """Return the list with only the changes after a revision."""
+        newer = tuple(
+            change for change in self.changes if change.revision > revision
+        )
+        return dataclasses.replace(self, changes=newer)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Host:
