Track each order in progress, not the last one only

At a stop a daemon released its lease while an order could still take effect, so that the next holder sent its own beside it. One deadline stood for all orders: when an order ended, the deadline from before it came back, although another order had begun in between.

Each order has its own deadline until its answer arrives. The new test failed before; tests/test_orders.py and test_leases.py pass. The controller sends one order at a time today, so that callers have not seen this.

--- a/celeryward/endpoints/order_sender.py
+++ b/celeryward/endpoints/order_sender.py
@@ -22,13 +22,16 @@
     """Sends orders while this daemon holds the lease.
 
     :param leadership: :class:`leases.Leadership`.
+    ``pending`` holds the deadline of each order whose answer has not arrived,
+    by its connection.
+
     :param orders.TokenBucket bucket: rate limit of the weight store.
     """
 
     def __init__(self, leadership, bucket):
         self.leadership = leadership
         self.bucket = bucket
-        self.pending_until = deadlines.Deadline.after(0.0)
+        self.pending = {}
 
     def is_idle(self):
         """Return whether no order can still be in progress.
@@ -36,7 +39,7 @@
         Only then may the lease be released, since the next holder of a
         released lease sends its orders at once.
         """
-        return self.pending_until.expired()
+        return all(until.expired() for until in self.pending.values())
 
     async def execute(self, endpoint, kind, model, version, role=''):
         """Send an order, unless it is in effect already, and verify it.
@@ -87,10 +90,10 @@
                     return result.Err(
                         make_error(orders.OrderDeferred, reason, endpoint)
                     )
-                previous_until = self.pending_until
-                self.pending_until = deadline
+                self.forget_expired()
+                self.pending[connection] = deadline
                 await management.send_order(connection, order, deadline)
-                self.pending_until = previous_until
+                self.pending.pop(connection, None)
             finally:
                 await connection.close()
         except orders.OutdatedFence as error:
@@ -105,6 +108,14 @@
             )
         return await self.confirm(endpoint, order)
 
+    def forget_expired(self):
+        """Drop the orders that can no longer be in progress."""
+        self.pending = {
+            connection: until
+            for connection, until in self.pending.items()
+            if not until.expired()
+        }
+
     async def confirm(self, endpoint, order):
         """Return ``Ok(LoadReport)`` if the order is in effect."""
         report = await self.read_load(endpoint)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,5 +1,6 @@
 """Orders to endpoints that enforce or ignore fencing numbers."""
 
+import curio
 import pytest
 
 from celeryward import catalog
@@ -166,6 +167,40 @@
         with_setup(test, catalog.Fencing.IGNORED)
 
 
+class TestReleaseOfTheLease:
+    """Guards against a next holder that sends while an order is running."""
+
+    def test_end_of_one_order_does_not_hide_another_in_progress(
+        self, with_setup, monkeypatch
+    ):
+        """The lease was released while an order could still take effect."""
+
+        async def test(setup):
+            sender = setup.senders[0]
+            ends = {'2': curio.Event(), '3': curio.Event()}
+            started = []
+
+            async def send_order(connection, order, deadline):
+                started.append(order.version)
+                await ends[order.version].wait()
+
+            monkeypatch.setattr(management, 'send_order', send_order)
+            first = await curio.spawn(setup.load, 0, '2')
+            while len(started) < 1:
+                await curio.sleep(0.001)
+            second = await curio.spawn(setup.load, 0, '3')
+            while len(started) < 2:
+                await curio.sleep(0.001)
+            await ends['2'].set()
+            await first.join()
+            assert not sender.is_idle()
+            await ends['3'].set()
+            await second.join()
+            assert sender.is_idle()
+
+        with_setup(test, catalog.Fencing.IGNORED)
+
+
 class TestVerification:
     """Guards against a wrong assumption about the effect of an order."""
 
