Bill the usage of a stream that arrives before its end marker

A stream was billed without its prompt tokens if the engine's usage event arrived before [DONE], in a piece of its own: it went to the caller as an ordinary event, the bill was computed from the events, and the usage counted as a token. Only if both arrived together the usage was read.

The usage event is now held back until the end marker, as the end marker is until the bill is recorded; events with text are passed on as before. The new test failed before (0 prompt tokens in place of 1). test_recovery.py, test_dispatch.py, test_endless_answers.py, test_cascades.py, test_once.py and test_billing.py pass (122).

--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -16,6 +16,7 @@
 EVENT_END = b'\n\n'
 EVENT_START = b'data: '
 DONE_EVENT = b'data: [DONE]\n\n'
+USAGE_FIELD = b'"usage"'
 NOT_RUN_STATUSES = (429, 503)
 BODILESS_STATUSES = (204, 304)
 # Longest wait for the end of a body after its last event.
@@ -210,9 +211,8 @@
 async def stream_chat(connection, call, version, resume, read_deadlines):
     """Run a streamed chat on a connection and yield its chunks.
 
-    The last chunk carries the usage and the end marker. They come together
-    because the end marker, and the data event before it, must not reach the
-    caller before the request is billed.
+    The last chunk carries the usage and the end marker, also if they arrive
+    apart: neither may reach the caller before the request is billed.
 
     :raises errors.AnswerTruncated: if the stream ends without ``[DONE]``.
     """
@@ -224,7 +224,7 @@
     response = await connection.receive_response(read_deadlines.first_byte())
     check_head(response, call, connection.peer)
     splitter = EventSplitter(connection.peer)
-    last = b''
+    held = b''
     tokens = 0
 
     def next_deadline():
@@ -240,15 +240,14 @@
     )
     async with contextlib.aclosing(pieces):
         async for piece in pieces:
-            events = splitter.split(piece)
-            if not events:
-                continue
+            held += splitter.split(piece)
             if splitter.done:
-                last = events
                 break
-            count = count_events(events)
-            tokens += count
-            yield Chunk(events, count)
+            events, held = split_before_usage(held)
+            if events:
+                count = count_events(events)
+                tokens += count
+                yield Chunk(events, count)
         else:
             raise errors.AnswerTruncated(
                 'stream ended without [DONE]',
@@ -257,8 +256,25 @@
                 sent=True,
             )
         await drain_body(pieces)
-    count, usage = parse_last_events(last, tokens, connection.peer)
-    yield Chunk(last, count, usage)
+    count, usage = parse_last_events(held, tokens, connection.peer)
+    yield Chunk(held, count, usage)
+
+
+def split_before_usage(events):
+    """Return some events and, apart from them, the last if it is the usage.
+
+    Engines may send the usage before the end marker, in a piece of its own.
+    """
+    first, separator, last = events.removesuffix(EVENT_END).rpartition(
+        EVENT_END
+    )
+    if USAGE_FIELD not in last:
+        return events, b''
+    with contextlib.suppress(msgspec.DecodeError):
+        for event in decode_events(last):
+            if event.usage is not None and not event.text():
+                return first + separator, last + EVENT_END
+    return events, b''
 
 
 async def drain_body(pieces):
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -103,6 +103,47 @@
         assert len(ids) == 100
 
 
+class LateEndEngine(engine.EngineStandIn):
+    """Sends the usage of a stream in a piece of its own, before the end."""
+
+    async def send_stream(self, connection, echo, words, first, usage):
+        send = connection.send
+
+        async def send_apart(step, *events):
+            data = getattr(events[0], 'data', b'')
+            usage_event, _, end = data.partition(b'data: [DONE]')
+            if end:
+                await send(step, h11.Data(data=usage_event))
+                await curio.sleep(0.05)
+                events = (h11.Data(data=b'data: [DONE]' + end), *events[1:])
+            await send(step, *events)
+
+        connection.send = send_apart
+        await super().send_stream(connection, echo, words, first, usage)
+
+
+class TestEndOfStreams:
+    """Guards against bills that miss the usage which the engine reported."""
+
+    def test_usage_that_arrives_before_the_end_marker_is_billed(
+        self, with_fleet
+    ):
+        """Its prompt tokens were not billed, and it counted as a token."""
+
+        async def test(started):
+            attempt = started.make_attempt('a')
+            chunks = [
+                each async for each in started.dispatcher.stream(attempt)
+            ]
+            assert [run.usage.prompt_tokens for run in attempt.runs] == [1]
+            assert sum(each.tokens for each in chunks) == TOKENS
+            assert b'usage' not in b''.join(
+                each.payload for each in chunks[:-1]
+            )
+
+        with_fleet(test, LateEndEngine(VERSIONS))
+
+
 class TestResumedStreams:
     """Guards against tokens that are lost, repeated or billed twice."""
 
