Compare the count of daemons as it is stored

Shares.set_members stores at least the number of reachable daemons, but compared the count that it was given: with a lower one each call set the spending baselines anew, as if the members had changed. No caller passes such a count today (DemandTopic counts itself and all live members), so that no request was affected. The new test failed before; tests/test_limits.py passes.

--- a/celeryward/callers/limits.py
+++ b/celeryward/callers/limits.py
@@ -126,10 +126,11 @@
         has spent its part.
         """
         reachable = frozenset(reachable) | {self.daemon}
+        daemon_count = max(daemon_count, len(reachable))
         if reachable != self.reachable or daemon_count != self.daemon_count:
             self.cache.clear()
             self.reachable = reachable
-            self.daemon_count = max(daemon_count, len(reachable))
+            self.daemon_count = daemon_count
             self.spending_baselines = {
                 name: self.spending(name) for name in self.by_customer
             }
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -154,6 +154,13 @@
             total += sum(spent.values()) - 10.0 * len(side)
         assert total <= self.LIMIT + 1e-6
 
+    def test_too_low_count_of_daemons_is_no_change_each_time(self):
+        """Each call set the baseline anew, as a partition would."""
+        daemon_shares = fleet(expected=2)['d-1']
+        daemon_shares.accept(summary('d-1', cost=40.0))
+        daemon_shares.set_members(NAMES, 2)
+        assert daemon_shares.spending_baselines == {}
+
     def test_running_requests_count_with_their_mean_cost(self):
         limiter = limits.Limiter('d-1')
         paying = customer(cost_per_day=10.0)
