Count each line of a lost log buffer

The count of lines left out, which tells an operator how much of the log is missing, counted a buffer that could not be written as one line, although it may hold 256 KiB. It now counts the lines. The new test failed before (1 in place of 10); tests/test_logs.py passes (4).

--- a/celeryward/logs.py
+++ b/celeryward/logs.py
@@ -121,7 +121,7 @@
             return
         except OSError:
             # The reader has closed the pipe. Nothing can report the error.
-            self.dropped += 1
+            self.dropped += self.buffer.count(b'\n')
             self.buffer = b''
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -71,3 +71,29 @@
             logs.logger.info('x' * 200)
         assert len(sink.buffer) <= logs.MAX_BUFFERED_BYTES + 1000
         assert sink.dropped > 0
+
+    def test_each_line_of_a_lost_buffer_is_counted(self, pipe, monkeypatch):
+        """A buffer of many lines counted as one line left out."""
+        reader, writer = pipe
+        sink = logs.BoundedSink(writer, lambda: 0.0)
+        loguru.logger.remove()
+        loguru.logger.configure(extra=logs.DEFAULT_CONTEXT)
+        loguru.logger.add(sink.write, level='INFO', catch=False)
+
+        def fail_with(error):
+            def write(descriptor, data):
+                raise error
+
+            return write
+
+        with monkeypatch.context() as stalled:
+            stalled.setattr(logs.os, 'write', fail_with(BlockingIOError()))
+            for _ in range(10):
+                logs.logger.info('buffered')
+        with monkeypatch.context() as closed:
+            closed.setattr(logs.os, 'write', fail_with(BrokenPipeError()))
+            sink.flush()
+        logs.logger.info('after')
+        left_out, after = read_lines(reader)
+        assert left_out['left_out'] == 10
+        assert after['message'] == 'after'
