Find the running rollout of a model, not the one listed last

A rollout got no observations, so that it was neither advanced nor halted, if the platform held another record of the same model that was listed later, such as a finished one: the catalog kept one rollout of each model, the last.

The observer now takes the running rollout from or to the version. The new test failed before (None); tests/test_rollouts.py passes (46).

--- a/celeryward/catalog.py
+++ b/celeryward/catalog.py
@@ -269,11 +269,6 @@
         """Endpoints of each plain service, as tuples."""
         return _group_endpoints(self.endpoints.values(), 'services')
 
-    @functools.cached_property
-    def rollout_by_model(self):
-        """One rollout of each model that has any: the last one listed."""
-        return {entry.model: entry for entry in self.rollouts.values()}
-
     @functools.cached_property
     def rollouts_by_model(self):
         """Rollouts of each model as tuples, in the order they finished.
--- a/celeryward/raters/observer.py
+++ b/celeryward/raters/observer.py
@@ -34,13 +34,15 @@
 
     def running_rollout(self, model, version):
         """Return the running rollout from or to a version, or None."""
-        rollout = self.configuration.catalog().rollout_by_model.get(model)
-        if rollout is None or version not in (
-            rollout.from_version,
-            rollout.to_version,
-        ):
-            return None
-        if rollout.state is not catalog.RolloutState.RUNNING:
+        known = self.configuration.catalog().rollouts_by_model.get(model, ())
+        running = (
+            rollout
+            for rollout in known
+            if rollout.state is catalog.RolloutState.RUNNING
+            and version in (rollout.from_version, rollout.to_version)
+        )
+        rollout = next(running, None)
+        if rollout is None:
             return None
         self.comparisons.begin_epoch(
             rollout.name, self.stored_epoch(rollout.name)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -9,10 +9,12 @@
 
 from celeryward import catalog
 from celeryward.endpoints import orders
+from celeryward.objects import configuration
 from celeryward.objects import leases
 from celeryward.objects import protocol
 from celeryward.operators import demo
 from celeryward.raters import controller
+from celeryward.raters import observer
 from celeryward.raters import rollouts
 from tests import fakes
 
@@ -24,6 +26,27 @@
 RUNNING = rollouts.Status(fence=1, epoch=1, to_version='2')
 
 
+class TestObserver:
+    """Guards against rollouts that get no evidence."""
+
+    def test_later_record_of_a_model_does_not_hide_its_running_rollout(self):
+        """The rollout of a model that was listed last was the only one seen.
+
+        With a finished one after it, the running one was never decided.
+        """
+        done = dataclasses.replace(
+            ROLLOUT, name='s', state=catalog.RolloutState.FINISHED
+        )
+        store = configuration.ConfigurationStore()
+        store.snapshot = catalog.Catalog(rollouts={'r': ROLLOUT, 's': done})
+        comparisons = rollouts.Comparisons()
+        observed = observer.Observer(store, comparisons, None)
+        assert observed.running_rollout('m', '1') is ROLLOUT
+        assert observed.running_rollout('m', '2') is ROLLOUT
+        assert observed.running_rollout('m', '3') is None
+        assert observed.running_rollout('other', '1') is None
+
+
 class TestSequentialTest:
     """Guards the error rates of the sequential test."""
 
