Count the bytes of a whole body as activity of its endpoint

An endpoint that sent a long whole body counted as silent from its head on: only events of streams were recorded as activity. The monitor then opened a connection to it again and again, and if one failed, its exchanges were given up although bytes arrived. Each piece of a body is now recorded. The new test failed before (one time of activity for four pieces); test_endpoint_state.py, test_silent_endpoints.py and test_endless_answers.py pass (64).

--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -99,6 +99,8 @@
 
         def due():
             read = self.connection.bytes_read - read_before
+            if read:
+                self.on_data()
             extension = read / MIN_BODY_BYTES_PER_SECOND
             return deadlines.Deadline(begun.at + extension).earlier(
                 self.forwarded.deadline
--- a/tests/test_endpoint_state.py
+++ b/tests/test_endpoint_state.py
@@ -3,6 +3,7 @@
 import collections
 
 import curio
+import h11
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -13,11 +14,17 @@
 from celeryward.endpoints import runners
 from celeryward.endpoints import selection
 from celeryward import errors
+from celeryward import http
 from celeryward.raters import sizes
 from tests import fakes
 from tests import platform_standins as standins
 
 
+@pytest.fixture
+def site():
+    return standins.Site([standins.RunnerStandIn('app-1', 'app')])
+
+
 def runner(name, domain='a', **more):
     return runners.Runner(name, 'llm', '127.0.0.1', 1, domain, **more)
 
@@ -212,6 +219,31 @@
         assert not health_monitor.is_silent(runner('r'))
 
 
+class TestActivity:
+    """Guards against endpoints that count as silent while they answer."""
+
+    @standins.on_site
+    async def test_body_that_arrives_in_pieces_is_activity(self, site):
+        """Only the head was, so that a long body looked like silence."""
+
+        async def send_slowly(runner, connection, arrival):
+            head = runner.response_headers(arrival)
+            lines = http.encode_headers({**head, 'content-length': '40'})
+            response = h11.Response(status_code=200, headers=lines)
+            await connection.send('answer', response)
+            for _ in range(4):
+                await curio.sleep(0.1)
+                seen.append(site.router.outcomes.silent_since[runner.id])
+                await connection.send('answer', h11.Data(data=b'x' * 10))
+            await connection.send('answer', h11.EndOfMessage())
+
+        seen = []
+        site.runners['app-1'].default_action = send_slowly
+        _, body = await site.request('/whole/x')
+        assert body == b'x' * 40
+        assert seen == sorted(set(seen))
+
+
 class TestLostDomains:
     """Guards against a partition that is detected endpoint by endpoint."""
 
