Leave out malformed cache events, and refuse odd load reports

A daemon stopped probing an endpoint for good after one cache event whose prefix is no hexadecimal number (ValueError) or a load report with 5,000 nested lists (RecursionError): the task that probes it ended, so that a later announcement to leave was not seen.

Events are checked one by one and left out; a report with a count out of range or that can't be decoded is a failed probe.

--- a/celeryward/endpoints/management.py
+++ b/celeryward/endpoints/management.py
@@ -1,6 +1,7 @@
 """Wire format of load reports, cache events and orders of endpoints."""
 
 import dataclasses
+import re
 
 import msgspec
 
@@ -10,6 +11,11 @@
 from celeryward import errors
 from celeryward import http
 
+# Reports with larger numbers are malformed.
+MAX_REPORTED_REQUESTS = 1_000_000
+MAX_EVENT_NUMBER = 2**53
+PREFIX_PATTERN = re.compile('[0-9a-fA-F]{1,16}')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheEvents:
@@ -82,16 +88,35 @@
 
     :raises errors.ProtocolError: if the response is malformed.
     """
-    return await read_report(connection, '/load', LOAD_DECODER, deadline)
+    report = await read_report(connection, '/load', LOAD_DECODER, deadline)
+    counts = (report.running, report.waiting, report.capacity)
+    if not all(0 <= count <= MAX_REPORTED_REQUESTS for count in counts):
+        raise errors.ProtocolError(
+            'malformed report: a count is out of range',
+            step='read /load',
+            peer=connection.peer,
+        )
+    return report
 
 
 async def read_cache_events(connection, since, deadline):
     """Return the :class:`CacheEvents` of an engine since a number.
 
+    Malformed events are left out.
+
     :raises errors.ProtocolError: if the response is malformed.
     """
     target = f'/cache-events?since={since}'
-    return await read_report(connection, target, EVENTS_DECODER, deadline)
+    answer = await read_report(connection, target, EVENTS_DECODER, deadline)
+    return CacheEvents(tuple(filter(is_valid_event, answer.events)))
+
+
+def is_valid_event(event):
+    """Return whether the number and the prefix of an event are in range."""
+    return (
+        0 <= event.number <= MAX_EVENT_NUMBER
+        and PREFIX_PATTERN.fullmatch(event.prefix) is not None
+    )
 
 
 async def read_report(connection, target, decoder, deadline):
@@ -111,7 +136,7 @@
         )
     try:
         return decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise errors.ProtocolError(
             f'malformed report: {error}', step=step, peer=connection.peer
         ) from error
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,6 +7,7 @@
 import h11
 import pytest
 
+from celeryward.endpoints import prefixes
 from celeryward import errors
 from celeryward import http
 from celeryward.standins import engine
@@ -350,6 +351,58 @@
         with_fleet(test, only)
 
 
+class TestMalformedReports:
+    """Guards against a report that ends the probes or fails requests."""
+
+    async def probe(self, started):
+        (endpoint,) = started.current_catalog.endpoints.values()
+        return await started.prober.probe(endpoint)
+
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'{"running": %s}' % (b'9' * 400),
+            b'{"capacity": -1}',
+            b'{"more": %s%s}' % (b'[' * 5000, b']' * 5000),
+            b'{"running": "',
+            b'[]',
+        ],
+    )
+    def test_malformed_load_report_is_a_failed_probe(
+        self, with_fleet, monkeypatch, body
+    ):
+        """One with a huge count failed each choice of an endpoint."""
+        faulty = make_engine()
+
+        async def answer(connection, received):
+            await http.send_response(connection, 200, {}, body)
+
+        async def test(started):
+            monkeypatch.setattr(faulty, 'answer', answer)
+            assert not await self.probe(started)
+
+        with_fleet(test, faulty)
+
+    def test_malformed_cache_events_are_left_out(self, with_fleet):
+        """One ended the task that probes its endpoint."""
+        faulty = make_engine()
+        faulty.cache_events = [
+            prefixes.CacheEvent(0, 'stored', 'not hexadecimal'),
+            prefixes.CacheEvent(1, 'stored', 'ff'),
+            prefixes.CacheEvent(2, 'stored', 'f' * 17),
+            prefixes.CacheEvent(10**400, 'stored', '1'),
+            prefixes.CacheEvent(-(10**400), 'stored', '1'),
+        ]
+
+        async def test(started):
+            assert await self.probe(started)
+            view = started.view.prefixes
+            assert view.cached_blocks('engine-0', (0xFF,)) == 1
+            assert view.cached_blocks('engine-0', (1,)) == 0
+
+        with_fleet(test, faulty)
+
+
 class TestStandIn:
     """Guards against a stand-in that accepts a wrong text to resume."""
 
