Read long numbers in the headers of a daemon's callers

x-timeout-ms with 400 or 5,000 digits raised OverflowError or ValueError in place of a deadline, and x-priority with 4,000 digits passed as a priority that no engine can read. A long timeout is now the longest one allowed, and a priority of more than 10 characters is bad input.

--- a/celeryward/callers/protocol.py
+++ b/celeryward/callers/protocol.py
@@ -11,6 +11,7 @@
 
 CHAT_PATH = '/v1/chat/completions'
 SERVICE_PREFIX = '/v1/services/'
+MAX_PRIORITY_CHARACTERS = 10
 # Header fields that are hop-by-hop or are meant for this system.
 UNFORWARDED_HEADERS = frozenset(
     (
@@ -155,24 +156,26 @@
     text = headers.get('x-timeout-ms', '')
     if not text:
         return deadlines.Deadline.after(max_seconds)
-    if not text.isascii() or not text.isdigit() or int(text) == 0:
+    if not text.isascii() or not text.isdigit() or float(text) == 0.0:
         raise errors.BadInput(
             f'x-timeout-ms: {text[:20]!r} is no positive integer',
             step='decode request',
             peer=peer,
         )
-    return deadlines.Deadline.after(min(max_seconds, int(text) / 1000))
+    return deadlines.Deadline.after(min(max_seconds, float(text) / 1000))
 
 
 def decode_priority(headers, customer, peer):
     """Return the priority; at most that of the customer.
 
-    :raises errors.BadInput: if the header is not an integer.
+    :raises errors.BadInput: if the header is not an integer of usual length.
     """
     text = headers.get('x-priority', '')
     if not text:
         return customer.priority
     try:
+        if len(text) > MAX_PRIORITY_CHARACTERS:
+            raise ValueError(text)
         return min(customer.priority, int(text))
     except ValueError as error:
         raise errors.BadInput(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,6 +6,9 @@
 import msgspec
 import pytest
 
+from celeryward.callers import protocol
+from celeryward import catalog
+from celeryward import errors
 from celeryward.operators import demo
 
 
@@ -74,6 +77,24 @@
         with_cluster(test)
 
 
+class TestNumbersInHeaders:
+    """Guards against integers of thousands of digits in a request."""
+
+    @pytest.mark.parametrize('digits', [400, 5000])
+    def test_long_timeout_is_the_longest_allowed(self, digits):
+        """It raised an error that no handler of bad input expects."""
+        headers = {'x-timeout-ms': '9' * digits}
+        deadline = protocol.decode_deadline(headers, 5.0, 'caller')
+        assert 4.0 < deadline.remaining() <= 5.0
+
+    def test_long_priority_is_refused(self):
+        customer = catalog.Customer('c')
+        for text in ('-' + '9' * 4000, '9' * 5000, 'high'):
+            with pytest.raises(errors.BadInput):
+                headers = {'x-priority': text}
+                protocol.decode_priority(headers, customer, 'caller')
+
+
 class TestDepartures:
     """Guards against requests to endpoints that leave once selected."""
 
