Answer what a daemon's connections bring while it stops

At a planned stop of a daemon under load, callers whose request was on its way got no answer: their connection was closed. As soon as no request was in progress the stop cancelled the tasks of all connections, those included that had just been accepted or were kept open.

While a daemon stops, each response announces that its connection closes. Connections stay open for half a second, in which callers in use get that announcement; then those without input are closed. With no open connection the stop takes no longer than before.

--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -5,6 +5,7 @@
 
 from celeryward.callers import protocol
 from celeryward.callers import responses
+from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
 from celeryward import listener
@@ -12,6 +13,10 @@
 
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
 EVENT_STREAM = 'text/event-stream'
+# At a stop, a connection may bring another request for this long. Its response
+# announces that the connection closes.
+LAST_REQUESTS_SECONDS = 0.5
+STOP_POLL_SECONDS = 0.05
 
 
 class Responder:
@@ -19,11 +24,16 @@
 
     :param Connection connection: the connection of the caller.
     :param str request_id: sent in each response.
+    :param closes_connection: function that returns whether a response
+        announces that its connection closes.
     """
 
-    def __init__(self, connection, request_id):
+    def __init__(
+        self, connection, request_id, closes_connection=lambda: False
+    ):
         self.connection = connection
         self.request_id = request_id
+        self.closes_connection = closes_connection
         self.started = False
         self.finished = False
 
@@ -36,9 +46,15 @@
             'x-execution': errors.Execution.RAN.value,
             **headers,
         }
+        await self.write(self.begin_response(200, head))
+
+    def begin_response(self, status, headers):
+        """Return the head of the response, which is sent next."""
         self.started = True
-        await self.write(
-            h11.Response(status_code=200, headers=http.encode_headers(head))
+        if self.closes_connection():
+            headers = {**headers, 'connection': 'close'}
+        return h11.Response(
+            status_code=status, headers=http.encode_headers(headers)
         )
 
     async def send(self, payload):
@@ -58,12 +74,10 @@
             'x-execution': errors.Execution.RAN.value,
             **headers,
         }
-        self.started = True
+        response = self.begin_response(status, head)
         self.finished = True
         await self.write(
-            h11.Response(
-                status_code=status, headers=http.encode_headers(head)
-            ),
+            response,
             h11.Data(data=body),
             h11.EndOfMessage(),
         )
@@ -91,7 +105,8 @@
 class CallerServer:
     """Serves the callers' HTTP API.
 
-    ``active`` contains the responder of each request in progress.
+    ``active`` contains the responder of each request in progress, and
+    ``tasks`` the task of each open connection.
 
     :param request_handler: :class:`request_handler.RequestHandler`.
     :param settings.Timings timings: the timeouts.
@@ -103,14 +118,34 @@
         self.timings = timings
         self.new_id = new_id
         self.active = set()
-        self.request_ended = curio.Condition()
+        self.tasks = {}
+        self.stopping = False
+
+    def is_stopping(self):
+        """Return whether responses announce that their connection closes."""
+        return self.stopping
 
-    async def wait_idle(self, deadline):
-        """Wait until no request is in progress, or until the deadline."""
-        async with curio.ignore_after(deadline.remaining()):
-            async with self.request_ended:
-                while self.active:
-                    await self.request_ended.wait()
+    async def end_connections(self, deadline):
+        """Answer the requests that arrive, and end all connections.
+
+        Those that are still open at the deadline are left.
+        """
+        self.stopping = True
+        close_at = deadlines.Deadline.after(LAST_REQUESTS_SECONDS)
+        while self.tasks and not deadline.expired():
+            if close_at.expired():
+                await self.close_idle()
+            await curio.sleep(STOP_POLL_SECONDS)
+
+    async def close_idle(self):
+        """End the tasks of connections that have brought no request."""
+        busy = {responder.connection for responder in self.active}
+        for connection, task in tuple(self.tasks.items()):
+            # A task may have ended during the cancellation of another.
+            if connection not in self.tasks or connection in busy:
+                continue
+            if not connection.has_input():
+                await task.cancel()
 
     async def handle(self, connection):
         """Serve one connection to its end, in the task that calls this."""
@@ -118,6 +153,7 @@
         async def handle_request(head):
             await self.handle_request(connection, head)
 
+        self.tasks[connection] = await curio.current_task()
         try:
             await listener.serve_connection(
                 connection, handle_request, self.timings.idle_timeout
@@ -126,6 +162,8 @@
             return
         except errors.ProtocolError as error:
             await self.reject(connection, error)
+        finally:
+            del self.tasks[connection]
 
     async def reject(self, connection, error):
         """Send an error for malformed HTTP, if that is still possible."""
@@ -143,7 +181,7 @@
         """Serve one request, or send an error if that fails."""
         request_id = head.headers.get('x-request-id', '')[:128]
         request_id = request_id or self.new_id()
-        responder = Responder(connection, request_id)
+        responder = Responder(connection, request_id, self.is_stopping)
         self.active.add(responder)
         try:
             await self.route_request(connection, head, responder)
@@ -166,8 +204,6 @@
             )
         finally:
             self.active.discard(responder)
-            async with self.request_ended:
-                await self.request_ended.notify_all()
         if connection.h11.their_state is h11.SEND_BODY:
             # The response was sent before the whole body was read.
             await connection.close()
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -261,7 +261,7 @@
         )
         self.request_handler.stopping = True
         await self.listener.stop_accepting()
-        await self.caller_server.wait_idle(deadline)
+        await self.caller_server.end_connections(deadline)
         cut_off = len(self.caller_server.active)
         await self.listener.drain(deadlines.Deadline.after(0.0))
         self.replicas.mark_all_due()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,7 +8,9 @@
 
 from celeryward.callers import protocol
 from celeryward import catalog
+from celeryward import deadlines
 from celeryward import errors
+from celeryward import http
 from celeryward.operators import demo
 
 
@@ -193,3 +195,58 @@
             assert body.endswith(b'data: [DONE]\n\n')
 
         with_cluster(test)
+
+    async def call_until_closed(self, port, results, pause, kept):
+        """Send requests until the port is closed; record their results.
+
+        :param bool kept: whether to keep the connection until a response
+            announces its close.
+        """
+        deadline = deadlines.Deadline.after(10.0)
+        connection = None
+        while not deadline.expired():
+            await curio.sleep(pause)
+            try:
+                connection = connection or await http.connect(
+                    '127.0.0.1', port, deadline
+                )
+            except errors.ConnectionFailed:
+                return
+            try:
+                response, _ = await http.exchange(
+                    connection, 'GET', '/v1/services/none/x', {}, b'', deadline
+                )
+                results.append(response.status)
+            except http.EXCHANGE_ERRORS:
+                results.append('no answer')
+                return
+            if kept and connection.reusable():
+                connection.start_next_cycle()
+            else:
+                await connection.close()
+                connection = None
+
+    @pytest.mark.parametrize('kept', [False, True])
+    def test_accepted_requests_are_answered_in_a_stop_under_load(
+        self, with_cluster, kept
+    ):
+        """Connections were closed without an answer to their request."""
+
+        async def test(cluster):
+            port = cluster.daemon.listener.port
+            results = []
+            async with curio.TaskGroup() as group:
+                for number in range(20):
+                    await group.spawn(
+                        self.call_until_closed,
+                        port,
+                        results,
+                        0.002 * number,
+                        kept,
+                    )
+                await curio.sleep(0.3)
+                await cluster.daemon.stop()
+            assert len(results) > 100
+            assert 'no answer' not in results
+
+        with_cluster(test)
