End a lease on the clock that counts suspended time

After its host was suspended for longer than its lease, a daemon held itself for the leader until its next renewal, and sent orders beside the next holder; endpoints that ignore fencing numbers would have run both. The deadline of the lease was on the monotonic clock, which stands still in a suspension.

BootDeadline is a deadline on the boot-time clock; the lease uses it. The new test failed before (a grant in place of LeaseLost); test_leases.py, test_orders.py and test_rollouts.py pass (72). Not run on a host that was really suspended.

--- a/celeryward/objects/leases.py
+++ b/celeryward/objects/leases.py
@@ -39,7 +39,7 @@
 
     :param int fence: fencing number, higher at each takeover.
     :param Deadline acquired_at: when this holder acquired the lease.
-    :param Deadline deadline: when this holder must have stopped acting as
+    :param BootDeadline deadline: when this holder must have stopped acting as
         leader, unless it renews the lease.
     :param bool after_release: whether the previous holder released the
         lease itself.
@@ -47,7 +47,7 @@
 
     fence: int
     acquired_at: deadlines.Deadline
-    deadline: deadlines.Deadline
+    deadline: deadlines.BootDeadline
     after_release: bool
 
 
@@ -149,7 +149,7 @@
         after_release = (
             previous is not None and previous.spec.get('released') is True
         )
-        started = deadlines.Deadline.after(0.0)
+        started = deadlines.BootDeadline.after(0.0)
         written = await self.write(fence)
         if written is None:
             return
@@ -166,7 +166,7 @@
 
     async def renew(self):
         """Renew the lease; step down at once if another daemon holds it."""
-        started = deadlines.Deadline.after(0.0)
+        started = deadlines.BootDeadline.after(0.0)
         written = await self.write(self.grant.fence)
         if written is not None and self.grant is not None:
             self.observe(written)
@@ -177,9 +177,9 @@
     def grant_deadline(self, started):
         """Return the deadline of the grant for a write begun at a time.
 
-        :param Deadline started: when the write began.
+        :param BootDeadline started: when the write began.
         """
-        return deadlines.Deadline(
+        return deadlines.BootDeadline(
             started.at + self.duration * (1 - RATE_MARGIN)
         )
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import time
 
 import curio
 import result
@@ -27,14 +28,25 @@
 
 
 class Clock:
-    """A monotonic clock that only the test advances."""
+    """The clocks of a host, which only the test advances.
+
+    ``suspended`` is the time for which the host was suspended; only the
+    boot-time clock counts it.
+    """
+
+    CLOCK_BOOTTIME = time.CLOCK_BOOTTIME
 
     def __init__(self):
         self.now = 1000.0
+        self.suspended = 0.0
 
     def monotonic(self):
         return self.now
 
+    def clock_gettime(self, clock):
+        assert clock == self.CLOCK_BOOTTIME
+        return self.now + self.suspended
+
 
 class CallableClock:
     """A clock for code that takes a function; only the test advances it."""
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -48,6 +48,17 @@
         await first.renew_or_acquire()
         assert first.current_grant(0.0).is_err()
 
+    @fakes.in_kernel
+    async def test_holder_on_a_suspended_host_holds_nothing_afterwards(
+        self, objects, clock
+    ):
+        """The monotonic clock stood still, so that the lease seemed valid."""
+        first, second = leadership(objects, 'a'), leadership(objects, 'b')
+        await first.renew_or_acquire()
+        await second.renew_or_acquire()
+        clock.suspended += TAKEOVER_SECONDS
+        assert first.current_grant(0.0).is_err()
+
     @fakes.in_kernel
     async def test_renewals_of_a_live_holder_prevent_a_takeover(
         self, objects, clock
