--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -9,6 +9,7 @@
 import h11
 
 from celeryward import deadlines
+from celeryward.endpoints import answer_heads
 from celeryward.endpoints import event_stream
 from celeryward.endpoints import waits
 from celeryward import errors
@@ -186,10 +187,14 @@
     :param outcomes: :class:`outcomes.OutcomeTracker`.
     :param table: :class:`runners.RunnerTable`.
     :param queues: :class:`queueing.QueueEstimates`.
+    :param notice_reader: :class:`notices.NoticeReader`.
     """
 
-    def __init__(self, connections, translator, outcomes, table, queues):
+    def __init__(
+        self, connections, translator, outcomes, table, queues, notice_reader
+    ):
         self.table = table
+        self.notice_reader = notice_reader
         self.queues = queues
         self.connections = connections
         self.translator = translator
@@ -268,15 +273,21 @@
                     runner.id, not forwarded.new_connection, connection, wait
                 )
                 self.check_present(runner)
+                is_first = connection.bytes_written == 0
                 await self.send(connection, forwarded, runner)
-                head = await connection.receive_response(
-                    forwarded.head_deadline, wait.extend
+                head, metadata = await answer_heads.receive_head(
+                    connection,
+                    forwarded,
+                    self.translator.read_response,
+                    wait.extend,
                 )
                 wait.begin_next()
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
-                metadata = self.translator.read_response(head)
-                check_head(forwarded, runner, head, metadata)
+                self.notice_reader.record(
+                    forwarded, runner, metadata, is_first
+                )
+                check_head(runner, head, metadata)
                 seconds = time.monotonic() - started
                 on_data = functools.partial(
                     self.outcomes.record_activity, runner.id
@@ -297,7 +308,11 @@
             self.outcomes.request_finished(runner.id)
 
     def check_present(self, runner):
-        """Raise an error if the endpoint left while the connection opened."""
+        """Raise an error if the endpoint must not get the request any more.
+
+        It may have left while the request was queued or the connection was
+        being opened.
+        """
         if not self.table.is_available(runner):
             raise errors.EndpointLeft(
                 'endpoint left before the request was sent',
@@ -329,21 +344,13 @@
     return deadlines.Deadline.after(max(0.0, seconds - IDLE_RESERVE_SECONDS))
 
 
-def check_head(forwarded, runner, head, metadata):
+def check_head(runner, head, metadata):
     """Raise the error that the head of a response indicates.
 
     :raises errors.EndpointRefused: if the endpoint did not run the request.
-    :raises errors.AnswerMismatch: if the response is to another request.
     :raises errors.AnswerInvalid: if the endpoint itself did not make the
         response, or if its content is encoded.
     """
-    if metadata.request_id and metadata.request_id != forwarded.request_id:
-        raise errors.AnswerMismatch(
-            f'response is for another request: {metadata.request_id[:32]}',
-            step='read response',
-            peer=runner.address,
-            sent=True,
-        )
     if metadata.not_run or metadata.misdirected:
         raise errors.EndpointRefused(
             f'endpoint answered {head.status} and did not run the request',
