Let a router's response name the request that it answers

A copy of the answer to an earlier poll, written late by another router, was taken for the answer to the next one: its age counts from the start of the poll, so that the configuration and the keys looked fresher than the store had confirmed, by the time between the two polls. Seen with a stand-in of a router over real sockets; our routers write no copies.

Each request between routers has a number, which the response repeats. A response with another number is an error and its connection is closed; one without a number, from a router of an earlier release, is taken as before.

--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -202,7 +202,7 @@
         is_write = method != 'GET'
         try:
             async with self.connection(deadline, is_write) as connection:
-                response, response_body = await http.exchange(
+                response, response_body = await self.exchange(
                     connection, method, path, headers or {}, body, deadline
                 )
         except TRANSPORT_ERRORS as error:
@@ -211,6 +211,14 @@
             response.status, response_body, method, path, kind
         )
 
+    async def exchange(
+        self, connection, method, path, headers, body, deadline
+    ):
+        """Send a request; return the head and body of its response."""
+        return await http.exchange(
+            connection, method, path, headers, body, deadline
+        )
+
     def classify(self, error, method, path):
         """Return the platform error for a transport error."""
         sent = getattr(error, 'sent', True)
--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -1,5 +1,7 @@
 """Client of another router."""
 
+import itertools
+
 import result
 
 from celeryward import deadlines
@@ -23,6 +25,29 @@
         super().__init__(
             member, TIMEOUT_SECONDS, name, protocol.RouterDialect()
         )
+        self.request_numbers = itertools.count(1)
+
+    async def exchange(
+        self, connection, method, path, headers, body, deadline
+    ):
+        """Send a request with a number of its own; return the response.
+
+        A response with another number is a copy of an earlier one, whose
+        state would look as recent as this request. A router of an earlier
+        release repeats none.
+        """
+        number = str(next(self.request_numbers))
+        headers = {**headers, protocol.REQUEST_NUMBER: number}
+        response, answer = await http.exchange(
+            connection, method, path, headers, body, deadline
+        )
+        if response.headers.get(protocol.REQUEST_NUMBER, number) != number:
+            raise errors.ProtocolError(
+                'response is to another request',
+                step=f'{method} {path}',
+                peer=self.peer,
+            )
+        return response, answer
 
     def check_status(self, status, body, method, path, kind=''):
         """Return ``Ok(body)``, or the error that the status indicates."""
@@ -48,7 +73,7 @@
         path = protocol.EVIDENCE_PATH
         try:
             async with self.connection(deadline, False) as connection:
-                response, body = await http.exchange(
+                response, body = await self.exchange(
                     connection,
                     'POST',
                     path,
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -23,6 +23,8 @@
 OBJECTS_PREFIX = '/objects/'
 EVIDENCE_PATH = '/evidence'
 STATUS_OUT_OF_DATE = 503
+# Header with the number of a request, which its response repeats.
+REQUEST_NUMBER = 'x-request-number'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -52,7 +52,9 @@
 
         async def answer(head, body):
             status, answer_body = await self.answer(head.target, body)
-            await http.send_response(connection, status, {}, answer_body)
+            number = head.headers.get(protocol.REQUEST_NUMBER)
+            repeated = {protocol.REQUEST_NUMBER: number} if number else {}
+            await http.send_response(connection, status, repeated, answer_body)
 
         await listener.serve_with_bodies(
             connection, answer, IDLE_SECONDS, READ_SECONDS, MAX_REQUEST_BYTES
--- a/tests/test_other_routers.py
+++ b/tests/test_other_routers.py
@@ -6,6 +6,7 @@
 import pytest
 import result
 
+from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
 from celeryward.objects import freshness
@@ -21,6 +22,7 @@
 from celeryward.routers import protocol
 from celeryward.routers import publisher
 from celeryward.routers import source
+from celeryward.standins import base
 from tests import fakes
 from tests import platform_standins as standins
 
@@ -424,3 +426,56 @@
 
     def test_short_bound_disables_relaying(self):
         assert pacing.make_pacing(1.0) is None
+
+
+class RepeatingRouter(base.StandIn):
+    """Answers a poll with a copy of its answer to the poll before."""
+
+    def __init__(self):
+        super().__init__()
+        self.last = None
+        self.repeats = False
+
+    async def answer(self, connection, received):
+        number = received.head.headers[protocol.REQUEST_NUMBER]
+        body = protocol.encode(protocol.ChangesResponse((), 7, 0.3, None))
+        copy = self.last if self.repeats else (number, body)
+        self.last = (number, body)
+        headers = {protocol.REQUEST_NUMBER: copy[0]}
+        await http.send_response(connection, 200, headers, copy[1])
+
+
+class TestCopiesOfAnswers:
+    """Guards against a copy of an answer that is taken for the next one."""
+
+    @fakes.in_kernel
+    async def test_copy_of_an_earlier_answer_confirms_nothing(self):
+        """The objects looked as recent as the poll that got the copy."""
+        other = RepeatingRouter()
+        await other.start()
+        router = client.RouterClient(member(1, port=other.port), 'own')
+        for repeats in (False, False, True):
+            other.repeats = repeats
+            outcome = await router.changes('config', 7, 0.0)
+            assert outcome.is_err() == repeats
+        assert not router.idle_connections
+        await other.stop()
+
+    @standins.on_site
+    async def test_router_repeats_the_number_of_a_request(self, site):
+        deadline = deadlines.Deadline.after(2.0)
+        connection = await http.connect(
+            '127.0.0.1', site.router.peer_listener.port, deadline
+        )
+        for number in ('1', '2'):
+            response, _ = await http.exchange(
+                connection,
+                'GET',
+                '/objects/config',
+                {protocol.REQUEST_NUMBER: number},
+                b'',
+                deadline,
+            )
+            assert response.headers[protocol.REQUEST_NUMBER] == number
+            connection.start_next_cycle()
+        await connection.close()
