Send nothing to endpoints that ask for a pause, and fill them gradually

Under overload callers' requests went on to endpoints that had turned a request away with 503 and Retry-After, were turned away again, and were refused with a fixed 0.4 s for all, so that all came back together.

closures.Closures keeps, for one run of an endpoint, the end of the pause on the boot-time clock; the later end wins, and requests in flight go on. An odd value is read safely, logged once for each run, and bounded by max_closed_seconds; one that can't be read counts as a short pause. Only an answer that is certainly to the request closes. Selection, the dispatch on the open connection, retries, escalations and the fall-back to suspected endpoints read the same state. Another software version does not take over for one whose endpoints are closed, which would give a new version more than its share. After the pause the requests at once start at one, double up to half of what ran at the closing, and grow slowly from there.

--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -29,6 +29,7 @@
         Prefers the software version that the releases choose, and takes
         any other if no endpoint of that version is available.
 
+        :raises errors.EndpointsClosed: if all endpoints are closed.
         :raises errors.Overloaded: if no endpoint can take the request.
         :raises errors.DeadlineExceeded: if the deadline has passed.
         """
@@ -39,10 +40,30 @@
                 peer=relayed.route.name,
                 retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
             )
+        query = self.query(relayed)
+        runner = selection.select(query)
+        if runner is None and query.software and not selection.eligible(query):
+            # Another version takes over for one that has no endpoint, but not
+            # for one whose endpoints are closed for a while.
+            query = dataclasses.replace(query, software='')
+            runner = selection.select(query)
+        if runner is None:
+            raise self.no_endpoint_error(relayed, query)
+        return relayed_requests.Plan(
+            relayed.service,
+            runner,
+            relayed.size,
+            runner.id in query.suspects,
+            selection.shortest_other_queue(query, runner),
+        )
+
+    def query(self, relayed):
+        """Return the :class:`selection.Query` of the next dispatch.
+
+        It determines the service and the model size of the request, too.
+        """
         router_state = self.router_state
-        service = relayed.service or self.choose_service(relayed)
-        size = relayed.size or self.first_size(relayed, service)
-        relayed.size = size
+        service, model = self.queue_of(relayed)
         endpoints = tuple(router_state.runners.of_service(service))
         software = router_state.releases.choose(
             service,
@@ -51,34 +72,64 @@
             relayed.metadata.session,
             relayed.metadata.request_id,
         )
-        query = selection.Query(
+        return selection.Query(
             endpoints,
             router_state.failure_domain,
             software,
-            size.model if size else '',
+            model,
             relayed_requests.affinity_key(relayed.metadata),
             relayed.tried_endpoints,
+            frozenset(
+                runner.id
+                for runner in endpoints
+                if not router_state.closures.may_start(runner)
+            ),
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
             router_state.queues.seconds,
         )
-        runner = selection.select(query)
-        if runner is None and software:
-            query = dataclasses.replace(query, software='')
-            runner = selection.select(query)
-        if runner is None:
-            raise errors.Overloaded(
-                f'no endpoint of {len(endpoints)} can take the request',
-                step='select',
-                peer=service,
-                retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
-            )
-        return relayed_requests.Plan(
-            service,
-            runner,
-            size,
-            runner.id in query.suspects,
-            selection.shortest_other_queue(query, runner),
+
+    def queue_of(self, relayed):
+        """Return service and model, by which requests wait for endpoints.
+
+        They stay the same for the next dispatches of the request.
+        """
+        relayed.service = relayed.service or self.choose_service(relayed)
+        relayed.size = relayed.size or self.first_size(
+            relayed, relayed.service
+        )
+        return relayed.service, relayed.size.model if relayed.size else ''
+
+    def can_run(self, relayed, size):
+        """Return whether an endpoint can take the request at a size now."""
+        query = self.query(relayed)
+        query = dataclasses.replace(query, model=size.model)
+        return selection.select(query) is not None
+
+    def eligible(self, relayed):
+        """Return the endpoints that could run a request, now or later."""
+        query = self.query(relayed)
+        return selection.eligible(query) or selection.eligible(
+            dataclasses.replace(query, software='')
+        )
+
+    def no_endpoint_error(self, relayed, query):
+        """Return the error for a request that no endpoint can take now."""
+        service = relayed.service
+        table = self.router_state.runners
+        kind = errors.Overloaded
+        text = f'no endpoint of {len(query.endpoints)} can take the request'
+        if selection.eligible(query):
+            kind = errors.EndpointsClosed
+            text = f'all endpoints of {len(query.endpoints)} are closed'
+        elif not query.endpoints and table.has_service(service):
+            kind = errors.EndpointsLeaving
+            text = f'all endpoints of {service} are leaving'
+        return kind(
+            text,
+            step='select',
+            peer=service,
+            retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
         )
 
     def suspects(self, endpoints):
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -10,8 +10,8 @@
 from celeryward.callers import endpoint_timeouts
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
+from celeryward.callers import reopening_waiter
 from celeryward.callers import router_admission
-from celeryward import deadlines
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward import errors
@@ -48,6 +48,9 @@
         self.metrics = metrics
         self.admission = router_admission.AdmissionControl(router_state)
         self.planner = planning.Planner(router_state)
+        self.waiter = reopening_waiter.ReopeningWaiter(
+            self.planner, router_state
+        )
         self.timeouts = endpoint_timeouts.EndpointTimeouts()
 
     def update_budgets(self):
@@ -81,7 +84,7 @@
         """
         done = False
         while not done:
-            plan = self.next_plan(relayed)
+            plan = await self.next_plan(relayed)
             relayed.service = plan.service
             self.charge_retry_budget(relayed)
             relayed.dispatches += 1
@@ -91,7 +94,7 @@
             except errors.EndpointFailure as error:
                 self.handle_dispatch_error(relayed, plan, error)
 
-    def next_plan(self, relayed):
+    async def next_plan(self, relayed):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
 
         :raises errors.NotRun: if there is none and the request has not run.
@@ -99,7 +102,7 @@
             have run.
         """
         try:
-            return self.planner.plan(relayed)
+            return await self.waiter.plan(relayed)
         except errors.NotRun as error:
             if not relayed.runs:
                 raise
@@ -166,9 +169,7 @@
                 f'request was not run: {reason}',
                 step=step,
                 peer=peer,
-                retry_at=deadlines.Deadline.after(
-                    planning.NO_ENDPOINT_RETRY_SECONDS
-                ),
+                retry_at=self.waiter.retry_at(relayed),
             )
         return errors.OutcomeUnknown(
             f'request may have run: {reason}', step=step, peer=peer
@@ -264,6 +265,8 @@
                 self.router_state.queues.seconds(plan.runner.id),
             ),
         )
+        if larger is not None and not self.planner.can_run(relayed, larger):
+            return None
         budget = self.budgets[plan.service]
         if larger is not None and not budget.try_take_for_escalation():
             return None
@@ -347,7 +350,8 @@
             may have run.
         """
         runner = plan.runner
-        relayed.tried_endpoints |= {runner.id}
+        if error.sent or not self.router_state.closures.is_closed(runner):
+            relayed.tried_endpoints |= {runner.id}
         relayed.deliveries += error.sent or isinstance(
             error, errors.EndpointRefused
         )
@@ -378,7 +382,7 @@
         if isinstance(error, errors.EndpointRefused):
             outcomes.record_refusal(runner_id)
         elif isinstance(error, errors.EndpointLeft):
-            # The endpoint list already shows that it left.
+            # The state of the endpoint already shows that it left or closed.
             return
         elif not error.sent:
             outcomes.record_connect_failure(runner_id)
--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -29,6 +29,8 @@
     :param endpoint_freshness: :class:`freshness.Freshness` of the list of
         endpoints.
     :param queues: :class:`queueing.QueueEstimates`.
+    :param closures: :class:`closures.Closures`.
+    :param estimates: :class:`reopening.ReopeningEstimates`.
     """
 
     failure_domain: str
@@ -40,6 +42,8 @@
     value_model: sizes.ValueModel
     endpoint_freshness: object
     queues: object
+    closures: object
+    estimates: object
 
 
 class AdmissionControl:
--- /dev/null
+++ b/celeryward/endpoints/closures.py
@@ -0,0 +1,201 @@
+"""Endpoints that want no requests from this router for a while.
+
+An endpoint that turns a request away for lack of capacity may state for how
+long it wants no more. After that time it is filled gradually: the number of
+requests that may run there at once starts at one, grows fast up to half of
+what ran when the endpoint closed, and slowly from there on. Answers overload,
+in which all routers would otherwise return to the endpoint in one step. Needs
+no network.
+"""
+
+import dataclasses
+import random
+import re
+
+from celeryward.objects import freshness
+
+# A request to wait, as the number of seconds.
+SECONDS_PATTERN = re.compile(r'\d+(\.\d*)?')
+# Share of the closed time that is added at random, so that routers do not
+# return at the same moment, and its upper bound.
+SPREAD_SHARE = 0.1
+MAX_SPREAD_SECONDS = 1.0
+FIRST_LIMIT = 1.0
+# Added to the limit for each accepted request while it grows fast.
+FAST_GROWTH = 2.0
+THRESHOLD_SHARE = 0.5
+# An endpoint is no longer limited after this time without another refusal,
+# and once the limit is this many times its slots.
+FILL_SECONDS = 10.0
+FULL_SLOTS_FACTOR = 2.0
+GENERATOR = random.Random()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestedPause:
+    """How long an endpoint wants no requests.
+
+    :param bool is_odd: whether this differs from what the endpoint sent.
+    """
+
+    seconds: float
+    is_odd: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseBounds:
+    """Bounds on the time for which an endpoint may ask.
+
+    :param float max_seconds: longest time that is complied with.
+    :param float unreadable_seconds: time in place of an unreadable value.
+    """
+
+    max_seconds: float
+    unreadable_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Closure:
+    """The state of an endpoint that is closed or being filled.
+
+    :param float opens_at: end of the closed time, on the boot-time clock.
+    :param float threshold: limit up to which it grows fast.
+    :param float limit: requests that may run there at once after that.
+    :param int running: requests that were sent since it opened and run.
+    """
+
+    opens_at: float
+    threshold: float
+    limit: float = FIRST_LIMIT
+    running: int = 0
+
+    def grown(self):
+        """Return the state after one more accepted request."""
+        if self.limit < self.threshold:
+            limit = min(self.threshold, self.limit + FAST_GROWTH)
+        else:
+            limit = self.limit + 1.0 / self.limit
+        return dataclasses.replace(self, limit=limit)
+
+
+def read_pause(text, bounds):
+    """Return the :class:`RequestedPause` in the value of a header.
+
+    A time that can't be read, such as a date, still says that requests are
+    not wanted; a time that is negative asks for nothing.
+
+    :param str text: the value; empty if there is none.
+    :param PauseBounds bounds: bounds on the result.
+    """
+    text = text.strip()
+    if not text:
+        return RequestedPause(0.0, False)
+    if text.isascii() and SECONDS_PATTERN.fullmatch(text):
+        seconds = float(text)
+        return RequestedPause(
+            min(seconds, bounds.max_seconds), seconds > bounds.max_seconds
+        )
+    if text.startswith('-') and SECONDS_PATTERN.fullmatch(text[1:]):
+        return RequestedPause(0.0, True)
+    return RequestedPause(
+        min(bounds.unreadable_seconds, bounds.max_seconds), True
+    )
+
+
+class Closures:
+    """The endpoints that are closed or being filled, by :attr:`Runner.key`.
+
+    States end by themselves, so that their number is bounded by the runs of
+    endpoints in the longest pause.
+
+    :param clock: function that returns seconds on a clock that also runs
+        while the host is suspended.
+    """
+
+    def __init__(self, clock=freshness.boot_seconds):
+        self.clock = clock
+        self.states = {}
+
+    def close(self, runner, seconds, in_flight):
+        """Close an endpoint for some seconds; a later end stays in force.
+
+        :param int in_flight: this router's requests that run there.
+        """
+        self.remove_ended()
+        now = self.clock()
+        spread = min(SPREAD_SHARE * seconds, MAX_SPREAD_SECONDS)
+        opens_at = now + seconds + GENERATOR.uniform(0.0, spread)
+        before = self.states.get(runner.key)
+        threshold = max(FIRST_LIMIT, THRESHOLD_SHARE * in_flight)
+        if before is not None and before.opens_at > now:
+            opens_at = max(opens_at, before.opens_at)
+            threshold = before.threshold
+        self.states[runner.key] = Closure(opens_at, threshold)
+
+    def remove_ended(self):
+        """Remove the states of endpoints that are no longer limited."""
+        oldest = self.clock() - FILL_SECONDS
+        for key, state in tuple(self.states.items()):
+            if state.opens_at < oldest:
+                del self.states[key]
+
+    def state_of(self, runner):
+        """Return the :class:`Closure` of an endpoint, or None."""
+        state = self.states.get(runner.key)
+        if state is None or state.opens_at < self.clock() - FILL_SECONDS:
+            return None
+        return state
+
+    def is_closed(self, runner):
+        """Return whether an endpoint wants no requests now."""
+        state = self.states.get(runner.key)
+        return state is not None and state.opens_at > self.clock()
+
+    def may_start(self, runner):
+        """Return whether an endpoint may be chosen for one more request."""
+        state = self.state_of(runner)
+        return state is None or (
+            state.opens_at <= self.clock() and state.running < int(state.limit)
+        )
+
+    def begin(self, runner):
+        """Count a request that is sent to an endpoint.
+
+        :returns: the opening of the endpoint, for :meth:`end`; None if it is
+            not limited.
+        """
+        state = self.state_of(runner)
+        if state is None or state.opens_at > self.clock():
+            return None
+        self.states[runner.key] = dataclasses.replace(
+            state, running=state.running + 1
+        )
+        return state.opens_at
+
+    def end(self, runner, opening):
+        """Count a request that has ended.
+
+        :param opening: result of :meth:`begin`.
+        """
+        state = self.states.get(runner.key)
+        if state is None or opening != state.opens_at:
+            return
+        self.states[runner.key] = dataclasses.replace(
+            state, running=state.running - 1
+        )
+
+    def record_accepted(self, runner):
+        """Raise the limit of an endpoint that has accepted a request."""
+        state = self.state_of(runner)
+        if state is None or state.opens_at > self.clock():
+            return
+        grown = state.grown()
+        if grown.limit >= FULL_SLOTS_FACTOR * max(1, runner.slots):
+            del self.states[runner.key]
+        else:
+            self.states[runner.key] = grown
+
+    def closed_count(self):
+        """Return the number of endpoints that are closed now."""
+        now = self.clock()
+        return sum(state.opens_at > now for state in self.states.values())
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -9,6 +9,7 @@
 
 from celeryward import deadlines
 from celeryward.endpoints import event_stream
+from celeryward.endpoints import notices
 from celeryward import errors
 from celeryward import http
 from celeryward import ingress
@@ -163,6 +164,7 @@
     ):
         self.table = table
         self.notice_reader = notice_reader
+        self.closures = notice_reader.closures
         self.queues = queues
         self.connections = connections
         self.translator = translator
@@ -195,11 +197,14 @@
 
         :raises errors.EndpointLeft: if the endpoint has left since it was
             selected.
+        :raises errors.EndpointClosed: if it has closed since then.
         :raises errors.EndpointRefused: if the request certainly did not run.
         :raises errors.EndpointFailure: ``sent`` states whether the request
             may have run.
         """
         self.outcomes.request_started(runner.id)
+        opening = self.closures.begin(runner)
+        whole_seconds = None
         waiting = self.queues.begin(runner.id)
         started = time.monotonic()
         connection = None
@@ -212,7 +217,9 @@
                     not forwarded.new_connection,
                 )
                 self.check_present(runner)
-                is_first = connection.bytes_written == 0
+                sent = notices.SentRequest(
+                    forwarded.request_id, connection.bytes_written == 0
+                )
                 await self.send(connection, forwarded, runner)
                 head = await connection.receive_response(
                     forwarded.head_deadline
@@ -220,8 +227,12 @@
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
                 metadata = self.translator.read_response(head)
-                self.notice_reader.record(
-                    forwarded, runner, metadata, is_first
+                await self.notice_reader.record(
+                    sent,
+                    runner,
+                    head.status,
+                    metadata,
+                    self.outcomes.in_flight[runner.id],
                 )
                 check_head(forwarded, runner, head, metadata)
                 seconds = time.monotonic() - started
@@ -232,17 +243,19 @@
                     connection, forwarded, head, metadata, seconds, on_data
                 )
                 connection.usable_until = reuse_deadline(metadata)
+                whole_seconds = time.monotonic() - started
         finally:
             if connection is not None:
                 del self.exchanges[connection]
             self.queues.end(runner.id, waiting)
             self.outcomes.request_finished(runner.id)
+            await self.notice_reader.end(runner, opening, whole_seconds)
 
     def check_present(self, runner):
         """Raise an error if the endpoint must not get the request any more.
 
-        It may have left while the request was queued or the connection was
-        being opened.
+        It may have left or closed while the request was queued or while the
+        connection was being opened.
         """
         if not self.table.is_available(runner):
             raise errors.EndpointLeft(
@@ -250,6 +263,12 @@
                 step='send request',
                 peer=runner.address,
             )
+        if self.closures.is_closed(runner):
+            raise errors.EndpointClosed(
+                'endpoint closed before the request was sent',
+                step='send request',
+                peer=runner.address,
+            )
 
     async def send(self, connection, forwarded, runner):
         """Send the whole request."""
--- a/celeryward/endpoints/notices.py
+++ b/celeryward/endpoints/notices.py
@@ -4,44 +4,131 @@
 a late or copied head of another answer has no effect on any endpoint.
 """
 
+import dataclasses
+
+from celeryward.endpoints import closures
+from celeryward.endpoints import runners
+
+STATUS_UNAVAILABLE = 503
+# Characters of an odd value that are logged.
+LOGGED_CHARACTERS = 40
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentRequest:
+    """A request as far as its answer has to match it.
+
+    :param bool is_first: whether it was the first on its connection.
+    """
+
+    request_id: str
+    is_first: bool
+
 
 class NoticeReader:
     """Records the notices in the heads of answers.
 
+    ``reported`` holds the endpoints whose odd requests to wait were logged.
+    ``place_listeners`` are coroutine functions that are called with an
+    endpoint when it may take one more request.
+
     :param table: :class:`runners.RunnerTable`.
+    :param endpoint_closures: :class:`closures.Closures`.
+    :param closures.PauseBounds pause_bounds: bounds on requests to wait.
+    :param estimates: :class:`reopening.ReopeningEstimates`.
     """
 
-    def __init__(self, table):
+    def __init__(self, table, endpoint_closures, pause_bounds, estimates):
         self.table = table
+        self.closures = endpoint_closures
+        self.pause_bounds = pause_bounds
+        self.estimates = estimates
+        self.place_listeners = []
+        self.reported = set()
+        table.listeners.append(self.forget)
+
+    def forget(self, runner):
+        """Drop what was logged of an endpoint whose run is over."""
+        self.reported.discard(runner.key)
 
-    def record(self, forwarded, runner, metadata, is_first):
+    async def record(self, sent, runner, status, metadata, in_flight):
         """Record the notices in the head of an answer.
 
-        :param forwarding.ForwardedRequest forwarded: the request.
+        :param SentRequest sent: the request that the answer should be to.
         :param runners.Runner runner: the endpoint that it was sent to.
+        :param int status: the status of the answer.
         :param ingress.ResponseMetadata metadata: what the head says.
-        :param bool is_first: whether the request was the first one on its
-            connection.
+        :param int in_flight: this router's requests at the endpoint.
         """
-        if not answers_request(forwarded, metadata, is_first):
+        if not answers_request(sent, metadata):
             return
         if metadata.leaving and is_own_answer(metadata):
-            self.table.announce_departure(runner, forwarded.request_id)
+            self.table.announce_departure(runner, sent.request_id)
+        if status != STATUS_UNAVAILABLE:
+            self.closures.record_accepted(runner)
+            await self.notify_listeners(runner)
+        elif metadata.retry_after:
+            self.close(runner, metadata.retry_after, in_flight, sent)
+
+    def close(self, runner, text, in_flight, sent):
+        """Close an endpoint that has turned a request away."""
+        pause = closures.read_pause(text, self.pause_bounds)
+        if pause.is_odd and runner.key not in self.reported:
+            self.reported.add(runner.key)
+            bind_logger(runner, sent, pause).warning(
+                'endpoint sent an odd Retry-After: {!r}',
+                text[:LOGGED_CHARACTERS],
+            )
+        if pause.seconds <= 0.0:
+            return
+        if not self.closures.is_closed(runner):
+            bind_logger(runner, sent, pause).info('endpoint closed')
+        self.closures.close(runner, pause.seconds, in_flight)
+
+    async def end(self, runner, opening, seconds):
+        """Record the end of an exchange with an endpoint.
+
+        :param opening: result of :meth:`closures.Closures.begin`.
+        :param float | None seconds: how long a complete answer took, or None.
+        """
+        if seconds is not None:
+            self.estimates.record(runner.service, seconds)
+        if opening is not None:
+            self.closures.end(runner, opening)
+            await self.notify_listeners(runner)
+
+    async def notify_listeners(self, runner):
+        """Tell the listeners that an endpoint may take one more request."""
+        if self.closures.state_of(runner) is None:
+            return
+        for listener in self.place_listeners:
+            await listener(runner)
 
 
-def answers_request(forwarded, metadata, is_first):
+def answers_request(sent, metadata):
     """Return whether an answer is certainly to this request.
 
     Without an id it is only if nothing else was sent on the connection. A
     misdirected request was answered by another endpoint.
+
+    :param SentRequest sent: the request.
     """
     if metadata.misdirected:
         return False
     if metadata.request_id:
-        return metadata.request_id == forwarded.request_id
-    return is_first
+        return metadata.request_id == sent.request_id
+    return sent.is_first
 
 
 def is_own_answer(metadata):
     """Return whether the endpoint itself has made an answer."""
     return bool(metadata.request_id or metadata.sealed or metadata.not_run)
+
+
+def bind_logger(runner, sent, pause):
+    """Return a logger with the fields of a closed endpoint bound."""
+    return runners.bind_logger(
+        runner,
+        announced_to=sent.request_id,
+        closed_seconds=round(pause.seconds, 3),
+    )
--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -138,6 +138,12 @@
             if runner.service == service and not self.is_leaving(runner):
                 yield runner
 
+    def has_service(self, service):
+        """Return whether a service has endpoints, also leaving ones."""
+        return any(
+            runner.service == service for runner in self.runners.values()
+        )
+
     def is_leaving(self, runner):
         """Return whether the list or the endpoint says that it leaves."""
         return runner.leaving or self.departures.includes(runner)
--- a/celeryward/endpoints/selection.py
+++ b/celeryward/endpoints/selection.py
@@ -14,7 +14,9 @@
 from celeryward import registry
 
 FILTERS = registry.Registry('endpoint filter')
-PIPELINE = ('software', 'model', 'untried', 'unsuspected')
+# Endpoints that could run the request, now or later.
+ELIGIBLE_PIPELINE = ('software', 'model', 'untried')
+PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'unsuspected')
 # Endpoints that all routers prefer for a prompt prefix, in the same order.
 PREFERRED_ENDPOINTS = 2
 # A preferred endpoint is skipped if it has more requests of this router in
@@ -47,6 +49,7 @@
     :param str affinity: affinity key; requests with the same key share a
         cached prefix. Empty for none.
     :param frozenset tried: ids of endpoints on which this request has failed.
+    :param frozenset closed: ids of endpoints that may get no request now.
     :param frozenset suspects: ids of endpoints to avoid if there are others.
     :param in_flight: number of this router's requests in flight, by id
         of the endpoint.
@@ -60,6 +63,7 @@
     model: str = ''
     affinity: str = ''
     tried: frozenset = frozenset()
+    closed: frozenset = frozenset()
     suspects: frozenset = frozenset()
     in_flight: object = dataclasses.field(default_factory=dict)
     queue_seconds: object = no_queue
@@ -89,6 +93,14 @@
             yield runner
 
 
+@FILTERS.register('open')
+def filter_open(candidates, query):
+    """Drop endpoints that want no requests now, even if all are closed."""
+    for runner in candidates:
+        if runner.id not in query.closed:
+            yield runner
+
+
 @FILTERS.register('unsuspected')
 def filter_unsuspected(candidates, query):
     """Drop suspected endpoints, unless all are suspected."""
@@ -101,16 +113,26 @@
 
 def select(query):
     """Return the endpoint for the request, or None if there is none."""
-    candidates = iter(query.endpoints)
-    for name in PIPELINE:
-        candidates = FILTERS.get(name)(candidates, query)
-    candidates = list(candidates)
+    candidates = list(apply_filters(PIPELINE, query))
     if not candidates:
         return None
     name = 'preferred-endpoints' if query.affinity else 'fewest-in-flight'
     return ranking.RANKINGS.get(name)(candidates, query)
 
 
+def eligible(query):
+    """Return the endpoints that could run the request, now or later."""
+    return tuple(apply_filters(ELIGIBLE_PIPELINE, query))
+
+
+def apply_filters(pipeline, query):
+    """Return an iterable of the endpoints that pass all named filters."""
+    candidates = iter(query.endpoints)
+    for name in pipeline:
+        candidates = FILTERS.get(name)(candidates, query)
+    return candidates
+
+
 def shortest_other_queue(query, chosen):
     """Return the shortest wait in seconds at the other healthy candidates.
 
@@ -122,6 +144,7 @@
         if runner.id != chosen.id
         and runner.id not in query.tried
         and runner.id not in query.suspects
+        and runner.id not in query.closed
     )
     return min(
         (query.queue_seconds(runner.id) for runner in others), default=math.inf
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -112,6 +112,18 @@
     code = 'overloaded'
 
 
+class EndpointsClosed(Overloaded):
+    """All endpoints that could run the request want none for a while."""
+
+    code = 'endpoints_closed'
+
+
+class EndpointsLeaving(Overloaded):
+    """All endpoints that could run the request are leaving."""
+
+    code = 'endpoints_leaving'
+
+
 class HarmfulRequest(NotRun):
     """The request has crashed as many endpoints as the message states."""
 
@@ -223,6 +235,12 @@
         super().__init__(message, step=step, peer=peer, sent=False)
 
 
+class EndpointClosed(EndpointLeft):
+    """The endpoint closed for a while before the request was sent."""
+
+    code = 'endpoint_closed'
+
+
 class EndpointRefused(EndpointFailure):
     """The endpoint refused the request and states that it did not run it."""
 
--- a/celeryward/ingress.py
+++ b/celeryward/ingress.py
@@ -244,6 +244,8 @@
         idle connection open.
     :param bool leaving: whether the endpoint says that it leaves, so that it
         must get no more requests.
+    :param str retry_after: for how long it wants no requests, as sent; empty
+        if it does not say so.
     """
 
     request_id: str = ''
@@ -254,3 +256,4 @@
     confidence: float | None = None
     keep_alive_seconds: float | None = None
     leaving: bool = False
+    retry_after: str = ''
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -9,6 +9,7 @@
 from celeryward.callers import relay
 from celeryward.callers import router_admission
 from celeryward import deadlines
+from celeryward.endpoints import closures
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward.endpoints import monitor
@@ -16,6 +17,7 @@
 from celeryward.endpoints import outcomes
 from celeryward.endpoints import pool
 from celeryward.endpoints import queueing
+from celeryward.endpoints import reopening
 from celeryward.endpoints import runners
 from celeryward import errors
 from celeryward import http
@@ -65,6 +67,10 @@
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.OutcomeTracker()
         self.queues = queueing.QueueEstimates()
+        self.closures = closures.Closures()
+        self.estimates = reopening.ReopeningEstimates(
+            self.closures, self.count_routers
+        )
         self.releases = releases.Releases(
             bounds.bad_version_share,
             bounds.session_seconds,
@@ -81,13 +87,21 @@
         )
         self.connections = pool.EndpointPool(tuning)
         self.metrics = router_metrics.RouterMetrics()
+        self.notice_reader = notices.NoticeReader(
+            self.runners,
+            self.closures,
+            closures.PauseBounds(
+                tuning.max_closed_seconds, tuning.unreadable_closed_seconds
+            ),
+            self.estimates,
+        )
         self.forwarder = forwarding.Forwarder(
             self.connections,
             translator,
             self.outcomes,
             self.runners,
             self.queues,
-            notices.NoticeReader(self.runners),
+            self.notice_reader,
         )
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
@@ -103,6 +117,8 @@
                 make_value_model(tuning),
                 self.endpoint_freshness,
                 self.queues,
+                self.closures,
+                self.estimates,
             ),
             self.forwarder,
             translator,
@@ -133,57 +149,12 @@
             self.view.publisher.handle,
         )
         self.runners.listeners.append(self.forget_runner)
-        self.add_gauges()
+        self.notice_reader.place_listeners.append(
+            self.relay.waiter.place_freed
+        )
+        router_metrics.register_gauges(self.metrics, self)
         self.stopping = False
 
-    def add_gauges(self):
-        """Register gauges that show the current state of the router."""
-        holder = self.configuration
-        for name, text, value in (
-            (
-                'configuration_version',
-                'Version of the configuration in force; 0 for none.',
-                lambda: holder.current.version if holder.current else 0,
-            ),
-            (
-                'configuration_age_seconds',
-                'Time since the store confirmed it; -1 for never.',
-                lambda: age_gauge_value(self.freshness),
-            ),
-            (
-                'endpoints_age_seconds',
-                'Time since the store confirmed the list of endpoints;'
-                ' -1 for never.',
-                lambda: age_gauge_value(self.endpoint_freshness),
-            ),
-            (
-                'endpoints_missing',
-                'Endpoints whose entry is missing and that are still used.',
-                lambda: len(self.runners.missing),
-            ),
-            (
-                'endpoints',
-                'Endpoints that are listed.',
-                lambda: len(self.runners.runners),
-            ),
-            (
-                'endpoints_lost',
-                'Endpoints that can not be reached.',
-                lambda: len(self.outcomes.lost),
-            ),
-            (
-                'store_calls',
-                'Calls to the store.',
-                lambda: self.view.store.calls,
-            ),
-            (
-                'routers',
-                'Routers that are known.',
-                lambda: self.view.members.count,
-            ),
-        ):
-            self.metrics.gauge(name, text, value)
-
     def key_age_limit(self):
         """Return the largest age of the configuration for accepting API keys.
 
@@ -378,15 +349,6 @@
             await self.stop()
 
 
-def age_gauge_value(tracker):
-    """Return seconds since the last confirmation; -1.0 if there was none.
-
-    :param tracker: :class:`freshness.Freshness` of a kind of object.
-    """
-    age = tracker.age()
-    return -1.0 if age is None else age
-
-
 def make_value_model(tuning):
     """Return the model of the value of answers that operators configured."""
     return sizes.ValueModel(
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -67,3 +67,90 @@
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
+
+
+def register_gauges(router_metrics, router):
+    """Register gauges that show the current state of a router.
+
+    :param RouterMetrics router_metrics: the metrics of the router.
+    :param router: :class:`router.Router`.
+    """
+    for name, text, value in (
+        *store_gauges(router),
+        *endpoint_gauges(router),
+    ):
+        router_metrics.gauge(name, text, value)
+
+
+def store_gauges(router):
+    """Yield name, text and value function of gauges on the store's state."""
+    holder = router.configuration
+    yield (
+        'configuration_version',
+        'Version of the configuration in force; 0 for none.',
+        lambda: holder.current.version if holder.current else 0,
+    )
+    yield (
+        'configuration_age_seconds',
+        'Time since the store confirmed it; -1 for never.',
+        lambda: age_gauge_value(router.freshness),
+    )
+    yield (
+        'endpoints_age_seconds',
+        'Time since the store confirmed the list of endpoints; -1 for never.',
+        lambda: age_gauge_value(router.endpoint_freshness),
+    )
+    yield (
+        'store_calls',
+        'Calls to the store.',
+        lambda: router.view.store.calls,
+    )
+    yield (
+        'routers',
+        'Routers that are known.',
+        lambda: router.view.members.count,
+    )
+
+
+def endpoint_gauges(router):
+    """Yield name, text and value function of gauges on the endpoints."""
+    table = router.runners
+    yield (
+        'endpoints_missing',
+        'Endpoints whose entry is missing and that are still used.',
+        lambda: len(table.missing),
+    )
+    yield (
+        'endpoints',
+        'Endpoints that are listed.',
+        lambda: len(table.runners),
+    )
+    yield (
+        'endpoints_lost',
+        'Endpoints that can not be reached.',
+        lambda: len(router.outcomes.lost),
+    )
+    yield (
+        'endpoints_leaving',
+        'Listed endpoints that leave, by the list or by their own answers.',
+        lambda: sum(map(table.is_leaving, table.runners.values())),
+    )
+    yield (
+        'endpoints_closed',
+        'Endpoints that want no requests for a while.',
+        router.closures.closed_count,
+    )
+    yield (
+        'requests_kept',
+        'Requests that wait for a closed endpoint to open.',
+        router.relay.waiter.kept.count,
+    )
+
+
+def age_gauge_value(tracker):
+    """Return seconds since the last confirmation; -1.0 if there was none.
+
+    :param tracker: :class:`freshness.Freshness` of a kind of object.
+    """
+    age = tracker.age()
+    return -1.0 if age is None else age
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -114,6 +114,10 @@
         half of its answers are poor.
     :param float confidence_width: change of confidence around the midpoint
         that multiplies the odds of a poor answer by e.
+    :param float max_closed_seconds: longest time for which an endpoint that
+        turned a request away may ask to get no more.
+    :param float unreadable_closed_seconds: time for which an endpoint gets no
+        requests that asks for a time in a form that can't be read.
     :param int metrics_port: port for scrapes, on the router's address.
     """
 
@@ -129,6 +133,8 @@
     priority_value_ratio: float = 0.5
     confidence_midpoint: float = 0.5
     confidence_width: float = 0.06
+    max_closed_seconds: float = 600.0
+    unreadable_closed_seconds: float = 1.0
     log_level: str = 'INFO'
     metrics_port: int = 9464
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -237,7 +237,8 @@
 
     :param int events: number of events in its streams.
 
-    While ``leaving`` is true, all its answers say so.
+    While ``leaving`` is true, all its answers say so. While ``retry_after`` is
+    set, it turns all requests away with that header.
     """
 
     def __init__(self, runner_id, service='llm', software='v1', events=4):
@@ -252,6 +253,7 @@
         self.ended = []
         self.confidence = {}
         self.leaving = False
+        self.retry_after = None
 
     def entry(self, state='ready'):
         """Return the spec of the runner's object in the store."""
@@ -278,6 +280,8 @@
             if self.scripted_actions
             else self.default_action or send_default_response
         )
+        if self.retry_after is not None:
+            action = turn_away(self.retry_after)
         try:
             await action(self, connection, arrival)
         finally:
@@ -374,6 +378,13 @@
     return respond_with(503, seal=False, celeryward_not_executed='1')
 
 
+def turn_away(retry_after):
+    """Return an action that refuses a request and asks for a pause."""
+    return respond_with(
+        503, celeryward_not_executed='1', retry_after=retry_after
+    )
+
+
 async def disconnect(runner, connection, arrival):
     """Close the connection without a response."""
     raise http.Disconnected('broken', step='answer', peer='test')
