--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -9,6 +9,7 @@
 import curio
 import h11
 
+from celeryward.callers import idle_timeout
 from celeryward.callers import responses
 from celeryward import deadlines
 from celeryward import errors
@@ -44,6 +45,7 @@
     def __init__(self, relay, configuration, metrics):
         self.relay = relay
         self.configuration = configuration
+        self.idle_timeout = idle_timeout.IdleTimeout(configuration)
         self.metrics = metrics
         self.draining = False
         self.active = {}
@@ -67,22 +69,34 @@
     async def serve_connection(self, connection):
         """Serve requests until either side closes the connection."""
         while True:
-            await connection.wait_for_input(
-                'await request',
-                deadlines.Deadline.after(self.limits().idle_seconds),
-            )
+            await self.wait_for_request(connection)
             self.active[connection] = None
             try:
                 if not await self.serve_request(connection):
                     return
             finally:
-                del self.active[connection]
-            if not connection.reusable() or self.draining:
+                self.record_unanswered(self.active.pop(connection))
+            if not connection.reusable():
                 return
             connection.start_next_cycle()
 
+    async def wait_for_request(self, connection):
+        """Wait until a request begins or the caller closes the connection.
+
+        :raises http.ReadTimeout: if the connection is idle for too long.
+        """
+        idle_since = time.monotonic()
+
+        async def extend():
+            deadline = self.idle_timeout.deadline(idle_since)
+            return None if deadline.expired() else deadline
+
+        await connection.wait_for_input(
+            'await request', self.idle_timeout.deadline(idle_since), extend
+        )
+
     async def serve_request(self, connection):
-        """Serve one request; return whether its response is complete."""
+        """Serve one request; return whether the connection stays open."""
         try:
             received = await self.read_request(connection)
         except errors.CelerywardError as error:
@@ -95,18 +109,18 @@
             return False
         if received is None:
             return False
-        responder = responses.Responder(connection, self.draining)
+        responder = responses.Responder(
+            connection, received.head.method, self.is_draining
+        )
         self.active[connection] = responder
         await self.serve_while_connected(connection, received, responder)
-        return responder.finished
+        return responder.finished and not responder.announced_close
 
     async def reject(self, connection, error):
         """Send an error if the state of the connection still allows it."""
         if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        await responses.Responder(
-            connection, close_connection=True
-        ).send_error(error)
+        await responses.Responder(connection).send_error(error)
 
     async def read_request(self, connection):
         """Return the next request, or None if the connection was closed.
@@ -172,14 +186,15 @@
         async with group:
             serving = await group.spawn(self.serve, received, responder)
             await group.spawn(connection.wait_closed)
-        caller_left = group.completed is not serving
-        self.record_end(responder, caller_left, started)
+        responder.caller_left = group.completed is not serving
+        self.record_end(responder, started)
 
     async def serve(self, received, responder):
         """Relay a request, or send an error if that fails."""
         try:
             await self.relay.serve(received.head, received.body, responder)
         except errors.CallerDisconnected as error:
+            responder.caller_left = True
             logs.bind_error(error).debug('caller left: {}', error.message)
         except errors.CelerywardError as error:
             self.log_failure(responder, error)
@@ -189,9 +204,10 @@
             logs.bind(step='serve', peer=responder.connection.peer).exception(
                 'request failed with an internal error'
             )
-            fault = errors.OutcomeUnknown(
+            fault = errors.InternalError(
                 'internal error', step='serve', peer='-'
             )
+            responder.failure = fault
             await self.send_error_if_connected(responder, fault)
 
     async def send_error_if_connected(self, responder, error):
@@ -199,10 +215,12 @@
         try:
             await responder.send_error(error)
         except errors.CallerDisconnected as gone:
+            responder.caller_left = True
             logs.bind_error(gone).debug('caller left: {}', gone.message)
 
     def log_failure(self, responder, error):
         """Count and log a request that is refused or fails."""
+        responder.failure = error
         self.metrics.count_failure(responder.route, error.code)
         logs.bind_error(
             error,
@@ -213,7 +231,31 @@
             **self.relay.admission.log_fields(),
         ).info('request failed: {} {}', error.code, error.message)
 
-    def record_end(self, responder, caller_left, started):
+    def record_unanswered(self, responder):
+        """Count and log a whole request that got no complete answer.
+
+        Its connection is closed next. A caller that left is logged elsewhere.
+
+        :param responder: None if the request was not read to its end.
+        """
+        if responder is None or responder.finished or responder.caller_left:
+            return
+        failure = responder.failure
+        cause = failure.code if failure else 'unknown'
+        self.metrics.count_unanswered(responder.route, cause)
+        logs.bind(
+            request_id=responder.request_id,
+            step=failure.step if failure else 'serve',
+            peer=responder.connection.peer,
+            route=responder.route,
+            cause=cause,
+            reason=failure.message if failure else '',
+            status=responder.status,
+            pieces=responder.pieces,
+            stopping=self.draining,
+        ).warning('connection closed without a complete answer')
+
+    def record_end(self, responder, started):
         """Count and log a request that has ended.
 
         :param float started: when it was received, in monotonic seconds.
@@ -221,7 +263,10 @@
         seconds = time.monotonic() - started
         head_at = responder.head_at
         self.metrics.count_request(
-            responder.route, responder.status, caller_left, seconds
+            responder.route,
+            responder.status,
+            responder.caller_left,
+            seconds,
         )
         logs.bind(
             request_id=responder.request_id,
@@ -236,15 +281,20 @@
             else round(head_at - started, 3),
         ).info(
             'caller left before its answer was complete'
-            if caller_left
+            if responder.caller_left
             else 'request ended'
         )
 
+    def is_draining(self):
+        """Return whether responses announce that their connection closes."""
+        return self.draining
+
     def begin_drain(self):
-        """Close each connection after its next response.
+        """Close each connection after a response that announces it.
 
         Requests that arrive are still served. Their responses close the
-        connection, so that callers connect to another host.
+        connection, so that callers connect to another host. A connection
+        whose last response began before stays open until its next one.
         """
         self.draining = True
 
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -4,6 +4,7 @@
 
 from celeryward.callers import relayed_requests
 from celeryward import deadlines
+from celeryward.endpoints import reopening
 from celeryward.endpoints import selection
 from celeryward import errors
 from celeryward import hashing
@@ -22,6 +23,7 @@
 
     def __init__(self, router_state):
         self.router_state = router_state
+        self.schedule = reopening.ReturnSchedule(router_state.closures.clock)
 
     def plan(self, relayed):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
@@ -78,7 +80,7 @@
             software,
             model,
             relayed_requests.affinity_key(relayed.metadata),
-            relayed.tried_endpoints,
+            relayed.tried_endpoints | relayed.running,
             frozenset(
                 runner.id
                 for runner in endpoints
@@ -100,12 +102,6 @@
         )
         return relayed.service, relayed.size.model if relayed.size else ''
 
-    def can_run(self, relayed, size):
-        """Return whether an endpoint can take the request at a size now."""
-        query = self.query(relayed)
-        query = dataclasses.replace(query, model=size.model)
-        return selection.select(query) is not None
-
     def eligible(self, relayed):
         """Return the endpoints that could run a request, now or later."""
         query = self.query(relayed)
@@ -113,6 +109,25 @@
             dataclasses.replace(query, software='')
         )
 
+    def openings(self, relayed):
+        """Return the :class:`reopening.Opening` of each usable endpoint."""
+        estimates = self.router_state.estimates
+        return tuple(map(estimates.opening, self.eligible(relayed)))
+
+    def retry_at(self, relayed, waiting=0):
+        """Return when the caller of a refused request may return.
+
+        :param int waiting: requests that wait for the same endpoints.
+        """
+        closures = self.router_state.closures
+        usable = self.eligible(relayed)
+        seconds = NO_ENDPOINT_RETRY_SECONDS
+        if usable and not any(map(closures.may_start, usable)):
+            seconds = self.schedule.next_return(
+                relayed.service, self.openings(relayed), waiting
+            )
+        return deadlines.Deadline.after(seconds)
+
     def no_endpoint_error(self, relayed, query):
         """Return the error for a request that no endpoint can take now."""
         service = relayed.service
@@ -132,6 +147,17 @@
             retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
         )
 
+    def can_serve(self, relayed, service, size):
+        """Return whether a healthy endpoint can run a request at a size."""
+        endpoints = tuple(self.router_state.runners.of_service(service))
+        avoided = relayed.tried_endpoints | self.suspects(endpoints)
+        return any(
+            runner.id not in avoided
+            and self.router_state.closures.may_start(runner)
+            and (not runner.models or size.model in runner.models)
+            for runner in endpoints
+        )
+
     def suspects(self, endpoints):
         """Return the ids of endpoints that are suspected of failure.
 
--- a/celeryward/callers/reopening_waiter.py
+++ b/celeryward/callers/reopening_waiter.py
@@ -1,7 +1,8 @@
 """Keeps requests until a closed endpoint opens, or refuses them at once.
 
 The task of each request waits itself. Only the first request of a queue wakes
-up when the next endpoint opens; it wakes the one after it when it leaves.
+up when the next endpoint opens; the one after it follows when the first one
+is dispatched.
 """
 
 import itertools
@@ -10,9 +11,7 @@
 import curio
 
 from celeryward.callers import kept_requests
-from celeryward.callers import planning
 from celeryward.callers import relayed_requests
-from celeryward import deadlines
 from celeryward.endpoints import reopening
 from celeryward import errors
 from celeryward import logs
@@ -37,7 +36,6 @@
         self.closures = router_state.closures
         self.estimates = router_state.estimates
         self.kept = kept_requests.KeptRequests()
-        self.schedule = reopening.ReturnSchedule(self.closures.clock)
         self.numbers = itertools.count()
 
     async def plan(self, relayed):
@@ -62,9 +60,14 @@
         )
         try:
             return await self.wait(queue, ticket, relayed)
-        finally:
+        except BaseException:
+            # After a plan, the next one is woken when the dispatch begins, so
+            # that it finds the place taken.
             self.kept.remove(queue, ticket)
             await self.wake_first(queue)
+            raise
+        finally:
+            self.kept.remove(queue, ticket)
 
     def latest_start(self, relayed):
         """Return when a request has to start, on the boot-time clock."""
@@ -96,7 +99,7 @@
 
         :raises errors.EndpointsClosed: if it is one of them itself.
         """
-        openings = self.openings(relayed)
+        openings = self.planner.openings(relayed)
         late = [ticket]
         if openings:
             starts = reopening.start_times(openings)
@@ -113,19 +116,12 @@
             waiting=len(self.kept.of(queue)),
         ).debug('request waits for an endpoint to open')
 
-    def openings(self, relayed):
-        """Return the :class:`reopening.Opening` of each usable endpoint."""
-        return tuple(
-            self.estimates.opening(runner)
-            for runner in self.planner.eligible(relayed)
-        )
-
     async def sleep(self, queue, ticket, relayed):
         """Wait until a request should try, or can't start in time."""
         now = self.closures.clock()
         until = ticket.latest_start
         if self.kept.of(queue)[0] is ticket:
-            openings = self.openings(relayed)
+            openings = self.planner.openings(relayed)
             first = min((each.at for each in openings), default=now)
             until = min(until, max(first, now), now + RECHECK_SECONDS)
         seconds = max(MIN_WAIT_SECONDS, until - now)
@@ -152,22 +148,10 @@
 
     def refusal(self, relayed):
         """Return the error for a request that no endpoint takes in time."""
+        queue = self.planner.queue_of(relayed)
         return errors.EndpointsClosed(
             f'no endpoint of {relayed.service} opens in time',
             step='select',
             peer=relayed.service,
-            retry_at=self.retry_at(relayed),
+            retry_at=self.planner.retry_at(relayed, len(self.kept.of(queue))),
         )
-
-    def retry_at(self, relayed):
-        """Return when the caller of a refused request may return."""
-        usable = self.planner.eligible(relayed)
-        seconds = planning.NO_ENDPOINT_RETRY_SECONDS
-        if usable and not any(map(self.closures.may_start, usable)):
-            queue = self.planner.queue_of(relayed)
-            seconds = self.schedule.next_return(
-                relayed.service,
-                self.openings(relayed),
-                len(self.kept.of(queue)),
-            )
-        return deadlines.Deadline.after(seconds)
--- a/celeryward/endpoints/notices.py
+++ b/celeryward/endpoints/notices.py
@@ -8,6 +8,7 @@
 
 from celeryward.endpoints import closures
 from celeryward.endpoints import runners
+from celeryward import errors
 
 STATUS_UNAVAILABLE = 503
 # Characters of an odd value that are logged.
@@ -85,6 +86,16 @@
             bind_logger(runner, sent, pause).info('endpoint closed')
         self.closures.close(runner, pause.seconds, in_flight)
 
+    def begin(self, runner):
+        """Take a place for a request that is dispatched to an endpoint.
+
+        :returns: the opening of the endpoint, for :meth:`end`.
+        :raises errors.EndpointClosed: if it may get no request now.
+        """
+        if not self.closures.may_start(runner):
+            raise closed_error(runner)
+        return self.closures.begin(runner)
+
     async def end(self, runner, opening, seconds):
         """Record the end of an exchange with an endpoint.
 
@@ -99,12 +110,19 @@
 
     async def notify_listeners(self, runner):
         """Tell the listeners that an endpoint may take one more request."""
-        if self.closures.state_of(runner) is None:
-            return
         for listener in self.place_listeners:
             await listener(runner)
 
 
+def closed_error(runner):
+    """Return the error for a request that a closed endpoint must not get."""
+    return errors.EndpointClosed(
+        'endpoint closed before the request was sent',
+        step='send request',
+        peer=runner.address,
+    )
+
+
 def answers_request(sent, metadata):
     """Return whether an answer is certainly to this request.
 
--- a/tests/test_closures.py
+++ b/tests/test_closures.py
@@ -1,5 +1,6 @@
 """Endpoints that turn requests away and want no more for a while."""
 
+import collections
 import itertools
 import time
 
@@ -270,13 +271,11 @@
 
         pool.open = open_late
         async with curio.TaskGroup() as group:
-            for _ in range(4):
-                await group.spawn(site.request, '/whole/x')
-            await chosen.wait()
+            sent = await notices.send_until(group, site, chosen)
             table = site.router.runners
             site.router.closures.close(table.runners['app-1'], 1.0, 1)
         assert notices.arrival_count(site, 'app-1') == 0
-        assert notices.arrival_count(site, 'app-2') == 4
+        assert notices.arrival_count(site, 'app-2') == sent
 
     @standins.on_site
     async def test_request_is_kept_until_an_endpoint_opens_in_time(self, site):
@@ -306,9 +305,11 @@
 
     @standins.on_site
     async def test_no_burst_when_the_time_ends(self, site):
+        arrived = collections.defaultdict(list)
         together = []
 
         async def slow(runner, connection, arrival):
+            arrived[runner.id].append(time.monotonic())
             together.append(len(runner.arrivals) - len(runner.ended))
             await curio.sleep(0.05)
             await standins.send_default_response(runner, connection, arrival)
@@ -317,7 +318,7 @@
             site.runners[each].default_action = slow
         for _ in range(5):
             await site.request('/whole/x')
-        together.clear()
+        arrived.clear()
         table = site.router.runners
         for each in ('app-1', 'app-2'):
             site.router.closures.close(table.runners[each], 0.2, 1)
@@ -327,7 +328,8 @@
             ]
         statuses = [task.result[0].status for task in tasks]
         assert statuses.count(200) >= 8
-        assert together[:2] == [1, 1]
+        for times in arrived.values():
+            assert times[1] - times[0] >= 0.05
         assert max(together) <= 8
 
     @pytest.mark.parametrize('text', ('-1', 'soon', str(10**400)))
