--- a/celeryward/callers/reopening_waiter.py
+++ b/celeryward/callers/reopening_waiter.py
@@ -114,7 +114,7 @@
             peer=relayed.service,
             service=relayed.service,
             waiting=len(self.kept.of(queue)),
-        ).debug('request waits for an endpoint to open')
+        ).info('request waits for an endpoint to open')
 
     async def sleep(self, queue, ticket, relayed):
         """Wait until a request should try, or can't start in time."""
--- a/celeryward/operators/explain.py
+++ b/celeryward/operators/explain.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from celeryward.operators import log_lines
+from celeryward.operators import withdrawals
 from celeryward import registry
 
 # Lines without a request id are shown with a request if they were written
@@ -13,6 +14,8 @@
     'endpoint lost',
     'endpoint regained',
     'endpoint gone',
+    withdrawals.ENDPOINT_CLOSED,
+    withdrawals.DEPARTURE_ANNOUNCED,
     'store lost',
     'store regained',
     'configuration in force',
@@ -39,6 +42,9 @@
     'runs',
     'again',
     'silent',
+    'waiting',
+    'announced_to',
+    'closed_seconds',
     'tokens',
     'cause',
     'reason',
@@ -121,17 +127,24 @@
 def select_context(request_lines, context):
     """Yield the context lines that may explain the outcome of a request.
 
-    Lines about endpoints count only if the request was dispatched there.
+    Lines about endpoints count only if the request was dispatched there, or if
+    it was refused because all endpoints of a service are closed or leave.
     """
     peers = {line.get('peer') for line in request_lines}
     end = request_lines[-1].time
     for line in context:
         age = (end - line.time).total_seconds()
-        if not 0.0 <= age <= CONTEXT_SECONDS:
+        if (
+            not 0.0
+            <= age
+            <= max(CONTEXT_SECONDS, withdrawals.effective_seconds(line))
+        ):
             continue
         about_endpoint = line.message.startswith('endpoint')
         if not about_endpoint or line.get('peer') in peers:
             yield line
+        elif withdrawals.is_withdrawal(line) and line.get('service') in peers:
+            yield line
 
 
 def find_cause(request_log):
@@ -143,7 +156,13 @@
         text = describe(request_log)
         if text:
             return name, text
-    return SERVED, 'answered completely'
+    failed = [
+        line
+        for line in request_log.lines
+        if line.message.startswith(DISPATCH_FAILED)
+    ]
+    changes = withdrawals.describe_changes(request_log.context, failed)
+    return SERVED, f'answered completely{changes}'
 
 
 @CAUSES.register('caller-left')
@@ -197,6 +216,24 @@
         )
 
 
+@CAUSES.register('endpoints-closed')
+def endpoints_closed(request_log):
+    """All endpoints had asked for a pause."""
+    if request_log.code == 'endpoints_closed':
+        return 'no endpoint opened in time; ' + withdrawals.describe(
+            request_log.context, withdrawals.ENDPOINT_CLOSED
+        )
+
+
+@CAUSES.register('endpoints-leaving')
+def endpoints_leaving(request_log):
+    """All endpoints were leaving."""
+    if request_log.code == 'endpoints_leaving':
+        return 'all endpoints leave; ' + withdrawals.describe(
+            request_log.context, withdrawals.DEPARTURE_ANNOUNCED
+        )
+
+
 @CAUSES.register('no-endpoint')
 def no_endpoint(request_log):
     """No endpoint was available for the request."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -136,6 +136,19 @@
     )
 
 
+def closed(at, announced_to, **fields):
+    return log_line(
+        'router-1',
+        at,
+        'endpoint closed',
+        peer='10.0.0.1:80',
+        endpoint='e1',
+        service='app',
+        announced_to=announced_to,
+        **fields,
+    )
+
+
 CASES = {
     'store-lost': [
         log_line('router-1', 0.0, 'store lost: refused'),
@@ -145,6 +158,22 @@
     'retry-budget': [
         request_failed('overloaded not run: retry budget is used up')
     ],
+    'endpoints-closed': [
+        closed(0.0, 'b', closed_seconds=2.0),
+        request_failed('endpoints_closed none opens in time', peer='app'),
+    ],
+    'endpoints-leaving': [
+        log_line(
+            'router-1',
+            -30.0,
+            'endpoint announced that it leaves',
+            peer='10.0.0.1:80',
+            endpoint='e1',
+            service='app',
+            announced_to='b',
+        ),
+        request_failed('endpoints_leaving all leave', peer='app'),
+    ],
     'no-endpoint': [request_failed('overloaded no endpoint of 0 can take it')],
     'no-route': [request_failed('unknown_target no route for this host')],
     'unknown-key': [
@@ -203,6 +232,31 @@
         assert found == name
         assert text
 
+    def test_closed_and_leaving_endpoints_are_named(self):
+        for name in ('endpoints-closed', 'endpoints-leaving'):
+            request_log = parse_request_logs(CASES[name])[0]
+            _, text = explain.find_cause(request_log)
+            assert 'e1 said so to request b' in text
+
+    def test_changed_endpoint_is_explained(self):
+        lines = [
+            dispatched('router-1', 0.0, 'a'),
+            closed(0.1, 'a', closed_seconds=2.0),
+            log_line(
+                'router-1',
+                0.1,
+                'dispatch failed: endpoint_refused answered 503',
+                'a',
+                peer='10.0.0.1:80',
+                endpoint='e1',
+            ),
+            dispatched('router-1', 0.1, 'a', '10.0.0.2:80', endpoint='e2'),
+            request_ended('router-1', 0.3, 'a'),
+        ]
+        name, text = explain.find_cause(parse_request_logs(lines)[0])
+        assert name == explain.SERVED
+        assert 'changed from e1: endpoint closed' in text
+
     def test_caller_that_leaves_after_a_failure_is_not_the_cause(self):
         lines = [*CASES['deadline'], CASES['caller-left'][1]]
         assert (
