--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -15,6 +15,7 @@
 from celeryward.callers import moves
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
+from celeryward.callers import reopening_waiter
 from celeryward.callers import resumption
 from celeryward.callers import retry_control
 from celeryward.callers import router_admission
@@ -68,6 +69,9 @@
         self.metrics = metrics
         self.admission = router_admission.AdmissionControl(router_state)
         self.planner = planning.Planner(router_state)
+        self.waiter = reopening_waiter.ReopeningWaiter(
+            self.planner, router_state
+        )
         self.retries = retry_control.RetryControl(
             self.planner, retry_allowance, metrics
         )
@@ -111,7 +115,7 @@
         """
         done = False
         while not done:
-            plan = self.next_plan(relayed)
+            plan = await self.next_plan(relayed)
             relayed.service = plan.service
             self.retries.charge(relayed)
             if relayed.route.retryable and not forwarding.is_stream(
@@ -121,7 +125,7 @@
             else:
                 done = await self.relay_only(relayed, plan, responder)
 
-    def next_plan(self, relayed):
+    async def next_plan(self, relayed):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
 
         :raises errors.NotRun: if there is none and the request has not run.
@@ -129,11 +133,11 @@
             have run.
         """
         try:
-            return self.planner.plan(relayed)
+            return await self.waiter.plan(relayed)
         except errors.NotRun as error:
             if not relayed.runs:
                 raise
-            raise retry_control.final_error(
+            raise self.retries.final_error(
                 relayed, error.message, error
             ) from error
 
@@ -313,7 +317,7 @@
         """
         may_retry = self.dispatcher.record_error(relayed, dispatch, error)
         if relayed.deadline.expired() or not may_retry:
-            raise retry_control.final_error(relayed, error.message, error)
+            raise self.retries.final_error(relayed, error.message, error)
 
 
 class Hedge:
--- a/celeryward/callers/retry_control.py
+++ b/celeryward/callers/retry_control.py
@@ -6,8 +6,6 @@
 
 import collections
 
-from celeryward.callers import planning
-from celeryward import deadlines
 from celeryward.endpoints import fleet_retries
 from celeryward import errors
 
@@ -61,7 +59,7 @@
         if budget.try_take():
             return
         self.metrics.count_refused_retry(relayed.service)
-        raise final_error(relayed, 'retry budget is used up')
+        raise self.final_error(relayed, 'retry budget is used up')
 
     def plan_retry(self, relayed):
         """Return the plan of another dispatch, or None if there is none."""
@@ -88,28 +86,25 @@
         """Take a token for a run of a larger model, if one is not reserved."""
         return self.budgets[service].try_take_for_escalation()
 
+    def final_error(self, relayed, reason, error=None):
+        """Return the error for a request that is not retried.
 
-def final_error(relayed, reason, error=None):
-    """Return the error for a request that is not retried.
-
-    :param str reason: why it is not retried, for the message.
-    :param error: the error of the last dispatch, or None.
-    """
-    step = error.step if error else 'retry'
-    peer = error.peer if error else relayed.service
-    if relayed.runs and relayed.deadline.expired():
-        return errors.AnswerLate(
-            'no complete answer before the deadline', step=step, peer=peer
-        )
-    if relayed.runs == 0:
-        return errors.Overloaded(
-            f'request was not run: {reason}',
-            step=step,
-            peer=peer,
-            retry_at=deadlines.Deadline.after(
-                planning.NO_ENDPOINT_RETRY_SECONDS
-            ),
+        :param str reason: why it is not retried, for the message.
+        :param error: the error of the last dispatch, or None.
+        """
+        step = error.step if error else 'retry'
+        peer = error.peer if error else relayed.service
+        if relayed.runs and relayed.deadline.expired():
+            return errors.AnswerLate(
+                'no complete answer before the deadline', step=step, peer=peer
+            )
+        if relayed.runs == 0:
+            return errors.Overloaded(
+                f'request was not run: {reason}',
+                step=step,
+                peer=peer,
+                retry_at=self.planner.retry_at(relayed),
+            )
+        return errors.OutcomeUnknown(
+            f'request may have run: {reason}', step=step, peer=peer
         )
-    return errors.OutcomeUnknown(
-        f'request may have run: {reason}', step=step, peer=peer
-    )
