Let the soak find requests that end without an answer

Callers of other operators lost requests beside a change of the configuration, and where an endpoint was silent for about a second and then went on. The soak could find neither: an unanswered request was judged around planned stops only, where any fault of any endpoint excused it, and there was no silence that ends by itself.

Two checks: 'answered' (a request that was written whole gets a whole answer or a refusal; only a fault of its own router or endpoint, its timeout, the caller, or an idle close that it crossed excuses it) and 'quiet-endpoints' (no run is given up at a sound endpoint unless another one answers). Endpoints notice when the router leaves, and callers send some bodies later than their heads.

Tests of the checks keep their content; fault spans are a data class with a target now, and the plan test also holds for version 2.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -11,6 +11,7 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 sys.path.append(str(ROOT / 'platform'))
 
+from benchmarks.soak import plans  # noqa: E402
 from benchmarks.soak import regressions  # noqa: E402
 from benchmarks.soak import soak  # noqa: E402
 from celeryward import logs  # noqa: E402
@@ -24,27 +25,24 @@
     routers=4,
     endpoints=8,
     callers=8,
+    plan=plans.LATEST_PLAN,
     known=False,
 ):
     """Run soaks with the seeds from ``seed`` on; exit with 1 on a violation.
 
     :param float seconds: period in which faults start.
     :param float rate: faults per second.
+    :param int plan: version of the plan, which decides the faults.
     :param bool known: run the seeds that failed in the past instead.
     """
     logs.configure('CRITICAL', 'text')
     signal.signal(signal.SIGTERM, exit_on_signal)
-    lengths = dict.fromkeys(range(seed, seed + seeds), seconds)
+    size = soak.Size(seconds, rate, routers, endpoints, callers, plan)
+    runs = [(number, size) for number in range(seed, seed + seeds)]
     if known:
-        lengths = {case.seed: case.seconds for case in regressions.CASES}
-    failed = [
-        number
-        for number, length in lengths.items()
-        if not run_seed(
-            number, soak.Size(length, rate, routers, endpoints, callers)
-        )
-    ]
-    count = len(lengths)
+        runs = [(case.seed, case.size()) for case in regressions.CASES]
+    failed = [number for number, size in runs if not run_seed(number, size)]
+    count = len(runs)
     print(
         f'{count - len(failed)} of {count} seeds without a violation; {failed}'
     )
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -3,6 +3,7 @@
 import random
 
 import curio
+import h11
 
 from benchmarks.soak import observations
 from celeryward import deadlines
@@ -15,11 +16,15 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 PAUSE_SECONDS = 0.05
 KINDS = ('whole', 'once', 'stream', 'rigid')
+BODY = b'body'
 UNKNOWN_KEY = 'key-unknown'
 UNKNOWN_KEY_SHARE = 0.03
 # Share of requests whose caller disconnects early, and the latest time.
 EARLY_CLOSE_SHARE = 0.03
 MAX_EARLY_CLOSE_SECONDS = 0.1
+# Share of requests whose body follows their head later, and the longest time.
+SLOW_BODY_SHARE = 0.15
+MAX_BODY_DELAY_SECONDS = 0.4
 FAILURES = (errors.CelerywardError, OSError)
 
 
@@ -36,6 +41,7 @@
         self.connection = None
         self.router = None
         self.sent = 0
+        self.sent_on_connection = 0
 
     async def run(self):
         """Send requests until cancelled."""
@@ -74,9 +80,13 @@
         if not await self.connect():
             return None
         self.sent += 1
+        self.sent_on_connection += 1
         request_id = f'c{self.number}-{self.sent}'
         started_at = observations.now()
-        fields = {'error': '', 'status': 0}
+        fields = {
+            'left_early': timeout < RESPONSE_TIMEOUT_SECONDS,
+            'reused': self.sent_on_connection > 1,
+        }
         try:
             await self.exchange(kind, key, request_id, timeout, fields)
         except FAILURES as error:
@@ -108,9 +118,8 @@
             authorization=f'Bearer {key}',
             session=f's{self.number}',
         )
-        await http.send_request(
-            self.connection, 'POST', f'/{kind}/x', head, b'body'
-        )
+        await self.write_request(f'/{kind}/x', head)
+        fields['written_at'] = observations.now()
         answer = await self.connection.receive_response(deadline)
         fields['status'] = answer.status
         fields['not_run'] = processes.is_not_run(answer)
@@ -119,6 +128,25 @@
         )
         fields['whole'] = True
 
+    async def write_request(self, target, headers):
+        """Write a request at once, or its body some time after its head."""
+        if self.generator.random() >= SLOW_BODY_SHARE:
+            await http.send_request(
+                self.connection, 'POST', target, headers, BODY
+            )
+            return
+        lines = http.encode_headers(
+            {'content-length': str(len(BODY)), **headers}
+        )
+        await self.connection.send(
+            'send head',
+            h11.Request(method='POST', target=target, headers=lines),
+        )
+        await curio.sleep(self.generator.random() * MAX_BODY_DELAY_SECONDS)
+        await self.connection.send(
+            'send body', h11.Data(data=BODY), h11.EndOfMessage()
+        )
+
     async def connect(self):
         """Connect to a random router, unless a connection is open.
 
@@ -126,6 +154,7 @@
         """
         if self.connection is not None:
             return True
+        self.sent_on_connection = 0
         self.router = self.generator.choice(self.fleet.routers)
         try:
             self.connection = await http.connect(
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -26,6 +26,25 @@
 FAULT_EFFECT_SECONDS = 3.0
 # Faults, other than a planned stop, that interrupt answers.
 INTERRUPTING_FAULTS = ('endpoint-', 'router-kill', 'router-pause')
+INTERRUPTED_ROUTER = ('router-kill', 'router-pause')
+# Faults of an endpoint or its link. A silence after which it goes on, and an
+# announced departure, are none.
+INTERRUPTED_ENDPOINT = (
+    'endpoint-answers-held',
+    'endpoint-crash',
+    'endpoint-delayed',
+    'endpoint-requests-held',
+    'endpoint-reset',
+    'endpoint-silent',
+    'endpoint-stop',
+)
+# A request that was written this long before its connection ended, and that
+# reached no endpoint, has crossed the router's idle close.
+CROSSING_SECONDS = 0.2
+# A router may end a request this long before its timeout.
+TIMEOUT_SLACK_SECONDS = 0.1
+# Versions that were written this long before a request may still be in force.
+MAX_CONFIGURATION_AGE_SECONDS = 10.0
 
 
 def find_violations(observed):
@@ -135,6 +154,87 @@
         yield execution.request_id, f'sent {delay:.2f} s after it left'
 
 
+@CHECKS.register('answered')
+def check_answered(observed):
+    """A request that was written whole gets a whole answer or a refusal."""
+    reached = executions_by_request(observed)
+    for outcome in observed.outcomes:
+        if outcome.whole or outcome.written_at is None or outcome.left_early:
+            continue
+        executions = reached.get(outcome.request_id, ())
+        if crossed_close(outcome, executions):
+            continue
+        if was_interrupted(observed, outcome, executions):
+            continue
+        if reached_timeout(observed, outcome):
+            continue
+        yield outcome.request_id, f'not answered: {outcome.error}'
+
+
+@CHECKS.register('quiet-endpoints')
+def check_quiet_endpoints(observed):
+    """No run is given up at a sound endpoint unless another one answers."""
+    reached = executions_by_request(observed)
+    outcomes = {each.request_id: each for each in observed.outcomes}
+    for abandoned in observed.abandoned:
+        outcome = outcomes.get(abandoned.request_id)
+        if outcome is None or outcome.left_early:
+            continue
+        if outcome.whole and outcome.status == OK:
+            continue
+        seconds = abandoned.at - outcome.started_at
+        if seconds > shortest_timeout(observed, outcome):
+            continue
+        executions = reached.get(outcome.request_id, ())
+        if was_interrupted(observed, outcome, executions):
+            continue
+        yield (
+            outcome.request_id,
+            f'given up at {abandoned.endpoint} after {seconds:.2f} s',
+        )
+
+
+def crossed_close(outcome, executions):
+    """Return whether a request crossed the close of its idle connection."""
+    delay = outcome.ended_at - outcome.written_at
+    return outcome.reused and not executions and delay <= CROSSING_SECONDS
+
+
+def was_interrupted(observed, outcome, executions):
+    """Return whether a fault broke off a request at router or endpoint."""
+    if outcome.request_id in observed.broken_off:
+        return True
+    period = outcome.started_at, outcome.ended_at
+    if observed.overlaps_fault(*period, INTERRUPTED_ROUTER, outcome.router):
+        return True
+    return any(
+        observed.overlaps_fault(
+            *period, INTERRUPTED_ENDPOINT, execution.endpoint.partition('-')[0]
+        )
+        for execution in executions
+    )
+
+
+def reached_timeout(observed, outcome):
+    """Return whether a request lasted as long as its route allows."""
+    return outcome.ended_at - outcome.started_at >= shortest_timeout(
+        observed, outcome
+    )
+
+
+def shortest_timeout(observed, outcome):
+    """Return the seconds after which a router may end a request."""
+    oldest = outcome.started_at - MAX_CONFIGURATION_AGE_SECONDS
+    in_force = [
+        each.seconds
+        for each in observed.timeouts
+        if oldest < each.at < outcome.ended_at
+    ]
+    earlier = [each for each in observed.timeouts if each.at <= oldest]
+    in_force += [each.seconds for each in earlier[-1:]]
+    return min(in_force, default=float('inf')) - TIMEOUT_SLACK_SECONDS
+
+
 @CHECKS.register('versions')
 def check_versions(observed):
     """The configuration version of a process never decreases."""
--- /dev/null
+++ b/benchmarks/soak/endpoints.py
@@ -0,0 +1,172 @@
+"""Stand-in endpoints of a run, each behind a proxy."""
+
+import curio
+import h11
+
+from benchmarks.soak import observations
+from benchmarks.soak import proxy
+from celeryward import http
+from tests import platform_processes as processes
+from tests import platform_standins as standins
+
+WHOLE_BODY = b'whole answer'
+STATUS_OK = 200
+# Between a head and its body, and between two events. Faults hit an answer
+# under way only if it takes some time.
+STEP_SECONDS = 0.03
+
+
+class Endpoint:
+    """Stand-in endpoint behind a proxy; each restart gets a new id.
+
+    :param fleet: the :class:`fleet.Fleet` that it belongs to.
+
+    ``answer_fault`` is None, or an object of :mod:`answer_faults` that answers
+    in place of the endpoint.
+    """
+
+    def __init__(self, fleet, number, service):
+        self.fleet = fleet
+        self.number = number
+        self.name = f'e{number}'
+        self.service = service
+        self.generation = 0
+        self.proxy = proxy.Proxy()
+        self.disturbed_until = 0.0
+        self.server = None
+        self.answer_fault = None
+
+    async def start(self):
+        """Start the server and write its entry to the store."""
+        self.generation += 1
+        self.server = standins.RunnerStandIn(
+            f'{self.name}-{self.generation}',
+            self.service,
+            events=self.fleet.events_per_answer,
+        )
+        self.server.confidence = {'small': 100}
+        self.server.default_action = self.answer
+        await self.server.start()
+        self.proxy.target = self.server.port
+        if self.proxy.listener.sock is None:
+            await self.proxy.start()
+        await self.write_entry('ready')
+
+    async def write_entry(self, state):
+        """Write the entry of the endpoint, with a state, to the store."""
+        entry = self.server.entry(state)
+        entry['address'] = f'127.0.0.1:{self.proxy.port}'
+        await self.fleet.store.put('servers', self.server.id, entry)
+
+    async def answer(self, server, connection, arrival):
+        """Answer a request; stop the work if the router gives it up.
+
+        :raises http.Disconnected: if the router closes the connection, or if
+            a fault breaks the answer off.
+        """
+        respond = self.answer_fault.respond if self.answer_fault else run
+        group = curio.TaskGroup(wait=any)
+        async with group:
+            working = await group.spawn(
+                respond, self, server, connection, arrival
+            )
+            await group.spawn(connection.wait_closed)
+        if group.completed is working:
+            return working.result
+        self.fleet.observed.abandoned.append(
+            observations.Abandonment(
+                processes.request_id(arrival), server.id, observations.now()
+            )
+        )
+        raise http.Disconnected(
+            'router closed the connection', step='answer', peer='router'
+        )
+
+    def record_execution(self, server, arrival):
+        """Record that a request reached the server and is run."""
+        now = observations.now()
+        self.fleet.observed.executions.append(
+            observations.Execution(
+                processes.request_id(arrival),
+                server.id,
+                now,
+                self.proxy.conditions == proxy.CLEAR
+                and now > self.disturbed_until,
+            )
+        )
+
+    def record_broken_off(self, arrival):
+        """Record that the endpoint spoils the answer to a request."""
+        self.fleet.observed.broken_off.add(processes.request_id(arrival))
+
+    async def crash(self):
+        """Stop the server abruptly; its entry stays until it expires."""
+        await self.server.stop()
+
+    async def restart(self):
+        """Start a new server in place of the stopped one."""
+        await self.delete_entry()
+        await self.start()
+
+    async def delete_entry(self):
+        """Delete the entry of the endpoint from the store, if it exists."""
+        if ('servers', self.server.id) in self.fleet.store.objects:
+            await self.fleet.store.delete('servers', self.server.id)
+
+    async def leave(self, announced=True):
+        """Set the state to draining, or delete the entry unannounced.
+
+        :param bool announced: whether the endpoint announces its departure.
+        """
+        if announced:
+            await self.write_entry('draining')
+        else:
+            await self.delete_entry()
+        self.fleet.observed.left_at[self.server.id] = observations.now()
+
+
+async def run(endpoint, server, connection, arrival):
+    """Run a request: work, then send the head and the rest in steps."""
+    endpoint.record_execution(server, arrival)
+    await curio.sleep(endpoint.fleet.work_seconds)
+    if arrival.model:
+        await send_events(server, connection, arrival, server.events)
+        await connection.send('answer', h11.EndOfMessage())
+        return
+    length = {'content-length': str(len(WHOLE_BODY))}
+    await send_head(server, connection, arrival, **length)
+    await curio.sleep(STEP_SECONDS)
+    await connection.send(
+        'answer', h11.Data(data=WHOLE_BODY), h11.EndOfMessage()
+    )
+
+
+async def send_events(server, connection, arrival, last):
+    """Send the head and the events that the caller lacks, up to one."""
+    confidence = server.confidence.get(arrival.model, 100)
+    await send_head(
+        server,
+        connection,
+        arrival,
+        **{
+            'content-type': 'text/event-stream',
+            'transfer-encoding': 'chunked',
+            'celeryward-confidence': str(confidence),
+        },
+    )
+    for number in range(first_event(arrival), last + 1):
+        await connection.send('answer', h11.Data(data=standins.event(number)))
+        await curio.sleep(STEP_SECONDS)
+
+
+def first_event(arrival):
+    """Return the number of the first event that the caller lacks."""
+    return int(arrival.head.headers.get('last-event-id', '0')) + 1
+
+
+async def send_head(server, connection, arrival, status=STATUS_OK, **headers):
+    """Send the head of an answer."""
+    lines = http.encode_headers(server.response_headers(arrival, **headers))
+    await connection.send(
+        'answer', h11.Response(status_code=status, headers=lines)
+    )
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -1,72 +1,24 @@
 """Faults that a run injects, each into one target for a duration."""
 
-import dataclasses
 import signal
 
 import curio
 
 from benchmarks.soak import observations
+from benchmarks.soak import plans
 from benchmarks.soak import proxy
-from celeryward import registry
+from celeryward import deadlines
 
-FAULTS = registry.Registry('fault')
 DELAY_SECONDS = 0.15
+# Within which bytes that were held are delivered.
+HELD_SECONDS = 1.0
 REFUSED_SHARE = 0.5
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Event:
-    """A scheduled fault.
-
-    :param float at: seconds from the start of the run.
-    :param int target: picks the router or endpoint, modulo their number.
-    :param float seconds: duration of the fault.
-    """
-
-    at: float
-    fault: str
-    target: int
-    seconds: float
-
-
-def make_plan(generator, seconds, rate):
-    """Return the fault events of a run, sorted by start time.
-
-    :param random.Random generator: only source of randomness, so that a
-        seed determines the plan.
-    :param float seconds: period in which faults start.
-    :param float rate: faults per second.
-    """
-    names = sorted(FAULTS.entries)
-    events = [
-        Event(
-            generator.uniform(0.0, seconds),
-            generator.choice(names),
-            generator.randrange(1000),
-            generator.choice((0.2, 1.0, 3.0, 6.0)),
-        )
-        for _ in range(max(1, round(seconds * rate)))
-    ]
-    return tuple(sorted(events, key=lambda event: event.at))
-
-
-async def inject(fleet, event):
-    """Inject the fault of one event and record its time span."""
-    began = observations.now()
-    try:
-        await FAULTS.get(event.fault)(fleet, event)
-    finally:
-        fleet.observed.faults.append((began, observations.now(), event.fault))
-
-
-def router_of(fleet, event):
-    """Return the router that an event targets."""
-    return fleet.routers[event.target % len(fleet.routers)]
-
-
-def endpoint_of(fleet, event):
-    """Return the endpoint that an event targets."""
-    return fleet.endpoints[event.target % len(fleet.endpoints)]
+MIN_QUIET_SECONDS = 1.0
+QUIET_STEP_SECONDS = 0.1
+QUIET_STEPS = 6
+# From one endpoint of a series to the next that falls silent.
+QUIET_INTERVAL_SECONDS = 0.3
+MAX_QUIET_ENDPOINTS = 4
 
 
 async def apply_conditions(link, conditions, seconds):
@@ -78,76 +30,76 @@
 
 async def apply_endpoint_conditions(fleet, event, conditions):
     """Set the conditions of an endpoint's proxy for a duration."""
-    endpoint = endpoint_of(fleet, event)
+    endpoint = plans.endpoint_of(fleet, event)
     await apply_conditions(endpoint.proxy, conditions, event.seconds)
     # Held bytes are delivered now, later than they were sent.
-    endpoint.disturbed_until = observations.now() + 1.0
+    endpoint.disturbed_until = observations.now() + HELD_SECONDS
 
 
-@FAULTS.register('router-stop')
+@plans.FAULTS.register('router-stop')
 async def stop_router(fleet, event):
     """Stop a router gracefully, then start it again."""
-    router = router_of(fleet, event)
+    router = plans.router_of(fleet, event)
     await fleet.stop_router(router)
     if not router.alive:
         fleet.start_router(router)
 
 
-@FAULTS.register('router-kill')
+@plans.FAULTS.register('router-kill')
 async def kill_router(fleet, event):
     """Kill a router and start it again after the duration."""
-    router = router_of(fleet, event)
+    router = plans.router_of(fleet, event)
     await fleet.kill_router(router)
     await curio.sleep(event.seconds)
     if not router.alive:
         fleet.start_router(router)
 
 
-@FAULTS.register('router-pause')
+@plans.FAULTS.register('router-pause')
 async def pause_router(fleet, event):
     """Suspend the process of a router for the duration."""
-    router = router_of(fleet, event)
+    router = plans.router_of(fleet, event)
     router.signal(signal.SIGSTOP)
     await curio.sleep(event.seconds)
     router.signal(signal.SIGCONT)
 
 
-@FAULTS.register('router-reload')
+@plans.FAULTS.register('router-reload')
 async def reload_router(fleet, event):
     """Change the settings of a router and send it a reload signal."""
-    router = router_of(fleet, event)
+    router = plans.router_of(fleet, event)
     fleet.write_settings(router, slack=20 + event.target % 40)
     router.signal(signal.SIGHUP)
 
 
-@FAULTS.register('store-delayed')
+@plans.FAULTS.register('store-delayed')
 async def delay_store(fleet, event):
     """Delay the traffic between one router and the store."""
-    router = router_of(fleet, event)
+    router = plans.router_of(fleet, event)
     conditions = proxy.Conditions(delay_seconds=DELAY_SECONDS)
     await apply_conditions(router.proxy, conditions, event.seconds)
 
 
-@FAULTS.register('store-answers-lost')
+@plans.FAULTS.register('store-answers-lost')
 async def lose_store_answers(fleet, event):
     """Hold the store's answers to one router, then reset connections."""
-    router = router_of(fleet, event)
+    router = plans.router_of(fleet, event)
     conditions = proxy.Conditions(answers_held=True)
     await apply_conditions(router.proxy, conditions, event.seconds)
     await router.proxy.reset()
 
 
-@FAULTS.register('store-refused')
+@plans.FAULTS.register('store-refused')
 async def refuse_store(fleet, event):
     """Reset open and new connections of one router to the store."""
-    router = router_of(fleet, event)
+    router = plans.router_of(fleet, event)
     await router.proxy.reset()
     await apply_conditions(
         router.proxy, proxy.Conditions(refused=True), event.seconds
     )
 
 
-@FAULTS.register('store-away')
+@plans.FAULTS.register('store-away')
 async def make_store_unavailable(fleet, event):
     """Make the store end all calls without an answer."""
     fleet.store.unavailable = True
@@ -155,7 +107,7 @@
     fleet.store.unavailable = False
 
 
-@FAULTS.register('store-busy')
+@plans.FAULTS.register('store-busy')
 async def overload_store(fleet, event):
     """Make the store answer a share of all calls with 503."""
     fleet.store.refused_share = REFUSED_SHARE
@@ -163,27 +115,46 @@
     fleet.store.refused_share = 0.0
 
 
-@FAULTS.register('store-history-lost')
+@plans.FAULTS.register('store-history-lost')
 async def compact_history(fleet, event):
     """Make the store compact its history up to the current revision."""
     fleet.store.compacted = fleet.store.revision
 
 
-@FAULTS.register('endpoint-delayed')
+@plans.FAULTS.register('endpoint-delayed')
 async def delay_endpoint(fleet, event):
     """Delay the traffic between routers and an endpoint."""
     conditions = proxy.Conditions(delay_seconds=DELAY_SECONDS)
     await apply_endpoint_conditions(fleet, event, conditions)
 
 
-@FAULTS.register('endpoint-silent')
+@plans.FAULTS.register('endpoint-silent')
 async def silence_endpoint(fleet, event):
     """Hold the traffic between routers and an endpoint both ways."""
     conditions = proxy.Conditions(requests_held=True, answers_held=True)
     await apply_endpoint_conditions(fleet, event, conditions)
 
 
-@FAULTS.register('endpoint-answers-held')
+@plans.FAULTS.register('endpoint-quiet')
+async def quiet_endpoints(fleet, event):
+    """Let sound endpoints, one after another, stop for about a second."""
+    step = event.target % QUIET_STEPS
+    seconds = MIN_QUIET_SECONDS + step * QUIET_STEP_SECONDS
+    for number in range(1 + event.target % MAX_QUIET_ENDPOINTS):
+        index = (event.target + number) % len(fleet.endpoints)
+        endpoint = fleet.endpoints[index]
+        if endpoint.proxy.quiet_until.expired():
+            endpoint.proxy.quiet_until = deadlines.Deadline.after(seconds)
+            # Requests that were held arrive later than they were sent.
+            endpoint.disturbed_until = max(
+                endpoint.disturbed_until,
+                observations.now() + seconds + HELD_SECONDS,
+            )
+        await curio.sleep(QUIET_INTERVAL_SECONDS)
+    await curio.sleep(seconds)
+
+
+@plans.FAULTS.register('endpoint-answers-held')
 async def hold_answers(fleet, event):
     """Hold the traffic from an endpoint to the routers."""
     await apply_endpoint_conditions(
@@ -191,7 +162,7 @@
     )
 
 
-@FAULTS.register('endpoint-requests-held')
+@plans.FAULTS.register('endpoint-requests-held')
 async def hold_requests(fleet, event):
     """Hold the traffic from the routers to an endpoint."""
     await apply_endpoint_conditions(
@@ -199,38 +170,40 @@
     )
 
 
-@FAULTS.register('endpoint-reset')
+@plans.FAULTS.register('endpoint-reset')
 async def reset_endpoint(fleet, event):
     """Reset all connections to an endpoint."""
-    await endpoint_of(fleet, event).proxy.reset()
+    await plans.endpoint_of(fleet, event).proxy.reset()
 
 
-@FAULTS.register('endpoint-crash')
+@plans.FAULTS.register('endpoint-crash')
 async def crash_endpoint(fleet, event):
     """Crash an endpoint and replace it after the duration."""
-    endpoint = endpoint_of(fleet, event)
+    endpoint = plans.endpoint_of(fleet, event)
     await endpoint.crash()
     await curio.sleep(event.seconds)
     await endpoint.restart()
 
 
-@FAULTS.register('endpoint-leave')
+@plans.FAULTS.register('endpoint-leave')
 async def remove_endpoint(fleet, event):
     """Drain an endpoint, then replace it.
 
     About half of the endpoints do not announce that they leave: their
     entry is deleted without a draining state.
     """
-    endpoint = endpoint_of(fleet, event)
+    endpoint = plans.endpoint_of(fleet, event)
     left = endpoint.server
     await endpoint.leave(announced=event.target % 2 == 0)
     await curio.sleep(event.seconds)
     if endpoint.server is left:
         await left.stop()
+        # Only the end of the process excuses an answer that broke off.
+        fleet.observed.record_instant('endpoint-stop', endpoint.name)
         await endpoint.restart()
 
 
-@FAULTS.register('configuration-change')
+@plans.FAULTS.register('configuration-change')
 async def change_configuration(fleet, event):
     """Write several configuration versions in quick succession."""
     for _ in range(1 + event.target % 4):
@@ -238,7 +211,7 @@
         await curio.sleep(0.1)
 
 
-@FAULTS.register('key-revoked')
+@plans.FAULTS.register('key-revoked')
 async def revoke_key(fleet, event):
     """Issue a key and revoke it after the duration."""
     key = f'key-{fleet.version}-{event.target}'
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -10,6 +10,8 @@
 import curio
 import msgspec
 
+from benchmarks.soak import configurations
+from benchmarks.soak import endpoints as stand_in_endpoints
 from benchmarks.soak import observations
 from benchmarks.soak import proxy
 from celeryward import deadlines
@@ -43,80 +45,6 @@
         await super().answer(connection, received)
 
 
-class Endpoint:
-    """Stand-in endpoint behind a proxy; each restart gets a new id."""
-
-    def __init__(self, fleet, number, service):
-        self.fleet = fleet
-        self.number = number
-        self.service = service
-        self.generation = 0
-        self.proxy = proxy.Proxy()
-        self.disturbed_until = 0.0
-        self.server = None
-
-    async def start(self):
-        """Start the server and write its entry to the store."""
-        self.generation += 1
-        name = f'e{self.number}-{self.generation}'
-        self.server = standins.RunnerStandIn(
-            name, self.service, events=self.fleet.events_per_answer
-        )
-        self.server.confidence = {'small': 100}
-        self.server.default_action = self.answer
-        await self.server.start()
-        self.proxy.target = self.server.port
-        if self.proxy.listener.sock is None:
-            await self.proxy.start()
-        await self.write_entry('ready')
-
-    async def write_entry(self, state):
-        """Write the entry of the endpoint, with a state, to the store."""
-        entry = self.server.entry(state)
-        entry['address'] = f'127.0.0.1:{self.proxy.port}'
-        await self.fleet.store.put('servers', self.server.id, entry)
-
-    async def answer(self, server, connection, arrival):
-        """Record the execution of a request, then answer it as usual."""
-        conditions = self.proxy.conditions
-        self.fleet.observed.executions.append(
-            observations.Execution(
-                processes.request_id(arrival),
-                server.id,
-                observations.now(),
-                conditions == proxy.CLEAR
-                and observations.now() > self.disturbed_until,
-            )
-        )
-        await curio.sleep(self.fleet.work_seconds)
-        await standins.send_default_response(server, connection, arrival)
-
-    async def crash(self):
-        """Stop the server abruptly; its entry stays until it expires."""
-        await self.server.stop()
-
-    async def restart(self):
-        """Start a new server in place of the stopped one."""
-        await self.delete_entry()
-        await self.start()
-
-    async def delete_entry(self):
-        """Delete the entry of the endpoint from the store, if it exists."""
-        if ('servers', self.server.id) in self.fleet.store.objects:
-            await self.fleet.store.delete('servers', self.server.id)
-
-    async def leave(self, announced=True):
-        """Set the state to draining, or delete the entry unannounced.
-
-        :param bool announced: whether the endpoint announces its departure.
-        """
-        if announced:
-            await self.write_entry('draining')
-        else:
-            await self.delete_entry()
-        self.fleet.observed.left_at[self.server.id] = observations.now()
-
-
 class RouterProcess:
     """A router and its current process; each start makes a new one."""
 
@@ -155,7 +83,9 @@
         self.work_seconds = 0.1
         self.store = Store(random.Random(seed))
         self.endpoints = [
-            Endpoint(self, number, 'llm' if number % 2 else 'app')
+            stand_in_endpoints.Endpoint(
+                self, number, 'llm' if number % 2 else 'app'
+            )
             for number in range(endpoints)
         ]
         # Each run has its own loopback network, derived from its process id,
@@ -170,6 +100,7 @@
             for number in range(routers)
         ]
         self.version = 1
+        self.settings = configurations.DEFAULTS
         self.keys = [standins.KEY]
 
     async def start(self):
@@ -187,9 +118,16 @@
         await self.wait_until_ready(STARTUP_SECONDS)
 
     async def write_configuration(self):
-        """Write the next configuration version with the current keys."""
+        """Write the next version with the current keys and settings."""
         self.version += 1
-        spec = processes.configuration(self.version, self.keys)
+        spec = configurations.write_spec(
+            self.version, self.keys, self.settings
+        )
+        self.observed.timeouts.append(
+            observations.Timeout(
+                observations.now(), self.settings.timeout_seconds
+            )
+        )
         await self.store.put('config', 'main', spec)
 
     def write_settings(self, router, slack=54):
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -15,6 +15,10 @@
         run.
     :param bool whole: whether the answer was complete.
     :param str error: why the answer was not complete.
+    :param written_at: when head and body had been written; None if they were
+        not.
+    :param bool left_early: whether the caller was to leave early.
+    :param bool reused: whether the connection had carried a request before.
     """
 
     request_id: str
@@ -28,6 +32,9 @@
     whole: bool = False
     body: bytes = b''
     error: str = ''
+    written_at: float | None = None
+    left_early: bool = False
+    reused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +51,36 @@
     undisturbed: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandonment:
+    """A run whose connection the router closed before the answer ended."""
+
+    request_id: str
+    endpoint: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultSpan:
+    """The time span of a fault.
+
+    :param str target: name of the router or endpoint; empty for others.
+    """
+
+    began: float
+    ended: float
+    name: str
+    target: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timeout:
+    """The timeout of all routes from a configuration version on."""
+
+    at: float
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
     """A planned stop of a router.
@@ -72,7 +109,11 @@
     :param dict revoked_at: time at which each key was revoked.
     :param dict left_at: time at which each endpoint was marked as draining or
         its entry was deleted.
-    :param list faults: (start, end, name) of each fault.
+    :param list faults: the :class:`FaultSpan` of each fault.
+    :param list abandoned: runs that a router gave up.
+    :param set broken_off: requests whose answer an endpoint broke off or
+        made unusable.
+    :param list timeouts: the :class:`Timeout` of each configuration.
     """
 
     def __init__(
@@ -85,6 +126,9 @@
         revoked_at=(),
         left_at=(),
         faults=(),
+        abandoned=(),
+        broken_off=(),
+        timeouts=(),
     ):
         self.outcomes = list(outcomes)
         self.executions = list(executions)
@@ -94,15 +138,27 @@
         self.revoked_at = dict(revoked_at)
         self.left_at = dict(left_at)
         self.faults = list(faults)
+        self.abandoned = list(abandoned)
+        self.broken_off = set(broken_off)
+        self.timeouts = list(timeouts)
+
+    def record_instant(self, name, target):
+        """Record a fault without a duration."""
+        at = now()
+        self.faults.append(FaultSpan(at, at, name, target))
 
-    def overlaps_fault(self, start, end, names):
+    def overlaps_fault(self, start, end, names, target=None):
         """Return whether a matching fault overlaps a time span.
 
         :param tuple names: prefixes of the names of matching faults.
+        :param str target: target of matching faults; None for any.
         """
         return any(
-            began < end and ended > start and name.startswith(names)
-            for began, ended, name in self.faults
+            span.began < end
+            and span.ended > start
+            and span.name.startswith(names)
+            and target in (None, span.target)
+            for span in self.faults
         )
 
 
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from celeryward import deadlines
 from celeryward import logs
 from celeryward.standins import base
 
@@ -38,12 +39,15 @@
     """TCP proxy to a port of the same host.
 
     :param int target: port of the server; it may change between connections.
+
+    Until ``quiet_until`` all bytes are held, whatever the conditions.
     """
 
     def __init__(self, target=0):
         super().__init__()
         self.target = target
         self.conditions = CLEAR
+        self.quiet_until = deadlines.Deadline.after(0.0)
         self.sockets_by_task = {}
 
     async def stop(self):
@@ -97,6 +101,8 @@
 
     def is_held(self, towards_server):
         """Return whether bytes in a direction are held."""
+        if not self.quiet_until.expired():
+            return True
         if towards_server:
             return self.conditions.requests_held
         return self.conditions.answers_held
--- a/benchmarks/soak/regressions.py
+++ b/benchmarks/soak/regressions.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from benchmarks.soak import soak
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Case:
@@ -9,11 +11,17 @@
 
     :param str cause: fault that made it fail.
     :param float seconds: period in which faults start.
+    :param int plan: version of the plan that failed.
     """
 
     seed: int
     cause: str
     seconds: float = 15.0
+    plan: int = 1
+
+    def size(self):
+        """Return the :class:`soak.Size` of the run."""
+        return soak.Size(seconds=self.seconds, plan=self.plan)
 
 
 # The recovery requests of a run disconnected early like all others.
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -5,13 +5,19 @@
 
 import curio
 
+from benchmarks.soak import answer_faults
 from benchmarks.soak import callers
 from benchmarks.soak import checks
+from benchmarks.soak import configurations
 from benchmarks.soak import faults
 from benchmarks.soak import fleet as fleets
 from benchmarks.soak import observations
+from benchmarks.soak import odd_entries
+from benchmarks.soak import plans
 from tests import platform_standins as standins
 
+# Modules that register the faults of the plans.
+FAULT_MODULES = (answer_faults, configurations, faults, odd_entries)
 RECOVERY_SECONDS = 15.0
 RECOVERY_REQUESTS = 5
 # Retries made just before the faults end still count against the retry
@@ -27,6 +33,7 @@
 
     :param float seconds: period in which faults start.
     :param float rate: faults per second.
+    :param int plan: version of the plan.
     """
 
     seconds: float = 15.0
@@ -34,6 +41,7 @@
     routers: int = 4
     endpoints: int = 8
     callers: int = 8
+    plan: int = plans.LATEST_PLAN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +60,9 @@
 
 async def run(seed, size, directory):
     """Run one seed; return the observations and the violations."""
-    plan = faults.make_plan(random.Random(seed), size.seconds, size.rate)
+    plan = plans.make_plan(
+        random.Random(seed), size.seconds, size.rate, size.plan
+    )
     fleet = fleets.Fleet(seed, directory, size.routers, size.endpoints)
     try:
         await fleet.start()
@@ -79,7 +89,7 @@
         for event in plan:
             wait = started + event.at - observations.now()
             await curio.sleep(max(0.0, wait))
-            await injected.spawn(faults.inject, fleet, event)
+            await injected.spawn(plans.inject, fleet, event)
     unready = await fleet.wait_until_ready(RECOVERY_SECONDS)
     await curio.sleep(SETTLE_SECONDS)
     for task in caller_tasks:
@@ -133,7 +143,8 @@
     command = (
         f'python -m benchmarks.soak --seed={seed} --seconds={size.seconds} '
         f'--rate={size.rate} --routers={size.routers} '
-        f'--endpoints={size.endpoints} --callers={size.callers}'
+        f'--endpoints={size.endpoints} --callers={size.callers} '
+        f'--plan={size.plan}'
     )
     if not violations:
         print(f'seed {seed}: no violation; {summarize(observed)}')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,8 @@
 
 from benchmarks.soak import callers
 from benchmarks.soak import checks
-from benchmarks.soak import faults
 from benchmarks.soak import observations
+from benchmarks.soak import plans
 from benchmarks.soak import soak
 from tests import platform_standins as standins
 
@@ -28,6 +28,22 @@
     return observations.Observations(outcomes, executions, **more)
 
 
+UNANSWERED = outcome(
+    whole=False, error='Disconnected: closed', written_at=10.0, reused=True
+)
+# None of these is a reason to leave a request unanswered.
+NO_EXCUSES = (
+    'configuration-idle',
+    'configuration-routes',
+    'endpoint-leave',
+    'endpoint-quiet',
+    'odd-entry',
+    'router-reload',
+    'router-stop',
+    'store-away',
+)
+
+
 VIOLATIONS = {
     'unknown-keys': observed([outcome(key=callers.UNKNOWN_KEY)]),
     'revoked-keys': observed([outcome(key='k')], revoked_at={'k': 4.9}),
@@ -36,6 +52,12 @@
     'true-refusals': observed([outcome(status=503, not_run=True)]),
     'whole-answers': observed([outcome(body=b'whole ans')]),
     'leaving-endpoints': observed(left_at={'e1': 7.0}),
+    'answered': observed([UNANSWERED]),
+    'quiet-endpoints': observed(
+        [outcome(status=504)],
+        abandoned=[observations.Abandonment('r1', 'e1', 10.09)],
+        timeouts=[observations.Timeout(0.0, 2.0)],
+    ),
     'versions': observed(
         versions=[
             observations.Version('router-0-1', 4),
@@ -75,9 +97,9 @@
 
     def test_faults_excuse_only_what_they_cause(self):
         late = observed(left_at={'e1': 7.0})
-        late.faults = [(9.0, 9.5, 'endpoint-reset')]
+        late.faults = [observations.FaultSpan(9.0, 9.5, 'endpoint-reset')]
         assert list(checks.find_violations(late))
-        late.faults = [(9.0, 9.5, 'store-away')]
+        late.faults = [observations.FaultSpan(9.0, 9.5, 'store-away')]
         assert not list(checks.find_violations(late))
 
     def test_stop_that_had_to_be_killed_is_found(self):
@@ -89,31 +111,109 @@
         ]
 
 
+class TestAnswered:
+    """Guards against faults that excuse more or less than they cause."""
+
+    def find(self, *faults, unanswered=UNANSWERED, **more):
+        found = observed([unanswered], faults=faults, **more)
+        return [each[0] for each in checks.find_violations(found)]
+
+    @pytest.mark.parametrize('name', NO_EXCUSES)
+    @pytest.mark.parametrize('target', ['e1', 'router-0', ''])
+    def test_planned_work_and_silence_excuse_nothing(self, name, target):
+        span = observations.FaultSpan(9.0, 11.0, name, target)
+        assert self.find(span) == ['answered']
+
+    @pytest.mark.parametrize(
+        'name,target,other',
+        [
+            ('endpoint-reset', 'e1', 'e2'),
+            ('endpoint-stop', 'e1', 'e2'),
+            ('router-kill', 'router-0', 'router-1'),
+            ('router-pause', 'router-0', 'router-1'),
+        ],
+    )
+    def test_faults_excuse_only_their_target(self, name, target, other):
+        span = observations.FaultSpan(10.0, 10.05, name, target)
+        assert self.find(span) == []
+        span = dataclasses.replace(span, target=other)
+        assert self.find(span) == ['answered']
+
+    def test_earlier_fault_excuses_nothing(self):
+        span = observations.FaultSpan(8.0, 9.9, 'endpoint-reset', 'e1')
+        assert self.find(span) == ['answered']
+
+    def test_answer_that_the_endpoint_broke_off_is_excused(self):
+        assert self.find(broken_off=['r1']) == []
+
+    def test_timeout_excuses_only_as_long_as_it_is_in_force(self):
+        long = [observations.Timeout(0.0, 2.0)]
+        short = [observations.Timeout(9.0, 0.1)]
+        assert self.find(timeouts=long) == ['answered']
+        assert self.find(timeouts=long + short) == []
+        outdated = [observations.Timeout(-20.0, 0.1)]
+        assert self.find(timeouts=outdated + long) == ['answered']
+
+    def test_crossed_close_is_excused_if_no_endpoint_was_reached(self):
+        unread = observed([UNANSWERED], [])
+        assert list(checks.find_violations(unread)) == []
+        first = dataclasses.replace(UNANSWERED, reused=False)
+        assert list(checks.find_violations(observed([first], [])))
+        late = dataclasses.replace(UNANSWERED, ended_at=11.0)
+        assert list(checks.find_violations(observed([late], [])))
+
+    def test_caller_that_left_is_excused(self):
+        left = dataclasses.replace(UNANSWERED, left_early=True)
+        assert self.find(unanswered=left) == []
+        unwritten = dataclasses.replace(UNANSWERED, written_at=None)
+        assert self.find(unanswered=unwritten) == []
+
+    def test_odd_entries_excuse_no_late_requests(self):
+        late = observed(left_at={'e1': 7.0})
+        late.faults = [observations.FaultSpan(6.0, 11.0, 'odd-entry')]
+        found = list(checks.find_violations(late))
+        assert [each[0] for each in found] == ['leaving-endpoints']
+
+
 class TestPlan:
     """Guards against plans that differ between runs of the same seed."""
 
-    def test_seed_decides_the_plan(self):
-        plans = [
-            faults.make_plan(random.Random(seed), 20.0, 1.0)
+    @pytest.mark.parametrize('version', plans.PLANS.entries)
+    def test_seed_decides_the_plan(self, version):
+        made = [
+            plans.make_plan(random.Random(seed), 20.0, 1.0, version)
             for seed in (7, 7, 8)
         ]
-        assert plans[0] == plans[1] != plans[2]
-        assert len(plans[0]) == 20
+        assert made[0] == made[1] != made[2]
+        assert len(made[0]) >= 20
 
     def test_fifty_seeds_include_every_fault(self):
         names = {
             event.fault
             for seed in range(50)
-            for event in faults.make_plan(random.Random(seed), 15.0, 1.0)
+            for event in plans.make_plan(random.Random(seed), 15.0, 1.0)
         }
-        assert names == set(faults.FAULTS.entries)
+        assert names == set(plans.FAULTS.entries)
+
+    def test_first_plan_has_one_fault_a_second(self):
+        plan = plans.make_plan(random.Random(7), 20.0, 1.0, version=1)
+        assert len(plan) == 20
+
+    def test_known_seeds_keep_the_plans_that_failed(self):
+        plan = plans.make_plan(random.Random(303), 15.0, 1.0, version=1)
+        assert [each.fault for each in plan[:3]] == [
+            'endpoint-reset',
+            'router-kill',
+            'store-history-lost',
+        ]
+        assert {each.fault for each in plan} <= set(plans.FIRST_FAULTS)
 
 
 class TestRun:
     """Guards against guarantees that routers violate under faults."""
 
     def test_short_run_has_no_violations(self, tmp_path):
-        size = soak.Size(seconds=4.0, routers=3, callers=4)
+        size = soak.Size(seconds=4.0, routers=3, callers=4, plan=1)
         found, violations = curio.run(soak.run, 5, size, tmp_path)
         assert violations == []
         assert len(found.executions) > 50
