Record the stop of a leaving endpoint from its beginning

The span now begins before the stop. An answer that a fault breaks off is no longer reported as a crash of a harness task.

--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -68,11 +68,13 @@
         group = curio.TaskGroup(wait=any)
         async with group:
             working = await group.spawn(
-                respond, self, server, connection, arrival
+                return_error, respond, self, server, connection, arrival
             )
             await group.spawn(connection.wait_closed)
         if group.completed is working:
-            return working.result
+            if working.result is not None:
+                raise working.result
+            return
         self.fleet.observed.abandoned.append(
             observations.Abandonment(
                 processes.request_id(arrival), server.id, observations.now()
@@ -125,6 +127,18 @@
         self.fleet.observed.left_at[self.server.id] = observations.now()
 
 
+async def return_error(respond, *arguments):
+    """Respond to a request; return the error that ends it early, or None.
+
+    Curio reports an error that ends a task as a crash.
+    """
+    try:
+        await respond(*arguments)
+    except http.EXCHANGE_ERRORS as error:
+        return error
+    return None
+
+
 async def run(endpoint, server, connection, arrival):
     """Run a request: work, then send the head and the rest in steps."""
     endpoint.record_execution(server, arrival)
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -197,9 +197,14 @@
     await endpoint.leave(announced=event.target % 2 == 0)
     await curio.sleep(event.seconds)
     if endpoint.server is left:
+        began = observations.now()
         await left.stop()
         # Only the end of the process excuses an answer that broke off.
-        fleet.observed.record_instant('endpoint-stop', endpoint.name)
+        fleet.observed.faults.append(
+            observations.FaultSpan(
+                began, observations.now(), 'endpoint-stop', endpoint.name
+            )
+        )
         await endpoint.restart()
 
 
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -142,11 +142,6 @@
         self.broken_off = set(broken_off)
         self.timeouts = list(timeouts)
 
-    def record_instant(self, name, target):
-        """Record a fault without a duration."""
-        at = now()
-        self.faults.append(FaultSpan(at, at, name, target))
-
     def overlaps_fault(self, start, end, names, target=None):
         """Return whether a matching fault overlaps a time span.
 
