Begin the soak's recovery again while the harness itself is late

The store of a run is a task of the harness, and tasks were recorded up to 3.7 s late then: no answer of the store could confirm a configuration within the 5 s in which a revoked key may work, so that the routers refused rightly.

The harness now measures how late its tasks run; the 15 s of the recovery and the 2 s before its requests begin again when they were late, for 60 s at most, and each report states the longest delay.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,14 @@
 
 import dataclasses
 import random
+import time
 
 import curio
 import pytest
 
 from benchmarks.soak import callers
 from benchmarks.soak import checks
+from benchmarks.soak import lateness
 from benchmarks.soak import observations
 from benchmarks.soak import plans
 from benchmarks.soak import soak
@@ -44,6 +46,8 @@
 )
 
 
+LATE_SECONDS = lateness.MIN_LATE_SECONDS + 0.2
+ON_TIME_SECONDS = 0.3
 VIOLATIONS = {
     'unknown-keys': observed([outcome(key=callers.UNKNOWN_KEY)]),
     'revoked-keys': observed([outcome(key='k')], revoked_at={'k': 4.9}),
@@ -175,6 +179,35 @@
         assert [each[0] for each in found] == ['leaving-endpoints']
 
 
+class TestLateness:
+    """Guards against recovery that is judged while the store stands still."""
+
+    def test_harness_that_was_late_is_waited_for(self):
+        began = observations.now()
+        curio.run(self.wait_beside_late_tasks)
+        assert observations.now() - began > LATE_SECONDS + ON_TIME_SECONDS
+
+    async def wait_beside_late_tasks(self):
+        await curio.spawn(self.run_late, daemon=True)
+        await lateness.wait_until_on_time(ON_TIME_SECONDS, 5.0)
+
+    async def run_late(self):
+        await curio.sleep(ON_TIME_SECONDS / 2)
+        time.sleep(LATE_SECONDS)
+
+    def test_late_tasks_are_recorded(self):
+        found = observed()
+        began = observations.now()
+        curio.run(self.watch_late_tasks, found)
+        assert lateness.was_late(found, began)
+        assert lateness.longest_seconds(found) >= LATE_SECONDS
+
+    async def watch_late_tasks(self, found):
+        await curio.spawn(lateness.watch, found, daemon=True)
+        await self.run_late()
+        await curio.sleep(ON_TIME_SECONDS)
+
+
 class TestPlan:
     """Guards against plans that differ between runs of the same seed."""
 
