--- a/benchmarks/soak/answer_faults.py
+++ b/benchmarks/soak/answer_faults.py
@@ -38,37 +38,44 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class RepeatedRefusal:
-    """Refuses the first request of a connection, then repeats the refusal.
+    """Refuses one request, then writes the refusal again for later ones.
 
-    The second request is run all the same.
+    Those are the second requests of their connections, and are run all the
+    same. A router may close the connection of the first refusal.
 
-    :param bool with_id: whether the copy has the id of the first request.
-    :param dict refused: the first request by connection.
+    :param bool with_id: whether the copies have the id of the refused one.
+    :param list refused: id of the request that was refused.
+    :param set kept: connections that have had an answer.
     """
 
     with_id: bool
-    refused: dict = dataclasses.field(default_factory=dict)
+    refused: list = dataclasses.field(default_factory=list)
+    kept: set = dataclasses.field(default_factory=set)
 
     async def respond(self, endpoint, server, connection, arrival):
         """Answer one request."""
-        first = self.refused.pop(connection, None)
-        if first is None:
-            self.refused[connection] = arrival
-            await refuse(
-                connection, {ID_HEADER: processes.request_id(arrival)}
-            )
-            return
-        endpoint.record_execution(server, arrival)
-        endpoint.record_broken_off(arrival)
-        headers = {ID_HEADER: processes.request_id(first)}
-        await refuse(connection, headers if self.with_id else {})
+        if not self.refused:
+            self.refused.append(processes.request_id(arrival))
+            await refuse(connection, self.refused[0])
+        elif connection in self.kept:
+            self.kept.remove(connection)
+            endpoint.record_execution(server, arrival)
+            endpoint.record_broken_off(arrival)
+            await refuse(connection, self.refused[0] if self.with_id else '')
+        else:
+            self.kept.add(connection)
+            await endpoints.run(endpoint, server, connection, arrival)
 
 
-async def refuse(connection, headers):
-    """Send an answer which says that its request was not run."""
-    await http.send_response(
-        connection, REFUSAL_STATUS, {NOT_RUN_HEADER: '1', **headers}, b''
-    )
+async def refuse(connection, request_id):
+    """Send an answer which says that a request was not run.
+
+    :param str request_id: id of that request; empty to name none.
+    """
+    headers = {NOT_RUN_HEADER: '1'}
+    if request_id:
+        headers[ID_HEADER] = request_id
+    await http.send_response(connection, REFUSAL_STATUS, headers, b'')
 
 
 @plans.FAULTS.register('refusal-twice')
--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -5,6 +5,7 @@
 
 from benchmarks.soak import observations
 from benchmarks.soak import proxy
+from celeryward import deadlines
 from celeryward import http
 from tests import platform_processes as processes
 from tests import platform_standins as standins
@@ -14,6 +15,10 @@
 # Between a head and its body, and between two events. Faults hit an answer
 # under way only if it takes some time.
 STEP_SECONDS = 0.03
+# Within which bytes that were held are delivered.
+HELD_BYTES_SECONDS = 1.0
+# From the end of a silence to the next one.
+MIN_GOING_ON_SECONDS = 2.0
 
 
 class Endpoint:
@@ -35,6 +40,7 @@
         self.disturbed_until = 0.0
         self.server = None
         self.answer_fault = None
+        self.going_on_until = deadlines.Deadline.after(0.0)
 
     async def start(self):
         """Start the server and write its entry to the store."""
@@ -84,6 +90,25 @@
             'router closed the connection', step='answer', peer='router'
         )
 
+    def fall_silent(self, seconds):
+        """Hold all traffic for some seconds, unless it was held just now."""
+        if not self.going_on_until.expired():
+            return
+        self.proxy.quiet_until = deadlines.Deadline.after(seconds)
+        self.going_on_until = deadlines.Deadline.after(
+            seconds + MIN_GOING_ON_SECONDS
+        )
+        self.disturb(observations.now() + seconds)
+
+    def disturb(self, until):
+        """Record that requests arrive later than they are sent.
+
+        :param float until: when no more bytes are held.
+        """
+        self.disturbed_until = max(
+            self.disturbed_until, until + HELD_BYTES_SECONDS
+        )
+
     def record_execution(self, server, arrival):
         """Record that a request reached the server and is run."""
         now = observations.now()
