--- a/benchmarks/soak/odd_entries.py
+++ b/benchmarks/soak/odd_entries.py
@@ -1,8 +1,11 @@
 """Entries of another writer that can't be read, among those of the fleet."""
 
+import dataclasses
+
 import curio
 import msgspec
 
+from benchmarks.soak import faults
 from benchmarks.soak import plans
 from celeryward import registry
 
@@ -11,7 +14,11 @@
 DIGITS = 5_000
 KINDS = ('servers', 'rollouts', 'routers')
 # Names sort before and after those of the other entries.
-NAMES = ('a-odd', 'zz-odd')
+PREFIXES = ('a-odd', 'zz-odd')
+# Time for the routers to read the entries.
+READ_SECONDS = 0.3
+# The endpoint that leaves goes on for longer than it may get requests.
+MIN_LEAVING_SECONDS = 4.0
 ENTRIES = {
     'servers': {
         'service': 'app',
@@ -35,17 +42,25 @@
 
 
 @plans.FAULTS.register('odd-entry')
-async def write_odd_entry(fleet, event):
-    """Write an odd entry of one kind and remove it after the duration."""
-    kind = KINDS[event.target % len(KINDS)]
-    names = sorted(ODD_FIELDS.entries)
-    odd = names[event.target // len(KINDS) % len(names)]
-    name = f'{NAMES[event.target % len(NAMES)]}-{event.target}-{odd}'
-    await fleet.store.put(kind, name, ODD_FIELDS.get(odd)(kind))
-    await curio.sleep(event.seconds)
-    # Another event may have written and removed the same entry.
-    if (kind, name) in fleet.store.objects:
-        await fleet.store.delete(kind, name)
+async def write_odd_entries(fleet, event):
+    """Write odd entries, let an endpoint leave, and remove them again."""
+    odd_names = sorted(ODD_FIELDS.entries)
+    odd = odd_names[event.target % len(odd_names)]
+    prefix = PREFIXES[event.target % len(PREFIXES)]
+    name = f'{prefix}-{event.target}-{odd}'
+    for kind in KINDS:
+        await fleet.store.put(kind, name, ODD_FIELDS.get(odd)(kind))
+    await curio.sleep(READ_SECONDS)
+    await faults.remove_endpoint(
+        fleet,
+        dataclasses.replace(
+            event, seconds=max(event.seconds, MIN_LEAVING_SECONDS)
+        ),
+    )
+    for kind in KINDS:
+        # Another event may have written and removed the same entry.
+        if (kind, name) in fleet.store.objects:
+            await fleet.store.delete(kind, name)
 
 
 @ODD_FIELDS.register('nested')
