--- a/celeryward/endpoints/pool.py
+++ b/celeryward/endpoints/pool.py
@@ -128,6 +128,7 @@
             if not (
                 connection.usable_until.expired() or connection.has_input()
             ):
+                connection.from_pool = True
                 return connection
             await connection.close()
         return None
@@ -174,6 +175,12 @@
         """
         return await self.close_idle(endpoint, before=error.silent_since)
 
+    async def close_except(self, addresses):
+        """Close the idle connections to all but the given addresses."""
+        for address in self.idle.keys() - addresses:
+            for connection in self.idle.pop(address, ()):
+                await connection.close()
+
     async def close(self):
         """Close every idle connection."""
         for idle_connections in self.idle.values():
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -12,6 +12,7 @@
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward.endpoints import monitor
+from celeryward.endpoints import notices
 from celeryward.endpoints import outcomes
 from celeryward.endpoints import pool
 from celeryward.endpoints import queueing
@@ -22,11 +23,13 @@
 from celeryward import listener
 from celeryward import logs
 from celeryward.objects import freshness
+from celeryward.objects import ignored
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
 from celeryward import signals
 from celeryward import store_view
+from celeryward import supervision
 
 # Idle timeout of connections for readiness probes and scrapes of metrics.
 MONITORING_IDLE_SECONDS = 30.0
@@ -37,6 +40,7 @@
 STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
 OVERDUE_POLL_SECONDS = 0.25
+IDLE_POLL_SECONDS = 0.25
 
 
 class Router:
@@ -69,6 +73,10 @@
             decider_count=self.count_deciders,
             bad_version_slack=bounds.bad_version_slack,
         )
+        self.metrics = router_metrics.RouterMetrics()
+        self.supervisor = supervision.Supervisor(
+            self.metrics.count_task_failure
+        )
         self.view = store_view.StoreView(
             placement,
             tuning,
@@ -76,15 +84,16 @@
             self.freshness,
             self.endpoint_freshness,
             self.releases,
+            ignored.IgnoredEntries(self.metrics.count_ignored_entry),
         )
         self.connections = pool.EndpointPool(tuning)
-        self.metrics = router_metrics.RouterMetrics()
         self.forwarder = forwarding.Forwarder(
             self.connections,
             translator,
             self.outcomes,
             self.runners,
             self.queues,
+            notices.NoticeReader(self.runners),
         )
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
@@ -274,13 +283,18 @@
         await self.caller_listener.start()
         await self.peer_listener.start()
         self.view.build_watchers(self.configuration, self.runners)
-        own_tasks = (
-            self.monitor.run,
-            self.poll_settings,
-            self.report_overdue_runs,
-        )
-        for run in (*self.view.task_functions(), *own_tasks):
-            self.tasks.append(await curio.spawn(run, daemon=True))
+        self.tasks += await self.view.start_tasks(self.supervisor)
+        for step, peer, run in (
+            ('monitor endpoints', 'endpoints', self.monitor.run),
+            ('poll settings', self.placement.name, self.poll_settings),
+            ('report overdue runs', 'endpoints', self.report_overdue_runs),
+            (
+                'close unused connections',
+                'endpoints',
+                self.close_unused_connections,
+            ),
+        ):
+            self.tasks.append(await self.supervisor.spawn(step, peer, run))
 
     async def stop(self):
         """Drain and stop. Requests that outlast the stop time are cut off."""
@@ -357,6 +371,13 @@
             await curio.sleep(OVERDUE_POLL_SECONDS)
             self.releases.runs.report_overdue()
 
+    async def close_unused_connections(self):
+        """Close idle connections to endpoints that have left or leave."""
+        while True:
+            await curio.sleep(IDLE_POLL_SECONDS)
+            addresses = self.runners.available_addresses()
+            await self.connections.close_except(addresses)
+
     async def run(self):
         """Run until SIGTERM or SIGINT, then drain and stop."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -34,6 +34,12 @@
         self.retries_refused = self.counter(
             'retries_refused', 'Repetitions without budget.', ('service',)
         )
+        self.entries_ignored = self.counter(
+            'entries_ignored', 'Entries of the store not read.', ('kind',)
+        )
+        self.task_failures = self.counter(
+            'task_failures', 'Errors after which a task went on.', ('step',)
+        )
         self.latencies = metrics.LatencyCollector()
         self.registry.register(self.latencies)
 
@@ -73,6 +79,14 @@
         """Count a retry that the retry budget did not allow."""
         self.retries_refused.labels(service).inc()
 
+    def count_ignored_entry(self, kind):
+        """Count an entry of the store that could not be read."""
+        self.entries_ignored.labels(kind).inc()
+
+    def count_task_failure(self, step):
+        """Count an error of a task that follows something."""
+        self.task_failures.labels(step).inc()
+
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
