Let the soak judge endpoints that announce their departure or shed

The router now reads Server-Leaving and Retry-After, and nothing played either against real processes. Two checks, each judged for one router at the endpoint's side: 'announced-departures' (no request that a caller began 2 s after the router passed such an answer on) and 'pauses' (two arrivals at most from 0.5 s after the refusal to the end of the pause). Only a restart, a pause or a kill of that router excuses.

endpoint-quiet hit few answers under way: it has three rounds now, and an answer takes 0.05 s for each step.

--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -14,11 +14,11 @@
 STATUS_OK = 200
 # Between a head and its body, and between two events. Faults hit an answer
 # under way only if it takes some time.
-STEP_SECONDS = 0.03
+STEP_SECONDS = 0.05
 # Within which bytes that were held are delivered.
 HELD_BYTES_SECONDS = 1.0
 # From the end of a silence to the next one.
-MIN_GOING_ON_SECONDS = 2.0
+MIN_GOING_ON_SECONDS = 1.0
 
 
 class Endpoint:
@@ -111,17 +111,22 @@
 
     def record_execution(self, server, arrival):
         """Record that a request reached the server and is run."""
-        now = observations.now()
         self.fleet.observed.executions.append(
             observations.Execution(
                 processes.request_id(arrival),
                 server.id,
-                now,
-                self.proxy.conditions == proxy.CLEAR
-                and now > self.disturbed_until,
+                observations.now(),
+                self.undisturbed(),
             )
         )
 
+    def undisturbed(self):
+        """Return whether no fault delays what arrives now."""
+        return (
+            self.proxy.conditions == proxy.CLEAR
+            and observations.now() > self.disturbed_until
+        )
+
     def record_broken_off(self, arrival):
         """Record that the endpoint spoils the answer to a request."""
         self.fleet.observed.broken_off.add(processes.request_id(arrival))
@@ -168,6 +173,10 @@
     """Run a request: work, then send the head and the rest in steps."""
     endpoint.record_execution(server, arrival)
     await curio.sleep(endpoint.fleet.work_seconds)
+    if server.leaving:
+        endpoint.fleet.observed.announced.append(
+            observations.Announcement(processes.request_id(arrival), server.id)
+        )
     if arrival.model:
         await send_events(server, connection, arrival, server.events)
         await connection.send('answer', h11.EndOfMessage())
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from benchmarks.soak import endpoints
 from benchmarks.soak import observations
 from benchmarks.soak import plans
 from benchmarks.soak import proxy
@@ -13,6 +14,7 @@
 MIN_QUIET_SECONDS = 1.0
 QUIET_STEP_SECONDS = 0.1
 QUIET_STEPS = 6
+QUIET_ROUNDS = 3
 # From one endpoint of a series to the next that falls silent.
 QUIET_INTERVAL_SECONDS = 0.3
 MAX_QUIET_ENDPOINTS = 4
@@ -134,7 +136,10 @@
 
 @plans.FAULTS.register('endpoint-quiet')
 async def quiet_endpoints(fleet, event):
-    """Let sound endpoints of a service, in turn, stop for about a second."""
+    """Let sound endpoints of a service stop for about a second, in turn.
+
+    Each goes on and stops again some times.
+    """
     step = event.target % QUIET_STEPS
     seconds = MIN_QUIET_SECONDS + step * QUIET_STEP_SECONDS
     first = plans.endpoint_of(fleet, event)
@@ -144,10 +149,11 @@
         if each.service == first.service and each is not first
     ]
     count = event.target % MAX_QUIET_ENDPOINTS
-    for endpoint in [first, *later[:count]]:
-        endpoint.fall_silent(seconds)
-        await curio.sleep(QUIET_INTERVAL_SECONDS)
-    await curio.sleep(seconds)
+    for _ in range(QUIET_ROUNDS):
+        for endpoint in [first, *later[:count]]:
+            endpoint.fall_silent(seconds)
+            await curio.sleep(QUIET_INTERVAL_SECONDS)
+        await curio.sleep(seconds + endpoints.MIN_GOING_ON_SECONDS)
 
 
 @plans.FAULTS.register('endpoint-answers-held')
@@ -193,15 +199,22 @@
     await endpoint.leave(announced=event.target % 2 == 0)
     await curio.sleep(event.seconds)
     if endpoint.server is left:
-        began = observations.now()
-        await left.stop()
-        # Only the end of the process excuses an answer that broke off.
-        fleet.observed.faults.append(
-            observations.FaultSpan(
-                began, observations.now(), 'endpoint-stop', endpoint.name
-            )
+        await stop_and_replace(fleet, endpoint)
+
+
+async def stop_and_replace(fleet, endpoint):
+    """Stop an endpoint that has left, and start another in its place.
+
+    Only this excuses an answer that broke off, not the departure itself.
+    """
+    began = observations.now()
+    await endpoint.server.stop()
+    fleet.observed.faults.append(
+        observations.FaultSpan(
+            began, observations.now(), 'endpoint-stop', endpoint.name
         )
-        await endpoint.restart()
+    )
+    await endpoint.restart()
 
 
 @plans.FAULTS.register('configuration-change')
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -60,6 +60,29 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that an endpoint turned away, and the pause it asked for.
+
+    :param float until: end of the pause.
+    :param bool undisturbed: as in :class:`Execution`.
+    """
+
+    request_id: str
+    endpoint: str
+    at: float
+    until: float
+    undisturbed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """An answer in which an endpoint said that it leaves."""
+
+    request_id: str
+    endpoint: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FaultSpan:
     """The time span of a fault.
@@ -113,6 +136,10 @@
     :param list abandoned: runs that a router gave up.
     :param set broken_off: requests whose answer an endpoint broke off or
         made unusable.
+    :param list turned_away: the :class:`Refusal` of each request that an
+        endpoint asked a pause for.
+    :param list announced: the :class:`Announcement` of each answer of an
+        endpoint that leaves.
     :param list timeouts: the :class:`Timeout` of each configuration.
     """
 
@@ -129,6 +156,8 @@
         abandoned=(),
         broken_off=(),
         timeouts=(),
+        turned_away=(),
+        announced=(),
     ):
         self.outcomes = list(outcomes)
         self.executions = list(executions)
@@ -141,6 +170,8 @@
         self.abandoned = list(abandoned)
         self.broken_off = set(broken_off)
         self.timeouts = list(timeouts)
+        self.turned_away = list(turned_away)
+        self.announced = list(announced)
 
     def overlaps_fault(self, start, end, names, target=None):
         """Return whether a matching fault overlaps a time span.
--- a/benchmarks/soak/plans.py
+++ b/benchmarks/soak/plans.py
@@ -7,7 +7,7 @@
 
 FAULTS = registry.Registry('fault')
 PLANS = registry.Registry('plan')
-LATEST_PLAN = 2
+LATEST_PLAN = 3
 DURATIONS_SECONDS = (0.2, 1.0, 3.0, 6.0)
 # A plan draws from its own list, so that a fault added later does not change
 # what an old seed does.
@@ -43,7 +43,8 @@
     'odd-entry',
     'refusal-twice',
 )
-SECOND_FAULTS_SHARE = 0.6
+THIRD_FAULTS = (*SECOND_FAULTS, 'endpoint-announces', 'endpoint-sheds')
+NEWER_FAULTS_SHARE = 0.6
 # Planned work that begins at about the same time as a fault.
 COMPANIONS = (
     'configuration-change',
@@ -97,14 +98,25 @@
 
 
 @PLANS.register(2)
-def plan_all_faults(generator, seconds, count):
+def plan_second_faults(generator, seconds, count):
+    """Yield events of the first and second faults."""
+    return plan_newer_faults(generator, seconds, count, SECOND_FAULTS)
+
+
+@PLANS.register(3)
+def plan_third_faults(generator, seconds, count):
+    """Yield events of all faults."""
+    return plan_newer_faults(generator, seconds, count, THIRD_FAULTS)
+
+
+def plan_newer_faults(generator, seconds, count, newer):
     """Yield events, mostly of newer faults, some beside planned work."""
     for _ in range(count):
         at = generator.uniform(0.0, seconds)
-        is_second = generator.random() < SECOND_FAULTS_SHARE
-        names = SECOND_FAULTS if is_second else FIRST_FAULTS
+        is_newer = generator.random() < NEWER_FAULTS_SHARE
+        names = newer if is_newer else FIRST_FAULTS
         yield make_event(generator, at, names)
-        if is_second and generator.random() < COMPANION_SHARE:
+        if is_newer and generator.random() < COMPANION_SHARE:
             delay = generator.uniform(0.0, MAX_COMPANION_DELAY_SECONDS)
             yield make_event(generator, at + delay, COMPANIONS)
 
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -9,6 +9,8 @@
 from benchmarks.soak import callers
 from benchmarks.soak import checks
 from benchmarks.soak import configurations
+from benchmarks.soak import contract_checks
+from benchmarks.soak import contract_faults
 from benchmarks.soak import faults
 from benchmarks.soak import fleet as fleets
 from benchmarks.soak import lateness
@@ -18,8 +20,15 @@
 from celeryward import deadlines
 from tests import platform_standins as standins
 
-# Modules that register the faults of the plans.
-FAULT_MODULES = (answer_faults, configurations, faults, odd_entries)
+# Modules that register the faults of the plans, and the checks.
+FAULT_MODULES = (
+    answer_faults,
+    configurations,
+    contract_faults,
+    faults,
+    odd_entries,
+)
+CHECK_MODULES = (checks, contract_checks)
 RECOVERY_SECONDS = 15.0
 # Longest wait for a harness that is late.
 MAX_LATE_SECONDS = 60.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -46,6 +46,31 @@
 )
 
 
+def later_requests(*times, router='router-0'):
+    """Return requests that reach the endpoint at some times."""
+    outcomes = [GOOD_OUTCOME]
+    executions = [EXECUTION]
+    for number, at in enumerate(times):
+        name = f'later-{number}'
+        outcomes.append(
+            outcome(request_id=name, started_at=at, ended_at=at, router=router)
+        )
+        executions.append(observations.Execution(name, 'e1', at, True))
+    return outcomes, executions
+
+
+def told_to_leave(*times, **more):
+    """Return observations of an endpoint that said at 10.1 that it leaves."""
+    announced = [observations.Announcement('r1', 'e1')]
+    return observed(*later_requests(*times, **more), announced=announced)
+
+
+def told_to_pause(*times, undisturbed=True, **more):
+    """Return observations of an endpoint that asked for a pause of 3 s."""
+    refusal = observations.Refusal('r1', 'e1', 10.0, 13.0, undisturbed)
+    return observed(*later_requests(*times, **more), turned_away=[refusal])
+
+
 LATE_SECONDS = lateness.MIN_LATE_SECONDS + 0.2
 ON_TIME_SECONDS = 0.3
 VIOLATIONS = {
@@ -62,6 +87,8 @@
         abandoned=[observations.Abandonment('r1', 'e1', 10.09)],
         timeouts=[observations.Timeout(0.0, 2.0)],
     ),
+    'announced-departures': told_to_leave(12.2),
+    'pauses': told_to_pause(10.6, 11.0, 12.9),
     'versions': observed(
         versions=[
             observations.Version('router-0-1', 4),
@@ -179,6 +206,48 @@
         assert [each[0] for each in found] == ['leaving-endpoints']
 
 
+class TestContracts:
+    """Guards against checks of endpoints' notices that see too little."""
+
+    def test_departure_is_judged_after_its_bound(self):
+        assert not list(checks.find_violations(told_to_leave(12.0)))
+        assert list(checks.find_violations(told_to_leave(12.2)))
+
+    def test_two_requests_are_allowed_in_a_pause(self):
+        allowed = told_to_pause(10.4, 10.6, 12.9, 13.1)
+        assert not list(checks.find_violations(allowed))
+
+    @pytest.mark.parametrize('told', [told_to_leave, told_to_pause])
+    def test_other_router_has_not_been_told(self, told):
+        found = told(12.2, 12.3, 12.4, router='router-1')
+        assert not list(checks.find_violations(found))
+
+    @pytest.mark.parametrize('told', [told_to_leave, told_to_pause])
+    @pytest.mark.parametrize(
+        'name,target,excused',
+        [
+            ('router-kill', 'router-0', True),
+            ('router-stop', 'router-0', True),
+            ('router-stop', 'router-1', False),
+            ('router-reload', 'router-0', False),
+            ('store-away', '', False),
+        ],
+    )
+    def test_only_a_restart_of_the_router_excuses(
+        self, told, name, target, excused
+    ):
+        found = told(12.2, 12.3, 12.4)
+        found.faults = [observations.FaultSpan(11.0, 11.5, name, target)]
+        assert excused is not bool(list(checks.find_violations(found)))
+
+    def test_answer_that_was_not_passed_on_tells_nothing(self):
+        found = told_to_leave(12.2)
+        found.outcomes[0] = outcome(whole=False)
+        assert not list(checks.find_violations(found))
+        found = told_to_pause(12.2, 12.3, 12.4, undisturbed=False)
+        assert not list(checks.find_violations(found))
+
+
 class TestLateness:
     """Guards against recovery that is judged while the store stands still."""
 
