Read entries of the object API and of daemons one by one

What callers saw: one odd object in a list of the object API made the whole list undecodable (or ended the watcher by RecursionError); one odd line of a watch ended it, and since the revision never got past that line, each further watch ended there too, 2 a second, and no change arrived any more. Between daemons one odd announcement refused the others of its message, and a bill, a digest or a demand with NaN or an infinite number was taken over.

Cause: lists were decoded as one document; an odd line was an error of the watch; nothing bounded numbers.

Change: lists of objects and hosts, lines of a watch and announcements are read one by one; revisions, integers and floats are bounded. An object of which only kind and name can be read keeps its last known state in the catalog, its deletion deletes it, and a list with an entry without a readable name deletes nothing. What is ignored is counted in celeryward_entries_ignored_total and each distinct fault logged once. A fencing number that daemons can't have counted up to is not taken over.

--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -34,6 +34,7 @@
 from celeryward.objects import configuration_watcher
 from celeryward.objects import flusher
 from celeryward.objects import hosts
+from celeryward.objects import ignored
 from celeryward.objects import leases
 from celeryward.objects import replicas
 from celeryward.objects import window_publisher
@@ -76,9 +77,13 @@
         self.supervisor = supervision.Supervisor(
             self.metrics.count_task_failure
         )
-        self.configuration = configuration.ConfigurationStore()
+        entries = ignored.IgnoredEntries(self.metrics.count_ignored_entry)
+        self.configuration = configuration.ConfigurationStore(entries)
         self.client = client.ObjectClient(
-            settings.platform, timings.platform_timeout, settings.name
+            settings.platform,
+            timings.platform_timeout,
+            settings.name,
+            ignored_entries=entries,
         )
         self.watcher = configuration_watcher.ConfigurationWatcher(
             self.client, self.configuration, clock
--- a/celeryward/daemons/protocol.py
+++ b/celeryward/daemons/protocol.py
@@ -10,6 +10,7 @@
 from celeryward.daemons import inventory
 from celeryward.daemons import membership
 from celeryward.daemons import topics
+from celeryward import decoding
 from celeryward import errors
 from celeryward.objects import protocol
 
@@ -30,10 +31,12 @@
 def read_change(message):
     """Return the :class:`objects.protocol.Change` of a message.
 
-    :raises errors.ProtocolError: if the object can't be decoded.
+    An object of which only the name can be read costs only itself.
+
+    :raises errors.ProtocolError: if not even that can be decoded.
     """
     try:
-        stored = protocol.OBJECT_DECODER.decode(message.object)
+        stored = protocol.read_object(message.object, message.revision)
     except msgspec.DecodeError as error:
         raise errors.ProtocolError(
             f'malformed object: {error}', step='decode change', peer='daemon'
@@ -41,6 +44,20 @@
     return protocol.Change(message.type, message.revision, stored)
 
 
+def bounded(value):
+    """Return a decoded value whose numbers are within bounds.
+
+    :raises errors.ProtocolError: if one is not.
+    """
+    try:
+        decoding.check_bounds(value)
+    except msgspec.DecodeError as error:
+        raise errors.ProtocolError(
+            f'malformed message: {error}', step='decode message', peer='daemon'
+        ) from error
+    return value
+
+
 def bounded_change_messages(changes):
     """Yield messages up to ``MAX_CHANGE_BYTES``, but at least one."""
     size = 0
@@ -109,13 +126,18 @@
 def read_digest(message):
     """Return the :class:`gossip.Digest` of a message.
 
-    :raises errors.ProtocolError: if parallel fields differ in length.
+    :raises errors.ProtocolError: if parallel fields differ in length, or a
+        number is out of range.
     """
+    if any(number >= inventory.BUCKET_COUNT for number in buckets(message)):
+        raise errors.ProtocolError(
+            'unknown bucket', step='decode digest', peer='daemon'
+        )
     heartbeats = zip_fields(
         membership.Heartbeat, message.member_ids, message.counters
     )
     entries = zip_fields(inventory.Entry, message.keys, message.revisions)
-    return gossip.Digest(
+    digest = gossip.Digest(
         heartbeats=heartbeats,
         members=tuple(map(read_member, message.members)),
         unknown_ids=tuple(message.unknown_ids),
@@ -127,6 +149,13 @@
         changes=tuple(map(read_change, message.changes)),
         wanted=tuple(message.wanted),
     )
+    return bounded(digest)
+
+
+def buckets(message):
+    """Return the bucket numbers that a digest names or hashes."""
+    last_hashed = max(0, len(message.bucket_hashes) - 1)
+    return (*message.bucket_numbers, last_hashed)
 
 
 def zip_fields(value_type, first, second):
@@ -192,8 +221,11 @@
 
 
 def read_bills(message):
-    """Return the bills of a message."""
-    return tuple(map(read_bill, message.bills))
+    """Return the bills of a message.
+
+    :raises errors.ProtocolError: if a number is not finite.
+    """
+    return bounded(tuple(map(read_bill, message.bills)))
 
 
 def announcements_message(announcements):
@@ -211,18 +243,23 @@
     )
 
 
-def read_announcements(message):
-    """Return the announcements of a message.
+def read_announcements(message, record_fault=lambda *fault: None):
+    """Return the announcements of a message that can be decoded.
 
     Topics of newer releases, unknown to this daemon, are skipped.
 
-    :raises errors.ProtocolError: if the content can't be decoded.
+    :param record_fault: function of topic, source and fault of each one that
+        can't be decoded.
     """
-    return [
-        read_announcement(entry)
-        for entry in message.announcements
-        if entry.topic in topics.TOPICS.entries
-    ]
+    found = []
+    for entry in message.announcements:
+        if entry.topic not in topics.TOPICS.entries:
+            continue
+        try:
+            found.append(read_announcement(entry))
+        except errors.ProtocolError as error:
+            record_fault(entry.topic, entry.source, error.message)
+    return found
 
 
 def read_announcement(entry):
@@ -232,7 +269,8 @@
     """
     topic = topics.TOPICS.get(entry.topic)
     try:
-        content = msgspec.msgpack.decode(entry.content, type=topic.type)
+        decoder = msgspec.msgpack.Decoder(topic.type)
+        content = decoding.decode_bounded(decoder, entry.content)
     except msgspec.DecodeError as error:
         raise errors.ProtocolError(
             f'malformed {entry.topic}: {error}',
--- a/celeryward/daemons/server.py
+++ b/celeryward/daemons/server.py
@@ -128,6 +128,7 @@
 async def announce(peer_server, message):
     """Accept the announcements of a peer."""
     if peer_server.announcer is not None:
-        announced = protocol.read_announcements(message)
+        ignored = peer_server.gossip.configuration.ignored
+        announced = protocol.read_announcements(message, ignored.record)
         peer_server.announcer.accept(announced)
     return exchange_pb2.Receipt()
--- a/celeryward/decoding.py
+++ b/celeryward/decoding.py
@@ -5,6 +5,9 @@
 a part that can't be decoded costs only itself.
 """
 
+import dataclasses
+import itertools
+import math
 import re
 
 import msgspec
@@ -12,6 +15,8 @@
 # Deeper values can't be encoded, compared or printed without a recursion of
 # the interpreter that may end in RecursionError.
 MAX_DEPTH = 32
+# At one depth; aliases of a YAML document may repeat a value without bound.
+MAX_VALUES = 1_000_000
 MIN_INTEGER = -(2**63)
 MAX_INTEGER = 2**64 - 1
 # Larger malformed bodies are not split, because that takes about a microsecond
@@ -51,35 +56,54 @@
     :raises msgspec.DecodeError: if it is malformed, nested more than
         :data:`MAX_DEPTH` times, or has an integer beyond 64 bits.
     """
-    value = decode(VALUE_DECODER, body)
+    return decode_bounded(VALUE_DECODER, body)
+
+
+def decode_bounded(decoder, body):
+    """Return what a decoder makes of a body, if it is within bounds.
+
+    :raises msgspec.DecodeError: as :func:`decode_value`.
+    """
+    value = decode(decoder, body)
     check_bounds(value)
     return value
 
 
 def check_bounds(value):
-    """Check nesting and integers of a decoded value.
+    """Check nesting and numbers of a decoded value or data class.
 
     :raises msgspec.DecodeError: as :func:`decode_value`.
     """
     level = [value]
     for _ in range(MAX_DEPTH):
-        level = [child for each in level for child in children(each)]
+        inner = (child for each in level for child in children(each))
+        level = list(itertools.islice(inner, MAX_VALUES + 1))
         if not level:
             return
+        if len(level) > MAX_VALUES:
+            raise msgspec.DecodeError(f'more than {MAX_VALUES} values')
     raise msgspec.DecodeError(f'nested more than {MAX_DEPTH} times')
 
 
 def children(value):
     """Return the values inside a value, if it is a container.
 
-    :raises msgspec.DecodeError: if it is an integer beyond 64 bits.
+    :raises msgspec.DecodeError: if it is an integer beyond 64 bits, or not a
+        finite number.
     """
+    if isinstance(value, str):
+        return ()
     if isinstance(value, dict):
         return value.values()
     if isinstance(value, (list, tuple)):
         return value
     if isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
         raise msgspec.DecodeError('integer beyond 64 bits')
+    if isinstance(value, float) and not math.isfinite(value):
+        raise msgspec.DecodeError('number is not finite')
+    if dataclasses.is_dataclass(value):
+        names = (field.name for field in dataclasses.fields(value))
+        return [getattr(value, name) for name in names]
     return ()
 
 
--- a/celeryward/metrics.py
+++ b/celeryward/metrics.py
@@ -109,6 +109,12 @@
             ('cause',),
             registry=self.registry,
         )
+        self.entries_ignored = prometheus_client.Counter(
+            'celeryward_entries_ignored',
+            'Entries of the object API not read.',
+            ('kind',),
+            registry=self.registry,
+        )
         self.task_failures = prometheus_client.Counter(
             'celeryward_task_failures',
             'Errors after which a task went on.',
@@ -125,6 +131,10 @@
         """Count an error of a task that follows something."""
         self.task_failures.labels(step).inc()
 
+    def count_ignored_entry(self, kind):
+        """Count an entry of the object API that could not be read."""
+        self.entries_ignored.labels(kind).inc()
+
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -16,6 +16,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
+from celeryward.objects import ignored
 from celeryward.objects import protocol
 
 TRANSPORT_ERRORS = (errors.ConnectionFailed, *http.EXCHANGE_ERRORS)
@@ -34,9 +35,13 @@
     :param str writer: name that is stored with each write.
     :param dialect: paths, bodies and statuses of the store, such as
         :class:`protocol.ObjectDialect`.
+    :param ignored_entries: :class:`ignored.IgnoredEntries`.
     """
 
-    def __init__(self, address, timeout, writer, dialect=None):
+    def __init__(
+        self, address, timeout, writer, dialect=None, ignored_entries=None
+    ):
+        self.ignored = ignored_entries or ignored.IgnoredEntries()
         self.address = address
         self.timeout = timeout
         self.writer = writer
@@ -82,9 +87,11 @@
         first = None
         after = ''
         for _ in range(MAX_PAGES):
+            started = time.monotonic()
             answer = await self.call(
                 'GET', self.dialect.page_path(kind, after, allow_stale)
             )
+            elapsed = time.monotonic() - started
             page = answer.and_then(
                 lambda body: self.decode(self.dialect.decode_page, kind, body)
             )
@@ -93,7 +100,7 @@
             page = page.unwrap()
             items.extend(page.items)
             faults.extend(page.faults)
-            first = first or page
+            first = first or limit_confirmation(page, elapsed)
             after = page.next_after
             if not after:
                 return result.Ok(
@@ -369,7 +376,15 @@
             async for chunk in chunks:
                 *lines, buffer = (buffer + chunk).split(b'\n')
                 for line in lines:
-                    yield self.decode(decode_change, '', line)
+                    change = self.decode(decode_change, '', line)
+                    if change.is_ok():
+                        yield change
+                    else:
+                        message = change.unwrap_err().message
+                        self.ignored.record('watch', '', message)
+                if len(buffer) > http.MAX_BODY_BYTES:
+                    yield self.decode(decode_change, '', b'')
+                    return
 
 
 def add_confirmation(answer, wait_seconds, elapsed_seconds):
@@ -379,7 +394,9 @@
     that arrives clearly before that confirms nothing: it may be a late copy
     of the response to an earlier call.
     """
-    if answer.passed_on or answer.changes:
+    if answer.passed_on:
+        return limit_confirmation(answer, elapsed_seconds)
+    if answer.changes:
         return answer
     if elapsed_seconds < wait_seconds - EARLY_SECONDS:
         return dataclasses.replace(answer, confirmed_seconds=-math.inf)
@@ -388,11 +405,21 @@
     )
 
 
+def limit_confirmation(answer, elapsed_seconds):
+    """Return an answer that confirms nothing later than its arrival.
+
+    Another router's clock, or a fault in it, must not make the objects look
+    fresher than they are.
+    """
+    confirmed = min(answer.confirmed_seconds, elapsed_seconds)
+    return dataclasses.replace(answer, confirmed_seconds=confirmed)
+
+
 def decode_hosts(kind, body):
     """Return the list of hosts in a body."""
-    return protocol.HOSTS_DECODER.decode(body)
+    return protocol.read_hosts(body)
 
 
 def decode_change(kind, line):
     """Return the change in one line of a watch."""
-    return protocol.CHANGE_DECODER.decode(line)
+    return protocol.read_change(line)
--- a/celeryward/objects/configuration.py
+++ b/celeryward/objects/configuration.py
@@ -6,6 +6,7 @@
 
 from celeryward import catalog
 from celeryward import logs
+from celeryward.objects import ignored
 from celeryward.objects import protocol
 from celeryward.objects import records
 
@@ -32,7 +33,8 @@
     time. The age of the configuration is computed from it.
     """
 
-    def __init__(self):
+    def __init__(self, ignored_entries=None):
+        self.ignored = ignored_entries or ignored.IgnoredEntries()
         self.latest_changes = {}
         self.revisions = {}
         self.entries = {field: {} for field in CATALOG_FIELD_BY_KIND.values()}
@@ -74,15 +76,22 @@
 
         :param protocol.ObjectList listed: all objects of the kind.
         """
+        for fault in listed.faults:
+            self.ignored.record(kind, '', fault)
         names = {stored.name for stored in listed.items}
-        deleted = [
-            protocol.Change('delete', listed.revision, change.object)
-            for change in self.latest_changes.values()
-            if change.object.kind == kind
-            and change.type != 'delete'
-            and change.object.name not in names
-            and change.revision < listed.revision
-        ]
+        # An entry without a readable name may be any of those that are absent.
+        deleted = (
+            []
+            if listed.faults
+            else [
+                protocol.Change('delete', listed.revision, change.object)
+                for change in self.latest_changes.values()
+                if change.object.kind == kind
+                and change.type != 'delete'
+                and change.object.name not in names
+                and change.revision < listed.revision
+            ]
+        )
         puts = [
             protocol.Change('put', stored.revision, stored)
             for stored in listed.items
@@ -97,6 +106,11 @@
             return False
         if change.revision <= self.revisions.get(stored.key, 0):
             return False
+        if change.type != 'delete' and isinstance(
+            stored, protocol.UnreadableObject
+        ):
+            self.ignored.record(stored.kind, stored.name, stored.fault)
+            return False
         self.revisions[stored.key] = change.revision
         self.latest_changes[stored.key] = change
         if stored.kind not in CATALOG_FIELD_BY_KIND:
--- a/celeryward/objects/hosts.py
+++ b/celeryward/objects/hosts.py
@@ -39,5 +39,7 @@
                 'list of hosts not read: {}', error.message
             )
             return
+        for fault in answer.unwrap().faults:
+            self.client.ignored.record('Host', '', fault)
         endpoints = self.configuration.catalog().endpoints.values()
         self.liveness.apply_hosts(endpoints, answer.unwrap().items)
--- a/celeryward/objects/leases.py
+++ b/celeryward/objects/leases.py
@@ -24,6 +24,8 @@
 # Allowance for clock rates, as a share of the duration. Host clocks differ by
 # about 100 ppm; the rest covers scheduling delays.
 RATE_MARGIN = 0.05
+# A higher fencing number is not one that daemons have counted up to.
+MAX_FENCE = 2**53
 
 
 class LeaseLost(errors.CelerywardError):
@@ -131,7 +133,8 @@
             self.takeover_at = deadlines.Deadline.after(takeover_wait)
         self.stored = stored
         fence = stored.spec.get('fence', 0)
-        self.highest_fence = max(self.highest_fence, fence)
+        if isinstance(fence, int) and 0 <= fence <= MAX_FENCE:
+            self.highest_fence = max(self.highest_fence, fence)
 
     def can_acquire(self):
         """Return whether the lease is absent, released or expired."""
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -5,6 +5,11 @@
 
 import msgspec
 
+from celeryward import decoding
+
+MAX_REVISION = 2**63 - 1
+Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredObject:
@@ -20,11 +25,11 @@
     kind: str
     name: str
     spec: dict[str, typing.Any]
-    revision: int = 0
+    revision: Revision = 0
     schema_version: int = 1
     writer: str = ''
     status: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
-    created: int = 0
+    created: Revision = 0
 
     @property
     def key(self):
@@ -81,7 +86,7 @@
     """
 
     type: str
-    revision: int
+    revision: Revision
     object: StoredObject | None = None
 
 
@@ -120,16 +125,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostList:
-    """The platform's list of hosts."""
+    """The platform's list of hosts.
+
+    :param tuple faults: as in :class:`ObjectList`.
+    """
 
     items: tuple[Host, ...]
+    faults: tuple[str, ...] = ()
 
 
 ENCODER = msgspec.json.Encoder()
 OBJECT_DECODER = msgspec.json.Decoder(StoredObject)
-LIST_DECODER = msgspec.json.Decoder(ObjectList)
 CHANGE_DECODER = msgspec.json.Decoder(Change)
-HOSTS_DECODER = msgspec.json.Decoder(HostList)
+HOST_DECODER = msgspec.json.Decoder(Host)
+REVISION_DECODER = msgspec.json.Decoder(Revision)
+TYPE_DECODER = msgspec.json.Decoder(typing.Literal['put', 'delete'])
+NAME_DECODER = msgspec.json.Decoder(
+    typing.Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
+)
+NULL = b'null'
 
 
 def encode(value):
@@ -137,6 +151,80 @@
     return ENCODER.encode(value)
 
 
+def read_each(body, read):
+    """Return what can be read of a list, and why the rest can't be.
+
+    :param body: encoded list.
+    :param read: function of an encoded element; raises
+        ``msgspec.DecodeError``.
+    :returns: a pair of tuples, of values and of texts.
+    :raises msgspec.DecodeError: if the body is no list.
+    """
+    values, faults = [], []
+    for element in decoding.split_elements(body):
+        try:
+            values.append(read(element))
+        except msgspec.DecodeError as error:
+            faults.append(str(error))
+    return tuple(values), tuple(faults)
+
+
+def read_revision(document, name):
+    """Return the revision in a member of a split document.
+
+    :raises msgspec.DecodeError: if there is none.
+    """
+    return decoding.decode(REVISION_DECODER, document.get(name, NULL))
+
+
+def read_object(body, revision):
+    """Return the stored object in a body.
+
+    :param int revision: revision of one of which only kind and name can be
+        read.
+    :returns: that one as an :class:`UnreadableObject`.
+    :raises msgspec.DecodeError: if kind or name can't be read.
+    """
+    try:
+        return decoding.decode_bounded(OBJECT_DECODER, body)
+    except msgspec.DecodeError as error:
+        members = decoding.split_members(body)
+        kind, name = (
+            decoding.decode(NAME_DECODER, members.get(member, NULL))
+            for member in ('kind', 'name')
+        )
+        return UnreadableObject(kind, name, {}, revision, fault=str(error))
+
+
+def read_change(body):
+    """Return the change in a body.
+
+    :raises msgspec.DecodeError: if it can't be read, and neither can its
+        type, its revision and the name of its object.
+    """
+    try:
+        return decoding.decode_bounded(CHANGE_DECODER, body)
+    except msgspec.DecodeError:
+        members = decoding.split_members(body)
+        revision = read_revision(members, 'revision')
+        change_type = decoding.decode(TYPE_DECODER, members.get('type', NULL))
+        stored = read_object(members.get('object', NULL), revision)
+        return Change(change_type, revision, stored)
+
+
+def read_hosts(body):
+    """Return the :class:`HostList` in a body.
+
+    :raises msgspec.DecodeError: if the body is malformed.
+    """
+    document = decoding.split_members(body)
+    items, faults = read_each(
+        document.get('items', NULL),
+        lambda entry: decoding.decode(HOST_DECODER, entry),
+    )
+    return HostList(items, faults)
+
+
 def object_path(kind, name):
     """Return the path of one object."""
     return f'/objects/{kind}/{name}'
@@ -199,11 +287,20 @@
 
         :raises msgspec.DecodeError: if the body is malformed.
         """
-        return OBJECT_DECODER.decode(body)
+        return decoding.decode_bounded(OBJECT_DECODER, body)
 
     def decode_list(self, kind, body):
-        """Return the :class:`ObjectList` in a body."""
-        return LIST_DECODER.decode(body)
+        """Return the :class:`ObjectList` in a body.
+
+        :raises msgspec.DecodeError: if the body is malformed.
+        """
+        document = decoding.split_members(body)
+        revision = read_revision(document, 'revision')
+        items, faults = read_each(
+            document.get('items', NULL),
+            lambda entry: read_object(entry, revision),
+        )
+        return ObjectList(items, revision, faults=faults)
 
 
 class LongPollDialect(typing.Protocol):
