Bound what other routers say of the store and of new versions

Read and shown by tests: a follower believed any time of confirmation, also one in the future, so that one faulty router made revoked keys valid without end at its followers; evidence with 10**400, negative or inconsistent counts was added and raised OverflowError wherever the exposure was used, on the path of requests too; a nested answer raised RecursionError.

Tests that decoded answers with the removed decoders use the dialect of the followers, with the same assertions.

--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -12,10 +12,12 @@
 """
 
 import dataclasses
+import typing
 import urllib.parse
 
 import msgspec
 
+from celeryward import decoding
 from celeryward.objects import protocol
 from celeryward.raters import rollout_orders
 
@@ -23,6 +25,9 @@
 OBJECTS_PREFIX = '/objects/'
 EVIDENCE_PATH = '/evidence'
 STATUS_OUT_OF_DATE = 503
+MAX_REPORTED_REQUESTS = 1_000_000_000
+# One outcome changes the log odds by less than 3.
+MAX_LOG_RATIO = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,8 +102,10 @@
     outcomes: tuple[rollout_orders.Outcome, ...]
 
 
-RESPONSE_DECODER = msgspec.json.Decoder(ChangesResponse)
-LIST_DECODER = msgspec.json.Decoder(ListResponse)
+SECONDS_DECODER = msgspec.json.Decoder(float)
+AGE_DECODER = msgspec.json.Decoder(
+    typing.Annotated[float, msgspec.Meta(ge=0)] | None
+)
 REPORT_DECODER = msgspec.json.Decoder(EvidenceReport)
 
 
@@ -115,25 +122,45 @@
 
     def decode_page(self, kind, body):
         """Return the :class:`protocol.ObjectPage` in a response body."""
-        response = LIST_DECODER.decode(body)
+        document = decoding.split_members(body)
+        revision = protocol.read_revision(document, 'revision')
+        items, faults = protocol.read_each(
+            document.get('items', protocol.NULL),
+            lambda entry: protocol.read_object(entry, revision),
+        )
         return protocol.ObjectPage(
-            response.items,
-            response.revision,
-            confirmed_seconds=response.confirmed_seconds,
+            items,
+            revision,
+            confirmed_seconds=read_confirmed(document),
+            faults=faults,
         )
 
     def decode_changes(self, kind, body):
         """Return the :class:`protocol.ChangeList` of a response body."""
-        response = RESPONSE_DECODER.decode(body)
+        document = decoding.split_members(body)
+        changes, faults = protocol.read_each(
+            document.get('changes', protocol.NULL), protocol.read_change
+        )
+        away = document.get('away_seconds', protocol.NULL)
         return protocol.ChangeList(
-            response.changes,
-            response.revision,
-            response.confirmed_seconds,
+            changes,
+            protocol.read_revision(document, 'revision'),
+            read_confirmed(document),
             True,
-            response.away_seconds,
+            decoding.decode(AGE_DECODER, away),
+            faults,
         )
 
 
+def read_confirmed(document):
+    """Return the time of the confirmation in a split response.
+
+    :raises msgspec.DecodeError: if there is none.
+    """
+    encoded = document.get('confirmed_seconds', protocol.NULL)
+    return decoding.decode(SECONDS_DECODER, encoded)
+
+
 def encode(message):
     """Return the body of a request or response."""
     return msgspec.json.encode(message)
@@ -155,16 +182,26 @@
     kind = path.removeprefix(CHANGES_PREFIX)
     fields = dict(urllib.parse.parse_qsl(query))
     try:
-        return ChangesRequest(
+        request = ChangesRequest(
             kind, int(fields['since']), float(fields['wait'])
         )
     except (KeyError, ValueError):
         return None
+    is_valid = 0 <= request.since <= protocol.MAX_REVISION
+    return request if is_valid and 0 <= request.wait_seconds else None
 
 
 def parse_report(body):
     """Return the :class:`EvidenceReport` in a body; None if malformed."""
     try:
-        return REPORT_DECODER.decode(body)
+        report = decoding.decode_bounded(REPORT_DECODER, body)
     except msgspec.DecodeError:
         return None
+    counts = [each.exposure for each in report.exposures]
+    is_valid = all(
+        0 <= each.exposed <= each.requests <= MAX_REPORTED_REQUESTS
+        for each in counts
+    ) and all(
+        abs(outcome.log_ratio) <= MAX_LOG_RATIO for outcome in report.outcomes
+    )
+    return report if is_valid else None
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -13,6 +13,7 @@
 from celeryward.objects import client
 from celeryward.objects import configuration
 from celeryward.objects import protocol
+from celeryward.routers import protocol as routers
 from celeryward import settings
 from celeryward.standins import base
 from tests import fakes
@@ -102,6 +103,37 @@
         await server.stop()
 
 
+class TestOtherRouters:
+    """Guards against what a faulty router says of the store."""
+
+    @pytest.mark.parametrize('claimed', [0.5, 3600.0, 1e300])
+    def test_confirmation_from_the_future_is_not_believed(self, claimed):
+        """It made revoked keys valid without end."""
+        answer = protocol.ChangeList((), 7, claimed, passed_on=True)
+        found = client.add_confirmation(answer, 2.0, 0.1)
+        assert found.confirmed_seconds == 0.1
+
+    @pytest.mark.parametrize(
+        'odd',
+        [
+            {'exposure': {'requests': 10**400, 'exposed': 1}},
+            {'exposure': {'requests': -5, 'exposed': -7}},
+            {'exposure': {'requests': 5, 'exposed': 7}},
+        ],
+    )
+    def test_odd_evidence_is_refused(self, odd):
+        exposure = {'service': 's', 'target': 'v', 'created': 1} | odd
+        report = {'exposures': [exposure], 'outcomes': []}
+        body = msgspec.json.encode(report)
+        assert routers.parse_request('/evidence', body) is None
+
+    @pytest.mark.parametrize(
+        'fields', ['since=-1&wait=1', 'since=1&wait=nan', 'since=1&wait=-1']
+    )
+    def test_odd_poll_is_refused(self, fields):
+        assert routers.parse_request(f'/changes/config?{fields}') is None
+
+
 class TestDaemonMessages:
     """Guards against numbers of other daemons that spoil sums."""
 
--- a/tests/test_other_routers.py
+++ b/tests/test_other_routers.py
@@ -208,7 +208,7 @@
         await log.reset(5)
         fresh.confirm(99.8)
         status, body = await made.answer('/changes/config?since=5&wait=0.05')
-        passed = protocol.RESPONSE_DECODER.decode(body)
+        passed = protocol.RouterDialect().decode_changes('config', body)
         assert status == 200
         assert -0.2 < passed.confirmed_seconds < 0.0
         assert passed.revision == 5
@@ -220,7 +220,10 @@
         await log.reset(5)
         fresh.confirm(100.0)
         _, body = await made.answer('/changes/config?since=9&wait=0.01')
-        assert protocol.RESPONSE_DECODER.decode(body).revision == 9
+        assert (
+            protocol.RouterDialect().decode_changes('config', body).revision
+            == 9
+        )
 
     @fakes.in_kernel
     async def test_unknown_history_and_kinds_are_refused(self):
@@ -249,14 +252,14 @@
         await log.extend((change(7),), 8)
         fresh.confirm(99.9)
         status, body = await made.answer('/objects/config')
-        listed = protocol.LIST_DECODER.decode(body)
+        listed = protocol.RouterDialect().decode_page('config', body)
         assert status == 200
         assert {each.name for each in listed.items} == {'other', 'main'}
         assert listed.revision == 8
         assert -0.2 < listed.confirmed_seconds < 0.0
         await log.extend((objects.Change('delete', 9, stored),), 9)
         _, body = await made.answer('/objects/config')
-        listed = protocol.LIST_DECODER.decode(body)
+        listed = protocol.RouterDialect().decode_page('config', body)
         assert [each.name for each in listed.items] == ['main']
 
     @fakes.in_kernel
