Refuse requests that arrive when a stop leaves no time for them

A stopping router only closed idle connections then; whatever it read was begun. From the moment at which it takes no more connections it refuses requests as not run, with a Retry-After, and that is 2.8 s after the signal instead of 3.0.

test_request_that_can_not_be_finished_is_not_begun failed before (the request reached its endpoint), passes. test_caller_connections and TestStop of test_router_requests: 9 passed.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -19,6 +19,8 @@
 
 # Time in which a request body must be complete.
 BODY_READ_SECONDS = 10.0
+# Retry delay that a stopping router sends: other routers take new connections.
+STOPPING_RETRY_SECONDS = 0.1
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
 
 
@@ -48,6 +50,7 @@
         self.idle_timeout = idle_timeout.IdleTimeout(configuration)
         self.metrics = metrics
         self.draining = False
+        self.refusing = False
         self.active = {}
         self.tasks = {}
 
@@ -192,6 +195,7 @@
     async def serve(self, received, responder):
         """Relay a request, or send an error if that fails."""
         try:
+            self.check_accepting(responder)
             await self.relay.serve(received.head, received.body, responder)
         except errors.CallerDisconnected as error:
             responder.caller_left = True
@@ -298,6 +302,23 @@
         """
         self.draining = True
 
+    def refuse_new(self):
+        """Refuse requests from now on: too little time is left for them."""
+        self.refusing = True
+
+    def check_accepting(self, responder):
+        """Check that a request that was read may begin.
+
+        :raises errors.ShuttingDown: if the router will stop too soon.
+        """
+        if self.refusing:
+            raise errors.ShuttingDown(
+                'router is stopping',
+                step='admit',
+                peer=responder.connection.peer,
+                retry_at=deadlines.Deadline.after(STOPPING_RETRY_SECONDS),
+            )
+
     async def fail_active(self):
         """Send an error for each request that can't be finished.
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -268,7 +268,10 @@
             self.tasks.append(await self.supervisor.spawn(step, peer, run))
 
     async def stop(self):
-        """Drain and stop. Requests that outlast the stop time are cut off."""
+        """Drain and stop. Requests that outlast the stop time are cut off.
+
+        Requests that arrive once no connection is accepted are refused.
+        """
         self.stopping = True
         started = time.monotonic()
         stop_deadline = deadlines.Deadline.after(
@@ -283,6 +286,7 @@
         )
         await self.view.deregister()
         await curio.sleep(accept_deadline.earlier(stop_deadline).remaining())
+        self.gateway.refuse_new()
         await self.caller_listener.stop_accepting()
         while self.gateway.active and not stop_deadline.expired():
             await self.gateway.close_idle()
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -126,7 +126,7 @@
     store_timeout: float = 1.0
     key_reserve: float = 1.3
     connect_timeout: float = 0.4
-    stop_accepting_after: float = 3.0
+    stop_accepting_after: float = 2.8
     stop_reserve: float = 0.4
     retry_part: float = 0.8
     value_factor: float = 10.0
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,5 +1,6 @@
 """Connections of callers that a router closes, and what is lost with them."""
 
+import dataclasses
 import socket
 
 import curio
@@ -150,3 +151,28 @@
         assert head.headers['connection'] == 'close'
         await stopping.join()
         await connection.close()
+
+    @standins.on_site
+    async def test_request_that_can_not_be_finished_is_not_begun(self, site):
+        """It was dispatched, and cut off when the stop ended."""
+        placement = site.router.placement
+        bounds = dataclasses.replace(placement.bounds, stop_seconds=2.0)
+        site.router.placement = dataclasses.replace(placement, bounds=bounds)
+        site.router.tuning = dataclasses.replace(
+            site.router.tuning, stop_accepting_after=0.3
+        )
+        for runner in site.runners.values():
+            runner.default_action = standins.never_respond
+        connection = await site.connect()
+        headers = standins.request_headers('/rigid/x')
+        lines = ''.join(f'{name}: {headers[name]}\r\n' for name in headers)
+        await connection.sock.sendall(b'GET /rigid/x HTTP/1.1\r\n')
+        stopping = await curio.spawn(site.router.stop)
+        await curio.sleep(0.6)
+        await connection.sock.sendall(f'{lines}\r\n'.encode())
+        received = await curio.timeout_after(0.5, connection.sock.recv, 4096)
+        assert received.startswith(b'HTTP/1.1 503')
+        assert b'Retry-After' in received
+        assert site.arrivals() == []
+        await stopping.join()
+        await connection.close()
