Disbelieve a refusal without an id from software that names requests

What callers saw: two endpoints refused a request by its id. For the next one, a POST that must not be repeated, each wrote that refusal once more without the id and ran the request: it ran at both, and its caller got 503, "not run".

Cause: such a request uses a new connection, on which a refusal without an id is believed, because a full endpoint may leave the id out.

Change: the forwarder keeps which software versions have named the request in a refusal. One without an id is not believed of these, on any connection; the outcome is unknown and the request isn't sent on. Software that never names requests in its refusals is believed on new connections as before, since its refusals would otherwise all end as 502.

--- a/celeryward/endpoints/answer_heads.py
+++ b/celeryward/endpoints/answer_heads.py
@@ -13,7 +13,9 @@
 MAX_SKIPPED_ANSWERS = 4
 
 
-async def receive_head(connection, forwarded, read_response, extend):
+async def receive_head(
+    connection, forwarded, read_response, extend, names_refusals
+):
     """Return head and metadata of the answer to a request.
 
     Answers that name another request are skipped: the one that is due may
@@ -23,6 +25,7 @@
     :param read_response: function that returns the
         :class:`ingress.ResponseMetadata` of a head.
     :param extend: as for :meth:`http.Connection.receive_response`.
+    :param bool names_refusals: as for :func:`answer_origin.origin`.
     :raises errors.AnswerMismatch: if an answer may belong to another
         request, or too many of them do.
     """
@@ -35,6 +38,7 @@
             metadata,
             forwarded.request_id,
             not (connection.from_pool or connection.skipped_responses),
+            names_refusals,
         )
         if found is answer_origin.Origin.THIS_REQUEST:
             return head, metadata
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -10,6 +10,7 @@
 
 from celeryward import deadlines
 from celeryward.endpoints import answer_heads
+from celeryward.endpoints import answer_origin
 from celeryward.endpoints import event_stream
 from celeryward.endpoints import waits
 from celeryward import errors
@@ -201,6 +202,8 @@
         self.translator = translator
         self.outcomes = outcomes
         self.exchanges = {}
+        # Software versions that name the request in their refusals.
+        self.naming_software = set()
 
     async def abort_replaceable(self, runner):
         """Abort the exchanges with an endpoint that requests give up.
@@ -280,10 +283,13 @@
                     forwarded,
                     self.translator.read_response,
                     wait.extend,
+                    runner.software in self.naming_software,
                 )
                 wait.begin_next()
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
+                if metadata.request_id and answer_origin.is_refusal(metadata):
+                    self.naming_software.add(runner.software)
                 check_head(runner, head, metadata)
                 seconds = time.monotonic() - started
                 on_data = functools.partial(
@@ -344,7 +350,7 @@
     :raises errors.AnswerInvalid: if the endpoint itself did not make the
         response, or if its content is encoded.
     """
-    if metadata.not_run or metadata.misdirected:
+    if answer_origin.is_refusal(metadata):
         unnamed = '' if metadata.request_id else ' without an id'
         raise errors.EndpointRefused(
             f'endpoint answered {head.status}{unnamed} and did not run the '
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -322,3 +322,28 @@
         await curio.sleep(0.5)
         assert watcher.confirmed_at == before
         assert configuration.current.version == 2
+
+
+class TestNewConnections:
+    """Guards against refusals of requests that run on a new connection."""
+
+    @pytest.mark.parametrize('name', UNNAMED_REFUSALS)
+    @standins.on_site
+    async def test_copy_that_lacks_the_id_of_a_refusal_is_no_promise(
+        self, site, name
+    ):
+        """The request ran at both endpoints and its caller got 503."""
+        status, headers = UNNAMED_REFUSALS[name]
+        more = {key.replace('-', '_'): headers[key] for key in headers}
+        for runner in site.runners.values():
+            runner.scripted_actions.append(
+                standins.respond_with(status, **more)
+            )
+            runner.default_action = repeat_then_run(status, headers)
+        head, _ = await site.request('/once/x', 'POST', b'1')
+        assert head.status == 503
+        site.router.outcomes.statistics.clear()
+        before = len(site.arrivals())
+        head, _ = await site.request('/once/x', 'POST', b'1', request_id='r2')
+        assert head.status == 502
+        assert len(site.arrivals()) == before + 1
