--- a/celeryward/endpoints/answer_heads.py
+++ b/celeryward/endpoints/answer_heads.py
@@ -24,7 +24,7 @@
     :param forwarding.ForwardedRequest forwarded: the request that waits.
     :param read_response: function that returns the
         :class:`ingress.ResponseMetadata` of a head.
-    :param extend: as for :meth:`http.Connection.receive_response`.
+    :param extend: as for :meth:`http.Connection.read`.
     :param bool names_refusals: as for :func:`answer_origin.origin`.
     :raises errors.AnswerMismatch: if an answer may belong to another
         request, or too many of them do.
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -193,10 +193,14 @@
     :param outcomes: :class:`outcomes.OutcomeTracker`.
     :param table: :class:`runners.RunnerTable`.
     :param queues: :class:`queueing.QueueEstimates`.
+    :param notice_reader: :class:`notices.NoticeReader`.
     """
 
-    def __init__(self, connections, translator, outcomes, table, queues):
+    def __init__(
+        self, connections, translator, outcomes, table, queues, notice_reader
+    ):
         self.table = table
+        self.notice_reader = notice_reader
         self.queues = queues
         self.connections = connections
         self.translator = translator
@@ -277,6 +281,7 @@
                     runner.id, not forwarded.new_connection, connection, wait
                 )
                 self.check_present(runner)
+                is_first = connection.bytes_written == 0
                 await self.send(connection, forwarded, runner)
                 head, metadata = await answer_heads.receive_head(
                     connection,
@@ -288,9 +293,10 @@
                 wait.begin_next()
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
-                if metadata.request_id and answer_origin.is_refusal(metadata):
-                    self.naming_software.add(runner.software)
-                check_head(runner, head, metadata)
+                self.notice_reader.record(
+                    forwarded, runner, metadata, is_first
+                )
+                self.check_head(runner, head, metadata)
                 seconds = time.monotonic() - started
                 on_data = functools.partial(
                     self.outcomes.record_activity, runner.id
@@ -311,7 +317,11 @@
             self.outcomes.request_finished(runner.id)
 
     def check_present(self, runner):
-        """Raise an error if the endpoint left while the connection opened."""
+        """Raise an error if the endpoint must not get the request any more.
+
+        It may have left while the request was queued or the connection was
+        being opened.
+        """
         if not self.table.is_available(runner):
             raise errors.EndpointLeft(
                 'endpoint left before the request was sent',
@@ -334,6 +344,33 @@
         events.append(h11.EndOfMessage())
         await connection.send('send request', *events)
 
+    def check_head(self, runner, head, metadata):
+        """Raise the error that the head of a response indicates.
+
+        :raises errors.EndpointRefused: if the endpoint did not run the
+            request.
+        :raises errors.AnswerInvalid: if the endpoint itself did not make the
+            response, or if its content is encoded.
+        """
+        if answer_origin.is_refusal(metadata):
+            unnamed = ' without an id'
+            if metadata.request_id:
+                unnamed = ''
+                self.naming_software.add(runner.software)
+            raise errors.EndpointRefused(
+                f'endpoint answered {head.status}{unnamed} and did not run '
+                'the request',
+                step='read response',
+                peer=runner.address,
+            )
+        if not metadata.sealed or metadata.encoded:
+            raise errors.AnswerInvalid(
+                f'response {head.status} is unsigned or has encoded content',
+                step='read response',
+                peer=runner.address,
+                sent=True,
+            )
+
 
 def reuse_deadline(metadata):
     """Return the deadline for reusing an idle connection."""
@@ -343,30 +380,6 @@
     return deadlines.Deadline.after(max(0.0, seconds - IDLE_RESERVE_SECONDS))
 
 
-def check_head(runner, head, metadata):
-    """Raise the error that the head of a response indicates.
-
-    :raises errors.EndpointRefused: if the endpoint did not run the request.
-    :raises errors.AnswerInvalid: if the endpoint itself did not make the
-        response, or if its content is encoded.
-    """
-    if answer_origin.is_refusal(metadata):
-        unnamed = '' if metadata.request_id else ' without an id'
-        raise errors.EndpointRefused(
-            f'endpoint answered {head.status}{unnamed} and did not run the '
-            'request',
-            step='read response',
-            peer=runner.address,
-        )
-    if not metadata.sealed or metadata.encoded:
-        raise errors.AnswerInvalid(
-            f'response {head.status} is unsigned or has encoded content',
-            step='read response',
-            peer=runner.address,
-            sent=True,
-        )
-
-
 def is_server_error(head):
     """Return whether the status is in the class Server Error (5xx)."""
     return head.status >= 500
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,6 +4,7 @@
 
 import curio
 import pytest
+import result
 
 from benchmarks import fakes
 from celeryward.callers import idempotency
@@ -260,6 +261,45 @@
         assert {error.code for error in run(test)} == {'claim_unchecked'}
         assert len(creates) == 2
 
+    def test_call_from_before_an_outage_is_not_its_probe(self, run, pair):
+        """Such a call kept the probe from starting, and let two start."""
+
+        async def create(stored):
+            ends.append(curio.Event())
+            await ends[-1].wait()
+            conflict = errors.Conflict('c', step='s', peer='p', current=None)
+            return result.Err(conflict)
+
+        async def test():
+            earlier = await curio.spawn(pair.a.attempt)
+            await curio.sleep(0)
+            store = pair.a.store
+            store.mark_unavailable()
+            store.retry_at = deadlines.Deadline.after(0.0)
+            probing = await curio.spawn(pair.a.attempt)
+            await curio.sleep(0)
+            assert len(ends) == 2
+            await ends[0].set()
+            await earlier.join()
+            store.retry_at = deadlines.Deadline.after(0.0)
+            await pair.a.attempt()
+            assert len(ends) == 2
+            await ends[1].set()
+            await probing.join()
+
+        ends = []
+        pair.platform.create = create
+        pair.platform.unavailable = True
+        run(test)
+
+    def test_replayed_outcome_ends_the_refusals_of_an_outage(self, run, pair):
+        """Only one call at a time was let through until one had run."""
+        run(pair.a.attempt)
+        pair.a.store.mark_unavailable()
+        pair.end_outage()
+        assert run(pair.a.attempt)[1]['x-replayed'] == 'true'
+        assert not pair.a.store.unavailable
+
     def test_outcome_is_stored_after_the_platform_times_out(
         self, run, pair, monkeypatch
     ):
@@ -298,6 +338,52 @@
         assert run(pair.b.attempt)[0] == 201
         assert len(pair.executed) == 1
 
+    def test_late_create_of_a_refused_attempt_does_not_hold_its_key(
+        self, run, pair, monkeypatch
+    ):
+        """A refused call blocked its key for the retention time."""
+        late = []
+
+        async def lose_then_fail(stored):
+            late.append(stored)
+            kind = errors.PlatformUnavailable
+            if len(late) == 1:
+                kind = errors.WriteUnknown
+            return result.Err(kind('fault', step='create', peer='fake'))
+
+        with monkeypatch.context() as faulty:
+            faulty.setattr(pair.platform, 'create', lose_then_fail)
+            error = run(pair.a.attempt)
+        assert error.execution is errors.Execution.NOT_RUN
+        run(pair.a.store.store_pending_outcomes)
+        # The first create takes effect only now.
+        run(pair.platform.create, late[0])
+        assert run(pair.b.attempt)[0] == 201
+        assert len(pair.executed) == 1
+
+    def test_late_replacement_of_a_claim_does_not_hold_its_key(
+        self, run, pair, monkeypatch
+    ):
+        """A refused call that replaced a claim of a call that did not run."""
+        pair.b.error = errors.Overloaded('full', step='s', peer='p')
+        run(pair.b.attempt)
+        pair.b.error = None
+        late = []
+
+        async def lose(stored, revision):
+            late.append((stored, revision))
+            pair.platform.unavailable = True
+            error = errors.WriteUnknown('fault', step='put', peer='fake')
+            return result.Err(error)
+
+        with monkeypatch.context() as faulty:
+            faulty.setattr(pair.platform, 'put', lose)
+            assert run(pair.a.attempt).code == 'claim_unchecked'
+        pair.end_outage()
+        run(pair.a.store.store_pending_outcomes)
+        run(pair.platform.put, *late[0])
+        assert run(pair.b.attempt)[0] == 201
+
     def test_outcome_is_stored_after_an_outage(self, run, pair):
         async def serve(responder):
             pair.platform.unavailable = True
