--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -10,6 +10,7 @@
 
 from celeryward import deadlines
 from celeryward.endpoints import answer_heads
+from celeryward.endpoints import answer_origin
 from celeryward.endpoints import event_stream
 from celeryward.endpoints import notices
 from celeryward.endpoints import waits
@@ -209,6 +210,8 @@
         self.translator = translator
         self.outcomes = outcomes
         self.exchanges = {}
+        # Software versions that name the request in their refusals.
+        self.naming_software = set()
 
     async def abort_replaceable(self, runner):
         """Abort the exchanges with an endpoint that requests give up.
@@ -295,6 +298,7 @@
                     forwarded,
                     self.translator.read_response,
                     wait.extend,
+                    runner.software in self.naming_software,
                 )
                 wait.begin_next()
                 self.queues.end(runner.id, waiting)
@@ -306,7 +310,7 @@
                     metadata,
                     self.outcomes.in_flight[runner.id],
                 )
-                check_head(runner, head, metadata)
+                self.check_head(runner, head, metadata)
                 seconds = time.monotonic() - started
                 on_data = functools.partial(
                     self.outcomes.record_activity, runner.id
@@ -358,6 +362,33 @@
         events.append(h11.EndOfMessage())
         await connection.send('send request', *events)
 
+    def check_head(self, runner, head, metadata):
+        """Raise the error that the head of a response indicates.
+
+        :raises errors.EndpointRefused: if the endpoint did not run the
+            request.
+        :raises errors.AnswerInvalid: if the endpoint itself did not make the
+            response, or if its content is encoded.
+        """
+        if answer_origin.is_refusal(metadata):
+            unnamed = ' without an id'
+            if metadata.request_id:
+                unnamed = ''
+                self.naming_software.add(runner.software)
+            raise errors.EndpointRefused(
+                f'endpoint answered {head.status}{unnamed} and did not run '
+                'the request',
+                step='read response',
+                peer=runner.address,
+            )
+        if not metadata.sealed or metadata.encoded:
+            raise errors.AnswerInvalid(
+                f'response {head.status} is unsigned or has encoded content',
+                step='read response',
+                peer=runner.address,
+                sent=True,
+            )
+
 
 def reuse_deadline(metadata):
     """Return the deadline for reusing an idle connection."""
@@ -367,30 +398,6 @@
     return deadlines.Deadline.after(max(0.0, seconds - IDLE_RESERVE_SECONDS))
 
 
-def check_head(runner, head, metadata):
-    """Raise the error that the head of a response indicates.
-
-    :raises errors.EndpointRefused: if the endpoint did not run the request.
-    :raises errors.AnswerInvalid: if the endpoint itself did not make the
-        response, or if its content is encoded.
-    """
-    if metadata.not_run or metadata.misdirected:
-        unnamed = '' if metadata.request_id else ' without an id'
-        raise errors.EndpointRefused(
-            f'endpoint answered {head.status}{unnamed} and did not run the '
-            'request',
-            step='read response',
-            peer=runner.address,
-        )
-    if not metadata.sealed or metadata.encoded:
-        raise errors.AnswerInvalid(
-            f'response {head.status} is unsigned or has encoded content',
-            step='read response',
-            peer=runner.address,
-            sent=True,
-        )
-
-
 def is_server_error(head):
     """Return whether the status is in the class Server Error (5xx)."""
     return head.status >= 500
