Count no refusal as accepted, and skip the closed state while there is none

A refusal with another status than 503 let an endpoint that was being filled grow. The check of each endpoint for each request ended in a look-up for each, also where no endpoint had ever closed. What was logged of odd values is kept only for listed endpoints, so that the set can't grow.

--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -81,11 +81,7 @@
             model,
             relayed_requests.affinity_key(relayed.metadata),
             relayed.tried_endpoints | relayed.running,
-            frozenset(
-                runner.id
-                for runner in endpoints
-                if not router_state.closures.may_start(runner)
-            ),
+            router_state.closures.blocked_ids(endpoints),
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
             router_state.queues.seconds,
@@ -150,10 +146,13 @@
     def can_serve(self, relayed, service, size):
         """Return whether a healthy endpoint can run a request at a size."""
         endpoints = tuple(self.router_state.runners.of_service(service))
-        avoided = relayed.tried_endpoints | self.suspects(endpoints)
+        avoided = (
+            relayed.tried_endpoints
+            | self.suspects(endpoints)
+            | self.router_state.closures.blocked_ids(endpoints)
+        )
         return any(
             runner.id not in avoided
-            and self.router_state.closures.may_start(runner)
             and (not runner.models or size.model in runner.models)
             for runner in endpoints
         )
--- a/celeryward/endpoints/closures.py
+++ b/celeryward/endpoints/closures.py
@@ -158,6 +158,14 @@
             state.opens_at <= self.clock() and state.running < int(state.limit)
         )
 
+    def blocked_ids(self, endpoints):
+        """Return the ids of the endpoints that may get no request now."""
+        if not self.states:
+            return frozenset()
+        return frozenset(
+            runner.id for runner in endpoints if not self.may_start(runner)
+        )
+
     def begin(self, runner):
         """Count a request that is sent to an endpoint.
 
--- a/celeryward/endpoints/notices.py
+++ b/celeryward/endpoints/notices.py
@@ -65,16 +65,17 @@
             return
         if metadata.leaving and is_own_answer(metadata):
             self.table.announce_departure(runner, sent.request_id)
-        if status != STATUS_UNAVAILABLE:
+        if status == STATUS_UNAVAILABLE and metadata.retry_after:
+            self.close(runner, metadata.retry_after, in_flight, sent)
+        elif status != STATUS_UNAVAILABLE and not metadata.not_run:
             self.closures.record_accepted(runner)
             await self.notify_listeners(runner)
-        elif metadata.retry_after:
-            self.close(runner, metadata.retry_after, in_flight, sent)
 
     def close(self, runner, text, in_flight, sent):
         """Close an endpoint that has turned a request away."""
         pause = closures.read_pause(text, self.pause_bounds)
-        if pause.is_odd and runner.key not in self.reported:
+        is_new = runner.key not in self.reported
+        if pause.is_odd and is_new and self.table.is_available(runner):
             self.reported.add(runner.key)
             bind_logger(runner, sent, pause).warning(
                 'endpoint sent an odd Retry-After: {!r}',
