--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -183,6 +183,9 @@
         elif isinstance(error, errors.EndpointLeft):
             # The state of the endpoint already shows that it left or closed.
             return
+        elif isinstance(error, errors.AnswerMismatch):
+            # The answer to another request is no evidence of this one.
+            return
         elif not error.sent:
             outcomes.record_connect_failure(runner_id)
         else:
