Tell the other routers of a failure domain which endpoints leave

A router without requests at an endpoint learned of its departure from the store alone, and went on using it while the store was out of reach, though its neighbours had the announcement.

Followers report announcements to their leader with their reports of evidence, within 0.3 s; the leader adds those of the last 1.5 s, at most 32, to its answers to polls for changes of endpoints. An announcement of another router counts only for the run that is listed. Both tests of it on the wire fail without the listener that takes announcements up.

--- a/celeryward/endpoints/departures.py
+++ b/celeryward/endpoints/departures.py
@@ -7,12 +7,25 @@
 """
 
 import collections
+import dataclasses
 
 # Announcements that are kept after the entry of their endpoint is gone, in
 # case an outdated list brings the entry back.
 MAX_UNLISTED = 1000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """The announcement that a run of an endpoint is leaving.
+
+    :param str endpoint: id of the endpoint.
+    :param float started_at: start of the run, as in :class:`runners.Runner`.
+    """
+
+    endpoint: str
+    started_at: float
+
+
 class Departures:
     """The latest run of each endpoint that has announced its departure.
 
--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -50,7 +50,9 @@
     expired only because of an outage of the store: until then it is kept.
     ``initial_software`` holds the software version that was seen first for
     each service. ``departures`` holds what endpoints announce themselves.
-    ``listeners`` are called with a :class:`Runner` when its run is over.
+    ``listeners`` are called with a :class:`Runner` when its run is over,
+    ``announcement_listeners`` with a :class:`departures.Announcement` that an
+    answer to this router contained.
     """
 
     def __init__(self):
@@ -59,6 +61,7 @@
         self.initial_software = {}
         self.departures = departures.Departures()
         self.listeners = []
+        self.announcement_listeners = []
 
     def put(self, runner):
         """Add or replace an endpoint."""
@@ -158,6 +161,29 @@
             bind_logger(runner, announced_to=request_id).info(
                 'endpoint announced that it leaves'
             )
+            announcement = departures.Announcement(
+                runner.id, runner.started_at
+            )
+            for listener in self.announcement_listeners:
+                listener(announcement)
+
+    def accept_announcement(self, announcement):
+        """Apply an announcement that another router has received.
+
+        It counts only for the run that is listed here.
+
+        :param departures.Announcement announcement: what it has received.
+        :returns: whether the departure was not known before.
+        """
+        runner = self.runners.get(announcement.endpoint)
+        if runner is None or runner.started_at != announcement.started_at:
+            return False
+        if not self.departures.announce(runner.id, runner.started_at, True):
+            return False
+        bind_logger(runner, announced_to='another router').info(
+            'endpoint announced that it leaves'
+        )
+        return True
 
     def available_addresses(self):
         """Return the addresses of the endpoints that may receive work."""
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -96,6 +96,8 @@
     :param float | None away_seconds: time since the router that relayed the
         changes last found the store unavailable; None if it never did.
     :param tuple faults: as in :class:`ObjectList`.
+    :param tuple leaving: each :class:`departures.Announcement` that the
+        router that relayed the changes has learned of lately.
     """
 
     changes: tuple[Change, ...]
@@ -104,6 +106,7 @@
     passed_on: bool = False
     away_seconds: float | None = None
     faults: tuple[str, ...] = ()
+    leaving: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -29,6 +29,7 @@
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
+from celeryward.routers import departure_news
 from celeryward import signals
 from celeryward import store_view
 from celeryward import supervision
@@ -91,6 +92,7 @@
             self.endpoint_freshness,
             self.releases,
             ignored.IgnoredEntries(self.metrics.count_ignored_entry),
+            departure_news.DepartureNews(self.runners),
         )
         self.connections = pool.EndpointPool(tuning)
         self.notice_reader = notices.NoticeReader(
--- a/celeryward/routers/evidence.py
+++ b/celeryward/routers/evidence.py
@@ -1,9 +1,12 @@
-"""Reports of the evidence on new software versions to one router.
+"""Reports of what a router has seen to one other router.
+
+They carry evidence on new software versions and departures of endpoints.
 
 One router sees too few requests to judge a new version in time. Followers
 report what they have seen to their leader, and leaders pass it on to the first
 of all leaders, which judges. Every router still judges what it has seen, in
-case that one is away. Reports are sent only while a roll-out is under way.
+case that one is away. Evidence is reported only while a roll-out is under way,
+departures when there are any, to the leader of the own failure domain.
 """
 
 import curio
@@ -25,9 +28,11 @@
     :param members: :class:`members.Members`.
     :param source: :class:`source.ChangeSource`, which has the clients of
         other routers.
+    :param departure_news.DepartureNews news: departures to report.
     """
 
-    def __init__(self, releases, members, source):
+    def __init__(self, releases, members, source, news):
+        self.news = news
         self.releases = releases
         self.members = members
         self.source = source
@@ -47,16 +52,25 @@
         while True:
             await curio.sleep(REPORT_SECONDS)
             receiver = self.members.reports_to()
-            if receiver is not None and self.releases.has_running_order:
+            if receiver is not None and (
+                self.releases.has_running_order or self.departures(receiver)
+            ):
                 await self.report(receiver)
 
+    def departures(self, receiver):
+        """Return the departures to report to a router."""
+        if receiver.failure_domain != self.members.own.failure_domain:
+            return ()
+        return tuple(self.news.unreported)
+
     async def report(self, receiver):
         """Send one report; keep the outcomes if that fails."""
         sent = tuple(self.outcomes)
         exposures = tuple(self.unreported_exposures())
-        if not sent and not exposures:
+        departures = self.departures(receiver)
+        if not (sent or exposures or departures):
             return
-        report = protocol.EvidenceReport(exposures, sent)
+        report = protocol.EvidenceReport(exposures, sent, departures)
         outcome = await self.source.client_of(receiver).report(report)
         if outcome.is_err():
             error = outcome.unwrap_err()
@@ -66,6 +80,7 @@
             )
             return
         del self.outcomes[: len(sent)]
+        self.news.record_reported(departures)
         for counts in exposures:
             key = counts.order_key
             self.reported[key] = self.reported.get(
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from celeryward.endpoints import departures
 from celeryward.objects import protocol
 from celeryward.raters import rollout_orders
 
@@ -35,12 +36,15 @@
         if that was before the request.
     :param float | None away_seconds: time since the store was last
         unreachable; None if it never was.
+    :param tuple leaving: announcements that the router has learned lately;
+        with changes of endpoints only.
     """
 
     changes: tuple[protocol.Change, ...]
     revision: int
     confirmed_seconds: float
     away_seconds: float | None
+    leaving: tuple[departures.Announcement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,10 +95,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EvidenceReport:
-    """What a follower has seen of new versions since its last report."""
+    """What a follower has seen since its last report.
+
+    :param tuple exposures: its requests to new versions.
+    :param tuple outcomes: outcomes of runs at new versions.
+    :param tuple leaving: endpoints that have announced that they leave.
+    """
 
     exposures: tuple[OrderExposure, ...]
     outcomes: tuple[rollout_orders.Outcome, ...]
+    leaving: tuple[departures.Announcement, ...] = ()
 
 
 RESPONSE_DECODER = msgspec.json.Decoder(ChangesResponse)
@@ -131,6 +141,7 @@
             response.confirmed_seconds,
             True,
             response.away_seconds,
+            leaving=response.leaving,
         )
 
 
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -5,6 +5,7 @@
 from celeryward import http
 from celeryward import listener
 from celeryward import registry
+from celeryward.routers import departure_news
 from celeryward.routers import protocol
 
 IDLE_SECONDS = 30.0
@@ -34,11 +35,23 @@
     :param members: :class:`members.Members`.
     :param releases: :class:`releases.Releases`, which takes the evidence that
         followers report.
+    :param departure_news.DepartureNews news: departures to tell followers.
+    :param str news_kind: kind whose changes the news is told with.
     """
 
     def __init__(
-        self, change_logs, freshness, pacing, outages, members, releases
+        self,
+        change_logs,
+        freshness,
+        pacing,
+        outages,
+        members,
+        releases,
+        news=None,
+        news_kind='',
     ):
+        self.news = news or departure_news.DepartureNews()
+        self.news_kind = news_kind
         self.releases = releases
         self.pacing = pacing
         self.change_logs = change_logs
@@ -85,6 +98,10 @@
         """
         return time.monotonic() - started - self.freshness[kind].age()
 
+    def departures(self, kind):
+        """Return the departures to tell with changes of a kind."""
+        return self.news.for_followers() if kind == self.news_kind else ()
+
     def is_current(self, kind):
         """Return whether this router's own state is recent enough."""
         age = self.freshness[kind].age()
@@ -133,6 +150,7 @@
         max(request.since, change_log.revision),
         confirmed,
         publisher.outages.age(),
+        publisher.departures(request.kind),
     )
     return 200, protocol.encode(response)
 
@@ -146,4 +164,5 @@
         )
     for outcome in report.outcomes:
         publisher.releases.add_outcome(outcome)
+    publisher.news.accept(report.leaving)
     return 200, b''
--- a/celeryward/routers/source.py
+++ b/celeryward/routers/source.py
@@ -6,6 +6,7 @@
 from celeryward import errors
 from celeryward import logs
 from celeryward.routers import client
+from celeryward.routers import departure_news
 from celeryward.routers import members
 
 # Wait of the call to the store after a failed poll.
@@ -29,9 +30,13 @@
     :param str confirmed_kind: kind whose age is bounded; routers that others
         follow poll it more often.
     :param outages: :class:`outages.OutageTracker`.
+    :param departure_news.DepartureNews news: takes what leaders tell.
     """
 
-    def __init__(self, store, members, pacing, confirmed_kind, outages):
+    def __init__(
+        self, store, members, pacing, confirmed_kind, outages, news=None
+    ):
+        self.news = news or departure_news.DepartureNews()
         self.pacing = pacing
         self.confirmed_kind = confirmed_kind
         self.store = store
@@ -92,6 +97,7 @@
             )
             if outcome.is_ok():
                 self.outages.record_report(outcome.unwrap().away_seconds)
+                self.news.accept(outcome.unwrap().leaving)
                 return outcome
             error = outcome.unwrap_err()
             self.handle_failure(leader, error)
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -40,6 +40,7 @@
     :param endpoint_freshness: :class:`freshness.Freshness` of the endpoints.
     :param releases: :class:`releases.Releases`.
     :param ignored: :class:`ignored.IgnoredEntries`.
+    :param departure_news.DepartureNews news: exchanged with other routers.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         endpoint_freshness,
         releases,
         ignored,
+        news,
     ):
         self.ignored = ignored
         self.placement = placement
@@ -80,6 +82,7 @@
             shared_pacing,
             kinds.configuration,
             self.outages,
+            news,
         )
         self.discovery = discovery.PeerDiscovery(
             self.store,
@@ -100,9 +103,11 @@
             self.outages,
             self.members,
             releases,
+            news,
+            kinds.endpoints,
         )
         self.evidence_reporter = evidence.EvidenceReporter(
-            releases, self.members, self.source
+            releases, self.members, self.source, news
         )
         self.watchers = ()
         self.verdict_writer = None
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -6,7 +6,10 @@
 from celeryward.endpoints import departures
 from celeryward.endpoints import outcomes
 from celeryward.endpoints import runners
+from celeryward.routers import departure_news
+from tests import fakes
 from tests import platform_standins as standins
+from tests import test_passed_changes as passed_changes
 
 
 @pytest.fixture
@@ -211,6 +214,52 @@
         assert len(site.arrivals()) == 2
 
 
+class TestDeparturesAmongRouters:
+    """Guards against routers that use what another knows to be leaving."""
+
+    @passed_changes.on_pair
+    async def test_follower_tells_its_leader(self, pair):
+        table = pair.follower.runners
+        table.announce_departure(table.runners['app-1'], 'request-1')
+        leader = pair.leader.runners
+        await standins.wait_until(
+            lambda: leader.is_leaving(leader.runners['app-1']), 2.0
+        )
+        news = pair.follower.view.evidence_reporter.news
+        await standins.wait_until(lambda: not news.unreported, 1.0)
+
+    @passed_changes.on_pair
+    async def test_leader_tells_its_followers(self, pair):
+        table = pair.leader.runners
+        table.announce_departure(table.runners['app-1'], 'request-1')
+        follower = pair.follower.runners
+        await standins.wait_until(
+            lambda: follower.is_leaving(follower.runners['app-1']), 2.0
+        )
+
+    def test_announcement_of_another_run_counts_not(self):
+        table = runners.RunnerTable()
+        table.put(runners.Runner('a', 'app', 'h', 1, 'a', started_at=1.0))
+        news = departure_news.DepartureNews(table)
+        later = departures.Announcement('a', 1e9)
+        news.accept((later, departures.Announcement('b', 1.0)))
+        assert table.is_available(table.runners['a'])
+        assert not table.departures.started_at
+
+    def test_told_departures_are_bounded_and_end(self):
+        clock = fakes.CallableClock(10.0)
+        table = runners.RunnerTable()
+        news = departure_news.DepartureNews(table, clock)
+        for number in range(500):
+            runner = runners.Runner(f'r{number}', 'app', 'h', 1, 'a')
+            table.put(runner)
+            table.announce_departure(runner, '-')
+        limit = departure_news.MAX_ANNOUNCEMENTS
+        assert len(news.for_followers()) == len(news.unreported) == limit
+        clock.now += departure_news.TOLD_SECONDS + 0.1
+        assert news.for_followers() == ()
+
+
 class TestDepartures:
     """Guards against announcements that are lost or pile up."""
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -70,6 +70,7 @@
     'raters/sizes.py',
     'routers/members.py',
     'routers/change_log.py',
+    'routers/departure_news.py',
     'routers/pacing.py',
 )
 
