--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -289,9 +289,6 @@
                     runner.id, not forwarded.new_connection, connection, wait
                 )
                 self.check_present(runner)
-                sent = notices.SentRequest(
-                    forwarded.request_id, connection.bytes_written == 0
-                )
                 await self.send(connection, forwarded, runner)
                 head, metadata = await answer_heads.receive_head(
                     connection,
@@ -304,7 +301,7 @@
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
                 await self.notice_reader.record(
-                    sent,
+                    forwarded.request_id,
                     runner,
                     head.status,
                     metadata,
--- a/celeryward/endpoints/notices.py
+++ b/celeryward/endpoints/notices.py
@@ -4,8 +4,6 @@
 a late or copied head of another answer has no effect on any endpoint.
 """
 
-import dataclasses
-
 from celeryward.endpoints import closures
 from celeryward.endpoints import runners
 from celeryward import errors
@@ -15,17 +13,6 @@
 LOGGED_CHARACTERS = 40
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SentRequest:
-    """A request as far as its answer has to match it.
-
-    :param bool is_first: whether it was the first on its connection.
-    """
-
-    request_id: str
-    is_first: bool
-
-
 class NoticeReader:
     """Records the notices in the heads of answers.
 
@@ -52,38 +39,43 @@
         """Drop what was logged of an endpoint whose run is over."""
         self.reported.discard(runner.key)
 
-    async def record(self, sent, runner, status, metadata, in_flight):
+    async def record(self, request_id, runner, status, metadata, in_flight):
         """Record the notices in the head of an answer.
 
-        :param SentRequest sent: the request that the answer should be to.
+        The answer must be certainly to the request, as
+        :mod:`celeryward.endpoints.answer_origin` decides. A misdirected
+        request was answered by another endpoint.
+
+        :param str request_id: the request.
         :param runners.Runner runner: the endpoint that it was sent to.
         :param int status: the status of the answer.
         :param ingress.ResponseMetadata metadata: what the head says.
         :param int in_flight: this router's requests at the endpoint.
         """
-        if not answers_request(sent, metadata):
+        if metadata.misdirected:
             return
         if metadata.leaving and is_own_answer(metadata):
-            self.table.announce_departure(runner, sent.request_id)
-        if status != STATUS_UNAVAILABLE:
+            self.table.announce_departure(runner, request_id)
+        if status == STATUS_UNAVAILABLE and metadata.retry_after:
+            self.close(runner, metadata.retry_after, in_flight, request_id)
+        elif status != STATUS_UNAVAILABLE and not metadata.not_run:
             self.closures.record_accepted(runner)
             await self.notify_listeners(runner)
-        elif metadata.retry_after:
-            self.close(runner, metadata.retry_after, in_flight, sent)
 
-    def close(self, runner, text, in_flight, sent):
+    def close(self, runner, text, in_flight, request_id):
         """Close an endpoint that has turned a request away."""
         pause = closures.read_pause(text, self.pause_bounds)
-        if pause.is_odd and runner.key not in self.reported:
+        is_new = runner.key not in self.reported
+        if pause.is_odd and is_new and self.table.is_available(runner):
             self.reported.add(runner.key)
-            bind_logger(runner, sent, pause).warning(
+            bind_logger(runner, request_id, pause).warning(
                 'endpoint sent an odd Retry-After: {!r}',
                 text[:LOGGED_CHARACTERS],
             )
         if pause.seconds <= 0.0:
             return
         if not self.closures.is_closed(runner):
-            bind_logger(runner, sent, pause).info('endpoint closed')
+            bind_logger(runner, request_id, pause).info('endpoint closed')
         self.closures.close(runner, pause.seconds, in_flight)
 
     def begin(self, runner):
@@ -123,30 +115,15 @@
     )
 
 
-def answers_request(sent, metadata):
-    """Return whether an answer is certainly to this request.
-
-    Without an id it is only if nothing else was sent on the connection. A
-    misdirected request was answered by another endpoint.
-
-    :param SentRequest sent: the request.
-    """
-    if metadata.misdirected:
-        return False
-    if metadata.request_id:
-        return metadata.request_id == sent.request_id
-    return sent.is_first
-
-
 def is_own_answer(metadata):
     """Return whether the endpoint itself has made an answer."""
     return bool(metadata.request_id or metadata.sealed or metadata.not_run)
 
 
-def bind_logger(runner, sent, pause):
+def bind_logger(runner, request_id, pause):
     """Return a logger with the fields of a closed endpoint bound."""
     return runners.bind_logger(
         runner,
-        announced_to=sent.request_id,
+        announced_to=request_id,
         closed_seconds=round(pause.seconds, 3),
     )
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -71,6 +71,7 @@
     'raters/sizes.py',
     'routers/members.py',
     'routers/change_log.py',
+    'routers/departure_news.py',
     'routers/pacing.py',
 )
 
