Bound what endpoints, raters, callers and log files contain

What callers saw: a load report with a number of 400 digits raised OverflowError where the load was used, for each request; one with nested lists raised RecursionError in the probe; a cache event with a prefix that is no digest raised ValueError, one with a huge number ended all later events; a departure from the future could not be withdrawn; a caller's body nested deep enough raised RecursionError in place of a 400.

Change: load, cache events, refusals of orders, usage, ratings and chats are decoded with RecursionError as a malformed body, and their numbers bounded. An odd cache event costs only itself. Text that an answer lacks, or that is no string, is empty. Announced departures are never from the future.

--- a/celeryward/callers/protocol.py
+++ b/celeryward/callers/protocol.py
@@ -7,6 +7,7 @@
 
 from celeryward import calls
 from celeryward import deadlines
+from celeryward import decoding
 from celeryward import errors
 
 CHAT_PATH = '/v1/chat/completions'
@@ -72,6 +73,7 @@
     session: str = ''
 
 
+MAX_TOKENS = 2**31 - 1
 CHAT_DECODER = msgspec.json.Decoder(WireChat)
 
 
@@ -81,8 +83,8 @@
     :raises errors.BadInput: if the body is malformed.
     """
     try:
-        wire = CHAT_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        wire = decoding.decode(CHAT_DECODER, body)
+    except msgspec.DecodeError as error:
         raise errors.BadInput(
             f'body: {error}', step='decode request', peer=peer
         ) from error
@@ -94,6 +96,12 @@
         raise errors.BadInput(
             'max_tokens: must be 0 or more', step='decode request', peer=peer
         )
+    if wire.max_tokens > MAX_TOKENS:
+        raise errors.BadInput(
+            f'max_tokens: must be at most {MAX_TOKENS}',
+            step='decode request',
+            peer=peer,
+        )
     messages = tuple(
         calls.Message(message.role, message.content)
         for message in wire.messages
--- a/celeryward/endpoints/liveness.py
+++ b/celeryward/endpoints/liveness.py
@@ -98,7 +98,9 @@
         """Merge announcements of peers; the newer one wins."""
         now = self.clock()
         for entry in exported:
-            announcement = dataclasses.replace(entry, at=entry.at + now)
+            # None is from the future, where no later one could replace it.
+            at = now + min(0.0, entry.at)
+            announcement = dataclasses.replace(entry, at=at)
             stored = self.announcements.get(entry.endpoint)
             if stored is None or stored.at < announcement.at:
                 self.announcements[entry.endpoint] = announcement
--- a/celeryward/endpoints/management.py
+++ b/celeryward/endpoints/management.py
@@ -1,9 +1,11 @@
 """Wire format of load reports, cache events and orders of endpoints."""
 
 import dataclasses
+import re
 
 import msgspec
 
+from celeryward import decoding
 from celeryward.endpoints import load
 from celeryward.endpoints import orders
 from celeryward.endpoints import prefixes
@@ -11,6 +13,11 @@
 from celeryward import http
 
 
+MAX_REQUESTS = 1_000_000
+MAX_NUMBER = 2**53
+PREFIX_DIGEST = re.compile('[0-9a-f]{1,16}')
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheEvents:
     """Body of ``GET /cache-events``; there may be gaps in the numbers."""
@@ -62,7 +69,7 @@
         deadline,
     )
     if response.status == 409:
-        refusal = REFUSAL_DECODER.decode(answer)
+        refusal = decode_refusal(answer, connection.peer)
         raise orders.OutdatedFence(
             f'endpoint has seen fencing number {refusal.fence}',
             step='send order',
@@ -82,7 +89,7 @@
 
     :raises errors.ProtocolError: if the response is malformed.
     """
-    return await read_report(connection, '/load', LOAD_DECODER, deadline)
+    return await read_report(connection, '/load', decode_load, deadline)
 
 
 async def read_cache_events(connection, since, deadline):
@@ -91,12 +98,13 @@
     :raises errors.ProtocolError: if the response is malformed.
     """
     target = f'/cache-events?since={since}'
-    return await read_report(connection, target, EVENTS_DECODER, deadline)
+    return await read_report(connection, target, decode_cache_events, deadline)
 
 
-async def read_report(connection, target, decoder, deadline):
+async def read_report(connection, target, decode, deadline):
     """Request and decode one report of an endpoint.
 
+    :param decode: function of the body and the address of the endpoint.
     :raises errors.ProtocolError: if the response is malformed.
     """
     response, body = await http.exchange(
@@ -109,9 +117,66 @@
             step=step,
             peer=connection.peer,
         )
+    return decode(body, connection.peer)
+
+
+def decode_load(body, peer):
+    """Return the :class:`load.LoadReport` in a body.
+
+    :raises errors.ProtocolError: if it is malformed or out of range.
+    """
+    report = decode_report(LOAD_DECODER, body, peer)
+    for count in (report.running, report.waiting, report.capacity):
+        check_range(count, MAX_REQUESTS, peer)
+    return report
+
+
+def decode_cache_events(body, peer):
+    """Return the :class:`CacheEvents` in a body; odd events are left out.
+
+    :raises errors.ProtocolError: if the body is malformed.
+    """
+    answer = decode_report(EVENTS_DECODER, body, peer)
+    return CacheEvents(tuple(filter(is_valid_event, answer.events)))
+
+
+def is_valid_event(event):
+    """Return whether number and prefix of a cache event are in range."""
+    return (
+        0 <= event.number <= MAX_NUMBER
+        and PREFIX_DIGEST.fullmatch(event.prefix) is not None
+    )
+
+
+def decode_refusal(body, peer):
+    """Return the :class:`OrderRefusal` in a body.
+
+    :raises errors.ProtocolError: if it is malformed or out of range.
+    """
+    refusal = decode_report(REFUSAL_DECODER, body, peer)
+    check_range(refusal.fence, MAX_NUMBER, peer)
+    return refusal
+
+
+def decode_report(decoder, body, peer):
+    """Return what a decoder makes of an answer of an endpoint.
+
+    :raises errors.ProtocolError: if it is malformed.
+    """
     try:
-        return decoder.decode(body)
+        return decoding.decode(decoder, body)
     except msgspec.DecodeError as error:
         raise errors.ProtocolError(
-            f'malformed report: {error}', step=step, peer=connection.peer
+            f'malformed report: {error}', step='read report', peer=peer
         ) from error
+
+
+def check_range(value, high, peer):
+    """Check that a number of an endpoint is from 0 to a bound.
+
+    :raises errors.ProtocolError: if it is not.
+    """
+    if not 0 <= value <= high:
+        raise errors.ProtocolError(
+            f'number is not from 0 to {high}', step='read report', peer=peer
+        )
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -3,11 +3,13 @@
 import contextlib
 import dataclasses
 import functools
+import typing
 
 import msgspec
 
 from celeryward import calls
 from celeryward import deadlines
+from celeryward import decoding
 from celeryward.endpoints import event_stream
 from celeryward import errors
 from celeryward import http
@@ -20,6 +22,7 @@
 BODILESS_STATUSES = (204, 304)
 # Longest wait for the end of a body after its last event.
 DRAIN_SECONDS = 0.2
+TokenCount = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,8 +55,8 @@
 class UsageFields:
     """The ``usage`` object of the wire format."""
 
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: TokenCount = 0
+    completion_tokens: TokenCount = 0
 
     def to_usage(self):
         """Return the usage as :class:`calls.Usage`."""
@@ -69,8 +72,7 @@
 
     def text(self):
         """Return the text of the first choice."""
-        message = self.choices[0].get('message', {}) if self.choices else {}
-        return message.get('content') or ''
+        return content_of(self.choices, 'message')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,8 +84,30 @@
 
     def text(self):
         """Return the text that the event adds."""
-        delta = self.choices[0].get('delta', {}) if self.choices else {}
-        return delta.get('content') or ''
+        return content_of(self.choices, 'delta')
+
+
+def content_of(choices, part):
+    """Return the text in a part of the first choice; empty if none is."""
+    found = choices[0].get(part) if choices else None
+    content = found.get('content') if isinstance(found, dict) else None
+    return content if isinstance(content, str) else ''
+
+
+def decode_answer(body):
+    """Return the :class:`ChatAnswer` in a body.
+
+    :raises msgspec.DecodeError: if it is malformed.
+    """
+    return decoding.decode(ANSWER_DECODER, body)
+
+
+def decode_event(body):
+    """Return the :class:`ChatEvent` in the data of an event.
+
+    :raises msgspec.DecodeError: if it is malformed.
+    """
+    return decoding.decode(EVENT_DECODER, body)
 
 
 ANSWER_DECODER = msgspec.json.Decoder(ChatAnswer)
@@ -163,7 +187,7 @@
     """Yield the :class:`ChatEvent` of each data event except ``[DONE]``."""
     for event in events.split(EVENT_END):
         if event.startswith(EVENT_START) and not event.endswith(b'[DONE]'):
-            yield EVENT_DECODER.decode(event[len(EVENT_START) :])
+            yield decode_event(event[len(EVENT_START) :])
 
 
 def resume_point(events):
@@ -307,7 +331,7 @@
         connection, response, call, read_deadlines
     )
     try:
-        decoded = ANSWER_DECODER.decode(answer)
+        decoded = decode_answer(answer)
     except msgspec.DecodeError as error:
         raise errors.AnswerInvalid(
             f'malformed answer: {error}',
@@ -321,7 +345,7 @@
 
 def answer_text(body):
     """Return the text of an answer in one piece."""
-    return ANSWER_DECODER.decode(body).text()
+    return decode_answer(body).text()
 
 
 async def forward(connection, call, read_deadlines):
--- a/celeryward/operators/log_lines.py
+++ b/celeryward/operators/log_lines.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from celeryward import decoding
 from celeryward import errors
 
 STANDARD_INPUT = '-'
@@ -61,7 +62,9 @@
         # Log collectors prefix the JSON object with names or times.
         start = text.find('{')
         try:
-            fields = msgspec.json.decode(text[start:]) if start >= 0 else None
+            fields = (
+                decoding.decode_value(text[start:]) if start >= 0 else None
+            )
             time = datetime.datetime.fromisoformat(fields['time'])
             message = fields['message']
         except (msgspec.DecodeError, KeyError, TypeError, ValueError):
--- a/celeryward/operators/status.py
+++ b/celeryward/operators/status.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from celeryward import deadlines
+from celeryward import decoding
 from celeryward import errors
 from celeryward import http
 
@@ -34,7 +35,7 @@
             )
         finally:
             await connection.close()
-        return msgspec.json.decode(body)
+        return decoding.decode_value(body)
     except UNREACHABLE as error:
         raise errors.PlatformUnavailable(
             f'daemon does not respond: {error}',
--- a/celeryward/raters/protocol.py
+++ b/celeryward/raters/protocol.py
@@ -1,9 +1,12 @@
 """Wire format of the answer-rating service: JSON over HTTP/1.1."""
 
 import dataclasses
+import typing
 
 import msgspec
 
+from celeryward import decoding
+
 RATINGS_PATH = '/ratings'
 
 
@@ -26,7 +29,7 @@
 class Rating:
     """The score of one answer, from 0 to 1."""
 
-    score: float
+    score: typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
 RATING_DECODER = msgspec.json.Decoder(Rating)
@@ -42,4 +45,4 @@
 
     :raises msgspec.DecodeError: if the body is malformed.
     """
-    return RATING_DECODER.decode(body)
+    return decoding.decode(RATING_DECODER, body)
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -9,7 +9,10 @@
 from celeryward.daemons import exchange_pb2
 from celeryward.daemons import protocol as daemons
 from celeryward import deadlines
+from celeryward.endpoints import liveness
+from celeryward.endpoints import management
 from celeryward import errors
+from celeryward import http
 from celeryward.objects import client
 from celeryward.objects import configuration
 from celeryward.objects import protocol
@@ -134,6 +137,40 @@
         assert routers.parse_request(f'/changes/config?{fields}') is None
 
 
+class TestEndpointReports:
+    """Guards against odd answers to probes and orders."""
+
+    @pytest.mark.parametrize('odd', [10**400, -1, 10**9])
+    def test_load_out_of_range_is_a_protocol_error(self, odd):
+        """It raised OverflowError where the load was used."""
+        body = msgspec.json.encode({'running': odd})
+        with pytest.raises(errors.ProtocolError):
+            management.decode_load(body, 'peer')
+
+    def test_nested_report_is_a_protocol_error(self):
+        body = msgspec.json.encode({'x': DEEP})
+        with pytest.raises(errors.ProtocolError):
+            management.decode_load(body, 'peer')
+        assert issubclass(errors.ProtocolError, http.EXCHANGE_ERRORS)
+
+    def test_odd_cache_event_costs_only_itself(self):
+        events = [
+            {'number': number, 'type': 'stored', 'prefix': prefix}
+            for number, prefix in ((1, 'af'), (2, 'xyz'), (10**400, 'a'))
+        ]
+        body = msgspec.json.encode({'events': events})
+        found = management.decode_cache_events(body, 'peer').events
+        assert [event.number for event in found] == [1]
+
+    def test_departure_from_the_future_can_be_withdrawn(self):
+        clock = fakes.CallableClock(100.0)
+        found = liveness.Liveness(clock)
+        found.merge((liveness.Announcement('e', True, 1e9),))
+        clock.now += 1.0
+        found.set_leaving('e', False)
+        assert not found.is_leaving('e')
+
+
 class TestDaemonMessages:
     """Guards against numbers of other daemons that spoil sums."""
 
