Bound the values of settings files

What operators saw: a settings file with ports 99999 or 0, NaN, an infinite or negative time, or strictRevoke = "no" was accepted, also on a reload; one with nested lists raised RecursionError, which ended the start without naming the file, and the task that polls the settings.

An invalid file is BadInput and keeps the settings in force.

--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -9,11 +9,13 @@
 import dataclasses
 
 import msgspec
-import yaml
 
 from celeryward import errors
 from celeryward import files
 
+MAX_PORT = 65535
+LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -140,7 +142,7 @@
     :raises errors.BadInput: if a key is unknown or a value is not allowed.
     """
     try:
-        document = yaml.safe_load(text) or {}
+        document = files.parse_yaml(text) or {}
         known = {field.name for field in dataclasses.fields(Tuning)}
         unknown = sorted(set(document) - known)
         if unknown:
@@ -150,7 +152,7 @@
                 peer=source,
             )
         tuning = msgspec.convert(document, Tuning)
-    except (yaml.YAMLError, msgspec.ValidationError, TypeError) as error:
+    except (*files.YAML_ERRORS, TypeError) as error:
         raise errors.BadInput(
             f'{source}: {error}', step='settings', peer=source
         ) from error
@@ -159,10 +161,23 @@
 
 
 def check(tuning, source):
-    """Check that all floating-point values are within range.
+    """Check that all values are within range.
 
-    :raises errors.BadInput: if a value is not above 0 and at most 3600.
+    :raises errors.BadInput: if a floating-point value is not above 0 and at
+        most 3600, or the port or the level of the log does not exist.
     """
+    if not 0 < tuning.metrics_port <= MAX_PORT:
+        raise errors.BadInput(
+            f'{source}: metrics_port: not from 1 to {MAX_PORT}',
+            step='settings',
+            peer=source,
+        )
+    if tuning.log_level not in LOG_LEVELS:
+        raise errors.BadInput(
+            f'{source}: log_level: not one of {", ".join(LOG_LEVELS)}',
+            step='settings',
+            peer=source,
+        )
     for field in dataclasses.fields(Tuning):
         value = getattr(tuning, field.name)
         if isinstance(value, float) and not 0 < value <= 3600:
--- a/celeryward/settings.py
+++ b/celeryward/settings.py
@@ -7,7 +7,6 @@
 import dataclasses
 
 import pydantic
-import yaml
 
 from celeryward import errors
 from celeryward import files
@@ -118,8 +117,8 @@
         value and what is allowed.
     """
     try:
-        document = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+        document = files.parse_yaml(text)
+    except files.YAML_ERRORS as error:
         raise errors.BadInput(
             f'{source}: not valid YAML: {error}', step='settings', peer=source
         ) from error
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -111,6 +111,14 @@
             ('10.0.0.1:80', 'nowhere', 'nowhere'),
             ('historyS', 'other', 'historyS'),
             ('[listen]', '[listen', 'boot.toml'),
+            ('10.0.0.1:80', '10.0.0.1:99999', 'from 1 to 65535'),
+            ('[7340, 7355]', '[0]', 'from 1 to 65535'),
+            ('graceS = 8', 'graceS = nan', 'graceS'),
+            ('graceS = 8', 'graceS = -8', 'graceS'),
+            ('drainMs = 2000', 'drainMs = 1e999', 'drainMs'),
+            ('strictRevoke = true', 'strictRevoke = "no"', 'boolean'),
+            ('"unknown"', '[' * 3000 + ']' * 3000, 'boot.toml'),
+            ('"unknown"', '9' * 5000, 'boot.toml'),
         ],
     )
     def test_error_names_the_fault(self, tmp_path, before, after, named):
@@ -140,6 +148,12 @@
             ('connect_timeout: -1.0', 'connect_timeout'),
             ('[', 'file'),
             ('- 1', 'file'),
+            ('a: ' + '[' * 3000, 'file'),
+            ('metrics_port: ' + '9' * 5000, 'file'),
+            ('metrics_port: 99999', 'metrics_port'),
+            ('log_level: LOUD', 'log_level'),
+            ('value_factor: .nan', 'file'),
+            ('&a [*a, *a]', 'file'),
         ],
     )
     def test_error_names_the_fault(self, text, named):
