--- a/celeryward/ingress.py
+++ b/celeryward/ingress.py
@@ -166,11 +166,13 @@
     """Holds the configuration with the highest version received so far.
 
     Results of lists, watches and writes may arrive in any order; an older
-    version never replaces a newer one within one process.
+    version never replaces a newer one within one process. ``listeners`` are
+    called with each :class:`Configuration` that comes into force.
     """
 
     def __init__(self):
         self.current = None
+        self.listeners = []
 
     def accept(self, configuration):
         """Apply a configuration if it is newer; return whether it was."""
@@ -178,6 +180,8 @@
         if previous is not None and configuration.version <= previous.version:
             return False
         self.current = configuration
+        for listener in self.listeners:
+            listener(configuration)
         return True
 
 
@@ -242,6 +246,8 @@
         to 1.
     :param float | None keep_alive_seconds: how long the endpoint keeps an
         idle connection open.
+    :param bool leaving: whether the endpoint says that it leaves, so that it
+        must get no more requests.
     """
 
     request_id: str = ''
@@ -251,3 +257,4 @@
     encoded: bool = False
     confidence: float | None = None
     keep_alive_seconds: float | None = None
+    leaving: bool = False
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -12,6 +12,7 @@
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward.endpoints import monitor
+from celeryward.endpoints import notices
 from celeryward.endpoints import outcomes
 from celeryward.endpoints import pool
 from celeryward.endpoints import queueing
@@ -39,6 +40,7 @@
 STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
 OVERDUE_POLL_SECONDS = 0.25
+IDLE_POLL_SECONDS = 0.25
 
 
 class Router:
@@ -91,6 +93,7 @@
             self.outcomes,
             self.runners,
             self.queues,
+            notices.NoticeReader(self.runners),
         )
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
@@ -285,6 +288,11 @@
             ('monitor endpoints', 'endpoints', self.monitor.run),
             ('poll settings', self.placement.name, self.poll_settings),
             ('report overdue runs', 'endpoints', self.report_overdue_runs),
+            (
+                'close unused connections',
+                'endpoints',
+                self.close_unused_connections,
+            ),
         ):
             self.tasks.append(await self.supervisor.spawn(step, peer, run))
 
@@ -355,7 +363,7 @@
         while True:
             await curio.sleep(SETTINGS_POLL_SECONDS)
             self.reload()
-            self.relay.update_budgets()
+            self.relay.retries.update()
 
     async def report_overdue_runs(self):
         """Report runs at new versions that have not ended in time."""
@@ -363,6 +371,13 @@
             await curio.sleep(OVERDUE_POLL_SECONDS)
             self.releases.runs.report_overdue()
 
+    async def close_unused_connections(self):
+        """Close idle connections to endpoints that have left or leave."""
+        while True:
+            await curio.sleep(IDLE_POLL_SECONDS)
+            addresses = self.runners.available_addresses()
+            await self.connections.close_except(addresses)
+
     async def run(self):
         """Run until SIGTERM or SIGINT, then drain and stop."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -14,6 +14,7 @@
 import h11
 import msgspec
 
+from celeryward import errors
 from celeryward import http
 from celeryward import router
 from celeryward import router_settings
@@ -236,6 +237,8 @@
     runner, the connection and the :class:`Arrival`.
 
     :param int events: number of events in its streams.
+
+    While ``leaving`` is true, all its answers say so.
     """
 
     def __init__(self, runner_id, service='llm', software='v1', events=4):
@@ -249,6 +252,7 @@
         self.arrivals = []
         self.ended = []
         self.confidence = {}
+        self.leaving = False
 
     def entry(self, state='ready'):
         """Return the spec of the runner's object in the store."""
@@ -287,9 +291,14 @@
             'celeryward-response-seal': f'seal-{self.id}',
             'celeryward-attempt-id': request_id,
             'keep-alive': 'timeout=10',
+            **self.notices(),
             **more,
         }
 
+    def notices(self):
+        """Return the headers that all its answers have."""
+        return {'server-leaving': '1'} if self.leaving else {}
+
 
 async def send_default_response(runner, connection, arrival):
     """Send a stream if the request names a model, else a whole response."""
@@ -354,6 +363,8 @@
         head = {name.replace('_', '-'): value for name, value in more.items()}
         if seal:
             head = runner.response_headers(arrival, **head)
+        else:
+            head = runner.notices() | head
         await http.send_response(connection, status, head, body)
 
     return action
@@ -374,6 +385,13 @@
     await connection.wait_closed()
 
 
+def connect_timeout(runner):
+    """Return the error of a connection that was not accepted in time."""
+    return errors.ConnectionFailed(
+        'connect timed out', step='connect', peer=runner.address, sent=False
+    )
+
+
 def configuration(version=1, **more):
     """Return the spec of a configuration with a route of each kind."""
     default_routes = [
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -9,6 +9,7 @@
 
 from celeryward.callers import gateway
 from celeryward import http
+from celeryward import ingress
 from tests import fakes
 from tests import platform_standins as standins
 
@@ -235,7 +236,6 @@
         'act',
         [
             standins.respond_with(200, b'unsigned', seal=False),
-            standins.respond_with(200, b'x', celeryward_attempt_id='other'),
             standins.respond_with(200, b'x', content_encoding='gzip'),
             standins.respond_with(500, b'unsigned', seal=False),
         ],
@@ -250,6 +250,19 @@
         assert len(site.arrivals()) == 1
         await site.stop()
 
+    @standins.on_site
+    async def test_answer_that_names_another_request_is_not_relayed(
+        self, site
+    ):
+        act = standins.respond_with(200, b'x', celeryward_attempt_id='other')
+        for runner in site.runners.values():
+            runner.default_action = act
+        started = time.monotonic()
+        head, body = await site.request('/once/x', 'POST', b'1')
+        assert (head.status, body) == (504, b'')
+        assert time.monotonic() - started < 3.0
+        assert len(site.arrivals()) == 1
+
     @standins.on_site
     async def test_surplus_answer_is_not_relayed_to_the_next_request(
         self, site
@@ -392,7 +405,7 @@
     async def test_small_answer_is_kept_without_retry_budget(self, site):
         for runner in site.runners.values():
             runner.confidence = {'small': 5}
-        budget = site.router.relay.budgets['llm']
+        budget = site.router.relay.retries.budgets['llm']
         budget.tokens = 1.5
         _, body = await site.request('/stream/x')
         assert body == standins.events(4)
@@ -469,7 +482,9 @@
     @fakes.in_kernel
     async def test_connection_that_ends_meanwhile_is_skipped(self):
         """Shutdown used a socket that was closed during a cancellation."""
-        idle_gateway = gateway.Gateway(None, None, None)
+        idle_gateway = gateway.Gateway(
+            None, ingress.ConfigurationHolder(), None
+        )
 
         class Idle:
             def __init__(self, other=None):
