Don't call a stream that its endpoint broke off cut by a stop

Their log has 'dispatch failed: connection closed inside a message' after the second event: error-after-break, which has no span as an endpoint's fault, had broken them off at the endpoint.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -263,6 +263,7 @@
                 and stop.ordered_at < outcome.ended_at
                 and outcome.error.startswith('Disconnected')
                 and outcome.request_id in by_request
+                and outcome.request_id not in observed.broken_off
                 and not observed.overlaps_fault(
                     outcome.started_at, outcome.ended_at, INTERRUPTING_FAULTS
                 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -176,6 +176,9 @@
 
     def test_answer_that_the_endpoint_broke_off_is_excused(self):
         assert self.find(broken_off=['r1']) == []
+        stop = observations.Stop('router-0', 9.0, 11.0, 0)
+        assert self.find(stops=[stop]) == ['answered', 'planned-stops']
+        assert self.find(stops=[stop], broken_off=['r1']) == []
 
     def test_timeout_excuses_only_as_long_as_it_is_in_force(self):
         long = [observations.Timeout(0.0, 2.0)]
