Move the platform's wire format out of the soak

The faults named headers and fields of the platform, which only platform/ and its tests know. Specs of configurations and odd entries move to modules of the tests, header names to platform_processes. No fault changes.

--- a/benchmarks/soak/answer_faults.py
+++ b/benchmarks/soak/answer_faults.py
@@ -15,8 +15,6 @@
 # Events that a stream sends before it breaks off.
 EVENTS_BEFORE_BREAK = 2
 REFUSAL_STATUS = 503
-NOT_RUN_HEADER = 'celeryward-not-executed'
-ID_HEADER = 'celeryward-attempt-id'
 
 
 async def apply_answer_fault(fleet, event, make_fault):
@@ -72,9 +70,7 @@
 
     :param str request_id: id of that request; empty to name none.
     """
-    headers = {NOT_RUN_HEADER: '1'}
-    if request_id:
-        headers[ID_HEADER] = request_id
+    headers = processes.refusal_headers(request_id)
     await http.send_response(connection, REFUSAL_STATUS, headers, b'')
 
 
@@ -107,7 +103,7 @@
             return
         endpoint.record_execution(server, arrival)
         endpoint.record_broken_off(arrival)
-        if endpoints.first_event(arrival) > 1:
+        if processes.first_event(arrival) > 1:
             self.resumed.add(request_id)
             await self.resumption(server, connection, arrival)
             return
--- a/benchmarks/soak/configurations.py
+++ b/benchmarks/soak/configuration_faults.py
@@ -1,15 +1,13 @@
-"""Configurations that a run writes, and faults that change them."""
+"""Faults that change the configuration."""
 
 import dataclasses
 
 import curio
 
 from benchmarks.soak import plans
-from tests import platform_processes as processes
-from tests import platform_standins as standins
+from tests import platform_configurations as configurations
 
 MAX_ADDED_ROUTES = 400
-MILLISECONDS_PER_SECOND = 1000.0
 IDLE_MS = (60, 400, 1500)
 TIMEOUTS_MS = (1600, 2500, 3000)
 HEADER_TIMEOUTS_MS = (700, 3000)
@@ -17,72 +15,14 @@
 WEIGHTS = ((1.0, 0.0), (0.2, 0.8), (0.5, 0.5))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Settings:
-    """The values of a configuration that faults change.
-
-    :param int idle_ms: after which an idle connection is closed.
-    :param int timeout_ms: timeout of all routes.
-    :param int added_routes: number of routes besides those of the callers.
-    :param tuple weights: shares of the two entries of a route's services.
-    :param int priority: priority of the customer.
-    """
-
-    idle_ms: int = 5000
-    header_timeout_ms: int = 5000
-    body_bytes: int = 100000
-    timeout_ms: int = 2000
-    added_routes: int = 0
-    weights: tuple[float, float] | None = None
-    priority: int = 1
-
-    @property
-    def timeout_seconds(self):
-        """The timeout of all routes in seconds."""
-        return self.timeout_ms / MILLISECONDS_PER_SECOND
-
-
-DEFAULTS = Settings()
-
-
-def write_spec(version, keys, settings):
-    """Return the spec of a configuration."""
-    spec = processes.configuration(version, keys)
-    if settings == DEFAULTS:
-        return spec
-    spec['limits'] = {
-        'idleTimeoutMs': settings.idle_ms,
-        'headerTimeoutMs': settings.header_timeout_ms,
-        'maxBodyBytes': settings.body_bytes,
-    }
-    spec['tenants'][0]['priority'] = settings.priority
-    added = [
-        standins.route(f'added-{version}-{number}', 'idempotent', 'app')
-        for number in range(settings.added_routes)
-    ]
-    spec['routes'] = [
-        each | route_changes(each, settings) for each in added + spec['routes']
-    ]
-    return spec
-
-
-def route_changes(route, settings):
-    """Return the fields in which settings change a route."""
-    changes = {'timeoutMs': settings.timeout_ms}
-    if settings.weights:
-        changes['backends'] = [
-            {'service': route['service'], 'weight': weight}
-            for weight in settings.weights
-        ]
-    return changes
-
-
 async def apply_settings(fleet, seconds, **changes):
     """Change settings for a duration, then set them to their defaults."""
     fleet.settings = dataclasses.replace(fleet.settings, **changes)
     await fleet.write_configuration()
     await curio.sleep(seconds)
-    defaults = {name: getattr(DEFAULTS, name) for name in changes}
+    defaults = {
+        name: getattr(configurations.DEFAULTS, name) for name in changes
+    }
     fleet.settings = dataclasses.replace(fleet.settings, **defaults)
     await fleet.write_configuration()
 
--- a/benchmarks/soak/contract_faults.py
+++ b/benchmarks/soak/contract_faults.py
@@ -8,7 +8,6 @@
 from benchmarks.soak import observations
 from benchmarks.soak import plans
 from tests import platform_processes as processes
-from tests import platform_standins as standins
 
 # An endpoint goes on for longer than a router may take to comply.
 MIN_LEAVING_SECONDS = 4.0
@@ -50,7 +49,7 @@
                 endpoint.undisturbed(),
             )
         )
-        refuse = standins.turn_away(str(self.pause_seconds))
+        refuse = processes.turn_away(self.pause_seconds)
         await refuse(server, connection, arrival)
 
 
--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -196,22 +196,13 @@
         server,
         connection,
         arrival,
-        **{
-            'content-type': 'text/event-stream',
-            'transfer-encoding': 'chunked',
-            'celeryward-confidence': str(confidence),
-        },
+        **processes.stream_headers(confidence),
     )
-    for number in range(first_event(arrival), last + 1):
+    for number in range(processes.first_event(arrival), last + 1):
         await connection.send('answer', h11.Data(data=standins.event(number)))
         await curio.sleep(STEP_SECONDS)
 
 
-def first_event(arrival):
-    """Return the number of the first event that the caller lacks."""
-    return int(arrival.head.headers.get('last-event-id', '0')) + 1
-
-
 async def send_head(server, connection, arrival, status=STATUS_OK, **headers):
     """Send the head of an answer."""
     lines = http.encode_headers(server.response_headers(arrival, **headers))
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -10,7 +10,6 @@
 import curio
 import msgspec
 
-from benchmarks.soak import configurations
 from benchmarks.soak import endpoints as stand_in_endpoints
 from benchmarks.soak import observations
 from benchmarks.soak import proxy
@@ -18,6 +17,7 @@
 from celeryward import errors
 from celeryward import http
 from celeryward.standins import base
+from tests import platform_configurations as configurations
 from tests import platform_processes as processes
 from tests import platform_standins as standins
 
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -8,14 +8,14 @@
 from benchmarks.soak import answer_faults
 from benchmarks.soak import callers
 from benchmarks.soak import checks
-from benchmarks.soak import configurations
+from benchmarks.soak import configuration_faults
 from benchmarks.soak import contract_checks
 from benchmarks.soak import contract_faults
 from benchmarks.soak import faults
 from benchmarks.soak import fleet as fleets
 from benchmarks.soak import lateness
 from benchmarks.soak import observations
-from benchmarks.soak import odd_entries
+from benchmarks.soak import odd_entry_faults
 from benchmarks.soak import plans
 from celeryward import deadlines
 from tests import platform_standins as standins
@@ -23,10 +23,10 @@
 # Modules that register the faults of the plans, and the checks.
 FAULT_MODULES = (
     answer_faults,
-    configurations,
+    configuration_faults,
     contract_faults,
     faults,
-    odd_entries,
+    odd_entry_faults,
 )
 CHECK_MODULES = (checks, contract_checks)
 RECOVERY_SECONDS = 15.0
--- a/benchmarks/soak/odd_entries.py
+++ b/tests/platform_odd_entries.py
@@ -1,24 +1,16 @@
-"""Entries of another writer that can't be read, among those of the fleet."""
+"""Entries of the platform's store that can't be read, as others write them.
 
-import dataclasses
+Like the stand-ins, this module contains the wire format of the platform.
+"""
 
-import curio
 import msgspec
 
-from benchmarks.soak import faults
-from benchmarks.soak import plans
 from celeryward import registry
 
 ODD_FIELDS = registry.Registry('odd field')
 NESTED_LISTS = 100_000
 DIGITS = 5_000
-KINDS = ('servers', 'rollouts', 'routers')
-# Names sort before and after those of the other entries.
-PREFIXES = ('a-odd', 'zz-odd')
-# Time for the routers to read the entries.
-READ_SECONDS = 0.3
-# The endpoint that leaves goes on for longer than it may get requests.
-MIN_LEAVING_SECONDS = 4.0
+# A sound entry of each kind.
 ENTRIES = {
     'servers': {
         'service': 'app',
@@ -35,34 +27,12 @@
     'rollouts': {'service': 'nobody', 'target': 'v9', 'durationS': 10},
     'routers': {'zone': 'a', 'address': '127.0.0.1:9', 'linkMbps': 100},
 }
-# For each kind, the field with a number, with text, and with an address.
+# For each kind, a field with a number and one with text.
 NUMBERS = {'servers': 'slots', 'rollouts': 'durationS', 'routers': 'linkMbps'}
 TEXTS = {'servers': 'zone', 'rollouts': 'target', 'routers': 'zone'}
 ADDRESS = 'address'
 
 
-@plans.FAULTS.register('odd-entry')
-async def write_odd_entries(fleet, event):
-    """Write odd entries, let an endpoint leave, and remove them again."""
-    odd_names = sorted(ODD_FIELDS.entries)
-    odd = odd_names[event.target % len(odd_names)]
-    prefix = PREFIXES[event.target % len(PREFIXES)]
-    name = f'{prefix}-{event.target}-{odd}'
-    for kind in KINDS:
-        await fleet.store.put(kind, name, ODD_FIELDS.get(odd)(kind))
-    await curio.sleep(READ_SECONDS)
-    await faults.remove_endpoint(
-        fleet,
-        dataclasses.replace(
-            event, seconds=max(event.seconds, MIN_LEAVING_SECONDS)
-        ),
-    )
-    for kind in KINDS:
-        # Another event may have written and removed the same entry.
-        if (kind, name) in fleet.store.objects:
-            await fleet.store.delete(kind, name)
-
-
 @ODD_FIELDS.register('nested')
 def nest_text(kind):
     """Return an entry with deeply nested lists in place of a text."""
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -75,6 +75,38 @@
     return arrival.head.headers[messages.REQUEST_ID]
 
 
+def first_event(arrival):
+    """Return the number of the first event that a caller lacks."""
+    return int(arrival.head.headers.get(messages.LAST_EVENT_ID, '0')) + 1
+
+
+def stream_headers(confidence):
+    """Return the headers of a stream besides those of each answer."""
+    return {
+        'content-type': 'text/event-stream',
+        'transfer-encoding': 'chunked',
+        messages.CONFIDENCE: str(confidence),
+    }
+
+
+def refusal_headers(refused_id):
+    """Return the headers of an answer that says "not run".
+
+    :param str refused_id: id of the request; empty to name none.
+    """
+    headers = {messages.NOT_EXECUTED: '1'}
+    if refused_id:
+        headers[messages.REQUEST_ID] = refused_id
+    return headers
+
+
+def turn_away(pause_seconds):
+    """Return an action that refuses a request and asks for a pause."""
+    return standins.respond_with(
+        503, celeryward_not_executed='1', retry_after=str(pause_seconds)
+    )
+
+
 def is_not_run(head):
     """Return whether a response states that the request did not run."""
     from_router = messages.RESPONSE_SEAL not in head.headers
