Break off streams only, with every answer to their resumption

The target of an error-after-break event picked both the service and the answer to the resumption, so that half of the events broke no stream, and four of the eight answers were never given. Streams are broken off at their own service now, and the half event depends on other digits of the target. Log lines of a request no longer include those of ids that begin with its own.

--- a/benchmarks/soak/answer_faults.py
+++ b/benchmarks/soak/answer_faults.py
@@ -14,20 +14,20 @@
 RESUMPTIONS = registry.Registry('answer to a resumption')
 # Events that a stream sends before it breaks off.
 EVENTS_BEFORE_BREAK = 2
+STREAM_SERVICE = 'llm'
 REFUSAL_STATUS = 503
 
 
-async def apply_answer_fault(fleet, event, make_fault):
+async def apply_answer_fault(fleet, service, seconds, make_fault):
     """Let all endpoints of one service answer wrongly for a duration.
 
     :param make_fault: function that returns the fault of one endpoint.
     """
-    service = plans.endpoint_of(fleet, event).service
     affected = [each for each in fleet.endpoints if each.service == service]
     applied = {each: make_fault() for each in affected}
     for endpoint, fault in applied.items():
         endpoint.answer_fault = fault
-    await curio.sleep(event.seconds)
+    await curio.sleep(seconds)
     for endpoint, fault in applied.items():
         # A fault that began later stays.
         if endpoint.answer_fault is fault:
@@ -77,8 +77,12 @@
 @plans.FAULTS.register('refusal-twice')
 async def repeat_refusals(fleet, event):
     """Let endpoints write each refusal again for the next request."""
+    with_id = event.target // len(fleet.endpoints) % 2 == 0
     await apply_answer_fault(
-        fleet, event, lambda: RepeatedRefusal(event.target % 2 == 0)
+        fleet,
+        plans.endpoint_of(fleet, event).service,
+        event.seconds,
+        lambda: RepeatedRefusal(with_id),
     )
 
 
@@ -122,13 +126,13 @@
     # The frame of a chunk that holds half an event.
     partial = standins.event(EVENTS_BEFORE_BREAK + 1)[:8]
     chunk = b'%x\r\n%b\r\n' % (len(partial), partial)
+    partial_event = chunk if event.target // len(names) % 2 else b''
     resumed = set()
     await apply_answer_fault(
         fleet,
-        event,
-        lambda: BrokenStream(
-            resumption, chunk if event.target % 2 else b'', resumed
-        ),
+        STREAM_SERVICE,
+        event.seconds,
+        lambda: BrokenStream(resumption, partial_event, resumed),
     )
 
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -270,7 +270,7 @@
             line
             for path in self.directory.glob('*.log')
             for line in path.read_text(errors='replace').splitlines()
-            if request_id in line
+            if f'"{request_id}"' in line
         ]
         return sorted(found, key=log_timestamp)
 
