--- a/benchmarks/soak/contract_faults.py
+++ b/benchmarks/soak/contract_faults.py
@@ -10,22 +10,26 @@
 from tests import platform_processes as processes
 
 # An endpoint goes on for longer than a router may take to comply.
-MIN_LEAVING_SECONDS = 4.0
+MIN_LEAVING_SECONDS = 5.0
+LEAVING_ENDPOINTS = 2
 PAUSES_SECONDS = (1, 2, 3)
 
 
 @plans.FAULTS.register('endpoint-announces')
 async def announce_departure(fleet, event):
-    """Let an endpoint say in all answers that it leaves, then replace it.
+    """Let endpoints say in all answers that they leave, then replace them.
 
-    Its entry in the store stays ready until the endpoint is replaced.
+    Their entries in the store stay ready until they are replaced.
     """
-    endpoint = plans.endpoint_of(fleet, event)
-    left = endpoint.server
-    left.leaving = True
+    service = plans.endpoint_of(fleet, event).service
+    affected = [each for each in fleet.endpoints if each.service == service]
+    left = {each: each.server for each in affected[:LEAVING_ENDPOINTS]}
+    for server in left.values():
+        server.leaving = True
     await curio.sleep(max(event.seconds, MIN_LEAVING_SECONDS))
-    if endpoint.server is left:
-        await faults.stop_and_replace(fleet, endpoint)
+    for endpoint, server in left.items():
+        if endpoint.server is server:
+            await faults.stop_and_replace(fleet, endpoint)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
