--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -15,6 +15,8 @@
 from celeryward.callers import moves
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
+from celeryward.callers import reopening_waiter
+from celeryward.callers import resumption
 from celeryward.callers import retry_control
 from celeryward.callers import router_admission
 from celeryward.endpoints import forwarding
@@ -67,6 +69,9 @@
         self.metrics = metrics
         self.admission = router_admission.AdmissionControl(router_state)
         self.planner = planning.Planner(router_state)
+        self.waiter = reopening_waiter.ReopeningWaiter(
+            self.planner, router_state
+        )
         self.retries = retry_control.RetryControl(
             self.planner, retry_allowance, metrics
         )
@@ -110,7 +115,7 @@
         """
         done = False
         while not done:
-            plan = self.next_plan(relayed)
+            plan = await self.next_plan(relayed)
             relayed.service = plan.service
             self.retries.charge(relayed)
             if relayed.route.retryable and not forwarding.is_stream(
@@ -120,7 +125,7 @@
             else:
                 done = await self.relay_only(relayed, plan, responder)
 
-    def next_plan(self, relayed):
+    async def next_plan(self, relayed):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
 
         :raises errors.NotRun: if there is none and the request has not run.
@@ -128,11 +133,11 @@
             have run.
         """
         try:
-            return self.planner.plan(relayed)
+            return await self.waiter.plan(relayed)
         except errors.NotRun as error:
             if not relayed.runs:
                 raise
-            raise retry_control.final_error(
+            raise self.retries.final_error(
                 relayed, error.message, error
             ) from error
 
@@ -165,14 +170,16 @@
         async with self.dispatcher.open_answer(
             relayed, dispatch, on_late
         ) as answer:
-            if forwarding.is_server_error(answer.head):
+            if responder.started:
+                self.check_resumption(dispatch, answer)
+            elif forwarding.is_server_error(answer.head):
                 content = await answer.body()
                 return await self.handle_error_answer(
                     relayed, dispatch, answer, content, responder
                 )
             if self.escalation.escalate(relayed, dispatch, answer):
                 return False
-            if forwarding.is_stream(relayed.route):
+            if forwarding.is_stream(relayed.route) and answer.is_event_stream:
                 await self.relay_events(relayed, dispatch, answer, responder)
             else:
                 content = await answer.body()
@@ -247,32 +254,36 @@
     async def relay_events(self, relayed, dispatch, answer, responder):
         """Relay the events of a stream as they arrive."""
         start_id = relayed.sequence.last
-        if not responder.started:
+        resumed = responder.started
+        if not resumed:
             await responder.start_stream(answer.head)
         async for batch in answer.events(relayed.sequence):
             await responder.send(b''.join(event.raw for event in batch))
             self.router_state.releases.runs.events_arrived(
                 dispatch.run, relayed.sequence.last - start_id
             )
+        if resumed:
+            resumption.check_rest(answer, relayed.sequence.last - start_id)
         await responder.finish()
 
+    def check_resumption(self, dispatch, answer):
+        """Check that an answer continues the stream of the caller.
+
+        :raises errors.AnswerInvalid: if it doesn't.
+        """
+        if forwarding.is_server_error(answer.head):
+            self.router_state.releases.runs.end(dispatch.run, failed=True)
+        resumption.check_answer(answer)
+
     async def handle_error_answer(
         self, relayed, dispatch, answer, content, responder
     ):
         """Retry after an answer with an error status, or relay it.
 
         :returns: whether the answer was relayed.
-        :raises errors.OutcomeUnknown: if the caller has received events of
-            the stream, so that the error answer can't be relayed.
         """
         runner = dispatch.plan.runner
         self.record_error_answer(relayed, dispatch)
-        if relayed.has_sent_events:
-            raise errors.OutcomeUnknown(
-                f'endpoint answered {answer.head.status} to a resumed stream',
-                step='resume',
-                peer=runner.address,
-            )
         if self.retries.secure_retry(relayed):
             relayed.budget_charged = True
             relayed.failed_answer = (answer.head, content)
@@ -306,7 +317,7 @@
         """
         may_retry = self.dispatcher.record_error(relayed, dispatch, error)
         if relayed.deadline.expired() or not may_retry:
-            raise retry_control.final_error(relayed, error.message, error)
+            raise self.retries.final_error(relayed, error.message, error)
 
 
 class Hedge:
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -11,6 +11,7 @@
 from celeryward import deadlines
 from celeryward.endpoints import answer_heads
 from celeryward.endpoints import event_stream
+from celeryward.endpoints import notices
 from celeryward.endpoints import waits
 from celeryward import errors
 from celeryward import http
@@ -89,6 +90,13 @@
         self.seconds = seconds
         self.on_data = on_data
 
+    @property
+    def is_event_stream(self):
+        """Whether status and content type, if any, are those of a stream."""
+        return self.head.status == 200 and event_stream.has_stream_type(
+            self.head.headers
+        )
+
     async def body(self):
         """Return the whole body.
 
@@ -100,6 +108,8 @@
 
         def due():
             read = self.connection.bytes_read - read_before
+            if read:
+                self.on_data()
             extension = read / MIN_BODY_BYTES_PER_SECOND
             return deadlines.Deadline(begun.at + extension).earlier(
                 self.forwarded.deadline
@@ -193,6 +203,7 @@
     ):
         self.table = table
         self.notice_reader = notice_reader
+        self.closures = notice_reader.closures
         self.queues = queues
         self.connections = connections
         self.translator = translator
@@ -254,15 +265,19 @@
 
         :raises errors.EndpointLeft: if the endpoint has left since it was
             selected.
+        :raises errors.EndpointClosed: if it has closed since then.
         :raises errors.EndpointRefused: if the request certainly did not run.
         :raises errors.EndpointFailure: ``sent`` states whether the request
             may have run.
         """
+        opening = self.notice_reader.begin(runner)
         self.outcomes.request_started(runner.id)
+        whole_seconds = None
         waiting = self.queues.begin(runner.id)
         started = time.monotonic()
         connection = None
         try:
+            await self.notice_reader.notify_listeners(runner)
             async with self.connections.lease(
                 runner, forwarded.head_deadline, forwarded.new_connection
             ) as connection:
@@ -271,7 +286,9 @@
                     runner.id, not forwarded.new_connection, connection, wait
                 )
                 self.check_present(runner)
-                is_first = connection.bytes_written == 0
+                sent = notices.SentRequest(
+                    forwarded.request_id, connection.bytes_written == 0
+                )
                 await self.send(connection, forwarded, runner)
                 head, metadata = await answer_heads.receive_head(
                     connection,
@@ -282,8 +299,12 @@
                 wait.begin_next()
                 self.queues.end(runner.id, waiting)
                 self.outcomes.record_activity(runner.id)
-                self.notice_reader.record(
-                    forwarded, runner, metadata, is_first
+                await self.notice_reader.record(
+                    sent,
+                    runner,
+                    head.status,
+                    metadata,
+                    self.outcomes.in_flight[runner.id],
                 )
                 check_head(runner, head, metadata)
                 seconds = time.monotonic() - started
@@ -300,16 +321,18 @@
                     on_data,
                 )
                 connection.usable_until = reuse_deadline(metadata)
+                whole_seconds = time.monotonic() - started
         finally:
             self.exchanges.pop(connection, None)
             self.queues.end(runner.id, waiting)
             self.outcomes.request_finished(runner.id)
+            await self.notice_reader.end(runner, opening, whole_seconds)
 
     def check_present(self, runner):
         """Raise an error if the endpoint must not get the request any more.
 
-        It may have left while the request was queued or the connection was
-        being opened.
+        It may have left or closed while the request was queued or while the
+        connection was being opened.
         """
         if not self.table.is_available(runner):
             raise errors.EndpointLeft(
@@ -317,6 +340,8 @@
                 step='send request',
                 peer=runner.address,
             )
+        if self.closures.is_closed(runner):
+            raise notices.closed_error(runner)
 
     async def send(self, connection, forwarded, runner):
         """Send the whole request."""
@@ -350,8 +375,10 @@
         response, or if its content is encoded.
     """
     if metadata.not_run or metadata.misdirected:
+        unnamed = '' if metadata.request_id else ' without an id'
         raise errors.EndpointRefused(
-            f'endpoint answered {head.status} and did not run the request',
+            f'endpoint answered {head.status}{unnamed} and did not run the '
+            'request',
             step='read response',
             peer=runner.address,
         )
