--- a/benchmarks/soak/regressions.py
+++ b/benchmarks/soak/regressions.py
@@ -29,9 +29,27 @@
 RELOAD = 'a reload signal ended a router that was starting, or had stopped'
 EARLY_STOP = 'a stop signal ended a router before it had handlers'
 KILLED_STOP = 'the soak killed a router that it was stopping'
+REFUSAL = 'a copy of an earlier refusal, without an id, was believed'
+EMPTY_REST = 'an empty rest was taken for the end of a stream'
+ODD_ENTRY = 'an odd entry ended the following of the store'
+SILENCE = 'answers were given up at endpoints silent for a second'
+BROKEN_OFF = 'the soak blamed the router for what an endpoint broke off'
+SECOND_PLAN = 2
 CASES = (
     *(Case(seed, EARLY_CALLER, 12.0) for seed in range(103, 108)),
     *(Case(seed, RELOAD) for seed in (303, 321)),
     Case(304, EARLY_STOP),
     *(Case(seed, KILLED_STOP) for seed in (301, 314, 329)),
+    *(
+        Case(seed, cause, plan=SECOND_PLAN)
+        for cause, seeds in (
+            (REFUSAL, (601, 602, 607, 616, 636)),
+            (EMPTY_REST, (606, 630)),
+            (ODD_ENTRY, (603, 604, 612, 613, 615, 617, 619, 620)),
+            (ODD_ENTRY, (624, 633, 635, 642, 643, 648)),
+            (SILENCE, (1, 625, 634)),
+            (BROKEN_OFF, (623,)),
+        )
+        for seed in seeds
+    ),
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -322,3 +322,9 @@
         found, violations = curio.run(soak.run, 5, size, tmp_path)
         assert violations == []
         assert len(found.executions) > 50
+
+    def test_short_run_of_newer_faults_has_no_violations(self, tmp_path):
+        size = soak.Size(seconds=3.0, rate=2.0, routers=3, callers=4, plan=2)
+        found, violations = curio.run(soak.run, 8564, size, tmp_path)
+        assert violations == []
+        assert len(found.executions) > 50
