--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 from celeryward import deadlines
 from celeryward import logs
+from celeryward.standins import fleet
 from tests import fakes
 
 TEST_SECONDS = 30.0
@@ -45,3 +46,21 @@
     clock = fakes.Clock()
     monkeypatch.setattr(deadlines, 'time', clock)
     return clock
+
+
+@pytest.fixture
+def with_fleet(run):
+    """Return a function that runs a test against started engines."""
+
+    def run_with(test, *engines, **options):
+        async def body():
+            started = fleet.Fleet(engines, **options)
+            await started.start()
+            try:
+                return await test(started)
+            finally:
+                await started.stop()
+
+        return run(body)
+
+    return run_with
