--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -15,6 +15,7 @@
 from celeryward import errors
 from celeryward import http
 from celeryward import ingress
+from celeryward import listener
 from celeryward import logs
 
 # Time in which a request body must be complete.
@@ -315,17 +316,8 @@
             await self.send_error_if_connected(responder, error)
 
     async def close_idle(self):
-        """End the tasks of connections without a request.
-
-        Each task closes its own connection: if another task closed the
-        socket, the task that waits for it would never wake up.
-        """
-        for connection, task in tuple(self.tasks.items()):
-            # A task may have ended during the cancellation of another.
-            if connection not in self.tasks or connection in self.active:
-                continue
-            if not connection.has_input():
-                await task.cancel()
+        """End the tasks of connections without a request."""
+        await listener.end_idle(self.tasks, self.active)
 
 
 def check_head(head, limits, peer):
--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -134,19 +134,10 @@
         close_at = deadlines.Deadline.after(LAST_REQUESTS_SECONDS)
         while self.tasks and not deadline.expired():
             if close_at.expired():
-                await self.close_idle()
+                busy = {responder.connection for responder in self.active}
+                await listener.end_idle(self.tasks, busy)
             await curio.sleep(STOP_POLL_SECONDS)
 
-    async def close_idle(self):
-        """End the tasks of connections that have brought no request."""
-        busy = {responder.connection for responder in self.active}
-        for connection, task in tuple(self.tasks.items()):
-            # A task may have ended during the cancellation of another.
-            if connection not in self.tasks or connection in busy:
-                continue
-            if not connection.has_input():
-                await task.cancel()
-
     async def handle(self, connection):
         """Serve one connection to its end, in the task that calls this."""
 
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -208,6 +208,20 @@
         )
 
 
+async def start_chat(connection, call, version, read_deadlines, resume=None):
+    """Send a chat request; return the checked head of its response."""
+    await http.send_request(
+        connection,
+        'POST',
+        '/v1/chat/completions',
+        chat_headers(call, version),
+        encode_chat(call.request, resume),
+    )
+    response = await connection.receive_response(read_deadlines.first_byte())
+    check_head(response, call, connection.peer)
+    return response
+
+
 async def stream_chat(connection, call, version, resume, read_deadlines):
     """Run a streamed chat on a connection and yield its chunks.
 
@@ -216,27 +230,16 @@
 
     :raises errors.AnswerTruncated: if the stream ends without ``[DONE]``.
     """
-    body = encode_chat(call.request, resume)
-    headers = chat_headers(call, version)
-    await http.send_request(
-        connection, 'POST', '/v1/chat/completions', headers, body
-    )
-    response = await connection.receive_response(read_deadlines.first_byte())
-    check_head(response, call, connection.peer)
+    await start_chat(connection, call, version, read_deadlines, resume)
     splitter = EventSplitter(connection.peer)
     held = b''
     tokens = 0
-
-    def next_deadline():
-        progress = read_deadlines.progress()
-        if not splitter.done:
-            return progress
-        return progress.earlier(deadlines.Deadline.after(DRAIN_SECONDS))
-
     # Engines may send the head while the request is still in their queue, so
     # that the first byte of the body has the limit of the first byte too.
     pieces = connection.receive_chunks(
-        'read stream', next_deadline, read_deadlines.first_byte()
+        'read stream',
+        functools.partial(next_piece_deadline, splitter, read_deadlines),
+        read_deadlines.first_byte(),
     )
     async with contextlib.aclosing(pieces):
         async for piece in pieces:
@@ -260,6 +263,14 @@
     yield Chunk(held, count, usage)
 
 
+def next_piece_deadline(splitter, read_deadlines):
+    """Return the deadline of the next piece of a streamed answer."""
+    progress = read_deadlines.progress()
+    if not splitter.done:
+        return progress
+    return progress.earlier(deadlines.Deadline.after(DRAIN_SECONDS))
+
+
 def split_before_usage(events):
     """Return some events and, apart from them, the last if it is the usage.
 
@@ -312,13 +323,7 @@
 
 async def complete_chat(connection, call, version, read_deadlines):
     """Run a chat that is not streamed; return its body as one chunk."""
-    body = encode_chat(call.request)
-    headers = chat_headers(call, version)
-    await http.send_request(
-        connection, 'POST', '/v1/chat/completions', headers, body
-    )
-    response = await connection.receive_response(read_deadlines.first_byte())
-    check_head(response, call, connection.peer)
+    response = await start_chat(connection, call, version, read_deadlines)
     answer = await receive_delimited_body(
         connection, response, call, read_deadlines
     )
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -111,6 +111,23 @@
         return len(remaining)
 
 
+async def end_idle(tasks, busy):
+    """End the tasks of connections that have brought no request.
+
+    Each task closes its own connection: if another task closed the socket,
+    the task that waits for it would never wake up.
+
+    :param dict tasks: the task of each open connection.
+    :param busy: the connections with a request in progress.
+    """
+    for connection, task in tuple(tasks.items()):
+        # A task may have ended during the cancellation of another.
+        if connection not in tasks or connection in busy:
+            continue
+        if not connection.has_input():
+            await task.cancel()
+
+
 async def serve_connection(connection, handle, idle_seconds):
     """Serve requests on one connection until either side closes it.
 
