--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -19,6 +19,11 @@
 from celeryward.objects import protocol
 
 TRANSPORT_ERRORS = (errors.ConnectionFailed, *http.EXCHANGE_ERRORS)
+ERROR_BY_STATUS = {
+    404: (errors.NotFound, 'object does not exist'),
+    410: (errors.RevisionExpired, 'revision is no longer in the history'),
+    413: (errors.AnswerTooLarge, 'changes exceed the size limit'),
+}
 MAX_IDLE_CONNECTIONS = 4
 # A store that repeats a page must not keep its reader busy for ever.
 MAX_PAGES = 1000
@@ -240,25 +245,10 @@
         step = f'{method} {path}'
         if status in (200, 201):
             return result.Ok(body)
-        if status == 404:
+        if status in ERROR_BY_STATUS:
+            kind_of_error, message = ERROR_BY_STATUS[status]
             return result.Err(
-                errors.NotFound(
-                    'object does not exist', step=step, peer=self.peer
-                )
-            )
-        if status == 410:
-            return result.Err(
-                errors.RevisionExpired(
-                    'revision is no longer in the history',
-                    step=step,
-                    peer=self.peer,
-                )
-            )
-        if status == 413:
-            return result.Err(
-                errors.AnswerTooLarge(
-                    'changes exceed the size limit', step=step, peer=self.peer
-                )
+                kind_of_error(message, step=step, peer=self.peer)
             )
         if status == self.dialect.conflict_status:
             decoder = self.dialect.decode_object
