Cut requests and bills of the daily report at the same time

The report compares the requests of the last 24 hours with their bills, but counted requests by buckets of 5 minutes that lie within them, and bills from the exact time on. Up to 5 minutes of bills without their requests made up for as many missing bills, and the report said that each request has one.

Both begin with the first whole bucket now; bills 10 s earlier, since a bill is recorded before its request ends.

--- a/celeryward/operators/collect.py
+++ b/celeryward/operators/collect.py
@@ -27,7 +27,7 @@
         for each in stored_windows.items
     ]
     stored_batches = errors.unwrap(await client.list(batches.BATCH_KIND))
-    oldest = now - report.DAY_SECONDS
+    oldest = report.first_bill_time(now)
     bill_ids = [
         bill.id
         for each in stored_batches.items
--- a/celeryward/operators/report.py
+++ b/celeryward/operators/report.py
@@ -2,12 +2,16 @@
 
 import collections
 import dataclasses
+import math
 
 from celeryward import metrics
 from celeryward.operators import burn
 from celeryward.operators import windows
 
 DAY_SECONDS = 24 * 3600
+# A bill is recorded up to this long before the end of its request, after which
+# the request is counted.
+BILL_LEAD_SECONDS = 10.0
 MAX_LISTED_FINDINGS = 3
 # Objectives that spent less of the daily budget and raised no alert are not
 # reported.
@@ -109,6 +113,17 @@
     newest_window_age: float
 
 
+def first_bucket_start(now):
+    """Return the start of the first whole bucket of the last 24 hours."""
+    buckets = math.ceil((now - DAY_SECONDS) / windows.BUCKET_SECONDS)
+    return buckets * windows.BUCKET_SECONDS
+
+
+def first_bill_time(now):
+    """Return the time from which bills belong to the counted requests."""
+    return first_bucket_start(now) - BILL_LEAD_SECONDS
+
+
 def build(catalog, service_windows, bill_ids, now, customer=''):
     """Return the :class:`Report` of the 24 hours before a time.
 
@@ -122,7 +137,7 @@
         bucket
         for window in service_windows
         for bucket in window.buckets
-        if now - DAY_SECONDS <= bucket.start <= now
+        if first_bucket_start(now) <= bucket.start <= now
         and customer in ('', bucket.customer)
     ]
     grouped = group_by(buckets, lambda bucket: bucket.customer)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -2,15 +2,19 @@
 
 import pytest
 
+from celeryward import calls
 from celeryward import catalog
+from celeryward.objects import batches
 from celeryward.objects import client
 from celeryward.objects import window_publisher
 from celeryward.operators import burn
+from celeryward.operators import collect
 from celeryward.operators import page
 from celeryward.operators import report
 from celeryward.operators import windows
 from celeryward import settings
 from celeryward.standins import platform
+from tests import fakes
 
 NOW = 1_800_000_000.0
 
@@ -104,6 +108,25 @@
         assert lines[0].startswith('The day went well')
 
 
+class TestCollect:
+    """Guards against bills that make up for missing ones."""
+
+    def test_bills_before_the_first_bucket_hide_no_missing_bill(self, run):
+        """Up to 5 minutes of bills counted without their requests."""
+        now = NOW + 100.0
+        before = now - report.DAY_SECONDS + 50.0
+        requests = [
+            finished_request(before, billed=True),
+            finished_request(now - 9.0, billed=True),
+        ]
+        bill = calls.Bill('r', 'a', 'm', (), before, 'b1', 'batch')
+        objects = fakes.ObjectClient()
+        objects.force_put(batches.Batch('batch', (bill,)).to_object())
+        for window in recorder_with(requests).changed_windows():
+            objects.force_put(window_publisher.to_object(window))
+        assert run(collect.read_report, objects, now).bills.missing == 1
+
+
 class TestPublisher:
     """Guards against windows that are lost or written twice."""
 
