Test two lease holders around a hand-over

Over real sockets to an engine that enforces fencing numbers and one that ignores them; holds in both. Without the wait for orders of the previous holder (earliest_send) the second case fails.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -167,6 +167,42 @@
         with_setup(test, catalog.Fencing.IGNORED)
 
 
+class TestHandOver:
+    """Guards against two holders whose orders go out for the same moment."""
+
+    @BOTH
+    def test_holder_paused_on_the_open_connection(
+        self, with_setup, fencing, monkeypatch
+    ):
+        """It has checked its lease, and sends after the next holder leads."""
+        send_order = management.send_order
+        outcomes = []
+
+        async def test(setup):
+            async def send_after_takeover(connection, order, deadline):
+                if order.fence == 1:
+                    await setup.take_over()
+                    outcomes.append(await setup.load(1))
+                await send_order(connection, order, deadline)
+
+            monkeypatch.setattr(management, 'send_order', send_after_takeover)
+            outcomes.append(await setup.load(0))
+            fences = [order['fence'] for order in setup.engine.orders]
+            if fencing is catalog.Fencing.ENFORCED:
+                assert fences == [2]
+                assert isinstance(
+                    outcomes[1].unwrap_err(), orders.OutdatedFence
+                )
+            else:
+                # The next holder waits while such an order may take effect.
+                assert isinstance(
+                    outcomes[0].unwrap_err(), orders.OrderDeferred
+                )
+                assert fences == [1]
+
+        with_setup(test, fencing)
+
+
 class TestReleaseOfTheLease:
     """Guards against a next holder that sends while an order is running."""
 
