Answer requests that outlast the stop of a daemon

A request still in progress when the drain time of a stopping daemon was over had its connection closed: no status, or a stream without an end. Each now gets the error that its outcome is unknown, a stream as its last event, as routers do; a caller that doesn't read delays the stop by 0.5 s at most.

--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -1,5 +1,7 @@
 """Server of the callers' HTTP API, with one task for each connection."""
 
+import contextlib
+
 import curio
 import h11
 
@@ -17,6 +19,9 @@
 # announces that the connection closes.
 LAST_REQUESTS_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.05
+# Time for the errors of requests that a stop cuts off. A caller that doesn't
+# read must not keep the daemon.
+LAST_ERRORS_SECONDS = 0.5
 
 
 class Responder:
@@ -138,6 +143,33 @@
                 await listener.end_idle(self.tasks, busy)
             await curio.sleep(STOP_POLL_SECONDS)
 
+    async def fail_active(self):
+        """Send an error for each request that can't be finished.
+
+        A request that may have run is not reported as not run.
+
+        :returns: the number of these requests.
+        """
+        cut_off = tuple(self.active)
+        async with curio.ignore_after(LAST_ERRORS_SECONDS):
+            async with curio.TaskGroup() as group:
+                for responder in cut_off:
+                    await group.spawn(self.fail_request, responder)
+        return len(cut_off)
+
+    async def fail_request(self, responder):
+        """Send the error of a request that a stop cuts off."""
+        error = errors.OutcomeUnknown(
+            'daemon stopped before the response was complete',
+            step='stop',
+            peer=responder.connection.peer,
+        )
+        logs.bind_error(error, request_id=responder.request_id).warning(
+            'request cut off by the stop'
+        )
+        with contextlib.suppress(errors.CallerDisconnected, h11.ProtocolError):
+            await responder.send_error(error)
+
     async def handle(self, connection):
         """Serve one connection to its end, in the task that calls this."""
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -196,6 +196,35 @@
 
         with_cluster(test)
 
+    @pytest.mark.parametrize('stream', [False, True])
+    def test_request_that_outlasts_the_stop_gets_an_answer(
+        self, with_cluster, stream
+    ):
+        """Its connection was closed without one."""
+
+        async def test(cluster):
+            cluster.large.token_seconds = 0.2
+            daemon = cluster.daemon
+            daemon.settings = dataclasses.replace(
+                daemon.settings,
+                timings=dataclasses.replace(
+                    daemon.settings.timings, drain_timeout=0.3
+                ),
+            )
+            port = daemon.listener.port
+            example = demo.chat_example('', 'large', 'x', stream=stream)
+            sending = await curio.spawn(demo.send_example, port, example)
+            while not daemon.caller_server.active:
+                await curio.sleep(0.01)
+            await curio.sleep(0.3)
+            assert await daemon.stop() == 1
+            head, body = await sending.join()
+            assert head.status == (200 if stream else 502)
+            assert b'"execution":"unknown"' in body
+            assert b'[DONE]' not in body
+
+        with_cluster(test)
+
     async def call_until_closed(self, port, results, pause, kept):
         """Send requests until the port is closed; record their results.
 
