--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -275,9 +275,13 @@
             ('7.5', None),
             ('-1', None),
             ('', None),
+            ('0100', 1.0),
+            ('101', None),
+            ('9' * 400, None),
+            ('9' * 5000, None),
         ),
     )
     def test_only_whole_numbers_are_read(self, text, found):
-        """A superscript digit raised ValueError."""
+        """A superscript digit, or thousands of digits, raised an error."""
         head = http.Response(200, {messages.CONFIDENCE: text})
         assert messages.read_response(head).confidence == found
