Wait for a load in the test of a daemon's stop, not for a time

The test of accepted requests gave its clients 0.3 s and asked for more than 100 responses, which a busy host may not give. It now stops the daemon after 200 responses.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -13,6 +13,9 @@
 from celeryward import http
 from celeryward.operators import demo
 
+# Responses after which a load has reached its rate.
+MIN_LOAD_RESULTS = 200
+
 
 @pytest.fixture
 def with_cluster(run):
@@ -273,9 +276,9 @@
                         0.002 * number,
                         kept,
                     )
-                await curio.sleep(0.3)
+                while len(results) < MIN_LOAD_RESULTS:
+                    await curio.sleep(0.01)
                 await cluster.daemon.stop()
-            assert len(results) > 100
             assert 'no answer' not in results
 
         with_cluster(test)
