--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -146,7 +146,9 @@
     def record_error(self, relayed, dispatch, error):
         """Record and log a failed dispatch; return whether to retry."""
         runner = dispatch.plan.runner
-        relayed.tried_endpoints |= {runner.id}
+        if error.sent or not self.router_state.closures.is_closed(runner):
+            # One that is closed may run the request after its pause.
+            relayed.tried_endpoints |= {runner.id}
         relayed.deliveries += error.sent or isinstance(
             error, errors.EndpointRefused
         )
@@ -179,7 +181,7 @@
         if isinstance(error, errors.EndpointRefused):
             outcomes.record_refusal(runner_id)
         elif isinstance(error, errors.EndpointLeft):
-            # The endpoint list already shows that it left.
+            # The state of the endpoint already shows that it left or closed.
             return
         elif isinstance(error, errors.AnswerMismatch):
             # The answer to another request is no evidence of this one.
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -4,6 +4,7 @@
 
 from celeryward.callers import relayed_requests
 from celeryward import deadlines
+from celeryward.endpoints import reopening
 from celeryward.endpoints import selection
 from celeryward import errors
 from celeryward import hashing
@@ -22,6 +23,7 @@
 
     def __init__(self, router_state):
         self.router_state = router_state
+        self.schedule = reopening.ReturnSchedule(router_state.closures.clock)
 
     def plan(self, relayed):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
@@ -29,6 +31,7 @@
         Prefers the software version that the releases choose, and takes
         any other if no endpoint of that version is available.
 
+        :raises errors.EndpointsClosed: if all endpoints are closed.
         :raises errors.Overloaded: if no endpoint can take the request.
         :raises errors.DeadlineExceeded: if the deadline has passed.
         """
@@ -39,10 +42,30 @@
                 peer=relayed.route.name,
                 retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
             )
+        query = self.query(relayed)
+        runner = selection.select(query)
+        if runner is None and query.software and not selection.eligible(query):
+            # Another version takes over for one that has no endpoint, but not
+            # for one whose endpoints are closed for a while.
+            query = dataclasses.replace(query, software='')
+            runner = selection.select(query)
+        if runner is None:
+            raise self.no_endpoint_error(relayed, query)
+        return relayed_requests.Plan(
+            relayed.service,
+            runner,
+            relayed.size,
+            runner.id in query.suspects,
+            selection.shortest_other_queue(query, runner),
+        )
+
+    def query(self, relayed):
+        """Return the :class:`selection.Query` of the next dispatch.
+
+        It determines the service and the model size of the request, too.
+        """
         router_state = self.router_state
-        service = relayed.service or self.choose_service(relayed)
-        size = relayed.size or self.first_size(relayed, service)
-        relayed.size = size
+        service, model = self.queue_of(relayed)
         endpoints = tuple(router_state.runners.of_service(service))
         software = router_state.releases.choose(
             service,
@@ -51,34 +74,77 @@
             relayed.metadata.session,
             relayed.metadata.request_id,
         )
-        query = selection.Query(
+        return selection.Query(
             endpoints,
             router_state.failure_domain,
             software,
-            size.model if size else '',
+            model,
             relayed_requests.affinity_key(relayed.metadata),
             relayed.tried_endpoints | relayed.running,
+            frozenset(
+                runner.id
+                for runner in endpoints
+                if not router_state.closures.may_start(runner)
+            ),
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
             router_state.queues.seconds,
         )
-        runner = selection.select(query)
-        if runner is None and software:
-            query = dataclasses.replace(query, software='')
-            runner = selection.select(query)
-        if runner is None:
-            raise errors.Overloaded(
-                f'no endpoint of {len(endpoints)} can take the request',
-                step='select',
-                peer=service,
-                retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
+
+    def queue_of(self, relayed):
+        """Return service and model, by which requests wait for endpoints.
+
+        They stay the same for the next dispatches of the request.
+        """
+        relayed.service = relayed.service or self.choose_service(relayed)
+        relayed.size = relayed.size or self.first_size(
+            relayed, relayed.service
+        )
+        return relayed.service, relayed.size.model if relayed.size else ''
+
+    def eligible(self, relayed):
+        """Return the endpoints that could run a request, now or later."""
+        query = self.query(relayed)
+        return selection.eligible(query) or selection.eligible(
+            dataclasses.replace(query, software='')
+        )
+
+    def openings(self, relayed):
+        """Return the :class:`reopening.Opening` of each usable endpoint."""
+        estimates = self.router_state.estimates
+        return tuple(map(estimates.opening, self.eligible(relayed)))
+
+    def retry_at(self, relayed, waiting=0):
+        """Return when the caller of a refused request may return.
+
+        :param int waiting: requests that wait for the same endpoints.
+        """
+        closures = self.router_state.closures
+        usable = self.eligible(relayed)
+        seconds = NO_ENDPOINT_RETRY_SECONDS
+        if usable and not any(map(closures.may_start, usable)):
+            seconds = self.schedule.next_return(
+                relayed.service, self.openings(relayed), waiting
             )
-        return relayed_requests.Plan(
-            service,
-            runner,
-            size,
-            runner.id in query.suspects,
-            selection.shortest_other_queue(query, runner),
+        return deadlines.Deadline.after(seconds)
+
+    def no_endpoint_error(self, relayed, query):
+        """Return the error for a request that no endpoint can take now."""
+        service = relayed.service
+        table = self.router_state.runners
+        kind = errors.Overloaded
+        text = f'no endpoint of {len(query.endpoints)} can take the request'
+        if selection.eligible(query):
+            kind = errors.EndpointsClosed
+            text = f'all endpoints of {len(query.endpoints)} are closed'
+        elif not query.endpoints and table.has_service(service):
+            kind = errors.EndpointsLeaving
+            text = f'all endpoints of {service} are leaving'
+        return kind(
+            text,
+            step='select',
+            peer=service,
+            retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
         )
 
     def can_serve(self, relayed, service, size):
@@ -87,6 +153,7 @@
         avoided = relayed.tried_endpoints | self.suspects(endpoints)
         return any(
             runner.id not in avoided
+            and self.router_state.closures.may_start(runner)
             and (not runner.models or size.model in runner.models)
             for runner in endpoints
         )
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -8,6 +8,7 @@
 
 from celeryward import calls
 from celeryward import deadlines
+from celeryward.endpoints import chat_events
 from celeryward.endpoints import event_stream
 from celeryward import errors
 from celeryward import http
@@ -229,8 +230,12 @@
     apart: neither may reach the caller before the request is billed.
 
     :raises errors.AnswerTruncated: if the stream ends without ``[DONE]``.
+    :raises errors.AnswerInvalid: if the answer or its rest is an error.
     """
-    await start_chat(connection, call, version, read_deadlines, resume)
+    response = await start_chat(
+        connection, call, version, read_deadlines, resume
+    )
+    chat_events.check_content_type(response, connection.peer)
     splitter = EventSplitter(connection.peer)
     held = b''
     tokens = 0
@@ -243,7 +248,9 @@
     )
     async with contextlib.aclosing(pieces):
         async for piece in pieces:
-            held += splitter.split(piece)
+            complete = splitter.split(piece)
+            chat_events.check_events(complete, connection.peer)
+            held += complete
             if splitter.done:
                 break
             events, held = split_before_usage(held)
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -3,8 +3,13 @@
 import time
 
 import curio
+import msgspec
 import pytest
 
+from celeryward import http
+from celeryward.operators import demo
+from celeryward.standins import base
+from celeryward.standins import service
 from tests import platform_standins as standins
 
 NOT_EXECUTED = {'celeryward-not-executed': '1'}
@@ -211,9 +216,109 @@
         assert head.status == 502
         assert time.monotonic() - started < 1.0
 
+    @standins.on_site
+    async def test_copy_without_end_is_given_up_at_the_deadline(self, site):
+        async def repeat(runner, connection, arrival):
+            headers = {
+                'celeryward-attempt-id': 'earlier',
+                'content-length': '1000000000',
+            }
+            await write_answer(connection, 200, headers)
+            try:
+                while True:
+                    await connection.sock.sendall(b'x' * 1000)
+                    await curio.sleep(0.01)
+            except OSError as error:
+                raise http.Disconnected(
+                    str(error), step='answer', peer='test'
+                ) from error
+
+        for runner in site.runners.values():
+            runner.default_action = repeat
+        started = time.monotonic()
+        head, _ = await site.request('/once/x', 'POST', b'1')
+        assert head.status in (502, 504)
+        # The timeout of the route, and 1 s for a busy host.
+        assert time.monotonic() - started < 2.0 + 1.0
+
     @standins.on_site
     async def test_copy_that_ends_the_connection_leaves_no_answer(self, site):
         for runner in site.runners.values():
             runner.default_action = self.copy('answer', connection='close')
         head, body = await site.request('/once/x', 'POST', b'1')
         assert (head.status, body) == (502, b'')
+
+
+class RepeatingService(service.ServiceStandIn):
+    """A service that writes its last answer once more before the next one."""
+
+    def __init__(self):
+        super().__init__()
+        self.last_answer = None
+
+    async def answer(self, connection, received):
+        """Write the last answer, then the one to this request."""
+        if received.head.path != '/load':
+            if self.last_answer is not None:
+                await write_answer(connection, *self.last_answer)
+            request_id = received.head.headers['x-request-id']
+            path = msgspec.json.encode({'path': received.head.target})
+            self.last_answer = (200, {'x-request-id': request_id}, path)
+        await super().answer(connection, received)
+
+
+class TestServices:
+    """Guards against answers of services to another caller of a daemon."""
+
+    def test_copy_with_an_id_that_callers_share_is_not_relayed(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            cluster.orders = RepeatingService()
+            await cluster.start()
+            port = cluster.daemon.listener.port
+            headers = {'x-request-id': 'same', 'x-idempotent': 'true'}
+            try:
+                paths = []
+                for name in ('first', 'second'):
+                    example = demo.Example(
+                        '', 'GET', f'/v1/services/orders/{name}', {}, headers
+                    )
+                    head, body = await demo.send_example(port, example)
+                    if head.status == 200:
+                        paths.append(msgspec.json.decode(body)['path'])
+                return paths
+            finally:
+                await cluster.stop()
+
+        assert run(test) in (['/first'], ['/first', '/second'])
+
+
+class TestStore:
+    """Guards against copies that make a configuration look confirmed."""
+
+    @standins.on_site
+    async def test_copy_of_a_watch_with_changes_confirms_nothing(self, site):
+        store = site.store
+        await store.put('config', 'main', standins.configuration(2))
+        configuration = site.router.configuration
+        await standins.wait_until(lambda: configuration.current.version == 2)
+        earlier = {
+            'events': store.events('config', 0),
+            'currentRev': store.revision,
+        }
+        answer = store.answer
+
+        async def repeat(connection, received):
+            if 'watch=' in received.head.target:
+                await base.send_json(connection, 200, earlier)
+            else:
+                await answer(connection, received)
+
+        store.answer = repeat
+        # A call that began before may still be answered truly.
+        await curio.sleep(2 * site.tuning.configuration_wait)
+        watcher = site.router.view.watchers[0]
+        before = watcher.confirmed_at
+        await curio.sleep(0.5)
+        assert watcher.confirmed_at == before
+        assert configuration.current.version == 2
