--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -239,13 +239,7 @@
     splitter = EventSplitter(connection.peer)
     held = b''
     tokens = 0
-    # Engines may send the head while the request is still in their queue, so
-    # that the first byte of the body has the limit of the first byte too.
-    pieces = connection.receive_chunks(
-        'read stream',
-        functools.partial(next_piece_deadline, splitter, read_deadlines),
-        read_deadlines.first_byte(),
-    )
+    pieces = receive_pieces(connection, splitter, read_deadlines)
     async with contextlib.aclosing(pieces):
         async for piece in pieces:
             complete = splitter.split(piece)
@@ -270,6 +264,19 @@
     yield Chunk(held, count, usage)
 
 
+def receive_pieces(connection, splitter, read_deadlines):
+    """Return a generator of the pieces of a streamed answer.
+
+    Engines may send the head while the request is still in their queue, so
+    that the first byte of the body has the limit of the first byte too.
+    """
+    return connection.receive_chunks(
+        'read stream',
+        functools.partial(next_piece_deadline, splitter, read_deadlines),
+        read_deadlines.first_byte(),
+    )
+
+
 def next_piece_deadline(splitter, read_deadlines):
     """Return the deadline of the next piece of a streamed answer."""
     progress = read_deadlines.progress()
