--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,6 +8,7 @@
 import result
 
 from celeryward import errors
+from celeryward.objects import protocol
 
 
 TEST_SECONDS = 60.0
@@ -88,7 +89,7 @@
         items = tuple(
             each for each in self.stored.values() if each.kind == kind
         )
-        return result.Ok(ObjectList(items, self.revision))
+        return result.Ok(protocol.ObjectList(items, self.revision))
 
     async def create(self, stored):
         return await self.put(stored, 0)
@@ -118,9 +119,3 @@
         written = dataclasses.replace(stored, revision=self.revision)
         self.stored[stored.key] = written
         return written
-
-
-@dataclasses.dataclass(frozen=True)
-class ObjectList:
-    items: tuple
-    revision: int
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -12,6 +12,11 @@
 from tests import test_passed_changes as passed_changes
 
 
+# Longer than it takes to see the first event, and far shorter than the timeout
+# of the route.
+STREAM_EVENTS = 60
+
+
 @pytest.fixture
 def site():
     return standins.default_site()
@@ -92,8 +97,7 @@
         self, site
     ):
         runner = site.runners['llm-1']
-        runner.events = 200
-        site.runners['llm-2'].events = 200
+        runner.events = site.runners['llm-2'].events = STREAM_EVENTS
         runner.scripted_actions.append(with_notice(standins.send_stream))
         async with curio.TaskGroup() as group:
             tasks = [
@@ -106,7 +110,7 @@
                 tasks.append(await group.spawn(site.request, '/stream/x'))
         assert len(runner.arrivals) == before
         bodies = [task.result[1] for task in tasks]
-        assert bodies == [standins.events(200)] * 12
+        assert bodies == [standins.events(STREAM_EVENTS)] * 12
 
     @pytest.mark.parametrize(
         'headers',
