--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -16,6 +16,7 @@
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
 from celeryward.callers import reopening_waiter
+from celeryward.callers import resumption
 from celeryward.callers import retry_control
 from celeryward.callers import router_admission
 from celeryward.endpoints import forwarding
@@ -169,14 +170,16 @@
         async with self.dispatcher.open_answer(
             relayed, dispatch, on_late
         ) as answer:
-            if forwarding.is_server_error(answer.head):
+            if responder.started:
+                self.check_resumption(dispatch, answer)
+            elif forwarding.is_server_error(answer.head):
                 content = await answer.body()
                 return await self.handle_error_answer(
                     relayed, dispatch, answer, content, responder
                 )
             if self.escalation.escalate(relayed, dispatch, answer):
                 return False
-            if forwarding.is_stream(relayed.route):
+            if forwarding.is_stream(relayed.route) and answer.is_event_stream:
                 await self.relay_events(relayed, dispatch, answer, responder)
             else:
                 content = await answer.body()
@@ -251,32 +254,36 @@
     async def relay_events(self, relayed, dispatch, answer, responder):
         """Relay the events of a stream as they arrive."""
         start_id = relayed.sequence.last
-        if not responder.started:
+        resumed = responder.started
+        if not resumed:
             await responder.start_stream(answer.head)
         async for batch in answer.events(relayed.sequence):
             await responder.send(b''.join(event.raw for event in batch))
             self.router_state.releases.runs.events_arrived(
                 dispatch.run, relayed.sequence.last - start_id
             )
+        if resumed:
+            resumption.check_rest(answer, relayed.sequence.last - start_id)
         await responder.finish()
 
+    def check_resumption(self, dispatch, answer):
+        """Check that an answer continues the stream of the caller.
+
+        :raises errors.AnswerInvalid: if it doesn't.
+        """
+        if forwarding.is_server_error(answer.head):
+            self.router_state.releases.runs.end(dispatch.run, failed=True)
+        resumption.check_answer(answer)
+
     async def handle_error_answer(
         self, relayed, dispatch, answer, content, responder
     ):
         """Retry after an answer with an error status, or relay it.
 
         :returns: whether the answer was relayed.
-        :raises errors.OutcomeUnknown: if the caller has received events of
-            the stream, so that the error answer can't be relayed.
         """
         runner = dispatch.plan.runner
         self.record_error_answer(relayed, dispatch)
-        if relayed.has_sent_events:
-            raise errors.OutcomeUnknown(
-                f'endpoint answered {answer.head.status} to a resumed stream',
-                step='resume',
-                peer=runner.address,
-            )
         if self.retries.secure_retry(relayed):
             relayed.budget_charged = True
             relayed.failed_answer = (answer.head, content)
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -90,6 +90,13 @@
         self.seconds = seconds
         self.on_data = on_data
 
+    @property
+    def is_event_stream(self):
+        """Whether status and content type, if any, are those of a stream."""
+        return self.head.status == 200 and event_stream.has_stream_type(
+            self.head.headers
+        )
+
     async def body(self):
         """Return the whole body.
 
@@ -101,6 +108,8 @@
 
         def due():
             read = self.connection.bytes_read - read_before
+            if read:
+                self.on_data()
             extension = read / MIN_BODY_BYTES_PER_SECOND
             return deadlines.Deadline(begun.at + extension).earlier(
                 self.forwarded.deadline
@@ -363,8 +372,10 @@
         response, or if its content is encoded.
     """
     if metadata.not_run or metadata.misdirected:
+        unnamed = '' if metadata.request_id else ' without an id'
         raise errors.EndpointRefused(
-            f'endpoint answered {head.status} and did not run the request',
+            f'endpoint answered {head.status}{unnamed} and did not run the '
+            'request',
             step='read response',
             peer=runner.address,
         )
