--- a/celeryward/callers/reopening_waiter.py
+++ b/celeryward/callers/reopening_waiter.py
@@ -21,7 +21,7 @@
 # The first request of a queue tries again at least this often, since the list
 # of endpoints may change.
 RECHECK_SECONDS = 0.1
-MIN_WAIT_SECONDS = 0.002
+MIN_WAIT_SECONDS = 0.01
 
 
 class ReopeningWaiter:
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import functools
 import typing
 import urllib.parse
 
