--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -289,6 +289,8 @@
             ('7.5', None),
             ('-1', None),
             ('', None),
+            ('101', None),
+            ('9' * 5000, None),
         ),
     )
     def test_only_whole_numbers_are_read(self, text, found):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -146,3 +146,17 @@
         reader.call = call
         assert (await reader.list_pages('servers')).is_err()
         assert reader.calls == client.MAX_PAGES
+
+
+class TestAnswerHeads:
+    """Guards against callers without an answer after an odd head."""
+
+    @standins.on_site
+    async def test_confidence_of_5000_digits_costs_no_answer(self, site):
+        action = standins.respond_with(
+            200, b'whole', celeryward_confidence='9' * 5000
+        )
+        for runner in site.runners.values():
+            runner.default_action = action
+        head, body = await site.request('/whole/x')
+        assert (head.status, body) == (200, b'whole')
