--- a/celeryward/endpoints/answer_heads.py
+++ b/celeryward/endpoints/answer_heads.py
@@ -22,7 +22,7 @@
     :param forwarding.ForwardedRequest forwarded: the request that waits.
     :param read_response: function that returns the
         :class:`ingress.ResponseMetadata` of a head.
-    :param extend: as for :meth:`http.Connection.read`.
+    :param extend: as for :meth:`http.Connection.receive_response`.
     :raises errors.AnswerMismatch: if an answer may belong to another
         request, or too many of them do.
     """
@@ -47,12 +47,7 @@
         logs.bind_error(error, request_id=forwarded.request_id).info(
             'skipped: {}', error.message
         )
-        await skip_answer(
-            connection,
-            forwarded.head.method,
-            forwarded.head_deadline,
-            extend,
-        )
+        await skip_answer(connection, forwarded, extend)
 
 
 def mismatch(connection, head, metadata, found):
@@ -66,15 +61,13 @@
     )
 
 
-async def skip_answer(connection, method, deadline, extend):
+async def skip_answer(connection, forwarded, extend):
     """Drop the body of an answer, so that the next head can be read.
 
-    :param str method: method of the request that still waits.
-    :param extend: as for :meth:`http.Connection.read`.
     :raises http.Disconnected: if the answer ends the connection.
     """
     chunks = connection.receive_chunks(
-        'skip answer', lambda: deadline, extend=extend
+        'skip answer', lambda: forwarded.head_deadline, extend=extend
     )
     async with contextlib.aclosing(chunks):
         async for _ in chunks:
@@ -90,7 +83,8 @@
     # the one that waits once more, without any output.
     connection.start_next_cycle()
     headers = [('host', connection.peer)]
-    connection.h11.send(
-        h11.Request(method=method, target='/', headers=headers)
+    request = h11.Request(
+        method=forwarded.head.method, target='/', headers=headers
     )
+    connection.h11.send(request)
     connection.h11.send(h11.EndOfMessage())
--- a/celeryward/endpoints/management.py
+++ b/celeryward/endpoints/management.py
@@ -12,10 +12,10 @@
 from celeryward import errors
 from celeryward import http
 
-
-MAX_REQUESTS = 1_000_000
+# Reports with larger numbers are malformed.
+MAX_REPORTED_REQUESTS = 1_000_000
 MAX_NUMBER = 2**53
-PREFIX_DIGEST = re.compile('[0-9a-f]{1,16}')
+PREFIX_PATTERN = re.compile('[0-9a-fA-F]{1,16}')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +95,8 @@
 async def read_cache_events(connection, since, deadline):
     """Return the :class:`CacheEvents` of an engine since a number.
 
+    Malformed events are left out.
+
     :raises errors.ProtocolError: if the response is malformed.
     """
     target = f'/cache-events?since={since}'
@@ -127,7 +129,7 @@
     """
     report = decode_report(LOAD_DECODER, body, peer)
     for count in (report.running, report.waiting, report.capacity):
-        check_range(count, MAX_REQUESTS, peer)
+        check_range(count, MAX_REPORTED_REQUESTS, peer)
     return report
 
 
@@ -144,7 +146,7 @@
     """Return whether number and prefix of a cache event are in range."""
     return (
         0 <= event.number <= MAX_NUMBER
-        and PREFIX_DIGEST.fullmatch(event.prefix) is not None
+        and PREFIX_PATTERN.fullmatch(event.prefix) is not None
     )
 
 
--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -137,7 +137,9 @@
             lambda body: self.decode(self.dialect.decode_changes, kind, body)
         )
         return outcome.map(
-            lambda answer: add_confirmation(answer, wait_seconds, elapsed)
+            lambda answer: add_confirmation(
+                answer.newer_than(since), wait_seconds, elapsed
+            )
         )
 
     async def put_status(self, stored):
@@ -209,7 +211,7 @@
         is_write = method != 'GET'
         try:
             async with self.connection(deadline, is_write) as connection:
-                response, response_body = await http.exchange(
+                response, response_body = await self.exchange(
                     connection, method, path, headers or {}, body, deadline
                 )
         except TRANSPORT_ERRORS as error:
@@ -218,6 +220,14 @@
             response.status, response_body, method, path, kind
         )
 
+    async def exchange(
+        self, connection, method, path, headers, body, deadline
+    ):
+        """Send a request; return the head and body of its response."""
+        return await http.exchange(
+            connection, method, path, headers, body, deadline
+        )
+
     def classify(self, error, method, path):
         """Return the platform error for a transport error."""
         sent = getattr(error, 'sent', True)
@@ -390,9 +400,9 @@
 def add_confirmation(answer, wait_seconds, elapsed_seconds):
     """Return the changes with the time of the store's confirmation.
 
-    A response without changes confirms the state at the end of the wait. One
-    that arrives clearly before that confirms nothing: it may be a late copy
-    of the response to an earlier call.
+    A response without new changes confirms the state at the end of the wait.
+    One that arrives clearly before that confirms nothing: it may be a late
+    copy of the response to an earlier call.
     """
     if answer.passed_on:
         return limit_confirmation(answer, elapsed_seconds)
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -25,6 +25,8 @@
 OBJECTS_PREFIX = '/objects/'
 EVIDENCE_PATH = '/evidence'
 STATUS_OUT_OF_DATE = 503
+# Header with the number of a request, which its response repeats.
+REQUEST_NUMBER = 'x-request-number'
 MAX_REPORTED_REQUESTS = 1_000_000_000
 # One outcome changes the log odds by less than 3.
 MAX_LOG_RATIO = 10.0
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -9,10 +9,6 @@
 from tests import platform_standins as standins
 
 
-# So many that each endpoint is chosen for some of them.
-REQUESTS = 24
-
-
 @pytest.fixture
 def site():
     return standins.default_site()
@@ -41,6 +37,16 @@
     return arrival_count(site, name) - before
 
 
+async def send_until(group, site, event):
+    """Send requests until an event is set; return their number."""
+    sent = 0
+    while not event.is_set():
+        await group.spawn(site.request, '/whole/x')
+        sent += 1
+        await curio.sleep(0.01)
+    return sent
+
+
 def with_notice(action, **headers):
     """Return an action whose answer announces the departure once."""
 
@@ -172,13 +178,11 @@
 
         pool.open = open_late
         async with curio.TaskGroup() as group:
-            for _ in range(REQUESTS):
-                await group.spawn(site.request, '/whole/x')
-            await chosen.wait()
+            sent = await send_until(group, site, chosen)
             table = site.router.runners
             table.announce_departure(table.runners['app-1'], 'other')
         assert arrival_count(site, 'app-1') == 0
-        assert arrival_count(site, 'app-2') == REQUESTS
+        assert arrival_count(site, 'app-2') == sent
 
     @standins.on_site
     async def test_kept_connections_are_closed_once_idle(self, site):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,14 +2,16 @@
 
 import dataclasses
 import random
+import time
 
 import curio
 import pytest
 
 from benchmarks.soak import callers
 from benchmarks.soak import checks
-from benchmarks.soak import faults
+from benchmarks.soak import lateness
 from benchmarks.soak import observations
+from benchmarks.soak import plans
 from benchmarks.soak import soak
 from tests import platform_standins as standins
 
@@ -28,6 +30,49 @@
     return observations.Observations(outcomes, executions, **more)
 
 
+UNANSWERED = outcome(
+    whole=False, error='Disconnected: closed', written_at=10.0, reused=True
+)
+# None of these is a reason to leave a request unanswered.
+NO_EXCUSES = (
+    'configuration-idle',
+    'configuration-routes',
+    'endpoint-leave',
+    'endpoint-quiet',
+    'odd-entry',
+    'router-reload',
+    'router-stop',
+    'store-away',
+)
+
+
+def later_requests(*times, router='router-0'):
+    """Return requests that reach the endpoint at some times."""
+    outcomes = [GOOD_OUTCOME]
+    executions = [EXECUTION]
+    for number, at in enumerate(times):
+        name = f'later-{number}'
+        outcomes.append(
+            outcome(request_id=name, started_at=at, ended_at=at, router=router)
+        )
+        executions.append(observations.Execution(name, 'e1', at, True))
+    return outcomes, executions
+
+
+def told_to_leave(*times, **more):
+    """Return observations of an endpoint that said at 10.1 that it leaves."""
+    announced = [observations.Announcement('r1', 'e1')]
+    return observed(*later_requests(*times, **more), announced=announced)
+
+
+def told_to_pause(*times, undisturbed=True, **more):
+    """Return observations of an endpoint that asked for a pause of 3 s."""
+    refusal = observations.Refusal('r1', 'e1', 10.0, 13.0, undisturbed)
+    return observed(*later_requests(*times, **more), turned_away=[refusal])
+
+
+LATE_SECONDS = lateness.MIN_LATE_SECONDS + 0.2
+ON_TIME_SECONDS = 0.3
 VIOLATIONS = {
     'unknown-keys': observed([outcome(key=callers.UNKNOWN_KEY)]),
     'revoked-keys': observed([outcome(key='k')], revoked_at={'k': 4.9}),
@@ -36,6 +81,14 @@
     'true-refusals': observed([outcome(status=503, not_run=True)]),
     'whole-answers': observed([outcome(body=b'whole ans')]),
     'leaving-endpoints': observed(left_at={'e1': 7.0}),
+    'answered': observed([UNANSWERED]),
+    'quiet-endpoints': observed(
+        [outcome(status=504)],
+        abandoned=[observations.Abandonment('r1', 'e1', 10.09)],
+        timeouts=[observations.Timeout(0.0, 2.0)],
+    ),
+    'announced-departures': told_to_leave(12.2),
+    'pauses': told_to_pause(10.6, 11.0, 12.9),
     'versions': observed(
         versions=[
             observations.Version('router-0-1', 4),
@@ -75,9 +128,9 @@
 
     def test_faults_excuse_only_what_they_cause(self):
         late = observed(left_at={'e1': 7.0})
-        late.faults = [(9.0, 9.5, 'endpoint-reset')]
+        late.faults = [observations.FaultSpan(9.0, 9.5, 'endpoint-reset')]
         assert list(checks.find_violations(late))
-        late.faults = [(9.0, 9.5, 'store-away')]
+        late.faults = [observations.FaultSpan(9.0, 9.5, 'store-away')]
         assert not list(checks.find_violations(late))
 
     def test_stop_that_had_to_be_killed_is_found(self):
@@ -89,31 +142,180 @@
         ]
 
 
+class TestAnswered:
+    """Guards against faults that excuse more or less than they cause."""
+
+    def find(self, *faults, unanswered=UNANSWERED, **more):
+        found = observed([unanswered], faults=faults, **more)
+        return [each[0] for each in checks.find_violations(found)]
+
+    @pytest.mark.parametrize('name', NO_EXCUSES)
+    @pytest.mark.parametrize('target', ['e1', 'router-0', ''])
+    def test_planned_work_and_silence_excuse_nothing(self, name, target):
+        span = observations.FaultSpan(9.0, 11.0, name, target)
+        assert self.find(span) == ['answered']
+
+    @pytest.mark.parametrize(
+        'name,target,other',
+        [
+            ('endpoint-reset', 'e1', 'e2'),
+            ('endpoint-stop', 'e1', 'e2'),
+            ('router-kill', 'router-0', 'router-1'),
+            ('router-pause', 'router-0', 'router-1'),
+        ],
+    )
+    def test_faults_excuse_only_their_target(self, name, target, other):
+        span = observations.FaultSpan(10.0, 10.05, name, target)
+        assert self.find(span) == []
+        span = dataclasses.replace(span, target=other)
+        assert self.find(span) == ['answered']
+
+    def test_earlier_fault_excuses_nothing(self):
+        span = observations.FaultSpan(8.0, 9.9, 'endpoint-reset', 'e1')
+        assert self.find(span) == ['answered']
+
+    def test_answer_that_the_endpoint_broke_off_is_excused(self):
+        assert self.find(broken_off=['r1']) == []
+
+    def test_timeout_excuses_only_as_long_as_it_is_in_force(self):
+        long = [observations.Timeout(0.0, 2.0)]
+        short = [observations.Timeout(9.0, 0.1)]
+        assert self.find(timeouts=long) == ['answered']
+        assert self.find(timeouts=long + short) == []
+        outdated = [observations.Timeout(-20.0, 0.1)]
+        assert self.find(timeouts=outdated + long) == ['answered']
+
+    def test_crossed_close_is_excused_if_no_endpoint_was_reached(self):
+        unread = observed([UNANSWERED], [])
+        assert list(checks.find_violations(unread)) == []
+        first = dataclasses.replace(UNANSWERED, reused=False)
+        assert list(checks.find_violations(observed([first], [])))
+        late = dataclasses.replace(UNANSWERED, ended_at=11.0)
+        assert list(checks.find_violations(observed([late], [])))
+
+    def test_caller_that_left_is_excused(self):
+        left = dataclasses.replace(UNANSWERED, left_early=True)
+        assert self.find(unanswered=left) == []
+        unwritten = dataclasses.replace(UNANSWERED, written_at=None)
+        assert self.find(unanswered=unwritten) == []
+
+    def test_odd_entries_excuse_no_late_requests(self):
+        late = observed(left_at={'e1': 7.0})
+        late.faults = [observations.FaultSpan(6.0, 11.0, 'odd-entry')]
+        found = list(checks.find_violations(late))
+        assert [each[0] for each in found] == ['leaving-endpoints']
+
+
+class TestContracts:
+    """Guards against checks of endpoints' notices that see too little."""
+
+    def test_departure_is_judged_after_its_bound(self):
+        assert not list(checks.find_violations(told_to_leave(12.0)))
+        assert list(checks.find_violations(told_to_leave(12.2)))
+
+    def test_two_requests_are_allowed_in_a_pause(self):
+        allowed = told_to_pause(10.4, 10.6, 12.9, 13.1)
+        assert not list(checks.find_violations(allowed))
+
+    @pytest.mark.parametrize('told', [told_to_leave, told_to_pause])
+    def test_other_router_has_not_been_told(self, told):
+        found = told(12.2, 12.3, 12.4, router='router-1')
+        assert not list(checks.find_violations(found))
+
+    @pytest.mark.parametrize('told', [told_to_leave, told_to_pause])
+    @pytest.mark.parametrize(
+        'name,target,excused',
+        [
+            ('router-kill', 'router-0', True),
+            ('router-stop', 'router-0', True),
+            ('router-stop', 'router-1', False),
+            ('router-reload', 'router-0', False),
+            ('store-away', '', False),
+        ],
+    )
+    def test_only_a_restart_of_the_router_excuses(
+        self, told, name, target, excused
+    ):
+        found = told(12.2, 12.3, 12.4)
+        found.faults = [observations.FaultSpan(11.0, 11.5, name, target)]
+        assert excused is not bool(list(checks.find_violations(found)))
+
+    def test_answer_that_was_not_passed_on_tells_nothing(self):
+        found = told_to_leave(12.2)
+        found.outcomes[0] = outcome(whole=False)
+        assert not list(checks.find_violations(found))
+        found = told_to_pause(12.2, 12.3, 12.4, undisturbed=False)
+        assert not list(checks.find_violations(found))
+
+
+class TestLateness:
+    """Guards against recovery that is judged while the store stands still."""
+
+    def test_harness_that_was_late_is_waited_for(self):
+        began = observations.now()
+        curio.run(self.wait_beside_late_tasks)
+        assert observations.now() - began > LATE_SECONDS + ON_TIME_SECONDS
+
+    async def wait_beside_late_tasks(self):
+        await curio.spawn(self.run_late, daemon=True)
+        await lateness.wait_until_on_time(ON_TIME_SECONDS, 5.0)
+
+    async def run_late(self):
+        await curio.sleep(ON_TIME_SECONDS / 2)
+        time.sleep(LATE_SECONDS)
+
+    def test_late_tasks_are_recorded(self):
+        found = observed()
+        began = observations.now()
+        curio.run(self.watch_late_tasks, found)
+        assert lateness.was_late(found, began)
+        assert lateness.longest_seconds(found) >= LATE_SECONDS
+
+    async def watch_late_tasks(self, found):
+        await curio.spawn(lateness.watch, found, daemon=True)
+        await self.run_late()
+        await curio.sleep(ON_TIME_SECONDS)
+
+
 class TestPlan:
     """Guards against plans that differ between runs of the same seed."""
 
-    def test_seed_decides_the_plan(self):
-        plans = [
-            faults.make_plan(random.Random(seed), 20.0, 1.0)
+    @pytest.mark.parametrize('version', plans.PLANS.entries)
+    def test_seed_decides_the_plan(self, version):
+        made = [
+            plans.make_plan(random.Random(seed), 20.0, 1.0, version)
             for seed in (7, 7, 8)
         ]
-        assert plans[0] == plans[1] != plans[2]
-        assert len(plans[0]) == 20
+        assert made[0] == made[1] != made[2]
+        assert len(made[0]) >= 20
 
     def test_fifty_seeds_include_every_fault(self):
         names = {
             event.fault
             for seed in range(50)
-            for event in faults.make_plan(random.Random(seed), 15.0, 1.0)
+            for event in plans.make_plan(random.Random(seed), 15.0, 1.0)
         }
-        assert names == set(faults.FAULTS.entries)
+        assert names == set(plans.FAULTS.entries)
+
+    def test_first_plan_has_one_fault_a_second(self):
+        plan = plans.make_plan(random.Random(7), 20.0, 1.0, version=1)
+        assert len(plan) == 20
+
+    def test_known_seeds_keep_the_plans_that_failed(self):
+        plan = plans.make_plan(random.Random(303), 15.0, 1.0, version=1)
+        assert [each.fault for each in plan[:3]] == [
+            'endpoint-reset',
+            'router-kill',
+            'store-history-lost',
+        ]
+        assert {each.fault for each in plan} <= set(plans.FIRST_FAULTS)
 
 
 class TestRun:
     """Guards against guarantees that routers violate under faults."""
 
     def test_short_run_has_no_violations(self, tmp_path):
-        size = soak.Size(seconds=4.0, routers=3, callers=4)
+        size = soak.Size(seconds=4.0, routers=3, callers=4, plan=1)
         found, violations = curio.run(soak.run, 5, size, tmp_path)
         assert violations == []
         assert len(found.executions) > 50
