--- a/celeryward/endpoints/chat_events.py
+++ b/celeryward/endpoints/chat_events.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from celeryward import decoding
 from celeryward.endpoints import event_stream
 from celeryward import errors
 
@@ -60,7 +61,7 @@
     if data == DONE:
         return
     try:
-        decoded = DATA_DECODER.decode(data)
+        decoded = decoding.decode(DATA_DECODER, data)
     except msgspec.DecodeError as error:
         raise invalid(f'malformed event: {error}', peer) from error
     if decoded.error is not None:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -24,6 +24,7 @@
 from celeryward.daemons import exchange_pb2
 from celeryward.daemons import protocol as daemons
 from celeryward import decoding
+from celeryward.endpoints import chat_events
 from celeryward.endpoints import management
 from celeryward.endpoints import protocol as endpoints
 from celeryward import errors
@@ -295,6 +296,15 @@
         check_usage(event.usage)
 
 
+@decoder(
+    'endpoints: checked event',
+    {'choices': [CHOICE], 'error': None},
+    raises=(errors.AnswerInvalid,),
+)
+def check_event_data(body):
+    chat_events.check_data(body, 'peer')
+
+
 def check_usage(usage):
     assert 0 <= usage.prompt_tokens < 2**32
     assert 0 <= usage.completion_tokens < 2**32
