--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -6,7 +6,6 @@
 
 import contextlib
 import dataclasses
-import math
 import time
 
 from curio import meta
@@ -16,6 +15,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
+from celeryward.objects import confirmations
 from celeryward.objects import ignored
 from celeryward.objects import protocol
 
@@ -23,8 +23,13 @@
 MAX_IDLE_CONNECTIONS = 4
 # A store that repeats a page must not keep its reader busy for ever.
 MAX_PAGES = 1000
-# A long poll without changes may end this long before its wait is over.
-EARLY_SECONDS = 0.1
+
+
+STATUS_ERRORS = {
+    404: (errors.NotFound, 'object does not exist'),
+    410: (errors.RevisionExpired, 'revision is no longer in the history'),
+    413: (errors.AnswerTooLarge, 'changes exceed the size limit'),
+}
 
 
 class ObjectClient:
@@ -87,20 +92,13 @@
         first = None
         after = ''
         for _ in range(MAX_PAGES):
-            started = time.monotonic()
-            answer = await self.call(
-                'GET', self.dialect.page_path(kind, after, allow_stale)
-            )
-            elapsed = time.monotonic() - started
-            page = answer.and_then(
-                lambda body: self.decode(self.dialect.decode_page, kind, body)
-            )
-            if page.is_err():
-                return page
-            page = page.unwrap()
+            outcome = await self.read_page(kind, after, allow_stale)
+            if outcome.is_err():
+                return outcome
+            page = outcome.unwrap()
             items.extend(page.items)
             faults.extend(page.faults)
-            first = first or limit_confirmation(page, elapsed)
+            first = first or page
             after = page.next_after
             if not after:
                 return result.Ok(
@@ -111,12 +109,19 @@
                         tuple(faults),
                     )
                 )
-        return result.Err(
-            errors.PlatformUnavailable(
-                f'list has more than {MAX_PAGES} pages',
-                step='list',
-                peer=self.peer,
-            )
+        return self.unavailable(f'list has over {MAX_PAGES} pages', 'list')
+
+    async def read_page(self, kind, after, allow_stale):
+        """Read the page of a list that begins after a name."""
+        started = time.monotonic()
+        path = self.dialect.page_path(kind, after, allow_stale)
+        answer = await self.call('GET', path)
+        elapsed = time.monotonic() - started
+        page = answer.and_then(
+            lambda body: self.decode(self.dialect.decode_page, kind, body)
+        )
+        return page.map(
+            lambda page: confirmations.limit_confirmation(page, elapsed)
         )
 
     async def changes(self, kind, since, wait_seconds):
@@ -137,7 +142,7 @@
             lambda body: self.decode(self.dialect.decode_changes, kind, body)
         )
         return outcome.map(
-            lambda answer: add_confirmation(
+            lambda answer: confirmations.add_confirmation(
                 answer.newer_than(since), wait_seconds, elapsed
             )
         )
@@ -249,26 +254,9 @@
         step = f'{method} {path}'
         if status in (200, 201):
             return result.Ok(body)
-        if status == 404:
-            return result.Err(
-                errors.NotFound(
-                    'object does not exist', step=step, peer=self.peer
-                )
-            )
-        if status == 410:
-            return result.Err(
-                errors.RevisionExpired(
-                    'revision is no longer in the history',
-                    step=step,
-                    peer=self.peer,
-                )
-            )
-        if status == 413:
-            return result.Err(
-                errors.AnswerTooLarge(
-                    'changes exceed the size limit', step=step, peer=self.peer
-                )
-            )
+        if status in STATUS_ERRORS:
+            error, message = STATUS_ERRORS[status]
+            return result.Err(error(message, step=step, peer=self.peer))
         if status == self.dialect.conflict_status:
             decoder = self.dialect.decode_object
             current = self.decode(decoder, kind, body).unwrap_or(None)
@@ -287,9 +275,7 @@
             return result.Err(
                 errors.WriteUnknown(message, step=step, peer=self.peer)
             )
-        return result.Err(
-            errors.PlatformUnavailable(message, step=step, peer=self.peer)
-        )
+        return self.unavailable(message, step)
 
     def decode(self, decoder, kind, body):
         """Decode a body, or return ``Err(PlatformUnavailable)``.
@@ -300,13 +286,13 @@
         try:
             return result.Ok(decoder(kind, body))
         except msgspec.DecodeError as error:
-            return result.Err(
-                errors.PlatformUnavailable(
-                    f'malformed response: {error}',
-                    step='decode',
-                    peer=self.peer,
-                )
-            )
+            return self.unavailable(f'malformed response: {error}', 'decode')
+
+    def unavailable(self, message, step):
+        """Return ``Err(PlatformUnavailable)``."""
+        return result.Err(
+            errors.PlatformUnavailable(message, step=step, peer=self.peer)
+        )
 
     @contextlib.asynccontextmanager
     async def connection(self, deadline, force_new):
@@ -397,34 +383,6 @@
                     return
 
 
-def add_confirmation(answer, wait_seconds, elapsed_seconds):
-    """Return the changes with the time of the store's confirmation.
-
-    A response without new changes confirms the state at the end of the wait.
-    One that arrives clearly before that confirms nothing: it may be a late
-    copy of the response to an earlier call.
-    """
-    if answer.passed_on:
-        return limit_confirmation(answer, elapsed_seconds)
-    if answer.changes:
-        return answer
-    if elapsed_seconds < wait_seconds - EARLY_SECONDS:
-        return dataclasses.replace(answer, confirmed_seconds=-math.inf)
-    return dataclasses.replace(
-        answer, confirmed_seconds=min(wait_seconds, elapsed_seconds)
-    )
-
-
-def limit_confirmation(answer, elapsed_seconds):
-    """Return an answer that confirms nothing later than its arrival.
-
-    Another router's clock, or a fault in it, must not make the objects look
-    fresher than they are.
-    """
-    confirmed = min(answer.confirmed_seconds, elapsed_seconds)
-    return dataclasses.replace(answer, confirmed_seconds=confirmed)
-
-
 def decode_hosts(kind, body):
     """Return the list of hosts in a body."""
     return protocol.read_hosts(body)
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -15,6 +15,7 @@
 from celeryward import http
 from celeryward.objects import client
 from celeryward.objects import configuration
+from celeryward.objects import confirmations
 from celeryward.objects import protocol
 from celeryward.routers import protocol as routers
 from celeryward import settings
@@ -113,7 +114,7 @@
     def test_confirmation_from_the_future_is_not_believed(self, claimed):
         """It made revoked keys valid without end."""
         answer = protocol.ChangeList((), 7, claimed, passed_on=True)
-        found = client.add_confirmation(answer, 2.0, 0.1)
+        found = confirmations.add_confirmation(answer, 2.0, 0.1)
         assert found.confirmed_seconds == 0.1
 
     @pytest.mark.parametrize(
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -57,6 +57,7 @@
     'objects/billing.py',
     'objects/claims.py',
     'objects/configuration.py',
+    'objects/confirmations.py',
     'objects/freshness.py',
     'objects/ignored.py',
     'objects/leases.py',
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -11,6 +11,7 @@
 from celeryward import errors
 from celeryward import http
 from celeryward.objects import client
+from celeryward.objects import confirmations
 from celeryward.objects import freshness
 from celeryward.objects import kind_watcher
 from celeryward.objects import protocol as objects
@@ -408,5 +409,5 @@
     ):
         """It made keys look fresher than the store had confirmed."""
         answer = objects.ChangeList((), 7)
-        found = client.add_confirmation(answer, 2.0, elapsed)
+        found = confirmations.add_confirmation(answer, 2.0, elapsed)
         assert found.confirmed_seconds == confirmed
