--- a/celeryward/endpoints/management.py
+++ b/celeryward/endpoints/management.py
@@ -12,9 +12,10 @@
 from celeryward import errors
 from celeryward import http
 
-MAX_REQUESTS = 1_000_000
+# Reports with larger numbers are malformed.
+MAX_REPORTED_REQUESTS = 1_000_000
 MAX_NUMBER = 2**53
-PREFIX_DIGEST = re.compile('[0-9a-fA-F]{1,16}')
+PREFIX_PATTERN = re.compile('[0-9a-fA-F]{1,16}')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,7 +129,7 @@
     """
     report = decode_report(LOAD_DECODER, body, peer)
     for count in (report.running, report.waiting, report.capacity):
-        check_range(count, MAX_REQUESTS, peer)
+        check_range(count, MAX_REPORTED_REQUESTS, peer)
     return report
 
 
@@ -145,7 +146,7 @@
     """Return whether number and prefix of a cache event are in range."""
     return (
         0 <= event.number <= MAX_NUMBER
-        and PREFIX_DIGEST.fullmatch(event.prefix) is not None
+        and PREFIX_PATTERN.fullmatch(event.prefix) is not None
     )
 
 
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -12,7 +12,6 @@
 """
 
 import dataclasses
-import functools
 import typing
 import urllib.parse
 
