--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -19,6 +19,7 @@
 from celeryward.callers import resumption
 from celeryward.callers import retry_control
 from celeryward.callers import router_admission
+from celeryward.endpoints import answers
 from celeryward.endpoints import forwarding
 from celeryward import errors
 from celeryward import logs
@@ -29,14 +30,14 @@
     """The outcome of one dispatch whose answer is read as a whole.
 
     :param relayed_requests.Dispatch dispatch: the dispatch.
-    :param forwarding.Answer answer: None after an error.
+    :param answers.Answer answer: None after an error.
     :param bytes content: the body.
     :param bool escalated: whether it is dropped for that of a larger model.
     :param errors.EndpointFailure error: None for an answer.
     """
 
     dispatch: relayed_requests.Dispatch
-    answer: forwarding.Answer | None = None
+    answer: answers.Answer | None = None
     content: bytes = b''
     escalated: bool = False
     error: errors.EndpointFailure | None = None
--- a/celeryward/callers/resumption.py
+++ b/celeryward/callers/resumption.py
@@ -10,7 +10,7 @@
 def check_answer(answer):
     """Check that an answer can continue a stream.
 
-    :param forwarding.Answer answer: the answer of a further run.
+    :param answers.Answer answer: the answer of a further run.
     :raises errors.AnswerInvalid: if it has another status or content type
         than a stream; its body is not part of the caller's stream.
     """
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -11,7 +11,7 @@
 from celeryward import deadlines
 from celeryward.endpoints import answer_heads
 from celeryward.endpoints import answer_origin
-from celeryward.endpoints import event_stream
+from celeryward.endpoints import answers
 from celeryward.endpoints import notices
 from celeryward.endpoints import waits
 from celeryward import errors
@@ -22,9 +22,6 @@
 # the endpoint may close it while the next request is being sent.
 IDLE_RESERVE_SECONDS = 1.0
 DEFAULT_IDLE_SECONDS = 4.0
-# A body that takes longer than the time allowed for it has to arrive at this
-# rate on average.
-MIN_BODY_BYTES_PER_SECOND = 65536.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,108 +66,6 @@
         return wait.earlier(self.deadline)
 
 
-class Answer:
-    """The response of an endpoint; its body is read on demand.
-
-    :param http.Response head: status line and header.
-    :param ingress.ResponseMetadata metadata: what the translator read in the
-        head.
-    :param float seconds: time from the dispatch to the head.
-    :param waits.Wait wait: the wait for the next part of the body.
-    :param on_data: function that is called when bytes of the body arrive.
-    """
-
-    def __init__(
-        self, connection, forwarded, head, metadata, seconds, wait, on_data
-    ):
-        self.wait = wait
-        self.connection = connection
-        self.forwarded = forwarded
-        self.head = head
-        self.metadata = metadata
-        self.seconds = seconds
-        self.on_data = on_data
-
-    @property
-    def is_event_stream(self):
-        """Whether status and content type, if any, are those of a stream."""
-        return self.head.status == 200 and event_stream.has_stream_type(
-            self.head.headers
-        )
-
-    async def body(self):
-        """Return the whole body.
-
-        Its deadline moves out as bytes arrive at the minimum rate, up to the
-        deadline of the request.
-        """
-        begun = deadlines.Deadline.after(self.forwarded.body_seconds)
-        read_before = self.connection.bytes_read
-
-        def due():
-            read = self.connection.bytes_read - read_before
-            if read:
-                self.on_data()
-            extension = read / MIN_BODY_BYTES_PER_SECOND
-            return deadlines.Deadline(begun.at + extension).earlier(
-                self.forwarded.deadline
-            )
-
-        return await self.connection.receive_body(
-            'read body',
-            self.forwarded.deadline,
-            next_deadline=due,
-            extend=self.wait.extend,
-        )
-
-    async def events(self, sequence):
-        """Yield lists of complete events, as they arrive.
-
-        Bytes that complete no event don't extend the wait for the next one.
-
-        :param event_stream.EventSequence sequence: checks the order of the
-            events and drops those that the caller already has.
-        :raises errors.AnswerTruncated: if the body ends inside an event.
-        """
-        splitter = event_stream.Splitter(self.connection.peer)
-        due = self.forwarded.next_event_deadline()
-        chunks = self.connection.receive_chunks(
-            'read events', lambda: due, extend=self.wait.extend
-        )
-        async with contextlib.aclosing(chunks):
-            async for chunk in chunks:
-                self.on_data()
-                complete = splitter.feed(chunk)
-                new_events = sequence.filter_new(
-                    complete, self.connection.peer
-                )
-                ready, failure = collect_until_error(new_events)
-                if ready:
-                    yield ready
-                    due = self.forwarded.next_event_deadline()
-                    self.wait.begin_next()
-                if failure is not None:
-                    raise failure
-        if splitter.buffer:
-            raise errors.AnswerTruncated(
-                'stream ended inside an event',
-                step='read events',
-                peer=self.connection.peer,
-                sent=True,
-            )
-
-
-def collect_until_error(events):
-    """Return the events before an error, and the error or None."""
-    ready = []
-    try:
-        for event in events:
-            ready.append(event)
-    except errors.AnswerInvalid as error:
-        return ready, error
-    return ready, None
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
     """A request that was sent to an endpoint and its answer.
@@ -261,7 +156,7 @@
 
     @contextlib.asynccontextmanager
     async def dispatch(self, forwarded, runner):
-        """Send a request and yield the :class:`Answer`.
+        """Send a request and yield the :class:`answers.Answer`.
 
         Leaving the block before the body is read closes the connection, at
         which the endpoint stops the run.
@@ -284,42 +179,21 @@
             async with self.connections.lease(
                 runner, forwarded.head_deadline, forwarded.new_connection
             ) as connection:
-                wait = waits.Wait(forwarded.on_late, forwarded.deadline)
-                self.exchanges[connection] = Exchange(
-                    runner.id, not forwarded.new_connection, connection, wait
-                )
-                self.check_present(runner)
-                await self.send(connection, forwarded, runner)
-                head, metadata = await answer_heads.receive_head(
-                    connection,
-                    forwarded,
-                    self.translator.read_response,
-                    wait.extend,
-                    runner.software in self.naming_software,
+                wait = self.begin_exchange(connection, forwarded, runner)
+                head, metadata = await self.exchange(
+                    connection, forwarded, runner, wait
                 )
-                wait.begin_next()
                 self.queues.end(runner.id, waiting)
-                self.outcomes.record_activity(runner.id)
-                await self.notice_reader.record(
-                    forwarded.request_id,
-                    runner,
-                    head.status,
-                    metadata,
-                    self.outcomes.in_flight[runner.id],
-                )
-                self.check_head(runner, head, metadata)
-                seconds = time.monotonic() - started
-                on_data = functools.partial(
-                    self.outcomes.record_activity, runner.id
-                )
-                yield Answer(
+                yield answers.Answer(
                     connection,
                     forwarded,
                     head,
                     metadata,
-                    seconds,
+                    time.monotonic() - started,
                     wait,
-                    on_data,
+                    functools.partial(
+                        self.outcomes.record_activity, runner.id
+                    ),
                 )
                 connection.usable_until = reuse_deadline(metadata)
                 whole_seconds = time.monotonic() - started
@@ -329,6 +203,40 @@
             self.outcomes.request_finished(runner.id)
             await self.notice_reader.end(runner, opening, whole_seconds)
 
+    def begin_exchange(self, connection, forwarded, runner):
+        """Register an exchange; return the :class:`waits.Wait` of its answer.
+
+        It is registered until :meth:`dispatch` ends.
+        """
+        wait = waits.Wait(forwarded.on_late, forwarded.deadline)
+        self.exchanges[connection] = Exchange(
+            runner.id, not forwarded.new_connection, connection, wait
+        )
+        return wait
+
+    async def exchange(self, connection, forwarded, runner, wait):
+        """Send a request; return head and metadata of its answer."""
+        self.check_present(runner)
+        await self.send(connection, forwarded, runner)
+        head, metadata = await answer_heads.receive_head(
+            connection,
+            forwarded,
+            self.translator.read_response,
+            wait.extend,
+            runner.software in self.naming_software,
+        )
+        wait.begin_next()
+        self.outcomes.record_activity(runner.id)
+        await self.notice_reader.record(
+            forwarded.request_id,
+            runner,
+            head.status,
+            metadata,
+            self.outcomes.in_flight[runner.id],
+        )
+        self.check_head(runner, head, metadata)
+        return head, metadata
+
     def check_present(self, runner):
         """Raise an error if the endpoint must not get the request any more.
 
