Count the evidence of a report once if its response was lost

A report keeps its number and content until it is confirmed, and the receiver counts each number of a sender once.

test_report_whose_response_is_lost_counts_once fails without the change and passes with it.

--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -64,8 +64,7 @@
     async def report(self, report):
         """Send a :class:`protocol.EvidenceReport`.
 
-        A report whose response is lost is sent again, so that its runs may
-        count twice; those of one endpoint weigh little more than one run.
+        One whose response is lost may be sent again; it counts once.
 
         :returns: ``Ok`` or ``Err(PlatformUnavailable)``.
         """
--- a/celeryward/routers/evidence.py
+++ b/celeryward/routers/evidence.py
@@ -9,6 +9,10 @@
 departures when there are any, to the leader of the own failure domain.
 """
 
+import dataclasses
+import itertools
+import uuid
+
 import curio
 
 from celeryward import logs
@@ -21,6 +25,18 @@
 MAX_WAITING_OUTCOMES = 200
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnconfirmedReport:
+    """A report without a response.
+
+    :param str receiver: name of the router that it was sent to.
+    :param protocol.EvidenceReport report: the report.
+    """
+
+    receiver: str
+    report: protocol.EvidenceReport
+
+
 class EvidenceReporter:
     """Sends the evidence that this router has to the next router.
 
@@ -38,6 +54,9 @@
         self.source = source
         self.outcomes = []
         self.reported = {}
+        self.sender = uuid.uuid4().hex
+        self.numbers = itertools.count(1)
+        self.unconfirmed = None
         releases.outcome_listeners.append(self.add_outcome)
 
     def add_outcome(self, outcome):
@@ -64,24 +83,49 @@
         return tuple(self.news.unreported)
 
     async def report(self, receiver):
-        """Send one report; keep the outcomes if that fails."""
-        sent = tuple(self.outcomes)
-        exposures = tuple(self.unreported_exposures())
-        departures = self.departures(receiver)
-        if not (sent or exposures or departures):
+        """Send one report; send the same again if its outcome is unknown."""
+        report = self.next_report(receiver)
+        if report is None:
             return
-        report = protocol.EvidenceReport(exposures, sent, departures)
         outcome = await self.source.client_of(receiver).report(report)
         if outcome.is_err():
             error = outcome.unwrap_err()
+            self.unconfirmed = UnconfirmedReport(receiver.name, report)
             self.members.avoid(receiver, members.OUTDATED_AVOID_SECONDS)
             logs.bind_error(error, router=receiver.name).info(
                 'evidence not reported: {}', error.message
             )
             return
-        del self.outcomes[: len(sent)]
-        self.news.record_reported(departures)
-        for counts in exposures:
+        self.unconfirmed = None
+        self.record_reported(report)
+
+    def next_report(self, receiver):
+        """Return the :class:`protocol.EvidenceReport` to send, or None.
+
+        A report that the receiver may have is sent again unchanged, so that
+        it counts once.
+        """
+        unconfirmed = self.unconfirmed
+        if unconfirmed is not None and unconfirmed.receiver == receiver.name:
+            return unconfirmed.report
+        outcomes = tuple(self.outcomes)
+        exposures = tuple(self.unreported_exposures())
+        departures = self.departures(receiver)
+        if not (outcomes or exposures or departures):
+            return None
+        return protocol.EvidenceReport(
+            exposures, outcomes, departures, self.sender, next(self.numbers)
+        )
+
+    def record_reported(self, report):
+        """Drop what a report contained that has arrived."""
+        # By identity: equal outcomes of several runs are not the same.
+        sent = frozenset(map(id, report.outcomes))
+        self.outcomes = [
+            outcome for outcome in self.outcomes if id(outcome) not in sent
+        ]
+        self.news.record_reported(report.leaving)
+        for counts in report.exposures:
             key = counts.order_key
             self.reported[key] = self.reported.get(
                 key, rollout_orders.Exposure()
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -107,11 +107,15 @@
     :param tuple exposures: its requests to new versions.
     :param tuple outcomes: outcomes of runs at new versions.
     :param tuple leaving: endpoints that have announced that they leave.
+    :param str sender: names one run of the follower's process.
+    :param int number: of the report; one that is sent again keeps it.
     """
 
     exposures: tuple[OrderExposure, ...]
     outcomes: tuple[rollout_orders.Outcome, ...]
     leaving: tuple[departures.Announcement, ...] = ()
+    sender: str = ''
+    number: int = 0
 
 
 SECONDS_DECODER = msgspec.json.Decoder(float)
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -1,5 +1,6 @@
 """Serves followers, with one task for each connection."""
 
+import collections
 import time
 
 from celeryward import http
@@ -22,6 +23,8 @@
 STATUS_NO_LIST = 404
 STATUS_GONE = 410
 STATUS_TOO_LARGE = 413
+# Followers whose last report is remembered.
+MAX_SENDERS = 1000
 HANDLERS = registry.Registry('request of a follower')
 
 
@@ -52,6 +55,7 @@
     ):
         self.news = news or departure_news.DepartureNews()
         self.news_kind = news_kind
+        self.last_reports = collections.OrderedDict()
         self.releases = releases
         self.pacing = pacing
         self.change_logs = change_logs
@@ -60,6 +64,18 @@
         self.members = members
         self.stopping = False
 
+    def is_new(self, report):
+        """Return whether a report was not received before; remember it."""
+        if not report.sender:
+            return True
+        if report.number <= self.last_reports.get(report.sender, 0):
+            return False
+        self.last_reports[report.sender] = report.number
+        self.last_reports.move_to_end(report.sender)
+        while len(self.last_reports) > MAX_SENDERS:
+            self.last_reports.popitem(last=False)
+        return True
+
     async def handle(self, connection):
         """Answer the requests on one connection until it is closed."""
 
@@ -159,7 +175,9 @@
 
 @HANDLERS.register('EvidenceReport')
 async def accept_evidence(publisher, report):
-    """Add a follower's evidence to that of this router."""
+    """Add a follower's evidence to that of this router, once."""
+    if not publisher.is_new(report):
+        return 200, b''
     for counts in report.exposures:
         publisher.releases.add_reported_exposure(
             counts.order_key, counts.exposure
--- a/tests/test_passed_changes.py
+++ b/tests/test_passed_changes.py
@@ -6,9 +6,15 @@
 
 from celeryward import deadlines
 from celeryward.routers import members
+from celeryward.routers import protocol
 from tests import fakes
 from tests import platform_standins as standins
 
+# Longer than a router waits for the response to a report.
+LATE_RESPONSE_SECONDS = 0.8
+# Longer than a router that has not responded is avoided.
+AVOIDED_SECONDS = 2.5
+
 
 def other(number):
     """Return a router that is registered but does not run."""
@@ -168,6 +174,34 @@
         )
         assert leading.progress['llm'].exposure.exposed == 9
 
+    @on_pair
+    async def test_report_whose_response_is_lost_counts_once(self, pair):
+        receiver = pair.leader.view.publisher
+        accept = receiver.answer
+        late = [LATE_RESPONSE_SECONDS]
+
+        async def respond_late(target, body=b''):
+            response = await accept(target, body)
+            if target == protocol.EVIDENCE_PATH and late:
+                await curio.sleep(late.pop())
+            return response
+
+        receiver.answer = respond_late
+        order = {'service': 'llm', 'target': 'v2', 'durationS': 60}
+        await pair.site.store.put('rollouts', 'llm', order)
+        followed, leading = pair.follower.releases, pair.leader.releases
+        await standins.wait_until(
+            lambda: 'llm' in followed.progress and 'llm' in leading.progress
+        )
+        followed.record_dispatch('llm', 'v2')
+        followed.observe('llm', 'v2', 'k', False, 0.1, 'e')
+        await standins.wait_until(
+            lambda: leading.progress['llm'].tally.answers == 1
+        )
+        await curio.sleep(AVOIDED_SECONDS)
+        assert leading.progress['llm'].tally.answers == 1
+        assert leading.progress['llm'].exposure.exposed == 1
+
     @on_pair
     async def test_large_change_comes_from_the_store(self, pair):
         spec = standins.configuration(9)
