Lose no answer to a hedge that fails, and hedge again after it

A complete answer was dropped if the other dispatch failed in the same pass of the event loop (502 or 500 for 200, and one arrival more than the route's attempts); a request whose hedge failed was never hedged again and waited for its deadline (504 after 5 s where answered after 0.9 s); losers ran on while the answer was written to a slow caller; an escalation did not count the hedge that it cancelled; and the monitor ended streams whose events still arrived at an endpoint that accepts no connection. All finished dispatches are looked at before a request fails, the group has ended before the answer is relayed, a hedge may follow a failed one, and only exchanges without a part for 2.5 s are aborted.

test_silent_endpoints: the 3 tests of a failed hedge fail before; the 2 of failures in the same moment pass before, too, because the moment is rarely hit over sockets. 15 pass.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -144,7 +144,7 @@
         ).info(message)
 
     def record_error(self, relayed, dispatch, error):
-        """Record and log a failed dispatch; return whether to retry."""
+        """Record and log a failed dispatch."""
         runner = dispatch.plan.runner
         if error.sent or not self.router_state.closures.is_closed(runner):
             # One that is closed may run the request after its pause.
@@ -155,10 +155,8 @@
         self.record_failure(relayed, dispatch, error)
         if error.sent:
             relayed.runs += 1
-            may_retry = relayed.may_run_again()
         else:
             relayed.refusals += 1
-            may_retry = relayed.refusals < relayed_requests.MAX_REFUSALS
         logs.bind_error(
             error,
             request_id=relayed.metadata.request_id,
@@ -167,12 +165,11 @@
             route=relayed.route.name,
             runs=relayed.runs,
             events=relayed.sequence.last,
-            again=may_retry,
+            again=relayed.may_retry_after(error),
             silent=silent_seconds(error),
             left=round(relayed.deadline.remaining(), 3),
             tokens=self.retries.tokens(relayed.service),
         ).info('dispatch failed: {} {}', error.code, error.message)
-        return may_retry
 
     def record_failure(self, relayed, dispatch, error):
         """Record a failure in the statistics of endpoints and versions."""
--- a/celeryward/callers/moves.py
+++ b/celeryward/callers/moves.py
@@ -11,6 +11,8 @@
 
 # Longest silence after which a sound endpoint is expected to go on.
 SOUND_SILENCE_SECONDS = 1.5
+# Time that another endpoint needs at least, whatever heads take usually.
+MIN_REPLACEMENT_SECONDS = 0.5
 
 
 class MovePolicy:
@@ -62,8 +64,10 @@
         """
         if not (relayed.route.retryable and relayed.has_attempts_left()):
             return None
-        usual = self.timeouts.usual_head_seconds(relayed)
-        if relayed.deadline.remaining() < usual:
+        needed = max(
+            MIN_REPLACEMENT_SECONDS, self.timeouts.usual_head_seconds(relayed)
+        )
+        if relayed.deadline.remaining() < needed:
             return None
         plan = self.retries.plan_retry(relayed)
         if plan is None or plan.suspected or self.has_queue(relayed, plan):
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -192,25 +192,42 @@
         """Relay the first answer among hedged dispatches.
 
         While an answer is late, another endpoint runs the request as well, so
-        that what was waited for isn't lost.
+        that what was waited for isn't lost. All other dispatches have ended
+        before the answer is relayed.
 
         :returns: whether an answer was relayed.
         :raises errors.CelerywardError: if the request is not retried.
         """
+        fetched = await self.fetch_first(relayed, plan)
+        if fetched.failed:
+            return await self.conclude_failure(relayed, fetched, responder)
+        if fetched.escalated:
+            return False
+        await responder.send_response(fetched.answer.head, fetched.content)
+        self.dispatcher.record_success(
+            relayed, fetched.dispatch, fetched.answer
+        )
+        return True
+
+    async def fetch_first(self, relayed, plan):
+        """Return the first :class:`FetchedAnswer` that has not failed.
+
+        The last one is returned if all have failed.
+        """
         async with curio.TaskGroup(wait=None) as group:
             await group.spawn(self.fetch, relayed, plan, group)
             async for task in group:
                 fetched = task.result
-                if not (fetched.failed and relayed.running):
+                if not fetched.failed:
                     break
                 self.record_failed_fetch(relayed, fetched)
-            if fetched.error is None:
-                return await self.relay_fetched(relayed, fetched, responder)
-        self.handle_dispatch_error(relayed, fetched.dispatch, fetched.error)
-        return False
+            if fetched.escalated:
+                # The dispatches that are cancelled now have run, too.
+                relayed.runs += len(relayed.running)
+        return fetched
 
     def record_failed_fetch(self, relayed, fetched):
-        """Record a failure while another dispatch may still answer."""
+        """Record a failed dispatch; another one may still answer."""
         if fetched.error is not None:
             self.dispatcher.record_error(
                 relayed, fetched.dispatch, fetched.error
@@ -219,6 +236,28 @@
         self.record_error_answer(relayed, fetched.dispatch)
         relayed.failed_answer = (fetched.answer.head, fetched.content)
 
+    async def conclude_failure(self, relayed, fetched, responder):
+        """Retry after all dispatches have failed, or relay the failure.
+
+        :returns: whether an answer was relayed.
+        :raises errors.CelerywardError: if the request is not retried.
+        """
+        if fetched.error is None:
+            return await self.retry_or_relay(
+                relayed,
+                fetched.dispatch,
+                fetched.answer.head,
+                fetched.content,
+                responder,
+            )
+        if relayed.deadline.expired() or not relayed.may_retry_after(
+            fetched.error
+        ):
+            raise self.retries.final_error(
+                relayed, fetched.error.message, fetched.error
+            )
+        return False
+
     async def fetch(self, relayed, plan, group):
         """Dispatch once; return the :class:`FetchedAnswer`.
 
@@ -229,7 +268,7 @@
             hedge = Hedge(self, relayed, dispatch, group)
             try:
                 async with self.dispatcher.open_answer(
-                    relayed, dispatch, hedge.start_once
+                    relayed, dispatch, hedge.start
                 ) as answer:
                     if self.escalation.escalate(relayed, dispatch, answer):
                         return FetchedAnswer(dispatch, answer, escalated=True)
@@ -239,19 +278,6 @@
             except errors.EndpointFailure as error:
                 return FetchedAnswer(dispatch, error=error)
 
-    async def relay_fetched(self, relayed, fetched, responder):
-        """Relay a whole answer; return whether it was relayed."""
-        if fetched.escalated:
-            return False
-        answer = fetched.answer
-        if forwarding.is_server_error(answer.head):
-            return await self.handle_error_answer(
-                relayed, fetched.dispatch, answer, fetched.content, responder
-            )
-        await responder.send_response(answer.head, fetched.content)
-        self.dispatcher.record_success(relayed, fetched.dispatch, answer)
-        return True
-
     async def relay_events(self, relayed, dispatch, answer, responder):
         """Relay the events of a stream as they arrive."""
         start_id = relayed.sequence.last
@@ -283,18 +309,28 @@
 
         :returns: whether the answer was relayed.
         """
-        runner = dispatch.plan.runner
         self.record_error_answer(relayed, dispatch)
+        return await self.retry_or_relay(
+            relayed, dispatch, answer.head, content, responder
+        )
+
+    async def retry_or_relay(
+        self, relayed, dispatch, head, content, responder
+    ):
+        """Retry a request that an endpoint failed, or relay its answer.
+
+        :returns: whether the answer was relayed.
+        """
         if self.retries.secure_retry(relayed):
             relayed.budget_charged = True
-            relayed.failed_answer = (answer.head, content)
+            relayed.failed_answer = (head, content)
             logs.bind(
                 request_id=relayed.metadata.request_id,
                 step='retry',
-                peer=runner.address,
-            ).info('endpoint failed with {}; retrying', answer.head.status)
+                peer=dispatch.plan.runner.address,
+            ).info('endpoint failed with {}; retrying', head.status)
             return False
-        await responder.send_response(answer.head, content)
+        await responder.send_response(head, content)
         return True
 
     def record_error_answer(self, relayed, dispatch):
@@ -316,8 +352,8 @@
         :raises errors.OutcomeUnknown: if no retry is allowed and the request
             may have run.
         """
-        may_retry = self.dispatcher.record_error(relayed, dispatch, error)
-        if relayed.deadline.expired() or not may_retry:
+        self.dispatcher.record_error(relayed, dispatch, error)
+        if relayed.deadline.expired() or not relayed.may_retry_after(error):
             raise self.retries.final_error(relayed, error.message, error)
 
 
@@ -333,22 +369,24 @@
         self.relayed = relayed
         self.dispatch = dispatch
         self.group = group
-        self.started = False
+        self.plan = None
 
-    async def start_once(self, waited_seconds, head_arrived):
+    async def start(self, waited_seconds, head_arrived):
         """Start the other dispatch if one is secured; keep the late answer.
 
-        The late answer counts as a failure of its endpoint.
+        The late answer counts as a failure of its endpoint. Another dispatch
+        may follow once the first one has failed.
 
         :returns: False, because the answer is not given up.
         """
-        if self.started:
+        if self.is_running():
             return False
         plan = self.relay.moves.secure_replacement(self.relayed)
         if plan is not None:
-            self.started = True
             self.relayed.running |= {plan.runner.id}
-            self.relay.dispatcher.record_late_answer(self.dispatch)
+            if self.plan is None:
+                self.relay.dispatcher.record_late_answer(self.dispatch)
+            self.plan = plan
             self.relay.dispatcher.log_late(
                 self.relayed,
                 self.dispatch,
@@ -359,3 +397,10 @@
                 self.relay.fetch, self.relayed, plan, self.group
             )
         return False
+
+    def is_running(self):
+        """Return whether the other dispatch is under way."""
+        return (
+            self.plan is not None
+            and self.plan.runner.id in self.relayed.running
+        )
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -108,6 +108,17 @@
             self.route.retryable or self.runs == 0
         )
 
+    def may_retry_after(self, error):
+        """Return whether another dispatch may follow a failed one.
+
+        :param errors.EndpointFailure error: has been counted already.
+        """
+        if error.sent:
+            return self.may_run_again()
+        return self.refusals < MAX_REFUSALS and (
+            self.runs == 0 or self.may_run_again()
+        )
+
     def has_attempts_left(self):
         """Return whether another attempt is allowed beside those under way."""
         under_way = max(1, len(self.running))
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -120,18 +120,20 @@
         ]
         return await self.abort(given_up)
 
-    async def abort_retryable(self, runner):
+    async def abort_silent(self, runner, seconds):
         """Abort the retryable exchanges with an unreachable endpoint.
 
-        The others wait until their deadline: they must not be sent again, so
-        that only this endpoint can still send their response.
+        Those are aborted that have waited for a part of their answer for some
+        seconds. The ones that are not retryable wait until their deadline:
+        they must not be sent again, so that only this endpoint can still send
+        their response.
 
         :returns: the number of aborted exchanges.
         """
         return await self.abort(
             exchange
             for exchange in self.exchanges_with(runner)
-            if exchange.retryable
+            if exchange.retryable and exchange.wait.seconds() >= seconds
         )
 
     async def abort(self, exchanges):
--- a/celeryward/endpoints/monitor.py
+++ b/celeryward/endpoints/monitor.py
@@ -19,8 +19,9 @@
 SILENCE_SECONDS = 0.4
 # Delay between two connection attempts to an unreachable endpoint.
 RETRY_SECONDS = 0.5
-# Time without a connection after which all retryable exchanges are aborted,
-# so that callers without a replacement may come back themselves.
+# Time without a connection, and without a part of the answer, after which
+# retryable exchanges are aborted, so that callers without a replacement may
+# come back themselves.
 ABANDON_SECONDS = 2.5
 
 
@@ -132,7 +133,7 @@
         while not await self.can_connect(runner):
             await curio.sleep(RETRY_SECONDS)
             if abandon_at.expired():
-                await self.forwarder.abort_retryable(runner)
+                await self.forwarder.abort_silent(runner, ABANDON_SECONDS)
             else:
                 await self.forwarder.abort_replaceable(runner)
         self.outcomes.set_lost(runner.id, False)
--- a/celeryward/endpoints/waits.py
+++ b/celeryward/endpoints/waits.py
@@ -40,10 +40,13 @@
         self.began_at = time.monotonic()
         self.head_arrived = True
 
+    def seconds(self):
+        """Return the time waited for the current part, in seconds."""
+        return time.monotonic() - self.began_at
+
     async def is_given_up(self):
         """Return whether the request gives the answer up now."""
-        waited_seconds = time.monotonic() - self.began_at
-        return await self.on_late(waited_seconds, self.head_arrived)
+        return await self.on_late(self.seconds(), self.head_arrived)
 
     async def extend(self):
         """Return a later deadline of the part, or None to give it up."""
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -217,3 +217,77 @@
             await curio.sleep(0.3)
             site.router.connections.open = refuse_connection
         assert bodies == [standins.events(4)] * STREAMS
+
+
+class TestFailedHedges:
+    """Guards against answers that a failed dispatch takes along."""
+
+    @pytest.mark.parametrize(
+        'failure',
+        (standins.disconnect, standins.respond_with(500)),
+        ids=('breaks off', '500'),
+    )
+    @standins.on_site
+    async def test_failure_in_the_same_moment_drops_no_answer(
+        self, site, failure
+    ):
+        answered = curio.Event()
+
+        async def fail_together(runner, connection, arrival):
+            await answered.wait()
+            await failure(runner, connection, arrival)
+
+        async def answer_together(runner, connection, arrival):
+            await answered.set()
+            await standins.send_default_response(runner, connection, arrival)
+
+        actions = [fail_together, answer_together]
+
+        async def take_next(runner, connection, arrival):
+            await actions.pop(0)(runner, connection, arrival)
+
+        set_action(site, lambda: take_next)
+        head, body = await site.request('/whole/')
+        assert (head.status, body) == (200, b'whole answer')
+        assert len(site.arrivals()) == 2
+
+    @pytest.mark.parametrize(
+        'failure',
+        (
+            standins.disconnect,
+            standins.respond_with(500),
+            standins.refuse_unexecuted(),
+        ),
+        ids=('breaks off', '500', 'refuses'),
+    )
+    @standins.on_site
+    async def test_request_is_hedged_again_after_a_failed_hedge(
+        self, site, failure
+    ):
+        spec = standins.configuration(2)
+        for route in spec['routes']:
+            if route['name'] == 'whole':
+                route['maxAttempts'] = 3
+        third = standins.RunnerStandIn('app-3', 'app')
+        await third.start()
+        site.runners['app-3'] = third
+        await site.store.put('servers', third.id, third.entry())
+        await site.store.put('config', 'main', spec)
+        await standins.wait_until(
+            lambda: (
+                site.router.configuration.current.version == 2
+                and 'app-3' in site.router.runners.runners
+            )
+        )
+        actions = [
+            standins.never_respond,
+            failure,
+            standins.send_default_response,
+        ]
+
+        async def take_next(runner, connection, arrival):
+            await actions.pop(0)(runner, connection, arrival)
+
+        set_action(site, lambda: take_next)
+        head, body = await site.request('/whole/')
+        assert (head.status, body) == (200, b'whole answer')
