--- a/benchmarks/soak/regressions.py
+++ b/benchmarks/soak/regressions.py
@@ -34,6 +34,7 @@
 ODD_ENTRY = 'an odd entry ended the following of the store'
 SILENCE = 'answers were given up at endpoints silent for a second'
 BROKEN_OFF = 'the soak blamed the router for what an endpoint broke off'
+LATE_HARNESS = 'the harness was late, and its endpoints silent for longer'
 SECOND_PLAN = 2
 CASES = (
     *(Case(seed, EARLY_CALLER, 12.0) for seed in range(103, 108)),
@@ -49,6 +50,7 @@
             (ODD_ENTRY, (624, 633, 635, 642, 643, 648)),
             (SILENCE, (1, 625, 634)),
             (BROKEN_OFF, (623,)),
+            (LATE_HARNESS, (610,)),
         )
         for seed in seeds
     ),
