--- a/benchmarks/soak/regressions.py
+++ b/benchmarks/soak/regressions.py
@@ -36,6 +36,7 @@
 BROKEN_OFF = 'the soak blamed the router for what an endpoint broke off'
 LATE_HARNESS = 'the harness was late, and its endpoints silent for longer'
 SECOND_PLAN = 2
+THIRD_PLAN = 3
 CASES = (
     *(Case(seed, EARLY_CALLER, 12.0) for seed in range(103, 108)),
     *(Case(seed, RELOAD) for seed in (303, 321)),
@@ -54,4 +55,5 @@
         )
         for seed in seeds
     ),
+    Case(655, LATE_HARNESS, plan=THIRD_PLAN),
 )
