--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -3,11 +3,13 @@
 import contextlib
 import dataclasses
 import functools
+import typing
 
 import msgspec
 
 from celeryward import calls
 from celeryward import deadlines
+from celeryward import decoding
 from celeryward.endpoints import chat_events
 from celeryward.endpoints import event_stream
 from celeryward import errors
@@ -22,6 +24,7 @@
 BODILESS_STATUSES = (204, 304)
 # Longest wait for the end of a body after its last event.
 DRAIN_SECONDS = 0.2
+TokenCount = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,8 +57,8 @@
 class UsageFields:
     """The ``usage`` object of the wire format."""
 
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: TokenCount = 0
+    completion_tokens: TokenCount = 0
 
     def to_usage(self):
         """Return the usage as :class:`calls.Usage`."""
@@ -71,8 +74,7 @@
 
     def text(self):
         """Return the text of the first choice."""
-        message = self.choices[0].get('message', {}) if self.choices else {}
-        return message.get('content') or ''
+        return content_of(self.choices, 'message')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,8 +86,30 @@
 
     def text(self):
         """Return the text that the event adds."""
-        delta = self.choices[0].get('delta', {}) if self.choices else {}
-        return delta.get('content') or ''
+        return content_of(self.choices, 'delta')
+
+
+def content_of(choices, part):
+    """Return the text in a part of the first choice; empty if none is."""
+    found = choices[0].get(part) if choices else None
+    content = found.get('content') if isinstance(found, dict) else None
+    return content if isinstance(content, str) else ''
+
+
+def decode_answer(body):
+    """Return the :class:`ChatAnswer` in a body.
+
+    :raises msgspec.DecodeError: if it is malformed.
+    """
+    return decoding.decode(ANSWER_DECODER, body)
+
+
+def decode_event(body):
+    """Return the :class:`ChatEvent` in the data of an event.
+
+    :raises msgspec.DecodeError: if it is malformed.
+    """
+    return decoding.decode(EVENT_DECODER, body)
 
 
 ANSWER_DECODER = msgspec.json.Decoder(ChatAnswer)
@@ -165,7 +189,7 @@
     """Yield the :class:`ChatEvent` of each data event except ``[DONE]``."""
     for event in events.split(EVENT_END):
         if event.startswith(EVENT_START) and not event.endswith(b'[DONE]'):
-            yield EVENT_DECODER.decode(event[len(EVENT_START) :])
+            yield decode_event(event[len(EVENT_START) :])
 
 
 def resume_point(events):
@@ -209,6 +233,20 @@
         )
 
 
+async def start_chat(connection, call, version, read_deadlines, resume=None):
+    """Send a chat request; return the checked head of its response."""
+    await http.send_request(
+        connection,
+        'POST',
+        '/v1/chat/completions',
+        chat_headers(call, version),
+        encode_chat(call.request, resume),
+    )
+    response = await connection.receive_response(read_deadlines.first_byte())
+    check_head(response, call, connection.peer)
+    return response
+
+
 async def stream_chat(connection, call, version, resume, read_deadlines):
     """Run a streamed chat on a connection and yield its chunks.
 
@@ -218,29 +256,14 @@
     :raises errors.AnswerTruncated: if the stream ends without ``[DONE]``.
     :raises errors.AnswerInvalid: if the answer or its rest is an error.
     """
-    body = encode_chat(call.request, resume)
-    headers = chat_headers(call, version)
-    await http.send_request(
-        connection, 'POST', '/v1/chat/completions', headers, body
+    response = await start_chat(
+        connection, call, version, read_deadlines, resume
     )
-    response = await connection.receive_response(read_deadlines.first_byte())
-    check_head(response, call, connection.peer)
     chat_events.check_content_type(response, connection.peer)
     splitter = EventSplitter(connection.peer)
     held = b''
     tokens = 0
-
-    def next_deadline():
-        progress = read_deadlines.progress()
-        if not splitter.done:
-            return progress
-        return progress.earlier(deadlines.Deadline.after(DRAIN_SECONDS))
-
-    # Engines may send the head while the request is still in their queue, so
-    # that the first byte of the body has the limit of the first byte too.
-    pieces = connection.receive_chunks(
-        'read stream', next_deadline, read_deadlines.first_byte()
-    )
+    pieces = receive_pieces(connection, splitter, read_deadlines)
     async with contextlib.aclosing(pieces):
         async for piece in pieces:
             complete = splitter.split(piece)
@@ -265,6 +288,27 @@
     yield Chunk(held, count, usage)
 
 
+def receive_pieces(connection, splitter, read_deadlines):
+    """Return a generator of the pieces of a streamed answer.
+
+    Engines may send the head while the request is still in their queue, so
+    that the first byte of the body has the limit of the first byte too.
+    """
+    return connection.receive_chunks(
+        'read stream',
+        functools.partial(next_piece_deadline, splitter, read_deadlines),
+        read_deadlines.first_byte(),
+    )
+
+
+def next_piece_deadline(splitter, read_deadlines):
+    """Return the deadline of the next piece of a streamed answer."""
+    progress = read_deadlines.progress()
+    if not splitter.done:
+        return progress
+    return progress.earlier(deadlines.Deadline.after(DRAIN_SECONDS))
+
+
 def split_before_usage(events):
     """Return some events and, apart from them, the last if it is the usage.
 
@@ -317,18 +361,12 @@
 
 async def complete_chat(connection, call, version, read_deadlines):
     """Run a chat that is not streamed; return its body as one chunk."""
-    body = encode_chat(call.request)
-    headers = chat_headers(call, version)
-    await http.send_request(
-        connection, 'POST', '/v1/chat/completions', headers, body
-    )
-    response = await connection.receive_response(read_deadlines.first_byte())
-    check_head(response, call, connection.peer)
+    response = await start_chat(connection, call, version, read_deadlines)
     answer = await receive_delimited_body(
         connection, response, call, read_deadlines
     )
     try:
-        decoded = ANSWER_DECODER.decode(answer)
+        decoded = decode_answer(answer)
     except msgspec.DecodeError as error:
         raise errors.AnswerInvalid(
             f'malformed answer: {error}',
@@ -342,7 +380,7 @@
 
 def answer_text(body):
     """Return the text of an answer in one piece."""
-    return ANSWER_DECODER.decode(body).text()
+    return decode_answer(body).text()
 
 
 async def forward(connection, call, read_deadlines):
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -101,6 +101,8 @@
     :param float | None away_seconds: time since the router that relayed the
         changes last found the store unavailable; None if it never did.
     :param tuple faults: as in :class:`ObjectList`.
+    :param tuple leaving: each :class:`departures.Announcement` that the
+        router that relayed the changes has learned of lately.
     """
 
     changes: tuple[Change, ...]
@@ -109,6 +111,7 @@
     passed_on: bool = False
     away_seconds: float | None = None
     faults: tuple[str, ...] = ()
+    leaving: tuple = ()
 
     def newer_than(self, revision):
         """Return the list with only the changes after a revision."""
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -29,6 +29,7 @@
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
+from celeryward.routers import departure_news
 from celeryward import signals
 from celeryward import store_view
 from celeryward import supervision
@@ -91,6 +92,7 @@
             self.endpoint_freshness,
             self.releases,
             ignored.IgnoredEntries(self.metrics.count_ignored_entry),
+            departure_news.DepartureNews(self.runners),
         )
         self.connections = pool.EndpointPool(tuning)
         self.notice_reader = notices.NoticeReader(
@@ -268,7 +270,10 @@
             self.tasks.append(await self.supervisor.spawn(step, peer, run))
 
     async def stop(self):
-        """Drain and stop. Requests that outlast the stop time are cut off."""
+        """Drain and stop. Requests that outlast the stop time are cut off.
+
+        Requests that arrive once no connection is accepted are refused.
+        """
         self.stopping = True
         started = time.monotonic()
         stop_deadline = deadlines.Deadline.after(
@@ -283,6 +288,7 @@
         )
         await self.view.deregister()
         await curio.sleep(accept_deadline.earlier(stop_deadline).remaining())
+        self.gateway.refuse_new()
         await self.caller_listener.stop_accepting()
         while self.gateway.active and not stop_deadline.expired():
             await self.gateway.close_idle()
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from celeryward import decoding
+from celeryward.endpoints import departures
 from celeryward.objects import protocol
 from celeryward.raters import rollout_orders
 
@@ -42,12 +43,15 @@
         if that was before the request.
     :param float | None away_seconds: time since the store was last
         unreachable; None if it never was.
+    :param tuple leaving: announcements that the router has learned lately;
+        with changes of endpoints only.
     """
 
     changes: tuple[protocol.Change, ...]
     revision: int
     confirmed_seconds: float
     away_seconds: float | None
+    leaving: tuple[departures.Announcement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,10 +102,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EvidenceReport:
-    """What a follower has seen of new versions since its last report."""
+    """What a follower has seen since its last report.
+
+    :param tuple exposures: its requests to new versions.
+    :param tuple outcomes: outcomes of runs at new versions.
+    :param tuple leaving: endpoints that have announced that they leave.
+    :param str sender: names one run of the follower's process.
+    :param int number: of the report; one that is sent again keeps it.
+    """
 
     exposures: tuple[OrderExposure, ...]
     outcomes: tuple[rollout_orders.Outcome, ...]
+    leaving: tuple[departures.Announcement, ...] = ()
+    sender: str = ''
+    number: int = 0
 
 
 SECONDS_DECODER = msgspec.json.Decoder(float)
@@ -109,6 +123,8 @@
     typing.Annotated[float, msgspec.Meta(ge=0)] | None
 )
 REPORT_DECODER = msgspec.json.Decoder(EvidenceReport)
+ANNOUNCEMENT_DECODER = msgspec.json.Decoder(departures.Announcement)
+EMPTY_LIST = b'[]'
 
 
 class RouterDialect(protocol.ObjectDialect):
@@ -143,6 +159,9 @@
         changes, faults = protocol.read_each(
             document.get('changes', protocol.NULL), protocol.read_change
         )
+        leaving, other_faults = protocol.read_each(
+            document.get('leaving', EMPTY_LIST), read_announcement
+        )
         away = document.get('away_seconds', protocol.NULL)
         return protocol.ChangeList(
             changes,
@@ -150,10 +169,19 @@
             read_confirmed(document),
             True,
             decoding.decode(AGE_DECODER, away),
-            faults,
+            faults + other_faults,
+            leaving,
         )
 
 
+def read_announcement(body):
+    """Return the :class:`departures.Announcement` in a body.
+
+    :raises msgspec.DecodeError: if the body is malformed.
+    """
+    return decoding.decode_bounded(ANNOUNCEMENT_DECODER, body)
+
+
 def read_confirmed(document):
     """Return the time of the confirmation in a split response.
 
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -1,10 +1,12 @@
 """Serves followers, with one task for each connection."""
 
+import collections
 import time
 
 from celeryward import http
 from celeryward import listener
 from celeryward import registry
+from celeryward.routers import departure_news
 from celeryward.routers import protocol
 
 IDLE_SECONDS = 30.0
@@ -21,6 +23,8 @@
 STATUS_NO_LIST = 404
 STATUS_GONE = 410
 STATUS_TOO_LARGE = 413
+# Followers whose last report is remembered.
+MAX_SENDERS = 1000
 HANDLERS = registry.Registry('request of a follower')
 
 
@@ -34,11 +38,24 @@
     :param members: :class:`members.Members`.
     :param releases: :class:`releases.Releases`, which takes the evidence that
         followers report.
+    :param departure_news.DepartureNews news: departures to tell followers.
+    :param str news_kind: kind whose changes the news is told with.
     """
 
     def __init__(
-        self, change_logs, freshness, pacing, outages, members, releases
+        self,
+        change_logs,
+        freshness,
+        pacing,
+        outages,
+        members,
+        releases,
+        news=None,
+        news_kind='',
     ):
+        self.news = news or departure_news.DepartureNews()
+        self.news_kind = news_kind
+        self.last_reports = collections.OrderedDict()
         self.releases = releases
         self.pacing = pacing
         self.change_logs = change_logs
@@ -47,6 +64,18 @@
         self.members = members
         self.stopping = False
 
+    def is_new(self, report):
+        """Return whether a report was not received before; remember it."""
+        if not report.sender:
+            return True
+        if report.number <= self.last_reports.get(report.sender, 0):
+            return False
+        self.last_reports[report.sender] = report.number
+        self.last_reports.move_to_end(report.sender)
+        while len(self.last_reports) > MAX_SENDERS:
+            self.last_reports.popitem(last=False)
+        return True
+
     async def handle(self, connection):
         """Answer the requests on one connection until it is closed."""
 
@@ -87,6 +116,10 @@
         """
         return time.monotonic() - started - self.freshness[kind].age()
 
+    def departures(self, kind):
+        """Return the departures to tell with changes of a kind."""
+        return self.news.for_followers() if kind == self.news_kind else ()
+
     def is_current(self, kind):
         """Return whether this router's own state is recent enough."""
         age = self.freshness[kind].age()
@@ -135,17 +168,21 @@
         max(request.since, change_log.revision),
         confirmed,
         publisher.outages.age(),
+        publisher.departures(request.kind),
     )
     return 200, protocol.encode(response)
 
 
 @HANDLERS.register('EvidenceReport')
 async def accept_evidence(publisher, report):
-    """Add a follower's evidence to that of this router."""
+    """Add a follower's evidence to that of this router, once."""
+    if not publisher.is_new(report):
+        return 200, b''
     for counts in report.exposures:
         publisher.releases.add_reported_exposure(
             counts.order_key, counts.exposure
         )
     for outcome in report.outcomes:
         publisher.releases.add_outcome(outcome)
+    publisher.news.accept(report.leaving)
     return 200, b''
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -57,6 +57,7 @@
     'objects/billing.py',
     'objects/claims.py',
     'objects/configuration.py',
+    'objects/confirmations.py',
     'objects/freshness.py',
     'objects/ignored.py',
     'objects/leases.py',
@@ -71,6 +72,7 @@
     'raters/sizes.py',
     'routers/members.py',
     'routers/change_log.py',
+    'routers/departure_news.py',
     'routers/pacing.py',
 )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -176,6 +176,9 @@
 
     def test_answer_that_the_endpoint_broke_off_is_excused(self):
         assert self.find(broken_off=['r1']) == []
+        stop = observations.Stop('router-0', 9.0, 11.0, 0)
+        assert self.find(stops=[stop]) == ['answered', 'planned-stops']
+        assert self.find(stops=[stop], broken_off=['r1']) == []
 
     def test_timeout_excuses_only_as_long_as_it_is_in_force(self):
         long = [observations.Timeout(0.0, 2.0)]
@@ -199,6 +202,18 @@
         unwritten = dataclasses.replace(UNANSWERED, written_at=None)
         assert self.find(unanswered=unwritten) == []
 
+    def test_late_harness_excuses_only_runs_that_were_given_up(self):
+        given_up = VIOLATIONS['quiet-endpoints']
+        late = observations.FaultSpan(9.5, 10.05, lateness.FAULT_NAME)
+        excused = observed(
+            given_up.outcomes,
+            abandoned=given_up.abandoned,
+            timeouts=given_up.timeouts,
+            faults=[late],
+        )
+        assert list(checks.find_violations(excused)) == []
+        assert self.find(late) == ['answered']
+
     def test_odd_entries_excuse_no_late_requests(self):
         late = observed(left_at={'e1': 7.0})
         late.faults = [observations.FaultSpan(6.0, 11.0, 'odd-entry')]
@@ -319,3 +334,9 @@
         found, violations = curio.run(soak.run, 5, size, tmp_path)
         assert violations == []
         assert len(found.executions) > 50
+
+    def test_short_run_of_newer_faults_has_no_violations(self, tmp_path):
+        size = soak.Size(seconds=3.0, rate=2.0, routers=3, callers=4, plan=2)
+        found, violations = curio.run(soak.run, 8564, size, tmp_path)
+        assert violations == []
+        assert len(found.executions) > 50
