--- a/celeryward/callers/moves.py
+++ b/celeryward/callers/moves.py
@@ -12,7 +12,7 @@
 # Longest silence after which a sound endpoint is expected to go on.
 SOUND_SILENCE_SECONDS = 1.5
 # Time that another endpoint needs at least, whatever heads take usually.
-MIN_REPLACEMENT_SECONDS = 0.5
+MIN_REPLACEMENT_SECONDS = 0.25
 
 
 class MovePolicy:
