Move the estimate of durations out of the queues

The check whether work can still be finished needs the same estimate at the router, which has no queue of its own. No change of behaviour: tests/test_queues.py passes before and after.

--- a/celeryward/callers/demand.py
+++ b/celeryward/callers/demand.py
@@ -3,6 +3,8 @@
 import dataclasses
 import math
 
+from celeryward import durations
+
 # Short enough to follow a change of demand within seconds, long enough that
 # a customer with one request each second is not taken to be idle.
 HALF_LIFE_SECONDS = 5.0
@@ -14,7 +16,6 @@
 # Bounds the size of a summary, which lists the customers with the highest
 # cost and rate. Costs of the others are not counted at other daemons.
 MAX_CUSTOMERS = 32
-EWMA_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,16 +140,6 @@
         return self.value_at(now) * DECAY_PER_SECOND
 
 
-def updated_mean(mean, value):
-    """Return an exponential moving mean, updated with a new value.
-
-    :param float | None mean: None before the first value.
-    """
-    if mean is None:
-        return value
-    return mean + EWMA_WEIGHT * (value - mean)
-
-
 class DemandMeter:
     """Measures the demand of each customer at this daemon."""
 
@@ -169,14 +160,14 @@
     def record_duration(self, customer, seconds):
         """Update the mean duration of a customer's admitted requests."""
         mean = self.mean_durations.get(customer)
-        self.mean_durations[customer] = updated_mean(mean, seconds)
+        self.mean_durations[customer] = durations.updated_mean(mean, seconds)
 
     def charge(self, customer, cost, day):
         """Add the cost of a request to the customer's costs of the day."""
         self.start_day(day)
         self.costs_today[customer] = self.costs_today.get(customer, 0.0) + cost
         mean = self.mean_costs.get(customer)
-        self.mean_costs[customer] = updated_mean(mean, cost)
+        self.mean_costs[customer] = durations.updated_mean(mean, cost)
 
     def start_day(self, day):
         """Clear the costs of an earlier day."""
--- a/celeryward/callers/queues.py
+++ b/celeryward/callers/queues.py
@@ -11,8 +11,8 @@
 
 import result
 
-from celeryward.callers import demand
 from celeryward import deadlines
+from celeryward import durations
 from celeryward import errors
 
 # Maximum number of waiting requests for each slot. The last one starts after
@@ -54,26 +54,6 @@
     return 1.0 + max(0, priority)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DurationEstimate:
-    """Exponential moving mean and mean deviation of durations in seconds."""
-
-    mean: float
-    deviation: float = 0.0
-
-    def updated(self, seconds):
-        """Return the estimate updated with the duration of a request."""
-        deviation = abs(seconds - self.mean)
-        return DurationEstimate(
-            demand.updated_mean(self.mean, seconds),
-            demand.updated_mean(self.deviation, deviation),
-        )
-
-    def upper_bound(self):
-        """Return a duration in seconds that few requests exceed."""
-        return self.mean + UPPER_BOUND_DEVIATIONS * self.deviation
-
-
 def retry_at(now, seconds):
     """Return when the caller may retry, 1 to 60 seconds from now."""
     seconds = min(MAX_RETRY_SECONDS, max(1.0, seconds))
@@ -240,7 +220,7 @@
         if estimate is not None and (wait > 0.0 or self.waiting):
             # An idle queue refuses no request for its expected duration:
             # the caller chose the deadline.
-            seconds = estimate.upper_bound()
+            seconds = estimate.upper_bound(UPPER_BOUND_DEVIATIONS)
         late = now + wait + seconds - ticket.deadline.at
         if late <= 0.0:
             return None
@@ -329,9 +309,9 @@
 
     def record_duration(self, ticket, seconds):
         """Update the mean durations with those of a request."""
-        self.mean_seconds = demand.updated_mean(self.mean_seconds, seconds)
+        self.mean_seconds = durations.updated_mean(self.mean_seconds, seconds)
         estimate = self.duration_estimates.get(
-            ticket.customer, DurationEstimate(seconds)
+            ticket.customer, durations.DurationEstimate(seconds)
         )
         self.duration_estimates[ticket.customer] = estimate.updated(seconds)
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -7,6 +7,7 @@
 
 from celeryward.callers import queues
 from celeryward import deadlines
+from celeryward import durations
 from celeryward import errors
 from tests import test_withdrawal
 
@@ -133,12 +134,12 @@
 
     def test_idle_queue_refuses_no_request(self):
         harness = QueueHarness(seconds=10.0)
-        harness.queue.duration_estimates['a'] = queues.DurationEstimate(10.0)
+        harness.queue.duration_estimates['a'] = durations.DurationEstimate(10.0)
         assert harness.offer('a', deadline=1.0).is_ok()
 
     def test_varying_durations_leave_a_margin(self):
         harness = QueueHarness()
-        harness.queue.duration_estimates['a'] = queues.DurationEstimate(
+        harness.queue.duration_estimates['a'] = durations.DurationEstimate(
             1.0, 0.5
         )
         harness.offer('a')
@@ -147,7 +148,7 @@
 
     def test_failures_lengthen_but_never_shorten_the_wait(self):
         harness = QueueHarness(seconds=10.0)
-        harness.queue.duration_estimates['a'] = queues.DurationEstimate(10.0)
+        harness.queue.duration_estimates['a'] = durations.DurationEstimate(10.0)
         means = []
         for seconds in (0.001, 30.0):
             harness.offer('a')
