--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -134,7 +134,9 @@
 
     def test_idle_queue_refuses_no_request(self):
         harness = QueueHarness(seconds=10.0)
-        harness.queue.duration_estimates['a'] = durations.DurationEstimate(10.0)
+        harness.queue.duration_estimates['a'] = durations.DurationEstimate(
+            10.0
+        )
         assert harness.offer('a', deadline=1.0).is_ok()
 
     def test_varying_durations_leave_a_margin(self):
@@ -148,7 +150,9 @@
 
     def test_failures_lengthen_but_never_shorten_the_wait(self):
         harness = QueueHarness(seconds=10.0)
-        harness.queue.duration_estimates['a'] = durations.DurationEstimate(10.0)
+        harness.queue.duration_estimates['a'] = durations.DurationEstimate(
+            10.0
+        )
         means = []
         for seconds in (0.001, 30.0):
             harness.offer('a')
