--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -191,3 +191,30 @@
         )
         head, body = await site.request('/stream/')
         assert (head.status, body) == (200, standins.events(4))
+
+    @pytest.mark.parametrize(
+        'failure',
+        (
+            standins.disconnect,
+            standins.respond_with(500),
+            standins.refuse_unexecuted(),
+            standins.never_respond,
+        ),
+        ids=('breaks off', '500', 'refuses', 'mute'),
+    )
+    @standins.on_site
+    async def test_answer_is_kept_until_the_larger_model_answers(
+        self, site, failure
+    ):
+        """The caller got 502 or 504 although an answer was there."""
+
+        async def fail_if_large(runner, connection, arrival):
+            large = arrival.model == 'large'
+            action = failure if large else standins.send_stream
+            await action(runner, connection, arrival)
+
+        for runner in site.runners.values():
+            runner.confidence = {'small': 0}
+            runner.default_action = fail_if_large
+        head, body = await site.request('/stream/')
+        assert (head.status, body) == (200, standins.events(4))
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -4,12 +4,15 @@
 import h11
 import pytest
 
+from celeryward.endpoints import closures
 from celeryward import http
 from tests import platform_standins as standins
 
 # Longer than every wait of the router on the routes of the test site, and
 # shorter than their deadline of 2 s.
 SILENCE_SECONDS = 1.3
+# Longer than that, and still shorter than the deadline.
+LONG_SILENCE_SECONDS = 1.6
 # More than the slack of a router's retry budget.
 STREAMS = 16
 
@@ -32,8 +35,24 @@
     return choose
 
 
+def silence_in_stream_for(seconds):
+    """Return an action that sends one event, falls silent, and goes on."""
+
+    async def action(runner, connection, arrival):
+        await send_stream_with_silence(runner, connection, arrival, seconds)
+
+    return action
+
+
 async def silence_in_stream(runner, connection, arrival):
     """Send one event, fall silent, and go on."""
+    await send_stream_with_silence(
+        runner, connection, arrival, SILENCE_SECONDS
+    )
+
+
+async def send_stream_with_silence(runner, connection, arrival, seconds):
+    """Send a stream that is silent for some seconds after one event."""
     first = int(arrival.head.headers.get('last-event-id', '0')) + 1
     head = runner.response_headers(
         arrival,
@@ -51,7 +70,7 @@
         data = standins.event(number)
         await connection.send('answer', h11.Data(data=data))
         if number == first:
-            await curio.sleep(SILENCE_SECONDS)
+            await curio.sleep(seconds)
     await connection.send('answer', h11.EndOfMessage())
 
 
@@ -92,6 +111,20 @@
         runner.default_action = make_action()
 
 
+def close(site, runner):
+    """Close an endpoint for longer than any test."""
+    listed = site.router.runners.runners[runner.id]
+    site.router.closures.close(listed, 60.0, 1)
+
+
+def open_one_place(site, runner):
+    """Let an endpoint that is closed take one request."""
+    listed = site.router.runners.runners[runner.id]
+    site.router.closures.states[listed.key] = closures.Closure(
+        site.router.closures.clock(), threshold=1.0
+    )
+
+
 class TestWholeAnswers:
     """Guards against whole answers that a silence of a second ends."""
 
@@ -122,6 +155,20 @@
         assert (head.status, body) == (200, b'whole answer')
         assert len(site.arrivals()) == 2
 
+    @standins.on_site
+    async def test_request_is_hedged_at_an_endpoint_that_was_closed_before(
+        self, site
+    ):
+        """Whether it can be late was decided once, at the dispatch."""
+        mute, closed = site.runners['app-1'], site.runners['app-2']
+        close(site, closed)
+        mute.default_action = standins.never_respond
+        request = await curio.spawn(site.request, '/whole/')
+        await standins.wait_until(lambda: mute.arrivals)
+        site.router.closures.states.clear()
+        head, body = await request.join()
+        assert (head.status, body) == (200, b'whole answer')
+
     @standins.on_site
     async def test_error_of_the_second_endpoint_does_not_end_the_first(
         self, site
@@ -182,6 +229,14 @@
         head, body = await site.request('/stream/')
         assert (head.status, body) == (200, standins.events(4))
 
+    @standins.on_site
+    async def test_stream_goes_on_with_the_endpoint_that_goes_on_first(
+        self, site
+    ):
+        set_action(site, lambda: silence_in_stream_for(LONG_SILENCE_SECONDS))
+        head, body = await site.request('/stream/')
+        assert (head.status, body) == (200, standins.events(4))
+
     @standins.on_site
     async def test_streams_without_retry_budget_are_not_cut(self, site):
         set_action(site, lambda: silence_in_stream)
@@ -219,6 +274,35 @@
         assert bodies == [standins.events(4)] * STREAMS
 
 
+class TestPlaces:
+    """Guards against a place at an endpoint that several requests get."""
+
+    @standins.on_site
+    async def test_streams_that_are_moved_at_once_do_not_share_a_place(
+        self, site
+    ):
+        """All but one got 502 or were cut off."""
+        silent, filling = site.runners['llm-1'], site.runners['llm-2']
+        close(site, filling)
+        silent.default_action = silence_before_head
+        filling.default_action = silence_before_head
+        bodies = []
+
+        async def read_stream(number):
+            _, body = await site.request('/stream/', request_id=f's{number}')
+            bodies.append(body)
+
+        async with curio.TaskGroup() as group:
+            for number in range(4):
+                await group.spawn(read_stream, number)
+            await standins.wait_until(lambda: len(silent.arrivals) == 4)
+            open_one_place(site, filling)
+            await site.router.forwarder.abort_replaceable(
+                site.router.runners.runners['llm-1']
+            )
+        assert bodies == [standins.events(4)] * 4
+
+
 class TestFailedHedges:
     """Guards against answers that a failed dispatch takes along."""
 
