Log what a stop has and which requests it cuts off

`router stops` now has accept_until, finish_by and late, and each request that is cut off has a line with seconds and stop_left.

A signal can't say when it was sent.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -17,6 +17,7 @@
 from celeryward import ingress
 from celeryward import listener
 from celeryward import logs
+from celeryward import stopping
 
 # Time in which a request body must be complete.
 BODY_READ_SECONDS = 10.0
@@ -43,16 +44,19 @@
     :param configuration: :class:`ingress.ConfigurationHolder`, which has
         the limits on requests.
     :param metrics: :class:`router_metrics.RouterMetrics`.
+    :param stopping.StopState stop: the planned stop of this router.
     """
 
-    def __init__(self, relay, configuration, metrics):
+    def __init__(self, relay, configuration, metrics, stop=None):
         self.relay = relay
         self.configuration = configuration
         self.idle_timeout = idle_timeout.IdleTimeout(configuration)
         self.metrics = metrics
+        self.stop = stop or stopping.StopState()
         self.draining = False
         self.refusing = False
         self.active = {}
+        self.starts = {}
         self.tasks = {}
 
     def limits(self):
@@ -117,7 +121,11 @@
             connection, received.head.method, self.is_draining
         )
         self.active[connection] = responder
-        await self.serve_while_connected(connection, received, responder)
+        self.starts[connection] = self.stop.request_start()
+        try:
+            await self.serve_while_connected(connection, received, responder)
+        finally:
+            del self.starts[connection]
         return responder.finished and not responder.announced_close
 
     async def reject(self, connection, error):
@@ -325,9 +333,10 @@
 
         A request that may have run is not reported as not run.
         """
-        for responder in tuple(self.active.values()):
+        for connection, responder in tuple(self.active.items()):
             if responder is None:
                 continue
+            self.log_cut_off(responder, self.starts[connection])
             error = errors.OutcomeUnknown(
                 'router stopped before the answer was complete',
                 step='stop',
@@ -336,6 +345,22 @@
             self.log_failure(responder, error)
             await self.send_error_if_connected(responder, error)
 
+    def log_cut_off(self, responder, start):
+        """Log a request that a stop cuts off, and what it had of the stop.
+
+        :param stopping.RequestStart start: when it began.
+        """
+        relayed = getattr(responder, 'relayed', None)
+        logs.bind(
+            request_id=responder.request_id,
+            step='stop',
+            peer=responder.connection.peer,
+            route=responder.route,
+            dispatches=relayed.dispatches if relayed else None,
+            answer_begun=responder.started,
+            **start.log_fields(),
+        ).warning('request cut off by the stop')
+
     async def close_idle(self):
         """End the tasks of connections without a request."""
         await listener.end_idle(self.tasks, self.active)
--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -31,14 +31,20 @@
     :param str request_id: sent in each response.
     :param closes_connection: function that returns whether a response
         announces that its connection closes.
+    :param stopping.RequestStart start: when the request began.
     """
 
     def __init__(
-        self, connection, request_id, closes_connection=lambda: False
+        self,
+        connection,
+        request_id,
+        closes_connection=lambda: False,
+        start=None,
     ):
         self.connection = connection
         self.request_id = request_id
         self.closes_connection = closes_connection
+        self.start = start
         self.started = False
         self.finished = False
 
@@ -116,12 +122,14 @@
     :param request_handler: :class:`request_handler.RequestHandler`.
     :param settings.Timings timings: the timeouts.
     :param new_id: function that returns a new request id.
+    :param stopping.StopState stop: the planned stop of this daemon.
     """
 
-    def __init__(self, request_handler, timings, new_id):
+    def __init__(self, request_handler, timings, new_id, stop):
         self.request_handler = request_handler
         self.timings = timings
         self.new_id = new_id
+        self.stop = stop
         self.active = set()
         self.tasks = {}
         self.stopping = False
@@ -164,9 +172,12 @@
             step='stop',
             peer=responder.connection.peer,
         )
-        logs.bind_error(error, request_id=responder.request_id).warning(
-            'request cut off by the stop'
-        )
+        logs.bind_error(
+            error,
+            request_id=responder.request_id,
+            answer_begun=responder.started,
+            **responder.start.log_fields(),
+        ).warning('request cut off by the stop')
         with contextlib.suppress(errors.CallerDisconnected, h11.ProtocolError):
             await responder.send_error(error)
 
@@ -204,7 +215,12 @@
         """Serve one request, or send an error if that fails."""
         request_id = head.headers.get('x-request-id', '')[:128]
         request_id = request_id or self.new_id()
-        responder = Responder(connection, request_id, self.is_stopping)
+        responder = Responder(
+            connection,
+            request_id,
+            self.is_stopping,
+            self.stop.request_start(),
+        )
         self.active.add(responder)
         try:
             await self.route_request(connection, head, responder)
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -47,6 +47,7 @@
 from celeryward.raters import runner
 from celeryward.raters import sampler
 from celeryward import signals
+from celeryward import stopping
 from celeryward import supervision
 
 FLUSH_RETRY_SECONDS = 0.2
@@ -74,6 +75,7 @@
         self.clock = clock
         timings = settings.timings
         self.metrics = metrics.Metrics()
+        self.stop_state = stopping.StopState()
         self.supervisor = supervision.Supervisor(
             self.metrics.count_task_failure
         )
@@ -155,7 +157,7 @@
             self.request_handler.recorder, self.client, clock
         )
         self.caller_server = server.CallerServer(
-            self.request_handler, timings, new_id
+            self.request_handler, timings, new_id, self.stop_state
         )
         self.listener = listener.Listener(
             settings.callers.host,
@@ -259,12 +261,14 @@
             'daemon listens on port {}', self.listener.port
         )
 
-    async def stop(self):
+    async def stop(self, signalled_after=None):
         """Drain and stop.
 
         New requests are refused as not run, running ones are completed and
         bills are written before the tasks end.
 
+        :param float signalled_after: seconds since the host was booted; the
+            signal to stop was not sent before. None for now.
         :returns: the number of requests cut off at the drain deadline.
         """
         if self.stopped:
@@ -273,6 +277,7 @@
         deadline = deadlines.Deadline.after(
             self.settings.timings.drain_timeout
         )
+        self.log_stop(deadline, signalled_after)
         self.request_handler.stopping = True
         await self.listener.stop_accepting()
         await self.caller_server.end_connections(deadline)
@@ -298,6 +303,20 @@
         )
         return cut_off
 
+    def log_stop(self, deadline, signalled_after):
+        """Log what a stop has, and how late its signal may have come."""
+        now = deadlines.BootDeadline.now()
+        late = 0.0 if signalled_after is None else now - signalled_after
+        logs.bind(
+            step='stop',
+            peer=self.settings.name,
+            finish_by=round(deadline.remaining(), 3),
+            late=round(late, 3),
+        ).info(
+            'daemon stops with {} requests under way',
+            len(self.caller_server.active),
+        )
+
     async def start_and_print_port(self):
         """Start, then print the callers' port for the supervising process."""
         await self.start()
@@ -305,8 +324,9 @@
 
     async def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
-        with signals.signal_receiver() as stop_signal:
+        with signals.signal_receiver() as receiver:
+            await curio.spawn(receiver.look_regularly, daemon=True)
             starting = await curio.spawn(self.start_and_print_port)
-            await stop_signal()
+            await receiver.next_signal()
             await starting.cancel()
-            return await self.stop()
+            return await self.stop(receiver.none_before)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -8,6 +8,7 @@
 from celeryward.callers import gateway
 from celeryward.callers import relay
 from celeryward.callers import router_admission
+from celeryward import completion
 from celeryward import deadlines
 from celeryward.endpoints import closures
 from celeryward.endpoints import fleet_retries
@@ -31,6 +32,7 @@
 from celeryward import router_metrics
 from celeryward.routers import departure_news
 from celeryward import signals
+from celeryward import stopping
 from celeryward import store_view
 from celeryward import supervision
 
@@ -67,6 +69,8 @@
         self.configuration = ingress.ConfigurationHolder()
         self.freshness = freshness.Freshness(self.key_age_limit())
         self.endpoint_freshness = freshness.Freshness()
+        self.stop_state = stopping.StopState()
+        self.completion = completion.CompletionCheck(self.stop_state)
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.OutcomeTracker()
         self.queues = queueing.QueueEstimates()
@@ -134,7 +138,7 @@
             self.metrics,
         )
         self.gateway = gateway.Gateway(
-            self.relay, self.configuration, self.metrics
+            self.relay, self.configuration, self.metrics, self.stop_state
         )
         self.caller_listener = listener.Listener(
             placement.callers.host,
@@ -269,10 +273,13 @@
         ):
             self.tasks.append(await self.supervisor.spawn(step, peer, run))
 
-    async def stop(self):
+    async def stop(self, signalled_after=None):
         """Drain and stop. Requests that outlast the stop time are cut off.
 
         Requests that arrive once no connection is accepted are refused.
+
+        :param float signalled_after: seconds since the host was booted; the
+            signal to stop was not sent before. None for now.
         """
         self.stopping = True
         started = time.monotonic()
@@ -280,12 +287,10 @@
             self.placement.bounds.stop_seconds - self.tuning.stop_reserve
         )
         self.gateway.begin_drain()
-        logs.bind(step='stop', peer=self.placement.name).info(
-            'router stops with {} requests under way', len(self.gateway.active)
-        )
         accept_deadline = deadlines.Deadline.after(
             self.tuning.stop_accepting_after
         )
+        self.log_stop(accept_deadline, stop_deadline, signalled_after)
         await self.view.deregister()
         await curio.sleep(accept_deadline.earlier(stop_deadline).remaining())
         self.gateway.refuse_new()
@@ -304,6 +309,20 @@
             cut_off,
         )
 
+    def log_stop(self, accept_until, finish_by, signalled_after):
+        """Log what a stop has, and how late its signal may have come."""
+        now = deadlines.BootDeadline.now()
+        late = 0.0 if signalled_after is None else now - signalled_after
+        logs.bind(
+            step='stop',
+            peer=self.placement.name,
+            accept_until=round(accept_until.remaining(), 3),
+            finish_by=round(finish_by.remaining(), 3),
+            late=round(late, 3),
+        ).info(
+            'router stops with {} requests under way', len(self.gateway.active)
+        )
+
     def reload(self):
         """Read the placement again and apply what has changed in its bounds.
 
@@ -358,11 +377,12 @@
     async def run(self):
         """Run until SIGTERM or SIGINT, then drain and stop."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
-        with signals.signal_receiver(numbers) as next_signal:
+        with signals.signal_receiver(numbers) as receiver:
+            await curio.spawn(receiver.look_regularly, daemon=True)
             await self.start()
-            while await next_signal() == signals.RELOAD_SIGNAL:
+            while await receiver.next_signal() == signals.RELOAD_SIGNAL:
                 self.reload()
-            await self.stop()
+            await self.stop(receiver.none_before)
 
 
 def make_value_model(tuning):
--- a/celeryward/standins/run.py
+++ b/celeryward/standins/run.py
@@ -55,8 +55,8 @@
     :param dict options: keyword arguments of the registered function.
     """
     standin = STANDINS.get(kind)(port, **options)
-    with signals.signal_receiver() as next_signal:
+    with signals.signal_receiver() as receiver:
         await standin.start()
         print(f'{kind} listens on port {standin.port}', flush=True)
-        await next_signal()
+        await receiver.next_signal()
     await standin.stop()
--- a/celeryward/stopping.py
+++ b/celeryward/stopping.py
@@ -23,6 +23,36 @@
     accept_until: deadlines.BootDeadline
     finish_by: deadlines.BootDeadline
 
+    @classmethod
+    def counted_from(cls, start, accept_seconds, finish_seconds):
+        """Return the schedule of a stop that began at a time.
+
+        :param float start: seconds since the host was booted.
+        """
+        finish_by = deadlines.BootDeadline(start + finish_seconds)
+        accept_until = deadlines.BootDeadline(start + accept_seconds)
+        return cls(accept_until.earlier(finish_by), finish_by)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestStart:
+    """When a request began, and what was left of a stop then.
+
+    :param float at: seconds since the host was booted.
+    :param float stop_seconds_left: infinite if no stop had begun.
+    """
+
+    at: float
+    stop_seconds_left: float
+
+    def log_fields(self):
+        """Return the log fields of a request that a stop cuts off."""
+        left = self.stop_seconds_left
+        return {
+            'seconds': round(deadlines.BootDeadline.now() - self.at, 3),
+            'stop_left': None if math.isinf(left) else round(left, 3),
+        }
+
 
 class StopState:
     """Whether a process stops, and when; shared by all that start work.
@@ -39,11 +69,16 @@
         return self.schedule is not None
 
     def begin(self, schedule):
-        """Begin the stop."""
-        self.schedule = schedule
+        """Begin the stop; one that has begun keeps its schedule."""
+        if self.schedule is None:
+            self.schedule = schedule
 
     def seconds_left(self):
         """Return the seconds for work; infinite while there is no stop."""
         if self.schedule is None:
             return math.inf
         return self.schedule.finish_by.remaining()
+
+    def request_start(self):
+        """Return the :class:`RequestStart` of a request that begins now."""
+        return RequestStart(deadlines.BootDeadline.now(), self.seconds_left())
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -346,9 +346,9 @@
     async def test_reload_signal_does_not_end_the_process(self):
         """Without a handler, the reload signal kills the process."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
-        with signals.signal_receiver(numbers) as next_signal:
+        with signals.signal_receiver(numbers) as receiver:
             os.kill(os.getpid(), signals.RELOAD_SIGNAL)
-            assert await next_signal() == signals.RELOAD_SIGNAL
+            assert await receiver.next_signal() == signals.RELOAD_SIGNAL
 
 
 class TestMetrics:
