Count a stop from when its signal can have been sent

A process that learns late of its signal (a busy loop, SIGSTOP, a suspended host) believed that its stop began then: it took requests beyond 3 s, and the platform killed it in the middle of its answers. In tests, a router with 4 s that was stopped for the 2 s around its signal had not answered a request before it was killed; a stop learned 2 s late, and one in which the boot-time clock jumped by 100 s, answered their request as if nothing had happened.

The stop takes all its times from one StopSchedule on the boot-time clock. The daemon's drain timeout counts the same way. The steps of the stop move to a module of their own.

--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -144,7 +144,7 @@
         Those that are still open at the deadline are left.
         """
         self.stopping = True
-        close_at = deadlines.Deadline.after(LAST_REQUESTS_SECONDS)
+        close_at = deadlines.BootDeadline.after(LAST_REQUESTS_SECONDS)
         while self.tasks and not deadline.expired():
             if close_at.expired():
                 busy = {responder.connection for responder in self.active}
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -274,10 +274,7 @@
         if self.stopped:
             return 0
         self.stopped = True
-        deadline = deadlines.Deadline.after(
-            self.settings.timings.drain_timeout
-        )
-        self.log_stop(deadline, signalled_after)
+        deadline = self.begin_stop(signalled_after).finish_by
         self.request_handler.stopping = True
         await self.listener.stop_accepting()
         await self.caller_server.end_connections(deadline)
@@ -303,19 +300,27 @@
         )
         return cut_off
 
-    def log_stop(self, deadline, signalled_after):
-        """Log what a stop has, and how late its signal may have come."""
+    def begin_stop(self, signalled_after):
+        """Begin the stop; return its :class:`stopping.StopSchedule`.
+
+        No request is accepted from now on.
+        """
         now = deadlines.BootDeadline.now()
-        late = 0.0 if signalled_after is None else now - signalled_after
+        start = now if signalled_after is None else signalled_after
+        schedule = stopping.StopSchedule.counted_from(
+            start, 0.0, self.settings.timings.drain_timeout
+        )
+        self.stop_state.begin(schedule)
         logs.bind(
             step='stop',
             peer=self.settings.name,
-            finish_by=round(deadline.remaining(), 3),
-            late=round(late, 3),
+            finish_by=round(schedule.finish_by.remaining(), 3),
+            late=round(now - start, 3),
         ).info(
             'daemon stops with {} requests under way',
             len(self.caller_server.active),
         )
+        return schedule
 
     async def start_and_print_port(self):
         """Start, then print the callers' port for the supervising process."""
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -1,7 +1,6 @@
 """The router process: creates its components, runs its tasks, shuts down."""
 
 import os
-import time
 
 import curio
 
@@ -9,7 +8,6 @@
 from celeryward.callers import relay
 from celeryward.callers import router_admission
 from celeryward import completion
-from celeryward import deadlines
 from celeryward.endpoints import closures
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
@@ -30,6 +28,7 @@
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
+from celeryward import router_shutdown
 from celeryward.routers import departure_news
 from celeryward import signals
 from celeryward import stopping
@@ -42,7 +41,6 @@
 # retry budget and the evaluation of new versions, and a router may not have
 # discovered all others yet.
 MIN_ROUTERS = 7
-STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
 OVERDUE_POLL_SECONDS = 0.25
 IDLE_POLL_SECONDS = 0.25
@@ -165,7 +163,6 @@
             self.relay.waiter.place_freed
         )
         router_metrics.register_gauges(self.metrics, self)
-        self.stopping = False
 
     def key_age_limit(self):
         """Return the largest age of the configuration for accepting API keys.
@@ -209,7 +206,7 @@
     def is_ready(self):
         """Return whether the load balancer may send requests here."""
         return (
-            not self.stopping
+            not self.stop_state.is_stopping
             and self.configuration.current is not None
             and bool(self.runners.runners)
             and self.freshness.is_fresh()
@@ -276,52 +273,10 @@
     async def stop(self, signalled_after=None):
         """Drain and stop. Requests that outlast the stop time are cut off.
 
-        Requests that arrive once no connection is accepted are refused.
-
         :param float signalled_after: seconds since the host was booted; the
             signal to stop was not sent before. None for now.
         """
-        self.stopping = True
-        started = time.monotonic()
-        stop_deadline = deadlines.Deadline.after(
-            self.placement.bounds.stop_seconds - self.tuning.stop_reserve
-        )
-        self.gateway.begin_drain()
-        accept_deadline = deadlines.Deadline.after(
-            self.tuning.stop_accepting_after
-        )
-        self.log_stop(accept_deadline, stop_deadline, signalled_after)
-        await self.view.deregister()
-        await curio.sleep(accept_deadline.earlier(stop_deadline).remaining())
-        self.gateway.refuse_new()
-        await self.caller_listener.stop_accepting()
-        while self.gateway.active and not stop_deadline.expired():
-            await self.gateway.close_idle()
-            await curio.sleep(STOP_POLL_SECONDS)
-        await self.gateway.close_idle()
-        cut_off = len(self.gateway.active)
-        await self.gateway.fail_active()
-        for task in self.tasks:
-            await task.cancel()
-        logs.bind(step='stop', peer=self.placement.name).info(
-            'router stopped after {:.1f} s; {} requests cut off',
-            time.monotonic() - started,
-            cut_off,
-        )
-
-    def log_stop(self, accept_until, finish_by, signalled_after):
-        """Log what a stop has, and how late its signal may have come."""
-        now = deadlines.BootDeadline.now()
-        late = 0.0 if signalled_after is None else now - signalled_after
-        logs.bind(
-            step='stop',
-            peer=self.placement.name,
-            accept_until=round(accept_until.remaining(), 3),
-            finish_by=round(finish_by.remaining(), 3),
-            late=round(late, 3),
-        ).info(
-            'router stops with {} requests under way', len(self.gateway.active)
-        )
+        await router_shutdown.RouterShutdown(self).run(signalled_after)
 
     def reload(self):
         """Read the placement again and apply what has changed in its bounds.
--- /dev/null
+++ b/celeryward/router_shutdown.py
@@ -0,0 +1,87 @@
+"""The planned stop of a router, one step after the other.
+
+The platform ends the process some seconds after its signal, whatever the
+router knows of it. All steps take their time from one schedule, which counts
+from the earliest moment at which the signal can have been sent.
+"""
+
+import time
+
+import curio
+
+from celeryward import deadlines
+from celeryward import logs
+from celeryward import stopping
+
+# Time between two looks at the deadlines of a stop. A sleep until a deadline
+# would last too long if the host is suspended meanwhile.
+POLL_SECONDS = 0.05
+
+
+class RouterShutdown:
+    """Stops a router.
+
+    :param router: :class:`router.Router`.
+    """
+
+    def __init__(self, router):
+        self.router = router
+        self.log = logs.bind(step='stop', peer=router.placement.name)
+
+    async def run(self, signalled_after=None):
+        """Drain and stop; requests that outlast the schedule are cut off.
+
+        A second call does nothing: the stop that has begun goes on.
+
+        :param float signalled_after: as for :meth:`router.Router.stop`.
+        """
+        router = self.router
+        if router.stop_state.is_stopping:
+            return
+        started = time.monotonic()
+        schedule = self.begin(signalled_after)
+        await router.view.deregister()
+        await sleep_until(schedule.accept_until)
+        router.gateway.refuse_new()
+        await router.caller_listener.stop_accepting()
+        while router.gateway.active and not schedule.finish_by.expired():
+            await router.gateway.close_idle()
+            await curio.sleep(POLL_SECONDS)
+        await router.gateway.close_idle()
+        cut_off = len(router.gateway.active)
+        await router.gateway.fail_active()
+        for task in router.tasks:
+            await task.cancel()
+        self.log.info(
+            'router stopped after {:.1f} s; {} requests cut off',
+            time.monotonic() - started,
+            cut_off,
+        )
+
+    def begin(self, signalled_after):
+        """Begin the stop; return its :class:`stopping.StopSchedule`."""
+        router = self.router
+        now = deadlines.BootDeadline.now()
+        start = now if signalled_after is None else signalled_after
+        schedule = stopping.StopSchedule.counted_from(
+            start,
+            router.tuning.stop_accepting_after,
+            router.placement.bounds.stop_seconds - router.tuning.stop_reserve,
+        )
+        router.stop_state.begin(schedule)
+        router.gateway.begin_drain()
+        self.log.bind(
+            accept_until=round(schedule.accept_until.remaining(), 3),
+            finish_by=round(schedule.finish_by.remaining(), 3),
+            late=round(now - start, 3),
+        ).info(
+            'router stops with {} requests under way',
+            len(router.gateway.active),
+        )
+        return schedule
+
+
+async def sleep_until(deadline):
+    """Return once a deadline on the boot-time clock has passed."""
+    while not deadline.expired():
+        await curio.sleep(min(POLL_SECONDS, deadline.remaining()))
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -44,7 +44,14 @@
 """
 
 
-def settings_text(name, host, store_port, retry_slack, failure_domain='a'):
+def settings_text(
+    name,
+    host,
+    store_port,
+    retry_slack,
+    failure_domain='a',
+    stop_seconds=STOP_SECONDS,
+):
     """Return the text of a router's settings file."""
     return SETTINGS.format(
         name=name,
@@ -53,7 +60,7 @@
         callers=CALLER_PORT,
         readiness=READINESS_PORT,
         store=store_port,
-        stop=STOP_SECONDS,
+        stop=stop_seconds,
         slack=retry_slack,
     )
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -42,8 +42,7 @@
         await self.runner.start()
         await self.store.put('servers', self.runner.id, self.runner.entry())
         await self.put_keys(1, [standins.KEY])
-        text = platform_processes.settings_text('r', HOST, self.store.port, 54)
-        self.path.write_text(text)
+        self.write_settings(platform_processes.STOP_SECONDS)
         self.program = subprocess.Popen(
             [sys.executable, platform_processes.PROGRAM],
             cwd=platform_processes.ROOT,
@@ -55,6 +54,13 @@
             assert not limit.expired()
             await curio.sleep(0.05)
 
+    def write_settings(self, stop_seconds):
+        """Write the settings file of the router."""
+        text = platform_processes.settings_text(
+            'r', HOST, self.store.port, 54, stop_seconds=stop_seconds
+        )
+        self.path.write_text(text)
+
     async def put_keys(self, version, keys):
         """Write a configuration with the given API keys."""
         spec = platform_processes.configuration(version, keys)
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -1,15 +1,33 @@
 """How much time a planned stop has, from the signal on."""
 
+import dataclasses
+import functools
 import os
+import signal
 import time
 
 import curio
+import pytest
 
 from celeryward import deadlines
+from celeryward import http
+from celeryward.operators import demo
 from celeryward import signals
 from tests import fakes
+from tests import platform_standins as standins
+from tests import test_pauses
 
 BUSY_SECONDS = 0.6
+LATE_SECONDS = 2.0
+SUSPENDED_SECONDS = 100.0
+TIMEOUT_MILLISECONDS = 15000
+SHORT_STOP_SECONDS = 4.0
+PAUSE_SECONDS = 2.0
+
+
+@pytest.fixture
+def site():
+    return standins.default_site()
 
 
 class TestSignalReceiver:
@@ -34,3 +52,169 @@
             before = receiver.none_before
             receiver.look()
             assert receiver.none_before > before
+
+
+class TestSchedule:
+    """Guards against a stop that lasts longer than the platform allows."""
+
+    @standins.on_site
+    async def test_stop_counts_from_the_signal_that_was_learned_late(
+        self, site
+    ):
+        began = time.monotonic()
+        pending, stopping = await begin_mute_stop(
+            site, deadlines.BootDeadline.now() - LATE_SECONDS
+        )
+        head, _ = await pending.join()
+        await stopping.join()
+        assert head.status == 502
+        left = standins.BOUNDS.stop_seconds - LATE_SECONDS
+        assert time.monotonic() - began < left
+
+    @standins.on_site
+    async def test_suspended_time_counts(self, site, monkeypatch):
+        pending, stopping = await begin_mute_stop(site)
+        await curio.sleep(0.1)
+        began = time.monotonic()
+        boot_seconds = deadlines.BootDeadline.now
+        monkeypatch.setattr(
+            deadlines.BootDeadline,
+            'now',
+            staticmethod(lambda: boot_seconds() + SUSPENDED_SECONDS),
+        )
+        head, _ = await pending.join()
+        await stopping.join()
+        assert head.status == 502
+        assert time.monotonic() - began < 1.0
+
+    @standins.on_site
+    async def test_second_stop_and_changed_bounds_keep_the_schedule(
+        self, site
+    ):
+        """A second signal, and SIGHUPs with other bounds, during a stop."""
+        began = time.monotonic()
+        pending, stopping = await begin_mute_stop(site)
+        schedule = site.router.stop_state.schedule
+        bounds = dataclasses.replace(site.bounds, stop_seconds=60.0)
+        site.bounds = bounds
+        site.router.reload()
+        assert site.router.placement.bounds.stop_seconds == 60.0
+        await curio.sleep(0.2)
+        await site.router.stop()
+        assert site.router.stop_state.schedule is schedule
+        head, _ = await pending.join()
+        await stopping.join()
+        assert head.status == 502
+        assert time.monotonic() - began < standins.BOUNDS.stop_seconds
+
+
+class TestDaemon:
+    """Guards against a daemon that outlasts its drain timeout."""
+
+    def test_drain_timeout_counts_from_the_signal(self, run):
+        async def test():
+            cluster = demo.Cluster()
+            cluster.large.token_seconds = 5.0
+            await cluster.start()
+            daemon = cluster.daemon
+            example = demo.chat_example('', 'large', 'x')
+            sending = await curio.spawn(
+                demo.send_example, daemon.listener.port, example
+            )
+            await standins.wait_until(lambda: daemon.caller_server.active)
+            drain_seconds = daemon.settings.timings.drain_timeout
+            signalled_at = deadlines.BootDeadline.now() - drain_seconds + 0.2
+            began = time.monotonic()
+            assert await daemon.stop(signalled_at) == 1
+            assert time.monotonic() - began < 1.5
+            head, _ = await sending.join()
+            assert head.status == 502
+            await cluster.stop()
+
+        run(test)
+
+
+class StoppedSite(test_pauses.PausedSite):
+    """A router in a process that has little time to stop."""
+
+    def write_settings(self, stop_seconds):
+        super().write_settings(SHORT_STOP_SECONDS)
+
+    async def put_keys(self, version, keys):
+        await self.store.put('config', 'main', patient_configuration(version))
+
+
+class TestPausedProcess:
+    """Guards against a process that learns late that it has to stop."""
+
+    @fakes.in_kernel
+    async def test_requests_are_answered_before_the_process_is_killed(
+        self, tmp_path
+    ):
+        """SIGTERM came in a pause; the stop counted from its end."""
+        site = StoppedSite(tmp_path / 'router.toml')
+        try:
+            await site.start()
+            site.runner.default_action = standins.never_respond
+            limit = deadlines.Deadline.after(20.0)
+            connection = await http.connect(*test_pauses.ADDRESS, limit)
+            pending = await curio.spawn(
+                functools.partial(
+                    standins.request,
+                    connection,
+                    '/once/x',
+                    'POST',
+                    celeryward_deadline_ms=str(TIMEOUT_MILLISECONDS),
+                )
+            )
+            await curio.sleep(0.4)
+            await site.pause()
+            site.program.send_signal(signal.SIGTERM)
+            killed_at = deadlines.Deadline.after(SHORT_STOP_SECONDS)
+            before = len(site.runner.arrivals)
+            await curio.sleep(PAUSE_SECONDS)
+            site.program.send_signal(signal.SIGCONT)
+            head, _ = await curio.timeout_after(
+                killed_at.remaining(), pending.join
+            )
+            await connection.close()
+            assert (head.status, before) == (502, 2)
+            while site.program.poll() is None:
+                assert not killed_at.expired()
+                await curio.sleep(0.01)
+            assert site.program.returncode == 0
+        finally:
+            await site.stop()
+
+
+def patient_configuration(version):
+    """Return a configuration whose routes outlast the stop."""
+    spec = standins.configuration(version)
+    for route in spec['routes']:
+        route['timeoutMs'] = TIMEOUT_MILLISECONDS
+    return spec
+
+
+async def begin_mute_stop(site, *signalled_after):
+    """Begin a stop while no endpoint responds to a request.
+
+    Returns the tasks of the request and of the stop.
+    """
+    for runner in site.runners.values():
+        runner.default_action = standins.never_respond
+    await site.store.put('config', 'main', patient_configuration(2))
+    await standins.wait_until(
+        lambda: site.router.configuration.current.version == 2
+    )
+    pending = await curio.spawn(
+        functools.partial(
+            site.request,
+            '/once/x',
+            'POST',
+            celeryward_deadline_ms=str(TIMEOUT_MILLISECONDS),
+        )
+    )
+    await standins.wait_until(site.arrivals)
+    stopping = await curio.spawn(site.router.stop, *signalled_after)
+    await standins.wait_until(lambda: site.router.gateway.draining)
+    return pending, stopping
