Remove a stopping router from the store beside its other steps

Router.stop waited for the removal of its entry before it took the next step. With a mute store, a router that accepts for 0.3 s took connections for 1 s, the timeout of the call, and everything after it was late as well. The removal now runs beside the other steps and is given up when the stop ends.

tests/test_stop_schedule.py TestRemoval: the mute store failed before.

--- a/celeryward/router_shutdown.py
+++ b/celeryward/router_shutdown.py
@@ -40,7 +40,10 @@
             return
         started = time.monotonic()
         schedule = self.begin(signalled_after)
-        await router.view.deregister()
+        # The store may be slow, and nothing else depends on the removal.
+        removal = await router.supervisor.spawn(
+            'deregister', router.view.store.peer, router.view.deregister
+        )
         await sleep_until(schedule.accept_until)
         router.gateway.refuse_new()
         await router.caller_listener.stop_accepting()
@@ -50,7 +53,9 @@
         await router.gateway.close_idle()
         cut_off = len(router.gateway.active)
         await router.gateway.fail_active()
-        for task in router.tasks:
+        async with curio.ignore_after(schedule.finish_by.remaining()):
+            await removal.wait()
+        for task in (removal, *router.tasks):
             await task.cancel()
         self.log.info(
             'router stopped after {:.1f} s; {} requests cut off',
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -6,10 +6,12 @@
 import signal
 import time
 
+from adapter import translator
 import curio
 import pytest
 
 from celeryward import deadlines
+from celeryward import errors
 from celeryward import http
 from celeryward.operators import demo
 from celeryward import signals
@@ -218,3 +220,35 @@
     stopping = await curio.spawn(site.router.stop, *signalled_after)
     await standins.wait_until(lambda: site.router.gateway.draining)
     return pending, stopping
+
+
+class TestRemoval:
+    """Guards against a slow store that shifts all steps of a stop."""
+
+    @standins.on_site
+    async def test_mute_store_does_not_prolong_the_accepting(self, site):
+        """Connections were accepted until the call to the store timed out."""
+        kind = translator.Translator().kinds.routers
+        await standins.wait_until(
+            lambda: (kind, site.name) in site.store.objects
+        )
+        site.store.unresponsive_kinds = frozenset((kind,))
+        port = site.router.caller_listener.port
+        stopping = await curio.spawn(site.router.stop)
+        await curio.sleep(site.tuning.stop_accepting_after + 0.2)
+        with pytest.raises(errors.ConnectionFailed):
+            await http.connect(
+                '127.0.0.1',
+                port,
+                deadlines.Deadline.after(0.5),
+            )
+        await stopping.join()
+
+    @standins.on_site
+    async def test_router_is_removed_from_the_store(self, site):
+        kind = translator.Translator().kinds.routers
+        await standins.wait_until(
+            lambda: (kind, site.name) in site.store.objects
+        )
+        await site.router.stop()
+        assert (kind, site.name) not in site.store.objects
