Answer the requests that a stop cuts off all at once, and truthfully

The router answered them in turn without a limit of time: one caller that didn't read kept all others from their answer until the process was killed. Their work went on meanwhile, and all were told that nothing is known, also those that had never been passed on to an endpoint; a caller whose request was being read got no answer at all.

callers.cut_offs ends them for the router and the daemon. The task of each connection is cancelled, which ends its dispatches, and then answers its own caller in a bounded time. A request without a dispatch is refused as not run; after the cancellation it can't be dispatched any more. The daemon writes no error behind a write that was cancelled, which may have sent some of its bytes. The router knows the dispatches from `responder.relayed`, which the relay has to set; until it does, its requests are told that nothing is known.

Reading a request moves from the gateway to callers.request_reader.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -3,37 +3,28 @@
 One task serves each connection.
 """
 
-import dataclasses
+import functools
 import time
 
 import curio
 import h11
 
+from celeryward.callers import cut_offs
 from celeryward.callers import idle_timeout
+from celeryward.callers import request_reader
 from celeryward.callers import responses
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
-from celeryward import ingress
 from celeryward import listener
 from celeryward import logs
 from celeryward import stopping
 
-# Time in which a request body must be complete.
-BODY_READ_SECONDS = 10.0
 # Retry delay that a stopping router sends: other routers take new connections.
 STOPPING_RETRY_SECONDS = 0.1
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReceivedRequest:
-    """A complete request of a caller."""
-
-    head: http.Request
-    body: bytes
-
-
 class Gateway:
     """Serves connections of callers.
 
@@ -49,21 +40,15 @@
 
     def __init__(self, relay, configuration, metrics, stop=None):
         self.relay = relay
-        self.configuration = configuration
+        self.reader = request_reader.RequestReader(configuration)
         self.idle_timeout = idle_timeout.IdleTimeout(configuration)
         self.metrics = metrics
         self.stop = stop or stopping.StopState()
         self.draining = False
         self.refusing = False
         self.active = {}
-        self.starts = {}
         self.tasks = {}
 
-    def limits(self):
-        """Return the :class:`ingress.CallerLimits` in force."""
-        current = self.configuration.current
-        return current.limits if current else ingress.CallerLimits()
-
     async def handle(self, connection):
         """Serve one connection to its end, in the task that calls this."""
         self.tasks[connection] = await curio.current_task()
@@ -106,7 +91,13 @@
     async def serve_request(self, connection):
         """Serve one request; return whether the connection stays open."""
         try:
-            received = await self.read_request(connection)
+            received = await self.reader.read(connection)
+        except curio.TaskCancelled:
+            error = cut_offs.make_error(False, connection.peer)
+            await cut_offs.answer(
+                functools.partial(self.reject, connection), error
+            )
+            raise
         except errors.CelerywardError as error:
             if isinstance(error, CONNECTION_ERRORS):
                 raise
@@ -121,11 +112,12 @@
             connection, received.head.method, self.is_draining
         )
         self.active[connection] = responder
-        self.starts[connection] = self.stop.request_start()
+        start = self.stop.request_start()
         try:
             await self.serve_while_connected(connection, received, responder)
-        finally:
-            del self.starts[connection]
+        except curio.TaskCancelled:
+            await self.answer_cut_off(responder, start)
+            raise
         return responder.finished and not responder.announced_close
 
     async def reject(self, connection, error):
@@ -134,72 +126,17 @@
             return
         await responses.Responder(connection).send_error(error)
 
-    async def read_request(self, connection):
-        """Return the next request, or None if the connection was closed.
-
-        :raises errors.BadInput: if it exceeds a limit or is malformed.
-        :raises errors.RequestReadTimeout: if it is not complete in time.
-        """
-        limits = self.limits()
-        deadline = deadlines.Deadline.after(limits.head_seconds)
-        try:
-            head = await connection.receive_request(deadline)
-        except http.ReadTimeout as error:
-            raise errors.RequestReadTimeout(
-                'request head was not complete in time',
-                step=error.step,
-                peer=error.peer,
-            ) from error
-        except errors.ProtocolError as error:
-            raise head_error(error) from error
-        if head is None:
-            return None
-        check_head(head, limits, connection.peer)
-        body = await self.read_body(connection, head, limits)
-        return ReceivedRequest(head, body)
-
-    async def read_body(self, connection, head, limits):
-        """Return the body of a request.
-
-        :raises errors.BodyTooLarge: if it exceeds the limit.
-        :raises errors.BadInput: if it is malformed.
-        :raises errors.RequestReadTimeout: if it is not complete in time.
-        """
-        declared = head.headers.get('content-length', '0')
-        if declared.isdigit() and int(declared) > limits.body_bytes:
-            raise body_too_large(limits.body_bytes, connection.peer)
-        if connection.h11.they_are_waiting_for_100_continue:
-            await connection.send(
-                'send continue',
-                h11.InformationalResponse(status_code=100, headers=[]),
-            )
-        deadline = deadlines.Deadline.after(BODY_READ_SECONDS)
-        try:
-            return await connection.receive_body(
-                'read request', deadline, limits.body_bytes
-            )
-        except http.ReadTimeout as error:
-            raise errors.RequestReadTimeout(
-                'request body was not complete in time',
-                step=error.step,
-                peer=error.peer,
-            ) from error
-        except errors.BadInput as error:
-            raise body_too_large(limits.body_bytes, connection.peer) from error
-        except errors.ProtocolError as error:
-            raise errors.BadInput(
-                error.message, step=error.step, peer=error.peer
-            ) from error
-
     async def serve_while_connected(self, connection, received, responder):
         """Serve a request; cancel it if the caller closes the connection."""
         started = time.monotonic()
         group = curio.TaskGroup(wait=any)
-        async with group:
-            serving = await group.spawn(self.serve, received, responder)
-            await group.spawn(connection.wait_closed)
-        responder.caller_left = group.completed is not serving
-        self.record_end(responder, started)
+        try:
+            async with group:
+                serving = await group.spawn(self.serve, received, responder)
+                await group.spawn(connection.wait_closed)
+            responder.caller_left = group.completed is not serving
+        finally:
+            self.record_end(responder, started)
 
     async def serve(self, received, responder):
         """Relay a request, or send an error if that fails."""
@@ -328,86 +265,41 @@
                 retry_at=deadlines.Deadline.after(STOPPING_RETRY_SECONDS),
             )
 
-    async def fail_active(self):
-        """Send an error for each request that can't be finished.
-
-        A request that may have run is not reported as not run.
-        """
-        for connection, responder in tuple(self.active.items()):
-            if responder is None:
-                continue
-            self.log_cut_off(responder, self.starts[connection])
-            error = errors.OutcomeUnknown(
-                'router stopped before the answer was complete',
-                step='stop',
-                peer=responder.connection.peer,
-            )
-            self.log_failure(responder, error)
-            await self.send_error_if_connected(responder, error)
+    async def answer_cut_off(self, responder, start):
+        """Send the error of a request that a stop cuts off.
 
-    def log_cut_off(self, responder, start):
-        """Log a request that a stop cuts off, and what it had of the stop.
+        Nothing works on the request any more.
 
         :param stopping.RequestStart start: when it began.
         """
+        if responder.finished or responder.caller_left:
+            return
         relayed = getattr(responder, 'relayed', None)
-        logs.bind(
+        error = cut_offs.make_error(
+            relayed is None or relayed.dispatches > 0,
+            responder.connection.peer,
+        )
+        cut_offs.log(
+            error,
+            start,
             request_id=responder.request_id,
-            step='stop',
-            peer=responder.connection.peer,
             route=responder.route,
             dispatches=relayed.dispatches if relayed else None,
             answer_begun=responder.started,
-            **start.log_fields(),
-        ).warning('request cut off by the stop')
-
-    async def close_idle(self):
-        """End the tasks of connections without a request."""
-        await listener.end_idle(self.tasks, self.active)
-
-
-def check_head(head, limits, peer):
-    """Reject a head that is too large or ambiguous.
-
-    A head that this router and an endpoint could interpret differently would
-    allow request smuggling.
-
-    :raises errors.HeadTooLarge: if it exceeds the limit.
-    :raises errors.BadInput: if it has both Content-Length and
-        Transfer-Encoding, or more than one Host.
-    """
-    size = sum(len(name) + len(value) + 4 for name, value in head.lines)
-    if size + len(head.target) > limits.head_bytes:
-        raise errors.HeadTooLarge(
-            f'request head is larger than {limits.head_bytes} bytes',
-            step='read request',
-            peer=peer,
-        )
-    names = [name.lower() for name, _ in head.lines]
-    ambiguous = (
-        b'transfer-encoding' in names and b'content-length' in names
-    ) or names.count(b'host') > 1
-    if ambiguous:
-        raise errors.BadInput(
-            'request has Content-Length and Transfer-Encoding, or more than'
-            ' one Host',
-            step='read request',
-            peer=peer,
         )
+        self.log_failure(responder, error)
+        send = functools.partial(self.send_error_if_connected, responder)
+        await cut_offs.answer(send, error)
 
+    async def cut_off_active(self):
+        """End all requests; each connection's task answers its caller.
 
-def head_error(error):
-    """Return the error for a head that h11 rejects."""
-    cause = error.__cause__
-    too_long = getattr(cause, 'error_status_hint', 400) == 431
-    kind = errors.HeadTooLarge if too_long else errors.BadInput
-    return kind(error.message, step=error.step, peer=error.peer)
-
+        :returns: the number of requests that were read as a whole.
+        """
+        cut_off = sum(each is not None for each in self.active.values())
+        await cut_offs.cancel(map(self.tasks.get, self.active))
+        return cut_off
 
-def body_too_large(limit, peer):
-    """Return the error for a body above the limit."""
-    return errors.BodyTooLarge(
-        f'request body is larger than {limit} bytes',
-        step='read request',
-        peer=peer,
-    )
+    async def close_idle(self):
+        """End the tasks of connections without a request."""
+        await listener.end_idle(self.tasks, self.active)
--- a/celeryward/callers/request_handler.py
+++ b/celeryward/callers/request_handler.py
@@ -134,6 +134,7 @@
             idempotency_key=head.headers.get('idempotency-key', ''),
             priority=protocol.decode_priority(head.headers, customer, peer),
             digest=batches.digest_request(head.method, head.target, body),
+            progress=responder.progress,
         )
         catalog = self.configuration.catalog()
         route = errors.unwrap(
@@ -339,6 +340,7 @@
             idempotency_key=head.headers.get('idempotency-key', ''),
             priority=protocol.decode_priority(head.headers, customer, peer),
             digest=batches.digest_request(head.method, head.target, body),
+            progress=responder.progress,
         )
         with self.admitted(customer, name):
             run = functools.partial(self.run_service, call)
--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -5,8 +5,10 @@
 import curio
 import h11
 
+from celeryward.callers import cut_offs
 from celeryward.callers import protocol
 from celeryward.callers import responses
+from celeryward import calls
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
@@ -19,14 +21,14 @@
 # announces that the connection closes.
 LAST_REQUESTS_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.05
-# Time for the errors of requests that a stop cuts off. A caller that doesn't
-# read must not keep the daemon.
-LAST_ERRORS_SECONDS = 0.5
 
 
 class Responder:
     """Writes the response to one request.
 
+    ``progress`` is what has been done for the request, and ``writing`` tells
+    whether a write has not ended.
+
     :param Connection connection: the connection of the caller.
     :param str request_id: sent in each response.
     :param closes_connection: function that returns whether a response
@@ -45,8 +47,10 @@
         self.request_id = request_id
         self.closes_connection = closes_connection
         self.start = start
+        self.progress = calls.Progress()
         self.started = False
         self.finished = False
+        self.writing = False
 
     async def start_stream(self, headers):
         """Send the head of a streamed response."""
@@ -95,7 +99,8 @@
 
     async def send_error(self, error):
         """Send an error, as a response or as the last event of a stream."""
-        if self.finished:
+        if self.finished or self.writing:
+            # A write that was cancelled may have sent a part of its bytes.
             return
         if self.started:
             event = protocol.encode_error_event(error, self.request_id)
@@ -110,7 +115,9 @@
 
         :raises errors.CallerDisconnected: if the caller closed the connection.
         """
+        self.writing = True
         await responses.write(self.connection, *events)
+        self.writing = False
 
 
 class CallerServer:
@@ -151,35 +158,33 @@
                 await listener.end_idle(self.tasks, busy)
             await curio.sleep(STOP_POLL_SECONDS)
 
-    async def fail_active(self):
-        """Send an error for each request that can't be finished.
-
-        A request that may have run is not reported as not run.
+    async def cut_off_active(self):
+        """End all requests; each connection's task answers its caller.
 
         :returns: the number of these requests.
         """
-        cut_off = tuple(self.active)
-        async with curio.ignore_after(LAST_ERRORS_SECONDS):
-            async with curio.TaskGroup() as group:
-                for responder in cut_off:
-                    await group.spawn(self.fail_request, responder)
-        return len(cut_off)
-
-    async def fail_request(self, responder):
-        """Send the error of a request that a stop cuts off."""
-        error = errors.OutcomeUnknown(
-            'daemon stopped before the response was complete',
-            step='stop',
-            peer=responder.connection.peer,
-        )
-        logs.bind_error(
+        connections = {responder.connection for responder in self.active}
+        await cut_offs.cancel(map(self.tasks.get, connections))
+        return len(connections)
+
+    async def answer_cut_off(self, responder):
+        """Send the error of a request that a stop cuts off.
+
+        Nothing works on the request any more.
+        """
+        if responder.finished:
+            return
+        dispatches = responder.progress.dispatches
+        error = cut_offs.make_error(dispatches > 0, responder.connection.peer)
+        cut_offs.log(
             error,
+            responder.start,
             request_id=responder.request_id,
+            dispatches=dispatches,
             answer_begun=responder.started,
-            **responder.start.log_fields(),
-        ).warning('request cut off by the stop')
+        )
         with contextlib.suppress(errors.CallerDisconnected, h11.ProtocolError):
-            await responder.send_error(error)
+            await cut_offs.answer(responder.send_error, error)
 
     async def handle(self, connection):
         """Serve one connection to its end, in the task that calls this."""
@@ -226,6 +231,9 @@
             await self.route_request(connection, head, responder)
         except errors.CallerDisconnected:
             raise
+        except curio.TaskCancelled:
+            await self.answer_cut_off(responder)
+            raise
         except errors.CelerywardError as error:
             logs.bind_error(error, request_id=request_id).info(
                 'request failed: {} {}', error.code, error.message
--- a/celeryward/calls.py
+++ b/celeryward/calls.py
@@ -53,6 +53,16 @@
     idempotent: bool
 
 
+class Progress:
+    """What has been done for a request so far.
+
+    ``dispatches`` counts the times that it was passed on to an endpoint.
+    """
+
+    def __init__(self):
+        self.dispatches = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """One request of an authenticated customer.
@@ -65,6 +75,7 @@
     :param usage_record: :class:`accounting.UsageRecord`, with the outcome and
         cost of the request, or None.
     :param str digest: digest of method, target and body.
+    :param Progress progress: shared by all dispatches of the request.
     """
 
     request_id: str
@@ -77,6 +88,7 @@
     priority: int = 0
     usage_record: object = None
     digest: str = ''
+    progress: Progress = dataclasses.field(default_factory=Progress)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -278,7 +278,7 @@
         self.request_handler.stopping = True
         await self.listener.stop_accepting()
         await self.caller_server.end_connections(deadline)
-        cut_off = await self.caller_server.fail_active()
+        cut_off = await self.caller_server.cut_off_active()
         await self.listener.drain(deadlines.Deadline.after(0.0))
         self.replicas.mark_all_due()
         while not await self.flusher.flush() and not deadline.expired():
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -146,6 +146,7 @@
             await curio.sleep(PROBATION_POLL_SECONDS)
         attempt.candidate = chosen
         attempt.dispatches += 1
+        attempt.call.progress.dispatches += 1
         attempt.dispatched_at = time.monotonic()
         attempt.tried |= {chosen.endpoint.name}
         self.recovery.record_dispatch(attempt, isolation)
--- a/celeryward/router_shutdown.py
+++ b/celeryward/router_shutdown.py
@@ -51,8 +51,7 @@
             await router.gateway.close_idle()
             await curio.sleep(POLL_SECONDS)
         await router.gateway.close_idle()
-        cut_off = len(router.gateway.active)
-        await router.gateway.fail_active()
+        cut_off = await router.gateway.cut_off_active()
         async with curio.ignore_after(schedule.finish_by.remaining()):
             await removal.wait()
         for task in (removal, *router.tasks):
--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -1,15 +1,41 @@
 """What a stop leaves of the requests that it can't finish, and in the log."""
 
 import dataclasses
+import functools
 import json
+import time
 
 import curio
 import pytest
 
+from celeryward.endpoints import recovery
 from celeryward import logs
+from celeryward.operators import demo
 from tests import platform_standins as standins
 
 
+# Within which a router that has 1 s to stop has to be done.
+STOP_SECONDS = 1.5
+
+
+@pytest.fixture
+def with_cluster(run):
+    """Return a function that runs a test against a started cluster."""
+
+    def run_with(test):
+        async def body():
+            cluster = demo.Cluster()
+            await cluster.start()
+            try:
+                return await test(cluster)
+            finally:
+                await cluster.stop()
+
+        return run(body)
+
+    return run_with
+
+
 @pytest.fixture
 def site():
     return standins.default_site()
@@ -71,3 +97,158 @@
         assert cut_off['stop_left'] is None
         assert cut_off['seconds'] >= 0.5
         assert not cut_off['answer_begun']
+
+
+class TestAnswers:
+    """Guards against cut-off requests that get a wrong answer or none."""
+
+    @standins.on_site
+    async def test_caller_that_does_not_read_holds_up_no_answer(self, site):
+        """The requests were answered one after the other, without a limit."""
+        shorten_stop(site, 1.0)
+        mute(site)
+        blocked = await curio.spawn(site.request, '/whole/x')
+        await standins.wait_until(site.arrivals)
+        (connection,) = site.router.gateway.active
+        connection.send = never_end
+        pending = await curio.spawn(site.request, '/whole/x')
+        await standins.wait_until(lambda: len(site.arrivals()) == 2)
+        began = time.monotonic()
+        stopping = await curio.spawn(site.router.stop)
+        head, _ = await curio.timeout_after(
+            STOP_SECONDS, functools.partial(pending.join)
+        )
+        assert head.status == 502
+        await curio.timeout_after(STOP_SECONDS, stopping.join)
+        assert time.monotonic() - began < STOP_SECONDS
+        await blocked.cancel()
+
+    @pytest.mark.parametrize(('dispatches', 'status'), ((0, 503), (1, 502)))
+    @standins.on_site
+    async def test_only_a_request_that_was_not_passed_on_is_refused(
+        self, site, dispatches, status
+    ):
+        """Both were told that nothing is known of them."""
+        shorten_stop(site, 1.0)
+        site.router.gateway.relay = StuckRelay(site.router.relay, dispatches)
+        pending = await curio.spawn(site.request, '/once/x', 'POST')
+        await standins.wait_until(lambda: site.router.gateway.active)
+        await site.router.stop()
+        head, _ = await pending.join()
+        assert head.status == status
+        assert ('retry-after' in head.headers) == (status == 503)
+
+    @standins.on_site
+    async def test_refused_request_is_not_passed_on_later(self, site):
+        shorten_stop(site, 0.6)
+        relay = StuckRelay(site.router.relay, 0)
+        site.router.gateway.relay = relay
+        pending = await curio.spawn(site.request, '/once/x', 'POST')
+        await standins.wait_until(lambda: site.router.gateway.active)
+        await site.router.stop()
+        await pending.join()
+        assert relay.ended
+
+    @standins.on_site
+    async def test_request_that_is_being_read_is_refused(self, site):
+        """Its connection was closed without an answer."""
+        shorten_stop(site, 1.0)
+        connection = await site.connect()
+        await connection.sock.sendall(b'POST /once/x HTTP/1.1\r\nHost: ')
+        await standins.wait_until(lambda: site.router.gateway.active)
+        await site.router.stop()
+        received = await curio.timeout_after(1.0, connection.sock.recv, 4096)
+        assert received.startswith(b'HTTP/1.1 503')
+        await connection.close()
+
+
+class StuckRelay:
+    """Relay that keeps each request until it is cancelled.
+
+    :param int dispatches: dispatches that each request has had.
+    """
+
+    def __init__(self, relay, dispatches):
+        self.admission = relay.admission
+        self.dispatches = dispatches
+        self.ended = False
+
+    async def serve(self, head, body, responder):
+        responder.relayed = self
+        try:
+            await curio.Event().wait()
+        finally:
+            self.ended = True
+
+
+async def never_end(*arguments):
+    """Behave as a write to a caller that doesn't read."""
+    await curio.Event().wait()
+
+
+class TestDaemon:
+    """Guards against cut-off requests that get a wrong answer or none."""
+
+    async def cut_off(self, cluster, prepare, example):
+        """Return head and body of a request that a stop cuts off."""
+        daemon = cluster.daemon
+        timings = dataclasses.replace(
+            daemon.settings.timings, drain_timeout=0.3
+        )
+        daemon.settings = dataclasses.replace(daemon.settings, timings=timings)
+        sending = await curio.spawn(
+            demo.send_example, daemon.listener.port, example
+        )
+        await standins.wait_until(lambda: daemon.caller_server.active)
+        await prepare(daemon)
+        await daemon.stop()
+        return await sending.join()
+
+    @pytest.mark.parametrize('dispatched', (False, True))
+    def test_only_a_request_that_was_not_passed_on_is_refused(
+        self, with_cluster, dispatched
+    ):
+        async def test(cluster):
+            cluster.large.token_seconds = 5.0
+            if not dispatched:
+                cluster.daemon.recovery.isolation = undecided
+            example = demo.chat_example('', 'large', 'x')
+            head, _ = await self.cut_off(cluster, settle, example)
+            assert head.status == (502 if dispatched else 503)
+            execution = 'unknown' if dispatched else 'not-run'
+            assert head.headers['x-execution'] == execution
+
+        with_cluster(test)
+
+    def test_caller_that_does_not_read_holds_up_no_answer(self, with_cluster):
+        async def test(cluster):
+            cluster.large.token_seconds = 5.0
+            example = demo.chat_example('', 'large', 'x')
+
+            async def block(daemon):
+                (responder,) = daemon.caller_server.active
+                responder.connection.send = never_end
+                self.second = await curio.spawn(
+                    demo.send_example, daemon.listener.port, example
+                )
+                await standins.wait_until(
+                    lambda: len(daemon.caller_server.active) == 2
+                )
+
+            first = await curio.spawn(self.cut_off, cluster, block, example)
+            await curio.sleep(0.1)
+            head, _ = await curio.timeout_after(2.0, self.second.join)
+            assert head.status == 502
+            await first.cancel()
+
+        with_cluster(test)
+
+
+def undecided(attempt):
+    """Return an isolation in which a request waits for a verdict."""
+    return recovery.Isolation(undecided=True)
+
+
+async def settle(daemon):
+    """Let a request get to the place at which it is cut off."""
+    await curio.sleep(0.2)
