Let a stopping daemon begin only work that it can finish

A daemon that stops refused new requests, but everything that began later for those that it had taken was begun whatever it takes: requests that waited in the queue of their model, retries, the rest of broken streams, larger models, and requests that must not run twice. They were cut off at the drain timeout; a caller of a cascade got 502 in place of the small model's answer.

All of them pass Dispatcher.select_candidate, which now asks CompletionCheck with what the request is: a request to a service that must not run twice needs its whole deadline, a streamed chat almost all of the usual time. How long dispatches take is recorded where they end. Requests in a queue are judged when the stop begins, and again when they start.

--- a/celeryward/callers/model_queues.py
+++ b/celeryward/callers/model_queues.py
@@ -13,10 +13,16 @@
 class Waiter:
     """Wakes the task of one queued request.
 
+    :param queues.Ticket ticket: its place in the queue.
+    :param calls.Call call: the request.
+    :param str model: name of the model that it waits for.
     :ivar error: why the request can't start; None if it has a slot.
     """
 
-    def __init__(self):
+    def __init__(self, ticket, call, model):
+        self.ticket = ticket
+        self.call = call
+        self.model = model
         self.event = curio.Event()
         self.error = None
 
@@ -95,7 +101,7 @@
         now = time.monotonic()
         weight = queues.share_weight(call.customer.priority)
         displaced = errors.unwrap(queue.offer(ticket, weight, now))
-        waiter = self.waiters[ticket.number] = Waiter()
+        waiter = self.waiters[ticket.number] = Waiter(ticket, call, model)
         if displaced is not None:
             wait = queue.mean_seconds or 0.0
             await self.wake(displaced, queue.queue_full_error(wait, now))
@@ -139,6 +145,19 @@
                 return
             await self.wake(ticket)
 
+    async def refuse_waiting(self, check):
+        """Refuse the waiting requests that can't be finished.
+
+        :param check: function of a call and a model that raises
+            :class:`errors.NotRun` for such a request.
+        """
+        for waiter in tuple(self.waiters.values()):
+            try:
+                check(waiter.call, waiter.model)
+            except errors.NotRun as error:
+                self.queues[waiter.model].cancel(waiter.ticket)
+                await self.wake(waiter.ticket, error)
+
     async def wake(self, ticket, error=None):
         """Wake the task that waits with a ticket."""
         await self.waiters.pop(ticket.number).wake(error)
--- a/celeryward/callers/request_handler.py
+++ b/celeryward/callers/request_handler.py
@@ -105,6 +105,12 @@
         finally:
             self.limiter.release(customer, time.monotonic() - started)
 
+    async def refuse_unfinishable(self):
+        """Refuse the requests in queues that a stop would cut off."""
+        await self.model_queues.refuse_waiting(
+            self.dispatcher.check_completion
+        )
+
     def billing_day(self):
         """Return the day that costs are charged to."""
         return limits.day_of(self.clock())
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -10,6 +10,7 @@
 from celeryward.callers import request_handler
 from celeryward.callers import server
 from celeryward.callers import sessions
+from celeryward import completion
 from celeryward.daemons import control
 from celeryward.daemons import copies
 from celeryward.daemons import topics
@@ -143,6 +144,7 @@
             self.pool,
             timings,
             self.recovery,
+            completion.CompletionCheck(self.stop_state),
         )
         rater = rater_client.RaterClient(
             settings.raters, timings.rating_timeout
@@ -276,6 +278,7 @@
         self.stopped = True
         deadline = self.begin_stop(signalled_after).finish_by
         self.request_handler.stopping = True
+        await self.request_handler.refuse_unfinishable()
         await self.listener.stop_accepting()
         await self.caller_server.end_connections(deadline)
         cut_off = await self.caller_server.cut_off_active()
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -8,11 +8,14 @@
 import result
 
 from celeryward import calls
+from celeryward import completion
 from celeryward.endpoints import candidates
 from celeryward.endpoints import load
 from celeryward.endpoints import pool
 from celeryward.endpoints import protocol
+from celeryward.endpoints import work
 from celeryward import errors
+from celeryward import stopping
 
 # A probation ends with a first token, which takes about 0.1 s.
 PROBATION_POLL_SECONDS = 0.02
@@ -34,14 +37,26 @@
     :param candidates.EndpointView view: state of the endpoints.
     :param pool.EndpointPool connections: connections to endpoints.
     :param recovery.Recovery recovery: decides what follows a failed dispatch.
+    :param completion.CompletionCheck check: None for one without a stop.
     """
 
-    def __init__(self, configuration, view, connections, timings, recovery):
+    def __init__(
+        self,
+        configuration,
+        view,
+        connections,
+        timings,
+        recovery,
+        check=None,
+    ):
         self.configuration = configuration
         self.view = view
         self.connections = connections
         self.timings = timings
         self.recovery = recovery
+        self.completion = check or completion.CompletionCheck(
+            stopping.StopState()
+        )
         self.observer = None
 
     async def select_endpoint(self, attempt):
@@ -118,6 +133,7 @@
 
         :raises errors.HarmfulRequest: if the request crashes endpoints.
         :raises errors.DeadlineExceeded: if the deadline has passed.
+        :raises errors.ShuttingDown: if a stop would cut the request off.
         :raises errors.Overloaded: if there is no candidate.
         """
         while True:
@@ -127,6 +143,7 @@
                     step='select',
                     peer=attempt.model,
                 )
+            self.check_completion(attempt.call, attempt.model)
             self.ensure_runnable(attempt)
             isolation = self.recovery.isolation(attempt)
             if isolation.undecided:
@@ -152,6 +169,14 @@
         self.recovery.record_dispatch(attempt, isolation)
         return chosen
 
+    def check_completion(self, call, target):
+        """Check that a dispatch that begins now can be finished.
+
+        :param str target: name of the model or the service.
+        :raises errors.ShuttingDown: if a stop would cut it off.
+        """
+        self.completion.check(work.of_call(call, target), target)
+
     def select(self, attempt, isolation):
         """Return the best candidate, or None."""
         if isolation.crashed_endpoints:
@@ -314,9 +339,10 @@
                 endpoint, call.deadline, new_connection
             ) as connection:
                 yield connection
-            self.view.load.record_service_time(
-                endpoint.name, time.monotonic() - started
-            )
+            seconds = time.monotonic() - started
+            self.view.load.record_service_time(endpoint.name, seconds)
+            kind = work.of_call(call, attempt.model).kind
+            self.completion.record(kind, seconds)
             self.recovery.record_response(attempt)
         except errors.EndpointFailure:
             # Recovery examines the failure and then ends the probation.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 from celeryward import deadlines
 from celeryward import logs
+from celeryward.operators import demo
 from celeryward.standins import fleet
 from tests import fakes
 
@@ -64,3 +65,21 @@
         return run(body)
 
     return run_with
+
+
+@pytest.fixture
+def with_cluster(run):
+    """Return a function that runs a test against a started cluster."""
+
+    def run_with(test):
+        async def body():
+            cluster = demo.Cluster()
+            await cluster.start()
+            try:
+                return await test(cluster)
+            finally:
+                await cluster.stop()
+
+        return run(body)
+
+    return run_with
--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -18,24 +18,6 @@
 STOP_SECONDS = 1.5
 
 
-@pytest.fixture
-def with_cluster(run):
-    """Return a function that runs a test against a started cluster."""
-
-    def run_with(test):
-        async def body():
-            cluster = demo.Cluster()
-            await cluster.start()
-            try:
-                return await test(cluster)
-            finally:
-                await cluster.stop()
-
-        return run(body)
-
-    return run_with
-
-
 @pytest.fixture
 def site():
     return standins.default_site()
