Check that further signals and other bounds don't move a stop

A router process gets SIGTERM, and while it stops three more, SIGHUPs and settings with 60, 1 and 30 s to stop.

--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -1,5 +1,6 @@
 """How much time a planned stop has, from the signal on."""
 
+import contextlib
 import dataclasses
 import functools
 import os
@@ -140,11 +141,52 @@
     """A router in a process that has little time to stop."""
 
     def write_settings(self, stop_seconds):
-        super().write_settings(SHORT_STOP_SECONDS)
+        self.write_bounds(SHORT_STOP_SECONDS)
+
+    def write_bounds(self, stop_seconds):
+        """Write the settings file with another time to stop."""
+        super().write_settings(stop_seconds)
 
     async def put_keys(self, version, keys):
         await self.store.put('config', 'main', patient_configuration(version))
 
+    async def ask(self):
+        """Send a request that outlasts the stop; return its response."""
+        limit = deadlines.Deadline.after(20.0)
+        connection = await http.connect(*test_pauses.ADDRESS, limit)
+        try:
+            return await standins.request(
+                connection,
+                '/once/x',
+                'POST',
+                celeryward_deadline_ms=str(TIMEOUT_MILLISECONDS),
+            )
+        finally:
+            await connection.close()
+
+    async def check_end(self, pending, killed_at):
+        """Check that a request is answered and the process ends in time."""
+        head, _ = await curio.timeout_after(
+            killed_at.remaining(), pending.join
+        )
+        assert head.status == 502
+        while self.program.poll() is None:
+            assert not killed_at.expired()
+            await curio.sleep(0.01)
+        assert self.program.returncode == 0
+
+
+@contextlib.asynccontextmanager
+async def stopped_site(path):
+    """Yield a started site whose endpoint doesn't respond."""
+    site = StoppedSite(path / 'router.toml')
+    try:
+        await site.start()
+        site.runner.default_action = standins.never_respond
+        yield site
+    finally:
+        await site.stop()
+
 
 class TestPausedProcess:
     """Guards against a process that learns late that it has to stop."""
@@ -154,39 +196,35 @@
         self, tmp_path
     ):
         """SIGTERM came in a pause; the stop counted from its end."""
-        site = StoppedSite(tmp_path / 'router.toml')
-        try:
-            await site.start()
-            site.runner.default_action = standins.never_respond
-            limit = deadlines.Deadline.after(20.0)
-            connection = await http.connect(*test_pauses.ADDRESS, limit)
-            pending = await curio.spawn(
-                functools.partial(
-                    standins.request,
-                    connection,
-                    '/once/x',
-                    'POST',
-                    celeryward_deadline_ms=str(TIMEOUT_MILLISECONDS),
-                )
-            )
-            await curio.sleep(0.4)
+        async with stopped_site(tmp_path) as site:
+            pending = await curio.spawn(site.ask)
+            await standins.wait_until(lambda: len(site.runner.arrivals) == 2)
             await site.pause()
             site.program.send_signal(signal.SIGTERM)
             killed_at = deadlines.Deadline.after(SHORT_STOP_SECONDS)
-            before = len(site.runner.arrivals)
             await curio.sleep(PAUSE_SECONDS)
             site.program.send_signal(signal.SIGCONT)
-            head, _ = await curio.timeout_after(
-                killed_at.remaining(), pending.join
-            )
-            await connection.close()
-            assert (head.status, before) == (502, 2)
-            while site.program.poll() is None:
-                assert not killed_at.expired()
-                await curio.sleep(0.01)
-            assert site.program.returncode == 0
-        finally:
-            await site.stop()
+            await site.check_end(pending, killed_at)
+
+
+class TestSignals:
+    """Guards against signals in a stop that start it again or lose it."""
+
+    @fakes.in_kernel
+    async def test_further_signals_and_other_bounds_change_nothing(
+        self, tmp_path
+    ):
+        async with stopped_site(tmp_path) as site:
+            pending = await curio.spawn(site.ask)
+            await standins.wait_until(lambda: len(site.runner.arrivals) == 2)
+            site.program.send_signal(signal.SIGTERM)
+            killed_at = deadlines.Deadline.after(SHORT_STOP_SECONDS)
+            for stop_seconds in (60, 1, 30):
+                await curio.sleep(0.5)
+                site.write_bounds(stop_seconds)
+                site.program.send_signal(signal.SIGHUP)
+                site.program.send_signal(signal.SIGTERM)
+            await site.check_end(pending, killed_at)
 
 
 def patient_configuration(version):
