Let the planner ask the completion check before each dispatch

Callers saw: a request that a router reads early in its planned stop, and that takes longer than the stop, got 502 when the stop ended, also a POST that must not run twice; so did requests that were retried, resumed or taken from a queue during the stop.

Cause: until the router takes no more connections, each request was begun; nothing compared what it needs with what is left.

Change: every dispatch of the router is planned in one place, Planner.plan, which now asks CompletionCheck, with the time that whole requests and single runs of the route took lately. The deadlines of the stop are on the boot-time clock.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -3,6 +3,7 @@
 import contextlib
 import time
 
+from celeryward.callers import planning
 from celeryward.callers import relayed_requests
 from celeryward.endpoints import forwarding
 from celeryward import errors
@@ -33,7 +34,7 @@
         relayed.dispatches += 1
         self.log_dispatch(relayed, plan)
         dispatch = relayed_requests.Dispatch(
-            plan, self.begin_run(relayed, plan)
+            plan, self.begin_run(relayed, plan), time.monotonic()
         )
         relayed.running |= {plan.runner.id}
         try:
@@ -112,6 +113,7 @@
     def record_success(self, relayed, dispatch, answer):
         """Record a complete answer that was relayed."""
         plan = dispatch.plan
+        self.record_duration(relayed, dispatch)
         releases = self.router_state.releases
         releases.runs.end(dispatch.run)
         releases.record_session(
@@ -123,6 +125,14 @@
             relayed_requests.work_units(relayed.metadata),
         )
 
+    def record_duration(self, relayed, dispatch):
+        """Record how long a run and its whole request took."""
+        now = time.monotonic()
+        check = self.router_state.completion
+        kind = planning.run_kind(relayed, dispatch.plan.size)
+        check.record(kind, now - dispatch.began_at)
+        check.record(planning.whole_kind(relayed), now - relayed.started_at)
+
     def record_late_answer(self, dispatch):
         """Count an answer that is late against endpoint and version."""
         self.router_state.outcomes.record_failure(dispatch.plan.runner.id)
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from celeryward.callers import relayed_requests
+from celeryward import completion
 from celeryward import deadlines
 from celeryward.endpoints import reopening
 from celeryward.endpoints import selection
@@ -25,15 +26,17 @@
         self.router_state = router_state
         self.schedule = reopening.ReturnSchedule(router_state.closures.clock)
 
-    def plan(self, relayed):
+    def plan(self, relayed, least_seconds=0.0):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
 
         Prefers the software version that the releases choose, and takes
         any other if no endpoint of that version is available.
 
+        :param float least_seconds: time that must be left until the deadline.
         :raises errors.EndpointsClosed: if all endpoints are closed.
         :raises errors.Overloaded: if no endpoint can take the request.
-        :raises errors.DeadlineExceeded: if the deadline has passed.
+        :raises errors.DeadlineExceeded: if too little of the deadline is left.
+        :raises errors.ShuttingDown: if a stop would cut the request off.
         """
         if relayed.deadline.expired():
             raise errors.DeadlineExceeded(
@@ -43,6 +46,7 @@
                 retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
             )
         query = self.query(relayed)
+        self.check_completion(relayed, least_seconds)
         runner = selection.select(query)
         if runner is None and query.software and not selection.eligible(query):
             # Another version takes over for one that has no endpoint, but not
@@ -59,6 +63,17 @@
             selection.shortest_other_queue(query, runner),
         )
 
+    def check_completion(self, relayed, least_seconds=0.0):
+        """Check that the next dispatch of a request can be finished.
+
+        :param float least_seconds: as for :meth:`plan`.
+        :raises errors.DeadlineExceeded: if too little of the deadline is left.
+        :raises errors.ShuttingDown: if a stop would cut the request off.
+        """
+        self.router_state.completion.check(
+            work(relayed, least_seconds), relayed.route.name
+        )
+
     def query(self, relayed):
         """Return the :class:`selection.Query` of the next dispatch.
 
@@ -211,3 +226,35 @@
             sizes.Size(model, configured.cost_of(model))
             for model in relayed.route.sizes
         )
+
+
+def work(relayed, least_seconds=0.0):
+    """Return the :class:`completion.Work` of the next dispatch.
+
+    The first one stands for the whole request, larger models included.
+
+    :param float least_seconds: as for :class:`completion.Work`.
+    """
+    kind = whole_kind(relayed)
+    if relayed.dispatches:
+        kind = run_kind(relayed, relayed.size)
+    return completion.Work(
+        kind, relayed.deadline, completion_rule(relayed.route), least_seconds
+    )
+
+
+def whole_kind(relayed):
+    """Return the kind of work that a whole request is."""
+    return (relayed.route.name,)
+
+
+def run_kind(relayed, size):
+    """Return the kind of work that one run of a request is."""
+    return relayed.route.name, size.model if size else ''
+
+
+def completion_rule(route):
+    """Return the name of the rule for requests of a route."""
+    if route.retryable:
+        return 'repeatable'
+    return 'losable' if route.kind is ingress.RouteKind.STREAM else 'once'
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -42,10 +42,12 @@
     """One dispatch of a request.
 
     :param runs.Run run: counted for the endpoint's software version.
+    :param float began_at: monotonic seconds.
     """
 
     plan: Plan
     run: object
+    began_at: float
 
 
 class RelayedRequest:
--- a/celeryward/callers/reopening_waiter.py
+++ b/celeryward/callers/reopening_waiter.py
@@ -98,7 +98,9 @@
         """Queue a request; refuse those that can't be served in time.
 
         :raises errors.EndpointsClosed: if it is one of them itself.
+        :raises errors.ShuttingDown: if a stop would cut it off.
         """
+        self.planner.check_completion(relayed)
         openings = self.planner.openings(relayed)
         late = [ticket]
         if openings:
--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -31,6 +31,7 @@
     :param queues: :class:`queueing.QueueEstimates`.
     :param closures: :class:`closures.Closures`.
     :param estimates: :class:`reopening.ReopeningEstimates`.
+    :param completion: :class:`completion.CompletionCheck`.
     """
 
     failure_domain: str
@@ -44,6 +45,7 @@
     queues: object
     closures: object
     estimates: object
+    completion: object
 
 
 class AdmissionControl:
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -8,6 +8,7 @@
 from celeryward.callers import gateway
 from celeryward.callers import relay
 from celeryward.callers import router_admission
+from celeryward import completion
 from celeryward import deadlines
 from celeryward.endpoints import closures
 from celeryward.endpoints import fleet_retries
@@ -31,6 +32,7 @@
 from celeryward import router_metrics
 from celeryward.routers import departure_news
 from celeryward import signals
+from celeryward import stopping
 from celeryward import store_view
 from celeryward import supervision
 
@@ -67,6 +69,8 @@
         self.configuration = ingress.ConfigurationHolder()
         self.freshness = freshness.Freshness(self.key_age_limit())
         self.endpoint_freshness = freshness.Freshness()
+        self.stop_state = stopping.StopState()
+        self.completion = completion.CompletionCheck(self.stop_state)
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.OutcomeTracker()
         self.queues = queueing.QueueEstimates()
@@ -127,6 +131,7 @@
                 self.queues,
                 self.closures,
                 self.estimates,
+                self.completion,
             ),
             self.forwarder,
             translator,
@@ -276,21 +281,17 @@
         """
         self.stopping = True
         started = time.monotonic()
-        stop_deadline = deadlines.Deadline.after(
-            self.placement.bounds.stop_seconds - self.tuning.stop_reserve
-        )
+        schedule = self.stop_schedule()
+        self.stop_state.begin(schedule)
         self.gateway.begin_drain()
         logs.bind(step='stop', peer=self.placement.name).info(
             'router stops with {} requests under way', len(self.gateway.active)
         )
-        accept_deadline = deadlines.Deadline.after(
-            self.tuning.stop_accepting_after
-        )
         await self.view.deregister()
-        await curio.sleep(accept_deadline.earlier(stop_deadline).remaining())
+        await curio.sleep(schedule.accept_until.remaining())
         self.gateway.refuse_new()
         await self.caller_listener.stop_accepting()
-        while self.gateway.active and not stop_deadline.expired():
+        while self.gateway.active and not schedule.finish_by.expired():
             await self.gateway.close_idle()
             await curio.sleep(STOP_POLL_SECONDS)
         await self.gateway.close_idle()
@@ -304,6 +305,18 @@
             cut_off,
         )
 
+    def stop_schedule(self):
+        """Return the :class:`stopping.StopSchedule` of a stop that begins."""
+        finish_by = deadlines.BootDeadline.after(
+            self.placement.bounds.stop_seconds - self.tuning.stop_reserve
+        )
+        accept_until = deadlines.BootDeadline.after(
+            self.tuning.stop_accepting_after
+        )
+        return stopping.StopSchedule(
+            accept_until.earlier(finish_by), finish_by
+        )
+
     def reload(self):
         """Read the placement again and apply what has changed in its bounds.
 
