Keep each answer until another one is there

Cause: an answer was given up on the state of one moment. A late stream left its endpoint before the next one had gone on; the place at an endpoint was looked at, not taken; the answer of a small model was closed when a larger one was chosen; and whether an answer can ever be late was decided when its request was dispatched.

Change: callers.races holds all dispatches of a request that are under way, each in a task of its own. A late answer of any kind is hedged, never left. Whichever dispatch has the next part claims the caller and ends the others; the first events of a hedge are kept for 0.25 s or until further ones confirm it, so that a hedge that falls silent doesn't replace an answer that goes on, and the run that is replaced ends in time. Runs are never mixed. A small model's answer is held unread until the larger model answers, and goes on if that fails or is late. A plan reserves its place (closures.Place) in the moment in which it is made. Whether another endpoint can help is asked when an answer is late, not before. callers.moves is replaced by callers.replacements and loses the border of 1.5 s after which a stream left for good.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -36,11 +36,11 @@
         dispatch = relayed_requests.Dispatch(
             plan, self.begin_run(relayed, plan), time.monotonic()
         )
-        relayed.running |= {plan.runner.id}
+        relayed.running += (plan.runner.id,)
         try:
             yield dispatch
         finally:
-            relayed.running -= {plan.runner.id}
+            relayed.end_running(plan.runner.id)
             self.router_state.releases.runs.drop(dispatch.run)
 
     def log_dispatch(self, relayed, plan):
@@ -82,7 +82,9 @@
         """Forward a request; yield the answer once its head has arrived."""
         plan = dispatch.plan
         forwarded = self.forwarded_request(relayed, plan, on_late)
-        async with self.forwarder.dispatch(forwarded, plan.runner) as answer:
+        async with self.forwarder.dispatch(
+            forwarded, plan.runner, plan.place
+        ) as answer:
             self.router_state.releases.runs.head_arrived(dispatch.run)
             self.timeouts.record_head_seconds(relayed, plan, answer)
             self.router_state.queues.record(
@@ -103,8 +105,8 @@
             relayed_requests.urgency(relayed),
             relayed.deadline,
             self.timeouts.head_deadline(relayed, plan),
-            self.timeouts.pause_seconds(relayed, plan),
-            self.timeouts.body_seconds(relayed, plan),
+            self.timeouts.pause_seconds(relayed),
+            self.timeouts.body_seconds(relayed),
             relayed.sequence.last,
             new_connection=not route.retryable,
             on_late=on_late,
@@ -181,6 +183,15 @@
             tokens=self.retries.tokens(relayed.service),
         ).info('dispatch failed: {} {}', error.code, error.message)
 
+    def record_error_answer(self, relayed, dispatch):
+        """Record an answer with an error status."""
+        runner_id = dispatch.plan.runner.id
+        relayed.deliveries += 1
+        relayed.runs += 1
+        relayed.tried_endpoints |= {runner_id}
+        self.router_state.releases.runs.end(dispatch.run, failed=True)
+        self.router_state.outcomes.record_failure(runner_id)
+
     def record_failure(self, relayed, dispatch, error):
         """Record a failure in the statistics of endpoints and versions."""
         outcomes = self.router_state.outcomes
--- a/celeryward/callers/endpoint_timeouts.py
+++ b/celeryward/callers/endpoint_timeouts.py
@@ -17,9 +17,6 @@
 # faster heads and rises slowly with others.
 FASTER_SAMPLE_WEIGHT = 0.2
 SLOWER_SAMPLE_WEIGHT = 0.02
-# It stays if all other endpoints have queues longer than this fraction of the
-# objective.
-MAX_OTHER_QUEUE_FRACTION = 0.5
 # A body is late after this time from its head at the soonest.
 MIN_BODY_SECONDS = 1.0
 # The next event of a stream is late after a pause of this many times the
@@ -39,25 +36,19 @@
         self.mean_head_seconds = {}
         self.unqueued_head_seconds = {}
 
-    def may_move(self, relayed, plan):
-        """Return whether a request may leave an endpoint that is slow.
+    def may_hedge(self, relayed):
+        """Return whether another endpoint may ever run a request as well.
 
-        A request that can't run again, or not sooner elsewhere, keeps its
-        place: leaving it would only lose the answer.
+        Whether one can do so is decided when an answer is late.
         """
-        objective = relayed.route.objective_seconds
-        return (
-            relayed.route.retryable
-            and relayed.has_attempts_left()
-            and plan.other_queue_seconds < MAX_OTHER_QUEUE_FRACTION * objective
-        )
+        return relayed.route.retryable and relayed.has_attempts_left()
 
     def head_deadline(self, relayed, plan):
         """Return the deadline from which an answer's head is late.
 
         :returns: :class:`deadlines.Deadline`.
         """
-        if not self.may_move(relayed, plan):
+        if not self.may_hedge(relayed):
             return relayed.deadline
         mean = self.mean_head_seconds.get(self.mean_key(relayed, plan), 0.0)
         seconds = max(
@@ -69,16 +60,16 @@
         )
         return deadlines.Deadline.after(seconds).earlier(relayed.deadline)
 
-    def pause_seconds(self, relayed, plan):
+    def pause_seconds(self, relayed):
         """Return the seconds after which an event of a stream is late."""
         is_stream = forwarding.is_stream(relayed.route)
-        if is_stream and self.may_move(relayed, plan):
+        if is_stream and self.may_hedge(relayed):
             return PAUSE_FACTOR * relayed.route.event_gap_seconds
         return relayed.route.timeout_seconds
 
-    def body_seconds(self, relayed, plan):
+    def body_seconds(self, relayed):
         """Return the seconds from its head after which a body is late."""
-        if self.may_move(relayed, plan):
+        if self.may_hedge(relayed):
             return max(MIN_BODY_SECONDS, relayed.route.objective_seconds)
         return relayed.route.timeout_seconds
 
--- a/celeryward/callers/escalation.py
+++ b/celeryward/callers/escalation.py
@@ -1,12 +1,16 @@
-"""Decides whether the answer of a small model is dropped for a larger one."""
+"""Decides whether a larger model runs a request after a small one.
 
-from celeryward.endpoints import forwarding
+The answer of the small model is held until the larger one answers, so that
+nothing is lost if that fails.
+"""
+
+from celeryward import errors
 from celeryward import logs
 from celeryward.raters import sizes
 
 
 class Escalation:
-    """Drops answers that a larger model is worth more for.
+    """Secures runs of larger models that are worth more than an answer.
 
     :param router_admission.RouterState router_state: shared by all requests.
     :param planner: :class:`planning.Planner`.
@@ -22,32 +26,41 @@
         self.retries = retries
         self.metrics = metrics
 
-    def escalate(self, relayed, dispatch, answer):
-        """Return whether an answer is dropped for that of a larger model."""
-        if forwarding.is_server_error(answer.head):
-            return False
-        larger = self.choose_escalation(relayed, dispatch.plan, answer)
-        if larger is None:
-            return False
-        relayed.deliveries += 1
-        relayed.runs += 1
-        relayed.size = larger
-        self.router_state.releases.runs.end(dispatch.run)
-        return True
-
-    def choose_escalation(self, relayed, plan, answer):
-        """Return the larger model to escalate to, or None to keep the answer.
+    def secure(self, relayed, dispatch, answer):
+        """Return the plan of a larger model's run, None to keep the answer.
 
-        The caller must not have received any part of the answer, and the
-        escalation must be allowed as a retry: it takes a token of the retry
-        budget.
+        It has its place, and its token of the retry budget is taken. The
+        caller must not have received any part of the answer.
         """
+        plan = dispatch.plan
         if plan.size is None or relayed.has_sent_events:
             return None
         if not (relayed.route.retryable and relayed.has_attempts_left()):
             return None
+        larger = self.choose_size(relayed, plan, answer)
+        if larger is None:
+            return None
+        larger_plan = self.plan_run(relayed, larger)
+        if larger_plan is None:
+            return None
+        if not self.retries.take_for_escalation(plan.service):
+            return None
+        self.metrics.count_size_raise(plan.service)
+        self.router_state.releases.runs.end(dispatch.run)
+        logs.bind(
+            request_id=relayed.metadata.request_id,
+            step='cascade',
+            peer=plan.runner.address,
+            confidence=answer.metadata.confidence,
+            model=plan.size.model,
+            larger=larger.model,
+        ).info('answer held for a larger model')
+        return self.planner.reserve(larger_plan)
+
+    def choose_size(self, relayed, plan, answer):
+        """Return the larger size that is worth more, or None."""
         candidates = self.planner.eligible_sizes(relayed, plan.service)
-        larger = sizes.larger_size(
+        return sizes.larger_size(
             candidates,
             plan.size,
             relayed.route.priority,
@@ -61,27 +74,23 @@
                 self.router_state.queues.seconds(plan.runner.id),
             ),
         )
-        if larger is None or not self.secure(relayed, plan.service, larger):
-            return None
-        logs.bind(
-            request_id=relayed.metadata.request_id,
-            step='cascade',
-            peer=plan.runner.address,
-            confidence=answer.metadata.confidence,
-            model=plan.size.model,
-            larger=larger.model,
-        ).info('answer dropped for a larger model')
-        return larger
 
-    def secure(self, relayed, service, larger):
-        """Take the token of a run of a larger model, if one can be made.
+    def plan_run(self, relayed, larger):
+        """Return the plan of a run at a larger size that can be finished.
 
-        :returns: whether it was taken.
+        None if no healthy endpoint can take it. The endpoint of the small
+        model may be chosen, too.
         """
-        if not self.planner.can_serve(relayed, service, larger):
-            return False
-        if not self.retries.take_for_escalation(service):
-            return False
-        relayed.budget_charged = True
-        self.metrics.count_size_raise(service)
-        return True
+        smaller = relayed.size
+        relayed.size = larger
+        try:
+            plan = self.planner.plan(
+                relayed,
+                self.timeouts.usual_head_seconds(relayed),
+                beside=False,
+            )
+        except errors.NotRun:
+            return None
+        finally:
+            relayed.size = smaller
+        return None if plan.suspected else plan
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -26,13 +26,15 @@
         self.router_state = router_state
         self.schedule = reopening.ReturnSchedule(router_state.closures.clock)
 
-    def plan(self, relayed, least_seconds=0.0):
+    def plan(self, relayed, least_seconds=0.0, beside=True):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
 
         Prefers the software version that the releases choose, and takes
         any other if no endpoint of that version is available.
 
         :param float least_seconds: time that must be left until the deadline.
+        :param bool beside: whether endpoints that run the request already are
+            left out.
         :raises errors.EndpointsClosed: if all endpoints are closed.
         :raises errors.Overloaded: if no endpoint can take the request.
         :raises errors.DeadlineExceeded: if too little of the deadline is left.
@@ -45,7 +47,7 @@
                 peer=relayed.route.name,
                 retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
             )
-        query = self.query(relayed)
+        query = self.query(relayed, beside)
         self.check_completion(relayed, least_seconds)
         runner = selection.select(query)
         if runner is None and query.software and not selection.eligible(query):
@@ -60,9 +62,16 @@
             runner,
             relayed.size,
             runner.id in query.suspects,
-            selection.shortest_other_queue(query, runner),
         )
 
+    def reserve(self, plan):
+        """Return a plan with a place at its endpoint.
+
+        Nothing may run between :meth:`plan` and this, so that there is one.
+        """
+        place = self.router_state.closures.take_place(plan.runner)
+        return dataclasses.replace(plan, place=place)
+
     def check_completion(self, relayed, least_seconds=0.0):
         """Check that the next dispatch of a request can be finished.
 
@@ -74,10 +83,12 @@
             work(relayed, least_seconds), relayed.route.name
         )
 
-    def query(self, relayed):
+    def query(self, relayed, beside=True):
         """Return the :class:`selection.Query` of the next dispatch.
 
         It determines the service and the model size of the request, too.
+
+        :param bool beside: as for :meth:`plan`.
         """
         router_state = self.router_state
         service, model = self.queue_of(relayed)
@@ -95,7 +106,7 @@
             software,
             model,
             relayed_requests.affinity_key(relayed.metadata),
-            relayed.tried_endpoints | relayed.running,
+            relayed.tried_endpoints.union(relayed.running if beside else ()),
             router_state.closures.blocked_ids(endpoints),
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
@@ -158,20 +169,6 @@
             retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
         )
 
-    def can_serve(self, relayed, service, size):
-        """Return whether a healthy endpoint can run a request at a size."""
-        endpoints = tuple(self.router_state.runners.of_service(service))
-        avoided = (
-            relayed.tried_endpoints
-            | self.suspects(endpoints)
-            | self.router_state.closures.blocked_ids(endpoints)
-        )
-        return any(
-            runner.id not in avoided
-            and (not runner.models or size.model in runner.models)
-            for runner in endpoints
-        )
-
     def suspects(self, endpoints):
         """Return the ids of endpoints that are suspected of failure.
 
--- /dev/null
+++ b/celeryward/callers/races.py
@@ -0,0 +1,339 @@
+"""Dispatches of one request that are under way at the same time.
+
+No answer that may still come is given up before another one is there. While
+an answer is late, another endpoint runs the request as well, and whichever has
+the next part of the answer first goes on. The answer of a small model is held
+unread until the larger model answers, and goes on if that fails. Answers
+endpoints that fall silent or fail, one alone or many at the same moment.
+"""
+
+import dataclasses
+
+import curio
+
+from celeryward.callers import relayed_requests
+from celeryward.callers import replacements
+from celeryward.callers import resumption
+from celeryward.endpoints import answers
+from celeryward.endpoints import forwarding
+from celeryward import errors
+
+
+# Time for which the first events of a hedge are kept. A run that another one
+# replaces has to end soon after that one has begun.
+CONFIRMATION_SECONDS = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of one dispatch.
+
+    :param relayed_requests.Dispatch dispatch: the dispatch.
+    :param answers.Answer answer: None after an error.
+    :param bytes content: the body, unless the answer was relayed already.
+    :param bool relayed: whether the caller has the answer.
+    :param errors.EndpointFailure error: None for an answer.
+    """
+
+    dispatch: relayed_requests.Dispatch
+    answer: answers.Answer | None = None
+    content: bytes = b''
+    relayed: bool = False
+    error: errors.EndpointFailure | None = None
+
+    @property
+    def failed(self):
+        """Whether another dispatch may still give a better answer."""
+        if self.error is not None:
+            return True
+        return not self.relayed and forwarding.is_server_error(
+            self.answer.head
+        )
+
+
+class Race:
+    """The dispatches of one request that are under way at the same time.
+
+    ``tasks`` holds the task of each dispatch that may still go on, by its run,
+    and ``deferred`` the events of those that are not confirmed. ``held`` is
+    set once the answer of a small model need not wait any more for a larger
+    one, and is None if none waits.
+
+    :param relay.Relay relay: has the components that dispatch.
+    :param relayed_requests.RelayedRequest relayed: the request.
+    :param responses.Responder responder: writes to the caller.
+    """
+
+    def __init__(self, relay, relayed, responder):
+        self.relay = relay
+        self.relayed = relayed
+        self.responder = responder
+        self.group = curio.TaskGroup(wait=None)
+        self.tasks = {}
+        self.deferred = {}
+        self.sending = curio.Lock()
+        self.held = None
+        self.plans = []
+
+    async def run(self, plan):
+        """Return the :class:`Outcome` of the dispatch that answers.
+
+        That of the last one is returned if all have failed.
+        """
+        try:
+            async with self.group:
+                await self.start(plan)
+                async for task in self.group:
+                    outcome = None if task.cancelled else task.result
+                    if outcome is None:
+                        # Another dispatch went on.
+                        continue
+                    if not outcome.failed:
+                        break
+                    self.record_failure(outcome)
+                    await self.replace(outcome)
+        finally:
+            for each in self.plans:
+                await self.relay.forwarder.notice_reader.give_back(each.place)
+        return outcome
+
+    async def start(self, plan):
+        """Start a dispatch; return its task."""
+        if plan.place is None:
+            plan = self.relay.planner.reserve(plan)
+        self.plans.append(plan)
+        task = await self.group.spawn(self.fetch, plan)
+        # Its error is raised where its result is read.
+        task.report_crash = False
+        return task
+
+    async def fetch(self, plan):
+        """Dispatch once; return the :class:`Outcome`.
+
+        None if another dispatch went on meanwhile.
+        """
+        relayed = self.relayed
+        dispatcher = self.relay.dispatcher
+        with dispatcher.begin(relayed, plan) as dispatch:
+            self.tasks[dispatch.run] = await curio.current_task()
+            hedge = Hedge(self, dispatch)
+            try:
+                async with dispatcher.open_answer(
+                    relayed, dispatch, hedge.start
+                ) as answer:
+                    return await self.take_answer(dispatch, answer)
+            except errors.EndpointFailure as error:
+                if dispatch.run not in self.tasks:
+                    return None
+                return Outcome(dispatch, error=error)
+            finally:
+                self.tasks.pop(dispatch.run, None)
+                self.deferred.pop(dispatch.run, None)
+
+    async def take_answer(self, dispatch, answer):
+        """Relay the events of an answer, or return it with its content."""
+        if self.responder.started:
+            self.check_resumption(dispatch, answer)
+        elif not forwarding.is_server_error(answer.head):
+            await self.wait_for_larger(dispatch, answer)
+        is_stream = forwarding.is_stream(self.relayed.route)
+        if (
+            is_stream
+            and answer.is_event_stream
+            and not forwarding.is_server_error(answer.head)
+        ):
+            return await self.relay_events(dispatch, answer)
+        return Outcome(dispatch, answer, await answer.body())
+
+    async def wait_for_larger(self, dispatch, answer):
+        """Let a larger model run if it is worth more; return if it fails.
+
+        If it answers, this dispatch is cancelled.
+        """
+        if dispatch.run not in self.tasks:
+            return
+        plan = self.relay.escalation.secure(self.relayed, dispatch, answer)
+        if plan is None:
+            return
+        await self.claim(dispatch)
+        self.relayed.size = plan.size
+        self.held = curio.Event()
+        await self.start(plan)
+        await self.held.wait()
+        answer.wait.begin_next()
+
+    async def relay_events(self, dispatch, answer):
+        """Relay the events of a stream as they arrive.
+
+        :returns: the :class:`Outcome`, None if another dispatch went on.
+        """
+        sequence = self.relayed.sequence.copy()
+        start_id = sequence.last
+        resumed = self.responder.started
+        if not resumed:
+            if not await self.claim(dispatch):
+                return None
+            await self.responder.start_stream(answer.head)
+        async for batch in answer.events(sequence):
+            if resumed and await self.defer(dispatch, sequence, batch):
+                continue
+            if not await self.claim(dispatch):
+                return None
+            await self.send(dispatch, sequence, batch)
+            self.relay.router_state.releases.runs.events_arrived(
+                dispatch.run, sequence.last - start_id
+            )
+        if resumed:
+            resumption.check_rest(answer, sequence.last - start_id)
+        if not await self.claim(dispatch):
+            return None
+        await self.send(dispatch, sequence)
+        await self.responder.finish()
+        return Outcome(dispatch, answer, relayed=True)
+
+    async def defer(self, dispatch, sequence, batch):
+        """Keep the first events of a hedge while the late answer may go on.
+
+        A hedge that falls silent itself must not replace an answer that is
+        about to go on. It is confirmed by further events, or after a while.
+
+        :returns: whether the events were kept.
+        """
+        if len(self.tasks) == 1 or dispatch.run in self.deferred:
+            return False
+        self.deferred[dispatch.run] = tuple(batch)
+        task = await self.group.spawn(
+            self.confirm, dispatch, sequence, daemon=True
+        )
+        # The dispatch itself meets the error of a caller that has left.
+        task.report_crash = False
+        return True
+
+    async def confirm(self, dispatch, sequence):
+        """Let a hedge go on after a while, if nothing else did."""
+        await curio.sleep(CONFIRMATION_SECONDS)
+        if await self.claim(dispatch):
+            await self.send(dispatch, sequence)
+
+    async def send(self, dispatch, sequence, batch=()):
+        """Send events to the caller, those that were kept first."""
+        async with self.sending:
+            events = (*self.deferred.pop(dispatch.run, ()), *batch)
+            self.relayed.sequence = sequence
+            if events:
+                await self.responder.send(
+                    b''.join(event.raw for event in events)
+                )
+
+    async def claim(self, dispatch):
+        """End all other dispatches; this one has the next part.
+
+        :returns: False if another dispatch has done so before.
+        """
+        if dispatch.run not in self.tasks:
+            return False
+        if len(self.tasks) == 1:
+            return True
+        task = self.tasks.pop(dispatch.run)
+        others = tuple(self.tasks.values())
+        # Nothing may interrupt this up to here, so that one claim wins.
+        self.tasks.clear()
+        self.tasks[dispatch.run] = task
+        self.relayed.size = dispatch.plan.size
+        self.relayed.deliveries += len(others)
+        self.relayed.runs += len(others)
+        for other in others:
+            await other.cancel(blocking=False)
+        return True
+
+    def record_failure(self, outcome):
+        """Record a failed dispatch; another one may still answer."""
+        relay = self.relay
+        if outcome.error is not None:
+            relay.dispatcher.record_error(
+                self.relayed, outcome.dispatch, outcome.error
+            )
+            return
+        relay.dispatcher.record_error_answer(self.relayed, outcome.dispatch)
+        self.relayed.failed_answer = (outcome.answer.head, outcome.content)
+
+    async def replace(self, outcome):
+        """Let a held answer go on after a larger model has failed.
+
+        If the failed dispatch has not run, another endpoint runs the larger
+        model.
+        """
+        if self.held is None or self.held.is_set():
+            return
+        plan = None
+        if outcome.error is not None and not outcome.error.sent:
+            plan = self.relay.replacements.secure(self.relayed)
+        if plan is None:
+            await self.held.set()
+        else:
+            await self.start(plan)
+
+    def check_resumption(self, dispatch, answer):
+        """Check that an answer continues the stream of the caller.
+
+        :raises errors.AnswerInvalid: if it doesn't.
+        """
+        if forwarding.is_server_error(answer.head):
+            runs = self.relay.router_state.releases.runs
+            runs.end(dispatch.run, failed=True)
+        resumption.check_answer(answer)
+
+
+class Hedge:
+    """Starts another dispatch while the answer of one is late.
+
+    :param Race race: the dispatches of the request.
+    :param relayed_requests.Dispatch dispatch: whose answer is awaited.
+    """
+
+    def __init__(self, race, dispatch):
+        self.race = race
+        self.dispatch = dispatch
+        self.task = None
+        self.is_counted = False
+
+    async def start(self, waited_seconds, head_arrived, is_lost=False):
+        """Start the other dispatch if one is secured; keep the late answer.
+
+        An answer that is held goes on instead. Otherwise the late answer
+        counts as a failure of its endpoint, and another dispatch may follow
+        once the first one has failed.
+
+        :param float waited_seconds: time waited for the part that is late.
+        :param bool head_arrived: whether the answer has begun.
+        :param bool is_lost: whether the endpoint accepts no connection.
+        """
+        race = self.race
+        relayed = race.relayed
+        is_stream = forwarding.is_stream(relayed.route)
+        if self.is_running() or not replacements.is_late(
+            is_stream, waited_seconds, head_arrived, is_lost
+        ):
+            return
+        if race.held is not None and not race.held.is_set():
+            self.log(waited_seconds, 'late answer replaced by a smaller one')
+            await race.held.set()
+            return
+        plan = race.relay.replacements.secure(relayed)
+        if plan is None:
+            return
+        if not self.is_counted:
+            self.is_counted = True
+            race.relay.dispatcher.record_late_answer(self.dispatch)
+        self.log(waited_seconds, 'late answer hedged')
+        self.task = await race.start(plan)
+
+    def is_running(self):
+        """Return whether the other dispatch is under way."""
+        return self.task is not None and not self.task.terminated
+
+    def log(self, waited_seconds, message):
+        """Log what follows from the late answer."""
+        self.race.relay.dispatcher.log_late(
+            self.race.relayed, self.dispatch, waited_seconds, message
+        )
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -1,9 +1,9 @@
 """State of one request while the router dispatches it."""
 
 import dataclasses
-import math
 import time
 
+from celeryward.endpoints import closures
 from celeryward.endpoints import event_stream
 from celeryward.raters import sizes
 
@@ -26,15 +26,15 @@
     :param sizes.Size size: the model to run, None if the caller named it.
     :param bool suspected: whether the endpoint is suspected of failure,
         because no other was available.
-    :param float other_queue_seconds: shortest estimated wait at the other
-        endpoints that could run the request; infinite if there is none.
+    :param closures.Place place: place at the endpoint that is reserved for
+        the dispatch, None if there is none yet.
     """
 
     service: str
     runner: object
     size: sizes.Size | None = None
     suspected: bool = False
-    other_queue_seconds: float = math.inf
+    place: closures.Place | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,8 +65,8 @@
     - ``failed_answer``: head and body of an endpoint's error response, sent
       to the caller if no other endpoint answers.
     - ``tried_endpoints``: ids of endpoints that failed the request.
-    - ``running``: ids of endpoints that a dispatch is under way at; several if
-      a late answer is awaited at one while another runs the request, too.
+    - ``running``: id of the endpoint of each dispatch that is under way;
+      several while a late or a held answer may still go on.
     - ``service`` and ``size``: those of the last dispatch, which the next
       one keeps; ``size`` is replaced by an escalation to a larger model.
 
@@ -88,7 +88,7 @@
         self.size = None
         self.service = ''
         self.tried_endpoints = frozenset()
-        self.running = frozenset()
+        self.running = ()
         self.runs = 0
         self.refusals = 0
         self.dispatches = 0
@@ -121,6 +121,11 @@
             self.runs == 0 or self.may_run_again()
         )
 
+    def end_running(self, runner_id):
+        """Remove one dispatch from those under way."""
+        position = self.running.index(runner_id)
+        self.running = self.running[:position] + self.running[position + 1 :]
+
     def has_attempts_left(self):
         """Return whether another attempt is allowed beside those under way."""
         under_way = max(1, len(self.running))
--- a/celeryward/callers/retry_control.py
+++ b/celeryward/callers/retry_control.py
@@ -61,12 +61,15 @@
         self.metrics.count_refused_retry(relayed.service)
         raise self.final_error(relayed, 'retry budget is used up')
 
-    def plan_retry(self, relayed):
-        """Return the plan of another dispatch, or None if there is none."""
+    def plan_retry(self, relayed, least_seconds=0.0):
+        """Return the plan of another dispatch, or None if there is none.
+
+        :param float least_seconds: time that must be left until the deadline.
+        """
         if not relayed.may_run_again() or relayed.deadline.expired():
             return None
         try:
-            return self.planner.plan(relayed)
+            return self.planner.plan(relayed, least_seconds)
         except errors.NotRun:
             return None
 
--- a/celeryward/endpoints/closures.py
+++ b/celeryward/endpoints/closures.py
@@ -9,9 +9,11 @@
 """
 
 import dataclasses
+import itertools
 import random
 import re
 
+from celeryward.endpoints import runners
 from celeryward.objects import freshness
 
 # A request to wait, as the number of seconds.
@@ -78,6 +80,20 @@
         return dataclasses.replace(self, limit=limit)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """The place of one request at an endpoint.
+
+    :param int number: tells the places apart.
+    :param opening: opening of the endpoint that the place belongs to, None if
+        the endpoint is not limited.
+    """
+
+    runner: runners.Runner
+    number: int
+    opening: float | None
+
+
 def read_pause(text, bounds):
     """Return the :class:`RequestedPause` in the value of a header.
 
@@ -115,6 +131,8 @@
     def __init__(self, clock=freshness.boot_seconds):
         self.clock = clock
         self.states = {}
+        self.places = set()
+        self.numbers = itertools.count()
 
     def close(self, runner, seconds, in_flight):
         """Close an endpoint for some seconds; a later end stays in force.
@@ -166,31 +184,34 @@
             runner.id for runner in endpoints if not self.may_start(runner)
         )
 
-    def begin(self, runner):
-        """Count a request that is sent to an endpoint.
+    def take_place(self, runner):
+        """Return the :class:`Place` of a request that an endpoint will get.
 
-        :returns: the opening of the endpoint, for :meth:`end`; None if it is
-            not limited.
+        It is taken before the request is sent, so that no other request is
+        promised the same one.
         """
+        opening = None
         state = self.state_of(runner)
-        if state is None or state.opens_at > self.clock():
-            return None
-        self.states[runner.key] = dataclasses.replace(
-            state, running=state.running + 1
-        )
-        return state.opens_at
-
-    def end(self, runner, opening):
-        """Count a request that has ended.
-
-        :param opening: result of :meth:`begin`.
-        """
-        state = self.states.get(runner.key)
-        if state is None or opening != state.opens_at:
-            return
-        self.states[runner.key] = dataclasses.replace(
-            state, running=state.running - 1
-        )
+        if state is not None and state.opens_at <= self.clock():
+            opening = state.opens_at
+            self.states[runner.key] = dataclasses.replace(
+                state, running=state.running + 1
+            )
+        place = Place(runner, next(self.numbers), opening)
+        self.places.add(place.number)
+        return place
+
+    def give_back(self, place):
+        """Give a place back; return False if that was done before."""
+        if place.number not in self.places:
+            return False
+        self.places.remove(place.number)
+        state = self.states.get(place.runner.key)
+        if state is not None and place.opening == state.opens_at:
+            self.states[place.runner.key] = dataclasses.replace(
+                state, running=state.running - 1
+            )
+        return True
 
     def record_accepted(self, runner):
         """Raise the limit of an endpoint that has accepted a request."""
--- a/celeryward/endpoints/event_stream.py
+++ b/celeryward/endpoints/event_stream.py
@@ -67,6 +67,10 @@
     def __init__(self, last=0):
         self.last = last
 
+    def copy(self):
+        """Return a sequence that goes on from the same event."""
+        return EventSequence(self.last)
+
     def filter_new(self, events, peer):
         """Yield the events that the caller does not have yet.
 
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -58,7 +58,7 @@
     body_seconds: float
     after_event: int = 0
     new_connection: bool = False
-    on_late: abc.Callable = waits.never_give_up
+    on_late: abc.Callable = waits.ignore_late
 
     def next_event_deadline(self):
         """Return the deadline of the next event, counted from now."""
@@ -108,17 +108,13 @@
         # Software versions that name the request in their refusals.
         self.naming_software = set()
 
-    async def abort_replaceable(self, runner):
-        """Abort the exchanges with an endpoint that requests give up.
+    async def hedge_exchanges(self, runner):
+        """Let other endpoints run the requests at an unreachable endpoint.
 
-        :returns: the number of aborted exchanges.
+        Its own exchanges stay, since it may still go on.
         """
-        given_up = [
-            exchange
-            for exchange in self.exchanges_with(runner)
-            if await exchange.wait.is_given_up()
-        ]
-        return await self.abort(given_up)
+        for exchange in self.exchanges_with(runner):
+            await exchange.wait.report_loss()
 
     async def abort_silent(self, runner, seconds):
         """Abort the retryable exchanges with an unreachable endpoint.
@@ -157,12 +153,13 @@
         )
 
     @contextlib.asynccontextmanager
-    async def dispatch(self, forwarded, runner):
+    async def dispatch(self, forwarded, runner, place):
         """Send a request and yield the :class:`answers.Answer`.
 
         Leaving the block before the body is read closes the connection, at
         which the endpoint stops the run.
 
+        :param closures.Place place: place at the endpoint; it is given back.
         :raises errors.EndpointLeft: if the endpoint has left since it was
             selected.
         :raises errors.EndpointClosed: if it has closed since then.
@@ -170,9 +167,7 @@
         :raises errors.EndpointFailure: ``sent`` states whether the request
             may have run.
         """
-        opening = self.notice_reader.begin(runner)
         self.outcomes.request_started(runner.id)
-        whole_seconds = None
         waiting = self.queues.begin(runner.id)
         started = time.monotonic()
         connection = None
@@ -198,12 +193,14 @@
                     ),
                 )
                 connection.usable_until = reuse_deadline(metadata)
-                whole_seconds = time.monotonic() - started
+                self.notice_reader.estimates.record(
+                    runner.service, time.monotonic() - started
+                )
         finally:
             self.exchanges.pop(connection, None)
             self.queues.end(runner.id, waiting)
             self.outcomes.request_finished(runner.id)
-            await self.notice_reader.end(runner, opening, whole_seconds)
+            await self.notice_reader.give_back(place)
 
     def begin_exchange(self, connection, forwarded, runner):
         """Register an exchange; return the :class:`waits.Wait` of its answer.
--- a/celeryward/endpoints/monitor.py
+++ b/celeryward/endpoints/monitor.py
@@ -113,29 +113,27 @@
         return True
 
     async def handle_loss(self, runner):
-        """Abort exchanges until the endpoint is reachable again.
+        """Hedge exchanges until the endpoint is reachable again.
 
-        An exchange that nothing can replace is kept while the endpoint may
-        still go on.
+        They are kept while the endpoint may still go on.
         """
         self.outcomes.set_lost(runner.id, True)
         abandon_at = deadlines.Deadline.after(ABANDON_SECONDS)
         closed = await self.connections.close_idle(runner)
-        broken = await self.forwarder.abort_replaceable(runner)
+        await self.forwarder.hedge_exchanges(runner)
         logs.bind(
             step='monitor',
             peer=runner.address,
             endpoint=runner.id,
             idle_closed=closed,
-            broken_off=broken,
-            kept=len(self.forwarder.exchanges_with(runner)) - broken,
+            kept=len(self.forwarder.exchanges_with(runner)),
         ).warning('endpoint lost')
         while not await self.can_connect(runner):
             await curio.sleep(RETRY_SECONDS)
             if abandon_at.expired():
                 await self.forwarder.abort_silent(runner, ABANDON_SECONDS)
             else:
-                await self.forwarder.abort_replaceable(runner)
+                await self.forwarder.hedge_exchanges(runner)
         self.outcomes.set_lost(runner.id, False)
         self.outcomes.record_activity(runner.id)
         logs.bind(
--- a/celeryward/endpoints/notices.py
+++ b/celeryward/endpoints/notices.py
@@ -78,27 +78,10 @@
             bind_logger(runner, request_id, pause).info('endpoint closed')
         self.closures.close(runner, pause.seconds, in_flight)
 
-    def begin(self, runner):
-        """Take a place for a request that is dispatched to an endpoint.
-
-        :returns: the opening of the endpoint, for :meth:`end`.
-        :raises errors.EndpointClosed: if it may get no request now.
-        """
-        if not self.closures.may_start(runner):
-            raise closed_error(runner)
-        return self.closures.begin(runner)
-
-    async def end(self, runner, opening, seconds):
-        """Record the end of an exchange with an endpoint.
-
-        :param opening: result of :meth:`closures.Closures.begin`.
-        :param float | None seconds: how long a complete answer took, or None.
-        """
-        if seconds is not None:
-            self.estimates.record(runner.service, seconds)
-        if opening is not None:
-            self.closures.end(runner, opening)
-            await self.notify_listeners(runner)
+    async def give_back(self, place):
+        """Give back a place at an endpoint, if that was not done before."""
+        if self.closures.give_back(place) and place.opening is not None:
+            await self.notify_listeners(place.runner)
 
     async def notify_listeners(self, runner):
         """Tell the listeners that an endpoint may take one more request."""
--- a/celeryward/endpoints/selection.py
+++ b/celeryward/endpoints/selection.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import math
 
 from celeryward.endpoints import ranking
 from celeryward.endpoints import runners
@@ -133,24 +132,6 @@
     return candidates
 
 
-def shortest_other_queue(query, chosen):
-    """Return the shortest wait in seconds at the other healthy candidates.
-
-    The result is infinite if there are none.
-    """
-    others = (
-        runner
-        for runner in filter_model(query.endpoints, query)
-        if runner.id != chosen.id
-        and runner.id not in query.tried
-        and runner.id not in query.suspects
-        and runner.id not in query.closed
-    )
-    return min(
-        (query.queue_seconds(runner.id) for runner in others), default=math.inf
-    )
-
-
 @ranking.RANKINGS.register('preferred-endpoints')
 def rank_preferred_endpoints(candidates, query):
     """Choose the first preferred endpoint that is not busy.
--- a/tests/test_closures.py
+++ b/tests/test_closures.py
@@ -87,7 +87,7 @@
         for _ in range(4):
             count = 0
             while state.may_start(runner()) and count < 100:
-                state.begin(runner())
+                state.take_place(runner())
                 count += 1
             started.append(count)
             for _ in range(count):
@@ -100,11 +100,11 @@
         state = self.make_closures()
         state.close(runner(), 1.0, 6)
         self.reopen(state)
-        opening = state.begin(runner())
+        place = state.take_place(runner())
         state.close(runner(), 1.0, 6)
         self.reopen(state)
-        state.begin(runner())
-        state.end(runner(), opening)
+        state.take_place(runner())
+        state.give_back(place)
         assert not state.may_start(runner())
 
     def test_states_end_by_themselves(self):
--- a/tests/test_endpoint_state.py
+++ b/tests/test_endpoint_state.py
@@ -175,14 +175,13 @@
             return 0
 
     class Forwarder:
-        """Counts how often exchanges are aborted."""
+        """Counts how often exchanges are hedged."""
 
         def __init__(self):
-            self.aborted = 0
+            self.hedged = 0
 
-        async def abort_replaceable(self, endpoint):
-            self.aborted += 1
-            return 1
+        async def hedge_exchanges(self, endpoint):
+            self.hedged += 1
 
         def exchanges_with(self, endpoint):
             return ()
@@ -199,9 +198,9 @@
         table.put(runner('r'))
         task = await curio.spawn(health_monitor.run, daemon=True)
         await curio.sleep(0.7)
-        assert forwarder.aborted == 0
+        assert forwarder.hedged == 0
         tracker.request_started('r')
-        await standins.wait_until(lambda: forwarder.aborted == 1, 1.5)
+        await standins.wait_until(lambda: forwarder.hedged == 1, 1.5)
         assert tracker.suspects(('r', 'other')) == {'r'}
         connections.reachable = True
         await standins.wait_until(lambda: not tracker.lost, 1.5)
--- a/tests/test_moves.py
+++ b/tests/test_replacements.py
@@ -6,15 +6,15 @@
 
 import pytest
 
-from celeryward.callers import moves
 from celeryward.callers import relayed_requests
+from celeryward.callers import replacements
 from celeryward import deadlines
 from celeryward.endpoints import waits
 from celeryward import ingress
 from tests import fakes
 from tests import platform_standins as standins
 
-SILENCE_SECONDS = moves.SOUND_SILENCE_SECONDS
+LATE_SECONDS = replacements.LATE_STREAM_SECONDS
 ROUTE = ingress.Route(
     'r',
     'h',
@@ -27,15 +27,28 @@
 )
 
 
+class Planner:
+    """Reserves places; keeps what it reserved."""
+
+    def __init__(self):
+        self.reserved = []
+
+    def reserve(self, plan):
+        self.reserved.append(plan)
+        return plan
+
+
 class Retries:
     """Plans one replacement and holds some tokens."""
 
     def __init__(self, plan, tokens=1):
         self.plan = plan
         self.tokens = tokens
+        self.planner = Planner()
 
-    def plan_retry(self, relayed):
-        return self.plan
+    def plan_retry(self, relayed, least_seconds):
+        late = relayed.deadline.remaining() < least_seconds
+        return None if late else self.plan
 
     def take(self, service):
         self.tokens -= 1
@@ -55,7 +68,8 @@
     timeouts = types.SimpleNamespace(
         usual_head_seconds=lambda relayed: usual_seconds
     )
-    return moves.MovePolicy(queues, timeouts, retries), retries
+    policy = replacements.ReplacementPolicy(queues, timeouts, retries)
+    return policy, retries
 
 
 def make_request(seconds=25.0, **route_fields):
@@ -69,12 +83,12 @@
         b'',
         deadlines.Deadline.after(seconds),
     )
-    relayed.running = frozenset(('first',))
+    relayed.running = ('first',)
     return relayed
 
 
-class TestMayLeave:
-    """Guards against answers that are given up with nothing in their place."""
+class TestSecure:
+    """Guards against further runs that can't answer or are not allowed."""
 
     @pytest.mark.parametrize(
         'plan, tokens, queue_seconds',
@@ -86,68 +100,91 @@
         ),
         ids=('no endpoint', 'suspected', 'no token', 'queue'),
     )
-    def test_request_stays_without_a_replacement(
-        self, plan, tokens, queue_seconds
-    ):
-        policy, _ = make_policy(plan, tokens, queue_seconds)
-        relayed = make_request()
-        assert not policy.may_leave(relayed, SILENCE_SECONDS, True)
-        assert not relayed.budget_charged
+    def test_request_has_no_replacement(self, plan, tokens, queue_seconds):
+        policy, retries = make_policy(plan, tokens, queue_seconds)
+        assert policy.secure(make_request()) is None
+        assert not retries.planner.reserved
 
     @pytest.mark.parametrize(
         'fields',
         ({'max_attempts': 1}, {'resumable': False}),
         ids=('attempts used', 'may not run again'),
     )
-    def test_request_stays_if_it_may_not_run_again(self, fields):
+    def test_request_has_none_if_it_may_not_run_again(self, fields):
         policy, retries = make_policy(make_plan())
-        relayed = make_request(**fields)
-        assert not policy.may_leave(relayed, SILENCE_SECONDS, True)
+        assert policy.secure(make_request(**fields)) is None
         assert retries.tokens == 1
 
-    def test_stream_under_way_stays_during_a_sound_silence(self):
-        policy, _ = make_policy(make_plan())
-        relayed = make_request()
-        assert not policy.may_leave(relayed, SILENCE_SECONDS - 0.1, True)
-        assert policy.may_leave(relayed, SILENCE_SECONDS, True)
-        assert relayed.budget_charged
+    def test_replacement_has_a_token_and_a_place(self):
+        policy, retries = make_policy(make_plan())
+        plan = policy.secure(make_request())
+        assert retries.planner.reserved == [plan]
+        assert retries.tokens == 0
 
-    def test_request_without_time_for_a_second_silence_stays(self):
-        policy, _ = make_policy(make_plan())
-        relayed = make_request(seconds=SILENCE_SECONDS - 0.1)
-        assert not policy.may_leave(relayed, 0.9, False)
-        assert policy.may_leave(relayed, SILENCE_SECONDS, False)
+    def test_request_without_time_for_another_answer_has_none(self):
+        policy, retries = make_policy(make_plan(), usual_seconds=1.0)
+        assert policy.secure(make_request(seconds=0.5)) is None
+        assert policy.secure(make_request(seconds=1.5)) is not None
 
-    def test_request_without_time_for_another_answer_stays(self):
-        policy, _ = make_policy(make_plan(), usual_seconds=1.0)
-        relayed = make_request(seconds=0.5)
-        assert not policy.may_leave(relayed, SILENCE_SECONDS, False)
+    def test_another_answer_takes_a_least_time(self):
+        policy, _ = make_policy(make_plan(), usual_seconds=0.0)
+        seconds = replacements.MIN_REPLACEMENT_SECONDS - 0.05
+        assert policy.secure(make_request(seconds=seconds)) is None
 
     def test_attempts_that_are_under_way_count(self):
         policy, _ = make_policy(make_plan(), tokens=5)
         relayed = make_request(max_attempts=2)
-        relayed.running = frozenset(('first', 'second'))
-        assert policy.secure_replacement(relayed) is None
+        relayed.running = ('first', 'second')
+        assert policy.secure(relayed) is None
+
+
+class TestIsLate:
+    """Guards against hedges that a sound silence starts for nothing."""
+
+    def test_stream_under_way_is_not_late_during_a_sound_silence(self):
+        assert not replacements.is_late(True, LATE_SECONDS - 0.1, True, False)
+        assert replacements.is_late(True, LATE_SECONDS, True, False)
+
+    def test_stream_of_an_unreachable_endpoint_is_late_at_once(self):
+        assert replacements.is_late(True, 0.1, True, True)
+
+    @pytest.mark.parametrize(
+        'is_stream, head_arrived',
+        ((True, False), (False, False), (False, True)),
+    )
+    def test_other_parts_are_late_when_their_wait_is_over(
+        self, is_stream, head_arrived
+    ):
+        assert replacements.is_late(is_stream, 0.1, head_arrived, False)
+
+
+class TestRunning:
+    """Guards against dispatches that are forgotten while they run."""
+
+    def test_two_dispatches_at_one_endpoint_count_twice(self):
+        relayed = make_request()
+        relayed.running = ('one', 'one')
+        relayed.end_running('one')
+        assert relayed.running == ('one',)
 
 
 class TestWait:
     """Guards against waits that spin, or that outlast their deadline."""
 
     @fakes.in_kernel
-    async def test_a_late_part_asks_at_a_bounded_rate(self):
-        asked = []
+    async def test_a_late_part_is_reported_at_a_bounded_rate(self):
+        reported = []
 
         async def on_late(waited_seconds, head_arrived):
-            asked.append(head_arrived)
-            return False
+            reported.append(head_arrived)
 
         wait = waits.Wait(on_late, deadlines.Deadline.after(10.0))
         later = [await wait.extend() for _ in range(50)]
-        assert asked == [False]
+        assert reported == [False]
         assert all(each.remaining() > 0.1 for each in later)
 
     @fakes.in_kernel
-    async def test_the_deadline_ends_the_wait_unasked(self):
+    async def test_the_deadline_ends_the_wait_unreported(self):
         wait = waits.Wait(None, deadlines.Deadline(time.monotonic()))
         assert await wait.extend() is None
 
@@ -155,15 +192,15 @@
     async def test_each_part_begins_a_wait_of_its_own(self):
         waited = []
 
-        async def on_late(waited_seconds, head_arrived):
+        async def on_late(waited_seconds, head_arrived, is_lost):
+            assert is_lost
             waited.append(waited_seconds)
-            return True
 
         wait = waits.Wait(on_late, deadlines.Deadline.after(10.0))
         wait.began_at -= 5.0
-        assert await wait.is_given_up()
+        await wait.report_loss()
         wait.begin_next()
-        assert await wait.is_given_up()
+        await wait.report_loss()
         assert waited[0] > 4.9 and waited[1] < 1.0
 
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -1,5 +1,7 @@
 """Sound endpoints that fall silent for a second or so and then go on."""
 
+import re
+
 import curio
 import h11
 import pytest
@@ -13,6 +15,8 @@
 SILENCE_SECONDS = 1.3
 # Longer than that, and still shorter than the deadline.
 LONG_SILENCE_SECONDS = 1.6
+# Time in which a run has to end after the run that replaces it has begun.
+REPLACED_SECONDS = 0.4
 # More than the slack of a router's retry budget.
 STREAMS = 16
 
@@ -111,6 +115,31 @@
         runner.default_action = make_action()
 
 
+async def send_named_events(runner, connection, arrival):
+    """Send events with the name of the endpoint; the first run is silent."""
+    first = int(arrival.head.headers.get('last-event-id', '0')) + 1
+    head = runner.response_headers(
+        arrival,
+        **{
+            'content-type': 'text/event-stream',
+            'transfer-encoding': 'chunked',
+            'celeryward-confidence': '100',
+        },
+    )
+    lines = http.encode_headers(head)
+    await connection.send(
+        'answer', h11.Response(status_code=200, headers=lines)
+    )
+    for number in range(first, runner.events + 1):
+        data = f'id: {number}\ndata: {runner.id}\n\n'.encode()
+        await connection.send('answer', h11.Data(data=data))
+        if first == 1:
+            await connection.wait_closed()
+            raise http.Disconnected('closed', step='answer', peer='test')
+        await curio.sleep(0.02)
+    await connection.send('answer', h11.EndOfMessage())
+
+
 def close(site, runner):
     """Close an endpoint for longer than any test."""
     listed = site.router.runners.runners[runner.id]
@@ -274,6 +303,43 @@
         assert bodies == [standins.events(4)] * STREAMS
 
 
+class TestHedgedStreams:
+    """Guards against hedged streams that mix runs, or run twice for long."""
+
+    @standins.on_site
+    async def test_stream_never_returns_to_a_run_that_was_replaced(self, site):
+        set_action(site, lambda: send_named_events)
+        silent, other = site.runners['llm-1'], site.runners['llm-2']
+        close(site, other)
+        request = await curio.spawn(site.request, '/stream/')
+        await standins.wait_until(lambda: silent.arrivals)
+        site.router.closures.states.clear()
+        head, body = await request.join()
+        names = re.findall(rb'data: (.*)', body)
+        assert names == [b'llm-1'] + [b'llm-2'] * 3
+
+    @standins.on_site
+    async def test_run_that_was_replaced_ends_at_its_endpoint(self, site):
+        set_action(site, lambda: send_named_events)
+        silent, other = site.runners['llm-1'], site.runners['llm-2']
+        close(site, other)
+        request = await curio.spawn(site.request, '/stream/')
+        await standins.wait_until(lambda: silent.arrivals)
+        site.router.closures.states.clear()
+        await standins.wait_until(lambda: other.arrivals)
+        await standins.wait_until(lambda: silent.ended, REPLACED_SECONDS)
+        await request.join()
+
+    @standins.on_site
+    async def test_endpoint_that_goes_on_meanwhile_ends_the_hedge(self, site):
+        set_action(site, lambda: silence_in_stream_for(LONG_SILENCE_SECONDS))
+        await site.request('/stream/')
+        assert len(site.arrivals()) == 2
+        assert not site.router.forwarder.exchanges
+        assert not site.router.closures.places
+        assert not site.router.outcomes.in_flight
+
+
 class TestPlaces:
     """Guards against a place at an endpoint that several requests get."""
 
@@ -297,7 +363,7 @@
                 await group.spawn(read_stream, number)
             await standins.wait_until(lambda: len(silent.arrivals) == 4)
             open_one_place(site, filling)
-            await site.router.forwarder.abort_replaceable(
+            await site.router.forwarder.hedge_exchanges(
                 site.router.runners.runners['llm-1']
             )
         assert bodies == [standins.events(4)] * 4
