--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -129,6 +129,7 @@
                 self.queues,
                 self.closures,
                 self.estimates,
+                self.completion,
             ),
             self.forwarder,
             translator,
