Refuse requests after a stop's border, whichever task runs first

The gateway refused requests once the stop had taken its step. After a suspension or a blocked loop, a request that had been read could begin before that step. It now asks the schedule, which is a deadline on the boot-time clock.

tests/test_stop_schedule.py TestBorder: the refusal failed before (200).

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -45,7 +45,6 @@
         self.metrics = metrics
         self.stop = stop or stopping.StopState()
         self.draining = False
-        self.refusing = False
         self.active = {}
         self.tasks = {}
 
@@ -248,16 +247,12 @@
         """
         self.draining = True
 
-    def refuse_new(self):
-        """Refuse requests from now on: too little time is left for them."""
-        self.refusing = True
-
     def check_accepting(self, responder):
         """Check that a request that was read may begin.
 
-        :raises errors.ShuttingDown: if the router will stop too soon.
+        :raises errors.ShuttingDown: if a stop accepts no more requests.
         """
-        if self.refusing:
+        if not self.stop.is_accepting():
             raise errors.ShuttingDown(
                 'router is stopping',
                 step='admit',
--- a/celeryward/router_shutdown.py
+++ b/celeryward/router_shutdown.py
@@ -45,7 +45,6 @@
             'deregister', router.view.store.peer, router.view.deregister
         )
         await sleep_until(schedule.accept_until)
-        router.gateway.refuse_new()
         await router.caller_listener.stop_accepting()
         while router.gateway.active and not schedule.finish_by.expired():
             await router.gateway.close_idle()
--- a/celeryward/stopping.py
+++ b/celeryward/stopping.py
@@ -15,7 +15,7 @@
     """The deadlines of a planned stop.
 
     :param deadlines.BootDeadline accept_until: until when new connections
-        are accepted.
+        and requests are accepted.
     :param deadlines.BootDeadline finish_by: when the requests that are left
         are cut off.
     """
@@ -68,6 +68,12 @@
         """Whether the stop has begun."""
         return self.schedule is not None
 
+    def is_accepting(self):
+        """Return whether requests that arrive may begin."""
+        return self.schedule is None or not (
+            self.schedule.accept_until.expired()
+        )
+
     def begin(self, schedule):
         """Begin the stop; one that has begun keeps its schedule."""
         if self.schedule is None:
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -16,6 +16,7 @@
 from celeryward import http
 from celeryward.operators import demo
 from celeryward import signals
+from celeryward import stopping
 from tests import fakes
 from tests import platform_standins as standins
 from tests import test_pauses
@@ -290,3 +291,25 @@
         )
         await site.router.stop()
         assert (kind, site.name) not in site.store.objects
+
+
+class TestBorder:
+    """Guards against a border that holds only once a task has run."""
+
+    @standins.on_site
+    async def test_request_after_the_border_is_refused(self, site):
+        """After a suspension it was begun before the stop took its step."""
+        now = deadlines.BootDeadline.now()
+        schedule = stopping.StopSchedule.counted_from(now - 3.0, 2.8, 600.0)
+        site.router.stop_state.begin(schedule)
+        head, _ = await site.request('/whole/x')
+        assert (head.status, site.arrivals()) == (503, [])
+        assert float(head.headers['retry-after']) < 1.0
+
+    @standins.on_site
+    async def test_request_before_the_border_is_served(self, site):
+        now = deadlines.BootDeadline.now()
+        schedule = stopping.StopSchedule.counted_from(now, 2.8, 600.0)
+        site.router.stop_state.begin(schedule)
+        head, _ = await site.request('/whole/x')
+        assert head.status == 200
