--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -333,7 +333,9 @@
     async def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
         with signals.signal_receiver() as receiver:
-            await curio.spawn(receiver.look_regularly, daemon=True)
+            await self.supervisor.spawn(
+                'look for signals', 'signals', receiver.look_regularly
+            )
             starting = await curio.spawn(self.start_and_print_port)
             await receiver.next_signal()
             await starting.cancel()
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -334,7 +334,9 @@
         """Run until SIGTERM or SIGINT, then drain and stop."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
         with signals.signal_receiver(numbers) as receiver:
-            await curio.spawn(receiver.look_regularly, daemon=True)
+            await self.supervisor.spawn(
+                'look for signals', 'signals', receiver.look_regularly
+            )
             await self.start()
             while await receiver.next_signal() == signals.RELOAD_SIGNAL:
                 self.reload()
