--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -9,6 +9,7 @@
 import pytest
 
 from celeryward.endpoints import recovery
+from celeryward import http
 from celeryward import logs
 from celeryward.operators import demo
 from tests import platform_standins as standins
@@ -184,7 +185,10 @@
         await standins.wait_until(lambda: daemon.caller_server.active)
         await prepare(daemon)
         await daemon.stop()
-        return await sending.join()
+        try:
+            return await sending.join()
+        except curio.TaskError as error:
+            raise error.__cause__ from error
 
     @pytest.mark.parametrize('dispatched', (False, True))
     def test_only_a_request_that_was_not_passed_on_is_refused(
@@ -225,6 +229,32 @@
 
         with_cluster(test)
 
+    def test_nothing_is_written_behind_a_write_that_was_cancelled(
+        self, with_cluster
+    ):
+        """The error could follow a part of a chunk."""
+
+        async def test(cluster):
+            cluster.large.token_seconds = 0.05
+            writes = []
+
+            async def block(*arguments):
+                writes.append(arguments)
+                await never_end()
+
+            async def block_writes(daemon):
+                (responder,) = daemon.caller_server.active
+                await standins.wait_until(lambda: responder.started)
+                responder.connection.send = block
+                await standins.wait_until(lambda: writes)
+
+            example = demo.chat_example('', 'large', 'x', stream=True)
+            with pytest.raises(http.Disconnected):
+                await self.cut_off(cluster, block_writes, example)
+            assert len(writes) == 1
+
+        with_cluster(test)
+
 
 def undecided(attempt):
     """Return an isolation in which a request waits for a verdict."""
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -293,6 +293,21 @@
         assert (kind, site.name) not in site.store.objects
 
 
+class TestStopState:
+    """Guards against a stop whose schedule changes."""
+
+    def test_first_schedule_stays(self):
+        stop = stopping.StopState()
+        first = stopping.StopSchedule.counted_from(100.0, 2.8, 7.6)
+        stop.begin(first)
+        stop.begin(stopping.StopSchedule.counted_from(200.0, 2.8, 7.6))
+        assert stop.schedule is first
+
+    def test_connections_are_not_accepted_beyond_the_end(self):
+        schedule = stopping.StopSchedule.counted_from(100.0, 2.8, 1.0)
+        assert schedule.accept_until == schedule.finish_by
+
+
 class TestBorder:
     """Guards against a border that holds only once a task has run."""
 
