Believe no refusal without an id of a request that must not run twice

Callers saw: 503 for a POST on a route that must not be repeated, although it ran, at both endpoints: endpoints whose refusals never name a request wrote one without an id on the connection that was opened for the request, and ran it.

Cause: the first answer on a new connection was believed to belong to the request, unless that software had named requests in refusals before.

Change: a refusal of a request that must not run twice has to name it, else the outcome is unknown: 502, and no second endpoint. Requests that may be repeated are treated as before.

Tests: three that failed before (503 and two arrivals), now 502 and one.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -108,7 +108,7 @@
             self.timeouts.pause_seconds(relayed),
             self.timeouts.body_seconds(relayed),
             relayed.sequence.last,
-            new_connection=not route.retryable,
+            must_not_repeat=not route.retryable,
             on_late=on_late,
         )
 
--- a/celeryward/endpoints/answer_heads.py
+++ b/celeryward/endpoints/answer_heads.py
@@ -25,7 +25,8 @@
     :param read_response: function that returns the
         :class:`ingress.ResponseMetadata` of a head.
     :param extend: as for :meth:`http.Connection.read`.
-    :param bool names_refusals: as for :func:`answer_origin.origin`.
+    :param bool names_refusals: whether endpoints of this kind have named the
+        request in a refusal.
     :raises errors.AnswerMismatch: if an answer may belong to another
         request, or too many of them do.
     """
@@ -38,7 +39,7 @@
             metadata,
             forwarded.request_id,
             not (connection.from_pool or connection.skipped_responses),
-            names_refusals,
+            names_refusals or forwarded.must_not_repeat,
         )
         if found is answer_origin.Origin.THIS_REQUEST:
             return head, metadata
--- a/celeryward/endpoints/answer_origin.py
+++ b/celeryward/endpoints/answer_origin.py
@@ -15,26 +15,27 @@
     UNKNOWN = 'unknown'
 
 
-def origin(metadata, request_id, is_first, names_refusals):
+def origin(metadata, request_id, is_first, needs_name):
     """Return the :class:`Origin` of an answer.
 
     An answer without an id belongs to the waiting request only if it can't
     be one to an earlier request. A refusal without an id is not believed of
-    endpoints that name the request in their refusals.
+    endpoints that name the request in their refusals, and never for a request
+    that must not run twice.
 
     :param ingress.ResponseMetadata metadata: what the head of the answer
         says.
     :param str request_id: id of the request that waits.
     :param bool is_first: whether the answer is the first one on a connection
         that was opened for the request.
-    :param bool names_refusals: whether endpoints of this kind have named the
-        request in a refusal.
+    :param bool needs_name: whether a refusal must name the request: endpoints
+        of this kind have done so, or the request must not run twice.
     """
     if metadata.request_id:
         if metadata.request_id == request_id:
             return Origin.THIS_REQUEST
         return Origin.OTHER_REQUEST
-    unusual = names_refusals and is_refusal(metadata)
+    unusual = needs_name and is_refusal(metadata)
     if is_first and not unusual:
         return Origin.THIS_REQUEST
     return Origin.UNKNOWN
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -42,7 +42,8 @@
     :param float body_seconds: time after its head from which a whole body is
         late.
     :param int after_event: id of the last event that the caller received.
-    :param bool new_connection: whether to open a new connection.
+    :param bool must_not_repeat: whether the request must not run twice; it is
+        sent on a new connection.
     :param on_late: as for :class:`waits.Wait`.
     """
 
@@ -57,7 +58,7 @@
     pause_seconds: float
     body_seconds: float
     after_event: int = 0
-    new_connection: bool = False
+    must_not_repeat: bool = False
     on_late: abc.Callable = waits.ignore_late
 
     def next_event_deadline(self):
@@ -174,7 +175,7 @@
         try:
             await self.notice_reader.notify_listeners(runner)
             async with self.connections.lease(
-                runner, forwarded.head_deadline, forwarded.new_connection
+                runner, forwarded.head_deadline, forwarded.must_not_repeat
             ) as connection:
                 wait = self.begin_exchange(connection, forwarded, runner)
                 head, metadata = await self.exchange(
@@ -209,7 +210,7 @@
         """
         wait = waits.Wait(forwarded.on_late, forwarded.deadline)
         self.exchanges[connection] = Exchange(
-            runner.id, not forwarded.new_connection, connection, wait
+            runner.id, not forwarded.must_not_repeat, connection, wait
         )
         return wait
 
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -327,6 +327,18 @@
 class TestNewConnections:
     """Guards against refusals of requests that run on a new connection."""
 
+    @pytest.mark.parametrize('name', UNNAMED_REFUSALS)
+    @standins.on_site
+    async def test_refusal_without_id_is_no_promise_for_what_runs_once(
+        self, site, name
+    ):
+        """The request ran at both endpoints and its caller got 503."""
+        status, headers = UNNAMED_REFUSALS[name]
+        for runner in site.runners.values():
+            runner.default_action = repeat_then_run(status, headers)
+        head, _ = await site.request('/once/x', 'POST', b'1')
+        assert (head.status, len(site.arrivals())) == (502, 1)
+
     @pytest.mark.parametrize('name', UNNAMED_REFUSALS)
     @standins.on_site
     async def test_copy_that_lacks_the_id_of_a_refusal_is_no_promise(
