--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -10,6 +10,7 @@
 from celeryward.callers import request_handler
 from celeryward.callers import server
 from celeryward.callers import sessions
+from celeryward import completion
 from celeryward.daemons import control
 from celeryward.daemons import copies
 from celeryward.daemons import topics
@@ -47,6 +48,7 @@
 from celeryward.raters import runner
 from celeryward.raters import sampler
 from celeryward import signals
+from celeryward import stopping
 from celeryward import supervision
 
 FLUSH_RETRY_SECONDS = 0.2
@@ -74,6 +76,7 @@
         self.clock = clock
         timings = settings.timings
         self.metrics = metrics.Metrics()
+        self.stop_state = stopping.StopState()
         self.supervisor = supervision.Supervisor(
             self.metrics.count_task_failure
         )
@@ -141,6 +144,7 @@
             self.pool,
             timings,
             self.recovery,
+            completion.CompletionCheck(self.stop_state),
         )
         rater = rater_client.RaterClient(
             settings.raters, timings.rating_timeout
@@ -155,7 +159,7 @@
             self.request_handler.recorder, self.client, clock
         )
         self.caller_server = server.CallerServer(
-            self.request_handler, timings, new_id
+            self.request_handler, timings, new_id, self.stop_state
         )
         self.listener = listener.Listener(
             settings.callers.host,
@@ -259,24 +263,25 @@
             'daemon listens on port {}', self.listener.port
         )
 
-    async def stop(self):
+    async def stop(self, signalled_after=None):
         """Drain and stop.
 
         New requests are refused as not run, running ones are completed and
         bills are written before the tasks end.
 
+        :param float signalled_after: seconds since the host was booted; the
+            signal to stop was not sent before. None for now.
         :returns: the number of requests cut off at the drain deadline.
         """
         if self.stopped:
             return 0
         self.stopped = True
-        deadline = deadlines.Deadline.after(
-            self.settings.timings.drain_timeout
-        )
+        deadline = self.begin_stop(signalled_after).finish_by
         self.request_handler.stopping = True
+        await self.request_handler.refuse_unfinishable()
         await self.listener.stop_accepting()
         await self.caller_server.end_connections(deadline)
-        cut_off = await self.caller_server.fail_active()
+        cut_off = await self.caller_server.cut_off_active()
         await self.listener.drain(deadlines.Deadline.after(0.0))
         self.replicas.mark_all_due()
         while not await self.flusher.flush() and not deadline.expired():
@@ -298,6 +303,28 @@
         )
         return cut_off
 
+    def begin_stop(self, signalled_after):
+        """Begin the stop; return its :class:`stopping.StopSchedule`.
+
+        No request is accepted from now on.
+        """
+        now = deadlines.BootDeadline.now()
+        start = now if signalled_after is None else signalled_after
+        schedule = stopping.StopSchedule.counted_from(
+            start, 0.0, self.settings.timings.drain_timeout
+        )
+        self.stop_state.begin(schedule)
+        logs.bind(
+            step='stop',
+            peer=self.settings.name,
+            finish_by=round(schedule.finish_by.remaining(), 3),
+            late=round(now - start, 3),
+        ).info(
+            'daemon stops with {} requests under way',
+            len(self.caller_server.active),
+        )
+        return schedule
+
     async def start_and_print_port(self):
         """Start, then print the callers' port for the supervising process."""
         await self.start()
@@ -305,8 +332,9 @@
 
     async def run(self):
         """Run until SIGTERM or SIGINT, then stop gracefully."""
-        with signals.signal_receiver() as stop_signal:
+        with signals.signal_receiver() as receiver:
+            await curio.spawn(receiver.look_regularly, daemon=True)
             starting = await curio.spawn(self.start_and_print_port)
-            await stop_signal()
+            await receiver.next_signal()
             await starting.cancel()
-            return await self.stop()
+            return await self.stop(receiver.none_before)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -1,7 +1,6 @@
 """The router process: creates its components, runs its tasks, shuts down."""
 
 import os
-import time
 
 import curio
 
@@ -9,7 +8,6 @@
 from celeryward.callers import relay
 from celeryward.callers import router_admission
 from celeryward import completion
-from celeryward import deadlines
 from celeryward.endpoints import closures
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
@@ -30,6 +28,7 @@
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
+from celeryward import router_shutdown
 from celeryward.routers import departure_news
 from celeryward import signals
 from celeryward import stopping
@@ -42,7 +41,6 @@
 # retry budget and the evaluation of new versions, and a router may not have
 # discovered all others yet.
 MIN_ROUTERS = 7
-STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
 OVERDUE_POLL_SECONDS = 0.25
 IDLE_POLL_SECONDS = 0.25
@@ -139,7 +137,7 @@
             self.metrics,
         )
         self.gateway = gateway.Gateway(
-            self.relay, self.configuration, self.metrics
+            self.relay, self.configuration, self.metrics, self.stop_state
         )
         self.caller_listener = listener.Listener(
             placement.callers.host,
@@ -166,7 +164,6 @@
             self.relay.waiter.place_freed
         )
         router_metrics.register_gauges(self.metrics, self)
-        self.stopping = False
 
     def key_age_limit(self):
         """Return the largest age of the configuration for accepting API keys.
@@ -210,7 +207,7 @@
     def is_ready(self):
         """Return whether the load balancer may send requests here."""
         return (
-            not self.stopping
+            not self.stop_state.is_stopping
             and self.configuration.current is not None
             and bool(self.runners.runners)
             and self.freshness.is_fresh()
@@ -274,48 +271,13 @@
         ):
             self.tasks.append(await self.supervisor.spawn(step, peer, run))
 
-    async def stop(self):
+    async def stop(self, signalled_after=None):
         """Drain and stop. Requests that outlast the stop time are cut off.
 
-        Requests that arrive once no connection is accepted are refused.
+        :param float signalled_after: seconds since the host was booted; the
+            signal to stop was not sent before. None for now.
         """
-        self.stopping = True
-        started = time.monotonic()
-        schedule = self.stop_schedule()
-        self.stop_state.begin(schedule)
-        self.gateway.begin_drain()
-        logs.bind(step='stop', peer=self.placement.name).info(
-            'router stops with {} requests under way', len(self.gateway.active)
-        )
-        await self.view.deregister()
-        await curio.sleep(schedule.accept_until.remaining())
-        self.gateway.refuse_new()
-        await self.caller_listener.stop_accepting()
-        while self.gateway.active and not schedule.finish_by.expired():
-            await self.gateway.close_idle()
-            await curio.sleep(STOP_POLL_SECONDS)
-        await self.gateway.close_idle()
-        cut_off = len(self.gateway.active)
-        await self.gateway.fail_active()
-        for task in self.tasks:
-            await task.cancel()
-        logs.bind(step='stop', peer=self.placement.name).info(
-            'router stopped after {:.1f} s; {} requests cut off',
-            time.monotonic() - started,
-            cut_off,
-        )
-
-    def stop_schedule(self):
-        """Return the :class:`stopping.StopSchedule` of a stop that begins."""
-        finish_by = deadlines.BootDeadline.after(
-            self.placement.bounds.stop_seconds - self.tuning.stop_reserve
-        )
-        accept_until = deadlines.BootDeadline.after(
-            self.tuning.stop_accepting_after
-        )
-        return stopping.StopSchedule(
-            accept_until.earlier(finish_by), finish_by
-        )
+        await router_shutdown.RouterShutdown(self).run(signalled_after)
 
     def reload(self):
         """Read the placement again and apply what has changed in its bounds.
@@ -371,11 +333,12 @@
     async def run(self):
         """Run until SIGTERM or SIGINT, then drain and stop."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
-        with signals.signal_receiver(numbers) as next_signal:
+        with signals.signal_receiver(numbers) as receiver:
+            await curio.spawn(receiver.look_regularly, daemon=True)
             await self.start()
-            while await next_signal() == signals.RELOAD_SIGNAL:
+            while await receiver.next_signal() == signals.RELOAD_SIGNAL:
                 self.reload()
-            await self.stop()
+            await self.stop(receiver.none_before)
 
 
 def make_value_model(tuning):
