Tell the gateway which requests were dispatched before a stop cuts them off

A request that was admitted but never dispatched was called unknown at the end of a stop, because the gateway couldn't see its dispatches. It is refused as not run now; tests/test_stop_ends.py and test_stop_schedule.py pass.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -274,17 +274,14 @@
         """
         if responder.finished or responder.caller_left:
             return
-        relayed = getattr(responder, 'relayed', None)
-        error = cut_offs.make_error(
-            relayed is None or relayed.dispatches > 0,
-            responder.connection.peer,
-        )
+        dispatches = responder.relayed.dispatches if responder.relayed else 0
+        error = cut_offs.make_error(dispatches > 0, responder.connection.peer)
         cut_offs.log(
             error,
             start,
             request_id=responder.request_id,
             route=responder.route,
-            dispatches=relayed.dispatches if relayed else None,
+            dispatches=dispatches,
             answer_begun=responder.started,
         )
         self.log_failure(responder, error)
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -69,6 +69,7 @@
         responder.request_id = metadata.request_id
         relayed = self.admission.admit(metadata, head, body)
         responder.route = relayed.route.name
+        responder.relayed = relayed
         try:
             await self.dispatch_until_answered(relayed, responder)
         except (errors.NotRun, errors.OutcomeUnknown):
--- a/celeryward/callers/responses.py
+++ b/celeryward/callers/responses.py
@@ -79,6 +79,8 @@
     and ``pieces`` counts the pieces of a streamed answer that were sent.
 
     ``announced_close`` tells whether the head says that the connection closes.
+    ``relayed`` is the :class:`relayed_requests.RelayedRequest`, None until the
+    request is admitted.
 
     :param str method: method of the request.
     :param closes_connection: function that returns, when the head is sent,
@@ -99,6 +101,7 @@
         self.caller_left = False
         self.failure = None
         self.pieces = 0
+        self.relayed = None
 
     async def start_stream(self, head):
         """Send the head of an endpoint's streamed answer.
