--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -23,7 +23,7 @@
     'callers/endpoint_timeouts.py',
     'callers/escalation.py',
     'callers/idle_timeout.py',
-    'callers/moves.py',
+    'callers/replacements.py',
     'callers/retry_control.py',
     'callers/version_selection.py',
     'callers/planning.py',
