Answer HEAD requests that a daemon refuses or fails

Callers of a daemon that sent HEAD got a closed connection without an answer whenever the request was refused or failed: the error has a body, h11 refuses to write one after the head of an answer to HEAD, and the whole answer was lost after it counted as started. And a service's answer to HEAD that states no length, as it may, became a 502.

Connection.send leaves out the body of a response that must have none, so the head of the error goes out, for each server of ours. An answer to HEAD needs no length. The three places that know which answers have no body share one function.

--- a/celeryward/callers/responses.py
+++ b/celeryward/callers/responses.py
@@ -22,8 +22,6 @@
     (errors.OutcomeUnknown, 502),
 )
 INTERNAL_STATUS = 500
-# Responses without a body, which may state the length that one would have.
-BODILESS_STATUSES = (204, 304)
 
 
 def status_of(error):
@@ -139,17 +137,13 @@
     async def send_response(self, head, body):
         """Send a complete answer of an endpoint, with the same content."""
         lines = header_lines.end_to_end_lines(head.lines)
-        if body or not self.may_lack_body(head):
+        if body or not http.never_has_body(self.method, head.status):
             lines = replace_length(lines, len(body))
         await self.send_head(
             head.status, lines, h11.Data(data=body), h11.EndOfMessage()
         )
         self.finished = True
 
-    def may_lack_body(self, head):
-        """Return whether a length is stated although no body follows."""
-        return self.method == 'HEAD' or head.status in BODILESS_STATUSES
-
     async def send_error(self, error):
         """Send an error response, unless a response has been started.
 
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -21,7 +21,6 @@
 DONE_EVENT = b'data: [DONE]\n\n'
 USAGE_FIELD = b'"usage"'
 NOT_RUN_STATUSES = (429, 503)
-BODILESS_STATUSES = (204, 304)
 # Longest wait for the end of a body after its last event.
 DRAIN_SECONDS = 0.2
 TokenCount = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
@@ -397,20 +396,27 @@
     response = await connection.receive_response(read_deadlines.first_byte())
     check_service_head(response, call, connection.peer)
     body = await receive_delimited_body(
-        connection, response, call, read_deadlines
+        connection, response, call, read_deadlines, request.method
     )
     return response, body
 
 
-async def receive_delimited_body(connection, response, call, read_deadlines):
+async def receive_delimited_body(
+    connection, response, call, read_deadlines, method='POST'
+):
     """Return the body of a response that has explicit framing.
 
+    :param str method: method of the request.
     :raises errors.AnswerTruncated: if only the end of the connection would
         delimit the body, because a truncated body would look complete.
     """
     headers = response.headers
-    framed = 'content-length' in headers or 'transfer-encoding' in headers
-    if not framed and response.status not in BODILESS_STATUSES:
+    framed = (
+        'content-length' in headers
+        or 'transfer-encoding' in headers
+        or http.never_has_body(method, response.status)
+    )
+    if not framed:
         raise errors.AnswerTruncated(
             'response has neither a length nor chunks',
             step='read body',
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -17,6 +17,8 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Interim (1xx) responses that are skipped before the final response.
 MAX_INTERIM_RESPONSES = 16
+# Statuses of responses that never have a body.
+BODILESS_STATUSES = (204, 304)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +98,10 @@
         self.from_pool = False
         # Responses of the current exchange that belong to other requests.
         self.skipped_responses = 0
+        # Method of the request that is served.
+        self.request_method = ''
+        # Whether the response that is sent has no body.
+        self.bodiless = False
 
     async def receive(self, step, deadline, extend=None):
         """Return the next h11 event.
@@ -173,12 +179,25 @@
                 f'connection lost: {error}', step=step, peer=self.peer
             ) from error
 
+    def encode(self, event):
+        """Return the bytes of an h11 event.
+
+        The body of a response that must have none is left out.
+        """
+        if isinstance(event, h11.Response):
+            self.bodiless = never_has_body(
+                self.request_method, event.status_code
+            )
+        elif isinstance(event, h11.Data) and self.bodiless:
+            return b''
+        return self.h11.send(event) or b''
+
     async def send(self, step, *events):
         """Send h11 events in one write.
 
         :raises Disconnected: if the connection is closed.
         """
-        data = b''.join(self.h11.send(event) or b'' for event in events)
+        data = b''.join(map(self.encode, events))
         try:
             await self.sock.sendall(data)
         except OSError as error:
@@ -225,8 +244,9 @@
         """
         event = await self.receive('read request', deadline)
         if isinstance(event, h11.Request):
+            self.request_method = event.method.decode('ascii')
             return Request(
-                event.method.decode('ascii'),
+                self.request_method,
                 event.target.decode('ascii'),
                 decode_headers(event.headers),
                 tuple(event.headers.raw_items()),
@@ -367,6 +387,11 @@
         await self.sock.close()
 
 
+def never_has_body(method, status):
+    """Return whether a response has no body, whatever length it states."""
+    return method == 'HEAD' or status in BODILESS_STATUSES
+
+
 def decode_headers(headers):
     """Return h11 headers as a dictionary of values by lower-case name."""
     return {
