Leave callers that take no bytes of their answers

A caller that sent a request and didn't read the answer kept its task, its connection, and with streams and requests that run once also the place at the endpoint, which goes on counting as in flight, for as long as it liked: writes had no limit of time. Seen with a receive window of 2 KB: the request was still active 5 s after its answer was ready, at all three kinds of routes. The others were served meanwhile, before as after.

A write of which the peer takes no byte for 10 s ends the connection. A caller that reads slowly takes some, so that late answers are still delivered.

tests/test_written_answers.py: test_stalled_caller_is_left failed before (3 cases). The answers of a router that is killed in the middle of one, and of a caller that reads a byte at a time, passed before and after. 6 passed.

--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import os
 import select
 import socket
 
@@ -17,6 +18,8 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Interim (1xx) responses that are skipped before the final response.
 MAX_INTERIM_RESPONSES = 16
+# A peer that takes no byte of a message for this long is left.
+WRITE_STALL_SECONDS = 10.0
 # Statuses of responses that never have a body.
 BODILESS_STATUSES = (204, 304)
 
@@ -175,9 +178,7 @@
         except curio.TaskTimeout:
             return None
         except OSError as error:
-            raise Disconnected(
-                f'connection lost: {error}', step=step, peer=self.peer
-            ) from error
+            raise self.lost_error(str(error), step) from error
 
     def encode(self, event):
         """Return the bytes of an h11 event.
@@ -195,17 +196,47 @@
     async def send(self, step, *events):
         """Send h11 events in one write.
 
-        :raises Disconnected: if the connection is closed.
+        :raises Disconnected: if the connection is closed, or if the peer takes
+            no bytes.
         """
         data = b''.join(map(self.encode, events))
         try:
-            await self.sock.sendall(data)
+            await self.write(data)
+        except curio.TaskTimeout as error:
+            raise self.lost_error('peer takes no bytes', step) from error
         except OSError as error:
-            raise Disconnected(
-                f'connection lost: {error}', step=step, peer=self.peer
-            ) from error
+            raise self.lost_error(str(error), step) from error
         self.bytes_written += len(data)
 
+    def lost_error(self, reason, step):
+        """Return the error of a connection that is of no use any more."""
+        return Disconnected(
+            f'connection lost: {reason}', step=step, peer=self.peer
+        )
+
+    async def write(self, data):
+        """Write bytes to the socket.
+
+        :raises curio.TaskTimeout: if the peer takes none of them for
+            :data:`WRITE_STALL_SECONDS`.
+        """
+        remaining = self.write_now(memoryview(data))
+        while remaining:
+            sent = await curio.timeout_after(
+                WRITE_STALL_SECONDS, self.sock.send, remaining
+            )
+            remaining = remaining[sent:]
+
+    def write_now(self, data):
+        """Return the bytes that the kernel doesn't take at once.
+
+        A timer for each piece of a stream would cost more than its write.
+        """
+        try:
+            return data[os.write(self.sock.fileno(), data) :]
+        except BlockingIOError:
+            return data
+
     async def wait_for_input(self, step, deadline, extend=None):
         """Wait for bytes to parse or the end of file.
 
--- /dev/null
+++ b/tests/test_written_answers.py
@@ -0,0 +1,156 @@
+"""Answers that a router writes to callers that are slow, old or stalled."""
+
+import contextlib
+import signal
+import socket
+import time
+
+import curio
+import h11
+import pytest
+
+from celeryward import deadlines
+from celeryward import http
+from tests import platform_standins as standins
+from tests import test_pauses
+
+# More than the kernel buffers for a caller with a small receive window.
+LARGE_BODY = b'x' * (12 * 1024 * 1024)
+SMALL_WINDOW_BYTES = 2048
+
+
+@pytest.fixture
+def site():
+    return standins.default_site()
+
+
+async def connect_slow(address):
+    """Open a connection with a small receive window."""
+    sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES)
+    await sock.connect(address)
+    return http.Connection(sock, h11.CLIENT, 'router')
+
+
+def router_address(site):
+    """Return the address for callers of a router in this process."""
+    return '127.0.0.1', site.router.caller_listener.port
+
+
+async def send_only(connection, path, method='GET', **headers):
+    """Send a request without reading the response."""
+    lines = standins.request_headers(path, **headers)
+    await http.send_request(connection, method, path, lines, b'')
+
+
+async def read_answer(connection):
+    """Read an answer as a caller would; return its status and body."""
+    deadline = deadlines.Deadline.after(10.0)
+    head = await connection.receive_response(deadline)
+    return head.status, await connection.receive_body('read body', deadline)
+
+
+async def send_large_answer(runner, connection, arrival):
+    """Send more than a slow caller takes."""
+    await http.send_response(
+        connection, 200, runner.response_headers(arrival), LARGE_BODY
+    )
+
+
+async def send_large_events(runner, connection, arrival):
+    """Send events without end."""
+    head = runner.response_headers(
+        arrival,
+        **{
+            'content-type': 'text/event-stream',
+            'transfer-encoding': 'chunked',
+        },
+    )
+    lines = http.encode_headers(head)
+    await connection.send(
+        'answer', h11.Response(status_code=200, headers=lines)
+    )
+    number = int(arrival.head.headers.get('last-event-id', '0'))
+    while True:
+        number += 1
+        event = b'id: %d\ndata: %s\n\n' % (number, b'x' * 50000)
+        await connection.send('answer', h11.Data(data=event))
+        await curio.sleep(0)
+
+
+def set_actions(site, action):
+    """Let all endpoints take an action for each request."""
+    for runner in site.runners.values():
+        runner.default_action = action
+
+
+class TestStalledCallers:
+    """Guards against callers that don't read and hold others up."""
+
+    STALL_SECONDS = 0.5
+
+    @pytest.mark.parametrize(
+        ('path', 'action'),
+        (
+            ('/whole/x', send_large_answer),
+            ('/once/x', send_large_answer),
+            ('/stream/x', send_large_events),
+        ),
+    )
+    @standins.on_site
+    async def test_stalled_caller_is_left(
+        self, site, path, action, monkeypatch
+    ):
+        monkeypatch.setattr(
+            http, 'WRITE_STALL_SECONDS', self.STALL_SECONDS, raising=False
+        )
+        set_actions(site, action)
+        connection = await connect_slow(router_address(site))
+        await send_only(connection, path)
+        await standins.wait_until(lambda: site.router.gateway.active)
+        set_actions(site, standins.send_default_response)
+        for number in range(5):
+            started = time.monotonic()
+            head, _ = await site.request('/whole/x', request_id=f'r{number}')
+            assert head.status == 200
+            assert time.monotonic() - started < 1.0
+        await standins.wait_until(lambda: not site.router.gateway.active, 5.0)
+        assert not any(site.router.outcomes.in_flight.values())
+        with pytest.raises(http.Disconnected):
+            await read_answer(connection)
+        await connection.close()
+
+    @standins.on_site
+    async def test_caller_that_reads_slowly_gets_its_whole_answer(self, site):
+        connection = await connect_slow(router_address(site))
+        await send_only(connection, '/whole/x')
+        received = b''
+        while not received.endswith(b'whole answer'):
+            received += await connection.sock.recv(1)
+            await curio.sleep(0.001)
+        assert received.startswith(b'HTTP/1.1 200')
+        await connection.close()
+
+
+class TestKilledRouter:
+    """Guards against answers that look whole after a router was killed."""
+
+    @pytest.mark.parametrize('path', ('/whole/x', '/once/x'))
+    def test_answer_is_recognisable_as_cut(self, run, tmp_path, path):
+        async def test():
+            site = test_pauses.PausedSite(tmp_path / 'settings.toml')
+            try:
+                await site.start()
+                site.runner.default_action = send_large_answer
+                connection = await connect_slow(test_pauses.ADDRESS)
+                await send_only(connection, path)
+                await curio.sleep(0.5)
+                site.program.send_signal(signal.SIGKILL)
+                with pytest.raises(http.Disconnected):
+                    await read_answer(connection)
+                await connection.close()
+            finally:
+                with contextlib.suppress(Exception):
+                    await site.stop()
+
+        run(test)
