Write nothing after a message that was cut off inside

A second task that writes to a caller while the first waits for the caller to read, as the errors at the end of a daemon's stop do, failed with curio's WriteResourceBusy. Nobody expects it: in fail_active it ends the task group, so that the errors of all other callers weren't sent. If the caller read a little at that moment, or the first write had been cancelled, the bytes of the error would have gone out inside the piece, in place of its rest.

A connection notes that a write has begun; until it has ended, another one fails like a lost connection, which all callers of send expect.

tests/test_written_answers.py::TestInterruptedWrites failed before with WriteResourceBusy. The two other outcomes were only read. pytest of test_written_answers, test_dispatch and test_router_requests: passed.

--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -105,6 +105,8 @@
         self.request_method = ''
         # Whether the response that is sent has no body.
         self.bodiless = False
+        # Whether a write was begun and not ended.
+        self.writing = False
 
     async def receive(self, step, deadline, extend=None):
         """Return the next h11 event.
@@ -196,16 +198,23 @@
     async def send(self, step, *events):
         """Send h11 events in one write.
 
-        :raises Disconnected: if the connection is closed, or if the peer takes
-            no bytes.
+        Nothing is sent after a write that was cut off: it would stand inside
+        an earlier message.
+
+        :raises Disconnected: if the connection is closed, if the peer takes
+            no bytes, or if an earlier write was not ended.
         """
+        if self.writing:
+            raise self.lost_error('an earlier write was not ended', step)
         data = b''.join(map(self.encode, events))
+        self.writing = True
         try:
             await self.write(data)
         except curio.TaskTimeout as error:
             raise self.lost_error('peer takes no bytes', step) from error
         except OSError as error:
             raise self.lost_error(str(error), step) from error
+        self.writing = False
         self.bytes_written += len(data)
 
     def lost_error(self, reason, step):
--- a/tests/test_written_answers.py
+++ b/tests/test_written_answers.py
@@ -9,8 +9,11 @@
 import h11
 import pytest
 
+from celeryward.callers import server
 from celeryward import deadlines
+from celeryward import errors
 from celeryward import http
+from tests import fakes
 from tests import platform_standins as standins
 from tests import test_pauses
 
@@ -50,6 +53,14 @@
     return head.status, await connection.receive_body('read body', deadline)
 
 
+async def read_to_end(sock):
+    """Return all bytes until the end of a connection."""
+    received = []
+    while data := await sock.recv(65536):
+        received.append(data)
+    return b''.join(received)
+
+
 async def send_large_answer(runner, connection, arrival):
     """Send more than a slow caller takes."""
     await http.send_response(
@@ -154,3 +165,28 @@
                     await site.stop()
 
         run(test)
+
+
+class TestInterruptedWrites:
+    """Guards against messages that stand inside one that was cut off."""
+
+    @fakes.in_kernel
+    async def test_nothing_follows_a_piece_that_was_cut_off(self):
+        near, far = curio.socket.socketpair()
+        async with near, far:
+            connection = http.Connection(near, h11.SERVER, 'caller')
+            await far.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            deadline = deadlines.Deadline.after(1.0)
+            await connection.receive_request(deadline)
+            responder = server.Responder(connection, 'request-1')
+            await responder.start_stream({})
+            piece = await curio.spawn(responder.send, LARGE_BODY)
+            await curio.sleep(0.1)
+            reading = await curio.spawn(read_to_end, far)
+            error = errors.OutcomeUnknown('stopped', step='stop', peer='-')
+            with contextlib.suppress(errors.CallerDisconnected):
+                await responder.send_error(error)
+            await piece.join()
+            await near.shutdown(socket.SHUT_WR)
+            received = await reading.join()
+            assert received.endswith(LARGE_BODY + b'\r\n')
