Reset the connection of an old caller whose stream is cut off

A caller of HTTP/1.0 got a stream that broke off as a whole answer: a 200, some or none of the events, and an orderly end of the connection. Such a caller knows no chunks, so that h11 writes the body without a frame, and only the end of the connection ends it; the router closed it in an orderly way also where it gives up a stream. The daemon's streams end in the same way.

While such a body is incomplete, the socket is set to reset its connection when it is closed, which also holds for a killed process. Answers of known length and callers of HTTP/1.1 aren't concerned.

tests/test_written_answers.py::TestOldCallers: the two cut streams failed before (ended instead of reset); the whole ones and TestKilledProcess show that complete answers end as before and that a kill resets. pytest of test_written_answers, test_dispatch and test_router_requests passed.

--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -105,6 +105,8 @@
         self.request_method = ''
         # Whether the response that is sent has no body.
         self.bodiless = False
+        # Whether the end of the connection ends the response that is sent.
+        self.ended_by_close = False
         # Whether a write was begun and not ended.
         self.writing = False
 
@@ -188,13 +190,28 @@
         The body of a response that must have none is left out.
         """
         if isinstance(event, h11.Response):
-            self.bodiless = never_has_body(
-                self.request_method, event.status_code
-            )
+            self.begin_response(event)
         elif isinstance(event, h11.Data) and self.bodiless:
             return b''
         return self.h11.send(event) or b''
 
+    def begin_response(self, response):
+        """Prepare for the body of a response.
+
+        Callers of HTTP/1.0 know no chunks, so that the end of the connection
+        ends a body without a length. It is reset until the body is complete:
+        an orderly end would make a part of it look whole.
+        """
+        self.bodiless = never_has_body(
+            self.request_method, response.status_code
+        )
+        has_length = any(
+            name == b'content-length' for name, _ in response.headers
+        )
+        if self.h11.their_http_version == b'1.0':
+            self.ended_by_close = not (self.bodiless or has_length)
+            sockets.reset_on_close(self.sock, self.ended_by_close)
+
     async def send(self, step, *events):
         """Send h11 events in one write.
 
@@ -216,6 +233,8 @@
             raise self.lost_error(str(error), step) from error
         self.writing = False
         self.bytes_written += len(data)
+        if self.ended_by_close and isinstance(events[-1], h11.EndOfMessage):
+            sockets.reset_on_close(self.sock, False)
 
     def lost_error(self, reason, step):
         """Return the error of a connection that is of no use any more."""
--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+import struct
 
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -32,3 +33,13 @@
         (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def reset_on_close(sock, enabled):
+    """Choose whether closing a socket resets its connection.
+
+    This holds also if the process is killed. Bytes that the peer hasn't
+    received are lost.
+    """
+    linger = struct.pack('ii', enabled, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/test_written_answers.py
+++ b/tests/test_written_answers.py
@@ -3,6 +3,7 @@
 import contextlib
 import signal
 import socket
+import subprocess
 import time
 
 import curio
@@ -13,6 +14,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
+from celeryward import sockets
 from tests import fakes
 from tests import platform_standins as standins
 from tests import test_pauses
@@ -89,12 +91,80 @@
         await curio.sleep(0)
 
 
+async def break_stream(runner, connection, arrival):
+    """Send two events and break off."""
+    await standins.send_stream(runner, connection, arrival, last_event=2)
+
+
 def set_actions(site, action):
     """Let all endpoints take an action for each request."""
     for runner in site.runners.values():
         runner.default_action = action
 
 
+async def read_old_answer(site, path):
+    """Send a request of HTTP/1.0; return what arrives, and how it ends."""
+    headers = standins.request_headers(path)
+    lines = ''.join(f'{name}: {headers[name]}\r\n' for name in headers)
+    sock = await curio.open_connection(*router_address(site))
+    await sock.sendall(f'GET {path} HTTP/1.0\r\n{lines}\r\n'.encode())
+    received = b''
+    try:
+        while data := await sock.recv(65536):
+            received += data
+        return received, 'end'
+    except ConnectionResetError:
+        return received, 'reset'
+    finally:
+        await sock.close()
+
+
+class TestOldCallers:
+    """Guards against answers without a frame that look whole when cut."""
+
+    @pytest.mark.parametrize('path', ('/stream/x', '/rigid/x'))
+    @standins.on_site
+    async def test_broken_stream_does_not_end_as_whole(self, site, path):
+        set_actions(site, break_stream)
+        received, end = await read_old_answer(site, path)
+        assert received.startswith(b'HTTP/1.1 200')
+        assert not received.endswith(standins.event(4))
+        assert end == 'reset'
+
+    @standins.on_site
+    async def test_whole_stream_ends_as_whole(self, site):
+        received, end = await read_old_answer(site, '/stream/x')
+        assert received.endswith(standins.events(4))
+        assert end == 'end'
+
+    @standins.on_site
+    async def test_whole_answer_states_its_length(self, site):
+        received, end = await read_old_answer(site, '/whole/x')
+        assert b'content-length: 12' in received.lower()
+        assert received.endswith(b'whole answer') and end == 'end'
+
+
+class TestKilledProcess:
+    """Guards against an orderly end of connections of a killed process."""
+
+    def test_connection_is_reset(self):
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            caller = socket.create_connection(listener.getsockname())
+            accepted, _ = listener.accept()
+        sockets.reset_on_close(accepted, True)
+        holder = subprocess.Popen(
+            ('sleep', '60'), pass_fds=(accepted.fileno(),)
+        )
+        accepted.sendall(b'part')
+        accepted.close()
+        holder.kill()
+        holder.wait()
+        caller.settimeout(5.0)
+        with caller, pytest.raises(ConnectionResetError):
+            while caller.recv(100):
+                continue
+
+
 class TestStalledCallers:
     """Guards against callers that don't read and hold others up."""
 
