Take no cut answer of a router for a confirmation

A router that reports evidence took a 200 without a length and without a body for the confirmation of the report, so that a report whose answer was cut behind its head counted as delivered and wasn't sent again. Routers always state a length; an answer of one without a length or chunks is an error now.

--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -410,13 +410,8 @@
     :raises errors.AnswerTruncated: if only the end of the connection would
         delimit the body, because a truncated body would look complete.
     """
-    headers = response.headers
-    framed = (
-        'content-length' in headers
-        or 'transfer-encoding' in headers
-        or http.never_has_body(method, response.status)
-    )
-    if not framed:
+    bodiless = http.never_has_body(method, response.status)
+    if not (response.is_framed or bodiless):
         raise errors.AnswerTruncated(
             'response has neither a length nor chunks',
             step='read body',
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -55,6 +55,17 @@
     headers: dict[str, str]
     lines: tuple[tuple[bytes, bytes], ...] = ()
 
+    @property
+    def is_framed(self):
+        """Whether the end of the body can be told from that of a cut one.
+
+        Without a length or chunks, the end of the connection ends it.
+        """
+        return (
+            'content-length' in self.headers
+            or 'transfer-encoding' in self.headers
+        )
+
 
 class ReadTimeout(errors.CelerywardError):
     """The deadline passed before the next bytes arrived."""
--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -34,18 +34,21 @@
 
         A response with another number is a copy of an earlier one, whose
         state would look as recent as this request. A router of an earlier
-        release repeats none.
+        release repeats none. One without a frame may have been cut off.
         """
         number = str(next(self.request_numbers))
         headers = {**headers, protocol.REQUEST_NUMBER: number}
         response, answer = await http.exchange(
             connection, method, path, headers, body, deadline
         )
+        fault = ''
         if response.headers.get(protocol.REQUEST_NUMBER, number) != number:
+            fault = 'response is to another request'
+        elif not response.is_framed:
+            fault = 'response has neither a length nor chunks'
+        if fault:
             raise errors.ProtocolError(
-                'response is to another request',
-                step=f'{method} {path}',
-                peer=self.peer,
+                fault, step=f'{method} {path}', peer=self.peer
             )
         return response, answer
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -4,11 +4,20 @@
 import socket
 import struct
 
+from adapter import store
+import msgspec
 import pytest
 
 from celeryward import http
+from celeryward.objects import client as objects
 from celeryward.operators import demo
+from celeryward.routers import client as routers
+from celeryward.routers import members
+from celeryward.routers import protocol as router_protocol
+from celeryward import settings
+from celeryward.standins import base
 from celeryward.standins import service
+from tests import fakes
 
 BODY = b'{"state": "reserved"}'
 # Two bytes of the status line, and all but the last byte of the answer.
@@ -220,3 +229,163 @@
             assert int(head.headers['content-length']) > 0
 
         run(with_service, test)
+
+
+class RawPeer(base.StandIn):
+    """A store or router that writes raw answers, and then ends connections.
+
+    ``raw_answers`` has bytes, or functions that return them for a head.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.raw_answers = []
+        self.end = 'close'
+
+    async def answer(self, connection, received):
+        """Write the next raw answer."""
+        raw = self.raw_answers.pop(0)
+        with contextlib.suppress(OSError):
+            await connection.sock.sendall(raw)
+        if self.end != 'keep':
+            await end_connection(connection, self.end)
+
+
+def framed(value, frame, status='200 OK'):
+    """Return an answer with a JSON body in one of three framings."""
+    body = msgspec.json.encode(value)
+    line = b''
+    if frame == 'length':
+        line = b'content-length: %d\r\n' % len(body)
+    elif frame == 'chunks':
+        line = b'transfer-encoding: chunked\r\n'
+        body = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+    return b'HTTP/1.1 %s\r\n%s\r\n%s' % (status.encode(), line, body)
+
+
+def store_client(port):
+    """Return a client of the platform's store."""
+    address = settings.Address('127.0.0.1', port)
+    return objects.ObjectClient(address, 1.0, 'test', store.StoreDialect())
+
+
+def object_client(port):
+    """Return a client of the product's own object API."""
+    return objects.ObjectClient(
+        settings.Address('127.0.0.1', port), 1.0, 'test'
+    )
+
+
+def router_client(port):
+    """Return a client of another router."""
+    member = members.Member('router-2', 'a', '127.0.0.1', port)
+    return routers.RouterClient(member, 'own')
+
+
+ENTRY = {
+    'meta': {'name': 'a', 'revision': 3, 'created': 3},
+    'spec': {'x': 1},
+    'status': None,
+}
+STORED = {'kind': 'config', 'name': 'a', 'spec': {}, 'revision': 3}
+PAGE = {'entries': [ENTRY], 'hasMore': False, 'currentRev': 9}
+CHANGES = {
+    'events': [{'object': ENTRY, 'deleted': False}],
+    'currentRev': 9,
+}
+# What each reader of a peer takes as a whole answer.
+READS = {
+    'page of the store': (
+        store_client,
+        lambda client: client.list_pages('config'),
+        PAGE,
+    ),
+    'empty page': (
+        store_client,
+        lambda client: client.list_pages('config'),
+        {'entries': [], 'hasMore': False, 'currentRev': 9},
+    ),
+    'changes of the store': (
+        store_client,
+        lambda client: client.changes('config', 2, 0.0),
+        CHANGES,
+    ),
+    'object of the store': (
+        store_client,
+        lambda client: client.get('config', 'a'),
+        ENTRY,
+    ),
+    'list of the object API': (
+        object_client,
+        lambda client: client.list('config'),
+        {'items': [STORED], 'revision': 9},
+    ),
+    'hosts': (object_client, lambda client: client.hosts(), {'items': []}),
+    'list of a router': (
+        router_client,
+        lambda client: client.list_pages('config'),
+        {'items': [STORED], 'revision': 9, 'confirmed_seconds': 0.0},
+    ),
+    'changes of a router': (
+        router_client,
+        lambda client: client.changes('config', 2, 0.0),
+        {
+            'changes': [],
+            'revision': 9,
+            'confirmed_seconds': 0.0,
+            'away_seconds': None,
+        },
+    ),
+    'confirmation of a router': (
+        router_client,
+        lambda client: client.report(router_protocol.EvidenceReport((), ())),
+        {},
+    ),
+}
+
+
+def cut_positions(whole):
+    """Return where to cut an answer: all around its borders, and others."""
+    size = len(whole)
+    head = whole.index(b'\r\n\r\n') + 4
+    near = (*range(head - 4, head + 4), *range(size - 8, size))
+    return sorted({*range(0, size, 7), *near} & set(range(size)))
+
+
+class TestReads:
+    """Guards against cut lists, changes and confirmations that count."""
+
+    @pytest.mark.parametrize('end', ('close', 'reset'))
+    @pytest.mark.parametrize('frame', ('length', 'chunks', 'none'))
+    @pytest.mark.parametrize('name', READS)
+    @fakes.in_kernel
+    async def test_cut_answer_is_an_error(self, name, frame, end):
+        make_client, read, value = READS[name]
+        whole = framed(value, frame)
+        peer = RawPeer()
+        await peer.start()
+        try:
+            client = make_client(peer.port)
+            for position in cut_positions(whole):
+                peer.raw_answers = [whole[:position]]
+                peer.end = end
+                assert (await read(client)).is_err(), whole[:position]
+            peer.raw_answers = [whole]
+            peer.end = 'close'
+            is_router = make_client is router_client
+            is_whole = frame != 'none' or not is_router
+            assert (await read(client)).is_ok() == is_whole
+        finally:
+            await peer.stop()
+
+    @fakes.in_kernel
+    async def test_list_with_a_cut_page_is_an_error(self):
+        peer = RawPeer()
+        await peer.start()
+        try:
+            client = store_client(peer.port)
+            first = framed({**PAGE, 'hasMore': True}, 'none')
+            peer.raw_answers = [first, framed(PAGE, 'none')[:-2]]
+            assert (await client.list_pages('config')).is_err()
+        finally:
+            await peer.stop()
