Count a write with an unreadable answer as of unknown outcome

The answer of the store to a write, if its body was cut off (no length, closed in an orderly way), empty or no object, was reported as PlatformUnavailable: that the write took no effect. The status had said that it did. Who claims a key, holds a lease or orders a roll-out then takes its own write for another one's, or writes again.

The outcome is WriteUnknown now, as after a lost answer; its callers read the object again.

tests/test_store_answers.py::TestWrites: 21 of 21 cases failed before, create, put, delete and status in both dialects. pytest of test_claims, test_leases, test_billing, test_store_following and test_releases: 130 passed.

--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -154,9 +154,7 @@
         body = self.dialect.encode(stored)
         answer = await self.call('PUT', path, {}, body, kind=stored.kind)
         return answer.and_then(
-            lambda text: self.decode(
-                self.dialect.decode_object, stored.kind, text
-            )
+            lambda text: self.decode_written(stored.kind, text)
         )
 
     async def hosts(self):
@@ -196,9 +194,7 @@
         headers = {'x-writer': self.writer, **condition}
         answer = await self.call(method, path, headers, body, kind=stored.kind)
         return answer.and_then(
-            lambda text: self.decode(
-                self.dialect.decode_object, stored.kind, text
-            )
+            lambda text: self.decode_written(stored.kind, text)
         )
 
     async def call(
@@ -288,6 +284,19 @@
         except msgspec.DecodeError as error:
             return self.unavailable(f'malformed response: {error}', 'decode')
 
+    def decode_written(self, kind, body):
+        """Decode the object that a write returns.
+
+        :returns: ``Ok(StoredObject)``, or ``Err(WriteUnknown)``: the status
+            says that the write was applied.
+        """
+        decoded = self.decode(self.dialect.decode_object, kind, body)
+        return decoded.map_err(
+            lambda error: errors.WriteUnknown(
+                error.message, step=error.step, peer=error.peer
+            )
+        )
+
     def unavailable(self, message, step):
         """Return ``Err(PlatformUnavailable)``."""
         return result.Err(
