Write bills with too few copies before the running interval ends

What was seen: a bill whose replication failed was written only when the flusher's interval had passed, up to 4.8 s later with the default, not within 1.2 s as its code says. Until then a failed host took the bill with it.

Cause: the flusher chose the length of its wait before the wait began, and a failed replication did not end that wait. Only the death of a peer did.

Change: the flusher stores the deadline of the next flush, and a failed replication moves it nearer.

Evidence: the new test ran into its 2 s before (interval 1e6 s) and passes; test_billing and test_topics pass.

--- a/celeryward/objects/billing.py
+++ b/celeryward/objects/billing.py
@@ -42,11 +42,14 @@
 
     :param str owner: name of this run of the daemon; it is not reused after
         a restart.
-    :param peers: transport to the peers, or None. ``await keep(bills,
-        deadline)`` returns the names of the peers that hold the copies, and
-        raises an error if there are fewer than 2; ``await
+    :param peers: transport to the peers, or None. ``await
+        keep(bills, deadline)`` returns the names of the peers that hold the
+        copies, and raises an error if there are fewer than 2; ``await
         release(bill_ids)`` tells them that the platform has stored the
         bills.
+
+    ``on_missing_copies`` is an async function, or None; it is called when
+    bills begin to be on fewer than 2 peers.
     """
 
     def __init__(self, owner, peers=None, bounds=None):
@@ -57,6 +60,7 @@
         self.open_batch = None
         self.closed_batches = collections.deque()
         self.under_replicated = peers is None
+        self.on_missing_copies = None
 
     @property
     def pending_batches(self):
@@ -145,19 +149,28 @@
         try:
             holders = frozenset(await self.peers.keep(bills, deadline))
         except errors.CelerywardError as error:
-            # Logged once for each change of state, not for each bill.
-            if not self.under_replicated:
-                logs.bind_error(error).warning(
-                    'bills not replicated to 2 peers: {}', error.message
-                )
-            self.under_replicated = True
             for pending_batch in affected:
                 pending_batch.under_replicated = True
+            await self.record_missing_copies(error)
             return frozenset()
         for pending_batch in affected:
             pending_batch.holders |= holders
         return holders
 
+    async def record_missing_copies(self, error):
+        """Log and report that replication began to fail.
+
+        Once for each change of state, not for each bill.
+        """
+        if self.under_replicated:
+            return
+        self.under_replicated = True
+        logs.bind_error(error).warning(
+            'bills not replicated to 2 peers: {}', error.message
+        )
+        if self.on_missing_copies is not None:
+            await self.on_missing_copies()
+
     def is_replicated(self):
         """Return whether 2 peers hold a copy of every bill in memory."""
         return all(
--- a/celeryward/objects/flusher.py
+++ b/celeryward/objects/flusher.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
 from celeryward.objects import batches
@@ -33,19 +34,39 @@
         self.replicas = replicas
         self.claims = claims
         self.lock = curio.Lock()
-        self.woken = curio.Event()
+        self.flush_at = deadlines.NEVER
+        self.hastened = curio.Event()
+        ledger.on_missing_copies = self.hasten
 
     async def run(self):
-        """Flush at each interval, or earlier after :meth:`wake`."""
+        """Flush at each interval, or earlier if that is asked for."""
         while True:
-            async with curio.ignore_after(self.next_interval()):
-                await self.woken.wait()
-            self.woken.clear()
+            await self.flush_by(self.next_interval())
+            await self.wait_until_due()
+            # Set before the flush, which may ask for another one.
+            self.flush_at = deadlines.NEVER
             await self.flush()
 
+    async def wait_until_due(self):
+        """Wait until the next flush is due."""
+        while not self.flush_at.expired():
+            async with curio.ignore_after(self.flush_at.remaining()):
+                await self.hastened.wait()
+            self.hastened.clear()
+
+    async def flush_by(self, seconds):
+        """Flush in some seconds, unless a flush is due earlier."""
+        due = deadlines.Deadline.after(seconds)
+        self.flush_at = self.flush_at.earlier(due)
+        await self.hastened.set()
+
     async def wake(self):
         """Start a flush at once; called when a peer has died."""
-        await self.woken.set()
+        await self.flush_by(0.0)
+
+    async def hasten(self):
+        """Flush sooner, because copies of bills are missing."""
+        await self.flush_by(self.next_interval())
 
     def next_interval(self):
         """Return the seconds until the next flush, with jitter."""
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -186,6 +186,22 @@
         run(fleet.a.flusher.flush)
         assert fleet.b.replicas.count == fleet.c.replicas.count == 0
 
+    def test_missing_copies_flush_before_the_interval(self, run, fleet):
+        """The flusher slept on for the interval that it had begun."""
+
+        async def test():
+            fleet.kill('c')
+            fleet.a.flusher.interval = 1e6
+            task = await curio.spawn(fleet.a.flusher.run)
+            await curio.sleep(0.1)
+            await fleet.a.ledger.record(bill('r'))
+            async with curio.timeout_after(2.0):
+                while not fleet.platform.objects:
+                    await curio.sleep(0.01)
+            await task.cancel()
+
+        run(test)
+
     def test_reported_death_flushes_before_the_interval(self, run, fleet):
         async def test():
             fleet.b.flusher.interval = 1e6
