Let bills that have their copies wait for the flush interval

Until a daemon had written its first batch, it wrote its bills each second, not after its interval: after a roll-out of all daemons, up to four times the planned calls.

Cause: a ledger built without its transport to the peers counted as one whose copies are missing, also after the daemon had set the transport, until its first batch was written. In the test the first daemon flushed 0.8 to 1.2 s after its start; if the test was late by then, the bill had been written and its copies released.

Change: missing copies are recorded when a replication fails, and what is left after a write is looked up in the batches. A ledger without a transport is still flushed each second.

--- a/celeryward/objects/billing.py
+++ b/celeryward/objects/billing.py
@@ -42,7 +42,7 @@
 
     :param str owner: name of this run of the daemon; it is not reused after
         a restart.
-    :param peers: transport to the peers, or None. ``await
+    :param peers: transport to the peers, or None; may be set later. ``await
         keep(bills, deadline)`` returns the names of the peers that hold the
         copies, and raises an error if there are fewer than 2; ``await
         release(bill_ids)`` tells them that the platform has stored the
@@ -59,7 +59,7 @@
         self.sequence = 0
         self.open_batch = None
         self.closed_batches = collections.deque()
-        self.under_replicated = peers is None
+        self.under_replicated = False
         self.on_missing_copies = None
 
     @property
@@ -237,7 +237,9 @@
         ):
             return
         self.closed_batches.popleft()
-        self.under_replicated = self.peers is None
+        self.under_replicated = any(
+            each.under_replicated for each in self.pending_batches
+        )
         if self.peers is None:
             return
         try:
--- a/celeryward/objects/flusher.py
+++ b/celeryward/objects/flusher.py
@@ -71,7 +71,7 @@
     def next_interval(self):
         """Return the seconds until the next flush, with jitter."""
         interval = self.interval
-        if self.ledger.under_replicated:
+        if self.ledger.peers is None or self.ledger.under_replicated:
             interval = min(interval, UNDER_REPLICATED_INTERVAL_SECONDS)
         return interval * random.uniform(
             1.0 - INTERVAL_JITTER, 1.0 + INTERVAL_JITTER
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -143,6 +143,14 @@
         run(fleet.a.ledger.record, bill('r'))
         assert fleet.a.flusher.next_interval() < 2.0
 
+    def test_bills_with_copies_wait_for_the_flush_interval(self, run, fleet):
+        """A ledger that got its peers later was flushed each second."""
+        ledger = billing.Ledger('a')
+        ledger.peers = fleet.a.ledger.peers
+        made = flusher.Flusher(ledger, fleet.platform, 100.0)
+        run(ledger.record, bill('r'))
+        assert made.next_interval() > 50.0
+
     def test_outage_packs_bills_and_then_refuses_requests(self, run):
         fleet = Fleet(billing.Bounds(detailed=10, pending=25))
         fleet.platform.unavailable = True
--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -124,6 +124,18 @@
 
         run(test)
 
+    def test_bills_with_copies_wait_for_the_flush_interval(self, run):
+        async def test():
+            cluster, first, others = await bill_at_first_of_three()
+            # Longer than bills wait that have too few copies.
+            await curio.sleep(1.5)
+            assert all(other.replicas.count == 1 for other in others)
+            assert not stored_bills(cluster)
+            await first.stop()
+            await check_billed_once(cluster, others)
+
+        run(test)
+
     def test_bills_of_a_dead_peer_are_written(self, run):
         async def test():
             cluster, first, others = await bill_at_first_of_three()
