--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -11,6 +11,7 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 sys.path.append(str(ROOT / 'platform'))
 
+from benchmarks.soak import fleet  # noqa: E402
 from benchmarks.soak import plans  # noqa: E402
 from benchmarks.soak import regressions  # noqa: E402
 from benchmarks.soak import soak  # noqa: E402
@@ -36,7 +37,7 @@
     :param bool known: run the seeds that failed in the past instead.
     """
     logs.configure('CRITICAL', 'text')
-    signal.signal(signal.SIGTERM, exit_on_signal)
+    signal.signal(signal.SIGTERM, fleet.exit_on_signal)
     size = soak.Size(seconds, rate, routers, endpoints, callers, plan)
     runs = [(number, size) for number in range(seed, seed + seeds)]
     if known:
@@ -57,10 +58,5 @@
     return not violations
 
 
-def exit_on_signal(number, frame):
-    """Exit normally, so that exit handlers kill the router processes."""
-    sys.exit(128 + number)
-
-
 if __name__ == '__main__':
     fire.Fire(main)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -102,6 +102,8 @@
         self.version = 1
         self.settings = configurations.DEFAULTS
         self.keys = [standins.KEY]
+        # What starts a router, after the interpreter.
+        self.command = (processes.PROGRAM,)
 
     async def start(self):
         """Start the store, the endpoints and the routers."""
@@ -152,7 +154,7 @@
         log = self.directory / f'{router.name}-{router.start_count}.log'
         with log.open('wb') as output:
             router.popen = subprocess.Popen(
-                [sys.executable, processes.PROGRAM],
+                [sys.executable, *self.command],
                 cwd=processes.ROOT,
                 env={**os.environ, **processes.environment(path)},
                 stdout=output,
@@ -282,3 +284,8 @@
     except msgspec.DecodeError:
         # curio reports some of its errors as plain text.
         return ''
+
+
+def exit_on_signal(number, frame):
+    """Exit normally, so that exit handlers kill the router processes."""
+    sys.exit(128 + number)
