--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -1,6 +1,7 @@
 """Observations of a run by its callers, endpoints and fault injection."""
 
 import dataclasses
+import math
 import time
 
 
@@ -19,6 +20,7 @@
         not.
     :param bool left_early: whether the caller was to leave early.
     :param bool reused: whether the connection had carried a request before.
+    :param float deadline_seconds: deadline that the request named.
     """
 
     request_id: str
@@ -35,6 +37,7 @@
     written_at: float | None = None
     left_early: bool = False
     reused: bool = False
+    deadline_seconds: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,6 +144,8 @@
     :param list announced: the :class:`Announcement` of each answer of an
         endpoint that leaves.
     :param list timeouts: the :class:`Timeout` of each configuration.
+    :param set small_answers: requests that a small model answered whose
+        larger one failed.
     """
 
     def __init__(
@@ -158,6 +163,7 @@
         timeouts=(),
         turned_away=(),
         announced=(),
+        small_answers=(),
     ):
         self.outcomes = list(outcomes)
         self.executions = list(executions)
@@ -172,6 +178,7 @@
         self.timeouts = list(timeouts)
         self.turned_away = list(turned_away)
         self.announced = list(announced)
+        self.small_answers = set(small_answers)
 
     def overlaps_fault(self, start, end, names, target=None):
         """Return whether a matching fault overlaps a time span.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 
 from benchmarks.soak import callers
 from benchmarks.soak import checks
+from benchmarks.soak import completion_checks
 from benchmarks.soak import lateness
 from benchmarks.soak import observations
 from benchmarks.soak import plans
@@ -71,6 +72,18 @@
     return observed(*later_requests(*times, **more), turned_away=[refusal])
 
 
+def late_request(**fields):
+    """Return a request of 10.0 that a router got after its stop began."""
+    lost = {'kind': 'once', 'status': 502, 'written_at': 10.0} | fields
+    return outcome(**lost)
+
+
+def in_stop(*outcomes, executions=(EXECUTION,), ordered_at=9.0, **more):
+    """Return observations of a stop of router-0."""
+    stop = observations.Stop('router-0', ordered_at, ordered_at + 7.8, 0)
+    return observed(outcomes, executions, stops=[stop], **more)
+
+
 LATE_SECONDS = lateness.MIN_LATE_SECONDS + 0.2
 ON_TIME_SECONDS = 0.3
 VIOLATIONS = {
@@ -100,6 +113,11 @@
         stops=[observations.Stop('router-0', 9.0, 11.0, 0)],
     ),
     'recovery': observed(recovery=[outcome(status=503)]),
+    'late-in-stops': in_stop(late_request()),
+    'stops-in-time': observed(
+        stops=[observations.Stop('router-0', 9.0, 17.2, 0)]
+    ),
+    'kept-answers': observed([outcome(status=500)], small_answers=['r1']),
 }
 
 
@@ -263,6 +281,73 @@
         assert not list(checks.find_violations(found))
 
 
+class TestStops:
+    """Guards against checks of planned stops that excuse too much."""
+
+    def find(self, found):
+        return [each[0] for each in checks.find_violations(found)]
+
+    @pytest.mark.parametrize('kind', completion_checks.MUST_NOT_RUN_TWICE)
+    def test_request_whose_outcome_is_unknown_is_found(self, kind):
+        assert self.find(in_stop(late_request(kind=kind))) == ['late-in-stops']
+
+    def test_repeatable_request_may_fail(self):
+        assert self.find(in_stop(late_request(kind='whole'))) == []
+
+    def test_true_refusal_is_no_violation(self):
+        refused = late_request(status=503, not_run=True)
+        assert self.find(in_stop(refused, executions=())) == []
+        found = self.find(in_stop(refused))
+        assert found == ['late-in-stops', 'true-refusals']
+
+    def test_request_before_the_stop_is_not_late(self):
+        assert self.find(in_stop(late_request(), ordered_at=10.01)) == []
+
+    def test_deadline_excuses_only_when_it_is_reached(self):
+        reached = late_request(deadline_seconds=0.1)
+        assert self.find(in_stop(reached)) == []
+        early = late_request(deadline_seconds=4.0)
+        assert self.find(in_stop(early)) == ['late-in-stops']
+
+    @pytest.mark.parametrize(
+        'kind,began_at,excused',
+        [
+            ('stream', 9.5, True),
+            ('stream', 12.5, False),
+            ('rigid', 8.5, True),
+            ('rigid', 9.5, False),
+        ],
+    )
+    def test_work_at_the_end_of_a_stop_excuses_what_began_early(
+        self, kind, began_at, excused
+    ):
+        lost = dataclasses.replace(
+            UNANSWERED, kind=kind, started_at=began_at, ended_at=16.5
+        )
+        execution = dataclasses.replace(EXECUTION, at=began_at)
+        found = in_stop(
+            lost,
+            executions=[execution],
+            abandoned=[observations.Abandonment('r1', 'e1', 16.5)],
+        )
+        assert excused is not ('answered' in self.find(found))
+
+    def test_work_that_was_given_up_in_the_middle_is_found(self):
+        lost = dataclasses.replace(UNANSWERED, kind='stream', ended_at=13.0)
+        found = in_stop(
+            lost, abandoned=[observations.Abandonment('r1', 'e1', 13.0)]
+        )
+        assert 'answered' in self.find(found)
+
+    def test_pause_of_another_fault_excuses_a_late_end(self):
+        late = VIOLATIONS['stops-in-time'].stops
+        pause = observations.FaultSpan(9.0, 12.0, 'router-pause', 'router-0')
+        assert self.find(observed(stops=late, faults=[pause])) == []
+        other = dataclasses.replace(pause, target='router-1')
+        found = self.find(observed(stops=late, faults=[other]))
+        assert found == ['stops-in-time']
+
+
 class TestLateness:
     """Guards against recovery that is judged while the store stands still."""
 
