--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 import curio
 import pytest
 
+from benchmarks import retrying_callers
 from benchmarks.soak import callers
 from benchmarks.soak import checks
 from benchmarks.soak import completion_checks
@@ -348,6 +349,37 @@
         assert found == ['stops-in-time']
 
 
+class TestRetries:
+    """Guards against callers that retry what may have run."""
+
+    @pytest.mark.parametrize(
+        'status,error,result',
+        [
+            (200, '', 'whole'),
+            (200, 'Disconnected', 'cut'),
+            (429, '', 'refused'),
+            (503, 'Disconnected', 'refused'),
+            (404, '', 'rejected'),
+            (502, '', 'cut'),
+            (0, 'Disconnected', 'cut'),
+        ],
+    )
+    def test_result_follows_from_the_answer(self, status, error, result):
+        fields = {'status': status} | ({'error': error} if error else {})
+        caller = retrying_callers.Caller(None, 1, 1, ())
+        assert caller.judge(fields, 'r1', 5.0) == result
+
+    @pytest.mark.parametrize('kind', retrying_callers.KINDS)
+    def test_only_what_may_run_twice_is_retried_without_a_promise(self, kind):
+        def retried(result):
+            attempt = retrying_callers.Attempt('r1', 'a', 1.0, 2.0, result)
+            return retrying_callers.may_retry(kind, attempt)
+
+        assert retried('refused') and retried('crossed')
+        assert retried('cut') is kind.repeatable
+        assert not retried('whole') and not retried('rejected')
+
+
 class TestLateness:
     """Guards against recovery that is judged while the store stands still."""
 
