--- a/benchmarks/soak/completion_checks.py
+++ b/benchmarks/soak/completion_checks.py
@@ -27,6 +27,8 @@
             continue
         if checks.was_interrupted(observed, outcome, executions):
             continue
+        if was_reset_on_the_way(observed, outcome, executions):
+            continue
         if lasted_a_timeout(observed, outcome):
             continue
         seconds = outcome.ended_at - outcome.started_at
@@ -55,6 +57,16 @@
     return checks.crossed_close(outcome, executions)
 
 
+def was_reset_on_the_way(observed, outcome, executions):
+    """Return whether a fault may have kept a request from an endpoint.
+
+    The router can't know then whether it has arrived.
+    """
+    return not executions and observed.overlaps_fault(
+        outcome.started_at, outcome.ended_at, checks.INTERRUPTED_ENDPOINT
+    )
+
+
 def lasted_a_timeout(observed, outcome):
     """Return whether a request ended at a timeout that may be in force."""
     seconds = outcome.ended_at - outcome.started_at
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -304,6 +304,14 @@
     def test_request_before_the_stop_is_not_late(self):
         assert self.find(in_stop(late_request(), ordered_at=10.01)) == []
 
+    def test_reset_on_the_way_excuses_only_what_did_not_arrive(self):
+        reset = observations.FaultSpan(10.0, 10.05, 'endpoint-reset', 'e2')
+        lost = late_request()
+        assert self.find(in_stop(lost, executions=(), faults=[reset])) == []
+        assert self.find(in_stop(lost, executions=())) == ['late-in-stops']
+        found = self.find(in_stop(lost, faults=[reset]))
+        assert found == ['late-in-stops']
+
     def test_deadline_excuses_only_when_it_is_reached(self):
         reached = late_request(deadline_seconds=0.1)
         assert self.find(in_stop(reached)) == []
