--- a/celeryward/callers/request_handler.py
+++ b/celeryward/callers/request_handler.py
@@ -105,6 +105,12 @@
         finally:
             self.limiter.release(customer, time.monotonic() - started)
 
+    async def refuse_unfinishable(self):
+        """Refuse the requests in queues that a stop would cut off."""
+        await self.model_queues.refuse_waiting(
+            self.dispatcher.check_completion
+        )
+
     def billing_day(self):
         """Return the day that costs are charged to."""
         return limits.day_of(self.clock())
@@ -134,6 +140,7 @@
             idempotency_key=head.headers.get('idempotency-key', ''),
             priority=protocol.decode_priority(head.headers, customer, peer),
             digest=batches.digest_request(head.method, head.target, body),
+            progress=responder.progress,
         )
         catalog = self.configuration.catalog()
         route = errors.unwrap(
@@ -339,6 +346,7 @@
             idempotency_key=head.headers.get('idempotency-key', ''),
             priority=protocol.decode_priority(head.headers, customer, peer),
             digest=batches.digest_request(head.method, head.target, body),
+            progress=responder.progress,
         )
         with self.admitted(customer, name):
             run = functools.partial(self.run_service, call)
