--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import os
 import select
 import socket
 
@@ -17,6 +18,10 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Interim (1xx) responses that are skipped before the final response.
 MAX_INTERIM_RESPONSES = 16
+# A peer that takes no byte of a message for this long is left.
+WRITE_STALL_SECONDS = 10.0
+# Statuses of responses that never have a body.
+BODILESS_STATUSES = (204, 304)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +55,17 @@
     headers: dict[str, str]
     lines: tuple[tuple[bytes, bytes], ...] = ()
 
+    @property
+    def is_framed(self):
+        """Whether the end of the body can be told from that of a cut one.
+
+        Without a length or chunks, the end of the connection ends it.
+        """
+        return (
+            'content-length' in self.headers
+            or 'transfer-encoding' in self.headers
+        )
+
 
 class ReadTimeout(errors.CelerywardError):
     """The deadline passed before the next bytes arrived."""
@@ -96,6 +112,14 @@
         self.from_pool = False
         # Responses of the current exchange that belong to other requests.
         self.skipped_responses = 0
+        # Method of the request that is served.
+        self.request_method = ''
+        # Whether the response that is sent has no body.
+        self.bodiless = False
+        # Whether the end of the connection ends the response that is sent.
+        self.ended_by_close = False
+        # Whether a write was begun and not ended.
+        self.writing = False
 
     async def receive(self, step, deadline, extend=None):
         """Return the next h11 event.
@@ -169,23 +193,88 @@
         except curio.TaskTimeout:
             return None
         except OSError as error:
-            raise Disconnected(
-                f'connection lost: {error}', step=step, peer=self.peer
-            ) from error
+            raise self.lost_error(str(error), step) from error
+
+    def encode(self, event):
+        """Return the bytes of an h11 event.
+
+        The body of a response that must have none is left out.
+        """
+        if isinstance(event, h11.Response):
+            self.begin_response(event)
+        elif isinstance(event, h11.Data) and self.bodiless:
+            return b''
+        return self.h11.send(event) or b''
+
+    def begin_response(self, response):
+        """Prepare for the body of a response.
+
+        Callers of HTTP/1.0 know no chunks, so that the end of the connection
+        ends a body without a length. It is reset until the body is complete:
+        an orderly end would make a part of it look whole.
+        """
+        self.bodiless = never_has_body(
+            self.request_method, response.status_code
+        )
+        has_length = any(
+            name == b'content-length' for name, _ in response.headers
+        )
+        if self.h11.their_http_version == b'1.0':
+            self.ended_by_close = not (self.bodiless or has_length)
+            sockets.reset_on_close(self.sock, self.ended_by_close)
 
     async def send(self, step, *events):
         """Send h11 events in one write.
 
-        :raises Disconnected: if the connection is closed.
+        Nothing is sent after a write that was cut off: it would stand inside
+        an earlier message.
+
+        :raises Disconnected: if the connection is closed, if the peer takes
+            no bytes, or if an earlier write was not ended.
         """
-        data = b''.join(self.h11.send(event) or b'' for event in events)
+        if self.writing:
+            raise self.lost_error('an earlier write was not ended', step)
+        data = b''.join(map(self.encode, events))
+        self.writing = True
         try:
-            await self.sock.sendall(data)
+            await self.write(data)
+        except curio.TaskTimeout as error:
+            raise self.lost_error('peer takes no bytes', step) from error
         except OSError as error:
-            raise Disconnected(
-                f'connection lost: {error}', step=step, peer=self.peer
-            ) from error
+            raise self.lost_error(str(error), step) from error
+        self.writing = False
         self.bytes_written += len(data)
+        if self.ended_by_close and isinstance(events[-1], h11.EndOfMessage):
+            sockets.reset_on_close(self.sock, False)
+
+    def lost_error(self, reason, step):
+        """Return the error of a connection that is of no use any more."""
+        return Disconnected(
+            f'connection lost: {reason}', step=step, peer=self.peer
+        )
+
+    async def write(self, data):
+        """Write bytes to the socket.
+
+        :raises curio.TaskTimeout: if the peer takes none of them for
+            :data:`WRITE_STALL_SECONDS`.
+        """
+        remaining = self.write_now(memoryview(data))
+        while remaining:
+            sent = await curio.timeout_after(
+                WRITE_STALL_SECONDS, self.sock.send, remaining
+            )
+            remaining = remaining[sent:]
+
+    def write_now(self, data):
+        """Return the bytes that the kernel doesn't take at once.
+
+        A timer for each piece of a stream would cost more than its write.
+        """
+        try:
+            return data[os.write(self.sock.fileno(), data) :]
+        except BlockingIOError:
+            return data
 
     async def wait_for_input(self, step, deadline, extend=None):
         """Wait for bytes to parse or the end of file.
@@ -225,8 +314,9 @@
         """
         event = await self.receive('read request', deadline)
         if isinstance(event, h11.Request):
+            self.request_method = event.method.decode('ascii')
             return Request(
-                event.method.decode('ascii'),
+                self.request_method,
                 event.target.decode('ascii'),
                 decode_headers(event.headers),
                 tuple(event.headers.raw_items()),
@@ -367,6 +457,11 @@
         await self.sock.close()
 
 
+def never_has_body(method, status):
+    """Return whether a response has no body, whatever length it states."""
+    return method == 'HEAD' or status in BODILESS_STATUSES
+
+
 def decode_headers(headers):
     """Return h11 headers as a dictionary of values by lower-case name."""
     return {
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -143,6 +143,14 @@
         run(fleet.a.ledger.record, bill('r'))
         assert fleet.a.flusher.next_interval() < 2.0
 
+    def test_bills_with_copies_wait_for_the_flush_interval(self, run, fleet):
+        """A ledger that got its peers later was flushed each second."""
+        ledger = billing.Ledger('a')
+        ledger.peers = fleet.a.ledger.peers
+        made = flusher.Flusher(ledger, fleet.platform, 100.0)
+        run(ledger.record, bill('r'))
+        assert made.next_interval() > 50.0
+
     def test_outage_packs_bills_and_then_refuses_requests(self, run):
         fleet = Fleet(billing.Bounds(detailed=10, pending=25))
         fleet.platform.unavailable = True
@@ -186,6 +194,22 @@
         run(fleet.a.flusher.flush)
         assert fleet.b.replicas.count == fleet.c.replicas.count == 0
 
+    def test_missing_copies_flush_before_the_interval(self, run, fleet):
+        """The flusher slept on for the interval that it had begun."""
+
+        async def test():
+            fleet.kill('c')
+            fleet.a.flusher.interval = 1e6
+            task = await curio.spawn(fleet.a.flusher.run)
+            await curio.sleep(0.1)
+            await fleet.a.ledger.record(bill('r'))
+            async with curio.timeout_after(2.0):
+                while not fleet.platform.objects:
+                    await curio.sleep(0.01)
+            await task.cancel()
+
+        run(test)
+
     def test_reported_death_flushes_before_the_interval(self, run, fleet):
         async def test():
             fleet.b.flusher.interval = 1e6
