Log the answer of a request that a stop cuts off; send a Retry-After

`request ended` of a request that was cut off said status 0, because it was written before the task of the connection had answered. A stopping daemon refused requests without a time to come back. The delay of such refusals has one definition now.

Both tests failed before.

--- a/celeryward/callers/cut_offs.py
+++ b/celeryward/callers/cut_offs.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from celeryward import completion
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
@@ -15,8 +16,6 @@
 # Time for the last answers. A caller that doesn't read must not keep the
 # process until it is killed.
 LAST_ANSWERS_SECONDS = 0.25
-# Retry delay of a refusal: other hosts take new connections.
-RETRY_SECONDS = 0.1
 
 
 async def cancel(tasks):
@@ -54,7 +53,7 @@
         'stopped before the request was passed on',
         step='stop',
         peer=peer,
-        retry_at=deadlines.Deadline.after(RETRY_SECONDS),
+        retry_at=deadlines.Deadline.after(completion.STOPPING_RETRY_SECONDS),
     )
 
 
--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -13,6 +13,7 @@
 from celeryward.callers import idle_timeout
 from celeryward.callers import request_reader
 from celeryward.callers import responses
+from celeryward import completion
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
@@ -20,8 +21,6 @@
 from celeryward import logs
 from celeryward import stopping
 
-# Retry delay that a stopping router sends: other routers take new connections.
-STOPPING_RETRY_SECONDS = 0.1
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
 
 
@@ -93,16 +92,12 @@
             received = await self.reader.read(connection)
         except curio.TaskCancelled:
             error = cut_offs.make_error(False, connection.peer)
-            await cut_offs.answer(
-                functools.partial(self.reject, connection), error
-            )
+            send = functools.partial(self.reject, connection)
+            await cut_offs.answer(send, error)
             raise
         except errors.CelerywardError as error:
             if isinstance(error, CONNECTION_ERRORS):
                 raise
-            logs.bind_error(error).info(
-                'request rejected: {} {}', error.code, error.message
-            )
             await self.reject(connection, error)
             return False
         if received is None:
@@ -111,31 +106,33 @@
             connection, received.head.method, self.is_draining
         )
         self.active[connection] = responder
+        started = time.monotonic()
         start = self.stop.request_start()
         try:
             await self.serve_while_connected(connection, received, responder)
         except curio.TaskCancelled:
             await self.answer_cut_off(responder, start)
             raise
+        finally:
+            self.record_end(responder, started)
         return responder.finished and not responder.announced_close
 
     async def reject(self, connection, error):
         """Send an error if the state of the connection still allows it."""
+        logs.bind_error(error).info(
+            'request rejected: {} {}', error.code, error.message
+        )
         if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         await responses.Responder(connection).send_error(error)
 
     async def serve_while_connected(self, connection, received, responder):
         """Serve a request; cancel it if the caller closes the connection."""
-        started = time.monotonic()
         group = curio.TaskGroup(wait=any)
-        try:
-            async with group:
-                serving = await group.spawn(self.serve, received, responder)
-                await group.spawn(connection.wait_closed)
-            responder.caller_left = group.completed is not serving
-        finally:
-            self.record_end(responder, started)
+        async with group:
+            serving = await group.spawn(self.serve, received, responder)
+            await group.spawn(connection.wait_closed)
+        responder.caller_left = group.completed is not serving
 
     async def serve(self, received, responder):
         """Relay a request, or send an error if that fails."""
@@ -257,7 +254,9 @@
                 'router is stopping',
                 step='admit',
                 peer=responder.connection.peer,
-                retry_at=deadlines.Deadline.after(STOPPING_RETRY_SECONDS),
+                retry_at=deadlines.Deadline.after(
+                    completion.STOPPING_RETRY_SECONDS
+                ),
             )
 
     async def answer_cut_off(self, responder, start):
--- a/celeryward/callers/request_handler.py
+++ b/celeryward/callers/request_handler.py
@@ -17,6 +17,8 @@
 from celeryward.callers import sessions
 from celeryward.callers import version_selection
 from celeryward import calls
+from celeryward import completion
+from celeryward import deadlines
 from celeryward.endpoints import attempts
 from celeryward import errors
 from celeryward.objects import batches
@@ -78,7 +80,12 @@
         """
         if self.stopping:
             raise errors.ShuttingDown(
-                'daemon is stopping', step='admit', peer=peer
+                'daemon is stopping',
+                step='admit',
+                peer=peer,
+                retry_at=deadlines.Deadline.after(
+                    completion.STOPPING_RETRY_SECONDS
+                ),
             )
         key = protocol.bearer_key(head.headers)
         catalog = self.configuration.catalog()
--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -80,6 +80,10 @@
         assert cut_off['stop_left'] is None
         assert cut_off['seconds'] >= 0.5
         assert not cut_off['answer_begun']
+        ended = next(
+            line for line in log_lines if line['message'] == 'request ended'
+        )
+        assert ended['status'] == 502
 
 
 class TestAnswers:
--- a/tests/test_stopping_daemon.py
+++ b/tests/test_stopping_daemon.py
@@ -210,6 +210,24 @@
         with_cluster(test)
 
 
+class TestAdmission:
+    """Guards against refusals that don't say when to come back."""
+
+    def test_request_to_a_stopping_daemon_may_come_back_at_once(
+        self, with_cluster
+    ):
+        async def test(cluster):
+            cluster.daemon.request_handler.stopping = True
+            head, _ = await demo.send_example(
+                cluster.daemon.listener.port,
+                demo.chat_example('', 'small', 'x'),
+            )
+            assert head.status == 503
+            assert head.headers['retry-after'] == '1'
+
+        with_cluster(test)
+
+
 def single_slot(cluster):
     """Let the daemon run one request of the large model at a time."""
     queues = cluster.daemon.request_handler.model_queues
