Hedge the silent answer of a larger model, and no dispatch that has ended

Seen by a test: a larger model that fell silent after its first event was never hedged, because the answer of the small model still counted as held; the stream was cut off at its deadline. A claim now drops what is held, and an answer that is held itself asks for nothing. By reading: a dispatch that another one had replaced, or an exchange that ended while the monitor went through them, could start a hedge; and the outcome of the last dispatch was overwritten by one that had been cancelled. Each asks first whether it is still awaited.

--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -51,13 +51,24 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """An answer that waits for that of a larger model.
+
+    :param runs.Run run: the run that gives it.
+    :param curio.Event released: set when it need not wait any more.
+    """
+
+    run: object
+    released: curio.Event
+
+
 class Race:
     """The dispatches of one request that are under way at the same time.
 
     ``tasks`` holds the task of each dispatch that may still go on, by its run,
     and ``deferred`` the events of those that are not confirmed. ``held`` is
-    set once the answer of a small model need not wait any more for a larger
-    one, and is None if none waits.
+    the :class:`Held` answer of a small model, or None.
 
     :param relay.Relay relay: has the components that dispatch.
     :param relayed_requests.RelayedRequest relayed: the request.
@@ -84,10 +95,10 @@
             async with self.group:
                 await self.start(plan)
                 async for task in self.group:
-                    outcome = None if task.cancelled else task.result
-                    if outcome is None:
+                    if task.cancelled or task.result is None:
                         # Another dispatch went on.
                         continue
+                    outcome = task.result
                     if not outcome.failed:
                         break
                     self.record_failure(outcome)
@@ -157,9 +168,10 @@
             return
         await self.claim(dispatch)
         self.relayed.size = plan.size
-        self.held = curio.Event()
+        self.held = Held(dispatch.run, curio.Event())
+        released = self.held.released
         await self.start(plan)
-        await self.held.wait()
+        await released.wait()
         answer.wait.begin_next()
 
     async def relay_events(self, dispatch, answer):
@@ -239,6 +251,7 @@
         # Nothing may interrupt this up to here, so that one claim wins.
         self.tasks.clear()
         self.tasks[dispatch.run] = task
+        self.held = None
         self.relayed.size = dispatch.plan.size
         self.relayed.deliveries += len(others)
         self.relayed.runs += len(others)
@@ -263,16 +276,20 @@
         If the failed dispatch has not run, another endpoint runs the larger
         model.
         """
-        if self.held is None or self.held.is_set():
+        if not self.is_holding():
             return
         plan = None
         if outcome.error is not None and not outcome.error.sent:
             plan = self.relay.replacements.secure(self.relayed)
         if plan is None:
-            await self.held.set()
+            await self.held.released.set()
         else:
             await self.start(plan)
 
+    def is_holding(self):
+        """Return whether the answer of a small model waits."""
+        return self.held is not None and not self.held.released.is_set()
+
     def check_resumption(self, dispatch, answer):
         """Check that an answer continues the stream of the caller.
 
@@ -311,13 +328,13 @@
         race = self.race
         relayed = race.relayed
         is_stream = forwarding.is_stream(relayed.route)
-        if self.is_running() or not replacements.is_late(
+        if not self.is_awaited() or not replacements.is_late(
             is_stream, waited_seconds, head_arrived, is_lost
         ):
             return
-        if race.held is not None and not race.held.is_set():
+        if race.is_holding():
             self.log(waited_seconds, 'late answer replaced by a smaller one')
-            await race.held.set()
+            await race.held.released.set()
             return
         plan = race.relay.replacements.secure(relayed)
         if plan is None:
@@ -328,9 +345,18 @@
         self.log(waited_seconds, 'late answer hedged')
         self.task = await race.start(plan)
 
-    def is_running(self):
-        """Return whether the other dispatch is under way."""
-        return self.task is not None and not self.task.terminated
+    def is_awaited(self):
+        """Return whether nothing but the late answer itself is awaited.
+
+        It isn't if another dispatch has gone on, if the other dispatch is
+        under way, or if the answer is held.
+        """
+        race = self.race
+        if self.dispatch.run not in race.tasks:
+            return False
+        if race.is_holding() and race.held.run is self.dispatch.run:
+            return False
+        return self.task is None or self.task.terminated
 
     def log(self, waited_seconds, message):
         """Log what follows from the late answer."""
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -115,7 +115,8 @@
         Its own exchanges stay, since it may still go on.
         """
         for exchange in self.exchanges_with(runner):
-            await exchange.wait.report_loss()
+            if self.is_under_way(exchange):
+                await exchange.wait.report_loss()
 
     async def abort_silent(self, runner, seconds):
         """Abort the retryable exchanges with an unreachable endpoint.
@@ -140,11 +141,15 @@
         """
         count = 0
         for exchange in exchanges:
-            if self.exchanges.get(exchange.connection) is exchange:
+            if self.is_under_way(exchange):
                 await exchange.connection.shut_down()
                 count += 1
         return count
 
+    def is_under_way(self, exchange):
+        """Return whether an exchange has not ended."""
+        return self.exchanges.get(exchange.connection) is exchange
+
     def exchanges_with(self, runner):
         """Return the exchanges with an endpoint that are under way."""
         return tuple(
