Keep answers of the store apart by the kind that is watched

A second copy of an answer, late, on a connection in use again, was taken for the answer to another call: the list of another kind, another object, or a list for a watch without changes, which raises the revision from which the watch goes on, so that changes in between are missed. Idle connections were shared by all reads, and nothing in an answer names its call.

Only the watches of one kind share idle connections now; a copy of an earlier one has only changes that are known and confirms nothing. Lists and single objects, which are read rarely, open a connection. Routers among themselves number their requests and share connections as before. The connections moved to a module of their own. test_idle_connection_with_input_is_not_reused used lists, whose connections aren't kept any more; it watches now and checks the same.

--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -4,7 +4,6 @@
 the object to learn the outcome.
 """
 
-import contextlib
 import dataclasses
 import time
 
@@ -16,6 +15,7 @@
 from celeryward import errors
 from celeryward import http
 from celeryward.objects import confirmations
+from celeryward.objects import connections
 from celeryward.objects import ignored
 from celeryward.objects import protocol
 
@@ -25,13 +25,15 @@
     410: (errors.RevisionExpired, 'revision is no longer in the history'),
     413: (errors.AnswerTooLarge, 'changes exceed the size limit'),
 }
-MAX_IDLE_CONNECTIONS = 4
 # A store that repeats a page must not keep its reader busy for ever.
 MAX_PAGES = 1000
 
 
 class ObjectClient:
-    """Calls the object API; reads reuse idle connections.
+    """Calls the object API; the watches of a kind reuse idle connections.
+
+    A late copy of an answer can't be told from the answer to another call.
+    Only a watch finds that it knows what is in a copy of an earlier one.
 
     :param settings.Address address: address of the object API.
     :param float timeout: timeout of one call in seconds.
@@ -49,7 +51,7 @@
         self.timeout = timeout
         self.writer = writer
         self.dialect = dialect or protocol.ObjectDialect()
-        self.idle_connections = []
+        self.connections = connections.Connections(address)
         self.calls = 0
 
     @property
@@ -133,7 +135,7 @@
         path = self.dialect.long_poll_path(kind, since, wait_seconds)
         started = time.monotonic()
         answer = await self.call(
-            'GET', path, timeout=wait_seconds + self.timeout
+            'GET', path, timeout=wait_seconds + self.timeout, watched=kind
         )
         elapsed = time.monotonic() - started
         outcome = answer.and_then(
@@ -198,18 +200,26 @@
         )
 
     async def call(
-        self, method, path, headers=None, body=b'', kind='', timeout=None
+        self,
+        method,
+        path,
+        headers=None,
+        body=b'',
+        kind='',
+        timeout=None,
+        watched='',
     ):
         """Make one call and map its status to a result.
 
         :param str kind: kind of the object that a conflict returns.
         :param float timeout: timeout in seconds; that of the client if None.
+        :param str watched: kind that the call watches; empty for others.
         """
         self.calls += 1
         deadline = deadlines.Deadline.after(timeout or self.timeout)
-        is_write = method != 'GET'
+        use = self.connection_use(method, watched)
         try:
-            async with self.connection(deadline, is_write) as connection:
+            async with self.connections.lease(deadline, use) as connection:
                 response, response_body = await self.exchange(
                     connection, method, path, headers or {}, body, deadline
                 )
@@ -303,41 +313,15 @@
             errors.PlatformUnavailable(message, step=step, peer=self.peer)
         )
 
-    @contextlib.asynccontextmanager
-    async def connection(self, deadline, force_new):
-        """Provide a connection; keep it only if the exchange completes.
+    def connection_use(self, method, watched):
+        """Return the name that calls share which reuse connections.
 
         Writes use a new connection: on an idle connection that has failed
         unnoticed, the outcome of a write would be unknown.
-        """
-        connection = None if force_new else await self.acquire_idle()
-        if connection is None:
-            connection = await http.connect(
-                self.address.host, self.address.port, deadline
-            )
-        reusable = False
-        try:
-            yield connection
-            reusable = connection.reusable()
-        finally:
-            if reusable and len(self.idle_connections) < MAX_IDLE_CONNECTIONS:
-                connection.start_next_cycle()
-                self.idle_connections.append(connection)
-            else:
-                await connection.close()
 
-    async def acquire_idle(self):
-        """Return an idle connection, or None.
-
-        One with input was closed by the store, or holds a second copy of the
-        response to an earlier call.
+        :returns: an empty name for a call that uses a new connection.
         """
-        while self.idle_connections:
-            connection = self.idle_connections.pop()
-            if not connection.has_input():
-                return connection
-            await connection.close()
-        return None
+        return watched
 
     async def watch(self, kinds, since, next_deadline):
         """Yield a result with each :class:`protocol.Change` of a stream.
--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -52,6 +52,10 @@
             )
         return response, answer
 
+    def connection_use(self, method, watched):
+        """Return one name for all calls: responses repeat their number."""
+        return 'numbered'
+
     def check_status(self, status, body, method, path, kind=''):
         """Return ``Ok(body)``, or the error that the status indicates."""
         if status == protocol.STATUS_OUT_OF_DATE:
@@ -74,7 +78,8 @@
         deadline = deadlines.Deadline.after(self.timeout)
         path = protocol.EVIDENCE_PATH
         try:
-            async with self.connection(deadline, False) as connection:
+            use = self.connection_use('POST', '')
+            async with self.connections.lease(deadline, use) as connection:
                 response, body = await self.exchange(
                     connection,
                     'POST',
--- a/tests/test_other_routers.py
+++ b/tests/test_other_routers.py
@@ -461,7 +461,7 @@
             other.repeats = repeats
             outcome = await router.changes('config', 7, 0.0)
             assert outcome.is_err() == repeats
-        assert not router.idle_connections
+        assert not any(router.connections.idle.values())
         await other.stop()
 
     @standins.on_site
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -394,11 +394,11 @@
         store = client.ObjectClient(
             view.store.address, 1.0, 'test', view.translator.dialect
         )
-        assert (await store.list_pages('config')).is_ok()
-        connection = store.idle_connections[0]
+        assert (await store.changes('config', 0, 0.0)).is_ok()
+        connection = store.connections.idle['config'][0]
         connection.has_input = lambda: True
-        assert (await store.list_pages('config')).is_ok()
-        assert connection not in store.idle_connections
+        assert (await store.changes('config', 0, 0.0)).is_ok()
+        assert connection not in store.connections.idle['config']
 
     @pytest.mark.parametrize(
         ('elapsed', 'confirmed'),
