Answer with an error if the head of an answer can't be written

A response counted as started before its head was encoded. If h11 refused the head, the error that should have taken its place was left out, and the caller got a closed connection without an answer.

The head is made first; one that is refused raises OutcomeUnknown, which the gateway answers with a complete 502.

--- a/celeryward/callers/responses.py
+++ b/celeryward/callers/responses.py
@@ -48,6 +48,22 @@
         ) from error
 
 
+def make_head(status, lines, peer):
+    """Return the h11 head of a response to a caller.
+
+    It is made before the response counts as started, so that an error can
+    take the place of one that can't be written.
+
+    :raises errors.OutcomeUnknown: if it can't be written.
+    """
+    try:
+        return h11.Response(status_code=status, headers=lines)
+    except h11.LocalProtocolError as error:
+        raise errors.OutcomeUnknown(
+            f'answer can not be written: {error}', step='relay', peer=peer
+        ) from error
+
+
 def always():
     """Return True: each response closes its connection."""
     return True
@@ -113,16 +129,19 @@
         await self.send_head(head.status, lines)
 
     async def send_head(self, status, lines, *events):
-        """Send a head, together with the given h11 events after it."""
-        self.announced_close = self.closes_connection()
-        if self.announced_close:
-            lines.append((b'Connection', b'close'))
+        """Send a head, together with the given h11 events after it.
+
+        :raises errors.OutcomeUnknown: if it can't be written.
+        """
+        announced_close = self.closes_connection()
+        if announced_close:
+            lines = [*lines, (b'Connection', b'close')]
+        head = make_head(status, lines, self.connection.peer)
+        self.announced_close = announced_close
         self.started = True
         self.head_at = time.monotonic()
         self.status = status
-        await self.write(
-            h11.Response(status_code=status, headers=lines), *events
-        )
+        await self.write(head, *events)
 
     async def send(self, payload):
         """Send a piece of a streamed answer."""
