--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -2,9 +2,6 @@
 
 import contextlib
 import dataclasses
-import os
-import select
-import socket
 
 import curio
 import h11
@@ -12,14 +9,12 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import sockets
+from celeryward import transport
 
-READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Interim (1xx) responses that are skipped before the final response.
 MAX_INTERIM_RESPONSES = 16
-# A peer that takes no byte of a message for this long is left.
-WRITE_STALL_SECONDS = 10.0
 # Statuses of responses that never have a body.
 BODILESS_STATUSES = (204, 304)
 
@@ -67,18 +62,9 @@
         )
 
 
-class ReadTimeout(errors.CelerywardError):
-    """The deadline passed before the next bytes arrived."""
-
-    code = 'read_timeout'
-
-
-class Disconnected(errors.CelerywardError):
-    """The peer closed or reset the connection."""
-
-    code = 'disconnected'
-
-
+# The errors of a connection, which users of this module handle.
+ReadTimeout = transport.ReadTimeout
+Disconnected = transport.Disconnected
 # Errors that a request and response on an open connection can raise.
 EXCHANGE_ERRORS = (
     Disconnected,
@@ -88,7 +74,7 @@
 )
 
 
-class Connection:
+class Connection(transport.Transport):
     """One HTTP/1.1 connection, used by one task at a time.
 
     :param sock: connected curio socket.
@@ -98,13 +84,10 @@
     """
 
     def __init__(self, sock, role, peer, max_head_bytes=MAX_HEAD_BYTES):
-        self.sock = sock
-        self.peer = peer
+        super().__init__(sock, peer)
         self.h11 = h11.Connection(
             role, max_incomplete_event_size=max_head_bytes
         )
-        self.bytes_written = 0
-        self.bytes_read = 0
         self.last_read_at = 0.0
         # Until when the peer keeps the idle connection open.
         self.usable_until = deadlines.NEVER
@@ -118,8 +101,6 @@
         self.bodiless = False
         # Whether the end of the connection ends the response that is sent.
         self.ended_by_close = False
-        # Whether a write was begun and not ended.
-        self.writing = False
 
     async def receive(self, step, deadline, extend=None):
         """Return the next h11 event.
@@ -150,51 +131,6 @@
             return Disconnected(message, step=step, peer=self.peer)
         return errors.ProtocolError(str(error), step=step, peer=self.peer)
 
-    async def read(self, step, deadline, extend=None):
-        """Return bytes from the socket, empty at the end of the stream.
-
-        A peer that sends without a pause can neither exceed the deadline nor
-        keep other tasks from running: recv() on a socket with data neither
-        times out nor yields to other tasks.
-
-        :param extend: async function that is called when the deadline has
-            passed; it returns a later one, or None to end the wait.
-        """
-        data = None
-        while data is None:
-            if deadline.expired():
-                deadline = await self.later_deadline(step, extend)
-            data = await self.read_before(step, deadline)
-        self.bytes_read += len(data)
-        if len(data) == READ_SIZE_BYTES:
-            await curio.sleep(0)
-        return data
-
-    async def later_deadline(self, step, extend):
-        """Return the deadline that replaces one that has passed.
-
-        :raises ReadTimeout: if there is none.
-        """
-        later = await extend() if extend is not None else None
-        if later is None:
-            raise ReadTimeout(
-                'deadline passed before the message was complete',
-                step=step,
-                peer=self.peer,
-            )
-        return later
-
-    async def read_before(self, step, deadline):
-        """Return bytes from the socket, or None if the deadline passes."""
-        try:
-            return await curio.timeout_after(
-                deadline.remaining(), self.sock.recv, READ_SIZE_BYTES
-            )
-        except curio.TaskTimeout:
-            return None
-        except OSError as error:
-            raise self.lost_error(str(error), step) from error
-
     def encode(self, event):
         """Return the bytes of an h11 event.
 
@@ -226,56 +162,14 @@
     async def send(self, step, *events):
         """Send h11 events in one write.
 
-        Nothing is sent after a write that was cut off: it would stand inside
-        an earlier message.
-
         :raises Disconnected: if the connection is closed, if the peer takes
             no bytes, or if an earlier write was not ended.
         """
-        if self.writing:
-            raise self.lost_error('an earlier write was not ended', step)
-        data = b''.join(map(self.encode, events))
-        self.writing = True
-        try:
-            await self.write(data)
-        except curio.TaskTimeout as error:
-            raise self.lost_error('peer takes no bytes', step) from error
-        except OSError as error:
-            raise self.lost_error(str(error), step) from error
-        self.writing = False
-        self.bytes_written += len(data)
+        self.check_writable(step)
+        await self.send_bytes(step, b''.join(map(self.encode, events)))
         if self.ended_by_close and isinstance(events[-1], h11.EndOfMessage):
             sockets.reset_on_close(self.sock, False)
 
-    def lost_error(self, reason, step):
-        """Return the error of a connection that is of no use any more."""
-        return Disconnected(
-            f'connection lost: {reason}', step=step, peer=self.peer
-        )
-
-    async def write(self, data):
-        """Write bytes to the socket.
-
-        :raises curio.TaskTimeout: if the peer takes none of them for
-            :data:`WRITE_STALL_SECONDS`.
-        """
-        remaining = self.write_now(memoryview(data))
-        while remaining:
-            sent = await curio.timeout_after(
-                WRITE_STALL_SECONDS, self.sock.send, remaining
-            )
-            remaining = remaining[sent:]
-
-    def write_now(self, data):
-        """Return the bytes that the kernel doesn't take at once.
-
-        A timer for each piece of a stream would cost more than its write.
-        """
-        try:
-            return data[os.write(self.sock.fileno(), data) :]
-        except BlockingIOError:
-            return data
-
     async def wait_for_input(self, step, deadline, extend=None):
         """Wait for bytes to parse or the end of file.
 
@@ -291,13 +185,13 @@
         """Return once the peer has closed the connection.
 
         Bytes that arrive early are kept for the next request. After
-        :data:`READ_SIZE_BYTES` of them the connection is no longer read, and
-        the call does not return.
+        :data:`transport.READ_SIZE_BYTES` of them the connection is no longer
+        read, and the call does not return.
         """
         early_size = 0
-        while early_size < READ_SIZE_BYTES:
+        while early_size < transport.READ_SIZE_BYTES:
             try:
-                data = await self.sock.recv(READ_SIZE_BYTES)
+                data = await self.sock.recv(transport.READ_SIZE_BYTES)
             except OSError:
                 # A reset also closes the connection.
                 return
@@ -434,28 +328,10 @@
         data, closed = self.h11.trailing_data
         return bool(data) or closed
 
-    def has_input(self):
-        """Return whether the socket has bytes or an end of file to read."""
-        poller = select.poll()
-        poller.register(self.sock.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
-
     def start_next_cycle(self):
         """Prepare for the next request on this connection."""
         self.h11.start_next_cycle()
 
-    async def shut_down(self):
-        """Shut the socket down, so that a task that reads from it ends."""
-        try:
-            await self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The connection is closed already.
-            return
-
-    async def close(self):
-        """Close the socket; do nothing if it is closed."""
-        await self.sock.close()
-
 
 def never_has_body(method, status):
     """Return whether a response has no body, whatever length it states."""
@@ -480,22 +356,8 @@
 
     :raises errors.ConnectionFailed: with ``sent=False``.
     """
-    peer = f'{host}:{port}'
-    try:
-        sock = await curio.timeout_after(
-            deadline.remaining(), curio.open_connection, host, port
-        )
-    except curio.TaskTimeout as error:
-        raise errors.ConnectionFailed(
-            'connect timed out', step='connect', peer=peer, sent=False
-        ) from error
-    except OSError as error:
-        raise errors.ConnectionFailed(
-            f'connect failed: {error}', step='connect', peer=peer, sent=False
-        ) from error
-    sockets.disable_nagle(sock)
-    sockets.detect_dead_peer(sock)
-    return Connection(sock, h11.CLIENT, peer)
+    sock = await transport.open_socket(host, port, deadline)
+    return Connection(sock, h11.CLIENT, f'{host}:{port}')
 
 
 async def send_request(connection, method, target, headers, body):
--- /dev/null
+++ b/celeryward/transport.py
@@ -0,0 +1,183 @@
+"""Reads and writes the bytes of connections, within limits of time."""
+
+import os
+import select
+import socket
+
+import curio
+
+from celeryward import errors
+from celeryward import sockets
+
+READ_SIZE_BYTES = 65536
+# A peer that takes no byte of a message for this long is left.
+WRITE_STALL_SECONDS = 10.0
+
+
+class ReadTimeout(errors.CelerywardError):
+    """The deadline passed before the next bytes arrived."""
+
+    code = 'read_timeout'
+
+
+class Disconnected(errors.CelerywardError):
+    """The peer closed or reset the connection."""
+
+    code = 'disconnected'
+
+
+class Transport:
+    """The bytes of one connection.
+
+    :param sock: connected curio socket.
+    :param str peer: address of the peer, used in errors.
+    """
+
+    def __init__(self, sock, peer):
+        self.sock = sock
+        self.peer = peer
+        self.bytes_written = 0
+        self.bytes_read = 0
+        # Whether a write was begun and not ended.
+        self.writing = False
+
+    async def read(self, step, deadline, extend=None):
+        """Return bytes from the socket, empty at the end of the stream.
+
+        A peer that sends without a pause can neither exceed the deadline nor
+        keep other tasks from running: recv() on a socket with data neither
+        times out nor yields to other tasks.
+
+        :param extend: async function that is called when the deadline has
+            passed; it returns a later one, or None to end the wait.
+        """
+        data = None
+        while data is None:
+            if deadline.expired():
+                deadline = await self.later_deadline(step, extend)
+            data = await self.read_before(step, deadline)
+        self.bytes_read += len(data)
+        if len(data) == READ_SIZE_BYTES:
+            await curio.sleep(0)
+        return data
+
+    async def later_deadline(self, step, extend):
+        """Return the deadline that replaces one that has passed.
+
+        :raises ReadTimeout: if there is none.
+        """
+        later = await extend() if extend is not None else None
+        if later is None:
+            raise ReadTimeout(
+                'deadline passed before the message was complete',
+                step=step,
+                peer=self.peer,
+            )
+        return later
+
+    async def read_before(self, step, deadline):
+        """Return bytes from the socket, or None if the deadline passes."""
+        try:
+            return await curio.timeout_after(
+                deadline.remaining(), self.sock.recv, READ_SIZE_BYTES
+            )
+        except curio.TaskTimeout:
+            return None
+        except OSError as error:
+            raise self.lost_error(str(error), step) from error
+
+    def check_writable(self, step):
+        """Check that no write is under way or was cut off.
+
+        What follows it would stand inside an earlier message.
+
+        :raises Disconnected: if one is.
+        """
+        if self.writing:
+            raise self.lost_error('an earlier write was not ended', step)
+
+    async def send_bytes(self, step, data):
+        """Send bytes.
+
+        :raises Disconnected: if the connection is closed, or if the peer takes
+            no bytes.
+        """
+        self.writing = True
+        try:
+            await self.write(data)
+        except curio.TaskTimeout as error:
+            raise self.lost_error('peer takes no bytes', step) from error
+        except OSError as error:
+            raise self.lost_error(str(error), step) from error
+        self.writing = False
+        self.bytes_written += len(data)
+
+    def lost_error(self, reason, step):
+        """Return the error of a connection that is of no use any more."""
+        return Disconnected(
+            f'connection lost: {reason}', step=step, peer=self.peer
+        )
+
+    async def write(self, data):
+        """Write bytes to the socket.
+
+        :raises curio.TaskTimeout: if the peer takes none of them for
+            :data:`WRITE_STALL_SECONDS`.
+        """
+        remaining = self.write_now(memoryview(data))
+        while remaining:
+            sent = await curio.timeout_after(
+                WRITE_STALL_SECONDS, self.sock.send, remaining
+            )
+            remaining = remaining[sent:]
+
+    def write_now(self, data):
+        """Return the bytes that the kernel doesn't take at once.
+
+        A timer for each piece of a stream would cost more than its write.
+        """
+        try:
+            return data[os.write(self.sock.fileno(), data) :]
+        except BlockingIOError:
+            return data
+
+    def has_input(self):
+        """Return whether the socket has bytes or an end of file to read."""
+        poller = select.poll()
+        poller.register(self.sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
+    async def shut_down(self):
+        """Shut the socket down, so that a task that reads from it ends."""
+        try:
+            await self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The connection is closed already.
+            return
+
+    async def close(self):
+        """Close the socket; do nothing if it is closed."""
+        await self.sock.close()
+
+
+async def open_socket(host, port, deadline):
+    """Open a client connection; return its curio socket.
+
+    :raises errors.ConnectionFailed: with ``sent=False``.
+    """
+    peer = f'{host}:{port}'
+    try:
+        sock = await curio.timeout_after(
+            deadline.remaining(), curio.open_connection, host, port
+        )
+    except curio.TaskTimeout as error:
+        raise errors.ConnectionFailed(
+            'connect timed out', step='connect', peer=peer, sent=False
+        ) from error
+    except OSError as error:
+        raise errors.ConnectionFailed(
+            f'connect failed: {error}', step='connect', peer=peer, sent=False
+        ) from error
+    sockets.disable_nagle(sock)
+    sockets.detect_dead_peer(sock)
+    return sock
--- a/tests/test_written_answers.py
+++ b/tests/test_written_answers.py
@@ -18,6 +18,7 @@
 from celeryward import errors
 from celeryward import http
 from celeryward import sockets
+from celeryward import transport
 from tests import fakes
 from tests import platform_standins as standins
 from tests import test_pauses
@@ -186,7 +187,7 @@
         self, site, path, action, monkeypatch
     ):
         monkeypatch.setattr(
-            http, 'WRITE_STALL_SECONDS', self.STALL_SECONDS, raising=False
+            transport, 'WRITE_STALL_SECONDS', self.STALL_SECONDS
         )
         set_actions(site, action)
         connection = await connect_slow(router_address(site))
