--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -12,6 +12,7 @@
 from celeryward import decoding
 from celeryward.endpoints import chat_events
 from celeryward.endpoints import event_stream
+from celeryward.endpoints import response_checks
 from celeryward import errors
 from celeryward import http
 from celeryward import logs
@@ -20,7 +21,6 @@
 EVENT_START = b'data: '
 DONE_EVENT = b'data: [DONE]\n\n'
 USAGE_FIELD = b'"usage"'
-NOT_RUN_STATUSES = (429, 503)
 # Longest wait for the end of a body after its last event.
 DRAIN_SECONDS = 0.2
 TokenCount = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
@@ -200,38 +200,6 @@
     return ResumePoint(len(texts), ''.join(texts))
 
 
-def check_head(response, call, peer):
-    """Raise the error that the head of a response indicates.
-
-    :raises errors.EndpointRefused: if the endpoint did not run the request.
-    :raises errors.AnswerMismatch: if the response is to another request.
-    :raises errors.AnswerInvalid: for any other status than 200.
-    """
-    step = 'read response'
-    answered = response.headers.get('x-request-id')
-    if answered != call.request_id:
-        raise errors.AnswerMismatch(
-            f'response is for another request: {answered}',
-            step=step,
-            peer=peer,
-            sent=True,
-        )
-    refused = response.headers.get('x-execution') == 'not-run'
-    if response.status in NOT_RUN_STATUSES and refused:
-        raise errors.EndpointRefused(
-            f'endpoint answered {response.status}, not run',
-            step=step,
-            peer=peer,
-        )
-    if response.status != 200:
-        raise errors.AnswerInvalid(
-            f'endpoint answered {response.status}',
-            step=step,
-            peer=peer,
-            sent=True,
-        )
-
-
 async def start_chat(connection, call, version, read_deadlines, resume=None):
     """Send a chat request; return the checked head of its response."""
     await http.send_request(
@@ -242,7 +210,7 @@
         encode_chat(call.request, resume),
     )
     response = await connection.receive_response(read_deadlines.first_byte())
-    check_head(response, call, connection.peer)
+    response_checks.check_head(response, call, connection.peer)
     return response
 
 
@@ -361,7 +329,7 @@
 async def complete_chat(connection, call, version, read_deadlines):
     """Run a chat that is not streamed; return its body as one chunk."""
     response = await start_chat(connection, call, version, read_deadlines)
-    answer = await receive_delimited_body(
+    answer = await response_checks.receive_delimited_body(
         connection, response, call, read_deadlines
     )
     try:
@@ -394,43 +362,8 @@
         connection, request.method, request.target, headers, request.body
     )
     response = await connection.receive_response(read_deadlines.first_byte())
-    check_service_head(response, call, connection.peer)
-    body = await receive_delimited_body(
+    response_checks.check_service_head(response, call, connection.peer)
+    body = await response_checks.receive_delimited_body(
         connection, response, call, read_deadlines, request.method
     )
     return response, body
-
-
-async def receive_delimited_body(
-    connection, response, call, read_deadlines, method='POST'
-):
-    """Return the body of a response that has explicit framing.
-
-    :param str method: method of the request.
-    :raises errors.AnswerTruncated: if only the end of the connection would
-        delimit the body, because a truncated body would look complete.
-    """
-    bodiless = http.never_has_body(method, response.status)
-    if not (response.is_framed or bodiless):
-        raise errors.AnswerTruncated(
-            'response has neither a length nor chunks',
-            step='read body',
-            peer=connection.peer,
-            sent=True,
-        )
-    return await connection.receive_body(
-        'read body', call.deadline, next_deadline=read_deadlines.progress
-    )
-
-
-def check_service_head(response, call, peer):
-    """Check the head of a service response; any status is valid.
-
-    :raises errors.AnswerMismatch: if the response is to another request.
-    :raises errors.EndpointRefused: if the service states that it did not run
-        the request.
-    """
-    plain = functools.partial(http.Response, headers=response.headers)
-    if response.headers.get('x-execution') == 'not-run':
-        check_head(response, call, peer)
-    check_head(plain(status=200), call, peer)
