Detect dead peers also while this daemon is paused again and again

Cause: a daemon whose round came more than 4 rounds late gave every member its whole time again. On a host that stops it for so long in each 10 rounds, no member is ever found dead: watches of dead holders are not taken over, and copies of a dead owner's bills wait for the release timeout of 120 s.

Change: a pause postpones the deadlines by its length. Only after a pause that is not one of a series does each member get at least 10 rounds; in a series each pause counts as one round.

--- a/celeryward/daemons/membership.py
+++ b/celeryward/daemons/membership.py
@@ -104,6 +104,7 @@
         self.unknown_ids = set()
         self.superseded = []
         self.checked_at = clock()
+        self.rounds_since_pause = LOCAL_DEADLINE_ROUNDS
 
     def deadline_after(self, seconds):
         """Return the deadline this many seconds from now."""
@@ -198,12 +199,10 @@
         Removes dead members whose retention has ended.
         """
         now = self.clock()
-        paused = now - self.checked_at > MIN_PAUSE_ROUNDS * self.round_seconds
-        self.checked_at = now
-        if paused:
-            # This process itself was paused, so that missing heartbeats are
-            # no evidence that the other members are dead.
-            self.renew_deadlines()
+        elapsed, self.checked_at = now - self.checked_at, now
+        self.rounds_since_pause += 1
+        if elapsed > MIN_PAUSE_ROUNDS * self.round_seconds:
+            self.discount_pause(elapsed)
         dead, self.superseded = self.superseded, []
         for key, entry in list(self.states.items()):
             if entry.live and entry.deadline.at <= now:
@@ -213,11 +212,29 @@
                 del self.states[key]
         return dead
 
-    def renew_deadlines(self):
-        """Restart the deadline of every member."""
+    def discount_pause(self, seconds):
+        """Postpone the deadlines by a pause of this process.
+
+        Heartbeats that are missing because of it are no evidence that other
+        members are dead. After a pause that is not one of a series, each
+        member gets the time to be heard of again. In a series, each pause
+        counts as one round, so that dead members are still detected.
+
+        :param float seconds: time since the last round.
+        """
+        counted, least = self.round_seconds, deadlines.Deadline(0.0)
+        if self.rounds_since_pause > LOCAL_DEADLINE_ROUNDS:
+            counted = 0.0
+            least = self.deadline_after(
+                LOCAL_DEADLINE_ROUNDS * self.round_seconds
+            )
+        self.rounds_since_pause = 0
         for key, entry in self.states.items():
+            postponed = deadlines.Deadline(
+                entry.deadline.at + seconds - counted
+            )
             self.states[key] = dataclasses.replace(
-                entry, deadline=self.next_deadline(entry.member)
+                entry, deadline=max(postponed, least)
             )
 
     def live(self):
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -264,6 +264,25 @@
         assert members.mark_dead() == []
         assert len(members.live()) == known
 
+    @pytest.mark.parametrize('rounds_between_pauses', [0, 1, 3])
+    def test_pauses_in_a_row_do_not_keep_a_dead_member(
+        self, fleet, rounds_between_pauses
+    ):
+        """Each pause gave all members their whole time again."""
+        members = fleet.nodes[0].members
+        fleet.rounds_until(fleet.all_known)
+        silent, *others = members.live()
+        dead = []
+        for number in range(membership.REMOTE_DEADLINE_ROUNDS * 2):
+            paused = number % (rounds_between_pauses + 1) == 0
+            fleet.now += membership.MIN_PAUSE_ROUNDS + 1.0 if paused else 1.0
+            counter = members.heartbeat_counter + 1000 + number
+            members.record_heartbeats(
+                [membership.Heartbeat(each.id, counter) for each in others]
+            )
+            dead += members.mark_dead()
+        assert dead == [silent]
+
     def test_restart_under_the_same_name_ends_the_old_run(self, fleet):
         members = fleet.nodes[0].members
         old = fleet.nodes[3].members.own
