--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -3,6 +3,7 @@
 import contextlib
 import time
 
+from celeryward.callers import planning
 from celeryward.callers import relayed_requests
 from celeryward.endpoints import forwarding
 from celeryward import errors
@@ -33,13 +34,13 @@
         relayed.dispatches += 1
         self.log_dispatch(relayed, plan)
         dispatch = relayed_requests.Dispatch(
-            plan, self.begin_run(relayed, plan)
+            plan, self.begin_run(relayed, plan), time.monotonic()
         )
-        relayed.running |= {plan.runner.id}
+        relayed.running += (plan.runner.id,)
         try:
             yield dispatch
         finally:
-            relayed.running -= {plan.runner.id}
+            relayed.end_running(plan.runner.id)
             self.router_state.releases.runs.drop(dispatch.run)
 
     def log_dispatch(self, relayed, plan):
@@ -81,7 +82,9 @@
         """Forward a request; yield the answer once its head has arrived."""
         plan = dispatch.plan
         forwarded = self.forwarded_request(relayed, plan, on_late)
-        async with self.forwarder.dispatch(forwarded, plan.runner) as answer:
+        async with self.forwarder.dispatch(
+            forwarded, plan.runner, plan.place
+        ) as answer:
             self.router_state.releases.runs.head_arrived(dispatch.run)
             self.timeouts.record_head_seconds(relayed, plan, answer)
             self.router_state.queues.record(
@@ -102,16 +105,17 @@
             relayed_requests.urgency(relayed),
             relayed.deadline,
             self.timeouts.head_deadline(relayed, plan),
-            self.timeouts.pause_seconds(relayed, plan),
-            self.timeouts.body_seconds(relayed, plan),
+            self.timeouts.pause_seconds(relayed),
+            self.timeouts.body_seconds(relayed),
             relayed.sequence.last,
-            new_connection=not route.retryable,
+            must_not_repeat=not route.retryable,
             on_late=on_late,
         )
 
     def record_success(self, relayed, dispatch, answer):
         """Record a complete answer that was relayed."""
         plan = dispatch.plan
+        self.record_duration(relayed, dispatch)
         releases = self.router_state.releases
         releases.runs.end(dispatch.run)
         releases.record_session(
@@ -123,6 +127,14 @@
             relayed_requests.work_units(relayed.metadata),
         )
 
+    def record_duration(self, relayed, dispatch):
+        """Record how long a run and its whole request took."""
+        now = time.monotonic()
+        check = self.router_state.completion
+        kind = planning.run_kind(relayed, dispatch.plan.size)
+        check.record(kind, now - dispatch.began_at)
+        check.record(planning.whole_kind(relayed), now - relayed.started_at)
+
     def record_late_answer(self, dispatch):
         """Count an answer that is late against endpoint and version."""
         self.router_state.outcomes.record_failure(dispatch.plan.runner.id)
@@ -171,6 +183,15 @@
             tokens=self.retries.tokens(relayed.service),
         ).info('dispatch failed: {} {}', error.code, error.message)
 
+    def record_error_answer(self, relayed, dispatch):
+        """Record an answer with an error status."""
+        runner_id = dispatch.plan.runner.id
+        relayed.deliveries += 1
+        relayed.runs += 1
+        relayed.tried_endpoints |= {runner_id}
+        self.router_state.releases.runs.end(dispatch.run, failed=True)
+        self.router_state.outcomes.record_failure(runner_id)
+
     def record_failure(self, relayed, dispatch, error):
         """Record a failure in the statistics of endpoints and versions."""
         outcomes = self.router_state.outcomes
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -1,14 +1,13 @@
 """The router process: creates its components, runs its tasks, shuts down."""
 
 import os
-import time
 
 import curio
 
 from celeryward.callers import gateway
 from celeryward.callers import relay
 from celeryward.callers import router_admission
-from celeryward import deadlines
+from celeryward import completion
 from celeryward.endpoints import closures
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
@@ -29,8 +28,10 @@
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
+from celeryward import router_shutdown
 from celeryward.routers import departure_news
 from celeryward import signals
+from celeryward import stopping
 from celeryward import store_view
 from celeryward import supervision
 
@@ -40,7 +41,6 @@
 # retry budget and the evaluation of new versions, and a router may not have
 # discovered all others yet.
 MIN_ROUTERS = 7
-STOP_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
 OVERDUE_POLL_SECONDS = 0.25
 IDLE_POLL_SECONDS = 0.25
@@ -67,6 +67,8 @@
         self.configuration = ingress.ConfigurationHolder()
         self.freshness = freshness.Freshness(self.key_age_limit())
         self.endpoint_freshness = freshness.Freshness()
+        self.stop_state = stopping.StopState()
+        self.completion = completion.CompletionCheck(self.stop_state)
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.OutcomeTracker()
         self.queues = queueing.QueueEstimates()
@@ -127,6 +129,7 @@
                 self.queues,
                 self.closures,
                 self.estimates,
+                self.completion,
             ),
             self.forwarder,
             translator,
@@ -134,7 +137,7 @@
             self.metrics,
         )
         self.gateway = gateway.Gateway(
-            self.relay, self.configuration, self.metrics
+            self.relay, self.configuration, self.metrics, self.stop_state
         )
         self.caller_listener = listener.Listener(
             placement.callers.host,
@@ -161,7 +164,6 @@
             self.relay.waiter.place_freed
         )
         router_metrics.register_gauges(self.metrics, self)
-        self.stopping = False
 
     def key_age_limit(self):
         """Return the largest age of the configuration for accepting API keys.
@@ -205,7 +207,7 @@
     def is_ready(self):
         """Return whether the load balancer may send requests here."""
         return (
-            not self.stopping
+            not self.stop_state.is_stopping
             and self.configuration.current is not None
             and bool(self.runners.runners)
             and self.freshness.is_fresh()
@@ -269,40 +271,13 @@
         ):
             self.tasks.append(await self.supervisor.spawn(step, peer, run))
 
-    async def stop(self):
+    async def stop(self, signalled_after=None):
         """Drain and stop. Requests that outlast the stop time are cut off.
 
-        Requests that arrive once no connection is accepted are refused.
+        :param float signalled_after: seconds since the host was booted; the
+            signal to stop was not sent before. None for now.
         """
-        self.stopping = True
-        started = time.monotonic()
-        stop_deadline = deadlines.Deadline.after(
-            self.placement.bounds.stop_seconds - self.tuning.stop_reserve
-        )
-        self.gateway.begin_drain()
-        logs.bind(step='stop', peer=self.placement.name).info(
-            'router stops with {} requests under way', len(self.gateway.active)
-        )
-        accept_deadline = deadlines.Deadline.after(
-            self.tuning.stop_accepting_after
-        )
-        await self.view.deregister()
-        await curio.sleep(accept_deadline.earlier(stop_deadline).remaining())
-        self.gateway.refuse_new()
-        await self.caller_listener.stop_accepting()
-        while self.gateway.active and not stop_deadline.expired():
-            await self.gateway.close_idle()
-            await curio.sleep(STOP_POLL_SECONDS)
-        await self.gateway.close_idle()
-        cut_off = len(self.gateway.active)
-        await self.gateway.fail_active()
-        for task in self.tasks:
-            await task.cancel()
-        logs.bind(step='stop', peer=self.placement.name).info(
-            'router stopped after {:.1f} s; {} requests cut off',
-            time.monotonic() - started,
-            cut_off,
-        )
+        await router_shutdown.RouterShutdown(self).run(signalled_after)
 
     def reload(self):
         """Read the placement again and apply what has changed in its bounds.
@@ -358,11 +333,14 @@
     async def run(self):
         """Run until SIGTERM or SIGINT, then drain and stop."""
         numbers = (*signals.STOP_SIGNALS, signals.RELOAD_SIGNAL)
-        with signals.signal_receiver(numbers) as next_signal:
+        with signals.signal_receiver(numbers) as receiver:
+            await self.supervisor.spawn(
+                'look for signals', 'signals', receiver.look_regularly
+            )
             await self.start()
-            while await next_signal() == signals.RELOAD_SIGNAL:
+            while await receiver.next_signal() == signals.RELOAD_SIGNAL:
                 self.reload()
-            await self.stop()
+            await self.stop(receiver.none_before)
 
 
 def make_value_model(tuning):
