--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,15 +1,14 @@
 """Control planes of several daemons over real connections."""
 
+import functools
 import socket
 
 import curio
 import pytest
-import result
 
 from celeryward import calls
 from celeryward.daemons import bridge
 from celeryward.daemons import client as peer_client
-from celeryward.daemons import control
 from celeryward.daemons import exchange_pb2
 from celeryward.daemons import gossip
 from celeryward.daemons import membership
@@ -17,12 +16,8 @@
 from celeryward.daemons import server
 from celeryward import deadlines
 from celeryward import errors
-from celeryward.objects import client
-from celeryward.objects import configuration
-from celeryward.objects import configuration_watcher
 from celeryward.objects import protocol as objects
-from celeryward import settings
-from celeryward.standins import platform
+from tests import daemon_groups
 
 BILL = calls.Bill(
     'r1',
@@ -33,147 +28,16 @@
     'b1',
     'd0-run-1',
 )
-OBJECT = objects.StoredObject('Customer', 'a', {'allowed': ['m']}, 5)
-POLL_SECONDS = 0.02
-# A daemon is dead after 10 rounds, which must be long even on a busy host.
-TIMINGS = settings.Timings(gossip_interval=0.2)
 
 
 def long_deadline():
     return deadlines.Deadline.after(20.0)
 
 
-async def wait_until(condition):
-    """Wait for a condition; the time limit of the test bounds it."""
-    while not condition():
-        await curio.sleep(POLL_SECONDS)
-
-
-class RecordingCopyHandler:
-    """Handler that records the copies and deaths that it is told of."""
-
-    def __init__(self):
-        self.kept = {}
-        self.dead = []
-
-    def keep(self, owner, bills):
-        for bill in bills:
-            self.kept[owner, bill.id] = bill
-        return result.Ok(None)
-
-    def release(self, owner, bill_ids):
-        for bill_id in bill_ids:
-            self.kept.pop((owner, bill_id), None)
-
-    async def owner_died(self, owner):
-        self.dead.append(owner)
-
-
-class Daemon:
-    """The control plane of one daemon, with its own store and watcher."""
-
-    def __init__(self, name, domain, port, seeds=(), copies=None):
-        checked = settings.Settings(
-            name=name,
-            failure_domain=domain,
-            platform=settings.Address(port=port),
-            seeds=list(seeds),
-            timings=TIMINGS,
-        )
-        self.store = configuration.ConfigurationStore()
-        self.client = client.ObjectClient(checked.platform, 3.0, name)
-        self.copies = copies or RecordingCopyHandler()
-        self.control = control.ControlPlane(
-            checked,
-            f'{name}-run',
-            self.store,
-            configuration_watcher.ConfigurationWatcher(
-                self.client, self.store
-            ),
-            self.copies,
-        )
-
-    @property
-    def holds_watch(self):
-        return self.control.watch_task is not None
-
-    def seed(self):
-        return settings.Address(port=self.control.bridge.port)
-
-
-class DaemonGroup:
-    """A platform stand-in and daemons, started one after another."""
-
-    def __init__(self):
-        self.platform = platform.PlatformStandIn()
-        self.daemons = []
-
-    async def add(self, name, domain, copies=None):
-        seeds = [self.daemons[0].seed()] if self.daemons else []
-        port = self.platform.port
-        started = Daemon(name, domain, port, seeds, copies)
-        await started.control.start()
-        self.daemons.append(started)
-        return started
-
-    async def add_all(self, domains, daemons_per_domain):
-        for number in range(domains * daemons_per_domain):
-            await self.add(f'd{number}', f'f{number % domains}')
-        await wait_until(self.all_known)
-
-    def all_known(self):
-        expected = len(self.daemons) - 1
-        return all(
-            len(entry.control.members.live()) == expected
-            for entry in self.daemons
-        )
-
-    async def stop_rounds(self):
-        """Stop the rounds, so that a busy host can't make peers look dead."""
-        for daemon in self.daemons:
-            for task in daemon.control.tasks:
-                await task.cancel()
-
-    def holders(self, domain):
-        return [
-            entry
-            for entry in self.daemons
-            if entry.control.settings.failure_domain == domain
-            and entry.holds_watch
-        ]
-
-    def all_hold(self, revision):
-        return all(
-            entry.store.revisions.get(OBJECT.key) == revision
-            for entry in self.daemons
-        )
-
-    def all_confirmed(self):
-        return all(entry.store.confirmed_at > 0.0 for entry in self.daemons)
-
-    async def kill(self, daemon):
-        self.daemons.remove(daemon)
-        await daemon.control.stop()
-
-
 @pytest.fixture
 def with_group(run):
     """Return a function that runs a test with a started platform."""
-
-    def run_with_group(test):
-        async def body():
-            group = DaemonGroup()
-            await group.platform.start()
-            try:
-                await test(group)
-            finally:
-                for daemon in list(group.daemons):
-                    await group.kill(daemon)
-                await group.platform.stop()
-
-        run(body)
-
-    return run_with_group
+    return functools.partial(daemon_groups.run_with_group, run)
 
 
 class TestMessages:
@@ -186,7 +50,7 @@
         assert protocol.read_bills(read) == (BILL, BILL)
 
     def test_change_keeps_every_field(self):
-        change = objects.Change('delete', 6, OBJECT)
+        change = objects.Change('delete', 6, daemon_groups.OBJECT)
         message = protocol.changes_message([change])
         assert protocol.read_changes(message) == (change,)
 
@@ -244,7 +108,7 @@
         """Copies of bills waited behind them, each for its time-out."""
 
         async def test():
-            started = Daemon('d0', 'f0', 1)
+            started = daemon_groups.Daemon('d0', 'f0', 1)
             silent = bridge.Bridge('127.0.0.1', 0)
             await silent.start()
             await started.control.start()
@@ -311,7 +175,9 @@
             for entry in holders:
                 assert entry.copies.kept == {('d0-run', 'b1'): BILL}
             await peers.release(['b1'])
-            await wait_until(lambda: not any(e.copies.kept for e in holders))
+            await daemon_groups.wait_until(
+                lambda: not any(e.copies.kept for e in holders)
+            )
 
         with_group(test)
 
@@ -321,7 +187,7 @@
             await group.add('d1', 'f0', server.RefusingCopyHandler())
             await group.add('d2', 'f1')
             await group.add('d3', 'f1')
-            await wait_until(group.all_known)
+            await daemon_groups.wait_until(group.all_known)
             await group.stop_rounds()
             owners = await owner.control.peers.keep((BILL,), long_deadline())
             assert set(owners) == {'d2-run', 'd3-run'}
@@ -329,7 +195,7 @@
         with_group(test)
 
     def test_copy_whose_reply_was_lost_is_released(self, with_group):
-        class ReplyLosingCopyHandler(RecordingCopyHandler):
+        class ReplyLosingCopyHandler(daemon_groups.RecordingCopyHandler):
             def keep(self, owner, bills):
                 super().keep(owner, bills)
                 return server.RefusingCopyHandler().keep(owner, bills)
@@ -337,13 +203,13 @@
         async def test(group):
             owner = await group.add('d0', 'f0')
             lossy = await group.add('d1', 'f0', ReplyLosingCopyHandler())
-            await wait_until(group.all_known)
+            await daemon_groups.wait_until(group.all_known)
             await group.stop_rounds()
             with pytest.raises(errors.PeerFailure, match='0 of 2'):
                 await owner.control.peers.keep((BILL,), long_deadline())
             assert lossy.copies.kept
             await owner.control.peers.release(['b1'])
-            await wait_until(lambda: not lossy.copies.kept)
+            await daemon_groups.wait_until(lambda: not lossy.copies.kept)
 
         with_group(test)
 
@@ -351,10 +217,10 @@
         async def test(group):
             owner = await group.add('d0', 'f0')
             await group.add('d1', 'f0', server.RefusingCopyHandler())
-            await wait_until(group.all_known)
+            await daemon_groups.wait_until(group.all_known)
             await group.stop_rounds()
             await group.add('d2', 'f1')
-            await wait_until(group.all_known)
+            await daemon_groups.wait_until(group.all_known)
             await group.stop_rounds()
             with pytest.raises(errors.PeerFailure, match='1 of 2'):
                 await owner.control.peers.keep((BILL,), long_deadline())
@@ -368,7 +234,9 @@
             await group.kill(owner)
             for entry in group.daemons:
                 dead = entry.copies.dead
-                await wait_until(lambda dead=dead: 'd2-run' in dead)
+                await daemon_groups.wait_until(
+                    lambda dead=dead: 'd2-run' in dead
+                )
 
         with_group(test)
 
@@ -383,16 +251,18 @@
             await group.add_all(2, 4)
             wanted = membership.WATCH_HOLDERS_PER_DOMAIN
             for domain in ('f0', 'f1'):
-                await wait_until(
+                await daemon_groups.wait_until(
                     lambda d=domain: len(group.holders(d)) == wanted
                 )
-            await group.platform.put(OBJECT)
-            await wait_until(lambda: group.all_hold(1))
+            await group.platform.put(daemon_groups.OBJECT)
+            await daemon_groups.wait_until(lambda: group.all_hold(1))
             for holder in group.holders('f0'):
                 await group.kill(holder)
-            await group.platform.put(OBJECT)
-            await wait_until(lambda: group.all_hold(2))
-            await wait_until(lambda: len(group.holders('f0')) == wanted)
+            await group.platform.put(daemon_groups.OBJECT)
+            await daemon_groups.wait_until(lambda: group.all_hold(2))
+            await daemon_groups.wait_until(
+                lambda: len(group.holders('f0')) == wanted
+            )
 
         with_group(test)
 
@@ -400,34 +270,38 @@
         self, with_group
     ):
         async def test(group):
-            await group.platform.put(OBJECT)
+            await group.platform.put(daemon_groups.OBJECT)
             await group.add_all(1, 2)
-            await wait_until(lambda: group.all_hold(1))
-            await wait_until(group.all_confirmed)
+            await daemon_groups.wait_until(lambda: group.all_hold(1))
+            await daemon_groups.wait_until(group.all_confirmed)
             await group.platform.set_unavailable(True)
             started = await group.add('d9', 'f0')
-            await wait_until(lambda: started.store.confirmed_at > 0.0)
+            await daemon_groups.wait_until(
+                lambda: started.store.confirmed_at > 0.0
+            )
             assert 'a' in started.store.catalog().customers
 
         with_group(test)
 
     def test_deletion_during_an_outage_arrives_by_the_list(self, with_group):
         async def test(group):
-            await group.platform.put(OBJECT)
+            await group.platform.put(daemon_groups.OBJECT)
             await group.add_all(1, 3)
-            await wait_until(lambda: group.all_hold(1))
-            await wait_until(lambda: len(group.holders('f0')) == 2)
+            await daemon_groups.wait_until(lambda: group.all_hold(1))
+            await daemon_groups.wait_until(
+                lambda: len(group.holders('f0')) == 2
+            )
             clients = [entry.client for entry in group.holders('f0')]
             made = [entry.calls for entry in clients]
             await group.platform.set_unavailable(True)
             # Each holder calls again only after its watch has ended.
-            await wait_until(
+            await daemon_groups.wait_until(
                 lambda: all(
                     entry.calls > before
                     for entry, before in zip(clients, made)
                 )
             )
-            stored = group.platform.objects[OBJECT.key]
+            stored = group.platform.objects[daemon_groups.OBJECT.key]
             await group.platform.remove(stored)
             # The platform no longer holds the deletion itself.
             group.platform.history.clear()
@@ -435,7 +309,7 @@
                 objects.StoredObject('Service', 's', {}, 3)
             )
             await group.platform.set_unavailable(False)
-            await wait_until(
+            await daemon_groups.wait_until(
                 lambda: all(
                     not entry.store.catalog().customers
                     for entry in group.daemons
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -11,7 +11,6 @@
 from celeryward.raters import rollouts
 from tests import rollout_counts
 
-
 ROLLOUT = catalog.Rollout('r', 'm', '1', '2', 0.01)
 RUNNING = rollouts.Status(fence=1, epoch=1, to_version='2')
 
