--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -7,9 +7,7 @@
 import h11
 import pytest
 
-from celeryward.callers import gateway
 from celeryward import http
-from celeryward import ingress
 from tests import fakes
 from tests import platform_standins as standins
 
@@ -110,66 +108,6 @@
         await connection.close()
 
 
-class TestAdmission:
-    """Guards against requests that are admitted or rejected wrongly."""
-
-    @standins.on_site
-    async def test_unknown_route_wrong_key_and_missing_key(self, site):
-        head, _ = await site.request('/nowhere/x')
-        assert head.status == 404
-        head, _ = await site.request('/whole/x', authorization='Bearer wrong')
-        assert head.status == 401
-        head, _ = await site.request('/whole/x', authorization=None)
-        assert head.status == 401
-        head, _ = await site.request('/open/x', authorization=None)
-        assert head.status == 200
-        assert len(site.arrivals()) == 1
-
-    @standins.on_site
-    async def test_malformed_headers_are_bad_input(self, site):
-        """Logging the rejection of a malformed header raised an exception."""
-        head, _ = await site.request('/whole/x', last_event_id='many')
-        assert head.status == 400
-        head, _ = await site.request('/whole/x', request_id=None)
-        assert head.status == 400
-        assert site.arrivals() == []
-
-    @standins.on_site
-    async def test_longest_prefix_wins(self, site):
-        routes = [
-            standins.route('short', 'idempotent', 'llm'),
-            standins.route(
-                'long', 'idempotent', 'app', pathPrefix='/short/long/'
-            ),
-        ]
-        spec = standins.configuration(2, routes=routes)
-        await site.store.put('config', 'main', spec)
-        router_configuration = site.router.configuration
-        await standins.wait_until(
-            lambda: router_configuration.current.version == 2
-        )
-        await site.request('/short/long/x')
-        assert site.runners['app-1'].arrivals or site.runners['app-2'].arrivals
-
-    @standins.on_site
-    async def test_large_and_ambiguous_requests_are_rejected(self, site):
-        head, _ = await site.request('/whole/x', 'POST', b'x' * 100001)
-        assert head.status == 413
-        head, _ = await site.request('/whole/x', x_long='x' * 17000)
-        assert head.status == 431
-        connection = await site.connect()
-        raw = (
-            b'POST /whole/x HTTP/1.1\r\nHost: service.example\r\n'
-            b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n'
-            b'0\r\n\r\nGET /whole/smuggled HTTP/1.1\r\n\r\n'
-        )
-        await connection.sock.sendall(raw)
-        answer = await connection.sock.recv(1000)
-        assert answer.startswith(b'HTTP/1.1 400')
-        assert site.arrivals() == []
-        await connection.close()
-
-
 class TestAtMostOnce:
     """Guards against second runs and false claims that none happened."""
 
@@ -303,118 +241,6 @@
         assert (head.status, body) == (502, b'')
 
 
-class TestStreams:
-    """Guards against missing, duplicate or merged events of streams."""
-
-    @standins.on_site
-    async def test_stream_is_relayed(self, site):
-        head, body = await site.request('/stream/x')
-        assert head.headers['content-type'] == 'text/event-stream'
-        assert body == standins.events(4)
-
-    @standins.on_site
-    async def test_broken_stream_resumes_at_another_endpoint(self, site):
-        async def torn(runner, connection, arrival):
-            await standins.send_stream(
-                runner,
-                connection,
-                arrival,
-                2,
-                partial_event=b'id: 3\ndata: pie',
-            )
-
-        site.runners['llm-1'].scripted_actions.append(torn)
-        # Prompt affinity may prefer either endpoint; marking llm-2 as lost
-        # makes llm-1 the first choice.
-        site.router.outcomes.set_lost('llm-2', True)
-        _, body = await site.request('/stream/x')
-        assert body == standins.events(4)
-        resumed = site.runners['llm-2'].arrivals[0]
-        assert resumed.head.headers['last-event-id'] == '2'
-
-    @standins.on_site
-    async def test_missing_event_is_fetched_by_resuming(self, site):
-        async def gap(runner, connection, arrival):
-            head = runner.response_headers(
-                arrival, **{'transfer-encoding': 'chunked'}
-            )
-            await connection.send(
-                'answer',
-                h11.Response(
-                    status_code=200, headers=http.encode_headers(head)
-                ),
-                h11.Data(data=standins.event(1) + standins.event(3)),
-                h11.EndOfMessage(),
-            )
-
-        site.runners['llm-1'].scripted_actions.append(gap)
-        site.router.outcomes.set_lost('llm-2', True)
-        _, body = await site.request('/stream/x')
-        assert body == standins.events(4)
-        assert len(site.arrivals()) == 2
-
-    @standins.on_site
-    async def test_stream_that_can_not_resume_ends_without_its_last_chunk(
-        self, site
-    ):
-        async def cut(runner, connection, arrival):
-            await standins.send_stream(runner, connection, arrival, 2)
-
-        for runner in site.runners.values():
-            runner.default_action = cut
-        with pytest.raises(http.Disconnected):
-            await site.request('/rigid/x')
-        assert len(site.arrivals()) == 1
-
-    @standins.on_site
-    async def test_caller_resumes_after_its_last_event(self, site):
-        _, body = await site.request('/stream/x', last_event_id='3')
-        assert body == standins.event(4)
-
-
-class TestModelEscalation:
-    """Guards against needless runs of large models, and poor answers."""
-
-    @standins.on_site
-    async def test_confident_answer_of_the_small_model_is_kept(self, site):
-        await site.request('/stream/x')
-        assert [each.model for each in site.arrivals()] == ['small']
-
-    @standins.on_site
-    async def test_unsure_answer_is_replaced_by_the_largest_model(self, site):
-        for runner in site.runners.values():
-            runner.confidence = {'small': 5}
-        _, body = await site.request('/stream/x')
-        assert body == standins.events(4)
-        models = [each.model for each in site.arrivals()]
-        assert sorted(models) == ['large', 'small']
-
-    @standins.on_site
-    async def test_urgent_request_does_not_lengthen_the_queue_of_others(
-        self, site
-    ):
-        """Urgent requests saw no queue, and ran large models in it."""
-        for runner in site.runners.values():
-            runner.confidence = {'small': 5}
-        queues = site.router.queues
-        for runner in site.runners.values():
-            for _ in range(4):
-                queues.record(runner.id, 20.0)
-        _, body = await site.request('/stream/x')
-        assert body == standins.events(4)
-        assert [each.model for each in site.arrivals()] == ['small']
-
-    @standins.on_site
-    async def test_small_answer_is_kept_without_retry_budget(self, site):
-        for runner in site.runners.values():
-            runner.confidence = {'small': 5}
-        budget = site.router.relay.retries.budgets['llm']
-        budget.tokens = 1.5
-        _, body = await site.request('/stream/x')
-        assert body == standins.events(4)
-        assert [each.model for each in site.arrivals()] == ['small']
-
-
 class TestTimeouts:
     """Guards against late answers, and work that no caller waits for."""
 
@@ -479,73 +305,6 @@
             assert head.status == 200
 
 
-class TestIdleConnections:
-    """Guards against a failed shutdown while connections are closing."""
-
-    @fakes.in_kernel
-    async def test_connection_that_ends_meanwhile_is_skipped(self):
-        """Shutdown used a socket that was closed during a cancellation."""
-        idle_gateway = gateway.Gateway(
-            None, ingress.ConfigurationHolder(), None
-        )
-
-        class Idle:
-            def __init__(self, other=None):
-                self.other = other
-                self.closed = False
-
-            def has_input(self):
-                assert not self.closed
-                return False
-
-            async def cancel(self):
-                if self.other is not None:
-                    self.other.closed = True
-                    idle_gateway.tasks.pop(self.other, None)
-
-        second = Idle()
-        first = Idle(second)
-        idle_gateway.tasks = {first: first, second: second}
-        await idle_gateway.close_idle()
-
-
-class TestPersistentConnections:
-    """Guards against requests lost on persistent connections."""
-
-    @standins.on_site
-    async def test_one_connection_carries_many_requests(self, site):
-        connection = await site.connect()
-        for number in range(3):
-            head, _ = await standins.request(
-                connection, '/whole/x', request_id=f'r{number}'
-            )
-            assert head.status == 200
-            connection.start_next_cycle()
-        await connection.close()
-
-    @standins.on_site
-    async def test_shutdown_finishes_requests_and_closes_idle_connections(
-        self, site
-    ):
-        """Shutdown failed on an idle connection that it had closed itself."""
-
-        async def slow(runner, connection, arrival):
-            await curio.sleep(0.8)
-            await standins.send_default_response(runner, connection, arrival)
-
-        for runner in site.runners.values():
-            runner.default_action = slow
-        idle = [await site.connect() for _ in range(3)]
-        pending = await curio.spawn(site.request, '/whole/x')
-        await standins.wait_until(lambda: site.arrivals())
-        await site.router.stop()
-        head, _ = await pending.join()
-        assert head.status == 200
-        for connection in idle:
-            assert await connection.sock.recv(10) == b''
-            await connection.close()
-
-
 class TestStop:
     """Guards against accepted requests that a stop leaves without answer."""
 
