--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -3,6 +3,7 @@
 import atexit
 import os
 import random
+import select
 import signal
 import subprocess
 import sys
@@ -168,24 +169,27 @@
         router.stopping = True
         ordered_at = observations.now()
         router.signal(signal.SIGTERM)
-        status = await self.wait_for_exit(router, processes.STOP_SECONDS + 1.0)
+        ended_at = await self.wait_for_exit(
+            router, processes.STOP_SECONDS + 1.0
+        )
+        status = router.popen.poll()
         if router.killed and status == -signal.SIGKILL:
             # Another fault killed it meanwhile, which is not a failed stop.
             return
         self.observed.stops.append(
-            observations.Stop(
-                router.name, ordered_at, observations.now(), status
-            )
+            observations.Stop(router.name, ordered_at, ended_at, status)
         )
         if status is None:
             await self.kill_router(router)
 
     async def wait_for_exit(self, router, seconds):
-        """Return the exit status of a process, or None after a timeout."""
-        deadline = deadlines.Deadline.after(seconds)
-        while router.popen.poll() is None and not deadline.expired():
-            await curio.sleep(0.02)
-        return router.popen.poll()
+        """Return when a process has exited, or the time-out has passed.
+
+        A thread waits, so that a busy harness doesn't delay the time.
+        """
+        return await curio.run_in_thread(
+            wait_for_exit, router.popen.pid, seconds
+        )
 
     async def kill_router(self, router):
         """Kill the process of a router with SIGKILL."""
@@ -277,6 +281,20 @@
         return sorted(found, key=log_timestamp)
 
 
+def wait_for_exit(process_id, seconds):
+    """Wait until a process has exited; return the monotonic time."""
+    try:
+        descriptor = os.pidfd_open(process_id)
+    except ProcessLookupError:
+        # Its status has been read.
+        return observations.now()
+    try:
+        select.select([descriptor], [], [], seconds)
+        return observations.now()
+    finally:
+        os.close(descriptor)
+
+
 def log_timestamp(line):
     """Return the timestamp of a log line, or '' if it has none."""
     try:
