--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import subprocess
 import time
 
 import curio
@@ -11,6 +12,7 @@
 from benchmarks.soak import callers
 from benchmarks.soak import checks
 from benchmarks.soak import completion_checks
+from benchmarks.soak import fleet
 from benchmarks.soak import lateness
 from benchmarks.soak import observations
 from benchmarks.soak import plans
@@ -357,6 +359,34 @@
         assert found == ['stops-in-time']
 
 
+class TestExits:
+    """Guards against ends of processes that are seen late or never."""
+
+    def start(self, seconds):
+        return subprocess.Popen(['sleep', str(seconds)])
+
+    def test_end_is_seen_while_it_is_waited_for(self):
+        process = self.start(0.2)
+        began = observations.now()
+        ended_at = fleet.wait_for_exit(process.pid, 5.0)
+        assert 0.1 < ended_at - began < 2.0
+        assert process.poll() == 0
+
+    def test_process_that_has_ended_is_not_waited_for(self):
+        process = self.start(0)
+        process.wait()
+        began = observations.now()
+        assert fleet.wait_for_exit(process.pid, 5.0) - began < 1.0
+
+    def test_process_that_goes_on_is_waited_for_no_longer_than_allowed(self):
+        process = self.start(30)
+        began = observations.now()
+        assert fleet.wait_for_exit(process.pid, 0.2) - began >= 0.2
+        assert process.poll() is None
+        process.kill()
+        process.wait()
+
+
 class TestRetries:
     """Guards against callers that retry what may have run."""
 
