Count only events that were sent as those that a caller has

Callers got a stream that was complete by its last chunk and had a gap: events 1, 2, 4, 5, ... A run that goes on after another one keeps its first event while a hedge is under way. The request shared the counter of that run, which counts an event when it is read. If the hedge went on first, or the run broke off with the event kept, the next run dropped it as sent already.

The request now remembers the last event that is written. Before, both cases of the test ended with [1, 2, 4, 5, 6, 7, 8]; now both have all 8 events.

--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -15,6 +15,7 @@
 from celeryward.callers import replacements
 from celeryward.callers import resumption
 from celeryward.endpoints import answers
+from celeryward.endpoints import event_stream
 from celeryward.endpoints import forwarding
 from celeryward import errors
 
@@ -187,11 +188,11 @@
                 return None
             await self.responder.start_stream(answer.head)
         async for batch in answer.events(sequence):
-            if resumed and await self.defer(dispatch, sequence, batch):
+            if resumed and await self.defer(dispatch, batch):
                 continue
             if not await self.claim(dispatch):
                 return None
-            await self.send(dispatch, sequence, batch)
+            await self.send(dispatch, batch)
             self.relay.router_state.releases.runs.events_arrived(
                 dispatch.run, sequence.last - start_id
             )
@@ -199,11 +200,11 @@
             resumption.check_rest(answer, sequence.last - start_id)
         if not await self.claim(dispatch):
             return None
-        await self.send(dispatch, sequence)
+        await self.send(dispatch)
         await self.responder.finish()
         return Outcome(dispatch, answer, relayed=True)
 
-    async def defer(self, dispatch, sequence, batch):
+    async def defer(self, dispatch, batch):
         """Keep the first events of a hedge while the late answer may go on.
 
         A hedge that falls silent itself must not replace an answer that is
@@ -214,28 +215,28 @@
         if len(self.tasks) == 1 or dispatch.run in self.deferred:
             return False
         self.deferred[dispatch.run] = tuple(batch)
-        task = await self.group.spawn(
-            self.confirm, dispatch, sequence, daemon=True
-        )
+        task = await self.group.spawn(self.confirm, dispatch, daemon=True)
         # The dispatch itself meets the error of a caller that has left.
         task.report_crash = False
         return True
 
-    async def confirm(self, dispatch, sequence):
+    async def confirm(self, dispatch):
         """Let a hedge go on after a while, if nothing else did."""
         await curio.sleep(CONFIRMATION_SECONDS)
         if await self.claim(dispatch):
-            await self.send(dispatch, sequence)
+            await self.send(dispatch)
 
-    async def send(self, dispatch, sequence, batch=()):
+    async def send(self, dispatch, batch=()):
         """Send events to the caller, those that were kept first."""
         async with self.sending:
             events = (*self.deferred.pop(dispatch.run, ()), *batch)
-            self.relayed.sequence = sequence
-            if events:
-                await self.responder.send(
-                    b''.join(event.raw for event in events)
-                )
+            if not events:
+                return
+            # A run's own sequence also counts events that are kept.
+            self.relayed.sequence = event_stream.EventSequence(
+                events[-1].number
+            )
+            await self.responder.send(b''.join(event.raw for event in events))
 
     async def claim(self, dispatch):
         """End all other dispatches; this one has the next part.
--- /dev/null
+++ b/tests/test_race_interleavings.py
@@ -0,0 +1,100 @@
+"""Dispatches of one request that meet at the worst moment."""
+
+import re
+
+import curio
+import h11
+import pytest
+
+from celeryward import http
+from tests import platform_standins as standins
+from tests import test_planned_stop as planned_stop
+
+EVENTS = 8
+
+
+@pytest.fixture
+def site():
+    runners = [
+        standins.RunnerStandIn(f'llm-{number}', events=EVENTS)
+        for number in (1, 2, 3)
+    ]
+    return standins.Site(runners)
+
+
+def set_actions(site, *actions):
+    """Let the endpoints take these actions, in the order of arrivals."""
+    planned_stop.set_actions(site, *actions)
+
+
+def make_event(number, size=0):
+    """Return an event with at least some bytes."""
+    return f'id: {number}\ndata: piece {number}{"x" * size}\n\n'.encode()
+
+
+def numbers_of(body):
+    """Return the ids of the events in a body."""
+    return list(map(int, re.findall(rb'id: (\d+)', body)))
+
+
+async def send_head(runner, connection, arrival):
+    """Send the head of a stream."""
+    head = runner.response_headers(
+        arrival,
+        **{
+            'content-type': 'text/event-stream',
+            'transfer-encoding': 'chunked',
+            'celeryward-confidence': '100',
+        },
+    )
+    lines = http.encode_headers(head)
+    await connection.send(
+        'answer', h11.Response(status_code=200, headers=lines)
+    )
+
+
+async def send_events(connection, first, last, size=0):
+    """Send events, each in a write of its own."""
+    for number in range(first, last + 1):
+        data = make_event(number, size)
+        await connection.send('answer', h11.Data(data=data))
+        await curio.sleep(0.01)
+
+
+class TestOrder:
+    """Guards against events that are lost between two runs."""
+
+    @pytest.mark.parametrize('breaks_off', (True, False))
+    @standins.on_site
+    async def test_event_that_is_kept_is_not_skipped_by_the_next_run(
+        self, site, breaks_off
+    ):
+        await planned_stop.raise_timeouts(site)
+        kept = curio.Event()
+
+        async def break_off(runner, connection, arrival):
+            await standins.send_stream(runner, connection, arrival, 1)
+
+        async def go_on_late(runner, connection, arrival):
+            await send_head(runner, connection, arrival)
+            await send_events(connection, 2, 2)
+            await standins.wait_until(lambda: len(site.arrivals()) == 3)
+            await send_events(connection, 3, 3)
+            await kept.set()
+            if breaks_off:
+                await curio.sleep(0.05)
+                raise http.Disconnected('broken', step='send', peer='test')
+            await connection.wait_closed()
+
+        async def rest(runner, connection, arrival):
+            await kept.wait()
+            await curio.sleep(0.02)
+            await send_head(runner, connection, arrival)
+            await curio.sleep(0.1)
+            first = int(arrival.head.headers['last-event-id']) + 1
+            await send_events(connection, first, EVENTS)
+            await connection.send('answer', h11.EndOfMessage())
+
+        set_actions(site, break_off, go_on_late, rest)
+        head, body, _ = await planned_stop.ask(site, '/stream/')
+        assert numbers_of(body) == list(range(1, EVENTS + 1))
