Let a held answer go on if the larger model used the last attempt

Callers of a route with two attempts got a head and then a cut stream, or nothing, though the answer of the small model was at hand: a silent larger model was awaited until the deadline. Whether its answer can be late was decided by the attempts that are left, and a held answer needs none.

Now it can be late while another run is under way. The test failed before with a connection closed inside the answer; now it gets the whole answer of the small model in less than 1.5 of 2 s.

--- a/celeryward/callers/endpoint_timeouts.py
+++ b/celeryward/callers/endpoint_timeouts.py
@@ -37,11 +37,14 @@
         self.unqueued_head_seconds = {}
 
     def may_hedge(self, relayed):
-        """Return whether another endpoint may ever run a request as well.
+        """Return whether another run may ever replace a late answer.
 
-        Whether one can do so is decided when an answer is late.
+        It may be under way already, with an answer that is held. Whether one
+        can begin is decided when an answer is late.
         """
-        return relayed.route.retryable and relayed.has_attempts_left()
+        return relayed.route.retryable and (
+            len(relayed.running) > 1 or relayed.has_attempts_left()
+        )
 
     def head_deadline(self, relayed, plan):
         """Return the deadline from which an answer's head is late.
--- a/tests/test_race_interleavings.py
+++ b/tests/test_race_interleavings.py
@@ -1,6 +1,7 @@
 """Dispatches of one request that meet at the worst moment."""
 
 import re
+import time
 
 import curio
 import h11
@@ -61,6 +62,18 @@
         await curio.sleep(0.01)
 
 
+async def change_route(site, name, **fields):
+    """Write a configuration with other fields of one route."""
+    spec = standins.configuration(2)
+    for route in spec['routes']:
+        if route['name'] == name:
+            route.update(fields)
+    await site.store.put('config', 'main', spec)
+    await standins.wait_until(
+        lambda: site.router.configuration.current.version == 2
+    )
+
+
 class TestOrder:
     """Guards against events that are lost between two runs."""
 
@@ -98,3 +111,32 @@
         set_actions(site, break_off, go_on_late, rest)
         head, body, _ = await planned_stop.ask(site, '/stream/')
         assert numbers_of(body) == list(range(1, EVENTS + 1))
+
+
+class TestHeldAnswer:
+    """Guards against an answer at hand that is held until it is too late."""
+
+    def hold(self, site):
+        """Let all small models ask for a larger one, which is silent."""
+
+        async def act(runner, connection, arrival):
+            if arrival.model == 'large':
+                await standins.never_respond(runner, connection, arrival)
+            else:
+                await standins.send_stream(runner, connection, arrival)
+
+        for runner in site.runners.values():
+            runner.confidence = {'small': 0}
+            runner.default_action = act
+
+    @standins.on_site
+    async def test_silent_larger_model_takes_the_last_attempt(self, site):
+        await change_route(site, 'stream', maxAttempts=2)
+        self.hold(site)
+        began = time.monotonic()
+        head, body = await site.request('/stream/')
+        assert (head.status, numbers_of(body)) == (
+            200,
+            list(range(1, EVENTS + 1)),
+        )
+        assert time.monotonic() - began < 1.5
