Let a held answer go on shortly before the deadline

A caller whose deadline comes before the larger model counts as late got a cut stream at its deadline, with the small model's answer at hand: an answer was held without any bound of its own. It now goes on 0.25 s before the deadline. The test (deadline 0.7 s, silent larger model) failed before with a connection closed inside the answer; now it gets the whole answer.

--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -23,6 +23,8 @@
 # Time for which the first events of a hedge are kept. A run that another one
 # replaces has to end soon after that one has begun.
 CONFIRMATION_SECONDS = 0.25
+# An answer is held no longer than this time before the deadline.
+HELD_RESERVE_SECONDS = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,7 +162,8 @@
     async def wait_for_larger(self, dispatch, answer):
         """Let a larger model run if it is worth more; return if it fails.
 
-        If it answers, this dispatch is cancelled.
+        If it answers, this dispatch is cancelled. If the deadline is near,
+        both go on.
         """
         if dispatch.run not in self.tasks:
             return
@@ -172,7 +175,10 @@
         self.held = Held(dispatch.run, curio.Event())
         released = self.held.released
         await self.start(plan)
-        await released.wait()
+        seconds = self.relayed.deadline.remaining() - HELD_RESERVE_SECONDS
+        async with curio.ignore_after(max(0.0, seconds)):
+            await released.wait()
+        await released.set()
         answer.wait.begin_next()
 
     async def relay_events(self, dispatch, answer):
--- a/tests/test_race_interleavings.py
+++ b/tests/test_race_interleavings.py
@@ -140,3 +140,14 @@
             list(range(1, EVENTS + 1)),
         )
         assert time.monotonic() - began < 1.5
+
+    @standins.on_site
+    async def test_deadline_comes_before_the_larger_model_is_late(self, site):
+        self.hold(site)
+        head, body = await site.request(
+            '/stream/', celeryward_deadline_ms='700'
+        )
+        assert (head.status, numbers_of(body)) == (
+            200,
+            list(range(1, EVENTS + 1)),
+        )
