--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -15,6 +15,7 @@
 from celeryward.callers import replacements
 from celeryward.callers import resumption
 from celeryward.endpoints import answers
+from celeryward.endpoints import event_stream
 from celeryward.endpoints import forwarding
 from celeryward import errors
 
@@ -22,6 +23,8 @@
 # Time for which the first events of a hedge are kept. A run that another one
 # replaces has to end soon after that one has begun.
 CONFIRMATION_SECONDS = 0.25
+# An answer is held no longer than this time before the deadline.
+HELD_RESERVE_SECONDS = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,7 +162,8 @@
     async def wait_for_larger(self, dispatch, answer):
         """Let a larger model run if it is worth more; return if it fails.
 
-        If it answers, this dispatch is cancelled.
+        If it answers, this dispatch is cancelled. If the deadline is near,
+        both go on.
         """
         if dispatch.run not in self.tasks:
             return
@@ -171,7 +175,10 @@
         self.held = Held(dispatch.run, curio.Event())
         released = self.held.released
         await self.start(plan)
-        await released.wait()
+        seconds = self.relayed.deadline.remaining() - HELD_RESERVE_SECONDS
+        async with curio.ignore_after(max(0.0, seconds)):
+            await released.wait()
+        await released.set()
         answer.wait.begin_next()
 
     async def relay_events(self, dispatch, answer):
@@ -187,11 +194,11 @@
                 return None
             await self.responder.start_stream(answer.head)
         async for batch in answer.events(sequence):
-            if resumed and await self.defer(dispatch, sequence, batch):
+            if resumed and await self.defer(dispatch, batch):
                 continue
             if not await self.claim(dispatch):
                 return None
-            await self.send(dispatch, sequence, batch)
+            await self.send(dispatch, batch)
             self.relay.router_state.releases.runs.events_arrived(
                 dispatch.run, sequence.last - start_id
             )
@@ -199,11 +206,11 @@
             resumption.check_rest(answer, sequence.last - start_id)
         if not await self.claim(dispatch):
             return None
-        await self.send(dispatch, sequence)
+        await self.send(dispatch)
         await self.responder.finish()
         return Outcome(dispatch, answer, relayed=True)
 
-    async def defer(self, dispatch, sequence, batch):
+    async def defer(self, dispatch, batch):
         """Keep the first events of a hedge while the late answer may go on.
 
         A hedge that falls silent itself must not replace an answer that is
@@ -214,28 +221,28 @@
         if len(self.tasks) == 1 or dispatch.run in self.deferred:
             return False
         self.deferred[dispatch.run] = tuple(batch)
-        task = await self.group.spawn(
-            self.confirm, dispatch, sequence, daemon=True
-        )
+        task = await self.group.spawn(self.confirm, dispatch, daemon=True)
         # The dispatch itself meets the error of a caller that has left.
         task.report_crash = False
         return True
 
-    async def confirm(self, dispatch, sequence):
+    async def confirm(self, dispatch):
         """Let a hedge go on after a while, if nothing else did."""
         await curio.sleep(CONFIRMATION_SECONDS)
         if await self.claim(dispatch):
-            await self.send(dispatch, sequence)
+            await self.send(dispatch)
 
-    async def send(self, dispatch, sequence, batch=()):
+    async def send(self, dispatch, batch=()):
         """Send events to the caller, those that were kept first."""
         async with self.sending:
             events = (*self.deferred.pop(dispatch.run, ()), *batch)
-            self.relayed.sequence = sequence
-            if events:
-                await self.responder.send(
-                    b''.join(event.raw for event in events)
-                )
+            if not events:
+                return
+            # A run's own sequence also counts events that are kept.
+            self.relayed.sequence = event_stream.EventSequence(
+                events[-1].number
+            )
+            await self.responder.send(b''.join(event.raw for event in events))
 
     async def claim(self, dispatch):
         """End all other dispatches; this one has the next part.
