Let the connection of a one-shot request take the place of an idle one

The cause: such a request opens a new connection each time, which went to the pool of idle ones afterwards and stayed there, up to 32 for each endpoint and router, until the endpoint closed it. Seven routers reach the endpoint's limit of connections with two requests a second each, and it resets the next ones. After a reset the outcome is unknown, so that the request can't be repeated. Ruled out: a full queue (the endpoint refused none, and half of its slots were free).

Now the least recently used idle connection is closed first. The number of connections no longer exceeds the requests that ran at once; requests that may be repeated still find idle connections.

--- a/celeryward/endpoints/pool.py
+++ b/celeryward/endpoints/pool.py
@@ -60,9 +60,11 @@
             endpoint has closed, their outcome would stay unknown.
         :raises errors.ConnectionFailed: if no connection can be opened.
         """
-        connection = (
-            None if new_connection else await self.acquire_idle(endpoint)
-        )
+        connection = None
+        if new_connection:
+            await self.close_oldest_idle(endpoint)
+        else:
+            connection = await self.acquire_idle(endpoint)
         if connection is None:
             connection = await self.open(endpoint, deadline)
         written_before = connection.bytes_written
@@ -133,6 +135,16 @@
             await connection.close()
         return None
 
+    async def close_oldest_idle(self, endpoint):
+        """Close the least recently used idle connection, if there is any.
+
+        The new connection that takes its place becomes idle later, so that
+        an endpoint has no more connections than requests ran there at once.
+        """
+        idle_connections = self.idle.get(endpoint.address)
+        if idle_connections:
+            await idle_connections.pop(0).close()
+
     def release(self, endpoint, connection):
         """Return a connection to the pool after a complete exchange."""
         connection.start_next_cycle()
