Keep callers that read slowly

After each period without a write, the bytes that the kernel still holds are compared: if they are fewer, the peer reads, and the write waits on.

tests/test_written_answers.py::test_caller_that_reads_slowly_is_not_left failed before; the stalled callers are left as before.

--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -5,13 +5,16 @@
 unacknowledged data after 2 seconds.
 """
 
+import fcntl
 import socket
 import struct
+import termios
 
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MILLISECONDS = 2000
+INT = struct.Struct('i')
 
 
 def disable_nagle(sock):
@@ -43,3 +46,9 @@
     """
     linger = struct.pack('ii', enabled, 0)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def count_unreceived(sock):
+    """Return how many of the sent bytes the peer hasn't received yet."""
+    answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size))
+    return INT.unpack(answer)[0]
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -126,11 +126,28 @@
         """
         remaining = self.write_now(memoryview(data))
         while remaining:
-            sent = await curio.timeout_after(
-                WRITE_STALL_SECONDS, self.sock.send, remaining
-            )
+            sent = await self.write_some(remaining)
             remaining = remaining[sent:]
 
+    async def write_some(self, data):
+        """Write some bytes once the kernel takes them; return their number.
+
+        It takes none until much of what it holds has been received, so that
+        less of that also shows a peer that reads.
+
+        :raises curio.TaskTimeout: as :meth:`write`.
+        """
+        held = sockets.count_unreceived(self.sock)
+        while True:
+            try:
+                return await curio.timeout_after(
+                    WRITE_STALL_SECONDS, self.sock.send, data
+                )
+            except curio.TaskTimeout:
+                held_before, held = held, sockets.count_unreceived(self.sock)
+                if held >= held_before:
+                    raise
+
     def write_now(self, data):
         """Return the bytes that the kernel doesn't take at once.
 
