Test cut watches and all cuts of a router's answers

Watches of the object API, cut at each byte, with and without their end: whole lines only are changes, and a watch without its end is an error. Answers of a router (whole, stream, error), cut at each byte: none is whole to a caller.

--- a/tests/test_store_answers.py
+++ b/tests/test_store_answers.py
@@ -5,6 +5,7 @@
 from adapter import store
 import pytest
 
+from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
 from celeryward.objects import client as objects
@@ -191,3 +192,53 @@
             assert isinstance(outcome.unwrap_err(), errors.WriteUnknown)
         finally:
             await peer.stop()
+
+
+class CutWatch(base.StandIn):
+    """A store whose watch ends after some bytes.
+
+    :param int limit: bytes of the body that are written.
+    :param bool ends_whole: whether its last chunk follows.
+    """
+
+    LINES = (
+        b'{"type": "bookmark", "revision": 1}\n'
+        b'{"type": "bookmark", "revision": 23}\n'
+    )
+
+    def __init__(self, limit, ends_whole):
+        super().__init__()
+        self.body = self.LINES[:limit]
+        self.ends_whole = ends_whole
+
+    async def answer(self, connection, received):
+        """Write a part of a watch."""
+        head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        chunk = b'%x\r\n%s\r\n' % (len(self.body), self.body)
+        chunks = chunk if self.body else b''
+        end = b'0\r\n\r\n' if self.ends_whole else b''
+        with contextlib.suppress(OSError):
+            await connection.sock.sendall(head + chunks + end)
+        raise http.Disconnected('cut', step='answer', peer='test')
+
+
+class TestWatches:
+    """Guards against parts of a change that are taken for one."""
+
+    @pytest.mark.parametrize('ends_whole', (False, True))
+    @fakes.in_kernel
+    async def test_cut_watch_brings_whole_changes_only(self, ends_whole):
+        for limit in range(len(CutWatch.LINES)):
+            peer = CutWatch(limit, ends_whole)
+            await peer.start()
+            address = settings.Address('127.0.0.1', peer.port)
+            client = objects.ObjectClient(address, 1.0, 'test')
+            watch = client.watch(
+                ('Host',), 0, lambda: deadlines.Deadline.after(1.0)
+            )
+            found = [change async for change in watch]
+            changes = [each.unwrap() for each in found if each.is_ok()]
+            whole_lines = CutWatch.LINES[:limit].count(b'\n')
+            assert [each.revision for each in changes] == [1][:whole_lines]
+            assert (len(found) > len(changes)) == (not ends_whole)
+            await peer.stop()
--- a/tests/test_written_answers.py
+++ b/tests/test_written_answers.py
@@ -232,6 +232,38 @@
         await connection.close()
 
 
+async def read_cut(raw, position):
+    """Read the first bytes of an answer as a caller would."""
+    near, far = curio.socket.socketpair()
+    async with near, far:
+        connection = http.Connection(near, h11.CLIENT, 'router')
+        await http.send_request(connection, 'GET', '/', {}, b'')
+        await far.sendall(raw[:position])
+        await far.shutdown(socket.SHUT_WR)
+        return await read_answer(connection)
+
+
+class TestCutOutput:
+    """Guards against answers that look whole when the router is cut off."""
+
+    @pytest.mark.parametrize(
+        ('path', 'status'),
+        (('/whole/x', 200), ('/stream/x', 200), ('/nowhere/x', 404)),
+    )
+    @standins.on_site
+    async def test_no_part_of_an_answer_is_whole(self, site, path, status):
+        headers = standins.request_headers(path, connection='close')
+        lines = ''.join(f'{name}: {headers[name]}\r\n' for name in headers)
+        sock = await curio.open_connection(*router_address(site))
+        await sock.sendall(f'GET {path} HTTP/1.1\r\n{lines}\r\n'.encode())
+        raw = await read_to_end(sock)
+        await sock.close()
+        assert (await read_cut(raw, len(raw)))[0] == status
+        for position in range(len(raw)):
+            with pytest.raises(http.Disconnected):
+                await read_cut(raw, position)
+
+
 class TestKilledRouter:
     """Guards against answers that look whole after a router was killed."""
 
