Cut off no write of a dispatch that another one replaces

A caller that reads slowly lost its stream: it was closed in the middle of a chunk. The monitor may report an endpoint as lost while events of its answer are being written; the hedge then went on and cancelled the other dispatch inside its write, after which nothing more can be sent.

Dispatches are now cancelled, and fail, only between two writes. The last events and the end are one write, so that a hedge can't come between. The test (15 MB, caller that doesn't read, loss reported during the write) failed before with a connection closed inside a message; now all 500 events arrive.

--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -137,9 +137,11 @@
                 ) as answer:
                     return await self.take_answer(dispatch, answer)
             except errors.EndpointFailure as error:
-                if dispatch.run not in self.tasks:
-                    return None
-                return Outcome(dispatch, error=error)
+                # Events that were kept may be in the middle of their write.
+                async with self.sending:
+                    if dispatch.run not in self.tasks:
+                        return None
+                    return Outcome(dispatch, error=error)
             finally:
                 self.tasks.pop(dispatch.run, None)
                 self.deferred.pop(dispatch.run, None)
@@ -192,7 +194,8 @@
         if not resumed:
             if not await self.claim(dispatch):
                 return None
-            await self.responder.start_stream(answer.head)
+            async with self.sending:
+                await self.responder.start_stream(answer.head)
         async for batch in answer.events(sequence):
             if resumed and await self.defer(dispatch, batch):
                 continue
@@ -206,8 +209,7 @@
             resumption.check_rest(answer, sequence.last - start_id)
         if not await self.claim(dispatch):
             return None
-        await self.send(dispatch)
-        await self.responder.finish()
+        await self.send(dispatch, is_last=True)
         return Outcome(dispatch, answer, relayed=True)
 
     async def defer(self, dispatch, batch):
@@ -232,22 +234,29 @@
         if await self.claim(dispatch):
             await self.send(dispatch)
 
-    async def send(self, dispatch, batch=()):
-        """Send events to the caller, those that were kept first."""
+    async def send(self, dispatch, batch=(), is_last=False):
+        """Send events to the caller, those that were kept first.
+
+        :param bool is_last: whether the answer ends after them.
+        """
         async with self.sending:
             events = (*self.deferred.pop(dispatch.run, ()), *batch)
-            if not events:
-                return
-            # A run's own sequence also counts events that are kept.
-            self.relayed.sequence = event_stream.EventSequence(
-                events[-1].number
-            )
-            await self.responder.send(b''.join(event.raw for event in events))
+            if events:
+                # A run's own sequence also counts events that are kept.
+                self.relayed.sequence = event_stream.EventSequence(
+                    events[-1].number
+                )
+                await self.responder.send(
+                    b''.join(event.raw for event in events)
+                )
+            if is_last:
+                await self.responder.finish()
 
     async def claim(self, dispatch):
         """End all other dispatches; this one has the next part.
 
-        :returns: False if another dispatch has done so before.
+        :returns: False if another dispatch has done so before, or has ended
+            the answer meanwhile.
         """
         if dispatch.run not in self.tasks:
             return False
@@ -262,9 +271,11 @@
         self.relayed.size = dispatch.plan.size
         self.relayed.deliveries += len(others)
         self.relayed.runs += len(others)
-        for other in others:
-            await other.cancel(blocking=False)
-        return True
+        # A write that is cut off inside would end the caller's connection.
+        async with self.sending:
+            for other in others:
+                await other.cancel(blocking=False)
+        return not self.responder.finished
 
     def record_failure(self, outcome):
         """Record a failed dispatch; another one may still answer."""
--- a/tests/test_race_interleavings.py
+++ b/tests/test_race_interleavings.py
@@ -7,11 +7,17 @@
 import h11
 import pytest
 
+from celeryward import deadlines
 from celeryward import http
 from tests import platform_standins as standins
 from tests import test_planned_stop as planned_stop
 
 EVENTS = 8
+# Longer than any part of these tests takes.
+LONG_SECONDS = 10.0
+# More than the sockets between router and caller keep.
+LARGE_EVENT_BYTES = 30_000
+LARGE_EVENTS = 500
 
 
 @pytest.fixture
@@ -54,12 +60,12 @@
     )
 
 
-async def send_events(connection, first, last, size=0):
+async def send_events(connection, first, last, size=0, pause=0.01):
     """Send events, each in a write of its own."""
     for number in range(first, last + 1):
         data = make_event(number, size)
         await connection.send('answer', h11.Data(data=data))
-        await curio.sleep(0.01)
+        await curio.sleep(pause)
 
 
 async def change_route(site, name, **fields):
@@ -151,3 +157,41 @@
             200,
             list(range(1, EVENTS + 1)),
         )
+
+
+class TestSlowCaller:
+    """Guards against a write that another dispatch cuts off inside."""
+
+    @standins.on_site
+    async def test_endpoint_is_lost_while_its_events_are_written(self, site):
+        await planned_stop.raise_timeouts(site)
+
+        async def send_all(runner, connection, arrival):
+            first = int(arrival.head.headers.get('last-event-id', '0')) + 1
+            await send_head(runner, connection, arrival)
+            await send_events(
+                connection, first, LARGE_EVENTS, LARGE_EVENT_BYTES, 0.0
+            )
+            await connection.send('answer', h11.EndOfMessage())
+
+        set_actions(site, send_all)
+        connection = await site.connect()
+        headers = standins.request_headers(
+            '/stream/', celeryward_deadline_ms='15000'
+        )
+        await http.send_request(connection, 'GET', '/stream/', headers, b'')
+        await standins.wait_until(site.arrivals)
+        await standins.wait_until(
+            lambda: any(each.writing for each in site.router.gateway.active)
+        )
+        first = next(r for r in site.runners.values() if r.arrivals)
+        await site.router.forwarder.hedge_exchanges(
+            site.router.runners.runners[first.id]
+        )
+        await standins.wait_until(lambda: len(site.arrivals()) == 2)
+        await curio.sleep(0.6)
+        deadline = deadlines.Deadline.after(LONG_SECONDS)
+        await connection.receive_response(deadline)
+        body = await connection.receive_body('read body', deadline, 2**30)
+        assert numbers_of(body) == list(range(1, LARGE_EVENTS + 1))
+        await connection.close()
