Take one of a whole answer and a stream that arrive at once

A caller lost a stream, closed inside a chunk, when another run of its request answered as a whole (404, say) in the same moment: the whole answer was taken as the outcome, while the stream had claimed the caller and begun.

A whole answer now claims the caller as the first events of a stream do. Two of four cases of the test failed before with a connection closed inside a message; now each gets all of the stream or the 404.

--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -159,7 +159,10 @@
             and not forwarding.is_server_error(answer.head)
         ):
             return await self.relay_events(dispatch, answer)
-        return Outcome(dispatch, answer, await answer.body())
+        outcome = Outcome(dispatch, answer, await answer.body())
+        if outcome.failed or await self.claim(dispatch):
+            return outcome
+        return None
 
     async def wait_for_larger(self, dispatch, answer):
         """Let a larger model run if it is worth more; return if it fails.
--- a/tests/test_race_interleavings.py
+++ b/tests/test_race_interleavings.py
@@ -159,6 +159,49 @@
         )
 
 
+class TestSameMoment:
+    """Guards against two answers that arrive at once and are both taken."""
+
+    @pytest.mark.parametrize('stream_first', (True, False))
+    @pytest.mark.parametrize('late_first', (True, False))
+    @standins.on_site
+    async def test_whole_answer_beside_a_stream(
+        self, site, stream_first, late_first
+    ):
+        await planned_stop.raise_timeouts(site)
+        late = []
+
+        async def wait(runner, connection, arrival):
+            late.append((runner, connection, arrival))
+            await curio.sleep(LONG_SECONDS)
+
+        async def begin(runner, connection, arrival):
+            await send_head(runner, connection, arrival)
+            data = make_event(1)
+            await connection.send('answer', h11.Data(data=data))
+
+        async def answer_both(runner, connection, arrival):
+            await curio.sleep(0.1)
+            exchanges = [*late, (runner, connection, arrival)]
+            if not late_first:
+                exchanges.reverse()
+            kinds = [begin, standins.respond_with(404, b'none')]
+            if not stream_first:
+                kinds.reverse()
+            for action, exchange in zip(kinds, exchanges):
+                await action(*exchange)
+            _, connection, _ = exchanges[kinds.index(begin)]
+            await send_events(connection, 2, EVENTS)
+            await connection.send('answer', h11.EndOfMessage())
+
+        set_actions(site, wait, answer_both)
+        head, body, _ = await planned_stop.ask(site, '/stream/')
+        assert (head.status, numbers_of(body)) in (
+            (200, list(range(1, EVENTS + 1))),
+            (404, []),
+        )
+
+
 class TestSlowCaller:
     """Guards against a write that another dispatch cuts off inside."""
 
