Free the key of a call that was cut off before its dispatch

A call with an idempotency key that waited in a queue until a stop's end was answered 503 'not run', and its retry at another daemon got 409 claim_held: the claim stayed open, because only errors that say 'not run' freed it, and the call was cancelled. It is now also freed for a cancelled call that was never dispatched.

In the test the retry at the second daemon got 409 before; now it gets 200.

--- a/celeryward/callers/idempotency.py
+++ b/celeryward/callers/idempotency.py
@@ -1,5 +1,7 @@
 """At-most-once execution of calls that have an idempotency key."""
 
+import curio
+
 from celeryward import errors
 from celeryward.objects import claim_store
 from celeryward.objects import claims
@@ -123,12 +125,12 @@
         )
         acquired = errors.unwrap(await self.store.acquire(claim))
         if isinstance(acquired, claim_store.AcquiredClaim):
-            await self.run_claimed(acquired, serve, responder)
+            await self.run_claimed(acquired, serve, responder, call.progress)
             return
         headers = {**acquired.headers, 'x-replayed': 'true'}
         await responder.send_response(acquired.status, headers, acquired.body)
 
-    async def run_claimed(self, claimed, serve, responder):
+    async def run_claimed(self, claimed, serve, responder, progress):
         """Run a call whose key is claimed, and store its outcome.
 
         An incomplete response is recorded as run, without its content. If
@@ -136,6 +138,7 @@
         with :class:`errors.ClaimHeld`.
 
         :param claim_store.AcquiredClaim claimed: the claim of this attempt.
+        :param calls.Progress progress: what has been done for the call.
         """
 
         async def store(response):
@@ -148,10 +151,17 @@
             await serve(recording)
         except NOT_RUN_ERRORS:
             if recording.status is None:
-                await self.store.store_outcome(
-                    claimed, claimed.claim.as_not_run()
-                )
+                await self.store_not_run(claimed)
+            raise
+        except curio.TaskCancelled:
+            # Cut off, or left by its caller, while it waited.
+            if not progress.dispatches:
+                await self.store_not_run(claimed)
             raise
         finally:
             if recording.status is not None and not recording.complete:
                 await store(recording.response())
+
+    async def store_not_run(self, claimed):
+        """Store that a call has not run, so that its key can be used again."""
+        await self.store.store_outcome(claimed, claimed.claim.as_not_run())
--- a/tests/test_stopping_daemon.py
+++ b/tests/test_stopping_daemon.py
@@ -14,6 +14,7 @@
 from celeryward.standins import fleet
 from celeryward import stopping
 from tests import platform_standins as standins
+from tests import test_once
 
 VERSIONS = (fleet.VERSION.name,)
 STOP_SECONDS = 2.0
@@ -165,6 +166,35 @@
 
         with_cluster(test)
 
+    def test_key_of_a_request_that_stays_in_its_queue_is_free(
+        self, with_cluster
+    ):
+        """The claim of a request that did not run stayed open."""
+
+        async def test(cluster):
+            example = demo.chat_example('', 'large', 'x')
+            keyed = dataclasses.replace(
+                example, headers={'idempotency-key': 'k'}
+            )
+            await demo.send_example(cluster.daemon.listener.port, example)
+            single_slot(cluster)
+            token_seconds = cluster.large.token_seconds
+            cluster.large.token_seconds = SLOW_TOKEN_SECONDS
+            other = await test_once.start_second_host(cluster)
+            first, second = await self.begin(cluster, example, keyed)
+            stopping_task = await curio.spawn(cluster.daemon.stop)
+            head, _ = await second.join()
+            assert head.status == 503
+            assert head.headers['x-execution'] == 'not-run'
+            cluster.large.token_seconds = token_seconds
+            head, _ = await demo.send_example(other.listener.port, keyed)
+            await first.join()
+            await stopping_task.join()
+            await other.stop()
+            assert head.status == 200
+
+        with_cluster(test)
+
     def test_answer_is_kept_if_the_stop_cuts_the_larger_model(
         self, with_cluster
     ):
