--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -49,6 +49,12 @@
 
 
 def count_unreceived(sock):
-    """Return how many of the sent bytes the peer hasn't received yet."""
-    answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size))
+    """Return how many of the sent bytes the peer hasn't received yet.
+
+    0 if the system doesn't tell.
+    """
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size))
+    except OSError:
+        return 0
     return INT.unpack(answer)[0]
