Complete no stream without a frame that ends before its first event

The end of the connection counted as the end of the stream.

Now such an answer counts as truncated: another endpoint is asked, else the stream ends without its last chunk. An empty rest that the caller asked for stays whole.

--- a/celeryward/endpoints/answers.py
+++ b/celeryward/endpoints/answers.py
@@ -93,6 +93,13 @@
                     self.wait.begin_next()
                 if failure is not None:
                     raise failure
+        if not (sequence.last or self.head.is_framed):
+            raise errors.AnswerTruncated(
+                'stream without a frame ended without an event',
+                step='read events',
+                peer=self.connection.peer,
+                sent=True,
+            )
         if splitter.buffer:
             raise errors.AnswerTruncated(
                 'stream ended inside an event',
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -133,3 +133,23 @@
         set_actions(site, action, first_only=True)
         head, received = await site.request('/stream/x')
         assert (head.status, received) == (200, standins.events(4))
+
+    @pytest.mark.parametrize('path', ('/stream/x', '/rigid/x'))
+    @standins.on_site
+    async def test_stream_without_an_event_is_not_complete(self, site, path):
+        set_actions(site, unframed(b'', 'close', True, EVENT_STREAM))
+        with pytest.raises(http.Disconnected):
+            await site.request(path)
+
+    @standins.on_site
+    async def test_stream_without_an_event_goes_on_elsewhere(self, site):
+        action = unframed(b'', 'close', True, EVENT_STREAM)
+        set_actions(site, action, first_only=True)
+        _, received = await site.request('/stream/x')
+        assert received == standins.events(4)
+
+    @standins.on_site
+    async def test_rest_that_a_caller_asks_for_may_be_empty(self, site):
+        set_actions(site, unframed(b'', 'close', True, EVENT_STREAM))
+        head, received = await site.request('/stream/x', last_event_id='4')
+        assert (head.status, received) == (200, b'')
