Answer requests whose id ends with a blank after it is cut to length

Callers of a daemon got a closed connection for every request whose X-Request-Id has a blank as its 128th character: the cut id can't be written in a head, and the response counted as started before it was encoded.

--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -64,13 +64,17 @@
         await self.write(self.begin_response(200, head))
 
     def begin_response(self, status, headers):
-        """Return the head of the response, which is sent next."""
-        self.started = True
+        """Return the head of the response, which is sent next.
+
+        :raises errors.OutcomeUnknown: if it can't be written.
+        """
         if self.closes_connection():
             headers = {**headers, 'connection': 'close'}
-        return h11.Response(
-            status_code=status, headers=http.encode_headers(headers)
+        head = responses.make_head(
+            status, http.encode_headers(headers), self.connection.peer
         )
+        self.started = True
+        return head
 
     async def send(self, payload):
         """Send a piece of a streamed response."""
@@ -218,7 +222,7 @@
 
     async def handle_request(self, connection, head):
         """Serve one request, or send an error if that fails."""
-        request_id = head.headers.get('x-request-id', '')[:128]
+        request_id = head.headers.get('x-request-id', '')[:128].strip()
         request_id = request_id or self.new_id()
         responder = Responder(
             connection,
