Reject requests for a tunnel unread

CONNECT got a signed head and a close on /stream/, and 502 elsewhere, after endpoints had run it (three cases of the test failed before): a success has no body then, so that no answer can be relayed. It is rejected as 400 now.

--- a/celeryward/callers/request_reader.py
+++ b/celeryward/callers/request_reader.py
@@ -102,8 +102,12 @@
 
     :raises errors.HeadTooLarge: if it exceeds the limit.
     :raises errors.BadInput: if it has both Content-Length and
-        Transfer-Encoding, or more than one Host.
+        Transfer-Encoding, or more than one Host, or asks for a tunnel.
     """
+    if head.method == 'CONNECT':
+        raise errors.BadInput(
+            'a router opens no tunnels', step='read request', peer=peer
+        )
     size = sum(len(name) + len(value) + 4 for name, value in head.lines)
     if size + len(head.target) > limits.head_bytes:
         raise errors.HeadTooLarge(
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -108,6 +108,17 @@
         await connection.close()
 
 
+class TestTunnels:
+    """Guards against tunnels, whose success has no body to relay."""
+
+    @pytest.mark.parametrize('path', ('/whole/x', '/once/x', '/stream/x'))
+    @standins.on_site
+    async def test_request_for_a_tunnel_is_rejected_unread(self, site, path):
+        """Endpoints ran it, and the caller got a head and a close, or 502."""
+        head, _ = await site.request(path, 'CONNECT')
+        assert (head.status, site.arrivals()) == (400, [])
+
+
 class TestAtMostOnce:
     """Guards against second runs and false claims that none happened."""
 
