Begin no rigid stream that a stop may cut off; let held answers go on first

And a small model's answer that was held when the stop cut off its larger run was lost with it.

Cause: the rule with four mean deviations trusts earlier answers, which say nothing of a longer one; a stream that may run only once is lost like a call that must not run twice. And a held answer looked at the deadline only.

Change: what may not run again needs its whole deadline within the stop, streams included; a refusal costs its caller 0.1 s and another connection. A held answer looks at the stop, too, five times a second, and goes on 0.25 s before its end.

Two tests failed before (200 for the rigid stream; 502 for the held answer).

--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -252,6 +252,4 @@
 
 def completion_rule(route):
     """Return the name of the rule for requests of a route."""
-    if route.retryable:
-        return 'repeatable'
-    return 'losable' if route.kind is ingress.RouteKind.STREAM else 'once'
+    return 'repeatable' if route.retryable else 'once'
--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -24,8 +24,10 @@
 # Time for which the first events of a hedge are kept. A run that another one
 # replaces has to end soon after that one has begun.
 CONFIRMATION_SECONDS = 0.25
-# An answer is held no longer than this time before the deadline.
+# An answer is held no longer than this time before the deadline or the end of
+# a stop.
 HELD_RESERVE_SECONDS = 0.25
+HOLD_CHECK_SECONDS = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,12 +183,21 @@
         self.held = Held(dispatch.run, curio.Event())
         released = self.held.released
         await self.start(plan)
-        seconds = self.relayed.deadline.remaining() - HELD_RESERVE_SECONDS
-        async with curio.ignore_after(max(0.0, seconds)):
-            await released.wait()
+        while not released.is_set() and (seconds := self.hold_seconds()):
+            async with curio.ignore_after(seconds):
+                await released.wait()
         await released.set()
         answer.wait.begin_next()
 
+    def hold_seconds(self):
+        """Return for how long an answer is held before the next look.
+
+        0.0 if too little time is left for it: a stop may begin meanwhile.
+        """
+        stop = self.relay.router_state.completion.stop
+        left = min(self.relayed.deadline.remaining(), stop.seconds_left())
+        return min(HOLD_CHECK_SECONDS, max(0.0, left - HELD_RESERVE_SECONDS))
+
     async def relay_events(self, dispatch, answer):
         """Relay the events of a stream as they arrive.
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -37,11 +37,11 @@
     await standins.send_stream(runner, connection, arrival, last_event=1)
 
 
-async def raise_timeouts(site):
+async def raise_timeouts(site, **fields):
     """Write a configuration whose routes outlast the stop."""
     spec = standins.configuration(2)
     for route in spec['routes']:
-        route['timeoutMs'] = TIMEOUT_MILLISECONDS
+        route |= {'timeoutMs': TIMEOUT_MILLISECONDS, **fields}
     await site.store.put('config', 'main', spec)
     await standins.wait_until(
         lambda: site.router.configuration.current.version == 2
@@ -113,6 +113,21 @@
         assert (head.status, body) == (200, b'whole answer')
         await stopping.join()
 
+    @pytest.mark.parametrize(
+        ('path', 'method'), (('/once/x', 'POST'), ('/rigid/x', 'GET'))
+    )
+    @standins.on_site
+    async def test_what_may_run_once_needs_its_whole_deadline(
+        self, site, path, method
+    ):
+        """One that was longer than those before it was cut off."""
+        await raise_timeouts(site)
+        await ask(site, path, method, request_id='first')
+        stopping = await begin_stop(site)
+        head, _, _ = await ask(site, path, method)
+        assert (head.status, len(site.arrivals())) == (503, 1)
+        await stopping.join()
+
 
 class TestFurtherWork:
     """Guards against further work on a request that the stop cuts off."""
@@ -149,6 +164,22 @@
         assert len(site.arrivals()) == 1
         await stopping.join()
 
+    @standins.on_site
+    async def test_answer_that_is_held_goes_on_before_the_stop_ends(
+        self, site
+    ):
+        """It was cut off together with the larger model."""
+        await raise_timeouts(site, goalMs=10000)
+        for runner in site.runners.values():
+            runner.confidence = {'small': 0}
+        set_actions(site, standins.send_stream, standins.never_respond)
+        request = await curio.spawn(ask, site, '/stream/x')
+        await standins.wait_until(lambda: len(site.arrivals()) == 2)
+        stopping = await begin_stop(site)
+        head, body, _ = await request.join()
+        assert (head.status, body) == (200, standins.events(4))
+        await stopping.join()
+
     @standins.on_site
     async def test_request_that_waits_for_an_endpoint_is_refused_in_time(
         self, site
