Close the events of an answer that another dispatch replaces

A stream that lost the claim left its generator of events open. The garbage collector ended it, which curio refuses ('Async generator with async finalization must be wrapped', on standard error). It is now closed where it is read.

The four seeds that are kept here pass before and after; no deterministic test was found.

--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -7,6 +7,7 @@
 endpoints that fall silent or fail, one alone or many at the same moment.
 """
 
+import contextlib
 import dataclasses
 
 import curio
@@ -199,15 +200,16 @@
                 return None
             async with self.sending:
                 await self.responder.start_stream(answer.head)
-        async for batch in answer.events(sequence):
-            if resumed and await self.defer(dispatch, batch):
-                continue
-            if not await self.claim(dispatch):
-                return None
-            await self.send(dispatch, batch)
-            self.relay.router_state.releases.runs.events_arrived(
-                dispatch.run, sequence.last - start_id
-            )
+        async with contextlib.aclosing(answer.events(sequence)) as batches:
+            async for batch in batches:
+                if resumed and await self.defer(dispatch, batch):
+                    continue
+                if not await self.claim(dispatch):
+                    return None
+                await self.send(dispatch, batch)
+                self.relay.router_state.releases.runs.events_arrived(
+                    dispatch.run, sequence.last - start_id
+                )
         if resumed:
             resumption.check_rest(answer, sequence.last - start_id)
         if not await self.claim(dispatch):
--- a/tests/test_race_interleavings.py
+++ b/tests/test_race_interleavings.py
@@ -1,5 +1,7 @@
 """Dispatches of one request that meet at the worst moment."""
 
+import collections
+import random
 import re
 import time
 
@@ -7,12 +9,21 @@
 import h11
 import pytest
 
+from celeryward.callers import endpoint_timeouts
+from celeryward.callers import races
+from celeryward.callers import replacements
 from celeryward import deadlines
+from celeryward.endpoints import fleet_retries
+from celeryward.endpoints import waits
 from celeryward import http
 from tests import platform_standins as standins
+from tests import test_once
 from tests import test_planned_stop as planned_stop
 
 EVENTS = 8
+REQUESTS = 15
+SEEDS = 4
+KINDS = ('sound', 'sound', 'mute', 'error', 'refusal', 'break', 'silent')
 # Longer than any part of these tests takes.
 LONG_SECONDS = 10.0
 # More than the sockets between router and caller keep.
@@ -238,3 +249,111 @@
         body = await connection.receive_body('read body', deadline, 2**30)
         assert numbers_of(body) == list(range(1, LARGE_EVENTS + 1))
         await connection.close()
+
+
+class TestSeeds:
+    """Guards against answers that mix, lose or leave parts of their runs."""
+
+    def make_action(self, generator, ran):
+        """Return an action that does one of many things at random times."""
+        kind = generator.choice(KINDS)
+        pauses = [
+            generator.choice((0.0, 0.002, 0.01, 0.03, 0.08))
+            for _ in range(EVENTS + 2)
+        ]
+        last = generator.randrange(0, EVENTS + 1)
+
+        async def act(runner, connection, arrival):
+            request_id = arrival.head.headers['celeryward-attempt-id']
+            ran[request_id] += kind != 'refusal'
+            await curio.sleep(pauses[-1])
+            if kind == 'mute':
+                await standins.never_respond(runner, connection, arrival)
+            elif kind == 'error':
+                await standins.respond_with(500)(runner, connection, arrival)
+            elif kind == 'refusal':
+                await standins.respond_with(503, celeryward_not_executed='1')(
+                    runner, connection, arrival
+                )
+            await send_head(runner, connection, arrival)
+            first = int(arrival.head.headers.get('last-event-id', '0')) + 1
+            for number in range(first, EVENTS + 1):
+                await curio.sleep(pauses[number])
+                data = make_event(number)
+                await connection.send('answer', h11.Data(data=data))
+                if kind == 'break' and number >= last:
+                    raise http.Disconnected('broken', step='', peer='test')
+                if kind == 'silent' and number >= last:
+                    await connection.wait_closed()
+                    raise http.Disconnected('closed', step='', peer='test')
+            await connection.send('answer', h11.EndOfMessage())
+
+        return act
+
+    async def ask(self, site, number):
+        """Send one request; check what its caller gets."""
+        connection = await site.connect()
+        body = b''
+        complete = False
+        headers = standins.request_headers('/stream/', request_id=f'r{number}')
+        await http.send_request(connection, 'GET', '/stream/', headers, b'')
+        deadline = deadlines.Deadline.after(LONG_SECONDS)
+        try:
+            head = await connection.receive_response(deadline)
+            chunks = connection.receive_chunks('read', lambda: deadline)
+            async for chunk in chunks:
+                body += chunk
+            complete = head.status == 200
+        except http.Disconnected:
+            pass
+        finally:
+            await connection.close()
+        numbers = numbers_of(body)
+        assert numbers == list(range(1, len(numbers) + 1)), numbers
+        assert not complete or len(numbers) == EVENTS, numbers
+
+    @pytest.mark.filterwarnings(test_once.UNRAISABLE_WARNINGS)
+    @pytest.mark.parametrize('seed', range(SEEDS))
+    @standins.on_site
+    async def test_whatever_endpoints_do_at_once(
+        self, site, seed, monkeypatch
+    ):
+        generator = random.Random(seed)
+        monkeypatch.setattr(replacements, 'LATE_STREAM_SECONDS', 0.05)
+        monkeypatch.setattr(races, 'CONFIRMATION_SECONDS', 0.03)
+        monkeypatch.setattr(waits, 'NOTICE_INTERVAL_SECONDS', 0.02)
+        monkeypatch.setattr(endpoint_timeouts, 'MIN_HEAD_SECONDS', 0.02)
+        monkeypatch.setattr(endpoint_timeouts, 'HEAD_OBJECTIVE_FRACTION', 0.05)
+        monkeypatch.setattr(endpoint_timeouts, 'PAUSE_FACTOR', 0.1)
+        ran = collections.Counter()
+        monkeypatch.setattr(
+            fleet_retries.FleetBudget, 'try_take', lambda self: True
+        )
+        for runner in site.runners.values():
+            for _ in range(6 * REQUESTS):
+                runner.scripted_actions.append(
+                    self.make_action(generator, ran)
+                )
+            runner.confidence = {'small': generator.choice((0, 100))}
+
+        async def report():
+            while True:
+                await curio.sleep(generator.choice((0.02, 0.05, 0.1)))
+                lost = generator.choice(list(site.runners))
+                await site.router.forwarder.hedge_exchanges(
+                    site.router.runners.runners[lost]
+                )
+
+        reporting = await curio.spawn(report)
+        async with curio.TaskGroup() as group:
+            for number in range(REQUESTS):
+                await group.spawn(self.ask, site, number)
+                await curio.sleep(0.02)
+        await reporting.cancel()
+        assert not any(group.exceptions)
+        await curio.sleep(0.05)
+        assert not site.router.forwarder.exchanges
+        assert not site.router.closures.places
+        assert not any(site.router.outcomes.in_flight.values())
+        assert not site.router.releases.runs.runs
+        assert max(ran.values()) <= 3
