Count attempts that have ended until their failure is recorded

A request ran on more endpoints than its route allows: a dispatch that had failed was no longer under way and its failure not yet counted when another dispatch of the request was hedged. One whose task had not begun was not counted either. Each dispatch now counts from when its task is started, and until it is known not to have run.

The cause is read, and the test shows the count: an attempt more was given before, none now.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -31,7 +31,6 @@
     @contextlib.contextmanager
     def begin(self, relayed, plan):
         """Yield the :class:`relayed_requests.Dispatch` of a request."""
-        relayed.dispatches += 1
         self.log_dispatch(relayed, plan)
         dispatch = relayed_requests.Dispatch(
             plan, self.begin_run(relayed, plan), time.monotonic()
--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -117,6 +117,8 @@
         if plan.place is None:
             plan = self.relay.planner.reserve(plan)
         self.plans.append(plan)
+        # Counted before its task runs, so that no other one takes its attempt.
+        self.relayed.dispatches += 1
         task = await self.group.spawn(self.fetch, plan)
         # Its error is raised where its result is read.
         task.report_crash = False
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -127,9 +127,13 @@
         self.running = self.running[:position] + self.running[position + 1 :]
 
     def has_attempts_left(self):
-        """Return whether another attempt is allowed beside those under way."""
+        """Return whether another attempt is allowed beside those under way.
+
+        A dispatch that has ended counts until its failure is recorded.
+        """
         under_way = max(1, len(self.running))
-        return self.runs + under_way < self.route.max_attempts
+        used = max(self.runs + under_way, self.dispatches - self.refusals)
+        return used < self.route.max_attempts
 
 
 def affinity_key(metadata):
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -137,6 +137,16 @@
         relayed.running = ('first', 'second')
         assert policy.secure(relayed) is None
 
+    def test_attempt_that_ended_counts_before_its_failure_is_recorded(self):
+        """One attempt too many was begun meanwhile."""
+        policy, retries = make_policy(make_plan(), tokens=5)
+        relayed = make_request(max_attempts=2)
+        relayed.dispatches = 2
+        assert policy.secure(relayed) is None
+        assert retries.tokens == 5
+        relayed.refusals = 1
+        assert policy.secure(relayed) is not None
+
 
 class TestIsLate:
     """Guards against hedges that a sound silence starts for nothing."""
