Search each byte of a stream once for the end of its event

An endpoint with large events stalled its router: with each piece the whole buffer was searched again, so that one event of 900 KB in pieces of 16 KB took 0.46 to 0.51 s of the loop, in which nothing else runs, the looks for a stop signal included.

--- a/celeryward/endpoints/event_stream.py
+++ b/celeryward/endpoints/event_stream.py
@@ -8,6 +8,7 @@
 MEDIA_TYPE = 'text/event-stream'
 MAX_EVENT_BYTES = 1024 * 1024
 END_OF_EVENT = re.compile(rb'\r?\n\r?\n')
+MAX_PARTIAL_END_BYTES = 3
 EVENT_ID = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
 
 
@@ -43,10 +44,13 @@
 
         :raises errors.AnswerInvalid: if an event is too large.
         """
+        # What was searched before holds no end, but perhaps a part of one.
+        start = max(0, len(self.buffer) - MAX_PARTIAL_END_BYTES)
         self.buffer += piece
-        while match := END_OF_EVENT.search(self.buffer):
+        while match := END_OF_EVENT.search(self.buffer, start):
             raw = self.buffer[: match.end()]
             self.buffer = self.buffer[match.end() :]
+            start = 0
             found = EVENT_ID.search(raw)
             yield Event(int(found[1]) if found else None, raw)
         if len(self.buffer) > MAX_EVENT_BYTES:
