Bound the end of a router's own tasks at a stop

They were cancelled one after the other, each awaited without a limit, after the callers had their answers. All are cancelled at once and get 0.1 s.

--- a/celeryward/router_shutdown.py
+++ b/celeryward/router_shutdown.py
@@ -16,6 +16,8 @@
 # Time between two looks at the deadlines of a stop. A sleep until a deadline
 # would last too long if the host is suspended meanwhile.
 POLL_SECONDS = 0.05
+# Time for the tasks of a router to end, after all callers have their answers.
+LAST_TASKS_SECONDS = 0.1
 
 
 class RouterShutdown:
@@ -53,8 +55,7 @@
         cut_off = await router.gateway.cut_off_active()
         async with curio.ignore_after(schedule.finish_by.remaining()):
             await removal.wait()
-        for task in (removal, *router.tasks):
-            await task.cancel()
+        await end_tasks((removal, *router.tasks))
         self.log.info(
             'router stopped after {:.1f} s; {} requests cut off',
             time.monotonic() - started,
@@ -84,6 +85,15 @@
         return schedule
 
 
+async def end_tasks(tasks):
+    """Cancel tasks; one that doesn't end in time must not keep the process."""
+    for task in tasks:
+        await task.cancel(blocking=False)
+    async with curio.ignore_after(LAST_TASKS_SECONDS):
+        for task in tasks:
+            await task.wait()
+
+
 async def sleep_until(deadline):
     """Return once a deadline on the boot-time clock has passed."""
     while not deadline.expired():
