--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -24,6 +24,7 @@
 
 STARTUP_SECONDS = 10.0
 POLL_SECONDS = 0.25
+MILLISECONDS = 1000
 # Routers per failure domain; with this many, some routers follow a leader
 # instead of the store.
 DOMAIN_ROUTERS = 4
@@ -289,7 +290,9 @@
         # Its status has been read.
         return observations.now()
     try:
-        select.select([descriptor], [], [], seconds)
+        ended = select.poll()
+        ended.register(descriptor, select.POLLIN)
+        ended.poll(seconds * MILLISECONDS)
         return observations.now()
     finally:
         os.close(descriptor)
