--- a/benchmarks/soak/regressions.py
+++ b/benchmarks/soak/regressions.py
@@ -35,8 +35,15 @@
 SILENCE = 'answers were given up at endpoints silent for a second'
 BROKEN_OFF = 'the soak blamed the router for what an endpoint broke off'
 LATE_HARNESS = 'the harness was late, and its endpoints silent for longer'
+CUT_STREAM = 'a stop began rigid streams and cut them off'
+LARGER_HEAD = 'a small answer was given up for the head of a larger one'
+LATE_SIGNAL = 'a stop was counted from when its router learned of it'
+SLOW_EXIT = 'a process exited 0.45 s after its stop had ended'
+RESET_ON_THE_WAY = 'the soak blamed the router for what a reset kept back'
+REPLACED = 'the soak blamed the router for a run that another replaced'
 SECOND_PLAN = 2
 THIRD_PLAN = 3
+FOURTH_PLAN = 4
 CASES = (
     *(Case(seed, EARLY_CALLER, 12.0) for seed in range(103, 108)),
     *(Case(seed, RELOAD) for seed in (303, 321)),
@@ -56,4 +63,18 @@
         for seed in seeds
     ),
     Case(655, LATE_HARNESS, plan=THIRD_PLAN),
+    *(
+        Case(seed, cause, plan=FOURTH_PLAN)
+        for cause, seeds in (
+            (CUT_STREAM, (725, 728, 731, 732, 737, 738)),
+            (CUT_STREAM, (740, 741, 743, 746, 747, 749)),
+            (LARGER_HEAD, (1, 4, 5, 733)),
+            (LATE_SIGNAL, (8,)),
+            (SLOW_EXIT, (739,)),
+            (RESET_ON_THE_WAY, (6, 7)),
+            (REPLACED, (735, 736)),
+            (LATE_HARNESS, (745,)),
+        )
+        for seed in seeds
+    ),
 )
