Hold a small model's answer until a larger one has an event

A stream that replaces a held answer now claims the caller with its first event; one without any is a failure, after which the held answer goes on. The two new cases of test_replacements failed before (broken stream; 200 without an event). Hedges move to a module of their own.

--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -12,8 +12,8 @@
 
 import curio
 
+from celeryward.callers import hedges
 from celeryward.callers import relayed_requests
-from celeryward.callers import replacements
 from celeryward.callers import resumption
 from celeryward.endpoints import answers
 from celeryward.endpoints import event_stream
@@ -135,7 +135,7 @@
         dispatcher = self.relay.dispatcher
         with dispatcher.begin(relayed, plan) as dispatch:
             self.tasks[dispatch.run] = await curio.current_task()
-            hedge = Hedge(self, dispatch)
+            hedge = hedges.Hedge(self, dispatch)
             try:
                 async with dispatcher.open_answer(
                     relayed, dispatch, hedge.start
@@ -208,29 +208,30 @@
         sequence = self.relayed.sequence.copy()
         start_id = sequence.last
         resumed = self.responder.started
-        if not resumed:
+        # The answer of a small model is held until there is a first event.
+        replaces = self.is_holding()
+        if not (resumed or replaces):
             if not await self.claim(dispatch):
                 return None
-            async with self.sending:
-                await self.responder.start_stream(answer.head)
+            await self.send(dispatch, answer)
         async with contextlib.aclosing(answer.events(sequence)) as batches:
             async for batch in batches:
-                if resumed and await self.defer(dispatch, batch):
+                if resumed and await self.defer(dispatch, answer, batch):
                     continue
                 if not await self.claim(dispatch):
                     return None
-                await self.send(dispatch, batch)
+                await self.send(dispatch, answer, batch)
                 self.relay.router_state.releases.runs.events_arrived(
                     dispatch.run, sequence.last - start_id
                 )
-        if resumed:
+        if resumed or replaces:
             resumption.check_rest(answer, sequence.last - start_id)
         if not await self.claim(dispatch):
             return None
-        await self.send(dispatch, is_last=True)
+        await self.send(dispatch, answer, is_last=True)
         return Outcome(dispatch, answer, relayed=True)
 
-    async def defer(self, dispatch, batch):
+    async def defer(self, dispatch, answer, batch):
         """Keep the first events of a hedge while the late answer may go on.
 
         A hedge that falls silent itself must not replace an answer that is
@@ -241,23 +242,27 @@
         if len(self.tasks) == 1 or dispatch.run in self.deferred:
             return False
         self.deferred[dispatch.run] = tuple(batch)
-        task = await self.group.spawn(self.confirm, dispatch, daemon=True)
+        task = await self.group.spawn(
+            self.confirm, dispatch, answer, daemon=True
+        )
         # The dispatch itself meets the error of a caller that has left.
         task.report_crash = False
         return True
 
-    async def confirm(self, dispatch):
+    async def confirm(self, dispatch, answer):
         """Let a hedge go on after a while, if nothing else did."""
         await curio.sleep(CONFIRMATION_SECONDS)
         if await self.claim(dispatch):
-            await self.send(dispatch)
+            await self.send(dispatch, answer)
 
-    async def send(self, dispatch, batch=(), is_last=False):
-        """Send events to the caller, those that were kept first.
+    async def send(self, dispatch, answer, batch=(), is_last=False):
+        """Send events to the caller, the head and those that were kept first.
 
         :param bool is_last: whether the answer ends after them.
         """
         async with self.sending:
+            if not self.responder.started:
+                await self.responder.start_stream(answer.head)
             events = (*self.deferred.pop(dispatch.run, ()), *batch)
             if events:
                 # A run's own sequence also counts events that are kept.
@@ -335,67 +340,3 @@
             runs = self.relay.router_state.releases.runs
             runs.end(dispatch.run, failed=True)
         resumption.check_answer(answer)
-
-
-class Hedge:
-    """Starts another dispatch while the answer of one is late.
-
-    :param Race race: the dispatches of the request.
-    :param relayed_requests.Dispatch dispatch: whose answer is awaited.
-    """
-
-    def __init__(self, race, dispatch):
-        self.race = race
-        self.dispatch = dispatch
-        self.task = None
-        self.is_counted = False
-
-    async def start(self, waited_seconds, head_arrived, is_lost=False):
-        """Start the other dispatch if one is secured; keep the late answer.
-
-        An answer that is held goes on instead. Otherwise the late answer
-        counts as a failure of its endpoint, and another dispatch may follow
-        once the first one has failed.
-
-        :param float waited_seconds: time waited for the part that is late.
-        :param bool head_arrived: whether the answer has begun.
-        :param bool is_lost: whether the endpoint accepts no connection.
-        """
-        race = self.race
-        relayed = race.relayed
-        is_stream = forwarding.is_stream(relayed.route)
-        if not self.is_awaited() or not replacements.is_late(
-            is_stream, waited_seconds, head_arrived, is_lost
-        ):
-            return
-        if race.is_holding():
-            self.log(waited_seconds, 'late answer replaced by a smaller one')
-            await race.held.released.set()
-            return
-        plan = race.relay.replacements.secure(relayed)
-        if plan is None:
-            return
-        if not self.is_counted:
-            self.is_counted = True
-            race.relay.dispatcher.record_late_answer(self.dispatch)
-        self.log(waited_seconds, 'late answer hedged')
-        self.task = await race.start(plan)
-
-    def is_awaited(self):
-        """Return whether nothing but the late answer itself is awaited.
-
-        It isn't if another dispatch has gone on, if the other dispatch is
-        under way, or if the answer is held.
-        """
-        race = self.race
-        if self.dispatch.run not in race.tasks:
-            return False
-        if race.is_holding() and race.held.run is self.dispatch.run:
-            return False
-        return self.task is None or self.task.terminated
-
-    def log(self, waited_seconds, message):
-        """Log what follows from the late answer."""
-        self.race.relay.dispatcher.log_late(
-            self.race.relayed, self.dispatch, waited_seconds, message
-        )
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -1,6 +1,7 @@
 """Decisions on answers that are late or dropped."""
 
 import dataclasses
+import functools
 import time
 import types
 
@@ -246,8 +247,17 @@
             standins.respond_with(500),
             standins.refuse_unexecuted(),
             standins.never_respond,
+            functools.partial(standins.send_stream, last_event=0),
+            standins.respond_with(200, content_type='text/event-stream'),
+        ),
+        ids=(
+            'breaks off',
+            '500',
+            'refuses',
+            'mute',
+            'breaks off after its head',
+            'no event',
         ),
-        ids=('breaks off', '500', 'refuses', 'mute'),
     )
     @standins.on_site
     async def test_answer_is_kept_until_the_larger_model_answers(
