Give connections that a stopping router just accepted time for a request

The router closed connections without input as idle as soon as it took no more; a request on its way crossed the close.

Connections now stay open for 0.5 s after the last one was accepted, as at the daemon, and what they bring is refused as not run. The test failed before with a closed connection.

--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -17,9 +17,6 @@
 
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
 EVENT_STREAM = 'text/event-stream'
-# At a stop, a connection may bring another request for this long. Its response
-# announces that the connection closes.
-LAST_REQUESTS_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.05
 
 
@@ -155,7 +152,7 @@
         Those that are still open at the deadline are left.
         """
         self.stopping = True
-        close_at = deadlines.BootDeadline.after(LAST_REQUESTS_SECONDS)
+        close_at = deadlines.BootDeadline.after(listener.LAST_REQUESTS_SECONDS)
         while self.tasks and not deadline.expired():
             if close_at.expired():
                 busy = {responder.connection for responder in self.active}
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -16,6 +16,9 @@
 # Time to take over the connections that wait in the kernel's queue; this does
 # not block while there are any.
 LAST_ACCEPT_SECONDS = 0.02
+# At a stop, a connection may bring another request for this long. Its response
+# announces that the connection closes.
+LAST_REQUESTS_SECONDS = 0.5
 
 
 class Listener:
--- a/celeryward/router_shutdown.py
+++ b/celeryward/router_shutdown.py
@@ -10,6 +10,7 @@
 import curio
 
 from celeryward import deadlines
+from celeryward import listener
 from celeryward import logs
 from celeryward import stopping
 
@@ -48,10 +49,7 @@
         )
         await sleep_until(schedule.accept_until)
         await router.caller_listener.stop_accepting()
-        while router.gateway.active and not schedule.finish_by.expired():
-            await router.gateway.close_idle()
-            await curio.sleep(POLL_SECONDS)
-        await router.gateway.close_idle()
+        await self.end_connections(schedule.finish_by)
         cut_off = await router.gateway.cut_off_active()
         async with curio.ignore_after(schedule.finish_by.remaining()):
             await removal.wait()
@@ -62,6 +60,20 @@
             cut_off,
         )
 
+    async def end_connections(self, finish_by):
+        """Wait until no connection is open, or until the end of the stop.
+
+        Connections that were just accepted may still bring a request, which
+        is refused.
+        """
+        gateway = self.router.gateway
+        close_at = deadlines.BootDeadline.after(listener.LAST_REQUESTS_SECONDS)
+        while gateway.tasks and not finish_by.expired():
+            if close_at.expired():
+                await gateway.close_idle()
+            await curio.sleep(POLL_SECONDS)
+        await gateway.close_idle()
+
     def begin(self, signalled_after):
         """Begin the stop; return its :class:`stopping.StopSchedule`."""
         router = self.router
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -104,6 +104,21 @@
         assert seconds < AT_ONCE_SECONDS
         await stopping.join()
 
+    @standins.on_site
+    async def test_connection_that_was_just_accepted_gets_an_answer(
+        self, site
+    ):
+        """It was closed as idle while its request was on the way."""
+        stopping = await begin_stop(site)
+        accept_until = site.router.stop_state.schedule.accept_until
+        await curio.sleep(accept_until.remaining() - 0.05)
+        connection = await site.connect()
+        await curio.sleep(0.2)
+        head, _ = await standins.request(connection, '/whole/x')
+        assert head.status == 503
+        await connection.close()
+        await stopping.join()
+
     @standins.on_site
     async def test_request_that_usually_ends_in_time_is_served(self, site):
         await raise_timeouts(site)
