Let the streams of a test reach their endpoints before they are cut off

test_endpoints_that_accept_no_connection_keep_their_streams failed in 4 to 7 of 20 runs at a load of 26: a stream that had no connection yet when the test cut connections off, 0.3 s after the start, got a true 503. The test now waits for the 16 arrivals, which is what the pause was for; nothing else changed.

--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -240,7 +240,7 @@
         async with curio.TaskGroup() as group:
             for number in range(STREAMS):
                 await group.spawn(read_stream, number)
-            await curio.sleep(0.3)
+            await standins.wait_until(lambda: len(site.arrivals()) == STREAMS)
             site.router.connections.open = refuse_connection
         assert bodies == [standins.events(4)] * STREAMS
 
