--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -176,10 +176,6 @@
             continue
         if was_cut_by_stop(observed, outcome):
             continue
-        if not executions and was_harness_late(
-            observed, outcome, outcome.ended_at
-        ):
-            continue
         seconds = outcome.ended_at - outcome.started_at
         yield (
             outcome.request_id,
@@ -210,7 +206,9 @@
         if outcome.body and reached_timeout(observed, outcome):
             continue
         # The endpoints are tasks of the harness and were silent for longer.
-        if was_harness_late(observed, outcome, abandoned.at):
+        if observed.overlaps_fault(
+            outcome.started_at, abandoned.at, (lateness.FAULT_NAME,)
+        ):
             continue
         yield (
             outcome.request_id,
@@ -224,16 +222,6 @@
     return outcome.reused and not executions and delay <= CROSSING_SECONDS
 
 
-def was_harness_late(observed, outcome, until):
-    """Return whether the harness was late while a request was under way.
-
-    It may have written the request long after it opened the connection.
-    """
-    return observed.overlaps_fault(
-        outcome.started_at, until, (lateness.FAULT_NAME,)
-    )
-
-
 def was_interrupted(observed, outcome, executions):
     """Return whether a fault broke off a request at router or endpoint."""
     if outcome.request_id in observed.broken_off:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -94,15 +94,6 @@
         assert list(checks.find_violations(excused)) == []
         assert self.find(late) == ['answered']
 
-    def test_late_harness_excuses_what_it_wrote_too_late(self):
-        unread = dataclasses.replace(
-            examples.UNANSWERED, reused=False, ended_at=11.0
-        )
-        late = observations.FaultSpan(10.1, 10.9, lateness.FAULT_NAME)
-        found = examples.observed([unread], [], faults=[late])
-        assert list(checks.find_violations(found)) == []
-        assert list(checks.find_violations(examples.observed([unread], [])))
-
     @pytest.mark.parametrize('body', [b'', b'whole'])
     @pytest.mark.parametrize('ended_at', [10.5, 12.0])
     def test_replaced_run_is_excused_if_the_timeout_ends_the_other(
