Register all checks of the soak for the tests of its checks

Run alone, tests/test_soak_checks.py found no violation of the contracts: their checks are registered by an import that only tests/test_soak.py made.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -8,8 +8,11 @@
 from benchmarks.soak import completion_checks
 from benchmarks.soak import lateness
 from benchmarks.soak import observations
+from benchmarks.soak import soak
 from tests import soak_observations as examples
 
+# The checks are registered when their modules are imported.
+CHECK_MODULES = soak.CHECK_MODULES
 NO_EXCUSES = (
     'configuration-idle',
     'configuration-routes',
