--- a/tests/test_written_answers.py
+++ b/tests/test_written_answers.py
@@ -189,7 +189,7 @@
         set_actions(site, action)
         connection = await connect_slow(router_address(site))
         await send_only(connection, path)
-        await standins.wait_until(lambda: site.router.gateway.active)
+        await standins.wait_until(site.arrivals)
         set_actions(site, standins.send_default_response)
         for number in range(5):
             started = time.monotonic()
