Begin streams of the tests' endpoints in one place

Four tests and a benchmark wrote the head of a stream each; a route for one kind of work is made by the stand-ins, which know the platform's names.

--- a/benchmarks/late_in_stop.py
+++ b/benchmarks/late_in_stop.py
@@ -145,12 +145,12 @@
 
 def change_route(route, work):
     """Return a copy of a route for one work only."""
-    return route | {
-        'name': f'{route["name"]}-{work.name}',
-        'pathPrefix': f'{route["pathPrefix"]}{work.name}/',
-        'timeoutMs': int(work.timeout_seconds * MILLISECONDS),
-        'goalMs': int(work.objective_seconds * MILLISECONDS),
-    }
+    return standins.narrow_route(
+        route,
+        work.name,
+        timeoutMs=int(work.timeout_seconds * MILLISECONDS),
+        goalMs=int(work.objective_seconds * MILLISECONDS),
+    )
 
 
 async def run(policy, seed, routers, callers, rounds, mixed):
--- a/benchmarks/silent_endpoints.py
+++ b/benchmarks/silent_endpoints.py
@@ -43,19 +43,7 @@
 
 async def send_stream(runner, connection, arrival, seconds):
     """Send the events of a stream, with a silence after the first one."""
-    first = int(arrival.head.headers.get('last-event-id', '0')) + 1
-    head = runner.response_headers(
-        arrival,
-        **{
-            'content-type': 'text/event-stream',
-            'transfer-encoding': 'chunked',
-            'celeryward-confidence': '100',
-        },
-    )
-    lines = http.encode_headers(head)
-    await connection.send(
-        'answer', h11.Response(status_code=200, headers=lines)
-    )
+    first = await standins.begin_stream(runner, connection, arrival)
     for number in range(first, runner.events + 1):
         data = standins.event(number)
         await connection.send('answer', h11.Data(data=data))
--- a/tests/platform_runners.py
+++ b/tests/platform_runners.py
@@ -117,7 +117,20 @@
     :param last_event: last event, after which the connection breaks.
     :param bytes partial_event: sent between the last event and the break.
     """
-    first = int(arrival.head.headers.get('last-event-id', '0')) + 1
+    first = await begin_stream(runner, connection, arrival)
+    last = runner.events if last_event is None else last_event
+    for number in range(first, last + 1):
+        await connection.send('answer', h11.Data(data=event(number)))
+        await curio.sleep(0.005)
+    if last_event is not None:
+        if partial_event:
+            await connection.send('answer', h11.Data(data=partial_event))
+        raise http.Disconnected('broken off', step='answer', peer='test')
+    await connection.send('answer', h11.EndOfMessage())
+
+
+async def begin_stream(runner, connection, arrival):
+    """Send the head of a stream; return the id of its first event."""
     confidence = runner.confidence.get(arrival.model, 100)
     head = runner.response_headers(
         arrival,
@@ -131,15 +144,7 @@
     await connection.send(
         'answer', h11.Response(status_code=200, headers=lines)
     )
-    last = runner.events if last_event is None else last_event
-    for number in range(first, last + 1):
-        await connection.send('answer', h11.Data(data=event(number)))
-        await curio.sleep(0.005)
-    if last_event is not None:
-        if partial_event:
-            await connection.send('answer', h11.Data(data=partial_event))
-        raise http.Disconnected('broken off', step='answer', peer='test')
-    await connection.send('answer', h11.EndOfMessage())
+    return int(arrival.head.headers.get('last-event-id', '0')) + 1
 
 
 def event(number):
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -90,9 +90,19 @@
     }
 
 
+def narrow_route(spec, name, **fields):
+    """Return a route with a longer name and path prefix, and other fields."""
+    return spec | {
+        'name': f'{spec["name"]}-{name}',
+        'pathPrefix': f'{spec["pathPrefix"]}{name}/',
+        **fields,
+    }
+
+
 # Tests use the parts of a site through this module.
 StoreStandIn = platform_store.StoreStandIn
 RunnerStandIn = platform_runners.RunnerStandIn
+begin_stream = platform_runners.begin_stream
 connect_timeout = platform_runners.connect_timeout
 disconnect = platform_runners.disconnect
 event = platform_runners.event
--- a/tests/test_race_interleavings.py
+++ b/tests/test_race_interleavings.py
@@ -55,22 +55,6 @@
     return list(map(int, re.findall(rb'id: (\d+)', body)))
 
 
-async def send_head(runner, connection, arrival):
-    """Send the head of a stream."""
-    head = runner.response_headers(
-        arrival,
-        **{
-            'content-type': 'text/event-stream',
-            'transfer-encoding': 'chunked',
-            'celeryward-confidence': '100',
-        },
-    )
-    lines = http.encode_headers(head)
-    await connection.send(
-        'answer', h11.Response(status_code=200, headers=lines)
-    )
-
-
 async def send_events(connection, first, last, size=0, pause=0.01):
     """Send events, each in a write of its own."""
     for number in range(first, last + 1):
@@ -106,7 +90,7 @@
             await standins.send_stream(runner, connection, arrival, 1)
 
         async def go_on_late(runner, connection, arrival):
-            await send_head(runner, connection, arrival)
+            await standins.begin_stream(runner, connection, arrival)
             await send_events(connection, 2, 2)
             await standins.wait_until(lambda: len(site.arrivals()) == 3)
             await send_events(connection, 3, 3)
@@ -119,7 +103,7 @@
         async def rest(runner, connection, arrival):
             await kept.wait()
             await curio.sleep(0.02)
-            await send_head(runner, connection, arrival)
+            await standins.begin_stream(runner, connection, arrival)
             await curio.sleep(0.1)
             first = int(arrival.head.headers['last-event-id']) + 1
             await send_events(connection, first, EVENTS)
@@ -187,7 +171,7 @@
             await curio.sleep(LONG_SECONDS)
 
         async def begin(runner, connection, arrival):
-            await send_head(runner, connection, arrival)
+            await standins.begin_stream(runner, connection, arrival)
             data = make_event(1)
             await connection.send('answer', h11.Data(data=data))
 
@@ -222,7 +206,7 @@
 
         async def send_all(runner, connection, arrival):
             first = int(arrival.head.headers.get('last-event-id', '0')) + 1
-            await send_head(runner, connection, arrival)
+            await standins.begin_stream(runner, connection, arrival)
             await send_events(
                 connection, first, LARGE_EVENTS, LARGE_EVENT_BYTES, 0.0
             )
@@ -275,7 +259,7 @@
                 await standins.respond_with(503, celeryward_not_executed='1')(
                     runner, connection, arrival
                 )
-            await send_head(runner, connection, arrival)
+            await standins.begin_stream(runner, connection, arrival)
             first = int(arrival.head.headers.get('last-event-id', '0')) + 1
             for number in range(first, EVENTS + 1):
                 await curio.sleep(pauses[number])
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -22,19 +22,7 @@
 
 async def send_named_events(runner, connection, arrival):
     """Send events with the name of the endpoint; the first run is silent."""
-    first = int(arrival.head.headers.get('last-event-id', '0')) + 1
-    head = runner.response_headers(
-        arrival,
-        **{
-            'content-type': 'text/event-stream',
-            'transfer-encoding': 'chunked',
-            'celeryward-confidence': '100',
-        },
-    )
-    lines = http.encode_headers(head)
-    await connection.send(
-        'answer', h11.Response(status_code=200, headers=lines)
-    )
+    first = await standins.begin_stream(runner, connection, arrival)
     for number in range(first, runner.events + 1):
         data = f'id: {number}\ndata: {runner.id}\n\n'.encode()
         await connection.send('answer', h11.Data(data=data))
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -52,19 +52,7 @@
 
 async def send_stream_with_silence(runner, connection, arrival, seconds):
     """Send a stream that is silent for some seconds after one event."""
-    first = int(arrival.head.headers.get('last-event-id', '0')) + 1
-    head = runner.response_headers(
-        arrival,
-        **{
-            'content-type': 'text/event-stream',
-            'transfer-encoding': 'chunked',
-            'celeryward-confidence': '100',
-        },
-    )
-    await connection.send(
-        'answer',
-        h11.Response(status_code=200, headers=http.encode_headers(head)),
-    )
+    first = await standins.begin_stream(runner, connection, arrival)
     for number in range(first, runner.events + 1):
         data = standins.event(number)
         await connection.send('answer', h11.Data(data=data))
