--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -169,11 +169,13 @@
             return
         router.stopping = True
         ordered_at = observations.now()
+        # Another fault may start the router again as soon as it has exited.
+        process = router.popen
         router.signal(signal.SIGTERM)
         ended_at = await self.wait_for_exit(
-            router, processes.STOP_SECONDS + 1.0
+            process, processes.STOP_SECONDS + 1.0
         )
-        status = router.popen.poll()
+        status = process.poll()
         if router.killed and status == -signal.SIGKILL:
             # Another fault killed it meanwhile, which is not a failed stop.
             return
@@ -183,20 +185,18 @@
         if status is None:
             await self.kill_router(router)
 
-    async def wait_for_exit(self, router, seconds):
+    async def wait_for_exit(self, process, seconds):
         """Return when a process has exited, or the time-out has passed.
 
         A thread waits, so that a busy harness doesn't delay the time.
         """
-        return await curio.run_in_thread(
-            wait_for_exit, router.popen.pid, seconds
-        )
+        return await curio.run_in_thread(wait_for_exit, process.pid, seconds)
 
     async def kill_router(self, router):
         """Kill the process of a router with SIGKILL."""
         router.killed = True
         router.signal(signal.SIGKILL)
-        await self.wait_for_exit(router, processes.STOP_SECONDS)
+        await self.wait_for_exit(router.popen, processes.STOP_SECONDS)
 
     async def is_ready(self, router):
         """Return whether the readiness check of a router succeeds."""
