Notice the end of an endpoint's process under its requests

Change: a refused connection after a broken exchange with a listed endpoint that doesn't leave is a crash. It is logged once for each router with the requests that ran and the most common parts, and counted; 'dispatched' names the parts. Nothing is decided on it yet.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -10,6 +10,10 @@
 from celeryward import logs
 
 
+# Errors with which the connection of an exchange ends when its endpoint does.
+BROKEN_ERRORS = (errors.ConnectionFailed, errors.AnswerTruncated)
+
+
 class Dispatcher:
     """Dispatches requests and records their outcomes.
 
@@ -23,6 +27,7 @@
 
     def __init__(self, router_state, forwarder, timeouts, retries, log_fields):
         self.router_state = router_state
+        self.crash_watch = router_state.crash_watch
         self.forwarder = forwarder
         self.timeouts = timeouts
         self.retries = retries
@@ -32,13 +37,15 @@
     def begin(self, relayed, plan):
         """Yield the :class:`relayed_requests.Dispatch` of a request."""
         self.log_dispatch(relayed, plan)
+        watched = self.crash_watch.begin(plan.runner, relayed.traits)
         dispatch = relayed_requests.Dispatch(
-            plan, self.begin_run(relayed, plan), time.monotonic()
+            plan, self.begin_run(relayed, plan), time.monotonic(), watched
         )
         relayed.running += (plan.runner.id,)
         try:
             yield dispatch
         finally:
+            self.crash_watch.end(watched)
             relayed.end_running(plan.runner.id)
             self.router_state.releases.runs.drop(dispatch.run)
 
@@ -54,6 +61,7 @@
             model=plan.size.model if plan.size else '',
             route=relayed.route.name,
             service=plan.service,
+            parts=relayed_requests.describe_parts(relayed.metadata),
             attempt=relayed.dispatches,
             after_event=relayed.sequence.last,
             in_flight=outcomes.in_flight.get(plan.runner.id, 0),
@@ -84,6 +92,7 @@
         async with self.forwarder.dispatch(
             forwarded, plan.runner, plan.place
         ) as answer:
+            dispatch.watched.record_output()
             self.router_state.releases.runs.head_arrived(dispatch.run)
             self.timeouts.record_head_seconds(relayed, plan, answer)
             self.router_state.queues.record(
@@ -154,9 +163,11 @@
             tokens=self.retries.tokens(relayed.service),
         ).info(message)
 
-    def record_error(self, relayed, dispatch, error):
+    async def record_error(self, relayed, dispatch, error):
         """Record and log a failed dispatch."""
         runner = dispatch.plan.runner
+        if error.sent and isinstance(error, BROKEN_ERRORS):
+            await self.crash_watch.record_break(dispatch.watched)
         if error.sent or not self.router_state.closures.is_closed(runner):
             # One that is closed may run the request after its pause.
             relayed.tried_endpoints |= {runner.id}
--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -107,7 +107,7 @@
                     outcome = task.result
                     if not outcome.failed:
                         break
-                    self.record_failure(outcome)
+                    await self.record_failure(outcome)
                     await self.replace(outcome)
         finally:
             for each in self.plans:
@@ -300,11 +300,11 @@
                 await other.cancel(blocking=False)
         return not self.responder.finished
 
-    def record_failure(self, outcome):
+    async def record_failure(self, outcome):
         """Record a failed dispatch; another one may still answer."""
         relay = self.relay
         if outcome.error is not None:
-            relay.dispatcher.record_error(
+            await relay.dispatcher.record_error(
                 self.relayed, outcome.dispatch, outcome.error
             )
             return
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -4,6 +4,7 @@
 import time
 
 from celeryward.endpoints import closures
+from celeryward.endpoints import crashes
 from celeryward.endpoints import event_stream
 from celeryward.raters import sizes
 
@@ -15,6 +16,8 @@
 # Prompt tokens of a typical request, which is one unit of work.
 TOKENS_PER_WORK_UNIT = 3000.0
 MIN_WORK_UNITS = 0.25
+# Parts of a prompt that are named in a log line.
+LOGGED_PARTS = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,11 +46,14 @@
 
     :param runs.Run run: counted for the endpoint's software version.
     :param float began_at: monotonic seconds.
+    :param crash_watch.WatchedRun watched: shows what ran at an endpoint that
+        crashes.
     """
 
     plan: Plan
     run: object
     began_at: float
+    watched: object = None
 
 
 class RelayedRequest:
@@ -95,6 +101,7 @@
         self.deliveries = 0
         self.budget_charged = False
         self.failed_answer = None
+        self.known_traits = None
 
     @property
     def has_sent_events(self):
@@ -121,6 +128,22 @@
             self.runs == 0 or self.may_run_again()
         )
 
+    def traits(self):
+        """Return the :class:`crashes.RequestTraits`, computed once."""
+        if self.known_traits is None:
+            customer = self.customer.name if self.customer else ''
+            self.known_traits = crashes.RequestTraits(
+                crashes.fingerprint(
+                    self.route.name.encode(),
+                    customer.encode(),
+                    self.head.method.encode(),
+                    self.head.target.encode(),
+                    self.body,
+                ),
+                shared_parts(self.metadata),
+            )
+        return self.known_traits
+
     def end_running(self, runner_id):
         """Remove one dispatch from those under way."""
         position = self.running.index(runner_id)
@@ -148,6 +171,18 @@
     return metadata.session
 
 
+def shared_parts(metadata):
+    """Return the traits of the parts that other requests may share."""
+    return tuple(
+        crashes.trait_of_part(part.id) for part in metadata.prompt_parts[:-1]
+    )
+
+
+def describe_parts(metadata):
+    """Return the shared parts of a prompt as text for a log line."""
+    return ' '.join(shared_parts(metadata)[:LOGGED_PARTS])
+
+
 def urgency(relayed):
     """Return the urgency rank of a request, 0 to 9; 0 is served first.
 
--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -32,6 +32,7 @@
     :param closures: :class:`closures.Closures`.
     :param estimates: :class:`reopening.ReopeningEstimates`.
     :param completion: :class:`completion.CompletionCheck`.
+    :param crash_watch: :class:`crash_watch.CrashWatch`.
     """
 
     failure_domain: str
@@ -46,6 +47,7 @@
     closures: object
     estimates: object
     completion: object
+    crash_watch: object
 
 
 class AdmissionControl:
--- /dev/null
+++ b/celeryward/endpoints/crashes.py
@@ -0,0 +1,76 @@
+"""Crashes of endpoints, with the requests that ran there.
+
+Requests are told apart by what they share with others: the parts of their
+prompts, and the fingerprint of the whole request.
+"""
+
+import dataclasses
+
+import xxhash
+
+# Longer ids of parts are replaced by a hash.
+MAX_PART_CHARACTERS = 40
+# Requests of one crash that are kept.
+MAX_REQUESTS = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """What a request shares with others of its service.
+
+    :param str fingerprint: the same for requests with the same content.
+    :param tuple parts: ids of the parts of its prompt. The last part belongs
+        to the request or its session and is left out.
+    """
+
+    fingerprint: str
+    parts: tuple[str, ...] = ()
+
+    def all(self):
+        """Return the parts and the fingerprint as a set."""
+        return frozenset((*self.parts, self.fingerprint))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """The end of an endpoint's process while requests ran there.
+
+    :param str endpoint: id of the endpoint.
+    :param float started_at: start of the process, as in
+        :class:`runners.Runner`; with the id it identifies the crash.
+    :param float at: monotonic seconds of this host.
+    :param tuple requests: :class:`RequestTraits` of the requests.
+    :param bool is_trial: whether a request that was refused before ran there
+        on trial.
+    """
+
+    endpoint: str
+    started_at: float
+    service: str
+    at: float
+    requests: tuple[RequestTraits, ...]
+    is_trial: bool = False
+
+    @property
+    def key(self):
+        """Unique key of the crash."""
+        return (self.endpoint, self.started_at)
+
+
+def trait_of_part(part_id):
+    """Return the trait that stands for a part of a prompt."""
+    if len(part_id) <= MAX_PART_CHARACTERS:
+        return part_id
+    return xxhash.xxh64_hexdigest(part_id.encode(errors='surrogatepass'))
+
+
+def fingerprint(*contents):
+    """Return the fingerprint of a request with the given contents.
+
+    :param contents: bytes objects that identify it.
+    """
+    digest = xxhash.xxh64()
+    for content in contents:
+        digest.update(len(content).to_bytes(8, 'big'))
+        digest.update(content)
+    return f'request-{digest.hexdigest()}'
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -217,6 +217,10 @@
     code = 'connection_failed'
 
 
+class ConnectionRefused(ConnectionFailed):
+    """No process listens at the address."""
+
+
 class ConnectionSilent(EndpointFailure):
     """No byte was received before the progress deadline.
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -9,6 +9,7 @@
 from celeryward.callers import router_admission
 from celeryward import completion
 from celeryward.endpoints import closures
+from celeryward.endpoints import crash_watch
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
 from celeryward.endpoints import monitor
@@ -97,6 +98,10 @@
             departure_news.DepartureNews(self.runners),
         )
         self.connections = pool.EndpointPool(tuning)
+        self.crash_watch = crash_watch.CrashWatch(
+            self.runners, self.connections
+        )
+        self.crash_watch.listeners.append(self.metrics.count_crash)
         self.notice_reader = notices.NoticeReader(
             self.runners,
             self.closures,
@@ -130,6 +135,7 @@
                 self.closures,
                 self.estimates,
                 self.completion,
+                self.crash_watch,
             ),
             self.forwarder,
             translator,
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -40,6 +40,11 @@
         self.task_failures = self.counter(
             'task_failures', 'Errors after which a task went on.', ('step',)
         )
+        self.crashes = self.counter(
+            'endpoint_crashes',
+            'Ends of endpoints seen under their requests.',
+            ('service',),
+        )
         self.latencies = metrics.LatencyCollector()
         self.registry.register(self.latencies)
 
@@ -83,6 +88,10 @@
         """Count an entry of the store that could not be read."""
         self.entries_ignored.labels(kind).inc()
 
+    def count_crash(self, crash):
+        """Count the end of an endpoint while it ran requests."""
+        self.crashes.labels(crash.service).inc()
+
     def count_task_failure(self, step):
         """Count an error of a task that follows something."""
         self.task_failures.labels(step).inc()
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -191,6 +191,10 @@
         raise errors.ConnectionFailed(
             'connect timed out', step='connect', peer=peer, sent=False
         ) from error
+    except ConnectionRefusedError as error:
+        raise errors.ConnectionRefused(
+            f'connect failed: {error}', step='connect', peer=peer, sent=False
+        ) from error
     except OSError as error:
         raise errors.ConnectionFailed(
             f'connect failed: {error}', step='connect', peer=peer, sent=False
--- /dev/null
+++ b/tests/test_crash_watch.py
@@ -0,0 +1,90 @@
+"""What counts as the end of an endpoint's process under its requests."""
+
+import curio
+import pytest
+
+from celeryward.endpoints import crash_watch
+from celeryward.endpoints import crashes
+from celeryward import http
+from tests import platform_standins as standins
+
+PARTS = 'aa:300,bb:500,cc:200'
+
+
+@pytest.fixture
+def site():
+    return standins.default_site()
+
+
+def record_crashes(site):
+    """Return the list to which the crashes of a site are added."""
+    found = []
+    site.router.crash_watch.listeners.append(found.append)
+    return found
+
+
+async def end_process(runner, connection, arrival):
+    """End the process of the runner after the first event of a stream."""
+    await standins.begin_stream(runner, connection, arrival)
+    await curio.spawn(runner.stop, daemon=True)
+    await curio.sleep(0.5)
+
+
+async def send_cut_stream(site):
+    """Send a request whose stream ends with its endpoint."""
+    with pytest.raises(http.Disconnected):
+        await site.request('/rigid/x', 'POST', celeryward_prompt_prefix=PARTS)
+
+
+class TestCrashWatch:
+    """Guards against evidence where only a connection or the way failed."""
+
+    @standins.on_site
+    async def test_end_of_a_process_is_found_with_its_requests(self, site):
+        found = record_crashes(site)
+        for runner in site.runners.values():
+            if runner.service == 'llm':
+                runner.scripted_actions.append(end_process)
+        await send_cut_stream(site)
+        await standins.wait_until(lambda: found, 2.0)
+        (request,) = found[0].requests
+        assert request.parts == ('aa', 'bb')
+
+    @standins.on_site
+    async def test_broken_connection_is_no_evidence(self, site):
+        found = record_crashes(site)
+        for runner in site.runners.values():
+            runner.scripted_actions.append(standins.disconnect)
+        await site.request('/rigid/x', 'POST')
+        await curio.sleep(0.5)
+        assert not found
+
+    @standins.on_site
+    async def test_end_of_a_leaving_endpoint_is_no_evidence(self, site):
+        found = record_crashes(site)
+        for runner in site.runners.values():
+            runner.leaving = True
+            runner.scripted_actions.append(end_process)
+        await send_cut_stream(site)
+        await curio.sleep(0.5)
+        assert not found
+
+
+class TestTraits:
+    """Guards against parts that are taken for the cause of a later crash."""
+
+    def run(self, **more):
+        traits = crashes.RequestTraits('request-1', ('aa',))
+        return crash_watch.WatchedRun(None, lambda: traits, **more)
+
+    def test_parts_of_a_stream_under_way_are_left_out(self):
+        run = self.run()
+        assert crash_watch.run_traits(run).parts == ('aa',)
+        run.record_output()
+        run.began_at -= crash_watch.SURVIVAL_SECONDS
+        assert crash_watch.run_traits(run).parts == ()
+
+    def test_long_ids_of_parts_are_bounded(self):
+        trait = crashes.trait_of_part('x' * 5000)
+        assert len(trait) <= crashes.MAX_PART_CHARACTERS
+        assert trait != crashes.trait_of_part('x' * 5001)
