Refuse requests with a part that crashes endpoints, at each router

Change: a router keeps the requests that ran at each endpoint that ended. A part is guilty after three crashes at different moments in which it was and no other part more often; an answer that is whole, or goes on for 1 s, clears its parts. Such requests are refused as not run, those that wait at endpoints are ended before they begin, none of them is hedged, and one is tried after 3, 24 and 192 s. Parts that always come together are guilty together only; crashes that a culprit explains accuse nobody else.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -28,6 +28,7 @@
     def __init__(self, router_state, forwarder, timeouts, retries, log_fields):
         self.router_state = router_state
         self.crash_watch = router_state.crash_watch
+        self.guard = router_state.guard
         self.forwarder = forwarder
         self.timeouts = timeouts
         self.retries = retries
@@ -37,7 +38,9 @@
     def begin(self, relayed, plan):
         """Yield the :class:`relayed_requests.Dispatch` of a request."""
         self.log_dispatch(relayed, plan)
-        watched = self.crash_watch.begin(plan.runner, relayed.traits)
+        watched = self.crash_watch.begin(
+            plan.runner, relayed.traits, relayed.trial is not None
+        )
         dispatch = relayed_requests.Dispatch(
             plan, self.begin_run(relayed, plan), time.monotonic(), watched
         )
@@ -88,11 +91,12 @@
     async def open_answer(self, relayed, dispatch, on_late):
         """Forward a request; yield the answer once its head has arrived."""
         plan = dispatch.plan
-        forwarded = self.forwarded_request(relayed, plan, on_late)
+        forwarded = self.forwarded_request(relayed, dispatch, on_late)
         async with self.forwarder.dispatch(
             forwarded, plan.runner, plan.place
         ) as answer:
-            dispatch.watched.record_output()
+            if not answer.is_event_stream:
+                dispatch.watched.record_output()
             self.router_state.releases.runs.head_arrived(dispatch.run)
             self.timeouts.record_head_seconds(relayed, plan, answer)
             self.router_state.queues.record(
@@ -101,8 +105,9 @@
             )
             yield answer
 
-    def forwarded_request(self, relayed, plan, on_late):
+    def forwarded_request(self, relayed, dispatch, on_late):
         """Return the :class:`forwarding.ForwardedRequest` of a dispatch."""
+        plan = dispatch.plan
         route = relayed.route
         return forwarding.ForwardedRequest(
             relayed.head,
@@ -118,11 +123,29 @@
             relayed.sequence.last,
             must_not_repeat=not route.retryable,
             on_late=on_late,
+            watched=dispatch.watched,
         )
 
-    def record_success(self, relayed, dispatch, answer):
+    async def record_events(self, relayed, dispatch, count):
+        """Record that events of a stream have arrived.
+
+        :param int count: number of events so far.
+        """
+        self.router_state.releases.runs.events_arrived(dispatch.run, count)
+        dispatch.watched.record_output()
+        if self.guard.harmful.has_evidence():
+            if dispatch.watched.has_survived():
+                await self.guard.record_answer(
+                    dispatch.plan.service, relayed.traits().parts
+                )
+
+    async def record_success(self, relayed, dispatch, answer):
         """Record a complete answer that was relayed."""
         plan = dispatch.plan
+        if self.guard.harmful.has_evidence():
+            await self.guard.record_answer(
+                plan.service, relayed.traits().all()
+            )
         self.record_duration(relayed, dispatch)
         releases = self.router_state.releases
         releases.runs.end(dispatch.run)
@@ -168,6 +191,7 @@
         runner = dispatch.plan.runner
         if error.sent and isinstance(error, BROKEN_ERRORS):
             await self.crash_watch.record_break(dispatch.watched)
+            relayed.crashes_at_begin += dispatch.watched.crashed_at_begin()
         if error.sent or not self.router_state.closures.is_closed(runner):
             # One that is closed may run the request after its pause.
             relayed.tried_endpoints |= {runner.id}
@@ -208,6 +232,9 @@
         runner_id = dispatch.plan.runner.id
         if isinstance(error, errors.EndpointRefused):
             outcomes.record_refusal(runner_id)
+        elif dispatch.watched.aborted:
+            # The router itself has ended the run.
+            return
         elif isinstance(error, errors.EndpointLeft):
             # The state of the endpoint already shows that it left or closed.
             return
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -39,6 +39,7 @@
         :raises errors.Overloaded: if no endpoint can take the request.
         :raises errors.DeadlineExceeded: if too little of the deadline is left.
         :raises errors.ShuttingDown: if a stop would cut the request off.
+        :raises errors.HarmfulRequest: if such requests crash endpoints.
         """
         if relayed.deadline.expired():
             raise errors.DeadlineExceeded(
@@ -49,6 +50,7 @@
             )
         query = self.query(relayed, beside)
         self.check_completion(relayed, least_seconds)
+        self.check_harmless(relayed)
         runner = selection.select(query)
         if runner is None and query.software and not selection.eligible(query):
             # Another version takes over for one that has no endpoint, but not
@@ -83,6 +85,43 @@
             work(relayed, least_seconds), relayed.route.name
         )
 
+    def check_harmless(self, relayed):
+        """Check that requests like this one don't crash endpoints.
+
+        The first dispatch of a request may be a trial.
+
+        :raises errors.HarmfulRequest: if they do, and no trial is due.
+        """
+        harmful = self.router_state.guard.harmful
+        if not harmful.has_evidence():
+            return
+        traits = relayed.traits().all()
+        culprit = harmful.find(relayed.service, traits)
+        if culprit is None:
+            return
+        if not relayed.dispatches:
+            if relayed.trial is not None:
+                return
+            if harmful.begin_trial(relayed.service, culprit):
+                relayed.trial = culprit
+                return
+        raise errors.HarmfulRequest(
+            f'{culprit.crashes} endpoints crashed under requests with '
+            f'{culprit.name}',
+            step='select',
+            peer=relayed.service,
+            retry_at=deadlines.Deadline(
+                harmful.trial_at(relayed.service, culprit)
+            ),
+        )
+
+    def is_suspected(self, relayed):
+        """Return whether requests like this one may crash endpoints."""
+        harmful = self.router_state.guard.harmful
+        return harmful.has_evidence() and harmful.is_suspected(
+            relayed.service, relayed.traits().all()
+        )
+
     def query(self, relayed, beside=True):
         """Return the :class:`selection.Query` of the next dispatch.
 
@@ -105,7 +144,7 @@
             router_state.failure_domain,
             software,
             model,
-            relayed_requests.affinity_key(relayed.metadata),
+            relayed_requests.affinity_key(relayed),
             relayed.tried_endpoints.union(relayed.running if beside else ()),
             router_state.closures.blocked_ids(endpoints),
             self.suspects(endpoints),
--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -221,8 +221,8 @@
                 if not await self.claim(dispatch):
                     return None
                 await self.send(dispatch, answer, batch)
-                self.relay.router_state.releases.runs.events_arrived(
-                    dispatch.run, sequence.last - start_id
+                await self.relay.dispatcher.record_events(
+                    self.relayed, dispatch, sequence.last - start_id
                 )
         if resumed or replaces:
             resumption.check_rest(answer, sequence.last - start_id)
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -78,6 +78,11 @@
             # The endpoint's error answer tells the caller more than an error
             # of the router.
             await responder.send_response(*relayed.failed_answer)
+        finally:
+            if relayed.trial is not None:
+                self.router_state.guard.harmful.end_trial(
+                    relayed.service, relayed.trial
+                )
 
     async def dispatch_until_answered(self, relayed, responder):
         """Dispatch until an answer is relayed.
@@ -88,6 +93,10 @@
         while not done:
             plan = await self.next_plan(relayed)
             relayed.service = plan.service
+            if relayed.trial is not None:
+                await self.router_state.guard.announce_trial(
+                    relayed.service, relayed.trial
+                )
             self.retries.charge(relayed)
             done = await self.relay_first(relayed, plan, responder)
 
@@ -121,7 +130,7 @@
             return await self.conclude_failure(relayed, outcome, responder)
         if not outcome.relayed:
             await responder.send_response(outcome.answer.head, outcome.content)
-        self.dispatcher.record_success(
+        await self.dispatcher.record_success(
             relayed, outcome.dispatch, outcome.answer
         )
         return True
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -11,6 +11,9 @@
 # A request is not retried after this many dispatches that were not sent or
 # that endpoints refused.
 MAX_REFUSALS = 3
+# A request is not retried after its answers have begun this often at endpoints
+# that ended in the moment after.
+MAX_CRASHES_AT_BEGIN = 2
 ROUTE_PRIORITY_LEVELS = 3
 MAX_URGENCY_RANK = 9
 # Prompt tokens of a typical request, which is one unit of work.
@@ -73,6 +76,10 @@
     - ``tried_endpoints``: ids of endpoints that failed the request.
     - ``running``: id of the endpoint of each dispatch that is under way;
       several while a late or a held answer may still go on.
+    - ``crashes_at_begin``: dispatches whose endpoint ended when their answer
+      had just begun.
+    - ``trial``: the :class:`culprits.Culprit` whose trial the request is, or
+      None.
     - ``service`` and ``size``: those of the last dispatch, which the next
       one keeps; ``size`` is replaced by an escalation to a larger model.
 
@@ -102,6 +109,8 @@
         self.budget_charged = False
         self.failed_answer = None
         self.known_traits = None
+        self.trial = None
+        self.crashes_at_begin = 0
 
     @property
     def has_sent_events(self):
@@ -113,6 +122,8 @@
 
         A request that may have run is only repeated if its route allows it.
         """
+        if self.crashes_at_begin >= MAX_CRASHES_AT_BEGIN:
+            return False
         return self.runs < self.route.max_attempts and (
             self.route.retryable or self.runs == 0
         )
@@ -159,13 +170,17 @@
         return used < self.route.max_attempts
 
 
-def affinity_key(metadata):
+def affinity_key(relayed):
     """Return the key that requests with a shared prompt prefix have.
 
     Requests with the same key profit from the prefix cache of the same
     endpoint. The last part of a prompt belongs to one request or session;
     the id of the part before it names the longest prefix that others share.
+    A trial has no key, so that it runs where the fewest requests do.
     """
+    metadata = relayed.metadata
+    if relayed.trial is not None:
+        return ''
     if len(metadata.prompt_parts) >= 2:
         return metadata.prompt_parts[-2].id
     return metadata.session
--- a/celeryward/callers/replacements.py
+++ b/celeryward/callers/replacements.py
@@ -33,10 +33,12 @@
         """Return the plan of a further run with its place, or None.
 
         Its token is taken. None if the request may not run again, has no time
-        left for it, or would not be served sooner.
+        left for it, would not be served sooner, or may crash endpoints.
         """
         if not (relayed.route.retryable and relayed.has_attempts_left()):
             return None
+        if self.retries.planner.is_suspected(relayed):
+            return None
         least_seconds = max(
             MIN_REPLACEMENT_SECONDS, self.timeouts.usual_head_seconds(relayed)
         )
--- a/celeryward/callers/retry_control.py
+++ b/celeryward/callers/retry_control.py
@@ -108,6 +108,7 @@
                 peer=peer,
                 retry_at=self.planner.retry_at(relayed),
             )
-        return errors.OutcomeUnknown(
-            f'request may have run: {reason}', step=step, peer=peer
-        )
+        kind = errors.OutcomeUnknown
+        if isinstance(error, errors.HarmfulRequest):
+            kind = errors.HarmfulRequestRan
+        return kind(f'request may have run: {reason}', step=step, peer=peer)
--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -33,6 +33,7 @@
     :param estimates: :class:`reopening.ReopeningEstimates`.
     :param completion: :class:`completion.CompletionCheck`.
     :param crash_watch: :class:`crash_watch.CrashWatch`.
+    :param guard: :class:`harmful_guard.HarmfulRequestGuard`.
     """
 
     failure_domain: str
@@ -48,6 +49,7 @@
     estimates: object
     completion: object
     crash_watch: object
+    guard: object
 
 
 class AdmissionControl:
--- a/celeryward/endpoints/crash_watch.py
+++ b/celeryward/endpoints/crash_watch.py
@@ -15,9 +15,9 @@
 from celeryward.endpoints import runners
 from celeryward import errors
 
-# Waits before the connection attempts after a broken exchange. A process that
-# ends may still accept a connection in the moment after.
-PROBE_DELAYS_SECONDS = (0.0, 0.1, 0.2)
+# Waits before further connection attempts after a broken exchange. A process
+# that ends may still accept a connection in the moment after.
+PROBE_DELAYS_SECONDS = (0.1, 0.2)
 # Time after which an answer that is being written has survived the beginning.
 SURVIVAL_SECONDS = 1.0
 # Broken exchanges of an endpoint that are noticed after its end was found.
@@ -43,6 +43,9 @@
         self.sent_at = time.monotonic()
         # When the answer began, in monotonic seconds.
         self.began_at = None
+        # Whether the process of the endpoint ended under the run.
+        self.crashed = False
+        # Whether the run was ended because its request is refused.
         self.aborted = False
 
     def record_output(self):
@@ -50,6 +53,18 @@
         if self.began_at is None:
             self.began_at = time.monotonic()
 
+    def is_waiting(self):
+        """Return whether the request waits at its endpoint, not on trial."""
+        return self.began_at is None and not (self.is_trial or self.aborted)
+
+    def crashed_at_begin(self):
+        """Return whether its endpoint ended when the answer had just begun."""
+        return (
+            self.crashed
+            and self.began_at is not None
+            and not self.has_survived()
+        )
+
     def has_survived(self):
         """Return whether the answer has been written for a while."""
         if self.began_at is None:
@@ -60,8 +75,8 @@
 class CrashWatch:
     """Follows the runs at all endpoints and reports crashes.
 
-    ``listeners`` are called with each :class:`crashes.Crash`, which is
-    reported again when more of its requests are found.
+    ``listeners`` are coroutine functions that are called with each
+    :class:`crashes.Crash`, again when more of its requests are found.
 
     :param table: :class:`runners.RunnerTable`.
     :param connections: :class:`pool.EndpointPool`.
@@ -90,13 +105,17 @@
             del self.runs[run.runner.key]
 
     async def record_break(self, run):
-        """Record that the connection of a run broke; find out why."""
+        """Record that the connection of a run broke; find out why.
+
+        An end of the process is mostly known when this returns, so that it
+        counts before the request is sent elsewhere.
+        """
         key = run.runner.key
         if run.aborted:
             return
         if key in self.ended:
             if time.monotonic() - self.ended[key] < LATE_SECONDS:
-                self.report(run.runner, self.ended[key], [run])
+                await self.report(run.runner, self.ended[key], [run])
             return
         if key in self.broken:
             self.broken[key].append(run)
@@ -104,20 +123,20 @@
         if not self.table.is_available(run.runner):
             return
         self.broken[key] = [run]
-        await curio.spawn(
-            self.probe, run.runner, time.monotonic(), daemon=True
-        )
+        broke_at = time.monotonic()
+        if await self.refuses(run.runner):
+            await self.record_end(run.runner, broke_at)
+            return
+        await curio.spawn(self.probe_again, run.runner, broke_at, daemon=True)
 
-    async def probe(self, runner, broke_at):
-        """Find out whether the process of an endpoint has ended."""
-        try:
-            for delay in PROBE_DELAYS_SECONDS:
-                await curio.sleep(delay)
-                if await self.refuses(runner):
-                    self.record_end(runner, broke_at)
-                    return
-        finally:
-            del self.broken[runner.key]
+    async def probe_again(self, runner, broke_at):
+        """Find out whether an endpoint ends a moment later."""
+        for delay in PROBE_DELAYS_SECONDS:
+            await curio.sleep(delay)
+            if await self.refuses(runner):
+                await self.record_end(runner, broke_at)
+                return
+        del self.broken[runner.key]
 
     async def refuses(self, runner):
         """Return whether an endpoint refuses a connection."""
@@ -131,7 +150,7 @@
         self.connections.keep_unused(runner, connection)
         return False
 
-    def record_end(self, runner, at):
+    async def record_end(self, runner, at):
         """Record that the process of an endpoint has ended.
 
         :param float at: monotonic seconds.
@@ -140,11 +159,13 @@
         while len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
         under_way = self.runs.get(runner.key, ())
-        found = [*self.broken.get(runner.key, ()), *under_way]
-        self.report(runner, at, list(dict.fromkeys(found)))
+        found = [*self.broken.pop(runner.key), *under_way]
+        await self.report(runner, at, list(dict.fromkeys(found)))
 
-    def report(self, runner, at, runs):
+    async def report(self, runner, at, runs):
         """Report a crash with the requests that ran at the endpoint."""
+        for run in runs:
+            run.crashed = True
         selected = sorted(runs, key=sort_key)[: crashes.MAX_REQUESTS]
         crash = crashes.Crash(
             runner.id,
@@ -162,7 +183,7 @@
             trial=crash.is_trial,
         ).warning('endpoint ended while it ran requests')
         for listener in self.listeners:
-            listener(crash)
+            await listener(crash)
 
 
 def sort_key(run):
--- a/celeryward/endpoints/crashes.py
+++ b/celeryward/endpoints/crashes.py
@@ -10,8 +10,9 @@
 
 # Longer ids of parts are replaced by a hash.
 MAX_PART_CHARACTERS = 40
-# Requests of one crash that are kept.
+# Requests of one crash that one host reports, and that are kept of all hosts.
 MAX_REQUESTS = 32
+MAX_MERGED_REQUESTS = 96
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +31,13 @@
         """Return the parts and the fingerprint as a set."""
         return frozenset((*self.parts, self.fingerprint))
 
+    def without(self, traits):
+        """Return the traits without some parts."""
+        if traits.isdisjoint(self.parts):
+            return self
+        parts = tuple(part for part in self.parts if part not in traits)
+        return RequestTraits(self.fingerprint, parts)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
@@ -56,6 +64,22 @@
         """Unique key of the crash."""
         return (self.endpoint, self.started_at)
 
+    def traits(self):
+        """Return the traits of all requests as a set."""
+        return {trait for request in self.requests for trait in request.all()}
+
+    def without(self, traits):
+        """Return the crash without some traits.
+
+        A request without its fingerprint is left out.
+        """
+        kept = tuple(
+            request.without(traits)
+            for request in self.requests
+            if request.fingerprint not in traits
+        )
+        return dataclasses.replace(self, requests=kept)
+
 
 def trait_of_part(part_id):
     """Return the trait that stands for a part of a prompt."""
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -45,6 +45,7 @@
     :param bool must_not_repeat: whether the request must not run twice; it is
         sent on a new connection.
     :param on_late: as for :class:`waits.Wait`.
+    :param crash_watch.WatchedRun watched: None if the run isn't watched.
     """
 
     head: http.Request
@@ -60,6 +61,7 @@
     after_event: int = 0
     must_not_repeat: bool = False
     on_late: abc.Callable = waits.ignore_late
+    watched: object = None
 
     def next_event_deadline(self):
         """Return the deadline of the next event, counted from now."""
@@ -74,12 +76,14 @@
     :param bool retryable: whether the request may run again elsewhere.
     :param http.Connection connection: carries only this exchange.
     :param waits.Wait wait: the wait for the next part of the answer.
+    :param crash_watch.WatchedRun watched: None if the run isn't watched.
     """
 
     runner_id: str
     retryable: bool
     connection: http.Connection
     wait: waits.Wait
+    watched: object = None
 
 
 class Forwarder:
@@ -134,6 +138,26 @@
             if exchange.retryable and exchange.wait.seconds() >= seconds
         )
 
+    async def abort_harmful(self, is_refused):
+        """Abort the requests that are refused now and have not begun.
+
+        :param is_refused: function of a service and the traits of a request.
+        :returns: the number of aborted exchanges.
+        """
+        found = [
+            exchange
+            for exchange in tuple(self.exchanges.values())
+            if exchange.watched is not None
+            and exchange.watched.is_waiting()
+            and is_refused(
+                exchange.watched.runner.service,
+                exchange.watched.traits().all(),
+            )
+        ]
+        for exchange in found:
+            exchange.watched.aborted = True
+        return await self.abort(found)
+
     async def abort(self, exchanges):
         """Abort the exchanges that are still under way; return their number.
 
@@ -215,7 +239,11 @@
         """
         wait = waits.Wait(forwarded.on_late, forwarded.deadline)
         self.exchanges[connection] = Exchange(
-            runner.id, not forwarded.must_not_repeat, connection, wait
+            runner.id,
+            not forwarded.must_not_repeat,
+            connection,
+            wait,
+            forwarded.watched,
         )
         return wait
 
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -172,6 +172,12 @@
     execution = Execution.UNKNOWN
 
 
+class HarmfulRequestRan(OutcomeUnknown):
+    """The request crashes endpoints, and may have run before it was found."""
+
+    code = 'harmful_request'
+
+
 class InternalError(OutcomeUnknown):
     """An unexpected error ended the request."""
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -12,6 +12,7 @@
 from celeryward.endpoints import crash_watch
 from celeryward.endpoints import fleet_retries
 from celeryward.endpoints import forwarding
+from celeryward.endpoints import harmful_guard
 from celeryward.endpoints import monitor
 from celeryward.endpoints import notices
 from celeryward.endpoints import outcomes
@@ -118,6 +119,10 @@
             self.queues,
             self.notice_reader,
         )
+        self.guard = harmful_guard.make_guard(
+            self.view.members.rank, self.forwarder
+        )
+        self.crash_watch.listeners.append(self.guard.record)
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
         )
@@ -136,6 +141,7 @@
                 self.estimates,
                 self.completion,
                 self.crash_watch,
+                self.guard,
             ),
             self.forwarder,
             translator,
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -88,7 +88,7 @@
         """Count an entry of the store that could not be read."""
         self.entries_ignored.labels(kind).inc()
 
-    def count_crash(self, crash):
+    async def count_crash(self, crash):
         """Count the end of an endpoint while it ran requests."""
         self.crashes.labels(crash.service).inc()
 
@@ -172,6 +172,11 @@
         'Endpoints that want no requests for a while.',
         router.closures.closed_count,
     )
+    yield (
+        'harmful_culprits',
+        'Combinations of parts that are refused for crashes of endpoints.',
+        router.guard.culprit_count,
+    )
     yield (
         'requests_kept',
         'Requests that wait for a closed endpoint to open.',
--- a/celeryward/routers/members.py
+++ b/celeryward/routers/members.py
@@ -123,6 +123,51 @@
             if each.failure_domain == self.own.failure_domain
         ]
 
+    def crash_leaders(self):
+        """Return the routers that pass on news of crashes between domains.
+
+        They are the leaders of each failure domain, or a standby if none of
+        them responds.
+        """
+        domains = collections.defaultdict(list)
+        for member in self.known.values():
+            domains[member.failure_domain].append(member)
+        found = []
+        for routers in domains.values():
+            leaders = choose_leaders(routers)
+            standbys = sorted(routers, key=leader_sort_key)[len(leaders) :]
+            usable = [each for each in leaders if self.is_usable(each)]
+            found += usable or standbys[:1] or leaders
+        return tuple(found)
+
+    def crash_leader_names(self):
+        """Return the names of :meth:`crash_leaders`."""
+        return frozenset(each.name for each in self.crash_leaders())
+
+    def crash_receivers(self):
+        """Return the routers that this one tells of crashes.
+
+        A follower tells its leader; the others tell the leaders and the rest
+        of their failure domain.
+        """
+        leader = self.leader()
+        if leader is not None:
+            return (leader,)
+        told = {each.name: each for each in self.crash_leaders()}
+        told |= {each.name: each for each in self.same_domain()}
+        told.pop(self.own.name, None)
+        return tuple(told.values())
+
+    def rank(self, text):
+        """Return the place of this router in an order of all routers.
+
+        The order depends on a text; routers with the same list agree on it.
+        """
+        own = hashing.unit_hash(f'{text}\0{self.own.name}')
+        return sum(
+            hashing.unit_hash(f'{text}\0{name}') < own for name in self.known
+        )
+
     def leaders(self):
         """Return the routers of the failure domain that follow the store.
 
