Tell all routers of crashes and of the parts that caused them

Cause: one of seven routers sees a seventh of the crashes; each would have to see three before it refuses, and a restarted one begins anew. Change: routers tell each other the requests that ran at an ended endpoint, the parts that answers have cleared since and the trials: a follower its leader, leaders each other and their followers, at most each 0.15 s, nothing while nothing happens. A router that starts asks for all evidence. Entries are decoded one by one, bounded in size and number. Endpoints that end within 0.1 s, no longer 0.25 s, count as one moment: four in a quarter of a second were taken for one.

--- a/celeryward/endpoints/culprits.py
+++ b/celeryward/endpoints/culprits.py
@@ -17,7 +17,7 @@
 # Crashes at different moments after which a trait is suspected.
 CRASHES_TO_SUSPECT = 2
 # Endpoints that end this close together may have ended for one reason.
-SAME_MOMENT_SECONDS = 0.25
+SAME_MOMENT_SECONDS = 0.1
 # Different requests in which a shared trait must have been. A request that is
 # repeated takes all its traits through the crashes of others.
 MIN_REQUESTS = 2
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -31,6 +31,7 @@
 from celeryward.raters import sizes
 from celeryward import router_metrics
 from celeryward import router_shutdown
+from celeryward.routers import crash_news
 from celeryward.routers import departure_news
 from celeryward import signals
 from celeryward import stopping
@@ -123,6 +124,10 @@
             self.view.members.rank, self.forwarder
         )
         self.crash_watch.listeners.append(self.guard.record)
+        self.crash_news = crash_news.CrashNews(
+            self.guard, self.view.members, self.view.source.client_of
+        )
+        self.view.publisher.crash_news = self.crash_news
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
         )
@@ -274,6 +279,7 @@
         for step, peer, run in (
             ('monitor endpoints', 'endpoints', self.monitor.run),
             ('poll settings', self.placement.name, self.poll_settings),
+            ('tell of crashes', 'routers', self.crash_news.run),
             ('report overdue runs', 'endpoints', self.report_overdue_runs),
             (
                 'close unused connections',
--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -4,10 +4,10 @@
 
 import result
 
-from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
 from celeryward.objects import client
+from celeryward.routers import crash_protocol
 from celeryward.routers import protocol
 
 # Time allowed for the response to a poll beyond its wait, and for others.
@@ -68,26 +68,46 @@
             )
         return super().check_status(status, body, method, path, kind)
 
+    def classify(self, error, method, path):
+        """Return the error of a call whose outcome is unknown.
+
+        Any call may be made again, because what it tells counts once.
+        """
+        return super().classify(error, 'GET', path)
+
     async def report(self, report):
         """Send a :class:`protocol.EvidenceReport`.
 
-        One whose response is lost may be sent again; it counts once.
+        :returns: ``Ok`` or ``Err(PlatformUnavailable)``.
+        """
+        body = protocol.encode(report)
+        return await self.call('POST', protocol.EVIDENCE_PATH, body=body)
+
+    async def report_crashes(self, report):
+        """Send a :class:`crash_protocol.CrashReport`.
 
         :returns: ``Ok`` or ``Err(PlatformUnavailable)``.
         """
-        deadline = deadlines.Deadline.after(self.timeout)
-        path = protocol.EVIDENCE_PATH
-        try:
-            use = self.connection_use('POST', '')
-            async with self.connections.lease(deadline, use) as connection:
-                response, body = await self.exchange(
-                    connection,
-                    'POST',
-                    path,
-                    {},
-                    protocol.encode(report),
-                    deadline,
-                )
-        except client.TRANSPORT_ERRORS as error:
-            return result.Err(self.classify(error, 'GET', path))
-        return self.check_status(response.status, body, 'GET', path)
+        body = protocol.encode(report)
+        return await self.call('POST', crash_protocol.PATH, body=body)
+
+    async def crash_evidence(self, after):
+        """Read evidence of crashes from an entry on.
+
+        :returns: ``Ok`` with a :class:`crash_protocol.CrashReport`, or
+            ``Err``.
+        """
+        path = f'{crash_protocol.PATH}?after={after}'
+        answer = await self.call('GET', path)
+        return answer.and_then(
+            lambda body: self.decode(decode_crashes, 'crashes', body)
+        )
+
+
+def decode_crashes(kind, body):
+    """Return the :class:`crash_protocol.CrashReport` in a body.
+
+    :param str kind: not used.
+    :raises msgspec.DecodeError: if the body is malformed.
+    """
+    return crash_protocol.read_report(body)
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -4,6 +4,7 @@
 with a :class:`ChangesResponse` as soon as there is a change, or when the wait
 is over. ``GET /objects/KIND`` is answered with a :class:`ListResponse`.
 ``POST /evidence`` carries an :class:`EvidenceReport`; its answer is empty.
+``/crashes`` is described in :mod:`celeryward.routers.crash_protocol`.
 
 400 means that the request is malformed or the kind unknown, 404 that the
 router has no list of the kind yet, 410 that the changes are no longer in the
@@ -21,6 +22,7 @@
 from celeryward.endpoints import departures
 from celeryward.objects import protocol
 from celeryward.raters import rollout_orders
+from celeryward.routers import crash_protocol
 
 CHANGES_PREFIX = '/changes/'
 OBJECTS_PREFIX = '/objects/'
@@ -200,9 +202,11 @@
     """Return the request with a target and a body; None if it is malformed.
 
     :returns: :class:`ChangesRequest`, :class:`ListRequest`,
-        :class:`EvidenceReport` or None.
+        :class:`EvidenceReport`, a request of :mod:`crash_protocol`, or None.
     """
     path, _, query = target.partition('?')
+    if path == crash_protocol.PATH:
+        return crash_protocol.parse_request(query, body)
     if path == EVIDENCE_PATH:
         return parse_report(body)
     if path.startswith(OBJECTS_PREFIX):
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -40,6 +40,7 @@
         followers report.
     :param departure_news.DepartureNews news: departures to tell followers.
     :param str news_kind: kind whose changes the news is told with.
+    :param crash_news.CrashNews crash_news: takes what others tell of crashes.
     """
 
     def __init__(
@@ -52,7 +53,9 @@
         releases,
         news=None,
         news_kind='',
+        crash_news=None,
     ):
+        self.crash_news = crash_news
         self.news = news or departure_news.DepartureNews()
         self.news_kind = news_kind
         self.last_reports = collections.OrderedDict()
@@ -186,3 +189,17 @@
         publisher.releases.add_outcome(outcome)
     publisher.news.accept(report.leaving)
     return 200, b''
+
+
+@HANDLERS.register('CrashReport')
+async def accept_crashes(publisher, report):
+    """Add the evidence of crashes that another router tells."""
+    await publisher.crash_news.accept(report)
+    return 200, b''
+
+
+@HANDLERS.register('EvidenceRequest')
+async def answer_evidence(publisher, request):
+    """Return status and body of the response with all evidence."""
+    report = publisher.crash_news.list_evidence(request.after)
+    return 200, protocol.encode(report)
--- a/tests/registered_decoders.py
+++ b/tests/registered_decoders.py
@@ -10,6 +10,8 @@
 from celeryward.callers import protocol as callers
 from celeryward import decoding
 from celeryward.endpoints import chat_events
+from celeryward.endpoints import crashes
+from celeryward.endpoints import harmful_requests
 from celeryward.endpoints import management
 from celeryward.endpoints import protocol as endpoints
 from celeryward import errors
@@ -20,6 +22,7 @@
 from celeryward.raters import protocol as raters
 from celeryward import registry
 from celeryward import router_settings
+from celeryward.routers import crash_protocol
 from celeryward.routers import protocol as routers
 from celeryward import settings
 from tests import platform_standins as standins
@@ -252,6 +255,36 @@
         assert 0 <= event.number < 2**63
 
 
+@decoder(
+    'routers: crash report',
+    {
+        'sender': 'r',
+        'crashes': [
+            {
+                'endpoint': 'e',
+                'started_at': 1.0,
+                'service': 's',
+                'age_seconds': 2.0,
+                'requests': [{'fingerprint': 'f', 'parts': ['p']}],
+                'is_trial': True,
+            }
+        ],
+        'cleared': [{'service': 's', 'trait': 'p', 'age_seconds': 1.0}],
+        'trials': [{'service': 's', 'traits': ['p'], 'age_seconds': 1.0}],
+        'next': 3,
+    },
+    raises=MALFORMED,
+)
+def decode_crash_report(body):
+    report = crash_protocol.read_report(body)
+    found = crash_protocol.read_evidence(report, 10000.0)
+    assert all(6400.0 <= each.at <= 10000.0 for each in found)
+    harmful = harmful_requests.HarmfulRequests(clock=lambda: 10000.0)
+    for crash in found:
+        if isinstance(crash, crashes.Crash):
+            harmful.record_crash(crash)
+
+
 @decoder(
     'endpoints: order refusal', {'fence': 3}, raises=(errors.ProtocolError,)
 )
