Bound the memory of all bodies that a process reads together

Cause: each answer is kept up to 16 MB, and nothing bounds their sum: an endpoint that writes without end, asked by 40 requests, made the router grow by 411 to 608 MB, a length above the bound was read all the same. The bodies of callers, 4 MB each, had no common bound either. Change: bodies that are read, or kept until their request has ended, count towards 32 MB for answers and 32 MB for requests. Beyond that the largest one that is still being read is given up. A stated length above the bound of a body is refused at the head. What was read is dropped with an error, whose traceback held it until the end of the request.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -9,6 +9,7 @@
 import curio
 import h11
 
+from celeryward import body_memory
 from celeryward.callers import cut_offs
 from celeryward.callers import idle_timeout
 from celeryward.callers import request_reader
@@ -88,8 +89,17 @@
 
     async def serve_request(self, connection):
         """Serve one request; return whether the connection stays open."""
+        memory = body_memory.REQUESTS.hold(connection.stop_reading)
+        with memory as hold:
+            return await self.read_and_serve(connection, hold)
+
+    async def read_and_serve(self, connection, hold):
+        """Serve one request; return whether the connection stays open.
+
+        :param body_memory.Hold hold: counts the body of the request.
+        """
         try:
-            received = await self.reader.read(connection)
+            received = await self.reader.read(connection, hold)
         except curio.TaskCancelled:
             error = cut_offs.make_error(False, connection.peer)
             send = functools.partial(self.reject, connection)
--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -164,7 +164,8 @@
             and not forwarding.is_server_error(answer.head)
         ):
             return await self.relay_events(dispatch, answer)
-        outcome = Outcome(dispatch, answer, await answer.body())
+        body = await answer.body(self.relayed.hold_answer(answer.connection))
+        outcome = Outcome(dispatch, answer, body)
         if outcome.failed or await self.claim(dispatch):
             return outcome
         return None
--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -79,6 +79,7 @@
             # of the router.
             await responder.send_response(*relayed.failed_answer)
         finally:
+            relayed.resources.close()
             if relayed.trial is not None:
                 self.router_state.guard.harmful.end_trial(
                     relayed.service, relayed.trial
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -1,8 +1,10 @@
 """State of one request while the router dispatches it."""
 
+import contextlib
 import dataclasses
 import time
 
+from celeryward import body_memory
 from celeryward.endpoints import closures
 from celeryward.endpoints import crashes
 from celeryward.endpoints import event_stream
@@ -78,6 +80,7 @@
       several while a late or a held answer may still go on.
     - ``crashes_at_begin``: dispatches whose endpoint ended when their answer
       had just begun.
+    - ``resources``: is closed when the request has ended.
     - ``trial``: the :class:`culprits.Culprit` whose trial the request is, or
       None.
     - ``service`` and ``size``: those of the last dispatch, which the next
@@ -108,6 +111,7 @@
         self.deliveries = 0
         self.budget_charged = False
         self.failed_answer = None
+        self.resources = contextlib.ExitStack()
         self.known_traits = None
         self.trial = None
         self.crashes_at_begin = 0
@@ -139,6 +143,17 @@
             self.runs == 0 or self.may_run_again()
         )
 
+    def hold_answer(self, connection):
+        """Return the :class:`body_memory.Hold` of a whole answer.
+
+        The answer counts until the request has ended.
+
+        :param http.Connection connection: brings the answer.
+        """
+        return self.resources.enter_context(
+            body_memory.ANSWERS.hold(connection.stop_reading)
+        )
+
     def traits(self):
         """Return the :class:`crashes.RequestTraits`, computed once."""
         if self.known_traits is None:
--- a/celeryward/callers/request_reader.py
+++ b/celeryward/callers/request_reader.py
@@ -11,6 +11,8 @@
 
 # Time in which a request body must be complete.
 BODY_READ_SECONDS = 10.0
+# Retry delay of a request whose body was given up for lack of memory.
+MEMORY_RETRY_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,9 +38,13 @@
         current = self.configuration.current
         return current.limits if current else ingress.CallerLimits()
 
-    async def read(self, connection):
+    async def read(self, connection, hold=None):
         """Return the next request, or None if the connection was closed.
 
+        :param body_memory.Hold hold: counts the body for as long as it is
+            kept.
+        :raises errors.Overloaded: if the bodies of all callers are too large
+            together.
         :raises errors.BadInput: if it exceeds a limit or is malformed.
         :raises errors.RequestReadTimeout: if it is not complete in time.
         """
@@ -57,12 +63,13 @@
         if head is None:
             return None
         check_head(head, limits, connection.peer)
-        body = await self.read_body(connection, head, limits)
+        body = await self.read_body(connection, head, limits, hold)
         return ReceivedRequest(head, body)
 
-    async def read_body(self, connection, head, limits):
+    async def read_body(self, connection, head, limits, hold=None):
         """Return the body of a request.
 
+        :param body_memory.Hold hold: as for :meth:`read`.
         :raises errors.BodyTooLarge: if it exceeds the limit.
         :raises errors.BadInput: if it is malformed.
         :raises errors.RequestReadTimeout: if it is not complete in time.
@@ -78,7 +85,7 @@
         deadline = deadlines.Deadline.after(BODY_READ_SECONDS)
         try:
             return await connection.receive_body(
-                'read request', deadline, limits.body_bytes
+                'read request', deadline, limits.body_bytes, hold=hold
             )
         except http.ReadTimeout as error:
             raise errors.RequestReadTimeout(
@@ -86,6 +93,13 @@
                 step=error.step,
                 peer=error.peer,
             ) from error
+        except errors.BodyMemoryExhausted as error:
+            raise errors.Overloaded(
+                error.message,
+                step=error.step,
+                peer=error.peer,
+                retry_at=deadlines.Deadline.after(MEMORY_RETRY_SECONDS),
+            ) from error
         except errors.BadInput as error:
             raise body_too_large(limits.body_bytes, connection.peer) from error
         except errors.ProtocolError as error:
--- a/celeryward/endpoints/answers.py
+++ b/celeryward/endpoints/answers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from celeryward import body_memory
 from celeryward import deadlines
 from celeryward.endpoints import event_stream
 from celeryward import errors
@@ -40,9 +41,12 @@
             self.head.headers
         )
 
-    async def body(self):
+    async def body(self, hold=None):
         """Return the whole body.
 
+        :param body_memory.Hold hold: as for
+            :meth:`http.Connection.receive_body`.
+
         Its deadline moves out as bytes arrive at the minimum rate, up to the
         deadline of the request.
         """
@@ -63,6 +67,7 @@
             self.forwarded.deadline,
             next_deadline=due,
             extend=self.wait.extend,
+            hold=hold,
         )
 
     async def events(self, sequence):
@@ -74,25 +79,29 @@
             events and drops those that the caller already has.
         :raises errors.AnswerTruncated: if the body ends inside an event.
         """
-        splitter = event_stream.Splitter(self.connection.peer)
+        connection = self.connection
+        splitter = event_stream.Splitter(connection.peer)
         due = self.forwarded.next_event_deadline()
         chunks = self.connection.receive_chunks(
             'read events', lambda: due, extend=self.wait.extend
         )
-        async with contextlib.aclosing(chunks):
-            async for chunk in chunks:
-                self.on_data()
-                complete = splitter.feed(chunk)
-                new_events = sequence.filter_new(
-                    complete, self.connection.peer
-                )
-                ready, failure = collect_until_error(new_events)
-                if ready:
-                    yield ready
-                    due = self.forwarded.next_event_deadline()
-                    self.wait.begin_next()
-                if failure is not None:
-                    raise failure
+        with body_memory.ANSWERS.hold(connection.stop_reading) as hold:
+            async with contextlib.aclosing(chunks):
+                async for chunk in chunks:
+                    self.on_data()
+                    new_events = sequence.filter_new(
+                        splitter.feed(chunk), connection.peer
+                    )
+                    ready, failure = collect_until_error(new_events)
+                    await hold.resize(
+                        len(splitter.buffer), 'read events', connection.peer
+                    )
+                    if ready:
+                        yield ready
+                        due = self.forwarded.next_event_deadline()
+                        self.wait.begin_next()
+                    if failure is not None:
+                        raise failure
         if not (sequence.last or self.head.is_framed):
             raise errors.AnswerTruncated(
                 'stream without a frame ended without an event',
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -55,6 +55,12 @@
     code = 'body_too_large'
 
 
+class BodyMemoryExhausted(BadInput):
+    """The body was given up, because all bodies together are too large."""
+
+    code = 'body_memory_exhausted'
+
+
 class RequestReadTimeout(BadInput):
     """The caller did not send its complete request in time."""
 
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -6,6 +6,7 @@
 import curio
 import h11
 
+from celeryward import body_memory
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import sockets
@@ -13,6 +14,8 @@
 
 MAX_HEAD_BYTES = 32768
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Digits of a stated length that are read; more are above any limit.
+MAX_LENGTH_DIGITS = 18
 # Interim (1xx) responses that are skipped before the final response.
 MAX_INTERIM_RESPONSES = 16
 # Statuses of responses that never have a body.
@@ -95,12 +98,14 @@
         self.from_pool = False
         # Responses of the current exchange that belong to other requests.
         self.skipped_responses = 0
-        # Method of the request that is served.
+        # Method of the request that is served or was sent.
         self.request_method = ''
         # Whether the response that is sent has no body.
         self.bodiless = False
         # Whether the end of the connection ends the response that is sent.
         self.ended_by_close = False
+        # Length that the head of the body to read states, or None.
+        self.stated_length = None
 
     async def receive(self, step, deadline, extend=None):
         """Return the next h11 event.
@@ -138,6 +143,8 @@
         """
         if isinstance(event, h11.Response):
             self.begin_response(event)
+        elif isinstance(event, h11.Request):
+            self.request_method = event.method.decode('ascii')
         elif isinstance(event, h11.Data) and self.bodiless:
             return b''
         return self.h11.send(event) or b''
@@ -209,12 +216,14 @@
         event = await self.receive('read request', deadline)
         if isinstance(event, h11.Request):
             self.request_method = event.method.decode('ascii')
-            return Request(
+            request = Request(
                 self.request_method,
                 event.target.decode('ascii'),
                 decode_headers(event.headers),
                 tuple(event.headers.raw_items()),
             )
+            self.stated_length = stated_length(request.headers)
+            return request
         if isinstance(event, h11.ConnectionClosed):
             return None
         raise errors.ProtocolError(
@@ -233,11 +242,15 @@
         for _ in range(MAX_INTERIM_RESPONSES):
             event = await self.receive('read response', deadline, extend)
             if isinstance(event, h11.Response):
-                return Response(
+                response = Response(
                     event.status_code,
                     decode_headers(event.headers),
                     tuple(event.headers.raw_items()),
                 )
+                self.stated_length = None
+                if not never_has_body(self.request_method, response.status):
+                    self.stated_length = stated_length(response.headers)
+                return response
             if isinstance(event, h11.ConnectionClosed):
                 raise Disconnected(
                     'connection closed before the response',
@@ -283,29 +296,64 @@
         limit=MAX_BODY_BYTES,
         next_deadline=None,
         extend=None,
+        hold=None,
     ):
         """Return a whole body of at most ``limit`` bytes.
 
         :param next_deadline: function that returns the deadline of the next
             chunk; by default each chunk has the deadline of the body.
         :param extend: as for :meth:`read`.
-        :raises errors.BadInput: if the body is larger.
+        :param body_memory.Hold hold: counts the body for as long as it is
+            kept; None to count it until it has been read.
+        :raises errors.BadInput: if the body is larger, or is given up because
+            all bodies together are too large.
         """
+        if self.stated_length is not None:
+            self.check_size(self.stated_length, limit, step)
+        if hold is None:
+            with self.body_memory().hold(self.stop_reading) as own_hold:
+                return await self.receive_body(
+                    step, deadline, limit, next_deadline, extend, own_hold
+                )
         chunks = []
         size = 0
         next_deadline = next_deadline or (lambda: deadline)
         chunk_stream = self.receive_chunks(step, next_deadline, extend=extend)
-        async with contextlib.aclosing(chunk_stream):
-            async for chunk in chunk_stream:
-                size += len(chunk)
-                if size > limit:
-                    raise errors.BadInput(
-                        f'body is larger than {limit} bytes',
-                        step=step,
-                        peer=self.peer,
-                    )
-                chunks.append(chunk)
-        return b''.join(chunks)
+        try:
+            async with contextlib.aclosing(chunk_stream):
+                async for chunk in chunk_stream:
+                    size += len(chunk)
+                    self.check_size(size, limit, step)
+                    await hold.resize(size, step, self.peer)
+                    chunks.append(chunk)
+        except Disconnected:
+            # The connection of a body that is given up is shut down.
+            hold.check(step, self.peer)
+            raise
+        else:
+            hold.give_up = None
+            return b''.join(chunks)
+        finally:
+            # An error keeps this frame, and all that is in it, until its end.
+            chunks.clear()
+
+    def body_memory(self):
+        """Return the :class:`body_memory.BodyMemory` of what is read here."""
+        if self.h11.our_role is h11.SERVER:
+            return body_memory.REQUESTS
+        return body_memory.ANSWERS
+
+    def check_size(self, size, limit, step):
+        """Check the size of a body.
+
+        :raises errors.BadInput: if it is above the limit.
+        """
+        if size > limit:
+            raise errors.BadInput(
+                f'body is larger than {limit} bytes',
+                step=step,
+                peer=self.peer,
+            )
 
     def reusable(self):
         """Return whether the connection can carry another request.
@@ -338,6 +386,15 @@
     return method == 'HEAD' or status in BODILESS_STATUSES
 
 
+def stated_length(headers):
+    """Return the length of a body that its head states, or None."""
+    length = headers.get('content-length', '')
+    is_number = length.isascii() and length.isdigit()
+    if not is_number or 'transfer-encoding' in headers:
+        return None
+    return int(length[:MAX_LENGTH_DIGITS])
+
+
 def decode_headers(headers):
     """Return h11 headers as a dictionary of values by lower-case name."""
     return {
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -164,6 +164,14 @@
         poller.register(self.sock.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
+    async def stop_reading(self):
+        """Shut the input down, so that a task that reads from it ends."""
+        try:
+            await self.sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The connection is closed already.
+            return
+
     async def shut_down(self):
         """Shut the socket down, so that a task that reads from it ends."""
         try:
--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,154 @@
+"""Many endpoints' answers without end, and all other requests beside them."""
+
+import contextlib
+import pathlib
+import subprocess
+import sys
+import time
+
+import curio
+import pytest
+
+from celeryward import http
+from tests import platform_standins as standins
+
+PROGRAM = pathlib.Path(__file__).with_name('flood_server.py')
+# Less than the memory that a router has beside its own.
+MEMORY_BYTES = 100 * 1024 * 1024
+FLOODS = 40
+# A request that takes 0.05 s alone.
+SLOWEST_SECONDS = 0.5
+
+
+@contextlib.contextmanager
+def flood_server(kind):
+    """Run a program that answers without end; yield its port."""
+    process = subprocess.Popen(
+        [sys.executable, str(PROGRAM), kind],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        yield int(process.stdout.readline())
+    finally:
+        process.stdin.close()
+        process.wait(10.0)
+
+
+class FloodedSite(standins.Site):
+    """A site with a service that answers without end."""
+
+    def __init__(self, port):
+        super().__init__(
+            [standins.RunnerStandIn('app-1', 'app')],
+        )
+        self.flood_port = port
+
+    async def start(self, spec=None):
+        """Start all parts and wait until the router is ready."""
+        spec = standins.configuration()
+        for path, kind in (('flood', 'idempotent'), ('fall', 'stream')):
+            spec['routes'].append(
+                standins.route(path, kind, 'flood', maxAttempts=1)
+            )
+        spec['services'].append({'name': 'flood'})
+        await self.store.start()
+        entry = standins.RunnerStandIn('flood-1', 'flood')
+        await entry.start()
+        await self.store.put(
+            'servers',
+            'flood-1',
+            entry.entry()
+            | {'address': f'127.0.0.1:{self.flood_port}', 'slots': 100},
+        )
+        await entry.stop()
+        await super().start(spec)
+
+    async def flood(self, count, path):
+        """Send requests whose answers don't end; return their tasks."""
+        return [
+            await curio.spawn(self.send_ignoring, path, daemon=True)
+            for _ in range(count)
+        ]
+
+    async def send_ignoring(self, path):
+        """Send a request, whatever becomes of it; return its seconds."""
+        started = time.monotonic()
+        with contextlib.suppress(*http.EXCHANGE_ERRORS):
+            await self.request(path)
+        return time.monotonic() - started
+
+    async def slowest_other(self, seconds):
+        """Return how long the slowest sound request takes meanwhile."""
+        until = time.monotonic() + seconds
+        slowest = 0.0
+        while time.monotonic() < until:
+            started = time.monotonic()
+            head, _ = await self.request('/whole/x')
+            assert head.status == 200
+            slowest = max(slowest, time.monotonic() - started)
+            await curio.sleep(0.02)
+        return slowest
+
+
+def play(kind, test):
+    """Run a coroutine function on a site that is flooded by a program."""
+    with flood_server(kind) as port:
+
+        async def body():
+            site = FloodedSite(port)
+            await site.start()
+            try:
+                async with curio.timeout_after(30.0):
+                    await test(site)
+            finally:
+                await site.stop()
+
+        curio.run(body)
+
+
+def reset_peak_memory():
+    """Reset the peak of this process's memory; return the current size."""
+    pathlib.Path('/proc/self/clear_refs').write_text('5', 'ascii')
+    return peak_memory()
+
+
+def peak_memory():
+    """Return the peak of this process's memory in bytes."""
+    for line in pathlib.Path('/proc/self/status').open(encoding='ascii'):
+        if line.startswith('VmHWM'):
+            return int(line.split()[1]) * 1024
+    raise AssertionError('no VmHWM')
+
+
+class TestMemory:
+    """Guards against answers that each stay within their bound, in sum."""
+
+    @pytest.mark.parametrize(
+        'kind,path',
+        (
+            ('body to the close', '/flood/x'),
+            ('chunks', '/flood/x'),
+            ('one large chunk', '/flood/x'),
+            ('large length', '/flood/x'),
+            ('error body', '/flood/x'),
+            ('error body', '/fall/x'),
+            ('event without end', '/fall/x'),
+        ),
+    )
+    def test_sum_of_answers_is_bounded(self, kind, path):
+        before = reset_peak_memory()
+
+        async def test(site):
+            tasks = await site.flood(FLOODS, path)
+            for task in tasks:
+                await task.join()
+            assert peak_memory() - before < MEMORY_BYTES
+
+        play(kind, test)
+
+    def test_length_above_the_bound_is_refused_at_the_head(self):
+        async def test(site):
+            assert await site.send_ignoring('/flood/x') < 0.3
+
+        play('large length', test)
