Bound the time spent on input that never pauses

Cause: chunks of one byte and small events cost a task's turn of up to 0.5 s for each read of 64 KB, and four such answers all of the time: the slowest other request took 2.4 and 2.1 s instead of 0.05 s. Events were split by copying the rest of the buffer for each. Change: a connection whose input takes more than a tenth of the time gives up its turn each 2 ms, and all of those share a quarter of the time. The splitter deletes what it has split once for each read.

--- a/celeryward/endpoints/event_stream.py
+++ b/celeryward/endpoints/event_stream.py
@@ -29,6 +29,12 @@
     return content_type.partition(';')[0].strip().lower() == MEDIA_TYPE
 
 
+def find_end(buffer, start):
+    """Return the position after the next end of an event, 0 for none."""
+    match = END_OF_EVENT.search(buffer, start)
+    return match.end() if match else 0
+
+
 class Splitter:
     """Splits a body into events.
 
@@ -37,7 +43,7 @@
 
     def __init__(self, peer):
         self.peer = peer
-        self.buffer = b''
+        self.buffer = bytearray()
 
     def feed(self, piece):
         """Yield the events that a piece of the body completes.
@@ -47,12 +53,15 @@
         # What was searched before holds no end, but perhaps a part of one.
         start = max(0, len(self.buffer) - MAX_PARTIAL_END_BYTES)
         self.buffer += piece
-        while match := END_OF_EVENT.search(self.buffer, start):
-            raw = self.buffer[: match.end()]
-            self.buffer = self.buffer[match.end() :]
-            start = 0
-            found = EVENT_ID.search(raw)
-            yield Event(int(found[1]) if found else None, raw)
+        begin = 0
+        try:
+            while end := find_end(self.buffer, start):
+                raw = bytes(self.buffer[begin:end])
+                begin = start = end
+                found = EVENT_ID.search(raw)
+                yield Event(int(found[1]) if found else None, raw)
+        finally:
+            del self.buffer[:begin]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise errors.AnswerInvalid(
                 f'event is larger than {MAX_EVENT_BYTES} bytes',
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import time
 
 import curio
 import h11
@@ -9,6 +10,7 @@
 from celeryward import body_memory
 from celeryward import deadlines
 from celeryward import errors
+from celeryward import processor_share
 from celeryward import sockets
 from celeryward import transport
 
@@ -104,6 +106,7 @@
         self.bodiless = False
         # Whether the end of the connection ends the response that is sent.
         self.ended_by_close = False
+        self.meter = processor_share.InputMeter()
         # Length that the head of the body to read states, or None.
         self.stated_length = None
 
@@ -116,10 +119,12 @@
         :raises errors.ProtocolError: if the peer violates HTTP.
         """
         while True:
+            began_at = time.monotonic()
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
                 raise self.input_error(error, step) from error
+            await self.meter.take_turn(began_at)
             if event is not h11.NEED_DATA:
                 return event
             self.h11.receive_data(await self.read(step, deadline, extend))
--- /dev/null
+++ b/celeryward/processor_share.py
@@ -0,0 +1,77 @@
+"""Bounds the time that the process spends on input that never pauses.
+
+A peer that sends small pieces without a pause costs far more time than bytes.
+Each piece is cheap, so that no limit of one connection notices it; all of them
+together would take the process from everyone else. Connections whose input
+takes more than a small part of the time share a fixed part of it. Answers
+many peers that send without end. Needs no network.
+"""
+
+import time
+
+import curio
+
+# Work on one connection without a turn of the others.
+SLICE_SECONDS = 0.002
+# Part of the time above which the input of one connection is held back.
+FLOOD_SHARE = 0.1
+# Part of the time that all such connections have together.
+SHARED_PART = 0.25
+
+
+class SharedTime:
+    """The time of the connections that are held back.
+
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, clock=time.monotonic):
+        self.clock = clock
+        self.free_at = 0.0
+
+    def reserve(self, seconds):
+        """Return how long to wait after work of some seconds."""
+        now = self.clock()
+        self.free_at = max(now, self.free_at) + seconds / SHARED_PART
+        return self.free_at - now
+
+
+class InputMeter:
+    """Measures the work on the input of one connection.
+
+    :param SharedTime shared: shared by all connections of the process.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, shared=None, clock=time.monotonic):
+        self.shared = shared or SHARED_TIME
+        self.clock = clock
+        self.busy = 0.0
+        self.measured_from = clock()
+
+    def delay(self):
+        """Return how long to wait now; None to go on at once."""
+        if self.busy < SLICE_SECONDS:
+            return None
+        now = self.clock()
+        elapsed = now - self.measured_from
+        busy, self.busy = self.busy, 0.0
+        self.measured_from = now
+        if busy < FLOOD_SHARE * elapsed:
+            return None
+        return self.shared.reserve(busy)
+
+    async def take_turn(self, began_at):
+        """Count work since a time; let others go on if it was much.
+
+        :param float began_at: begin of the work, in monotonic seconds; the
+            task has not waited since.
+        """
+        self.busy += self.clock() - began_at
+        seconds = self.delay()
+        if seconds is not None:
+            await curio.sleep(seconds)
+            self.measured_from = self.clock()
+
+
+SHARED_TIME = SharedTime()
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -152,3 +152,22 @@
             assert await site.send_ignoring('/flood/x') < 0.3
 
         play('large length', test)
+
+
+class TestTime:
+    """Guards against answers that keep the process from all others."""
+
+    @pytest.mark.parametrize(
+        'kind,path',
+        (
+            ('small chunks', '/flood/x'),
+            ('small events', '/fall/x'),
+            ('chunks', '/flood/x'),
+        ),
+    )
+    def test_other_requests_are_served_meanwhile(self, kind, path):
+        async def test(site):
+            await site.flood(4, path)
+            assert await site.slowest_other(3.0) < SLOWEST_SECONDS
+
+        play(kind, test)
