Avoid endpoints whose processes have ended, here or at another router

Change: a crash, seen here or told by another router, counts as a failed connection to that run of the endpoint.

--- a/celeryward/endpoints/crash_watch.py
+++ b/celeryward/endpoints/crash_watch.py
@@ -80,10 +80,12 @@
 
     :param table: :class:`runners.RunnerTable`.
     :param connections: :class:`pool.EndpointPool`.
+    :param outcomes: :class:`outcomes.OutcomeTracker`.
     """
 
-    def __init__(self, table, connections):
+    def __init__(self, table, connections, outcomes):
         self.table = table
+        self.outcomes = outcomes
         self.connections = connections
         self.listeners = []
         self.runs = collections.defaultdict(list)
@@ -162,6 +164,23 @@
         found = [*self.broken.pop(runner.key), *under_way]
         await self.report(runner, at, list(dict.fromkeys(found)))
 
+    async def avoid_ended(self, evidence, origin):
+        """Avoid the endpoints whose processes have ended.
+
+        A list that still has them would cost each request a connection, and
+        after a few of those its answer.
+
+        :param evidence: what this host or another one has seen; only
+            :class:`crashes.Crash` counts.
+        :param str origin: not used.
+        """
+        for crash in evidence:
+            if not isinstance(crash, crashes.Crash):
+                continue
+            listed = self.table.runners.get(crash.endpoint)
+            if listed is not None and listed.key == crash.key:
+                self.outcomes.record_end(crash.endpoint)
+
     async def report(self, runner, at, runs):
         """Report a crash with the requests that ran at the endpoint."""
         for run in runs:
--- a/celeryward/endpoints/outcomes.py
+++ b/celeryward/endpoints/outcomes.py
@@ -193,6 +193,11 @@
             avoid_until=deadlines.Deadline(self.clock() + seconds),
         )
 
+    def record_end(self, runner_id):
+        """Record that the process of an endpoint has ended, once or again."""
+        if not self.request_statistics(runner_id).unreachable_count:
+            self.record_connect_failure(runner_id)
+
     def record_refusal(self, runner_id):
         """Record that the endpoint refused a request, and back off."""
         stats = self.request_statistics(runner_id)
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -101,7 +101,7 @@
         )
         self.connections = pool.EndpointPool(tuning)
         self.crash_watch = crash_watch.CrashWatch(
-            self.runners, self.connections
+            self.runners, self.connections, self.outcomes
         )
         self.crash_watch.listeners.append(self.metrics.count_crash)
         self.notice_reader = notices.NoticeReader(
@@ -124,6 +124,7 @@
             self.view.members.rank, self.forwarder
         )
         self.crash_watch.listeners.append(self.guard.record)
+        self.guard.listeners.append(self.crash_watch.avoid_ended)
         self.crash_news = crash_news.CrashNews(
             self.guard, self.view.members, self.view.source.client_of
         )
