Send a request that ended two endpoints to a third only if others explain it

Cause: a harmful request was sent to each endpoint that its route allows before any other one made its part guilty; refusing all that began twice at endpoints which ended would also refuse sound ones beside it. Change: after two endpoints that ended when its answer had just begun, a request goes on only if another culprit explains these crashes.

--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -14,6 +14,9 @@
 
 # Retry delay that is sent with a refusal because no endpoint is available.
 NO_ENDPOINT_RETRY_SECONDS = 0.4
+# Endpoints that ended in the moment after the answer had begun, after which a
+# request must be explained by another culprit to be sent once more.
+CRASHES_TO_DOUBT = 2
 
 
 class Planner:
@@ -97,6 +100,8 @@
             return
         traits = relayed.traits().all()
         culprit = harmful.find(relayed.service, traits)
+        if culprit is None and relayed.crashes_at_begin >= CRASHES_TO_DOUBT:
+            culprit = harmful.find_repeated(relayed.service, traits)
         if culprit is None:
             return
         if not relayed.dispatches:
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -13,9 +13,6 @@
 # A request is not retried after this many dispatches that were not sent or
 # that endpoints refused.
 MAX_REFUSALS = 3
-# A request is not retried after its answers have begun this often at endpoints
-# that ended in the moment after.
-MAX_CRASHES_AT_BEGIN = 2
 ROUTE_PRIORITY_LEVELS = 3
 MAX_URGENCY_RANK = 9
 # Prompt tokens of a typical request, which is one unit of work.
@@ -126,8 +123,6 @@
 
         A request that may have run is only repeated if its route allows it.
         """
-        if self.crashes_at_begin >= MAX_CRASHES_AT_BEGIN:
-            return False
         return self.runs < self.route.max_attempts and (
             self.route.retryable or self.runs == 0
         )
--- a/celeryward/endpoints/harmful_requests.py
+++ b/celeryward/endpoints/harmful_requests.py
@@ -144,6 +144,22 @@
                 return culprit
         return None
 
+    def find_repeated(self, service, traits):
+        """Return what a request has in common with several crashes, or None.
+
+        Also crashes at the same moment count, because one request that is
+        repeated crashes one endpoint after the other. It is not accused of
+        crashes that others explain.
+
+        :param frozenset traits: the traits of the request.
+        """
+        for culprit in culprits.find_culprits(self.open_crashes(service), 1):
+            if culprit.crashes < culprits.CRASHES_TO_SUSPECT:
+                return None
+            if culprit.includes(traits):
+                return culprit
+        return None
+
     def is_suspected(self, service, traits):
         """Return whether a request may run once, but not again.
 
--- a/tests/test_culprits.py
+++ b/tests/test_culprits.py
@@ -89,6 +89,23 @@
         assert found == {frozenset({'request-1'})}
 
 
+class TestRepeatedRequests:
+    """Guards against a third endpoint for a request that ended two."""
+
+    def test_request_that_was_in_two_crashes_is_accused(self, harmful):
+        for number in range(2):
+            harmful.record_crash(crash(number, 100.0, request(1, 'a')))
+        assert harmful.find_repeated('llm', {'a', 'request-1'})
+
+    def test_request_is_not_accused_of_crashes_of_others(self, harmful):
+        for number in range(2):
+            harmful.record_crash(
+                crash(number, 100.0, request(1, 'a'), request(2 + number, 'b'))
+            )
+        harmful.record_crash(crash(9, 105.0, request(9, 'b')))
+        assert not harmful.find_repeated('llm', {'a', 'request-1'})
+
+
 @pytest.fixture
 def harmful():
     clock = fakes.CallableClock(100.0)
