Refuse chats with a message that crashes engines at the daemon, too

Cause: the daemon knew whole requests only; chats that share one message and differ in the rest were new each time, and each ended two engines. Change: the decision of the router (culprits, harmful_requests) takes the messages of a chat but the last for parts. Daemons announce crashes, clearances and trials to each other as topic 'crashes'. The check of whole requests with its probation stays as it was.

--- a/celeryward/daemons/topics.py
+++ b/celeryward/daemons/topics.py
@@ -9,6 +9,8 @@
 import dataclasses
 
 from celeryward.callers import demand
+from celeryward.endpoints import crash_reports
+from celeryward.endpoints import crashes
 from celeryward.endpoints import fingerprints
 from celeryward.endpoints import liveness
 from celeryward import registry
@@ -97,6 +99,45 @@
         self.suspects.merge(content)
 
 
+@TOPICS.register('crashes')
+class CrashesTopic:
+    """Crashes of endpoints, and the messages that they are attributed to.
+
+    The newest evidence is announced, as much as one message may have.
+    """
+
+    type = crash_reports.CrashReport
+    relayed = False
+
+    def __init__(self, daemon):
+        self.harmful = daemon.recovery.harmful
+        self.changes = 0
+
+    def collect(self, force):
+        """Return the content to announce, or None if there is none.
+
+        :param bool force: return unchanged content too.
+        """
+        if not force and self.changes == self.harmful.changes:
+            return None
+        self.changes = self.harmful.changes
+        newest = crash_reports.take_entries(
+            reversed(tuple(self.harmful.evidence()))
+        )
+        if not newest:
+            return None
+        return crash_reports.make_report('', newest, self.harmful.clock())
+
+    def accept(self, content):
+        """Merge the content that a peer announced."""
+        found = crash_reports.read_evidence(content, self.harmful.clock())
+        for each in found:
+            if isinstance(each, crashes.Crash):
+                # The start of a process is this daemon's estimate.
+                each = dataclasses.replace(each, started_at=0.0)
+            self.harmful.record(each)
+
+
 @TOPICS.register('departures')
 class DeparturesTopic:
     """Endpoints that have announced their shutdown."""
--- a/celeryward/endpoints/attempts.py
+++ b/celeryward/endpoints/attempts.py
@@ -5,6 +5,7 @@
 import uuid
 
 from celeryward import calls
+from celeryward.endpoints import crashes
 from celeryward.endpoints import fingerprints
 from celeryward.endpoints import prefixes
 from celeryward.endpoints import protocol
@@ -27,6 +28,8 @@
       the connection failed.
     - ``past_retry_candidates``: endpoints that were retry candidates before;
       each becomes one only once.
+    - ``trial``: the :class:`culprits.Culprit` whose trial the request is, or
+      None.
     - ``digests``: digests of the prompt's prefixes, shortest first.
 
     :param calls.Call call: the request.
@@ -60,12 +63,21 @@
         if isinstance(call.request, calls.ChatRequest):
             self.digests = prefixes.digest_prefixes(call.request.prompt())
         self.dispatched_at = 0.0
+        self.trial = None
 
     @functools.cached_property
     def fingerprint(self):
         """The fingerprint of the request, computed on first use."""
         return fingerprints.fingerprint_request(self.model, self.call.request)
 
+    @functools.cached_property
+    def traits(self):
+        """The :class:`crashes.RequestTraits`, computed on first use."""
+        return crashes.RequestTraits(
+            f'request-{self.fingerprint}',
+            fingerprints.shared_messages(self.call.request),
+        )
+
     @property
     def version(self):
         """Name of the version selected for the last dispatch."""
--- a/celeryward/endpoints/crashes.py
+++ b/celeryward/endpoints/crashes.py
@@ -45,7 +45,8 @@
 
     :param str endpoint: id of the endpoint.
     :param float started_at: start of the process, as in
-        :class:`runners.Runner`; with the id it identifies the crash.
+        :class:`runners.Runner`; with the id it identifies the crash. 0.0 if
+        it is not known.
     :param float at: monotonic seconds of this host.
     :param tuple requests: :class:`RequestTraits` of the requests.
     :param bool is_trial: whether a request that was refused before ran there
--- a/celeryward/endpoints/fingerprints.py
+++ b/celeryward/endpoints/fingerprints.py
@@ -136,6 +136,25 @@
         yield normalise_text(message.content).encode(errors='surrogatepass')
 
 
+def shared_messages(request):
+    """Return a trait for each message that other requests may share.
+
+    The last message belongs to the request itself.
+    """
+    if isinstance(request, calls.ServiceRequest):
+        return ()
+    return tuple(hash_message(message) for message in request.messages[:-1])
+
+
+def hash_message(message):
+    """Return the hash of a message as hexadecimal digits."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest.update(message.role.encode() + b'\0')
+    text = normalise_text(message.content)
+    digest.update(text.encode(errors='surrogatepass'))
+    return digest.hexdigest()
+
+
 def shift_times(crashes, seconds):
     """Return crashes with shifted times, ordered by id."""
     shifted = (
--- a/celeryward/endpoints/harmful_guard.py
+++ b/celeryward/endpoints/harmful_guard.py
@@ -6,28 +6,6 @@
 from celeryward.endpoints import crashes
 from celeryward.endpoints import harmful_requests
 from celeryward import logs
-from celeryward import registry
-
-# How each kind of evidence is added, by the name of its class.
-RECORDERS = registry.Registry('evidence')
-
-
-@RECORDERS.register('Crash')
-def record_crash(harmful, crash):
-    """Add a crash; return whether other hosts have to know."""
-    return harmful.record_crash(crash)
-
-
-@RECORDERS.register('Clearance')
-def record_clearance(harmful, clearance):
-    """Add a clearance; return whether other hosts have to know."""
-    return harmful.record_clearance(clearance)
-
-
-@RECORDERS.register('Trial')
-def record_trial(harmful, trial):
-    """Add the begin of a trial; return whether other hosts have to know."""
-    return harmful.record_trial(trial)
 
 
 class HarmfulRequestGuard:
@@ -52,11 +30,7 @@
         :param str origin: name of the host that it came from; empty for this
             one.
         """
-        changes = [
-            each
-            for each in evidence
-            if RECORDERS.get(type(each).__name__)(self.harmful, each)
-        ]
+        changes = [each for each in evidence if self.harmful.record(each)]
         if not changes:
             return
         for service in {each.service for each in changes}:
--- a/celeryward/endpoints/harmful_requests.py
+++ b/celeryward/endpoints/harmful_requests.py
@@ -14,6 +14,7 @@
 
 from celeryward.endpoints import crashes
 from celeryward.endpoints import culprits
+from celeryward import registry
 
 # The bounds on the state: crashes, and traits that were cleared lately.
 MAX_CRASHES = 64
@@ -29,10 +30,16 @@
 # Lead of each host over the next one, so that only one of them begins a trial:
 # longer than the news of it takes.
 TRIAL_LEAD_SECONDS = 2.0
+# Daemons notice a crash by probes, and don't know when a process has started.
+SAME_CRASH_SECONDS = 3.0
 # Reports of one event by several hosts differ by less than this.
 SAME_TIME_SECONDS = 1.0
 
 
+# How each kind of evidence is added, by the name of its class.
+RECORDERS = registry.Registry('evidence')
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Clearance:
     """A trait that an answer survived, so that earlier crashes don't count.
@@ -101,6 +108,8 @@
         self.cleared = RecentEntries(MAX_CLEARED)
         self.trials = RecentEntries(MAX_TRIALS)
         self.running_trials = set()
+        # Rises with each change that other hosts have to know.
+        self.changes = 0
         # Keys of the crashes that each trait is in, by service and trait.
         self.accused = collections.defaultdict(set)
         # Culprits by service and least number of crashes, computed when they
@@ -202,19 +211,38 @@
         traits = tuple(sorted(culprit.traits))
         self.running_trials.discard((service, traits))
 
+    @RECORDERS.register('Trial')
     def record_trial(self, trial):
         """Add the begin of a trial; return whether it was not known."""
         known = self.trials.get(trial.key)
         if known is not None and trial.at < known.at + SAME_TIME_SECONDS:
             return False
         self.trials.put(trial)
+        self.changes += 1
         return True
 
+    def identify(self, crash):
+        """Return a crash with the key of the same one in other reports.
+
+        Without the start of the process, crashes of an endpoint that are
+        close together are taken for one.
+        """
+        if crash.started_at:
+            return crash
+        started_at = crash.at
+        for known in self.crashes.values():
+            is_same = abs(known.at - crash.at) < SAME_CRASH_SECONDS
+            if known.endpoint == crash.endpoint and is_same:
+                started_at = known.started_at
+        return dataclasses.replace(crash, started_at=started_at)
+
+    @RECORDERS.register('Crash')
     def record_crash(self, crash):
         """Add a crash, or what another report of it adds.
 
         :returns: whether that changed anything.
         """
+        crash = self.identify(crash)
         known = self.crashes.get(crash.key)
         merged = merge(known, self.without_cleared(crash))
         if known is None and not merged.requests:
@@ -227,6 +255,7 @@
         if known is None and len(self.crashes) >= MAX_CRASHES:
             self.drop_crash(next(iter(self.crashes)))
         self.crashes.put(merged)
+        self.changes += 1
         for request in merged.requests:
             for trait in request.all():
                 self.accused[(merged.service, trait)].add(merged.key)
@@ -260,6 +289,7 @@
             if (service, trait) in self.accused
         )
 
+    @RECORDERS.register('Clearance')
     def record_clearance(self, clearance):
         """Clear a trait; return whether other hosts have to know.
 
@@ -273,6 +303,7 @@
         if not (is_accused or is_new):
             return False
         self.cleared.put(clearance)
+        self.changes += 1
         if is_accused:
             self.clear_crashes(clearance)
         return True
@@ -305,6 +336,10 @@
                 del self.accused[(crash.service, trait)]
         self.known_culprits.clear()
 
+    def record(self, evidence):
+        """Add a crash, a clearance or a trial; return whether it was new."""
+        return RECORDERS.get(type(evidence).__name__)(self, evidence)
+
     def evidence(self):
         """Yield all evidence, the clearances first."""
         yield from self.cleared.values()
--- a/celeryward/endpoints/recovery.py
+++ b/celeryward/endpoints/recovery.py
@@ -3,6 +3,9 @@
 import dataclasses
 import time
 
+from celeryward import deadlines
+from celeryward.endpoints import crashes
+from celeryward.endpoints import harmful_requests
 from celeryward.endpoints import retries
 from celeryward import errors
 from celeryward import logs
@@ -53,6 +56,7 @@
         self.connections = connections
         self.prober = prober
         self.suspects = suspects
+        self.harmful = harmful_requests.HarmfulRequests()
         self.metrics = metrics
         self.budget = retries.RetryBudget()
         self.observer = None
@@ -62,6 +66,7 @@
 
         :raises errors.HarmfulRequest: if the request is harmful.
         """
+        self.check_traits(attempt)
         if not self.suspects.has_evidence():
             return NO_ISOLATION
         return Isolation(
@@ -70,6 +75,52 @@
             self.check_harmful(attempt),
         )
 
+    def check_traits(self, attempt):
+        """Check that requests with the same messages don't crash endpoints.
+
+        The first dispatch of a request may be a trial.
+
+        :raises errors.HarmfulRequest: as :meth:`check_harmful`.
+        """
+        harmful = self.harmful
+        if not harmful.has_evidence():
+            return
+        culprit = harmful.find(attempt.model, attempt.traits.all())
+        if culprit is None:
+            return
+        if not attempt.dispatches:
+            if attempt.trial is None and harmful.begin_trial(
+                attempt.model, culprit
+            ):
+                attempt.trial = culprit
+            if attempt.trial is not None:
+                return
+        error = errors.HarmfulRequest(
+            f'{culprit.crashes} endpoints crashed under such requests',
+            step='select',
+            peer=attempt.model,
+            retry_at=deadlines.Deadline(
+                harmful.trial_at(attempt.model, culprit)
+            ),
+        )
+        if attempt.may_have_run:
+            error.execution = errors.Execution.UNKNOWN
+        raise error
+
+    def record_crash(self, attempt, endpoint):
+        """Record that an endpoint crashed while it ran a request."""
+        self.suspects.record_crash(endpoint.name, attempt.fingerprint)
+        self.harmful.record_crash(
+            crashes.Crash(
+                endpoint.name,
+                0.0,
+                attempt.model,
+                self.harmful.clock(),
+                (attempt.traits,),
+                attempt.trial is not None,
+            )
+        )
+
     def check_harmful(self, attempt):
         """Raise an error for a request that has crashed two endpoints.
 
@@ -103,9 +154,16 @@
         self.end_probation(attempt)
         if self.suspects.has_evidence():
             self.suspects.record_response(attempt.fingerprint)
+        if self.harmful.has_evidence():
+            for clearance in self.harmful.clearances(
+                attempt.model, attempt.traits.all()
+            ):
+                self.harmful.record_clearance(clearance)
 
     def end_probation(self, attempt):
         """End the probation, so that the endpoint gets other work again."""
+        if attempt.trial is not None:
+            self.harmful.end_trial(attempt.model, attempt.trial)
         if attempt.on_probation:
             self.suspects.end_probation(
                 attempt.candidate.endpoint.name, attempt.fingerprint
@@ -178,7 +236,7 @@
             )
             await self.connections.close_idle(endpoint)
             if error.sent and not silent:
-                self.suspects.record_crash(endpoint.name, attempt.fingerprint)
+                self.record_crash(attempt, endpoint)
                 attempt.endpoint_crashed = True
                 self.check_harmful(attempt)
             return
--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -84,7 +84,7 @@
         return await self.call('POST', protocol.EVIDENCE_PATH, body=body)
 
     async def report_crashes(self, report):
-        """Send a :class:`crash_protocol.CrashReport`.
+        """Send a :class:`crash_reports.CrashReport`.
 
         :returns: ``Ok`` or ``Err(PlatformUnavailable)``.
         """
@@ -94,7 +94,7 @@
     async def crash_evidence(self, after):
         """Read evidence of crashes from an entry on.
 
-        :returns: ``Ok`` with a :class:`crash_protocol.CrashReport`, or
+        :returns: ``Ok`` with a :class:`crash_reports.CrashReport`, or
             ``Err``.
         """
         path = f'{crash_protocol.PATH}?after={after}'
@@ -105,7 +105,7 @@
 
 
 def decode_crashes(kind, body):
-    """Return the :class:`crash_protocol.CrashReport` in a body.
+    """Return the :class:`crash_reports.CrashReport` in a body.
 
     :param str kind: not used.
     :raises msgspec.DecodeError: if the body is malformed.
--- a/celeryward/routers/crash_news.py
+++ b/celeryward/routers/crash_news.py
@@ -14,8 +14,8 @@
 
 import curio
 
+from celeryward.endpoints import crash_reports
 from celeryward import logs
-from celeryward.routers import crash_protocol
 
 # Pause between two messages to one router, in which news is gathered.
 PAUSE_SECONDS = 0.15
@@ -73,7 +73,7 @@
 
     async def accept(self, report):
         """Add the evidence that another router tells."""
-        evidence = crash_protocol.read_evidence(
+        evidence = crash_reports.read_evidence(
             report, self.guard.harmful.clock()
         )
         await self.guard.record(*evidence, origin=report.sender)
@@ -83,9 +83,9 @@
         left = tuple(
             itertools.islice(self.guard.harmful.evidence(), after, None)
         )
-        taken = crash_protocol.take_entries(left)
+        taken = crash_reports.take_entries(left)
         following = after + len(taken) if len(taken) < len(left) else 0
-        return crash_protocol.make_report(
+        return crash_reports.make_report(
             self.members.own.name, taken, time.monotonic(), following
         )
 
@@ -167,7 +167,7 @@
         items, reached = self.items_for(member, told)
         if not items:
             return reached
-        report = crash_protocol.make_report(
+        report = crash_reports.make_report(
             self.members.own.name,
             [each.evidence for each in items],
             time.monotonic(),
@@ -210,7 +210,7 @@
             and not (member.name in leaders and each.origin in leaders)
         ]
         count = len(
-            crash_protocol.take_entries(each.evidence for each in wanted)
+            crash_reports.take_entries(each.evidence for each in wanted)
         )
         if count < len(wanted):
             return wanted[:count], wanted[count].number - 1
--- a/tests/registered_decoders.py
+++ b/tests/registered_decoders.py
@@ -10,6 +10,7 @@
 from celeryward.callers import protocol as callers
 from celeryward import decoding
 from celeryward.endpoints import chat_events
+from celeryward.endpoints import crash_reports
 from celeryward.endpoints import crashes
 from celeryward.endpoints import harmful_requests
 from celeryward.endpoints import management
@@ -277,7 +278,7 @@
 )
 def decode_crash_report(body):
     report = crash_protocol.read_report(body)
-    found = crash_protocol.read_evidence(report, 10000.0)
+    found = crash_reports.read_evidence(report, 10000.0)
     assert all(6400.0 <= each.at <= 10000.0 for each in found)
     harmful = harmful_requests.HarmfulRequests(clock=lambda: 10000.0)
     for crash in found:
