Add harmful parts and endless answers to the soak as version 5

Cause: the soak ended endpoints only by itself, never under requests, and no answer was without end. Change: faults harmful-part and endless-answers, checks harmful-parts (at most three requests 3 s after the fifth crash) and memory (300 MB).

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -21,6 +21,12 @@
 # A planned stop may end what was sent so long after its signal, if an endpoint
 # is still at work in its last sixth.
 MAX_BEGIN_IN_STOP_SECONDS = 3.0
+# What the platform allows of requests with a part that crashes endpoints.
+CRASHES_TO_REFUSE = 5
+CONTACT_SECONDS = 3.0
+MAX_LATE_HARMFUL = 3
+# The platform ends a process above it.
+MAX_ROUTER_BYTES = 300 * 1024 * 1024
 MIN_WORK_IN_STOP_SECONDS = processes.STOP_SECONDS * 5 / 6
 # Faults of a router or of its connection to the store: a router may then not
 # know yet that an endpoint has left, and still send it requests, up to
@@ -311,6 +317,43 @@
                 yield outcome.request_id, 'interrupted by a planned stop'
 
 
+@CHECKS.register('harmful-parts')
+def check_harmful_parts(observed):
+    """Requests with a part that crashes endpoints are refused in time.
+
+    Those of routers that were stopped, killed, paused or without the store in
+    the 3 s before don't count.
+    """
+    for part in sorted({crash.part for crash in observed.crashes}):
+        times = sorted(
+            crash.at for crash in observed.crashes if crash.part == part
+        )
+        if len(times) < CRASHES_TO_REFUSE:
+            continue
+        border = times[CRASHES_TO_REFUSE - 1] + CONTACT_SECONDS
+        late = [
+            arrival
+            for arrival in observed.harmful
+            if arrival.part == part
+            and arrival.at > border
+            and not observed.overlaps_fault(
+                arrival.at - CONTACT_SECONDS,
+                arrival.at,
+                ('router-', 'stop', 'store-'),
+            )
+        ]
+        if len(late) > MAX_LATE_HARMFUL:
+            yield late[-1].request_id, f'{len(late)} of {part} came late'
+
+
+@CHECKS.register('memory')
+def check_memory(observed):
+    """Answers without end don't fill the memory of a router."""
+    for router, size in observed.memory.items():
+        if size > MAX_ROUTER_BYTES:
+            yield '', f'{router} has used {size >> 20} MB'
+
+
 @CHECKS.register('recovery')
 def check_recovery(observed):
     """After the faults have ended, each request is answered in full."""
--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -47,6 +47,7 @@
         self.disturbed_until = 0.0
         self.server = None
         self.answer_fault = None
+        self.crashed = False
         self.going_on_until = deadlines.Deadline.after(0.0)
 
     async def start(self):
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -86,6 +86,23 @@
     endpoint: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HarmfulArrival:
+    """A request with a part that crashes endpoints, at an endpoint."""
+
+    part: str
+    request_id: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartCrash:
+    """The crash of an endpoint by a part."""
+
+    part: str
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FaultSpan:
     """The time span of a fault.
@@ -146,6 +163,12 @@
     :param list timeouts: the :class:`Timeout` of each configuration.
     :param set small_answers: requests that a small model answered whose
         larger one failed.
+    :param list harmful: the :class:`HarmfulArrival` of each request with a
+        part that crashes endpoints.
+    :param list crashes: the :class:`PartCrash` of each crash by a part.
+    :param dict memory: peak memory of the process of each router, in bytes.
+
+    ``harmful_routers`` has the router of each harmful request.
     """
 
     def __init__(
@@ -164,6 +187,9 @@
         turned_away=(),
         announced=(),
         small_answers=(),
+        harmful=(),
+        crashes=(),
+        memory=(),
     ):
         self.outcomes = list(outcomes)
         self.executions = list(executions)
@@ -179,6 +205,14 @@
         self.turned_away = list(turned_away)
         self.announced = list(announced)
         self.small_answers = set(small_answers)
+        self.harmful = list(harmful)
+        self.crashes = list(crashes)
+        self.memory = dict(memory)
+        self.harmful_routers = {}
+
+    def record_memory(self, router, size):
+        """Record the peak memory of a router's process, in bytes."""
+        self.memory[router] = max(size, self.memory.get(router, 0))
 
     def overlaps_fault(self, start, end, names, target=None):
         """Return whether a matching fault overlaps a time span.
--- a/benchmarks/soak/plans.py
+++ b/benchmarks/soak/plans.py
@@ -7,7 +7,7 @@
 
 FAULTS = registry.Registry('fault')
 PLANS = registry.Registry('plan')
-LATEST_PLAN = 4
+LATEST_PLAN = 5
 DURATIONS_SECONDS = (0.2, 1.0, 3.0, 6.0)
 # A plan draws from its own list, so that a fault added later does not change
 # what an old seed does.
@@ -55,6 +55,8 @@
     'stops-in-series',
 )
 FOURTH_FAULTS = (*THIRD_FAULTS, *STOP_FAULTS, *STOP_FAULTS)
+HARMFUL_FAULTS = ('endless-answers', 'harmful-part')
+FIFTH_FAULTS = (*FOURTH_FAULTS, *HARMFUL_FAULTS * 4)
 NEWER_FAULTS_SHARE = 0.6
 # Planned work that begins at about the same time as a fault.
 COMPANIONS = (
@@ -126,6 +128,12 @@
     return plan_newer_faults(generator, seconds, count, FOURTH_FAULTS)
 
 
+@PLANS.register(5)
+def plan_fifth_faults(generator, seconds, count):
+    """Yield events of all faults, those of harmful endpoints most often."""
+    return plan_newer_faults(generator, seconds, count, FIFTH_FAULTS)
+
+
 def plan_newer_faults(generator, seconds, count, newer):
     """Yield events, mostly of newer faults, some beside planned work."""
     for _ in range(count):
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -15,6 +15,7 @@
 from benchmarks.soak import contract_faults
 from benchmarks.soak import faults
 from benchmarks.soak import fleet as fleets
+from benchmarks.soak import harmful_faults
 from benchmarks.soak import lateness
 from benchmarks.soak import model_faults
 from benchmarks.soak import observations
@@ -30,6 +31,7 @@
     configuration_faults,
     contract_faults,
     faults,
+    harmful_faults,
     model_faults,
     odd_entry_faults,
     stop_faults,
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -87,6 +87,18 @@
     return int(arrival.head.headers.get(messages.LAST_EVENT_ID, '0')) + 1
 
 
+def prompt_parts(arrival):
+    """Return the ids of the parts of a request's prompt."""
+    value = arrival.head.headers.get(messages.PROMPT_PREFIX, '')
+    return [entry.partition(':')[0] for entry in value.split(',')]
+
+
+def prompt_headers(parts):
+    """Return the header that names the parts of a prompt."""
+    value = ','.join(f'{part}:100' for part in parts)
+    return {messages.PROMPT_PREFIX.replace('-', '_'): value}
+
+
 def stream_headers(confidence):
     """Return the headers of a stream besides those of each answer."""
     return {
--- a/tests/soak_observations.py
+++ b/tests/soak_observations.py
@@ -100,4 +100,11 @@
         stops=[observations.Stop('router-0', 9.0, 17.2, 0)]
     ),
     'kept-answers': observed([outcome(status=500)], small_answers=['r1']),
+    'harmful-parts': observed(
+        crashes=[observations.PartCrash('p', 10.0 + n) for n in range(5)],
+        harmful=[
+            observations.HarmfulArrival('p', f'h{n}', 17.1) for n in range(4)
+        ],
+    ),
+    'memory': observed(memory={'router-0': 301 * 1024 * 1024}),
 }
--- a/tests/test_replacements.py
+++ b/tests/test_replacements.py
@@ -33,6 +33,10 @@
 
     def __init__(self):
         self.reserved = []
+        self.suspected = False
+
+    def is_suspected(self, relayed):
+        return self.suspected
 
     def reserve(self, plan):
         self.reserved.append(plan)
@@ -116,6 +120,12 @@
         assert policy.secure(make_request(**fields)) is None
         assert retries.tokens == 1
 
+    def test_request_that_may_crash_endpoints_has_none(self):
+        policy, retries = make_policy(make_plan())
+        retries.planner.suspected = True
+        assert policy.secure(make_request()) is None
+        assert retries.tokens == 1
+
     def test_replacement_has_a_token_and_a_place(self):
         policy, retries = make_policy(make_plan())
         plan = policy.secure(make_request())
