Bound what a daemon keeps of streams, and its time for their pieces

Cause: a daemon keeps the events that it has passed on, to resume the stream; an engine that streamed without end made it keep 439 MB until the deadline.

--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -3,10 +3,12 @@
 import contextlib
 import dataclasses
 import functools
+import time
 import typing
 
 import msgspec
 
+from celeryward import body_memory
 from celeryward import calls
 from celeryward import deadlines
 from celeryward import decoding
@@ -231,11 +233,21 @@
     held = b''
     tokens = 0
     pieces = receive_pieces(connection, splitter, read_deadlines)
-    async with contextlib.aclosing(pieces):
+    async with contextlib.AsyncExitStack() as resources:
+        await resources.enter_async_context(contextlib.aclosing(pieces))
+        memory = resources.enter_context(
+            body_memory.ANSWERS.hold(connection.stop_reading)
+        )
         async for piece in pieces:
+            began_at = time.monotonic()
             complete = splitter.split(piece)
             chat_events.check_events(complete, connection.peer)
             held += complete
+            await connection.meter.take_turn(began_at)
+            # The daemon keeps what it has passed on, to resume the stream.
+            size = memory.size + len(complete)
+            connection.check_size(size, http.MAX_BODY_BYTES, 'read stream')
+            await memory.resize(size, 'read stream', connection.peer)
             if splitter.done:
                 break
             events, held = split_before_usage(held)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -9,7 +9,11 @@
 import curio
 import pytest
 
+from celeryward import body_memory
+from celeryward import errors
 from celeryward import http
+from celeryward.standins import engine
+from celeryward.standins import fleet
 from tests import platform_standins as standins
 
 PROGRAM = pathlib.Path(__file__).with_name('flood_server.py')
@@ -171,3 +175,43 @@
             assert await site.slowest_other(3.0) < SLOWEST_SECONDS
 
         play(kind, test)
+
+
+class EndlessEngine(engine.EngineStandIn):
+    """An engine whose streams go on without end."""
+
+    async def send_stream(self, connection, echo, words, first, usage):
+        await super().send_stream(connection, echo, self, first, usage)
+
+    def __len__(self):
+        return sys.maxsize
+
+    def __getitem__(self, index):
+        return 'word ' * 1000
+
+
+class TestDaemon:
+    """Guards against streams of engines that a daemon keeps without bound."""
+
+    @pytest.mark.parametrize('streams', (1, 3))
+    def test_stream_without_end_is_given_up(
+        self, with_fleet, monkeypatch, streams
+    ):
+        monkeypatch.setattr(body_memory.ANSWERS, 'limit', 1024 * 1024)
+
+        made = []
+
+        async def run(started):
+            made.append(started.make_attempt('a'))
+            with pytest.raises(errors.CelerywardError):
+                await started.stream(made[-1])
+
+        async def test(started):
+            async with curio.TaskGroup() as group:
+                for _ in range(streams):
+                    await group.spawn(run, started)
+            kept = [b''.join(each.emitted_payloads) for each in made]
+            assert sum(map(len, kept)) < 2 * streams * 1024 * 1024
+            assert body_memory.ANSWERS.used == 0
+
+        with_fleet(test, EndlessEngine((fleet.VERSION.name,)))
