Look for culprits among the requests that share enough crashes only

Change: requests whose traits are all in fewer crashes are left out first; explain names the cause harmful-request.

--- a/celeryward/endpoints/harmful_requests.py
+++ b/celeryward/endpoints/harmful_requests.py
@@ -133,16 +133,37 @@
         """Return the culprits of a service."""
         key = (service, least_crashes)
         if key not in self.known_culprits:
-            found = ()
-            if any(
-                len(keys) >= least_crashes for keys in self.accused.values()
-            ):
-                found = culprits.find_culprits(
-                    self.open_crashes(service), least_crashes
+            self.known_culprits[key] = tuple(
+                culprits.find_culprits(
+                    self.likely_crashes(service, least_crashes), least_crashes
                 )
-            self.known_culprits[key] = tuple(found)
+            )
         return self.known_culprits[key]
 
+    def likely_crashes(self, service, least_crashes):
+        """Return the open crashes with the requests that may have caused them.
+
+        These have a trait that is in enough crashes.
+        """
+        likely = {
+            trait
+            for (each, trait), keys in self.accused.items()
+            if each == service and len(keys) >= least_crashes
+        }
+        if not likely:
+            return []
+        return [
+            dataclasses.replace(
+                crash,
+                requests=tuple(
+                    request
+                    for request in crash.requests
+                    if not likely.isdisjoint(request.all())
+                ),
+            )
+            for crash in self.open_crashes(service)
+        ]
+
     def find(self, service, traits):
         """Return the culprit that a request includes, or None.
 
--- a/celeryward/operators/explain.py
+++ b/celeryward/operators/explain.py
@@ -179,6 +179,15 @@
         return f'the caller left after {line.get("seconds")} s'
 
 
+@CAUSES.register('harmful-request')
+def harmful_request(request_log):
+    """Requests like this one crash the endpoints that run them."""
+    if request_log.code == 'harmful_request':
+        line = request_log.last_line(REQUEST_FAILED)
+        reason = line.message[len(REQUEST_FAILED) :].partition(' ')[2]
+        return f'{reason}; {describe_dispatch_failure(request_log)}'
+
+
 @CAUSES.register('store-lost')
 def store_lost(request_log):
     """The configuration was older than allowed, as the store was lost."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -150,6 +150,9 @@
 
 
 CASES = {
+    'harmful-request': [
+        request_failed('harmful_request 3 endpoints crashed under requests')
+    ],
     'store-lost': [
         log_line('router-1', 0.0, 'store lost: refused'),
         request_failed('not_run configuration is old', configuration_age=4.1),
