Read bodies in a module of their own; build a router in steps

Change: bodies.BodyReader has what reads bodies within bounds; a router builds crash handling, callers and listeners in three methods.

--- a/celeryward/endpoints/answers.py
+++ b/celeryward/endpoints/answers.py
@@ -106,19 +106,18 @@
                     if failure is not None:
                         raise failure
         if not (sequence.last or self.head.is_framed):
-            raise errors.AnswerTruncated(
-                'stream without a frame ended without an event',
-                step='read events',
-                peer=self.connection.peer,
-                sent=True,
-            )
+            raise self.truncated('stream without a frame ended without event')
         if splitter.buffer:
-            raise errors.AnswerTruncated(
-                'stream ended inside an event',
-                step='read events',
-                peer=self.connection.peer,
-                sent=True,
-            )
+            raise self.truncated('stream ended inside an event')
+
+    def truncated(self, message):
+        """Return the error of a stream that was broken off."""
+        return errors.AnswerTruncated(
+            message,
+            step='read events',
+            peer=self.connection.peer,
+            sent=True,
+        )
 
 
 def collect_until_error(events):
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -1,13 +1,12 @@
 """HTTP/1.1 client and server connections, with h11 on curio sockets."""
 
-import contextlib
 import dataclasses
 import time
 
 import curio
 import h11
 
-from celeryward import body_memory
+from celeryward import bodies
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import processor_share
@@ -15,7 +14,7 @@
 from celeryward import transport
 
 MAX_HEAD_BYTES = 32768
-MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_BODY_BYTES = bodies.MAX_BODY_BYTES
 # Digits of a stated length that are read; more are above any limit.
 MAX_LENGTH_DIGITS = 18
 # Interim (1xx) responses that are skipped before the final response.
@@ -79,7 +78,7 @@
 )
 
 
-class Connection(transport.Transport):
+class Connection(bodies.BodyReader):
     """One HTTP/1.1 connection, used by one task at a time.
 
     :param sock: connected curio socket.
@@ -107,8 +106,6 @@
         # Whether the end of the connection ends the response that is sent.
         self.ended_by_close = False
         self.meter = processor_share.InputMeter()
-        # Length that the head of the body to read states, or None.
-        self.stated_length = None
 
     async def receive(self, step, deadline, extend=None):
         """Return the next h11 event.
@@ -268,98 +265,6 @@
             peer=self.peer,
         )
 
-    async def receive_chunks(
-        self, step, next_deadline, first_deadline=None, extend=None
-    ):
-        """Yield the bytes of a body as they arrive.
-
-        :param next_deadline: function that returns the deadline of the
-            next chunk.
-        :param Deadline first_deadline: deadline of the first chunk; by
-            default that of ``next_deadline``.
-        :param extend: as for :meth:`read`.
-        """
-        deadline = first_deadline or next_deadline()
-        while True:
-            event = await self.receive(step, deadline, extend)
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise Disconnected(
-                    'connection closed inside a body',
-                    step=step,
-                    peer=self.peer,
-                )
-            deadline = next_deadline()
-
-    async def receive_body(
-        self,
-        step,
-        deadline,
-        limit=MAX_BODY_BYTES,
-        next_deadline=None,
-        extend=None,
-        hold=None,
-    ):
-        """Return a whole body of at most ``limit`` bytes.
-
-        :param next_deadline: function that returns the deadline of the next
-            chunk; by default each chunk has the deadline of the body.
-        :param extend: as for :meth:`read`.
-        :param body_memory.Hold hold: counts the body for as long as it is
-            kept; None to count it until it has been read.
-        :raises errors.BadInput: if the body is larger, or is given up because
-            all bodies together are too large.
-        """
-        if self.stated_length is not None:
-            self.check_size(self.stated_length, limit, step)
-        if hold is None:
-            with self.body_memory().hold(self.stop_reading) as own_hold:
-                return await self.receive_body(
-                    step, deadline, limit, next_deadline, extend, own_hold
-                )
-        chunks = []
-        size = 0
-        next_deadline = next_deadline or (lambda: deadline)
-        chunk_stream = self.receive_chunks(step, next_deadline, extend=extend)
-        try:
-            async with contextlib.aclosing(chunk_stream):
-                async for chunk in chunk_stream:
-                    size += len(chunk)
-                    self.check_size(size, limit, step)
-                    await hold.resize(size, step, self.peer)
-                    chunks.append(chunk)
-        except Disconnected:
-            # The connection of a body that is given up is shut down.
-            hold.check(step, self.peer)
-            raise
-        else:
-            hold.give_up = None
-            return b''.join(chunks)
-        finally:
-            # An error keeps this frame, and all that is in it, until its end.
-            chunks.clear()
-
-    def body_memory(self):
-        """Return the :class:`body_memory.BodyMemory` of what is read here."""
-        if self.h11.our_role is h11.SERVER:
-            return body_memory.REQUESTS
-        return body_memory.ANSWERS
-
-    def check_size(self, size, limit, step):
-        """Check the size of a body.
-
-        :raises errors.BadInput: if it is above the limit.
-        """
-        if size > limit:
-            raise errors.BadInput(
-                f'body is larger than {limit} bytes',
-                step=step,
-                peer=self.peer,
-            )
-
     def reusable(self):
         """Return whether the connection can carry another request.
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -100,10 +100,6 @@
             departure_news.DepartureNews(self.runners),
         )
         self.connections = pool.EndpointPool(tuning)
-        self.crash_watch = crash_watch.CrashWatch(
-            self.runners, self.connections, self.outcomes
-        )
-        self.crash_watch.listeners.append(self.metrics.count_crash)
         self.notice_reader = notices.NoticeReader(
             self.runners,
             self.closures,
@@ -120,15 +116,36 @@
             self.queues,
             self.notice_reader,
         )
+        self.build_crash_handling()
+        self.build_callers()
+        self.build_listeners()
+        self.runners.listeners.append(self.forget_runner)
+        self.notice_reader.place_listeners.append(
+            self.relay.waiter.place_freed
+        )
+        router_metrics.register_gauges(self.metrics, self)
+
+    def build_crash_handling(self):
+        """Create the components that notice crashes and what causes them."""
+        self.crash_watch = crash_watch.CrashWatch(
+            self.runners, self.connections, self.outcomes
+        )
         self.guard = harmful_guard.make_guard(
             self.view.members.rank, self.forwarder
         )
-        self.crash_watch.listeners.append(self.guard.record)
+        self.crash_watch.listeners += [
+            self.metrics.count_crash,
+            self.guard.record,
+        ]
         self.guard.listeners.append(self.crash_watch.avoid_ended)
         self.crash_news = crash_news.CrashNews(
             self.guard, self.view.members, self.view.source.client_of
         )
         self.view.publisher.crash_news = self.crash_news
+
+    def build_callers(self):
+        """Create the components that serve callers."""
+        placement, tuning = self.placement, self.tuning
         self.monitor = monitor.Monitor(
             self.runners, self.outcomes, self.connections, self.forwarder
         )
@@ -150,13 +167,17 @@
                 self.guard,
             ),
             self.forwarder,
-            translator,
+            self.translator,
             self.retry_allowance,
             self.metrics,
         )
         self.gateway = gateway.Gateway(
             self.relay, self.configuration, self.metrics, self.stop_state
         )
+
+    def build_listeners(self):
+        """Create the listeners of all addresses."""
+        placement = self.placement
         self.caller_listener = listener.Listener(
             placement.callers.host,
             placement.callers.port,
@@ -177,11 +198,6 @@
             placement.routers.port,
             self.view.publisher.handle,
         )
-        self.runners.listeners.append(self.forget_runner)
-        self.notice_reader.place_listeners.append(
-            self.relay.waiter.place_freed
-        )
-        router_metrics.register_gauges(self.metrics, self)
 
     def key_age_limit(self):
         """Return the largest age of the configuration for accepting API keys.
