Let a router that starts introduce itself to those who tell it of crashes

Cause: other routers read the list of routers each 20 to 30 s, so that one that was added learned of no crash after its start; and a leader that doesn't respond was told again and again, its standby never. Change: the request for all evidence names the router that asks; it is kept for 60 s beside the list. A router that can't be told is avoided for 1 s, in which a standby takes its place. Result: the test of an added router failed before (never told), and passes.

--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -91,13 +91,14 @@
         body = protocol.encode(report)
         return await self.call('POST', crash_protocol.PATH, body=body)
 
-    async def crash_evidence(self, after):
+    async def crash_evidence(self, after, own):
         """Read evidence of crashes from an entry on.
 
+        :param members.Member own: this router, which introduces itself.
         :returns: ``Ok`` with a :class:`crash_reports.CrashReport`, or
             ``Err``.
         """
-        path = f'{crash_protocol.PATH}?after={after}'
+        path = crash_protocol.evidence_path(after, own)
         answer = await self.call('GET', path)
         return answer.and_then(
             lambda body: self.decode(decode_crashes, 'crashes', body)
--- a/celeryward/routers/crash_news.py
+++ b/celeryward/routers/crash_news.py
@@ -16,6 +16,7 @@
 
 from celeryward.endpoints import crash_reports
 from celeryward import logs
+from celeryward.routers import members
 
 # Pause between two messages to one router, in which news is gathered.
 PAUSE_SECONDS = 0.15
@@ -103,13 +104,16 @@
                 await task.cancel()
 
     async def learn(self):
-        """Ask other routers for all evidence until one has answered."""
+        """Ask other routers for all evidence, each until it has answered.
+
+        They learn of this router so, which their list may not have yet.
+        """
+        asked = set()
         for _ in range(LEARN_TRIES):
-            receivers = self.members.crash_receivers()
-            for member in receivers:
-                if await self.learn_from(member):
-                    return
-            if not receivers:
+            for member in self.members.crash_receivers():
+                if member.name not in asked and await self.learn_from(member):
+                    asked.add(member.name)
+            if {each.name for each in self.members.crash_receivers()} <= asked:
                 return
             await curio.sleep(LEARN_RETRY_SECONDS)
 
@@ -117,7 +121,9 @@
         """Ask a router for all evidence; return whether it answered."""
         after = 0
         while True:
-            outcome = await self.client_of(member).crash_evidence(after)
+            outcome = await self.client_of(member).crash_evidence(
+                after, self.members.own
+            )
             if outcome.is_err():
                 return False
             report = outcome.unwrap()
@@ -191,6 +197,8 @@
         outcome = await self.client_of(member).report_crashes(report)
         if outcome.is_err():
             error = outcome.unwrap_err()
+            # Another leader, or a standby, takes its place meanwhile.
+            self.members.avoid(member, members.OUTDATED_AVOID_SECONDS)
             logs.bind_error(error, router=member.name).info(
                 'crashes not told: {}', error.message
             )
--- a/celeryward/routers/crash_protocol.py
+++ b/celeryward/routers/crash_protocol.py
@@ -1,13 +1,15 @@
 """Wire format of the evidence of crashes that routers tell each other.
 
 ``POST /crashes`` carries a report; its answer is empty.
-``GET /crashes?after=N`` is answered with a report of all
-evidence from the N-th entry on, as far as one message reaches. A report is a
+``GET /crashes?after=N`` and the fields of the router that asks, which
+introduces itself so, is answered with a report of all evidence from the N-th
+entry on, as far as one message reaches. A report is a
 :class:`crash_reports.CrashReport`.
 """
 
 import dataclasses
 import typing
+import urllib.parse
 
 import msgspec
 
@@ -15,10 +17,15 @@
 from celeryward.endpoints import crash_reports
 from celeryward import logs
 from celeryward.objects import protocol
+from celeryward.routers import members
 
 PATH = '/crashes'
 EMPTY_LIST = b'[]'
 MAX_LOGGED_FAULTS = 4
+MAX_QUERY_CHARACTERS = 1000
+MAX_AFTER = 10**9
+MAX_PORT = 65535
+MAX_LINK_MBPS = 1e9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,9 +33,12 @@
     """Request of a router for all evidence.
 
     :param int after: number of the first entry.
+    :param members.Member member: the router that asks, which may not be in
+        the lists of others yet.
     """
 
     after: int
+    member: members.Member
 
 
 CRASH_DECODER = msgspec.json.Decoder(crash_reports.ReportedCrash)
@@ -75,12 +85,42 @@
     :returns: :class:`crash_reports.CrashReport` or :class:`EvidenceRequest`.
     """
     if not body:
-        name, _, number = query.partition('=')
-        is_number = number.isascii() and number.isdigit()
-        if name != 'after' or not is_number or len(number) > 9:
-            return None
-        return EvidenceRequest(int(number))
+        return parse_evidence_request(query)
     try:
         return read_report(body)
     except msgspec.DecodeError:
         return None
+
+
+def evidence_path(after, member):
+    """Return the path of a request for evidence.
+
+    :param int after: as in :class:`EvidenceRequest`.
+    :param members.Member member: the router that asks.
+    """
+    query = {'after': after, **dataclasses.asdict(member)}
+    return f'{PATH}?{urllib.parse.urlencode(query)}'
+
+
+def parse_evidence_request(query):
+    """Return the :class:`EvidenceRequest` in a query; None if malformed."""
+    if len(query) > MAX_QUERY_CHARACTERS:
+        return None
+    found = dict(urllib.parse.parse_qsl(query))
+    try:
+        after = int(found['after'])
+        member = members.Member(
+            found['name'],
+            found['failure_domain'],
+            found['host'],
+            int(found['port']),
+            float(found['capacity']),
+        )
+    except (KeyError, ValueError):
+        return None
+    is_valid = (
+        0 <= after <= MAX_AFTER
+        and 0 < member.port <= MAX_PORT
+        and 0.0 <= member.capacity <= MAX_LINK_MBPS
+    )
+    return EvidenceRequest(after, member) if is_valid else None
--- a/celeryward/routers/members.py
+++ b/celeryward/routers/members.py
@@ -27,6 +27,10 @@
 # How long a router that responds, but has no recent state, is not polled
 # again. A standby needs this long to follow the store itself.
 OUTDATED_AVOID_SECONDS = 1.0
+# For how long a router that has introduced itself is kept without being in the
+# list, which is read less often than that; and how many of them.
+INTRODUCED_SECONDS = 60.0
+MAX_INTRODUCED = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,13 +65,39 @@
         self.list_received = False
         self.listed = curio.Event()
         self.avoided = {}
+        # Routers that have introduced themselves, each with a deadline.
+        self.introduced = {}
 
     def replace(self, members):
-        """Replace the known routers by a list; this router is always added."""
-        self.known = {each.name: each for each in members}
+        """Replace the known routers by a list; this router is always added.
+
+        Routers that have introduced themselves lately stay, because the list
+        may be older than their entries.
+        """
+        now = self.clock()
+        self.introduced = {
+            name: entry
+            for name, entry in self.introduced.items()
+            if entry[1].at > now
+        }
+        self.known = {
+            name: member for name, (member, _) in self.introduced.items()
+        }
+        self.known |= {each.name: each for each in members}
         self.known[self.own.name] = self.own
         self.list_received = True
 
+    def introduce(self, member):
+        """Add a router that has started and may not be in the list yet."""
+        if member.name == self.own.name:
+            return
+        self.introduced.pop(member.name, None)
+        until = deadlines.Deadline(self.clock() + INTRODUCED_SECONDS)
+        self.introduced[member.name] = (member, until)
+        while len(self.introduced) > MAX_INTRODUCED:
+            del self.introduced[next(iter(self.introduced))]
+        self.known[member.name] = member
+
     @property
     def count(self):
         """Number of routers, this one included."""
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -201,5 +201,6 @@
 @HANDLERS.register('EvidenceRequest')
 async def answer_evidence(publisher, request):
     """Return status and body of the response with all evidence."""
+    publisher.members.introduce(request.member)
     report = publisher.crash_news.list_evidence(request.after)
     return 200, protocol.encode(report)
--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from celeryward.routers import discovery
 from tests import platform_crashes as crashing
 
 # Requests with the harmful part that may reach endpoints later than 3 s after
@@ -109,6 +110,28 @@
         assert len(fleet.harmful_arrivals) - arrived <= 1
 
 
+class TestAddedRouters:
+    """Guards against routers that learn of a new one by their list only."""
+
+    @pytest.fixture(autouse=True)
+    def list_is_not_read_again(self, monkeypatch):
+        monkeypatch.setattr(discovery, 'SECOND_LIST_SECONDS', (60.0, 60.0))
+
+    @with_fleet(routers=2, runners=8)
+    @crashing.on_fleet
+    async def test_router_that_was_added_is_told(self, fleet):
+        added = await fleet.start_router(2)
+        await crashing.standins.wait_until(added.is_ready)
+        await crashing.standins.wait_until(
+            lambda: added.view.members.count == 3
+        )
+        await curio.sleep(0.5)
+        await fleet.send_regularly(
+            3.0, INTERVAL_SECONDS, mixed_requests('/stream/', 1)
+        )
+        await crashing.standins.wait_until(added.guard.culprit_count, 1.0)
+
+
 class TestSoundParts:
     """Guards against refusals of requests that crash nothing."""
 
