Begin a trial before its endpoint is chosen, and clear after all else

Cause: the place of a trial was chosen by its prompt before it was known to be one; and a caller that left while its answer cleared its parts kept the run from being recorded. Change: completion and traits are checked first; the clearing is the last step of a success.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -142,10 +142,6 @@
     async def record_success(self, relayed, dispatch, answer):
         """Record a complete answer that was relayed."""
         plan = dispatch.plan
-        if self.guard.harmful.has_evidence():
-            await self.guard.record_answer(
-                plan.service, relayed.traits().all()
-            )
         self.record_duration(relayed, dispatch)
         releases = self.router_state.releases
         releases.runs.end(dispatch.run)
@@ -157,6 +153,11 @@
             answer.seconds,
             relayed_requests.work_units(relayed.metadata),
         )
+        # Last, because a caller that leaves cancels this where it waits.
+        if self.guard.harmful.has_evidence():
+            await self.guard.record_answer(
+                plan.service, relayed.traits().all()
+            )
 
     def record_duration(self, relayed, dispatch):
         """Record how long a run and its whole request took."""
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -51,9 +51,9 @@
                 peer=relayed.route.name,
                 retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
             )
-        query = self.query(relayed, beside)
         self.check_completion(relayed, least_seconds)
         self.check_harmless(relayed)
+        query = self.query(relayed, beside)
         runner = selection.select(query)
         if runner is None and query.software and not selection.eligible(query):
             # Another version takes over for one that has no endpoint, but not
@@ -98,6 +98,7 @@
         harmful = self.router_state.guard.harmful
         if not harmful.has_evidence():
             return
+        self.queue_of(relayed)
         traits = relayed.traits().all()
         culprit = harmful.find(relayed.service, traits)
         if culprit is None and relayed.crashes_at_begin >= CRASHES_TO_DOUBT:
