Accuse parts of earlier answers only after six crashes

Change: the last 4,096 parts of whole answers are remembered; these are accused from six crashes on, others from three. News of crashes takes its time from the clock of the evidence, as its tests do.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -153,6 +153,7 @@
             answer.seconds,
             relayed_requests.work_units(relayed.metadata),
         )
+        self.guard.harmful.record_parts(plan.service, relayed.traits().parts)
         # Last, because a caller that leaves cancels this where it waits.
         if self.guard.harmful.has_evidence():
             await self.guard.record_answer(
--- a/celeryward/endpoints/harmful_requests.py
+++ b/celeryward/endpoints/harmful_requests.py
@@ -20,6 +20,11 @@
 MAX_CRASHES = 64
 MAX_CLEARED = 2048
 MAX_TRIALS = 256
+MAX_ANSWERED = 4096
+# A part that was answered before is accused only after this many crashes. It
+# may turn harmful with a new version of an engine, but while all endpoints
+# crash no answer clears what sound requests share.
+CRASHES_TO_DISTRUST = 6
 # Time for which a crash counts, so that a request that seldom comes is found.
 EVIDENCE_SECONDS = 3600.0
 # Time from the last crash to the next trial; each trial that ends in a crash
@@ -107,6 +112,8 @@
         self.crashes = RecentEntries(MAX_CRASHES)
         self.cleared = RecentEntries(MAX_CLEARED)
         self.trials = RecentEntries(MAX_TRIALS)
+        # Parts of whole answers, which may be in no crash.
+        self.answered = collections.OrderedDict()
         self.running_trials = set()
         # Rises with each change that other hosts have to know.
         self.changes = 0
@@ -148,7 +155,8 @@
         likely = {
             trait
             for (each, trait), keys in self.accused.items()
-            if each == service and len(keys) >= least_crashes
+            if each == service
+            and len(keys) >= self.least_crashes(each, trait, least_crashes)
         }
         if not likely:
             return []
@@ -156,7 +164,7 @@
             dataclasses.replace(
                 crash,
                 requests=tuple(
-                    request
+                    request.without(set(request.parts) - likely)
                     for request in crash.requests
                     if not likely.isdisjoint(request.all())
                 ),
@@ -164,6 +172,20 @@
             for crash in self.open_crashes(service)
         ]
 
+    def least_crashes(self, service, trait, least_crashes):
+        """Return the number of crashes from which a trait may be accused."""
+        if (service, trait) in self.answered:
+            return max(least_crashes, CRASHES_TO_DISTRUST)
+        return least_crashes
+
+    def record_parts(self, service, parts):
+        """Record the parts of a whole answer."""
+        for part in parts:
+            self.answered.pop((service, part), None)
+            self.answered[(service, part)] = None
+        while len(self.answered) > MAX_ANSWERED:
+            self.answered.popitem(last=False)
+
     def find(self, service, traits):
         """Return the culprit that a request includes, or None.
 
@@ -324,6 +346,7 @@
         if not (is_accused or is_new):
             return False
         self.cleared.put(clearance)
+        self.record_parts(clearance.service, (clearance.trait,))
         self.changes += 1
         if is_accused:
             self.clear_crashes(clearance)
--- a/celeryward/routers/crash_news.py
+++ b/celeryward/routers/crash_news.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 import itertools
-import time
+
 
 import curio
 
@@ -87,7 +87,7 @@
         taken = crash_reports.take_entries(left)
         following = after + len(taken) if len(taken) < len(left) else 0
         return crash_reports.make_report(
-            self.members.own.name, taken, time.monotonic(), following
+            self.members.own.name, taken, self.guard.harmful.clock(), following
         )
 
     async def run(self):
@@ -176,7 +176,7 @@
         report = crash_reports.make_report(
             self.members.own.name,
             [each.evidence for each in items],
-            time.monotonic(),
+            self.guard.harmful.clock(),
         )
         return reached if await self.send(member, report) else None
 
--- a/tests/test_culprits.py
+++ b/tests/test_culprits.py
@@ -159,6 +159,42 @@
         assert not harmful.find('app', {'bad'})
 
 
+class TestAnsweredParts:
+    """Guards against sound parts that all crashes share by chance."""
+
+    def test_part_of_earlier_answers_does_not_hide_the_harmful_ones(
+        self, harmful
+    ):
+        harmful.record_parts('llm', ('shared', 'sound'))
+        for number in range(5):
+            harmful.record_crash(
+                crash(
+                    number,
+                    harmful.clock.now,
+                    request(number, 'shared', f'bad{number % 2}'),
+                    request(number + 10, 'shared', 'sound'),
+                )
+            )
+            harmful.clock.now += 1.0
+        assert not harmful.find('llm', {'shared', 'sound'})
+        assert harmful.find('llm', {'shared', 'bad0'})
+
+    def test_part_that_turns_harmful_is_accused_later(self, harmful):
+        harmful.record_parts('llm', ('bad',))
+        convict(harmful)
+        assert not harmful.find('llm', {'bad'})
+        for number in range(3, 6):
+            harmful.record_crash(
+                crash(number, harmful.clock.now, request(number, 'bad'))
+            )
+            harmful.clock.now += 1.0
+        assert harmful.find('llm', {'bad'})
+
+    def test_answered_parts_are_bounded(self, harmful):
+        harmful.record_parts('llm', map(str, range(10000)))
+        assert len(harmful.answered) == harmful_requests.MAX_ANSWERED
+
+
 class TestReports:
     """Guards against a crash that counts once for each report of it."""
 
