Let the soak crash endpoints beside other faults, and pause no stopping router

Two faults that restarted an endpoint at the same time started its proxy twice, and the crash of an endpoint by a part then ended with an error of the harness. Change: a stopping router isn't paused; an endpoint's proxy is started once and ends at once in a crash, after the endpoint.

--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -48,6 +48,7 @@
         self.server = None
         self.answer_fault = None
         self.crashed = False
+        self.starting = curio.Lock()
         self.going_on_until = deadlines.Deadline.after(0.0)
 
     async def start(self):
@@ -61,8 +62,10 @@
         self.server.default_action = self.answer
         await self.server.start()
         self.proxy.target = self.server.port
-        if self.proxy.listener.sock is None:
-            await self.proxy.start()
+        # Two faults may start the endpoint again at the same time.
+        async with self.starting:
+            if self.proxy.listener.sock is None:
+                await self.proxy.start()
         await self.write_entry('ready')
 
     async def write_entry(self, state):
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -58,6 +58,9 @@
 async def pause_router(fleet, event):
     """Suspend the process of a router for the duration."""
     router = plans.router_of(fleet, event)
+    if router.stopping:
+        # Nothing can end in time while it is suspended to the end of its stop.
+        return
     router.signal(signal.SIGSTOP)
     await curio.sleep(event.seconds)
     router.signal(signal.SIGCONT)
--- a/benchmarks/soak/harmful_faults.py
+++ b/benchmarks/soak/harmful_faults.py
@@ -56,8 +56,8 @@
     endpoint.crashed = True
     began = observations.now()
     endpoint.fleet.observed.crashes.append(observations.PartCrash(part, began))
-    await endpoint.proxy.stop()
     await endpoint.crash()
+    await endpoint.proxy.end()
     await curio.sleep(RESTART_SECONDS)
     await endpoint.restart()
     endpoint.fleet.observed.faults.append(
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -55,6 +55,18 @@
         await self.listener.stop_accepting()
         await self.reset()
 
+    async def end(self):
+        """Refuse connections from now on, and reset the open ones.
+
+        Unlike a planned stop it takes over no connection that waits.
+        """
+        sock, self.listener.sock = self.listener.sock, None
+        if sock is None:
+            return
+        await self.listener.accept_task.cancel()
+        await sock.close()
+        await self.reset()
+
     async def reset(self):
         """Reset all connections through the proxy."""
         for task in tuple(self.sockets_by_task):
