Find the end of an endpoint also after the caller has left

Cause: the task of a request asked whether its endpoint refuses connections; cancelled meanwhile, it left the question open, and no later break of that endpoint was looked at again. Change: the question has a task of its own; waiting requests are only looked through if something is refused.

--- a/celeryward/endpoints/crash_watch.py
+++ b/celeryward/endpoints/crash_watch.py
@@ -15,9 +15,9 @@
 from celeryward.endpoints import runners
 from celeryward import errors
 
-# Waits before further connection attempts after a broken exchange. A process
-# that ends may still accept a connection in the moment after.
-PROBE_DELAYS_SECONDS = (0.1, 0.2)
+# Waits before the connection attempts after a broken exchange. A process that
+# ends may still accept a connection in the moment after.
+PROBE_DELAYS_SECONDS = (0.0, 0.1, 0.2)
 # Time after which an answer that is being written has survived the beginning.
 SURVIVAL_SECONDS = 1.0
 # Broken exchanges of an endpoint that are noticed after its end was found.
@@ -125,20 +125,28 @@
         if not self.table.is_available(run.runner):
             return
         self.broken[key] = [run]
-        broke_at = time.monotonic()
-        if await self.refuses(run.runner):
-            await self.record_end(run.runner, broke_at)
-            return
-        await curio.spawn(self.probe_again, run.runner, broke_at, daemon=True)
+        # A task of its own, because this one ends if the caller leaves.
+        probed = curio.Event()
+        await curio.spawn(
+            self.probe, run.runner, time.monotonic(), probed, daemon=True
+        )
+        await probed.wait()
+
+    async def probe(self, runner, broke_at, probed):
+        """Find out whether the process of an endpoint has ended.
 
-    async def probe_again(self, runner, broke_at):
-        """Find out whether an endpoint ends a moment later."""
-        for delay in PROBE_DELAYS_SECONDS:
-            await curio.sleep(delay)
-            if await self.refuses(runner):
-                await self.record_end(runner, broke_at)
-                return
-        del self.broken[runner.key]
+        :param curio.Event probed: is set after the first attempt.
+        """
+        try:
+            for delay in PROBE_DELAYS_SECONDS:
+                await curio.sleep(delay)
+                if await self.refuses(runner):
+                    await self.record_end(runner, broke_at)
+                    return
+                await probed.set()
+        finally:
+            self.broken.pop(runner.key, None)
+            await probed.set()
 
     async def refuses(self, runner):
         """Return whether an endpoint refuses a connection."""
@@ -161,7 +169,7 @@
         while len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
         under_way = self.runs.get(runner.key, ())
-        found = [*self.broken.pop(runner.key), *under_way]
+        found = [*self.broken.get(runner.key, ()), *under_way]
         await self.report(runner, at, list(dict.fromkeys(found)))
 
     async def avoid_ended(self, evidence, origin):
--- a/celeryward/endpoints/harmful_guard.py
+++ b/celeryward/endpoints/harmful_guard.py
@@ -33,9 +33,11 @@
         changes = [each for each in evidence if self.harmful.record(each)]
         if not changes:
             return
-        for service in {each.service for each in changes}:
+        services = {each.service for each in changes}
+        for service in services:
             self.log_culprits(service)
-        if any(isinstance(each, crashes.Crash) for each in changes):
+        has_crash = any(isinstance(each, crashes.Crash) for each in changes)
+        if has_crash and any(map(self.harmful.culprits, services)):
             await self.forwarder.abort_harmful(self.is_refused)
         for listener in self.listeners:
             await listener(changes, origin)
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -54,6 +54,22 @@
         (request,) = found[0].requests
         assert request.parts == ('aa', 'bb')
 
+    @standins.on_site
+    async def test_end_is_found_after_the_caller_has_left(self, site):
+        """The task that noticed the break is cancelled with its caller."""
+        found = record_crashes(site)
+        watch = site.router.crash_watch
+        runner = site.router.runners.runners['llm-1']
+        await site.runners['llm-1'].stop()
+        traits = crashes.RequestTraits('request-1', ('aa',))
+        run = watch.begin(runner, lambda: traits)
+        task = await curio.spawn(watch.record_break, run)
+        await curio.sleep(0)
+        await task.cancel()
+        await standins.wait_until(lambda: found, 2.0)
+        await standins.wait_until(lambda: not watch.broken, 2.0)
+        watch.end(run)
+
     @standins.on_site
     async def test_broken_connection_is_no_evidence(self, site):
         found = record_crashes(site)
