Bound the parts of a request that count, and their cost for each answer

Cause: a crash of 96 requests with 64 parts each would make a report of 260 KB, above the 64 KB that a router accepts; and each answer hashed the body of its request, at the daemon all messages, for parts only. Result: the largest crash is below 64 KB (test); found by reading the diff.

--- a/benchmarks/soak/harmful_faults.py
+++ b/benchmarks/soak/harmful_faults.py
@@ -92,7 +92,6 @@
     caller = callers.Caller(fleet, part, f'{part}-{number}', router)
     if not await caller.connect():
         return
-    fleet.observed.harmful_routers[f'{part}-{number}'] = router.name
     headers = standins.request_headers(
         '/stream/x',
         request_id=f'{part}-{number}',
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -167,8 +167,6 @@
         part that crashes endpoints.
     :param list crashes: the :class:`PartCrash` of each crash by a part.
     :param dict memory: peak memory of the process of each router, in bytes.
-
-    ``harmful_routers`` has the router of each harmful request.
     """
 
     def __init__(
@@ -208,7 +206,6 @@
         self.harmful = list(harmful)
         self.crashes = list(crashes)
         self.memory = dict(memory)
-        self.harmful_routers = {}
 
     def record_memory(self, router, size):
         """Record the peak memory of a router's process, in bytes."""
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -198,9 +198,7 @@
 
 def shared_parts(metadata):
     """Return the traits of the parts that other requests may share."""
-    return tuple(
-        crashes.trait_of_part(part.id) for part in metadata.prompt_parts[:-1]
-    )
+    return crashes.traits_of_parts([part.id for part in metadata.prompt_parts])
 
 
 def describe_parts(metadata):
--- a/celeryward/endpoints/crashes.py
+++ b/celeryward/endpoints/crashes.py
@@ -10,6 +10,8 @@
 
 # Longer ids of parts are replaced by a hash.
 MAX_PART_CHARACTERS = 40
+# Parts of one request that count, so that a report stays within a message.
+MAX_PARTS = 8
 # Requests of one crash that one host reports, and that are kept of all hosts.
 MAX_REQUESTS = 32
 MAX_MERGED_REQUESTS = 96
@@ -82,6 +84,17 @@
         return dataclasses.replace(self, requests=kept)
 
 
+def traits_of_parts(part_ids):
+    """Return the traits of the parts that other requests may share.
+
+    Of a long prompt these are the last ones, which fewer requests share.
+
+    :param part_ids: ids of all parts in order. The last part belongs to the
+        request itself.
+    """
+    return tuple(map(trait_of_part, part_ids[:-1][-MAX_PARTS:]))
+
+
 def trait_of_part(part_id):
     """Return the trait that stands for a part of a prompt."""
     if len(part_id) <= MAX_PART_CHARACTERS:
--- a/celeryward/endpoints/fingerprints.py
+++ b/celeryward/endpoints/fingerprints.py
@@ -17,6 +17,7 @@
 import result
 
 from celeryward import calls
+from celeryward.endpoints import crashes
 from celeryward import errors
 
 CRASHES_TO_REFUSE = 2
@@ -143,7 +144,9 @@
     """
     if isinstance(request, calls.ServiceRequest):
         return ()
-    return tuple(hash_message(message) for message in request.messages[:-1])
+    return crashes.traits_of_parts(
+        [hash_message(message) for message in request.messages]
+    )
 
 
 def hash_message(message):
@@ -155,10 +158,10 @@
     return digest.hexdigest()
 
 
-def shift_times(crashes, seconds):
+def shift_times(reported, seconds):
     """Return crashes with shifted times, ordered by id."""
     shifted = (
-        dataclasses.replace(crash, at=crash.at + seconds) for crash in crashes
+        dataclasses.replace(crash, at=crash.at + seconds) for crash in reported
     )
     return tuple(sorted(shifted, key=lambda crash: crash.id))
 
--- a/celeryward/endpoints/recovery.py
+++ b/celeryward/endpoints/recovery.py
@@ -154,7 +154,6 @@
         self.end_probation(attempt)
         if self.suspects.has_evidence():
             self.suspects.record_response(attempt.fingerprint)
-        self.harmful.record_parts(attempt.model, attempt.traits.parts)
         if self.harmful.has_evidence():
             for clearance in self.harmful.clearances(
                 attempt.model, attempt.traits.all()
--- a/tests/test_crash_news.py
+++ b/tests/test_crash_news.py
@@ -8,6 +8,8 @@
 from celeryward import errors
 from celeryward.routers import crash_news
 from celeryward.routers import members
+from celeryward.routers import protocol
+from celeryward.routers import publisher
 from tests import fakes
 
 DOMAINS = ('a', 'b')
@@ -150,6 +152,23 @@
         }
         assert len(found) == len(news.guard.harmful.crashes)
 
+    def test_largest_crash_fits_into_a_message(self):
+        news, _ = make_news('a0')
+        requests = tuple(
+            crashes.RequestTraits(
+                f'request-{n:016}',
+                tuple(
+                    f'{n:04}-{part:035}' for part in range(crashes.MAX_PARTS)
+                ),
+            )
+            for n in range(crashes.MAX_MERGED_REQUESTS)
+        )
+        news.guard.harmful.record_crash(
+            crashes.Crash('e1', 1.0, 's', 100.0, requests)
+        )
+        size = len(protocol.encode(news.list_evidence(0)))
+        assert size < publisher.MAX_REQUEST_BYTES
+
     @fakes.in_kernel
     async def test_evidence_is_listed_in_parts(self):
         news, _ = make_news('a0')
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -104,6 +104,12 @@
         run.began_at -= crash_watch.SURVIVAL_SECONDS
         assert crash_watch.run_traits(run).parts == ()
 
+    def test_parts_of_one_request_are_bounded(self):
+        parts = crashes.traits_of_parts([str(n) for n in range(100)])
+        assert parts == tuple(
+            str(n) for n in range(99 - crashes.MAX_PARTS, 99)
+        )
+
     def test_long_ids_of_parts_are_bounded(self):
         trait = crashes.trait_of_part('x' * 5000)
         assert len(trait) <= crashes.MAX_PART_CHARACTERS
