Log standstills of the process and input that is held back

A late look for signals is logged with the processor time used meanwhile, and the first wait of a connection above 0.25 s with the work that caused it.

--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -105,7 +105,7 @@
         self.bodiless = False
         # Whether the end of the connection ends the response that is sent.
         self.ended_by_close = False
-        self.meter = processor_share.InputMeter()
+        self.meter = processor_share.InputMeter(peer)
 
     async def receive(self, step, deadline, extend=None):
         """Return the next h11 event.
--- a/celeryward/processor_share.py
+++ b/celeryward/processor_share.py
@@ -11,12 +11,16 @@
 
 import curio
 
+from celeryward import logs
+
 # Work on one connection without a turn of the others.
 SLICE_SECONDS = 0.002
 # Part of the time above which the input of one connection is held back.
 FLOOD_SHARE = 0.1
 # Part of the time that all such connections have together.
 SHARED_PART = 0.25
+# A shorter wait is not logged.
+LOGGED_WAIT_SECONDS = 0.25
 
 
 class SharedTime:
@@ -39,15 +43,18 @@
 class InputMeter:
     """Measures the work on the input of one connection.
 
+    :param str peer: address of the peer, used in the log.
     :param SharedTime shared: shared by all connections of the process.
     :param clock: function that returns monotonic seconds.
     """
 
-    def __init__(self, shared=None, clock=time.monotonic):
+    def __init__(self, peer='-', shared=None, clock=time.monotonic):
+        self.peer = peer
         self.shared = shared or SHARED_TIME
         self.clock = clock
         self.busy = 0.0
         self.measured_from = clock()
+        self.logged = False
 
     def delay(self):
         """Return how long to wait now; None to go on at once."""
@@ -59,7 +66,22 @@
         self.measured_from = now
         if busy < FLOOD_SHARE * elapsed:
             return None
-        return self.shared.reserve(busy)
+        seconds = self.shared.reserve(busy)
+        self.log(seconds, busy, elapsed)
+        return seconds
+
+    def log(self, seconds, busy, elapsed):
+        """Log the first long wait of the connection."""
+        if self.logged or seconds < LOGGED_WAIT_SECONDS:
+            return
+        self.logged = True
+        logs.bind(step='read', peer=self.peer).info(
+            'input is held back for {:.2f} s after {:.3f} s of work in'
+            ' {:.3f} s',
+            seconds,
+            busy,
+            elapsed,
+        )
 
     async def take_turn(self, began_at):
         """Count work since a time; let others go on if it was much.
--- a/celeryward/signals.py
+++ b/celeryward/signals.py
@@ -8,6 +8,7 @@
 from curio import io
 
 from celeryward import deadlines
+from celeryward import standstills
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
@@ -48,8 +49,10 @@
             self.none_before = now
 
     async def look_regularly(self):
-        """Look for signals until cancelled."""
+        """Look for signals and for standstills until cancelled."""
+        watch = standstills.StandstillWatch(LOOK_SECONDS)
         while True:
+            watch.look()
             self.look()
             await curio.sleep(LOOK_SECONDS)
 
