Don't count a pause of the process as work on a connection's input

Cause: the time of parsing was taken on the monotonic clock. A process that is stopped, throttled or starved while it parses booked the pause as work of that connection; since input that never pauses has a quarter of the time, 2 s of pause were a wait of 8 s, which no deadline ended, which wrote no log line, and which SharedTime added to the wait of every other connection held back. The router's own callers, the answers of endpoints, the store's watch, peers and stand-ins read through the same code.

Change: work counts by what it lasted, at most four times the processor time that the thread used, and the wait ends at the deadline of the read. Counting processor time alone was tried and left: beside a load of 15 the slowest other request of a flood took 1.1 s once (bound 0.5 s).

--- a/celeryward/endpoints/answers.py
+++ b/celeryward/endpoints/answers.py
@@ -1,7 +1,6 @@
 """The answer of an endpoint, whose body is read on demand."""
 
 import contextlib
-import time
 
 from celeryward import body_memory
 from celeryward import deadlines
@@ -90,12 +89,12 @@
             async with contextlib.aclosing(chunks):
                 async for chunk in chunks:
                     self.on_data()
-                    began_at = time.monotonic()
+                    connection.meter.begin_work()
                     new_events = sequence.filter_new(
                         splitter.feed(chunk), connection.peer
                     )
                     ready, failure = collect_until_error(new_events)
-                    await connection.meter.take_turn(began_at)
+                    await connection.meter.take_turn(due)
                     await hold.resize(
                         len(splitter.buffer), 'read events', connection.peer
                     )
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -3,7 +3,6 @@
 import contextlib
 import dataclasses
 import functools
-import time
 import typing
 
 import msgspec
@@ -239,11 +238,11 @@
             body_memory.ANSWERS.hold(connection.stop_reading)
         )
         async for piece in pieces:
-            began_at = time.monotonic()
+            connection.meter.begin_work()
             complete = splitter.split(piece)
             chat_events.check_events(complete, connection.peer)
             held += complete
-            await connection.meter.take_turn(began_at)
+            await connection.meter.take_turn(read_deadlines.deadline)
             # The daemon keeps what it has passed on, to resume the stream.
             size = memory.size + len(complete)
             connection.check_size(size, http.MAX_BODY_BYTES, 'read stream')
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 client and server connections, with h11 on curio sockets."""
 
 import dataclasses
-import time
 
 import curio
 import h11
@@ -116,12 +115,12 @@
         :raises errors.ProtocolError: if the peer violates HTTP.
         """
         while True:
-            began_at = time.monotonic()
+            self.meter.begin_work()
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
                 raise self.input_error(error, step) from error
-            await self.meter.take_turn(began_at)
+            await self.meter.take_turn(deadline)
             if event is not h11.NEED_DATA:
                 return event
             self.h11.receive_data(await self.read(step, deadline, extend))
--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -363,9 +363,9 @@
         chunks = connection.receive_chunks('watch', next_deadline)
         async with meta.finalize(chunks):
             async for chunk in chunks:
-                began_at = time.monotonic()
+                connection.meter.begin_work()
                 *lines, buffer = (buffer + chunk).split(b'\n')
-                await connection.meter.take_turn(began_at)
+                await connection.meter.take_turn(next_deadline())
                 for line in lines:
                     change = self.decode(decode_change, '', line)
                     if change.is_ok():
--- a/celeryward/processor_share.py
+++ b/celeryward/processor_share.py
@@ -3,8 +3,10 @@
 A peer that sends small pieces without a pause costs far more time than bytes.
 Each piece is cheap, so that no limit of one connection notices it; all of them
 together would take the process from everyone else. Connections whose input
-takes more than a small part of the time share a fixed part of it. Answers
-many peers that send without end. Needs no network.
+takes more than a small part of the time share a fixed part of it. A process
+that stands still in the middle of some work has done no more of it, so that
+what counts is bounded by the processor time. Answers many peers that send
+without end. Needs no network.
 """
 
 import time
@@ -19,6 +21,9 @@
 FLOOD_SHARE = 0.1
 # Part of the time that all such connections have together.
 SHARED_PART = 0.25
+# Work on a busy host lasts longer than its processor time. It counts up to so
+# many times that, because the other connections wait as long.
+MAX_SLOWDOWN = 4.0
 # A shorter wait is not logged.
 LOGGED_WAIT_SECONDS = 0.25
 
@@ -46,16 +51,37 @@
     :param str peer: address of the peer, used in the log.
     :param SharedTime shared: shared by all connections of the process.
     :param clock: function that returns monotonic seconds.
+    :param work_clock: function that returns processor seconds of the thread.
     """
 
-    def __init__(self, peer='-', shared=None, clock=time.monotonic):
+    def __init__(
+        self,
+        peer='-',
+        shared=None,
+        clock=time.monotonic,
+        work_clock=time.thread_time,
+    ):
         self.peer = peer
         self.shared = shared or SHARED_TIME
         self.clock = clock
+        self.work_clock = work_clock
         self.busy = 0.0
+        self.began_at = 0.0
+        self.used_before = 0.0
         self.measured_from = clock()
         self.logged = False
 
+    def begin_work(self):
+        """Begin to measure work, which must not wait for anything."""
+        self.began_at = self.clock()
+        self.used_before = self.work_clock()
+
+    def end_work(self):
+        """Count the work since its begin."""
+        lasted = self.clock() - self.began_at
+        used = self.work_clock() - self.used_before
+        self.busy += min(lasted, MAX_SLOWDOWN * used)
+
     def delay(self):
         """Return how long to wait now; None to go on at once."""
         if self.busy < SLICE_SECONDS:
@@ -83,16 +109,16 @@
             elapsed,
         )
 
-    async def take_turn(self, began_at):
-        """Count work since a time; let others go on if it was much.
+    async def take_turn(self, deadline):
+        """End the measured work; let others go on if it was much.
 
-        :param float began_at: begin of the work, in monotonic seconds; the
-            task has not waited since.
+        :param Deadline deadline: when the wait ends, however long it should
+            be.
         """
-        self.busy += self.clock() - began_at
+        self.end_work()
         seconds = self.delay()
         if seconds is not None:
-            await curio.sleep(seconds)
+            await curio.sleep(min(seconds, deadline.remaining()))
             self.measured_from = self.clock()
 
 
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -1,10 +1,26 @@
 """A process that stands still for a second and goes on."""
 
+import itertools
+import time
+
+import h11
 import pytest
 
+from celeryward import deadlines
 from celeryward import logs
+from celeryward import processor_share
 from celeryward import standstills
 from tests import fakes
+from tests import platform_standins as standins
+
+PAUSE_SECONDS = 1.0
+# More than a request takes that no pause meets.
+ANSWER_SECONDS = 0.5
+
+
+@pytest.fixture
+def site():
+    return standins.default_site()
 
 
 @pytest.fixture
@@ -36,3 +52,48 @@
         for clock.now in (0.25, 0.6, 1.2):
             assert watch.look() == 0.0
         assert not lines
+
+
+def pause_while_parsing(monkeypatch, role):
+    """Let the process pause once while it parses input in a role."""
+    parse = h11.Connection.next_event
+    calls = itertools.count()
+
+    def next_event(connection):
+        if connection.our_role is role and next(calls) == 0:
+            time.sleep(PAUSE_SECONDS)
+        return parse(connection)
+
+    monkeypatch.setattr(h11.Connection, 'next_event', next_event)
+
+
+class TestPauseWhileParsing:
+    """Guards against a pause that counts as work on a connection's input."""
+
+    @pytest.mark.parametrize('role', (h11.SERVER, h11.CLIENT))
+    @pytest.mark.parametrize('path', ('/whole/x', '/once/x', '/open/x'))
+    @standins.on_site
+    async def test_request_is_answered_right_after_the_pause(
+        self, site, monkeypatch, role, path
+    ):
+        pause_while_parsing(monkeypatch, role)
+        began = time.monotonic()
+        head, _ = await site.request(path)
+        seconds = time.monotonic() - began
+        assert head.status == 200
+        assert PAUSE_SECONDS <= seconds < PAUSE_SECONDS + ANSWER_SECONDS
+
+
+class TestHeldInput:
+    """Guards against a wait of held input that outlasts its deadline."""
+
+    @fakes.in_kernel
+    async def test_wait_ends_at_the_deadline(self):
+        clock = fakes.CallableClock()
+        shared = processor_share.SharedTime(clock)
+        meter = processor_share.InputMeter('-', shared, clock, clock)
+        meter.begin_work()
+        clock.now = 5.0
+        began = time.monotonic()
+        await meter.take_turn(deadlines.Deadline.after(0.1))
+        assert 0.1 <= time.monotonic() - began < ANSWER_SECONDS
