Let input that is there go before deadlines that passed in a pause

Callers saw their connection reset while a whole request of theirs lay in its input, unread and without an answer: their process of the router had stood still beyond the idle time of the connection, and they had sent meanwhile. The same way, endpoints counted as silent whose answers were there.

Cause: SIGCONT interrupts epoll_wait; Python doesn't call it again once its timeout has passed (shown by a program: 3 of 3 polls without an event, the event there right after). curio then ends all waits whose deadline has passed, and a read with a passed deadline never looks at the socket.

Change: the event loop of all programs looks for input again when a wait ends without any, and a read whose deadline has passed takes what is there, once for a deadline. The task gives way to others before it reads on, not after a read, so that a cancellation loses no bytes.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -5,7 +5,6 @@
 import sys
 import tempfile
 
-import curio
 import fire
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -15,6 +14,7 @@
 from benchmarks.soak import plans  # noqa: E402
 from benchmarks.soak import regressions  # noqa: E402
 from benchmarks.soak import soak  # noqa: E402
+from celeryward import event_loop  # noqa: E402
 from celeryward import logs  # noqa: E402
 
 
@@ -53,7 +53,7 @@
 def run_seed(seed, size):
     """Run one seed, print its report, and return whether it passed."""
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    observed, violations = curio.run(soak.run, seed, size, directory)
+    observed, violations = event_loop.run(soak.run, seed, size, directory)
     soak.print_report(seed, size, directory, observed, violations)
     return not violations
 
--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -6,7 +6,6 @@
 import sys
 import time
 
-import curio
 import fire
 
 import celeryward
@@ -15,6 +14,7 @@
 from celeryward import deadlines
 from celeryward.endpoints import ranking
 from celeryward import errors
+from celeryward import event_loop
 from celeryward import logs
 from celeryward.objects import batches
 from celeryward.objects import claims
@@ -98,7 +98,7 @@
         loaded_settings = settings.load(file)
         ranking.RANKINGS.get(loaded_settings.ranking)
         logs.configure(loaded_settings.log.level, loaded_settings.log.format)
-        aborted_requests = curio.run(daemon.Daemon(loaded_settings).run)
+        aborted_requests = event_loop.run(daemon.Daemon(loaded_settings).run)
         return EXIT_FAILED if aborted_requests else EXIT_OK
 
     def check(self, file):
@@ -125,7 +125,7 @@
         """
         declared = documents.load(file)
         record_editor = editor.Editor(platform_client(platform), oldest_reader)
-        show(curio.run(_map_async, record_editor.apply, declared), output)
+        show(event_loop.run(_map_async, record_editor.apply, declared), output)
 
     def diff(self, file, platform, oldest_reader=1, output='text'):
         """Show what apply would change; exit with 1 if anything differs.
@@ -135,7 +135,7 @@
         """
         declared = documents.load(file)
         record_editor = editor.Editor(platform_client(platform), oldest_reader)
-        plans = curio.run(_map_async, record_editor.plan, declared)
+        plans = event_loop.run(_map_async, record_editor.plan, declared)
         changes = {
             f'{wanted.kind}/{wanted.name}': differences
             for _, wanted, differences in plans
@@ -153,7 +153,9 @@
         :param output: yaml, text or json.
         """
         check_kind(kind)
-        response = curio.run(platform_client(platform).get, kind, str(name))
+        response = event_loop.run(
+            platform_client(platform).get, kind, str(name)
+        )
         stored = errors.unwrap(response)
         if output == 'yaml':
             print(documents.dump(stored), end='')
@@ -168,7 +170,7 @@
         """
         check_kind(kind)
         stored_records = errors.unwrap(
-            curio.run(platform_client(platform).list, kind)
+            event_loop.run(platform_client(platform).list, kind)
         )
         rows = [
             {
@@ -191,7 +193,8 @@
         """
         record_editor = editor.Editor(platform_client(platform))
         show(
-            curio.run(record_editor.delete, kind, str(name), revision), output
+            event_loop.run(record_editor.delete, kind, str(name), revision),
+            output,
         )
 
     def key(self, output='text'):
@@ -213,7 +216,7 @@
         :param output: text or json.
         """
         host, port = _parse(admin, 'admin')
-        show(curio.run(status.read, host, port), output)
+        show(event_loop.run(status.read, host, port), output)
 
     def wait(self, revision, admins, seconds=10.0, output='text'):
         """Wait until a revision is in force, and show the state per daemon.
@@ -227,7 +230,7 @@
         admin_ports = admins.split(',') if isinstance(admins, str) else admins
         addresses = [_parse(admin, 'admins') for admin in admin_ports]
         deadline = deadlines.Deadline.after(float(seconds))
-        statuses = curio.run(
+        statuses = event_loop.run(
             status.wait_for_revision, addresses, int(revision), deadline
         )
         show(statuses, output)
@@ -243,7 +246,7 @@
         """
         objects = platform_client(platform)
         now = time.time()
-        daily_report = curio.run(
+        daily_report = event_loop.run(
             collect.read_report, objects, now, str(customer)
         )
         print('\n'.join(page.render_text(daily_report)))
@@ -290,7 +293,7 @@
             direct_target = load_generator.Target(
                 host, port, {'x-model-version': version}
             )
-        comparison = curio.run(
+        comparison = event_loop.run(
             load_generator.compare, routed_target, direct_target, plan
         )
         show(comparison, output)
@@ -334,7 +337,7 @@
         :param port: TCP port; 0 for any free port.
         :param options: options of the stand-in, such as versions.
         """
-        curio.run(standin_run.run, kind, port, options)
+        event_loop.run(standin_run.run, kind, port, options)
 
     def demo(self):
         """Send example requests through a daemon in one process."""
--- a/celeryward/operators/demo.py
+++ b/celeryward/operators/demo.py
@@ -8,12 +8,12 @@
 import dataclasses
 import itertools
 
-import curio
 import msgspec
 
 from celeryward.callers import keys
 from celeryward import daemon
 from celeryward import deadlines
+from celeryward import event_loop
 from celeryward import http
 from celeryward.objects import batches
 from celeryward.objects import protocol
@@ -225,4 +225,4 @@
 
 def run():
     """Run the demo and print its output to standard output."""
-    curio.run(run_examples, print)
+    event_loop.run(run_examples, print)
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -40,25 +40,32 @@
         self.bytes_read = 0
         # Whether a write was begun and not ended.
         self.writing = False
+        # Whether the last read left more to read, so that others go first.
+        self.read_full = False
+        # The deadline after which bytes were read that had arrived by then.
+        self.late_read_for = None
 
     async def read(self, step, deadline, extend=None):
         """Return bytes from the socket, empty at the end of the stream.
 
         A peer that sends without a pause can neither exceed the deadline nor
         keep other tasks from running: recv() on a socket with data neither
-        times out nor yields to other tasks.
+        times out nor yields to other tasks. Bytes that are there when the
+        deadline has passed are read once: a process that stood still finds
+        both.
 
         :param extend: async function that is called when the deadline has
             passed; it returns a later one, or None to end the wait.
         """
+        if self.read_full:
+            await curio.sleep(0)
         data = None
         while data is None:
-            if deadline.expired():
-                deadline = await self.later_deadline(step, extend)
             data = await self.read_before(step, deadline)
+            if data is None:
+                deadline = await self.later_deadline(step, extend)
         self.bytes_read += len(data)
-        if len(data) == READ_SIZE_BYTES:
-            await curio.sleep(0)
+        self.read_full = len(data) == READ_SIZE_BYTES
         return data
 
     async def later_deadline(self, step, extend):
@@ -77,11 +84,25 @@
 
     async def read_before(self, step, deadline):
         """Return bytes from the socket, or None if the deadline passes."""
+        if deadline.expired():
+            return self.read_late(step, deadline)
         try:
             return await curio.timeout_after(
                 deadline.remaining(), self.sock.recv, READ_SIZE_BYTES
             )
         except curio.TaskTimeout:
+            return self.read_late(step, deadline)
+        except OSError as error:
+            raise self.lost_error(str(error), step) from error
+
+    def read_late(self, step, deadline):
+        """Return bytes that are there after a deadline, once; else None."""
+        if self.late_read_for == deadline:
+            return None
+        self.late_read_for = deadline
+        try:
+            return os.read(self.sock.fileno(), READ_SIZE_BYTES)
+        except BlockingIOError:
             return None
         except OSError as error:
             raise self.lost_error(str(error), step) from error
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 import pytest
 
 from celeryward import deadlines
+from celeryward import event_loop
 from celeryward import logs
 from celeryward.operators import demo
 from celeryward.standins import fleet
@@ -36,7 +37,7 @@
                 TEST_SECONDS, function, *arguments
             )
 
-        return curio.run(guarded)
+        return event_loop.run(guarded)
 
     return run_to_end
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,6 +8,7 @@
 import result
 
 from celeryward import errors
+from celeryward import event_loop
 from celeryward.objects import protocol
 
 
@@ -23,7 +24,7 @@
             async with curio.timeout_after(TEST_SECONDS):
                 await test(*arguments, **fixtures)
 
-        curio.run(guarded)
+        event_loop.run(guarded)
 
     return run
 
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -1,12 +1,21 @@
 """A process that stands still for a second and goes on."""
 
 import itertools
+import pathlib
+import selectors
+import signal
+import socket
+import subprocess
+import sys
 import time
 
+import curio
 import h11
 import pytest
 
 from celeryward import deadlines
+from celeryward import event_loop
+from celeryward import http
 from celeryward import logs
 from celeryward import processor_share
 from celeryward import standstills
@@ -16,6 +25,7 @@
 PAUSE_SECONDS = 1.0
 # More than a request takes that no pause meets.
 ANSWER_SECONDS = 0.5
+IDLE_SERVER = pathlib.Path(__file__).with_name('idle_server.py')
 
 
 @pytest.fixture
@@ -97,3 +107,70 @@
         began = time.monotonic()
         await meter.take_turn(deadlines.Deadline.after(0.1))
         assert 0.1 <= time.monotonic() - began < ANSWER_SECONDS
+
+
+class TestPauseBeyondTheDeadline:
+    """Guards against input that is there and loses to a deadline."""
+
+    @fakes.in_kernel
+    async def test_request_sent_in_a_pause_beyond_the_idle_time_is_answered(
+        self,
+    ):
+        with subprocess.Popen(
+            [sys.executable, str(IDLE_SERVER)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        ) as process:
+            port = int(process.stdout.readline())
+            limit = deadlines.Deadline.after(10.0)
+            connection = await http.connect('127.0.0.1', port, limit)
+            await curio.sleep(0.5)
+            process.send_signal(signal.SIGSTOP)
+            await curio.sleep(0.2)
+            request = ('GET', '/x', {}, b'')
+            pending = await curio.spawn(
+                http.exchange, connection, *request, limit
+            )
+            await curio.sleep(PAUSE_SECONDS)
+            process.send_signal(signal.SIGCONT)
+            head, body = await pending.join()
+            assert (head.status, body) == (200, b'whole')
+
+    @fakes.in_kernel
+    async def test_bytes_that_are_there_are_read_once_after_the_deadline(self):
+        ours, theirs = socket.socketpair()
+        connection = http.Connection(
+            curio.io.Socket(ours), h11.SERVER, 'caller'
+        )
+        past = deadlines.Deadline.after(-PAUSE_SECONDS)
+        theirs.send(b'GET / HTTP/1.1\r\nhost: x\r\n\r\n')
+        assert (await connection.receive_request(past)).target == '/'
+        theirs.send(b'more')
+        with pytest.raises(http.ReadTimeout):
+            await connection.read('read', past)
+        await connection.close()
+        theirs.close()
+
+    def test_wait_ends_with_input_that_an_interrupted_poll_left_out(
+        self, monkeypatch
+    ):
+        ours, theirs = socket.socketpair()
+        select = selectors.DefaultSelector.select
+
+        def interrupted_select(selector, timeout=None):
+            if timeout == 0:
+                return select(selector, timeout)
+            theirs.send(b'x')
+            time.sleep(timeout)
+            return []
+
+        monkeypatch.setattr(
+            selectors.DefaultSelector, 'select', interrupted_select
+        )
+
+        async def receive():
+            waiting = curio.io.Socket(ours)
+            return await curio.timeout_after(0.1, waiting.recv, 1)
+
+        assert event_loop.run(receive) == b'x'
+        theirs.close()
