Answer requests whose watch on the caller fails

Callers got a closed connection in place of an answer, and the log said that they had left. Cause: beside each request a task waits for the end of its connection. Any end of that task cancelled the request, also an error of the event loop such as curio.ReadResourceBusy, which is no OSError. Change: a watch that fails is logged; the request goes on without it and ends by its deadline at the latest. Result: test_request_ends_unanswered_with_the_watch_on_its_caller failed before (connection closed inside a message); pytest of test_two_changes, test_router_connections, test_router_requests, test_caller_connections and test_shape passes.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -141,7 +141,7 @@
         group = curio.TaskGroup(wait=any)
         async with group:
             serving = await group.spawn(self.serve, received, responder)
-            await group.spawn(connection.wait_closed)
+            await group.spawn(watch_caller, connection)
         responder.caller_left = group.completed is not serving
 
     async def serve(self, received, responder):
@@ -304,3 +304,17 @@
     async def close_idle(self):
         """End the tasks of connections without a request."""
         await listener.end_idle(self.tasks, self.active)
+
+
+async def watch_caller(connection):
+    """Return once the caller has closed the connection.
+
+    A watch that fails doesn't end the request: the caller may be there.
+    """
+    try:
+        await connection.wait_closed()
+    except Exception:
+        logs.bind(step='watch caller', peer=connection.peer).exception(
+            'caller is no longer watched'
+        )
+        await curio.Event().wait()
--- a/tests/test_two_changes.py
+++ b/tests/test_two_changes.py
@@ -10,6 +10,7 @@
 import pytest
 
 from celeryward import deadlines
+from celeryward import http
 from tests import platform_standins as standins
 
 # Until an endpoint that closes in a test opens again.
@@ -356,3 +357,21 @@
     deadline = deadlines.Deadline.after(5.0)
     head = await connection.receive_response(deadline)
     return head, await connection.receive_body('read body', deadline)
+
+
+class TestWatchedCaller:
+    """Guards against requests that end with the watch on their caller."""
+
+    @standins.on_site
+    async def test_request_ends_unanswered_with_the_watch_on_its_caller(
+        self, site, monkeypatch
+    ):
+        """It was cancelled as if the caller had left."""
+
+        async def fail(connection):
+            raise curio.ReadResourceBusy('another task reads the socket')
+
+        set_action(site, answer_late)
+        monkeypatch.setattr(http.Connection, 'wait_closed', fail)
+        head, body = await site.request('/whole/')
+        assert (head.status, body) == (200, WHOLE)
