Give requests that differ in their prompts different fingerprints

Cause: the fingerprint was made of route, customer, method, target and body. A sound answer with the same body cleared the fingerprint of the harmful request, whose parts were dropped with it. Change: endpoints.request_content names once what distinguishes requests of different work: customer, method, target, model, session, prompt parts in order with their tokens, token usage, parameters, header lines and body. Attempt ids, deadlines, counts of retries, trace fields and the event to resume after are left out. Router and daemon use it as evidence of crashes. A daemon's suspects keep their fingerprint of the prompt alone, since callers may retry with other sampling parameters.

--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -8,6 +8,7 @@
 from celeryward.endpoints import closures
 from celeryward.endpoints import crashes
 from celeryward.endpoints import event_stream
+from celeryward.endpoints import request_content
 from celeryward.raters import sizes
 
 # A request is not retried after this many dispatches that were not sent or
@@ -152,19 +153,34 @@
     def traits(self):
         """Return the :class:`crashes.RequestTraits`, computed once."""
         if self.known_traits is None:
-            customer = self.customer.name if self.customer else ''
             self.known_traits = crashes.RequestTraits(
-                crashes.fingerprint(
-                    self.route.name.encode(),
-                    customer.encode(),
-                    self.head.method.encode(),
-                    self.head.target.encode(),
-                    self.body,
-                ),
-                shared_parts(self.metadata),
+                self.content().fingerprint(), shared_parts(self.metadata)
             )
         return self.known_traits
 
+    def content(self):
+        """Return the :class:`request_content.RequestContent`."""
+        metadata = self.metadata
+        return request_content.RequestContent(
+            customer=self.customer.name if self.customer else '',
+            method=self.head.method,
+            target=self.head.target,
+            model=metadata.model,
+            session=metadata.session,
+            prompt=tuple(
+                (part.id, part.tokens) for part in metadata.prompt_parts
+            ),
+            usage=(
+                metadata.prompt_tokens,
+                metadata.max_tokens,
+                metadata.expected_tokens,
+            ),
+            lines=request_content.content_lines(
+                self.head.lines, metadata.attempt_fields
+            ),
+            body=self.body,
+        )
+
     def end_running(self, runner_id):
         """Remove one dispatch from those under way."""
         position = self.running.index(runner_id)
--- a/celeryward/endpoints/attempts.py
+++ b/celeryward/endpoints/attempts.py
@@ -9,6 +9,7 @@
 from celeryward.endpoints import fingerprints
 from celeryward.endpoints import prefixes
 from celeryward.endpoints import protocol
+from celeryward.endpoints import request_content
 from celeryward import errors
 
 
@@ -67,14 +68,16 @@
 
     @functools.cached_property
     def fingerprint(self):
-        """The fingerprint of the request, computed on first use."""
+        """The fingerprint of the prompt, computed on first use."""
         return fingerprints.fingerprint_request(self.model, self.call.request)
 
     @functools.cached_property
     def traits(self):
         """The :class:`crashes.RequestTraits`, computed on first use."""
         return crashes.RequestTraits(
-            f'request-{self.fingerprint}',
+            request_content.read_content(
+                self.model, self.call.request
+            ).fingerprint(),
             fingerprints.shared_messages(self.call.request),
         )
 
--- /dev/null
+++ b/celeryward/endpoints/request_content.py
@@ -0,0 +1,124 @@
+"""What distinguishes the requests that reach endpoints.
+
+The evidence of crashes tells requests apart by it. Attempts at the same work
+are equal: their ids, deadlines, counts of retries and the event after which an
+answer goes on are left out. Needs no network.
+"""
+
+import dataclasses
+
+from celeryward.endpoints import crashes
+from celeryward import header_lines
+from celeryward import registry
+
+# Fields that callers and proxies set anew for each attempt, on any platform.
+ATTEMPT_FIELDS = frozenset(
+    (
+        b'age',
+        b'baggage',
+        b'content-length',
+        b'date',
+        b'forwarded',
+        b'idempotency-key',
+        b'last-event-id',
+        b'traceparent',
+        b'tracestate',
+        b'via',
+        b'x-forwarded-for',
+        b'x-request-id',
+        b'x-retry-count',
+    )
+)
+# How the content of each type of a daemon's requests is read, by its name.
+READERS = registry.Registry('request type')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestContent:
+    """All by which an endpoint can tell requests of different work apart.
+
+    :param str model: the model that the caller names.
+    :param tuple prompt: id or role, and tokens or text, of each part in order.
+    :param tuple usage: numbers of tokens that the caller announces.
+    :param tuple options: names and values of other parameters.
+    :param tuple lines: header lines, as :func:`content_lines` returns them.
+    """
+
+    customer: str = ''
+    method: str = ''
+    target: str = ''
+    model: str = ''
+    session: str = ''
+    prompt: tuple[tuple, ...] = ()
+    usage: tuple[int, ...] = ()
+    options: tuple[tuple, ...] = ()
+    lines: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b''
+
+    def fingerprint(self):
+        """Return the fingerprint, equal for attempts at the same work."""
+        others = [
+            getattr(self, field.name)
+            for field in dataclasses.fields(self)
+            if field.name != 'body'
+        ]
+        # The text of nested tuples of constants is unambiguous.
+        return crashes.fingerprint(repr(others).encode(), self.body)
+
+
+def content_lines(lines, attempt_fields=frozenset()):
+    """Return the header lines that attempts at the same work share.
+
+    :param lines: pairs of name and value, as bytes.
+    :param frozenset attempt_fields: lower-case names of the fields of a
+        platform that differ with each attempt.
+    """
+    left_out = ATTEMPT_FIELDS | attempt_fields
+    found = [
+        (name.lower(), value)
+        for name, value in header_lines.end_to_end_lines(lines)
+        if name.lower() not in left_out
+    ]
+    return tuple(sorted(found, key=lambda line: line[0]))
+
+
+def read_content(model, request):
+    """Return the :class:`RequestContent` of a daemon's request.
+
+    :param str model: name of the model or plain service.
+    :param request: :class:`calls.ChatRequest` or
+        :class:`calls.ServiceRequest`.
+    """
+    return READERS.get(type(request).__name__)(model, request)
+
+
+@READERS.register('ChatRequest')
+def read_chat(model, request):
+    """Return the content of a chat request."""
+    return RequestContent(
+        model=model,
+        prompt=tuple(
+            (message.role, message.content) for message in request.messages
+        ),
+        usage=(request.max_tokens,),
+        options=(
+            ('stream', request.stream),
+            ('temperature', request.temperature),
+        ),
+    )
+
+
+@READERS.register('ServiceRequest')
+def read_service_request(model, request):
+    """Return the content of a request to a plain service."""
+    lines = [
+        (name.encode(), value.encode(errors='surrogateescape'))
+        for name, value in request.headers.items()
+    ]
+    return RequestContent(
+        method=request.method,
+        target=request.target,
+        model=model,
+        lines=content_lines(lines),
+        body=request.body,
+    )
--- a/celeryward/ingress.py
+++ b/celeryward/ingress.py
@@ -214,6 +214,8 @@
     :param tuple prompt_parts: parts of the prompt, in order.
     :param int last_event_id: id of the last event that the caller has
         received; 0 if none.
+    :param frozenset attempt_fields: lower-case names of the header fields
+        that the caller sets anew for each attempt, or the router.
     """
 
     request_id: str
@@ -227,6 +229,7 @@
     expected_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: int = 0
+    attempt_fields: frozenset[bytes] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -36,6 +36,12 @@
     return request
 
 
+def requests_that_differ_in_parts(number):
+    """Return a request whose path and body are those of all others."""
+    _, parts, harmful = mixed_requests('/stream/', 1)(number)
+    return '/stream/x', parts, harmful
+
+
 @pytest.fixture
 def fleet(request):
     return crashing.Fleet(**getattr(request, 'param', {}))
@@ -72,6 +78,15 @@
         assert fleet.late_harmful_arrivals() <= LATE_ARRIVALS
         assert fleet.served_share(fleet.sent[60].at) > 0.95
 
+    @crashing.on_fleet
+    async def test_answers_to_the_same_body_do_not_hide_the_part(self, fleet):
+        await fleet.send_regularly(
+            RUN_SECONDS, INTERVAL_SECONDS, requests_that_differ_in_parts
+        )
+        assert len(fleet.crashes) >= 3
+        assert fleet.late_harmful_arrivals() <= LATE_ARRIVALS
+        assert fleet.served_share(fleet.sent[60].at) > 0.95
+
     @crashing.on_fleet
     async def test_refusal_says_that_the_request_did_not_run(self, fleet):
         await fleet.send_regularly(
@@ -96,6 +111,15 @@
         # Each router alone would need three crashes.
         assert len(fleet.crashes) < 3 * fleet.router_count
 
+    @with_fleet(routers=4, runners=16)
+    @crashing.on_fleet
+    async def test_answers_to_the_same_body_do_not_hide_the_part(self, fleet):
+        await fleet.send_regularly(
+            RUN_SECONDS, 0.04, requests_that_differ_in_parts
+        )
+        assert fleet.late_harmful_arrivals() <= LATE_ARRIVALS
+        assert len(fleet.crashes) < 3 * fleet.router_count
+
     @with_fleet(routers=2, runners=8)
     @crashing.on_fleet
     async def test_router_that_starts_learns_of_the_part(self, fleet):
