Keep the parts of a request whose fingerprint was cleared

Change: RequestTraits says that its fingerprint is cleared and keeps its parts; a request without any evidence left is dropped. Reports between hosts carry the same; without the field nothing is cleared. Result: pytest tests/test_culprits.py tests/test_crash_news.py; the tests test_cleared_fingerprint_leaves_the_parts and test_cleared_fingerprint_is_told_as_cleared failed before. test_cleared_part_leaves_the_fingerprint and the two on dropped requests and later reports held before, too.

--- a/celeryward/endpoints/crash_reports.py
+++ b/celeryward/endpoints/crash_reports.py
@@ -35,6 +35,7 @@
 
     fingerprint: Text
     parts: Parts = ()
+    is_cleared: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +60,9 @@
             self.service,
             now - self.age_seconds,
             tuple(
-                crashes.RequestTraits(each.fingerprint, each.parts)
+                crashes.RequestTraits(
+                    each.fingerprint, each.parts, each.is_cleared
+                )
                 for each in self.requests
             ),
             self.is_trial,
@@ -121,7 +124,7 @@
         crash.service,
         max(0.0, now - crash.at),
         tuple(
-            ReportedRequest(each.fingerprint, each.parts)
+            ReportedRequest(each.fingerprint, each.parts, each.is_cleared)
             for each in crash.requests
         ),
         crash.is_trial,
--- a/celeryward/endpoints/crashes.py
+++ b/celeryward/endpoints/crashes.py
@@ -24,21 +24,27 @@
     :param str fingerprint: the same for requests with the same content.
     :param tuple parts: ids of the parts of its prompt. The last part belongs
         to the request or its session and is left out.
+    :param bool is_cleared: whether the fingerprint is no evidence any more,
+        so that it only tells the request from others.
     """
 
     fingerprint: str
     parts: tuple[str, ...] = ()
+    is_cleared: bool = False
 
     def all(self):
-        """Return the parts and the fingerprint as a set."""
+        """Return what is evidence, the parts and the fingerprint, as a set."""
+        if self.is_cleared:
+            return frozenset(self.parts)
         return frozenset((*self.parts, self.fingerprint))
 
     def without(self, traits):
-        """Return the traits without some parts."""
-        if traits.isdisjoint(self.parts):
+        """Return the traits of which some are no evidence any more."""
+        if traits.isdisjoint(self.all()):
             return self
         parts = tuple(part for part in self.parts if part not in traits)
-        return RequestTraits(self.fingerprint, parts)
+        is_cleared = self.is_cleared or self.fingerprint in traits
+        return RequestTraits(self.fingerprint, parts, is_cleared)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,13 +80,10 @@
     def without(self, traits):
         """Return the crash without some traits.
 
-        A request without its fingerprint is left out.
+        A request of which no evidence is left is left out.
         """
-        kept = tuple(
-            request.without(traits)
-            for request in self.requests
-            if request.fingerprint not in traits
-        )
+        left = (request.without(traits) for request in self.requests)
+        kept = tuple(request for request in left if request.all())
         return dataclasses.replace(self, requests=kept)
 
 
--- a/tests/test_crash_news.py
+++ b/tests/test_crash_news.py
@@ -3,6 +3,7 @@
 import curio
 import result
 
+from celeryward.endpoints import crash_reports
 from celeryward.endpoints import crashes
 from celeryward.endpoints import harmful_guard
 from celeryward import errors
@@ -169,6 +170,13 @@
         size = len(protocol.encode(news.list_evidence(0)))
         assert size < publisher.MAX_REQUEST_BYTES
 
+    def test_cleared_fingerprint_is_told_as_cleared(self):
+        traits = crashes.RequestTraits('request-1', ('p',), True)
+        sent = crashes.Crash('e1', 1.0, 's', 100.0, (traits,))
+        report = crash_reports.make_report('a0', (sent,), 101.0)
+        (read,) = crash_reports.read_evidence(report, 201.0)
+        assert read.requests == (traits,)
+
     @fakes.in_kernel
     async def test_evidence_is_listed_in_parts(self):
         news, _ = make_news('a0')
--- a/tests/test_culprits.py
+++ b/tests/test_culprits.py
@@ -154,6 +154,34 @@
             'a' not in harmful.crashes[('e1', 1.0)].traits()
         )
 
+    def test_cleared_fingerprint_leaves_the_parts(self, harmful):
+        convict(harmful)
+        clear(harmful, 'request-0', 'request-1', 'request-2')
+        assert harmful.find('llm', {'bad'})
+        assert ('llm', 'request-0') not in harmful.accused
+
+    def test_cleared_part_leaves_the_fingerprint(self, harmful):
+        for number in range(3):
+            harmful.record_crash(
+                crash(number, harmful.clock.now, request(1, 'a'))
+            )
+            harmful.clock.now += 1.0
+        clear(harmful, 'a')
+        assert harmful.find('llm', {'request-1'})
+
+    def test_request_without_any_evidence_is_dropped(self, harmful):
+        convict(harmful)
+        clear(harmful, 'request-0', 'request-1', 'request-2', 'bad')
+        assert not harmful.crashes and not harmful.accused
+
+    def test_later_report_of_a_crash_does_not_accuse_again(self, harmful):
+        convict(harmful)
+        known = tuple(harmful.crashes.values())
+        clear(harmful, 'request-0', 'request-1', 'request-2')
+        for each in known:
+            harmful.record_crash(each)
+        assert ('llm', 'request-0') not in harmful.accused
+
     def test_part_of_another_service_is_not_accused(self, harmful):
         convict(harmful)
         assert not harmful.find('app', {'bad'})
