Keep connections to peers that stand still with a full window

A request or message that is longer than the peer's receive window was cut off if the peer stood still for 2.3 s or more (SIGSTOP, throttled): TCP_USER_TIMEOUT of 2 s counts from the first probe of a closed window too, though the peer's kernel acknowledges each probe. The router got ETIMEDOUT, so that a sound endpoint that had the request counted as broken, whatever WRITE_STALL_SECONDS (10 s) allows. Bytes that the peer had not read were lost with the reset.

Cause shown with a bare socket pair and detect_dead_peer: 8 MiB to a peer that reads after 1, 1.5 and 2 s arrive whole; after 2.3 and 2.6 s the send fails with ETIMEDOUT at 2.28 s and the peer gets a reset after 128 KB.

The time is 5 s now. What it costs: a peer that is really gone is noticed by the kernel after 5 s in place of 2 s (not run: it takes a peer without a kernel). The router's monitor finds it by a new connection after 0.4 s of silence; a daemon's dispatch has only this and its progress timeout. Not raised to 10 s for that reason.

pytest tests/test_standing_still.py: failed before (ETIMEDOUT), passes. Also test_written_answers, test_router_connections, test_pool: 22 passed with it.

--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -1,8 +1,9 @@
 """Options of TCP sockets.
 
-The keep-alive options, in seconds, detect a dead peer on an idle connection
-after about 3 seconds; TCP_USER_TIMEOUT detects one on a connection with
-unacknowledged data after 2 seconds.
+The keep-alive options, in seconds, probe an idle connection, and a dead peer
+is detected after the time of TCP_USER_TIMEOUT, as on a connection with
+unacknowledged data. The kernel also counts a sound peer that takes no bytes,
+though it acknowledges the probes.
 """
 
 import fcntl
@@ -13,7 +14,8 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
-USER_TIMEOUT_MILLISECONDS = 2000
+# Longer than a sound peer stands still.
+USER_TIMEOUT_MILLISECONDS = 5000
 INT = struct.Struct('i')
 
 
