Ask a lost endpoint again before its exchanges are aborted

The monitor aborts the repeatable exchanges with an endpoint that takes no connection for 2.5 s. It slept for 0.5 s after a failed attempt and then looked at the time, not at the endpoint: a router that stood still for 2 s in that sleep ended the answers of an endpoint that had become reachable meanwhile, and answers whose bytes waited in the socket to be read. A wait was measured without asking whether its part was there.

An exchange is aborted right after a failed attempt only, and not if its connection has input. The order of attempts and hedges stays: the first attempt after the loss is made at once, the others 0.5 s apart.

Two tests with the loop blocked by time.sleep, both failed before. pytest tests/test_standing_still.py tests/test_endpoint_state.py tests/test_silent_endpoints.py: 49 passed. A first form that hedged before the sleep failed test_silent_endpoint_is_lost_and_regained (two hedges at once) and was dropped.

--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -135,7 +135,19 @@
         return await self.abort(
             exchange
             for exchange in self.exchanges_with(runner)
-            if exchange.retryable and exchange.wait.seconds() >= seconds
+            if self.is_silent(exchange, seconds)
+        )
+
+    def is_silent(self, exchange, seconds):
+        """Return whether a retryable exchange has waited for some seconds.
+
+        It hasn't if its answer has arrived and was not read yet.
+        """
+        return (
+            self.is_under_way(exchange)
+            and exchange.retryable
+            and exchange.wait.seconds() >= seconds
+            and not exchange.connection.has_input()
         )
 
     async def abort_harmful(self, is_refused):
--- a/celeryward/endpoints/monitor.py
+++ b/celeryward/endpoints/monitor.py
@@ -128,14 +128,28 @@
             idle_closed=closed,
             kept=len(self.forwarder.exchanges_with(runner)),
         ).warning('endpoint lost')
-        while not await self.can_connect(runner):
-            await curio.sleep(RETRY_SECONDS)
-            if abandon_at.expired():
-                await self.forwarder.abort_silent(runner, ABANDON_SECONDS)
-            else:
-                await self.forwarder.hedge_exchanges(runner)
+        await self.wait_until_reachable(runner, abandon_at)
         self.outcomes.set_lost(runner.id, False)
         self.outcomes.record_activity(runner.id)
         logs.bind(
             step='monitor', peer=runner.address, endpoint=runner.id
         ).info('endpoint regained')
+
+    async def wait_until_reachable(self, runner, abandon_at):
+        """Hedge exchanges, and later abort them, until a connection opens.
+
+        They are aborted right after a failed attempt only: while this process
+        stood still, the endpoint may have become reachable again.
+
+        :param deadlines.Deadline abandon_at: from when they are aborted.
+        """
+        connected = await self.can_connect(runner)
+        while not connected:
+            await curio.sleep(RETRY_SECONDS)
+            connected = await self.can_connect(runner)
+            if connected:
+                return
+            if abandon_at.expired():
+                await self.forwarder.abort_silent(runner, ABANDON_SECONDS)
+            else:
+                await self.forwarder.hedge_exchanges(runner)
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -1,12 +1,23 @@
 """Peers, or this process itself, that stand still for a second or two."""
 
 import socket
+import time
+import types
 
 import curio
+import h11
 
 from celeryward import deadlines
+from celeryward.endpoints import forwarding
+from celeryward.endpoints import monitor
+from celeryward.endpoints import outcomes
+from celeryward.endpoints import runners
+from celeryward.endpoints import waits
+from celeryward import http
 from celeryward import transport
 from tests import fakes
+from tests import platform_standins as standins
+from tests import test_endpoint_state
 
 # Shorter than the time after which a peer that takes no byte is left.
 STANDSTILL_SECONDS = 3.5
@@ -42,3 +53,53 @@
         await sending.join()
         for each in (sock, peer, listener):
             await each.close()
+
+
+class RecordingForwarder(test_endpoint_state.TestMonitor.Forwarder):
+    """Records the endpoints whose exchanges are aborted."""
+
+    def __init__(self):
+        super().__init__()
+        self.aborted = []
+
+    async def abort_silent(self, endpoint, seconds):
+        self.aborted.append(endpoint.id)
+
+
+class TestLostEndpoint:
+    """Guards against answers that are given up for a pause of this process."""
+
+    @fakes.in_kernel
+    async def test_endpoint_that_came_back_in_a_pause_is_asked_first(self):
+        connections = test_endpoint_state.TestMonitor.Connections()
+        forwarder = RecordingForwarder()
+        tracker = outcomes.OutcomeTracker()
+        health_monitor = monitor.Monitor(
+            runners.RunnerTable(), tracker, connections, forwarder
+        )
+        runner = test_endpoint_state.runner('r')
+        task = await curio.spawn(health_monitor.handle_loss, runner)
+        await standins.wait_until(lambda: forwarder.hedged, 1.0)
+        await curio.sleep(0.1)
+        time.sleep(monitor.ABANDON_SECONDS)
+        connections.reachable = True
+        await task.join()
+        assert not forwarder.aborted
+
+    @fakes.in_kernel
+    async def test_answer_that_arrived_in_a_pause_is_not_aborted(self):
+        forwarder = forwarding.Forwarder(
+            *[None] * 5, types.SimpleNamespace(closures=None)
+        )
+        near, far = curio.socket.socketpair()
+        connection = http.Connection(near, h11.CLIENT, 'endpoint')
+        wait = waits.Wait(waits.ignore_late, deadlines.NEVER)
+        exchange = forwarding.Exchange('r', True, connection, wait)
+        forwarder.exchanges[connection] = exchange
+        runner = test_endpoint_state.runner('r')
+        await far.send(b'HTTP/1.1 200 OK\r\n')
+        assert await forwarder.abort_silent(runner, 0.0) == 0
+        await near.recv(100)
+        assert await forwarder.abort_silent(runner, 0.0) == 1
+        await near.close()
+        await far.close()
