Accuse no request of an endpoint that only stands still

If the connection of a dispatch broke, a daemon probed the endpoint and took each failed probe for the end of its process: the request was recorded as a suspect, and a second such endpoint had it refused as harmful. A process that stands still (SIGSTOP, throttled) for as long as a probe may take (1 s) fails the probe too, although its kernel accepts the connection, and so does a host that is cut off.

A probe that got no answer in time, or no connection in time, is no evidence of a crash now. A refused or broken connection of the probe is, as before. The endpoint still gets no new requests until a probe succeeds. The router's crash_watch has asked for a refused connection from the start: no change.

--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -49,6 +49,8 @@
         self.tasks = {}
         self.locks = {}
         self.last_results = {}
+        # Endpoints whose last probe got no answer in time.
+        self.silent = set()
 
     async def run(self):
         """Reconcile the tasks with the catalog until cancelled."""
@@ -69,6 +71,7 @@
             self.liveness.forget(name)
             self.locks.pop(name, None)
             self.last_results.pop(name, None)
+            self.silent.discard(name)
 
     async def watch_endpoint(self, name):
         """Probe one endpoint until it leaves the catalog."""
@@ -130,6 +133,20 @@
             self.last_results[endpoint.name] = ProbeResult(started, alive)
             return alive
 
+    def is_silent(self, name):
+        """Return whether the last probe of an endpoint got no answer in time.
+
+        Its process, or the way to it, may stand still and go on.
+        """
+        return name in self.silent
+
+    def set_silent(self, name, silent):
+        """Store whether the last probe of an endpoint got no answer."""
+        if silent:
+            self.silent.add(name)
+        else:
+            self.silent.discard(name)
+
     async def probe(self, endpoint):
         """Read the load of an endpoint over a new connection.
 
@@ -147,11 +164,13 @@
             finally:
                 await connection.close()
         except PROBE_ERRORS as error:
+            self.set_silent(endpoint.name, is_silence(error))
             self.liveness.record_failure(
                 endpoint.name, self.timings.probe_interval
             )
             logs.bind_error(error).warning('probe failed: {}', error.message)
             return False
+        self.set_silent(endpoint.name, False)
         self.liveness.record_success(endpoint.name)
         self.liveness.set_leaving(endpoint.name, report.leaving, asked_at)
         self.load.record_report(endpoint.name, report)
@@ -177,3 +196,10 @@
             )
             return
         self.prefixes.apply_answer(endpoint.name, answer.events)
+
+
+def is_silence(error):
+    """Return whether a probe failed for want of an answer in time."""
+    if isinstance(error, errors.ConnectionRefused):
+        return False
+    return isinstance(error, (http.ReadTimeout, errors.ConnectionFailed))
--- a/celeryward/endpoints/recovery.py
+++ b/celeryward/endpoints/recovery.py
@@ -235,7 +235,11 @@
                 endpoint.name, self.prober.timings.probe_interval
             )
             await self.connections.close_idle(endpoint)
-            if error.sent and not silent:
+            if (
+                error.sent
+                and not silent
+                and not self.prober.is_silent(endpoint.name)
+            ):
                 self.record_crash(attempt, endpoint)
                 attempt.endpoint_crashed = True
                 self.check_harmful(attempt)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -266,6 +266,30 @@
         timings = dataclasses.replace(SHORT, probe_timeout=SHORT_PROBE_SECONDS)
         with_fleet(test, *engines, timings=timings)
 
+    @pytest.mark.parametrize('ended', [False, True])
+    def test_request_is_not_accused_by_an_endpoint_that_stands_still(
+        self, with_fleet, ended
+    ):
+        class Broken(engine.EngineStandIn):
+            async def answer(self, connection, received):
+                if received.head.path != '/v1/chat/completions':
+                    await curio.sleep(3600)
+                if ended:
+                    await self.listener.stop_accepting()
+                raise http.Disconnected(
+                    'cut', step='test', peer=connection.peer
+                )
+
+        async def test(started):
+            started.view.load.request_started('engine-1')
+            attempt = started.make_attempt('x')
+            assert await started.stream(attempt) == expected_text('x')
+            assert started.recovery.suspects.has_evidence() == ended
+
+        engines = (Broken(VERSIONS), make_engine())
+        timings = dataclasses.replace(SHORT, probe_timeout=SHORT_PROBE_SECONDS)
+        with_fleet(test, *engines, timings=timings)
+
     def test_requests_that_fail_together_share_a_probe(self, with_fleet):
         only = make_engine()
         probes = []
