Let endpoints of the soak stand still, and judge how each request ends

Its check `answered` was excused by every silence. Change: version 6 of the plans. Half of the endpoints are processes, which SIGSTOP and SIGCONT let stand still for 0.5 to 2.5 s; routers that stand still get changes meanwhile; routes change twice while requests wait. The check `one-end` demands exactly one of four ends of each whole request, and `quiet-endpoints` judges by the caller's time. An endpoint's process that nothing planned has ended is an error of the harness.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -200,7 +200,11 @@
             continue
         if outcome.whole and outcome.status == OK:
             continue
-        seconds = abandoned.at - outcome.started_at
+        given_up_at = abandoned.at
+        if observed.strict:
+            # An endpoint that stands still notices later.
+            given_up_at = min(given_up_at, outcome.ended_at)
+        seconds = given_up_at - outcome.started_at
         if seconds > shortest_timeout(observed, outcome):
             continue
         executions = reached.get(outcome.request_id, ())
--- a/benchmarks/soak/contract_faults.py
+++ b/benchmarks/soak/contract_faults.py
@@ -50,7 +50,7 @@
                 server.id,
                 now,
                 now + self.pause_seconds,
-                endpoint.undisturbed(),
+                endpoint.undisturbed(now),
             )
         )
         refuse = processes.turn_away(self.pause_seconds)
--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -54,12 +54,7 @@
     async def start(self):
         """Start the server and write its entry to the store."""
         self.generation += 1
-        self.server = standins.RunnerStandIn(
-            f'{self.name}-{self.generation}',
-            self.service,
-            events=self.fleet.events_per_answer,
-        )
-        self.server.default_action = self.answer
+        self.server = self.make_server(f'{self.name}-{self.generation}')
         await self.server.start()
         self.proxy.target = self.server.port
         # Two faults may start the endpoint again at the same time.
@@ -68,6 +63,14 @@
                 await self.proxy.start()
         await self.write_entry('ready')
 
+    def make_server(self, server_id):
+        """Return a server that has not been started."""
+        server = standins.RunnerStandIn(
+            server_id, self.service, events=self.fleet.events_per_answer
+        )
+        server.default_action = self.answer
+        return server
+
     async def write_entry(self, state):
         """Write the entry of the endpoint, with a state, to the store."""
         entry = self.server.entry(state)
@@ -126,15 +129,14 @@
                 processes.request_id(arrival),
                 server.id,
                 observations.now(),
-                self.undisturbed(),
+                self.undisturbed(observations.now()),
             )
         )
 
-    def undisturbed(self):
-        """Return whether no fault delays what arrives now."""
+    def undisturbed(self, at):
+        """Return whether no fault delays what arrived just now."""
         return (
-            self.proxy.conditions == proxy.CLEAR
-            and observations.now() > self.disturbed_until
+            self.proxy.conditions == proxy.CLEAR and at > self.disturbed_until
         )
 
     def record_broken_off(self, arrival):
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -13,6 +13,7 @@
 
 from benchmarks.soak import endpoints as stand_in_endpoints
 from benchmarks.soak import observations
+from benchmarks.soak import process_endpoints as process_servers
 from benchmarks.soak import proxy
 from celeryward import deadlines
 from celeryward import errors
@@ -75,9 +76,12 @@
     """The store, endpoints and routers of one run.
 
     :param pathlib.Path directory: where settings files and logs go.
+    :param int process_endpoints: how many of the endpoints are processes.
     """
 
-    def __init__(self, seed, directory, routers=4, endpoints=8):
+    def __init__(
+        self, seed, directory, routers=4, endpoints=8, process_endpoints=0
+    ):
         self.directory = directory
         self.observed = observations.Observations()
         self.events_per_answer = 6
@@ -85,11 +89,14 @@
         self.work_seconds = 0.1
         self.store = Store(random.Random(seed))
         self.endpoints = [
-            stand_in_endpoints.Endpoint(
-                self, number, 'llm' if number % 2 else 'app'
+            make(self, number, 'llm' if number % 2 else 'app')
+            for number, make in enumerate(
+                [stand_in_endpoints.Endpoint] * (endpoints - process_endpoints)
+                + [process_servers.ProcessEndpoint] * process_endpoints
             )
-            for number in range(endpoints)
         ]
+        # Processes of endpoints.
+        self.children = []
         # Each run has its own loopback network, derived from its process id,
         # so that several runs on one machine do not share addresses.
         network = f'127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}'
@@ -254,7 +261,10 @@
                 )
 
     def kill_processes(self):
-        """Kill all router processes that this run started."""
+        """Kill all processes that this run started."""
+        for child in self.children:
+            if child.poll() is None:
+                child.kill()
         for router in self.routers:
             if router.alive:
                 router.popen.kill()
--- a/benchmarks/soak/harmful_faults.py
+++ b/benchmarks/soak/harmful_faults.py
@@ -14,6 +14,10 @@
 from tests import platform_standins as standins
 
 STREAM_SERVICE = 'llm'
+# How the names of parts begin that crash endpoints.
+PART_PREFIX = 'bad'
+# With which the process of an endpoint ends then.
+CRASH_STATUS = 70
 HARMFUL_REQUESTS_SECONDS = 9.0
 HARMFUL_INTERVAL_SECONDS = 0.15
 RESTART_SECONDS = 1.5
@@ -36,21 +40,26 @@
         if self.part not in processes.prompt_parts(arrival):
             await endpoints.run(endpoint, server, connection, arrival)
             return
-        endpoint.fleet.observed.harmful.append(
-            observations.HarmfulArrival(
-                self.part, processes.request_id(arrival), observations.now()
-            )
-        )
-        await curio.sleep(endpoint.fleet.work_seconds)
-        await endpoints.send_head(
-            server, connection, arrival, **processes.stream_headers(100)
-        )
-        await connection.send('answer', h11.Data(data=standins.event(1)))
+        await begin_answer(self.part, endpoint, server, connection, arrival)
         if endpoint.server is server and not endpoint.crashed:
             await curio.spawn(crash, endpoint, self.part, daemon=True)
         await curio.sleep(RESTART_SECONDS)
 
 
+async def begin_answer(part, endpoint, server, connection, arrival):
+    """Send the first event of the answer to a request with the part."""
+    endpoint.fleet.observed.harmful.append(
+        observations.HarmfulArrival(
+            part, processes.request_id(arrival), observations.now()
+        )
+    )
+    await curio.sleep(endpoint.fleet.work_seconds)
+    await endpoints.send_head(
+        server, connection, arrival, **processes.stream_headers(100)
+    )
+    await connection.send('answer', h11.Data(data=standins.event(1)))
+
+
 async def crash(endpoint, part):
     """End an endpoint, so that connections are refused; then restart it."""
     endpoint.crashed = True
@@ -71,7 +80,7 @@
 @plans.FAULTS.register('harmful-part')
 async def crash_on_part(fleet, event):
     """Send requests with a part that ends each endpoint they begin at."""
-    part = f'bad{event.target:03}{len(fleet.observed.crashes):03}'
+    part = f'{PART_PREFIX}{event.target:03}{len(fleet.observed.crashes):03}'
     async with curio.TaskGroup() as tasks:
         await tasks.spawn(
             answer_faults.apply_answer_fault,
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -167,6 +167,7 @@
         part that crashes endpoints.
     :param list crashes: the :class:`PartCrash` of each crash by a part.
     :param dict memory: peak memory of the process of each router, in bytes.
+    :param bool strict: whether silence excuses no end of a request.
     """
 
     def __init__(
@@ -188,6 +189,7 @@
         harmful=(),
         crashes=(),
         memory=(),
+        strict=False,
     ):
         self.outcomes = list(outcomes)
         self.executions = list(executions)
@@ -206,6 +208,7 @@
         self.harmful = list(harmful)
         self.crashes = list(crashes)
         self.memory = dict(memory)
+        self.strict = strict
 
     def record_memory(self, router, size):
         """Record the peak memory of a router's process, in bytes."""
--- a/benchmarks/soak/plans.py
+++ b/benchmarks/soak/plans.py
@@ -7,7 +7,9 @@
 
 FAULTS = registry.Registry('fault')
 PLANS = registry.Registry('plan')
-LATEST_PLAN = 5
+LATEST_PLAN = 6
+# From here on endpoints are processes too, and the checks are strict.
+FIRST_STRICT_PLAN = 6
 DURATIONS_SECONDS = (0.2, 1.0, 3.0, 6.0)
 # A plan draws from its own list, so that a fault added later does not change
 # what an old seed does.
@@ -57,6 +59,12 @@
 FOURTH_FAULTS = (*THIRD_FAULTS, *STOP_FAULTS, *STOP_FAULTS)
 HARMFUL_FAULTS = ('endless-answers', 'harmful-part')
 FIFTH_FAULTS = (*FOURTH_FAULTS, *HARMFUL_FAULTS * 4)
+PAUSE_FAULTS = (
+    'changes-in-series',
+    'endpoint-process-paused',
+    'router-pause-beside-changes',
+)
+SIXTH_FAULTS = (*FIFTH_FAULTS, *PAUSE_FAULTS * 12)
 NEWER_FAULTS_SHARE = 0.6
 # Planned work that begins at about the same time as a fault.
 COMPANIONS = (
@@ -134,6 +142,12 @@
     return plan_newer_faults(generator, seconds, count, FIFTH_FAULTS)
 
 
+@PLANS.register(6)
+def plan_sixth_faults(generator, seconds, count):
+    """Yield events of all faults, half of the newer ones with pauses."""
+    return plan_newer_faults(generator, seconds, count, SIXTH_FAULTS)
+
+
 def plan_newer_faults(generator, seconds, count, newer):
     """Yield events, mostly of newer faults, some beside planned work."""
     for _ in range(count):
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -13,6 +13,7 @@
 from benchmarks.soak import configuration_faults
 from benchmarks.soak import contract_checks
 from benchmarks.soak import contract_faults
+from benchmarks.soak import end_checks
 from benchmarks.soak import faults
 from benchmarks.soak import fleet as fleets
 from benchmarks.soak import harmful_faults
@@ -20,6 +21,7 @@
 from benchmarks.soak import model_faults
 from benchmarks.soak import observations
 from benchmarks.soak import odd_entry_faults
+from benchmarks.soak import pause_faults
 from benchmarks.soak import plans
 from benchmarks.soak import stop_faults
 from celeryward import deadlines
@@ -34,9 +36,10 @@
     harmful_faults,
     model_faults,
     odd_entry_faults,
+    pause_faults,
     stop_faults,
 )
-CHECK_MODULES = (checks, completion_checks, contract_checks)
+CHECK_MODULES = (checks, completion_checks, contract_checks, end_checks)
 RECOVERY_SECONDS = 15.0
 # Longest wait for a harness that is late.
 MAX_LATE_SECONDS = 60.0
@@ -84,7 +87,7 @@
     plan = plans.make_plan(
         random.Random(seed), size.seconds, size.rate, size.plan
     )
-    fleet = fleets.Fleet(seed, directory, size.routers, size.endpoints)
+    fleet = make_fleet(seed, size, directory)
     try:
         await fleet.start()
         await execute_plan(fleet, plan, seed, size)
@@ -98,6 +101,20 @@
     ]
 
 
+def make_fleet(seed, size, directory):
+    """Return a fleet; half of its endpoints are processes in newer plans."""
+    strict = size.plan >= plans.FIRST_STRICT_PLAN
+    fleet = fleets.Fleet(
+        seed,
+        directory,
+        size.routers,
+        size.endpoints,
+        size.endpoints // 2 if strict else 0,
+    )
+    fleet.observed.strict = strict
+    return fleet
+
+
 async def execute_plan(fleet, plan, seed, size):
     """Inject the planned faults under load, then test the recovery."""
     watchers = [
--- a/tests/platform_configurations.py
+++ b/tests/platform_configurations.py
@@ -20,6 +20,8 @@
     :param int added_routes: number of routes besides those of the callers.
     :param tuple weights: shares of the two entries of a route's services.
     :param int priority: priority of the customer.
+    :param str moved_service: whose routes go to another service.
+    :param str moved_to: that service.
     """
 
     idle_ms: int = 5000
@@ -29,6 +31,8 @@
     added_routes: int = 0
     weights: tuple[float, float] | None = None
     priority: int = 1
+    moved_service: str = ''
+    moved_to: str = ''
 
     @property
     def timeout_seconds(self):
@@ -49,6 +53,8 @@
         'headerTimeoutMs': settings.header_timeout_ms,
         'maxBodyBytes': settings.body_bytes,
     }
+    if settings.moved_service:
+        spec['services'].append({'name': 'spare'})
     spec['tenants'][0]['priority'] = settings.priority
     added = [
         standins.route(f'added-{version}-{number}', 'idempotent', 'app')
@@ -63,9 +69,14 @@
 def route_changes(route, settings):
     """Return the fields in which settings change a route."""
     changes = {'timeoutMs': settings.timeout_ms}
+    if route['service'] == settings.moved_service:
+        changes['service'] = settings.moved_to
     if settings.weights:
         changes['backends'] = [
-            {'service': route['service'], 'weight': weight}
+            {
+                'service': changes.get('service', route['service']),
+                'weight': weight,
+            }
             for weight in settings.weights
         ]
     return changes
--- a/tests/soak_observations.py
+++ b/tests/soak_observations.py
@@ -106,5 +106,10 @@
             observations.HarmfulArrival('p', f'h{n}', 17.1) for n in range(4)
         ],
     ),
+    'one-end': observed(
+        [outcome(whole=False, status=0, written_at=10.0)],
+        faults=[observations.FaultSpan(9.0, 11.0, 'endpoint-silent', 'e1')],
+        strict=True,
+    ),
     'memory': observed(memory={'router-0': 301 * 1024 * 1024}),
 }
