--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -285,6 +285,10 @@
         data, closed = self.h11.trailing_data
         return bool(data) or closed
 
+    def has_request(self):
+        """Return whether the head of a request was read and not answered."""
+        return self.h11.their_state is not h11.IDLE
+
     def start_next_cycle(self):
         """Prepare for the next request on this connection."""
         self.h11.start_next_cycle()
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -127,7 +127,7 @@
         # A task may have ended during the cancellation of another.
         if connection not in tasks or connection in busy:
             continue
-        if not connection.has_input():
+        if not (connection.has_input() or connection.has_request()):
             await task.cancel()
 
 
--- a/tests/test_stopping_daemon.py
+++ b/tests/test_stopping_daemon.py
@@ -10,6 +10,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward.operators import demo
+from celeryward import processor_share
 from celeryward.standins import engine
 from celeryward.standins import fleet
 from celeryward import stopping
@@ -22,6 +23,8 @@
 SLOW_TOKEN_SECONDS = 1.0
 # Time in which a refusal must arrive.
 AT_ONCE_SECONDS = 0.5
+# Longer than connections without a request stay open in a stop.
+HELD_SECONDS = 1.0
 
 
 def make_engine(**faults):
@@ -269,3 +272,39 @@
         return found
 
     queues.queue = queue
+
+
+class TestHeldInput:
+    """Guards against a whole request that a stop takes for an idle caller."""
+
+    def test_request_whose_input_is_held_back_is_answered(
+        self, run, monkeypatch
+    ):
+        async def test():
+            cluster = demo.Cluster()
+            await cluster.start()
+            callers = cluster.daemon.caller_server.tasks
+            held = []
+
+            def delay(meter):
+                """Hold a caller back whose head was read."""
+                begun = [each.meter for each in callers if each.has_request()]
+                if held or meter not in begun:
+                    return None
+                held.append(meter)
+                return HELD_SECONDS
+
+            monkeypatch.setattr(processor_share.InputMeter, 'delay', delay)
+            sending = await curio.spawn(
+                demo.send_example,
+                cluster.daemon.listener.port,
+                demo.chat_example('', 'large', 'x'),
+            )
+            await standins.wait_until(lambda: held)
+            stopping_daemon = await curio.spawn(cluster.daemon.stop)
+            head, _ = await sending.join()
+            assert head.status in (200, 503)
+            await stopping_daemon.join()
+            await cluster.stop()
+
+        run(test)
