Measure what endpoints need without the pauses of the router

A router that stood still with requests at endpoints read all heads late and booked its own pause as time of the endpoints: as usual time to a head, of a whole answer and of a request, and as wait in their queues. For dozens of requests after the pause it judged by these: it hedged late answers several times later (five times the mean), took no hedge or retry whose usual time no longer fitted the deadline, kept fewer requests for endpoints that were about to open, and would have refused requests in a stop that leaves less time than that.

celeryward.awake_clock stands still while the process does: a task reads it every 0.1 s, and a reading that finds a gap of more than 0.3 s takes it for a pause, whichever task reads first. Times of endpoints are measured on it; deadlines, permissions and waits for late parts are not, as their time goes on. Where no task reads the clock (a daemon) it is the monotonic clock.

--- /dev/null
+++ b/celeryward/awake_clock.py
@@ -0,0 +1,56 @@
+"""A clock that stands still while this process does.
+
+A process that is stopped, throttled or starved of its core reads the answers
+of all endpoints late. What endpoints need is measured on this clock, so that
+the pause isn't taken for their slowness. Deadlines and permissions don't use
+it: their time goes on in a pause. Needs no network.
+"""
+
+import time
+
+import curio
+
+TICK_SECONDS = 0.1
+# Longer gaps between two readings are pauses of the process.
+MAX_GAP_SECONDS = 0.3
+
+
+class AwakeClock:
+    """Seconds for which this process has run, called as a function.
+
+    Any reading shows a pause that has just ended, whichever task runs first.
+    Without :meth:`run` under way it is like its underlying clock.
+
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, clock=time.monotonic):
+        self.clock = clock
+        self.read_at = clock()
+        self.paused_seconds = 0.0
+        # Tasks that read the clock regularly.
+        self.readers = 0
+
+    def __call__(self):
+        """Return the time on this clock, in seconds."""
+        now = self.clock()
+        gap = now - self.read_at
+        self.read_at = now
+        if self.readers and gap > MAX_GAP_SECONDS:
+            self.paused_seconds += gap - TICK_SECONDS
+        return now - self.paused_seconds
+
+    async def run(self):
+        """Read the clock regularly until cancelled."""
+        self()
+        self.readers += 1
+        try:
+            while True:
+                await curio.sleep(TICK_SECONDS)
+                self()
+        finally:
+            self.readers -= 1
+
+
+# Shared by all parts of the process, because they stand still together.
+CLOCK = AwakeClock()
--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -3,6 +3,7 @@
 import contextlib
 import time
 
+from celeryward import awake_clock
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
 from celeryward.endpoints import forwarding
@@ -42,7 +43,7 @@
             plan.runner, relayed.traits, relayed.trial is not None
         )
         dispatch = relayed_requests.Dispatch(
-            plan, self.begin_run(relayed, plan), time.monotonic(), watched
+            plan, self.begin_run(relayed, plan), awake_clock.CLOCK(), watched
         )
         relayed.running += (plan.runner.id,)
         try:
@@ -164,11 +165,11 @@
 
     def record_duration(self, relayed, dispatch):
         """Record how long a run and its whole request took."""
-        now = time.monotonic()
+        now = awake_clock.CLOCK()
         check = self.router_state.completion
         kind = planning.run_kind(relayed, dispatch.plan.size)
         check.record(kind, now - dispatch.began_at)
-        check.record(planning.whole_kind(relayed), now - relayed.started_at)
+        check.record(planning.whole_kind(relayed), now - relayed.began_at)
 
     def record_late_answer(self, dispatch):
         """Count an answer that is late against endpoint and version."""
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 
+from celeryward import awake_clock
 from celeryward import body_memory
 from celeryward.endpoints import closures
 from celeryward.endpoints import crashes
@@ -48,7 +49,7 @@
     """One dispatch of a request.
 
     :param runs.Run run: counted for the endpoint's software version.
-    :param float began_at: monotonic seconds.
+    :param float began_at: seconds on the :mod:`celeryward.awake_clock`.
     :param crash_watch.WatchedRun watched: shows what ran at an endpoint that
         crashes.
     """
@@ -98,6 +99,8 @@
         self.body = body
         self.deadline = deadline
         self.started_at = time.monotonic()
+        # The same on the clock that stands still with this process.
+        self.began_at = awake_clock.CLOCK()
         self.sequence = event_stream.EventSequence(metadata.last_event_id)
         self.size = None
         self.service = ''
--- a/celeryward/endpoints/answers.py
+++ b/celeryward/endpoints/answers.py
@@ -18,7 +18,8 @@
     :param http.Response head: status line and header.
     :param ingress.ResponseMetadata metadata: what the translator read in the
         head.
-    :param float seconds: time from the dispatch to the head.
+    :param float seconds: time from the dispatch to the head, without pauses of
+        this process.
     :param waits.Wait wait: the wait for the next part of the body.
     :param on_data: function that is called when bytes of the body arrive.
     """
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -4,10 +4,10 @@
 import contextlib
 import dataclasses
 import functools
-import time
 
 import h11
 
+from celeryward import awake_clock
 from celeryward import deadlines
 from celeryward.endpoints import answer_heads
 from celeryward.endpoints import answer_origin
@@ -211,7 +211,7 @@
         """
         self.outcomes.request_started(runner.id)
         waiting = self.queues.begin(runner.id)
-        started = time.monotonic()
+        started = awake_clock.CLOCK()
         connection = None
         try:
             await self.notice_reader.notify_listeners(runner)
@@ -228,7 +228,7 @@
                     forwarded,
                     head,
                     metadata,
-                    time.monotonic() - started,
+                    awake_clock.CLOCK() - started,
                     wait,
                     functools.partial(
                         self.outcomes.record_activity, runner.id
@@ -236,7 +236,7 @@
                 )
                 connection.usable_until = reuse_deadline(metadata)
                 self.notice_reader.estimates.record(
-                    runner.service, time.monotonic() - started
+                    runner.service, awake_clock.CLOCK() - started
                 )
         finally:
             self.exchanges.pop(connection, None)
--- a/celeryward/endpoints/queueing.py
+++ b/celeryward/endpoints/queueing.py
@@ -35,7 +35,8 @@
 class QueueEstimates:
     """Estimates of the wait at each endpoint, by its id.
 
-    :param clock: function that returns monotonic seconds.
+    :param clock: function that returns seconds; they stand still while this
+        process does.
     """
 
     def __init__(self, clock=time.monotonic):
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from celeryward import awake_clock
 from celeryward.callers import gateway
 from celeryward.callers import relay
 from celeryward.callers import router_admission
@@ -74,7 +75,7 @@
         self.completion = completion.CompletionCheck(self.stop_state)
         self.runners = runners.RunnerTable()
         self.outcomes = outcomes.OutcomeTracker()
-        self.queues = queueing.QueueEstimates()
+        self.queues = queueing.QueueEstimates(awake_clock.CLOCK)
         self.closures = closures.Closures()
         self.estimates = reopening.ReopeningEstimates(
             self.closures, self.count_routers
@@ -294,6 +295,7 @@
         self.view.build_watchers(self.configuration, self.runners)
         self.tasks += await self.view.start_tasks(self.supervisor)
         for step, peer, run in (
+            ('measure pauses', self.placement.name, awake_clock.CLOCK.run),
             ('monitor endpoints', 'endpoints', self.monitor.run),
             ('poll settings', self.placement.name, self.poll_settings),
             ('tell of crashes', 'routers', self.crash_news.run),
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -1,12 +1,16 @@
 """Peers, or this process itself, that stand still for a second or two."""
 
+import functools
 import socket
 import time
 import types
 
 import curio
 import h11
+import pytest
 
+from celeryward import awake_clock
+from celeryward.callers import relayed_requests
 from celeryward import deadlines
 from celeryward.endpoints import forwarding
 from celeryward.endpoints import monitor
@@ -103,3 +107,69 @@
         assert await forwarder.abort_silent(runner, 0.0) == 1
         await near.close()
         await far.close()
+
+
+class TestAwakeClock:
+    """Guards against a pause that counts as work, and work as a pause."""
+
+    @fakes.in_kernel
+    async def test_clock_stands_still_in_a_pause(self):
+        clock = awake_clock.AwakeClock()
+        running = await curio.spawn(clock.run)
+        await curio.sleep(0)
+        started = clock()
+        time.sleep(1.0)
+        assert clock() - started <= awake_clock.TICK_SECONDS + 0.05
+        await running.cancel()
+
+    def test_clock_that_nobody_reads_regularly_goes_on(self):
+        now = fakes.CallableClock()
+        clock = awake_clock.AwakeClock(now)
+        started = clock()
+        now.now += 10.0
+        assert clock() - started == 10.0
+
+
+class TestPausedRouter:
+    """Guards against a pause of the router that counts as slow endpoints."""
+
+    REQUESTS = 12
+    PAUSE_SECONDS = 1.2
+
+    @pytest.fixture
+    def site(self):
+        return standins.default_site()
+
+    async def pause_under_requests(self, site):
+        """Stop the process for a while with requests at the endpoints."""
+
+        async def respond_later(runner, connection, arrival):
+            await curio.sleep(0.3)
+            await standins.send_default_response(runner, connection, arrival)
+
+        for runner in site.runners.values():
+            runner.default_action = respond_later
+        waiting = []
+        for number in range(self.REQUESTS):
+            send = functools.partial(site.request, request_id=f'r{number}')
+            waiting.append(await curio.spawn(send, '/whole/x'))
+        await standins.wait_until(
+            lambda: len(site.arrivals()) == self.REQUESTS
+        )
+        time.sleep(self.PAUSE_SECONDS)
+        for task in waiting:
+            head, _ = await task.join()
+            assert head.status == 200
+
+    @standins.on_site
+    async def test_pause_does_not_count_as_time_of_the_endpoints(self, site):
+        await self.pause_under_requests(site)
+        router = site.router
+        (mean,) = router.relay.timeouts.mean_head_seconds.values()
+        usual = [
+            mean * relayed_requests.MIN_WORK_UNITS,
+            router.estimates.seconds('app'),
+            *(each.mean for each in router.completion.estimates.values()),
+            *map(router.queues.seconds, ('app-1', 'app-2')),
+        ]
+        assert max(usual) < self.PAUSE_SECONDS * 0.7
