Roll no version back for a pause of the router

Runs at a new version count as overdue when their head or next events take far longer than those of the old version did. The time was measured on the monotonic clock: a router that stood still for 2 s found all its runs overdue right afterwards, reported each as slow, to its leader as well, and four of them were enough to roll a good version back, which is final.

The times of runs and of the baseline are measured on celeryward.awake_clock in a router. A version that is slow while the router runs is found as before.

test_pause_of_the_router_causes_no_rollback: four runs and a pause of 2.6 s, failed before with ROLLED_BACK; the same runs are rolled back when 1 s more passes without a pause.

--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -14,7 +14,7 @@
     :param str kind: only runs of the same kind are compared.
     :param str endpoint: id of the endpoint.
     :param float relative_size: size of the request; 1.0 is average.
-    :param float started_at: monotonic seconds.
+    :param float started_at: seconds on the clock of :class:`InFlightRuns`.
     """
 
     def __init__(
@@ -74,12 +74,16 @@
 class InFlightRuns:
     """Tracks the runs that have not ended and finds those overdue.
 
+    ``clock`` is a function that returns seconds. In a router they stand still
+    while the process does, because its pause is no evidence on a version.
+
     :param releases: :class:`releases.Releases`, to which outcomes are
         reported.
     """
 
     def __init__(self, releases):
         self.releases = releases
+        self.clock = releases.clock
         self.runs = set()
 
     def begin(self, service, software, kind, endpoint, relative_size):
@@ -87,7 +91,7 @@
 
         :param float relative_size: size of the request; 1.0 is average.
         """
-        now = self.releases.clock()
+        now = self.clock()
         run = Run(service, software, kind, endpoint, relative_size, now)
         self.runs.add(run)
         self.releases.record_dispatch(service, software)
@@ -100,7 +104,7 @@
     def end(self, run, failed=False):
         """Report the outcome of a run, unless it was reported as overdue."""
         self.runs.discard(run)
-        now = self.releases.clock()
+        now = self.clock()
         self.report_head(run)
         self.report_pace(run)
         if run.reported:
@@ -121,14 +125,14 @@
         A slow head is reported while the run goes on, so that a good one must
         not wait for the end of its answer either.
         """
-        run.record_head(self.releases.clock())
+        run.record_head(self.clock())
         self.report_head(run)
 
     def report_head(self, run):
         """Report the speed of the head, once."""
         if run.head_seconds is None:
             return
-        now = self.releases.clock()
+        now = self.clock()
         if not run.head_reported:
             run.head_reported = True
             slow = self.baseline(run).has_slow_head(
@@ -158,7 +162,7 @@
         Those at the old version count, too: both versions are slow while their
         endpoints have long prompts in their queues.
         """
-        now = self.releases.clock()
+        now = self.clock()
         for run in tuple(self.runs):
             if run.reported:
                 continue
@@ -176,7 +180,7 @@
 
     def report_pace(self, run):
         """Report the pace of a stream, once."""
-        pace = run.seconds_per_event(self.releases.clock())
+        pace = run.seconds_per_event(self.clock())
         if pace is None or run.pace_reported:
             return
         run.pace_reported = True
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -86,6 +86,7 @@
             decider_count=self.count_deciders,
             bad_version_slack=bounds.bad_version_slack,
         )
+        self.releases.runs.clock = awake_clock.CLOCK
         self.metrics = router_metrics.RouterMetrics()
         self.supervisor = supervision.Supervisor(
             self.metrics.count_task_failure
--- a/tests/test_in_flight_runs.py
+++ b/tests/test_in_flight_runs.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from celeryward import awake_clock
 from celeryward.raters import evidence
 from celeryward.raters import releases
 from celeryward.raters import rollout_orders
@@ -56,6 +57,25 @@
             is rollout_orders.State.ROLLED_BACK
         )
 
+    def test_pause_of_the_router_causes_no_rollback(self, rollouts, clock):
+        self.run_old_version(rollouts, clock)
+        rollouts.runs.clock = awake_clock.AwakeClock(clock)
+        rollouts.runs.clock.readers = 1
+        for number in range(4):
+            self.begin(rollouts, 'v2', number)
+        clock.now += 2.6
+        rollouts.runs.report_overdue()
+        assert (
+            rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
+        )
+        for _ in range(10):
+            clock.now += awake_clock.TICK_SECONDS
+            rollouts.runs.report_overdue()
+        assert (
+            rollouts.progress[SERVICE].verdict
+            is rollout_orders.State.ROLLED_BACK
+        )
+
     def test_slow_streams_cause_a_rollback(self, rollouts, clock):
         self.run_old_version(rollouts, clock)
         for number in range(4):
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -163,10 +163,13 @@
 
     @standins.on_site
     async def test_pause_does_not_count_as_time_of_the_endpoints(self, site):
-        await self.pause_under_requests(site)
         router = site.router
+        run = router.releases.runs.begin('app', 'v1', 'k', 'app-1', 1.0)
+        await self.pause_under_requests(site)
+        router.releases.runs.head_arrived(run)
         (mean,) = router.relay.timeouts.mean_head_seconds.values()
         usual = [
+            run.head_seconds,
             mean * relayed_requests.MIN_WORK_UNITS,
             router.estimates.seconds('app'),
             *(each.mean for each in router.completion.estimates.values()),
