Answer requests whose reading fails with an internal error

Callers got a closed connection in place of an answer. Cause: errors that are no CelerywardError ended the task of the connection while a request was read; only errors while it is served had an answer. Change: it is refused with 503 as not run, with Retry-After; the error is logged. Reading has a function of its own.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -23,6 +23,8 @@
 from celeryward import stopping
 
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
+# Retry delay of a request that an internal error kept from being read.
+UNREAD_RETRY_SECONDS = 1.0
 
 
 class Gateway:
@@ -98,18 +100,7 @@
 
         :param body_memory.Hold hold: counts the body of the request.
         """
-        try:
-            received = await self.reader.read(connection, hold)
-        except curio.TaskCancelled:
-            error = cut_offs.make_error(False, connection.peer)
-            send = functools.partial(self.reject, connection)
-            await cut_offs.answer(send, error)
-            raise
-        except errors.CelerywardError as error:
-            if isinstance(error, CONNECTION_ERRORS):
-                raise
-            await self.reject(connection, error)
-            return False
+        received = await self.read(connection, hold)
         if received is None:
             return False
         responder = responses.Responder(
@@ -127,6 +118,29 @@
             self.record_end(responder, started)
         return responder.finished and not responder.announced_close
 
+    async def read(self, connection, hold):
+        """Return the next request, or None if it was refused or there is none.
+
+        :param body_memory.Hold hold: counts the body of the request.
+        """
+        try:
+            return await self.reader.read(connection, hold)
+        except curio.TaskCancelled:
+            error = cut_offs.make_error(False, connection.peer)
+            send = functools.partial(self.reject, connection)
+            await cut_offs.answer(send, error)
+            raise
+        except errors.CelerywardError as error:
+            if isinstance(error, CONNECTION_ERRORS):
+                raise
+            await self.reject(connection, error)
+        except Exception:
+            logs.bind(step='read request', peer=connection.peer).exception(
+                'request not read because of an internal error'
+            )
+            await self.reject(connection, unread_error(connection))
+        return None
+
     async def reject(self, connection, error):
         """Send an error if the state of the connection still allows it."""
         logs.bind_error(error).info(
@@ -318,3 +332,13 @@
             'caller is no longer watched'
         )
         await curio.Event().wait()
+
+
+def unread_error(connection):
+    """Return the error for a request that can't be read."""
+    return errors.NotRun(
+        'request can not be read because of an internal error',
+        step='read request',
+        peer=connection.peer,
+        retry_at=deadlines.Deadline.after(UNREAD_RETRY_SECONDS),
+    )
--- a/tests/test_two_changes.py
+++ b/tests/test_two_changes.py
@@ -375,3 +375,19 @@
         monkeypatch.setattr(http.Connection, 'wait_closed', fail)
         head, body = await site.request('/whole/')
         assert (head.status, body) == (200, WHOLE)
+
+
+class TestReading:
+    """Guards against requests whose reading fails without an answer."""
+
+    @standins.on_site
+    async def test_unexpected_error_of_reading_closes_the_connection(
+        self, site
+    ):
+        async def fail(connection, hold):
+            raise curio.ReadResourceBusy('another task reads the socket')
+
+        site.router.gateway.reader.read = fail
+        head, _ = await site.request('/whole/')
+        assert head.status == 503
+        assert not site.arrivals()
