Wake kept requests of another software version

While a roll-out ran and the endpoints of one version were closed, requests for the other version waited beside endpoints that had opened, for up to half of their objective. Cause: all kept requests of a service stand in one queue, and only its first one looks for an endpoint. It waits for its own version; those behind it were woken only when it was dispatched, or at their latest start. Change: a kept request that finds no endpoint wakes the first one of the next version in the queue, so that a look costs one plan for each version.

--- a/celeryward/callers/kept_requests.py
+++ b/celeryward/callers/kept_requests.py
@@ -23,6 +23,8 @@
     :param woken: event that is set when the request should try again.
     :param bool is_particular: whether it can't use all endpoints that the
         others of its queue can use.
+    :param str software: version of the endpoints' software that was chosen
+        for the request; empty for any.
     """
 
     urgency: int
@@ -30,6 +32,7 @@
     latest_start: float = dataclasses.field(compare=False)
     woken: object = dataclasses.field(compare=False)
     is_particular: bool = dataclasses.field(compare=False, default=False)
+    software: str = dataclasses.field(compare=False, default='')
 
 
 class KeptRequests:
@@ -86,3 +89,16 @@
         tickets = self.of(queue)
         position = bisect.bisect_right(tickets, ticket)
         return tickets[position] if position < len(tickets) else None
+
+    def next_version_after(self, queue, ticket):
+        """Return the first ticket of the next version, or None.
+
+        It is one that no ticket up to the given one has.
+        """
+        tickets = self.of(queue)
+        position = bisect.bisect_right(tickets, ticket)
+        earlier = {each.software for each in tickets[:position]}
+        later = (
+            each for each in tickets[position:] if each.software not in earlier
+        )
+        return next(later, None)
--- a/celeryward/callers/reopening_waiter.py
+++ b/celeryward/callers/reopening_waiter.py
@@ -57,6 +57,7 @@
             self.latest_start(relayed),
             curio.Event(),
             bool(relayed.tried_endpoints),
+            self.planner.query(relayed).software,
         )
         try:
             return await self.wait(queue, ticket, relayed)
@@ -90,8 +91,7 @@
             except errors.EndpointsClosed as error:
                 if self.closures.clock() >= ticket.latest_start:
                     raise self.refusal(relayed) from error
-            if ticket.is_particular:
-                await self.wake_next(queue, ticket)
+            await self.wake_others(queue, ticket)
         raise self.refusal(relayed)
 
     async def admit(self, queue, ticket, relayed):
@@ -136,9 +136,11 @@
         for ticket in self.kept.of(queue)[:1]:
             await ticket.woken.set()
 
-    async def wake_next(self, queue, ticket):
-        """Let the request after another one try again."""
-        following = self.kept.next_after(queue, ticket)
+    async def wake_others(self, queue, ticket):
+        """Let requests try that may go where another one can't."""
+        following = self.kept.next_version_after(queue, ticket)
+        if ticket.is_particular:
+            following = self.kept.next_after(queue, ticket)
         if following is not None:
             await following.woken.set()
 
--- a/tests/test_two_changes.py
+++ b/tests/test_two_changes.py
@@ -391,3 +391,49 @@
         head, _ = await site.request('/whole/')
         assert head.status == 503
         assert not site.arrivals()
+
+
+class TestVersions:
+    """Guards against requests behind one that waits for another version."""
+
+    @standins.on_site
+    async def test_closed_version_holds_back_requests_of_another(self, site):
+        """They waited for half of their objective beside open endpoints."""
+        changes = Changes(site)
+        new = standins.RunnerStandIn('app-3', 'app', software='v2')
+        site.runners[new.id] = new
+        await new.start()
+        await changes.add_endpoints(new.id)
+        site.router.releases.choose = choose_by_request_id
+        await close_all(changes)
+        first = await curio.spawn(request_named, site, 'v2-request')
+        await wait_until_kept(site)
+        second = await curio.spawn(request_named, site, 'v1-request')
+        await wait_until_kept(site, 2)
+        open_version(site, 'v1')
+        opened_at = time.monotonic()
+        head, body = await second.join()
+        assert time.monotonic() - opened_at < AT_ONCE_SECONDS
+        assert (head.status, body) == (200, WHOLE)
+        head, body = await first.join()
+        assert (head.status, body) == (200, WHOLE)
+        assert len(new.arrivals) == 1
+        check_nothing_is_left(site)
+
+
+def choose_by_request_id(service, present, initial, session, request_id):
+    """Return the version that the id of a request begins with."""
+    return request_id[:2]
+
+
+def open_version(site, software):
+    """Open the endpoints of a version that are closed."""
+    router = site.router
+    for runner in router.runners.of_service('app'):
+        if runner.software == software:
+            del router.closures.states[runner.key]
+
+
+async def request_named(site, request_id):
+    """Send a request with an id of its own."""
+    return await site.request('/whole/', request_id=request_id)
