Measure what endpoints need without the pauses of the daemon

Dispatches, the slots of model queues and the observer measure on celeryward.awake_clock, which a daemon now reads regularly.

--- a/celeryward/callers/model_queues.py
+++ b/celeryward/callers/model_queues.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from celeryward import awake_clock
 from celeryward.callers import queues
 from celeryward import errors
 
@@ -79,15 +80,15 @@
             call.deadline,
         )
         await self.wait_for_slot(ticket, call, model)
-        started = time.monotonic()
+        started = awake_clock.CLOCK()
         queue = self.queues[model]
         try:
             yield
         except BaseException:
-            queue.release(ticket, time.monotonic() - started)
+            queue.release(ticket, awake_clock.CLOCK() - started)
             raise
         else:
-            queue.finish(ticket, time.monotonic() - started)
+            queue.finish(ticket, awake_clock.CLOCK() - started)
         finally:
             await self.start_ready(model)
 
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from celeryward import awake_clock
 from celeryward.callers import idempotency
 from celeryward.callers import request_handler
 from celeryward.callers import server
@@ -246,6 +247,7 @@
         """
         await self.control.start()
         for step, peer, run in (
+            ('measure pauses', self.settings.name, awake_clock.CLOCK.run),
             ('poll hosts', self.client.peer, self.host_watcher.run),
             ('probe endpoints', 'endpoints', self.prober.run),
             ('write bills', self.client.peer, self.flusher.run),
--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -2,11 +2,11 @@
 
 import contextlib
 import dataclasses
-import time
 
 import curio
 import result
 
+from celeryward import awake_clock
 from celeryward import calls
 from celeryward import completion
 from celeryward.endpoints import candidates
@@ -164,7 +164,7 @@
         attempt.candidate = chosen
         attempt.dispatches += 1
         attempt.call.progress.dispatches += 1
-        attempt.dispatched_at = time.monotonic()
+        attempt.dispatched_at = awake_clock.CLOCK()
         attempt.tried |= {chosen.endpoint.name}
         self.recovery.record_dispatch(attempt, isolation)
         return chosen
@@ -244,7 +244,7 @@
         call = attempt.dispatched_call()
         resume = attempt.resume_point()
         expected = self.record_dispatch(attempt, chosen.endpoint)
-        started = time.monotonic()
+        started = awake_clock.CLOCK()
         async with self.leased_connection(
             attempt, chosen.endpoint
         ) as connection:
@@ -259,7 +259,7 @@
             async with contextlib.aclosing(chunks):
                 # Read outside the loop, because the loop runs for each token.
                 first = await anext(chunks)
-                seconds = time.monotonic() - started
+                seconds = awake_clock.CLOCK() - started
                 name = chosen.endpoint.name
                 self.view.load.record_first_token(name, seconds, expected)
                 self.recovery.end_probation(attempt)
@@ -332,14 +332,14 @@
     async def leased_connection(self, attempt, endpoint, new_connection=False):
         """Lease a connection and count the dispatch as in flight."""
         call = attempt.call
-        started = time.monotonic()
+        started = awake_clock.CLOCK()
         self.view.load.request_started(endpoint.name, call.priority)
         try:
             async with self.connections.lease(
                 endpoint, call.deadline, new_connection
             ) as connection:
                 yield connection
-            seconds = time.monotonic() - started
+            seconds = awake_clock.CLOCK() - started
             self.view.load.record_service_time(endpoint.name, seconds)
             kind = work.of_call(call, attempt.model).kind
             self.completion.record(kind, seconds)
--- a/celeryward/raters/observer.py
+++ b/celeryward/raters/observer.py
@@ -1,8 +1,8 @@
 """Observation of finished requests to models with a running rollout."""
 
 import collections
-import time
 
+from celeryward import awake_clock
 from celeryward import calls
 from celeryward import catalog
 from celeryward.raters import cascades
@@ -64,7 +64,7 @@
         kind = cascades.classify_request(call.request)
         is_new = version.version == rollout.to_version
         usage = attempt.runs[-1].usage
-        seconds = time.monotonic() - attempt.dispatched_at
+        seconds = awake_clock.CLOCK() - attempt.dispatched_at
         latency = seconds / max(1, usage.answer_tokens)
         self.add_observation(rollout, 'error', kind, is_new, False)
         self.add_observation(rollout, 'latency', kind, is_new, latency)
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -18,6 +18,8 @@
 from celeryward.endpoints import runners
 from celeryward.endpoints import waits
 from celeryward import http
+from celeryward.standins import engine
+from celeryward.standins import fleet
 from celeryward import transport
 from tests import fakes
 from tests import platform_standins as standins
@@ -176,3 +178,39 @@
             *map(router.queues.seconds, ('app-1', 'app-2')),
         ]
         assert max(usual) < self.PAUSE_SECONDS * 0.7
+
+
+class TestPausedDaemon:
+    """Guards against a pause of the daemon that counts as slow endpoints."""
+
+    REQUESTS = 4
+    PAUSE_SECONDS = 1.2
+
+    def test_pause_does_not_count_as_time_of_the_endpoints(self, with_fleet):
+        slow = engine.EngineStandIn((fleet.VERSION.name,))
+        slow.first_token_seconds = 0.3
+
+        async def test(started):
+            reading = await curio.spawn(awake_clock.CLOCK.run)
+            waiting = [
+                await curio.spawn(started.stream, started.make_attempt('x'))
+                for _ in range(self.REQUESTS)
+            ]
+            await standins.wait_until(
+                lambda: slow.chats_started.total() == self.REQUESTS
+            )
+            time.sleep(self.PAUSE_SECONDS)
+            for task in waiting:
+                assert await task.join()
+            await reading.cancel()
+            averages = started.view.load.latency_averages('engine-0')
+            assert averages.first_token < self.PAUSE_SECONDS * 0.7
+            assert averages.service_time < self.PAUSE_SECONDS * 0.7
+
+        with_fleet(test, slow)
+
+    def test_daemon_measures_its_pauses(self, with_cluster):
+        async def test(cluster):
+            await standins.wait_until(lambda: awake_clock.CLOCK.readers)
+
+        with_cluster(test)
