Let faults of the soak end one endpoint at the same time

Cause: two faults that ended an endpoint both stopped its listener: curio refused the second wait on its socket (ReadResourceBusy), the harness lost the fault and the endpoint stayed away. An endpoint that had crashed could not announce that it leaves (no port), and a second restart replaced the server of the first one, which went on unlisted. Change: a fault names the server that it ends or replaces, does so under a lock of the endpoint, and leaves a server of another fault alone. A crashed endpoint leaves without an announcement.

--- a/benchmarks/soak/contract_faults.py
+++ b/benchmarks/soak/contract_faults.py
@@ -29,7 +29,7 @@
     await curio.sleep(max(event.seconds, MIN_LEAVING_SECONDS))
     for endpoint, server in left.items():
         if endpoint.server is server:
-            await faults.stop_and_replace(fleet, endpoint)
+            await faults.stop_and_replace(fleet, endpoint, server)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -48,7 +48,9 @@
         self.server = None
         self.answer_fault = None
         self.crashed = False
-        self.starting = curio.Lock()
+        self.running = False
+        # Held by a fault that ends or starts the server.
+        self.changing = curio.Lock()
         self.going_on_until = deadlines.Deadline.after(0.0)
 
     async def start(self):
@@ -57,10 +59,9 @@
         self.server = self.make_server(f'{self.name}-{self.generation}')
         await self.server.start()
         self.proxy.target = self.server.port
-        # Two faults may start the endpoint again at the same time.
-        async with self.starting:
-            if self.proxy.listener.sock is None:
-                await self.proxy.start()
+        if self.proxy.listener.sock is None:
+            await self.proxy.start()
+        self.running = True
         await self.write_entry('ready')
 
     def make_server(self, server_id):
@@ -147,14 +148,27 @@
         """Record that a small model answers a request."""
         self.fleet.observed.small_answers.add(processes.request_id(arrival))
 
-    async def crash(self):
-        """Stop the server abruptly; its entry stays until it expires."""
-        await self.server.stop()
+    async def crash(self, server, refuse=False):
+        """Stop a server abruptly; its entry stays until it expires.
 
-    async def restart(self):
-        """Start a new server in place of the stopped one."""
-        await self.delete_entry()
-        await self.start()
+        Nothing is done if another fault has replaced it.
+
+        :param bool refuse: whether the proxy refuses connections from then on.
+        """
+        async with self.changing:
+            if self.server is not server:
+                return
+            self.running = False
+            await server.stop()
+            if refuse:
+                await self.proxy.end()
+
+    async def restart(self, server):
+        """Start a new server in place of one, unless another fault has."""
+        async with self.changing:
+            if self.server is server:
+                await self.delete_entry()
+                await self.start()
 
     async def delete_entry(self):
         """Delete the entry of the endpoint from the store, if it exists."""
@@ -164,12 +178,14 @@
     async def leave(self, announced=True):
         """Set the state to draining, or delete the entry unannounced.
 
-        :param bool announced: whether the endpoint announces its departure.
+        :param bool announced: whether the endpoint announces its departure,
+            which it can't once it has crashed.
         """
-        if announced:
-            await self.write_entry('draining')
-        else:
-            await self.delete_entry()
+        async with self.changing:
+            if announced and self.running:
+                await self.write_entry('draining')
+            else:
+                await self.delete_entry()
         self.fleet.observed.left_at[self.server.id] = observations.now()
 
 
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -185,9 +185,10 @@
 async def crash_endpoint(fleet, event):
     """Crash an endpoint and replace it after the duration."""
     endpoint = plans.endpoint_of(fleet, event)
-    await endpoint.crash()
+    server = endpoint.server
+    await endpoint.crash(server)
     await curio.sleep(event.seconds)
-    await endpoint.restart()
+    await endpoint.restart(server)
 
 
 @plans.FAULTS.register('endpoint-leave')
@@ -202,22 +203,22 @@
     await endpoint.leave(announced=event.target % 2 == 0)
     await curio.sleep(event.seconds)
     if endpoint.server is left:
-        await stop_and_replace(fleet, endpoint)
+        await stop_and_replace(fleet, endpoint, left)
 
 
-async def stop_and_replace(fleet, endpoint):
-    """Stop an endpoint that has left, and start another in its place.
+async def stop_and_replace(fleet, endpoint, server):
+    """Stop a server that has left, and start another in its place.
 
     Only this excuses an answer that broke off, not the departure itself.
     """
     began = observations.now()
-    await endpoint.server.stop()
+    await endpoint.crash(server)
     fleet.observed.faults.append(
         observations.FaultSpan(
             began, observations.now(), 'endpoint-stop', endpoint.name
         )
     )
-    await endpoint.restart()
+    await endpoint.restart(server)
 
 
 @plans.FAULTS.register('configuration-change')
--- a/benchmarks/soak/harmful_faults.py
+++ b/benchmarks/soak/harmful_faults.py
@@ -63,12 +63,12 @@
 async def crash(endpoint, part):
     """End an endpoint, so that connections are refused; then restart it."""
     endpoint.crashed = True
+    server = endpoint.server
     began = observations.now()
     endpoint.fleet.observed.crashes.append(observations.PartCrash(part, began))
-    await endpoint.crash()
-    await endpoint.proxy.end()
+    await endpoint.crash(server, refuse=True)
     await curio.sleep(RESTART_SECONDS)
-    await endpoint.restart()
+    await endpoint.restart(server)
     endpoint.fleet.observed.faults.append(
         observations.FaultSpan(
             began, observations.now(), 'endpoint-crash', endpoint.name
