Say where all tasks wait in the trial of pauses

The tasks that hold a request's connection to its endpoint were left out of the trial's list, which showed a router that works off its backlog as one that waits. No test: a tool.

--- a/benchmarks/paused_processes.py
+++ b/benchmarks/paused_processes.py
@@ -239,8 +239,7 @@
             for part in (*self.endpoints, self.router)
             for stacks in part.lines('stacks')
             for stack in stacks
-            if {'listener.run', 'relay.relay'} & set(stack)
-            or any('serve' in name for name in stack)
+            if len(stack) > 1
         )
 
 
