Build a daemon in steps

Its constructor had 105 lines and built configuration, billing, endpoints, roll-outs and front ends in one go; each has a method now, as in a router. A move only: same objects, in the same order but for those that don't depend on each other. pytest test_daemons, test_processes, test_settings passes.

--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -75,46 +75,73 @@
     def __init__(self, settings, new_id=new_id, clock=time.time):
         self.settings = settings
         self.clock = clock
-        timings = settings.timings
         self.metrics = metrics.Metrics()
         self.stop_state = stopping.StopState()
         self.supervisor = supervision.Supervisor(
             self.metrics.count_task_failure
         )
+        self.build_configuration()
+        # The owner name is unique for each run, so that a restarted daemon
+        # never reuses the name of an earlier batch. Peers identify this run
+        # by the same name, see peer_died.
+        self.ledger = billing.Ledger(f'{settings.name}-{new_id()[:12]}')
+        self.build_billing()
+        self.build_endpoints()
+        rater = rater_client.RaterClient(
+            settings.raters, settings.timings.rating_timeout
+        )
+        self.learner = quality.Learner(random.Random(settings.name))
+        self.rating_sampler = sampler.Sampler(rater, self.learner)
+        self.build_rollouts()
+        self.request_handler = self.build_request_handler(
+            settings, clock, new_id
+        )
+        self.build_listeners(new_id)
+        self.control.announcer = topics.make_announcer(
+            self, self.control.random
+        )
+        self.tasks = []
+        self.stopped = False
+
+    def build_configuration(self):
+        """Build the client of the platform and what follows its objects."""
         entries = ignored.IgnoredEntries(self.metrics.count_ignored_entry)
         self.configuration = configuration.ConfigurationStore(entries)
         self.client = client.ObjectClient(
-            settings.platform,
-            timings.platform_timeout,
-            settings.name,
+            self.settings.platform,
+            self.settings.timings.platform_timeout,
+            self.settings.name,
             ignored_entries=entries,
         )
         self.watcher = configuration_watcher.ConfigurationWatcher(
-            self.client, self.configuration, clock
+            self.client, self.configuration, self.clock
         )
-        # The owner name is unique for each run, so that a restarted daemon
-        # never reuses the name of an earlier batch. Peers identify this run
-        # by the same name, see peer_died.
-        self.ledger = billing.Ledger(f'{settings.name}-{new_id()[:12]}')
+
+    def build_billing(self):
+        """Build bills, their copies at peers, and claims."""
         self.replicas = replicas.Replicas()
-        self.claims = claim_store.ClaimStore(self.client, clock)
+        self.claims = claim_store.ClaimStore(self.client, self.clock)
         self.control = control.ControlPlane(
-            settings,
+            self.settings,
             self.ledger.owner,
             self.configuration,
             self.watcher,
             copies.CopyHandler(self.replicas, self.peer_died),
-            clock,
+            self.clock,
             supervisor=self.supervisor,
         )
         self.ledger.peers = copies.CopySender(self.control)
         self.flusher = flusher.Flusher(
             self.ledger,
             self.client,
-            timings.flush_interval,
+            self.settings.timings.flush_interval,
             self.replicas,
             self.claims,
         )
+
+    def build_endpoints(self):
+        """Build the state of endpoints and the dispatcher of requests."""
+        timings = self.settings.timings
         self.load = load.LoadView()
         self.liveness = liveness.Liveness()
         self.host_watcher = hosts.HostWatcher(
@@ -122,7 +149,10 @@
         )
         self.pool = pool.EndpointPool(timings)
         self.endpoint_view = candidates.EndpointView(
-            settings.failure_domain, self.load, self.liveness, settings.ranking
+            self.settings.failure_domain,
+            self.load,
+            self.liveness,
+            self.settings.ranking,
         )
         self.prober = prober.Prober(
             self.configuration,
@@ -147,36 +177,31 @@
             self.recovery,
             completion.CompletionCheck(self.stop_state),
         )
-        rater = rater_client.RaterClient(
-            settings.raters, timings.rating_timeout
-        )
-        self.learner = quality.Learner(random.Random(settings.name))
-        self.rating_sampler = sampler.Sampler(rater, self.learner)
-        self.build_rollouts()
-        self.request_handler = self.build_request_handler(
-            settings, clock, new_id
-        )
+
+    def build_listeners(self, new_id):
+        """Build the front ends of callers and operators.
+
+        :param new_id: function that returns unique ids.
+        """
         self.publisher = window_publisher.WindowPublisher(
-            self.request_handler.recorder, self.client, clock
+            self.request_handler.recorder, self.client, self.clock
         )
         self.caller_server = server.CallerServer(
-            self.request_handler, timings, new_id, self.stop_state
+            self.request_handler,
+            self.settings.timings,
+            new_id,
+            self.stop_state,
         )
         self.listener = listener.Listener(
-            settings.callers.host,
-            settings.callers.port,
+            self.settings.callers.host,
+            self.settings.callers.port,
             self.caller_server.handle,
         )
         self.admin_listener = listener.Listener(
-            settings.admin.host,
-            settings.admin.port,
+            self.settings.admin.host,
+            self.settings.admin.port,
             admin.AdminHandler(self).handle,
         )
-        self.control.announcer = topics.make_announcer(
-            self, self.control.random
-        )
-        self.tasks = []
-        self.stopped = False
 
     def build_rollouts(self):
         """Build the components that compare versions and run roll-outs."""
