Turn errors of an exchange into endpoint failures in one place

A move only. pytest test_pool, test_cut_answers, test_unframed_answers, test_endpoint_state, test_shape: 301 passed.

--- a/celeryward/endpoints/pool.py
+++ b/celeryward/endpoints/pool.py
@@ -67,32 +67,11 @@
             connection = await self.acquire_idle(endpoint)
         if connection is None:
             connection = await self.open(endpoint, deadline)
-        written_before = connection.bytes_written
-        leased_at = time.monotonic()
         clean = False
         try:
-            yield connection
-            clean = connection.reusable()
-        except http.ReadTimeout as error:
-            raise errors.ConnectionSilent(
-                error.message,
-                step=error.step,
-                peer=error.peer,
-                silent_since=max(leased_at, connection.last_read_at),
-            ) from error
-        except http.Disconnected as error:
-            sent = connection.bytes_written > written_before
-            raise errors.ConnectionFailed(
-                error.message,
-                step=error.step,
-                peer=error.peer,
-                # A failed write may have sent some of its bytes.
-                sent=sent or error.step == 'send request',
-            ) from error
-        except (errors.ProtocolError, errors.BadInput) as error:
-            raise errors.AnswerInvalid(
-                error.message, step=error.step, peer=error.peer, sent=True
-            ) from error
+            with endpoint_failures(connection):
+                yield connection
+                clean = connection.reusable()
         finally:
             if clean:
                 self.release(endpoint, connection)
@@ -199,3 +178,35 @@
             for connection in idle_connections:
                 await connection.close()
         self.idle.clear()
+
+
+@contextlib.contextmanager
+def endpoint_failures(connection):
+    """Raise the errors of an exchange as :class:`errors.EndpointFailure`.
+
+    :param http.Connection connection: is used for nothing else meanwhile.
+    """
+    written_before = connection.bytes_written
+    leased_at = time.monotonic()
+    try:
+        yield
+    except http.ReadTimeout as error:
+        raise errors.ConnectionSilent(
+            error.message,
+            step=error.step,
+            peer=error.peer,
+            silent_since=max(leased_at, connection.last_read_at),
+        ) from error
+    except http.Disconnected as error:
+        sent = connection.bytes_written > written_before
+        raise errors.ConnectionFailed(
+            error.message,
+            step=error.step,
+            peer=error.peer,
+            # A failed write may have sent some of its bytes.
+            sent=sent or error.step == 'send request',
+        ) from error
+    except (errors.ProtocolError, errors.BadInput) as error:
+        raise errors.AnswerInvalid(
+            error.message, step=error.step, peer=error.peer, sent=True
+        ) from error
