Wake the next kept request if a retry is refused

Callers whose requests were kept waited on beside open endpoints, for up to half of their objective. Cause: after a plan, the next kept request is woken when the dispatch begins. A retry that the budget refuses, or a caller that leaves at that moment, begins none, and nobody woke it. Change: what precedes a dispatch is one step; if it fails, requests of the service try again.

--- a/celeryward/callers/relay.py
+++ b/celeryward/callers/relay.py
@@ -93,14 +93,26 @@
         done = False
         while not done:
             plan = await self.next_plan(relayed)
-            relayed.service = plan.service
-            if relayed.trial is not None:
-                await self.router_state.guard.announce_trial(
-                    relayed.service, relayed.trial
-                )
-            self.retries.charge(relayed)
+            try:
+                await self.admit_dispatch(relayed, plan)
+            except BaseException:
+                # No dispatch begins, which would let the next request try.
+                await self.waiter.place_freed(plan.runner)
+                raise
             done = await self.relay_first(relayed, plan, responder)
 
+    async def admit_dispatch(self, relayed, plan):
+        """Announce a trial, and charge a dispatch to the retry budget.
+
+        :raises errors.CelerywardError: if the request is not retried.
+        """
+        relayed.service = plan.service
+        if relayed.trial is not None:
+            await self.router_state.guard.announce_trial(
+                relayed.service, relayed.trial
+            )
+        self.retries.charge(relayed)
+
     async def next_plan(self, relayed):
         """Return the :class:`relayed_requests.Plan` of the next dispatch.
 
--- a/tests/test_two_changes.py
+++ b/tests/test_two_changes.py
@@ -437,3 +437,33 @@
 async def request_named(site, request_id):
     """Send a request with an id of its own."""
     return await site.request('/whole/', request_id=request_id)
+
+
+class TestRetryBudget:
+    """Guards against kept requests that a refused one does not wake."""
+
+    @standins.on_site
+    async def test_request_behind_a_refused_retry_waits_on(self, site):
+        """It waited for half of its objective beside open endpoints."""
+        for each in ('app-1', 'app-2'):
+            site.runners[each].scripted_actions.append(
+                standins.turn_away(str(PAUSE_SECONDS))
+            )
+        changes = Changes(site)
+        routes = standins.configuration()['routes']
+        objective = {'goalMs': OBJECTIVE_MS}
+        await changes.apply(routes=[each | objective for each in routes])
+        tokens = [True, False]
+        budget = site.router.relay.retries.budgets['app']
+        budget.take_above = lambda reserve: tokens.pop(0)
+        first = await curio.spawn(request_named, site, 'first')
+        await wait_until_kept(site)
+        second = await curio.spawn(request_named, site, 'second')
+        await wait_until_kept(site, 2)
+        head, _ = await first.join()
+        assert head.status == 503
+        refused_at = time.monotonic()
+        head, body = await second.join()
+        assert time.monotonic() - refused_at < AT_ONCE_SECONDS
+        assert (head.status, body) == (200, WHOLE)
+        check_nothing_is_left(site)
