Let verdicts arrive that other routers wrote in a pause

A router that has decided that a new version is good waits for half a second, in which verdicts and evidence of other routers arrive, before it writes. If it stood still in that time, the half second was over when it went on, and it wrote with their messages unread in its sockets; evidence of followers that would have turned the verdict came too late.

The wait is measured on the clock of the runs, which in a router stands still while the process does, so that it has the half second after the pause. The write stays conditional on the revision of the order.

--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -320,7 +320,7 @@
         """Set the verdict on an order."""
         progress = self.progress[service]
         self.progress[service] = dataclasses.replace(
-            progress, verdict=state, decided_at=self.clock()
+            progress, verdict=state, decided_at=self.runs.clock()
         )
         logs.bind(
             step='roll-out',
@@ -388,7 +388,7 @@
         """
         for progress in self.progress.values():
             verdict = progress.verdict
-            waited = self.clock() - progress.decided_at
+            waited = self.runs.clock() - progress.decided_at
             if verdict is rollout_orders.State.DONE and not (
                 settled and waited >= COMPLETION_SETTLE_SECONDS
             ):
--- a/celeryward/raters/rollout_orders.py
+++ b/celeryward/raters/rollout_orders.py
@@ -134,7 +134,8 @@
     :param float start_monotonic: monotonic seconds at which the order started.
     :param float announce_at: monotonic seconds after which this router
         stores the start, if no other router has.
-    :param float decided_at: monotonic seconds of the verdict.
+    :param float decided_at: time of the verdict, on the clock of
+        :class:`runs.InFlightRuns`.
     """
 
     order: Order
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from celeryward import awake_clock
 from celeryward.raters import releases
 from celeryward.raters import rollout_orders
 from celeryward.raters import rollout_schedule
@@ -344,6 +345,20 @@
         clock.now += releases.COMPLETION_SETTLE_SECONDS
         assert list(rollouts.orders_without_verdict())
 
+    def test_pause_does_not_count_as_wait_for_verdicts(self, rollouts, clock):
+        for _ in range(5):
+            observe(rollouts, 'v2', False, 0.1)
+        rollouts.runs.clock = awake_clock.AwakeClock(clock)
+        rollouts.runs.clock.readers = 1
+        clock.now = 17.5
+        rollouts.decide_due()
+        clock.now += 2.0
+        assert not list(rollouts.orders_without_verdict())
+        for _ in range(5):
+            clock.now += awake_clock.TICK_SECONDS
+            found = list(rollouts.orders_without_verdict())
+        assert found
+
     def test_completion_that_is_not_stored_can_be_undone(
         self, rollouts, clock
     ):
