Send evidence to one router while another may still take it

A follower whose leader stood still got no response to a report of evidence within 0.4 s and sent the same evidence to the standby, which passes it on to the leader. The leader had the first report in its socket and took both when it went on, so that runs at a new version, and requests of its service, counted twice: four failures looked like eight. A report number protects only against the same receiver.

The evidence of a report without a response is held for its receiver for 3 s (the receiver is asked again after 1 s, with the same number); later evidence goes to the next router at once. After that it is sent to another one, so that a leader that is gone takes nothing with it. What it costs: with a dead leader the evidence of one report, 0.3 s of it, arrives up to 3 s later.

The rate at which a pause falls into a roll-out was not measured.

--- a/celeryward/routers/evidence.py
+++ b/celeryward/routers/evidence.py
@@ -15,6 +15,7 @@
 
 import curio
 
+from celeryward import deadlines
 from celeryward import logs
 from celeryward.raters import rollout_orders
 from celeryward.routers import members
@@ -23,18 +24,23 @@
 REPORT_SECONDS = 0.3
 # Outcomes that wait for a router that doesn't respond; the oldest are dropped.
 MAX_WAITING_OUTCOMES = 200
+# How long the evidence in a report without a response is not sent to another
+# router: the receiver may stand still, take the report when it goes on, and
+# be sent the same again by the other one.
+HOLD_SECONDS = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnconfirmedReport:
     """A report without a response.
 
-    :param str receiver: name of the router that it was sent to.
     :param protocol.EvidenceReport report: the report.
+    :param deadlines.Deadline hold_until: from when its evidence may be sent
+        to another router.
     """
 
-    receiver: str
     report: protocol.EvidenceReport
+    hold_until: deadlines.Deadline
 
 
 class EvidenceReporter:
@@ -56,7 +62,8 @@
         self.reported = {}
         self.sender = uuid.uuid4().hex
         self.numbers = itertools.count(1)
-        self.unconfirmed = None
+        # By name of the router that the report was sent to.
+        self.unconfirmed = {}
         releases.outcome_listeners.append(self.add_outcome)
 
     def add_outcome(self, outcome):
@@ -90,13 +97,16 @@
         outcome = await self.source.client_of(receiver).report(report)
         if outcome.is_err():
             error = outcome.unwrap_err()
-            self.unconfirmed = UnconfirmedReport(receiver.name, report)
+            hold_until = deadlines.Deadline.after(HOLD_SECONDS)
+            self.unconfirmed.setdefault(
+                receiver.name, UnconfirmedReport(report, hold_until)
+            )
             self.members.avoid(receiver, members.OUTDATED_AVOID_SECONDS)
             logs.bind_error(error, router=receiver.name).info(
                 'evidence not reported: {}', error.message
             )
             return
-        self.unconfirmed = None
+        self.unconfirmed.pop(receiver.name, None)
         self.record_reported(report)
 
     def next_report(self, receiver):
@@ -105,10 +115,18 @@
         A report that the receiver may have is sent again unchanged, so that
         it counts once.
         """
-        unconfirmed = self.unconfirmed
-        if unconfirmed is not None and unconfirmed.receiver == receiver.name:
+        unconfirmed = self.unconfirmed.get(receiver.name)
+        if unconfirmed is not None:
             return unconfirmed.report
-        outcomes = tuple(self.outcomes)
+        self.drop_expired()
+        held = frozenset(
+            id(outcome)
+            for each in self.unconfirmed.values()
+            for outcome in each.report.outcomes
+        )
+        outcomes = tuple(
+            outcome for outcome in self.outcomes if id(outcome) not in held
+        )
         exposures = tuple(self.unreported_exposures())
         departures = self.departures(receiver)
         if not (outcomes or exposures or departures):
@@ -117,6 +135,14 @@
             exposures, outcomes, departures, self.sender, next(self.numbers)
         )
 
+    def drop_expired(self):
+        """Forget the reports whose evidence may be sent to another router."""
+        self.unconfirmed = {
+            name: each
+            for name, each in self.unconfirmed.items()
+            if not each.hold_until.expired()
+        }
+
     def record_reported(self, report):
         """Drop what a report contained that has arrived."""
         # By identity: equal outcomes of several runs are not the same.
@@ -132,10 +158,15 @@
             ).plus(counts.exposure)
 
     def unreported_exposures(self):
-        """Yield the requests of each order that were not reported yet."""
+        """Yield the requests of each order that no report contains yet."""
         for progress in tuple(self.releases.progress.values()):
             key = progress.order.key
-            before = self.reported.get(key, rollout_orders.Exposure())
-            exposure = progress.exposure.minus(before)
+            exposure = progress.exposure.minus(
+                self.reported.get(key, rollout_orders.Exposure())
+            )
+            for each in self.unconfirmed.values():
+                for counts in each.report.exposures:
+                    if counts.order_key == key:
+                        exposure = exposure.minus(counts.exposure)
             if exposure.requests > 0:
                 yield protocol.OrderExposure(*key, exposure)
