Send requests of the soak into the pauses of processes

Cause: eight callers with one request each leave few requests in a pause, and placement may send none of them to an endpoint that stands still. Change: 24 callers on kept connections send two more requests each from 0.25 s before a pause to its end or later, to the paused router if it is one. An end that neither the harness nor a harmful part caused is an error of the harness.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -272,13 +272,12 @@
 
     async def stop(self):
         """Stop all processes, proxies and stand-ins of this run."""
-        self.kill_processes()
-        atexit.unregister(self.kill_processes)
-        for router in self.routers:
-            await router.proxy.stop()
         for endpoint in self.endpoints:
             await endpoint.server.stop()
-            await endpoint.proxy.stop()
+        self.kill_processes()
+        atexit.unregister(self.kill_processes)
+        for each in (*self.routers, *self.endpoints):
+            await each.proxy.stop()
         await self.store.stop()
 
     def find_log_lines(self, request_id):
--- a/benchmarks/soak/pause_faults.py
+++ b/benchmarks/soak/pause_faults.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from benchmarks.soak import callers
 from benchmarks.soak import configuration_faults
 from benchmarks.soak import plans
 from benchmarks.soak import process_endpoints
@@ -16,6 +17,9 @@
 SHORT_TIMEOUT_MS = 1600
 LONG_TIMEOUT_MS = 3000
 SERVICE = 'app'
+# Requests that come while processes stand still, on connections that are kept.
+BURST_CALLERS = 24
+REQUESTS_IN_BURST = 2
 # Services that take the place of another; the second has no endpoints.
 OTHER_SERVICES = ('llm', 'spare')
 
@@ -44,10 +48,32 @@
             await tasks.spawn(endpoint.pause, pause_of(event))
 
 
+async def send_burst(fleet, event, router=None):
+    """Send requests from before a pause until after its end."""
+    async with curio.TaskGroup() as tasks:
+        for number in range(BURST_CALLERS):
+            name = f'burst-{event.at:.3f}-{number}'
+            caller = callers.Caller(fleet, event.target, name, router)
+            await tasks.spawn(send_in_burst, caller, pause_of(event))
+
+
+async def send_in_burst(caller, seconds):
+    """Send a request, then others at random times."""
+    generator = caller.generator
+    await caller.send_and_record('whole')
+    for _ in range(REQUESTS_IN_BURST):
+        await curio.sleep(generator.uniform(0.0, seconds))
+        await caller.send_and_record(generator.choice(callers.KINDS))
+    await caller.close()
+
+
 @plans.FAULTS.register('endpoint-process-paused')
 async def pause_endpoint_processes(fleet, event):
     """Let endpoints stand still; they are sound before and after."""
-    await pause_endpoints(fleet, event)
+    async with curio.TaskGroup() as tasks:
+        await tasks.spawn(send_burst, fleet, event)
+        await curio.sleep(GATHER_SECONDS)
+        await tasks.spawn(pause_endpoints, fleet, event)
 
 
 @plans.FAULTS.register('router-pause-beside-changes')
@@ -56,6 +82,14 @@
     router = plans.router_of(fleet, event)
     if router.stopping:
         return
+    async with curio.TaskGroup() as tasks:
+        await tasks.spawn(send_burst, fleet, event, router)
+        await curio.sleep(GATHER_SECONDS)
+        await tasks.spawn(pause_and_change, fleet, event, router)
+
+
+async def pause_and_change(fleet, event, router):
+    """Suspend a router, change what it will find, and resume it."""
     router.signal(signal.SIGSTOP)
     await curio.sleep(GATHER_SECONDS)
     fleet.write_settings(router, slack=20 + event.target % 40)
--- a/benchmarks/soak/process_endpoints.py
+++ b/benchmarks/soak/process_endpoints.py
@@ -15,7 +15,6 @@
 from tests import platform_standins as standins
 
 PROGRAM = 'benchmarks.soak.endpoint_process'
-PLANNED_STATUSES = (harmful_faults.CRASH_STATUS, -signal.SIGKILL)
 # What is done with the observations of a process, by their list's name.
 RECORDERS = registry.Registry('recorder')
 
@@ -32,6 +31,7 @@
         self.process = None
         self.process_port = 0
         self.following = None
+        self.ending = False
 
     @property
     def port(self):
@@ -66,7 +66,7 @@
             name, fields = msgspec.json.decode(line)
             await RECORDERS.get(name)(self.endpoint, self, fields)
         status = await self.process.wait()
-        if status not in PLANNED_STATUSES:
+        if not self.ending and status != harmful_faults.CRASH_STATUS:
             raise RuntimeError(f'{self.id} ended with status {status}')
 
     def signal(self, number):
@@ -76,6 +76,7 @@
 
     async def stop(self):
         """End the process, also while it stands still."""
+        self.ending = True
         self.signal(signal.SIGKILL)
         await self.process.wait()
 
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -1,12 +1,12 @@
 """Endpoints of the soak that are processes of their own."""
 
+import signal
 import time
 
 import curio
 import pytest
 
 from benchmarks.soak import harmful_faults
-from benchmarks.soak import process_endpoints
 from celeryward import http
 from tests import platform_processes as processes
 from tests import soak_endpoints
@@ -39,7 +39,7 @@
         await curio.sleep(0.05)
         ended = endpoint.server
         await endpoint.crash(ended)
-        assert ended.process.poll() in process_endpoints.PLANNED_STATUSES
+        assert ended.process.poll() == -signal.SIGKILL
         await endpoint.restart(ended)
         await pause.join()
         assert endpoint.server is not ended
@@ -77,7 +77,10 @@
 
     @soak_endpoints.on_endpoint(in_process=True)
     async def test_end_that_nothing_planned_is_an_error(self, endpoint):
-        endpoint.server.process.terminate()
-        async with curio.timeout_after(5.0):
-            await endpoint.server.following.wait()
-        assert isinstance(endpoint.server.following.exception, RuntimeError)
+        for number in (signal.SIGTERM, signal.SIGKILL):
+            server = endpoint.server
+            server.process.send_signal(number)
+            async with curio.timeout_after(5.0):
+                await server.following.wait()
+            assert isinstance(server.following.exception, RuntimeError)
+            await endpoint.restart(server)
