End the wait for a probe at the deadline of its request

A caller whose endpoint broke the connection shortly before the deadline got its answer up to the connect timeout after it (0.4 s by default). Cause: after a broken exchange a request waits for the first probe of its endpoint, which only the connect timeout bounds. Change: that wait ends at the deadline; the probe goes on without it.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -3,6 +3,8 @@
 import contextlib
 import time
 
+import curio
+
 from celeryward import awake_clock
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
@@ -195,7 +197,9 @@
         """Record and log a failed dispatch."""
         runner = dispatch.plan.runner
         if error.sent and isinstance(error, BROKEN_ERRORS):
-            await self.crash_watch.record_break(dispatch.watched)
+            # The probe of the endpoint goes on without this request.
+            async with curio.ignore_after(relayed.deadline.remaining()):
+                await self.crash_watch.record_break(dispatch.watched)
             relayed.crashes_at_begin += dispatch.watched.crashed_at_begin()
         if error.sent or not self.router_state.closures.is_closed(runner):
             # One that is closed may run the request after its pause.
--- a/tests/test_two_changes.py
+++ b/tests/test_two_changes.py
@@ -3,6 +3,7 @@
 Each ends in one of: whole answer, true refusal, stated failure.
 """
 
+import dataclasses
 import time
 
 import curio
@@ -467,3 +468,34 @@
         assert time.monotonic() - refused_at < AT_ONCE_SECONDS
         assert (head.status, body) == (200, WHOLE)
         check_nothing_is_left(site)
+
+
+class TestProbe:
+    """Guards against requests that a probe holds past their deadline."""
+
+    @standins.on_site
+    async def test_probe_of_an_endpoint_outlasts_the_deadline(self, site):
+        set_action(site, disconnect_late)
+        pool = site.router.connections
+        open_connection = pool.open
+
+        async def open_slowly(endpoint, deadline):
+            if not site.arrivals():
+                return await open_connection(endpoint, deadline)
+            await curio.sleep(deadline.remaining())
+            raise standins.connect_timeout(endpoint)
+
+        site.router.connections.timings = dataclasses.replace(
+            site.tuning, connect_timeout=2.0
+        )
+        pool.open = open_slowly
+        started = time.monotonic()
+        head, _ = await site.request('/once/', celeryward_deadline_ms='500')
+        assert head.status in (502, 504)
+        assert time.monotonic() - started < 0.5 + LATE_SECONDS
+
+
+async def disconnect_late(runner, connection, arrival):
+    """Close the connection just before the deadline."""
+    await curio.sleep(0.3)
+    await standins.disconnect(runner, connection, arrival)
