Take no evidence on parts from what is read after a pause

Whether an answer had just begun when its endpoint ended decides whether the parts of its prompt are accused, and whether it has been written for a second decides whether they are cleared. Both were measured from when this router read the beginning. After a pause of 1 s or more a stream that had been written all the time counted as just begun, and was accused with its parts, and a stream that had begun just before the pause counted as written for a second, and cleared them, though its endpoint may have ended 0.1 s later.

A beginning that is read up to 0.3 s after a pause may lie anywhere in it: it accuses no part. Parts are cleared only after a second on the clock that stands still in pauses. Without a pause both are as before.

Two tests with the process blocked for 1 s, both failed before.

--- a/celeryward/awake_clock.py
+++ b/celeryward/awake_clock.py
@@ -6,6 +6,7 @@
 it: their time goes on in a pause. Needs no network.
 """
 
+import math
 import time
 
 import curio
@@ -28,6 +29,9 @@
         self.clock = clock
         self.read_at = clock()
         self.paused_seconds = 0.0
+        # The last pause, on the underlying clock.
+        self.pause_began_at = -math.inf
+        self.pause_ended_at = -math.inf
         # Tasks that read the clock regularly.
         self.readers = 0
 
@@ -35,11 +39,23 @@
         """Return the time on this clock, in seconds."""
         now = self.clock()
         gap = now - self.read_at
-        self.read_at = now
         if self.readers and gap > MAX_GAP_SECONDS:
             self.paused_seconds += gap - TICK_SECONDS
+            self.pause_began_at = self.read_at
+            self.pause_ended_at = now
+        self.read_at = now
         return now - self.paused_seconds
 
+    def earliest_arrival(self):
+        """Return since when input that is read now may have been there.
+
+        That is a time on the underlying clock.
+        """
+        self()
+        if self.read_at - self.pause_ended_at <= MAX_GAP_SECONDS:
+            return self.pause_began_at
+        return self.read_at
+
     async def run(self):
         """Read the clock regularly until cancelled."""
         self()
--- a/celeryward/endpoints/crash_watch.py
+++ b/celeryward/endpoints/crash_watch.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from celeryward import awake_clock
 from celeryward import deadlines
 from celeryward.endpoints import crashes
 from celeryward.endpoints import runners
@@ -41,8 +42,10 @@
         self.traits = traits
         self.is_trial = is_trial
         self.sent_at = time.monotonic()
-        # When the answer began, in monotonic seconds.
+        # When the answer began at the soonest, in monotonic seconds.
         self.began_at = None
+        # When it was first read, on the clock that stands still in pauses.
+        self.read_at = None
         # Whether the process of the endpoint ended under the run.
         self.crashed = False
         # Whether the run was ended because its request is refused.
@@ -51,7 +54,9 @@
     def record_output(self):
         """Record that a part of the answer has arrived."""
         if self.began_at is None:
-            self.began_at = time.monotonic()
+            earliest = awake_clock.CLOCK.earliest_arrival()
+            self.began_at = max(self.sent_at, earliest)
+            self.read_at = awake_clock.CLOCK()
 
     def is_waiting(self):
         """Return whether the request waits at its endpoint, not on trial."""
@@ -62,11 +67,20 @@
         return (
             self.crashed
             and self.began_at is not None
-            and not self.has_survived()
+            and not self.may_have_survived()
         )
 
     def has_survived(self):
-        """Return whether the answer has been written for a while."""
+        """Return whether the answer has certainly been written for a while."""
+        if self.read_at is None:
+            return False
+        return awake_clock.CLOCK() - self.read_at >= SURVIVAL_SECONDS
+
+    def may_have_survived(self):
+        """Return whether the answer may have been written for a while.
+
+        In a pause of this process, nothing tells when it began or ended.
+        """
         if self.began_at is None:
             return False
         return time.monotonic() - self.began_at >= SURVIVAL_SECONDS
@@ -220,7 +234,7 @@
     """
     if run.began_at is None:
         return (1, run.sent_at)
-    return (0 if not run.has_survived() else 2, -run.began_at)
+    return (0 if not run.may_have_survived() else 2, -run.began_at)
 
 
 def run_traits(run):
@@ -230,7 +244,7 @@
     an endpoint that has been writing for a while.
     """
     traits = run.traits()
-    if run.has_survived():
+    if run.may_have_survived():
         return crashes.RequestTraits(traits.fingerprint)
     return traits
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -1,11 +1,17 @@
 """What counts as the end of an endpoint's process under its requests."""
 
+import socket
+import time
+
 import curio
 import pytest
 
+from celeryward import awake_clock
 from celeryward.endpoints import crash_watch
 from celeryward.endpoints import crashes
+from celeryward.endpoints import runners
 from celeryward import http
+from tests import fakes
 from tests import platform_standins as standins
 
 PARTS = 'aa:300,bb:500,cc:200'
@@ -89,6 +95,30 @@
         await curio.sleep(0.5)
         assert not found
 
+    @pytest.mark.parametrize('backlog_is_full', (False, True))
+    @standins.on_site
+    async def test_endpoint_that_stands_still_has_not_ended(
+        self, site, backlog_is_full
+    ):
+        found = record_crashes(site)
+        watch = site.router.crash_watch
+        with socket.create_server(('127.0.0.1', 0), backlog=0) as listener:
+            address = listener.getsockname()
+            runner = runners.Runner('still-1', 'app', *address, 'a')
+            site.router.runners.put(runner)
+            waiting = [socket.create_connection(address)]
+            while backlog_is_full and len(waiting) < 4:
+                waiting.append(socket.socket())
+                waiting[-1].setblocking(False)
+                waiting[-1].connect_ex(address)
+            run = watch.begin(runner, lambda: crashes.RequestTraits('r'))
+            await watch.record_break(run)
+            await standins.wait_until(lambda: not watch.broken, 4.0)
+            watch.end(run)
+            for each in waiting:
+                each.close()
+        assert not (found or watch.ended)
+
 
 class TestTraits:
     """Guards against parts that are taken for the cause of a later crash."""
@@ -104,6 +134,29 @@
         run.began_at -= crash_watch.SURVIVAL_SECONDS
         assert crash_watch.run_traits(run).parts == ()
 
+    @fakes.in_kernel
+    async def test_answer_that_is_read_after_a_pause_accuses_no_part(self):
+        reading = await curio.spawn(awake_clock.CLOCK.run)
+        await curio.sleep(0)
+        run = self.run()
+        run.crashed = True
+        time.sleep(crash_watch.SURVIVAL_SECONDS)
+        run.record_output()
+        assert crash_watch.run_traits(run).parts == ()
+        assert not run.crashed_at_begin()
+        await reading.cancel()
+
+    @fakes.in_kernel
+    async def test_pause_after_the_beginning_clears_no_part(self):
+        reading = await curio.spawn(awake_clock.CLOCK.run)
+        await curio.sleep(0)
+        run = self.run()
+        run.record_output()
+        time.sleep(crash_watch.SURVIVAL_SECONDS)
+        assert not run.has_survived()
+        assert crash_watch.run_traits(run).parts == ()
+        await reading.cancel()
+
     def test_parts_of_one_request_are_bounded(self):
         parts = crashes.traits_of_parts([str(n) for n in range(100)])
         assert parts == tuple(
