Let the soak send SIGTERM and SIGHUP once a router handles them

Change: the soak waits until the process catches or ignores the signal, as /proc says. Signals in the imports that follow are sent as before; a kill or a pause is sent at any time. A pause with a SIGHUP leaves out a router that has no handler yet, and signals only the process that it has paused.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -71,7 +71,7 @@
     """Change the settings of a router and send it a reload signal."""
     router = plans.router_of(fleet, event)
     fleet.write_settings(router, slack=20 + event.target % 40)
-    router.signal(signal.SIGHUP)
+    await router.signal_handled(signal.SIGHUP)
 
 
 @plans.FAULTS.register('store-delayed')
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -25,6 +25,9 @@
 
 STARTUP_SECONDS = 10.0
 POLL_SECONDS = 0.25
+HANDLING_POLL_SECONDS = 0.01
+# Signals that a process ignores and catches, in its status in /proc.
+HANDLED_MASKS = ('SigIgn', 'SigCgt')
 MILLISECONDS = 1000
 # Routers per failure domain; with this many, some routers follow a leader
 # instead of the store.
@@ -71,6 +74,24 @@
         if self.alive:
             self.popen.send_signal(number)
 
+    def handles(self, number):
+        """Return whether the process runs and a signal does not end it."""
+        return self.alive and is_handled(self.popen.pid, number)
+
+    async def signal_handled(self, number):
+        """Send a signal once the program handles it; return the process.
+
+        One that comes before the first line of a program ends its interpreter,
+        whatever the program does later.
+        """
+        process = self.popen
+        while process.poll() is None:
+            if is_handled(process.pid, number):
+                process.send_signal(number)
+                break
+            await curio.sleep(HANDLING_POLL_SECONDS)
+        return process
+
 
 class Fleet:
     """The store, endpoints and routers of one run.
@@ -175,10 +196,9 @@
         if not router.alive or router.stopping:
             return
         router.stopping = True
-        ordered_at = observations.now()
         # Another fault may start the router again as soon as it has exited.
-        process = router.popen
-        router.signal(signal.SIGTERM)
+        process = await router.signal_handled(signal.SIGTERM)
+        ordered_at = observations.now()
         ended_at = await self.wait_for_exit(
             process, processes.STOP_SECONDS + 1.0
         )
@@ -291,6 +311,18 @@
         return sorted(found, key=log_timestamp)
 
 
+def is_handled(process_id, number):
+    """Return whether a process catches or ignores a signal."""
+    try:
+        with open(f'/proc/{process_id}/status', encoding='ascii') as file:
+            fields = dict(line.split(':', 1) for line in file)
+    except OSError:
+        # The process has ended.
+        return False
+    masks = (int(fields.get(name, '0'), 16) for name in HANDLED_MASKS)
+    return any(mask >> number - 1 & 1 for mask in masks)
+
+
 def wait_for_exit(process_id, seconds):
     """Wait until a process has exited; return the monotonic time."""
     try:
--- a/benchmarks/soak/pause_faults.py
+++ b/benchmarks/soak/pause_faults.py
@@ -80,7 +80,7 @@
 async def pause_router_beside_changes(fleet, event):
     """Suspend a router while its configuration and settings change."""
     router = plans.router_of(fleet, event)
-    if router.stopping:
+    if router.stopping or not router.handles(signal.SIGHUP):
         return
     async with curio.TaskGroup() as tasks:
         await tasks.spawn(send_burst, fleet, event, router)
@@ -90,10 +90,11 @@
 
 async def pause_and_change(fleet, event, router):
     """Suspend a router, change what it will find, and resume it."""
-    router.signal(signal.SIGSTOP)
+    process = router.popen
+    process.send_signal(signal.SIGSTOP)
     await curio.sleep(GATHER_SECONDS)
     fleet.write_settings(router, slack=20 + event.target % 40)
-    router.signal(signal.SIGHUP)
+    process.send_signal(signal.SIGHUP)
     await configuration_faults.apply_settings(
         fleet,
         pause_of(event) - GATHER_SECONDS,
@@ -101,7 +102,7 @@
             configuration_faults.TIMEOUTS_MS, event
         ),
     )
-    router.signal(signal.SIGCONT)
+    process.send_signal(signal.SIGCONT)
 
 
 @plans.FAULTS.register('changes-in-series')
--- a/benchmarks/soak/regressions.py
+++ b/benchmarks/soak/regressions.py
@@ -44,6 +44,7 @@
 SECOND_PLAN = 2
 THIRD_PLAN = 3
 FOURTH_PLAN = 4
+FIFTH_PLAN = 5
 CASES = (
     *(Case(seed, EARLY_CALLER, 12.0) for seed in range(103, 108)),
     *(Case(seed, RELOAD) for seed in (303, 321)),
@@ -77,4 +78,5 @@
         )
         for seed in seeds
     ),
+    Case(30010, EARLY_STOP, plan=FIFTH_PLAN),
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """Plan and checks of the soak test, and a short run of real processes."""
 
 import random
+import signal
 import subprocess
+import sys
 import time
 
 import curio
@@ -90,6 +92,43 @@
         process.wait()
 
 
+class TestStarts:
+    """Guards against signals that end the interpreter of a router."""
+
+    def start(self, program):
+        router = fleet.RouterProcess('router-0', '127.0.0.1', 'a')
+        router.popen = subprocess.Popen([sys.executable, '-c', program])
+        return router
+
+    @pytest.mark.parametrize(
+        'handler', ['signal.SIG_IGN', 'lambda *_: sys.exit(0)']
+    )
+    def test_signal_is_sent_once_it_is_handled(self, handler):
+        router = self.start(
+            'import signal, sys, time; time.sleep(0.3);'
+            f'signal.signal(signal.SIGTERM, {handler}); time.sleep(0.3)'
+        )
+        curio.run(router.signal_handled, signal.SIGTERM)
+        assert router.popen.wait() == 0
+
+    def test_process_that_ends_is_not_waited_for(self):
+        router = self.start('')
+        curio.run(router.signal_handled, signal.SIGTERM)
+        assert router.popen.poll() == 0
+
+    def test_router_that_stops_as_it_starts_ends_with_zero(self, tmp_path):
+        found = fleet.Fleet(1, tmp_path, routers=1, endpoints=0)
+        curio.run(self.start_and_stop, found)
+        assert [stop.exit_status for stop in found.observed.stops] == [0] * 5
+
+    async def start_and_stop(self, found):
+        for _ in range(5):
+            await found.routers[0].proxy.start()
+            found.start_router(found.routers[0])
+            await found.stop_router(found.routers[0])
+            await found.routers[0].proxy.stop()
+
+
 class TestRetries:
     """Guards against callers that retry what may have run."""
 
