Read all of what was there when a deadline passed in a pause

An answer of more than 64 KB that lay whole in the socket of its connection when the router went on after a pause was given up as silent (504).

Cause: after a passed deadline one read of 64 KB was allowed; a connection that had carried such answers holds 128 KB to over 1 MB unread.

--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -7,6 +7,7 @@
 """
 
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -50,6 +51,19 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def count_readable(sock):
+    """Return how many bytes can be read now.
+
+    The end of the stream counts as one.
+
+    :raises OSError: if the socket is closed.
+    """
+    held = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(INT.size))
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return INT.unpack(held)[0] + bool(poller.poll(0))
+
+
 def count_unreceived(sock):
     """Return how many of the sent bytes the peer hasn't received yet.
 
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -42,8 +42,10 @@
         self.writing = False
         # Whether the last read left more to read, so that others go first.
         self.read_full = False
-        # The deadline after which bytes were read that had arrived by then.
+        # The deadline after which bytes are read that had arrived by then, and
+        # how many of them are left.
         self.late_read_for = None
+        self.late_size = 0
 
     async def read(self, step, deadline, extend=None):
         """Return bytes from the socket, empty at the end of the stream.
@@ -51,8 +53,8 @@
         A peer that sends without a pause can neither exceed the deadline nor
         keep other tasks from running: recv() on a socket with data neither
         times out nor yields to other tasks. Bytes that are there when the
-        deadline has passed are read once: a process that stood still finds
-        both.
+        deadline has passed are read, and none that arrive later: a process
+        that stood still finds both.
 
         :param extend: async function that is called when the deadline has
             passed; it returns a later one, or None to end the wait.
@@ -96,16 +98,21 @@
             raise self.lost_error(str(error), step) from error
 
     def read_late(self, step, deadline):
-        """Return bytes that are there after a deadline, once; else None."""
-        if self.late_read_for == deadline:
-            return None
-        self.late_read_for = deadline
+        """Return bytes that were there after a deadline; None after them."""
         try:
-            return os.read(self.sock.fileno(), READ_SIZE_BYTES)
+            if self.late_read_for != deadline:
+                self.late_read_for = deadline
+                self.late_size = sockets.count_readable(self.sock)
+            if not self.late_size:
+                return None
+            size = min(self.late_size, READ_SIZE_BYTES)
+            data = os.read(self.sock.fileno(), size)
         except BlockingIOError:
             return None
         except OSError as error:
             raise self.lost_error(str(error), step) from error
+        self.late_size -= len(data)
+        return data
 
     def check_writable(self, step):
         """Check that no write is under way or was cut off.
