Run the parts of the pause trial in the event loop of the programs

The endpoints and the router of the trial ran in curio's own loop, without the second look for input that the programs have. No test: a tool.

--- a/benchmarks/pausable_parts.py
+++ b/benchmarks/pausable_parts.py
@@ -17,6 +17,7 @@
 sys.path.append(str(ROOT / 'platform'))
 
 from adapter import translator  # noqa: E402
+from celeryward import event_loop  # noqa: E402
 from celeryward import logs  # noqa: E402
 from celeryward import router  # noqa: E402
 from celeryward import router_settings  # noqa: E402
@@ -73,7 +74,8 @@
 def run(main, *arguments):
     """Run a coroutine function in a kernel that says where tasks wait."""
     logs.configure('WARNING', 'text')
-    with curio.Kernel() as kernel:
+    loop = event_loop.InputFirstSelector()
+    with curio.Kernel(selector=loop) as kernel:
         kernel.run(run_beside_orders, kernel, main, arguments)
         sys.stdout.flush()
         os._exit(0)
