--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -52,6 +52,12 @@
             yield dispatch
         finally:
             self.crash_watch.end(watched)
+            if watched.is_sound():
+                # The endpoint outlived the prompt, however the answer ended.
+                self.guard.harmful.answered.record_parts(
+                    plan.service,
+                    relayed_requests.shared_parts(relayed.metadata),
+                )
             relayed.end_running(plan.runner.id)
             self.router_state.releases.runs.drop(dispatch.run)
 
@@ -156,9 +162,7 @@
             answer.seconds,
             relayed_requests.work_units(relayed.metadata),
         )
-        self.guard.harmful.record_parts(
-            plan.service, relayed_requests.shared_parts(relayed.metadata)
-        )
+        self.guard.harmful.answered.record(plan.service, relayed.traits())
         # Last, because a caller that leaves cancels this where it waits.
         if self.guard.harmful.has_evidence():
             await self.guard.record_answer(
