Hold input back also beyond a deadline that is extended

What could happen: the input of an answer that never pauses was no longer held back once its head or its next event was late, so that it shared the process with all others again.

Cause: since the wait of held input ends at the deadline of the read. The deadlines of answers don't end the read; they are replaced by later ones (waits.Wait.extend), but receive() and Answer.events() keep the first one. Once that has passed, the wait was always 0 s.

Change: take_turn() asks for the later deadline as the read does, and ends the wait when there is none.

Test: "test_input_is_held_back_beyond_a_deadline_that_is_extended" failed before (0.0 s of 0.4 s).

--- a/celeryward/endpoints/answers.py
+++ b/celeryward/endpoints/answers.py
@@ -95,7 +95,7 @@
                         splitter.feed(chunk), connection.peer
                     )
                     ready, failure = collect_until_error(new_events)
-                    await connection.meter.take_turn(due)
+                    await connection.meter.take_turn(due, self.wait.extend)
                     await hold.resize(
                         len(splitter.buffer), 'read events', connection.peer
                     )
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -120,7 +120,7 @@
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
                 raise self.input_error(error, step) from error
-            await self.meter.take_turn(deadline)
+            await self.meter.take_turn(deadline, extend)
             if event is not h11.NEED_DATA:
                 return event
             self.h11.receive_data(await self.read(step, deadline, extend))
--- a/celeryward/processor_share.py
+++ b/celeryward/processor_share.py
@@ -13,6 +13,7 @@
 
 import curio
 
+from celeryward import deadlines
 from celeryward import logs
 
 # Work on one connection without a turn of the others.
@@ -109,17 +110,26 @@
             elapsed,
         )
 
-    async def take_turn(self, deadline):
+    async def take_turn(self, deadline, extend=None):
         """End the measured work; let others go on if it was much.
 
         :param Deadline deadline: when the wait ends, however long it should
             be.
+        :param extend: async function that is called when the deadline has
+            passed; it returns a later one, or None to end the wait.
         """
         self.end_work()
         seconds = self.delay()
-        if seconds is not None:
-            await curio.sleep(min(seconds, deadline.remaining()))
-            self.measured_from = self.clock()
+        if seconds is None:
+            return
+        held_until = deadlines.Deadline.after(seconds)
+        await curio.sleep(held_until.earlier(deadline).remaining())
+        while extend is not None and not held_until.expired():
+            deadline = await extend()
+            if deadline is None:
+                break
+            await curio.sleep(held_until.earlier(deadline).remaining())
+        self.measured_from = self.clock()
 
 
 SHARED_TIME = SharedTime()
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -108,6 +108,35 @@
         await meter.take_turn(deadlines.Deadline.after(0.1))
         assert 0.1 <= time.monotonic() - began < ANSWER_SECONDS
 
+    @fakes.in_kernel
+    async def test_input_is_held_back_beyond_a_deadline_that_is_extended(
+        self,
+    ):
+        clock = fakes.CallableClock()
+        near, far = socket.socketpair()
+        connection = http.Connection(
+            curio.io.Socket(near), h11.CLIENT, 'endpoint'
+        )
+        connection.meter = processor_share.InputMeter(
+            '-', processor_share.SharedTime(clock), clock, clock
+        )
+
+        def parse_slowly():
+            clock.now += 0.1
+            return h11.EndOfMessage()
+
+        async def extend():
+            return deadlines.Deadline.after(0.05)
+
+        connection.h11.next_event = parse_slowly
+        began = time.monotonic()
+        late = deadlines.Deadline.after(0.0)
+        await connection.receive('read', late, extend)
+        seconds = 0.1 / processor_share.SHARED_PART
+        assert time.monotonic() - began >= seconds
+        await connection.close()
+        far.close()
+
 
 class TestPauseBeyondTheDeadline:
     """Guards against input that is there and loses to a deadline."""
