Accuse what requests share only of crashes without a rival

Cause: the trait in most crashes was guilty. What all requests share is in the crashes of each harmful part. Parts of earlier answers needed six crashes, fingerprints three, and six crashes of two parts were enough. Change: endpoints.exclusion finds the rivals of a trait: suspects that were at a crash beside a request with the trait but without them. Crashes without a rival weigh double, a trait with a rival at each needs three times as many, and traits of earlier answers, now also fingerprints, are accused only of what no other explains.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -156,9 +156,7 @@
             answer.seconds,
             relayed_requests.work_units(relayed.metadata),
         )
-        self.guard.harmful.record_parts(
-            plan.service, relayed_requests.shared_parts(relayed.metadata)
-        )
+        self.guard.harmful.answered.record(plan.service, relayed.traits())
         # Last, because a caller that leaves cancels this where it waits.
         if self.guard.harmful.has_evidence():
             await self.guard.record_answer(
--- a/celeryward/endpoints/crashes.py
+++ b/celeryward/endpoints/crashes.py
@@ -115,3 +115,22 @@
         digest.update(len(content).to_bytes(8, 'big'))
         digest.update(content)
     return f'request-{digest.hexdigest()}'
+
+
+def merge(known, crash):
+    """Return a crash with what two reports say of it.
+
+    :param known: an earlier report, or None.
+    """
+    if known is None:
+        return crash
+    found = {request.fingerprint: request for request in known.requests}
+    for request in crash.requests:
+        if request.fingerprint not in found:
+            found[request.fingerprint] = request
+    return dataclasses.replace(
+        known,
+        at=min(known.at, crash.at),
+        requests=tuple(found.values())[:MAX_MERGED_REQUESTS],
+        is_trial=known.is_trial or crash.is_trial,
+    )
--- a/celeryward/endpoints/culprits.py
+++ b/celeryward/endpoints/culprits.py
@@ -4,18 +4,29 @@
 are alike. What is given are crashes with the requests that ran, without the
 traits that were answered since. Needs no network.
 
-A trait is guilty if it is in several crashes, and no other trait is in more
-of them. Traits that were always in the same crashes and in the same requests
+A trait is guilty if it is in several crashes, no other trait is in more of
+them, and it had no rival at some, as :mod:`celeryward.endpoints.exclusion`
+tells. Traits that were always in the same crashes and in the same requests
 are guilty together only. The crashes that a culprit explains accuse no others.
 """
 
 import collections
 import dataclasses
 
+from celeryward.endpoints import exclusion
+
 # Crashes at different moments after which a trait is guilty.
 CRASHES_TO_REFUSE = 3
 # Crashes at different moments after which a trait is suspected.
 CRASHES_TO_SUSPECT = 2
+# A trait that was answered before is accused only after this many crashes. It
+# may turn harmful with a new version of an engine, but while all endpoints
+# crash no answer clears what sound requests share.
+CRASHES_TO_DISTRUST = 6
+# Times as many crashes are needed of a trait that had a rival at each.
+CRASHES_BESIDE_RIVALS = 3
+# Groups of traits whose rivals are compared, those with the most crashes.
+MAX_COMPARED = 16
 # Endpoints that end this close together may have ended for one reason.
 SAME_MOMENT_SECONDS = 0.1
 # Different requests in which a shared trait must have been. A request that is
@@ -48,45 +59,83 @@
         return self.traits <= traits
 
 
-def find_culprits(crashes, least_crashes=CRASHES_TO_REFUSE):
+def find_culprits(
+    crashes, least_crashes=CRASHES_TO_REFUSE, answered=frozenset()
+):
     """Yield a :class:`Culprit` for each combination of guilty traits.
 
     :param crashes: :class:`crashes.Crash` of one service.
     :param int least_crashes: moments with a crash that make a trait guilty.
+    :param frozenset answered: traits of earlier answers. They are accused of
+        what no other explains only, after more crashes.
     """
     unexplained = {crash.key: crash for crash in crashes}
-    while True:
-        keys = most_common_crashes(unexplained, least_crashes)
-        if not keys:
-            return
-        explained = [unexplained.pop(key) for key in keys]
-        yield from combinations(explained, keys)
+    for least, trusted in (
+        (least_crashes, answered),
+        (max(least_crashes, CRASHES_TO_DISTRUST), frozenset()),
+    ):
+        while keys := guilty_crashes(unexplained, least, trusted, answered):
+            explained = [unexplained.pop(key) for key in keys]
+            yield from combinations(explained, keys)
 
 
-def most_common_crashes(crashes, least_crashes):
-    """Return the keys of the crashes that one trait shares.
+def guilty_crashes(crashes, least_crashes, trusted, answered):
+    """Return the keys of the crashes that one guilty trait shares.
 
-    They are those of the trait with the most crashes; empty if it has too few.
+    They are those of the trait with the most crashes, where traits come first
+    that have no rival at half of them.
 
     :param dict crashes: :class:`crashes.Crash` by key.
+    :param frozenset trusted: traits that can't be guilty.
+    :param frozenset answered: traits that are no rivals.
+    :returns: an empty set if no trait is guilty.
     """
-    best = frozenset()
-    for keys in crashes_by_trait(crashes.values()).values():
-        if len(keys) > len(best):
-            moments = count_moments(crashes[key].at for key in keys)
-            if moments >= least_crashes:
-                best = frozenset(keys)
-    return best
-
-
-def crashes_by_trait(crashes):
-    """Return the set of keys of the crashes that each trait is in."""
-    found = collections.defaultdict(set)
-    for crash in crashes:
-        for request in crash.requests:
-            for trait in request.all():
-                found[trait].add(crash.key)
-    return found
+    groups = exclusion.group_traits(crashes.values())
+    moments = {
+        keys: count_moments(crashes[key].at for key in keys) for keys in groups
+    }
+    suspects = find_suspects(groups, moments) - answered
+    able = [
+        keys
+        for keys, group in groups.items()
+        if moments[keys] >= least_crashes and not group <= trusted
+    ]
+    able.sort(key=len, reverse=True)
+    possible = frozenset()
+    for keys in able[:MAX_COMPARED]:
+        found = [crashes[key] for key in keys]
+        left = exclusion.without_rivals(found, groups[keys], suspects)
+        alone = count_moments(crash.at for crash in left)
+        if is_guilty(moments[keys], alone, least_crashes):
+            if 2 * alone >= moments[keys]:
+                return keys
+            possible = possible or keys
+    return possible
+
+
+def find_suspects(groups, moments):
+    """Return the traits that are in several crashes.
+
+    :param dict groups: traits by the keys of their crashes.
+    :param dict moments: number of moments by the keys of crashes.
+    """
+    return {
+        trait
+        for keys, group in groups.items()
+        if moments[keys] >= CRASHES_TO_SUSPECT
+        for trait in group
+    }
+
+
+def is_guilty(moments, alone, least_crashes):
+    """Return whether so many crashes make a trait guilty.
+
+    :param int moments: moments with a crash.
+    :param int alone: moments with one at which the trait had no rival.
+    """
+    if not alone:
+        return moments >= CRASHES_BESIDE_RIVALS * least_crashes
+    return moments + alone >= 2 * least_crashes - 1
 
 
 def count_moments(times):
@@ -111,7 +160,7 @@
     """
     shared = {
         trait
-        for trait, found in crashes_by_trait(explained).items()
+        for trait, found in exclusion.crashes_by_trait(explained).items()
         if found == keys
     }
     fingerprints = collections.defaultdict(set)
--- a/celeryward/endpoints/harmful_requests.py
+++ b/celeryward/endpoints/harmful_requests.py
@@ -12,19 +12,16 @@
 import dataclasses
 import time
 
+from celeryward.endpoints import answered_traits
 from celeryward.endpoints import crashes
 from celeryward.endpoints import culprits
+from celeryward.endpoints import recent_entries
 from celeryward import registry
 
 # The bounds on the state: crashes, and traits that were cleared lately.
 MAX_CRASHES = 64
 MAX_CLEARED = 2048
 MAX_TRIALS = 256
-MAX_ANSWERED = 4096
-# A part that was answered before is accused only after this many crashes. It
-# may turn harmful with a new version of an engine, but while all endpoints
-# crash no answer clears what sound requests share.
-CRASHES_TO_DISTRUST = 6
 # Time for which a crash counts, so that a request that seldom comes is found.
 EVIDENCE_SECONDS = 3600.0
 # Time from the last crash to the next trial; each trial that ends in a crash
@@ -80,24 +77,6 @@
         return (self.service, self.traits)
 
 
-class RecentEntries(collections.OrderedDict):
-    """Entries by key in the order of their last change.
-
-    :param int most: upper bound on the entries; the oldest are dropped.
-    """
-
-    def __init__(self, most):
-        super().__init__()
-        self.most = most
-
-    def put(self, entry):
-        """Add or replace an entry."""
-        self.pop(entry.key, None)
-        self[entry.key] = entry
-        while len(self) > self.most:
-            self.popitem(last=False)
-
-
 class HarmfulRequests:
     """The evidence of crashes, and what follows from it.
 
@@ -109,11 +88,10 @@
     def __init__(self, rank=lambda text: 0, clock=time.monotonic):
         self.rank = rank
         self.clock = clock
-        self.crashes = RecentEntries(MAX_CRASHES)
-        self.cleared = RecentEntries(MAX_CLEARED)
-        self.trials = RecentEntries(MAX_TRIALS)
-        # Parts of whole answers, which may be in no crash.
-        self.answered = collections.OrderedDict()
+        self.crashes = recent_entries.RecentEntries(MAX_CRASHES)
+        self.cleared = recent_entries.RecentEntries(MAX_CLEARED)
+        self.trials = recent_entries.RecentEntries(MAX_TRIALS)
+        self.answered = answered_traits.AnsweredTraits()
         self.running_trials = set()
         # Rises with each change that other hosts have to know.
         self.changes = 0
@@ -142,7 +120,9 @@
         if key not in self.known_culprits:
             self.known_culprits[key] = tuple(
                 culprits.find_culprits(
-                    self.likely_crashes(service, least_crashes), least_crashes
+                    self.likely_crashes(service, least_crashes),
+                    least_crashes,
+                    self.answered_traits(service),
                 )
             )
         return self.known_culprits[key]
@@ -174,17 +154,17 @@
 
     def least_crashes(self, service, trait, least_crashes):
         """Return the number of crashes from which a trait may be accused."""
-        if (service, trait) in self.answered:
-            return max(least_crashes, CRASHES_TO_DISTRUST)
+        if self.answered.has(service, trait):
+            return max(least_crashes, culprits.CRASHES_TO_DISTRUST)
         return least_crashes
 
-    def record_parts(self, service, parts):
-        """Record the parts of a whole answer."""
-        for part in parts:
-            self.answered.pop((service, part), None)
-            self.answered[(service, part)] = None
-        while len(self.answered) > MAX_ANSWERED:
-            self.answered.popitem(last=False)
+    def answered_traits(self, service):
+        """Return the accused traits that were answered before."""
+        return frozenset(
+            trait
+            for each, trait in self.accused
+            if each == service and self.answered.has(service, trait)
+        )
 
     def find(self, service, traits):
         """Return the culprit that a request includes, or None.
@@ -206,9 +186,8 @@
         :param frozenset traits: the traits of the request.
         """
         for culprit in culprits.find_culprits(self.open_crashes(service), 1):
-            if culprit.crashes < culprits.CRASHES_TO_SUSPECT:
-                return None
-            if culprit.includes(traits):
+            is_repeated = culprit.crashes >= culprits.CRASHES_TO_SUSPECT
+            if is_repeated and culprit.includes(traits):
                 return culprit
         return None
 
@@ -287,7 +266,7 @@
         """
         crash = self.identify(crash)
         known = self.crashes.get(crash.key)
-        merged = merge(known, self.without_cleared(crash))
+        merged = crashes.merge(known, self.without_cleared(crash))
         if known is None and not merged.requests:
             return False
         if known is not None and (
@@ -346,7 +325,7 @@
         if not (is_accused or is_new):
             return False
         self.cleared.put(clearance)
-        self.record_parts(clearance.service, (clearance.trait,))
+        self.answered.record_parts(clearance.service, (clearance.trait,))
         self.changes += 1
         if is_accused:
             self.clear_crashes(clearance)
@@ -389,22 +368,3 @@
         yield from self.cleared.values()
         yield from self.crashes.values()
         yield from self.trials.values()
-
-
-def merge(known, crash):
-    """Return a crash with what two reports say of it.
-
-    :param known: an earlier report, or None.
-    """
-    if known is None:
-        return crash
-    found = {request.fingerprint: request for request in known.requests}
-    for request in crash.requests:
-        if request.fingerprint not in found:
-            found[request.fingerprint] = request
-    return dataclasses.replace(
-        known,
-        at=min(known.at, crash.at),
-        requests=tuple(found.values())[: crashes.MAX_MERGED_REQUESTS],
-        is_trial=known.is_trial or crash.is_trial,
-    )
--- a/tests/test_culprits.py
+++ b/tests/test_culprits.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from celeryward.endpoints import answered_traits
 from celeryward.endpoints import crashes
 from celeryward.endpoints import culprits
 from celeryward.endpoints import harmful_requests
@@ -193,7 +194,7 @@
     def test_part_of_earlier_answers_does_not_hide_the_harmful_ones(
         self, harmful
     ):
-        harmful.record_parts('llm', ('shared', 'sound'))
+        harmful.answered.record_parts('llm', ('shared', 'sound'))
         for number in range(5):
             harmful.record_crash(
                 crash(
@@ -208,7 +209,7 @@
         assert harmful.find('llm', {'shared', 'bad0'})
 
     def test_part_that_turns_harmful_is_accused_later(self, harmful):
-        harmful.record_parts('llm', ('bad',))
+        harmful.answered.record_parts('llm', ('bad',))
         convict(harmful)
         assert not harmful.find('llm', {'bad'})
         for number in range(3, 6):
@@ -218,9 +219,27 @@
             harmful.clock.now += 1.0
         assert harmful.find('llm', {'bad'})
 
+    def test_answered_request_is_accused_later(self, harmful):
+        traits = request(1)
+        harmful.answered.record('llm', traits)
+        for number in range(5):
+            harmful.record_crash(crash(number, harmful.clock.now, traits))
+            harmful.clock.now += 1.0
+        assert not harmful.find('llm', traits.all())
+        harmful.record_crash(crash(5, harmful.clock.now, traits))
+        assert harmful.find('llm', traits.all())
+
+    def test_answered_fingerprints_leave_the_parts(self, harmful):
+        harmful.answered.record_parts('llm', ('shared',))
+        for number in range(10000):
+            harmful.answered.record('llm', request(number))
+        assert harmful.answered.has('llm', 'shared')
+        found = harmful.answered.fingerprints
+        assert len(found) == answered_traits.MAX_ANSWERED
+
     def test_answered_parts_are_bounded(self, harmful):
-        harmful.record_parts('llm', map(str, range(10000)))
-        assert len(harmful.answered) == harmful_requests.MAX_ANSWERED
+        harmful.answered.record_parts('llm', map(str, range(10000)))
+        assert len(harmful.answered.parts) == answered_traits.MAX_ANSWERED
 
 
 class TestReports:
