Count prompts that an endpoint outlived as answered

Cause: only whole answers, and streams at their next event, showed that a part is sound. Streams that stop after an event, and whole bodies that take long, showed nothing, although their endpoints went on. Change: at a crash, the parts of answers that have been written for SURVIVAL_SECONDS at other endpoints are cleared. The parts of a run that lasted so long are remembered as answered, however it ended.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -52,6 +52,12 @@
             yield dispatch
         finally:
             self.crash_watch.end(watched)
+            if watched.is_sound():
+                # The endpoint outlived the prompt, however the answer ended.
+                self.guard.harmful.answered.record_parts(
+                    plan.service,
+                    relayed_requests.shared_parts(relayed.metadata),
+                )
             relayed.end_running(plan.runner.id)
             self.router_state.releases.runs.drop(dispatch.run)
 
--- a/celeryward/endpoints/crash_watch.py
+++ b/celeryward/endpoints/crash_watch.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import itertools
 import time
 
 import curio
@@ -24,6 +25,8 @@
 # Broken exchanges of an endpoint that are noticed after its end was found.
 LATE_SECONDS = 5.0
 MAX_ENDED = 1000
+# Answers under way whose parts are collected at a crash.
+MAX_SURVIVED = 256
 # Parts that are named in a log line.
 LOGGED_PARTS = 8
 
@@ -70,6 +73,10 @@
             and not self.may_have_survived()
         )
 
+    def is_sound(self):
+        """Return whether its endpoint runs on after the answer has begun."""
+        return not self.crashed and self.has_survived()
+
     def has_survived(self):
         """Return whether the answer has certainly been written for a while."""
         if self.read_at is None:
@@ -120,6 +127,23 @@
         if not under_way:
             del self.runs[run.runner.key]
 
+    def survived_parts(self, service):
+        """Return the parts of answers under way that have survived them.
+
+        :param str service: the service whose endpoints count.
+        """
+        survived = (
+            run
+            for runs in self.runs.values()
+            for run in runs
+            if run.runner.service == service and run.is_sound()
+        )
+        return frozenset(
+            part
+            for run in itertools.islice(survived, MAX_SURVIVED)
+            for part in run.traits().parts
+        )
+
     async def record_break(self, run):
         """Record that the connection of a run broke; find out why.
 
--- a/celeryward/endpoints/harmful_requests.py
+++ b/celeryward/endpoints/harmful_requests.py
@@ -311,6 +311,20 @@
             if (service, trait) in self.accused
         )
 
+    def survivals(self, crash, parts):
+        """Return the :class:`Clearance` of each accused part that survived.
+
+        :param crashes.Crash crash: is not recorded yet.
+        :param parts: the parts of answers that go on elsewhere.
+        """
+        now = self.clock()
+        accused = crash.traits()
+        return tuple(
+            Clearance(crash.service, part, now)
+            for part in parts
+            if part in accused or (crash.service, part) in self.accused
+        )
+
     @RECORDERS.register('Clearance')
     def record_clearance(self, clearance):
         """Clear a trait; return whether other hosts have to know.
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -137,7 +137,7 @@
         )
         self.crash_watch.listeners += [
             self.metrics.count_crash,
-            self.guard.record,
+            self.record_crash,
         ]
         self.guard.listeners.append(self.crash_watch.avoid_ended)
         self.crash_news = crash_news.CrashNews(
@@ -145,6 +145,12 @@
         )
         self.view.publisher.crash_news = self.crash_news
 
+    async def record_crash(self, crash):
+        """Record a crash, and the parts that answers under way survive."""
+        survived = self.crash_watch.survived_parts(crash.service)
+        cleared = self.guard.harmful.survivals(crash, survived)
+        await self.guard.record(*cleared, crash)
+
     def build_callers(self):
         """Create the components that serve callers."""
         placement, tuning = self.placement, self.tuning
--- a/tests/platform_crashes.py
+++ b/tests/platform_crashes.py
@@ -71,7 +71,9 @@
     async def answer_or_crash(self, runner, connection, arrival):
         """Send a stream, or crash where one begins on the harmful part."""
         parts = arrival.head.headers.get('celeryward-prompt-prefix', '')
-        harmful = HARMFUL_PART in parts and not self.repaired
+        harmful = not self.repaired and any(
+            part in parts for part in self.fleet.harmful_parts
+        )
         if harmful:
             self.fleet.harmful_arrivals.append(time.monotonic())
         await curio.sleep(EVENT_SECONDS)
@@ -83,7 +85,7 @@
             await connection.send('answer', h11.Data(data=data))
             if harmful:
                 await self.crash()
-            await curio.sleep(EVENT_SECONDS)
+            await curio.sleep(self.fleet.event_seconds)
         await connection.send('answer', h11.EndOfMessage())
 
     async def crash(self):
@@ -132,6 +134,8 @@
         self.ports = {}
         self.crashes = []
         self.harmful_arrivals = []
+        self.harmful_parts = (HARMFUL_PART,)
+        self.event_seconds = EVENT_SECONDS
         self.sent = []
 
     async def start(self):
@@ -238,6 +242,15 @@
         limit = sorted(self.crashes)[4] + seconds
         return sum(at > limit for at in self.harmful_arrivals)
 
+    def accused_sound_traits(self):
+        """Return the culprits of all routers that need no harmful part."""
+        return {
+            culprit.traits
+            for each in self.routers
+            for culprit in each.guard.harmful.culprits('llm')
+            if culprit.traits.isdisjoint(self.harmful_parts)
+        }
+
     async def crash_a_runner(self):
         """End the process of one runner, whatever it runs."""
         running = [each for each in self.runners if each.running]
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -120,6 +120,50 @@
         assert not (found or watch.ended)
 
 
+class TestSurvivedParts:
+    """Guards against parts that are accused while answers with them go on."""
+
+    def survived(self, site, *, seconds, crashed=False, service='llm'):
+        """Return the survived parts beside one run."""
+        watch = site.router.crash_watch
+        runner = site.router.runners.runners['llm-1']
+        traits = crashes.RequestTraits('request-1', ('aa',))
+        run = watch.begin(runner, lambda: traits)
+        run.record_output()
+        run.read_at -= seconds
+        run.crashed = crashed
+        found = watch.survived_parts(service)
+        watch.end(run)
+        return found
+
+    @standins.on_site
+    async def test_answer_that_goes_on_has_survived_its_parts(self, site):
+        assert self.survived(site, seconds=1.0) == {'aa'}
+
+    @standins.on_site
+    async def test_other_answers_show_nothing(self, site):
+        assert not self.survived(site, seconds=0.5)
+        assert not self.survived(site, seconds=1.0, crashed=True)
+        assert not self.survived(site, seconds=1.0, service='app')
+
+    @standins.on_site
+    async def test_part_of_an_answer_that_goes_on_is_not_accused(self, site):
+        router = site.router
+        runner = router.runners.runners['llm-1']
+        traits = crashes.RequestTraits('request-1', ('aa',))
+        run = router.crash_watch.begin(runner, lambda: traits)
+        run.record_output()
+        run.read_at -= crash_watch.SURVIVAL_SECONDS
+        for number in range(3):
+            harmful = crashes.RequestTraits(f'h-{number}', ('aa', 'bad'))
+            await router.record_crash(
+                crashes.Crash(f'e{number}', 1.0, 'llm', number, (harmful,))
+            )
+        router.crash_watch.end(run)
+        culprits = router.guard.harmful.culprits('llm')
+        assert [each.traits for each in culprits] == [frozenset({'bad'})]
+
+
 class TestTraits:
     """Guards against parts that are taken for the cause of a later crash."""
 
