--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -120,17 +120,22 @@
         assert fleet.late_harmful_arrivals() <= LATE_ARRIVALS
         assert len(fleet.crashes) < 3 * fleet.router_count
 
+    @pytest.mark.parametrize(
+        'request_of',
+        (mixed_requests('/stream/', 1), requests_that_differ_in_parts),
+    )
     @with_fleet(routers=2, runners=8)
     @crashing.on_fleet
-    async def test_router_that_starts_learns_of_the_part(self, fleet):
-        request = mixed_requests('/stream/', 1)
-        await fleet.send_regularly(3.0, INTERVAL_SECONDS, request)
+    async def test_router_that_starts_learns_of_the_part(
+        self, fleet, request_of
+    ):
+        await fleet.send_regularly(3.0, INTERVAL_SECONDS, request_of)
         await crashing.stop_router(fleet.routers[1])
         started = await fleet.start_router(1)
         await crashing.standins.wait_until(started.is_ready)
         await curio.sleep(1.5)
         arrived = len(fleet.harmful_arrivals)
-        await fleet.send_regularly(2.0, INTERVAL_SECONDS, request)
+        await fleet.send_regularly(2.0, INTERVAL_SECONDS, request_of)
         assert len(fleet.harmful_arrivals) - arrived <= 1
 
 
