Give a head that has begun time of its own

A daemon closed a connection without an answer if the idle time ended between the first and the last bytes of a request's head. Cause: the idle time of listener.serve_connection was also the deadline of the head, so that a request that began in its last moment had no time. Change: the idle time ends with the first bytes; the head then has 10 s.

--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -19,6 +19,8 @@
 # At a stop, a connection may bring another request for this long. Its response
 # announces that the connection closes.
 LAST_REQUESTS_SECONDS = 0.5
+# Time in which a request head must be complete.
+HEAD_READ_SECONDS = 10.0
 
 
 class Listener:
@@ -139,8 +141,11 @@
     :param float idle_seconds: timeout from one request to the next.
     """
     while True:
-        deadline = deadlines.Deadline.after(idle_seconds)
-        request = await connection.receive_request(deadline)
+        idle_until = deadlines.Deadline.after(idle_seconds)
+        await connection.wait_for_input('await request', idle_until)
+        # A head that has begun has time of its own.
+        head_until = deadlines.Deadline.after(HEAD_READ_SECONDS)
+        request = await connection.receive_request(head_until)
         if request is None:
             return
         await handle(request)
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -6,7 +6,10 @@
 import curio
 import pytest
 
+from celeryward import deadlines
 from celeryward import http
+from celeryward import listener
+from tests import fakes
 from tests import platform_standins as standins
 from tests import test_two_changes as two_changes
 
@@ -155,3 +158,30 @@
     """Close the connection just before the deadline."""
     await curio.sleep(0.3)
     await standins.disconnect(runner, connection, arrival)
+
+
+class TestIdleEnd:
+    """Guards against requests that the end of their idle time cuts."""
+
+    @fakes.in_kernel
+    async def test_connection_closes_inside_a_head_at_its_idle_end(self):
+        async def serve(connection):
+            async def answer(head):
+                await http.send_response(
+                    connection, 200, {}, two_changes.WHOLE
+                )
+
+            await listener.serve_ignoring_bodies(connection, answer, 0.4, 1.0)
+
+        accepting = listener.Listener('127.0.0.1', 0, serve)
+        await accepting.start()
+        limit = deadlines.Deadline.after(2.0)
+        connection = await http.connect('127.0.0.1', accepting.port, limit)
+        await curio.sleep(0.2)
+        await connection.send_bytes('send', b'GET / HTTP/1.1\r\n')
+        await curio.sleep(0.4)
+        await connection.send_bytes('send', b'host: x\r\n\r\n')
+        answer, content = await two_changes.receive(connection)
+        assert (answer.status, content) == (200, two_changes.WHOLE)
+        await connection.close()
+        await accepting.stop_accepting()
