Judge kept requests by endpoints that they can use

Callers whose requests were kept for an endpoint that opened in time got 503, all of a queue at once. Cause: each request that joins the queue has all of them judged by the openings of the endpoints that it can use itself. A retry, which can't use the endpoint that failed it, or a request for another version counted the endpoints of the others as closed. Change: a request that can't use all endpoints judges only itself, and the requests of one version are judged only by those of that version. Result: test_retry_that_finds_no_opening_refuses_kept_requests and test_version_that_opens_late_refuses_requests_of_another failed before (503 in place of 200); pytest of test_waits, test_two_changes, test_closures and test_shape passes.

--- a/celeryward/callers/kept_requests.py
+++ b/celeryward/callers/kept_requests.py
@@ -34,6 +34,13 @@
     is_particular: bool = dataclasses.field(compare=False, default=False)
     software: str = dataclasses.field(compare=False, default='')
 
+    def tells_start_of(self, other):
+        """Return whether the other one starts no sooner than it would here.
+
+        One that can't use all endpoints tells nothing of the others.
+        """
+        return other is self or not self.is_particular
+
 
 class KeptRequests:
     """The requests that are kept, by queue.
@@ -57,13 +64,18 @@
 
         The result may contain the new ticket; the caller refuses them all.
 
-        :param starts: iterator over the estimated starts of requests.
+        :param starts: iterator over the estimated starts of requests at the
+            endpoints that the new one can use.
         """
         bisect.insort(self.queues.setdefault(queue, []), ticket)
         late = []
         start = next(starts)
         for position, each in enumerate(tuple(self.queues[queue])):
-            if start > each.latest_start or position - len(late) >= MAX_KEPT:
+            if position - len(late) >= MAX_KEPT:
+                late.append(each)
+            elif each.software != ticket.software:
+                continue
+            elif start > each.latest_start and ticket.tells_start_of(each):
                 late.append(each)
             else:
                 start = next(starts)
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -185,3 +185,57 @@
         assert (answer.status, content) == (200, two_changes.WHOLE)
         await connection.close()
         await accepting.stop_accepting()
+
+
+class TestKeptBesideOthers:
+    """Guards against refusals because of one that can use less endpoints."""
+
+    @standins.on_site
+    async def test_retry_that_finds_no_opening_refuses_kept_requests(
+        self, site
+    ):
+        """All of them got 503, although an endpoint opened in time."""
+        await raise_objective(two_changes.Changes(site))
+        failing, closed = site.runners['app-1'], site.runners['app-2']
+        failing.scripted_actions.append(disconnect_late)
+        close(site, closed, 60.0)
+        retried = await curio.spawn(request_named, site, 'retried')
+        await two_changes.wait_for_arrivals(site, 1)
+        close(site, failing, 1.0)
+        kept = await curio.spawn(request_named, site, 'kept')
+        await two_changes.wait_until_kept(site)
+        head, _ = await retried.join()
+        assert head.status == 502
+        head, body = await kept.join()
+        assert (head.status, body) == (200, two_changes.WHOLE)
+
+    @standins.on_site
+    async def test_version_that_opens_late_refuses_requests_of_another(
+        self, site
+    ):
+        new = standins.RunnerStandIn('app-3', 'app', software='v2')
+        site.runners[new.id] = new
+        await new.start()
+        changes = two_changes.Changes(site)
+        await changes.add_endpoints(new.id)
+        site.router.releases.choose = choose_by_request_id
+        await two_changes.close_all(changes)
+        close(site, new, 60.0)
+        kept = await curio.spawn(request_named, site, 'v1-request')
+        await two_changes.wait_until_kept(site)
+        head, _ = await request_named(site, 'v2-request')
+        assert head.status == 503
+        head, body = await kept.join()
+        assert (head.status, body) == (200, two_changes.WHOLE)
+
+
+async def raise_objective(changes):
+    """Let requests be kept for long."""
+    objective = {'goalMs': two_changes.OBJECTIVE_MS}
+    await changes.apply_route(**objective)
+
+
+def close(site, runner, seconds):
+    """Close an endpoint."""
+    listed = site.router.runners.runners[runner.id]
+    site.router.closures.close(listed, seconds, 1)
