--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -6,7 +6,10 @@
 import curio
 import pytest
 
+from celeryward import deadlines
 from celeryward import http
+from celeryward import listener
+from tests import fakes
 from tests import platform_standins as standins
 from tests import test_two_changes as two_changes
 
@@ -155,3 +158,84 @@
     """Close the connection just before the deadline."""
     await curio.sleep(0.3)
     await standins.disconnect(runner, connection, arrival)
+
+
+class TestIdleEnd:
+    """Guards against requests that the end of their idle time cuts."""
+
+    @fakes.in_kernel
+    async def test_connection_closes_inside_a_head_at_its_idle_end(self):
+        async def serve(connection):
+            async def answer(head):
+                await http.send_response(
+                    connection, 200, {}, two_changes.WHOLE
+                )
+
+            await listener.serve_ignoring_bodies(connection, answer, 0.4, 1.0)
+
+        accepting = listener.Listener('127.0.0.1', 0, serve)
+        await accepting.start()
+        limit = deadlines.Deadline.after(2.0)
+        connection = await http.connect('127.0.0.1', accepting.port, limit)
+        await curio.sleep(0.2)
+        await connection.send_bytes('send', b'GET / HTTP/1.1\r\n')
+        await curio.sleep(0.4)
+        await connection.send_bytes('send', b'host: x\r\n\r\n')
+        answer, content = await two_changes.receive(connection)
+        assert (answer.status, content) == (200, two_changes.WHOLE)
+        await connection.close()
+        await accepting.stop_accepting()
+
+
+class TestKeptBesideOthers:
+    """Guards against refusals because of one that can use less endpoints."""
+
+    @standins.on_site
+    async def test_retry_that_finds_no_opening_refuses_kept_requests(
+        self, site
+    ):
+        """All of them got 503, although an endpoint opened in time."""
+        await raise_objective(two_changes.Changes(site))
+        failing, closed = site.runners['app-1'], site.runners['app-2']
+        failing.scripted_actions.append(disconnect_late)
+        close(site, closed, 60.0)
+        retried = await curio.spawn(request_named, site, 'retried')
+        await two_changes.wait_for_arrivals(site, 1)
+        close(site, failing, 1.0)
+        kept = await curio.spawn(request_named, site, 'kept')
+        await two_changes.wait_until_kept(site)
+        head, _ = await retried.join()
+        assert head.status == 502
+        head, body = await kept.join()
+        assert (head.status, body) == (200, two_changes.WHOLE)
+
+    @standins.on_site
+    async def test_version_that_opens_late_refuses_requests_of_another(
+        self, site
+    ):
+        new = standins.RunnerStandIn('app-3', 'app', software='v2')
+        site.runners[new.id] = new
+        await new.start()
+        changes = two_changes.Changes(site)
+        await changes.add_endpoints(new.id)
+        site.router.releases.choose = choose_by_request_id
+        await two_changes.close_all(changes)
+        close(site, new, 60.0)
+        kept = await curio.spawn(request_named, site, 'v1-request')
+        await two_changes.wait_until_kept(site)
+        head, _ = await request_named(site, 'v2-request')
+        assert head.status == 503
+        head, body = await kept.join()
+        assert (head.status, body) == (200, two_changes.WHOLE)
+
+
+async def raise_objective(changes):
+    """Let requests be kept for long."""
+    objective = {'goalMs': two_changes.OBJECTIVE_MS}
+    await changes.apply_route(**objective)
+
+
+def close(site, runner, seconds):
+    """Close an endpoint."""
+    listed = site.router.runners.runners[runner.id]
+    site.router.closures.close(listed, seconds, 1)
