Make the calls that are queued as the task of a peer ends

A daemon makes all calls to a peer in one task, which ends when no call has come for 60 s. If the process stood still at that time, the idle time-out and a round of gossip were due in the same turn of the event loop: the time-out took the task out of the queue's waiters, the round put its call into the queue, and the task ended without making it. The call was lost, and whoever waited for its outcome without a deadline waited for ever; copies of bills wait until their deadline.

The task ends only if its queue is empty, which nothing can change before it is forgotten. The other waits of this form were read: model queues give a slot back that came with the time-out, the change log, the flusher and the reopening waiter look at their state again.

test_call_that_is_due_in_a_pause_is_made: 3 of 3 runs failed before (the call was never made), 3 of 3 pass. pytest test_daemon_peers, test_daemons, test_exchange, test_stopping_daemon, test_evidence_reports, test_standing_still, test_crash_watch, test_shape: 145 passed.

--- a/celeryward/daemons/client.py
+++ b/celeryward/daemons/client.py
@@ -61,7 +61,10 @@
             async with curio.ignore_after(IDLE_TIMEOUT_SECONDS):
                 job = await self.jobs.get()
             if job is None:
-                return
+                if self.jobs.empty():
+                    return
+                # Put after the time-out, before this task ran again.
+                continue
             outcome = await self.run_job(job)
             if outcome.is_err():
                 error = outcome.unwrap_err()
--- a/tests/test_daemon_peers.py
+++ b/tests/test_daemon_peers.py
@@ -1,8 +1,12 @@
 """Complete daemons that are peers of each other."""
 
+import time
+
 import curio
+import result
 
 from celeryward import daemon
+from celeryward.daemons import client
 from celeryward.operators import admin
 from celeryward.operators import demo
 from celeryward import settings
@@ -24,6 +28,35 @@
     return second
 
 
+class TestIdlePeer:
+    """Guards against a call that is queued as the task of its peer ends."""
+
+    def test_call_that_is_due_in_a_pause_is_made(self, run, monkeypatch):
+        monkeypatch.setattr(client, 'IDLE_TIMEOUT_SECONDS', 0.2)
+
+        async def test():
+            peer = client.Peer(None, None, None)
+            done = curio.Result()
+
+            async def work():
+                return result.Ok('made')
+
+            async def put_later():
+                await curio.sleep(0.1)
+                await peer.jobs.put(client.Job(work, done))
+
+            running = await curio.spawn(peer.run)
+            putting = await curio.spawn(put_later)
+            await curio.sleep(0.0)
+            time.sleep(0.4)
+            async with curio.timeout_after(2.0):
+                assert (await done.unwrap()).unwrap() == 'made'
+            await putting.join()
+            await running.join()
+
+        run(test)
+
+
 class TestSecondDaemon:
     """Guards against a daemon that needs the platform to start or serve."""
 
