Hedge no exchange whose answer waits to be read

When a router that stood still could not open a connection to an endpoint at once, it counted all answers of that endpoint as late, also those whose bytes lay in its sockets: it took a token of the retry budget and a place elsewhere for each, ran the request a second time, and counted a failure of the endpoint.

--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -119,7 +119,7 @@
         Its own exchanges stay, since it may still go on.
         """
         for exchange in self.exchanges_with(runner):
-            if self.is_under_way(exchange):
+            if self.is_unanswered(exchange):
                 await exchange.wait.report_loss()
 
     async def abort_silent(self, runner, seconds):
@@ -139,15 +139,17 @@
         )
 
     def is_silent(self, exchange, seconds):
-        """Return whether a retryable exchange has waited for some seconds.
-
-        It hasn't if its answer has arrived and was not read yet.
-        """
+        """Return whether a retryable exchange has waited for some seconds."""
         return (
-            self.is_under_way(exchange)
+            self.is_unanswered(exchange)
             and exchange.retryable
             and exchange.wait.seconds() >= seconds
-            and not exchange.connection.has_input()
+        )
+
+    def is_unanswered(self, exchange):
+        """Return whether an exchange is under way without unread input."""
+        return (
+            self.is_under_way(exchange) and not exchange.connection.has_input()
         )
 
     async def abort_harmful(self, is_refused):
