Open connections whose deadline passes in a pause of the process

What could happen: a process that stood still while it connected found the connection failed, for which it avoided the endpoint for a second, counted it as lost, and gave up the answers that it waited for there.

Cause: curio.open_connection looks up every host in a thread, also a numeric address. The end of the thread wakes its task in two turns of the event loop, and the deadline that passed in the pause goes first. Input that goes before timers doesn't help, because it isn't the input of this task.

Change: a numeric address is not looked up, so that what the task waits for is the connection, which the kernel opens during the pause. Host names are still looked up in a thread.

Test: "test_connection_opens_though_a_pause_outlasts_its_deadline" failed before ("connect timed out").

Run: pytest of tests/test_standstills.py, test_standing_still, test_pool, test_notices, test_processes, test_dispatch, test_endpoint_state, test_crash_watch, test_silent_endpoints, test_store_following and test_odd_entries: passed.

--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -213,6 +213,28 @@
         await self.sock.close()
 
 
+async def connect_socket(host, port):
+    """Return a connected curio socket.
+
+    A numeric address is not looked up: the thread that does this ends its wait
+    by no input, so that after a pause a deadline would go before it.
+    """
+    try:
+        found = socket.getaddrinfo(
+            host, port, type=socket.SOCK_STREAM, flags=socket.AI_NUMERICHOST
+        )
+    except socket.gaierror:
+        return await curio.open_connection(host, port)
+    family, kind, _, _, address = found[0]
+    sock = curio.socket.socket(family, kind)
+    try:
+        await sock.connect(address)
+    except (Exception, curio.CancelledError):
+        await sock.close()
+        raise
+    return sock
+
+
 async def open_socket(host, port, deadline):
     """Open a client connection; return its curio socket.
 
@@ -221,7 +243,7 @@
     peer = f'{host}:{port}'
     try:
         sock = await curio.timeout_after(
-            deadline.remaining(), curio.open_connection, host, port
+            deadline.remaining(), connect_socket, host, port
         )
     except curio.TaskTimeout as error:
         raise errors.ConnectionFailed(
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -19,6 +19,7 @@
 from celeryward import logs
 from celeryward import processor_share
 from celeryward import standstills
+from celeryward import transport
 from tests import fakes
 from tests import platform_standins as standins
 
@@ -203,3 +204,20 @@
 
         assert event_loop.run(receive) == b'x'
         theirs.close()
+
+
+class TestConnect:
+    """Guards against connections that count as failed for a pause."""
+
+    @fakes.in_kernel
+    async def test_connection_opens_though_a_pause_outlasts_its_deadline(self):
+        listener = curio.network.tcp_server_socket('127.0.0.1', 0)
+        limit = deadlines.Deadline.after(0.2)
+        opening = await curio.spawn(
+            transport.open_socket, *listener.getsockname(), limit
+        )
+        await curio.sleep(0)
+        time.sleep(PAUSE_SECONDS)
+        sock = await opening.join()
+        await sock.close()
+        await listener.close()
