Check that a peer that never pauses is left at the deadline

test_endless_answers::test_read_after_the_deadline_fails_despite_input demanded that bytes which lie in the socket when a deadline has passed are not read.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,6 +11,7 @@
 from celeryward.endpoints import protocol
 from celeryward import errors
 from celeryward import http
+from celeryward import sockets
 from tests import fakes
 from tests import platform_standins as standins
 
@@ -226,6 +227,26 @@
             with pytest.raises(http.ReadTimeout):
                 await connection.read('read', past)
 
+    @fakes.in_kernel
+    async def test_peer_that_never_pauses_is_left_at_the_deadline(self):
+        near, far = curio.socket.socketpair()
+        past = deadlines.Deadline.after(0.0)
+
+        async def send_on():
+            while True:
+                await far.sendall(PIECE)
+
+        async with near, far:
+            sending = await curio.spawn(send_on)
+            await curio.sleep(0.05)
+            connection = http.Connection(near, http.h11.CLIENT, 'peer')
+            held = sockets.count_readable(near)
+            with pytest.raises(http.ReadTimeout):
+                while True:
+                    await connection.read('read', past)
+            assert connection.bytes_read == held > 0
+            await sending.cancel()
+
     @fakes.in_kernel
     async def test_draining_an_endless_body_ends(self):
         """Such a body delayed the last chunk of a complete answer."""
