Accept what waits in the kernel right before a listener closes

Cause: before the listening socket is closed, accept waits 20 ms for what is in the queue of the kernel. When that wait ends, the task runs after all others that are ready, a second later in a router that works off a pause; connections that were opened meanwhile were reset by the close.

Change: right before the close, what waits is accepted without a turn of others.

--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -69,6 +69,15 @@
         while True:
             await self.spawn_handler(*await self.sock.accept())
 
+    async def accept_waiting(self):
+        """Accept what waits in the queue of the kernel.
+
+        No other task runs meanwhile. A wait for the next connection ends some
+        time before its task runs, in which others may have arrived.
+        """
+        while sockets.is_readable(self.sock):
+            await self.spawn_handler(*await self.sock.accept())
+
     async def spawn_handler(self, sock, address):
         """Spawn the task of an accepted connection."""
         sockets.disable_nagle(sock)
@@ -97,6 +106,7 @@
             with contextlib.suppress(OSError):
                 async with curio.ignore_after(LAST_ACCEPT_SECONDS):
                     await self.accept()
+                await self.accept_waiting()
             await self.sock.close()
             self.sock = None
 
--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -51,6 +51,13 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def is_readable(sock):
+    """Return whether a socket has input, its end or a connection to accept."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def count_readable(sock):
     """Return how many bytes can be read now.
 
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -1,7 +1,6 @@
 """Reads and writes the bytes of connections, within limits of time."""
 
 import os
-import select
 import socket
 
 import curio
@@ -188,9 +187,7 @@
 
     def has_input(self):
         """Return whether the socket has bytes or an end of file to read."""
-        poller = select.poll()
-        poller.register(self.sock.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+        return sockets.is_readable(self.sock)
 
     async def stop_reading(self):
         """Shut the input down, so that a task that reads from it ends."""
