Encode the header lines of a fingerprint at once

Cause: each answer now computes the fingerprint of its request, also without any crash, and the text of each header line took most of it. Change: lines are joined as bytes; fields are read by one getter.

--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -178,7 +178,7 @@
                 metadata.max_tokens,
                 metadata.expected_tokens,
             ),
-            lines=request_content.content_lines(
+            header=request_content.join_lines(
                 self.head.lines, metadata.attempt_fields
             ),
             body=self.body,
--- a/celeryward/endpoints/request_content.py
+++ b/celeryward/endpoints/request_content.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import operator
 
 from celeryward.endpoints import crashes
 from celeryward import header_lines
@@ -29,6 +30,7 @@
         b'x-retry-count',
     )
 )
+FIELD_NAME = operator.itemgetter(0)
 # How the content of each type of a daemon's requests is read, by its name.
 READERS = registry.Registry('request type')
 
@@ -41,7 +43,7 @@
     :param tuple prompt: id or role, and tokens or text, of each part in order.
     :param tuple usage: numbers of tokens that the caller announces.
     :param tuple options: names and values of other parameters.
-    :param tuple lines: header lines, as :func:`content_lines` returns them.
+    :param bytes header: header lines, as :func:`join_lines` returns them.
     """
 
     customer: str = ''
@@ -52,34 +54,43 @@
     prompt: tuple[tuple, ...] = ()
     usage: tuple[int, ...] = ()
     options: tuple[tuple, ...] = ()
-    lines: tuple[tuple[bytes, bytes], ...] = ()
+    header: bytes = b''
     body: bytes = b''
 
     def fingerprint(self):
         """Return the fingerprint, equal for attempts at the same work."""
-        others = [
-            getattr(self, field.name)
-            for field in dataclasses.fields(self)
-            if field.name != 'body'
-        ]
         # The text of nested tuples of constants is unambiguous.
-        return crashes.fingerprint(repr(others).encode(), self.body)
+        others = repr(OTHER_FIELDS(self)).encode()
+        return crashes.fingerprint(others, self.header, self.body)
 
 
-def content_lines(lines, attempt_fields=frozenset()):
+OTHER_FIELDS = operator.attrgetter(
+    *(
+        field.name
+        for field in dataclasses.fields(RequestContent)
+        if field.name not in ('header', 'body')
+    )
+)
+
+
+def join_lines(lines, attempt_fields=frozenset()):
     """Return the header lines that attempts at the same work share.
 
     :param lines: pairs of name and value, as bytes.
     :param frozenset attempt_fields: lower-case names of the fields of a
         platform that differ with each attempt.
     """
-    left_out = ATTEMPT_FIELDS | attempt_fields
-    found = [
+    named = [
         (name.lower(), value)
         for name, value in header_lines.end_to_end_lines(lines)
-        if name.lower() not in left_out
     ]
-    return tuple(sorted(found, key=lambda line: line[0]))
+    found = [
+        line
+        for line in named
+        if line[0] not in ATTEMPT_FIELDS and line[0] not in attempt_fields
+    ]
+    found.sort(key=FIELD_NAME)
+    return b'\n'.join(map(b':'.join, found))
 
 
 def read_content(model, request):
@@ -119,6 +130,6 @@
         method=request.method,
         target=request.target,
         model=model,
-        lines=content_lines(lines),
+        header=join_lines(lines),
         body=request.body,
     )
--- a/tests/test_request_content.py
+++ b/tests/test_request_content.py
@@ -31,7 +31,7 @@
     prompt=(('aa', 10), ('bb', 20)),
     usage=(30, 5, 4),
     options=(('stream', True),),
-    lines=((b'x', b'y'),),
+    header=b'x:y',
     body=b'{}',
 )
 CHAT = calls.ChatRequest(
@@ -79,7 +79,7 @@
             {'prompt': (('aa', 10),)},
             {'usage': (30, 6, 4)},
             {'options': (('stream', False),)},
-            {'lines': ((b'x', b'z'),)},
+            {'header': b'x:z'},
             {'body': b'{ }'},
         ),
     )
@@ -146,9 +146,9 @@
 
     def test_order_and_case_of_fields_do_not_matter(self):
         lines = ((b'B', b'1'), (b'a', b'2'))
-        assert request_content.content_lines(
-            lines
-        ) == request_content.content_lines(((b'A', b'2'), (b'b', b'1')))
+        assert request_content.join_lines(lines) == request_content.join_lines(
+            ((b'A', b'2'), (b'b', b'1'))
+        )
 
     def test_request_without_parts_has_a_fingerprint(self):
         content = relay(Celeryward_Prompt_Prefix=None)
