Build the traits of a crash once while it is judged

Cause: the search for rivals built the set of traits of each request again for each group that it compares. Change: exclusion.Presence holds these sets for one crash. Groups with as many crashes are compared in the same order at all hosts.

--- a/celeryward/endpoints/culprits.py
+++ b/celeryward/endpoints/culprits.py
@@ -69,30 +69,35 @@
     :param frozenset answered: traits of earlier answers. They are accused of
         what no other explains only, after more crashes.
     """
-    unexplained = {crash.key: crash for crash in crashes}
+    by_key = {crash.key: crash for crash in crashes}
+    unexplained = {
+        key: exclusion.find_presence(crash) for key, crash in by_key.items()
+    }
     for least, trusted in (
         (least_crashes, answered),
         (max(least_crashes, CRASHES_TO_DISTRUST), frozenset()),
     ):
         while keys := guilty_crashes(unexplained, least, trusted, answered):
-            explained = [unexplained.pop(key) for key in keys]
-            yield from combinations(explained, keys)
+            for key in keys:
+                del unexplained[key]
+            yield from combinations([by_key[key] for key in keys])
 
 
-def guilty_crashes(crashes, least_crashes, trusted, answered):
+def guilty_crashes(presences, least_crashes, trusted, answered):
     """Return the keys of the crashes that one guilty trait shares.
 
     They are those of the trait with the most crashes, where traits come first
     that have no rival at half of them.
 
-    :param dict crashes: :class:`crashes.Crash` by key.
+    :param dict presences: :class:`exclusion.Presence` by key of the crash.
     :param frozenset trusted: traits that can't be guilty.
     :param frozenset answered: traits that are no rivals.
     :returns: an empty set if no trait is guilty.
     """
-    groups = exclusion.group_traits(crashes.values())
+    groups = exclusion.group_traits(presences.values())
     moments = {
-        keys: count_moments(crashes[key].at for key in keys) for keys in groups
+        keys: count_moments(presences[key].at for key in keys)
+        for keys in groups
     }
     suspects = find_suspects(groups, moments) - answered
     able = [
@@ -100,12 +105,13 @@
         for keys, group in groups.items()
         if moments[keys] >= least_crashes and not group <= trusted
     ]
-    able.sort(key=len, reverse=True)
+    # The same order at all hosts.
+    able.sort(key=lambda keys: (-len(keys), sorted(keys)))
     possible = frozenset()
     for keys in able[:MAX_COMPARED]:
-        found = [crashes[key] for key in keys]
+        found = [presences[key] for key in keys]
         left = exclusion.without_rivals(found, groups[keys], suspects)
-        alone = count_moments(crash.at for crash in left)
+        alone = count_moments(present.at for present in left)
         if is_guilty(moments[keys], alone, least_crashes):
             if 2 * alone >= moments[keys]:
                 return keys
@@ -152,17 +158,14 @@
     return count
 
 
-def combinations(explained, keys):
+def combinations(explained):
     """Yield the culprits of the crashes that one trait shares.
 
     :param list explained: the crashes.
-    :param frozenset keys: their keys.
     """
-    shared = {
-        trait
-        for trait, found in exclusion.crashes_by_trait(explained).items()
-        if found == keys
-    }
+    shared = frozenset.intersection(
+        *(exclusion.find_presence(crash).traits for crash in explained)
+    )
     fingerprints = collections.defaultdict(set)
     for crash in explained:
         for request in crash.requests:
--- a/celeryward/endpoints/exclusion.py
+++ b/celeryward/endpoints/exclusion.py
@@ -7,61 +7,83 @@
 """
 
 import collections
+import dataclasses
 
 
-def crashes_by_trait(crashes):
-    """Return the set of keys of the crashes that each trait is in."""
-    found = collections.defaultdict(set)
-    for crash in crashes:
-        for request in crash.requests:
-            for trait in request.all():
-                found[trait].add(crash.key)
-    return found
+@dataclasses.dataclass(frozen=True, slots=True)
+class Presence:
+    """What was present at a crash, as sets that are built once.
+
+    :param tuple key: key of the crash.
+    :param float at: monotonic seconds.
+    :param tuple requests: the traits of each request, as a frozenset.
+    :param frozenset traits: those of all requests.
+    """
+
+    key: tuple
+    at: float
+    requests: tuple[frozenset, ...]
+    traits: frozenset
+
 
+def find_presence(crash):
+    """Return the :class:`Presence` of a :class:`crashes.Crash`."""
+    requests = tuple(request.all() for request in crash.requests)
+    return Presence(
+        crash.key, crash.at, requests, frozenset().union(*requests)
+    )
 
-def group_traits(crashes):
-    """Return the traits that are in the same crashes, by their keys."""
+
+def group_traits(presences):
+    """Return the traits that are in the same crashes, by their keys.
+
+    :param presences: :class:`Presence` of several crashes.
+    """
+    found = collections.defaultdict(set)
+    for present in presences:
+        for trait in present.traits:
+            found[trait].add(present.key)
     groups = collections.defaultdict(set)
-    for trait, keys in crashes_by_trait(crashes).items():
+    for trait, keys in found.items():
         groups[frozenset(keys)].add(trait)
     return groups
 
 
-def without_rivals(crashes, group, suspects):
+def without_rivals(presences, group, suspects):
     """Return the crashes of a group of traits at which it had no rival.
 
     A rival that only requests of the group have is one at all crashes.
 
-    :param crashes: :class:`crashes.Crash` with the group.
+    :param presences: :class:`Presence` of crashes with the group.
     :param set group: traits that are in the same crashes.
     :param set suspects: traits that may be rivals.
     """
-    found = [find_rivals(crash, group, suspects) for crash in crashes]
-    rivals = frozenset().union(*found) - traits_beside(crashes, group)
+    found = [find_rivals(present, group, suspects) for present in presences]
+    rivals = frozenset().union(*found) - traits_beside(presences, group)
     return [
-        crash
-        for crash, beside in zip(crashes, found, strict=True)
-        if not beside and rivals.isdisjoint(crash.traits())
+        present
+        for present, beside in zip(presences, found, strict=True)
+        if not beside and rivals.isdisjoint(present.traits)
     ]
 
 
-def find_rivals(crash, group, suspects):
+def find_rivals(present, group, suspects):
     """Return the rivals of a group of traits at one crash."""
-    with_group = [
-        request.all()
-        for request in crash.requests
-        if not group.isdisjoint(request.all())
-    ]
-    common = frozenset.intersection(*with_group)
-    return (crash.traits() & suspects) - common - group
+    possible = (present.traits & suspects) - group
+    if not possible:
+        return possible
+    with_group = (
+        traits for traits in present.requests if not group.isdisjoint(traits)
+    )
+    return possible - frozenset.intersection(*with_group)
 
 
-def traits_beside(crashes, group):
+def traits_beside(presences, group):
     """Return the traits of the requests that have none of a group."""
     return {
         trait
-        for crash in crashes
-        for request in crash.requests
-        if group.isdisjoint(request.all())
-        for trait in request.all()
+        for present in presences
+        for traits in present.requests
+        if group.isdisjoint(traits)
+        for trait in traits
     }
