Count a request's time from the end of the pause of its router

Its route allows 2 s from the reading; the caller left 1.9 s after it, and the check one-end called that a request without an end. Change: if an endpoint that the request reached was silent, a pause within the deadline excuses a caller that has lost patience, else one in the last second as before. Each endpoint that falls silent has a span of its own. Result: test_endpoint_that_is_silent_after_a_pause_excuses_its_requests failed before.

--- a/benchmarks/soak/end_checks.py
+++ b/benchmarks/soak/end_checks.py
@@ -83,7 +83,7 @@
         return True
     if checks.crossed_close(outcome, executions):
         return True
-    if lost_patience(outcome) and stands_still(observed, outcome):
+    if lost_patience(outcome) and stood_still(observed, outcome, executions):
         return True
     return outcome.status != 0 and was_broken_off(
         observed, outcome, executions
@@ -97,14 +97,32 @@
     return seconds >= allowed - PATIENCE_SLACK_SECONDS
 
 
-def stands_still(observed, outcome):
-    """Return whether the router or the harness stood still at the end."""
-    period = outcome.ended_at - RESUMED_SECONDS, outcome.ended_at
+def stood_still(observed, outcome, executions):
+    """Return whether a router or harness that stood still may be late.
+
+    It may be a second, and as long as the deadline if it counts that from when
+    it goes on and the endpoint is silent then.
+    """
+    seconds = RESUMED_SECONDS
+    if was_silent(observed, outcome, executions):
+        seconds = outcome.deadline_seconds
+    period = outcome.ended_at - seconds, outcome.ended_at
     return observed.overlaps_fault(
         *period, ('router-pause',), outcome.router
     ) or observed.overlaps_fault(*period, (lateness.FAULT_NAME,))
 
 
+def was_silent(observed, outcome, executions):
+    """Return whether an endpoint that was reached was disturbed."""
+    period = outcome.started_at, outcome.ended_at
+    return any(
+        observed.overlaps_fault(
+            *period, ('endpoint-',), execution.endpoint.partition('-')[0]
+        )
+        for execution in executions
+    )
+
+
 def was_broken_off(observed, outcome, executions):
     """Return whether an answer had begun and could not be completed."""
     if outcome.request_id in observed.broken_off:
--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -112,7 +112,15 @@
         self.going_on_until = deadlines.Deadline.after(
             seconds + MIN_GOING_ON_SECONDS
         )
-        self.disturb(observations.now() + seconds)
+        self.record_silence('endpoint-quiet', seconds)
+
+    def record_silence(self, name, seconds):
+        """Record that the endpoint is silent from now on for some seconds."""
+        began = observations.now()
+        self.disturb(began + seconds)
+        self.fleet.observed.faults.append(
+            observations.FaultSpan(began, began + seconds, name, self.name)
+        )
 
     def disturb(self, until):
         """Record that requests arrive later than they are sent.
--- a/benchmarks/soak/process_endpoints.py
+++ b/benchmarks/soak/process_endpoints.py
@@ -94,7 +94,7 @@
     async def pause(self, seconds):
         """Let the process stand still for some seconds."""
         server = self.server
-        self.disturb(observations.now() + seconds)
+        self.record_silence('endpoint-process-paused', seconds)
         server.signal(signal.SIGSTOP)
         await curio.sleep(seconds)
         server.signal(signal.SIGCONT)
--- a/benchmarks/soak/regressions.py
+++ b/benchmarks/soak/regressions.py
@@ -41,10 +41,13 @@
 SLOW_EXIT = 'a process exited 0.45 s after its stop had ended'
 RESET_ON_THE_WAY = 'the soak blamed the router for what a reset kept back'
 REPLACED = 'the soak blamed the router for a run that another replaced'
+LATE_READ = 'the soak counted a deadline from before a pause of the router'
+HELD_INPUT = 'a pause of the router counted as work on what it read'
 SECOND_PLAN = 2
 THIRD_PLAN = 3
 FOURTH_PLAN = 4
 FIFTH_PLAN = 5
+SIXTH_PLAN = 6
 CASES = (
     *(Case(seed, EARLY_CALLER, 12.0) for seed in range(103, 108)),
     *(Case(seed, RELOAD) for seed in (303, 321)),
@@ -78,5 +81,7 @@
         )
         for seed in seeds
     ),
+    Case(40023, LATE_READ, plan=SIXTH_PLAN),
+    Case(40204, HELD_INPUT, plan=SIXTH_PLAN),
     Case(30010, EARLY_STOP, plan=FIFTH_PLAN),
 )
--- a/tests/test_soak_ends.py
+++ b/tests/test_soak_ends.py
@@ -93,6 +93,23 @@
             violations = end_checks.check_ends(found)
             assert [each[0] for each in violations] == names
 
+    def test_endpoint_that_is_silent_after_a_pause_excuses_its_requests(self):
+        for endpoint, names in (('e1', []), ('e2', ['r1'])):
+            patient = dataclasses.replace(
+                UNANSWERED, deadline_seconds=3.0, ended_at=14.0
+            )
+            pause = observations.FaultSpan(
+                9.0, 12.0, 'router-pause', 'router-0'
+            )
+            silence = observations.FaultSpan(
+                11.0, 14.0, 'endpoint-requests-held', endpoint
+            )
+            found = examples.observed(
+                [patient], faults=[pause, silence], strict=True
+            )
+            violations = end_checks.check_ends(found)
+            assert [each[0] for each in violations] == names
+
     @pytest.mark.parametrize('name', SILENT + PLANNED)
     @pytest.mark.parametrize('outcome', [UNANSWERED, CUT])
     @pytest.mark.parametrize('target', ['e1', 'router-0', ''])
