Count no answer as late for a pause before its request is sent

What could happen: a router that stood still between the choice of an endpoint and the write of the request ran the request twice, and counted a late answer against the endpoint and a failed run against its version.

Cause: the deadline from which the head of an answer is late is stored before the connection is opened, and its time went on in the pause.

Change: the deadline is moved by the time for which the process stood still until the request was sent.

Test: "test_answer_is_not_late_for_a_pause_before_its_request_is_sent" failed before (2 runs in place of 1).

--- a/celeryward/awake_clock.py
+++ b/celeryward/awake_clock.py
@@ -46,6 +46,11 @@
         self.read_at = now
         return now - self.paused_seconds
 
+    def paused(self):
+        """Return for how many seconds this process has stood still so far."""
+        self()
+        return self.paused_seconds
+
     def earliest_arrival(self):
         """Return since when input that is read now may have been there.
 
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -68,6 +68,15 @@
         wait = deadlines.Deadline.after(self.pause_seconds)
         return wait.earlier(self.deadline)
 
+    def delayed(self, seconds):
+        """Return the request as it is if it was sent some seconds later."""
+        if not seconds:
+            return self
+        late = deadlines.Deadline(self.head_deadline.at + seconds)
+        return dataclasses.replace(
+            self, head_deadline=late.earlier(self.deadline)
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
@@ -214,6 +223,7 @@
         self.outcomes.request_started(runner.id)
         waiting = self.queues.begin(runner.id)
         started = awake_clock.CLOCK()
+        paused_before = awake_clock.CLOCK.paused()
         connection = None
         try:
             await self.notice_reader.notify_listeners(runner)
@@ -222,7 +232,7 @@
             ) as connection:
                 wait = self.begin_exchange(connection, forwarded, runner)
                 head, metadata = await self.exchange(
-                    connection, forwarded, runner, wait
+                    connection, forwarded, runner, wait, paused_before
                 )
                 self.queues.end(runner.id, waiting)
                 yield answers.Answer(
@@ -261,13 +271,20 @@
         )
         return wait
 
-    async def exchange(self, connection, forwarded, runner, wait):
-        """Send a request; return head and metadata of its answer."""
+    async def exchange(
+        self, connection, forwarded, runner, wait, paused_before
+    ):
+        """Send a request; return head and metadata of its answer.
+
+        :param float paused_before: for how long this process had stood still
+            when the dispatch began.
+        """
         self.check_present(runner)
         await self.send(connection, forwarded, runner)
+        paused = awake_clock.CLOCK.paused() - paused_before
         head, metadata = await answer_heads.receive_head(
             connection,
-            forwarded,
+            forwarded.delayed(paused),
             self.translator.read_response,
             wait.extend,
             runner.software in self.naming_software,
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -188,6 +188,27 @@
         ]
         assert max(usual) < self.PAUSE_SECONDS * 0.7
 
+    @standins.on_site
+    async def test_answer_is_not_late_for_a_pause_before_its_request_is_sent(
+        self, site, monkeypatch
+    ):
+        send = forwarding.Forwarder.send
+
+        async def pause_and_send(*arguments):
+            time.sleep(self.PAUSE_SECONDS)
+            await send(*arguments)
+
+        async def respond_later(runner, connection, arrival):
+            await curio.sleep(0.3)
+            await standins.send_default_response(runner, connection, arrival)
+
+        for runner in site.runners.values():
+            runner.default_action = respond_later
+        monkeypatch.setattr(forwarding.Forwarder, 'send', pause_and_send)
+        head, _ = await site.request('/whole/x')
+        assert head.status == 200
+        assert len(site.arrivals()) == 1
+
 
 class TestPausedDaemon:
     """Guards against a pause of the daemon that counts as slow endpoints."""
