Ask an endpoint again whose probe failed in a pause of the daemon

What could happen: a daemon that stood still during a probe counted the endpoint as silent. Two such probes, or one after a failed request, suspect an endpoint that is sound.

Cause: one deadline bounds the connection and the answer. It passes in the pause, and the answer to a request that is sent after it is not awaited.

Change: a probe that gets no answer while the process stood still is repeated once with a deadline of its own.

Test: "test_probe_in_a_pause_accuses_no_endpoint" failed before.

Run: pytest of tests/test_standing_still.py, test_recovery, test_endpoint_state, test_dispatch, test_silent_endpoints, test_engine_reports and test_departures: passed.

--- a/celeryward/endpoints/prober.py
+++ b/celeryward/endpoints/prober.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from celeryward import awake_clock
 from celeryward import deadlines
 from celeryward.endpoints import management
 from celeryward import errors
@@ -152,17 +153,8 @@
 
         :returns: whether the endpoint responded.
         """
-        deadline = deadlines.Deadline.after(self.timings.probe_timeout)
-        asked_at = time.monotonic()
         try:
-            connection = await http.connect(
-                endpoint.host, endpoint.port, deadline
-            )
-            try:
-                report = await management.read_load(connection, deadline)
-                await self.read_cache_events(endpoint, connection, deadline)
-            finally:
-                await connection.close()
+            report, asked_at = await self.read_report(endpoint)
         except PROBE_ERRORS as error:
             self.set_silent(endpoint.name, is_silence(error))
             self.liveness.record_failure(
@@ -176,6 +168,33 @@
         self.load.record_report(endpoint.name, report)
         return True
 
+    async def read_report(self, endpoint):
+        """Return the load report of an endpoint, and when it was asked.
+
+        An answer that is late while this process stands still is no evidence,
+        so that the endpoint is asked again.
+        """
+        paused_before = awake_clock.CLOCK.paused()
+        try:
+            return await self.ask(endpoint)
+        except PROBE_ERRORS as error:
+            paused = awake_clock.CLOCK.paused() - paused_before
+            if not (paused and is_silence(error)):
+                raise
+        return await self.ask(endpoint)
+
+    async def ask(self, endpoint):
+        """Ask an endpoint once; the result is as for :meth:`read_report`."""
+        deadline = deadlines.Deadline.after(self.timings.probe_timeout)
+        asked_at = time.monotonic()
+        connection = await http.connect(endpoint.host, endpoint.port, deadline)
+        try:
+            report = await management.read_load(connection, deadline)
+            await self.read_cache_events(endpoint, connection, deadline)
+        finally:
+            await connection.close()
+        return report, asked_at
+
     async def read_cache_events(self, endpoint, connection, deadline):
         """Read the cache events of an engine on the probe's connection.
 
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -1,5 +1,6 @@
 """Peers, or this process itself, that stand still for a second or two."""
 
+import dataclasses
 import functools
 import socket
 import time
@@ -239,6 +240,30 @@
 
         with_fleet(test, slow)
 
+    def test_probe_in_a_pause_accuses_no_endpoint(
+        self, with_fleet, monkeypatch
+    ):
+        connect = http.connect
+        pauses = [self.PAUSE_SECONDS]
+
+        async def connect_and_pause(*arguments):
+            connection = await connect(*arguments)
+            time.sleep(pauses.pop() if pauses else 0.0)
+            return connection
+
+        async def test(started):
+            reading = await curio.spawn(awake_clock.CLOCK.run)
+            endpoint = started.catalog().endpoints['engine-0']
+            monkeypatch.setattr(http, 'connect', connect_and_pause)
+            assert await started.prober.probe(endpoint)
+            assert not started.view.liveness.failures
+            await reading.cancel()
+
+        timings = dataclasses.replace(fleet.TIMINGS, probe_timeout=0.5)
+        with_fleet(
+            test, engine.EngineStandIn((fleet.VERSION.name,)), timings=timings
+        )
+
     def test_daemon_measures_its_pauses(self, with_cluster):
         async def test(cluster):
             await standins.wait_until(lambda: awake_clock.CLOCK.readers)
