--- a/benchmarks/paused_callers.py
+++ b/benchmarks/paused_callers.py
@@ -50,7 +50,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
-    """What one request got: a whole answer, a refusal, a failure, nothing."""
+    """What one request got: a whole answer, a refusal, a failure, nothing.
+
+    :param float whole_at: when its last byte was sent; 0.0 if that failed.
+    """
 
     request_id: str
     kind: str
@@ -59,6 +62,7 @@
     what: str
     refused: bool
     reused: bool
+    whole_at: float
 
 
 class Callers:
@@ -83,36 +87,49 @@
         sent_at = deadlines.Deadline.now()
         self.pending.add((request_id, sent_at))
         refused = reused = False
+        whole_at = 0.0
+        connection = None
         try:
             connection, reused = await self.take_connection()
-            what, refused = await self.exchange(connection, path, request_id)
+            await self.write_request(connection, path, request_id)
+            whole_at = deadlines.Deadline.now()
+            what, refused = await self.read_answer(connection, path)
         except FAILURES as error:
             what = f'nothing: {error.step}'
+        await self.keep_or_close(connection)
         self.pending.discard((request_id, sent_at))
-        ended_at = deadlines.Deadline.now()
         self.outcomes.append(
-            Outcome(request_id, path, sent_at, ended_at, what, refused, reused)
+            Outcome(
+                request_id,
+                path,
+                sent_at,
+                deadlines.Deadline.now(),
+                what,
+                refused,
+                reused,
+                whole_at,
+            )
         )
 
-    async def exchange(self, connection, path, request_id):
+    async def read_answer(self, connection, path):
         """Return what a request got, and whether it is said not to have run.
 
         :raises http.Disconnected: if it gets nothing whole.
         """
         deadline = deadlines.Deadline.after(PATIENCE_SECONDS)
-        try:
-            await self.write_request(connection, path, request_id)
-            head = await connection.receive_response(deadline)
-            body = await connection.receive_body('read body', deadline)
-        except BaseException:
-            await connection.close()
-            raise
+        head = await connection.receive_response(deadline)
+        body = await connection.receive_body('read body', deadline)
+        return self.judge(path, head, body), processes.is_not_run(head)
+
+    async def keep_or_close(self, connection):
+        """Keep a connection for other requests if it can carry them."""
+        if connection is None:
+            return
         if connection.reusable():
             connection.start_next_cycle()
             self.kept.append(connection)
         else:
             await connection.close()
-        return self.judge(path, head, body), processes.is_not_run(head)
 
     def judge(self, path, head, body):
         """Return what an answer is."""
--- a/benchmarks/paused_processes.py
+++ b/benchmarks/paused_processes.py
@@ -260,6 +260,7 @@
             f'  {each.request_id} {each.kind} {each.what}, on a'
             f' {"kept" if each.reused else "new"} connection, sent'
             f' {each.sent_at - play.last_paused_at:+.2f} s from the pause,'
+            f' whole {max(0.0, each.whole_at - each.sent_at):.2f} s later,'
             f' {each.ended_at - play.resumed_at:.2f} s after it'
         )
     if late:
