Let an answer pass while the cause of a failure is found

An answer that was ready waited for up to the connect timeout (0.4 s by default), and longer where a list of endpoints was out of date. Cause: the dispatches of a request are looked at one after the other, and a failed one was recorded only after a probe of its endpoint, so that the whole answer of a hedge stood behind it. Change: the failure is recorded at once; the probe is awaited by a task of the race. A retry still begins after it.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -197,14 +197,18 @@
             tokens=self.retries.tokens(relayed.service),
         ).info(message)
 
-    async def record_error(self, relayed, dispatch, error):
+    async def find_crash(self, relayed, dispatch, error):
+        """Find out whether a failed dispatch ended with its endpoint."""
+        if not (error.sent and isinstance(error, BROKEN_ERRORS)):
+            return
+        # The probe of the endpoint goes on without this request.
+        async with curio.ignore_after(relayed.deadline.remaining()):
+            await self.crash_watch.record_break(dispatch.watched)
+        relayed.crashes_at_begin += dispatch.watched.crashed_at_begin()
+
+    def record_error(self, relayed, dispatch, error):
         """Record and log a failed dispatch."""
         runner = dispatch.plan.runner
-        if error.sent and isinstance(error, BROKEN_ERRORS):
-            # The probe of the endpoint goes on without this request.
-            async with curio.ignore_after(relayed.deadline.remaining()):
-                await self.crash_watch.record_break(dispatch.watched)
-            relayed.crashes_at_begin += dispatch.watched.crashed_at_begin()
         if error.sent or not self.router_state.closures.is_closed(runner):
             # One that is closed may run the request after its pause.
             relayed.tried_endpoints |= {runner.id}
--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -303,13 +303,15 @@
 
     async def record_failure(self, outcome):
         """Record a failed dispatch; another one may still answer."""
-        relay = self.relay
+        dispatcher = self.relay.dispatcher
         if outcome.error is not None:
-            await relay.dispatcher.record_error(
-                self.relayed, outcome.dispatch, outcome.error
-            )
+            failure = (self.relayed, outcome.dispatch, outcome.error)
+            dispatcher.record_error(*failure)
+            # The answer of another dispatch must not wait for this.
+            task = await self.group.spawn(dispatcher.find_crash, *failure)
+            task.report_crash = False
             return
-        relay.dispatcher.record_error_answer(self.relayed, outcome.dispatch)
+        dispatcher.record_error_answer(self.relayed, outcome.dispatch)
         self.relayed.failed_answer = (outcome.answer.head, outcome.content)
 
     async def replace(self, outcome):
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -130,29 +130,55 @@
 
 
 class TestProbe:
-    """Guards against requests that a probe holds past their deadline."""
+    """Guards against requests that the probe of an endpoint holds up."""
 
-    @standins.on_site
-    async def test_probe_of_an_endpoint_outlasts_the_deadline(self, site):
-        two_changes.set_action(site, disconnect_late)
+    def probe_slowly(self, site, runner):
+        """Let connections to an endpoint time out once it has a request."""
         pool = site.router.connections
         open_connection = pool.open
 
         async def open_slowly(endpoint, deadline):
-            if not site.arrivals():
+            if endpoint.id != runner.id or not runner.arrivals:
                 return await open_connection(endpoint, deadline)
             await curio.sleep(deadline.remaining())
             raise standins.connect_timeout(endpoint)
 
-        site.router.connections.timings = dataclasses.replace(
-            site.tuning, connect_timeout=2.0
-        )
+        pool.timings = dataclasses.replace(site.tuning, connect_timeout=2.0)
         pool.open = open_slowly
+
+    @standins.on_site
+    async def test_probe_of_an_endpoint_outlasts_the_deadline(self, site):
+        for runner in tuple(site.runners.values()):
+            runner.default_action = disconnect_late
+        await two_changes.Changes(site).remove_endpoints('app-2')
+        self.probe_slowly(site, site.runners['app-1'])
         started = time.monotonic()
         head, _ = await site.request('/once/', celeryward_deadline_ms='500')
         assert head.status in (502, 504)
         assert time.monotonic() - started < 0.5 + two_changes.LATE_SECONDS
 
+    @standins.on_site
+    async def test_answer_of_a_hedge_waits_for_the_probe_of_another_endpoint(
+        self, site
+    ):
+        broken, sound = site.runners['app-1'], site.runners['app-2']
+        broken.default_action = disconnect_late
+        sound.default_action = two_changes.answer_late
+        self.probe_slowly(site, broken)
+        routes = two_changes.Changes(site)
+        await routes.apply_route(goalMs=100)
+        site.router.outcomes.set_lost('app-2', True)
+        request = await curio.spawn(site.request, '/whole/')
+        await two_changes.wait_for_arrivals(site, 1)
+        site.router.outcomes.set_lost('app-2', False)
+        await standins.wait_until(lambda: sound.ended)
+        ended_at = time.monotonic()
+        head, body = await request.join()
+        assert time.monotonic() - ended_at < two_changes.AT_ONCE_SECONDS
+        assert (head.status, body) == (200, two_changes.WHOLE)
+        assert len(broken.arrivals) == 1
+        two_changes.check_nothing_is_left(site)
+
 
 async def disconnect_late(runner, connection, arrival):
     """Close the connection just before the deadline."""
