Remember answered messages at daemons, too

Cause: only routers remembered the traits of whole answers, so that a daemon accused a message that it had just answered after three crashes while nothing was answered. Change: a complete response records its traits, as at routers. Result: pytest tests/test_harmful_messages.py; the new test failed before (three crashes were enough).

--- a/celeryward/endpoints/recovery.py
+++ b/celeryward/endpoints/recovery.py
@@ -154,6 +154,7 @@
         self.end_probation(attempt)
         if self.suspects.has_evidence():
             self.suspects.record_response(attempt.fingerprint)
+        self.harmful.answered.record(attempt.model, attempt.traits)
         if self.harmful.has_evidence():
             for clearance in self.harmful.clearances(
                 attempt.model, attempt.traits.all()
--- a/tests/test_harmful_messages.py
+++ b/tests/test_harmful_messages.py
@@ -81,6 +81,18 @@
 
         with_fleet(test, *make_engines())
 
+    def test_message_of_an_earlier_answer_needs_more_crashes(self, with_fleet):
+        async def test(started):
+            harmful = started.recovery.harmful
+            traits = make_attempt('s', SOUND).traits
+            for trait in traits.all():
+                assert harmful.least_crashes('large', trait, 3) == 3
+            assert await send(started, 's', SOUND) is True
+            for trait in traits.all():
+                assert harmful.least_crashes('large', trait, 3) > 3
+
+        with_fleet(test, *make_engines())
+
 
 class TestAnnouncements:
     """Guards against daemons that each learn of a message alone."""
