Confirm no configuration by an answer that came before a pause

What could happen: a router that stood still during a long poll took an early answer, for example a late copy of an earlier one, for a confirmation at the end of the wait. It accepted keys longer than the bound on the age of the configuration allows, by up to the wait.

Cause: an answer without changes confirms the state at the end of the wait unless it is early. How early it came was measured to the time at which it was read, pause included.

Change: what counts as early is measured without pauses of the process. An answer that confirms nothing is followed by a short poll, so that the configuration doesn't look old for a whole wait after a pause.

Test: "test_early_answer_that_is_read_after_a_pause_confirms_nothing" failed before.

--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -11,6 +11,7 @@
 import msgspec
 import result
 
+from celeryward import awake_clock
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
@@ -133,17 +134,19 @@
             ``PlatformUnavailable``.
         """
         path = self.dialect.long_poll_path(kind, since, wait_seconds)
+        paused_before = awake_clock.CLOCK.paused()
         started = time.monotonic()
         answer = await self.call(
             'GET', path, timeout=wait_seconds + self.timeout, watched=kind
         )
         elapsed = time.monotonic() - started
+        paused = awake_clock.CLOCK.paused() - paused_before
         outcome = answer.and_then(
             lambda body: self.decode(self.dialect.decode_changes, kind, body)
         )
         return outcome.map(
             lambda answer: confirmations.add_confirmation(
-                answer.newer_than(since), wait_seconds, elapsed
+                answer.newer_than(since), wait_seconds, elapsed, paused
             )
         )
 
--- a/celeryward/objects/confirmations.py
+++ b/celeryward/objects/confirmations.py
@@ -7,18 +7,23 @@
 EARLY_SECONDS = 0.1
 
 
-def add_confirmation(answer, wait_seconds, elapsed_seconds):
+def add_confirmation(
+    answer, wait_seconds, elapsed_seconds, paused_seconds=0.0
+):
     """Return the changes with the time of the store's confirmation.
 
     A response without new changes confirms the state at the end of the wait.
     One that arrives clearly before that confirms nothing: it may be a late
     copy of the response to an earlier call.
+
+    :param float paused_seconds: for how much of the elapsed time this process
+        stood still. The response may have arrived before that.
     """
     if answer.passed_on:
         return limit_confirmation(answer, elapsed_seconds)
     if answer.changes:
         return answer
-    if elapsed_seconds < wait_seconds - EARLY_SECONDS:
+    if elapsed_seconds - paused_seconds < wait_seconds - EARLY_SECONDS:
         return dataclasses.replace(answer, confirmed_seconds=-math.inf)
     return dataclasses.replace(
         answer, confirmed_seconds=min(wait_seconds, elapsed_seconds)
--- a/celeryward/objects/kind_watcher.py
+++ b/celeryward/objects/kind_watcher.py
@@ -153,7 +153,8 @@
             # The other router has confirmed and coalesced the changes.
             self.confirmation_due = False
             return outcome
-        self.confirmation_due = (
+        # An answer that may have come early confirms nothing.
+        self.confirmation_due = answer.confirmed_seconds < 0.0 or (
             bool(answer.changes) and self.timings.confirm_changes
         )
         confirmed_at = started_at + answer.confirmed_seconds
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import math
 import socket
 import time
 import types
@@ -19,6 +20,7 @@
 from celeryward.endpoints import runners
 from celeryward.endpoints import waits
 from celeryward import http
+from celeryward.objects import client
 from celeryward.standins import engine
 from celeryward.standins import fleet
 from celeryward import transport
@@ -211,6 +213,41 @@
         assert len(site.arrivals()) == 1
 
 
+class TestPausedWatch:
+    """Guards against a pause that counts as the wait of a long poll."""
+
+    @pytest.fixture
+    def site(self):
+        return standins.default_site()
+
+    @standins.on_site
+    async def test_early_answer_that_is_read_after_a_pause_confirms_nothing(
+        self, site
+    ):
+        view = site.router.view
+        store = client.ObjectClient(
+            view.store.address, 1.0, 'test', view.translator.dialect
+        )
+        call = store.call
+
+        async def answer_early(method, path, **options):
+            answer = await call(method, path, **options)
+            time.sleep(1.2)
+            return answer
+
+        at_once = await store.changes('config', 10**6, 0.0)
+        assert at_once.unwrap().confirmed_seconds >= 0.0
+        store.call = answer_early
+        store.dialect = types.SimpleNamespace(
+            long_poll_path=lambda kind, since, wait: (
+                view.translator.dialect.long_poll_path(kind, since, 0.0)
+            ),
+            decode_changes=view.translator.dialect.decode_changes,
+        )
+        answer = (await store.changes('config', 10**6, 1.0)).unwrap()
+        assert answer.confirmed_seconds == -math.inf
+
+
 class TestPausedDaemon:
     """Guards against a pause of the daemon that counts as slow endpoints."""
 
