Leave further ids of traces out of the fingerprints of requests

What could happen: behind a proxy that sets ids of a trace, each attempt at a request that crashes endpoints had a fingerprint of its own, so that a request without shared parts was accused of none of its crashes.

Cause: since header lines are part of the fingerprint. Of the fields that are set anew for each attempt only those of W3C Trace Context were left out.

Change: the usual fields of other tracers (B3, AWS, Google, Jaeger), the correlation id and the time of a request's start are left out as well.

Test: "test_repeat_in_another_trace_has_the_same_fingerprint" failed before for each of its 8 fields.

--- a/celeryward/endpoints/request_content.py
+++ b/celeryward/endpoints/request_content.py
@@ -16,6 +16,7 @@
 ATTEMPT_FIELDS = frozenset(
     (
         b'age',
+        b'b3',
         b'baggage',
         b'content-length',
         b'date',
@@ -24,9 +25,19 @@
         b'last-event-id',
         b'traceparent',
         b'tracestate',
+        b'uber-trace-id',
         b'via',
+        b'x-amzn-trace-id',
+        b'x-b3-flags',
+        b'x-b3-parentspanid',
+        b'x-b3-sampled',
+        b'x-b3-spanid',
+        b'x-b3-traceid',
+        b'x-cloud-trace-context',
+        b'x-correlation-id',
         b'x-forwarded-for',
         b'x-request-id',
+        b'x-request-start',
         b'x-retry-count',
     )
 )
--- a/tests/test_request_content.py
+++ b/tests/test_request_content.py
@@ -144,6 +144,23 @@
     def test_repeat_by_the_caller_has_the_same_fingerprint(self, change):
         assert relay(**change).fingerprint() == relay().fingerprint()
 
+    @pytest.mark.parametrize(
+        'field',
+        (
+            'b3',
+            'X-Amzn-Trace-Id',
+            'X-B3-SpanId',
+            'X-B3-TraceId',
+            'X-Cloud-Trace-Context',
+            'X-Correlation-Id',
+            'X-Request-Start',
+            'Uber-Trace-Id',
+        ),
+    )
+    def test_repeat_in_another_trace_has_the_same_fingerprint(self, field):
+        first, repeat = (relay(**{field: each}) for each in ('1', '2'))
+        assert first.fingerprint() == repeat.fingerprint()
+
     def test_order_and_case_of_fields_do_not_matter(self):
         lines = ((b'B', b'1'), (b'a', b'2'))
         assert request_content.join_lines(lines) == request_content.join_lines(
