Bound what a listener accepts right before it closes

It ends after as many connections as the kernel's queue holds. No test of its own; pytest test_last_connections, test_stop_ends passes.

--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -13,6 +13,8 @@
 from celeryward import supervision
 
 
+# Connections that the kernel keeps until they are accepted.
+BACKLOG = 1024
 # Time to take over the connections that wait in the kernel's queue; this does
 # not block while there are any.
 LAST_ACCEPT_SECONDS = 0.02
@@ -52,7 +54,7 @@
             self.sock = curio.network.tcp_server_socket(
                 self.host,
                 self.requested_port,
-                backlog=1024,
+                backlog=BACKLOG,
                 reuse_address=True,
             )
         except OSError as error:
@@ -70,12 +72,14 @@
             await self.spawn_handler(*await self.sock.accept())
 
     async def accept_waiting(self):
-        """Accept what waits in the queue of the kernel.
+        """Accept what waits in the queue of the kernel, and little more.
 
         No other task runs meanwhile. A wait for the next connection ends some
         time before its task runs, in which others may have arrived.
         """
-        while sockets.is_readable(self.sock):
+        for _ in range(BACKLOG):
+            if not sockets.is_readable(self.sock):
+                return
             await self.spawn_handler(*await self.sock.accept())
 
     async def spawn_handler(self, sock, address):
