Give the fake idle connection of a test its new method

test_connection_that_ends_meanwhile_is_skipped failed since, because listener.end_idle asks has_request, which the fake didn't have. Its checks are the same; the file passes.

--- a/tests/test_router_connections.py
+++ b/tests/test_router_connections.py
@@ -33,6 +33,9 @@
                 assert not self.closed
                 return False
 
+            def has_request(self):
+                return False
+
             async def cancel(self):
                 if self.other is not None:
                     self.other.closed = True
