--- a/benchmarks/soak/endpoint_process.py
+++ b/benchmarks/soak/endpoint_process.py
@@ -17,6 +17,7 @@
 from benchmarks.soak import endpoints  # noqa: E402
 from benchmarks.soak import harmful_faults  # noqa: E402
 from benchmarks.soak import observations  # noqa: E402
+from celeryward import event_loop  # noqa: E402
 from celeryward import logs  # noqa: E402
 from tests import platform_processes as processes  # noqa: E402
 from tests import platform_standins as standins  # noqa: E402
@@ -87,7 +88,7 @@
 def main(server_id, service, events, work_seconds):
     """Run one endpoint."""
     logs.configure('CRITICAL', 'text')
-    curio.run(serve, server_id, service, events, work_seconds)
+    event_loop.run(serve, server_id, service, events, work_seconds)
 
 
 if __name__ == '__main__':
