--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -128,7 +128,7 @@
         Its own exchanges stay, since it may still go on.
         """
         for exchange in self.exchanges_with(runner):
-            if self.is_unanswered(exchange):
+            if self.is_under_way(exchange):
                 await exchange.wait.report_loss()
 
     async def abort_silent(self, runner, seconds):
@@ -148,17 +148,15 @@
         )
 
     def is_silent(self, exchange, seconds):
-        """Return whether a retryable exchange has waited for some seconds."""
+        """Return whether a retryable exchange has waited for some seconds.
+
+        It hasn't if its answer has arrived and was not read yet.
+        """
         return (
-            self.is_unanswered(exchange)
+            self.is_under_way(exchange)
             and exchange.retryable
             and exchange.wait.seconds() >= seconds
-        )
-
-    def is_unanswered(self, exchange):
-        """Return whether an exchange is under way without unread input."""
-        return (
-            self.is_under_way(exchange) and not exchange.connection.has_input()
+            and not exchange.connection.has_input()
         )
 
     async def abort_harmful(self, is_refused):
