--- a/benchmarks/pausable_parts.py
+++ b/benchmarks/pausable_parts.py
@@ -103,7 +103,7 @@
         )
 
 
-class SpokenRouter(router.Router):
+class AnnouncingRouter(router.Router):
     """Router that says where it listens once it has started."""
 
     async def start(self):
@@ -120,7 +120,7 @@
         'router-1', 'a', local, local, local, store, standins.BOUNDS, local
     )
     tuning = router_settings.load(ROOT / 'deploy' / 'router.yaml')
-    await SpokenRouter(placement, tuning, translator.Translator()).run()
+    await AnnouncingRouter(placement, tuning, translator.Translator()).run()
 
 
 def endpoints(name, each=3, events=4):
