Give the crashes of a test times that count on any host

Cause: test_part_of_an_answer_that_goes_on_is_not_accused recorded its crashes at 0, 1 and 2 s of the monotonic clock. With the monotonic clock 100,000 s ahead it failed 1 of 1.

Change: the crashes are 3, 2 and 1 s old. The check is the same.

Measured: with the clock 100,000 s ahead and without, the file passes.

--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -154,10 +154,12 @@
         run = router.crash_watch.begin(runner, lambda: traits)
         run.record_output()
         run.read_at -= crash_watch.SURVIVAL_SECONDS
+        began_at = time.monotonic() - 3.0
         for number in range(3):
             harmful = crashes.RequestTraits(f'h-{number}', ('aa', 'bad'))
+            at = began_at + number
             await router.record_crash(
-                crashes.Crash(f'e{number}', 1.0, 'llm', number, (harmful,))
+                crashes.Crash(f'e{number}', 1.0, 'llm', at, (harmful,))
             )
         router.crash_watch.end(run)
         culprits = router.guard.harmful.culprits('llm')
