Split the wait for probations out of select_candidate

Change: check_probation says whether a suspect has a candidate to wait for, or raises. The one wait at the end of the loop serves both reasons.

--- a/celeryward/endpoints/dispatch.py
+++ b/celeryward/endpoints/dispatch.py
@@ -146,20 +146,11 @@
             self.check_completion(attempt.call, attempt.model)
             self.ensure_runnable(attempt)
             isolation = self.recovery.isolation(attempt)
-            if isolation.undecided:
-                await curio.sleep(PROBATION_POLL_SECONDS)
-                continue
-            chosen = self.select(attempt, isolation)
-            if chosen is not None:
-                break
-            if not isolation.crashed_endpoints or not self.select_avoiding(
-                attempt
-            ):
-                raise errors.Overloaded(
-                    'no live endpoint can run or resume the request',
-                    step='select',
-                    peer=attempt.model,
-                )
+            if not isolation.undecided:
+                chosen = self.select(attempt, isolation)
+                if chosen is not None:
+                    break
+                self.check_probation(attempt, isolation)
             await curio.sleep(PROBATION_POLL_SECONDS)
         attempt.candidate = chosen
         attempt.dispatches += 1
@@ -169,6 +160,21 @@
         self.recovery.record_dispatch(attempt, isolation)
         return chosen
 
+    def check_probation(self, attempt, isolation):
+        """Check that a suspect may wait for probations of other suspects.
+
+        :raises errors.Overloaded: if the request is no suspect, or has no
+            candidate that a probation may occupy.
+        """
+        if not isolation.crashed_endpoints or not self.select_avoiding(
+            attempt
+        ):
+            raise errors.Overloaded(
+                'no live endpoint can run or resume the request',
+                step='select',
+                peer=attempt.model,
+            )
+
     def check_completion(self, call, target):
         """Check that a dispatch that begins now can be finished.
 
