Split load, parse and build of the operators' commands

Change: make_target reads an address and its headers; read_documents and document_errors read a file and its errors; select_buckets and measure_burns prepare the report. Messages and their order are the same.

--- a/celeryward/operators/cli.py
+++ b/celeryward/operators/cli.py
@@ -70,6 +70,15 @@
     )
 
 
+def make_target(address, option, headers):
+    """Return the :class:`load_generator.Target` that an option names.
+
+    :param dict headers: headers of each request to it.
+    """
+    host, port = output.parse_address(address, option)
+    return load_generator.Target(host, port, headers)
+
+
 def check_kind(kind):
     """Check the name of a kind of objects.
 
@@ -283,18 +292,14 @@
         plan = load_generator.Plan(
             model, int(concurrency), float(rate), float(seconds), max_tokens
         )
-        host, port = _parse(target, 'target')
-        routed_target = load_generator.Target(
-            host, port, {'authorization': f'Bearer {key}'}
-        )
-        direct_target = None
+        headers = {'authorization': f'Bearer {key}'}
+        routed = make_target(target, 'target', headers)
+        compared = None
         if direct:
-            host, port = _parse(direct, 'direct')
-            direct_target = load_generator.Target(
-                host, port, {'x-model-version': version}
-            )
+            headers = {'x-model-version': version}
+            compared = make_target(direct, 'direct', headers)
         comparison = event_loop.run(
-            load_generator.compare, routed_target, direct_target, plan
+            load_generator.compare, routed, compared, plan
         )
         show(comparison, output)
         failed = sum(comparison.routed.failures.values())
--- a/celeryward/operators/documents.py
+++ b/celeryward/operators/documents.py
@@ -45,6 +45,27 @@
 
     :param str source: name of the file for messages.
     """
+    documents = read_documents(text, source)
+    messages = [
+        f'{source}: document {number}: {message}'
+        for number, document in enumerate(documents, start=1)
+        for message in document_errors(document)
+    ]
+    if messages:
+        raise errors.BadInput(
+            '\n'.join(messages), step='read records', peer=source
+        )
+    return [
+        msgspec.convert(document, protocol.StoredObject)
+        for document in documents
+    ]
+
+
+def read_documents(text, source):
+    """Return the documents of a YAML text that are not empty.
+
+    :raises errors.BadInput: if it is not valid YAML, or has no document.
+    """
     try:
         documents = [
             document
@@ -63,27 +84,21 @@
             step='read records',
             peer=source,
         )
-    declared = []
-    messages = []
-    for number, document in enumerate(documents, start=1):
-        where = f'{source}: document {number}'
-        document_messages = list(envelope_errors(document))
-        if document_messages:
-            messages += [
-                f'{where}: {message}' for message in document_messages
-            ]
-            continue
-        stored = msgspec.convert(document, protocol.StoredObject)
-        declared.append(stored)
-        read = records.read(stored)
-        if read.is_err():
-            lines = read.unwrap_err().message.split('\n')
-            messages += [f'{where}: {line}' for line in lines]
+    return documents
+
+
+def document_errors(document):
+    """Yield a line for each error of a document.
+
+    Its spec is only read if the rest of it is correct.
+    """
+    messages = list(envelope_errors(document))
     if messages:
-        raise errors.BadInput(
-            '\n'.join(messages), step='read records', peer=source
-        )
-    return declared
+        yield from messages
+        return
+    read = records.read(msgspec.convert(document, protocol.StoredObject))
+    if read.is_err():
+        yield from read.unwrap_err().message.split('\n')
 
 
 def envelope_errors(document):
--- a/celeryward/operators/report.py
+++ b/celeryward/operators/report.py
@@ -133,25 +133,13 @@
     :param float now: UTC seconds.
     :param str customer: report on this customer only; empty for all.
     """
-    buckets = [
-        bucket
-        for window in service_windows
-        for bucket in window.buckets
-        if first_bucket_start(now) <= bucket.start <= now
-        and customer in ('', bucket.customer)
-    ]
+    buckets = select_buckets(service_windows, now, customer)
     grouped = group_by(buckets, lambda bucket: bucket.customer)
     customers = tuple(
         summarize_customer(name, customer_buckets)
         for name, customer_buckets in sorted(grouped.items())
     )
-    burns = tuple(
-        burn.measure(
-            name, objective, catalog.service_level(name), customer_buckets, now
-        )
-        for name, customer_buckets in sorted(grouped.items())
-        for objective in burn.OBJECTIVES
-    )
+    burns = tuple(measure_burns(catalog, grouped, now))
     bills = reconcile(customers, bill_ids)
     findings = [
         *burn_findings(burns),
@@ -174,6 +162,28 @@
     )
 
 
+def select_buckets(service_windows, now, customer):
+    """Return the buckets of the report, as :func:`build` is told."""
+    return [
+        bucket
+        for window in service_windows
+        for bucket in window.buckets
+        if first_bucket_start(now) <= bucket.start <= now
+        and customer in ('', bucket.customer)
+    ]
+
+
+def measure_burns(catalog, grouped, now):
+    """Yield the :class:`burn.Burn` of each customer and objective.
+
+    :param dict grouped: buckets by customer.
+    """
+    for name, buckets in sorted(grouped.items()):
+        level = catalog.service_level(name)
+        for objective in burn.OBJECTIVES:
+            yield burn.measure(name, objective, level, buckets, now)
+
+
 def group_by(items, key):
     """Return a dictionary of lists of the items with equal keys."""
     grouped = collections.defaultdict(list)
