Split dispatch and stream_chat

Change: receive_answer makes the Answer of a dispatch; the splitter checks that [DONE] has arrived, hold_events counts the memory, and parse_last_chunk makes the last chunk. Order and errors are the same.

--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -228,23 +228,12 @@
             async with self.connections.lease(
                 runner, forwarded.head_deadline, forwarded.must_not_repeat
             ) as connection:
-                wait = self.begin_exchange(connection, forwarded, runner)
-                head, metadata = await self.exchange(
-                    connection, forwarded, runner, wait, paused_before
+                answer = await self.receive_answer(
+                    connection, forwarded, runner, started, paused_before
                 )
                 self.queues.end(runner.id, waiting)
-                yield answers.Answer(
-                    connection,
-                    forwarded,
-                    head,
-                    metadata,
-                    awake_clock.CLOCK() - started,
-                    wait,
-                    functools.partial(
-                        self.outcomes.record_activity, runner.id
-                    ),
-                )
-                connection.usable_until = reuse_deadline(metadata)
+                yield answer
+                connection.usable_until = reuse_deadline(answer.metadata)
                 self.notice_reader.estimates.record(
                     runner.service, awake_clock.CLOCK() - started
                 )
@@ -254,6 +243,30 @@
             self.outcomes.request_finished(runner.id)
             await self.notice_reader.give_back(place)
 
+    async def receive_answer(
+        self, connection, forwarded, runner, started, paused_before
+    ):
+        """Send a request; return its :class:`answers.Answer`, unread.
+
+        :param float started: when the dispatch began, on the clock that
+            stands still in pauses of this process.
+        :param float paused_before: for how long this process had stood still
+            by then.
+        """
+        wait = self.begin_exchange(connection, forwarded, runner)
+        head, metadata = await self.exchange(
+            connection, forwarded, runner, wait, paused_before
+        )
+        return answers.Answer(
+            connection,
+            forwarded,
+            head,
+            metadata,
+            awake_clock.CLOCK() - started,
+            wait,
+            functools.partial(self.outcomes.record_activity, runner.id),
+        )
+
     def begin_exchange(self, connection, forwarded, runner):
         """Register an exchange; return the :class:`waits.Wait` of its answer.
 
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -174,6 +174,16 @@
             self.done = True
         return events
 
+    def check_done(self):
+        """Raise an error if ``[DONE]`` has not arrived."""
+        if not self.done:
+            raise errors.AnswerTruncated(
+                'stream ended without [DONE]',
+                step='read stream',
+                peer=self.peer,
+                sent=True,
+            )
+
 
 def count_events(events):
     """Return the number of data events.
@@ -243,10 +253,7 @@
             chat_events.check_events(complete, connection.peer)
             held += complete
             await connection.meter.take_turn(read_deadlines.deadline)
-            # The daemon keeps what it has passed on, to resume the stream.
-            size = memory.size + len(complete)
-            connection.check_size(size, http.MAX_BODY_BYTES, 'read stream')
-            await memory.resize(size, 'read stream', connection.peer)
+            await hold_events(complete, memory, connection)
             if splitter.done:
                 break
             events, held = split_before_usage(held)
@@ -254,16 +261,9 @@
                 count = count_events(events)
                 tokens += count
                 yield Chunk(events, count)
-        else:
-            raise errors.AnswerTruncated(
-                'stream ended without [DONE]',
-                step='read stream',
-                peer=connection.peer,
-                sent=True,
-            )
+        splitter.check_done()
         await drain_body(pieces)
-    count, usage = parse_last_events(held, tokens, connection.peer)
-    yield Chunk(held, count, usage)
+    yield parse_last_chunk(held, tokens, connection.peer)
 
 
 def receive_pieces(connection, splitter, read_deadlines):
@@ -304,6 +304,19 @@
     return events, b''
 
 
+async def hold_events(events, memory, connection):
+    """Count some events as held in memory.
+
+    The daemon keeps what it has passed on, to resume the stream.
+
+    :param body_memory.Hold memory: what the stream holds so far.
+    :raises errors.BadInput: if the stream is too large.
+    """
+    size = memory.size + len(events)
+    connection.check_size(size, http.MAX_BODY_BYTES, 'read stream')
+    await memory.resize(size, 'read stream', connection.peer)
+
+
 async def drain_body(pieces):
     """Read the end of the body so that the connection can be reused.
 
@@ -319,8 +332,12 @@
         )
 
 
-def parse_last_events(events, tokens, peer):
-    """Return token count and usage of the last block of a stream."""
+def parse_last_chunk(events, tokens, peer):
+    """Return the last :class:`Chunk` of a stream.
+
+    :param int tokens: number of generated tokens in the chunks before.
+    :raises errors.AnswerInvalid: if an event is malformed.
+    """
     try:
         decoded = list(decode_events(events))
     except msgspec.DecodeError as error:
@@ -333,8 +350,8 @@
     count = sum(1 for event in decoded if event.text())
     for event in decoded:
         if event.usage is not None:
-            return count, event.usage.to_usage()
-    return count, calls.Usage(0, tokens + count)
+            return Chunk(events, count, event.usage.to_usage())
+    return Chunk(events, count, calls.Usage(0, tokens + count))
 
 
 async def complete_chat(connection, call, version, read_deadlines):
