Split the sending of a soak's request

Change: request_headers, observe and end_exchange are functions of their own. The fields of an outcome are the same.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -116,23 +116,9 @@
         self.sent_on_connection += 1
         request_id = f'c{self.number}-{self.sent}'
         started_at = observations.now()
-        fields = {
-            'left_early': timeout < RESPONSE_TIMEOUT_SECONDS,
-            'reused': self.sent_on_connection > 1,
-            'deadline_seconds': deadline_seconds,
-        }
         path = f'/{kind}/{work}'
-        head = standins.request_headers(
-            path,
-            request_id=request_id,
-            authorization=f'Bearer {key}',
-            session=f's{self.number}',
-            celeryward_deadline_ms=str(int(deadline_seconds * MILLISECONDS)),
-        )
-        try:
-            await self.exchange(path, head, timeout, fields)
-        except FAILURES as error:
-            fields['error'] = f'{type(error).__name__}: {error}'
+        head = self.request_headers(path, request_id, key, deadline_seconds)
+        fields = await self.observe(path, head, timeout)
         outcome = observations.Outcome(
             request_id,
             kind,
@@ -140,19 +126,45 @@
             key,
             started_at,
             observations.now(),
+            left_early=timeout < RESPONSE_TIMEOUT_SECONDS,
+            reused=self.sent_on_connection > 1,
+            deadline_seconds=deadline_seconds,
             **fields,
         )
+        await self.end_exchange(outcome)
+        return outcome
+
+    def request_headers(self, path, request_id, key, deadline_seconds):
+        """Return the headers of a request of this caller."""
+        return standins.request_headers(
+            path,
+            request_id=request_id,
+            authorization=f'Bearer {key}',
+            session=f's{self.number}',
+            celeryward_deadline_ms=str(int(deadline_seconds * MILLISECONDS)),
+        )
+
+    async def end_exchange(self, outcome):
+        """Keep the connection for the next request, or close it."""
         if not outcome.whole or not self.connection.reusable():
             await self.close()
         else:
             self.connection.start_next_cycle()
-        return outcome
 
-    async def exchange(self, path, head, timeout, fields):
-        """Send a request and store the parts of its answer in ``fields``.
+    async def observe(self, path, head, timeout):
+        """Send a request; return what came of it, as fields of the outcome.
 
-        What arrived before an error stays in ``fields``.
+        What arrived before an error is included.
         """
+        fields = {}
+        try:
+            await self.exchange(path, head, timeout, fields)
+        except FAILURES as error:
+            fields['error'] = f'{type(error).__name__}: {error}'
+        return fields
+
+    async def exchange(self, path, head, timeout, fields):
+        """Send a request and store the parts of its answer in ``fields``."""
         deadline = deadlines.Deadline.after(timeout)
         await self.write_request(path, head)
         fields['written_at'] = observations.now()
