Split the creation of a router and of its store view

Change: build_state, build_store_view, build_forwarding and build_peers create groups of components, as build_callers and others did already.

--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -1,5 +1,6 @@
 """The router process: creates its components, runs its tasks, shuts down."""
 
+import functools
 import os
 
 import curio
@@ -22,7 +23,6 @@
 from celeryward.endpoints import reopening
 from celeryward.endpoints import runners
 from celeryward import errors
-from celeryward import http
 from celeryward import ingress
 from celeryward import listener
 from celeryward import logs
@@ -31,6 +31,7 @@
 from celeryward.raters import releases
 from celeryward.raters import sizes
 from celeryward import router_metrics
+from celeryward import router_monitoring
 from celeryward import router_shutdown
 from celeryward.routers import crash_news
 from celeryward.routers import departure_news
@@ -39,8 +40,6 @@
 from celeryward import store_view
 from celeryward import supervision
 
-# Idle timeout of connections for readiness probes and scrapes of metrics.
-MONITORING_IDLE_SECONDS = 30.0
 # Lower bound on the assumed number of routers. Routers share the slack of the
 # retry budget and the evaluation of new versions, and a router may not have
 # discovered all others yet.
@@ -67,7 +66,25 @@
         self.tuning = tuning
         self.translator = translator
         self.tasks = []
-        bounds = placement.bounds
+        self.metrics = router_metrics.RouterMetrics()
+        self.supervisor = supervision.Supervisor(
+            self.metrics.count_task_failure
+        )
+        self.build_state()
+        self.build_store_view()
+        self.build_forwarding()
+        self.build_crash_handling()
+        self.build_callers()
+        self.build_listeners()
+        self.runners.listeners.append(self.forget_runner)
+        self.notice_reader.place_listeners.append(
+            self.relay.waiter.place_freed
+        )
+        router_metrics.register_gauges(self.metrics, self)
+
+    def build_state(self):
+        """Create what the router knows of its surroundings and of itself."""
+        bounds = self.placement.bounds
         self.configuration = ingress.ConfigurationHolder()
         self.freshness = freshness.Freshness(self.key_age_limit())
         self.endpoint_freshness = freshness.Freshness()
@@ -87,20 +104,23 @@
             bad_version_slack=bounds.bad_version_slack,
         )
         self.releases.runs.clock = awake_clock.CLOCK
-        self.metrics = router_metrics.RouterMetrics()
-        self.supervisor = supervision.Supervisor(
-            self.metrics.count_task_failure
-        )
+
+    def build_store_view(self):
+        """Create what follows the store and the other routers."""
         self.view = store_view.StoreView(
-            placement,
-            tuning,
-            translator,
+            self.placement,
+            self.tuning,
+            self.translator,
             self.freshness,
             self.endpoint_freshness,
             self.releases,
             ignored.IgnoredEntries(self.metrics.count_ignored_entry),
             departure_news.DepartureNews(self.runners),
         )
+
+    def build_forwarding(self):
+        """Create the components that send requests to endpoints."""
+        tuning = self.tuning
         self.connections = pool.EndpointPool(tuning)
         self.notice_reader = notices.NoticeReader(
             self.runners,
@@ -112,20 +132,12 @@
         )
         self.forwarder = forwarding.Forwarder(
             self.connections,
-            translator,
+            self.translator,
             self.outcomes,
             self.runners,
             self.queues,
             self.notice_reader,
         )
-        self.build_crash_handling()
-        self.build_callers()
-        self.build_listeners()
-        self.runners.listeners.append(self.forget_runner)
-        self.notice_reader.place_listeners.append(
-            self.relay.waiter.place_freed
-        )
-        router_metrics.register_gauges(self.metrics, self)
 
     def build_crash_handling(self):
         """Create the components that notice crashes and what causes them."""
@@ -194,12 +206,14 @@
         self.readiness_listener = listener.Listener(
             placement.readiness.host,
             placement.readiness.port,
-            self.answer_readiness,
+            functools.partial(
+                router_monitoring.answer_readiness, self.is_ready
+            ),
         )
         self.metrics_listener = listener.Listener(
             placement.metrics.host,
             placement.metrics.port,
-            self.answer_metrics,
+            functools.partial(router_monitoring.answer_metrics, self.metrics),
         )
         self.peer_listener = listener.Listener(
             placement.routers.host,
@@ -255,35 +269,6 @@
             and self.freshness.is_fresh()
         )
 
-    async def answer_readiness(self, connection):
-        """Answer the load balancer's readiness probes on one connection."""
-
-        async def answer(head):
-            status = 200 if self.is_ready() else 503
-            await http.send_response(connection, status, {}, b'')
-
-        await listener.serve_ignoring_bodies(
-            connection,
-            answer,
-            MONITORING_IDLE_SECONDS,
-            MONITORING_IDLE_SECONDS,
-        )
-
-    async def answer_metrics(self, connection):
-        """Serve the metrics on one connection."""
-
-        async def answer(head):
-            headers = {'content-type': 'text/plain; version=0.0.4'}
-            body = self.metrics.exposition()
-            await http.send_response(connection, 200, headers, body)
-
-        await listener.serve_ignoring_bodies(
-            connection,
-            answer,
-            MONITORING_IDLE_SECONDS,
-            MONITORING_IDLE_SECONDS,
-        )
-
     async def start(self):
         """Start all listeners and tasks.
 
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -73,9 +73,15 @@
             kind: change_log.ChangeLog()
             for kind in (kinds.configuration, kinds.endpoints, kinds.orders)
         }
-        bounds = placement.bounds
-        self.outages = outages.OutageTracker(bounds)
-        shared_pacing = make_pacing(bounds)
+        self.outages = outages.OutageTracker(placement.bounds)
+        self.build_peers(news)
+        self.watchers = ()
+        self.verdict_writer = None
+
+    def build_peers(self, news):
+        """Create what finds other routers and exchanges changes with them."""
+        kinds = self.translator.kinds
+        shared_pacing = make_pacing(self.placement.bounds)
         self.source = source.ChangeSource(
             self.store,
             self.members,
@@ -84,33 +90,31 @@
             self.outages,
             news,
         )
-        self.discovery = discovery.PeerDiscovery(
-            self.store,
-            kinds.routers,
-            self.members,
-            translator,
-            placement.first_start,
-            ignored,
-        )
         self.publisher = publisher.Publisher(
             self.change_logs,
             {
-                kinds.configuration: freshness,
-                kinds.endpoints: endpoint_freshness,
-                kinds.orders: freshness,
+                kinds.configuration: self.freshness,
+                kinds.endpoints: self.endpoint_freshness,
+                kinds.orders: self.freshness,
             },
             shared_pacing,
             self.outages,
             self.members,
-            releases,
+            self.releases,
             news,
             kinds.endpoints,
         )
+        self.discovery = discovery.PeerDiscovery(
+            self.store,
+            kinds.routers,
+            self.members,
+            self.translator,
+            self.placement.first_start,
+            self.ignored,
+        )
         self.evidence_reporter = evidence.EvidenceReporter(
-            releases, self.members, self.source, news
+            self.releases, self.members, self.source, news
         )
-        self.watchers = ()
-        self.verdict_writer = None
 
     def build_watchers(self, configuration, runners):
         """Build the watchers that update the router's state.
