Let baselines replace methods that the product has

Cause: benchmarks.withdrawal replaced Dispatcher.confirm and .choose, which were renamed to recheck_target and select_endpoint. Unqueued of benchmarks.overload_path lacked refuse_waiting, so that the benchmark ended with an AttributeError after its first run.

--- a/benchmarks/overload_path.py
+++ b/benchmarks/overload_path.py
@@ -15,6 +15,7 @@
 import curio
 
 from benchmarks import seeded
+from celeryward.callers import model_queues
 from celeryward import errors
 from celeryward import http
 from celeryward.operators import demo
@@ -39,18 +40,14 @@
         await super().send_whole(connection, echo, words, usage)
 
 
-class Unqueued:
-    """Lets each request pass at once."""
+class Unqueued(model_queues.ModelQueues):
+    """Baseline: lets each request pass at once."""
 
     @contextlib.asynccontextmanager
     async def slot(self, call, model):
         """Hold nothing."""
         yield
 
-    def wanted(self):
-        """Return no demand, since nothing is counted."""
-        return ()
-
 
 class Trial:
     """Sends requests to one daemon.
@@ -70,7 +67,11 @@
         """Return the answered requests a second and all results."""
         await self.cluster.start()
         if not self.gated:
-            self.cluster.daemon.request_handler.model_queues = Unqueued()
+            handler = self.cluster.daemon.request_handler
+            replaced = handler.model_queues
+            handler.model_queues = Unqueued(
+                replaced.configuration, replaced.shares, replaced.liveness
+            )
         async with curio.TaskGroup() as group:
             ends = time.monotonic() + DURATION_SECONDS
             while time.monotonic() < ends:
--- a/benchmarks/withdrawal.py
+++ b/benchmarks/withdrawal.py
@@ -122,16 +122,16 @@
 
 
 class EachDispatch(dispatch.Dispatcher):
-    """Checks at each dispatch, but not once the connection is ready."""
+    """Baseline: does not check again once the connection is ready."""
 
-    def confirm(self, attempt):
+    def recheck_target(self, attempt):
         """Skip the second check."""
 
 
 class EntryOnly(EachDispatch):
-    """Dispatches by the version that was chosen at entry."""
+    """Baseline: dispatches by the version that was chosen at entry."""
 
-    async def choose(self, attempt):
+    async def select_endpoint(self, attempt):
         """Choose the only endpoint and the version chosen at entry."""
         attempt.dispatches += 1
         attempt.candidate = candidates.Candidate(
