Make the error of a forbidden target in one place

Cause: four places made the same NotPermitted error (found by duplicates).

Change: NotPermitted.of makes it from customer, target and step. The message is the same.

Measured: 194 of 194 tests of test_routing, test_dispatch, test_sessions, test_withdrawal, test_explain and test_shape pass.

--- a/celeryward/callers/admission.py
+++ b/celeryward/callers/admission.py
@@ -79,9 +79,5 @@
 
 def _not_permitted(customer, target):
     return result.Err(
-        errors.NotPermitted(
-            f'customer {customer.name} may not use {target}',
-            step='route',
-            peer=target,
-        )
+        errors.NotPermitted.of(customer.name, target, step='route')
     )
--- a/celeryward/callers/version_selection.py
+++ b/celeryward/callers/version_selection.py
@@ -157,11 +157,7 @@
 
 def _not_permitted(call, model):
     return result.Err(
-        errors.NotPermitted(
-            f'customer {call.customer.name} may not use {model}',
-            step='place',
-            peer=model,
-        )
+        errors.NotPermitted.of(call.customer.name, model, step='place')
     )
 
 
--- a/celeryward/endpoints/candidates.py
+++ b/celeryward/endpoints/candidates.py
@@ -148,11 +148,7 @@
     customer = current.customers.get(customer_name)
     if customer is None or not customer.allows(version):
         return result.Err(
-            errors.NotPermitted(
-                f'customer {customer_name} may not use {name}',
-                step='select',
-                peer=name,
-            )
+            errors.NotPermitted.of(customer_name, name, step='select')
         )
     return result.Ok(version)
 
@@ -180,11 +176,7 @@
     customer = current.customers.get(customer_name)
     if customer is None or name not in customer.services:
         return result.Err(
-            errors.NotPermitted(
-                f'customer {customer_name} may not use {name}',
-                step='select',
-                peer=name,
-            )
+            errors.NotPermitted.of(customer_name, name, step='select')
         )
     return result.Ok(service)
 
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -93,6 +93,12 @@
 
     code = 'not_permitted'
 
+    @classmethod
+    def of(cls, customer, target, step):
+        """Return the error of a customer, by name, that may not use it."""
+        message = f'customer {customer} may not use {target}'
+        return cls(message, step=step, peer=target)
+
 
 class UnknownTarget(NotRun):
     """No model, version, cascade or service has this name."""
