Split three long functions of tests

Change: odd_announcement, start_parts and shorten_waits are functions of their own. Checks, bounds and the order of random draws are the same.

--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -82,23 +82,11 @@
     return text
 
 
-def daemon_messages(seed):
-    """Return messages of other daemons with odd content."""
-    generator = random.Random(seed)
-    odd = functools.partial(
-        generator.choice, (0.0, 1.0, -1.0, math.inf, math.nan, 1e308)
-    )
-    member = exchange_pb2.Member(
-        owner='o', port=generator.choice((0, 80, 2**32 - 1)), started_at=odd()
-    )
-    stored = odd_inputs.mutated(generator, registered_decoders.STORED)
-    changes = [exchange_pb2.Change(type='put', revision=3, object=stored)]
-    run = exchange_pb2.Run(
-        version='m@1',
-        prompt_tokens=generator.choice((1, 2**64 - 1)),
-        cost=odd(),
-    )
-    bill = exchange_pb2.Bill(request_id='r', runs=[run], finished_at=odd())
+def odd_announcement(generator, odd):
+    """Return an announcement with odd content.
+
+    :param odd: function that returns a number.
+    """
     content = generator.choice(
         (
             msgspec.msgpack.encode({'daemon': 'd', 'day': 2**64 - 1}),
@@ -117,6 +105,29 @@
         )
     )
     topic = generator.choice(('demand', 'suspects', 'departures', 'newer'))
+    return exchange_pb2.Announcement(
+        topic=topic, source='s', sequence=1, content=content
+    )
+
+
+def daemon_messages(seed):
+    """Return messages of other daemons with odd content."""
+    generator = random.Random(seed)
+    odd = functools.partial(
+        generator.choice, (0.0, 1.0, -1.0, math.inf, math.nan, 1e308)
+    )
+    member = exchange_pb2.Member(
+        owner='o', port=generator.choice((0, 80, 2**32 - 1)), started_at=odd()
+    )
+    stored = odd_inputs.mutated(generator, registered_decoders.STORED)
+    changes = [exchange_pb2.Change(type='put', revision=3, object=stored)]
+    run = exchange_pb2.Run(
+        version='m@1',
+        prompt_tokens=generator.choice((1, 2**64 - 1)),
+        cost=odd(),
+    )
+    bill = exchange_pb2.Bill(request_id='r', runs=[run], finished_at=odd())
+    announcement = odd_announcement(generator, odd)
     return (
         exchange_pb2.Digest(
             member_ids=[1] * generator.choice((0, 1, 2)),
@@ -129,13 +140,7 @@
         ),
         exchange_pb2.Changes(changes=changes),
         exchange_pb2.Bills(owner='o', bills=[bill]),
-        exchange_pb2.Announcements(
-            announcements=[
-                exchange_pb2.Announcement(
-                    topic=topic, source='s', sequence=1, content=content
-                )
-            ]
-        ),
+        exchange_pb2.Announcements(announcements=[announcement]),
     )
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -21,32 +21,39 @@
 START_SECONDS = 20.0
 
 
+def start_parts(running, tmp_path):
+    """Start a platform, an engine and a daemon; return the first and last.
+
+    :param list running: gets each started process.
+    """
+    platform = processes.start_standin('platform')
+    running.append(platform)
+    engine = processes.start_standin('engine', '--versions=small@1')
+    running.append(engine)
+    records = [
+        processes.customer_record('workshop', ['small']),
+        processes.version_record('small', '1'),
+        processes.endpoint_record('engine-1', engine.port, serves=['small@1']),
+    ]
+    processes.apply(platform, tmp_path / 'records.yaml', records)
+    daemon = processes.start_daemon(
+        tmp_path / 'daemon.yaml',
+        {
+            'name': 'daemon-1',
+            'failure_domain': 'domain-1',
+            'platform': {'port': platform.port},
+        },
+    )
+    running.append(daemon)
+    return platform, daemon
+
+
 class TestSeparateProcesses:
     """Guards against components that only work inside one process."""
 
     def test_request_is_served_and_billed(self, tmp_path):
         with processes.stopping([]) as running:
-            platform = processes.start_standin('platform')
-            running.append(platform)
-            engine = processes.start_standin('engine', '--versions=small@1')
-            running.append(engine)
-            records = [
-                processes.customer_record('workshop', ['small']),
-                processes.version_record('small', '1'),
-                processes.endpoint_record(
-                    'engine-1', engine.port, serves=['small@1']
-                ),
-            ]
-            processes.apply(platform, tmp_path / 'records.yaml', records)
-            daemon = processes.start_daemon(
-                tmp_path / 'daemon.yaml',
-                {
-                    'name': 'daemon-1',
-                    'failure_domain': 'domain-1',
-                    'platform': {'port': platform.port},
-                },
-            )
-            running.append(daemon)
+            platform, daemon = start_parts(running, tmp_path)
             example = demo.chat_example('', 'small', 'x', stream=True)
             head, body = curio.run(demo.send_example, daemon.port, example)
             assert head.status == 200
--- a/tests/test_race_interleavings.py
+++ b/tests/test_race_interleavings.py
@@ -296,6 +296,15 @@
         assert numbers == list(range(1, len(numbers) + 1)), numbers
         assert not complete or len(numbers) == EVENTS, numbers
 
+    def shorten_waits(self, monkeypatch):
+        """Let requests be raced and given up after short waits."""
+        monkeypatch.setattr(replacements, 'LATE_STREAM_SECONDS', 0.05)
+        monkeypatch.setattr(races, 'CONFIRMATION_SECONDS', 0.03)
+        monkeypatch.setattr(waits, 'NOTICE_INTERVAL_SECONDS', 0.02)
+        monkeypatch.setattr(endpoint_timeouts, 'MIN_HEAD_SECONDS', 0.02)
+        monkeypatch.setattr(endpoint_timeouts, 'HEAD_OBJECTIVE_FRACTION', 0.05)
+        monkeypatch.setattr(endpoint_timeouts, 'PAUSE_FACTOR', 0.1)
+
     @pytest.mark.filterwarnings(test_once.UNRAISABLE_WARNINGS)
     @pytest.mark.parametrize('seed', range(SEEDS))
     @standins.on_site
@@ -303,12 +312,7 @@
         self, site, seed, monkeypatch
     ):
         generator = random.Random(seed)
-        monkeypatch.setattr(replacements, 'LATE_STREAM_SECONDS', 0.05)
-        monkeypatch.setattr(races, 'CONFIRMATION_SECONDS', 0.03)
-        monkeypatch.setattr(waits, 'NOTICE_INTERVAL_SECONDS', 0.02)
-        monkeypatch.setattr(endpoint_timeouts, 'MIN_HEAD_SECONDS', 0.02)
-        monkeypatch.setattr(endpoint_timeouts, 'HEAD_OBJECTIVE_FRACTION', 0.05)
-        monkeypatch.setattr(endpoint_timeouts, 'PAUSE_FACTOR', 0.1)
+        self.shorten_waits(monkeypatch)
         ran = collections.Counter()
         monkeypatch.setattr(
             fleet_retries.FleetBudget, 'try_take', lambda self: True
