Share the connection of the callers of two benchmarks

Cause: the callers of the soak and of retrying_callers had the same connect and close (found by duplicates) and nearly the same end of an exchange.

Change: ReusingCaller has the three; a subclass chooses the router. The random draws are the same.

--- a/benchmarks/retrying_callers.py
+++ b/benchmarks/retrying_callers.py
@@ -5,15 +5,14 @@
 
 import curio
 
+from benchmarks import reusing_callers
 from benchmarks.soak import observations
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
-from tests import platform_processes as processes
 from tests import platform_standins as standins
 
 MAX_ATTEMPTS = 5
-CONNECT_SECONDS = 1.0
 # Pause before a retry that no answer gives a time for.
 RETRY_SECONDS = 0.1
 # Share of the remaining time that a caller waits as an answer tells it.
@@ -112,7 +111,7 @@
         return last - self.began_at > self.work.objective_seconds
 
 
-class Caller:
+class Caller(reusing_callers.ReusingCaller):
     """Sends requests in turn, over one kept connection or many.
 
     :param fleet: has ``in_rotation()``, the routers for new connections, and
@@ -121,13 +120,11 @@
     """
 
     def __init__(self, fleet, seed, number, works):
+        super().__init__()
         self.fleet = fleet
         self.works = works
         self.number = number
         self.generator = random.Random(f'{seed}-{number}')
-        self.connection = None
-        self.router = None
-        self.reused = False
         # Every other caller opens a connection for each request.
         self.keeps_connection = number % 2 == 0
         self.sent = 0
@@ -197,11 +194,7 @@
         attempt = Attempt(
             attempt_id, self.router.name, began_at, ended_at, result, **fields
         )
-        if result == 'cut' or not self.connection.reusable():
-            await self.close()
-        else:
-            self.connection.start_next_cycle()
-            self.reused = True
+        await self.end_exchange(result != 'cut')
         return attempt
 
     async def exchange(self, kind, work, attempt_id, deadline):
@@ -255,32 +248,11 @@
             return 'crossed'
         return 'cut'
 
-    async def connect(self):
-        """Connect to a router, unless a connection is open.
-
-        Return whether a connection is open.
-        """
-        if self.connection is not None:
-            return True
-        self.reused = False
+    def choose_router(self):
+        """Return the router of the next connection, another if possible."""
         routers = self.fleet.in_rotation()
         others = [each for each in routers if each is not self.router]
-        self.router = self.generator.choice(others or routers)
-        try:
-            self.connection = await http.connect(
-                self.router.host,
-                processes.CALLER_PORT,
-                deadlines.Deadline.after(CONNECT_SECONDS),
-            )
-        except errors.ConnectionFailed:
-            return False
-        return True
-
-    async def close(self):
-        """Close the connection, if one is open."""
-        if self.connection is not None:
-            await self.connection.close()
-            self.connection = None
+        return self.generator.choice(others or routers)
 
 
 def may_retry(kind, attempt):
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -5,6 +5,7 @@
 import curio
 import h11
 
+from benchmarks import reusing_callers
 from benchmarks.soak import endpoints
 from benchmarks.soak import observations
 from celeryward import deadlines
@@ -18,7 +19,6 @@
 PATIENCE_SECONDS = 1.0
 RESPONSE_TIMEOUT_SECONDS = DEADLINE_SECONDS + PATIENCE_SECONDS
 MILLISECONDS = 1000
-CONNECT_TIMEOUT_SECONDS = 1.0
 PAUSE_SECONDS = 0.05
 KINDS = ('whole', 'once', 'stream', 'rigid')
 BODY = b'body'
@@ -33,7 +33,7 @@
 FAILURES = (errors.CelerywardError, OSError)
 
 
-class Caller:
+class Caller(reusing_callers.ReusingCaller):
     """A caller that sends requests over one connection at a time.
 
     :param fleet: the :class:`fleet.Fleet` whose routers it calls.
@@ -41,14 +41,12 @@
     """
 
     def __init__(self, fleet, seed, number, only_router=None):
+        super().__init__()
         self.fleet = fleet
         self.number = number
         self.generator = random.Random(f'{seed}-{number}')
         self.only_router = only_router
-        self.connection = None
-        self.router = None
         self.sent = 0
-        self.sent_on_connection = 0
 
     async def run(self):
         """Send requests until cancelled."""
@@ -113,7 +111,6 @@
         if not await self.connect():
             return None
         self.sent += 1
-        self.sent_on_connection += 1
         request_id = f'c{self.number}-{self.sent}'
         started_at = observations.now()
         path = f'/{kind}/{work}'
@@ -127,11 +124,11 @@
             started_at,
             observations.now(),
             left_early=timeout < RESPONSE_TIMEOUT_SECONDS,
-            reused=self.sent_on_connection > 1,
+            reused=self.reused,
             deadline_seconds=deadline_seconds,
             **fields,
         )
-        await self.end_exchange(outcome)
+        await self.end_exchange(outcome.whole)
         return outcome
 
     def request_headers(self, path, request_id, key, deadline_seconds):
@@ -144,15 +141,8 @@
             celeryward_deadline_ms=str(int(deadline_seconds * MILLISECONDS)),
         )
 
-    async def end_exchange(self, outcome):
-        """Keep the connection for the next request, or close it."""
-        if not outcome.whole or not self.connection.reusable():
-            await self.close()
-        else:
-            self.connection.start_next_cycle()
-
     async def observe(self, path, head, timeout):
-        """Send a request; return what came of it, as fields of the outcome.
+        """Send a request; return its results as fields of the outcome.
 
         What arrived before an error is included.
         """
@@ -197,30 +187,6 @@
             'send body', h11.Data(data=BODY), h11.EndOfMessage()
         )
 
-    async def connect(self):
-        """Connect to a router, unless a connection is open.
-
-        Return whether a connection is open.
-        """
-        if self.connection is not None:
-            return True
-        self.sent_on_connection = 0
-        self.router = self.only_router or self.generator.choice(
-            self.fleet.routers
-        )
-        try:
-            self.connection = await http.connect(
-                self.router.host,
-                processes.CALLER_PORT,
-                deadlines.Deadline.after(CONNECT_TIMEOUT_SECONDS),
-            )
-        except errors.ConnectionFailed:
-            # The router is down; the next attempt may choose another one.
-            return False
-        return True
-
-    async def close(self):
-        """Close the connection, if one is open."""
-        if self.connection is not None:
-            await self.connection.close()
-            self.connection = None
+    def choose_router(self):
+        """Return the router of the next connection."""
+        return self.only_router or self.generator.choice(self.fleet.routers)
