Use the field's terms in the benchmarks outside the soak

Cause: names and comments such as way, scene, note, say, pick, doubled and hold for dead were not the usual terms.

Change: method, protection, scenario, record, print, shuffled_names, duplicates, outage and detect. The figures that the benchmarks print have the same meaning and order; "doubled" reads "duplicates".

--- a/benchmarks/billing.py
+++ b/benchmarks/billing.py
@@ -7,8 +7,8 @@
 
 The stated limit of exactly-once billing is that the owner and both holders
 of the copies are killed within one flush interval. Bills whose last 3
-holders were killed in one tick are counted apart. Deaths are noticed at the
-start of the next tick.
+holders were killed in one tick are counted apart. Killed hosts are detected
+at the start of the next tick.
 """
 
 import argparse
@@ -33,7 +33,7 @@
 
 HOSTS = 12
 TICKS = 150
-AWAY_TICKS = range(50, 80)
+OUTAGE_TICKS = range(50, 80)
 REQUESTS = 12_000
 LOST_ANSWERS = 1 / 3
 KILLS = 0.3
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
-    """Results of one way of billing.
+    """Results of one billing method.
 
     :param int beyond_limit: bills whose last 3 holders were killed in one
         tick; not included in ``lost``.
@@ -55,7 +55,7 @@
 
     lost: int
     beyond_limit: int
-    doubled: int
+    duplicates: int
     calls_per_1000: float
 
 
@@ -92,7 +92,7 @@
         self.name = name
         self.silent_ticks = 0
         peers = fakes.FakePeers(
-            name, fleet.network, fleet.pick, fleet.note_holders
+            name, fleet.network, fleet.shuffled_names, fleet.record_holders
         )
         self.ledger = billing.Ledger(name, peers, BOUNDS)
         self.replicas = replicas.Replicas(bounds=BOUNDS)
@@ -127,11 +127,11 @@
         """Return whether the next write answer is lost."""
         return self.random.random() < LOST_ANSWERS
 
-    def note_holders(self, bill, names):
-        """Note the hosts that hold a bill, with those of the past."""
+    def record_holders(self, bill, names):
+        """Record the hosts that hold a bill, with those of the past."""
         self.holders[bill.id].update(names)
 
-    def pick(self, names):
+    def shuffled_names(self, names):
         """Return names in a random order."""
         return self.random.sample(sorted(names), len(names))
 
@@ -142,7 +142,7 @@
         self.hosts.append(host)
 
     def remove(self, host):
-        """Take a host away; the others notice it in the next tick."""
+        """Remove a host; the others detect it in the next tick."""
         del self.network[host.name]
         self.hosts.remove(host)
         self.killed[host.name] = self.tick
@@ -150,7 +150,7 @@
         self.add_host()
 
     async def report_deaths(self):
-        """Tell the remaining hosts of those that fell silent.
+        """Tell the remaining hosts of those that stopped responding.
 
         Hosts that have a share in their bills flush at once.
         """
@@ -198,13 +198,14 @@
         number = 0
         for tick in range(TICKS):
             self.tick = tick
-            away = tick in AWAY_TICKS
-            self.platform.unavailable = self.plain_platform.unavailable = away
+            is_outage = tick in OUTAGE_TICKS
+            self.platform.unavailable = is_outage
+            self.plain_platform.unavailable = is_outage
             await self.report_deaths()
             while number * TICKS < requests * (tick + 1):
                 await self.serve(number)
                 number += 1
-            for host in self.pick_hosts():
+            for host in self.shuffled_hosts():
                 await self.flush(host)
         await self.report_deaths()
         for host in self.hosts:
@@ -214,12 +215,12 @@
             while host.plain.pending:
                 await host.plain.flush()
 
-    def pick_hosts(self):
+    def shuffled_hosts(self):
         """Return the present hosts in a random order."""
         return self.random.sample(self.hosts, len(self.hosts))
 
     def rows(self):
-        """Return the results of the chosen way and of the baseline."""
+        """Return the results of the product and of the baseline."""
         stored = [
             batches.from_object(each)
             for each in self.platform.of_kind(batches.BATCH_KIND)
@@ -239,7 +240,7 @@
     def check_entries(self, stored):
         """Check that each host's bill of a request is stored once.
 
-        :raises AssertionError: if the reader had to hide another double.
+        :raises AssertionError: if the reader had to hide another duplicate.
         """
         entries = collections.Counter(
             bill.id for batch in stored for bill in batch.all_bills()
@@ -336,18 +337,18 @@
     await fleet.run(requests)
     print(
         f'seed {seed}: {len(fleet.answered)} billed requests, '
-        f'{len(fleet.killed)} owners killed, platform away for '
-        f'{len(AWAY_TICKS)} of {TICKS} ticks'
+        f'{len(fleet.killed)} owners killed, platform unavailable for '
+        f'{len(OUTAGE_TICKS)} of {TICKS} ticks'
     )
     misses = 0
     for name, row in zip(('chosen', 'baseline'), fleet.rows(), strict=True):
         print(
             f'  {name:9} bills lost {row.lost}, beyond the limit '
-            f'{row.beyond_limit}, doubled {row.doubled}, '
+            f'{row.beyond_limit}, duplicates {row.duplicates}, '
             f'platform calls per 1,000 requests {row.calls_per_1000:.1f}'
         )
         if name == 'chosen':
-            misses += row.lost + row.doubled
+            misses += row.lost + row.duplicates
     sizes = measure_memory(seed)
     print(
         '  memory of 1,000 of {} pending bills in KiB: with default bounds '
--- a/benchmarks/cascades.py
+++ b/benchmarks/cascades.py
@@ -70,7 +70,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Totals:
-    """What a policy spent and reached after warm-up.
+    """Cost and quality of a policy after warm-up.
 
     :param float whole_cost: cost of all requests, warm-up included.
     """
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -18,7 +18,7 @@
 HOSTS = 6
 ATTEMPTS = 4
 LOST_ANSWERS = 1 / 3
-AWAY_CALLS = range(1_000, 1_300)
+OUTAGE_CALLS = range(1_000, 1_300)
 # Faults of one attempt between its claim and its stored outcome.
 FAULTS = ('none', 'refused', 'lost', 'killed', 'killed after', 'paused')
 WEIGHTS = (50, 10, 15, 8, 8, 9)
@@ -94,7 +94,7 @@
         await responder.send_response(200, {}, b'{}')
 
     async def attempt(self, runner, fault):
-        """Make one attempt and note the reply."""
+        """Make one attempt and record the reply."""
 
         number = next(self.attempts)
 
@@ -131,7 +131,7 @@
         for task in self.paused:
             await task.join()
 
-    def doubled(self):
+    def duplicates(self):
         """Return the executions after the first one."""
         return max(0, len(self.executed) - 1)
 
@@ -183,7 +183,7 @@
     source = random.Random(seed)
     callers = []
     for number in range(CALLS):
-        platform.unavailable = number in AWAY_CALLS
+        platform.unavailable = number in OUTAGE_CALLS
         caller = Caller(number, source, chosen)
         await caller.ask(runners)
         callers.append(caller)
@@ -208,13 +208,13 @@
     )
     misses = 0
     for name, callers in (('chosen', chosen), ('baseline', plain)):
-        doubled = sum(caller.doubled() for caller in callers)
+        duplicates = sum(caller.duplicates() for caller in callers)
         wrong = sum(caller.wrong_refusals() for caller in callers)
         ran = sum(1 for caller in callers if caller.executed)
         print(
-            f'  {name:9} executions doubled {doubled}, '
+            f'  {name:9} duplicate executions {duplicates}, '
             f'wrong "not run" {wrong}, calls that ran {ran}'
         )
         if name == 'chosen':
-            misses += doubled + wrong
+            misses += duplicates + wrong
     return misses
--- a/benchmarks/closed_endpoints.py
+++ b/benchmarks/closed_endpoints.py
@@ -141,7 +141,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
-    """What came of a call.
+    """Outcome of a call.
 
     :param bool served: whether it was answered with success at all.
     :param int refusals: attempts that were refused.
--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -149,7 +149,7 @@
         random.shuffle(nodes)
         for node in nodes:
             node.members.advance_heartbeat()
-            self.note_gaps(node)
+            self.record_gaps(node)
             node.members.mark_dead()
             for contact in node.choose_contacts():
                 if contact.port not in self.killed:
@@ -201,8 +201,8 @@
             )
         )
 
-    def note_gaps(self, node):
-        """Note how long counters did not advance."""
+    def record_gaps(self, node):
+        """Record for how long counters did not advance."""
         for entry in node.members.states.values():
             left = entry.deadline.at - self.now
             if node.members.is_local(entry.member):
--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -63,25 +63,28 @@
     """Transport of one owner to the replicas of all live hosts.
 
     :param dict replicas: by owner name; dead hosts are taken out of it.
-    :param pick: function that orders the names of the other hosts.
-    :param note: function that takes each bill and the hosts that hold it.
+    :param order_names: function that orders the names of the other hosts.
+    :param record_holders: function that takes each bill and the hosts that
+        hold it.
     """
 
-    def __init__(self, owner, replicas, pick=sorted, note=None):
+    def __init__(
+        self, owner, replicas, order_names=sorted, record_holders=None
+    ):
         self.owner = owner
         self.replicas = replicas
-        self.pick = pick
-        self.note = note
+        self.order_names = order_names
+        self.record_holders = record_holders
 
     async def keep(self, bills, deadline):
         """Copy bills to 2 peers; return their names."""
-        others = self.pick(set(self.replicas) - {self.owner})
+        others = self.order_names(set(self.replicas) - {self.owner})
         if len(others) < 2:
             raise _error(errors.ConnectionFailed, sent=False)
         for name in others[:2]:
             errors.unwrap(self.replicas[name].keep(self.owner, bills))
-        for bill in bills if self.note else ():
-            self.note(bill, (self.owner, *others[:2]))
+        for bill in bills if self.record_holders else ():
+            self.record_holders(bill, (self.owner, *others[:2]))
         return tuple(others[:2])
 
     async def release(self, bill_ids):
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -151,7 +151,7 @@
         self.plan = plan
         self.seen = []
         self.store = configuration.ConfigurationStore()
-        self.store.listeners.append(self.note)
+        self.store.listeners.append(self.record_changes)
         calls = client.ObjectClient(checked.platform, 3.0, checked.name)
         self.watcher = configuration_watcher.ConfigurationWatcher(
             calls, self.store
@@ -165,8 +165,8 @@
         )
         self.task = None
 
-    def note(self, changes):
-        """Note when changes take effect at this daemon."""
+    def record_changes(self, changes):
+        """Record when changes take effect at this daemon."""
         now = time.monotonic()
         self.seen += [(change.revision, now) for change in changes]
 
@@ -200,7 +200,7 @@
     for daemon in daemons:
         await daemon.start()
     pipe.send(None)
-    # All processes measure the same time, from the word of the parent.
+    # All processes measure the same time, from the signal of the parent.
     await curio.run_in_thread(pipe.recv)
     await curio.sleep(plan.warm_up)
     started_at, cpu = time.monotonic(), cpu_seconds()
@@ -248,7 +248,7 @@
 
 
 async def write_changes(standin, plan, writes):
-    """Write changes at the interval of the plan; note when accepted."""
+    """Write changes at the interval of the plan; record their times."""
     await curio.sleep(plan.warm_up + 0.5)
     if plan.change_interval == 0.0:
         return
--- a/benchmarks/killed.py
+++ b/benchmarks/killed.py
@@ -69,7 +69,7 @@
 
 
 def disturb(daemon, how):
-    """Kill a daemon, or freeze it until its peers hold it for dead."""
+    """Kill a daemon, or freeze it until its peers count it as dead."""
     if how == 'kill':
         daemon.popen.kill()
         return
@@ -110,7 +110,7 @@
     total = sum(bills.values())
     print(f'completed {completed}, of them at the disturbed daemon', end=' ')
     print(reports[0]['requests'], 'failures', reports[0]['failures'])
-    print(f'bills {total}, doubled {total - len(bills)}', end=' ')
+    print(f'bills {total}, duplicates {total - len(bills)}', end=' ')
     print(f'missing {max(0, completed - len(bills))}', end=' ')
     print(f'without a completed stream {max(0, len(bills) - completed)}')
 
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -31,7 +31,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Way:
+class Protection:
     """How a holder decides to send, and how the endpoint behaves."""
 
     name: str
@@ -39,10 +39,14 @@
     fencing: catalog.Fencing
 
 
-WAYS = (
-    Way('no checks', False, catalog.Fencing.IGNORED),
-    Way('lease checked, fencing ignored', True, catalog.Fencing.IGNORED),
-    Way('lease checked, fencing enforced', True, catalog.Fencing.ENFORCED),
+PROTECTIONS = (
+    Protection('no checks', False, catalog.Fencing.IGNORED),
+    Protection(
+        'lease checked, fencing ignored', True, catalog.Fencing.IGNORED
+    ),
+    Protection(
+        'lease checked, fencing enforced', True, catalog.Fencing.ENFORCED
+    ),
 )
 
 
@@ -65,7 +69,7 @@
             wait = leases.RENEWAL_SECONDS if held else leases.DURATION_SECONDS
             self.step_at = now + wait
 
-    def fence_after_pause(self, now, way):
+    def fence_after_pause(self, now, protection):
         """Return the fencing number to send with at a time, or None.
 
         It is asked before the lease task runs again, as it would be by a
@@ -73,21 +77,23 @@
         """
         self.clock.now = now * self.rate
         grant = self.lease.grant
-        if not way.checked:
+        if not protection.checked:
             return grant.fence if grant else None
         if self.lease.current_grant(orders.SEND_MARGIN_SECONDS).is_err():
             return None
-        ready = orders.earliest_send(ENDPOINT[way.fencing], grant).expired()
+        ready = orders.earliest_send(
+            ENDPOINT[protection.fencing], grant
+        ).expired()
         return grant.fence if ready else None
 
 
 class Simulation:
     """One run of all daemons and one endpoint."""
 
-    def __init__(self, seed, way, longest_pause):
+    def __init__(self, seed, protection, longest_pause):
         self.longest_pause = longest_pause
         self.chance = random.Random(seed)
-        self.way = way
+        self.protection = protection
         self.clock = fakes.Clock()
         deadlines.time = self.clock
         self.objects = fakes.ObjectClient()
@@ -100,7 +106,7 @@
         self.highest = 0
 
     async def run(self, seconds):
-        """Return counts of orders by what became of them."""
+        """Return counts of orders by their outcome."""
         now = 0.0
         while now < seconds:
             now += TICK_SECONDS
@@ -118,7 +124,7 @@
                 self.pause(daemon, now)
             if daemon.paused_until > now:
                 continue
-            fence = daemon.fence_after_pause(now, self.way)
+            fence = daemon.fence_after_pause(now, self.protection)
             await daemon.run_until(now)
             if fence is None:
                 continue
@@ -141,7 +147,7 @@
         An outdated order that arrives before the first one of the newest
         holder is corrected when that one reads the state back.
         """
-        enforced = self.way.fencing is catalog.Fencing.ENFORCED
+        enforced = self.protection.fencing is catalog.Fencing.ENFORCED
         if enforced and fence < self.highest:
             self.counts['refused'] += 1
             return
@@ -156,18 +162,18 @@
 
 
 def main():
-    """Print one line for each way."""
+    """Print one line for each protection."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=100_000.0)
     parser.add_argument('--longest-pause', type=float, default=40.0)
     asked = parser.parse_args()
     logs.configure('CRITICAL', 'text')
-    for way in WAYS:
-        simulation = Simulation(asked.seed, way, asked.longest_pause)
+    for protection in PROTECTIONS:
+        simulation = Simulation(asked.seed, protection, asked.longest_pause)
         counts = curio.run(simulation.run, asked.seconds)
         found = ', '.join(f'{name} {n}' for name, n in counts.items())
-        print(f'seed {asked.seed} {way.name}: {found}')
+        print(f'seed {asked.seed} {protection.name}: {found}')
 
 
 if __name__ == '__main__':
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -54,7 +54,7 @@
 
 
 class Recorder(recovery.Recovery):
-    """Notes the times of dispatches to the engine that leaves."""
+    """Records the times of dispatches to the engine that leaves."""
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
@@ -62,7 +62,7 @@
         self.dispatches = 0
 
     def record_dispatch(self, attempt, isolation):
-        """Note a dispatch."""
+        """Record a dispatch."""
         super().record_dispatch(attempt, isolation)
         self.dispatches += 1
         if attempt.candidate.endpoint.name == 'engine-0':
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Figures:
-    """What came of the requests of one run."""
+    """Outcomes of the requests of one run."""
 
     per_second: float
     large_answered: float
--- a/benchmarks/pausable_parts.py
+++ b/benchmarks/pausable_parts.py
@@ -1,8 +1,8 @@
 """Processes of benchmarks.paused_processes: stand-in endpoints and a router.
 
-Each says on its first line of output where it listens. For each line of input
-it says where its tasks wait; endpoints say at the end which requests they
-received.
+Each prints on its first line of output where it listens. For each line of
+input it prints where its tasks wait; endpoints print at the end which requests
+they received.
 """
 
 import os
@@ -26,7 +26,7 @@
 from tests import platform_standins as standins  # noqa: E402
 
 
-def say(**fields):
+def print_line(**fields):
     """Write one line of output."""
     print(standins.encode(fields).decode('utf-8'), flush=True)
 
@@ -56,23 +56,23 @@
     ]
 
 
-async def say_stacks(kernel):
-    """Say where all tasks wait, for each line of the standard input."""
+async def print_stacks(kernel):
+    """Print where all tasks wait, for each line of the standard input."""
     orders = io.FileStream(sys.stdin.buffer.raw)
     while await orders.readline():
         # The tasks of a kernel are listed nowhere else.
         tasks = tuple(kernel._tasks.values())
-        say(stacks=[[task.state, *stack_of(task)] for task in tasks])
+        print_line(stacks=[[task.state, *stack_of(task)] for task in tasks])
 
 
 async def run_beside_orders(kernel, main, arguments):
     """Run a coroutine function beside the task that reads orders."""
-    await curio.spawn(say_stacks, kernel, daemon=True)
+    await curio.spawn(print_stacks, kernel, daemon=True)
     await main(*arguments)
 
 
 def run(main, *arguments):
-    """Run a coroutine function in a kernel that says where tasks wait."""
+    """Run a coroutine function in a kernel that prints where tasks wait."""
     logs.configure('WARNING', 'text')
     loop = event_loop.InputFirstSelector()
     with curio.Kernel(selector=loop) as kernel:
@@ -92,9 +92,9 @@
         for runner in runners:
             runner.events = events
             await runner.start()
-        say(entries={runner.id: runner.entry() for runner in runners})
+        print_line(entries={runner.id: runner.entry() for runner in runners})
         await receiver.next_signal()
-        say(
+        print_line(
             received=[
                 processes.request_id(arrival)
                 for runner in runners
@@ -104,12 +104,12 @@
 
 
 class AnnouncingRouter(router.Router):
-    """Router that says where it listens once it has started."""
+    """Router that prints its port once it has started."""
 
     async def start(self):
         """Start all listeners and tasks."""
         await super().start()
-        say(port=self.caller_listener.port)
+        print_line(port=self.caller_listener.port)
 
 
 async def serve_router(store_port):
--- a/benchmarks/paused_processes.py
+++ b/benchmarks/paused_processes.py
@@ -68,7 +68,7 @@
         return self.lines(field)[0]
 
     def order_stacks(self):
-        """Let the process say where its tasks wait."""
+        """Let the process print where its tasks wait."""
         self.popen.stdin.write(b'\n')
         self.popen.stdin.flush()
 
--- a/benchmarks/rolling.py
+++ b/benchmarks/rolling.py
@@ -1,6 +1,6 @@
 """Stops daemons under open streams and counts the streams cut off.
 
-Each daemon, an own process, is sent SIGTERM while a load generator holds
+Each daemon, a process of its own, is sent SIGTERM while a load generator holds
 streams open through it. A stream counts as cut off if it ends without its
 end marker, or if its connection breaks after it was accepted.
 """
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -124,11 +124,11 @@
 
 
 def report(seed, title, version, count):
-    """Print one line for each way to roll a version out."""
-    ways = {'timed': run_timed, 'sequential': run_sequential}
-    for name, way in ways.items():
+    """Print one line for each method to roll a version out."""
+    methods = {'timed': run_timed, 'sequential': run_sequential}
+    for name, method in methods.items():
         chance = random.Random(f'{seed} {title} {name}')
-        ended = [way(chance, version) for _ in range(count)]
+        ended = [method(chance, version) for _ in range(count)]
         halted = sum(one.halted for one in ended)
         finished = sum(one.finished for one in ended)
         exposed = sorted(one.exposed for one in ended)
--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -60,7 +60,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """A seeded sequence that every way to keep sessions goes through."""
+    """A seeded sequence that every method to keep sessions goes through."""
 
     requests: tuple[Request, ...]
     begins: dict[int, float]
@@ -211,15 +211,15 @@
     requests: int
 
 
-def run(plan, way):
-    """Return the :class:`Figures` of one way to keep sessions."""
+def run(plan, method):
+    """Return the :class:`Figures` of one method to keep sessions."""
     daemons = Daemons(plan)
     held = {}
     versions = {}
     moved = set()
     on_new = 0
     for request in plan.requests:
-        version = way(plan, daemons, request, held)
+        version = method(plan, daemons, request, held)
         if versions.setdefault(request.session, version) != version:
             moved.add(request.session)
         versions[request.session] = version
@@ -228,12 +228,12 @@
 
 
 def main():
-    """Read the arguments and print one line for each way."""
+    """Read the arguments and print one line for each method."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     plan = make_plan(parser.parse_args().seed)
-    for way in (by_hash, by_token, by_own_id, by_timed_id):
-        print(f'{way.__name__}: {run(plan, way)}')
+    for method in (by_hash, by_token, by_own_id, by_timed_id):
+        print(f'{method.__name__}: {run(plan, method)}')
 
 
 if __name__ == '__main__':
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Scene:
+class Scenario:
     """A fleet.
 
     :param int cut: number of daemons in the failure domain that is cut.
@@ -44,16 +44,16 @@
     longest_delay: float
 
 
-SCENES = (Scene(7, 2, 2.0), Scene(40, 5, 5.0))
+SCENARIOS = (Scenario(7, 2, 2.0), Scenario(40, 5, 5.0))
 
 
 class Fleet:
     """The shares of all daemons, computed from delayed summaries."""
 
-    def __init__(self, scene, seed):
-        self.scene = scene
+    def __init__(self, scenario, seed):
+        self.scenario = scenario
         self.rng = random.Random(seed)
-        self.names = [f'daemon-{n:03d}' for n in range(scene.daemons)]
+        self.names = [f'daemon-{n:03d}' for n in range(scenario.daemons)]
         self.shares = {name: limits.Shares(name) for name in self.names}
         self.sequence = 0
         self.last = {}
@@ -64,8 +64,8 @@
         cut = CUT_AT + delay <= second < HEAL_AT + delay
         if not cut:
             return self.names
-        behind = self.names[-self.scene.cut :]
-        before = self.names[: -self.scene.cut]
+        behind = self.names[-self.scenario.cut :]
+        before = self.names[: -self.scenario.cut]
         return behind if name in behind else before
 
     def offered(self, second):
@@ -111,7 +111,7 @@
         self.shares[name].accept(summary)
         for target in self.names:
             if target != name:
-                delay = self.rng.uniform(0.0, self.scene.longest_delay)
+                delay = self.rng.uniform(0.0, self.scenario.longest_delay)
                 self.under_way.append((second + delay, name, target, summary))
 
     def sums(self):
@@ -149,8 +149,8 @@
         ('cut off', CUT_AT, HEAL_AT),
         ('joined again', HEAL_AT, SECONDS),
     )
-    for scene in SCENES:
-        fleet = Fleet(scene, seed)
+    for scenario in SCENARIOS:
+        fleet = Fleet(scenario, seed)
         rows = []
         for second in range(SECONDS):
             offered = fleet.step(second)
@@ -161,7 +161,7 @@
                     fleet.used_static(offered),
                 )
             )
-        print(f'{scene}')
+        print(f'{scenario}')
         for title, first, last in periods:
             print(f'  {title}: {describe(rows[first:last])}')
     print_size()
--- a/benchmarks/withdrawal.py
+++ b/benchmarks/withdrawal.py
@@ -2,7 +2,7 @@
 
 Requests wait before dispatch and while their connection opens; meanwhile
 the versions of the model are withdrawn and restored in turn. Three
-dispatchers face the same seeded sequence: a check at entry only, a check
+dispatchers run the same seeded sequence: a check at entry only, a check
 at each dispatch, and the check in force, which is repeated once the
 connection is ready. Usage: python -m benchmarks.withdrawal --seed N
 """
@@ -43,7 +43,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Figures:
-    """What one dispatcher did."""
+    """Results of one dispatcher."""
 
     answered: int
     refused: int
