Find a daemon's tasks by what they do

Cause: tests/test_withdrawal.py ends the prober by its place in a list of tasks.

Change: the tasks are kept by the name of their step, and the fixture ends 'probe endpoints'.

Measured: tests/test_withdrawal.py passes.

--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -100,7 +100,8 @@
         self.control.announcer = topics.make_announcer(
             self, self.control.random
         )
-        self.tasks = []
+        # Tasks by what they do.
+        self.tasks = {}
         self.stopped = False
 
     def build_configuration(self):
@@ -281,7 +282,7 @@
             ('hold lease', self.client.peer, self.leadership.run),
             ('run roll-outs', self.client.peer, self.controller.run),
         ):
-            self.tasks.append(await self.supervisor.spawn(step, peer, run))
+            self.tasks[step] = await self.supervisor.spawn(step, peer, run)
         await self.admin_listener.start()
         await self.configuration.confirmed.wait()
         await self.prober.reconcile_tasks()
@@ -317,7 +318,7 @@
                 break
             await curio.sleep(FLUSH_RETRY_SECONDS)
         await self.publisher.publish()
-        for task in self.tasks:
+        for task in self.tasks.values():
             await task.cancel()
         await self.control.stop()
         if self.order_sender.is_idle():
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -91,7 +91,7 @@
             cluster = TwoVersions()
             await cluster.start()
             # Probes open connections too, and would trigger the actions.
-            await cluster.daemon.tasks[1].cancel()
+            await cluster.daemon.tasks['probe endpoints'].cancel()
             await cluster.daemon.pool.close()
             try:
                 await test(cluster)
