Start queued requests of a daemon when slots are added

What callers saw: a request in a daemon's queue started only when another one of its model ended or arrived. While endpoints were added or lived again and nothing ended, it waited, and ended with 504 at its deadline although there were free slots.

Cause: ModelQueues computes the slots when it is asked, and nothing asks at a change of the configuration, of liveness or of this daemon's share.

Change: a task of the daemon looks every 0.1 s at the models with waiting requests, which covers all three sources and costs nothing without a queue.

Measured: both new tests failed before (no answer within 1 s, 504 at the deadline) and pass, as do the tests of queues, withdrawal, daemons, peers and a daemon's stop.

--- a/celeryward/callers/model_queues.py
+++ b/celeryward/callers/model_queues.py
@@ -10,6 +10,9 @@
 from celeryward.callers import queues
 from celeryward import errors
 
+# Time between two looks for slots that were added while requests wait.
+FOLLOW_SECONDS = 0.1
+
 
 class Waiter:
     """Wakes the task of one queued request.
@@ -146,6 +149,17 @@
                 return
             await self.wake(ticket)
 
+    async def follow_slots(self):
+        """Start waiting requests when slots are added, until cancelled.
+
+        Endpoints are added, or live again, while no request ends or arrives.
+        """
+        while True:
+            await curio.sleep(FOLLOW_SECONDS)
+            for model, queue in tuple(self.queues.items()):
+                if queue.waiting:
+                    await self.start_ready(model)
+
     async def refuse_waiting(self, check):
         """Refuse the waiting requests that can't be finished.
 
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -274,6 +274,11 @@
         await self.control.start()
         for step, peer, run in (
             ('measure pauses', self.settings.name, awake_clock.CLOCK.run),
+            (
+                'follow slots',
+                'endpoints',
+                self.request_handler.model_queues.follow_slots,
+            ),
             ('poll hosts', self.client.peer, self.host_watcher.run),
             ('probe endpoints', 'endpoints', self.prober.run),
             ('write bills', self.client.peer, self.flusher.run),
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -248,6 +248,29 @@
 
         cluster_run(test)
 
+    def test_waiting_request_gets_a_slot_that_is_added(self, cluster_run):
+        async def test(cluster):
+            queue, request = await self.send_queued_request(cluster)
+            cluster.change('Endpoint', 'small-a', capacity=9)
+            head, _, _ = await curio.timeout_after(1.0, request.join)
+            assert head.status == 200
+            assert queue.running == queue.slots - 1
+
+        cluster_run(test)
+
+    def test_waiting_request_gets_a_slot_of_an_endpoint_that_is_live_again(
+        self, cluster_run
+    ):
+        async def test(cluster):
+            cluster.daemon.liveness.set_leaving('small-b', True)
+            queue, request = await self.send_queued_request(cluster)
+            cluster.daemon.liveness.set_leaving('small-b', False)
+            head, _, _ = await curio.timeout_after(1.0, request.join)
+            assert head.status == 200
+            assert queue.running == queue.slots - 8
+
+        cluster_run(test)
+
     def test_deadline_in_the_queue_removes_the_ticket(self, cluster_run):
         async def test(cluster):
             queue = self.occupy(cluster)
