Close a run whose refusal was booked to its predecessor

Cause: states of closures were kept by run.

Change: one process listens at an address at a time, so that the state is kept by address. It counts for the run that the request was sent to, and for each other run at the address that had started when the answer came, by `born` and the router's time of day, which may differ by 1 s. A run that started later is open. After a pause of the router the answer counts from the earliest time at which it may have arrived. In doubt the run stays open: that costs one more refusal, the other error all its requests until the end of the pause. A run without a known start is closed. Once the pause has ended, nothing is closed.

In the soak all endpoints stated the same start; each states its own.

--- a/benchmarks/soak/endpoints.py
+++ b/benchmarks/soak/endpoints.py
@@ -1,5 +1,7 @@
 """Stand-in endpoints of a run, each behind a proxy."""
 
+import time
+
 import curio
 import h11
 
@@ -43,6 +45,8 @@
         self.name = f'e{number}'
         self.service = service
         self.generation = 0
+        # Start of the server, as its entry states it.
+        self.born_ms = 0
         self.proxy = proxy.Proxy()
         self.disturbed_until = 0.0
         self.server = None
@@ -56,6 +60,7 @@
     async def start(self):
         """Start the server and write its entry to the store."""
         self.generation += 1
+        self.born_ms = time.time_ns() // 1_000_000
         self.server = self.make_server(f'{self.name}-{self.generation}')
         await self.server.start()
         self.proxy.target = self.server.port
@@ -76,6 +81,7 @@
         """Write the entry of the endpoint, with a state, to the store."""
         entry = self.server.entry(state)
         entry['address'] = f'127.0.0.1:{self.proxy.port}'
+        entry['born'] = self.born_ms
         await self.fleet.store.put('servers', self.server.id, entry)
 
     async def answer(self, server, connection, arrival):
--- a/celeryward/awake_clock.py
+++ b/celeryward/awake_clock.py
@@ -61,6 +61,11 @@
             return self.pause_began_at
         return self.read_at
 
+    def longest_unread(self):
+        """Return for how long input that is read now may have waited."""
+        earliest = self.earliest_arrival()
+        return self.read_at - earliest
+
     async def run(self):
         """Read the clock regularly until cancelled."""
         self()
--- a/celeryward/endpoints/closures.py
+++ b/celeryward/endpoints/closures.py
@@ -6,13 +6,21 @@
 what ran when the endpoint closed, and slowly from there on. Answers overload,
 in which all routers would otherwise return to the endpoint in one step. Needs
 no network.
+
+A list of endpoints that is not up to date names the predecessor of the process
+that refuses. One process listens at an address at a time, so that a refusal
+counts for each run at its address that may have answered it. Is that in doubt,
+the endpoint stays open: this costs one more refusal, the other error all
+requests until the end of the pause.
 """
 
 import dataclasses
 import itertools
 import random
 import re
+import time
 
+from celeryward import awake_clock
 from celeryward.endpoints import runners
 from celeryward.objects import freshness
 
@@ -30,6 +38,9 @@
 # and once the limit is this many times its slots.
 FILL_SECONDS = 10.0
 FULL_SLOTS_FACTOR = 2.0
+# Within which the times of day of two hosts agree, unless one was set. The
+# start of a process takes longer.
+CLOCK_ERROR_SECONDS = 1.0
 GENERATOR = random.Random()
 
 
@@ -60,17 +71,31 @@
 class Closure:
     """The state of an endpoint that is closed or being filled.
 
+    :param tuple key: key of the run that the refused request was sent to.
+    :param float told_at: when the endpoint asked for it, in UTC seconds.
     :param float opens_at: end of the closed time, on the boot-time clock.
     :param float threshold: limit up to which it grows fast.
     :param float limit: requests that may run there at once after that.
     :param int running: requests that were sent since it opened and run.
     """
 
+    key: tuple[str, float]
+    told_at: float
     opens_at: float
     threshold: float
     limit: float = FIRST_LIMIT
     running: int = 0
 
+    def may_be_of(self, runner):
+        """Return whether a run of an endpoint may have asked for it.
+
+        A process can't have answered before it started. A run whose start is
+        unknown may have. For the run that the request was sent to no clock is
+        asked, so that one that is set opens nothing.
+        """
+        earliest = runner.started_at - CLOCK_ERROR_SECONDS
+        return self.key == runner.key or self.told_at >= earliest
+
     def grown(self):
         """Return the state after one more accepted request."""
         if self.limit < self.threshold:
@@ -119,17 +144,19 @@
 
 
 class Closures:
-    """The endpoints that are closed or being filled, by :attr:`Runner.key`.
+    """The endpoints that are closed or being filled, by address.
 
-    States end by themselves, so that their number is bounded by the runs of
-    endpoints in the longest pause.
+    States end by themselves, so that their number is bounded by the addresses
+    of endpoints in the longest pause.
 
     :param clock: function that returns seconds on a clock that also runs
         while the host is suspended.
+    :param utc_clock: function that returns UTC seconds.
     """
 
-    def __init__(self, clock=freshness.boot_seconds):
+    def __init__(self, clock=freshness.boot_seconds, utc_clock=time.time):
         self.clock = clock
+        self.utc_clock = utc_clock
         self.states = {}
         self.places = set()
         self.numbers = itertools.count()
@@ -142,31 +169,42 @@
         self.remove_ended()
         now = self.clock()
         spread = min(SPREAD_SHARE * seconds, MAX_SPREAD_SECONDS)
-        opens_at = now + seconds + GENERATOR.uniform(0.0, spread)
-        before = self.states.get(runner.key)
-        threshold = max(FIRST_LIMIT, THRESHOLD_SHARE * in_flight)
+        closed = Closure(
+            runner.key,
+            self.utc_clock() - awake_clock.CLOCK.longest_unread(),
+            now + seconds + GENERATOR.uniform(0.0, spread),
+            max(FIRST_LIMIT, THRESHOLD_SHARE * in_flight),
+        )
+        before = self.find(runner)
         if before is not None and before.opens_at > now:
-            opens_at = max(opens_at, before.opens_at)
-            threshold = before.threshold
-        self.states[runner.key] = Closure(opens_at, threshold)
+            closed = dataclasses.replace(closed, threshold=before.threshold)
+            closed = max(closed, before, key=lambda each: each.opens_at)
+        self.states[runner.address] = closed
 
     def remove_ended(self):
         """Remove the states of endpoints that are no longer limited."""
         oldest = self.clock() - FILL_SECONDS
-        for key, state in tuple(self.states.items()):
+        for address, state in tuple(self.states.items()):
             if state.opens_at < oldest:
-                del self.states[key]
+                del self.states[address]
+
+    def find(self, runner):
+        """Return what a run of an endpoint may have asked for, or None."""
+        state = self.states.get(runner.address)
+        if state is None or not state.may_be_of(runner):
+            return None
+        return state
 
     def state_of(self, runner):
         """Return the :class:`Closure` of an endpoint, or None."""
-        state = self.states.get(runner.key)
+        state = self.find(runner)
         if state is None or state.opens_at < self.clock() - FILL_SECONDS:
             return None
         return state
 
     def is_closed(self, runner):
         """Return whether an endpoint wants no requests now."""
-        state = self.states.get(runner.key)
+        state = self.find(runner)
         return state is not None and state.opens_at > self.clock()
 
     def may_start(self, runner):
@@ -194,7 +232,7 @@
         state = self.state_of(runner)
         if state is not None and state.opens_at <= self.clock():
             opening = state.opens_at
-            self.states[runner.key] = dataclasses.replace(
+            self.states[runner.address] = dataclasses.replace(
                 state, running=state.running + 1
             )
         place = Place(runner, next(self.numbers), opening)
@@ -206,9 +244,9 @@
         if place.number not in self.places:
             return False
         self.places.remove(place.number)
-        state = self.states.get(place.runner.key)
+        state = self.states.get(place.runner.address)
         if state is not None and place.opening == state.opens_at:
-            self.states[place.runner.key] = dataclasses.replace(
+            self.states[place.runner.address] = dataclasses.replace(
                 state, running=state.running - 1
             )
         return True
@@ -220,9 +258,9 @@
             return
         grown = state.grown()
         if grown.limit >= FULL_SLOTS_FACTOR * max(1, runner.slots):
-            del self.states[runner.key]
+            del self.states[runner.address]
         else:
-            self.states[runner.key] = grown
+            self.states[runner.address] = grown
 
     def closed_count(self):
         """Return the number of endpoints that are closed now."""
