Let the check of late requests know of suspensions in stops

Two plays on at a load of 15 show the case: a rigid request was written in the suspension (the router logs that it stood still for 1.22 s), read 0.73 s later, in the moment in which the router went on, and ended after 2.02 and 3.01 s there, at the timeout of 2.0 and 3.0 s of the configuration in force; for its caller after 2.75 and 3.75 s. late-in-stops allows 0.5 s past a timeout, from the begin of the request. The case is allowed: a suspended process reads nothing, and counts from when it goes on.

No other check knows of it: it isn't named router-pause, which would excuse late stops and requests without an answer.

Measured: test_timeout_counts_from_the_end_of_a_suspension_that_met_the_ request has a case that fails with the former check, and five that have to be found (earlier and later ends, another router, a suspension that was over).

--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -4,6 +4,10 @@
 import math
 import time
 
+# Name of the span in which a planned stop finds its router suspended. Other
+# than 'router-pause' it interrupts no request and excuses no late stop.
+SUSPENSION = 'suspended-router'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
@@ -228,6 +232,16 @@
             for span in self.faults
         )
 
+    def resumptions(self, router, at):
+        """Return when a router goes on that is suspended at a time."""
+        return [
+            span.ended
+            for span in self.faults
+            if span.name == SUSPENSION
+            and span.target == router
+            and span.began <= at <= span.ended
+        ]
+
 
 def now():
     """Return the monotonic time that observations are stamped with."""
--- a/benchmarks/soak/regressions.py
+++ b/benchmarks/soak/regressions.py
@@ -44,6 +44,7 @@
 LATE_READ = 'the soak counted a deadline from before a pause of the router'
 HELD_INPUT = 'a pause of the router counted as work on what it read'
 SUCCESSOR = 'a new endpoint was open though it had asked for a pause'
+SUSPENDED_STOP = 'the soak counted a timeout from within a suspension'
 SECOND_PLAN = 2
 THIRD_PLAN = 3
 FOURTH_PLAN = 4
@@ -85,5 +86,6 @@
     Case(40023, LATE_READ, plan=SIXTH_PLAN),
     Case(40204, HELD_INPUT, plan=SIXTH_PLAN),
     Case(41002, SUCCESSOR, plan=SIXTH_PLAN),
+    Case(41102, SUSPENDED_STOP, plan=SIXTH_PLAN),
     Case(30010, EARLY_STOP, plan=FIFTH_PLAN),
 )
--- a/benchmarks/soak/stop_faults.py
+++ b/benchmarks/soak/stop_faults.py
@@ -136,11 +136,20 @@
         await allow_long_work(fleet, tasks)
         await tasks.spawn(stop_under_late_requests, fleet, event, router)
         await curio.sleep(EARLY_SECONDS / 2)
+        began = observations.now()
         router.signal(signal.SIGSTOP)
         await curio.sleep(
             EARLY_SECONDS / 2 + min(event.seconds, MAX_PAUSE_SECONDS)
         )
         router.signal(signal.SIGCONT)
+        fleet.observed.faults.append(
+            observations.FaultSpan(
+                began,
+                observations.now(),
+                observations.SUSPENSION,
+                router.name,
+            )
+        )
 
 
 @plans.FAULTS.register('stop-beside-mute-store')
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -219,6 +219,45 @@
         early = examples.late_request(deadline_seconds=4.0)
         assert self.find(examples.in_stop(early)) == ['late-in-stops']
 
+    @pytest.mark.parametrize(
+        'ended_at,target,until,names',
+        [
+            (13.7, 'router-0', 10.7, []),
+            (14.3, 'router-0', 10.7, ['late-in-stops']),
+            (13.55, 'router-0', 10.7, ['late-in-stops']),
+            (11.2, 'router-0', 10.7, ['late-in-stops']),
+            (13.7, 'router-1', 10.7, ['late-in-stops']),
+            (13.7, 'router-0', 9.9, ['late-in-stops']),
+        ],
+    )
+    def test_timeout_counts_from_the_end_of_a_suspension_that_met_the_request(
+        self, ended_at, target, until, names
+    ):
+        late = examples.late_request(kind='rigid', ended_at=ended_at)
+        span = observations.FaultSpan(
+            9.5, until, observations.SUSPENSION, target
+        )
+        found = examples.in_stop(
+            late, faults=[span], timeouts=[observations.Timeout(0.0, 3.0)]
+        )
+        assert self.find(found) == names
+
+    def test_suspension_in_a_stop_excuses_neither_late_end_nor_lost_request(
+        self,
+    ):
+        span = observations.FaultSpan(
+            9.0, 12.0, observations.SUSPENSION, 'router-0'
+        )
+        for name in ('stops-in-time', 'answered', 'planned-stops'):
+            found = examples.VIOLATIONS[name]
+            suspended = examples.observed(
+                found.outcomes,
+                found.executions,
+                stops=found.stops,
+                faults=[span],
+            )
+            assert self.find(suspended) == [name]
+
     @pytest.mark.parametrize(
         'kind,began_at,excused',
         [
--- a/tests/test_soak_ends.py
+++ b/tests/test_soak_ends.py
@@ -28,6 +28,7 @@
     'router-reload',
     'router-stop',
     'store-away',
+    observations.SUSPENSION,
 )
 UNANSWERED = dataclasses.replace(examples.UNANSWERED, status=0, reused=False)
 CUT = dataclasses.replace(UNANSWERED, status=200)
