Refuse a line inside a body that doesn't end

What callers saw: an endpoint that sends the size of a chunk a byte at a time held their request for 1.4 to 2.0 s; another endpoint served a repeatable one after 1.0 s only, at the hedge, and after a pause of the process of 1 s not at all (504).

Cause: h11 keeps an incomplete line up to the bound of a head, 32 KB, and checks it at its end. A line that comes a byte at a time is 32,768 reads: 1.2 s of processor time for one request, endpoint included.

Change: a line between the chunks of a body, or after them, is refused from 4,096 bytes on. Whole trailers may have 32 KB as before.

test_line_of_a_body_without_an_end_is_refused_early (5 cases) failed before, with ReadTimeout. test_long_lines_of_a_body_are_read_in_any_pieces passes before and after. pytest of test_endless_answers, test_cut_answers, test_unframed_answers, test_caller_connections, test_odd_messages, test_store_answers, test_router_streams, test_router_requests: 361 passed.

--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -13,6 +13,9 @@
 from celeryward import transport
 
 MAX_HEAD_BYTES = 32768
+# Size of a line between the chunks of a body, or after them. Such lines may
+# come a byte at a time, of which each costs a read.
+MAX_BODY_LINE_BYTES = 4096
 MAX_BODY_BYTES = bodies.MAX_BODY_BYTES
 # Digits of a stated length that are read; more are above any limit.
 MAX_LENGTH_DIGITS = 18
@@ -123,8 +126,24 @@
             await self.meter.take_turn(deadline, extend)
             if event is not h11.NEED_DATA:
                 return event
+            self.check_body_line(step)
             self.h11.receive_data(await self.read(step, deadline, extend))
 
+    def check_body_line(self, step):
+        """Check the size of a line in a body whose end is yet to be read.
+
+        :raises errors.ProtocolError: if it is too long.
+        """
+        if self.h11.their_state is not h11.SEND_BODY:
+            return
+        data, _ = self.h11.trailing_data
+        if len(data) - (data.rfind(b'\n') + 1) > MAX_BODY_LINE_BYTES:
+            raise errors.ProtocolError(
+                f'line in a body is longer than {MAX_BODY_LINE_BYTES} bytes',
+                step=step,
+                peer=self.peer,
+            )
+
     def input_error(self, error, step):
         """Return the error for input that h11 rejects.
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -53,6 +53,13 @@
     return action
 
 
+async def send_bytewise(sock, data):
+    """Send bytes so that the peer reads one at a time."""
+    for position in range(len(data)):
+        await sock.sendall(data[position : position + 1])
+        await curio.sleep(0)
+
+
 def chunk(data):
     """Return one chunk of a chunked body."""
     return b'%x\r\n%s\r\n' % (len(data), data)
@@ -247,6 +254,41 @@
             assert connection.bytes_read == held > 0
             await sending.cancel()
 
+    @pytest.mark.parametrize(
+        'start',
+        (b'', b'1\r\nx\r\n', b'1;', b'0\r\n', b'0\r\na: b\r\n'),
+        ids=('size', 'later size', 'extension', 'trailer', 'later trailer'),
+    )
+    @fakes.in_kernel
+    async def test_line_of_a_body_without_an_end_is_refused_early(self, start):
+        """Each byte cost a read, up to the 32 KB of the longest head."""
+        near, far = curio.socket.socketpair()
+        async with near, far:
+            connection = http.Connection(near, http.h11.CLIENT, 'peer')
+            await http.send_request(connection, 'GET', '/', {}, b'')
+            line = b'0' * (http.MAX_BODY_LINE_BYTES + 1)
+            await far.sendall(CHUNKED + b'\r\n' + start + line)
+            soon = deadlines.Deadline.after(1.0)
+            await connection.receive_response(soon)
+            with pytest.raises(errors.ProtocolError):
+                await connection.receive_body('read', soon)
+
+    @pytest.mark.parametrize('end', (b'0\r\n\r\n', b'0\r\na: b\r\n\r\n'))
+    @fakes.in_kernel
+    async def test_long_lines_of_a_body_are_read_in_any_pieces(self, end):
+        near, far = curio.socket.socketpair()
+        async with near, far:
+            connection = http.Connection(near, http.h11.CLIENT, 'peer')
+            await http.send_request(connection, 'GET', '/', {}, b'')
+            body = b'1;a=%s\r\nx\r\n' % (b'y' * 4000) + end
+            sending = await curio.spawn(
+                send_bytewise, far, CHUNKED + b'\r\n' + body
+            )
+            soon = deadlines.Deadline.after(5.0)
+            await connection.receive_response(soon)
+            assert await connection.receive_body('read', soon) == b'x'
+            await sending.join()
+
     @fakes.in_kernel
     async def test_draining_an_endless_body_ends(self):
         """Such a body delayed the last chunk of a complete answer."""
