Refuse heads and trailers in thousands of pieces

What peers could cause: a head of short lines, or trailers of a body, that comes a byte at a time and doesn't end took 1.0 s of processor time for one message.

The bound on the size of a line covers the lines between chunks, but no head and no trailers of short lines.

Change: a message that is still incomplete after 4,096 reads is refused, whatever it consists of. The count begins anew with each event, so that pieces of a body and of later messages on the connection don't add up.

--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -16,6 +16,8 @@
 # Size of a line between the chunks of a body, or after them. Such lines may
 # come a byte at a time, of which each costs a read.
 MAX_BODY_LINE_BYTES = 4096
+# Reads that one head, or the lines between two chunks of a body, may take.
+MAX_PIECES = 4096
 MAX_BODY_BYTES = bodies.MAX_BODY_BYTES
 # Digits of a stated length that are read; more are above any limit.
 MAX_LENGTH_DIGITS = 18
@@ -117,7 +119,7 @@
         :raises Disconnected: if the connection is reset.
         :raises errors.ProtocolError: if the peer violates HTTP.
         """
-        while True:
+        for _ in range(MAX_PIECES + 1):
             self.meter.begin_work()
             try:
                 event = self.h11.next_event()
@@ -128,6 +130,11 @@
                 return event
             self.check_body_line(step)
             self.h11.receive_data(await self.read(step, deadline, extend))
+        raise errors.ProtocolError(
+            f'head or line comes in more than {MAX_PIECES} pieces',
+            step=step,
+            peer=self.peer,
+        )
 
     def check_body_line(self, step):
         """Check the size of a line in a body whose end is yet to be read.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -289,6 +289,47 @@
             assert await connection.receive_body('read', soon) == b'x'
             await sending.join()
 
+    @pytest.mark.parametrize(
+        'start',
+        (HEAD, CHUNKED + b'\r\n0\r\n'),
+        ids=('head', 'trailers'),
+    )
+    @fakes.in_kernel
+    async def test_short_lines_without_an_end_in_tiny_pieces_are_refused_early(
+        self, start
+    ):
+        """Each byte cost a read, though no line was long."""
+        near, far = curio.socket.socketpair()
+        async with near, far:
+            connection = http.Connection(near, http.h11.CLIENT, 'peer')
+            await http.send_request(connection, 'GET', '/', {}, b'')
+            await far.sendall(start)
+            lines = b'a: b\r\n' * (http.MAX_HEAD_BYTES // 7)
+            sending = await curio.spawn(send_bytewise, far, lines)
+            soon = deadlines.Deadline.after(2.0)
+            with pytest.raises(errors.ProtocolError):
+                await connection.receive_response(soon)
+                await connection.receive_body('read', soon)
+            await sending.cancel()
+
+    @fakes.in_kernel
+    async def test_large_head_in_pieces_is_read_on_a_kept_connection(self):
+        """Pieces count for one head, not for the connection."""
+        near, far = curio.socket.socketpair()
+        async with near, far:
+            connection = http.Connection(near, http.h11.SERVER, 'peer')
+            lines = b'a: %s\r\n' % (b'y' * 1000)
+            request = b'GET / HTTP/1.1\r\nhost: a\r\n%s\r\n' % (lines * 3)
+            soon = deadlines.Deadline.after(5.0)
+            for _ in range(2):
+                sending = await curio.spawn(send_bytewise, far, request)
+                event = await connection.receive('read', soon)
+                assert isinstance(event, http.h11.Request)
+                await connection.receive('read', soon)
+                await http.send_response(connection, 200, {}, b'')
+                await sending.join()
+                connection.h11.start_next_cycle()
+
     @fakes.in_kernel
     async def test_draining_an_endless_body_ends(self):
         """Such a body delayed the last chunk of a complete answer."""
