Check a roll-out's verdict again right before its write

What could happen: with roll-outs of two services under way, a bad version of the second was completed by a router that had rolled it back.

Cause: the verdicts to write were collected once, and the write of each takes as long as the store needs. A rollback or an outage during the write of the first was not seen for the second, whose completion was written with the state of before, and the first verdict in the store wins.

Measured: test_second_completion_is_checked_again_after_the_first_write (rollback and outage during the first write) failed before, with the completion of the second written; it passes now, as do test_releases and test_rollouts. test_all_completions_are_written passes before and after.

--- a/celeryward/objects/verdicts.py
+++ b/celeryward/objects/verdicts.py
@@ -48,9 +48,16 @@
             self.releases.decide_due()
             for order in tuple(self.releases.orders_without_start(delay)):
                 await self.write(order)
-            settled = self.outages.is_settled()
-            for order in tuple(self.releases.orders_without_verdict(settled)):
-                await self.write(order)
+            for order in self.due_verdicts():
+                # Each write takes time, in which other verdicts may change.
+                if order in self.due_verdicts():
+                    await self.write(order)
+
+    def due_verdicts(self):
+        """Return the orders whose verdict is to be written now, with it."""
+        self.releases.decide_due()
+        settled = self.outages.is_settled()
+        return tuple(self.releases.orders_without_verdict(settled))
 
     async def write(self, order):
         """Write the state of an order; after a conflict, adopt the stored."""
