Refuse queued requests whose model has no version left

What callers saw: a request in a daemon's queue whose model lost its last permitted version waited until its deadline and got 504, although a new request was refused at once.

Cause: the version is chosen, and permission checked, once a request has its slot. A model without usable versions has no slots, so that no request gets that far: start_ready starts nothing, and its check of deadlines runs only beside a free slot.

Change: each waiting request knows the check of its version. That the configuration is old at the moment refuses nothing there.

Measured: test_waiting_request_that_can_no_longer_be_served_is_refused, case versions, failed before (no answer in 30 s); both cases pass, with test_queues, test_withdrawal, test_baselines, test_cascades and test_shape. Case permission was not run before the change.

--- a/benchmarks/overload_path.py
+++ b/benchmarks/overload_path.py
@@ -44,7 +44,7 @@
     """Baseline: lets each request pass at once."""
 
     @contextlib.asynccontextmanager
-    async def slot(self, call, model):
+    async def slot(self, call, model, check):
         """Hold nothing."""
         yield
 
--- a/celeryward/callers/model_queues.py
+++ b/celeryward/callers/model_queues.py
@@ -1,6 +1,7 @@
 """Queues in which requests wait for a slot of their model."""
 
 import contextlib
+import functools
 import itertools
 import time
 
@@ -12,6 +13,8 @@
 
 # Time between two looks for slots that were added while requests wait.
 FOLLOW_SECONDS = 0.1
+# Waiting requests that are checked against a new configuration in one look.
+MAX_CHECKS = 200
 
 
 class Waiter:
@@ -20,13 +23,18 @@
     :param queues.Ticket ticket: its place in the queue.
     :param calls.Call call: the request.
     :param str model: name of the model that it waits for.
+    :param check: function that raises :class:`errors.NotRun` once the request
+        can't be served whatever slots become free.
+    :ivar checked_by: catalog that it was last checked against.
     :ivar error: why the request can't start; None if it has a slot.
     """
 
-    def __init__(self, ticket, call, model):
+    def __init__(self, ticket, call, model, check):
         self.ticket = ticket
         self.call = call
         self.model = model
+        self.check = check
+        self.checked_by = None
         self.event = curio.Event()
         self.error = None
 
@@ -69,9 +77,10 @@
                 yield model, float(queue.outstanding)
 
     @contextlib.asynccontextmanager
-    async def slot(self, call, model):
+    async def slot(self, call, model, check):
         """Wait for a slot of a model and occupy it within the context.
 
+        :param check: as of :class:`Waiter`.
         :raises errors.Overloaded: if no slot is expected to become free in
             time, or the queue is full.
         :raises errors.DeadlineExceeded: if the deadline passes in the queue.
@@ -82,7 +91,8 @@
             call.priority,
             call.deadline,
         )
-        await self.wait_for_slot(ticket, call, model)
+        waiter = Waiter(ticket, call, model, check)
+        await self.wait_for_slot(waiter)
         started = awake_clock.CLOCK()
         queue = self.queues[model]
         try:
@@ -95,17 +105,18 @@
         finally:
             await self.start_ready(model)
 
-    async def wait_for_slot(self, ticket, call, model):
-        """Queue a ticket and return once it has a slot.
+    async def wait_for_slot(self, waiter):
+        """Queue a request and return once it has a slot.
 
         :raises errors.Overloaded: if the queue rejects it, now or later.
         :raises errors.DeadlineExceeded: if the deadline passes in the queue.
         """
+        ticket, call, model = waiter.ticket, waiter.call, waiter.model
         queue = self.queue(model)
         now = time.monotonic()
         weight = queues.share_weight(call.customer.priority)
         displaced = errors.unwrap(queue.offer(ticket, weight, now))
-        waiter = self.waiters[ticket.number] = Waiter(ticket, call, model)
+        self.waiters[ticket.number] = waiter
         if displaced is not None:
             wait = queue.mean_seconds or 0.0
             await self.wake(displaced, queue.queue_full_error(wait, now))
@@ -153,13 +164,27 @@
         """Start waiting requests when slots are added, until cancelled.
 
         Endpoints are added, or live again, while no request ends or arrives.
+        Requests that no slot can serve any more are refused.
         """
         while True:
             await curio.sleep(FOLLOW_SECONDS)
+            await self.refuse_unservable()
             for model, queue in tuple(self.queues.items()):
                 if queue.waiting:
                     await self.start_ready(model)
 
+    async def refuse_unservable(self):
+        """Refuse waiting requests that the catalog in force doesn't serve."""
+        catalog = self.configuration.catalog()
+        changed = [
+            waiter
+            for waiter in self.waiters.values()
+            if waiter.checked_by is not catalog
+        ]
+        for waiter in changed[:MAX_CHECKS]:
+            waiter.checked_by = catalog
+            await self.refuse_if(waiter, waiter.check)
+
     async def refuse_waiting(self, check):
         """Refuse the waiting requests that can't be finished.
 
@@ -167,11 +192,16 @@
             :class:`errors.NotRun` for such a request.
         """
         for waiter in tuple(self.waiters.values()):
-            try:
-                check(waiter.call, waiter.model)
-            except errors.NotRun as error:
-                self.queues[waiter.model].cancel(waiter.ticket)
-                await self.wake(waiter.ticket, error)
+            check_one = functools.partial(check, waiter.call, waiter.model)
+            await self.refuse_if(waiter, check_one)
+
+    async def refuse_if(self, waiter, check):
+        """Refuse a waiting request if a check raises an error for it."""
+        try:
+            check()
+        except errors.NotRun as error:
+            self.queues[waiter.model].cancel(waiter.ticket)
+            await self.wake(waiter.ticket, error)
 
     async def wake(self, ticket, error=None):
         """Wake the task that waits with a ticket."""
--- a/celeryward/callers/request_handler.py
+++ b/celeryward/callers/request_handler.py
@@ -292,7 +292,8 @@
         :raises errors.NotRun: if it can't run.
         """
         arrived = time.monotonic()
-        async with self.model_queues.slot(selector.call, model):
+        check = functools.partial(selector.check, model)
+        async with self.model_queues.slot(selector.call, model, check):
             waited = time.monotonic() - arrived
             self.metrics.latency('queue_wait').record(waited)
             select_version = functools.partial(selector.select, model)
--- a/celeryward/callers/version_selection.py
+++ b/celeryward/callers/version_selection.py
@@ -67,6 +67,20 @@
         self.session = choice.session
         return choice
 
+    def check(self, model):
+        """Check that a model has a version for the request, selecting none.
+
+        A configuration that is old at the moment is no reason to refuse.
+
+        :raises errors.NotRun: if no permitted version is live.
+        """
+        current = self.configuration.catalog()
+        errors.unwrap(
+            select_version(
+                current, self.call, self.route, model, self.session, 0.0
+            )
+        )
+
 
 def select_version(current, call, route, model, session, age):
     """Return ``Ok(VersionChoice)`` for a request by the catalog in force.
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -271,6 +271,24 @@
 
         cluster_run(test)
 
+    @pytest.mark.parametrize('change', ('versions', 'permission'))
+    def test_waiting_request_that_can_no_longer_be_served_is_refused(
+        self, cluster_run, change
+    ):
+        """It waited for slots that don't exist until its deadline."""
+
+        async def test(cluster):
+            _, request = await self.send_queued_request(cluster)
+            if change == 'versions':
+                cluster.withdraw('small@1')
+                cluster.withdraw('small@2')
+            else:
+                cluster.allow('large@1')
+            head, _, _ = await curio.timeout_after(1.0, request.join)
+            assert head.status in (403, 503)
+
+        cluster_run(test)
+
     def test_deadline_in_the_queue_removes_the_ticket(self, cluster_run):
         async def test(cluster):
             queue = self.occupy(cluster)
