State a true start of an endpoint that comes back in a test

Cause: the test restarts an endpoint with a start in 2023, years before the refusal of its predecessor. A process that starts again starts later.

Change: its start is 2 s after the refusal, more than the error that is allowed between clocks. Checks and bounds are the same; that a run which started before stays closed is checked in test_successors.

--- a/tests/test_two_changes.py
+++ b/tests/test_two_changes.py
@@ -16,6 +16,9 @@
 PAUSE_SECONDS = 1.0
 # A decision that needs no answer of an endpoint is made within this time.
 AT_ONCE_SECONDS = 0.5
+# A process that starts again states a start that is later than
+# the refusals of the one before.
+START_SECONDS = 2.0
 # Requests are kept for up to half of it.
 OBJECTIVE_MS = 4000
 # By which an answer may come after the timeout of its route.
@@ -156,7 +159,8 @@
         request = await curio.spawn(site.request, '/whole/')
         await wait_until_kept(site)
         await changes.remove_endpoints('app-2')
-        restarted = site.runners['app-2'].entry() | {'born': 1700000009000}
+        born_ms = int((time.time() + START_SECONDS) * 1000)
+        restarted = site.runners['app-2'].entry() | {'born': born_ms}
         await site.store.put('servers', 'app-2', restarted)
         await changes.wait_listed('app-2')
         back_at = time.monotonic()
