Refuse requests that an endpoint can't start in time

Cause: the estimate of queues mixes all urgencies, and nothing compared the wait with the time that is left. start_estimates now keeps, for each endpoint and urgency, what waits and what has started lately. A request is not sent to an endpoint where those before it would not start before its deadline, except one at a time, which shows when the endpoint has time again. Without another endpoint it is refused at once, with a time to return.

--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -153,6 +153,7 @@
             relayed_requests.affinity_key(relayed),
             relayed.tried_endpoints.union(relayed.running if beside else ()),
             router_state.closures.blocked_ids(endpoints),
+            self.too_late(relayed, endpoints),
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
             router_state.queues.seconds,
@@ -179,7 +180,13 @@
     def openings(self, relayed):
         """Return the :class:`reopening.Opening` of each usable endpoint."""
         estimates = self.router_state.estimates
-        return tuple(map(estimates.opening, self.eligible(relayed)))
+        usable = self.eligible(relayed)
+        too_late = self.too_late(relayed, usable)
+        return tuple(
+            estimates.opening(each)
+            for each in usable
+            if each.id not in too_late
+        )
 
     def retry_at(self, relayed, waiting=0):
         """Return when the caller of a refused request may return.
@@ -201,7 +208,12 @@
         table = self.router_state.runners
         kind = errors.Overloaded
         text = f'no endpoint of {len(query.endpoints)} can take the request'
-        if selection.eligible(query):
+        retry_seconds = NO_ENDPOINT_RETRY_SECONDS
+        eligible = {each.id for each in selection.eligible(query)}
+        if eligible and eligible <= query.too_late:
+            text = f'no endpoint of {len(query.endpoints)} starts it in time'
+            retry_seconds = self.start_retry_seconds(relayed, eligible)
+        elif eligible:
             kind = errors.EndpointsClosed
             text = f'all endpoints of {len(query.endpoints)} are closed'
         elif not query.endpoints and table.has_service(service):
@@ -211,7 +223,32 @@
             text,
             step='select',
             peer=service,
-            retry_at=deadlines.Deadline.after(NO_ENDPOINT_RETRY_SECONDS),
+            retry_at=deadlines.Deadline.after(retry_seconds),
+        )
+
+    def start_retry_seconds(self, relayed, endpoint_ids):
+        """Return after how long the caller of a late request may return.
+
+        The wait at the endpoints is not over sooner than it took lately. The
+        callers spread, so that they don't return in one step.
+        """
+        starts = self.router_state.queues.starts
+        urgency = relayed_requests.urgency(relayed)
+        wait = min(starts.wait_seconds(each, urgency) for each in endpoint_ids)
+        longest = min(wait, reopening.MAX_RETURN_SECONDS)
+        return reopening.GENERATOR.uniform(
+            NO_ENDPOINT_RETRY_SECONDS, max(NO_ENDPOINT_RETRY_SECONDS, longest)
+        )
+
+    def too_late(self, relayed, endpoints):
+        """Return the ids of endpoints that would start a request too late."""
+        starts = self.router_state.queues.starts
+        urgency = relayed_requests.urgency(relayed)
+        seconds_left = relayed.deadline.remaining()
+        return frozenset(
+            each.id
+            for each in endpoints
+            if not starts.can_start(each.id, urgency, seconds_left)
         )
 
     def suspects(self, endpoints):
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -220,6 +220,7 @@
         """
         self.outcomes.request_started(runner.id)
         waiting = self.queues.begin(runner.id)
+        start = self.queues.starts.begin(runner.id, forwarded.urgency)
         started = awake_clock.CLOCK()
         paused_before = awake_clock.CLOCK.paused()
         connection = None
@@ -233,6 +234,7 @@
                     connection, forwarded, runner, wait, paused_before
                 )
                 self.queues.end(runner.id, waiting)
+                self.queues.starts.end(start, has_started=True)
                 yield answers.Answer(
                     connection,
                     forwarded,
@@ -251,6 +253,7 @@
         finally:
             self.exchanges.pop(connection, None)
             self.queues.end(runner.id, waiting)
+            self.queues.starts.end(start)
             self.outcomes.request_finished(runner.id)
             await self.notice_reader.give_back(place)
 
--- a/celeryward/endpoints/queueing.py
+++ b/celeryward/endpoints/queueing.py
@@ -12,6 +12,8 @@
 import math
 import time
 
+from celeryward.endpoints import start_estimates
+
 # Time constant of the decay of an average wait.
 DECAY_SECONDS = 1.5
 # Weight of a new sample in the average wait of its endpoint.
@@ -35,12 +37,16 @@
 class QueueEstimates:
     """Estimates of the wait at each endpoint, by its id.
 
+    ``starts`` holds the :class:`start_estimates.StartEstimates`, which tell
+    requests apart by their urgency.
+
     :param clock: function that returns seconds; they stand still while this
         process does.
     """
 
     def __init__(self, clock=time.monotonic):
         self.clock = clock
+        self.starts = start_estimates.StartEstimates(clock)
         self.measured = {}
         self.unanswered = collections.defaultdict(dict)
         self.numbers = itertools.count()
@@ -83,3 +89,4 @@
     def forget(self, endpoint):
         """Drop the waits at an endpoint that is gone."""
         self.measured.pop(endpoint, None)
+        self.starts.forget(endpoint)
--- a/celeryward/endpoints/selection.py
+++ b/celeryward/endpoints/selection.py
@@ -15,7 +15,7 @@
 FILTERS = registry.Registry('endpoint filter')
 # Endpoints that could run the request, now or later.
 ELIGIBLE_PIPELINE = ('software', 'model', 'untried')
-PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'unsuspected')
+PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'in-time', 'unsuspected')
 # Endpoints that all routers prefer for a prompt prefix, in the same order.
 PREFERRED_ENDPOINTS = 2
 # A preferred endpoint is skipped if it has more requests of this router in
@@ -49,6 +49,8 @@
         cached prefix. Empty for none.
     :param frozenset tried: ids of endpoints on which this request has failed.
     :param frozenset closed: ids of endpoints that may get no request now.
+    :param frozenset too_late: ids of endpoints at which the request would not
+        start before its deadline.
     :param frozenset suspects: ids of endpoints to avoid if there are others.
     :param in_flight: number of this router's requests in flight, by id
         of the endpoint.
@@ -63,6 +65,7 @@
     affinity: str = ''
     tried: frozenset = frozenset()
     closed: frozenset = frozenset()
+    too_late: frozenset = frozenset()
     suspects: frozenset = frozenset()
     in_flight: object = dataclasses.field(default_factory=dict)
     queue_seconds: object = no_queue
@@ -100,6 +103,14 @@
             yield runner
 
 
+@FILTERS.register('in-time')
+def filter_in_time(candidates, query):
+    """Drop endpoints that would not start the request in time."""
+    for runner in candidates:
+        if runner.id not in query.too_late:
+            yield runner
+
+
 @FILTERS.register('unsuspected')
 def filter_unsuspected(candidates, query):
     """Drop suspected endpoints, unless all are suspected."""
