Keep paused endpoints of the soak when its shell ends

Cause: the processes were in the process group of the harness. That group is orphaned by the end of the shell, and has stopped members.

Change: each endpoint process has a process group of its own, which is not orphaned while the harness runs. Routers keep the group: for them a SIGHUP is a reload.

--- a/benchmarks/soak/process_endpoints.py
+++ b/benchmarks/soak/process_endpoints.py
@@ -52,6 +52,9 @@
                 stdin=subprocess.PIPE,
                 stdout=subprocess.PIPE,
                 stderr=output,
+                # In the group of the harness it would get a SIGHUP if the
+                # shell of the harness ends while the process is paused.
+                process_group=0,
             )
         fleet.children.append(self.process)
         self.process_port = int(await self.process.stdout.readline())
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -1,6 +1,9 @@
 """Endpoints of the soak that are processes of their own."""
 
+import pathlib
 import signal
+import subprocess
+import sys
 import time
 
 import curio
@@ -12,6 +15,9 @@
 from tests import soak_endpoints
 
 PAUSE_SECONDS = 0.6
+PAUSED_ENDPOINT = pathlib.Path(__file__).with_name('paused_endpoint.py')
+# The job is a process group of its own, as in an interactive shell.
+SHELL_COMMAND = 'set -m; "$0" "$@" & read line'
 
 
 class TestPauses:
@@ -45,6 +51,22 @@
         assert endpoint.server is not ended
         assert await soak_endpoints.ask(endpoint) == b'whole answer'
 
+    def test_end_of_the_shell_that_started_the_soak_ends_no_paused_process(
+        self, tmp_path
+    ):
+        with subprocess.Popen(
+            ['bash', '-c', SHELL_COMMAND, sys.executable]
+            + [str(PAUSED_ENDPOINT), str(tmp_path)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            start_new_session=True,
+        ) as shell:
+            assert shell.stdout.readline() == b'paused\n'
+            shell.stdin.write(b'end\n')
+            shell.stdin.flush()
+            shell.wait(5.0)
+            assert shell.stdout.readline() == b'runs\n'
+
 
 class TestEnds:
     """Guards against processes that end unnoticed, or stay."""
