Forget the loss of a run that has ended while it was found

Hypothesis, from the review of what is booked by the id of an endpoint: a run that is replaced by another with the same id leaves a state that counts against the next one. Of the states looked at (statistics, lost, last activity, queues, closures, departures, crashes), the loss does.

Cause: the end of a run drops its loss. The task that watches it is cancelled up to 0.2 s later, and one whose attempt to connect fails within that time records the loss anew. It was dropped only when that task saw the endpoint again, so that the next run stayed suspected until its end, at this router.

Change: the loss is dropped however the task ends.

Measured: test_loss_found_as_a_run_ends_does_not_stay_with_the_next fails before and passes, with the files on endpoint states, silent endpoints, pauses and endless answers.

--- a/celeryward/endpoints/monitor.py
+++ b/celeryward/endpoints/monitor.py
@@ -118,6 +118,18 @@
         They are kept while the endpoint may still go on.
         """
         self.outcomes.set_lost(runner.id, True)
+        try:
+            await self.hedge_until_reachable(runner)
+        finally:
+            # Also when the run has ended: the next one may have the same id.
+            self.outcomes.set_lost(runner.id, False)
+        self.outcomes.record_activity(runner.id)
+        logs.bind(
+            step='monitor', peer=runner.address, endpoint=runner.id
+        ).info('endpoint regained')
+
+    async def hedge_until_reachable(self, runner):
+        """Hedge the exchanges with a lost endpoint while it is lost."""
         abandon_at = deadlines.Deadline.after(ABANDON_SECONDS)
         closed = await self.connections.close_idle(runner)
         await self.forwarder.hedge_exchanges(runner)
@@ -129,11 +141,6 @@
             kept=len(self.forwarder.exchanges_with(runner)),
         ).warning('endpoint lost')
         await self.wait_until_reachable(runner, abandon_at)
-        self.outcomes.set_lost(runner.id, False)
-        self.outcomes.record_activity(runner.id)
-        logs.bind(
-            step='monitor', peer=runner.address, endpoint=runner.id
-        ).info('endpoint regained')
 
     async def wait_until_reachable(self, runner, abandon_at):
         """Hedge exchanges, and later abort them, until a connection opens.
--- a/tests/test_endpoint_state.py
+++ b/tests/test_endpoint_state.py
@@ -206,6 +206,33 @@
         await standins.wait_until(lambda: not tracker.lost, 1.5)
         await task.cancel()
 
+    @fakes.in_kernel
+    async def test_loss_found_as_a_run_ends_does_not_stay_with_the_next(self):
+        table = runners.RunnerTable()
+        tracker = outcomes.OutcomeTracker()
+        table.listeners.append(lambda ended: tracker.forget(ended.id))
+        connections = self.Connections()
+        refuse = connections.open
+
+        async def refuse_former_run(endpoint, deadline):
+            if not endpoint.started_at:
+                table.put(runner('r', started_at=1.0))
+            connections.reachable = endpoint.started_at > 0.0
+            return await refuse(endpoint, deadline)
+
+        connections.open = refuse_former_run
+        forwarder = self.Forwarder()
+        health_monitor = monitor.Monitor(
+            table, tracker, connections, forwarder
+        )
+        table.put(runner('r'))
+        tracker.request_started('r')
+        task = await curio.spawn(health_monitor.run, daemon=True)
+        await standins.wait_until(lambda: forwarder.hedged, 1.5)
+        await standins.wait_until(lambda: not tracker.lost, 1.5)
+        assert tracker.suspects(('r', 'other')) == frozenset()
+        await task.cancel()
+
     @fakes.in_kernel
     async def test_recent_activity_prevents_a_probe(self):
         table = runners.RunnerTable()
