--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -5,6 +5,7 @@
 import curio
 import h11
 
+from benchmarks import reusing_callers
 from benchmarks.soak import endpoints
 from benchmarks.soak import observations
 from celeryward import deadlines
@@ -18,7 +19,6 @@
 PATIENCE_SECONDS = 1.0
 RESPONSE_TIMEOUT_SECONDS = DEADLINE_SECONDS + PATIENCE_SECONDS
 MILLISECONDS = 1000
-CONNECT_TIMEOUT_SECONDS = 1.0
 PAUSE_SECONDS = 0.05
 KINDS = ('whole', 'once', 'stream', 'rigid')
 BODY = b'body'
@@ -33,7 +33,7 @@
 FAILURES = (errors.CelerywardError, OSError)
 
 
-class Caller:
+class Caller(reusing_callers.ReusingCaller):
     """A caller that sends requests over one connection at a time.
 
     :param fleet: the :class:`fleet.Fleet` whose routers it calls.
@@ -41,14 +41,12 @@
     """
 
     def __init__(self, fleet, seed, number, only_router=None):
+        super().__init__()
         self.fleet = fleet
         self.number = number
         self.generator = random.Random(f'{seed}-{number}')
         self.only_router = only_router
-        self.connection = None
-        self.router = None
         self.sent = 0
-        self.sent_on_connection = 0
 
     async def run(self):
         """Send requests until cancelled."""
@@ -113,26 +111,11 @@
         if not await self.connect():
             return None
         self.sent += 1
-        self.sent_on_connection += 1
         request_id = f'c{self.number}-{self.sent}'
         started_at = observations.now()
-        fields = {
-            'left_early': timeout < RESPONSE_TIMEOUT_SECONDS,
-            'reused': self.sent_on_connection > 1,
-            'deadline_seconds': deadline_seconds,
-        }
         path = f'/{kind}/{work}'
-        head = standins.request_headers(
-            path,
-            request_id=request_id,
-            authorization=f'Bearer {key}',
-            session=f's{self.number}',
-            celeryward_deadline_ms=str(int(deadline_seconds * MILLISECONDS)),
-        )
-        try:
-            await self.exchange(path, head, timeout, fields)
-        except FAILURES as error:
-            fields['error'] = f'{type(error).__name__}: {error}'
+        head = self.request_headers(path, request_id, key, deadline_seconds)
+        fields = await self.observe(path, head, timeout)
         outcome = observations.Outcome(
             request_id,
             kind,
@@ -140,19 +123,38 @@
             key,
             started_at,
             observations.now(),
+            left_early=timeout < RESPONSE_TIMEOUT_SECONDS,
+            reused=self.reused,
+            deadline_seconds=deadline_seconds,
             **fields,
         )
-        if not outcome.whole or not self.connection.reusable():
-            await self.close()
-        else:
-            self.connection.start_next_cycle()
+        await self.end_exchange(outcome.whole)
         return outcome
 
-    async def exchange(self, path, head, timeout, fields):
-        """Send a request and store the parts of its answer in ``fields``.
+    def request_headers(self, path, request_id, key, deadline_seconds):
+        """Return the headers of a request of this caller."""
+        return standins.request_headers(
+            path,
+            request_id=request_id,
+            authorization=f'Bearer {key}',
+            session=f's{self.number}',
+            celeryward_deadline_ms=str(int(deadline_seconds * MILLISECONDS)),
+        )
+
+    async def observe(self, path, head, timeout):
+        """Send a request; return its results as fields of the outcome.
 
-        What arrived before an error stays in ``fields``.
+        What arrived before an error is included.
         """
+        fields = {}
+        try:
+            await self.exchange(path, head, timeout, fields)
+        except FAILURES as error:
+            fields['error'] = f'{type(error).__name__}: {error}'
+        return fields
+
+    async def exchange(self, path, head, timeout, fields):
+        """Send a request and store the parts of its answer in ``fields``."""
         deadline = deadlines.Deadline.after(timeout)
         await self.write_request(path, head)
         fields['written_at'] = observations.now()
@@ -185,30 +187,6 @@
             'send body', h11.Data(data=BODY), h11.EndOfMessage()
         )
 
-    async def connect(self):
-        """Connect to a router, unless a connection is open.
-
-        Return whether a connection is open.
-        """
-        if self.connection is not None:
-            return True
-        self.sent_on_connection = 0
-        self.router = self.only_router or self.generator.choice(
-            self.fleet.routers
-        )
-        try:
-            self.connection = await http.connect(
-                self.router.host,
-                processes.CALLER_PORT,
-                deadlines.Deadline.after(CONNECT_TIMEOUT_SECONDS),
-            )
-        except errors.ConnectionFailed:
-            # The router is down; the next attempt may choose another one.
-            return False
-        return True
-
-    async def close(self):
-        """Close the connection, if one is open."""
-        if self.connection is not None:
-            await self.connection.close()
-            self.connection = None
+    def choose_router(self):
+        """Return the router of the next connection."""
+        return self.only_router or self.generator.choice(self.fleet.routers)
--- a/benchmarks/withdrawal.py
+++ b/benchmarks/withdrawal.py
@@ -2,7 +2,7 @@
 
 Requests wait before dispatch and while their connection opens; meanwhile
 the versions of the model are withdrawn and restored in turn. Three
-dispatchers face the same seeded sequence: a check at entry only, a check
+dispatchers run the same seeded sequence: a check at entry only, a check
 at each dispatch, and the check in force, which is repeated once the
 connection is ready. Usage: python -m benchmarks.withdrawal --seed N
 """
@@ -43,7 +43,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Figures:
-    """What one dispatcher did."""
+    """Results of one dispatcher."""
 
     answered: int
     refused: int
@@ -122,16 +122,16 @@
 
 
 class EachDispatch(dispatch.Dispatcher):
-    """Checks at each dispatch, but not once the connection is ready."""
+    """Baseline: does not check again once the connection is ready."""
 
-    def confirm(self, attempt):
+    def recheck_target(self, attempt):
         """Skip the second check."""
 
 
 class EntryOnly(EachDispatch):
-    """Dispatches by the version that was chosen at entry."""
+    """Baseline: dispatches by the version that was chosen at entry."""
 
-    async def choose(self, attempt):
+    async def select_endpoint(self, attempt):
         """Choose the only endpoint and the version chosen at entry."""
         attempt.dispatches += 1
         attempt.candidate = candidates.Candidate(
