Drop what a failed or given-up body has collected

What operators saw: 40 answers without end at once grew a router by more than 48 MB, events without end by the most.

Cause: the account of body_memory gave the bytes of a failed event stream back while its error, in a cycle with its frames, kept the splitter's buffer: 42 MB were still in use after all 40 requests had ended and 0 bytes were counted. A body that is given up kept its bytes, too, until its reader took its next turn, for which it may be held back.

Change: a hold knows what its reader has collected and clears it when it is released. A body or stream that is given up although its end has arrived fails instead of being passed on without its parts.

The bound of TestMemory is now the stated aim of 48 MB, 100 MiB before.

--- a/celeryward/bodies.py
+++ b/celeryward/bodies.py
@@ -84,7 +84,7 @@
 
         The parameters are as for :meth:`receive_body`.
         """
-        chunks = []
+        chunks = hold.contents
         size = 0
         try:
             async with contextlib.aclosing(chunk_stream):
@@ -98,6 +98,7 @@
             hold.check(step, self.peer)
             raise
         else:
+            hold.check(step, self.peer)
             hold.give_up = None
             return b''.join(chunks)
         finally:
--- a/celeryward/body_memory.py
+++ b/celeryward/body_memory.py
@@ -59,7 +59,8 @@
     """The memory of one body.
 
     ``given_up`` tells whether its memory was needed for others. ``give_up``
-    is None once the body has been read.
+    is None once the body has been read. ``contents`` is what its reader has
+    collected so far.
     """
 
     def __init__(self, memory, give_up=None):
@@ -67,6 +68,7 @@
         self.give_up = give_up
         self.size = 0
         self.given_up = False
+        self.contents = []
 
     async def resize(self, size, step, peer):
         """Set the size of the body.
@@ -94,7 +96,12 @@
             )
 
     def release(self):
-        """Return the memory."""
+        """Return the memory, and drop the contents that took it.
+
+        The reader itself may be held back for some time, and its error keeps
+        its variables.
+        """
+        self.contents.clear()
         self.memory.used -= self.size
         self.size = 0
         self.memory.holds.discard(self)
--- a/celeryward/endpoints/answers.py
+++ b/celeryward/endpoints/answers.py
@@ -87,6 +87,7 @@
             'read events', lambda: due, extend=self.wait.extend
         )
         with body_memory.ANSWERS.hold(connection.stop_reading) as hold:
+            hold.contents = splitter.buffer
             async with contextlib.aclosing(chunks):
                 async for chunk in chunks:
                     self.on_data()
@@ -105,6 +106,14 @@
                         self.wait.begin_next()
                     if failure is not None:
                         raise failure
+            hold.check('read events', connection.peer)
+            self.check_end(sequence, splitter)
+
+    def check_end(self, sequence, splitter):
+        """Check that a stream which has ended is whole.
+
+        :raises errors.AnswerTruncated: if it isn't.
+        """
         if not (sequence.last or self.head.is_framed):
             raise self.truncated('stream without a frame ended without event')
         if splitter.buffer:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -1,6 +1,7 @@
 """Many endpoints' answers without end, and all other requests beside them."""
 
 import contextlib
+import gc
 import pathlib
 import subprocess
 import sys
@@ -9,16 +10,19 @@
 import curio
 import pytest
 
+from celeryward import bodies
 from celeryward import body_memory
+from celeryward.endpoints import event_stream
 from celeryward import errors
 from celeryward import http
 from celeryward.standins import engine
 from celeryward.standins import fleet
+from tests import fakes
 from tests import platform_standins as standins
 
 PROGRAM = pathlib.Path(__file__).with_name('flood_server.py')
-# Less than the memory that a router has beside its own.
-MEMORY_BYTES = 100 * 1024 * 1024
+# All answers together have 32 MiB, and each connection has its buffers.
+MEMORY_BYTES = 48 * 1000 * 1000
 FLOODS = 40
 # A request that takes 0.05 s alone.
 SLOWEST_SECONDS = 0.5
@@ -125,6 +129,10 @@
     raise AssertionError('no VmHWM')
 
 
+async def nothing():
+    """Give up a body that is not being read."""
+
+
 class TestMemory:
     """Guards against answers that each stay within their bound, in sum."""
 
@@ -151,6 +159,26 @@
 
         play(kind, test)
 
+    def test_failed_streams_keep_no_part_of_their_events(self):
+        """Their errors kept 1 MiB each until cycles were collected."""
+
+        async def test(site):
+            tasks = await site.flood(4, '/fall/x')
+            for task in tasks:
+                await task.join()
+            kept = [
+                each.buffer
+                for each in gc.get_objects()
+                if isinstance(each, event_stream.Splitter)
+            ]
+            assert not any(kept)
+
+        gc.disable()
+        try:
+            play('event without end', test)
+        finally:
+            gc.enable()
+
     def test_length_above_the_bound_is_refused_at_the_head(self):
         async def test(site):
             assert await site.send_ignoring('/flood/x') < 0.3
@@ -158,6 +186,33 @@
         play('large length', test)
 
 
+class TestGivenUp:
+    """Guards against bodies that are given up and still kept or passed on."""
+
+    @fakes.in_kernel
+    async def test_body_takes_no_memory_while_its_reader_is_held_back(self):
+        memory = body_memory.BodyMemory(10)
+        with memory.hold(nothing) as first, memory.hold(nothing) as second:
+            first.contents = bytearray(8)
+            await first.resize(8, 'read', 'peer')
+            await second.resize(6, 'read', 'peer')
+            assert first.given_up and not first.contents
+            assert not second.given_up
+
+    @fakes.in_kernel
+    async def test_body_whose_end_had_arrived_is_not_passed_on_empty(self):
+        memory = body_memory.BodyMemory(10)
+
+        async def pieces():
+            yield b'x' * 8
+            await second.resize(6, 'read', 'peer')
+
+        with memory.hold(nothing) as first, memory.hold(nothing) as second:
+            reader = bodies.BodyReader(None, 'peer')
+            with pytest.raises(errors.BodyMemoryExhausted):
+                await reader.collect(pieces(), 'read', 100, first)
+
+
 class TestTime:
     """Guards against answers that keep the process from all others."""
 
