--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -100,7 +100,8 @@
         self.control.announcer = topics.make_announcer(
             self, self.control.random
         )
-        self.tasks = []
+        # Tasks by what they do.
+        self.tasks = {}
         self.stopped = False
 
     def build_configuration(self):
@@ -273,6 +274,11 @@
         await self.control.start()
         for step, peer, run in (
             ('measure pauses', self.settings.name, awake_clock.CLOCK.run),
+            (
+                'follow slots',
+                'endpoints',
+                self.request_handler.model_queues.follow_slots,
+            ),
             ('poll hosts', self.client.peer, self.host_watcher.run),
             ('probe endpoints', 'endpoints', self.prober.run),
             ('write bills', self.client.peer, self.flusher.run),
@@ -281,7 +287,7 @@
             ('hold lease', self.client.peer, self.leadership.run),
             ('run roll-outs', self.client.peer, self.controller.run),
         ):
-            self.tasks.append(await self.supervisor.spawn(step, peer, run))
+            self.tasks[step] = await self.supervisor.spawn(step, peer, run)
         await self.admin_listener.start()
         await self.configuration.confirmed.wait()
         await self.prober.reconcile_tasks()
@@ -317,7 +323,7 @@
                 break
             await curio.sleep(FLUSH_RETRY_SECONDS)
         await self.publisher.publish()
-        for task in self.tasks:
+        for task in self.tasks.values():
             await task.cancel()
         await self.control.stop()
         if self.order_sender.is_idle():
