Ask for the wait at an endpoint only if a request waits there

The estimate is asked for every endpoint of each request. Most have no waiting request of that urgency, which alone settles it. No behaviour changes; tests/test_start_estimates.py passes.

--- a/celeryward/endpoints/start_estimates.py
+++ b/celeryward/endpoints/start_estimates.py
@@ -129,8 +129,10 @@
         again. Otherwise those that wait start first, at the latest pace.
         """
         ahead = len(self.waiting.get((endpoint, urgency), ()))
+        if not ahead:
+            return True
         waited = self.wait_seconds(endpoint, urgency)
-        if not ahead or waited < LONG_WAIT_SHARE * seconds_left:
+        if waited < LONG_WAIT_SHARE * seconds_left:
             return True
         starts = self.pace(endpoint, urgency).decayed(self.clock())
         return ahead * PACE_SECONDS <= starts * seconds_left
