Judge new versions in a module of their own

It is raters.rollout_judgement now, which needs no clock and no orders. No logic is changed.

Run: tests of releases, runs in flight, evidence reports, odd values and other routers, 116 passed.

--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -2,23 +2,21 @@
 
 A stored order names the target version and the time within which the
 service must run it. :mod:`celeryward.raters.rollout_schedule` says which share
-of the requests moves when. A version that performs worse than the old one is
-rolled back at once, and one with some evidence against it is not completed.
-The more of the requests that a bad version may get have been sent to it, the
-less evidence is needed. Runs in flight that take far longer than the old
-version needs count as failures before they end, because a slow version
-completes few runs. The leader of a failure domain decides on the evidence of
-all routers there.
+of the requests moves when, and :mod:`celeryward.raters.rollout_judgement`
+what the evidence on the version suffices for. Runs in flight that take far
+longer than the old version needs count as failures before they end, because a
+slow version completes few runs. The leader of a failure domain decides on the
+evidence of all routers there.
 """
 
 import dataclasses
-import math
 import random
 import time
 
 from celeryward import hashing
 from celeryward import logs
 from celeryward.raters import evidence
+from celeryward.raters import rollout_judgement
 from celeryward.raters import rollout_orders
 from celeryward.raters import rollout_schedule
 from celeryward.raters import runs
@@ -28,16 +26,6 @@
 # of an order, so that usually only one of them writes it.
 ANNOUNCE_JITTER_SECONDS = 1.5
 GENERATOR = random.Random()
-# Log odds at which a single router rolls a version back, and those of failures
-# once the version has got all requests that a bad one may get. The first
-# router to reach its threshold decides for all, so the threshold of each rises
-# with the number of routers that decide.
-ROLLBACK_LOG_ODDS = 4.0
-LAST_ROLLBACK_LOG_ODDS = 3.0
-# A router doesn't complete a version at or above these log odds. With fewer
-# answers than the minimum it leaves the completion to other routers.
-DOUBT_LOG_ODDS = 1.5
-MIN_ANSWERS_TO_COMPLETE = 3
 # Time between a completion and its write, in which the verdicts of other
 # routers arrive.
 COMPLETION_SETTLE_SECONDS = 0.5
@@ -253,7 +241,7 @@
         for listener in self.outcome_listeners:
             listener(outcome)
         if (
-            self.is_bad(progress)
+            self.judgement.is_bad(progress)
             and progress.order.state is rollout_orders.State.RUNNING
             and progress.verdict is not rollout_orders.State.ROLLED_BACK
         ):
@@ -298,22 +286,13 @@
             return after.weighted_log_ratio
         return after.weighted_log_ratio - before.weighted_log_ratio
 
-    def is_bad(self, progress):
-        """Return whether the evidence suffices to roll a version back.
-
-        Failures need less of it once the version has got what a bad one may
-        get. Slow runs do not: while all requests move, many are slow at a good
-        version, too.
-        """
-        deciders = self.decider_count()
-        used = progress.exposure.used_allowance(
-            self.schedule.max_bad_share, self.bad_version_slack / deciders
-        )
-        fewer = used * (ROLLBACK_LOG_ODDS - LAST_ROLLBACK_LOG_ODDS)
-        needed = ROLLBACK_LOG_ODDS + math.log(deciders)
-        return (
-            progress.tally.failure_log_odds >= needed - fewer
-            or progress.tally.slow_log_odds >= needed
+    @property
+    def judgement(self):
+        """The :class:`rollout_judgement.Judgement` by the bounds in force."""
+        return rollout_judgement.Judgement(
+            self.schedule.max_bad_share,
+            self.bad_version_slack,
+            self.decider_count(),
         )
 
     def decide(self, service, state):
@@ -336,30 +315,16 @@
         ).info('roll-out decided: {}', state.value)
 
     def decide_due(self):
-        """Decide the orders that are due.
-
-        The router that has the evidence of all decides first. One that has
-        seen too few answers leaves it to the others until the deadline.
-        """
+        """Decide the orders that are due."""
         now = self.clock()
-        completion_start = (
-            rollout_schedule.COMPLETION_START
-            if self.decider_count() == 1
-            else rollout_schedule.LATE_COMPLETION_START
-        )
         for service, progress in tuple(self.progress.items()):
             if progress.verdict is not rollout_orders.State.RUNNING:
                 continue
-            elapsed = progress.elapsed(now)
-            tally = progress.tally
-            doubted = tally.log_odds >= DOUBT_LOG_ODDS
-            has_answers = tally.answers >= MIN_ANSWERS_TO_COMPLETE
-            if elapsed >= rollout_schedule.DECISION_DEADLINE and doubted:
-                self.decide(service, rollout_orders.State.ROLLED_BACK)
-            elif elapsed >= rollout_schedule.DECISION_DEADLINE or (
-                elapsed >= completion_start and has_answers and not doubted
-            ):
-                self.decide(service, rollout_orders.State.DONE)
+            verdict = self.judgement.due_verdict(
+                progress, progress.elapsed(now)
+            )
+            if verdict is not rollout_orders.State.RUNNING:
+                self.decide(service, verdict)
 
     def orders_without_start(self, delay_seconds=0.0):
         """Yield orders whose start is not stored yet, with that start.
