Decide on a doubted version before others complete it

Cause: the router that has the evidence of all held a new version under doubt until 0.95 of the time, to see more. From 0.91 on the others complete it on the little that they have seen, and their completion is written half a second later: in an order of 13 s at 0.95, too.

Change: that router rolls a version under doubt back from 0.90 on. The others keep their times.

Result: the new test, two routers that see what those two saw, failed before (DONE was written first) and passes.

--- a/celeryward/raters/rollout_judgement.py
+++ b/celeryward/raters/rollout_judgement.py
@@ -74,17 +74,23 @@
 
         :param float elapsed: fraction of the allowed time that has passed.
         """
+        if self.is_doubted(progress):
+            if elapsed >= self.doubt_deadline:
+                return rollout_orders.State.ROLLED_BACK
+            return rollout_orders.State.RUNNING
         last = elapsed >= rollout_schedule.DECISION_DEADLINE
-        doubted = self.is_doubted(progress)
-        if last and doubted:
-            return rollout_orders.State.ROLLED_BACK
         has_answers = progress.tally.answers >= MIN_ANSWERS_TO_COMPLETE
-        if last or (
-            elapsed >= self.completion_start and has_answers and not doubted
-        ):
+        if last or (elapsed >= self.completion_start and has_answers):
             return rollout_orders.State.DONE
         return rollout_orders.State.RUNNING
 
+    @property
+    def doubt_deadline(self):
+        """Fraction of the allowed time at which doubt rolls a version back."""
+        if self.deciders == 1:
+            return rollout_schedule.DOUBT_DEADLINE
+        return rollout_schedule.DECISION_DEADLINE
+
     @property
     def completion_start(self):
         """Fraction of the allowed time from which this router completes."""
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -310,6 +310,25 @@
             is rollout_orders.State.ROLLED_BACK
         )
 
+    def test_router_with_little_evidence_completes_no_doubted_version(
+        self, rollouts, clock
+    ):
+        """The router with all evidence was still in doubt."""
+        judge = rollouts
+        other = releases.Releases(0.15, 5.0, clock, decider_count=lambda: 7)
+        other.accept(rollout_orders.Order(SERVICE, 'v2', 20.0))
+        self.run_old_version(judge)
+        for failed in (False, False, False, True):
+            observe(judge, 'v2', failed, 0.1)
+            observe(other, 'v2', False, 0.1)
+        written = []
+        while not written:
+            clock.now += 0.05
+            for router in (other, judge):
+                router.decide_due()
+                written.extend(router.orders_without_verdict())
+        assert written[0].state is rollout_orders.State.ROLLED_BACK
+
     def test_router_with_few_answers_waits_for_others(self, rollouts, clock):
         observe(rollouts, 'v2', False, 0.1)
         clock.now = 17.5
