Withdraw a completion if doubt comes up before it is stored

Cause: a router asks each 0.05 s whether a version may be completed, and one moment with little enough evidence against it sufficed. The completion is written half a second later, and only a rollback decided meanwhile prevented it.

Change: until it is stored, a completion is judged again each time, and withdrawn if there is doubt.

Result: test_completion_under_doubt_is_not_stored failed before and passes.

--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -315,15 +315,21 @@
         ).info('roll-out decided: {}', state.value)
 
     def decide_due(self):
-        """Decide the orders that are due."""
+        """Decide the orders that are due.
+
+        A completion is withdrawn if there is doubt before it is stored.
+        """
         now = self.clock()
         for service, progress in tuple(self.progress.items()):
-            if progress.verdict is not rollout_orders.State.RUNNING:
+            if (
+                progress.order.state is not rollout_orders.State.RUNNING
+                or progress.verdict is rollout_orders.State.ROLLED_BACK
+            ):
                 continue
             verdict = self.judgement.due_verdict(
                 progress, progress.elapsed(now)
             )
-            if verdict is not rollout_orders.State.RUNNING:
+            if verdict is not progress.verdict:
                 self.decide(service, verdict)
 
     def orders_without_start(self, delay_seconds=0.0):
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -364,6 +364,40 @@
         clock.now += releases.COMPLETION_SETTLE_SECONDS
         assert list(rollouts.orders_without_verdict())
 
+    def test_completion_under_doubt_is_not_stored(self, rollouts, clock):
+        """Its evidence was good for a moment, and bad before and after it."""
+        self.run_old_version(rollouts)
+        for _ in range(5):
+            observe(rollouts, 'v2', False, 0.1)
+        clock.now = 17.1
+        rollouts.decide_due()
+        assert rollouts.progress[SERVICE].verdict is rollout_orders.State.DONE
+        observe(rollouts, 'v2', True, 0.1)
+        clock.now += releases.COMPLETION_SETTLE_SECONDS
+        rollouts.decide_due()
+        assert not list(rollouts.orders_without_verdict())
+
+    def test_completion_is_stored_once_the_doubt_is_over(
+        self, rollouts, clock
+    ):
+        self.run_old_version(rollouts)
+        for _ in range(5):
+            observe(rollouts, 'v2', False, 0.1)
+        clock.now = 17.1
+        rollouts.decide_due()
+        observe(rollouts, 'v2', True, 0.1)
+        clock.now += 0.1
+        rollouts.decide_due()
+        for _ in range(5):
+            observe(rollouts, 'v2', False, 0.1)
+        rollouts.decide_due()
+        assert not list(rollouts.orders_without_verdict())
+        clock.now += releases.COMPLETION_SETTLE_SECONDS
+        rollouts.decide_due()
+        assert [
+            order.state for order in rollouts.orders_without_verdict()
+        ] == [rollout_orders.State.DONE]
+
     def test_pause_does_not_count_as_wait_for_verdicts(self, rollouts, clock):
         for _ in range(5):
             observe(rollouts, 'v2', False, 0.1)
