Roll a doubted version back once its allowance is used

Cause: the time at which a version under doubt is rolled back is a part of the order's time, while a bad version may get a share of the requests plus a fixed number. In long orders and at high rates the number counts for nothing: with 100 requests a second and 20 s, a version doubted since 0.80 got 380 requests of 2,000, allowed 330.

Change: from 0.85 on, when good versions are completed, a version under doubt is rolled back once nine tenths of what a bad one may get, of the requests so far, have been sent to it. Before, it waited for 0.90.

Result: test_doubted_version_gets_no_more_than_a_bad_one_may plays 20, 60, 100 and 200 requests a second; 60, 100 and 200 failed before (749 of 4,000 at 200) and pass.

--- a/celeryward/raters/rollout_judgement.py
+++ b/celeryward/raters/rollout_judgement.py
@@ -75,7 +75,7 @@
         :param float elapsed: fraction of the allowed time that has passed.
         """
         if self.is_doubted(progress):
-            if elapsed >= self.doubt_deadline:
+            if self.is_doubt_due(progress, elapsed):
                 return rollout_orders.State.ROLLED_BACK
             return rollout_orders.State.RUNNING
         last = elapsed >= rollout_schedule.DECISION_DEADLINE
@@ -84,6 +84,22 @@
             return rollout_orders.State.DONE
         return rollout_orders.State.RUNNING
 
+    def is_doubt_due(self, progress, elapsed):
+        """Return whether doubt suffices to roll a version back.
+
+        It does once other versions are completed, if a bad one may get no
+        more, and at the deadline.
+
+        :param float elapsed: fraction of the allowed time that has passed.
+        """
+        if elapsed >= self.doubt_deadline:
+            return True
+        used = self.used_allowance(progress)
+        return (
+            elapsed >= self.completion_start
+            and used >= rollout_schedule.DOUBT_ALLOWANCE
+        )
+
     @property
     def doubt_deadline(self):
         """Fraction of the allowed time at which doubt rolls a version back."""
--- a/celeryward/raters/rollout_schedule.py
+++ b/celeryward/raters/rollout_schedule.py
@@ -22,6 +22,9 @@
 # The router that has the evidence of all rolls a version under doubt back by
 # then, so that its verdict arrives before another router completes it.
 DOUBT_DEADLINE = 0.9
+# Part of what a bad version may get, after which a doubted one is rolled back.
+# The rest is for what is sent until the verdict has arrived everywhere.
+DOUBT_ALLOWANCE = 0.9
 # From then on a router may complete an order that doesn't have the evidence of
 # all, because the one that has it has not done so.
 LATE_COMPLETION_START = 0.91
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -310,6 +310,25 @@
             is rollout_orders.State.ROLLED_BACK
         )
 
+    @pytest.mark.parametrize('per_second', (20, 60, 100, 200))
+    def test_doubted_version_gets_no_more_than_a_bad_one_may(
+        self, clock, per_second
+    ):
+        """It got all requests until its time was nearly over."""
+        rollouts = releases.Releases(0.15, 5.0, clock, bad_version_slack=30.0)
+        rollouts.accept(rollout_orders.Order(SERVICE, 'v2', 20.0))
+        self.run_old_version(rollouts)
+        for number in range(20 * per_second):
+            clock.now = number / per_second
+            software = choose(rollouts, '', f'r{number}')
+            rollouts.record_dispatch(SERVICE, software)
+            if number == 16 * per_second:
+                observe(rollouts, 'v2', True, 0.1)
+            rollouts.decide_due()
+        exposure = rollouts.progress[SERVICE].exposure
+        assert exposure.requests == 20 * per_second
+        assert exposure.exposed <= 0.15 * exposure.requests + 30.0
+
     def test_router_with_little_evidence_completes_no_doubted_version(
         self, rollouts, clock
     ):
