--- a/tests/test_doubted_versions.py
+++ b/tests/test_doubted_versions.py
@@ -82,6 +82,22 @@
         rollouts.decide_due()
         assert not list(rollouts.orders_without_verdict())
 
+    def test_version_is_not_completed_between_two_bad_moments(
+        self, rollouts, clock
+    ):
+        """Some good answers brought the evidence below the bound of doubt."""
+        self.run_old_version(rollouts)
+        clock.now = 16.5
+        for failed in (False, False, True, False, False):
+            observe(rollouts, 'v2', failed, 0.1)
+        tally = rollouts.progress[SERVICE].tally
+        assert 0.0 < tally.failure_log_odds < 1.5
+        clock.now = 17.1
+        rollouts.decide_due()
+        clock.now += releases.COMPLETION_SETTLE_SECONDS
+        rollouts.decide_due()
+        assert not list(rollouts.orders_without_verdict())
+
     def test_completion_is_stored_once_the_doubt_is_over(
         self, rollouts, clock
     ):
@@ -93,7 +109,7 @@
         observe(rollouts, 'v2', True, 0.1)
         clock.now += 0.1
         rollouts.decide_due()
-        for _ in range(5):
+        for _ in range(10):
             observe(rollouts, 'v2', False, 0.1)
         rollouts.decide_due()
         assert not list(rollouts.orders_without_verdict())
@@ -102,3 +118,24 @@
         assert [
             order.state for order in rollouts.orders_without_verdict()
         ] == [rollout_orders.State.DONE]
+
+    def test_outweighed_doubt_rolls_nothing_back_for_its_allowance(
+        self, rollouts, clock
+    ):
+        """A good version was rolled back while its evidence got better."""
+        self.run_old_version(rollouts)
+        for _ in range(80):
+            rollouts.record_dispatch(SERVICE, 'v1')
+        clock.now = 17.1
+        for failed in (True, False, False):
+            observe(rollouts, 'v2', failed, 0.1)
+        for _ in range(20):
+            rollouts.record_dispatch(SERVICE, 'v2')
+        rollouts.decide_due()
+        assert (
+            rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
+        )
+        for _ in range(5):
+            observe(rollouts, 'v2', False, 0.1)
+        rollouts.decide_due()
+        assert rollouts.progress[SERVICE].verdict is rollout_orders.State.DONE
