--- a/celeryward/raters/rollout_schedule.py
+++ b/celeryward/raters/rollout_schedule.py
@@ -19,11 +19,8 @@
 # no session moves in the first half.
 CANARY_START = 0.51
 COMPLETION_START = 0.85
-# The router that has the evidence of all completes an order from then on, half
-# a second before others may. Slow runs sent when all requests moved are known.
-JUDGE_COMPLETION_START = 0.87
-# That router rolls a version under doubt back by then, so that its verdict
-# arrives before another router completes it.
+# The router that has the evidence of all rolls a version under doubt back by
+# then, so that its verdict arrives before another router completes it.
 DOUBT_DEADLINE = 0.9
 # Part of what a bad version may get, after which a doubted one is rolled back.
 # The rest is for what is sent until the verdict has arrived everywhere.
