--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -315,21 +315,15 @@
         ).info('roll-out decided: {}', state.value)
 
     def decide_due(self):
-        """Decide the orders that are due.
-
-        A completion is withdrawn if there is doubt before it is stored.
-        """
+        """Decide the orders that are due."""
         now = self.clock()
         for service, progress in tuple(self.progress.items()):
-            if (
-                progress.order.state is not rollout_orders.State.RUNNING
-                or progress.verdict is rollout_orders.State.ROLLED_BACK
-            ):
+            if progress.verdict is not rollout_orders.State.RUNNING:
                 continue
             verdict = self.judgement.due_verdict(
                 progress, progress.elapsed(now)
             )
-            if verdict is not progress.verdict:
+            if verdict is not rollout_orders.State.RUNNING:
                 self.decide(service, verdict)
 
     def orders_without_start(self, delay_seconds=0.0):
--- a/celeryward/raters/rollout_judgement.py
+++ b/celeryward/raters/rollout_judgement.py
@@ -19,7 +19,9 @@
 # with the number of routers that decide.
 ROLLBACK_LOG_ODDS = 4.0
 LAST_ROLLBACK_LOG_ODDS = 3.0
-# With fewer answers a router leaves the completion to other routers.
+# A router doesn't complete a version at or above these log odds. With fewer
+# answers than the minimum it leaves the completion to other routers.
+DOUBT_LOG_ODDS = 1.5
 MIN_ANSWERS_TO_COMPLETE = 3
 
 
@@ -60,6 +62,10 @@
             or progress.tally.slow_log_odds >= needed
         )
 
+    def is_doubted(self, progress):
+        """Return whether some evidence speaks against a version."""
+        return progress.tally.log_odds >= DOUBT_LOG_ODDS
+
     def due_verdict(self, progress, elapsed):
         """Return the verdict that is due; running if none is.
 
@@ -68,40 +74,17 @@
 
         :param float elapsed: fraction of the allowed time that has passed.
         """
-        if progress.tally.doubts:
-            if self.is_doubt_due(progress, elapsed):
-                return rollout_orders.State.ROLLED_BACK
-            return rollout_orders.State.RUNNING
         last = elapsed >= rollout_schedule.DECISION_DEADLINE
+        doubted = self.is_doubted(progress)
+        if last and doubted:
+            return rollout_orders.State.ROLLED_BACK
         has_answers = progress.tally.answers >= MIN_ANSWERS_TO_COMPLETE
-        if last or (elapsed >= self.completion_start and has_answers):
+        if last or (
+            elapsed >= self.completion_start and has_answers and not doubted
+        ):
             return rollout_orders.State.DONE
         return rollout_orders.State.RUNNING
 
-    def is_doubt_due(self, progress, elapsed):
-        """Return whether doubt suffices to roll a version back.
-
-        It does at the deadline, and once other versions are completed, if a
-        bad one may get no more and the evidence is not being outweighed.
-
-        :param float elapsed: fraction of the allowed time that has passed.
-        """
-        if elapsed >= self.doubt_deadline:
-            return True
-        used = self.used_allowance(progress)
-        return (
-            elapsed >= self.completion_start
-            and used >= rollout_schedule.DOUBT_ALLOWANCE
-            and progress.tally.log_odds >= rollout_orders.DOUBT_LOG_ODDS
-        )
-
-    @property
-    def doubt_deadline(self):
-        """Fraction of the allowed time at which doubt rolls a version back."""
-        if self.deciders == 1:
-            return rollout_schedule.DOUBT_DEADLINE
-        return rollout_schedule.DECISION_DEADLINE
-
     @property
     def completion_start(self):
         """Fraction of the allowed time from which this router completes."""
--- a/celeryward/raters/rollout_orders.py
+++ b/celeryward/raters/rollout_orders.py
@@ -22,11 +22,6 @@
     PACE = 'pace'
 
 
-# Log odds from which a version is doubted. Doubt ends at 0, not just below
-# them: those of a version that is slow at times rise and fall.
-DOUBT_LOG_ODDS = 1.5
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
     """A request to move a service to another software version.
@@ -62,8 +57,6 @@
         of its failing more often than the old version.
     :param float head_log_odds: the same for its heads being slow more often.
     :param float pace_log_odds: the same for its streams.
-    :param frozenset doubts: criteria by which it is doubted: their log odds
-        have reached those of doubt, and not been 0 since.
     """
 
     answers: int = 0
@@ -72,7 +65,6 @@
     failure_log_odds: float = 0.0
     head_log_odds: float = 0.0
     pace_log_odds: float = 0.0
-    doubts: frozenset = frozenset()
 
     @property
     def slow_log_odds(self):
@@ -91,9 +83,7 @@
         :param float change: change of the log odds by it.
         """
         name = f'{outcome.criterion.value}_log_odds'
-        log_odds = max(0.0, getattr(self, name) + change)
-        doubts = self.doubts_after(outcome.criterion, log_odds)
-        counts = {name: log_odds, 'doubts': doubts}
+        counts = {name: max(0.0, getattr(self, name) + change)}
         if outcome.criterion is Criterion.FAILURE:
             counts['answers'] = self.answers + 1
             counts['failures'] = self.failures + outcome.is_hit
@@ -101,12 +91,6 @@
             counts['slow'] = self.slow + outcome.is_hit
         return dataclasses.replace(self, **counts)
 
-    def doubts_after(self, criterion, log_odds):
-        """Return the doubts once a criterion has these log odds."""
-        if log_odds >= DOUBT_LOG_ODDS:
-            return self.doubts | {criterion}
-        return self.doubts - {criterion} if log_odds <= 0.0 else self.doubts
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exposure:
--- a/celeryward/raters/rollout_schedule.py
+++ b/celeryward/raters/rollout_schedule.py
@@ -19,17 +19,11 @@
 # no session moves in the first half.
 CANARY_START = 0.51
 COMPLETION_START = 0.85
-# The router that has the evidence of all rolls a version under doubt back by
-# then, so that its verdict arrives before another router completes it.
-DOUBT_DEADLINE = 0.9
-# Part of what a bad version may get, after which a doubted one is rolled back.
-# The rest is for what is sent until the verdict has arrived everywhere.
-DOUBT_ALLOWANCE = 0.9
 # From then on a router may complete an order that doesn't have the evidence of
 # all, because the one that has it has not done so.
 LATE_COMPLETION_START = 0.91
-# Fraction of the allowed time after which any router decides an order: it is
-# rolled back if there is doubt, and completed otherwise.
+# Fraction of the allowed time after which an order is decided in any case: it
+# is rolled back if there is doubt, and completed otherwise.
 DECISION_DEADLINE = 0.95
 # Parts of the highest share that a bad version may get: the share of requests
 # without a session before the canary stage, the share of all in that stage,
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -7,11 +7,18 @@
 from celeryward.raters import rollout_orders
 from celeryward.raters import rollout_schedule
 from tests import fakes
-from tests import rollout_runs
 
-SERVICE = rollout_runs.SERVICE
-observe = rollout_runs.observe
-choose = rollout_runs.choose
+SERVICE = 'llm'
+PRESENT = ('v1', 'v2')
+PACE = rollout_orders.Criterion.PACE
+
+
+def observe(rollouts, software, failed, pace, endpoint=''):
+    """Report a run as the runs in flight do: its pace, then its outcome."""
+    key = (SERVICE, software, 'k')
+    slow = rollouts.baseline(SERVICE, 'k').is_slow(pace)
+    rollouts.observe_speed(*key, PACE, slow, endpoint)
+    rollouts.observe(*key, failed, pace, endpoint)
 
 
 @pytest.fixture
@@ -26,6 +33,10 @@
     return instance
 
 
+def choose(rollouts, session='', request_id='r'):
+    return rollouts.choose(SERVICE, PRESENT, 'v1', session, request_id)
+
+
 def share(rollouts, prefix='s', count=2000):
     """Return the share of new sessions that get the new version."""
     chosen = [choose(rollouts, f'{prefix}{number}') for number in range(count)]
