Bound for how long a refusal counts for other runs at its address

Change: for runs other than the one that the request was sent to, a refusal counts for 5 s. By then the list is up to date, and a run that refused has been sent a request of its own.

--- a/celeryward/endpoints/closures.py
+++ b/celeryward/endpoints/closures.py
@@ -11,7 +11,9 @@
 that refuses. One process listens at an address at a time, so that a refusal
 counts for each run at its address that may have answered it. Is that in doubt,
 the endpoint stays open: this costs one more refusal, the other error all
-requests until the end of the pause.
+requests until the end of the pause. For other runs than the one that the
+request was sent to it counts for a few seconds only, since times of day that
+differ by more than is allowed for would close an endpoint that is ready.
 """
 
 import dataclasses
@@ -41,6 +43,9 @@
 # Within which the times of day of two hosts agree, unless one was set. The
 # start of a process takes longer.
 CLOCK_ERROR_SECONDS = 1.0
+# For how long a refusal counts for other runs at its address. By then the list
+# is up to date, and one of them that refused is sent a request of its own.
+SHARED_SECONDS = 5.0
 GENERATOR = random.Random()
 
 
@@ -73,6 +78,8 @@
 
     :param tuple key: key of the run that the refused request was sent to.
     :param float told_at: when the endpoint asked for it, in UTC seconds.
+    :param float shared_until: time up to which it may be one of another run
+        at the address, on the boot-time clock.
     :param float opens_at: end of the closed time, on the boot-time clock.
     :param float threshold: limit up to which it grows fast.
     :param float limit: requests that may run there at once after that.
@@ -81,20 +88,23 @@
 
     key: tuple[str, float]
     told_at: float
+    shared_until: float
     opens_at: float
     threshold: float
     limit: float = FIRST_LIMIT
     running: int = 0
 
-    def may_be_of(self, runner):
+    def may_be_of(self, runner, now):
         """Return whether a run of an endpoint may have asked for it.
 
         A process can't have answered before it started. A run whose start is
         unknown may have. For the run that the request was sent to no clock is
         asked, so that one that is set opens nothing.
         """
+        if self.key == runner.key:
+            return True
         earliest = runner.started_at - CLOCK_ERROR_SECONDS
-        return self.key == runner.key or self.told_at >= earliest
+        return now < self.shared_until and self.told_at >= earliest
 
     def grown(self):
         """Return the state after one more accepted request."""
@@ -172,6 +182,7 @@
         closed = Closure(
             runner.key,
             self.utc_clock() - awake_clock.CLOCK.longest_unread(),
+            now + SHARED_SECONDS,
             now + seconds + GENERATOR.uniform(0.0, spread),
             max(FIRST_LIMIT, THRESHOLD_SHARE * in_flight),
         )
@@ -191,7 +202,7 @@
     def find(self, runner):
         """Return what a run of an endpoint may have asked for, or None."""
         state = self.states.get(runner.address)
-        if state is None or not state.may_be_of(runner):
+        if state is None or not state.may_be_of(runner, self.clock()):
             return None
         return state
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -46,7 +46,8 @@
     site.router.closures.states[listed.address] = closures.Closure(
         listed.key,
         time.time(),
-        site.router.closures.clock(),
+        shared_until=0.0,
+        opens_at=site.router.closures.clock(),
         threshold=1.0,
     )
 
--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -66,6 +66,16 @@
         assert state.is_closed(self.successor(3600.0))
         assert not state.is_closed(self.successor(3600.0, 'b'))
 
+    def test_clock_that_is_far_ahead_closes_a_ready_process_for_seconds_only(
+        self,
+    ):
+        state = self.make_closures(60.0, started_at=self.TOLD_AT - 720.0)
+        ready = self.successor(-115.0, 'b')
+        assert state.is_closed(ready)
+        self.clock.now += closures.SHARED_SECONDS
+        assert state.may_start(ready)
+        assert state.is_closed(self.successor(-720.0))
+
     def test_process_whose_start_is_unknown_is_closed(self):
         assert self.make_closures().is_closed(make_runner('b'))
 
