--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -201,7 +201,7 @@
 
 async def kill(made):
     """Stop a daemon without draining, as if its host had failed."""
-    for task in made.tasks:
+    for task in made.tasks.values():
         await task.cancel()
     await made.control.stop()
     await made.listener.stop_accepting()
