--- a/celeryward/endpoints/closures.py
+++ b/celeryward/endpoints/closures.py
@@ -9,10 +9,8 @@
 
 A list of endpoints that is not up to date names the predecessor of the process
 that refuses. One process listens at an address at a time, so that a refusal
-counts for each run at its address that may have answered it. Is that in doubt,
-the endpoint stays open: this costs one more refusal, the other error all
-requests until the end of the pause. For other runs than the one that the
-request was sent to it counts for a few seconds only, since times of day that
+also counts for other runs at its address that had started by then, or whose
+start is unknown. It does so for a few seconds only, since times of day that
 differ by more than is allowed for would close an endpoint that is ready.
 """
 
