--- /dev/null
+++ b/review/standins/runner.py
@@ -0,0 +1,94 @@
+"""A stand-in of a runner, as a process of its own.
+
+``python3 -m review.standins.runner ID HOST PORT WORK_MS RCVBUF`` prints a
+JSON line once it listens, one when it begins to run a request, and one when
+it has answered it.
+"""
+
+import asyncio
+import hashlib
+import json
+import socket
+import sys
+import time
+
+from review.standins import wire
+
+BACKLOG = 128
+
+
+class Runner:
+    """Answers requests after some work.
+
+    :param str name: the id of this runner.
+    :param float work_seconds: how long a request runs.
+    """
+
+    def __init__(self, name, work_seconds):
+        self.name = name
+        self.work_seconds = work_seconds
+
+    def report(self, event, **fields):
+        """Print what has happened."""
+        line = {'at': time.time(), 'runner': self.name, 'event': event}
+        print(json.dumps(line | fields), flush=True)
+
+    async def serve(self, reader, writer):
+        """Answer the requests on one connection."""
+        try:
+            while (request := await wire.read_message(reader)) is not None:
+                writer.write(await self.answer(request))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, request):
+        """Run one request; return the bytes of its response."""
+        request_id = request.headers.get('celeryward-attempt-id')
+        if request_id is None:
+            not_run = {'Celeryward-Not-Executed': '1'}
+            return wire.response_bytes(400, not_run)
+        echoed = {'Celeryward-Attempt-Id': request_id}
+        expected = request.headers.get('celeryward-expect-instance')
+        if expected not in (None, self.name):
+            return wire.response_bytes(
+                421, echoed | {'Celeryward-Not-Executed': '1'}
+            )
+        self.report(
+            'run',
+            id=request_id,
+            method=request.start[0],
+            target=request.start[1],
+            tenant=request.headers.get('celeryward-tenant'),
+            bytes=len(request.body),
+        )
+        await asyncio.sleep(self.work_seconds)
+        self.report('answered', id=request_id)
+        body = b'answer to ' + request_id.encode()
+        seal = hashlib.sha256(body).hexdigest()[:16]
+        headers = echoed | {
+            'Celeryward-Response-Seal': f'{self.name}.{seal}',
+            'Keep-Alive': 'timeout=10',
+        }
+        return wire.response_bytes(200, headers, body)
+
+
+async def main(name, host, port, work_ms, rcvbuf):
+    """Serve until the process is ended."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if int(rcvbuf):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, int(rcvbuf))
+    sock.bind((host, int(port)))
+    runner = Runner(name, int(work_ms) / 1000)
+    server = await asyncio.start_server(
+        runner.serve, sock=sock, backlog=BACKLOG
+    )
+    runner.report('listens', port=sock.getsockname()[1])
+    await server.serve_forever()
+
+
+if __name__ == '__main__':
+    asyncio.run(main(*sys.argv[1:]))
