--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -196,14 +196,14 @@
             host,
             '0',
             str(work_ms),
-            str(options.get('rcvbuf', 0)),
+            str(options.get('fail_each', 0)),
         )
         await self.wait_for(lambda: process.events, 'runner')
         entry = {
             'service': service,
             'address': f'{host}:{process.events[0]["port"]}',
             'zone': zone,
-            'version': 'v1',
+            'version': options.get('version', 'v1'),
             'slots': options.get('slots', 6),
             'state': 'ready',
             'coldLeftMs': 0,
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -1,8 +1,8 @@
 """A stand-in of a runner, as a process of its own.
 
-``python3 -m review.standins.runner ID HOST PORT WORK_MS RCVBUF`` prints a
+``python3 -m review.standins.runner ID HOST PORT WORK_MS FAIL_EACH`` prints a
 JSON line once it listens, one when it begins to run a request, and one when
-it has answered it.
+it has answered it. Each FAIL_EACH-th request fails; 0 for none.
 """
 
 import asyncio
@@ -22,11 +22,14 @@
 
     :param str name: the id of this runner.
     :param float work_seconds: how long a request runs.
+    :param int fail_each: each request of this number fails; 0 for none.
     """
 
-    def __init__(self, name, work_seconds):
+    def __init__(self, name, work_seconds, fail_each=0):
         self.name = name
         self.work_seconds = work_seconds
+        self.fail_each = fail_each
+        self.count = 0
 
     def report(self, event, **fields):
         """Print what has happened."""
@@ -64,25 +67,25 @@
             tenant=request.headers.get('celeryward-tenant'),
             bytes=len(request.body),
         )
+        self.count += 1
+        fails = bool(self.fail_each) and self.count % self.fail_each == 0
         await asyncio.sleep(self.work_seconds)
-        self.report('answered', id=request_id)
+        self.report('answered', id=request_id, fails=fails)
         body = b'answer to ' + request_id.encode()
         seal = hashlib.sha256(body).hexdigest()[:16]
         headers = echoed | {
             'Celeryward-Response-Seal': f'{self.name}.{seal}',
             'Keep-Alive': 'timeout=10',
         }
-        return wire.response_bytes(200, headers, body)
+        return wire.response_bytes(500 if fails else 200, headers, body)
 
 
-async def main(name, host, port, work_ms, rcvbuf):
+async def main(name, host, port, work_ms, fail_each):
     """Serve until the process is ended."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    if int(rcvbuf):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, int(rcvbuf))
     sock.bind((host, int(port)))
-    runner = Runner(name, int(work_ms) / 1000)
+    runner = Runner(name, int(work_ms) / 1000, int(fail_each))
     server = await asyncio.start_server(
         runner.serve, sock=sock, backlog=BACKLOG
     )
