--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -21,7 +21,6 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 METRICS_PORT = 9464
 START_SECONDS = 20.0
-BORN_MS = 1_700_000_000_000
 # The bounds of faroles-lima, as DEPLOY.md shows them.
 SETTINGS = """
 nodeName = "{name}"
@@ -156,6 +155,8 @@
         self.processes = []
         self.routers = {}
         self.runners = {}
+        # All starts of runners: name and process.
+        self.starts = []
         self.folder = tempfile.TemporaryDirectory(prefix='review-')
 
     def note(self, text):
@@ -194,9 +195,10 @@
             'review.standins.runner',
             name,
             host,
-            '0',
+            str(options.get('port', 0)),
             str(work_ms),
             str(options.get('fail_each', 0)),
+            options.get('crash_body', ''),
         )
         await self.wait_for(lambda: process.events, 'runner')
         entry = {
@@ -208,10 +210,12 @@
             'state': 'ready',
             'coldLeftMs': 0,
             'seq': 1,
-            'born': BORN_MS,
+            'born': int(time.time() * 1000),
         }
         await self.store.put('servers', name, entry)
+        process.port = process.events[0]['port']
         self.runners[name] = process
+        self.starts.append((name, process))
         return process
 
     async def start_router(self, name, zone):
@@ -263,7 +267,7 @@
         return sorted(
             (
                 event
-                for runner in self.runners.values()
+                for _, runner in self.starts
                 for event in runner.events
                 if event.get('event') == 'run'
             ),
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -2,12 +2,15 @@
 
 ``python3 -m review.standins.runner ID HOST PORT WORK_MS FAIL_EACH`` prints a
 JSON line once it listens, one when it begins to run a request, and one when
-it has answered it. Each FAIL_EACH-th request fails; 0 for none.
+it has answered it. Each FAIL_EACH-th request fails; 0 for none. A request
+whose body is CRASH_BODY, if that is given, ends the process when it begins to
+run.
 """
 
 import asyncio
 import hashlib
 import json
+import os
 import socket
 import sys
 import time
@@ -15,6 +18,7 @@
 from review.standins import wire
 
 BACKLOG = 128
+CRASH_STATUS = 70
 
 
 class Runner:
@@ -23,9 +27,11 @@
     :param str name: the id of this runner.
     :param float work_seconds: how long a request runs.
     :param int fail_each: each request of this number fails; 0 for none.
+    :param bytes crash_body: body of the requests that end the process.
     """
 
-    def __init__(self, name, work_seconds, fail_each=0):
+    def __init__(self, name, work_seconds, fail_each=0, crash_body=b''):
+        self.crash_body = crash_body
         self.name = name
         self.work_seconds = work_seconds
         self.fail_each = fail_each
@@ -47,6 +53,10 @@
         finally:
             writer.close()
 
+    def is_crashed_by(self, request):
+        """Return whether a request ends the process."""
+        return bool(self.crash_body) and request.body == self.crash_body
+
     async def answer(self, request):
         """Run one request; return the bytes of its response."""
         request_id = request.headers.get('celeryward-attempt-id')
@@ -66,7 +76,10 @@
             target=request.start[1],
             tenant=request.headers.get('celeryward-tenant'),
             bytes=len(request.body),
+            crashes=self.is_crashed_by(request),
         )
+        if self.is_crashed_by(request):
+            os._exit(CRASH_STATUS)
         self.count += 1
         fails = bool(self.fail_each) and self.count % self.fail_each == 0
         await asyncio.sleep(self.work_seconds)
@@ -80,12 +93,14 @@
         return wire.response_bytes(500 if fails else 200, headers, body)
 
 
-async def main(name, host, port, work_ms, fail_each):
+async def main(name, host, port, work_ms, fail_each, crash_body=''):
     """Serve until the process is ended."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, int(port)))
-    runner = Runner(name, int(work_ms) / 1000, int(fail_each))
+    runner = Runner(
+        name, int(work_ms) / 1000, int(fail_each), crash_body.encode()
+    )
     server = await asyncio.start_server(
         runner.serve, sock=sock, backlog=BACKLOG
     )
