--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -181,6 +181,8 @@
                 cwd=ROOT,
                 env=environment,
                 limit=2**22,
+                # The end of a shell must not reach a process that is stopped.
+                start_new_session=True,
             )
         )
         self.processes.append(process)
