review: each script names its record.txt, and case 2 is a hang

run.sh and case.py of each case now name the record.txt that they write; before, the shared module did it alone.

Case 2 (CONFIG) stopped a runner's process and called it dark. A process that is stopped still accepts connections, and the pages let those of a dark machine hang. Case 3 sends the same requests with and without the disruption.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -84,20 +84,23 @@
             await deployment.store.put('config', 'main', changed)
             deployment.note(f'acknowledged version {version}: {left}')
     await asyncio.sleep(AFTER_SECONDS)
-    # Without the disruption the keys still hold, and only the key that no
-    # tenant ever held must not work.
-    keys = (*KEYS, NEVER_HELD_KEY) if trouble else (NEVER_HELD_KEY,)
-    after = [await send(each, key) for each in addresses for key in keys]
+    after = [
+        (await send(each, key), key)
+        for each in addresses
+        for key in (*KEYS, NEVER_HELD_KEY)
+    ]
     await asyncio.sleep(0.5)
     deployment.note_runs()
     ran = {run['id'] for run in deployment.runs()}
-    wrong = [attempt for attempt in after if attempt.id in ran]
+    held = () if trouble else KEYS
+    without_key = [attempt for attempt, key in after if key not in held]
+    wrong = [attempt for attempt in without_key if attempt.id in ran]
     deployment.note(
-        f'{len(after)} requests later than revokeMs without a valid key, '
+        f'{len(without_key)} requests later than revokeMs without a key, '
         f'{len(wrong)} of them ran'
     )
     return bool(wrong)
 
 
 if __name__ == '__main__':
-    deployments.run_case(FOLDER, case)
+    deployments.run_case(FOLDER / 'record.txt', case)
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
-# Plays the case; TROUBLE=0 plays it without the disruption.
+# Plays the case, and writes what was sent, answered and run to
+# review/3/record.txt. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
+rm -f review/3/record.txt
 exec python3 review/3/case.py
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -318,10 +318,10 @@
     return answer is not None and answer.status == 200
 
 
-def run_case(folder, case):
+def run_case(record_path, case):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, else 2.
 
-    :param pathlib.Path folder: folder of the case, for its record.
+    :param pathlib.Path record_path: file for what was sent, answered and run.
     :param case: coroutine function of the deployment and of whether the
         disruption takes place; returns whether the rule was broken.
     """
@@ -337,7 +337,7 @@
         return broken
 
     try:
-        with open(folder / 'record.txt', 'w', encoding='utf-8') as record:
+        with open(record_path, 'w', encoding='utf-8') as record:
             sys.exit(1 if asyncio.run(run(record)) else 0)
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
         print(f'case can not run: {error!r}', file=sys.stderr)
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -5,12 +5,16 @@
 it has answered it. Each FAIL_EACH-th request fails; 0 for none. A request
 whose body is CRASH_BODY, if that is given, ends the process when it begins to
 run.
+
+From SIGUSR1 to SIGUSR2 a share of the requests hangs: nothing of them is read
+behind their heads, and nothing is answered. Others are served as before.
 """
 
 import asyncio
 import hashlib
 import json
 import os
+import signal
 import socket
 import sys
 import time
@@ -19,6 +23,10 @@
 
 BACKLOG = 128
 CRASH_STATUS = 70
+HANGING_SHARE = 0.45
+# Links have small windows, so that a peer that doesn't read blocks the writer.
+WINDOW_BYTES = 65536
+READ_AHEAD_BYTES = 16384
 
 
 class Runner:
@@ -36,16 +44,44 @@
         self.work_seconds = work_seconds
         self.fail_each = fail_each
         self.count = 0
+        self.hanging = False
+        self.offered = 0
+        self.recovered = asyncio.Event()
 
     def report(self, event, **fields):
         """Print what has happened."""
         line = {'at': time.time(), 'runner': self.name, 'event': event}
         print(json.dumps(line | fields), flush=True)
 
+    def begin_hanging(self):
+        """Let a share of the requests hang from now on."""
+        self.hanging = True
+        self.report('hangs')
+
+    def end_hanging(self):
+        """Go on with the requests that hang."""
+        self.hanging = False
+        self.recovered.set()
+        self.report('recovers')
+
+    def next_hangs(self):
+        """Return whether the next request hangs, one after the other."""
+        if not self.hanging:
+            return False
+        before = int(self.offered * HANGING_SHARE)
+        self.offered += 1
+        return int(self.offered * HANGING_SHARE) > before
+
     async def serve(self, reader, writer):
         """Answer the requests on one connection."""
         try:
-            while (request := await wire.read_message(reader)) is not None:
+            while (request := await wire.read_head(reader)) is not None:
+                hangs = self.next_hangs()
+                name = request.headers.get('celeryward-attempt-id')
+                self.report('head', id=name, hangs=hangs)
+                if hangs:
+                    await self.recovered.wait()
+                request.body = await wire.read_body(reader, request.headers)
                 writer.write(await self.answer(request))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -97,12 +133,16 @@
     """Serve until the process is ended."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
     sock.bind((host, int(port)))
     runner = Runner(
         name, int(work_ms) / 1000, int(fail_each), crash_body.encode()
     )
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, runner.begin_hanging)
+    loop.add_signal_handler(signal.SIGUSR2, runner.end_hanging)
     server = await asyncio.start_server(
-        runner.serve, sock=sock, backlog=BACKLOG
+        runner.serve, sock=sock, backlog=BACKLOG, limit=READ_AHEAD_BYTES
     )
     runner.report('listens', port=sock.getsockname()[1])
     await server.serve_forever()
