--- a/celeryward/raters/evidence.py
+++ b/celeryward/raters/evidence.py
@@ -1,29 +1,40 @@
 """Evidence from single runs that a new software version is worse.
 
-A version may fail more often than the old one or be slow more often. The two
-are judged apart, because slow runs are common even at a good version while its
-endpoints fill their caches.
+A version may fail more often than the old one, or take longer. The two are
+judged apart, because slow runs are common even at a good version while its
+endpoints fill their caches. Times are compared by their logarithms, with the
+variance that they have at the old version, so that the same factor counts for
+less where times vary anyway. A time without a known time to compare it with
+is no evidence at all.
 """
 
 import dataclasses
 import math
 
-# A bad version is assumed to fail, or to be slow, this much more often than
-# the old one.
+# A bad version is assumed to fail this much more often than the old one, and
+# its runs to take this many times as long.
 BAD_EXCESS_FAILURE_RATE = 0.25
-BAD_EXCESS_SLOW_RATE = 0.35
+BAD_SLOW_FACTOR = 4.0
 MAX_RATE = 0.95
 MIN_FAILURE_RATE = 0.05
-MIN_SLOW_RATE = 0.2
-# A run is slow if it takes, or has taken so far, this many times as long as
-# the old version usually takes. Runs of the old version count the same way, so
-# that usual variations are no evidence.
-SLOW_FACTOR = 2.5
+# Bounds on the evidence of one time, as log likelihood ratios. Four slow runs
+# at different endpoints suffice for a verdict, three do not.
+MAX_SPEED_LOG_RATIO = 1.01
+MIN_SPEED_LOG_RATIO = -0.575
+# Variance of the logarithm of a time below which it is not trusted.
+MIN_LOG_VARIANCE = 0.16
+# A run is overdue once it takes this many times as long as the old version
+# usually does: the least, and the most where times vary.
+MIN_OVERDUE_FACTOR = 2.5
+MAX_OVERDUE_FACTOR = 4.0
 # A head that arrives sooner is never slow, however fast the old version is.
 MIN_SLOW_SECONDS = 0.25
-MIN_BASELINE_SAMPLES = 5
+# Times are compared as if they took at least this long.
+MIN_SECONDS = 0.0001
+MIN_BASELINE_SAMPLES = 8
 SAMPLE_WEIGHT = 0.1
-# The mean time to the head of an answer is used for this long after the last
+TIME_SAMPLE_WEIGHT = 0.05
+# The time to the head of an answer is used for this long after the last
 # sample: unlike the time per event, it grows with the load.
 HEAD_VALID_SECONDS = 5.0
 # Runs that follow each other at one endpoint within a window pass or fail
@@ -61,95 +72,90 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Baseline:
-    """Moving averages over runs of one kind at the old version.
+class TimeBaseline:
+    """Moving averages of the logarithm of a time at the old version.
 
-    :param dict slow_rates: fraction of the runs that were slow, by criterion.
-    :param float seconds_per_event: seconds between events of a stream.
-    :param float head_seconds: seconds to the head of an answer, divided by
-        the relative size of the request.
-    :param float last_head_at: monotonic seconds of the last head.
+    :param float mean: of the natural logarithm of the seconds.
+    :param float variance: of the same.
+    :param float last_at: monotonic seconds of the last sample.
     """
 
-    failure_rate: float = MIN_FAILURE_RATE
-    slow_rates: dict = dataclasses.field(default_factory=dict)
-    seconds_per_event: float = 0.0
-    event_samples: int = 0
-    head_seconds: float = 0.0
-    head_samples: int = 0
-    last_head_at: float = 0.0
-
-    def slow_rate(self, criterion):
-        """Return how often runs are slow by a criterion."""
-        return self.slow_rates.get(criterion, MIN_SLOW_RATE)
-
-    def with_speed(self, criterion, slow):
-        """Return the averages after the speed of one more run."""
-        rate = moving_rate(self.slow_rate(criterion), slow)
-        rates = {**self.slow_rates, criterion: max(MIN_SLOW_RATE, rate)}
-        return dataclasses.replace(self, slow_rates=rates)
-
-    def with_run(self, failed, seconds_per_event):
-        """Return the averages after one more run."""
-        rate = moving_rate(self.failure_rate, failed)
-        rated = dataclasses.replace(
-            self, failure_rate=max(MIN_FAILURE_RATE, rate)
-        )
-        if seconds_per_event is None:
-            return rated
-        event_samples = self.event_samples + 1
-        mean = moving_average(
-            self.seconds_per_event, seconds_per_event, event_samples
-        )
-        return dataclasses.replace(
-            rated,
-            seconds_per_event=mean,
-            event_samples=event_samples,
+    mean: float = 0.0
+    variance: float = 0.0
+    samples: int = 0
+    last_at: float = 0.0
+
+    def with_sample(self, seconds, now):
+        """Return the averages after one more time."""
+        samples = self.samples + 1
+        weight = max(TIME_SAMPLE_WEIGHT, 1 / samples)
+        difference = math.log(max(MIN_SECONDS, seconds)) - self.mean
+        variance = self.variance + weight * difference * difference
+        return TimeBaseline(
+            self.mean + weight * difference,
+            (1 - weight) * variance,
+            samples,
+            now,
         )
 
-    def with_head(self, head_seconds, now):
-        """Return the averages after one more head of an answer."""
-        head_samples = self.head_samples + 1
-        mean = moving_average(self.head_seconds, head_seconds, head_samples)
-        return dataclasses.replace(
-            self,
-            head_seconds=mean,
-            head_samples=head_samples,
-            last_head_at=now,
-        )
+    @property
+    def is_known(self):
+        """Whether there are enough samples to compare a time with."""
+        return self.samples >= MIN_BASELINE_SAMPLES
 
-    def expected_head_seconds(self, now):
-        """Return the mean seconds to a head, or None if unknown."""
-        known = self.head_samples >= MIN_BASELINE_SAMPLES
-        recent = now - self.last_head_at <= HEAD_VALID_SECONDS
-        return self.head_seconds if known and recent else None
+    @property
+    def usual_seconds(self):
+        """The geometric mean of the times."""
+        return math.exp(self.mean)
 
-    def has_slow_head(self, head_seconds, relative_size, now):
-        """Return whether a head took far longer than the baseline.
+    @property
+    def log_variance(self):
+        """The variance of the logarithm of a time, at least the minimum."""
+        return max(MIN_LOG_VARIANCE, self.variance)
 
-        :param float head_seconds: time to the head; None if unknown.
-        :param float relative_size: size of the request; 1.0 is average.
+    @property
+    def overdue_factor(self):
+        """How many times as long as usual an overdue run takes.
+
+        By then its time is the strongest evidence that a time can be.
         """
-        expected = self.expected_head_seconds(now)
-        if head_seconds is None or expected is None:
-            return False
-        limit = SLOW_FACTOR * expected * relative_size
-        return head_seconds > max(MIN_SLOW_SECONDS, limit)
-
-    def expected_seconds_per_event(self):
-        """Return the mean seconds per event, or None if unknown."""
-        return (
-            self.seconds_per_event
-            if self.event_samples >= MIN_BASELINE_SAMPLES
-            else None
+        assumed = math.log(BAD_SLOW_FACTOR)
+        strongest = MAX_SPEED_LOG_RATIO * self.log_variance / assumed
+        factor = math.exp(assumed / 2 + strongest)
+        return min(MAX_OVERDUE_FACTOR, max(MIN_OVERDUE_FACTOR, factor))
+
+    def log_ratio(self, seconds):
+        """Return the log likelihood ratio of bad against good of a time."""
+        assumed = math.log(BAD_SLOW_FACTOR)
+        slower = math.log(max(MIN_SECONDS, seconds)) - self.mean
+        ratio = assumed / self.log_variance * (slower - assumed / 2)
+        return min(MAX_SPEED_LOG_RATIO, max(MIN_SPEED_LOG_RATIO, ratio))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Baseline:
+    """Moving averages over runs of one kind at the old version.
+
+    :param TimeBaseline head: seconds to the head of an answer, divided by the
+        relative size of the request.
+    :param TimeBaseline pace: seconds between events of a stream.
+    """
+
+    failure_rate: float = MIN_FAILURE_RATE
+    head: TimeBaseline = TimeBaseline()
+    pace: TimeBaseline = TimeBaseline()
+
+    def with_run(self, failed):
+        """Return the averages after one more run."""
+        rate = moving_rate(self.failure_rate, failed)
+        return dataclasses.replace(
+            self, failure_rate=max(MIN_FAILURE_RATE, rate)
         )
 
-    def is_slow(self, seconds_per_event):
-        """Return whether a run was far slower than the baseline."""
-        expected = self.expected_seconds_per_event()
-        if seconds_per_event is None or expected is None:
-            return False
-        return seconds_per_event > expected * SLOW_FACTOR
+    def with_time(self, name, seconds, now):
+        """Return the averages after one more time, ``head`` or ``pace``."""
+        averages = getattr(self, name).with_sample(seconds, now)
+        return dataclasses.replace(self, **{name: averages})
 
 
 def moving_rate(rate, is_hit):
@@ -157,19 +163,10 @@
     return rate + SAMPLE_WEIGHT * (is_hit - rate)
 
 
-def moving_average(mean, sample, count):
-    """Return a moving average after one more sample.
-
-    :param int count: number of samples, including this one.
-    """
-    weight = max(SAMPLE_WEIGHT, 1 / count)
-    return mean + weight * (sample - mean)
-
-
 def log_likelihood_ratio(is_hit, rate, excess_rate):
     """Return the log likelihood ratio of bad against good for one run.
 
-    :param bool is_hit: whether the run failed, or was slow.
+    :param bool is_hit: whether the run failed.
     :param float rate: how often that happens at the old version.
     :param float excess_rate: how much more often at a bad one.
     """
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -29,6 +29,8 @@
 # Time between a completion and its write, in which the verdicts of other
 # routers arrive.
 COMPLETION_SETTLE_SECONDS = 0.5
+# Key of the baseline over all kinds of runs of a service.
+ALL_KINDS = ''
 
 
 class Releases:
@@ -73,7 +75,7 @@
         self, max_bad_share, session_seconds, bad_version_slack=0.0
     ):
         """Set what a bad version may get, and the session timeout."""
-        self.schedule = rollout_schedule.Schedule(max_bad_share)
+        self.max_bad_share = max_bad_share
         self.bad_version_slack = bad_version_slack
         self.sessions.session_seconds = session_seconds
 
@@ -86,6 +88,9 @@
                 step='roll-out', peer=order.service, software=order.target
             ).info('roll-out {} ordered', order.state.value)
         verdict = known.verdict
+        done = rollout_orders.State.DONE
+        if order.state is done and known.order.state is not done:
+            self.forget_baselines(order.service)
         if order.state is not rollout_orders.State.RUNNING:
             verdict = order.state
         self.progress[order.service] = dataclasses.replace(
@@ -147,12 +152,16 @@
             return target
         if self.sessions.version(progress.order.service, session) == target:
             return target
-        traffic_share = self.schedule.traffic_share(
+        traffic_share = self.schedule(progress.order).traffic_share(
             progress.elapsed(self.clock()), bool(session)
         )
         position = hashing.unit_hash(session or request_id)
         return target if position < traffic_share else old[0]
 
+    def schedule(self, order):
+        """Return the :class:`rollout_schedule.Schedule` of an order."""
+        return rollout_schedule.Schedule(self.max_bad_share, order.seconds)
+
     def record_session(self, service, session, software):
         """Pin a session to a version, at the start and end of each run."""
         self.sessions.record(service, session, software)
@@ -163,23 +172,18 @@
         software,
         kind,
         failed,
-        seconds_per_event=None,
         endpoint='',
     ):
         """Add the outcome of a run to the evidence on its version.
 
         :param str kind: only runs of the same kind are compared.
         :param bool failed: whether it failed through the endpoint's fault.
-        :param float | None seconds_per_event: mean seconds between the
-            events of the answer; None if unknown.
         :param str endpoint: id of the endpoint; empty if the run is
             independent of others.
         """
         baseline = self.baseline(service, kind)
         if not self.is_new_version(service, software):
-            self.baselines[(service, kind)] = baseline.with_run(
-                failed, seconds_per_event
-            )
+            self.baselines[(service, kind)] = baseline.with_run(failed)
             return
         log_ratio = evidence.log_likelihood_ratio(
             failed, baseline.failure_rate, evidence.BAD_EXCESS_FAILURE_RATE
@@ -194,31 +198,30 @@
             )
         )
 
-    def observe_speed(
-        self, service, software, kind, criterion, slow, endpoint=''
+    def observe_time(
+        self, service, software, kind, criterion, seconds, endpoint=''
     ):
-        """Add the speed of a head or of a stream to the evidence.
+        """Add the time to a head or between events to the evidence.
+
+        Without a baseline it is no evidence on a new version.
 
         :param rollout_orders.Criterion criterion: which of the two.
-        :param bool slow: whether it took far longer than at the old version.
+        :param float seconds: that of a head divided by the relative size of
+            the request.
         """
-        baseline = self.baseline(service, kind)
         if not self.is_new_version(service, software):
-            self.baselines[(service, kind)] = baseline.with_speed(
-                criterion, slow
-            )
+            self.update_baselines(service, kind, criterion, seconds)
             return
-        log_ratio = evidence.log_likelihood_ratio(
-            slow,
-            baseline.slow_rate(criterion),
-            evidence.BAD_EXCESS_SLOW_RATE,
-        )
+        usual = self.usual_time(service, kind, criterion)
+        if usual is None:
+            return
+        log_ratio = usual.log_ratio(seconds)
         self.add_outcome(
             rollout_orders.Outcome(
                 *self.progress[service].order.key,
                 endpoint,
                 criterion,
-                slow,
+                log_ratio > 0,
                 log_ratio,
             )
         )
@@ -227,6 +230,49 @@
         """Return the averages of the old version for a kind of runs."""
         return self.baselines.get((service, kind), evidence.Baseline())
 
+    def update_baselines(self, service, kind, criterion, seconds):
+        """Add a time of the old version to those of its kind and of all."""
+        now = self.runs.clock()
+        for key in (kind, ALL_KINDS):
+            self.baselines[(service, key)] = self.baseline(
+                service, key
+            ).with_time(criterion.value, seconds, now)
+
+    def usual_time(self, service, kind, criterion):
+        """Return the :class:`evidence.TimeBaseline` to compare a time with.
+
+        It is that of all kinds while there are too few runs of one kind, and
+        None while there are too few of all.
+        """
+        now = self.runs.clock()
+        for key in (kind, ALL_KINDS):
+            usual = getattr(self.baseline(service, key), criterion.value)
+            outdated = (
+                criterion is rollout_orders.Criterion.HEAD
+                and now - usual.last_at > evidence.HEAD_VALID_SECONDS
+            )
+            if usual.is_known and not outdated:
+                return usual
+        return None
+
+    def known_criteria(self, service):
+        """Return the criteria by which the old version has runs."""
+        baseline = self.baseline(service, ALL_KINDS)
+        timed = (rollout_orders.Criterion.HEAD, rollout_orders.Criterion.PACE)
+        return (rollout_orders.Criterion.FAILURE,) + tuple(
+            criterion
+            for criterion in timed
+            if getattr(baseline, criterion.value).is_known
+        )
+
+    def forget_baselines(self, service):
+        """Discard the averages of a version that a new one has replaced."""
+        self.baselines = {
+            key: baseline
+            for key, baseline in self.baselines.items()
+            if key[0] != service
+        }
+
     def add_outcome(self, outcome):
         """Add an outcome of a run at a new version to the evidence on it.
 
@@ -268,9 +314,22 @@
             )
 
     def is_new_version(self, service, software):
-        """Return whether a version is the target of an order."""
+        """Return whether a version is the target of an order.
+
+        One that was completed is the old version of the next order.
+        """
         progress = self.progress.get(service)
-        return progress is not None and software == progress.order.target
+        return (
+            progress is not None
+            and software == progress.order.target
+            and progress.order.state is not rollout_orders.State.DONE
+        )
+
+    def order_key(self, service, software):
+        """Return the key of the order of a new version; None for others."""
+        if not self.is_new_version(service, software):
+            return None
+        return self.progress[service].order.key
 
     def weigh(self, outcome):
         """Return the change of the log odds by the outcome of a run."""
@@ -290,7 +349,7 @@
     def judgement(self):
         """The :class:`rollout_judgement.Judgement` by the bounds in force."""
         return rollout_judgement.Judgement(
-            self.schedule.max_bad_share,
+            self.max_bad_share,
             self.bad_version_slack,
             self.decider_count(),
         )
@@ -310,6 +369,12 @@
             slow=progress.tally.slow,
             log_odds=round(progress.tally.log_odds, 2),
             elapsed=round(progress.elapsed(self.clock()), 3),
+            heads=progress.tally.head.runs,
+            paces=progress.tally.pace.runs,
+            good_log_odds={
+                criterion.value: round(progress.tally.odds(criterion).good, 2)
+                for criterion in self.known_criteria(service)
+            },
             requests=progress.exposure.requests,
             exposed=progress.exposure.exposed,
         ).info('roll-out decided: {}', state.value)
@@ -321,7 +386,9 @@
             if progress.verdict is not rollout_orders.State.RUNNING:
                 continue
             verdict = self.judgement.due_verdict(
-                progress, progress.elapsed(now)
+                progress,
+                progress.elapsed(now),
+                self.known_criteria(service),
             )
             if verdict is not rollout_orders.State.RUNNING:
                 self.decide(service, verdict)
--- a/celeryward/raters/rollout_judgement.py
+++ b/celeryward/raters/rollout_judgement.py
@@ -3,8 +3,10 @@
 The judgement answers the load of a roll-out: few runs at first, then all
 requests at once, of which many are slow at a good version, too. A version
 that performs worse than the old one is bad at once, and one with some
-evidence against it is not completed. The more of the requests that a bad
-version may get have been sent to it, the less evidence is needed.
+evidence against it is not completed. One is completed once it is shown to be
+good; at the deadline, if more speaks for it than against it. The more of the
+requests that a bad version may get have been sent to it, the less evidence is
+needed.
 """
 
 import dataclasses
@@ -13,16 +15,16 @@
 from celeryward.raters import rollout_orders
 from celeryward.raters import rollout_schedule
 
-# Log odds at which a single router rolls a version back, and those of failures
-# once the version has got all requests that a bad one may get. The first
+# Log odds at which a single router rolls a version back, and those at which it
+# does once the version has got all requests that a bad one may get. The first
 # router to reach its threshold decides for all, so the threshold of each rises
 # with the number of routers that decide.
 ROLLBACK_LOG_ODDS = 4.0
 LAST_ROLLBACK_LOG_ODDS = 3.0
-# A router doesn't complete a version at or above these log odds. With fewer
-# answers than the minimum it leaves the completion to other routers.
+# A version isn't completed at or above these log odds of its being bad, nor
+# before the deadline below these of its being good.
 DOUBT_LOG_ODDS = 1.5
-MIN_ANSWERS_TO_COMPLETE = 3
+COMPLETION_LOG_ODDS = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,44 +52,82 @@
     def is_bad(self, progress):
         """Return whether the evidence suffices to roll a version back.
 
-        Failures need less of it once the version has got what a bad one may
-        get. Slow runs do not: while all requests move, many are slow at a good
-        version, too.
+        Less of it suffices once the version has got what a bad one may get.
         """
         used = self.used_allowance(progress)
         fewer = used * (ROLLBACK_LOG_ODDS - LAST_ROLLBACK_LOG_ODDS)
         needed = ROLLBACK_LOG_ODDS + math.log(self.deciders)
-        return (
-            progress.tally.failure_log_odds >= needed - fewer
-            or progress.tally.slow_log_odds >= needed
-        )
+        return progress.tally.log_odds >= needed - fewer
 
     def is_doubted(self, progress):
-        """Return whether some evidence speaks against a version."""
-        return progress.tally.log_odds >= DOUBT_LOG_ODDS
+        """Return whether some evidence speaks against a version.
+
+        Each of several routers needs more of it, as for :meth:`is_bad`.
+        """
+        needed = DOUBT_LOG_ODDS + math.log(self.deciders)
+        return progress.tally.log_odds >= needed
+
+    def is_shown_good(self, progress, criteria):
+        """Return whether a version is known to be no worse by each criterion.
+
+        What is still under way speaks for nothing. Without a word against a
+        version, it may only mean that slow answers are known late.
+        """
+        return all(
+            progress.tally.odds(criterion).good >= COMPLETION_LOG_ODDS
+            for criterion in criteria
+        )
+
+    def is_probably_good(self, progress, criteria):
+        """Return whether more speaks for a version than against it.
 
-    def due_verdict(self, progress, elapsed):
+        A criterion without any judged run says nothing. A version that got
+        requests of which none is judged is not: a rollback can be ordered
+        again, while the old endpoints stop at a completion.
+        """
+        judged = [
+            odds for odds in map(progress.tally.odds, criteria) if odds.runs
+        ]
+        if not judged:
+            return not progress.exposure.exposed
+        return all(odds.good > odds.bad for odds in judged)
+
+    def due_verdict(self, progress, elapsed, criteria):
         """Return the verdict that is due; running if none is.
 
-        The router that has the evidence of all decides first. One that has
-        seen too few answers leaves it to the others until the deadline.
+        The router that has the evidence of all decides first, the others in
+        case it is away.
 
         :param float elapsed: fraction of the allowed time that has passed.
+        :param tuple criteria: the :class:`rollout_orders.Criterion` objects by
+            which the old version is known.
         """
-        last = elapsed >= rollout_schedule.DECISION_DEADLINE
-        doubted = self.is_doubted(progress)
-        if last and doubted:
-            return rollout_orders.State.ROLLED_BACK
-        has_answers = progress.tally.answers >= MIN_ANSWERS_TO_COMPLETE
-        if last or (
-            elapsed >= self.completion_start and has_answers and not doubted
+        schedule = rollout_schedule.Schedule(
+            self.max_bad_share, progress.order.seconds
+        )
+        is_judge = self.deciders == 1
+        if elapsed >= schedule.decision_deadline(is_judge):
+            return self.last_verdict(progress, criteria)
+        if (
+            elapsed >= schedule.completion_start(is_judge)
+            and not self.is_doubted(progress)
+            and self.is_shown_good(progress, criteria)
         ):
             return rollout_orders.State.DONE
         return rollout_orders.State.RUNNING
 
-    @property
-    def completion_start(self):
-        """Fraction of the allowed time from which this router completes."""
-        if self.deciders == 1:
-            return rollout_schedule.COMPLETION_START
-        return rollout_schedule.LATE_COMPLETION_START
+    def last_verdict(self, progress, criteria):
+        """Return the verdict at the deadline.
+
+        The router that has the evidence of all decides in any case, by what
+        there is more evidence for. Another one leaves it to that router
+        unless its own evidence suffices.
+        """
+        doubted = self.is_doubted(progress)
+        if self.is_probably_good(progress, criteria) and (
+            self.deciders == 1 or not doubted
+        ):
+            return rollout_orders.State.DONE
+        if self.deciders == 1 or doubted:
+            return rollout_orders.State.ROLLED_BACK
+        return rollout_orders.State.RUNNING
--- a/celeryward/raters/rollout_orders.py
+++ b/celeryward/raters/rollout_orders.py
@@ -3,6 +3,10 @@
 import dataclasses
 import enum
 
+# Log odds of a version's being good above which no more are counted, so that
+# its past does not hide that it turns bad.
+MAX_GOOD_LOG_ODDS = 6.0
+
 
 class State(enum.Enum):
     """State of an order, also used as the verdict of a router."""
@@ -47,48 +51,78 @@
         return (self.service, self.target, self.created)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Odds:
+    """Evidence on a new version by one criterion, as log odds.
+
+    Both sums start anew wherever the evidence turns, so that a version that
+    turns bad late is found out as soon as one that always was.
+
+    :param int runs: runs that were judged.
+    :param float bad: of its being worse than the old version, at least 0.
+    :param float good: of its being no worse, from 0 to ``MAX_GOOD_LOG_ODDS``.
+    """
+
+    runs: int = 0
+    bad: float = 0.0
+    good: float = 0.0
+
+    def with_run(self, change):
+        """Return the odds after one more run.
+
+        :param float change: change of the log odds of its being worse.
+        """
+        good = min(MAX_GOOD_LOG_ODDS, max(0.0, self.good - change))
+        return Odds(self.runs + 1, max(0.0, self.bad + change), good)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tally:
-    """Counts of the runs of a new software version.
-
-    :param int slow: heads and streams that took far longer than at the old
-        version.
-    :param float failure_log_odds: cumulative log likelihood ratio, at least 0,
-        of its failing more often than the old version.
-    :param float head_log_odds: the same for its heads being slow more often.
-    :param float pace_log_odds: the same for its streams.
+    """Evidence of the runs of a new software version.
+
+    :param int slow: heads and streams that speak against it.
     """
 
-    answers: int = 0
     failures: int = 0
     slow: int = 0
-    failure_log_odds: float = 0.0
-    head_log_odds: float = 0.0
-    pace_log_odds: float = 0.0
+    failure: Odds = Odds()
+    head: Odds = Odds()
+    pace: Odds = Odds()
+
+    @property
+    def answers(self):
+        """Runs of which it is known whether they failed."""
+        return self.failure.runs
+
+    @property
+    def failure_log_odds(self):
+        """The evidence of its failing more often than the old version."""
+        return self.failure.bad
 
     @property
     def slow_log_odds(self):
         """The stronger evidence of its being slow."""
-        return max(self.head_log_odds, self.pace_log_odds)
+        return max(self.head.bad, self.pace.bad)
 
     @property
     def log_odds(self):
         """The strongest evidence of all."""
         return max(self.failure_log_odds, self.slow_log_odds)
 
+    def odds(self, criterion):
+        """Return the :class:`Odds` by a criterion."""
+        return getattr(self, criterion.value)
+
     def with_outcome(self, outcome, change):
-        """Return the counts after one more outcome.
+        """Return the evidence after one more outcome.
 
         :param Outcome outcome: the outcome of a run.
         :param float change: change of the log odds by it.
         """
-        name = f'{outcome.criterion.value}_log_odds'
-        counts = {name: max(0.0, getattr(self, name) + change)}
-        if outcome.criterion is Criterion.FAILURE:
-            counts['answers'] = self.answers + 1
-            counts['failures'] = self.failures + outcome.is_hit
-        else:
-            counts['slow'] = self.slow + outcome.is_hit
+        criterion = outcome.criterion
+        counts = {criterion.value: self.odds(criterion).with_run(change)}
+        name = 'failures' if criterion is Criterion.FAILURE else 'slow'
+        counts[name] = getattr(self, name) + outcome.is_hit
         return dataclasses.replace(self, **counts)
 
 
--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -1,4 +1,11 @@
-"""Runs in flight at each software version."""
+"""Runs in flight at each software version.
+
+The times of all runs are reported at the same age: when they would be overdue.
+Sooner, evidence would be mostly of fast runs, because the slow ones are known
+later.
+"""
+
+import dataclasses
 
 from celeryward import logs
 from celeryward.raters import evidence
@@ -6,6 +13,8 @@
 
 # Events of a stream below which its seconds per event are not estimated.
 MIN_EVENTS_FOR_ESTIMATE = 4
+HEAD = rollout_orders.Criterion.HEAD
+PACE = rollout_orders.Criterion.PACE
 
 
 class Run:
@@ -15,10 +24,18 @@
     :param str endpoint: id of the endpoint.
     :param float relative_size: size of the request; 1.0 is average.
     :param float started_at: seconds on the clock of :class:`InFlightRuns`.
+    :param order_key: key of the order whose target the version is, or None.
     """
 
     def __init__(
-        self, service, software, kind, endpoint, relative_size, started_at
+        self,
+        service,
+        software,
+        kind,
+        endpoint,
+        relative_size,
+        started_at,
+        order_key=None,
     ):
         self.service = service
         self.software = software
@@ -26,13 +43,13 @@
         self.endpoint = endpoint
         self.relative_size = relative_size
         self.started_at = started_at
+        self.order_key = order_key
         self.head_at = None
         self.events = 0
         # What was reported; an overdue run is reported before its end and must
         # not count twice.
         self.reported = False
         self.head_reported = False
-        self.head_in_baseline = False
         self.pace_reported = False
 
     def record_head(self, now):
@@ -56,19 +73,26 @@
             return None
         return (now - self.head_at) / self.events
 
-    def is_overdue(self, baseline, now):
-        """Return whether the run takes far longer than the old version.
+    def pace_seconds(self, now):
+        """Return the seconds per event so far, as for an estimate.
 
-        :param evidence.Baseline baseline: averages of the old version.
+        Events that have not arrived count as if they came now.
         """
-        if self.head_at is None:
-            waited = now - self.started_at
-            return baseline.has_slow_head(waited, self.relative_size, now)
-        expected = baseline.expected_seconds_per_event()
-        if expected is None:
-            return False
-        limit = evidence.SLOW_FACTOR * expected * (self.events + 1)
-        return now - self.head_at > max(evidence.MIN_SLOW_SECONDS, limit)
+        events = max(self.events, MIN_EVENTS_FOR_ESTIMATE)
+        return (now - self.head_at) / events
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JudgedTime:
+    """The time of a run, to be reported when a slow one would be overdue.
+
+    :param float due_at: seconds on the clock of :class:`InFlightRuns`.
+    """
+
+    run: Run
+    criterion: rollout_orders.Criterion
+    seconds: float
+    due_at: float
 
 
 class InFlightRuns:
@@ -85,6 +109,8 @@
         self.releases = releases
         self.clock = releases.clock
         self.runs = set()
+        # Times that are known before the run would have been overdue.
+        self.early_times = []
 
     def begin(self, service, software, kind, endpoint, relative_size):
         """Return the :class:`Run` of a dispatch that begins now.
@@ -92,7 +118,16 @@
         :param float relative_size: size of the request; 1.0 is average.
         """
         now = self.clock()
-        run = Run(service, software, kind, endpoint, relative_size, now)
+        order_key = self.releases.order_key(service, software)
+        run = Run(
+            service,
+            software,
+            kind,
+            endpoint,
+            relative_size,
+            now,
+            order_key,
+        )
         self.runs.add(run)
         self.releases.record_dispatch(service, software)
         return run
@@ -104,74 +139,38 @@
     def end(self, run, failed=False):
         """Report the outcome of a run, unless it was reported as overdue."""
         self.runs.discard(run)
-        now = self.clock()
         self.report_head(run)
         self.report_pace(run)
-        if run.reported:
+        if run.reported or self.is_outdated(run):
             return
         run.reported = True
         self.releases.observe(
-            run.service,
-            run.software,
-            run.kind,
-            failed,
-            run.seconds_per_event(now),
-            run.endpoint,
+            run.service, run.software, run.kind, failed, run.endpoint
         )
 
     def head_arrived(self, run):
-        """Record the head of a run and report its speed.
+        """Record the head of a run, and its speed.
 
-        A slow head is reported while the run goes on, so that a good one must
-        not wait for the end of its answer either.
+        It is evidence while the run goes on, so that a good head must not
+        wait for the end of its answer.
         """
         run.record_head(self.clock())
         self.report_head(run)
 
+    def is_outdated(self, run):
+        """Return whether a run is no evidence, because its order has ended.
+
+        Its version was completed, or another one was ordered.
+        """
+        current = self.releases.order_key(run.service, run.software)
+        return run.order_key != current
+
     def report_head(self, run):
         """Report the speed of the head, once."""
-        if run.head_seconds is None:
+        if run.head_seconds is None or run.head_reported:
             return
-        now = self.clock()
-        if not run.head_reported:
-            run.head_reported = True
-            slow = self.baseline(run).has_slow_head(
-                run.head_seconds, run.relative_size, now
-            )
-            self.report_speed(run, rollout_orders.Criterion.HEAD, slow)
-        if not (
-            run.head_in_baseline
-            or self.releases.is_new_version(run.service, run.software)
-        ):
-            run.head_in_baseline = True
-            self.update_head_baseline(run, now)
-
-    def update_head_baseline(self, run, now):
-        """Update the mean time to the head of an answer."""
-        relative_seconds = run.head_seconds / run.relative_size
-        baseline = self.baseline(run).with_head(relative_seconds, now)
-        self.releases.baselines[(run.service, run.kind)] = baseline
-
-    def baseline(self, run):
-        """Return the baseline for the kind of a run."""
-        return self.releases.baseline(run.service, run.kind)
-
-    def report_overdue(self):
-        """Report the overdue runs as slow.
-
-        Those at the old version count, too: both versions are slow while their
-        endpoints have long prompts in their queues.
-        """
-        now = self.clock()
-        for run in tuple(self.runs):
-            if run.reported:
-                continue
-            overdue = run.is_overdue(self.baseline(run), now)
-            if overdue:
-                run.reported = True
-                if self.releases.is_new_version(run.service, run.software):
-                    log_overdue(run, now)
-                self.report_slow(run)
+        run.head_reported = True
+        self.record_time(run, HEAD, run.head_seconds)
 
     def events_arrived(self, run, count):
         """Record the events of a run, and report its pace once it is known."""
@@ -184,29 +183,88 @@
         if pace is None or run.pace_reported:
             return
         run.pace_reported = True
-        slow = self.baseline(run).is_slow(pace)
-        self.report_speed(run, rollout_orders.Criterion.PACE, slow)
+        self.record_time(run, PACE, pace)
 
-    def report_slow(self, run):
-        """Report an overdue run by what it is overdue with."""
-        if run.head_at is None:
-            run.head_reported = True
-            self.report_speed(run, rollout_orders.Criterion.HEAD, True)
-        elif not run.pace_reported:
-            run.pace_reported = True
-            self.report_speed(run, rollout_orders.Criterion.PACE, True)
-
-    def report_speed(self, run, criterion, slow):
-        """Report whether a run is slow by a criterion."""
-        self.releases.observe_speed(
+    def record_time(self, run, criterion, seconds):
+        """Add a time to the baseline, or keep it until it may be reported."""
+        if run.order_key is None:
+            self.report_time(run, criterion, seconds)
+            return
+        due_at = self.overdue_at(run, criterion)
+        if due_at is None:
+            return
+        if due_at <= self.clock():
+            self.report_time(run, criterion, seconds)
+            return
+        timed = JudgedTime(run, criterion, seconds, due_at)
+        self.early_times.append(timed)
+
+    def report_time(self, run, criterion, seconds):
+        """Report the time of a run by a criterion."""
+        if self.is_outdated(run):
+            return
+        if criterion is HEAD:
+            seconds /= run.relative_size
+        self.releases.observe_time(
             run.service,
             run.software,
             run.kind,
             criterion,
-            slow,
+            seconds,
             run.endpoint,
         )
 
+    def overdue_at(self, run, criterion):
+        """Return when a run is overdue by a criterion; None if unknown."""
+        usual = self.releases.usual_time(run.service, run.kind, criterion)
+        if usual is None:
+            return None
+        seconds = usual.overdue_factor * usual.usual_seconds
+        if criterion is HEAD:
+            began_at = run.started_at
+            seconds *= run.relative_size
+        else:
+            began_at = run.head_at
+            seconds *= MIN_EVENTS_FOR_ESTIMATE
+        return began_at + max(evidence.MIN_SLOW_SECONDS, seconds)
+
+    def report_overdue(self):
+        """Report the overdue runs as slow, and the times that are due.
+
+        Those at the old version count, too: both versions are slow while their
+        endpoints have long prompts in their queues.
+        """
+        now = self.clock()
+        due = [each for each in self.early_times if each.due_at <= now]
+        self.early_times = [
+            each for each in self.early_times if each.due_at > now
+        ]
+        for each in due:
+            self.report_time(each.run, each.criterion, each.seconds)
+        for run in tuple(self.runs):
+            if not run.reported:
+                self.report_if_overdue(run, now)
+
+    def report_if_overdue(self, run, now):
+        """Report a run by what it is overdue with."""
+        if run.head_at is None:
+            criterion, seconds = HEAD, now - run.started_at
+            known = run.head_reported
+        else:
+            criterion, seconds = PACE, run.pace_seconds(now)
+            known = run.pace_reported
+        if known:
+            return
+        due_at = self.overdue_at(run, criterion)
+        if due_at is None or now <= due_at:
+            return
+        run.reported = True
+        run.head_reported = True
+        run.pace_reported = run.pace_reported or criterion is PACE
+        if run.order_key is not None:
+            log_overdue(run, now)
+        self.report_time(run, criterion, seconds)
+
 
 def log_overdue(run, now):
     """Log a run that is overdue."""
--- a/tests/test_in_flight_runs.py
+++ b/tests/test_in_flight_runs.py
@@ -45,7 +45,7 @@
         self.run_old_version(rollouts, clock)
         for number in range(4):
             self.begin(rollouts, 'v2', number)
-        clock.now += 0.2 * evidence.SLOW_FACTOR - 0.1
+        clock.now += 0.2 * evidence.MIN_OVERDUE_FACTOR - 0.1
         rollouts.runs.report_overdue()
         assert (
             rollouts.progress[SERVICE].verdict is rollout_orders.State.RUNNING
@@ -94,7 +94,7 @@
         self.run_old_version(rollouts, clock)
         for number in range(4):
             run = self.begin(rollouts, 'v2', number)
-            clock.now += 0.2 * evidence.SLOW_FACTOR + 0.1
+            clock.now += 0.2 * evidence.MIN_OVERDUE_FACTOR + 0.1
             run.record_head(clock.now)
             rollouts.runs.end(run)
         assert (
@@ -125,7 +125,9 @@
             software = ('v1', 'v1', 'v2')[number % 3]
             run = self.begin(rollouts, software, number)
             slow = number % 4 == 0
-            clock.now += 0.2 * (3 * evidence.SLOW_FACTOR if slow else 1.0)
+            clock.now += 0.2 * (
+                3 * evidence.MIN_OVERDUE_FACTOR if slow else 1.0
+            )
             rollouts.runs.report_overdue()
             run.record_head(clock.now)
             rollouts.runs.end(run)
@@ -152,9 +154,7 @@
         clock.now += 1.0
         rollouts.runs.report_overdue()
         tally = rollouts.progress[SERVICE].tally
-        single = evidence.log_likelihood_ratio(
-            True, evidence.MIN_SLOW_RATE, evidence.BAD_EXCESS_SLOW_RATE
-        )
+        single = evidence.MAX_SPEED_LOG_RATIO
         assert tally.slow == 6
         assert tally.log_odds <= evidence.MAX_EFFECTIVE_RUNS * single + 0.001
         assert (
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -10,15 +10,16 @@
 
 SERVICE = 'llm'
 PRESENT = ('v1', 'v2')
+# Good answers after which a version counts as good, with a margin.
+ANSWERS_TO_COMPLETE = 12
 PACE = rollout_orders.Criterion.PACE
 
 
 def observe(rollouts, software, failed, pace, endpoint=''):
     """Report a run as the runs in flight do: its pace, then its outcome."""
     key = (SERVICE, software, 'k')
-    slow = rollouts.baseline(SERVICE, 'k').is_slow(pace)
-    rollouts.observe_speed(*key, PACE, slow, endpoint)
-    rollouts.observe(*key, failed, pace, endpoint)
+    rollouts.observe_time(*key, PACE, pace, endpoint)
+    rollouts.observe(*key, failed, endpoint)
 
 
 @pytest.fixture
@@ -325,7 +326,7 @@
         self, rollouts, clock
     ):
         """It was stored before rollbacks that other routers had decided."""
-        for _ in range(5):
+        for _ in range(ANSWERS_TO_COMPLETE):
             observe(rollouts, 'v2', False, 0.1)
         clock.now = 17.5
         rollouts.decide_due()
@@ -337,7 +338,7 @@
         self, rollouts, clock
     ):
         """A rollback decided a moment earlier lost to a completion."""
-        for _ in range(5):
+        for _ in range(ANSWERS_TO_COMPLETE):
             observe(rollouts, 'v2', False, 0.1)
         clock.now = 17.5
         rollouts.decide_due()
@@ -346,7 +347,7 @@
         assert list(rollouts.orders_without_verdict())
 
     def test_pause_does_not_count_as_wait_for_verdicts(self, rollouts, clock):
-        for _ in range(5):
+        for _ in range(ANSWERS_TO_COMPLETE):
             observe(rollouts, 'v2', False, 0.1)
         rollouts.runs.clock = awake_clock.AwakeClock(clock)
         rollouts.runs.clock.readers = 1
@@ -363,7 +364,7 @@
         self, rollouts, clock
     ):
         self.run_old_version(rollouts)
-        for _ in range(5):
+        for _ in range(ANSWERS_TO_COMPLETE):
             observe(rollouts, 'v2', False, 0.1)
         clock.now = 17.5
         rollouts.decide_due()
