--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -29,6 +29,9 @@
 # Time between a completion and its write, in which the verdicts of other
 # routers arrive.
 COMPLETION_SETTLE_SECONDS = 0.5
+# Weight of the time to the head of an answer, as evidence, once the share of
+# the new version grows.
+RAMP_HEAD_WEIGHT = 0.7
 # Key of the baseline over all kinds of runs of a service.
 ALL_KINDS = ''
 
@@ -199,7 +202,14 @@
         )
 
     def observe_time(
-        self, service, software, kind, criterion, seconds, endpoint=''
+        self,
+        service,
+        software,
+        kind,
+        criterion,
+        seconds,
+        endpoint='',
+        weight=1.0,
     ):
         """Add the time to a head or between events to the evidence.
 
@@ -208,6 +218,7 @@
         :param rollout_orders.Criterion criterion: which of the two.
         :param float seconds: that of a head divided by the relative size of
             the request.
+        :param float weight: factor on the evidence.
         """
         if not self.is_new_version(service, software):
             self.update_baselines(service, kind, criterion, seconds)
@@ -215,7 +226,7 @@
         usual = self.usual_time(service, kind, criterion)
         if usual is None:
             return
-        log_ratio = usual.log_ratio(seconds)
+        log_ratio = weight * usual.log_ratio(seconds)
         self.add_outcome(
             rollout_orders.Outcome(
                 *self.progress[service].order.key,
@@ -226,6 +237,17 @@
             )
         )
 
+    def head_weight(self, service):
+        """Return the weight of the head of a run that begins now.
+
+        While all requests move, they queue at endpoints with empty caches.
+        """
+        progress = self.progress[service]
+        schedule = self.schedule(progress.order)
+        if progress.elapsed(self.clock()) < schedule.ramp_start:
+            return 1.0
+        return RAMP_HEAD_WEIGHT
+
     def baseline(self, service, kind):
         """Return the averages of the old version for a kind of runs."""
         return self.baselines.get((service, kind), evidence.Baseline())
--- a/celeryward/raters/rollout_judgement.py
+++ b/celeryward/raters/rollout_judgement.py
@@ -15,8 +15,8 @@
 from celeryward.raters import rollout_orders
 from celeryward.raters import rollout_schedule
 
-# Log odds at which a single router rolls a version back, and those at which it
-# does once the version has got all requests that a bad one may get. The first
+# Log odds at which a single router rolls a version back, and those of failures
+# once the version has got all requests that a bad one may get. The first
 # router to reach its threshold decides for all, so the threshold of each rises
 # with the number of routers that decide.
 ROLLBACK_LOG_ODDS = 4.0
@@ -52,12 +52,17 @@
     def is_bad(self, progress):
         """Return whether the evidence suffices to roll a version back.
 
-        Less of it suffices once the version has got what a bad one may get.
+        Failures need less of it once the version has got what a bad one may
+        get. Slow runs do not: while all requests move, many are slow at a good
+        version, too.
         """
         used = self.used_allowance(progress)
         fewer = used * (ROLLBACK_LOG_ODDS - LAST_ROLLBACK_LOG_ODDS)
         needed = ROLLBACK_LOG_ODDS + math.log(self.deciders)
-        return progress.tally.log_odds >= needed - fewer
+        return (
+            progress.tally.failure_log_odds >= needed - fewer
+            or progress.tally.slow_log_odds >= needed
+        )
 
     def is_doubted(self, progress):
         """Return whether some evidence speaks against a version.
--- a/celeryward/raters/rollout_orders.py
+++ b/celeryward/raters/rollout_orders.py
@@ -81,6 +81,8 @@
     """Evidence of the runs of a new software version.
 
     :param int slow: heads and streams that speak against it.
+    :param Odds speed: evidence of heads and streams together, which tells
+        sooner of a version that is slow by both.
     """
 
     failures: int = 0
@@ -88,6 +90,7 @@
     failure: Odds = Odds()
     head: Odds = Odds()
     pace: Odds = Odds()
+    speed: Odds = Odds()
 
     @property
     def answers(self):
@@ -101,8 +104,8 @@
 
     @property
     def slow_log_odds(self):
-        """The stronger evidence of its being slow."""
-        return max(self.head.bad, self.pace.bad)
+        """The strongest evidence of its being slow."""
+        return max(self.head.bad, self.pace.bad, self.speed.bad)
 
     @property
     def log_odds(self):
@@ -121,8 +124,11 @@
         """
         criterion = outcome.criterion
         counts = {criterion.value: self.odds(criterion).with_run(change)}
-        name = 'failures' if criterion is Criterion.FAILURE else 'slow'
-        counts[name] = getattr(self, name) + outcome.is_hit
+        if criterion is Criterion.FAILURE:
+            counts['failures'] = self.failures + outcome.is_hit
+        else:
+            counts['slow'] = self.slow + outcome.is_hit
+            counts['speed'] = self.speed.with_run(change)
         return dataclasses.replace(self, **counts)
 
 
--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -25,6 +25,7 @@
     :param float relative_size: size of the request; 1.0 is average.
     :param float started_at: seconds on the clock of :class:`InFlightRuns`.
     :param order_key: key of the order whose target the version is, or None.
+    :param float head_weight: weight of the time to its head as evidence.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         relative_size,
         started_at,
         order_key=None,
+        head_weight=1.0,
     ):
         self.service = service
         self.software = software
@@ -44,6 +46,7 @@
         self.relative_size = relative_size
         self.started_at = started_at
         self.order_key = order_key
+        self.head_weight = head_weight
         self.head_at = None
         self.events = 0
         # What was reported; an overdue run is reported before its end and must
@@ -127,6 +130,7 @@
             relative_size,
             now,
             order_key,
+            self.releases.head_weight(service) if order_key else 1.0,
         )
         self.runs.add(run)
         self.releases.record_dispatch(service, software)
@@ -203,8 +207,10 @@
         """Report the time of a run by a criterion."""
         if self.is_outdated(run):
             return
+        weight = 1.0
         if criterion is HEAD:
             seconds /= run.relative_size
+            weight = run.head_weight
         self.releases.observe_time(
             run.service,
             run.software,
@@ -212,6 +218,7 @@
             criterion,
             seconds,
             run.endpoint,
+            weight,
         )
 
     def overdue_at(self, run, criterion):
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -361,5 +361,5 @@
             await site.request('/whole/x')
         baseline = site.router.releases.baselines[('app', 'whole ')]
         assert baseline.failure_rate < 0.1
-        assert baseline.head_samples >= 40
+        assert baseline.head.samples >= 40
         assert not site.router.releases.runs.runs
