--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -105,12 +105,13 @@
     def authenticate(self, configuration, route, metadata, fresh):
         """Return the customer that has the key; None on public routes.
 
-        Without any configured customer, every route is public.
+        Every route is public if the configuration requires no keys. One that
+        lists no customer requires them all the same.
 
         :raises errors.NotRun: if the configuration is too old to tell.
         :raises errors.Unauthenticated: if no customer has the key.
         """
-        if route.public or not configuration.customers:
+        if route.public or not configuration.requires_key:
             return None
         if not fresh:
             raise stale_configuration_error()
--- a/celeryward/ingress.py
+++ b/celeryward/ingress.py
@@ -125,9 +125,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One version of the whole routing configuration."""
+    """One version of the whole routing configuration.
+
+    :param bool requires_key: whether routes that are not public need an API
+        key, also if no customer has one.
+    """
 
     version: int
+    requires_key: bool = True
     routes: tuple[Route, ...] = ()
     services: abc.Mapping[str, Service] = dataclasses.field(
         default_factory=dict
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -48,6 +48,7 @@
                 revision=stored.revision,
                 routes=len(configuration.routes),
                 customers=len(configuration.customers),
+                requires_key=configuration.requires_key,
             ).info('configuration in force')
 
     def on_confirmed(self, at):
