--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -271,7 +271,7 @@
         The choice is a hash of the session, or of the request id without
         one, so that a session keeps its service while the shares stay.
         """
-        weighted_services = relayed.route.weighted_services
+        weighted_services = relayed.route.eligible_services
         if len(weighted_services) == 1:
             return weighted_services[0].service
         key = relayed.metadata.session or relayed.metadata.request_id
--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -11,6 +11,7 @@
 # Retry delays that are sent with a refusal.
 NOT_READY_RETRY_SECONDS = 0.5
 STALE_RETRY_SECONDS = 1.0
+NO_WEIGHT_RETRY_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +77,8 @@
         """Return the :class:`relayed_requests.RelayedRequest` to serve.
 
         :raises errors.NotRun: if the router can't judge requests yet, or
-            no route matches, or no customer has the key.
+            no route matches, or no customer has the key, or the route has no
+            service that gets requests.
         """
         router_state = self.router_state
         configuration = router_state.configuration.current
@@ -94,6 +96,11 @@
                 'no route for this host and path', step='route', peer=host
             )
         customer = self.authenticate(configuration, route, metadata, fresh)
+        if not route.eligible_services:
+            raise not_ready_error(
+                f'no service of route {route.name} has a weight',
+                NO_WEIGHT_RETRY_SECONDS,
+            )
         timeout = route.timeout_seconds
         if metadata.timeout_seconds is not None:
             timeout = min(timeout, metadata.timeout_seconds)
--- a/celeryward/ingress.py
+++ b/celeryward/ingress.py
@@ -60,6 +60,11 @@
     resumable: bool = False
     sizes: tuple[str, ...] = ()
 
+    @property
+    def eligible_services(self):
+        """The services that get requests, because their weight isn't 0."""
+        return tuple(each for each in self.weighted_services if each.weight)
+
     @property
     def retryable(self):
         """Whether a request that may already have run may be sent again."""
