--- a/tests/test_passed_changes.py
+++ b/tests/test_passed_changes.py
@@ -168,7 +168,7 @@
         )
         for number in range(9):
             followed.record_dispatch('llm', 'v2')
-            followed.observe('llm', 'v2', 'k', False, 0.1, f'e{number}')
+            followed.observe('llm', 'v2', 'k', False, f'e{number}')
         await standins.wait_until(
             lambda: leading.progress['llm'].tally.answers == 9, 2.0
         )
@@ -194,7 +194,7 @@
             lambda: 'llm' in followed.progress and 'llm' in leading.progress
         )
         followed.record_dispatch('llm', 'v2')
-        followed.observe('llm', 'v2', 'k', False, 0.1, 'e')
+        followed.observe('llm', 'v2', 'k', False, 'e')
         await standins.wait_until(
             lambda: leading.progress['llm'].tally.answers == 1
         )
