--- a/celeryward/raters/rollout_judgement.py
+++ b/celeryward/raters/rollout_judgement.py
@@ -75,8 +75,8 @@
     def is_shown_good(self, progress, criteria):
         """Return whether a version is known to be no worse by each criterion.
 
-        What is still under way speaks for nothing. Without a word against a
-        version, it may only mean that slow answers are known late.
+        Runs that are still under way are no evidence for it: slow answers are
+        known late.
         """
         return all(
             progress.tally.odds(criterion).good >= COMPLETION_LOG_ODDS
--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -209,7 +209,7 @@
             return
         weight = 1.0
         if criterion is HEAD:
-            seconds /= run.relative_size
+            seconds = self.comparable_head_seconds(run, seconds)
             weight = run.head_weight
         self.releases.observe_time(
             run.service,
@@ -221,6 +221,19 @@
             weight,
         )
 
+    def comparable_head_seconds(self, run, seconds):
+        """Return the time to a head divided by the size of its request.
+
+        At a new version, one that is never slow is no longer than usual.
+        """
+        relative_seconds = seconds / run.relative_size
+        if run.order_key is None or seconds >= evidence.MIN_SLOW_SECONDS:
+            return relative_seconds
+        usual = self.releases.usual_time(run.service, run.kind, HEAD)
+        if usual is None:
+            return relative_seconds
+        return min(relative_seconds, usual.usual_seconds)
+
     def overdue_at(self, run, criterion):
         """Return when a run is overdue by a criterion; None if unknown."""
         usual = self.releases.usual_time(run.service, run.kind, criterion)
--- a/tests/test_short_orders.py
+++ b/tests/test_short_orders.py
@@ -147,6 +147,19 @@
         assert tally.pace.runs == 4
         assert tally.pace.bad > 0
 
+    def test_short_head_is_never_slow(self, rollouts, clock):
+        """A head of 0.1 s was slow where 0.02 s are usual."""
+        for software, seconds in (('v1', 0.02), ('v2', 0.1)):
+            for number in range(10):
+                run = begin(rollouts, software, number)
+                clock.now += seconds
+                rollouts.runs.head_arrived(run)
+                rollouts.runs.drop(run)
+        clock.now += evidence.MIN_SLOW_SECONDS
+        rollouts.runs.report_overdue()
+        tally = rollouts.progress[SERVICE].tally
+        assert (tally.head.runs, tally.head.bad) == (10, 0.0)
+
     def test_completed_version_is_the_next_baseline(self, rollouts, clock):
         """Each later version was compared with the very first one."""
         run_old_version(rollouts, clock)
