--- a/celeryward/raters/evidence.py
+++ b/celeryward/raters/evidence.py
@@ -40,7 +40,7 @@
 # Runs that follow each other at one endpoint within a window pass or fail
 # together, for example in its queue, and count as no more than this many.
 WINDOW_SECONDS = 1.0
-MAX_EFFECTIVE_RUNS = 1.5
+MAX_EFFECTIVE_RUNS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -31,7 +31,7 @@
 COMPLETION_SETTLE_SECONDS = 0.5
 # Weight of the time to the head of an answer, as evidence, once the share of
 # the new version grows.
-RAMP_HEAD_WEIGHT = 0.7
+RAMP_HEAD_WEIGHT = 0.5
 # Key of the baseline over all kinds of runs of a service.
 ALL_KINDS = ''
 
