--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -278,13 +278,20 @@
         return None
 
     def known_criteria(self, service):
-        """Return the criteria by which the old version has runs."""
+        """Return the criteria by which a new version can be judged.
+
+        Those by which the old version has runs here, or the new one has
+        outcomes: a router that has just started knows the old version from
+        the reports of others only.
+        """
         baseline = self.baseline(service, ALL_KINDS)
+        tally = self.progress[service].tally
         timed = (rollout_orders.Criterion.HEAD, rollout_orders.Criterion.PACE)
         return (rollout_orders.Criterion.FAILURE,) + tuple(
             criterion
             for criterion in timed
             if getattr(baseline, criterion.value).is_known
+            or tally.odds(criterion).runs
         )
 
     def forget_baselines(self, service):
--- a/tests/test_short_orders.py
+++ b/tests/test_short_orders.py
@@ -97,6 +97,26 @@
         rollouts.runs.report_overdue()
         assert verdict(rollouts, clock, 0.86) is DONE
 
+    def test_judge_that_has_just_started_waits_for_the_times(
+        self, rollouts, clock
+    ):
+        """It knew no times of the old version, and completed a slow one."""
+        for number in range(12):
+            rollouts.observe(SERVICE, 'v2', 'k', False, f'e{number}')
+        rollouts.add_outcome(
+            rollout_orders.Outcome(
+                SERVICE,
+                'v2',
+                0,
+                'e',
+                rollout_orders.Criterion.PACE,
+                True,
+                evidence.MAX_SPEED_LOG_RATIO,
+            )
+        )
+        assert verdict(rollouts, clock, 0.86) is RUNNING
+        assert verdict(rollouts, clock, 0.94) is ROLLED_BACK
+
     def test_times_count_when_a_slow_one_would_be_known(self, rollouts, clock):
         """Fast heads came first and hid the slow ones."""
         run_old_version(rollouts, clock)
