--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -15,6 +15,7 @@
 
 from celeryward import hashing
 from celeryward import logs
+from celeryward.raters import baselines
 from celeryward.raters import evidence
 from celeryward.raters import rollout_judgement
 from celeryward.raters import rollout_orders
@@ -32,8 +33,6 @@
 # Weight of the time to the head of an answer, as evidence, once the share of
 # the new version grows.
 RAMP_HEAD_WEIGHT = 0.5
-# Key of the baseline over all kinds of runs of a service.
-ALL_KINDS = ''
 
 
 class Releases:
@@ -69,10 +68,11 @@
         self.clock = clock
         self.utc_clock = utc_clock
         self.progress = {}
-        self.baselines = {}
         self.windows = {}
         self.outcome_listeners = []
         self.runs = runs.InFlightRuns(self)
+        # The clock of the runs may be replaced later.
+        self.baselines = baselines.Baselines(lambda: self.runs.clock())
 
     def set_bounds(
         self, max_bad_share, session_seconds, bad_version_slack=0.0
@@ -93,7 +93,7 @@
         verdict = known.verdict
         done = rollout_orders.State.DONE
         if order.state is done and known.order.state is not done:
-            self.forget_baselines(order.service)
+            self.baselines.forget(order.service)
         if order.state is not rollout_orders.State.RUNNING:
             verdict = order.state
         self.progress[order.service] = dataclasses.replace(
@@ -184,12 +184,13 @@
         :param str endpoint: id of the endpoint; empty if the run is
             independent of others.
         """
-        baseline = self.baseline(service, kind)
         if not self.is_new_version(service, software):
-            self.baselines[(service, kind)] = baseline.with_run(failed)
+            self.baselines.add_run(service, kind, failed)
             return
         log_ratio = evidence.log_likelihood_ratio(
-            failed, baseline.failure_rate, evidence.BAD_EXCESS_FAILURE_RATE
+            failed,
+            self.baselines.of(service, kind).failure_rate,
+            evidence.BAD_EXCESS_FAILURE_RATE,
         )
         self.add_outcome(
             rollout_orders.Outcome(
@@ -221,9 +222,9 @@
         :param float weight: factor on the evidence.
         """
         if not self.is_new_version(service, software):
-            self.update_baselines(service, kind, criterion, seconds)
+            self.baselines.add_time(service, kind, criterion, seconds)
             return
-        usual = self.usual_time(service, kind, criterion)
+        usual = self.baselines.usual_time(service, kind, criterion)
         if usual is None:
             return
         log_ratio = weight * usual.log_ratio(seconds)
@@ -248,35 +249,6 @@
             return 1.0
         return RAMP_HEAD_WEIGHT
 
-    def baseline(self, service, kind):
-        """Return the averages of the old version for a kind of runs."""
-        return self.baselines.get((service, kind), evidence.Baseline())
-
-    def update_baselines(self, service, kind, criterion, seconds):
-        """Add a time of the old version to those of its kind and of all."""
-        now = self.runs.clock()
-        for key in (kind, ALL_KINDS):
-            self.baselines[(service, key)] = self.baseline(
-                service, key
-            ).with_time(criterion.value, seconds, now)
-
-    def usual_time(self, service, kind, criterion):
-        """Return the :class:`evidence.TimeBaseline` to compare a time with.
-
-        It is that of all kinds while there are too few runs of one kind, and
-        None while there are too few of all.
-        """
-        now = self.runs.clock()
-        for key in (kind, ALL_KINDS):
-            usual = getattr(self.baseline(service, key), criterion.value)
-            outdated = (
-                criterion is rollout_orders.Criterion.HEAD
-                and now - usual.last_at > evidence.HEAD_VALID_SECONDS
-            )
-            if usual.is_known and not outdated:
-                return usual
-        return None
-
     def known_criteria(self, service):
         """Return the criteria by which a new version can be judged.
 
@@ -284,24 +256,15 @@
         outcomes: a router that has just started knows the old version from
         the reports of others only.
         """
-        baseline = self.baseline(service, ALL_KINDS)
         tally = self.progress[service].tally
         timed = (rollout_orders.Criterion.HEAD, rollout_orders.Criterion.PACE)
         return (rollout_orders.Criterion.FAILURE,) + tuple(
             criterion
             for criterion in timed
-            if getattr(baseline, criterion.value).is_known
+            if self.baselines.has_times(service, criterion)
             or tally.odds(criterion).runs
         )
 
-    def forget_baselines(self, service):
-        """Discard the averages of a version that a new one has replaced."""
-        self.baselines = {
-            key: baseline
-            for key, baseline in self.baselines.items()
-            if key[0] != service
-        }
-
     def add_outcome(self, outcome):
         """Add an outcome of a run at a new version to the evidence on it.
 
--- a/celeryward/raters/runs.py
+++ b/celeryward/raters/runs.py
@@ -229,14 +229,16 @@
         relative_seconds = seconds / run.relative_size
         if run.order_key is None or seconds >= evidence.MIN_SLOW_SECONDS:
             return relative_seconds
-        usual = self.releases.usual_time(run.service, run.kind, HEAD)
+        usual = self.releases.baselines.usual_time(run.service, run.kind, HEAD)
         if usual is None:
             return relative_seconds
         return min(relative_seconds, usual.usual_seconds)
 
     def overdue_at(self, run, criterion):
         """Return when a run is overdue by a criterion; None if unknown."""
-        usual = self.releases.usual_time(run.service, run.kind, criterion)
+        usual = self.releases.baselines.usual_time(
+            run.service, run.kind, criterion
+        )
         if usual is None:
             return None
         seconds = usual.overdue_factor * usual.usual_seconds
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -359,7 +359,7 @@
             await site.request('/whole/x')
         for _ in range(40):
             await site.request('/whole/x')
-        baseline = site.router.releases.baselines[('app', 'whole ')]
+        baseline = site.router.releases.baselines.of('app', 'whole ')
         assert baseline.failure_rate < 0.1
         assert baseline.head.samples >= 40
         assert not site.router.releases.runs.runs
--- a/tests/test_short_orders.py
+++ b/tests/test_short_orders.py
@@ -149,12 +149,12 @@
     ):
         """It went into the averages of the old version."""
         run_old_version(rollouts, clock)
-        before = rollouts.baseline(SERVICE, 'k')
+        before = rollouts.baselines.of(SERVICE, 'k')
         rollouts.runs.head_arrived(begin(rollouts, 'v2'))
         rollouts.accept(rollout_orders.Order(SERVICE, 'v3', 20.0, created=2))
         clock.now += 10 * OVERDUE_SECONDS
         rollouts.runs.report_overdue()
-        assert rollouts.baseline(SERVICE, 'k') == before
+        assert rollouts.baselines.of(SERVICE, 'k') == before
 
 
 class TestUnknownTimes:
@@ -199,9 +199,9 @@
         run_old_version(rollouts, clock)
         done = rollout_orders.Order(SERVICE, 'v2', 20.0, DONE)
         rollouts.accept(done)
-        assert not rollouts.baseline(SERVICE, 'k').head.samples
+        assert not rollouts.baselines.of(SERVICE, 'k').head.samples
         run_whole(rollouts, clock, 'v2')
-        assert rollouts.baseline(SERVICE, 'k').head.samples == 1
+        assert rollouts.baselines.of(SERVICE, 'k').head.samples == 1
 
     def test_factor_counts_for_less_where_times_vary(self):
         """Long prompts in a queue made a good version look slow."""
