--- a/benchmarks/short_rollouts.py
+++ b/benchmarks/short_rollouts.py
@@ -2,8 +2,7 @@
 
 Several routers send requests of three kinds to an old and a new version, and
 the first of them judges the evidence of all, as on a platform. Times are
-simulated: answers take longer under load, and vary by the request. No network
-is used.
+simulated and vary by the request, not by the load. No network is used.
 
 ``python -m benchmarks.short_rollouts --rate=45 --seeds=100`` prints a line for
 each length of an order and each behaviour of the new version: how many were
--- a/celeryward/raters/releases.py
+++ b/celeryward/raters/releases.py
@@ -4,9 +4,9 @@
 service must run it. :mod:`celeryward.raters.rollout_schedule` says which share
 of the requests moves when, and :mod:`celeryward.raters.rollout_judgement`
 what the evidence on the version suffices for. Runs in flight that take far
-longer than the old version needs count as failures before they end, because a
-slow version completes few runs. The leader of a failure domain decides on the
-evidence of all routers there.
+longer than the old version needs count as slow before they end, because a slow
+version completes few runs. The first of all leaders has the evidence of all
+routers, and decides; another router does so if its own suffices.
 """
 
 import dataclasses
