--- a/tests/test_in_flight_runs.py
+++ b/tests/test_in_flight_runs.py
@@ -145,7 +145,7 @@
         rollouts.runs.end(run)
         assert rollouts.progress[SERVICE].tally == before
 
-    def test_failures_of_one_endpoint_count_little_more_than_one(
+    def test_slow_runs_of_one_endpoint_count_as_two_at_most(
         self, rollouts, clock
     ):
         self.run_old_version(rollouts, clock)
