Ignore repeated requests with a part as its rivals

A fingerprint that only requests with a part have was a rival of the part at all its crashes. Requests that crash endpoints late are repeated and run beside each other at one endpoint, so that a part needed up to nine crashes.

Where other traits of the crashes were answered before, such a fingerprint is no rival any more: what sound requests share is cleared by answers there. Without answers the rule is unchanged.

The new test failed before: the part was not refused after three crashes.

--- a/celeryward/endpoints/culprits.py
+++ b/celeryward/endpoints/culprits.py
@@ -110,7 +110,9 @@
     possible = frozenset()
     for keys in able[:MAX_COMPARED]:
         found = [presences[key] for key in keys]
-        left = exclusion.without_rivals(found, groups[keys], suspects)
+        left = exclusion.without_rivals(
+            found, groups[keys], suspects, bool(answered)
+        )
         alone = count_moments(present.at for present in left)
         if is_guilty(moments[keys], alone, least_crashes):
             if 2 * alone >= moments[keys]:
--- a/celeryward/endpoints/exclusion.py
+++ b/celeryward/endpoints/exclusion.py
@@ -49,17 +49,24 @@
     return groups
 
 
-def without_rivals(presences, group, suspects):
+def without_rivals(presences, group, suspects, has_answers=False):
     """Return the crashes of a group of traits at which it had no rival.
 
-    A rival that only requests of the group have is one at all crashes.
+    A rival that only requests of the group have is one at all crashes, but
+    none where others are answered: each repeated request with a harmful part
+    would be a rival of the part.
 
     :param presences: :class:`Presence` of crashes with the group.
     :param set group: traits that are in the same crashes.
     :param set suspects: traits that may be rivals.
+    :param bool has_answers: whether other traits at these crashes were
+        answered before.
     """
+    beside_group = traits_beside(presences, group)
+    if has_answers:
+        suspects = suspects & beside_group
     found = [find_rivals(present, group, suspects) for present in presences]
-    rivals = frozenset().union(*found) - traits_beside(presences, group)
+    rivals = frozenset().union(*found) - beside_group
     return [
         present
         for present, beside in zip(presences, found, strict=True)
--- a/tests/test_exclusion.py
+++ b/tests/test_exclusion.py
@@ -90,6 +90,14 @@
         found = [crash(request('bad', each)) for each in ('s', 't', 's')]
         assert is_refused(found, request('bad', 'u'))
 
+    def test_repeated_requests_with_the_part_do_not_protect_it(self):
+        """Each of them was in two crashes, beside others with the part."""
+        repeated = [request('aa', 'bad') for _ in range(4)]
+        found = [crash(*repeated[n : n + 2]) for n in range(3)]
+        new = request('aa', 'bad')
+        assert not is_refused(found, new)
+        assert is_refused(found, new, frozenset(('aa',)))
+
     def test_part_is_accused_although_each_crash_had_a_rival(self):
         found = [
             crash(request('bad'), request(part))
