Never accuse a combination of answered parts beside a harmful one

Traits that were in the same crashes as a harmful part were judged with it, and each combination that two requests had became a culprit. Streams with the same sound parts that ran at each endpoint that crashed were refused so, although these parts had been answered. Combinations that consist of answered traits only are left out until those traits are judged by themselves.

The new test failed before: requests with the answered parts were refused.

--- a/celeryward/endpoints/culprits.py
+++ b/celeryward/endpoints/culprits.py
@@ -80,7 +80,7 @@
         while keys := guilty_crashes(unexplained, least, trusted, answered):
             for key in keys:
                 del unexplained[key]
-            yield from combinations([by_key[key] for key in keys])
+            yield from combinations([by_key[key] for key in keys], trusted)
 
 
 def guilty_crashes(presences, least_crashes, trusted, answered):
@@ -160,10 +160,11 @@
     return count
 
 
-def combinations(explained):
+def combinations(explained, trusted):
     """Yield the culprits of the crashes that one trait shares.
 
     :param list explained: the crashes.
+    :param frozenset trusted: traits that aren't guilty without others.
     """
     shared = frozenset.intersection(
         *(exclusion.find_presence(crash).traits for crash in explained)
@@ -172,7 +173,7 @@
     for crash in explained:
         for request in crash.requests:
             traits = request.all() & shared
-            if traits:
+            if not traits <= trusted:
                 fingerprints[traits].add(request.fingerprint)
     likely = [
         traits
--- a/tests/test_exclusion.py
+++ b/tests/test_exclusion.py
@@ -72,6 +72,15 @@
         assert is_refused(found, request('aa', 'x'), answered)
         assert is_refused(found, request('aa', 'y'), answered)
 
+    def test_answered_parts_are_not_accused_beside_a_harmful_one(self):
+        """Streams with the same parts ran at each endpoint that crashed."""
+        found = [
+            crash(request('aa', 'bad'), request('aa', 'bb')) for _ in range(3)
+        ]
+        answered = frozenset(('aa', 'bb'))
+        assert is_refused(found, request('aa', 'bad'), answered)
+        assert not is_refused(found, request('aa', 'bb'), answered)
+
     def test_answered_fingerprint_needs_more_crashes(self):
         found = [crash(SOUND) for _ in range(5)]
         assert not is_refused(found, SOUND, SOUND.all())
