Take no time alone as proof that parts of a prompt are harmless

Requests with a part that crashes endpoints at the end of an answer were never refused: an answer that had been written for 1 s cleared its parts, the parts of answers under way for longer were no evidence of a crash, and a run whose connection had broken was recorded as answered, because it ends before its crash is known.

Now the parts of all requests at a crash count. A whole answer clears parts, and so does one that goes on for four times as long as the longest whole answers of its service (10 s at least). While no such length is known, a part of which three answers or more go on, twice as many as the crash has cut off, is cleared, because streams that were never answered would be accused otherwise (test_harmful_pairs). Broken runs and trials don't count there.

Replaced tests of test_crash_watch: those that left out the parts of a stream under way asserted the faulty rule; a crash now has to name these parts. Those with SURVIVAL_SECONDS use the new lengths and check more states of a run.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -52,7 +52,7 @@
             yield dispatch
         finally:
             self.crash_watch.end(watched)
-            if watched.is_sound():
+            if watched.is_sound() or watched.goes_on():
                 # The endpoint outlived the prompt, however the answer ended.
                 self.guard.harmful.answered.record_parts(
                     plan.service,
@@ -143,7 +143,7 @@
         self.router_state.releases.runs.events_arrived(dispatch.run, count)
         dispatch.watched.record_output()
         if self.guard.harmful.has_evidence():
-            if dispatch.watched.has_survived():
+            if dispatch.watched.count_survival():
                 await self.guard.record_answer(
                     dispatch.plan.service, relayed.traits().parts
                 )
@@ -162,6 +162,7 @@
             answer.seconds,
             relayed_requests.work_units(relayed.metadata),
         )
+        self.crash_watch.record_whole_answer(dispatch.watched)
         self.guard.harmful.answered.record(plan.service, relayed.traits())
         # Last, because a caller that leaves cancels this where it waits.
         if self.guard.harmful.has_evidence():
@@ -197,6 +198,14 @@
             tokens=self.retries.tokens(relayed.service),
         ).info(message)
 
+    def note_break(self, dispatch, error):
+        """Record that the connection of a dispatch broke, if it did.
+
+        Its run ends before it is known whether the endpoint has ended, and
+        shows nothing until then.
+        """
+        dispatch.watched.broken = isinstance(error, BROKEN_ERRORS)
+
     async def find_crash(self, relayed, dispatch, error):
         """Find out whether a failed dispatch ended with its endpoint."""
         if not (error.sent and isinstance(error, BROKEN_ERRORS)):
--- a/celeryward/callers/races.py
+++ b/celeryward/callers/races.py
@@ -142,6 +142,7 @@
                 ) as answer:
                     return await self.take_answer(dispatch, answer)
             except errors.EndpointFailure as error:
+                dispatcher.note_break(dispatch, error)
                 # Events that were kept may be in the middle of their write.
                 async with self.sending:
                     if dispatch.run not in self.tasks:
--- a/celeryward/endpoints/crash_watch.py
+++ b/celeryward/endpoints/crash_watch.py
@@ -7,6 +7,7 @@
 
 import collections
 import itertools
+import math
 import time
 
 import curio
@@ -15,13 +16,14 @@
 from celeryward import deadlines
 from celeryward.endpoints import crashes
 from celeryward.endpoints import runners
+from celeryward.endpoints import survival
 from celeryward import errors
 
 # Waits before the connection attempts after a broken exchange. A process that
 # ends may still accept a connection in the moment after.
 PROBE_DELAYS_SECONDS = (0.0, 0.1, 0.2)
-# Time after which an answer that is being written has survived the beginning.
-SURVIVAL_SECONDS = 1.0
+# Time within which an answer has just begun.
+BEGIN_SECONDS = 1.0
 # Broken exchanges of an endpoint that are noticed after its end was found.
 LATE_SECONDS = 5.0
 MAX_ENDED = 1000
@@ -38,12 +40,17 @@
     :param traits: function that returns the
         :class:`crashes.RequestTraits`, which are needed for crashes only.
     :param bool is_trial: whether the request runs on trial.
+    :param float survival_seconds: time for which its answer has to be written
+        to have survived its parts.
     """
 
-    def __init__(self, runner, traits, is_trial=False):
+    def __init__(
+        self, runner, traits, is_trial=False, survival_seconds=math.inf
+    ):
         self.runner = runner
         self.traits = traits
         self.is_trial = is_trial
+        self.survival_seconds = survival_seconds
         self.sent_at = time.monotonic()
         # When the answer began at the soonest, in monotonic seconds.
         self.began_at = None
@@ -51,8 +58,12 @@
         self.read_at = None
         # Whether the process of the endpoint ended under the run.
         self.crashed = False
+        # Whether its connection broke, for whatever reason.
+        self.broken = False
         # Whether the run was ended because its request is refused.
         self.aborted = False
+        # Whether the run was counted as one that its parts survived.
+        self.counted = False
 
     def record_output(self):
         """Record that a part of the answer has arrived."""
@@ -67,30 +78,56 @@
 
     def crashed_at_begin(self):
         """Return whether its endpoint ended when the answer had just begun."""
-        return (
-            self.crashed
-            and self.began_at is not None
-            and not self.may_have_survived()
-        )
+        return self.crashed and self.has_just_begun()
+
+    def has_just_begun(self):
+        """Return whether the answer has certainly begun just now.
+
+        In a pause of this process, nothing tells when it began or ended.
+        """
+        if self.began_at is None:
+            return False
+        return time.monotonic() - self.began_at < BEGIN_SECONDS
 
     def is_sound(self):
-        """Return whether its endpoint runs on after the answer has begun."""
-        return not self.crashed and self.has_survived()
+        """Return whether its endpoint outlives the parts of its prompt."""
+        return not self.has_failed() and self.has_survived()
+
+    def has_failed(self):
+        """Return whether its endpoint has ended, or may have."""
+        return self.crashed or self.broken
 
     def has_survived(self):
-        """Return whether the answer has certainly been written for a while."""
-        if self.read_at is None:
-            return False
-        return awake_clock.CLOCK() - self.read_at >= SURVIVAL_SECONDS
+        """Return whether the answer was written for far longer than usual.
 
-    def may_have_survived(self):
-        """Return whether the answer may have been written for a while.
+        Endpoints may crash at the end of an answer, so that a shorter time
+        shows nothing.
+        """
+        return self.written_seconds() >= self.survival_seconds
 
-        In a pause of this process, nothing tells when it began or ended.
+    def goes_on(self):
+        """Return whether the answer goes on while none is known to be whole.
+
+        Then nothing tells how long answers take.
         """
-        if self.began_at is None:
+        return (
+            not (self.has_failed() or self.is_trial)
+            and math.isinf(self.survival_seconds)
+            and self.written_seconds() >= BEGIN_SECONDS
+        )
+
+    def written_seconds(self):
+        """Return for how long the answer has certainly been written."""
+        if self.read_at is None:
+            return 0.0
+        return awake_clock.CLOCK() - self.read_at
+
+    def count_survival(self):
+        """Return whether the run is sound; true once only."""
+        if self.counted or not self.is_sound():
             return False
-        return time.monotonic() - self.began_at >= SURVIVAL_SECONDS
+        self.counted = True
+        return True
 
 
 class CrashWatch:
@@ -113,10 +150,16 @@
         # Broken runs of endpoints that are being probed, by endpoint.
         self.broken = {}
         self.ended = collections.OrderedDict()
+        self.durations = survival.AnswerDurations()
 
     def begin(self, runner, traits, is_trial=False):
         """Register a run; return its :class:`WatchedRun`."""
-        run = WatchedRun(runner, traits, is_trial)
+        run = WatchedRun(
+            runner,
+            traits,
+            is_trial,
+            self.durations.survival_seconds(runner.service),
+        )
         self.runs[runner.key].append(run)
         return run
 
@@ -127,21 +170,26 @@
         if not under_way:
             del self.runs[run.runner.key]
 
-    def survived_parts(self, service):
-        """Return the parts of answers under way that have survived them.
+    def record_whole_answer(self, run):
+        """Record that the answer of a run is whole."""
+        if run.read_at is not None:
+            self.durations.record(run.runner.service, run.written_seconds())
+
+    def survived_parts(self, crash):
+        """Return the parts that answers under way show to be harmless.
 
-        :param str service: the service whose endpoints count.
+        :param crashes.Crash crash: has the requests that were lost.
         """
-        survived = (
+        runs = [
             run
-            for runs in self.runs.values()
-            for run in runs
-            if run.runner.service == service and run.is_sound()
-        )
-        return frozenset(
-            part
-            for run in itertools.islice(survived, MAX_SURVIVED)
-            for part in run.traits().parts
+            for under_way in self.runs.values()
+            for run in under_way
+            if run.runner.service == crash.service
+        ]
+        sound = first_parts(run for run in runs if run.is_sound())
+        going_on = first_parts(run for run in runs if run.goes_on())
+        return frozenset().union(*sound) | survival.find_outnumbering(
+            going_on, [request.parts for request in crash.requests]
         )
 
     async def record_break(self, run):
@@ -237,7 +285,7 @@
             runner.started_at,
             runner.service,
             at,
-            tuple(run_traits(run) for run in selected),
+            tuple(run.traits() for run in selected),
             any(run.is_trial for run in runs),
         )
         runners.bind_logger(
@@ -258,19 +306,12 @@
     """
     if run.began_at is None:
         return (1, run.sent_at)
-    return (0 if not run.may_have_survived() else 2, -run.began_at)
-
+    return (0 if run.has_just_begun() else 2, -run.began_at)
 
-def run_traits(run):
-    """Return the traits of a run that may have caused a crash now.
 
-    A prompt is read before the first event, so that its parts have not ended
-    an endpoint that has been writing for a while.
-    """
-    traits = run.traits()
-    if run.may_have_survived():
-        return crashes.RequestTraits(traits.fingerprint)
-    return traits
+def first_parts(runs):
+    """Return the parts of each run, of as many as are collected."""
+    return [run.traits().parts for run in itertools.islice(runs, MAX_SURVIVED)]
 
 
 def common_parts(requests):
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -159,7 +159,7 @@
 
     async def record_crash(self, crash):
         """Record a crash, and the parts that answers under way survive."""
-        survived = self.crash_watch.survived_parts(crash.service)
+        survived = self.crash_watch.survived_parts(crash)
         cleared = self.guard.harmful.survivals(crash, survived)
         await self.guard.record(*cleared, crash)
 
--- a/tests/platform_crashes.py
+++ b/tests/platform_crashes.py
@@ -45,13 +45,13 @@
 
 
 class CrashingRunner(standins.RunnerStandIn):
-    """A runner that crashes when it begins an answer on the harmful part.
+    """A runner that crashes during an answer on the harmful part.
 
-    It is back under another id after :data:`RESTART_SECONDS`.
+    It is back under another id after ``restart_seconds`` of the fleet.
 
     :param Fleet fleet: counts its crashes.
     :param bool before_head: whether it crashes before the head of the answer,
-        not after its first event.
+        not after an event.
     """
 
     def __init__(self, fleet, runner_id, before_head=False):
@@ -83,7 +83,7 @@
         for number in range(first, self.events + 1):
             data = standins.event(number)
             await connection.send('answer', h11.Data(data=data))
-            if harmful:
+            if harmful and number >= self.fleet.crash_event:
                 await self.crash()
             await curio.sleep(self.fleet.event_seconds)
         await connection.send('answer', h11.EndOfMessage())
@@ -104,7 +104,7 @@
     async def restart(self, port):
         """End all connections, then start under another id."""
         await self.listener.drain(base.deadlines.Deadline.after(0.0))
-        await curio.sleep(RESTART_SECONDS)
+        await curio.sleep(self.fleet.restart_seconds)
         old_id = self.id
         self.number += 1
         self.id = f'{old_id.partition(".")[0]}.{self.number}'
@@ -136,6 +136,10 @@
         self.harmful_arrivals = []
         self.harmful_parts = (HARMFUL_PART,)
         self.event_seconds = EVENT_SECONDS
+        # Event of an answer on a harmful part after which runners crash.
+        self.crash_event = 1
+        self.restart_seconds = RESTART_SECONDS
+        self.deadline_ms = 3000
         self.sent = []
 
     async def start(self):
@@ -189,14 +193,17 @@
             await runner.stop()
         await self.store.stop()
 
+    def caller_address(self, index):
+        """Return host and port at which a router serves callers."""
+        return '127.0.0.1', self.routers[index].caller_listener.port
+
     async def send(self, index, path, parts, harmful=False):
         """Send one request to a router; record what became of it."""
         started = time.monotonic()
         status, whole = 0, False
         try:
             connection = await http.connect(
-                '127.0.0.1',
-                self.routers[index].caller_listener.port,
+                *self.caller_address(index),
                 base.deadlines.Deadline.after(2.0),
             )
             try:
@@ -206,6 +213,7 @@
                     'POST',
                     b'{}',
                     request_id=f'r-{len(self.sent)}-{started}',
+                    celeryward_deadline_ms=str(self.deadline_ms),
                     celeryward_prompt_prefix=parts,
                 )
                 status = head.status
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -1,5 +1,6 @@
 """What counts as the end of an endpoint's process under its requests."""
 
+import math
 import socket
 import time
 
@@ -10,6 +11,7 @@
 from celeryward.endpoints import crash_watch
 from celeryward.endpoints import crashes
 from celeryward.endpoints import runners
+from celeryward.endpoints import survival
 from celeryward import http
 from tests import fakes
 from tests import platform_standins as standins
@@ -123,37 +125,69 @@
 class TestSurvivedParts:
     """Guards against parts that are accused while answers with them go on."""
 
-    def survived(self, site, *, seconds, crashed=False, service='llm'):
-        """Return the survived parts beside one run."""
+    def survived(self, site, *, seconds, known=0, service='llm', **state):
+        """Return the survived parts beside three runs.
+
+        :param int known: number of whole answers of 1 s that were seen.
+        :param state: attributes of the runs.
+        """
         watch = site.router.crash_watch
         runner = site.router.runners.runners['llm-1']
+        for _ in range(known):
+            watch.durations.record('llm', 1.0)
         traits = crashes.RequestTraits('request-1', ('aa',))
-        run = watch.begin(runner, lambda: traits)
-        run.record_output()
-        run.read_at -= seconds
-        run.crashed = crashed
-        found = watch.survived_parts(service)
-        watch.end(run)
+        runs = [watch.begin(runner, lambda: traits) for _ in range(3)]
+        for run in runs:
+            run.record_output()
+            run.read_at -= seconds
+            for name, value in state.items():
+                setattr(run, name, value)
+        lost = crashes.RequestTraits('request-2', ('aa', 'bad'))
+        found = watch.survived_parts(
+            crashes.Crash('e', 1.0, service, time.monotonic(), (lost,))
+        )
+        for run in runs:
+            watch.end(run)
         return found
 
     @standins.on_site
-    async def test_answer_that_goes_on_has_survived_its_parts(self, site):
+    async def test_answer_far_longer_than_usual_has_survived(self, site):
+        seconds = survival.MIN_SURVIVAL_SECONDS
+        assert self.survived(site, seconds=seconds, known=4) == {'aa'}
+
+    @standins.on_site
+    async def test_answer_of_usual_length_has_not_survived(self, site):
+        """Endpoints crashed at the end of answers of 1.4 s."""
+        assert not self.survived(site, seconds=3.0, known=4)
+
+    @standins.on_site
+    async def test_many_answers_go_on_while_none_was_whole(self, site):
         assert self.survived(site, seconds=1.0) == {'aa'}
 
+    @pytest.mark.parametrize('known', (0, 4))
     @standins.on_site
-    async def test_other_answers_show_nothing(self, site):
-        assert not self.survived(site, seconds=0.5)
-        assert not self.survived(site, seconds=1.0, crashed=True)
-        assert not self.survived(site, seconds=1.0, service='app')
+    async def test_other_answers_show_nothing(self, site, known):
+        seconds = survival.MIN_SURVIVAL_SECONDS
+        assert not self.survived(site, seconds=0.5, known=known)
+        for more in (
+            {'crashed': True},
+            {'broken': True},
+            {'service': 'app'},
+        ):
+            assert not self.survived(
+                site, seconds=seconds, known=known, **more
+            )
 
     @standins.on_site
     async def test_part_of_an_answer_that_goes_on_is_not_accused(self, site):
         router = site.router
+        for _ in range(4):
+            router.crash_watch.durations.record('llm', 1.0)
         runner = router.runners.runners['llm-1']
         traits = crashes.RequestTraits('request-1', ('aa',))
         run = router.crash_watch.begin(runner, lambda: traits)
         run.record_output()
-        run.read_at -= crash_watch.SURVIVAL_SECONDS
+        run.read_at -= survival.MIN_SURVIVAL_SECONDS
         began_at = time.monotonic() - 3.0
         for number in range(3):
             harmful = crashes.RequestTraits(f'h-{number}', ('aa', 'bad'))
@@ -166,29 +200,77 @@
         assert [each.traits for each in culprits] == [frozenset({'bad'})]
 
 
+class TestSurvival:
+    """Guards against time alone as proof that parts are harmless."""
+
+    def test_few_answers_tell_no_usual_length(self):
+        durations = survival.AnswerDurations()
+        for _ in range(survival.MIN_ANSWERS - 1):
+            durations.record('llm', 30.0)
+        assert durations.survival_seconds('llm') == math.inf
+        durations.record('llm', 1.0)
+        assert durations.survival_seconds('llm') == 120.0
+        assert durations.survival_seconds('app') == math.inf
+
+    def test_durations_are_bounded(self):
+        durations = survival.AnswerDurations()
+        for number in range(2 * survival.MAX_SERVICES):
+            durations.record(str(number), 1.0)
+        for _ in range(2 * survival.MAX_ANSWERS):
+            durations.record('llm', 1.0)
+        assert len(durations.seconds) == survival.MAX_SERVICES
+        assert len(durations.seconds['llm']) == survival.MAX_ANSWERS
+
+    def test_two_go_on_for_each_that_was_lost(self):
+        going_on = [('aa', 'bb')] * 3 + [('aa',)]
+        lost = [('aa', 'bb'), ('aa', 'bb'), ('bad',)]
+        assert survival.find_outnumbering(going_on, lost) == {'aa'}
+
+    def test_few_that_go_on_show_nothing(self):
+        assert not survival.find_outnumbering([('bad',)] * 2, [('bad',)])
+
+
 class TestTraits:
-    """Guards against parts that are taken for the cause of a later crash."""
+    """Guards against crashes that don't accuse what caused them."""
 
     def run(self, **more):
         traits = crashes.RequestTraits('request-1', ('aa',))
         return crash_watch.WatchedRun(None, lambda: traits, **more)
 
-    def test_parts_of_a_stream_under_way_are_left_out(self):
+    @standins.on_site
+    async def test_parts_of_a_stream_under_way_count(self, site):
+        """Endpoints crashed at the end of answers of 1.4 s."""
+        found = record_crashes(site)
         run = self.run()
-        assert crash_watch.run_traits(run).parts == ('aa',)
         run.record_output()
-        run.began_at -= crash_watch.SURVIVAL_SECONDS
-        assert crash_watch.run_traits(run).parts == ()
+        run.began_at -= 5.0
+        runner = site.router.runners.runners['llm-1']
+        await site.router.crash_watch.report(runner, time.monotonic(), [run])
+        assert found[0].requests == (run.traits(),)
+
+    def test_survival_counts_once(self):
+        run = self.run(survival_seconds=1.0)
+        run.record_output()
+        assert not run.count_survival()
+        run.read_at -= 1.0
+        assert run.count_survival()
+        assert not run.count_survival()
+
+    def test_trial_needs_a_whole_answer(self):
+        for is_trial in (False, True):
+            run = self.run(is_trial=is_trial)
+            run.record_output()
+            run.read_at -= 5.0
+            assert run.goes_on() is not is_trial
 
     @fakes.in_kernel
-    async def test_answer_that_is_read_after_a_pause_accuses_no_part(self):
+    async def test_answer_that_is_read_after_a_pause_has_not_just_begun(self):
         reading = await curio.spawn(awake_clock.CLOCK.run)
         await curio.sleep(0)
         run = self.run()
         run.crashed = True
-        time.sleep(crash_watch.SURVIVAL_SECONDS)
+        time.sleep(crash_watch.BEGIN_SECONDS)
         run.record_output()
-        assert crash_watch.run_traits(run).parts == ()
         assert not run.crashed_at_begin()
         await reading.cancel()
 
@@ -196,11 +278,10 @@
     async def test_pause_after_the_beginning_clears_no_part(self):
         reading = await curio.spawn(awake_clock.CLOCK.run)
         await curio.sleep(0)
-        run = self.run()
+        run = self.run(survival_seconds=crash_watch.BEGIN_SECONDS)
         run.record_output()
-        time.sleep(crash_watch.SURVIVAL_SECONDS)
+        time.sleep(crash_watch.BEGIN_SECONDS)
         assert not run.has_survived()
-        assert crash_watch.run_traits(run).parts == ()
         await reading.cancel()
 
     def test_parts_of_one_request_are_bounded(self):
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -43,6 +43,7 @@
     'endpoints/load.py',
     'endpoints/notices.py',
     'endpoints/prefixes.py',
+    'endpoints/survival.py',
     'endpoints/orders.py',
     'endpoints/outcomes.py',
     'endpoints/ranking.py',
