--- a/tests/test_exclusion.py
+++ b/tests/test_exclusion.py
@@ -72,6 +72,15 @@
         assert is_refused(found, request('aa', 'x'), answered)
         assert is_refused(found, request('aa', 'y'), answered)
 
+    def test_answered_parts_are_not_accused_beside_a_harmful_one(self):
+        """Streams with the same parts ran at each endpoint that crashed."""
+        found = [
+            crash(request('aa', 'bad'), request('aa', 'bb')) for _ in range(3)
+        ]
+        answered = frozenset(('aa', 'bb'))
+        assert is_refused(found, request('aa', 'bad'), answered)
+        assert not is_refused(found, request('aa', 'bb'), answered)
+
     def test_answered_fingerprint_needs_more_crashes(self):
         found = [crash(SOUND) for _ in range(5)]
         assert not is_refused(found, SOUND, SOUND.all())
@@ -90,6 +99,14 @@
         found = [crash(request('bad', each)) for each in ('s', 't', 's')]
         assert is_refused(found, request('bad', 'u'))
 
+    def test_repeated_requests_with_the_part_do_not_protect_it(self):
+        """Each of them was in two crashes, beside others with the part."""
+        repeated = [request('aa', 'bad') for _ in range(4)]
+        found = [crash(*repeated[n : n + 2]) for n in range(3)]
+        new = request('aa', 'bad')
+        assert not is_refused(found, new)
+        assert is_refused(found, new, frozenset(('aa',)))
+
     def test_part_is_accused_although_each_crash_had_a_rival(self):
         found = [
             crash(request('bad'), request(part))
