Take no answer as complete that ended before its request was received

An endpoint that answered a long upload at once without a length, ended its output and went on reading, or reset the connection after that end, had the part that it had sent relayed as a 200 with that part's length; a stream ended with its last chunk. A reset without an earlier end was an error already. The store client took the same parts as whole, so that a write with a cut answer counted as applied. An answer without a length of which a part had arrived when the router itself aborted the exchange reached the caller as whole, too: shutting the socket down ends its input.

Cause: the end of the input ends a body without a length, and nothing checked what had become of the request by then. A reset that follows an orderly end shows in no read.

At the end of such a body the client now checks that no write ended after the input did, that nothing it wrote is unreceived, and that the connection isn't broken. Otherwise the exchange fails like one that was reset: it is repeated elsewhere if it may be, or gets a 502. The checks are made for bodies without a length only, and after writes that waited.

--- a/celeryward/bodies.py
+++ b/celeryward/bodies.py
@@ -22,11 +22,14 @@
 
     :ivar stated_length: length that the head of the body to read states, or
         None.
+    :ivar ended_by_peer: whether only the end of the connection ends the body
+        to read.
     """
 
     def __init__(self, sock, peer):
         super().__init__(sock, peer)
         self.stated_length = None
+        self.ended_by_peer = False
 
     async def receive_chunks(
         self, step, next_deadline, first_deadline=None, extend=None
@@ -38,6 +41,8 @@
         :param Deadline first_deadline: deadline of the first chunk; by
             default that of ``next_deadline``.
         :param extend: as for :meth:`read`.
+        :raises transport.Disconnected: if the connection ends inside the body,
+            or ends it before the peer had received the whole request.
         """
         deadline = first_deadline or next_deadline()
         while True:
@@ -45,6 +50,8 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                if self.ended_by_peer:
+                    self.check_received(step)
                 return
             else:
                 raise transport.Disconnected(
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -274,9 +274,7 @@
                     decode_headers(event.headers),
                     tuple(event.headers.raw_items()),
                 )
-                self.stated_length = None
-                if not never_has_body(self.request_method, response.status):
-                    self.stated_length = stated_length(response.headers)
+                self.prepare_body(response)
                 return response
             if isinstance(event, h11.ConnectionClosed):
                 raise Disconnected(
@@ -290,6 +288,14 @@
             peer=self.peer,
         )
 
+    def prepare_body(self, response):
+        """Record how the body of a response that is read ends."""
+        self.stated_length = None
+        self.ended_by_peer = False
+        if not never_has_body(self.request_method, response.status):
+            self.stated_length = stated_length(response.headers)
+            self.ended_by_peer = not response.is_framed
+
     def reusable(self):
         """Return whether the connection can carry another request.
 
--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -58,6 +58,23 @@
     return bool(poller.poll(0))
 
 
+def input_has_ended(sock):
+    """Return whether the peer has ended its output, also by a reset."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
+def is_broken(sock):
+    """Return whether both directions have ended, as by a reset.
+
+    A reset that follows an orderly end of the input shows in no read.
+    """
+    poller = select.poll()
+    poller.register(sock.fileno(), 0)
+    return bool(poller.poll(0))
+
+
 def count_readable(sock):
     """Return how many bytes can be read now.
 
@@ -66,9 +83,7 @@
     :raises OSError: if the socket is closed.
     """
     held = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(INT.size))
-    poller = select.poll()
-    poller.register(sock.fileno(), select.POLLRDHUP)
-    return INT.unpack(held)[0] + bool(poller.poll(0))
+    return INT.unpack(held)[0] + input_has_ended(sock)
 
 
 def count_unreceived(sock):
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -39,6 +39,8 @@
         self.bytes_read = 0
         # Whether a write was begun and not ended.
         self.writing = False
+        # Whether the input had ended when a write did that took a while.
+        self.ended_during_write = False
         # Whether the last read left more to read, so that others go first.
         self.read_full = False
         # The deadline after which bytes are read that had arrived by then, and
@@ -152,9 +154,12 @@
             :data:`WRITE_STALL_SECONDS`.
         """
         remaining = self.write_now(memoryview(data))
+        if not remaining:
+            return
         while remaining:
             sent = await self.write_some(remaining)
             remaining = remaining[sent:]
+        self.ended_during_write = sockets.input_has_ended(self.sock)
 
     async def write_some(self, data):
         """Write some bytes once the kernel takes them; return their number.
@@ -185,6 +190,19 @@
         except BlockingIOError:
             return data
 
+    def check_received(self, step):
+        """Check that an orderly end of the input followed what was written.
+
+        :raises Disconnected: if the peer ended its output before it had
+            received all of that, or has reset the connection since then.
+        """
+        if (
+            self.ended_during_write
+            or sockets.count_unreceived(self.sock)
+            or sockets.is_broken(self.sock)
+        ):
+            raise self.lost_error('peer ended it during a write', step)
+
     def has_input(self):
         """Return whether the socket has bytes or an end of file to read."""
         return sockets.is_readable(self.sock)
