Limit the connections and unread responses of each listener

Cause: the number of accepted connections had no bound, input behind a request was read ahead in full, a slow write had no deadline, and the kernel kept megabytes for a client that reads nothing. Clients that pipelined requests without reading took a process out of memory.

Change: each listener of routers and daemons has limits in total and for each address, derived from the memory and descriptors of the host, with shares of their own for readiness, metrics and other routers. Idle connections make room; otherwise a new one is refused with 503 before it is read. A further request is read once the client has room for the last response; writes have deadlines; four requests are answered in one turn. Closed connections are counted and logged once a second. Operators may set the limits; those that a host can't keep end the start.

test_processes.start_parts takes further settings of the daemon.

--- /dev/null
+++ b/celeryward/closings.py
@@ -0,0 +1,54 @@
+"""Counts and logs the connections that a listener closes or refuses.
+
+Clients that return at once would fill the log, so that one line tells of all
+that were closed since the last one. Needs no network.
+"""
+
+import collections
+import time
+
+from celeryward import logs
+
+LOG_SECONDS = 1.0
+
+
+class Closings:
+    """The connections that one listener closed, by cause.
+
+    The causes are ``total`` and ``address`` (refused for the limit), ``idle``
+    (closed for a new connection) and ``unread`` (its client didn't read).
+
+    :param str listener: name of the listener, for the log and the metric.
+    :param count: function of the listener and the cause.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        listener,
+        count=lambda listener, cause: None,
+        clock=time.monotonic,
+    ):
+        self.listener = listener
+        self.count = count
+        self.clock = clock
+        self.unlogged = collections.Counter()
+        self.log_at = 0.0
+
+    def record(self, cause, peer):
+        """Count a connection that is closed.
+
+        :param str peer: address of the client; the log has the last one.
+        """
+        self.count(self.listener, cause)
+        self.unlogged[cause] += 1
+        if self.clock() < self.log_at:
+            return
+        self.log_at = self.clock() + LOG_SECONDS
+        logs.bind(
+            step='accept',
+            peer=peer,
+            listener=self.listener,
+            **self.unlogged,
+        ).warning('connections closed for their limits')
+        self.unlogged.clear()
--- /dev/null
+++ b/celeryward/connection_limits.py
@@ -0,0 +1,323 @@
+"""Limits on the connections that clients open, derived from the host.
+
+Each listener has a total of its own, so that no client of one can take the
+descriptors or the memory of another: probes, scrapes and calls between routers
+are answered while callers' connections are refused. A new connection beyond a
+limit takes the place of one that is idle and has had time to bring a request;
+without such a one it is refused, and has not run. Answers clients that open
+connections without bound, pipeline requests or read no responses. Needs no
+network.
+"""
+
+import collections
+import dataclasses
+import random
+import resource
+import time
+
+from celeryward import errors
+
+# Descriptors for files and the log, and for connections to the store, to other
+# routers and to endpoints that are probed.
+FILE_DESCRIPTORS = 200
+OWN_DESCRIPTORS = 64
+# Endpoints are reached by a connection for each request under way.
+DESCRIPTORS_PER_CALLER = 2
+# Memory of a process without callers, with the bodies that it may hold.
+BASE_MEGABYTES = 100.0
+# Part of the rest that connections may take: in the process and its kernel.
+CONNECTION_MEMORY_SHARE = 0.5
+MEGABYTE = 1024 * 1024
+# Memory of a connection beside the bytes that are unread.
+CONNECTION_BYTES = 32 * 1024
+# Part of a listener's connections that one address may have. A load balancer
+# may be the only address; the rest is for all others.
+ADDRESS_SHARE = 0.75
+# An idle connection that is younger may be about to bring a request.
+MIN_IDLE_SECONDS = 1.0
+# After no idle connection was found, the next search is so much later.
+SEARCH_SECONDS = 0.1
+# Refused clients return within this time.
+RETRY_SECONDS = (1.0, 4.0)
+# Most connections that any host may be set to.
+MAX_CONNECTIONS = 100_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenerLimits:
+    """Limits on the connections of one listener.
+
+    :param int total: most open connections.
+    :param int per_address: most of them from one address.
+    :param int requests_per_turn: requests of one connection that are answered
+        before other connections get their turn.
+    :param int unread_bytes: bytes of responses that are kept for a client
+        that doesn't read.
+    :param float write_seconds: time to write a response, in addition to what
+        a slow reader needs for its size.
+    """
+
+    total: int
+    per_address: int
+    requests_per_turn: int = 4
+    unread_bytes: int = 32768
+    write_seconds: float = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Host:
+    """What a process may use of its host.
+
+    :param float megabytes: memory; 0.0 if it isn't known.
+    :param int descriptors: open files and connections.
+    """
+
+    megabytes: float
+    descriptors: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """How a listener without callers gets its limit.
+
+    :param int divisor: part of the descriptors, as 1 / divisor.
+    :param int least: fewest connections that the router needs.
+    :param int most: more are never needed.
+    """
+
+    divisor: int
+    least: int
+    most: int
+
+
+# A leading router has up to 3 long polls of 48 others, and each router is
+# called by all others that report crashes.
+SHARES = {
+    'readiness': Share(32, 4, 64),
+    'metrics': Share(64, 2, 32),
+    'routers': Share(4, 16, 512),
+}
+# Probes, scrapes and the command line use the same listener of a daemon.
+DAEMON_ADMIN = Share(16, 4, 128)
+LEAST_CALLERS = 8
+KEYS = {
+    'callers': 'caller_connections',
+    'readiness': 'readiness_connections',
+    'metrics': 'metrics_connections',
+    'routers': 'router_connections',
+}
+ADDRESS_KEY = 'caller_connections_per_address'
+
+
+def host_of(placement):
+    """Return the :class:`Host` of a router.
+
+    :param placement: :class:`router_settings.Placement`.
+    """
+    descriptors = placement.max_descriptors or own_descriptors()
+    return Host(placement.memory_mb, descriptors)
+
+
+def own_descriptors():
+    """Return how many descriptors this process may have."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return soft if soft != resource.RLIM_INFINITY else MAX_CONNECTIONS
+
+
+def derive(host, tuning):
+    """Return the :class:`ListenerLimits` of a router by listener.
+
+    :param tuning: :class:`router_settings.Tuning`; what it doesn't set is
+        derived from the host.
+    :raises errors.BadInput: if a limit is not allowed on this host.
+    """
+    totals = {
+        name: limit(tuning, name, derived_share(host, share))
+        for name, share in SHARES.items()
+    }
+    callers = derived_callers(host, tuning, sum(totals.values()))
+    totals['callers'] = limit(tuning, 'callers', callers)
+    check(host, totals, tuning)
+    per_address = {name: address_share(totals[name]) for name in totals}
+    if tuning.caller_connections_per_address is not None:
+        per_address['callers'] = tuning.caller_connections_per_address
+    return {
+        name: ListenerLimits(
+            total,
+            per_address[name],
+            tuning.requests_per_turn,
+            tuning.unread_bytes,
+            tuning.write_timeout,
+        )
+        for name, total in totals.items()
+    }
+
+
+def derive_for_daemon(host, chosen):
+    """Return the :class:`ListenerLimits` of a daemon by listener.
+
+    :param chosen: :class:`settings.ConnectionSettings`.
+    :raises errors.BadInput: if a limit is not allowed on this host.
+    """
+    admin = derived_share(host, DAEMON_ADMIN)
+    if chosen.admin is not None:
+        admin = chosen.admin
+    usable = usable_descriptors(host)
+    check_range('connections.admin', chosen.admin, DAEMON_ADMIN.least, usable)
+    most = max(LEAST_CALLERS, (usable - admin) // DESCRIPTORS_PER_CALLER)
+    check_range('connections.callers', chosen.callers, LEAST_CALLERS, most)
+    callers = min(MAX_CONNECTIONS, most)
+    if chosen.callers is not None:
+        callers = chosen.callers
+    return {
+        name: ListenerLimits(total, address_share(total))
+        for name, total in (('callers', callers), ('admin', admin))
+    }
+
+
+def limit(tuning, name, derived):
+    """Return the limit that operators set for a listener, or the derived."""
+    chosen = getattr(tuning, KEYS[name])
+    return derived if chosen is None else chosen
+
+
+def address_share(total):
+    """Return how many of all connections one address may have."""
+    return max(1, int(total * ADDRESS_SHARE))
+
+
+def usable_descriptors(host):
+    """Return the descriptors that connections to listeners may take."""
+    return host.descriptors - FILE_DESCRIPTORS - OWN_DESCRIPTORS
+
+
+def derived_share(host, share):
+    """Return the limit of a listener without callers."""
+    part = (host.descriptors - FILE_DESCRIPTORS) // share.divisor
+    return max(share.least, min(share.most, part))
+
+
+def derived_callers(host, tuning, others):
+    """Return the limit of callers' connections.
+
+    :param int others: connections of the other listeners.
+    """
+    left = usable_descriptors(host) - others
+    callers = min(MAX_CONNECTIONS, left // DESCRIPTORS_PER_CALLER)
+    if host.megabytes:
+        free = max(0.0, host.megabytes - BASE_MEGABYTES) * MEGABYTE
+        size = CONNECTION_BYTES + tuning.unread_bytes
+        callers = min(callers, int(free * CONNECTION_MEMORY_SHARE / size))
+    return max(LEAST_CALLERS, callers)
+
+
+def check(host, totals, tuning):
+    """Check the limits that operators set.
+
+    :raises errors.BadInput: with the key and the allowed range.
+    """
+    least = {name: share.least for name, share in SHARES.items()}
+    least['callers'] = LEAST_CALLERS
+    usable = usable_descriptors(host)
+    for name, key in KEYS.items():
+        taken = sum(
+            total * weight(other)
+            for other, total in totals.items()
+            if other != name and getattr(tuning, KEYS[other]) is not None
+        )
+        most = max(least[name], (usable - taken) // weight(name))
+        check_range(key, getattr(tuning, key), least[name], most)
+    check_range(
+        ADDRESS_KEY,
+        tuning.caller_connections_per_address,
+        1,
+        totals['callers'],
+    )
+
+
+def weight(name):
+    """Return the descriptors that a connection of a listener takes."""
+    return DESCRIPTORS_PER_CALLER if name == 'callers' else 1
+
+
+def check_range(key, value, least, most):
+    """Check a limit that operators set; None is not checked.
+
+    :raises errors.BadInput: if it is out of range.
+    """
+    if value is not None and not least <= value <= most:
+        raise errors.BadInput(
+            f'{key}: {value} is not from {least} to {most}, which this host'
+            ' allows',
+            step='settings',
+            peer=key,
+        )
+
+
+class OpenConnections:
+    """The open connections of one listener, and whether there may be more.
+
+    A connection has ``idle_since``, the time in monotonic seconds since when
+    it has no request under way, or None.
+
+    :param ListenerLimits limits: the limits.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, limits, clock=time.monotonic):
+        self.limits = limits
+        self.clock = clock
+        self.addresses = {}
+        self.counts = collections.Counter()
+        # Earliest next search, by address, and None for all of them.
+        self.search_at = {}
+
+    def full(self, address):
+        """Return the limit that a new connection exceeds, or an empty text."""
+        if self.counts[address] >= self.limits.per_address:
+            return 'address'
+        return 'total' if len(self.addresses) >= self.limits.total else ''
+
+    def longest_idle(self, cause, address):
+        """Return the connection to close for a new one, or None.
+
+        :param str cause: the limit that the new one exceeds. One of its own
+            address is closed for the limit of that; else one of the addresses
+            that have the most of the idle connections.
+        """
+        now = self.clock()
+        scope = address if cause == 'address' else None
+        if now < self.search_at.get(scope, 0.0):
+            return None
+        idle = collections.defaultdict(list)
+        for connection, source in self.addresses.items():
+            since = connection.idle_since
+            if since is not None and now - since >= MIN_IDLE_SECONDS:
+                idle[source].append(connection)
+        found = idle.get(address, ())
+        if cause == 'total':
+            found = max(idle.values(), key=len, default=())
+        if not found:
+            self.search_at[scope] = now + SEARCH_SECONDS
+            return None
+        return min(found, key=lambda each: each.idle_since)
+
+    def add(self, connection, address):
+        """Count a connection."""
+        self.addresses[connection] = address
+        self.counts[address] += 1
+
+    def remove(self, connection):
+        """Stop to count a connection; it may have been removed before."""
+        address = self.addresses.pop(connection, None)
+        if address is None:
+            return
+        self.counts[address] -= 1
+        if not self.counts[address]:
+            del self.counts[address]
+            self.search_at.pop(address, None)
+
+
+def retry_seconds():
+    """Return when a client that is refused may return."""
+    return random.uniform(*RETRY_SECONDS)
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -11,7 +11,9 @@
 from celeryward.callers import request_handler
 from celeryward.callers import server
 from celeryward.callers import sessions
+from celeryward import closings
 from celeryward import completion
+from celeryward import connection_limits
 from celeryward.daemons import control
 from celeryward.daemons import copies
 from celeryward.daemons import topics
@@ -193,15 +195,23 @@
             new_id,
             self.stop_state,
         )
+        limits = connection_limits.derive_for_daemon(
+            connection_limits.Host(0.0, connection_limits.own_descriptors()),
+            self.settings.connections,
+        )
         self.listener = listener.Listener(
             self.settings.callers.host,
             self.settings.callers.port,
             self.caller_server.handle,
+            limits['callers'],
+            closings.Closings('callers', self.metrics.count_closed_connection),
         )
         self.admin_listener = listener.Listener(
             self.settings.admin.host,
             self.settings.admin.port,
             admin.AdminHandler(self).handle,
+            limits['admin'],
+            closings.Closings('admin', self.metrics.count_closed_connection),
         )
 
     def build_rollouts(self):
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 
-import curio
 import h11
 
 from celeryward import bodies
 from celeryward import deadlines
 from celeryward import errors
+from celeryward import paced_input
 from celeryward import processor_share
 from celeryward import sockets
 from celeryward import transport
@@ -82,7 +82,7 @@
 )
 
 
-class Connection(bodies.BodyReader):
+class Connection(paced_input.PacedInput):
     """One HTTP/1.1 connection, used by one task at a time.
 
     :param sock: connected curio socket.
@@ -204,37 +204,6 @@
         if self.ended_by_close and isinstance(events[-1], h11.EndOfMessage):
             sockets.reset_on_close(self.sock, False)
 
-    async def wait_for_input(self, step, deadline, extend=None):
-        """Wait for bytes to parse or the end of file.
-
-        :param extend: as for :meth:`read`.
-        :raises ReadTimeout: if nothing arrives before the deadline.
-        :raises Disconnected: if the connection is reset.
-        """
-        data, closed = self.h11.trailing_data
-        if not data and not closed:
-            self.h11.receive_data(await self.read(step, deadline, extend))
-
-    async def wait_closed(self):
-        """Return once the peer has closed the connection.
-
-        Bytes that arrive early are kept for the next request. After
-        :data:`transport.READ_SIZE_BYTES` of them the connection is no longer
-        read, and the call does not return.
-        """
-        early_size = 0
-        while early_size < transport.READ_SIZE_BYTES:
-            try:
-                data = await self.sock.recv(transport.READ_SIZE_BYTES)
-            except OSError:
-                # A reset also closes the connection.
-                return
-            if not data:
-                return
-            self.h11.receive_data(data)
-            early_size += len(data)
-        await curio.Event().wait()
-
     async def receive_request(self, deadline):
         """Return the next request head, or None if the peer has closed.
 
@@ -250,6 +219,7 @@
                 tuple(event.headers.raw_items()),
             )
             self.stated_length = stated_length(request.headers)
+            self.idle_since = None
             return request
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -306,11 +276,6 @@
             )
         )
 
-    def has_trailing_data(self):
-        """Return whether unparsed bytes or an end of file have been read."""
-        data, closed = self.h11.trailing_data
-        return bool(data) or closed
-
     def has_request(self):
         """Return whether the head of a request was read and not answered."""
         return self.h11.their_state is not h11.IDLE
@@ -381,6 +346,15 @@
     return response, response_body
 
 
+def encode_refusal(retry_seconds):
+    """Return the bytes of a response that refuses a connection."""
+    return (
+        'HTTP/1.1 503 Service Unavailable\r\n'
+        f'retry-after: {retry_seconds:.2f}\r\n'
+        'connection: close\r\ncontent-length: 0\r\n\r\n'
+    ).encode('ascii')
+
+
 async def send_response(connection, status, headers, body):
     """Send a response with its whole body."""
     head = {'content-length': str(len(body)), **headers}
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -1,10 +1,14 @@
 """TCP listeners, and loops that serve HTTP requests on a connection."""
 
 import contextlib
+import os
+import socket
 
 import curio
 import h11
 
+from celeryward import closings
+from celeryward import connection_limits
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
@@ -15,6 +19,10 @@
 
 # Connections that the kernel keeps until they are accepted.
 BACKLOG = 1024
+# Connections that are accepted before other tasks get their turn.
+ACCEPTS_PER_TURN = 8
+# Read from a connection that is refused, so that closing it doesn't reset it.
+MAX_REFUSED_BYTES = 65536
 # Time to take over the connections that wait in the kernel's queue; this does
 # not block while there are any.
 LAST_ACCEPT_SECONDS = 0.02
@@ -30,15 +38,22 @@
 
     :param int port: 0 lets the operating system choose one.
     :param handler: async function that takes a :class:`http.Connection`.
+    :param connection_limits.ListenerLimits limits: None for no limits.
+    :param closings.Closings closed: counts what is closed for the limits.
     """
 
-    def __init__(self, host, port, handler):
+    def __init__(self, host, port, handler, limits=None, closed=None):
         self.host = host
         self.requested_port = port
         self.sock = None
         self.handler = handler
         self.tasks = set()
         self.accept_task = None
+        self.limits = limits
+        self.closed = closed or closings.Closings(f'{host}:{port}')
+        self.connections = None
+        if limits is not None:
+            self.connections = connection_limits.OpenConnections(limits)
 
     @property
     def port(self):
@@ -69,7 +84,9 @@
     async def accept(self):
         """Accept connections and spawn a task for each, until cancelled."""
         while True:
-            await self.spawn_handler(*await self.sock.accept())
+            for _ in range(ACCEPTS_PER_TURN):
+                await self.spawn_handler(*await self.sock.accept())
+            await curio.sleep(0)
 
     async def accept_waiting(self):
         """Accept what waits in the queue of the kernel, and little more.
@@ -83,19 +100,46 @@
             await self.spawn_handler(*await self.sock.accept())
 
     async def spawn_handler(self, sock, address):
-        """Spawn the task of an accepted connection."""
+        """Spawn the task of an accepted connection, or refuse it."""
         sockets.disable_nagle(sock)
         peer = f'{address[0]}:{address[1]}'
         connection = http.Connection(sock, h11.SERVER, peer)
+        if self.limits is not None:
+            if not await self.make_room(address[0], peer):
+                await refuse(sock)
+                return
+            connection.limits = self.limits
+            sockets.bound_unsent(sock, self.limits.unread_bytes)
+            self.connections.add(connection, address[0])
         task = await curio.spawn(self.run, connection, daemon=True)
         self.tasks.add(task)
 
+    async def make_room(self, address, peer):
+        """Return whether there is room for a new connection.
+
+        Idle ones are closed for it. Their tasks see the end of the input, so
+        that a request whose head is complete is still served.
+        """
+        while cause := self.connections.full(address):
+            idle = self.connections.longest_idle(cause, address)
+            if idle is None:
+                self.closed.record(cause, peer)
+                return False
+            self.connections.remove(idle)
+            self.closed.record('idle', idle.peer)
+            await idle.shut_down()
+        return True
+
     async def run(self, connection):
         """Run the handler, then close the connection."""
         try:
             await self.handler(connection)
         finally:
             self.tasks.discard(await curio.current_task())
+            if connection.left_unread:
+                self.closed.record('unread', connection.peer)
+            if self.connections is not None:
+                self.connections.remove(connection)
             await connection.close()
 
     async def stop_accepting(self):
@@ -130,6 +174,16 @@
         return len(remaining)
 
 
+async def refuse(sock):
+    """Refuse a connection before any request on it is read."""
+    refusal = http.encode_refusal(connection_limits.retry_seconds())
+    with contextlib.suppress(OSError):
+        os.write(sock.fileno(), refusal)
+        await sock.shutdown(socket.SHUT_WR)
+        os.read(sock.fileno(), MAX_REFUSED_BYTES)
+    await sock.close()
+
+
 async def end_idle(tasks, busy):
     """End the tasks of connections that have brought no request.
 
--- a/celeryward/metrics.py
+++ b/celeryward/metrics.py
@@ -121,6 +121,12 @@
             ('step',),
             registry=self.registry,
         )
+        self.closed_connections = prometheus_client.Counter(
+            'celeryward_connections_closed',
+            'Connections closed or refused for their limits.',
+            ('listener', 'cause'),
+            registry=self.registry,
+        )
         self.bills = prometheus_client.Counter(
             'celeryward_bills',
             'Settled bills.',
@@ -131,6 +137,10 @@
         """Count an error of a task that follows something."""
         self.task_failures.labels(step).inc()
 
+    def count_closed_connection(self, listener, cause):
+        """Count a connection that was closed or refused for its limits."""
+        self.closed_connections.labels(listener, cause).inc()
+
     def count_ignored_entry(self, kind):
         """Count an entry of the object API that could not be read."""
         self.entries_ignored.labels(kind).inc()
--- /dev/null
+++ b/celeryward/paced_input.py
@@ -0,0 +1,107 @@
+"""Reads requests no faster than their responses are read.
+
+A client that sends many requests at once would fill the memory with requests
+that wait and responses that are unread, and would keep other connections from
+their turn. On a connection with limits a further request waits until the
+client has room for the last response, and little is read ahead of it.
+"""
+
+import time
+
+import curio
+import h11
+
+from celeryward import bodies
+from celeryward import sockets
+from celeryward import transport
+
+# Input behind a request that is read while it is served, so that the end of
+# the connection is seen; and how often the end is looked for behind more.
+MAX_EARLY_BYTES = 4096
+END_POLL_SECONDS = 0.5
+# As long as a sound peer may stand still, see `sockets`.
+PIPELINED_STALL_SECONDS = sockets.USER_TIMEOUT_MILLISECONDS / 1000
+
+
+class PacedInput(bodies.BodyReader):
+    """A connection whose subclass parses what it reads."""
+
+    def __init__(self, sock, peer):
+        super().__init__(sock, peer)
+        # Since when no request is under way, in monotonic seconds, or None.
+        self.idle_since = time.monotonic()
+        # Requests that followed each other without a wait for input.
+        self.requests_in_turn = 0
+
+    def read_size(self):
+        """Return the most bytes of the next read."""
+        if self.limits is not None and self.h11.their_state is h11.IDLE:
+            return transport.HEAD_READ_BYTES
+        return transport.READ_SIZE_BYTES
+
+    async def wait_for_input(self, step, deadline, extend=None):
+        """Wait for bytes to parse or the end of file.
+
+        :param extend: as for :meth:`read`.
+        :raises ReadTimeout: if nothing arrives before the deadline.
+        :raises Disconnected: if the connection is reset, or if the peer
+            has no room for the last response.
+        """
+        if self.limits is not None:
+            if sockets.count_unsent(self.sock):
+                await self.wait_until_sent(step, self.stall_seconds())
+            self.idle_since = time.monotonic()
+        if self.has_trailing_data():
+            await self.take_turn()
+            return
+        self.requests_in_turn = 0
+        self.h11.receive_data(await self.read(step, deadline, extend))
+
+    def stall_seconds(self):
+        """Return how long the peer may leave a response unread.
+
+        One that has sent further requests meanwhile is at work.
+        """
+        if self.has_trailing_data() or self.has_input():
+            return PIPELINED_STALL_SECONDS
+        return transport.WRITE_STALL_SECONDS
+
+    async def take_turn(self):
+        """Let other connections go on before a request that has arrived."""
+        if self.limits is None:
+            return
+        self.requests_in_turn += 1
+        if self.requests_in_turn >= self.limits.requests_per_turn:
+            self.requests_in_turn = 0
+            await curio.sleep(0)
+
+    async def wait_closed(self):
+        """Return once the peer has closed the connection.
+
+        Bytes that arrive early are kept for the next request. After a bound
+        the connection is no longer read; without limits the call does not
+        return then.
+        """
+        early_size, bound = 0, transport.READ_SIZE_BYTES
+        if self.limits is not None:
+            early_size = len(self.h11.trailing_data[0])
+            bound = MAX_EARLY_BYTES
+        while early_size < bound:
+            try:
+                data = await self.sock.recv(bound)
+            except OSError:
+                # A reset also closes the connection.
+                return
+            if not data:
+                return
+            self.h11.receive_data(data)
+            early_size += len(data)
+        if self.limits is None:
+            await curio.Event().wait()
+        while not sockets.is_ended(self.sock):
+            await curio.sleep(END_POLL_SECONDS)
+
+    def has_trailing_data(self):
+        """Return whether unparsed bytes or an end of file have been read."""
+        data, closed = self.h11.trailing_data
+        return bool(data) or closed
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -9,7 +9,9 @@
 from celeryward.callers import gateway
 from celeryward.callers import relay
 from celeryward.callers import router_admission
+from celeryward import closings
 from celeryward import completion
+from celeryward import connection_limits
 from celeryward.endpoints import closures
 from celeryward.endpoints import crash_watch
 from celeryward.endpoints import fleet_retries
@@ -198,27 +200,36 @@
     def build_listeners(self):
         """Create the listeners of all addresses."""
         placement = self.placement
-        self.caller_listener = listener.Listener(
-            placement.callers.host,
-            placement.callers.port,
-            self.gateway.handle,
+        limits = connection_limits.derive(
+            connection_limits.host_of(placement), self.tuning
         )
-        self.readiness_listener = listener.Listener(
-            placement.readiness.host,
-            placement.readiness.port,
+
+        def make(name, address, handler):
+            return listener.Listener(
+                address.host,
+                address.port,
+                handler,
+                limits[name],
+                closings.Closings(name, self.metrics.count_closed_connection),
+            )
+
+        self.caller_listener = make(
+            'callers', placement.callers, self.gateway.handle
+        )
+        self.readiness_listener = make(
+            'readiness',
+            placement.readiness,
             functools.partial(
                 router_monitoring.answer_readiness, self.is_ready
             ),
         )
-        self.metrics_listener = listener.Listener(
-            placement.metrics.host,
-            placement.metrics.port,
+        self.metrics_listener = make(
+            'metrics',
+            placement.metrics,
             functools.partial(router_monitoring.answer_metrics, self.metrics),
         )
-        self.peer_listener = listener.Listener(
-            placement.routers.host,
-            placement.routers.port,
-            self.view.publisher.handle,
+        self.peer_listener = make(
+            'routers', placement.routers, self.view.publisher.handle
         )
 
     def key_age_limit(self):
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a router, exposed in the Prometheus text format."""
 
+import functools
+
 import prometheus_client
 
 from celeryward import metrics
@@ -45,6 +47,11 @@
             'Ends of endpoints seen under their requests.',
             ('service',),
         )
+        self.closed_connections = self.counter(
+            'connections_closed',
+            'Connections closed or refused for their limits.',
+            ('listener', 'cause'),
+        )
         self.latencies = metrics.LatencyCollector()
         self.registry.register(self.latencies)
 
@@ -96,6 +103,10 @@
         """Count an error of a task that follows something."""
         self.task_failures.labels(step).inc()
 
+    def count_closed_connection(self, listener, cause):
+        """Count a connection that was closed or refused for its limits."""
+        self.closed_connections.labels(listener, cause).inc()
+
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
@@ -110,6 +121,7 @@
     for name, text, value in (
         *store_gauges(router),
         *endpoint_gauges(router),
+        *connection_gauges(router),
     ):
         router_metrics.gauge(name, text, value)
 
@@ -184,6 +196,21 @@
     )
 
 
+def connection_gauges(router):
+    """Yield name, text and value function of gauges on connections."""
+    for name, listener in (
+        ('caller', router.caller_listener),
+        ('readiness', router.readiness_listener),
+        ('metrics', router.metrics_listener),
+        ('router', router.peer_listener),
+    ):
+        yield (
+            f'{name}_connections',
+            'Open connections of the listener.',
+            functools.partial(len, listener.tasks),
+        )
+
+
 def age_gauge_value(tracker):
     """Return seconds since the last confirmation; -1.0 if there was none.
 
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -14,6 +14,12 @@
 from celeryward import files
 
 MAX_PORT = 65535
+# The kernel needs some bytes to write at all, and more than the largest buffer
+# would bound nothing.
+INTEGER_RANGES = {
+    'requests_per_turn': (1, 1000),
+    'unread_bytes': (4096, 4 * 1024 * 1024),
+}
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
 
 
@@ -76,6 +82,9 @@
     :param float link_mbps: bandwidth of its network link in Mbit/s.
     :param bool first_start: whether the whole fleet starts for the first
         time.
+    :param float memory_mb: memory of the host; 0.0 if it isn't stated.
+    :param int max_descriptors: most open files and connections; 0 if it isn't
+        stated.
     """
 
     name: str
@@ -88,6 +97,8 @@
     routers: Address
     link_mbps: float = 0.0
     first_start: bool = False
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -121,6 +132,18 @@
     :param float unreadable_closed_seconds: time for which an endpoint gets no
         requests that asks for a time in a form that can't be read.
     :param int metrics_port: port for scrapes, on the router's address.
+    :param int caller_connections: most open connections of callers; None for
+        what the host allows, as for those below.
+    :param int caller_connections_per_address: most of them from one address.
+    :param int readiness_connections: most open connections of probes.
+    :param int metrics_connections: most open connections of scrapes.
+    :param int router_connections: most open connections of other routers.
+    :param int requests_per_turn: requests of one connection that are answered
+        before other connections get their turn.
+    :param int unread_bytes: bytes of responses that are kept for a client
+        that doesn't read.
+    :param float write_timeout: time to write a response, in addition to what
+        8 KiB a second take.
     """
 
     configuration_wait: float = 2.0
@@ -139,6 +162,14 @@
     unreadable_closed_seconds: float = 1.0
     log_level: str = 'INFO'
     metrics_port: int = 9464
+    caller_connections: int | None = None
+    caller_connections_per_address: int | None = None
+    readiness_connections: int | None = None
+    metrics_connections: int | None = None
+    router_connections: int | None = None
+    requests_per_turn: int = 4
+    unread_bytes: int = 32768
+    write_timeout: float = 20.0
 
 
 def parse(text, source):
@@ -163,6 +194,7 @@
             f'{source}: {error}', step='settings', peer=source
         ) from error
     check(tuning, source)
+    check_integers(tuning, source)
     return tuning
 
 
@@ -195,6 +227,24 @@
             )
 
 
+def check_integers(tuning, source):
+    """Check the settings for which a host makes no difference.
+
+    Limits on connections depend on the host, see
+    :func:`connection_limits.derive`.
+
+    :raises errors.BadInput: if one is out of range.
+    """
+    for key, (least, most) in INTEGER_RANGES.items():
+        value = getattr(tuning, key)
+        if not least <= value <= most:
+            raise errors.BadInput(
+                f'{source}: {key}: {value} is not from {least} to {most}',
+                step='settings',
+                peer=source,
+            )
+
+
 def load(path):
     """Return the :class:`Tuning` in a YAML file.
 
--- a/celeryward/settings.py
+++ b/celeryward/settings.py
@@ -14,6 +14,8 @@
 STRICT = pydantic.ConfigDict(extra='forbid', frozen=True)
 
 Port = pydantic.conint(ge=0, le=65535)
+Callers = pydantic.conint(ge=8, le=100000)
+Operators = pydantic.conint(ge=4, le=100000)
 Seconds = pydantic.confloat(gt=0, le=86400)
 SigningKey = pydantic.constr(min_length=16)
 SigningKeys = pydantic.conlist(SigningKey, min_length=1)
@@ -58,6 +60,16 @@
     gossip_interval: Seconds = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class ConnectionSettings:
+    """Most open connections; None for what the descriptors allow."""
+
+    __pydantic_config__ = STRICT
+
+    callers: Callers | None = None
+    admin: Operators | None = None
+
+
 @dataclasses.dataclass(frozen=True)
 class SessionSettings:
     """Keys of session tokens: the last key signs, all keys verify."""
@@ -102,6 +114,7 @@
     seeds: list[Address] = dataclasses.field(default_factory=list)
     ranking: str = 'prefix-aware'
     timings: Timings = Timings()
+    connections: ConnectionSettings = ConnectionSettings()
     sessions: SessionSettings = SessionSettings()
     log: LogSettings = LogSettings()
 
--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -18,6 +18,8 @@
 # Longer than a sound peer stands still.
 USER_TIMEOUT_MILLISECONDS = 5000
 INT = struct.Struct('i')
+# From linux/sockios.h: bytes that TCP has not sent at all.
+SIOCOUTQNSD = 0x894B
 
 
 def disable_nagle(sock):
@@ -51,6 +53,14 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def bound_unsent(sock, size):
+    """Let the kernel keep no more than so many bytes that it can't send.
+
+    Without this it keeps megabytes for a peer that doesn't read.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
+
+
 def is_readable(sock):
     """Return whether a socket has input, its end or a connection to accept."""
     poller = select.poll()
@@ -71,13 +81,33 @@
     return INT.unpack(held)[0] + bool(poller.poll(0))
 
 
+def is_ended(sock):
+    """Return whether the peer has closed, even if there is input to read."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def count_unreceived(sock):
     """Return how many of the sent bytes the peer hasn't received yet.
 
     0 if the system doesn't tell.
     """
+    return query_size(sock, termios.TIOCOUTQ)
+
+
+def count_unsent(sock):
+    """Return how many bytes wait because the peer has no room for them.
+
+    0 if the system doesn't tell.
+    """
+    return query_size(sock, SIOCOUTQNSD)
+
+
+def query_size(sock, number):
+    """Return the number of bytes that an ioctl tells; 0 if it fails."""
     try:
-        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size))
+        answer = fcntl.ioctl(sock.fileno(), number, bytes(INT.size))
     except OSError:
         return 0
     return INT.unpack(answer)[0]
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -5,12 +5,21 @@
 
 import curio
 
+from celeryward import deadlines
 from celeryward import errors
 from celeryward import sockets
 
 READ_SIZE_BYTES = 65536
 # A peer that takes no byte of a message for this long is left.
 WRITE_STALL_SECONDS = 10.0
+# A slower reader of a response loses its connection, if there are limits.
+MIN_READER_BYTES_PER_SECOND = 8192
+# Read at a time while a request head is awaited from a limited connection, so
+# that little is read ahead of what is served.
+HEAD_READ_BYTES = 16384
+# Looks at whether a peer has read what was written.
+FIRST_LOOK_SECONDS = 0.01
+LAST_LOOK_SECONDS = 0.5
 
 
 class ReadTimeout(errors.CelerywardError):
@@ -45,6 +54,14 @@
         # how many of them are left.
         self.late_read_for = None
         self.late_size = 0
+        # Of a connection to a listener with limits, else None.
+        self.limits = None
+        # Whether it was closed because the peer reads too slowly or not.
+        self.left_unread = False
+
+    def read_size(self):
+        """Return the most bytes of the next read."""
+        return READ_SIZE_BYTES
 
     async def read(self, step, deadline, extend=None):
         """Return bytes from the socket, empty at the end of the stream.
@@ -66,7 +83,7 @@
             if data is None:
                 deadline = await self.later_deadline(step, extend)
         self.bytes_read += len(data)
-        self.read_full = len(data) == READ_SIZE_BYTES
+        self.read_full = len(data) == self.read_size()
         return data
 
     async def later_deadline(self, step, extend):
@@ -89,7 +106,7 @@
             return self.read_late(step, deadline)
         try:
             return await curio.timeout_after(
-                deadline.remaining(), self.sock.recv, READ_SIZE_BYTES
+                deadline.remaining(), self.sock.recv, self.read_size()
             )
         except curio.TaskTimeout:
             return self.read_late(step, deadline)
@@ -104,7 +121,7 @@
                 self.late_size = sockets.count_readable(self.sock)
             if not self.late_size:
                 return None
-            size = min(self.late_size, READ_SIZE_BYTES)
+            size = min(self.late_size, self.read_size())
             data = os.read(self.sock.fileno(), size)
         except BlockingIOError:
             return None
@@ -133,6 +150,7 @@
         try:
             await self.write(data)
         except curio.TaskTimeout as error:
+            self.left_unread = True
             raise self.lost_error('peer takes no bytes', step) from error
         except OSError as error:
             raise self.lost_error(str(error), step) from error
@@ -149,12 +167,47 @@
         """Write bytes to the socket.
 
         :raises curio.TaskTimeout: if the peer takes none of them for
-            :data:`WRITE_STALL_SECONDS`.
+            :data:`WRITE_STALL_SECONDS`, or too few until the deadline of a
+            connection with limits.
         """
         remaining = self.write_now(memoryview(data))
+        deadline = self.write_deadline(len(remaining))
         while remaining:
             sent = await self.write_some(remaining)
             remaining = remaining[sent:]
+            if remaining and deadline.expired():
+                raise curio.TaskTimeout(WRITE_STALL_SECONDS)
+
+    def write_deadline(self, size):
+        """Return until when a message of this size must be written."""
+        if self.limits is None:
+            return deadlines.NEVER
+        return deadlines.Deadline.after(
+            self.limits.write_seconds + size / MIN_READER_BYTES_PER_SECOND
+        )
+
+    async def wait_until_sent(self, step, stall_seconds):
+        """Wait until the peer has room for all that was written.
+
+        A peer that reads has room at once, so that this rarely waits.
+
+        :param float stall_seconds: longest time without any progress.
+        :raises Disconnected: if it has none in that time, or too little until
+            the deadline of a write.
+        """
+        held = sockets.count_unsent(self.sock)
+        seconds = FIRST_LOOK_SECONDS
+        deadline = self.write_deadline(held)
+        stalled = deadlines.Deadline.after(stall_seconds)
+        while held:
+            if deadline.earlier(stalled).expired():
+                self.left_unread = True
+                raise self.lost_error('peer reads no response', step)
+            await curio.sleep(seconds)
+            seconds = min(LAST_LOOK_SECONDS, 2 * seconds)
+            held_before, held = held, sockets.count_unsent(self.sock)
+            if held < held_before:
+                stalled = deadlines.Deadline.after(stall_seconds)
 
     async def write_some(self, data):
         """Write some bytes once the kernel takes them; return their number.
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -21,10 +21,11 @@
 START_SECONDS = 20.0
 
 
-def start_parts(running, tmp_path):
+def start_parts(running, tmp_path, **settings):
     """Start a platform, an engine and a daemon; return the first and last.
 
     :param list running: gets each started process.
+    :param settings: further settings of the daemon.
     """
     platform = processes.start_standin('platform')
     running.append(platform)
@@ -42,6 +43,7 @@
             'name': 'daemon-1',
             'failure_domain': 'domain-1',
             'platform': {'port': platform.port},
+            **settings,
         },
     )
     running.append(daemon)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -11,6 +11,8 @@
 CODECS = {'google', 'grpclib', 'h11', 'msgspec'}
 DECISION_MODULES = (
     'calls.py',
+    'closings.py',
+    'connection_limits.py',
     'ingress.py',
     'callers/accounting.py',
     'callers/admission.py',
