--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from celeryward.endpoints import departures
+from celeryward.endpoints import drains
 from celeryward import logs
 
 
@@ -49,7 +50,8 @@
     ``missing`` holds the deadline of each endpoint whose entry may have
     expired only because of an outage of the store: until then it is kept.
     ``initial_software`` holds the software version that was seen first for
-    each service. ``departures`` holds what endpoints announce themselves.
+    each service. ``departures`` holds what endpoints announce themselves,
+    ``drains`` the failure domains that operators have drained.
     ``listeners`` are called with a :class:`Runner` when its run is over,
     ``announcement_listeners`` with a :class:`departures.Announcement` that an
     answer to this router contained.
@@ -60,6 +62,7 @@
         self.missing = {}
         self.initial_software = {}
         self.departures = departures.Departures()
+        self.drains = drains.FailureDomainDrains()
         self.listeners = []
         self.announcement_listeners = []
 
@@ -134,6 +137,12 @@
             and not self.is_leaving(registered)
         )
 
+    def may_send(self, runner):
+        """Return whether a request may be sent to this run now."""
+        return self.is_available(runner) and not self.drains.is_drained(
+            runner.failure_domain
+        )
+
     def of_service(self, service):
         """Yield the endpoints of a service that are not leaving."""
         self.remove_expired()
@@ -192,6 +201,7 @@
             runner.address
             for runner in self.runners.values()
             if not self.is_leaving(runner)
+            and not self.drains.is_drained(runner.failure_domain)
         )
 
 
--- a/celeryward/endpoints/selection.py
+++ b/celeryward/endpoints/selection.py
@@ -14,8 +14,8 @@
 
 FILTERS = registry.Registry('endpoint filter')
 # Endpoints that could run the request, now or later.
-ELIGIBLE_PIPELINE = ('software', 'model', 'untried')
-PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'in-time', 'unsuspected')
+ELIGIBLE_PIPELINE = ('undrained', 'software', 'model', 'untried')
+PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'in-time', 'unsuspected', 'returned')
 # Endpoints that all routers prefer for a prompt prefix, in the same order.
 PREFERRED_ENDPOINTS = 2
 # A preferred endpoint is skipped if it has more requests of this router in
@@ -56,6 +56,8 @@
         of the endpoint.
     :param queue_seconds: function that returns the estimated wait in the queue
         of an endpoint by its id.
+    :param frozenset drained: failure domains whose endpoints get nothing.
+    :param frozenset avoided: failure domains to avoid if there are others.
     """
 
     endpoints: tuple[runners.Runner, ...]
@@ -69,6 +71,16 @@
     suspects: frozenset = frozenset()
     in_flight: object = dataclasses.field(default_factory=dict)
     queue_seconds: object = no_queue
+    drained: frozenset = frozenset()
+    avoided: frozenset = frozenset()
+
+
+@FILTERS.register('undrained')
+def filter_undrained(candidates, query):
+    """Drop endpoints in drained failure domains, even if all are."""
+    for runner in candidates:
+        if runner.failure_domain not in query.drained:
+            yield runner
 
 
 @FILTERS.register('software')
@@ -121,6 +133,21 @@
     yield from healthy or remaining
 
 
+@FILTERS.register('returned')
+def filter_returned(candidates, query):
+    """Drop endpoints that the request has not returned to after a drain.
+
+    They are kept if there are no others.
+    """
+    remaining = tuple(candidates)
+    returned = [
+        runner
+        for runner in remaining
+        if runner.failure_domain not in query.avoided
+    ]
+    yield from returned or remaining
+
+
 def select(query):
     """Return the endpoint for the request, or None if there is none."""
     candidates = list(apply_filters(PIPELINE, query))
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -38,6 +38,7 @@
     'endpoints/candidates.py',
     'endpoints/closures.py',
     'endpoints/departures.py',
+    'endpoints/drains.py',
     'endpoints/fingerprints.py',
     'endpoints/liveness.py',
     'endpoints/load.py',
