Send nothing to the endpoints of drained failure domains

Cause: the state of drains had no effect on requests yet. Requests that wait for a closed endpoint are judged again when a drain begins. Two gauges count drained failure domains and those that requests return to. The state is still empty at every router.

--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -39,6 +39,7 @@
         :param bool beside: whether endpoints that run the request already are
             left out.
         :raises errors.EndpointsClosed: if all endpoints are closed.
+        :raises errors.EndpointsDrained: if all are in drained domains.
         :raises errors.Overloaded: if no endpoint can take the request.
         :raises errors.DeadlineExceeded: if too little of the deadline is left.
         :raises errors.ShuttingDown: if a stop would cut the request off.
@@ -157,6 +158,8 @@
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
             router_state.queues.seconds,
+            router_state.runners.drains.drained,
+            router_state.runners.drains.avoided(relayed.metadata.request_id),
         )
 
     def queue_of(self, relayed):
@@ -216,6 +219,14 @@
         elif eligible:
             kind = errors.EndpointsClosed
             text = f'all endpoints of {len(query.endpoints)} are closed'
+        elif query.drained and selection.eligible(
+            dataclasses.replace(query, drained=frozenset())
+        ):
+            kind = errors.EndpointsDrained
+            text = f'all endpoints of {service} that are left are drained'
+            retry_seconds = reopening.GENERATOR.uniform(
+                NO_ENDPOINT_RETRY_SECONDS, reopening.MAX_RETURN_SECONDS
+            )
         elif not query.endpoints and table.has_service(service):
             kind = errors.EndpointsLeaving
             text = f'all endpoints of {service} are leaving'
--- a/celeryward/callers/reopening_waiter.py
+++ b/celeryward/callers/reopening_waiter.py
@@ -35,6 +35,7 @@
         self.planner = planner
         self.closures = router_state.closures
         self.estimates = router_state.estimates
+        self.drains = router_state.runners.drains
         self.kept = kept_requests.KeptRequests()
         self.numbers = itertools.count()
 
@@ -83,6 +84,7 @@
 
     async def wait(self, queue, ticket, relayed):
         """Wait for the turn of a request; return its plan."""
+        drains = self.drains.count
         await self.admit(queue, ticket, relayed)
         while ticket in self.kept.of(queue):
             await self.sleep(queue, ticket, relayed)
@@ -91,6 +93,11 @@
             except errors.EndpointsClosed as error:
                 if self.closures.clock() >= ticket.latest_start:
                     raise self.refusal(relayed) from error
+            is_kept = ticket in self.kept.of(queue)
+            if is_kept and drains != self.drains.count:
+                # Fewer endpoints are left for those that wait.
+                drains = self.drains.count
+                await self.keep(queue, ticket, relayed)
             await self.wake_others(queue, ticket)
         raise self.refusal(relayed)
 
@@ -101,6 +108,21 @@
         :raises errors.ShuttingDown: if a stop would cut it off.
         """
         self.planner.check_completion(relayed)
+        await self.keep(queue, ticket, relayed)
+        logs.bind(
+            request_id=relayed.metadata.request_id,
+            step='wait',
+            peer=relayed.service,
+            service=relayed.service,
+            waiting=len(self.kept.of(queue)),
+        ).info('request waits for an endpoint to open')
+
+    async def keep(self, queue, ticket, relayed):
+        """Queue a request in place of its earlier ticket, if there is one.
+
+        :raises errors.EndpointsClosed: if it can't be served in time.
+        """
+        self.kept.remove(queue, ticket)
         openings = self.planner.openings(relayed)
         late = [ticket]
         if openings:
@@ -110,13 +132,6 @@
             await each.woken.set()
         if ticket in late:
             raise self.refusal(relayed)
-        logs.bind(
-            request_id=relayed.metadata.request_id,
-            step='wait',
-            peer=relayed.service,
-            service=relayed.service,
-            waiting=len(self.kept.of(queue)),
-        ).info('request waits for an endpoint to open')
 
     async def sleep(self, queue, ticket, relayed):
         """Wait until a request should try, or can't start in time."""
--- a/celeryward/endpoints/drains.py
+++ b/celeryward/endpoints/drains.py
@@ -38,6 +38,7 @@
 
     ``began`` holds when each drain began here, on the boot-time clock, and
     ``count`` the number of drains so far, by which a change is noticed.
+    ``freshness`` tells how long ago the store confirmed the orders.
 
     :param clock: function that returns seconds on a clock that also runs
         while the host is suspended.
@@ -49,6 +50,7 @@
         self.returns = {}
         self.count = 0
         self.is_awaited = False
+        self.freshness = freshness.Freshness(clock=clock)
 
     @property
     def drained(self):
@@ -97,14 +99,23 @@
         """
         if not self.returns:
             return frozenset()
+        self.remove_ended()
         now = self.clock()
-        for name in [
-            name for name, each in self.returns.items() if each.ends_at <= now
-        ]:
-            del self.returns[name]
         return frozenset(
             name
             for name, each in self.returns.items()
             if hashing.unit_hash(f'return\0{name}\0{request_id}')
             >= each.share(now)
         )
+
+    def remove_ended(self):
+        """Remove the returns that are complete."""
+        now = self.clock()
+        for name, each in tuple(self.returns.items()):
+            if each.ends_at <= now:
+                del self.returns[name]
+
+    def returning_count(self):
+        """Return the number of failure domains that requests return to."""
+        self.remove_ended()
+        return len(self.returns)
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -318,12 +318,12 @@
     def check_present(self, runner):
         """Raise an error if the endpoint must not get the request any more.
 
-        It may have left or closed while the request was queued or while the
-        connection was being opened.
+        It may have left, closed or been drained while the request was queued
+        or while the connection was being opened.
         """
-        if not self.table.is_available(runner):
+        if not self.table.may_send(runner):
             raise errors.EndpointLeft(
-                'endpoint left before the request was sent',
+                'endpoint left or was drained before the request was sent',
                 step='send request',
                 peer=runner.address,
             )
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -136,6 +136,12 @@
     code = 'endpoints_leaving'
 
 
+class EndpointsDrained(Overloaded):
+    """All endpoints that could run the request are in drained domains."""
+
+    code = 'endpoints_drained'
+
+
 class HarmfulRequest(NotRun):
     """The request has crashed as many endpoints as the message states."""
 
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -172,6 +172,16 @@
         'Endpoints that want no requests for a while.',
         router.closures.closed_count,
     )
+    yield (
+        'failure_domains_drained',
+        'Failure domains whose endpoints get no requests.',
+        lambda: len(table.drains.began),
+    )
+    yield (
+        'failure_domains_returning',
+        'Failure domains that requests return to after a drain.',
+        table.drains.returning_count,
+    )
     yield (
         'harmful_culprits',
         'Combinations of parts that are refused for crashes of endpoints.',
