Follow operators' drains of failure domains where the platform asks for it

Cause: nothing read the objects evacuations/NAME. Change: where bounds has evacuateMs, routers follow the kind like the others. Its polls wait 2.5 s for a bound of 5 s, at the store and at other routers, and nothing catches up beside them. A router is not ready, and refuses requests, until it has read the list once. A leader relays no drains that are older than a poll and its timeout. A router that doesn't publish a kind is followed for the others. evacuateMs = 0 is an error at start.

--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -86,6 +86,11 @@
             raise not_ready_error(
                 'no configuration yet', NOT_READY_RETRY_SECONDS
             )
+        if router_state.runners.drains.is_awaited:
+            raise not_ready_error(
+                'no list of drained failure domains yet',
+                NOT_READY_RETRY_SECONDS,
+            )
         fresh = router_state.freshness.is_fresh()
         host = head.headers.get('host', '').partition(':')[0]
         route = configuration.match(host, head.path)
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -105,6 +105,84 @@
         self.freshness.confirm(at)
 
 
+class DrainReceiver:
+    """Applies operators' orders to drain failure domains.
+
+    An order that can't be read is in force too: its name says what to drain.
+
+    :param table: :class:`runners.RunnerTable`.
+    :param translator: has ``read_drain(stored)``, which returns ``Ok`` with
+        the name of a failure domain, or ``Err``.
+    :param ignored: :class:`ignored.IgnoredEntries`.
+    """
+
+    def __init__(self, table, translator, ignored):
+        self.ignored = ignored
+        self.table = table
+        self.translator = translator
+
+    def on_list(self, objects):
+        """Apply a complete list of the orders."""
+        listed = {self.read(stored) for stored in objects}
+        for name in sorted(listed):
+            self.begin(name)
+        for name in sorted(self.table.drains.drained - listed):
+            self.end(name)
+        self.table.drains.list_was_read()
+
+    def on_change(self, change):
+        """Apply one change."""
+        if change.type == 'delete':
+            self.end(change.object.name)
+        else:
+            self.begin(self.read(change.object))
+
+    def read(self, stored):
+        """Return the failure domain that an order names."""
+        drain = self.translator.read_drain(stored)
+        if drain.is_ok():
+            return drain.unwrap()
+        fault = f'only its name is used: {drain.unwrap_err().message}'
+        self.ignored.record(stored.kind, stored.name, fault)
+        return stored.name
+
+    def begin(self, name):
+        """Drain a failure domain."""
+        if not self.table.drains.begin(name):
+            return
+        endpoints = self.count_endpoints(name)
+        logger = logs.bind(
+            step='drain',
+            peer='store',
+            failure_domain=name,
+            endpoints=endpoints,
+        )
+        logger.warning('failure domain drained')
+        if self.table.runners and not endpoints:
+            logger.warning('drained failure domain has no endpoint')
+
+    def end(self, name):
+        """End the drain of a failure domain."""
+        if self.table.drains.end(name):
+            logs.bind(
+                step='drain',
+                peer='store',
+                failure_domain=name,
+                endpoints=self.count_endpoints(name),
+            ).info('drain ended')
+
+    def count_endpoints(self, name):
+        """Return the number of listed endpoints in a failure domain."""
+        return sum(
+            runner.failure_domain == name
+            for runner in self.table.runners.values()
+        )
+
+    def on_confirmed(self, at):
+        """Record that the orders were up to date at a time."""
+        self.table.drains.freshness.confirm(at)
+
+
 class OrderReceiver:
     """Applies roll-out orders.
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -266,6 +266,7 @@
             not self.stop_state.is_stopping
             and self.configuration.current is not None
             and bool(self.runners.runners)
+            and not self.runners.drains.is_awaited
             and self.freshness.is_fresh()
         )
 
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -48,6 +48,9 @@
         must get no more requests.
     :param float contact_seconds: time after the end of an outage from which
         a router must comply with the state of the store again.
+    :param float domain_drain_seconds: time after which a failure domain that
+        operators drain must get no more requests; 0.0 if there are no such
+        orders.
     """
 
     revoked_key_seconds: float
@@ -62,6 +65,7 @@
     apply_seconds: float
     leave_seconds: float
     contact_seconds: float
+    domain_drain_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/routers/client.py
+++ b/celeryward/routers/client.py
@@ -66,6 +66,14 @@
                     peer=self.peer,
                 )
             )
+        if status == protocol.STATUS_UNKNOWN_KIND and method == 'GET':
+            return result.Err(
+                errors.NotFound(
+                    'router does not relay this kind',
+                    step=f'{method} {path}',
+                    peer=self.peer,
+                )
+            )
         return super().check_status(status, body, method, path, kind)
 
     def classify(self, error, method, path):
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -28,6 +28,8 @@
 OBJECTS_PREFIX = '/objects/'
 EVIDENCE_PATH = '/evidence'
 STATUS_OUT_OF_DATE = 503
+# A router of an earlier release, or with other settings, lacks a kind.
+STATUS_UNKNOWN_KIND = 400
 # Header with the number of a request, which its response repeats.
 REQUEST_NUMBER = 'x-request-number'
 MAX_REPORTED_REQUESTS = 1_000_000_000
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -41,6 +41,9 @@
     :param departure_news.DepartureNews news: departures to tell followers.
     :param str news_kind: kind whose changes the news is told with.
     :param crash_news.CrashNews crash_news: takes what others tell of crashes.
+
+    ``max_ages`` holds the age of the last confirmation above which a kind is
+    not relayed, where that isn't the one of the pacing.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.pacing = pacing
         self.change_logs = change_logs
         self.freshness = freshness
+        self.max_ages = {}
         self.outages = outages
         self.members = members
         self.stopping = False
@@ -128,7 +132,7 @@
         age = self.freshness[kind].age()
         if self.stopping or self.pacing is None or age is None:
             return False
-        return age <= self.pacing.max_leader_age
+        return age <= self.max_ages.get(kind, self.pacing.max_leader_age)
 
 
 @HANDLERS.register('ListRequest')
--- a/celeryward/routers/source.py
+++ b/celeryward/routers/source.py
@@ -31,6 +31,8 @@
         follow poll it more often.
     :param outages: :class:`outages.OutageTracker`.
     :param departure_news.DepartureNews news: takes what leaders tell.
+
+    Polls of the ``long_kinds`` are not limited to the wait of the pacing.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         self.members = members
         self.clients = {}
         self.outages = outages
+        self.long_kinds = frozenset()
 
     @property
     def peer(self):
@@ -93,7 +96,7 @@
         leader = self.members.leader() if self.pacing else None
         if leader is not None:
             outcome = await self.client_of(leader).changes(
-                kind, since, min(wait_seconds, self.pacing.poll_wait)
+                kind, since, self.leader_wait(kind, wait_seconds)
             )
             if outcome.is_ok():
                 self.outages.record_report(outcome.unwrap().away_seconds)
@@ -104,7 +107,9 @@
             if isinstance(error, errors.RevisionExpired):
                 # The leader has a complete list.
                 return outcome
-            wait_seconds = min(wait_seconds, FALLBACK_SECONDS)
+            if not isinstance(error, errors.NotFound):
+                # A leader without the kind will not have it soon.
+                wait_seconds = min(wait_seconds, FALLBACK_SECONDS)
         elif self.pacing and kind == self.confirmed_kind:
             if self.members.is_followed:
                 wait_seconds = min(wait_seconds, self.pacing.leader_wait)
@@ -112,6 +117,12 @@
             self.store.changes(kind, since, wait_seconds)
         )
 
+    def leader_wait(self, kind, wait_seconds):
+        """Return how long a poll for changes waits at a leader."""
+        if kind in self.long_kinds:
+            return wait_seconds
+        return min(wait_seconds, self.pacing.poll_wait)
+
     async def call_store(self, call):
         """Await a read of the store, and record whether it is reachable."""
         started_at = self.outages.clock()
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -2,12 +2,14 @@
 
 import dataclasses
 
+from celeryward import logs
 from celeryward.objects import client
 from celeryward.objects import kind_watcher
 from celeryward.objects import outages
 from celeryward.objects import receivers
 from celeryward.objects import verdicts
 from celeryward.routers import change_log
+from celeryward.routers import client as router_client
 from celeryward.routers import discovery
 from celeryward.routers import evidence
 from celeryward.routers import members
@@ -24,6 +26,7 @@
 STALE_ENDPOINTS_SECONDS = 0.2
 STALE_ORDERS_SECONDS = 2.5
 MIN_PRIMARY_WAIT_SECONDS = 0.2
+MIN_DRAIN_WAIT_SECONDS = 0.2
 # Part of the store's history that a watch may wait. A watch that outlasts the
 # history has to start again with a list.
 MAX_WAIT_HISTORY_SHARE = 0.7
@@ -74,6 +77,7 @@
             for kind in (kinds.configuration, kinds.endpoints, kinds.orders)
         }
         self.outages = outages.OutageTracker(placement.bounds)
+        self.follows_drains = placement.bounds.domain_drain_seconds > 0.0
         self.build_peers(news)
         self.watchers = ()
         self.verdict_writer = None
@@ -146,6 +150,8 @@
             self.make_watcher(kinds.endpoints, timings[1], endpoints, primary),
             self.make_watcher(kinds.orders, timings[2], orders, primary),
         )
+        if self.follows_drains:
+            self.watchers += (self.make_drain_watcher(runners, timings[3]),)
         self.verdict_writer = verdicts.VerdictWriter(
             self.store,
             self.releases,
@@ -154,6 +160,52 @@
             self.outages,
         )
 
+    def make_drain_watcher(self, runners, timings):
+        """Return the watcher of orders to drain failure domains.
+
+        Its polls wait as long at other routers as at the store, to be few.
+        It makes no calls to catch up with another watcher.
+        """
+        kind = self.translator.kinds.drains
+        runners.drains.await_list()
+        self.change_logs[kind] = change_log.ChangeLog()
+        self.publisher.freshness[kind] = runners.drains.freshness
+        self.publisher.max_ages[kind] = self.max_drain_age(timings)
+        self.source.long_kinds = frozenset((kind,))
+        receiver = receivers.DrainReceiver(
+            runners, self.translator, self.ignored
+        )
+        return self.make_watcher(kind, timings, receiver, self.watchers[0])
+
+    def max_drain_age(self, timings):
+        """Return the age above which no orders to drain are published.
+
+        A poll of the store that is not answered by then has failed.
+        """
+        return timings.wait_seconds + self.tuning.store_timeout
+
+    def drain_timings(self, bounds, longest_wait):
+        """Return the timings of the watcher of orders to drain, in a tuple.
+
+        If the connection of a poll is silent, the poll fails after its wait
+        and a timeout, and the next one brings the change within the bound.
+        There are none if such orders are not followed.
+
+        :param float longest_wait: longest wait of any poll.
+        """
+        if not self.follows_drains:
+            return ()
+        started_with = self.placement.bounds.domain_drain_seconds
+        wait = (
+            (bounds.domain_drain_seconds or started_with)
+            - outages.PROPAGATION_RESERVE_SECONDS
+            - self.tuning.store_timeout
+            - kind_watcher.MAX_RETRY_SECONDS
+            - router_client.TIMEOUT_SECONDS
+        )
+        wait = max(MIN_DRAIN_WAIT_SECONDS, min(wait, longest_wait))
+        return (kind_watcher.WatchTimings(wait, confirm_changes=True),)
+
     def watch_timings(self, bounds):
         """Return the timings of the watchers, in their order.
 
@@ -179,6 +231,7 @@
             kind_watcher.WatchTimings(primary_wait, confirm_changes=True),
             dataclasses.replace(orders, stale_seconds=STALE_ENDPOINTS_SECONDS),
             orders,
+            *self.drain_timings(bounds, orders.wait_seconds),
         )
 
     def set_bounds(self, bounds):
@@ -189,6 +242,15 @@
             self.watchers, self.watch_timings(bounds), strict=True
         ):
             watcher.timings = timings
+        if self.follows_drains:
+            kind = self.translator.kinds.drains
+            self.publisher.max_ages[kind] = self.max_drain_age(
+                self.watchers[-1].timings
+            )
+        if (bounds.domain_drain_seconds > 0.0) != self.follows_drains:
+            logs.bind(step='reload', peer=self.placement.name).warning(
+                'drains of failure domains are switched at the next start'
+            )
 
     def make_watcher(self, kind, timings, receiver, primary=None):
         """Return the watcher of a kind."""
--- a/tests/platform_runners.py
+++ b/tests/platform_runners.py
@@ -37,8 +37,11 @@
     set, it turns all requests away with that header.
     """
 
-    def __init__(self, runner_id, service='llm', software='v1', events=4):
+    def __init__(
+        self, runner_id, service='llm', software='v1', events=4, zone='a'
+    ):
         super().__init__()
+        self.zone = zone
         self.id = runner_id
         self.service = service
         self.software = software
@@ -57,7 +60,7 @@
         return {
             'service': self.service,
             'address': f'127.0.0.1:{self.port}',
-            'zone': 'a',
+            'zone': self.zone,
             'version': self.software,
             'slots': 8,
             'state': state,
--- a/tests/registered_decoders.py
+++ b/tests/registered_decoders.py
@@ -151,6 +151,7 @@
         for read in (
             records.read_runner,
             records.read_order,
+            records.read_drain,
             records.read_member,
             records.read_configuration,
         ):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -103,6 +103,14 @@
         assert placement.callers == router_settings.Address('10.0.0.1', 80)
         assert placement.store.port == 90
         assert placement.bounds.revoked_key_seconds == 5.0
+        assert placement.bounds.domain_drain_seconds == 0.0
+
+    def test_bound_on_drains_enables_them(self, tmp_path):
+        path = tmp_path / 'boot.toml'
+        bound = 'graceS = 8\nevacuateMs = 5000'
+        path.write_text(SETTINGS.replace('graceS = 8', bound))
+        placement = settings_file.load(path, 9000)
+        assert placement.bounds.domain_drain_seconds == 5.0
 
     @pytest.mark.parametrize(
         ('before', 'after', 'named'),
@@ -116,6 +124,8 @@
             ('graceS = 8', 'graceS = nan', 'graceS'),
             ('graceS = 8', 'graceS = -8', 'graceS'),
             ('drainMs = 2000', 'drainMs = 1e999', 'drainMs'),
+            ('graceS = 8', 'graceS = 8\nevacuateMs = 0', 'evacuateMs'),
+            ('graceS = 8', 'graceS = 8\nevacuateMs = "5"', 'evacuateMs'),
             ('strictRevoke = true', 'strictRevoke = "no"', 'boolean'),
             ('"unknown"', '[' * 3000 + ']' * 3000, 'boot.toml'),
             ('"unknown"', '9' * 5000, 'boot.toml'),
