--- a/tests/test_domain_drains.py
+++ b/tests/test_domain_drains.py
@@ -4,6 +4,7 @@
 import itertools
 
 import curio
+import loguru
 import pytest
 
 from celeryward import http
@@ -233,7 +234,14 @@
 
     @standins.on_site
     async def test_domain_that_does_not_exist_has_no_effect(self, site):
+        lines = []
+        sink = loguru.logger.add(lines.append, level='WARNING')
         await drain(site, 'nowhere')
+        # The same order once more is no news.
+        await site.store.put(KIND, 'nowhere', {})
+        await curio.sleep(0.1)
+        loguru.logger.remove(sink)
+        assert sum('has no endpoint' in line for line in lines) == 1
         for _ in range(10):
             head, _ = await site.request('/whole/x')
             assert head.status == 200
