Divide the requests to a cold endpoint among the routers

Cause: each router sends to an endpoint that has just started as if it was alone, so that many of them add up to more than it sustains (21 requests in a second were seen where 20 are allowed).

Change: warm_up_shares derives from the bound how many routers may send to a cold endpoint and how far apart, so that any phases add up to less than the bound. warm_ups keeps which endpoints are cold and hands out the slots. Members keeps the routers that were known in the last 300 s. Nothing uses these modules yet.

Result: tests/test_warm_ups.py plays 7 to 87 routers with steady demand, surges, restarts, additions, lost contact and suspension; at most 20 requests in any second, and at least half of the rate with steady demand. It fails if each router counts as a sender, if slots are closer together, if a late request is written, or if routers are forgotten at once.

--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -19,6 +19,9 @@
     :param bool leaving: whether it drains and gets no new work.
     :param tuple models: names of the models that it serves.
     :param float started_at: start of the process in UTC seconds.
+    :param float | None cold_seconds: for how long it stays cold, as of when
+        the entry was written; None if that can't be read. It differs in each
+        entry of the same run, so that it is not compared.
     """
 
     id: str
@@ -31,6 +34,7 @@
     leaving: bool = False
     models: tuple[str, ...] = ()
     started_at: float = 0.0
+    cold_seconds: float | None = dataclasses.field(default=0.0, compare=False)
 
     @property
     def address(self):
@@ -51,6 +55,7 @@
     ``initial_software`` holds the software version that was seen first for
     each service. ``departures`` holds what endpoints announce themselves.
     ``listeners`` are called with a :class:`Runner` when its run is over,
+    ``entry_listeners`` with each entry and the one before, None for none,
     ``announcement_listeners`` with a :class:`departures.Announcement` that an
     answer to this router contained.
     """
@@ -61,6 +66,7 @@
         self.initial_software = {}
         self.departures = departures.Departures()
         self.listeners = []
+        self.entry_listeners = []
         self.announcement_listeners = []
 
     def put(self, runner):
@@ -76,6 +82,8 @@
             ).info('endpoint listed')
         if previous is not None and previous.key != runner.key:
             self.notify_listeners(previous)
+        for listener in self.entry_listeners:
+            listener(runner, previous)
 
     def remove(self, runner_id, keep_until=None):
         """Remove an endpoint.
--- a/celeryward/endpoints/selection.py
+++ b/celeryward/endpoints/selection.py
@@ -15,7 +15,9 @@
 FILTERS = registry.Registry('endpoint filter')
 # Endpoints that could run the request, now or later.
 ELIGIBLE_PIPELINE = ('software', 'model', 'untried')
-PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'in-time', 'unsuspected')
+# The preference for warm endpoints comes last, so that a cold one is used if
+# the warm ones are closed, too late or suspected.
+PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'in-time', 'unsuspected', 'warmed-up')
 # Endpoints that all routers prefer for a prompt prefix, in the same order.
 PREFERRED_ENDPOINTS = 2
 # A preferred endpoint is skipped if it has more requests of this router in
@@ -56,6 +58,7 @@
         of the endpoint.
     :param queue_seconds: function that returns the estimated wait in the queue
         of an endpoint by its id.
+    :param frozenset deferred: ids of endpoints that are cold, or were lately.
     """
 
     endpoints: tuple[runners.Runner, ...]
@@ -69,6 +72,7 @@
     suspects: frozenset = frozenset()
     in_flight: object = dataclasses.field(default_factory=dict)
     queue_seconds: object = no_queue
+    deferred: frozenset = frozenset()
 
 
 @FILTERS.register('software')
@@ -121,6 +125,20 @@
     yield from healthy or remaining
 
 
+@FILTERS.register('warmed-up')
+def filter_warmed_up(candidates, query):
+    """Drop cold endpoints, unless each other one has a queue."""
+    remaining = tuple(candidates)
+    warm = [each for each in remaining if each.id not in query.deferred]
+    waits = (query.queue_seconds(each.id) for each in warm)
+    if len(warm) < len(remaining) and any(
+        wait <= MAX_EXTRA_QUEUE_SECONDS for wait in waits
+    ):
+        yield from warm
+    else:
+        yield from remaining
+
+
 def select(query):
     """Return the endpoint for the request, or None if there is none."""
     candidates = list(apply_filters(PIPELINE, query))
--- /dev/null
+++ b/celeryward/endpoints/warm_ups.py
@@ -0,0 +1,361 @@
+"""Endpoints that are cold, and when this router may send to them.
+
+A cold endpoint gets requests of this router only in slots that
+:mod:`celeryward.endpoints.warm_up_shares` divides among all routers. A slot
+that passes unused is lost. After the warm-up the endpoint's share rises
+gradually. Answers restarts of endpoints under load, also of a whole failure
+domain at once. Needs no network.
+"""
+
+import dataclasses
+import math
+import random
+import time
+
+from celeryward.endpoints import closures
+from celeryward.endpoints import runners
+from celeryward.endpoints import warm_up_shares
+from celeryward.objects import freshness
+
+# Longest cold time of which an endpoint can inform.
+MAX_COLD_SECONDS = 3600.0
+# Time after its start in which a router sends nothing to cold endpoints. Other
+# routers read the list of routers within 30 s, and slots that were taken
+# before a restart are over by then.
+QUIET_SECONDS = 35.0
+# Time after a warm-up within which the endpoint's share rises.
+RAMP_SECONDS = 3.0
+GENERATOR = random.Random()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WarmUp:
+    """What is known of one run of an endpoint that may be cold.
+
+    All times are on the boot-time clock.
+
+    :param tuple key: key of the run.
+    :param float listed_at: when it was listed first.
+    :param float age: seconds since its start by then, infinite if it isn't
+        cold by its start.
+    :param float cold_until: end of the cold time that it has stated.
+    :param float cold_since: since when this router knows that it is cold.
+    :param float phase: random position of the first slot, from 0 to 1.
+    :param float earliest_slot: time before which there is no slot because one
+        was taken.
+    """
+
+    key: tuple[str, float]
+    listed_at: float
+    age: float
+    cold_until: float = -math.inf
+    cold_since: float = -math.inf
+    phase: float = 0.0
+    earliest_slot: float = -math.inf
+
+    def warm_at(self, rule):
+        """Return when the warm-up ends, -inf if there was none.
+
+        Times of day differ by up to ``closures.CLOCK_ERROR_SECONDS``.
+        """
+        left = rule.cold_seconds + closures.CLOCK_ERROR_SECONDS - self.age
+        if left <= 0.0 or rule.cold_seconds <= 0.0:
+            return self.cold_until
+        by_start = self.listed_at + min(rule.cold_seconds, left)
+        return max(self.cold_until, by_start)
+
+    def next_slot(self, spacing):
+        """Return when the next slot begins."""
+        return max(self.earliest_slot, self.cold_since + self.phase * spacing)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slot:
+    """Permission to send one request to a cold endpoint.
+
+    :param tuple key: key of the run of the endpoint.
+    :param float until: when it expires, on the boot-time clock.
+    """
+
+    key: tuple[str, float]
+    until: float
+
+
+class ColdRules:
+    """The rules in force, by service.
+
+    :param read_bounds: function that returns the
+        :class:`router_settings.Bounds` in force.
+    :param configuration: :class:`ingress.ConfigurationHolder`.
+    """
+
+    def __init__(self, read_bounds, configuration):
+        self.read_bounds = read_bounds
+        self.configuration = configuration
+
+    def is_enabled(self):
+        """Return whether the deployment limits requests to cold endpoints."""
+        return self.read_bounds().cold_overage is not None
+
+    def of_service(self, name):
+        """Return the :class:`warm_up_shares.ColdRule` of a service, or None.
+
+        There is none for a service without a rate.
+        """
+        bounds = self.read_bounds()
+        current = self.configuration.current
+        if bounds.cold_overage is None or current is None:
+            return None
+        service = current.services.get(name)
+        if service is None or not service.cold_per_second:
+            return None
+        return warm_up_shares.ColdRule(
+            service.cold_seconds,
+            service.cold_per_second,
+            service.cold_per_second * bounds.cold_overage + bounds.cold_slack,
+        )
+
+
+class WarmUps:
+    """The endpoints that are cold or have been so lately, by id.
+
+    ``slots_taken`` counts slots, ``refused_writes`` requests that were not
+    written because there was no slot any more.
+
+    :param ColdRules rules: the rules in force.
+    :param members: :class:`members.Members`, the order of the routers.
+    :param int min_routers: lower bound on the assumed number of routers.
+    :param bool first_start: whether the whole deployment starts.
+    :param clock: function that returns seconds on a clock that also runs
+        while the host is suspended.
+    :param utc_clock: function that returns UTC seconds.
+    """
+
+    def __init__(
+        self,
+        rules,
+        members,
+        min_routers=1,
+        first_start=False,
+        clock=freshness.boot_seconds,
+        utc_clock=time.time,
+    ):
+        self.rules = rules
+        self.members = members
+        self.min_routers = min_routers
+        self.before_traffic = first_start
+        self.clock = clock
+        self.utc_clock = utc_clock
+        self.quiet_until = clock() + QUIET_SECONDS
+        self.states = {}
+        self.ranks = {}
+        self.slots_taken = 0
+        self.refused_writes = 0
+
+    def record_listed(self, runner, previous):
+        """Record an entry of the list of endpoints.
+
+        :param runners.Runner previous: the entry before, None for none.
+        """
+        if not self.rules.is_enabled():
+            return
+        if previous is None or previous.key != runner.key:
+            self.begin_run(runner, previous)
+        self.extend(runner, runner.cold_seconds)
+
+    def begin_run(self, runner, previous):
+        """Record a run of an endpoint that was not listed before."""
+        now = self.clock()
+        age = 0.0
+        if previous is None and self.before_traffic:
+            age = math.inf
+        elif runner.started_at:
+            age = max(0.0, self.utc_clock() - runner.started_at)
+        self.states[runner.id] = WarmUp(
+            runner.key, now, age, cold_since=now, phase=GENERATOR.random()
+        )
+        if self.is_cold(runner):
+            self.log_cold(runner, 'start')
+
+    def extend(self, runner, seconds):
+        """Record for how long an endpoint says that it stays cold.
+
+        :param seconds: None for a time that can't be read, in place of which
+            the time of the service counts.
+        """
+        if seconds is None:
+            rule = self.rules.of_service(runner.service)
+            seconds = rule.cold_seconds if rule else 0.0
+        if seconds <= 0.0 or not self.rules.is_enabled():
+            return
+        now = self.clock()
+        was_cold = self.is_cold(runner)
+        state = self.state_of(runner) or WarmUp(runner.key, now, math.inf)
+        until = now + min(seconds, MAX_COLD_SECONDS)
+        state = dataclasses.replace(
+            state, cold_until=max(state.cold_until, until)
+        )
+        if not was_cold:
+            state = dataclasses.replace(
+                state, cold_since=now, phase=GENERATOR.random()
+            )
+        self.states[runner.id] = state
+        if not was_cold and self.is_cold(runner):
+            self.log_cold(runner, 'statement')
+
+    def log_cold(self, runner, source):
+        """Log that an endpoint has become cold; once for each warm-up."""
+        share = self.share_of(runner)
+        runners.bind_logger(
+            runner,
+            source=source,
+            seconds=round(self.warm_at(runner) - self.clock(), 3),
+            routers=self.router_count(),
+            senders=share.senders,
+            spacing=round(share.spacing, 3),
+            sends=self.is_sender(runner),
+        ).info('endpoint is cold')
+
+    def forget(self, runner):
+        """Delete what is known of a run of an endpoint that is over."""
+        self.ranks.pop(runner.key, None)
+        if self.state_of(runner) is not None:
+            del self.states[runner.id]
+
+    def state_of(self, runner):
+        """Return the :class:`WarmUp` of a run, or None."""
+        state = self.states.get(runner.id)
+        return state if state and state.key == runner.key else None
+
+    def warm_at(self, runner):
+        """Return when the warm-up of an endpoint ends, -inf for none.
+
+        State that is of no use any more is deleted.
+        """
+        state = self.state_of(runner)
+        rule = self.rules.of_service(runner.service) if state else None
+        if rule is None:
+            return -math.inf
+        warm_at = state.warm_at(rule)
+        if warm_at + RAMP_SECONDS < self.clock():
+            del self.states[runner.id]
+            self.ranks.pop(runner.key, None)
+            return -math.inf
+        return warm_at
+
+    def is_cold(self, runner):
+        """Return whether an endpoint is cold now."""
+        return self.warm_at(runner) > self.clock()
+
+    def cold_count(self, endpoints):
+        """Return how many of some endpoints are cold."""
+        return sum(map(self.is_cold, endpoints)) if self.states else 0
+
+    def router_count(self):
+        """Return the number of routers that share the cold endpoints."""
+        return max(self.min_routers, self.members.recent_count)
+
+    def share_of(self, runner):
+        """Return the :class:`warm_up_shares.Share` of a cold endpoint."""
+        rule = self.rules.of_service(runner.service)
+        return warm_up_shares.divide(rule, self.router_count())
+
+    def is_sender(self, runner):
+        """Return whether this router may send to a cold endpoint at all."""
+        version, rank = self.ranks.get(runner.key, (None, 0))
+        if version != self.members.version:
+            version = self.members.version
+            rank = self.members.recent_rank(
+                f'{runner.id}\0{runner.started_at}'
+            )
+            self.ranks[runner.key] = (version, rank)
+        return rank < self.share_of(runner).senders
+
+    def next_slot(self, runner):
+        """Return when the next slot at a cold endpoint begins, inf if never.
+
+        That is on the boot-time clock.
+        """
+        if not self.is_sender(runner):
+            return math.inf
+        state = self.state_of(runner)
+        slot = state.next_slot(self.share_of(runner).spacing)
+        return max(slot, self.quiet_until)
+
+    def may_start(self, runner):
+        """Return whether this router may send an endpoint a request now."""
+        if not self.is_cold(runner):
+            return True
+        return self.next_slot(runner) <= self.clock()
+
+    def blocked_ids(self, endpoints):
+        """Return the ids of cold endpoints that may get no request now."""
+        if not self.states:
+            return frozenset()
+        return frozenset(
+            each.id for each in endpoints if not self.may_start(each)
+        )
+
+    def deferred_ids(self, endpoints):
+        """Return the ids of endpoints to use only if others don't do.
+
+        These are the cold ones, and after a warm-up a part of the selections
+        that falls to none.
+        """
+        if not self.states:
+            return frozenset()
+        now = self.clock()
+        return frozenset(
+            each.id
+            for each in endpoints
+            if self.warm_at(each) + RAMP_SECONDS * GENERATOR.random() > now
+        )
+
+    def take(self, runner):
+        """Return the :class:`Slot` of a request that is dispatched now.
+
+        None if the endpoint is not cold, or if there is no slot.
+        """
+        self.before_traffic = False
+        if not self.states or not self.is_cold(runner):
+            return None
+        if not self.may_start(runner):
+            return None
+        now = self.clock()
+        self.states[runner.id] = dataclasses.replace(
+            self.states[runner.id],
+            earliest_slot=now + self.share_of(runner).spacing,
+        )
+        self.slots_taken += 1
+        return Slot(runner.key, now + warm_up_shares.HOLD_SECONDS)
+
+    def may_write(self, runner, slot):
+        """Return whether a request may be written to an endpoint now.
+
+        A request without a valid slot takes one if the endpoint is cold.
+
+        :param Slot slot: slot that was taken for the request, or None.
+        """
+        if not self.states or not self.is_cold(runner):
+            return True
+        if slot and slot.key == runner.key and self.clock() < slot.until:
+            return True
+        if self.take(runner) is not None:
+            return True
+        self.refused_writes += 1
+        return False
+
+    def limit_opening(self, runner, opening):
+        """Return the :class:`reopening.Opening` of an endpoint if it's cold.
+
+        :param opening: the one that it has otherwise.
+        """
+        if not self.states or not self.is_cold(runner):
+            return opening
+        warm_at = self.warm_at(runner)
+        slot = self.next_slot(runner)
+        interval = opening.interval
+        if slot < warm_at:
+            interval = max(interval, self.share_of(runner).spacing)
+        at = max(opening.at, min(slot, warm_at))
+        return dataclasses.replace(opening, at=at, interval=interval)
--- a/celeryward/ingress.py
+++ b/celeryward/ingress.py
@@ -87,10 +87,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A group of endpoints that serve the same requests."""
+    """A group of endpoints that serve the same requests.
+
+    :param float cold_seconds: time for which an endpoint is cold after its
+        start; 0.0 for none.
+    :param float cold_per_second: requests a second that a cold endpoint
+        sustains; 0.0 for no limit.
+    :param tuple faults: descriptions of values that were read as 0.
+    """
 
     name: str
     models: tuple[PricedModel, ...] = ()
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
+    faults: tuple[str, ...] = ()
 
     def cost_of(self, model):
         """Return the cost of a model; 0.0 if it is not listed."""
@@ -263,6 +273,8 @@
         must get no more requests.
     :param str retry_after: for how long it wants no requests, as sent; empty
         if it does not say so.
+    :param float | None cold_seconds: for how long it stays cold; None if that
+        can't be read.
     """
 
     request_id: str = ''
@@ -274,3 +286,4 @@
     keep_alive_seconds: float | None = None
     leaving: bool = False
     retry_after: str = ''
+    cold_seconds: float | None = 0.0
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -48,6 +48,10 @@
         must get no more requests.
     :param float contact_seconds: time after the end of an outage from which
         a router must comply with the state of the store again.
+    :param float | None cold_overage: factor of the rate that a cold endpoint
+        sustains, up to which all routers together may send to it in any
+        second; None for no limit.
+    :param float cold_slack: requests that they may send in addition.
     """
 
     revoked_key_seconds: float
@@ -62,6 +66,8 @@
     apply_seconds: float
     leave_seconds: float
     contact_seconds: float
+    cold_overage: float | None = None
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/routers/members.py
+++ b/celeryward/routers/members.py
@@ -31,6 +31,9 @@
 # list, which is read less often than that; and how many of them.
 INTRODUCED_SECONDS = 60.0
 MAX_INTRODUCED = 64
+# For how long a router that is no longer known counts among those that may
+# still send requests, because it may be cut off.
+RECENT_SECONDS = 300.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +70,10 @@
         self.avoided = {}
         # Routers that have introduced themselves, each with a deadline.
         self.introduced = {}
+        # Routers known lately, each with a deadline. The version changes with
+        # their names.
+        self.recent = {own.name: deadlines.NEVER}
+        self.version = 0
 
     def replace(self, members):
         """Replace the known routers by a list; this router is always added.
@@ -86,6 +93,7 @@
         self.known |= {each.name: each for each in members}
         self.known[self.own.name] = self.own
         self.list_received = True
+        self.remember()
 
     def introduce(self, member):
         """Add a router that has started and may not be in the list yet."""
@@ -97,12 +105,30 @@
         while len(self.introduced) > MAX_INTRODUCED:
             del self.introduced[next(iter(self.introduced))]
         self.known[member.name] = member
+        self.remember()
+
+    def remember(self):
+        """Update the routers that were known lately."""
+        now = self.clock()
+        before = self.recent.keys()
+        until = deadlines.Deadline(now + RECENT_SECONDS)
+        recent = {
+            name: each for name, each in self.recent.items() if each.at > now
+        }
+        recent |= dict.fromkeys(self.known, until)
+        self.recent = recent | {self.own.name: deadlines.NEVER}
+        self.version += before != self.recent.keys()
 
     @property
     def count(self):
         """Number of routers, this one included."""
         return len(self.known)
 
+    @property
+    def recent_count(self):
+        """Number of routers that were known lately, this one included."""
+        return len(self.recent)
+
     @property
     def decider_count(self):
         """Number of routers that judge as many requests as this one.
@@ -193,9 +219,17 @@
 
         The order depends on a text; routers with the same list agree on it.
         """
+        return self.rank_among(text, self.known)
+
+    def recent_rank(self, text):
+        """Return the place of this router among those known lately."""
+        return self.rank_among(text, self.recent)
+
+    def rank_among(self, text, names):
+        """Return the place of this router in an order of some routers."""
         own = hashing.unit_hash(f'{text}\0{self.own.name}')
         return sum(
-            hashing.unit_hash(f'{text}\0{name}') < own for name in self.known
+            hashing.unit_hash(f'{text}\0{name}') < own for name in names
         )
 
     def leaders(self):
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -50,6 +50,8 @@
     'endpoints/selection.py',
     'endpoints/reopening.py',
     'endpoints/retries.py',
+    'endpoints/warm_up_shares.py',
+    'endpoints/warm_ups.py',
     'operators/burn.py',
     'operators/report.py',
     'operators/windows.py',
--- /dev/null
+++ b/tests/test_warm_ups.py
@@ -0,0 +1,421 @@
+"""Limits on requests to endpoints that are warming up; without a network."""
+
+import bisect
+import itertools
+import math
+import random
+import types
+
+import pytest
+
+from celeryward.endpoints import reopening
+from celeryward.endpoints import runners
+from celeryward.endpoints import selection
+from celeryward.endpoints import warm_up_shares
+from celeryward.endpoints import warm_ups
+from celeryward import ingress
+from celeryward.routers import members
+from tests import fakes
+
+RULE = warm_up_shares.ColdRule(3.0, 10.0, 20.0)
+UTC = 1_700_000_000.0
+STEP_SECONDS = 0.01
+
+
+def runner(name='a', **more):
+    return runners.Runner(name, 'llm', '10.0.0.1', 80, 'a', **more)
+
+
+def rules(rule=RULE):
+    """Return the rules of a deployment with one service, None for none."""
+    return types.SimpleNamespace(
+        is_enabled=lambda: rule is not None, of_service=lambda name: rule
+    )
+
+
+def known(own, names, clock):
+    """Return the routers as one of them knows them."""
+    found = {
+        name: members.Member(name, 'a', '10.0.0.1', 1)
+        for name in (own, *names)
+    }
+    table = members.Members(found[own], clock)
+    table.replace(found.values())
+    return table
+
+
+def make(rule=RULE, first_start=False):
+    """Return the state of a single router whose quiet time is over."""
+    clock = fakes.CallableClock(100.0)
+    state = warm_ups.WarmUps(
+        rules(rule),
+        known('r0', (), clock),
+        first_start=first_start,
+        clock=clock,
+        utc_clock=lambda: UTC + clock(),
+    )
+    state.quiet_until = 0.0
+    return state, clock
+
+
+class TestDivision:
+    """Guards against shares whose sum exceeds the bound, or uses little."""
+
+    @pytest.mark.parametrize('router_count', (1, 2, 7, 9, 10, 30, 87, 195))
+    @pytest.mark.parametrize('rate', (0.5, 1.0, 4.0, 10.0, 33.0))
+    def test_sum_is_within_the_bound_and_uses_half_of_the_rate(
+        self, rate, router_count
+    ):
+        bound = 1.5 * rate + 5.0
+        rule = warm_up_shares.ColdRule(3.0, rate, bound)
+        share = warm_up_shares.divide(rule, router_count)
+        each = math.ceil(warm_up_shares.WINDOW_SECONDS / share.spacing)
+        assert 1 <= share.senders <= router_count
+        assert each * share.senders <= bound
+        assert 0.5 * rate <= share.rate <= 1.000001 * rate
+
+    def test_a_tenth_of_the_bound_is_kept(self):
+        assert warm_up_shares.divide(RULE, 87) == warm_up_shares.Share(18, 1.8)
+
+    def test_bound_below_one_allows_nothing(self):
+        rule = warm_up_shares.ColdRule(3.0, 1.0, 0.9)
+        assert warm_up_shares.divide(rule, 7).senders == 0
+
+
+class TestColdTimes:
+    """Guards against endpoints that are taken for warm too soon."""
+
+    @pytest.mark.parametrize(
+        ('age', 'seconds'),
+        ((None, 3.0), (-50.0, 3.0), (0.5, 3.0), (2.0, 2.0), (4.1, 0.0)),
+    )
+    def test_new_run_is_cold_unless_its_start_is_long_ago(self, age, seconds):
+        state, clock = make()
+        started_at = 0.0 if age is None else UTC + clock() - age
+        each = runner(started_at=started_at)
+        state.record_listed(each, None)
+        if not seconds:
+            assert not state.is_cold(each)
+            return
+        clock.now += seconds - 0.01
+        assert state.is_cold(each)
+        clock.now += 0.02
+        assert not state.is_cold(each)
+
+    def test_first_list_of_a_deployment_that_starts_is_warm(self):
+        state, _ = make(first_start=True)
+        state.record_listed(runner(), None)
+        assert not state.is_cold(runner())
+        restarted = runner(started_at=UTC + 100.0)
+        state.record_listed(restarted, runner())
+        assert state.is_cold(restarted)
+        state.take(restarted)
+        state.record_listed(runner('b'), None)
+        assert state.is_cold(runner('b'))
+
+    def test_entry_makes_a_run_cold_and_no_later_one_shortens_it(self):
+        state, clock = make()
+        old = runner(started_at=UTC)
+        state.record_listed(old, None)
+        assert not state.is_cold(old)
+        state.record_listed(runner(started_at=UTC, cold_seconds=2.0), old)
+        state.record_listed(old, old)
+        clock.now += 1.9
+        assert state.is_cold(old)
+        clock.now += 0.2
+        assert not state.is_cold(old)
+
+    @pytest.mark.parametrize(
+        ('stated', 'seconds'), ((None, 3.0), (1e9, 3600.0), (-1.0, 0.0))
+    )
+    def test_odd_time_has_a_bound(self, stated, seconds):
+        state, clock = make()
+        each = runner()
+        state.extend(each, stated)
+        assert state.is_cold(each) == bool(seconds)
+        clock.now += seconds
+        assert not state.is_cold(each)
+
+    def test_state_is_deleted_when_it_is_of_no_use(self):
+        state, clock = make()
+        for each in (runner(), runner('b'), runner('c', started_at=UTC)):
+            state.record_listed(each, None)
+        state.forget(runner('b'))
+        clock.now += 3.0 + warm_ups.RAMP_SECONDS + 0.1
+        endpoints = (runner(), runner('c', started_at=UTC))
+        assert state.blocked_ids(endpoints) == frozenset()
+        assert not (state.states or state.ranks)
+
+
+class TestUnlimitedEndpoints:
+    """Guards against effects where no limit was configured."""
+
+    @pytest.mark.parametrize(
+        ('overage', 'rate'), ((None, 10.0), (1.5, 0.0), (None, 0.0))
+    )
+    def test_no_rule_without_overage_or_rate(self, overage, rate):
+        service = ingress.Service('llm', (), 3.0, rate)
+        holder = types.SimpleNamespace(
+            current=types.SimpleNamespace(services={'llm': service})
+        )
+        bounds = types.SimpleNamespace(cold_overage=overage, cold_slack=5.0)
+        found = warm_ups.ColdRules(lambda: bounds, holder)
+        assert found.of_service('llm') is None
+        assert found.of_service('other') is None
+        state, _ = make()
+        state.rules = found
+        each = runner(cold_seconds=9.0)
+        state.record_listed(each, None)
+        assert state.blocked_ids([each]) == frozenset()
+        assert state.deferred_ids([each]) == frozenset()
+        assert state.take(each) is None
+        assert state.may_write(each, None)
+
+
+class TestSlots:
+    """Guards against requests outside the slots of a router."""
+
+    def cold(self):
+        state, clock = make()
+        state.record_listed(runner(), None)
+        clock.now += warm_up_shares.divide(RULE, 1).spacing
+        return state, clock
+
+    def test_slot_that_passed_is_not_saved_up(self):
+        state, clock = self.cold()
+        clock.now += 1.0
+        assert state.take(runner()) is not None
+        assert state.take(runner()) is None
+        assert state.blocked_ids([runner()]) == {'a'}
+        clock.now += warm_up_shares.divide(RULE, 1).spacing
+        assert state.take(runner()) is not None
+
+    def test_late_request_is_not_written(self):
+        state, clock = self.cold()
+        slot = state.take(runner())
+        clock.now += warm_up_shares.HOLD_SECONDS - 0.01
+        assert state.may_write(runner(), slot)
+        spacing = warm_up_shares.divide(RULE, 1).spacing
+        assert spacing < warm_up_shares.HOLD_SECONDS
+        state.take(runner())
+        clock.now += 0.02
+        assert not state.may_write(runner(), slot)
+        assert state.refused_writes == 1
+
+    def test_endpoint_that_became_cold_after_the_decision_needs_a_slot(self):
+        state, clock = make()
+        warm = runner(started_at=UTC)
+        state.record_listed(warm, None)
+        assert state.take(warm) is None
+        state.extend(warm, 3.0)
+        clock.now += 1.0
+        assert state.may_write(warm, None)
+        assert not state.may_write(warm, None)
+
+    def test_slot_is_of_one_run(self):
+        state, _ = self.cold()
+        slot = state.take(runner())
+        restarted = runner(started_at=UTC + 100.0)
+        state.record_listed(restarted, runner())
+        state.quiet_until = math.inf
+        assert not state.may_write(restarted, slot)
+
+    def test_router_that_just_started_has_no_slot(self):
+        state, clock = self.cold()
+        state.quiet_until = clock() + 1.0
+        assert state.take(runner()) is None
+        clock.now += 1.0
+        assert state.take(runner()) is not None
+
+    def test_request_waits_for_the_slot_or_the_end_of_the_warm_up(self):
+        state, clock = self.cold()
+        other = reopening.Opening(clock(), 0.01)
+        state.take(runner())
+        opening = state.limit_opening(runner(), other)
+        spacing = warm_up_shares.divide(RULE, 1).spacing
+        assert opening == reopening.Opening(clock() + spacing, spacing)
+        state.quiet_until = math.inf
+        opening = state.limit_opening(runner(), other)
+        assert opening == reopening.Opening(
+            state.warm_at(runner()), other.interval
+        )
+
+
+class TestPlacement:
+    """Guards against cold endpoints that displace warm ones."""
+
+    def select(self, deferred, **more):
+        query = selection.Query(
+            (runner(), runner('b')), 'a', deferred=frozenset(deferred), **more
+        )
+        return {selection.select(query).id for _ in range(30)}
+
+    def test_warm_endpoint_goes_first(self):
+        assert self.select('b') == {'a'}
+
+    def test_cold_endpoint_serves_if_the_warm_one_does_not(self):
+        assert self.select('b', closed=frozenset('a')) == {'b'}
+        assert self.select('b', too_late=frozenset('a')) == {'b'}
+        assert self.select('b', suspects=frozenset('a')) == {'b'}
+        waits = {'a': 1.0, 'b': 0.0}.get
+        assert 'b' in self.select('b', queue_seconds=waits)
+
+    def test_share_rises_gradually_after_the_warm_up(self):
+        state, clock = make()
+        state.record_listed(runner(), None)
+        clock.now += RULE.cold_seconds
+        counts = []
+        for _ in range(4):
+            clock.now += warm_ups.RAMP_SECONDS / 5
+            found = [state.deferred_ids([runner()]) for _ in range(400)]
+            counts.append(sum(map(bool, found)))
+        assert all(a > b for a, b in itertools.pairwise(counts))
+        assert counts[0] < 360 and counts[-1] > 40
+
+
+class Fleet:
+    """Routers that share a cold endpoint, and the requests it gets."""
+
+    def __init__(self, count, seed):
+        self.generator = random.Random(seed)
+        warm_ups.GENERATOR.seed(seed)
+        self.clock = fakes.CallableClock(100.0)
+        self.names = [f'r{number}' for number in range(count)]
+        self.routers = {}
+        self.writes = []
+        self.arrivals = []
+        self.started_at = 0.0
+        for name in self.names:
+            self.start(name, self.names)
+        self.clock.now += warm_ups.QUIET_SECONDS
+
+    def start(self, name, names):
+        """Start a router, or start it anew."""
+        self.routers[name] = warm_ups.WarmUps(
+            rules(warm_up_shares.ColdRule(600.0, 10.0, 20.0)),
+            known(name, names, self.clock),
+            7,
+            clock=self.clock,
+            utc_clock=lambda: UTC,
+        )
+        self.routers[name].record_listed(runner(), None)
+
+    def list_endpoint(self):
+        """Let all routers learn within 0.5 s that the endpoint is cold."""
+        self.started_at = self.clock()
+        for name in self.names:
+            self.routers[name].states.clear()
+            self.routers[name].record_listed(runner(), None)
+
+    def play(self, seconds, probability, absent=()):
+        """Offer requests to each router at random, and write them later."""
+        for _ in range(int(seconds / STEP_SECONDS)):
+            self.clock.now += STEP_SECONDS
+            for name, state in self.routers.items():
+                if name in absent or self.generator.random() >= probability:
+                    continue
+                slot = state.take(runner())
+                if slot:
+                    due = self.clock() + self.generator.uniform(0.0, 0.6)
+                    self.writes.append((due, name, slot))
+            self.write(absent)
+
+    def write(self, absent):
+        """Write the requests that are due, but not those of absent routers."""
+        waiting = []
+        for due, name, slot in self.writes:
+            if due > self.clock() or name in absent:
+                waiting.append((due, name, slot))
+            elif self.routers[name].may_write(runner(), slot):
+                transit = self.generator.uniform(
+                    0.0, warm_up_shares.TRANSIT_SECONDS
+                )
+                self.arrivals.append(self.clock() + transit)
+        self.writes = waiting
+
+    def most_in_a_second(self):
+        """Return the largest number of requests in any one second."""
+        times = sorted(self.arrivals)
+        return max(
+            bisect.bisect_left(times, at + 1.0) - number
+            for number, at in enumerate(times)
+        )
+
+    def rate(self):
+        """Return the requests a second since the endpoint became cold."""
+        return len(self.arrivals) / (self.clock() - self.started_at)
+
+
+class TestManyRouters:
+    """Guards against a sum of all routers above the bound, or a low one."""
+
+    @pytest.mark.parametrize('count', (7, 12, 87))
+    @pytest.mark.parametrize('seed', (1, 2))
+    def test_steady_demand_uses_half_of_the_rate(self, count, seed):
+        fleet = Fleet(count, seed)
+        fleet.list_endpoint()
+        fleet.play(15.0, 0.2)
+        assert fleet.most_in_a_second() <= 20
+        assert fleet.rate() >= 5.0
+
+    @pytest.mark.parametrize('count', (7, 87))
+    def test_surges_of_demand(self, count):
+        fleet = Fleet(count, 3)
+        fleet.list_endpoint()
+        for _ in range(4):
+            fleet.play(2.5, 0.0)
+            fleet.play(1.0, 1.0)
+        assert fleet.most_in_a_second() <= 20
+
+    def test_routers_restart(self):
+        fleet = Fleet(87, 4)
+        fleet.list_endpoint()
+        for number in range(8):
+            fleet.play(1.0, 0.5)
+            for name in fleet.names[number::29]:
+                fleet.start(name, fleet.names)
+        assert fleet.most_in_a_second() <= 20
+        assert fleet.rate() >= 5.0
+
+    def test_routers_are_added_during_a_partition(self):
+        fleet = Fleet(62, 5)
+        added = [f'new{number}' for number in range(25)]
+        names = fleet.names + added
+        for name in added:
+            fleet.start(name, names)
+        fleet.clock.now += warm_ups.QUIET_SECONDS
+        # A third of the routers is cut off from the store.
+        for name in fleet.names[::3] + fleet.names[1::3]:
+            fleet.routers[name].members.replace(
+                known(name, names, fleet.clock).known.values()
+            )
+        fleet.names = names
+        fleet.list_endpoint()
+        fleet.play(10.0, 0.5)
+        assert fleet.most_in_a_second() <= 20
+        assert fleet.rate() >= 5.0
+
+    def test_routers_that_lost_contact_keep_their_part(self):
+        fleet = Fleet(87, 6)
+        for name in fleet.names[:40]:
+            fleet.routers[name].members.replace(
+                known(name, fleet.names[:40], fleet.clock).known.values()
+            )
+            assert fleet.routers[name].router_count() == 87
+        fleet.list_endpoint()
+        fleet.play(10.0, 0.5)
+        assert fleet.most_in_a_second() <= 20
+
+    def test_suspended_routers_send_nothing_late(self):
+        fleet = Fleet(87, 7)
+        fleet.list_endpoint()
+        for number in range(5):
+            fleet.play(0.5, 0.5)
+            fleet.play(1.5, 0.5, absent=set(fleet.names[number::2]))
+        assert fleet.most_in_a_second() <= 20
+        # Half of the routers is away for three quarters of the time.
+        assert fleet.rate() >= 5.0 * (1.0 - 0.75 / 2)
+
+    def test_router_that_knows_no_other_assumes_more(self):
+        fleet = Fleet(1, 8)
+        assert fleet.routers['r0'].router_count() == 7
