Limit the requests to endpoints that are warming up

Cause: a cold endpoint of one deployment got 21 requests in a second, with 20 allowed, because routers send to it as to any other one.

Change: the adapter reads cold times, rates and the limit. The planner treats a cold endpoint without a slot as closed, so that requests wait for it or are refused; it takes the slot with the place. The filter warmed-up prefers warm endpoints, and for 3 s after the warm-up others more and more rarely. Right before the request is written, a late or missing slot ends the dispatch as not run. A refused connection or a reported crash makes the listed run cold until its successor is listed. Odd values are counted and logged as entries that can't be read.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -78,6 +78,7 @@
             after_event=relayed.sequence.last,
             in_flight=outcomes.in_flight.get(plan.runner.id, 0),
             suspected=plan.suspected,
+            cold=plan.slot is not None,
             left=round(relayed.deadline.remaining(), 3),
             **self.log_fields(),
         ).info('dispatched')
@@ -133,6 +134,7 @@
             must_not_repeat=not route.retryable,
             on_late=on_late,
             watched=dispatch.watched,
+            slot=plan.slot,
         )
 
     async def record_events(self, relayed, dispatch, count):
@@ -209,7 +211,10 @@
     def record_error(self, relayed, dispatch, error):
         """Record and log a failed dispatch."""
         runner = dispatch.plan.runner
-        if error.sent or not self.router_state.closures.is_closed(runner):
+        may_open = isinstance(
+            error, errors.EndpointCold
+        ) or self.router_state.closures.is_closed(runner)
+        if error.sent or not may_open:
             # One that is closed may run the request after its pause.
             relayed.tried_endpoints |= {runner.id}
         relayed.deliveries += error.sent or isinstance(
@@ -260,6 +265,8 @@
             return
         elif not error.sent:
             outcomes.record_connect_failure(runner_id)
+            if isinstance(error, errors.ConnectionRefused):
+                self.router_state.warm_ups.expect_restart(dispatch.plan.runner)
         else:
             outcomes.record_failure(runner_id)
             # Only a timeout counts against the software version: a broken
--- a/celeryward/callers/planning.py
+++ b/celeryward/callers/planning.py
@@ -70,12 +70,14 @@
         )
 
     def reserve(self, plan):
-        """Return a plan with a place at its endpoint.
+        """Return a plan with a place and any slot at its endpoint.
 
         Nothing may run between :meth:`plan` and this, so that there is one.
+        A cold endpoint without a slot is found before the request is written.
         """
         place = self.router_state.closures.take_place(plan.runner)
-        return dataclasses.replace(plan, place=place)
+        slot = self.router_state.warm_ups.take(plan.runner)
+        return dataclasses.replace(plan, place=place, slot=slot)
 
     def check_completion(self, relayed, least_seconds=0.0):
         """Check that the next dispatch of a request can be finished.
@@ -152,11 +154,13 @@
             model,
             relayed_requests.affinity_key(relayed),
             relayed.tried_endpoints.union(relayed.running if beside else ()),
-            router_state.closures.blocked_ids(endpoints),
+            router_state.closures.blocked_ids(endpoints)
+            | router_state.warm_ups.blocked_ids(endpoints),
             self.too_late(relayed, endpoints),
             self.suspects(endpoints),
             router_state.outcomes.in_flight,
             router_state.queues.seconds,
+            router_state.warm_ups.deferred_ids(endpoints),
         )
 
     def queue_of(self, relayed):
@@ -180,10 +184,11 @@
     def openings(self, relayed):
         """Return the :class:`reopening.Opening` of each usable endpoint."""
         estimates = self.router_state.estimates
+        warm_ups = self.router_state.warm_ups
         usable = self.eligible(relayed)
         too_late = self.too_late(relayed, usable)
         return tuple(
-            estimates.opening(each)
+            warm_ups.limit_opening(each, estimates.opening(each))
             for each in usable
             if each.id not in too_late
         )
@@ -193,15 +198,20 @@
 
         :param int waiting: requests that wait for the same endpoints.
         """
-        closures = self.router_state.closures
         usable = self.eligible(relayed)
         seconds = NO_ENDPOINT_RETRY_SECONDS
-        if usable and not any(map(closures.may_start, usable)):
+        if usable and not any(map(self.may_start, usable)):
             seconds = self.schedule.next_return(
                 relayed.service, self.openings(relayed), waiting
             )
         return deadlines.Deadline.after(seconds)
 
+    def may_start(self, runner):
+        """Return whether an endpoint may get one more request now."""
+        return self.router_state.closures.may_start(
+            runner
+        ) and self.router_state.warm_ups.may_start(runner)
+
     def no_endpoint_error(self, relayed, query):
         """Return the error for a request that no endpoint can take now."""
         service = relayed.service
--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -35,6 +35,7 @@
         because no other was available.
     :param closures.Place place: place at the endpoint that is reserved for
         the dispatch, None if there is none yet.
+    :param warm_ups.Slot slot: slot at a cold endpoint, None for none.
     """
 
     service: str
@@ -42,6 +43,7 @@
     size: sizes.Size | None = None
     suspected: bool = False
     place: closures.Place | None = None
+    slot: object = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -35,6 +35,7 @@
     :param completion: :class:`completion.CompletionCheck`.
     :param crash_watch: :class:`crash_watch.CrashWatch`.
     :param guard: :class:`harmful_guard.HarmfulRequestGuard`.
+    :param warm_ups: :class:`warm_ups.WarmUps`.
     """
 
     failure_domain: str
@@ -51,6 +52,7 @@
     completion: object
     crash_watch: object
     guard: object
+    warm_ups: object
 
 
 class AdmissionControl:
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -46,6 +46,7 @@
         sent on a new connection.
     :param on_late: as for :class:`waits.Wait`.
     :param crash_watch.WatchedRun watched: None if the run isn't watched.
+    :param warm_ups.Slot slot: slot at a cold endpoint, None for none.
     """
 
     head: http.Request
@@ -62,6 +63,7 @@
     must_not_repeat: bool = False
     on_late: abc.Callable = waits.ignore_late
     watched: object = None
+    slot: object = None
 
     def next_event_deadline(self):
         """Return the deadline of the next event, counted from now."""
@@ -293,7 +295,7 @@
         :param float paused_before: for how long this process had stood still
             when the dispatch began.
         """
-        self.check_present(runner)
+        self.check_present(runner, forwarded.slot)
         await self.send(connection, forwarded, runner)
         paused = awake_clock.CLOCK.paused() - paused_before
         head, metadata = await answer_heads.receive_head(
@@ -315,11 +317,11 @@
         self.check_head(runner, head, metadata)
         return head, metadata
 
-    def check_present(self, runner):
+    def check_present(self, runner, slot):
         """Raise an error if the endpoint must not get the request any more.
 
-        It may have left or closed while the request was queued or while the
-        connection was being opened.
+        It may have left, closed or become cold while the request was queued
+        or while the connection was being opened.
         """
         if not self.table.is_available(runner):
             raise errors.EndpointLeft(
@@ -329,6 +331,8 @@
             )
         if self.closures.is_closed(runner):
             raise notices.closed_error(runner)
+        if not self.notice_reader.warm_ups.may_write(runner, slot):
+            raise notices.cold_error(runner)
 
     async def send(self, connection, forwarded, runner):
         """Send the whole request."""
--- a/celeryward/endpoints/notices.py
+++ b/celeryward/endpoints/notices.py
@@ -24,9 +24,13 @@
     :param endpoint_closures: :class:`closures.Closures`.
     :param closures.PauseBounds pause_bounds: bounds on requests to wait.
     :param estimates: :class:`reopening.ReopeningEstimates`.
+    :param warm_ups: :class:`warm_ups.WarmUps`.
     """
 
-    def __init__(self, table, endpoint_closures, pause_bounds, estimates):
+    def __init__(
+        self, table, endpoint_closures, pause_bounds, estimates, warm_ups
+    ):
+        self.warm_ups = warm_ups
         self.table = table
         self.closures = endpoint_closures
         self.pause_bounds = pause_bounds
@@ -56,6 +60,8 @@
             return
         if metadata.leaving and is_own_answer(metadata):
             self.table.announce_departure(runner, request_id)
+        if metadata.cold_seconds != 0.0 and is_own_answer(metadata):
+            self.warm_ups.extend(runner, metadata.cold_seconds)
         if status == STATUS_UNAVAILABLE and metadata.retry_after:
             self.close(runner, metadata.retry_after, in_flight, request_id)
         elif status != STATUS_UNAVAILABLE and not metadata.not_run:
@@ -98,6 +104,15 @@
     )
 
 
+def cold_error(runner):
+    """Return the error for a request that has no slot at a cold endpoint."""
+    return errors.EndpointCold(
+        'no slot at a cold endpoint when the request was to be sent',
+        step='send request',
+        peer=runner.address,
+    )
+
+
 def is_own_answer(metadata):
     """Return whether the endpoint itself has made an answer."""
     return bool(metadata.request_id or metadata.sealed or metadata.not_run)
--- a/celeryward/endpoints/warm_up_shares.py
+++ b/celeryward/endpoints/warm_up_shares.py
@@ -38,6 +38,54 @@
     bound: float
 
 
+class ColdRules:
+    """The rules in force, by service.
+
+    :param read_bounds: function that returns the
+        :class:`router_settings.Bounds` in force.
+    :param configuration: :class:`ingress.ConfigurationHolder`.
+    """
+
+    def __init__(self, read_bounds, configuration):
+        self.read_bounds = read_bounds
+        self.configuration = configuration
+        self.bounds = None
+        self.current = None
+        self.known = {}
+
+    def is_enabled(self):
+        """Return whether the deployment limits requests to cold endpoints."""
+        return self.read_bounds().limits_cold
+
+    def of_service(self, name):
+        """Return the :class:`ColdRule` of a service, or None.
+
+        There is none for a service without a rate. It is asked several times
+        for each request, so that rules are built once for each configuration.
+        """
+        bounds, current = self.read_bounds(), self.configuration.current
+        if bounds is not self.bounds or current is not self.current:
+            self.bounds, self.current = bounds, current
+            self.known = {}
+        if name not in self.known:
+            self.known[name] = build_rule(name, bounds, current)
+        return self.known[name]
+
+
+def build_rule(name, bounds, configuration):
+    """Return the :class:`ColdRule` of a service, or None."""
+    if not bounds.limits_cold or configuration is None:
+        return None
+    service = configuration.services.get(name)
+    if service is None or not service.cold_per_second:
+        return None
+    return ColdRule(
+        service.cold_seconds,
+        service.cold_per_second,
+        service.cold_per_second * bounds.cold_overage + bounds.cold_slack,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Share:
     """How the routers share a cold endpoint.
--- a/celeryward/endpoints/warm_ups.py
+++ b/celeryward/endpoints/warm_ups.py
@@ -13,6 +13,7 @@
 import time
 
 from celeryward.endpoints import closures
+from celeryward.endpoints import crashes
 from celeryward.endpoints import runners
 from celeryward.endpoints import warm_up_shares
 from celeryward.objects import freshness
@@ -23,6 +24,9 @@
 # routers read the list of routers within 30 s, and slots that were taken
 # before a restart are over by then.
 QUIET_SECONDS = 35.0
+# Time for which the list may still name the run of a process that has ended,
+# while the next process has started at its address.
+RESTART_SECONDS = 3.0
 # Time after a warm-up within which the endpoint's share rises.
 RAMP_SECONDS = 3.0
 GENERATOR = random.Random()
@@ -81,48 +85,14 @@
     until: float
 
 
-class ColdRules:
-    """The rules in force, by service.
-
-    :param read_bounds: function that returns the
-        :class:`router_settings.Bounds` in force.
-    :param configuration: :class:`ingress.ConfigurationHolder`.
-    """
-
-    def __init__(self, read_bounds, configuration):
-        self.read_bounds = read_bounds
-        self.configuration = configuration
-
-    def is_enabled(self):
-        """Return whether the deployment limits requests to cold endpoints."""
-        return self.read_bounds().cold_overage is not None
-
-    def of_service(self, name):
-        """Return the :class:`warm_up_shares.ColdRule` of a service, or None.
-
-        There is none for a service without a rate.
-        """
-        bounds = self.read_bounds()
-        current = self.configuration.current
-        if bounds.cold_overage is None or current is None:
-            return None
-        service = current.services.get(name)
-        if service is None or not service.cold_per_second:
-            return None
-        return warm_up_shares.ColdRule(
-            service.cold_seconds,
-            service.cold_per_second,
-            service.cold_per_second * bounds.cold_overage + bounds.cold_slack,
-        )
-
-
 class WarmUps:
     """The endpoints that are cold or have been so lately, by id.
 
     ``slots_taken`` counts slots, ``refused_writes`` requests that were not
     written because there was no slot any more.
 
-    :param ColdRules rules: the rules in force.
+    :param warm_up_shares.ColdRules rules: the rules in force.
+    :param table: :class:`runners.RunnerTable`.
     :param members: :class:`members.Members`, the order of the routers.
     :param int min_routers: lower bound on the assumed number of routers.
     :param bool first_start: whether the whole deployment starts.
@@ -134,6 +104,7 @@
     def __init__(
         self,
         rules,
+        table,
         members,
         min_routers=1,
         first_start=False,
@@ -141,6 +112,7 @@
         utc_clock=time.time,
     ):
         self.rules = rules
+        self.table = table
         self.members = members
         self.min_routers = min_routers
         self.before_traffic = first_start
@@ -151,6 +123,8 @@
         self.ranks = {}
         self.slots_taken = 0
         self.refused_writes = 0
+        table.entry_listeners.append(self.record_listed)
+        table.listeners.append(self.forget)
 
     def record_listed(self, runner, previous):
         """Record an entry of the list of endpoints.
@@ -177,11 +151,35 @@
         if self.is_cold(runner):
             self.log_cold(runner, 'start')
 
-    def extend(self, runner, seconds):
-        """Record for how long an endpoint says that it stays cold.
+    def expect_restart(self, runner):
+        """Record that the process of an endpoint has ended.
+
+        The next one at its address is cold. It may get requests that are
+        meant for this run until its own entry arrives.
+        """
+        rule = self.rules.of_service(runner.service)
+        if rule is not None and rule.cold_seconds:
+            seconds = rule.cold_seconds + RESTART_SECONDS
+            self.extend(runner, seconds, 'end of its process')
+
+    async def record_ends(self, evidence, origin):
+        """Record crashes that this router or another one has seen.
+
+        :param evidence: only :class:`crashes.Crash` counts.
+        :param str origin: not used.
+        """
+        for crash in evidence:
+            if isinstance(crash, crashes.Crash):
+                listed = self.table.runners.get(crash.endpoint)
+                if listed is not None and listed.key == crash.key:
+                    self.expect_restart(listed)
+
+    def extend(self, runner, seconds, source='statement'):
+        """Record for how long an endpoint stays cold.
 
         :param seconds: None for a time that can't be read, in place of which
             the time of the service counts.
+        :param str source: how this is known, for the log.
         """
         if seconds is None:
             rule = self.rules.of_service(runner.service)
@@ -201,7 +199,7 @@
             )
         self.states[runner.id] = state
         if not was_cold and self.is_cold(runner):
-            self.log_cold(runner, 'statement')
+            self.log_cold(runner, source)
 
     def log_cold(self, runner, source):
         """Log that an endpoint has become cold; once for each warm-up."""
@@ -247,9 +245,9 @@
         """Return whether an endpoint is cold now."""
         return self.warm_at(runner) > self.clock()
 
-    def cold_count(self, endpoints):
-        """Return how many of some endpoints are cold."""
-        return sum(map(self.is_cold, endpoints)) if self.states else 0
+    def cold_count(self):
+        """Return the number of listed endpoints that are cold."""
+        return sum(map(self.is_cold, tuple(self.table.runners.values())))
 
     def router_count(self):
         """Return the number of routers that share the cold endpoints."""
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -269,6 +269,12 @@
     code = 'endpoint_closed'
 
 
+class EndpointCold(EndpointLeft):
+    """There was no slot at a cold endpoint when the request was due."""
+
+    code = 'endpoint_cold'
+
+
 class EndpointRefused(EndpointFailure):
     """The endpoint refused the request and states that it did not run it."""
 
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -40,6 +40,9 @@
         )
         if configuration is None:
             return
+        for service in configuration.services.values():
+            for fault in service.faults:
+                self.ignored.record(stored.kind, stored.name, fault)
         if self.holder.accept(configuration):
             logs.bind(
                 step='configuration',
@@ -97,8 +100,12 @@
         )
         if runner is None:
             self.table.remove(stored.name)
-        else:
-            self.table.put(runner)
+            return
+        if runner.cold_seconds is None:
+            self.ignored.record(
+                stored.kind, stored.name, 'cold time can not be read'
+            )
+        self.table.put(runner)
 
     def on_confirmed(self, at):
         """Record that the table of endpoints was up to date at a time."""
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -22,6 +22,8 @@
 from celeryward.endpoints import queueing
 from celeryward.endpoints import reopening
 from celeryward.endpoints import runners
+from celeryward.endpoints import warm_up_shares
+from celeryward.endpoints import warm_ups
 from celeryward import errors
 from celeryward import ingress
 from celeryward import listener
@@ -117,6 +119,15 @@
             ignored.IgnoredEntries(self.metrics.count_ignored_entry),
             departure_news.DepartureNews(self.runners),
         )
+        self.warm_ups = warm_ups.WarmUps(
+            warm_up_shares.ColdRules(
+                lambda: self.placement.bounds, self.configuration
+            ),
+            self.runners,
+            self.view.members,
+            MIN_ROUTERS,
+            self.placement.first_start,
+        )
 
     def build_forwarding(self):
         """Create the components that send requests to endpoints."""
@@ -129,6 +140,7 @@
                 tuning.max_closed_seconds, tuning.unreadable_closed_seconds
             ),
             self.estimates,
+            self.warm_ups,
         )
         self.forwarder = forwarding.Forwarder(
             self.connections,
@@ -151,7 +163,10 @@
             self.metrics.count_crash,
             self.record_crash,
         ]
-        self.guard.listeners.append(self.crash_watch.avoid_ended)
+        self.guard.listeners += [
+            self.crash_watch.avoid_ended,
+            self.warm_ups.record_ends,
+        ]
         self.crash_news = crash_news.CrashNews(
             self.guard, self.view.members, self.view.source.client_of
         )
@@ -185,6 +200,7 @@
                 self.completion,
                 self.crash_watch,
                 self.guard,
+                self.warm_ups,
             ),
             self.forwarder,
             self.translator,
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -172,6 +172,21 @@
         'Endpoints that want no requests for a while.',
         router.closures.closed_count,
     )
+    yield (
+        'endpoints_cold',
+        'Endpoints that are warming up and have a limit meanwhile.',
+        router.warm_ups.cold_count,
+    )
+    yield (
+        'cold_slots',
+        'Requests that were dispatched to cold endpoints so far.',
+        lambda: router.warm_ups.slots_taken,
+    )
+    yield (
+        'cold_writes_refused',
+        'Requests not written so far because a cold endpoint had no slot.',
+        lambda: router.warm_ups.refused_writes,
+    )
     yield (
         'harmful_culprits',
         'Combinations of parts that are refused for crashes of endpoints.',
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -48,9 +48,10 @@
         must get no more requests.
     :param float contact_seconds: time after the end of an outage from which
         a router must comply with the state of the store again.
-    :param float | None cold_overage: factor of the rate that a cold endpoint
+    :param bool limits_cold: whether requests to cold endpoints are limited.
+    :param float cold_overage: factor of the rate that a cold endpoint
         sustains, up to which all routers together may send to it in any
-        second; None for no limit.
+        second.
     :param float cold_slack: requests that they may send in addition.
     """
 
@@ -66,7 +67,8 @@
     apply_seconds: float
     leave_seconds: float
     contact_seconds: float
-    cold_overage: float | None = None
+    limits_cold: bool = False
+    cold_overage: float = 0.0
     cold_slack: float = 0.0
 
 
--- a/tests/test_warm_ups.py
+++ b/tests/test_warm_ups.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from celeryward.endpoints import crashes
 from celeryward.endpoints import reopening
 from celeryward.endpoints import runners
 from celeryward.endpoints import selection
@@ -49,6 +50,7 @@
     clock = fakes.CallableClock(100.0)
     state = warm_ups.WarmUps(
         rules(rule),
+        runners.RunnerTable(),
         known('r0', (), clock),
         first_start=first_start,
         clock=clock,
@@ -125,6 +127,19 @@
         clock.now += 0.2
         assert not state.is_cold(old)
 
+    @fakes.in_kernel
+    async def test_process_that_ended_is_followed_by_a_cold_one(self):
+        state, clock = make()
+        listed = runner(started_at=UTC)
+        state.table.put(listed)
+        assert not state.is_cold(listed)
+        for started_at in (UTC - 9.0, UTC):
+            crash = crashes.Crash('a', started_at, 'llm', 0.0, ())
+            await state.record_ends((crash, object()), 'r1')
+            assert state.is_cold(listed) == (started_at == UTC)
+        clock.now += 3.0 + warm_ups.RESTART_SECONDS
+        assert not state.is_cold(listed)
+
     @pytest.mark.parametrize(
         ('stated', 'seconds'), ((None, 3.0), (1e9, 3600.0), (-1.0, 0.0))
     )
@@ -151,15 +166,17 @@
     """Guards against effects where no limit was configured."""
 
     @pytest.mark.parametrize(
-        ('overage', 'rate'), ((None, 10.0), (1.5, 0.0), (None, 0.0))
+        ('limits_cold', 'rate'), ((False, 10.0), (True, 0.0), (False, 0.0))
     )
-    def test_no_rule_without_overage_or_rate(self, overage, rate):
+    def test_no_rule_without_overage_or_rate(self, limits_cold, rate):
         service = ingress.Service('llm', (), 3.0, rate)
         holder = types.SimpleNamespace(
             current=types.SimpleNamespace(services={'llm': service})
         )
-        bounds = types.SimpleNamespace(cold_overage=overage, cold_slack=5.0)
-        found = warm_ups.ColdRules(lambda: bounds, holder)
+        bounds = types.SimpleNamespace(
+            limits_cold=limits_cold, cold_overage=1.5, cold_slack=5.0
+        )
+        found = warm_up_shares.ColdRules(lambda: bounds, holder)
         assert found.of_service('llm') is None
         assert found.of_service('other') is None
         state, _ = make()
@@ -293,6 +310,7 @@
         """Start a router, or start it anew."""
         self.routers[name] = warm_ups.WarmUps(
             rules(warm_up_shares.ColdRule(600.0, 10.0, 20.0)),
+            runners.RunnerTable(),
             known(name, names, self.clock),
             7,
             clock=self.clock,
