Keep cold times only where a service has a rate

Cause: the state of endpoints of services without a rate was never deleted, so that each request looked it up.

Change: it is deleted once the services are known, and kept until then, so that entries that are read before the configuration count. Routers that introduce themselves again change nothing that is remembered of them.

--- a/celeryward/endpoints/warm_up_shares.py
+++ b/celeryward/endpoints/warm_up_shares.py
@@ -57,6 +57,10 @@
         """Return whether the deployment limits requests to cold endpoints."""
         return self.read_bounds().limits_cold
 
+    def is_loaded(self):
+        """Return whether the services are known."""
+        return self.configuration.current is not None
+
     def of_service(self, name):
         """Return the :class:`ColdRule` of a service, or None.
 
--- a/celeryward/endpoints/warm_ups.py
+++ b/celeryward/endpoints/warm_ups.py
@@ -231,11 +231,12 @@
         State that is of no use any more is deleted.
         """
         state = self.state_of(runner)
-        rule = self.rules.of_service(runner.service) if state else None
-        if rule is None:
+        if state is None:
             return -math.inf
-        warm_at = state.warm_at(rule)
-        if warm_at + RAMP_SECONDS < self.clock():
+        rule = self.rules.of_service(runner.service)
+        warm_at = state.warm_at(rule) if rule else -math.inf
+        is_over = warm_at + RAMP_SECONDS < self.clock()
+        if is_over and self.rules.is_loaded():
             del self.states[runner.id]
             self.ranks.pop(runner.key, None)
             return -math.inf
--- a/celeryward/routers/members.py
+++ b/celeryward/routers/members.py
@@ -105,7 +105,8 @@
         while len(self.introduced) > MAX_INTRODUCED:
             del self.introduced[next(iter(self.introduced))]
         self.known[member.name] = member
-        self.remember()
+        if member.name not in self.recent:
+            self.remember()
 
     def remember(self):
         """Update the routers that were known lately."""
--- a/tests/test_warm_ups.py
+++ b/tests/test_warm_ups.py
@@ -30,7 +30,9 @@
 def rules(rule=RULE):
     """Return the rules of a deployment with one service, None for none."""
     return types.SimpleNamespace(
-        is_enabled=lambda: rule is not None, of_service=lambda name: rule
+        is_enabled=lambda: rule is not None,
+        is_loaded=lambda: True,
+        of_service=lambda name: rule,
     )
 
 
@@ -187,6 +189,20 @@
         assert state.deferred_ids([each]) == frozenset()
         assert state.take(each) is None
         assert state.may_write(each, None)
+        assert not state.states
+
+    def test_cold_time_is_kept_until_the_services_are_known(self):
+        holder = types.SimpleNamespace(current=None)
+        bounds = types.SimpleNamespace(
+            limits_cold=True, cold_overage=1.5, cold_slack=5.0
+        )
+        state, _ = make()
+        state.rules = warm_up_shares.ColdRules(lambda: bounds, holder)
+        state.record_listed(runner(started_at=UTC, cold_seconds=9.0), None)
+        assert not state.is_cold(runner(started_at=UTC))
+        service = ingress.Service('llm', (), 3.0, 10.0)
+        holder.current = types.SimpleNamespace(services={'llm': service})
+        assert state.is_cold(runner(started_at=UTC))
 
 
 class TestSlots:
