Name cold endpoints in the explanation of a refusal

Cause: a request that only cold endpoints could have served is refused as endpoints_closed, and explain said that the list of endpoints had them as closed.

Change: explain reads the line 'endpoint is cold' and names the endpoints.

Result: tests/test_explain.py passes with the new case.

--- a/celeryward/operators/explain.py
+++ b/celeryward/operators/explain.py
@@ -16,6 +16,7 @@
     'endpoint gone',
     'endpoint ended',
     withdrawals.ENDPOINT_CLOSED,
+    withdrawals.ENDPOINT_COLD,
     withdrawals.DEPARTURE_ANNOUNCED,
     'store lost',
     'store regained',
@@ -231,10 +232,10 @@
 
 @CAUSES.register('endpoints-closed')
 def endpoints_closed(request_log):
-    """All endpoints had asked for a pause."""
+    """All endpoints had asked for a pause, or were cold."""
     if request_log.code == 'endpoints_closed':
-        return 'no endpoint opened in time; ' + withdrawals.describe(
-            request_log.context, withdrawals.ENDPOINT_CLOSED
+        return 'no endpoint opened in time; ' + withdrawals.describe_closed(
+            request_log.context
         )
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -241,6 +241,29 @@
             _, text = explain.find_cause(request_log)
             assert 'e1 said so to request b' in text
 
+    def test_cold_endpoint_is_named(self):
+        refused = request_failed('endpoints_closed in time', peer='app')
+        cold = log_line(
+            'router-1',
+            0.0,
+            'endpoint is cold',
+            peer='10.0.0.2:80',
+            endpoint='e2',
+            service='app',
+            seconds=3.0,
+        )
+        for lines, expected in (
+            ([cold, refused], 'e2 was cold'),
+            (
+                [cold, closed(0.0, 'b', closed_seconds=2.0), refused],
+                'e2 was cold; e1 said so to request b',
+            ),
+        ):
+            request_log = parse_request_logs(lines)[0]
+            name, text = explain.find_cause(request_log)
+            assert name == 'endpoints-closed'
+            assert text.endswith(expected)
+
     def test_changed_endpoint_is_explained(self):
         lines = [
             dispatched('router-1', 0.0, 'a'),
