Merge the warm-up limit

Conflicts: fields and filters that both parts add beside each other, both kept. The filter for requests that return after a drain stands before the one that prefers warm endpoints.

--- a/celeryward/endpoints/selection.py
+++ b/celeryward/endpoints/selection.py
@@ -15,7 +15,16 @@
 FILTERS = registry.Registry('endpoint filter')
 # Endpoints that could run the request, now or later.
 ELIGIBLE_PIPELINE = ('undrained', 'software', 'model', 'untried')
-PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'in-time', 'unsuspected', 'returned')
+# The preference for warm endpoints comes last, so that a cold one is used if
+# the warm ones are closed, too late or suspected.
+PIPELINE = (
+    *ELIGIBLE_PIPELINE,
+    'open',
+    'in-time',
+    'unsuspected',
+    'returned',
+    'warmed-up',
+)
 # Endpoints that all routers prefer for a prompt prefix, in the same order.
 PREFERRED_ENDPOINTS = 2
 # A preferred endpoint is skipped if it has more requests of this router in
@@ -58,6 +67,7 @@
         of an endpoint by its id.
     :param frozenset drained: failure domains whose endpoints get nothing.
     :param frozenset avoided: failure domains to avoid if there are others.
+    :param frozenset deferred: ids of endpoints that are cold, or were lately.
     """
 
     endpoints: tuple[runners.Runner, ...]
@@ -73,6 +83,7 @@
     queue_seconds: object = no_queue
     drained: frozenset = frozenset()
     avoided: frozenset = frozenset()
+    deferred: frozenset = frozenset()
 
 
 @FILTERS.register('undrained')
@@ -148,6 +159,20 @@
     yield from returned or remaining
 
 
+@FILTERS.register('warmed-up')
+def filter_warmed_up(candidates, query):
+    """Drop cold endpoints, unless each other one has a queue."""
+    remaining = tuple(candidates)
+    warm = [each for each in remaining if each.id not in query.deferred]
+    waits = (query.queue_seconds(each.id) for each in warm)
+    if len(warm) < len(remaining) and any(
+        wait <= MAX_EXTRA_QUEUE_SECONDS for wait in waits
+    ):
+        yield from warm
+    else:
+        yield from remaining
+
+
 def select(query):
     """Return the endpoint for the request, or None if there is none."""
     candidates = list(apply_filters(PIPELINE, query))
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -57,6 +57,11 @@
     :param float domain_drain_seconds: time after which a failure domain that
         operators drain must get no more requests; 0.0 if there are no such
         orders.
+    :param bool limits_cold: whether requests to cold endpoints are limited.
+    :param float cold_overage: factor of the rate that a cold endpoint
+        sustains, up to which all routers together may send to it in any
+        second.
+    :param float cold_slack: requests that they may send in addition.
     """
 
     revoked_key_seconds: float
@@ -72,6 +77,9 @@
     leave_seconds: float
     contact_seconds: float
     domain_drain_seconds: float = 0.0
+    limits_cold: bool = False
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
