Log the evidence of requests that are sent despite crashes

The log told which requests were refused, but not why one with a part that had crashed endpoints was sent: too few crashes, an earlier answer, a clearance, other suspects or a trial look the same. Each such dispatch now writes one line with the trait, its crashes, their age and the reason; one a second on each trait, ten in all. Nothing is looked up while there is no evidence.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -9,6 +9,7 @@
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
 from celeryward.endpoints import forwarding
+from celeryward.endpoints import held_evidence
 from celeryward import errors
 from celeryward import logs
 
@@ -36,11 +37,13 @@
         self.timeouts = timeouts
         self.retries = retries
         self.log_fields = log_fields
+        self.evidence_lines = held_evidence.LineLimit(self.guard.harmful.clock)
 
     @contextlib.contextmanager
     def begin(self, relayed, plan):
         """Yield the :class:`relayed_requests.Dispatch` of a request."""
         self.log_dispatch(relayed, plan)
+        self.log_evidence(relayed, plan)
         watched = self.crash_watch.begin(
             plan.runner, relayed.traits, relayed.trial is not None
         )
@@ -82,6 +85,32 @@
             **self.log_fields(),
         ).info('dispatched')
 
+    def log_evidence(self, relayed, plan):
+        """Log why a request is sent although such ones crashed endpoints."""
+        harmful = self.guard.harmful
+        if not harmful.has_evidence():
+            return
+        held = held_evidence.find_evidence(
+            harmful,
+            plan.service,
+            relayed.traits().all(),
+            relayed.trial is not None,
+        )
+        if held is None or not self.evidence_lines.allows(held.trait):
+            return
+        logs.bind(
+            request_id=relayed.metadata.request_id,
+            step='dispatch',
+            peer=plan.runner.address,
+            endpoint=plan.runner.id,
+            service=plan.service,
+            trait=held.trait,
+            crashes=held.crashes,
+            moments=held.moments,
+            age=round(held.age_seconds, 3),
+            allowed=held.allowed,
+        ).info('dispatched although such requests crashed endpoints')
+
     def begin_run(self, relayed, plan):
         """Register a dispatch; return its :class:`runs.Run`.
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -39,6 +39,7 @@
     'endpoints/closures.py',
     'endpoints/departures.py',
     'endpoints/fingerprints.py',
+    'endpoints/held_evidence.py',
     'endpoints/liveness.py',
     'endpoints/load.py',
     'endpoints/notices.py',
