--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -42,6 +42,7 @@
     'endpoints/departures.py',
     'endpoints/drains.py',
     'endpoints/fingerprints.py',
+    'endpoints/held_evidence.py',
     'endpoints/liveness.py',
     'endpoints/load.py',
     'endpoints/notices.py',
