Wait for unread responses only once a further request has arrived

Cause: a connection waited for its last response to be taken before it waited for input, so that the next request of a slow but sound client could be read up to 0.5 s late. An idle connection with an unread response could be closed for a new one, which cut the response off. Input that was always there reset the count of requests in a turn.

--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import socket
+import time
 
 import curio
 import h11
@@ -125,6 +126,10 @@
             if idle is None:
                 self.closed.record(cause, peer)
                 return False
+            if sockets.count_unsent(idle.sock):
+                # Its last response would be cut off.
+                idle.idle_since = time.monotonic()
+                continue
             self.connections.remove(idle)
             self.closed.record('idle', idle.peer)
             await idle.shut_down()
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -19,8 +19,6 @@
 # the connection is seen; and how often the end is looked for behind more.
 MAX_EARLY_BYTES = 4096
 END_POLL_SECONDS = 0.5
-# As long as a sound peer may stand still, see `sockets`.
-PIPELINED_STALL_SECONDS = sockets.USER_TIMEOUT_MILLISECONDS / 1000
 
 
 class PacedInput(bodies.BodyReader):
@@ -30,7 +28,8 @@
         super().__init__(sock, peer)
         # Since when no request is under way, in monotonic seconds, or None.
         self.idle_since = time.monotonic()
-        # Requests that followed each other without a wait for input.
+        # Requests since other tasks had their turn. Input that has arrived is
+        # read without a turn of others.
         self.requests_in_turn = 0
 
     def read_size(self):
@@ -47,29 +46,19 @@
         :raises Disconnected: if the connection is reset, or if the peer
             has no room for the last response.
         """
+        self.idle_since = time.monotonic()
+        if not self.has_trailing_data():
+            self.h11.receive_data(await self.read(step, deadline, extend))
         if self.limits is not None:
-            if sockets.count_unsent(self.sock):
-                await self.wait_until_sent(step, self.stall_seconds())
-            self.idle_since = time.monotonic()
-        if self.has_trailing_data():
-            await self.take_turn()
-            return
-        self.requests_in_turn = 0
-        self.h11.receive_data(await self.read(step, deadline, extend))
+            await self.take_turn(step)
 
-    def stall_seconds(self):
-        """Return how long the peer may leave a response unread.
+    async def take_turn(self, step):
+        """Let other connections go on before a request that has arrived.
 
-        One that has sent further requests meanwhile is at work.
+        It is not read before the peer has room for the last response: one that
+        reads has it by now, so that this rarely waits.
         """
-        if self.has_trailing_data() or self.has_input():
-            return PIPELINED_STALL_SECONDS
-        return transport.WRITE_STALL_SECONDS
-
-    async def take_turn(self):
-        """Let other connections go on before a request that has arrived."""
-        if self.limits is None:
-            return
+        await self.wait_until_sent(step)
         self.requests_in_turn += 1
         if self.requests_in_turn >= self.limits.requests_per_turn:
             self.requests_in_turn = 0
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -1,11 +1,12 @@
 """Reads and writes the bytes of connections, within limits of time."""
 
+import math
 import os
 import socket
 
 import curio
 
-from celeryward import deadlines
+from celeryward import awake_clock
 from celeryward import errors
 from celeryward import sockets
 
@@ -17,6 +18,9 @@
 # Read at a time while a request head is awaited from a limited connection, so
 # that little is read ahead of what is served.
 HEAD_READ_BYTES = 16384
+# A peer that sends requests and takes no response for this long is left. It is
+# as long as a sound peer may stand still, see `sockets`.
+UNREAD_STALL_SECONDS = sockets.USER_TIMEOUT_MILLISECONDS / 1000
 # Looks at whether a peer has read what was written.
 FIRST_LOOK_SECONDS = 0.01
 LAST_LOOK_SECONDS = 0.5
@@ -171,43 +175,46 @@
             connection with limits.
         """
         remaining = self.write_now(memoryview(data))
-        deadline = self.write_deadline(len(remaining))
+        write_until = self.write_until(len(remaining))
         while remaining:
             sent = await self.write_some(remaining)
             remaining = remaining[sent:]
-            if remaining and deadline.expired():
+            if remaining and awake_clock.CLOCK() >= write_until:
                 raise curio.TaskTimeout(WRITE_STALL_SECONDS)
 
-    def write_deadline(self, size):
-        """Return until when a message of this size must be written."""
+    def write_until(self, size):
+        """Return until when a message of this size must be written.
+
+        This is a time on the clock without pauses of this process, in which a
+        peer may have read.
+        """
         if self.limits is None:
-            return deadlines.NEVER
-        return deadlines.Deadline.after(
-            self.limits.write_seconds + size / MIN_READER_BYTES_PER_SECOND
+            return math.inf
+        slow_read_seconds = size / MIN_READER_BYTES_PER_SECOND
+        return (
+            awake_clock.CLOCK() + self.limits.write_seconds + slow_read_seconds
         )
 
-    async def wait_until_sent(self, step, stall_seconds):
+    async def wait_until_sent(self, step):
         """Wait until the peer has room for all that was written.
 
-        A peer that reads has room at once, so that this rarely waits.
-
-        :param float stall_seconds: longest time without any progress.
-        :raises Disconnected: if it has none in that time, or too little until
-            the deadline of a write.
+        :raises Disconnected: if it has none for :data:`UNREAD_STALL_SECONDS`,
+            or too little until the deadline of a write.
         """
         held = sockets.count_unsent(self.sock)
+        write_until = self.write_until(held)
+        stalled_at = awake_clock.CLOCK() + UNREAD_STALL_SECONDS
         seconds = FIRST_LOOK_SECONDS
-        deadline = self.write_deadline(held)
-        stalled = deadlines.Deadline.after(stall_seconds)
         while held:
-            if deadline.earlier(stalled).expired():
-                self.left_unread = True
-                raise self.lost_error('peer reads no response', step)
             await curio.sleep(seconds)
             seconds = min(LAST_LOOK_SECONDS, 2 * seconds)
             held_before, held = held, sockets.count_unsent(self.sock)
+            now = awake_clock.CLOCK()
             if held < held_before:
-                stalled = deadlines.Deadline.after(stall_seconds)
+                stalled_at = now + UNREAD_STALL_SECONDS
+            if held and now >= min(stalled_at, write_until):
+                self.left_unread = True
+                raise self.lost_error('peer reads no response', step)
 
     async def write_some(self, data):
         """Write some bytes once the kernel takes them; return their number.
