Let one address have seven eighths of a listener's connections

Cause: all callers of a host may come through one load balancer. With three quarters a host of 160 MB took 360 connections from it, close to the few hundred of ordinary use.

Change: seven eighths, 420 on that host; connections to other addresses keep the rest.

--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -32,7 +32,7 @@
 CONNECTION_BYTES = 32 * 1024
 # Part of a listener's connections that one address may have. A load balancer
 # may be the only address; the rest is for all others.
-ADDRESS_SHARE = 0.75
+ADDRESS_SHARE = 0.875
 # An idle connection that is younger may be about to bring a request.
 MIN_IDLE_SECONDS = 1.0
 # After no idle connection was found, the next search is so much later.
