End the write of a request at the deadline of its call

A caller whose upload went to an endpoint that doesn't read got no answer at the deadline of the request, but when the write failed: 5.3 s after the start of a call with a time limit of 0.3 s to a store, an object API or another router, when the kernel gave the connection up, and otherwise after WRITE_STALL_SECONDS, or never if the peer took a byte now and then.

Cause: deadlines held for reads only. http.send_request and the forwarder now pass the deadline of the call to the write, which fails like one to a peer that takes no bytes. The outcome is that of a request that may have run: 504 at the router, which takes the deadline of the request and not that of the head, so that no slow but sound upload is given up earlier than before. Other writes have no deadline, as before.

tests/test_early_answers.py::*::test_write_ends_at_the_deadline: all 5 cases failed before, with the kernel's limit and WRITE_STALL_SECONDS at 120 s, none after.

--- a/celeryward/bodies.py
+++ b/celeryward/bodies.py
@@ -12,6 +12,8 @@
 # Smaller chunks are joined: kept apart they take up to 20 times their size.
 MIN_CHUNK_BYTES = 1024
 MAX_JOINED_BYTES = 65536
+# Digits of a stated length that are read; more are above any limit.
+MAX_LENGTH_DIGITS = 18
 
 
 class BodyReader(transport.Transport):
@@ -134,6 +136,15 @@
             )
 
 
+def stated_length(headers):
+    """Return the length of a body that its head states, or None."""
+    length = headers.get('content-length', '')
+    is_number = length.isascii() and length.isdigit()
+    if not is_number or 'transfer-encoding' in headers:
+        return None
+    return int(length[:MAX_LENGTH_DIGITS])
+
+
 def add_chunk(chunks, chunk):
     """Append a chunk to a list, or to the small ones at its end."""
     if len(chunk) >= MIN_CHUNK_BYTES:
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -343,7 +343,9 @@
         if forwarded.body:
             events.append(h11.Data(data=forwarded.body))
         events.append(h11.EndOfMessage())
-        await connection.send('send request', *events)
+        await connection.send(
+            'send request', *events, deadline=forwarded.deadline
+        )
 
     def check_head(self, runner, head, metadata):
         """Raise the error that the head of a response indicates.
--- a/celeryward/endpoints/protocol.py
+++ b/celeryward/endpoints/protocol.py
@@ -18,6 +18,7 @@
 from celeryward import http
 from celeryward import logs
 
+CHAT_PATH = '/v1/chat/completions'
 EVENT_END = b'\n\n'
 EVENT_START = b'data: '
 DONE_EVENT = b'data: [DONE]\n\n'
@@ -213,12 +214,10 @@
 
 async def start_chat(connection, call, version, read_deadlines, resume=None):
     """Send a chat request; return the checked head of its response."""
+    headers = chat_headers(call, version)
+    body = encode_chat(call.request, resume)
     await http.send_request(
-        connection,
-        'POST',
-        '/v1/chat/completions',
-        chat_headers(call, version),
-        encode_chat(call.request, resume),
+        connection, 'POST', CHAT_PATH, headers, body, call.deadline
     )
     response = await connection.receive_response(read_deadlines.first_byte())
     response_checks.check_head(response, call, connection.peer)
@@ -386,12 +385,13 @@
         'x-request-id': call.request_id,
         'x-timeout-ms': str(int(call.deadline.remaining() * 1000)),
     }
+    method, target = request.method, request.target
     await http.send_request(
-        connection, request.method, request.target, headers, request.body
+        connection, method, target, headers, request.body, call.deadline
     )
     response = await connection.receive_response(read_deadlines.first_byte())
     response_checks.check_service_head(response, call, connection.peer)
     body = await response_checks.receive_delimited_body(
-        connection, response, call, read_deadlines, request.method
+        connection, response, call, read_deadlines, method
     )
     return response, body
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -19,8 +19,6 @@
 # Reads that one head, or the lines between two chunks of a body, may take.
 MAX_PIECES = 4096
 MAX_BODY_BYTES = bodies.MAX_BODY_BYTES
-# Digits of a stated length that are read; more are above any limit.
-MAX_LENGTH_DIGITS = 18
 # Interim (1xx) responses that are skipped before the final response.
 MAX_INTERIM_RESPONSES = 16
 # Statuses of responses that never have a body.
@@ -193,14 +191,16 @@
             self.ended_by_close = not (self.bodiless or has_length)
             sockets.reset_on_close(self.sock, self.ended_by_close)
 
-    async def send(self, step, *events):
+    async def send(self, step, *events, deadline=deadlines.NEVER):
         """Send h11 events in one write.
 
+        :param Deadline deadline: when the peer must have taken all bytes.
         :raises Disconnected: if the connection is closed, if the peer takes
             no bytes, or if an earlier write was not ended.
         """
         self.check_writable(step)
-        await self.send_bytes(step, b''.join(map(self.encode, events)))
+        data = b''.join(map(self.encode, events))
+        await self.send_bytes(step, data, deadline)
         if self.ended_by_close and isinstance(events[-1], h11.EndOfMessage):
             sockets.reset_on_close(self.sock, False)
 
@@ -249,7 +249,7 @@
                 decode_headers(event.headers),
                 tuple(event.headers.raw_items()),
             )
-            self.stated_length = stated_length(request.headers)
+            self.stated_length = bodies.stated_length(request.headers)
             return request
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -293,7 +293,7 @@
         self.stated_length = None
         self.ended_by_peer = False
         if not never_has_body(self.request_method, response.status):
-            self.stated_length = stated_length(response.headers)
+            self.stated_length = bodies.stated_length(response.headers)
             self.ended_by_peer = not response.is_framed
 
     def reusable(self):
@@ -331,15 +331,6 @@
     return method == 'HEAD' or status in BODILESS_STATUSES
 
 
-def stated_length(headers):
-    """Return the length of a body that its head states, or None."""
-    length = headers.get('content-length', '')
-    is_number = length.isascii() and length.isdigit()
-    if not is_number or 'transfer-encoding' in headers:
-        return None
-    return int(length[:MAX_LENGTH_DIGITS])
-
-
 def decode_headers(headers):
     """Return h11 headers as a dictionary of values by lower-case name."""
     return {
@@ -362,8 +353,10 @@
     return Connection(sock, h11.CLIENT, f'{host}:{port}')
 
 
-async def send_request(connection, method, target, headers, body):
-    """Send a request with its whole body."""
+async def send_request(
+    connection, method, target, headers, body, deadline=deadlines.NEVER
+):
+    """Send a request with its whole body before a deadline."""
     head = {
         'host': connection.peer,
         'content-length': str(len(body)),
@@ -376,12 +369,13 @@
         ),
         h11.Data(data=body),
         h11.EndOfMessage(),
+        deadline=deadline,
     )
 
 
 async def exchange(connection, method, target, headers, body, deadline):
     """Send a request; return the head and the whole body of the response."""
-    await send_request(connection, method, target, headers, body)
+    await send_request(connection, method, target, headers, body, deadline)
     response = await connection.receive_response(deadline)
     response_body = await connection.receive_body('read body', deadline)
     return response, response_body
--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -356,7 +356,7 @@
 
     async def read_watch(self, connection, path, deadline, next_deadline):
         """Send the request of a watch and yield a result for each line."""
-        await http.send_request(connection, 'GET', path, {}, b'')
+        await http.send_request(connection, 'GET', path, {}, b'', deadline)
         response = await connection.receive_response(deadline)
         if response.status != 200:
             body = await connection.receive_body('read body', deadline)
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from celeryward import deadlines
 from celeryward import errors
 from celeryward import sockets
 
@@ -125,15 +126,15 @@
         if self.writing:
             raise self.lost_error('an earlier write was not ended', step)
 
-    async def send_bytes(self, step, data):
+    async def send_bytes(self, step, data, deadline=deadlines.NEVER):
         """Send bytes.
 
         :raises Disconnected: if the connection is closed, or if the peer takes
-            no bytes.
+            no bytes, or not all before a deadline.
         """
         self.writing = True
         try:
-            await self.write(data)
+            await self.write(data, deadline)
         except curio.TaskTimeout as error:
             raise self.lost_error('peer takes no bytes', step) from error
         except OSError as error:
@@ -147,21 +148,21 @@
             f'connection lost: {reason}', step=step, peer=self.peer
         )
 
-    async def write(self, data):
+    async def write(self, data, deadline):
         """Write bytes to the socket.
 
         :raises curio.TaskTimeout: if the peer takes none of them for
-            :data:`WRITE_STALL_SECONDS`.
+            :data:`WRITE_STALL_SECONDS`, or not all before the deadline.
         """
         remaining = self.write_now(memoryview(data))
         if not remaining:
             return
         while remaining:
-            sent = await self.write_some(remaining)
+            sent = await self.write_some(remaining, deadline)
             remaining = remaining[sent:]
         self.ended_during_write = sockets.input_has_ended(self.sock)
 
-    async def write_some(self, data):
+    async def write_some(self, data, deadline):
         """Write some bytes once the kernel takes them; return their number.
 
         It takes none until much of what it holds has been received, so that
@@ -171,11 +172,12 @@
         """
         held = sockets.count_unreceived(self.sock)
         while True:
+            seconds = min(WRITE_STALL_SECONDS, deadline.remaining())
             try:
-                return await curio.timeout_after(
-                    WRITE_STALL_SECONDS, self.sock.send, data
-                )
+                return await curio.timeout_after(seconds, self.sock.send, data)
             except curio.TaskTimeout:
+                if deadline.expired():
+                    raise
                 held_before, held = held, sockets.count_unreceived(self.sock)
                 if held >= held_before:
                     raise
--- a/tests/early_answers.py
+++ b/tests/early_answers.py
@@ -13,6 +13,7 @@
 from celeryward import sockets
 from celeryward.standins import base
 from celeryward.standins import service
+from celeryward import transport
 from tests import fakes
 from tests import platform_runners
 from tests import platform_standins as standins
@@ -139,6 +140,18 @@
     return await connection.receive_body('read', deadline)
 
 
+async def never_read(server, connection, head):
+    """Neither read the upload nor answer."""
+    await curio.sleep(IDLE_SECONDS)
+
+
+def let_writes_stall(monkeypatch):
+    """Let only a deadline end a write to a peer that doesn't read."""
+    monkeypatch.setattr(transport, 'WRITE_STALL_SECONDS', IDLE_SECONDS)
+    milliseconds = int(IDLE_SECONDS * 1000)
+    monkeypatch.setattr(sockets, 'USER_TIMEOUT_MILLISECONDS', milliseconds)
+
+
 def once(script):
     """Return a script that is used for one request only."""
     remaining = [script]
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -158,10 +158,20 @@
         head, body = await request.join()
         assert (head.status, body) == (200, b'whole answer')
 
+    @early.on_site
+    async def test_write_ends_at_the_deadline(self, site, monkeypatch):
+        early.let_writes_stall(monkeypatch)
+        early.set_script(site, early.never_read)
+        body = bytes(early.SIZES[-1])
+        async with curio.timeout_after(STALL_SECONDS):
+            head, _ = await site.request('/once/x', 'POST', body)
+        assert head.status == 504
+
 
-async def ask(port, size, idempotent=False):
+async def ask(port, size, idempotent=False, timeout_ms=5000):
     """Send a request to the service; return head and body of the answer."""
     headers = {'x-idempotent': 'true' if idempotent else 'false'}
+    headers['x-timeout-ms'] = str(timeout_ms)
     path = '/v1/services/orders/x'
     body = {'text': 'x' * size}
     return await demo.send_example(
@@ -239,6 +249,16 @@
 
         with_service(test)
 
+    def test_write_ends_at_the_deadline(self, with_service, monkeypatch):
+        async def test(orders, port):
+            orders.default_script = early.never_read
+            async with curio.timeout_after(STALL_SECONDS):
+                head, _ = await ask(port, early.SIZES[-1], timeout_ms=300)
+            assert head.status in (502, 504)
+
+        early.let_writes_stall(monkeypatch)
+        with_service(test)
+
 
 def object_client(port):
     """Return a client of the product's own object API."""
@@ -253,11 +273,9 @@
 
 
 def router_client(port):
-    """Return a client of another router that waits as long as the others."""
+    """Return a client of another router."""
     member = members.Member('router-2', 'a', '127.0.0.1', port)
-    client = routers.RouterClient(member, 'own')
-    client.timeout = 5.0
-    return client
+    return routers.RouterClient(member, 'own')
 
 
 async def write(client, size):
@@ -272,13 +290,14 @@
     # Whether an orderly end may end an answer without a length.
     is_whole = staticmethod(is_whole)
 
-    async def call(self, size, script):
+    async def call(self, size, script, timeout=5.0):
         """Return the result of a call that a script answers."""
         peer = early.EarlyAnswers()
         peer.default_script = script
         await peer.start()
         try:
             client = type(self).make_client(peer.port)
+            client.timeout = timeout
             return await write(client, size)
         finally:
             await peer.stop()
@@ -308,6 +327,13 @@
         script = early.answer('late', 'fin', early.FRAMED, start)
         assert (await self.call(early.SIZES[-1], script)).is_ok()
 
+    @fakes.in_kernel
+    async def test_write_ends_at_the_deadline(self, monkeypatch):
+        early.let_writes_stall(monkeypatch)
+        async with curio.timeout_after(STALL_SECONDS):
+            outcome = await self.call(early.SIZES[-1], early.never_read, 0.3)
+        assert outcome.is_err()
+
 
 class TestStore(PeerCalls):
     """Guards against parts of the store's answers that count as whole."""
