Count failed requests to endpoints, also those served elsewhere

An endpoint whose answers break off showed in no metric while another one served its requests: celeryward_router_failures_total counts what callers see. celeryward_router_dispatches_failed_total{service,code} counts each failed dispatch. The log has one line `dispatch failed` with the request's id for each of them already; the test now checks both.

--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -216,6 +216,9 @@
             error, errors.EndpointRefused
         )
         self.record_failure(relayed, dispatch, error)
+        self.retries.metrics.count_failed_dispatch(
+            dispatch.plan.service, error.code
+        )
         if error.sent:
             relayed.runs += 1
         else:
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -20,6 +20,11 @@
         self.failures = self.counter(
             'failures', 'Requests refused or failed.', ('route', 'code')
         )
+        self.dispatches_failed = self.counter(
+            'dispatches_failed',
+            'Requests to endpoints that failed, also if they ran again.',
+            ('service', 'code'),
+        )
         self.callers_left = self.counter(
             'callers_left', 'Callers that left unanswered.', ('route',)
         )
@@ -72,6 +77,10 @@
         """Count a request that was refused or failed."""
         self.failures.labels(route, code).inc()
 
+    def count_failed_dispatch(self, service, code):
+        """Count a request to an endpoint that failed."""
+        self.dispatches_failed.labels(service, code).inc()
+
     def count_unanswered(self, route, cause):
         """Count a whole request that got no complete answer."""
         self.unanswered.labels(route, cause).inc()
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -95,6 +95,11 @@
         head, body = await site.request('/whole/x', 'POST', bytes(size))
         logs.logger.remove(sink)
         assert (head.status, body) == (200, b'whole answer')
+        count = site.router.metrics.registry.get_sample_value(
+            'celeryward_router_dispatches_failed_total',
+            {'service': 'app', 'code': 'connection_failed'},
+        )
+        assert count == 1
         failed = [line for line in lines if 'dispatch failed' in line]
         assert [line.record['extra']['request_id'] for line in failed] == [
             'request-1'
