Poll for drains at most once a second, whatever the bound

Cause: bounds under 3 s led to polls of down to 0.2 s, five calls a second. Change: the wait is never below 1 s; only a silent connection can then delay a drain beyond a short bound, and an unstable path extends it.

--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -26,7 +26,9 @@
 STALE_ENDPOINTS_SECONDS = 0.2
 STALE_ORDERS_SECONDS = 2.5
 MIN_PRIMARY_WAIT_SECONDS = 0.2
-MIN_DRAIN_WAIT_SECONDS = 0.2
+# A shorter wait would cost too many calls; a silent connection may delay a
+# drain beyond a short bound.
+MIN_DRAIN_WAIT_SECONDS = 1.0
 # Part of the store's history that a watch may wait. A watch that outlasts the
 # history has to start again with a list.
 MAX_WAIT_HISTORY_SHARE = 0.7
