--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -15,6 +15,7 @@
 from tests import platform_standins as standins
 from tests import test_adapter
 from tests import test_notices as notices
+from tests import test_resumed_streams
 
 COLD = {'coldS': 3.0, 'coldPerS': 10.0}
 ODD_NUMBERS = (-1, 1e12, float('nan'), 10**400, '3', True, [])
@@ -52,6 +53,8 @@
         [
             standins.RunnerStandIn('app-1', 'app'),
             standins.RunnerStandIn('app-2', 'app'),
+            standins.RunnerStandIn('llm-1'),
+            standins.RunnerStandIn('llm-2'),
         ],
         bounds=BOUNDS,
     )
@@ -68,7 +71,7 @@
             await group.spawn(site.request, '/whole/x') for _ in range(40)
         ]
     assert {task.result[0].status for task in tasks} == {200}
-    assert all(runner.arrivals for runner in site.runners.values())
+    assert all(site.runners[each].arrivals for each in ('app-1', 'app-2'))
     assert len(site.arrivals()) == 40
     assert site.router.warm_ups.slots_taken == 0
 
@@ -166,16 +169,31 @@
         for head in heads:
             assert head.status == 200 or head.headers['retry-after']
 
+    @pytest.mark.parametrize(
+        ('service', 'path', 'action'),
+        (
+            ('app', '/whole/x', standins.respond_with(500)),
+            ('app', '/whole/x', standins.never_respond),
+            ('llm', '/stream/x', test_resumed_streams.break_off(2)),
+        ),
+        ids=('retry', 'hedge', 'resumed-stream'),
+    )
     @standins.on_site
-    async def test_retry_takes_a_slot_too(self, site):
-        await site.cool('app-1')
-        await site.cool('app-2')
+    async def test_further_dispatch_takes_a_slot_too(
+        self, site, service, path, action
+    ):
+        for number in (1, 2):
+            await site.cool(f'{service}-{number}')
+            runner = site.runners[f'{service}-{number}']
+            runner.scripted_actions.append(action)
         await curio.sleep(1.0)
-        for runner in site.runners.values():
-            runner.scripted_actions.append(standins.respond_with(500))
-        await site.request('/whole/x')
-        assert len(site.arrivals()) == 2
-        assert site.router.warm_ups.slots_taken == 2
+        try:
+            await site.request(path)
+        except http.Disconnected:
+            # A stream that breaks off for good.
+            pass
+        assert len(site.arrivals()) >= 2
+        assert site.router.warm_ups.slots_taken == len(site.arrivals())
 
     @standins.on_site
     async def test_slot_is_taken_before_connecting(self, site):
