Relay no length with a 204

An endpoint's 204 with a Content-Length, or with a body behind it, reached the caller with that length and no body. RFC 9110, section 8.6, forbids a length there; a caller that believed it would have waited for the body or taken the next answer on the connection for it. The body itself was dropped before, and the connection to the endpoint not used again.

The length of a 204 is left out now; 304 and HEAD keep theirs, which stands for the answer to a GET. Tests of the related paths are added: bytes after a chunked body, two lengths, codings, heads in pieces.

--- a/celeryward/callers/responses.py
+++ b/celeryward/callers/responses.py
@@ -74,12 +74,19 @@
 
     An endpoint may state another one in an answer with chunks.
     """
-    kept = [
+    return [
+        *without_length(lines),
+        (b'Content-Length', str(length).encode()),
+    ]
+
+
+def without_length(lines):
+    """Return header lines without the length of the body."""
+    return [
         (name, value)
         for name, value in lines
         if name.lower() != b'content-length'
     ]
-    return [*kept, (b'Content-Length', str(length).encode())]
 
 
 class Responder:
@@ -123,11 +130,7 @@
         The body is sent with chunked transfer coding, without
         Content-Length.
         """
-        lines = [
-            (name, value)
-            for name, value in header_lines.end_to_end_lines(head.lines)
-            if name.lower() != b'content-length'
-        ]
+        lines = without_length(header_lines.end_to_end_lines(head.lines))
         lines.append((b'Transfer-Encoding', b'chunked'))
         await self.send_head(head.status, lines)
 
@@ -157,9 +160,15 @@
         self.finished = True
 
     async def send_response(self, head, body):
-        """Send a complete answer of an endpoint, with the same content."""
+        """Send a complete answer of an endpoint, with the same content.
+
+        A 204 states no length (RFC 9110, section 8.6): a caller that believed
+        it would take the next answer for a body.
+        """
         lines = header_lines.end_to_end_lines(head.lines)
-        if body or not http.never_has_body(self.method, head.status):
+        if head.status == 204:
+            lines = without_length(lines)
+        elif body or not http.never_has_body(self.method, head.status):
             lines = replace_length(lines, len(body))
         await self.send_head(
             head.status, lines, h11.Data(data=body), h11.EndOfMessage()
--- a/tests/early_answers.py
+++ b/tests/early_answers.py
@@ -37,6 +37,24 @@
     '101 without upgrade': b'HTTP/1.1 101 Switching\r\n',
     '17 interim': b'HTTP/1.1 103 Hints\r\n\r\n' * 17 + b'HTTP/1.1 200 OK\r\n',
 }
+CHUNKED = (*UNFRAMED, 'transfer-encoding: chunked')
+CHUNKS = b'%x\r\n%s\r\n0\r\n\r\n' % (len(PART), PART)
+# Header lines and body of answers, and whether they are valid.
+FRAMES = {
+    'bytes after the last chunk': (
+        CHUNKED,
+        CHUNKS + b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx',
+        True,
+    ),
+    'trailer': (CHUNKED, CHUNKS[:-2] + b'a: b\r\n\r\n', True),
+    'length and chunks': ((*CHUNKED, 'content-length: 5'), CHUNKS, True),
+    'bytes after the length': (FRAMED, PART + b'rest', True),
+    'two equal lengths': ((*FRAMED, FRAMED[-1]), PART, True),
+    'two lengths': ((*FRAMED, 'content-length: 5'), PART, False),
+    'signed length': ((*UNFRAMED, 'content-length: +5'), PART, False),
+    'unknown coding': ((*FRAMED, 'transfer-encoding: gzip'), PART, False),
+    'no coding': ((*UNFRAMED, 'transfer-encoding: '), PART, False),
+}
 INTERIM = (
     b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\na: b\r\n\r\n' * 3
 )
@@ -134,12 +152,29 @@
     return script
 
 
+def odd_answer(name):
+    """Return a script that answers with one of :data:`NO_RESPONSES`."""
+    return answer('late', 'fin', FRAMED, NO_RESPONSES[name])
+
+
 async def read_upload(connection):
     """Return the body of the request that is served."""
     deadline = deadlines.Deadline.after(IDLE_SECONDS)
     return await connection.receive_body('read', deadline)
 
 
+async def answer_in_pieces(server, connection, head):
+    """Send an answer with a length, 7 bytes at a time."""
+    await read_upload(connection)
+    head_lines = '\r\n'.join((*server.identity(head), *FRAMED))
+    raw = f'HTTP/1.1 200 OK\r\n{head_lines}\r\n\r\n'.encode() + PART
+    for start in range(0, len(raw), 7):
+        await connection.sock.sendall(raw[start : start + 7])
+        # The client reads each piece by itself.
+        await curio.sleep(0)
+    await connection.wait_closed()
+
+
 async def never_read(server, connection, head):
     """Neither read the upload nor answer."""
     await curio.sleep(IDLE_SECONDS)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -8,6 +8,7 @@
 
 from celeryward import deadlines
 from celeryward import http
+from celeryward import listener
 from celeryward import logs
 from celeryward.objects import client as objects
 from celeryward.objects import protocol
@@ -26,8 +27,7 @@
 STALL_SECONDS = 12.0
 all_ends = pytest.mark.parametrize(('size', 'moment', 'end'), CASES)
 odd_heads = pytest.mark.parametrize(
-    ('name', 'size'),
-    tuple(zip(early.NO_RESPONSES, itertools.cycle(early.SIZES))),
+    ('name', 'size'), tuple(itertools.product(early.NO_RESPONSES, early.SIZES))
 )
 
 
@@ -44,6 +44,12 @@
 )
 
 
+@pytest.fixture(autouse=True)
+def short_stop(monkeypatch):
+    """Stop the listeners of each test at once: none has callers left."""
+    monkeypatch.setattr(listener, 'LAST_ACCEPT_SECONDS', 0.001)
+
+
 class TestConnection:
     """Guards against ends of answers that are read late."""
 
@@ -144,10 +150,7 @@
     @odd_heads
     @early.on_site
     async def test_odd_head_is_no_response(self, site, name, size):
-        start = early.NO_RESPONSES[name]
-        early.set_script(
-            site, early.answer('late', 'fin', early.FRAMED, start)
-        )
+        early.set_script(site, early.odd_answer(name))
         head, body = await site.request('/once/x', 'POST', bytes(size))
         assert (head.status, body) == (502, b'')
 
@@ -163,6 +166,34 @@
         head, body = await request.join()
         assert (head.status, body) == (200, b'whole answer')
 
+    @pytest.mark.parametrize('name', early.FRAMES)
+    @early.on_site
+    async def test_only_one_frame_of_a_body_counts(self, site, name):
+        lines, body, is_answer = early.FRAMES[name]
+        early.set_script(site, early.answer('late', 'fin', lines, body=body))
+        head, body = await site.request('/once/x', 'POST', b'x')
+        expected = (200, early.PART) if is_answer else (502, b'')
+        assert (head.status, body) == expected
+
+    @pytest.mark.parametrize('status', (204, 304))
+    @early.on_site
+    async def test_body_after_a_bodiless_head_is_dropped(self, site, status):
+        start = b'HTTP/1.1 %d None\r\n' % status
+        script = early.answer('late', 'keep', early.FRAMED, start)
+        early.set_script(site, early.once(script))
+        head, body = await site.request('/whole/x', 'POST', b'x')
+        assert (head.status, body) == (status, b'')
+        assert ('content-length' in head.headers) == (status == 304)
+        for _ in range(2):
+            head, body = await site.request('/whole/x', 'POST', b'x')
+            assert (head.status, body) == (200, b'whole answer')
+
+    @early.on_site
+    async def test_head_that_comes_in_pieces_is_read(self, site):
+        early.set_script(site, early.answer_in_pieces)
+        head, body = await site.request('/once/x', 'POST', b'x')
+        assert (head.status, body) == (200, early.PART)
+
     @early.on_site
     async def test_write_ends_at_the_deadline(self, site, monkeypatch):
         early.let_writes_stall(monkeypatch)
@@ -237,9 +268,7 @@
     @odd_heads
     def test_odd_head_is_no_response(self, with_service, name, size):
         async def test(orders, port):
-            start = early.NO_RESPONSES[name]
-            script = early.answer('late', 'fin', early.FRAMED, start)
-            orders.default_script = script
+            orders.default_script = early.odd_answer(name)
             assert (await ask(port, size))[0].status == 502
 
         with_service(test)
@@ -265,16 +294,15 @@
         with_service(test)
 
 
-def object_client(port):
+def object_client(port, dialect=None):
     """Return a client of the product's own object API."""
     address = settings.Address('127.0.0.1', port)
-    return objects.ObjectClient(address, 5.0, 'test')
+    return objects.ObjectClient(address, 5.0, 'test', dialect)
 
 
 def store_client(port):
     """Return a client of the platform's store."""
-    address = settings.Address('127.0.0.1', port)
-    return objects.ObjectClient(address, 5.0, 'test', store.StoreDialect())
+    return object_client(port, store.StoreDialect())
 
 
 def router_client(port):
@@ -283,11 +311,6 @@
     return routers.RouterClient(member, 'own')
 
 
-async def write(client, size):
-    """Make a call with a body of some size; return its result."""
-    return await client.call('POST', '/upload', body=bytes(size))
-
-
 class PeerCalls:
     """Cases that all clients of stores and routers have in common."""
 
@@ -303,7 +326,7 @@
         try:
             client = type(self).make_client(peer.port)
             client.timeout = timeout
-            return await write(client, size)
+            return await client.call('POST', '/x', body=bytes(size))
         finally:
             await peer.stop()
 
@@ -322,8 +345,7 @@
     @odd_heads
     @fakes.in_kernel
     async def test_odd_head_is_no_response(self, name, size):
-        start = early.NO_RESPONSES[name]
-        script = early.answer('late', 'fin', early.FRAMED, start)
+        script = early.odd_answer(name)
         assert (await self.call(size, script)).is_err()
 
     @fakes.in_kernel
