Skip the write deadline where a response is sent

Cause: each request computed a deadline for unsent bytes that are almost never there.

Change: return at once without unsent bytes.

--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -202,6 +202,8 @@
             or too little until the deadline of a write.
         """
         held = sockets.count_unsent(self.sock)
+        if not held:
+            return
         write_until = self.write_until(held)
         stalled_at = awake_clock.CLOCK() + UNREAD_STALL_SECONDS
         seconds = FIRST_LOOK_SECONDS
