Test that late crashes of engines count at the daemon

The daemon has no clearance by time: only whole responses clear, and each failed attempt names its own traits.

--- a/tests/test_harmful_messages.py
+++ b/tests/test_harmful_messages.py
@@ -17,6 +17,21 @@
 VERSIONS = (fleet.VERSION.name,)
 
 
+class LateCrashingEngine(engine.EngineStandIn):
+    """An engine that crashes in the middle of an answer."""
+
+    async def answer_chat(self, connection, received):
+        """Answer one chat, and crash meanwhile on the harmful message."""
+        if HARMFUL in received.body.decode():
+            await curio.spawn(self.crash_later, daemon=True)
+        await super().answer_chat(connection, received)
+
+    async def crash_later(self):
+        """Crash when half of the answer is written."""
+        await curio.sleep(self.token_seconds * self.tokens / 2)
+        await self.crash(HARMFUL)
+
+
 def make_engines():
     made = []
     for _ in range(ENGINES):
@@ -69,6 +84,25 @@
 
         with_fleet(test, *make_engines())
 
+    def test_late_crashes_count(self, with_fleet):
+        """Routers took answers under way for proof of harmless parts."""
+
+        async def test(started):
+            for number in range(8):
+                assert await send(started, f's{number}', SOUND) is True
+                last = await send(started, number, HARMFUL)
+                await curio.sleep(0.1)
+            assert count_crashes(started) <= 6
+            assert isinstance(last, errors.HarmfulRequest)
+
+        made = [
+            LateCrashingEngine(VERSIONS, tokens=8, token_seconds=0.06)
+            for _ in range(ENGINES)
+        ]
+        for each in made:
+            each.restart_seconds = 0.3
+        with_fleet(test, *made)
+
     def test_message_that_is_answered_is_not_accused(self, with_fleet):
         async def test(started):
             for number in range(4):
