--- a/celeryward/callers/dispatching.py
+++ b/celeryward/callers/dispatching.py
@@ -9,6 +9,7 @@
 from celeryward.callers import planning
 from celeryward.callers import relayed_requests
 from celeryward.endpoints import forwarding
+from celeryward.endpoints import held_evidence
 from celeryward import errors
 from celeryward import logs
 
@@ -36,11 +37,13 @@
         self.timeouts = timeouts
         self.retries = retries
         self.log_fields = log_fields
+        self.evidence_lines = held_evidence.LineLimit(self.guard.harmful.clock)
 
     @contextlib.contextmanager
     def begin(self, relayed, plan):
         """Yield the :class:`relayed_requests.Dispatch` of a request."""
         self.log_dispatch(relayed, plan)
+        self.log_evidence(relayed, plan)
         watched = self.crash_watch.begin(
             plan.runner, relayed.traits, relayed.trial is not None
         )
@@ -78,10 +81,37 @@
             after_event=relayed.sequence.last,
             in_flight=outcomes.in_flight.get(plan.runner.id, 0),
             suspected=plan.suspected,
+            cold=plan.slot is not None,
             left=round(relayed.deadline.remaining(), 3),
             **self.log_fields(),
         ).info('dispatched')
 
+    def log_evidence(self, relayed, plan):
+        """Log why a request is sent although such ones crashed endpoints."""
+        harmful = self.guard.harmful
+        if not harmful.has_evidence():
+            return
+        held = held_evidence.find_evidence(
+            harmful,
+            plan.service,
+            relayed.traits().all(),
+            relayed.trial is not None,
+        )
+        if held is None or not self.evidence_lines.allows(held.trait):
+            return
+        logs.bind(
+            request_id=relayed.metadata.request_id,
+            step='dispatch',
+            peer=plan.runner.address,
+            endpoint=plan.runner.id,
+            service=plan.service,
+            trait=held.trait,
+            crashes=held.crashes,
+            moments=held.moments,
+            age=round(held.age_seconds, 3),
+            allowed=held.allowed,
+        ).info('dispatched although such requests crashed endpoints')
+
     def begin_run(self, relayed, plan):
         """Register a dispatch; return its :class:`runs.Run`.
 
@@ -133,6 +163,7 @@
             must_not_repeat=not route.retryable,
             on_late=on_late,
             watched=dispatch.watched,
+            slot=plan.slot,
         )
 
     async def record_events(self, relayed, dispatch, count):
@@ -218,13 +249,19 @@
     def record_error(self, relayed, dispatch, error):
         """Record and log a failed dispatch."""
         runner = dispatch.plan.runner
-        if error.sent or not self.router_state.closures.is_closed(runner):
+        may_open = isinstance(
+            error, errors.EndpointCold
+        ) or self.router_state.closures.is_closed(runner)
+        if error.sent or not may_open:
             # One that is closed may run the request after its pause.
             relayed.tried_endpoints |= {runner.id}
         relayed.deliveries += error.sent or isinstance(
             error, errors.EndpointRefused
         )
         self.record_failure(relayed, dispatch, error)
+        self.retries.metrics.count_failed_dispatch(
+            dispatch.plan.service, error.code
+        )
         if error.sent:
             relayed.runs += 1
         else:
@@ -269,6 +306,8 @@
             return
         elif not error.sent:
             outcomes.record_connect_failure(runner_id)
+            if isinstance(error, errors.ConnectionRefused):
+                self.router_state.warm_ups.expect_restart(dispatch.plan.runner)
         else:
             outcomes.record_failure(runner_id)
             # Only a timeout counts against the software version: a broken
--- a/celeryward/callers/router_admission.py
+++ b/celeryward/callers/router_admission.py
@@ -35,6 +35,7 @@
     :param completion: :class:`completion.CompletionCheck`.
     :param crash_watch: :class:`crash_watch.CrashWatch`.
     :param guard: :class:`harmful_guard.HarmfulRequestGuard`.
+    :param warm_ups: :class:`warm_ups.WarmUps`.
     """
 
     failure_domain: str
@@ -51,6 +52,7 @@
     completion: object
     crash_watch: object
     guard: object
+    warm_ups: object
 
 
 class AdmissionControl:
@@ -86,6 +88,11 @@
             raise not_ready_error(
                 'no configuration yet', NOT_READY_RETRY_SECONDS
             )
+        if router_state.runners.drains.is_awaited:
+            raise not_ready_error(
+                'no list of drained failure domains yet',
+                NOT_READY_RETRY_SECONDS,
+            )
         fresh = router_state.freshness.is_fresh()
         host = head.headers.get('host', '').partition(':')[0]
         route = configuration.match(host, head.path)
--- a/celeryward/endpoints/runners.py
+++ b/celeryward/endpoints/runners.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from celeryward.endpoints import departures
+from celeryward.endpoints import drains
 from celeryward import logs
 
 
@@ -19,6 +20,9 @@
     :param bool leaving: whether it drains and gets no new work.
     :param tuple models: names of the models that it serves.
     :param float started_at: start of the process in UTC seconds.
+    :param float | None cold_seconds: for how long it stays cold, as of when
+        the entry was written; None if that can't be read. It differs in each
+        entry of the same run, so that it is not compared.
     """
 
     id: str
@@ -31,6 +35,7 @@
     leaving: bool = False
     models: tuple[str, ...] = ()
     started_at: float = 0.0
+    cold_seconds: float | None = dataclasses.field(default=0.0, compare=False)
 
     @property
     def address(self):
@@ -49,8 +54,10 @@
     ``missing`` holds the deadline of each endpoint whose entry may have
     expired only because of an outage of the store: until then it is kept.
     ``initial_software`` holds the software version that was seen first for
-    each service. ``departures`` holds what endpoints announce themselves.
+    each service. ``departures`` holds what endpoints announce themselves,
+    ``drains`` the failure domains that operators have drained.
     ``listeners`` are called with a :class:`Runner` when its run is over,
+    ``entry_listeners`` with each entry and the one before, None for none,
     ``announcement_listeners`` with a :class:`departures.Announcement` that an
     answer to this router contained.
     """
@@ -60,7 +67,9 @@
         self.missing = {}
         self.initial_software = {}
         self.departures = departures.Departures()
+        self.drains = drains.FailureDomainDrains()
         self.listeners = []
+        self.entry_listeners = []
         self.announcement_listeners = []
 
     def put(self, runner):
@@ -76,6 +85,8 @@
             ).info('endpoint listed')
         if previous is not None and previous.key != runner.key:
             self.notify_listeners(previous)
+        for listener in self.entry_listeners:
+            listener(runner, previous)
 
     def remove(self, runner_id, keep_until=None):
         """Remove an endpoint.
@@ -134,6 +145,12 @@
             and not self.is_leaving(registered)
         )
 
+    def may_send(self, runner):
+        """Return whether a request may be sent to this run now."""
+        return self.is_available(runner) and not self.drains.is_drained(
+            runner.failure_domain
+        )
+
     def of_service(self, service):
         """Yield the endpoints of a service that are not leaving."""
         self.remove_expired()
@@ -192,6 +209,7 @@
             runner.address
             for runner in self.runners.values()
             if not self.is_leaving(runner)
+            and not self.drains.is_drained(runner.failure_domain)
         )
 
 
--- a/celeryward/endpoints/selection.py
+++ b/celeryward/endpoints/selection.py
@@ -14,8 +14,17 @@
 
 FILTERS = registry.Registry('endpoint filter')
 # Endpoints that could run the request, now or later.
-ELIGIBLE_PIPELINE = ('software', 'model', 'untried')
-PIPELINE = (*ELIGIBLE_PIPELINE, 'open', 'in-time', 'unsuspected')
+ELIGIBLE_PIPELINE = ('undrained', 'software', 'model', 'untried')
+# The preference for warm endpoints comes last, so that a cold one is used if
+# the warm ones are closed, too late or suspected.
+PIPELINE = (
+    *ELIGIBLE_PIPELINE,
+    'open',
+    'in-time',
+    'unsuspected',
+    'returned',
+    'warmed-up',
+)
 # Endpoints that all routers prefer for a prompt prefix, in the same order.
 PREFERRED_ENDPOINTS = 2
 # A preferred endpoint is skipped if it has more requests of this router in
@@ -56,6 +65,9 @@
         of the endpoint.
     :param queue_seconds: function that returns the estimated wait in the queue
         of an endpoint by its id.
+    :param frozenset drained: failure domains whose endpoints get nothing.
+    :param frozenset avoided: failure domains to avoid if there are others.
+    :param frozenset deferred: ids of endpoints that are cold, or were lately.
     """
 
     endpoints: tuple[runners.Runner, ...]
@@ -69,6 +81,21 @@
     suspects: frozenset = frozenset()
     in_flight: object = dataclasses.field(default_factory=dict)
     queue_seconds: object = no_queue
+    drained: frozenset = frozenset()
+    avoided: frozenset = frozenset()
+    deferred: frozenset = frozenset()
+
+
+@FILTERS.register('undrained')
+def filter_undrained(candidates, query):
+    """Drop endpoints in drained failure domains, even if all are."""
+    if not query.drained:
+        return candidates
+    return (
+        runner
+        for runner in candidates
+        if runner.failure_domain not in query.drained
+    )
 
 
 @FILTERS.register('software')
@@ -121,6 +148,37 @@
     yield from healthy or remaining
 
 
+@FILTERS.register('returned')
+def filter_returned(candidates, query):
+    """Drop endpoints that the request has not returned to after a drain.
+
+    They are kept if there are no others.
+    """
+    if not query.avoided:
+        return candidates
+    remaining = tuple(candidates)
+    returned = [
+        runner
+        for runner in remaining
+        if runner.failure_domain not in query.avoided
+    ]
+    return iter(returned or remaining)
+
+
+@FILTERS.register('warmed-up')
+def filter_warmed_up(candidates, query):
+    """Drop cold endpoints, unless each other one has a queue."""
+    remaining = tuple(candidates)
+    warm = [each for each in remaining if each.id not in query.deferred]
+    waits = (query.queue_seconds(each.id) for each in warm)
+    if len(warm) < len(remaining) and any(
+        wait <= MAX_EXTRA_QUEUE_SECONDS for wait in waits
+    ):
+        yield from warm
+    else:
+        yield from remaining
+
+
 def select(query):
     """Return the endpoint for the request, or None if there is none."""
     candidates = list(apply_filters(PIPELINE, query))
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -136,6 +136,12 @@
     code = 'endpoints_leaving'
 
 
+class EndpointsDrained(Overloaded):
+    """All endpoints that could run the request are in drained domains."""
+
+    code = 'endpoints_drained'
+
+
 class HarmfulRequest(NotRun):
     """The request has crashed as many endpoints as the message states."""
 
@@ -269,6 +275,12 @@
     code = 'endpoint_closed'
 
 
+class EndpointCold(EndpointLeft):
+    """There was no slot at a cold endpoint when the request was due."""
+
+    code = 'endpoint_cold'
+
+
 class EndpointRefused(EndpointFailure):
     """The endpoint refused the request and states that it did not run it."""
 
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -22,6 +22,11 @@
         self.failures = self.counter(
             'failures', 'Requests refused or failed.', ('route', 'code')
         )
+        self.dispatches_failed = self.counter(
+            'dispatches_failed',
+            'Requests to endpoints that failed, also if they ran again.',
+            ('service', 'code'),
+        )
         self.callers_left = self.counter(
             'callers_left', 'Callers that left unanswered.', ('route',)
         )
@@ -79,6 +84,10 @@
         """Count a request that was refused or failed."""
         self.failures.labels(route, code).inc()
 
+    def count_failed_dispatch(self, service, code):
+        """Count a request to an endpoint that failed."""
+        self.dispatches_failed.labels(service, code).inc()
+
     def count_unanswered(self, route, cause):
         """Count a whole request that got no complete answer."""
         self.unanswered.labels(route, cause).inc()
@@ -184,6 +193,31 @@
         'Endpoints that want no requests for a while.',
         router.closures.closed_count,
     )
+    yield (
+        'failure_domains_drained',
+        'Failure domains whose endpoints get no requests.',
+        lambda: len(table.drains.began),
+    )
+    yield (
+        'failure_domains_returning',
+        'Failure domains that requests return to after a drain.',
+        table.drains.returning_count,
+    )
+    yield (
+        'endpoints_cold',
+        'Endpoints that are warming up and have a limit meanwhile.',
+        router.warm_ups.cold_count,
+    )
+    yield (
+        'cold_slots',
+        'Requests that were dispatched to cold endpoints so far.',
+        lambda: router.warm_ups.slots_taken,
+    )
+    yield (
+        'cold_writes_refused',
+        'Requests not written so far because a cold endpoint had no slot.',
+        lambda: router.warm_ups.refused_writes,
+    )
     yield (
         'harmful_culprits',
         'Combinations of parts that are refused for crashes of endpoints.',
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -54,6 +54,14 @@
         must get no more requests.
     :param float contact_seconds: time after the end of an outage from which
         a router must comply with the state of the store again.
+    :param float domain_drain_seconds: time after which a failure domain that
+        operators drain must get no more requests; 0.0 if there are no such
+        orders.
+    :param bool limits_cold: whether requests to cold endpoints are limited.
+    :param float cold_overage: factor of the rate that a cold endpoint
+        sustains, up to which all routers together may send to it in any
+        second.
+    :param float cold_slack: requests that they may send in addition.
     """
 
     revoked_key_seconds: float
@@ -68,6 +76,10 @@
     apply_seconds: float
     leave_seconds: float
     contact_seconds: float
+    domain_drain_seconds: float = 0.0
+    limits_cold: bool = False
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/early_answers.py
+++ b/tests/early_answers.py
@@ -13,6 +13,7 @@
 from celeryward import sockets
 from celeryward.standins import base
 from celeryward.standins import service
+from celeryward import transport
 from tests import fakes
 from tests import platform_runners
 from tests import platform_standins as standins
@@ -36,6 +37,24 @@
     '101 without upgrade': b'HTTP/1.1 101 Switching\r\n',
     '17 interim': b'HTTP/1.1 103 Hints\r\n\r\n' * 17 + b'HTTP/1.1 200 OK\r\n',
 }
+CHUNKED = (*UNFRAMED, 'transfer-encoding: chunked')
+CHUNKS = b'%x\r\n%s\r\n0\r\n\r\n' % (len(PART), PART)
+# Header lines and body of answers, and whether they are valid.
+FRAMES = {
+    'bytes after the last chunk': (
+        CHUNKED,
+        CHUNKS + b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx',
+        True,
+    ),
+    'trailer': (CHUNKED, CHUNKS[:-2] + b'a: b\r\n\r\n', True),
+    'length and chunks': ((*CHUNKED, 'content-length: 5'), CHUNKS, True),
+    'bytes after the length': (FRAMED, PART + b'rest', True),
+    'two equal lengths': ((*FRAMED, FRAMED[-1]), PART, True),
+    'two lengths': ((*FRAMED, 'content-length: 5'), PART, False),
+    'signed length': ((*UNFRAMED, 'content-length: +5'), PART, False),
+    'unknown coding': ((*FRAMED, 'transfer-encoding: gzip'), PART, False),
+    'no coding': ((*UNFRAMED, 'transfer-encoding: '), PART, False),
+}
 INTERIM = (
     b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\na: b\r\n\r\n' * 3
 )
@@ -133,12 +152,41 @@
     return script
 
 
+def odd_answer(name):
+    """Return a script that answers with one of :data:`NO_RESPONSES`."""
+    return answer('late', 'fin', FRAMED, NO_RESPONSES[name])
+
+
 async def read_upload(connection):
     """Return the body of the request that is served."""
     deadline = deadlines.Deadline.after(IDLE_SECONDS)
     return await connection.receive_body('read', deadline)
 
 
+async def answer_in_pieces(server, connection, head):
+    """Send an answer with a length, 7 bytes at a time."""
+    await read_upload(connection)
+    head_lines = '\r\n'.join((*server.identity(head), *FRAMED))
+    raw = f'HTTP/1.1 200 OK\r\n{head_lines}\r\n\r\n'.encode() + PART
+    for start in range(0, len(raw), 7):
+        await connection.sock.sendall(raw[start : start + 7])
+        # The client reads each piece by itself.
+        await curio.sleep(0)
+    await connection.wait_closed()
+
+
+async def never_read(server, connection, head):
+    """Neither read the upload nor answer."""
+    await curio.sleep(IDLE_SECONDS)
+
+
+def let_writes_stall(monkeypatch):
+    """Let only a deadline end a write to a peer that doesn't read."""
+    monkeypatch.setattr(transport, 'WRITE_STALL_SECONDS', IDLE_SECONDS)
+    milliseconds = int(IDLE_SECONDS * 1000)
+    monkeypatch.setattr(sockets, 'USER_TIMEOUT_MILLISECONDS', milliseconds)
+
+
 def once(script):
     """Return a script that is used for one request only."""
     remaining = [script]
