--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -48,9 +48,7 @@
             ('service',),
         )
         self.closed_connections = self.counter(
-            'connections_closed',
-            'Connections closed or refused for their limits.',
-            ('listener', 'cause'),
+            'connections_closed', 'Closed for limits.', ('listener', 'cause')
         )
         self.latencies = metrics.LatencyCollector()
         self.registry.register(self.latencies)
