--- a/celeryward/raters/sizes.py
+++ b/celeryward/raters/sizes.py
@@ -68,6 +68,16 @@
         return 1.0 / (1.0 + math.exp(exponent))
 
 
+def make_value_model(tuning):
+    """Return the model of the value of answers that operators configured."""
+    return ValueModel(
+        tuning.value_factor,
+        tuning.priority_value_ratio,
+        tuning.confidence_midpoint,
+        tuning.confidence_width,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Size:
     """A model that may serve a request, with its cost for 1,000 tokens."""
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -194,7 +194,7 @@
                 self.runners,
                 self.outcomes,
                 self.releases,
-                make_value_model(tuning),
+                sizes.make_value_model(tuning),
                 self.endpoint_freshness,
                 self.queues,
                 self.closures,
@@ -398,13 +398,3 @@
             while await receiver.next_signal() == signals.RELOAD_SIGNAL:
                 self.reload()
             await self.stop(receiver.none_before)
-
-
-def make_value_model(tuning):
-    """Return the model of the value of answers that operators configured."""
-    return sizes.ValueModel(
-        tuning.value_factor,
-        tuning.priority_value_ratio,
-        tuning.confidence_midpoint,
-        tuning.confidence_width,
-    )
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -128,6 +128,7 @@
     for name, text, value in (
         *store_gauges(router),
         *endpoint_gauges(router),
+        *placement_gauges(router),
         *connection_gauges(router),
     ):
         router_metrics.gauge(name, text, value)
@@ -191,40 +192,46 @@
         'Endpoints that want no requests for a while.',
         router.closures.closed_count,
     )
+    yield (
+        'harmful_culprits',
+        'Combinations of parts that are refused for crashes of endpoints.',
+        router.guard.culprit_count,
+    )
+    yield (
+        'requests_kept',
+        'Requests that wait for a closed endpoint to open.',
+        router.relay.waiter.kept.count,
+    )
+
+
+def placement_gauges(router):
+    """Yield name, text and value function of gauges on drains and warm-ups."""
+    drains = router.runners.drains
+    warm_ups = router.warm_ups
     yield (
         'failure_domains_drained',
         'Failure domains whose endpoints get no requests.',
-        lambda: len(table.drains.began),
+        lambda: len(drains.began),
     )
     yield (
         'failure_domains_returning',
         'Failure domains that requests return to after a drain.',
-        table.drains.returning_count,
+        drains.returning_count,
     )
     yield (
         'endpoints_cold',
         'Endpoints that are warming up and have a limit meanwhile.',
-        router.warm_ups.cold_count,
+        warm_ups.cold_count,
     )
     yield (
         'cold_slots',
         'Requests that were dispatched to cold endpoints so far.',
-        lambda: router.warm_ups.slots_taken,
+        lambda: warm_ups.slots_taken,
     )
     yield (
         'cold_writes_refused',
         'Requests not written so far because a cold endpoint had no slot.',
-        lambda: router.warm_ups.refused_writes,
-    )
-    yield (
-        'harmful_culprits',
-        'Combinations of parts that are refused for crashes of endpoints.',
-        router.guard.culprit_count,
-    )
-    yield (
-        'requests_kept',
-        'Requests that wait for a closed endpoint to open.',
-        router.relay.waiter.kept.count,
+        lambda: warm_ups.refused_writes,
     )
 
 
