Relist all kinds when the store returns from an older copy

Cause: the platform's store may be restored from a copy that is seconds old. Revisions then move backwards and are reassigned, so that a watch from a revision of the lost data misses changes.

Change: responses carry the generation of the store's data in a header that only platform/adapter names. The client keeps the highest value within bounds, discards responses of an earlier generation, and stamps lists and changes. A watcher discards changes of another generation and lists its kind; the primary watcher makes the others list theirs at once. A header that can't be read is ignored and counted; without the header nothing changes, which a test shows. Reading of pages moved to a module of its own; the page limit in test_odd_entries is read from there.

--- a/celeryward/objects/client.py
+++ b/celeryward/objects/client.py
@@ -17,7 +17,9 @@
 from celeryward import http
 from celeryward.objects import confirmations
 from celeryward.objects import connections
+from celeryward.objects import generations
 from celeryward.objects import ignored
+from celeryward.objects import pages
 from celeryward.objects import protocol
 
 TRANSPORT_ERRORS = (errors.ConnectionFailed, *http.EXCHANGE_ERRORS)
@@ -26,8 +28,6 @@
     410: (errors.RevisionExpired, 'revision is no longer in the history'),
     413: (errors.AnswerTooLarge, 'changes exceed the size limit'),
 }
-# A store that repeats a page must not keep its reader busy for ever.
-MAX_PAGES = 1000
 
 
 class ObjectClient:
@@ -48,6 +48,7 @@
         self, address, timeout, writer, dialect=None, ignored_entries=None
     ):
         self.ignored = ignored_entries or ignored.IgnoredEntries()
+        self.generations = generations.Generations(self.ignored)
         self.address = address
         self.timeout = timeout
         self.writer = writer
@@ -82,35 +83,13 @@
     async def list_pages(self, kind, allow_stale=False):
         """Read all objects of a kind, page by page.
 
-        The returned revision is that of the first page, so that a watch
-        from there reports the changes that were made between two pages.
-
         :param bool allow_stale: whether the store may answer with data that is
             seconds old.
-        :returns: ``Ok(ObjectList)`` or ``Err``.
+        :returns: as :func:`pages.read_all`.
         """
-        items, faults = [], []
-        first = None
-        after = ''
-        for _ in range(MAX_PAGES):
-            outcome = await self.read_page(kind, after, allow_stale)
-            if outcome.is_err():
-                return outcome
-            page = outcome.unwrap()
-            items.extend(page.items)
-            faults.extend(page.faults)
-            first = first or page
-            after = page.next_after
-            if not after:
-                return result.Ok(
-                    protocol.ObjectList(
-                        tuple(items),
-                        first.revision,
-                        first.confirmed_seconds,
-                        tuple(faults),
-                    )
-                )
-        return self.unavailable(f'list has over {MAX_PAGES} pages', 'list')
+        return await pages.read_all(
+            lambda after: self.read_page(kind, after, allow_stale), self.peer
+        )
 
     async def read_page(self, kind, after, allow_stale):
         """Read the page of a list that begins after a name."""
@@ -121,7 +100,7 @@
         page = answer.and_then(
             lambda body: self.decode(self.dialect.decode_page, kind, body)
         )
-        return page.map(
+        return page.map(self.generations.stamp).map(
             lambda page: confirmations.limit_confirmation(page, elapsed)
         )
 
@@ -144,7 +123,7 @@
         outcome = answer.and_then(
             lambda body: self.decode(self.dialect.decode_changes, kind, body)
         )
-        return outcome.map(
+        return outcome.map(self.generations.stamp).map(
             lambda answer: confirmations.add_confirmation(
                 answer.newer_than(since), wait_seconds, elapsed, paused
             )
@@ -228,6 +207,13 @@
                 )
         except TRANSPORT_ERRORS as error:
             return result.Err(self.classify(error, method, path))
+        if not self.generations.accept_head(
+            response.headers, self.dialect.generation_header
+        ):
+            error = errors.ProtocolError(
+                'response of an earlier generation', step=path, peer=self.peer
+            )
+            return result.Err(self.classify(error, method, path))
         return self.check_status(
             response.status, response_body, method, path, kind
         )
--- a/celeryward/objects/kind_watcher.py
+++ b/celeryward/objects/kind_watcher.py
@@ -48,7 +48,8 @@
     """Lists a kind once, then watches it.
 
     It lists the kind again once the store no longer has the changes after
-    the last revision that was read.
+    the last revision that was read, or has returned from an older copy of its
+    data. The first list after that may lack what was written lately.
 
     The revision of the store increases over all kinds. The primary watcher
     makes short calls, so that it learns the revision often, and makes the
@@ -60,11 +61,13 @@
     :param str kind: the kind to watch.
     :param WatchTimings timings: wait times of the calls.
     :param receiver: has ``on_list(objects)``, ``on_change(change)`` and
-        ``on_confirmed(at)``, with ``at`` on the boot-time clock.
+        ``on_confirmed(at)``, with ``at`` on the boot-time clock, and
+        ``on_restored_list(objects)`` for the first list of a new generation.
     :param primary: the watcher that detects the end of an outage and learns
         the revision of the store; None if this is the primary.
-    :param change_log: has ``reset(revision, objects)`` and ``extend(changes,
-        revision)``, and keeps both for other routers; None to keep none.
+    :param change_log: has ``reset(revision, objects, generation)`` and
+        ``extend(changes, revision)``, and keeps what they bring for other
+        routers; None to keep none.
     :param clock: function that returns seconds on the boot-time clock.
     :param ignored_entries: :class:`ignored.IgnoredEntries`.
     """
@@ -92,6 +95,7 @@
         self.receiver = receiver
         self.clock = clock
         self.since = None
+        self.generation = None
         self.reachable = True
         self.confirmation_due = False
         self.confirmed_at = -math.inf
@@ -125,26 +129,53 @@
         if outcome.is_ok():
             listed = outcome.unwrap()
             self.record_faults(listed.faults)
-            self.receiver.on_list(listed.items)
-            self.confirm(started_at + listed.confirmed_seconds)
+            is_restored = self.generation not in (None, listed.generation)
+            if is_restored:
+                self.receiver.on_restored_list(listed.items)
+            else:
+                self.receiver.on_list(listed.items)
+            confirmed_at = started_at + listed.confirmed_seconds
+            self.confirm(confirmed_at)
             self.since = listed.revision
+            self.generation = listed.generation
             if self.change_log is not None:
-                await self.change_log.reset(listed.revision, listed.items)
+                await self.change_log.reset(
+                    listed.revision, listed.items, listed.generation
+                )
+            if is_restored:
+                await self.catch_up_secondaries(listed, confirmed_at)
         return outcome
 
+    async def catch_up_secondaries(self, answer, confirmed_at):
+        """Make the other watchers catch up with a list or changes.
+
+        :returns: ``Ok``, or the ``Err`` of the first that failed.
+        """
+        for secondary in self.secondaries:
+            outcome = await secondary.catch_up(answer, confirmed_at)
+            if outcome.is_err():
+                return outcome
+        return result.Ok(None)
+
     async def watch(self):
         """Wait for changes once and pass them to the receiver.
 
         The other watchers of the router then catch up with the revision.
         """
         started_at = self.clock()
+        generation = self.generation
         wait = self.timings.wait_seconds
         if self.confirmation_due or not self.reachable:
             wait = CONFIRM_WAIT_SECONDS
         outcome = await self.source.changes(self.kind, self.since, wait)
+        if self.generation != generation:
+            # Catching up has read a list of a new generation meanwhile.
+            return result.Ok(None)
         if outcome.is_err():
             return outcome
         answer = outcome.unwrap()
+        if answer.generation != generation:
+            return self.reject_generation()
         if self.since is None:
             # Catching up has found meanwhile that a new list is needed.
             return outcome
@@ -158,10 +189,9 @@
             bool(answer.changes) and self.timings.confirm_changes
         )
         confirmed_at = started_at + answer.confirmed_seconds
-        for secondary in self.secondaries:
-            caught_up = await secondary.catch_up(answer.revision, confirmed_at)
-            if caught_up.is_err():
-                return caught_up
+        caught_up = await self.catch_up_secondaries(answer, confirmed_at)
+        if caught_up.is_err():
+            return caught_up
         if answer.changes:
             await curio.sleep(self.timings.coalesce_seconds)
         return outcome
@@ -181,18 +211,34 @@
         if self.change_log is not None:
             await self.change_log.extend(new_changes, self.since)
 
-    async def catch_up(self, revision, at):
+    def reject_generation(self):
+        """Return the error of changes that are of another generation.
+
+        Their revisions can't be compared with those that were read.
+        """
+        return result.Err(
+            errors.RevisionExpired(
+                'changes are of another generation',
+                step='follow',
+                peer=self.source.peer,
+            )
+        )
+
+    async def catch_up(self, answer, at):
         """Read the changes up to a revision, unless they are known.
 
-        :param int revision: revision of the store that another watcher has
-            learned.
-        :param float at: when that revision was the newest, on the boot-time
+        In a new generation, all objects are read instead.
+
+        :param answer: what another watcher has read of the store.
+        :param float at: when its revision was the newest, on the boot-time
             clock.
         :returns: the outcome of the call, or ``Ok`` if none was needed.
         """
         if self.since is None:
             return result.Ok(None)
-        if self.since >= revision:
+        if self.generation != answer.generation:
+            return await self.list_all()
+        if self.since >= answer.revision:
             self.confirm(at)
             return result.Ok(None)
         started_at = self.clock()
@@ -202,6 +248,8 @@
             self.kind, self.since, CATCH_UP_WAIT_SECONDS
         )
         if outcome.is_ok():
+            if outcome.unwrap().generation != self.generation:
+                return self.reject_generation()
             await self.apply(outcome.unwrap(), started_at)
         elif isinstance(outcome.unwrap_err(), errors.RevisionExpired):
             self.schedule_relist(outcome.unwrap_err())
--- a/celeryward/objects/protocol.py
+++ b/celeryward/objects/protocol.py
@@ -54,12 +54,15 @@
     :param tuple faults: why entries without a readable name were left out.
     :param float confirmed_seconds: time from the start of the call until the
         store confirmed the list; negative if that was before the call.
+    :param int | None generation: generation of the store's data; None if it
+        has none. Revisions of different generations can't be compared.
     """
 
     items: tuple[StoredObject, ...]
     revision: int
     confirmed_seconds: float = 0.0
     faults: tuple[str, ...] = ()
+    generation: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +72,7 @@
     :param tuple faults: as in :class:`ObjectList`.
     :param str next_after: name to continue after; empty on the last page.
     :param float confirmed_seconds: as in :class:`ObjectList`.
+    :param int | None generation: as in :class:`ObjectList`.
     """
 
     items: tuple[StoredObject, ...]
@@ -76,6 +80,7 @@
     next_after: str = ''
     confirmed_seconds: float = 0.0
     faults: tuple[str, ...] = ()
+    generation: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +108,7 @@
     :param tuple faults: as in :class:`ObjectList`.
     :param tuple leaving: each :class:`departures.Announcement` that the
         router that relayed the changes has learned of lately.
+    :param int | None generation: as in :class:`ObjectList`.
     """
 
     changes: tuple[Change, ...]
@@ -112,6 +118,7 @@
     away_seconds: float | None = None
     faults: tuple[str, ...] = ()
     leaving: tuple = ()
+    generation: int | None = None
 
     def newer_than(self, revision):
         """Return the list with only the changes after a revision."""
@@ -262,6 +269,8 @@
     """
 
     conflict_status = 412
+    # Header with the generation of the store's data; empty for none.
+    generation_header = ''
     # Error statuses after which a write has certainly not been applied.
     refused_statuses = frozenset()
 
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -28,6 +28,8 @@
         for stored in objects:
             self.apply(stored)
 
+    on_restored_list = on_list
+
     def on_change(self, change):
         """Apply one change; a deletion leaves the newest version in force."""
         if change.type == 'put':
@@ -86,6 +88,8 @@
         names = {stored.name for stored in objects}
         self.table.retain_only(names, self.outages.keep_until())
 
+    on_restored_list = on_list
+
     def on_change(self, change):
         """Apply one change."""
         if change.type == 'delete':
@@ -137,6 +141,8 @@
             self.end(name)
         self.table.drains.list_was_read()
 
+    on_restored_list = on_list
+
     def on_change(self, change):
         """Apply one change."""
         if change.type == 'delete':
@@ -216,6 +222,8 @@
         for service in set(self.releases.progress) - listed:
             self.releases.remove(service)
 
+    on_restored_list = on_list
+
     def on_change(self, change):
         """Apply one change."""
         order = self.read(change.object)
--- a/celeryward/routers/change_log.py
+++ b/celeryward/routers/change_log.py
@@ -16,20 +16,23 @@
     :ivar int revision: the log is complete up to this revision.
     :ivar int floor: the log has only changes after this revision; initially 0,
         with which it covers nothing.
+    :ivar int | None generation: generation of the store's data.
     """
 
     def __init__(self):
         self.revision = 0
         self.floor = 0
+        self.generation = None
         self.changes = collections.deque()
         self.objects = {}
         self.changed = curio.Condition()
 
-    async def reset(self, revision, objects=()):
+    async def reset(self, revision, objects=(), generation=None):
         """Empty the log after all objects were read at a revision."""
         self.changes.clear()
         self.objects = {stored.name: stored for stored in objects}
         self.floor = self.revision = revision
+        self.generation = generation
         await self.notify()
 
     async def extend(self, changes, revision):
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -71,6 +71,7 @@
             tuning.store_timeout,
             placement.name,
             translator.dialect,
+            ignored,
         )
         kinds = translator.kinds
         self.members = members.Members(own_member(placement))
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -19,6 +19,7 @@
       calls are served.
     - ``compacted``: revision up to which the history is gone.
     - ``page_size``: upper bound on the entries of a page.
+    - ``generation``: value of the header with the generation; None for none.
     """
 
     def __init__(self, port=0):
@@ -33,6 +34,7 @@
         self.compacted = 0
         self.page_size = 500
         self.requests = []
+        self.generation = None
 
     async def put(self, kind, name, spec, status=None):
         """Write an object unconditionally, as another writer would."""
@@ -61,6 +63,27 @@
         meta = entry['meta'] | {'revision': self.revision}
         await self.store(kind, name, entry | {'meta': meta}, True)
 
+    def copy(self):
+        """Return a copy of the data, for :meth:`restore`."""
+        return dict(self.objects), self.revision, list(self.history)
+
+    async def restore(self, copy):
+        """Return from an older copy, with the next generation.
+
+        Open long polls go on waiting, at revisions of the lost data.
+        """
+        self.objects, self.revision, self.history = copy
+        self.generation += 1
+        async with self.changed:
+            await self.changed.notify_all()
+
+    async def send(self, connection, status, value):
+        """Send a response with the generation, if there is one."""
+        headers = {}
+        if self.generation is not None:
+            headers['store-era'] = str(self.generation)
+        await base.send_json(connection, status, value, headers)
+
     async def compact(self):
         """Drop all history and end the open long polls."""
         self.revision += 1
@@ -117,7 +140,7 @@
             'hasMore': len(names) > len(page),
             'currentRev': self.revision,
         }
-        await base.send_json(connection, 200, answer)
+        await self.send(connection, 200, answer)
 
     async def answer_watch(self, connection, kind, fields):
         """Answer a long poll at the next change or after its wait."""
@@ -134,9 +157,9 @@
         while started_unstalled and kind in self.stalled_watch_kinds:
             await curio.sleep(0.01)
         if since < self.compacted:
-            await base.send_json(connection, 410, {})
+            await self.send(connection, 410, {})
         else:
-            await base.send_json(connection, 200, answer)
+            await self.send(connection, 200, answer)
 
     def events(self, kind, since):
         """Return the events of a kind after a revision."""
@@ -151,35 +174,35 @@
         kind, name = parts[:2]
         current = self.objects[(kind, name)]
         if entry['meta']['revision'] != current['meta']['revision']:
-            await base.send_json(connection, 409, current)
+            await self.send(connection, 409, current)
             return
         spec, status = entry['spec'], current['status']
         if parts[2:] == ['status']:
             spec, status = current['spec'], entry['status']
         stored = await self.put(kind, name, spec, status)
-        await base.send_json(connection, 200, stored)
+        await self.send(connection, 200, stored)
 
     async def answer_post(self, connection, kind, entry):
         """Create an object, unless it exists."""
         name = entry['meta']['name']
         if (kind, name) in self.objects:
-            await base.send_json(connection, 409, {})
+            await self.send(connection, 409, {})
             return
         stored = await self.put(kind, name, entry['spec'])
-        await base.send_json(connection, 201, stored)
+        await self.send(connection, 201, stored)
 
     async def answer_get(self, connection, key):
         """Send one object."""
         found = self.objects.get(key)
-        await base.send_json(connection, 200 if found else 404, found or {})
+        await self.send(connection, 200 if found else 404, found or {})
 
     async def answer_delete(self, connection, parts, fields):
         """Delete an object at its revision."""
         current = self.objects.get(tuple(parts))
         if current is None:
-            await base.send_json(connection, 404, {})
+            await self.send(connection, 404, {})
         elif int(fields['revision']) != current['meta']['revision']:
-            await base.send_json(connection, 409, current)
+            await self.send(connection, 409, current)
         else:
             await self.delete(*parts)
-            await base.send_json(connection, 200, current)
+            await self.send(connection, 200, current)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,6 +7,7 @@
 import result
 
 from celeryward.objects import client
+from celeryward.objects import pages
 from celeryward import router_settings
 from tests import fakes
 from tests import platform_standins as standins
@@ -145,7 +146,7 @@
 
         reader.call = call
         assert (await reader.list_pages('servers')).is_err()
-        assert reader.calls == client.MAX_PAGES
+        assert reader.calls == pages.MAX_PAGES
 
 
 class TestAnswerHeads:
