Keep what was known when the store returns from an older copy

Cause: the first list of a new generation may lack entries that were acknowledged shortly before. It removed endpoints, ended drains, forgot roll-outs with their verdicts, and returned endpoints to earlier states. An order's revision of the lost data could be used in a write.

Change: a new generation counts as an outage, so that a missing endpoint, drain or order is kept as long as after one. An endpoint that was leaving keeps leaving, and a later run isn't replaced by an earlier one. An order without a status has the state of the same order before, and its verdict is written again; until it is read, no status of it is written. A watcher with an open poll from a lost revision catches up at each newer revision, because that poll misses changes.

--- a/celeryward/endpoints/drains.py
+++ b/celeryward/endpoints/drains.py
@@ -38,6 +38,7 @@
 
     ``began`` holds when each drain began here, on the boot-time clock, and
     ``count`` the number of drains so far, by which a change is noticed.
+    ``missing`` holds the deadline of each drain whose order is missing.
     ``freshness`` tells how long ago the store confirmed the orders.
 
     :param clock: function that returns seconds on a clock that also runs
@@ -47,6 +48,7 @@
     def __init__(self, clock=freshness.boot_seconds):
         self.clock = clock
         self.began = {}
+        self.missing = {}
         self.returns = {}
         self.count = 0
         self.is_awaited = False
@@ -55,6 +57,7 @@
     @property
     def drained(self):
         """The names of the drained failure domains."""
+        self.end_missing()
         return frozenset(self.began)
 
     def await_list(self):
@@ -67,10 +70,25 @@
 
     def is_drained(self, failure_domain):
         """Return whether the endpoints of a failure domain get nothing."""
+        self.end_missing()
         return failure_domain in self.began
 
+    def keep(self, failure_domain, until):
+        """End a drain at a deadline, unless its order is read before.
+
+        :param deadlines.Deadline until: time until which it is kept.
+        """
+        self.missing.setdefault(failure_domain, until)
+
+    def end_missing(self):
+        """End the drains whose order was not read in time."""
+        for name, until in tuple(self.missing.items()):
+            if until.expired():
+                self.end(name)
+
     def begin(self, failure_domain):
         """Drain a failure domain; return False if it is drained already."""
+        self.missing.pop(failure_domain, None)
         if failure_domain in self.began:
             return False
         now = self.clock()
@@ -83,6 +101,7 @@
 
     def end(self, failure_domain):
         """End a drain; return False if there is none."""
+        self.missing.pop(failure_domain, None)
         began = self.began.pop(failure_domain, None)
         if began is None:
             return False
--- a/celeryward/objects/kind_watcher.py
+++ b/celeryward/objects/kind_watcher.py
@@ -96,6 +96,7 @@
         self.clock = clock
         self.since = None
         self.generation = None
+        self.polled_generation = None
         self.reachable = True
         self.confirmation_due = False
         self.confirmed_at = -math.inf
@@ -163,7 +164,7 @@
         The other watchers of the router then catch up with the revision.
         """
         started_at = self.clock()
-        generation = self.generation
+        generation = self.polled_generation = self.generation
         wait = self.timings.wait_seconds
         if self.confirmation_due or not self.reachable:
             wait = CONFIRM_WAIT_SECONDS
@@ -242,7 +243,10 @@
             self.confirm(at)
             return result.Ok(None)
         started_at = self.clock()
-        if started_at - self.confirmed_at < self.timings.stale_seconds:
+        # An open poll from a lost revision misses changes.
+        is_polled = self.polled_generation == self.generation
+        age = started_at - self.confirmed_at
+        if is_polled and age < self.timings.stale_seconds:
             return result.Ok(None)
         outcome = await self.source.changes(
             self.kind, self.since, CATCH_UP_WAIT_SECONDS
--- a/celeryward/objects/receivers.py
+++ b/celeryward/objects/receivers.py
@@ -4,7 +4,10 @@
 configuration and the order that are known in force, and names no endpoint.
 """
 
+import dataclasses
+
 from celeryward import logs
+from celeryward.raters import restored_orders
 
 
 class ConfigurationReceiver:
@@ -81,14 +84,19 @@
         self.outages = outages
         self.freshness = freshness
 
-    def on_list(self, objects):
+    def on_list(self, objects, is_restored=False):
         """Apply a complete list of the entries."""
         for stored in objects:
-            self.apply(stored)
+            self.apply(stored, is_restored)
         names = {stored.name for stored in objects}
         self.table.retain_only(names, self.outages.keep_until())
 
-    on_restored_list = on_list
+    def on_restored_list(self, objects):
+        """Apply the first list of a new generation.
+
+        Its entries may be older than those that are known.
+        """
+        self.on_list(objects, is_restored=True)
 
     def on_change(self, change):
         """Apply one change."""
@@ -97,7 +105,7 @@
         else:
             self.apply(change.object)
 
-    def apply(self, stored):
+    def apply(self, stored, is_restored=False):
         """Apply one entry; one that can't be read removes its endpoint."""
         runner = self.ignored.unwrap(
             stored, self.translator.read_runner(stored)
@@ -109,6 +117,12 @@
             self.ignored.record(
                 stored.kind, stored.name, 'cold time can not be read'
             )
+        known = self.table.runners.get(runner.id) if is_restored else None
+        if known is not None and known.started_at > runner.started_at:
+            # The entry of the later run is written again.
+            return
+        if known is not None and known.key == runner.key and known.leaving:
+            runner = dataclasses.replace(runner, leaving=True)
         self.table.put(runner)
 
     def on_confirmed(self, at):
@@ -125,9 +139,12 @@
     :param translator: has ``read_drain(stored)``, which returns ``Ok`` with
         the name of a failure domain, or ``Err``.
     :param ignored: :class:`ignored.IgnoredEntries`.
+    :param outages: :class:`outages.OutageTracker`, which says how long a
+        drain is kept whose order the store has lost.
     """
 
-    def __init__(self, table, translator, ignored):
+    def __init__(self, table, translator, ignored, outages):
+        self.outages = outages
         self.ignored = ignored
         self.table = table
         self.translator = translator
@@ -137,11 +154,27 @@
         listed = {self.read(stored) for stored in objects}
         for name in sorted(listed):
             self.begin(name)
-        for name in sorted(self.table.drains.drained - listed):
+        drains = self.table.drains
+        for name in sorted(drains.drained - listed - set(drains.missing)):
             self.end(name)
-        self.table.drains.list_was_read()
+        drains.list_was_read()
 
-    on_restored_list = on_list
+    def on_restored_list(self, objects):
+        """Apply the first list of a new generation.
+
+        Orders that it lacks may be written again.
+        """
+        listed = {self.read(stored) for stored in objects}
+        for name in sorted(self.table.drains.drained - listed):
+            until = self.outages.keep_until()
+            self.table.drains.keep(name, until)
+            logs.bind(
+                step='drain',
+                peer='store',
+                failure_domain=name,
+                kept=round(max(0.0, until.remaining()), 3),
+            ).info('drain missing; kept for a while')
+        self.on_list(objects)
 
     def on_change(self, change):
         """Apply one change."""
@@ -204,9 +237,13 @@
         :class:`rollout_orders.Order`, or ``Err``. An order has the name of
         its service.
     :param ignored: :class:`ignored.IgnoredEntries`.
+    :param restored: :class:`restored_orders.RestoredOrders`.
     """
 
-    def __init__(self, releases, translator, ignored):
+    def __init__(self, releases, translator, ignored, restored=None):
+        self.restored = restored or restored_orders.RestoredOrders(
+            releases, None
+        )
         self.ignored = ignored
         self.releases = releases
         self.translator = translator
@@ -218,9 +255,9 @@
             order = self.read(stored)
             listed.add(stored.name if order is None else order.service)
             if order is not None:
-                self.releases.accept(order)
+                self.restored.accept_listed(order)
         for service in set(self.releases.progress) - listed:
-            self.releases.remove(service)
+            self.restored.remove_unlisted(service)
 
     on_restored_list = on_list
 
@@ -229,9 +266,9 @@
         order = self.read(change.object)
         if change.type == 'delete':
             service = change.object.name if order is None else order.service
-            self.releases.remove(service)
+            self.restored.remove(service)
         elif order is not None:
-            self.releases.accept(order)
+            self.restored.accept(order)
 
     def read(self, stored):
         """Return the order in an object, or None."""
--- a/celeryward/objects/verdicts.py
+++ b/celeryward/objects/verdicts.py
@@ -4,6 +4,7 @@
 
 from celeryward import errors
 from celeryward import logs
+from celeryward.raters import restored_orders
 
 CHECK_INTERVAL_SECONDS = 0.25
 # A verdict must reach the other routers before they decide otherwise.
@@ -27,9 +28,15 @@
         object with its new status, and ``read_order(stored)``.
     :param members: :class:`members.Members`.
     :param outages: :class:`outages.OutageTracker`.
+    :param restored: :class:`restored_orders.RestoredOrders`.
     """
 
-    def __init__(self, client, releases, translator, members, outages):
+    def __init__(
+        self, client, releases, translator, members, outages, restored=None
+    ):
+        self.restored = restored or restored_orders.RestoredOrders(
+            releases, outages
+        )
         self.outages = outages
         self.members = members
         self.client = client
@@ -45,6 +52,7 @@
                 else CHECK_INTERVAL_SECONDS
             )
             delay = 0.0 if self.members.is_leader else FOLLOWER_DELAY_SECONDS
+            self.restored.remove_expired()
             self.releases.decide_due()
             for order in tuple(self.releases.orders_without_start(delay)):
                 await self.write(order)
@@ -60,7 +68,12 @@
         return tuple(self.releases.orders_without_verdict(settled))
 
     async def write(self, order):
-        """Write the state of an order; after a conflict, adopt the stored."""
+        """Write the state of an order; after a conflict, adopt the stored.
+
+        An order whose revision is of an earlier generation is not written.
+        """
+        if order.service in self.restored.outdated:
+            return
         outcome = await self.client.put_status(
             self.translator.write_order(order)
         )
@@ -80,4 +93,4 @@
         """Apply the stored state of an order."""
         order = self.translator.read_order(stored)
         if order.is_ok():
-            self.releases.accept(order.unwrap())
+            self.restored.accept(order.unwrap())
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -8,6 +8,7 @@
 from celeryward.objects import outages
 from celeryward.objects import receivers
 from celeryward.objects import verdicts
+from celeryward.raters import restored_orders
 from celeryward.routers import change_log
 from celeryward.routers import client as router_client
 from celeryward.routers import discovery
@@ -80,11 +81,20 @@
             for kind in (kinds.configuration, kinds.endpoints, kinds.orders)
         }
         self.outages = outages.OutageTracker(placement.bounds)
+        self.restored_orders = restored_orders.RestoredOrders(
+            releases, self.outages
+        )
+        self.store.generations.listeners.append(self.begin_generation)
         self.follows_drains = placement.bounds.domain_drain_seconds > 0.0
         self.build_peers(news)
         self.watchers = ()
         self.verdict_writer = None
 
+    def begin_generation(self):
+        """Prepare for lists that may lack what was written lately."""
+        self.outages.record_failure(self.outages.clock())
+        self.restored_orders.begin_generation()
+
     def build_peers(self, news):
         """Create what finds other routers and exchanges changes with them."""
         kinds = self.translator.kinds
@@ -146,7 +156,10 @@
             self.ignored,
         )
         orders = receivers.OrderReceiver(
-            self.releases, self.translator, self.ignored
+            self.releases,
+            self.translator,
+            self.ignored,
+            self.restored_orders,
         )
         self.watchers = (
             primary,
@@ -161,6 +174,7 @@
             self.translator,
             self.members,
             self.outages,
+            self.restored_orders,
         )
 
     def make_drain_watcher(self, runners, timings):
@@ -176,7 +190,7 @@
         self.publisher.max_ages[kind] = self.max_drain_age(timings)
         self.source.long_kinds = frozenset((kind,))
         receiver = receivers.DrainReceiver(
-            runners, self.translator, self.ignored
+            runners, self.translator, self.ignored, self.outages
         )
         return self.make_watcher(kind, timings, receiver, self.watchers[0])
 
