Pass the generation of the store's data on to followers

Cause: a router that follows another one compared revisions of that router's log before and after the store returned from an older copy, and could use a leader that had not noticed it.

Change: lists and changes between routers carry the generation of the log; the member is left out where the store has none. A leader relays no list of an earlier generation than it has seen (404, 410), so that its followers wait for its new list instead of reading the store. Open polls end when the log begins a new generation. Data of a lower generation, or of none where one is known, counts as out of date, and the leader is avoided for a while.

--- a/celeryward/routers/change_log.py
+++ b/celeryward/routers/change_log.py
@@ -73,11 +73,18 @@
     async def wait_for_changes(self, since, seconds):
         """Return the changes after a revision, once there is one.
 
+        The wait ends early if the log begins a new generation.
+
         :param float seconds: longest wait, after which none are returned.
         """
+        generation = self.generation
         deadline = deadlines.Deadline.after(seconds)
         async with curio.ignore_after(deadline.remaining()):
             async with self.changed:
-                while self.covers(since) and not self.changes_after(since):
+                while (
+                    self.generation == generation
+                    and self.covers(since)
+                    and not self.changes_after(since)
+                ):
                     await self.changed.wait()
         return self.changes_after(since)
--- a/celeryward/routers/protocol.py
+++ b/celeryward/routers/protocol.py
@@ -20,6 +20,7 @@
 
 from celeryward import decoding
 from celeryward.endpoints import departures
+from celeryward.objects import generations
 from celeryward.objects import protocol
 from celeryward.raters import rollout_orders
 from celeryward.routers import crash_protocol
@@ -49,6 +50,8 @@
         unreachable; None if it never was.
     :param tuple leaving: announcements that the router has learned lately;
         with changes of endpoints only.
+    :param int generation: generation of the store's data; left out if the
+        store has none, as in responses of earlier releases.
     """
 
     changes: tuple[protocol.Change, ...]
@@ -56,6 +59,7 @@
     confirmed_seconds: float
     away_seconds: float | None
     leaving: tuple[departures.Announcement, ...] = ()
+    generation: int | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,11 +67,13 @@
     """All objects of one kind, relayed by another router.
 
     :param float confirmed_seconds: as in :class:`ChangesResponse`.
+    :param int generation: as in :class:`ChangesResponse`.
     """
 
     items: tuple[protocol.StoredObject, ...]
     revision: int
     confirmed_seconds: float
+    generation: int | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +132,10 @@
 AGE_DECODER = msgspec.json.Decoder(
     typing.Annotated[float, msgspec.Meta(ge=0)] | None
 )
+GENERATION_DECODER = msgspec.json.Decoder(
+    typing.Annotated[int, msgspec.Meta(ge=0, le=generations.MAX_GENERATION)]
+    | None
+)
 REPORT_DECODER = msgspec.json.Decoder(EvidenceReport)
 ANNOUNCEMENT_DECODER = msgspec.json.Decoder(departures.Announcement)
 EMPTY_LIST = b'[]'
@@ -155,6 +165,7 @@
             revision,
             confirmed_seconds=read_confirmed(document),
             faults=faults,
+            generation=read_generation(document),
         )
 
     def decode_changes(self, kind, body):
@@ -175,6 +186,7 @@
             decoding.decode(AGE_DECODER, away),
             faults + other_faults,
             leaving,
+            read_generation(document),
         )
 
 
@@ -195,6 +207,20 @@
     return decoding.decode(SECONDS_DECODER, encoded)
 
 
+def read_generation(document):
+    """Return the generation in a split response; None if there is none.
+
+    :raises msgspec.DecodeError: if it is out of bounds.
+    """
+    encoded = document.get('generation', protocol.NULL)
+    return decoding.decode(GENERATION_DECODER, encoded)
+
+
+def optional(value):
+    """Return a value, or what leaves its member out if it is None."""
+    return msgspec.UNSET if value is None else value
+
+
 def encode(message):
     """Return the body of a request or response."""
     return msgspec.json.encode(message)
--- a/celeryward/routers/publisher.py
+++ b/celeryward/routers/publisher.py
@@ -5,6 +5,7 @@
 
 from celeryward import http
 from celeryward import listener
+from celeryward.objects import generations
 from celeryward import registry
 from celeryward.routers import departure_news
 from celeryward.routers import protocol
@@ -43,7 +44,8 @@
     :param crash_news.CrashNews crash_news: takes what others tell of crashes.
 
     ``max_ages`` holds the age of the last confirmation above which a kind is
-    not relayed, where that isn't the one of the pacing.
+    not relayed, where that isn't the one of the pacing. A list that is of an
+    earlier generation than ``generations`` has seen is not relayed either.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.outages = outages
         self.members = members
         self.stopping = False
+        self.generations = generations.Generations()
 
     def is_new(self, report):
         """Return whether a report was not received before; remember it."""
@@ -123,10 +126,21 @@
         """
         return time.monotonic() - started - self.freshness[kind].age()
 
+    def covers(self, change_log, since):
+        """Return whether a log has all changes after a revision."""
+        return self.has_list(change_log) and change_log.covers(since)
+
     def departures(self, kind):
         """Return the departures to tell with changes of a kind."""
         return self.news.for_followers() if kind == self.news_kind else ()
 
+    def has_list(self, change_log):
+        """Return whether a log has a list of the newest generation."""
+        return (
+            change_log.floor > 0
+            and change_log.generation == self.generations.current
+        )
+
     def is_current(self, kind):
         """Return whether this router's own state is recent enough."""
         age = self.freshness[kind].age()
@@ -140,7 +154,8 @@
     """Return status and body of the response to a request for a list."""
     started = time.monotonic()
     change_log = publisher.change_logs[request.kind]
-    if publisher.freshness[request.kind].age() is None or not change_log.floor:
+    has_list = publisher.has_list(change_log)
+    if publisher.freshness[request.kind].age() is None or not has_list:
         return STATUS_NO_LIST, b''
     if not publisher.is_current(request.kind):
         return protocol.STATUS_OUT_OF_DATE, b''
@@ -148,6 +163,7 @@
         tuple(change_log.objects.values()),
         change_log.revision,
         publisher.confirmed_seconds(request.kind, started),
+        protocol.optional(change_log.generation),
     )
     return 200, protocol.encode(response)
 
@@ -159,13 +175,15 @@
     change_log = publisher.change_logs[request.kind]
     if not publisher.is_current(request.kind):
         return protocol.STATUS_OUT_OF_DATE, b''
-    if not change_log.covers(request.since):
+    if not publisher.covers(change_log, request.since):
         return STATUS_GONE, b''
+    generation = change_log.generation
     wait = min(request.wait_seconds, MAX_WAIT_SECONDS)
     await change_log.wait_for_changes(request.since, wait)
     if not publisher.is_current(request.kind):
         return protocol.STATUS_OUT_OF_DATE, b''
-    if not change_log.covers(request.since):
+    is_same = change_log.generation == generation
+    if not (is_same and publisher.covers(change_log, request.since)):
         return STATUS_GONE, b''
     # The age is read before the changes, so that it is never newer than they
     # are.
@@ -176,6 +194,7 @@
         confirmed,
         publisher.outages.age(),
         publisher.departures(request.kind),
+        protocol.optional(generation),
     )
     return 200, protocol.encode(response)
 
--- a/celeryward/routers/source.py
+++ b/celeryward/routers/source.py
@@ -1,10 +1,12 @@
 """Source of objects for a follower: another router, or the store."""
 
 import curio
+import result
 
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
+from celeryward.objects import generations
 from celeryward.routers import client
 from celeryward.routers import departure_news
 from celeryward.routers import members
@@ -33,6 +35,7 @@
     :param departure_news.DepartureNews news: takes what leaders tell.
 
     Polls of the ``long_kinds`` are not limited to the wait of the pacing.
+    ``generations`` are the :class:`generations.Generations` of the store.
     """
 
     def __init__(
@@ -46,6 +49,7 @@
         self.clients = {}
         self.outages = outages
         self.long_kinds = frozenset()
+        self.generations = generations.Generations()
 
     @property
     def peer(self):
@@ -59,7 +63,9 @@
         """
         leader = await self.wait_for_leader()
         if leader is not None:
-            outcome = await self.list_from(leader, kind)
+            outcome = self.check_generation(
+                leader, await self.list_from(leader, kind)
+            )
             if outcome.is_ok():
                 return outcome
             self.handle_failure(leader, outcome.unwrap_err())
@@ -95,8 +101,11 @@
         """
         leader = self.members.leader() if self.pacing else None
         if leader is not None:
-            outcome = await self.client_of(leader).changes(
-                kind, since, self.leader_wait(kind, wait_seconds)
+            outcome = self.check_generation(
+                leader,
+                await self.client_of(leader).changes(
+                    kind, since, self.leader_wait(kind, wait_seconds)
+                ),
             )
             if outcome.is_ok():
                 self.outages.record_report(outcome.unwrap().away_seconds)
@@ -117,6 +126,23 @@
             self.store.changes(kind, since, wait_seconds)
         )
 
+    def check_generation(self, leader, outcome):
+        """Return the outcome of a call to a leader, or an error.
+
+        Data of an earlier generation than the newest known is not used.
+        """
+        if outcome.is_err() or self.generations.accept_relayed(
+            outcome.unwrap().generation
+        ):
+            return outcome
+        return result.Err(
+            errors.StateOutdated(
+                'data of the router is of an earlier generation',
+                step='follow',
+                peer=leader.name,
+            )
+        )
+
     def leader_wait(self, kind, wait_seconds):
         """Return how long a poll for changes waits at a leader."""
         if kind in self.long_kinds:
--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -121,6 +121,8 @@
             news,
             kinds.endpoints,
         )
+        self.source.generations = self.store.generations
+        self.publisher.generations = self.store.generations
         self.discovery = discovery.PeerDiscovery(
             self.store,
             kinds.routers,
