Write the router's own entry again after a restore of the store

Cause: a router that registered after the copy was taken was no longer in the list, and the list read next lacked others in the same way. Its deregistration used a revision of the lost data.

Change: discovery registers again once the generation differs from that of its entry, at a random time, and reads the list of routers after the others have done so as well. A list that is read before is not used. To deregister, it reads the entry of the new generation first.

Result: TestOwnEntry in tests/test_restored_state.py passes, with tests/test_other_routers.py and tests/test_passed_changes.py.

--- a/celeryward/routers/discovery.py
+++ b/celeryward/routers/discovery.py
@@ -3,7 +3,9 @@
 import random
 
 import curio
+import result
 
+from celeryward import deadlines
 from celeryward import errors
 from celeryward import logs
 from celeryward.objects import ignored
@@ -16,6 +18,8 @@
 SECOND_LIST_SECONDS = (4.0, 6.0)
 LIST_SECONDS = (20.0, 30.0)
 RETRY_SECONDS = (0.5, 1.5)
+# Time after which a new generation of the store's data is noticed.
+CHECK_SECONDS = 0.5
 GENERATOR = random.Random()
 
 
@@ -51,6 +55,9 @@
         self.entry = protocol.StoredObject(
             kind, members.own.name, translator.write_member(members.own)
         )
+        self.generations = client.generations
+        # Generation of the store's data that the entry was written to.
+        self.generation = None
 
     async def run(self):
         """Register this router, then read the list until cancelled."""
@@ -60,10 +67,33 @@
             await sleep_random(FIRST_LIST_SECONDS)
         await self.read_members(allow_stale=False)
         await self.members.listed.set()
-        await sleep_random(SECOND_LIST_SECONDS)
+        await self.pause(SECOND_LIST_SECONDS)
         while True:
+            if self.is_outdated:
+                await self.renew()
             await self.read_members()
-            await sleep_random(LIST_SECONDS)
+            await self.pause(LIST_SECONDS)
+
+    @property
+    def is_outdated(self):
+        """Whether the store may have lost the entry in a restore."""
+        return self.generation != self.generations.current
+
+    async def pause(self, bounds):
+        """Sleep for a random time, or until the entry is outdated."""
+        until = deadlines.Deadline.after(GENERATOR.uniform(*bounds))
+        while not until.expired() and not self.is_outdated:
+            await curio.sleep(min(CHECK_SECONDS, until.remaining()))
+
+    async def renew(self):
+        """Write the entry of this router again after a restore.
+
+        The other routers do so as well, and their list is read after that.
+        """
+        await sleep_random(FIRST_LIST_SECONDS)
+        while self.is_outdated and not await self.register():
+            await sleep_random(RETRY_SECONDS)
+        await self.pause(SECOND_LIST_SECONDS)
 
     async def register(self):
         """Write the entry of this router to the store.
@@ -87,6 +117,7 @@
             log_failure(outcome.unwrap_err(), 'router not registered')
             return False
         self.entry = outcome.unwrap()
+        self.generation = self.generations.current
         return True
 
     async def read_members(self, allow_stale=True):
@@ -98,6 +129,9 @@
         if outcome.is_err():
             log_failure(outcome.unwrap_err(), 'routers not read')
             return
+        if self.is_outdated:
+            # The other routers have not written their entries again yet.
+            return
         listed = outcome.unwrap()
         for fault in listed.faults:
             self.ignored.record(self.kind, '', fault)
@@ -117,7 +151,11 @@
         """Remove the entry of this router."""
         if not self.entry.revision:
             return
-        outcome = await self.client.delete(self.entry)
+        outcome = result.Ok(self.entry)
+        if self.is_outdated:
+            outcome = await self.client.get(self.kind, self.entry.name)
+        if outcome.is_ok():
+            outcome = await self.client.delete(outcome.unwrap())
         if outcome.is_err():
             log_failure(outcome.unwrap_err(), 'router not deregistered')
 
--- a/tests/test_restored_state.py
+++ b/tests/test_restored_state.py
@@ -201,6 +201,39 @@
         assert len(site.router.runners.runners) == 4
 
 
+class TestOwnEntry:
+    """Guards against a router that the others no longer find."""
+
+    @standins.on_site
+    async def test_entry_is_written_again(self, site):
+        listed = site.router.view.discovery
+        key = ('routers', 'router-1')
+        await standins.wait_until(lambda: listed.entry.revision > 0)
+        written = site.store.objects.pop(key)
+        other = {'zone': 'a', 'address': '127.0.0.9:80', 'linkMbps': 10}
+        await site.store.put('routers', 'router-9', other)
+        await listed.read_members()
+        del site.store.objects[('routers', 'router-9')]
+        await site.store.restore(site.store.copy())
+        # The list lacks routers whose entry is not written again yet.
+        await listed.read_members()
+        assert 'router-9' in listed.members.known
+        await standins.wait_until(lambda: key in site.store.objects, 3.0)
+        assert site.store.objects[key]['spec'] == written['spec']
+
+    @standins.on_site
+    async def test_revision_of_the_lost_data_deletes_nothing(self, site):
+        listed = site.router.view.discovery
+        key = ('routers', 'router-1')
+        await standins.wait_until(lambda: listed.entry.revision > 0)
+        spec = site.store.objects[key]['spec']
+        await site.store.put(*key, spec)
+        await site.store.restore(site.store.copy())
+        await site.router.view.store.list_pages('routers')
+        await listed.deregister()
+        assert key not in site.store.objects
+
+
 async def write_lost_state(site):
     """Write a configuration and an order that is rolled back."""
     await site.store.put('config', 'main', standins.configuration(3))
