Count and show generations of the store's data

Change: gauge celeryward_router_store_generation (-1 for none) and counter celeryward_router_store_generations. The log line 'store data has a new generation' has the old and the new value.

Result: TestObservability in tests/test_store_generations.py passes, with tests/test_supervision.py and tests/test_decoders.py.

--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -57,6 +57,11 @@
             'Connections closed or refused for their limits.',
             ('listener', 'cause'),
         )
+        self.store_generations = self.counter(
+            'store_generations',
+            'Returns of the store from an older copy of its data.',
+            (),
+        )
         self.latencies = metrics.LatencyCollector()
         self.registry.register(self.latencies)
 
@@ -116,6 +121,10 @@
         """Count a connection that was closed or refused for its limits."""
         self.closed_connections.labels(listener, cause).inc()
 
+    def count_store_generation(self):
+        """Count a new generation of the store's data."""
+        self.store_generations.inc()
+
     def exposition(self):
         """Return all metrics in the text exposition format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
@@ -127,6 +136,9 @@
     :param RouterMetrics router_metrics: the metrics of the router.
     :param router: :class:`router.Router`.
     """
+    router.view.store.generations.listeners.append(
+        router_metrics.count_store_generation
+    )
     for name, text, value in (
         *store_gauges(router),
         *endpoint_gauges(router),
@@ -158,6 +170,11 @@
         'Calls to the store.',
         lambda: router.view.store.calls,
     )
+    yield (
+        'store_generation',
+        "Generation of the store's data; -1 for none.",
+        lambda: generation_gauge_value(router.view.store.generations),
+    )
     yield (
         'routers',
         'Routers that are known.',
@@ -245,6 +262,14 @@
         )
 
 
+def generation_gauge_value(state):
+    """Return the newest generation that is known; -1 for none.
+
+    :param state: :class:`generations.Generations`.
+    """
+    return -1 if state.current is None else state.current
+
+
 def age_gauge_value(tracker):
     """Return seconds since the last confirmation; -1.0 if there was none.
 
--- a/tests/test_store_generations.py
+++ b/tests/test_store_generations.py
@@ -1,6 +1,7 @@
 """Routers on a store that returns from an older copy of its data."""
 
 import curio
+import loguru
 import pytest
 
 from celeryward import errors
@@ -119,3 +120,35 @@
         assert {each.generation for each in watchers} == {None}
         assert site.router.view.store.generations.current is None
         await site.stop()
+
+
+class TestObservability:
+    """Guards against a restore that operators can't see."""
+
+    @standins.on_site
+    async def test_new_generation_is_logged_and_counted(self, site):
+        lines = []
+        sink = loguru.logger.add(lines.append, format='{message} {extra}')
+        await site.store.restore(site.store.copy())
+        state = site.router.view.store.generations
+        await standins.wait_until(lambda: state.current == 5, 2.0)
+        await curio.sleep(0.5)
+        loguru.logger.remove(sink)
+        found = [
+            line
+            for line in lines
+            if line.startswith('store data has a new generation')
+        ]
+        assert len(found) == 1
+        assert "'old': 4" in found[0] and "'new': 5" in found[0]
+        exposed = site.router.metrics.exposition()
+        assert b'celeryward_router_store_generation 5.0' in exposed
+        assert b'celeryward_router_store_generations_total 1.0' in exposed
+
+    @standins.on_site
+    async def test_odd_header_is_counted(self, site):
+        site.store.generation = 'x'
+        await site.router.view.store.list_pages('servers')
+        exposed = site.router.metrics.exposition()
+        assert b'entries_ignored_total{kind="generation"}' in exposed
+        assert site.router.view.store.generations.current == 4
