Hold a stored roll-out state as final until it is written again

Cause: after a restore, a completed order without its status was open again until the status was written, up to contact_seconds later; new evidence on the version could roll it back, and its runs were judged.

Change: a state that was stored before counts as stored, and is written again at once by leaders, 1 s later by followers unless it is there.

--- a/celeryward/objects/verdicts.py
+++ b/celeryward/objects/verdicts.py
@@ -56,6 +56,8 @@
             self.releases.decide_due()
             for order in tuple(self.releases.orders_without_start(delay)):
                 await self.write(order)
+            for order in self.restored.due_writes(self.members.is_leader):
+                await self.write(order)
             for order in self.due_verdicts():
                 # Each write takes time, in which other verdicts may change.
                 if order in self.due_verdicts():
--- a/celeryward/raters/restored_orders.py
+++ b/celeryward/raters/restored_orders.py
@@ -10,6 +10,9 @@
 from celeryward import logs
 from celeryward.raters import rollout_orders
 
+# Usually a leader has written a state before its followers write it.
+FOLLOWER_DELAY_SECONDS = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeptOrder:
@@ -24,11 +27,25 @@
     listed: rollout_orders.Order | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnwrittenOrder:
+    """An order whose state the store has lost.
+
+    :param rollout_orders.Order order: the order with that state.
+    :param deadlines.Deadline follower_at: when a follower writes it, unless a
+        leader has.
+    """
+
+    order: rollout_orders.Order
+    follower_at: deadlines.Deadline
+
+
 class RestoredOrders:
     """Applies orders so that a restore of the store loses no verdict.
 
     ``outdated`` holds the services whose order is of an earlier generation
-    of the store's data; its revision must not be used.
+    of the store's data; its revision must not be used. ``unwritten`` holds
+    the orders whose stored state was lost, by service, with that state.
 
     :param releases: :class:`releases.Releases`.
     :param outages: :class:`outages.OutageTracker`, which says how long an
@@ -39,12 +56,14 @@
         self.releases = releases
         self.outages = outages
         self.outdated = set()
+        self.unwritten = {}
         self.kept = {}
 
     def begin_generation(self):
         """Record that the store has returned from an older copy."""
         self.outdated = set(self.releases.progress)
         self.kept.clear()
+        self.unwritten.clear()
 
     def accept(self, order):
         """Apply an order that was written, or one with a known target.
@@ -63,6 +82,12 @@
         ):
             self.releases.accept(order)
             return
+        if known.order.state is not rollout_orders.State.RUNNING:
+            # Its runs must not be judged again.
+            order = dataclasses.replace(order, state=known.order.state)
+            self.unwritten[order.service] = UnwrittenOrder(
+                order, deadlines.Deadline.after(FOLLOWER_DELAY_SECONDS)
+            )
         self.releases.progress[order.service] = dataclasses.replace(
             known, order=order
         )
@@ -85,6 +110,14 @@
         else:
             self.accept(order)
 
+    def due_writes(self, is_leader):
+        """Return the orders whose state is to be written again now."""
+        return tuple(
+            each.order
+            for each in self.unwritten.values()
+            if is_leader or each.follower_at.expired()
+        )
+
     def remove_unlisted(self, service):
         """Remove an order that is missing in a complete list."""
         if service in self.outdated:
@@ -123,3 +156,4 @@
         """Forget that the order of a service is outdated."""
         self.outdated.discard(service)
         self.kept.pop(service, None)
+        self.unwritten.pop(service, None)
--- a/tests/test_restored_state.py
+++ b/tests/test_restored_state.py
@@ -70,6 +70,23 @@
         assert restored.releases.progress['llm'].verdict is verdict
         assert not restored.outdated
 
+    @pytest.mark.parametrize('state', (State.ROLLED_BACK, State.DONE))
+    def test_stored_state_is_final_and_written_again(self, state):
+        """New evidence on a completed version could roll it back."""
+        found = releases.Releases(0.15, 5.0)
+        found.accept(dataclasses.replace(ORDER, state=state))
+        restored = restored_orders.RestoredOrders(found, Outages())
+        restored.begin_generation()
+        again = dataclasses.replace(ORDER, revision=4, created=3)
+        restored.accept_listed(again)
+        final = dataclasses.replace(again, state=state)
+        assert found.progress['llm'].order == final
+        assert found.progress['llm'].verdict is state
+        assert restored.due_writes(is_leader=False) == ()
+        assert restored.due_writes(is_leader=True) == (final,)
+        restored.accept(final)
+        assert restored.due_writes(is_leader=True) == ()
+
     def test_missing_order_that_is_written_again_keeps_it(self, restored):
         restored.remove_unlisted('llm')
         restored.remove_unlisted('llm')
