Close no connection for a new one whose request has arrived

Cause: whether a connection is idle was judged by idle_since alone. After a pause of the process a request may wait in the kernel. Such a connection was shut down in both directions; its request was read and run, and its response was lost.

Only the input is shut down, and a request that arrives in between is refused with 503 before it is read.

--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -258,7 +258,8 @@
     """The open connections of one listener, and whether there may be more.
 
     A connection has ``idle_since``, the time in monotonic seconds since when
-    it has no request under way, or None.
+    it has no request under way, or None. One with input that waits is not
+    closed for another, because its request may have arrived during a pause.
 
     :param ListenerLimits limits: the limits.
     :param clock: function that returns monotonic seconds.
@@ -292,7 +293,11 @@
         idle = collections.defaultdict(list)
         for connection, source in self.addresses.items():
             since = connection.idle_since
-            if since is not None and now - since >= MIN_IDLE_SECONDS:
+            if (
+                since is not None
+                and now - since >= MIN_IDLE_SECONDS
+                and not connection.has_waiting_input()
+            ):
                 idle[source].append(connection)
         found = idle.get(address, ())
         if cause == 'total':
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -118,8 +118,8 @@
     async def make_room(self, address, peer):
         """Return whether there is room for a new connection.
 
-        Idle ones are closed for it. Their tasks see the end of the input, so
-        that a request whose head is complete is still served.
+        Idle ones are closed for it. Their tasks see the end of the input. A
+        request that arrives meanwhile is refused and has not run.
         """
         while cause := self.connections.full(address):
             idle = self.connections.longest_idle(cause, address)
@@ -132,7 +132,8 @@
                 continue
             self.connections.remove(idle)
             self.closed.record('idle', idle.peer)
-            await idle.shut_down()
+            idle.displaced = True
+            await idle.stop_reading()
         return True
 
     async def run(self, connection):
@@ -145,6 +146,8 @@
                 self.closed.record('unread', connection.peer)
             if self.connections is not None:
                 self.connections.remove(connection)
+            if connection.displaced and connection.h11.trailing_data[0]:
+                await refuse(connection.sock)
             await connection.close()
 
     async def stop_accepting(self):
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -28,6 +28,8 @@
         super().__init__(sock, peer)
         # Since when no request is under way, in monotonic seconds, or None.
         self.idle_since = time.monotonic()
+        # Whether it is closed for a new connection; it serves no more.
+        self.displaced = False
         # Requests since other tasks had their turn. Input that has arrived is
         # read without a turn of others.
         self.requests_in_turn = 0
@@ -43,12 +45,17 @@
 
         :param extend: as for :meth:`read`.
         :raises ReadTimeout: if nothing arrives before the deadline.
-        :raises Disconnected: if the connection is reset, or if the peer
-            has no room for the last response.
+        :raises Disconnected: if the connection is reset or is closed for a
+            new one, or if the peer has no room for the last response.
         """
         self.idle_since = time.monotonic()
         if not self.has_trailing_data():
             self.h11.receive_data(await self.read(step, deadline, extend))
+        if self.displaced:
+            raise self.lost_error('closed for a new connection', step)
+        if self.h11.trailing_data[0]:
+            # A head that has begun has a deadline of its own.
+            self.idle_since = None
         if self.limits is not None:
             await self.take_turn(step)
 
@@ -90,6 +97,10 @@
         while not sockets.is_ended(self.sock):
             await curio.sleep(END_POLL_SECONDS)
 
+    def has_waiting_input(self):
+        """Return whether bytes of a request have been read or can be."""
+        return bool(self.h11.trailing_data[0]) or sockets.has_bytes(self.sock)
+
     def has_trailing_data(self):
         """Return whether unparsed bytes or an end of file have been read."""
         data, closed = self.h11.trailing_data
--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -96,6 +96,11 @@
     return INT.unpack(held)[0] + input_has_ended(sock)
 
 
+def has_bytes(sock):
+    """Return whether bytes can be read; the end of the stream is none."""
+    return query_size(sock, termios.FIONREAD) > 0
+
+
 def is_ended(sock):
     """Return whether the peer has closed, even if there is input to read."""
     poller = select.poll()
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -24,6 +24,10 @@
     """A connection as the limits see it."""
 
     idle_since: float | None
+    has_input: bool = False
+
+    def has_waiting_input(self):
+        return self.has_input
 
 
 def derive(host, **tuned):
@@ -141,6 +145,11 @@
         made, _ = self.make(None, 9.5, None)
         assert made.longest_idle('address', 'a') is None
 
+    def test_connection_whose_request_has_arrived_stays(self):
+        made, _ = self.make(5.0)
+        made.add(Connection(3.0, has_input=True), 'a')
+        assert made.longest_idle('address', 'a').idle_since == 5.0
+
     def test_vain_search_of_one_address_costs_others_nothing(self):
         made, clock = self.make(None, 9.5)
         assert made.longest_idle('address', 'a') is None
--- a/tests/test_paced_requests.py
+++ b/tests/test_paced_requests.py
@@ -136,6 +136,43 @@
             assert server.causes == ['idle']
 
 
+async def send_before_eviction(server):
+    """Send on three idle connections before a fourth is accepted."""
+    idle = [await server.connect() for _ in range(3)]
+    await curio.sleep(connection_limits.MIN_IDLE_SECONDS + 0.1)
+    new = await server.connect()
+    for sock in (*idle, new):
+        # Nothing here lets the task of the listener run.
+        await sock.sendall(LAST_REQUEST)
+    return [await read_to_end(sock) for sock in (*idle, new)]
+
+
+class TestRequestsAtEviction:
+    """Guards against requests that run while their responses are lost."""
+
+    @fakes.in_kernel
+    async def test_idle_connections_with_requests_that_arrived_stay(self):
+        async with serving() as server:
+            *answers, refused = await send_before_eviction(server)
+            assert all(each.startswith(b'HTTP/1.1 200') for each in answers)
+            assert refused.startswith(b'HTTP/1.1 503')
+            assert server.causes == ['address'] and server.answered == 3
+
+    @fakes.in_kernel
+    async def test_request_that_arrives_after_the_check_has_not_run(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(
+            http.Connection, 'has_waiting_input', lambda self: False
+        )
+        async with serving() as server:
+            *answers, new = await send_before_eviction(server)
+            assert new.startswith(b'HTTP/1.1 200')
+            statuses = sorted(each[:12] for each in answers)
+            assert statuses == [b'HTTP/1.1 200'] * 2 + [b'HTTP/1.1 503']
+            assert server.causes == ['idle'] and server.answered == 3
+
+
 class TestClientsThatDoNotRead:
     """Guards against what is kept for clients that read little or nothing."""
 
