Search once for a connection that makes room for a new one

Cause: for each idle connection with unsent bytes make_room set idle_since anew and searched all connections again, about once a second. Clients that took no response and sent nothing further kept their places until the idle timeout.

An idle connection with unsent bytes and no progress for UNREAD_STALL_SECONDS, counted from the first search on the clock without pauses, makes room with the cause 'unread'. idle_since is kept. longest_idle returns the cause too; the tests read the connection by a function of their class, the assertions are as they were.

Result: test_idle_connections_that_read_nothing_make_room failed before with a 503. test_connections_that_may_not_be_closed_are_looked_at_once failed before only for want of the new interface.

--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -258,8 +258,9 @@
     """The open connections of one listener, and whether there may be more.
 
     A connection has ``idle_since``, the time in monotonic seconds since when
-    it has no request under way, or None. One with input that waits is not
-    closed for another, because its request may have arrived during a pause.
+    it has no request under way, or None, and ``close_reason()``. This is empty
+    for one whose request may have arrived during a pause, and for one whose
+    last response would be cut off.
 
     :param ListenerLimits limits: the limits.
     :param clock: function that returns monotonic seconds.
@@ -272,6 +273,9 @@
         self.counts = collections.Counter()
         # Earliest next search, by address, and None for all of them.
         self.search_at = {}
+        # Earliest next look at a connection that couldn't be closed. Each look
+        # takes calls to the kernel, and each new connection may search.
+        self.look_at = {}
 
     def full(self, address):
         """Return the limit that a new connection exceeds, or an empty text."""
@@ -280,7 +284,9 @@
         return 'total' if len(self.addresses) >= self.limits.total else ''
 
     def longest_idle(self, cause, address):
-        """Return the connection to close for a new one, or None.
+        """Return the connection to close for a new one, and why.
+
+        None and an empty text are returned if there is none.
 
         :param str cause: the limit that the new one exceeds. One of its own
             address is closed for the limit of that; else one of the addresses
@@ -289,23 +295,24 @@
         now = self.clock()
         scope = address if cause == 'address' else None
         if now < self.search_at.get(scope, 0.0):
-            return None
+            return None, ''
         idle = collections.defaultdict(list)
         for connection, source in self.addresses.items():
             since = connection.idle_since
             if (
                 since is not None
                 and now - since >= MIN_IDLE_SECONDS
-                and not connection.has_waiting_input()
+                and now >= self.look_at.get(connection, 0.0)
             ):
                 idle[source].append(connection)
-        found = idle.get(address, ())
-        if cause == 'total':
-            found = max(idle.values(), key=len, default=())
-        if not found:
-            self.search_at[scope] = now + SEARCH_SECONDS
-            return None
-        return min(found, key=lambda each: each.idle_since)
+        found = [idle[address]] if scope is not None else idle.values()
+        for connections in sorted(found, key=len, reverse=True):
+            for connection in sorted(connections, key=idle_start):
+                if reason := connection.close_reason():
+                    return connection, reason
+                self.look_at[connection] = now + SEARCH_SECONDS
+        self.search_at[scope] = now + SEARCH_SECONDS
+        return None, ''
 
     def add(self, connection, address):
         """Count a connection."""
@@ -317,12 +324,18 @@
         address = self.addresses.pop(connection, None)
         if address is None:
             return
+        self.look_at.pop(connection, None)
         self.counts[address] -= 1
         if not self.counts[address]:
             del self.counts[address]
             self.search_at.pop(address, None)
 
 
+def idle_start(connection):
+    """Return since when a connection is idle, in monotonic seconds."""
+    return connection.idle_since
+
+
 def retry_seconds():
     """Return when a client that is refused may return."""
     return random.uniform(*RETRY_SECONDS)
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -3,7 +3,6 @@
 import contextlib
 import os
 import socket
-import time
 
 import curio
 import h11
@@ -122,16 +121,12 @@
         request that arrives meanwhile is refused and has not run.
         """
         while cause := self.connections.full(address):
-            idle = self.connections.longest_idle(cause, address)
+            idle, reason = self.connections.longest_idle(cause, address)
             if idle is None:
                 self.closed.record(cause, peer)
                 return False
-            if sockets.count_unsent(idle.sock):
-                # Its last response would be cut off.
-                idle.idle_since = time.monotonic()
-                continue
             self.connections.remove(idle)
-            self.closed.record('idle', idle.peer)
+            self.closed.record(reason, idle.peer)
             idle.displaced = True
             await idle.stop_reading()
         return True
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -11,6 +11,7 @@
 import curio
 import h11
 
+from celeryward import awake_clock
 from celeryward import bodies
 from celeryward import sockets
 from celeryward import transport
@@ -30,6 +31,10 @@
         self.idle_since = time.monotonic()
         # Whether it is closed for a new connection; it serves no more.
         self.displaced = False
+        # Unsent bytes at the last look while idle, and since when there were
+        # no fewer, on the clock without pauses of this process.
+        self.unsent = None
+        self.unsent_since = 0.0
         # Requests since other tasks had their turn. Input that has arrived is
         # read without a turn of others.
         self.requests_in_turn = 0
@@ -49,6 +54,7 @@
             new one, or if the peer has no room for the last response.
         """
         self.idle_since = time.monotonic()
+        self.unsent = None
         if not self.has_trailing_data():
             self.h11.receive_data(await self.read(step, deadline, extend))
         if self.displaced:
@@ -97,9 +103,23 @@
         while not sockets.is_ended(self.sock):
             await curio.sleep(END_POLL_SECONDS)
 
-    def has_waiting_input(self):
-        """Return whether bytes of a request have been read or can be."""
-        return bool(self.h11.trailing_data[0]) or sockets.has_bytes(self.sock)
+    def close_reason(self):
+        """Return why an idle connection may be closed for a new one.
+
+        :returns: 'idle', 'unread' if its client has taken nothing of a
+            response for :data:`transport.UNREAD_STALL_SECONDS`, or an empty
+            text if its request has arrived or its client may still read.
+        """
+        if self.h11.trailing_data[0] or sockets.has_bytes(self.sock):
+            return ''
+        unsent = sockets.count_unsent(self.sock)
+        if not unsent:
+            return 'idle'
+        now = awake_clock.CLOCK()
+        if self.unsent is None or unsent < self.unsent:
+            self.unsent, self.unsent_since = unsent, now
+        stalled = now - self.unsent_since >= transport.UNREAD_STALL_SECONDS
+        return 'unread' if stalled else ''
 
     def has_trailing_data(self):
         """Return whether unparsed bytes or an end of file have been read."""
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -19,15 +19,20 @@
 ROUTERS = 194
 
 
+# The connections whose reason was asked for.
+looks = []
+
+
 @dataclasses.dataclass(frozen=True, eq=False)
 class Connection:
     """A connection as the limits see it."""
 
     idle_since: float | None
-    has_input: bool = False
+    reason: str = 'idle'
 
-    def has_waiting_input(self):
-        return self.has_input
+    def close_reason(self):
+        looks.append(self)
+        return self.reason
 
 
 def derive(host, **tuned):
@@ -123,6 +128,11 @@
             made.add(Connection(since), address)
         return made, clock
 
+    def find(self, made, cause, address):
+        """Return since when the connection to close is idle, or None."""
+        found, _ = made.longest_idle(cause, address)
+        return found and found.idle_since
+
     def test_each_limit_is_named(self):
         made, _ = self.make(None, None, None)
         assert made.full('a') == 'address'
@@ -133,32 +143,48 @@
     def test_longest_idle_connection_of_the_address_makes_room(self):
         made, _ = self.make(5.0, 3.0, None)
         made.add(Connection(1.0), 'b')
-        assert made.longest_idle('address', 'a').idle_since == 3.0
+        assert self.find(made, 'address', 'a') == 3.0
 
     def test_address_with_most_idle_connections_makes_room_for_others(self):
         made, _ = self.make(5.0, 3.0)
         made.add(Connection(1.0), 'b')
         made.add(Connection(None), 'c')
-        assert made.longest_idle('total', 'd').idle_since == 3.0
+        assert self.find(made, 'total', 'd') == 3.0
 
     def test_busy_and_young_connections_stay(self):
         made, _ = self.make(None, 9.5, None)
-        assert made.longest_idle('address', 'a') is None
+        assert self.find(made, 'address', 'a') is None
 
-    def test_connection_whose_request_has_arrived_stays(self):
+    def test_connection_that_may_not_be_closed_stays(self):
         made, _ = self.make(5.0)
-        made.add(Connection(3.0, has_input=True), 'a')
-        assert made.longest_idle('address', 'a').idle_since == 5.0
+        made.add(Connection(3.0, reason=''), 'a')
+        assert self.find(made, 'address', 'a') == 5.0
+
+    def test_connections_that_may_not_be_closed_are_looked_at_once(self):
+        """Each search looked at them anew, a second late for each."""
+        made, clock = self.make()
+        for number in range(500):
+            made.add(Connection(number / 1000, reason=''), 'a')
+            made.add(Connection(5.0 + number / 1000), 'b')
+        looks.clear()
+        for number in range(400):
+            found, _ = made.longest_idle('total', 'c')
+            assert found.idle_since == 5.0 + number / 1000
+            made.remove(found)
+        assert len(looks) <= 900
+        clock.now += connection_limits.SEARCH_SECONDS
+        assert self.find(made, 'address', 'a') is None
+        assert len(looks) <= 1400
 
     def test_vain_search_of_one_address_costs_others_nothing(self):
         made, clock = self.make(None, 9.5)
-        assert made.longest_idle('address', 'a') is None
+        assert self.find(made, 'address', 'a') is None
         made.add(Connection(1.0), 'a')
-        assert made.longest_idle('address', 'a') is None
+        assert self.find(made, 'address', 'a') is None
         made.add(Connection(2.0), 'b')
-        assert made.longest_idle('address', 'b').idle_since == 2.0
+        assert self.find(made, 'address', 'b') == 2.0
         clock.now += connection_limits.SEARCH_SECONDS
-        assert made.longest_idle('address', 'a').idle_since == 1.0
+        assert self.find(made, 'address', 'a') == 1.0
 
     def test_removed_connections_leave_nothing(self):
         made, _ = self.make(None)
--- a/tests/test_paced_requests.py
+++ b/tests/test_paced_requests.py
@@ -163,7 +163,7 @@
         self, monkeypatch
     ):
         monkeypatch.setattr(
-            http.Connection, 'has_waiting_input', lambda self: False
+            http.Connection, 'close_reason', lambda self: 'idle'
         )
         async with serving() as server:
             *answers, new = await send_before_eviction(server)
@@ -201,6 +201,24 @@
             assert server.causes == ['unread']
             await sock.close()
 
+    @fakes.in_kernel
+    async def test_idle_connections_that_read_nothing_make_room(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(transport, 'UNREAD_STALL_SECONDS', 0.5)
+        async with serving(30_000) as server:
+            unread = [await server.connect() for _ in range(3)]
+            for sock in unread:
+                await sock.sendall(REQUEST)
+            await curio.sleep(connection_limits.MIN_IDLE_SECONDS + 0.1)
+            refused = await read_to_end(await server.connect())
+            assert refused.startswith(b'HTTP/1.1 503 ')
+            await curio.sleep(0.6)
+            sock = await server.connect()
+            await sock.sendall(LAST_REQUEST)
+            assert (await read_to_end(sock)).startswith(b'HTTP/1.1 200')
+            assert server.causes == ['address', 'unread']
+
 
 class TestCallerThatLeaves:
     """Guards against work for callers that left behind unread requests."""
