Take the lower of maxFds and the limit of the process

Cause: the stated number of descriptors was used as it was. Above the limit of the process on open files, limits on connections followed that accept() fails at (EMFILE).

Change: the lower of both holds.

--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -112,9 +112,13 @@
 def host_of(placement):
     """Return the :class:`Host` of a router.
 
+    What the host is said to allow may exceed the limit of this process.
+
     :param placement: :class:`router_settings.Placement`.
     """
-    descriptors = placement.max_descriptors or own_descriptors()
+    descriptors = own_descriptors()
+    if placement.max_descriptors:
+        descriptors = min(descriptors, placement.max_descriptors)
     return Host(placement.memory_mb, descriptors)
 
 
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -1,6 +1,7 @@
 """Which connections a listener accepts, without a network."""
 
 import dataclasses
+import types
 
 import pytest
 
@@ -68,6 +69,24 @@
         assert all(each.per_address >= 1 for each in limits.values())
 
 
+class TestHost:
+    """Guards against limits that the process has no descriptors for."""
+
+    @pytest.mark.parametrize(
+        'stated,used', ((0, 900), (800, 800), (9999, 900))
+    )
+    def test_descriptors_are_within_the_limit_of_the_process(
+        self, monkeypatch, stated, used
+    ):
+        monkeypatch.setattr(
+            connection_limits.resource, 'getrlimit', lambda _: (900, 9999)
+        )
+        placement = types.SimpleNamespace(
+            max_descriptors=stated, memory_mb=160.0
+        )
+        assert connection_limits.host_of(placement).descriptors == used
+
+
 class TestChosenLimits:
     """Guards against limits that a host can't keep or a router can't use."""
 
