--- a/tests/test_paced_requests.py
+++ b/tests/test_paced_requests.py
@@ -136,6 +136,43 @@
             assert server.causes == ['idle']
 
 
+async def send_before_eviction(server):
+    """Send on three idle connections before a fourth is accepted."""
+    idle = [await server.connect() for _ in range(3)]
+    await curio.sleep(connection_limits.MIN_IDLE_SECONDS + 0.1)
+    new = await server.connect()
+    for sock in (*idle, new):
+        # Nothing here lets the task of the listener run.
+        await sock.sendall(LAST_REQUEST)
+    return [await read_to_end(sock) for sock in (*idle, new)]
+
+
+class TestRequestsAtEviction:
+    """Guards against requests that run while their responses are lost."""
+
+    @fakes.in_kernel
+    async def test_idle_connections_with_requests_that_arrived_stay(self):
+        async with serving() as server:
+            *answers, refused = await send_before_eviction(server)
+            assert all(each.startswith(b'HTTP/1.1 200') for each in answers)
+            assert refused.startswith(b'HTTP/1.1 503')
+            assert server.causes == ['address'] and server.answered == 3
+
+    @fakes.in_kernel
+    async def test_request_that_arrives_after_the_check_has_not_run(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(
+            http.Connection, 'close_reason', lambda self: 'idle'
+        )
+        async with serving() as server:
+            *answers, new = await send_before_eviction(server)
+            assert new.startswith(b'HTTP/1.1 200')
+            statuses = sorted(each[:12] for each in answers)
+            assert statuses == [b'HTTP/1.1 200'] * 2 + [b'HTTP/1.1 503']
+            assert server.causes == ['idle'] and server.answered == 3
+
+
 class TestClientsThatDoNotRead:
     """Guards against what is kept for clients that read little or nothing."""
 
@@ -164,6 +201,24 @@
             assert server.causes == ['unread']
             await sock.close()
 
+    @fakes.in_kernel
+    async def test_idle_connections_that_read_nothing_make_room(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(transport, 'UNREAD_STALL_SECONDS', 0.5)
+        async with serving(30_000) as server:
+            unread = [await server.connect() for _ in range(3)]
+            for sock in unread:
+                await sock.sendall(REQUEST)
+            await curio.sleep(connection_limits.MIN_IDLE_SECONDS + 0.1)
+            refused = await read_to_end(await server.connect())
+            assert refused.startswith(b'HTTP/1.1 503 ')
+            await curio.sleep(0.6)
+            sock = await server.connect()
+            await sock.sendall(LAST_REQUEST)
+            assert (await read_to_end(sock)).startswith(b'HTTP/1.1 200')
+            assert server.causes == ['address', 'unread']
+
 
 class TestCallerThatLeaves:
     """Guards against work for callers that left behind unread requests."""
