Carry the slots of a cold endpoint over to its next run

Requests for the listed run reach the next process at its address. When the entry of that process arrived, the order of the routers changed, because it depended on the start of the run, and the time of the last slot was lost. The order now depends on the id only, and the next run takes over the time before which there is no slot.

--- a/celeryward/endpoints/warm_ups.py
+++ b/celeryward/endpoints/warm_ups.py
@@ -145,8 +145,15 @@
             age = math.inf
         elif runner.started_at:
             age = max(0.0, self.utc_clock() - runner.started_at)
+        before = self.states.get(runner.id)
         self.states[runner.id] = WarmUp(
-            runner.key, now, age, cold_since=now, phase=GENERATOR.random()
+            runner.key,
+            now,
+            age,
+            cold_since=now,
+            phase=GENERATOR.random(),
+            # The process of this run may have got requests for the one before.
+            earliest_slot=before.earliest_slot if before else -math.inf,
         )
         if self.is_cold(runner):
             self.log_cold(runner, 'start')
@@ -215,8 +222,13 @@
         ).info('endpoint is cold')
 
     def forget(self, runner):
-        """Delete what is known of a run of an endpoint that is over."""
-        self.ranks.pop(runner.key, None)
+        """Delete what is known of an endpoint that has left.
+
+        The next run at the same id takes over the state of the one before.
+        """
+        if runner.id in self.table.runners:
+            return
+        self.ranks.pop(runner.id, None)
         if self.state_of(runner) is not None:
             del self.states[runner.id]
 
@@ -238,7 +250,7 @@
         is_over = warm_at + RAMP_SECONDS < self.clock()
         if is_over and self.rules.is_loaded():
             del self.states[runner.id]
-            self.ranks.pop(runner.key, None)
+            self.ranks.pop(runner.id, None)
             return -math.inf
         return warm_at
 
@@ -261,13 +273,11 @@
 
     def is_sender(self, runner):
         """Return whether this router may send to a cold endpoint at all."""
-        version, rank = self.ranks.get(runner.key, (None, 0))
+        version, rank = self.ranks.get(runner.id, (None, 0))
         if version != self.members.version:
             version = self.members.version
-            rank = self.members.recent_rank(
-                f'{runner.id}\0{runner.started_at}'
-            )
-            self.ranks[runner.key] = (version, rank)
+            rank = self.members.recent_rank(runner.id)
+            self.ranks[runner.id] = (version, rank)
         return rank < self.share_of(runner).senders
 
     def next_slot(self, runner):
--- a/tests/test_warm_up_fleet.py
+++ b/tests/test_warm_up_fleet.py
@@ -68,6 +68,19 @@
         fleet.play(10.0, 0.5)
         assert fleet.most_in_a_second() <= 20
 
+    @pytest.mark.parametrize('seed', (1, 2, 3))
+    def test_entry_of_the_next_process_gives_no_further_slots(self, seed):
+        fleet = warm_up_fleet.Fleet(87, seed)
+        fleet.play(10.0, 0.0)
+        for state in fleet.routers.values():
+            state.expect_restart(fleet.endpoint)
+        fleet.play(2.0, 0.0)
+        fleet.write_seconds = 0.04
+        fleet.play(0.05, 1.0)
+        fleet.replace_endpoint()
+        fleet.play(2.0, 1.0)
+        assert fleet.most_in_a_second() <= 20
+
     def test_suspended_routers_send_nothing_late(self):
         fleet = warm_up_fleet.Fleet(87, 7)
         fleet.list_endpoint()
