Count the quiet time of slots from the first list of routers

A router counted its 35 s without slots at cold endpoints from its start. If it could not register or read the list of routers for longer, it then sent as one of seven assumed routers although no other router counted it. The time now begins with the first list, which a router reads after it has registered.

The fixture of tests/test_cold_endpoints.py waits for the list before it ends the quiet time, which the list would start again.

--- a/celeryward/endpoints/warm_ups.py
+++ b/celeryward/endpoints/warm_ups.py
@@ -20,9 +20,9 @@
 
 # Longest cold time of which an endpoint can inform.
 MAX_COLD_SECONDS = 3600.0
-# Time after its start in which a router sends nothing to cold endpoints. Other
-# routers read the list of routers within 30 s, and slots that were taken
-# before a restart are over by then.
+# Time after a router has registered and read the list of routers in which it
+# sends nothing to cold endpoints. Other routers read the list within 30 s, and
+# slots that were taken before a restart are over by then.
 QUIET_SECONDS = 35.0
 # Time for which the list may still name the run of a process that has ended,
 # while the next process has started at its address.
@@ -118,13 +118,20 @@
         self.before_traffic = first_start
         self.clock = clock
         self.utc_clock = utc_clock
-        self.quiet_until = clock() + QUIET_SECONDS
+        self.quiet_until = math.inf
         self.states = {}
         self.ranks = {}
         self.slots_taken = 0
         self.refused_writes = 0
         table.entry_listeners.append(self.record_listed)
         table.listeners.append(self.forget)
+        members.list_listeners.append(self.begin_quiet_time)
+        if members.list_received:
+            self.begin_quiet_time()
+
+    def begin_quiet_time(self):
+        """Allow slots once the other routers know of this one."""
+        self.quiet_until = self.clock() + QUIET_SECONDS
 
     def record_listed(self, runner, previous):
         """Record an entry of the list of endpoints.
--- a/celeryward/routers/members.py
+++ b/celeryward/routers/members.py
@@ -55,7 +55,8 @@
     """The known routers.
 
     ``listed`` is set once the list has been read for the first time, or could
-    not be read.
+    not be read. ``list_listeners`` are called when it has been read for the
+    first time, by when this router is registered.
 
     :param Member own: this router.
     :param clock: function that returns monotonic seconds.
@@ -66,6 +67,7 @@
         self.clock = clock
         self.known = {own.name: own}
         self.list_received = False
+        self.list_listeners = []
         self.listed = curio.Event()
         self.avoided = {}
         # Routers that have introduced themselves, each with a deadline.
@@ -92,8 +94,11 @@
         }
         self.known |= {each.name: each for each in members}
         self.known[self.own.name] = self.own
-        self.list_received = True
         self.remember()
+        if not self.list_received:
+            self.list_received = True
+            for listener in self.list_listeners:
+                listener()
 
     def introduce(self, member):
         """Add a router that has started and may not be in the list yet."""
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -35,6 +35,9 @@
 
     async def start(self, spec=None):
         await super().start(spec or configuration(**COLD))
+        await standins.wait_until(
+            lambda: self.router.view.members.list_received
+        )
         self.router.warm_ups.quiet_until = 0.0
 
     async def cool(self, runner_id, cold_ms=60_000):
--- a/tests/test_warm_up_fleet.py
+++ b/tests/test_warm_up_fleet.py
@@ -81,6 +81,24 @@
         fleet.play(2.0, 1.0)
         assert fleet.most_in_a_second() <= 20
 
+    @pytest.mark.parametrize('count', (5, 20, 87))
+    def test_routers_that_are_not_registered_send_nothing(self, count):
+        fleet = warm_up_fleet.Fleet(0, 9)
+        names = [f'r{number}' for number in range(count)]
+        for name in names:
+            fleet.start(name, None)
+        fleet.clock.now += 2 * warm_ups.QUIET_SECONDS
+        fleet.play(3.0, 0.5)
+        assert not fleet.arrivals
+        for name in names:
+            listed = warm_up_fleet.known(name, names, fleet.clock)
+            fleet.routers[name].members.replace(listed.known.values())
+        fleet.play(warm_ups.QUIET_SECONDS - 0.1, 0.5)
+        assert not fleet.arrivals
+        fleet.play(3.0, 0.5)
+        assert fleet.arrivals
+        assert fleet.most_in_a_second() <= 20
+
     def test_suspended_routers_send_nothing_late(self):
         fleet = warm_up_fleet.Fleet(87, 7)
         fleet.list_endpoint()
--- a/tests/warm_up_fleet.py
+++ b/tests/warm_up_fleet.py
@@ -29,13 +29,17 @@
 
 
 def known(own, names, clock):
-    """Return the routers as one of them knows them."""
+    """Return the routers as one of them knows them.
+
+    :param names: None if it has not read the list of routers.
+    """
     found = {
         name: members.Member(name, 'a', '10.0.0.1', 1)
-        for name in (own, *names)
+        for name in (own, *(names or ()))
     }
     table = members.Members(found[own], clock)
-    table.replace(found.values())
+    if names is not None:
+        table.replace(found.values())
     return table
 
 
