--- a/celeryward/endpoints/warm_ups.py
+++ b/celeryward/endpoints/warm_ups.py
@@ -20,9 +20,9 @@
 
 # Longest cold time of which an endpoint can inform.
 MAX_COLD_SECONDS = 3600.0
-# Time after its start in which a router sends nothing to cold endpoints. Other
-# routers read the list of routers within 30 s, and slots that were taken
-# before a restart are over by then.
+# Time after a router has registered and read the list of routers in which it
+# sends nothing to cold endpoints. Other routers read the list within 30 s, and
+# slots that were taken before a restart are over by then.
 QUIET_SECONDS = 35.0
 # Time for which the list may still name the run of a process that has ended,
 # while the next process has started at its address.
@@ -118,13 +118,20 @@
         self.before_traffic = first_start
         self.clock = clock
         self.utc_clock = utc_clock
-        self.quiet_until = clock() + QUIET_SECONDS
+        self.quiet_until = math.inf
         self.states = {}
         self.ranks = {}
         self.slots_taken = 0
         self.refused_writes = 0
         table.entry_listeners.append(self.record_listed)
         table.listeners.append(self.forget)
+        members.list_listeners.append(self.begin_quiet_time)
+        if members.list_received:
+            self.begin_quiet_time()
+
+    def begin_quiet_time(self):
+        """Allow slots once the other routers know of this one."""
+        self.quiet_until = self.clock() + QUIET_SECONDS
 
     def record_listed(self, runner, previous):
         """Record an entry of the list of endpoints.
@@ -145,8 +152,15 @@
             age = math.inf
         elif runner.started_at:
             age = max(0.0, self.utc_clock() - runner.started_at)
+        before = self.states.get(runner.id)
         self.states[runner.id] = WarmUp(
-            runner.key, now, age, cold_since=now, phase=GENERATOR.random()
+            runner.key,
+            now,
+            age,
+            cold_since=now,
+            phase=GENERATOR.random(),
+            # The process of this run may have got requests for the one before.
+            earliest_slot=before.earliest_slot if before else -math.inf,
         )
         if self.is_cold(runner):
             self.log_cold(runner, 'start')
@@ -215,8 +229,13 @@
         ).info('endpoint is cold')
 
     def forget(self, runner):
-        """Delete what is known of a run of an endpoint that is over."""
-        self.ranks.pop(runner.key, None)
+        """Delete what is known of an endpoint that has left.
+
+        The next run at the same id takes over the state of the one before.
+        """
+        if runner.id in self.table.runners:
+            return
+        self.ranks.pop(runner.id, None)
         if self.state_of(runner) is not None:
             del self.states[runner.id]
 
@@ -238,7 +257,7 @@
         is_over = warm_at + RAMP_SECONDS < self.clock()
         if is_over and self.rules.is_loaded():
             del self.states[runner.id]
-            self.ranks.pop(runner.key, None)
+            self.ranks.pop(runner.id, None)
             return -math.inf
         return warm_at
 
@@ -261,13 +280,11 @@
 
     def is_sender(self, runner):
         """Return whether this router may send to a cold endpoint at all."""
-        version, rank = self.ranks.get(runner.key, (None, 0))
+        version, rank = self.ranks.get(runner.id, (None, 0))
         if version != self.members.version:
             version = self.members.version
-            rank = self.members.recent_rank(
-                f'{runner.id}\0{runner.started_at}'
-            )
-            self.ranks[runner.key] = (version, rank)
+            rank = self.members.recent_rank(runner.id)
+            self.ranks[runner.id] = (version, rank)
         return rank < self.share_of(runner).senders
 
     def next_slot(self, runner):
