Limit the connections and calls of peer daemons

Cause: the gRPC listener accepted connections without bound. grpclib reads a message of any declared length into memory, keeps responses to control frames for a client that doesn't read, and waits for the rest of a request without a deadline.

Change: connections.peers limits connections, in total and for each address; idle ones make room, others are closed before they are read. The listening socket that grpclib is given applies the limits, since grpclib has no hook for it. Input of calls that are not finished is bounded (4 MiB), also for a client that doesn't read (32 KiB). A call has 10 s to arrive, and 10 s for its reply to be written; a connection has 8 calls at a time. Flow-control windows are 64 KiB. The limit of 100 streams is that of h2, as grpclib's Configuration has no setting for it. Descriptors of peers now count against the derived limit of callers.

--- a/celeryward/closings.py
+++ b/celeryward/closings.py
@@ -16,7 +16,9 @@
     """The connections that one listener closed, by cause.
 
     The causes are ``total`` and ``address`` (refused for the limit), ``idle``
-    (closed for a new connection) and ``unread`` (its client didn't read).
+    (closed for a new connection), ``unread`` (its client didn't read) and
+    ``input`` (its client sent more than is kept of unfinished calls, or did
+    not finish one in time).
 
     :param str listener: name of the listener, for the log and the metric.
     :param count: function of the listener and the cause.
--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -99,6 +99,10 @@
 }
 # Probes, scrapes and the command line use the same listener of a daemon.
 DAEMON_ADMIN = Share(16, 4, 128)
+# 340 daemons gossip with a few others a second and keep each connection for a
+# minute; idle ones make room. A daemon opens as many itself.
+DAEMON_PEERS = Share(12, 16, 512)
+DESCRIPTORS_PER_PEER = 2
 LEAST_CALLERS = 8
 KEYS = {
     'callers': 'caller_connections',
@@ -164,17 +168,43 @@
         admin = chosen.admin
     usable = usable_descriptors(host)
     check_range('connections.admin', chosen.admin, DAEMON_ADMIN.least, usable)
-    most = max(LEAST_CALLERS, (usable - admin) // DESCRIPTORS_PER_CALLER)
+    peers = derive_peers(host, chosen, usable - admin)
+    # Derived limits give way to the one that is set for callers.
+    taken = DAEMON_PEERS.least if chosen.peers is None else chosen.peers
+    left = usable - admin - taken * DESCRIPTORS_PER_PEER
+    most = max(LEAST_CALLERS, left // DESCRIPTORS_PER_CALLER)
     check_range('connections.callers', chosen.callers, LEAST_CALLERS, most)
-    callers = min(MAX_CONNECTIONS, most)
-    if chosen.callers is not None:
-        callers = chosen.callers
+    callers = chosen.callers
+    if callers is None:
+        left = usable - admin - peers * DESCRIPTORS_PER_PEER
+        callers = min(MAX_CONNECTIONS, left // DESCRIPTORS_PER_CALLER)
+        callers = max(LEAST_CALLERS, callers)
+    totals = {'callers': callers, 'admin': admin, 'peers': peers}
     return {
         name: ListenerLimits(total, address_share(total))
-        for name, total in (('callers', callers), ('admin', admin))
+        for name, total in totals.items()
     }
 
 
+def derive_peers(host, chosen, usable):
+    """Return the limit of a daemon's connections from other daemons.
+
+    :param chosen: :class:`settings.ConnectionSettings`.
+    :param int usable: descriptors for these and callers' connections.
+    :raises errors.BadInput: if the limit that is set is not allowed.
+    """
+    least = DAEMON_PEERS.least
+    callers = LEAST_CALLERS if chosen.callers is None else chosen.callers
+    left = usable - callers * DESCRIPTORS_PER_CALLER
+    if chosen.peers is None:
+        derived = derived_share(host, DAEMON_PEERS)
+        return max(least, min(derived, left // DESCRIPTORS_PER_PEER))
+    left = usable - LEAST_CALLERS * DESCRIPTORS_PER_CALLER
+    most = max(least, left // DESCRIPTORS_PER_PEER)
+    check_range('connections.peers', chosen.peers, least, most)
+    return chosen.peers
+
+
 def limit(tuning, name, derived):
     """Return the limit that operators set for a listener, or the derived."""
     chosen = getattr(tuning, KEYS[name])
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -1,5 +1,6 @@
 """Composition root of a daemon: builds its components and runs its tasks."""
 
+import functools
 import random
 import time
 import uuid
@@ -14,6 +15,7 @@
 from celeryward import closings
 from celeryward import completion
 from celeryward import connection_limits
+from celeryward.daemons import bridge
 from celeryward.daemons import control
 from celeryward.daemons import copies
 from celeryward.daemons import topics
@@ -78,6 +80,10 @@
         self.settings = settings
         self.clock = clock
         self.metrics = metrics.Metrics()
+        self.limits = connection_limits.derive_for_daemon(
+            connection_limits.Host(0.0, connection_limits.own_descriptors()),
+            settings.connections,
+        )
         self.stop_state = stopping.StopState()
         self.supervisor = supervision.Supervisor(
             self.metrics.count_task_failure
@@ -131,7 +137,12 @@
             self.watcher,
             copies.CopyHandler(self.replicas, self.peer_died),
             self.clock,
-            supervisor=self.supervisor,
+            functools.partial(
+                bridge.Bridge,
+                limits=self.limits['peers'],
+                closed=self.make_closings('peers'),
+            ),
+            self.supervisor,
         )
         self.ledger.peers = copies.CopySender(self.control)
         self.flusher = flusher.Flusher(
@@ -195,25 +206,28 @@
             new_id,
             self.stop_state,
         )
-        limits = connection_limits.derive_for_daemon(
-            connection_limits.Host(0.0, connection_limits.own_descriptors()),
-            self.settings.connections,
-        )
         self.listener = listener.Listener(
             self.settings.callers.host,
             self.settings.callers.port,
             self.caller_server.handle,
-            limits['callers'],
-            closings.Closings('callers', self.metrics.count_closed_connection),
+            self.limits['callers'],
+            self.make_closings('callers'),
         )
         self.admin_listener = listener.Listener(
             self.settings.admin.host,
             self.settings.admin.port,
             admin.AdminHandler(self).handle,
-            limits['admin'],
-            closings.Closings('admin', self.metrics.count_closed_connection),
+            self.limits['admin'],
+            self.make_closings('admin'),
         )
 
+    def make_closings(self, name):
+        """Return what counts and logs the closed connections.
+
+        :param str name: name of the listener.
+        """
+        return closings.Closings(name, self.metrics.count_closed_connection)
+
     def build_rollouts(self):
         """Build the components that compare versions and run roll-outs."""
         self.comparisons = rollouts.Comparisons()
--- a/celeryward/daemons/bridge.py
+++ b/celeryward/daemons/bridge.py
@@ -16,18 +16,32 @@
 
 import curio
 from grpclib import client
+from grpclib import config
 from grpclib import const
 from grpclib import exceptions
 from grpclib import server
 import result
 
+from celeryward import closings
+from celeryward import connection_limits
 from celeryward.daemons import exchange_grpc
+from celeryward.daemons import peer_sockets
 from celeryward import errors
 
 LISTEN_BACKLOG = 128
 MAX_WAITING_REQUESTS = 256
 REPLY_TIMEOUT_SECONDS = 10.0
 STOP_TIMEOUT_SECONDS = 1.0
+NO_LIMITS = connection_limits.ListenerLimits(
+    connection_limits.MAX_CONNECTIONS, connection_limits.MAX_CONNECTIONS
+)
+# Input of a connection that no call has asked for yet. h2 allows 100 streams
+# on a connection; grpclib has no setting for it.
+WINDOW_BYTES = 65535
+SERVER_CONFIGURATION = config.Configuration(
+    http2_connection_window_size=WINDOW_BYTES,
+    http2_stream_window_size=WINDOW_BYTES,
+)
 # Queued after the last request; ends the task that serves the queue.
 STOPPED = None
 CALL_ERRORS = (
@@ -52,10 +66,14 @@
 
 
 class Service(exchange_grpc.DaemonsBase):
-    """Forwards the requests of peers to curio."""
+    """Forwards the requests of peers to curio.
 
-    def __init__(self, requests):
+    :param peer_sockets.PeerListener listener: has the connections of calls.
+    """
+
+    def __init__(self, requests, listener):
         self.requests = requests
+        self.listener = listener
 
     async def Exchange(self, stream):  # noqa: N802
         """Forward a digest."""
@@ -78,20 +96,48 @@
         await self.forward('Announce', stream)
 
     async def forward(self, method, stream):
+        """Serve a call within the limits of its connection.
+
+        :raises exceptions.GRPCError: if the call is refused or the reply is
+            an error.
+        """
+        connection = self.listener.by_address.get(stream.peer.addr())
+        if connection is None:
+            raise exceptions.GRPCError(
+                const.Status.UNAVAILABLE, 'the connection is closed'
+            )
+        try:
+            if not connection.begin_call():
+                raise exceptions.GRPCError(
+                    const.Status.RESOURCE_EXHAUSTED, 'too many calls'
+                )
+            await self.answer(method, stream, connection)
+        finally:
+            connection.end_call()
+
+    async def answer(self, method, stream, connection):
         """Queue a request, await its reply and send it.
 
+        The connection is closed if its client doesn't finish the request or
+        has no room for the reply in time.
+
         :raises exceptions.GRPCError: if the reply is an error.
         """
-        message = await stream.recv_message()
+        async with connection.deadline('input', REPLY_TIMEOUT_SECONDS):
+            message = await stream.recv_message()
         reply = asyncio.get_running_loop().create_future()
         async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
             await self.requests.put(Request(method, message, reply))
             answer = await reply
-        if isinstance(answer, errors.CelerywardError):
-            raise exceptions.GRPCError(
-                const.Status.FAILED_PRECONDITION, answer.message
-            )
-        await stream.send_message(answer)
+        async with connection.deadline('unread', REPLY_TIMEOUT_SECONDS):
+            if not isinstance(answer, errors.CelerywardError):
+                await stream.send_message(answer)
+                # Otherwise sent later, without a deadline.
+                await stream.send_trailing_metadata()
+                return
+        raise exceptions.GRPCError(
+            const.Status.FAILED_PRECONDITION, answer.message
+        )
 
 
 class Bridge:
@@ -99,11 +145,15 @@
 
     :param str host: address to listen on.
     :param int port: port to listen on; 0 selects a free one.
+    :param connection_limits.ListenerLimits limits: limits of connections.
+    :param closings.Closings closed: counts what is closed for the limits.
     """
 
-    def __init__(self, host, port):
+    def __init__(self, host, port, limits=NO_LIMITS, closed=None):
         self.host = host
         self.port = port
+        self.limits = limits
+        self.closed = closed or closings.Closings('peers')
         self.requests = curio.UniversalQueue(maxsize=MAX_WAITING_REQUESTS)
         self.thread = None
         self.loop = None
@@ -113,7 +163,9 @@
 
     async def start(self):
         """Open the listening socket and start the asyncio thread."""
-        listener = open_listener(self.host, self.port)
+        listener = open_listener(
+            self.host, self.port, self.limits, self.closed
+        )
         self.port = listener.getsockname()[1]
         started = curio.UniversalResult()
         self.thread = threading.Thread(
@@ -133,7 +185,9 @@
         """Serve peers until the bridge is stopped."""
         self.loop = asyncio.get_running_loop()
         self.stopping = asyncio.Event()
-        grpc_server = server.Server([Service(self.requests)])
+        grpc_server = server.Server(
+            [Service(self.requests, listener)], config=SERVER_CONFIGURATION
+        )
         await grpc_server.start(sock=listener)
         self.loop.call_soon(set_result, started, None)
         await self.stopping.wait()
@@ -254,14 +308,10 @@
         self.submit(set_reply, request.reply, message)
 
 
-def open_listener(host, port):
-    """Return a listening socket for asyncio.
-
-    asyncio sets TCP_NODELAY only on sockets that were created with an
-    explicit protocol. Otherwise each reply waits 40 ms for a delayed ACK.
-    """
+def open_listener(host, port, limits=NO_LIMITS, closed=None):
+    """Return a listening socket for asyncio."""
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener = peer_sockets.PeerListener(family, limits, closed)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.setblocking(False)
     listener.bind((host, port))
--- a/celeryward/settings.py
+++ b/celeryward/settings.py
@@ -16,6 +16,7 @@
 Port = pydantic.conint(ge=0, le=65535)
 Callers = pydantic.conint(ge=8, le=100000)
 Operators = pydantic.conint(ge=4, le=100000)
+Peers = pydantic.conint(ge=16, le=100000)
 Seconds = pydantic.confloat(gt=0, le=86400)
 SigningKey = pydantic.constr(min_length=16)
 SigningKeys = pydantic.conlist(SigningKey, min_length=1)
@@ -68,6 +69,7 @@
 
     callers: Callers | None = None
     admin: Operators | None = None
+    peers: Peers | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -17,6 +17,8 @@
 ORDINARY_CALLERS = 400
 # Other routers of the largest deployment.
 ROUTERS = 194
+# Daemons that open a connection to one in a minute, at one a second each.
+GOSSIPING_DAEMONS = 60
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -105,6 +107,24 @@
             host, settings.ConnectionSettings()
         )
         assert derived['callers'].total > ORDINARY_CALLERS
+        assert derived['peers'].per_address > GOSSIPING_DAEMONS
+
+    def test_limits_of_a_daemon_that_are_set_leave_descriptors(self):
+        host = connection_limits.Host(0.0, 1638)
+        usable = connection_limits.usable_descriptors(host)
+        for chosen in ({}, {'callers': 600}, {'peers': 600}):
+            derived = connection_limits.derive_for_daemon(
+                host, settings.ConnectionSettings(**chosen)
+            )
+            taken = derived['admin'].total + 2 * (
+                derived['callers'].total + derived['peers'].total
+            )
+            assert taken <= usable, chosen
+        for chosen in ({'peers': 700}, {'callers': 600, 'peers': 600}):
+            with pytest.raises(errors.BadInput, match='connections'):
+                connection_limits.derive_for_daemon(
+                    host, settings.ConnectionSettings(**chosen)
+                )
 
 
 class TestOpenConnections:
