--- a/celeryward/store_view.py
+++ b/celeryward/store_view.py
@@ -84,7 +84,6 @@
         self.restored_orders = restored_orders.RestoredOrders(
             releases, self.outages
         )
-        self.store.generations.listeners.append(self.begin_generation)
         self.follows_drains = placement.bounds.domain_drain_seconds > 0.0
         self.build_peers(news)
         self.watchers = ()
@@ -97,6 +96,7 @@
 
     def build_peers(self, news):
         """Create what finds other routers and exchanges changes with them."""
+        self.store.generations.listeners.append(self.begin_generation)
         kinds = self.translator.kinds
         shared_pacing = make_pacing(self.placement.bounds)
         self.source = source.ChangeSource(
@@ -170,7 +170,11 @@
         )
         if self.follows_drains:
             self.watchers += (self.make_drain_watcher(runners, timings[3]),)
-        self.verdict_writer = verdicts.VerdictWriter(
+        self.verdict_writer = self.make_verdict_writer()
+
+    def make_verdict_writer(self):
+        """Return what writes the states of orders."""
+        return verdicts.VerdictWriter(
             self.store,
             self.releases,
             self.translator,
