Size the limit for other routers by the kinds that they poll

Cause: the limit counted 3 long polls of 48 followers; with the orders to drain there are 4 kinds, and each other router may report a crash. A host of 1,638 descriptors had 359 connections for 386.

Change: the most connections for other routers follow from the number of kinds, members.MAX_FOLLOWERS and the routers of the largest deployment; a third of the descriptors may go to them.

Result: the assertion added to TestDerivedLimits failed before (359 >= 386). TestConnectionsOfFollowers compares the number of kinds with the watchers of a router. tests/test_connection_limits.py and tests/test_shape.py pass, and tests/test_domain_drains.py without TestDispatch (not run).

--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -16,6 +16,7 @@
 import time
 
 from celeryward import errors
+from celeryward.routers import members
 
 # Descriptors for files and the log, and for connections to the store, to other
 # routers and to endpoints that are probed.
@@ -90,12 +91,16 @@
     most: int
 
 
-# A leading router has up to 3 long polls of 48 others, and each router is
-# called by all others that report crashes.
+# Kinds that a follower polls its leader for: configuration, endpoints, orders,
+# and orders to drain.
+FOLLOWED_KINDS = 4
+# Other routers of the largest deployment; each may report a crash at once.
+OTHER_ROUTERS = 194
+ROUTER_CONNECTIONS = FOLLOWED_KINDS * members.MAX_FOLLOWERS + OTHER_ROUTERS
 SHARES = {
     'readiness': Share(32, 4, 64),
     'metrics': Share(64, 2, 32),
-    'routers': Share(4, 16, 512),
+    'routers': Share(3, 16, ROUTER_CONNECTIONS),
 }
 # Probes, scrapes and the command line use the same listener of a daemon.
 DAEMON_ADMIN = Share(16, 4, 128)
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -9,6 +9,7 @@
 from celeryward import connection_limits
 from celeryward import errors
 from celeryward import router_settings
+from celeryward.routers import members
 from celeryward import settings
 from tests import fakes
 
@@ -49,6 +50,8 @@
         limits = derive(host)
         assert limits['callers'].per_address >= ORDINARY_CALLERS
         assert limits['routers'].per_address >= ROUTERS
+        polls = connection_limits.FOLLOWED_KINDS * members.MAX_FOLLOWERS
+        assert limits['routers'].total >= polls + ROUTERS
         others = sum(
             each.total for name, each in limits.items() if name != 'callers'
         )
--- a/tests/test_domain_drains.py
+++ b/tests/test_domain_drains.py
@@ -7,6 +7,7 @@
 import loguru
 import pytest
 
+from celeryward import connection_limits
 from celeryward import http
 from celeryward import router_settings
 from tests import fakes
@@ -79,6 +80,15 @@
         await site.stop()
 
 
+class TestConnectionsOfFollowers:
+    """Guards against a kind that the limit for other routers leaves out."""
+
+    @standins.on_site
+    async def test_each_followed_kind_counts(self, site):
+        watchers = site.router.view.watchers
+        assert len(watchers) == connection_limits.FOLLOWED_KINDS
+
+
 class TestDispatch:
     """Guards against requests in a drained failure domain."""
 
