Log the end of a burst of closed connections

Cause: what was closed within a second of the last line stayed unlogged until the next closing, which may never come.

Change: the listener starts one task while something is unlogged, which logs it once the second has passed; a drained listener logs the rest.

Result: TestLogOfClosings (2 cases) failed before with 1 line of 2. tests/test_paced_requests.py, tests/test_connection_limits.py and tests/test_shape.py pass.

--- a/celeryward/closings.py
+++ b/celeryward/closings.py
@@ -33,6 +33,7 @@
         self.count = count
         self.clock = clock
         self.unlogged = collections.Counter()
+        self.last_peer = ''
         self.log_at = 0.0
 
     def record(self, cause, peer):
@@ -42,12 +43,22 @@
         """
         self.count(self.listener, cause)
         self.unlogged[cause] += 1
-        if self.clock() < self.log_at:
+        self.last_peer = peer
+        if self.clock() >= self.log_at:
+            self.log()
+
+    def seconds_to_log(self):
+        """Return how long the next line has to wait."""
+        return max(0.0, self.log_at - self.clock())
+
+    def log(self):
+        """Log what was closed since the last line, if anything was."""
+        if not self.unlogged:
             return
         self.log_at = self.clock() + LOG_SECONDS
         logs.bind(
             step='accept',
-            peer=peer,
+            peer=self.last_peer,
             listener=self.listener,
             **self.unlogged,
         ).warning('connections closed for their limits')
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -51,6 +51,8 @@
         self.accept_task = None
         self.limits = limits
         self.closed = closed or closings.Closings(f'{host}:{port}')
+        # Logs what was closed since the last line, or None.
+        self.log_task = None
         self.connections = None
         if limits is not None:
             self.connections = connection_limits.OpenConnections(limits)
@@ -123,14 +125,28 @@
         while cause := self.connections.full(address):
             idle, reason = self.connections.longest_idle(cause, address)
             if idle is None:
-                self.closed.record(cause, peer)
+                await self.record_closed(cause, peer)
                 return False
             self.connections.remove(idle)
-            self.closed.record(reason, idle.peer)
+            await self.record_closed(reason, idle.peer)
             idle.displaced = True
             await idle.stop_reading()
         return True
 
+    async def record_closed(self, cause, peer):
+        """Count a connection that is closed, and have it logged in time."""
+        self.closed.record(cause, peer)
+        if self.closed.unlogged and self.log_task is None:
+            self.log_task = await curio.spawn(self.log_closed, daemon=True)
+
+    async def log_closed(self):
+        """Log the end of a burst, which no later one would log."""
+        while self.closed.unlogged:
+            await curio.sleep(self.closed.seconds_to_log())
+            if not self.closed.seconds_to_log():
+                self.closed.log()
+        self.log_task = None
+
     async def run(self, connection):
         """Run the handler, then close the connection."""
         try:
@@ -138,7 +154,7 @@
         finally:
             self.tasks.discard(await curio.current_task())
             if connection.left_unread:
-                self.closed.record('unread', connection.peer)
+                await self.record_closed('unread', connection.peer)
             if self.connections is not None:
                 self.connections.remove(connection)
             if connection.displaced and connection.h11.trailing_data[0]:
@@ -174,6 +190,9 @@
         remaining = list(self.tasks)
         for task in remaining:
             await task.cancel()
+        if self.log_task is not None:
+            await self.log_task.cancel()
+            self.closed.log()
         return len(remaining)
 
 
--- a/tests/test_paced_requests.py
+++ b/tests/test_paced_requests.py
@@ -76,6 +76,32 @@
     return b''.join(received)
 
 
+class TestLogOfClosings:
+    """Guards against the end of a burst that is never logged."""
+
+    @pytest.mark.parametrize('seconds', (0.0, 0.3))
+    @fakes.in_kernel
+    async def test_all_are_logged_after_a_while_or_at_the_stop(
+        self, monkeypatch, seconds
+    ):
+        monkeypatch.setattr(closings, 'LOG_SECONDS', seconds or 60.0)
+        lines = []
+        sink = closings.logs.logger.add(lines.append, level='WARNING')
+        try:
+            async with serving() as server:
+                connected = [await server.connect() for _ in range(13)]
+                while len(server.causes) < 10:
+                    await curio.sleep(0.01)
+                await curio.sleep(2 * seconds)
+                assert len(lines) == (2 if seconds else 1)
+            for sock in connected:
+                await sock.close()
+        finally:
+            closings.logs.logger.remove(sink)
+        logged = [line.record['extra']['address'] for line in lines]
+        assert logged == [1, 9]
+
+
 class TestSoundClients:
     """Guards against limits that cost clients that read their responses."""
 
