Keep cold state while the entry of an endpoint is missing

When an entry vanished and the same run came back, its cold time and the time of the last slot were lost and its age counted instead. Only the end of the warm-up (with its ramp, and the next slot) now deletes a state, in delete_expired, called with each entry. The queries warm_at and is_cold delete nothing any more, which the same change needs.

tests/test_warm_ups.py, test_entry_that_vanished_comes_back_cold fails before. The test of deletion checks the new method; it also checks now that a state is kept until the end of the ramp.

--- a/celeryward/endpoints/warm_ups.py
+++ b/celeryward/endpoints/warm_ups.py
@@ -39,6 +39,7 @@
     All times are on the boot-time clock.
 
     :param tuple key: key of the run.
+    :param str service: its service.
     :param float listed_at: when it was listed first.
     :param float age: seconds since its start by then, infinite if it isn't
         cold by its start.
@@ -50,6 +51,7 @@
     """
 
     key: tuple[str, float]
+    service: str
     listed_at: float
     age: float
     cold_until: float = -math.inf
@@ -124,7 +126,6 @@
         self.slots_taken = 0
         self.refused_writes = 0
         table.entry_listeners.append(self.record_listed)
-        table.listeners.append(self.forget)
         members.list_listeners.append(self.begin_quiet_time)
         if members.list_received:
             self.begin_quiet_time()
@@ -138,12 +139,21 @@
 
         :param runners.Runner previous: the entry before, None for none.
         """
-        if not self.rules.is_enabled():
+        self.delete_expired()
+        if not self.is_limited(runner):
             return
-        if previous is None or previous.key != runner.key:
+        is_new = previous is None or previous.key != runner.key
+        # The entry of a run may vanish for a while and come back.
+        if is_new and self.state_of(runner) is None:
             self.begin_run(runner, previous)
         self.extend(runner, runner.cold_seconds)
 
+    def is_limited(self, runner):
+        """Return whether an endpoint's service has a rule, or may have one."""
+        if self.rules.is_loaded():
+            return self.rules.of_service(runner.service) is not None
+        return self.rules.is_enabled()
+
     def begin_run(self, runner, previous):
         """Record a run of an endpoint that was not listed before."""
         now = self.clock()
@@ -155,6 +165,7 @@
         before = self.states.get(runner.id)
         self.states[runner.id] = WarmUp(
             runner.key,
+            runner.service,
             now,
             age,
             cold_since=now,
@@ -198,11 +209,13 @@
         if seconds is None:
             rule = self.rules.of_service(runner.service)
             seconds = rule.cold_seconds if rule else 0.0
-        if seconds <= 0.0 or not self.rules.is_enabled():
+        if seconds <= 0.0 or not self.is_limited(runner):
             return
         now = self.clock()
         was_cold = self.is_cold(runner)
-        state = self.state_of(runner) or WarmUp(runner.key, now, math.inf)
+        state = self.state_of(runner) or WarmUp(
+            runner.key, runner.service, now, math.inf
+        )
         until = now + min(seconds, MAX_COLD_SECONDS)
         state = dataclasses.replace(
             state, cold_until=max(state.cold_until, until)
@@ -228,16 +241,20 @@
             sends=self.is_sender(runner),
         ).info('endpoint is cold')
 
-    def forget(self, runner):
-        """Delete what is known of an endpoint that has left.
+    def delete_expired(self):
+        """Delete the states that are of no use any more.
 
-        The next run at the same id takes over the state of the one before.
+        Entries that vanish don't delete them, as they may come back.
         """
-        if runner.id in self.table.runners:
+        if not self.rules.is_loaded():
             return
-        self.ranks.pop(runner.id, None)
-        if self.state_of(runner) is not None:
-            del self.states[runner.id]
+        now = self.clock()
+        for runner_id, state in tuple(self.states.items()):
+            rule = self.rules.of_service(state.service)
+            warm_at = state.warm_at(rule) if rule else -math.inf
+            if max(warm_at + RAMP_SECONDS, state.earliest_slot) < now:
+                del self.states[runner_id]
+                self.ranks.pop(runner_id, None)
 
     def state_of(self, runner):
         """Return the :class:`WarmUp` of a run, or None."""
@@ -245,21 +262,10 @@
         return state if state and state.key == runner.key else None
 
     def warm_at(self, runner):
-        """Return when the warm-up of an endpoint ends, -inf for none.
-
-        State that is of no use any more is deleted.
-        """
+        """Return when the warm-up of an endpoint ends, -inf for none."""
         state = self.state_of(runner)
-        if state is None:
-            return -math.inf
         rule = self.rules.of_service(runner.service)
-        warm_at = state.warm_at(rule) if rule else -math.inf
-        is_over = warm_at + RAMP_SECONDS < self.clock()
-        if is_over and self.rules.is_loaded():
-            del self.states[runner.id]
-            self.ranks.pop(runner.id, None)
-            return -math.inf
-        return warm_at
+        return state.warm_at(rule) if state and rule else -math.inf
 
     def is_cold(self, runner):
         """Return whether an endpoint is cold now."""
--- a/tests/test_warm_ups.py
+++ b/tests/test_warm_ups.py
@@ -115,13 +115,28 @@
     def test_state_is_deleted_when_it_is_of_no_use(self):
         state, clock = make()
         for each in (runner(), runner('b'), runner('c', started_at=UTC)):
-            state.record_listed(each, None)
-        state.forget(runner('b'))
-        clock.now += 3.0 + warm_ups.RAMP_SECONDS + 0.1
-        endpoints = (runner(), runner('c', started_at=UTC))
-        assert state.blocked_ids(endpoints) == frozenset()
+            state.table.put(each)
+        state.table.remove('b')
+        clock.now += 3.0 + warm_ups.RAMP_SECONDS - 0.1
+        state.delete_expired()
+        assert state.states.keys() == {'a', 'b'}
+        clock.now += 0.2
+        state.table.put(runner('c', started_at=UTC))
         assert not (state.states or state.ranks)
 
+    def test_entry_that_vanished_comes_back_cold(self):
+        state, clock = make()
+        listed = runner(started_at=UTC)
+        state.table.put(listed)
+        state.extend(listed, 30.0)
+        clock.now += 1.0
+        assert state.take(listed)
+        state.table.remove('a')
+        clock.now += 0.01
+        state.table.put(listed)
+        assert state.is_cold(listed)
+        assert state.take(listed) is None
+
 
 class TestUnlimitedEndpoints:
     """Guards against effects where no limit was configured."""
