Let an unreadable cold time extend a warm-up once

Each entry repeats its value, about every 1.2 s, and each answer may have one. A value that can't be read stood for the cold time of the service each time, so that the endpoint stayed cold for ever. It now counts once for each run and source (entry or answer), until that source has a readable value again. The log line names these two sources apart.

tests/test_warm_ups.py, test_odd_time_in_each_entry_ends fails before.

--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -35,7 +35,7 @@
         because no other was available.
     :param closures.Place place: place at the endpoint that is reserved for
         the dispatch, None if there is none yet.
-    :param warm_ups.Slot slot: slot at a cold endpoint, None for none.
+    :param warm_up_states.Slot slot: slot at a cold endpoint, None for none.
     """
 
     service: str
--- a/celeryward/endpoints/forwarding.py
+++ b/celeryward/endpoints/forwarding.py
@@ -46,7 +46,7 @@
         sent on a new connection.
     :param on_late: as for :class:`waits.Wait`.
     :param crash_watch.WatchedRun watched: None if the run isn't watched.
-    :param warm_ups.Slot slot: slot at a cold endpoint, None for none.
+    :param warm_up_states.Slot slot: slot at a cold endpoint, None for none.
     """
 
     head: http.Request
--- a/celeryward/endpoints/notices.py
+++ b/celeryward/endpoints/notices.py
@@ -6,6 +6,7 @@
 
 from celeryward.endpoints import closures
 from celeryward.endpoints import runners
+from celeryward.endpoints import warm_ups
 from celeryward import errors
 
 STATUS_UNAVAILABLE = 503
@@ -24,13 +25,13 @@
     :param endpoint_closures: :class:`closures.Closures`.
     :param closures.PauseBounds pause_bounds: bounds on requests to wait.
     :param estimates: :class:`reopening.ReopeningEstimates`.
-    :param warm_ups: :class:`warm_ups.WarmUps`.
+    :param cold_endpoints: :class:`warm_ups.WarmUps`.
     """
 
     def __init__(
-        self, table, endpoint_closures, pause_bounds, estimates, warm_ups
+        self, table, endpoint_closures, pause_bounds, estimates, cold_endpoints
     ):
-        self.warm_ups = warm_ups
+        self.warm_ups = cold_endpoints
         self.table = table
         self.closures = endpoint_closures
         self.pause_bounds = pause_bounds
@@ -61,7 +62,9 @@
         if metadata.leaving and is_own_answer(metadata):
             self.table.announce_departure(runner, request_id)
         if metadata.cold_seconds != 0.0 and is_own_answer(metadata):
-            self.warm_ups.extend(runner, metadata.cold_seconds)
+            self.warm_ups.extend(
+                runner, metadata.cold_seconds, warm_ups.ANSWER
+            )
         if status == STATUS_UNAVAILABLE and metadata.retry_after:
             self.close(runner, metadata.retry_after, in_flight, request_id)
         elif status != STATUS_UNAVAILABLE and not metadata.not_run:
--- a/celeryward/endpoints/warm_ups.py
+++ b/celeryward/endpoints/warm_ups.py
@@ -12,10 +12,10 @@
 import random
 import time
 
-from celeryward.endpoints import closures
 from celeryward.endpoints import crashes
 from celeryward.endpoints import runners
 from celeryward.endpoints import warm_up_shares
+from celeryward.endpoints import warm_up_states
 from celeryward.objects import freshness
 
 # Longest cold time of which an endpoint can inform.
@@ -29,69 +29,19 @@
 RESTART_SECONDS = 3.0
 # Time after a warm-up within which the endpoint's share rises.
 RAMP_SECONDS = 3.0
+# Sources of a cold time, as they are logged.
+ENTRY = 'entry'
+ANSWER = 'answer'
+PROCESS_END = 'end of its process'
 GENERATOR = random.Random()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WarmUp:
-    """What is known of one run of an endpoint that may be cold.
-
-    All times are on the boot-time clock.
-
-    :param tuple key: key of the run.
-    :param str service: its service.
-    :param float listed_at: when it was listed first.
-    :param float age: seconds since its start by then, infinite if it isn't
-        cold by its start.
-    :param float cold_until: end of the cold time that it has stated.
-    :param float cold_since: since when this router knows that it is cold.
-    :param float phase: random position of the first slot, from 0 to 1.
-    :param float earliest_slot: time before which there is no slot because one
-        was taken.
-    """
-
-    key: tuple[str, float]
-    service: str
-    listed_at: float
-    age: float
-    cold_until: float = -math.inf
-    cold_since: float = -math.inf
-    phase: float = 0.0
-    earliest_slot: float = -math.inf
-
-    def warm_at(self, rule):
-        """Return when the warm-up ends, -inf if there was none.
-
-        Times of day differ by up to ``closures.CLOCK_ERROR_SECONDS``.
-        """
-        left = rule.cold_seconds + closures.CLOCK_ERROR_SECONDS - self.age
-        if left <= 0.0 or rule.cold_seconds <= 0.0:
-            return self.cold_until
-        by_start = self.listed_at + min(rule.cold_seconds, left)
-        return max(self.cold_until, by_start)
-
-    def next_slot(self, spacing):
-        """Return when the next slot begins."""
-        return max(self.earliest_slot, self.cold_since + self.phase * spacing)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Slot:
-    """Permission to send one request to a cold endpoint.
-
-    :param tuple key: key of the run of the endpoint.
-    :param float until: when it expires, on the boot-time clock.
-    """
-
-    key: tuple[str, float]
-    until: float
-
-
 class WarmUps:
     """The endpoints that are cold or have been so lately, by id.
 
     ``slots_taken`` counts slots, ``refused_writes`` requests that were not
-    written because there was no slot any more.
+    written because there was no slot any more. ``unreadable`` holds the keys
+    of the runs whose last cold time of a source could not be read.
 
     :param warm_up_shares.ColdRules rules: the rules in force.
     :param table: :class:`runners.RunnerTable`.
@@ -123,9 +73,11 @@
         self.quiet_until = math.inf
         self.states = {}
         self.ranks = {}
+        self.unreadable = set()
         self.slots_taken = 0
         self.refused_writes = 0
         table.entry_listeners.append(self.record_listed)
+        table.listeners.append(self.forget_unreadable)
         members.list_listeners.append(self.begin_quiet_time)
         if members.list_received:
             self.begin_quiet_time()
@@ -146,7 +98,7 @@
         # The entry of a run may vanish for a while and come back.
         if is_new and self.state_of(runner) is None:
             self.begin_run(runner, previous)
-        self.extend(runner, runner.cold_seconds)
+        self.extend(runner, runner.cold_seconds, ENTRY)
 
     def is_limited(self, runner):
         """Return whether an endpoint's service has a rule, or may have one."""
@@ -163,7 +115,7 @@
         elif runner.started_at:
             age = max(0.0, self.utc_clock() - runner.started_at)
         before = self.states.get(runner.id)
-        self.states[runner.id] = WarmUp(
+        self.states[runner.id] = warm_up_states.WarmUp(
             runner.key,
             runner.service,
             now,
@@ -185,7 +137,7 @@
         rule = self.rules.of_service(runner.service)
         if rule is not None and rule.cold_seconds:
             seconds = rule.cold_seconds + RESTART_SECONDS
-            self.extend(runner, seconds, 'end of its process')
+            self.extend(runner, seconds, PROCESS_END)
 
     async def record_ends(self, evidence, origin):
         """Record crashes that this router or another one has seen.
@@ -199,21 +151,22 @@
                 if listed is not None and listed.key == crash.key:
                     self.expect_restart(listed)
 
-    def extend(self, runner, seconds, source='statement'):
+    def extend(self, runner, seconds, source=ENTRY):
         """Record for how long an endpoint stays cold.
 
         :param seconds: None for a time that can't be read, in place of which
-            the time of the service counts.
-        :param str source: how this is known, for the log.
+            the time of the service counts, once until one can be read.
+        :param str source: how this is known.
         """
         if seconds is None:
-            rule = self.rules.of_service(runner.service)
-            seconds = rule.cold_seconds if rule else 0.0
+            seconds = self.replace_unreadable(runner, source)
+        else:
+            self.unreadable.discard((runner.key, source))
         if seconds <= 0.0 or not self.is_limited(runner):
             return
         now = self.clock()
         was_cold = self.is_cold(runner)
-        state = self.state_of(runner) or WarmUp(
+        state = self.state_of(runner) or warm_up_states.WarmUp(
             runner.key, runner.service, now, math.inf
         )
         until = now + min(seconds, MAX_COLD_SECONDS)
@@ -228,6 +181,22 @@
         if not was_cold and self.is_cold(runner):
             self.log_cold(runner, source)
 
+    def replace_unreadable(self, runner, source):
+        """Return the seconds that replace a time that can't be read.
+
+        Entries repeat the value, which must not extend the time for ever.
+        """
+        rule = self.rules.of_service(runner.service)
+        mark = (runner.key, source)
+        if rule is None or mark in self.unreadable:
+            return 0.0
+        self.unreadable.add(mark)
+        return rule.cold_seconds
+
+    def forget_unreadable(self, runner):
+        """Forget the unreadable times of a run that is over."""
+        self.unreadable -= {(runner.key, ENTRY), (runner.key, ANSWER)}
+
     def log_cold(self, runner, source):
         """Log that an endpoint has become cold; once for each warm-up."""
         share = self.share_of(runner)
@@ -257,7 +226,7 @@
                 self.ranks.pop(runner_id, None)
 
     def state_of(self, runner):
-        """Return the :class:`WarmUp` of a run, or None."""
+        """Return the :class:`warm_up_states.WarmUp` of a run, or None."""
         state = self.states.get(runner.id)
         return state if state and state.key == runner.key else None
 
@@ -334,9 +303,10 @@
         )
 
     def take(self, runner):
-        """Return the :class:`Slot` of a request that is dispatched now.
+        """Return the slot of a request that is dispatched now.
 
-        None if the endpoint is not cold, or if there is no slot.
+        It is a :class:`warm_up_states.Slot`, or None if the endpoint is not
+        cold or there is no slot.
         """
         self.before_traffic = False
         if not self.states or not self.is_cold(runner):
@@ -349,14 +319,17 @@
             earliest_slot=now + self.share_of(runner).spacing,
         )
         self.slots_taken += 1
-        return Slot(runner.key, now + warm_up_shares.HOLD_SECONDS)
+        return warm_up_states.Slot(
+            runner.key, now + warm_up_shares.HOLD_SECONDS
+        )
 
     def may_write(self, runner, slot):
         """Return whether a request may be written to an endpoint now.
 
         A request without a valid slot takes one if the endpoint is cold.
 
-        :param Slot slot: slot that was taken for the request, or None.
+        :param warm_up_states.Slot slot: slot that was taken for the
+            request, or None.
         """
         if not self.states or not self.is_cold(runner):
             return True
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -56,6 +56,7 @@
     'endpoints/reopening.py',
     'endpoints/retries.py',
     'endpoints/warm_up_shares.py',
+    'endpoints/warm_up_states.py',
     'endpoints/warm_ups.py',
     'operators/burn.py',
     'operators/report.py',
--- a/tests/test_warm_ups.py
+++ b/tests/test_warm_ups.py
@@ -112,6 +112,26 @@
         clock.now += seconds
         assert not state.is_cold(each)
 
+    def test_odd_time_in_each_entry_ends(self):
+        state, clock = make()
+        odd = runner(started_at=UTC, cold_seconds=None)
+        state.table.put(odd)
+        for _ in range(4):
+            assert state.is_cold(odd)
+            clock.now += 0.9
+            state.table.put(odd)
+        assert not state.is_cold(odd)
+        state.extend(odd, None, warm_ups.ANSWER)
+        assert state.is_cold(odd)
+        clock.now += 3.1
+        state.table.put(runner(started_at=UTC))
+        state.extend(odd, None, warm_ups.ANSWER)
+        assert not state.is_cold(odd)
+        state.table.put(odd)
+        assert state.is_cold(odd)
+        state.table.remove('a')
+        assert not state.unreadable
+
     def test_state_is_deleted_when_it_is_of_no_use(self):
         state, clock = make()
         for each in (runner(), runner('b'), runner('c', started_at=UTC)):
