Close peer connections that leave responses unread

Cause: grpclib sends the status of a failed call without a deadline, and a connection with unsent bytes was never closed for a new one, so that clients that don't read could keep all places.

Change: such a connection gives its place up once it has had write_seconds since its last call.

Result: the new test and those of tests/test_peer_limits.py, test_exchange.py and test_cut_calls.py passed.

--- a/celeryward/daemons/peer_sockets.py
+++ b/celeryward/daemons/peer_sockets.py
@@ -45,6 +45,8 @@
         self.listener = listener
         self.address = address
         self.idle_since = time.monotonic()
+        # When the last call ended; also kept while responses are unread.
+        self.free_since = self.idle_since
         self.ended = False
         self.calls = 0
         # Bytes received since no call was under way.
@@ -88,7 +90,7 @@
         """Stop to count a call."""
         self.calls -= 1
         if not self.calls:
-            self.idle_since = time.monotonic()
+            self.idle_since = self.free_since = time.monotonic()
             self.drop_input()
 
     @contextlib.asynccontextmanager
@@ -163,6 +165,9 @@
             if idle is None:
                 self.closed.record(cause, peer)
                 return False
+            if self.is_left_unread(idle):
+                idle.end('unread')
+                continue
             if sockets.count_unsent(idle) or sockets.is_readable(idle):
                 # A response would be cut off, or a call would be lost.
                 idle.idle_since = time.monotonic()
@@ -170,6 +175,17 @@
             idle.end('idle')
         return True
 
+    def is_left_unread(self, idle):
+        """Return whether the client has had its time to read responses.
+
+        grpclib sends the status of a failed call without a deadline.
+        """
+        free_seconds = time.monotonic() - idle.free_since
+        return (
+            free_seconds >= self.limits.write_seconds
+            and sockets.count_unsent(idle) > 0
+        )
+
     def bound_input(self):
         """Close connections with the most input if all have too much."""
         while self.input_bytes > MAX_TOTAL_INPUT_BYTES:
--- a/tests/test_peer_sockets.py
+++ b/tests/test_peer_sockets.py
@@ -9,6 +9,7 @@
 from celeryward import closings
 from celeryward import connection_limits
 from celeryward.daemons import bridge
+from celeryward import sockets
 from tests import test_peer_limits
 
 SECONDS = 20.0
@@ -82,6 +83,20 @@
         limits = connection_limits.ListenerLimits(1, 1)
         check_causes(limits, use, ['address'])
 
+    def test_unread_responses_keep_no_place(self, check_causes, monkeypatch):
+        monkeypatch.setattr(connection_limits, 'MIN_IDLE_SECONDS', 0.0)
+        monkeypatch.setattr(sockets, 'count_unsent', lambda sock: 1)
+
+        def use(port):
+            with connect(port) as first:
+                assert first.recv(1)
+                with connect(port) as second:
+                    wait_for_end(first)
+                    assert second.recv(1)
+
+        limits = connection_limits.ListenerLimits(1, 1, write_seconds=0.0)
+        check_causes(limits, use, ['unread'])
+
     def test_idle_connection_makes_room(self, check_causes, monkeypatch):
         monkeypatch.setattr(connection_limits, 'MIN_IDLE_SECONDS', 0.0)
 
