--- a/celeryward/daemons/peer_sockets.py
+++ b/celeryward/daemons/peer_sockets.py
@@ -102,6 +102,23 @@
         finally:
             timer.cancel()
 
+    def close_reason(self):
+        """Return why an idle connection may be closed for a new one.
+
+        grpclib sends the status of a failed call without a deadline, so that
+        a client may leave it unread.
+
+        :returns: 'idle', 'unread' if the client has had its time to read
+            responses, or an empty text if a call has arrived or a response
+            would be cut off.
+        """
+        if not sockets.count_unsent(self):
+            return '' if sockets.is_readable(self) else 'idle'
+        free_seconds = time.monotonic() - self.free_since
+        if free_seconds >= self.listener.limits.write_seconds:
+            return 'unread'
+        return ''
+
     def drop_input(self):
         """Stop to count the input, which is no longer kept."""
         self.listener.input_bytes -= self.input_bytes
@@ -161,31 +178,13 @@
     def make_room(self, address, peer):
         """Return whether there is room; idle connections are closed for it."""
         while cause := self.connections.full(address):
-            idle = self.connections.longest_idle(cause, address)
+            idle, reason = self.connections.longest_idle(cause, address)
             if idle is None:
                 self.closed.record(cause, peer)
                 return False
-            if self.is_left_unread(idle):
-                idle.end('unread')
-                continue
-            if sockets.count_unsent(idle) or sockets.is_readable(idle):
-                # A response would be cut off, or a call would be lost.
-                idle.idle_since = time.monotonic()
-                continue
-            idle.end('idle')
+            idle.end(reason)
         return True
 
-    def is_left_unread(self, idle):
-        """Return whether the client has had its time to read responses.
-
-        grpclib sends the status of a failed call without a deadline.
-        """
-        free_seconds = time.monotonic() - idle.free_since
-        return (
-            free_seconds >= self.limits.write_seconds
-            and sockets.count_unsent(idle) > 0
-        )
-
     def bound_input(self):
         """Close connections with the most input if all have too much."""
         while self.input_bytes > MAX_TOTAL_INPUT_BYTES:
