End the slow pace of a cold endpoint with its warm-up

The estimate of when a cold endpoint starts requests repeated the spacing of the slots without end. A router with slots therefore refused requests that could have started after the warm-up, and a router without slots kept them. An Opening now has a slow interval until the end of the warm-up, and its usual interval from then on; the pace of returning callers follows it.

tests/test_warm_ups.py, test_request_waits_for_the_slot_or_the_end_of_the_warm_up fails before. Its expected value has the new fields, and it now also checks the starts and the interval before and after the end.

--- a/celeryward/endpoints/reopening.py
+++ b/celeryward/endpoints/reopening.py
@@ -9,6 +9,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 # Time that a request takes at a service without any answer so far.
@@ -28,14 +29,29 @@
 
     :param float at: when it can start the next one, on the boot-time clock.
     :param float interval: seconds between two requests from then on.
+    :param float slow_interval: seconds between two requests before
+        ``slow_until``, where requests are limited until then.
+    :param float slow_until: end of that time, on the boot-time clock.
     """
 
     at: float
     interval: float
+    slow_interval: float = 0.0
+    slow_until: float = -math.inf
 
     def starts(self):
         """Yield the estimated starts of requests, without end."""
-        return itertools.count(self.at, self.interval)
+        at = self.at
+        while at < self.slow_until:
+            yield at
+            at += self.slow_interval
+        yield from itertools.count(
+            max(self.at, self.slow_until), self.interval
+        )
+
+    def interval_at(self, at):
+        """Return the seconds between two requests at some time."""
+        return self.slow_interval if at < self.slow_until else self.interval
 
 
 def start_times(openings):
@@ -104,9 +120,9 @@
         :param int waiting: requests that are kept, which go before.
         """
         first = min(opening.at for opening in openings)
-        pace = 1.0 / sum(1.0 / opening.interval for opening in openings)
         turn = next(itertools.islice(start_times(openings), waiting, None))
         at = max(turn, self.next_at.get(service, 0.0))
+        pace = 1.0 / sum(1.0 / each.interval_at(at) for each in openings)
         if at > first + MAX_RETURN_SECONDS:
             at = first + GENERATOR.uniform(0.0, MAX_RETURN_SECONDS)
         else:
--- a/celeryward/endpoints/warm_ups.py
+++ b/celeryward/endpoints/warm_ups.py
@@ -349,8 +349,10 @@
             return opening
         warm_at = self.warm_at(runner)
         slot = self.next_slot(runner)
-        interval = opening.interval
-        if slot < warm_at:
-            interval = max(interval, self.share_of(runner).spacing)
-        at = max(opening.at, min(slot, warm_at))
-        return dataclasses.replace(opening, at=at, interval=interval)
+        if slot >= warm_at:
+            return dataclasses.replace(opening, at=max(opening.at, warm_at))
+        at = max(opening.at, slot)
+        spacing = max(opening.interval, self.share_of(runner).spacing)
+        return dataclasses.replace(
+            opening, at=at, slow_interval=spacing, slow_until=warm_at
+        )
--- a/tests/test_warm_ups.py
+++ b/tests/test_warm_ups.py
@@ -260,7 +260,19 @@
         state.take(runner())
         opening = state.limit_opening(runner(), other)
         spacing = warm_up_shares.divide(RULE, 1).spacing
-        assert opening == reopening.Opening(clock() + spacing, spacing)
+        warm_at = state.warm_at(runner())
+        assert opening == reopening.Opening(
+            clock() + spacing, other.interval, spacing, warm_at
+        )
+        # Those that wait may start in slots, and all others after the end.
+        count = math.ceil((warm_at - opening.at) / spacing)
+        starts = list(itertools.islice(opening.starts(), count + 2))
+        slots = [opening.at + number * spacing for number in range(count)]
+        assert starts == pytest.approx(
+            [*slots, warm_at, warm_at + other.interval]
+        )
+        assert opening.interval_at(warm_at - 0.1) == spacing
+        assert opening.interval_at(warm_at) == other.interval
         state.quiet_until = math.inf
         opening = state.limit_opening(runner(), other)
         assert opening == reopening.Opening(
