Count and log cold times of answers that can't be read

They had their effect, but were neither counted nor logged.

tests/test_cold_endpoints.py, test_odd_time_of_an_answer_is_counted fails with the check for such a value disabled.

--- a/celeryward/endpoints/notices.py
+++ b/celeryward/endpoints/notices.py
@@ -10,6 +10,8 @@
 from celeryward import errors
 
 STATUS_UNAVAILABLE = 503
+# Kind under which ignored parts of answers are counted.
+ANSWER_KIND = 'answers'
 # Characters of an odd value that are logged.
 LOGGED_CHARACTERS = 40
 
@@ -26,11 +28,19 @@
     :param closures.PauseBounds pause_bounds: bounds on requests to wait.
     :param estimates: :class:`reopening.ReopeningEstimates`.
     :param cold_endpoints: :class:`warm_ups.WarmUps`.
+    :param ignored_entries: :class:`ignored.IgnoredEntries`.
     """
 
     def __init__(
-        self, table, endpoint_closures, pause_bounds, estimates, cold_endpoints
+        self,
+        table,
+        endpoint_closures,
+        pause_bounds,
+        estimates,
+        cold_endpoints,
+        ignored_entries,
     ):
+        self.ignored = ignored_entries
         self.warm_ups = cold_endpoints
         self.table = table
         self.closures = endpoint_closures
@@ -62,6 +72,10 @@
         if metadata.leaving and is_own_answer(metadata):
             self.table.announce_departure(runner, request_id)
         if metadata.cold_seconds != 0.0 and is_own_answer(metadata):
+            if metadata.cold_seconds is None:
+                self.ignored.record(
+                    ANSWER_KIND, runner.id, 'cold time of an answer'
+                )
             self.warm_ups.extend(
                 runner, metadata.cold_seconds, warm_ups.ANSWER
             )
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -143,6 +143,7 @@
             ),
             self.estimates,
             self.warm_ups,
+            self.view.ignored,
         )
         self.forwarder = forwarding.Forwarder(
             self.connections,
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -260,6 +260,17 @@
         assert site.router.warm_ups.is_cold(table.runners['app-1'])
         assert not site.router.warm_ups.is_cold(table.runners['app-2'])
 
+    @standins.on_site
+    async def test_odd_time_of_an_answer_is_counted(self, site):
+        site.runners['app-1'].scripted_actions.append(
+            standins.respond_with(200, celeryward_cold_ms='soon')
+        )
+        await notices.ask_until_arrival(site, 'app-1')
+        assert (
+            b'entries_ignored_total{kind="answers"} 1.0'
+            in site.router.metrics.exposition()
+        )
+
     @standins.on_site
     async def test_odd_entry_is_counted_and_stays_usable(self, site):
         entry = site.runners['app-1'].entry() | {'coldLeftMs': -5}
