State the type of the slot in a plan

Plan.slot was declared as object. A declaration has no test of its own; tests/test_warm_ups.py, test_shape.py and test_replacements.py pass.

--- a/celeryward/callers/relayed_requests.py
+++ b/celeryward/callers/relayed_requests.py
@@ -10,6 +10,7 @@
 from celeryward.endpoints import crashes
 from celeryward.endpoints import event_stream
 from celeryward.endpoints import request_content
+from celeryward.endpoints import warm_up_states
 from celeryward.raters import sizes
 
 # A request is not retried after this many dispatches that were not sent or
@@ -43,7 +44,7 @@
     size: sizes.Size | None = None
     suspected: bool = False
     place: closures.Place | None = None
-    slot: object = None
+    slot: warm_up_states.Slot | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
