Free the input of peer calls that the limits have ended

Cause: the input of a call that is ended at the limit is in reference cycles of grpclib and h2, so that it stays until the next full collection, while other clients bring the next 4 MiB.

Change: 0.25 s after a call with 256 KiB or more of input has ended, garbage is collected, at most once in that time.

--- a/celeryward/daemons/peer_sockets.py
+++ b/celeryward/daemons/peer_sockets.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 import time
 
@@ -25,6 +26,10 @@
 # h2 makes an object of each frame in what is read at once, and a frame may
 # have 9 bytes.
 READ_BYTES = 16384
+# The input of a call that ends is garbage until the next full collection,
+# which may be far away. Less is not worth one.
+MIN_COLLECTED_BYTES = 256 * 1024
+COLLECTION_SECONDS = 0.25
 
 
 class PeerConnection(socket.socket):
@@ -157,6 +162,8 @@
         self.connections = connection_limits.OpenConnections(limits)
         self.by_address = {}
         self.input_bytes = 0
+        # The next collection of garbage, or None.
+        self.collection = None
 
     def accept(self):
         """Accept a connection.
@@ -195,7 +202,21 @@
 
     def remove(self, connection):
         """Stop to count a connection; it may have been removed before."""
+        if connection.input_bytes >= MIN_COLLECTED_BYTES:
+            self.collect_soon()
         self.connections.remove(connection)
         connection.drop_input()
         if self.by_address.get(connection.address) is connection:
             del self.by_address[connection.address]
+
+    def collect_soon(self):
+        """Free the input of ended calls, which is in reference cycles."""
+        if self.collection is None:
+            self.collection = asyncio.get_running_loop().call_later(
+                COLLECTION_SECONDS, self.collect
+            )
+
+    def collect(self):
+        """Collect garbage now."""
+        self.collection = None
+        gc.collect()
