--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -230,6 +230,7 @@
         assert at_once.unwrap().confirmed_seconds >= 0.0
         store.call = answer_early
         store.dialect = types.SimpleNamespace(
+            generation_header=view.translator.dialect.generation_header,
             long_poll_path=lambda kind, since, wait: (
                 view.translator.dialect.long_poll_path(kind, since, 0.0)
             ),
