--- a/review/standins-2/site.py
+++ b/review/standins-2/site.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -14,6 +15,7 @@
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
@@ -355,6 +357,8 @@
     """One router process."""
 
     numbers = itertools.count(1)
+    # The processes that were started, to be ended in any case.
+    processes = []
 
     def __init__(self, site, zone='a', **limits):
         self.site = site
@@ -422,6 +426,7 @@
             stderr=log,
             preexec_fn=self.limit,
         )
+        self.processes.append(self.process)
         self.site.record.line(f'{self.name} started')
         for _ in range(300):
             if await self.is_ready():
@@ -485,7 +490,7 @@
     """
 
     def __init__(self, folder):
-        self.net = random.randint(20, 250)
+        self.net = find_free_net()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.record = Record(pathlib.Path(folder) / 'record.txt')
         self.bounds = dict(BOUNDS)
@@ -512,6 +517,21 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def find_free_net():
+    """Return the second byte of loopback addresses that nobody uses."""
+    for net in random.sample(range(20, 250), 100):
+        probe = socket.socket()
+        try:
+            probe.bind((f'127.{net}.1.1', 8227))
+            probe.listen()
+            return net
+        except OSError:
+            continue
+        finally:
+            probe.close()
+    raise CouldNotRun('no free addresses')
+
+
 def configuration(version, routes, services, **more):
     """Return the spec of a configuration."""
     return {
@@ -613,7 +633,14 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     try:
         held = asyncio.run(asyncio.wait_for(play(), 110.0))
+        status = 0 if held else 1
     except (CouldNotRun, OSError, TimeoutError) as error:
         print(f'could not run: {error!r}')
-        os._exit(2)
-    os._exit(0 if held else 1)
+        status = 2
+    finally:
+        for process in Router.processes:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGKILL)
+    sys.stdout.flush()
+    os._exit(status)
