Add a review case of watches that the store cuts off

Promise: DRAIN, no request reaches a runner later than drainMs after the store has accepted that it is gone.

The case cuts off the waiting watches twice, 0.4 s apart, and removes the entry of a runner in between. The routers keep the runner for 2.1 to 2.3 s, and orders are lost when it exits.

--- a/review/standins-2/site.py
+++ b/review/standins-2/site.py
@@ -160,6 +160,8 @@
         self.history = []
         self.changed = asyncio.Condition()
         self.gate = None
+        # How often the waiting watches were cut off.
+        self.cuts = 0
 
     async def put(self, kind, name, spec, status=None):
         """Write an object unconditionally."""
@@ -196,6 +198,13 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def cut_watches(self):
+        """Cut off the watches that are waiting; the next ones are served."""
+        self.record.line('store cuts off the waiting watches')
+        async with self.changed:
+            self.cuts += 1
+            self.changed.notify_all()
+
     def events(self, kind, since):
         """Return the events of a kind after a revision."""
         return [e for r, k, e in self.history if k == kind and r > since]
@@ -269,8 +278,11 @@
         """Return the next events of a kind, none after the wait."""
         since = int(query['watch'])
         until = time.monotonic() + int(query['waitMs']) / 1000
+        cuts = self.cuts
         async with self.changed:
             while not self.events(kind, since):
+                if self.cuts != cuts:
+                    return 0, {}
                 left = until - time.monotonic()
                 if left <= 0:
                     break
@@ -296,6 +308,7 @@
         self.action = action or answer_whole
         self.arrivals = []
         self.begin_body = None
+        self.writers = set()
 
     def entry(self, state='ready'):
         """Return the spec of the runner's entry in the store."""
@@ -312,6 +325,21 @@
             'models': [],
         }
 
+    async def serve(self, reader, writer):
+        """Serve one connection, and keep it for :meth:`leave`."""
+        self.writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    def leave(self):
+        """End the runner: close its listener and all connections."""
+        self.record.line(f'runner {self.name} exits')
+        self.server.close()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+
     async def answer(self, head, reader, writer):
         """Answer one request."""
         if self.begin_body is not None:
@@ -346,6 +374,7 @@
         self.reader = reader
         self.writer = writer
         self.id = head.headers.get('celeryward-attempt-id', '-')
+        self.at = time.monotonic()
 
 
 async def answer_whole(runner, arrival):
