Bound what the kernel keeps of unread input

Callers saw: clients that send ahead and read nothing made the memory that counts for a router (resident memory and unread input) exceed its host's, at which the platform ends the process.

Cause: nothing bounded the receive buffers of accepted connections, nor of those that wait to be accepted; the kernel kept some 121 KB for each, and up to 1,024 wait at each listener. Bodies had 32 MB whatever the host has.

Change: each listener with limits asks for a receive buffer of 8 KiB (32 KiB between daemons), which the kernel fills to one and a half times that, and for a backlog of no more connections than it may have (64 at least). Bodies follow the memory of the host.

--- a/celeryward/body_memory.py
+++ b/celeryward/body_memory.py
@@ -9,10 +9,7 @@
 import contextlib
 
 from celeryward import errors
-
-# For what peers answer, and for what callers send.
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
-MAX_REQUEST_BYTES = 32 * 1024 * 1024
+from celeryward import memory_account
 
 
 class BodyMemory:
@@ -107,5 +104,6 @@
         self.memory.holds.discard(self)
 
 
-ANSWERS = BodyMemory(MAX_ANSWER_BYTES)
-REQUESTS = BodyMemory(MAX_REQUEST_BYTES)
+# For what peers answer, and for what callers send.
+ANSWERS = BodyMemory(memory_account.MOST_BODY_BYTES)
+REQUESTS = BodyMemory(memory_account.MOST_BODY_BYTES)
--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -31,6 +31,10 @@
 MEGABYTE = 1024 * 1024
 # Memory of a connection beside the bytes that are unread.
 CONNECTION_BYTES = 32 * 1024
+# Receive buffer of a connection, and of one between daemons, which carries
+# messages of 2 MiB between regions.
+INPUT_BYTES = 8192
+PEER_INPUT_BYTES = 32768
 # Part of a listener's connections that one address may have. A load balancer
 # may be the only address; the rest is for all others.
 ADDRESS_SHARE = 0.875
@@ -40,6 +44,8 @@
 SEARCH_SECONDS = 0.1
 # Refused clients return within this time.
 RETRY_SECONDS = (1.0, 4.0)
+# Connections that the kernel keeps for any listener until they are accepted.
+MIN_BACKLOG, MAX_BACKLOG = 64, 1024
 # Most connections that any host may be set to.
 MAX_CONNECTIONS = 100_000
 
@@ -56,6 +62,7 @@
         that doesn't read.
     :param float write_seconds: time to write a response, in addition to what
         a slow reader needs for its size.
+    :param int unread_input_bytes: size of the receive buffer.
     """
 
     total: int
@@ -63,6 +70,12 @@
     requests_per_turn: int = 4
     unread_bytes: int = 32768
     write_seconds: float = 20.0
+    unread_input_bytes: int = INPUT_BYTES
+
+    @property
+    def backlog(self):
+        """Connections that the kernel keeps until they are accepted."""
+        return max(MIN_BACKLOG, min(MAX_BACKLOG, self.total))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,6 +174,7 @@
             tuning.requests_per_turn,
             tuning.unread_bytes,
             tuning.write_timeout,
+            tuning.unread_input_bytes,
         )
         for name, total in totals.items()
     }
@@ -189,8 +203,13 @@
         callers = min(MAX_CONNECTIONS, left // DESCRIPTORS_PER_CALLER)
         callers = max(LEAST_CALLERS, callers)
     totals = {'callers': callers, 'admin': admin, 'peers': peers}
+    unread_input_bytes = {'peers': PEER_INPUT_BYTES}
     return {
-        name: ListenerLimits(total, address_share(total))
+        name: ListenerLimits(
+            total,
+            address_share(total),
+            unread_input_bytes=unread_input_bytes.get(name, INPUT_BYTES),
+        )
         for name, total in totals.items()
     }
 
--- a/celeryward/daemons/peer_sockets.py
+++ b/celeryward/daemons/peer_sockets.py
@@ -158,6 +158,7 @@
         # ACK.
         super().__init__(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         self.limits = limits
+        sockets.bound_unread(self, limits.unread_input_bytes)
         self.closed = closed
         self.connections = connection_limits.OpenConnections(limits)
         self.by_address = {}
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -13,12 +13,11 @@
 from celeryward import errors
 from celeryward import http
 from celeryward import logs
+from celeryward import receive_buffers
 from celeryward import sockets
 from celeryward import supervision
 
 
-# Connections that the kernel keeps until they are accepted.
-BACKLOG = 1024
 # Connections that are accepted before other tasks get their turn.
 ACCEPTS_PER_TURN = 8
 # Read from a connection that is refused, so that closing it doesn't reset it.
@@ -62,6 +61,13 @@
         """The port that the socket is bound to."""
         return self.sock.getsockname()[1]
 
+    @property
+    def backlog(self):
+        """Connections that the kernel keeps until they are accepted."""
+        if self.limits is None:
+            return connection_limits.MAX_BACKLOG
+        return self.limits.backlog
+
     async def start(self):
         """Bind the port and start to accept connections.
 
@@ -71,7 +77,7 @@
             self.sock = curio.network.tcp_server_socket(
                 self.host,
                 self.requested_port,
-                backlog=BACKLOG,
+                backlog=self.backlog,
                 reuse_address=True,
             )
         except OSError as error:
@@ -79,6 +85,9 @@
             raise errors.BadInput(
                 f'can not listen on {peer}: {error}', step='listen', peer=peer
             ) from error
+        if self.limits is not None:
+            size = self.limits.unread_input_bytes
+            sockets.bound_unread(self.sock, size)
         self.accept_task = await supervision.Supervisor().spawn(
             'accept', f'{self.host}:{self.port}', self.accept
         )
@@ -96,7 +105,7 @@
         No other task runs meanwhile. A wait for the next connection ends some
         time before its task runs, in which others may have arrived.
         """
-        for _ in range(BACKLOG):
+        for _ in range(self.backlog):
             if not sockets.is_readable(self.sock):
                 return
             await self.spawn_handler(*await self.sock.accept())
@@ -155,6 +164,7 @@
             self.tasks.discard(await curio.current_task())
             if connection.left_unread:
                 await self.record_closed('unread', connection.peer)
+            receive_buffers.LARGE_BUFFERS.release(connection)
             if self.connections is not None:
                 self.connections.remove(connection)
             if connection.displaced and connection.h11.trailing_data[0]:
--- /dev/null
+++ b/celeryward/memory_account.py
@@ -0,0 +1,62 @@
+"""Divides the memory of a host among what clients make a process hold.
+
+Connections and their unread input, bodies of requests, and bodies of answers
+each have a part, so that clients which fill one leave the others their room.
+Answers clients that send more than is read, or read less than is sent. Needs
+no network.
+"""
+
+import dataclasses
+
+MEGABYTE = 1024 * 1024
+# Memory of a process without clients.
+OWN_MEGABYTES = 70.0
+# Parts of the rest, and the room that a few of the largest bodies need.
+REQUEST_SHARE = 0.125
+LEAST_REQUEST_BYTES = 8 * MEGABYTE
+ANSWER_SHARE = 0.17
+LEAST_ANSWER_BYTES = 16 * MEGABYTE
+MOST_BODY_BYTES = 32 * MEGABYTE
+LARGE_BUFFER_SHARE = 0.06
+# The kernel keeps up to one and a half times the size of a receive buffer.
+LARGE_BUFFER_BYTES = 512 * 1024
+LEAST_LARGE_BUFFERS = 6
+MOST_LARGE_BUFFERS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryAccount:
+    """What a process may hold for all of its clients together.
+
+    :param int request_bytes: bodies of requests.
+    :param int answer_bytes: bodies of answers.
+    :param int large_buffers: connections with a large receive buffer.
+    """
+
+    request_bytes: int = MOST_BODY_BYTES
+    answer_bytes: int = MOST_BODY_BYTES
+    large_buffers: int = MOST_LARGE_BUFFERS
+
+
+def derive(megabytes):
+    """Return the :class:`MemoryAccount` of a host.
+
+    :param float megabytes: memory of the host; 0.0 if it isn't known.
+    """
+    if not megabytes:
+        return MemoryAccount()
+    left = max(0.0, megabytes - OWN_MEGABYTES) * MEGABYTE
+    return MemoryAccount(
+        within(left * REQUEST_SHARE, LEAST_REQUEST_BYTES, MOST_BODY_BYTES),
+        within(left * ANSWER_SHARE, LEAST_ANSWER_BYTES, MOST_BODY_BYTES),
+        within(
+            left * LARGE_BUFFER_SHARE / (1.5 * LARGE_BUFFER_BYTES),
+            LEAST_LARGE_BUFFERS,
+            MOST_LARGE_BUFFERS,
+        ),
+    )
+
+
+def within(value, least, most):
+    """Return a number as an integer within a range."""
+    return int(max(least, min(most, value)))
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -13,6 +13,7 @@
 
 from celeryward import awake_clock
 from celeryward import bodies
+from celeryward import receive_buffers
 from celeryward import sockets
 from celeryward import transport
 
@@ -77,6 +78,19 @@
             self.requests_in_turn = 0
             await curio.sleep(0)
 
+    async def receive_body(self, *args, **kwargs):
+        """Return a whole body, as :meth:`bodies.BodyReader.receive_body`.
+
+        On a connection with limits a long one has a large receive buffer.
+        """
+        if self.limits is None:
+            return await super().receive_body(*args, **kwargs)
+        receive_buffers.LARGE_BUFFERS.begin_body(self)
+        try:
+            return await super().receive_body(*args, **kwargs)
+        finally:
+            receive_buffers.LARGE_BUFFERS.end_body(self)
+
     async def wait_closed(self):
         """Return once the peer has closed the connection.
 
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -6,6 +6,7 @@
 import curio
 
 from celeryward import awake_clock
+from celeryward import body_memory
 from celeryward.callers import gateway
 from celeryward.callers import relay
 from celeryward.callers import router_admission
@@ -30,10 +31,12 @@
 from celeryward import ingress
 from celeryward import listener
 from celeryward import logs
+from celeryward import memory_account
 from celeryward.objects import freshness
 from celeryward.objects import ignored
 from celeryward.raters import releases
 from celeryward.raters import sizes
+from celeryward import receive_buffers
 from celeryward import router_metrics
 from celeryward import router_monitoring
 from celeryward import router_shutdown
@@ -217,9 +220,9 @@
     def build_listeners(self):
         """Create the listeners of all addresses."""
         placement = self.placement
-        limits = connection_limits.derive(
-            connection_limits.host_of(placement), self.tuning
-        )
+        host = connection_limits.host_of(placement)
+        limits = connection_limits.derive(host, self.tuning)
+        bound_memory(memory_account.derive(host.megabytes))
 
         def make(name, address, handler):
             return listener.Listener(
@@ -399,3 +402,13 @@
             while await receiver.next_signal() == signals.RELOAD_SIGNAL:
                 self.reload()
             await self.stop(receiver.none_before)
+
+
+def bound_memory(account):
+    """Apply the parts of a host's memory to what this process holds.
+
+    :param account: :class:`memory_account.MemoryAccount`.
+    """
+    body_memory.REQUESTS.limit = account.request_bytes
+    body_memory.ANSWERS.limit = account.answer_bytes
+    receive_buffers.LARGE_BUFFERS.most = account.large_buffers
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -19,6 +19,7 @@
 INTEGER_RANGES = {
     'requests_per_turn': (1, 1000),
     'unread_bytes': (4096, 4 * 1024 * 1024),
+    'unread_input_bytes': (4096, 4 * 1024 * 1024),
 }
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
 
@@ -154,6 +155,8 @@
         before other connections get their turn.
     :param int unread_bytes: bytes of responses that are kept for a client
         that doesn't read.
+    :param int unread_input_bytes: size of the receive buffer of a connection
+        of a client, except while a long body is read.
     :param float write_timeout: time to write a response, in addition to what
         8 KiB a second take.
     """
@@ -181,6 +184,7 @@
     router_connections: int | None = None
     requests_per_turn: int = 4
     unread_bytes: int = 32768
+    unread_input_bytes: int = 8192
     write_timeout: float = 20.0
 
 
--- a/celeryward/sockets.py
+++ b/celeryward/sockets.py
@@ -61,6 +61,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
 
 
+def bound_unread(sock, size):
+    """Let the kernel keep few bytes that were received and not read.
+
+    It keeps up to one and a half times the size. Sockets that a listening
+    socket accepts, and those that wait for it, have its size.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def is_readable(sock):
     """Return whether a socket has input, its end or a connection to accept."""
     poller = select.poll()
@@ -98,7 +107,12 @@
 
 def has_bytes(sock):
     """Return whether bytes can be read; the end of the stream is none."""
-    return query_size(sock, termios.FIONREAD) > 0
+    return query_unread(sock) > 0
+
+
+def query_unread(sock):
+    """Return how many bytes can be read; 0 if the system doesn't tell."""
+    return query_size(sock, termios.FIONREAD)
 
 
 def is_ended(sock):
--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -11,10 +11,13 @@
 import time
 
 from celeryward import registry
+from tests import process_memory
 
 STEP_SECONDS = 0.02
 RECEIVE_BUFFER_BYTES = 4096
 PIPELINED_REQUESTS = 4000
+LONG_LINE_BYTES = 5000
+LONG_BODY_BYTES = 1_000_000
 MAX_CONNECTS = 50
 
 BEHAVIOURS = registry.Registry('client behaviour')
@@ -77,9 +80,7 @@
     """Send many requests without reading a response."""
     if client.steps == 0 and not client.unsent:
         client.unsent = client.request * PIPELINED_REQUESTS
-    while client.unsent:
-        sent = client.sock.send(client.unsent[:65536])
-        client.unsent = client.unsent[sent:]
+    send_unsent(client)
     if client.reconnects:
         client.sock.send(client.request)
 
@@ -106,6 +107,32 @@
     client.sock.send(b'x')
 
 
+@BEHAVIOURS.register('heads')
+def send_long_heads(client):
+    """Send long heads one after the other without reading a response."""
+    if not client.unsent:
+        line = b'x: ' + b'y' * LONG_LINE_BYTES + b'\r\n'
+        client.unsent = client.request[:-2] + line * 3 + b'\r\n'
+    send_unsent(client)
+
+
+@BEHAVIOURS.register('bodies')
+def send_long_bodies(client):
+    """Send long bodies one after the other without reading a response."""
+    if not client.unsent:
+        head = client.request.replace(b'GET', b'POST')[:-2]
+        length = b'content-length: %d\r\n\r\n' % LONG_BODY_BYTES
+        client.unsent = head + length + bytes(LONG_BODY_BYTES)
+    send_unsent(client)
+
+
+def send_unsent(client):
+    """Send what is left until the connection takes no more."""
+    while client.unsent:
+        sent = client.sock.send(client.unsent[:65536])
+        client.unsent = client.unsent[sent:]
+
+
 @BEHAVIOURS.register('TLS')
 def greet_by_tls(client):
     """Send what looks like the begin of TLS."""
@@ -130,6 +157,8 @@
         self.pid = pid
         self.clients = []
         self.most_descriptors = 0
+        # Resident memory and input that isn't read, together.
+        self.most_bytes = 0
         self.size_before = peak_memory(pid)
 
     def add(self, count, behaviour, address, request, sources, again=False):
@@ -145,16 +174,21 @@
             for number in range(count)
         ]
 
-    def run(self, seconds):
-        """Connect all clients and take their steps for some time."""
+    def run(self, seconds, ended=None):
+        """Connect new clients and take the steps of all for some time.
+
+        :param threading.Event ended: ends this earlier.
+        """
         for client in self.clients:
-            client.connect()
+            if client.sock is None:
+                client.connect()
         until = time.monotonic() + seconds
-        while time.monotonic() < until:
+        while time.monotonic() < until and not (ended and ended.is_set()):
             for client in self.clients:
                 if client.sock.fileno() >= 0:
                     client.step()
             self.count_descriptors()
+            self.count_memory()
             time.sleep(STEP_SECONDS)
 
     def count_descriptors(self):
@@ -163,6 +197,13 @@
             count = len(os.listdir(f'/proc/{self.pid}/fd'))
             self.most_descriptors = max(self.most_descriptors, count)
 
+    def count_memory(self):
+        """Remember the most memory that counts for the process."""
+        with contextlib.suppress(FileNotFoundError):
+            unread = process_memory.unread_bytes(self.pid)
+            held = unread + process_memory.resident_bytes(self.pid)
+            self.most_bytes = max(self.most_bytes, held)
+
     def growth(self):
         """Return by how many bytes the process has grown at most."""
         return peak_memory(self.pid) - self.size_before
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -52,10 +52,12 @@
 class LimitedSite(test_pauses.PausedSite):
     """A store, an endpoint, and a router process with low limits."""
 
+    limits = LIMITS
+
     def write_settings(self, stop_seconds):
         super().write_settings(stop_seconds)
         with self.path.open('a') as file:
-            file.write(LIMITS)
+            file.write(self.limits)
 
 
 @contextlib.contextmanager
