Close connections without progress for new ones at a full listener

Callers saw: where clients that misuse connections held every place of a listener, an ordinary caller got 503, or no answer, until such connections had run into their timeouts, and their clients took the places again.

Cause: only idle connections made room. One whose request doesn't arrive, or whose client leaves responses unread, kept its place for up to 20 s.

Change: a connection records what it waits for from its client: a request, the rest of one, room for responses to further requests, or for the rest of a response (client_waits, a registry of decisions). At a full listener it makes room after 1 s if less than 8 KiB a second of a request arrive, after 1 s if its client sends on and takes nothing of a response, and after 5 s if it takes nothing of the rest of one. Progress keeps the place; so does a request that is served. A request that had begun to arrive is refused with 503 and Retry-After and has not run. What a search finds is used for 0.1 s, since a search for each new connection costs all of them a look.

OpenConnections moved to a module of its own (open_connections), the wait for a reader from transport to paced_input.

The limit for the daemons' calls (peer_sockets) searches the same way and keeps its rules.

--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -2,18 +2,14 @@
 
 Each listener has a total of its own, so that no client of one can take the
 descriptors or the memory of another: probes, scrapes and calls between routers
-are answered while callers' connections are refused. A new connection beyond a
-limit takes the place of one that is idle and has had time to bring a request;
-without such a one it is refused, and has not run. Answers clients that open
+are answered while callers' connections are refused. Answers clients that open
 connections without bound, pipeline requests or read no responses. Needs no
 network.
 """
 
-import collections
 import dataclasses
 import random
 import resource
-import time
 
 from celeryward import errors
 from celeryward.routers import members
@@ -38,10 +34,6 @@
 # Part of a listener's connections that one address may have. A load balancer
 # may be the only address; the rest is for all others.
 ADDRESS_SHARE = 0.875
-# An idle connection that is younger may be about to bring a request.
-MIN_IDLE_SECONDS = 1.0
-# After no idle connection was found, the next search is so much later.
-SEARCH_SECONDS = 0.1
 # Refused clients return within this time.
 RETRY_SECONDS = (1.0, 4.0)
 # Connections that the kernel keeps for any listener until they are accepted.
@@ -312,88 +304,6 @@
         )
 
 
-class OpenConnections:
-    """The open connections of one listener, and whether there may be more.
-
-    A connection has ``idle_since``, the time in monotonic seconds since when
-    it has no request under way, or None, and ``close_reason()``. This is empty
-    for one whose request may have arrived during a pause, and for one whose
-    last response would be cut off.
-
-    :param ListenerLimits limits: the limits.
-    :param clock: function that returns monotonic seconds.
-    """
-
-    def __init__(self, limits, clock=time.monotonic):
-        self.limits = limits
-        self.clock = clock
-        self.addresses = {}
-        self.counts = collections.Counter()
-        # Earliest next search, by address, and None for all of them.
-        self.search_at = {}
-        # Earliest next look at a connection that couldn't be closed. Each look
-        # takes calls to the kernel, and each new connection may search.
-        self.look_at = {}
-
-    def full(self, address):
-        """Return the limit that a new connection exceeds, or an empty text."""
-        if self.counts[address] >= self.limits.per_address:
-            return 'address'
-        return 'total' if len(self.addresses) >= self.limits.total else ''
-
-    def longest_idle(self, cause, address):
-        """Return the connection to close for a new one, and why.
-
-        None and an empty text are returned if there is none.
-
-        :param str cause: the limit that the new one exceeds. One of its own
-            address is closed for the limit of that; else one of the addresses
-            that have the most of the idle connections.
-        """
-        now = self.clock()
-        scope = address if cause == 'address' else None
-        if now < self.search_at.get(scope, 0.0):
-            return None, ''
-        idle = collections.defaultdict(list)
-        for connection, source in self.addresses.items():
-            since = connection.idle_since
-            if (
-                since is not None
-                and now - since >= MIN_IDLE_SECONDS
-                and now >= self.look_at.get(connection, 0.0)
-            ):
-                idle[source].append(connection)
-        found = [idle[address]] if scope is not None else idle.values()
-        for connections in sorted(found, key=len, reverse=True):
-            for connection in sorted(connections, key=idle_start):
-                if reason := connection.close_reason():
-                    return connection, reason
-                self.look_at[connection] = now + SEARCH_SECONDS
-        self.search_at[scope] = now + SEARCH_SECONDS
-        return None, ''
-
-    def add(self, connection, address):
-        """Count a connection."""
-        self.addresses[connection] = address
-        self.counts[address] += 1
-
-    def remove(self, connection):
-        """Stop to count a connection; it may have been removed before."""
-        address = self.addresses.pop(connection, None)
-        if address is None:
-            return
-        self.look_at.pop(connection, None)
-        self.counts[address] -= 1
-        if not self.counts[address]:
-            del self.counts[address]
-            self.search_at.pop(address, None)
-
-
-def idle_start(connection):
-    """Return since when a connection is idle, in monotonic seconds."""
-    return connection.idle_since
-
-
 def retry_seconds():
     """Return when a client that is refused may return."""
     return random.uniform(*RETRY_SECONDS)
--- a/celeryward/daemons/peer_sockets.py
+++ b/celeryward/daemons/peer_sockets.py
@@ -14,7 +14,7 @@
 import socket
 import time
 
-from celeryward import connection_limits
+from celeryward import open_connections
 from celeryward import sockets
 
 # A daemon makes one call at a time to each other one.
@@ -49,9 +49,9 @@
         )
         self.listener = listener
         self.address = address
-        self.idle_since = time.monotonic()
+        self.waiting_since = time.monotonic()
         # When the last call ended; also kept while responses are unread.
-        self.free_since = self.idle_since
+        self.free_since = self.waiting_since
         self.ended = False
         self.calls = 0
         # Bytes received since no call was under way.
@@ -87,7 +87,7 @@
 
     def begin_call(self):
         """Count a call; return whether it is within the limit."""
-        self.idle_since = None
+        self.waiting_since = None
         self.calls += 1
         return self.calls <= MAX_CALLS
 
@@ -95,7 +95,7 @@
         """Stop to count a call."""
         self.calls -= 1
         if not self.calls:
-            self.idle_since = self.free_since = time.monotonic()
+            self.waiting_since = self.free_since = time.monotonic()
             self.drop_input()
 
     @contextlib.asynccontextmanager
@@ -160,7 +160,7 @@
         self.limits = limits
         sockets.bound_unread(self, limits.unread_input_bytes)
         self.closed = closed
-        self.connections = connection_limits.OpenConnections(limits)
+        self.connections = open_connections.OpenConnections(limits)
         self.by_address = {}
         self.input_bytes = 0
         # The next collection of garbage, or None.
@@ -186,7 +186,7 @@
     def make_room(self, address, peer):
         """Return whether there is room; idle connections are closed for it."""
         while cause := self.connections.full(address):
-            idle, reason = self.connections.longest_idle(cause, address)
+            idle, reason = self.connections.longest_waiting(cause, address)
             if idle is None:
                 self.closed.record(cause, peer)
                 return False
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -128,6 +128,7 @@
                 return event
             self.check_body_line(step)
             self.h11.receive_data(await self.read(step, deadline, extend))
+            self.check_displaced(step)
         raise errors.ProtocolError(
             f'head or line comes in more than {MAX_PIECES} pieces',
             step=step,
@@ -219,7 +220,7 @@
                 tuple(event.headers.raw_items()),
             )
             self.stated_length = bodies.stated_length(request.headers)
-            self.idle_since = None
+            self.end_wait('read request')
             return request
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -286,6 +287,12 @@
         """Return whether the head of a request was read and not answered."""
         return self.h11.their_state is not h11.IDLE
 
+    def has_unanswered(self):
+        """Return whether a request has begun to arrive and has no response."""
+        return self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE) and (
+            bool(self.h11.trailing_data[0]) or self.has_request()
+        )
+
     def start_next_cycle(self):
         """Prepare for the next request on this connection."""
         self.h11.start_next_cycle()
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -13,6 +13,7 @@
 from celeryward import errors
 from celeryward import http
 from celeryward import logs
+from celeryward import open_connections
 from celeryward import receive_buffers
 from celeryward import sockets
 from celeryward import supervision
@@ -54,7 +55,7 @@
         self.log_task = None
         self.connections = None
         if limits is not None:
-            self.connections = connection_limits.OpenConnections(limits)
+            self.connections = open_connections.OpenConnections(limits)
 
     @property
     def port(self):
@@ -128,18 +129,17 @@
     async def make_room(self, address, peer):
         """Return whether there is room for a new connection.
 
-        Idle ones are closed for it. Their tasks see the end of the input. A
-        request that arrives meanwhile is refused and has not run.
+        Those that wait for their clients are closed for it. A request that
+        arrives meanwhile is refused and has not run.
         """
         while cause := self.connections.full(address):
-            idle, reason = self.connections.longest_idle(cause, address)
-            if idle is None:
+            waiting, reason = self.connections.longest_waiting(cause, address)
+            if waiting is None:
                 await self.record_closed(cause, peer)
                 return False
-            self.connections.remove(idle)
-            await self.record_closed(reason, idle.peer)
-            idle.displaced = True
-            await idle.stop_reading()
+            self.connections.remove(waiting)
+            await self.record_closed(reason, waiting.peer)
+            await waiting.displace()
         return True
 
     async def record_closed(self, cause, peer):
@@ -167,7 +167,7 @@
             receive_buffers.LARGE_BUFFERS.release(connection)
             if self.connections is not None:
                 self.connections.remove(connection)
-            if connection.displaced and connection.h11.trailing_data[0]:
+            if connection.displaced and connection.has_unanswered():
                 await refuse(connection.sock)
             await connection.close()
 
--- /dev/null
+++ b/celeryward/open_connections.py
@@ -0,0 +1,111 @@
+"""The open connections of a listener, and which one makes room for a new one.
+
+A new connection beyond a limit takes the place of one that waits for its
+client and has had time; without such a one it is refused, and has not run.
+Answers clients that open connections without bound. Needs no network.
+"""
+
+import collections
+import itertools
+import operator
+import time
+
+# A connection that waits for less may be about to bring a request.
+MIN_WAIT_SECONDS = 1.0
+# What a search has found is used for so long. Each search looks at all
+# connections, and each look takes calls to the kernel.
+SEARCH_SECONDS = 0.1
+WAITING_SINCE = operator.attrgetter('waiting_since')
+
+
+class OpenConnections:
+    """The open connections of one listener, and whether there may be more.
+
+    A connection has ``waiting_since``, the time in monotonic seconds since
+    when it waits for its client, or None, and ``close_reason()``, which is
+    empty if it must stay open.
+
+    :param connection_limits.ListenerLimits limits: the limits.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, limits, clock=time.monotonic):
+        self.limits = limits
+        self.clock = clock
+        self.addresses = {}
+        self.counts = collections.Counter()
+        # Connections that the last search has found and when the next one may
+        # begin, by address, and None for all of them.
+        self.found = {}
+        self.search_at = {}
+
+    def full(self, address):
+        """Return the limit that a new connection exceeds, or an empty text."""
+        if self.counts[address] >= self.limits.per_address:
+            return 'address'
+        return 'total' if len(self.addresses) >= self.limits.total else ''
+
+    def longest_waiting(self, cause, address):
+        """Return the connection to close for a new one, and why.
+
+        None and an empty text are returned if there is none.
+
+        :param str cause: the limit that the new one exceeds. One of its own
+            address is closed for the limit of that; else one of the addresses
+            that have the most of those that wait.
+        """
+        now = self.clock()
+        scope = address if cause == 'address' else None
+        if now >= self.search_at.get(scope, 0.0):
+            self.search_at[scope] = now + SEARCH_SECONDS
+            self.found[scope] = self.search(scope, now)
+        for connection in self.found.get(scope, ()):
+            reason = self.close_reason(connection, now)
+            if reason:
+                return connection, reason
+        return None, ''
+
+    def search(self, scope, now):
+        """Return an iterator of connections that may be closed, best first.
+
+        :param scope: address of the connections, or None for all of them.
+        """
+        waiting = collections.defaultdict(list)
+        for connection, source in self.addresses.items():
+            if scope in (None, source) and self.has_waited(connection, now):
+                waiting[source].append(connection)
+        most_first = sorted(waiting.values(), key=len, reverse=True)
+        longest_first = (
+            sorted(connections, key=WAITING_SINCE)
+            for connections in most_first
+        )
+        return iter(list(itertools.chain.from_iterable(longest_first)))
+
+    def has_waited(self, connection, now):
+        """Return whether a connection has waited for long enough."""
+        since = connection.waiting_since
+        return since is not None and now - since >= MIN_WAIT_SECONDS
+
+    def close_reason(self, connection, now):
+        """Return why a connection that was found may be closed now."""
+        if connection not in self.addresses:
+            return ''
+        if not self.has_waited(connection, now):
+            return ''
+        return connection.close_reason()
+
+    def add(self, connection, address):
+        """Count a connection."""
+        self.addresses[connection] = address
+        self.counts[address] += 1
+
+    def remove(self, connection):
+        """Stop to count a connection; it may have been removed before."""
+        address = self.addresses.pop(connection, None)
+        if address is None:
+            return
+        self.counts[address] -= 1
+        if not self.counts[address]:
+            del self.counts[address]
+            self.search_at.pop(address, None)
+            self.found.pop(address, None)
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -6,13 +6,12 @@
 client has room for the last response, and little is read ahead of it.
 """
 
-import time
-
 import curio
 import h11
 
 from celeryward import awake_clock
 from celeryward import bodies
+from celeryward import client_waits
 from celeryward import receive_buffers
 from celeryward import sockets
 from celeryward import transport
@@ -21,6 +20,11 @@
 # the connection is seen; and how often the end is looked for behind more.
 MAX_EARLY_BYTES = 4096
 END_POLL_SECONDS = 0.5
+# A peer that sends requests and takes no response for this long is left.
+UNREAD_STALL_SECONDS = client_waits.RESPONSE_STALL_SECONDS
+# Looks at whether a peer has read what was written.
+FIRST_LOOK_SECONDS = 0.01
+LAST_LOOK_SECONDS = 0.5
 
 
 class PacedInput(bodies.BodyReader):
@@ -28,18 +32,20 @@
 
     def __init__(self, sock, peer):
         super().__init__(sock, peer)
-        # Since when no request is under way, in monotonic seconds, or None.
-        self.idle_since = time.monotonic()
+        self.begin_wait(client_waits.Wait.REQUEST)
         # Whether it is closed for a new connection; it serves no more.
         self.displaced = False
-        # Unsent bytes at the last look while idle, and since when there were
-        # no fewer, on the clock without pauses of this process.
-        self.unsent = None
-        self.unsent_since = 0.0
+        # Set when it is closed for a new connection; None while none waits.
+        self.displacement = None
         # Requests since other tasks had their turn. Input that has arrived is
         # read without a turn of others.
         self.requests_in_turn = 0
 
+    @property
+    def waiting_since(self):
+        """Since when it waits for its client, monotonic seconds, or None."""
+        return self.client_wait.since if self.client_wait else None
+
     def read_size(self):
         """Return the most bytes of the next read."""
         if self.limits is not None and self.h11.their_state is h11.IDLE:
@@ -54,30 +60,74 @@
         :raises Disconnected: if the connection is reset or is closed for a
             new one, or if the peer has no room for the last response.
         """
-        self.idle_since = time.monotonic()
-        self.unsent = None
+        self.begin_wait(client_waits.Wait.REQUEST)
         if not self.has_trailing_data():
             self.h11.receive_data(await self.read(step, deadline, extend))
-        if self.displaced:
-            raise self.lost_error('closed for a new connection', step)
+        self.check_displaced(step)
         if self.h11.trailing_data[0]:
             # A head that has begun has a deadline of its own.
-            self.idle_since = None
+            self.begin_wait(client_waits.Wait.REST)
         if self.limits is not None:
             await self.take_turn(step)
 
+    def check_displaced(self, step):
+        """Check that the connection was not closed for a new one.
+
+        :raises Disconnected: if it was.
+        """
+        if self.displaced:
+            raise self.lost_error('closed for a new connection', step)
+
+    async def displace(self):
+        """Close the connection for a new one.
+
+        Its task sees the end of the input, or that its write fails.
+        """
+        self.displaced = True
+        if self.displacement is not None:
+            await self.displacement.set()
+        if self.client_wait.kind is client_waits.Wait.READER:
+            await self.shut_down()
+        else:
+            await self.stop_reading()
+
     async def take_turn(self, step):
         """Let other connections go on before a request that has arrived.
 
         It is not read before the peer has room for the last response: one that
         reads has it by now, so that this rarely waits.
         """
-        await self.wait_until_sent(step)
+        if sockets.count_unsent(self.sock):
+            self.begin_wait(client_waits.Wait.ROOM)
+            await self.wait_until_sent(step)
+            self.begin_wait(client_waits.Wait.REST)
         self.requests_in_turn += 1
         if self.requests_in_turn >= self.limits.requests_per_turn:
             self.requests_in_turn = 0
             await curio.sleep(0)
 
+    async def wait_until_sent(self, step):
+        """Wait until the peer has room for all that was written.
+
+        :raises Disconnected: if it has none for :data:`UNREAD_STALL_SECONDS`,
+            or too little until the deadline of a write, or if the connection
+            is closed for a new one.
+        """
+        write_until = self.write_until(sockets.count_unsent(self.sock))
+        self.displacement = curio.Event()
+        seconds = FIRST_LOOK_SECONDS
+        while sockets.count_unsent(self.sock):
+            unsent = client_waits.observe_unsent(self)
+            stalled_at = unsent.since + UNREAD_STALL_SECONDS
+            if awake_clock.CLOCK() >= min(stalled_at, write_until):
+                self.left_unread = True
+                raise self.lost_error('peer reads no response', step)
+            async with curio.ignore_after(seconds):
+                await self.displacement.wait()
+            self.check_displaced(step)
+            seconds = min(LAST_LOOK_SECONDS, 2 * seconds)
+        self.displacement = None
+
     async def receive_body(self, *args, **kwargs):
         """Return a whole body, as :meth:`bodies.BodyReader.receive_body`.
 
@@ -85,11 +135,22 @@
         """
         if self.limits is None:
             return await super().receive_body(*args, **kwargs)
+        self.begin_wait(client_waits.Wait.REST)
         receive_buffers.LARGE_BUFFERS.begin_body(self)
         try:
-            return await super().receive_body(*args, **kwargs)
+            body = await super().receive_body(*args, **kwargs)
         finally:
             receive_buffers.LARGE_BUFFERS.end_body(self)
+        self.end_wait('read request')
+        return body
+
+    def end_wait(self, step):
+        """Record that what it waited for is there.
+
+        :raises Disconnected: if the connection was closed for a new one.
+        """
+        self.check_displaced(step)
+        self.client_wait = None
 
     async def wait_closed(self):
         """Return once the peer has closed the connection.
@@ -118,22 +179,8 @@
             await curio.sleep(END_POLL_SECONDS)
 
     def close_reason(self):
-        """Return why an idle connection may be closed for a new one.
-
-        :returns: 'idle', 'unread' if its client has taken nothing of a
-            response for :data:`transport.UNREAD_STALL_SECONDS`, or an empty
-            text if its request has arrived or its client may still read.
-        """
-        if self.h11.trailing_data[0] or sockets.has_bytes(self.sock):
-            return ''
-        unsent = sockets.count_unsent(self.sock)
-        if not unsent:
-            return 'idle'
-        now = awake_clock.CLOCK()
-        if self.unsent is None or unsent < self.unsent:
-            self.unsent, self.unsent_since = unsent, now
-        stalled = now - self.unsent_since >= transport.UNREAD_STALL_SECONDS
-        return 'unread' if stalled else ''
+        """Return why it may be closed for a new connection, or ''."""
+        return client_waits.close_reason(self)
 
     def has_trailing_data(self):
         """Return whether unparsed bytes or an end of file have been read."""
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -3,10 +3,12 @@
 import math
 import os
 import socket
+import time
 
 import curio
 
 from celeryward import awake_clock
+from celeryward import client_waits
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import sockets
@@ -15,16 +17,10 @@
 # A peer that takes no byte of a message for this long is left.
 WRITE_STALL_SECONDS = 10.0
 # A slower reader of a response loses its connection, if there are limits.
-MIN_READER_BYTES_PER_SECOND = 8192
+MIN_READER_BYTES_PER_SECOND = client_waits.MIN_BYTES_PER_SECOND
 # Read at a time while a request head is awaited from a limited connection, so
 # that little is read ahead of what is served.
 HEAD_READ_BYTES = 16384
-# A peer that sends requests and takes no response for this long is left. It is
-# as long as a sound peer may stand still, see `sockets`.
-UNREAD_STALL_SECONDS = sockets.USER_TIMEOUT_MILLISECONDS / 1000
-# Looks at whether a peer has read what was written.
-FIRST_LOOK_SECONDS = 0.01
-LAST_LOOK_SECONDS = 0.5
 
 
 class ReadTimeout(errors.CelerywardError):
@@ -65,11 +61,25 @@
         self.limits = None
         # Whether it was closed because the peer reads too slowly or not.
         self.left_unread = False
+        # The :class:`client_waits.ClientWait`, or None.
+        self.client_wait = None
+        # The :class:`client_waits.Unsent` at the last look while it waits.
+        self.unsent = None
 
     def read_size(self):
         """Return the most bytes of the next read."""
         return READ_SIZE_BYTES
 
+    def begin_wait(self, kind):
+        """Record that the connection now waits for its peer.
+
+        :param client_waits.Wait kind: what it waits for.
+        """
+        self.client_wait = client_waits.ClientWait(
+            kind, time.monotonic(), awake_clock.CLOCK(), self.bytes_read
+        )
+        self.unsent = None
+
     async def read(self, step, deadline, extend=None):
         """Return bytes from the socket, empty at the end of the stream.
 
@@ -182,10 +192,12 @@
             return
         write_until = self.write_until(len(remaining))
         while remaining:
+            self.begin_wait(client_waits.Wait.READER)
             sent = await self.write_some(remaining, deadline)
             remaining = remaining[sent:]
             if remaining and awake_clock.CLOCK() >= write_until:
                 raise curio.TaskTimeout(WRITE_STALL_SECONDS)
+        self.client_wait = None
         self.ended_during_write = sockets.input_has_ended(self.sock)
 
     def write_until(self, size):
@@ -201,29 +213,6 @@
             awake_clock.CLOCK() + self.limits.write_seconds + slow_read_seconds
         )
 
-    async def wait_until_sent(self, step):
-        """Wait until the peer has room for all that was written.
-
-        :raises Disconnected: if it has none for :data:`UNREAD_STALL_SECONDS`,
-            or too little until the deadline of a write.
-        """
-        held = sockets.count_unsent(self.sock)
-        if not held:
-            return
-        write_until = self.write_until(held)
-        stalled_at = awake_clock.CLOCK() + UNREAD_STALL_SECONDS
-        seconds = FIRST_LOOK_SECONDS
-        while held:
-            await curio.sleep(seconds)
-            seconds = min(LAST_LOOK_SECONDS, 2 * seconds)
-            held_before, held = held, sockets.count_unsent(self.sock)
-            now = awake_clock.CLOCK()
-            if held < held_before:
-                stalled_at = now + UNREAD_STALL_SECONDS
-            if held and now >= min(stalled_at, write_until):
-                self.left_unread = True
-                raise self.lost_error('peer reads no response', step)
-
     async def write_some(self, data, deadline):
         """Write some bytes once the kernel takes them; return their number.
 
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -8,6 +8,7 @@
 from celeryward import closings
 from celeryward import connection_limits
 from celeryward import errors
+from celeryward import open_connections
 from celeryward import router_settings
 from celeryward.routers import members
 from celeryward import settings
@@ -31,7 +32,7 @@
 class Connection:
     """A connection as the limits see it."""
 
-    idle_since: float | None
+    waiting_since: float | None
     reason: str = 'idle'
 
     def close_reason(self):
@@ -161,19 +162,19 @@
 class TestOpenConnections:
     """Guards against connections beyond a limit, and needless closes."""
 
-    def make(self, *idle_since, address='a'):
+    def make(self, *waiting_since, address='a'):
         """Return open connections and a clock; limits are 4, 3 of one."""
         clock = fakes.CallableClock(10.0)
         limits = connection_limits.ListenerLimits(4, 3)
-        made = connection_limits.OpenConnections(limits, clock)
-        for since in idle_since:
+        made = open_connections.OpenConnections(limits, clock)
+        for since in waiting_since:
             made.add(Connection(since), address)
         return made, clock
 
     def find(self, made, cause, address):
         """Return since when the connection to close is idle, or None."""
-        found, _ = made.longest_idle(cause, address)
-        return found and found.idle_since
+        found, _ = made.longest_waiting(cause, address)
+        return found and found.waiting_since
 
     def test_each_limit_is_named(self):
         made, _ = self.make(None, None, None)
@@ -210,11 +211,11 @@
             made.add(Connection(5.0 + number / 1000), 'b')
         looks.clear()
         for number in range(400):
-            found, _ = made.longest_idle('total', 'c')
-            assert found.idle_since == 5.0 + number / 1000
+            found, _ = made.longest_waiting('total', 'c')
+            assert found.waiting_since == 5.0 + number / 1000
             made.remove(found)
         assert len(looks) <= 900
-        clock.now += connection_limits.SEARCH_SECONDS
+        clock.now += open_connections.SEARCH_SECONDS
         assert self.find(made, 'address', 'a') is None
         assert len(looks) <= 1400
 
@@ -225,7 +226,7 @@
         assert self.find(made, 'address', 'a') is None
         made.add(Connection(2.0), 'b')
         assert self.find(made, 'address', 'b') == 2.0
-        clock.now += connection_limits.SEARCH_SECONDS
+        clock.now += open_connections.SEARCH_SECONDS
         assert self.find(made, 'address', 'a') == 1.0
 
     def test_removed_connections_leave_nothing(self):
--- a/tests/test_paced_requests.py
+++ b/tests/test_paced_requests.py
@@ -7,12 +7,15 @@
 import curio
 import pytest
 
+from celeryward import client_waits
 from celeryward import closings
 from celeryward import connection_limits
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import http
 from celeryward import listener
+from celeryward import open_connections
+from celeryward import paced_input
 from celeryward import router_settings
 from celeryward import transport
 from tests import fakes
@@ -28,8 +31,9 @@
 class Server:
     """A listener with limits, whose responses have a given size."""
 
-    def __init__(self, size=100):
+    def __init__(self, size=100, read_seconds=1.0):
         self.size = size
+        self.read_seconds = read_seconds
         self.answered = 0
         self.causes = []
         self.listener = listener.Listener(
@@ -45,7 +49,9 @@
             self.answered += 1
             await http.send_response(connection, 200, {}, bytes(self.size))
 
-        await listener.serve_ignoring_bodies(connection, answer, 30.0, 1.0)
+        await listener.serve_ignoring_bodies(
+            connection, answer, 30.0, self.read_seconds
+        )
 
     async def connect(self):
         """Return a socket whose kernel holds little that isn't read."""
@@ -56,9 +62,9 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(size=100):
+async def serving(size=100, read_seconds=1.0):
     """Yield a started server."""
-    server = Server(size)
+    server = Server(size, read_seconds)
     await server.listener.start()
     try:
         yield server
@@ -137,7 +143,7 @@
                 await sock.sendall(LAST_REQUEST)
             while server.answered < 3:
                 await curio.sleep(0.01)
-            await curio.sleep(connection_limits.MIN_IDLE_SECONDS)
+            await curio.sleep(open_connections.MIN_WAIT_SECONDS)
             refused = await read_to_end(await server.connect())
             assert refused.startswith(b'HTTP/1.1 503 ')
             assert b'\r\nretry-after: ' in refused
@@ -151,7 +157,7 @@
             unread = await server.connect()
             await unread.sendall(REQUEST)
             idle = [await server.connect() for _ in range(2)]
-            await curio.sleep(connection_limits.MIN_IDLE_SECONDS + 0.1)
+            await curio.sleep(open_connections.MIN_WAIT_SECONDS + 0.1)
             sock = await server.connect()
             await sock.sendall(LAST_REQUEST)
             assert (await read_to_end(sock)).startswith(b'HTTP/1.1 200')
@@ -165,7 +171,7 @@
 async def send_before_eviction(server):
     """Send on three idle connections before a fourth is accepted."""
     idle = [await server.connect() for _ in range(3)]
-    await curio.sleep(connection_limits.MIN_IDLE_SECONDS + 0.1)
+    await curio.sleep(open_connections.MIN_WAIT_SECONDS + 0.1)
     new = await server.connect()
     for sock in (*idle, new):
         # Nothing here lets the task of the listener run.
@@ -204,7 +210,7 @@
 
     @fakes.in_kernel
     async def test_no_further_request_is_read(self, monkeypatch):
-        monkeypatch.setattr(transport, 'UNREAD_STALL_SECONDS', 0.5)
+        monkeypatch.setattr(paced_input, 'UNREAD_STALL_SECONDS', 0.5)
         async with serving(5000) as server:
             sock = await server.connect()
             await sock.sendall(REQUEST * 500)
@@ -231,12 +237,12 @@
     async def test_idle_connections_that_read_nothing_make_room(
         self, monkeypatch
     ):
-        monkeypatch.setattr(transport, 'UNREAD_STALL_SECONDS', 0.5)
+        monkeypatch.setattr(client_waits, 'RESPONSE_STALL_SECONDS', 0.5)
         async with serving(30_000) as server:
             unread = [await server.connect() for _ in range(3)]
             for sock in unread:
                 await sock.sendall(REQUEST)
-            await curio.sleep(connection_limits.MIN_IDLE_SECONDS + 0.1)
+            await curio.sleep(open_connections.MIN_WAIT_SECONDS + 0.1)
             refused = await read_to_end(await server.connect())
             assert refused.startswith(b'HTTP/1.1 503 ')
             await curio.sleep(0.6)
--- a/tests/test_peer_sockets.py
+++ b/tests/test_peer_sockets.py
@@ -9,6 +9,7 @@
 from celeryward import closings
 from celeryward import connection_limits
 from celeryward.daemons import bridge
+from celeryward import open_connections
 from celeryward import sockets
 from tests import test_peer_limits
 
@@ -84,7 +85,7 @@
         check_causes(limits, use, ['address'])
 
     def test_unread_responses_keep_no_place(self, check_causes, monkeypatch):
-        monkeypatch.setattr(connection_limits, 'MIN_IDLE_SECONDS', 0.0)
+        monkeypatch.setattr(open_connections, 'MIN_WAIT_SECONDS', 0.0)
         monkeypatch.setattr(sockets, 'count_unsent', lambda sock: 1)
 
         def use(port):
@@ -98,7 +99,7 @@
         check_causes(limits, use, ['unread'])
 
     def test_idle_connection_makes_room(self, check_causes, monkeypatch):
-        monkeypatch.setattr(connection_limits, 'MIN_IDLE_SECONDS', 0.0)
+        monkeypatch.setattr(open_connections, 'MIN_WAIT_SECONDS', 0.0)
 
         def use(port):
             with connect(port) as first:
