Bound the log lines of refused requests and their length

Operators saw: in a flood of requests without a route or without an id, the lines of refusals took all 200 lines a second, so that those of ordinary requests were left out; and a line had the length of what the client sent, such as a request id of 16 KiB.

Cause: the log was bounded in lines only, for all causes together. Refusals before a request could be read were not counted.

Change: requests that are refused before they have a route write 30 lines a second; a field of a line has 512 characters at most; such refusals are counted as failures by their code.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -25,6 +25,9 @@
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
 # Retry delay of a request that an internal error kept from being read.
 UNREAD_RETRY_SECONDS = 1.0
+# Lines in a second on requests that are refused before they have a route.
+# Clients may send thousands of them.
+REFUSAL_LINES_PER_SECOND = 30
 
 
 class Gateway:
@@ -47,6 +50,7 @@
         self.metrics = metrics
         self.stop = stop or stopping.StopState()
         self.draining = False
+        self.refusal_lines = logs.LineBudget(REFUSAL_LINES_PER_SECOND)
         self.active = {}
         self.tasks = {}
 
@@ -143,9 +147,11 @@
 
     async def reject(self, connection, error):
         """Send an error if the state of the connection still allows it."""
-        logs.bind_error(error).info(
-            'request rejected: {} {}', error.code, error.message
-        )
+        self.metrics.count_failure('', error.code)
+        if self.refusal_lines.allows_line():
+            logs.bind_error(error).info(
+                'request rejected: {} {}', error.code, error.message
+            )
         if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         await responses.Responder(connection).send_error(error)
@@ -192,6 +198,8 @@
         """Count and log a request that is refused or fails."""
         responder.failure = error
         self.metrics.count_failure(responder.route, error.code)
+        if not self.may_log(responder):
+            return
         logs.bind_error(
             error,
             request_id=responder.request_id,
@@ -201,6 +209,10 @@
             **self.relay.admission.log_fields(),
         ).info('request failed: {} {}', error.code, error.message)
 
+    def may_log(self, responder):
+        """Return whether a line on a request may be written now."""
+        return bool(responder.route) or self.refusal_lines.allows_line()
+
     def record_unanswered(self, responder):
         """Count and log a whole request that got no complete answer.
 
@@ -238,6 +250,8 @@
             responder.caller_left,
             seconds,
         )
+        if not self.may_log(responder):
+            return
         logs.bind(
             request_id=responder.request_id,
             step='serve',
--- a/celeryward/logs.py
+++ b/celeryward/logs.py
@@ -18,6 +18,8 @@
 MAX_LINES_PER_SECOND = 200
 MAX_URGENT_LINES_PER_SECOND = 400
 MAX_BUFFERED_BYTES = 256 * 1024
+# Clients choose request ids and parts of error messages.
+MAX_FIELD_CHARACTERS = 512
 DEFAULT_CONTEXT = {'request_id': '-', 'step': '-', 'peer': '-'}
 
 logger = loguru.logger
@@ -52,9 +54,17 @@
     }
     if record['exception'] is not None:
         line['exception'] = repr(record['exception'].value)
+    line = {name: shorten(value) for name, value in line.items()}
     return msgspec.json.encode(line) + b'\n'
 
 
+def shorten(value):
+    """Return a field of a line, a long text without its end."""
+    if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
+        return f'{value[:MAX_FIELD_CHARACTERS]}...'
+    return value
+
+
 def configure_bounded(level, descriptor, router=''):
     """Write the log as JSON lines to a descriptor, without ever blocking.
 
@@ -125,6 +135,29 @@
             self.buffer = b''
 
 
+class LineBudget:
+    """Bounds the lines that one cause writes, so that others have room.
+
+    :param int most: lines in a second.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, most, clock=time.monotonic):
+        self.most = most
+        self.clock = clock
+        self.current_second = 0
+        self.lines_in_second = 0
+
+    def allows_line(self):
+        """Return whether one more line may be written now, and count it."""
+        second = int(self.clock())
+        if second != self.current_second:
+            self.current_second = second
+            self.lines_in_second = 0
+        self.lines_in_second += 1
+        return self.lines_in_second <= self.most
+
+
 def encode_dropped_count(record, count):
     """Return the JSON line that reports the number of dropped lines."""
     line = {
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,6 +7,8 @@
 import pytest
 
 from celeryward import logs
+from tests import fakes
+from tests import platform_standins as standins
 
 
 @pytest.fixture
@@ -97,3 +99,62 @@
         left_out, after = read_lines(reader)
         assert left_out['left_out'] == 10
         assert after['message'] == 'after'
+
+    def test_long_fields_are_cut(self, pipe):
+        """Clients choose request ids, and 200 lines a second are written."""
+        reader, writer = pipe
+        logs.configure_bounded('INFO', writer)
+        logs.bind(request_id='r' * 9000, step='s').info('m' * 9000)
+        logs.bind(request_id='r' * logs.MAX_FIELD_CHARACTERS).info('m')
+        cut, kept = read_lines(reader)
+        most = logs.MAX_FIELD_CHARACTERS + 3
+        assert len(cut['request_id']) == len(cut['message']) == most
+        assert kept['request_id'] == 'r' * logs.MAX_FIELD_CHARACTERS
+
+
+class TestLineBudget:
+    """Guards against one cause whose lines leave no room for others."""
+
+    def test_lines_of_each_second_are_bounded(self):
+        clock = fakes.CallableClock(10.0)
+        budget = logs.LineBudget(3, clock)
+        assert [budget.allows_line() for _ in range(5)] == [True] * 3 + [
+            False
+        ] * 2
+        clock.now += 1.0
+        assert budget.allows_line()
+
+
+@pytest.fixture
+def site():
+    return standins.default_site()
+
+
+class TestRefusals:
+    """Guards against refused requests that hide what happens to others."""
+
+    @standins.on_site
+    async def test_refusals_leave_lines_for_requests_with_a_route(
+        self, site, monkeypatch
+    ):
+        monkeypatch.setattr(site.router.gateway.refusal_lines, 'most', 4)
+        lines = []
+        sink = logs.logger.add(lines.append, level='INFO')
+        try:
+            connection = await site.connect()
+            for _ in range(20):
+                head, _ = await standins.request(connection, '/none')
+                assert head.status == 404
+                connection.start_next_cycle()
+            await standins.request(connection, '/whole/x')
+            await standins.wait_until(
+                lambda: any(
+                    line.record['message'] == 'request ended'
+                    and line.record['extra']['route']
+                    for line in lines
+                )
+            )
+        finally:
+            logs.logger.remove(sink)
+        refused = [line for line in lines if 'unknown_target' in line]
+        assert len(refused) <= 8
