Close a displaced connection in the moment of the decision

Between the decision to close a connection for a new one and the close, the closing was counted and logged, so that the task of the connection might go on and serve a request whose input was then shut down. Found by reading, not observed. A search also kept connections that were closed after it until the next search, with what they had read ahead; a test checks that it doesn't.

--- a/celeryward/closings.py
+++ b/celeryward/closings.py
@@ -16,7 +16,8 @@
     """The connections that one listener closed, by cause.
 
     The causes are ``total`` and ``address`` (refused for the limit), ``idle``
-    (closed for a new connection), ``unread`` (its client didn't read) and
+    (closed for a new connection), ``slow`` (the same, while its request
+    arrived too slowly), ``unread`` (its client didn't read) and
     ``input`` (its client sent more than is kept of unfinished calls, or did
     not finish one in time).
 
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -137,9 +137,10 @@
             if waiting is None:
                 await self.record_closed(cause, peer)
                 return False
+            # Nothing may run between the decision and the close.
             self.connections.remove(waiting)
-            await self.record_closed(reason, waiting.peer)
             await waiting.displace()
+            await self.record_closed(reason, waiting.peer)
         return True
 
     async def record_closed(self, cause, peer):
--- a/celeryward/open_connections.py
+++ b/celeryward/open_connections.py
@@ -34,9 +34,9 @@
         self.clock = clock
         self.addresses = {}
         self.counts = collections.Counter()
-        # Connections that the last search has found and when the next one may
-        # begin, by address, and None for all of them.
-        self.found = {}
+        # Connections that the last search has found, best first, and when the
+        # next one may begin, by address, and None for all of them.
+        self.found = collections.defaultdict(dict)
         self.search_at = {}
 
     def full(self, address):
@@ -58,15 +58,18 @@
         scope = address if cause == 'address' else None
         if now >= self.search_at.get(scope, 0.0):
             self.search_at[scope] = now + SEARCH_SECONDS
-            self.found[scope] = self.search(scope, now)
-        for connection in self.found.get(scope, ()):
-            reason = self.close_reason(connection, now)
-            if reason:
-                return connection, reason
+            self.found[scope] = dict.fromkeys(self.search(scope, now))
+        found = self.found[scope]
+        while found:
+            connection = next(iter(found))
+            del found[connection]
+            if self.has_waited(connection, now):
+                if reason := connection.close_reason():
+                    return connection, reason
         return None, ''
 
     def search(self, scope, now):
-        """Return an iterator of connections that may be closed, best first.
+        """Return the connections that may be closed, best first.
 
         :param scope: address of the connections, or None for all of them.
         """
@@ -79,21 +82,13 @@
             sorted(connections, key=WAITING_SINCE)
             for connections in most_first
         )
-        return iter(list(itertools.chain.from_iterable(longest_first)))
+        return itertools.chain.from_iterable(longest_first)
 
     def has_waited(self, connection, now):
         """Return whether a connection has waited for long enough."""
         since = connection.waiting_since
         return since is not None and now - since >= MIN_WAIT_SECONDS
 
-    def close_reason(self, connection, now):
-        """Return why a connection that was found may be closed now."""
-        if connection not in self.addresses:
-            return ''
-        if not self.has_waited(connection, now):
-            return ''
-        return connection.close_reason()
-
     def add(self, connection, address):
         """Count a connection."""
         self.addresses[connection] = address
@@ -104,8 +99,10 @@
         address = self.addresses.pop(connection, None)
         if address is None:
             return
+        for scope in (None, address):
+            self.found[scope].pop(connection, None)
         self.counts[address] -= 1
         if not self.counts[address]:
             del self.counts[address]
+            del self.found[address]
             self.search_at.pop(address, None)
-            self.found.pop(address, None)
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -84,9 +84,10 @@
         Its task sees the end of the input, or that its write fails.
         """
         self.displaced = True
+        is_writing = self.client_wait.kind is client_waits.Wait.READER
         if self.displacement is not None:
             await self.displacement.set()
-        if self.client_wait.kind is client_waits.Wait.READER:
+        if is_writing:
             await self.shut_down()
         else:
             await self.stop_reading()
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -229,6 +229,15 @@
         clock.now += open_connections.SEARCH_SECONDS
         assert self.find(made, 'address', 'a') == 1.0
 
+    def test_search_keeps_no_connection_that_was_removed(self):
+        """Each would keep its input until the next search."""
+        made, _ = self.make(5.0, 3.0, 4.0)
+        assert self.find(made, 'total', 'b') == 3.0
+        assert self.find(made, 'address', 'a') == 3.0
+        for connection in tuple(made.addresses):
+            made.remove(connection)
+        assert not any(made.found.values())
+
     def test_removed_connections_leave_nothing(self):
         made, _ = self.make(None)
         connection = next(iter(made.addresses))
