--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -8,9 +8,12 @@
 import curio
 import pytest
 
+from benchmarks import processes
+from tests import platform_crashes
 from tests import platform_processes
 from tests import test_client_limits
 from tests import test_pauses
+from tests import test_processes
 
 # Descriptors of the smallest host of a deployment in use.
 MAX_DESCRIPTORS = 3075
@@ -18,6 +21,9 @@
 LOW_MEGABYTES = 110
 # The smallest host of a deployment in use.
 SMALLEST_MEGABYTES = 160
+# What a daemon may use at the size to design for.
+DAEMON_MEGABYTES = 128
+DAEMON_PORTS = ('callers', 'admin', 'peers')
 CLIENTS = 800
 ALL_LISTENERS_CLIENTS = 1200
 CROWD_SECONDS = 5.0
@@ -118,3 +124,29 @@
                 crowd.run(CROWD_SECONDS / len(PORTS))
 
         run_with_crowd(tmp_path, SMALLEST_MEGABYTES, add_clients)
+
+
+class TestDaemon:
+    """Guards against unread input at the listeners of a daemon."""
+
+    @pytest.mark.parametrize('listener', DAEMON_PORTS)
+    def test_pipelined_requests(self, tmp_path, listener):
+        ports = {name: platform_crashes.free_port() for name in DAEMON_PORTS}
+        with processes.stopping([]) as running:
+            _, daemon = test_processes.start_parts(
+                running,
+                tmp_path,
+                **{name: {'port': port} for name, port in ports.items()},
+            )
+            with test_client_limits.crowd_of(daemon.popen.pid) as crowd:
+                crowd.add(
+                    CLIENTS,
+                    'pipeline',
+                    ('127.0.0.1', ports[listener]),
+                    test_client_limits.NO_ROUTE,
+                    SOURCES,
+                    again=True,
+                )
+                crowd.run(CROWD_SECONDS)
+                curio.run(test_client_limits.wait_for_chat, daemon)
+                check_bounds(crowd, daemon.popen, DAEMON_MEGABYTES)
