Bound the log lines of refused requests of a daemon

Cause: only the log of routers has a bound.

Change: requests that any client can send without a key or a model (unknown target, bad input, unauthenticated) write 30 lines a second, as at routers.

--- a/celeryward/callers/gateway.py
+++ b/celeryward/callers/gateway.py
@@ -25,9 +25,6 @@
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
 # Retry delay of a request that an internal error kept from being read.
 UNREAD_RETRY_SECONDS = 1.0
-# Lines in a second on requests that are refused before they have a route.
-# Clients may send thousands of them.
-REFUSAL_LINES_PER_SECOND = 30
 
 
 class Gateway:
@@ -50,7 +47,7 @@
         self.metrics = metrics
         self.stop = stop or stopping.StopState()
         self.draining = False
-        self.refusal_lines = logs.LineBudget(REFUSAL_LINES_PER_SECOND)
+        self.refusal_lines = logs.LineBudget(logs.REFUSAL_LINES_PER_SECOND)
         self.active = {}
         self.tasks = {}
 
--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -18,6 +18,8 @@
 CONNECTION_ERRORS = (http.Disconnected, http.ReadTimeout)
 EVENT_STREAM = 'text/event-stream'
 STOP_POLL_SECONDS = 0.05
+# Errors of requests that any client can send, without a key or a model.
+REFUSALS = (errors.BadInput, errors.Unauthenticated, errors.UnknownTarget)
 
 
 class Responder:
@@ -138,6 +140,7 @@
         self.timings = timings
         self.new_id = new_id
         self.stop = stop
+        self.refusal_lines = logs.LineBudget(logs.REFUSAL_LINES_PER_SECOND)
         self.active = set()
         self.tasks = {}
         self.stopping = False
@@ -236,9 +239,7 @@
             await self.answer_cut_off(responder)
             raise
         except errors.CelerywardError as error:
-            logs.bind_error(error, request_id=request_id).info(
-                'request failed: {} {}', error.code, error.message
-            )
+            self.log_failure(error, request_id)
             await responder.send_error(error)
         except Exception:
             # The caller must get a response even after an internal error.
@@ -256,6 +257,15 @@
             # The response was sent before the whole body was read.
             await connection.close()
 
+    def log_failure(self, error, request_id):
+        """Log a request that is refused or fails."""
+        is_refusal = isinstance(error, REFUSALS)
+        if is_refusal and not self.refusal_lines.allows_line():
+            return
+        logs.bind_error(error, request_id=request_id).info(
+            'request failed: {} {}', error.code, error.message
+        )
+
     async def route_request(self, connection, head, responder):
         """Read the body and call the handler for the path.
 
--- a/celeryward/logs.py
+++ b/celeryward/logs.py
@@ -18,6 +18,9 @@
 MAX_LINES_PER_SECOND = 200
 MAX_URGENT_LINES_PER_SECOND = 400
 MAX_BUFFERED_BYTES = 256 * 1024
+# Requests that are refused before they have a route or a customer. Clients may
+# send thousands of them.
+REFUSAL_LINES_PER_SECOND = 30
 # Clients choose request ids and parts of error messages.
 MAX_FIELD_CHARACTERS = 512
 DEFAULT_CONTEXT = {'request_id': '-', 'step': '-', 'peer': '-'}
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,6 +6,8 @@
 import loguru
 import pytest
 
+from celeryward.callers import server
+from celeryward import errors
 from celeryward import logs
 from tests import fakes
 from tests import platform_standins as standins
@@ -158,3 +160,21 @@
             logs.logger.remove(sink)
         refused = [line for line in lines if 'unknown_target' in line]
         assert len(refused) <= 8
+
+    def test_daemon_bounds_the_lines_of_refusals(self):
+        """A client without a key could fill the disk with lines."""
+        made = server.CallerServer(None, None, None, None)
+        lines = []
+        sink = logs.logger.add(lines.append, level='INFO')
+        refusal = errors.UnknownTarget('no such path', step='s', peer='p')
+        failure = errors.AnswerInvalid('cut', step='s', peer='p', sent=True)
+        made.refusal_lines.clock = fakes.CallableClock(10.0)
+        try:
+            for _ in range(100):
+                made.log_failure(refusal, 'r')
+                made.log_failure(failure, 'r')
+        finally:
+            logs.logger.remove(sink)
+        refused = [line for line in lines if 'no such path' in line]
+        assert len(refused) == logs.REFUSAL_LINES_PER_SECOND
+        assert len(lines) - len(refused) == 100
