Give requests without a body no large receive buffer

Callers saw nothing yet; found by a profile of a router that 3,000 clients flood: a third of its samples searched for a large receive buffer.

Cause: took each request without Content-Length for one with a long body, also a GET without any, so that it asked the kernel about up to 16 other connections.

Change: without Content-Length and Transfer-Encoding there is no body (RFC 9112, section 6.3). The test failed before, by a name that is new.

--- a/celeryward/bodies.py
+++ b/celeryward/bodies.py
@@ -145,6 +145,16 @@
     return int(length[:MAX_LENGTH_DIGITS])
 
 
+def request_length(headers):
+    """Return the length of a request's body, None for one in chunks.
+
+    Without either there is no body.
+    """
+    if 'transfer-encoding' in headers:
+        return None
+    return stated_length(headers) or 0
+
+
 def add_chunk(chunks, chunk):
     """Append a chunk to a list, or to the small ones at its end."""
     if len(chunk) >= MIN_CHUNK_BYTES:
--- a/celeryward/http.py
+++ b/celeryward/http.py
@@ -219,7 +219,7 @@
                 decode_headers(event.headers),
                 tuple(event.headers.raw_items()),
             )
-            self.stated_length = bodies.stated_length(request.headers)
+            self.stated_length = bodies.request_length(request.headers)
             self.end_wait('read request')
             return request
         if isinstance(event, h11.ConnectionClosed):
--- a/tests/test_receive_buffers.py
+++ b/tests/test_receive_buffers.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from celeryward import bodies
 from celeryward import connection_limits
 from celeryward import http
 from celeryward import listener
@@ -101,6 +102,18 @@
         buffers.begin_body(connection)
         assert connection.size == memory_account.LARGE_BUFFER_BYTES
 
+    @pytest.mark.parametrize(
+        'headers,length',
+        (
+            ({}, 0),
+            ({'content-length': '9'}, 9),
+            ({'transfer-encoding': 'chunked'}, None),
+        ),
+    )
+    def test_request_without_a_body_has_no_long_one(self, headers, length):
+        """Each GET searched all connections for a large buffer."""
+        assert bodies.request_length(headers) == length
+
     def test_short_body_gets_none(self, buffers):
         buffers.begin_body(Connection(1000))
         assert not buffers.connections
