--- a/celeryward/memory_account.py
+++ b/celeryward/memory_account.py
@@ -17,6 +17,9 @@
 ANSWER_SHARE = 0.17
 LEAST_ANSWER_BYTES = 16 * MEGABYTE
 MOST_BODY_BYTES = 32 * MEGABYTE
+UNREAD_SHARE = 0.25
+LEAST_UNREAD_BYTES = 8 * MEGABYTE
+MOST_UNREAD_BYTES = 64 * MEGABYTE
 LARGE_BUFFER_SHARE = 0.06
 # The kernel keeps up to one and a half times the size of a receive buffer.
 LARGE_BUFFER_BYTES = 512 * 1024
@@ -30,11 +33,13 @@
 
     :param int request_bytes: bodies of requests.
     :param int answer_bytes: bodies of answers.
+    :param int unread_bytes: answers whose clients are slow to read.
     :param int large_buffers: connections with a large receive buffer.
     """
 
     request_bytes: int = MOST_BODY_BYTES
     answer_bytes: int = MOST_BODY_BYTES
+    unread_bytes: int = MOST_UNREAD_BYTES
     large_buffers: int = MOST_LARGE_BUFFERS
 
 
@@ -49,6 +54,7 @@
     return MemoryAccount(
         within(left * REQUEST_SHARE, LEAST_REQUEST_BYTES, MOST_BODY_BYTES),
         within(left * ANSWER_SHARE, LEAST_ANSWER_BYTES, MOST_BODY_BYTES),
+        within(left * UNREAD_SHARE, LEAST_UNREAD_BYTES, MOST_UNREAD_BYTES),
         within(
             left * LARGE_BUFFER_SHARE / (1.5 * LARGE_BUFFER_BYTES),
             LEAST_LARGE_BUFFERS,
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -46,6 +46,7 @@
 from celeryward import stopping
 from celeryward import store_view
 from celeryward import supervision
+from celeryward import unread_answers
 
 # Lower bound on the assumed number of routers. Routers share the slack of the
 # retry budget and the evaluation of new versions, and a router may not have
@@ -411,4 +412,5 @@
     """
     body_memory.REQUESTS.limit = account.request_bytes
     body_memory.ANSWERS.limit = account.answer_bytes
+    unread_answers.UNREAD_ANSWERS.limit = account.unread_bytes
     receive_buffers.LARGE_BUFFERS.most = account.large_buffers
--- a/celeryward/transport.py
+++ b/celeryward/transport.py
@@ -1,5 +1,6 @@
 """Reads and writes the bytes of connections, within limits of time."""
 
+import contextlib
 import math
 import os
 import socket
@@ -12,6 +13,7 @@
 from celeryward import deadlines
 from celeryward import errors
 from celeryward import sockets
+from celeryward import unread_answers
 
 READ_SIZE_BYTES = 65536
 # A peer that takes no byte of a message for this long is left.
@@ -190,15 +192,27 @@
         remaining = self.write_now(memoryview(data))
         if not remaining:
             return
+        self.begin_wait(client_waits.Wait.READER)
+        async with self.count_unread(len(data)):
+            await self.write_rest(remaining, deadline)
+        self.client_wait = None
+        self.ended_during_write = sockets.input_has_ended(self.sock)
+
+    def count_unread(self, size):
+        """Return a context that counts what is held for a slow client."""
+        if self.limits is None:
+            return contextlib.nullcontext()
+        return unread_answers.UNREAD_ANSWERS.hold(self, size)
+
+    async def write_rest(self, remaining, deadline):
+        """Write what the kernel didn't take at once, as :meth:`write`."""
         write_until = self.write_until(len(remaining))
         while remaining:
-            self.begin_wait(client_waits.Wait.READER)
             sent = await self.write_some(remaining, deadline)
+            self.begin_wait(client_waits.Wait.READER)
             remaining = remaining[sent:]
             if remaining and awake_clock.CLOCK() >= write_until:
                 raise curio.TaskTimeout(WRITE_STALL_SECONDS)
-        self.client_wait = None
-        self.ended_during_write = sockets.input_has_ended(self.sock)
 
     def write_until(self, size):
         """Return until when a message of this size must be written.
