Answer ordinary callers beside clients that send requests ahead

Callers saw: with 3,000 clients that send thousands of requests ahead on the 1,600 places of a router, an ordinary caller got no answer for 20 s.

Cause, from a profile and the order of turns: 8 connections were accepted for each turn of 1,600 others, which served four requests each; and a client that sends ahead isn't stalled as long as its kernel takes the responses, so that its connection made no room.

Change: 256 connections are accepted in a turn, and one request of a connection is served in one (requests_per_turn). A connection on which each request was there before the last response for 1 s, and 4 KiB more wait, makes room for a new one; what was sent ahead is refused and has not run.

TestRequestsAhead of tests/test_displaced_connections.py shows that the client's place is given.

--- a/celeryward/client_waits.py
+++ b/celeryward/client_waits.py
@@ -22,6 +22,9 @@
 # A client that sends further requests and takes nothing of a response for this
 # long gives its place to a new connection.
 PIPELINED_STALL_SECONDS = 1.0
+# Input that waits behind a request, from which on its client sends requests
+# without regard to the responses.
+AHEAD_BYTES = 4096
 # A sound client may stand still for this long within a response.
 RESPONSE_STALL_SECONDS = sockets.USER_TIMEOUT_MILLISECONDS / 1000
 
@@ -92,9 +95,14 @@
 
 @REASONS.register(Wait.REST)
 def slow_request_reason(connection):
-    """Return 'slow' if a request arrives too slowly."""
-    if sockets.has_bytes(connection.sock):
-        return ''
+    """Return 'slow' if a request arrives too slowly.
+
+    Else 'ahead' is returned if many further ones wait behind it.
+    """
+    unread = sockets.query_unread(connection.sock)
+    if unread:
+        is_ahead = connection.ahead_since is not None
+        return 'ahead' if is_ahead and unread >= AHEAD_BYTES else ''
     wait = connection.client_wait
     seconds = awake_clock.CLOCK() - wait.awake_since
     received = connection.bytes_read - wait.bytes_read
--- a/celeryward/closings.py
+++ b/celeryward/closings.py
@@ -17,7 +17,8 @@
 
     The causes are ``total`` and ``address`` (refused for the limit), ``idle``
     (closed for a new connection), ``slow`` (the same, while its request
-    arrived too slowly), ``unread`` (its client didn't read) and
+    arrived too slowly), ``ahead`` (the same, with many requests sent ahead),
+    ``unread`` (its client didn't read) and
     ``input`` (its client sent more than is kept of unfinished calls, or did
     not finish one in time).
 
--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -59,7 +59,7 @@
 
     total: int
     per_address: int
-    requests_per_turn: int = 4
+    requests_per_turn: int = 1
     unread_bytes: int = 32768
     write_seconds: float = 20.0
     unread_input_bytes: int = INPUT_BYTES
--- a/celeryward/listener.py
+++ b/celeryward/listener.py
@@ -19,8 +19,9 @@
 from celeryward import supervision
 
 
-# Connections that are accepted before other tasks get their turn.
-ACCEPTS_PER_TURN = 8
+# Connections that are accepted before other tasks get their turn. With fewer a
+# new client would wait for many turns of all others.
+ACCEPTS_PER_TURN = 256
 # Read from a connection that is refused, so that closing it doesn't reset it.
 MAX_REFUSED_BYTES = 65536
 # Time to take over the connections that wait in the kernel's queue; this does
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -6,6 +6,8 @@
 client has room for the last response, and little is read ahead of it.
 """
 
+import time
+
 import curio
 import h11
 
@@ -37,14 +39,22 @@
         self.displaced = False
         # Set when it is closed for a new connection; None while none waits.
         self.displacement = None
+        # Since when each request was there before the last one was answered,
+        # in monotonic seconds, or None.
+        self.ahead_since = None
         # Requests since other tasks had their turn. Input that has arrived is
         # read without a turn of others.
         self.requests_in_turn = 0
 
     @property
     def waiting_since(self):
-        """Since when it waits for its client, monotonic seconds, or None."""
-        return self.client_wait.since if self.client_wait else None
+        """Since when it waits for its client, monotonic seconds, or None.
+
+        Requests that are sent ahead are served meanwhile.
+        """
+        if self.client_wait is None or self.ahead_since is None:
+            return self.client_wait and self.client_wait.since
+        return self.ahead_since
 
     def read_size(self):
         """Return the most bytes of the next read."""
@@ -61,6 +71,7 @@
             new one, or if the peer has no room for the last response.
         """
         self.begin_wait(client_waits.Wait.REQUEST)
+        self.observe_pipelining()
         if not self.has_trailing_data():
             self.h11.receive_data(await self.read(step, deadline, extend))
         self.check_displaced(step)
@@ -70,6 +81,13 @@
         if self.limits is not None:
             await self.take_turn(step)
 
+    def observe_pipelining(self):
+        """Record whether the next request is there already."""
+        if not self.h11.trailing_data[0]:
+            self.ahead_since = None
+        elif self.ahead_since is None:
+            self.ahead_since = time.monotonic()
+
     def check_displaced(self, step):
         """Check that the connection was not closed for a new one.
 
--- a/celeryward/router_settings.py
+++ b/celeryward/router_settings.py
@@ -182,7 +182,7 @@
     readiness_connections: int | None = None
     metrics_connections: int | None = None
     router_connections: int | None = None
-    requests_per_turn: int = 4
+    requests_per_turn: int = 1
     unread_bytes: int = 32768
     unread_input_bytes: int = 8192
     write_timeout: float = 20.0
--- a/tests/test_displaced_connections.py
+++ b/tests/test_displaced_connections.py
@@ -9,8 +9,8 @@
 from celeryward import client_waits
 from celeryward import connection_limits
 from celeryward import open_connections
+from celeryward import paced_input
 from celeryward import registry
-from celeryward import transport
 from tests import fakes
 from tests import test_paced_requests as paced
 
@@ -134,6 +134,38 @@
         await curio.sleep(STEP_SECONDS)
 
 
+class TestRequestsAhead:
+    """Guards against clients whose many requests keep others waiting."""
+
+    @fakes.in_kernel
+    async def test_client_that_sends_on_gives_its_place(self):
+        """It reads each response, so that it never stalls."""
+        async with paced.serving(100, BODY_SECONDS) as server:
+            clients = [await server.connect() for _ in range(PLACES)]
+            tasks = [
+                await curio.spawn(send_on_and_read, sock) for sock in clients
+            ]
+            await curio.sleep(WAIT_SECONDS)
+            received = await answer_of_new_client(server)
+            assert received.startswith(b'HTTP/1.1 200')
+            assert server.causes == ['ahead']
+            for task in tasks:
+                await task.cancel()
+            for sock in clients:
+                await sock.close()
+
+
+async def send_on_and_read(sock):
+    """Send requests without end, and read their responses."""
+    reading = await curio.spawn(paced.read_to_end, sock, daemon=True)
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                await sock.sendall(paced.REQUEST * 1000)
+    finally:
+        await reading.cancel()
+
+
 class TestClientsWithProgress:
     """Guards against closes that cut a slow but sound client off."""
 
@@ -175,7 +207,7 @@
     async def connection_that_waits(self):
         """Return a connection of which half a head was read."""
         own, _ = curio.socket.socketpair()
-        connection = transport.Transport(own, 'client')
+        connection = paced_input.PacedInput(own, 'client')
         connection.begin_wait(client_waits.Wait.REST)
         return connection
 
