Let clients that send ahead give their places after 0.1 s

Callers saw: beside 300 clients that reconnect and send ahead on 80 places, an ordinary caller still was refused in most tries.

Cause: each such client kept its place for 1 s, in which three others and the ordinary caller came; what shows that it sends ahead is known at once.

Change: a client with each request there before the last response and 4 KiB behind it keeps its place for 0.1 s.

--- a/celeryward/client_waits.py
+++ b/celeryward/client_waits.py
@@ -25,6 +25,8 @@
 # Input that waits behind a request, from which on its client sends requests
 # without regard to the responses.
 AHEAD_BYTES = 4096
+# Time that such a client keeps its place at least.
+AHEAD_SECONDS = 0.1
 # A sound client may stand still for this long within a response.
 RESPONSE_STALL_SECONDS = sockets.USER_TIMEOUT_MILLISECONDS / 1000
 
--- a/celeryward/daemons/peer_sockets.py
+++ b/celeryward/daemons/peer_sockets.py
@@ -59,6 +59,11 @@
         # Bytes received since the client has had no room for responses.
         self.unread_input_bytes = 0
 
+    @property
+    def min_wait_seconds(self):
+        """How long it keeps its place at least."""
+        return open_connections.MIN_WAIT_SECONDS
+
     @property
     def peer(self):
         """The address of the client for the log."""
--- a/celeryward/open_connections.py
+++ b/celeryward/open_connections.py
@@ -10,7 +10,8 @@
 import operator
 import time
 
-# A connection that waits for less may be about to bring a request.
+# A connection that waits for less may be about to bring a request. Others may
+# have a shorter time.
 MIN_WAIT_SECONDS = 1.0
 # What a search has found is used for so long. Each search looks at all
 # connections, and each look takes calls to the kernel.
@@ -22,8 +23,8 @@
     """The open connections of one listener, and whether there may be more.
 
     A connection has ``waiting_since``, the time in monotonic seconds since
-    when it waits for its client, or None, and ``close_reason()``, which is
-    empty if it must stay open.
+    when it waits for its client, or None, ``min_wait_seconds``, before which
+    it stays open, and ``close_reason()``, which is empty if it must stay open.
 
     :param connection_limits.ListenerLimits limits: the limits.
     :param clock: function that returns monotonic seconds.
@@ -87,7 +88,7 @@
     def has_waited(self, connection, now):
         """Return whether a connection has waited for long enough."""
         since = connection.waiting_since
-        return since is not None and now - since >= MIN_WAIT_SECONDS
+        return since is not None and now - since >= connection.min_wait_seconds
 
     def add(self, connection, address):
         """Count a connection."""
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -14,6 +14,7 @@
 from celeryward import awake_clock
 from celeryward import bodies
 from celeryward import client_waits
+from celeryward import open_connections
 from celeryward import receive_buffers
 from celeryward import sockets
 from celeryward import transport
@@ -56,6 +57,13 @@
             return self.client_wait and self.client_wait.since
         return self.ahead_since
 
+    @property
+    def min_wait_seconds(self):
+        """How long it keeps its place at least."""
+        if self.ahead_since is None:
+            return open_connections.MIN_WAIT_SECONDS
+        return client_waits.AHEAD_SECONDS
+
     def read_size(self):
         """Return the most bytes of the next read."""
         if self.limits is not None and self.h11.their_state is h11.IDLE:
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -34,6 +34,7 @@
 
     waiting_since: float | None
     reason: str = 'idle'
+    min_wait_seconds: float = open_connections.MIN_WAIT_SECONDS
 
     def close_reason(self):
         looks.append(self)
