--- a/celeryward/connection_limits.py
+++ b/celeryward/connection_limits.py
@@ -12,6 +12,7 @@
 import resource
 
 from celeryward import errors
+from celeryward import memory_account
 from celeryward.routers import members
 
 # Descriptors for files and the log, and for connections to the store, to other
@@ -24,7 +25,6 @@
 BASE_MEGABYTES = 100.0
 # Part of the rest that connections may take: in the process and its kernel.
 CONNECTION_MEMORY_SHARE = 0.5
-MEGABYTE = 1024 * 1024
 # Memory of a connection beside the bytes that are unread.
 CONNECTION_BYTES = 32 * 1024
 # Receive buffer of a connection, and of one between daemons, which carries
@@ -255,7 +255,9 @@
     left = usable_descriptors(host) - others
     callers = min(MAX_CONNECTIONS, left // DESCRIPTORS_PER_CALLER)
     if host.megabytes:
-        free = max(0.0, host.megabytes - BASE_MEGABYTES) * MEGABYTE
+        free = (
+            max(0.0, host.megabytes - BASE_MEGABYTES) * memory_account.MEGABYTE
+        )
         size = CONNECTION_BYTES + tuning.unread_bytes
         callers = min(callers, int(free * CONNECTION_MEMORY_SHARE / size))
     return max(LEAST_CALLERS, callers)
