--- a/celeryward/memory_account.py
+++ b/celeryward/memory_account.py
@@ -1,7 +1,8 @@
 """Divides the memory of a host among what clients make a process hold.
 
-Connections and their unread input, bodies of requests, and bodies of answers
-each have a part, so that clients which fill one leave the others their room.
+Bodies of requests, bodies of answers, answers whose clients are slow to read,
+and large receive buffers each have a part, so that clients which fill one
+leave the others their room; `connection_limits` has the part of connections.
 Answers clients that send more than is read, or read less than is sent. Needs
 no network.
 """
--- a/celeryward/receive_buffers.py
+++ b/celeryward/receive_buffers.py
@@ -1,4 +1,4 @@
-"""Gives long bodies a large receive buffer, a few connections at a time.
+"""Gives long bodies a large receive buffer, on a few connections at a time.
 
 A connection with limits has a small one, because what a client sends ahead
 fills it. A long body would be slow over a link with delay, so that it gets a
