--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -59,6 +59,12 @@
             await test_client_limits.wait_for_answer(site)
             check_bounds(crowd, site.program, megabytes)
 
+    run_on_site(tmp_path, megabytes, check)
+
+
+def run_on_site(tmp_path, megabytes, check):
+    """Run a check on a started site on a small host."""
+
     async def run():
         site = SmallSite(tmp_path / 'router.toml', megabytes)
         try:
--- a/tests/test_client_places.py
+++ b/tests/test_client_places.py
@@ -62,7 +62,9 @@
                 )
                 await check_beside(site, crowd)
 
-        run_on_site(tmp_path, check)
+        test_client_memory.run_on_site(
+            tmp_path, test_client_memory.LOW_MEGABYTES, check
+        )
 
 
 async def check_beside(site, crowd):
@@ -81,19 +83,3 @@
     test_client_memory.check_bounds(
         crowd, site.program, test_client_memory.LOW_MEGABYTES
     )
-
-
-def run_on_site(tmp_path, check):
-    """Run a check on a started site on a small host."""
-
-    async def run():
-        site = test_client_memory.SmallSite(
-            tmp_path / 'router.toml', test_client_memory.LOW_MEGABYTES
-        )
-        try:
-            await site.start()
-            await check(site)
-        finally:
-            await site.stop()
-
-    curio.run(run)
