Tell the reopening test how long answers take

Cause: the router keeps as many requests as will start in time by the duration of the service's answers, and the test let it learn that from its first five requests. A pause of the process in the first of them counts as its duration. Reproduced with a pause of 0.1 s there: the duration was taken as 0.118 s in place of 0.05 s, and 6 and 7 requests were kept, as the router should; 0.2 s: 4 and 5; without one: 14.

The test now gives the router the duration that its endpoints have, and keeps its checks as they were.

--- a/tests/test_closures.py
+++ b/tests/test_closures.py
@@ -303,11 +303,12 @@
     async def test_no_burst_when_the_time_ends(self, site):
         arrived = collections.defaultdict(list)
         together = []
+        answer_seconds = 0.05
 
         async def slow(runner, connection, arrival):
             arrived[runner.id].append(time.monotonic())
             together.append(len(runner.arrivals) - len(runner.ended))
-            await curio.sleep(0.05)
+            await curio.sleep(answer_seconds)
             await standins.send_default_response(runner, connection, arrival)
 
         for each in ('app-1', 'app-2'):
@@ -315,6 +316,8 @@
         for _ in range(5):
             await site.request('/whole/x')
         arrived.clear()
+        # A pause of this process in the requests before isn't their duration.
+        site.router.estimates.answer_seconds['app'] = answer_seconds
         table = site.router.runners
         for each in ('app-1', 'app-2'):
             site.router.closures.close(table.runners[each], 0.2, 1)
