Move the listeners of a router to their own module

Change: router_listeners makes them and bounds the memory of the process; Router.listeners names and iterates over them. The order of the starts is as before. Nothing else changes.

--- a/benchmarks/closed_endpoints.py
+++ b/benchmarks/closed_endpoints.py
@@ -270,7 +270,7 @@
         try:
             connection = await http.connect(
                 '127.0.0.1',
-                self.routers[number].caller_listener.port,
+                self.routers[number].listeners.callers.port,
                 deadline,
             )
             head, _ = await http.exchange(
--- a/benchmarks/pausable_parts.py
+++ b/benchmarks/pausable_parts.py
@@ -109,7 +109,7 @@
     async def start(self):
         """Start all listeners and tasks."""
         await super().start()
-        print_line(port=self.caller_listener.port)
+        print_line(port=self.listeners.callers.port)
 
 
 async def serve_router(store_port):
--- a/celeryward/router.py
+++ b/celeryward/router.py
@@ -1,18 +1,14 @@
 """The router process: creates its components, runs its tasks, shuts down."""
 
-import functools
 import os
 
 import curio
 
 from celeryward import awake_clock
-from celeryward import body_memory
 from celeryward.callers import gateway
 from celeryward.callers import relay
 from celeryward.callers import router_admission
-from celeryward import closings
 from celeryward import completion
-from celeryward import connection_limits
 from celeryward.endpoints import closures
 from celeryward.endpoints import crash_watch
 from celeryward.endpoints import fleet_retries
@@ -29,16 +25,13 @@
 from celeryward.endpoints import warm_ups
 from celeryward import errors
 from celeryward import ingress
-from celeryward import listener
 from celeryward import logs
-from celeryward import memory_account
 from celeryward.objects import freshness
 from celeryward.objects import ignored
 from celeryward.raters import releases
 from celeryward.raters import sizes
-from celeryward import receive_buffers
+from celeryward import router_listeners
 from celeryward import router_metrics
-from celeryward import router_monitoring
 from celeryward import router_shutdown
 from celeryward.routers import crash_news
 from celeryward.routers import departure_news
@@ -46,7 +39,6 @@
 from celeryward import stopping
 from celeryward import store_view
 from celeryward import supervision
-from celeryward import unread_answers
 
 # Lower bound on the assumed number of routers. Routers share the slack of the
 # retry budget and the evaluation of new versions, and a router may not have
@@ -83,7 +75,7 @@
         self.build_forwarding()
         self.build_crash_handling()
         self.build_callers()
-        self.build_listeners()
+        self.listeners = router_listeners.make_listeners(self)
         self.runners.listeners.append(self.forget_runner)
         self.notice_reader.place_listeners.append(
             self.relay.waiter.place_freed
@@ -218,41 +210,6 @@
             self.relay, self.configuration, self.metrics, self.stop_state
         )
 
-    def build_listeners(self):
-        """Create the listeners of all addresses."""
-        placement = self.placement
-        host = connection_limits.host_of(placement)
-        limits = connection_limits.derive(host, self.tuning)
-        bound_memory(memory_account.derive(host.megabytes))
-
-        def make(name, address, handler):
-            return listener.Listener(
-                address.host,
-                address.port,
-                handler,
-                limits[name],
-                closings.Closings(name, self.metrics.count_closed_connection),
-            )
-
-        self.caller_listener = make(
-            'callers', placement.callers, self.gateway.handle
-        )
-        self.readiness_listener = make(
-            'readiness',
-            placement.readiness,
-            functools.partial(
-                router_monitoring.answer_readiness, self.is_ready
-            ),
-        )
-        self.metrics_listener = make(
-            'metrics',
-            placement.metrics,
-            functools.partial(router_monitoring.answer_metrics, self.metrics),
-        )
-        self.peer_listener = make(
-            'routers', placement.routers, self.view.publisher.handle
-        )
-
     def key_age_limit(self):
         """Return the largest age of the configuration for accepting API keys.
 
@@ -313,10 +270,7 @@
             failure_domain=self.placement.failure_domain,
             pid=os.getpid(),
         ).info('router starts')
-        await self.readiness_listener.start()
-        await self.metrics_listener.start()
-        await self.caller_listener.start()
-        await self.peer_listener.start()
+        await self.listeners.start()
         self.view.build_watchers(self.configuration, self.runners)
         self.tasks += await self.view.start_tasks(self.supervisor)
         for step, peer, run in (
@@ -403,14 +357,3 @@
             while await receiver.next_signal() == signals.RELOAD_SIGNAL:
                 self.reload()
             await self.stop(receiver.none_before)
-
-
-def bound_memory(account):
-    """Apply the parts of a host's memory to what this process holds.
-
-    :param account: :class:`memory_account.MemoryAccount`.
-    """
-    body_memory.REQUESTS.limit = account.request_bytes
-    body_memory.ANSWERS.limit = account.answer_bytes
-    unread_answers.UNREAD_ANSWERS.limit = account.unread_bytes
-    receive_buffers.LARGE_BUFFERS.most = account.large_buffers
--- a/celeryward/router_metrics.py
+++ b/celeryward/router_metrics.py
@@ -255,10 +255,10 @@
 def connection_gauges(router):
     """Yield name, text and value function of gauges on connections."""
     for name, listener in (
-        ('caller', router.caller_listener),
-        ('readiness', router.readiness_listener),
-        ('metrics', router.metrics_listener),
-        ('router', router.peer_listener),
+        ('caller', router.listeners.callers),
+        ('readiness', router.listeners.readiness),
+        ('metrics', router.listeners.metrics),
+        ('router', router.listeners.routers),
     ):
         yield (
             f'{name}_connections',
--- a/celeryward/router_shutdown.py
+++ b/celeryward/router_shutdown.py
@@ -48,7 +48,7 @@
             'deregister', router.view.store.peer, router.view.deregister
         )
         await sleep_until(schedule.accept_until)
-        await router.caller_listener.stop_accepting()
+        await router.listeners.callers.stop_accepting()
         await self.end_connections(schedule.finish_by)
         cut_off = await router.gateway.cut_off_active()
         async with curio.ignore_after(schedule.finish_by.remaining()):
--- a/tests/platform_crashes.py
+++ b/tests/platform_crashes.py
@@ -195,7 +195,7 @@
 
     def caller_address(self, index):
         """Return host and port at which a router serves callers."""
-        return '127.0.0.1', self.routers[index].caller_listener.port
+        return '127.0.0.1', self.routers[index].listeners.callers.port
 
     async def send(self, index, path, parts, harmful=False):
         """Send one request to a router; record what became of it."""
@@ -281,12 +281,7 @@
     """Stop a router without draining."""
     for task in stopped.tasks:
         await task.cancel()
-    for part in (
-        stopped.caller_listener,
-        stopped.readiness_listener,
-        stopped.metrics_listener,
-        stopped.peer_listener,
-    ):
+    for part in stopped.listeners:
         await part.stop_accepting()
         await part.drain(base.deadlines.Deadline.after(0.0))
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -172,12 +172,7 @@
         """Stop all parts without draining."""
         for task in self.router.tasks:
             await task.cancel()
-        for part in (
-            self.router.caller_listener,
-            self.router.readiness_listener,
-            self.router.metrics_listener,
-            self.router.peer_listener,
-        ):
+        for part in self.router.listeners:
             await part.stop_accepting()
             await part.drain(base.deadlines.Deadline.after(0.0))
         for runner in self.runners.values():
@@ -188,7 +183,7 @@
         """Open a connection to the router, as a caller would."""
         return await http.connect(
             '127.0.0.1',
-            self.router.caller_listener.port,
+            self.router.listeners.callers.port,
             base.deadlines.Deadline.after(2.0),
         )
 
--- a/tests/test_other_routers.py
+++ b/tests/test_other_routers.py
@@ -283,7 +283,7 @@
     async def test_router_repeats_the_number_of_a_request(self, site):
         deadline = deadlines.Deadline.after(2.0)
         connection = await http.connect(
-            '127.0.0.1', site.router.peer_listener.port, deadline
+            '127.0.0.1', site.router.listeners.routers.port, deadline
         )
         for number in ('1', '2'):
             response, _ = await http.exchange(
--- a/tests/test_passed_changes.py
+++ b/tests/test_passed_changes.py
@@ -39,7 +39,11 @@
         view.discovery.read_members = self.read_nothing
         listed = [other(each) for each in range(3, 6)]
         leader = members.Member(
-            'router-1', 'a', '127.0.0.1', self.leader.peer_listener.port, 100.0
+            'router-1',
+            'a',
+            '127.0.0.1',
+            self.leader.listeners.routers.port,
+            100.0,
         )
         view.members.replace([leader, *listed])
         await standins.wait_until(self.follower.is_ready)
@@ -57,12 +61,7 @@
                 await task.cancel()
         self.site.router = self.leader
         await self.site.stop()
-        for part in (
-            self.follower.caller_listener,
-            self.follower.readiness_listener,
-            self.follower.metrics_listener,
-            self.follower.peer_listener,
-        ):
+        for part in self.follower.listeners:
             await part.stop_accepting()
             await part.drain(deadlines.Deadline.after(0.0))
 
@@ -133,8 +132,10 @@
         before = pair.follower.view.store.calls
         for task in pair.leader.tasks:
             await task.cancel()
-        await pair.leader.peer_listener.stop_accepting()
-        await pair.leader.peer_listener.drain(deadlines.Deadline.after(0.0))
+        await pair.leader.listeners.routers.stop_accepting()
+        await pair.leader.listeners.routers.drain(
+            deadlines.Deadline.after(0.0)
+        )
         spec = standins.configuration(8)
         await pair.site.store.put('config', 'main', spec)
         configuration = pair.follower.configuration
--- a/tests/test_relayed_generations.py
+++ b/tests/test_relayed_generations.py
@@ -151,7 +151,7 @@
         view = pair.follower.view
         for task in pair.leader.tasks:
             await task.cancel()
-        await pair.leader.peer_listener.stop_accepting()
+        await pair.leader.listeners.routers.stop_accepting()
         await self.restore(pair)
         expected = {'app-1', 'app-2', 'app-4'}
         await standins.wait_until(lambda: read_members(view) == expected)
@@ -162,4 +162,4 @@
         assert restarted.view.store.generations.current == 2
         for task in restarted.tasks:
             await task.cancel()
-        await restarted.peer_listener.stop_accepting()
+        await restarted.listeners.routers.stop_accepting()
--- a/tests/test_router_requests.py
+++ b/tests/test_router_requests.py
@@ -337,7 +337,7 @@
     @standins.on_site
     async def test_connection_in_the_queue_of_the_kernel_is_served(self, site):
         """Closing the listener reset connections that were not yet taken."""
-        listening = site.router.caller_listener
+        listening = site.router.listeners.callers
         await listening.accept_task.cancel()
         connection = await site.connect()
         pending = await curio.spawn(standins.request, connection, '/whole/x')
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -272,7 +272,7 @@
             lambda: (kind, site.name) in site.store.objects
         )
         site.store.unresponsive_kinds = frozenset((kind,))
-        port = site.router.caller_listener.port
+        port = site.router.listeners.callers.port
         stopping = await curio.spawn(site.router.stop)
         await curio.sleep(site.tuning.stop_accepting_after + 0.2)
         with pytest.raises(errors.ConnectionFailed):
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -300,7 +300,7 @@
     async def test_configuration_and_endpoints_are_exported(self, site):
         connection = await http.connect(
             '127.0.0.1',
-            site.router.metrics_listener.port,
+            site.router.listeners.metrics.port,
             deadlines.Deadline.after(2.0),
         )
         _, body = await standins.request(connection, '/metrics')
--- a/tests/test_written_answers.py
+++ b/tests/test_written_answers.py
@@ -40,7 +40,7 @@
 
 def router_address(site):
     """Return the address for callers of a router in this process."""
-    return '127.0.0.1', site.router.caller_listener.port
+    return '127.0.0.1', site.router.listeners.callers.port
 
 
 async def send_only(connection, path, method='GET', **headers):
