Tell from when on a connection may be closed, not for how long it stays

Cause: open_connections took a start and a duration of each connection and added them up in its own function, while the house rule for times is deadlines.

Change: a connection has closable_at, infinite while it serves a request; has_waited is gone. The times are the same as before.

--- a/celeryward/daemons/peer_sockets.py
+++ b/celeryward/daemons/peer_sockets.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import gc
+import math
 import socket
 import time
 
@@ -60,9 +61,11 @@
         self.unread_input_bytes = 0
 
     @property
-    def min_wait_seconds(self):
-        """How long it keeps its place at least."""
-        return open_connections.MIN_WAIT_SECONDS
+    def closable_at(self):
+        """From when on a new connection may take its place, monotonic."""
+        if self.waiting_since is None:
+            return math.inf
+        return self.waiting_since + open_connections.MIN_WAIT_SECONDS
 
     @property
     def peer(self):
--- a/celeryward/open_connections.py
+++ b/celeryward/open_connections.py
@@ -22,9 +22,9 @@
 class OpenConnections:
     """The open connections of one listener, and whether there may be more.
 
-    A connection has ``waiting_since``, the time in monotonic seconds since
-    when it waits for its client, or None, ``min_wait_seconds``, before which
-    it stays open, and ``close_reason()``, which is empty if it must stay open.
+    A connection has ``waiting_since``, since when it waits for its client, or
+    None, and ``closable_at``, before which it stays open, both in monotonic
+    seconds, and ``close_reason()``, which is empty if it must stay open.
 
     :param connection_limits.ListenerLimits limits: the limits.
     :param clock: function that returns monotonic seconds.
@@ -64,7 +64,7 @@
         while found:
             connection = next(iter(found))
             del found[connection]
-            if self.has_waited(connection, now):
+            if connection.closable_at <= now:
                 if reason := connection.close_reason():
                     return connection, reason
         return None, ''
@@ -76,7 +76,7 @@
         """
         waiting = collections.defaultdict(list)
         for connection, source in self.addresses.items():
-            if scope in (None, source) and self.has_waited(connection, now):
+            if scope in (None, source) and connection.closable_at <= now:
                 waiting[source].append(connection)
         most_first = sorted(waiting.values(), key=len, reverse=True)
         longest_first = (
@@ -85,11 +85,6 @@
         )
         return itertools.chain.from_iterable(longest_first)
 
-    def has_waited(self, connection, now):
-        """Return whether a connection has waited for long enough."""
-        since = connection.waiting_since
-        return since is not None and now - since >= connection.min_wait_seconds
-
     def add(self, connection, address):
         """Count a connection."""
         self.addresses[connection] = address
--- a/celeryward/paced_input.py
+++ b/celeryward/paced_input.py
@@ -6,6 +6,7 @@
 client has room for the last response, and little is read ahead of it.
 """
 
+import math
 import time
 
 import curio
@@ -58,11 +59,13 @@
         return self.ahead_since
 
     @property
-    def min_wait_seconds(self):
-        """How long it keeps its place at least."""
+    def closable_at(self):
+        """From when on a new connection may take its place, monotonic."""
+        if self.waiting_since is None:
+            return math.inf
         if self.ahead_since is None:
-            return open_connections.MIN_WAIT_SECONDS
-        return client_waits.AHEAD_SECONDS
+            return self.waiting_since + open_connections.MIN_WAIT_SECONDS
+        return self.waiting_since + client_waits.AHEAD_SECONDS
 
     def read_size(self):
         """Return the most bytes of the next read."""
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -1,6 +1,7 @@
 """Which connections a listener accepts, without a network."""
 
 import dataclasses
+import math
 import types
 
 import pytest
@@ -34,7 +35,12 @@
 
     waiting_since: float | None
     reason: str = 'idle'
-    min_wait_seconds: float = open_connections.MIN_WAIT_SECONDS
+
+    @property
+    def closable_at(self):
+        if self.waiting_since is None:
+            return math.inf
+        return self.waiting_since + open_connections.MIN_WAIT_SECONDS
 
     def close_reason(self):
         looks.append(self)
