Bound what a daemon holds of requests whose clients read nothing

Callers saw nothing yet on a deployment.

Cause: the daemon counted a body only while it was read, not while its key was checked and its response written; the traceback of an error kept the body until the client had read the response, which such clients don't; and bodies had 32 MiB each way whatever the memory.

Ruled out: unread input in the kernel (15 MB at most), heads (98 MB) and endless heads (66 MB).

Sound callers meet the bound with 16 MiB of bodies under way at one daemon at once; memory_megabytes raises it.

--- a/celeryward/callers/request_reader.py
+++ b/celeryward/callers/request_reader.py
@@ -94,12 +94,7 @@
                 peer=error.peer,
             ) from error
         except errors.BodyMemoryExhausted as error:
-            raise errors.Overloaded(
-                error.message,
-                step=error.step,
-                peer=error.peer,
-                retry_at=deadlines.Deadline.after(MEMORY_RETRY_SECONDS),
-            ) from error
+            raise memory_refusal(error) from error
         except errors.BadInput as error:
             raise body_too_large(limits.body_bytes, connection.peer) from error
         except errors.ProtocolError as error:
@@ -108,6 +103,19 @@
             ) from error
 
 
+def memory_refusal(error):
+    """Return the refusal of a request whose body was given up.
+
+    :param errors.BodyMemoryExhausted error: says which one.
+    """
+    return errors.RequestMemoryExhausted(
+        error.message,
+        step=error.step,
+        peer=error.peer,
+        retry_at=deadlines.Deadline.after(MEMORY_RETRY_SECONDS),
+    )
+
+
 def check_head(head, limits, peer):
     """Reject a head that is too large or ambiguous.
 
--- a/celeryward/callers/server.py
+++ b/celeryward/callers/server.py
@@ -5,8 +5,10 @@
 import curio
 import h11
 
+from celeryward import body_memory
 from celeryward.callers import cut_offs
 from celeryward.callers import protocol
+from celeryward.callers import request_reader
 from celeryward.callers import responses
 from celeryward import calls
 from celeryward import deadlines
@@ -19,7 +21,12 @@
 EVENT_STREAM = 'text/event-stream'
 STOP_POLL_SECONDS = 0.05
 # Errors of requests that any client can send, without a key or a model.
-REFUSALS = (errors.BadInput, errors.Unauthenticated, errors.UnknownTarget)
+REFUSALS = (
+    errors.BadInput,
+    errors.RequestMemoryExhausted,
+    errors.Unauthenticated,
+    errors.UnknownTarget,
+)
 
 
 class Responder:
@@ -231,8 +238,10 @@
             self.stop.request_start(),
         )
         self.active.add(responder)
+        memory = body_memory.REQUESTS.hold(connection.stop_reading)
         try:
-            await self.route_request(connection, head, responder)
+            with memory as hold:
+                await self.route_request(connection, head, responder, hold)
         except errors.CallerDisconnected:
             raise
         except curio.TaskCancelled:
@@ -240,6 +249,7 @@
             raise
         except errors.CelerywardError as error:
             self.log_failure(error, request_id)
+            errors.drop_tracebacks(error)
             await responder.send_error(error)
         except Exception:
             # The caller must get a response even after an internal error.
@@ -266,15 +276,22 @@
             'request failed: {} {}', error.code, error.message
         )
 
-    async def route_request(self, connection, head, responder):
+    async def route_request(self, connection, head, responder, hold):
         """Read the body and call the handler for the path.
 
+        :param body_memory.Hold hold: counts the body of the request.
         :raises errors.UnknownTarget: if there is no handler for the path.
+        :raises errors.RequestMemoryExhausted: if the body was given up.
         """
         deadline = protocol.decode_deadline(
             head.headers, self.timings.request_timeout, connection.peer
         )
-        body = await connection.receive_body('read request', deadline)
+        try:
+            body = await connection.receive_body(
+                'read request', deadline, hold=hold
+            )
+        except errors.BodyMemoryExhausted as error:
+            raise request_reader.memory_refusal(error) from error
         if head.path == protocol.CHAT_PATH:
             if head.method != 'POST':
                 raise errors.BadInput(
--- a/celeryward/daemon.py
+++ b/celeryward/daemon.py
@@ -8,6 +8,7 @@
 import curio
 
 from celeryward import awake_clock
+from celeryward import bodies
 from celeryward.callers import idempotency
 from celeryward.callers import request_handler
 from celeryward.callers import server
@@ -32,6 +33,8 @@
 from celeryward.endpoints import recovery
 from celeryward import listener
 from celeryward import logs
+from celeryward import memory_account
+from celeryward import memory_bounds
 from celeryward import metrics
 from celeryward.objects import billing
 from celeryward.objects import claim_store
@@ -84,6 +87,11 @@
             connection_limits.Host(0.0, connection_limits.own_descriptors()),
             settings.connections,
         )
+        memory_bounds.apply(
+            memory_account.derive(
+                settings.memory_megabytes, bodies.MAX_BODY_BYTES
+            )
+        )
         self.stop_state = stopping.StopState()
         self.supervisor = supervision.Supervisor(
             self.metrics.count_task_failure
--- a/celeryward/errors.py
+++ b/celeryward/errors.py
@@ -124,6 +124,10 @@
     code = 'overloaded'
 
 
+class RequestMemoryExhausted(Overloaded):
+    """The body was given up, because those of all requests are too large."""
+
+
 class EndpointsClosed(Overloaded):
     """All endpoints that could run the request want none for a while."""
 
@@ -391,3 +395,14 @@
     if outcome.is_err():
         raise outcome.unwrap_err()
     return outcome.unwrap()
+
+
+def drop_tracebacks(error):
+    """Release the frames that an error passed, and what they hold.
+
+    The body of a request would be kept while its client doesn't read the
+    response.
+    """
+    while error is not None:
+        error.__traceback__ = None
+        error = error.__context__
--- a/celeryward/memory_account.py
+++ b/celeryward/memory_account.py
@@ -44,16 +44,17 @@
     large_buffers: int = MOST_LARGE_BUFFERS
 
 
-def derive(megabytes):
-    """Return the :class:`MemoryAccount` of a host.
+def derive(megabytes, least_request_bytes=LEAST_REQUEST_BYTES):
+    """Return the :class:`MemoryAccount` of a process.
 
-    :param float megabytes: memory of the host; 0.0 if it isn't known.
+    :param float megabytes: memory that it may take; 0.0 if it isn't known.
+    :param int least_request_bytes: least room for bodies of requests.
     """
     if not megabytes:
         return MemoryAccount()
     left = max(0.0, megabytes - OWN_MEGABYTES) * MEGABYTE
     return MemoryAccount(
-        within(left * REQUEST_SHARE, LEAST_REQUEST_BYTES, MOST_BODY_BYTES),
+        within(left * REQUEST_SHARE, least_request_bytes, MOST_BODY_BYTES),
         within(left * ANSWER_SHARE, LEAST_ANSWER_BYTES, MOST_BODY_BYTES),
         within(left * UNREAD_SHARE, LEAST_UNREAD_BYTES, MOST_UNREAD_BYTES),
         within(
--- a/celeryward/router_listeners.py
+++ b/celeryward/router_listeners.py
@@ -3,14 +3,12 @@
 import dataclasses
 import functools
 
-from celeryward import body_memory
 from celeryward import closings
 from celeryward import connection_limits
 from celeryward import listener
 from celeryward import memory_account
-from celeryward import receive_buffers
+from celeryward import memory_bounds
 from celeryward import router_monitoring
-from celeryward import unread_answers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +44,7 @@
     placement = router.placement
     host = connection_limits.host_of(placement)
     limits = connection_limits.derive(host, router.tuning)
-    bound_memory(memory_account.derive(host.megabytes))
+    memory_bounds.apply(memory_account.derive(host.megabytes))
 
     def make(name, address, handler):
         return listener.Listener(
@@ -77,14 +75,3 @@
             'routers', placement.routers, router.view.publisher.handle
         ),
     )
-
-
-def bound_memory(account):
-    """Apply the parts of a host's memory to what this process holds.
-
-    :param account: :class:`memory_account.MemoryAccount`.
-    """
-    body_memory.REQUESTS.limit = account.request_bytes
-    body_memory.ANSWERS.limit = account.answer_bytes
-    unread_answers.UNREAD_ANSWERS.limit = account.unread_bytes
-    receive_buffers.LARGE_BUFFERS.most = account.large_buffers
--- a/celeryward/settings.py
+++ b/celeryward/settings.py
@@ -17,6 +17,7 @@
 Callers = pydantic.conint(ge=8, le=100000)
 Operators = pydantic.conint(ge=4, le=100000)
 Peers = pydantic.conint(ge=16, le=100000)
+Megabytes = pydantic.confloat(ge=128, le=1_000_000)
 Seconds = pydantic.confloat(gt=0, le=86400)
 SigningKey = pydantic.constr(min_length=16)
 SigningKeys = pydantic.conlist(SigningKey, min_length=1)
@@ -100,6 +101,7 @@
     :param str name: unique name of the daemon.
     :param str host_name: name of the host that it runs on.
     :param list seeds: addresses of peers to contact first.
+    :param float memory_megabytes: memory that its process may take.
     """
 
     __pydantic_config__ = STRICT
@@ -117,6 +119,7 @@
     ranking: str = 'prefix-aware'
     timings: Timings = Timings()
     connections: ConnectionSettings = ConnectionSettings()
+    memory_megabytes: Megabytes = 128.0
     sessions: SessionSettings = SessionSettings()
     log: LogSettings = LogSettings()
 
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -9,6 +9,7 @@
 import pytest
 
 from benchmarks import processes
+from celeryward.callers import protocol
 from tests import platform_crashes
 from tests import platform_processes
 from tests import test_client_limits
@@ -137,6 +138,16 @@
 
     @pytest.mark.parametrize('listener', DAEMON_PORTS)
     def test_pipelined_requests(self, tmp_path, listener):
+        sent = test_client_limits.NO_ROUTE
+        self.run_with_crowd(tmp_path, listener, 'pipeline', sent)
+
+    @pytest.mark.parametrize('kind', ('heads', 'bodies', 'endless head'))
+    def test_long_messages_of_callers(self, tmp_path, kind):
+        sent = test_client_limits.request(protocol.CHAT_PATH)
+        self.run_with_crowd(tmp_path, 'callers', kind, sent)
+
+    def run_with_crowd(self, tmp_path, listener, kind, sent):
+        """Check a daemon while and after clients misuse it."""
         ports = {name: platform_crashes.free_port() for name in DAEMON_PORTS}
         with processes.stopping([]) as running:
             _, daemon = test_processes.start_parts(
@@ -147,9 +158,9 @@
             with test_client_limits.crowd_of(daemon.popen.pid) as crowd:
                 crowd.add(
                     CLIENTS,
-                    'pipeline',
+                    kind,
                     ('127.0.0.1', ports[listener]),
-                    test_client_limits.NO_ROUTE,
+                    sent,
                     SOURCES,
                     again=True,
                 )
