--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -84,6 +84,30 @@
             await curio.sleep(0.1)
         assert growth.size < REQUESTS * len(LONG_BODY) / 4
 
+    @standins.on_site
+    async def test_router_keeps_no_body_of_callers_that_leave(
+        self, site, no_collection
+    ):
+        runners = site.runners.values()
+        for runner in runners:
+            runner.default_action = standins.never_respond
+        headers = standins.request_headers('/once/x')
+        with Growth() as growth:
+            for _ in range(REQUESTS):
+                connection = await site.connect()
+                await http.send_request(
+                    connection, 'POST', '/once/x', headers, LONG_BODY
+                )
+                await standins.wait_until(site.arrivals)
+                await connection.close()
+                for runner in runners:
+                    runner.arrivals.clear()
+            await standins.wait_until(lambda: not site.router.gateway.active)
+            await curio.sleep(0.1)
+            for runner in runners:
+                runner.ended.clear()
+        assert growth.size < REQUESTS * len(LONG_BODY) / 4
+
     def test_daemon_keeps_no_body(self, with_cluster, no_collection):
         async def request(port):
             deadline = deadlines.Deadline.after(demo.CALL_SECONDS)
