--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -3,7 +3,6 @@
 import gc
 import tracemalloc
 
-import curio
 import msgspec
 import pytest
 
@@ -49,11 +48,16 @@
         self.size = after - self.before
 
 
+async def wait_until_closed(listener):
+    """Wait until the tasks of all connections have ended."""
+    await standins.wait_until(lambda: not listener.tasks)
+
+
 class TestFailedRequests:
     """Guards against bodies that errors keep until garbage is collected.
 
     They counted no more, so that clients without a key or a route could make
-    a process exceed its memory.
+    a process exceed its memory. Here no garbage is collected.
     """
 
     @pytest.mark.parametrize(
@@ -80,8 +84,7 @@
             for runner in site.runners.values():
                 runner.arrivals.clear()
                 runner.ended.clear()
-            # The last task of a connection ends after its response.
-            await curio.sleep(0.1)
+            await wait_until_closed(site.router.listeners.callers)
         assert growth.size < REQUESTS * len(LONG_BODY) / 4
 
     @standins.on_site
@@ -102,8 +105,7 @@
                 await connection.close()
                 for runner in runners:
                     runner.arrivals.clear()
-            await standins.wait_until(lambda: not site.router.gateway.active)
-            await curio.sleep(0.1)
+            await wait_until_closed(site.router.listeners.callers)
             for runner in runners:
                 runner.ended.clear()
         assert growth.size < REQUESTS * len(LONG_BODY) / 4
@@ -127,7 +129,7 @@
             with Growth() as growth:
                 for _ in range(REQUESTS):
                     await request(cluster.daemon.listener.port)
-                await curio.sleep(0.1)
+                await wait_until_closed(cluster.daemon.listener)
             assert growth.size < REQUESTS * len(LONG_BODY) / 4
 
         with_cluster(test)
@@ -170,14 +172,14 @@
             head, _ = await demo.send_example(port, example)
             assert head.status == 200
             assert used == [len(msgspec.json.encode(example.body))]
-            await curio.sleep(0)
+            await wait_until_closed(cluster.daemon.listener)
             assert body_memory.REQUESTS.used == 0
 
         with_cluster(test)
 
 
 class Body:
-    """An object that can be told to be gone."""
+    """Counts how many of its objects exist."""
 
     kept = 0
 
