Put the header of event_loop in order

Cause: a paragraph on cancelled tasks stood between the first sentence and its reason.

Change: it comes last; no code changes.

Measured: formatter, linter, test_request_memory and test_shape pass.

--- a/celeryward/event_loop.py
+++ b/celeryward/event_loop.py
@@ -1,12 +1,12 @@
 """Runs a program in curio's event loop, in which input goes before timers.
 
-A task that was cancelled keeps no traceback, and with it no local variables.
-
 A process that was stopped learns of its timers and of its input at the same
 moment. epoll_wait then reports no input: the signal that continues the process
 interrupts it, and Python doesn't call it again once the timeout has passed.
 Without another look every wait whose deadline lies in the pause would end
 although what it waits for is there.
+
+A task that was cancelled keeps no traceback, and with it no local variables.
 """
 
 import selectors
